--- /dev/null
+++ b/src/calls/mod.rs
@@ -0,0 +1,1 @@
+//! Calls that may not be repeated.
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,1 @@
+//! Command lines.
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,281 @@
+//! The shared, numbered configuration that operators change by patches.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// Name of a model, engine, caller or other object.
+pub type Name = Arc<str>;
+
+/// The configuration document.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Config {
+    /// Base models and adapters by name.
+    pub models: BTreeMap<Name, Model>,
+    /// Engines by name.
+    pub engines: BTreeMap<Name, Engine>,
+    /// Plain services by name.
+    pub services: BTreeMap<Name, Service>,
+    /// Callers by name.
+    pub callers: BTreeMap<Name, Caller>,
+    /// Operators by name.
+    pub operators: BTreeMap<Name, Operator>,
+    /// Policy of the whole deployment.
+    pub policy: Policy,
+}
+
+/// A base model or an adapter.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Model {
+    /// Version of the weights.
+    pub version: Name,
+    /// Base model; makes this an adapter.
+    pub base: Option<Name>,
+    /// Pool of engines that may hold it; an adapter follows its base.
+    pub pool: Name,
+    /// Team that owns it.
+    pub team: Name,
+    /// Memory, MB.
+    pub memory: u64,
+    /// Most replicas that may be loaded at once.
+    pub limit: u32,
+    /// Replicas kept loaded even when idle.
+    pub warm: u32,
+    /// Expected load time from the weight store, ms.
+    pub load_ms: u64,
+    /// Deadline of a request that names none, ms.
+    pub deadline_ms: u64,
+    /// Worth of one completion.
+    pub worth: f64,
+    /// Priority of a request that names none; higher is served first.
+    pub priority: u8,
+    /// Windows in which the model is kept loaded.
+    pub windows: Vec<Window>,
+}
+
+impl Default for Model {
+    fn default() -> Self {
+        Model {
+            version: "1".into(),
+            base: None,
+            pool: "default".into(),
+            team: "default".into(),
+            memory: 1_000,
+            limit: 1,
+            warm: 0,
+            load_ms: 10_000,
+            deadline_ms: 60_000,
+            worth: 1.0,
+            priority: 5,
+            windows: Vec::new(),
+        }
+    }
+}
+
+/// A time window, seconds since the Unix epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Window {
+    /// Start.
+    pub from: u64,
+    /// End.
+    pub until: u64,
+}
+
+/// A model engine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Engine {
+    /// Address, `ip:port`.
+    pub addr: Name,
+    /// Pool that it serves.
+    pub pool: Name,
+    /// Failure domain.
+    pub domain: Name,
+    /// Memory for weights, MB.
+    pub memory: u64,
+    /// Accelerators.
+    pub accelerators: u32,
+    /// Requests that it batches at once.
+    pub slots: u32,
+    /// Whether it refuses orders with an old fencing token.
+    pub fenced: bool,
+    /// Key that it checks; empty where it checks none.
+    pub key: Name,
+}
+
+impl Default for Engine {
+    fn default() -> Self {
+        Engine {
+            addr: "".into(),
+            pool: "default".into(),
+            domain: "default".into(),
+            memory: 80_000,
+            accelerators: 4,
+            slots: 16,
+            fenced: true,
+            key: "".into(),
+        }
+    }
+}
+
+/// A plain service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Service {
+    /// Addresses of its upstreams, `ip:port`.
+    pub addrs: Vec<Name>,
+    /// Team that owns it.
+    pub team: Name,
+    /// Calls that may not be repeated.
+    pub once: Vec<Route>,
+    /// Deadline of a call that names none, ms.
+    pub deadline_ms: u64,
+    /// How long the record of such a call is kept, seconds.
+    pub keep_s: u64,
+    /// Key sent to the upstream; empty where it checks none.
+    pub key: Name,
+}
+
+impl Default for Service {
+    fn default() -> Self {
+        Service {
+            addrs: Vec::new(),
+            team: "default".into(),
+            once: Vec::new(),
+            deadline_ms: 10_000,
+            keep_s: 86_400,
+            key: "".into(),
+        }
+    }
+}
+
+/// A method and a path prefix.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// HTTP method.
+    pub method: Name,
+    /// Prefix of the path below the service.
+    pub path: Name,
+}
+
+/// A caller.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Caller {
+    /// SHA-256 of its key, hex.
+    pub key_sha256: Name,
+    /// Team that it belongs to.
+    pub team: Name,
+    /// Highest priority that it may ask for.
+    pub priority: u8,
+    /// Requests a second over all hosts.
+    pub rate: f64,
+    /// Most requests in progress at one host.
+    pub streams: u32,
+    /// Teams whose models and services it may use; `*` for all.
+    pub teams: Vec<Name>,
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        Caller {
+            key_sha256: "".into(),
+            team: "default".into(),
+            priority: 5,
+            rate: 1_000.0,
+            streams: 1_000,
+            teams: vec!["*".into()],
+        }
+    }
+}
+
+/// What an operator may do.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Role {
+    /// Read configuration and status.
+    Read,
+    /// Change the configuration.
+    Change,
+    /// Drain hosts.
+    Drain,
+}
+
+/// An operator.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Operator {
+    /// SHA-256 of its key, hex.
+    pub key_sha256: Name,
+    /// What it may do.
+    pub roles: Vec<Role>,
+    /// Teams whose objects it may change; `*` for all and for shared parts.
+    pub teams: Vec<Name>,
+}
+
+/// Policy of the whole deployment.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Policy {
+    /// Cost of one second of cold-start tail.
+    pub tail_weight: f64,
+    /// Cost of one idle accelerator hour.
+    pub idle_weight: f64,
+    /// Weight-store loads started a second.
+    pub store_rate: f64,
+    /// Weight-store loads at once at full speed.
+    pub store_parallel: u32,
+    /// Adapters in transit at once at full speed.
+    pub adapter_parallel: u32,
+    /// Most requests waiting for one model at one host.
+    pub queue: u32,
+    /// How long callers may keep an entry answer, seconds.
+    pub entry_keep_s: u64,
+    /// How placement and sleeping are decided.
+    pub strategy: Strategy,
+    /// Idle time before an unload under [`Strategy::KeepAlive`], ms.
+    pub keepalive_ms: u64,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Policy {
+            tail_weight: 1.0,
+            idle_weight: 1.0,
+            store_rate: 1.5,
+            store_parallel: 4,
+            adapter_parallel: 30,
+            queue: 512,
+            entry_keep_s: 10,
+            strategy: Strategy::Adaptive,
+            keepalive_ms: 600_000,
+        }
+    }
+}
+
+/// How placement and sleeping are decided; all but the first are baselines.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Strategy {
+    /// Cost-based decisions from each model's arrival history.
+    Adaptive,
+    /// Every daemon loads for itself.
+    Solo,
+    /// Unload after a fixed idle time.
+    KeepAlive,
+    /// Never unload.
+    Never,
+    /// First engine with room.
+    FirstFit,
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,1 @@
+//! The control thread.
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,1 @@
+//! Decisions: pure functions of state and `now`.
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,198 @@
+//! The closed list of error kinds and the table from kind to answer.
+
+use std::time::Duration;
+
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+/// Everything that a caller or an operator can be refused for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumIter, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Kind {
+    /// The body is not valid JSON or lacks a required field.
+    BadRequest,
+    /// The body exceeds the size limit.
+    BodyTooLarge,
+    /// The head exceeds the size limit.
+    HeadTooLarge,
+    /// The client sent its request too slowly.
+    SlowClient,
+    /// The key is missing or unknown.
+    BadKey,
+    /// The key is known but lacks the role or the team.
+    Forbidden,
+    /// No such path.
+    NotFound,
+    /// The path exists, the method does not.
+    BadMethod,
+    /// No such model or adapter.
+    UnknownModel,
+    /// No such plain service.
+    UnknownService,
+    /// The requested deadline has already passed.
+    DeadlinePast,
+    /// The deadline passed while the request waited; it did not run.
+    DeadlineExpired,
+    /// The deadline cannot be met; refused ahead of time.
+    DeadlineUnreachable,
+    /// The queue is full.
+    QueueFull,
+    /// The caller exceeded its own rate.
+    RateLimited,
+    /// No replica can be loaded within the operators' limits.
+    NoCapacity,
+    /// The host is leaving and takes no new work.
+    Draining,
+    /// The host does not yet know a configuration.
+    NotReady,
+    /// Every attempt at an upstream failed before its first token.
+    UpstreamFailed,
+    /// The upstream failed after part of the answer was sent.
+    StreamBroken,
+    /// The request is held because upstreams crashed while running it.
+    Quarantined,
+    /// The platform's table did not answer in time.
+    TableDown,
+    /// A call that may not be repeated carries no idempotency key.
+    KeyRequired,
+    /// The idempotency key was used with another body or by another caller.
+    KeyReused,
+    /// The call did not run.
+    NotRun,
+    /// The call was sent and its outcome is unknown.
+    OutcomeUnknown,
+    /// The patch names an old configuration version.
+    VersionConflict,
+    /// The patch names no configuration version.
+    VersionRequired,
+    /// The patched configuration breaks a rule.
+    InvalidConfig,
+    /// A fault inside this process.
+    Internal,
+}
+
+/// Whether the refused work has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Ran {
+    /// It has not run.
+    No,
+    /// It ran in part.
+    Partly,
+    /// It may have run.
+    Unknown,
+}
+
+/// The answer that belongs to a [`Kind`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status code.
+    pub status: u16,
+    /// One sentence for people.
+    pub message: &'static str,
+    /// Whether the same request may succeed later.
+    pub retry: bool,
+    /// Whether the work has run.
+    pub ran: Ran,
+}
+
+impl Kind {
+    /// The answer of this kind.
+    pub fn answer(self) -> Answer {
+        use Ran::{No, Partly, Unknown};
+        let (status, message, retry, ran) = match self {
+            Kind::BadRequest => (400, "the request body is not valid", false, No),
+            Kind::BodyTooLarge => (413, "the request body is too large", false, No),
+            Kind::HeadTooLarge => (431, "the request head is too large", false, No),
+            Kind::SlowClient => (408, "the request arrived too slowly", true, No),
+            Kind::BadKey => (401, "the API key is missing or unknown", false, No),
+            Kind::Forbidden => (403, "the API key does not permit this", false, No),
+            Kind::NotFound => (404, "there is nothing at this path", false, No),
+            Kind::BadMethod => (405, "the path does not support this method", false, No),
+            Kind::UnknownModel => (404, "the model does not exist", false, No),
+            Kind::UnknownService => (404, "the service does not exist", false, No),
+            Kind::DeadlinePast => (400, "the requested deadline has passed", false, No),
+            Kind::DeadlineExpired => (504, "the deadline passed in the queue", true, No),
+            Kind::DeadlineUnreachable => (503, "the deadline cannot be met", true, No),
+            Kind::QueueFull => (503, "the queue of the model is full", true, No),
+            Kind::RateLimited => (429, "the rate limit of the caller is exceeded", true, No),
+            Kind::NoCapacity => (503, "no engine can hold the model now", true, No),
+            Kind::Draining => (503, "this host is leaving", true, No),
+            Kind::NotReady => (503, "this host has no configuration yet", true, No),
+            Kind::UpstreamFailed => (502, "every attempt at an upstream failed", true, No),
+            Kind::StreamBroken => (502, "the upstream failed in mid-stream", false, Partly),
+            Kind::Quarantined => (422, "upstreams crashed on this request", false, Unknown),
+            Kind::TableDown => (503, "the platform's table does not answer", true, No),
+            Kind::KeyRequired => (400, "the call needs an Idempotency-Key", false, No),
+            Kind::KeyReused => (422, "the Idempotency-Key was used otherwise", false, No),
+            Kind::NotRun => (503, "the call did not run", true, No),
+            Kind::OutcomeUnknown => (504, "the outcome of the call is unknown", false, Unknown),
+            Kind::VersionConflict => (412, "the configuration has changed since", false, No),
+            Kind::VersionRequired => (428, "the patch needs an If-Match header", false, No),
+            Kind::InvalidConfig => (422, "the patched configuration is not valid", false, No),
+            Kind::Internal => (500, "an internal error occurred", true, Unknown),
+        };
+        Answer {
+            status,
+            message,
+            retry,
+            ran,
+        }
+    }
+
+    /// The `type` of the OpenAI error object for this kind.
+    pub fn api_type(self) -> &'static str {
+        match self.answer().status {
+            401 => "authentication_error",
+            403 => "permission_error",
+            429 => "rate_limit_error",
+            500.. => "server_error",
+            _ => "invalid_request_error",
+        }
+    }
+}
+
+/// A refusal: its kind, what was wrong with the input, and when to come back.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{kind}: {detail}")]
+pub struct Refusal {
+    /// Kind of the refusal.
+    pub kind: Kind,
+    /// One sentence that names the offending input.
+    pub detail: String,
+    /// Time after which a retry makes sense.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal of `kind` that names the offending input in `detail`.
+    pub fn new(kind: Kind, detail: impl Into<String>) -> Self {
+        Refusal {
+            kind,
+            detail: detail.into(),
+            retry_after: None,
+        }
+    }
+
+    /// The same refusal with the time after which to come back.
+    pub fn retry_after(self, wait: Duration) -> Self {
+        Refusal {
+            retry_after: Some(wait),
+            ..self
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use strum::IntoEnumIterator;
+
+    #[test]
+    fn every_kind_has_an_error_status_and_a_message() {
+        for kind in Kind::iter() {
+            let answer = kind.answer();
+            assert!((400..600).contains(&answer.status), "{kind}");
+            assert!(!answer.message.is_empty(), "{kind}");
+        }
+    }
+}
--- /dev/null
+++ b/src/logs.rs
@@ -0,0 +1,1 @@
+//! Structured logs.
--- /dev/null
+++ b/src/members/mod.rs
@@ -0,0 +1,1 @@
+//! Membership of daemons.
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,1 @@
+//! Metrics.
--- /dev/null
+++ b/src/operators/mod.rs
@@ -0,0 +1,1 @@
+//! HTTP towards operators.
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,3 @@
+//! Links between daemons.
+
+pub mod wire;
--- /dev/null
+++ b/src/peer/wire.rs
@@ -0,0 +1,359 @@
+//! Messages between daemons.
+
+use prost::{Message, Oneof};
+
+/// Version of this set of messages; both sides must agree on it.
+pub const WIRE_VERSION: u32 = 1;
+
+/// One frame.
+#[derive(Clone, PartialEq, Message)]
+pub struct Frame {
+    /// Content; absent when the sender is newer than the receiver.
+    #[prost(
+        oneof = "Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+    )]
+    pub body: Option<Body>,
+}
+
+/// Content of a frame.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// First frame of either side.
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    /// Answer to the other side's nonce.
+    #[prost(message, tag = "2")]
+    Proof(Proof),
+    /// Sign of life.
+    #[prost(message, tag = "3")]
+    Heartbeat(Heartbeat),
+    /// Replicas of a pool.
+    #[prost(message, tag = "4")]
+    Pool(PoolState),
+    /// Request for a replica.
+    #[prost(message, tag = "5")]
+    Want(Want),
+    /// Answer to a want.
+    #[prost(message, tag = "6")]
+    Verdict(Verdict),
+    /// Withdrawal of a want.
+    #[prost(message, tag = "7")]
+    Cancel(Cancel),
+    /// Accepted configuration change.
+    #[prost(message, tag = "8")]
+    Change(Change),
+    /// Request for configuration changes.
+    #[prost(message, tag = "9")]
+    ChangeAsk(ChangeAsk),
+    /// Whole configuration.
+    #[prost(message, tag = "10")]
+    Snapshot(Snapshot),
+    /// Question about an at-most-once call.
+    #[prost(message, tag = "11")]
+    CallAsk(CallAsk),
+    /// Answer to that question.
+    #[prost(message, tag = "12")]
+    CallState(CallState),
+    /// Request for a weight-store permit.
+    #[prost(message, tag = "13")]
+    PermitAsk(PermitAsk),
+    /// Grant of a permit.
+    #[prost(message, tag = "14")]
+    Permit(Permit),
+    /// Return of a permit.
+    #[prost(message, tag = "15")]
+    PermitDone(PermitDone),
+    /// Strike against a request.
+    #[prost(message, tag = "16")]
+    Strike(Strike),
+    /// Arrivals at loaded models, for their owner.
+    #[prost(message, tag = "17")]
+    Usage(Usage),
+    /// Acknowledgement of a strike.
+    #[prost(message, tag = "18")]
+    StrikeAck(StrikeAck),
+}
+
+/// First frame of either side.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    /// [`WIRE_VERSION`] of the sender.
+    #[prost(uint32, tag = "1")]
+    pub wire: u32,
+    /// Firm that the sender serves.
+    #[prost(string, tag = "2")]
+    pub firm: String,
+    /// Host name of the sender.
+    #[prost(string, tag = "3")]
+    pub host: String,
+    /// Incarnation of the sender.
+    #[prost(uint64, tag = "4")]
+    pub incarnation: u64,
+    /// Random bytes that the receiver proves its key on.
+    #[prost(bytes = "vec", tag = "5")]
+    pub nonce: Vec<u8>,
+}
+
+/// Answer to a nonce.
+#[derive(Clone, PartialEq, Message)]
+pub struct Proof {
+    /// HMAC-SHA-256 of both hellos under the shared key.
+    #[prost(bytes = "vec", tag = "1")]
+    pub mac: Vec<u8>,
+}
+
+/// Sign of life, with what changes often.
+#[derive(Clone, PartialEq, Message)]
+pub struct Heartbeat {
+    /// Incarnation of the sender.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// The sender takes no new callers.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+    /// The sender has a configuration and serves.
+    #[prost(bool, tag = "3")]
+    pub ready: bool,
+    /// Configuration version of the sender.
+    #[prost(uint64, tag = "4")]
+    pub config: u64,
+    /// Requests in progress.
+    #[prost(uint32, tag = "5")]
+    pub streams: u32,
+    /// Address for callers, `ip:port`.
+    #[prost(string, tag = "6")]
+    pub addr: String,
+    /// Failure domain.
+    #[prost(string, tag = "7")]
+    pub domain: String,
+}
+
+/// One engine of a pool.
+#[derive(Clone, PartialEq, Message)]
+pub struct EngineState {
+    /// Engine.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// Instance id.
+    #[prost(string, tag = "2")]
+    pub instance: String,
+    /// Models that are loaded and take work.
+    #[prost(string, repeated, tag = "3")]
+    pub ready: Vec<String>,
+    /// Requests in progress by the last report.
+    #[prost(uint32, tag = "4")]
+    pub running: u32,
+    /// Requests in its own queue by the last report.
+    #[prost(uint32, tag = "5")]
+    pub waiting: u32,
+    /// It takes no new work.
+    #[prost(bool, tag = "6")]
+    pub leaving: bool,
+    /// Age of the last report, ms.
+    #[prost(uint32, tag = "7")]
+    pub age_ms: u32,
+}
+
+/// Replicas of a pool, sent by its owner.
+#[derive(Clone, PartialEq, Message)]
+pub struct PoolState {
+    /// Pool.
+    #[prost(string, tag = "1")]
+    pub pool: String,
+    /// Epoch of the owner.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Number of this state within the epoch.
+    #[prost(uint64, tag = "3")]
+    pub seq: u64,
+    /// All engines of the pool.
+    #[prost(message, repeated, tag = "4")]
+    pub engines: Vec<EngineState>,
+}
+
+/// Request for a replica.
+#[derive(Clone, PartialEq, Message)]
+pub struct Want {
+    /// Ticket, unique over all hosts and restarts.
+    #[prost(string, tag = "1")]
+    pub ticket: String,
+    /// Model or adapter.
+    #[prost(string, tag = "2")]
+    pub model: String,
+    /// Remaining time, ms.
+    #[prost(uint64, tag = "3")]
+    pub left_ms: u64,
+    /// Priority; higher first.
+    #[prost(uint32, tag = "4")]
+    pub priority: u32,
+    /// Fingerprint when the request is a suspect, else empty.
+    #[prost(string, tag = "5")]
+    pub suspect: String,
+    /// Engines to avoid.
+    #[prost(string, repeated, tag = "6")]
+    pub avoid: Vec<String>,
+}
+
+/// Answer to a want.
+#[derive(Clone, PartialEq, Message)]
+pub struct Verdict {
+    /// Ticket.
+    #[prost(string, tag = "1")]
+    pub ticket: String,
+    /// Engine that serves; empty when refused.
+    #[prost(string, tag = "2")]
+    pub engine: String,
+    /// Name of the error kind when refused.
+    #[prost(string, tag = "3")]
+    pub kind: String,
+    /// When to come back, ms.
+    #[prost(uint64, tag = "4")]
+    pub retry_ms: u64,
+}
+
+/// Withdrawal of a want, or the end of a suspect's trial.
+#[derive(Clone, PartialEq, Message)]
+pub struct Cancel {
+    /// Ticket.
+    #[prost(string, tag = "1")]
+    pub ticket: String,
+}
+
+/// Accepted configuration change.
+#[derive(Clone, PartialEq, Message)]
+pub struct Change {
+    /// New version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Log entry, JSON.
+    #[prost(string, tag = "2")]
+    pub entry: String,
+}
+
+/// Request for the changes after a version.
+#[derive(Clone, PartialEq, Message)]
+pub struct ChangeAsk {
+    /// Version that the asker has.
+    #[prost(uint64, tag = "1")]
+    pub have: u64,
+}
+
+/// Whole configuration.
+#[derive(Clone, PartialEq, Message)]
+pub struct Snapshot {
+    /// Version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Document, JSON.
+    #[prost(string, tag = "2")]
+    pub document: String,
+}
+
+/// Question about an at-most-once call.
+#[derive(Clone, PartialEq, Message)]
+pub struct CallAsk {
+    /// Number of the question at the asker.
+    #[prost(uint64, tag = "1")]
+    pub ask: u64,
+    /// Key of the record.
+    #[prost(string, tag = "2")]
+    pub key: String,
+    /// Attempt that the record names.
+    #[prost(string, tag = "3")]
+    pub attempt: String,
+}
+
+/// Answer to the question about a call.
+#[derive(Clone, PartialEq, Message)]
+pub struct CallState {
+    /// Number of the question at the asker.
+    #[prost(uint64, tag = "1")]
+    pub ask: u64,
+    /// State record of the call, JSON; empty while it is in progress.
+    #[prost(string, tag = "2")]
+    pub record: String,
+    /// The attempt is unknown here.
+    #[prost(bool, tag = "3")]
+    pub unknown: bool,
+}
+
+/// Request for a weight-store permit.
+#[derive(Clone, PartialEq, Message)]
+pub struct PermitAsk {
+    /// Load, unique over all hosts and restarts.
+    #[prost(string, tag = "1")]
+    pub load: String,
+    /// An adapter, as opposed to a model.
+    #[prost(bool, tag = "2")]
+    pub adapter: bool,
+    /// Stake; higher first.
+    #[prost(double, tag = "3")]
+    pub stake: f64,
+    /// The load is already running.
+    #[prost(bool, tag = "4")]
+    pub running: bool,
+}
+
+/// Grant of a permit.
+#[derive(Clone, PartialEq, Message)]
+pub struct Permit {
+    /// Load.
+    #[prost(string, tag = "1")]
+    pub load: String,
+}
+
+/// Return of a permit.
+#[derive(Clone, PartialEq, Message)]
+pub struct PermitDone {
+    /// Load.
+    #[prost(string, tag = "1")]
+    pub load: String,
+}
+
+/// Strike against a request.
+#[derive(Clone, PartialEq, Message)]
+pub struct Strike {
+    /// Fingerprint of model and body.
+    #[prost(string, tag = "1")]
+    pub fingerprint: String,
+    /// Engine instances that died under it.
+    #[prost(string, repeated, tag = "2")]
+    pub instances: Vec<String>,
+    /// An operator has released it.
+    #[prost(bool, tag = "3")]
+    pub released: bool,
+    /// Model of the request.
+    #[prost(string, tag = "4")]
+    pub model: String,
+}
+
+/// Acknowledgement of a strike.
+#[derive(Clone, PartialEq, Message)]
+pub struct StrikeAck {
+    /// Fingerprint.
+    #[prost(string, tag = "1")]
+    pub fingerprint: String,
+}
+
+/// Arrivals at one model.
+#[derive(Clone, PartialEq, Message)]
+pub struct Arrivals {
+    /// Model or adapter.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// Requests since the last message.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+    /// Requests in progress.
+    #[prost(uint32, tag = "3")]
+    pub running: u32,
+}
+
+/// Arrivals at loaded models, for their owner.
+#[derive(Clone, PartialEq, Message)]
+pub struct Usage {
+    /// Models with arrivals or work in progress.
+    #[prost(message, repeated, tag = "1")]
+    pub models: Vec<Arrivals>,
+}
--- /dev/null
+++ b/src/platform/table_http.rs
@@ -0,0 +1,1 @@
+//! HTTP form.
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,1 @@
+//! Transition functions of the core protocols, free of I/O.
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,158 @@
+//! Settings of one host, read once from a JSON file with comments.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::Name;
+
+/// Settings of one host.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Firm that this host serves.
+    pub firm: Name,
+    /// Name of this host, as in the platform's list.
+    pub host: Name,
+    /// Failure domain of this host.
+    pub domain: Name,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Addresses of the platform.
+    pub platform: Addresses,
+    /// Peer addresses of all entry hosts, this one included.
+    pub peers: Vec<Peer>,
+    /// Key shared by the daemons of this firm.
+    pub peer_key: Name,
+    /// Key shown to the platform; empty where it checks none.
+    pub platform_key: Name,
+    /// Form and level of logs.
+    pub log: Log,
+    /// Limits on clients.
+    pub limits: Limits,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Settings {
+            firm: "".into(),
+            host: "".into(),
+            domain: "".into(),
+            listen: Listen {
+                callers: any,
+                operators: any,
+                peers: any,
+            },
+            platform: Addresses {
+                table: any,
+                objects: any,
+                hosts: any,
+            },
+            peers: Vec::new(),
+            peer_key: "".into(),
+            platform_key: "".into(),
+            log: Log::default(),
+            limits: Limits::default(),
+        }
+    }
+}
+
+/// Addresses to listen on.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other daemons.
+    pub peers: SocketAddr,
+}
+
+/// Addresses of the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Addresses {
+    /// Table service.
+    pub table: SocketAddr,
+    /// Object store.
+    pub objects: SocketAddr,
+    /// Host list.
+    pub hosts: SocketAddr,
+}
+
+/// A daemon's name and peer address.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peer {
+    /// Name of the host.
+    pub host: Name,
+    /// Its peer address.
+    pub addr: SocketAddr,
+}
+
+/// Form of a log line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Form {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Form and level of logs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// Form of a line.
+    pub form: Form,
+    /// Least level: `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: Name,
+    /// File to append to; standard error without one.
+    pub file: Option<PathBuf>,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Log {
+            form: Form::Text,
+            level: "info".into(),
+            file: None,
+        }
+    }
+}
+
+/// Limits on clients.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Most connections of callers at once.
+    pub connections: u32,
+    /// Most requests of callers in progress at once.
+    pub streams: u32,
+    /// Largest head, bytes.
+    pub head: u64,
+    /// Largest body, bytes.
+    pub body: u64,
+    /// Time for a client to send a whole request, ms.
+    pub receive_ms: u64,
+    /// Longest time that a client may refuse to read, ms.
+    pub send_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            connections: 2_048,
+            streams: 1_024,
+            head: 16_384,
+            body: 1_048_576,
+            receive_ms: 10_000,
+            send_ms: 10_000,
+        }
+    }
+}
--- /dev/null
+++ b/src/suspects.rs
@@ -0,0 +1,1 @@
+//! Requests that crash upstreams.
