--- a/src/bin/mastichinged.rs
+++ b/src/bin/mastichinged.rs
@@ -1,1 +1,3 @@
+//! The daemon of an entry host.
+
 fn main() {}
--- a/src/cli.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Command lines.
--- /dev/null
+++ b/src/cli/daemon.rs
@@ -0,0 +1,116 @@
+//! Command line of `mastichinged`.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+use flags::Mastichinged;
+
+mod flags {
+    #![allow(missing_docs)]
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Daemon of an entry host: routes callers to models and plain services.
+        ///
+        /// One of --settings, --check and --version must be given. SIGTERM or
+        /// SIGINT drains the host: it leaves the entry answers, finishes what is
+        /// in progress and hands its pools over.
+        ///
+        /// Exit codes: 0 after a drain or a passed check, 1 after a failure,
+        /// 2 for a wrong command line, 3 for wrong settings.
+        cmd mastichinged {
+            /// Run with the settings in this file (JSON with comments).
+            optional --settings file: PathBuf
+            /// Validate this settings file, name every wrong field, and exit.
+            optional --check file: PathBuf
+            /// Print the version and exit.
+            optional --version
+        }
+    }
+}
+
+/// What the daemon is asked to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DaemonArgs {
+    /// Run until a signal.
+    Run {
+        /// Settings file.
+        settings: PathBuf,
+    },
+    /// Validate a settings file.
+    Check {
+        /// Settings file.
+        settings: PathBuf,
+    },
+    /// Print the version.
+    Version,
+    /// Print this help text.
+    Help(String),
+}
+
+/// Why a command line was refused.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{message}; see {program} --help")]
+pub struct UsageError {
+    /// Program.
+    pub program: &'static str,
+    /// What was wrong.
+    pub message: String,
+}
+
+/// Reads the arguments that follow the program's name.
+pub fn parse(args: Vec<OsString>) -> Result<DaemonArgs, UsageError> {
+    let flags = match Mastichinged::from_vec(args) {
+        Ok(flags) => flags,
+        Err(err) if err.is_help() => return Ok(DaemonArgs::Help(err.to_string())),
+        Err(err) => return Err(usage(err.to_string())),
+    };
+    if flags.version {
+        return Ok(DaemonArgs::Version);
+    }
+    match (flags.settings, flags.check) {
+        (Some(settings), None) => Ok(DaemonArgs::Run { settings }),
+        (None, Some(settings)) => Ok(DaemonArgs::Check { settings }),
+        _ => Err(usage("give either --settings or --check".to_owned())),
+    }
+}
+
+fn usage(message: String) -> UsageError {
+    UsageError {
+        program: "mastichinged",
+        message,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    fn read(line: &str) -> Result<DaemonArgs, UsageError> {
+        parse(line.split_whitespace().map(OsString::from).collect())
+    }
+
+    #[test_case("--settings a" => Ok(DaemonArgs::Run { settings: "a".into() }))]
+    #[test_case("--check a" => Ok(DaemonArgs::Check { settings: "a".into() }))]
+    #[test_case("--version" => Ok(DaemonArgs::Version))]
+    fn accepts(line: &str) -> Result<DaemonArgs, UsageError> {
+        read(line)
+    }
+
+    #[test_case("")]
+    #[test_case("--settings a --check b")]
+    #[test_case("--setings a")]
+    fn refuses(line: &str) {
+        assert!(read(line).is_err());
+    }
+
+    #[test]
+    fn help_names_every_flag() {
+        let Ok(DaemonArgs::Help(text)) = read("--help") else {
+            panic!("no help text");
+        };
+        assert!(text.contains("--settings") && text.contains("--check"));
+    }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,5 +1,7 @@
 //! The shared, numbered configuration that operators change by patches.
 
+pub mod reason;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
--- /dev/null
+++ b/src/config/reason.rs
@@ -0,0 +1,105 @@
+//! Reasons for which a document is refused, each bound to one field.
+
+use std::fmt;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+use crate::config::Name;
+
+/// Longest value that a reason repeats, in characters.
+const VALUE_CHARS: usize = 60;
+
+/// One wrong field of a document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Reason {
+    /// JSON pointer (RFC 6901) of the field.
+    pub path: Name,
+    /// The value as JSON; hidden where the field holds a key.
+    pub value: Name,
+    /// What is allowed instead.
+    pub allowed: Name,
+}
+
+impl Reason {
+    /// A reason that the field at `path` with `value` breaks the rule `allowed`.
+    pub fn new(path: &str, value: &Value, allowed: impl Into<Name>) -> Self {
+        Reason {
+            path: path.into(),
+            value: shown(path, value).into(),
+            allowed: allowed.into(),
+        }
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} = {}: {}", self.path, self.value, self.allowed)
+    }
+}
+
+/// Writes reasons one a line.
+pub fn lines(reasons: &[Reason]) -> String {
+    let mut text = String::new();
+    for reason in reasons {
+        text.push_str("\n  ");
+        text.push_str(&reason.to_string());
+    }
+    text
+}
+
+/// The pointer of `name` below `path`, escaped as RFC 6901 asks.
+pub fn below(path: &str, name: &str) -> String {
+    let name = name.replace('~', "~0").replace('/', "~1");
+    format!("{path}/{name}")
+}
+
+/// Reads each field of `value` apart, so that every wrong one is reported.
+///
+/// `T` must accept an object with any of its fields left out. Fields named in
+/// `apart` are left to the caller, which reads them by their own type.
+pub fn fields<T: DeserializeOwned>(
+    path: &str,
+    value: &Value,
+    apart: &[&str],
+    reasons: &mut Vec<Reason>,
+) {
+    let Value::Object(object) = value else {
+        reasons.push(Reason::new(path, value, "must be an object"));
+        return;
+    };
+    for (name, field) in object {
+        if apart.contains(&name.as_str()) {
+            continue;
+        }
+        let single = Map::from_iter([(name.clone(), field.clone())]);
+        let Err(err) = serde_json::from_value::<T>(Value::Object(single)) else {
+            continue;
+        };
+        reasons.push(Reason::new(&below(path, name), field, err.to_string()));
+    }
+}
+
+/// Reads each element of an array as [`fields`] does.
+pub fn elements<T: DeserializeOwned>(path: &str, value: &Value, reasons: &mut Vec<Reason>) {
+    let Value::Array(array) = value else {
+        reasons.push(Reason::new(path, value, "must be an array"));
+        return;
+    };
+    for (i, element) in array.iter().enumerate() {
+        fields::<T>(&below(path, &i.to_string()), element, &[], reasons);
+    }
+}
+
+fn shown(path: &str, value: &Value) -> String {
+    if path.ends_with("key") && value.as_str() != Some("") {
+        return "(hidden)".to_owned();
+    }
+    let text = value.to_string();
+    if text.chars().count() <= VALUE_CHARS {
+        return text;
+    }
+    let start: String = text.chars().take(VALUE_CHARS).collect();
+    format!("{start}…")
+}
--- a/src/settings.rs
+++ b/src/settings/mod.rs
@@ -1,12 +1,20 @@
 //! Settings of one host, read once from a JSON file with comments.
 
-use std::net::SocketAddr;
+mod check;
+mod load;
+
+pub use load::{SettingsError, load, parse};
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 
 use serde::{Deserialize, Serialize};
 
 use crate::config::Name;
 
+/// Address of a field that the file leaves out.
+const UNSET: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// Settings of one host.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -35,21 +43,12 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
         Settings {
             firm: "".into(),
             host: "".into(),
             domain: "".into(),
-            listen: Listen {
-                callers: any,
-                operators: any,
-                peers: any,
-            },
-            platform: Addresses {
-                table: any,
-                objects: any,
-                hosts: any,
-            },
+            listen: Listen::default(),
+            platform: Addresses::default(),
             peers: Vec::new(),
             peer_key: "".into(),
             platform_key: "".into(),
@@ -61,7 +60,7 @@
 
 /// Addresses to listen on.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(default, deny_unknown_fields)]
 pub struct Listen {
     /// For callers.
     pub callers: SocketAddr,
@@ -71,9 +70,19 @@
     pub peers: SocketAddr,
 }
 
+impl Default for Listen {
+    fn default() -> Self {
+        Listen {
+            callers: UNSET,
+            operators: UNSET,
+            peers: UNSET,
+        }
+    }
+}
+
 /// Addresses of the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(default, deny_unknown_fields)]
 pub struct Addresses {
     /// Table service.
     pub table: SocketAddr,
@@ -83,9 +92,19 @@
     pub hosts: SocketAddr,
 }
 
+impl Default for Addresses {
+    fn default() -> Self {
+        Addresses {
+            table: UNSET,
+            objects: UNSET,
+            hosts: UNSET,
+        }
+    }
+}
+
 /// A daemon's name and peer address.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(default, deny_unknown_fields)]
 pub struct Peer {
     /// Name of the host.
     pub host: Name,
@@ -93,6 +112,15 @@
     pub addr: SocketAddr,
 }
 
+impl Default for Peer {
+    fn default() -> Self {
+        Peer {
+            host: "".into(),
+            addr: UNSET,
+        }
+    }
+}
+
 /// Form of a log line.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
