Add the ownership protocol: owner record, pins, order numbers, ledger

Cause: the pool owner needs one set of rules for who may load what where, free of I/O, that a model checker can run too.

Change: src/protocol/ownership holds the owner record (claim, handover), the pins of an engine (may_pin, release, adoption of an instance), order numbers and the ledger of orders without an answer, with grants as typestate. `Verb` derives `Hash`.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -132,7 +132,7 @@
 }
 
 /// What an order does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Verb {
     /// Load the weights.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,1 +1,3 @@
 //! Transition functions of the core protocols, free of I/O.
+
+pub mod ownership;
