Add HTTP clients of the platform and the engines

Cause: the daemon needs the table, objects, host list and engines over HTTP. Change: attohttpc clients that tell whether a byte was sent before a failure, with time limits on every call.

--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,158 @@
+//! HTTP requests that tell whether any byte was sent before a failure.
+
+use std::cell::Cell;
+use std::io::{self, Read, Write};
+use std::rc::Rc;
+use std::time::Duration;
+
+use attohttpc::body::{Body, BodyKind};
+use attohttpc::{ProxySettings, RequestBuilder, Response, Session};
+use serde::de::DeserializeOwned;
+
+/// Largest answer that is read whole, bytes.
+const MAX_ANSWER: u64 = 64 * 1024 * 1024;
+
+/// Start of an error body that is kept, bytes.
+const MAX_DETAIL: u64 = 512;
+
+/// Time limits of platform calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timeouts {
+    /// For connecting.
+    pub connect: Duration,
+    /// For the whole call, connecting included.
+    pub total: Duration,
+}
+
+impl Default for Timeouts {
+    fn default() -> Self {
+        Timeouts {
+            connect: Duration::from_millis(500),
+            total: Duration::from_secs(3),
+        }
+    }
+}
+
+/// Why a request got no answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SendError {
+    /// No byte of the request was sent.
+    #[error("no connection: {0}")]
+    Unsent(String),
+    /// The request was sent, in part at least; no whole answer came.
+    #[error("no whole answer: {0}")]
+    Unanswered(String),
+}
+
+/// A session that follows no redirect and uses no proxy.
+pub fn session() -> Session {
+    let mut session = Session::new();
+    session.follow_redirects(false);
+    session.proxy_settings(ProxySettings::builder().build());
+    session
+}
+
+/// Adds the bearer key, if any.
+pub fn authorize(request: RequestBuilder, key: &str) -> RequestBuilder {
+    if key.is_empty() {
+        return request;
+    }
+    request.bearer_auth(key)
+}
+
+/// Media type of a request body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Media {
+    /// No body.
+    None,
+    /// JSON.
+    Json,
+    /// Bytes of any kind.
+    Bytes,
+}
+
+impl Media {
+    fn name(self) -> Option<String> {
+        match self {
+            Media::None => None,
+            Media::Json => Some("application/json".into()),
+            Media::Bytes => Some("application/octet-stream".into()),
+        }
+    }
+}
+
+/// Sends a request with `body` and waits for the head of the answer.
+pub fn send(request: RequestBuilder, media: Media, body: &[u8]) -> Result<Response, SendError> {
+    let started = Rc::new(Cell::new(false));
+    let body = Marked {
+        bytes: body,
+        media,
+        started: started.clone(),
+    };
+    request.body(body).send().map_err(|e| match started.get() {
+        true => SendError::Unanswered(e.to_string()),
+        false => SendError::Unsent(e.to_string()),
+    })
+}
+
+/// Reads a whole answer.
+pub fn read(response: Response) -> Result<Vec<u8>, SendError> {
+    let expected = content_length(&response);
+    let (_, _, reader) = response.split();
+    let mut bytes = Vec::new();
+    let mut reader = reader.take(MAX_ANSWER + 1);
+    let outcome = reader.read_to_end(&mut bytes);
+    let size = bytes.len() as u64;
+    if size > MAX_ANSWER {
+        return Err(SendError::Unanswered("the answer is too large".into()));
+    }
+    if expected.is_some_and(|e| size < e) {
+        return Err(SendError::Unanswered("the answer was cut short".into()));
+    }
+    match outcome {
+        Ok(_) => Ok(bytes),
+        Err(e) => Err(SendError::Unanswered(e.to_string())),
+    }
+}
+
+/// Reads a whole answer as JSON.
+pub fn read_json<T: DeserializeOwned>(response: Response) -> Result<T, SendError> {
+    let bytes = read(response)?;
+    serde_json::from_slice(&bytes).map_err(|e| SendError::Unanswered(e.to_string()))
+}
+
+/// Reads the start of an error answer.
+pub fn detail(response: Response) -> String {
+    let (_, _, reader) = response.split();
+    let mut bytes = Vec::new();
+    let _ = reader.take(MAX_DETAIL).read_to_end(&mut bytes);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn content_length(response: &Response) -> Option<u64> {
+    let value = response.headers().get("content-length")?;
+    value.to_str().ok()?.parse().ok()
+}
+
+/// A body that notes when it is first written. The client writes the head into
+/// a buffer of 8 KiB first, so a head below that has not been sent either.
+struct Marked<'a> {
+    bytes: &'a [u8],
+    media: Media,
+    started: Rc<Cell<bool>>,
+}
+
+impl Body for Marked<'_> {
+    fn kind(&mut self) -> io::Result<BodyKind> {
+        Ok(BodyKind::KnownLength(self.bytes.len() as u64))
+    }
+
+    fn write<W: Write>(&mut self, mut writer: W) -> io::Result<()> {
+        self.started.set(true);
+        writer.write_all(self.bytes)
+    }
+
+    fn content_type(&mut self) -> io::Result<Option<String>> {
+        Ok(self.media.name())
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,11 +1,22 @@
 //! The outside world behind small interfaces: the platform's table, object
 //! store and host list, and the model engines.
 
+pub mod client;
 pub mod engine_http;
+pub mod escape;
+pub mod events;
 pub mod hosts_http;
+pub mod http;
 pub mod objects_http;
 pub mod table_http;
 
+pub use client::Timeouts;
+pub use engine_http::HttpEngine;
+pub use hosts_http::HttpHosts;
+pub use http::HttpPlatform;
+pub use objects_http::HttpObjects;
+pub use table_http::HttpTable;
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/src/platform/table_http.rs
+++ b/src/platform/table_http.rs
@@ -1,1 +1,146 @@
-//! HTTP form.
+//! The table service over HTTP.
+//!
+//! `POST /v1/commit` with [`Commit`] answers [`Committed`], or status 409 with
+//! [`Conflict`]; `GET /v1/items/KEY` answers an [`Item`] or 404;
+//! `GET /v1/items?prefix=P` answers a list of items in key order. Status 4xx
+//! means that nothing was written, but for 408 and 429; any other status says
+//! nothing about the outcome.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use attohttpc::{RequestBuilder, Response, Session};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::client::{self, Media, SendError, Timeouts};
+use super::escape::encode;
+use super::{Item, Table, TableError, Write};
+
+/// Body of a commit.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Commit {
+    /// Writes that are committed together.
+    pub writes: Vec<Write>,
+}
+
+/// Answer to a commit that took effect.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Committed {
+    /// New version of each item.
+    pub versions: Vec<u64>,
+}
+
+/// Answer to a commit whose condition failed.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Conflict {
+    /// Key whose condition failed.
+    pub key: Arc<str>,
+    /// The item as it stands.
+    pub current: Option<Item>,
+}
+
+impl From<SendError> for TableError {
+    fn from(error: SendError) -> Self {
+        TableError::Unavailable(error.to_string())
+    }
+}
+
+/// Client of the table service.
+#[derive(Debug)]
+pub struct HttpTable {
+    base: String,
+    key: Arc<str>,
+    limits: Timeouts,
+    session: Session,
+}
+
+impl HttpTable {
+    /// A client of the table at `addr` that shows `key`, unless it is empty.
+    pub fn new(addr: SocketAddr, key: Arc<str>, limits: Timeouts) -> Self {
+        HttpTable {
+            base: format!("http://{addr}/v1"),
+            key,
+            limits,
+            session: client::session(),
+        }
+    }
+
+    fn read(&self, request: RequestBuilder) -> Result<Response, TableError> {
+        send(request, &self.key, self.limits, Media::None, b"")
+    }
+}
+
+impl Table for HttpTable {
+    fn get(&self, key: &str) -> Result<Option<Item>, TableError> {
+        let url = format!("{}/items/{}", self.base, encode(key));
+        let response = self.read(self.session.get(url))?;
+        if response.status().as_u16() == 404 {
+            return Ok(None);
+        }
+        answer(response).map(Some)
+    }
+
+    fn scan(&self, prefix: &str) -> Result<Vec<Item>, TableError> {
+        let url = format!("{}/items", self.base);
+        let request = self.session.get(url).param("prefix", prefix);
+        answer(self.read(request)?)
+    }
+
+    fn commit(&self, writes: &[Write]) -> Result<Vec<u64>, TableError> {
+        let commit = Commit {
+            writes: writes.to_vec(),
+        };
+        let body = serde_json::to_vec(&commit).map_err(|e| TableError::Refused(e.to_string()))?;
+        let url = format!("{}/commit", self.base);
+        let request = self.session.post(url);
+        let response = send(request, &self.key, self.limits, Media::Json, &body)?;
+        if response.status().as_u16() == 409 {
+            let conflict: Conflict = client::read_json(response)?;
+            return Err(TableError::Conflict {
+                key: conflict.key,
+                current: conflict.current,
+            });
+        }
+        let committed: Committed = answer(response)?;
+        if committed.versions.len() != writes.len() {
+            let text = "the answer does not name the version of each write";
+            return Err(TableError::Unavailable(text.into()));
+        }
+        Ok(committed.versions)
+    }
+}
+
+/// Sends a platform request within its time limits.
+pub(super) fn send(
+    request: RequestBuilder,
+    key: &str,
+    limits: Timeouts,
+    media: Media,
+    body: &[u8],
+) -> Result<Response, TableError> {
+    let request = client::authorize(request, key)
+        .connect_timeout(limits.connect)
+        .read_timeout(limits.total)
+        .timeout(limits.total);
+    Ok(client::send(request, media, body)?)
+}
+
+/// Turns an error status of a platform service into an error.
+pub(super) fn check(response: Response) -> Result<Response, TableError> {
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response);
+    }
+    let text = format!("status {}: {}", status.as_u16(), client::detail(response));
+    match status.as_u16() {
+        408 | 429 => Err(TableError::Unavailable(text)),
+        400..=499 => Err(TableError::Refused(text)),
+        _ => Err(TableError::Unavailable(text)),
+    }
+}
+
+/// Reads the JSON answer of a platform service.
+pub(super) fn answer<T: DeserializeOwned>(response: Response) -> Result<T, TableError> {
+    Ok(client::read_json(check(response)?)?)
+}
