Keep the configuration in a numbered ledger with rules and an audit log

Cause: two operators who edit one version must not overwrite each other, a patch whose answer was lost must find its own version, and a daemon must never go back to an older version. The settings take admin_hash, the operator who opens an empty configuration. Only the typed document is held; the JSON text is made on demand. Conclusion: the operators' API and the daemons can build on propose, load, since and apply.

--- /dev/null
+++ b/src/config/entry.rs
@@ -0,0 +1,62 @@
+//! Records of accepted configuration changes.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::Name;
+
+/// A patch that an operator asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Proposal {
+    /// Version that the patch was written for.
+    pub base: u64,
+    /// JSON Merge Patch (RFC 7396).
+    pub patch: Value,
+    /// Operator.
+    pub who: Name,
+    /// Teams whose objects the operator may change; `*` for all.
+    pub teams: Vec<Name>,
+    /// Id that stays the same when the patch is sent again.
+    pub attempt: Name,
+    /// Time of the request, seconds since the Unix epoch.
+    pub unix: u64,
+}
+
+/// An accepted change; the log of these is the audit trail.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Version that the change made.
+    pub version: u64,
+    /// Version that it was made on.
+    pub base: u64,
+    /// JSON Merge Patch (RFC 7396).
+    pub patch: Value,
+    /// Operator.
+    pub who: Name,
+    /// Time of the request, seconds since the Unix epoch.
+    pub unix: u64,
+    /// Attempt id of the request.
+    pub attempt: Name,
+}
+
+impl Entry {
+    /// The entry that accepts `proposal`.
+    pub fn accepting(proposal: &Proposal) -> Self {
+        Entry {
+            version: proposal.base + 1,
+            base: proposal.base,
+            patch: proposal.patch.clone(),
+            who: proposal.who.clone(),
+            unix: proposal.unix,
+            attempt: proposal.attempt.clone(),
+        }
+    }
+
+    /// Whether the entry came of `proposal` or of an earlier sending of it.
+    pub fn is_of(&self, proposal: &Proposal) -> bool {
+        self.base == proposal.base
+            && self.attempt == proposal.attempt
+            && self.who == proposal.who
+            && self.patch == proposal.patch
+    }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,12 @@
 //! The shared, numbered configuration that operators change by patches.
 
+pub mod entry;
+pub mod ledger;
+pub mod patch;
 pub mod reason;
+pub mod rules;
+pub mod state;
+pub mod validate;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -35,6 +41,7 @@
     /// Version of the weights.
     pub version: Name,
     /// Base model; makes this an adapter.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub base: Option<Name>,
     /// Pool of engines that may hold it; an adapter follows its base.
     pub pool: Name,
--- a/src/config/reason.rs
+++ b/src/config/reason.rs
@@ -11,6 +11,9 @@
 /// Longest value that a reason repeats, in characters.
 const VALUE_CHARS: usize = 60;
 
+/// Rule for a value that must be an object.
+pub const MUST_BE_OBJECT: &str = "must be an object";
+
 /// One wrong field of a document.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Reason {
@@ -33,6 +36,21 @@
     }
 }
 
+/// Collects reasons while rules are checked one after another.
+#[derive(Debug, Default)]
+pub struct Reasons(pub Vec<Reason>);
+
+impl Reasons {
+    /// Adds a reason unless `holds`.
+    pub fn check(&mut self, holds: bool, path: &str, value: &impl Serialize, allowed: &str) {
+        if holds {
+            return;
+        }
+        let value = serde_json::to_value(value).unwrap_or_default();
+        self.0.push(Reason::new(path, &value, allowed));
+    }
+}
+
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} = {}: {}", self.path, self.value, self.allowed)
@@ -66,7 +84,7 @@
     reasons: &mut Vec<Reason>,
 ) {
     let Value::Object(object) = value else {
-        reasons.push(Reason::new(path, value, "must be an object"));
+        reasons.push(Reason::new(path, value, MUST_BE_OBJECT));
         return;
     };
     for (name, field) in object {
--- /dev/null
+++ b/src/config/state.rs
@@ -0,0 +1,79 @@
+//! The configuration version in force at one daemon.
+
+use std::sync::Arc;
+
+use serde_json::Value;
+
+use super::Config;
+use super::entry::Entry;
+use super::patch::merged;
+use super::reason::{Reason, lines};
+
+/// The version in force; it only rises.
+#[derive(Clone, Debug, Default)]
+pub struct Current {
+    /// Version; 0 before the first change.
+    pub version: u64,
+    /// Content.
+    pub config: Arc<Config>,
+}
+
+/// What became of an entry or snapshot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// It is in force now.
+    Raised,
+    /// The version in force is as new or newer.
+    Known,
+    /// Versions in between are missing.
+    Gap,
+}
+
+/// An entry or snapshot that this program cannot read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("configuration version {version} cannot be read:{}", lines(reasons))]
+pub struct ApplyError {
+    /// Version.
+    pub version: u64,
+    /// Fields that cannot be read.
+    pub reasons: Vec<Reason>,
+}
+
+impl Current {
+    /// Applies the next version; anything else changes nothing.
+    pub fn apply(&mut self, entry: &Entry) -> Result<Applied, ApplyError> {
+        if entry.version <= self.version {
+            return Ok(Applied::Known);
+        }
+        if entry.version != self.version + 1 {
+            return Ok(Applied::Gap);
+        }
+        let config = read(&self.config, &entry.patch, entry.version)?;
+        self.raise(entry.version, config);
+        Ok(Applied::Raised)
+    }
+
+    /// Takes a whole document if it is newer.
+    pub fn restore(&mut self, version: u64, document: &Value) -> Result<Applied, ApplyError> {
+        if version <= self.version {
+            return Ok(Applied::Known);
+        }
+        let config = read(&Config::default(), document, version)?;
+        self.raise(version, config);
+        Ok(Applied::Raised)
+    }
+
+    /// The whole document, with the keys of upstreams.
+    pub fn document(&self) -> Value {
+        serde_json::to_value(&*self.config).unwrap_or_default()
+    }
+
+    fn raise(&mut self, version: u64, config: Config) {
+        self.version = version;
+        self.config = Arc::new(config);
+    }
+}
+
+fn read(config: &Config, patch: &Value, version: u64) -> Result<Config, ApplyError> {
+    merged(config, patch).map_err(|reasons| ApplyError { version, reasons })
+}
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -7,7 +7,8 @@
 use serde_json::Value;
 
 use super::{Limits, Settings};
-use crate::config::reason::{Reason, below};
+use crate::config::reason::{Reason, Reasons, below};
+use crate::config::rules::{HASH_RULE, is_hash};
 
 /// Least length of the key that daemons share, bytes.
 const PEER_KEY_BYTES: usize = 16;
@@ -29,95 +30,84 @@
 
 /// Every rule that the settings break; `value` is the document they came from.
 pub fn broken(settings: &Settings, value: &Value) -> Vec<Reason> {
-    let mut rules = Rules {
-        value,
-        reasons: Vec::new(),
-    };
-    rules.required();
-    rules.names(settings);
-    rules.peers(settings);
-    rules.log(settings);
-    rules.limits(&settings.limits);
-    rules.reasons
-}
-
-struct Rules<'a> {
-    value: &'a Value,
-    reasons: Vec<Reason>,
-}
-
-impl Rules<'_> {
-    fn refuse(&mut self, path: &str, allowed: &str) {
-        let value = self.value.pointer(path).unwrap_or(&Value::Null);
-        self.reasons.push(Reason::new(path, value, allowed));
-    }
-
-    fn required(&mut self) {
-        for path in REQUIRED {
-            if self.value.pointer(path).is_none() {
-                self.refuse(path, "is required");
-            }
-        }
+    let mut reasons = Reasons::default();
+    for path in REQUIRED {
+        let given = value.pointer(path).is_some();
+        reasons.check(given, path, &Value::Null, "is required");
     }
+    names(settings, &mut reasons);
+    peers(settings, &mut reasons);
+    log(settings, &mut reasons);
+    limits(&settings.limits, &mut reasons);
+    reasons.0.sort_by(|a, b| a.path.cmp(&b.path));
+    reasons.0.dedup_by(|a, b| a.path == b.path);
+    reasons.0
+}
 
-    fn names(&mut self, settings: &Settings) {
-        let names = [
-            ("/firm", &settings.firm),
-            ("/host", &settings.host),
-            ("/domain", &settings.domain),
-        ];
-        for (path, name) in names {
-            if name.is_empty() && self.value.pointer(path).is_some() {
-                self.refuse(path, "must not be empty");
-            }
-        }
-        if settings.peer_key.len() < PEER_KEY_BYTES && self.value.pointer("/peer_key").is_some() {
-            self.refuse("/peer_key", "must have at least 16 bytes");
-        }
+fn names(settings: &Settings, reasons: &mut Reasons) {
+    let names = [
+        ("/firm", &settings.firm),
+        ("/host", &settings.host),
+        ("/domain", &settings.domain),
+    ];
+    for (path, name) in names {
+        reasons.check(!name.is_empty(), path, name, "must not be empty");
     }
+    let key = &settings.peer_key;
+    let long = key.len() >= PEER_KEY_BYTES;
+    reasons.check(long, "/peer_key", key, "must have at least 16 bytes");
+    let hash = &settings.admin_hash;
+    let valid = hash.is_empty() || is_hash(hash);
+    reasons.check(valid, "/admin_hash", hash, HASH_RULE);
+}
 
-    fn peers(&mut self, settings: &Settings) {
-        if self.value.pointer("/peers").is_none() {
-            return;
-        }
-        let mut seen = BTreeSet::new();
-        for (i, peer) in settings.peers.iter().enumerate() {
-            let path = below("/peers", &i.to_string());
-            if peer.host.is_empty() {
-                self.refuse(&below(&path, "host"), "must not be empty");
-            }
-            if peer.addr.port() == 0 {
-                self.refuse(&below(&path, "addr"), "must be ip:port with a port above 0");
-            }
-            if !seen.insert(&peer.host) {
-                self.refuse(&below(&path, "host"), "must differ from the other peers");
-            }
-        }
-        if !seen.contains(&settings.host) {
-            self.refuse("/peers", "must contain this host as well");
-        }
+fn peers(settings: &Settings, reasons: &mut Reasons) {
+    let mut seen = BTreeSet::new();
+    for (i, peer) in settings.peers.iter().enumerate() {
+        let path = below("/peers", &i.to_string());
+        let host = below(&path, "host");
+        let addr = below(&path, "addr");
+        let fresh = seen.insert(&peer.host);
+        reasons.check(
+            !peer.host.is_empty(),
+            &host,
+            &peer.host,
+            "must not be empty",
+        );
+        reasons.check(fresh, &host, &peer.host, "must differ from the other peers");
+        reasons.check(
+            peer.addr.port() > 0,
+            &addr,
+            &peer.addr,
+            "needs a port above 0",
+        );
     }
+    let own = seen.contains(&settings.host);
+    reasons.check(
+        own,
+        "/peers",
+        &settings.peers,
+        "must contain this host as well",
+    );
+}
 
-    fn log(&mut self, settings: &Settings) {
-        if LevelFilter::from_str(&settings.log.level).is_err() {
-            let allowed = "must be `error`, `warn`, `info`, `debug` or `trace`";
-            self.refuse("/log/level", allowed);
-        }
-    }
+fn log(settings: &Settings, reasons: &mut Reasons) {
+    let level = &settings.log.level;
+    let known = LevelFilter::from_str(level).is_ok();
+    let allowed = "must be `error`, `warn`, `info`, `debug` or `trace`";
+    reasons.check(known, "/log/level", level, allowed);
+}
 
-    fn limits(&mut self, limits: &Limits) {
-        let limits = [
-            ("/limits/connections", u64::from(limits.connections)),
-            ("/limits/streams", u64::from(limits.streams)),
-            ("/limits/head", limits.head),
-            ("/limits/body", limits.body),
-            ("/limits/receive_ms", limits.receive_ms),
-            ("/limits/send_ms", limits.send_ms),
-        ];
-        for (path, limit) in limits {
-            if limit == 0 {
-                self.refuse(path, "must be above 0");
-            }
-        }
+fn limits(limits: &Limits, reasons: &mut Reasons) {
+    let limits = [
+        ("/limits/connections", u64::from(limits.connections)),
+        ("/limits/streams", u64::from(limits.streams)),
+        ("/limits/head", limits.head),
+        ("/limits/body", limits.body),
+        ("/limits/receive_ms", limits.receive_ms),
+        ("/limits/send_ms", limits.send_ms),
+    ];
+    for (path, limit) in limits {
+        reasons.check(limit > 0, path, &limit, "must be above 0");
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -35,6 +35,9 @@
     pub peer_key: Name,
     /// Key shown to the platform; empty where it checks none.
     pub platform_key: Name,
+    /// SHA-256 of the key of the operator `admin`, hex; it may do everything
+    /// and opens an empty configuration. Empty for none.
+    pub admin_hash: Name,
     /// Form and level of logs.
     pub log: Log,
     /// Limits on clients.
@@ -52,6 +55,7 @@
             peers: Vec::new(),
             peer_key: "".into(),
             platform_key: "".into(),
+            admin_hash: "".into(),
             log: Log::default(),
             limits: Limits::default(),
         }
--- /dev/null
+++ b/tests/ledger.rs
@@ -0,0 +1,315 @@
+//! The configuration's ledger: races, lost answers, snapshots and rules.
+
+mod memory;
+
+use std::sync::atomic::Ordering;
+
+use mastichinge::config::entry::{Entry, Proposal};
+use mastichinge::config::ledger::{Ledger, ProposeError};
+use mastichinge::config::patch::{difference, merged};
+use mastichinge::config::state::{Applied, Current};
+use mastichinge::config::{Config, Name};
+use memory::{MemoryObjects, MemoryTable};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::{Value, json};
+use test_case::test_case;
+
+#[derive(Default)]
+struct Store {
+    table: MemoryTable,
+    objects: MemoryObjects,
+}
+
+impl Store {
+    fn ledger(&self) -> Ledger<'_, MemoryTable, MemoryObjects> {
+        Ledger::new(&self.table, &self.objects)
+    }
+
+    fn propose(&self, proposal: &Proposal) -> Result<Entry, ProposeError> {
+        self.ledger().propose(&Current::default(), proposal)
+    }
+}
+
+fn proposal(base: u64, attempt: &str, patch: Value) -> Proposal {
+    Proposal {
+        base,
+        patch,
+        who: "op".into(),
+        teams: vec!["*".into()],
+        attempt: attempt.into(),
+        unix: 1,
+    }
+}
+
+fn policy(queue: u64) -> Value {
+    json!({ "policy": { "queue": queue } })
+}
+
+fn fleet() -> Value {
+    json!({
+        "engines": {
+            "e1": { "addr": "10.0.0.1:8000", "pool": "p", "memory": 1000 },
+            "e2": { "addr": "10.0.0.2:8000", "pool": "q", "memory": 1000 }
+        },
+        "models": {
+            "base": { "pool": "p", "memory": 800, "team": "a" },
+            "adapter": { "pool": "p", "memory": 100, "base": "base", "team": "b" }
+        }
+    })
+}
+
+#[test]
+fn versions_rise_one_by_one_and_load_reads_them_back() {
+    let store = Store::default();
+    for base in 0..5 {
+        let entry = store.propose(&proposal(base, &format!("a{base}"), policy(base + 1)));
+        assert_eq!(entry.unwrap().version, base + 1);
+    }
+    let current = store.ledger().load().unwrap();
+    assert_eq!((current.version, current.config.policy.queue), (5, 5));
+    assert_eq!(store.ledger().at(3).unwrap().config.policy.queue, 3);
+    let later: Vec<u64> = store
+        .ledger()
+        .since(3)
+        .unwrap()
+        .iter()
+        .map(|e| e.version)
+        .collect();
+    assert_eq!(later, [4, 5]);
+}
+
+#[test]
+fn an_old_base_is_refused_with_the_changes_since() {
+    let store = Store::default();
+    store.propose(&proposal(0, "a", policy(1))).unwrap();
+    store.propose(&proposal(1, "b", policy(2))).unwrap();
+    let err = store.propose(&proposal(0, "c", policy(3))).unwrap_err();
+    let ProposeError::Conflict {
+        base,
+        head,
+        changes,
+    } = err
+    else {
+        panic!("{err}");
+    };
+    assert_eq!((base, head), (0, 2));
+    assert_eq!(changes[1].patch, policy(2));
+}
+
+#[test]
+fn a_base_from_the_future_is_refused() {
+    let err = Store::default().propose(&proposal(u64::MAX, "a", policy(1)));
+    assert!(matches!(err, Err(ProposeError::Conflict { head: 0, .. })));
+}
+
+#[test]
+fn of_two_operators_at_one_version_exactly_one_wins() {
+    let store = Store::default();
+    let outcomes = std::thread::scope(|scope| {
+        let store = &store;
+        let threads: Vec<_> = (0..8)
+            .map(|i| {
+                scope.spawn(move || store.propose(&proposal(0, &format!("a{i}"), policy(i + 1))))
+            })
+            .collect();
+        threads
+            .into_iter()
+            .map(|t| t.join().unwrap())
+            .collect::<Vec<_>>()
+    });
+    let won = outcomes.iter().filter(|o| o.is_ok()).count();
+    assert_eq!(won, 1);
+    let lost = outcomes
+        .iter()
+        .filter(|o| matches!(o, Err(ProposeError::Conflict { .. })));
+    assert_eq!(lost.count(), 7);
+    assert_eq!(store.ledger().head().unwrap(), 1);
+}
+
+#[test_case(1, 0; "after the effect")]
+#[test_case(0, 2; "before the effect")]
+fn a_lost_answer_is_settled_by_reading_back(lost: u32, dropped: u32) {
+    let store = Store::default();
+    store.table.lost.store(lost, Ordering::SeqCst);
+    store.table.dropped.store(dropped, Ordering::SeqCst);
+    let entry = store.propose(&proposal(0, "a", policy(7))).unwrap();
+    assert_eq!(entry.version, 1);
+    assert_eq!(store.ledger().head().unwrap(), 1);
+}
+
+#[test]
+fn no_answer_at_all_is_unknown_and_sending_again_settles_it() {
+    let store = Store::default();
+    store.table.dropped.store(3, Ordering::SeqCst);
+    let sent = proposal(0, "a", policy(7));
+    assert!(matches!(
+        store.propose(&sent),
+        Err(ProposeError::Unknown { .. })
+    ));
+    assert_eq!(store.propose(&sent).unwrap().version, 1);
+}
+
+#[test]
+fn a_patch_sent_again_later_finds_its_own_version() {
+    let store = Store::default();
+    let first = proposal(0, "a", policy(1));
+    store.propose(&first).unwrap();
+    store.propose(&proposal(1, "b", policy(2))).unwrap();
+    assert_eq!(store.propose(&first).unwrap().version, 1);
+    let other = Proposal {
+        who: "other".into(),
+        ..first
+    };
+    assert!(matches!(
+        store.propose(&other),
+        Err(ProposeError::Conflict { .. })
+    ));
+}
+
+#[test]
+fn snapshots_are_taken_and_a_failed_one_is_made_up_for() {
+    let store = Store::default();
+    store.objects.failing.store(1, Ordering::SeqCst);
+    let mut current = Current::default();
+    for base in 0..230 {
+        let sent = proposal(base, &format!("a{base}"), policy(base + 1));
+        let entry = store.ledger().propose(&current, &sent).unwrap();
+        assert_eq!(current.apply(&entry), Ok(Applied::Raised));
+    }
+    assert_eq!(store.ledger().load().unwrap().version, 230);
+    for version in [1, 99, 100, 101, 199, 200, 230] {
+        let at = store.ledger().at(version).unwrap();
+        assert_eq!(
+            (at.version, u64::from(at.config.policy.queue)),
+            (version, version)
+        );
+    }
+}
+
+#[test]
+fn a_version_in_force_never_reverts_and_never_skips() {
+    let store = Store::default();
+    let mut entries = Vec::new();
+    for base in 0..3 {
+        let sent = proposal(base, &format!("a{base}"), policy(base + 1));
+        entries.push(store.propose(&sent).unwrap());
+    }
+    let mut current = Current::default();
+    assert_eq!(current.apply(&entries[1]), Ok(Applied::Gap));
+    for entry in &entries {
+        assert_eq!(current.apply(entry), Ok(Applied::Raised));
+    }
+    assert_eq!(current.apply(&entries[0]), Ok(Applied::Known));
+    assert_eq!(current.restore(2, &json!({})), Ok(Applied::Known));
+    assert_eq!(current.version, 3);
+}
+
+fn reasons(patch: Value) -> Vec<String> {
+    let store = Store::default();
+    store.propose(&proposal(0, "a", fleet())).unwrap();
+    let Err(ProposeError::Invalid(reasons)) = store.propose(&proposal(1, "b", patch)) else {
+        panic!("accepted");
+    };
+    reasons.iter().map(|r| r.path.to_string()).collect()
+}
+
+#[test_case(json!({"models": {"base": {"memory": 901}}}), &["/models/adapter/memory"]; "adapter with base")]
+#[test_case(json!({"models": {"x": {"pool": "p", "memory": 2000}}}), &["/models/x/memory"]; "too large")]
+#[test_case(json!({"models": {"x": {"pool": "r"}}}), &["/models/x/pool"]; "pool without engines")]
+#[test_case(json!({"models": {"x": {"pool": "p", "memory": 1, "base": "adapter"}}}), &["/models/x/base"]; "adapter of an adapter")]
+#[test_case(json!({"models": {"x": {"pool": "q", "memory": 1, "base": "base"}}}), &["/models/x/pool"]; "base in another pool")]
+#[test_case(json!({"models": {"base": null}}), &["/models/adapter/base"]; "base of an adapter removed")]
+#[test_case(json!({"models": {"adapter": {"warm": 2}}}), &["/models/adapter/warm"]; "warm above the limit")]
+#[test_case(json!({"models": {"base": {"warm": 2, "limit": 2}}}), &["/models/base/warm"]; "warm above memory")]
+#[test_case(json!({"engines": {"e1": {"addr": "here", "slots": 0}}}), &["/engines/e1/addr", "/engines/e1/slots"]; "all at once")]
+#[test_case(json!({"engines": {"e3": {"addr": "10.0.0.1:8000"}}}), &["/engines/e3/addr"]; "address twice")]
+#[test_case(json!({"engines": {"e1": {"key": "(hidden)"}}}), &["/engines/e1/key"]; "hidden key written back")]
+#[test_case(json!({"callers": {"c": {"key_sha256": "ab", "rate": 0}}}), &["/callers/c/key_sha256", "/callers/c/rate"]; "caller")]
+#[test_case(json!({"operators": {"admin": {"roles": ["read"], "key_sha256": "0".repeat(64)}}}), &["/operators/admin"]; "reserved operator")]
+#[test_case(json!({"models": {"a b": {"pool": "p"}}, "modles": {}}), &["/modles"]; "unknown section")]
+#[test_case(json!({"models": {"x": {"pool": "p", "warm": -1, "colour": 1}}}), &["/models/x/colour", "/models/x/warm"]; "wrong fields")]
+#[test_case(json!([1]), &[""]; "no object")]
+#[test_case(json!({"engines": {"e2": {"pool": "p"}}}), &["/engines/e2/pool"]; "engine changes its pool")]
+fn broken_rules_are_all_named(patch: Value, expected: &[&str]) {
+    assert_eq!(reasons(patch), expected);
+}
+
+fn forbidden(teams: &[&str], patch: Value) -> Vec<Name> {
+    let store = Store::default();
+    store.propose(&proposal(0, "a", fleet())).unwrap();
+    let teams = teams.iter().map(|t| Name::from(*t)).collect();
+    let sent = Proposal {
+        teams,
+        ..proposal(1, "b", patch)
+    };
+    match store.propose(&sent) {
+        Err(ProposeError::Forbidden { teams, .. }) => teams,
+        Err(err) => panic!("{err}"),
+        Ok(_) => Vec::new(),
+    }
+}
+
+#[test_case(&["a"], json!({"models": {"base": {"limit": 2}}}) => Vec::<Name>::new(); "own model")]
+#[test_case(&["a"], json!({"models": {"adapter": null}}) => vec![Name::from("b")]; "other team's model")]
+#[test_case(&["a"], json!({"models": {"base": {"team": "b"}}}) => vec![Name::from("b")]; "giving a model away")]
+#[test_case(&["b"], json!({"models": {"base": {"team": "b"}}}) => vec![Name::from("a")]; "taking a model")]
+#[test_case(&["a"], json!({"policy": {"queue": 1}}) => vec![Name::from("*")]; "shared policy")]
+#[test_case(&["a"], json!({"callers": {"c": {"team": "a", "teams": ["a", "b"]}}}) => vec![Name::from("b")]; "caller with reach")]
+#[test_case(&["*"], json!({"engines": {"e1": {"slots": 3}}}) => Vec::<Name>::new(); "all teams")]
+fn a_patch_touches_only_the_operators_teams(teams: &[&str], patch: Value) -> Vec<Name> {
+    forbidden(teams, patch)
+}
+
+fn model_change() -> impl Strategy<Value = Value> {
+    prop_oneof![
+        Just(Value::Null),
+        (0u32..9, 1u64..99).prop_map(|(limit, memory)| json!({ "limit": limit, "memory": memory })),
+        Just(json!({ "limit": null, "team": "t" })),
+    ]
+}
+
+fn patches() -> impl Strategy<Value = Vec<Value>> {
+    let models = proptest::collection::btree_map("[a-c]", model_change(), 0..3);
+    let patch = (models, 1u32..9)
+        .prop_map(|(models, queue)| json!({ "models": models, "policy": { "queue": queue } }));
+    proptest::collection::vec(patch, 1..8)
+}
+
+/// Seed of the generated patches.
+const SEED: u64 = 20_261_203;
+
+fn seeded() -> ProptestConfig {
+    println!("seed {SEED}");
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(seeded())]
+
+    #[test]
+    fn merging_by_object_equals_merging_the_whole_document(patches in patches()) {
+        let mut config = Config::default();
+        let mut document = json!({});
+        for patch in &patches {
+            config = merged(&config, patch).unwrap();
+            json_patch::merge(&mut document, patch);
+        }
+        let whole = merged(&Config::default(), &document).unwrap();
+        prop_assert_eq!(&whole, &config);
+    }
+
+    #[test]
+    fn a_difference_leads_from_old_to_new(patches in patches()) {
+        let old = serde_json::to_value(merged(&Config::default(), &patches[0]).unwrap()).unwrap();
+        let last = &patches[patches.len() - 1];
+        let new = serde_json::to_value(merged(&Config::default(), last).unwrap()).unwrap();
+        let mut led = old.clone();
+        json_patch::merge(&mut led, &difference(&old, &new));
+        prop_assert_eq!(led, new);
+    }
+}
