--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,1 +1,236 @@
-//! Metrics.
+//! Metrics of one daemon, served as Prometheus text.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider, UpDownCounter};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::error::Kind;
+
+/// Upper bounds of the buckets of every latency histogram, seconds.
+const BUCKETS_S: [f64; 20] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.08, 0.1, 0.2, 0.31, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0,
+    30.0, 60.0, 120.0, 300.0,
+];
+
+/// Why metrics could not be set up.
+#[derive(Debug, thiserror::Error)]
+#[error("cannot set up metrics: {0}")]
+pub struct MetricsError(String);
+
+/// All instruments of a daemon; recording never blocks on a reader.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    first_token: Histogram<f64>,
+    answers: Histogram<f64>,
+    cold_starts: Histogram<f64>,
+    served: Counter<u64>,
+    worth: Counter<f64>,
+    refused: Counter<u64>,
+    retries: Counter<u64>,
+    streams: UpDownCounter<i64>,
+    queue: Gauge<u64>,
+    loads: Counter<u64>,
+    unloads: Counter<u64>,
+    idle: Counter<f64>,
+    control_time: Counter<f64>,
+    control_events: Counter<u64>,
+    peer_bytes: Counter<u64>,
+    peer_dropped: Counter<u64>,
+    config_version: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Instruments with a registry of their own, so that several daemons can
+    /// run in one process.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace("mastichinge")
+            .without_target_info()
+            .build()
+            .map_err(|err| MetricsError(err.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let m = provider.meter("mastichinge");
+        Ok(Metrics {
+            first_token: seconds(&m, "first_token", "Time to the first token, by cold start"),
+            answers: seconds(&m, "answer", "Time to the end of a whole answer"),
+            cold_starts: seconds(
+                &m,
+                "cold_start",
+                "Time from a load order to a ready replica",
+            ),
+            served: counter(&m, "served", "Requests answered whole"),
+            worth: amount(&m, "worth", "Sum of the worth of requests answered whole"),
+            refused: counter(&m, "refused", "Requests refused, by kind"),
+            retries: counter(&m, "retries", "Further attempts at an upstream"),
+            streams: open_streams(&m),
+            queue: gauge(&m, "queue", "Requests that wait for a replica at this host"),
+            loads: counter(&m, "loads", "Load orders that ended, by outcome"),
+            unloads: counter(&m, "unloads", "Unload orders that were answered"),
+            idle: amount(
+                &m,
+                "idle_accelerator_seconds",
+                "Accelerator time without a request",
+            ),
+            control_time: amount(&m, "control_seconds", "Busy time of the control thread"),
+            control_events: counter(&m, "control_events", "Events of the control thread"),
+            peer_bytes: counter(&m, "peer_bytes", "Bytes between daemons, by direction"),
+            peer_dropped: counter(&m, "peer_dropped", "Messages to daemons that were dropped"),
+            config_version: gauge(&m, "config_version", "Configuration version in force"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// A first token went out `after` the request's arrival.
+    pub fn first_token(&self, after: Duration, cold: bool) {
+        let start = KeyValue::new("cold", cold);
+        self.first_token.record(after.as_secs_f64(), &[start]);
+    }
+
+    /// A request of `worth` was answered whole `after` its arrival.
+    pub fn served(&self, after: Duration, worth: f64) {
+        self.answers.record(after.as_secs_f64(), &[]);
+        self.served.add(1, &[]);
+        self.worth.add(worth, &[]);
+    }
+
+    /// A request was refused.
+    pub fn refused(&self, kind: Kind) {
+        let kind: &'static str = kind.into();
+        self.refused.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Another attempt at an upstream began.
+    pub fn retried(&self) {
+        self.retries.add(1, &[]);
+    }
+
+    /// The number of open streams changed.
+    pub fn streams(&self, change: i64) {
+        self.streams.add(change, &[]);
+    }
+
+    /// This many requests wait for a replica.
+    pub fn queue(&self, length: usize) {
+        self.queue.record(length as u64, &[]);
+    }
+
+    /// A load order ended `after` it was sent.
+    pub fn loaded(&self, after: Duration, ok: bool) {
+        self.loads.add(1, &[KeyValue::new("ok", ok)]);
+        if ok {
+            self.cold_starts.record(after.as_secs_f64(), &[]);
+        }
+    }
+
+    /// An unload order was answered.
+    pub fn unloaded(&self) {
+        self.unloads.add(1, &[]);
+    }
+
+    /// `accelerators` held weights without a request for `time`.
+    pub fn idle(&self, accelerators: u32, time: Duration) {
+        let seconds = f64::from(accelerators) * time.as_secs_f64();
+        self.idle.add(seconds, &[]);
+    }
+
+    /// The control thread took `busy` for one event.
+    pub fn control(&self, busy: Duration) {
+        self.control_time.add(busy.as_secs_f64(), &[]);
+        self.control_events.add(1, &[]);
+    }
+
+    /// Bytes were sent to another daemon.
+    pub fn peer_sent(&self, bytes: usize) {
+        let sent = KeyValue::new("direction", "sent");
+        self.peer_bytes.add(bytes as u64, &[sent]);
+    }
+
+    /// Bytes were received from another daemon.
+    pub fn peer_received(&self, bytes: usize) {
+        let received = KeyValue::new("direction", "received");
+        self.peer_bytes.add(bytes as u64, &[received]);
+    }
+
+    /// A message to another daemon was dropped.
+    pub fn peer_dropped(&self) {
+        self.peer_dropped.add(1, &[]);
+    }
+
+    /// A configuration version came into force.
+    pub fn config(&self, version: u64) {
+        self.config_version.record(version, &[]);
+    }
+
+    /// Everything in the Prometheus text format; empty where it cannot be made.
+    pub fn text(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(err) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!("metrics cannot be written: {err}");
+            return String::new();
+        }
+        String::from_utf8(text).unwrap_or_default()
+    }
+}
+
+fn counter(meter: &Meter, name: &'static str, about: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(about).build()
+}
+
+fn amount(meter: &Meter, name: &'static str, about: &'static str) -> Counter<f64> {
+    meter.f64_counter(name).with_description(about).build()
+}
+
+fn gauge(meter: &Meter, name: &'static str, about: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(about).build()
+}
+
+fn seconds(meter: &Meter, name: &'static str, about: &'static str) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_description(about)
+        .with_unit("s")
+        .with_boundaries(BUCKETS_S.to_vec())
+        .build()
+}
+
+fn open_streams(meter: &Meter) -> UpDownCounter<i64> {
+    meter
+        .i64_up_down_counter("streams")
+        .with_description("Streams to callers that are open")
+        .build()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn text_shows_what_was_recorded() {
+        let metrics = Metrics::new().unwrap();
+        metrics.refused(Kind::QueueFull);
+        metrics.first_token(Duration::from_millis(300), true);
+        metrics.streams(2);
+        metrics.streams(-1);
+        metrics.config(7);
+        metrics.peer_sent(10);
+        let text = metrics.text();
+        for line in [
+            "mastichinge_refused_total{kind=\"queue_full\",SCOPE} 1",
+            "mastichinge_first_token_seconds_bucket{cold=\"true\",SCOPE,le=\"0.31\"} 1",
+            "mastichinge_streams{SCOPE} 1",
+            "mastichinge_config_version{SCOPE} 7",
+            "mastichinge_peer_bytes_total{direction=\"sent\",SCOPE} 10",
+        ] {
+            let line = line.replace("SCOPE", "otel_scope_name=\"mastichinge\"");
+            assert!(text.contains(&line), "{line} not in:\n{text}");
+        }
+    }
+}
