--- /dev/null
+++ b/src/control/desk.rs
@@ -0,0 +1,149 @@
+//! The control thread as traffic threads see it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use crossbeam::channel::{Sender, bounded};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+use crate::clock::Clock;
+use crate::config::{Config, Name};
+use crate::error::{Kind, Refusal};
+use crate::router::{Need, Slot};
+
+use super::event::Want;
+use super::{Event, View};
+
+/// Wait that a refusal names where nothing better is known.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// A request that needs a replica.
+#[derive(Clone, Debug)]
+pub struct Wish {
+    /// Ticket, unique over all hosts and restarts.
+    pub id: Name,
+    /// What it needs.
+    pub need: Need,
+    /// Fingerprint when the request is a suspect.
+    pub suspect: Option<Name>,
+}
+
+/// The control thread as traffic threads see it.
+#[derive(Clone)]
+pub struct Desk {
+    events: Sender<Event>,
+    view: Arc<ArcSwap<View>>,
+    clock: Clock,
+}
+
+impl Desk {
+    /// A desk before the control thread that takes its events.
+    pub fn new(events: Sender<Event>, view: Arc<ArcSwap<View>>, clock: Clock) -> Self {
+        Desk {
+            events,
+            view,
+            clock,
+        }
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Arc<Config> {
+        self.view.load().config.clone()
+    }
+
+    /// The present view.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Whether a configuration is known.
+    pub fn ready(&self) -> bool {
+        self.view.load().version > 0
+    }
+
+    /// The caller to whom `key` belongs.
+    pub fn caller(&self, key: &str) -> Option<Name> {
+        let hash = hex(&Sha256::digest(key.as_bytes()));
+        self.view.load().callers.get(hash.as_str()).cloned()
+    }
+
+    /// Waits for a replica until the deadline.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of the pool's owner, or [`Kind::DeadlineExpired`].
+    pub fn want(&self, wish: Wish) -> Result<Slot, Refusal> {
+        let (reply, answers) = bounded(1);
+        let deadline = self.clock.instant(wish.need.deadline);
+        let detail = format!("{} was not loaded in time", wish.need.model);
+        let id = wish.id.clone();
+        let want = Want {
+            id: wish.id,
+            need: wish.need,
+            suspect: wish.suspect,
+            reply,
+        };
+        if self.events.send(Event::Want(want)).is_err() {
+            return Err(Refusal::new(Kind::Draining, "the daemon stops").retry_after(COME_BACK));
+        }
+        if let Ok(answer) = answers.recv_deadline(deadline) {
+            return answer;
+        }
+        let _ = self.events.send(Event::Cancel(id));
+        Err(Refusal::new(Kind::DeadlineExpired, detail).retry_after(COME_BACK))
+    }
+
+    /// Runs `ask` on the control thread and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Internal`] when the control thread is gone or too slow.
+    pub fn ask<T: Send + 'static>(
+        &self,
+        ask: impl FnOnce(&mut super::Control) -> T + Send + 'static,
+    ) -> Result<T, Refusal> {
+        /// Longest wait for the control thread.
+        const PATIENCE: Duration = Duration::from_secs(5);
+        let gone = |_| Refusal::new(Kind::Internal, "the control thread does not answer");
+        let (reply, answers) = bounded(1);
+        let call = Event::Call(Box::new(move |control| {
+            let _ = reply.send(ask(control));
+        }));
+        if self.events.send(call).is_err() {
+            return Err(gone(crossbeam::channel::RecvTimeoutError::Disconnected));
+        }
+        answers.recv_timeout(PATIENCE).map_err(gone)
+    }
+
+    /// Tells the control thread to leave.
+    pub fn drain(&self) {
+        let _ = self.events.send(Event::Drain);
+    }
+
+    /// Which hosts a caller should use, and for how long.
+    pub fn entry(&self, model: Option<&str>) -> Value {
+        let view = self.view.load();
+        let hosts: Vec<Value> = view
+            .entry
+            .iter()
+            .map(|e| json!({"host": e.host, "address": e.addr, "domain": e.domain}))
+            .collect();
+        json!({
+            "model": model,
+            "hosts": hosts,
+            "keep_s": view.config.policy.entry_keep_s,
+        })
+    }
+}
+
+/// Lower-case hex digits of `bytes`.
+pub fn hex(bytes: &[u8]) -> String {
+    use std::fmt::Write;
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,1 +1,363 @@
-//! The control thread.
+//! The control thread: all control state, its events and its actions.
+
+mod claims;
+mod desk;
+mod driver;
+mod event;
+mod jobs;
+mod peers;
+mod permit;
+mod tickets;
+mod view;
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::{Clock, Moment};
+use crate::config::{Config, Name, Policy};
+use crate::decide::permits::{Permits, StoreLimits};
+use crate::members::Members;
+use crate::peer::wire::Body;
+use crate::platform::{EngineError, Hosts, Report};
+use crate::pool::{Action, Context, Pool};
+use crate::protocol::ownership::{Grant, Sent};
+use crate::router::Router;
+use crate::settings::Settings;
+
+pub use claims::Seat;
+pub use desk::{Desk, Wish};
+pub use driver::{Driver, Parts};
+pub use event::{Act, Event, TableEnd};
+pub use view::{EntryHost, View};
+
+/// Most rounds of messages to itself within one step.
+const ROUNDS: u32 = 4;
+/// Period at which an owner polls its engines.
+const POLL: Duration = Duration::from_millis(200);
+
+/// Who this daemon is.
+#[derive(Clone, Debug)]
+pub struct Me {
+    /// Name of the host.
+    pub host: Name,
+    /// Incarnation; new with every start.
+    pub incarnation: u64,
+    /// Failure domain.
+    pub domain: Name,
+    /// Address for callers.
+    pub addr: Name,
+}
+
+impl Me {
+    /// This daemon under `settings`.
+    pub fn new(settings: &Settings, incarnation: u64) -> Self {
+        Me {
+            host: settings.host.clone(),
+            incarnation,
+            domain: settings.domain.clone(),
+            addr: settings.listen.callers.to_string().into(),
+        }
+    }
+}
+
+/// State of the control thread.
+pub struct Control {
+    me: Me,
+    config: Arc<Config>,
+    version: u64,
+    members: Members,
+    seats: BTreeMap<Name, Seat>,
+    tickets: HashMap<Name, tickets::Local>,
+    router: Router,
+    permits: Permits,
+    holder: Option<Name>,
+    table: bool,
+    leaving: bool,
+    beat: Option<Moment>,
+    reported: Option<Moment>,
+    acts: Vec<Act>,
+    polled: Option<Moment>,
+    inbox: VecDeque<Body>,
+}
+
+impl Control {
+    /// A control state that knows no configuration and no peer.
+    pub fn new(me: Me, members: Members, router: Router, now: Moment) -> Self {
+        Control {
+            members,
+            config: Arc::default(),
+            version: 0,
+            seats: BTreeMap::new(),
+            tickets: HashMap::new(),
+            router,
+            permits: Permits::new(store_limits(&Policy::default()), now),
+            holder: None,
+            table: true,
+            leaving: false,
+            beat: None,
+            reported: None,
+            acts: Vec::new(),
+            polled: None,
+            inbox: VecDeque::new(),
+            me,
+        }
+    }
+
+    /// Takes in one event; [`Control::step`] follows after a batch of them.
+    pub fn take(&mut self, event: Event, now: Moment) {
+        match event {
+            Event::Tick => {}
+            Event::Peer(event) => self.peer(event, now),
+            Event::Want(want) => self.want(want, now),
+            Event::Cancel(id) => self.cancel(&id),
+            Event::Config { version, config } => self.configure(version, config, now),
+            Event::Hosts(hosts) => self.listed(&hosts, now),
+            Event::Table(end) => self.table_end(end, now),
+            Event::Health { table } => self.table = table,
+            Event::Polled {
+                pool,
+                engine,
+                result,
+                asked,
+            } => self.polled(&pool, &engine, result, asked, now),
+            Event::Ordered {
+                pool,
+                epoch,
+                engine,
+                grant,
+                result,
+            } => self.ordered(&pool, epoch, &engine, grant, result, now),
+            Event::Drain => self.drain(),
+            Event::Call(call) => call(self),
+        }
+    }
+
+    /// Does all that is due; answers what is to be done outside.
+    pub fn step(&mut self, now: Moment) -> Vec<Act> {
+        self.heartbeat(now);
+        self.seek_claims(now);
+        self.report_usage(now);
+        self.poll_engines(now);
+        for _ in 0..ROUNDS {
+            self.empty_inbox(now);
+            self.tick_pools(now);
+            self.grant_permits(now);
+            if self.inbox.is_empty() {
+                break;
+            }
+        }
+        std::mem::take(&mut self.acts)
+    }
+
+    /// Handles what this daemon said to itself.
+    fn empty_inbox(&mut self, now: Moment) {
+        let host = self.me.host.clone();
+        while let Some(body) = self.inbox.pop_front() {
+            self.message(&host, body, now);
+        }
+    }
+
+    /// Polls the engines of the pools that this daemon owns, when it is due.
+    fn poll_engines(&mut self, now: Moment) {
+        if !due(self.polled, POLL, now) {
+            return;
+        }
+        self.polled = Some(now);
+        for (name, seat) in &self.seats {
+            let Seat::Held(pool) = seat else {
+                continue;
+            };
+            for engine in pool.engines() {
+                self.acts.push(Act::Poll {
+                    pool: name.clone(),
+                    engine: engine.clone(),
+                });
+            }
+        }
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    fn configure(&mut self, version: u64, config: Arc<Config>, now: Moment) {
+        if version <= self.version {
+            return;
+        }
+        self.version = version;
+        self.config = config;
+        self.permits.set_limits(self.limits(now), now);
+        for seat in self.seats.values_mut() {
+            if let Seat::Held(pool) = seat {
+                pool.reconfigure(&self.config);
+            }
+        }
+        self.publish(now);
+    }
+
+    fn listed(&mut self, hosts: &Hosts, now: Moment) {
+        self.members.listed(hosts, now);
+        for seat in self.seats.values_mut() {
+            if let Seat::Held(pool) = seat {
+                pool.listed(hosts);
+            }
+        }
+        self.publish(now);
+    }
+
+    fn tick_pools(&mut self, now: Moment) {
+        let hosts = self.members.alive(now);
+        let config = self.config.clone();
+        let ctx = Context {
+            config: &config,
+            hosts: &hosts,
+            table: self.table,
+            now,
+            unix: Clock::unix(),
+        };
+        let mut all = Vec::new();
+        for (name, seat) in &mut self.seats {
+            let Seat::Held(pool) = seat else {
+                continue;
+            };
+            let mut out = Vec::new();
+            pool.tick(&ctx, &mut out);
+            all.push((name.clone(), pool.epoch, pool.item, out));
+        }
+        for (name, epoch, item, out) in all {
+            self.carry_out(&name, epoch, item, out);
+        }
+    }
+
+    /// Runs `step` on a pool that this daemon owns.
+    fn with_pool(
+        &mut self,
+        name: &Name,
+        now: Moment,
+        step: impl FnOnce(&mut Pool, &Context<'_>, &mut Vec<Action>),
+    ) {
+        let hosts = self.members.alive(now);
+        let config = self.config.clone();
+        let ctx = Context {
+            config: &config,
+            hosts: &hosts,
+            table: self.table,
+            now,
+            unix: Clock::unix(),
+        };
+        let Some(Seat::Held(pool)) = self.seats.get_mut(name) else {
+            return;
+        };
+        let mut out = Vec::new();
+        step(pool, &ctx, &mut out);
+        let (epoch, item) = (pool.epoch, pool.item);
+        self.carry_out(name, epoch, item, out);
+    }
+
+    /// Turns the actions of a pool into acts.
+    fn carry_out(
+        &mut self,
+        name: &Name,
+        epoch: u64,
+        item: u64,
+        out: Vec<Action>,
+    ) {
+        for action in out {
+            match action {
+                Action::Send { to, body } => self.send(&to, body),
+                Action::Broadcast(body) => {
+                    self.inbox.push_back(body.clone());
+                    self.acts.push(Act::Broadcast(body));
+                }
+                Action::Order {
+                    engine,
+                    grant,
+                    order,
+                } => self.acts.push(Act::Order {
+                    pool: name.clone(),
+                    epoch,
+                    engine,
+                    grant,
+                    order,
+                }),
+                Action::Ask {
+                    load,
+                    adapter,
+                    stake,
+                    running,
+                } => self.ask_permit(&load, adapter, stake, running),
+                Action::Done { load } => self.return_permit(&load),
+                Action::Write(writes) => self.acts.push(Act::WritePins {
+                    pool: name.clone(),
+                    epoch,
+                    item,
+                    writes,
+                }),
+                Action::Loaded { model, took } => self.acts.push(Act::Loaded { model, took }),
+                Action::Unloaded => self.acts.push(Act::Unloaded),
+            }
+        }
+    }
+
+    /// Sends a message, to this daemon itself through its inbox.
+    fn send(&mut self, to: &Name, body: Body) {
+        if *to == self.me.host {
+            self.inbox.push_back(body);
+            return;
+        }
+        self.acts.push(Act::Send {
+            to: to.clone(),
+            body,
+        });
+    }
+
+    fn polled(
+        &mut self,
+        pool: &Name,
+        engine: &Name,
+        result: Result<Report, EngineError>,
+        asked: Moment,
+        now: Moment,
+    ) {
+        self.with_pool(pool, now, |pool, _, _| {
+            pool.polled(engine, result, asked, now);
+        });
+    }
+
+    fn ordered(
+        &mut self,
+        pool: &Name,
+        epoch: u64,
+        engine: &Name,
+        grant: Grant<Sent>,
+        result: Result<Report, EngineError>,
+        now: Moment,
+    ) {
+        self.with_pool(pool, now, |pool, _, out| {
+            if pool.epoch == epoch {
+                pool.ordered(engine, grant, result, now, out);
+            }
+        });
+    }
+
+    /// Limits of the weight store for the part of the members in sight.
+    fn limits(&self, now: Moment) -> StoreLimits {
+        store_limits(&self.config.policy).scaled(self.members.visible(now))
+    }
+}
+
+/// Limits of the weight store as configured.
+fn store_limits(policy: &Policy) -> StoreLimits {
+    StoreLimits {
+        rate: policy.store_rate,
+        parallel: policy.store_parallel,
+        adapters: policy.adapter_parallel,
+    }
+}
+
+/// Whether `period` has passed since `last`.
+fn due(last: Option<Moment>, period: Duration, now: Moment) -> bool {
+    last.is_none_or(|last| now.saturating_sub(last) >= period)
+}
--- /dev/null
+++ b/src/control/peers.rs
@@ -0,0 +1,145 @@
+//! Links to other daemons and what they say.
+
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::config::Name;
+use crate::peer::PeerEvent;
+use crate::peer::wire::{Body, Heartbeat, PoolState};
+
+use super::{Act, Control, Seat, due};
+
+/// Period of heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Period of reports of use.
+const USAGE: Duration = Duration::from_millis(200);
+
+impl Control {
+    /// Takes an event of the peer links.
+    pub(super) fn peer(&mut self, event: PeerEvent, now: Moment) {
+        match event {
+            PeerEvent::Up(host, incarnation) => self.up(&host, incarnation, now),
+            PeerEvent::Down(host, incarnation) => self.down(&host, incarnation, now),
+            PeerEvent::Message { from, body } => self.message(&from, body, now),
+        }
+    }
+
+    fn up(&mut self, host: &Name, incarnation: u64, now: Moment) {
+        self.members.up(host, incarnation, now);
+        self.beat = None;
+        for seat in self.seats.values_mut() {
+            if let Seat::Held(pool) = seat {
+                pool.republish();
+            }
+        }
+        self.resend_tickets(now);
+        if self.holder.as_ref() == Some(host) {
+            self.ask_again(now);
+        }
+    }
+
+    fn down(&mut self, host: &Name, incarnation: u64, now: Moment) {
+        self.members.down(host, incarnation, now);
+        self.unsend_to(host);
+        for seat in self.seats.values_mut() {
+            if let Seat::Held(pool) = seat {
+                pool.forget(host);
+            }
+        }
+        self.publish(now);
+    }
+
+    /// Takes a message of a peer, or of this daemon itself.
+    pub(super) fn message(&mut self, from: &Name, body: Body, now: Moment) {
+        match body {
+            Body::Heartbeat(beat) => self.heard(from, &beat, now),
+            Body::Pool(state) => self.pool_state(from, &state, now),
+            Body::Want(want) => self.wanted(from, &want, now),
+            Body::Verdict(verdict) => self.verdict(&verdict),
+            Body::Cancel(cancel) => self.cancelled(&cancel.ticket),
+            Body::Usage(usage) => {
+                let pool = Name::from(usage.pool.as_str());
+                self.with_pool(&pool, now, |pool, _, _| pool.used(from, &usage, now));
+            }
+            Body::PermitAsk(ask) => self.permit_asked(from, &ask),
+            Body::Permit(permit) => self.permitted(&permit.load, now),
+            Body::PermitDone(done) => self.permits.done(&done.load),
+            Body::Change(_) | Body::ChangeAsk(_) | Body::Snapshot(_) => {
+                let from = from.clone();
+                self.acts.push(Act::Follow { from, body });
+            }
+            Body::CallAsk(_) | Body::CallState(_) => {
+                let from = from.clone();
+                self.acts.push(Act::Calls { from, body });
+            }
+            Body::Strike(_) | Body::StrikeAck(_) => {}
+            Body::Hello(_) | Body::Proof(_) => {
+                log::warn!("{from} repeats its handshake");
+            }
+        }
+    }
+
+    fn heard(&mut self, from: &Name, beat: &Heartbeat, now: Moment) {
+        let before = self.members.entry(now);
+        self.members.heard(from, beat, now);
+        if beat.config > self.version {
+            let from = from.clone();
+            let body = Body::Heartbeat(beat.clone());
+            self.acts.push(Act::Follow { from, body });
+        }
+        if before != self.members.entry(now) {
+            self.publish(now);
+        }
+    }
+
+    fn pool_state(&mut self, from: &Name, state: &PoolState, now: Moment) {
+        let pool = Name::from(state.pool.as_str());
+        if !self.owned_by(&pool, from, state.epoch, now) {
+            return;
+        }
+        if self.router.apply(state, &self.config) {
+            self.send_usage(&pool);
+        }
+    }
+
+    /// Says that this daemon lives, when it is due.
+    pub(super) fn heartbeat(&mut self, now: Moment) {
+        if !due(self.beat, HEARTBEAT, now) {
+            return;
+        }
+        self.beat = Some(now);
+        let beat = Heartbeat {
+            incarnation: self.me.incarnation,
+            leaving: self.leaving,
+            ready: self.version > 0,
+            config: self.version,
+            streams: self.router.running(),
+            addr: self.me.addr.to_string(),
+            domain: self.me.domain.to_string(),
+        };
+        let host = self.me.host.clone();
+        self.members.heard(&host, &beat, now);
+        self.acts.push(Act::Broadcast(Body::Heartbeat(beat)));
+        self.publish(now);
+    }
+
+    /// Tells the owners of all pools what this daemon uses, when it is due.
+    pub(super) fn report_usage(&mut self, now: Moment) {
+        if !due(self.reported, USAGE, now) {
+            return;
+        }
+        self.reported = Some(now);
+        let names: Vec<Name> = self.seats.keys().cloned().collect();
+        for name in names {
+            self.send_usage(&name);
+        }
+    }
+
+    fn send_usage(&mut self, pool: &Name) {
+        let Some(owner) = self.owner(pool) else {
+            return;
+        };
+        let usage = self.router.usage(pool, &self.config);
+        self.send(&owner, Body::Usage(usage));
+    }
+}
--- /dev/null
+++ b/src/control/view.rs
@@ -0,0 +1,61 @@
+//! What traffic threads see of the control state.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::clock::Moment;
+use crate::config::{Config, Name};
+
+use super::{Act, Control};
+
+/// A daemon that callers may use.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EntryHost {
+    /// Name of the host.
+    pub host: Name,
+    /// Address for callers.
+    pub addr: Name,
+    /// Failure domain.
+    pub domain: Name,
+}
+
+/// What traffic threads see of the control state.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Configuration version; 0 before the first.
+    pub version: u64,
+    /// Configuration.
+    pub config: Arc<Config>,
+    /// Names of callers by the SHA-256 of their keys, hex.
+    pub callers: Arc<HashMap<Name, Name>>,
+    /// Daemons that callers may use.
+    pub entry: Vec<EntryHost>,
+    /// This daemon takes no new callers.
+    pub leaving: bool,
+    /// Live daemons, this one included.
+    pub alive: usize,
+}
+
+impl Control {
+    /// Publishes the view.
+    pub(super) fn publish(&mut self, now: Moment) {
+        let mut callers = HashMap::new();
+        for (name, caller) in &self.config.callers {
+            callers.insert(caller.key_sha256.clone(), name.clone());
+        }
+        let ready = self.version > 0;
+        let entry = match ready {
+            true => self.members.entry(now),
+            false => Vec::new(),
+        };
+        let view = View {
+            version: self.version,
+            config: self.config.clone(),
+            callers: Arc::new(callers),
+            entry,
+            leaving: self.leaving,
+            alive: self.members.alive(now).len(),
+        };
+        self.acts.push(Act::Publish(view));
+    }
+}
--- /dev/null
+++ b/src/http/guard.rs
@@ -0,0 +1,1 @@
+//! Bounds on client connections.
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,1 +1,10 @@
-//! HTTP towards callers.
+//! HTTP towards callers: the OpenAI API, plain services and entry answers.
+
+pub mod answer;
+pub mod callers;
+pub mod guard;
+pub mod openai;
+pub mod relay;
+pub mod request;
+pub mod server;
+pub mod stream;
--- /dev/null
+++ b/src/http/openai.rs
@@ -0,0 +1,280 @@
+//! Requests and answers of the OpenAI API.
+
+use std::time::Duration;
+
+use serde_json::{Map, Value, json};
+
+use crate::config::Name;
+use crate::error::{Kind, Refusal};
+
+/// Longest model name, bytes.
+const NAME_BYTES: usize = 256;
+
+/// Which of the two completion paths a request uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Endpoint {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Text,
+}
+
+impl Endpoint {
+    /// The path, the same at mastichinge and at engines.
+    pub fn path(self) -> &'static str {
+        match self {
+            Endpoint::Chat => "/v1/chat/completions",
+            Endpoint::Text => "/v1/completions",
+        }
+    }
+
+    /// The field that must carry the prompt.
+    fn prompt_field(self) -> &'static str {
+        match self {
+            Endpoint::Chat => "messages",
+            Endpoint::Text => "prompt",
+        }
+    }
+
+    /// The `object` of a whole answer.
+    fn object(self) -> &'static str {
+        match self {
+            Endpoint::Chat => "chat.completion",
+            Endpoint::Text => "text_completion",
+        }
+    }
+}
+
+/// A checked completion request.
+#[derive(Clone, Debug)]
+pub struct Completion {
+    /// Path that it came to.
+    pub endpoint: Endpoint,
+    /// Model or adapter.
+    pub model: Name,
+    /// The client wants a stream.
+    pub stream: bool,
+    /// The client wants usage in its stream.
+    pub usage: bool,
+    /// Canonical text of the prompt, for prefix matching and fingerprints.
+    pub prompt: String,
+    body: Map<String, Value>,
+}
+
+impl Completion {
+    /// Checks a request body.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::BadRequest`] that names the wrong field.
+    pub fn parse(endpoint: Endpoint, body: &[u8]) -> Result<Self, Refusal> {
+        let value: Value =
+            serde_json::from_slice(body).map_err(|e| bad(format!("the body is not JSON: {e}")))?;
+        let Value::Object(body) = value else {
+            return Err(bad("the body is not a JSON object"));
+        };
+        let model = text(&body, "model")?;
+        let stream = flag(&body, "stream")?;
+        let usage = body
+            .get("stream_options")
+            .and_then(|o| o.get("include_usage"))
+            .and_then(Value::as_bool)
+            .unwrap_or(false);
+        if body.get("n").is_some_and(|n| n.as_u64() != Some(1)) {
+            return Err(bad("n must be 1"));
+        }
+        check_prompt(endpoint, &body)?;
+        Ok(Completion {
+            endpoint,
+            model,
+            stream,
+            usage,
+            prompt: body[endpoint.prompt_field()].to_string(),
+            body,
+        })
+    }
+
+    /// The body for an engine, continuing after `skip` tokens.
+    pub fn upstream_body(&self, skip: u64, priority: u8) -> Vec<u8> {
+        let mut body = self.body.clone();
+        body.insert("stream".into(), json!(true));
+        body.insert("stream_options".into(), json!({"include_usage": true}));
+        body.insert("priority".into(), json!(priority));
+        if skip > 0 {
+            body.insert("resume_from".into(), json!(skip));
+        }
+        Value::Object(body).to_string().into_bytes()
+    }
+}
+
+fn bad(detail: impl Into<String>) -> Refusal {
+    Refusal::new(Kind::BadRequest, detail)
+}
+
+fn text(body: &Map<String, Value>, field: &str) -> Result<Name, Refusal> {
+    match body.get(field) {
+        Some(Value::String(s)) if !s.is_empty() && s.len() <= NAME_BYTES => Ok(s.as_str().into()),
+        Some(_) => Err(bad(format!("{field} must be a string of 1 to {NAME_BYTES} bytes"))),
+        None => Err(bad(format!("{field} is missing"))),
+    }
+}
+
+fn flag(body: &Map<String, Value>, field: &str) -> Result<bool, Refusal> {
+    match body.get(field) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(b)) => Ok(*b),
+        Some(_) => Err(bad(format!("{field} must be true or false"))),
+    }
+}
+
+fn check_prompt(endpoint: Endpoint, body: &Map<String, Value>) -> Result<(), Refusal> {
+    let field = endpoint.prompt_field();
+    let fine = match (endpoint, body.get(field)) {
+        (Endpoint::Chat, Some(Value::Array(messages))) => {
+            !messages.is_empty() && messages.iter().all(|m| m.get("role").is_some())
+        }
+        (Endpoint::Text, Some(Value::String(_))) => true,
+        _ => false,
+    };
+    if fine {
+        return Ok(());
+    }
+    Err(bad(match endpoint {
+        Endpoint::Chat => "messages must be a list of messages with a role",
+        Endpoint::Text => "prompt must be a string",
+    }))
+}
+
+/// Remaining time that a client gave in its head, or `fallback`.
+///
+/// # Errors
+///
+/// [`Kind::BadRequest`] for no number, [`Kind::DeadlinePast`] below 1 ms.
+pub fn deadline(field: Option<&str>, fallback: Duration) -> Result<Duration, Refusal> {
+    let Some(field) = field else {
+        return Ok(fallback);
+    };
+    let ms: i64 = field
+        .trim()
+        .parse()
+        .map_err(|_| bad(format!("X-Deadline-Ms is not a whole number: {field:?}")))?;
+    if ms < 1 {
+        let detail = format!("X-Deadline-Ms is {ms}");
+        return Err(Refusal::new(Kind::DeadlinePast, detail));
+    }
+    Ok(Duration::from_millis(ms.unsigned_abs()))
+}
+
+/// What one streamed chunk carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Text of the answer.
+    Token,
+    /// Usage only.
+    Usage,
+    /// Anything else: a role, a finish reason.
+    Other,
+}
+
+/// Classifies a chunk without building its whole tree.
+pub fn part(data: &str) -> Part {
+    #[derive(serde::Deserialize)]
+    struct Chunk<'a> {
+        #[serde(borrow, default)]
+        choices: Vec<Choice<'a>>,
+    }
+    #[derive(serde::Deserialize)]
+    struct Choice<'a> {
+        #[serde(borrow, default)]
+        delta: Option<Delta<'a>>,
+        #[serde(borrow, default)]
+        text: Option<std::borrow::Cow<'a, str>>,
+    }
+    #[derive(serde::Deserialize)]
+    struct Delta<'a> {
+        #[serde(borrow, default)]
+        content: Option<std::borrow::Cow<'a, str>>,
+    }
+    let Ok(chunk) = serde_json::from_str::<Chunk<'_>>(data) else {
+        return Part::Other;
+    };
+    let Some(choice) = chunk.choices.first() else {
+        return Part::Usage;
+    };
+    let delta = choice.delta.as_ref().and_then(|d| d.content.as_deref());
+    match delta.or(choice.text.as_deref()) {
+        Some(text) if !text.is_empty() => Part::Token,
+        _ => Part::Other,
+    }
+}
+
+/// Collects a streamed answer into a whole one.
+#[derive(Debug)]
+pub struct Collector {
+    endpoint: Endpoint,
+    model: Name,
+    text: String,
+    finish: Value,
+    usage: Value,
+    created: Value,
+}
+
+impl Collector {
+    /// An empty answer of `model`.
+    pub fn new(endpoint: Endpoint, model: &Name) -> Self {
+        Collector {
+            endpoint,
+            model: Name::clone(model),
+            text: String::new(),
+            finish: Value::Null,
+            usage: Value::Null,
+            created: json!(0),
+        }
+    }
+
+    /// Takes in one chunk.
+    pub fn add(&mut self, data: &str) {
+        let Ok(chunk) = serde_json::from_str::<Value>(data) else {
+            return;
+        };
+        if let Some(created) = chunk.get("created") {
+            self.created = created.clone();
+        }
+        if let Some(usage) = chunk.get("usage").filter(|u| u.is_object()) {
+            self.usage = usage.clone();
+        }
+        let choice = &chunk["choices"][0];
+        let piece = match self.endpoint {
+            Endpoint::Chat => &choice["delta"]["content"],
+            Endpoint::Text => &choice["text"],
+        };
+        self.text.push_str(piece.as_str().unwrap_or_default());
+        if choice["finish_reason"].is_string() {
+            self.finish = choice["finish_reason"].clone();
+        }
+    }
+
+    /// The whole answer.
+    pub fn finish(self, id: &str) -> Value {
+        let choice = match self.endpoint {
+            Endpoint::Chat => json!({
+                "index": 0,
+                "message": {"role": "assistant", "content": self.text},
+                "finish_reason": self.finish,
+            }),
+            Endpoint::Text => json!({
+                "index": 0,
+                "text": self.text,
+                "finish_reason": self.finish,
+            }),
+        };
+        json!({
+            "id": id,
+            "object": self.endpoint.object(),
+            "created": self.created,
+            "model": &*self.model,
+            "choices": [choice],
+            "usage": self.usage,
+        })
+    }
+}
--- /dev/null
+++ b/src/http/relay.rs
@@ -0,0 +1,269 @@
+//! One completion from a caller to engines and back, with its retries.
+
+use std::time::Duration;
+
+use crate::clock::{Clock, Moment};
+use crate::config::Name;
+use crate::control::{Desk, Wish};
+use crate::error::{Kind, Refusal};
+use crate::platform::{Call, Chunk, Chunks, Engine, EngineError};
+use crate::router::{Need, Route, Router, Slot};
+
+use super::openai::{Completion, Part, part};
+use super::request::Terms;
+
+/// Attempts of one request at engines.
+const ATTEMPTS: u32 = 4;
+/// Time limit for connecting to an engine.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Longest silence of an engine in mid-stream.
+const SILENCE: Duration = Duration::from_secs(20);
+/// Wait that a refusal for load names.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// Where the chunks of an answer go.
+pub trait Sink {
+    /// Takes one chunk; false when the client is gone.
+    fn chunk(&mut self, data: &str) -> bool;
+}
+
+/// How a completion ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum End {
+    /// The whole answer was delivered.
+    Whole,
+    /// The client hung up.
+    HungUp,
+    /// Refused; tokens sent before are counted.
+    Refused(Refusal, u64),
+}
+
+/// What a relay reports about one completion.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outcome {
+    /// How it ended.
+    pub end: End,
+    /// Moment of the first token.
+    pub first: Option<Moment>,
+    /// It waited for a load.
+    pub cold: bool,
+    /// Attempts after the first.
+    pub retries: u32,
+}
+
+/// Relays completions.
+pub struct Relay<'a, E> {
+    /// Engines.
+    pub engine: &'a E,
+    /// Routing of warm requests.
+    pub router: &'a Router,
+    /// The control thread.
+    pub desk: &'a Desk,
+    /// Time.
+    pub clock: Clock,
+}
+
+/// State of one completion over its attempts.
+struct Progress {
+    avoid: Vec<Name>,
+    sent: u64,
+    first: Option<Moment>,
+    cold: bool,
+    attempt: u32,
+}
+
+/// How one attempt ended when it may be followed by another.
+enum Attempt {
+    Ended(End),
+    Again(Refusal),
+}
+
+impl<E: Engine> Relay<'_, E> {
+    /// Serves one completion into `sink`.
+    pub fn run(&self, ask: &Completion, terms: &Terms, sink: &mut dyn Sink) -> Outcome {
+        self.router.arrived(&ask.model);
+        let mut progress = Progress {
+            avoid: Vec::new(),
+            sent: 0,
+            first: None,
+            cold: false,
+            attempt: 0,
+        };
+        let end = self.attempts(ask, terms, sink, &mut progress);
+        Outcome {
+            end,
+            first: progress.first,
+            cold: progress.cold,
+            retries: progress.attempt.saturating_sub(1),
+        }
+    }
+
+    fn attempts(
+        &self,
+        ask: &Completion,
+        terms: &Terms,
+        sink: &mut dyn Sink,
+        progress: &mut Progress,
+    ) -> End {
+        let mut last = Refusal::new(Kind::UpstreamFailed, "no engine was tried");
+        while progress.attempt < ATTEMPTS {
+            progress.attempt += 1;
+            let slot = match self.place(ask, terms, progress) {
+                Ok(slot) => slot,
+                Err(refusal) => return refused(refusal, progress),
+            };
+            match self.attempt(ask, terms, sink, progress, &slot) {
+                Attempt::Ended(end) => return end,
+                Attempt::Again(refusal) => last = refusal,
+            }
+        }
+        refused(last.retry_after(COME_BACK), progress)
+    }
+
+    /// Finds a slot for the next attempt, waiting for a load where needed.
+    fn place(
+        &self,
+        ask: &Completion,
+        terms: &Terms,
+        progress: &mut Progress,
+    ) -> Result<Slot, Refusal> {
+        let need = Need {
+            model: ask.model.clone(),
+            priority: terms.priority,
+            deadline: terms.deadline,
+            avoid: progress.avoid.clone(),
+        };
+        let most = self.desk.config().policy.queue as usize;
+        match self.router.acquire(&need, most) {
+            Route::Slot(slot) => Ok(slot),
+            Route::Wait(waiter) => {
+                let deadline = self.clock.instant(terms.deadline);
+                waiter
+                    .slots
+                    .recv_deadline(deadline)
+                    .map_err(|_| expired(ask))
+            }
+            Route::Full => {
+                let detail = format!("{most} requests wait for {}", ask.model);
+                Err(Refusal::new(Kind::QueueFull, detail).retry_after(COME_BACK))
+            }
+            Route::Cold => {
+                progress.cold = true;
+                self.wake(terms, need)
+            }
+        }
+    }
+
+    fn wake(&self, terms: &Terms, need: Need) -> Result<Slot, Refusal> {
+        self.desk.want(Wish {
+            id: terms.id.clone(),
+            need,
+            suspect: None,
+        })
+    }
+
+    fn attempt(
+        &self,
+        ask: &Completion,
+        terms: &Terms,
+        sink: &mut dyn Sink,
+        progress: &mut Progress,
+        slot: &Slot,
+    ) -> Attempt {
+        let Some(call) = self.call(terms, progress, slot) else {
+            progress.avoid.push(slot.engine.clone());
+            let detail = format!("engine {} is not configured", slot.engine);
+            return Attempt::Again(Refusal::new(Kind::UpstreamFailed, detail));
+        };
+        let body = ask.upstream_body(progress.sent, terms.priority);
+        let chunks = self
+            .engine
+            .stream(&call, ask.endpoint.path(), &body);
+        match chunks {
+            Ok(chunks) => self.relay(ask, terms, sink, progress, slot, chunks),
+            Err(e) => self.failure(ask, terms, progress, slot, &e),
+        }
+    }
+
+    fn call(&self, terms: &Terms, progress: &Progress, slot: &Slot) -> Option<Call> {
+        let config = self.desk.config();
+        let engine = config.engines.get(&slot.engine)?;
+        Some(Call {
+            addr: engine.addr.clone(),
+            key: engine.key.clone(),
+            request: format!("{}.{}", terms.id, progress.attempt).into(),
+            connect: CONNECT,
+            silence: SILENCE,
+        })
+    }
+
+    fn relay(
+        &self,
+        ask: &Completion,
+        terms: &Terms,
+        sink: &mut dyn Sink,
+        progress: &mut Progress,
+        slot: &Slot,
+        mut chunks: E::Chunks,
+    ) -> Attempt {
+        loop {
+            let data = match chunks.next() {
+                Ok(Chunk::Data(data)) => data,
+                Ok(Chunk::Done) => return Attempt::Ended(End::Whole),
+                Err(e) => return self.failure(ask, terms, progress, slot, &e),
+            };
+            let kind = part(&data);
+            if kind == Part::Usage && ask.stream && !ask.usage {
+                continue;
+            }
+            if kind == Part::Token {
+                progress.sent += 1;
+                progress.first.get_or_insert_with(|| self.clock.now());
+            }
+            if !sink.chunk(&data) {
+                return Attempt::Ended(End::HungUp);
+            }
+        }
+    }
+
+    fn failure(
+        &self,
+        ask: &Completion,
+        terms: &Terms,
+        progress: &mut Progress,
+        slot: &Slot,
+        error: &EngineError,
+    ) -> Attempt {
+        log::info!(request = &*terms.id; "attempt {} at {} failed: {error}", progress.attempt, slot.engine);
+        let detail = format!("engine {}: {error}", slot.engine);
+        match error {
+            EngineError::Status { status: 404, .. } => self.router.missing(&slot.engine, &ask.model),
+            EngineError::Status { status, detail } if (400..429).contains(status) => {
+                let refusal = Refusal::new(Kind::BadRequest, detail.clone());
+                return Attempt::Ended(refused(refusal, progress));
+            }
+            EngineError::Status { .. } => progress.avoid.push(slot.engine.clone()),
+            _ => {
+                progress.avoid.push(slot.engine.clone());
+                self.router.failed(&slot.engine);
+            }
+        }
+        if self.clock.now() >= terms.deadline && progress.sent == 0 {
+            return Attempt::Ended(refused(expired(ask), progress));
+        }
+        Attempt::Again(Refusal::new(Kind::UpstreamFailed, detail))
+    }
+}
+
+fn expired(ask: &Completion) -> Refusal {
+    let detail = format!("no replica of {} was free in time", ask.model);
+    Refusal::new(Kind::DeadlineExpired, detail).retry_after(COME_BACK)
+}
+
+fn refused(refusal: Refusal, progress: &Progress) -> End {
+    if progress.sent == 0 {
+        return End::Refused(refusal, 0);
+    }
+    let broken = Refusal::new(Kind::StreamBroken, refusal.detail);
+    End::Refused(broken, progress.sent)
+}
--- /dev/null
+++ b/src/http/request.rs
@@ -0,0 +1,85 @@
+//! What a traffic thread knows about one request.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tiny_http::Request;
+
+use crate::clock::Moment;
+use crate::config::Name;
+
+/// Source of request ids, unique over all hosts and restarts.
+#[derive(Debug)]
+pub struct Ids {
+    prefix: String,
+    next: AtomicU64,
+}
+
+impl Ids {
+    /// Ids of one incarnation of a host.
+    pub fn new(host: &str, incarnation: u64) -> Self {
+        Ids {
+            prefix: format!("{host}-{incarnation:x}"),
+            next: AtomicU64::new(1),
+        }
+    }
+
+    /// A new id.
+    pub fn next(&self) -> Name {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{number:x}", self.prefix).into()
+    }
+}
+
+/// The terms on which a request is served.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// Request id.
+    pub id: Name,
+    /// Caller.
+    pub caller: Name,
+    /// Priority; higher first.
+    pub priority: u8,
+    /// Arrival.
+    pub arrived: Moment,
+    /// Moment by which the first token must go out.
+    pub deadline: Moment,
+}
+
+impl Terms {
+    /// Time left at `now`.
+    pub fn left(&self, now: Moment) -> Duration {
+        self.deadline.saturating_sub(now)
+    }
+}
+
+/// The value of a head field.
+pub fn field<'a>(request: &'a Request, name: &'static str) -> Option<&'a str> {
+    let header = request.headers().iter().find(|h| h.field.equiv(name))?;
+    Some(header.value.as_str())
+}
+
+/// The bearer key of a request.
+pub fn bearer(request: &Request) -> Option<&str> {
+    field(request, "Authorization")?.strip_prefix("Bearer ")
+}
+
+/// The path of a request, without its query.
+pub fn path(request: &Request) -> &str {
+    let url = request.url();
+    url.split_once('?').map_or(url, |(path, _)| path)
+}
+
+/// The value of one field of the query.
+pub fn query<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    let (_, query) = request.url().split_once('?')?;
+    for pair in query.split('&') {
+        let Some((key, value)) = pair.split_once('=') else {
+            continue;
+        };
+        if key == name {
+            return Some(value);
+        }
+    }
+    None
+}
--- /dev/null
+++ b/src/http/stream.rs
@@ -0,0 +1,102 @@
+//! Server-sent events to a client, flushed one by one.
+
+use std::io::{self, Write};
+
+use tiny_http::Request;
+
+use super::answer::REQUEST_ID;
+
+/// The event that ends a stream of the OpenAI API.
+const DONE: &str = "[DONE]";
+
+/// State of an event stream.
+enum State {
+    /// The request still waits; no byte of the answer was sent.
+    Waiting(Box<Request>),
+    /// The head was sent.
+    Streaming(Box<dyn Write + Send>),
+    /// The last chunk was sent, or the client is gone.
+    Ended,
+}
+
+/// An event stream to one client.
+pub struct EventStream {
+    state: State,
+    id: String,
+    frame: Vec<u8>,
+}
+
+impl EventStream {
+    /// A stream that answers `request`; nothing is sent before the first event.
+    pub fn new(request: Request, id: &str) -> Self {
+        EventStream {
+            state: State::Waiting(Box::new(request)),
+            id: id.to_owned(),
+            frame: Vec::new(),
+        }
+    }
+
+    /// Whether a byte of the answer was sent.
+    pub fn started(&self) -> bool {
+        !matches!(self.state, State::Waiting(_))
+    }
+
+    /// Gives the request back when nothing was sent yet.
+    pub fn into_request(self) -> Option<Request> {
+        match self.state {
+            State::Waiting(request) => Some(*request),
+            _ => None,
+        }
+    }
+
+    /// Sends one event.
+    ///
+    /// # Errors
+    ///
+    /// The client hung up or did not read in time.
+    pub fn send(&mut self, data: &str) -> io::Result<()> {
+        self.start()?;
+        let State::Streaming(writer) = &mut self.state else {
+            return Err(io::ErrorKind::BrokenPipe.into());
+        };
+        let length = "data: ".len() + data.len() + "\n\n".len();
+        self.frame.clear();
+        write!(self.frame, "{length:x}\r\ndata: {data}\n\n\r\n")?;
+        writer.write_all(&self.frame)?;
+        writer.flush()
+    }
+
+    /// Ends the stream; `whole` adds the event that marks a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// The client hung up or did not read in time.
+    pub fn end(&mut self, whole: bool) -> io::Result<()> {
+        if whole {
+            self.send(DONE)?;
+        }
+        let State::Streaming(mut writer) = std::mem::replace(&mut self.state, State::Ended) else {
+            return Ok(());
+        };
+        writer.write_all(b"0\r\n\r\n")?;
+        writer.flush()
+    }
+
+    fn start(&mut self) -> io::Result<()> {
+        if self.started() {
+            return Ok(());
+        }
+        let State::Waiting(request) = std::mem::replace(&mut self.state, State::Ended) else {
+            return Ok(());
+        };
+        let mut writer = request.into_writer();
+        write!(
+            writer,
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\
+             Transfer-Encoding: chunked\r\n{REQUEST_ID}: {}\r\n\r\n",
+            self.id
+        )?;
+        self.state = State::Streaming(writer);
+        Ok(())
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod platform;
 pub mod pool;
 pub mod protocol;
+pub mod router;
 pub mod settings;
 pub mod suspects;
--- /dev/null
+++ b/src/pool/pins.rs
@@ -0,0 +1,197 @@
+//! Pins: which to record ahead of need, and which to move or release.
+
+use crate::config::{Model, Name};
+use crate::protocol::ownership::{EnginePins, PinAsk, PoolPins, Release, may_pin};
+
+use super::{Action, Context, PinWrite, Pool};
+
+/// Most pins that one write adds, so that its record and its time stay bounded.
+const BATCH: usize = 256;
+
+impl Pool {
+    /// Records pins for models without one, moves none; releases surplus ones.
+    pub(super) fn pin_ahead(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
+        if !ctx.table {
+            return;
+        }
+        self.release_surplus(ctx, out);
+        let mut all = self.pool_pins();
+        let mut changed: Vec<Name> = Vec::new();
+        let mut added = 0;
+        for (name, model) in &ctx.config.models {
+            if model.pool != self.name || model.limit == 0 || added >= BATCH {
+                continue;
+            }
+            if all.values().any(|p| p.pins.contains_key(name)) {
+                continue;
+            }
+            let Some(engine) = self.roomiest(name, model, &all, ctx) else {
+                continue;
+            };
+            let record = all.entry(engine.clone()).or_default();
+            *record = record.with(name, model.memory, self.epoch);
+            added += 1;
+            if !changed.contains(&engine) {
+                changed.push(engine);
+            }
+        }
+        for engine in changed {
+            let pins = all[&engine].clone();
+            self.write(vec![(engine, pins)], out);
+        }
+    }
+
+    /// The engine with the least pinned memory that may get the pin; an
+    /// adapter goes beside its base.
+    fn roomiest(
+        &self,
+        name: &Name,
+        model: &Model,
+        all: &PoolPins,
+        ctx: &Context<'_>,
+    ) -> Option<Name> {
+        let mut best: Option<(u64, &Name)> = None;
+        for (engine, side) in &self.sides {
+            if side.writing || side.leaving() || side.ledger.is_none() {
+                continue;
+            }
+            let empty = EnginePins::default();
+            let record = all.get(engine).unwrap_or(&empty);
+            if let Some(base) = &model.base
+                && !record.pins.contains_key(base)
+            {
+                continue;
+            }
+            if may_pin(all, &ask(name, model, engine), side.room).is_err() {
+                continue;
+            }
+            let size = ctx.config.engines.get(engine).map_or(1, |e| e.memory.max(1));
+            let fill = record.memory() * 1_000 / size;
+            if best.is_none_or(|(least, _)| fill < least) {
+                best = Some((fill, engine));
+            }
+        }
+        best.map(|(_, engine)| engine.clone())
+    }
+
+    /// Whether a pin of the model may be added, or one moved.
+    pub(super) fn may_move(&self, name: &Name, model: &Model) -> bool {
+        let pins = self.sides.values().filter(|s| s.pins.pins.contains_key(name));
+        if pins.count() < model.limit as usize {
+            return true;
+        }
+        self.releasable(name).is_some()
+    }
+
+    /// An engine whose pin of `name` may be removed now.
+    fn releasable(&self, name: &Name) -> Option<Name> {
+        for (engine, side) in &self.sides {
+            if side.writing || !side.pins.pins.contains_key(name) {
+                continue;
+            }
+            if side.replicas.contains_key(name) {
+                continue;
+            }
+            let Some(ledger) = &side.ledger else {
+                continue;
+            };
+            let release = Release {
+                model: name,
+                restarted: false,
+                gone: false,
+                ledger,
+            };
+            if release.allowed() {
+                return Some(engine.clone());
+            }
+        }
+        None
+    }
+
+    /// Records a pin of `name` at `engine` now, moving one where the limit
+    /// leaves no other way.
+    pub(super) fn pin_now(
+        &mut self,
+        name: &Name,
+        model: &Model,
+        engine: &Name,
+        ctx: &Context<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        if !ctx.table || self.sides[engine].writing {
+            return;
+        }
+        let mut all = self.pool_pins();
+        let mut writes = Vec::new();
+        let room = self.sides[engine].room;
+        if may_pin(&all, &ask(name, model, engine), room).is_err() {
+            let Some(from) = self.releasable(name) else {
+                return;
+            };
+            let record = all.entry(from.clone()).or_default();
+            *record = record.without(name);
+            writes.push((from.clone(), record.clone()));
+        }
+        if may_pin(&all, &ask(name, model, engine), room).is_err() {
+            return;
+        }
+        let record = all.entry(engine.clone()).or_default();
+        writes.push((engine.clone(), record.with(name, model.memory, self.epoch)));
+        self.write(writes, out);
+    }
+
+    /// Releases pins above the limit, and those of models that are no longer
+    /// configured or have changed their memory.
+    fn release_surplus(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
+        let mut writes: Vec<(Name, EnginePins)> = Vec::new();
+        for (engine, side) in &self.sides {
+            if side.writing {
+                continue;
+            }
+            for (name, pin) in &side.pins.pins {
+                let model = ctx.config.models.get(name);
+                let limit = model.map_or(0, |m| m.limit) as usize;
+                let resized = model.is_some_and(|m| m.memory != pin.memory);
+                let held = self.sides.values().filter(|s| s.pins.pins.contains_key(name));
+                if held.count() <= limit && !resized {
+                    continue;
+                }
+                if self.releasable(name).as_ref() != Some(engine) {
+                    continue;
+                }
+                writes.push((engine.clone(), side.pins.without(name)));
+                break;
+            }
+        }
+        for write in writes {
+            self.write(vec![write], out);
+        }
+    }
+
+    fn write(&mut self, records: Vec<(Name, EnginePins)>, out: &mut Vec<Action>) {
+        let mut writes = Vec::new();
+        for (engine, pins) in records {
+            let Some(side) = self.sides.get_mut(&engine) else {
+                continue;
+            };
+            side.writing = true;
+            writes.push(PinWrite {
+                engine,
+                pins,
+                item: side.item,
+            });
+        }
+        if !writes.is_empty() {
+            out.push(Action::Write(writes));
+        }
+    }
+}
+
+fn ask<'a>(name: &'a Name, model: &Model, engine: &'a Name) -> PinAsk<'a> {
+    PinAsk {
+        model: name,
+        engine,
+        memory: model.memory,
+        limit: model.limit,
+    }
+}
--- /dev/null
+++ b/src/pool/side.rs
@@ -0,0 +1,303 @@
+//! The owner's side of one engine: pins, orders, reports and replicas.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::config::{self, Name};
+use crate::platform::{EngineError, Report, Tier, Verb};
+use crate::protocol::ownership::{
+    Denied, EnginePins, Grant, Ledger, OrderEnd, Recorded, Room, Sent, Token,
+};
+
+use super::replica::{Phase, Replica};
+
+/// Failed polls after which an engine counts as unreachable.
+const MISSES: u32 = 3;
+/// Pause after an order that could not be sent.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// The owner's side of one engine.
+#[derive(Debug)]
+pub struct Side {
+    /// What the engine has.
+    pub room: Room,
+    /// Pins as recorded in the table.
+    pub pins: EnginePins,
+    /// Version of the pin item; 0 when it is absent.
+    pub item: u64,
+    /// Orders to the recorded instance, once it was heard from.
+    pub ledger: Option<Ledger>,
+    /// Last report.
+    pub report: Report,
+    /// Moment of the last report; `None` before the first.
+    pub heard: Option<Moment>,
+    /// Replicas by model.
+    pub replicas: BTreeMap<Name, Replica>,
+    /// A write of the pin item is under way.
+    pub writing: bool,
+    /// A fence is under way.
+    pub fencing: bool,
+    /// An unanswered order must be settled by a fence.
+    pub refence: bool,
+    /// The platform lists the engine as leaving.
+    pub listed_leaving: bool,
+    /// No orders before this moment.
+    pub paused: Moment,
+    /// The engine has a token of a later owner.
+    pub superseded: bool,
+    epoch: u64,
+    clean: bool,
+    ordered: Moment,
+    misses: u32,
+}
+
+impl Side {
+    /// The side of an owner that has just claimed the pool under `epoch`.
+    pub fn new(engine: &config::Engine, epoch: u64, clean: bool, pins: EnginePins, item: u64) -> Self {
+        Side {
+            room: Room {
+                memory: engine.memory,
+                fenced: engine.fenced,
+            },
+            pins: pins.inherit(clean || engine.fenced),
+            item,
+            ledger: None,
+            report: Report::default(),
+            heard: None,
+            replicas: BTreeMap::new(),
+            writing: false,
+            fencing: false,
+            refence: false,
+            listed_leaving: false,
+            paused: Moment::ZERO,
+            superseded: false,
+            epoch,
+            clean,
+            ordered: Moment::ZERO,
+            misses: 0,
+        }
+    }
+
+    /// Whether the engine answers.
+    pub fn reachable(&self) -> bool {
+        self.heard.is_some() && self.misses < MISSES
+    }
+
+    /// Whether the engine should get no new work.
+    pub fn leaving(&self) -> bool {
+        self.listed_leaving || self.report.leaving
+    }
+
+    /// Whether loads and unloads may be ordered now.
+    pub fn open(&self, now: Moment) -> bool {
+        let raised = self.ledger.as_ref().is_some_and(Ledger::raised);
+        raised && self.reachable() && now >= self.paused
+    }
+
+    /// Whether the report names an instance that is not the recorded one.
+    pub fn must_adopt(&self) -> bool {
+        self.heard.is_some() && self.report.instance != self.pins.instance && !self.writing
+    }
+
+    /// Memory that nothing holds and nothing is planned for, MB.
+    pub fn free(&self) -> u64 {
+        let Some(ledger) = &self.ledger else {
+            return 0;
+        };
+        let planned: u64 = self
+            .replicas
+            .iter()
+            .filter(|(model, r)| r.reserved() && !ledger.holds(model))
+            .map(|(_, r)| r.memory)
+            .sum();
+        self.room.memory.saturating_sub(self.held() + planned)
+    }
+
+    /// Memory that counts as used, MB. Pins of an engine that ignores tokens
+    /// fit together, so there only what is in use counts.
+    fn held(&self) -> u64 {
+        match &self.ledger {
+            Some(ledger) if self.room.fenced => ledger.memory(),
+            _ => 0,
+        }
+    }
+
+    /// Where the weights of `model` are cached.
+    pub fn tier(&self, model: &str) -> Tier {
+        let cached = self.report.cached.iter().find(|(m, _)| &**m == model);
+        cached.map_or(Tier::Remote, |(_, tier)| *tier)
+    }
+
+    /// Takes a report that was asked for at `asked`; answers whether the set
+    /// of replicas may have changed.
+    pub fn reported(&mut self, report: Report, asked: Moment, now: Moment) -> bool {
+        self.misses = 0;
+        self.heard = Some(now);
+        let restarted = report.instance != self.report.instance;
+        let stale = asked < self.ordered && !restarted;
+        self.report = report;
+        if self.report.instance != self.pins.instance {
+            self.ledger = None;
+            let had = !self.replicas.is_empty();
+            self.replicas.clear();
+            return had;
+        }
+        if self.ledger.is_none() {
+            self.open_ledger();
+        }
+        if stale {
+            return false;
+        }
+        self.sync(now)
+    }
+
+    /// Takes note of the instance that the pins are now recorded for.
+    pub fn adopted(&mut self) {
+        self.clean = true;
+        self.ledger = None;
+        if self.report.instance == self.pins.instance {
+            self.open_ledger();
+        }
+    }
+
+    fn open_ledger(&mut self) {
+        self.ledger = Some(Ledger::new(self.room, self.epoch, &self.pins));
+    }
+
+    /// Takes note that a poll failed; answers whether the engine was just lost.
+    pub fn missed(&mut self) -> bool {
+        self.misses += 1;
+        if self.misses != MISSES {
+            return false;
+        }
+        for replica in self.replicas.values_mut() {
+            // What is loaded stays counted; it just takes no work.
+            log::debug!("unreachable engine keeps a replica in {:?}", replica.phase);
+        }
+        true
+    }
+
+    /// Brings the replicas in line with the report.
+    fn sync(&mut self, now: Moment) -> bool {
+        let mut changed = false;
+        for resident in &self.report.residents {
+            if !resident.ready || self.replicas.contains_key(&resident.model) {
+                continue;
+            }
+            let replica = Replica::found(&resident.version, resident.memory, now);
+            self.replicas.insert(resident.model.clone(), replica);
+            changed = true;
+        }
+        let residents = &self.report.residents;
+        self.replicas.retain(|model, replica| {
+            let there = residents.iter().any(|r| r.ready && r.model == *model);
+            let keep = there || replica.coming() || replica.phase == Phase::Unloading;
+            changed |= !keep;
+            keep
+        });
+        changed
+    }
+
+    /// A grant to raise the fencing token, where one is due.
+    pub fn fence(&mut self) -> Option<Grant<Recorded>> {
+        let ledger = self.ledger.as_mut()?;
+        let due = self.refence || !ledger.raised();
+        if !due || self.fencing || !self.room.fenced {
+            return None;
+        }
+        let grant = ledger.fence().ok()?;
+        self.fencing = true;
+        self.refence = false;
+        Some(grant)
+    }
+
+    /// A grant to load `model`.
+    ///
+    /// # Errors
+    ///
+    /// Why the order may not be sent now.
+    pub fn load(&mut self, model: &Name) -> Result<Grant<Recorded>, Denied> {
+        let ledger = self.ledger.as_mut().ok_or(Denied::Closed)?;
+        ledger.load(&self.pins, model)
+    }
+
+    /// A grant to unload `model`.
+    ///
+    /// # Errors
+    ///
+    /// Why the order may not be sent now.
+    pub fn unload(&mut self, model: &Name) -> Result<Grant<Recorded>, Denied> {
+        let ledger = self.ledger.as_mut().ok_or(Denied::Closed)?;
+        ledger.unload(model)
+    }
+
+    /// Takes the end of an order.
+    pub fn ended(
+        &mut self,
+        grant: Grant<Sent>,
+        result: Result<Report, EngineError>,
+        now: Moment,
+    ) {
+        self.ordered = now;
+        if grant.verb == Verb::Fence {
+            self.fencing = false;
+        }
+        let end = self.end_of(&result);
+        let verb = grant.verb;
+        let model = grant.model.clone();
+        let same = self.ledger.as_ref().map(Ledger::instance) == Some(&grant.instance);
+        if let Some(ledger) = self.ledger.as_mut().filter(|_| same) {
+            grant.settle(ledger, end.clone());
+        }
+        if !matches!(end, OrderEnd::Done(_)) {
+            self.paused = now + PAUSE;
+        }
+        if end == OrderEnd::Lost {
+            self.refence = true;
+        }
+        if let Ok(report) = result {
+            self.reported(report, now, now);
+        }
+        self.settle_replica(verb, &model, &end, now);
+    }
+
+    /// What the engine's answer says about the order.
+    fn end_of(&mut self, result: &Result<Report, EngineError>) -> OrderEnd {
+        match result {
+            Ok(report) => OrderEnd::done(report),
+            Err(EngineError::Unreached(_)) => OrderEnd::Unsent,
+            Err(EngineError::Fenced { current }) if Token(*current).epoch() == self.epoch => {
+                // A later order of this owner overtook it.
+                OrderEnd::Unsent
+            }
+            Err(EngineError::Fenced { .. }) => {
+                self.superseded = true;
+                OrderEnd::Fenced
+            }
+            Err(EngineError::Restarted { .. }) => OrderEnd::Restarted,
+            Err(EngineError::Broken(_) | EngineError::Status { .. }) => OrderEnd::Lost,
+        }
+    }
+
+    fn settle_replica(&mut self, verb: Verb, model: &Name, end: &OrderEnd, now: Moment) {
+        let Some(replica) = self.replicas.get_mut(model) else {
+            return;
+        };
+        let residents = &self.report.residents;
+        let there = residents.iter().any(|r| r.ready && r.model == *model);
+        match (verb, end) {
+            (Verb::Load, OrderEnd::Done(_)) if there => {
+                replica.idle = now;
+                replica.enter(Phase::Ready, now);
+            }
+            (Verb::Unload, OrderEnd::Unsent) => {
+                replica.enter(Phase::Draining { seq: 0 }, now);
+            }
+            (Verb::Load | Verb::Unload, _) => {
+                self.replicas.remove(model);
+            }
+            (Verb::Fence, _) => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/pool/usage.rs
@@ -0,0 +1,88 @@
+//! What each daemon uses of the pool.
+
+use std::collections::HashMap;
+
+use crate::clock::Moment;
+use crate::config::Name;
+use crate::peer::wire::Usage;
+
+use super::Pool;
+
+/// Use of the pool by one daemon.
+#[derive(Debug, Default)]
+pub(super) struct UsageView {
+    /// Epoch of the pool state that it saw last.
+    epoch: u64,
+    /// Number of that state.
+    seq: u64,
+    /// Requests in progress by model and engine.
+    running: HashMap<(Name, Name), u32>,
+    /// Requests that wait for a slot, by model.
+    waiting: HashMap<Name, u32>,
+}
+
+impl Pool {
+    /// Takes in what the daemon of `host` uses.
+    pub fn used(&mut self, host: &Name, usage: &Usage, now: Moment) {
+        let view = self.usage.entry(host.clone()).or_default();
+        *view = UsageView {
+            epoch: usage.epoch,
+            seq: usage.seq,
+            ..UsageView::default()
+        };
+        for used in &usage.uses {
+            let model = Name::from(used.model.as_str());
+            for _ in 0..used.arrived.min(1) {
+                self.histories.entry(model.clone()).or_default().arrived(now);
+            }
+            if used.running == 0 {
+                continue;
+            }
+            if used.engine.is_empty() {
+                *view.waiting.entry(model).or_default() += used.running;
+                continue;
+            }
+            let key = (model, Name::from(used.engine.as_str()));
+            *view.running.entry(key).or_default() += used.running;
+        }
+        self.touch(now);
+    }
+
+    /// Notes which replicas are in use at `now`.
+    fn touch(&mut self, now: Moment) {
+        for view in self.usage.values() {
+            for (model, engine) in view.running.keys() {
+                let side = self.sides.get_mut(engine);
+                let replica = side.and_then(|s| s.replicas.get_mut(model));
+                if let Some(replica) = replica {
+                    replica.idle = now;
+                }
+            }
+        }
+    }
+
+    /// Requests in progress at one replica, over all daemons.
+    pub(super) fn running(&self, model: &Name, engine: &Name) -> u32 {
+        let key = (model.clone(), engine.clone());
+        self.usage
+            .values()
+            .filter_map(|view| view.running.get(&key))
+            .sum()
+    }
+
+    /// Requests that wait for a slot of `model` at entry hosts.
+    pub(super) fn queued(&self, model: &Name) -> u32 {
+        self.usage
+            .values()
+            .filter_map(|view| view.waiting.get(model))
+            .sum()
+    }
+
+    /// Whether every live daemon has seen the pool state `seq`.
+    pub(super) fn seen(&self, seq: u64) -> bool {
+        self.hosts.iter().all(|host| {
+            let view = self.usage.get(host);
+            view.is_some_and(|v| v.epoch == self.epoch && v.seq >= seq)
+        })
+    }
+}
