Add stand-ins for the platform, the weight store and the engines

Cause: the daemon's path needs a table, objects, a host list and engines that speak the clients' HTTP form and fail as the real ones do.

--- /dev/null
+++ b/src/fakes/engine/mod.rs
@@ -0,0 +1,253 @@
+//! Stand-in for a model engine.
+
+mod orders;
+mod state;
+mod streams;
+mod text;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+pub use state::{CacheEvent, End, Journal, Received, Served, Stay};
+pub use text::answer;
+
+use super::server::{Exchange, Server};
+use super::weights::FakeWeights;
+use crate::platform::{Report, Tier, Verb};
+use state::State;
+
+/// Longest wait before a condition is looked at again.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Time of a load by the tier where the weights are.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadTimes {
+    /// From the weight store at full speed.
+    pub remote: Duration,
+    /// From disk.
+    pub disk: Duration,
+    /// From host memory.
+    pub memory: Duration,
+    /// An adapter, from any tier.
+    pub adapter: Duration,
+}
+
+impl Default for LoadTimes {
+    fn default() -> Self {
+        LoadTimes {
+            remote: Duration::from_secs(10),
+            disk: Duration::from_secs(3),
+            memory: Duration::from_millis(500),
+            adapter: Duration::from_millis(7),
+        }
+    }
+}
+
+/// Settings of an engine.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Name; instance ids start with it.
+    pub name: String,
+    /// Address; port 0 takes a free one.
+    pub addr: SocketAddr,
+    /// Key that it checks; empty for none.
+    pub key: String,
+    /// Memory for weights, MB.
+    pub memory: u64,
+    /// Requests that it batches at once.
+    pub slots: u32,
+    /// Whether it refuses orders with an old fencing token.
+    pub fenced: bool,
+    /// Time of loads.
+    pub times: LoadTimes,
+    /// Real seconds for each second of load time.
+    pub scale: f64,
+    /// Weight store.
+    pub weights: FakeWeights,
+    /// Time before the first token of a prompt that is not cached.
+    pub prefill: Duration,
+    /// Time between tokens.
+    pub interval: Duration,
+    /// Tokens of an answer that sets no limit.
+    pub tokens: usize,
+    /// Prompts that contain this text crash it; empty for none.
+    pub crash: String,
+    /// Age of the reports and cache events that it publishes.
+    pub lag: Duration,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        EngineSettings {
+            name: "engine".into(),
+            addr: SocketAddr::from(([127, 0, 0, 1], 0)),
+            key: String::new(),
+            memory: 80_000,
+            slots: 16,
+            fenced: true,
+            times: LoadTimes::default(),
+            scale: 1.0,
+            weights: FakeWeights::default(),
+            prefill: Duration::ZERO,
+            interval: Duration::from_millis(20),
+            tokens: 16,
+            crash: String::new(),
+            lag: Duration::from_millis(20),
+        }
+    }
+}
+
+struct Inner {
+    settings: EngineSettings,
+    state: Mutex<State>,
+    wake: Condvar,
+    server: Mutex<Option<Server>>,
+    starts: AtomicU64,
+}
+
+/// An engine; dropping it stops it.
+pub struct FakeEngine {
+    inner: Arc<Inner>,
+}
+
+impl FakeEngine {
+    /// Starts an engine.
+    pub fn start(settings: EngineSettings) -> io::Result<FakeEngine> {
+        let engine = FakeEngine {
+            inner: Arc::new(Inner {
+                settings,
+                state: Mutex::default(),
+                wake: Condvar::new(),
+                server: Mutex::default(),
+                starts: AtomicU64::new(0),
+            }),
+        };
+        let addr = engine.begin(engine.inner.settings.addr)?;
+        engine.inner.lock().addr = Some(addr);
+        Ok(engine)
+    }
+
+    /// Address that it serves, the same over all its starts.
+    pub fn addr(&self) -> SocketAddr {
+        let addr = self.inner.lock().addr;
+        addr.unwrap_or(self.inner.settings.addr)
+    }
+
+    /// Present state, past every lag.
+    pub fn report(&self) -> Report {
+        self.inner.lock().now.clone()
+    }
+
+    /// What happened so far.
+    pub fn journal(&self) -> Journal {
+        self.inner.lock().journal.clone()
+    }
+
+    /// Kills the process: connections close and the port refuses.
+    pub fn crash(&self) {
+        self.inner.crash();
+    }
+
+    /// Starts the process again, under a new instance id.
+    pub fn restart(&self) -> io::Result<()> {
+        self.inner.crash();
+        self.begin(self.addr()).map(drop)
+    }
+
+    /// Accepts without answering, or goes on.
+    pub fn freeze(&self, frozen: bool) {
+        self.inner.lock().frozen = frozen;
+        self.inner.wake.notify_all();
+    }
+
+    /// Reports that it leaves, or no longer.
+    pub fn leave(&self, leaving: bool) {
+        let mut state = self.inner.lock();
+        state.journal.left = leaving.then(Instant::now);
+        state.changed();
+    }
+
+    /// Puts the weights of a model into a tier.
+    pub fn cache(&self, model: &str, tier: Tier) {
+        let mut state = self.inner.lock();
+        state.tiers.insert(model.into(), tier);
+        state.changed();
+    }
+
+    fn begin(&self, addr: SocketAddr) -> io::Result<SocketAddr> {
+        let start = self.inner.starts.fetch_add(1, Ordering::SeqCst) + 1;
+        let instance = format!("{}-{start}", self.inner.settings.name);
+        self.inner.lock().begin(instance);
+        let inner = self.inner.clone();
+        let server = Server::start(addr, move |exchange| inner.handle(exchange))?;
+        let addr = server.addr();
+        *self.inner.server() = Some(server);
+        Ok(addr)
+    }
+}
+
+impl Drop for FakeEngine {
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
+impl Inner {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    fn server(&self) -> MutexGuard<'_, Option<Server>> {
+        self.server.lock().expect("no holder of the lock panics")
+    }
+
+    fn crash(&self) {
+        let server = self.server().take();
+        let Some(server) = server else {
+            return;
+        };
+        server.kill();
+        self.lock().end();
+        self.wake.notify_all();
+    }
+
+    /// Waits while the engine is frozen.
+    fn thaw(&self, alive: &dyn Fn() -> bool) {
+        let mut state = self.lock();
+        while state.frozen && alive() {
+            let waited = self.wake.wait_timeout(state, PAUSE);
+            state = waited.expect("no holder of the lock panics").0;
+        }
+    }
+
+    fn handle(&self, exchange: Exchange) {
+        self.thaw(&|| exchange.alive());
+        if !exchange.allowed(&self.settings.key) {
+            return exchange.answer(401, &"wrong key");
+        }
+        match exchange.route() {
+            ("POST", path) if path == ["v1", "chat", "completions"] => self.work(exchange, true),
+            ("POST", path) if path == ["v1", "completions"] => self.work(exchange, false),
+            ("POST", path) if path == ["v2", "fence"] => self.order(Verb::Fence, exchange),
+            ("POST", path) if path.len() == 5 && path[4] == "load" => {
+                self.order(Verb::Load, exchange);
+            }
+            ("POST", path) if path.len() == 5 && path[4] == "unload" => {
+                self.order(Verb::Unload, exchange);
+            }
+            ("GET", path) if path == ["v2", "report"] => {
+                let report = self.lock().report(self.settings.lag);
+                exchange.answer(200, &report);
+            }
+            ("GET", path) if path == ["v2", "cache", "events"] => {
+                let since = exchange.param("since").and_then(|s| s.parse().ok());
+                let events = self.lock().published(since.unwrap_or(0), self.settings.lag);
+                exchange.answer(200, &events);
+            }
+            _ => exchange.answer(404, &"no such path"),
+        }
+    }
+}
--- /dev/null
+++ b/src/fakes/engine/orders.rs
@@ -0,0 +1,90 @@
+//! Orders to the engine.
+
+use std::thread;
+
+use super::{Inner, PAUSE};
+use crate::fakes::server::Exchange;
+use crate::platform::engine_http::OrderBody;
+use crate::platform::{Order, Tier, Verb};
+
+impl Inner {
+    pub(super) fn order(&self, verb: Verb, exchange: Exchange) {
+        let parameters = match exchange.json::<OrderBody>() {
+            Ok(body) => body.parameters,
+            Err(text) => return exchange.answer(400, &text),
+        };
+        let model = exchange.path.get(3).map_or("", String::as_str);
+        let order = Order {
+            verb,
+            model: model.into(),
+            version: parameters.version,
+            base: parameters.base,
+            memory: parameters.memory,
+            token: parameters.token,
+            instance: parameters.instance,
+        };
+        let refusal = self.lock().admit(&order, self.settings.fenced);
+        if let Some(refusal) = refusal {
+            return exchange.answer(409, &refusal);
+        }
+        let outcome = match verb {
+            Verb::Load => self.load(&order, &|| exchange.alive()),
+            Verb::Unload => {
+                self.lock().free(&order.model);
+                Ok(())
+            }
+            Verb::Fence => Ok(()),
+        };
+        let report = self.lock().now.clone();
+        match outcome {
+            Ok(()) => exchange.answer(200, &report),
+            Err(text) => exchange.answer(400, &text),
+        }
+    }
+
+    /// Loads a model, or waits for a load of it that is already running.
+    fn load(&self, order: &Order, alive: &dyn Fn() -> bool) -> Result<(), String> {
+        let mut state = self.lock();
+        if order.base.as_deref().is_some_and(|base| !state.ready(base)) {
+            return Err("the base model is not loaded".into());
+        }
+        let present = state.resident(&order.model).cloned();
+        if present.as_ref().is_some_and(|p| p.version != order.version) {
+            return Err("another version is loaded".into());
+        }
+        if present.is_none() {
+            state.take(order, self.settings.memory);
+        }
+        let tier = *state.tiers.get(&order.model).unwrap_or(&Tier::Remote);
+        drop(state);
+        let wanted = || alive() && self.lock().resident(&order.model).is_some();
+        if present.is_some() {
+            while wanted() && !self.lock().ready(&order.model) {
+                thread::sleep(PAUSE);
+            }
+        } else if self.fetch(order, tier, &wanted) && alive() {
+            self.lock().loaded(&order.model);
+        }
+        match self.lock().ready(&order.model) {
+            true => Ok(()),
+            false => Err("unloaded while loading".into()),
+        }
+    }
+
+    fn fetch(&self, order: &Order, tier: Tier, wanted: &dyn Fn() -> bool) -> bool {
+        let adapter = order.base.is_some();
+        let times = self.settings.times;
+        let full = match tier {
+            _ if adapter => times.adapter,
+            Tier::Remote => times.remote,
+            Tier::Disk => times.disk,
+            Tier::Memory => times.memory,
+        };
+        let full = full.mul_f64(self.settings.scale);
+        if tier == Tier::Remote {
+            return self.settings.weights.load(adapter, full, wanted);
+        }
+        thread::sleep(full);
+        wanted()
+    }
+}
--- a/src/fakes/mod.rs
+++ b/src/fakes/mod.rs
@@ -1,2 +1,11 @@
 //! Small stand-ins for engines, services and the platform, used by tests, the
 //! quickstart, the fault run and the measuring program.
+
+pub mod engine;
+pub mod platform;
+pub mod server;
+pub mod weights;
+
+pub use engine::{EngineSettings, FakeEngine};
+pub use platform::FakePlatform;
+pub use weights::{FakeWeights, StoreSettings};
