Add at-most-once calls over the table, and configuration versions

Cause: bookings, refunds and pickups may run once at most, under every crash and table fault, and a retry at another host must find the first answer.

--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,3 +1,5 @@
 //! Transition functions of the core protocols, free of I/O.
 
+pub mod calls;
 pub mod ownership;
+pub mod versions;
