--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,1 +1,13 @@
 //! Decisions: pure functions of state and `now`.
+
+pub mod admission;
+pub mod eviction;
+pub mod history;
+pub mod limits;
+pub mod pace;
+pub mod permits;
+pub mod placement;
+pub mod rooms;
+pub mod routing;
+pub mod sleep;
+pub mod store;
