--- /dev/null
+++ b/tests/pinning.rs
@@ -0,0 +1,199 @@
+//! Pins: limits, memory, spread, and that changes settle.
+
+use mastichinge::decide::pinning::{Access, Change, Pin, PinEngine, PinModel, Tie, changes};
+use proptest::prelude::*;
+use test_case::test_case;
+
+/// Applies changes as a control thread would; drained models are unloaded.
+fn apply(pins: &mut Vec<Pin>, changes: &[Change]) {
+    for change in changes {
+        match *change {
+            Change::Add { model, engine } => pins.push(Pin {
+                model,
+                engine,
+                tie: Tie::Free,
+            }),
+            Change::Move { model, from, to } => {
+                let at = |p: &&mut Pin| p.model == model && p.engine == from;
+                pins.iter_mut().find(at).unwrap().engine = to;
+            }
+            Change::Remove { model, engine } => {
+                pins.retain(|p| p.model != model || p.engine != engine);
+            }
+            Change::Drain { model, engine } => {
+                let at = |p: &&mut Pin| p.model == model && p.engine == engine;
+                pins.iter_mut().find(at).unwrap().tie = Tie::Free;
+            }
+        }
+    }
+}
+
+/// Applies answers until none changes anything; the models left unplaced.
+fn settle(models: &[PinModel], engines: &[PinEngine], pins: &mut Vec<Pin>) -> Vec<usize> {
+    for _ in 0..200 {
+        let out = changes(models, engines, pins, 4);
+        if out.changes.is_empty() {
+            return out.unplaced;
+        }
+        apply(pins, &out.changes);
+    }
+    panic!("the pins do not settle");
+}
+
+fn model(memory: u64, limit: u32) -> PinModel {
+    PinModel {
+        memory,
+        limit,
+        ..Default::default()
+    }
+}
+
+fn engine(domain: u16, fenced: bool) -> PinEngine {
+    PinEngine {
+        domain,
+        fenced,
+        memory: 100,
+        ..Default::default()
+    }
+}
+
+#[test]
+fn replicas_are_pinned_in_different_domains() {
+    let engines = [engine(0, true), engine(0, true), engine(1, true)];
+    let mut pins = Vec::new();
+    assert!(settle(&[model(10, 2)], &engines, &mut pins).is_empty());
+    let domains: Vec<_> = pins.iter().map(|p| engines[p.engine].domain).collect();
+    assert_eq!(domains, [0, 1]);
+}
+
+#[test]
+fn a_pin_leaves_a_leaving_engine_and_a_loaded_model_drains_first() {
+    let leaving = PinEngine {
+        access: Access::Leaving,
+        ..engine(0, true)
+    };
+    let engines = [leaving, engine(0, true)];
+    let mut pins = vec![Pin {
+        tie: Tie::Loaded,
+        ..Default::default()
+    }];
+    let first = changes(&[model(10, 1)], &engines, &pins, 4);
+    assert_eq!(
+        first.changes,
+        [Change::Drain {
+            model: 0,
+            engine: 0
+        }]
+    );
+    settle(&[model(10, 1)], &engines, &mut pins);
+    assert_eq!(pins[0].engine, 1);
+}
+
+#[test_case(Tie::Doubtful, Access::Leaving; "doubtful")]
+#[test_case(Tie::Loaded, Access::Silent; "loaded on a silent engine")]
+fn what_may_still_run_keeps_its_pin(tie: Tie, access: Access) {
+    let gone = PinEngine {
+        access,
+        ..engine(0, true)
+    };
+    let pins = [Pin {
+        tie,
+        ..Default::default()
+    }];
+    let out = changes(&[model(10, 1)], &[gone, engine(0, true)], &pins, 4);
+    assert!(out.changes.is_empty());
+}
+
+#[test]
+fn a_spare_pin_makes_room_for_a_model_without_one() {
+    let engines = [engine(0, false), engine(1, false)];
+    let mut pins = Vec::new();
+    let mut models = vec![model(60, 2)];
+    settle(&models, &engines, &mut pins);
+    assert_eq!(pins.len(), 2);
+    models.push(model(60, 1));
+    assert!(settle(&models, &engines, &mut pins).is_empty());
+    assert_eq!(pins.len(), 2);
+}
+
+fn pin_models() -> impl Strategy<Value = Vec<PinModel>> {
+    let one = (
+        1_u64..60,
+        0_u32..4,
+        prop::option::of(0_usize..3),
+        0.0..9.0_f64,
+    );
+    prop::collection::vec(one, 3..14).prop_map(|all| {
+        let mut models = Vec::new();
+        for (i, (memory, limit, base, demand)) in all.into_iter().enumerate() {
+            models.push(PinModel {
+                memory,
+                limit,
+                base: base.filter(|_| i >= 3),
+                demand,
+            });
+        }
+        models
+    })
+}
+
+fn pin_engines() -> impl Strategy<Value = Vec<PinEngine>> {
+    let one = (0_u8..6, any::<bool>(), 0_u16..3, 20_u64..200);
+    prop::collection::vec(one, 1..8).prop_map(|all| {
+        let mut engines = Vec::new();
+        for (access, fenced, domain, memory) in all {
+            engines.push(PinEngine {
+                access: match access {
+                    0 => Access::Leaving,
+                    1 => Access::Silent,
+                    _ => Access::Open,
+                },
+                fenced,
+                domain,
+                memory,
+            });
+        }
+        engines
+    })
+}
+
+/// Memory of the pins on an engine, MB.
+fn pinned(models: &[PinModel], pins: &[Pin], engine: usize) -> u64 {
+    let there = pins.iter().filter(|p| p.engine == engine);
+    there.map(|p| models[p.model].memory).sum()
+}
+
+proptest! {
+    #[test]
+    fn pins_settle_within_limits_and_memory(
+        models in pin_models(),
+        before in pin_engines(),
+        after in pin_engines(),
+    ) {
+        let mut pins = Vec::new();
+        settle(&models, &before, &mut pins);
+        for (i, e) in before.iter().enumerate() {
+            let used = pinned(&models, &pins, i);
+            prop_assert!(e.fenced || used <= e.memory, "engine {i}: {used} of {}", e.memory);
+        }
+        // Engines change state; their kind, place and size stay.
+        let mut engines = before.clone();
+        for (e, a) in engines.iter_mut().zip(&after) {
+            e.access = a.access;
+        }
+        let unplaced = settle(&models, &engines, &mut pins);
+        for (i, m) in models.iter().enumerate() {
+            let own: Vec<_> = pins.iter().filter(|p| p.model == i).collect();
+            prop_assert!(own.len() <= m.limit as usize);
+            let placed = own.iter().any(|p| engines[p.engine].access == Access::Open);
+            prop_assert!(placed || m.limit == 0 || unplaced.contains(&i));
+            for pin in own.iter().filter(|p| engines[p.engine].access == Access::Open) {
+                let beside = |b| pins.iter().any(|p| p.model == b && p.engine == pin.engine);
+                prop_assert!(m.base.is_none_or(beside) || unplaced.contains(&i));
+            }
+        }
+        for (i, e) in engines.iter().enumerate() {
+            prop_assert!(e.fenced || pinned(&models, &pins, i) <= e.memory);
+        }
+    }
+}
