Serve a streamed answer through a cold load, end to end

Cause: the whole path did not exist. A first run stole the pool four times while links came up; a daemon now takes a pool from a recorded owner only 3 s after its own start.

--- a/src/bin/mastichinged.rs
+++ b/src/bin/mastichinged.rs
@@ -1,3 +1,96 @@
 //! The daemon of an entry host.
 
-fn main() {}
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use mastichinge::cli::daemon::{DaemonArgs, UsageError, parse};
+use mastichinge::daemon::{Daemon, StartError};
+use mastichinge::logs::{self, LogError};
+use mastichinge::platform::client::Timeouts;
+use mastichinge::platform::http::HttpPlatform;
+use mastichinge::settings::{self, Settings, SettingsError};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+/// Exit code after a failure.
+const FAILED: u8 = 1;
+/// Exit code for a wrong command line.
+const WRONG_USAGE: u8 = 2;
+/// Exit code for wrong settings.
+const WRONG_SETTINGS: u8 = 3;
+
+/// Why the daemon ended early.
+#[derive(Debug, thiserror::Error)]
+enum RunError {
+    #[error(transparent)]
+    Usage(#[from] UsageError),
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    #[error(transparent)]
+    Logs(#[from] LogError),
+    #[error(transparent)]
+    Start(#[from] StartError),
+    #[error("cannot wait for signals: {0}")]
+    Signals(#[from] std::io::Error),
+}
+
+impl RunError {
+    fn code(&self) -> u8 {
+        match self {
+            RunError::Usage(_) => WRONG_USAGE,
+            RunError::Settings(_) => WRONG_SETTINGS,
+            _ => FAILED,
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("mastichinged: {e}");
+            ExitCode::from(e.code())
+        }
+    }
+}
+
+fn run() -> Result<(), RunError> {
+    match parse(std::env::args_os().skip(1).collect())? {
+        DaemonArgs::Run { settings } => serve(&settings),
+        DaemonArgs::Check { settings } => check(&settings),
+        DaemonArgs::Version => {
+            println!("mastichinged {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        DaemonArgs::Help(text) => {
+            println!("{text}");
+            Ok(())
+        }
+    }
+}
+
+fn check(path: &Path) -> Result<(), RunError> {
+    let settings = settings::load(path)?;
+    println!("{}: settings of host {}", path.display(), settings.host);
+    Ok(())
+}
+
+fn serve(path: &Path) -> Result<(), RunError> {
+    let settings = settings::load(path)?;
+    logs::start(&settings.log)?;
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    let daemon = Daemon::start(&settings, platform(&settings))?;
+    signals.forever().next();
+    daemon.drain();
+    log::info!("stopped");
+    Ok(())
+}
+
+fn platform(settings: &Settings) -> Arc<HttpPlatform> {
+    Arc::new(HttpPlatform::new(
+        settings.platform,
+        settings.platform_key.clone(),
+        Timeouts::default(),
+    ))
+}
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -30,6 +30,13 @@
         self.start + moment
     }
 
+    /// Wall-clock time, milliseconds since the Unix epoch; an incarnation, as
+    /// it is higher with each start of a host.
+    pub fn unix_ms() -> u64 {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        since.unwrap_or_default().as_millis() as u64
+    }
+
     /// Wall-clock time, seconds since the Unix epoch; for records and logs only.
     pub fn unix() -> u64 {
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -12,6 +12,9 @@
 
 /// Wait of each further candidate before it tries to claim.
 const STAGGER: Duration = Duration::from_millis(300);
+/// Time after its start before a daemon takes a pool from a recorded owner:
+/// until then it cannot tell that the owner is not alive.
+const GRACE: Duration = Duration::from_secs(3);
 /// Pause between two tries of one candidate.
 const PAUSE: Duration = Duration::from_millis(500);
 
@@ -93,6 +96,7 @@
         self.acts.push(Act::Claim {
             pool: name.clone(),
             alive: alive.to_vec(),
+            take: now >= self.started + GRACE,
         });
     }
 
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -155,11 +155,11 @@
                     }
                 });
             }
-            Act::Claim { pool, alive } => {
+            Act::Claim { pool, alive, take } => {
                 let parts = self.parts.clone();
                 self.spawn("claim", move || {
                     let table = parts.platform.table();
-                    Event::Table(jobs::claim(table, &pool, &parts.me, &alive))
+                    Event::Table(jobs::claim(table, &pool, &parts.me, &alive, take))
                 });
             }
             Act::WritePins {
@@ -219,11 +219,9 @@
 
     fn spawn(&self, name: &str, job: impl FnOnce() -> Event + Send + 'static) {
         let events = self.events.clone();
-        let spawned = thread::Builder::new()
-            .name(name.to_owned())
-            .spawn(move || {
-                let _ = events.send(job());
-            });
+        let spawned = thread::Builder::new().name(name.to_owned()).spawn(move || {
+            let _ = events.send(job());
+        });
         if let Err(e) = spawned {
             log::error!("no thread for {name}: {e}");
         }
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -12,7 +12,7 @@
 use crate::peer::wire::Body;
 use crate::platform::{EngineError, Hosts, Order, Report};
 use crate::pool::{Claimed, PinWrite};
-use crate::protocol::ownership::{Grant, OwnerRecord, Recorded, Sent};
+use crate::protocol::ownership::{Grant, Owner, OwnerRecord, Recorded, Sent};
 use crate::router::{Need, Slot};
 
 use super::{Control, View};
@@ -169,7 +169,9 @@
         /// Pool.
         pool: Name,
         /// Owners that are alive, so that their pools are left alone.
-        alive: Vec<crate::protocol::ownership::Owner>,
+        alive: Vec<Owner>,
+        /// A recorded owner that is not among them may be superseded.
+        take: bool,
     },
     /// Write pin records under the check of the pool's item.
     WritePins {
--- a/src/control/jobs.rs
+++ b/src/control/jobs.rs
@@ -34,9 +34,16 @@
     format!("{}{engine}", pin_prefix(pool)).into()
 }
 
-/// Claims `pool` for `me` unless one of `alive` owns it.
-pub(super) fn claim<T: Table>(table: &T, pool: &Name, me: &Owner, alive: &[Owner]) -> TableEnd {
-    match try_claim(table, pool, me, alive) {
+/// Claims `pool` for `me` unless one of `alive` owns it, or anybody while
+/// `take` is false.
+pub(super) fn claim<T: Table>(
+    table: &T,
+    pool: &Name,
+    me: &Owner,
+    alive: &[Owner],
+    take: bool,
+) -> TableEnd {
+    match try_claim(table, pool, me, alive, take) {
         Ok(end) => end,
         Err(e) => {
             log::info!("claim of pool {pool}: {e}");
@@ -50,6 +57,7 @@
     pool: &Name,
     me: &Owner,
     alive: &[Owner],
+    take: bool,
 ) -> Result<TableEnd, TableError> {
     let key = pool_key(pool);
     let item = table.get(&key)?;
@@ -60,7 +68,7 @@
             return take_over(table, pool, record.epoch, item.version, false);
         }
         let owner = record.owner.as_ref();
-        if owner.is_some_and(|owner| alive.contains(owner)) {
+        if owner.is_some_and(|owner| !take || alive.contains(owner)) {
             return Ok(TableEnd::Owned {
                 pool: pool.clone(),
                 record: record.clone(),
@@ -239,7 +247,8 @@
 }
 
 fn read<T: DeserializeOwned>(item: &Item) -> Result<T, TableError> {
-    let unreadable = |e| TableError::Refused(format!("the record {} cannot be read: {e}", item.key));
+    let unreadable =
+        |e| TableError::Refused(format!("the record {} cannot be read: {e}", item.key));
     serde_json::from_value(item.value.clone()).map_err(unreadable)
 }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -16,7 +16,8 @@
 
 use crate::clock::{Clock, Moment};
 use crate::config::{Config, Name, Policy};
-use crate::decide::permits::{Permits, StoreLimits};
+use crate::decide::permits::Permits;
+use crate::decide::store::StoreLimits;
 use crate::members::Members;
 use crate::peer::wire::Body;
 use crate::platform::{EngineError, Hosts, Report};
@@ -26,7 +27,7 @@
 use crate::settings::Settings;
 
 pub use claims::Seat;
-pub use desk::{Desk, Wish};
+pub use desk::{Desk, Wish, hex};
 pub use driver::{Driver, Parts};
 pub use event::{Act, Event, TableEnd};
 pub use view::{EntryHost, View};
@@ -74,6 +75,7 @@
     holder: Option<Name>,
     table: bool,
     leaving: bool,
+    started: Moment,
     beat: Option<Moment>,
     reported: Option<Moment>,
     acts: Vec<Act>,
@@ -95,6 +97,7 @@
             holder: None,
             table: true,
             leaving: false,
+            started: now,
             beat: None,
             reported: None,
             acts: Vec::new(),
@@ -257,13 +260,7 @@
     }
 
     /// Turns the actions of a pool into acts.
-    fn carry_out(
-        &mut self,
-        name: &Name,
-        epoch: u64,
-        item: u64,
-        out: Vec<Action>,
-    ) {
+    fn carry_out(&mut self, name: &Name, epoch: u64, item: u64, out: Vec<Action>) {
         for action in out {
             match action {
                 Action::Send { to, body } => self.send(&to, body),
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,234 @@
+//! A whole daemon: its threads, its start and its graceful stop.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+
+use crate::clock::Clock;
+use crate::control::{Control, Desk, Driver, Event, Me, Parts, View};
+use crate::follower::Follower;
+use crate::http::callers::Callers;
+use crate::http::request::Ids;
+use crate::http::server::{self, Running};
+use crate::members::Members;
+use crate::peer::{PeerError, PeerEvent, PeerSettings, Peers};
+use crate::platform::{HostList, Platform};
+use crate::protocol::ownership::Owner;
+use crate::router::Router;
+use crate::settings::Settings;
+
+/// Events that may wait for the control thread.
+const EVENTS: usize = 65_536;
+/// Messages that may wait for another part.
+const MESSAGES: usize = 4_096;
+/// Period at which the host list is read.
+const HOSTS: Duration = Duration::from_millis(500);
+/// Period at which a leaving daemon looks whether it is done.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Why a daemon could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {addr}: {cause}")]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// Cause.
+        cause: String,
+    },
+    /// The peer links cannot start.
+    #[error(transparent)]
+    Peers(#[from] PeerError),
+    /// The system refuses a thread.
+    #[error("cannot start a thread: {0}")]
+    Thread(#[from] std::io::Error),
+}
+
+/// A running daemon.
+pub struct Daemon<P> {
+    desk: Desk,
+    router: Router,
+    peers: Arc<Peers>,
+    callers: Running,
+    follower: Follower<P>,
+    stop: Option<Sender<()>>,
+    clock: Clock,
+}
+
+impl<P: Platform> Daemon<P> {
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    ///
+    /// An address is taken, or the system refuses a thread.
+    pub fn start(settings: &Settings, platform: Arc<P>) -> Result<Self, StartError> {
+        let clock = Clock::default();
+        let incarnation = Clock::unix_ms();
+        let (events, inbox) = bounded(EVENTS);
+        let (stop, stopped) = bounded(0);
+        let peers = Arc::new(start_peers(settings, incarnation, &events)?);
+        let me = Me::new(settings, incarnation);
+        let router = Router::new(clock);
+        let view = Arc::new(ArcSwap::from_pointee(View::default()));
+        let desk = Desk::new(events.clone(), view.clone(), clock);
+        let follower = Follower::new(platform.clone(), peers.clone(), events.clone());
+        let (follow, changes) = bounded(MESSAGES);
+        let (calls, _questions) = bounded(MESSAGES);
+        follower.start(changes)?;
+        watch_hosts(platform.clone(), events.clone(), stopped.clone())?;
+        let members = Members::new(&me.host, me.incarnation);
+        let owner = Owner {
+            host: me.host.clone(),
+            incarnation,
+        };
+        let control = Control::new(me, members, router.clone(), clock.now());
+        let parts = Parts {
+            platform: platform.clone(),
+            peers: peers.clone(),
+            view,
+            follow,
+            calls,
+            me: owner,
+            clock,
+        };
+        Driver::start(parts, control, events, inbox, stopped)?;
+        let callers = Callers {
+            platform,
+            desk: desk.clone(),
+            router: router.clone(),
+            clock,
+            ids: Ids::new(&settings.host, incarnation),
+            limits: settings.limits.clone(),
+        };
+        let callers = listen(settings.listen.callers, settings.limits.streams, callers)?;
+        log::info!(
+            "host {} serves callers at {}",
+            settings.host,
+            settings.listen.callers
+        );
+        Ok(Daemon {
+            desk,
+            router,
+            peers,
+            callers,
+            follower,
+            stop: Some(stop),
+            clock,
+        })
+    }
+
+    /// The control thread.
+    pub fn desk(&self) -> &Desk {
+        &self.desk
+    }
+
+    /// The configuration.
+    pub fn follower(&self) -> &Follower<P> {
+        &self.follower
+    }
+
+    /// Leaves: out of entry answers at once, accepting until the longest kept
+    /// answer has run out, then finishing all that is in progress and handing
+    /// pools over.
+    pub fn drain(mut self) {
+        self.desk.drain();
+        let keep = Duration::from_secs(self.desk.config().policy.entry_keep_s);
+        let until = self.clock.now() + keep;
+        while self.clock.now() < until && self.desk.view().alive > 1 {
+            thread::sleep(LOOK);
+        }
+        while self.callers.busy() > 0 || self.router.running() > 0 {
+            thread::sleep(LOOK);
+        }
+        self.callers.stop();
+        while !self.desk.ask(|control| control.drained()).unwrap_or(true) {
+            thread::sleep(LOOK);
+        }
+        self.stop();
+    }
+
+    /// Stops at once.
+    pub fn stop(&mut self) {
+        self.stop.take();
+        self.callers.stop();
+        self.peers.stop();
+    }
+}
+
+impl<P> Drop for Daemon<P> {
+    fn drop(&mut self) {
+        self.stop.take();
+        self.peers.stop();
+    }
+}
+
+fn start_peers(
+    settings: &Settings,
+    incarnation: u64,
+    events: &Sender<Event>,
+) -> Result<Peers, StartError> {
+    let (sender, received) = bounded(MESSAGES);
+    let links = PeerSettings {
+        firm: settings.firm.clone(),
+        host: settings.host.clone(),
+        incarnation,
+        listen: settings.listen.peers,
+        peers: settings.peers.clone(),
+        key: settings.peer_key.clone(),
+        ..PeerSettings::default()
+    };
+    let peers = Peers::start(links, sender)?;
+    let events = events.clone();
+    thread::Builder::new()
+        .name("peers".into())
+        .spawn(move || forward(&received, &events))?;
+    Ok(peers)
+}
+
+fn forward(received: &Receiver<PeerEvent>, events: &Sender<Event>) {
+    for event in received {
+        if events.send(Event::Peer(event)).is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads the host list until `stopped` closes.
+fn watch_hosts<P: Platform>(
+    platform: Arc<P>,
+    events: Sender<Event>,
+    stopped: Receiver<()>,
+) -> std::io::Result<()> {
+    let watch = move || {
+        loop {
+            match platform.hosts().read() {
+                Ok(hosts) => {
+                    if events.send(Event::Hosts(hosts)).is_err() {
+                        return;
+                    }
+                }
+                Err(e) => log::debug!("reading the host list: {e}"),
+            }
+            if stopped.recv_timeout(HOSTS) != Err(RecvTimeoutError::Timeout) {
+                return;
+            }
+        }
+    };
+    thread::Builder::new().name("hosts".into()).spawn(watch)?;
+    Ok(())
+}
+
+fn listen<H: server::Handler>(
+    addr: SocketAddr,
+    most: u32,
+    handler: H,
+) -> Result<Running, StartError> {
+    let refused = |cause: String| StartError::Listen { addr, cause };
+    let listener = TcpListener::bind(addr).map_err(|e| refused(e.to_string()))?;
+    server::start(listener, most, Arc::new(handler)).map_err(|e| refused(e.to_string()))
+}
--- a/src/fakes/mod.rs
+++ b/src/fakes/mod.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod platform;
 pub mod server;
+pub mod site;
 pub mod weights;
 
 pub use engine::{EngineSettings, FakeEngine};
--- /dev/null
+++ b/src/fakes/site.rs
@@ -0,0 +1,269 @@
+//! A whole small site: platform, engines and the settings of its daemons.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+use super::engine::{EngineSettings, FakeEngine, LoadTimes};
+use super::platform::FakePlatform;
+use super::weights::{FakeWeights, StoreSettings};
+use crate::config::Name;
+use crate::config::entry::Proposal;
+use crate::config::ledger::{Ledger, ProposeError};
+use crate::config::state::Current;
+use crate::control::hex;
+use crate::platform::client::Timeouts;
+use crate::platform::http::HttpPlatform;
+use crate::platform::{HostState, Platform};
+use crate::settings::{Listen, Log, Peer, Settings};
+
+/// Key of the caller `app`.
+pub const CALLER_KEY: &str = "caller-key";
+/// Key of the operator `ops`.
+pub const OPERATOR_KEY: &str = "operator-key";
+/// Key between daemons.
+pub const PEER_KEY: &str = "peer-key";
+/// Text in a prompt that crashes an engine.
+pub const CRASH: &str = "CRASH";
+
+/// Size and speed of a site.
+#[derive(Clone, Debug)]
+pub struct SiteSettings {
+    /// Firm.
+    pub firm: Name,
+    /// Daemons.
+    pub daemons: u8,
+    /// Engines of the pool `main`.
+    pub engines: u32,
+    /// Models `m1`, `m2` and so on.
+    pub models: u32,
+    /// Adapters of `m1`: `m1-a1` and so on.
+    pub adapters: u32,
+    /// Replica limit of each model.
+    pub limit: u32,
+    /// Load time from the weight store.
+    pub load: Duration,
+    /// Time between tokens.
+    pub interval: Duration,
+    /// Tokens of an answer.
+    pub tokens: usize,
+    /// Every n-th engine ignores fencing tokens; 0 for none.
+    pub unfenced: u32,
+    /// Ports: 7800 for callers, 7801 for operators, 7802 for peers; otherwise
+    /// free ones.
+    pub fixed: bool,
+    /// Last part of the first daemon's address in 127.0.0.0/24.
+    pub first: u8,
+}
+
+impl Default for SiteSettings {
+    fn default() -> Self {
+        SiteSettings {
+            firm: "harrowby".into(),
+            daemons: 5,
+            engines: 4,
+            models: 6,
+            adapters: 3,
+            limit: 1,
+            load: Duration::from_millis(400),
+            interval: Duration::from_millis(20),
+            tokens: 12,
+            unfenced: 4,
+            fixed: false,
+            first: 1,
+        }
+    }
+}
+
+/// Memory of an engine, MB.
+const ENGINE_MB: u64 = 80_000;
+/// Memory of a model, MB.
+const MODEL_MB: u64 = 20_000;
+/// Memory of an adapter, MB.
+const ADAPTER_MB: u64 = 200;
+/// Failure domains of the site.
+const DOMAINS: [&str; 4] = ["derby", "leicester", "nottingham", "coventry"];
+
+/// A running site without its daemons.
+pub struct Site {
+    /// How it was made.
+    pub settings: SiteSettings,
+    /// Platform.
+    pub platform: FakePlatform,
+    /// Weight store.
+    pub weights: FakeWeights,
+    /// Engines, `e1` first.
+    pub engines: Vec<FakeEngine>,
+}
+
+impl Site {
+    /// Starts platform and engines, and puts configuration version 1 in force.
+    ///
+    /// # Errors
+    ///
+    /// An address is taken.
+    pub fn start(settings: SiteSettings) -> io::Result<Site> {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let platform = FakePlatform::start(any, "")?;
+        let weights = FakeWeights::new(StoreSettings::default());
+        let mut engines = Vec::new();
+        for i in 1..=settings.engines {
+            engines.push(FakeEngine::start(EngineSettings {
+                name: format!("e{i}"),
+                memory: ENGINE_MB,
+                fenced: fenced(&settings, i),
+                times: LoadTimes {
+                    remote: settings.load,
+                    disk: settings.load / 2,
+                    memory: settings.load / 4,
+                    ..LoadTimes::default()
+                },
+                weights: weights.clone(),
+                interval: settings.interval,
+                tokens: settings.tokens,
+                crash: CRASH.into(),
+                ..EngineSettings::default()
+            })?);
+        }
+        let site = Site {
+            settings,
+            platform,
+            weights,
+            engines,
+        };
+        site.configure().map_err(io::Error::other)?;
+        for i in 1..=site.settings.daemons {
+            site.platform.list(&format!("h{i}"), Some(HostState::Live));
+        }
+        Ok(site)
+    }
+
+    /// Puts version 1 of the configuration in force.
+    fn configure(&self) -> Result<(), ProposeError> {
+        let http = HttpPlatform::new(self.platform.addresses(), "".into(), Timeouts::default());
+        let ledger = Ledger::new(http.table(), http.objects());
+        let proposal = Proposal {
+            base: 0,
+            patch: self.config(),
+            who: "ops".into(),
+            teams: vec!["*".into()],
+            attempt: "first".into(),
+            unix: 0,
+        };
+        ledger.propose(&Current::default(), &proposal).map(drop)
+    }
+
+    /// Version 1 of the configuration.
+    pub fn config(&self) -> Value {
+        json!({
+            "models": self.models(),
+            "engines": self.engine_entries(),
+            "callers": {"app": {"key_sha256": hash(CALLER_KEY), "priority": 9}},
+            "operators": {"ops": {
+                "key_sha256": hash(OPERATOR_KEY),
+                "roles": ["read", "change", "drain"],
+                "teams": ["*"],
+            }},
+            "policy": {"entry_keep_s": 1},
+        })
+    }
+
+    fn models(&self) -> Value {
+        let load = self.settings.load.as_millis() as u64;
+        let mut models = json!({});
+        for i in 1..=self.settings.models {
+            models[format!("m{i}")] = json!({
+                "pool": "main", "memory": MODEL_MB, "limit": self.settings.limit,
+                "load_ms": load, "deadline_ms": 20_000,
+            });
+        }
+        for i in 1..=self.settings.adapters {
+            models[format!("m1-a{i}")] = json!({
+                "pool": "main", "memory": ADAPTER_MB, "limit": self.settings.limit,
+                "load_ms": 10, "base": "m1", "deadline_ms": 20_000,
+            });
+        }
+        models
+    }
+
+    fn engine_entries(&self) -> Value {
+        let mut entries = json!({});
+        for (i, engine) in (1..).zip(&self.engines) {
+            entries[format!("e{i}")] = json!({
+                "addr": engine.addr().to_string(), "pool": "main",
+                "domain": DOMAINS[i as usize % DOMAINS.len()],
+                "memory": ENGINE_MB, "fenced": fenced(&self.settings, i),
+            });
+        }
+        entries
+    }
+
+    /// Settings of all daemons.
+    ///
+    /// # Errors
+    ///
+    /// No port is free.
+    pub fn daemons(&self) -> io::Result<Vec<Settings>> {
+        let mut all = Vec::new();
+        for i in 0..self.settings.daemons {
+            all.push(self.daemon(i)?);
+        }
+        let peers: Vec<Peer> = all
+            .iter()
+            .map(|s| Peer {
+                host: s.host.clone(),
+                addr: s.listen.peers,
+            })
+            .collect();
+        for settings in &mut all {
+            settings.peers = peers.clone();
+        }
+        Ok(all)
+    }
+
+    fn daemon(&self, number: u8) -> io::Result<Settings> {
+        let ip = Ipv4Addr::new(127, 0, 0, self.settings.first + number);
+        let port = |fixed: u16| match self.settings.fixed {
+            true => Ok(SocketAddr::from((ip, fixed))),
+            false => free_port(ip),
+        };
+        Ok(Settings {
+            firm: self.settings.firm.clone(),
+            host: format!("h{}", number + 1).into(),
+            domain: DOMAINS[usize::from(number) % DOMAINS.len()].into(),
+            listen: Listen {
+                callers: port(7800)?,
+                operators: port(7801)?,
+                peers: port(7802)?,
+            },
+            platform: self.platform.addresses(),
+            peer_key: PEER_KEY.into(),
+            log: Log {
+                level: "info".into(),
+                ..Log::default()
+            },
+            ..Settings::default()
+        })
+    }
+}
+
+fn fenced(settings: &SiteSettings, number: u32) -> bool {
+    settings.unfenced == 0 || !number.is_multiple_of(settings.unfenced)
+}
+
+/// SHA-256 of a key, hex.
+pub fn hash(key: &str) -> String {
+    hex(&Sha256::digest(key.as_bytes()))
+}
+
+/// An address whose port was free a moment ago.
+///
+/// # Errors
+///
+/// No port is free.
+pub fn free_port(ip: Ipv4Addr) -> io::Result<SocketAddr> {
+    std::net::TcpListener::bind((ip, 0))?.local_addr()
+}
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -66,7 +66,10 @@
     pub fn send(self, request: Request, id: &str) {
         let mut response = Response::new(
             self.status.into(),
-            vec![header("Content-Type", &self.content), header(REQUEST_ID, id)],
+            vec![
+                header("Content-Type", &self.content),
+                header(REQUEST_ID, id),
+            ],
             Cursor::new(self.body.clone()),
             Some(self.body.len()),
             None,
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -43,7 +43,8 @@
         let id = self.ids.next();
         let form = form_of(&request);
         let result = self.route(request, &id);
-        if let Err((request, refusal)) = result {
+        if let Err(refused) = result {
+            let (request, refusal) = *refused;
             self.refused(request, &refusal, form, &id);
         }
     }
@@ -58,7 +59,7 @@
 }
 
 /// A request that was refused before anything was sent.
-type Refused = (Request, Refusal);
+type Refused = Box<(Request, Refusal)>;
 
 impl<P: Platform> Callers<P> {
     fn refused(&self, request: Request, refusal: &Refusal, form: Form, id: &Name) {
@@ -69,7 +70,7 @@
     fn route(&self, request: Request, id: &Name) -> Result<(), Refused> {
         let caller = match self.caller(&request) {
             Ok(caller) => caller,
-            Err(refusal) => return Err((request, refusal)),
+            Err(refusal) => return Err(Box::new((request, refusal))),
         };
         let method = request.method().clone();
         let place = path(&request).to_owned();
@@ -93,11 +94,11 @@
             }
             (_, "/v1/chat/completions" | "/v1/completions" | "/v1/models" | "/v1/hosts") => {
                 let refusal = Refusal::new(Kind::BadMethod, format!("{method} {place}"));
-                Err((request, refusal))
+                Err(Box::new((request, refusal)))
             }
             _ => {
                 let refusal = Refusal::new(Kind::NotFound, place);
-                Err((request, refusal))
+                Err(Box::new((request, refusal)))
             }
         }
     }
@@ -125,7 +126,7 @@
         let prepared = self.prepare(&mut request, id, caller, endpoint);
         let (ask, terms) = match prepared {
             Ok(prepared) => prepared,
-            Err(refusal) => return Err((request, refusal)),
+            Err(refusal) => return Err(Box::new((request, refusal))),
         };
         let relay = Relay {
             engine: self.platform.engine(),
@@ -192,7 +193,7 @@
             }
             End::Refused(refusal, _) => {
                 if let Some(request) = stream.into_request() {
-                    return Err((request, refusal));
+                    return Err(Box::new((request, refusal)));
                 }
             }
         }
@@ -214,7 +215,7 @@
                 Answer::json(&sink.0.finish(&terms.id)).send(request, &terms.id);
                 Ok(())
             }
-            End::Refused(refusal, _) => Err((request, refusal)),
+            End::Refused(refusal, _) => Err(Box::new((request, refusal))),
         }
     }
 
--- a/src/http/openai.rs
+++ b/src/http/openai.rs
@@ -114,7 +114,9 @@
 fn text(body: &Map<String, Value>, field: &str) -> Result<Name, Refusal> {
     match body.get(field) {
         Some(Value::String(s)) if !s.is_empty() && s.len() <= NAME_BYTES => Ok(s.as_str().into()),
-        Some(_) => Err(bad(format!("{field} must be a string of 1 to {NAME_BYTES} bytes"))),
+        Some(_) => Err(bad(format!(
+            "{field} must be a string of 1 to {NAME_BYTES} bytes"
+        ))),
         None => Err(bad(format!("{field} is missing"))),
     }
 }
--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -176,9 +176,7 @@
             return Attempt::Again(Refusal::new(Kind::UpstreamFailed, detail));
         };
         let body = ask.upstream_body(progress.sent, terms.priority);
-        let chunks = self
-            .engine
-            .stream(&call, ask.endpoint.path(), &body);
+        let chunks = self.engine.stream(&call, ask.endpoint.path(), &body);
         match chunks {
             Ok(chunks) => self.relay(ask, terms, sink, progress, slot, chunks),
             Err(e) => self.failure(ask, terms, progress, slot, &e),
@@ -237,7 +235,9 @@
         log::info!(request = &*terms.id; "attempt {} at {} failed: {error}", progress.attempt, slot.engine);
         let detail = format!("engine {}: {error}", slot.engine);
         match error {
-            EngineError::Status { status: 404, .. } => self.router.missing(&slot.engine, &ask.model),
+            EngineError::Status { status: 404, .. } => {
+                self.router.missing(&slot.engine, &ask.model)
+            }
             EngineError::Status { status, detail } if (400..429).contains(status) => {
                 let refusal = Refusal::new(Kind::BadRequest, detail.clone());
                 return Attempt::Ended(refused(refusal, progress));
--- a/src/pool/advance.rs
+++ b/src/pool/advance.rs
@@ -227,12 +227,7 @@
 }
 
 /// The order that belongs to `grant`.
-fn order(
-    engine: &Name,
-    grant: Grant<Recorded>,
-    model: Option<&Name>,
-    config: &Config,
-) -> Action {
+fn order(engine: &Name, grant: Grant<Recorded>, model: Option<&Name>, config: &Config) -> Action {
     let told = model.and_then(|m| config.models.get(m));
     let order = Order {
         verb: grant.verb,
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -18,7 +18,7 @@
 
 use crate::clock::Moment;
 use crate::config::{Config, Name};
-use crate::decide::sleep::History;
+use crate::decide::history::History;
 use crate::peer::wire::{Body, Verdict};
 use crate::platform::{EngineError, HostState, Hosts, Order, Report};
 use crate::protocol::ownership::{EnginePins, Grant, PoolPins, Recorded, Sent};
@@ -312,8 +312,7 @@
     }
 
     /// Takes the end of a write of pin records.
-    pub fn written(&mut self, writes: Vec<PinWrite>, versions: Option<Vec<u64>>) {
-        let versions = versions.unwrap_or_default();
+    pub fn written(&mut self, writes: Vec<PinWrite>, versions: Vec<u64>) {
         for (i, write) in writes.into_iter().enumerate() {
             let Some(side) = self.sides.get_mut(&write.engine) else {
                 continue;
@@ -386,7 +385,10 @@
     /// All pins as recorded.
     fn pool_pins(&self) -> PoolPins {
         let sides = self.sides.iter().map(|(e, s)| (e.clone(), s.pins.clone()));
-        let orphans = self.orphans.iter().map(|(e, (p, _))| (e.clone(), p.clone()));
+        let orphans = self
+            .orphans
+            .iter()
+            .map(|(e, (p, _))| (e.clone(), p.clone()));
         sides.chain(orphans).collect()
     }
 
--- a/src/pool/pins.rs
+++ b/src/pool/pins.rs
@@ -65,7 +65,11 @@
             if may_pin(all, &ask(name, model, engine), side.room).is_err() {
                 continue;
             }
-            let size = ctx.config.engines.get(engine).map_or(1, |e| e.memory.max(1));
+            let size = ctx
+                .config
+                .engines
+                .get(engine)
+                .map_or(1, |e| e.memory.max(1));
             let fill = record.memory() * 1_000 / size;
             if best.is_none_or(|(least, _)| fill < least) {
                 best = Some((fill, engine));
@@ -76,7 +80,10 @@
 
     /// Whether a pin of the model may be added, or one moved.
     pub(super) fn may_move(&self, name: &Name, model: &Model) -> bool {
-        let pins = self.sides.values().filter(|s| s.pins.pins.contains_key(name));
+        let pins = self
+            .sides
+            .values()
+            .filter(|s| s.pins.pins.contains_key(name));
         if pins.count() < model.limit as usize {
             return true;
         }
@@ -152,7 +159,10 @@
                 let model = ctx.config.models.get(name);
                 let limit = model.map_or(0, |m| m.limit) as usize;
                 let resized = model.is_some_and(|m| m.memory != pin.memory);
-                let held = self.sides.values().filter(|s| s.pins.pins.contains_key(name));
+                let held = self
+                    .sides
+                    .values()
+                    .filter(|s| s.pins.pins.contains_key(name));
                 if held.count() <= limit && !resized {
                     continue;
                 }
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -5,9 +5,8 @@
 
 use crate::clock::Moment;
 use crate::config::{Config, Model, Name};
-use crate::decide::placement::{
-    Base, Idle, ModelId, Placing, Plan, Room, TierShares, Wanted, Weights, place,
-};
+use crate::decide::placement::place;
+use crate::decide::rooms::{Base, Idle, ModelId, Placing, Plan, Room, TierShares, Wanted, Weights};
 use crate::decide::routing::Domain;
 use crate::decide::sleep::{Facts, ahead, wake_cost};
 use crate::platform::Tier;
@@ -42,7 +41,10 @@
             wanted.push(model.clone());
         }
         wanted.sort_by(|a, b| {
-            let stakes = (self.stake(b, ctx.config, ctx.now), self.stake(a, ctx.config, ctx.now));
+            let stakes = (
+                self.stake(b, ctx.config, ctx.now),
+                self.stake(a, ctx.config, ctx.now),
+            );
             stakes.0.total_cmp(&stakes.1)
         });
         for model in wanted {
@@ -107,7 +109,11 @@
         let Some(choice) = self.choose(name, model, ctx) else {
             return false;
         };
-        log::debug!("plan {name} at {} without {:?}", choice.engine, choice.evict);
+        log::debug!(
+            "plan {name} at {} without {:?}",
+            choice.engine,
+            choice.evict
+        );
         if !self.pinned(&choice.engine, name) {
             self.pin_now(name, model, &choice.engine, ctx, out);
             return false;
@@ -184,19 +190,14 @@
 
     /// Whether an engine may get a load of `model` now.
     fn takes(&self, engine: &Name, side: &Side, model: &Name, ctx: &Context<'_>) -> bool {
-        let avoided = self.waiting.models().any(|(name, mut tickets)| {
-            name == model && tickets.all(|t| t.avoid.contains(engine))
-        });
+        let avoided = self
+            .waiting
+            .models()
+            .any(|(name, mut tickets)| name == model && tickets.all(|t| t.avoid.contains(engine)));
         side.open(ctx.now) && !side.leaving() && !avoided
     }
 
-    fn wanted(
-        &self,
-        name: &Name,
-        model: &Model,
-        config: &Config,
-        numbers: &mut Numbers,
-    ) -> Wanted {
+    fn wanted(&self, name: &Name, model: &Model, config: &Config, numbers: &mut Numbers) -> Wanted {
         let base = model.base.as_ref().and_then(|base| {
             let known = config.models.get(base)?;
             Some(Weights {
@@ -253,7 +254,8 @@
         let side = &self.sides[engine];
         let mut adapters = side.replicas.iter();
         let beside = adapters.any(|(other, r)| {
-            self.base_of(other, ctx.config) == Some(name) && r.phase != super::replica::Phase::Unloading
+            self.base_of(other, ctx.config) == Some(name)
+                && r.phase != super::replica::Phase::Unloading
         });
         let model = ctx.config.models.get(name);
         let told = ctx.config.engines.get(engine);
--- a/src/pool/replica.rs
+++ b/src/pool/replica.rs
@@ -97,10 +97,7 @@
 
     /// Whether memory is set aside for it that the engine does not hold yet.
     pub fn reserved(&self) -> bool {
-        matches!(
-            self.phase,
-            Phase::Planned | Phase::Asked | Phase::Permitted
-        )
+        matches!(self.phase, Phase::Planned | Phase::Asked | Phase::Permitted)
     }
 
     /// Time until it takes work.
--- a/src/pool/side.rs
+++ b/src/pool/side.rs
@@ -54,7 +54,13 @@
 
 impl Side {
     /// The side of an owner that has just claimed the pool under `epoch`.
-    pub fn new(engine: &config::Engine, epoch: u64, clean: bool, pins: EnginePins, item: u64) -> Self {
+    pub fn new(
+        engine: &config::Engine,
+        epoch: u64,
+        clean: bool,
+        pins: EnginePins,
+        item: u64,
+    ) -> Self {
         Side {
             room: Room {
                 memory: engine.memory,
@@ -233,12 +239,7 @@
     }
 
     /// Takes the end of an order.
-    pub fn ended(
-        &mut self,
-        grant: Grant<Sent>,
-        result: Result<Report, EngineError>,
-        now: Moment,
-    ) {
+    pub fn ended(&mut self, grant: Grant<Sent>, result: Result<Report, EngineError>, now: Moment) {
         self.ordered = now;
         if grant.verb == Verb::Fence {
             self.fencing = false;
@@ -267,13 +268,11 @@
         match result {
             Ok(report) => OrderEnd::done(report),
             Err(EngineError::Unreached(_)) => OrderEnd::Unsent,
-            Err(EngineError::Fenced { current }) if Token(*current).epoch() == self.epoch => {
-                // A later order of this owner overtook it.
-                OrderEnd::Unsent
-            }
-            Err(EngineError::Fenced { .. }) => {
-                self.superseded = true;
-                OrderEnd::Fenced
+            Err(EngineError::Fenced { current }) => {
+                let current = Token(*current);
+                // A token of this epoch is a later order of this owner.
+                self.superseded |= current.epoch() > self.epoch;
+                OrderEnd::Fenced { current }
             }
             Err(EngineError::Restarted { .. }) => OrderEnd::Restarted,
             Err(EngineError::Broken(_) | EngineError::Status { .. }) => OrderEnd::Lost,
--- a/src/pool/tickets.rs
+++ b/src/pool/tickets.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::Moment;
 use crate::config::{Config, Name};
-use crate::decide::permits::{Waiters, stake};
+use crate::decide::store::{Waiters, stake};
 use crate::error::Kind;
 use crate::peer::wire::{Body, Verdict};
 
--- a/src/pool/usage.rs
+++ b/src/pool/usage.rs
@@ -33,7 +33,10 @@
         for used in &usage.uses {
             let model = Name::from(used.model.as_str());
             for _ in 0..used.arrived.min(1) {
-                self.histories.entry(model.clone()).or_default().arrived(now);
+                self.histories
+                    .entry(model.clone())
+                    .or_default()
+                    .arrived(now);
             }
             if used.running == 0 {
                 continue;
--- a/src/pool/waiting.rs
+++ b/src/pool/waiting.rs
@@ -41,7 +41,11 @@
     /// returned: it may be the new one.
     pub fn add(&mut self, ticket: Ticket, most: usize) -> Option<Ticket> {
         self.remove(&ticket.id);
-        let rank = (u8::MAX - ticket.priority, ticket.deadline, ticket.id.clone());
+        let rank = (
+            u8::MAX - ticket.priority,
+            ticket.deadline,
+            ticket.id.clone(),
+        );
         let model = ticket.model.clone();
         self.ranks
             .insert(ticket.id.clone(), (model.clone(), rank.clone()));
@@ -148,7 +152,10 @@
         waiting.add(ticket("soon", 5, 3), 8);
         waiting.add(ticket("high", 7, 20), 8);
         let ids: Vec<Name> = waiting.take("m").into_iter().map(|t| t.id).collect();
-        assert_eq!(ids, ["high".into(), "soon".into(), "late".into()] as [Name; 3]);
+        assert_eq!(
+            ids,
+            ["high".into(), "soon".into(), "late".into()] as [Name; 3]
+        );
         assert!(waiting.is_empty());
     }
 
