Add the operators' API and the tool mastichinge

Cause: operators need to read and change the configuration, see hosts, models and engines, and drain a host, from any host that answers. The daemon behind it is the trait operators::host::Host. The tool tries the next host when one is down, sends a patch again under the same attempt id, prints tables or JSON, and has documented exit codes (cli::Exit).

--- a/src/bin/mastichinge.rs
+++ b/src/bin/mastichinge.rs
@@ -1,1 +1,38 @@
-fn main() {}
+//! The tool for operators.
+
+use std::io::{stderr, stdout};
+use std::process::ExitCode;
+
+use mastichinge::cli::Exit;
+use mastichinge::cli::tool::{self as command_line, Command, ToolArgs};
+use mastichinge::tool::{Environment, Output, Profile, ToolError, run};
+
+fn main() -> ExitCode {
+    let args = match command_line::parse(std::env::args_os().skip(1).collect()) {
+        Ok(args) => args,
+        Err(err) => {
+            eprintln!("mastichinge: {err}");
+            return Exit::Usage.into();
+        }
+    };
+    match serve(&args) {
+        Ok(()) => Exit::Done.into(),
+        Err(err) => {
+            eprintln!("mastichinge: {err}");
+            err.exit().into()
+        }
+    }
+}
+
+fn serve(args: &ToolArgs) -> Result<(), ToolError> {
+    let profile = match args.command {
+        Command::Help(_) | Command::Version => Profile::default(),
+        _ => Profile::find(args, &Environment::read())?,
+    };
+    let mut output = Output {
+        out: &mut stdout().lock(),
+        progress: &mut stderr().lock(),
+        json: args.json,
+    };
+    run(args, &profile, &mut output)
+}
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -3,8 +3,11 @@
 use std::ffi::OsString;
 use std::path::PathBuf;
 
+use super::{UsageError, usage};
 use flags::Mastichinged;
 
+const PROGRAM: &str = "mastichinged";
+
 mod flags {
     #![allow(missing_docs)]
 
@@ -49,22 +52,12 @@
     Help(String),
 }
 
-/// Why a command line was refused.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{message}; see {program} --help")]
-pub struct UsageError {
-    /// Program.
-    pub program: &'static str,
-    /// What was wrong.
-    pub message: String,
-}
-
 /// Reads the arguments that follow the program's name.
 pub fn parse(args: Vec<OsString>) -> Result<DaemonArgs, UsageError> {
     let flags = match Mastichinged::from_vec(args) {
         Ok(flags) => flags,
         Err(err) if err.is_help() => return Ok(DaemonArgs::Help(err.to_string())),
-        Err(err) => return Err(usage(err.to_string())),
+        Err(err) => return Err(usage(PROGRAM, err.to_string())),
     };
     if flags.version {
         return Ok(DaemonArgs::Version);
@@ -72,14 +65,10 @@
     match (flags.settings, flags.check) {
         (Some(settings), None) => Ok(DaemonArgs::Run { settings }),
         (None, Some(settings)) => Ok(DaemonArgs::Check { settings }),
-        _ => Err(usage("give either --settings or --check".to_owned())),
-    }
-}
-
-fn usage(message: String) -> UsageError {
-    UsageError {
-        program: "mastichinged",
-        message,
+        _ => Err(usage(
+            PROGRAM,
+            "give either --settings or --check".to_owned(),
+        )),
     }
 }
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,20 +1,49 @@
 //! Command lines of the programs.
 
 pub mod daemon;
+pub mod tool;
 
-use std::process::ExitCode;
+/// A wrong command line.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{message}; see {program} --help")]
+pub struct UsageError {
+    /// Program.
+    pub program: &'static str,
+    /// What was wrong.
+    pub message: String,
+}
+
+fn usage(program: &'static str, message: String) -> UsageError {
+    UsageError { program, message }
+}
 
-/// Exit code after a planned end.
-pub const EXIT_OK: u8 = 0;
-/// Exit code after a failure at run time.
-pub const EXIT_FAILED: u8 = 1;
-/// Exit code for a wrong command line.
-pub const EXIT_USAGE: u8 = 2;
-/// Exit code for wrong settings.
-pub const EXIT_SETTINGS: u8 = 3;
+/// Exit codes of both programs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// Done as asked.
+    Done = 0,
+    /// Failed for a reason that has no code of its own.
+    Failed = 1,
+    /// Wrong command line.
+    Usage = 2,
+    /// Wrong settings, profile or input file.
+    Settings = 3,
+    /// Refused: key, role, team or an unknown object.
+    Refused = 4,
+    /// The configuration has changed since the base version.
+    Conflict = 5,
+    /// The patched configuration breaks a rule.
+    Invalid = 6,
+    /// No host, or no table behind it, answers.
+    Unavailable = 7,
+    /// Whether the request took effect is unknown.
+    Unknown = 8,
+    /// The time limit passed before the end.
+    Late = 9,
+}
 
-/// Writes `message` to standard error and answers `code`.
-pub fn fail(code: u8, message: &dyn std::fmt::Display) -> ExitCode {
-    eprintln!("{message}");
-    ExitCode::from(code)
+impl From<Exit> for std::process::ExitCode {
+    fn from(exit: Exit) -> Self {
+        std::process::ExitCode::from(exit as u8)
+    }
 }
--- /dev/null
+++ b/src/cli/tool.rs
@@ -0,0 +1,304 @@
+//! Command line of `mastichinge`.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use super::{UsageError, usage};
+
+const PROGRAM: &str = "mastichinge";
+/// Longest wait for what takes long, where none is given, seconds.
+const WAIT_S: u64 = 60;
+
+mod flags {
+    #![allow(missing_docs)]
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Tool for operators of mastichinge.
+        ///
+        /// Addresses of the operators' ports come from --hosts, MASTICHINGE_HOSTS
+        /// or the profile; the key from MASTICHINGE_KEY or the profile. A profile
+        /// is a file of JSON with comments that has `hosts`, an array of ip:port,
+        /// and `key`; it is named by --profile or MASTICHINGE_PROFILE. When one
+        /// host does not answer, the next is tried.
+        ///
+        /// Exit codes: 0 done, 1 failed, 2 wrong command line, 3 wrong profile or
+        /// file, 4 refused, 5 the configuration has changed since, 6 the patch
+        /// breaks a rule, 7 no host or no table answers, 8 outcome unknown (send
+        /// again with the same --attempt), 9 not finished within the time limit.
+        cmd mastichinge {
+            /// Addresses of operators' ports, separated by commas.
+            optional --hosts list: String
+            /// Profile with addresses and key.
+            optional --profile file: PathBuf
+            /// Print JSON in place of tables.
+            optional --json
+
+            /// Print the version of this program.
+            cmd version {}
+
+            /// Read and change the shared configuration.
+            cmd config {
+                /// Print the configuration in force, or one version of it.
+                cmd show {
+                    /// Version; the one in force without it.
+                    optional --at version: u64
+                }
+                /// Print the merge patch that leads from one version to another.
+                cmd diff {
+                    /// Older version.
+                    required from: u64
+                    /// Newer version; the one in force without it.
+                    optional until: u64
+                }
+                /// Apply a JSON Merge Patch (RFC 7396).
+                cmd patch {
+                    /// File with the patch, JSON with comments; - for standard input.
+                    required file: PathBuf
+                    /// Version that the patch was written for.
+                    required --base version: u64
+                    /// Attempt id of a patch that is sent again.
+                    optional --attempt id: String
+                    /// Wait until every host has the new version.
+                    optional --wait
+                    /// Time limit for sending and waiting, seconds (60).
+                    optional --limit seconds: u64
+                }
+                /// List accepted changes, oldest first.
+                cmd history {
+                    /// First version.
+                    optional --from version: u64
+                    /// Number of changes (20).
+                    optional --count number: u64
+                }
+                /// Print each new version as it comes into force, until stopped.
+                cmd watch {
+                    /// Stop after this many versions.
+                    optional --count number: u64
+                }
+            }
+            /// Print the state of the host that answers.
+            cmd status {}
+            /// List hosts with their configuration version.
+            cmd hosts {}
+            /// List models with their replicas.
+            cmd models {
+                /// Only names that start so.
+                optional prefix: String
+            }
+            /// List engines with their memory and load.
+            cmd engines {
+                /// Only names that start so.
+                optional prefix: String
+            }
+            /// List requests that are held because engines crashed on them.
+            cmd held {}
+            /// Let a held request run again.
+            cmd release {
+                /// Fingerprint, as `held` lists it.
+                required fingerprint: String
+            }
+            /// List who changed what and when.
+            cmd audit {
+                /// First version.
+                optional --from version: u64
+                /// Number of changes (20).
+                optional --count number: u64
+            }
+            /// Drain one host: it leaves, finishes its work and ends.
+            cmd drain {
+                /// Address of the host's operators' port, ip:port.
+                required addr: String
+                /// Wait until the host has ended.
+                optional --wait
+                /// Time limit for waiting, seconds (60).
+                optional --limit seconds: u64
+            }
+        }
+    }
+}
+
+/// Command line of the tool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ToolArgs {
+    /// Addresses as given, separated by commas.
+    pub hosts: Option<String>,
+    /// Profile file.
+    pub profile: Option<PathBuf>,
+    /// Print JSON.
+    pub json: bool,
+    /// What to do.
+    pub command: Command,
+}
+
+/// What the tool is asked to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Print the help text.
+    Help(String),
+    /// Print the version of the program.
+    Version,
+    /// Print the configuration.
+    Show {
+        /// Version; the one in force without it.
+        at: Option<u64>,
+    },
+    /// Print the difference of two versions.
+    Diff {
+        /// Older version.
+        from: u64,
+        /// Newer version; the one in force without it.
+        until: Option<u64>,
+    },
+    /// Apply a patch.
+    Patch(Patch),
+    /// List changes.
+    History(Page),
+    /// Print versions as they come.
+    Watch {
+        /// Stop after this many.
+        count: Option<u64>,
+    },
+    /// Print a host's state.
+    Status,
+    /// List hosts.
+    Hosts,
+    /// List models.
+    Models {
+        /// Start of the names.
+        prefix: String,
+    },
+    /// List engines.
+    Engines {
+        /// Start of the names.
+        prefix: String,
+    },
+    /// List held requests.
+    Held,
+    /// Release a held request.
+    Release {
+        /// Fingerprint.
+        fingerprint: String,
+    },
+    /// List changes with their patches.
+    Audit(Page),
+    /// Drain a host.
+    Drain(Drain),
+}
+
+/// A patch to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Patch {
+    /// File; `-` for standard input.
+    pub file: PathBuf,
+    /// Version that it was written for.
+    pub base: u64,
+    /// Attempt id; a new one without it.
+    pub attempt: Option<String>,
+    /// Wait for all hosts.
+    pub wait: bool,
+    /// Time limit.
+    pub limit: Duration,
+}
+
+/// Part of the history.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Page {
+    /// First version.
+    pub from: Option<u64>,
+    /// Number of changes.
+    pub count: Option<u64>,
+}
+
+/// A host to drain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Drain {
+    /// Address of its operators' port.
+    pub addr: String,
+    /// Wait for its end.
+    pub wait: bool,
+    /// Time limit.
+    pub limit: Duration,
+}
+
+/// Reads the arguments that follow the program's name.
+pub fn parse(args: Vec<OsString>) -> Result<ToolArgs, UsageError> {
+    let flags = match flags::Mastichinge::from_vec(args) {
+        Ok(flags) => flags,
+        Err(err) if err.is_help() => return Ok(plain(Command::Help(err.to_string()))),
+        Err(err) => return Err(usage(PROGRAM, err.to_string())),
+    };
+    Ok(ToolArgs {
+        hosts: flags.hosts,
+        profile: flags.profile,
+        json: flags.json,
+        command: command(flags.subcommand),
+    })
+}
+
+fn plain(command: Command) -> ToolArgs {
+    ToolArgs {
+        hosts: None,
+        profile: None,
+        json: false,
+        command,
+    }
+}
+
+fn command(flags: flags::MastichingeCmd) -> Command {
+    use flags::MastichingeCmd as Cmd;
+    match flags {
+        Cmd::Version(_) => Command::Version,
+        Cmd::Config(config) => config_command(config.subcommand),
+        Cmd::Status(_) => Command::Status,
+        Cmd::Hosts(_) => Command::Hosts,
+        Cmd::Models(models) => Command::Models {
+            prefix: models.prefix.unwrap_or_default(),
+        },
+        Cmd::Engines(engines) => Command::Engines {
+            prefix: engines.prefix.unwrap_or_default(),
+        },
+        Cmd::Held(_) => Command::Held,
+        Cmd::Release(release) => Command::Release {
+            fingerprint: release.fingerprint,
+        },
+        Cmd::Audit(audit) => Command::Audit(Page {
+            from: audit.from,
+            count: audit.count,
+        }),
+        Cmd::Drain(drain) => Command::Drain(Drain {
+            addr: drain.addr,
+            wait: drain.wait,
+            limit: limit(drain.limit),
+        }),
+    }
+}
+
+fn config_command(flags: flags::ConfigCmd) -> Command {
+    use flags::ConfigCmd as Cmd;
+    match flags {
+        Cmd::Show(show) => Command::Show { at: show.at },
+        Cmd::Diff(diff) => Command::Diff {
+            from: diff.from,
+            until: diff.until,
+        },
+        Cmd::Patch(patch) => Command::Patch(Patch {
+            file: patch.file,
+            base: patch.base,
+            attempt: patch.attempt,
+            wait: patch.wait,
+            limit: limit(patch.limit),
+        }),
+        Cmd::History(history) => Command::History(Page {
+            from: history.from,
+            count: history.count,
+        }),
+        Cmd::Watch(watch) => Command::Watch { count: watch.count },
+    }
+}
+
+fn limit(seconds: Option<u64>) -> Duration {
+    Duration::from_secs(seconds.unwrap_or(WAIT_S))
+}
--- a/src/config/reason.rs
+++ b/src/config/reason.rs
@@ -2,8 +2,8 @@
 
 use std::fmt;
 
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
 use crate::config::Name;
@@ -15,7 +15,7 @@
 pub const MUST_BE_OBJECT: &str = "must be an object";
 
 /// One wrong field of a document.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reason {
     /// JSON pointer (RFC 6901) of the field.
     pub path: Name,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod protocol;
 pub mod settings;
 pub mod suspects;
+pub mod tool;
--- /dev/null
+++ b/src/operators/keys.rs
@@ -0,0 +1,69 @@
+//! Operator keys and what they permit.
+
+use sha2::{Digest, Sha256};
+use subtle::{Choice, ConstantTimeEq};
+
+use crate::config::rules::{ADMIN, ALL_TEAMS};
+use crate::config::{Config, Name, Role};
+use crate::error::{Kind, Refusal};
+
+/// What an operator may do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Operator.
+    pub who: Name,
+    /// Roles.
+    pub roles: Vec<Role>,
+    /// Teams whose objects it may change; `*` for all.
+    pub teams: Vec<Name>,
+}
+
+impl Grant {
+    /// Refuses an operator without `role`.
+    pub fn require(&self, role: Role) -> Result<(), Refusal> {
+        if self.roles.contains(&role) {
+            return Ok(());
+        }
+        let detail = format!("operator {} lacks the role {role}", self.who);
+        Err(Refusal::new(Kind::Forbidden, detail))
+    }
+}
+
+/// SHA-256 of a key as the configuration holds it.
+pub fn hash(key: &str) -> String {
+    let mut text = String::new();
+    for byte in Sha256::digest(key.as_bytes()) {
+        text.push_str(&format!("{byte:02x}"));
+    }
+    text
+}
+
+/// The operator whose key is `key`; `admin` is the hash in the settings.
+///
+/// Every hash is compared, each in constant time.
+pub fn find(config: &Config, admin: &str, key: &str) -> Option<Grant> {
+    let hash = hash(key);
+    let mut grant = None;
+    if same(admin, &hash) {
+        grant = Some(Grant {
+            who: ADMIN.into(),
+            roles: vec![Role::Read, Role::Change, Role::Drain],
+            teams: vec![ALL_TEAMS.into()],
+        });
+    }
+    for (name, operator) in &config.operators {
+        if same(&operator.key_sha256, &hash) {
+            grant = Some(Grant {
+                who: name.clone(),
+                roles: operator.roles.clone(),
+                teams: operator.teams.clone(),
+            });
+        }
+    }
+    grant
+}
+
+fn same(a: &str, b: &str) -> bool {
+    let equal: Choice = a.as_bytes().ct_eq(b.as_bytes());
+    equal.into()
+}
--- /dev/null
+++ b/src/tool/profile.rs
@@ -0,0 +1,87 @@
+//! Addresses and key that the tool uses.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+
+use super::ToolError;
+use crate::cli::tool::ToolArgs;
+
+/// Addresses of operators' ports and the operator's key.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Profile {
+    /// Addresses, tried in this order.
+    pub hosts: Vec<SocketAddr>,
+    /// Key.
+    pub key: String,
+}
+
+/// What the environment says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Environment {
+    /// `MASTICHINGE_HOSTS`.
+    pub hosts: Option<String>,
+    /// `MASTICHINGE_KEY`.
+    pub key: Option<String>,
+    /// `MASTICHINGE_PROFILE`.
+    pub profile: Option<PathBuf>,
+}
+
+impl Environment {
+    /// Reads the variables of this process.
+    pub fn read() -> Self {
+        Environment {
+            hosts: std::env::var("MASTICHINGE_HOSTS").ok(),
+            key: std::env::var("MASTICHINGE_KEY").ok(),
+            profile: std::env::var_os("MASTICHINGE_PROFILE").map(PathBuf::from),
+        }
+    }
+}
+
+impl Profile {
+    /// Combines command line, environment and profile file, in this order.
+    pub fn find(args: &ToolArgs, environment: &Environment) -> Result<Self, ToolError> {
+        let path = args.profile.as_ref().or(environment.profile.as_ref());
+        let mut profile = match path {
+            Some(path) => read(path)?,
+            None => Profile::default(),
+        };
+        let hosts = args.hosts.as_ref().or(environment.hosts.as_ref());
+        if let Some(hosts) = hosts {
+            profile.hosts = addresses(hosts)?;
+        }
+        if let Some(key) = &environment.key {
+            profile.key.clone_from(key);
+        }
+        if profile.hosts.is_empty() {
+            let hint = "no host is named; give --hosts, MASTICHINGE_HOSTS or a profile";
+            return Err(ToolError::Profile(hint.to_owned()));
+        }
+        Ok(profile)
+    }
+}
+
+fn read(path: &Path) -> Result<Profile, ToolError> {
+    let unusable = |cause: String| ToolError::Input {
+        path: path.to_owned(),
+        cause,
+    };
+    let text = fs::read_to_string(path).map_err(|err| unusable(err.to_string()))?;
+    let options = jsonc_parser::ParseOptions::default();
+    jsonc_parser::parse_to_serde_value(&text, &options).map_err(|err| unusable(err.to_string()))
+}
+
+fn addresses(list: &str) -> Result<Vec<SocketAddr>, ToolError> {
+    let mut hosts = Vec::new();
+    for text in list.split(',') {
+        let text = text.trim();
+        let host = text
+            .parse()
+            .map_err(|_| ToolError::Profile(format!("host {text} is not ip:port")))?;
+        hosts.push(host);
+    }
+    Ok(hosts)
+}
--- /dev/null
+++ b/src/tool/show.rs
@@ -0,0 +1,150 @@
+//! Commands that list what a host knows.
+
+use attohttpc::Method;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::client::{Ask, Client};
+use super::table::Table;
+use super::{Output, ToolError};
+use crate::config::Name;
+use crate::operators::status::{
+    EngineStatus, HeldStatus, HostStatus, MemberStatus, ModelStatus, ReplicaStatus,
+};
+
+/// `status`.
+pub fn status(client: &Client, output: &mut Output<'_>) -> Result<(), ToolError> {
+    let status: HostStatus = client.get("/v1/status")?.read()?;
+    if output.json {
+        return output.pretty(&status);
+    }
+    let mut table = Table::new(&["field", "value"]);
+    table.row(&[&"host", &status.host]);
+    table.row(&[&"firm", &status.firm]);
+    table.row(&[&"domain", &status.domain]);
+    table.row(&[&"program", &status.program]);
+    table.row(&[&"config", &status.config]);
+    table.row(&[&"state", &state(status.ready, status.leaving)]);
+    table.row(&[&"streams", &status.streams]);
+    table.row(&[&"waiting", &status.waiting]);
+    table.row(&[&"pools", &status.pools.join(" ")]);
+    table.row(&[&"uptime", &format!("{} s", status.uptime_s)]);
+    output.line(&table.text())
+}
+
+/// `hosts`.
+pub fn hosts(client: &Client, output: &mut Output<'_>) -> Result<(), ToolError> {
+    let head = [
+        "host", "domain", "address", "config", "state", "streams", "silent",
+    ];
+    list(
+        client,
+        "/v1/hosts",
+        &head,
+        output,
+        |m: &MemberStatus, table| {
+            let state = state(m.ready, m.leaving);
+            let silent = format!("{} ms", m.silent_ms);
+            table.row(&[
+                &m.host, &m.domain, &m.addr, &m.config, &state, &m.streams, &silent,
+            ]);
+        },
+    )
+}
+
+/// `models`.
+pub fn models(client: &Client, prefix: &str, output: &mut Output<'_>) -> Result<(), ToolError> {
+    let path = format!("/v1/models?prefix={prefix}");
+    let head = [
+        "model", "base", "pool", "team", "owner", "limit", "waiting", "replicas",
+    ];
+    list(client, &path, &head, output, |m: &ModelStatus, table| {
+        let base = m.base.as_deref().unwrap_or("-");
+        let replicas = replicas(&m.replicas);
+        table.row(&[
+            &m.model, &base, &m.pool, &m.team, &m.owner, &m.limit, &m.waiting, &replicas,
+        ]);
+    })
+}
+
+/// `engines`.
+pub fn engines(client: &Client, prefix: &str, output: &mut Output<'_>) -> Result<(), ToolError> {
+    let path = format!("/v1/engines?prefix={prefix}");
+    let head = [
+        "engine", "pool", "domain", "memory", "used", "running", "waiting", "state", "models",
+    ];
+    list(client, &path, &head, output, |e: &EngineStatus, table| {
+        let state = state(!e.instance.is_empty(), e.leaving);
+        let models = e.models.join(" ");
+        table.row(&[
+            &e.engine, &e.pool, &e.domain, &e.memory, &e.used, &e.running, &e.waiting, &state,
+            &models,
+        ]);
+    })
+}
+
+/// `held`.
+pub fn held(client: &Client, output: &mut Output<'_>) -> Result<(), ToolError> {
+    let head = ["fingerprint", "model", "crashed engines"];
+    list(
+        client,
+        "/v1/held",
+        &head,
+        output,
+        |h: &HeldStatus, table| {
+            table.row(&[&h.fingerprint, &h.model, &names(&h.instances)]);
+        },
+    )
+}
+
+/// `release`.
+pub fn release(client: &Client, print: &str, output: &mut Output<'_>) -> Result<(), ToolError> {
+    let ask = Ask {
+        method: Method::DELETE,
+        ..Ask::get(format!("/v1/held/{print}"))
+    };
+    let answer = client.send(&ask)?;
+    if output.json {
+        return output.pretty(&answer.body);
+    }
+    output.line(&format!("released {print}"))
+}
+
+/// Prints a list as JSON, or as a table of one row for each element.
+fn list<T: DeserializeOwned + Serialize>(
+    client: &Client,
+    path: &str,
+    head: &[&str],
+    output: &mut Output<'_>,
+    row: impl Fn(&T, &mut Table),
+) -> Result<(), ToolError> {
+    let elements: Vec<T> = client.get(path)?.read()?;
+    if output.json {
+        return output.pretty(&elements);
+    }
+    let mut table = Table::new(head);
+    for element in &elements {
+        row(element, &mut table);
+    }
+    output.line(&table.text())
+}
+
+fn state(ready: bool, leaving: bool) -> &'static str {
+    match (ready, leaving) {
+        (_, true) => "leaving",
+        (true, false) => "ready",
+        (false, false) => "not ready",
+    }
+}
+
+fn names(names: &[Name]) -> String {
+    names.join(" ")
+}
+
+fn replicas(replicas: &[ReplicaStatus]) -> String {
+    let shown: Vec<String> = replicas
+        .iter()
+        .map(|r| format!("{}:{}", r.engine, r.state))
+        .collect();
+    shown.join(" ")
+}
--- /dev/null
+++ b/src/tool/table.rs
@@ -0,0 +1,60 @@
+//! Tables for people.
+
+/// Gap between two columns, in characters.
+const GAP: usize = 2;
+
+/// Rows below a head, in columns as wide as their widest cell.
+#[derive(Clone, Debug)]
+pub struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// A table with this head.
+    pub fn new(head: &[&str]) -> Self {
+        let head = head.iter().map(|cell| cell.to_uppercase()).collect();
+        Table { rows: vec![head] }
+    }
+
+    /// Adds a row.
+    pub fn row(&mut self, cells: &[&dyn std::fmt::Display]) {
+        self.rows
+            .push(cells.iter().map(|c| c.to_string()).collect());
+    }
+
+    /// The table as text without a final line break.
+    pub fn text(&self) -> String {
+        let widths = self.widths();
+        let mut lines = Vec::new();
+        for row in &self.rows {
+            let mut line = String::new();
+            for (cell, width) in row.iter().zip(&widths) {
+                line.push_str(&format!("{cell:<width$}", width = width + GAP));
+            }
+            lines.push(line.trim_end().to_owned());
+        }
+        lines.join("\n")
+    }
+
+    fn widths(&self) -> Vec<usize> {
+        let mut widths = vec![0; self.rows[0].len()];
+        for row in &self.rows {
+            for (cell, width) in row.iter().zip(&mut widths) {
+                *width = cell.chars().count().max(*width);
+            }
+        }
+        widths
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn columns_are_as_wide_as_their_widest_cell() {
+        let mut table = Table::new(&["name", "n"]);
+        table.row(&[&"long name", &1]);
+        assert_eq!(table.text(), "NAME       N\nlong name  1");
+    }
+}
--- /dev/null
+++ b/tests/memory/host.rs
@@ -0,0 +1,126 @@
+//! A daemon that only has a configuration.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use mastichinge::config::entry::Entry;
+use mastichinge::config::state::Current;
+use mastichinge::error::{Kind, Refusal};
+use mastichinge::operators::api::Api;
+use mastichinge::operators::host::Host;
+use mastichinge::operators::keys::hash;
+use mastichinge::operators::server::{Running, start};
+use mastichinge::operators::status::{
+    EngineStatus, HeldStatus, HostStatus, MemberStatus, ModelStatus,
+};
+
+use super::{MemoryObjects, MemoryTable};
+
+/// Key of the operator `admin`.
+pub const ADMIN_KEY: &str = "admin-key";
+
+/// A daemon without callers, engines or peers.
+#[derive(Default)]
+pub struct FakeHost {
+    /// Table, shared by all hosts of a test.
+    pub table: Arc<MemoryTable>,
+    /// Object store.
+    pub objects: MemoryObjects,
+    /// Configuration in force.
+    pub current: Mutex<Current>,
+    /// A drain was asked for.
+    pub leaving: AtomicBool,
+}
+
+impl Host for FakeHost {
+    type Table = MemoryTable;
+    type Objects = MemoryObjects;
+
+    fn table(&self) -> &MemoryTable {
+        &self.table
+    }
+
+    fn objects(&self) -> &MemoryObjects {
+        &self.objects
+    }
+
+    fn current(&self) -> Current {
+        self.current.lock().unwrap().clone()
+    }
+
+    fn accepted(&self, entry: &Entry) {
+        self.current.lock().unwrap().apply(entry).unwrap();
+    }
+
+    fn ready(&self) -> Result<(), Refusal> {
+        if self.current().version > 0 {
+            return Ok(());
+        }
+        Err(Refusal::new(Kind::NotReady, "no version"))
+    }
+
+    fn status(&self) -> HostStatus {
+        HostStatus {
+            host: "h1".into(),
+            leaving: self.leaving.load(Ordering::SeqCst),
+            ..HostStatus::default()
+        }
+    }
+
+    fn hosts(&self) -> Vec<MemberStatus> {
+        let member = MemberStatus {
+            host: "h1".into(),
+            config: self.current().version,
+            ..MemberStatus::default()
+        };
+        vec![member]
+    }
+
+    fn models(&self, prefix: &str) -> Vec<ModelStatus> {
+        let mut models = Vec::new();
+        for name in self.current().config.models.keys() {
+            if name.starts_with(prefix) {
+                models.push(ModelStatus {
+                    model: name.clone(),
+                    ..ModelStatus::default()
+                });
+            }
+        }
+        models
+    }
+
+    fn engines(&self, _prefix: &str) -> Vec<EngineStatus> {
+        Vec::new()
+    }
+
+    fn held(&self) -> Vec<HeldStatus> {
+        Vec::new()
+    }
+
+    fn release(&self, fingerprint: &str) -> Result<bool, Refusal> {
+        Ok(fingerprint == "f1")
+    }
+
+    fn drain(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    fn metrics(&self) -> String {
+        "up 1\n".to_owned()
+    }
+}
+
+/// Serves `host` at a free port.
+pub fn serve(host: Arc<FakeHost>) -> Running {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let admin = hash(ADMIN_KEY).into();
+    start(listener, Api { host, admin }).unwrap()
+}
+
+/// An address at which nothing listens.
+pub fn nowhere() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
--- a/tests/memory/mod.rs
+++ b/tests/memory/mod.rs
@@ -1,5 +1,9 @@
 //! The platform's table and object store within the test's memory.
 
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+pub mod host;
+
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
