Add samples for both firms and read JSON with comments strictly

Cause: operators need files to start from; the parser's defaults took missing commas, bare names and a field given twice without a word. Change: samples/*.jsonc and samples/*.config.jsonc with the sizes of both firms; config::jsonc allows comments and trailing commas only and names a field given twice.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! The shared, numbered configuration that operators change by patches.
 
 pub mod entry;
+pub mod jsonc;
 pub mod ledger;
 pub mod patch;
 pub mod reason;
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 
 use super::{Addresses, Limits, Listen, Log, Peer, Settings, check};
+use crate::config::jsonc;
 use crate::config::reason::{self, Reason, below, fields, lines};
 
 /// Why settings were refused.
@@ -39,9 +40,7 @@
 
 /// Validates settings given as JSON with comments.
 pub fn parse(text: &str) -> Result<Settings, SettingsError> {
-    let options = jsonc_parser::ParseOptions::default();
-    let value: Value = jsonc_parser::parse_to_serde_value(text, &options)
-        .map_err(|err| SettingsError::Malformed(err.to_string()))?;
+    let value = jsonc::parse(text).map_err(SettingsError::Malformed)?;
     let mut reasons = misread(&value);
     if reasons.is_empty() {
         let settings = serde_json::from_value(value.clone())
--- a/src/tool/config.rs
+++ b/src/tool/config.rs
@@ -15,6 +15,7 @@
 use super::{Output, ToolError};
 use crate::cli::tool::{Page, Patch};
 use crate::config::entry::Entry;
+use crate::config::jsonc;
 use crate::config::patch::difference;
 use crate::logs::stamp;
 
@@ -215,17 +216,12 @@
 }
 
 fn read(path: &Path) -> Result<Value, ToolError> {
-    let unusable = |cause: String| ToolError::Input {
-        path: path.to_owned(),
-        cause,
-    };
     let mut text = String::new();
     let outcome = if path == Path::new("-") {
         std::io::stdin().read_to_string(&mut text).map(|_| ())
     } else {
         fs::read_to_string(path).map(|read| text = read)
     };
-    outcome.map_err(|err| unusable(err.to_string()))?;
-    let options = jsonc_parser::ParseOptions::default();
-    jsonc_parser::parse_to_serde_value(&text, &options).map_err(|err| unusable(err.to_string()))
+    outcome.map_err(|err| ToolError::input(path, err.to_string()))?;
+    jsonc::parse(&text).map_err(|cause| ToolError::input(path, cause))
 }
--- a/src/tool/error.rs
+++ b/src/tool/error.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -89,6 +89,14 @@
 }
 
 impl ToolError {
+    /// The file at `path` cannot be used.
+    pub fn input(path: &Path, cause: String) -> Self {
+        ToolError::Input {
+            path: path.to_owned(),
+            cause,
+        }
+    }
+
     /// Exit code of this failure.
     pub fn exit(&self) -> Exit {
         match self {
--- a/src/tool/profile.rs
+++ b/src/tool/profile.rs
@@ -8,6 +8,7 @@
 
 use super::ToolError;
 use crate::cli::tool::ToolArgs;
+use crate::config::jsonc;
 
 /// Addresses of operators' ports and the operator's key.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
@@ -65,13 +66,10 @@
 }
 
 fn read(path: &Path) -> Result<Profile, ToolError> {
-    let unusable = |cause: String| ToolError::Input {
-        path: path.to_owned(),
-        cause,
-    };
+    let unusable = |cause: String| ToolError::input(path, cause);
     let text = fs::read_to_string(path).map_err(|err| unusable(err.to_string()))?;
-    let options = jsonc_parser::ParseOptions::default();
-    jsonc_parser::parse_to_serde_value(&text, &options).map_err(|err| unusable(err.to_string()))
+    let value = jsonc::parse(&text).map_err(unusable)?;
+    serde_json::from_value(value).map_err(|err| unusable(err.to_string()))
 }
 
 fn addresses(list: &str) -> Result<Vec<SocketAddr>, ToolError> {
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -1,15 +1,20 @@
-//! Settings files: what is accepted and which reasons a refusal names.
+//! Settings and sample files: what is accepted, which reasons a refusal names.
 
-use std::path::Path;
+use std::fs;
+use std::path::{Path, PathBuf};
 
+use mastichinge::config::validate::broken;
+use mastichinge::config::{Config, jsonc, patch};
 use mastichinge::settings::{Settings, SettingsError, load, parse};
 use test_case::test_case;
 
+fn sample_path(name: &str) -> PathBuf {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    root.join("samples").join(name)
+}
+
 fn sample(name: &str) -> Settings {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
-        .join("samples")
-        .join(name);
-    load(&path).unwrap_or_else(|err| panic!("{err}"))
+    load(&sample_path(name)).unwrap_or_else(|err| panic!("{err}"))
 }
 
 fn refused_paths(text: &str) -> Vec<String> {
@@ -74,3 +79,21 @@
     let err = load(Path::new("/nowhere/settings.jsonc")).unwrap_err();
     assert!(err.to_string().contains("/nowhere/settings.jsonc"));
 }
+
+#[test_case("harrowby.config.jsonc", 13, 30, 55)]
+#[test_case("kunene.config.jsonc", 16, 30, 65)]
+fn sample_configurations_keep_the_rules(
+    name: &str,
+    engines: usize,
+    models: usize,
+    adapters: usize,
+) {
+    let text = fs::read_to_string(sample_path(name)).unwrap();
+    let document = jsonc::parse(&text).unwrap();
+    let empty = Config::default();
+    let config = patch::merged(&empty, &document).unwrap();
+    assert_eq!(broken(&empty, &config), []);
+    assert_eq!(config.engines.len(), engines);
+    let bases = config.models.values().filter(|m| m.base.is_none()).count();
+    assert_eq!((bases, config.models.len() - bases), (models, adapters));
+}
