Let the host accept proposals and keep UsageError at cli::daemon

Cause: the daemon's follower proposes, applies and tells the peers in one step; a separate step after the ledger's answer would stand twice. Change: operators::host::Host has propose in place of accepted; cli::daemon exports UsageError again.

--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -3,7 +3,9 @@
 use std::ffi::OsString;
 use std::path::PathBuf;
 
-use super::{UsageError, usage};
+pub use super::UsageError;
+
+use super::usage;
 use flags::Mastichinged;
 
 const PROGRAM: &str = "mastichinged";
--- a/src/operators/api.rs
+++ b/src/operators/api.rs
@@ -199,11 +199,9 @@
     fn change(&self, ask: &Ask, grant: &Grant) -> Result<Reply, Problem> {
         grant.require(Role::Change)?;
         let proposal = proposal(ask, grant)?;
-        let outcome = self.ledger().propose(&self.host.current(), &proposal);
-        let entry = outcome.map_err(unaccepted)?;
+        let entry = self.host.propose(&proposal).map_err(unaccepted)?;
         let (id, who, version) = (&*ask.id, &*grant.who, entry.version);
         log::info!(request = id, who = who, version = version; "configuration changed");
-        self.host.accepted(&entry);
         let mut entries = shown(vec![entry]);
         Ok(Reply::json(200, &entries.pop()).at(version))
     }
--- a/src/operators/host.rs
+++ b/src/operators/host.rs
@@ -1,7 +1,8 @@
 //! What the operators' API needs of the daemon.
 
 use super::status::{EngineStatus, HeldStatus, HostStatus, MemberStatus, ModelStatus};
-use crate::config::entry::Entry;
+use crate::config::entry::{Entry, Proposal};
+use crate::config::ledger::ProposeError;
 use crate::config::state::Current;
 use crate::error::Refusal;
 use crate::platform::{Objects, Table};
@@ -19,8 +20,9 @@
     fn objects(&self) -> &Self::Objects;
     /// The configuration in force.
     fn current(&self) -> Current;
-    /// Puts an accepted change into force here and tells the other daemons.
-    fn accepted(&self, entry: &Entry);
+    /// Has a patch accepted by the ledger, puts it into force here and tells
+    /// the other daemons.
+    fn propose(&self, proposal: &Proposal) -> Result<Entry, ProposeError>;
     /// Whether the host serves callers; the refusal says why not.
     fn ready(&self) -> Result<(), Refusal>;
     /// This daemon.
--- a/tests/memory/host.rs
+++ b/tests/memory/host.rs
@@ -5,7 +5,8 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use mastichinge::config::entry::Entry;
+use mastichinge::config::entry::{Entry, Proposal};
+use mastichinge::config::ledger::{Ledger, ProposeError};
 use mastichinge::config::state::Current;
 use mastichinge::error::{Kind, Refusal};
 use mastichinge::operators::api::Api;
@@ -50,8 +51,11 @@
         self.current.lock().unwrap().clone()
     }
 
-    fn accepted(&self, entry: &Entry) {
-        self.current.lock().unwrap().apply(entry).unwrap();
+    fn propose(&self, proposal: &Proposal) -> Result<Entry, ProposeError> {
+        let ledger = Ledger::new(&*self.table, &self.objects);
+        let entry = ledger.propose(&self.current(), proposal)?;
+        self.current.lock().unwrap().apply(&entry).unwrap();
+        Ok(entry)
     }
 
     fn ready(&self) -> Result<(), Refusal> {
