--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -18,7 +18,7 @@
 }
 
 /// Exit codes of both programs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
 pub enum Exit {
     /// Done as asked.
     Done = 0,
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -11,12 +11,14 @@
 use attohttpc::Method;
 use mastichinge::cli::Exit;
 use mastichinge::cli::tool::parse;
+use mastichinge::error::Kind;
 use mastichinge::operators::keys::hash;
 use mastichinge::operators::server::Running;
 use mastichinge::tool::client::{Answer, Ask, Client};
 use mastichinge::tool::{Output, Profile, ToolError, run};
 use memory::host::{ADMIN_KEY, FakeHost, nowhere, serve};
 use serde_json::{Value, json};
+use strum::IntoEnumIterator;
 use test_case::test_case;
 
 struct Bench {
@@ -309,3 +311,20 @@
     std::fs::write(&path, text).unwrap();
     path.to_str().unwrap().to_owned()
 }
+
+#[test]
+fn every_error_kind_has_its_row_in_the_operators_page() {
+    let page = include_str!("../docs/OPERATING.md");
+    for kind in Kind::iter() {
+        let row = format!("| `{kind}` | {} |", kind.answer().status);
+        assert!(page.contains(&row), "{row}");
+    }
+}
+
+#[test]
+fn every_exit_code_has_its_row_in_the_operators_page() {
+    let page = include_str!("../docs/OPERATING.md");
+    for exit in Exit::iter() {
+        assert!(page.contains(&format!("\n| {} | ", exit as u8)), "{exit:?}");
+    }
+}
