Add membership, rendezvous ranks and the record of suspects

Cause: entry answers, claims of pools and permits need one view of who is alive, leaving or gone, and a request that crashes engines has to be recognised by every daemon.

`suspects::Suspects` keeps strikes and releases as growing sets, so that messages merge in any order; `Trials` allows one trial for each fingerprint and engine.

Conclusion: pure code, ready for the control thread. With heartbeats to all, the period is 500 ms up to 8 members and grows to 29 s at 460, where partial heartbeats are needed.

--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -1,1 +1,314 @@
-//! Membership of daemons.
+//! Membership: which daemons and upstreams are there, and which take work.
+//!
+//! Three sources are weighed: a daemon's own heartbeats, silence, and the
+//! platform's lagging host list. "Leaving" is believed from either word and
+//! sticks: a daemon's own word until its next incarnation, the list's until an
+//! entry of a later revision. Silence only makes a member suspected; only its
+//! absence from the list, together with silence, makes it gone.
+
+mod listing;
+mod rank;
+mod upstreams;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::config::Name;
+use crate::peer::wire::Heartbeat;
+use crate::platform::Hosts;
+use listing::Listing;
+
+pub use rank::ranked;
+pub use upstreams::{Standing, UpstreamSettings, Upstreams};
+
+/// Shortest time between two heartbeats.
+pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
+/// Bytes of one heartbeat with TCP and IP headers and its acknowledgement.
+const HEARTBEAT_BYTES: u32 = 160;
+/// Bytes a second that heartbeats may cost one daemon.
+const HEARTBEAT_BUDGET: u32 = 2_500;
+/// Heartbeats that may be missing before a member is suspected.
+const MISSED_BEATS: u32 = 4;
+
+/// Time between two heartbeats of a daemon that sends to all `members`.
+///
+/// It keeps to half of the 5 KB a second that control may use: 500 ms up to 8
+/// members, 9 s at 140, and 30 s at 460. Where that is too slow, a daemon has
+/// to send to a part of the members only and pass on what it heard.
+pub fn heartbeat_period(members: usize) -> Duration {
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    let bytes = HEARTBEAT_BYTES.saturating_mul(members);
+    HEARTBEAT_PERIOD.max(Duration::from_secs(1) * bytes / HEARTBEAT_BUDGET)
+}
+
+/// Settings of the membership.
+#[derive(Clone, Debug)]
+pub struct MemberSettings {
+    /// This host.
+    pub me: Name,
+    /// All entry hosts of the settings, this one included or not.
+    pub peers: Vec<Name>,
+    /// Silence after which a member is suspected.
+    pub silence: Duration,
+    /// Time without a link after which a member is suspected.
+    pub unlinked: Duration,
+    /// Silence after which a member that is not listed is forgotten.
+    pub forget: Duration,
+}
+
+impl Default for MemberSettings {
+    fn default() -> Self {
+        MemberSettings {
+            me: "".into(),
+            peers: Vec::new(),
+            silence: HEARTBEAT_PERIOD * MISSED_BEATS,
+            unlinked: HEARTBEAT_PERIOD,
+            forget: Duration::from_secs(60),
+        }
+    }
+}
+
+impl MemberSettings {
+    /// Settings with times that fit the number of `peers`.
+    pub fn sized(me: Name, peers: Vec<Name>) -> Self {
+        let period = heartbeat_period(peers.len());
+        MemberSettings {
+            me,
+            peers,
+            silence: period * MISSED_BEATS,
+            ..MemberSettings::default()
+        }
+    }
+}
+
+/// What a heartbeat changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Nothing but the time of the last sign.
+    Same,
+    /// Readiness, leaving or an address.
+    Changed,
+    /// The member runs under a new incarnation.
+    Restarted,
+    /// The heartbeat is of an older incarnation and was ignored.
+    Stale,
+}
+
+/// Last word of a member.
+#[derive(Clone, Debug)]
+struct Member {
+    beat: Heartbeat,
+    heard: Moment,
+    cut: Option<Moment>,
+}
+
+/// A host in an entry answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryHost {
+    /// Host.
+    pub host: Name,
+    /// Address for callers, `ip:port`.
+    pub addr: Name,
+    /// Failure domain.
+    pub domain: Name,
+    /// Requests in progress by its last heartbeat.
+    pub streams: u32,
+}
+
+/// Membership as one daemon sees it.
+#[derive(Clone, Debug)]
+pub struct Members {
+    settings: MemberSettings,
+    members: BTreeMap<Name, Member>,
+    listing: Listing,
+}
+
+impl Members {
+    /// A membership that knows nobody yet.
+    pub fn new(settings: MemberSettings) -> Self {
+        Members {
+            settings,
+            members: BTreeMap::new(),
+            listing: Listing::default(),
+        }
+    }
+
+    /// Takes in a heartbeat, this daemon's own ones included.
+    pub fn heard(&mut self, from: &Name, beat: Heartbeat, now: Moment) -> Heard {
+        let Some(member) = self.members.get_mut(from) else {
+            let fresh = Member {
+                beat,
+                heard: now,
+                cut: None,
+            };
+            self.members.insert(from.clone(), fresh);
+            return Heard::Restarted;
+        };
+        if beat.incarnation < member.beat.incarnation {
+            return Heard::Stale;
+        }
+        let restarted = beat.incarnation > member.beat.incarnation;
+        let leaving = beat.leaving || (!restarted && member.beat.leaving);
+        let beat = Heartbeat { leaving, ..beat };
+        let outcome = match restarted {
+            true => Heard::Restarted,
+            false if shown(&beat) == shown(&member.beat) => Heard::Same,
+            false => Heard::Changed,
+        };
+        *member = Member {
+            beat,
+            heard: now,
+            cut: None,
+        };
+        outcome
+    }
+
+    /// Takes in a newly opened link.
+    pub fn linked(&mut self, host: &str, incarnation: u64) {
+        let Some(member) = self.members.get_mut(host) else {
+            return;
+        };
+        if member.beat.incarnation <= incarnation {
+            member.cut = None;
+        }
+    }
+
+    /// Takes in a closed link.
+    pub fn unlinked(&mut self, host: &str, incarnation: u64, now: Moment) {
+        let Some(member) = self.members.get_mut(host) else {
+            return;
+        };
+        if member.beat.incarnation <= incarnation {
+            member.cut = member.cut.or(Some(now));
+        }
+    }
+
+    /// Takes in the platform's list; older revisions change nothing.
+    pub fn listed(&mut self, hosts: &Hosts) {
+        self.listing.update(hosts);
+    }
+
+    /// Forgets members that are silent and no longer listed; answers which.
+    pub fn expire(&mut self, now: Moment) -> Vec<Name> {
+        let mut gone = Vec::new();
+        for (name, member) in &self.members {
+            let silent = now.saturating_sub(member.heard) >= self.settings.forget;
+            if silent && !self.listing.contains(name) && *name != self.settings.me {
+                gone.push(name.clone());
+            }
+        }
+        for name in &gone {
+            self.members.remove(name);
+        }
+        gone
+    }
+
+    /// Whether `host` gave a recent sign of life; leaving ones do.
+    pub fn is_alive(&self, host: &str, now: Moment) -> bool {
+        self.members.get(host).is_some_and(|m| self.live(m, now))
+    }
+
+    /// Whether `host` runs under exactly this incarnation and is alive.
+    pub fn is_running(&self, host: &str, incarnation: u64, now: Moment) -> bool {
+        let member = self.members.get(host);
+        member.is_some_and(|m| m.beat.incarnation == incarnation && self.live(m, now))
+    }
+
+    /// Whether `host` is listed as, or calls itself, leaving.
+    pub fn is_leaving(&self, host: &str) -> bool {
+        let said = self.members.get(host).is_some_and(|m| m.beat.leaving);
+        said || self.listing.is_leaving(host)
+    }
+
+    /// Last known incarnation of `host`.
+    pub fn incarnation(&self, host: &str) -> Option<u64> {
+        self.members.get(host).map(|m| m.beat.incarnation)
+    }
+
+    /// Last heartbeat of `host`.
+    pub fn beat(&self, host: &str) -> Option<&Heartbeat> {
+        self.members.get(host).map(|m| &m.beat)
+    }
+
+    /// All known hosts, suspected ones included.
+    pub fn known(&self) -> impl Iterator<Item = &Name> {
+        self.members.keys()
+    }
+
+    /// Hosts that gave a recent sign of life, this one included.
+    pub fn alive(&self, now: Moment) -> Vec<Name> {
+        let alive = self.members.iter().filter(|(_, m)| self.live(m, now));
+        alive.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Hosts that may own something: alive, ready and not leaving.
+    pub fn candidates(&self, now: Moment) -> Vec<Name> {
+        let serving = self.serving(now);
+        serving.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Hosts for entry answers: alive, ready and not leaving.
+    pub fn entry(&self, now: Moment) -> Vec<EntryHost> {
+        let serving = self.serving(now);
+        let with_addr = serving.filter(|(_, m)| !m.beat.addr.is_empty());
+        with_addr
+            .map(|(name, m)| EntryHost {
+                host: name.clone(),
+                addr: m.beat.addr.as_str().into(),
+                domain: m.beat.domain.as_str().into(),
+                streams: m.beat.streams,
+            })
+            .collect()
+    }
+
+    /// [`Members::candidates`] in the rendezvous order of `key`.
+    pub fn ranked(&self, key: &str, now: Moment) -> Vec<Name> {
+        ranked(key, self.candidates(now))
+    }
+
+    /// Place of `host` in [`Members::ranked`], 0 for the first.
+    pub fn rank(&self, key: &str, host: &str, now: Moment) -> Option<usize> {
+        self.ranked(key, now).iter().position(|n| **n == *host)
+    }
+
+    /// Part of the daemons of the deployment that are alive here, in (0, 1].
+    ///
+    /// A daemon counts when it is listed or alive; before the first list, all
+    /// daemons of the settings count.
+    pub fn visible(&self, now: Moment) -> f64 {
+        let me = &self.settings.me;
+        let others = self.settings.peers.iter().filter(|name| *name != me);
+        let (mut seen, mut all) = (1.0, 1.0);
+        for name in others {
+            let alive = self.is_alive(name, now);
+            if alive {
+                seen += 1.0;
+            }
+            if alive || !self.listing.is_known() || self.listing.contains(name) {
+                all += 1.0;
+            }
+        }
+        seen / all
+    }
+
+    fn serving(&self, now: Moment) -> impl Iterator<Item = (&Name, &Member)> {
+        self.members.iter().filter(move |(name, m)| {
+            m.beat.ready && !m.beat.leaving && !self.listing.is_leaving(name) && self.live(m, now)
+        })
+    }
+
+    fn live(&self, member: &Member, now: Moment) -> bool {
+        let silent = now.saturating_sub(member.heard) >= self.settings.silence;
+        let unlinked = self.settings.unlinked;
+        let cut = member
+            .cut
+            .is_some_and(|at| now.saturating_sub(at) >= unlinked);
+        !silent && !cut
+    }
+}
+
+/// What a change of a heartbeat matters for.
+fn shown(beat: &Heartbeat) -> (bool, bool, &str, &str) {
+    (beat.leaving, beat.ready, &beat.addr, &beat.domain)
+}
--- /dev/null
+++ b/src/members/rank.rs
@@ -0,0 +1,18 @@
+//! Rendezvous hashing (Thaler and Ravishankar, 1998).
+
+use sha2::{Digest, Sha256};
+
+use crate::config::Name;
+
+/// `hosts` by falling weight for `key`. The order of two hosts depends on
+/// nothing but `key` and their names, in every build.
+pub fn ranked(key: &str, mut hosts: Vec<Name>) -> Vec<Name> {
+    hosts.sort_by_cached_key(|host| std::cmp::Reverse(weight(key, host)));
+    hosts
+}
+
+fn weight(key: &str, host: &str) -> [u8; 32] {
+    let hash = Sha256::new_with_prefix(key);
+    // The separator keeps ("ab", "c") and ("a", "bc") apart.
+    hash.chain_update([0]).chain_update(host).finalize().into()
+}
--- a/src/suspects.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Requests that crash upstreams.
--- /dev/null
+++ b/src/suspects/trials.rs
@@ -0,0 +1,91 @@
+//! Trials of suspects, kept by the owner of a pool.
+
+use std::collections::BTreeMap;
+
+use super::Fingerprint;
+use crate::clock::Moment;
+use crate::config::Name;
+
+/// A request for a trial.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TrialAsk {
+    /// Ticket of the attempt.
+    pub ticket: Name,
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Host that holds the request.
+    pub host: Name,
+    /// When the trial is given up.
+    pub until: Moment,
+}
+
+/// One attempt of a suspect, apart from other suspects.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Trial {
+    /// What was asked for.
+    pub ask: TrialAsk,
+    /// Engine that runs it.
+    pub engine: Name,
+}
+
+/// An engine that may run a trial.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Engine.
+    pub engine: Name,
+    /// Requests in progress and waiting.
+    pub load: u32,
+}
+
+/// Trials in progress: at most one for each fingerprint and for each engine.
+#[derive(Clone, Debug, Default)]
+pub struct Trials {
+    trials: BTreeMap<Name, Trial>,
+}
+
+impl Trials {
+    /// Starts a trial on the least loaded of `candidates`. `None` means to
+    /// wait: a trial of the same request is in progress, or each engine has
+    /// one. A ticket that has a trial gets the same again.
+    pub fn start(&mut self, ask: TrialAsk, candidates: &[Candidate]) -> Option<&Trial> {
+        if self.trials.contains_key(&ask.ticket) {
+            return self.trials.get(&ask.ticket);
+        }
+        let print = &ask.fingerprint;
+        if self.trials.values().any(|t| t.ask.fingerprint == *print) {
+            return None;
+        }
+        let free = candidates.iter().filter(|c| !self.is_trying(&c.engine));
+        let engine = free.min_by_key(|c| (c.load, &c.engine))?.engine.clone();
+        let ticket = ask.ticket.clone();
+        let trial = Trial { ask, engine };
+        Some(self.trials.entry(ticket).or_insert(trial))
+    }
+
+    /// Whether a trial runs on `engine`, which should get no other new work.
+    pub fn is_trying(&self, engine: &str) -> bool {
+        self.trials.values().any(|t| *t.engine == *engine)
+    }
+
+    /// Ends the trial of a ticket.
+    pub fn end(&mut self, ticket: &str) -> Option<Trial> {
+        self.trials.remove(ticket)
+    }
+
+    /// Ends the trial on an engine that died; its request gets a strike.
+    pub fn crashed(&mut self, engine: &str) -> Option<Trial> {
+        let mut trials = self.trials.values();
+        let ticket = trials.find(|t| *t.engine == *engine)?.ask.ticket.clone();
+        self.end(&ticket)
+    }
+
+    /// Ends all trials of a host that is gone.
+    pub fn host_gone(&mut self, host: &str) {
+        self.trials.retain(|_, t| *t.ask.host != *host);
+    }
+
+    /// Ends all trials whose time has passed.
+    pub fn expire(&mut self, now: Moment) {
+        self.trials.retain(|_, t| now < t.ask.until);
+    }
+}
--- /dev/null
+++ b/tests/members.rs
@@ -0,0 +1,287 @@
+//! Membership of daemons and standing of upstreams.
+
+use std::time::Duration;
+
+use mastichinge::clock::Moment;
+use mastichinge::config::Name;
+use mastichinge::members::{
+    HEARTBEAT_PERIOD, Heard, MemberSettings, Members, Standing, UpstreamSettings, Upstreams,
+    heartbeat_period, ranked,
+};
+use mastichinge::peer::wire::Heartbeat;
+use mastichinge::platform::{HostEntry, HostState, Hosts};
+use test_case::test_case;
+
+const START: Moment = Moment::from_secs(100);
+const HOSTS: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+fn names(hosts: &[&str]) -> Vec<Name> {
+    hosts.iter().map(|host| (*host).into()).collect()
+}
+
+fn beat(incarnation: u64) -> Heartbeat {
+    Heartbeat {
+        incarnation,
+        ready: true,
+        addr: "127.0.0.1:7800".into(),
+        ..Heartbeat::default()
+    }
+}
+
+fn leaving(incarnation: u64) -> Heartbeat {
+    Heartbeat {
+        leaving: true,
+        ..beat(incarnation)
+    }
+}
+
+fn list(revision: u64, hosts: &[(&str, HostState, u64)]) -> Hosts {
+    let entry = |&(name, state, revision): &(&str, HostState, u64)| HostEntry {
+        name: name.into(),
+        state,
+        revision,
+    };
+    let hosts = hosts.iter().map(entry).collect();
+    Hosts { revision, hosts }
+}
+
+fn all_live(revision: u64) -> Hosts {
+    list(revision, &HOSTS.map(|host| (host, HostState::Live, 1)))
+}
+
+/// Five members, seen from `a`, all heard at `START`.
+fn five() -> Members {
+    let settings = MemberSettings::sized("a".into(), names(&HOSTS));
+    let mut members = Members::new(settings);
+    for host in HOSTS {
+        members.heard(&host.into(), beat(1), START);
+    }
+    members.listed(&all_live(1));
+    members
+}
+
+fn entry(members: &Members, now: Moment) -> Vec<Name> {
+    members.entry(now).into_iter().map(|e| e.host).collect()
+}
+
+#[test]
+fn silence_suspects_and_a_sign_of_life_brings_back() {
+    let mut members = five();
+    let later = START + HEARTBEAT_PERIOD * 4;
+    for host in ["a", "b", "c", "d"] {
+        members.heard(&host.into(), beat(1), later);
+    }
+    assert!(!members.is_alive("e", later));
+    assert_eq!(entry(&members, later), names(&["a", "b", "c", "d"]));
+    assert_eq!(members.candidates(later).len(), 4);
+    members.heard(&"e".into(), beat(1), later);
+    assert!(members.is_alive("e", later));
+}
+
+#[test]
+fn closed_link_suspects_sooner_and_a_new_one_brings_back() {
+    let mut members = five();
+    members.unlinked("b", 1, START);
+    assert!(members.is_alive("b", START));
+    let soon = START + HEARTBEAT_PERIOD;
+    assert!(!members.is_alive("b", soon));
+    members.linked("b", 1);
+    assert!(members.is_alive("b", soon));
+    members.unlinked("b", 0, START);
+    assert!(members.is_alive("b", soon), "an older link does not count");
+}
+
+#[test]
+fn own_word_leaving_sticks_until_the_next_incarnation() {
+    let mut members = five();
+    assert_eq!(
+        members.heard(&"b".into(), leaving(1), START),
+        Heard::Changed
+    );
+    assert_eq!(members.heard(&"b".into(), beat(1), START), Heard::Same);
+    members.listed(&all_live(9));
+    assert!(members.is_leaving("b"));
+    assert!(members.is_alive("b", START));
+    assert!(!members.candidates(START).contains(&"b".into()));
+    assert_eq!(members.heard(&"b".into(), beat(2), START), Heard::Restarted);
+    assert!(!members.is_leaving("b"));
+    assert_eq!(members.heard(&"b".into(), leaving(1), START), Heard::Stale);
+    assert!(!members.is_leaving("b"));
+    assert!(members.is_running("b", 2, START) && !members.is_running("b", 1, START));
+}
+
+#[test]
+fn listed_as_leaving_is_believed_and_stale_lists_revive_nothing() {
+    let mut members = five();
+    let (live, gone) = (HostState::Live, HostState::Leaving);
+    members.listed(&list(7, &[("a", live, 1), ("b", gone, 7)]));
+    assert_eq!(entry(&members, START), names(&["a", "c", "d", "e"]));
+    members.listed(&list(6, &[("a", live, 1), ("b", live, 6)]));
+    assert!(members.is_leaving("b"), "an older list");
+    members.listed(&list(8, &[("a", live, 1), ("b", live, 5)]));
+    assert!(members.is_leaving("b"), "an older entry in a newer list");
+    members.listed(&list(8, &[("a", live, 1), ("b", live, 7)]));
+    assert!(members.is_leaving("b"), "an entry of the same revision");
+    members.listed(&list(9, &[("a", live, 1), ("b", live, 9)]));
+    assert!(!members.is_leaving("b"));
+}
+
+#[test_case(Heartbeat { ready: false, ..beat(1) }; "not ready")]
+#[test_case(leaving(1); "leaving")]
+fn entry_answers_and_candidates_leave_out(word: Heartbeat) {
+    let mut members = five();
+    members.heard(&"c".into(), word, START);
+    assert_eq!(entry(&members, START), names(&["a", "b", "d", "e"]));
+    assert_eq!(members.candidates(START), names(&["a", "b", "d", "e"]));
+    assert_eq!(members.alive(START), names(&HOSTS));
+}
+
+#[test]
+fn only_silent_members_that_are_not_listed_are_forgotten() {
+    let mut members = five();
+    let later = START + Duration::from_secs(3_600);
+    members.heard(&"a".into(), beat(1), later);
+    assert!(members.expire(later).is_empty());
+    members.listed(&list(
+        2,
+        &[("a", HostState::Live, 1), ("b", HostState::Live, 1)],
+    ));
+    assert_eq!(members.expire(later), names(&["c", "d", "e"]));
+    assert_eq!(
+        members.known().cloned().collect::<Vec<_>>(),
+        names(&["a", "b"])
+    );
+}
+
+#[test]
+fn visible_part_counts_listed_and_alive_daemons() {
+    let unheard = Members::new(MemberSettings::sized("a".into(), names(&HOSTS)));
+    assert_eq!(unheard.visible(START), 0.2);
+    let mut members = five();
+    assert_eq!(members.visible(START), 1.0);
+    let later = START + HEARTBEAT_PERIOD * 4;
+    for host in ["a", "b"] {
+        members.heard(&host.into(), beat(1), later);
+    }
+    assert_eq!(members.visible(later), 0.4);
+    members.listed(&list(
+        2,
+        &[("a", HostState::Live, 1), ("c", HostState::Live, 1)],
+    ));
+    assert_eq!(members.visible(later), 2.0 / 3.0);
+}
+
+#[test]
+fn rank_is_the_same_in_every_build_and_moves_only_what_the_lost_host_had() {
+    let order = ranked("pool", names(&HOSTS));
+    assert_eq!(order, names(&["c", "e", "a", "b", "d"]));
+    let mut members = five();
+    assert_eq!(members.ranked("pool", START), order);
+    assert_eq!(members.rank("pool", &order[1], START), Some(1));
+    members.heard(&order[0], leaving(1), START);
+    assert_eq!(members.ranked("pool", START), order[1..]);
+    assert_eq!(members.rank("pool", &order[0], START), None);
+}
+
+#[test]
+fn rank_spreads_keys_over_hosts() {
+    let mut first = [0; HOSTS.len()];
+    for key in 0..1_000 {
+        let order = ranked(&key.to_string(), names(&HOSTS));
+        let place = HOSTS.iter().position(|host| **host == *order[0]);
+        first[place.unwrap()] += 1;
+    }
+    assert!(first.iter().all(|n| (150..250).contains(n)), "{first:?}");
+}
+
+#[test]
+fn heartbeat_period_grows_with_members() {
+    assert_eq!(heartbeat_period(5), HEARTBEAT_PERIOD);
+    assert_eq!(heartbeat_period(460), Duration::from_millis(29_440));
+    let sized = MemberSettings::sized("a".into(), names(&["a"; 460]));
+    assert!(sized.silence > heartbeat_period(460) * 2);
+}
+
+struct Engines {
+    upstreams: Upstreams,
+    name: Name,
+}
+
+impl Engines {
+    fn new() -> Self {
+        let mut upstreams = Upstreams::new(UpstreamSettings::default());
+        let name: Name = "e1".into();
+        upstreams.listed(&list(1, &[("e1", HostState::Live, 1)]));
+        upstreams.reported(&name, &"i1".into(), false);
+        Engines { upstreams, name }
+    }
+
+    fn standing(&self, now: Moment) -> Standing {
+        self.upstreams.standing(&self.name, now)
+    }
+
+    fn reported(&mut self, instance: &str, leaving: bool) {
+        self.upstreams
+            .reported(&self.name, &instance.into(), leaving);
+    }
+}
+
+#[test]
+fn upstream_that_said_leaving_stays_so_until_it_restarts() {
+    let mut engines = Engines::new();
+    assert_eq!(engines.standing(START), Standing::Ready);
+    engines.reported("i1", true);
+    engines.reported("i1", false);
+    engines
+        .upstreams
+        .listed(&list(5, &[("e1", HostState::Live, 5)]));
+    assert_eq!(engines.standing(START), Standing::Leaving);
+    engines.reported("i2", false);
+    assert_eq!(engines.standing(START), Standing::Ready);
+}
+
+#[test]
+fn upstream_listed_as_leaving_is_not_revived_by_a_stale_entry_or_its_own_word() {
+    let mut engines = Engines::new();
+    engines
+        .upstreams
+        .listed(&list(3, &[("e1", HostState::Leaving, 3)]));
+    assert_eq!(engines.standing(START), Standing::Leaving);
+    engines
+        .upstreams
+        .listed(&list(4, &[("e1", HostState::Live, 2)]));
+    engines
+        .upstreams
+        .listed(&list(2, &[("e1", HostState::Live, 2)]));
+    engines.reported("i1", false);
+    assert_eq!(engines.standing(START), Standing::Leaving);
+    engines.upstreams.listed(&list(5, &[]));
+    assert_eq!(engines.standing(START), Standing::Gone);
+}
+
+#[test]
+fn failing_upstream_is_tried_again_after_growing_pauses() {
+    let mut engines = Engines::new();
+    let pause = UpstreamSettings::default().pause;
+    let name = engines.name.clone();
+    engines.upstreams.failed(&name, START);
+    assert_eq!(engines.standing(START), Standing::Ready);
+    engines.upstreams.failed(&name, START);
+    assert_eq!(engines.standing(START), Standing::Failing);
+    assert_eq!(engines.standing(START + pause), Standing::Ready);
+    engines.upstreams.failed(&name, START + pause);
+    assert_eq!(engines.standing(START + pause * 2), Standing::Failing);
+    assert_eq!(engines.standing(START + pause * 3), Standing::Ready);
+    engines.upstreams.succeeded(&name);
+    engines.upstreams.failed(&name, START);
+    assert_eq!(engines.standing(START), Standing::Ready);
+}
+
+#[test]
+fn unlisted_and_unknown_upstreams_are_ready() {
+    let mut upstreams = Upstreams::default();
+    assert_eq!(upstreams.standing("new", START), Standing::Ready);
+    upstreams.listed(&list(1, &[]));
+    upstreams.reported(&"new".into(), &"i".into(), false);
+    assert_eq!(upstreams.standing("new", START), Standing::Ready);
+}
