--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,7 +10,7 @@
 mod tickets;
 mod view;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,7 +30,7 @@
 pub use desk::{Desk, Wish, hex};
 pub use driver::{Driver, Parts};
 pub use event::{Act, Event, TableEnd};
-pub use view::{EntryHost, View};
+pub use view::View;
 
 /// Most rounds of messages to itself within one step.
 const ROUNDS: u32 = 4;
@@ -68,6 +68,7 @@
     config: Arc<Config>,
     version: u64,
     members: Members,
+    links: BTreeSet<Name>,
     seats: BTreeMap<Name, Seat>,
     tickets: HashMap<Name, tickets::Local>,
     router: Router,
@@ -88,6 +89,7 @@
     pub fn new(me: Me, members: Members, router: Router, now: Moment) -> Self {
         Control {
             members,
+            links: BTreeSet::new(),
             config: Arc::default(),
             version: 0,
             seats: BTreeMap::new(),
@@ -201,7 +203,7 @@
     }
 
     fn listed(&mut self, hosts: &Hosts, now: Moment) {
-        self.members.listed(hosts, now);
+        self.members.listed(hosts);
         for seat in self.seats.values_mut() {
             if let Seat::Held(pool) = seat {
                 pool.listed(hosts);
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -4,13 +4,12 @@
 
 use crate::clock::Moment;
 use crate::config::Name;
+use crate::members::heartbeat_period;
 use crate::peer::PeerEvent;
 use crate::peer::wire::{Body, Heartbeat, PoolState};
 
 use super::{Act, Control, Seat, due};
 
-/// Period of heartbeats.
-const HEARTBEAT: Duration = Duration::from_millis(500);
 /// Period of reports of use.
 const USAGE: Duration = Duration::from_millis(200);
 
@@ -25,7 +24,8 @@
     }
 
     fn up(&mut self, host: &Name, incarnation: u64, now: Moment) {
-        self.members.up(host, incarnation, now);
+        self.members.linked(host, incarnation);
+        self.links.insert(host.clone());
         self.beat = None;
         for seat in self.seats.values_mut() {
             if let Seat::Held(pool) = seat {
@@ -39,7 +39,8 @@
     }
 
     fn down(&mut self, host: &Name, incarnation: u64, now: Moment) {
-        self.members.down(host, incarnation, now);
+        self.members.unlinked(host, incarnation, now);
+        self.links.remove(host);
         self.unsend_to(host);
         for seat in self.seats.values_mut() {
             if let Seat::Held(pool) = seat {
@@ -81,7 +82,7 @@
 
     fn heard(&mut self, from: &Name, beat: &Heartbeat, now: Moment) {
         let before = self.members.entry(now);
-        self.members.heard(from, beat, now);
+        self.members.heard(from, beat.clone(), now);
         if beat.config > self.version {
             let from = from.clone();
             let body = Body::Heartbeat(beat.clone());
@@ -104,7 +105,8 @@
 
     /// Says that this daemon lives, when it is due.
     pub(super) fn heartbeat(&mut self, now: Moment) {
-        if !due(self.beat, HEARTBEAT, now) {
+        let period = heartbeat_period(self.members.known().count());
+        if !due(self.beat, period, now) {
             return;
         }
         self.beat = Some(now);
@@ -118,7 +120,7 @@
             domain: self.me.domain.to_string(),
         };
         let host = self.me.host.clone();
-        self.members.heard(&host, &beat, now);
+        self.members.heard(&host, beat.clone(), now);
         self.acts.push(Act::Broadcast(Body::Heartbeat(beat)));
         self.publish(now);
     }
--- a/src/control/tickets.rs
+++ b/src/control/tickets.rs
@@ -58,7 +58,7 @@
         let Some(owner) = self.owner(pool) else {
             return;
         };
-        if owner != self.me.host && !self.members.linked(&owner) {
+        if owner != self.me.host && !self.links.contains(&owner) {
             return;
         }
         let mut wants = Vec::new();
--- a/src/control/view.rs
+++ b/src/control/view.rs
@@ -5,20 +5,10 @@
 
 use crate::clock::Moment;
 use crate::config::{Config, Name};
+use crate::members::EntryHost;
 
 use super::{Act, Control};
 
-/// A daemon that callers may use.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EntryHost {
-    /// Name of the host.
-    pub host: Name,
-    /// Address for callers.
-    pub addr: Name,
-    /// Failure domain.
-    pub domain: Name,
-}
-
 /// What traffic threads see of the control state.
 #[derive(Clone, Debug, Default)]
 pub struct View {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -14,7 +14,7 @@
 use crate::http::callers::Callers;
 use crate::http::request::Ids;
 use crate::http::server::{self, Running};
-use crate::members::Members;
+use crate::members::{MemberSettings, Members};
 use crate::peer::{PeerError, PeerEvent, PeerSettings, Peers};
 use crate::platform::{HostList, Platform};
 use crate::protocol::ownership::Owner;
@@ -81,7 +81,8 @@
         let (calls, _questions) = bounded(MESSAGES);
         follower.start(changes)?;
         watch_hosts(platform.clone(), events.clone(), stopped.clone())?;
-        let members = Members::new(&me.host, me.incarnation);
+        let hosts = settings.peers.iter().map(|p| p.host.clone()).collect();
+        let members = Members::new(MemberSettings::sized(me.host.clone(), hosts));
         let owner = Owner {
             host: me.host.clone(),
             incarnation,
