--- a/src/config/ledger/mod.rs
+++ b/src/config/ledger/mod.rs
@@ -3,7 +3,6 @@
 mod propose;
 
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 
 use super::Name;
 use super::entry::Entry;
@@ -133,9 +132,8 @@
         let Some(body) = self.objects.get(&name)? else {
             return Ok(false);
         };
-        let document: Value =
-            serde_json::from_slice(&body).map_err(|err| unreadable(&name, &err))?;
-        current.restore(version, &document)?;
+        let text = String::from_utf8_lossy(&body);
+        current.restore_text(version, &text)?;
         Ok(true)
     }
 
--- a/src/config/ledger/propose.rs
+++ b/src/config/ledger/propose.rs
@@ -151,8 +151,8 @@
         } else {
             self.at(version)?
         };
-        let body = at.document().to_string();
-        Ok(self.objects.put(&snapshot_name(version), body.as_bytes())?)
+        let name = snapshot_name(version);
+        Ok(self.objects.put(&name, at.text().as_bytes())?)
     }
 }
 
--- a/src/config/patch.rs
+++ b/src/config/patch.rs
@@ -160,17 +160,30 @@
     own.iter().any(|o| **o == *ALL_TEAMS || **o == *team)
 }
 
-/// Replaces the keys of engines and services, for people to read.
-pub fn hide_keys(document: &mut Value) {
+/// The configuration without the keys of engines and services.
+pub fn hidden(config: &Config) -> Config {
+    let mut config = config.clone();
+    let engines = config.engines.values_mut().map(|e| &mut e.key);
+    let services = config.services.values_mut().map(|s| &mut s.key);
+    for key in engines.chain(services) {
+        if !key.is_empty() {
+            *key = HIDDEN.into();
+        }
+    }
+    config
+}
+
+/// Replaces the keys of engines and services in a patch.
+pub fn hide_keys(patch: &mut Value) {
     for section in ["engines", "services"] {
-        let Some(Value::Object(objects)) = document.get_mut(section) else {
+        let Some(Value::Object(objects)) = patch.get_mut(section) else {
             continue;
         };
         for object in objects.values_mut() {
             let Some(key) = object.get_mut("key") else {
                 continue;
             };
-            if key.as_str().is_some_and(|k| !k.is_empty()) {
+            if key.as_str() != Some("") {
                 *key = HIDDEN.into();
             }
         }
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -63,11 +63,31 @@
         Ok(Applied::Raised)
     }
 
+    /// Takes a whole document given as JSON text if it is newer.
+    ///
+    /// Needs far less memory than [`Current::restore`] at full size.
+    pub fn restore_text(&mut self, version: u64, text: &str) -> Result<Applied, ApplyError> {
+        if version <= self.version {
+            return Ok(Applied::Known);
+        }
+        if let Ok(config) = serde_json::from_str(text) {
+            self.raise(version, config);
+            return Ok(Applied::Raised);
+        }
+        let document = serde_json::from_str(text).unwrap_or_default();
+        self.restore(version, &document)
+    }
+
     /// The whole document, with the keys of upstreams.
     pub fn document(&self) -> Value {
         serde_json::to_value(&*self.config).unwrap_or_default()
     }
 
+    /// The whole document as JSON text, with the keys of upstreams.
+    pub fn text(&self) -> String {
+        serde_json::to_string(&*self.config).unwrap_or_default()
+    }
+
     fn raise(&mut self, version: u64, config: Config) {
         self.version = version;
         self.config = Arc::new(config);
--- a/src/operators/api.rs
+++ b/src/operators/api.rs
@@ -12,7 +12,7 @@
 use crate::clock::Clock;
 use crate::config::entry::Proposal;
 use crate::config::ledger::Ledger;
-use crate::config::patch::hide_keys;
+use crate::config::patch::hidden;
 use crate::config::state::Current;
 use crate::config::{Name, Role};
 use crate::error::{Kind, Refusal};
@@ -264,9 +264,7 @@
 }
 
 fn document(current: &Current) -> Reply {
-    let mut document = current.document();
-    hide_keys(&mut document);
-    Reply::json(200, &document).at(current.version)
+    Reply::json(200, &hidden(&current.config)).at(current.version)
 }
 
 /// The version in an entity tag: `"7"`, `W/"7"` or `7`.
--- a/src/operators/server.rs
+++ b/src/operators/server.rs
@@ -16,8 +16,8 @@
 
 /// Threads that answer operators.
 const WORKERS: usize = 4;
-/// Largest body, bytes; a whole configuration must fit.
-const BODY_BYTES: u64 = 8 * 1024 * 1024;
+/// Largest body, bytes; a larger change is made in several patches.
+const BODY_BYTES: u64 = 1024 * 1024;
 /// Largest head, bytes.
 const HEAD_BYTES: usize = 16 * 1024;
 
