--- a/src/fakes/mod.rs
+++ b/src/fakes/mod.rs
@@ -4,8 +4,10 @@
 pub mod engine;
 pub mod platform;
 pub mod server;
+pub mod service;
 pub mod weights;
 
 pub use engine::{EngineSettings, FakeEngine};
 pub use platform::FakePlatform;
+pub use service::FakeService;
 pub use weights::{FakeWeights, StoreSettings};
--- a/src/platform/engine_http.rs
+++ b/src/platform/engine_http.rs
@@ -64,6 +64,21 @@
     }
 }
 
+impl Parameters {
+    /// The order that these parameters belong to.
+    pub fn order(self, verb: Verb, model: &str) -> Order {
+        Order {
+            verb,
+            model: model.into(),
+            version: self.version,
+            base: self.base,
+            memory: self.memory,
+            token: self.token,
+            instance: self.instance,
+        }
+    }
+}
+
 /// Reason of status 409 to an order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "reason", rename_all = "snake_case")]
