--- a/src/fakes/mod.rs
+++ b/src/fakes/mod.rs
@@ -5,6 +5,7 @@
 pub mod platform;
 pub mod server;
 pub mod service;
+pub mod site;
 pub mod weights;
 
 pub use engine::{EngineSettings, FakeEngine};
