Wire operators, at-most-once calls, strikes and metrics into the daemon

Change: operators' API over the control thread, plain services by path with at-most-once calls and questions between daemons, strikes with trials at the pool owner, metrics recorded in relay and control thread.

--- a/src/control/desk.rs
+++ b/src/control/desk.rs
@@ -1,6 +1,6 @@
 //! The control thread as traffic threads see it.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -12,6 +12,7 @@
 use crate::config::{Config, Name};
 use crate::error::{Kind, Refusal};
 use crate::router::{Need, Slot};
+use crate::suspects::{Attempt, Fingerprint, Suspects};
 
 use super::event::Want;
 use super::{Event, View};
@@ -35,19 +36,61 @@
 pub struct Desk {
     events: Sender<Event>,
     view: Arc<ArcSwap<View>>,
+    suspects: Arc<Mutex<Suspects>>,
     clock: Clock,
 }
 
 impl Desk {
     /// A desk before the control thread that takes its events.
-    pub fn new(events: Sender<Event>, view: Arc<ArcSwap<View>>, clock: Clock) -> Self {
+    pub fn new(
+        events: Sender<Event>,
+        view: Arc<ArcSwap<View>>,
+        suspects: Arc<Mutex<Suspects>>,
+        clock: Clock,
+    ) -> Self {
         Desk {
             events,
             view,
+            suspects,
             clock,
         }
     }
 
+    /// How the next attempt of a request may run.
+    pub fn attempt(&self, print: &Fingerprint) -> Attempt {
+        self.lock().attempt(print)
+    }
+
+    /// Records, here and at all peers, that an engine instance died while it
+    /// ran a request.
+    pub fn strike(&self, print: &Fingerprint, model: &Name, instance: &Name) {
+        let now = self.clock.now();
+        let strike = self.lock().strike(print, model, instance, now);
+        let _ = self.events.send(Event::Struck(strike));
+    }
+
+    /// Takes back the strikes of a request that completed.
+    pub fn clear(&self, print: &Fingerprint) {
+        let strike = self.lock().release(print, self.clock.now());
+        if let Some(strike) = strike {
+            let _ = self.events.send(Event::Struck(strike));
+        }
+    }
+
+    /// Says that the trial of a suspect ended.
+    pub fn trial_over(&self, ticket: &Name, model: &Name) {
+        let _ = self.events.send(Event::TrialOver {
+            ticket: ticket.clone(),
+            model: model.clone(),
+        });
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Suspects> {
+        self.suspects
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
     /// The configuration in force.
     pub fn config(&self) -> Arc<Config> {
         self.view.load().config.clone()
@@ -117,6 +160,17 @@
         answers.recv_timeout(PATIENCE).map_err(gone)
     }
 
+    /// Whether `host` runs under `incarnation`; `None` when that is not known:
+    /// only a later incarnation shows that one has ended.
+    pub fn runs(&self, host: &Name, incarnation: u64) -> Option<bool> {
+        let known = *self.view.load().runs.get(host)?;
+        match known.cmp(&incarnation) {
+            std::cmp::Ordering::Less => None,
+            std::cmp::Ordering::Equal => Some(true),
+            std::cmp::Ordering::Greater => Some(false),
+        }
+    }
+
     /// Tells the control thread to leave.
     pub fn drain(&self) {
         let _ = self.events.send(Event::Drain);
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::Clock;
 use crate::config::{Config, Name};
+use crate::metrics::Metrics;
 use crate::peer::Peers;
 use crate::peer::wire::Body;
 use crate::platform::{Call, Engine, Platform};
@@ -47,6 +48,8 @@
     pub follow: Sender<Routed>,
     /// Takes messages about at-most-once calls.
     pub calls: Sender<Routed>,
+    /// Counts what happens.
+    pub metrics: Arc<Metrics>,
     /// This run of the daemon.
     pub me: Owner,
     /// Time.
@@ -109,6 +112,7 @@
             if stop.try_recv() != Err(crossbeam::channel::TryRecvError::Empty) {
                 return;
             }
+            let begun = clock.now();
             let mut taken = 1;
             while taken < BATCH {
                 let Ok(event) = inbox.try_recv() else {
@@ -120,6 +124,8 @@
             for act in control.step(clock.now()) {
                 self.carry_out(act, control.config());
             }
+            let busy = clock.now().saturating_sub(begun);
+            self.parts.metrics.control(busy);
         }
     }
 
@@ -195,7 +201,10 @@
                 // The request may have given up; a slot is then dropped.
                 let _ = reply.try_send(answer);
             }
-            Act::Publish(view) => self.parts.view.store(Arc::new(view)),
+            Act::Publish(view) => {
+                self.parts.metrics.config(view.version);
+                self.parts.view.store(Arc::new(view));
+            }
             Act::Follow { from, body } => {
                 let _ = self.parts.follow.try_send((from, body));
             }
@@ -204,8 +213,11 @@
             }
             Act::Loaded { model, took } => {
                 log::info!("{model} was loaded in {} ms", took.as_millis());
+                self.parts.metrics.loaded(took, true);
             }
-            Act::Unloaded => {}
+            Act::Unloaded => self.parts.metrics.unloaded(),
+            Act::Idle { accelerators, time } => self.parts.metrics.idle(accelerators, time),
+            Act::Queue(length) => self.parts.metrics.queue(length),
         }
     }
 
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -9,7 +9,7 @@
 use crate::config::{Config, Name};
 use crate::error::Refusal;
 use crate::peer::PeerEvent;
-use crate::peer::wire::Body;
+use crate::peer::wire::{Body, Strike};
 use crate::platform::{EngineError, Hosts, Order, Report};
 use crate::pool::{Claimed, PinWrite};
 use crate::protocol::ownership::{Grant, Owner, OwnerRecord, Recorded, Sent};
@@ -127,6 +127,15 @@
         /// It does.
         table: bool,
     },
+    /// This daemon recorded a strike, or took one back.
+    Struck(Strike),
+    /// The trial of a suspect ended.
+    TrialOver {
+        /// Ticket that it ran under.
+        ticket: Name,
+        /// Model or adapter.
+        model: Name,
+    },
     /// This daemon is to leave.
     Drain,
     /// A question about the state.
@@ -227,4 +236,13 @@
     },
     /// Count an unload.
     Unloaded,
+    /// Count idle accelerator time.
+    Idle {
+        /// Accelerators that hold weights without a request.
+        accelerators: u32,
+        /// For how long.
+        time: Duration,
+    },
+    /// Note how many requests wait for a replica.
+    Queue(usize),
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,11 +7,13 @@
 mod jobs;
 mod peers;
 mod permit;
+mod status;
+mod strikes;
 mod tickets;
 mod view;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use crate::clock::{Clock, Moment};
@@ -19,16 +21,17 @@
 use crate::decide::permits::Permits;
 use crate::decide::store::StoreLimits;
 use crate::members::Members;
-use crate::peer::wire::Body;
+use crate::peer::wire::{Body, PoolState};
 use crate::platform::{EngineError, Hosts, Report};
 use crate::pool::{Action, Context, Pool};
 use crate::protocol::ownership::{Grant, Sent};
 use crate::router::Router;
 use crate::settings::Settings;
+use crate::suspects::Suspects;
 
 pub use claims::Seat;
 pub use desk::{Desk, Wish, hex};
-pub use driver::{Driver, Parts};
+pub use driver::{Driver, Parts, Routed};
 pub use event::{Act, Event, TableEnd};
 pub use view::View;
 
@@ -73,6 +76,8 @@
     tickets: HashMap<Name, tickets::Local>,
     router: Router,
     permits: Permits,
+    states: BTreeMap<Name, PoolState>,
+    suspects: Arc<Mutex<Suspects>>,
     holder: Option<Name>,
     table: bool,
     leaving: bool,
@@ -86,7 +91,13 @@
 
 impl Control {
     /// A control state that knows no configuration and no peer.
-    pub fn new(me: Me, members: Members, router: Router, now: Moment) -> Self {
+    pub fn new(
+        me: Me,
+        members: Members,
+        router: Router,
+        suspects: Arc<Mutex<Suspects>>,
+        now: Moment,
+    ) -> Self {
         Control {
             members,
             links: BTreeSet::new(),
@@ -96,6 +107,8 @@
             tickets: HashMap::new(),
             router,
             permits: Permits::new(store_limits(&Policy::default()), now),
+            states: BTreeMap::new(),
+            suspects,
             holder: None,
             table: true,
             leaving: false,
@@ -133,6 +146,8 @@
                 grant,
                 result,
             } => self.ordered(&pool, epoch, &engine, grant, result, now),
+            Event::Struck(strike) => self.struck(strike),
+            Event::TrialOver { ticket, model } => self.trial_over(&ticket, &model),
             Event::Drain => self.drain(),
             Event::Call(call) => call(self),
         }
@@ -169,10 +184,14 @@
             return;
         }
         self.polled = Some(now);
+        self.acts
+            .push(Act::Queue(self.tickets.len() + self.router.queued()));
+        let mut idle = 0;
         for (name, seat) in &self.seats {
             let Seat::Held(pool) = seat else {
                 continue;
             };
+            idle += pool.idle(&self.config);
             for engine in pool.engines() {
                 self.acts.push(Act::Poll {
                     pool: name.clone(),
@@ -180,6 +199,10 @@
                 });
             }
         }
+        self.acts.push(Act::Idle {
+            accelerators: idle,
+            time: POLL,
+        });
     }
 
     /// The configuration in force.
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -32,6 +32,7 @@
                 pool.republish();
             }
         }
+        self.share_strikes(host);
         self.resend_tickets(now);
         if self.holder.as_ref() == Some(host) {
             self.ask_again(now);
@@ -73,7 +74,8 @@
                 let from = from.clone();
                 self.acts.push(Act::Calls { from, body });
             }
-            Body::Strike(_) | Body::StrikeAck(_) => {}
+            Body::Strike(strike) => self.strike(&strike, now),
+            Body::StrikeAck(_) => {}
             Body::Hello(_) | Body::Proof(_) => {
                 log::warn!("{from} repeats its handshake");
             }
@@ -98,6 +100,7 @@
         if !self.owned_by(&pool, from, state.epoch, now) {
             return;
         }
+        self.states.insert(pool.clone(), state.clone());
         if self.router.apply(state, &self.config) {
             self.send_usage(&pool);
         }
--- a/src/control/tickets.rs
+++ b/src/control/tickets.rs
@@ -18,6 +18,13 @@
     sent: Option<Name>,
 }
 
+impl Local {
+    /// Whether it waits for a replica of `model`.
+    pub(super) fn waits_for(&self, model: &Name) -> bool {
+        self.want.need.model == *model
+    }
+}
+
 impl Control {
     /// Takes a request of this host that waits for a replica.
     pub(super) fn want(&mut self, want: Want, now: Moment) {
--- a/src/control/view.rs
+++ b/src/control/view.rs
@@ -1,6 +1,6 @@
 //! What traffic threads see of the control state.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use crate::clock::Moment;
@@ -24,9 +24,21 @@
     pub leaving: bool,
     /// Live daemons, this one included.
     pub alive: usize,
+    /// Last known incarnations of all hosts.
+    pub runs: BTreeMap<Name, u64>,
 }
 
 impl Control {
+    fn runs(&self) -> BTreeMap<Name, u64> {
+        let mut runs = BTreeMap::new();
+        for host in self.members.known() {
+            if let Some(incarnation) = self.members.incarnation(host) {
+                runs.insert(host.clone(), incarnation);
+            }
+        }
+        runs
+    }
+
     /// Publishes the view.
     pub(super) fn publish(&mut self, now: Moment) {
         let mut callers = HashMap::new();
@@ -45,6 +57,7 @@
             entry,
             leaving: self.leaving,
             alive: self.members.alive(now).len(),
+            runs: self.runs(),
         };
         self.acts.push(Act::Publish(view));
     }
--- /dev/null
+++ b/src/daemon/host.rs
@@ -0,0 +1,116 @@
+//! The daemon as the operators' API sees it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Clock;
+use crate::config::Name;
+use crate::config::entry::{Entry, Proposal};
+use crate::config::ledger::ProposeError;
+use crate::config::state::Current;
+use crate::control::Desk;
+use crate::error::{Kind, Refusal};
+use crate::follower::Follower;
+use crate::metrics::Metrics;
+use crate::operators::host::Host;
+use crate::operators::status::{EngineStatus, HeldStatus, HostStatus, MemberStatus, ModelStatus};
+use crate::platform::Platform;
+
+/// Wait that a refusal names where nothing better is known.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// The daemon as the operators' API sees it.
+pub(super) struct OperatorHost<P> {
+    /// Outside systems.
+    pub platform: Arc<P>,
+    /// The control thread.
+    pub desk: Desk,
+    /// The configuration.
+    pub follower: Follower<P>,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+    /// Firm.
+    pub firm: Name,
+    /// Time.
+    pub clock: Clock,
+}
+
+impl<P: Platform> Host for OperatorHost<P> {
+    type Table = P::Table;
+    type Objects = P::Objects;
+
+    fn table(&self) -> &P::Table {
+        self.platform.table()
+    }
+
+    fn objects(&self) -> &P::Objects {
+        self.platform.objects()
+    }
+
+    fn current(&self) -> Current {
+        self.follower.current()
+    }
+
+    fn propose(&self, proposal: &Proposal) -> Result<Entry, ProposeError> {
+        self.follower.propose(proposal)
+    }
+
+    fn ready(&self) -> Result<(), Refusal> {
+        let view = self.desk.view();
+        if view.version == 0 {
+            let refusal = Refusal::new(Kind::NotReady, "no configuration is known");
+            return Err(refusal.retry_after(COME_BACK));
+        }
+        if view.leaving {
+            return Err(Refusal::new(Kind::Draining, "the host drains").retry_after(COME_BACK));
+        }
+        Ok(())
+    }
+
+    fn status(&self) -> HostStatus {
+        let status = self.desk.ask(|control| control.host_status());
+        HostStatus {
+            firm: self.firm.clone(),
+            uptime_s: self.clock.now().as_secs(),
+            ..status.unwrap_or_default()
+        }
+    }
+
+    fn hosts(&self) -> Vec<MemberStatus> {
+        let now = self.clock.now();
+        let hosts = self.desk.ask(move |control| control.member_status(now));
+        hosts.unwrap_or_default()
+    }
+
+    fn models(&self, prefix: &str) -> Vec<ModelStatus> {
+        let prefix = prefix.to_owned();
+        let models = self.desk.ask(move |control| control.model_status(&prefix));
+        models.unwrap_or_default()
+    }
+
+    fn engines(&self, prefix: &str) -> Vec<EngineStatus> {
+        let prefix = prefix.to_owned();
+        let engines = self.desk.ask(move |control| control.engine_status(&prefix));
+        engines.unwrap_or_default()
+    }
+
+    fn held(&self) -> Vec<HeldStatus> {
+        let held = self.desk.ask(|control| control.held());
+        held.unwrap_or_default()
+    }
+
+    fn release(&self, fingerprint: &str) -> Result<bool, Refusal> {
+        let fingerprint = fingerprint.to_owned();
+        let now = self.clock.now();
+        self.desk
+            .ask(move |control| control.release(&fingerprint, now))
+    }
+
+    fn drain(&self) {
+        self.desk.drain();
+    }
+
+    fn metrics(&self) -> String {
+        self.metrics.text()
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon/mod.rs
@@ -1,25 +1,37 @@
 //! A whole daemon: its threads, its start and its graceful stop.
 
+mod host;
+mod links;
+
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
 
+use crate::calls::{CallSettings, Calls};
 use crate::clock::Clock;
 use crate::control::{Control, Desk, Driver, Event, Me, Parts, View};
 use crate::follower::Follower;
 use crate::http::callers::Callers;
 use crate::http::request::Ids;
 use crate::http::server::{self, Running};
+use crate::http::services::Services;
+
 use crate::members::{MemberSettings, Members};
+use crate::metrics::{Metrics, MetricsError};
+use crate::operators::{self, api::Api};
 use crate::peer::{PeerError, PeerEvent, PeerSettings, Peers};
 use crate::platform::{HostList, Platform};
 use crate::protocol::ownership::Owner;
 use crate::router::Router;
 use crate::settings::Settings;
+use crate::suspects::{SuspectSettings, Suspects};
+use host::OperatorHost;
+use links::{CallLinks, SharedTable};
 
 /// Events that may wait for the control thread.
 const EVENTS: usize = 65_536;
@@ -44,6 +56,9 @@
     /// The peer links cannot start.
     #[error(transparent)]
     Peers(#[from] PeerError),
+    /// Metrics cannot be set up.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
     /// The system refuses a thread.
     #[error("cannot start a thread: {0}")]
     Thread(#[from] std::io::Error),
@@ -55,6 +70,8 @@
     router: Router,
     peers: Arc<Peers>,
     callers: Running,
+    _operators: operators::server::Running,
+    once: Arc<Calls<SharedTable<P>, CallLinks>>,
     follower: Follower<P>,
     stop: Option<Sender<()>>,
     clock: Clock,
@@ -75,10 +92,11 @@
         let me = Me::new(settings, incarnation);
         let router = Router::new(clock);
         let view = Arc::new(ArcSwap::from_pointee(View::default()));
-        let desk = Desk::new(events.clone(), view.clone(), clock);
+        let suspects = Arc::new(Mutex::new(Suspects::new(SuspectSettings::default())));
+        let desk = Desk::new(events.clone(), view.clone(), suspects.clone(), clock);
         let follower = Follower::new(platform.clone(), peers.clone(), events.clone());
         let (follow, changes) = bounded(MESSAGES);
-        let (calls, _questions) = bounded(MESSAGES);
+        let (calls, questions) = bounded(MESSAGES);
         follower.start(changes)?;
         watch_hosts(platform.clone(), events.clone(), stopped.clone())?;
         let hosts = settings.peers.iter().map(|p| p.host.clone()).collect();
@@ -87,8 +105,10 @@
             host: me.host.clone(),
             incarnation,
         };
-        let control = Control::new(me, members, router.clone(), clock.now());
+        let control = Control::new(me, members, router.clone(), suspects, clock.now());
+        let metrics = Arc::new(Metrics::new()?);
         let parts = Parts {
+            metrics: metrics.clone(),
             platform: platform.clone(),
             peers: peers.clone(),
             view,
@@ -98,11 +118,41 @@
             clock,
         };
         Driver::start(parts, control, events, inbox, stopped)?;
+        let links = Arc::new(CallLinks::new(peers.clone(), desk.clone()));
+        let once = Arc::new(Calls::start(
+            Arc::new(SharedTable(platform.clone())),
+            links.clone(),
+            CallSettings {
+                host: settings.host.clone(),
+                incarnation,
+                clock,
+                ..CallSettings::default()
+            },
+        ));
+        links::serve(questions, peers.clone(), links, once.clone())?;
+        let api = Api {
+            host: Arc::new(OperatorHost {
+                platform: platform.clone(),
+                desk: desk.clone(),
+                follower: follower.clone(),
+                metrics: metrics.clone(),
+                firm: settings.firm.clone(),
+                clock,
+            }),
+            admin: settings.admin_hash.clone(),
+        };
+        let operators = serve_operators(settings.listen.operators, api)?;
         let callers = Callers {
+            services: Services {
+                calls: once.clone(),
+                clock,
+                turn: AtomicUsize::new(0),
+            },
             platform,
             desk: desk.clone(),
             router: router.clone(),
             clock,
+            metrics,
             ids: Ids::new(&settings.host, incarnation),
             limits: settings.limits.clone(),
         };
@@ -117,6 +167,8 @@
             router,
             peers,
             callers,
+            _operators: operators,
+            once,
             follower,
             stop: Some(stop),
             clock,
@@ -143,7 +195,7 @@
         while self.clock.now() < until && self.desk.view().alive > 1 {
             thread::sleep(LOOK);
         }
-        while self.callers.busy() > 0 || self.router.running() > 0 {
+        while self.callers.busy() > 0 || self.router.running() > 0 || self.once.unsettled() > 0 {
             thread::sleep(LOOK);
         }
         self.callers.stop();
@@ -224,6 +276,18 @@
     Ok(())
 }
 
+fn serve_operators<P: Platform>(
+    addr: SocketAddr,
+    api: Api<OperatorHost<P>>,
+) -> Result<operators::server::Running, StartError> {
+    let refused = |e: std::io::Error| StartError::Listen {
+        addr,
+        cause: e.to_string(),
+    };
+    let listener = TcpListener::bind(addr).map_err(refused)?;
+    operators::server::start(listener, api).map_err(refused)
+}
+
 fn listen<H: server::Handler>(
     addr: SocketAddr,
     most: u32,
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -7,11 +7,13 @@
 use serde_json::{Value, json};
 use tiny_http::{Method, Request};
 
+use crate::calls;
 use crate::clock::Clock;
 use crate::config::{Caller, Name};
 use crate::control::Desk;
 use crate::error::{Kind, Refusal};
-use crate::platform::Platform;
+use crate::metrics::Metrics;
+use crate::platform::{Platform, Table};
 use crate::router::Router;
 use crate::settings::Limits;
 
@@ -20,10 +22,16 @@
 use super::relay::{End, Outcome, Relay, Sink};
 use super::request::{Ids, Terms, bearer, field, path, query};
 use super::server::Handler;
+use super::services::{ServiceCall, Services};
 use super::stream::EventStream;
 
+/// Prefix of the paths of plain services.
+const SERVICES: &str = "/services/";
+
 /// Serves callers.
-pub struct Callers<P> {
+pub struct Callers<P, T, L> {
+    /// Plain services.
+    pub services: Services<T, L>,
     /// Outside systems.
     pub platform: Arc<P>,
     /// The control thread.
@@ -32,13 +40,15 @@
     pub router: Router,
     /// Time.
     pub clock: Clock,
+    /// Counts what happens.
+    pub metrics: Arc<Metrics>,
     /// Request ids.
     pub ids: Ids,
     /// Limits on clients.
     pub limits: Limits,
 }
 
-impl<P: Platform> Handler for Callers<P> {
+impl<P: Platform, T: Table, L: calls::Peers> Handler for Callers<P, T, L> {
     fn handle(&self, request: Request) {
         let id = self.ids.next();
         let form = form_of(&request);
@@ -61,9 +71,10 @@
 /// A request that was refused before anything was sent.
 type Refused = Box<(Request, Refusal)>;
 
-impl<P: Platform> Callers<P> {
+impl<P: Platform, T: Table, L: calls::Peers> Callers<P, T, L> {
     fn refused(&self, request: Request, refusal: &Refusal, form: Form, id: &Name) {
         log::info!(request = &**id; "refused: {refusal}");
+        self.metrics.refused(refusal.kind);
         Answer::refusal(refusal, form, id).send(request, id);
     }
 
@@ -96,6 +107,7 @@
                 let refusal = Refusal::new(Kind::BadMethod, format!("{method} {place}"));
                 Err(Box::new((request, refusal)))
             }
+            _ if place.starts_with(SERVICES) => self.service(request, id, &caller, &place),
             _ => {
                 let refusal = Refusal::new(Kind::NotFound, place);
                 Err(Box::new((request, refusal)))
@@ -103,6 +115,63 @@
         }
     }
 
+    fn service(
+        &self,
+        mut request: Request,
+        id: &Name,
+        caller: &Name,
+        place: &str,
+    ) -> Result<(), Refused> {
+        match self.serve_call(&mut request, id, caller, place) {
+            Ok(answer) => {
+                answer.send(request, id);
+                Ok(())
+            }
+            Err(refusal) => Err(Box::new((request, refusal))),
+        }
+    }
+
+    fn serve_call(
+        &self,
+        request: &mut Request,
+        id: &Name,
+        caller: &Name,
+        place: &str,
+    ) -> Result<Answer, Refusal> {
+        let rest = &place[SERVICES.len()..];
+        let (name, _) = rest.split_once('/').unwrap_or((rest, ""));
+        let config = self.desk.config();
+        let unknown = || Refusal::new(Kind::UnknownService, format!("no service {name:?}"));
+        let (name, service) = config.services.get_key_value(name).ok_or_else(unknown)?;
+        let contract = config.callers.get(caller).cloned().unwrap_or_default();
+        if !permits(&contract, &service.team) {
+            let detail = format!("{caller} may not use services of team {}", service.team);
+            return Err(Refusal::new(Kind::Forbidden, detail));
+        }
+        let fallback = Duration::from_millis(service.deadline_ms);
+        let left = deadline(field(request, "X-Deadline-Ms"), fallback)?;
+        let method = request.method().to_string();
+        let method = attohttpc::Method::from_bytes(method.as_bytes());
+        let url = request.url()[SERVICES.len() + name.len()..].to_owned();
+        let path = match url.starts_with('/') {
+            true => url,
+            false => format!("/{url}"),
+        };
+        let call = ServiceCall {
+            id: id.clone(),
+            caller: caller.clone(),
+            service: name.clone(),
+            method: method.map_err(|e| Refusal::new(Kind::BadMethod, e.to_string()))?,
+            path,
+            media: field(request, "Content-Type").map(str::to_owned),
+            key: field(request, "Idempotency-Key").map(Name::from),
+            first: field(request, "X-First-Attempt") == Some("1"),
+            deadline: self.clock.now() + left,
+            body: read_body(request, self.limits.body)?,
+        };
+        self.services.run(&call, service)
+    }
+
     fn caller(&self, request: &Request) -> Result<Name, Refusal> {
         let Some(key) = bearer(request) else {
             return Err(Refusal::new(Kind::BadKey, "no bearer key was given"));
@@ -128,6 +197,7 @@
             Ok(prepared) => prepared,
             Err(refusal) => return Err(Box::new((request, refusal))),
         };
+        let _open = OpenStream::new(&self.metrics);
         let relay = Relay {
             engine: self.platform.engine(),
             router: &self.router,
@@ -221,6 +291,18 @@
 
     fn note(&self, ask: &Completion, terms: &Terms, outcome: &Outcome) {
         let total = self.clock.now().saturating_sub(terms.arrived);
+        if let Some(first) = outcome.first {
+            let after = first.saturating_sub(terms.arrived);
+            self.metrics.first_token(after, outcome.cold);
+        }
+        for _ in 0..outcome.retries {
+            self.metrics.retried();
+        }
+        if outcome.end == End::Whole {
+            let config = self.desk.config();
+            let worth = config.models.get(&ask.model).map_or(1.0, |m| m.worth);
+            self.metrics.served(total, worth);
+        }
         log::debug!(
             request = &*terms.id, model = &*ask.model, cold = outcome.cold,
             retries = outcome.retries, total_ms = total.as_millis() as u64;
@@ -243,6 +325,22 @@
     }
 }
 
+/// Counts one open stream for as long as it lives.
+struct OpenStream<'a>(&'a Metrics);
+
+impl<'a> OpenStream<'a> {
+    fn new(metrics: &'a Metrics) -> Self {
+        metrics.streams(1);
+        OpenStream(metrics)
+    }
+}
+
+impl Drop for OpenStream<'_> {
+    fn drop(&mut self) {
+        self.0.streams(-1);
+    }
+}
+
 /// Chunks that go to a client as they come.
 struct Streamed<'a>(&'a mut EventStream);
 
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -7,4 +7,5 @@
 pub mod relay;
 pub mod request;
 pub mod server;
+pub mod services;
 pub mod stream;
--- a/src/http/openai.rs
+++ b/src/http/openai.rs
@@ -6,6 +6,7 @@
 
 use crate::config::Name;
 use crate::error::{Kind, Refusal};
+use crate::suspects::{Fingerprint, fingerprint};
 
 /// Longest model name, bytes.
 const NAME_BYTES: usize = 256;
@@ -58,6 +59,8 @@
     pub usage: bool,
     /// Canonical text of the prompt, for prefix matching and fingerprints.
     pub prompt: String,
+    /// Fingerprint of model and body.
+    pub print: Fingerprint,
     body: Map<String, Value>,
 }
 
@@ -84,8 +87,10 @@
             return Err(bad("n must be 1"));
         }
         check_prompt(endpoint, &body)?;
+        let print = fingerprint(&model, &Value::Object(body.clone()));
         Ok(Completion {
             endpoint,
+            print,
             model,
             stream,
             usage,
--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -8,6 +8,7 @@
 use crate::error::{Kind, Refusal};
 use crate::platform::{Call, Chunk, Chunks, Engine, EngineError};
 use crate::router::{Need, Route, Router, Slot};
+use crate::suspects;
 
 use super::openai::{Completion, Part, part};
 use super::request::Terms;
@@ -69,6 +70,7 @@
     sent: u64,
     first: Option<Moment>,
     cold: bool,
+    trial: bool,
     attempt: u32,
 }
 
@@ -87,6 +89,7 @@
             sent: 0,
             first: None,
             cold: false,
+            trial: false,
             attempt: 0,
         };
         let end = self.attempts(ask, terms, sink, &mut progress);
@@ -112,7 +115,12 @@
                 Ok(slot) => slot,
                 Err(refusal) => return refused(refusal, progress),
             };
-            match self.attempt(ask, terms, sink, progress, &slot) {
+            let attempt = self.attempt(ask, terms, sink, progress, &slot);
+            if progress.trial {
+                progress.trial = false;
+                self.desk.trial_over(&terms.id, &ask.model);
+            }
+            match attempt {
                 Attempt::Ended(end) => return end,
                 Attempt::Again(refusal) => last = refusal,
             }
@@ -133,6 +141,17 @@
             deadline: terms.deadline,
             avoid: progress.avoid.clone(),
         };
+        match self.desk.attempt(&ask.print) {
+            suspects::Attempt::Free => {}
+            suspects::Attempt::Alone => {
+                progress.trial = true;
+                return self.wake(terms, need, Some(ask.print.clone()));
+            }
+            suspects::Attempt::Held => {
+                let detail = format!("fingerprint {}", ask.print);
+                return Err(Refusal::new(Kind::Quarantined, detail));
+            }
+        }
         let most = self.desk.config().policy.queue as usize;
         match self.router.acquire(&need, most) {
             Route::Slot(slot) => Ok(slot),
@@ -149,16 +168,16 @@
             }
             Route::Cold => {
                 progress.cold = true;
-                self.wake(terms, need)
+                self.wake(terms, need, None)
             }
         }
     }
 
-    fn wake(&self, terms: &Terms, need: Need) -> Result<Slot, Refusal> {
+    fn wake(&self, terms: &Terms, need: Need, suspect: Option<Name>) -> Result<Slot, Refusal> {
         self.desk.want(Wish {
             id: terms.id.clone(),
             need,
-            suspect: None,
+            suspect,
         })
     }
 
@@ -207,7 +226,10 @@
         loop {
             let data = match chunks.next() {
                 Ok(Chunk::Data(data)) => data,
-                Ok(Chunk::Done) => return Attempt::Ended(End::Whole),
+                Ok(Chunk::Done) => {
+                    self.desk.clear(&ask.print);
+                    return Attempt::Ended(End::Whole);
+                }
                 Err(e) => return self.failure(ask, terms, progress, slot, &e),
             };
             let kind = part(&data);
@@ -243,6 +265,11 @@
                 return Attempt::Ended(refused(refusal, progress));
             }
             EngineError::Status { .. } => progress.avoid.push(slot.engine.clone()),
+            EngineError::Broken(_) => {
+                self.desk.strike(&ask.print, &ask.model, &slot.instance);
+                progress.avoid.push(slot.engine.clone());
+                self.router.failed(&slot.engine);
+            }
             _ => {
                 progress.avoid.push(slot.engine.clone());
                 self.router.failed(&slot.engine);
--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -231,6 +231,12 @@
         self.members.get(host).map(|m| &m.beat)
     }
 
+    /// Time since the last sign of life of `host`.
+    pub fn silence(&self, host: &str, now: Moment) -> Option<Duration> {
+        let member = self.members.get(host)?;
+        Some(now.saturating_sub(member.heard))
+    }
+
     /// All known hosts, suspected ones included.
     pub fn known(&self) -> impl Iterator<Item = &Name> {
         self.members.keys()
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -69,12 +69,14 @@
     Json,
     /// Bytes of any kind.
     Bytes,
+    /// What the request's own head says.
+    Caller,
 }
 
 impl Media {
     fn name(self) -> Option<String> {
         match self {
-            Media::None => None,
+            Media::None | Media::Caller => None,
             Media::Json => Some("application/json".into()),
             Media::Bytes => Some("application/octet-stream".into()),
         }
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -22,7 +22,9 @@
 use crate::peer::wire::{Body, Verdict};
 use crate::platform::{EngineError, HostState, Hosts, Order, Report};
 use crate::protocol::ownership::{EnginePins, Grant, PoolPins, Recorded, Sent};
+use crate::suspects::Trials;
 
+pub use replica::{Phase, Replica};
 pub use side::Side;
 use usage::UsageView;
 use waiting::{Ticket, Waiting};
@@ -133,6 +135,7 @@
     histories: HashMap<Name, History>,
     took: HashMap<Name, Duration>,
     usage: HashMap<Name, UsageView>,
+    trials: Trials,
     hosts: Vec<Name>,
     seq: u64,
     dirty: bool,
@@ -157,6 +160,7 @@
             histories: HashMap::new(),
             took: HashMap::new(),
             usage: HashMap::new(),
+            trials: Trials::default(),
             hosts: Vec::new(),
             seq: 0,
             dirty: true,
@@ -377,6 +381,18 @@
         self.sides.iter()
     }
 
+    /// Accelerators of engines that hold weights without a request.
+    pub fn idle(&self, config: &Config) -> u32 {
+        let mut idle = 0;
+        for (engine, side) in &self.sides {
+            if side.replicas.is_empty() || side.report.running > 0 {
+                continue;
+            }
+            idle += config.engines.get(engine).map_or(0, |e| e.accelerators);
+        }
+        idle
+    }
+
     /// Requests that wait for a replica.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -396,6 +412,7 @@
     pub fn tick(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
         self.hosts = ctx.hosts.to_vec();
         self.usage.retain(|host, _| ctx.hosts.contains(host));
+        self.trials.expire(ctx.now);
         self.expire(ctx, out);
         self.answer(ctx, out);
         if !self.stopping {
--- a/src/pool/tickets.rs
+++ b/src/pool/tickets.rs
@@ -7,11 +7,14 @@
 use crate::decide::store::{Waiters, stake};
 use crate::error::Kind;
 use crate::peer::wire::{Body, Verdict};
+use crate::suspects::{Candidate, TrialAsk};
 
 use super::replica::Replica;
 use super::waiting::Ticket;
 use super::{Action, Context, Pool, refusal};
 
+/// Time after its deadline for which the trial of a suspect may go on.
+const TRIAL_GRACE: Duration = Duration::from_secs(60);
 /// Wait that a refusal names where nothing better is known.
 const COME_BACK: Duration = Duration::from_secs(1);
 
@@ -37,14 +40,16 @@
         }
     }
 
-    /// Withdraws a waiting request.
+    /// Withdraws a waiting request, or ends the trial of a suspect.
     pub fn cancel(&mut self, id: &str) {
         self.waiting.remove(id);
+        self.trials.end(id);
     }
 
     /// Forgets the requests of a host whose link is closed; it sends them again.
     pub fn forget(&mut self, host: &str) {
         self.waiting.forget(host);
+        self.trials.host_gone(host);
     }
 
     /// Time until a replica of `model` that is on its way takes work.
@@ -66,6 +71,7 @@
     /// Answers every request whose model is ready.
     pub(super) fn answer(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
         let mut answers = Vec::new();
+        let mut suspects = Vec::new();
         for (model, tickets) in self.waiting.models() {
             let ready = self.ready_at(model);
             if ready.is_empty() {
@@ -74,6 +80,10 @@
             let room = |engine: &Name| ctx.config.engines.get(engine).map_or(1, |e| e.slots);
             let mut given: Vec<u32> = ready.iter().map(|e| self.running(model, e)).collect();
             for ticket in tickets {
+                if ticket.suspect.is_some() {
+                    suspects.push((ticket.clone(), ready.clone()));
+                    continue;
+                }
                 let least = (0..ready.len())
                     .filter(|i| !ticket.avoid.contains(&ready[*i]))
                     .min_by_key(|i| given[*i] * 1_000 / room(&ready[*i]).max(1));
@@ -84,6 +94,11 @@
                 answers.push((ticket.id.clone(), ready[i].clone()));
             }
         }
+        for (ticket, ready) in suspects {
+            if let Some(engine) = self.try_apart(&ticket, &ready) {
+                answers.push((ticket.id, engine));
+            }
+        }
         for (id, engine) in answers {
             let Some(ticket) = self.waiting.remove(&id) else {
                 continue;
@@ -100,6 +115,29 @@
         }
     }
 
+    /// Starts the trial of a suspect on an engine without another one.
+    fn try_apart(&mut self, ticket: &Ticket, ready: &[Name]) -> Option<Name> {
+        let mut candidates = Vec::new();
+        for engine in ready {
+            if ticket.avoid.contains(engine) {
+                continue;
+            }
+            let report = &self.sides[engine].report;
+            candidates.push(Candidate {
+                engine: engine.clone(),
+                load: report.running + report.waiting,
+            });
+        }
+        let ask = TrialAsk {
+            ticket: ticket.id.clone(),
+            fingerprint: ticket.suspect.clone()?,
+            host: ticket.host.clone(),
+            until: ticket.deadline + TRIAL_GRACE,
+        };
+        let trial = self.trials.start(ask, &candidates)?;
+        Some(trial.engine.clone())
+    }
+
     /// Engines at which `model` takes work.
     pub(super) fn ready_at(&self, model: &Name) -> Vec<Name> {
         let mut ready = Vec::new();
--- a/src/router.rs
+++ b/src/router.rs
@@ -53,6 +53,8 @@
 pub struct Slot {
     /// Engine.
     pub engine: Name,
+    /// Instance id of the engine when the slot was taken.
+    pub instance: Name,
     model: Name,
     router: Router,
 }
@@ -174,10 +176,12 @@
         let load = state.engines.entry(engine.clone()).or_default();
         load.mine += 1;
         load.since += 1;
+        let instance = load.instance.clone();
         let key = (model.clone(), engine.clone());
         *state.running.entry(key).or_default() += 1;
         Slot {
             engine,
+            instance,
             model: model.clone(),
             router: self.clone(),
         }
