Serve operators by the same HTTP parts as callers

Cause: the operators' port had a server, problem details and body bounds of its own, and four slow strangers could have held all its threads. Change: operators::server::Operators is a http::server::Handler with a thread for each of at most 16 requests; problem details, head fields, body bounds, ids and percent-encoding come from http and platform. Conclusion: a guard before the callers' port serves this port as well.

--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -286,7 +286,7 @@
 }
 
 /// Reads a body of at most `most` bytes.
-fn read_body(request: &mut Request, most: u64) -> Result<Vec<u8>, Refusal> {
+pub(crate) fn read_body(request: &mut Request, most: u64) -> Result<Vec<u8>, Refusal> {
     let too_large = || Refusal::new(Kind::BodyTooLarge, format!("more than {most} bytes"));
     if request.body_length().is_some_and(|n| n as u64 > most) {
         return Err(too_large());
--- a/src/operators/keys.rs
+++ b/src/operators/keys.rs
@@ -5,6 +5,7 @@
 
 use crate::config::rules::{ADMIN, ALL_TEAMS};
 use crate::config::{Config, Name, Role};
+use crate::control::hex;
 use crate::error::{Kind, Refusal};
 
 /// What an operator may do.
@@ -31,11 +32,7 @@
 
 /// SHA-256 of a key as the configuration holds it.
 pub fn hash(key: &str) -> String {
-    let mut text = String::new();
-    for byte in Sha256::digest(key.as_bytes()) {
-        text.push_str(&format!("{byte:02x}"));
-    }
-    text
+    hex(&Sha256::digest(key.as_bytes()))
 }
 
 /// The operator whose key is `key`; `admin` is the hash in the settings.
--- a/src/operators/reply.rs
+++ b/src/operators/reply.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use serde_json::{Map, Value, json};
+use serde_json::{Map, Value};
 
 use crate::error::Refusal;
+use crate::http::answer::problem as problem_details;
 
 const JSON: &str = "application/json";
 const PROBLEM: &str = "application/problem+json";
@@ -76,29 +77,15 @@
 
     /// Problem details (RFC 9457).
     pub fn problem(problem: Problem, request: &str) -> Self {
-        let Refusal {
-            kind,
-            detail,
-            retry_after,
-        } = problem.refusal;
-        let answer = kind.answer();
-        let mut body = json!({
-            "type": format!("urn:mastichinge:{kind}"),
-            "title": answer.message,
-            "status": answer.status,
-            "detail": detail,
-            "kind": kind.to_string(),
-            "retry": answer.retry,
-            "ran": answer.ran.to_string(),
-            "request_id": request,
-        });
+        let refusal = problem.refusal;
+        let mut body = problem_details(&refusal, request);
         if let Value::Object(members) = &mut body {
             members.extend(problem.members);
         }
         Reply {
             content: PROBLEM,
-            retry_after,
-            ..Reply::json(answer.status, &body)
+            retry_after: refusal.retry_after,
+            ..Reply::json(refusal.kind.answer().status, &body)
         }
     }
 
--- a/src/operators/server.rs
+++ b/src/operators/server.rs
@@ -1,128 +1,90 @@
-//! The operators' port: a few threads that read requests and send answers.
+//! The operators' port: reads requests and sends answers.
 
 use std::collections::BTreeMap;
-use std::io::{self, Cursor, Read};
-use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
-use std::thread::{self, JoinHandle};
+use std::io::Cursor;
+use std::time::Duration;
 
-use tiny_http::{Header, Request, Response, Server};
+use tiny_http::{Request, Response};
 
 use super::api::{Api, Ask};
 use super::host::Host;
 use super::reply::{Problem, Reply};
-use crate::config::Name;
 use crate::error::{Kind, Refusal};
-
-/// Threads that answer operators.
-const WORKERS: usize = 4;
+use crate::http::answer::{REQUEST_ID, header, seconds};
+use crate::http::callers::read_body;
+use crate::http::request::{Ids, bearer, field, path};
+use crate::http::server::Handler;
+use crate::platform::escape::decode;
+
+/// Most requests of operators in progress at once.
+pub const MOST: u32 = 16;
 /// Largest body, bytes; a larger change is made in several patches.
 const BODY_BYTES: u64 = 1024 * 1024;
 /// Largest head, bytes.
 const HEAD_BYTES: usize = 16 * 1024;
-
-/// A running operators' port; dropping it ends it.
-pub struct Running {
-    server: Arc<Server>,
-    addr: SocketAddr,
-    threads: Vec<JoinHandle<()>>,
-}
-
-impl Running {
-    /// Address that it listens on.
-    pub fn addr(&self) -> SocketAddr {
-        self.addr
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        for _ in &self.threads {
-            self.server.unblock();
-        }
-        for thread in self.threads.drain(..) {
-            let _ = thread.join();
-        }
-    }
-}
-
-/// Serves the operators' API on `listener`.
-///
-/// Fails when the listener has no address or no thread can be started.
-pub fn start<H: Host>(listener: TcpListener, api: Api<H>) -> io::Result<Running> {
-    let addr = listener.local_addr()?;
-    let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
-    let server = Arc::new(server);
-    let api = Arc::new(api);
-    let mut threads = Vec::new();
-    for i in 0..WORKERS {
-        let (server, api) = (Arc::clone(&server), Arc::clone(&api));
-        let thread = thread::Builder::new().name(format!("operators-{i}"));
-        threads.push(thread.spawn(move || work(&server, &api))?);
-    }
-    Ok(Running {
-        server,
-        addr,
-        threads,
-    })
+/// Wait that a refusal for too many requests names.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// Serves operators; give it to [`crate::http::server::start`].
+#[derive(Debug)]
+pub struct Operators<H> {
+    /// Paths and rules.
+    pub api: Api<H>,
+    /// Request ids.
+    pub ids: Ids,
 }
 
-/// Answers requests until the server is unblocked.
-fn work<H: Host>(server: &Server, api: &Api<H>) {
-    while let Ok(request) = server.recv() {
-        serve(request, api);
+impl<H: Host> Handler for Operators<H> {
+    fn handle(&self, mut request: Request) {
+        let id = self.ids.next();
+        let mut ask = ask(&request);
+        ask.id = id.clone();
+        let outcome = bounded(&request)
+            .and_then(|()| self.api.admit(&ask))
+            .and_then(|()| Ok(read_body(&mut request, BODY_BYTES)?))
+            .and_then(|body| {
+                ask.body = body;
+                self.api.answer(&ask)
+            });
+        let reply = outcome.unwrap_or_else(|problem| {
+            let refusal = &problem.refusal;
+            log::info!(request = &*id; "{} {} refused: {refusal}", ask.method, ask.path);
+            Reply::problem(problem, &id)
+        });
+        send(request, reply, &id);
     }
-}
 
-fn serve<H: Host>(mut request: Request, api: &Api<H>) {
-    let mut ask = ask(&request);
-    let id = Name::clone(&ask.id);
-    let outcome = bounded(&request)
-        .and_then(|()| api.admit(&ask))
-        .and_then(|()| body(&mut request, &mut ask))
-        .and_then(|()| api.answer(&ask));
-    let reply = outcome.unwrap_or_else(|problem| {
-        let refusal = &problem.refusal;
-        log::info!(request = &*id; "{} {} refused: {refusal}", ask.method, ask.path);
-        Reply::problem(problem, &id)
-    });
-    if let Err(err) = request.respond(response(reply, &id)) {
-        log::debug!(request = &*id; "the operator hung up: {err}");
+    fn refuse(&self, request: Request) {
+        let id = self.ids.next();
+        let detail = format!("{MOST} requests of operators are in progress at this host");
+        let refusal = Refusal::new(Kind::QueueFull, detail).retry_after(COME_BACK);
+        send(request, Reply::problem(refusal.into(), &id), &id);
     }
 }
 
 fn ask(request: &Request) -> Ask {
-    let (path, query) = match request.url().split_once('?') {
-        Some((path, query)) => (path, query),
-        None => (request.url(), ""),
-    };
-    let bearer = header(request, "Authorization");
-    let key = bearer.and_then(|value| value.strip_prefix("Bearer ").map(str::to_owned));
+    let text = |name| field(request, name).map(str::to_owned);
+    let query = request.url().split_once('?').map_or("", |(_, query)| query);
     Ask {
-        id: format!("o-{:016x}", rand::random::<u64>()).into(),
+        id: "".into(),
         method: request.method().to_string(),
-        path: path.to_owned(),
+        path: path(request).to_owned(),
         query: parameters(query),
-        key,
-        matches: header(request, "If-Match"),
-        differs: header(request, "If-None-Match"),
-        attempt: header(request, "Idempotency-Key"),
+        key: bearer(request).map(str::to_owned),
+        matches: text("If-Match"),
+        differs: text("If-None-Match"),
+        attempt: text("Idempotency-Key"),
         body: Vec::new(),
     }
 }
 
-fn header(request: &Request, name: &'static str) -> Option<String> {
-    let found = request.headers().iter().find(|h| h.field.equiv(name))?;
-    Some(found.value.to_string())
-}
-
 fn parameters(query: &str) -> BTreeMap<String, String> {
     let mut parameters = BTreeMap::new();
     for pair in query.split('&') {
         let Some((name, value)) = pair.split_once('=') else {
             continue;
         };
-        parameters.insert(name.to_owned(), value.to_owned());
+        parameters.insert(decode(name), decode(value));
     }
     parameters
 }
@@ -139,40 +101,24 @@
     Ok(())
 }
 
-fn body(request: &mut Request, ask: &mut Ask) -> Result<(), Problem> {
-    let detail = format!("the body exceeds {BODY_BYTES} bytes");
-    let too_large = Refusal::new(Kind::BodyTooLarge, detail);
-    if request.body_length().is_some_and(|n| n as u64 > BODY_BYTES) {
-        return Err(too_large.into());
-    }
-    let mut reader = request.as_reader().take(BODY_BYTES + 1);
-    if let Err(err) = reader.read_to_end(&mut ask.body) {
-        let detail = format!("the body broke off: {err}");
-        return Err(Refusal::new(Kind::BadRequest, detail).into());
-    }
-    if ask.body.len() as u64 > BODY_BYTES {
-        return Err(too_large.into());
-    }
-    Ok(())
-}
-
-fn response(reply: Reply, id: &str) -> Response<Cursor<Vec<u8>>> {
-    let mut response = Response::from_data(reply.body).with_status_code(reply.status);
-    let mut headers = vec![
-        ("Content-Type", reply.content.to_owned()),
-        ("X-Request-Id", id.to_owned()),
-    ];
+fn send(request: Request, reply: Reply, id: &str) {
+    let mut response = Response::new(
+        reply.status.into(),
+        vec![
+            header("Content-Type", reply.content),
+            header(REQUEST_ID, id),
+        ],
+        Cursor::new(&reply.body),
+        Some(reply.body.len()),
+        None,
+    );
     if let Some(version) = reply.version {
-        headers.push(("ETag", format!("\"{version}\"")));
+        response.add_header(header("ETag", &format!("\"{version}\"")));
     }
     if let Some(wait) = reply.retry_after {
-        headers.push(("Retry-After", wait.as_secs().max(1).to_string()));
+        response.add_header(header("Retry-After", &seconds(wait)));
     }
-    for (name, value) in headers {
-        let Ok(header) = Header::from_bytes(name, value) else {
-            continue;
-        };
-        response.add_header(header);
+    if let Err(err) = request.respond(response) {
+        log::debug!(request = id; "the operator hung up: {err}");
     }
-    response
 }
--- a/src/tool/show.rs
+++ b/src/tool/show.rs
@@ -11,6 +11,7 @@
 use crate::operators::status::{
     EngineStatus, HeldStatus, HostStatus, MemberStatus, ModelStatus, ReplicaStatus,
 };
+use crate::platform::escape::encode;
 
 /// `status`.
 pub fn status(client: &Client, output: &mut Output<'_>) -> Result<(), ToolError> {
@@ -54,7 +55,7 @@
 
 /// `models`.
 pub fn models(client: &Client, prefix: &str, output: &mut Output<'_>) -> Result<(), ToolError> {
-    let path = format!("/v1/models?prefix={prefix}");
+    let path = format!("/v1/models?prefix={}", encode(prefix));
     let head = [
         "model", "base", "pool", "team", "owner", "limit", "waiting", "replicas",
     ];
@@ -69,7 +70,7 @@
 
 /// `engines`.
 pub fn engines(client: &Client, prefix: &str, output: &mut Output<'_>) -> Result<(), ToolError> {
-    let path = format!("/v1/engines?prefix={prefix}");
+    let path = format!("/v1/engines?prefix={}", encode(prefix));
     let head = [
         "engine", "pool", "domain", "memory", "used", "running", "waiting", "state", "models",
     ];
@@ -101,7 +102,7 @@
 pub fn release(client: &Client, print: &str, output: &mut Output<'_>) -> Result<(), ToolError> {
     let ask = Ask {
         method: Method::DELETE,
-        ..Ask::get(format!("/v1/held/{print}"))
+        ..Ask::get(format!("/v1/held/{}", encode(print)))
     };
     let answer = client.send(&ask)?;
     if output.json {
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -13,17 +13,16 @@
 use mastichinge::cli::tool::parse;
 use mastichinge::error::Kind;
 use mastichinge::operators::keys::hash;
-use mastichinge::operators::server::Running;
 use mastichinge::tool::client::{Answer, Ask, Client};
 use mastichinge::tool::{Output, Profile, ToolError, run};
-use memory::host::{ADMIN_KEY, FakeHost, nowhere, serve};
+use memory::host::{ADMIN_KEY, FakeHost, Served, nowhere, serve};
 use serde_json::{Value, json};
 use strum::IntoEnumIterator;
 use test_case::test_case;
 
 struct Bench {
     host: Arc<FakeHost>,
-    server: Running,
+    server: Served,
 }
 
 impl Bench {
@@ -37,7 +36,7 @@
 
     fn profile(&self, key: &str) -> Profile {
         Profile {
-            hosts: vec![self.server.addr()],
+            hosts: vec![self.server.addr],
             key: key.to_owned(),
         }
     }
@@ -195,7 +194,7 @@
     let mut profile = bench.profile(ADMIN_KEY);
     profile.hosts.insert(0, nowhere());
     let answer = Client::new(&profile).get("/v1/status").unwrap();
-    assert_eq!(answer.host, bench.server.addr());
+    assert_eq!(answer.host, bench.server.addr);
     profile.hosts.pop();
     let err = Client::new(&profile).get("/v1/status").unwrap_err();
     assert_eq!(err.exit(), Exit::Unavailable);
@@ -259,7 +258,7 @@
 fn a_drain_reaches_only_the_host_that_is_named() {
     let bench = Bench::new();
     let other = Bench::new();
-    let line = format!("drain {}", other.server.addr());
+    let line = format!("drain {}", other.server.addr);
     assert_eq!(bench.tool(&line).unwrap(), "host h1 drains\n");
     assert!(other.host.leaving.load(Ordering::SeqCst));
     assert!(!bench.host.leaving.load(Ordering::SeqCst));
@@ -284,7 +283,7 @@
 }
 
 fn raw(bench: &Bench, head: &str) -> String {
-    let mut stream = TcpStream::connect(bench.server.addr()).unwrap();
+    let mut stream = TcpStream::connect(bench.server.addr).unwrap();
     stream.write_all(head.as_bytes()).unwrap();
     let mut answer = vec![0; 300];
     let read = stream.read(&mut answer).unwrap();
