Tell a patch that was not sent from one whose outcome is unknown

Cause: the tool answered exit code 8 also when every host had refused before anything was sent, so that operators looked for a change that could not exist. Change: a refused connection or table_down counts as not sent, a broken exchange or outcome_unknown as uncertain; the table of the tests can be down; a property test sends proposals of three operators with lost and dropped commits and repeats.

--- a/src/tool/client.rs
+++ b/src/tool/client.rs
@@ -1,15 +1,15 @@
 //! HTTP towards hosts, with the next host tried when one does not answer.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use attohttpc::{Method, ProxySettings, RequestBuilder, Response};
+use attohttpc::{ErrorKind, Method, ProxySettings, RequestBuilder, Response};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use super::error::Problem;
 use super::{Profile, ToolError};
-use crate::error::Kind;
 
 /// Time limit for connecting to a host.
 const CONNECT: Duration = Duration::from_secs(2);
@@ -98,7 +98,8 @@
     /// Sends a request that may be repeated to the first host that can answer.
     ///
     /// Hosts that are down, that drain or whose table does not answer are
-    /// passed over.
+    /// passed over. When none answers and one of them may have carried the
+    /// request out, the error is [uncertain](ToolError::uncertain).
     pub fn send(&self, ask: &Ask) -> Result<Answer, ToolError> {
         let mut last = ToolError::Unreached("none is named".to_owned());
         for host in &self.profile.hosts {
@@ -106,10 +107,12 @@
                 Ok(answer) => return Ok(answer),
                 Err(err) => err,
             };
-            if !elsewhere(&err) {
+            if !err.passes() {
                 return Err(err);
             }
-            last = err;
+            if !last.uncertain() {
+                last = err;
+            }
         }
         Err(last)
     }
@@ -120,11 +123,10 @@
             Some(body) => request.text(body.to_string()).send(),
             None => request.send(),
         };
-        let unreached = |err: attohttpc::Error| ToolError::Unreached(format!("{host}: {err}"));
-        let response = outcome.map_err(unreached)?;
+        let response = outcome.map_err(|err| failure(host, &err))?;
         let status = response.status().as_u16();
         let version = version(&response);
-        let body = response.bytes().map_err(unreached)?;
+        let body = response.bytes().map_err(|err| failure(host, &err))?;
         let body: Value = serde_json::from_slice(&body).unwrap_or_default();
         if status < 400 {
             return Ok(Answer {
@@ -169,14 +171,13 @@
     tag.trim_matches('"').parse().ok()
 }
 
-/// Whether another host may answer what this one could not.
-pub fn elsewhere(err: &ToolError) -> bool {
-    match err {
-        ToolError::Unreached(_) => true,
-        ToolError::Refused { problem, .. } => matches!(
-            problem.known(),
-            Some(Kind::TableDown | Kind::NotReady | Kind::Draining | Kind::OutcomeUnknown)
-        ),
-        _ => false,
+/// The failure of an exchange with `host`, by whether anything was sent.
+fn failure(host: SocketAddr, err: &attohttpc::Error) -> ToolError {
+    let text = format!("{host}: {err}");
+    match err.kind() {
+        ErrorKind::Io(io) if io.kind() == io::ErrorKind::ConnectionRefused => {
+            ToolError::Unreached(text)
+        }
+        _ => ToolError::Broken(text),
     }
 }
--- a/src/tool/config.rs
+++ b/src/tool/config.rs
@@ -9,7 +9,7 @@
 use attohttpc::Method;
 use serde_json::{Value, json};
 
-use super::client::{Answer, Ask, Client, elsewhere};
+use super::client::{Answer, Ask, Client};
 use super::table::Table;
 use super::wait::everywhere;
 use super::{Output, ToolError};
@@ -89,17 +89,23 @@
     output: &mut Output<'_>,
 ) -> Result<Answer, ToolError> {
     let start = Instant::now();
+    let mut uncertain = false;
     loop {
         let err = match client.send(ask) {
             Ok(answer) => return Ok(answer),
             Err(err) => err,
         };
-        if !elsewhere(&err) {
+        if !err.passes() {
             return Err(explained(err, output)?);
         }
+        uncertain |= err.uncertain();
         if start.elapsed() + AGAIN >= limit {
             let attempt = ask.attempt.clone().unwrap_or_default();
-            return Err(ToolError::Unknown { attempt });
+            return Err(if uncertain {
+                ToolError::Unknown { attempt }
+            } else {
+                err
+            });
         }
         output.progress(&format!("sending again: {err}"))?;
         thread::sleep(AGAIN);
--- a/src/tool/error.rs
+++ b/src/tool/error.rs
@@ -61,6 +61,9 @@
     /// No host answers.
     #[error("no host answers: {0}")]
     Unreached(String),
+    /// A request went out and no answer came.
+    #[error("no answer from {0}")]
+    Broken(String),
     /// The host's answer makes no sense.
     #[error("{host} answered something unexpected: {cause}")]
     Answer {
@@ -97,12 +100,33 @@
         }
     }
 
+    /// Whether another host may answer what this one could not.
+    pub fn passes(&self) -> bool {
+        match self {
+            ToolError::Unreached(_) | ToolError::Broken(_) => true,
+            ToolError::Refused { problem, .. } => matches!(
+                problem.known(),
+                Some(Kind::TableDown | Kind::NotReady | Kind::Draining | Kind::OutcomeUnknown)
+            ),
+            _ => false,
+        }
+    }
+
+    /// Whether the request may have taken effect.
+    pub fn uncertain(&self) -> bool {
+        match self {
+            ToolError::Broken(_) => true,
+            ToolError::Refused { problem, .. } => problem.known() == Some(Kind::OutcomeUnknown),
+            _ => false,
+        }
+    }
+
     /// Exit code of this failure.
     pub fn exit(&self) -> Exit {
         match self {
             ToolError::Profile(_) | ToolError::Input { .. } => Exit::Settings,
             ToolError::Refused { problem, .. } => refused(problem),
-            ToolError::Unreached(_) => Exit::Unavailable,
+            ToolError::Unreached(_) | ToolError::Broken(_) => Exit::Unavailable,
             ToolError::Unknown { .. } => Exit::Unknown,
             ToolError::Late { .. } => Exit::Late,
             ToolError::Answer { .. } | ToolError::Output(_) => Exit::Failed,
--- a/src/tool/wait.rs
+++ b/src/tool/wait.rs
@@ -87,6 +87,7 @@
         let now: HostStatus = match client.get("/v1/status") {
             Ok(answer) => answer.read()?,
             Err(ToolError::Unreached(_)) => return Ok(()),
+            Err(ToolError::Broken(_)) => status.clone(),
             Err(err) => return Err(err),
         };
         if shown != Some(now.streams) {
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -2,6 +2,7 @@
 
 mod memory;
 
+use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
 
 use mastichinge::config::entry::{Entry, Proposal};
@@ -288,6 +289,31 @@
     }
 }
 
+/// One step of several operators.
+#[derive(Clone, Debug)]
+struct Step {
+    operator: usize,
+    /// How far the base lies behind the version that the operator last saw.
+    behind: u64,
+    /// Commits whose answers are lost after, or with, their effect.
+    lost: u32,
+    dropped: u32,
+    /// Sends the operator's last proposal once more.
+    again: bool,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = (0usize..3, 0u64..2, 0u32..3, 0u32..4, any::<bool>());
+    let step = step.prop_map(|(operator, behind, lost, dropped, again)| Step {
+        operator,
+        behind,
+        lost,
+        dropped,
+        again,
+    });
+    proptest::collection::vec(step, 1..40)
+}
+
 proptest! {
     #![proptest_config(seeded())]
 
@@ -303,6 +329,32 @@
         prop_assert_eq!(&whole, &config);
     }
 
+    #[test]
+    fn whatever_is_lost_each_attempt_takes_effect_at_most_once(steps in steps()) {
+        let store = Store::default();
+        let mut last: Vec<Option<Proposal>> = vec![None; 3];
+        let mut told = BTreeMap::new();
+        for (i, step) in steps.iter().enumerate() {
+            let before = store.ledger().head().unwrap();
+            let fresh = proposal(before.saturating_sub(step.behind), &format!("a{i}"), policy(i as u64 + 1));
+            let sent = last[step.operator].take().filter(|_| step.again).unwrap_or(fresh);
+            store.table.lost.store(step.lost, Ordering::SeqCst);
+            store.table.dropped.store(step.dropped, Ordering::SeqCst);
+            if let Ok(entry) = store.propose(&sent) {
+                let version = *told.entry(sent.attempt.clone()).or_insert(entry.version);
+                prop_assert_eq!(version, entry.version);
+            }
+            prop_assert!(store.ledger().head().unwrap() <= before + 1);
+            last[step.operator] = Some(sent);
+        }
+        let log = store.ledger().since(0).unwrap();
+        let attempts: BTreeMap<Name, u64> = log.iter().map(|e| (e.attempt.clone(), e.version)).collect();
+        prop_assert_eq!(attempts.len(), log.len());
+        for (attempt, version) in &told {
+            prop_assert_eq!(attempts.get(attempt), Some(version));
+        }
+    }
+
     #[test]
     fn a_difference_leads_from_old_to_new(patches in patches()) {
         let old = serde_json::to_value(merged(&Config::default(), &patches[0]).unwrap()).unwrap();
--- a/tests/memory/mod.rs
+++ b/tests/memory/mod.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 use mastichinge::platform::{Expect, Item, Objects, Op, Table, TableError, Write};
 
@@ -16,6 +16,8 @@
     items: Mutex<BTreeMap<String, Item>>,
     /// Commits that take effect without an answer.
     pub lost: AtomicU32,
+    /// No call answers.
+    pub down: AtomicBool,
     /// Commits that neither take effect nor answer.
     pub dropped: AtomicU32,
 }
@@ -31,18 +33,30 @@
         .is_ok()
 }
 
+impl MemoryTable {
+    fn up(&self) -> Result<(), TableError> {
+        if self.down.load(Ordering::SeqCst) {
+            return Err(lost());
+        }
+        Ok(())
+    }
+}
+
 impl Table for MemoryTable {
     fn get(&self, key: &str) -> Result<Option<Item>, TableError> {
+        self.up()?;
         Ok(self.items.lock().unwrap().get(key).cloned())
     }
 
     fn scan(&self, prefix: &str) -> Result<Vec<Item>, TableError> {
+        self.up()?;
         let items = self.items.lock().unwrap();
         let found = items.values().filter(|item| item.key.starts_with(prefix));
         Ok(found.cloned().collect())
     }
 
     fn commit(&self, writes: &[Write]) -> Result<Vec<u64>, TableError> {
+        self.up()?;
         if take(&self.dropped) {
             return Err(lost());
         }
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -226,6 +226,19 @@
     assert_eq!(bench.tool(&line).unwrap(), "version 2 is accepted\n");
 }
 
+#[test]
+fn without_the_table_nothing_changes_and_reading_goes_on() {
+    let bench = Bench::new();
+    bench.host.table.down.store(true, Ordering::SeqCst);
+    let outcome = bench.patch(ADMIN_KEY, 1, json!({ "policy": { "queue": 9 } }));
+    assert_eq!(kind(outcome), "table_down");
+    assert_eq!(kind(bench.client(ADMIN_KEY).get("/v1/audit")), "table_down");
+    assert!(bench.tool("config show").unwrap().contains("// version 1"));
+    let file = patch_file("down", "{ \"policy\": { \"queue\": 9 } }");
+    let outcome = bench.tool(&format!("config patch {file} --base 1 --limit 0"));
+    assert_eq!(outcome.unwrap_err().exit(), Exit::Unavailable);
+}
+
 #[test_case("{ \"policy\": { \"queue\": 0 } }", 1 => Exit::Invalid)]
 #[test_case("{ \"policy\": { \"queue\": 2 } }", 0 => Exit::Conflict)]
 #[test_case("{", 1 => Exit::Settings)]
