Build the stand-ins on the daemon's own HTTP modules

Change: they use src/http; shared states are read as copies; servers of ended engine instances go on hanging up what still reaches them, where a stopped one could answer 500; a stream that sends only comments ends as silent.

--- a/src/fakes/engine/orders.rs
+++ b/src/fakes/engine/orders.rs
@@ -15,19 +15,20 @@
         };
         let model = exchange.path.get(3).map_or("", String::as_str);
         let order = parameters.order(verb, model);
-        let refusal = self.state().admit(&order, self.settings.fenced);
+        let fenced = self.settings.fenced;
+        let refusal = self.state.change(|s| s.admit(&order, fenced));
         if let Some(refusal) = refusal {
             return exchange.answer(409, &refusal);
         }
         let outcome = match verb {
             Verb::Load => self.load(&order, &|| exchange.alive()),
             Verb::Unload => {
-                self.state().free(&order.model);
+                self.state.change(|s| s.free(&order.model));
                 Ok(())
             }
             Verb::Fence => Ok(()),
         };
-        let report = self.state().now.clone();
+        let report = self.state.change(|s| s.now.clone());
         match outcome {
             Ok(()) => exchange.answer(200, &report),
             Err(text) => exchange.answer(400, &text),
@@ -36,28 +37,29 @@
 
     /// Loads a model, or waits for a load of it that is already running.
     fn load(&self, order: &Order, alive: &dyn Fn() -> bool) -> Result<(), &'static str> {
-        let mut state = self.state();
+        let model = &*order.model;
+        let mut state = self.state.lock();
         if order.base.as_deref().is_some_and(|base| !state.ready(base)) {
             return Err("the base model is not loaded");
         }
-        let present = state.resident(&order.model).cloned();
+        let present = state.resident(model).cloned();
         if present.as_ref().is_some_and(|p| p.version != order.version) {
             return Err("another version is loaded");
         }
         if present.is_none() {
             state.take(order, self.settings.memory);
         }
-        let tier = state.tier(&order.model);
+        let tier = state.tier(model);
         drop(state);
-        let wanted = || alive() && self.state().resident(&order.model).is_some();
+        let wanted = || alive() && self.state.change(|s| s.resident(model).is_some());
         if present.is_some() {
-            while wanted() && !self.state().ready(&order.model) {
+            while wanted() && !self.state.change(|s| s.ready(model)) {
                 thread::sleep(PAUSE);
             }
-        } else if self.fetch(order, tier, &wanted) && alive() {
-            self.state().loaded(&order.model);
+        } else if self.fetch(order, tier, &wanted) {
+            self.state.change(|s| s.loaded(model, alive()));
         }
-        let loaded = self.state().ready(&order.model);
+        let loaded = self.state.change(|s| s.ready(model));
         loaded.then_some(()).ok_or("unloaded while loading")
     }
 
--- a/src/fakes/engine/state.rs
+++ b/src/fakes/engine/state.rs
@@ -1,7 +1,6 @@
 //! What the engine process holds.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -33,7 +32,6 @@
 
 #[derive(Debug, Default)]
 pub(super) struct State {
-    pub addr: Option<SocketAddr>,
     pub frozen: bool,
     pub starts: u32,
     pub journal: Journal,
@@ -44,7 +42,6 @@
     queue: Vec<Ticket>,
     tickets: u64,
     prefixes: VecDeque<String>,
-    seq: u64,
     events: Vec<(Instant, CacheEvent)>,
 }
 
@@ -60,6 +57,7 @@
         self.streams.clear();
         self.queue.clear();
         self.prefixes.clear();
+        self.events.clear();
         self.changed();
     }
 
@@ -158,8 +156,11 @@
         self.changed();
     }
 
-    /// Marks a load as done.
-    pub fn loaded(&mut self, model: &str) {
+    /// Marks a load as done, unless the process died.
+    pub fn loaded(&mut self, model: &str, alive: bool) {
+        if !alive {
+            return;
+        }
         if let Some(resident) = self.resident(model) {
             resident.ready = true;
         }
@@ -185,29 +186,25 @@
         stays.filter(move |s| s.until.is_none() && &*s.resident.model == model)
     }
 
-    /// Looks a prompt up in the prefix cache and stores it; answers a hit.
-    pub fn hit(&mut self, prefix: &str) -> bool {
-        let found = self.prefixes.iter().position(|p| p == prefix);
-        let hit = found.and_then(|i| self.prefixes.remove(i)).is_some();
-        self.prefixes.push_back(prefix.to_owned());
-        if !hit {
-            self.publish(prefix.to_owned(), true);
+    /// Looks a prompt up in the prefix cache, and stores it when it is missing.
+    pub fn hit(&mut self, prefix: String) -> bool {
+        if self.prefixes.contains(&prefix) {
+            return true;
         }
+        self.note(prefix.clone(), true);
+        self.prefixes.push_back(prefix);
         if self.prefixes.len() > PREFIXES
             && let Some(oldest) = self.prefixes.pop_front()
         {
-            self.publish(oldest, false);
+            self.note(oldest, false);
         }
-        hit
+        false
     }
 
-    fn publish(&mut self, prefix: String, stored: bool) {
-        self.seq += 1;
-        if self.seq.is_multiple_of(EVENT_GAP) {
-            return;
-        }
+    fn note(&mut self, prefix: String, stored: bool) {
+        let seq = self.events.len() as u64 + 1;
         let event = CacheEvent {
-            seq: self.seq,
+            seq,
             prefix,
             stored,
         };
@@ -217,8 +214,9 @@
     /// Cache events after number `since` that are older than `lag`.
     pub fn published(&self, since: u64, lag: Duration) -> Vec<CacheEvent> {
         let late = self.events.iter().filter(|e| e.0.elapsed() >= lag);
-        let new = late.filter(|e| e.1.seq > since);
-        new.map(|e| e.1.clone()).collect()
+        let events = late.map(|e| &e.1);
+        let kept = events.filter(|e| e.seq > since && !e.seq.is_multiple_of(EVENT_GAP));
+        kept.cloned().collect()
     }
 
     /// Queues a request.
@@ -231,7 +229,7 @@
     }
 
     /// Gives a free slot to the first of the queue.
-    pub fn admit_stream(&mut self, ticket: Ticket, slots: u32, model: &str) -> bool {
+    pub fn start(&mut self, ticket: Ticket, slots: u32, model: &str) -> bool {
         let first = self.queue.iter().min() == Some(&ticket);
         if !first || self.now.running >= slots {
             return false;
--- a/src/fakes/engine/streams.rs
+++ b/src/fakes/engine/streams.rs
@@ -1,16 +1,19 @@
 //! Streamed answers of the engine.
 
 use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Instant;
 
 use serde_json::{Value, json};
 
-use super::Inner;
 use super::journal::{End, Served};
 use super::state::Ticket;
 use super::text::{Ask, tokens};
-use crate::fakes::server::{EventStream, Exchange};
+use super::{Inner, PAUSE};
+use crate::fakes::server::Exchange;
+use crate::http::stream::EventStream;
 use crate::platform::engine_http::REQUEST_HEADER;
 
 /// Characters of a prompt that the prefix cache compares.
@@ -23,6 +26,7 @@
     instance: String,
     ticket: Ticket,
     stream: EventStream,
+    alive: Arc<AtomicBool>,
     served: Served,
 }
 
@@ -37,7 +41,14 @@
             "model": self.ask.model, "system_fingerprint": self.instance,
             "choices": choices, "usage": usage,
         });
-        self.stream.send(&format!("data: {data}"))
+        if !self.alive() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        self.stream.send(&data.to_string())
+    }
+
+    fn alive(&self) -> bool {
+        self.alive.load(Ordering::SeqCst)
     }
 
     fn token(&mut self, text: &str, reason: Option<&str>) -> io::Result<()> {
@@ -55,7 +66,7 @@
             Ok(ask) => ask,
             Err(text) => return exchange.answer(400, &text),
         };
-        let mut state = self.state();
+        let mut state = self.state.lock();
         if !state.ready(&ask.model) {
             drop(state);
             let error = json!({"error": {"code": "model_not_found", "message": ask.model}});
@@ -65,7 +76,7 @@
         let instance = state.now.instance.to_string();
         drop(state);
         let served = Served {
-            request: exchange.header(REQUEST_HEADER).to_owned(),
+            request: exchange.header(REQUEST_HEADER),
             model: ask.model.clone(),
             from: Instant::now(),
             tokens: 0,
@@ -76,7 +87,8 @@
             chat,
             instance,
             ticket,
-            stream: exchange.stream(),
+            alive: exchange.life(),
+            stream: EventStream::new(exchange.request, &served.request),
             served,
         };
         let outcome = self.run(&mut job);
@@ -84,14 +96,13 @@
     }
 
     fn run(&self, job: &mut Job) -> io::Result<()> {
-        job.stream.begin()?;
         self.wait_slot(job)?;
         let text = job.ask.text();
         if !self.settings.crash.is_empty() && text.contains(&self.settings.crash) {
             self.crash();
         }
         let prefix: String = text.chars().take(PREFIX).collect();
-        if !self.state().hit(&prefix) {
+        if !self.state.change(|s| s.hit(prefix)) {
             thread::sleep(self.settings.prefill);
         }
         let length = self.settings.tokens;
@@ -110,7 +121,7 @@
                 continue;
             }
             thread::sleep(self.settings.interval);
-            self.thaw(&|| job.stream.alive());
+            self.thaw(&|| job.alive());
             job.token(&token, None)?;
             job.served.tokens += 1;
         }
@@ -127,24 +138,24 @@
                 json!({"prompt_tokens": prompt, "completion_tokens": count, "total_tokens": total});
             job.chunk(&json!([]), &usage)?;
         }
-        job.stream.finish()
+        job.stream.end(true)
     }
 
-    /// Waits for a slot, and sends comments that show a client that is gone.
-    fn wait_slot(&self, job: &mut Job) -> io::Result<()> {
-        loop {
-            let mut state = self.state();
-            if state.admit_stream(job.ticket, self.settings.slots, &job.ask.model) {
-                return Ok(());
+    fn wait_slot(&self, job: &Job) -> io::Result<()> {
+        let model = &job.ask.model;
+        let slots = self.settings.slots;
+        while !self.state.change(|s| s.start(job.ticket, slots, model)) {
+            if !job.alive() {
+                return Err(io::ErrorKind::ConnectionAborted.into());
             }
-            drop(self.pause(state));
-            job.stream.send(": queued")?;
+            thread::sleep(PAUSE);
         }
+        Ok(())
     }
 
     fn settle(&self, mut job: Job, outcome: io::Result<()>) {
-        let mut state = self.state();
-        let alive = job.stream.alive();
+        let mut state = self.state.lock();
+        let alive = job.alive();
         if alive {
             state.release(job.ticket, &job.ask.model);
         }
@@ -153,6 +164,8 @@
         }
         state.journal.served.push(job.served);
         drop(state);
-        self.wake.notify_all();
+        if let Some(request) = job.stream.into_request() {
+            drop(request.into_writer());
+        }
     }
 }
--- a/src/fakes/mod.rs
+++ b/src/fakes/mod.rs
@@ -5,6 +5,7 @@
 pub mod platform;
 pub mod server;
 pub mod service;
+pub mod shared;
 pub mod site;
 pub mod weights;
 
--- a/src/fakes/platform.rs
+++ b/src/fakes/platform.rs
@@ -4,11 +4,12 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use super::server::{Exchange, Server};
+use super::shared::Shared;
 use crate::platform::table_http::{Commit, Committed, Conflict};
 use crate::platform::{Expect, HostEntry, HostState, Hosts, Item, Op, Write};
 use crate::settings::Addresses;
@@ -57,14 +58,15 @@
 
 /// The platform; dropping it stops it.
 pub struct FakePlatform {
-    state: Arc<Mutex<State>>,
+    /// What it holds, past every disturbance.
+    pub state: Shared<State>,
     server: Server,
 }
 
 impl FakePlatform {
     /// Serves `addr`; port 0 takes a free one. A key that is not empty is checked.
     pub fn start(addr: SocketAddr, key: &str) -> io::Result<FakePlatform> {
-        let state = Arc::new(Mutex::new(State::default()));
+        let state = Shared::default();
         let shared = state.clone();
         let key = key.to_owned();
         let server = Server::start(addr, move |exchange| handle(&shared, &key, exchange))?;
@@ -73,43 +75,29 @@
 
     /// Addresses for a daemon's settings.
     pub fn addresses(&self) -> Addresses {
-        let addr = self.server.addr();
         Addresses {
-            table: addr,
-            objects: addr,
-            hosts: addr,
+            table: self.server.addr,
+            objects: self.server.addr,
+            hosts: self.server.addr,
         }
     }
 
-    /// What the platform holds at this moment, past every disturbance.
-    pub fn state(&self) -> State {
-        lock(&self.state).clone()
-    }
-
-    /// Changes what the platform holds, or its disturbances.
-    pub fn change<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
-        change(&mut lock(&self.state))
-    }
-
     /// Lists a host in a state, or takes it off the list.
     pub fn list(&self, name: &str, state: Option<HostState>) {
-        let mut guard = lock(&self.state);
-        let mut list = guard.hosts(Duration::ZERO);
-        list.revision += 1;
-        list.hosts.retain(|h| &*h.name != name);
-        list.hosts.extend(state.map(|state| HostEntry {
-            name: name.into(),
-            state,
-            revision: list.revision,
-        }));
-        guard.lists.push((Instant::now(), list));
+        self.state.change(|s| {
+            let mut list = s.hosts(Duration::ZERO);
+            list.revision += 1;
+            list.hosts.retain(|h| &*h.name != name);
+            list.hosts.extend(state.map(|state| HostEntry {
+                name: name.into(),
+                state,
+                revision: list.revision,
+            }));
+            s.lists.push((Instant::now(), list));
+        });
     }
 }
 
-fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
-    state.lock().expect("no holder of the lock panics")
-}
-
 impl State {
     /// Commits all writes or none.
     pub fn commit(&mut self, writes: &[Write]) -> Result<Vec<u64>, Conflict> {
@@ -158,7 +146,8 @@
 
     /// Status and body of the answer; a lost one has no status.
     fn respond(&mut self, exchange: &Exchange) -> (Option<u16>, Vec<u8>) {
-        match (exchange.method.as_str(), exchange.segments().as_slice()) {
+        let (method, path) = exchange.route();
+        match (method, path.as_slice()) {
             ("POST", ["v1", "commit"]) => match exchange.json::<Commit>() {
                 Err(text) => json(400, &text),
                 Ok(commit) => {
@@ -205,16 +194,16 @@
     (Some(status), serde_json::to_vec(value).unwrap_or_default())
 }
 
-fn handle(state: &Mutex<State>, key: &str, exchange: Exchange) {
-    let slow = lock(state).knobs.slow;
+fn handle(state: &Shared<State>, key: &str, exchange: Exchange) {
+    let slow = state.change(|s| s.knobs.slow);
     thread::sleep(slow);
-    if lock(state).knobs.down {
+    if state.change(|s| s.knobs.down) {
         return exchange.hang_up();
     }
     if !exchange.allowed(key) {
         return exchange.answer(401, &"wrong key");
     }
-    let (status, body) = lock(state).respond(&exchange);
+    let (status, body) = state.change(|s| s.respond(&exchange));
     match status {
         Some(status) => exchange.answer_bytes(status, body),
         None => exchange.hang_up(),
--- a/src/fakes/service.rs
+++ b/src/fakes/service.rs
@@ -2,11 +2,11 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::Duration;
 
 use super::server::{Exchange, Server};
+use super::shared::Shared;
 
 /// What goes wrong with a call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -44,8 +44,10 @@
 
 /// A plain service; dropping it stops it.
 pub struct FakeService {
-    addr: SocketAddr,
-    state: Arc<Mutex<State>>,
+    /// Address that it serves.
+    pub addr: SocketAddr,
+    /// What it does and did.
+    pub state: Shared<State>,
     server: Option<Server>,
 }
 
@@ -54,28 +56,13 @@
     pub fn start(addr: SocketAddr) -> io::Result<FakeService> {
         let mut service = FakeService {
             addr,
-            state: Arc::default(),
+            state: Shared::default(),
             server: None,
         };
         service.refuse(false)?;
         Ok(service)
     }
 
-    /// Address that it serves.
-    pub fn addr(&self) -> SocketAddr {
-        self.addr
-    }
-
-    /// What the service does and did.
-    pub fn state(&self) -> State {
-        lock(&self.state).clone()
-    }
-
-    /// Changes what the service does.
-    pub fn change(&self, change: impl FnOnce(&mut State)) {
-        change(&mut lock(&self.state));
-    }
-
     /// Refuses connections and breaks those in progress, or serves again.
     pub fn refuse(&mut self, refuse: bool) -> io::Result<()> {
         self.server = None;
@@ -84,20 +71,14 @@
         }
         let state = self.state.clone();
         let server = Server::start(self.addr, move |exchange| handle(&state, exchange))?;
-        self.addr = server.addr();
+        self.addr = server.addr;
         self.server = Some(server);
         Ok(())
     }
 }
 
-fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
-    state.lock().expect("no holder of the lock panics")
-}
-
-fn handle(state: &Mutex<State>, exchange: Exchange) {
-    let guard = lock(state);
-    let (fault, slow) = (guard.fault, guard.slow);
-    drop(guard);
+fn handle(state: &Shared<State>, exchange: Exchange) {
+    let State { fault, slow, .. } = state.get();
     if fault == Fault::Before {
         return exchange.hang_up();
     }
@@ -105,14 +86,15 @@
     if !exchange.alive() {
         return exchange.hang_up();
     }
-    let mut guard = lock(state);
-    guard.runs.push(Run {
-        key: exchange.header("idempotency-key").to_owned(),
+    let run = Run {
+        key: exchange.header("Idempotency-Key"),
         path: exchange.path.join("/"),
         body: exchange.body.clone(),
+    };
+    let number = state.change(|s| {
+        s.runs.push(run);
+        s.runs.len()
     });
-    let number = guard.runs.len();
-    drop(guard);
     match fault {
         Fault::During => exchange.hang_up(),
         _ => exchange.answer(200, &serde_json::json!({ "run": number })),
--- a/src/fakes/weights.rs
+++ b/src/fakes/weights.rs
@@ -1,9 +1,10 @@
 //! Stand-in for the rate-limited weight store: how long its loads take.
 
-use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use super::shared::Shared;
+
 /// Longest step after which the speed of a load is looked at again.
 const STEP: Duration = Duration::from_millis(5);
 
@@ -61,42 +62,31 @@
 
 /// The weight store, shared by the engines of a deployment.
 #[derive(Clone, Debug, Default)]
-pub struct FakeWeights(Arc<Mutex<State>>);
+pub struct FakeWeights {
+    /// Limits and loads.
+    pub state: Shared<State>,
+}
 
 impl FakeWeights {
     /// A store with these limits.
     pub fn new(settings: StoreSettings) -> Self {
         let store = FakeWeights::default();
-        store.lock().settings = settings;
+        store.state.change(|s| s.settings = settings);
         store
     }
 
-    /// The store's limits and loads.
-    pub fn state(&self) -> State {
-        self.lock().clone()
-    }
-
-    /// Changes the limits.
-    pub fn change(&self, change: impl FnOnce(&mut StoreSettings)) {
-        change(&mut self.lock().settings);
-    }
-
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.0.lock().expect("no holder of the lock panics")
-    }
-
     /// Blocks for a load that takes `full` at full speed, or until it is not
     /// `wanted` any more; answers whether it was completed.
     pub fn load(&self, adapter: bool, full: Duration, wanted: &dyn Fn() -> bool) -> bool {
-        self.lock().enter(adapter);
+        self.state.change(|s| s.enter(adapter));
         let mut left = full.as_secs_f64();
         while left > 0.0 && wanted() {
             let start = Instant::now();
-            let speed = self.lock().speed(adapter);
+            let speed = self.state.change(|s| s.speed(adapter));
             thread::sleep(STEP.min(Duration::from_secs_f64(left / speed)));
             left -= start.elapsed().as_secs_f64() * speed;
         }
-        self.lock().loads(adapter).running -= 1;
+        self.state.change(|s| s.loads(adapter).running -= 1);
         left <= 0.0
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -3,6 +3,7 @@
 use std::io::{Read, Write as _};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -84,14 +85,14 @@
     let keys = table.scan("call/").expect("the table is up");
     assert_eq!(keys.iter().map(|i| &*i.key).collect::<Vec<_>>(), [key]);
     assert_eq!(table.scan("call/z"), Ok(vec![]));
-    let state = fake.state();
+    let state = fake.state.get();
     assert_eq!((state.reads, state.writes, state.journal.len()), (4, 3, 2));
 }
 
 #[test]
 fn a_lost_answer_leaves_its_effect() {
     let (fake, client) = platform("secret", Timeouts::default());
-    fake.change(|s| s.knobs.lose = 1);
+    fake.state.change(|s| s.knobs.lose = 1);
     let write = put("a", Expect::Absent, json!("mine"));
     let lost = client.table().commit(std::slice::from_ref(&write));
     assert!(matches!(lost, Err(TableError::Unavailable(_))), "{lost:?}");
@@ -107,7 +108,7 @@
 #[test]
 fn an_outage_is_unavailable_and_without_effect() {
     let (fake, client) = platform("secret", Timeouts::default());
-    fake.change(|s| s.knobs.down = true);
+    fake.state.change(|s| s.knobs.down = true);
     let unavailable = |e: Option<TableError>| matches!(e, Some(TableError::Unavailable(_)));
     let write = put("a", Expect::Any, json!(1));
     assert!(unavailable(client.table().commit(&[write]).err()));
@@ -116,7 +117,7 @@
     assert!(unavailable(client.objects().get("a").err()));
     assert!(unavailable(client.objects().put("a", b"x").err()));
     assert!(unavailable(client.hosts().read().err()));
-    fake.change(|s| s.knobs.down = false);
+    fake.state.change(|s| s.knobs.down = false);
     assert_eq!(client.table().get("a"), Ok(None));
     assert_eq!(client.objects().get("a"), Ok(None));
     let addrs = fake.addresses();
@@ -132,11 +133,12 @@
         ..Timeouts::default()
     };
     let (fake, client) = platform("secret", limits);
-    fake.change(|s| s.knobs.slow = Duration::from_millis(400));
+    fake.state
+        .change(|s| s.knobs.slow = Duration::from_millis(400));
     let outcome = client.table().commit(&[put("a", Expect::Any, json!(1))]);
     assert!(matches!(outcome, Err(TableError::Unavailable(_))));
     eventually("the write takes effect late", || {
-        fake.state().items.len() == 1
+        fake.state.get().items.len() == 1
     });
 }
 
@@ -167,10 +169,11 @@
     let hosts = client.hosts().read().expect("the list is up");
     assert_eq!((hosts.revision, hosts.hosts.len()), (2, 1));
     assert_eq!(hosts.hosts[0].state, HostState::Leaving);
-    fake.change(|s| s.knobs.lag = Duration::from_secs(600));
+    fake.state
+        .change(|s| s.knobs.lag = Duration::from_secs(600));
     let hosts = client.hosts().read().expect("the list is up");
     assert_eq!(hosts.revision, 0);
-    fake.change(|s| s.knobs.lag = Duration::ZERO);
+    fake.state.change(|s| s.knobs.lag = Duration::ZERO);
     fake.list("derby-1", None);
     let hosts = client.hosts().read().expect("the list is up");
     assert_eq!((hosts.revision, hosts.hosts.len()), (3, 0));
@@ -343,6 +346,23 @@
     assert!(matches!(end, Err(EngineError::Broken(_))), "{end:?}");
 }
 
+#[test]
+fn comments_do_not_break_the_silence() {
+    let listener = TcpListener::bind(any()).expect("a free port");
+    let mut call = call(listener.local_addr().expect("an address"));
+    thread::spawn(move || {
+        let (mut socket, _) = listener.accept().expect("a connection");
+        let _ = socket.write_all(b"HTTP/1.1 200 OK\r\n\r\n");
+        while socket.write_all(b":\n\n").is_ok() {
+            thread::sleep(Duration::from_millis(2));
+        }
+    });
+    call.silence = Duration::from_millis(200);
+    let mut chunks = start(&call, json!({})).expect("a stream");
+    let error = chunks.next();
+    assert!(matches!(error, Err(EngineError::Broken(_))), "{error:?}");
+}
+
 #[test]
 fn a_frozen_engine_is_broken_after_the_silence() {
     let (fake, mut call) = engine(quick());
@@ -534,12 +554,23 @@
     };
     let (fake, call) = engine(settings);
     load(&call, "m");
-    let streams: Vec<_> = (0..300).map(|_| start(&call, json!({}))).collect();
-    eventually("all streams run", || fake.report().running == 300);
-    for stream in streams {
-        let first = stream.and_then(|mut s| s.next());
-        assert!(matches!(first, Ok(Chunk::Data(_))), "{first:?}");
-    }
+    let seen = AtomicBool::new(false);
+    let open = || {
+        let mut stream = start(&call, json!({}))?;
+        let first = stream.next();
+        eventually("all streams run", || {
+            seen.fetch_or(fake.report().running == 300, Ordering::SeqCst);
+            seen.load(Ordering::SeqCst)
+        });
+        first
+    };
+    thread::scope(|scope| {
+        let threads: Vec<_> = (0..300).map(|_| scope.spawn(open)).collect();
+        for thread in threads {
+            let first = thread.join().expect("no panic");
+            assert!(matches!(first, Ok(Chunk::Data(_))), "{first:?}");
+        }
+    });
 }
 
 #[test]
@@ -563,7 +594,10 @@
     for model in ["a", "b"] {
         load(&call, model);
     }
-    let counts = || (store.state().models.total, store.state().models.slowed);
+    let counts = || {
+        let models = store.state.get().models;
+        (models.total, models.slowed)
+    };
     assert_eq!(counts(), (2, 0));
     load(&call, "c");
     assert_eq!(counts(), (3, 1));
@@ -574,9 +608,9 @@
 #[test_case(Fault::During, Err(true), 1; "dies during the run")]
 fn a_service_counts_its_runs(fault: Fault, outcome: Result<u16, bool>, runs: usize) {
     let service = FakeService::start(any()).expect("a free port");
-    service.change(|s| s.fault = fault);
-    assert_eq!(book(service.addr()), outcome);
-    let state = service.state();
+    service.state.change(|s| s.fault = fault);
+    assert_eq!(book(service.addr), outcome);
+    let state = service.state.get();
     assert_eq!(state.runs.len(), runs);
     for run in state.runs {
         assert_eq!(
@@ -589,12 +623,12 @@
 #[test]
 fn a_service_can_refuse_connections() {
     let mut service = FakeService::start(any()).expect("a free port");
-    let addr = service.addr();
+    let addr = service.addr;
     service.refuse(true).expect("no work");
     assert_eq!(book(addr), Err(false));
     service.refuse(false).expect("the port is free again");
     assert_eq!(book(addr), Ok(200));
-    assert_eq!(service.state().runs.len(), 1);
+    assert_eq!(service.state.get().runs.len(), 1);
 }
 
 /// Books a seat: the status, or whether bytes were sent.
