--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -17,6 +17,7 @@
 use crate::config::Name;
 use crate::peer::wire::Heartbeat;
 use crate::platform::Hosts;
+use crate::protocol::ownership::Owner;
 use listing::Listing;
 
 pub use rank::ranked;
@@ -95,12 +96,24 @@
     Stale,
 }
 
-/// Last word of a member.
+/// Last word of a member; the default heartbeat before its first.
 #[derive(Clone, Debug)]
 struct Member {
     beat: Heartbeat,
     heard: Moment,
-    cut: Option<Moment>,
+    linked: bool,
+    cut: Moment,
+}
+
+impl Member {
+    fn new(beat: Heartbeat, now: Moment) -> Self {
+        Member {
+            beat,
+            heard: now,
+            linked: true,
+            cut: now,
+        }
+    }
 }
 
 /// A host in an entry answer.
@@ -112,8 +125,6 @@
     pub addr: Name,
     /// Failure domain.
     pub domain: Name,
-    /// Requests in progress by its last heartbeat.
-    pub streams: u32,
 }
 
 /// Membership as one daemon sees it.
@@ -135,13 +146,12 @@
     }
 
     /// Takes in a heartbeat, this daemon's own ones included.
-    pub fn heard(&mut self, from: &Name, beat: Heartbeat, now: Moment) -> Heard {
+    pub fn heard(&mut self, from: &Name, beat: &Heartbeat, now: Moment) -> Heard {
+        if *from == self.settings.me {
+            self.skip_pause(now);
+        }
         let Some(member) = self.members.get_mut(from) else {
-            let fresh = Member {
-                beat,
-                heard: now,
-                cut: None,
-            };
+            let fresh = Member::new(beat.clone(), now);
             self.members.insert(from.clone(), fresh);
             return Heard::Restarted;
         };
@@ -150,37 +160,54 @@
         }
         let restarted = beat.incarnation > member.beat.incarnation;
         let leaving = beat.leaving || (!restarted && member.beat.leaving);
-        let beat = Heartbeat { leaving, ..beat };
+        let beat = Heartbeat {
+            leaving,
+            ..beat.clone()
+        };
         let outcome = match restarted {
             true => Heard::Restarted,
             false if shown(&beat) == shown(&member.beat) => Heard::Same,
             false => Heard::Changed,
         };
-        *member = Member {
-            beat,
-            heard: now,
-            cut: None,
-        };
+        *member = Member::new(beat, now);
         outcome
     }
 
     /// Takes in a newly opened link.
-    pub fn linked(&mut self, host: &str, incarnation: u64) {
-        let Some(member) = self.members.get_mut(host) else {
+    pub fn up(&mut self, host: &Name, incarnation: u64, now: Moment) {
+        let known = self.incarnation(host);
+        if known.is_none_or(|known| known < incarnation) {
+            let silent = Heartbeat {
+                incarnation,
+                ..Heartbeat::default()
+            };
+            let fresh = Member::new(silent, now);
+            self.members.insert(host.clone(), fresh);
             return;
-        };
-        if member.beat.incarnation <= incarnation {
-            member.cut = None;
+        }
+        if let Some(member) = self.members.get_mut(host)
+            && member.beat.incarnation == incarnation
+        {
+            member.linked = true;
+            member.heard = now;
         }
     }
 
-    /// Takes in a closed link.
-    pub fn unlinked(&mut self, host: &str, incarnation: u64, now: Moment) {
+    /// Takes in a closed link; one to an earlier incarnation changes nothing.
+    pub fn down(&mut self, host: &str, incarnation: u64, now: Moment) {
         let Some(member) = self.members.get_mut(host) else {
             return;
         };
-        if member.beat.incarnation <= incarnation {
-            member.cut = member.cut.or(Some(now));
+        if member.linked && member.beat.incarnation <= incarnation {
+            member.linked = false;
+            member.cut = now;
+        }
+    }
+
+    /// This daemon leaves, from now on.
+    pub fn leave(&mut self) {
+        if let Some(member) = self.members.get_mut(&self.settings.me) {
+            member.beat.leaving = true;
         }
     }
 
@@ -191,6 +218,7 @@
 
     /// Forgets members that are silent and no longer listed; answers which.
     pub fn expire(&mut self, now: Moment) -> Vec<Name> {
+        let now = self.awake(now);
         let mut gone = Vec::new();
         for (name, member) in &self.members {
             let silent = now.saturating_sub(member.heard) >= self.settings.forget;
@@ -221,6 +249,11 @@
         said || self.listing.is_leaving(host)
     }
 
+    /// Whether there is a link to `host`; this daemon needs none to itself.
+    pub fn linked(&self, host: &str) -> bool {
+        self.members.get(host).is_some_and(|m| m.linked)
+    }
+
     /// Last known incarnation of `host`.
     pub fn incarnation(&self, host: &str) -> Option<u64> {
         self.members.get(host).map(|m| m.beat.incarnation)
@@ -248,6 +281,16 @@
         alive.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Incarnations of the hosts that gave a recent sign of life.
+    pub fn owners(&self, now: Moment) -> Vec<Owner> {
+        let alive = self.members.iter().filter(|(_, m)| self.live(m, now));
+        let owner = |(host, m): (&Name, &Member)| Owner {
+            host: host.clone(),
+            incarnation: m.beat.incarnation,
+        };
+        alive.map(owner).collect()
+    }
+
     /// Hosts that may own something: alive, ready and not leaving.
     pub fn candidates(&self, now: Moment) -> Vec<Name> {
         let serving = self.serving(now);
@@ -263,7 +306,6 @@
                 host: name.clone(),
                 addr: m.beat.addr.as_str().into(),
                 domain: m.beat.domain.as_str().into(),
-                streams: m.beat.streams,
             })
             .collect()
     }
@@ -273,9 +315,10 @@
         ranked(key, self.candidates(now))
     }
 
-    /// Place of `host` in [`Members::ranked`], 0 for the first.
-    pub fn rank(&self, key: &str, host: &str, now: Moment) -> Option<usize> {
-        self.ranked(key, now).iter().position(|n| **n == *host)
+    /// Place of this daemon in [`Members::ranked`], 0 for the first.
+    pub fn rank(&self, key: &str, now: Moment) -> Option<usize> {
+        let ranked = self.ranked(key, now);
+        ranked.iter().position(|name| *name == self.settings.me)
     }
 
     /// Part of the daemons of the deployment that are alive here, in (0, 1].
@@ -304,13 +347,34 @@
         })
     }
 
+    /// Does not count the time for which this daemon itself was paused as
+    /// silence of the others.
+    fn skip_pause(&mut self, now: Moment) {
+        let Some(last) = self.members.get(&self.settings.me).map(|m| m.heard) else {
+            return;
+        };
+        let gap = now.saturating_sub(last);
+        if gap < self.settings.silence {
+            return;
+        }
+        for member in self.members.values_mut() {
+            member.heard += gap;
+            member.cut += gap;
+        }
+    }
+
+    /// `now`, but not long after this daemon's own last heartbeat: without
+    /// one it was paused and may have unread heartbeats of the others.
+    fn awake(&self, now: Moment) -> Moment {
+        let me = self.members.get(&self.settings.me);
+        me.map_or(now, |m| now.min(m.heard + self.settings.silence / 2))
+    }
+
     fn live(&self, member: &Member, now: Moment) -> bool {
+        let now = self.awake(now);
         let silent = now.saturating_sub(member.heard) >= self.settings.silence;
-        let unlinked = self.settings.unlinked;
-        let cut = member
-            .cut
-            .is_some_and(|at| now.saturating_sub(at) >= unlinked);
-        !silent && !cut
+        let apart = now.saturating_sub(member.cut) >= self.settings.unlinked;
+        !silent && (member.linked || !apart)
     }
 }
 
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -54,12 +54,23 @@
     let settings = MemberSettings::sized("a".into(), names(&HOSTS));
     let mut members = Members::new(settings);
     for host in HOSTS {
-        members.heard(&host.into(), beat(1), START);
+        members.heard(&host.into(), &beat(1), START);
     }
     members.listed(&all_live(1));
     members
 }
 
+/// Lets `heard` send heartbeats from `START` until `later`.
+fn pass(members: &mut Members, heard: &[&str], later: Moment) {
+    let mut now = START;
+    while now <= later {
+        for host in heard {
+            members.heard(&(*host).into(), &beat(1), now);
+        }
+        now += HEARTBEAT_PERIOD;
+    }
+}
+
 fn entry(members: &Members, now: Moment) -> Vec<Name> {
     members.entry(now).into_iter().map(|e| e.host).collect()
 }
@@ -68,44 +79,69 @@
 fn silence_suspects_and_a_sign_of_life_brings_back() {
     let mut members = five();
     let later = START + HEARTBEAT_PERIOD * 4;
-    for host in ["a", "b", "c", "d"] {
-        members.heard(&host.into(), beat(1), later);
-    }
+    pass(&mut members, &["a", "b", "c", "d"], later);
     assert!(!members.is_alive("e", later));
     assert_eq!(entry(&members, later), names(&["a", "b", "c", "d"]));
     assert_eq!(members.candidates(later).len(), 4);
-    members.heard(&"e".into(), beat(1), later);
+    members.heard(&"e".into(), &beat(1), later);
     assert!(members.is_alive("e", later));
 }
 
+#[test]
+fn own_pause_is_no_silence_of_the_others() {
+    let mut members = five();
+    let resumed = START + Duration::from_secs(3_600);
+    assert_eq!(
+        members.alive(resumed),
+        names(&HOSTS),
+        "before its own next heartbeat"
+    );
+    members.heard(&"a".into(), &beat(1), resumed);
+    assert_eq!(members.alive(resumed), names(&HOSTS));
+    let later = resumed + HEARTBEAT_PERIOD * 4;
+    members.heard(&"a".into(), &beat(1), later - HEARTBEAT_PERIOD);
+    members.heard(&"a".into(), &beat(1), later);
+    assert_eq!(members.alive(later), names(&["a"]));
+}
+
 #[test]
 fn closed_link_suspects_sooner_and_a_new_one_brings_back() {
     let mut members = five();
-    members.unlinked("b", 1, START);
+    members.down("b", 1, START);
     assert!(members.is_alive("b", START));
     let soon = START + HEARTBEAT_PERIOD;
     assert!(!members.is_alive("b", soon));
-    members.linked("b", 1);
+    members.up(&"b".into(), 1, START);
     assert!(members.is_alive("b", soon));
-    members.unlinked("b", 0, START);
+    members.down("b", 0, START);
     assert!(members.is_alive("b", soon), "an older link does not count");
+    assert!(members.linked("b"));
+    members.up(&"b".into(), 2, START);
+    assert_eq!(members.incarnation("b"), Some(2));
+    assert!(
+        !members.candidates(START).contains(&"b".into()),
+        "not heard yet"
+    );
 }
 
 #[test]
 fn own_word_leaving_sticks_until_the_next_incarnation() {
     let mut members = five();
     assert_eq!(
-        members.heard(&"b".into(), leaving(1), START),
+        members.heard(&"b".into(), &leaving(1), START),
         Heard::Changed
     );
-    assert_eq!(members.heard(&"b".into(), beat(1), START), Heard::Same);
+    assert_eq!(members.heard(&"b".into(), &beat(1), START), Heard::Same);
     members.listed(&all_live(9));
     assert!(members.is_leaving("b"));
     assert!(members.is_alive("b", START));
     assert!(!members.candidates(START).contains(&"b".into()));
-    assert_eq!(members.heard(&"b".into(), beat(2), START), Heard::Restarted);
+    assert_eq!(
+        members.heard(&"b".into(), &beat(2), START),
+        Heard::Restarted
+    );
     assert!(!members.is_leaving("b"));
-    assert_eq!(members.heard(&"b".into(), leaving(1), START), Heard::Stale);
+    assert_eq!(members.heard(&"b".into(), &leaving(1), START), Heard::Stale);
     assert!(!members.is_leaving("b"));
     assert!(members.is_running("b", 2, START) && !members.is_running("b", 1, START));
 }
@@ -130,7 +166,7 @@
 #[test_case(leaving(1); "leaving")]
 fn entry_answers_and_candidates_leave_out(word: Heartbeat) {
     let mut members = five();
-    members.heard(&"c".into(), word, START);
+    members.heard(&"c".into(), &word, START);
     assert_eq!(entry(&members, START), names(&["a", "b", "d", "e"]));
     assert_eq!(members.candidates(START), names(&["a", "b", "d", "e"]));
     assert_eq!(members.alive(START), names(&HOSTS));
@@ -140,7 +176,7 @@
 fn only_silent_members_that_are_not_listed_are_forgotten() {
     let mut members = five();
     let later = START + Duration::from_secs(3_600);
-    members.heard(&"a".into(), beat(1), later);
+    pass(&mut members, &["a"], later);
     assert!(members.expire(later).is_empty());
     members.listed(&list(
         2,
@@ -160,9 +196,7 @@
     let mut members = five();
     assert_eq!(members.visible(START), 1.0);
     let later = START + HEARTBEAT_PERIOD * 4;
-    for host in ["a", "b"] {
-        members.heard(&host.into(), beat(1), later);
-    }
+    pass(&mut members, &["a", "b"], later);
     assert_eq!(members.visible(later), 0.4);
     members.listed(&list(
         2,
@@ -177,10 +211,12 @@
     assert_eq!(order, names(&["c", "e", "a", "b", "d"]));
     let mut members = five();
     assert_eq!(members.ranked("pool", START), order);
-    assert_eq!(members.rank("pool", &order[1], START), Some(1));
-    members.heard(&order[0], leaving(1), START);
+    assert_eq!(members.rank("pool", START), Some(2));
+    members.heard(&order[0], &leaving(1), START);
     assert_eq!(members.ranked("pool", START), order[1..]);
-    assert_eq!(members.rank("pool", &order[0], START), None);
+    assert_eq!(members.rank("pool", START), Some(1));
+    members.leave();
+    assert_eq!(members.rank("pool", START), None);
 }
 
 #[test]
