Bench the decisions and speed up the arrival history

Cause: targets of 2 us for routing and 200 us for placement; the verdict on sleep summed the histogram once for each bucket, and decayed weights became subnormal.

Change: criterion benches with seeded scenes at today's size, one pool and the whole size to design for; tails in one pass; weights below 1e-4 are forgotten.

--- /dev/null
+++ b/benches/scene/mod.rs
@@ -0,0 +1,214 @@
+//! Inputs of the decisions at a given size, from a fixed seed.
+
+use std::time::Duration;
+
+use mastichinge::clock::Moment;
+use mastichinge::decide::history::History;
+use mastichinge::decide::pinning::{Pin, PinEngine, PinModel, Tie};
+use mastichinge::decide::rooms::{Base, Idle, Room, Wanted, Weights};
+use mastichinge::decide::routing::Candidate;
+use mastichinge::platform::Tier;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Seed of every scene.
+pub const SEED: u64 = 7;
+/// Failure domains.
+pub const DOMAINS: u16 = 14;
+/// Memory of an engine, MB.
+pub const ENGINE_MB: u64 = 320_000;
+/// Memory of a base model, MB.
+pub const MODEL_MB: u64 = 40_000;
+/// Memory of an adapter, MB.
+pub const ADAPTER_MB: u64 = 200;
+
+/// Size of a deployment or of one pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Name in reports.
+    pub name: &'static str,
+    /// Engines.
+    pub engines: usize,
+    /// Base models.
+    pub models: usize,
+    /// Adapters.
+    pub adapters: usize,
+}
+
+/// Today's larger deployment.
+pub const TODAY: Size = Size {
+    name: "today",
+    engines: 16,
+    models: 30,
+    adapters: 65,
+};
+
+/// One of 46 pools of the size to design for.
+pub const POOL: Size = Size {
+    name: "pool",
+    engines: 50,
+    models: 4,
+    adapters: 587,
+};
+
+/// The size to design for as one pool.
+pub const FULL: Size = Size {
+    name: "full",
+    engines: 2_300,
+    models: 140,
+    adapters: 27_000,
+};
+
+/// The random source of a scene.
+pub fn rng() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(SEED)
+}
+
+/// Replicas with some load each.
+pub fn replicas(count: usize) -> Vec<Candidate> {
+    let mut rng = rng();
+    let mut replicas = Vec::new();
+    for _ in 0..count {
+        replicas.push(Candidate {
+            running: rng.random_range(0..16),
+            waiting: rng.random_range(0..4),
+            sent: rng.random_range(0..4),
+            slots: 16,
+            cached: rng.random_range(0..1_000),
+            domain: rng.random_range(0..DOMAINS),
+            ..Default::default()
+        });
+    }
+    replicas
+}
+
+/// Idle residents of each engine, in ascending order of cost.
+pub fn residents(size: &Size) -> Vec<Vec<Idle>> {
+    let mut rng = rng();
+    let each = (size.models + size.adapters).div_ceil(size.engines);
+    let mut all = Vec::new();
+    for _ in 0..size.engines {
+        let mut own = Vec::new();
+        for _ in 0..each {
+            own.push(idle(&mut rng));
+        }
+        own.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        all.push(own);
+    }
+    all
+}
+
+fn idle(rng: &mut impl Rng) -> Idle {
+    Idle {
+        model: rng.random_range(1..30_000),
+        memory: ADAPTER_MB,
+        cost: rng.random_range(0.0..10.0),
+    }
+}
+
+/// Engines without free memory, so that each has to evict.
+pub fn rooms(residents: &[Vec<Idle>]) -> Vec<Room<'_>> {
+    let mut rng = rng();
+    let mut rooms = Vec::new();
+    for own in residents {
+        rooms.push(Room {
+            domain: rng.random_range(0..DOMAINS),
+            free: 0,
+            tier: tier(&mut rng),
+            base: Base::Loaded,
+            load: rng.random_range(0..16),
+            slots: 16,
+            pinned: rng.random_bool(0.5),
+            idle: own,
+            ..Default::default()
+        });
+    }
+    rooms
+}
+
+fn tier(rng: &mut impl Rng) -> Tier {
+    match rng.random_range(0..10) {
+        0 => Tier::Memory,
+        1..4 => Tier::Disk,
+        _ => Tier::Remote,
+    }
+}
+
+/// An adapter to wake that takes the room of two others.
+pub fn wanted() -> Wanted {
+    let weights = |model, memory| Weights {
+        model,
+        memory,
+        load: Duration::from_secs(10),
+    };
+    Wanted {
+        weights: weights(0, 2 * ADAPTER_MB),
+        base: Some(weights(30_001, MODEL_MB)),
+        worth: 1.0,
+    }
+}
+
+/// Models, then adapters, of a deployment.
+pub fn pin_models(size: &Size) -> Vec<PinModel> {
+    let mut rng = rng();
+    let mut models = Vec::new();
+    for i in 0..size.models + size.adapters {
+        let adapter = i >= size.models;
+        models.push(PinModel {
+            memory: if adapter { ADAPTER_MB } else { MODEL_MB },
+            limit: if adapter { 1 } else { 4 },
+            base: adapter.then(|| rng.random_range(0..size.models)),
+            demand: rng.random_range(0.0..1.0),
+        });
+    }
+    models
+}
+
+/// Engines of a deployment; every fourth ignores fencing tokens.
+pub fn pin_engines(size: &Size) -> Vec<PinEngine> {
+    let mut engines = Vec::new();
+    for i in 0..size.engines {
+        engines.push(PinEngine {
+            fenced: i % 4 != 0,
+            domain: (i % usize::from(DOMAINS)) as u16,
+            memory: ENGINE_MB,
+            ..Default::default()
+        });
+    }
+    engines
+}
+
+/// Pins that the rules leave as they are, but for the last model's.
+pub fn pins(models: &[PinModel], engines: &[PinEngine]) -> Vec<Pin> {
+    use mastichinge::decide::pinning::{Change, changes};
+    let mut pins = Vec::new();
+    for _ in 0..8 {
+        let out = changes(models, engines, &pins, usize::MAX);
+        if out.changes.is_empty() {
+            break;
+        }
+        for change in out.changes {
+            if let Change::Add { model, engine } = change {
+                pins.push(Pin {
+                    model,
+                    engine,
+                    tie: Tie::Free,
+                });
+            }
+        }
+    }
+    pins.retain(|p| p.model + 1 != models.len());
+    pins
+}
+
+/// A history with gaps on every scale, and the moment of its last arrival.
+pub fn history() -> (History, Moment) {
+    let mut rng = rng();
+    let mut history = History::default();
+    let mut now = Moment::ZERO;
+    for _ in 0..100 {
+        now += Duration::from_secs(1 << rng.random_range(0..17));
+        history.arrived(now);
+    }
+    (history, now)
+}
--- a/src/decide/history.rs
+++ b/src/decide/history.rs
@@ -16,6 +16,9 @@
 pub const UNIT_MS: u64 = 125;
 /// Factor by which a sample loses weight with each later one.
 pub const DECAY: f32 = 0.97;
+/// Weight below which a sample is forgotten; far above the subnormal numbers,
+/// with which processors are slow.
+pub const FADED: f32 = 1e-4;
 /// Weight of the prior, gaps.
 pub const PRIOR: f64 = 2.0;
 /// Gaps shorter than this belong to one burst and are not sampled.
@@ -38,7 +41,7 @@
             return;
         }
         for g in &mut self.gaps {
-            *g *= DECAY;
+            *g = if *g < FADED { 0.0 } else { *g * DECAY };
         }
         self.gaps[bucket(gap)] += 1.0;
     }
@@ -66,6 +69,18 @@
         longer / all
     }
 
+    /// Probabilities that a gap is longer than the upper edge of each bucket.
+    pub fn tails(&self) -> [f64; BUCKETS] {
+        let prior = PRIOR / BUCKETS as f64;
+        let mut tails = [0.0; BUCKETS];
+        let mut longer = 0.0;
+        for k in (0..BUCKETS).rev() {
+            tails[k] = longer;
+            longer += f64::from(self.gaps[k]) + prior;
+        }
+        tails.map(|t| t / longer)
+    }
+
     /// Probability that the next arrival comes within `horizon`, given that
     /// none has come for `age`.
     pub fn chance(&self, age: Duration, horizon: Duration) -> f64 {
--- a/src/decide/sleep.rs
+++ b/src/decide/sleep.rs
@@ -128,23 +128,22 @@
         return Duration::from_secs_f64(even);
     }
     let mut at = age.as_secs_f64();
-    let now = history.beyond(at);
-    if now <= 0.0 {
+    let mut start = history.beyond(at);
+    if start <= 0.0 {
         return age;
     }
     let mut best = age;
-    let mut least = wake * now;
+    let mut least = wake * start;
     let mut spent = 0.0;
-    for k in 0..BUCKETS {
+    for (k, end) in history.tails().into_iter().enumerate() {
         let until = edge(k);
         if until <= at {
             continue;
         }
         // Survival is linear within a bucket: the trapezoid is exact.
-        let start = history.beyond(at);
-        let end = history.beyond(until);
         spent += idle * (until - at) * (start + end) / 2.0;
         at = until;
+        start = end;
         let cost = spent + wake * end;
         if cost < least {
             least = cost;
