Name the input types of a decision beside its function

Change: placement, permits and sleep re-export the types that they take.

Conclusion: no change of behaviour; 57 tests of the decisions pass.

--- a/src/decide/permits.rs
+++ b/src/decide/permits.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use super::limits::Bucket;
-use super::store::StoreLimits;
+pub use super::store::{StoreLimits, Waiters, stake};
 use crate::clock::Moment;
 
 /// Model loads that may start without a gap after an idle time.
@@ -24,7 +24,7 @@
     pub host: Arc<str>,
     /// An adapter, as opposed to a model.
     pub adapter: bool,
-    /// Stake, see [`super::store::stake`]; higher first.
+    /// Stake, see [`stake`]; higher first.
     pub stake: f64,
     /// The load is already running.
     pub running: bool,
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use super::eviction::{eviction_cost, evictions, loads_base, memory};
-use super::rooms::{Base, Placing, Plan, Room, Wanted};
+pub use super::rooms::{Base, Idle, ModelId, Placing, Plan, Room, TierShares, Wanted, Weights};
 use crate::config::Strategy;
 
 /// Remote load times that a replica in the same failure domain weighs.
--- a/src/decide/sleep.rs
+++ b/src/decide/sleep.rs
@@ -15,7 +15,8 @@
 
 use std::time::Duration;
 
-use super::history::{BUCKETS, History, edge};
+pub use super::history::History;
+use super::history::{BUCKETS, edge};
 use crate::clock::Moment;
 use crate::config::{Policy, Strategy, Window};
 
