--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -9,13 +9,11 @@
 use mastichinge::clock::Moment;
 use mastichinge::config::Policy;
 use mastichinge::decide::admission::{Queue, Ticket};
-use mastichinge::decide::permits::{Ask, Permits};
 use mastichinge::decide::pinning::changes;
 use mastichinge::decide::placement::place;
 use mastichinge::decide::rooms::Placing;
 use mastichinge::decide::routing::{Need, choose};
 use mastichinge::decide::sleep::{Facts, verdict};
-use mastichinge::decide::store::StoreLimits;
 use scene::{FULL, POOL, TODAY};
 
 fn routing(c: &mut Criterion) {
@@ -77,33 +75,12 @@
     });
 }
 
-/// A holder with `count` waiting loads.
-fn permits(count: usize) -> Permits {
-    let mut permits = Permits::new(StoreLimits::default(), Moment::ZERO);
-    for i in 0..count {
-        permits.ask(Ask {
-            load: format!("load-{i}").into(),
-            host: format!("host-{}", i % 460).into(),
-            adapter: false,
-            stake: i as f64,
-            running: false,
-        });
-    }
-    permits
-}
-
 fn permit(c: &mut Criterion) {
     let mut group = c.benchmark_group("permit");
     for count in [10, 100, 1_000] {
-        let mut permits = permits(count);
+        let mut permits = scene::permits(count);
         let mut now = Moment::ZERO;
-        let ask = Ask {
-            load: "load".into(),
-            host: "host".into(),
-            adapter: false,
-            stake: 1e9,
-            running: false,
-        };
+        let ask = scene::ask();
         group.bench_function(BenchmarkId::from_parameter(count), |b| {
             b.iter(|| {
                 now += Duration::from_secs(1);
--- a/benches/scene/mod.rs
+++ b/benches/scene/mod.rs
@@ -4,6 +4,7 @@
 
 use mastichinge::clock::Moment;
 use mastichinge::decide::history::History;
+use mastichinge::decide::permits::{Ask, Permits, StoreLimits};
 use mastichinge::decide::pinning::{Pin, PinEngine, PinModel, Tie};
 use mastichinge::decide::rooms::{Base, Idle, Room, Wanted, Weights};
 use mastichinge::decide::routing::Candidate;
@@ -201,6 +202,32 @@
     pins
 }
 
+/// A holder with `count` waiting loads.
+pub fn permits(count: usize) -> Permits {
+    let mut permits = Permits::new(StoreLimits::default(), Moment::ZERO);
+    for i in 0..count {
+        permits.ask(Ask {
+            load: format!("entry-0460-1764800000000-{i}").into(),
+            host: format!("entry-{:04}", i % 460).into(),
+            adapter: false,
+            stake: i as f64,
+            running: false,
+        });
+    }
+    permits
+}
+
+/// A request for a permit that goes before all of [`permits`].
+pub fn ask() -> Ask {
+    Ask {
+        load: "load".into(),
+        host: "host".into(),
+        adapter: false,
+        stake: 1e9,
+        running: false,
+    }
+}
+
 /// A history with gaps on every scale, and the moment of its last arrival.
 pub fn history() -> (History, Moment) {
     let mut rng = rng();
--- /dev/null
+++ b/examples/capacity/memory.rs
@@ -0,0 +1,47 @@
+//! Live bytes of the heap.
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+
+static LIVE: AtomicUsize = AtomicUsize::new(0);
+static PEAK: AtomicUsize = AtomicUsize::new(0);
+
+struct Counting;
+
+// SAFETY: every call is passed on unchanged to the system allocator.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        let live = LIVE.fetch_add(layout.size(), Relaxed) + layout.size();
+        PEAK.fetch_max(live, Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, at: *mut u8, layout: Layout) {
+        LIVE.fetch_sub(layout.size(), Relaxed);
+        // SAFETY: the caller keeps the contract of `dealloc`.
+        unsafe { System.dealloc(at, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// Heap bytes that the value holds.
+pub fn bytes<T>(make: impl FnOnce() -> T) -> f64 {
+    let before = LIVE.load(Relaxed);
+    let value = make();
+    let after = LIVE.load(Relaxed);
+    drop(value);
+    after.saturating_sub(before) as f64
+}
+
+/// Most heap bytes held at once while `work` runs, beyond those before it.
+pub fn peak<T>(work: impl FnOnce() -> T) -> f64 {
+    let before = LIVE.load(Relaxed);
+    PEAK.store(before, Relaxed);
+    let value = work();
+    let peak = PEAK.load(Relaxed);
+    drop(value);
+    peak.saturating_sub(before) as f64
+}
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -67,7 +67,7 @@
     /// Strike against a request.
     #[prost(message, tag = "16")]
     Strike(Strike),
-    /// Arrivals at loaded models, for their owner.
+    /// Use of a pool's replicas, for its owner.
     #[prost(message, tag = "17")]
     Usage(Usage),
     /// Acknowledgement of a strike.
@@ -336,24 +336,39 @@
     pub fingerprint: String,
 }
 
-/// Arrivals at one model.
+/// Use of one replica by one daemon.
 #[derive(Clone, PartialEq, Message)]
-pub struct Arrivals {
+pub struct Use {
     /// Model or adapter.
     #[prost(string, tag = "1")]
     pub model: String,
-    /// Requests since the last message.
-    #[prost(uint32, tag = "2")]
-    pub count: u32,
-    /// Requests in progress.
+    /// Engine; empty for requests that wait.
+    #[prost(string, tag = "2")]
+    pub engine: String,
+    /// Requests that arrived since the last message.
     #[prost(uint32, tag = "3")]
+    pub arrived: u32,
+    /// Requests in progress, or waiting where no engine is named.
+    #[prost(uint32, tag = "4")]
     pub running: u32,
 }
 
-/// Arrivals at loaded models, for their owner.
+/// Use of a pool by one daemon; acknowledges the pool state it saw last.
 #[derive(Clone, PartialEq, Message)]
 pub struct Usage {
-    /// Models with arrivals or work in progress.
-    #[prost(message, repeated, tag = "1")]
-    pub models: Vec<Arrivals>,
+    /// Pool.
+    #[prost(string, tag = "1")]
+    pub pool: String,
+    /// Epoch of the state seen last.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Number of the state seen last.
+    #[prost(uint64, tag = "3")]
+    pub seq: u64,
+    /// Replicas with arrivals or work.
+    #[prost(message, repeated, tag = "4")]
+    pub uses: Vec<Use>,
+    /// Engines that failed a request since the last message.
+    #[prost(string, repeated, tag = "5")]
+    pub failed: Vec<String>,
 }
