--- /dev/null
+++ b/src/fakes/engine/orders.rs
@@ -0,0 +1,80 @@
+//! Orders to the engine.
+
+use std::thread;
+
+use super::{Inner, PAUSE};
+use crate::fakes::server::Exchange;
+use crate::platform::engine_http::OrderBody;
+use crate::platform::{Order, Tier, Verb};
+
+impl Inner {
+    pub(super) fn order(&self, verb: Verb, exchange: Exchange) {
+        let parameters = match exchange.json::<OrderBody>() {
+            Ok(body) => body.parameters,
+            Err(text) => return exchange.answer(400, &text),
+        };
+        let model = exchange.path.get(3).map_or("", String::as_str);
+        let order = parameters.order(verb, model);
+        let refusal = self.state().admit(&order, self.settings.fenced);
+        if let Some(refusal) = refusal {
+            return exchange.answer(409, &refusal);
+        }
+        let outcome = match verb {
+            Verb::Load => self.load(&order, &|| exchange.alive()),
+            Verb::Unload => {
+                self.state().free(&order.model);
+                Ok(())
+            }
+            Verb::Fence => Ok(()),
+        };
+        let report = self.state().now.clone();
+        match outcome {
+            Ok(()) => exchange.answer(200, &report),
+            Err(text) => exchange.answer(400, &text),
+        }
+    }
+
+    /// Loads a model, or waits for a load of it that is already running.
+    fn load(&self, order: &Order, alive: &dyn Fn() -> bool) -> Result<(), &'static str> {
+        let mut state = self.state();
+        if order.base.as_deref().is_some_and(|base| !state.ready(base)) {
+            return Err("the base model is not loaded");
+        }
+        let present = state.resident(&order.model).cloned();
+        if present.as_ref().is_some_and(|p| p.version != order.version) {
+            return Err("another version is loaded");
+        }
+        if present.is_none() {
+            state.take(order, self.settings.memory);
+        }
+        let tier = state.tier(&order.model);
+        drop(state);
+        let wanted = || alive() && self.state().resident(&order.model).is_some();
+        if present.is_some() {
+            while wanted() && !self.state().ready(&order.model) {
+                thread::sleep(PAUSE);
+            }
+        } else if self.fetch(order, tier, &wanted) && alive() {
+            self.state().loaded(&order.model);
+        }
+        let loaded = self.state().ready(&order.model);
+        loaded.then_some(()).ok_or("unloaded while loading")
+    }
+
+    fn fetch(&self, order: &Order, tier: Tier, wanted: &dyn Fn() -> bool) -> bool {
+        let adapter = order.base.is_some();
+        let times = self.settings.times;
+        let full = match tier {
+            _ if adapter => times.adapter,
+            Tier::Remote => times.remote,
+            Tier::Disk => times.disk,
+            Tier::Memory => times.memory,
+        };
+        let full = full.mul_f64(self.settings.scale);
+        if tier == Tier::Remote {
+            return self.settings.weights.load(adapter, full, wanted);
+        }
+        thread::sleep(full);
+        wanted()
+    }
+}
--- a/src/operators/api.rs
+++ b/src/operators/api.rs
@@ -12,7 +12,7 @@
 use crate::clock::Clock;
 use crate::config::entry::Proposal;
 use crate::config::ledger::Ledger;
-use crate::config::patch::hide_keys;
+use crate::config::patch::hidden;
 use crate::config::state::Current;
 use crate::config::{Name, Role};
 use crate::error::{Kind, Refusal};
@@ -199,11 +199,9 @@
     fn change(&self, ask: &Ask, grant: &Grant) -> Result<Reply, Problem> {
         grant.require(Role::Change)?;
         let proposal = proposal(ask, grant)?;
-        let outcome = self.ledger().propose(&self.host.current(), &proposal);
-        let entry = outcome.map_err(unaccepted)?;
+        let entry = self.host.propose(&proposal).map_err(unaccepted)?;
         let (id, who, version) = (&*ask.id, &*grant.who, entry.version);
         log::info!(request = id, who = who, version = version; "configuration changed");
-        self.host.accepted(&entry);
         let mut entries = shown(vec![entry]);
         Ok(Reply::json(200, &entries.pop()).at(version))
     }
@@ -266,9 +264,7 @@
 }
 
 fn document(current: &Current) -> Reply {
-    let mut document = current.document();
-    hide_keys(&mut document);
-    Reply::json(200, &document).at(current.version)
+    Reply::json(200, &hidden(&current.config)).at(current.version)
 }
 
 /// The version in an entity tag: `"7"`, `W/"7"` or `7`.
