--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -59,10 +59,10 @@
         if self.leaving {
             return;
         }
-        let alive = self.owners(now);
+        let alive = self.members.owners(now);
         let names: Vec<Name> = self.seats.keys().cloned().collect();
         for name in names {
-            let rank = self.members.rank(&name, &self.me.host, now);
+            let rank = self.members.rank(&name, now);
             self.seek(&name, &alive, rank, now);
         }
     }
@@ -226,18 +226,6 @@
         }
     }
 
-    /// Live daemons with their incarnations.
-    fn owners(&self, now: Moment) -> Vec<Owner> {
-        let mut owners = Vec::new();
-        for host in self.members.alive(now) {
-            let Some(incarnation) = self.members.incarnation(&host) else {
-                continue;
-            };
-            owners.push(Owner { host, incarnation });
-        }
-        owners
-    }
-
     /// Begins to leave.
     pub(super) fn drain(&mut self) {
         if self.leaving {
@@ -245,6 +233,7 @@
         }
         log::info!("draining");
         self.leaving = true;
+        self.members.leave();
         self.beat = None;
         for seat in self.seats.values_mut() {
             if let Seat::Held(pool) = seat {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,7 +12,7 @@
 mod tickets;
 mod view;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -71,7 +71,6 @@
     config: Arc<Config>,
     version: u64,
     members: Members,
-    links: BTreeSet<Name>,
     seats: BTreeMap<Name, Seat>,
     tickets: HashMap<Name, tickets::Local>,
     router: Router,
@@ -100,7 +99,6 @@
     ) -> Self {
         Control {
             members,
-            links: BTreeSet::new(),
             config: Arc::default(),
             version: 0,
             seats: BTreeMap::new(),
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -24,8 +24,7 @@
     }
 
     fn up(&mut self, host: &Name, incarnation: u64, now: Moment) {
-        self.members.linked(host, incarnation);
-        self.links.insert(host.clone());
+        self.members.up(host, incarnation, now);
         self.beat = None;
         for seat in self.seats.values_mut() {
             if let Seat::Held(pool) = seat {
@@ -40,8 +39,7 @@
     }
 
     fn down(&mut self, host: &Name, incarnation: u64, now: Moment) {
-        self.members.unlinked(host, incarnation, now);
-        self.links.remove(host);
+        self.members.down(host, incarnation, now);
         self.unsend_to(host);
         for seat in self.seats.values_mut() {
             if let Seat::Held(pool) = seat {
@@ -84,7 +82,7 @@
 
     fn heard(&mut self, from: &Name, beat: &Heartbeat, now: Moment) {
         let before = self.members.entry(now);
-        self.members.heard(from, beat.clone(), now);
+        self.members.heard(from, beat, now);
         if beat.config > self.version {
             let from = from.clone();
             let body = Body::Heartbeat(beat.clone());
@@ -123,7 +121,7 @@
             domain: self.me.domain.to_string(),
         };
         let host = self.me.host.clone();
-        self.members.heard(&host, beat.clone(), now);
+        self.members.heard(&host, &beat, now);
         self.acts.push(Act::Broadcast(Body::Heartbeat(beat)));
         self.publish(now);
     }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -23,7 +23,8 @@
 
 use crate::members::{MemberSettings, Members};
 use crate::metrics::{Metrics, MetricsError};
-use crate::operators::{self, api::Api};
+use crate::operators::api::Api;
+use crate::operators::server::{MOST, Operators};
 use crate::peer::{PeerError, PeerEvent, PeerSettings, Peers};
 use crate::platform::{HostList, Platform};
 use crate::protocol::ownership::Owner;
@@ -70,7 +71,7 @@
     router: Router,
     peers: Arc<Peers>,
     callers: Running,
-    _operators: operators::server::Running,
+    _operators: Running,
     once: Arc<Calls<SharedTable<P>, CallLinks>>,
     follower: Follower<P>,
     stop: Option<Sender<()>>,
@@ -141,7 +142,11 @@
             }),
             admin: settings.admin_hash.clone(),
         };
-        let operators = serve_operators(settings.listen.operators, api)?;
+        let operators = Operators {
+            api,
+            ids: Ids::new(&format!("{}-op", settings.host), incarnation),
+        };
+        let operators = listen(settings.listen.operators, MOST, operators)?;
         let callers = Callers {
             services: Services {
                 calls: once.clone(),
@@ -276,18 +281,6 @@
     Ok(())
 }
 
-fn serve_operators<P: Platform>(
-    addr: SocketAddr,
-    api: Api<OperatorHost<P>>,
-) -> Result<operators::server::Running, StartError> {
-    let refused = |e: std::io::Error| StartError::Listen {
-        addr,
-        cause: e.to_string(),
-    };
-    let listener = TcpListener::bind(addr).map_err(refused)?;
-    operators::server::start(listener, api).map_err(refused)
-}
-
 fn listen<H: server::Handler>(
     addr: SocketAddr,
     most: u32,
