--- a/src/fakes/site.rs
+++ b/src/fakes/site.rs
@@ -25,7 +25,7 @@
 /// Key of the operator `ops`.
 pub const OPERATOR_KEY: &str = "operator-key";
 /// Key between daemons.
-pub const PEER_KEY: &str = "peer-key";
+pub const PEER_KEY: &str = "key-between-daemons";
 /// Text in a prompt that crashes an engine.
 pub const CRASH: &str = "CRASH";
 
