Mend what the failure tests found in pool, router and relay

Cause: eleven failure tests through real daemons, five failed: pin writes of kept-warm models were dropped and left their engine locked; replicas never left a leaving engine; an attempt that could not connect counted like a death; an engine that restarted stayed avoided; and two sites shared ports. Change: writes go out, leaving engines are emptied, retries are bounded by deadline, budget and deaths, instances instead of engines are avoided, engines that the platform no longer lists give their pins back, a network for each site.

--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -43,11 +43,8 @@
         level: "warn".into(),
         ..Log::default()
     })?;
-    let site = Site::start(SiteSettings {
-        fixed: true,
-        ..SiteSettings::default()
-    })?;
-    let settings = site.daemons()?;
+    let site = Site::start(SiteSettings::default())?;
+    let settings = site.daemons();
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
     let mut daemons = Vec::new();
     for s in &settings {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -11,10 +11,12 @@
 
 use arc_swap::ArcSwap;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use socket2::SockRef;
 
 use crate::calls::{CallSettings, Calls};
 use crate::clock::Clock;
 use crate::control::{Control, Desk, Driver, Event, Me, Parts, View};
+use crate::decide::retry::{Budget, Retrying};
 use crate::follower::Follower;
 use crate::http::callers::Callers;
 use crate::http::request::Ids;
@@ -157,6 +159,7 @@
             desk: desk.clone(),
             router: router.clone(),
             clock,
+            retries: Mutex::new(Budget::new(Retrying::default())),
             metrics,
             ids: Ids::new(&settings.host, incarnation),
             limits: settings.limits.clone(),
@@ -288,5 +291,8 @@
 ) -> Result<Running, StartError> {
     let refused = |cause: String| StartError::Listen { addr, cause };
     let listener = TcpListener::bind(addr).map_err(|e| refused(e.to_string()))?;
+    // Accepted sockets inherit it: tokens must not wait for acknowledgements.
+    let nodelay = SockRef::from(&listener).set_tcp_nodelay(true);
+    nodelay.map_err(|e| refused(e.to_string()))?;
     server::start(listener, most, Arc::new(handler)).map_err(|e| refused(e.to_string()))
 }
--- a/src/fakes/site.rs
+++ b/src/fakes/site.rs
@@ -52,11 +52,9 @@
     pub tokens: usize,
     /// Every n-th engine ignores fencing tokens; 0 for none.
     pub unfenced: u32,
-    /// Ports: 7800 for callers, 7801 for operators, 7802 for peers; otherwise
-    /// free ones.
-    pub fixed: bool,
-    /// Last part of the first daemon's address in 127.0.0.0/24.
-    pub first: u8,
+    /// Network of the site on the loopback interface: daemons get its
+    /// addresses from 1 on, engines those from 100 on.
+    pub net: [u8; 3],
 }
 
 impl Default for SiteSettings {
@@ -72,12 +70,28 @@
             interval: Duration::from_millis(20),
             tokens: 12,
             unfenced: 4,
-            fixed: false,
-            first: 1,
+            net: [127, 0, 0],
         }
     }
 }
 
+impl SiteSettings {
+    /// Address of an engine; fixed, so that it can start again there.
+    fn engine_addr(&self, number: u32) -> SocketAddr {
+        let [a, b, c] = self.net;
+        let last = u8::try_from(99 + number).unwrap_or(u8::MAX);
+        SocketAddr::from((Ipv4Addr::new(a, b, c, last), ENGINE_PORT))
+    }
+}
+
+/// Port for callers.
+const CALLER_PORT: u16 = 7800;
+/// Port for operators.
+const OPERATOR_PORT: u16 = 7801;
+/// Port for other daemons.
+const PEER_PORT: u16 = 7802;
+/// Port of an engine.
+const ENGINE_PORT: u16 = 7900;
 /// Memory of an engine, MB.
 const ENGINE_MB: u64 = 80_000;
 /// Memory of a model, MB.
@@ -113,6 +127,7 @@
         for i in 1..=settings.engines {
             engines.push(FakeEngine::start(EngineSettings {
                 name: format!("e{i}"),
+                addr: settings.engine_addr(i),
                 memory: ENGINE_MB,
                 fenced: fenced(&settings, i),
                 times: LoadTimes {
@@ -202,14 +217,10 @@
     }
 
     /// Settings of all daemons.
-    ///
-    /// # Errors
-    ///
-    /// No port is free.
-    pub fn daemons(&self) -> io::Result<Vec<Settings>> {
+    pub fn daemons(&self) -> Vec<Settings> {
         let mut all = Vec::new();
         for i in 0..self.settings.daemons {
-            all.push(self.daemon(i)?);
+            all.push(self.daemon(i));
         }
         let peers: Vec<Peer> = all
             .iter()
@@ -221,23 +232,20 @@
         for settings in &mut all {
             settings.peers = peers.clone();
         }
-        Ok(all)
+        all
     }
 
-    fn daemon(&self, number: u8) -> io::Result<Settings> {
-        let ip = Ipv4Addr::new(127, 0, 0, self.settings.first + number);
-        let port = |fixed: u16| match self.settings.fixed {
-            true => Ok(SocketAddr::from((ip, fixed))),
-            false => free_port(ip),
-        };
-        Ok(Settings {
+    fn daemon(&self, number: u8) -> Settings {
+        let [a, b, c] = self.settings.net;
+        let ip = Ipv4Addr::new(a, b, c, 1 + number);
+        Settings {
             firm: self.settings.firm.clone(),
             host: format!("h{}", number + 1).into(),
             domain: DOMAINS[usize::from(number) % DOMAINS.len()].into(),
             listen: Listen {
-                callers: port(7800)?,
-                operators: port(7801)?,
-                peers: port(7802)?,
+                callers: SocketAddr::from((ip, CALLER_PORT)),
+                operators: SocketAddr::from((ip, OPERATOR_PORT)),
+                peers: SocketAddr::from((ip, PEER_PORT)),
             },
             platform: self.platform.addresses(),
             peer_key: PEER_KEY.into(),
@@ -246,7 +254,7 @@
                 ..Log::default()
             },
             ..Settings::default()
-        })
+        }
     }
 }
 
@@ -258,12 +266,3 @@
 pub fn hash(key: &str) -> String {
     hex(&Sha256::digest(key.as_bytes()))
 }
-
-/// An address whose port was free a moment ago.
-///
-/// # Errors
-///
-/// No port is free.
-pub fn free_port(ip: Ipv4Addr) -> io::Result<SocketAddr> {
-    std::net::TcpListener::bind((ip, 0))?.local_addr()
-}
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -1,7 +1,7 @@
 //! The paths of the callers' port.
 
 use std::io::Read;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -11,6 +11,7 @@
 use crate::clock::Clock;
 use crate::config::{Caller, Name};
 use crate::control::Desk;
+use crate::decide::retry::Budget;
 use crate::error::{Kind, Refusal};
 use crate::metrics::Metrics;
 use crate::platform::{Platform, Table};
@@ -40,6 +41,8 @@
     pub router: Router,
     /// Time.
     pub clock: Clock,
+    /// Budget of retries of this daemon.
+    pub retries: Mutex<Budget>,
     /// Counts what happens.
     pub metrics: Arc<Metrics>,
     /// Request ids.
@@ -202,6 +205,7 @@
             engine: self.platform.engine(),
             router: &self.router,
             desk: &self.desk,
+            retries: &self.retries,
             clock: self.clock,
         };
         if ask.stream {
--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -1,10 +1,12 @@
 //! One completion from a caller to engines and back, with its retries.
 
+use std::sync::Mutex;
 use std::time::Duration;
 
 use crate::clock::{Clock, Moment};
 use crate::config::Name;
 use crate::control::{Desk, Wish};
+use crate::decide::retry::{Budget, Retrying, backoff};
 use crate::error::{Kind, Refusal};
 use crate::platform::{Call, Chunk, Chunks, Engine, EngineError};
 use crate::router::{Need, Route, Router, Slot};
@@ -13,8 +15,10 @@
 use super::openai::{Completion, Part, part};
 use super::request::Terms;
 
-/// Attempts of one request at engines.
-const ATTEMPTS: u32 = 4;
+/// Attempts of one request that may end with an engine's death.
+const DEATHS: u32 = 4;
+/// Time that a broken stream may wait to go on elsewhere.
+const RESUME: Duration = Duration::from_secs(30);
 /// Time limit for connecting to an engine.
 const CONNECT: Duration = Duration::from_millis(500);
 /// Longest silence of an engine in mid-stream.
@@ -60,6 +64,8 @@
     pub router: &'a Router,
     /// The control thread.
     pub desk: &'a Desk,
+    /// Budget of retries of this daemon.
+    pub retries: &'a Mutex<Budget>,
     /// Time.
     pub clock: Clock,
 }
@@ -72,6 +78,7 @@
     cold: bool,
     trial: bool,
     attempt: u32,
+    deaths: u32,
 }
 
 /// How one attempt ended when it may be followed by another.
@@ -91,6 +98,7 @@
             cold: false,
             trial: false,
             attempt: 0,
+            deaths: 0,
         };
         let end = self.attempts(ask, terms, sink, &mut progress);
         Outcome {
@@ -109,7 +117,10 @@
         progress: &mut Progress,
     ) -> End {
         let mut last = Refusal::new(Kind::UpstreamFailed, "no engine was tried");
-        while progress.attempt < ATTEMPTS {
+        while progress.deaths < DEATHS {
+            if !self.may_retry(progress) {
+                break;
+            }
             progress.attempt += 1;
             let slot = match self.place(ask, terms, progress) {
                 Ok(slot) => slot,
@@ -138,7 +149,7 @@
         let need = Need {
             model: ask.model.clone(),
             priority: terms.priority,
-            deadline: terms.deadline,
+            deadline: self.limit(terms, progress),
             avoid: progress.avoid.clone(),
         };
         match self.desk.attempt(&ask.print) {
@@ -156,7 +167,7 @@
         match self.router.acquire(&need, most) {
             Route::Slot(slot) => Ok(slot),
             Route::Wait(waiter) => {
-                let deadline = self.clock.instant(terms.deadline);
+                let deadline = self.clock.instant(need.deadline);
                 waiter
                     .slots
                     .recv_deadline(deadline)
@@ -173,6 +184,32 @@
         }
     }
 
+    /// Moment by which the next attempt must have a slot.
+    fn limit(&self, terms: &Terms, progress: &Progress) -> Moment {
+        match progress.sent {
+            0 => terms.deadline,
+            _ => terms.deadline.max(self.clock.now() + RESUME),
+        }
+    }
+
+    /// Counts the next attempt; before a further one, takes it from the budget
+    /// of retries and waits a little.
+    fn may_retry(&self, progress: &Progress) -> bool {
+        let mut retries = self.retries.lock();
+        let budget = retries.as_mut().expect("no holder of the lock panics");
+        if progress.attempt == 0 {
+            budget.attempt();
+            return true;
+        }
+        if !budget.retry() {
+            return false;
+        }
+        drop(retries);
+        let unit = rand::random();
+        std::thread::sleep(backoff(&Retrying::default(), progress.attempt - 1, unit));
+        true
+    }
+
     fn wake(&self, terms: &Terms, need: Need, suspect: Option<Name>) -> Result<Slot, Refusal> {
         self.desk.want(Wish {
             id: terms.id.clone(),
@@ -190,7 +227,7 @@
         slot: &Slot,
     ) -> Attempt {
         let Some(call) = self.call(terms, progress, slot) else {
-            progress.avoid.push(slot.engine.clone());
+            progress.avoid.push(slot.instance.clone());
             let detail = format!("engine {} is not configured", slot.engine);
             return Attempt::Again(Refusal::new(Kind::UpstreamFailed, detail));
         };
@@ -264,18 +301,19 @@
                 let refusal = Refusal::new(Kind::BadRequest, detail.clone());
                 return Attempt::Ended(refused(refusal, progress));
             }
-            EngineError::Status { .. } => progress.avoid.push(slot.engine.clone()),
+            EngineError::Status { .. } => progress.avoid.push(slot.instance.clone()),
             EngineError::Broken(_) => {
+                progress.deaths += 1;
                 self.desk.strike(&ask.print, &ask.model, &slot.instance);
-                progress.avoid.push(slot.engine.clone());
+                progress.avoid.push(slot.instance.clone());
                 self.router.failed(&slot.engine);
             }
             _ => {
-                progress.avoid.push(slot.engine.clone());
+                progress.avoid.push(slot.instance.clone());
                 self.router.failed(&slot.engine);
             }
         }
-        if self.clock.now() >= terms.deadline && progress.sent == 0 {
+        if self.clock.now() >= self.limit(terms, progress) {
             return Attempt::Ended(refused(expired(ask), progress));
         }
         Attempt::Again(Refusal::new(Kind::UpstreamFailed, detail))
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -99,7 +99,9 @@
             Ok(Some(request)) => request,
             Ok(None) => continue,
             Err(e) => {
-                log::warn!("taking a request failed: {e}");
+                if !stop.load(Ordering::Acquire) {
+                    log::debug!("taking a request failed: {e}");
+                }
                 continue;
             }
         };
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -190,7 +190,7 @@
     /// Fingerprint when the request is a suspect, else empty.
     #[prost(string, tag = "5")]
     pub suspect: String,
-    /// Engines to avoid.
+    /// Engine instances to avoid.
     #[prost(string, repeated, tag = "6")]
     pub avoid: Vec<String>,
 }
--- a/src/pool/advance.rs
+++ b/src/pool/advance.rs
@@ -1,5 +1,7 @@
 //! The next step of each replica, and which replicas have to go.
 
+use std::time::Duration;
+
 use crate::clock::Moment;
 use crate::config::{Config, Name};
 use crate::decide::sleep::{Verdict, verdict};
@@ -10,6 +12,9 @@
 use super::replica::{Phase, Replica};
 use super::{Action, Context, PinWrite, Pool};
 
+/// Age of a plan from which on it needs somebody who waits for it.
+const STALE: Duration = Duration::from_secs(5);
+
 impl Pool {
     /// Whether the decisions that are not urgent are due.
     pub(super) fn due(&mut self, now: Moment) -> bool {
@@ -171,7 +176,8 @@
 
     /// Begins to unload what is idle, outdated, surplus or unknown, and gives
     /// up plans that have become pointless.
-    pub(super) fn retire(&mut self, ctx: &Context<'_>) {
+    pub(super) fn retire(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
+        self.give_up(ctx, out);
         let mut due = Vec::new();
         for (engine, side) in &self.sides {
             for (model, replica) in &side.replicas {
@@ -188,6 +194,35 @@
         }
     }
 
+    /// Drops plans that nobody waits for any more.
+    fn give_up(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
+        let mut dropped = Vec::new();
+        for (engine, side) in &self.sides {
+            for (model, replica) in &side.replicas {
+                let waits = matches!(replica.phase, Phase::Planned | Phase::Asked);
+                let old = ctx.now.saturating_sub(replica.since) >= STALE;
+                if waits && old && !self.wanted_now(model, ctx) {
+                    dropped.push((engine.clone(), model.clone(), replica.id.clone()));
+                }
+            }
+        }
+        for (engine, model, load) in dropped {
+            if let Some(side) = self.sides.get_mut(&engine) {
+                side.replicas.remove(&model);
+            }
+            out.push(Action::Done { load });
+        }
+    }
+
+    /// Whether requests wait for a model or an adapter of it, or it is kept warm.
+    fn wanted_now(&self, model: &Name, ctx: &Context<'_>) -> bool {
+        let warm = ctx.config.models.get(model).map_or(0, |m| m.warm) > 0;
+        let waits = |name: &Name| self.waiting.count(name) > 0 || self.queued(name) > 0;
+        let mut replicas = self.sides.values().flat_map(|s| s.replicas.keys());
+        let beside = replicas.any(|r| self.base_of(r, ctx.config) == Some(model));
+        warm || beside || waits(model)
+    }
+
     fn has_adapters(&self, engine: &Name, model: &Name, config: &Config) -> bool {
         let mut replicas = self.sides[engine].replicas.keys();
         replicas.any(|other| self.base_of(other, config) == Some(model))
@@ -203,6 +238,9 @@
         if self.base_going(engine, model.base.as_ref(), ctx) {
             return true;
         }
+        if self.sides[engine].leaving() {
+            return self.replaced(name, model.limit, ctx);
+        }
         if crate::decide::sleep::window(&model.windows, replica.load, ctx.unix).is_some() {
             return false;
         }
@@ -211,6 +249,13 @@
         verdict(&history, &facts, &ctx.config.policy, ctx.now) == Verdict::Unload
     }
 
+    /// Whether a replica at a leaving engine may go: another one is ready, none
+    /// is needed, or the limit leaves no room for one before it goes.
+    fn replaced(&self, name: &Name, limit: u32, ctx: &Context<'_>) -> bool {
+        let other = !self.ready_at(name).is_empty();
+        other || self.replicas(name) >= limit as usize || !self.wanted_now(name, ctx)
+    }
+
     /// Whether the base model beside an adapter is outdated or surplus.
     fn base_going(&self, engine: &Name, base: Option<&Name>, ctx: &Context<'_>) -> bool {
         let Some(base) = base else {
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -206,6 +206,14 @@
         for (name, side) in &mut self.sides {
             let entry = hosts.hosts.iter().find(|h| h.name == *name);
             let leaving = entry.is_some_and(|h| h.state == HostState::Leaving);
+            side.listed |= entry.is_some();
+            let gone = side.listed && entry.is_none() && !side.reachable();
+            if gone && !side.gone {
+                log::warn!("engine {name} is gone from the platform's list");
+                side.replicas.clear();
+                self.dirty = true;
+            }
+            side.gone = gone;
             if leaving != side.listed_leaving {
                 side.listed_leaving = leaving;
                 self.dirty = true;
@@ -421,8 +429,8 @@
             self.wake(ctx, out);
             if self.due(ctx.now) {
                 self.pin_ahead(ctx, out);
-                self.load_ahead(ctx);
-                self.retire(ctx);
+                self.load_ahead(ctx, out);
+                self.retire(ctx, out);
             }
             self.advance(ctx, out);
         }
--- a/src/pool/pins.rs
+++ b/src/pool/pins.rs
@@ -105,7 +105,7 @@
             let release = Release {
                 model: name,
                 restarted: false,
-                gone: false,
+                gone: side.gone,
                 ledger,
             };
             if release.allowed() {
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -48,7 +48,7 @@
             stakes.0.total_cmp(&stakes.1)
         });
         for model in wanted {
-            if self.replicas(&model) > 0 && !self.avoided(&model) {
+            if self.usable(&model) > 0 && !self.avoided(&model) {
                 continue;
             }
             self.plan(&model, ctx, out);
@@ -63,30 +63,36 @@
         let Some((_, mut tickets)) = tickets.next() else {
             return false;
         };
-        tickets.any(|t| at.iter().all(|engine| t.avoid.contains(engine)))
+        tickets.any(|t| at.iter().all(|engine| self.avoids(t, engine)))
     }
 
     /// Engines with a replica of `model` that is ready or on its way.
     fn holders<'a>(&'a self, model: &'a Name) -> impl Iterator<Item = &'a Name> {
         let sides = self.sides.iter().filter(|(_, side)| {
             let replica = side.replicas.get(model);
-            side.reachable() && replica.is_some_and(|r| !r.going())
+            side.reachable() && !side.leaving() && replica.is_some_and(|r| !r.going())
         });
         sides.map(|(engine, _)| engine)
     }
 
-    /// Replicas of `model` that are ready or on their way.
-    pub(super) fn replicas(&self, model: &Name) -> usize {
+    /// Replicas that take work or will.
+    pub(super) fn usable(&self, model: &Name) -> usize {
         self.holders(model).count()
     }
 
+    /// Replicas of `model` that count against its limit.
+    pub(super) fn replicas(&self, model: &Name) -> usize {
+        let sides = self.sides.values();
+        sides.filter(|s| s.replicas.contains_key(model)).count()
+    }
+
     /// Plans another replica for models whose requests wait for a slot.
     fn scale_out(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
         for (name, model) in &ctx.config.models {
             if model.pool != self.name || self.queued(name) == 0 {
                 continue;
             }
-            let have = self.replicas(name);
+            let have = self.usable(name);
             let coming = self
                 .sides
                 .values()
@@ -193,7 +199,7 @@
         let avoided = self
             .waiting
             .models()
-            .any(|(name, mut tickets)| name == model && tickets.all(|t| t.avoid.contains(engine)));
+            .any(|(name, mut tickets)| name == model && tickets.all(|t| self.avoids(t, engine)));
         side.open(ctx.now) && !side.leaving() && !avoided
     }
 
@@ -275,26 +281,26 @@
     }
 
     /// Plans replicas that are kept warm or expected to be needed.
-    pub(super) fn load_ahead(&mut self, ctx: &Context<'_>) {
+    pub(super) fn load_ahead(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
         let mut due = Vec::new();
         for (name, model) in &ctx.config.models {
             if model.pool != self.name || model.limit == 0 {
                 continue;
             }
-            let have = self.replicas(name);
+            let have = self.usable(name);
             if have < model.warm as usize || (have == 0 && self.expected(name, model, ctx)) {
                 due.push(name.clone());
             }
         }
-        let mut ignored = Vec::new();
         for name in due {
-            self.plan(&name, ctx, &mut ignored);
+            self.plan(&name, ctx, out);
         }
     }
 
     fn expected(&self, name: &Name, model: &Model, ctx: &Context<'_>) -> bool {
         let history = self.histories.get(name).copied().unwrap_or_default();
         let facts = Facts {
+            accelerators: self.typical_share(model, ctx.config),
             load: self.load_time(name, ctx.config),
             worth: model.worth,
             ..Facts::default()
@@ -303,6 +309,15 @@
         ahead(&history, &model.windows, &facts, policy, ctx.now, ctx.unix).is_some()
     }
 
+    /// Accelerators that a replica of `model` takes on an engine of the pool.
+    fn typical_share(&self, model: &Model, config: &Config) -> f64 {
+        let mut engines = config.engines.values().filter(|e| e.pool == self.name);
+        let told = engines.next();
+        told.map_or(1.0, |e| {
+            f64::from(e.accelerators) * model.memory as f64 / e.memory.max(1) as f64
+        })
+    }
+
     /// Begins to unload a ready replica.
     pub(super) fn evict(&mut self, engine: &Name, model: &Name, now: Moment) {
         let seq = self.seq + 1;
--- a/src/pool/side.rs
+++ b/src/pool/side.rs
@@ -13,7 +13,7 @@
 use super::replica::{Phase, Replica};
 
 /// Failed polls after which an engine counts as unreachable.
-const MISSES: u32 = 3;
+const MISSES: u32 = 2;
 /// Pause after an order that could not be sent.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -42,6 +42,10 @@
     pub refence: bool,
     /// The platform lists the engine as leaving.
     pub listed_leaving: bool,
+    /// The platform has listed the engine.
+    pub listed: bool,
+    /// The platform no longer lists the engine, and it does not answer.
+    pub gone: bool,
     /// No orders before this moment.
     pub paused: Moment,
     /// The engine has a token of a later owner.
@@ -76,6 +80,8 @@
             fencing: false,
             refence: false,
             listed_leaving: false,
+            listed: false,
+            gone: false,
             paused: Moment::ZERO,
             superseded: false,
             epoch,
--- a/src/pool/tickets.rs
+++ b/src/pool/tickets.rs
@@ -85,7 +85,7 @@
                     continue;
                 }
                 let least = (0..ready.len())
-                    .filter(|i| !ticket.avoid.contains(&ready[*i]))
+                    .filter(|i| !self.avoids(ticket, &ready[*i]))
                     .min_by_key(|i| given[*i] * 1_000 / room(&ready[*i]).max(1));
                 let Some(i) = least else {
                     continue;
@@ -115,11 +115,17 @@
         }
     }
 
+    /// Whether a request must not run on the present instance of an engine.
+    pub(super) fn avoids(&self, ticket: &Ticket, engine: &Name) -> bool {
+        let side = self.sides.get(engine);
+        side.is_none_or(|s| ticket.avoid.contains(&s.report.instance))
+    }
+
     /// Starts the trial of a suspect on an engine without another one.
     fn try_apart(&mut self, ticket: &Ticket, ready: &[Name]) -> Option<Name> {
         let mut candidates = Vec::new();
         for engine in ready {
-            if ticket.avoid.contains(engine) {
+            if self.avoids(ticket, engine) {
                 continue;
             }
             let report = &self.sides[engine].report;
--- a/src/pool/waiting.rs
+++ b/src/pool/waiting.rs
@@ -20,7 +20,7 @@
     pub priority: u8,
     /// Fingerprint when the request is a suspect.
     pub suspect: Option<Name>,
-    /// Engines that it must not run on.
+    /// Engine instances that it must not run on.
     pub avoid: Vec<Name>,
 }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -19,7 +19,7 @@
     pub priority: u8,
     /// Moment by which it must start.
     pub deadline: Moment,
-    /// Engines that it must not run on.
+    /// Engine instances that it must not run on.
     pub avoid: Vec<Name>,
 }
 
@@ -290,7 +290,8 @@
 
 impl State {
     fn usable(&self, need: &Need, engine: &Name) -> bool {
-        !need.avoid.contains(engine) && self.engines.get(engine).is_some_and(Load::takes_work)
+        let load = self.engines.get(engine);
+        load.is_some_and(|l| l.takes_work() && !need.avoid.contains(&l.instance))
     }
 
     fn has_replica(&self, need: &Need) -> bool {
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -58,6 +58,14 @@
     /// Starts a site and all its daemons from `program`, and waits until every
     /// host names all hosts.
     pub fn start(settings: SiteSettings, program: &Path, args: &[&str]) -> Env {
+        static NETWORK: AtomicU8 = AtomicU8::new(0);
+        let network = NETWORK.fetch_add(1, Ordering::Relaxed);
+        // Tests run side by side: each process and site has a network of its own.
+        let process = 1 + (std::process::id() % 250) as u8;
+        let settings = SiteSettings {
+            net: [127, process, network],
+            ..settings
+        };
         let site = Site::start(settings).expect("the site starts");
         Env::around(site, program, args)
     }
@@ -69,7 +77,7 @@
         let name = format!("mastichinge-{}-{number}", std::process::id());
         let dir = std::env::temp_dir().join(name);
         fs::create_dir_all(&dir).expect("a folder for settings");
-        let all = site.daemons().expect("free ports");
+        let all = site.daemons();
         let hosts = all.into_iter().map(|settings| Host {
             settings,
             child: None,
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,277 @@
+//! Failures brought about in real daemons and stand-ins.
+
+mod env;
+
+use std::net::TcpStream;
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use env::Env;
+use mastichinge::fakes::FakeEngine;
+use mastichinge::fakes::site::{CRASH, SiteSettings};
+use mastichinge::platform::HostState;
+use serde_json::{Value, json};
+
+fn start(settings: SiteSettings) -> Env {
+    Env::start(settings, Path::new(env!("CARGO_BIN_EXE_mastichinged")), &[])
+}
+
+fn slow_loads() -> SiteSettings {
+    SiteSettings {
+        load: Duration::from_secs(3),
+        ..SiteSettings::default()
+    }
+}
+
+/// Whether an engine holds `model`, loaded or loading.
+fn held(env: &Env, model: &str) -> usize {
+    let engines = env.site.engines.iter();
+    let holds = |e: &&FakeEngine| e.report().residents.iter().any(|r| &*r.model == model);
+    engines.filter(holds).count()
+}
+
+fn is_down(engine: &FakeEngine) -> bool {
+    TcpStream::connect(engine.addr()).is_err()
+}
+
+#[test]
+fn daemon_killed_while_loading() {
+    let mut env = start(slow_loads());
+    let owner = env.owner().expect("an owner");
+    let other = (owner + 1) % 5;
+    let asked = env.ask_later(other, "m2", "is anybody there");
+    env.wait("the load runs", || held(&env, "m2") == 1);
+    env.kill(owner);
+    let answer = asked.join().expect("the caller's thread");
+    assert_eq!(answer.text, env.expected("is anybody there"), "{answer:?}");
+    assert_eq!(held(&env, "m2"), 1);
+}
+
+#[test]
+fn table_down_for_long_then_back() {
+    let env = start(SiteSettings::default());
+    env.wait("all models are pinned", || pinned(&env) == 9);
+    env.site.platform.state.change(|s| s.knobs.down = true);
+    for model in ["m1", "m2", "m1-a1"] {
+        let answer = env.ask(2, model, "does it work");
+        assert_eq!(
+            answer.text,
+            env.expected("does it work"),
+            "{model}: {answer:?}"
+        );
+    }
+    env.site.platform.state.change(|s| s.knobs.down = false);
+    let (status, body) = env.patch(0, 1, "one", &json!({"models": {"m3": {"priority": 7}}}));
+    assert_eq!(status, 200, "{body}");
+    env.wait("version 2 everywhere", || {
+        (0..5).all(|h| env.version(h) == 2)
+    });
+}
+
+/// Models with a recorded pin.
+fn pinned(env: &Env) -> usize {
+    let items = pin_records(env);
+    let pins = items.iter().filter_map(|i| i["pins"].as_object());
+    pins.map(|p| p.len()).sum()
+}
+
+fn pin_records(env: &Env) -> Vec<Value> {
+    let items = env.site.platform.state.get().items;
+    let pins = items.iter().filter(|(key, _)| key.starts_with("pin/main/"));
+    pins.map(|(_, item)| item.value.clone()).collect()
+}
+
+#[test]
+fn daemon_restarted_while_the_table_is_down() {
+    let mut env = start(SiteSettings::default());
+    env.wait("all models are pinned", || pinned(&env) == 9);
+    env.site.platform.state.change(|s| s.knobs.down = true);
+    let owner = env.owner().expect("an owner");
+    let host = (owner + 1) % 5;
+    env.kill(host);
+    env.launch(host);
+    env.wait("the restarted host knows version 1", || {
+        env.version(host) == 1
+    });
+    env.wait_entry(host, 5);
+    let answer = env.ask(host, "m2", "from a new daemon");
+    assert_eq!(answer.text, env.expected("from a new daemon"), "{answer:?}");
+}
+
+#[test]
+fn owner_paused_and_superseded() {
+    let env = start(SiteSettings::default());
+    let owner = env.owner().expect("an owner");
+    let other = (owner + 1) % 5;
+    assert!(env.ask(other, "m1", "before").whole);
+    env.freeze(owner);
+    env.wait("another owner", || {
+        let hosts = (0..5).filter(|h| *h != owner);
+        hosts.into_iter().any(|h| {
+            let status = env.look(h, "/v1/status");
+            status["pools"].as_array().is_some_and(|p| !p.is_empty())
+        })
+    });
+    let answer = env.ask(other, "m2", "during the pause");
+    assert_eq!(answer.text, env.expected("during the pause"), "{answer:?}");
+    env.thaw(owner);
+    let answer = env.ask(owner, "m3", "after the pause");
+    assert_eq!(answer.text, env.expected("after the pause"), "{answer:?}");
+    for model in ["m1", "m2", "m3"] {
+        assert!(held(&env, model) <= 1, "{model}");
+    }
+}
+
+#[test]
+fn engine_dies_in_mid_stream() {
+    let env = start(SiteSettings {
+        tokens: 80,
+        limit: 2,
+        ..SiteSettings::default()
+    });
+    let asked = env.ask_later(1, "m1", "tell me everything");
+    env.wait("the stream runs", || {
+        env.site.engines.iter().any(|e| e.report().running > 0)
+    });
+    let busy = env.site.engines.iter().find(|e| e.report().running > 0);
+    busy.expect("an engine that streams").crash();
+    let answer = asked.join().expect("the caller's thread");
+    assert_eq!(
+        answer.text,
+        env.expected("tell me everything"),
+        "{answer:?}"
+    );
+    assert!(answer.whole);
+}
+
+#[test]
+fn poison_request_with_resends_costs_at_most_two_engines() {
+    let env = start(SiteSettings {
+        limit: 4,
+        tokens: 40,
+        ..SiteSettings::default()
+    });
+    let poison = format!("please {CRASH} now");
+    let innocent: Vec<_> = (0..4)
+        .map(|i| env.ask_later(i, "m1", "an honest question"))
+        .collect();
+    let mut crashes = 0;
+    for host in 0..5 {
+        let answer = env.ask(host, "m1", &poison);
+        assert!(!answer.whole, "{answer:?}");
+        for engine in env.site.engines.iter().filter(|e| is_down(e)) {
+            crashes += 1;
+            engine.restart().expect("the engine starts again");
+        }
+    }
+    assert!(crashes <= 2, "{crashes} engines crashed");
+    for asked in innocent {
+        let answer = asked.join().expect("the caller's thread");
+        assert_eq!(
+            answer.text,
+            env.expected("an honest question"),
+            "{answer:?}"
+        );
+    }
+    let held = env.look(0, "/v1/held");
+    assert_eq!(held.as_array().map(Vec::len), Some(1), "{held}");
+}
+
+#[test]
+fn host_listed_as_leaving_is_out_of_entry_answers_and_a_stale_list_revives_nothing() {
+    let env = start(SiteSettings::default());
+    env.site.platform.list("h4", Some(HostState::Leaving));
+    for host in 0..5 {
+        env.wait("h4 is not named", || {
+            !env.entry(host).contains(&"h4".to_owned())
+        });
+    }
+    let answer = env.ask(3, "m1", "still accepted");
+    assert!(answer.whole, "{answer:?}");
+}
+
+#[test]
+fn leaving_engine_gets_no_new_work_and_its_models_move() {
+    let env = start(SiteSettings::default());
+    assert!(env.ask(0, "m1", "first").whole);
+    let at = env
+        .site
+        .engines
+        .iter()
+        .position(|e| e.report().residents.iter().any(|r| &*r.model == "m1"));
+    let at = at.expect("m1 is loaded");
+    env.site.engines[at].leave(true);
+    env.wait("m1 left the leaving engine", || {
+        let report = env.site.engines[at].report();
+        !report.residents.iter().any(|r| &*r.model == "m1")
+    });
+    let answer = env.ask(1, "m1", "second");
+    assert_eq!(answer.text, env.expected("second"), "{answer:?}");
+    assert_eq!(held(&env, "m1"), 1);
+}
+
+#[test]
+fn lowered_limit_is_reached() {
+    let env = start(SiteSettings {
+        limit: 2,
+        tokens: 100,
+        ..SiteSettings::default()
+    });
+    let patch = json!({"models": {"m1": {"warm": 2}}});
+    let (status, body) = env.patch(0, 1, "warm", &patch);
+    assert_eq!(status, 200, "{body}");
+    env.wait("two replicas", || held(&env, "m1") == 2);
+    let patch = json!({"models": {"m1": {"warm": 1, "limit": 1}}});
+    let (status, body) = env.patch(1, 2, "lower", &patch);
+    assert_eq!(status, 200, "{body}");
+    env.wait("one replica", || held(&env, "m1") == 1);
+    env.wait("one pin", || {
+        let records = pin_records(&env);
+        records
+            .iter()
+            .filter(|r| !r["pins"]["m1"].is_null())
+            .count()
+            == 1
+    });
+}
+
+#[test]
+fn answer_of_a_config_write_lost_after_its_effect() {
+    let env = start(SiteSettings::default());
+    env.site.platform.state.change(|s| s.knobs.lose = 1);
+    let (status, body) = env.patch(2, 1, "one", &json!({"models": {"m3": {"priority": 7}}}));
+    assert_eq!(status, 200, "{body}");
+    env.wait("version 2 everywhere", || {
+        (0..5).all(|h| env.version(h) == 2)
+    });
+}
+
+#[test]
+fn two_operators_race_and_one_wins() {
+    let env = start(SiteSettings::default());
+    let statuses: Vec<u16> = thread::scope(|s| {
+        let race = (0..5).map(|host| {
+            let env = &env;
+            s.spawn(move || {
+                let patch = json!({"models": {"m3": {"priority": host}}});
+                env.patch(host, 1, &format!("racer-{host}"), &patch).0
+            })
+        });
+        let threads: Vec<_> = race.collect();
+        threads
+            .into_iter()
+            .map(|t| t.join().expect("a racer"))
+            .collect()
+    });
+    assert_eq!(
+        statuses.iter().filter(|s| **s == 200).count(),
+        1,
+        "{statuses:?}"
+    );
+    assert_eq!(
+        statuses.iter().filter(|s| **s == 412).count(),
+        4,
+        "{statuses:?}"
+    );
+}
