Keep the state of an engine stand-in's successor apart, and test its queue

Cause: a request of a crashed process could still change the state of the next one, and reports were kept without bound when nobody read them. Change: both are closed off under the state's lock; tests of priorities, cache events with gaps, leaving and unloads in mid-stream. The events test showed that prompts carried a trailing space, which is gone.

--- a/src/fakes/engine/mod.rs
+++ b/src/fakes/engine/mod.rs
@@ -8,12 +8,11 @@
 mod text;
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use std::net::SocketAddr;
-
 pub use journal::{End, Journal, Received, Served, Stay};
 pub use settings::{EngineSettings, LoadTimes};
 pub use state::CacheEvent;
@@ -78,7 +77,10 @@
     pub fn restart(&self) -> io::Result<()> {
         self.crash();
         let inner = self.inner.clone();
-        inner.state.change(|s| s.begin(&inner.settings.name));
+        inner.state.change(|s| {
+            s.lag = inner.settings.lag;
+            s.begin(&inner.settings.name);
+        });
         let server = Server::start(self.addr(), move |exchange| inner.handle(exchange))?;
         let mut servers = self.inner.servers.lock().expect("no holder panics");
         servers.push(server);
@@ -134,7 +136,6 @@
         if !exchange.allowed(&self.settings.key) {
             return exchange.answer(401, &"wrong key");
         }
-        let lag = self.settings.lag;
         match exchange.route().1.as_slice() {
             ["v1", "chat", "completions"] => self.work(exchange, true),
             ["v1", "completions"] => self.work(exchange, false),
@@ -142,12 +143,12 @@
             ["v2", "repository", "models", _, "load"] => self.order(Verb::Load, exchange),
             ["v2", "repository", "models", _, "unload"] => self.order(Verb::Unload, exchange),
             ["v2", "report"] => {
-                let report = self.state.change(|s| s.report(lag));
+                let report = self.state.change(State::report);
                 exchange.answer(200, &report);
             }
             ["v2", "cache", "events"] => {
                 let since = exchange.param("since").parse().unwrap_or(0);
-                let events = self.state.change(|s| s.published(since, lag));
+                let events = self.state.change(|s| s.published(since));
                 exchange.answer(200, &events);
             }
             _ => exchange.answer(404, &"no such path"),
--- a/src/fakes/engine/orders.rs
+++ b/src/fakes/engine/orders.rs
@@ -21,11 +21,8 @@
             return exchange.answer(409, &refusal);
         }
         let outcome = match verb {
-            Verb::Load => self.load(&order, &|| exchange.alive()),
-            Verb::Unload => {
-                self.state.change(|s| s.free(&order.model));
-                Ok(())
-            }
+            Verb::Load => self.load(&order, &exchange),
+            Verb::Unload => self.unload(&order, &exchange),
             Verb::Fence => Ok(()),
         };
         let report = self.state.change(|s| s.now.clone());
@@ -35,10 +32,22 @@
         }
     }
 
+    fn unload(&self, order: &Order, exchange: &Exchange) -> Result<(), &'static str> {
+        let mut state = self.state.lock();
+        if exchange.alive() {
+            state.free(&order.model);
+        }
+        Ok(())
+    }
+
     /// Loads a model, or waits for a load of it that is already running.
-    fn load(&self, order: &Order, alive: &dyn Fn() -> bool) -> Result<(), &'static str> {
+    fn load(&self, order: &Order, exchange: &Exchange) -> Result<(), &'static str> {
         let model = &*order.model;
         let mut state = self.state.lock();
+        // A process that has died must not change the state of its successor.
+        if !exchange.alive() {
+            return Err("the process died");
+        }
         if order.base.as_deref().is_some_and(|base| !state.ready(base)) {
             return Err("the base model is not loaded");
         }
@@ -51,13 +60,16 @@
         }
         let tier = state.tier(model);
         drop(state);
-        let wanted = || alive() && self.state.change(|s| s.resident(model).is_some());
+        let wanted = || exchange.alive() && self.state.change(|s| s.resident(model).is_some());
         if present.is_some() {
             while wanted() && !self.state.change(|s| s.ready(model)) {
                 thread::sleep(PAUSE);
             }
         } else if self.fetch(order, tier, &wanted) {
-            self.state.change(|s| s.loaded(model, alive()));
+            let mut state = self.state.lock();
+            if exchange.alive() {
+                state.loaded(model);
+            }
         }
         let loaded = self.state.change(|s| s.ready(model));
         loaded.then_some(()).ok_or("unloaded while loading")
--- a/src/fakes/engine/state.rs
+++ b/src/fakes/engine/state.rs
@@ -33,6 +33,7 @@
 #[derive(Debug, Default)]
 pub(super) struct State {
     pub frozen: bool,
+    pub lag: Duration,
     pub starts: u32,
     pub journal: Journal,
     pub now: Report,
@@ -79,13 +80,18 @@
         self.now.running = self.streams.values().sum();
         self.now.waiting = self.queue.len() as u32;
         self.past.push_back((Instant::now(), self.now.clone()));
+        self.prune();
     }
 
-    /// The report as it stood `lag` ago; the first one of a process at once.
-    pub fn report(&mut self, lag: Duration) -> Report {
-        while self.past.get(1).is_some_and(|p| p.0.elapsed() >= lag) {
+    fn prune(&mut self) {
+        while self.past.get(1).is_some_and(|p| p.0.elapsed() >= self.lag) {
             self.past.pop_front();
         }
+    }
+
+    /// The report as it stood `lag` ago; the first one of a process at once.
+    pub fn report(&mut self) -> Report {
+        self.prune();
         self.past[0].1.clone()
     }
 
@@ -156,11 +162,8 @@
         self.changed();
     }
 
-    /// Marks a load as done, unless the process died.
-    pub fn loaded(&mut self, model: &str, alive: bool) {
-        if !alive {
-            return;
-        }
+    /// Marks a load as done.
+    pub fn loaded(&mut self, model: &str) {
         if let Some(resident) = self.resident(model) {
             resident.ready = true;
         }
@@ -212,8 +215,8 @@
     }
 
     /// Cache events after number `since` that are older than `lag`.
-    pub fn published(&self, since: u64, lag: Duration) -> Vec<CacheEvent> {
-        let late = self.events.iter().filter(|e| e.0.elapsed() >= lag);
+    pub fn published(&self, since: u64) -> Vec<CacheEvent> {
+        let late = self.events.iter().filter(|e| e.0.elapsed() >= self.lag);
         let events = late.map(|e| &e.1);
         let kept = events.filter(|e| e.seq > since && !e.seq.is_multiple_of(EVENT_GAP));
         kept.cloned().collect()
--- a/src/fakes/engine/streams.rs
+++ b/src/fakes/engine/streams.rs
@@ -67,6 +67,9 @@
             Err(text) => return exchange.answer(400, &text),
         };
         let mut state = self.state.lock();
+        if !exchange.alive() {
+            return exchange.hang_up();
+        }
         if !state.ready(&ask.model) {
             drop(state);
             let error = json!({"error": {"code": "model_not_found", "message": ask.model}});
--- a/src/fakes/engine/text.rs
+++ b/src/fakes/engine/text.rs
@@ -22,7 +22,7 @@
     pub fn text(&self) -> String {
         let contents = self.messages.iter().map(|m| &m["content"]);
         let parts = contents.chain([&self.prompt]).map(flatten);
-        parts.collect::<Vec<_>>().join(" ")
+        parts.collect::<Vec<_>>().join(" ").trim().to_owned()
     }
 
     /// Length of the answer up to a stop sequence, bytes.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use mastichinge::fakes::engine::{End, LoadTimes, answer};
+use mastichinge::fakes::engine::{CacheEvent, End, LoadTimes, answer};
 use mastichinge::fakes::service::Fault;
 use mastichinge::fakes::{
     EngineSettings, FakeEngine, FakePlatform, FakeService, FakeWeights, StoreSettings,
@@ -642,3 +642,80 @@
         Err(SendError::Unanswered(_)) => Err(true),
     }
 }
+
+#[test]
+fn the_queue_is_ordered_by_priority() {
+    let settings = EngineSettings {
+        slots: 1,
+        interval: Duration::from_millis(2),
+        tokens: 1_000_000,
+        ..quick()
+    };
+    let (fake, call) = engine(settings);
+    load(&call, "m");
+    let mut first = start(&call, json!({})).expect("a stream");
+    assert!(first.next().is_ok());
+    let queue = |request: &str, priority: i64, waiting: u32| {
+        let call = Call {
+            request: request.into(),
+            ..call.clone()
+        };
+        let extra = json!({"max_tokens": 2, "priority": priority});
+        let thread = thread::spawn(move || start(&call, extra).and_then(whole));
+        eventually("the request waits", || fake.report().waiting == waiting);
+        thread
+    };
+    let low = queue("low", 1, 1);
+    let high = queue("high", 9, 2);
+    drop(first);
+    for thread in [low, high] {
+        let answer = thread.join().expect("no panic").expect("an answer");
+        assert_eq!(answer.0.len(), 2);
+    }
+    eventually("all streams ended", || fake.journal().served.len() == 3);
+    let served = fake.journal().served;
+    let names: Vec<_> = served.iter().map(|s| s.request.as_str()).collect();
+    assert_eq!(names, ["r-1", "high", "low"]);
+}
+
+#[test]
+fn cache_events_have_gaps() {
+    let (fake, call) = engine(quick());
+    load(&call, "m");
+    for i in 0..25 {
+        let extra = json!({"messages": [{"content": format!("prompt {}", i / 2)}]});
+        start(&call, extra).and_then(whole).expect("an answer");
+    }
+    let url = format!("http://{}/v2/cache/events?since=2", fake.addr());
+    let response = client::send(client::session().get(url), Media::None, b"").expect("events");
+    let events: Vec<CacheEvent> = client::read_json(response).expect("JSON");
+    let numbers: Vec<_> = events.iter().map(|e| e.seq).collect();
+    assert_eq!(numbers, [3, 4, 5, 6, 7, 8, 9, 11, 12, 13]);
+    assert!(events[0].stored && events[0].prefix == "prompt 2");
+}
+
+#[test]
+fn an_engine_says_that_it_leaves() {
+    let (fake, call) = engine(quick());
+    fake.leave(true);
+    let report = HttpEngine::default().report(&call).expect("a report");
+    assert!(report.leaving);
+    assert!(fake.journal().left.is_some());
+}
+
+#[test]
+fn an_unload_during_a_stream_is_in_the_journal() {
+    let settings = EngineSettings {
+        interval: Duration::from_millis(2),
+        tokens: 1_000_000,
+        ..quick()
+    };
+    let (fake, call) = engine(settings);
+    load(&call, "m");
+    let mut stream = start(&call, json!({})).expect("a stream");
+    assert!(stream.next().is_ok());
+    let unload = order(Verb::Unload, "m", 1);
+    let report = HttpEngine::default().order(&call, &unload);
+    assert!(report.expect("an unload").residents.is_empty());
+    assert_eq!(fake.journal().cuts, ["m".into()]);
+}
