--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod router;
 pub mod settings;
 pub mod suspects;
+pub mod tool;
