Call a request unsent only where its head was surely held back

Cause: the client notes the first write of the body, but a head beyond its 8 KiB buffer goes out before that. Such a request could be reported as unsent after bytes had gone out, and a booking be sent a second time. A key with a control character made the client panic. Change: above 7,168 bytes of head only a refused connection counts as unsent; values that no head can carry are left out with a warning. Conclusion: unsent is now said on the safe side only.

--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use attohttpc::body::{Body, BodyKind};
-use attohttpc::{ProxySettings, RequestBuilder, Response, Session};
+use attohttpc::header::{AUTHORIZATION, HeaderName, HeaderValue};
+use attohttpc::{ErrorKind, ProxySettings, RequestBuilder, Response, Session};
 use serde::de::DeserializeOwned;
 
 /// Largest answer that is read whole, bytes.
@@ -15,6 +16,10 @@
 /// Start of an error body that is kept, bytes.
 const MAX_DETAIL: u64 = 512;
 
+/// Largest head that the client surely holds back until the body is written,
+/// bytes: its buffer of 8,192 less what it adds itself.
+const BUFFERED_HEAD: usize = 7_168;
+
 /// Time limits of platform calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timeouts {
@@ -54,10 +59,21 @@
 
 /// Adds the bearer key, if any.
 pub fn authorize(request: RequestBuilder, key: &str) -> RequestBuilder {
-    if key.is_empty() {
-        return request;
+    match key.is_empty() {
+        true => request,
+        false => field(request, AUTHORIZATION, &format!("Bearer {key}")),
+    }
+}
+
+/// Adds a head field; a value that no head can carry is left out.
+pub fn field(request: RequestBuilder, name: HeaderName, value: &str) -> RequestBuilder {
+    match HeaderValue::from_str(value) {
+        Ok(value) => request.header(name, value),
+        Err(_) => {
+            log::warn!("a value of head field {name} cannot be sent");
+            request
+        }
     }
-    request.bearer_auth(key)
 }
 
 /// Media type of a request body.
@@ -84,17 +100,43 @@
 }
 
 /// Sends a request with `body` and waits for the head of the answer.
-pub fn send(request: RequestBuilder, media: Media, body: &[u8]) -> Result<Response, SendError> {
-    let started = Rc::new(Cell::new(false));
+///
+/// # Errors
+///
+/// [`SendError::Unsent`] only where it is certain that no byte was sent.
+pub fn send(mut request: RequestBuilder, media: Media, body: &[u8]) -> Result<Response, SendError> {
+    let started = Rc::new(Cell::new(head_size(&mut request) > BUFFERED_HEAD));
     let body = Marked {
         bytes: body,
         media,
         started: started.clone(),
     };
-    request.body(body).send().map_err(|e| match started.get() {
-        true => SendError::Unanswered(e.to_string()),
-        false => SendError::Unsent(e.to_string()),
-    })
+    let error = match request.body(body).send() {
+        Ok(response) => return Ok(response),
+        Err(error) => error,
+    };
+    match started.get() && !refused(&error) {
+        true => Err(SendError::Unanswered(error.to_string())),
+        false => Err(SendError::Unsent(error.to_string())),
+    }
+}
+
+/// Size of the head before the client adds its own fields, bytes.
+fn head_size(request: &mut RequestBuilder) -> usize {
+    let parts = request.inspect();
+    let mut size = parts.url().as_str().len();
+    for (name, value) in parts.headers() {
+        size += name.as_str().len() + ": ".len() + value.len() + "\r\n".len();
+    }
+    size
+}
+
+/// Whether the connection was refused, which comes before any byte.
+fn refused(error: &attohttpc::Error) -> bool {
+    match error.kind() {
+        ErrorKind::Io(e) => e.kind() == io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
 }
 
 /// Reads a whole answer.
@@ -136,8 +178,8 @@
     value.to_str().ok()?.parse().ok()
 }
 
-/// A body that notes when it is first written. The client writes the head into
-/// a buffer of 8 KiB first, so a head below that has not been sent either.
+/// A body that notes when it is first written; a head of at most
+/// [`BUFFERED_HEAD`] has not been sent before.
 struct Marked<'a> {
     bytes: &'a [u8],
     media: Media,
--- a/src/platform/engine_http.rs
+++ b/src/platform/engine_http.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use attohttpc::header::HeaderName;
 use attohttpc::{RequestBuilder, Response, Session};
 use serde::{Deserialize, Serialize};
 
@@ -177,8 +178,9 @@
 }
 
 fn prepare(request: RequestBuilder, call: &Call) -> RequestBuilder {
-    client::authorize(request, &call.key)
-        .header(REQUEST_HEADER, &*call.request)
+    let request = client::authorize(request, &call.key);
+    let name = HeaderName::from_static(REQUEST_HEADER);
+    client::field(request, name, &call.request)
         .connect_timeout(call.connect)
         .read_timeout(call.silence)
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use attohttpc::header::HeaderName;
 use mastichinge::fakes::engine::{CacheEvent, End, LoadTimes, answer};
 use mastichinge::fakes::service::Fault;
 use mastichinge::fakes::{
@@ -719,3 +720,55 @@
     assert!(report.expect("an unload").residents.is_empty());
     assert_eq!(fake.journal().cuts, ["m".into()]);
 }
+
+/// Accepts connections, reads some bytes of each and resets it.
+fn resetting() -> SocketAddr {
+    let listener = TcpListener::bind(any()).expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        while let Ok((mut socket, _)) = listener.accept() {
+            let _ = socket.read(&mut [0; 16]);
+        }
+    });
+    addr
+}
+
+#[test_case(0; "small head")]
+#[test_case(400; "head beyond the client's buffer")]
+fn a_reset_after_bytes_is_never_unsent(fields: usize) {
+    let addr = resetting();
+    for _ in 0..50 {
+        let mut request = client::session().post(format!("http://{addr}/"));
+        for i in 0..fields {
+            let name = HeaderName::from_bytes(format!("x-{i}").as_bytes()).expect("a name");
+            request = request.header(name, "v".repeat(9_000));
+        }
+        let outcome = client::send(request, Media::Bytes, &[0; 2_000_000]);
+        let unanswered = matches!(outcome, Err(SendError::Unanswered(_)));
+        assert!(unanswered, "{:?}", outcome.err());
+    }
+}
+
+#[test_case(20; "small head")]
+#[test_case(60_000; "head beyond the client's buffer")]
+fn a_refused_connection_is_unsent(length: usize) {
+    let listener = TcpListener::bind(any()).expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    drop(listener);
+    let request = client::session().post(format!("http://{addr}/{}", "p".repeat(length)));
+    let outcome = client::send(request, Media::Bytes, b"x");
+    assert!(matches!(outcome, Err(SendError::Unsent(_))));
+}
+
+#[test]
+fn a_key_that_no_head_can_carry_is_left_out() {
+    let settings = EngineSettings {
+        key: "secret".into(),
+        ..quick()
+    };
+    let (_fake, mut call) = engine(settings);
+    call.key = "secret\r\nX-Other: 1".into();
+    let error = HttpEngine::default().report(&call).err();
+    let denied = matches!(error, Some(EngineError::Status { status: 401, .. }));
+    assert!(denied, "{error:?}");
+}
