--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -772,3 +772,45 @@
     let denied = matches!(error, Some(EngineError::Status { status: 401, .. }));
     assert!(denied, "{error:?}");
 }
+
+#[test]
+fn adapters_slow_down_beyond_their_limit() {
+    let store = FakeWeights::new(StoreSettings {
+        adapters: 1.0,
+        ..StoreSettings::default()
+    });
+    let both = || store.state.get().adapters.peak == 2;
+    thread::scope(|scope| {
+        for _ in 0..2 {
+            scope.spawn(|| store.load(true, PATIENCE, &|| !both()));
+        }
+    });
+    let state = store.state.get();
+    assert_eq!((state.adapters.total, state.adapters.slowed), (2, 1));
+    assert_eq!((state.adapters.running, state.models.total), (0, 0));
+}
+
+#[test_case(Tier::Remote, 1; "remote")]
+#[test_case(Tier::Disk, 0; "disk")]
+#[test_case(Tier::Memory, 0; "memory")]
+fn only_remote_weights_come_from_the_store(tier: Tier, loads: u64) {
+    let store = FakeWeights::default();
+    let settings = EngineSettings {
+        weights: store.clone(),
+        ..quick()
+    };
+    let (fake, call) = engine(settings);
+    fake.cache("m", tier);
+    load(&call, "m");
+    assert_eq!(store.state.get().models.total, loads);
+}
+
+#[test]
+fn a_large_prompt_is_sent_whole() {
+    let (_fake, call) = engine(quick());
+    load(&call, "m");
+    let text = "word ".repeat(100_000);
+    let extra = json!({"messages": [{"content": text}], "stream_options": {"include_usage": true}});
+    let (_, _, usage) = start(&call, extra).and_then(whole).expect("an answer");
+    assert_eq!(usage["prompt_tokens"], 100_000);
+}
