--- a/src/decide/history.rs
+++ b/src/decide/history.rs
@@ -1,32 +1,68 @@
 //! Arrival history of a model.
 //!
-//! A decayed histogram of the gaps between arrivals on a logarithmic scale, as
-//! in the hybrid histogram policy of Shahrad et al., "Serverless in the Wild"
-//! (USENIX ATC 2020). It is mixed with a prior of [`PRIOR`] gaps, log-uniform
-//! over the scale, so that few samples decide little.
+//! The lengths of the gaps between arrivals are kept on a logarithmic scale,
+//! as in the histogram policy of Shahrad et al., "Serverless in the Wild"
+//! (USENIX ATC 2020), but as a life table: for each bucket, how many gaps
+//! ended in it and how many went beyond. The survival function is the product
+//! of the buckets' shares (Kaplan and Meier, "Nonparametric estimation from
+//! incomplete observations", JASA 1958). A bucket forgets only when a gap
+//! reaches it, so that the many short gaps of a burst leave the few long ones
+//! between bursts in place. Each bucket starts with [`PRIOR`] gaps that would
+//! make the lengths log-uniform, so that few samples decide little.
 
 use std::time::Duration;
 
 use crate::clock::Moment;
 
-/// Buckets of the histogram: bucket `k` holds gaps from 2^(k-1) to 2^k times
+/// Buckets of the table: bucket `k` holds gaps from 2^(k-1) to 2^k times
 /// [`UNIT_MS`], the last one all longer ones (above three days).
 pub const BUCKETS: usize = 23;
 /// Width of the first bucket, ms.
 pub const UNIT_MS: u64 = 125;
-/// Factor by which a sample loses weight with each later one.
+/// Factor by which a gap loses weight with each later one that reaches its
+/// bucket.
 pub const DECAY: f32 = 0.97;
-/// Weight below which a sample is forgotten; far above the subnormal numbers,
+/// Weight below which a gap is forgotten; far above the subnormal numbers,
 /// with which processors are slow.
 pub const FADED: f32 = 1e-4;
-/// Weight of the prior, gaps.
-pub const PRIOR: f64 = 2.0;
+/// Weight of the prior in each bucket, gaps.
+pub const PRIOR: f64 = 0.5;
 /// Gaps shorter than this belong to one burst and are not sampled.
 pub const BURST: Duration = Duration::from_millis(250);
+
+/// Gaps that reached one bucket, with decayed weights.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Reached {
+    /// Ended in it.
+    ended: f32,
+    /// Went beyond it.
+    beyond: f32,
+}
+
+impl Reached {
+    fn fade(&mut self) {
+        for weight in [&mut self.ended, &mut self.beyond] {
+            *weight = if *weight < FADED {
+                0.0
+            } else {
+                *weight * DECAY
+            };
+        }
+    }
+
+    /// Share of the gaps that end in bucket `k`, the prior included.
+    fn share(&self, k: usize) -> f64 {
+        let ended = f64::from(self.ended);
+        let all = ended + f64::from(self.beyond);
+        let usual = 1.0 / (BUCKETS - k) as f64;
+        (ended + PRIOR * usual) / (all + PRIOR)
+    }
+}
+
 /// Arrival history of one model; of constant size.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct History {
-    gaps: [f32; BUCKETS],
+    gaps: [Reached; BUCKETS],
     last: Option<Moment>,
 }
 
@@ -40,10 +76,13 @@
         if gap < BURST {
             return;
         }
-        for g in &mut self.gaps {
-            *g = if *g < FADED { 0.0 } else { *g * DECAY };
+        let end = bucket(gap);
+        for reached in &mut self.gaps[..end] {
+            reached.fade();
+            reached.beyond += 1.0;
         }
-        self.gaps[bucket(gap)] += 1.0;
+        self.gaps[end].fade();
+        self.gaps[end].ended += 1.0;
     }
 
     /// Moment of the last arrival.
@@ -53,32 +92,32 @@
 
     /// Decayed number of gaps seen.
     pub fn samples(&self) -> f32 {
-        self.gaps.iter().sum()
+        self.gaps[0].ended + self.gaps[0].beyond
     }
 
-    /// Probability that a gap is longer than `age`, the prior included.
+    /// Probability that a gap is longer than `age` seconds; linear within a
+    /// bucket.
     pub fn beyond(&self, age: f64) -> f64 {
-        let prior = PRIOR / BUCKETS as f64;
-        let mut longer = 0.0;
-        let mut all = 0.0;
-        for (k, gap) in self.gaps.iter().enumerate() {
-            let weight = f64::from(*gap) + prior;
-            all += weight;
-            longer += weight * share_beyond(k, age);
+        let mut longer = 1.0;
+        for (k, reached) in self.gaps.iter().enumerate() {
+            if age <= floor(k) {
+                break;
+            }
+            let part = (age - floor(k)) / (edge(k) - floor(k));
+            longer *= 1.0 - reached.share(k) * part.min(1.0);
         }
-        longer / all
+        longer
     }
 
     /// Probabilities that a gap is longer than the upper edge of each bucket.
     pub fn tails(&self) -> [f64; BUCKETS] {
-        let prior = PRIOR / BUCKETS as f64;
         let mut tails = [0.0; BUCKETS];
-        let mut longer = 0.0;
-        for k in (0..BUCKETS).rev() {
+        let mut longer = 1.0;
+        for (k, reached) in self.gaps.iter().enumerate() {
+            longer *= 1.0 - reached.share(k);
             tails[k] = longer;
-            longer += f64::from(self.gaps[k]) + prior;
         }
-        tails.map(|t| t / longer)
+        tails
     }
 
     /// Probability that the next arrival comes within `horizon`, given that
@@ -109,9 +148,3 @@
 fn floor(k: usize) -> f64 {
     if k == 0 { 0.0 } else { edge(k - 1) }
 }
-
-/// Share of a bucket's gaps, uniform within it, that are longer than `age`.
-fn share_beyond(k: usize, age: f64) -> f64 {
-    let (low, high) = (floor(k), edge(k));
-    ((high - age) / (high - low)).clamp(0.0, 1.0)
-}
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -381,6 +381,18 @@
     assert!(!wakes(at + secs(60)));
 }
 
+#[test]
+fn short_gaps_leave_the_memory_of_long_ones() {
+    let (mut history, mut now) = history(secs(3_000), 30);
+    let hour = secs(3_600);
+    let before = history.chance(secs(600), hour);
+    for _ in 0..200 {
+        now += secs(5);
+        history.arrived(now);
+    }
+    assert!((history.chance(secs(600), hour) - before).abs() < 1e-6);
+}
+
 #[test]
 fn a_frequent_model_costs_more_to_evict() {
     let facts = Facts::default();
