Check the ownership protocol exhaustively within bounds

Change: tests/models runs the functions of src/protocol/ownership with two daemons, engines that honour and that ignore tokens, orders and answers in flight, late and lost table writes, restarts and crashes, and searches breadth-first with `pathfinding`. Found on the way: a ledger for a new instance must keep its numbers and drop answers to orders that it does not wait for (`Ledger::renew`, the guard in `settle`).

Conclusion: within these bounds replicas stay within the limit, memory is never exceeded and nothing is loaded without a pin.

--- a/src/protocol/ownership/ledger.rs
+++ b/src/protocol/ownership/ledger.rs
@@ -59,6 +59,17 @@
         }
     }
 
+    /// The ledger for a new instance after `pins` came from
+    /// [`EnginePins::adopt`] and were committed. Nothing is loaded there, and
+    /// answers to orders for the old instance find nothing to settle.
+    pub fn renew(&self, pins: &EnginePins) -> Ledger {
+        Ledger {
+            seq: self.seq,
+            loaded: Index::new(),
+            ..Ledger::new(self.room, self.epoch, pins)
+        }
+    }
+
     /// Instance that the orders are meant for.
     pub fn instance(&self) -> &Name {
         &self.instance
@@ -192,8 +203,12 @@
         Ok(grant)
     }
 
-    /// Takes the end of the order `token`.
+    /// Takes the end of the order `token`; an order that a later answer has
+    /// settled is dropped.
     pub fn settle(&mut self, token: Token, end: OrderEnd) {
+        if !self.open.contains_key(&token) {
+            return;
+        }
         match end {
             OrderEnd::Unsent => {
                 self.open.remove(&token);
@@ -213,12 +228,8 @@
     }
 
     /// The engine refuses every earlier order from now on, and its index names
-    /// all models that earlier ones load. An index older than the newest is
-    /// dropped.
+    /// all models that earlier ones load.
     fn done_fenced(&mut self, token: Token, index: Index) {
-        if token <= self.raised {
-            return;
-        }
         self.raised = token;
         self.open.retain(|t, _| *t > token);
         self.loaded = index;
@@ -236,14 +247,13 @@
     }
 
     fn lose(&mut self, token: Token) {
-        let Some(open) = self.open.get_mut(&token) else {
-            return;
-        };
-        open.lost = true;
         if self.room.fenced {
+            self.open.entry(token).and_modify(|o| o.lost = true);
             return;
         }
-        let open = self.open.remove(&token).expect("it was just found");
+        let Some(open) = self.open.remove(&token) else {
+            return;
+        };
         if open.verb == Verb::Load {
             self.loaded.insert(open.model.clone(), open.memory);
         }
--- /dev/null
+++ b/tests/models.rs
@@ -0,0 +1,6 @@
+//! Exhaustive checks of the core protocols within stated bounds.
+
+#[path = "models/check.rs"]
+mod check;
+#[path = "models/ownership/mod.rs"]
+mod ownership;
