Check at-most-once calls exhaustively within bounds

Cause: the records of bookings must hold under crossing retries, crashes at each step, lost and late table writes and a dying upstream.

Change: tests/models/calls runs the functions of src/protocol/calls with two hosts, one upstream and up to three requests of one key; six broken variants must be caught. Found by it: a request whose start lost against the settling of an earlier attempt that did not run answered "unknown" at its deadline; the conflict now shows that the call is free (`protocol::calls::free`).

Conclusion: within these bounds a call runs at most once, every "not run" is true, and a call that did not run is never blocked without a host's death.

--- a/src/calls/service.rs
+++ b/src/calls/service.rs
@@ -18,7 +18,7 @@
 use crate::error::{Kind, Refusal};
 use crate::platform::{Expect, Item, Table, TableError};
 use crate::protocol::calls::{
-    Admit, Attempt, CallRecord, CallState, Reply, admit, may_send, orphaned,
+    Admit, Attempt, CallRecord, CallState, Reply, admit, free, may_send, orphaned,
 };
 
 /// What has been seen of the call before the deadline.
@@ -42,8 +42,8 @@
 enum Start {
     /// It is in the table; the state that the next write expects.
     Committed(Expect),
-    /// Another attempt was recorded first.
-    Taken,
+    /// Another attempt was recorded first; what is seen of it.
+    Taken(Seen),
     /// The attempt was given up before a byte was sent.
     Ended(Refusal),
 }
@@ -255,8 +255,8 @@
         match self.commit(way, record, expect) {
             Start::Committed(expect) => Step::Send(expect),
             Start::Ended(refusal) => Step::Answer(Err(refusal)),
-            Start::Taken => {
-                way.seen = Seen::Other;
+            Start::Taken(seen) => {
+                way.seen = seen;
                 self.held.forget(&record.attempt.id);
                 Step::Again
             }
@@ -288,17 +288,21 @@
 
     fn conflict(&self, way: &Way, record: &CallRecord, current: Option<Item>) -> Start {
         let Ok(read) = parse(current) else {
-            return Start::Taken;
+            return Start::Taken(Seen::Other);
         };
         if may_send(read.record.as_ref(), record) {
             return Start::Committed(read.expect);
         }
+        let seen = match free(read.record.as_ref()) {
+            true => Seen::Clear,
+            false => Seen::Other,
+        };
         let own = read.record.is_some_and(|r| r.attempt == record.attempt);
         if own {
             let closed = "another host took this one for gone";
             return Start::Ended(self.give_up(way, read.expect, closed));
         }
-        Start::Taken
+        Start::Taken(seen)
     }
 
     /// Ends an attempt of which no byte was sent.
--- a/src/protocol/calls.rs
+++ b/src/protocol/calls.rs
@@ -112,6 +112,11 @@
     }
 }
 
+/// Whether the record shows that no attempt has run.
+pub fn free(record: Option<&CallRecord>) -> bool {
+    record.is_none_or(|r| r.state == CallState::NotRun)
+}
+
 /// Whether a byte of the attempt may be sent: the answer to its commit or a
 /// later read shows its own start, and this host has not given the attempt up.
 pub fn may_send(record: Option<&CallRecord>, held: &CallRecord) -> bool {
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -1,5 +1,7 @@
 //! Exhaustive checks of the core protocols within stated bounds.
 
+#[path = "models/calls/mod.rs"]
+mod calls;
 #[path = "models/check.rs"]
 mod check;
 #[path = "models/ownership/mod.rs"]
