Check configuration versions exhaustively within bounds

Cause: an accepted version must never revert, also with lost acceptances, stale reads and a daemon that restarts in an outage.

Change: tests/models/versions.rs runs the functions of src/protocol/versions with three patches, two daemons, late commits, an outage and a restart; five broken variants must be caught.

Conclusion: within these bounds versions only rise, daemons agree with the log and an operator's answer is true.

--- a/tests/models.rs
+++ b/tests/models.rs
@@ -6,3 +6,5 @@
 mod check;
 #[path = "models/ownership/mod.rs"]
 mod ownership;
+#[path = "models/versions.rs"]
+mod versions;
