--- /dev/null
+++ b/src/fakes/server.rs
@@ -0,0 +1,165 @@
+//! An HTTP server that can die at once.
+
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use socket2::{Domain, Socket, Type};
+use tiny_http::{Request, Response};
+
+use crate::http::request;
+use crate::http::server::{self, Handler, Running};
+use crate::platform::escape::decode;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// A server; dropping it stops it.
+pub struct Server {
+    /// Address that it serves.
+    pub addr: SocketAddr,
+    alive: Arc<AtomicBool>,
+    listener: Socket,
+    _running: Running,
+}
+
+impl Server {
+    /// Serves `addr`; port 0 takes a free one.
+    pub fn start<F>(addr: SocketAddr, handler: F) -> io::Result<Server>
+    where
+        F: Fn(Exchange) + Send + Sync + 'static,
+    {
+        let listener = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
+        listener.set_reuse_address(true)?;
+        // Accepted sockets inherit this: small segments are sent at once.
+        listener.set_tcp_nodelay(true)?;
+        listener.bind(&addr.into())?;
+        listener.listen(BACKLOG)?;
+        let twin = TcpListener::from(listener.try_clone()?);
+        let addr = twin.local_addr()?;
+        let alive = Arc::new(AtomicBool::new(true));
+        let guard = Guard {
+            handler,
+            alive: alive.clone(),
+        };
+        let running = server::start(twin, u32::MAX, Arc::new(guard)).map_err(io::Error::other)?;
+        Ok(Server {
+            addr,
+            alive,
+            listener,
+            _running: running,
+        })
+    }
+
+    /// Closes the port and hangs up every request, as the death of a process does.
+    pub fn kill(&self) {
+        self.alive.store(false, Ordering::SeqCst);
+        let _ = self.listener.shutdown(Shutdown::Both);
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+struct Guard<F> {
+    handler: F,
+    alive: Arc<AtomicBool>,
+}
+
+impl<F: Fn(Exchange) + Send + Sync + 'static> Handler for Guard<F> {
+    fn handle(&self, mut request: Request) {
+        let mut body = Vec::new();
+        let outcome = request.as_reader().read_to_end(&mut body);
+        let segments = request::path(&request).split('/').skip(1);
+        let exchange = Exchange {
+            path: segments.map(decode).collect(),
+            body,
+            request,
+            alive: self.alive.clone(),
+        };
+        match outcome {
+            Ok(_) if exchange.alive() => (self.handler)(exchange),
+            _ => exchange.hang_up(),
+        }
+    }
+
+    fn refuse(&self, request: Request) {
+        drop(request.into_writer());
+    }
+}
+
+/// A request that waits for its answer.
+pub struct Exchange {
+    /// Decoded segments of the path.
+    pub path: Vec<String>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// The request itself.
+    pub request: Request,
+    alive: Arc<AtomicBool>,
+}
+
+impl Exchange {
+    /// Method, and segments of the path, for a `match`.
+    pub fn route(&self) -> (&str, Vec<&str>) {
+        let path = self.path.iter().map(String::as_str);
+        (self.request.method().as_str(), path.collect())
+    }
+
+    /// Value of a query parameter; empty where it is missing.
+    pub fn param(&self, name: &str) -> String {
+        decode(request::query(&self.request, name).unwrap_or_default())
+    }
+
+    /// Value of a header; empty where it is missing.
+    pub fn header(&self, name: &'static str) -> String {
+        request::field(&self.request, name)
+            .unwrap_or_default()
+            .into()
+    }
+
+    /// Whether the bearer key is `key`; an empty one allows everything.
+    pub fn allowed(&self, key: &str) -> bool {
+        key.is_empty() || request::bearer(&self.request) == Some(key)
+    }
+
+    /// Body as JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, String> {
+        serde_json::from_slice(&self.body).map_err(|e| e.to_string())
+    }
+
+    /// Whether the server still lives.
+    pub fn alive(&self) -> bool {
+        self.alive.load(Ordering::SeqCst)
+    }
+
+    /// The flag behind [`Exchange::alive`].
+    pub fn life(&self) -> Arc<AtomicBool> {
+        self.alive.clone()
+    }
+
+    /// Answers with JSON.
+    pub fn answer<T: Serialize>(self, status: u16, value: &T) {
+        self.answer_bytes(status, serde_json::to_vec(value).unwrap_or_default());
+    }
+
+    /// Answers with bytes, unless the server died.
+    pub fn answer_bytes(self, status: u16, body: Vec<u8>) {
+        if !self.alive() {
+            return self.hang_up();
+        }
+        let response = Response::from_data(body).with_status_code(status);
+        let _ = self.request.respond(response);
+    }
+
+    /// Closes the connection without an answer.
+    pub fn hang_up(self) {
+        drop(self.request.into_writer());
+    }
+}
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,1 +1,157 @@
-//! Structured logs.
+//! Log lines as text or as JSON, with the fields that a record carries.
+
+use std::fmt::Display;
+use std::io;
+use std::str::FromStr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use log::kv::{self, Key, Value, VisitSource};
+use log::{LevelFilter, Record};
+use serde::Serialize;
+use serde_json::Map;
+
+use crate::settings::{Form, Log};
+
+/// Why logging could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum LogError {
+    /// The log file cannot be opened.
+    #[error("cannot open the log file: {0}")]
+    File(#[from] io::Error),
+    /// A logger runs already.
+    #[error("cannot start logging: {0}")]
+    Started(#[from] log::SetLoggerError),
+}
+
+/// Starts logging for this process.
+pub fn start(settings: &Log) -> Result<(), LogError> {
+    let level = LevelFilter::from_str(&settings.level).unwrap_or(LevelFilter::Info);
+    let form = settings.form;
+    let dispatch = fern::Dispatch::new()
+        .level(level)
+        .format(move |out, message, record| {
+            out.finish(format_args!(
+                "{}",
+                line(form, SystemTime::now(), message, record)
+            ));
+        });
+    let dispatch = match &settings.file {
+        Some(path) => dispatch.chain(fern::log_file(path)?),
+        None => dispatch.chain(io::stderr()),
+    };
+    Ok(dispatch.apply()?)
+}
+
+/// A line in [`Form::Json`].
+#[derive(Serialize)]
+struct Line<'a> {
+    time: String,
+    level: &'static str,
+    target: &'a str,
+    message: String,
+    #[serde(flatten)]
+    fields: Map<String, serde_json::Value>,
+}
+
+fn line(form: Form, time: SystemTime, message: &dyn Display, record: &Record<'_>) -> String {
+    let mut fields = Fields(Map::new());
+    // The visitor never fails.
+    let _ = record.key_values().visit(&mut fields);
+    let line = Line {
+        time: stamp(time.duration_since(UNIX_EPOCH).unwrap_or_default()),
+        level: record.level().as_str(),
+        target: record.target(),
+        message: message.to_string(),
+        fields: fields.0,
+    };
+    match form {
+        Form::Json => serde_json::to_string(&line).unwrap_or(line.message),
+        Form::Text => text(&line),
+    }
+}
+
+/// Collects the fields of a record.
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        let plain = match (value.to_u64(), value.to_f64(), value.to_bool()) {
+            (Some(n), ..) => n.into(),
+            (_, Some(n), _) => n.into(),
+            (.., Some(b)) => b.into(),
+            _ => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), plain);
+        Ok(())
+    }
+}
+
+fn text(line: &Line<'_>) -> String {
+    let (time, level, target) = (&line.time, line.level, line.target);
+    let message = line.message.replace(char::is_control, " ");
+    let mut text = format!("{time} {level:<5} {target} {message}");
+    for (name, value) in &line.fields {
+        text.push_str(&format!(" {name}={value}"));
+    }
+    text
+}
+
+/// Writes a time since the Unix epoch as RFC 3339 in UTC with milliseconds.
+///
+/// The date follows the proleptic Gregorian calendar; formula `civil_from_days`
+/// of Howard Hinnant, "chrono-Compatible Low-Level Date Algorithms".
+pub fn stamp(since: Duration) -> String {
+    const DAY_S: u64 = 86_400;
+    let (days, rest) = (since.as_secs() / DAY_S, since.as_secs() % DAY_S);
+    let shifted = days + 719_468;
+    let era = shifted / 146_097;
+    let doe = shifted % 146_097;
+    let yoe = (doe - doe / 1_460 + doe / 36_524 - doe / 146_096) / 365;
+    let doy = doe - (365 * yoe + yoe / 4 - yoe / 100);
+    let mp = (5 * doy + 2) / 153;
+    let day = doy - (153 * mp + 2) / 5 + 1;
+    let month = if mp < 10 { mp + 3 } else { mp - 9 };
+    let year = yoe + era * 400 + u64::from(month <= 2);
+    let (hour, minute, second) = (rest / 3_600, rest / 60 % 60, rest % 60);
+    let ms = since.subsec_millis();
+    format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}.{ms:03}Z")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use log::Level;
+    use test_case::test_case;
+
+    #[test_case(0 => "1970-01-01T00:00:00.000Z")]
+    #[test_case(951_782_400 => "2000-02-29T00:00:00.000Z")]
+    #[test_case(1_796_336_133 => "2026-12-03T22:15:33.000Z")]
+    #[test_case(4_107_542_399 => "2100-02-28T23:59:59.000Z")]
+    fn stamps(secs: u64) -> String {
+        stamp(Duration::from_secs(secs))
+    }
+
+    fn sample(form: Form) -> String {
+        let fields = [("request", Value::from("r-1")), ("retries", Value::from(2))];
+        let record = Record::builder()
+            .level(Level::Warn)
+            .target("pool")
+            .key_values(&fields)
+            .build();
+        line(form, UNIX_EPOCH, &"two\nlines", &record)
+    }
+
+    #[test]
+    fn a_text_line_is_one_line_with_its_fields() {
+        let expected = "1970-01-01T00:00:00.000Z WARN  pool two lines request=\"r-1\" retries=2";
+        assert_eq!(sample(Form::Text), expected);
+    }
+
+    #[test]
+    fn a_json_line_has_its_fields_beside_the_message() {
+        let line: serde_json::Value = serde_json::from_str(&sample(Form::Json)).unwrap();
+        assert_eq!(line["message"], "two\nlines");
+        assert_eq!(line["request"], "r-1");
+        assert_eq!(line["retries"], 2);
+    }
+}
