Make proposals really race in the ledger's tests

Change: the table of the tests has a gate at which eight commits wait for one another, and late commits that arrive after others; the property test also holds that no accepted entry ever changes.

--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Barrier};
 
 use mastichinge::config::entry::{Entry, Proposal};
 use mastichinge::config::ledger::{Ledger, ProposeError};
@@ -107,6 +108,7 @@
 #[test]
 fn of_two_operators_at_one_version_exactly_one_wins() {
     let store = Store::default();
+    *store.table.gate.lock().unwrap() = Some(Arc::new(Barrier::new(8)));
     let outcomes = std::thread::scope(|scope| {
         let store = &store;
         let threads: Vec<_> = (0..8)
@@ -295,22 +297,30 @@
     operator: usize,
     /// How far the base lies behind the version that the operator last saw.
     behind: u64,
-    /// Commits whose answers are lost after, or with, their effect.
+    /// Commits whose answers are lost after their effect, before it, or with it.
     lost: u32,
+    late: u32,
     dropped: u32,
+    /// Lets late commits arrive after this step.
+    deliver: bool,
     /// Sends the operator's last proposal once more.
     again: bool,
 }
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
-    let step = (0usize..3, 0u64..2, 0u32..3, 0u32..4, any::<bool>());
-    let step = step.prop_map(|(operator, behind, lost, dropped, again)| Step {
-        operator,
-        behind,
-        lost,
-        dropped,
-        again,
-    });
+    let counts = (0u32..3, 0u32..4, 0u32..4);
+    let step = (0usize..3, 0u64..2, counts, any::<bool>(), any::<bool>());
+    let step = step.prop_map(
+        |(operator, behind, (lost, late, dropped), deliver, again)| Step {
+            operator,
+            behind,
+            lost,
+            late,
+            dropped,
+            deliver,
+            again,
+        },
+    );
     proptest::collection::vec(step, 1..40)
 }
 
@@ -334,22 +344,28 @@
         let store = Store::default();
         let mut last: Vec<Option<Proposal>> = vec![None; 3];
         let mut told = BTreeMap::new();
+        let mut seen: Vec<Entry> = Vec::new();
         for (i, step) in steps.iter().enumerate() {
             let before = store.ledger().head().unwrap();
             let fresh = proposal(before.saturating_sub(step.behind), &format!("a{i}"), policy(i as u64 + 1));
             let sent = last[step.operator].take().filter(|_| step.again).unwrap_or(fresh);
             store.table.lost.store(step.lost, Ordering::SeqCst);
+            store.table.late.store(step.late, Ordering::SeqCst);
             store.table.dropped.store(step.dropped, Ordering::SeqCst);
             if let Ok(entry) = store.propose(&sent) {
                 let version = *told.entry(sent.attempt.clone()).or_insert(entry.version);
                 prop_assert_eq!(version, entry.version);
             }
-            prop_assert!(store.ledger().head().unwrap() <= before + 1);
+            if step.deliver {
+                store.table.deliver();
+            }
+            let log = store.ledger().since(0).unwrap();
+            prop_assert_eq!(&log[..seen.len()], &seen[..]);
+            seen = log;
             last[step.operator] = Some(sent);
         }
-        let log = store.ledger().since(0).unwrap();
-        let attempts: BTreeMap<Name, u64> = log.iter().map(|e| (e.attempt.clone(), e.version)).collect();
-        prop_assert_eq!(attempts.len(), log.len());
+        let attempts: BTreeMap<Name, u64> = seen.iter().map(|e| (e.attempt.clone(), e.version)).collect();
+        prop_assert_eq!(attempts.len(), seen.len());
         for (attempt, version) in &told {
             prop_assert_eq!(attempts.get(attempt), Some(version));
         }
--- a/tests/memory/mod.rs
+++ b/tests/memory/mod.rs
@@ -5,8 +5,8 @@
 pub mod host;
 
 use std::collections::BTreeMap;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Barrier, Mutex};
 
 use mastichinge::platform::{Expect, Item, Objects, Op, Table, TableError, Write};
 
@@ -18,8 +18,13 @@
     pub lost: AtomicU32,
     /// No call answers.
     pub down: AtomicBool,
+    /// Commits that do not answer and arrive with [`MemoryTable::deliver`].
+    pub late: AtomicU32,
     /// Commits that neither take effect nor answer.
     pub dropped: AtomicU32,
+    /// Where commits wait for one another.
+    pub gate: Mutex<Option<Arc<Barrier>>>,
+    underway: Mutex<Vec<Vec<Write>>>,
 }
 
 fn lost() -> TableError {
@@ -40,26 +45,16 @@
         }
         Ok(())
     }
-}
 
-impl Table for MemoryTable {
-    fn get(&self, key: &str) -> Result<Option<Item>, TableError> {
-        self.up()?;
-        Ok(self.items.lock().unwrap().get(key).cloned())
-    }
-
-    fn scan(&self, prefix: &str) -> Result<Vec<Item>, TableError> {
-        self.up()?;
-        let items = self.items.lock().unwrap();
-        let found = items.values().filter(|item| item.key.starts_with(prefix));
-        Ok(found.cloned().collect())
+    /// Lets late commits arrive, in the order in which they were sent.
+    pub fn deliver(&self) {
+        let underway = std::mem::take(&mut *self.underway.lock().unwrap());
+        for writes in underway {
+            let _ = self.write(&writes);
+        }
     }
 
-    fn commit(&self, writes: &[Write]) -> Result<Vec<u64>, TableError> {
-        self.up()?;
-        if take(&self.dropped) {
-            return Err(lost());
-        }
+    fn write(&self, writes: &[Write]) -> Result<Vec<u64>, TableError> {
         let mut items = self.items.lock().unwrap();
         for write in writes {
             let current = items.get(&*write.key).cloned();
@@ -92,6 +87,37 @@
             );
             versions.push(version);
         }
+        Ok(versions)
+    }
+}
+
+impl Table for MemoryTable {
+    fn get(&self, key: &str) -> Result<Option<Item>, TableError> {
+        self.up()?;
+        Ok(self.items.lock().unwrap().get(key).cloned())
+    }
+
+    fn scan(&self, prefix: &str) -> Result<Vec<Item>, TableError> {
+        self.up()?;
+        let items = self.items.lock().unwrap();
+        let found = items.values().filter(|item| item.key.starts_with(prefix));
+        Ok(found.cloned().collect())
+    }
+
+    fn commit(&self, writes: &[Write]) -> Result<Vec<u64>, TableError> {
+        self.up()?;
+        if take(&self.dropped) {
+            return Err(lost());
+        }
+        let gate = self.gate.lock().unwrap().clone();
+        if let Some(gate) = gate {
+            gate.wait();
+        }
+        if take(&self.late) {
+            self.underway.lock().unwrap().push(writes.to_vec());
+            return Err(lost());
+        }
+        let versions = self.write(writes)?;
         if take(&self.lost) {
             return Err(lost());
         }
