Start the operators' port with one call; test profiles and command lines

Cause: the daemon starts the port by operators::server::start(listener, api), which the move to the shared HTTP server had taken away. Change: start and Running are back, on the shared server; tests hold the order of command line, environment and profile.

--- a/src/operators/server.rs
+++ b/src/operators/server.rs
@@ -1,7 +1,9 @@
 //! The operators' port: reads requests and sends answers.
 
 use std::collections::BTreeMap;
-use std::io::Cursor;
+use std::io::{self, Cursor};
+use std::net::TcpListener;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tiny_http::{Request, Response};
@@ -9,15 +11,19 @@
 use super::api::{Api, Ask};
 use super::host::Host;
 use super::reply::{Problem, Reply};
+use crate::clock::Clock;
 use crate::error::{Kind, Refusal};
 use crate::http::answer::{REQUEST_ID, header, seconds};
 use crate::http::callers::read_body;
 use crate::http::request::{Ids, bearer, field, path};
-use crate::http::server::Handler;
+use crate::http::server::{self, Handler};
+
 use crate::platform::escape::decode;
 
+pub use crate::http::server::Running;
+
 /// Most requests of operators in progress at once.
-pub const MOST: u32 = 16;
+const MOST: u32 = 16;
 /// Largest body, bytes; a larger change is made in several patches.
 const BODY_BYTES: u64 = 1024 * 1024;
 /// Largest head, bytes.
@@ -25,13 +31,20 @@
 /// Wait that a refusal for too many requests names.
 const COME_BACK: Duration = Duration::from_secs(1);
 
-/// Serves operators; give it to [`crate::http::server::start`].
+/// Serves operators.
 #[derive(Debug)]
-pub struct Operators<H> {
-    /// Paths and rules.
-    pub api: Api<H>,
-    /// Request ids.
-    pub ids: Ids,
+struct Operators<H> {
+    api: Api<H>,
+    ids: Ids,
+}
+
+/// Serves the operators' API on `listener` until the answer is dropped.
+///
+/// Fails when the listener is refused or no thread can be started.
+pub fn start<H: Host>(listener: TcpListener, api: Api<H>) -> io::Result<Running> {
+    let ids = Ids::new(&format!("{}-o", api.host.status().host), Clock::unix_ms());
+    let operators = Arc::new(Operators { api, ids });
+    server::start(listener, MOST, operators).map_err(io::Error::other)
 }
 
 impl<H: Host> Handler for Operators<H> {
--- a/tests/memory/host.rs
+++ b/tests/memory/host.rs
@@ -9,12 +9,10 @@
 use mastichinge::config::ledger::{Ledger, ProposeError};
 use mastichinge::config::state::Current;
 use mastichinge::error::{Kind, Refusal};
-use mastichinge::http::request::Ids;
-use mastichinge::http::server::{Running, start};
 use mastichinge::operators::api::Api;
 use mastichinge::operators::host::Host;
 use mastichinge::operators::keys::hash;
-use mastichinge::operators::server::{MOST, Operators};
+use mastichinge::operators::server::{Running, start};
 use mastichinge::operators::status::{
     EngineStatus, HeldStatus, HostStatus, MemberStatus, ModelStatus,
 };
@@ -130,13 +128,9 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     let admin = hash(ADMIN_KEY).into();
-    let operators = Operators {
-        api: Api { host, admin },
-        ids: Ids::new("h1", 1),
-    };
     Served {
         addr,
-        _running: start(listener, MOST, Arc::new(operators)).unwrap(),
+        _running: start(listener, Api { host, admin }).unwrap(),
     }
 }
 
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -14,7 +14,7 @@
 use mastichinge::error::Kind;
 use mastichinge::operators::keys::hash;
 use mastichinge::tool::client::{Answer, Ask, Client};
-use mastichinge::tool::{Output, Profile, ToolError, run};
+use mastichinge::tool::{Environment, Output, Profile, ToolError, run};
 use memory::host::{ADMIN_KEY, FakeHost, Served, nowhere, serve};
 use serde_json::{Value, json};
 use strum::IntoEnumIterator;
@@ -340,3 +340,43 @@
         assert!(page.contains(&format!("\n| {} | ", exit as u8)), "{exit:?}");
     }
 }
+
+fn environment(hosts: Option<&str>, key: Option<&str>) -> Environment {
+    Environment {
+        hosts: hosts.map(str::to_owned),
+        key: key.map(str::to_owned),
+        profile: Some(patch_file("profile", PROFILE).into()),
+    }
+}
+
+const PROFILE: &str = "{ \"hosts\": [\"127.0.0.1:1\"], \"key\": \"k1\" } // a comment";
+
+#[test_case("status", None, None => ("127.0.0.1:1".to_owned(), "k1".to_owned()); "file")]
+#[test_case("status", Some("127.0.0.1:2"), Some("k2") => ("127.0.0.1:2".to_owned(), "k2".to_owned()); "environment")]
+#[test_case("--hosts 127.0.0.1:3 status", Some("127.0.0.1:2"), None => ("127.0.0.1:3".to_owned(), "k1".to_owned()); "command line")]
+fn the_nearest_source_of_a_profile_wins(
+    line: &str,
+    hosts: Option<&str>,
+    key: Option<&str>,
+) -> (String, String) {
+    let args = parse(line.split_whitespace().map(OsString::from).collect()).unwrap();
+    let profile = Profile::find(&args, &environment(hosts, key)).unwrap();
+    (profile.hosts[0].to_string(), profile.key)
+}
+
+#[test_case("--hosts here status")]
+#[test_case("--profile /nowhere/profile.jsonc status")]
+fn a_wrong_profile_is_named(line: &str) {
+    let args = parse(line.split_whitespace().map(OsString::from).collect()).unwrap();
+    let err = Profile::find(&args, &Environment::default()).unwrap_err();
+    assert_eq!(err.exit(), Exit::Settings);
+    assert!(err.to_string().contains("here"), "{err}");
+}
+
+#[test_case("config patch file")]
+#[test_case("config")]
+#[test_case("drain")]
+#[test_case("status --unknown")]
+fn wrong_command_lines_are_refused(line: &str) {
+    assert!(parse(line.split_whitespace().map(OsString::from).collect()).is_err());
+}
