Test deeply nested patches over the operators' port

Cause: requests run on threads with small stacks. Change: patches of 100 and 5,000 levels are sent raw. Conclusion: the stack of a traffic thread suffices for the parser's depth.

--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -298,9 +298,14 @@
 fn raw(bench: &Bench, head: &str) -> String {
     let mut stream = TcpStream::connect(bench.server.addr).unwrap();
     stream.write_all(head.as_bytes()).unwrap();
-    let mut answer = vec![0; 300];
-    let read = stream.read(&mut answer).unwrap();
-    String::from_utf8_lossy(&answer[..read]).into_owned()
+    let mut answer = Vec::new();
+    let mut part = [0; 4_096];
+    while !answer.ends_with(b"}") {
+        let read = stream.read(&mut part).unwrap();
+        assert!(read > 0, "the answer broke off");
+        answer.extend_from_slice(&part[..read]);
+    }
+    String::from_utf8(answer).unwrap()
 }
 
 #[test]
@@ -380,3 +385,18 @@
 fn wrong_command_lines_are_refused(line: &str) {
     assert!(parse(line.split_whitespace().map(OsString::from).collect()).is_err());
 }
+
+#[test_case(100 => "invalid_config"; "as deep as the parser allows")]
+#[test_case(5_000 => "bad_request"; "deeper")]
+fn a_deeply_nested_patch_is_refused(depth: usize) -> String {
+    let bench = Bench::new();
+    let nested = format!("{}1{}", "{\"models\":".repeat(depth), "}".repeat(depth));
+    let head = format!(
+        "PATCH /v1/config HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {ADMIN_KEY}\r\n\
+         If-Match: 1\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{nested}",
+        nested.len()
+    );
+    let answer = raw(&bench, &head);
+    let (_, kind) = answer.split_once("\"kind\":\"").unwrap();
+    kind.split('"').next().unwrap().to_owned()
+}
