Give each test file of a patch its own name; make Operators public

Change: each file has a number of its own; Operators and MOST are public. Conclusion: the fault was in the test's files, not in the product.

--- a/src/operators/server.rs
+++ b/src/operators/server.rs
@@ -23,7 +23,7 @@
 pub use crate::http::server::Running;
 
 /// Most requests of operators in progress at once.
-const MOST: u32 = 16;
+pub const MOST: u32 = 16;
 /// Largest body, bytes; a larger change is made in several patches.
 const BODY_BYTES: u64 = 1024 * 1024;
 /// Largest head, bytes.
@@ -33,9 +33,11 @@
 
 /// Serves operators.
 #[derive(Debug)]
-struct Operators<H> {
-    api: Api<H>,
-    ids: Ids,
+pub struct Operators<H> {
+    /// Paths and rules.
+    pub api: Api<H>,
+    /// Request ids.
+    pub ids: Ids,
 }
 
 /// Serves the operators' API on `listener` until the answer is dropped.
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -6,7 +6,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use attohttpc::Method;
 use mastichinge::cli::Exit;
@@ -322,9 +322,12 @@
     assert!(raw(&bench, &head).starts_with("HTTP/1.1 413"));
 }
 
+/// Writes `text` to a file of its own, so that tests side by side never share one.
 fn patch_file(name: &str, text: &str) -> String {
-    let path =
-        std::env::temp_dir().join(format!("mastichinge-{}-{name}.jsonc", std::process::id()));
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let (process, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+    let file = format!("mastichinge-{process}-{number}-{name}.jsonc");
+    let path = std::env::temp_dir().join(file);
     std::fs::write(&path, text).unwrap();
     path.to_str().unwrap().to_owned()
 }
