End the daemon after an operator's drain; test the tool as a process

Cause: a trial of the tool against real daemons showed that POST /v1/drain took the host out of the entry answers but its process never ended, since the main waited for signals only. Change: mastichinged looks for a signal or for a drain under way; its exit codes are those of cli::Exit; tests/tool.rs runs the tool's binary against daemon processes. Conclusion: drain by tool and drain by signal take the same way.

--- a/src/bin/mastichinged.rs
+++ b/src/bin/mastichinged.rs
@@ -3,8 +3,11 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 
-use mastichinge::cli::daemon::{DaemonArgs, UsageError, parse};
+use mastichinge::cli::daemon::{DaemonArgs, parse};
+use mastichinge::cli::{Exit, UsageError};
 use mastichinge::daemon::{Daemon, StartError};
 use mastichinge::logs::{self, LogError};
 use mastichinge::platform::client::Timeouts;
@@ -13,12 +16,8 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-/// Exit code after a failure.
-const FAILED: u8 = 1;
-/// Exit code for a wrong command line.
-const WRONG_USAGE: u8 = 2;
-/// Exit code for wrong settings.
-const WRONG_SETTINGS: u8 = 3;
+/// Period at which a running daemon looks for a signal or an operator's drain.
+const LOOK: Duration = Duration::from_millis(50);
 
 /// Why the daemon ended early.
 #[derive(Debug, thiserror::Error)]
@@ -36,21 +35,21 @@
 }
 
 impl RunError {
-    fn code(&self) -> u8 {
+    fn exit(&self) -> Exit {
         match self {
-            RunError::Usage(_) => WRONG_USAGE,
-            RunError::Settings(_) => WRONG_SETTINGS,
-            _ => FAILED,
+            RunError::Usage(_) => Exit::Usage,
+            RunError::Settings(_) => Exit::Settings,
+            _ => Exit::Failed,
         }
     }
 }
 
 fn main() -> ExitCode {
     match run() {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(()) => Exit::Done.into(),
         Err(e) => {
             eprintln!("mastichinged: {e}");
-            ExitCode::from(e.code())
+            e.exit().into()
         }
     }
 }
@@ -81,7 +80,9 @@
     logs::start(&settings.log)?;
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
     let daemon = Daemon::start(&settings, platform(&settings))?;
-    signals.forever().next();
+    while signals.pending().next().is_none() && !daemon.desk().view().leaving {
+        thread::sleep(LOOK);
+    }
     daemon.drain();
     log::info!("stopped");
     Ok(())
--- /dev/null
+++ b/tests/tool.rs
@@ -0,0 +1,91 @@
+//! The tool as a process against real daemons.
+
+mod env;
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+use std::thread;
+
+use env::Env;
+use mastichinge::fakes::site::{OPERATOR_KEY, SiteSettings};
+
+fn start(tokens: usize) -> Env {
+    let settings = SiteSettings {
+        daemons: 3,
+        tokens,
+        ..SiteSettings::default()
+    };
+    Env::start(settings, Path::new(env!("CARGO_BIN_EXE_mastichinged")), &[])
+}
+
+fn operators(env: &Env, host: usize) -> SocketAddr {
+    env.hosts[host].settings.listen.operators
+}
+
+fn tool(hosts: &[SocketAddr], line: &str) -> Output {
+    let hosts: Vec<String> = hosts.iter().map(SocketAddr::to_string).collect();
+    Command::new(env!("CARGO_BIN_EXE_mastichinge"))
+        .args(["--hosts", &hosts.join(",")])
+        .args(line.split_whitespace())
+        .env("MASTICHINGE_KEY", OPERATOR_KEY)
+        .stdin(Stdio::null())
+        .output()
+        .expect("the tool runs")
+}
+
+fn patch_file(name: &str, text: &str) -> PathBuf {
+    let file = format!("mastichinge-tool-{}-{name}.jsonc", std::process::id());
+    let path = std::env::temp_dir().join(file);
+    std::fs::write(&path, text).expect("the patch is written");
+    path
+}
+
+#[test]
+fn a_patch_with_wait_ends_when_every_host_has_it() {
+    let mut env = start(12);
+    let dead = operators(&env, 0);
+    env.terminate(0);
+    assert!(env.exited(0).success());
+    env.wait_all();
+    let file = patch_file("wait", "{ \"models\": { \"m2\": { \"priority\": 7 } } }");
+    let line = format!("config patch {} --base 1 --wait", file.display());
+    let done = tool(&[dead, operators(&env, 1)], &line);
+    assert_eq!(done.status.code(), Some(0), "{done:?}");
+    assert_eq!((env.version(1), env.version(2)), (2, 2));
+}
+
+#[test]
+fn of_two_tools_at_one_version_exactly_one_wins() {
+    let env = start(12);
+    let codes: Vec<Option<i32>> = thread::scope(|scope| {
+        let env = &env;
+        let run = |host: usize| {
+            let text = format!("{{ \"policy\": {{ \"queue\": {} }} }}", host + 100);
+            let file = patch_file(&format!("race-{host}"), &text);
+            let line = format!("config patch {} --base 1", file.display());
+            tool(&[operators(env, host)], &line).status.code()
+        };
+        let threads = [0, 1, 2].map(|host| scope.spawn(move || run(host)));
+        threads.map(|t| t.join().expect("the tool ends")).to_vec()
+    });
+    let count = |code| codes.iter().filter(|c| **c == Some(code)).count();
+    assert_eq!((count(0), count(5)), (1, 2), "{codes:?}");
+}
+
+#[test]
+fn a_drain_by_the_tool_finishes_the_stream_and_ends_the_process() {
+    let mut env = start(60);
+    let asked = env.ask_later(1, "m1", "a long answer please");
+    env.wait("the stream runs", || {
+        let running = env.site.engines.iter().map(|e| e.report().running);
+        running.sum::<u32>() > 0
+    });
+    let line = format!("drain {} --wait", operators(&env, 1));
+    let drained = tool(&[operators(&env, 0)], &line);
+    assert_eq!(drained.status.code(), Some(0), "{drained:?}");
+    let answer = asked.join().expect("the caller's thread");
+    assert_eq!(answer.text, env.expected("a long answer please"));
+    assert!(answer.whole);
+    assert!(env.exited(1).success());
+}
