Order waiting requests by admission, route by score, bound callers

Cause: the router kept a plain sorted list, chose the emptiest engine, and callers' rates were not enforced; a pin being written elsewhere was not counted. Change: admission queues by model with fairness and early refusal, the routing score with the starts of prompts sent lately, rates and open requests by caller; pins under way count like recorded ones, and crossed or lagging reports are dropped.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -19,6 +19,7 @@
 use crate::decide::retry::{Budget, Retrying};
 use crate::follower::Follower;
 use crate::http::callers::Callers;
+use crate::http::contracts::Contracts;
 use crate::http::request::Ids;
 use crate::http::server::{self, Running};
 use crate::http::services::Services;
@@ -93,7 +94,7 @@
         let (stop, stopped) = bounded(0);
         let peers = Arc::new(start_peers(settings, incarnation, &events)?);
         let me = Me::new(settings, incarnation);
-        let router = Router::new(clock);
+        let router = Router::new(&settings.domain, clock);
         let view = Arc::new(ArcSwap::from_pointee(View::default()));
         let suspects = Arc::new(Mutex::new(Suspects::new(SuspectSettings::default())));
         let desk = Desk::new(events.clone(), view.clone(), suspects.clone(), clock);
@@ -159,6 +160,7 @@
             desk: desk.clone(),
             router: router.clone(),
             clock,
+            contracts: Contracts::default(),
             retries: Mutex::new(Budget::new(Retrying::default())),
             metrics,
             ids: Ids::new(&settings.host, incarnation),
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -19,6 +19,7 @@
 use crate::settings::Limits;
 
 use super::answer::{Answer, Form, api_error};
+use super::contracts::{Contracts, Open};
 use super::openai::{Collector, Completion, Endpoint, deadline};
 use super::relay::{End, Outcome, Relay, Sink};
 use super::request::{Ids, Terms, bearer, field, path, query};
@@ -41,6 +42,8 @@
     pub router: Router,
     /// Time.
     pub clock: Clock,
+    /// What callers may use at this host.
+    pub contracts: Contracts,
     /// Budget of retries of this daemon.
     pub retries: Mutex<Budget>,
     /// Counts what happens.
@@ -125,6 +128,11 @@
         caller: &Name,
         place: &str,
     ) -> Result<(), Refused> {
+        let open = self.admit(caller);
+        let _open = match open {
+            Ok(open) => open,
+            Err(refusal) => return Err(Box::new((request, refusal))),
+        };
         match self.serve_call(&mut request, id, caller, place) {
             Ok(answer) => {
                 answer.send(request, id);
@@ -201,6 +209,11 @@
             Err(refusal) => return Err(Box::new((request, refusal))),
         };
         let _open = OpenStream::new(&self.metrics);
+        let open = self.admit(caller);
+        let _open = match open {
+            Ok(open) => open,
+            Err(refusal) => return Err(Box::new((request, refusal))),
+        };
         let relay = Relay {
             engine: self.platform.engine(),
             router: &self.router,
@@ -214,6 +227,13 @@
         self.whole(request, &relay, &ask, &terms)
     }
 
+    fn admit(&self, caller: &Name) -> Result<Open<'_>, Refusal> {
+        let view = self.desk.view();
+        let contract = view.config.callers.get(caller).cloned().unwrap_or_default();
+        let now = self.clock.now();
+        self.contracts.admit(caller, &contract, view.alive, now)
+    }
+
     /// Checks a completion request against caller, model and deadline.
     fn prepare(
         &self,
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod callers;
+pub mod contracts;
 pub mod guard;
 pub mod openai;
 pub mod relay;
--- a/src/http/openai.rs
+++ b/src/http/openai.rs
@@ -6,6 +6,7 @@
 
 use crate::config::Name;
 use crate::error::{Kind, Refusal};
+use crate::router::Prefix;
 use crate::suspects::{Fingerprint, fingerprint};
 
 /// Longest model name, bytes.
@@ -57,8 +58,8 @@
     pub stream: bool,
     /// The client wants usage in its stream.
     pub usage: bool,
-    /// Canonical text of the prompt, for prefix matching and fingerprints.
-    pub prompt: String,
+    /// Start of the prompt.
+    pub prefix: Prefix,
     /// Fingerprint of model and body.
     pub print: Fingerprint,
     body: Map<String, Value>,
@@ -88,13 +89,14 @@
         }
         check_prompt(endpoint, &body)?;
         let print = fingerprint(&model, &Value::Object(body.clone()));
+        let prompt = body[endpoint.prompt_field()].to_string();
         Ok(Completion {
+            prefix: Prefix::new(&model, &prompt),
             endpoint,
             print,
             model,
             stream,
             usage,
-            prompt: body[endpoint.prompt_field()].to_string(),
             body,
         })
     }
--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -146,8 +146,13 @@
         terms: &Terms,
         progress: &mut Progress,
     ) -> Result<Slot, Refusal> {
+        let config = self.desk.config();
         let need = Need {
+            id: terms.id.clone(),
+            caller: terms.caller.clone(),
             model: ask.model.clone(),
+            prefix: ask.prefix,
+            worth: config.models.get(&ask.model).map_or(1.0, |m| m.worth),
             priority: terms.priority,
             deadline: self.limit(terms, progress),
             avoid: progress.avoid.clone(),
@@ -163,20 +168,15 @@
                 return Err(Refusal::new(Kind::Quarantined, detail));
             }
         }
-        let most = self.desk.config().policy.queue as usize;
+        let most = config.policy.queue as usize;
         match self.router.acquire(&need, most) {
             Route::Slot(slot) => Ok(slot),
             Route::Wait(waiter) => {
                 let deadline = self.clock.instant(need.deadline);
-                waiter
-                    .slots
-                    .recv_deadline(deadline)
-                    .map_err(|_| expired(ask))
-            }
-            Route::Full => {
-                let detail = format!("{most} requests wait for {}", ask.model);
-                Err(Refusal::new(Kind::QueueFull, detail).retry_after(COME_BACK))
+                let outcome = waiter.outcomes.recv_deadline(deadline);
+                outcome.unwrap_or_else(|_| Err(expired(ask)))
             }
+            Route::Refused(refusal) => Err(refusal),
             Route::Cold => {
                 progress.cold = true;
                 self.wake(terms, need, None)
--- a/src/http/services.rs
+++ b/src/http/services.rs
@@ -12,6 +12,7 @@
 use crate::config::{Name, Route, Service};
 use crate::error::{Kind, Refusal};
 use crate::platform::Table;
+use crate::platform::client::field as head_field;
 use crate::platform::client::{Media, SendError, authorize, read, send};
 use crate::protocol::calls::{Identity, Reply};
 
@@ -179,10 +180,10 @@
             .timeout(left);
         let mut request = authorize(request, &service.key);
         if let Some(media) = &call.media {
-            request = request.header(CONTENT_TYPE, media);
+            request = head_field(request, CONTENT_TYPE, media);
         }
         if let Some(key) = &call.key {
-            request = request.header(IDEMPOTENCY_KEY, &**key);
+            request = head_field(request, IDEMPOTENCY_KEY, key);
         }
         let media = match call.body.is_empty() {
             true => Media::None,
--- a/src/pool/advance.rs
+++ b/src/pool/advance.rs
@@ -36,10 +36,11 @@
             if !side.must_adopt() {
                 continue;
             }
-            side.writing = true;
+            let pins = side.pins.adopt(&side.report.instance);
+            side.pending = Some(pins.clone());
             out.push(Action::Write(vec![PinWrite {
                 engine: engine.clone(),
-                pins: side.pins.adopt(&side.report.instance),
+                pins,
                 item: side.item,
             }]));
         }
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -329,7 +329,7 @@
             let Some(side) = self.sides.get_mut(&write.engine) else {
                 continue;
             };
-            side.writing = false;
+            side.pending = None;
             let Some(version) = versions.get(i) else {
                 continue;
             };
@@ -352,7 +352,7 @@
     pub fn quiet(&self) -> Option<Vec<PinWrite>> {
         let mut writes = Vec::new();
         for (engine, side) in &self.sides {
-            if side.writing {
+            if side.writing() {
                 return None;
             }
             let Some(ledger) = &side.ledger else {
@@ -406,9 +406,9 @@
         self.waiting.len()
     }
 
-    /// All pins as recorded.
+    /// All pins that may stand in the table.
     fn pool_pins(&self) -> PoolPins {
-        let sides = self.sides.iter().map(|(e, s)| (e.clone(), s.pins.clone()));
+        let sides = self.sides.iter().map(|(e, s)| (e.clone(), s.possible()));
         let orphans = self
             .orphans
             .iter()
--- a/src/pool/pins.rs
+++ b/src/pool/pins.rs
@@ -52,7 +52,7 @@
     ) -> Option<Name> {
         let mut best: Option<(u64, &Name)> = None;
         for (engine, side) in &self.sides {
-            if side.writing || side.leaving() || side.ledger.is_none() {
+            if side.writing() || side.leaving() || side.ledger.is_none() {
                 continue;
             }
             let empty = EnginePins::default();
@@ -93,7 +93,7 @@
     /// An engine whose pin of `name` may be removed now.
     fn releasable(&self, name: &Name) -> Option<Name> {
         for (engine, side) in &self.sides {
-            if side.writing || !side.pins.pins.contains_key(name) {
+            if side.writing() || !side.pins.pins.contains_key(name) {
                 continue;
             }
             if side.replicas.contains_key(name) {
@@ -125,7 +125,7 @@
         ctx: &Context<'_>,
         out: &mut Vec<Action>,
     ) {
-        if !ctx.table || self.sides[engine].writing {
+        if !ctx.table || self.sides[engine].writing() {
             return;
         }
         let mut all = self.pool_pins();
@@ -152,7 +152,7 @@
     fn release_surplus(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
         let mut writes: Vec<(Name, EnginePins)> = Vec::new();
         for (engine, side) in &self.sides {
-            if side.writing {
+            if side.writing() {
                 continue;
             }
             for (name, pin) in &side.pins.pins {
@@ -184,7 +184,7 @@
             let Some(side) = self.sides.get_mut(&engine) else {
                 continue;
             };
-            side.writing = true;
+            side.pending = Some(pins.clone());
             writes.push(PinWrite {
                 engine,
                 pins,
--- a/src/pool/side.rs
+++ b/src/pool/side.rs
@@ -34,8 +34,9 @@
     pub heard: Option<Moment>,
     /// Replicas by model.
     pub replicas: BTreeMap<Name, Replica>,
-    /// A write of the pin item is under way.
-    pub writing: bool,
+    /// Pin record that is being written; until its end is known both records
+    /// may stand in the table.
+    pub pending: Option<EnginePins>,
     /// A fence is under way.
     pub fencing: bool,
     /// An unanswered order must be settled by a fence.
@@ -53,6 +54,7 @@
     epoch: u64,
     clean: bool,
     ordered: Moment,
+    asked: Option<Moment>,
     misses: u32,
 }
 
@@ -76,7 +78,7 @@
             report: Report::default(),
             heard: None,
             replicas: BTreeMap::new(),
-            writing: false,
+            pending: None,
             fencing: false,
             refence: false,
             listed_leaving: false,
@@ -87,6 +89,7 @@
             epoch,
             clean,
             ordered: Moment::ZERO,
+            asked: None,
             misses: 0,
         }
     }
@@ -109,7 +112,21 @@
 
     /// Whether the report names an instance that is not the recorded one.
     pub fn must_adopt(&self) -> bool {
-        self.heard.is_some() && self.report.instance != self.pins.instance && !self.writing
+        self.heard.is_some() && self.report.instance != self.pins.instance && !self.writing()
+    }
+
+    /// Whether a write of the pin item is under way.
+    pub fn writing(&self) -> bool {
+        self.pending.is_some()
+    }
+
+    /// Pins that may stand in the table: those recorded and those being written.
+    pub fn possible(&self) -> EnginePins {
+        let mut all = self.pins.clone();
+        for (model, pin) in self.pending.iter().flat_map(|p| &p.pins) {
+            all.pins.entry(model.clone()).or_insert_with(|| pin.clone());
+        }
+        all
     }
 
     /// Memory that nothing holds and nothing is planned for, MB.
@@ -143,11 +160,18 @@
 
     /// Takes a report that was asked for at `asked`; answers whether the set
     /// of replicas may have changed.
+    ///
+    /// Answers of several polls may cross; an older one changes nothing.
     pub fn reported(&mut self, report: Report, asked: Moment, now: Moment) -> bool {
+        if self.asked.is_some_and(|last| asked < last) {
+            return false;
+        }
+        self.asked = Some(asked);
         self.misses = 0;
         self.heard = Some(now);
         let restarted = report.instance != self.report.instance;
-        let stale = asked < self.ordered && !restarted;
+        let behind = asked < self.ordered || report.orders < self.report.orders;
+        let stale = behind && !restarted;
         self.report = report;
         if self.report.instance != self.pins.instance {
             self.ledger = None;
@@ -231,6 +255,13 @@
     /// Why the order may not be sent now.
     pub fn load(&mut self, model: &Name) -> Result<Grant<Recorded>, Denied> {
         let ledger = self.ledger.as_mut().ok_or(Denied::Closed)?;
+        if self
+            .pending
+            .as_ref()
+            .is_some_and(|p| !p.pins.contains_key(model))
+        {
+            return Err(Denied::NoPin(model.clone()));
+        }
         ledger.load(&self.pins, model)
     }
 
@@ -263,7 +294,9 @@
         if end == OrderEnd::Lost {
             self.refence = true;
         }
-        if let Ok(report) = result {
+        if let Ok(report) = result
+            && report.instance == self.report.instance
+        {
             self.reported(report, now, now);
         }
         self.settle_replica(verb, &model, &end, now);
--- /dev/null
+++ b/src/router/load.rs
@@ -0,0 +1,85 @@
+//! One engine as this daemon sees it.
+
+use crate::config::Name;
+use crate::decide::routing::{Bars, Candidate, Domain};
+use crate::peer::wire::EngineState;
+
+/// One engine as this daemon sees it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Load {
+    /// Pool.
+    pub pool: Name,
+    /// Instance id.
+    pub instance: Name,
+    /// Requests that it batches at once.
+    pub slots: u32,
+    /// Failure domain.
+    pub domain: Domain,
+    /// Requests in progress and waiting there by its last report.
+    reported: u32,
+    /// Requests of this daemon in progress there.
+    mine: u32,
+    /// Requests of this daemon sent since the report.
+    sent: u32,
+    /// Requests of this daemon that ended since the report.
+    ended: u32,
+    /// It takes no new work.
+    leaving: bool,
+    /// A request failed there since the report.
+    failed: bool,
+}
+
+impl Load {
+    /// Takes in a report.
+    pub fn reported(&mut self, state: &EngineState) {
+        self.instance = state.instance.as_str().into();
+        self.reported = state.running + state.waiting;
+        self.sent = 0;
+        self.ended = 0;
+        self.leaving = state.leaving;
+        self.failed = false;
+    }
+
+    /// A request of this daemon begins there.
+    pub fn began(&mut self) {
+        self.mine += 1;
+        self.sent += 1;
+    }
+
+    /// A request of this daemon ended there.
+    pub fn ended(&mut self) {
+        self.mine = self.mine.saturating_sub(1);
+        self.ended += 1;
+    }
+
+    /// A request failed there.
+    pub fn fail(&mut self) {
+        self.failed = true;
+    }
+
+    /// Whether it takes new work.
+    pub fn open(&self) -> bool {
+        !self.leaving && !self.failed
+    }
+
+    /// The engine as a candidate for a request that must avoid `avoid`, with
+    /// `cached` tokens of its prompt.
+    ///
+    /// What this daemon itself runs there is a lower bound of its load.
+    pub fn candidate(&self, avoid: &[Name], cached: u32) -> Candidate {
+        let corrected = (self.reported + self.sent).saturating_sub(self.ended);
+        Candidate {
+            running: corrected.max(self.mine),
+            slots: self.slots,
+            cached,
+            domain: self.domain,
+            bars: Bars {
+                leaving: self.leaving,
+                suspect: self.failed,
+                avoid: avoid.contains(&self.instance),
+                ..Bars::default()
+            },
+            ..Candidate::default()
+        }
+    }
+}
--- a/src/router.rs
+++ b/src/router/mod.rs
@@ -1,51 +1,74 @@
 //! Routing of requests on traffic threads, from the pool states that owners
 //! publish.
 
+mod load;
+mod prefixes;
+mod queue;
+
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use crossbeam::channel::{Receiver, Sender, bounded};
+use crossbeam::channel::Receiver;
 
 use crate::clock::{Clock, Moment};
 use crate::config::{Config, Name};
+use crate::decide::routing::{self, Candidate, Domain, choose};
+use crate::error::Refusal;
 use crate::peer::wire::{PoolState, Usage, Use};
 
+use load::Load;
+pub use prefixes::Prefix;
+use prefixes::Prefixes;
+use queue::{Delivery, ModelQueue};
+
 /// What a request needs of a replica.
 #[derive(Clone, Debug)]
 pub struct Need {
+    /// Request id.
+    pub id: Name,
+    /// Caller.
+    pub caller: Name,
     /// Model or adapter.
     pub model: Name,
+    /// Start of its prompt.
+    pub prefix: Prefix,
     /// Priority; higher first.
     pub priority: u8,
+    /// Worth of its completion.
+    pub worth: f64,
     /// Moment by which it must start.
     pub deadline: Moment,
     /// Engine instances that it must not run on.
     pub avoid: Vec<Name>,
 }
 
+/// What a waiting request gets.
+pub type Outcome = Result<Slot, Refusal>;
+
 /// How a request gets to its engine.
 pub enum Route {
     /// A slot is free now.
     Slot(Slot),
-    /// All replicas are busy; the slot comes over the channel.
+    /// All replicas are busy; the outcome comes over the channel.
     Wait(Waiter),
     /// No replica is loaded.
     Cold,
-    /// The queue is full.
-    Full,
+    /// The request cannot wait.
+    Refused(Refusal),
 }
 
 /// A place in the queue; dropping it withdraws the request.
 pub struct Waiter {
-    /// Delivers the slot.
-    pub slots: Receiver<Slot>,
-    number: u64,
+    /// Delivers the outcome.
+    pub outcomes: Receiver<Outcome>,
+    id: Name,
+    model: Name,
     router: Router,
 }
 
 impl Drop for Waiter {
     fn drop(&mut self) {
-        self.router.withdraw(self.number);
+        self.router.withdraw(&self.model, &self.id);
     }
 }
 
@@ -65,47 +88,18 @@
     }
 }
 
-/// State of one engine as this daemon sees it.
-#[derive(Clone, Debug, Default)]
-struct Load {
-    pool: Name,
-    instance: Name,
-    slots: u32,
-    reported: u32,
-    mine: u32,
-    since: u32,
-    leaving: bool,
-    failed: bool,
-}
-
-impl Load {
-    /// Requests in progress: the larger of what was reported, corrected by
-    /// what this daemon sent since, and what this daemon itself runs.
-    fn estimate(&self) -> u32 {
-        self.mine.max(self.reported + self.since)
-    }
-
-    fn takes_work(&self) -> bool {
-        !self.leaving && !self.failed
-    }
-}
-
-struct Queued {
-    number: u64,
-    need: Need,
-    sender: Sender<Slot>,
-}
-
 #[derive(Default)]
 struct State {
     seen: HashMap<Name, (u64, u64)>,
     replicas: HashMap<Name, Vec<Name>>,
     engines: HashMap<Name, Load>,
-    queue: Vec<Queued>,
+    queues: HashMap<Name, ModelQueue>,
+    prefixes: Prefixes,
+    domains: Vec<Name>,
+    domain: Domain,
     arrived: HashMap<Name, u32>,
     running: HashMap<(Name, Name), u32>,
     failed: Vec<Name>,
-    number: u64,
 }
 
 /// Routing state shared by traffic threads.
@@ -116,10 +110,14 @@
 }
 
 impl Router {
-    /// A router that knows no replica.
-    pub fn new(clock: Clock) -> Self {
+    /// A router in a failure domain that knows no replica.
+    pub fn new(domain: &Name, clock: Clock) -> Self {
+        let state = State {
+            domains: vec![domain.clone()],
+            ..State::default()
+        };
         Router {
-            state: Arc::default(),
+            state: Arc::new(Mutex::new(state)),
             clock,
         }
     }
@@ -137,34 +135,33 @@
 
     /// Finds a slot for a request; at most `most` requests wait for a model.
     pub fn acquire(&self, need: &Need, most: usize) -> Route {
+        let now = self.clock.now();
         let mut state = self.lock();
         if !state.has_replica(need) {
             return Route::Cold;
         }
-        if let Some(engine) = state.best(need) {
+        let waits = state.queues.get(&need.model).is_some_and(|q| !q.is_empty());
+        if !waits && let Some(engine) = state.best(need) {
+            state.note_prefix(need, &engine);
             return Route::Slot(self.take(&mut state, engine, &need.model));
         }
-        let same = state.queue.iter().filter(|q| q.need.model == need.model);
-        if same.count() >= most {
-            return Route::Full;
+        let mut out = Vec::new();
+        let model = need.model.clone();
+        let queue = state.queues.entry(model);
+        let queue = queue.or_insert_with(|| ModelQueue::new(most));
+        let offered = queue.offer(need, now, &mut out);
+        self.serve_queues(&mut state, now, &mut out);
+        drop(state);
+        deliver(out);
+        match offered {
+            Err(refusal) => Route::Refused(refusal),
+            Ok(outcomes) => Route::Wait(Waiter {
+                outcomes,
+                id: need.id.clone(),
+                model: need.model.clone(),
+                router: self.clone(),
+            }),
         }
-        let (sender, slots) = bounded(1);
-        state.number += 1;
-        let number = state.number;
-        state.queue.push(Queued {
-            number,
-            need: need.clone(),
-            sender,
-        });
-        state.queue.sort_by_key(|q| {
-            let rank = u8::MAX - q.need.priority;
-            (rank, q.need.deadline, q.number)
-        });
-        Route::Wait(Waiter {
-            slots,
-            number,
-            router: self.clone(),
-        })
     }
 
     /// Takes a slot at the engine that a pool's owner named.
@@ -174,8 +171,7 @@
 
     fn take(&self, state: &mut State, engine: Name, model: &Name) -> Slot {
         let load = state.engines.entry(engine.clone()).or_default();
-        load.mine += 1;
-        load.since += 1;
+        load.began();
         let instance = load.instance.clone();
         let key = (model.clone(), engine.clone());
         *state.running.entry(key).or_default() += 1;
@@ -190,50 +186,60 @@
     fn release(&self, engine: &Name, model: &Name) {
         let mut state = self.lock();
         if let Some(load) = state.engines.get_mut(engine) {
-            load.mine = load.mine.saturating_sub(1);
-            load.since = load.since.saturating_sub(1);
-            load.reported = load.reported.saturating_sub(1);
-        }
-        let key = (model.clone(), engine.clone());
-        if let Some(running) = state.running.get_mut(&key) {
-            *running -= 1;
-            if *running == 0 {
-                state.running.remove(&key);
-            }
+            load.ended();
         }
-        let grants = self.serve_queue(&mut state);
+        state.stop_running(engine, model);
+        let mut out = Vec::new();
+        self.serve_queues(&mut state, self.clock.now(), &mut out);
         drop(state);
-        deliver(grants);
+        deliver(out);
     }
 
-    fn withdraw(&self, number: u64) {
-        self.lock().queue.retain(|q| q.number != number);
+    fn withdraw(&self, model: &Name, id: &Name) {
+        let mut state = self.lock();
+        let Some(queue) = state.queues.get_mut(model) else {
+            return;
+        };
+        queue.withdraw(id);
+        if queue.is_empty() {
+            state.queues.remove(model);
+        }
     }
 
-    /// Gives free slots to waiting requests. The slots are handed over by the
-    /// caller after the lock is released: a dropped slot takes it again.
-    fn serve_queue(&self, state: &mut State) -> Vec<(Sender<Slot>, Slot)> {
-        let mut grants = Vec::new();
-        let mut index = 0;
-        while index < state.queue.len() {
-            let Some(engine) = state.best(&state.queue[index].need) else {
-                index += 1;
-                continue;
+    /// Gives free slots to waiting requests, the highest priority and then the
+    /// earliest deadline over all models first.
+    fn serve_queues(&self, state: &mut State, now: Moment, out: &mut Vec<Delivery>) {
+        if state.queues.is_empty() {
+            return;
+        }
+        for queue in state.queues.values_mut() {
+            queue.expire(now);
+        }
+        while let Some((model, engine)) = state.next_served(now) {
+            let Some(queue) = state.queues.get_mut(&model) else {
+                break;
+            };
+            let Some(sender) = queue.take(now) else {
+                break;
             };
-            let queued = state.queue.remove(index);
-            let slot = self.take(state, engine, &queued.need.model);
-            grants.push((queued.sender, slot));
+            let slot = self.take(state, engine, &model);
+            out.push(Delivery {
+                sender,
+                outcome: Ok(slot),
+            });
         }
-        grants
+        state.queues.retain(|_, queue| !queue.is_empty());
     }
 
     /// Notes that a request failed at `engine`, until its next report.
     pub fn failed(&self, engine: &Name) {
         let mut state = self.lock();
         if let Some(load) = state.engines.get_mut(engine) {
-            load.failed = true;
+            load.fail();
+        }
+        if !state.failed.contains(engine) {
+            state.failed.push(engine.clone());
         }
-        state.failed.push(engine.clone());
     }
 
     /// Notes that `engine` does not hold `model` after all.
@@ -254,9 +260,10 @@
         }
         state.seen.insert(name.clone(), stamp);
         state.replace(&name, pool, config);
-        let grants = self.serve_queue(&mut state);
+        let mut out = Vec::new();
+        self.serve_queues(&mut state, self.clock.now(), &mut out);
         drop(state);
-        deliver(grants);
+        deliver(out);
         true
     }
 
@@ -267,80 +274,119 @@
 
     /// Requests that wait for a slot.
     pub fn queued(&self) -> usize {
-        self.lock().queue.len()
+        self.lock().queues.values().map(ModelQueue::len).sum()
     }
 
     /// Requests in progress at engines.
     pub fn running(&self) -> u32 {
         self.lock().running.values().sum()
     }
-
-    /// The present moment.
-    pub fn now(&self) -> Moment {
-        self.clock.now()
-    }
 }
 
-fn deliver(grants: Vec<(Sender<Slot>, Slot)>) {
-    for (sender, slot) in grants {
-        // A waiter that has just given up drops the slot here, which frees it.
-        let _ = sender.send(slot);
+/// Hands outcomes over. The lock is free: the slot of a request that has just
+/// given up is dropped here, which takes it again.
+fn deliver(out: Vec<Delivery>) {
+    for delivery in out {
+        let _ = delivery.sender.send(delivery.outcome);
     }
 }
 
 impl State {
-    fn usable(&self, need: &Need, engine: &Name) -> bool {
-        let load = self.engines.get(engine);
-        load.is_some_and(|l| l.takes_work() && !need.avoid.contains(&l.instance))
-    }
-
     fn has_replica(&self, need: &Need) -> bool {
         let Some(engines) = self.replicas.get(&need.model) else {
             return false;
         };
-        engines.iter().any(|e| self.usable(need, e))
+        engines.iter().any(|engine| {
+            let load = self.engines.get(engine);
+            load.is_some_and(|l| l.open() && !need.avoid.contains(&l.instance))
+        })
     }
 
-    /// The usable replica with the most free slots.
+    /// The best replica with a free slot.
     fn best(&self, need: &Need) -> Option<Name> {
-        let mut best: Option<(&Name, u32)> = None;
+        let mut engines: Vec<&Name> = Vec::new();
+        let mut candidates: Vec<Candidate> = Vec::new();
         for engine in self.replicas.get(&need.model)? {
-            if !self.usable(need, engine) {
+            let Some(load) = self.engines.get(engine) else {
+                continue;
+            };
+            let cached = self.prefixes.cached(need.prefix, &load.instance);
+            let candidate = load.candidate(&need.avoid, cached);
+            if !candidate.free() {
                 continue;
             }
-            let load = &self.engines[engine];
-            let free = load.slots.saturating_sub(load.estimate());
-            if free == 0 {
+            engines.push(engine);
+            candidates.push(candidate);
+        }
+        let wish = routing::Need {
+            domain: self.domain,
+            prompt: need.prefix.tokens,
+        };
+        choose(&candidates, &wish).map(|i| engines[i].clone())
+    }
+
+    fn note_prefix(&mut self, need: &Need, engine: &Name) {
+        if let Some(load) = self.engines.get(engine) {
+            self.prefixes.sent(need.prefix, &load.instance);
+        }
+    }
+
+    /// The model whose queue is served next, and the engine.
+    fn next_served(&self, now: Moment) -> Option<(Name, Name)> {
+        let mut next: Option<((u8, Moment), Name, Name)> = None;
+        for (model, queue) in &self.queues {
+            let Some(need) = queue.head(now) else {
+                continue;
+            };
+            let rank = (u8::MAX - need.priority, need.deadline);
+            if next.as_ref().is_some_and(|(least, _, _)| *least <= rank) {
                 continue;
             }
-            if best.is_none_or(|(_, most)| free > most) {
-                best = Some((engine, free));
+            if let Some(engine) = self.best(need) {
+                next = Some((rank, model.clone(), engine));
             }
         }
-        best.map(|(engine, _)| engine.clone())
+        next.map(|(_, model, engine)| (model, engine))
+    }
+
+    fn stop_running(&mut self, engine: &Name, model: &Name) {
+        let key = (model.clone(), engine.clone());
+        let Some(running) = self.running.get_mut(&key) else {
+            return;
+        };
+        *running -= 1;
+        if *running == 0 {
+            self.running.remove(&key);
+        }
+    }
+
+    fn domain(&mut self, name: &Name) -> Domain {
+        let known = self.domains.iter().position(|d| d == name);
+        let index = known.unwrap_or_else(|| {
+            self.domains.push(name.clone());
+            self.domains.len() - 1
+        });
+        Domain::try_from(index).unwrap_or(Domain::MAX)
     }
 
     fn replace(&mut self, name: &Name, pool: &PoolState, config: &Config) {
-        let gone: Vec<Name> = self
-            .engines
-            .iter()
-            .filter(|(_, load)| load.pool == *name)
-            .map(|(engine, _)| engine.clone())
-            .collect();
-        for engines in self.replicas.values_mut() {
-            engines.retain(|e| !gone.contains(e));
+        for (engine, load) in &self.engines {
+            if load.pool != *name {
+                continue;
+            }
+            for engines in self.replicas.values_mut() {
+                engines.retain(|e| e != engine);
+            }
         }
         for known in &pool.engines {
             let engine = Name::from(known.engine.as_str());
-            let slots = config.engines.get(&engine).map_or(1, |e| e.slots);
+            let told = config.engines.get(&engine).cloned().unwrap_or_default();
+            let domain = self.domain(&told.domain);
             let load = self.engines.entry(engine.clone()).or_default();
             load.pool = name.clone();
-            load.instance = known.instance.as_str().into();
-            load.slots = slots;
-            load.reported = known.running + known.waiting;
-            load.since = 0;
-            load.leaving = known.leaving;
-            load.failed = false;
+            load.slots = told.slots;
+            load.domain = domain;
+            load.reported(known);
             for model in &known.ready {
                 let engines = self.replicas.entry(model.as_str().into()).or_default();
                 engines.push(engine.clone());
@@ -360,8 +406,11 @@
             uses.push(used(model, "", *count, 0));
             false
         });
-        for queued in self.queue.iter().filter(|q| in_pool(&q.need.model)) {
-            uses.push(used(&queued.need.model, "", 0, 1));
+        for (model, queue) in &self.queues {
+            if in_pool(model) && !queue.is_empty() {
+                let waiting = u32::try_from(queue.len()).unwrap_or(u32::MAX);
+                uses.push(used(model, "", 0, waiting));
+            }
         }
         for ((model, engine), count) in &self.running {
             if in_pool(model) {
