Write logs on a thread of their own

Cause: each line was written to standard error by the thread that logged it, the control thread included; a stuck reader would have stopped all. Conclusion: logging cannot hold up control or traffic.

--- a/src/bin/mastichinged.rs
+++ b/src/bin/mastichinged.rs
@@ -45,7 +45,9 @@
 }
 
 fn main() -> ExitCode {
-    match run() {
+    let outcome = run();
+    log::logger().flush();
+    match outcome {
         Ok(()) => Exit::Done.into(),
         Err(e) => {
             eprintln!("mastichinged: {e}");
--- a/src/logs.rs
+++ b/src/logs/mod.rs
@@ -1,7 +1,10 @@
 //! Log lines as text or as JSON, with the fields that a record carries.
 
+mod writer;
+
 use std::fmt::Display;
-use std::io;
+use std::fs::OpenOptions;
+use std::io::{self, Write};
 use std::str::FromStr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -11,12 +14,13 @@
 use serde_json::Map;
 
 use crate::settings::{Form, Log};
+use writer::Writer;
 
 /// Why logging could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum LogError {
-    /// The log file cannot be opened.
-    #[error("cannot open the log file: {0}")]
+    /// The log file cannot be opened, or the writing thread not started.
+    #[error("cannot open the log: {0}")]
     File(#[from] io::Error),
     /// A logger runs already.
     #[error("cannot start logging: {0}")]
@@ -24,6 +28,9 @@
 }
 
 /// Starts logging for this process.
+///
+/// Lines are written by a thread of their own; `log::logger().flush()` waits
+/// for it, and belongs before the end of the process.
 pub fn start(settings: &Log) -> Result<(), LogError> {
     let level = LevelFilter::from_str(&settings.level).unwrap_or(LevelFilter::Info);
     let form = settings.form;
@@ -35,11 +42,12 @@
                 line(form, SystemTime::now(), message, record)
             ));
         });
-    let dispatch = match &settings.file {
-        Some(path) => dispatch.chain(fern::log_file(path)?),
-        None => dispatch.chain(io::stderr()),
+    let out: Box<dyn Write + Send> = match &settings.file {
+        Some(path) => Box::new(OpenOptions::new().create(true).append(true).open(path)?),
+        None => Box::new(io::stderr()),
     };
-    Ok(dispatch.apply()?)
+    let writer: Box<dyn log::Log> = Box::new(Writer::start(out)?);
+    Ok(dispatch.chain(writer).apply()?)
 }
 
 /// A line in [`Form::Json`].
