Show the bytes between daemons at /metrics

Cause: peer_sent and peer_received were called by nobody, so the traffic of control could not be seen. Change: Metrics::peer_totals takes the totals that the links count; the daemon's host reads them before the text is made. No link drops messages, so the metric for dropped ones is gone.

--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -14,6 +14,7 @@
 use crate::metrics::Metrics;
 use crate::operators::host::Host;
 use crate::operators::status::{EngineStatus, HeldStatus, HostStatus, MemberStatus, ModelStatus};
+use crate::peer::Peers;
 use crate::platform::Platform;
 
 /// Wait that a refusal names where nothing better is known.
@@ -27,6 +28,8 @@
     pub desk: Desk,
     /// The configuration.
     pub follower: Follower<P>,
+    /// Links to other daemons.
+    pub peers: Arc<Peers>,
     /// Metrics.
     pub metrics: Arc<Metrics>,
     /// Firm.
@@ -111,6 +114,9 @@
     }
 
     fn metrics(&self) -> String {
+        let peers = &self.peers;
+        self.metrics
+            .peer_totals(peers.bytes_sent(), peers.bytes_received());
         self.metrics.text()
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -138,6 +138,7 @@
                 platform: platform.clone(),
                 desk: desk.clone(),
                 follower: follower.clone(),
+                peers: peers.clone(),
                 metrics: metrics.clone(),
                 firm: settings.firm.clone(),
                 clock,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of one daemon, served as Prometheus text.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
@@ -40,7 +41,8 @@
     control_time: Counter<f64>,
     control_events: Counter<u64>,
     peer_bytes: Counter<u64>,
-    peer_dropped: Counter<u64>,
+    sent: AtomicU64,
+    received: AtomicU64,
     config_version: Gauge<u64>,
 }
 
@@ -81,7 +83,8 @@
             control_time: amount(&m, "control_seconds", "Busy time of the control thread"),
             control_events: counter(&m, "control_events", "Events of the control thread"),
             peer_bytes: counter(&m, "peer_bytes", "Bytes between daemons, by direction"),
-            peer_dropped: counter(&m, "peer_dropped", "Messages to daemons that were dropped"),
+            sent: AtomicU64::new(0),
+            received: AtomicU64::new(0),
             config_version: gauge(&m, "config_version", "Configuration version in force"),
             registry,
             _provider: provider,
@@ -147,21 +150,17 @@
         self.control_events.add(1, &[]);
     }
 
-    /// Bytes were sent to another daemon.
-    pub fn peer_sent(&self, bytes: usize) {
-        let sent = KeyValue::new("direction", "sent");
-        self.peer_bytes.add(bytes as u64, &[sent]);
+    /// Bytes sent to and received from other daemons since the start.
+    pub fn peer_totals(&self, sent: u64, received: u64) {
+        self.peer_bytes("sent", &self.sent, sent);
+        self.peer_bytes("received", &self.received, received);
     }
 
-    /// Bytes were received from another daemon.
-    pub fn peer_received(&self, bytes: usize) {
-        let received = KeyValue::new("direction", "received");
-        self.peer_bytes.add(bytes as u64, &[received]);
-    }
-
-    /// A message to another daemon was dropped.
-    pub fn peer_dropped(&self) {
-        self.peer_dropped.add(1, &[]);
+    fn peer_bytes(&self, direction: &'static str, last: &AtomicU64, total: u64) {
+        let before = last.fetch_max(total, Ordering::Relaxed);
+        let direction = KeyValue::new("direction", direction);
+        self.peer_bytes
+            .add(total.saturating_sub(before), &[direction]);
     }
 
     /// A configuration version came into force.
@@ -220,7 +219,8 @@
         metrics.streams(2);
         metrics.streams(-1);
         metrics.config(7);
-        metrics.peer_sent(10);
+        metrics.peer_totals(7, 0);
+        metrics.peer_totals(10, 0);
         let text = metrics.text();
         for line in [
             "mastichinge_refused_total{kind=\"queue_full\",SCOPE} 1",
