--- a/src/control/desk.rs
+++ b/src/control/desk.rs
@@ -6,11 +6,11 @@
 use arc_swap::ArcSwap;
 use crossbeam::channel::{Sender, bounded};
 use serde_json::{Value, json};
-use sha2::{Digest, Sha256};
 
 use crate::clock::Clock;
 use crate::config::{Config, Name};
 use crate::error::{Kind, Refusal};
+use crate::operators::keys::hash;
 use crate::router::{Need, Slot};
 use crate::suspects::{Attempt, Fingerprint, Suspects};
 
@@ -108,7 +108,7 @@
 
     /// The caller to whom `key` belongs.
     pub fn caller(&self, key: &str) -> Option<Name> {
-        let hash = hex(&Sha256::digest(key.as_bytes()));
+        let hash = hash(key);
         self.view.load().callers.get(hash.as_str()).cloned()
     }
 
@@ -191,13 +191,3 @@
         })
     }
 }
-
-/// Lower-case hex digits of `bytes`.
-pub fn hex(bytes: &[u8]) -> String {
-    use std::fmt::Write;
-    let mut text = String::with_capacity(bytes.len() * 2);
-    for byte in bytes {
-        let _ = write!(text, "{byte:02x}");
-    }
-    text
-}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -30,7 +30,7 @@
 use crate::suspects::Suspects;
 
 pub use claims::Seat;
-pub use desk::{Desk, Wish, hex};
+pub use desk::{Desk, Wish};
 pub use driver::{Driver, Parts, Routed};
 pub use event::{Act, Event, TableEnd};
 pub use view::View;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -98,7 +98,12 @@
         let view = Arc::new(ArcSwap::from_pointee(View::default()));
         let suspects = Arc::new(Mutex::new(Suspects::new(SuspectSettings::default())));
         let desk = Desk::new(events.clone(), view.clone(), suspects.clone(), clock);
-        let follower = Follower::new(platform.clone(), peers.clone(), events.clone());
+        let follower = Follower::new(
+            platform.clone(),
+            peers.clone(),
+            events.clone(),
+            settings.peers.len(),
+        );
         let (follow, changes) = bounded(MESSAGES);
         let (calls, questions) = bounded(MESSAGES);
         follower.start(changes)?;
--- a/src/fakes/site.rs
+++ b/src/fakes/site.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use sha2::{Digest, Sha256};
 
 use super::engine::{EngineSettings, FakeEngine, LoadTimes};
 use super::platform::FakePlatform;
@@ -14,7 +13,7 @@
 use crate::config::entry::Proposal;
 use crate::config::ledger::{Ledger, ProposeError};
 use crate::config::state::Current;
-use crate::control::hex;
+use crate::operators::keys::hash;
 use crate::platform::client::Timeouts;
 use crate::platform::http::HttpPlatform;
 use crate::platform::{HostState, Platform};
@@ -261,8 +260,3 @@
 fn fenced(settings: &SiteSettings, number: u32) -> bool {
     settings.unfenced == 0 || !number.is_multiple_of(settings.unfenced)
 }
-
-/// SHA-256 of a key, hex.
-pub fn hash(key: &str) -> String {
-    hex(&Sha256::digest(key.as_bytes()))
-}
--- a/src/follower.rs
+++ b/src/follower.rs
@@ -16,8 +16,13 @@
 use crate::peer::wire::{Body, Change, ChangeAsk, Snapshot};
 use crate::platform::Platform;
 
-/// Period at which the table's head is read.
+/// Shortest period at which a daemon reads the table's head.
 const POLL: Duration = Duration::from_secs(1);
+/// Longest such period; pushed changes need no poll.
+const POLL_MOST: Duration = Duration::from_secs(5);
+/// Reads of the head a second by all daemons, up to which the period is the
+/// shortest.
+const READS: u32 = 90;
 /// Changes kept for peers that missed some.
 const KEPT: usize = 1_000;
 
@@ -27,6 +32,7 @@
     peers: Arc<Peers>,
     state: Arc<Mutex<State>>,
     events: Sender<Event>,
+    hosts: usize,
 }
 
 #[derive(Default)]
@@ -42,18 +48,20 @@
             peers: self.peers.clone(),
             state: self.state.clone(),
             events: self.events.clone(),
+            hosts: self.hosts,
         }
     }
 }
 
 impl<P: Platform> Follower<P> {
-    /// A follower that knows no version.
-    pub fn new(platform: Arc<P>, peers: Arc<Peers>, events: Sender<Event>) -> Self {
+    /// A follower among `hosts` daemons that knows no version.
+    pub fn new(platform: Arc<P>, peers: Arc<Peers>, events: Sender<Event>, hosts: usize) -> Self {
         Follower {
             platform,
             peers,
             state: Arc::default(),
             events,
+            hosts,
         }
     }
 
@@ -115,13 +123,20 @@
             if self.events.send(Event::Health { table }).is_err() {
                 return;
             }
-            match stopped.recv_timeout(POLL) {
+            match stopped.recv_timeout(self.period()) {
                 Err(RecvTimeoutError::Timeout) => {}
                 _ => return,
             }
         }
     }
 
+    /// Time until the next read of the head, jittered by a quarter.
+    fn period(&self) -> Duration {
+        let hosts = u32::try_from(self.hosts).unwrap_or(u32::MAX);
+        let period = (POLL * hosts / READS).clamp(POLL, POLL_MOST);
+        period.mul_f64(0.75 + 0.25 * rand::random::<f64>())
+    }
+
     /// Reads what the table has beyond the version in force; answers whether
     /// the table answered.
     fn refresh(&self) -> bool {
@@ -210,7 +225,7 @@
         if first > have + 1 {
             let snapshot = Body::Snapshot(Snapshot {
                 version: state.current.version,
-                document: state.current.document().to_string(),
+                document: state.current.text(),
             });
             let known = state.current.version;
             drop(state);
@@ -228,15 +243,8 @@
     }
 
     fn restore(&self, snapshot: &Snapshot) {
-        let document = match serde_json::from_str(&snapshot.document) {
-            Ok(document) => document,
-            Err(e) => {
-                log::warn!("a snapshot cannot be read: {e}");
-                return;
-            }
-        };
         let mut newer = self.current();
-        match newer.restore(snapshot.version, &document) {
+        match newer.restore_text(snapshot.version, &snapshot.document) {
             Ok(Applied::Raised) => self.raise(newer),
             Ok(_) => {}
             Err(e) => log::error!("{e}"),
--- a/src/operators/keys.rs
+++ b/src/operators/keys.rs
@@ -5,7 +5,6 @@
 
 use crate::config::rules::{ADMIN, ALL_TEAMS};
 use crate::config::{Config, Name, Role};
-use crate::control::hex;
 use crate::error::{Kind, Refusal};
 
 /// What an operator may do.
@@ -35,6 +34,16 @@
     hex(&Sha256::digest(key.as_bytes()))
 }
 
+/// Lower-case hex digits of `bytes`.
+fn hex(bytes: &[u8]) -> String {
+    use std::fmt::Write;
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
+
 /// The operator whose key is `key`; `admin` is the hash in the settings.
 ///
 /// Every hash is compared, each in constant time.
