Provoke the error kinds from outside in one table

Cause: nothing held the table of kinds against the running daemons. Change: eighteen kinds provoked by one request each, checked for status, form, retry, Retry-After and whether the work ran; the others are listed with the place of their tests; a hang-up frees the engine.

--- /dev/null
+++ b/tests/kinds.rs
@@ -0,0 +1,284 @@
+//! Every error kind, provoked from outside: its status, its error form, and
+//! what it says of retries and of the work.
+
+mod env;
+
+use std::path::Path;
+use std::time::Duration;
+
+use attohttpc::Method;
+use env::Env;
+use mastichinge::error::Kind;
+use mastichinge::fakes::FakeService;
+use mastichinge::fakes::site::{CALLER_KEY, OPERATOR_KEY, SiteSettings};
+use serde_json::{Value, json};
+use strum::IntoEnumIterator;
+
+/// Where a request goes.
+#[derive(Clone, Copy, PartialEq)]
+enum Port {
+    Callers,
+    Operators,
+}
+
+/// One request and the kind that must answer it.
+struct Case {
+    kind: Kind,
+    port: Port,
+    method: Method,
+    path: &'static str,
+    key: &'static str,
+    fields: &'static [(&'static str, &'static str)],
+    body: Vec<u8>,
+}
+
+impl Default for Case {
+    fn default() -> Self {
+        Case {
+            kind: Kind::Internal,
+            port: Port::Callers,
+            method: Method::POST,
+            path: "/v1/chat/completions",
+            key: CALLER_KEY,
+            fields: &[],
+            body: chat("m1"),
+        }
+    }
+}
+
+fn chat(model: &str) -> Vec<u8> {
+    let messages = json!([{"role": "user", "content": "hello"}]);
+    let body = json!({"model": model, "messages": messages, "stream": true});
+    body.to_string().into_bytes()
+}
+
+fn config(kind: Kind) -> Case {
+    Case {
+        kind,
+        port: Port::Operators,
+        method: Method::PATCH,
+        path: "/v1/config",
+        key: OPERATOR_KEY,
+        body: b"{}".to_vec(),
+        ..Case::default()
+    }
+}
+
+fn booking(kind: Kind) -> Case {
+    Case {
+        kind,
+        path: "/services/seats/bookings",
+        body: b"row 3".to_vec(),
+        ..Case::default()
+    }
+}
+
+/// Kinds that need a failure, a load or another port; their tests stand
+/// beside what brings them about.
+const ELSEWHERE: [Kind; 12] = [
+    Kind::HeadTooLarge,
+    Kind::SlowClient,
+    Kind::DeadlineUnreachable,
+    Kind::QueueFull,
+    Kind::RateLimited,
+    Kind::Draining,
+    Kind::NotReady,
+    Kind::StreamBroken,
+    Kind::Quarantined,
+    Kind::TableDown,
+    Kind::OutcomeUnknown,
+    Kind::Internal,
+];
+
+#[test]
+fn no_kind_is_left_out() {
+    let cases = cases();
+    for kind in Kind::iter() {
+        let here = cases.iter().any(|c| c.kind == kind);
+        assert!(here != ELSEWHERE.contains(&kind), "{kind}");
+    }
+}
+
+/// Kinds that one request against a healthy site provokes.
+fn cases() -> Vec<Case> {
+    vec![
+        Case {
+            kind: Kind::BadRequest,
+            body: b"{".to_vec(),
+            ..Case::default()
+        },
+        Case {
+            kind: Kind::BodyTooLarge,
+            body: vec![b' '; 2 << 20],
+            ..Case::default()
+        },
+        Case {
+            kind: Kind::BadKey,
+            key: "wrong",
+            ..Case::default()
+        },
+        Case {
+            kind: Kind::Forbidden,
+            body: chat("closed"),
+            ..Case::default()
+        },
+        Case {
+            kind: Kind::NotFound,
+            path: "/v1/nothing",
+            ..Case::default()
+        },
+        Case {
+            kind: Kind::BadMethod,
+            method: Method::DELETE,
+            ..Case::default()
+        },
+        Case {
+            kind: Kind::UnknownModel,
+            body: chat("nobody"),
+            ..Case::default()
+        },
+        Case {
+            kind: Kind::UnknownService,
+            path: "/services/nobody/x",
+            ..Case::default()
+        },
+        Case {
+            kind: Kind::DeadlinePast,
+            fields: &[("X-Deadline-Ms", "-1")],
+            ..Case::default()
+        },
+        Case {
+            kind: Kind::DeadlineExpired,
+            fields: &[("X-Deadline-Ms", "1")],
+            body: chat("m4"),
+            ..Case::default()
+        },
+        Case {
+            kind: Kind::NoCapacity,
+            body: chat("off"),
+            ..Case::default()
+        },
+        Case {
+            kind: Kind::UpstreamFailed,
+            method: Method::GET,
+            path: "/services/gone/x",
+            ..Case::default()
+        },
+        booking(Kind::KeyRequired),
+        Case {
+            fields: &[
+                ("Idempotency-Key", "first-key-of-all"),
+                ("X-First-Attempt", "1"),
+            ],
+            path: "/services/gone/bookings",
+            ..booking(Kind::NotRun)
+        },
+        Case {
+            fields: &[("Idempotency-Key", "used-before-1234")],
+            body: b"another row".to_vec(),
+            ..booking(Kind::KeyReused)
+        },
+        config(Kind::VersionRequired),
+        Case {
+            fields: &[("If-Match", "\"1\"")],
+            ..config(Kind::VersionConflict)
+        },
+        Case {
+            fields: &[("If-Match", "\"2\"")],
+            body: br#"{"models": {"m1": {"base": "nobody"}}}"#.to_vec(),
+            ..config(Kind::InvalidConfig)
+        },
+    ]
+}
+
+/// Adds what the cases need to the configuration.
+fn prepare(env: &Env, service: &FakeService) {
+    let once = json!([{"method": "POST", "path": "/bookings"}]);
+    let patch = json!({
+        "models": {
+            "closed": {"pool": "main", "team": "others", "memory": 10, "limit": 1},
+            "off": {"pool": "main", "memory": 10, "limit": 0},
+        },
+        "callers": {"app": {"teams": ["default"]}},
+        "services": {
+            "seats": {"addrs": [service.addr.to_string()], "once": once},
+            "gone": {"addrs": ["127.0.0.1:1"], "once": once, "deadline_ms": 500},
+        },
+    });
+    let (status, body) = env.patch(0, 1, "prepare", &patch);
+    assert_eq!(status, 200, "{body}");
+    env.wait("version 2", || (0..5).all(|h| env.version(h) == 2));
+    let first = Case {
+        fields: &[("Idempotency-Key", "used-before-1234")],
+        ..booking(Kind::Internal)
+    };
+    assert_eq!(send(env, &first).0, 200);
+}
+
+/// Sends a request to host 0; answers status, `Retry-After` and body.
+fn send(env: &Env, case: &Case) -> (u16, Option<String>, Value) {
+    let url = match case.port {
+        Port::Callers => env.caller_url(0, case.path),
+        Port::Operators => env.operator_url(0, case.path),
+    };
+    let mut request = attohttpc::RequestBuilder::new(case.method.clone(), url)
+        .bearer_auth(case.key)
+        .timeout(Duration::from_secs(60));
+    for (name, value) in case.fields {
+        request = request.header(*name, *value);
+    }
+    let answer = request.bytes(&case.body).send().expect("an answer");
+    let status = answer.status().as_u16();
+    let retry = answer.headers().get("retry-after");
+    let retry = retry.and_then(|r| r.to_str().ok()).map(str::to_owned);
+    let text = answer.text().expect("a body");
+    (
+        status,
+        retry,
+        serde_json::from_str(&text).unwrap_or(Value::Null),
+    )
+}
+
+#[test]
+fn each_kind_has_its_answer_and_disturbs_nobody_else() {
+    let env = Env::start(
+        SiteSettings {
+            load: Duration::from_secs(1),
+            ..SiteSettings::default()
+        },
+        Path::new(env!("CARGO_BIN_EXE_mastichinged")),
+        &[],
+    );
+    let service = FakeService::start(([127, 0, 0, 1], 0).into()).expect("a service");
+    prepare(&env, &service);
+    let asked = env.ask_later(1, "m1", "an innocent question");
+    for case in cases() {
+        let (status, retry, body) = send(&env, &case);
+        let answer = case.kind.answer();
+        assert_eq!(status, answer.status, "{}: {body}", case.kind);
+        let error = match case.path.starts_with("/v1/") && case.port == Port::Callers {
+            true => &body["error"],
+            false => &body,
+        };
+        let name = match error["kind"].as_str() {
+            Some(kind) => kind,
+            None => error["code"].as_str().unwrap_or_default(),
+        };
+        assert_eq!(name, case.kind.to_string(), "{body}");
+        assert_eq!(error["retry"], answer.retry, "{}: {body}", case.kind);
+        assert_eq!(
+            error["ran"],
+            answer.ran.to_string(),
+            "{}: {body}",
+            case.kind
+        );
+        assert!(error["request_id"].is_string(), "{}: {body}", case.kind);
+        assert_eq!(retry.is_some(), answer.retry, "{}: Retry-After", case.kind);
+    }
+    let answer = asked.join().expect("the caller's thread");
+    assert_eq!(
+        answer.text,
+        env.expected("an innocent question"),
+        "{answer:?}"
+    );
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -78,3 +78,24 @@
     assert!(env.exited(0).success());
     env.wait_all();
 }
+
+#[test]
+fn a_caller_who_hangs_up_frees_the_engine() {
+    let env = start(SiteSettings {
+        tokens: 100_000,
+        ..SiteSettings::default()
+    });
+    let running = || -> u32 { env.site.engines.iter().map(|e| e.report().running).sum() };
+    let body = json!({
+        "model": "m1", "stream": true,
+        "messages": [{"role": "user", "content": "without end"}],
+    });
+    let answer = attohttpc::post(env.caller_url(2, "/v1/chat/completions"))
+        .bearer_auth(mastichinge::fakes::site::CALLER_KEY)
+        .text(body.to_string())
+        .send()
+        .expect("a stream");
+    env.wait("the stream runs", || running() == 1);
+    drop(answer);
+    env.wait("the engine is free", || running() == 0);
+}
