--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod jobs;
 mod peers;
 mod permit;
+mod pools;
 mod status;
 mod strikes;
 mod tickets;
@@ -16,15 +17,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use crate::clock::{Clock, Moment};
+use crate::clock::Moment;
 use crate::config::{Config, Name, Policy};
 use crate::decide::permits::Permits;
 use crate::decide::store::StoreLimits;
 use crate::members::Members;
 use crate::peer::wire::{Body, PoolState};
-use crate::platform::{EngineError, Hosts, Report};
-use crate::pool::{Action, Context, Pool};
-use crate::protocol::ownership::{Grant, Sent};
+use crate::platform::Hosts;
 use crate::router::Router;
 use crate::settings::Settings;
 use crate::suspects::Suspects;
@@ -233,135 +232,6 @@
         self.publish(now);
     }
 
-    fn tick_pools(&mut self, now: Moment) {
-        let hosts = self.members.alive(now);
-        let config = self.config.clone();
-        let ctx = Context {
-            config: &config,
-            hosts: &hosts,
-            table: self.table,
-            now,
-            unix: Clock::unix(),
-        };
-        let mut all = Vec::new();
-        for (name, seat) in &mut self.seats {
-            let Seat::Held(pool) = seat else {
-                continue;
-            };
-            let mut out = Vec::new();
-            pool.tick(&ctx, &mut out);
-            all.push((name.clone(), pool.epoch, pool.item, out));
-        }
-        for (name, epoch, item, out) in all {
-            self.carry_out(&name, epoch, item, out);
-        }
-    }
-
-    /// Runs `step` on a pool that this daemon owns.
-    fn with_pool(
-        &mut self,
-        name: &Name,
-        now: Moment,
-        step: impl FnOnce(&mut Pool, &Context<'_>, &mut Vec<Action>),
-    ) {
-        let hosts = self.members.alive(now);
-        let config = self.config.clone();
-        let ctx = Context {
-            config: &config,
-            hosts: &hosts,
-            table: self.table,
-            now,
-            unix: Clock::unix(),
-        };
-        let Some(Seat::Held(pool)) = self.seats.get_mut(name) else {
-            return;
-        };
-        let mut out = Vec::new();
-        step(pool, &ctx, &mut out);
-        let (epoch, item) = (pool.epoch, pool.item);
-        self.carry_out(name, epoch, item, out);
-    }
-
-    /// Turns the actions of a pool into acts.
-    fn carry_out(&mut self, name: &Name, epoch: u64, item: u64, out: Vec<Action>) {
-        for action in out {
-            match action {
-                Action::Send { to, body } => self.send(&to, body),
-                Action::Broadcast(body) => {
-                    self.inbox.push_back(body.clone());
-                    self.acts.push(Act::Broadcast(body));
-                }
-                Action::Order {
-                    engine,
-                    grant,
-                    order,
-                } => self.acts.push(Act::Order {
-                    pool: name.clone(),
-                    epoch,
-                    engine,
-                    grant,
-                    order,
-                }),
-                Action::Ask {
-                    load,
-                    adapter,
-                    stake,
-                    running,
-                } => self.ask_permit(&load, adapter, stake, running),
-                Action::Done { load } => self.return_permit(&load),
-                Action::Write(writes) => self.acts.push(Act::WritePins {
-                    pool: name.clone(),
-                    epoch,
-                    item,
-                    writes,
-                }),
-                Action::Loaded { model, took } => self.acts.push(Act::Loaded { model, took }),
-                Action::Unloaded => self.acts.push(Act::Unloaded),
-            }
-        }
-    }
-
-    /// Sends a message, to this daemon itself through its inbox.
-    fn send(&mut self, to: &Name, body: Body) {
-        if *to == self.me.host {
-            self.inbox.push_back(body);
-            return;
-        }
-        self.acts.push(Act::Send {
-            to: to.clone(),
-            body,
-        });
-    }
-
-    fn polled(
-        &mut self,
-        pool: &Name,
-        engine: &Name,
-        result: Result<Report, EngineError>,
-        asked: Moment,
-        now: Moment,
-    ) {
-        self.with_pool(pool, now, |pool, _, _| {
-            pool.polled(engine, result, asked, now);
-        });
-    }
-
-    fn ordered(
-        &mut self,
-        pool: &Name,
-        epoch: u64,
-        engine: &Name,
-        grant: Grant<Sent>,
-        result: Result<Report, EngineError>,
-        now: Moment,
-    ) {
-        self.with_pool(pool, now, |pool, _, out| {
-            if pool.epoch == epoch {
-                pool.ordered(engine, grant, result, now, out);
-            }
-        });
-    }
-
     /// Limits of the weight store for the part of the members in sight.
     fn limits(&self, now: Moment) -> StoreLimits {
         store_limits(&self.config.policy).scaled(self.members.visible(now))
