Let an owner that adopts an instance start with nothing loaded

Cause: a ledger that is opened after an adoption counted every pinned model as loaded, so that at an engine that ignores tokens a pin could be released only after an unload of a model that was not there.

Change: `Ledger::adopted`, which `renew` uses too.

Conclusion: the pool owner can open its ledger with it after an adoption.

--- a/src/protocol/ownership/ledger.rs
+++ b/src/protocol/ownership/ledger.rs
@@ -65,8 +65,16 @@
     pub fn renew(&self, pins: &EnginePins) -> Ledger {
         Ledger {
             seq: self.seq,
+            ..Ledger::adopted(self.room, self.epoch, pins)
+        }
+    }
+
+    /// The ledger of an owner that has adopted the instance of `pins` itself:
+    /// nobody has sent an order there, and nothing is loaded.
+    pub fn adopted(room: Room, epoch: u64, pins: &EnginePins) -> Ledger {
+        Ledger {
             loaded: Index::new(),
-            ..Ledger::new(self.room, self.epoch, pins)
+            ..Ledger::new(room, epoch, pins)
         }
     }
 
