--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -11,12 +11,15 @@
 
 use arc_swap::ArcSwap;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use socket2::SockRef;
 
 use crate::calls::{CallSettings, Calls};
 use crate::clock::Clock;
 use crate::control::{Control, Desk, Driver, Event, Me, Parts, View};
+use crate::decide::retry::{Budget, Retrying};
 use crate::follower::Follower;
 use crate::http::callers::Callers;
+use crate::http::contracts::Contracts;
 use crate::http::request::Ids;
 use crate::http::server::{self, Running};
 use crate::http::services::Services;
@@ -91,7 +94,7 @@
         let (stop, stopped) = bounded(0);
         let peers = Arc::new(start_peers(settings, incarnation, &events)?);
         let me = Me::new(settings, incarnation);
-        let router = Router::new(clock);
+        let router = Router::new(&settings.domain, clock);
         let view = Arc::new(ArcSwap::from_pointee(View::default()));
         let suspects = Arc::new(Mutex::new(Suspects::new(SuspectSettings::default())));
         let desk = Desk::new(events.clone(), view.clone(), suspects.clone(), clock);
@@ -136,6 +139,7 @@
                 platform: platform.clone(),
                 desk: desk.clone(),
                 follower: follower.clone(),
+                peers: peers.clone(),
                 metrics: metrics.clone(),
                 firm: settings.firm.clone(),
                 clock,
@@ -157,6 +161,8 @@
             desk: desk.clone(),
             router: router.clone(),
             clock,
+            contracts: Contracts::default(),
+            retries: Mutex::new(Budget::new(Retrying::default())),
             metrics,
             ids: Ids::new(&settings.host, incarnation),
             limits: settings.limits.clone(),
@@ -288,5 +294,8 @@
 ) -> Result<Running, StartError> {
     let refused = |cause: String| StartError::Listen { addr, cause };
     let listener = TcpListener::bind(addr).map_err(|e| refused(e.to_string()))?;
+    // Accepted sockets inherit it: tokens must not wait for acknowledgements.
+    let nodelay = SockRef::from(&listener).set_tcp_nodelay(true);
+    nodelay.map_err(|e| refused(e.to_string()))?;
     server::start(listener, most, Arc::new(handler)).map_err(|e| refused(e.to_string()))
 }
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -206,6 +206,14 @@
         for (name, side) in &mut self.sides {
             let entry = hosts.hosts.iter().find(|h| h.name == *name);
             let leaving = entry.is_some_and(|h| h.state == HostState::Leaving);
+            side.listed |= entry.is_some();
+            let gone = side.listed && entry.is_none() && !side.reachable();
+            if gone && !side.gone {
+                log::warn!("engine {name} is gone from the platform's list");
+                side.replicas.clear();
+                self.dirty = true;
+            }
+            side.gone = gone;
             if leaving != side.listed_leaving {
                 side.listed_leaving = leaving;
                 self.dirty = true;
@@ -321,7 +329,7 @@
             let Some(side) = self.sides.get_mut(&write.engine) else {
                 continue;
             };
-            side.writing = false;
+            side.pending = None;
             let Some(version) = versions.get(i) else {
                 continue;
             };
@@ -344,7 +352,7 @@
     pub fn quiet(&self) -> Option<Vec<PinWrite>> {
         let mut writes = Vec::new();
         for (engine, side) in &self.sides {
-            if side.writing {
+            if side.writing() {
                 return None;
             }
             let Some(ledger) = &side.ledger else {
@@ -398,9 +406,9 @@
         self.waiting.len()
     }
 
-    /// All pins as recorded.
+    /// All pins that may stand in the table.
     fn pool_pins(&self) -> PoolPins {
-        let sides = self.sides.iter().map(|(e, s)| (e.clone(), s.pins.clone()));
+        let sides = self.sides.iter().map(|(e, s)| (e.clone(), s.possible()));
         let orphans = self
             .orphans
             .iter()
@@ -421,8 +429,8 @@
             self.wake(ctx, out);
             if self.due(ctx.now) {
                 self.pin_ahead(ctx, out);
-                self.load_ahead(ctx);
-                self.retire(ctx);
+                self.load_ahead(ctx, out);
+                self.retire(ctx, out);
             }
             self.advance(ctx, out);
         }
