Hold the pool owner to the ownership protocol in five more places

Cause: holding the pool owner against the ownership model showed that inherited doubts were lost at a clean handover; reading it against the model showed a claim that took its own record over in the same epoch, a load under a pin being removed, an old report after a claim, and doubts lost with an engine taken out of the configuration.

--- a/src/control/jobs.rs
+++ b/src/control/jobs.rs
@@ -62,12 +62,10 @@
     let key = pool_key(pool);
     let item = table.get(&key)?;
     let record: Option<OwnerRecord> = item.as_ref().map(read).transpose()?;
-    if let (Some(record), Some(item)) = (&record, &item) {
-        if record.held_by(me) {
-            // An earlier claim took effect without an answer.
-            return take_over(table, pool, record.epoch, item.version, false);
-        }
-        let owner = record.owner.as_ref();
+    if let Some(record) = &record {
+        // A record of this daemon itself is claimed anew: orders and writes of
+        // its last epoch may still be on their way.
+        let owner = record.owner.as_ref().filter(|_| !record.held_by(me));
         if owner.is_some_and(|owner| !take || alive.contains(owner)) {
             return Ok(TableEnd::Owned {
                 pool: pool.clone(),
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -195,7 +195,8 @@
             .collect();
         for name in gone {
             if let Some(side) = self.sides.remove(&name) {
-                self.orphans.insert(name, (side.pins, side.item));
+                let pins = side.pins.inherit(false);
+                self.orphans.insert(name, (pins, side.item));
             }
         }
         self.dirty = true;
@@ -355,14 +356,15 @@
             if side.writing() {
                 return None;
             }
-            let Some(ledger) = &side.ledger else {
-                continue;
-            };
-            if !ledger.quiet() {
+            if side.ledger.as_ref().is_some_and(|l| !l.quiet()) {
                 return None;
             }
-            let pins = ledger.with_doubts(&side.pins);
-            if pins == side.pins {
+            let pins = match &side.ledger {
+                Some(ledger) => ledger.with_doubts(&side.pins),
+                None => side.pins.clone(),
+            };
+            // Doubts that were inherited are not in the table yet.
+            if !pins.pins.values().any(|p| p.doubt) {
                 continue;
             }
             writes.push(PinWrite {
@@ -421,6 +423,9 @@
         self.hosts = ctx.hosts.to_vec();
         self.usage.retain(|host, _| ctx.hosts.contains(host));
         self.trials.expire(ctx.now);
+        for side in self.sides.values_mut() {
+            side.learnt(ctx.now);
+        }
         self.expire(ctx, out);
         self.answer(ctx, out);
         if !self.stopping {
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -136,7 +136,7 @@
     }
 
     fn pinned(&self, engine: &Name, model: &Name) -> bool {
-        self.sides[engine].pins.pins.contains_key(model)
+        self.sides[engine].loadable().pins.contains_key(model)
     }
 
     fn add(&mut self, name: &Name, engine: &Name, ctx: &Context<'_>) {
--- a/src/pool/side.rs
+++ b/src/pool/side.rs
@@ -52,9 +52,12 @@
     /// The engine has a token of a later owner.
     pub superseded: bool,
     epoch: u64,
-    clean: bool,
     ordered: Moment,
     asked: Option<Moment>,
+    /// When the recorded instance was learnt; `None` until the next step.
+    known: Option<Moment>,
+    /// This owner adopted the recorded instance itself.
+    adopted: bool,
     misses: u32,
 }
 
@@ -87,9 +90,10 @@
             paused: Moment::ZERO,
             superseded: false,
             epoch,
-            clean,
             ordered: Moment::ZERO,
             asked: None,
+            known: None,
+            adopted: false,
             misses: 0,
         }
     }
@@ -122,11 +126,31 @@
 
     /// Pins that may stand in the table: those recorded and those being written.
     pub fn possible(&self) -> EnginePins {
-        let mut all = self.pins.clone();
-        for (model, pin) in self.pending.iter().flat_map(|p| &p.pins) {
-            all.pins.entry(model.clone()).or_insert_with(|| pin.clone());
+        match &self.pending {
+            Some(pending) => self.pins.either(pending),
+            None => self.pins.clone(),
         }
-        all
+    }
+
+    /// Pins that surely stand in the table, whatever becomes of the write.
+    pub fn loadable(&self) -> EnginePins {
+        match &self.pending {
+            Some(pending) => self.pins.both(pending),
+            None => self.pins.clone(),
+        }
+    }
+
+    /// Notes that the recorded instance was learnt before `now`.
+    pub fn learnt(&mut self, now: Moment) {
+        self.known.get_or_insert(now);
+    }
+
+    /// Whether the report may come from an instance before the recorded one.
+    fn outdated(&self, report: &Report, asked: Moment) -> bool {
+        let first = self.pins.instance.is_empty();
+        let known = self.known.unwrap_or(Moment::MAX);
+        let other = report.instance != self.pins.instance;
+        other && !first && !self.pins.ended(known, &report.instance, asked)
     }
 
     /// Memory that nothing holds and nothing is planned for, MB.
@@ -163,7 +187,7 @@
     ///
     /// Answers of several polls may cross; an older one changes nothing.
     pub fn reported(&mut self, report: Report, asked: Moment, now: Moment) -> bool {
-        if self.asked.is_some_and(|last| asked < last) {
+        if self.asked.is_some_and(|last| asked < last) || self.outdated(&report, asked) {
             return false;
         }
         self.asked = Some(asked);
@@ -190,7 +214,8 @@
 
     /// Takes note of the instance that the pins are now recorded for.
     pub fn adopted(&mut self) {
-        self.clean = true;
+        self.adopted = true;
+        self.known = None;
         self.ledger = None;
         if self.report.instance == self.pins.instance {
             self.open_ledger();
@@ -198,7 +223,10 @@
     }
 
     fn open_ledger(&mut self) {
-        self.ledger = Some(Ledger::new(self.room, self.epoch, &self.pins));
+        self.ledger = Some(match self.adopted {
+            true => Ledger::adopted(self.room, self.epoch, &self.pins),
+            false => Ledger::new(self.room, self.epoch, &self.pins),
+        });
     }
 
     /// Takes note that a poll failed; answers whether the engine was just lost.
@@ -254,6 +282,7 @@
     ///
     /// Why the order may not be sent now.
     pub fn load(&mut self, model: &Name) -> Result<Grant<Recorded>, Denied> {
+        let loadable = self.loadable();
         let ledger = self.ledger.as_mut().ok_or(Denied::Closed)?;
         if self
             .pending
@@ -262,7 +291,7 @@
         {
             return Err(Denied::NoPin(model.clone()));
         }
-        ledger.load(&self.pins, model)
+        ledger.load(&loadable, model)
     }
 
     /// A grant to unload `model`.
