Remove old call records; keep the side of an engine that is not configured

Cause: nothing called the removal of old records; an engine taken out of the configuration and put back would start its order numbers anew; a question to all peers could wait once for each of them. Change: a thread looks through five shards a second over all daemons, so each record is seen about every 3.6 hours; the side of such an engine stays and gets no work; one deadline for the question. Figures: worked out, not measured: 65,536 shards / 5 a second.

--- a/src/daemon/links.rs
+++ b/src/daemon/links.rs
@@ -4,11 +4,12 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use crossbeam::channel::{Receiver, Sender, bounded};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
 
-use crate::calls::{self, Calls, Told};
+use crate::calls::{self, Calls, SHARDS, Told};
+use crate::clock::Clock;
 use crate::config::Name;
 use crate::control::{Desk, Routed};
 use crate::peer::Peers;
@@ -16,6 +17,9 @@
 use crate::platform::{Item, Platform, Table, TableError, Write};
 use crate::protocol::calls::{Attempt, CallRecord};
 
+/// Shards of call records that all daemons together look through in a second.
+const SWEEPS: u32 = 5;
+
 /// The table of a platform, shared.
 pub(super) struct SharedTable<P>(pub Arc<P>);
 
@@ -119,8 +123,9 @@
         }
         let question = self.question(item, "", others);
         self.peers.broadcast(Body::CallAsk(question.ask.clone()));
+        let until = Instant::now() + wait;
         for _ in 0..others {
-            let state = question.replies.recv_timeout(wait).ok()?;
+            let state = question.replies.recv_deadline(until).ok()?;
             if let Told::Record(record) = told(&state) {
                 return Some(record);
             }
@@ -170,6 +175,38 @@
     Ok(())
 }
 
+/// Removes old records until `stopped` closes, one shard after the other at
+/// the share of one of `hosts` daemons.
+///
+/// Each daemon begins at a shard of its own, so that they seldom meet; a
+/// record that two of them remove is removed once.
+///
+/// # Errors
+///
+/// The system refuses a thread.
+pub(super) fn sweep<T: Table>(
+    calls: &Calls<T, CallLinks>,
+    first: u32,
+    hosts: usize,
+    stopped: Receiver<()>,
+) -> std::io::Result<()> {
+    let sweep = calls.sweep();
+    let hosts = u32::try_from(hosts.max(1)).unwrap_or(u32::MAX);
+    let period = Duration::from_secs(1) * hosts / SWEEPS;
+    let run = move || {
+        let mut shard = first % SHARDS;
+        while stopped.recv_timeout(period) == Err(RecvTimeoutError::Timeout) {
+            if let Err(e) = sweep.run(shard, Clock::unix()) {
+                log::debug!("removing old call records of shard {shard}: {e}");
+                continue;
+            }
+            shard = (shard + 1) % SHARDS;
+        }
+    };
+    thread::Builder::new().name("sweep".into()).spawn(run)?;
+    Ok(())
+}
+
 fn reply(peers: &Peers, to: &Name, state: CallState) {
     if let Err(e) = peers.send(to, Body::CallState(state)) {
         log::debug!("answer about a call for {to}: {e}");
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -126,7 +126,7 @@
             me: owner,
             clock,
         };
-        Driver::start(parts, control, events, inbox, stopped)?;
+        Driver::start(parts, control, events, inbox, stopped.clone())?;
         let links = Arc::new(CallLinks::new(peers.clone(), desk.clone()));
         let once = Arc::new(Calls::start(
             Arc::new(SharedTable(platform.clone())),
@@ -138,6 +138,8 @@
                 ..CallSettings::default()
             },
         ));
+        let first = incarnation as u32;
+        links::sweep(&once, first, settings.peers.len(), stopped.clone())?;
         links::serve(questions, peers.clone(), links, once.clone())?;
         let api = Api {
             host: Arc::new(OperatorHost {
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -181,23 +181,16 @@
             }
             if let Some(side) = self.sides.get_mut(name) {
                 side.room.memory = engine.memory;
+                side.retired = false;
                 continue;
             }
             let (pins, item) = self.orphans.remove(name).unwrap_or_default();
             let side = Side::new(engine, self.epoch, self.clean, pins, item);
             self.sides.insert(name.clone(), side);
         }
-        let gone: Vec<Name> = self
-            .sides
-            .keys()
-            .filter(|e| !config.engines.contains_key(*e))
-            .cloned()
-            .collect();
-        for name in gone {
-            if let Some(side) = self.sides.remove(&name) {
-                let pins = side.pins.inherit(false);
-                self.orphans.insert(name, (pins, side.item));
-            }
+        // The side stays: a later engine of this name goes on with its orders.
+        for (name, side) in &mut self.sides {
+            side.retired = !config.engines.contains_key(name);
         }
         self.dirty = true;
     }
--- a/src/pool/side.rs
+++ b/src/pool/side.rs
@@ -43,6 +43,8 @@
     pub refence: bool,
     /// The platform lists the engine as leaving.
     pub listed_leaving: bool,
+    /// The engine is no longer configured.
+    pub retired: bool,
     /// The platform has listed the engine.
     pub listed: bool,
     /// The platform no longer lists the engine, and it does not answer.
@@ -85,6 +87,7 @@
             fencing: false,
             refence: false,
             listed_leaving: false,
+            retired: false,
             listed: false,
             gone: false,
             paused: Moment::ZERO,
@@ -105,7 +108,7 @@
 
     /// Whether the engine should get no new work.
     pub fn leaving(&self) -> bool {
-        self.listed_leaving || self.report.leaving
+        self.retired || self.listed_leaving || self.report.leaving
     }
 
     /// Whether loads and unloads may be ordered now.
