--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -4,13 +4,12 @@
 
 use crate::clock::Moment;
 use crate::config::Name;
+use crate::members::heartbeat_period;
 use crate::peer::PeerEvent;
 use crate::peer::wire::{Body, Heartbeat, PoolState};
 
 use super::{Act, Control, Seat, due};
 
-/// Period of heartbeats.
-const HEARTBEAT: Duration = Duration::from_millis(500);
 /// Period of reports of use.
 const USAGE: Duration = Duration::from_millis(200);
 
@@ -32,6 +31,7 @@
                 pool.republish();
             }
         }
+        self.share_strikes(host);
         self.resend_tickets(now);
         if self.holder.as_ref() == Some(host) {
             self.ask_again(now);
@@ -72,7 +72,8 @@
                 let from = from.clone();
                 self.acts.push(Act::Calls { from, body });
             }
-            Body::Strike(_) | Body::StrikeAck(_) => {}
+            Body::Strike(strike) => self.strike(&strike, now),
+            Body::StrikeAck(_) => {}
             Body::Hello(_) | Body::Proof(_) => {
                 log::warn!("{from} repeats its handshake");
             }
@@ -97,6 +98,7 @@
         if !self.owned_by(&pool, from, state.epoch, now) {
             return;
         }
+        self.states.insert(pool.clone(), state.clone());
         if self.router.apply(state, &self.config) {
             self.send_usage(&pool);
         }
@@ -104,7 +106,8 @@
 
     /// Says that this daemon lives, when it is due.
     pub(super) fn heartbeat(&mut self, now: Moment) {
-        if !due(self.beat, HEARTBEAT, now) {
+        let period = heartbeat_period(self.members.known().count());
+        if !due(self.beat, period, now) {
             return;
         }
         self.beat = Some(now);
--- a/src/http/openai.rs
+++ b/src/http/openai.rs
@@ -6,6 +6,8 @@
 
 use crate::config::Name;
 use crate::error::{Kind, Refusal};
+use crate::router::Prefix;
+use crate::suspects::{Fingerprint, fingerprint};
 
 /// Longest model name, bytes.
 const NAME_BYTES: usize = 256;
@@ -56,8 +58,10 @@
     pub stream: bool,
     /// The client wants usage in its stream.
     pub usage: bool,
-    /// Canonical text of the prompt, for prefix matching and fingerprints.
-    pub prompt: String,
+    /// Start of the prompt.
+    pub prefix: Prefix,
+    /// Fingerprint of model and body.
+    pub print: Fingerprint,
     body: Map<String, Value>,
 }
 
@@ -84,12 +88,15 @@
             return Err(bad("n must be 1"));
         }
         check_prompt(endpoint, &body)?;
+        let print = fingerprint(&model, &Value::Object(body.clone()));
+        let prompt = body[endpoint.prompt_field()].to_string();
         Ok(Completion {
+            prefix: Prefix::new(&model, &prompt),
             endpoint,
+            print,
             model,
             stream,
             usage,
-            prompt: body[endpoint.prompt_field()].to_string(),
             body,
         })
     }
--- a/src/platform/engine_http.rs
+++ b/src/platform/engine_http.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use attohttpc::header::HeaderName;
 use attohttpc::{RequestBuilder, Response, Session};
 use serde::{Deserialize, Serialize};
 
@@ -64,6 +65,21 @@
     }
 }
 
+impl Parameters {
+    /// The order that these parameters belong to.
+    pub fn order(self, verb: Verb, model: &str) -> Order {
+        Order {
+            verb,
+            model: model.into(),
+            version: self.version,
+            base: self.base,
+            memory: self.memory,
+            token: self.token,
+            instance: self.instance,
+        }
+    }
+}
+
 /// Reason of status 409 to an order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "reason", rename_all = "snake_case")]
@@ -162,8 +178,9 @@
 }
 
 fn prepare(request: RequestBuilder, call: &Call) -> RequestBuilder {
-    client::authorize(request, &call.key)
-        .header(REQUEST_HEADER, &*call.request)
+    let request = client::authorize(request, &call.key);
+    let name = HeaderName::from_static(REQUEST_HEADER);
+    client::field(request, name, &call.request)
         .connect_timeout(call.connect)
         .read_timeout(call.silence)
 }
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -22,7 +22,9 @@
 use crate::peer::wire::{Body, Verdict};
 use crate::platform::{EngineError, HostState, Hosts, Order, Report};
 use crate::protocol::ownership::{EnginePins, Grant, PoolPins, Recorded, Sent};
+use crate::suspects::Trials;
 
+pub use replica::{Phase, Replica};
 pub use side::Side;
 use usage::UsageView;
 use waiting::{Ticket, Waiting};
@@ -133,6 +135,7 @@
     histories: HashMap<Name, History>,
     took: HashMap<Name, Duration>,
     usage: HashMap<Name, UsageView>,
+    trials: Trials,
     hosts: Vec<Name>,
     seq: u64,
     dirty: bool,
@@ -157,6 +160,7 @@
             histories: HashMap::new(),
             took: HashMap::new(),
             usage: HashMap::new(),
+            trials: Trials::default(),
             hosts: Vec::new(),
             seq: 0,
             dirty: true,
@@ -202,6 +206,14 @@
         for (name, side) in &mut self.sides {
             let entry = hosts.hosts.iter().find(|h| h.name == *name);
             let leaving = entry.is_some_and(|h| h.state == HostState::Leaving);
+            side.listed |= entry.is_some();
+            let gone = side.listed && entry.is_none() && !side.reachable();
+            if gone && !side.gone {
+                log::warn!("engine {name} is gone from the platform's list");
+                side.replicas.clear();
+                self.dirty = true;
+            }
+            side.gone = gone;
             if leaving != side.listed_leaving {
                 side.listed_leaving = leaving;
                 self.dirty = true;
@@ -317,7 +329,7 @@
             let Some(side) = self.sides.get_mut(&write.engine) else {
                 continue;
             };
-            side.writing = false;
+            side.pending = None;
             let Some(version) = versions.get(i) else {
                 continue;
             };
@@ -340,7 +352,7 @@
     pub fn quiet(&self) -> Option<Vec<PinWrite>> {
         let mut writes = Vec::new();
         for (engine, side) in &self.sides {
-            if side.writing {
+            if side.writing() {
                 return None;
             }
             let Some(ledger) = &side.ledger else {
@@ -377,14 +389,26 @@
         self.sides.iter()
     }
 
+    /// Accelerators of engines that hold weights without a request.
+    pub fn idle(&self, config: &Config) -> u32 {
+        let mut idle = 0;
+        for (engine, side) in &self.sides {
+            if side.replicas.is_empty() || side.report.running > 0 {
+                continue;
+            }
+            idle += config.engines.get(engine).map_or(0, |e| e.accelerators);
+        }
+        idle
+    }
+
     /// Requests that wait for a replica.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
     }
 
-    /// All pins as recorded.
+    /// All pins that may stand in the table.
     fn pool_pins(&self) -> PoolPins {
-        let sides = self.sides.iter().map(|(e, s)| (e.clone(), s.pins.clone()));
+        let sides = self.sides.iter().map(|(e, s)| (e.clone(), s.possible()));
         let orphans = self
             .orphans
             .iter()
@@ -396,6 +420,7 @@
     pub fn tick(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
         self.hosts = ctx.hosts.to_vec();
         self.usage.retain(|host, _| ctx.hosts.contains(host));
+        self.trials.expire(ctx.now);
         self.expire(ctx, out);
         self.answer(ctx, out);
         if !self.stopping {
@@ -404,8 +429,8 @@
             self.wake(ctx, out);
             if self.due(ctx.now) {
                 self.pin_ahead(ctx, out);
-                self.load_ahead(ctx);
-                self.retire(ctx);
+                self.load_ahead(ctx, out);
+                self.retire(ctx, out);
             }
             self.advance(ctx, out);
         }
--- a/tests/memory/host.rs
+++ b/tests/memory/host.rs
@@ -116,11 +116,22 @@
     }
 }
 
+/// A served operators' port.
+pub struct Served {
+    /// Its address.
+    pub addr: SocketAddr,
+    _running: Running,
+}
+
 /// Serves `host` at a free port.
-pub fn serve(host: Arc<FakeHost>) -> Running {
+pub fn serve(host: Arc<FakeHost>) -> Served {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
     let admin = hash(ADMIN_KEY).into();
-    start(listener, Api { host, admin }).unwrap()
+    Served {
+        addr,
+        _running: start(listener, Api { host, admin }).unwrap(),
+    }
 }
 
 /// An address at which nothing listens.
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -6,24 +6,23 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use attohttpc::Method;
 use mastichinge::cli::Exit;
 use mastichinge::cli::tool::parse;
 use mastichinge::error::Kind;
 use mastichinge::operators::keys::hash;
-use mastichinge::operators::server::Running;
 use mastichinge::tool::client::{Answer, Ask, Client};
-use mastichinge::tool::{Output, Profile, ToolError, run};
-use memory::host::{ADMIN_KEY, FakeHost, nowhere, serve};
+use mastichinge::tool::{Environment, Output, Profile, ToolError, run};
+use memory::host::{ADMIN_KEY, FakeHost, Served, nowhere, serve};
 use serde_json::{Value, json};
 use strum::IntoEnumIterator;
 use test_case::test_case;
 
 struct Bench {
     host: Arc<FakeHost>,
-    server: Running,
+    server: Served,
 }
 
 impl Bench {
@@ -37,7 +36,7 @@
 
     fn profile(&self, key: &str) -> Profile {
         Profile {
-            hosts: vec![self.server.addr()],
+            hosts: vec![self.server.addr],
             key: key.to_owned(),
         }
     }
@@ -195,7 +194,7 @@
     let mut profile = bench.profile(ADMIN_KEY);
     profile.hosts.insert(0, nowhere());
     let answer = Client::new(&profile).get("/v1/status").unwrap();
-    assert_eq!(answer.host, bench.server.addr());
+    assert_eq!(answer.host, bench.server.addr);
     profile.hosts.pop();
     let err = Client::new(&profile).get("/v1/status").unwrap_err();
     assert_eq!(err.exit(), Exit::Unavailable);
@@ -227,6 +226,19 @@
     assert_eq!(bench.tool(&line).unwrap(), "version 2 is accepted\n");
 }
 
+#[test]
+fn without_the_table_nothing_changes_and_reading_goes_on() {
+    let bench = Bench::new();
+    bench.host.table.down.store(true, Ordering::SeqCst);
+    let outcome = bench.patch(ADMIN_KEY, 1, json!({ "policy": { "queue": 9 } }));
+    assert_eq!(kind(outcome), "table_down");
+    assert_eq!(kind(bench.client(ADMIN_KEY).get("/v1/audit")), "table_down");
+    assert!(bench.tool("config show").unwrap().contains("// version 1"));
+    let file = patch_file("down", "{ \"policy\": { \"queue\": 9 } }");
+    let outcome = bench.tool(&format!("config patch {file} --base 1 --limit 0"));
+    assert_eq!(outcome.unwrap_err().exit(), Exit::Unavailable);
+}
+
 #[test_case("{ \"policy\": { \"queue\": 0 } }", 1 => Exit::Invalid)]
 #[test_case("{ \"policy\": { \"queue\": 2 } }", 0 => Exit::Conflict)]
 #[test_case("{", 1 => Exit::Settings)]
@@ -259,7 +271,7 @@
 fn a_drain_reaches_only_the_host_that_is_named() {
     let bench = Bench::new();
     let other = Bench::new();
-    let line = format!("drain {}", other.server.addr());
+    let line = format!("drain {}", other.server.addr);
     assert_eq!(bench.tool(&line).unwrap(), "host h1 drains\n");
     assert!(other.host.leaving.load(Ordering::SeqCst));
     assert!(!bench.host.leaving.load(Ordering::SeqCst));
@@ -284,11 +296,16 @@
 }
 
 fn raw(bench: &Bench, head: &str) -> String {
-    let mut stream = TcpStream::connect(bench.server.addr()).unwrap();
+    let mut stream = TcpStream::connect(bench.server.addr).unwrap();
     stream.write_all(head.as_bytes()).unwrap();
-    let mut answer = vec![0; 300];
-    let read = stream.read(&mut answer).unwrap();
-    String::from_utf8_lossy(&answer[..read]).into_owned()
+    let mut answer = Vec::new();
+    let mut part = [0; 4_096];
+    while !answer.ends_with(b"}") {
+        let read = stream.read(&mut part).unwrap();
+        assert!(read > 0, "the answer broke off");
+        answer.extend_from_slice(&part[..read]);
+    }
+    String::from_utf8(answer).unwrap()
 }
 
 #[test]
@@ -305,9 +322,12 @@
     assert!(raw(&bench, &head).starts_with("HTTP/1.1 413"));
 }
 
+/// Writes `text` to a file of its own, so that tests side by side never share one.
 fn patch_file(name: &str, text: &str) -> String {
-    let path =
-        std::env::temp_dir().join(format!("mastichinge-{}-{name}.jsonc", std::process::id()));
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let (process, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+    let file = format!("mastichinge-{process}-{number}-{name}.jsonc");
+    let path = std::env::temp_dir().join(file);
     std::fs::write(&path, text).unwrap();
     path.to_str().unwrap().to_owned()
 }
@@ -328,3 +348,58 @@
         assert!(page.contains(&format!("\n| {} | ", exit as u8)), "{exit:?}");
     }
 }
+
+fn environment(hosts: Option<&str>, key: Option<&str>) -> Environment {
+    Environment {
+        hosts: hosts.map(str::to_owned),
+        key: key.map(str::to_owned),
+        profile: Some(patch_file("profile", PROFILE).into()),
+    }
+}
+
+const PROFILE: &str = "{ \"hosts\": [\"127.0.0.1:1\"], \"key\": \"k1\" } // a comment";
+
+#[test_case("status", None, None => ("127.0.0.1:1".to_owned(), "k1".to_owned()); "file")]
+#[test_case("status", Some("127.0.0.1:2"), Some("k2") => ("127.0.0.1:2".to_owned(), "k2".to_owned()); "environment")]
+#[test_case("--hosts 127.0.0.1:3 status", Some("127.0.0.1:2"), None => ("127.0.0.1:3".to_owned(), "k1".to_owned()); "command line")]
+fn the_nearest_source_of_a_profile_wins(
+    line: &str,
+    hosts: Option<&str>,
+    key: Option<&str>,
+) -> (String, String) {
+    let args = parse(line.split_whitespace().map(OsString::from).collect()).unwrap();
+    let profile = Profile::find(&args, &environment(hosts, key)).unwrap();
+    (profile.hosts[0].to_string(), profile.key)
+}
+
+#[test_case("--hosts here status")]
+#[test_case("--profile /nowhere/profile.jsonc status")]
+fn a_wrong_profile_is_named(line: &str) {
+    let args = parse(line.split_whitespace().map(OsString::from).collect()).unwrap();
+    let err = Profile::find(&args, &Environment::default()).unwrap_err();
+    assert_eq!(err.exit(), Exit::Settings);
+    assert!(err.to_string().contains("here"), "{err}");
+}
+
+#[test_case("config patch file")]
+#[test_case("config")]
+#[test_case("drain")]
+#[test_case("status --unknown")]
+fn wrong_command_lines_are_refused(line: &str) {
+    assert!(parse(line.split_whitespace().map(OsString::from).collect()).is_err());
+}
+
+#[test_case(100 => "invalid_config"; "as deep as the parser allows")]
+#[test_case(5_000 => "bad_request"; "deeper")]
+fn a_deeply_nested_patch_is_refused(depth: usize) -> String {
+    let bench = Bench::new();
+    let nested = format!("{}1{}", "{\"models\":".repeat(depth), "}".repeat(depth));
+    let head = format!(
+        "PATCH /v1/config HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {ADMIN_KEY}\r\n\
+         If-Match: 1\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{nested}",
+        nested.len()
+    );
+    let answer = raw(&bench, &head);
+    let (_, kind) = answer.split_once("\"kind\":\"").unwrap();
+    kind.split('"').next().unwrap().to_owned()
+}
