Hold callers and operators to the guard's bounds

Cause: the guard stood beside the servers unused, so a slow or huge request at the callers' or the operators' port still had no bound.

Change: `http::server::start` takes optional bounds and guards its listener; callers and operators give theirs, the stand-ins none. Every request is screened before it is handled. Both ports use the guard's `read_body` in place of their own. A client whose body is late is no longer read from, while its answer goes on. The answer to a body over 256 MiB (was 64) now has its error object: the test of the operators' port failed on its absence, and tests/guard.rs now asks for it too.

Conclusion: bodies over 256 MiB still cost two descriptors and a thread each until the process ends.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -11,7 +11,6 @@
 
 use arc_swap::ArcSwap;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
-use socket2::SockRef;
 
 use crate::calls::{CallSettings, Calls};
 use crate::clock::Clock;
@@ -20,6 +19,7 @@
 use crate::follower::Follower;
 use crate::http::callers::Callers;
 use crate::http::contracts::Contracts;
+use crate::http::guard::GuardSettings;
 use crate::http::request::Ids;
 use crate::http::server::{self, Running};
 use crate::http::services::Services;
@@ -27,7 +27,7 @@
 use crate::members::{MemberSettings, Members};
 use crate::metrics::{Metrics, MetricsError};
 use crate::operators::api::Api;
-use crate::operators::server::{MOST, Operators};
+use crate::operators::server::{MOST, Operators, bounds};
 use crate::peer::{PeerError, PeerEvent, PeerSettings, Peers};
 use crate::platform::{HostList, Platform};
 use crate::protocol::ownership::Owner;
@@ -150,7 +150,7 @@
             api,
             ids: Ids::new(&format!("{}-op", settings.host), incarnation),
         };
-        let operators = listen(settings.listen.operators, MOST, operators)?;
+        let operators = listen(settings.listen.operators, MOST, Some(bounds()), operators)?;
         let callers = Callers {
             services: Services {
                 calls: once.clone(),
@@ -167,7 +167,12 @@
             ids: Ids::new(&settings.host, incarnation),
             limits: settings.limits.clone(),
         };
-        let callers = listen(settings.listen.callers, settings.limits.streams, callers)?;
+        let callers = listen(
+            settings.listen.callers,
+            settings.limits.streams,
+            Some(GuardSettings::from(&settings.limits)),
+            callers,
+        )?;
         log::info!(
             "host {} serves callers at {}",
             settings.host,
@@ -290,12 +295,10 @@
 fn listen<H: server::Handler>(
     addr: SocketAddr,
     most: u32,
+    bounds: Option<GuardSettings>,
     handler: H,
 ) -> Result<Running, StartError> {
     let refused = |cause: String| StartError::Listen { addr, cause };
     let listener = TcpListener::bind(addr).map_err(|e| refused(e.to_string()))?;
-    // Accepted sockets inherit it: tokens must not wait for acknowledgements.
-    let nodelay = SockRef::from(&listener).set_tcp_nodelay(true);
-    nodelay.map_err(|e| refused(e.to_string()))?;
-    server::start(listener, most, Arc::new(handler)).map_err(|e| refused(e.to_string()))
+    server::start(listener, most, bounds, Arc::new(handler)).map_err(|e| refused(e.to_string()))
 }
--- a/src/fakes/server.rs
+++ b/src/fakes/server.rs
@@ -45,7 +45,8 @@
             handler,
             alive: alive.clone(),
         };
-        let running = server::start(twin, u32::MAX, Arc::new(guard)).map_err(io::Error::other)?;
+        let running =
+            server::start(twin, u32::MAX, None, Arc::new(guard)).map_err(io::Error::other)?;
         Ok(Server {
             addr,
             alive,
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -1,6 +1,5 @@
 //! The paths of the callers' port.
 
-use std::io::Read;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -20,6 +19,7 @@
 
 use super::answer::{Answer, Form, api_error};
 use super::contracts::{Contracts, Open};
+use super::guard::read_body;
 use super::openai::{Collector, Completion, Endpoint, deadline};
 use super::relay::{End, Outcome, Relay, Sink};
 use super::request::{Ids, Terms, bearer, field, path, query};
@@ -178,11 +178,16 @@
             key: field(request, "Idempotency-Key").map(Name::from),
             first: field(request, "X-First-Attempt") == Some("1"),
             deadline: self.clock.now() + left,
-            body: read_body(request, self.limits.body)?,
+            body: self.read_body(request)?,
         };
         self.services.run(&call, service)
     }
 
+    fn read_body(&self, request: &mut Request) -> Result<Vec<u8>, Refusal> {
+        let wait = Duration::from_millis(self.limits.receive_ms);
+        read_body(request, self.limits.body, wait)
+    }
+
     fn caller(&self, request: &Request) -> Result<Name, Refusal> {
         let Some(key) = bearer(request) else {
             return Err(Refusal::new(Kind::BadKey, "no bearer key was given"));
@@ -242,7 +247,7 @@
         caller: &Name,
         endpoint: Endpoint,
     ) -> Result<(Completion, Terms), Refusal> {
-        let body = read_body(request, self.limits.body)?;
+        let body = self.read_body(request)?;
         let ask = Completion::parse(endpoint, &body)?;
         let config = self.desk.config();
         let unknown = || Refusal::new(Kind::UnknownModel, format!("no model {:?}", ask.model));
@@ -406,18 +411,3 @@
     let asked: u8 = asked.trim().parse().map_err(wrong)?;
     Ok(asked.min(contract.priority))
 }
-
-/// Reads a body of at most `most` bytes.
-pub(crate) fn read_body(request: &mut Request, most: u64) -> Result<Vec<u8>, Refusal> {
-    let too_large = || Refusal::new(Kind::BodyTooLarge, format!("more than {most} bytes"));
-    if request.body_length().is_some_and(|n| n as u64 > most) {
-        return Err(too_large());
-    }
-    let mut body = Vec::new();
-    let read = request.as_reader().take(most + 1).read_to_end(&mut body);
-    read.map_err(|e| Refusal::new(Kind::BadRequest, format!("the body broke off: {e}")))?;
-    if body.len() as u64 > most {
-        return Err(too_large());
-    }
-    Ok(body)
-}
--- a/src/http/guard/body.rs
+++ b/src/http/guard/body.rs
@@ -1,6 +1,6 @@
 //! Bodies of requests, within bounds.
 
-use std::io;
+use std::io::{self, Write};
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
@@ -11,10 +11,12 @@
 
 /// Bytes read at once.
 const READ_BYTES: usize = 16 << 10;
+/// Longest body that the library reads together with the head.
+const INLINE_BYTES: usize = 1_024;
 /// Longest body that a request may name and be dropped unread: for the rest of
 /// a body the library allocates a buffer of the length that the client named,
 /// and the process aborts if there is not so much memory.
-const DISPOSABLE_BYTES: usize = 64 << 20;
+const DISPOSABLE_BYTES: usize = 256 << 20;
 
 /// Requests that could not be dropped.
 static ABANDONED: AtomicU32 = AtomicU32::new(0);
@@ -66,6 +68,16 @@
     }
 }
 
+/// Whether the library has read the whole request already.
+pub fn is_whole(request: &Request) -> bool {
+    let has = |name| request.headers().iter().any(|h| h.field.equiv(name));
+    let small = match request.body_length() {
+        Some(length) => length <= INLINE_BYTES,
+        None => !has("Transfer-Encoding"),
+    };
+    small && !has("Expect") && !has("Upgrade")
+}
+
 /// Whether dropping the request cannot exhaust memory.
 pub fn is_disposable(request: &Request) -> bool {
     request.body_length().unwrap_or_default() <= DISPOSABLE_BYTES
@@ -80,10 +92,14 @@
     let kind = Kind::BodyTooLarge;
     let refusal = Refusal::new(kind, format!("a body of {length} bytes"));
     let body = api_error(&refusal, "").to_string();
-    let response = Response::from_string(body)
-        .with_status_code(kind.answer().status)
+    let response = Response::empty(kind.answer().status)
         .with_header(header("Content-Type", "application/json"));
-    // Only an upgrade keeps the reader of the body alive after the answer.
-    let stream = request.upgrade("none", response);
+    // Only an upgrade keeps the reader of the body alive after the answer; it
+    // sends no body of its own, and the guard's close ends this one.
+    let mut stream = request.upgrade("none", response);
+    let sent = stream.write_all(body.as_bytes());
+    if let Err(e) = sent.and_then(|()| stream.flush()) {
+        log::debug!("the client hung up: {e}");
+    }
     std::mem::forget(stream);
 }
--- a/src/http/guard/mod.rs
+++ b/src/http/guard/mod.rs
@@ -25,7 +25,7 @@
 use std::time::Duration;
 
 use crossbeam::channel::{self, Receiver, RecvTimeoutError, Sender};
-use socket2::{Domain, Protocol, Socket, TcpKeepalive, Type};
+use socket2::{SockRef, Socket, TcpKeepalive};
 use tiny_http::Request;
 
 use super::answer::api_error;
@@ -46,8 +46,6 @@
 /// Shortest time before a silent connection is probed, which the kernel counts
 /// in seconds.
 const KEEPALIVE: Duration = Duration::from_secs(1);
-/// Connections that may wait to be accepted.
-const BACKLOG: i32 = 1_024;
 
 /// Bounds on client connections.
 #[derive(Clone, Copy, Debug)]
@@ -97,7 +95,18 @@
     ///
     /// The address cannot be listened on, or the system refuses a thread.
     pub fn bind(addr: SocketAddr, settings: GuardSettings) -> io::Result<(TcpListener, Guard)> {
-        let listener = listen(addr, &settings)?;
+        let listener = TcpListener::bind(addr)?;
+        let guard = Guard::watch(&listener, settings)?;
+        Ok((listener, guard))
+    }
+
+    /// Starts to guard what `listener` accepts from now on.
+    ///
+    /// # Errors
+    ///
+    /// The socket refuses an option, or the system refuses a thread.
+    pub fn watch(listener: &TcpListener, settings: GuardSettings) -> io::Result<Guard> {
+        set_options(listener, &settings)?;
         let exchanges = Arc::new(Exchanges::default());
         let (alive, ended) = channel::bounded(0);
         let patrol = Patrol {
@@ -109,20 +118,23 @@
         thread::Builder::new()
             .name("guard".into())
             .spawn(move || patrol.run(&ended))?;
-        let guard = Guard {
+        Ok(Guard {
             exchanges,
             _alive: alive,
-        };
-        Ok((listener, guard))
+        })
     }
 
-    /// Begins the exchange of a request that the library handed over. Until
-    /// [`Exchange::received`] the client is held to the time for a request.
-    ///
-    /// Drop the exchange before a request whose body was not read, so that the
-    /// library cannot wait for the rest of that body without a bound.
+    /// Begins the exchange of a request that the library handed over. Unless
+    /// it was received whole with its head, the client has to send the rest
+    /// within [`GuardSettings::receive`]; then nothing more is read from it,
+    /// while the answer goes on. [`Exchange::received`] ends that, which lets
+    /// the client use the connection again after a long answer.
     pub fn begin(&self, request: &Request) -> Exchange {
-        self.exchanges.begin(request.remote_addr().copied())
+        let mut exchange = self.exchanges.begin(request.remote_addr().copied());
+        if body::is_whole(request) {
+            exchange.received();
+        }
+        exchange
     }
 
     /// Passes a request on, or refuses and answers one that names a body of
@@ -139,16 +151,15 @@
     }
 }
 
-fn listen(addr: SocketAddr, settings: &GuardSettings) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.set_write_timeout(Some(settings.send))?;
-    socket.set_tcp_user_timeout(Some(settings.send * 2))?;
+/// Sets what accepted sockets inherit from the listening one.
+fn set_options(listener: &TcpListener, settings: &GuardSettings) -> io::Result<()> {
+    let socket = SockRef::from(listener);
     let alive = TcpKeepalive::new().with_time(settings.receive.max(KEEPALIVE));
     socket.set_tcp_keepalive(&alive)?;
-    socket.bind(&addr.into())?;
-    socket.listen(BACKLOG)?;
-    Ok(socket.into())
+    // Tokens must not wait for acknowledgements.
+    socket.set_tcp_nodelay(true)?;
+    socket.set_write_timeout(Some(settings.send))?;
+    socket.set_tcp_user_timeout(Some(settings.send * 2))
 }
 
 /// What the guard thread works with.
--- a/src/http/guard/watch.rs
+++ b/src/http/guard/watch.rs
@@ -59,6 +59,8 @@
     Body,
     /// An answer is in progress.
     Answer,
+    /// Nothing more is read from it; its answer goes on.
+    Deaf,
     /// It was closed; its descriptors may outlive it.
     Cut,
 }
@@ -119,7 +121,10 @@
             let progress = progress.of(&sample.peer);
             conn.step(sample.bytes, progress, now);
             if let Some(reason) = conn.judge(sample.bytes, progress, &self.settings, now) {
-                conn.phase = Phase::Cut;
+                conn.phase = match reason {
+                    Reason::SlowBody => Phase::Deaf,
+                    _ => Phase::Cut,
+                };
                 cuts.push(cut(sample.inode, conn, reason));
             }
         }
@@ -153,7 +158,7 @@
 
 impl Conn {
     fn step(&mut self, bytes: Option<Received>, progress: Progress, now: Moment) {
-        if self.phase == Phase::Cut {
+        if matches!(self.phase, Phase::Cut | Phase::Deaf) {
             return;
         }
         if self.finished != progress.finished {
@@ -205,7 +210,7 @@
         }
         let took = now.saturating_sub(self.since);
         match self.phase {
-            Phase::Answer | Phase::Cut => None,
+            Phase::Answer | Phase::Deaf | Phase::Cut => None,
             Phase::Body => (took >= settings.receive + BODY_SLACK).then_some(Reason::SlowBody),
             Phase::Idle => (took >= settings.receive).then_some(Reason::Idle),
             Phase::Head(base) => {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -8,6 +8,8 @@
 
 use tiny_http::{Request, Server};
 
+use super::guard::{Guard, GuardSettings};
+
 /// Stack of a traffic thread, bytes.
 const STACK_BYTES: usize = 256 * 1024;
 /// Longest wait for the next request before the stop flag is read again.
@@ -29,7 +31,8 @@
     thread: Option<JoinHandle<()>>,
 }
 
-/// Starts to serve `listener`, at most `most` requests at once.
+/// Starts to serve `listener`, at most `most` requests at once, and bounds its
+/// connections where `bounds` are given.
 ///
 /// # Errors
 ///
@@ -37,8 +40,11 @@
 pub fn start<H: Handler>(
     listener: TcpListener,
     most: u32,
+    bounds: Option<GuardSettings>,
     handler: Arc<H>,
 ) -> Result<Running, Box<dyn std::error::Error + Send + Sync>> {
+    let watch = |bounds| Guard::watch(&listener, bounds);
+    let guard = bounds.map(watch).transpose()?;
     let server = Arc::new(Server::from_listener(listener, None)?);
     let stop = Arc::new(AtomicBool::new(false));
     let busy = Arc::new(AtomicU32::new(0));
@@ -46,7 +52,7 @@
         let (server, stop, busy) = (server.clone(), stop.clone(), busy.clone());
         thread::Builder::new()
             .name("accept".into())
-            .spawn(move || accept(&server, &stop, &busy, most, &handler))?
+            .spawn(move || accept(&server, &stop, &busy, most, guard.as_ref(), &handler))?
     };
     Ok(Running {
         server,
@@ -92,6 +98,7 @@
     stop: &AtomicBool,
     busy: &Arc<AtomicU32>,
     most: u32,
+    guard: Option<&Guard>,
     handler: &Arc<H>,
 ) {
     while !stop.load(Ordering::Acquire) {
@@ -105,19 +112,28 @@
                 continue;
             }
         };
+        let screened = match guard {
+            Some(guard) => guard.screen(request),
+            None => Some(request),
+        };
+        let Some(request) = screened else {
+            continue;
+        };
         if busy.load(Ordering::Acquire) >= most {
             handler.refuse(request);
             continue;
         }
         busy.fetch_add(1, Ordering::AcqRel);
-        let guard = Busy(busy.clone());
+        let exchange = guard.map(|guard| guard.begin(&request));
+        let count = Busy(busy.clone());
         let handler = handler.clone();
         let spawned = thread::Builder::new()
             .name("traffic".into())
             .stack_size(STACK_BYTES)
             .spawn(move || {
                 handler.handle(request);
-                drop(guard);
+                drop(exchange);
+                drop(count);
             });
         if let Err(e) = spawned {
             log::error!("no thread for a request: {e}");
--- a/src/operators/server.rs
+++ b/src/operators/server.rs
@@ -14,7 +14,7 @@
 use crate::clock::Clock;
 use crate::error::{Kind, Refusal};
 use crate::http::answer::{REQUEST_ID, header, seconds};
-use crate::http::callers::read_body;
+use crate::http::guard::{GuardSettings, read_body};
 use crate::http::request::{Ids, bearer, field, path};
 use crate::http::server::{self, Handler};
 
@@ -28,6 +28,8 @@
 const BODY_BYTES: u64 = 1024 * 1024;
 /// Largest head, bytes.
 const HEAD_BYTES: usize = 16 * 1024;
+/// Most connections of operators at once.
+const CONNECTIONS: usize = 64;
 /// Wait that a refusal for too many requests names.
 const COME_BACK: Duration = Duration::from_secs(1);
 
@@ -46,7 +48,17 @@
 pub fn start<H: Host>(listener: TcpListener, api: Api<H>) -> io::Result<Running> {
     let ids = Ids::new(&format!("{}-o", api.host.status().host), Clock::unix_ms());
     let operators = Arc::new(Operators { api, ids });
-    server::start(listener, MOST, operators).map_err(io::Error::other)
+    server::start(listener, MOST, Some(bounds()), operators).map_err(io::Error::other)
+}
+
+/// Bounds on the connections of operators.
+pub fn bounds() -> GuardSettings {
+    GuardSettings {
+        connections: CONNECTIONS,
+        head: HEAD_BYTES as u64,
+        body: BODY_BYTES,
+        ..GuardSettings::default()
+    }
 }
 
 impl<H: Host> Handler for Operators<H> {
@@ -56,7 +68,7 @@
         ask.id = id.clone();
         let outcome = bounded(&request)
             .and_then(|()| self.api.admit(&ask))
-            .and_then(|()| Ok(read_body(&mut request, BODY_BYTES)?))
+            .and_then(|()| Ok(read_body(&mut request, BODY_BYTES, bounds().receive)?))
             .and_then(|body| {
                 ask.body = body;
                 self.api.answer(&ask)
--- a/tests/guard.rs
+++ b/tests/guard.rs
@@ -281,6 +281,7 @@
     let echo = Echo::start(settings());
     let answer = echo.ask(&format!("POST / HTTP/1.1\r\n{field}"), "abc");
     assert!(answer.contains(status), "{answer}");
+    assert!(answer.contains("body_too_large"), "{answer}");
     echo.assert_served();
 }
 
