Drain the last host too; lose no job for want of a thread

Cause: a draining host that is alone kept its pools and never ended; an order whose thread could not be started, or whose engine was no longer configured, stayed in flight for ever. Change: a host that is alone gives its pools up once nothing waits; jobs that get no thread wait for the next step. Figures: the new drain test passes; before the change it would have waited for ever (read, not run).

--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -244,7 +244,12 @@
 
     /// Gives up the pools of a leaving daemon once they are quiet.
     fn release_pools(&mut self, now: Moment) {
-        if !self.leaving || !self.table || self.members.alive(now).len() < 2 {
+        if !self.leaving || !self.table {
+            return;
+        }
+        let alone = self.members.alive(now).len() < 2;
+        let busy = !self.tickets.is_empty() || self.router.running() > 0;
+        if alone && busy {
             return;
         }
         let names: Vec<Name> = self.seats.keys().cloned().collect();
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -12,10 +12,11 @@
 use crate::metrics::Metrics;
 use crate::peer::Peers;
 use crate::peer::wire::Body;
-use crate::platform::{Call, Engine, Platform};
+use crate::platform::{Call, Engine, EngineError, Platform};
 
 use crate::protocol::ownership::{Owner, OwnerRecord};
 
+use super::workers::Workers;
 use super::{Act, Control, Event, View, jobs};
 
 /// Longest pause between two steps.
@@ -59,7 +60,7 @@
 /// Carries out the acts of the control thread.
 pub struct Driver<P> {
     parts: Arc<Parts<P>>,
-    events: Sender<Event>,
+    workers: Workers,
     polls: Sender<Poll>,
 }
 
@@ -93,7 +94,7 @@
         }
         let driver = Driver {
             parts,
-            events,
+            workers: Workers::new(events),
             polls,
         };
         thread::Builder::new()
@@ -101,7 +102,7 @@
             .spawn(move || driver.run(control, &inbox, &stop))
     }
 
-    fn run(self, mut control: Control, inbox: &Receiver<Event>, stop: &Receiver<()>) {
+    fn run(mut self, mut control: Control, inbox: &Receiver<Event>, stop: &Receiver<()>) {
         let clock = self.parts.clock;
         loop {
             match inbox.recv_timeout(TICK) {
@@ -124,12 +125,13 @@
             for act in control.step(clock.now()) {
                 self.carry_out(act, control.config());
             }
+            self.workers.start();
             let busy = clock.now().saturating_sub(begun);
             self.parts.metrics.control(busy);
         }
     }
 
-    fn carry_out(&self, act: Act, config: &Config) {
+    fn carry_out(&mut self, act: Act, config: &Config) {
         match act {
             Act::Send { to, body } => {
                 if let Err(e) = self.parts.peers.send(&to, body) {
@@ -145,13 +147,14 @@
                 grant,
                 order,
             } => {
-                let Some(call) = call(config, &engine, ORDER_SILENCE) else {
-                    return;
-                };
+                let call = call(config, &engine, ORDER_SILENCE);
                 let parts = self.parts.clone();
-                self.spawn("order", move || {
+                self.workers.add(move || {
                     let grant = grant.send();
-                    let result = parts.platform.engine().order(&call, &order);
+                    let result = match call {
+                        Some(call) => parts.platform.engine().order(&call, &order),
+                        None => Err(EngineError::Unreached("not configured".into())),
+                    };
                     Event::Ordered {
                         pool,
                         epoch,
@@ -163,7 +166,7 @@
             }
             Act::Claim { pool, alive, take } => {
                 let parts = self.parts.clone();
-                self.spawn("claim", move || {
+                self.workers.add(move || {
                     let table = parts.platform.table();
                     Event::Table(jobs::claim(table, &pool, &parts.me, &alive, take))
                 });
@@ -175,7 +178,7 @@
                 writes,
             } => {
                 let parts = self.parts.clone();
-                self.spawn("pins", move || {
+                self.workers.add(move || {
                     let table = parts.platform.table();
                     Event::Table(jobs::write_pins(table, &pool, epoch, item, writes))
                 });
@@ -187,7 +190,7 @@
                 writes,
             } => {
                 let parts = self.parts.clone();
-                self.spawn("release", move || {
+                self.workers.add(move || {
                     let record = OwnerRecord {
                         owner: Some(parts.me.clone()),
                         epoch,
@@ -228,16 +231,6 @@
         // A full queue leaves the poll out: the next one comes soon.
         let _ = self.polls.try_send(Poll { pool, engine, call });
     }
-
-    fn spawn(&self, name: &str, job: impl FnOnce() -> Event + Send + 'static) {
-        let events = self.events.clone();
-        let spawned = thread::Builder::new().name(name.to_owned()).spawn(move || {
-            let _ = events.send(job());
-        });
-        if let Err(e) = spawned {
-            log::error!("no thread for {name}: {e}");
-        }
-    }
 }
 
 /// Polls engines until the queue closes.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod strikes;
 mod tickets;
 mod view;
+mod workers;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -99,3 +99,19 @@
     drop(answer);
     env.wait("the engine is free", || running() == 0);
 }
+
+#[test]
+fn all_hosts_drain_one_after_the_other_and_the_last_one_exits_too() {
+    let mut env = start(SiteSettings {
+        daemons: 2,
+        ..SiteSettings::default()
+    });
+    assert!(env.ask(0, "m1", "before").whole);
+    for host in 0..2 {
+        env.terminate(host);
+        assert!(env.exited(host).success());
+    }
+    let items = env.site.platform.state.get().items;
+    assert_eq!(items["pool/main"].value["owner"], serde_json::Value::Null);
+    assert_eq!(items["pool/main"].value["clean"], true);
+}
