Test bookings and pairs of failures through real daemons

Cause: at-most-once calls were tested against the service module with fakes at its interfaces, and failures one at a time; nothing drove a booking, or two failures together, through daemons as processes.

--- a/src/fakes/site.rs
+++ b/src/fakes/site.rs
@@ -9,6 +9,7 @@
 
 use super::engine::{EngineSettings, FakeEngine, LoadTimes};
 use super::platform::FakePlatform;
+use super::service::FakeService;
 use super::weights::{FakeWeights, StoreSettings};
 use crate::config::Name;
 use crate::config::entry::Proposal;
@@ -82,6 +83,12 @@
         let last = u8::try_from(99 + number).unwrap_or(u8::MAX);
         SocketAddr::from((Ipv4Addr::new(a, b, c, last), ENGINE_PORT))
     }
+
+    /// Address of the plain service; fixed, so that it can start again there.
+    fn service_addr(&self) -> SocketAddr {
+        let [a, b, c] = self.net;
+        SocketAddr::from((Ipv4Addr::new(a, b, c, SERVICE_HOST), SERVICE_PORT))
+    }
 }
 
 /// Port for callers.
@@ -92,6 +99,12 @@
 const PEER_PORT: u16 = 7802;
 /// Port of an engine.
 const ENGINE_PORT: u16 = 7900;
+/// Last part of the address of the plain service.
+const SERVICE_HOST: u8 = 99;
+/// Port of the plain service.
+const SERVICE_PORT: u16 = 7901;
+/// Deadline of a call to the plain service, ms.
+const SERVICE_MS: u64 = 5_000;
 /// Memory of an engine, MB.
 const ENGINE_MB: u64 = 80_000;
 /// Memory of a model, MB.
@@ -111,6 +124,8 @@
     pub weights: FakeWeights,
     /// Engines, `e1` first.
     pub engines: Vec<FakeEngine>,
+    /// The plain service `seats`; `POST /bookings` may not be repeated.
+    pub service: FakeService,
 }
 
 impl Site {
@@ -143,11 +158,13 @@
                 ..EngineSettings::default()
             })?);
         }
+        let service = FakeService::start(settings.service_addr())?;
         let site = Site {
             settings,
             platform,
             weights,
             engines,
+            service,
         };
         site.configure().map_err(io::Error::other)?;
         for i in 1..=site.settings.daemons {
@@ -176,6 +193,11 @@
         json!({
             "models": self.models(),
             "engines": self.engine_entries(),
+            "services": {"seats": {
+                "addrs": [self.service.addr.to_string()],
+                "once": [{"method": "POST", "path": "/bookings"}],
+                "deadline_ms": SERVICE_MS,
+            }},
             "callers": {"app": {"key_sha256": hash(CALLER_KEY), "priority": 9}},
             "operators": {"ops": {
                 "key_sha256": hash(OPERATOR_KEY),
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -54,6 +54,30 @@
     pub first: Option<Duration>,
 }
 
+/// A call that may not be repeated.
+#[derive(Clone, Debug, Default)]
+pub struct Booking {
+    /// Idempotency key.
+    pub key: String,
+    /// Body.
+    pub body: String,
+    /// The caller states that it has not sent the key before.
+    pub first: bool,
+    /// Deadline, ms; the service's own where 0.
+    pub deadline: u64,
+}
+
+/// What the caller of a booking was told.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Booked {
+    /// HTTP status; 0 when no answer came.
+    pub status: u16,
+    /// Number of the run that the service answered; 0 for a refusal.
+    pub run: u64,
+    /// Kind of a refusal.
+    pub kind: String,
+}
+
 impl Env {
     /// Starts a site and all its daemons from `program`, and waits until every
     /// host names all hosts.
@@ -287,6 +311,18 @@
         )
     }
 
+    /// Sends a booking.
+    pub fn book(&self, host: usize, booking: &Booking) -> Booked {
+        book(&self.caller_url(host, "/services/seats/bookings"), booking)
+    }
+
+    /// Sends a booking on a thread of its own.
+    pub fn book_later(&self, host: usize, booking: &Booking) -> JoinHandle<Booked> {
+        let url = self.caller_url(host, "/services/seats/bookings");
+        let booking = booking.clone();
+        thread::spawn(move || book(&url, &booking))
+    }
+
     /// Sends a prompt on a thread of its own.
     pub fn ask_later(&self, host: usize, model: &str, prompt: &str) -> JoinHandle<Answer> {
         let url = self.caller_url(host, "/v1/chat/completions");
@@ -364,3 +400,31 @@
     }
     seen
 }
+
+/// Sends a booking and reads the answer.
+pub fn book(url: &str, booking: &Booking) -> Booked {
+    let mut request = attohttpc::post(url)
+        .bearer_auth(CALLER_KEY)
+        .header("Idempotency-Key", &booking.key)
+        .connect_timeout(Duration::from_secs(2))
+        .read_timeout(PATIENCE);
+    if booking.first {
+        request = request.header("X-First-Attempt", "1");
+    }
+    if booking.deadline > 0 {
+        request = request.header("X-Deadline-Ms", booking.deadline);
+    }
+    let Ok(answer) = request.text(&booking.body).send() else {
+        return Booked::default();
+    };
+    let status = answer.status().as_u16();
+    let Ok(text) = answer.text() else {
+        return Booked::default();
+    };
+    let body: Value = serde_json::from_str(&text).unwrap_or_default();
+    Booked {
+        status,
+        run: body["run"].as_u64().unwrap_or(0),
+        kind: body["kind"].as_str().unwrap_or_default().to_owned(),
+    }
+}
--- /dev/null
+++ b/tests/pairs.rs
@@ -0,0 +1,285 @@
+//! Pairs of failures brought about together in real daemons and stand-ins.
+
+mod env;
+
+use std::path::Path;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use env::{Answer, Booking, Env};
+use mastichinge::fakes::FakeEngine;
+use mastichinge::fakes::site::{CRASH, SiteSettings};
+
+/// Load time during which a failure is brought about.
+const LONG_LOAD: Duration = Duration::from_secs(3);
+/// Factor on all load times of a weight store that is slow.
+const SLOWNESS: f64 = 4.0;
+
+fn start(settings: SiteSettings) -> Env {
+    let env = Env::start(settings, Path::new(env!("CARGO_BIN_EXE_mastichinged")), &[]);
+    let all = env.site.settings.models + env.site.settings.adapters;
+    env.wait("all models are pinned", || pins(&env) >= all as usize);
+    env
+}
+
+/// Recorded pins of all engines.
+fn pins(env: &Env) -> usize {
+    let items = env.site.platform.state.get().items;
+    let records = items.iter().filter(|(key, _)| key.starts_with("pin/main/"));
+    let pins = records.filter_map(|(_, item)| item.value["pins"].as_object());
+    pins.map(|p| p.len()).sum()
+}
+
+fn holds(engine: &FakeEngine, model: &str) -> bool {
+    engine.report().residents.iter().any(|r| &*r.model == model)
+}
+
+fn held(env: &Env, model: &str) -> usize {
+    let engines = env.site.engines.iter();
+    engines.filter(|e| holds(e, model)).count()
+}
+
+/// The first engine that holds `model`.
+fn holder<'a>(env: &'a Env, model: &str) -> &'a FakeEngine {
+    let mut engines = env.site.engines.iter();
+    let found = engines.find(|e| holds(e, model));
+    found.expect("an engine that holds the model")
+}
+
+/// A host that owns nothing.
+fn other(owner: usize) -> usize {
+    (owner + 1) % 5
+}
+
+/// The pool's owner among all hosts but `past`.
+fn successor(env: &Env, past: usize) -> bool {
+    let running = env.running();
+    let mut hosts = running.into_iter().filter(|h| *h != past);
+    hosts.any(|h| {
+        let status = env.look(h, "/v1/status");
+        status["pools"].as_array().is_some_and(|p| !p.is_empty())
+    })
+}
+
+fn check(env: &Env, asked: JoinHandle<Answer>, prompt: &str) {
+    let answer = asked.join().expect("the caller's thread");
+    whole(env, &answer, prompt);
+}
+
+fn whole(env: &Env, answer: &Answer, prompt: &str) {
+    assert_eq!(answer.text, env.expected(prompt), "{answer:?}");
+    assert!(answer.whole, "{answer:?}");
+}
+
+fn no_engine_was_overcommitted_or_cut(env: &Env) {
+    for engine in &env.site.engines {
+        let journal = engine.journal();
+        assert!(journal.overcommits.is_empty(), "{journal:?}");
+        assert!(journal.cuts.is_empty(), "{journal:?}");
+    }
+}
+
+fn table_down(env: &Env, down: bool) {
+    env.site.platform.state.change(|s| s.knobs.down = down);
+}
+
+#[test]
+fn owner_killed_while_an_engine_crashes() {
+    let mut env = start(SiteSettings {
+        tokens: 60,
+        limit: 2,
+        ..SiteSettings::default()
+    });
+    let owner = env.owner().expect("an owner");
+    let asked = env.ask_later(other(owner), "m1", "a tale of two failures");
+    env.wait("the stream runs", || {
+        env.site.engines.iter().any(|e| e.report().running > 0)
+    });
+    holder(&env, "m1").crash();
+    env.kill(owner);
+    check(&env, asked, "a tale of two failures");
+    no_engine_was_overcommitted_or_cut(&env);
+}
+
+#[test]
+fn table_down_and_owner_killed_then_table_back() {
+    let mut env = start(SiteSettings::default());
+    let owner = env.owner().expect("an owner");
+    let host = other(owner);
+    whole(&env, &env.ask(host, "m1", "wake up"), "wake up");
+    table_down(&env, true);
+    env.kill(owner);
+    whole(&env, &env.ask(host, "m1", "warm goes on"), "warm goes on");
+    let asked = env.ask_later(host, "m2", "cold waits");
+    env.wait("the request waits", || {
+        env.look(host, "/v1/status")["waiting"] == 1
+    });
+    whole(&env, &env.ask(host, "m1", "still warm"), "still warm");
+    assert_eq!(held(&env, "m2"), 0);
+    table_down(&env, false);
+    check(&env, asked, "cold waits");
+    assert_eq!(held(&env, "m1"), 1);
+    no_engine_was_overcommitted_or_cut(&env);
+}
+
+#[test]
+fn engine_restarted_while_the_owner_is_frozen() {
+    let env = start(SiteSettings::default());
+    let owner = env.owner().expect("an owner");
+    let host = other(owner);
+    whole(&env, &env.ask(host, "m1", "before"), "before");
+    env.freeze(owner);
+    holder(&env, "m1").restart().expect("the engine starts");
+    whole(&env, &env.ask(host, "m1", "during"), "during");
+    env.wait("another owner", || successor(&env, owner));
+    env.thaw(owner);
+    whole(&env, &env.ask(owner, "m1", "after"), "after");
+    assert_eq!(held(&env, "m1"), 1);
+    no_engine_was_overcommitted_or_cut(&env);
+}
+
+#[test]
+fn host_drained_while_the_table_is_down() {
+    let mut env = start(SiteSettings {
+        tokens: 60,
+        ..SiteSettings::default()
+    });
+    let owner = env.owner().expect("an owner");
+    let host = other(owner);
+    let asked = env.ask_later(host, "m1", "let me finish");
+    env.wait("the stream runs", || {
+        env.site.engines.iter().any(|e| e.report().running > 0)
+    });
+    table_down(&env, true);
+    env.terminate(host);
+    check(&env, asked, "let me finish");
+    assert!(env.exited(host).success());
+    whole(&env, &env.ask(owner, "m2", "the others"), "the others");
+    no_engine_was_overcommitted_or_cut(&env);
+}
+
+#[test]
+fn owner_drained_while_the_table_is_down_then_table_back() {
+    let mut env = start(SiteSettings::default());
+    let owner = env.owner().expect("an owner");
+    let host = other(owner);
+    whole(&env, &env.ask(host, "m1", "wake up"), "wake up");
+    table_down(&env, true);
+    env.terminate(owner);
+    whole(&env, &env.ask(host, "m1", "warm goes on"), "warm goes on");
+    table_down(&env, false);
+    assert!(env.exited(owner).success());
+    whole(&env, &env.ask(host, "m2", "cold again"), "cold again");
+    no_engine_was_overcommitted_or_cut(&env);
+}
+
+#[test]
+fn poison_request_during_a_takeover() {
+    let mut env = start(SiteSettings {
+        limit: 4,
+        tokens: 40,
+        ..SiteSettings::default()
+    });
+    let owner = env.owner().expect("an owner");
+    let host = other(owner);
+    let innocent: Vec<_> = (0..4)
+        .map(|_| env.ask_later(host, "m1", "an honest question"))
+        .collect();
+    env.wait("the streams run", || {
+        env.site.engines.iter().any(|e| e.report().running > 0)
+    });
+    env.kill(owner);
+    let poison = format!("please {CRASH} now");
+    let asked = env.ask_later(host, "m1", &poison);
+    let answer = asked.join().expect("the caller's thread");
+    assert!(!answer.whole && !answer.code.is_empty(), "{answer:?}");
+    for host in env.running() {
+        let again = env.ask(host, "m1", &poison);
+        assert!(!again.whole, "{again:?}");
+    }
+    for asked in innocent {
+        check(&env, asked, "an honest question");
+    }
+    let crashed = env.site.engines.iter().filter(|e| is_down(e)).count();
+    assert!(crashed <= 2, "{crashed} engines crashed");
+}
+
+fn is_down(engine: &FakeEngine) -> bool {
+    std::net::TcpStream::connect(engine.addr()).is_err()
+}
+
+#[test]
+fn weight_store_slow_and_twenty_first_requests() {
+    let env = start(SiteSettings::default());
+    env.site
+        .weights
+        .state
+        .change(|s| s.settings.slowness = SLOWNESS);
+    let mut asked = Vec::new();
+    for i in 0..20 {
+        let prompt = format!("question {i}");
+        asked.push((env.ask_later(i % 5, "m2", &prompt), prompt));
+    }
+    for (handle, prompt) in asked {
+        check(&env, handle, &prompt);
+    }
+    assert_eq!(env.site.weights.state.get().models.total, 1);
+}
+
+#[test]
+fn owner_killed_while_it_loads_for_a_burst_from_a_slow_weight_store() {
+    let mut env = start(SiteSettings {
+        load: LONG_LOAD,
+        ..SiteSettings::default()
+    });
+    let owner = env.owner().expect("an owner");
+    let hosts: Vec<_> = (0..5).filter(|h| *h != owner).collect();
+    let mut asked = Vec::new();
+    for i in 0..20 {
+        let prompt = format!("question {i}");
+        asked.push((env.ask_later(hosts[i % 4], "m2", &prompt), prompt));
+    }
+    env.wait("the load runs", || held(&env, "m2") == 1);
+    env.kill(owner);
+    for (handle, prompt) in asked {
+        check(&env, handle, &prompt);
+    }
+    assert_eq!(held(&env, "m2"), 1);
+    no_engine_was_overcommitted_or_cut(&env);
+}
+
+#[test]
+fn booking_host_killed_while_the_table_is_down() {
+    let mut env = start(SiteSettings::default());
+    env.site.service.state.change(|s| s.slow = LONG_LOAD);
+    let mut booking = Booking {
+        key: "k-1".to_owned(),
+        first: true,
+        ..Booking::default()
+    };
+    let sent = env.book_later(0, &booking);
+    env.wait("the start is recorded", || started(&env) == 1);
+    table_down(&env, true);
+    env.kill(0);
+    assert_eq!(sent.join().expect("the caller's thread").status, 0);
+    booking.first = false;
+    booking.deadline = 1_500;
+    assert_eq!(env.book(1, &booking).kind, "outcome_unknown");
+    table_down(&env, false);
+    booking.deadline = 0;
+    assert_eq!(env.book(2, &booking).kind, "outcome_unknown");
+    env.wait("the first attempt has run", || runs(&env) > 0);
+    assert_eq!(env.book(3, &booking).kind, "outcome_unknown");
+    assert_eq!(runs(&env), 1);
+}
+
+fn runs(env: &Env) -> usize {
+    env.site.service.state.get().runs.len()
+}
+
+fn started(env: &Env) -> usize {
+    let items = env.site.platform.state.get().items;
+    let calls = items.iter().filter(|(key, _)| key.starts_with("call/"));
+    let found = calls.filter(|(_, item)| item.value["state"] == "started");
+    found.count()
+}
