Add a randomised fault run with a checker of its own

Cause: tests bring about named failures and pairs of them; nothing drew failures at random under load and compared the stand-ins' journals with what callers saw.

Change: examples/chaos runs five daemons as processes, sixteen callers (one in ten hangs up in mid-stream), six bookers that send a key again at other hosts, two operators that patch limits and priorities, a prompt that crashes engines, and thirteen kinds of faults drawn from the seed. After everything has healed a checker reads the journals of engines, service and table and the callers' record, and prints violations of seventeen invariants and all totals; exit code 1 on a violation. tests/env gains `ask_part`, `try_exited` and `keep`.

Before: no such run.

--- /dev/null
+++ b/examples/chaos/daemon.rs
@@ -0,0 +1,40 @@
+//! The daemon of a host, run by this program as a process of its own.
+
+use std::error::Error;
+use std::path::Path;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use mastichinge::daemon::Daemon;
+use mastichinge::platform::client::Timeouts;
+use mastichinge::platform::http::HttpPlatform;
+use mastichinge::{logs, settings};
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+
+/// Period at which a running daemon looks for a signal.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Runs a daemon until SIGTERM and drains it.
+///
+/// # Errors
+///
+/// The settings are wrong or an address is taken.
+pub fn run(path: &Path) -> Result<(), Box<dyn Error>> {
+    let settings = settings::load(path)?;
+    logs::start(&settings.log)?;
+    let mut signals = Signals::new([SIGTERM])?;
+    let platform = HttpPlatform::new(
+        settings.platform,
+        settings.platform_key.clone(),
+        Timeouts::default(),
+    );
+    let daemon = Daemon::start(&settings, Arc::new(platform))?;
+    while signals.pending().next().is_none() {
+        thread::sleep(LOOK);
+    }
+    daemon.drain();
+    log::info!("stopped");
+    Ok(())
+}
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -25,9 +25,12 @@
     pub site: Site,
     /// Entry hosts.
     pub hosts: Vec<Host>,
+    /// Settings and logs of the daemons.
+    pub dir: PathBuf,
+    /// The folder stays after the end.
+    pub keep: bool,
     program: PathBuf,
     args: Vec<String>,
-    dir: PathBuf,
 }
 
 /// One entry host.
@@ -112,6 +115,7 @@
             program: program.to_owned(),
             args: args.iter().map(|a| (*a).to_owned()).collect(),
             dir,
+            keep: false,
         };
         for host in 0..env.hosts.len() {
             env.launch(host);
@@ -289,11 +293,9 @@
 
     /// Waits until the daemon of a host has exited.
     pub fn exited(&mut self, host: usize) -> ExitStatus {
-        let child = self.hosts[host].child.as_mut().expect("a running daemon");
         let until = Instant::now() + PATIENCE;
         while Instant::now() < until {
-            if let Ok(Some(status)) = child.try_wait() {
-                self.hosts[host].child = None;
+            if let Some(status) = self.try_exited(host) {
                 return status;
             }
             thread::sleep(LOOK);
@@ -301,6 +303,14 @@
         panic!("host {host} did not exit; logs in {}", self.dir.display());
     }
 
+    /// How the daemon of a host exited, once it has.
+    pub fn try_exited(&mut self, host: usize) -> Option<ExitStatus> {
+        let child = self.hosts[host].child.as_mut().expect("a running daemon");
+        let status = child.try_wait().ok().flatten()?;
+        self.hosts[host].child = None;
+        Some(status)
+    }
+
     /// Sends a prompt and reads the whole streamed answer.
     pub fn ask(&self, host: usize, model: &str, prompt: &str) -> Answer {
         ask(
@@ -341,7 +351,7 @@
         for host in 0..self.hosts.len() {
             self.kill(host);
         }
-        if !thread::panicking() {
+        if !thread::panicking() && !self.keep {
             let _ = fs::remove_dir_all(&self.dir);
         }
     }
@@ -349,6 +359,17 @@
 
 /// Sends a prompt with further head fields and reads the streamed answer.
 pub fn ask(url: &str, model: &str, prompt: &str, fields: &[(&'static str, &str)]) -> Answer {
+    ask_part(url, model, prompt, fields, usize::MAX)
+}
+
+/// As [`ask`], but hangs up after `most` pieces of the answer.
+pub fn ask_part(
+    url: &str,
+    model: &str,
+    prompt: &str,
+    fields: &[(&'static str, &str)],
+    most: usize,
+) -> Answer {
     let body = json!({
         "model": model,
         "stream": true,
@@ -380,6 +401,7 @@
             .to_owned();
         return seen;
     }
+    let mut pieces = 0;
     for line in BufReader::new(answer).lines() {
         let Ok(line) = line else {
             break;
@@ -396,6 +418,10 @@
         if let Some(piece) = piece.filter(|p| !p.is_empty()) {
             seen.first.get_or_insert_with(|| begun.elapsed());
             seen.text.push_str(piece);
+            pieces += 1;
+        }
+        if pieces >= most {
+            break;
         }
     }
     seen
