--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -25,9 +25,12 @@
     pub site: Site,
     /// Entry hosts.
     pub hosts: Vec<Host>,
+    /// Settings and logs of the daemons.
+    pub dir: PathBuf,
+    /// The folder stays after the end.
+    pub keep: bool,
     program: PathBuf,
     args: Vec<String>,
-    dir: PathBuf,
 }
 
 /// One entry host.
@@ -54,6 +57,30 @@
     pub first: Option<Duration>,
 }
 
+/// A call that may not be repeated.
+#[derive(Clone, Debug, Default)]
+pub struct Booking {
+    /// Idempotency key.
+    pub key: String,
+    /// Body.
+    pub body: String,
+    /// The caller states that it has not sent the key before.
+    pub first: bool,
+    /// Deadline, ms; the service's own where 0.
+    pub deadline: u64,
+}
+
+/// What the caller of a booking was told.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Booked {
+    /// HTTP status; 0 when no answer came.
+    pub status: u16,
+    /// Number of the run that the service answered; 0 for a refusal.
+    pub run: u64,
+    /// Kind of a refusal.
+    pub kind: String,
+}
+
 impl Env {
     /// Starts a site and all its daemons from `program`, and waits until every
     /// host names all hosts.
@@ -88,6 +115,7 @@
             program: program.to_owned(),
             args: args.iter().map(|a| (*a).to_owned()).collect(),
             dir,
+            keep: false,
         };
         for host in 0..env.hosts.len() {
             env.launch(host);
@@ -265,11 +293,9 @@
 
     /// Waits until the daemon of a host has exited.
     pub fn exited(&mut self, host: usize) -> ExitStatus {
-        let child = self.hosts[host].child.as_mut().expect("a running daemon");
         let until = Instant::now() + PATIENCE;
         while Instant::now() < until {
-            if let Ok(Some(status)) = child.try_wait() {
-                self.hosts[host].child = None;
+            if let Some(status) = self.try_exited(host) {
                 return status;
             }
             thread::sleep(LOOK);
@@ -277,6 +303,14 @@
         panic!("host {host} did not exit; logs in {}", self.dir.display());
     }
 
+    /// How the daemon of a host exited, once it has.
+    pub fn try_exited(&mut self, host: usize) -> Option<ExitStatus> {
+        let child = self.hosts[host].child.as_mut().expect("a running daemon");
+        let status = child.try_wait().ok().flatten()?;
+        self.hosts[host].child = None;
+        Some(status)
+    }
+
     /// Sends a prompt and reads the whole streamed answer.
     pub fn ask(&self, host: usize, model: &str, prompt: &str) -> Answer {
         ask(
@@ -287,6 +321,18 @@
         )
     }
 
+    /// Sends a booking.
+    pub fn book(&self, host: usize, booking: &Booking) -> Booked {
+        book(&self.caller_url(host, "/services/seats/bookings"), booking)
+    }
+
+    /// Sends a booking on a thread of its own.
+    pub fn book_later(&self, host: usize, booking: &Booking) -> JoinHandle<Booked> {
+        let url = self.caller_url(host, "/services/seats/bookings");
+        let booking = booking.clone();
+        thread::spawn(move || book(&url, &booking))
+    }
+
     /// Sends a prompt on a thread of its own.
     pub fn ask_later(&self, host: usize, model: &str, prompt: &str) -> JoinHandle<Answer> {
         let url = self.caller_url(host, "/v1/chat/completions");
@@ -305,7 +351,7 @@
         for host in 0..self.hosts.len() {
             self.kill(host);
         }
-        if !thread::panicking() {
+        if !thread::panicking() && !self.keep {
             let _ = fs::remove_dir_all(&self.dir);
         }
     }
@@ -313,6 +359,17 @@
 
 /// Sends a prompt with further head fields and reads the streamed answer.
 pub fn ask(url: &str, model: &str, prompt: &str, fields: &[(&'static str, &str)]) -> Answer {
+    ask_part(url, model, prompt, fields, usize::MAX)
+}
+
+/// As [`ask`], but hangs up after `most` pieces of the answer.
+pub fn ask_part(
+    url: &str,
+    model: &str,
+    prompt: &str,
+    fields: &[(&'static str, &str)],
+    most: usize,
+) -> Answer {
     let body = json!({
         "model": model,
         "stream": true,
@@ -344,6 +401,7 @@
             .to_owned();
         return seen;
     }
+    let mut pieces = 0;
     for line in BufReader::new(answer).lines() {
         let Ok(line) = line else {
             break;
@@ -360,7 +418,39 @@
         if let Some(piece) = piece.filter(|p| !p.is_empty()) {
             seen.first.get_or_insert_with(|| begun.elapsed());
             seen.text.push_str(piece);
+            pieces += 1;
+        }
+        if pieces >= most {
+            break;
         }
     }
     seen
 }
+
+/// Sends a booking and reads the answer.
+pub fn book(url: &str, booking: &Booking) -> Booked {
+    let mut request = attohttpc::post(url)
+        .bearer_auth(CALLER_KEY)
+        .header("Idempotency-Key", &booking.key)
+        .connect_timeout(Duration::from_secs(2))
+        .read_timeout(PATIENCE);
+    if booking.first {
+        request = request.header("X-First-Attempt", "1");
+    }
+    if booking.deadline > 0 {
+        request = request.header("X-Deadline-Ms", booking.deadline);
+    }
+    let Ok(answer) = request.text(&booking.body).send() else {
+        return Booked::default();
+    };
+    let status = answer.status().as_u16();
+    let Ok(text) = answer.text() else {
+        return Booked::default();
+    };
+    let body: Value = serde_json::from_str(&text).unwrap_or_default();
+    Booked {
+        status,
+        run: body["run"].as_u64().unwrap_or(0),
+        kind: body["kind"].as_str().unwrap_or_default().to_owned(),
+    }
+}
