--- a/src/fakes/engine/journal.rs
+++ b/src/fakes/engine/journal.rs
@@ -67,6 +67,8 @@
     pub model: String,
     /// Arrival.
     pub from: Instant,
+    /// End.
+    pub until: Instant,
     /// Tokens sent.
     pub tokens: usize,
     /// How it ended.
--- a/src/fakes/engine/streams.rs
+++ b/src/fakes/engine/streams.rs
@@ -82,6 +82,7 @@
             request: exchange.header(REQUEST_HEADER),
             model: ask.model.clone(),
             from: Instant::now(),
+            until: Instant::now(),
             tokens: 0,
             end: End::Finished,
         };
@@ -165,6 +166,7 @@
         if outcome.is_err() {
             job.served.end = if alive { End::Cancelled } else { End::Crashed };
         }
+        job.served.until = Instant::now();
         state.journal.served.push(job.served);
         drop(state);
         if let Some(request) = job.stream.into_request() {
--- /dev/null
+++ b/src/fakes/firm.rs
@@ -0,0 +1,71 @@
+//! A site made from a whole configuration, as a firm's own size.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use serde_json::Value;
+
+use super::engine::{EngineSettings, FakeEngine};
+use super::platform::FakePlatform;
+use super::site::{Site, SiteSettings};
+use super::weights::{FakeWeights, StoreSettings};
+use crate::config::Config;
+use crate::platform::HostState;
+
+/// Last part of the address of the first engine.
+const FIRST_ENGINE: usize = 100;
+/// Port of an engine.
+const ENGINE_PORT: u16 = 7900;
+
+/// What a firm's site is made of.
+#[derive(Clone, Debug, Default)]
+pub struct FirmSettings {
+    /// Firm, network, number of daemons and their failure domains.
+    pub site: SiteSettings,
+    /// Configuration; the addresses of its engines are set by [`start`].
+    pub config: Config,
+    /// Limits of the weight store.
+    pub store: StoreSettings,
+    /// What all engines have in common; the rest is taken from `config`.
+    pub engine: EngineSettings,
+}
+
+/// Starts platform and engines, and puts `config` in force as version 1.
+///
+/// # Errors
+///
+/// An address is taken, or the configuration is refused.
+pub fn start(mut settings: FirmSettings) -> io::Result<Site> {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let platform = FakePlatform::start(any, "")?;
+    let weights = FakeWeights::new(settings.store);
+    let [a, b, c] = settings.site.net;
+    let mut engines = Vec::new();
+    for (i, (name, told)) in settings.config.engines.iter_mut().enumerate() {
+        let last = u8::try_from(FIRST_ENGINE + i).map_err(io::Error::other)?;
+        let addr = SocketAddr::from((Ipv4Addr::new(a, b, c, last), ENGINE_PORT));
+        told.addr = addr.to_string().into();
+        engines.push(FakeEngine::start(EngineSettings {
+            name: name.to_string(),
+            addr,
+            key: told.key.to_string(),
+            memory: told.memory,
+            slots: told.slots,
+            fenced: told.fenced,
+            weights: weights.clone(),
+            ..settings.engine.clone()
+        })?);
+    }
+    let site = Site {
+        settings: settings.site,
+        platform,
+        weights,
+        engines,
+    };
+    let patch: Value = serde_json::to_value(&settings.config).map_err(io::Error::other)?;
+    site.configure(patch).map_err(io::Error::other)?;
+    for host in site.daemons() {
+        site.platform.list(&host.host, Some(HostState::Live));
+    }
+    Ok(site)
+}
--- a/src/fakes/mod.rs
+++ b/src/fakes/mod.rs
@@ -2,6 +2,7 @@
 //! quickstart, the fault run and the measuring program.
 
 pub mod engine;
+pub mod firm;
 pub mod platform;
 pub mod server;
 pub mod service;
--- a/src/fakes/site.rs
+++ b/src/fakes/site.rs
@@ -52,6 +52,8 @@
     pub tokens: usize,
     /// Every n-th engine ignores fencing tokens; 0 for none.
     pub unfenced: u32,
+    /// Failure domains, in which the daemons stand in turn.
+    pub domains: [&'static str; 4],
     /// Network of the site on the loopback interface: daemons get its
     /// addresses from 1 on, engines those from 100 on.
     pub net: [u8; 3],
@@ -70,6 +72,7 @@
             interval: Duration::from_millis(20),
             tokens: 12,
             unfenced: 4,
+            domains: DOMAINS,
             net: [127, 0, 0],
         }
     }
@@ -149,7 +152,7 @@
             weights,
             engines,
         };
-        site.configure().map_err(io::Error::other)?;
+        site.configure(site.config()).map_err(io::Error::other)?;
         for i in 1..=site.settings.daemons {
             site.platform.list(&format!("h{i}"), Some(HostState::Live));
         }
@@ -157,12 +160,12 @@
     }
 
     /// Puts version 1 of the configuration in force.
-    fn configure(&self) -> Result<(), ProposeError> {
+    pub(super) fn configure(&self, patch: Value) -> Result<(), ProposeError> {
         let http = HttpPlatform::new(self.platform.addresses(), "".into(), Timeouts::default());
         let ledger = Ledger::new(http.table(), http.objects());
         let proposal = Proposal {
             base: 0,
-            patch: self.config(),
+            patch,
             who: "ops".into(),
             teams: vec!["*".into()],
             attempt: "first".into(),
@@ -241,7 +244,7 @@
         Settings {
             firm: self.settings.firm.clone(),
             host: format!("h{}", number + 1).into(),
-            domain: DOMAINS[usize::from(number) % DOMAINS.len()].into(),
+            domain: self.settings.domains[usize::from(number) % DOMAINS.len()].into(),
             listen: Listen {
                 callers: SocketAddr::from((ip, CALLER_PORT)),
                 operators: SocketAddr::from((ip, OPERATOR_PORT)),
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -125,7 +125,9 @@
         for host in &running {
             self.wait_entry(*host, running.len());
         }
-        self.wait("an owner", || self.owner().is_some());
+        self.wait("an owner", || {
+            running.iter().any(|host| !self.pools(*host).is_empty())
+        });
     }
 
     /// Waits until `host` names `count` hosts to its callers.
@@ -212,11 +214,24 @@
 
     /// The running host that owns the pool `main`.
     pub fn owner(&self) -> Option<usize> {
-        self.running().into_iter().find(|host| {
-            let status = self.look(*host, "/v1/status");
-            let pools = status["pools"].as_array().cloned().unwrap_or_default();
-            pools.iter().any(|p| p == "main")
-        })
+        self.owner_of("main")
+    }
+
+    /// The running host that owns `pool`.
+    pub fn owner_of(&self, pool: &str) -> Option<usize> {
+        let mut running = self.running().into_iter();
+        running.find(|host| self.pools(*host).iter().any(|p| p == pool))
+    }
+
+    /// Pools that `host` owns.
+    pub fn pools(&self, host: usize) -> Vec<Value> {
+        let status = self.look(host, "/v1/status");
+        status["pools"].as_array().cloned().unwrap_or_default()
+    }
+
+    /// Process id of the daemon of a running host.
+    pub fn process(&self, host: usize) -> Option<u32> {
+        self.hosts[host].child.as_ref().map(Child::id)
     }
 
     /// Waits for a condition.
