--- a/src/fakes/firm.rs
+++ b/src/fakes/firm.rs
@@ -7,6 +7,7 @@
 
 use super::engine::{EngineSettings, FakeEngine};
 use super::platform::FakePlatform;
+use super::service::FakeService;
 use super::site::{Site, SiteSettings};
 use super::weights::{FakeWeights, StoreSettings};
 use crate::config::Config;
@@ -56,9 +57,11 @@
             ..settings.engine.clone()
         })?);
     }
+    let service = FakeService::start(settings.site.service_addr())?;
     let site = Site {
         settings: settings.site,
         platform,
+        service,
         weights,
         engines,
     };
--- a/src/fakes/site.rs
+++ b/src/fakes/site.rs
@@ -87,7 +87,7 @@
     }
 
     /// Address of the plain service; fixed, so that it can start again there.
-    fn service_addr(&self) -> SocketAddr {
+    pub(super) fn service_addr(&self) -> SocketAddr {
         let [a, b, c] = self.net;
         SocketAddr::from((Ipv4Addr::new(a, b, c, SERVICE_HOST), SERVICE_PORT))
     }
