--- a/examples/measure/firm.rs
+++ b/examples/measure/firm.rs
@@ -6,8 +6,9 @@
 use mastichinge::config::{Caller, Config, Model, Name, Operator, Role, Strategy, jsonc};
 use mastichinge::fakes::engine::{EngineSettings, LoadTimes};
 use mastichinge::fakes::firm::FirmSettings;
-use mastichinge::fakes::site::{CALLER_KEY, OPERATOR_KEY, SiteSettings, hash};
+use mastichinge::fakes::site::{CALLER_KEY, OPERATOR_KEY, SiteSettings};
 use mastichinge::fakes::weights::StoreSettings;
+use mastichinge::operators::keys::hash;
 
 /// A firm.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
