Publish pool states as differences, loads apart, use on change

Cause: whole pool states four times a second, reports of use five times a second and polls five times a second, changed or not, were most of the control bytes. Change: differences with a whole state for whoever lags or links anew, loads by position when they change, use when it changes, idle engines polled once a second; a failed request has its engine polled at once.

--- a/examples/capacity/messages.rs
+++ b/examples/capacity/messages.rs
@@ -144,6 +144,7 @@
         });
     }
     PoolState {
+        base: 0,
         pool: "pool-46".into(),
         epoch: 100,
         seq: 1_000_000,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -23,7 +23,7 @@
 use crate::decide::permits::Permits;
 use crate::decide::store::StoreLimits;
 use crate::members::Members;
-use crate::peer::wire::{Body, PoolState};
+use crate::peer::wire::{Body, PoolState, Usage};
 use crate::platform::Hosts;
 use crate::router::Router;
 use crate::settings::Settings;
@@ -37,8 +37,8 @@
 
 /// Most rounds of messages to itself within one step.
 const ROUNDS: u32 = 4;
-/// Period at which an owner polls its engines.
-const POLL: Duration = Duration::from_millis(200);
+/// Period at which an owner looks which of its engines to poll.
+const POLL: Duration = Duration::from_millis(100);
 
 /// Who this daemon is.
 #[derive(Clone, Debug)]
@@ -65,6 +65,14 @@
     }
 }
 
+/// What this daemon told the owner of a pool last.
+#[derive(Clone, Debug, Default)]
+struct Told {
+    owner: Name,
+    usage: Usage,
+    at: Moment,
+}
+
 /// State of the control thread.
 pub struct Control {
     me: Me,
@@ -76,6 +84,7 @@
     router: Router,
     permits: Permits,
     states: BTreeMap<Name, PoolState>,
+    used: BTreeMap<Name, Told>,
     suspects: Arc<Mutex<Suspects>>,
     holder: Option<Name>,
     table: bool,
@@ -106,6 +115,7 @@
             router,
             permits: Permits::new(store_limits(&Policy::default()), now),
             states: BTreeMap::new(),
+            used: BTreeMap::new(),
             suspects,
             holder: None,
             table: true,
@@ -185,15 +195,15 @@
         self.acts
             .push(Act::Queue(self.tickets.len() + self.router.queued()));
         let mut idle = 0;
-        for (name, seat) in &self.seats {
+        for (name, seat) in &mut self.seats {
             let Seat::Held(pool) = seat else {
                 continue;
             };
             idle += pool.idle(&self.config);
-            for engine in pool.engines() {
+            for engine in pool.due_polls(now) {
                 self.acts.push(Act::Poll {
                     pool: name.clone(),
-                    engine: engine.clone(),
+                    engine,
                 });
             }
         }
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -6,10 +6,12 @@
 use crate::config::Name;
 use crate::members::heartbeat_period;
 use crate::peer::PeerEvent;
-use crate::peer::wire::{Body, Heartbeat, PoolState};
+use crate::peer::wire::{Body, Heartbeat, Loads, PoolState};
 
-use super::{Act, Control, Seat, due};
+use super::{Act, Control, Seat, Told, due};
 
+/// Longest time between two reports of use.
+const USAGE_MOST: Duration = Duration::from_secs(2);
 /// Period of reports of use.
 const USAGE: Duration = Duration::from_millis(200);
 
@@ -28,7 +30,7 @@
         self.beat = None;
         for seat in self.seats.values_mut() {
             if let Seat::Held(pool) = seat {
-                pool.republish();
+                pool.greet(host);
             }
         }
         self.share_strikes(host);
@@ -40,6 +42,7 @@
 
     fn down(&mut self, host: &Name, incarnation: u64, now: Moment) {
         self.members.down(host, incarnation, now);
+        self.used.retain(|_, told| told.owner != *host);
         self.unsend_to(host);
         for seat in self.seats.values_mut() {
             if let Seat::Held(pool) = seat {
@@ -54,6 +57,7 @@
         match body {
             Body::Heartbeat(beat) => self.heard(from, &beat, now),
             Body::Pool(state) => self.pool_state(from, &state, now),
+            Body::Loads(loads) => self.loads(from, &loads, now),
             Body::Want(want) => self.wanted(from, &want, now),
             Body::Verdict(verdict) => self.verdict(&verdict),
             Body::Cancel(cancel) => self.cancelled(&cancel.ticket),
@@ -98,10 +102,61 @@
         if !self.owned_by(&pool, from, state.epoch, now) {
             return;
         }
-        self.states.insert(pool.clone(), state.clone());
-        if self.router.apply(state, &self.config) {
-            self.send_usage(&pool);
+        if self.merge(&pool, state) {
+            self.router.apply(state, &self.config);
         }
+        // The owner learns from it which state this daemon has.
+        self.send_usage(&pool, now);
+    }
+
+    /// Takes a state into the whole one; false when it is older, or changes
+    /// another one than is known here.
+    fn merge(&mut self, pool: &Name, state: &PoolState) -> bool {
+        let stamp = (state.epoch, state.seq);
+        let Some(known) = self.states.get_mut(pool) else {
+            let whole = state.base == 0;
+            if whole {
+                self.states.insert(pool.clone(), state.clone());
+            }
+            return whole;
+        };
+        if (known.epoch, known.seq) >= stamp {
+            return false;
+        }
+        if state.base == 0 {
+            *known = state.clone();
+            return true;
+        }
+        if (known.epoch, known.seq) != (state.epoch, state.base) {
+            return false;
+        }
+        known.seq = state.seq;
+        for engine in &state.engines {
+            let place = known.engines.iter_mut().find(|e| e.engine == engine.engine);
+            if let Some(place) = place {
+                *place = engine.clone();
+            }
+        }
+        true
+    }
+
+    fn loads(&mut self, from: &Name, loads: &Loads, now: Moment) {
+        let pool = Name::from(loads.pool.as_str());
+        if !self.owned_by(&pool, from, loads.epoch, now) {
+            return;
+        }
+        let Some(known) = self.states.get_mut(&pool) else {
+            return;
+        };
+        if (known.epoch, known.seq) != (loads.epoch, loads.seq) {
+            return;
+        }
+        let each = loads.running.iter().zip(&loads.waiting);
+        for (engine, (running, waiting)) in known.engines.iter_mut().zip(each) {
+            engine.running = *running;
+            engine.waiting = *waiting;
+        }
+        self.router.loads(&known.engines);
     }
 
     /// Says that this daemon lives, when it is due.
@@ -134,15 +189,27 @@
         self.reported = Some(now);
         let names: Vec<Name> = self.seats.keys().cloned().collect();
         for name in names {
-            self.send_usage(&name);
+            self.send_usage(&name, now);
         }
     }
 
-    fn send_usage(&mut self, pool: &Name) {
+    /// Tells the owner of a pool what this daemon uses, unless it knows.
+    fn send_usage(&mut self, pool: &Name, now: Moment) {
         let Some(owner) = self.owner(pool) else {
             return;
         };
         let usage = self.router.usage(pool, &self.config);
+        let told = self.used.entry(pool.clone()).or_default();
+        let news = usage.uses.iter().any(|u| u.arrived > 0) || !usage.failed.is_empty();
+        let same = told.owner == owner && told.usage == usage;
+        if same && !news && now.saturating_sub(told.at) < USAGE_MOST {
+            return;
+        }
+        *told = Told {
+            owner: owner.clone(),
+            usage: usage.clone(),
+            at: now,
+        };
         self.send(&owner, Body::Usage(usage));
     }
 }
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -11,7 +11,7 @@
     /// Content; absent when the sender is newer than the receiver.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
     )]
     pub body: Option<Body>,
 }
@@ -73,6 +73,9 @@
     /// Acknowledgement of a strike.
     #[prost(message, tag = "18")]
     StrikeAck(StrikeAck),
+    /// Loads of a pool's engines.
+    #[prost(message, tag = "19")]
+    Loads(Loads),
 }
 
 /// First frame of either side.
@@ -167,9 +170,32 @@
     /// Number of this state within the epoch.
     #[prost(uint64, tag = "3")]
     pub seq: u64,
-    /// All engines of the pool.
+    /// Engines of the pool: all, or those that changed since `base`.
     #[prost(message, repeated, tag = "4")]
     pub engines: Vec<EngineState>,
+    /// Number of the state that this one changes; 0 for a whole one.
+    #[prost(uint64, tag = "5")]
+    pub base: u64,
+}
+
+/// Loads of a pool's engines, in the order of the last whole state.
+#[derive(Clone, PartialEq, Message)]
+pub struct Loads {
+    /// Pool.
+    #[prost(string, tag = "1")]
+    pub pool: String,
+    /// Epoch of the owner.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Number of the state that they belong to.
+    #[prost(uint64, tag = "3")]
+    pub seq: u64,
+    /// Requests in progress.
+    #[prost(uint32, repeated, tag = "4")]
+    pub running: Vec<u32>,
+    /// Requests in the engines' own queues.
+    #[prost(uint32, repeated, tag = "5")]
+    pub waiting: Vec<u32>,
 }
 
 /// Request for a replica.
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -24,6 +24,7 @@
 use crate::protocol::ownership::{EnginePins, Grant, PoolPins, Recorded, Sent};
 use crate::suspects::Trials;
 
+use publish::Published;
 pub use replica::{Phase, Replica};
 pub use side::Side;
 use usage::UsageView;
@@ -139,7 +140,7 @@
     hosts: Vec<Name>,
     seq: u64,
     dirty: bool,
-    published: Option<Moment>,
+    published: Published,
     planned: Option<Moment>,
     loads: u64,
     stopping: bool,
@@ -164,7 +165,7 @@
             hosts: Vec::new(),
             seq: 0,
             dirty: true,
-            published: None,
+            published: Published::default(),
             planned: None,
             loads: 0,
             stopping: false,
@@ -374,9 +375,15 @@
         self.sides.values().any(|s| s.superseded)
     }
 
-    /// Engines of the pool.
-    pub fn engines(&self) -> impl Iterator<Item = &Name> {
-        self.sides.keys()
+    /// Engines whose poll is due at `now`; they count as polled.
+    pub fn due_polls(&mut self, now: Moment) -> Vec<Name> {
+        let mut due = Vec::new();
+        for (engine, side) in &mut self.sides {
+            if side.poll_due(now) {
+                due.push(engine.clone());
+            }
+        }
+        due
     }
 
     /// The sides, for status.
--- a/src/pool/side.rs
+++ b/src/pool/side.rs
@@ -12,6 +12,10 @@
 
 use super::replica::{Phase, Replica};
 
+/// Period at which an engine is polled that works, changes or does not answer.
+const POLL_BUSY: Duration = Duration::from_millis(200);
+/// Period at which any other engine is polled.
+const POLL_IDLE: Duration = Duration::from_secs(1);
 /// Failed polls after which an engine counts as unreachable.
 const MISSES: u32 = 2;
 /// Pause after an order that could not be sent.
@@ -61,6 +65,7 @@
     /// This owner adopted the recorded instance itself.
     adopted: bool,
     misses: u32,
+    polled: Option<Moment>,
 }
 
 impl Side {
@@ -98,9 +103,31 @@
             known: None,
             adopted: false,
             misses: 0,
+            polled: None,
         }
     }
 
+    /// Whether the engine is to be polled at `now`; it then counts as polled.
+    pub fn poll_due(&mut self, now: Moment) -> bool {
+        let moving = self.replicas.values().any(|r| !r.ready());
+        let busy = self.report.running + self.report.waiting > 0;
+        let period = match moving || busy || !self.reachable() || self.misses > 0 {
+            true => POLL_BUSY,
+            false => POLL_IDLE,
+        };
+        let last = self.polled.unwrap_or_default();
+        let due = self.polled.is_none() || now.saturating_sub(last) >= period;
+        if due {
+            self.polled = Some(now);
+        }
+        due
+    }
+
+    /// Has the engine polled at once: a request failed there.
+    pub fn suspect(&mut self) {
+        self.polled = None;
+    }
+
     /// Whether the engine answers.
     pub fn reachable(&self) -> bool {
         self.heard.is_some() && self.misses < MISSES
--- a/src/pool/usage.rs
+++ b/src/pool/usage.rs
@@ -48,6 +48,11 @@
             let key = (model, Name::from(used.engine.as_str()));
             *view.running.entry(key).or_default() += used.running;
         }
+        for engine in &usage.failed {
+            if let Some(side) = self.sides.get_mut(engine.as_str()) {
+                side.suspect();
+            }
+        }
         self.touch(now);
     }
 
@@ -83,9 +88,12 @@
 
     /// Whether every live daemon has seen the pool state `seq`.
     pub(super) fn seen(&self, seq: u64) -> bool {
-        self.hosts.iter().all(|host| {
-            let view = self.usage.get(host);
-            view.is_some_and(|v| v.epoch == self.epoch && v.seq >= seq)
-        })
+        self.hosts.iter().all(|host| self.acknowledged(host, seq))
+    }
+
+    /// Whether the daemon of `host` has seen the pool state `seq`.
+    pub(super) fn acknowledged(&self, host: &Name, seq: u64) -> bool {
+        let view = self.usage.get(host);
+        view.is_some_and(|v| v.epoch == self.epoch && v.seq >= seq)
     }
 }
--- a/src/router/load.rs
+++ b/src/router/load.rs
@@ -1,9 +1,16 @@
 //! One engine as this daemon sees it.
 
+use std::time::Duration;
+
+use crate::clock::Moment;
 use crate::config::Name;
 use crate::decide::routing::{Bars, Candidate, Domain};
 use crate::peer::wire::EngineState;
 
+/// Time without new work after a failed request; the pool's owner looks at the
+/// engine meanwhile.
+const PAUSE: Duration = Duration::from_millis(500);
+
 /// One engine as this daemon sees it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Load {
@@ -25,8 +32,8 @@
     ended: u32,
     /// It takes no new work.
     leaving: bool,
-    /// A request failed there since the report.
-    failed: bool,
+    /// A request failed there; it gets no new work before this moment.
+    failed: Option<Moment>,
 }
 
 impl Load {
@@ -37,7 +44,6 @@
         self.sent = 0;
         self.ended = 0;
         self.leaving = state.leaving;
-        self.failed = false;
     }
 
     /// A request of this daemon begins there.
@@ -53,20 +59,24 @@
     }
 
     /// A request failed there.
-    pub fn fail(&mut self) {
-        self.failed = true;
+    pub fn fail(&mut self, now: Moment) {
+        self.failed = Some(now + PAUSE);
     }
 
     /// Whether it takes new work.
-    pub fn open(&self) -> bool {
-        !self.leaving && !self.failed
+    pub fn open(&self, now: Moment) -> bool {
+        !self.leaving && !self.suspect(now)
+    }
+
+    fn suspect(&self, now: Moment) -> bool {
+        self.failed.is_some_and(|until| now < until)
     }
 
     /// The engine as a candidate for a request that must avoid `avoid`, with
     /// `cached` tokens of its prompt.
     ///
     /// What this daemon itself runs there is a lower bound of its load.
-    pub fn candidate(&self, avoid: &[Name], cached: u32) -> Candidate {
+    pub fn candidate(&self, avoid: &[Name], cached: u32, now: Moment) -> Candidate {
         let corrected = (self.reported + self.sent).saturating_sub(self.ended);
         Candidate {
             running: corrected.max(self.mine),
@@ -75,7 +85,7 @@
             domain: self.domain,
             bars: Bars {
                 leaving: self.leaving,
-                suspect: self.failed,
+                suspect: self.suspect(now),
                 avoid: avoid.contains(&self.instance),
                 ..Bars::default()
             },
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -13,7 +13,7 @@
 use crate::clock::{Clock, Moment};
 use crate::config::{Config, Name};
 use crate::error::Refusal;
-use crate::peer::wire::{PoolState, Usage};
+use crate::peer::wire::{EngineState, PoolState, Usage};
 
 pub use prefixes::Prefix;
 use queue::{Delivery, ModelQueue};
@@ -121,11 +121,11 @@
     pub fn acquire(&self, need: &Need, most: usize) -> Route {
         let now = self.clock.now();
         let mut state = self.lock();
-        if !state.has_replica(need) {
+        if !state.has_replica(need, now) {
             return Route::Cold;
         }
         let waits = state.queues.get(&need.model).is_some_and(|q| !q.is_empty());
-        if !waits && let Some(engine) = state.best(need) {
+        if !waits && let Some(engine) = state.best(need, now) {
             state.note_prefix(need, &engine);
             return Route::Slot(self.take(&mut state, engine, &need.model));
         }
@@ -219,7 +219,7 @@
     pub fn failed(&self, engine: &Name) {
         let mut state = self.lock();
         if let Some(load) = state.engines.get_mut(engine) {
-            load.fail();
+            load.fail(self.clock.now());
         }
         if !state.failed.contains(engine) {
             state.failed.push(engine.clone());
@@ -251,6 +251,20 @@
         true
     }
 
+    /// Takes in the loads of engines.
+    pub fn loads(&self, engines: &[EngineState]) {
+        let mut state = self.lock();
+        for engine in engines {
+            if let Some(load) = state.engines.get_mut(engine.engine.as_str()) {
+                load.reported(engine);
+            }
+        }
+        let mut out = Vec::new();
+        self.serve_queues(&mut state, self.clock.now(), &mut out);
+        drop(state);
+        deliver(out);
+    }
+
     /// What this daemon used of `pool` since the last call.
     pub fn usage(&self, pool: &Name, config: &Config) -> Usage {
         self.lock().usage(pool, config)
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -28,18 +28,18 @@
 }
 
 impl State {
-    pub fn has_replica(&self, need: &Need) -> bool {
+    pub fn has_replica(&self, need: &Need, now: Moment) -> bool {
         let Some(engines) = self.replicas.get(&need.model) else {
             return false;
         };
         engines.iter().any(|engine| {
             let load = self.engines.get(engine);
-            load.is_some_and(|l| l.open() && !need.avoid.contains(&l.instance))
+            load.is_some_and(|l| l.open(now) && !need.avoid.contains(&l.instance))
         })
     }
 
     /// The best replica with a free slot.
-    pub fn best(&self, need: &Need) -> Option<Name> {
+    pub fn best(&self, need: &Need, now: Moment) -> Option<Name> {
         let mut engines: Vec<&Name> = Vec::new();
         let mut candidates: Vec<Candidate> = Vec::new();
         for engine in self.replicas.get(&need.model)? {
@@ -47,7 +47,7 @@
                 continue;
             };
             let cached = self.prefixes.cached(need.prefix, &load.instance);
-            let candidate = load.candidate(&need.avoid, cached);
+            let candidate = load.candidate(&need.avoid, cached, now);
             if !candidate.free() {
                 continue;
             }
@@ -78,7 +78,7 @@
             if next.as_ref().is_some_and(|(least, _, _)| *least <= rank) {
                 continue;
             }
-            if let Some(engine) = self.best(need) {
+            if let Some(engine) = self.best(need, now) {
                 next = Some((rank, model.clone(), engine));
             }
         }
@@ -106,8 +106,9 @@
     }
 
     pub fn replace(&mut self, name: &Name, pool: &PoolState, config: &Config) {
+        let told = |engine: &Name| pool.engines.iter().any(|e| e.engine.as_str() == &**engine);
         for (engine, load) in &self.engines {
-            if load.pool != *name {
+            if load.pool != *name || (pool.base != 0 && !told(engine)) {
                 continue;
             }
             for engines in self.replicas.values_mut() {
@@ -153,6 +154,7 @@
                 uses.push(used(model, engine, 0, *count));
             }
         }
+        uses.sort_by(|a, b| (&a.model, &a.engine).cmp(&(&b.model, &b.engine)));
         let mut failed = Vec::new();
         self.failed.retain(|engine| {
             if config.engines.get(engine).is_some_and(|e| e.pool != *pool) {
