Abort endless heads, bound the guard's own time, go on accepting after errors

Ruled out: a second shutdown, and noticing the flood at a later look: a socket that was shut down no longer tells its peer's address. Change: such a connection is disconnected, which resets it; the pause between looks is at least a hundred times the time of a look, at most 1 s; a new server takes the place of one that stopped accepting.

--- a/src/http/guard/mod.rs
+++ b/src/http/guard/mod.rs
@@ -20,6 +20,7 @@
 
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::os::fd::AsRawFd;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -41,6 +42,10 @@
 
 /// Time between two looks at the connections.
 pub const LOOK: Duration = Duration::from_millis(250);
+/// Longest pause between two looks.
+const LOOK_MOST: Duration = Duration::from_secs(1);
+/// Least pause as a multiple of the time that a look takes.
+const PAUSES: u32 = 100;
 /// Time between two looks while requests arrive or connections are many.
 const CLOSE_LOOK: Duration = Duration::from_millis(50);
 /// Shortest time before a silent connection is probed, which the kernel counts
@@ -174,13 +179,16 @@
     fn run(mut self, ended: &Receiver<()>) {
         let mut pause = LOOK;
         while ended.recv_timeout(pause) == Err(RecvTimeoutError::Timeout) {
+            let begun = self.clock.now();
             if let Err(e) = self.look() {
                 log::warn!("cannot look at the connections of clients: {e}");
             }
-            pause = match self.watch.is_tense() {
+            let spent = self.clock.now().saturating_sub(begun);
+            let usual = match self.watch.is_tense() {
                 true => CLOSE_LOOK,
                 false => LOOK,
             };
+            pause = usual.max(spent * PAUSES).min(LOOK_MOST);
         }
     }
 
@@ -206,13 +214,30 @@
         match cut.reason {
             Reason::SlowBody => return socket.shutdown(Shutdown::Read),
             Reason::SlowHead => reply(&socket, Kind::SlowClient),
-            Reason::LargeHead => reply(&socket, Kind::HeadTooLarge),
+            Reason::LargeHead => {
+                reply(&socket, Kind::HeadTooLarge);
+                return abort(&socket);
+            }
             Reason::Idle | Reason::TooMany | Reason::Unread | Reason::Condemned => {}
         }
         socket.shutdown(Shutdown::Both)
     }
 }
 
+/// Ends a connection whose client sends on: a socket that is only shut down
+/// goes on to receive, and the library to read, while one that is disconnected
+/// drops what it holds and answers with a reset.
+fn abort(socket: &Socket) -> io::Result<()> {
+    let mut none: libc::sockaddr = unsafe { std::mem::zeroed() };
+    none.sa_family = libc::AF_UNSPEC as libc::sa_family_t;
+    let length = size_of::<libc::sockaddr>() as libc::socklen_t;
+    // SAFETY: the address lives through the call and its length is right.
+    match unsafe { libc::connect(socket.as_raw_fd(), &none, length) } {
+        0 => Ok(()),
+        _ => Err(io::Error::last_os_error()),
+    }
+}
+
 /// Sends a refusal if the socket takes it without waiting.
 fn reply(socket: &Socket, kind: Kind) {
     let answer = kind.answer();
--- a/src/http/guard/watch.rs
+++ b/src/http/guard/watch.rs
@@ -101,7 +101,7 @@
     /// Whether to look again soon.
     pub fn is_tense(&self) -> bool {
         let arriving = |c: &Conn| matches!(c.phase, Phase::Head(_));
-        self.conns.len() > self.settings.connections / 2 || self.conns.values().any(arriving)
+        self.conns.values().any(arriving)
     }
 
     /// Takes in what the kernel and the handlers say; answers what to close.
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,5 +1,6 @@
 //! Threads that take requests from a `tiny_http` server.
 
+use std::io;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -15,6 +16,9 @@
 /// Longest wait for the next request before the stop flag is read again.
 const POLL: Duration = Duration::from_millis(100);
 
+/// Pause before a new server takes the place of one that stopped accepting.
+const RENEW: Duration = Duration::from_millis(200);
+
 /// Serves the requests of one server.
 pub trait Handler: Send + Sync + 'static {
     /// Answers a request on a thread of its own.
@@ -25,7 +29,6 @@
 
 /// A running server.
 pub struct Running {
-    server: Arc<Server>,
     stop: Arc<AtomicBool>,
     busy: Arc<AtomicU32>,
     thread: Option<JoinHandle<()>>,
@@ -45,17 +48,19 @@
 ) -> Result<Running, Box<dyn std::error::Error + Send + Sync>> {
     let watch = |bounds| Guard::watch(&listener, bounds);
     let guard = bounds.map(watch).transpose()?;
-    let server = Arc::new(Server::from_listener(listener, None)?);
+    let acceptor = Acceptor {
+        servers: vec![Server::from_listener(listener.try_clone()?, None)?],
+        listener,
+    };
     let stop = Arc::new(AtomicBool::new(false));
     let busy = Arc::new(AtomicU32::new(0));
     let thread = {
-        let (server, stop, busy) = (server.clone(), stop.clone(), busy.clone());
+        let (stop, busy) = (stop.clone(), busy.clone());
         thread::Builder::new()
             .name("accept".into())
-            .spawn(move || accept(&server, &stop, &busy, most, guard.as_ref(), &handler))?
+            .spawn(move || accept(acceptor, &stop, &busy, most, guard.as_ref(), &handler))?
     };
     Ok(Running {
-        server,
         stop,
         busy,
         thread: Some(thread),
@@ -71,7 +76,6 @@
     /// Takes no further requests; those in progress go on.
     pub fn stop(&mut self) {
         self.stop.store(true, Ordering::Release);
-        self.server.unblock();
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
@@ -93,8 +97,52 @@
     }
 }
 
+/// The servers of one listening address. The library stops accepting for good
+/// at the first error, for instance for want of descriptors; a new server then
+/// takes its place, while the old one goes on with its connections.
+struct Acceptor {
+    listener: TcpListener,
+    servers: Vec<Server>,
+}
+
+impl Acceptor {
+    /// The next request, if one comes soon.
+    fn next(&mut self, stop: &AtomicBool) -> Option<Request> {
+        let (last, older) = self.servers.split_last()?;
+        for server in older {
+            if let Ok(Some(request)) = server.try_recv() {
+                return Some(request);
+            }
+        }
+        match last.recv_timeout(POLL) {
+            Ok(request) => request,
+            Err(e) => {
+                self.renew(&e, stop);
+                None
+            }
+        }
+    }
+
+    fn renew(&mut self, error: &io::Error, stop: &AtomicBool) {
+        thread::sleep(RENEW);
+        // A listening socket that was shut down accepts nothing any more.
+        let closed = error.raw_os_error() == Some(libc::EINVAL);
+        if closed || stop.load(Ordering::Acquire) {
+            return;
+        }
+        log::error!("accepting connections failed: {error}; starting again");
+        let listener = self.listener.try_clone();
+        let server = listener.map(|l| Server::from_listener(l, None));
+        match server {
+            Ok(Ok(server)) => self.servers.push(server),
+            Ok(Err(e)) => log::error!("no server: {e}"),
+            Err(e) => log::error!("no descriptor: {e}"),
+        }
+    }
+}
+
 fn accept<H: Handler>(
-    server: &Server,
+    mut acceptor: Acceptor,
     stop: &AtomicBool,
     busy: &Arc<AtomicU32>,
     most: u32,
@@ -102,15 +150,8 @@
     handler: &Arc<H>,
 ) {
     while !stop.load(Ordering::Acquire) {
-        let request = match server.recv_timeout(POLL) {
-            Ok(Some(request)) => request,
-            Ok(None) => continue,
-            Err(e) => {
-                if !stop.load(Ordering::Acquire) {
-                    log::debug!("taking a request failed: {e}");
-                }
-                continue;
-            }
+        let Some(request) = acceptor.next(stop) else {
+            continue;
         };
         let screened = match guard {
             Some(guard) => guard.screen(request),
--- a/tests/guard.rs
+++ b/tests/guard.rs
@@ -308,3 +308,16 @@
     let answer = read_all(stream);
     assert!(answer.contains("400"), "{answer}");
 }
+
+#[test]
+fn endless_head_at_full_speed_is_aborted() {
+    let echo = Echo::start(settings());
+    let mut stream = TcpStream::connect(echo.addr).unwrap();
+    stream.write_all(b"GET / HTTP/1.1\r\nX-Long: ").unwrap();
+    let part = [b'x'; 64 << 10];
+    let mut sent = 0_usize;
+    while stream.write_all(&part).is_ok() {
+        sent += part.len();
+        assert!(sent < 256 << 20, "the client can send for ever");
+    }
+}
