Read entry answers and statuses in one place of the test environment

Cause: the fault run had its own copies of two readers of tests/env. Change: tests/env offers `read` and `entry`; both sides use them.

--- a/examples/chaos/callers.rs
+++ b/examples/chaos/callers.rs
@@ -5,12 +5,11 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
-use mastichinge::fakes::site::{CALLER_KEY, CRASH};
+use mastichinge::fakes::site::CRASH;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use serde_json::Value;
 
-use crate::env::{Booking, ask_part, book};
+use crate::env::{Booking, ask_part, book, entry};
 use crate::record::{Asked, Note, Sent};
 
 /// How long an entry answer is kept; as the site's policy says.
@@ -176,20 +175,9 @@
     }
 }
 
-/// Names of the hosts that an entry answer gives; none without an answer.
+/// Hosts that the entry answer at `url` names; none without an answer.
 pub fn names(url: &str) -> Vec<String> {
-    let answer = attohttpc::get(url)
-        .bearer_auth(CALLER_KEY)
-        .connect_timeout(ENTRY)
-        .timeout(ENTRY)
-        .send();
-    let Ok(text) = answer.and_then(|a| a.text()) else {
-        return Vec::new();
-    };
-    let body: Value = serde_json::from_str(&text).unwrap_or_default();
-    let hosts = body["hosts"].as_array().cloned().unwrap_or_default();
-    let names = hosts.iter().filter_map(|h| h["host"].as_str());
-    names.map(str::to_owned).collect()
+    entry(url, ENTRY)
 }
 
 fn numbers(names: &[String]) -> Vec<usize> {
--- a/examples/chaos/operators.rs
+++ b/examples/chaos/operators.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 
 use crate::callers::{Hosts, names, stopped};
+use crate::env::read;
 use crate::record::{Look, Note, Patched};
 
 /// Pause between the patches of one operator, ms.
@@ -105,16 +106,8 @@
 }
 
 /// Status of the host at `url`; null without an answer.
-pub fn status(url: &str) -> Value {
-    let answer = attohttpc::get(format!("{url}/v1/status"))
-        .bearer_auth(OPERATOR_KEY)
-        .connect_timeout(STATUS)
-        .timeout(STATUS)
-        .send();
-    let Ok(text) = answer.and_then(|a| a.text()) else {
-        return Value::Null;
-    };
-    serde_json::from_str(&text).unwrap_or(Value::Null)
+fn status(url: &str) -> Value {
+    read(&format!("{url}/v1/status"), OPERATOR_KEY, STATUS)
 }
 
 /// Looks at one host until stopped.
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -173,20 +173,7 @@
 
     /// Hosts that `host` names to its callers.
     pub fn entry(&self, host: usize) -> Vec<String> {
-        let url = self.caller_url(host, "/v1/hosts");
-        let answer = attohttpc::get(url)
-            .bearer_auth(CALLER_KEY)
-            .timeout(Duration::from_secs(2))
-            .send();
-        let Ok(text) = answer.and_then(|a| a.text()) else {
-            return Vec::new();
-        };
-        let body: Value = serde_json::from_str(&text).unwrap_or_default();
-        let hosts = body["hosts"].as_array().cloned().unwrap_or_default();
-        hosts
-            .iter()
-            .filter_map(|h| h["host"].as_str().map(str::to_owned))
-            .collect()
+        entry(&self.caller_url(host, "/v1/hosts"), Duration::from_secs(2))
     }
 
     /// URL of a path for callers.
@@ -204,14 +191,8 @@
 
     /// Reads a path as an operator; null when no answer came.
     pub fn look(&self, host: usize, path: &str) -> Value {
-        let answer = attohttpc::get(self.operator_url(host, path))
-            .bearer_auth(OPERATOR_KEY)
-            .timeout(Duration::from_secs(5))
-            .send();
-        let Ok(text) = answer.and_then(|a| a.text()) else {
-            return Value::Null;
-        };
-        serde_json::from_str(&text).unwrap_or(Value::Null)
+        let url = self.operator_url(host, path);
+        read(&url, OPERATOR_KEY, Duration::from_secs(5))
     }
 
     /// Patches the configuration through `host`; answers status and body.
@@ -357,6 +338,23 @@
     }
 }
 
+/// Reads JSON within `limit`; null when no answer came.
+pub fn read(url: &str, key: &str, limit: Duration) -> Value {
+    let answer = attohttpc::get(url).bearer_auth(key).timeout(limit).send();
+    let Ok(text) = answer.and_then(|a| a.text()) else {
+        return Value::Null;
+    };
+    serde_json::from_str(&text).unwrap_or(Value::Null)
+}
+
+/// Hosts that the entry answer at `url` names; none without an answer.
+pub fn entry(url: &str, limit: Duration) -> Vec<String> {
+    let body = read(url, CALLER_KEY, limit);
+    let hosts = body["hosts"].as_array().cloned().unwrap_or_default();
+    let names = hosts.iter().filter_map(|h| h["host"].as_str());
+    names.map(str::to_owned).collect()
+}
+
 /// Sends a prompt with further head fields and reads the streamed answer.
 pub fn ask(url: &str, model: &str, prompt: &str, fields: &[(&'static str, &str)]) -> Answer {
     ask_part(url, model, prompt, fields, usize::MAX)
