--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -11,7 +11,6 @@
 
 use arc_swap::ArcSwap;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
-use socket2::SockRef;
 
 use crate::calls::{CallSettings, Calls};
 use crate::clock::Clock;
@@ -19,6 +18,8 @@
 use crate::decide::retry::{Budget, Retrying};
 use crate::follower::Follower;
 use crate::http::callers::Callers;
+use crate::http::contracts::Contracts;
+use crate::http::guard::GuardSettings;
 use crate::http::request::Ids;
 use crate::http::server::{self, Running};
 use crate::http::services::Services;
@@ -26,7 +27,7 @@
 use crate::members::{MemberSettings, Members};
 use crate::metrics::{Metrics, MetricsError};
 use crate::operators::api::Api;
-use crate::operators::server::{MOST, Operators};
+use crate::operators::server::{MOST, Operators, bounds};
 use crate::peer::{PeerError, PeerEvent, PeerSettings, Peers};
 use crate::platform::{HostList, Platform};
 use crate::protocol::ownership::Owner;
@@ -93,11 +94,16 @@
         let (stop, stopped) = bounded(0);
         let peers = Arc::new(start_peers(settings, incarnation, &events)?);
         let me = Me::new(settings, incarnation);
-        let router = Router::new(clock);
+        let router = Router::new(&settings.domain, clock);
         let view = Arc::new(ArcSwap::from_pointee(View::default()));
         let suspects = Arc::new(Mutex::new(Suspects::new(SuspectSettings::default())));
         let desk = Desk::new(events.clone(), view.clone(), suspects.clone(), clock);
-        let follower = Follower::new(platform.clone(), peers.clone(), events.clone());
+        let follower = Follower::new(
+            platform.clone(),
+            peers.clone(),
+            events.clone(),
+            settings.peers.len(),
+        );
         let (follow, changes) = bounded(MESSAGES);
         let (calls, questions) = bounded(MESSAGES);
         follower.start(changes)?;
@@ -120,7 +126,7 @@
             me: owner,
             clock,
         };
-        Driver::start(parts, control, events, inbox, stopped)?;
+        Driver::start(parts, control, events, inbox, stopped.clone())?;
         let links = Arc::new(CallLinks::new(peers.clone(), desk.clone()));
         let once = Arc::new(Calls::start(
             Arc::new(SharedTable(platform.clone())),
@@ -132,12 +138,15 @@
                 ..CallSettings::default()
             },
         ));
+        let first = incarnation as u32;
+        links::sweep(&once, first, settings.peers.len(), stopped.clone())?;
         links::serve(questions, peers.clone(), links, once.clone())?;
         let api = Api {
             host: Arc::new(OperatorHost {
                 platform: platform.clone(),
                 desk: desk.clone(),
                 follower: follower.clone(),
+                peers: peers.clone(),
                 metrics: metrics.clone(),
                 firm: settings.firm.clone(),
                 clock,
@@ -148,7 +157,7 @@
             api,
             ids: Ids::new(&format!("{}-op", settings.host), incarnation),
         };
-        let operators = listen(settings.listen.operators, MOST, operators)?;
+        let operators = listen(settings.listen.operators, MOST, Some(bounds()), operators)?;
         let callers = Callers {
             services: Services {
                 calls: once.clone(),
@@ -159,12 +168,18 @@
             desk: desk.clone(),
             router: router.clone(),
             clock,
+            contracts: Contracts::default(),
             retries: Mutex::new(Budget::new(Retrying::default())),
             metrics,
             ids: Ids::new(&settings.host, incarnation),
             limits: settings.limits.clone(),
         };
-        let callers = listen(settings.listen.callers, settings.limits.streams, callers)?;
+        let callers = listen(
+            settings.listen.callers,
+            settings.limits.streams,
+            Some(GuardSettings::from(&settings.limits)),
+            callers,
+        )?;
         log::info!(
             "host {} serves callers at {}",
             settings.host,
@@ -287,12 +302,10 @@
 fn listen<H: server::Handler>(
     addr: SocketAddr,
     most: u32,
+    bounds: Option<GuardSettings>,
     handler: H,
 ) -> Result<Running, StartError> {
     let refused = |cause: String| StartError::Listen { addr, cause };
     let listener = TcpListener::bind(addr).map_err(|e| refused(e.to_string()))?;
-    // Accepted sockets inherit it: tokens must not wait for acknowledgements.
-    let nodelay = SockRef::from(&listener).set_tcp_nodelay(true);
-    nodelay.map_err(|e| refused(e.to_string()))?;
-    server::start(listener, most, Arc::new(handler)).map_err(|e| refused(e.to_string()))
+    server::start(listener, most, bounds, Arc::new(handler)).map_err(|e| refused(e.to_string()))
 }
--- a/src/fakes/site.rs
+++ b/src/fakes/site.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use sha2::{Digest, Sha256};
 
 use super::engine::{EngineSettings, FakeEngine, LoadTimes};
 use super::platform::FakePlatform;
@@ -15,7 +14,7 @@
 use crate::config::entry::Proposal;
 use crate::config::ledger::{Ledger, ProposeError};
 use crate::config::state::Current;
-use crate::control::hex;
+use crate::operators::keys::hash;
 use crate::platform::client::Timeouts;
 use crate::platform::http::HttpPlatform;
 use crate::platform::{HostState, Platform};
@@ -53,6 +52,8 @@
     pub tokens: usize,
     /// Every n-th engine ignores fencing tokens; 0 for none.
     pub unfenced: u32,
+    /// Failure domains, in which the daemons stand in turn.
+    pub domains: [&'static str; 4],
     /// Network of the site on the loopback interface: daemons get its
     /// addresses from 1 on, engines those from 100 on.
     pub net: [u8; 3],
@@ -71,6 +72,7 @@
             interval: Duration::from_millis(20),
             tokens: 12,
             unfenced: 4,
+            domains: DOMAINS,
             net: [127, 0, 0],
         }
     }
@@ -85,7 +87,7 @@
     }
 
     /// Address of the plain service; fixed, so that it can start again there.
-    fn service_addr(&self) -> SocketAddr {
+    pub(super) fn service_addr(&self) -> SocketAddr {
         let [a, b, c] = self.net;
         SocketAddr::from((Ipv4Addr::new(a, b, c, SERVICE_HOST), SERVICE_PORT))
     }
@@ -166,7 +168,7 @@
             engines,
             service,
         };
-        site.configure().map_err(io::Error::other)?;
+        site.configure(site.config()).map_err(io::Error::other)?;
         for i in 1..=site.settings.daemons {
             site.platform.list(&format!("h{i}"), Some(HostState::Live));
         }
@@ -174,12 +176,12 @@
     }
 
     /// Puts version 1 of the configuration in force.
-    fn configure(&self) -> Result<(), ProposeError> {
+    pub(super) fn configure(&self, patch: Value) -> Result<(), ProposeError> {
         let http = HttpPlatform::new(self.platform.addresses(), "".into(), Timeouts::default());
         let ledger = Ledger::new(http.table(), http.objects());
         let proposal = Proposal {
             base: 0,
-            patch: self.config(),
+            patch,
             who: "ops".into(),
             teams: vec!["*".into()],
             attempt: "first".into(),
@@ -263,7 +265,7 @@
         Settings {
             firm: self.settings.firm.clone(),
             host: format!("h{}", number + 1).into(),
-            domain: DOMAINS[usize::from(number) % DOMAINS.len()].into(),
+            domain: self.settings.domains[usize::from(number) % DOMAINS.len()].into(),
             listen: Listen {
                 callers: SocketAddr::from((ip, CALLER_PORT)),
                 operators: SocketAddr::from((ip, OPERATOR_PORT)),
@@ -283,8 +285,3 @@
 fn fenced(settings: &SiteSettings, number: u32) -> bool {
     settings.unfenced == 0 || !number.is_multiple_of(settings.unfenced)
 }
-
-/// SHA-256 of a key, hex.
-pub fn hash(key: &str) -> String {
-    hex(&Sha256::digest(key.as_bytes()))
-}
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -1,6 +1,5 @@
 //! The paths of the callers' port.
 
-use std::io::Read;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -19,6 +18,8 @@
 use crate::settings::Limits;
 
 use super::answer::{Answer, Form, api_error};
+use super::contracts::{Contracts, Open};
+use super::guard::read_body;
 use super::openai::{Collector, Completion, Endpoint, deadline};
 use super::relay::{End, Outcome, Relay, Sink};
 use super::request::{Ids, Terms, bearer, field, path, query};
@@ -41,6 +42,8 @@
     pub router: Router,
     /// Time.
     pub clock: Clock,
+    /// What callers may use at this host.
+    pub contracts: Contracts,
     /// Budget of retries of this daemon.
     pub retries: Mutex<Budget>,
     /// Counts what happens.
@@ -125,6 +128,11 @@
         caller: &Name,
         place: &str,
     ) -> Result<(), Refused> {
+        let open = self.admit(caller);
+        let _open = match open {
+            Ok(open) => open,
+            Err(refusal) => return Err(Box::new((request, refusal))),
+        };
         match self.serve_call(&mut request, id, caller, place) {
             Ok(answer) => {
                 answer.send(request, id);
@@ -170,11 +178,16 @@
             key: field(request, "Idempotency-Key").map(Name::from),
             first: field(request, "X-First-Attempt") == Some("1"),
             deadline: self.clock.now() + left,
-            body: read_body(request, self.limits.body)?,
+            body: self.read_body(request)?,
         };
         self.services.run(&call, service)
     }
 
+    fn read_body(&self, request: &mut Request) -> Result<Vec<u8>, Refusal> {
+        let wait = Duration::from_millis(self.limits.receive_ms);
+        read_body(request, self.limits.body, wait)
+    }
+
     fn caller(&self, request: &Request) -> Result<Name, Refusal> {
         let Some(key) = bearer(request) else {
             return Err(Refusal::new(Kind::BadKey, "no bearer key was given"));
@@ -201,6 +214,11 @@
             Err(refusal) => return Err(Box::new((request, refusal))),
         };
         let _open = OpenStream::new(&self.metrics);
+        let open = self.admit(caller);
+        let _open = match open {
+            Ok(open) => open,
+            Err(refusal) => return Err(Box::new((request, refusal))),
+        };
         let relay = Relay {
             engine: self.platform.engine(),
             router: &self.router,
@@ -214,6 +232,13 @@
         self.whole(request, &relay, &ask, &terms)
     }
 
+    fn admit(&self, caller: &Name) -> Result<Open<'_>, Refusal> {
+        let view = self.desk.view();
+        let contract = view.config.callers.get(caller).cloned().unwrap_or_default();
+        let now = self.clock.now();
+        self.contracts.admit(caller, &contract, view.alive, now)
+    }
+
     /// Checks a completion request against caller, model and deadline.
     fn prepare(
         &self,
@@ -222,7 +247,7 @@
         caller: &Name,
         endpoint: Endpoint,
     ) -> Result<(Completion, Terms), Refusal> {
-        let body = read_body(request, self.limits.body)?;
+        let body = self.read_body(request)?;
         let ask = Completion::parse(endpoint, &body)?;
         let config = self.desk.config();
         let unknown = || Refusal::new(Kind::UnknownModel, format!("no model {:?}", ask.model));
@@ -386,18 +411,3 @@
     let asked: u8 = asked.trim().parse().map_err(wrong)?;
     Ok(asked.min(contract.priority))
 }
-
-/// Reads a body of at most `most` bytes.
-pub(crate) fn read_body(request: &mut Request, most: u64) -> Result<Vec<u8>, Refusal> {
-    let too_large = || Refusal::new(Kind::BodyTooLarge, format!("more than {most} bytes"));
-    if request.body_length().is_some_and(|n| n as u64 > most) {
-        return Err(too_large());
-    }
-    let mut body = Vec::new();
-    let read = request.as_reader().take(most + 1).read_to_end(&mut body);
-    read.map_err(|e| Refusal::new(Kind::BadRequest, format!("the body broke off: {e}")))?;
-    if body.len() as u64 > most {
-        return Err(too_large());
-    }
-    Ok(body)
-}
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -181,22 +181,16 @@
             }
             if let Some(side) = self.sides.get_mut(name) {
                 side.room.memory = engine.memory;
+                side.retired = false;
                 continue;
             }
             let (pins, item) = self.orphans.remove(name).unwrap_or_default();
             let side = Side::new(engine, self.epoch, self.clean, pins, item);
             self.sides.insert(name.clone(), side);
         }
-        let gone: Vec<Name> = self
-            .sides
-            .keys()
-            .filter(|e| !config.engines.contains_key(*e))
-            .cloned()
-            .collect();
-        for name in gone {
-            if let Some(side) = self.sides.remove(&name) {
-                self.orphans.insert(name, (side.pins, side.item));
-            }
+        // The side stays: a later engine of this name goes on with its orders.
+        for (name, side) in &mut self.sides {
+            side.retired = !config.engines.contains_key(name);
         }
         self.dirty = true;
     }
@@ -329,7 +323,7 @@
             let Some(side) = self.sides.get_mut(&write.engine) else {
                 continue;
             };
-            side.writing = false;
+            side.pending = None;
             let Some(version) = versions.get(i) else {
                 continue;
             };
@@ -352,17 +346,18 @@
     pub fn quiet(&self) -> Option<Vec<PinWrite>> {
         let mut writes = Vec::new();
         for (engine, side) in &self.sides {
-            if side.writing {
+            if side.writing() {
                 return None;
             }
-            let Some(ledger) = &side.ledger else {
-                continue;
-            };
-            if !ledger.quiet() {
+            if side.ledger.as_ref().is_some_and(|l| !l.quiet()) {
                 return None;
             }
-            let pins = ledger.with_doubts(&side.pins);
-            if pins == side.pins {
+            let pins = match &side.ledger {
+                Some(ledger) => ledger.with_doubts(&side.pins),
+                None => side.pins.clone(),
+            };
+            // Doubts that were inherited are not in the table yet.
+            if !pins.pins.values().any(|p| p.doubt) {
                 continue;
             }
             writes.push(PinWrite {
@@ -406,9 +401,9 @@
         self.waiting.len()
     }
 
-    /// All pins as recorded.
+    /// All pins that may stand in the table.
     fn pool_pins(&self) -> PoolPins {
-        let sides = self.sides.iter().map(|(e, s)| (e.clone(), s.pins.clone()));
+        let sides = self.sides.iter().map(|(e, s)| (e.clone(), s.possible()));
         let orphans = self
             .orphans
             .iter()
@@ -421,6 +416,9 @@
         self.hosts = ctx.hosts.to_vec();
         self.usage.retain(|host, _| ctx.hosts.contains(host));
         self.trials.expire(ctx.now);
+        for side in self.sides.values_mut() {
+            side.learnt(ctx.now);
+        }
         self.expire(ctx, out);
         self.answer(ctx, out);
         if !self.stopping {
--- a/src/pool/side.rs
+++ b/src/pool/side.rs
@@ -34,14 +34,17 @@
     pub heard: Option<Moment>,
     /// Replicas by model.
     pub replicas: BTreeMap<Name, Replica>,
-    /// A write of the pin item is under way.
-    pub writing: bool,
+    /// Pin record that is being written; until its end is known both records
+    /// may stand in the table.
+    pub pending: Option<EnginePins>,
     /// A fence is under way.
     pub fencing: bool,
     /// An unanswered order must be settled by a fence.
     pub refence: bool,
     /// The platform lists the engine as leaving.
     pub listed_leaving: bool,
+    /// The engine is no longer configured.
+    pub retired: bool,
     /// The platform has listed the engine.
     pub listed: bool,
     /// The platform no longer lists the engine, and it does not answer.
@@ -51,8 +54,12 @@
     /// The engine has a token of a later owner.
     pub superseded: bool,
     epoch: u64,
-    clean: bool,
     ordered: Moment,
+    asked: Option<Moment>,
+    /// When the recorded instance was learnt; `None` until the next step.
+    known: Option<Moment>,
+    /// This owner adopted the recorded instance itself.
+    adopted: bool,
     misses: u32,
 }
 
@@ -76,17 +83,20 @@
             report: Report::default(),
             heard: None,
             replicas: BTreeMap::new(),
-            writing: false,
+            pending: None,
             fencing: false,
             refence: false,
             listed_leaving: false,
+            retired: false,
             listed: false,
             gone: false,
             paused: Moment::ZERO,
             superseded: false,
             epoch,
-            clean,
             ordered: Moment::ZERO,
+            asked: None,
+            known: None,
+            adopted: false,
             misses: 0,
         }
     }
@@ -98,7 +108,7 @@
 
     /// Whether the engine should get no new work.
     pub fn leaving(&self) -> bool {
-        self.listed_leaving || self.report.leaving
+        self.retired || self.listed_leaving || self.report.leaving
     }
 
     /// Whether loads and unloads may be ordered now.
@@ -109,7 +119,41 @@
 
     /// Whether the report names an instance that is not the recorded one.
     pub fn must_adopt(&self) -> bool {
-        self.heard.is_some() && self.report.instance != self.pins.instance && !self.writing
+        self.heard.is_some() && self.report.instance != self.pins.instance && !self.writing()
+    }
+
+    /// Whether a write of the pin item is under way.
+    pub fn writing(&self) -> bool {
+        self.pending.is_some()
+    }
+
+    /// Pins that may stand in the table: those recorded and those being written.
+    pub fn possible(&self) -> EnginePins {
+        match &self.pending {
+            Some(pending) => self.pins.either(pending),
+            None => self.pins.clone(),
+        }
+    }
+
+    /// Pins that surely stand in the table, whatever becomes of the write.
+    pub fn loadable(&self) -> EnginePins {
+        match &self.pending {
+            Some(pending) => self.pins.both(pending),
+            None => self.pins.clone(),
+        }
+    }
+
+    /// Notes that the recorded instance was learnt before `now`.
+    pub fn learnt(&mut self, now: Moment) {
+        self.known.get_or_insert(now);
+    }
+
+    /// Whether the report may come from an instance before the recorded one.
+    fn outdated(&self, report: &Report, asked: Moment) -> bool {
+        let first = self.pins.instance.is_empty();
+        let known = self.known.unwrap_or(Moment::MAX);
+        let other = report.instance != self.pins.instance;
+        other && !first && !self.pins.ended(known, &report.instance, asked)
     }
 
     /// Memory that nothing holds and nothing is planned for, MB.
@@ -143,11 +187,18 @@
 
     /// Takes a report that was asked for at `asked`; answers whether the set
     /// of replicas may have changed.
+    ///
+    /// Answers of several polls may cross; an older one changes nothing.
     pub fn reported(&mut self, report: Report, asked: Moment, now: Moment) -> bool {
+        if self.asked.is_some_and(|last| asked < last) || self.outdated(&report, asked) {
+            return false;
+        }
+        self.asked = Some(asked);
         self.misses = 0;
         self.heard = Some(now);
         let restarted = report.instance != self.report.instance;
-        let stale = asked < self.ordered && !restarted;
+        let behind = asked < self.ordered || report.orders < self.report.orders;
+        let stale = behind && !restarted;
         self.report = report;
         if self.report.instance != self.pins.instance {
             self.ledger = None;
@@ -166,7 +217,8 @@
 
     /// Takes note of the instance that the pins are now recorded for.
     pub fn adopted(&mut self) {
-        self.clean = true;
+        self.adopted = true;
+        self.known = None;
         self.ledger = None;
         if self.report.instance == self.pins.instance {
             self.open_ledger();
@@ -174,7 +226,10 @@
     }
 
     fn open_ledger(&mut self) {
-        self.ledger = Some(Ledger::new(self.room, self.epoch, &self.pins));
+        self.ledger = Some(match self.adopted {
+            true => Ledger::adopted(self.room, self.epoch, &self.pins),
+            false => Ledger::new(self.room, self.epoch, &self.pins),
+        });
     }
 
     /// Takes note that a poll failed; answers whether the engine was just lost.
@@ -230,8 +285,16 @@
     ///
     /// Why the order may not be sent now.
     pub fn load(&mut self, model: &Name) -> Result<Grant<Recorded>, Denied> {
+        let loadable = self.loadable();
         let ledger = self.ledger.as_mut().ok_or(Denied::Closed)?;
-        ledger.load(&self.pins, model)
+        if self
+            .pending
+            .as_ref()
+            .is_some_and(|p| !p.pins.contains_key(model))
+        {
+            return Err(Denied::NoPin(model.clone()));
+        }
+        ledger.load(&loadable, model)
     }
 
     /// A grant to unload `model`.
@@ -263,7 +326,9 @@
         if end == OrderEnd::Lost {
             self.refence = true;
         }
-        if let Ok(report) = result {
+        if let Ok(report) = result
+            && report.instance == self.report.instance
+        {
             self.reported(report, now, now);
         }
         self.settle_replica(verb, &model, &end, now);
