Give pools the newest known host list, and print the plan of a fault run

Cause: the pool's owner took the platform's host list as it was read, while membership sorts out stale reads. After an engine was listed as leaving, a list of an older revision revived it: the owner loaded a model there. By the same way an old list that lacks an engine which does not answer would have cleared its replicas. Ruled out: the listing of membership itself (its tests on older revisions pass), the engine's own word (it gave none in the test).

Change: `Members::listed` answers the newest known state, and control gives that to its pools.

Before: `engine_listed_as_leaving_and_the_list_is_read_stale` failed, a load began at the leaving engine. After: it passes; 465 tests pass.

Conclusion: a stale list revives nothing at pools either.

--- a/examples/chaos/faults.rs
+++ b/examples/chaos/faults.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use mastichinge::clock::Clock;
 use mastichinge::fakes::FakeEngine;
 use mastichinge::fakes::service::Fault as Dies;
 use mastichinge::platform::HostState;
@@ -29,6 +30,8 @@
 const REPLACE: Duration = Duration::from_secs(1);
 /// Factor on load times of a slow weight store.
 const SLOWNESS: f64 = 4.0;
+/// Milliseconds of a day.
+const DAY_MS: u64 = 86_400_000;
 /// Longest time for everything to heal.
 const HEAL: Duration = Duration::from_secs(90);
 
@@ -173,6 +176,7 @@
             Fault::ServiceFails => (!self.pends(Heal::Service)).then(|| self.hit_service()),
         };
         if done.is_some() {
+            self.print(&fault.to_string());
             *self.plan.faults.entry(fault.to_string()).or_default() += 1;
         }
     }
@@ -266,9 +270,23 @@
         self.env.site.platform.list(name, Some(state));
     }
 
+    /// Prints a step of the plan with the time of day, as the logs have it.
+    fn print(&self, what: &str) {
+        let ms = Clock::unix_ms() % DAY_MS;
+        let (s, ms) = (ms / 1_000, ms % 1_000);
+        let (h, m, s) = (s / 3_600, s / 60 % 60, s % 60);
+        let (hosts, engines) = (&self.hosts, &self.engines);
+        println!("{h:02}:{m:02}:{s:02}.{ms:03} {what} hosts {hosts:?} engines {engines:?}");
+    }
+
     fn end(&mut self, heal: Heal) {
+        if !matches!(heal, Heal::Ready(_) | Heal::Exit(_)) {
+            self.print(&format!("{heal:?}"));
+        }
         match heal {
             Heal::Launch(host) => {
+                // From here on the host may be named again.
+                self.plan.leaving.close(host);
                 self.list(&format!("h{}", host + 1), HostState::Live);
                 self.env.launch(host);
                 self.later(STEP, Heal::Ready(host));
@@ -315,7 +333,6 @@
             return self.later(STEP, Heal::Ready(host));
         }
         self.plan.killed.close(host);
-        self.plan.leaving.close(host);
         self.hosts.retain(|h| *h != host);
     }
 
--- a/examples/chaos/run.rs
+++ b/examples/chaos/run.rs
@@ -1,5 +1,6 @@
 //! One run: load, faults, healing, checks.
 
+use std::fs;
 use std::io;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
@@ -82,11 +83,27 @@
     check(&env, &plan, &notes, &mut findings);
     env.keep = !findings.violations.is_empty();
     if env.keep {
+        dump(&env)?;
         println!("logs in {}", env.dir.display());
     }
     Ok(findings)
 }
 
+/// Writes what the table and the owner hold beside the logs.
+fn dump(env: &Env) -> io::Result<()> {
+    let mut text = String::new();
+    for (key, item) in env.site.platform.state.get().items {
+        if key.starts_with("pin/") || key.starts_with("pool/") {
+            text += &format!("{key} {}\n", item.value);
+        }
+    }
+    let owner = env.owner().unwrap_or(0);
+    for path in ["/v1/models", "/v1/engines", "/v1/config"] {
+        text += &format!("{path} {}\n", env.look(owner, path));
+    }
+    fs::write(env.dir.join("state.txt"), text)
+}
+
 fn rng(seed: u64, stream: u64) -> ChaCha8Rng {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     rng.set_stream(stream);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -224,10 +224,10 @@
     }
 
     fn listed(&mut self, hosts: &Hosts, now: Moment) {
-        self.members.listed(hosts);
+        let newest = self.members.listed(hosts);
         for seat in self.seats.values_mut() {
             if let Seat::Held(pool) = seat {
-                pool.listed(hosts);
+                pool.listed(&newest);
             }
         }
         self.publish(now);
--- a/src/members/listing.rs
+++ b/src/members/listing.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::config::Name;
-use crate::platform::{HostState, Hosts};
+use crate::platform::{HostEntry, HostState, Hosts};
 
 /// What the list last said of a host.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +40,22 @@
         self.entries = entries;
     }
 
+    /// The newest known state, as one list.
+    pub fn hosts(&self) -> Hosts {
+        let mut hosts = Hosts {
+            revision: self.revision.unwrap_or(0),
+            ..Hosts::default()
+        };
+        for (name, entry) in &self.entries {
+            hosts.hosts.push(HostEntry {
+                name: name.clone(),
+                state: entry.state,
+                revision: entry.revision,
+            });
+        }
+        hosts
+    }
+
     /// Whether any list was read.
     pub fn is_known(&self) -> bool {
         self.revision.is_some()
--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -211,9 +211,11 @@
         }
     }
 
-    /// Takes in the platform's list; older revisions change nothing.
-    pub fn listed(&mut self, hosts: &Hosts) {
+    /// Takes in the platform's list; older revisions change nothing. Answers
+    /// the newest known state of it.
+    pub fn listed(&mut self, hosts: &Hosts) -> Hosts {
         self.listing.update(hosts);
+        self.listing.hosts()
     }
 
     /// Forgets members that are silent and no longer listed; answers which.
--- a/tests/pairs.rs
+++ b/tests/pairs.rs
@@ -9,9 +9,13 @@
 use env::{Answer, Booking, Env};
 use mastichinge::fakes::FakeEngine;
 use mastichinge::fakes::site::{CRASH, SiteSettings};
+use mastichinge::platform::HostState;
+use serde_json::json;
 
 /// Load time during which a failure is brought about.
 const LONG_LOAD: Duration = Duration::from_secs(3);
+/// Age of a list that is older than the site.
+const LONG_AGO: Duration = Duration::from_secs(3_600);
 /// Factor on all load times of a weight store that is slow.
 const SLOWNESS: f64 = 4.0;
 
@@ -283,3 +287,38 @@
     let found = calls.filter(|(_, item)| item.value["state"] == "started");
     found.count()
 }
+
+#[test]
+fn engine_listed_as_leaving_and_the_list_is_read_stale() {
+    let env = start(SiteSettings {
+        engines: 2,
+        unfenced: 0,
+        limit: 2,
+        ..SiteSettings::default()
+    });
+    env.site.platform.list("e1", Some(HostState::Leaving));
+    whole(&env, &env.ask(0, "m1", "wake up"), "wake up");
+    env.wait("e1 is empty", || {
+        env.site.engines[0].report().residents.is_empty()
+    });
+    let patch = json!({"models": {"m1": {"warm": 2}}});
+    let (status, body) = env.patch(0, 1, "two replicas", &patch);
+    assert_eq!(status, 200, "{body}");
+    wait_reads(&env, 20);
+    let before = loads(&env.site.engines[0]);
+    env.site.platform.state.change(|s| s.knobs.lag = LONG_AGO);
+    wait_reads(&env, 40);
+    assert_eq!(loads(&env.site.engines[0]), before);
+}
+
+/// Waits for so many reads of the table; hosts read the list as often.
+fn wait_reads(env: &Env, count: u64) {
+    let reads = || env.site.platform.state.change(|s| s.reads);
+    let until = reads() + count;
+    env.wait("the hosts read the platform", || reads() >= until);
+}
+
+/// Loads that began at an engine.
+fn loads(engine: &FakeEngine) -> usize {
+    engine.journal().stays.len()
+}
