Release sleeping models' pins where memory leaves no room for a new one

Cause: on engines that ignore fencing tokens the pins of all models must fit together. Models that found no room ahead of need never got a pin while those of sleeping models stayed, and their requests waited until the deadline; an adapter whose base had no pin waited likewise. Change: a wake releases, in the same write, pins of models that sleep at the engine, longest unasked first, unloads idle ones that the placement chose, and pins the base of an adapter first. A pin is still removed only when its engine is known to be vacant of it.

--- a/src/pool/pins.rs
+++ b/src/pool/pins.rs
@@ -1,9 +1,11 @@
 //! Pins: which to record ahead of need, and which to move or release.
 
 use crate::config::{Model, Name};
-use crate::protocol::ownership::{EnginePins, PinAsk, PoolPins, Release, may_pin};
+use crate::decide::sleep::History;
+use crate::protocol::ownership::{EnginePins, PinAsk, PinDenied, PoolPins, Release, may_pin};
 
-use super::{Action, Context, PinWrite, Pool};
+use super::replica::Replica;
+use super::{Action, Context, PinWrite, Pool, Side};
 
 /// Most pins that one write adds, so that its record and its time stay bounded.
 const BATCH: usize = 256;
@@ -115,8 +117,43 @@
         None
     }
 
+    /// Whether the pin of `name` at an engine ties it to nothing.
+    fn vacant(&self, side: &Side, name: &Name) -> bool {
+        let ledger = side.ledger.as_ref();
+        !side.replicas.contains_key(name) && ledger.is_some_and(|l| l.vacant(name))
+    }
+
+    /// Memory for a new pin at an engine that ignores tokens, once the pins
+    /// of models that sleep or are being unloaded there are released, MB.
+    pub(super) fn pinnable(&self, side: &Side) -> u64 {
+        let mut tied = 0;
+        for (name, pin) in &side.pins.pins {
+            let going = side.replicas.get(name).is_some_and(Replica::going);
+            if !going && !self.vacant(side, name) {
+                tied += pin.memory;
+            }
+        }
+        side.room.memory.saturating_sub(tied)
+    }
+
+    /// Models without a replica at an engine whose pins may be released for
+    /// another model, the one asked for longest ago first.
+    fn sleepers(&self, engine: &Name) -> Vec<Name> {
+        let side = &self.sides[engine];
+        let mut sleepers = Vec::new();
+        for name in side.pins.pins.keys() {
+            let asked = self.waiting.count(name) > 0 || self.queued(name) > 0;
+            if !asked && self.vacant(side, name) {
+                sleepers.push(name.clone());
+            }
+        }
+        sleepers.sort_by_key(|name| self.histories.get(name).and_then(History::last));
+        sleepers
+    }
+
     /// Records a pin of `name` at `engine` now, moving one where the limit
-    /// leaves no other way.
+    /// leaves no other way and releasing those of sleeping models where the
+    /// memory leaves none. Answers whether nothing stands in its way.
     pub(super) fn pin_now(
         &mut self,
         name: &Name,
@@ -124,27 +161,36 @@
         engine: &Name,
         ctx: &Context<'_>,
         out: &mut Vec<Action>,
-    ) {
+    ) -> bool {
         if !ctx.table || self.sides[engine].writing {
-            return;
+            return true;
         }
         let mut all = self.pool_pins();
         let mut writes = Vec::new();
         let room = self.sides[engine].room;
-        if may_pin(&all, &ask(name, model, engine), room).is_err() {
+        let ask = ask(name, model, engine);
+        if matches!(may_pin(&all, &ask, room), Err(PinDenied::Limit { .. })) {
             let Some(from) = self.releasable(name) else {
-                return;
+                return true;
             };
             let record = all.entry(from.clone()).or_default();
             *record = record.without(name);
             writes.push((from.clone(), record.clone()));
         }
-        if may_pin(&all, &ask(name, model, engine), room).is_err() {
-            return;
+        for sleeper in self.sleepers(engine) {
+            if may_pin(&all, &ask, room).is_ok() {
+                break;
+            }
+            let record = all.entry(engine.clone()).or_default();
+            *record = record.without(&sleeper);
+        }
+        if may_pin(&all, &ask, room).is_err() {
+            return false;
         }
         let record = all.entry(engine.clone()).or_default();
         writes.push((engine.clone(), record.with(name, model.memory, self.epoch)));
         self.write(writes, out);
+        true
     }
 
     /// Releases pins above the limit, and those of models that are no longer
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -113,7 +113,8 @@
             return false;
         }
         let Some(choice) = self.choose(name, model, ctx) else {
-            return false;
+            let base = model.base.as_ref().filter(|base| !self.pinned_at_all(base));
+            return base.is_some_and(|base| self.plan(base, ctx, out));
         };
         log::debug!(
             "plan {name} at {} without {:?}",
@@ -121,12 +122,12 @@
             choice.evict
         );
         if !self.pinned(&choice.engine, name) {
-            self.pin_now(name, model, &choice.engine, ctx, out);
+            if !self.pin_now(name, model, &choice.engine, ctx, out) {
+                self.clear(&choice, ctx.now);
+            }
             return false;
         }
-        for victim in &choice.evict {
-            self.evict(&choice.engine, victim, ctx.now);
-        }
+        self.clear(&choice, ctx.now);
         if choice.base {
             let base = model.base.clone().unwrap_or_default();
             self.add(&base, &choice.engine, ctx);
@@ -139,6 +140,19 @@
         self.sides[engine].pins.pins.contains_key(model)
     }
 
+    /// Whether any engine has a pin of `model`.
+    fn pinned_at_all(&self, model: &Name) -> bool {
+        let mut sides = self.sides.values();
+        sides.any(|side| side.pins.pins.contains_key(model))
+    }
+
+    /// Begins to unload what stands in the way of a choice.
+    fn clear(&mut self, choice: &Choice, now: Moment) {
+        for victim in &choice.evict {
+            self.evict(&choice.engine, victim, now);
+        }
+    }
+
     fn add(&mut self, name: &Name, engine: &Name, ctx: &Context<'_>) {
         let Some(model) = ctx.config.models.get(name) else {
             return;
@@ -180,7 +194,10 @@
                 held: side.replicas.contains_key(name),
                 pinned: side.pins.pins.contains_key(name),
                 domain,
-                free: side.free(),
+                free: match side.room.fenced || side.pins.pins.contains_key(name) {
+                    true => side.free(),
+                    false => self.pinnable(side),
+                },
                 tier: side.tier(name),
                 base: base_at(side, model),
                 load: side.report.running + side.report.waiting,
