Let the store's loads start together after a pause; report broken invariants

Cause: the store serves `parallel` loads at once at full speed, but permits were spaced by 1/rate, so the first loads of an opening waited for nothing. Change: at most `parallel` starts within any parallel/rate seconds, in place of a bucket of one; a new holder still begins as if loads had come at the rate. The measuring program names overcommits, cut streams and surplus replicas.

--- a/examples/measure/figures.rs
+++ b/examples/measure/figures.rs
@@ -68,8 +68,12 @@
     pub bytes: Option<f64>,
     /// Processor time of a daemon, cores.
     pub cores: f64,
-    /// Replica limits exceeded, memory overcommitted, streams cut by unloads.
-    pub broken: usize,
+    /// Loads that took more memory than their engine has.
+    pub overcommits: usize,
+    /// Models that were unloaded with streams in progress.
+    pub cuts: Vec<Name>,
+    /// Most replicas of a model above its limit at once.
+    pub surplus: usize,
     /// All cold starts, ms.
     #[serde(skip)]
     pub colds: Vec<u64>,
@@ -141,8 +145,11 @@
     let bytes = driven.daemons.iter().map(|d| d.bytes).sum::<f64>();
     figures.bytes = (bytes > 0.0).then_some(bytes / time / daemons);
     figures.cores = driven.daemons.iter().map(|d| d.busy).sum::<f64>() / time / daemons;
-    let faults = journals.iter().map(|j| j.overcommits.len() + j.cuts.len());
-    figures.broken = faults.sum();
+    for journal in &journals {
+        figures.overcommits += journal.overcommits.len();
+        figures.cuts.extend(journal.cuts.iter().cloned());
+    }
+    figures.surplus = surplus(plan, &journals);
     figures
 }
 
@@ -211,6 +218,22 @@
     figures.least = spread(&figures.leasts);
 }
 
+/// Most replicas above its limit that any model had at once, loads included.
+fn surplus(plan: &FirmPlan, journals: &[Journal]) -> usize {
+    let mut most = 0;
+    for (name, model) in &plan.config.models {
+        let stays = journals.iter().flat_map(|j| &j.stays);
+        let own: Vec<_> = stays.filter(|s| s.resident.model == *name).collect();
+        for stay in &own {
+            let same = own
+                .iter()
+                .filter(|o| o.from <= stay.from && o.until.is_none_or(|until| until > stay.from));
+            most = most.max(same.count().saturating_sub(model.limit as usize));
+        }
+    }
+    most
+}
+
 fn store(plan: &FirmPlan) -> Store {
     let real = |time: Duration| time.as_secs_f64() * plan.scale;
     Store {
--- a/examples/measure/report.rs
+++ b/examples/measure/report.rs
@@ -38,14 +38,17 @@
         plan.store.rate / plan.scale
     );
     println!(
-        "  requests {} served {} refused {:?} lost {} wrong {} resent {} broken {}",
+        "  requests {} served {} refused {:?} lost {} wrong {} resent {}",
         figures.requests,
         figures.served,
         figures.refused,
         figures.lost,
         figures.wrong,
-        figures.resent,
-        figures.broken
+        figures.resent
+    );
+    println!(
+        "  overcommits {} cuts {:?} surplus replicas {}",
+        figures.overcommits, figures.cuts, figures.surplus
     );
     println!("  refused by model {:?}", figures.starved);
     spread("cold start", figures.cold);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -214,7 +214,7 @@
         }
         self.version = version;
         self.config = config;
-        self.permits.set_limits(self.limits(now), now);
+        self.permits.set_limits(self.limits(now));
         for seat in self.seats.values_mut() {
             if let Seat::Held(pool) = seat {
                 pool.reconfigure(&self.config);
--- a/src/control/permit.rs
+++ b/src/control/permit.rs
@@ -20,7 +20,7 @@
         if self.holder.as_ref() != Some(&self.me.host) {
             return;
         }
-        self.permits.set_limits(self.limits(now), now);
+        self.permits.set_limits(self.limits(now));
         for grant in self.permits.grant(now) {
             let load = grant.load.to_string();
             self.send(&grant.host, Body::Permit(Permit { load }));
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -15,3 +15,4 @@
 pub mod routing;
 pub mod sleep;
 pub mod store;
+pub mod window;
--- a/src/decide/permits.rs
+++ b/src/decide/permits.rs
@@ -1,20 +1,18 @@
 //! The weight store's limits, kept by the daemon that holds the permits.
 //!
-//! Model loads start at `rate` with at most `parallel` at once; adapter loads
-//! are bounded by the number in transit only. Waiting loads start in order of
+//! At most `parallel` model loads run at once, and at most `parallel` start
+//! within any `parallel / rate` seconds, so that after a pause so many start
+//! together; adapter loads are bounded by the number in transit only. Waiting loads start in order of
 //! stake, equal stakes in order of arrival. The state is soft: a new holder
 //! learns the running loads from their askers, who ask again with `running`.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use super::limits::Bucket;
 pub use super::store::{StoreLimits, Waiters, stake};
+use super::window::Window;
 use crate::clock::Moment;
 
-/// Model loads that may start without a gap after an idle time.
-pub const BURST: f64 = 1.0;
-
 /// A request for a permit.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ask {
@@ -71,7 +69,7 @@
 #[derive(Clone, Debug)]
 pub struct Permits {
     limits: StoreLimits,
-    bucket: Bucket,
+    window: Window,
     loads: HashMap<Arc<str>, Load>,
     models: Lane,
     adapters: Lane,
@@ -79,14 +77,12 @@
 }
 
 impl Permits {
-    /// A holder without loads; it starts with an empty bucket, because what
-    /// its predecessor started just before is unknown.
+    /// A holder without loads; it counts as if loads had started at the rate
+    /// until now, because what its predecessor started is unknown.
     pub fn new(limits: StoreLimits, now: Moment) -> Self {
-        let mut bucket = Bucket::new(limits.rate, BURST, now);
-        bucket.spend(now);
         Permits {
             limits,
-            bucket,
+            window: Window::new(limits.rate, limits.parallel, now),
             loads: HashMap::new(),
             models: Lane::default(),
             adapters: Lane::default(),
@@ -94,10 +90,10 @@
         }
     }
 
-    /// Changes the limits from `now` on; running loads go on.
-    pub fn set_limits(&mut self, limits: StoreLimits, now: Moment) {
+    /// Changes the limits from now on; running loads go on.
+    pub fn set_limits(&mut self, limits: StoreLimits) {
         self.limits = limits;
-        self.bucket.set_rate(limits.rate, now);
+        self.window.set(limits.rate, limits.parallel);
     }
 
     /// Notes a request. Asking again changes the stake; asking again for a
@@ -147,12 +143,13 @@
             grants.push(self.start(load));
         }
         while self.models.running < self.limits.parallel && !self.models.queue.is_empty() {
-            if self.bucket.take(now).is_err() {
+            if !self.window.wait(now).is_zero() {
                 break;
             }
             let Some((_, load)) = self.models.queue.pop_first() else {
                 break;
             };
+            self.window.start(now);
             grants.push(self.start(load));
         }
         grants
@@ -160,11 +157,11 @@
 
     /// Moment at which [`Permits::grant`] may grant without another event;
     /// `None` when only the end of a load or another request can help.
-    pub fn wake(&mut self, now: Moment) -> Option<Moment> {
+    pub fn wake(&self, now: Moment) -> Option<Moment> {
         if self.models.queue.is_empty() || self.models.running >= self.limits.parallel {
             return None;
         }
-        Some(now + self.bucket.wait(now))
+        Some(now + self.window.wait(now))
     }
 
     /// Ends a load or withdraws its request; unknown ids are ignored.
--- /dev/null
+++ b/src/decide/window.rs
@@ -0,0 +1,58 @@
+//! A limit on starts within any span of time.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::limits::LONGEST;
+use crate::clock::Moment;
+
+/// At most `count` starts within any span of `count / rate` seconds, so that
+/// after a pause `count` of them may come at once.
+#[derive(Clone, Debug)]
+pub struct Window {
+    span: Duration,
+    count: usize,
+    /// Moments at which the last starts leave the span, in order.
+    ends: VecDeque<Moment>,
+}
+
+impl Window {
+    /// A window in which `count` starts lie that came at `rate` until `now`.
+    pub fn new(rate: f64, count: u32, now: Moment) -> Self {
+        let mut window = Window {
+            span: Duration::ZERO,
+            count: 1,
+            ends: VecDeque::new(),
+        };
+        window.set(rate, count);
+        let count = window.count as u32;
+        for k in 1..=count {
+            window.ends.push_back(now + window.span / count * k);
+        }
+        window
+    }
+
+    /// Changes rate (starts a second) and count for starts to come.
+    pub fn set(&mut self, rate: f64, count: u32) {
+        self.count = count.max(1) as usize;
+        let span = self.count as f64 / rate.max(0.0);
+        let span = Duration::try_from_secs_f64(span).unwrap_or(LONGEST);
+        self.span = span.min(LONGEST);
+    }
+
+    /// Time until a start is allowed; zero when one is.
+    pub fn wait(&self, now: Moment) -> Duration {
+        let Some(nth) = self.ends.len().checked_sub(self.count) else {
+            return Duration::ZERO;
+        };
+        self.ends[nth].saturating_sub(now)
+    }
+
+    /// Notes a start.
+    pub fn start(&mut self, now: Moment) {
+        while self.ends.front().is_some_and(|end| *end <= now) {
+            self.ends.pop_front();
+        }
+        self.ends.push_back(now + self.span);
+    }
+}
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -445,6 +445,40 @@
     assert_eq!(permits.wake(now), None);
 }
 
+#[test]
+fn parallel_loads_start_together_after_a_pause() {
+    let mut permits = Permits::new(limits(), Moment::ZERO);
+    for load in ["1", "2", "3", "4", "5", "6"] {
+        permits.ask(ask(load, 1.0));
+    }
+    assert_eq!(granted(&mut permits, secs(60)).len(), 4);
+    permits.done("1");
+    permits.done("2");
+    assert!(granted(&mut permits, secs(61)).is_empty());
+    assert_eq!(permits.wake(secs(61)), Some(secs(62)));
+    assert_eq!(granted(&mut permits, secs(62)).len(), 2);
+}
+
+proptest! {
+    #[test]
+    fn no_span_has_more_starts_than_the_parallel_limit(steps in prop::collection::vec(0_u64..900, 1..200)) {
+        let mut permits = Permits::new(limits(), Moment::ZERO);
+        let mut now = Moment::ZERO;
+        let mut starts = Vec::new();
+        for (i, step) in steps.into_iter().enumerate() {
+            now += Duration::from_millis(step);
+            permits.ask(ask(&i.to_string(), 1.0));
+            for load in granted(&mut permits, now) {
+                permits.done(&load);
+                starts.push(now);
+            }
+        }
+        for pair in starts.windows(5) {
+            prop_assert!(pair[4] - pair[0] >= secs(2));
+        }
+    }
+}
+
 #[test]
 fn no_more_than_the_parallel_limit_run() {
     let mut permits = Permits::new(limits(), Moment::ZERO);
