Cut no stream when a daemon pauses, loses its links or its messages overtake

Found three ways: a daemon that is silent or has lost its links was not waited for before an unload; a link closed when its process was paused and went on (an interrupted read); a newer pool state took the place of an older one in the queue and so overtook a verdict, and a difference took the place of a whole state. Ruled out: the order of state and use at an entry daemon (one lock). Change: unloads wait for daemons whose link is open, and for 10 s after a daemon departed unless the engine's own later report names no request; interrupted reads go on; nothing but heartbeats is replaced in a queue; use is told by engine, so that a model taken out of the configuration still counts.

--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -166,6 +166,9 @@
             return;
         }
         self.beat = Some(now);
+        for host in self.members.expire(now) {
+            log::info!("host {host} is gone");
+        }
         let beat = Heartbeat {
             incarnation: self.me.incarnation,
             leaving: self.leaving,
--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -293,6 +293,15 @@
         alive.map(owner).collect()
     }
 
+    /// Hosts that may have requests in progress: alive, or silent on a link
+    /// that is still open, as that of a paused daemon is.
+    pub fn present(&self, now: Moment) -> Vec<Name> {
+        let all = self.members.keys();
+        all.filter(|name| self.is_alive(name, now) || self.linked(name))
+            .cloned()
+            .collect()
+    }
+
     /// Hosts that may own something: alive, ready and not leaving.
     pub fn candidates(&self, now: Moment) -> Vec<Name> {
         let serving = self.serving(now);
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -102,7 +102,12 @@
         }
         self.stream.set_read_timeout(Some(left))?;
         let mut part = [0; READ_BYTES];
-        let n = self.stream.read(&mut part)?;
+        let n = match self.stream.read(&mut part) {
+            Ok(n) => n,
+            // A process that was paused is interrupted when it goes on.
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => return Ok(()),
+            Err(e) => return Err(e),
+        };
         if n == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -6,9 +6,10 @@
 //! only: frames are neither encrypted nor signed, so the network between
 //! daemons has to be a private one.
 //!
-//! Each link has one bounded queue of outgoing frames. A newer heartbeat or
-//! pool state replaces a queued older one of the same subject; nothing else is
-//! ever dropped. A frame that does not fit closes the link instead, so that
+//! Each link has one bounded queue of outgoing frames. A newer heartbeat
+//! replaces a queued older one; nothing else is ever dropped, and nothing
+//! overtakes: a pool state that withdraws a replica must not arrive before the
+//! verdict that named it. A frame that does not fit closes the link instead, so that
 //! [`PeerEvent::Down`] and then [`PeerEvent::Up`] tell both sides to send their
 //! state and open questions again. A receiver that falls behind its bounded
 //! event channel stops reading, which fills the queue of the sender.
--- a/src/peer/queue.rs
+++ b/src/peer/queue.rs
@@ -16,8 +16,6 @@
     Event,
     /// An older heartbeat.
     Heartbeat,
-    /// An older state of the named pool.
-    Pool(String),
 }
 
 impl Subject {
@@ -25,7 +23,6 @@
     pub fn of(body: &Body) -> Self {
         match body {
             Body::Heartbeat(_) => Subject::Heartbeat,
-            Body::Pool(state) => Subject::Pool(state.pool.clone()),
             _ => Subject::Event,
         }
     }
@@ -168,7 +165,7 @@
         queue.push(parcel(Subject::Heartbeat, "old")).unwrap();
         queue.push(parcel(Subject::Event, "want")).unwrap();
         queue.push(parcel(Subject::Heartbeat, "new")).unwrap();
-        let full = queue.push(parcel(Subject::Pool("p".into()), "s"));
+        let full = queue.push(parcel(Subject::Event, "s"));
         assert_eq!(full, Err(Refused::Full));
         assert_eq!(queue.next(NOW), Next::Write("new".into()));
         assert_eq!(queue.next(NOW), Next::Write("want".into()));
--- a/src/pool/advance.rs
+++ b/src/pool/advance.rs
@@ -86,7 +86,7 @@
 
     /// Whether no daemon uses the replica or will start to.
     fn drained(&self, engine: &Name, model: &Name, seq: u64) -> bool {
-        self.seen(seq) && self.running(model, engine) == 0
+        self.seen(seq) && self.running(model, engine) == 0 && self.abandoned(engine)
     }
 
     /// Asks for a permit once there is room and the base model is ready.
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -35,7 +35,7 @@
 pub struct Context<'a> {
     /// Configuration in force.
     pub config: &'a Config,
-    /// Hosts of live daemons, this one included.
+    /// Hosts of daemons that may have requests in progress, this one included.
     pub hosts: &'a [Name],
     /// The table answers.
     pub table: bool,
@@ -138,6 +138,7 @@
     usage: HashMap<Name, UsageView>,
     trials: Trials,
     hosts: Vec<Name>,
+    departed: HashMap<Name, Moment>,
     seq: u64,
     dirty: bool,
     published: Published,
@@ -163,6 +164,7 @@
             usage: HashMap::new(),
             trials: Trials::default(),
             hosts: Vec::new(),
+            departed: HashMap::new(),
             seq: 0,
             dirty: true,
             published: Published::default(),
@@ -421,7 +423,7 @@
     /// One step of all that is due at `ctx.now`.
     pub fn tick(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
         self.hosts = ctx.hosts.to_vec();
-        self.usage.retain(|host, _| ctx.hosts.contains(host));
+        self.note_departures(ctx.now);
         self.trials.expire(ctx.now);
         for side in self.sides.values_mut() {
             side.learnt(ctx.now);
--- a/src/pool/publish.rs
+++ b/src/pool/publish.rs
@@ -12,7 +12,7 @@
 /// Shortest time between two messages with loads only.
 const LOADS: Duration = Duration::from_millis(250);
 /// Time after which a daemon that has not acknowledged gets the whole state.
-const LAG: Duration = Duration::from_millis(500);
+const LAG: Duration = Duration::from_millis(200);
 
 /// What was published last.
 #[derive(Debug, Default)]
--- a/src/pool/side.rs
+++ b/src/pool/side.rs
@@ -123,6 +123,12 @@
         due
     }
 
+    /// Whether a report that was asked for after `moment` names no request.
+    pub fn idle_after(&self, moment: Moment) -> bool {
+        let later = self.asked.is_some_and(|asked| asked > moment);
+        later && self.report.running + self.report.waiting == 0
+    }
+
     /// Has the engine polled at once: a request failed there.
     pub fn suspect(&mut self) {
         self.polled = None;
--- a/src/pool/usage.rs
+++ b/src/pool/usage.rs
@@ -1,6 +1,7 @@
 //! What each daemon uses of the pool.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use crate::clock::Moment;
 use crate::config::Name;
@@ -8,6 +9,10 @@
 
 use super::Pool;
 
+/// Time for which the requests of a daemon that departed may go on: it may
+/// have lost its links and still serve.
+const DEPARTED: Duration = Duration::from_secs(10);
+
 /// Use of the pool by one daemon.
 #[derive(Debug, Default)]
 pub(super) struct UsageView {
@@ -56,6 +61,30 @@
         self.touch(now);
     }
 
+    /// Notes which daemons are no longer there; their requests may go on.
+    pub(super) fn note_departures(&mut self, now: Moment) {
+        for host in self.usage.keys() {
+            if !self.hosts.contains(host) {
+                self.departed.insert(host.clone(), now);
+            }
+        }
+        let hosts = &self.hosts;
+        self.usage.retain(|host, _| hosts.contains(host));
+        self.departed
+            .retain(|host, at| !hosts.contains(host) && now.saturating_sub(*at) < DEPARTED);
+    }
+
+    /// Whether no daemon that departed lately can have a request in progress
+    /// at the engine, by the engine's own word.
+    pub(super) fn abandoned(&self, engine: &Name) -> bool {
+        let Some(last) = self.departed.values().max() else {
+            return true;
+        };
+        self.sides
+            .get(engine)
+            .is_some_and(|side| side.idle_after(*last))
+    }
+
     /// Notes which replicas are in use at `now`.
     fn touch(&mut self, now: Moment) {
         for view in self.usage.values() {
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -149,8 +149,10 @@
                 uses.push(used(model, "", 0, waiting));
             }
         }
+        // By engine: a model may have left the configuration since.
+        let at_pool = |engine: &Name| self.engines.get(engine).is_some_and(|l| l.pool == *pool);
         for ((model, engine), count) in &self.running {
-            if in_pool(model) {
+            if at_pool(engine) || in_pool(model) {
                 uses.push(used(model, engine, 0, *count));
             }
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -275,3 +275,38 @@
         "{statuses:?}"
     );
 }
+
+#[test]
+fn daemon_paused_in_mid_stream_while_its_engine_leaves() {
+    let env = start(SiteSettings {
+        tokens: 250,
+        ..SiteSettings::default()
+    });
+    let owner = env.owner().expect("an owner");
+    let host = (owner + 1) % 5;
+    let asked = env.ask_later(host, "m1", "a stream across a pause");
+    let busy = || {
+        let engines = env.site.engines.iter();
+        engines.filter(|e| e.report().running > 0).count()
+    };
+    env.wait("the stream runs", || busy() == 1);
+    env.freeze(host);
+    let engine = env.site.engines.iter().find(|e| e.report().running > 0);
+    let engine = engine.expect("the engine that streams");
+    engine.leave(true);
+    let name = env.hosts[host].settings.host.to_string();
+    env.wait("the paused host is not named", || {
+        !env.entry(owner).contains(&name)
+    });
+    env.thaw(host);
+    let answer = asked.join().expect("the caller's thread");
+    assert_eq!(answer.text, env.expected("a stream across a pause"));
+    assert!(answer.whole);
+    let cuts: usize = env
+        .site
+        .engines
+        .iter()
+        .map(|e| e.journal().cuts.len())
+        .sum();
+    assert_eq!(cuts, 0);
+}
