Keep the pin of an adapter beside a pin of its base

A pin of a base model goes when its limit is lowered or when it moves; pins of its adapters stayed behind. Such an adapter needs a write to wake, so it could not during an outage of the table. After an unclean takeover at an engine that ignores fencing numbers its pin was in doubt and could not move until the engine restarted.

Change: the pool's owner moves pins of adapters that have none beside their base, many in one transaction, as long as they may be released.

Before: `limit_of_a_base_lowered_then_owner_killed_and_its_adapters_are_served` waited in vain for the adapters' pins to stand beside the base.

Conclusion: adapters stay wakeable without a write. A kill between the loss of the base's pin and this move can still leave the pin in doubt; then it waits for a restart of that engine.

--- a/src/pool/pins.rs
+++ b/src/pool/pins.rs
@@ -1,5 +1,7 @@
 //! Pins: which to record ahead of need, and which to move or release.
 
+use std::collections::BTreeSet;
+
 use crate::config::{Model, Name};
 use crate::protocol::ownership::{EnginePins, PinAsk, PoolPins, Release, may_pin};
 
@@ -9,7 +11,8 @@
 const BATCH: usize = 256;
 
 impl Pool {
-    /// Records pins for models without one, moves none; releases surplus ones.
+    /// Records pins for models without one, releases surplus ones, and moves
+    /// those of adapters that have none beside their base.
     pub(super) fn pin_ahead(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
         if !ctx.table {
             return;
@@ -39,6 +42,39 @@
             let pins = all[&engine].clone();
             self.write(vec![(engine, pins)], out);
         }
+        self.rejoin(ctx, out);
+    }
+
+    /// Moves pins of adapters to pins of their base, in one transaction: where
+    /// the base has lost its pin, the adapter cannot wake without a write, and
+    /// a pin in doubt could not move any more.
+    fn rejoin(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
+        let mut all = self.pool_pins();
+        let mut changed: BTreeSet<Name> = BTreeSet::new();
+        let mut moved = 0;
+        for (name, model) in &ctx.config.models {
+            if model.pool != self.name || moved >= BATCH || !apart(&all, name, model) {
+                continue;
+            }
+            let Some(from) = self.releasable(name) else {
+                continue;
+            };
+            let before = all[&from].clone();
+            all.insert(from.clone(), before.without(name));
+            let Some(to) = self.roomiest(name, model, &all, ctx) else {
+                all.insert(from, before);
+                continue;
+            };
+            let record = all[&to].with(name, model.memory, self.epoch);
+            all.insert(to.clone(), record);
+            changed.extend([from, to]);
+            moved += 1;
+        }
+        let records = changed.into_iter().map(|engine| {
+            let pins = all[&engine].clone();
+            (engine, pins)
+        });
+        self.write(records.collect(), out);
     }
 
     /// The engine with the least pinned memory that may get the pin; an
@@ -197,6 +233,22 @@
     }
 }
 
+/// Whether an adapter has pins, but none beside a pin of its base.
+fn apart(all: &PoolPins, name: &Name, model: &Model) -> bool {
+    let Some(base) = &model.base else {
+        return false;
+    };
+    let mut pinned = false;
+    for record in all.values() {
+        let here = record.pins.contains_key(name);
+        if here && record.pins.contains_key(base) {
+            return false;
+        }
+        pinned |= here;
+    }
+    pinned
+}
+
 fn ask<'a>(name: &'a Name, model: &Model, engine: &'a Name) -> PinAsk<'a> {
     PinAsk {
         model: name,
--- a/tests/pairs.rs
+++ b/tests/pairs.rs
@@ -2,6 +2,7 @@
 
 mod env;
 
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use mastichinge::fakes::FakeEngine;
 use mastichinge::fakes::site::{CRASH, SiteSettings};
 use mastichinge::platform::HostState;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// Load time during which a failure is brought about.
 const LONG_LOAD: Duration = Duration::from_secs(3);
@@ -322,3 +323,59 @@
 fn loads(engine: &FakeEngine) -> usize {
     engine.journal().stays.len()
 }
+
+/// Adapters of the pool that have a pin, but none beside a pin of `m1`.
+fn orphans(env: &Env) -> usize {
+    let items = env.site.platform.state.get().items;
+    let records = items.iter().filter(|(key, _)| key.starts_with("pin/main/"));
+    let (mut pinned, mut sound) = (BTreeSet::new(), BTreeSet::new());
+    for (_, item) in records {
+        let pins = item.value["pins"].as_object().cloned().unwrap_or_default();
+        let base = pins.contains_key("m1");
+        for adapter in pins.keys().filter(|name| name.starts_with("m1-")) {
+            if base {
+                sound.insert(adapter.clone());
+            }
+            pinned.insert(adapter.clone());
+        }
+    }
+    pinned.difference(&sound).count()
+}
+
+#[test]
+fn limit_of_a_base_lowered_then_owner_killed_and_its_adapters_are_served() {
+    let mut env = start(SiteSettings {
+        engines: 2,
+        models: 1,
+        adapters: 0,
+        unfenced: 1,
+        limit: 2,
+        ..SiteSettings::default()
+    });
+    change(&env, 1, &json!({"m1": {"warm": 2}}));
+    env.wait("two replicas", || held(&env, "m1") == 2);
+    let mut adapters = json!({});
+    for i in 1..=4 {
+        adapters[format!("m1-a{i}")] = json!({
+            "pool": "main", "memory": 200, "load_ms": 10, "base": "m1",
+        });
+    }
+    change(&env, 2, &adapters);
+    env.wait("all are pinned", || pins(&env) >= 6);
+    change(&env, 3, &json!({"m1": {"warm": 1, "limit": 1}}));
+    env.wait("one pin of m1", || pins(&env) == 5);
+    env.wait("adapters beside m1", || orphans(&env) == 0);
+    let owner = env.owner().expect("an owner");
+    env.kill(owner);
+    for i in 1..=4 {
+        let answer = env.ask(other(owner), &format!("m1-a{i}"), "still there");
+        whole(&env, &answer, "still there");
+    }
+    no_engine_was_overcommitted_or_cut(&env);
+}
+
+fn change(env: &Env, base: u64, models: &Value) {
+    let patch = json!({"models": models});
+    let (status, body) = env.patch(0, base, &format!("change-{base}"), &patch);
+    assert_eq!(status, 200, "{body}");
+}
