Load nothing under a pin whose removal is being written

Cause: while the write that moves or releases a pin was in flight, the pin still counted; a load planned under it could be sent after the pin was gone, or waited for ever for a pin that no longer came, holding its permit. Change: a pin counts only while no write removes it, and a planned load whose pin is gone is given up.

--- a/src/pool/advance.rs
+++ b/src/pool/advance.rs
@@ -194,14 +194,16 @@
         }
     }
 
-    /// Drops plans that nobody waits for any more.
+    /// Drops plans that nobody waits for any more or whose pin is gone.
     fn give_up(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
         let mut dropped = Vec::new();
         for (engine, side) in &self.sides {
             for (model, replica) in &side.replicas {
                 let waits = matches!(replica.phase, Phase::Planned | Phase::Asked);
+                let lost = replica.reserved() && !side.pinned(model);
                 let old = ctx.now.saturating_sub(replica.since) >= STALE;
-                if waits && old && !self.wanted_now(model, ctx) {
+                let pointless = old && !self.wanted_now(model, ctx);
+                if lost || (waits && pointless) {
                     dropped.push((engine.clone(), model.clone(), replica.id.clone()));
                 }
             }
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -330,6 +330,7 @@
                 continue;
             };
             side.writing = false;
+            side.removing.clear();
             let Some(version) = versions.get(i) else {
                 continue;
             };
--- a/src/pool/pins.rs
+++ b/src/pool/pins.rs
@@ -231,6 +231,9 @@
                 continue;
             };
             side.writing = true;
+            let present = side.pins.pins.keys();
+            let removed = present.filter(|name| !pins.pins.contains_key(*name));
+            side.removing = removed.cloned().collect();
             writes.push(PinWrite {
                 engine,
                 pins,
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -137,7 +137,7 @@
     }
 
     fn pinned(&self, engine: &Name, model: &Name) -> bool {
-        self.sides[engine].pins.pins.contains_key(model)
+        self.sides[engine].pinned(model)
     }
 
     /// Whether any engine has a pin of `model`.
@@ -192,9 +192,9 @@
             rooms.push(Room {
                 open: self.takes(engine, side, name, ctx),
                 held: side.replicas.contains_key(name),
-                pinned: side.pins.pins.contains_key(name),
+                pinned: side.pinned(name),
                 domain,
-                free: match side.room.fenced || side.pins.pins.contains_key(name) {
+                free: match side.room.fenced || side.pinned(name) {
                     true => side.free(),
                     false => self.pinnable(side),
                 },
@@ -373,7 +373,7 @@
     match side.replicas.get(base) {
         Some(replica) if !replica.going() => Base::Loaded,
         Some(_) => Base::Absent,
-        None if side.pins.pins.contains_key(base) => Base::Pinned(side.tier(base)),
+        None if side.pinned(base) => Base::Pinned(side.tier(base)),
         None => Base::Absent,
     }
 }
--- a/src/pool/side.rs
+++ b/src/pool/side.rs
@@ -36,6 +36,8 @@
     pub replicas: BTreeMap<Name, Replica>,
     /// A write of the pin item is under way.
     pub writing: bool,
+    /// Models whose pin that write removes.
+    pub removing: Vec<Name>,
     /// A fence is under way.
     pub fencing: bool,
     /// An unanswered order must be settled by a fence.
@@ -77,6 +79,7 @@
             heard: None,
             replicas: BTreeMap::new(),
             writing: false,
+            removing: Vec::new(),
             fencing: false,
             refence: false,
             listed_leaving: false,
@@ -91,6 +94,11 @@
         }
     }
 
+    /// Whether a pin of `model` is recorded and not being removed.
+    pub fn pinned(&self, model: &Name) -> bool {
+        self.pins.pins.contains_key(model) && !self.removing.contains(model)
+    }
+
     /// Whether the engine answers.
     pub fn reachable(&self) -> bool {
         self.heard.is_some() && self.misses < MISSES
@@ -230,6 +238,9 @@
     ///
     /// Why the order may not be sent now.
     pub fn load(&mut self, model: &Name) -> Result<Grant<Recorded>, Denied> {
+        if !self.pinned(model) {
+            return Err(Denied::NoPin(model.clone()));
+        }
         let ledger = self.ledger.as_mut().ok_or(Denied::Closed)?;
         ledger.load(&self.pins, model)
     }
