Give up the plan of an adapter whose base model does not come

Cause: an adapter planned beside a base model that was no longer planned there counted as on its way, so that its requests waited until their deadline. Change: such a plan is given up and placed anew.

--- a/src/pool/advance.rs
+++ b/src/pool/advance.rs
@@ -194,16 +194,18 @@
         }
     }
 
-    /// Drops plans that nobody waits for any more or whose pin is gone.
+    /// Drops plans that nobody waits for any more, whose pin is gone, or whose
+    /// base model does not come.
     fn give_up(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
         let mut dropped = Vec::new();
         for (engine, side) in &self.sides {
             for (model, replica) in &side.replicas {
                 let waits = matches!(replica.phase, Phase::Planned | Phase::Asked);
                 let lost = replica.reserved() && !side.pinned(model);
+                let alone = waits && self.base_going(engine, self.base_of(model, ctx.config), ctx);
                 let old = ctx.now.saturating_sub(replica.since) >= STALE;
                 let pointless = old && !self.wanted_now(model, ctx);
-                if lost || (waits && pointless) {
+                if lost || alone || (waits && pointless) {
                     dropped.push((engine.clone(), model.clone(), replica.id.clone()));
                 }
             }
