--- a/src/pool/side.rs
+++ b/src/pool/side.rs
@@ -176,6 +176,13 @@
         }
     }
 
+    /// Whether a pin of `model` surely stands in the table.
+    pub fn pinned(&self, model: &str) -> bool {
+        let pending = self.pending.as_ref();
+        let stays = pending.is_none_or(|p| p.pins.contains_key(model));
+        stays && self.pins.pins.contains_key(model)
+    }
+
     /// Notes that the recorded instance was learnt before `now`.
     pub fn learnt(&mut self, now: Moment) {
         self.known.get_or_insert(now);
