Free the permits of hosts that are gone

Cause: the holder of the weight store's permits never dropped those of a dead daemon; four running loads at its death ended all further loads. Change: the holder keeps permits of live hosts only.

--- a/src/control/permit.rs
+++ b/src/control/permit.rs
@@ -20,6 +20,8 @@
         if self.holder.as_ref() != Some(&self.me.host) {
             return;
         }
+        // A host that was only cut off asks again when its link is up.
+        self.permits.keep(&self.members.alive(now));
         self.permits.set_limits(self.limits(now));
         for grant in self.permits.grant(now) {
             let load = grant.load.to_string();
--- a/src/decide/permits.rs
+++ b/src/decide/permits.rs
@@ -182,6 +182,19 @@
         }
     }
 
+    /// Drops all loads of hosts that are not among `alive`.
+    pub fn keep(&mut self, alive: &[Arc<str>]) {
+        let mut lost = Vec::new();
+        for load in self.loads.values() {
+            if !alive.contains(&load.host) && !lost.contains(&load.host) {
+                lost.push(load.host.clone());
+            }
+        }
+        for host in lost {
+            self.gone(&host);
+        }
+    }
+
     /// Loads that hold a permit, models and adapters.
     pub fn running(&self) -> u32 {
         self.models.running + self.adapters.running
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -495,6 +495,23 @@
     assert_eq!((permits.running(), permits.waiting()), (0, 0));
 }
 
+#[test]
+fn loads_of_a_host_that_is_gone_make_room() {
+    let mut permits = Permits::new(limits(), Moment::ZERO);
+    for load in ["1", "2", "3", "4"] {
+        permits.ask(ask(load, 1.0));
+    }
+    assert_eq!(permits.grant(secs(60)).len(), 4);
+    permits.ask(Ask {
+        host: "b".into(),
+        ..ask("5", 1.0)
+    });
+    permits.keep(&["a".into(), "b".into()]);
+    assert!(granted(&mut permits, secs(120)).is_empty());
+    permits.keep(&["b".into()]);
+    assert_eq!(granted(&mut permits, secs(120)), ["5".into()]);
+}
+
 #[test]
 fn running_loads_of_a_former_holder_count() {
     let mut permits = Permits::new(limits(), Moment::ZERO);
