--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -190,8 +190,8 @@
         }
     }
 
-    /// Gives free slots to waiting requests, the highest priority and then the
-    /// earliest deadline over all models first.
+    /// Gives free slots to waiting requests, the most valuable over all models
+    /// first.
     fn serve_queues(&self, state: &mut State, now: Moment, out: &mut Vec<Delivery>) {
         if state.queues.is_empty() {
             return;
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -12,6 +12,28 @@
 use super::prefixes::Prefixes;
 use super::queue::ModelQueue;
 
+/// Place of a waiting request among those of other models.
+#[derive(Clone, Copy)]
+struct Rank {
+    value: f64,
+    deadline: Moment,
+}
+
+impl Rank {
+    fn of(need: &Need) -> Self {
+        Rank {
+            value: (f64::from(need.priority) + 1.0) * need.worth,
+            deadline: need.deadline,
+        }
+    }
+
+    /// Whether it is served before `other`.
+    fn before(&self, other: &Rank) -> bool {
+        let by_value = other.value.total_cmp(&self.value);
+        by_value.then(self.deadline.cmp(&other.deadline)).is_lt()
+    }
+}
+
 /// What the router knows.
 #[derive(Default)]
 pub(super) struct State {
@@ -67,15 +89,16 @@
         }
     }
 
-    /// The model whose queue is served next, and the engine.
+    /// The model whose queue is served next, and the engine: the highest
+    /// product of priority plus one and worth, then the earliest deadline.
     pub fn next_served(&self, now: Moment) -> Option<(Name, Name)> {
-        let mut next: Option<((u8, Moment), Name, Name)> = None;
+        let mut next: Option<(Rank, Name, Name)> = None;
         for (model, queue) in &self.queues {
             let Some(need) = queue.head(now) else {
                 continue;
             };
-            let rank = (u8::MAX - need.priority, need.deadline);
-            if next.as_ref().is_some_and(|(least, _, _)| *least <= rank) {
+            let rank = Rank::of(need);
+            if next.as_ref().is_some_and(|(best, _, _)| !rank.before(best)) {
                 continue;
             }
             if let Some(engine) = self.best(need, now) {
