--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -283,6 +283,16 @@
         alive.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Hosts that are alive, linked, or were linked until just now. A silent
+    /// one may be paused, with requests in progress that it will go on with;
+    /// when it does, it may close its links and open them anew.
+    pub fn present(&self, now: Moment) -> Vec<Name> {
+        let apart = |m: &Member| now.saturating_sub(m.cut) >= self.settings.unlinked;
+        let present = |m: &Member| m.linked || !apart(m) || self.live(m, now);
+        let hosts = self.members.iter().filter(|(_, m)| present(m));
+        hosts.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Incarnations of the hosts that gave a recent sign of life.
     pub fn owners(&self, now: Moment) -> Vec<Owner> {
         let alive = self.members.iter().filter(|(_, m)| self.live(m, now));
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -35,7 +35,7 @@
 pub struct Context<'a> {
     /// Configuration in force.
     pub config: &'a Config,
-    /// Hosts of live daemons, this one included.
+    /// Hosts of daemons that are alive or still linked, this one included.
     pub hosts: &'a [Name],
     /// The table answers.
     pub table: bool,
--- a/src/pool/usage.rs
+++ b/src/pool/usage.rs
@@ -86,7 +86,7 @@
             .sum()
     }
 
-    /// Whether every live daemon has seen the pool state `seq`.
+    /// Whether every daemon in touch has seen the pool state `seq`.
     pub(super) fn seen(&self, seq: u64) -> bool {
         self.hosts.iter().all(|host| self.acknowledged(host, seq))
     }
--- a/tests/pairs.rs
+++ b/tests/pairs.rs
@@ -379,3 +379,24 @@
     let (status, body) = env.patch(0, base, &format!("change-{base}"), &patch);
     assert_eq!(status, 200, "{body}");
 }
+
+#[test]
+fn host_frozen_in_mid_stream_while_the_engine_leaves() {
+    let env = start(SiteSettings {
+        tokens: 400,
+        ..SiteSettings::default()
+    });
+    let owner = env.owner().expect("an owner");
+    let host = other(owner);
+    let asked = env.ask_later(host, "m1", "a long story");
+    env.wait("the stream runs", || {
+        env.site.engines.iter().any(|e| e.report().running > 0)
+    });
+    env.freeze(host);
+    env.wait_entry(owner, 4);
+    holder(&env, "m1").leave(true);
+    wait_reads(&env, 5);
+    env.thaw(host);
+    check(&env, asked, "a long story");
+    no_engine_was_overcommitted_or_cut(&env);
+}
