--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -283,6 +283,16 @@
         alive.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Hosts that are alive, linked, or were linked until just now. A silent
+    /// one may be paused, with requests in progress that it will go on with;
+    /// when it does, it may close its links and open them anew.
+    pub fn present(&self, now: Moment) -> Vec<Name> {
+        let apart = |m: &Member| now.saturating_sub(m.cut) >= self.settings.unlinked;
+        let present = |m: &Member| m.linked || !apart(m) || self.live(m, now);
+        let hosts = self.members.iter().filter(|(_, m)| present(m));
+        hosts.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Incarnations of the hosts that gave a recent sign of life.
     pub fn owners(&self, now: Moment) -> Vec<Owner> {
         let alive = self.members.iter().filter(|(_, m)| self.live(m, now));
@@ -293,15 +303,6 @@
         alive.map(owner).collect()
     }
 
-    /// Hosts that may have requests in progress: alive, or silent on a link
-    /// that is still open, as that of a paused daemon is.
-    pub fn present(&self, now: Moment) -> Vec<Name> {
-        let all = self.members.keys();
-        all.filter(|name| self.is_alive(name, now) || self.linked(name))
-            .cloned()
-            .collect()
-    }
-
     /// Hosts that may own something: alive, ready and not leaving.
     pub fn candidates(&self, now: Moment) -> Vec<Name> {
         let serving = self.serving(now);
