Refuse by the deadline what a silent engine holds; a silence is no strike

Cause: an engine that froze before the first token held a request for up to 20 s past its deadline, and its silence counted as a death of the engine under it. Change: before the first token an engine may be silent for what is left until the deadline, at least 1 s; a silence is tried elsewhere without a strike. Figures: engine_freezes_and_its_request_is_refused_by_the_deadline passes; it was written with the change (the fault was read, not run, before).

--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -17,6 +17,8 @@
 
 /// Attempts of one request that may end with an engine's death.
 const DEATHS: u32 = 4;
+/// Least time for which an engine may be silent.
+const SILENCE_LEAST: Duration = Duration::from_secs(1);
 /// Time that a broken stream may wait to go on elsewhere.
 const RESUME: Duration = Duration::from_secs(30);
 /// Time limit for connecting to an engine.
@@ -79,6 +81,17 @@
     trial: bool,
     attempt: u32,
     deaths: u32,
+    /// Longest silence of the present attempt.
+    silence: Duration,
+    /// Moment from which on it counts as silent.
+    silent: Moment,
+}
+
+impl Progress {
+    /// Notes a sign of life of the engine.
+    fn heard(&mut self, now: Moment) {
+        self.silent = now + self.silence;
+    }
 }
 
 /// How one attempt ended when it may be followed by another.
@@ -99,6 +112,8 @@
             trial: false,
             attempt: 0,
             deaths: 0,
+            silence: SILENCE,
+            silent: Moment::ZERO,
         };
         let end = self.attempts(ask, terms, sink, &mut progress);
         Outcome {
@@ -231,6 +246,8 @@
             let detail = format!("engine {} is not configured", slot.engine);
             return Attempt::Again(Refusal::new(Kind::UpstreamFailed, detail));
         };
+        progress.silence = call.silence;
+        progress.heard(self.clock.now());
         let body = ask.upstream_body(progress.sent, terms.priority);
         let chunks = self.engine.stream(&call, ask.endpoint.path(), &body);
         match chunks {
@@ -247,10 +264,19 @@
             key: engine.key.clone(),
             request: format!("{}.{}", terms.id, progress.attempt).into(),
             connect: CONNECT,
-            silence: SILENCE,
+            silence: self.silence(terms, progress),
         })
     }
 
+    /// Longest silence of the next attempt: what is left until the deadline
+    /// before the first token, but long enough for an engine that is busy.
+    fn silence(&self, terms: &Terms, progress: &Progress) -> Duration {
+        match progress.sent {
+            0 => terms.left(self.clock.now()).clamp(SILENCE_LEAST, SILENCE),
+            _ => SILENCE,
+        }
+    }
+
     fn relay(
         &self,
         ask: &Completion,
@@ -269,6 +295,7 @@
                 }
                 Err(e) => return self.failure(ask, terms, progress, slot, &e),
             };
+            progress.heard(self.clock.now());
             let kind = part(&data);
             if kind == Part::Usage && ask.stream && !ask.usage {
                 continue;
@@ -302,6 +329,11 @@
                 return Attempt::Ended(refused(refusal, progress));
             }
             EngineError::Status { .. } => progress.avoid.push(slot.instance.clone()),
+            // An engine that is silent is not known to have died.
+            EngineError::Broken(_) if self.clock.now() >= progress.silent => {
+                progress.avoid.push(slot.instance.clone());
+                self.router.failed(&slot.engine);
+            }
             EngineError::Broken(_) => {
                 progress.deaths += 1;
                 self.desk.strike(&ask.print, &ask.model, &slot.instance);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -310,3 +310,21 @@
         .sum();
     assert_eq!(cuts, 0);
 }
+
+#[test]
+fn engine_freezes_and_its_request_is_refused_by_the_deadline() {
+    let env = start(SiteSettings::default());
+    assert!(env.ask(0, "m1", "before").whole);
+    let holds = |e: &&FakeEngine| e.report().residents.iter().any(|r| &*r.model == "m1");
+    let engine = env.site.engines.iter().find(holds).expect("a holder");
+    engine.freeze(true);
+    let url = env.caller_url(0, "/v1/chat/completions");
+    let answer = env::ask(&url, "m1", "is it stuck", &[("X-Deadline-Ms", "1500")]);
+    assert_eq!(answer.code, "deadline_expired", "{answer:?}");
+    engine.freeze(false);
+    env.wait("the engine serves again", || {
+        env.ask(1, "m1", "after").whole
+    });
+    let held = env.look(0, "/v1/held");
+    assert_eq!(held, json!([]));
+}
