Send a quarter of the slots ahead into the engine's own queue

Cause: in overload slots stood empty: a slot freed by another daemon is seen only with the next report, up to 450 ms later. Change: a daemon may send up to a quarter of the slots more than it believes free; the engine queues them by priority.

--- a/src/router/load.rs
+++ b/src/router/load.rs
@@ -11,6 +11,9 @@
 /// engine meanwhile.
 const PAUSE: Duration = Duration::from_millis(500);
 
+/// Part of the slots, as a divisor, by which requests may be sent ahead.
+const AHEAD: u32 = 4;
+
 /// One engine as this daemon sees it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Load {
@@ -72,6 +75,14 @@
         self.failed.is_some_and(|until| now < until)
     }
 
+    /// Whether a request may be sent there now: a slot is believed to be free,
+    /// or the engine's own queue, which fills slots that other daemons freed
+    /// since the report, is believed to be short.
+    pub fn has_room(&self, candidate: &Candidate) -> bool {
+        let ahead = (self.slots / AHEAD).max(1);
+        candidate.load() < self.slots.max(1) + ahead
+    }
+
     /// The engine as a candidate for a request that must avoid `avoid`, with
     /// `cached` tokens of its prompt.
     ///
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -70,7 +70,7 @@
             };
             let cached = self.prefixes.cached(need.prefix, &load.instance);
             let candidate = load.candidate(&need.avoid, cached, now);
-            if !candidate.free() {
+            if !load.has_room(&candidate) {
                 continue;
             }
             engines.push(engine);
