Use the circuit breaker for engines; look only at models that wait

Cause: the breaker stood unused beside a fixed pause; the step that adds replicas went over all configured models (2.75 % of a core at 27,000 adapters by docs/CAPACITY.md); the HTTP library logged planned stops as errors. Change: one breaker for each engine at each daemon, new with each instance; the step goes over the models whose requests wait; the library's own log is off. The step's time was not measured again.

--- a/src/decide/breaker.rs
+++ b/src/decide/breaker.rs
@@ -48,6 +48,12 @@
     pause: Duration,
 }
 
+impl Default for Breaker {
+    fn default() -> Self {
+        Breaker::new(Breaking::default())
+    }
+}
+
 impl Breaker {
     /// A closed breaker.
     pub fn new(how: Breaking) -> Self {
--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -286,6 +286,7 @@
         slot: &Slot,
         mut chunks: E::Chunks,
     ) -> Attempt {
+        let mut answered = false;
         loop {
             let data = match chunks.next() {
                 Ok(Chunk::Data(data)) => data,
@@ -301,6 +302,9 @@
                 continue;
             }
             if kind == Part::Token {
+                if !std::mem::replace(&mut answered, true) {
+                    self.router.succeeded(&slot.engine);
+                }
                 progress.sent += 1;
                 progress.first.get_or_insert_with(|| self.clock.now());
             }
--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -36,6 +36,9 @@
     let form = settings.form;
     let dispatch = fern::Dispatch::new()
         .level(level)
+        // It reports every planned stop of a port as an error; what matters of
+        // it is logged where the ports are served.
+        .level_for("tiny_http", LevelFilter::Off)
         .format(move |out, message, record| {
             out.finish(format_args!(
                 "{}",
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -88,10 +88,10 @@
 
     /// Plans another replica for models whose requests wait for a slot.
     fn scale_out(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
-        for (name, model) in &ctx.config.models {
-            if model.pool != self.name || self.queued(name) == 0 {
+        for name in &self.queued_models() {
+            let Some(model) = ctx.config.models.get(name) else {
                 continue;
-            }
+            };
             let have = self.usable(name);
             let coming = self
                 .sides
--- a/src/pool/usage.rs
+++ b/src/pool/usage.rs
@@ -1,6 +1,6 @@
 //! What each daemon uses of the pool.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use crate::clock::Moment;
@@ -107,6 +107,12 @@
             .sum()
     }
 
+    /// Models whose requests wait for a slot at entry hosts.
+    pub(super) fn queued_models(&self) -> BTreeSet<Name> {
+        let waiting = self.usage.values().flat_map(|view| view.waiting.keys());
+        waiting.cloned().collect()
+    }
+
     /// Requests that wait for a slot of `model` at entry hosts.
     pub(super) fn queued(&self, model: &Name) -> u32 {
         self.usage
--- a/src/router/load.rs
+++ b/src/router/load.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Moment;
 use crate::config::Name;
+use crate::decide::breaker::Breaker;
 use crate::decide::routing::{Bars, Candidate, Domain};
 use crate::peer::wire::EngineState;
 
@@ -37,12 +38,17 @@
     leaving: bool,
     /// A request failed there; it gets no new work before this moment.
     failed: Option<Moment>,
+    /// Opens after failures in a row.
+    breaker: Breaker,
 }
 
 impl Load {
     /// Takes in a report.
     pub fn reported(&mut self, state: &EngineState) {
-        self.instance = state.instance.as_str().into();
+        if *self.instance != *state.instance {
+            self.instance = state.instance.as_str().into();
+            self.breaker = Breaker::default();
+        }
         self.reported = state.running + state.waiting;
         self.sent = 0;
         self.ended = 0;
@@ -50,7 +56,8 @@
     }
 
     /// A request of this daemon begins there.
-    pub fn began(&mut self) {
+    pub fn began(&mut self, now: Moment) {
+        self.breaker.sent(now);
         self.mine += 1;
         self.sent += 1;
     }
@@ -64,11 +71,17 @@
     /// A request failed there.
     pub fn fail(&mut self, now: Moment) {
         self.failed = Some(now + PAUSE);
+        self.breaker.failed(now);
+    }
+
+    /// A request got its first token there.
+    pub fn succeeded(&mut self) {
+        self.breaker.succeeded();
     }
 
     /// Whether it takes new work.
     pub fn open(&self, now: Moment) -> bool {
-        !self.leaving && !self.suspect(now)
+        !self.leaving && !self.suspect(now) && self.breaker.allows(now)
     }
 
     fn suspect(&self, now: Moment) -> bool {
@@ -98,6 +111,7 @@
                 leaving: self.leaving,
                 suspect: self.suspect(now),
                 avoid: avoid.contains(&self.instance),
+                broken: !self.breaker.allows(now),
                 ..Bars::default()
             },
             ..Candidate::default()
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -155,7 +155,7 @@
 
     fn take(&self, state: &mut State, engine: Name, model: &Name) -> Slot {
         let load = state.engines.entry(engine.clone()).or_default();
-        load.began();
+        load.began(self.clock.now());
         let instance = load.instance.clone();
         let key = (model.clone(), engine.clone());
         *state.running.entry(key).or_default() += 1;
@@ -226,6 +226,13 @@
         }
     }
 
+    /// Notes that a request got its first token at `engine`.
+    pub fn succeeded(&self, engine: &Name) {
+        if let Some(load) = self.lock().engines.get_mut(engine) {
+            load.succeeded();
+        }
+    }
+
     /// Notes that `engine` does not hold `model` after all.
     pub fn missing(&self, engine: &Name, model: &Name) {
         let mut state = self.lock();
