Give no entry answer from before a pause

Cause: a fault run lost a request: a host that went on after a pause named a host that had left meanwhile. Ruled out: the answer's keeping time, which the leaving host had waited out. Change: a view of the hosts is told for two heartbeat periods at most; after a pause of this process the others have to be heard from first; until then the entry answer is a refusal with Retry-After instead of an empty list.

--- a/src/control/desk.rs
+++ b/src/control/desk.rs
@@ -177,17 +177,26 @@
     }
 
     /// Which hosts a caller should use, and for how long.
-    pub fn entry(&self, model: Option<&str>) -> Value {
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::NotReady`] when this daemon does not know it: it has no
+    /// configuration, or was paused a moment ago.
+    pub fn entry(&self, model: Option<&str>) -> Result<Value, Refusal> {
         let view = self.view.load();
+        if view.entry.is_empty() || self.clock.now() > view.until {
+            let refusal = Refusal::new(Kind::NotReady, "the hosts are not known now");
+            return Err(refusal.retry_after(COME_BACK));
+        }
         let hosts: Vec<Value> = view
             .entry
             .iter()
             .map(|e| json!({"host": e.host, "address": e.addr, "domain": e.domain}))
             .collect();
-        json!({
+        Ok(json!({
             "model": model,
             "hosts": hosts,
             "keep_s": view.config.policy.entry_keep_s,
-        })
+        }))
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -35,6 +35,8 @@
 pub use event::{Act, Event, TableEnd};
 pub use view::View;
 
+/// Time between two steps from which on this process counts as paused.
+const PAUSED: Duration = Duration::from_secs(1);
 /// Most rounds of messages to itself within one step.
 const ROUNDS: u32 = 4;
 /// Period at which an owner looks which of its engines to poll.
@@ -90,6 +92,8 @@
     table: bool,
     leaving: bool,
     started: Moment,
+    stepped: Moment,
+    woke: Option<Moment>,
     beat: Option<Moment>,
     reported: Option<Moment>,
     acts: Vec<Act>,
@@ -121,6 +125,8 @@
             table: true,
             leaving: false,
             started: now,
+            stepped: now,
+            woke: None,
             beat: None,
             reported: None,
             acts: Vec::new(),
@@ -163,6 +169,7 @@
 
     /// Does all that is due; answers what is to be done outside.
     pub fn step(&mut self, now: Moment) -> Vec<Act> {
+        self.note_pause(now);
         self.heartbeat(now);
         self.seek_claims(now);
         self.report_usage(now);
@@ -178,6 +185,17 @@
         std::mem::take(&mut self.acts)
     }
 
+    /// Notes that this process was paused: what it knows of others is old.
+    fn note_pause(&mut self, now: Moment) {
+        let paused = now.saturating_sub(self.stepped) >= PAUSED;
+        self.stepped = now;
+        if paused {
+            log::warn!("this process was paused");
+            self.woke = Some(now);
+            self.publish(now);
+        }
+    }
+
     /// Handles what this daemon said to itself.
     fn empty_inbox(&mut self, now: Moment) {
         let host = self.me.host.clone();
--- a/src/control/view.rs
+++ b/src/control/view.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Moment;
 use crate::config::{Config, Name};
-use crate::members::EntryHost;
+use crate::members::{EntryHost, heartbeat_period};
 
 use super::{Act, Control};
 
@@ -20,6 +20,8 @@
     pub callers: Arc<HashMap<Name, Name>>,
     /// Daemons that callers may use.
     pub entry: Vec<EntryHost>,
+    /// Moment after which [`View::entry`] is too old to be told.
+    pub until: Moment,
     /// This daemon takes no new callers.
     pub leaving: bool,
     /// Live daemons, this one included.
@@ -45,7 +47,12 @@
         for (name, caller) in &self.config.callers {
             callers.insert(caller.key_sha256.clone(), name.clone());
         }
-        let ready = self.version > 0;
+        let period = heartbeat_period(self.members.known().count());
+        // After a pause the others have to be heard from first.
+        let awake = self
+            .woke
+            .is_none_or(|woke| now.saturating_sub(woke) >= period * 2);
+        let ready = self.version > 0 && awake;
         let entry = match ready {
             true => self.members.entry(now),
             false => Vec::new(),
@@ -55,6 +62,7 @@
             config: self.config.clone(),
             callers: Arc::new(callers),
             entry,
+            until: now + period * 2,
             leaving: self.leaving,
             alive: self.members.alive(now).len(),
             runs: self.runs(),
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -105,8 +105,10 @@
             }
             (Method::Get, "/v1/hosts") => {
                 let model = query(&request, "model").map(str::to_owned);
-                let body = self.desk.entry(model.as_deref());
-                Answer::json(&body).send(request, id);
+                match self.desk.entry(model.as_deref()) {
+                    Ok(body) => Answer::json(&body).send(request, id),
+                    Err(refusal) => return Err(Box::new((request, refusal))),
+                }
                 Ok(())
             }
             (_, "/v1/chat/completions" | "/v1/completions" | "/v1/models" | "/v1/hosts") => {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -328,3 +328,18 @@
     let held = env.look(0, "/v1/held");
     assert_eq!(held, json!([]));
 }
+
+#[test]
+fn daemon_that_was_paused_names_no_host_that_left_meanwhile() {
+    let mut env = start(SiteSettings::default());
+    let name = env.hosts[4].settings.host.to_string();
+    env.freeze(0);
+    env.terminate(4);
+    assert!(env.exited(4).success());
+    env.thaw(0);
+    let mut named = Vec::new();
+    while named.is_empty() {
+        named = env.entry(0);
+    }
+    assert!(!named.contains(&name), "{named:?}");
+}
