--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -235,14 +235,10 @@
         self.leaving = true;
         self.members.leave();
         self.beat = None;
-        for seat in self.seats.values_mut() {
-            if let Seat::Held(pool) = seat {
-                pool.stop();
-            }
-        }
     }
 
-    /// Gives up the pools of a leaving daemon once they are quiet.
+    /// Gives up the pools of a leaving daemon once they are quiet. While the
+    /// table is down nobody could take them over, so it goes on with them.
     fn release_pools(&mut self, now: Moment) {
         if !self.leaving || !self.table {
             return;
@@ -254,9 +250,10 @@
         }
         let names: Vec<Name> = self.seats.keys().cloned().collect();
         for name in names {
-            let Some(Seat::Held(pool)) = self.seats.get(&name) else {
+            let Some(Seat::Held(pool)) = self.seats.get_mut(&name) else {
                 continue;
             };
+            pool.stop();
             let Some(writes) = pool.quiet() else {
                 continue;
             };
@@ -275,6 +272,6 @@
     pub fn drained(&self) -> bool {
         let held = |seat: &Seat| matches!(seat, Seat::Held(_) | Seat::Releasing);
         let pools = self.seats.values().any(held);
-        self.leaving && (!pools || !self.table) && self.tickets.is_empty()
+        self.leaving && !pools && self.tickets.is_empty()
     }
 }
