Tell a silent engine from one whose connection broke

Cause: whether an engine had died was judged by the time since it was heard; a daemon that had been paused itself took a death for a silence and gave no strike. Change: the clients tell a time limit from a broken connection; only the latter is a strike.

--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -81,17 +81,6 @@
     trial: bool,
     attempt: u32,
     deaths: u32,
-    /// Longest silence of the present attempt.
-    silence: Duration,
-    /// Moment from which on it counts as silent.
-    silent: Moment,
-}
-
-impl Progress {
-    /// Notes a sign of life of the engine.
-    fn heard(&mut self, now: Moment) {
-        self.silent = now + self.silence;
-    }
 }
 
 /// How one attempt ended when it may be followed by another.
@@ -112,8 +101,6 @@
             trial: false,
             attempt: 0,
             deaths: 0,
-            silence: SILENCE,
-            silent: Moment::ZERO,
         };
         let end = self.attempts(ask, terms, sink, &mut progress);
         Outcome {
@@ -246,8 +233,6 @@
             let detail = format!("engine {} is not configured", slot.engine);
             return Attempt::Again(Refusal::new(Kind::UpstreamFailed, detail));
         };
-        progress.silence = call.silence;
-        progress.heard(self.clock.now());
         let body = ask.upstream_body(progress.sent, terms.priority);
         let chunks = self.engine.stream(&call, ask.endpoint.path(), &body);
         match chunks {
@@ -296,7 +281,6 @@
                 }
                 Err(e) => return self.failure(ask, terms, progress, slot, &e),
             };
-            progress.heard(self.clock.now());
             let kind = part(&data);
             if kind == Part::Usage && ask.stream && !ask.usage {
                 continue;
@@ -333,11 +317,6 @@
                 return Attempt::Ended(refused(refusal, progress));
             }
             EngineError::Status { .. } => progress.avoid.push(slot.instance.clone()),
-            // An engine that is silent is not known to have died.
-            EngineError::Broken(_) if self.clock.now() >= progress.silent => {
-                progress.avoid.push(slot.instance.clone());
-                self.router.failed(&slot.engine);
-            }
             EngineError::Broken(_) => {
                 progress.deaths += 1;
                 self.desk.strike(&ask.print, &ask.model, &slot.instance);
--- a/src/http/services.rs
+++ b/src/http/services.rs
@@ -118,7 +118,7 @@
                 Ok(reply) => return SendEnd::Done(reply),
                 Err(failure) => {
                     log::info!(request = &*call.id; "{}: {}", failure.addr, failure.error);
-                    if matches!(failure.error, SendError::Unanswered(_)) {
+                    if failure.error.sent() {
                         end = SendEnd::Lost;
                         break;
                     }
@@ -138,7 +138,7 @@
             match self.send(call, service, &addr) {
                 Ok(reply) => return Ok(reply),
                 Err(failure) => {
-                    let sent = matches!(failure.error, SendError::Unanswered(_));
+                    let sent = failure.error.sent();
                     let detail = format!("{}: {}", failure.addr, failure.error);
                     if sent && !repeatable {
                         return Err(Refusal::new(Kind::OutcomeUnknown, detail));
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -47,6 +47,9 @@
     /// The request was sent, in part at least; no whole answer came.
     #[error("no whole answer: {0}")]
     Unanswered(String),
+    /// The request was sent; no answer came in time.
+    #[error("no answer in time: {0}")]
+    Silent(String),
 }
 
 /// A session that follows no redirect and uses no proxy.
@@ -115,9 +118,31 @@
         Ok(response) => return Ok(response),
         Err(error) => error,
     };
+    let text = error.to_string();
     match started.get() && !refused(&error) {
-        true => Err(SendError::Unanswered(error.to_string())),
-        false => Err(SendError::Unsent(error.to_string())),
+        true if timed_out(&error) => Err(SendError::Silent(text)),
+        true => Err(SendError::Unanswered(text)),
+        false => Err(SendError::Unsent(text)),
+    }
+}
+
+fn timed_out(error: &attohttpc::Error) -> bool {
+    match error.kind() {
+        ErrorKind::Io(error) => is_timeout(error),
+        _ => false,
+    }
+}
+
+/// Whether a read or write ended at its time limit.
+pub fn is_timeout(error: &io::Error) -> bool {
+    use io::ErrorKind::{TimedOut, WouldBlock};
+    matches!(error.kind(), TimedOut | WouldBlock)
+}
+
+impl SendError {
+    /// Whether a byte may have been sent.
+    pub fn sent(&self) -> bool {
+        !matches!(self, SendError::Unsent(_))
     }
 }
 
--- a/src/platform/engine_http.rs
+++ b/src/platform/engine_http.rs
@@ -110,6 +110,7 @@
         match error {
             SendError::Unsent(text) => EngineError::Unreached(text),
             SendError::Unanswered(text) => EngineError::Broken(text),
+            SendError::Silent(text) => EngineError::Silent(text),
         }
     }
 }
--- a/src/platform/events.rs
+++ b/src/platform/events.rs
@@ -5,6 +5,7 @@
 
 use attohttpc::{Response, ResponseReader};
 
+use super::client::is_timeout;
 use super::{Chunk, Chunks, EngineError};
 
 /// Longest line of a stream, bytes.
@@ -40,6 +41,7 @@
             Ok(0) => "the stream ended before [DONE]".into(),
             Ok(_) if self.line.ends_with('\n') => return Ok(self.line.trim_end()),
             Ok(_) => "the stream broke within a line".into(),
+            Err(e) if is_timeout(&e) => return Err(EngineError::Silent(e.to_string())),
             Err(e) => e.to_string(),
         };
         Err(EngineError::Broken(text))
@@ -61,7 +63,7 @@
             }
             // Comments keep the connection open, but are no progress.
             if start.elapsed() > limit {
-                return Err(EngineError::Broken("the stream is silent".into()));
+                return Err(EngineError::Silent("only comments came".into()));
             }
         }
     }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -228,6 +228,9 @@
     /// The request was sent; the connection broke before the answer ended.
     #[error("the connection to the engine broke: {0}")]
     Broken(String),
+    /// The request was sent; the engine is silent but not known to be dead.
+    #[error("the engine is silent: {0}")]
+    Silent(String),
     /// The engine refused a fencing token older than `current`.
     #[error("the engine has a newer fencing token: {current}")]
     Fenced {
--- a/src/pool/side.rs
+++ b/src/pool/side.rs
@@ -386,7 +386,9 @@
                 OrderEnd::Fenced { current }
             }
             Err(EngineError::Restarted { .. }) => OrderEnd::Restarted,
-            Err(EngineError::Broken(_) | EngineError::Status { .. }) => OrderEnd::Lost,
+            Err(EngineError::Broken(_) | EngineError::Silent(_) | EngineError::Status { .. }) => {
+                OrderEnd::Lost
+            }
         }
     }
 
