--- a/examples/chaos/operators.rs
+++ b/examples/chaos/operators.rs
@@ -15,8 +15,6 @@
 
 /// Pause between the patches of one operator, ms.
 const PAUSE_MS: std::ops::Range<u64> = 300..2_000;
-/// Longest wait for the answer to a patch.
-const PATCH: Duration = Duration::from_secs(20);
 /// Longest wait for a status.
 const STATUS: Duration = Duration::from_secs(1);
 /// Pause between two looks at a host.
@@ -71,7 +69,8 @@
     fn patch(&mut self, base: u64, attempt: &str, patch: &Value) {
         for _ in 0..SENDINGS {
             let host = self.rng.random_range(0..self.urls.len());
-            let (status, body) = send(&self.urls[host], base, attempt, patch);
+            let url = format!("{}/v1/config", self.urls[host]);
+            let (status, body) = crate::env::patch(&url, base, attempt, patch);
             let note = match (status, body["version"].as_u64()) {
                 (200, Some(version)) => Note::Patched(Patched {
                     version,
@@ -88,23 +87,6 @@
     }
 }
 
-fn send(url: &str, base: u64, attempt: &str, patch: &Value) -> (u16, Value) {
-    let answer = attohttpc::patch(format!("{url}/v1/config"))
-        .bearer_auth(OPERATOR_KEY)
-        .header("If-Match", format!("\"{base}\""))
-        .header("Idempotency-Key", attempt)
-        .connect_timeout(STATUS)
-        .timeout(PATCH)
-        .text(patch.to_string())
-        .send();
-    let Ok(answer) = answer else {
-        return (0, Value::Null);
-    };
-    let status = answer.status().as_u16();
-    let text = answer.text().unwrap_or_default();
-    (status, serde_json::from_str(&text).unwrap_or(Value::Null))
-}
-
 /// Status of the host at `url`; null without an answer.
 fn status(url: &str) -> Value {
     read(&format!("{url}/v1/status"), OPERATOR_KEY, STATUS)
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -198,20 +198,13 @@
     }
 
     /// Patches the configuration through `host`; answers status and body.
-    pub fn patch(&self, host: usize, base: u64, attempt: &str, patch: &Value) -> (u16, Value) {
-        let answer = attohttpc::patch(self.operator_url(host, "/v1/config"))
-            .bearer_auth(OPERATOR_KEY)
-            .header("If-Match", format!("\"{base}\""))
-            .header("Idempotency-Key", attempt)
-            .timeout(Duration::from_secs(30))
-            .text(patch.to_string())
-            .send();
-        let Ok(answer) = answer else {
-            return (0, Value::Null);
-        };
-        let status = answer.status().as_u16();
-        let text = answer.text().unwrap_or_default();
-        (status, serde_json::from_str(&text).unwrap_or(Value::Null))
+    pub fn patch(&self, host: usize, base: u64, attempt: &str, patched: &Value) -> (u16, Value) {
+        patch(
+            &self.operator_url(host, "/v1/config"),
+            base,
+            attempt,
+            patched,
+        )
     }
 
     /// Configuration version in force at `host`.
@@ -467,3 +460,21 @@
         kind: body["kind"].as_str().unwrap_or_default().to_owned(),
     }
 }
+
+/// Patches the configuration at `url`; answers status and body, 0 without one.
+pub fn patch(url: &str, base: u64, attempt: &str, patched: &Value) -> (u16, Value) {
+    let answer = attohttpc::patch(url)
+        .bearer_auth(OPERATOR_KEY)
+        .header("If-Match", format!("\"{base}\""))
+        .header("Idempotency-Key", attempt)
+        .connect_timeout(Duration::from_secs(2))
+        .timeout(Duration::from_secs(20))
+        .text(patched.to_string())
+        .send();
+    let Ok(answer) = answer else {
+        return (0, Value::Null);
+    };
+    let status = answer.status().as_u16();
+    let text = answer.text().unwrap_or_default();
+    (status, serde_json::from_str(&text).unwrap_or(Value::Null))
+}
