Wait for other copies of a crashing request before its trial

A copy at another host that was in flight at the strike could crash an engine beside the trial, which made three. Change: daemons acknowledge a strike once they run no copy of the request; a trial waits for that, at most 5 s, and looks again whether the request is held; a request that became a suspect between its route and its sending is not sent. With five hosts at once more than two engines die, as before: such copies are all in flight before the first strike.

--- a/src/control/desk.rs
+++ b/src/control/desk.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use crossbeam::channel::{Sender, bounded};
+use crossbeam::channel::{Receiver, Sender, bounded};
 use serde_json::{Value, json};
 
 use crate::clock::Clock;
@@ -12,7 +12,7 @@
 use crate::error::{Kind, Refusal};
 use crate::operators::keys::hash;
 use crate::router::{Need, Slot};
-use crate::suspects::{Attempt, Fingerprint, Suspects};
+use crate::suspects::{Attempt, Fingerprint, Flights, Suspects};
 
 use super::event::Want;
 use super::{Event, View};
@@ -37,21 +37,38 @@
     events: Sender<Event>,
     view: Arc<ArcSwap<View>>,
     suspects: Arc<Mutex<Suspects>>,
+    flights: Flights,
     clock: Clock,
 }
 
+/// A request that an engine may be running; dropping it ends it.
+pub struct Flight<'a> {
+    desk: &'a Desk,
+    print: Fingerprint,
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        if self.desk.flights.end(&self.print) {
+            let _ = self.desk.events.send(Event::Landed(self.print.clone()));
+        }
+    }
+}
+
 impl Desk {
     /// A desk before the control thread that takes its events.
     pub fn new(
         events: Sender<Event>,
         view: Arc<ArcSwap<View>>,
         suspects: Arc<Mutex<Suspects>>,
+        flights: Flights,
         clock: Clock,
     ) -> Self {
         Desk {
             events,
             view,
             suspects,
+            flights,
             clock,
         }
     }
@@ -61,19 +78,34 @@
         self.lock().attempt(print)
     }
 
+    /// Begins to send a request to an engine.
+    ///
+    /// Its suspicion has to be looked at after this: a strike that comes later
+    /// then waits for the end of the request.
+    pub fn begin(&self, print: &Fingerprint) -> Flight<'_> {
+        self.flights.begin(print);
+        Flight {
+            desk: self,
+            print: print.clone(),
+        }
+    }
+
     /// Records, here and at all peers, that an engine instance died while it
-    /// ran a request.
-    pub fn strike(&self, print: &Fingerprint, model: &Name, instance: &Name) {
+    /// ran a request. The channel gets a word once no daemon runs the request
+    /// any more, with all their strikes recorded here.
+    pub fn strike(&self, print: &Fingerprint, model: &Name, instance: &Name) -> Receiver<()> {
         let now = self.clock.now();
         let strike = self.lock().strike(print, model, instance, now);
-        let _ = self.events.send(Event::Struck(strike));
+        let (settled, word) = bounded(1);
+        let _ = self.events.send(Event::Struck { strike, settled });
+        word
     }
 
     /// Takes back the strikes of a request that completed.
     pub fn clear(&self, print: &Fingerprint) {
         let strike = self.lock().release(print, self.clock.now());
         if let Some(strike) = strike {
-            let _ = self.events.send(Event::Struck(strike));
+            let _ = self.events.send(Event::Cleared(strike));
         }
     }
 
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -14,6 +14,7 @@
 use crate::pool::{Claimed, PinWrite};
 use crate::protocol::ownership::{Grant, Owner, OwnerRecord, Recorded, Sent};
 use crate::router::{Need, Slot};
+use crate::suspects::Fingerprint;
 
 use super::{Control, View};
 
@@ -127,8 +128,17 @@
         /// It does.
         table: bool,
     },
-    /// This daemon recorded a strike, or took one back.
-    Struck(Strike),
+    /// This daemon recorded a strike.
+    Struck {
+        /// The strike.
+        strike: Strike,
+        /// Gets a word once no daemon runs the request any more.
+        settled: Sender<()>,
+    },
+    /// This daemon took strikes back.
+    Cleared(Strike),
+    /// The last request of a fingerprint that others wait for ended here.
+    Landed(Fingerprint),
     /// The trial of a suspect ended.
     TrialOver {
         /// Ticket that it ran under.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -27,7 +27,7 @@
 use crate::platform::Hosts;
 use crate::router::Router;
 use crate::settings::Settings;
-use crate::suspects::Suspects;
+use crate::suspects::{Fingerprint, Flights, Suspects};
 
 pub use claims::Seat;
 pub use desk::{Desk, Wish};
@@ -88,6 +88,9 @@
     states: BTreeMap<Name, PoolState>,
     used: BTreeMap<Name, Told>,
     suspects: Arc<Mutex<Suspects>>,
+    flights: Flights,
+    settling: Vec<strikes::Settling>,
+    owed: HashMap<Fingerprint, Vec<Name>>,
     holder: Option<Name>,
     table: bool,
     leaving: bool,
@@ -108,6 +111,7 @@
         members: Members,
         router: Router,
         suspects: Arc<Mutex<Suspects>>,
+        flights: Flights,
         now: Moment,
     ) -> Self {
         Control {
@@ -121,6 +125,9 @@
             states: BTreeMap::new(),
             used: BTreeMap::new(),
             suspects,
+            flights,
+            settling: Vec::new(),
+            owed: HashMap::new(),
             holder: None,
             table: true,
             leaving: false,
@@ -160,7 +167,9 @@
                 grant,
                 result,
             } => self.ordered(&pool, epoch, &engine, grant, result, now),
-            Event::Struck(strike) => self.struck(strike),
+            Event::Struck { strike, settled } => self.struck(strike, settled, now),
+            Event::Cleared(strike) => self.tell_strike(strike),
+            Event::Landed(print) => self.landed(&print),
             Event::TrialOver { ticket, model } => self.trial_over(&ticket, &model),
             Event::Drain => self.drain(),
             Event::Call(call) => call(self),
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -44,6 +44,7 @@
         self.members.down(host, incarnation, now);
         self.used.retain(|_, told| told.owner != *host);
         self.unsend_to(host);
+        self.forget_acks(host);
         for seat in self.seats.values_mut() {
             if let Seat::Held(pool) = seat {
                 pool.forget(host);
@@ -76,8 +77,8 @@
                 let from = from.clone();
                 self.acts.push(Act::Calls { from, body });
             }
-            Body::Strike(strike) => self.strike(&strike, now),
-            Body::StrikeAck(_) => {}
+            Body::Strike(strike) => self.strike(from, &strike, now),
+            Body::StrikeAck(ack) => self.acknowledged(from, &ack.fingerprint),
             Body::Hello(_) | Body::Proof(_) => {
                 log::warn!("{from} repeats its handshake");
             }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -33,7 +33,7 @@
 use crate::protocol::ownership::Owner;
 use crate::router::Router;
 use crate::settings::Settings;
-use crate::suspects::{SuspectSettings, Suspects};
+use crate::suspects::{Flights, SuspectSettings, Suspects};
 use host::OperatorHost;
 use links::{CallLinks, SharedTable};
 
@@ -97,7 +97,14 @@
         let router = Router::new(&settings.domain, clock);
         let view = Arc::new(ArcSwap::from_pointee(View::default()));
         let suspects = Arc::new(Mutex::new(Suspects::new(SuspectSettings::default())));
-        let desk = Desk::new(events.clone(), view.clone(), suspects.clone(), clock);
+        let flights = Flights::default();
+        let desk = Desk::new(
+            events.clone(),
+            view.clone(),
+            suspects.clone(),
+            flights.clone(),
+            clock,
+        );
         let follower = Follower::new(
             platform.clone(),
             peers.clone(),
@@ -114,7 +121,7 @@
             host: me.host.clone(),
             incarnation,
         };
-        let control = Control::new(me, members, router.clone(), suspects, clock.now());
+        let control = Control::new(me, members, router.clone(), suspects, flights, clock.now());
         let metrics = Arc::new(Metrics::new()?);
         let parts = Parts {
             metrics: metrics.clone(),
--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -3,6 +3,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use crossbeam::channel::Receiver;
+
 use crate::clock::{Clock, Moment};
 use crate::config::Name;
 use crate::control::{Desk, Wish};
@@ -19,6 +21,8 @@
 const DEATHS: u32 = 4;
 /// Least time for which an engine may be silent.
 const SILENCE_LEAST: Duration = Duration::from_secs(1);
+/// Longest wait for other copies of a suspect.
+const SETTLE: Duration = Duration::from_secs(5);
 /// Time that a broken stream may wait to go on elsewhere.
 const RESUME: Duration = Duration::from_secs(30);
 /// Time limit for connecting to an engine.
@@ -81,6 +85,7 @@
     trial: bool,
     attempt: u32,
     deaths: u32,
+    settled: Option<Receiver<()>>,
 }
 
 /// How one attempt ended when it may be followed by another.
@@ -101,6 +106,7 @@
             trial: false,
             attempt: 0,
             deaths: 0,
+            settled: None,
         };
         let end = self.attempts(ask, terms, sink, &mut progress);
         Outcome {
@@ -162,13 +168,14 @@
         match self.desk.attempt(&ask.print) {
             suspects::Attempt::Free => {}
             suspects::Attempt::Alone => {
+                self.wait_settled(&need, progress);
+                if self.desk.attempt(&ask.print) == suspects::Attempt::Held {
+                    return Err(held(ask));
+                }
                 progress.trial = true;
                 return self.wake(terms, need, Some(ask.print.clone()));
             }
-            suspects::Attempt::Held => {
-                let detail = format!("fingerprint {}", ask.print);
-                return Err(Refusal::new(Kind::Quarantined, detail));
-            }
+            suspects::Attempt::Held => return Err(held(ask)),
         }
         let most = config.policy.queue as usize;
         match self.router.acquire(&need, most) {
@@ -186,6 +193,18 @@
         }
     }
 
+    /// Waits until no daemon runs a copy of a request that got a strike, so
+    /// that a copy that crashes another engine counts before the trial.
+    fn wait_settled(&self, need: &Need, progress: &mut Progress) {
+        let Some(word) = progress.settled.take() else {
+            return;
+        };
+        let left = need.deadline.saturating_sub(self.clock.now());
+        if word.recv_timeout(left.min(SETTLE)).is_err() {
+            log::info!(request = &*need.id; "other copies of the request still run");
+        }
+    }
+
     /// Moment by which the next attempt must have a slot.
     fn limit(&self, terms: &Terms, progress: &Progress) -> Moment {
         match progress.sent {
@@ -233,6 +252,11 @@
             let detail = format!("engine {} is not configured", slot.engine);
             return Attempt::Again(Refusal::new(Kind::UpstreamFailed, detail));
         };
+        let _flight = self.desk.begin(&ask.print);
+        if !progress.trial && self.desk.attempt(&ask.print) != suspects::Attempt::Free {
+            let detail = "the request became a suspect";
+            return Attempt::Again(Refusal::new(Kind::UpstreamFailed, detail));
+        }
         let body = ask.upstream_body(progress.sent, terms.priority);
         let chunks = self.engine.stream(&call, ask.endpoint.path(), &body);
         match chunks {
@@ -319,7 +343,8 @@
             EngineError::Status { .. } => progress.avoid.push(slot.instance.clone()),
             EngineError::Broken(_) => {
                 progress.deaths += 1;
-                self.desk.strike(&ask.print, &ask.model, &slot.instance);
+                let word = self.desk.strike(&ask.print, &ask.model, &slot.instance);
+                progress.settled = Some(word);
                 progress.avoid.push(slot.instance.clone());
                 self.router.failed(&slot.engine);
             }
@@ -335,6 +360,11 @@
     }
 }
 
+fn held(ask: &Completion) -> Refusal {
+    let detail = format!("fingerprint {}", ask.print);
+    Refusal::new(Kind::Quarantined, detail)
+}
+
 fn expired(ask: &Completion) -> Refusal {
     let detail = format!("no replica of {} was free in time", ask.model);
     Refusal::new(Kind::DeadlineExpired, detail).retry_after(COME_BACK)
--- a/src/suspects/mod.rs
+++ b/src/suspects/mod.rs
@@ -7,6 +7,7 @@
 //! number of times.
 
 mod fingerprint;
+mod flights;
 mod trials;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,6 +18,7 @@
 use crate::peer::wire::Strike;
 
 pub use fingerprint::{Fingerprint, fingerprint};
+pub use flights::Flights;
 pub use trials::{Candidate, Trial, TrialAsk, Trials};
 
 /// Strikes after which a request is held.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -343,3 +343,26 @@
     }
     assert!(!named.contains(&name), "{named:?}");
 }
+
+#[test]
+fn poison_request_at_two_hosts_at_once_costs_at_most_two_engines() {
+    let env = start(SiteSettings {
+        limit: 4,
+        engines: 5,
+        ..SiteSettings::default()
+    });
+    let patch = json!({"models": {"m1": {"warm": 4}}});
+    let (status, body) = env.patch(0, 1, "warm", &patch);
+    assert_eq!(status, 200, "{body}");
+    env.wait("four replicas", || held(&env, "m1") == 4);
+    let poison = format!("please {CRASH} now");
+    let asked: Vec<_> = (0..2)
+        .map(|host| env.ask_later(host, "m1", &poison))
+        .collect();
+    for asked in asked {
+        let answer = asked.join().expect("the caller's thread");
+        assert!(!answer.whole, "{answer:?}");
+    }
+    let crashes = env.site.engines.iter().filter(|e| is_down(e)).count();
+    assert!(crashes <= 2, "{crashes} engines crashed");
+}
