Claim the loopback networks of a test process

Change: a process claims its octet by a listener that it holds; the measuring program takes the same.

--- a/examples/measure/firm.rs
+++ b/examples/measure/firm.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::env::own_octet;
 use mastichinge::config::{Caller, Config, Model, Name, Operator, Role, Strategy, jsonc};
 use mastichinge::fakes::engine::{EngineSettings, LoadTimes};
 use mastichinge::fakes::firm::FirmSettings;
@@ -148,14 +149,13 @@
 
     /// Settings of the site.
     pub fn settings(&self) -> FirmSettings {
-        let process = 1 + (std::process::id() % 250) as u8;
         FirmSettings {
             site: SiteSettings {
                 firm: self.firm.to_string().into(),
                 daemons: DAEMONS,
                 tokens: TOKENS,
                 interval: INTERVAL,
-                net: [127, process, 200],
+                net: [127, own_octet(), 200],
                 domains: domains(self.firm),
                 ..SiteSettings::default()
             },
