Wait for the call's arrival before its host is killed

Change: the service stand-in counts arrivals; this test and its like in tests/bookings.rs wait for the arrival. What they assert is unchanged. Conclusion: the fault was the test's; the system's answer was right.

--- a/src/fakes/service.rs
+++ b/src/fakes/service.rs
@@ -38,6 +38,8 @@
     pub fault: Fault,
     /// Time that a call runs.
     pub slow: Duration,
+    /// Calls that have arrived so far.
+    pub arrived: u32,
     /// Runs so far.
     pub runs: Vec<Run>,
 }
@@ -78,7 +80,10 @@
 }
 
 fn handle(state: &Shared<State>, exchange: Exchange) {
-    let State { fault, slow, .. } = state.get();
+    let State { fault, slow, .. } = state.change(|s| {
+        s.arrived += 1;
+        s.clone()
+    });
     if fault == Fault::Before {
         return exchange.hang_up();
     }
--- a/tests/bookings.rs
+++ b/tests/bookings.rs
@@ -147,6 +147,9 @@
     slow(&env, ENDLESS);
     let sent = env.book_later(0, &first("k-1"));
     env.wait("the start is recorded", || records(&env, "started") == 1);
+    env.wait("the call has arrived", || {
+        env.site.service.state.get().arrived == 1
+    });
     env.kill(0);
     assert_eq!(sent.join().expect("a caller"), Booked::default());
     let mut told = env.book(1, &retry("k-1"));
--- a/tests/pairs.rs
+++ b/tests/pairs.rs
@@ -264,6 +264,9 @@
     };
     let sent = env.book_later(0, &booking);
     env.wait("the start is recorded", || started(&env) == 1);
+    env.wait("the call has arrived", || {
+        env.site.service.state.get().arrived == 1
+    });
     table_down(&env, true);
     env.kill(0);
     assert_eq!(sent.join().expect("the caller's thread").status, 0);
