Take a completion's fingerprint without copying its body

Cause: read-through: every request's parsed body was copied whole for its fingerprint, on the hot path, only because the map had been taken out of its JSON value. Change: the value is kept as it was parsed; checks borrow the map. The time saved was not measured.

--- a/src/http/openai.rs
+++ b/src/http/openai.rs
@@ -62,7 +62,7 @@
     pub prefix: Prefix,
     /// Fingerprint of model and body.
     pub print: Fingerprint,
-    body: Map<String, Value>,
+    body: Value,
 }
 
 impl Completion {
@@ -74,11 +74,11 @@
     pub fn parse(endpoint: Endpoint, body: &[u8]) -> Result<Self, Refusal> {
         let value: Value =
             serde_json::from_slice(body).map_err(|e| bad(format!("the body is not JSON: {e}")))?;
-        let Value::Object(body) = value else {
+        let Some(body) = value.as_object() else {
             return Err(bad("the body is not a JSON object"));
         };
-        let model = text(&body, "model")?;
-        let stream = flag(&body, "stream")?;
+        let model = text(body, "model")?;
+        let stream = flag(body, "stream")?;
         let usage = body
             .get("stream_options")
             .and_then(|o| o.get("include_usage"))
@@ -87,8 +87,8 @@
         if body.get("n").is_some_and(|n| n.as_u64() != Some(1)) {
             return Err(bad("n must be 1"));
         }
-        check_prompt(endpoint, &body)?;
-        let print = fingerprint(&model, &Value::Object(body.clone()));
+        check_prompt(endpoint, body)?;
+        let print = fingerprint(&model, &value);
         let prompt = body[endpoint.prompt_field()].to_string();
         Ok(Completion {
             prefix: Prefix::new(&model, &prompt),
@@ -97,20 +97,20 @@
             model,
             stream,
             usage,
-            body,
+            body: value,
         })
     }
 
     /// The body for an engine, continuing after `skip` tokens.
     pub fn upstream_body(&self, skip: u64, priority: u8) -> Vec<u8> {
         let mut body = self.body.clone();
-        body.insert("stream".into(), json!(true));
-        body.insert("stream_options".into(), json!({"include_usage": true}));
-        body.insert("priority".into(), json!(priority));
+        body["stream"] = json!(true);
+        body["stream_options"] = json!({"include_usage": true});
+        body["priority"] = json!(priority);
         if skip > 0 {
-            body.insert("resume_from".into(), json!(skip));
+            body["resume_from"] = json!(skip);
         }
-        Value::Object(body).to_string().into_bytes()
+        body.to_string().into_bytes()
     }
 }
 
