--- a/benches/scene/mod.rs
+++ b/benches/scene/mod.rs
@@ -8,7 +8,7 @@
 use mastichinge::decide::pinning::{Pin, PinEngine, PinModel, Tie};
 use mastichinge::decide::rooms::{Base, Idle, Room, Wanted, Weights};
 use mastichinge::decide::routing::Candidate;
-use mastichinge::platform::Tier;
+use mastichinge::outside::Tier;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
--- a/examples/capacity/messages.rs
+++ b/examples/capacity/messages.rs
@@ -1,10 +1,10 @@
 //! Messages of the usual content, encoded as on the links.
 
+use mastichinge::outside::{Report, Resident, Tier};
 use mastichinge::peer::wire::{
     Body, Change, EngineState, Frame, Heartbeat, Permit, PermitAsk, PermitDone, PoolState,
     Snapshot, Usage, Use, Verdict, Want,
 };
-use mastichinge::platform::{Report, Resident, Tier};
 use prost::Message;
 
 use crate::state;
--- a/examples/capacity/times.rs
+++ b/examples/capacity/times.rs
@@ -9,8 +9,8 @@
 use mastichinge::decide::rooms::Placing;
 use mastichinge::decide::routing::{Need, choose};
 use mastichinge::decide::sleep::{Facts, verdict};
+use mastichinge::outside::Report;
 use mastichinge::peer::wire::{Body, Frame};
-use mastichinge::platform::Report;
 use prost::Message;
 
 use crate::scene::{self, Size};
--- a/examples/chaos/check/engines.rs
+++ b/examples/chaos/check/engines.rs
@@ -5,7 +5,7 @@
 
 use mastichinge::config::entry::Entry;
 use mastichinge::fakes::engine::{End, Stay};
-use mastichinge::platform::{Op, Verb};
+use mastichinge::outside::{Op, Verb};
 use serde::Deserialize;
 
 use super::{Findings, Invariant};
--- a/examples/chaos/daemon.rs
+++ b/examples/chaos/daemon.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use mastichinge::daemon::Daemon;
-use mastichinge::platform::client::Timeouts;
-use mastichinge::platform::http::HttpPlatform;
+use mastichinge::outside::client::Timeouts;
+use mastichinge::outside::http::HttpPlatform;
 use mastichinge::{logs, settings};
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
--- a/examples/chaos/faults.rs
+++ b/examples/chaos/faults.rs
@@ -8,7 +8,7 @@
 use mastichinge::clock::Clock;
 use mastichinge::fakes::FakeEngine;
 use mastichinge::fakes::service::Fault as Dies;
-use mastichinge::platform::HostState;
+use mastichinge::outside::HostState;
 use rand::RngExt;
 use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
--- a/examples/measure/daemon.rs
+++ b/examples/measure/daemon.rs
@@ -7,8 +7,8 @@
 
 use mastichinge::daemon::Daemon;
 use mastichinge::logs;
-use mastichinge::platform::client::Timeouts;
-use mastichinge::platform::http::HttpPlatform;
+use mastichinge::outside::client::Timeouts;
+use mastichinge::outside::http::HttpPlatform;
 use mastichinge::settings;
 
 /// Runs a daemon with the settings at `path` until it is killed.
--- a/src/bin/mastichinged.rs
+++ b/src/bin/mastichinged.rs
@@ -9,9 +9,10 @@
 use mastichinge::cli::daemon::{DaemonArgs, parse};
 use mastichinge::cli::{Exit, UsageError};
 use mastichinge::daemon::{Daemon, StartError};
+use mastichinge::edge;
 use mastichinge::logs::{self, LogError};
-use mastichinge::platform::client::Timeouts;
-use mastichinge::platform::http::HttpPlatform;
+use mastichinge::outside::client::Timeouts;
+use mastichinge::outside::http::HttpPlatform;
 use mastichinge::settings::{self, Settings, SettingsError};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -19,6 +20,9 @@
 /// Period at which a running daemon looks for a signal or an operator's drain.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// Variable that names the settings file of an edge host.
+const SETTINGS: &str = mastichinge::platform::SETTINGS;
+
 /// Why the daemon ended early.
 #[derive(Debug, thiserror::Error)]
 enum RunError {
@@ -30,6 +34,10 @@
     Logs(#[from] LogError),
     #[error(transparent)]
     Start(#[from] StartError),
+    #[error(transparent)]
+    Edge(#[from] edge::RunError),
+    #[error("the environment names no settings file in {SETTINGS}")]
+    Unnamed,
     #[error("cannot wait for signals: {0}")]
     Signals(#[from] std::io::Error),
 }
@@ -38,7 +46,7 @@
     fn exit(&self) -> Exit {
         match self {
             RunError::Usage(_) => Exit::Usage,
-            RunError::Settings(_) => Exit::Settings,
+            RunError::Settings(_) | RunError::Unnamed => Exit::Settings,
             _ => Exit::Failed,
         }
     }
@@ -60,6 +68,16 @@
     match parse(std::env::args_os().skip(1).collect())? {
         DaemonArgs::Run { settings } => serve(&settings),
         DaemonArgs::Check { settings } => check(&settings),
+        DaemonArgs::Edge => serve_edge(),
+        DaemonArgs::CheckEdge { settings } => {
+            let read = edge::settings::load(&settings)?;
+            println!(
+                "{}: settings of edge host {}",
+                settings.display(),
+                read.host
+            );
+            Ok(())
+        }
         DaemonArgs::Version => {
             println!("mastichinged {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -90,6 +108,15 @@
     Ok(())
 }
 
+fn serve_edge() -> Result<(), RunError> {
+    let path = std::env::var_os(SETTINGS).ok_or(RunError::Unnamed)?;
+    let path = Path::new(&path);
+    let settings = edge::settings::load(path)?;
+    logs::start_on(&settings.log, Box::new(std::io::stdout()))?;
+    edge::run(path, settings)?;
+    Ok(())
+}
+
 fn platform(settings: &Settings) -> Arc<HttpPlatform> {
     Arc::new(HttpPlatform::new(
         settings.platform,
--- a/src/calls/batch.rs
+++ b/src/calls/batch.rs
@@ -8,7 +8,7 @@
 use crossbeam::channel::{self, Receiver, Sender};
 
 use crate::config::Name;
-use crate::platform::{Table, TableError, Write};
+use crate::outside::{Table, TableError, Write};
 
 /// New version of the written item, or why it was not written.
 pub type Written = Result<u64, TableError>;
--- a/src/calls/read.rs
+++ b/src/calls/read.rs
@@ -7,7 +7,7 @@
 use crossbeam::channel::{self, Receiver, Sender};
 
 use crate::config::Name;
-use crate::platform::{Item, Table, TableError};
+use crate::outside::{Item, Table, TableError};
 
 /// The item, or why it could not be read.
 pub type Found = Result<Option<Item>, TableError>;
--- a/src/calls/service.rs
+++ b/src/calls/service.rs
@@ -16,7 +16,7 @@
 use crate::clock::{Clock, Moment};
 use crate::config::Name;
 use crate::error::{Kind, Refusal};
-use crate::platform::{Expect, Item, Table, TableError};
+use crate::outside::{Expect, Item, Table, TableError};
 use crate::protocol::calls::{
     Admit, Attempt, CallRecord, CallState, Reply, admit, free, may_send, orphaned,
 };
--- a/src/calls/settle.rs
+++ b/src/calls/settle.rs
@@ -10,7 +10,7 @@
 use super::batch::{Written, commit, group};
 use super::held::Held;
 use crate::config::Name;
-use crate::platform::{Expect, Item, Op, Table, TableError, Write};
+use crate::outside::{Expect, Item, Op, Table, TableError, Write};
 use crate::protocol::calls::{CallRecord, settle};
 
 /// An end that the table has not taken.
--- a/src/calls/sweep.rs
+++ b/src/calls/sweep.rs
@@ -7,7 +7,7 @@
 use super::key::shard;
 use super::settle::put;
 use super::{Peers, Told};
-use crate::platform::{Expect, Item, Op, Table, TableError, Write};
+use crate::outside::{Expect, Item, Op, Table, TableError, Write};
 use crate::protocol::calls::{CallRecord, CallState, expired, orphaned};
 
 /// How long the record of an attempt whose host is gone is kept from its
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -18,7 +18,7 @@
     xflags::xflags! {
         /// Daemon of an entry host: routes callers to models and plain services.
         ///
-        /// One of --settings, --check and --version must be given. SIGTERM or
+        /// One of --settings, --check, --edge, --check-edge and --version must be given. SIGTERM or
         /// SIGINT drains the host: it leaves the entry answers, finishes what is
         /// in progress and hands its pools over.
         ///
@@ -29,6 +29,11 @@
             optional --settings file: PathBuf
             /// Validate this settings file, name every wrong field, and exit.
             optional --check file: PathBuf
+            /// Run as an edge host of the users' platform. The settings file is
+            /// the one that the platform names in the environment.
+            optional --edge
+            /// Validate this settings file of an edge host and exit.
+            optional --check-edge file: PathBuf
             /// Print the version and exit.
             optional --version
         }
@@ -48,6 +53,13 @@
         /// Settings file.
         settings: PathBuf,
     },
+    /// Run as an edge host until a signal.
+    Edge,
+    /// Validate a settings file of an edge host.
+    CheckEdge {
+        /// Settings file.
+        settings: PathBuf,
+    },
     /// Print the version.
     Version,
     /// Print this help text.
@@ -64,12 +76,14 @@
     if flags.version {
         return Ok(DaemonArgs::Version);
     }
-    match (flags.settings, flags.check) {
-        (Some(settings), None) => Ok(DaemonArgs::Run { settings }),
-        (None, Some(settings)) => Ok(DaemonArgs::Check { settings }),
+    match (flags.settings, flags.check, flags.edge, flags.check_edge) {
+        (Some(settings), None, false, None) => Ok(DaemonArgs::Run { settings }),
+        (None, Some(settings), false, None) => Ok(DaemonArgs::Check { settings }),
+        (None, None, true, None) => Ok(DaemonArgs::Edge),
+        (None, None, false, Some(settings)) => Ok(DaemonArgs::CheckEdge { settings }),
         _ => Err(usage(
             PROGRAM,
-            "give either --settings or --check".to_owned(),
+            "give one of --settings, --check, --edge and --check-edge".to_owned(),
         )),
     }
 }
@@ -85,6 +99,8 @@
 
     #[test_case("--settings a" => Ok(DaemonArgs::Run { settings: "a".into() }))]
     #[test_case("--check a" => Ok(DaemonArgs::Check { settings: "a".into() }))]
+    #[test_case("--edge" => Ok(DaemonArgs::Edge))]
+    #[test_case("--check-edge a" => Ok(DaemonArgs::CheckEdge { settings: "a".into() }))]
     #[test_case("--version" => Ok(DaemonArgs::Version))]
     fn accepts(line: &str) -> Result<DaemonArgs, UsageError> {
         read(line)
@@ -92,6 +108,7 @@
 
     #[test_case("")]
     #[test_case("--settings a --check b")]
+    #[test_case("--edge --check a")]
     #[test_case("--setings a")]
     fn refuses(line: &str) {
         assert!(read(line).is_err());
--- a/src/config/ledger/mod.rs
+++ b/src/config/ledger/mod.rs
@@ -7,7 +7,7 @@
 use super::Name;
 use super::entry::Entry;
 use super::state::{ApplyError, Current};
-use crate::platform::{Item, Objects, Table, TableError};
+use crate::outside::{Item, Objects, Table, TableError};
 
 pub use propose::ProposeError;
 
--- a/src/config/ledger/propose.rs
+++ b/src/config/ledger/propose.rs
@@ -11,7 +11,7 @@
 use crate::config::reason::{Reason, lines};
 use crate::config::state::Current;
 use crate::config::validate::broken;
-use crate::platform::{Expect, Item, Objects, Op, Table, TableError, Write};
+use crate::outside::{Expect, Item, Objects, Op, Table, TableError, Write};
 
 /// Versions between two tries of a snapshot that failed.
 const SNAPSHOT_RETRY: u64 = 10;
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -10,9 +10,9 @@
 use crate::clock::Clock;
 use crate::config::{Config, Name};
 use crate::metrics::Metrics;
+use crate::outside::{Call, Engine, EngineError, Platform};
 use crate::peer::Peers;
 use crate::peer::wire::Body;
-use crate::platform::{Call, Engine, EngineError, Platform};
 
 use crate::protocol::ownership::{Owner, OwnerRecord};
 
--- a/src/control/jobs.rs
+++ b/src/control/jobs.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::config::Name;
-use crate::platform::{Expect, Item, Op, Table, TableError, Write};
+use crate::outside::{Expect, Item, Op, Table, TableError, Write};
 use crate::pool::{Claimed, PinWrite};
 use crate::protocol::ownership::{
     EnginePins, Owner, OwnerRecord, claim as claim_record, handover, inherits_clean,
--- a/src/control/pools.rs
+++ b/src/control/pools.rs
@@ -2,8 +2,8 @@
 
 use crate::clock::{Clock, Moment};
 use crate::config::Name;
+use crate::outside::{EngineError, Report};
 use crate::peer::wire::Body;
-use crate::platform::{EngineError, Report};
 use crate::pool::{Action, Context, Pool};
 use crate::protocol::ownership::{Grant, Sent};
 
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -14,8 +14,8 @@
 use crate::metrics::Metrics;
 use crate::operators::host::Host;
 use crate::operators::status::{EngineStatus, HeldStatus, HostStatus, MemberStatus, ModelStatus};
+use crate::outside::Platform;
 use crate::peer::Peers;
-use crate::platform::Platform;
 
 /// Wait that a refusal names where nothing better is known.
 const COME_BACK: Duration = Duration::from_secs(1);
--- a/src/daemon/links.rs
+++ b/src/daemon/links.rs
@@ -12,9 +12,9 @@
 use crate::clock::Clock;
 use crate::config::Name;
 use crate::control::{Desk, Routed};
+use crate::outside::{Item, Platform, Table, TableError, Write};
 use crate::peer::Peers;
 use crate::peer::wire::{Body, CallAsk, CallState};
-use crate::platform::{Item, Platform, Table, TableError, Write};
 use crate::protocol::calls::{Attempt, CallRecord};
 
 /// Shards of call records that all daemons together look through in a second.
--- a/src/decide/rooms.rs
+++ b/src/decide/rooms.rs
@@ -4,7 +4,7 @@
 
 use super::routing::Domain;
 use crate::config::{Policy, Strategy};
-use crate::platform::Tier;
+use crate::outside::Tier;
 
 /// Index of a model; the caller keeps the names.
 pub type ModelId = u32;
--- /dev/null
+++ b/src/edge/demand.rs
@@ -0,0 +1,79 @@
+//! How much work each model is asked for: exponentially decaying sums.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Moment;
+
+/// Time constant of the request rate; rare models show at all.
+const RATE_S: f64 = 12.0;
+/// Time constant of the work; a burst shows within seconds.
+const WORK_S: f64 = 4.0;
+/// Rate below which a model counts as idle, requests a second.
+const IDLE: f64 = 0.001;
+
+/// Demand for one model.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Requests a second.
+    pub rate: f64,
+    /// Engine time that they ask for, seconds a second.
+    pub work: f64,
+}
+
+impl std::ops::AddAssign for Demand {
+    fn add_assign(&mut self, other: Demand) {
+        self.rate += other.rate;
+        self.work += other.work;
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    demand: Demand,
+    at: Moment,
+}
+
+impl Sum {
+    fn decayed(&self, now: Moment) -> Demand {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        Demand {
+            rate: self.demand.rate * (-age / RATE_S).exp(),
+            work: self.demand.work * (-age / WORK_S).exp(),
+        }
+    }
+}
+
+/// A model of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Which {
+    /// Service.
+    pub service: Arc<str>,
+    /// Model.
+    pub model: Arc<str>,
+}
+
+/// Demand at this daemon by model.
+#[derive(Clone, Debug, Default)]
+pub struct Meter {
+    sums: HashMap<Which, Sum>,
+}
+
+impl Meter {
+    /// Notes a request that asks for `work` of an engine's time.
+    pub fn note(&mut self, which: Which, work: Duration, now: Moment) {
+        let sum = self.sums.entry(which).or_default();
+        let mut demand = sum.decayed(now);
+        demand.rate += 1.0 / RATE_S;
+        demand.work += work.as_secs_f64() / WORK_S;
+        *sum = Sum { demand, at: now };
+    }
+
+    /// Demand now; idle models are forgotten.
+    pub fn now(&mut self, now: Moment) -> Vec<(Which, Demand)> {
+        self.sums.retain(|_, sum| sum.decayed(now).rate > IDLE);
+        let current = |(which, sum): (&Which, &Sum)| (which.clone(), sum.decayed(now));
+        self.sums.iter().map(current).collect()
+    }
+}
--- /dev/null
+++ b/src/edge/fleet.rs
@@ -0,0 +1,347 @@
+//! Engines and plain upstreams: what is believed of each, and how old it is.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::kept::Kept;
+use crate::clock::Moment;
+use crate::decide::breaker::{Breaker, Breaking};
+
+/// Time after the store's return for which engines that it no longer lists are
+/// still used; the platform promises their entries within about two seconds.
+const RETURN_GRACE: Duration = Duration::from_millis(2_300);
+/// Age at which the holder's word about an engine gives way to the engine's
+/// own entry: several rounds of the holder's repetition.
+const TOLD_AGE: Duration = Duration::from_secs(5);
+/// Time for which an engine that said it lacks a model is not asked again.
+const ABSENT_AGE: Duration = Duration::from_millis(400);
+/// Age at which another daemon's word about its own load is void.
+const LOAD_AGE: Duration = Duration::from_secs(2);
+
+/// Models that an engine holds, with their adapters.
+pub type Held = BTreeMap<Arc<str>, BTreeSet<Arc<str>>>;
+
+/// Models of which an engine keeps copies that load fast.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Copies {
+    /// In host memory.
+    pub memory: BTreeSet<Arc<str>>,
+    /// On disk.
+    pub disk: BTreeSet<Arc<str>>,
+}
+
+/// Whether an engine takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Phase {
+    /// It does.
+    Ready,
+    /// It will be gone soon.
+    Leaving,
+}
+
+/// An engine's entry in the platform's list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Id of the engine.
+    pub id: Arc<str>,
+    /// Service that it belongs to.
+    pub service: Arc<str>,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Requests that it processes at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub phase: Phase,
+    /// Time until it is gone, where it said so.
+    pub remaining: Option<Duration>,
+    /// Number of this entry among those of its lifetime.
+    pub beat: u64,
+    /// Its start, ms since the Unix epoch; 0 when unknown.
+    pub born: u64,
+    /// Models that it holds.
+    pub held: Held,
+    /// Copies that it keeps.
+    pub copies: Copies,
+}
+
+/// The holder's word about what an engine holds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told {
+    /// Fencing number of the holder's tenure.
+    pub fence: u64,
+    /// Number within the tenure.
+    pub turn: u64,
+    /// Lifetime of the engine that it is about.
+    pub born: u64,
+    /// What may be asked of the engine.
+    pub held: Held,
+    /// When it came.
+    pub at: Moment,
+}
+
+/// What one daemon has in progress at an engine.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests in progress.
+    pub running: u32,
+    /// Prompt work of requests without a first event.
+    pub backlog: Duration,
+    /// Requests in progress by model or `model/adapter`.
+    pub targets: HashMap<Arc<str>, u32>,
+}
+
+/// One engine or plain upstream.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// Its newest entry.
+    pub entry: Entry,
+    /// When the entry was last read.
+    pub read: Moment,
+    /// The holder's word, where there is one.
+    pub told: Option<Told>,
+    /// What this daemon has in progress there.
+    pub own: Load,
+    /// What other daemons said that they have in progress there.
+    pub others: HashMap<Arc<str>, (Moment, Load)>,
+    /// Whether requests to it fail.
+    pub breaker: Breaker,
+    /// What it was said to hold but lacked, and when it said so.
+    pub absent: HashMap<Arc<str>, Moment>,
+    /// Prompt parts that this daemon sent there.
+    pub kept: Kept,
+    /// Another engine has taken its address.
+    pub replaced: bool,
+}
+
+impl Upstream {
+    fn new(entry: Entry, now: Moment) -> Self {
+        Upstream {
+            entry,
+            read: now,
+            told: None,
+            own: Load::default(),
+            others: HashMap::new(),
+            breaker: Breaker::new(Breaking {
+                failures: 3,
+                pause: Duration::from_millis(700),
+                most: Duration::from_secs(4),
+            }),
+            absent: HashMap::new(),
+            kept: Kept::default(),
+            replaced: false,
+        }
+    }
+
+    /// Whether new work may go there.
+    pub fn usable(&self) -> bool {
+        self.entry.phase == Phase::Ready && !self.replaced
+    }
+
+    /// What it holds, as far as is known: the holder's word while that is
+    /// fresh, else its own entry.
+    pub fn held(&self, now: Moment) -> &Held {
+        match &self.told {
+            Some(told) if now.saturating_sub(told.at) < TOLD_AGE => &told.held,
+            _ => &self.entry.held,
+        }
+    }
+
+    /// Whether it holds `model`, and the adapter if one is named.
+    pub fn holds(&self, model: &str, adapter: Option<&str>, now: Moment) -> bool {
+        let Some(adapters) = self.held(now).get(model) else {
+            return false;
+        };
+        adapter.is_none_or(|a| adapters.contains(a))
+    }
+
+    /// Whether it said lately that it lacks `target`.
+    pub fn lacks(&self, target: &str, now: Moment) -> bool {
+        let said = self.absent.get(target);
+        said.is_some_and(|at| now.saturating_sub(*at) < ABSENT_AGE)
+    }
+
+    /// Requests in progress there, of all daemons.
+    pub fn running(&self, now: Moment) -> u32 {
+        self.own.running + self.loads(now).map(|l| l.running).sum::<u32>()
+    }
+
+    /// Prompt work ahead of a new request, of all daemons.
+    pub fn backlog(&self, now: Moment) -> Duration {
+        self.own.backlog + self.loads(now).map(|l| l.backlog).sum::<Duration>()
+    }
+
+    /// Requests in progress there for a model with all its adapters, or for
+    /// one `model/adapter`.
+    pub fn using(&self, target: &str, now: Moment) -> u32 {
+        let of = |load: &Load| -> u32 {
+            let mut sum = 0;
+            for (name, count) in &load.targets {
+                let model = name.split('/').next().unwrap_or_default();
+                if &**name == target || model == target {
+                    sum += count;
+                }
+            }
+            sum
+        };
+        of(&self.own) + self.loads(now).map(of).sum::<u32>()
+    }
+
+    fn loads(&self, now: Moment) -> impl Iterator<Item = &Load> {
+        let fresh = move |at: Moment| now.saturating_sub(at) < LOAD_AGE;
+        self.others
+            .values()
+            .filter(move |(at, _)| fresh(*at))
+            .map(|(_, load)| load)
+    }
+}
+
+/// A change in what is believed of an engine, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Change {
+    /// First heard of.
+    Appeared,
+    /// Started again under its id.
+    Reborn,
+    /// Takes no new work.
+    Leaving,
+    /// Another engine has its address.
+    Replaced,
+    /// No longer listed.
+    Gone,
+}
+
+/// All engines and plain upstreams by id.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    /// Engines by id.
+    pub engines: BTreeMap<Arc<str>, Upstream>,
+}
+
+impl Fleet {
+    /// Takes in a whole reading of the list at `now`. `unreadable` names
+    /// entries that exist but say nothing; `back` is when the store last came
+    /// back. Entries that lapsed while it was away are missed only after that.
+    pub fn read(
+        &mut self,
+        entries: Vec<Entry>,
+        unreadable: &BTreeSet<Arc<str>>,
+        back: Option<Moment>,
+        now: Moment,
+    ) -> Vec<(Arc<str>, Change)> {
+        let mut changes = Vec::new();
+        let mut listed = BTreeSet::new();
+        for entry in entries {
+            listed.insert(entry.id.clone());
+            if let Some(change) = self.merge(entry, now) {
+                changes.push(change);
+            }
+        }
+        let spared = back.is_some_and(|back| now.saturating_sub(back) < RETURN_GRACE);
+        if !spared {
+            self.engines.retain(|id, _| {
+                let stays = listed.contains(id) || unreadable.contains(id);
+                if !stays {
+                    changes.push((id.clone(), Change::Gone));
+                }
+                stays
+            });
+        }
+        self.settle_addresses(&mut changes);
+        changes
+    }
+
+    fn merge(&mut self, entry: Entry, now: Moment) -> Option<(Arc<str>, Change)> {
+        let id = entry.id.clone();
+        let Some(known) = self.engines.get_mut(&id) else {
+            self.engines.insert(id.clone(), Upstream::new(entry, now));
+            return Some((id, Change::Appeared));
+        };
+        if entry.born > known.entry.born {
+            *known = Upstream::new(entry, now);
+            return Some((id, Change::Reborn));
+        }
+        let late = entry.born < known.entry.born || entry.beat < known.entry.beat;
+        if late {
+            return None;
+        }
+        known.read = now;
+        let left = known.entry.phase == Phase::Leaving;
+        let leaves = entry.phase == Phase::Leaving && !left;
+        known.entry = entry;
+        if left {
+            // An engine that once said it leaves does not come back in the
+            // same lifetime.
+            known.entry.phase = Phase::Leaving;
+        }
+        leaves.then_some((id, Change::Leaving))
+    }
+
+    /// Of two engines with one address only the younger can be there.
+    fn settle_addresses(&mut self, changes: &mut Vec<(Arc<str>, Change)>) {
+        let mut youngest: HashMap<SocketAddr, u64> = HashMap::new();
+        for engine in self.engines.values() {
+            let born = youngest.entry(engine.entry.addr).or_default();
+            *born = engine.entry.born.max(*born);
+        }
+        for (id, engine) in &mut self.engines {
+            let replaced = engine.entry.born < youngest[&engine.entry.addr];
+            if replaced && !engine.replaced {
+                changes.push((id.clone(), Change::Replaced));
+            }
+            engine.replaced = replaced;
+        }
+    }
+
+    /// Takes in the holder's word about an engine, unless newer word is known.
+    pub fn tell(&mut self, id: &str, told: Told) -> bool {
+        let Some(engine) = self.engines.get_mut(id) else {
+            return false;
+        };
+        if told.born != engine.entry.born {
+            return false;
+        }
+        let newer = engine
+            .told
+            .as_ref()
+            .is_none_or(|t| (t.fence, t.turn) <= (told.fence, told.turn));
+        if !newer {
+            return false;
+        }
+        let changed = engine.told.as_ref().is_none_or(|t| t.held != told.held);
+        for (model, adapters) in &told.held {
+            // Fresh word that it holds a model ends the older "lacks".
+            if changed {
+                engine.absent.remove(model);
+                for adapter in adapters {
+                    engine.absent.remove(format!("{model}/{adapter}").as_str());
+                }
+            }
+        }
+        engine.told = Some(told);
+        changed
+    }
+
+    /// Takes in what another daemon has in progress at an engine.
+    pub fn other_load(&mut self, host: &Arc<str>, loads: Vec<(Arc<str>, Load)>, now: Moment) {
+        for engine in self.engines.values_mut() {
+            engine.others.remove(host);
+        }
+        for (id, load) in loads {
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.others.insert(host.clone(), (now, load));
+            }
+        }
+    }
+
+    /// Engines of a service that take new work.
+    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Upstream> {
+        let of = move |e: &&Upstream| &*e.entry.service == service && e.usable();
+        self.engines.values().filter(of)
+    }
+}
--- /dev/null
+++ b/src/edge/forward/attempt.rs
@@ -0,0 +1,463 @@
+//! Tries of one request at engines, until one answers.
+//!
+//! A request that may have run is sent again only where its route allows that,
+//! after its connection was closed, and within the shared retry budget.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use super::pick::{self, Choice, Pick};
+use super::relay::{self, Opened};
+use super::reply::{Refusal, Reply};
+use super::{Counted, Job, Limit};
+use crate::edge::call::Sending;
+use crate::edge::client::{Conn, SendError};
+use crate::edge::clock;
+use crate::edge::desired::Kind as RouteKind;
+use crate::edge::placement::Target;
+use crate::edge::state::{Flight, Wanting};
+use crate::error::Kind;
+use crate::platform::heads;
+
+/// Time limit of a connection to an engine.
+const CONNECT: Duration = Duration::from_millis(400);
+/// Time left under which nothing is sent any more.
+const LEAST_LEFT: Duration = Duration::from_millis(20);
+/// Longest answer that is read whole before it is passed on, bytes; such an
+/// answer can be had again from another engine when it is cut.
+const WHOLE_BYTES: usize = 256 << 10;
+/// Silence over the expected time after which a repeatable request is taken
+/// to another engine.
+const PATIENCE: Duration = Duration::from_millis(900);
+/// Sendings of one request that engines rejected unrun.
+const REJECTIONS: u32 = 4;
+/// Pause after an engine rejected a request and no other can take it.
+const REJECTED_PAUSE: Duration = Duration::from_millis(60);
+/// Longest wait for an engine when none of the service is known.
+const NO_ENGINE_WAIT: Duration = Duration::from_millis(1_500);
+/// Time to come back after when engines are full.
+const FULL_RETRY: Duration = Duration::from_millis(400);
+
+/// Tries of a request so far.
+#[derive(Debug, Default)]
+pub(super) struct Tries {
+    /// Engines that it was sent to and that may have run it.
+    pub sent: u32,
+    /// Sendings that an engine rejected unrun.
+    pub rejected: u32,
+    /// Engines that failed it.
+    pub avoid: Vec<Arc<str>>,
+    /// It may have run, and nothing says how it ended.
+    pub unsure: bool,
+    /// Event after which the stream goes on.
+    pub last_event: Option<u64>,
+}
+
+/// An engine's answer whose head has come.
+#[derive(Debug)]
+pub(super) struct Answered {
+    pub response: Response<Incoming>,
+    pub conn: Conn,
+    pub said: heads::Answer,
+    pub flight: Flight,
+}
+
+/// What became of one sending.
+#[derive(Debug)]
+enum Sent {
+    Answered(Box<Answered>),
+    /// The engine did not run it.
+    NotRun(StatusCode),
+    /// No byte was sent.
+    Unreached(String),
+    /// It may have run.
+    Broken(String),
+    /// The engine stayed silent for its time.
+    Silent,
+}
+
+/// Why a request ends without an engine's answer.
+#[derive(Debug)]
+pub(super) struct Failure {
+    pub refusal: Refusal,
+    pub cause: String,
+    pub engine: Arc<str>,
+}
+
+/// Runs a request to its answer.
+pub(super) async fn run(job: Rc<Job>, counted: Counted) -> Response<Reply> {
+    let mut tries = Tries {
+        last_event: job.call.last_event,
+        ..Tries::default()
+    };
+    loop {
+        let answered = match reach(&job, &mut tries).await {
+            Ok(answered) => answered,
+            Err(failure) => {
+                let count = tries.sent + tries.rejected;
+                return job.refuse(failure.refusal, &failure.cause, &failure.engine, count);
+            }
+        };
+        let engine = answered.flight.engine.clone();
+        let status = answered.response.status();
+        let failed = status.is_server_error() && may_again(&job, &tries);
+        let events = job.route.kind == RouteKind::Stream && status.is_success();
+        let outcome = match events {
+            true => relay::open(&job, answered, &tries).await,
+            false => whole(&job, answered).await,
+        };
+        match outcome {
+            Ok(_) if failed && again(&job, &mut tries, &engine, "the engine failed") => {}
+            Ok(Opened::Whole(response)) => {
+                job.log("answered", status.as_u16(), &engine, tries.sent);
+                job.edge.metrics.served(job.age(), 1.0);
+                return response;
+            }
+            Ok(Opened::Stream(stream)) => return relay::start(job, *stream, tries, counted),
+            Err(cause) => {
+                tries.unsure = true;
+                strike(&job, &engine);
+                if !again(&job, &mut tries, &engine, &cause) {
+                    let refusal = Refusal::new(Kind::UpstreamFailed);
+                    return job.refuse(refusal, &cause, &engine, tries.sent);
+                }
+            }
+        }
+    }
+}
+
+/// Whether a request that may have run may be sent once more.
+fn may_again(job: &Job, tries: &Tries) -> bool {
+    job.route.repeatable() && tries.sent < job.route.attempts && job.left() > LEAST_LEFT
+}
+
+/// Takes leave for another sending of a request that may have run.
+pub(super) fn again(job: &Job, tries: &mut Tries, engine: &Arc<str>, cause: &str) -> bool {
+    tries.avoid.push(engine.clone());
+    if !may_again(job, tries) {
+        return false;
+    }
+    let allowed = job.edge.may_repeat(&job.service);
+    let request = &*job.call.id;
+    let tries = tries.sent;
+    log::info!(request, engine = &**engine, cause, tries, allowed; "request to be sent again");
+    allowed
+}
+
+/// Notes that an engine broke off while it may have run the request.
+pub(super) fn strike(job: &Job, engine: &Arc<str>) {
+    let mut state = job.edge.state.borrow_mut();
+    if state.suspects.strike(job.print, engine, clock::now()) {
+        state.strikes.push((job.print, engine.clone()));
+        drop(state);
+        job.edge.urgent.notify_one();
+    }
+}
+
+/// Sends a request until an engine's answer begins.
+pub(super) async fn reach(job: &Job, tries: &mut Tries) -> Result<Box<Answered>, Failure> {
+    loop {
+        let choice = choose(job, tries).await?;
+        let patience = patience(job, tries, &choice);
+        let engine = choice.engine.clone();
+        let fail = |kind, cause: String| Failure {
+            refusal: match kind {
+                Kind::UpstreamFailed | Kind::OutcomeUnknown => Refusal::new(kind),
+                _ => Refusal::after(kind, FULL_RETRY),
+            },
+            cause,
+            engine: engine.clone(),
+        };
+        match send(job, tries, &choice, patience).await {
+            Sent::Answered(answered) => {
+                tries.sent += 1;
+                return Ok(answered);
+            }
+            Sent::NotRun(status) => {
+                tries.rejected += 1;
+                let cause = format!("the engine rejected it with {}", status.as_u16());
+                tries.avoid.push(engine.clone());
+                if tries.rejected >= REJECTIONS || !job.edge.may_repeat(&job.service) {
+                    return Err(fail(unrun(tries), cause));
+                }
+                if status != StatusCode::MISDIRECTED_REQUEST {
+                    tokio::time::sleep(REJECTED_PAUSE.min(job.left())).await;
+                }
+            }
+            Sent::Unreached(cause) => {
+                tries.rejected += 1;
+                tries.avoid.push(engine.clone());
+                if tries.rejected >= REJECTIONS {
+                    return Err(fail(unrun(tries), cause));
+                }
+            }
+            Sent::Broken(cause) => {
+                tries.sent += 1;
+                tries.unsure = true;
+                strike(job, &engine);
+                if !again(job, tries, &engine, &cause) {
+                    return Err(fail(Kind::UpstreamFailed, cause));
+                }
+            }
+            Sent::Silent => {
+                tries.sent += 1;
+                tries.unsure = true;
+                if !again(job, tries, &engine, "silence") {
+                    return Err(fail(Kind::OutcomeUnknown, "silence".to_owned()));
+                }
+            }
+        }
+    }
+}
+
+/// The kind of refusal after a sending that did not run: whether an earlier
+/// one may have decides.
+fn unrun(tries: &Tries) -> Kind {
+    match tries.unsure {
+        true => Kind::OutcomeUnknown,
+        false => Kind::NoCapacity,
+    }
+}
+
+/// How long the engine may stay silent before the request goes elsewhere.
+fn patience(job: &Job, tries: &Tries, choice: &Choice) -> Duration {
+    let left = job.left();
+    let last = tries.sent + 1 >= job.route.attempts;
+    if !job.route.repeatable() || last {
+        return left;
+    }
+    let usual = match job.route.kind {
+        RouteKind::Stream => choice.wait + PATIENCE.max(job.route.objective),
+        RouteKind::Idempotent | RouteKind::Once => choice.wait + job.route.objective * 2,
+    };
+    usual.min(left)
+}
+
+/// Waits for an engine that can take the request.
+async fn choose(job: &Job, tries: &Tries) -> Result<Choice, Failure> {
+    let mut changes = job.edge.changed.subscribe();
+    let mut wanting: Option<(Target, Wanting)> = None;
+    let since = clock::now();
+    loop {
+        changes.borrow_and_update();
+        let now = clock::now();
+        let left = job.left();
+        let fail = |kind, cause: &str, wait| {
+            let kind = match tries.unsure {
+                true => Kind::OutcomeUnknown,
+                false => kind,
+            };
+            Failure {
+                refusal: Refusal::after(kind, wait),
+                cause: cause.to_owned(),
+                engine: "".into(),
+            }
+        };
+        if left < LEAST_LEFT {
+            let kind = match job.limit {
+                Limit::Caller => Kind::DeadlineExpired,
+                Limit::Route => Kind::NoCapacity,
+            };
+            return Err(fail(
+                kind,
+                "the time ran out before it was sent",
+                FULL_RETRY,
+            ));
+        }
+        let most = match pick::pick(job, &tries.avoid, now) {
+            Pick::Go(choice) => return Ok(choice),
+            Pick::Unknown => return Err(fail(Kind::UnknownModel, "unknown model", FULL_RETRY)),
+            Pick::NoEngine => {
+                let waited = now.saturating_sub(since);
+                let Some(most) = NO_ENGINE_WAIT.checked_sub(waited) else {
+                    let cause = "no engine of the service is known";
+                    return Err(fail(Kind::NoCapacity, cause, FULL_RETRY));
+                };
+                most
+            }
+            Pick::NotHeld { target, least } => {
+                if wanting.as_ref().is_none_or(|(t, _)| *t != target) {
+                    let priority = job.route.priority;
+                    let want = job.edge.want(target.clone(), priority);
+                    let request = &*job.call.id;
+                    let model = &*target.model;
+                    let adapter = target.adapter.as_deref().unwrap_or_default();
+                    log::info!(request, model, adapter; "request waits for a load");
+                    wanting = Some((target, want));
+                }
+                let waited = now.saturating_sub(since);
+                if least.saturating_sub(waited) >= left {
+                    let cause = "the model cannot be loaded in time";
+                    return Err(fail(Kind::DeadlineUnreachable, cause, least - waited));
+                }
+                left
+            }
+        };
+        // Time passes in what is believed, too: beliefs expire.
+        let pause = most.min(Duration::from_millis(100));
+        let _ = timeout(pause, changes.changed()).await;
+    }
+}
+
+/// Sends the request to one engine and waits for the head of its answer.
+async fn send(job: &Job, tries: &Tries, choice: &Choice, patience: Duration) -> Sent {
+    let request = match request(job, tries, choice) {
+        Ok(request) => request,
+        Err(error) => return Sent::Unreached(error.to_string()),
+    };
+    let target = job.call.prompt.as_ref().map(|p| p.target());
+    let flight = Flight::begin(&job.edge, &choice.engine, target, choice.prompt);
+    note_kept(job, choice);
+    let sending = job.edge.client.send(choice.addr, request, CONNECT);
+    let Ok(outcome) = timeout(patience, sending).await else {
+        if patience < job.left() || tries.sent + 1 < job.route.attempts {
+            flight.judge(false);
+        }
+        return Sent::Silent;
+    };
+    let (response, conn) = match outcome {
+        Ok(exchange) => exchange,
+        Err(SendError::Unreached(cause)) => {
+            flight.judge(false);
+            return Sent::Unreached(cause);
+        }
+        Err(SendError::Broken(cause)) => {
+            flight.judge(false);
+            job.edge.client.forget(choice.addr);
+            return Sent::Broken(cause);
+        }
+    };
+    let said = heads::answer(response.headers());
+    let status = response.status();
+    let ours = *said.id == *job.call.id || (said.id.is_empty() && job.call.id.is_empty());
+    if said.not_run || status == StatusCode::MISDIRECTED_REQUEST {
+        if !ours && !said.id.is_empty() {
+            return Sent::Broken("an answer to another request came".to_owned());
+        }
+        rejected(job, choice, status);
+        conn_rest(response, conn, said).await;
+        return Sent::NotRun(status);
+    }
+    if !ours {
+        flight.judge(false);
+        job.edge.client.forget(choice.addr);
+        return Sent::Broken("an answer to another request came".to_owned());
+    }
+    if status.is_success() && !said.signed {
+        flight.judge(false);
+        return Sent::Broken("an unsigned answer came".to_owned());
+    }
+    Sent::Answered(Box::new(Answered {
+        response,
+        conn,
+        said,
+        flight,
+    }))
+}
+
+fn request(job: &Job, tries: &Tries, choice: &Choice) -> http::Result<Request<Full<Bytes>>> {
+    let path = job.head.uri.path_and_query().map_or("/", |p| p.as_str());
+    let uri: Uri = path.parse().map_err(http::Error::from)?;
+    let sending = Sending {
+        engine: &choice.engine,
+        left: job.left(),
+        last_event: tries.last_event,
+        priority: job.call.prompt.is_some().then_some(job.route.priority),
+    };
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.head.method.clone();
+    *request.uri_mut() = uri;
+    *request.headers_mut() = heads::to_engine(&job.head.headers, &sending);
+    Ok(request)
+}
+
+fn note_kept(job: &Job, choice: &Choice) {
+    let Some(prompt) = &job.call.prompt else {
+        return;
+    };
+    let mut state = job.edge.state.borrow_mut();
+    if let Some(engine) = state.fleet.engines.get_mut(&choice.engine) {
+        engine.kept.note(&prompt.chains(), clock::now());
+    }
+}
+
+/// Notes why an engine did not run a request.
+fn rejected(job: &Job, choice: &Choice, status: StatusCode) {
+    let request = &*job.call.id;
+    let engine = &*choice.engine;
+    log::info!(request, engine, status = status.as_u16(); "engine rejected the request");
+    let Some(prompt) = &job.call.prompt else {
+        return;
+    };
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let target = Target {
+        service: job.service.clone(),
+        model: prompt.model.clone(),
+        adapter: prompt.adapter.clone(),
+    };
+    job.edge.lacks(&choice.engine, &target, &prompt.target());
+}
+
+/// Reads the rest of a short answer so that its connection can be kept.
+async fn conn_rest(response: Response<Incoming>, conn: Conn, said: heads::Answer) {
+    let body = Limited::new(response.into_body(), WHOLE_BYTES).collect();
+    let read = timeout(Duration::from_millis(50), body).await;
+    if matches!(read, Ok(Ok(_))) && !said.closing {
+        conn.keep(said.idle);
+    }
+}
+
+/// Reads an answer whole; one that is too long for that is passed on as it
+/// comes. The error says how the answer broke.
+async fn whole(job: &Rc<Job>, answered: Box<Answered>) -> Result<Opened, String> {
+    let Answered {
+        response,
+        conn,
+        said,
+        mut flight,
+    } = *answered;
+    let (mut head, body) = response.into_parts();
+    let long = body_length(&head.headers).is_some_and(|n| n > WHOLE_BYTES);
+    head.headers = heads::to_caller(&head.headers);
+    if long {
+        flight.prompt_done();
+        return Ok(relay::raw(head, body, conn, flight));
+    }
+    let read = Limited::new(body, WHOLE_BYTES * 4).collect();
+    let read = match timeout(job.left(), read).await {
+        Ok(read) => read,
+        Err(_) => return Err("the answer did not end in time".to_owned()),
+    };
+    match read {
+        Ok(body) => {
+            if !said.closing {
+                conn.keep(said.idle);
+            }
+            flight.judge(!head.status.is_server_error());
+            job.edge.state.borrow_mut().suspects.clear(job.print);
+            let reply = Reply::Whole(Some(body.to_bytes()));
+            Ok(Opened::Whole(Response::from_parts(head, reply)))
+        }
+        Err(error) if error.is::<LengthLimitError>() => {
+            Err("an answer without length is too long".to_owned())
+        }
+        Err(error) => {
+            flight.judge(false);
+            Err(format!("the answer broke off: {error}"))
+        }
+    }
+}
+
+fn body_length(headers: &http::HeaderMap) -> Option<usize> {
+    let length = headers.get(http::header::CONTENT_LENGTH)?;
+    length.to_str().ok()?.parse().ok()
+}
--- /dev/null
+++ b/src/edge/forward/mod.rs
@@ -0,0 +1,236 @@
+//! The way of a caller's request: route, engine, answer.
+
+mod attempt;
+mod pick;
+mod relay;
+pub mod reply;
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Request, Response, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use self::reply::{Refusal, Reply};
+use super::call::Call;
+use super::clock;
+use super::desired::{Desired, Kind as RouteKind, Limits, Route};
+use super::state::Edge;
+use super::suspects;
+use crate::clock::Moment;
+use crate::error::Kind;
+use crate::platform::heads;
+
+/// Longest time for a body to arrive.
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// Time limit of a request for which nobody set one.
+const USUAL_LIMIT: Duration = Duration::from_secs(60);
+
+/// A request that was read whole and has a route.
+#[derive(Debug)]
+struct Job {
+    edge: Rc<Edge>,
+    head: Parts,
+    body: Bytes,
+    call: Call,
+    route: Arc<Route>,
+    desired: Rc<Desired>,
+    /// Service that takes it.
+    service: Arc<str>,
+    /// Fingerprint of path and body.
+    print: u64,
+    arrived: Moment,
+    /// When its answer must have ended.
+    end: Moment,
+    /// End that the caller itself set, or the route.
+    limit: Limit,
+}
+
+/// Who ends a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum Limit {
+    /// The caller's own time limit.
+    Caller,
+    /// The route's.
+    Route,
+}
+
+impl Job {
+    fn left(&self) -> Duration {
+        self.end.saturating_sub(clock::now())
+    }
+
+    fn age(&self) -> Duration {
+        clock::now().saturating_sub(self.arrived)
+    }
+
+    /// Logs how the request ended.
+    fn log(&self, outcome: &str, status: u16, engine: &str, tries: u32) {
+        let request = &*self.call.id;
+        let route = &*self.route.name;
+        let ms = self.age().as_millis() as u64;
+        let version = self.desired.version;
+        log::info!(request, route, status, engine, tries, ms, version; "request {outcome}");
+    }
+
+    fn refuse(&self, refusal: Refusal, cause: &str, engine: &str, tries: u32) -> Response<Reply> {
+        let kind: &'static str = refusal.kind.into();
+        let request = &*self.call.id;
+        let route = &*self.route.name;
+        let status = refusal.status().as_u16();
+        let ms = self.age().as_millis() as u64;
+        let left_ms = self.left().as_millis() as u64;
+        let retry_ms = refusal.retry.map_or(0, |r| r.as_millis() as u64);
+        let version = self.desired.version;
+        log::warn!(request, route, status, kind, cause, engine, tries, ms, left_ms, retry_ms,
+            version; "request refused");
+        self.edge.metrics.refused(refusal.kind);
+        refusal.answer(&self.call.id)
+    }
+}
+
+/// Counts a request while it is in progress.
+struct Counted(Rc<Edge>);
+
+impl Counted {
+    fn new(edge: &Rc<Edge>) -> Self {
+        edge.state.borrow_mut().requests += 1;
+        Counted(edge.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.state.borrow_mut().requests -= 1;
+    }
+}
+
+/// Answers a caller's request. Dropping the future, as when the caller leaves,
+/// cancels what is in progress for it.
+pub async fn handle(
+    edge: Rc<Edge>,
+    request: Request<Incoming>,
+) -> Result<Response<Reply>, Infallible> {
+    let arrived = clock::now();
+    let counted = Counted::new(&edge);
+    let (head, body) = request.into_parts();
+    let call = heads::call(&head.headers);
+    let desired = edge.state.borrow().desired.clone();
+    let body = match read(body, &desired.limits).await {
+        Ok(body) => body,
+        Err(kind) => return Ok(refuse(&edge, &call, kind, "the body cannot be read")),
+    };
+    let job = match job(&edge, desired, head, body, call, arrived) {
+        Ok(job) => job,
+        Err(response) => return Ok(response),
+    };
+    let held = edge.state.borrow().suspects.held(job.print, arrived);
+    if let Some(wait) = held {
+        let refusal = Refusal::after(Kind::NotRun, wait);
+        return Ok(job.refuse(refusal, "engines crashed on it", "", 0));
+    }
+    edge.note_request(&job.service);
+    note_demand(&job);
+    Ok(attempt::run(Rc::new(job), counted).await)
+}
+
+/// Finds the route of a request and what limits it.
+fn job(
+    edge: &Rc<Edge>,
+    desired: Rc<Desired>,
+    head: Parts,
+    body: Bytes,
+    call: Call,
+    arrived: Moment,
+) -> Result<Job, Response<Reply>> {
+    if desired.version == 0 {
+        let cause = "no desired state is known";
+        return Err(refuse(edge, &call, Kind::NotReady, cause));
+    }
+    let host = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
+    let host = host.or(head.uri.host()).unwrap_or_default();
+    let Some(route) = desired.route(host, head.uri.path()) else {
+        return Err(refuse(edge, &call, Kind::NotFound, "no route"));
+    };
+    let route = route.clone();
+    let Some(service) = route.target(rand::random()) else {
+        return Err(refuse(
+            edge,
+            &call,
+            Kind::NoCapacity,
+            "the route has no service",
+        ));
+    };
+    let service = service.clone();
+    let mut limit = Limit::Route;
+    let mut time = route.timeout.min(USUAL_LIMIT);
+    if let Some(callers) = call.limit.filter(|l| *l < time) {
+        time = callers;
+        limit = Limit::Caller;
+    }
+    let print = suspects::fingerprint(head.uri.path(), &body);
+    Ok(Job {
+        edge: edge.clone(),
+        head,
+        body,
+        call,
+        route,
+        desired,
+        service,
+        print,
+        arrived,
+        end: arrived + time,
+        limit,
+    })
+}
+
+fn refuse(edge: &Edge, call: &Call, kind: Kind, cause: &str) -> Response<Reply> {
+    let refusal = match kind.answer().status {
+        503 => Refusal::after(kind, Duration::from_millis(500)),
+        _ => Refusal::new(kind),
+    };
+    let name: &'static str = kind.into();
+    let (request, status) = (&*call.id, refusal.status().as_u16());
+    log::warn!(request, status, kind = name, cause; "request refused");
+    edge.metrics.refused(kind);
+    refusal.answer(&call.id)
+}
+
+async fn read(body: Incoming, limits: &Limits) -> Result<Bytes, Kind> {
+    let body = Limited::new(body, limits.body).collect();
+    match tokio::time::timeout(BODY_TIME, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Kind::BodyTooLarge),
+        Ok(Err(_)) => Err(Kind::BadRequest),
+        Err(_) => Err(Kind::SlowClient),
+    }
+}
+
+/// Notes the engine time that a request asks for.
+fn note_demand(job: &Job) {
+    let Some(prompt) = &job.call.prompt else {
+        return;
+    };
+    if job.route.kind != RouteKind::Stream {
+        return;
+    }
+    let engines = job.edge.settings().engines;
+    let own = prompt.parts.last().map_or(prompt.input, |p| p.tokens);
+    let read_ms = f64::from(own) / engines.prefill_per_ms;
+    let work = Duration::from_secs_f64(read_ms / 1_000.0) + PER_TOKEN * prompt.output;
+    let which = super::demand::Which {
+        service: job.service.clone(),
+        model: prompt.model.clone(),
+    };
+    let mut state = job.edge.state.borrow_mut();
+    state.meter.note(which, work, clock::now());
+}
+
+/// Engine time of one token of an answer in a well-filled batch.
+const PER_TOKEN: Duration = Duration::from_micros(100);
--- /dev/null
+++ b/src/edge/peers.rs
@@ -0,0 +1,346 @@
+//! Datagrams to and from the other daemons.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use prost::Message;
+use tokio::net::UdpSocket;
+
+use super::clock;
+use super::demand::{Demand, Which};
+use super::fleet::{Held, Load, Told};
+use super::gossip::{Beat, Count, DemandNote, LoadNote, Packet, StrikeNote, ToldNote, WantNote};
+use super::members::BEAT;
+use super::placement::{Target, Want};
+use super::state::{Edge, State};
+use crate::clock::Moment;
+
+/// Largest datagram, bytes: fits one Ethernet frame with headers.
+const DATAGRAM: usize = 1_400;
+/// Receive buffer, bytes.
+const BUFFER: usize = 65_536;
+/// Period at which wants are repeated, as datagrams get lost.
+const REPEAT: Duration = Duration::from_millis(80);
+
+/// Sends this daemon's state every period, and what is urgent at once.
+pub async fn send(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
+    let mut number = 0;
+    let mut beat_at = Moment::ZERO;
+    loop {
+        let now = clock::now();
+        edge.state.borrow_mut().sweep_wants(now);
+        let beat = now.saturating_sub(beat_at) >= BEAT;
+        if beat {
+            beat_at = now;
+        }
+        number += 1;
+        let mut packet = Packet {
+            host: edge.host.to_string(),
+            life: edge.life,
+            number,
+            ..Packet::default()
+        };
+        let to = fill(&edge, &mut packet, beat, now);
+        if !to.is_empty() {
+            post(&socket, &packet, &to).await;
+        }
+        let waiting = edge
+            .state
+            .borrow()
+            .wants
+            .values()
+            .any(|w| w.want.waiting > 0);
+        let pause = match waiting {
+            true => REPEAT,
+            false => BEAT,
+        };
+        let rest = (beat_at + BEAT).saturating_sub(clock::now());
+        let pause = pause.min(rest).max(Duration::from_millis(5));
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = edge.urgent.notified() => {}
+        }
+    }
+}
+
+/// Fills a packet; returns whom it goes to.
+fn fill(edge: &Edge, packet: &mut Packet, beat: bool, now: Moment) -> Vec<SocketAddr> {
+    let mut state = edge.state.borrow_mut();
+    let state = &mut *state;
+    for (print, engine) in state.strikes.drain(..) {
+        let engine = engine.to_string();
+        packet.strikes.push(StrikeNote { print, engine });
+    }
+    packet.wants = wants(state);
+    if beat {
+        packet.beat = Some(whole(edge, state, now));
+    }
+    if beat || !packet.strikes.is_empty() {
+        return state.members.due(now);
+    }
+    if packet.wants.is_empty() {
+        return Vec::new();
+    }
+    // Wants matter to the holder only; with none known, to all.
+    match state.members.holder(now) {
+        Some((_, holder)) => vec![holder.peers],
+        None => Vec::new(),
+    }
+}
+
+fn wants(state: &mut State) -> Vec<WantNote> {
+    let mut notes = Vec::new();
+    for (target, own) in &mut state.wants {
+        let want = &own.want;
+        let name = match &target.adapter {
+            Some(adapter) => format!("{}/{adapter}", target.model),
+            None => target.model.to_string(),
+        };
+        notes.push(WantNote {
+            service: target.service.to_string(),
+            target: name,
+            waiting: want.waiting,
+            priority: u32::from(want.priority),
+            absent: match own.told {
+                true => String::new(),
+                false => want.absent.as_deref().unwrap_or_default().to_owned(),
+            },
+        });
+        own.told = true;
+    }
+    notes
+}
+
+fn whole(edge: &Edge, state: &mut State, now: Moment) -> Beat {
+    let settings = edge.settings();
+    let mut beat = Beat {
+        callers: settings.listen.callers.to_string(),
+        domain: settings.domain.to_string(),
+        ready: edge.ready(),
+        store: edge.served(),
+        fence: state.tenure.as_ref().map_or(0, |t| t.fence),
+        ..Beat::default()
+    };
+    for (id, engine) in &state.fleet.engines {
+        if engine.own.running == 0 {
+            continue;
+        }
+        let mut note = LoadNote {
+            engine: id.to_string(),
+            running: engine.own.running,
+            backlog_ms: engine.own.backlog.as_millis() as u32,
+            targets: Vec::new(),
+        };
+        for (target, count) in &engine.own.targets {
+            note.targets.push(Count {
+                target: target.to_string(),
+                count: *count,
+            });
+        }
+        beat.loads.push(note);
+    }
+    for (which, demand) in state.meter.now(now) {
+        beat.demand.push(DemandNote {
+            service: which.service.to_string(),
+            model: which.model.to_string(),
+            rate: demand.rate as f32,
+            work: demand.work as f32,
+        });
+    }
+    beat
+}
+
+/// Tells all daemons what engines hold, in as few datagrams as fit.
+pub async fn tell(edge: &Edge, socket: &UdpSocket, notes: Vec<ToldNote>) {
+    let now = clock::now();
+    let alive = |state: &State| -> Vec<SocketAddr> {
+        state.members.alive(now).map(|(_, m)| m.peers).collect()
+    };
+    let to = alive(&edge.state.borrow());
+    if to.is_empty() {
+        return;
+    }
+    let mut packet = Packet {
+        host: edge.host.to_string(),
+        life: edge.life,
+        ..Packet::default()
+    };
+    for note in notes {
+        let size = packet.encoded_len() + note.encoded_len();
+        if size > DATAGRAM && !packet.told.is_empty() {
+            post(socket, &packet, &to).await;
+            packet.told.clear();
+        }
+        packet.told.push(note);
+    }
+    post(socket, &packet, &to).await;
+}
+
+async fn post(socket: &UdpSocket, packet: &Packet, to: &[SocketAddr]) {
+    let bytes = packet.encode_to_vec();
+    for addr in to {
+        if let Err(error) = socket.send_to(&bytes, addr).await {
+            log::debug!(addr:%, error:%; "datagram not sent");
+        }
+    }
+}
+
+/// Takes in what the other daemons send.
+pub async fn receive(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; BUFFER];
+    loop {
+        let (size, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!(error:%; "datagram not received");
+                tokio::time::sleep(REPEAT).await;
+                continue;
+            }
+        };
+        match Packet::decode(&buffer[..size]) {
+            Ok(packet) => take(&edge, packet, from),
+            Err(error) => log::debug!(from:%, error:%; "datagram cannot be read"),
+        }
+    }
+}
+
+fn take(edge: &Edge, packet: Packet, from: SocketAddr) {
+    let now = clock::now();
+    let host: Arc<str> = packet.host.as_str().into();
+    let mut guard = edge.state.borrow_mut();
+    let state = &mut *guard;
+    let known = state.members.all.get(&host);
+    if known.is_none_or(|m| m.peers.ip() != from.ip()) {
+        // A new daemon, or a stranger: the store tells which.
+        drop(guard);
+        edge.stranger.notify_one();
+        return;
+    }
+    if let Some(beat) = &packet.beat {
+        let lost = state.members.all.get(&host).is_some_and(|m| !m.alive(now));
+        let Some(member) = state.members.hear(&host, packet.life, packet.number, now) else {
+            return;
+        };
+        if lost {
+            log::info!(member = &*host, life = packet.life; "member heard");
+        }
+        member.ready = beat.ready;
+        member.store = beat.store;
+        member.fence = beat.fence;
+        if let Ok(callers) = beat.callers.parse() {
+            member.callers = callers;
+        }
+        let loads = beat.loads.iter().map(load).collect();
+        state.fleet.other_load(&host, loads, now);
+        let other = state.others.entry(host.clone()).or_default();
+        other.demand_at = now;
+        other.demand = beat.demand.iter().map(demand).collect();
+    }
+    let holding = state.tenure.is_some();
+    let mut concerns = false;
+    if packet.beat.is_some() || !packet.wants.is_empty() {
+        let other = state.others.entry(host.clone()).or_default();
+        other.wants_at = now;
+        other.wants = packet.wants.iter().map(want).collect();
+        concerns = holding && !other.wants.is_empty();
+    }
+    for note in &packet.strikes {
+        let engine = note.engine.as_str().into();
+        state.suspects.strike(note.print, &engine, now);
+    }
+    let mut changed = false;
+    for note in &packet.told {
+        changed |= state.fleet.tell(&note.engine, told(note, now));
+    }
+    drop(guard);
+    if changed {
+        edge.notify();
+    }
+    if concerns {
+        edge.duty.notify_one();
+    }
+}
+
+fn load(note: &LoadNote) -> (Arc<str>, Load) {
+    let targets = note.targets.iter();
+    let load = Load {
+        running: note.running,
+        backlog: Duration::from_millis(u64::from(note.backlog_ms)),
+        targets: targets
+            .map(|c| (Arc::from(c.target.as_str()), c.count))
+            .collect(),
+    };
+    (note.engine.as_str().into(), load)
+}
+
+fn demand(note: &DemandNote) -> (Which, Demand) {
+    let which = Which {
+        service: note.service.as_str().into(),
+        model: note.model.as_str().into(),
+    };
+    let demand = Demand {
+        rate: f64::from(note.rate),
+        work: f64::from(note.work),
+    };
+    (which, demand)
+}
+
+fn want(note: &WantNote) -> (Target, Want) {
+    let (model, adapter) = split(&note.target);
+    let target = Target {
+        service: note.service.as_str().into(),
+        model,
+        adapter,
+    };
+    let want = Want {
+        waiting: note.waiting,
+        priority: note.priority.min(u32::from(u8::MAX)) as u8,
+        absent: (!note.absent.is_empty()).then(|| note.absent.as_str().into()),
+    };
+    (target, want)
+}
+
+/// The holder's word in a note.
+pub fn told(note: &ToldNote, now: Moment) -> Told {
+    let mut held = Held::new();
+    for target in &note.targets {
+        let (model, adapter) = split(target);
+        let adapters = held.entry(model).or_default();
+        adapters.extend(adapter);
+    }
+    Told {
+        fence: note.fence,
+        turn: note.turn,
+        born: note.born,
+        held,
+        at: now,
+    }
+}
+
+fn split(target: &str) -> (Arc<str>, Option<Arc<str>>) {
+    match target.split_once('/') {
+        Some((model, adapter)) => (model.into(), Some(adapter.into())),
+        None => (target.into(), None),
+    }
+}
+
+/// Logs daemons that fell silent since the last look.
+pub async fn watch(edge: Rc<Edge>) {
+    let mut alive: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(BEAT * 2).await;
+        let now = clock::now();
+        let state = edge.state.borrow();
+        let heard = state.members.alive(now);
+        let heard: BTreeMap<_, _> = heard.map(|(h, m)| (h.clone(), m.life)).collect();
+        for host in alive.keys() {
+            if !heard.contains_key(host) {
+                log::warn!(member = &**host; "member silent");
+            }
+        }
+        alive = heard;
+    }
+}
--- /dev/null
+++ b/src/edge/state.rs
@@ -0,0 +1,378 @@
+//! What one daemon knows, shared by its tasks on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{Notify, watch};
+
+use super::budget::{self, Budget};
+use super::client::Client;
+use super::clock;
+use super::demand::{Demand, Meter, Which};
+use super::desired::Desired;
+use super::fleet::Fleet;
+use super::members::Members;
+use super::placement::{Placer, Target, Want};
+use super::settings::Settings;
+use super::store::Store;
+use super::suspects::Suspects;
+use super::tenure::{Peers, Tenure};
+use crate::clock::Moment;
+use crate::metrics::Metrics;
+
+/// Age at which another daemon's wants and demand are void.
+const OTHERS_AGE: Duration = Duration::from_millis(1_500);
+/// Time for which a want stays after its last request was refused, so that
+/// the load begins and a later try finds the model.
+const WANT_LINGERS: Duration = Duration::from_millis(800);
+
+/// Life cycle of the daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Phase {
+    /// It does not know the desired state and the engines yet.
+    Starting,
+    /// It takes callers.
+    Serving,
+    /// It finishes what is in progress.
+    Leaving,
+}
+
+/// One daemon.
+#[derive(Debug)]
+pub struct Edge {
+    /// Settings in force.
+    pub settings: RefCell<Rc<Settings>>,
+    /// Host.
+    pub host: Arc<str>,
+    /// Lifetime of this process.
+    pub life: u64,
+    /// Connections to engines.
+    pub client: Client,
+    /// The platform's store.
+    pub store: Store,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Life cycle.
+    pub phase: Cell<Phase>,
+    /// What is known.
+    pub state: RefCell<State>,
+    /// Raised with each change that a waiting request may hope for.
+    pub changed: watch::Sender<u64>,
+    /// Wakes the task that sends to other daemons.
+    pub urgent: Notify,
+    /// Wakes the task that gives orders.
+    pub duty: Notify,
+    /// Wakes the task that reads the list of members.
+    pub stranger: Notify,
+}
+
+/// What one daemon knows.
+#[derive(Debug, Default)]
+pub struct State {
+    /// Desired state in force; version 0 before the first.
+    pub desired: Rc<Desired>,
+    /// Engines.
+    pub fleet: Fleet,
+    /// Other daemons.
+    pub members: Members,
+    /// Requests that wait here for a model.
+    pub wants: BTreeMap<Target, OwnWant>,
+    /// Requests that wait at other daemons.
+    pub others: HashMap<Arc<str>, Other>,
+    /// Demand here.
+    pub meter: Meter,
+    /// Retry budgets by service.
+    pub budgets: HashMap<Arc<str>, Budget>,
+    /// Requests that crash engines.
+    pub suspects: Suspects,
+    /// Strikes that other daemons have not been told of.
+    pub strikes: Vec<(u64, Arc<str>)>,
+    /// This daemon's tenure.
+    pub tenure: Option<Tenure>,
+    /// Decisions of that tenure.
+    pub placer: Option<Placer>,
+    /// Callers' requests in progress.
+    pub requests: usize,
+}
+
+/// Requests that wait here.
+#[derive(Clone, Debug, Default)]
+pub struct OwnWant {
+    /// What other daemons are told.
+    pub want: Want,
+    /// Last change.
+    pub at: Moment,
+    /// The holder has been told.
+    pub told: bool,
+}
+
+/// What another daemon said.
+#[derive(Clone, Debug, Default)]
+pub struct Other {
+    /// When it told its wants.
+    pub wants_at: Moment,
+    /// Requests that wait there.
+    pub wants: Vec<(Target, Want)>,
+    /// When it told its demand.
+    pub demand_at: Moment,
+    /// Demand there.
+    pub demand: Vec<(Which, Demand)>,
+}
+
+impl Edge {
+    /// Tells waiting requests that something changed.
+    pub fn notify(&self) {
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    /// Settings in force.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Whether callers may be sent here.
+    pub fn ready(&self) -> bool {
+        self.phase.get() == Phase::Serving
+    }
+
+    /// Whether the store serves this host.
+    pub fn served(&self) -> bool {
+        let reach = self.store.reach();
+        reach.answered.is_some() && reach.failing.is_none()
+    }
+
+    /// What other daemons say, as far as it bears on a tenure.
+    pub fn peers(&self, now: Moment) -> Peers {
+        let state = self.state.borrow();
+        let mut peers = Peers::default();
+        for (_, member) in state.members.alive(now) {
+            peers.heard = true;
+            peers.served |= member.store;
+        }
+        peers
+    }
+
+    /// Takes a repeat out of the retry budget of a service.
+    pub fn may_repeat(&self, service: &Arc<str>) -> bool {
+        let now = clock::now();
+        let limits = self.retry_limits();
+        let mut state = self.state.borrow_mut();
+        let daemons = state.members.sharing(now);
+        let budget = state.budgets.entry(service.clone()).or_default();
+        budget.repeat(&limits, daemons, now)
+    }
+
+    /// Notes a request's first sending.
+    pub fn note_request(&self, service: &Arc<str>) {
+        let limits = self.retry_limits();
+        let mut state = self.state.borrow_mut();
+        let budget = state.budgets.entry(service.clone()).or_default();
+        budget.request(&limits, clock::now());
+    }
+
+    fn retry_limits(&self) -> budget::Limits {
+        let bounds = self.settings.borrow().bounds;
+        budget::Limits {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: Duration::from_secs_f64(bounds.retry_window_s),
+        }
+    }
+
+    /// Registers a request that waits for `target`.
+    pub fn want(self: &Rc<Self>, target: Target, priority: u8) -> Wanting {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let own = state.wants.entry(target.clone()).or_default();
+        let first = own.want.waiting == 0;
+        own.want.priority = match first {
+            true => priority,
+            false => own.want.priority.min(priority),
+        };
+        own.want.waiting += 1;
+        own.at = now;
+        drop(state);
+        if first {
+            self.urgent.notify_one();
+            self.duty.notify_one();
+        }
+        Wanting {
+            edge: self.clone(),
+            target,
+        }
+    }
+
+    /// Notes that an engine said it lacks `target`.
+    pub fn lacks(&self, engine: &str, target: &Target, name: &Arc<str>) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        if let Some(upstream) = state.fleet.engines.get_mut(engine) {
+            upstream.absent.insert(name.clone(), now);
+        }
+        let own = state.wants.entry(target.clone()).or_default();
+        own.want.absent = Some(engine.into());
+        own.at = now;
+        own.told = false;
+        drop(state);
+        self.urgent.notify_one();
+        self.duty.notify_one();
+    }
+}
+
+impl State {
+    /// Drops wants that nobody waits for any more.
+    pub fn sweep_wants(&mut self, now: Moment) {
+        self.wants
+            .retain(|_, own| own.want.waiting > 0 || now.saturating_sub(own.at) < WANT_LINGERS);
+    }
+
+    /// Waiting requests over all daemons.
+    pub fn all_wants(&self, now: Moment) -> BTreeMap<Target, Want> {
+        let mut all: BTreeMap<Target, Want> = BTreeMap::new();
+        let own = self.wants.iter().map(|(t, own)| (t, &own.want));
+        let fresh = |o: &&Other| now.saturating_sub(o.wants_at) < OTHERS_AGE;
+        let others = self.others.values().filter(fresh);
+        let others = others.flat_map(|o| o.wants.iter().map(|(t, w)| (t, w)));
+        for (target, want) in own.chain(others) {
+            let sum = all.entry(target.clone()).or_insert_with(|| Want {
+                priority: want.priority,
+                ..Want::default()
+            });
+            sum.waiting += want.waiting;
+            sum.priority = sum.priority.min(want.priority);
+            if want.absent.is_some() {
+                sum.absent = want.absent.clone();
+            }
+        }
+        all
+    }
+
+    /// Demand over all daemons.
+    pub fn all_demand(&mut self, now: Moment) -> HashMap<Which, Demand> {
+        let mut all: HashMap<Which, Demand> = HashMap::new();
+        for (which, demand) in self.meter.now(now) {
+            *all.entry(which).or_default() += demand;
+        }
+        for other in self.others.values() {
+            if now.saturating_sub(other.demand_at) >= OTHERS_AGE {
+                continue;
+            }
+            for (which, demand) in &other.demand {
+                *all.entry(which.clone()).or_default() += *demand;
+            }
+        }
+        all
+    }
+}
+
+/// A request that waits for a model; dropping it withdraws the want.
+#[derive(Debug)]
+pub struct Wanting {
+    edge: Rc<Edge>,
+    target: Target,
+}
+
+impl Drop for Wanting {
+    fn drop(&mut self) {
+        let mut state = self.edge.state.borrow_mut();
+        if let Some(own) = state.wants.get_mut(&self.target) {
+            own.want.waiting = own.want.waiting.saturating_sub(1);
+            own.at = clock::now();
+        }
+    }
+}
+
+/// A request in progress at an engine; dropping it ends that.
+#[derive(Debug)]
+pub struct Flight {
+    edge: Rc<Edge>,
+    /// Id of the engine.
+    pub engine: Arc<str>,
+    born: u64,
+    target: Option<Arc<str>>,
+    backlog: Duration,
+}
+
+impl Flight {
+    /// Begins a request at an engine, with the prompt work that it brings.
+    pub fn begin(
+        edge: &Rc<Edge>,
+        engine: &Arc<str>,
+        target: Option<Arc<str>>,
+        backlog: Duration,
+    ) -> Self {
+        let mut flight = Flight {
+            edge: edge.clone(),
+            engine: engine.clone(),
+            born: 0,
+            target,
+            backlog,
+        };
+        let mut state = edge.state.borrow_mut();
+        if let Some(upstream) = state.fleet.engines.get_mut(engine) {
+            flight.born = upstream.entry.born;
+            upstream.own.running += 1;
+            upstream.own.backlog += backlog;
+            upstream.breaker.sent(clock::now());
+            if let Some(target) = &flight.target {
+                *upstream.own.targets.entry(target.clone()).or_default() += 1;
+            }
+        }
+        flight
+    }
+
+    /// Notes that the prompt was read.
+    pub fn prompt_done(&mut self) {
+        let backlog = std::mem::take(&mut self.backlog);
+        let mut state = self.edge.state.borrow_mut();
+        if let Some(upstream) = state.fleet.engines.get_mut(&self.engine)
+            && upstream.entry.born == self.born
+        {
+            upstream.own.backlog = upstream.own.backlog.saturating_sub(backlog);
+        }
+    }
+
+    /// Notes whether the engine did its part.
+    pub fn judge(&self, sound: bool) {
+        let mut state = self.edge.state.borrow_mut();
+        let Some(upstream) = state.fleet.engines.get_mut(&self.engine) else {
+            return;
+        };
+        if sound {
+            upstream.breaker.succeeded();
+            return;
+        }
+        let before = upstream.breaker.allows(clock::now());
+        upstream.breaker.failed(clock::now());
+        if before && !upstream.breaker.allows(clock::now()) {
+            log::warn!(engine = &*self.engine; "engine set aside after failures");
+        }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.prompt_done();
+        let mut state = self.edge.state.borrow_mut();
+        let Some(upstream) = state.fleet.engines.get_mut(&self.engine) else {
+            return;
+        };
+        if upstream.entry.born != self.born {
+            return;
+        }
+        upstream.own.running = upstream.own.running.saturating_sub(1);
+        let Some(target) = &self.target else {
+            return;
+        };
+        if let Some(count) = upstream.own.targets.get_mut(target) {
+            *count -= 1;
+            if *count == 0 {
+                upstream.own.targets.remove(target);
+            }
+        }
+    }
+}
--- a/src/fakes/engine/journal.rs
+++ b/src/fakes/engine/journal.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use crate::platform::engine_http::Refusal;
-use crate::platform::{Order, Resident};
+use crate::outside::engine_http::Refusal;
+use crate::outside::{Order, Resident};
 
 /// What happened at an engine, over all its instances.
 #[derive(Clone, Debug, Default)]
--- a/src/fakes/engine/mod.rs
+++ b/src/fakes/engine/mod.rs
@@ -20,7 +20,7 @@
 
 use super::server::{Exchange, Server};
 use super::shared::Shared;
-use crate::platform::{Report, Tier, Verb};
+use crate::outside::{Report, Tier, Verb};
 use state::State;
 
 /// Pause before a condition is looked at again.
--- a/src/fakes/engine/orders.rs
+++ b/src/fakes/engine/orders.rs
@@ -4,8 +4,8 @@
 
 use super::{Inner, PAUSE};
 use crate::fakes::server::Exchange;
-use crate::platform::engine_http::OrderBody;
-use crate::platform::{Order, Tier, Verb};
+use crate::outside::engine_http::OrderBody;
+use crate::outside::{Order, Tier, Verb};
 
 impl Inner {
     pub(super) fn order(&self, verb: Verb, exchange: Exchange) {
--- a/src/fakes/engine/state.rs
+++ b/src/fakes/engine/state.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::journal::{Journal, Received, Stay};
-use crate::platform::engine_http::Refusal;
-use crate::platform::{Order, Report, Resident, Tier};
+use crate::outside::engine_http::Refusal;
+use crate::outside::{Order, Report, Resident, Tier};
 
 /// Prompt prefixes that the cache holds.
 const PREFIXES: usize = 64;
--- a/src/fakes/engine/streams.rs
+++ b/src/fakes/engine/streams.rs
@@ -14,7 +14,7 @@
 use super::{Inner, PAUSE};
 use crate::fakes::server::Exchange;
 use crate::http::stream::EventStream;
-use crate::platform::engine_http::REQUEST_HEADER;
+use crate::outside::engine_http::REQUEST_HEADER;
 
 /// Characters of a prompt that the prefix cache compares.
 const PREFIX: usize = 64;
--- a/src/fakes/firm.rs
+++ b/src/fakes/firm.rs
@@ -11,7 +11,7 @@
 use super::site::{Site, SiteSettings};
 use super::weights::{FakeWeights, StoreSettings};
 use crate::config::Config;
-use crate::platform::HostState;
+use crate::outside::HostState;
 
 /// Last part of the address of the first engine.
 const FIRST_ENGINE: usize = 100;
--- a/src/fakes/platform.rs
+++ b/src/fakes/platform.rs
@@ -10,8 +10,8 @@
 
 use super::server::{Exchange, Server};
 use super::shared::Shared;
-use crate::platform::table_http::{Commit, Committed, Conflict};
-use crate::platform::{Expect, HostEntry, HostState, Hosts, Item, Op, Write};
+use crate::outside::table_http::{Commit, Committed, Conflict};
+use crate::outside::{Expect, HostEntry, HostState, Hosts, Item, Op, Write};
 use crate::settings::Addresses;
 
 /// Disturbances of the platform; all off by default.
--- a/src/fakes/server.rs
+++ b/src/fakes/server.rs
@@ -12,7 +12,7 @@
 
 use crate::http::request;
 use crate::http::server::{self, Handler, Running};
-use crate::platform::escape::decode;
+use crate::outside::escape::decode;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
--- a/src/fakes/site.rs
+++ b/src/fakes/site.rs
@@ -15,9 +15,9 @@
 use crate::config::ledger::{Ledger, ProposeError};
 use crate::config::state::Current;
 use crate::operators::keys::hash;
-use crate::platform::client::Timeouts;
-use crate::platform::http::HttpPlatform;
-use crate::platform::{HostState, Platform};
+use crate::outside::client::Timeouts;
+use crate::outside::http::HttpPlatform;
+use crate::outside::{HostState, Platform};
 use crate::settings::{Listen, Log, Peer, Settings};
 
 /// Key of the caller `app`.
--- a/src/follower.rs
+++ b/src/follower.rs
@@ -12,9 +12,9 @@
 use crate::config::ledger::{Ledger, ProposeError};
 use crate::config::state::{Applied, Current};
 use crate::control::Event;
+use crate::outside::Platform;
 use crate::peer::Peers;
 use crate::peer::wire::{Body, Change, ChangeAsk, Snapshot};
-use crate::platform::Platform;
 
 /// Shortest period at which a daemon reads the table's head.
 const POLL: Duration = Duration::from_secs(1);
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -13,7 +13,7 @@
 use crate::decide::retry::Budget;
 use crate::error::{Kind, Refusal};
 use crate::metrics::Metrics;
-use crate::platform::{Platform, Table};
+use crate::outside::{Platform, Table};
 use crate::router::Router;
 use crate::settings::Limits;
 
--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -10,7 +10,7 @@
 use crate::control::{Desk, Wish};
 use crate::decide::retry::{Budget, Retrying, backoff};
 use crate::error::{Kind, Refusal};
-use crate::platform::{Call, Chunk, Chunks, Engine, EngineError};
+use crate::outside::{Call, Chunk, Chunks, Engine, EngineError};
 use crate::router::{Need, Route, Router, Slot};
 use crate::suspects;
 
--- a/src/http/services.rs
+++ b/src/http/services.rs
@@ -11,9 +11,9 @@
 use crate::clock::{Clock, Moment};
 use crate::config::{Name, Route, Service};
 use crate::error::{Kind, Refusal};
-use crate::platform::Table;
-use crate::platform::client::field as head_field;
-use crate::platform::client::{Media, SendError, authorize, read, send};
+use crate::outside::Table;
+use crate::outside::client::field as head_field;
+use crate::outside::client::{Media, SendError, authorize, read, send};
 use crate::protocol::calls::{Identity, Reply};
 
 use super::answer::Answer;
--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -32,6 +32,15 @@
 /// Lines are written by a thread of their own; `log::logger().flush()` waits
 /// for it, and belongs before the end of the process.
 pub fn start(settings: &Log) -> Result<(), LogError> {
+    let out: Box<dyn Write + Send> = match &settings.file {
+        Some(path) => Box::new(OpenOptions::new().create(true).append(true).open(path)?),
+        None => Box::new(io::stderr()),
+    };
+    start_on(settings, out)
+}
+
+/// Starts logging to `out`.
+pub fn start_on(settings: &Log, out: Box<dyn Write + Send>) -> Result<(), LogError> {
     let level = LevelFilter::from_str(&settings.level).unwrap_or(LevelFilter::Info);
     let form = settings.form;
     let dispatch = fern::Dispatch::new()
@@ -45,10 +54,6 @@
                 line(form, SystemTime::now(), message, record)
             ));
         });
-    let out: Box<dyn Write + Send> = match &settings.file {
-        Some(path) => Box::new(OpenOptions::new().create(true).append(true).open(path)?),
-        None => Box::new(io::stderr()),
-    };
     let writer: Box<dyn log::Log> = Box::new(Writer::start(out)?);
     Ok(dispatch.chain(writer).apply()?)
 }
--- a/src/members/listing.rs
+++ b/src/members/listing.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::config::Name;
-use crate::platform::{HostEntry, HostState, Hosts};
+use crate::outside::{HostEntry, HostState, Hosts};
 
 /// What the list last said of a host.
 #[derive(Clone, Copy, Debug)]
--- a/src/members/mod.rs
+++ b/src/members/mod.rs
@@ -15,8 +15,8 @@
 
 use crate::clock::Moment;
 use crate::config::Name;
+use crate::outside::Hosts;
 use crate::peer::wire::Heartbeat;
-use crate::platform::Hosts;
 use crate::protocol::ownership::Owner;
 use listing::Listing;
 
--- a/src/members/upstreams.rs
+++ b/src/members/upstreams.rs
@@ -6,7 +6,7 @@
 use super::listing::Listing;
 use crate::clock::Moment;
 use crate::config::Name;
-use crate::platform::Hosts;
+use crate::outside::Hosts;
 
 /// Settings of the standing of upstreams.
 #[derive(Clone, Copy, Debug)]
--- a/src/operators/host.rs
+++ b/src/operators/host.rs
@@ -5,7 +5,7 @@
 use crate::config::ledger::ProposeError;
 use crate::config::state::Current;
 use crate::error::Refusal;
-use crate::platform::{Objects, Table};
+use crate::outside::{Objects, Table};
 
 /// The daemon as the operators' API sees it.
 pub trait Host: Send + Sync + 'static {
--- a/src/operators/server.rs
+++ b/src/operators/server.rs
@@ -18,7 +18,7 @@
 use crate::http::request::{Ids, bearer, field, path};
 use crate::http::server::{self, Handler};
 
-use crate::platform::escape::decode;
+use crate::outside::escape::decode;
 
 pub use crate::http::server::Running;
 
--- /dev/null
+++ b/src/platform/desired.rs
@@ -0,0 +1,209 @@
+//! Decodes the operators' desired state.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::edge::desired::{Desired, Hosting, Kind, Limits, Model, Route, Service, Target};
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireDesired {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<WireRoute>,
+    #[serde(default)]
+    services: Vec<WireService>,
+    limits: Option<WireLimits>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireRoute {
+    #[serde(default)]
+    name: Arc<str>,
+    host: String,
+    path_prefix: Arc<str>,
+    kind: WireKind,
+    timeout_ms: f64,
+    latency_target_ms: Option<f64>,
+    #[serde(default)]
+    priority: u8,
+    service: Option<Arc<str>>,
+    #[serde(default)]
+    split: Vec<WireTarget>,
+    attempts: Option<u32>,
+    #[serde(default)]
+    resumable: bool,
+    gap_target_ms: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireKind {
+    Idempotent,
+    NonIdempotent,
+    Stream,
+    /// A kind of a contract that is not in force here; it is handled as the
+    /// most careful one.
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Deserialize)]
+struct WireTarget {
+    service: Arc<str>,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireService {
+    name: Arc<str>,
+    max_conns: Option<u32>,
+    engine: Option<WireEngine>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireEngine {
+    #[serde(default)]
+    slots: u32,
+    #[serde(default)]
+    kv_capacity: u64,
+    #[serde(default)]
+    weights_mb: f64,
+    #[serde(default)]
+    adapter_slots: u32,
+    #[serde(default)]
+    loads_per_s: f64,
+    #[serde(default)]
+    models: Vec<WireModel>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireModel {
+    name: Arc<str>,
+    weights_mb: f64,
+    load_s: f64,
+    #[serde(default)]
+    adapters: u32,
+    #[serde(default)]
+    adapter_mb: f64,
+    warm_s: Option<f64>,
+    disk_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireLimits {
+    max_header_bytes: Option<usize>,
+    max_body_bytes: Option<usize>,
+    header_timeout_ms: Option<f64>,
+    idle_timeout_ms: Option<f64>,
+}
+
+/// Reads a desired state; the error names what is wrong with it.
+pub fn decode(bytes: &[u8]) -> Result<Desired, serde_json::Error> {
+    let wire: WireDesired = serde_json::from_slice(bytes)?;
+    let mut desired = Desired {
+        version: wire.version,
+        limits: wire.limits.map(limits).unwrap_or_default(),
+        ..Desired::default()
+    };
+    for route in wire.routes {
+        desired.add(decode_route(route));
+    }
+    for service in wire.services {
+        let service = decode_service(service);
+        desired
+            .services
+            .insert(service.name.clone(), Arc::new(service));
+    }
+    Ok(desired)
+}
+
+fn decode_route(wire: WireRoute) -> Route {
+    let mut targets = Vec::new();
+    for target in wire.split {
+        targets.push(Target {
+            service: target.service,
+            weight: target.weight,
+        });
+    }
+    if let (true, Some(service)) = (targets.is_empty(), wire.service) {
+        let weight = 1.0;
+        targets.push(Target { service, weight });
+    }
+    let timeout = millis(wire.timeout_ms);
+    Route {
+        name: wire.name,
+        host: wire.host.to_ascii_lowercase().into(),
+        prefix: wire.path_prefix,
+        kind: match wire.kind {
+            WireKind::Idempotent => Kind::Idempotent,
+            WireKind::Stream => Kind::Stream,
+            WireKind::NonIdempotent | WireKind::Other => Kind::Once,
+        },
+        timeout,
+        objective: wire.latency_target_ms.map_or(timeout, millis),
+        priority: wire.priority,
+        targets,
+        attempts: wire.attempts.unwrap_or(1).max(1),
+        resumable: wire.resumable,
+        gap: wire.gap_target_ms.map_or(timeout, millis),
+    }
+}
+
+fn decode_service(wire: WireService) -> Service {
+    Service {
+        name: wire.name,
+        connections: wire.max_conns.unwrap_or(u32::MAX),
+        hosting: wire.engine.map(hosting),
+    }
+}
+
+fn hosting(wire: WireEngine) -> Hosting {
+    let mut hosting = Hosting {
+        slots: wire.slots,
+        cache_tokens: wire.kv_capacity,
+        memory_mb: wire.weights_mb,
+        adapter_slots: wire.adapter_slots,
+        loads_per_s: wire.loads_per_s,
+        ..Hosting::default()
+    };
+    for model in wire.models {
+        let load = seconds(model.load_s);
+        let decoded = Model {
+            memory_mb: model.weights_mb,
+            adapter_mb: model.adapter_mb,
+            adapters: model.adapters,
+            load,
+            disk: model.disk_s.map_or(load, seconds),
+            warm: model.warm_s.map_or(load, seconds),
+        };
+        hosting.models.insert(model.name, decoded);
+    }
+    hosting
+}
+
+fn limits(wire: WireLimits) -> Limits {
+    let usual = Limits::default();
+    Limits {
+        head: wire.max_header_bytes.unwrap_or(usual.head),
+        body: wire.max_body_bytes.unwrap_or(usual.body),
+        header_time: wire.header_timeout_ms.map_or(usual.header_time, millis),
+        idle: wire.idle_timeout_ms.map_or(usual.idle, millis),
+    }
+}
+
+fn millis(ms: f64) -> Duration {
+    seconds(ms / 1_000.0)
+}
+
+/// A duration of `s` seconds; negative and absurd figures become the limit.
+fn seconds(s: f64) -> Duration {
+    Duration::try_from_secs_f64(s.max(0.0)).unwrap_or(Duration::MAX)
+}
--- /dev/null
+++ b/src/platform/entry.rs
@@ -0,0 +1,48 @@
+//! Questions that callers and the platform ask beside requests.
+
+use http::{Method, Uri};
+use serde::Serialize;
+
+/// A question to this host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Question {
+    /// Which addresses to use; asked from a failure domain.
+    Entry {
+        /// Failure domain of the caller; empty when not told.
+        domain: String,
+    },
+    /// Whether this host is ready.
+    Ready,
+    /// The metrics.
+    Metrics,
+}
+
+/// Reads a question; `None` for any other request.
+pub fn question(method: &Method, uri: &Uri) -> Option<Question> {
+    if method != Method::GET {
+        return None;
+    }
+    match uri.path() {
+        "/resolve" => {
+            let query = uri.query().unwrap_or_default();
+            let domain = query.split('&').find_map(|pair| pair.strip_prefix("zone="));
+            let domain = crate::outside::escape::decode(domain.unwrap_or_default());
+            Some(Question::Entry { domain })
+        }
+        "/readyz" => Some(Question::Ready),
+        "/metrics" => Some(Question::Metrics),
+        _ => None,
+    }
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct WireEntry<'a> {
+    addrs: &'a [String],
+    ttl_s: f64,
+}
+
+/// The answer that names the addresses to use for `ttl_s` seconds.
+pub fn entry(addrs: &[String], ttl_s: f64) -> String {
+    serde_json::to_string(&WireEntry { addrs, ttl_s }).unwrap_or_default()
+}
--- /dev/null
+++ b/src/platform/heads.rs
@@ -0,0 +1,216 @@
+//! Heads of requests and answers: what callers and engines say in them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+
+use crate::edge::call::{Call, Part, Prompt, Sending};
+
+/// Id of one try of a caller; engines echo it.
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-mastichinge-request-id");
+/// Time that is left, ms.
+const DEADLINE: HeaderName = HeaderName::from_static("x-mastichinge-deadline-ms");
+/// Parts of the prompt.
+const PREFIX: HeaderName = HeaderName::from_static("x-mastichinge-prompt-prefix");
+/// Event after which a stream goes on.
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// An engine's signature under its answer.
+const STAMP: HeaderName = HeaderName::from_static("x-mastichinge-server-stamp");
+/// Id of the only engine that may run the request.
+pub(super) const EXPECT_INSTANCE: HeaderName =
+    HeaderName::from_static("x-mastichinge-expect-instance");
+/// Running, waiting, slots of the engine.
+const LOAD: HeaderName = HeaderName::from_static("x-mastichinge-server-load");
+/// The engine did not run the request.
+const NOT_RUN: HeaderName = HeaderName::from_static("x-mastichinge-not-run");
+/// Model, with an adapter after a slash.
+const MODEL: HeaderName = HeaderName::from_static("x-mastichinge-model");
+/// Prompt tokens and most tokens of the answer.
+const TOKENS: HeaderName = HeaderName::from_static("x-mastichinge-token-count");
+/// Rank at the engine, 0 to 9.
+const PRIORITY: HeaderName = HeaderName::from_static("x-mastichinge-request-priority");
+/// Caller's estimate of the tokens of the answer.
+const LENGTH: HeaderName = HeaderName::from_static("x-mastichinge-length-hint");
+
+/// Headers that only this system may set on a request to an engine.
+const OWN: [HeaderName; 9] = [
+    PRIORITY,
+    EXPECT_INSTANCE,
+    HeaderName::from_static("x-mastichinge-expect-version"),
+    HeaderName::from_static("x-mastichinge-pin-ms"),
+    HeaderName::from_static("x-mastichinge-hold"),
+    HeaderName::from_static("x-mastichinge-kv-backup"),
+    HeaderName::from_static("kv-from"),
+    HeaderName::from_static("kv-fetch"),
+    NOT_RUN,
+];
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Lowest rank at an engine.
+const LOWEST_PRIORITY: u8 = 9;
+
+/// Reads what the head of a caller's request says.
+pub fn call(headers: &HeaderMap) -> Call {
+    let model = text(headers, &MODEL).unwrap_or_default();
+    let (model, adapter) = match model.split_once('/') {
+        Some((model, adapter)) => (model, Some(adapter.into())),
+        None => (model, None),
+    };
+    let (input, output) = tokens(headers);
+    Call {
+        id: text(headers, &REQUEST_ID).unwrap_or_default().into(),
+        limit: number(headers, &DEADLINE).map(Duration::from_millis),
+        last_event: number(headers, &LAST_EVENT),
+        prompt: (!model.is_empty()).then(|| Prompt {
+            model: model.into(),
+            adapter,
+            input,
+            output: number(headers, &LENGTH).map_or(output, |n| n as u32),
+            parts: parts(text(headers, &PREFIX).unwrap_or_default()),
+        }),
+    }
+}
+
+/// Makes the head of a caller's request fit for an engine.
+pub fn to_engine(headers: &HeaderMap, sending: &Sending<'_>) -> HeaderMap {
+    let mut out = end_to_end(headers);
+    for name in &OWN {
+        out.remove(name);
+    }
+    out.remove(header::EXPECT);
+    out.remove(header::CONTENT_LENGTH);
+    let left = sending.left.as_millis() as u64;
+    out.insert(DEADLINE, HeaderValue::from(left));
+    if let Some(id) = value(sending.engine) {
+        out.insert(EXPECT_INSTANCE, id);
+    }
+    if let Some(event) = sending.last_event {
+        out.insert(LAST_EVENT, HeaderValue::from(event));
+    }
+    if let Some(rank) = sending.priority {
+        out.insert(
+            PRIORITY,
+            HeaderValue::from(u16::from(rank.min(LOWEST_PRIORITY))),
+        );
+    }
+    out
+}
+
+/// Makes the head of an engine's answer fit for a caller.
+pub fn to_caller(headers: &HeaderMap) -> HeaderMap {
+    let mut out = end_to_end(headers);
+    out.remove(LOAD);
+    out
+}
+
+/// The head of an answer of our own to the request `id`.
+pub fn own_answer(id: &str, retry: Option<Duration>) -> HeaderMap {
+    let mut out = HeaderMap::new();
+    if let Some(id) = value(id) {
+        out.insert(REQUEST_ID, id);
+    }
+    if let Some(wait) = retry
+        && let Some(wait) = value(&format!("{:.2}", wait.as_secs_f64()))
+    {
+        out.insert(header::RETRY_AFTER, wait);
+    }
+    out
+}
+
+/// What the head of an engine's answer says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// It answers the request with this id.
+    pub id: Arc<str>,
+    /// The engine signed it.
+    pub signed: bool,
+    /// The engine did not run the request.
+    pub not_run: bool,
+    /// Time for which the engine keeps an idle connection.
+    pub idle: Option<Duration>,
+    /// The engine closes the connection after it.
+    pub closing: bool,
+}
+
+/// Reads what the head of an engine's answer says.
+pub fn answer(headers: &HeaderMap) -> Answer {
+    let keep = text(headers, &HeaderName::from_static("keep-alive")).unwrap_or_default();
+    let idle = keep.split(',').find_map(|part| {
+        let (name, seconds) = part.trim().split_once('=')?;
+        let seconds = seconds.trim().parse().ok()?;
+        (name.trim() == "timeout").then(|| Duration::from_secs(seconds))
+    });
+    let closing = text(headers, &header::CONNECTION).unwrap_or_default();
+    Answer {
+        id: text(headers, &REQUEST_ID).unwrap_or_default().into(),
+        signed: headers.contains_key(&STAMP),
+        not_run: headers.contains_key(&NOT_RUN),
+        idle,
+        closing: closing.eq_ignore_ascii_case("close"),
+    }
+}
+
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut out = headers.clone();
+    for listed in headers.get_all(header::CONNECTION) {
+        for name in listed.to_str().unwrap_or_default().split(',') {
+            if let Ok(name) = name.trim().parse::<HeaderName>() {
+                out.remove(name);
+            }
+        }
+    }
+    for name in &HOP {
+        out.remove(name);
+    }
+    out
+}
+
+/// Prompt tokens and most tokens of the answer.
+fn tokens(headers: &HeaderMap) -> (u32, u32) {
+    let counts = text(headers, &TOKENS).unwrap_or_default();
+    let (input, output) = counts.split_once(',').unwrap_or((counts, ""));
+    let count = |text: &str| text.trim().parse().unwrap_or(0);
+    (count(input), count(output))
+}
+
+fn parts(list: &str) -> Vec<Part> {
+    let mut parts = Vec::new();
+    for part in list.split(',') {
+        let Some((id, tokens)) = part.trim().split_once(':') else {
+            continue;
+        };
+        let Ok(id) = u64::from_str_radix(id, 16) else {
+            continue;
+        };
+        let Ok(tokens) = tokens.parse() else {
+            continue;
+        };
+        parts.push(Part { id, tokens });
+    }
+    parts
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    text(headers, name)?.trim().parse().ok()
+}
+
+fn value(text: &str) -> Option<HeaderValue> {
+    HeaderValue::from_str(text).ok()
+}
--- /dev/null
+++ b/src/platform/listing.rs
@@ -0,0 +1,108 @@
+//! Decodes the entries by which engines register themselves.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::edge::fleet::{Copies, Entry, Held, Phase};
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireEntry {
+    service: Arc<str>,
+    addr: SocketAddr,
+    zone: Arc<str>,
+    /// Version of the engine's software, not of its weights.
+    #[serde(rename = "version")]
+    _version: Arc<str>,
+    slots: u32,
+    state: WireState,
+    #[serde(rename = "coldLeftMs")]
+    _cold_left: f64,
+    /// Counts the engine's writes of this entry, not its orders.
+    seq: u64,
+    /// Absent on engines that never start again under an id.
+    born: Option<u64>,
+    remaining_ms: Option<f64>,
+    #[serde(default)]
+    models: Vec<WireHeld>,
+    available: Option<WireCopies>,
+}
+
+#[derive(Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum WireState {
+    Ready,
+    Draining,
+}
+
+/// A model that an engine holds.
+#[derive(Deserialize)]
+pub(super) struct WireHeld {
+    name: Arc<str>,
+    #[serde(default)]
+    adapters: Vec<WireAdapter>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum WireAdapter {
+    Name(Arc<str>),
+    Object { name: Arc<str> },
+}
+
+/// Models of which an engine keeps copies.
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub(super) struct WireCopies {
+    in_memory: Vec<Arc<str>>,
+    on_disk: Vec<Arc<str>>,
+}
+
+/// Reads the entry of the engine `id`; the error names what is wrong with it.
+pub fn decode(id: &str, bytes: &[u8]) -> Result<Entry, serde_json::Error> {
+    let wire: WireEntry = serde_json::from_slice(bytes)?;
+    let phase = match wire.state {
+        WireState::Ready => Phase::Ready,
+        WireState::Draining => Phase::Leaving,
+    };
+    Ok(Entry {
+        id: id.into(),
+        service: wire.service,
+        addr: wire.addr,
+        domain: wire.zone,
+        slots: wire.slots,
+        phase,
+        remaining: wire
+            .remaining_ms
+            .and_then(|ms| Duration::try_from_secs_f64(ms / 1_000.0).ok()),
+        beat: wire.seq,
+        born: wire.born.unwrap_or(0),
+        held: held(wire.models),
+        copies: wire.available.map(copies).unwrap_or_default(),
+    })
+}
+
+pub(super) fn held(models: Vec<WireHeld>) -> Held {
+    let mut held = Held::new();
+    for model in models {
+        let adapters = held.entry(model.name).or_default();
+        for adapter in model.adapters {
+            let (WireAdapter::Name(name) | WireAdapter::Object { name }) = adapter;
+            // Some entries add the version of an adapter's weights.
+            let name = name.split('@').next().unwrap_or_default();
+            let name = name.rsplit('/').next().unwrap_or_default();
+            adapters.insert(name.into());
+        }
+    }
+    held
+}
+
+pub(super) fn copies(wire: WireCopies) -> Copies {
+    Copies {
+        memory: wire.in_memory.into_iter().collect(),
+        disk: wire.on_disk.into_iter().collect(),
+    }
+}
--- a/src/pool/advance.rs
+++ b/src/pool/advance.rs
@@ -5,7 +5,7 @@
 use crate::clock::Moment;
 use crate::config::{Config, Name};
 use crate::decide::sleep::{Verdict, verdict};
-use crate::platform::{Order, Verb};
+use crate::outside::{Order, Verb};
 use crate::protocol::ownership::{Grant, Recorded};
 
 use super::place::{PERIOD, remote};
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -19,8 +19,8 @@
 use crate::clock::Moment;
 use crate::config::{Config, Name};
 use crate::decide::history::History;
+use crate::outside::{EngineError, HostState, Hosts, Order, Report};
 use crate::peer::wire::{Body, Verdict};
-use crate::platform::{EngineError, HostState, Hosts, Order, Report};
 use crate::protocol::ownership::{EnginePins, Grant, PoolPins, Recorded, Sent};
 use crate::suspects::Trials;
 
@@ -305,7 +305,7 @@
                     replica::Phase::Permitted | replica::Phase::Loading => true,
                     _ => continue,
                 };
-                if replica.id.is_empty() || side.tier(model) != crate::platform::Tier::Remote {
+                if replica.id.is_empty() || side.tier(model) != crate::outside::Tier::Remote {
                     continue;
                 }
                 let adapter = config.models.get(model).is_some_and(|m| m.base.is_some());
--- a/src/pool/place.rs
+++ b/src/pool/place.rs
@@ -9,7 +9,7 @@
 use crate::decide::rooms::{Base, Idle, ModelId, Placing, Plan, Room, TierShares, Wanted, Weights};
 use crate::decide::routing::Domain;
 use crate::decide::sleep::{Facts, ahead, wake_cost};
-use crate::platform::Tier;
+use crate::outside::Tier;
 
 use super::replica::Replica;
 use super::{Action, Context, Pool, Side};
--- a/src/pool/side.rs
+++ b/src/pool/side.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Moment;
 use crate::config::{self, Name};
-use crate::platform::{EngineError, Report, Tier, Verb};
+use crate::outside::{EngineError, Report, Tier, Verb};
 use crate::protocol::ownership::{
     Denied, EnginePins, Grant, Ledger, OrderEnd, Recorded, Room, Sent, Token,
 };
--- a/src/protocol/ownership/ledger.rs
+++ b/src/protocol/ownership/ledger.rs
@@ -4,7 +4,7 @@
 
 use super::{Denied, EnginePins, Grant, Index, OrderEnd, Recorded, Room, Token};
 use crate::config::Name;
-use crate::platform::Verb;
+use crate::outside::Verb;
 
 /// An order without an answer.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/src/protocol/ownership/order.rs
+++ b/src/protocol/ownership/order.rs
@@ -4,7 +4,7 @@
 
 use super::{Ledger, Token};
 use crate::config::Name;
-use crate::platform::{Report, Verb};
+use crate::outside::{Report, Verb};
 
 /// Loaded or loading models of an engine with their memory, MB.
 pub type Index = BTreeMap<Name, u64>;
--- a/src/tool/show.rs
+++ b/src/tool/show.rs
@@ -11,7 +11,7 @@
 use crate::operators::status::{
     EngineStatus, HeldStatus, HostStatus, MemberStatus, ModelStatus, ReplicaStatus,
 };
-use crate::platform::escape::encode;
+use crate::outside::escape::encode;
 
 /// `status`.
 pub fn status(client: &Client, output: &mut Output<'_>) -> Result<(), ToolError> {
--- a/tests/calls/fakes.rs
+++ b/tests/calls/fakes.rs
@@ -8,7 +8,7 @@
 use mastichinge::calls::{CallSettings, Calls, Peers, Request, SendEnd, Told, fingerprint, item};
 use mastichinge::clock::{Clock, Moment};
 use mastichinge::error::Refusal;
-use mastichinge::platform::{Expect, Item, Op, Table, TableError, Write};
+use mastichinge::outside::{Expect, Item, Op, Table, TableError, Write};
 use mastichinge::protocol::calls::{Attempt, CallRecord, CallState, Identity, Reply};
 
 /// What happens to the next commit over a link.
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -17,7 +17,7 @@
 use mastichinge::decide::sleep::{Ahead, Facts, Verdict, ahead, verdict, wake_cost};
 use mastichinge::decide::store::{StoreLimits, Waiters, stake};
 use mastichinge::error::Kind;
-use mastichinge::platform::Tier;
+use mastichinge::outside::Tier;
 use proptest::prelude::*;
 use test_case::test_case;
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -10,7 +10,7 @@
 use env::Env;
 use mastichinge::fakes::FakeEngine;
 use mastichinge::fakes::site::{CRASH, SiteSettings};
-use mastichinge::platform::HostState;
+use mastichinge::outside::HostState;
 use serde_json::{Value, json};
 
 fn start(settings: SiteSettings) -> Env {
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -8,8 +8,8 @@
     HEARTBEAT_PERIOD, Heard, MemberSettings, Members, Standing, UpstreamSettings, Upstreams,
     heartbeat_period, ranked,
 };
+use mastichinge::outside::{HostEntry, HostState, Hosts};
 use mastichinge::peer::wire::Heartbeat;
-use mastichinge::platform::{HostEntry, HostState, Hosts};
 use test_case::test_case;
 
 const START: Moment = Moment::from_secs(100);
--- a/tests/memory/mod.rs
+++ b/tests/memory/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Barrier, Mutex};
 
-use mastichinge::platform::{Expect, Item, Objects, Op, Table, TableError, Write};
+use mastichinge::outside::{Expect, Item, Objects, Op, Table, TableError, Write};
 
 /// A table whose next commits can lose their answers.
 #[derive(Default)]
--- a/tests/models/ownership/daemon.rs
+++ b/tests/models/ownership/daemon.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mastichinge::platform::Verb;
+use mastichinge::outside::Verb;
 use mastichinge::protocol::ownership::*;
 
 use super::network::show;
--- a/tests/platform/clients.rs
+++ b/tests/outside/clients.rs
@@ -7,8 +7,8 @@
 
 use attohttpc::header::HeaderName;
 use mastichinge::fakes::EngineSettings;
-use mastichinge::platform::client::{self, Media, SendError};
-use mastichinge::platform::{Chunk, Chunks, Engine, EngineError, HttpEngine, Verb};
+use mastichinge::outside::client::{self, Media, SendError};
+use mastichinge::outside::{Chunk, Chunks, Engine, EngineError, HttpEngine, Verb};
 use serde_json::json;
 use test_case::test_case;
 
--- a/tests/platform/orders.rs
+++ b/tests/outside/orders.rs
@@ -6,7 +6,7 @@
 
 use mastichinge::fakes::engine::LoadTimes;
 use mastichinge::fakes::{EngineSettings, FakeWeights, StoreSettings};
-use mastichinge::platform::{Engine, EngineError, HttpEngine, Order, Tier, Verb};
+use mastichinge::outside::{Engine, EngineError, HttpEngine, Order, Tier, Verb};
 use test_case::test_case;
 
 use crate::support::{PATIENCE, engine, eventually, load, order, quick};
--- a/tests/platform/platform.rs
+++ b/tests/outside/platform.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mastichinge::fakes::FakePlatform;
-use mastichinge::platform::{
+use mastichinge::outside::{
     Expect, HostList, HostState, HttpPlatform, Objects, Op, Platform, Table, TableError, Timeouts,
     Write,
 };
--- a/tests/platform/service.rs
+++ b/tests/outside/service.rs
@@ -4,7 +4,7 @@
 
 use mastichinge::fakes::FakeService;
 use mastichinge::fakes::service::Fault;
-use mastichinge::platform::client::{self, Media};
+use mastichinge::outside::client::{self, Media};
 use test_case::test_case;
 
 use crate::support::any;
--- a/tests/platform/streams.rs
+++ b/tests/outside/streams.rs
@@ -6,8 +6,8 @@
 
 use mastichinge::fakes::EngineSettings;
 use mastichinge::fakes::engine::{CacheEvent, End, answer};
-use mastichinge::platform::client::{self, Media};
-use mastichinge::platform::{Call, Chunk, Chunks, Engine, EngineError, HttpEngine, Tier, Verb};
+use mastichinge::outside::client::{self, Media};
+use mastichinge::outside::{Call, Chunk, Chunks, Engine, EngineError, HttpEngine, Tier, Verb};
 use serde_json::{Value, json};
 use test_case::test_case;
 
--- a/tests/platform/support.rs
+++ b/tests/outside/support.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use mastichinge::fakes::{EngineSettings, FakeEngine};
-use mastichinge::platform::{Call, Chunk, Chunks, Engine, EngineError, HttpEngine, Order, Verb};
+use mastichinge::outside::{Call, Chunk, Chunks, Engine, EngineError, HttpEngine, Order, Verb};
 use serde_json::{Value, json};
 
 /// Longest wait for a condition.
--- a/tests/pool/world.rs
+++ b/tests/pool/world.rs
@@ -6,8 +6,8 @@
 
 use mastichinge::clock::Moment;
 use mastichinge::config::{Config, Engine, Model, Name, Policy, Strategy};
+use mastichinge::outside::{EngineError, Order, Report, Resident, Verb};
 use mastichinge::peer::wire::{Body, Usage};
-use mastichinge::platform::{EngineError, Order, Report, Resident, Verb};
 use mastichinge::pool::waiting::Ticket;
 use mastichinge::pool::{Action, Claimed, Context, PinWrite, Pool};
 use mastichinge::protocol::ownership::{
