--- a/src/edge/placement/book.rs
+++ b/src/edge/placement/book.rs
@@ -9,6 +9,9 @@
 use crate::edge::fleet::{Copies, Entry, Held, Upstream};
 use crate::edge::orders::Report;
 
+/// Pause between two looks at an engine that carries out another's order.
+const ENGAGED_PAUSE: Duration = Duration::from_millis(400);
+
 /// An adapter on an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Adapter {
@@ -87,6 +90,9 @@
     pub calling: bool,
     /// Its report is needed.
     pub doubt: bool,
+    /// An order that is not of this tenure is under way; what it will hold
+    /// after that is not known.
+    pub engaged: bool,
     /// No call before this moment.
     pub pause: Moment,
 }
@@ -102,6 +108,7 @@
             task: None,
             calling: false,
             doubt: true,
+            engaged: false,
             pause: Moment::ZERO,
         };
         book.adopt(&entry.held, &BTreeSet::new(), now);
@@ -156,6 +163,15 @@
         }
         let loading = self.loading().cloned();
         let withdrawn = self.withdrawn().cloned();
+        let unloading = matches!(&self.task, Some(t) if matches!(t.stage, Stage::Unloading { .. }));
+        self.engaged = report.busy && loading.is_none() && !unloading;
+        if self.engaged {
+            self.doubt = true;
+            self.pause = now + ENGAGED_PAUSE;
+            if self.task.is_some() {
+                self.abandon();
+            }
+        }
         self.adopt(&report.held, &report.incoming, now);
         if let Some(model) = withdrawn
             && let Some(replica) = self.replicas.get_mut(&model)
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -420,7 +420,7 @@
         let room = self.remote(scene, service) < parallel;
         let mut best: Option<(f64, Arc<str>, Vec<Arc<str>>, bool)> = None;
         for (id, book) in self.of(scene, service) {
-            if book.task.is_some() || book.replicas.contains_key(model) {
+            if book.task.is_some() || book.engaged || book.replicas.contains_key(model) {
                 continue;
             }
             let Some(engine) = scene.fleet.engines.get(id) else {
--- /dev/null
+++ b/tests/edge/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the edge daemon: decisions, translation, and the way of requests.
+
+mod placement;
+mod scene;
--- /dev/null
+++ b/tests/edge/scene.rs
@@ -0,0 +1,197 @@
+//! Engines, models and demand for tests of the decisions.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use mastichinge::clock::Moment;
+use mastichinge::edge::demand::{Demand, Which};
+use mastichinge::edge::desired::{Desired, Hosting, Model, Service};
+use mastichinge::edge::fleet::{Copies, Entry, Fleet, Held, Phase};
+use mastichinge::edge::orders::{Order, Outcome, Report, Verb};
+use mastichinge::edge::placement::{Act, Authority, Placer, Scene, Target, Want};
+use mastichinge::edge::settings::Engines;
+
+/// Service of all engines in these tests.
+pub const SERVICE: &str = "assist";
+
+/// An engine's entry that holds `models`.
+pub fn entry(id: &str, port: u16, models: &[&str]) -> Entry {
+    let mut held = Held::new();
+    for model in models {
+        held.insert((*model).into(), BTreeSet::new());
+    }
+    Entry {
+        id: id.into(),
+        service: SERVICE.into(),
+        addr: ([10, 0, 0, 1], port).into(),
+        domain: "north".into(),
+        slots: 64,
+        phase: Phase::Ready,
+        remaining: None,
+        beat: 1,
+        born: 1_000,
+        held,
+        copies: Copies::default(),
+    }
+}
+
+/// A desired state with models of 60 GB on engines of 140 GB.
+pub fn desired(models: &[&str]) -> Desired {
+    let mut hosting = Hosting {
+        slots: 64,
+        cache_tokens: 232_000,
+        memory_mb: 140_000.0,
+        adapter_slots: 8,
+        loads_per_s: 1.0,
+        ..Hosting::default()
+    };
+    for name in models {
+        let model = Model {
+            memory_mb: 60_000.0,
+            adapter_mb: 60.0,
+            adapters: 12,
+            load: Duration::from_secs(6),
+            disk: Duration::from_millis(1_200),
+            warm: Duration::from_millis(400),
+        };
+        hosting.models.insert((*name).into(), model);
+    }
+    let service = Service {
+        name: SERVICE.into(),
+        connections: 100,
+        hosting: Some(hosting),
+    };
+    let mut desired = Desired {
+        version: 1,
+        ..Desired::default()
+    };
+    desired.services.insert(SERVICE.into(), Arc::new(service));
+    desired
+}
+
+/// A world around one placer: engines answer at once, as the test says.
+pub struct World {
+    pub fleet: Fleet,
+    pub desired: Desired,
+    pub wants: BTreeMap<Target, Want>,
+    pub demand: HashMap<Which, Demand>,
+    pub placer: Placer,
+    pub now: Moment,
+}
+
+impl World {
+    pub fn new(entries: Vec<Entry>, desired: Desired) -> Self {
+        let now = Moment::from_secs(100);
+        let mut fleet = Fleet::default();
+        fleet.read(entries, &BTreeSet::new(), None, now);
+        let authority = Authority {
+            host: "edge-1".into(),
+            fence: 7,
+        };
+        World {
+            fleet,
+            desired,
+            wants: BTreeMap::new(),
+            demand: HashMap::new(),
+            // The window of a new tenure is full; it is empty a while later.
+            placer: Placer::new(authority, Engines::default(), 5.0),
+            now,
+        }
+    }
+
+    pub fn want(&mut self, model: &str, adapter: Option<&str>) {
+        let target = Target {
+            service: SERVICE.into(),
+            model: model.into(),
+            adapter: adapter.map(Into::into),
+        };
+        let want = Want {
+            waiting: 1,
+            ..Want::default()
+        };
+        self.wants.insert(target, want);
+    }
+
+    pub fn ask(&mut self, model: &str, rate: f64, work: f64) {
+        let which = Which {
+            service: SERVICE.into(),
+            model: model.into(),
+        };
+        self.demand.insert(which, Demand { rate, work });
+    }
+
+    pub fn pass(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+    }
+
+    pub fn step(&mut self) -> Vec<Act> {
+        let scene = Scene {
+            fleet: &self.fleet,
+            desired: &self.desired,
+            wants: &self.wants,
+            demand: &self.demand,
+            now: self.now,
+        };
+        self.placer.step(&scene)
+    }
+
+    pub fn report(&mut self, engine: &str, report: &Report) {
+        self.placer.reported(engine, Some(report), self.now);
+    }
+
+    pub fn answer(&mut self, order: &Order, outcome: Outcome) {
+        let scene = Scene {
+            fleet: &self.fleet,
+            desired: &self.desired,
+            wants: &self.wants,
+            demand: &self.demand,
+            now: self.now,
+        };
+        self.placer.answered(&scene, order, outcome);
+    }
+
+    /// Runs for `ms`, with reports given by `report`; returns the orders,
+    /// each answered with `outcome`.
+    pub fn run(
+        &mut self,
+        ms: u64,
+        report: impl Fn(&str) -> Report,
+        outcome: Outcome,
+    ) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for _ in 0..ms / 20 {
+            for act in self.step() {
+                match act {
+                    Act::Report(engine) => self.report(&engine, &report(&engine)),
+                    Act::Order(order) => {
+                        self.answer(&order, outcome);
+                        orders.push(order);
+                    }
+                }
+            }
+            self.pass(20);
+        }
+        orders
+    }
+}
+
+/// A report of an idle engine that holds `models`.
+pub fn report(models: &[&str], orders: u64) -> Report {
+    Report {
+        held: entry("", 1, models).held,
+        orders,
+        born: 1_000,
+        ..Report::default()
+    }
+}
+
+/// The loads of models among orders.
+pub fn loads(orders: &[Order]) -> Vec<(&str, &str)> {
+    let of_model = |o: &&Order| o.verb == Verb::Load && o.adapter.is_none();
+    orders
+        .iter()
+        .filter(of_model)
+        .map(|o| (&*o.engine, &*o.model))
+        .collect()
+}
