Refuse streams that come late in a planned stop

Change: such streams are refused at once, to be taken by another host; requests that were not sent are refused before the process ends.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -271,6 +271,11 @@
                 FULL_RETRY,
             ));
         }
+        let leaving = job.edge.leaving.get();
+        if leaving.is_some_and(|l| now >= l.refusing()) {
+            let cause = "this host stops before it could be sent";
+            return Err(fail(Kind::Draining, cause, super::ELSEWHERE));
+        }
         let most = match pick::pick(job, &tries.avoid, now) {
             Pick::Go(choice) => return Ok(choice),
             Pick::Unknown => return Err(fail(Kind::UnknownModel, "unknown model", FULL_RETRY)),
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -28,6 +28,8 @@
 
 /// Longest time for a body to arrive.
 const BODY_TIME: Duration = Duration::from_secs(10);
+/// Time to come back after when another host can take the request at once.
+const ELSEWHERE: Duration = Duration::from_millis(50);
 /// Time limit of a request for which nobody set one.
 const USUAL_LIMIT: Duration = Duration::from_secs(60);
 
@@ -130,6 +132,11 @@
         Ok(job) => job,
         Err(response) => return Ok(response),
     };
+    let leaving = edge.leaving.get();
+    if leaving.is_some_and(|l| !l.takes(job.route.kind, arrived)) {
+        let refusal = Refusal::after(Kind::Draining, ELSEWHERE);
+        return Ok(job.refuse(refusal, "this host is stopping", "", 0));
+    }
     let held = edge.state.borrow().suspects.held(job.print, arrived);
     if let Some(wait) = held {
         let refusal = Refusal::after(Kind::NotRun, wait);
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -16,6 +16,7 @@
 pub mod forward;
 pub mod gossip;
 pub mod kept;
+pub mod leaving;
 pub mod listen;
 pub mod members;
 pub mod orders;
@@ -43,16 +44,12 @@
 use crate::clock::Clock;
 use crate::metrics::{Metrics, MetricsError};
 use client::Client;
+use leaving::Leaving;
 use listen::{Purpose, Stop};
 use settings::Settings;
 use state::{Edge, Phase};
 use store::Store;
 
-/// Part of the time of a planned stop for which new callers are accepted;
-/// entry answers are kept for six seconds at the most.
-const ACCEPTING: f64 = 0.78;
-/// Part of that time after which the process ends whatever is in progress.
-const ENDING: f64 = 0.94;
 /// Period at which a leaving daemon looks whether it is done.
 const LEAVING_LOOK: Duration = Duration::from_millis(50);
 /// Period of small chores.
@@ -90,6 +87,7 @@
         client,
         metrics: Metrics::new()?,
         phase: Cell::new(Phase::Starting),
+        leaving: Cell::default(),
         state: RefCell::default(),
         changed: tokio::sync::watch::Sender::new(0),
         urgent: Notify::new(),
@@ -155,24 +153,26 @@
 /// Leaves: unready at once, orders given up, callers served until the longest
 /// kept entry answer has run out, then what is in progress finished.
 async fn leave(edge: &Rc<Edge>, stop: &tokio::sync::watch::Sender<Stop>) {
-    let begun = clock::now();
-    let grace = edge.settings().bounds.grace();
+    let leaving = Leaving {
+        begun: clock::now(),
+        grace: edge.settings().bounds.grace(),
+    };
+    edge.leaving.set(Some(leaving));
     edge.phase.set(Phase::Leaving);
     log::info!(requests = edge.state.borrow().requests; "stopping");
     edge.urgent.notify_one();
     stop.send_replace(Stop::Connections);
     duty::release(edge).await;
     watch::deregister(edge).await;
-    let age = || clock::now().saturating_sub(begun);
-    while age() < grace.mul_f64(ACCEPTING) {
+    while clock::now() < leaving.closing() {
         tokio::time::sleep(LEAVING_LOOK).await;
     }
     stop.send_replace(Stop::Listener);
-    while edge.state.borrow().requests > 0 && age() < grace.mul_f64(ENDING) {
+    while edge.state.borrow().requests > 0 && clock::now() < leaving.ending() {
         tokio::time::sleep(LEAVING_LOOK).await;
     }
     let requests = edge.state.borrow().requests;
-    let ms = age().as_millis() as u64;
+    let ms = clock::now().saturating_sub(leaving.begun).as_millis() as u64;
     log::info!(requests, ms; "stopped");
 }
 
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -14,6 +14,7 @@
 use super::demand::{Demand, Meter, Which};
 use super::desired::Desired;
 use super::fleet::Fleet;
+use super::leaving::Leaving;
 use super::members::Members;
 use super::placement::{Placer, Target, Want};
 use super::settings::Settings;
@@ -58,6 +59,8 @@
     pub metrics: Metrics,
     /// Life cycle.
     pub phase: Cell<Phase>,
+    /// The planned stop, once it has begun.
+    pub leaving: Cell<Option<Leaving>>,
     /// What is known.
     pub state: RefCell<State>,
     /// Raised with each change that a waiting request may hope for.
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the edge daemon: decisions, translation, and the way of requests.
 
+mod leaving;
 mod placement;
 mod scene;
