A holder renews its row and says when it gives the orders up

Change: renewals are writes, beats carry the row's version and the time of the last order; a successor starts a lease after the last order that the one before can have given.

--- a/src/edge/duty.rs
+++ b/src/edge/duty.rs
@@ -10,12 +10,13 @@
 use super::client::{SendError, Times};
 use super::clock;
 use super::gossip::ToldNote;
+use super::members::Members;
 use super::orders::{Order, Outcome, Report};
 use super::peers;
 use super::placement::{Act, Authority, Placer, Scene};
 use super::state::{Edge, Phase};
 use super::store::{Commit, Page, Row, Table, Write};
-use super::tenure::{CONFIRM, Candidate, Record, Seen, Step, Tenure};
+use super::tenure::{Candidate, RENEW, Record, Seen, Step, Tenure, Word};
 use crate::clock::Moment;
 use crate::platform::orders;
 
@@ -36,21 +37,19 @@
     most: 1 << 20,
 };
 
-/// Takes the orders over when nobody holds them, and confirms the tenure.
+/// Takes the orders over when nobody holds them, and renews the tenure.
 pub async fn tenure(edge: Rc<Edge>) {
     let mut seen: Option<Seen> = None;
-    let mut silent_since = clock::now();
     loop {
         let holding = edge.state.borrow().tenure.clone();
         let pause = match holding {
             Some(tenure) => {
-                confirm(&edge, &tenure).await;
+                renew(&edge, tenure).await;
                 seen = None;
-                silent_since = clock::now();
-                CONFIRM
+                RENEW
             }
             None => {
-                look(&edge, &mut seen, &mut silent_since).await;
+                look(&edge, &mut seen).await;
                 LOOK
             }
         };
@@ -59,17 +58,11 @@
 }
 
 /// One look of a candidate.
-async fn look(edge: &Rc<Edge>, seen: &mut Option<Seen>, silent_since: &mut Moment) {
+async fn look(edge: &Rc<Edge>, seen: &mut Option<Seen>) {
     let now = clock::now();
-    let lease = edge.settings().bounds.lease();
     let heard = edge.state.borrow().members.holder(now).is_some();
-    if heard {
-        *silent_since = now;
-    }
-    let silent = now.saturating_sub(*silent_since);
-    let known = seen.as_ref().and_then(|s| s.record.as_ref());
-    let own = known.is_none_or(|r| r.host == edge.host || r.released);
-    if heard || edge.phase.get() != Phase::Serving || (!own && silent < lease / 2) {
+    if heard || edge.phase.get() != Phase::Serving {
+        *seen = None;
         return;
     }
     let page = match edge.store.read(Table::Tenure).await {
@@ -80,57 +73,72 @@
         }
     };
     let now = clock::now();
-    let fresh = row(&page);
-    let fresh = seen_now(fresh, now);
-    let current = match seen.take() {
-        Some(old) if old.version == fresh.version => old,
-        _ => fresh,
+    let row = row(&page);
+    let version = row.map_or(0, |r| r.version);
+    let mut current = match seen.take() {
+        Some(old) if old.version == version => old,
+        _ => Seen {
+            version,
+            record: row.and_then(decode),
+            since: now,
+        },
     };
+    let bounds = edge.settings().bounds;
     let state = edge.state.borrow();
+    let word = word(&state.members, &mut current, now);
     let candidate = Candidate {
         host: edge.host.clone(),
         life: edge.life,
         rank: state.members.rank(&edge.host, now),
-        lease,
+        lease: bounds.lease(),
+        fences: bounds.fences,
     };
     drop(state);
-    let step = candidate.step(&current, silent < lease, now);
+    let step = candidate.step(&current, word, now);
     *seen = Some(current);
     let Step::Take {
         version,
         record,
-        pause,
+        from,
     } = step
     else {
         return;
     };
-    take(edge, version, record, pause).await;
+    take(edge, version, record, from).await;
+}
+
+/// What the holder that the row names said last. A row that it has not
+/// renewed since it was heard stands since then.
+fn word(members: &Members, seen: &mut Seen, now: Moment) -> Word {
+    let Some(record) = &seen.record else {
+        return Word::Silent;
+    };
+    let Some((member, told)) = members.told(&record.host, record.fence) else {
+        return Word::Silent;
+    };
+    if told.row == seen.version {
+        seen.since = seen.since.min(told.at);
+    }
+    if told.over {
+        return Word::GaveUp(told.ordered);
+    }
+    match member.alive(now) {
+        true => Word::Holds,
+        false => Word::Silent,
+    }
 }
 
 /// Writes the row that names this daemon.
-async fn take(edge: &Rc<Edge>, version: u64, record: Record, pause: Duration) {
+async fn take(edge: &Rc<Edge>, version: u64, record: Record, from: Moment) {
     let begun = clock::now();
     let fence = record.fence;
-    let written = match edge.store.commit(&[write(version, &record)]).await {
-        Ok(Commit::Done(written)) => written,
-        Ok(Commit::Conflict(_)) => return,
-        Err(error) => {
-            // It may have been done; the row tells.
-            log::info!(fence, error:%; "takeover unanswered");
-            let Ok(page) = edge.store.read(Table::Tenure).await else {
-                return;
-            };
-            let Some(row) = row(&page) else {
-                return;
-            };
-            if decode(row).as_ref() != Some(&record) {
-                return;
-            }
-            row.version
-        }
+    let written = match put(edge, version, &record).await {
+        Put::Done(written) => written,
+        // If it was done after all, the row names this host, and the next
+        // look takes it over from there.
+        Put::Lost | Put::Unknown => return,
     };
-    let from = clock::now() + pause;
-    let pause_ms = pause.as_millis() as u64;
+    let pause_ms = from.saturating_sub(clock::now()).as_millis() as u64;
     log::info!(fence, row = written, pause_ms; "orders taken over");
     let settings = edge.settings();
     let authority = Authority {
@@ -144,10 +152,11 @@
     );
     let mut state = edge.state.borrow_mut();
     state.tenure = Some(Tenure {
-        fence,
+        record,
         version: written,
         from,
-        confirmed: begun,
+        renewed: begun,
+        ordered: None,
     });
     state.placer = Some(placer);
     drop(state);
@@ -155,51 +164,93 @@
     edge.duty.notify_one();
 }
 
-/// Confirms that the row still names this daemon.
-async fn confirm(edge: &Edge, tenure: &Tenure) {
-    let begun = clock::now();
-    let page = match edge.store.read(Table::Tenure).await {
-        Ok(page) => page,
+/// What became of a write of the holder's row.
+enum Put {
+    /// Done; the version that it made.
+    Done(u64),
+    /// The row is another's.
+    Lost,
+    /// Not known.
+    Unknown,
+}
+
+impl Put {
+    /// Looks whether a row is what was to be written.
+    fn of(row: Option<&Row>, record: &Record) -> Self {
+        match row {
+            Some(row) if decode(row).as_ref() == Some(record) => Put::Done(row.version),
+            _ => Put::Lost,
+        }
+    }
+}
+
+/// Writes the row under the condition of its version.
+async fn put(edge: &Edge, version: u64, record: &Record) -> Put {
+    let fence = record.fence;
+    match edge.store.commit(&[write(version, record)]).await {
+        Ok(Commit::Done(written)) => Put::Done(written),
+        // An earlier write of ours without an answer may have been done.
+        Ok(Commit::Conflict(page)) => Put::of(row(&page), record),
         Err(error) => {
-            log::debug!(error:%; "tenure not confirmed");
-            return;
+            log::info!(fence, error:%; "holder's row not written");
+            Put::Unknown
         }
+    }
+}
+
+/// Renews the row.
+async fn renew(edge: &Edge, tenure: Tenure) {
+    let begun = clock::now();
+    let fence = tenure.record.fence;
+    let record = Record {
+        renewal: tenure.record.renewal + 1,
+        ..tenure.record.clone()
     };
-    let ours = row(&page).is_some_and(|row| row.version == tenure.version);
+    let written = put(edge, tenure.version, &record).await;
+    let now = clock::now();
+    let peers = edge.peers(now);
     let mut state = edge.state.borrow_mut();
-    if ours {
-        if let Some(tenure) = &mut state.tenure {
-            tenure.confirmed = begun;
-        }
+    let Some(current) = state.tenure.as_mut().filter(|t| t.record.fence == fence) else {
+        return;
+    };
+    if let Put::Done(version) = written {
+        current.record = record;
+        current.version = version;
+        current.renewed = begun;
         return;
     }
-    state.tenure = None;
-    state.placer = None;
-    let fence = tenure.fence;
-    let holder = row(&page).and_then(decode);
-    let holder = holder.as_ref().map_or("", |r| &*r.host);
-    log::warn!(fence, holder; "orders lost to another daemon");
+    if matches!(written, Put::Lost) {
+        log::warn!(fence; "orders lost: the row is another's");
+        state.give_up();
+        return;
+    }
+    if current.gives_up(peers, now) {
+        let age_ms = now.saturating_sub(current.renewed).as_millis() as u64;
+        log::warn!(fence, age_ms; "orders given up: the row cannot be renewed");
+        state.give_up();
+        drop(state);
+        edge.urgent.notify_one();
+    }
 }
 
 /// Gives the orders up, as this daemon leaves.
 pub async fn release(edge: &Edge) {
-    let tenure = edge.state.borrow_mut().tenure.take();
+    let tenure = edge.state.borrow().tenure.clone();
     let Some(tenure) = tenure else {
         return;
     };
-    edge.state.borrow_mut().placer = None;
-    let fence = tenure.fence;
+    edge.state.borrow_mut().give_up();
+    edge.urgent.notify_one();
+    let idle = tenure.idle(clock::now()).as_millis() as u64;
+    let fence = tenure.record.fence;
     let record = Record {
-        host: edge.host.clone(),
-        life: edge.life,
-        fence,
-        released: true,
+        released: Some(idle),
+        ..tenure.record
     };
-    match edge.store.commit(&[write(tenure.version, &record)]).await {
-        Ok(_) => log::info!(fence; "orders given up"),
-        Err(error) => log::warn!(fence, error:%; "orders not given up in the store"),
+    match put(edge, tenure.version, &record).await {
+        Put::Done(row) => log::info!(fence, row; "orders given up"),
+        Put::Lost | Put::Unknown => log::warn!(fence; "orders not given up in the store"),
     }
-    edge.urgent.notify_one();
 }
 
 fn write(version: u64, record: &Record) -> Write {
@@ -226,14 +277,6 @@
     }
 }
 
-fn seen_now(row: Option<&Row>, now: Moment) -> Seen {
-    Seen {
-        version: row.map_or(0, |r| r.version),
-        record: row.and_then(decode),
-        since: now,
-    }
-}
-
 /// Gives orders while this daemon holds them, and tells the others what
 /// engines hold.
 pub async fn orders(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
@@ -293,6 +336,11 @@
     };
     let acts = placer.step(&scene);
     let busy = placer.busy(now) || !wants.is_empty();
+    if acts.iter().any(|act| matches!(act, Act::Order(_)))
+        && let Some(tenure) = &mut state.tenure
+    {
+        tenure.ordered = Some(now);
+    }
     drop(guard);
     for act in acts {
         let edge = edge.clone();
@@ -336,8 +384,7 @@
     };
     if outcome == Outcome::Fenced {
         // Another daemon has taken over; the row tells at the next look.
-        state.tenure = None;
-        state.placer = None;
+        state.give_up();
         log::warn!(fence; "orders lost: an engine knows a higher fencing number");
         return;
     }
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -44,9 +44,9 @@
     /// The store serves it.
     #[prost(bool, tag = "4")]
     pub store: bool,
-    /// Fencing number of its tenure; 0 when it does not hold the orders.
-    #[prost(uint64, tag = "5")]
-    pub fence: u64,
+    /// Its tenure, also for a while after it gave it up.
+    #[prost(message, optional, tag = "5")]
+    pub tenure: Option<TenureNote>,
     /// What it has in progress at engines.
     #[prost(message, repeated, tag = "6")]
     pub loads: Vec<LoadNote>,
@@ -55,6 +55,23 @@
     pub demand: Vec<DemandNote>,
 }
 
+/// A daemon's tenure as the giver of orders.
+#[derive(Clone, PartialEq, Message)]
+pub struct TenureNote {
+    /// Fencing number.
+    #[prost(uint64, tag = "1")]
+    pub fence: u64,
+    /// Version of its row when that was last written.
+    #[prost(uint64, tag = "2")]
+    pub row: u64,
+    /// It gave the orders up.
+    #[prost(bool, tag = "3")]
+    pub over: bool,
+    /// Time since the last order, ms.
+    #[prost(uint64, tag = "4")]
+    pub idle_ms: u64,
+}
+
 /// What a daemon has in progress at one engine.
 #[derive(Clone, PartialEq, Message)]
 pub struct LoadNote {
--- a/src/edge/members.rs
+++ b/src/edge/members.rs
@@ -53,8 +53,23 @@
     pub ready: bool,
     /// The store serves it.
     pub store: bool,
-    /// Fencing number of its tenure; 0 for none.
+    /// What it said of its tenure.
+    pub tenure: Option<Told>,
+}
+
+/// What a daemon said of its tenure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// Fencing number.
     pub fence: u64,
+    /// Version of its row.
+    pub row: u64,
+    /// It gave the orders up.
+    pub over: bool,
+    /// Its last order was given before this moment.
+    pub ordered: Moment,
+    /// When it said so.
+    pub at: Moment,
 }
 
 impl Member {
@@ -97,7 +112,7 @@
                 sent: None,
                 ready: false,
                 store: false,
-                fence: 0,
+                tenure: None,
             });
             if record.life >= member.life {
                 member.peers = record.peers;
@@ -148,8 +163,16 @@
     /// The daemon that holds the orders, as it says itself; of several, the
     /// one with the highest fencing number.
     pub fn holder(&self, now: Moment) -> Option<(&Arc<str>, &Member)> {
-        let holding = self.alive(now).filter(|(_, m)| m.fence > 0);
-        holding.max_by_key(|(_, m)| m.fence)
+        let fence = |m: &Member| m.tenure.filter(|t| !t.over).map_or(0, |t| t.fence);
+        let holding = self.alive(now).filter(|(_, m)| fence(m) > 0);
+        holding.max_by_key(|(_, m)| fence(m))
+    }
+
+    /// What a host said last of its tenure `fence`.
+    pub fn told(&self, host: &str, fence: u64) -> Option<(&Member, Told)> {
+        let member = self.all.get(host)?;
+        let told = member.tenure.filter(|t| t.fence == fence)?;
+        Some((member, told))
     }
 
     /// Daemons that share in limits, this one included.
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -12,10 +12,13 @@
 use super::clock;
 use super::demand::{Demand, Which};
 use super::fleet::{Held, Load, Told};
-use super::gossip::{Beat, Count, DemandNote, LoadNote, Packet, StrikeNote, ToldNote, WantNote};
-use super::members::BEAT;
+use super::gossip::{
+    Beat, Count, DemandNote, LoadNote, Packet, StrikeNote, TenureNote, ToldNote, WantNote,
+};
+use super::members::{self, BEAT};
 use super::placement::{Target, Want};
 use super::state::{Edge, State};
+use super::tenure::Tenure;
 use crate::clock::Moment;
 
 /// Largest datagram, bytes: fits one Ethernet frame with headers.
@@ -114,6 +117,21 @@
     notes
 }
 
+/// The tenure, or the last one that was given up.
+fn tenure(state: &State, now: Moment) -> Option<TenureNote> {
+    let note = |tenure: &Tenure, over| TenureNote {
+        fence: tenure.record.fence,
+        row: tenure.version,
+        over,
+        idle_ms: tenure.idle(now).as_millis() as u64,
+    };
+    match (&state.tenure, &state.past) {
+        (Some(tenure), _) => Some(note(tenure, false)),
+        (None, Some(past)) => Some(note(past, true)),
+        (None, None) => None,
+    }
+}
+
 fn whole(edge: &Edge, state: &mut State, now: Moment) -> Beat {
     let settings = edge.settings();
     let mut beat = Beat {
@@ -121,7 +139,7 @@
         domain: settings.domain.to_string(),
         ready: edge.ready(),
         store: edge.served(),
-        fence: state.tenure.as_ref().map_or(0, |t| t.fence),
+        tenure: tenure(state, now),
         ..Beat::default()
     };
     for (id, engine) in &state.fleet.engines {
@@ -229,7 +247,13 @@
         }
         member.ready = beat.ready;
         member.store = beat.store;
-        member.fence = beat.fence;
+        member.tenure = beat.tenure.as_ref().map(|note| members::Told {
+            fence: note.fence,
+            row: note.row,
+            over: note.over,
+            ordered: now.saturating_sub(Duration::from_millis(note.idle_ms)),
+            at: now,
+        });
         if let Ok(callers) = beat.callers.parse() {
             member.callers = callers;
         }
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -96,7 +96,9 @@
     pub strikes: Vec<(u64, Arc<str>)>,
     /// This daemon's tenure.
     pub tenure: Option<Tenure>,
-    /// Decisions of that tenure.
+    /// The last tenure that it gave up.
+    pub past: Option<Tenure>,
+    /// Decisions of the tenure.
     pub placer: Option<Placer>,
     /// Callers' requests in progress.
     pub requests: usize,
@@ -227,6 +229,14 @@
 }
 
 impl State {
+    /// Ends this daemon's tenure.
+    pub fn give_up(&mut self) {
+        self.placer = None;
+        if let Some(tenure) = self.tenure.take() {
+            self.past = Some(tenure);
+        }
+    }
+
     /// Drops wants that nobody waits for any more.
     pub fn sweep_wants(&mut self, now: Moment) {
         self.wants
--- a/src/edge/tenure.rs
+++ b/src/edge/tenure.rs
@@ -1,9 +1,11 @@
 //! Who gives the orders to engines: a row in the store names the holder.
 //!
-//! A takeover is a conditional write of that row. The new holder waits until
-//! the one before it has certainly stopped; that one stops when it can no
-//! longer confirm its row, unless the store is away for every daemon it hears,
-//! as nobody can take over then.
+//! A holder renews its row all the time. It gives the orders up when it cannot
+//! renew it while another daemon reaches the store; with the store away from
+//! everybody nobody can take over, and it goes on. A takeover is a conditional
+//! write of the row, allowed once the holder has said that it gave up or its
+//! row stands still. The new holder's first order comes a lease after the last
+//! that the one before it can have given.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,10 +14,13 @@
 
 use crate::clock::Moment;
 
-/// Period at which a holder confirms its row.
-pub const CONFIRM: Duration = Duration::from_millis(1_000);
-/// Age of the last confirmation at which a holder stops its orders.
-const CONFIRMED: Duration = Duration::from_millis(1_700);
+/// Period at which a holder renews its row.
+pub const RENEW: Duration = Duration::from_millis(1_000);
+/// Age of the last renewal at which a holder stops its orders.
+const RENEWED: Duration = Duration::from_millis(1_700);
+/// Time over [`RENEW`] for which a row must stand still to show that its
+/// holder does not renew it: a slow answer of the store.
+const STANDING: Duration = Duration::from_millis(450);
 /// Delay between the attempts of candidates, so that one goes first.
 const STAGGER: Duration = Duration::from_millis(400);
 
@@ -28,8 +33,10 @@
     pub life: u64,
     /// Fencing number of the tenure.
     pub fence: u64,
-    /// The holder gave the orders up by itself and has stopped.
-    pub released: bool,
+    /// Number of the renewal.
+    pub renewal: u64,
+    /// The holder gave the orders up, this long after its last order, ms.
+    pub released: Option<u64>,
 }
 
 /// The row as it was read.
@@ -39,21 +46,23 @@
     pub version: u64,
     /// Content; absent when there is none or it cannot be read.
     pub record: Option<Record>,
-    /// When this version was first seen.
+    /// Since when this version is known to stand.
     pub since: Moment,
 }
 
 /// A tenure of this daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Tenure {
-    /// Fencing number.
-    pub fence: u64,
-    /// Version of the row that proves it.
+    /// Content of its row.
+    pub record: Record,
+    /// Version of the row.
     pub version: u64,
     /// First moment at which orders may go out.
     pub from: Moment,
-    /// When the row was last confirmed; the moment before that call was sent.
-    pub confirmed: Moment,
+    /// When the last renewal that was done was sent.
+    pub renewed: Moment,
+    /// When the last order was given.
+    pub ordered: Option<Moment>,
 }
 
 /// What other daemons say, as far as it bears on a tenure.
@@ -72,11 +81,33 @@
         if now < self.from {
             return false;
         }
-        let fresh = now.saturating_sub(self.confirmed) < CONFIRMED;
+        let fresh = now.saturating_sub(self.renewed) < RENEWED;
         // With the store away from everybody the row cannot change.
         let alone = fences && peers.heard && !peers.served;
         fresh || alone
     }
+
+    /// Whether to give the orders up after a renewal failed.
+    pub fn gives_up(&self, peers: Peers, now: Moment) -> bool {
+        let fresh = now.saturating_sub(self.renewed) < RENEW + STANDING;
+        peers.served && !fresh
+    }
+
+    /// Time since the last order; the whole tenure when there was none.
+    pub fn idle(&self, now: Moment) -> Duration {
+        now.saturating_sub(self.ordered.unwrap_or(self.from.min(now)))
+    }
+}
+
+/// What the holder says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// Nothing is heard of it.
+    Silent,
+    /// It holds the orders.
+    Holds,
+    /// It gave them up; its last order was given before this moment.
+    GaveUp(Moment),
 }
 
 /// What a candidate should do about the row.
@@ -84,15 +115,14 @@
 pub enum Step {
     /// Leave it.
     Wait,
-    /// Write `record` under the condition of `version`; orders may start
-    /// `pause` after that.
+    /// Write `record` under the condition of `version`.
     Take {
         /// Version that the row must have.
         version: u64,
         /// New content.
         record: Record,
-        /// Time until the first order.
-        pause: Duration,
+        /// First moment at which orders may go out.
+        from: Moment,
     },
 }
 
@@ -107,60 +137,54 @@
     pub rank: u32,
     /// Least time between orders of two holders.
     pub lease: Duration,
+    /// Whether engines refuse old fencing numbers.
+    pub fences: bool,
 }
 
 impl Candidate {
-    /// What to do, given the row and whether its holder was heard within the
-    /// time of a lease.
-    pub fn step(&self, seen: &Seen, heard: bool, now: Moment) -> Step {
-        let record = |fence| Record {
-            host: self.host.clone(),
-            life: self.life,
-            fence,
-            released: false,
-        };
+    /// What to do, given the row and the word of the holder that it names.
+    pub fn step(&self, seen: &Seen, word: Word, now: Moment) -> Step {
         let standing = now.saturating_sub(seen.since);
-        let Some(held) = &seen.record else {
-            // A row that cannot be read is replaced as well; it names nobody.
-            return self.take(
-                seen,
-                record(seen.version + 1),
-                Duration::ZERO,
-                standing,
-                Duration::ZERO,
-            );
-        };
-        let next = record(held.fence + 1);
-        if held.host == self.host {
+        let (fence, after, from) = match &seen.record {
+            // A row that cannot be read names nobody; versions of the store
+            // are above every fencing number.
+            None => (seen.version + 1, Duration::ZERO, now),
             // The machine stays the same, so the engines see no turn.
-            return self.take(seen, next, Duration::ZERO, standing, Duration::ZERO);
-        }
-        if held.released {
-            return self.take(seen, next, self.lease, standing, Duration::ZERO);
-        }
-        if heard {
-            return Step::Wait;
-        }
-        // The holder confirms its row all the time it gives orders.
-        let pause = CONFIRMED + self.lease;
-        self.take(seen, next, pause, standing, self.lease)
-    }
-
-    fn take(
-        &self,
-        seen: &Seen,
-        record: Record,
-        pause: Duration,
-        standing: Duration,
-        after: Duration,
-    ) -> Step {
+            Some(held) if held.host == self.host => (held.fence + 1, Duration::ZERO, now),
+            Some(held) => {
+                let (after, from) = match (held.released, word) {
+                    (Some(ms), _) => {
+                        let ordered = seen.since.saturating_sub(Duration::from_millis(ms));
+                        (Duration::ZERO, ordered + self.lease)
+                    }
+                    (None, Word::Holds) => return Step::Wait,
+                    (None, Word::GaveUp(ordered)) => (Duration::ZERO, ordered + self.lease),
+                    (None, Word::Silent) => {
+                        // Behind fences only a holder that the store served
+                        // counts, and it would have renewed its row.
+                        let last = match self.fences {
+                            true => RENEW,
+                            false => RENEWED,
+                        };
+                        (RENEW + STANDING, seen.since + last + self.lease)
+                    }
+                };
+                (held.fence + 1, after, from)
+            }
+        };
         if standing < after + STAGGER * self.rank {
             return Step::Wait;
         }
         Step::Take {
             version: seen.version,
-            record,
-            pause,
+            record: Record {
+                host: self.host.clone(),
+                life: self.life,
+                fence,
+                renewal: 0,
+                released: None,
+            },
+            from: from.max(now),
         }
     }
 }
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -3,3 +3,4 @@
 mod leaving;
 mod placement;
 mod scene;
+mod tenure;
--- /dev/null
+++ b/tests/edge/tenure.rs
@@ -0,0 +1,154 @@
+//! Who gives orders, and when the next may.
+
+use std::time::Duration;
+
+use mastichinge::clock::Moment;
+use mastichinge::edge::tenure::{Candidate, Peers, Record, Seen, Step, Tenure, Word};
+
+const LEASE: Duration = Duration::from_secs(3);
+
+fn at(ms: u64) -> Moment {
+    Moment::from_millis(100_000 + ms)
+}
+
+fn record(host: &str, released: Option<u64>) -> Record {
+    Record {
+        host: host.into(),
+        life: 1,
+        fence: 5,
+        renewal: 9,
+        released,
+    }
+}
+
+fn seen(record: Option<Record>) -> Seen {
+    Seen {
+        version: 40,
+        record,
+        since: at(0),
+    }
+}
+
+fn candidate() -> Candidate {
+    Candidate {
+        host: "edge-2".into(),
+        life: 2,
+        rank: 0,
+        lease: LEASE,
+        fences: true,
+    }
+}
+
+fn first_order(step: Step) -> Option<(u64, Moment)> {
+    match step {
+        Step::Wait => None,
+        Step::Take { record, from, .. } => Some((record.fence, from)),
+    }
+}
+
+#[test]
+fn a_holder_that_is_heard_is_left_alone() {
+    let seen = seen(Some(record("edge-1", None)));
+    let step = candidate().step(&seen, Word::Holds, at(60_000));
+    assert_eq!(step, Step::Wait);
+}
+
+#[test]
+fn a_silent_holder_that_renews_no_more_is_followed_a_lease_after_its_last_order() {
+    let seen = seen(Some(record("edge-1", None)));
+    let candidate = candidate();
+    assert_eq!(candidate.step(&seen, Word::Silent, at(1_000)), Step::Wait);
+    let (fence, from) = first_order(candidate.step(&seen, Word::Silent, at(1_600))).unwrap();
+    assert_eq!(fence, 6);
+    // Its last renewal allowed orders for another period.
+    assert!(from >= at(1_000) + LEASE);
+}
+
+#[test]
+fn without_fences_the_last_order_may_have_come_later() {
+    let seen = seen(Some(record("edge-1", None)));
+    let strict = Candidate {
+        fences: false,
+        ..candidate()
+    };
+    let (_, from) = first_order(strict.step(&seen, Word::Silent, at(1_600))).unwrap();
+    assert!(from >= at(1_700) + LEASE);
+}
+
+#[test]
+fn a_holder_that_gave_up_is_followed_at_once_but_not_sooner_than_a_lease() {
+    let seen = seen(Some(record("edge-1", None)));
+    let step = candidate().step(&seen, Word::GaveUp(at(200)), at(1_000));
+    assert_eq!(first_order(step).unwrap().1, at(200) + LEASE);
+    let step = candidate().step(&seen, Word::GaveUp(at(200)), at(9_000));
+    assert_eq!(first_order(step).unwrap().1, at(9_000));
+}
+
+#[test]
+fn a_released_row_tells_when_the_last_order_was() {
+    let seen = seen(Some(record("edge-1", Some(2_000))));
+    let step = candidate().step(&seen, Word::Silent, at(100));
+    assert_eq!(first_order(step).unwrap().1, at(1_000));
+}
+
+/// The same machine is the same holder to the engines.
+#[test]
+fn a_restarted_holder_goes_on_at_once_with_a_higher_fencing_number() {
+    let seen = seen(Some(record("edge-2", None)));
+    let step = candidate().step(&seen, Word::Silent, at(0));
+    assert_eq!(first_order(step), Some((6, at(0))));
+}
+
+#[test]
+fn candidates_try_one_after_the_other() {
+    let seen = seen(None);
+    let second = Candidate {
+        rank: 1,
+        ..candidate()
+    };
+    assert_eq!(second.step(&seen, Word::Silent, at(0)), Step::Wait);
+    assert!(first_order(second.step(&seen, Word::Silent, at(500))).is_some());
+}
+
+fn tenure() -> Tenure {
+    Tenure {
+        record: record("edge-1", None),
+        version: 40,
+        from: at(0),
+        renewed: at(0),
+        ordered: None,
+    }
+}
+
+#[test]
+fn orders_stop_before_a_successor_may_begin() {
+    let served = Peers {
+        heard: true,
+        served: true,
+    };
+    let tenure = tenure();
+    assert!(tenure.may_order(served, true, at(1_600)));
+    assert!(!tenure.may_order(served, true, at(1_800)));
+    assert!(tenure.gives_up(served, at(1_600)));
+}
+
+/// An outage of the store stops no orders: nobody can take over.
+#[test]
+fn with_the_store_away_from_everybody_the_holder_goes_on() {
+    let away = Peers {
+        heard: true,
+        served: false,
+    };
+    let tenure = tenure();
+    assert!(tenure.may_order(away, true, at(60_000)));
+    assert!(!tenure.gives_up(away, at(60_000)));
+    assert!(
+        !tenure.may_order(away, false, at(60_000)),
+        "engines that ignore fences"
+    );
+    let alone = Peers::default();
+    assert!(
+        !tenure.may_order(alone, true, at(60_000)),
+        "a holder that hears nobody"
+    );
+}
