Behind fences a holder gives orders until its successor does

Change: such a holder offers the orders and goes on until its successor's first order; the loads in the ceiling's window are told to the successor; ready as soon as both lists are known.

--- a/src/decide/window.rs
+++ b/src/decide/window.rs
@@ -32,6 +32,20 @@
         window
     }
 
+    /// A window after starts at these moments, in any order.
+    pub fn after(rate: f64, count: u32, starts: &[Moment]) -> Self {
+        let mut window = Window {
+            span: Duration::ZERO,
+            count: 1,
+            ends: VecDeque::new(),
+        };
+        window.set(rate, count);
+        let mut ends: Vec<_> = starts.iter().map(|at| *at + window.span).collect();
+        ends.sort();
+        window.ends = ends.into();
+        window
+    }
+
     /// Changes rate (starts a second) and count for starts to come.
     pub fn set(&mut self, rate: f64, count: u32) {
         self.count = count.max(1) as usize;
--- a/src/edge/duty.rs
+++ b/src/edge/duty.rs
@@ -13,7 +13,7 @@
 use super::members::Members;
 use super::orders::{Order, Outcome, Report};
 use super::peers;
-use super::placement::{Act, Authority, Placer, Scene};
+use super::placement::{Act, Authority, Past, Placer, Scene};
 use super::state::{Edge, Phase};
 use super::store::{Commit, Page, Row, Table, Write};
 use super::tenure::{Candidate, RENEW, Record, Seen, Step, Tenure, Word};
@@ -60,8 +60,13 @@
 /// One look of a candidate.
 async fn look(edge: &Rc<Edge>, seen: &mut Option<Seen>) {
     let now = clock::now();
-    let heard = edge.state.borrow().members.holder(now).is_some();
-    if heard || edge.phase.get() != Phase::Serving {
+    let held = {
+        let state = edge.state.borrow();
+        let holder = state.members.holder(now);
+        let told = holder.and_then(|(_, m)| m.tenure.as_ref());
+        told.is_some_and(|t| !t.offered)
+    };
+    if held || edge.phase.get() != Phase::Serving {
         *seen = None;
         return;
     }
@@ -117,10 +122,10 @@
         return Word::Silent;
     };
     if told.row == seen.version {
-        seen.since = seen.since.min(told.at);
+        seen.since = seen.since.min(told.renewed);
     }
-    if told.over {
-        return Word::GaveUp(told.ordered);
+    if told.offered {
+        return Word::Offers(told.ordered);
     }
     match member.alive(now) {
         true => Word::Holds,
@@ -145,12 +150,10 @@
         host: edge.host.clone(),
         fence,
     };
-    let placer = Placer::new(
-        authority,
-        settings.engines,
-        settings.bounds.ceiling_window_s,
-    );
     let mut state = edge.state.borrow_mut();
+    let past = past_loads(&state.members, version);
+    let span = settings.bounds.ceiling_window_s;
+    let placer = Placer::new(authority, settings.engines, span, past);
     state.tenure = Some(Tenure {
         record,
         version: written,
@@ -164,6 +167,18 @@
     edge.duty.notify_one();
 }
 
+/// What is known of the loads before a takeover of the row with `version`.
+fn past_loads(members: &Members, version: u64) -> Past {
+    if version == 0 {
+        return Past::None;
+    }
+    let told = members.all.values().filter_map(|m| m.tenure.as_ref());
+    match told.max_by_key(|t| t.fence) {
+        Some(told) => Past::Known(told.loads.clone()),
+        None => Past::Until(clock::now()),
+    }
+}
+
 /// What became of a write of the holder's row.
 enum Put {
     /// Done; the version that it made.
@@ -208,8 +223,8 @@
     };
     let written = put(edge, tenure.version, &record).await;
     let now = clock::now();
-    let peers = edge.peers(now);
     let mut state = edge.state.borrow_mut();
+    let peers = state.peers(now);
     let Some(current) = state.tenure.as_mut().filter(|t| t.record.fence == fence) else {
         return;
     };
@@ -221,36 +236,47 @@
     }
     if matches!(written, Put::Lost) {
         log::warn!(fence; "orders lost: the row is another's");
-        state.give_up();
+        state.end_tenure();
         return;
     }
-    if current.gives_up(peers, now) {
+    if current.offers(peers, now) {
         let age_ms = now.saturating_sub(current.renewed).as_millis() as u64;
-        log::warn!(fence, age_ms; "orders given up: the row cannot be renewed");
-        state.give_up();
+        log::warn!(fence, age_ms; "orders offered: the row cannot be renewed");
+        if !edge.settings().bounds.fences {
+            state.end_tenure();
+        }
         drop(state);
         edge.urgent.notify_one();
     }
 }
 
-/// Gives the orders up, as this daemon leaves.
-pub async fn release(edge: &Edge) {
+/// Gives the orders up, as this daemon leaves; `begun` is when that began.
+/// False when the store does not take it.
+pub async fn release(edge: &Edge, begun: Moment) -> bool {
     let tenure = edge.state.borrow().tenure.clone();
     let Some(tenure) = tenure else {
-        return;
+        return true;
     };
-    edge.state.borrow_mut().give_up();
-    edge.urgent.notify_one();
-    let idle = tenure.idle(clock::now()).as_millis() as u64;
+    let now = clock::now();
+    let fences = edge.settings().bounds.fences;
+    let mut idle = tenure.idle(fences, now);
+    if fences {
+        // Late orders are refused by fencing; those from before count.
+        idle = idle.max(now.saturating_sub(begun));
+    }
     let fence = tenure.record.fence;
     let record = Record {
-        released: Some(idle),
+        released: Some(idle.as_millis() as u64),
         ..tenure.record
     };
     match put(edge, tenure.version, &record).await {
         Put::Done(row) => log::info!(fence, row; "orders given up"),
-        Put::Lost | Put::Unknown => log::warn!(fence; "orders not given up in the store"),
+        Put::Lost => log::info!(fence; "orders were taken over"),
+        Put::Unknown => return false,
     }
+    edge.state.borrow_mut().end_tenure();
+    edge.urgent.notify_one();
+    true
 }
 
 fn write(version: u64, record: &Record) -> Write {
@@ -312,10 +338,10 @@
 /// under way.
 fn round(edge: &Rc<Edge>) -> bool {
     let now = clock::now();
-    let peers = edge.peers(now);
     let fences = edge.settings().bounds.fences;
     let mut guard = edge.state.borrow_mut();
     let state = &mut *guard;
+    let peers = state.peers(now);
     let Some(tenure) = &state.tenure else {
         return false;
     };
@@ -384,7 +410,7 @@
     };
     if outcome == Outcome::Fenced {
         // Another daemon has taken over; the row tells at the next look.
-        state.give_up();
+        state.end_tenure();
         log::warn!(fence; "orders lost: an engine knows a higher fencing number");
         return;
     }
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -44,7 +44,7 @@
     /// The store serves it.
     #[prost(bool, tag = "4")]
     pub store: bool,
-    /// Its tenure, also for a while after it gave it up.
+    /// Its tenure.
     #[prost(message, optional, tag = "5")]
     pub tenure: Option<TenureNote>,
     /// What it has in progress at engines.
@@ -64,12 +64,32 @@
     /// Version of its row when that was last written.
     #[prost(uint64, tag = "2")]
     pub row: u64,
-    /// It gave the orders up.
+    /// It offers the orders to others.
     #[prost(bool, tag = "3")]
-    pub over: bool,
-    /// Time since the last order, ms.
+    pub offered: bool,
+    /// Time since the last order that a successor has to keep away from, ms.
     #[prost(uint64, tag = "4")]
     pub idle_ms: u64,
+    /// Time since the row was last renewed, ms.
+    #[prost(uint64, tag = "5")]
+    pub renewed_ms: u64,
+    /// Time until its first order, ms.
+    #[prost(uint64, tag = "6")]
+    pub wait_ms: u64,
+    /// Loads from the weight store within the ceiling's window.
+    #[prost(message, repeated, tag = "7")]
+    pub loads: Vec<LoadStart>,
+}
+
+/// A load from the weight store.
+#[derive(Clone, PartialEq, Message)]
+pub struct LoadStart {
+    /// Service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Time since it was ordered, ms.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 
 /// What a daemon has in progress at one engine.
--- a/src/edge/members.rs
+++ b/src/edge/members.rs
@@ -58,18 +58,20 @@
 }
 
 /// What a daemon said of its tenure.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Told {
     /// Fencing number.
     pub fence: u64,
     /// Version of its row.
     pub row: u64,
-    /// It gave the orders up.
-    pub over: bool,
-    /// Its last order was given before this moment.
+    /// It offers the orders to others.
+    pub offered: bool,
+    /// The last order to keep away from was given before this moment.
     pub ordered: Moment,
-    /// When it said so.
-    pub at: Moment,
+    /// When the row was last renewed.
+    pub renewed: Moment,
+    /// Loads from the weight store, by service.
+    pub loads: Vec<(Arc<str>, Moment)>,
 }
 
 impl Member {
@@ -163,15 +165,15 @@
     /// The daemon that holds the orders, as it says itself; of several, the
     /// one with the highest fencing number.
     pub fn holder(&self, now: Moment) -> Option<(&Arc<str>, &Member)> {
-        let fence = |m: &Member| m.tenure.filter(|t| !t.over).map_or(0, |t| t.fence);
+        let fence = |m: &Member| m.tenure.as_ref().map_or(0, |t| t.fence);
         let holding = self.alive(now).filter(|(_, m)| fence(m) > 0);
         holding.max_by_key(|(_, m)| fence(m))
     }
 
     /// What a host said last of its tenure `fence`.
-    pub fn told(&self, host: &str, fence: u64) -> Option<(&Member, Told)> {
+    pub fn told(&self, host: &str, fence: u64) -> Option<(&Member, &Told)> {
         let member = self.all.get(host)?;
-        let told = member.tenure.filter(|t| t.fence == fence)?;
+        let told = member.tenure.as_ref().filter(|t| t.fence == fence)?;
         Some((member, told))
     }
 
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -162,7 +162,7 @@
     log::info!(requests = edge.state.borrow().requests; "stopping");
     edge.urgent.notify_one();
     stop.send_replace(Stop::Connections);
-    duty::release(edge).await;
+    hand_over(edge, &leaving).await;
     watch::deregister(edge).await;
     while clock::now() < leaving.closing() {
         tokio::time::sleep(LEAVING_LOOK).await;
@@ -176,6 +176,22 @@
     log::info!(requests, ms; "stopped");
 }
 
+/// Gives the orders up. Where engines refuse old fencing numbers, this daemon
+/// gives orders for another lease, so that its successor can go on at once.
+async fn hand_over(edge: &Rc<Edge>, leaving: &Leaving) {
+    let bounds = edge.settings().bounds;
+    let until = match bounds.fences {
+        true => leaving.begun + bounds.lease(),
+        false => leaving.begun,
+    };
+    while edge.state.borrow().tenure.is_some() && clock::now() < leaving.closing() {
+        if clock::now() >= until && duty::release(edge, leaving.begun).await {
+            return;
+        }
+        tokio::time::sleep(LEAVING_LOOK).await;
+    }
+}
+
 /// Drops old connections and notices a suspension of the machine.
 async fn chores(edge: Rc<Edge>) {
     let mut last = clock::now();
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -13,10 +13,10 @@
 use super::demand::{Demand, Which};
 use super::fleet::{Held, Load, Told};
 use super::gossip::{
-    Beat, Count, DemandNote, LoadNote, Packet, StrikeNote, TenureNote, ToldNote, WantNote,
+    Beat, Count, DemandNote, LoadNote, LoadStart, Packet, StrikeNote, TenureNote, ToldNote, WantNote,
 };
 use super::members::{self, BEAT};
-use super::placement::{Target, Want};
+use super::placement::{Placer, Target, Want};
 use super::state::{Edge, State};
 use super::tenure::Tenure;
 use crate::clock::Moment;
@@ -117,21 +117,61 @@
     notes
 }
 
-/// The tenure, or the last one that was given up.
-fn tenure(state: &State, now: Moment) -> Option<TenureNote> {
-    let note = |tenure: &Tenure, over| TenureNote {
+fn tenure(edge: &Edge, state: &State, now: Moment) -> Option<TenureNote> {
+    let tenure = state.tenure.as_ref()?;
+    let fences = edge.settings().bounds.fences;
+    let peers = state.peers(now);
+    let mut note = TenureNote {
         fence: tenure.record.fence,
         row: tenure.version,
-        over,
-        idle_ms: tenure.idle(now).as_millis() as u64,
+        offered: tenure.offers(peers, now),
+        idle_ms: millis(tenure.idle(fences, now)),
+        renewed_ms: millis(now.saturating_sub(tenure.renewed)),
+        wait_ms: millis(tenure.from.saturating_sub(now)),
+        loads: Vec::new(),
     };
-    match (&state.tenure, &state.past) {
-        (Some(tenure), _) => Some(note(tenure, false)),
-        (None, Some(past)) => Some(note(past, true)),
-        (None, None) => None,
+    let loads = state.placer.as_ref().map(Placer::remote_starts);
+    for (service, at) in loads.unwrap_or_default() {
+        note.loads.push(LoadStart {
+            service: service.to_string(),
+            age_ms: millis(now.saturating_sub(at)),
+        });
+    }
+    Some(note)
+}
+
+/// Takes in what a daemon says of its tenure; ends this daemon's own when that
+/// one follows it.
+fn take_tenure(edge: &Edge, state: &mut State, host: &str, note: &TenureNote, now: Moment) {
+    let ago = |ms| now.saturating_sub(Duration::from_millis(ms));
+    let loads = note.loads.iter();
+    let told = members::Told {
+        fence: note.fence,
+        row: note.row,
+        offered: note.offered,
+        ordered: ago(note.idle_ms),
+        renewed: ago(note.renewed_ms),
+        loads: loads
+            .map(|l| (l.service.as_str().into(), ago(l.age_ms)))
+            .collect(),
+    };
+    if let Some(member) = state.members.all.get_mut(host) {
+        member.tenure = Some(told);
+    }
+    let fences = edge.settings().bounds.fences;
+    let wait = Duration::from_millis(note.wait_ms);
+    let ends = |t: &Tenure| t.ended_by(note.fence, wait, fences);
+    if state.tenure.as_ref().is_some_and(ends) {
+        let fence = note.fence;
+        log::info!(successor = host, fence; "orders passed on");
+        state.end_tenure();
     }
 }
 
+fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
+
 fn whole(edge: &Edge, state: &mut State, now: Moment) -> Beat {
     let settings = edge.settings();
     let mut beat = Beat {
@@ -139,7 +179,7 @@
         domain: settings.domain.to_string(),
         ready: edge.ready(),
         store: edge.served(),
-        tenure: tenure(state, now),
+        tenure: tenure(edge, state, now),
         ..Beat::default()
     };
     for (id, engine) in &state.fleet.engines {
@@ -247,16 +287,13 @@
         }
         member.ready = beat.ready;
         member.store = beat.store;
-        member.tenure = beat.tenure.as_ref().map(|note| members::Told {
-            fence: note.fence,
-            row: note.row,
-            over: note.over,
-            ordered: now.saturating_sub(Duration::from_millis(note.idle_ms)),
-            at: now,
-        });
+        member.tenure = None;
         if let Ok(callers) = beat.callers.parse() {
             member.callers = callers;
         }
+        if let Some(note) = &beat.tenure {
+            take_tenure(edge, state, &host, note, now);
+        }
         let loads = beat.loads.iter().map(load).collect();
         state.fleet.other_load(&host, loads, now);
         let other = state.others.entry(host.clone()).or_default();
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -97,6 +97,17 @@
     pub fence: u64,
 }
 
+/// What is known of the loads from the weight store before a tenure.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Past {
+    /// There was no tenure before.
+    None,
+    /// These, by service.
+    Known(Vec<(Arc<str>, Moment)>),
+    /// Nothing, but that there were none after this moment.
+    Until(Moment),
+}
+
 /// State of the decisions during one tenure.
 #[derive(Debug)]
 pub struct Placer {
@@ -108,17 +119,28 @@
     windows: HashMap<Arc<str>, Window>,
     /// Length of the ceiling's window, s.
     span: f64,
+    /// Loads before the tenure.
+    past: Past,
+    /// Loads from the weight store in the window, by service.
+    starts: Vec<(Arc<str>, Moment)>,
 }
 
 impl Placer {
-    /// Decisions of a new tenure; the loads of the last one are not known.
-    pub fn new(authority: Authority, engines: Engines, span: f64) -> Self {
+    /// Decisions of a new tenure; `span` is the length of the ceiling's window
+    /// in seconds.
+    pub fn new(authority: Authority, engines: Engines, span: f64, past: Past) -> Self {
+        let starts = match &past {
+            Past::Known(starts) => starts.clone(),
+            Past::None | Past::Until(_) => Vec::new(),
+        };
         Placer {
             books: BTreeMap::new(),
             authority,
             engines,
             windows: HashMap::new(),
             span,
+            past,
+            starts,
         }
     }
 
@@ -214,6 +236,31 @@
         acts
     }
 
+    /// Loads from the weight store in the ceiling's window, by service.
+    pub fn remote_starts(&self) -> Vec<(Arc<str>, Moment)> {
+        self.starts.clone()
+    }
+
+    /// The window of a service's loads from the weight store.
+    fn window(&mut self, service: &Arc<str>, hosting: &Hosting, now: Moment) -> &mut Window {
+        let rate = hosting.loads_per_s;
+        let count = (rate * self.span).floor().max(1.0) as u32;
+        let past = &self.past;
+        let window = self.windows.entry(service.clone()).or_insert_with(|| match past {
+            Past::None => Window::after(rate, count, &[]),
+            Past::Known(starts) => {
+                let own = starts.iter().filter(|(s, _)| s == service);
+                let own: Vec<_> = own.map(|(_, at)| *at).collect();
+                Window::after(rate, count, &own)
+            }
+            Past::Until(moment) => Window::new(rate, count, *moment),
+        });
+        window.set(rate, count);
+        let span = Duration::from_secs_f64(self.span);
+        self.starts.retain(|(_, at)| now.saturating_sub(*at) < span);
+        window
+    }
+
     /// Whether something is under way that should be looked at soon.
     pub fn busy(&self, now: Moment) -> bool {
         let young = |r: &Replica| r.adapters.values().any(|a| a.ready > now);
@@ -273,14 +320,15 @@
             book.calling = true;
             return Some(Act::Report(id.clone()));
         }
+        let authority = self.authority.clone();
         let order = |verb, model: &Arc<str>, adapter: Option<Arc<str>>, expected| Order {
             engine: id.clone(),
             verb,
             model: model.clone(),
             adapter,
             expected,
-            holder: self.authority.host.clone(),
-            fence: self.authority.fence,
+            holder: authority.host.clone(),
+            fence: authority.fence,
         };
         if let Some((verb, model, adapter)) = next_adapter(book, engine, hosting, scene) {
             book.calling = true;
@@ -304,15 +352,19 @@
                     book.abandon();
                     return None;
                 }
-                if task.remote {
-                    let window = window(&mut self.windows, service, hosting, self.span, now);
+                let (model, remote, expected) = (task.model.clone(), task.remote, book.orders);
+                if remote {
+                    let window = self.window(service, hosting, now);
                     if !window.wait(now).is_zero() {
                         return None;
                     }
                     // An order without an answer counts as a load, too.
                     window.start(now);
+                    self.starts.push((service.clone(), now));
                 }
-                Act::Order(order(Verb::Load, &task.model, None, book.orders))
+                let order = order(Verb::Load, &model, None, expected);
+                self.books.get_mut(id)?.calling = true;
+                return Some(Act::Order(order));
             }
             Stage::Unloading { .. } => Act::Report(id.clone()),
             Stage::Loading { since, expected } => {
@@ -694,20 +746,3 @@
     }
     oldest.map(|(_, model, name)| (model.clone(), name.clone()))
 }
-
-/// The window of a service's loads from the weight store.
-fn window<'a>(
-    windows: &'a mut HashMap<Arc<str>, Window>,
-    service: &Arc<str>,
-    hosting: &Hosting,
-    span: f64,
-    now: Moment,
-) -> &'a mut Window {
-    let rate = hosting.loads_per_s;
-    let count = (rate * span).floor().max(1.0) as u32;
-    let window = windows
-        .entry(service.clone())
-        .or_insert_with(|| Window::new(rate, count, now));
-    window.set(rate, count);
-    window
-}
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -96,9 +96,7 @@
     pub strikes: Vec<(u64, Arc<str>)>,
     /// This daemon's tenure.
     pub tenure: Option<Tenure>,
-    /// The last tenure that it gave up.
-    pub past: Option<Tenure>,
-    /// Decisions of the tenure.
+    /// Decisions of that tenure.
     pub placer: Option<Placer>,
     /// Callers' requests in progress.
     pub requests: usize,
@@ -150,17 +148,6 @@
         reach.answered.is_some() && reach.failing.is_none()
     }
 
-    /// What other daemons say, as far as it bears on a tenure.
-    pub fn peers(&self, now: Moment) -> Peers {
-        let state = self.state.borrow();
-        let mut peers = Peers::default();
-        for (_, member) in state.members.alive(now) {
-            peers.heard = true;
-            peers.served |= member.store;
-        }
-        peers
-    }
-
     /// Takes a repeat out of the retry budget of a service.
     pub fn may_repeat(&self, service: &Arc<str>) -> bool {
         let now = clock::now();
@@ -229,12 +216,20 @@
 }
 
 impl State {
+    /// What other daemons say, as far as it bears on a tenure.
+    pub fn peers(&self, now: Moment) -> Peers {
+        let mut peers = Peers::default();
+        for (_, member) in self.members.alive(now) {
+            peers.heard = true;
+            peers.served |= member.store;
+        }
+        peers
+    }
+
     /// Ends this daemon's tenure.
-    pub fn give_up(&mut self) {
+    pub fn end_tenure(&mut self) {
         self.placer = None;
-        if let Some(tenure) = self.tenure.take() {
-            self.past = Some(tenure);
-        }
+        self.tenure = None;
     }
 
     /// Drops wants that nobody waits for any more.
--- a/src/edge/tenure.rs
+++ b/src/edge/tenure.rs
@@ -1,11 +1,15 @@
 //! Who gives the orders to engines: a row in the store names the holder.
 //!
-//! A holder renews its row all the time. It gives the orders up when it cannot
-//! renew it while another daemon reaches the store; with the store away from
+//! A holder renews its row all the time. One that cannot renew it while another
+//! daemon reaches the store offers the orders; with the store away from
 //! everybody nobody can take over, and it goes on. A takeover is a conditional
-//! write of the row, allowed once the holder has said that it gave up or its
-//! row stands still. The new holder's first order comes a lease after the last
-//! that the one before it can have given.
+//! write of the row, allowed once the holder has offered the orders or its row
+//! stands still. The new holder's first order comes a lease after the last that
+//! the one before it can have given while the store served it.
+//!
+//! Where engines refuse old fencing numbers, a holder that offered the orders
+//! goes on until it hears that its successor gives them: whatever it orders
+//! late is refused. Where they do not, it stops when it offers them.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -82,20 +86,32 @@
             return false;
         }
         let fresh = now.saturating_sub(self.renewed) < RENEWED;
-        // With the store away from everybody the row cannot change.
-        let alone = fences && peers.heard && !peers.served;
-        fresh || alone
+        // A successor would be heard of.
+        fresh || (fences && peers.heard)
     }
 
-    /// Whether to give the orders up after a renewal failed.
-    pub fn gives_up(&self, peers: Peers, now: Moment) -> bool {
+    /// Whether it offers the orders to others: it cannot renew its row.
+    pub fn offers(&self, peers: Peers, now: Moment) -> bool {
         let fresh = now.saturating_sub(self.renewed) < RENEW + STANDING;
         peers.served && !fresh
     }
 
-    /// Time since the last order; the whole tenure when there was none.
-    pub fn idle(&self, now: Moment) -> Duration {
-        now.saturating_sub(self.ordered.unwrap_or(self.from.min(now)))
+    /// Whether another tenure, whose first order comes after `wait`, ends this
+    /// one.
+    pub fn ended_by(&self, fence: u64, wait: Duration, fences: bool) -> bool {
+        fence > self.record.fence && (wait.is_zero() || !fences)
+    }
+
+    /// Time since the last order that a successor has to keep away from: the
+    /// last one at all, or with fences the last that was given while the store
+    /// served this host.
+    pub fn idle(&self, fences: bool, now: Moment) -> Duration {
+        let ordered = self.ordered.unwrap_or(self.from.min(now));
+        let last = match fences {
+            true => ordered.min(self.renewed + RENEW),
+            false => ordered,
+        };
+        now.saturating_sub(last)
     }
 }
 
@@ -106,8 +122,9 @@
     Silent,
     /// It holds the orders.
     Holds,
-    /// It gave them up; its last order was given before this moment.
-    GaveUp(Moment),
+    /// It offers them; the last order to keep away from was given before this
+    /// moment.
+    Offers(Moment),
 }
 
 /// What a candidate should do about the row.
@@ -158,7 +175,7 @@
                         (Duration::ZERO, ordered + self.lease)
                     }
                     (None, Word::Holds) => return Step::Wait,
-                    (None, Word::GaveUp(ordered)) => (Duration::ZERO, ordered + self.lease),
+                    (None, Word::Offers(ordered)) => (Duration::ZERO, ordered + self.lease),
                     (None, Word::Silent) => {
                         // Behind fences only a holder that the store served
                         // counts, and it would have renewed its row.
--- a/src/edge/watch.rs
+++ b/src/edge/watch.rs
@@ -86,18 +86,18 @@
 /// the desired state are known.
 pub async fn engines(edge: Rc<Edge>) {
     let mut known_bad = BTreeSet::new();
+    let mut listed = false;
     loop {
+        if listed && edge.phase.get() == Phase::Starting {
+            become_ready(&edge).await;
+        }
         let bounds = edge.settings().bounds;
         let period = Duration::from_millis(bounds.drain_ms).mul_f64(LIST_PART);
         let begun = clock::now();
         match edge.store.read(Table::Engines).await {
             Ok(page) => {
                 take_engines(&edge, page, &mut known_bad);
-                if edge.phase.get() == Phase::Starting && edge.state.borrow().desired.version > 0 {
-                    edge.phase.set(Phase::Serving);
-                    log::info!(host = &*edge.host; "ready");
-                    edge.urgent.notify_one();
-                }
+                listed = true;
             }
             Err(error) => log::debug!(error:%; "engines not read"),
         }
@@ -107,6 +107,21 @@
     }
 }
 
+/// Becomes ready once the desired state is known as well.
+async fn become_ready(edge: &Edge) {
+    let mut changes = edge.changed.subscribe();
+    while edge.state.borrow().desired.version == 0 {
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+    if edge.phase.get() == Phase::Starting {
+        edge.phase.set(Phase::Serving);
+        log::info!(host = &*edge.host; "ready");
+        edge.urgent.notify_one();
+    }
+}
+
 fn take_engines(edge: &Edge, page: Page, known_bad: &mut BTreeSet<Arc<str>>) {
     let mut entries: Vec<Entry> = Vec::new();
     let mut unreadable = BTreeSet::new();
--- a/tests/edge/scene.rs
+++ b/tests/edge/scene.rs
@@ -9,7 +9,7 @@
 use mastichinge::edge::desired::{Desired, Hosting, Model, Service};
 use mastichinge::edge::fleet::{Copies, Entry, Fleet, Held, Phase};
 use mastichinge::edge::orders::{Order, Outcome, Report, Verb};
-use mastichinge::edge::placement::{Act, Authority, Placer, Scene, Target, Want};
+use mastichinge::edge::placement::{Act, Authority, Past, Placer, Scene, Target, Want};
 use mastichinge::edge::settings::Engines;
 
 /// Service of all engines in these tests.
@@ -94,8 +94,7 @@
             desired,
             wants: BTreeMap::new(),
             demand: HashMap::new(),
-            // The window of a new tenure is full; it is empty a while later.
-            placer: Placer::new(authority, Engines::default(), 5.0),
+            placer: Placer::new(authority, Engines::default(), 5.0, Past::None),
             now,
         }
     }
--- a/tests/edge/tenure.rs
+++ b/tests/edge/tenure.rs
@@ -76,11 +76,11 @@
 }
 
 #[test]
-fn a_holder_that_gave_up_is_followed_at_once_but_not_sooner_than_a_lease() {
+fn a_holder_that_offers_the_orders_is_followed_at_once_but_not_sooner_than_a_lease() {
     let seen = seen(Some(record("edge-1", None)));
-    let step = candidate().step(&seen, Word::GaveUp(at(200)), at(1_000));
+    let step = candidate().step(&seen, Word::Offers(at(200)), at(1_000));
     assert_eq!(first_order(step).unwrap().1, at(200) + LEASE);
-    let step = candidate().step(&seen, Word::GaveUp(at(200)), at(9_000));
+    let step = candidate().step(&seen, Word::Offers(at(200)), at(9_000));
     assert_eq!(first_order(step).unwrap().1, at(9_000));
 }
 
@@ -120,16 +120,34 @@
     }
 }
 
+const SERVED: Peers = Peers {
+    heard: true,
+    served: true,
+};
+
 #[test]
-fn orders_stop_before_a_successor_may_begin() {
-    let served = Peers {
-        heard: true,
-        served: true,
-    };
+fn without_fences_orders_stop_before_a_successor_may_begin() {
     let tenure = tenure();
-    assert!(tenure.may_order(served, true, at(1_600)));
-    assert!(!tenure.may_order(served, true, at(1_800)));
-    assert!(tenure.gives_up(served, at(1_600)));
+    assert!(tenure.may_order(SERVED, false, at(1_600)));
+    assert!(!tenure.may_order(SERVED, false, at(1_800)));
+    assert!(tenure.offers(SERVED, at(1_600)));
+}
+
+/// A holder that the store turns away goes on until its successor gives
+/// orders, and that one begins a lease after the store last served the holder.
+#[test]
+fn behind_fences_orders_go_on_until_the_successor_gives_them() {
+    let tenure = Tenure {
+        ordered: Some(at(2_500)),
+        ..tenure()
+    };
+    assert!(tenure.may_order(SERVED, true, at(3_000)));
+    assert!(tenure.offers(SERVED, at(3_000)));
+    assert_eq!(tenure.idle(true, at(3_000)), Duration::from_millis(2_000));
+    assert_eq!(tenure.idle(false, at(3_000)), Duration::from_millis(500));
+    assert!(!tenure.ended_by(6, Duration::from_millis(100), true));
+    assert!(tenure.ended_by(6, Duration::ZERO, true));
+    assert!(!tenure.ended_by(5, Duration::ZERO, true));
 }
 
 /// An outage of the store stops no orders: nobody can take over.
@@ -141,14 +159,8 @@
     };
     let tenure = tenure();
     assert!(tenure.may_order(away, true, at(60_000)));
-    assert!(!tenure.gives_up(away, at(60_000)));
-    assert!(
-        !tenure.may_order(away, false, at(60_000)),
-        "engines that ignore fences"
-    );
+    assert!(!tenure.offers(away, at(60_000)));
+    assert!(!tenure.may_order(away, false, at(60_000)), "engines that ignore fences");
     let alone = Peers::default();
-    assert!(
-        !tenure.may_order(alone, true, at(60_000)),
-        "a holder that hears nobody"
-    );
+    assert!(!tenure.may_order(alone, true, at(60_000)), "a holder that hears nobody");
 }
