An engine that takes no connection is down until it writes again

A restarted host was ready 0.7 s late, and a restarted holder waited for its place among the candidates. Change: as titled, with a test; readiness follows the reading at once; the machine that held the orders goes first.

--- a/src/edge/duty.rs
+++ b/src/edge/duty.rs
@@ -474,7 +474,11 @@
     let addr = addr.ok_or_else(|| SendError::Unreached("the engine is gone".to_owned()))?;
     let request = request(&addr.to_string());
     let request = request.map_err(|e| SendError::Unreached(e.to_string()))?;
-    edge.client.call(addr, request, CALL).await
+    let outcome = edge.client.call(addr, request, CALL).await;
+    if let Err(SendError::Unreached(_)) = &outcome {
+        edge.unreached(engine);
+    }
+    outcome
 }
 
 /// Remembers what the other daemons were told.
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -116,6 +116,9 @@
     pub kept: Kept,
     /// Another engine has taken its address.
     pub replaced: bool,
+    /// Number of its newest entry when it took no connection; it counts as
+    /// down until it has written another.
+    pub refused: Option<u64>,
 }
 
 impl Upstream {
@@ -134,12 +137,18 @@
             absent: HashMap::new(),
             kept: Kept::default(),
             replaced: false,
+            refused: None,
         }
     }
 
     /// Whether new work may go there.
     pub fn usable(&self) -> bool {
-        self.entry.phase == Phase::Ready && !self.replaced
+        self.entry.phase == Phase::Ready && !self.replaced && !self.down()
+    }
+
+    /// Whether it took no connection and has given no sign of life since.
+    pub fn down(&self) -> bool {
+        self.refused == Some(self.entry.beat)
     }
 
     /// What it holds, as far as is known: the holder's word while that is
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -330,7 +330,10 @@
     let (response, conn) = match outcome {
         Ok(exchange) => exchange,
         Err(SendError::Unreached(cause)) => {
-            flight.judge(false);
+            flight.unreached();
+            if let Some((target, name)) = target_of(job) {
+                job.edge.lacks(&choice.engine, &target, &name);
+            }
             return Sent::Unreached(cause);
         }
         Err(SendError::Broken(cause)) => {
@@ -398,18 +401,23 @@
     let request = &*job.call.id;
     let engine = &*choice.engine;
     log::info!(request, engine, status = status.as_u16(); "engine rejected the request");
-    let Some(prompt) = &job.call.prompt else {
-        return;
-    };
     if status != StatusCode::MISDIRECTED_REQUEST {
         return;
     }
+    if let Some((target, name)) = target_of(job) {
+        job.edge.lacks(&choice.engine, &target, &name);
+    }
+}
+
+/// What must be loaded for a request, and its name.
+fn target_of(job: &Job) -> Option<(Target, Arc<str>)> {
+    let prompt = job.call.prompt.as_ref()?;
     let target = Target {
         service: job.service.clone(),
         model: prompt.model.clone(),
         adapter: prompt.adapter.clone(),
     };
-    job.edge.lacks(&choice.engine, &target, &prompt.target());
+    Some((target, prompt.target()))
 }
 
 /// Reads the rest of a short answer so that its connection can be kept.
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -13,7 +13,8 @@
 use super::demand::{Demand, Which};
 use super::fleet::{Held, Load, Told};
 use super::gossip::{
-    Beat, Count, DemandNote, LoadNote, LoadStart, Packet, StrikeNote, TenureNote, ToldNote, WantNote,
+    Beat, Count, DemandNote, LoadNote, LoadStart, Packet, StrikeNote, TenureNote, ToldNote,
+    WantNote,
 };
 use super::members::{self, BEAT};
 use super::placement::{Placer, Target, Want};
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -246,15 +246,18 @@
         let rate = hosting.loads_per_s;
         let count = (rate * self.span).floor().max(1.0) as u32;
         let past = &self.past;
-        let window = self.windows.entry(service.clone()).or_insert_with(|| match past {
-            Past::None => Window::after(rate, count, &[]),
-            Past::Known(starts) => {
-                let own = starts.iter().filter(|(s, _)| s == service);
-                let own: Vec<_> = own.map(|(_, at)| *at).collect();
-                Window::after(rate, count, &own)
-            }
-            Past::Until(moment) => Window::new(rate, count, *moment),
-        });
+        let window = self
+            .windows
+            .entry(service.clone())
+            .or_insert_with(|| match past {
+                Past::None => Window::after(rate, count, &[]),
+                Past::Known(starts) => {
+                    let own = starts.iter().filter(|(s, _)| s == service);
+                    let own: Vec<_> = own.map(|(_, at)| *at).collect();
+                    Window::after(rate, count, &own)
+                }
+                Past::Until(moment) => Window::new(rate, count, *moment),
+            });
         window.set(rate, count);
         let span = Duration::from_secs_f64(self.span);
         self.starts.retain(|(_, at)| now.saturating_sub(*at) < span);
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -198,6 +198,19 @@
         }
     }
 
+    /// Notes that an engine took no connection.
+    pub fn unreached(&self, engine: &str) {
+        let mut state = self.state.borrow_mut();
+        let Some(upstream) = state.fleet.engines.get_mut(engine) else {
+            return;
+        };
+        if !upstream.down() {
+            let beat = upstream.entry.beat;
+            upstream.refused = Some(beat);
+            log::warn!(engine, beat; "engine down: it takes no connection");
+        }
+    }
+
     /// Notes that an engine said it lacks `target`.
     pub fn lacks(&self, engine: &str, target: &Target, name: &Arc<str>) {
         let now = clock::now();
@@ -344,6 +357,12 @@
         }
     }
 
+    /// Notes that the engine took no connection.
+    pub fn unreached(&self) {
+        self.judge(false);
+        self.edge.unreached(&self.engine);
+    }
+
     /// Notes whether the engine did its part.
     pub fn judge(&self, sound: bool) {
         let mut state = self.edge.state.borrow_mut();
--- a/src/edge/tenure.rs
+++ b/src/edge/tenure.rs
@@ -189,7 +189,12 @@
                 (held.fence + 1, after, from)
             }
         };
-        if standing < after + STAGGER * self.rank {
+        let own = seen.record.as_ref().is_some_and(|r| r.host == self.host);
+        let stagger = match own {
+            true => Duration::ZERO,
+            false => STAGGER * self.rank,
+        };
+        if standing < after + stagger {
             return Step::Wait;
         }
         Step::Take {
--- a/src/edge/watch.rs
+++ b/src/edge/watch.rs
@@ -86,18 +86,16 @@
 /// the desired state are known.
 pub async fn engines(edge: Rc<Edge>) {
     let mut known_bad = BTreeSet::new();
-    let mut listed = false;
     loop {
-        if listed && edge.phase.get() == Phase::Starting {
-            become_ready(&edge).await;
-        }
         let bounds = edge.settings().bounds;
         let period = Duration::from_millis(bounds.drain_ms).mul_f64(LIST_PART);
         let begun = clock::now();
         match edge.store.read(Table::Engines).await {
             Ok(page) => {
                 take_engines(&edge, page, &mut known_bad);
-                listed = true;
+                if edge.phase.get() == Phase::Starting {
+                    become_ready(&edge).await;
+                }
             }
             Err(error) => log::debug!(error:%; "engines not read"),
         }
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the edge daemon: decisions, translation, and the way of requests.
 
+mod fleet;
 mod leaving;
 mod placement;
 mod scene;
--- a/tests/edge/tenure.rs
+++ b/tests/edge/tenure.rs
@@ -160,7 +160,13 @@
     let tenure = tenure();
     assert!(tenure.may_order(away, true, at(60_000)));
     assert!(!tenure.offers(away, at(60_000)));
-    assert!(!tenure.may_order(away, false, at(60_000)), "engines that ignore fences");
+    assert!(
+        !tenure.may_order(away, false, at(60_000)),
+        "engines that ignore fences"
+    );
     let alone = Peers::default();
-    assert!(!tenure.may_order(alone, true, at(60_000)), "a holder that hears nobody");
+    assert!(
+        !tenure.may_order(alone, true, at(60_000)),
+        "a holder that hears nobody"
+    );
 }
