Wait for an engine's task rather than unload a busy model elsewhere

Also: the answered line tells how long a request waited and when its first event came; the weights of placement are settings.

--- a/src/edge/duty.rs
+++ b/src/edge/duty.rs
@@ -152,8 +152,7 @@
     };
     let mut state = edge.state.borrow_mut();
     let past = past_loads(&state.members, version);
-    let span = settings.bounds.ceiling_window_s;
-    let placer = Placer::new(authority, settings.engines, span, past);
+    let placer = Placer::new(authority, &settings, past);
     state.tenure = Some(Tenure {
         record,
         version: written,
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -58,6 +58,10 @@
     pub unsure: bool,
     /// Event after which the stream goes on.
     pub last_event: Option<u64>,
+    /// Time from its arrival to its last sending.
+    pub waited: Duration,
+    /// Time from its arrival to its first event, or to the whole answer.
+    pub first: Duration,
 }
 
 /// An engine's answer whose head has come.
@@ -116,11 +120,15 @@
         match outcome {
             Ok(_) if failed && again(&job, &mut tries, &engine, "the engine failed") => {}
             Ok(Opened::Whole(response)) => {
-                job.log("answered", status.as_u16(), &engine, tries.sent);
+                tries.first = job.age();
+                job.log("answered", status.as_u16(), &engine, &tries);
                 job.edge.metrics.served(job.age(), 1.0);
                 return response;
             }
-            Ok(Opened::Stream(stream)) => return relay::start(job, *stream, tries, counted),
+            Ok(Opened::Stream(stream)) => {
+                tries.first = job.age();
+                return relay::start(job, *stream, tries, counted);
+            }
             Err(cause) => {
                 tries.unsure = true;
                 strike(&job, &engine);
@@ -165,6 +173,7 @@
 pub(super) async fn reach(job: &Job, tries: &mut Tries) -> Result<Box<Answered>, Failure> {
     loop {
         let choice = choose(job, tries).await?;
+        tries.waited = job.age();
         let patience = patience(job, tries, &choice);
         let engine = choice.engine.clone();
         let fail = |kind, cause: String| Failure {
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -16,6 +16,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
+use self::attempt::Tries;
 use self::reply::{Refusal, Reply};
 use super::call::Call;
 use super::clock;
@@ -73,12 +74,18 @@
     }
 
     /// Logs how the request ended.
-    fn log(&self, outcome: &str, status: u16, engine: &str, tries: u32) {
+    fn log(&self, outcome: &str, status: u16, engine: &str, tries: &Tries) {
         let request = &*self.call.id;
         let route = &*self.route.name;
+        let target = self.call.prompt.as_ref().map(|p| p.target());
+        let target = target.as_deref().unwrap_or_default();
         let ms = self.age().as_millis() as u64;
+        let waited_ms = tries.waited.as_millis() as u64;
+        let first_ms = tries.first.as_millis() as u64;
+        let tries = tries.sent;
         let version = self.desired.version;
-        log::info!(request, route, status, engine, tries, ms, version; "request {outcome}");
+        log::info!(request, route, target, status, engine, tries, waited_ms, first_ms, ms,
+            version; "request {outcome}");
     }
 
     fn refuse(&self, refusal: Refusal, cause: &str, engine: &str, tries: u32) -> Response<Reply> {
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -225,7 +225,7 @@
         let job = self.job.clone();
         let mut engine = source.flight.engine.clone();
         let end = self.pass(source, first, ended, &mut engine).await;
-        let tries = self.tries.sent;
+        let tries = &self.tries;
         let status = 200;
         match end {
             End::Complete => {
--- a/src/edge/placement/book.rs
+++ b/src/edge/placement/book.rs
@@ -12,6 +12,9 @@
 /// Pause between two looks at an engine that carries out another's order.
 const ENGAGED_PAUSE: Duration = Duration::from_millis(400);
 
+/// Time of a task that has not begun to load: an unload and a load from disk.
+const TASK_TIME: Duration = Duration::from_millis(1_500);
+
 /// An adapter on an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Adapter {
@@ -246,6 +249,17 @@
         self.doubt = true;
     }
 
+    /// Time until the present task should be done.
+    pub fn task_left(&self, now: Moment) -> Duration {
+        let Some(task) = &self.task else {
+            return Duration::ZERO;
+        };
+        match task.stage {
+            Stage::Loading { since, expected } => (since + expected).saturating_sub(now),
+            Stage::Withdrawing { .. } | Stage::Unloading { .. } | Stage::Ready => TASK_TIME,
+        }
+    }
+
     /// Model whose load was accepted.
     pub fn loading(&self) -> Option<&Arc<str>> {
         let task = self.task.as_ref()?;
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -17,7 +17,7 @@
 use super::desired::{Desired, Hosting};
 use super::fleet::{Fleet, Upstream};
 use super::orders::{Order, Outcome, Report, Verb};
-use super::settings::Engines;
+use super::settings::{Engines, Placement as Weights, Settings};
 use crate::clock::Moment;
 use crate::decide::window::Window;
 use book::{Adapter, Book, Replica, Stage, Task, size};
@@ -31,12 +31,8 @@
 const RETRY: Duration = Duration::from_millis(120);
 /// Time over the expected one after which a load is looked at again.
 const LOOK: Duration = Duration::from_millis(150);
-/// Engine time for each second above which a model gets another replica.
-const HOT: f64 = 0.40;
 /// Time for which a loaded model is not a victim.
 const SETTLED: Duration = Duration::from_secs(2);
-/// Loss of unloading anything, seconds: its prompts are read again.
-const UNLOAD_LOSS: f64 = 0.3;
 /// Longest life of a task that has not begun to load.
 const TASK_AGE: Duration = Duration::from_secs(8);
 /// Adapters on their way to one engine at once.
@@ -115,6 +111,7 @@
     pub books: BTreeMap<Arc<str>, Book>,
     authority: Authority,
     engines: Engines,
+    weights: Weights,
     /// Loads from the weight store, by service.
     windows: HashMap<Arc<str>, Window>,
     /// Length of the ceiling's window, s.
@@ -126,9 +123,8 @@
 }
 
 impl Placer {
-    /// Decisions of a new tenure; `span` is the length of the ceiling's window
-    /// in seconds.
-    pub fn new(authority: Authority, engines: Engines, span: f64, past: Past) -> Self {
+    /// Decisions of a new tenure.
+    pub fn new(authority: Authority, settings: &Settings, past: Past) -> Self {
         let starts = match &past {
             Past::Known(starts) => starts.clone(),
             Past::None | Past::Until(_) => Vec::new(),
@@ -136,9 +132,10 @@
         Placer {
             books: BTreeMap::new(),
             authority,
-            engines,
+            engines: settings.engines,
+            weights: settings.placement,
             windows: HashMap::new(),
-            span,
+            span: settings.bounds.ceiling_window_s,
             past,
             starts,
         }
@@ -398,11 +395,11 @@
         let mut hot: Vec<_> = scene.demand.iter().collect();
         hot.sort_by(|a, b| b.1.work.total_cmp(&a.1.work));
         for (which, demand) in hot {
-            if demand.work < HOT {
+            if demand.work < self.weights.hot_work {
                 break;
             }
             let replicas = self.replicas(scene, &which.service, &which.model);
-            if replicas > 0 && demand.work / replicas as f64 > HOT {
+            if replicas > 0 && demand.work / replicas as f64 > self.weights.hot_work {
                 self.load(scene, &which.service, &which.model, Urgency::Hot);
             }
         }
@@ -475,7 +472,7 @@
         let room = self.remote(scene, service) < parallel;
         let mut best: Option<(f64, Arc<str>, Vec<Arc<str>>, bool)> = None;
         for (id, book) in self.of(scene, service) {
-            if book.task.is_some() || book.engaged || book.replicas.contains_key(model) {
+            if book.engaged || book.replicas.contains_key(model) {
                 continue;
             }
             let Some(engine) = scene.fleet.engines.get(id) else {
@@ -495,8 +492,9 @@
                 continue;
             };
             let crowd = f64::from(engine.running(scene.now)) * 0.01;
-            let cost = time.as_secs_f64() + loss + crowd;
-            if how != Urgency::Waiting && loss > how.most_loss() {
+            let delay = book.task_left(scene.now).as_secs_f64();
+            let cost = time.as_secs_f64() + delay + loss + crowd;
+            if loss > self.most_loss(how) {
                 continue;
             }
             if best.as_ref().is_none_or(|b| cost < b.0) {
@@ -509,6 +507,10 @@
         let Some(book) = self.books.get_mut(&id) else {
             return;
         };
+        if book.task.is_some() {
+            // It is worth waiting for.
+            return;
+        }
         let how: &'static str = how.into();
         let victim_list = victims.join(",");
         log::info!(engine = &*id, model = &**model, how, cost, victims = victim_list.as_str(),
@@ -565,6 +567,15 @@
         Some((chosen.map(|i| options[i].2.clone()).collect(), loss))
     }
 
+    /// Largest loss by unloading that a load may cause, seconds.
+    fn most_loss(&self, how: Urgency) -> f64 {
+        match how {
+            Urgency::Waiting => f64::INFINITY,
+            Urgency::Hot => self.weights.hot_loss,
+            Urgency::Ahead => self.weights.ahead_loss,
+        }
+    }
+
     /// What unloading a model from an engine costs, seconds of waiting.
     fn loss(
         &self,
@@ -589,12 +600,13 @@
             Some(spec) => book.load_time(model, spec).0.min(spec.disk).as_secs_f64(),
             None => 0.0,
         };
-        let mut loss = UNLOAD_LOSS + f64::from(running) * 0.5;
+        let weights = &self.weights;
+        let mut loss = weights.unload_loss + f64::from(running) * weights.running_loss;
         if others == 0 {
             // Each request that comes meets a load, and the next victim's.
-            loss += demand.rate * back * 10.0;
+            loss += demand.rate * back * weights.rate_loss;
         } else {
-            let crowded = (demand.work / others as f64 - HOT).max(0.0);
+            let crowded = (demand.work / others as f64 - weights.hot_work).max(0.0);
             loss += demand.work + crowded * 20.0;
         }
         loss
@@ -613,17 +625,6 @@
     Ahead,
 }
 
-impl Urgency {
-    /// Largest loss by unloading that such a load may cause, seconds.
-    fn most_loss(self) -> f64 {
-        match self {
-            Urgency::Waiting => f64::INFINITY,
-            Urgency::Hot => 2.5,
-            Urgency::Ahead => 1.0,
-        }
-    }
-}
-
 /// Notes that an engine carries out an order.
 fn carried_out(book: &mut Book, order: &Order, scene: &Scene<'_>, adapter_time: Duration) {
     let now = scene.now;
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -47,6 +47,8 @@
     pub bounds: Bounds,
     /// What is known of the engines beforehand.
     pub engines: Engines,
+    /// Weights of the decisions on what engines hold.
+    pub placement: Placement,
     /// Form and level of logs.
     pub log: Log,
 }
@@ -62,6 +64,7 @@
             heartbeat_ms: 1_200,
             bounds: Bounds::default(),
             engines: Engines::default(),
+            placement: Placement::default(),
             log: Log {
                 form: Form::Json,
                 ..Log::default()
@@ -194,6 +197,39 @@
     }
 }
 
+/// Weights of the decisions on what engines hold; chosen by runs on the days
+/// of both sites (docs/MEASUREMENTS.md).
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Placement {
+    /// Engine time for each second above which a model gets another replica.
+    pub hot_work: f64,
+    /// Loss of unloading any model, as seconds of loading.
+    pub unload_loss: f64,
+    /// Loss of unloading the last replica for each request that comes while it
+    /// would load, as seconds of loading.
+    pub rate_loss: f64,
+    /// Loss of unloading for each request in progress, as seconds of loading.
+    pub running_loss: f64,
+    /// Largest loss that a further replica of a busy model may cause.
+    pub hot_loss: f64,
+    /// Largest loss that a load ahead of need may cause.
+    pub ahead_loss: f64,
+}
+
+impl Default for Placement {
+    fn default() -> Self {
+        Placement {
+            hot_work: 0.4,
+            unload_loss: 0.3,
+            rate_loss: 10.0,
+            running_loss: 0.5,
+            hot_loss: 2.5,
+            ahead_loss: 1.0,
+        }
+    }
+}
+
 /// Reads and validates the settings file at `path`.
 pub fn load(path: &Path) -> Result<Settings, SettingsError> {
     let text = fs::read_to_string(path);
@@ -221,7 +257,7 @@
 
 /// Every field of the wrong type or of an unknown name.
 fn misread(value: &Value) -> Vec<Reason> {
-    const SECTIONS: [&str; 5] = ["listen", "store", "bounds", "engines", "log"];
+    const SECTIONS: [&str; 6] = ["listen", "store", "bounds", "engines", "placement", "log"];
     let mut reasons = Vec::new();
     fields::<Settings>("", value, &SECTIONS, &mut reasons);
     for name in SECTIONS {
@@ -233,6 +269,7 @@
             "listen" => fields::<Listen>(&path, section, &[], &mut reasons),
             "store" => fields::<Store>(&path, section, &[], &mut reasons),
             "bounds" => fields::<Bounds>(&path, section, &[], &mut reasons),
+            "placement" => fields::<Placement>(&path, section, &[], &mut reasons),
             "engines" => fields::<Engines>(&path, section, &[], &mut reasons),
             _ => fields::<Log>(&path, section, &[], &mut reasons),
         }
--- a/tests/edge/scene.rs
+++ b/tests/edge/scene.rs
@@ -10,7 +10,7 @@
 use mastichinge::edge::fleet::{Copies, Entry, Fleet, Held, Phase};
 use mastichinge::edge::orders::{Order, Outcome, Report, Verb};
 use mastichinge::edge::placement::{Act, Authority, Past, Placer, Scene, Target, Want};
-use mastichinge::edge::settings::Engines;
+use mastichinge::edge::settings::Settings;
 
 /// Service of all engines in these tests.
 pub const SERVICE: &str = "assist";
@@ -94,7 +94,7 @@
             desired,
             wants: BTreeMap::new(),
             demand: HashMap::new(),
-            placer: Placer::new(authority, Engines::default(), 5.0, Past::None),
+            placer: Placer::new(authority, &Settings::default(), Past::None),
             now,
         }
     }
