--- a/src/edge/duty.rs
+++ b/src/edge/duty.rs
@@ -30,10 +30,12 @@
 const IDLE: Duration = Duration::from_millis(250);
 /// Period at which all daemons are told again what engines hold.
 const RETELL: Duration = Duration::from_millis(1_000);
-/// Time limits of a call to an engine.
+/// Time limits of a call to an engine, which answers within milliseconds. An
+/// order without an answer is repeated safely, as it names the number of
+/// orders that the engine must have accepted before it.
 const CALL: Times = Times {
     connect: Duration::from_millis(400),
-    total: Duration::from_millis(900),
+    total: Duration::from_millis(250),
     most: 1 << 20,
 };
 
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -29,6 +29,8 @@
 const VICTIM_WAIT: Duration = Duration::from_millis(2_500);
 /// Pause between two calls to an engine that is busy.
 const RETRY: Duration = Duration::from_millis(120);
+/// Pause between two reports of an engine.
+const LOOK_AGAIN: Duration = Duration::from_millis(60);
 /// Time over the expected one after which a load is looked at again.
 const LOOK: Duration = Duration::from_millis(150);
 /// Time for which a loaded model is not a victim.
@@ -175,14 +177,17 @@
             return;
         };
         book.calling = false;
-        book.pause = now + RETRY;
         let Some(report) = report else {
+            book.pause = now + RETRY;
             return;
         };
         if report.born != 0 && book.born != 0 && report.born != book.born {
             return;
         }
-        book.report(report, now);
+        if !book.report(report, now) || book.task.is_some() {
+            // Reports lag, and what is under way takes its time.
+            book.pause = book.pause.max(now + LOOK_AGAIN);
+        }
     }
 
     /// Takes in what became of an order.
@@ -202,7 +207,8 @@
                 let adapter_time = Duration::from_millis(self.engines.adapter_ms);
                 carried_out(book, order, scene, adapter_time);
             }
-            Outcome::Busy | Outcome::Unanswered => {
+            Outcome::Unanswered => book.doubt = true,
+            Outcome::Busy => {
                 book.doubt = true;
                 book.pause = now + RETRY;
             }
--- a/tests/edge/placement.rs
+++ b/tests/edge/placement.rs
@@ -39,3 +39,25 @@
     assert_eq!(orders[0].expected, Some(0));
     assert_eq!(orders[0].fence, 7);
 }
+
+/// Workers leave orders unanswered and carry them out late: an order is
+/// repeated under the number that lets only one of the two through.
+#[test]
+fn an_unanswered_order_is_repeated_under_the_same_number() {
+    let mut world = World::new(vec![entry("e1", 1, &["a"])], desired(&["a", "b"]));
+    world.want("b", None);
+    let orders = world.run(200, |_| report(&["a"], 5), Outcome::Unanswered);
+    assert!(orders.len() >= 2, "{orders:?}");
+    for order in &orders {
+        assert_eq!((&*order.model, order.expected), ("b", Some(5)));
+    }
+    // The late one was carried out. A repetition that was due goes out under
+    // the old number, which the engine refuses; the report ends it.
+    let late = |_: &str| Report {
+        busy: true,
+        ..report(&["a"], 6)
+    };
+    let orders = world.run(1_000, late, Outcome::Busy);
+    assert!(orders.len() <= 1, "{orders:?}");
+    assert!(orders.iter().all(|o| o.expected == Some(5)), "{orders:?}");
+}
