Measure how busy engines are with all their models; ask engines on takeover

Change: the busy share of an engine over all its models, with the pace that each model was seen to have; every engine reports to a new holder.

--- a/src/edge/demand.rs
+++ b/src/edge/demand.rs
@@ -54,13 +54,38 @@
     pub model: Arc<str>,
 }
 
+/// Weight of one observation of the pace.
+const PACE_WEIGHT: f64 = 0.08;
+/// Bounds of the pace: models differ by less than this.
+const PACES: (f64, f64) = (0.4, 4.0);
+/// Expected time under which an observation says little about the pace.
+const PACE_LEAST: Duration = Duration::from_millis(15);
+
 /// Demand at this daemon by model.
 #[derive(Clone, Debug, Default)]
 pub struct Meter {
     sums: HashMap<Which, Sum>,
+    /// Time to the first event over the expected one.
+    paces: HashMap<Which, f64>,
 }
 
 impl Meter {
+    /// Notes the time to a first event that was expected after `expected`.
+    pub fn observe(&mut self, which: Which, expected: Duration, seen: Duration) {
+        if expected < PACE_LEAST {
+            return;
+        }
+        let ratio = seen.as_secs_f64() / expected.as_secs_f64();
+        let ratio = ratio.clamp(PACES.0, PACES.1);
+        let pace = self.paces.entry(which).or_insert(1.0);
+        *pace += (ratio - *pace) * PACE_WEIGHT;
+    }
+
+    /// How much slower a model is than expected.
+    pub fn pace(&self, which: &Which) -> f64 {
+        self.paces.get(which).copied().unwrap_or(1.0)
+    }
+
     /// Notes a request that asks for `work` of an engine's time.
     pub fn note(&mut self, which: Which, work: Duration, now: Moment) {
         let sum = self.sums.entry(which).or_default();
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -17,6 +17,7 @@
 use super::relay::{self, Opened};
 use super::reply::{Refusal, Reply};
 use super::{Counted, Job, Limit};
+use crate::clock::Moment;
 use crate::edge::call::Sending;
 use crate::edge::client::{Conn, SendError};
 use crate::edge::clock;
@@ -71,6 +72,10 @@
     pub conn: Conn,
     pub said: heads::Answer,
     pub flight: Flight,
+    /// When it was sent.
+    pub sent: Moment,
+    /// Time to the first event that was expected then.
+    pub expected: Duration,
 }
 
 /// What became of one sending.
@@ -329,6 +334,7 @@
     let target = job.call.prompt.as_ref().map(|p| p.target());
     let flight = Flight::begin(&job.edge, &choice.engine, target, choice.prompt);
     note_kept(job, choice);
+    let sent = clock::now();
     let sending = job.edge.client.send(choice.addr, request, CONNECT);
     let Ok(outcome) = timeout(patience, sending).await else {
         if patience < job.left() || tries.sent + 1 < job.route.attempts {
@@ -376,6 +382,8 @@
         conn,
         said,
         flight,
+        sent,
+        expected: choice.wait,
     }))
 }
 
@@ -446,6 +454,7 @@
         conn,
         said,
         mut flight,
+        ..
     } = *answered;
     let (mut head, body) = response.into_parts();
     let long = body_length(&head.headers).is_some_and(|n| n > WHOLE_BYTES);
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -20,6 +20,7 @@
 use self::reply::{Refusal, Reply};
 use super::call::Call;
 use super::clock;
+use super::demand::Which;
 use super::desired::{Desired, Kind as RouteKind, Limits, Route};
 use super::state::Edge;
 use super::suspects;
@@ -238,13 +239,27 @@
     let own = prompt.parts.last().map_or(prompt.input, |p| p.tokens);
     let read_ms = f64::from(own) / engines.prefill_per_ms;
     let work = Duration::from_secs_f64(read_ms / 1_000.0) + PER_TOKEN * prompt.output;
-    let which = super::demand::Which {
+    let which = Which {
         service: job.service.clone(),
         model: prompt.model.clone(),
     };
     let mut state = job.edge.state.borrow_mut();
+    let work = work.mul_f64(state.meter.pace(&which));
     state.meter.note(which, work, clock::now());
 }
 
+/// Notes how long a first event took that was expected after `expected`.
+fn note_pace(job: &Job, expected: Duration, seen: Duration) {
+    let Some(prompt) = &job.call.prompt else {
+        return;
+    };
+    let which = Which {
+        service: job.service.clone(),
+        model: prompt.model.clone(),
+    };
+    let mut state = job.edge.state.borrow_mut();
+    state.meter.observe(which, expected, seen);
+}
+
 /// Engine time of one token of an answer in a well-filled batch.
 const PER_TOKEN: Duration = Duration::from_micros(100);
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -17,6 +17,7 @@
 use super::reply::{Cut, Reply};
 use super::{Counted, Job};
 use crate::edge::client::Conn;
+use crate::edge::clock;
 use crate::edge::events::Splitter;
 use crate::edge::state::Flight;
 use crate::platform::heads;
@@ -146,6 +147,8 @@
         conn,
         said,
         flight,
+        sent,
+        expected,
     } = *answered;
     let (mut head, body) = response.into_parts();
     head.headers = heads::to_caller(&head.headers);
@@ -169,6 +172,7 @@
         }
     };
     source.flight.prompt_done();
+    super::note_pace(job, expected, clock::now().saturating_sub(sent));
     job.edge.metrics.first_token(job.age(), false);
     Ok(Opened::Stream(Box::new(Stream {
         head,
@@ -353,6 +357,7 @@
                 conn,
                 said,
                 mut flight,
+                ..
             } = *answered;
             if status.is_success() {
                 flight.prompt_done();
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -35,6 +35,8 @@
 const LOOK: Duration = Duration::from_millis(150);
 /// Time for which a loaded model is not a victim.
 const SETTLED: Duration = Duration::from_secs(2);
+/// Weight of an engine's busy share when a place for a load is chosen, s.
+const CROWD: f64 = 1.0;
 /// Longest life of a task that has not begun to load.
 const TASK_AGE: Duration = Duration::from_secs(8);
 /// Adapters on their way to one engine at once.
@@ -320,9 +322,7 @@
         let engine = scene.fleet.engines.get(id)?;
         let service = &engine.entry.service;
         let hosting = scene.desired.hosting(service)?;
-        // A first look at an engine waits until there is something to order.
-        let concerned = book.task.is_some() || adapter_wanted(scene, service, book);
-        if book.doubt && (concerned || book.orders.is_some()) {
+        if book.doubt {
             book.calling = true;
             return Some(Act::Report(id.clone()));
         }
@@ -401,11 +401,10 @@
         let mut hot: Vec<_> = scene.demand.iter().collect();
         hot.sort_by(|a, b| b.1.work.total_cmp(&a.1.work));
         for (which, demand) in hot {
-            if demand.work < self.weights.hot_work {
+            if demand.work < self.weights.hot_work / 4.0 {
                 break;
             }
-            let replicas = self.replicas(scene, &which.service, &which.model);
-            if replicas > 0 && demand.work / replicas as f64 > self.weights.hot_work {
+            if self.pressure(scene, which) > self.weights.hot_work {
                 self.load(scene, &which.service, &which.model, Urgency::Hot);
             }
         }
@@ -460,6 +459,42 @@
         })
     }
 
+    /// Engine time for each second that all models ask of one engine.
+    fn busy_share(&self, scene: &Scene<'_>, service: &Arc<str>, book: &Book) -> f64 {
+        let mut share = 0.0;
+        for model in book.replicas.keys() {
+            let which = Which {
+                service: service.clone(),
+                model: model.clone(),
+            };
+            let Some(demand) = scene.demand.get(&which) else {
+                continue;
+            };
+            let replicas = self.replicas(scene, service, model).max(1);
+            share += demand.work / replicas as f64;
+        }
+        share
+    }
+
+    /// The least busy share among the engines that serve a model; zero when
+    /// none does, or another is about to.
+    fn pressure(&self, scene: &Scene<'_>, which: &Which) -> f64 {
+        let mut least = f64::INFINITY;
+        for (_, book) in self.of(scene, &which.service) {
+            if !book.will_hold(&which.model) {
+                continue;
+            }
+            if !book.serves(&which.model) {
+                return 0.0;
+            }
+            least = least.min(self.busy_share(scene, &which.service, book));
+        }
+        match least.is_finite() {
+            true => least,
+            false => 0.0,
+        }
+    }
+
     /// Loads from the weight store that are planned or under way.
     fn remote(&self, scene: &Scene<'_>, service: &str) -> u32 {
         let remote = |b: &Book| b.task.as_ref().is_some_and(|t| t.remote);
@@ -497,7 +532,7 @@
             else {
                 continue;
             };
-            let crowd = f64::from(engine.running(scene.now)) * 0.01;
+            let crowd = self.busy_share(scene, service, book) * CROWD;
             let delay = book.task_left(scene.now).as_secs_f64();
             let cost = time.as_secs_f64() + delay + loss + crowd;
             if loss > self.most_loss(how) {
@@ -680,14 +715,6 @@
     }
 }
 
-/// Whether requests wait for an adapter of a model that this engine serves.
-fn adapter_wanted(scene: &Scene<'_>, service: &str, book: &Book) -> bool {
-    scene
-        .wants
-        .keys()
-        .any(|t| t.adapter.is_some() && *t.service == *service && book.serves(&t.model))
-}
-
 /// The next order for an adapter at one engine.
 fn next_adapter(
     book: &Book,
--- a/tests/edge/placement.rs
+++ b/tests/edge/placement.rs
@@ -1,6 +1,9 @@
 //! What the holder orders, under the loads that the decisions are made for.
 
+use std::time::Duration;
+
 use mastichinge::edge::orders::{Outcome, Report, Verb};
+use mastichinge::edge::placement::Act;
 
 use crate::scene::{World, desired, entry, loads, report};
 
@@ -61,3 +64,102 @@
     assert!(orders.len() <= 1, "{orders:?}");
     assert!(orders.iter().all(|o| o.expected == Some(5)), "{orders:?}");
 }
+
+/// A new holder knows engines from entries that are older than the last
+/// orders of the tenure before.
+#[test]
+fn a_new_holder_asks_every_engine_what_it_holds() {
+    let entries = vec![entry("e1", 1, &["a"]), entry("e2", 2, &["b"])];
+    let mut world = World::new(entries, desired(&["a", "b"]));
+    let asked: Vec<_> = world.step();
+    let all = [Act::Report("e1".into()), Act::Report("e2".into())];
+    assert_eq!(asked, all);
+    world.report("e1", &report(&[], 4));
+    let book = &world.placer.books["e1"];
+    assert_eq!(book.targets(world.now), Vec::<String>::new());
+}
+
+/// Demand moves to a model with one replica: it gets another where no model
+/// has to go, before its queue grows.
+#[test]
+fn a_busy_model_gets_another_replica_where_there_is_room() {
+    let mut idle = entry("e2", 2, &["b"]);
+    idle.copies.disk.insert("a".into());
+    let mut full = entry("e3", 3, &["c", "d"]);
+    full.copies.disk.insert("a".into());
+    let entries = vec![entry("e1", 1, &["a"]), idle, full];
+    let mut world = World::new(entries, desired(&["a", "b", "c", "d"]));
+    let held = |engine: &str| match engine {
+        "e1" => report(&["a"], 0),
+        "e2" => report(&["b"], 0),
+        _ => report(&["c", "d"], 0),
+    };
+    world.ask("a", 2.0, 0.3);
+    assert_eq!(
+        world.run(400, held, Outcome::Accepted),
+        [],
+        "not busy enough"
+    );
+    world.ask("a", 6.0, 0.8);
+    let orders = world.run(400, held, Outcome::Accepted);
+    assert_eq!(loads(&orders), [("e2", "a")]);
+}
+
+/// Rare models come and go on full engines: of two idle models the one that
+/// is asked for less often makes way.
+#[test]
+fn the_model_that_is_missed_least_makes_way() {
+    let mut full = entry("e1", 1, &["a", "b"]);
+    full.copies.disk.insert("c".into());
+    let mut world = World::new(vec![full], desired(&["a", "b", "c"]));
+    world.ask("a", 0.5, 0.05);
+    world.ask("b", 0.1, 0.01);
+    world.want("c", None);
+    let orders = world.run(300, |_| report(&["a", "b"], 0), Outcome::Accepted);
+    let unloads = orders.iter().filter(|o| o.verb == Verb::Unload);
+    let victims: Vec<_> = unloads.map(|o| &*o.model).collect();
+    assert_eq!(victims, ["b"]);
+}
+
+/// Sleeping models wake in a burst: the store's ceiling holds in any window.
+#[test]
+fn loads_from_the_weight_store_stay_under_its_ceiling() {
+    let names: Vec<String> = (0..20).map(|i| format!("m{i:02}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut entries = Vec::new();
+    for i in 0..20 {
+        entries.push(entry(&format!("e{i:02}"), i + 1, &[]));
+    }
+    let mut world = World::new(entries, desired(&names));
+    for name in &names {
+        world.want(name, None);
+    }
+    let mut starts = Vec::new();
+    for _ in 0..600 {
+        for act in world.step() {
+            match act {
+                // Each load is done by the time of the next report.
+                Act::Report(engine) => {
+                    let book = &world.placer.books[&engine];
+                    let held: Vec<_> = book.replicas.keys().map(|m| m.to_string()).collect();
+                    let held: Vec<&str> = held.iter().map(String::as_str).collect();
+                    let orders = book.orders.unwrap_or(0);
+                    world.report(&engine, &report(&held, orders));
+                }
+                Act::Order(order) => {
+                    starts.push(world.now);
+                    world.answer(&order, Outcome::Accepted);
+                }
+            }
+        }
+        world.pass(100);
+    }
+    assert_eq!(starts.len(), 20);
+    let window = Duration::from_secs(5);
+    for start in &starts {
+        let within = starts
+            .iter()
+            .filter(|s| **s >= *start && **s < *start + window);
+        assert!(within.count() <= 5, "{starts:?}");
+    }
+}
