Stand-ins for the platform's store and engines, and tests of the way of a request

The daemon runs as a process between a store in memory and engines on raw sockets that can misbehave; each hazard has a test there or among the tests of the decisions.

--- /dev/null
+++ b/tests/edge/parts.rs
@@ -0,0 +1,249 @@
+//! Smaller decisions: events, suspects, choice of an engine, members, demand.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mastichinge::clock::Moment;
+use mastichinge::edge::call::{Part, Prompt};
+use mastichinge::edge::demand::{Meter, Which};
+use mastichinge::edge::desired::{Kind, Route, Target};
+use mastichinge::edge::events::Splitter;
+use mastichinge::edge::kept::Kept;
+use mastichinge::edge::members::{Members, Record, SILENCE};
+use mastichinge::edge::select::{Candidate, choose};
+use mastichinge::edge::suspects::{HOLD, Suspects, fingerprint};
+use proptest::prelude::*;
+
+fn at(ms: u64) -> Moment {
+    Moment::from_millis(100_000 + ms)
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// However a stream is cut into packets, whole events come out, and what
+    /// is left is what follows the last of them.
+    #[test]
+    fn events_come_out_whole(
+        ids in proptest::collection::vec(0u64..1_000, 0..20),
+        crlf in any::<bool>(),
+        cuts in proptest::collection::vec(1usize..40, 1..60),
+    ) {
+        let end = if crlf { "\r\n" } else { "\n" };
+        let mut text = String::new();
+        for id in &ids {
+            text.push_str(&format!("id: {id}{end}data: a b{end}data: c{end}{end}"));
+        }
+        let whole = text.len();
+        text.push_str("id: 5");
+        let mut splitter = Splitter::default();
+        let (mut seen, mut bytes) = (Vec::new(), Vec::new());
+        let (mut rest, mut cut) = (text.as_bytes(), cuts.iter().cycle());
+        while !rest.is_empty() {
+            let (piece, after) = rest.split_at((*cut.next().unwrap()).min(rest.len()));
+            prop_assert!(splitter.push(piece));
+            rest = after;
+            while let Some(event) = splitter.next() {
+                seen.push(event.id.unwrap());
+                bytes.extend_from_slice(&event.bytes);
+            }
+        }
+        prop_assert_eq!(seen, ids);
+        prop_assert_eq!(bytes, &text.as_bytes()[..whole]);
+        prop_assert_eq!(&splitter.rest()[..], b"id: 5");
+    }
+}
+
+#[test]
+fn a_request_is_held_after_two_engines_and_only_for_a_while() {
+    let mut suspects = Suspects::default();
+    let print = fingerprint("/a/", b"body");
+    let (e1, e2): (Arc<str>, Arc<str>) = ("e1".into(), "e2".into());
+    assert!(suspects.strike(print, &e1, at(0)));
+    assert!(
+        !suspects.strike(print, &e1, at(10)),
+        "the same engine again"
+    );
+    assert_eq!(suspects.held(print, at(20)), None);
+    assert!(suspects.strike(print, &e2, at(100)));
+    assert_eq!(suspects.held(print, at(1_100)), Some(HOLD - ms(1_000)));
+    assert_eq!(suspects.held(print, at(100) + HOLD + ms(1)), None);
+    assert_eq!(suspects.held(fingerprint("/a/", b"other"), at(200)), None);
+    suspects.clear(print);
+    assert_eq!(suspects.held(print, at(200)), None);
+}
+
+fn candidate(backlog: u64, prompt: u64) -> Candidate {
+    Candidate {
+        slots: 8,
+        backlog: ms(backlog),
+        prompt: ms(prompt),
+        service: ms(1_000),
+        near: true,
+        ..Candidate::default()
+    }
+}
+
+/// Pattern: prompts that share their start. The engine that keeps it is worth
+/// a wait of the work that it saves, and no more.
+#[test]
+fn kept_prompts_draw_requests_until_the_wait_eats_the_gain() {
+    let home = |backlog| [candidate(backlog, 70), candidate(0, 230)];
+    assert_eq!(choose(&home(100)), Some(0));
+    assert_eq!(choose(&home(200)), Some(1));
+}
+
+#[test]
+fn full_shaky_and_far_engines_come_last() {
+    let full = Candidate {
+        running: 8,
+        ..candidate(0, 50)
+    };
+    let shaky = Candidate {
+        shaky: true,
+        ..candidate(0, 50)
+    };
+    let far = Candidate {
+        near: false,
+        ..candidate(0, 50)
+    };
+    assert_eq!(choose(&[full, shaky, far, candidate(0, 50)]), Some(3));
+    assert_eq!(choose(&[full, shaky, far]), Some(2));
+    assert_eq!(choose(&[full, shaky]), Some(0));
+    assert_eq!(choose(&[]), None);
+}
+
+#[test]
+fn a_prompt_part_counts_as_kept_only_after_all_parts_before_it() {
+    let part = |id, tokens| Part { id, tokens };
+    let prompt = |parts| Prompt {
+        model: "m".into(),
+        parts,
+        ..Prompt::default()
+    };
+    let first = prompt(vec![part(1, 100), part(2, 200), part(3, 50)]);
+    let mut kept = Kept::default();
+    kept.note(&first.chains(), at(0));
+    let second = prompt(vec![part(1, 100), part(2, 200), part(9, 80)]);
+    assert_eq!(kept.tokens(&second.chains(), at(10)), 300);
+    let other = prompt(vec![part(7, 100), part(2, 200), part(9, 80)]);
+    assert_eq!(kept.tokens(&other.chains(), at(10)), 0);
+    let adapter = Prompt {
+        adapter: Some("a1".into()),
+        ..second
+    };
+    assert_eq!(kept.tokens(&adapter.chains(), at(10)), 0);
+}
+
+#[test]
+fn demand_fades_and_slow_models_weigh_more() {
+    let which = Which {
+        service: "s".into(),
+        model: "m".into(),
+    };
+    let mut meter = Meter::default();
+    for i in 0..100 {
+        meter.note(which.clone(), ms(50), at(i * 200));
+    }
+    let demand = meter.now(at(20_000))[0].1;
+    assert!((4.0..6.0).contains(&demand.rate), "{demand:?}");
+    assert!((0.2..0.3).contains(&demand.work), "{demand:?}");
+    assert!(meter.now(at(400_000)).is_empty());
+    for _ in 0..100 {
+        meter.observe(which.clone(), ms(100), ms(200));
+    }
+    assert!((1.9..2.1).contains(&meter.pace(&which)));
+}
+
+#[test]
+fn a_route_splits_by_weight() {
+    let target = |service: &str, weight| Target {
+        service: service.into(),
+        weight,
+    };
+    let route = Route {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/".into(),
+        kind: Kind::Once,
+        timeout: ms(1_000),
+        objective: ms(100),
+        priority: 0,
+        targets: vec![target("a", 90.0), target("b", 10.0)],
+        attempts: 1,
+        resumable: false,
+        gap: ms(100),
+    };
+    assert_eq!(route.target(0.0).map(|s| &**s), Some("a"));
+    assert_eq!(route.target(0.89).map(|s| &**s), Some("a"));
+    assert_eq!(route.target(0.91).map(|s| &**s), Some("b"));
+    assert_eq!(route.target(1.0).map(|s| &**s), Some("b"));
+}
+
+fn members() -> Members {
+    let record = |port| Record {
+        life: 10,
+        callers: ([127, 0, 0, 1], port).into(),
+        peers: ([127, 0, 0, 1], port + 1).into(),
+        domain: "north".into(),
+    };
+    let mut members = Members::default();
+    let rows = vec![
+        ("edge-1".into(), record(100)),
+        ("edge-2".into(), record(200)),
+        ("edge-3".into(), record(300)),
+    ];
+    members.read(rows, "edge-1", at(0));
+    members
+}
+
+#[test]
+fn a_daemon_is_alive_while_it_is_heard_and_old_packets_say_nothing() {
+    let mut members = members();
+    assert_eq!(members.alive(at(0)).count(), 0, "a row is no sign of life");
+    assert!(members.hear("edge-2", 10, 5, at(0)).is_some());
+    assert!(
+        members.hear("edge-2", 10, 4, at(10)).is_none(),
+        "an older packet"
+    );
+    assert!(
+        members.hear("edge-2", 9, 90, at(20)).is_none(),
+        "an older lifetime"
+    );
+    assert!(members.hear("stranger", 10, 1, at(20)).is_none());
+    assert_eq!(members.alive(at(500)).count(), 1);
+    assert_eq!(members.alive(at(0) + SILENCE).count(), 0);
+    assert!(
+        members.hear("edge-2", 11, 1, at(2_000)).is_some(),
+        "it restarted"
+    );
+}
+
+#[test]
+fn daemons_share_limits_until_what_they_spent_has_left_the_window() {
+    let mut members = members();
+    assert_eq!(
+        members.sharing(at(0)),
+        3,
+        "listed daemons count from the start"
+    );
+    members.hear("edge-2", 10, 1, at(0));
+    members.hear("edge-3", 10, 1, at(0));
+    assert_eq!(members.sharing(at(12_000)), 3);
+    assert_eq!(members.sharing(at(16_000)), 1);
+}
+
+#[test]
+fn entry_answers_name_ready_daemons_only() {
+    let mut members = members();
+    members.hear("edge-2", 10, 1, at(0)).unwrap().ready = true;
+    members.hear("edge-3", 10, 1, at(0)).unwrap().ready = false;
+    let own = ([127, 0, 0, 1], 100).into();
+    let other = ([127, 0, 0, 1], 200).into();
+    assert_eq!(members.entries(Some(own), at(10)), [own, other]);
+    assert_eq!(members.entries(None, at(10)), [other]);
+}
--- /dev/null
+++ b/tests/edge/standin/daemon.rs
@@ -0,0 +1,246 @@
+//! Daemons as processes, and callers.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::store::Store;
+
+/// Longest wait for a condition; far above what any takes.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Waits until `holds`; fails the test when it never does.
+pub fn wait(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < PATIENCE, "never: {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A daemon; dropping it kills it.
+pub struct Daemon {
+    pub callers: SocketAddr,
+    pub entry: SocketAddr,
+    child: Child,
+    lines: Arc<Mutex<Vec<Value>>>,
+    _settings: PathBuf,
+}
+
+impl Daemon {
+    /// Starts a daemon on free ports and waits until it is ready.
+    pub fn start(store: &Store, host: &str) -> Self {
+        let daemon = Daemon::launch(store, host);
+        wait("ready", || daemon.ask("/readyz").status == 200);
+        daemon
+    }
+
+    /// Starts a daemon.
+    pub fn launch(store: &Store, host: &str) -> Self {
+        static NUMBER: AtomicU64 = AtomicU64::new(0);
+        let (callers, entry) = (free(), free());
+        let peers = UdpSocket::bind("127.0.0.1:0")
+            .unwrap()
+            .local_addr()
+            .unwrap();
+        let settings = json!({
+            "host": host, "domain": "north",
+            "listen": {"callers": callers, "ready": entry, "entry": entry, "peers": peers},
+            "store": {"addr": store.addr},
+            "bounds": {"drain_ms": 300, "grace_s": 3.0, "lease_ms": 500, "retry_slack": 40},
+        });
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let name = format!("mastichinge-edge-{}-{number}.json", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, settings.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_mastichinged"))
+            .arg("--edge")
+            .env("MASTICHINGE_SETTINGS", &path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let (out, kept) = (child.stdout.take().unwrap(), lines.clone());
+        thread::spawn(move || {
+            for line in BufReader::new(out).lines().map_while(Result::ok) {
+                let line: Value = serde_json::from_str(&line).expect("a line that is not JSON");
+                kept.lock().unwrap().push(line);
+            }
+        });
+        Daemon {
+            callers,
+            entry,
+            child,
+            lines,
+            _settings: path,
+        }
+    }
+
+    /// Log lines with this message.
+    pub fn logged(&self, message: &str) -> Vec<Value> {
+        let lines = self.lines.lock().unwrap();
+        let of = |l: &&Value| l["message"] == message;
+        lines.iter().filter(of).cloned().collect()
+    }
+
+    /// Asks a question about the host.
+    pub fn ask(&self, path: &str) -> Answer {
+        let Ok(stream) = TcpStream::connect(self.entry) else {
+            return Answer::default();
+        };
+        let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        exchange(stream, request.as_bytes())
+    }
+
+    /// Sends a request on a connection of its own.
+    pub fn send(&self, request: &Request) -> Answer {
+        let Ok(stream) = TcpStream::connect(self.callers) else {
+            return Answer::default();
+        };
+        exchange(stream, &request.bytes(true))
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        // SAFETY: the process is our child, and has not been waited for.
+        let code = unsafe { libc::kill(self.child.id() as i32, libc::SIGTERM) };
+        assert_eq!(code, 0);
+    }
+
+    /// Waits for the end of the process.
+    pub fn ended(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self._settings);
+    }
+}
+
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub method: &'static str,
+    pub path: String,
+    pub id: String,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: String,
+}
+
+impl Request {
+    pub fn new(path: &str, id: &str) -> Self {
+        Request {
+            method: "POST",
+            path: path.to_owned(),
+            id: id.to_owned(),
+            headers: vec![("X-Mastichinge-Deadline-Ms", "20000".to_owned())],
+            body: format!("body of {id}"),
+        }
+    }
+
+    pub fn with(mut self, name: &'static str, value: &str) -> Self {
+        self.headers.push((name, value.to_owned()));
+        self
+    }
+
+    pub fn bytes(&self, close: bool) -> Vec<u8> {
+        let mut text = format!(
+            "{} {} HTTP/1.1\r\nHost: firm.example\r\n",
+            self.method, self.path
+        );
+        text.push_str(&format!("X-Mastichinge-Request-Id: {}\r\n", self.id));
+        for (name, value) in &self.headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if close {
+            text.push_str("Connection: close\r\n");
+        }
+        text.push_str(&format!("Content-Length: {}\r\n\r\n", self.body.len()));
+        text.push_str(&self.body);
+        text.into_bytes()
+    }
+}
+
+/// An answer as it came on the wire.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// 0 when none came.
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+    /// It ended as it should.
+    pub complete: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.split("\r\n").filter_map(|l| l.split_once(':'));
+        let mut named = lines.filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        named.next().map(|(_, value)| value.trim())
+    }
+}
+
+/// Sends bytes and reads the answer to the end of the connection.
+pub fn exchange(mut stream: TcpStream, request: &[u8]) -> Answer {
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut bytes = Vec::new();
+    if stream.write_all(request).is_ok() {
+        // A reset ends the answer where it stands.
+        let _ = stream.read_to_end(&mut bytes);
+    }
+    parse(&bytes)
+}
+
+fn parse(bytes: &[u8]) -> Answer {
+    let text = String::from_utf8_lossy(bytes);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return Answer::default();
+    };
+    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
+    let mut answer = Answer {
+        status: status.unwrap_or(0),
+        head: head.to_owned(),
+        ..Answer::default()
+    };
+    if let Some(length) = answer.header("content-length") {
+        let length: usize = length.parse().unwrap();
+        answer.complete = body.len() == length;
+        answer.body = body.to_owned();
+        return answer;
+    }
+    let mut rest = body;
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size, 16) else {
+            return answer;
+        };
+        if size == 0 {
+            answer.complete = true;
+            return answer;
+        }
+        if after.len() < size + 2 {
+            return answer;
+        }
+        answer.body.push_str(&after[..size]);
+        rest = &after[size + 2..];
+    }
+    answer
+}
--- /dev/null
+++ b/tests/edge/standin/engine.rs
@@ -0,0 +1,274 @@
+//! An engine: answers on a raw socket, so that it can misbehave in any way.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+use super::store::Store;
+use super::{Incoming, answer, read, runtime};
+
+/// How an engine treats the requests that it runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Manner {
+    /// As it should.
+    #[default]
+    Sound,
+    /// Resets the connection once it has read the request.
+    Reset,
+    /// Resets after this many events, in the middle of the next.
+    ResetAfter(u64),
+    /// Never answers.
+    Mute,
+    /// Answers without a length, and resets in the middle.
+    UnframedReset,
+    /// Answers without a length, and closes.
+    Unframed,
+    /// Sends a second answer after each.
+    Extra,
+    /// Rejects every request unrun.
+    Full,
+    /// Answers 500.
+    Failing,
+}
+
+#[derive(Default)]
+struct Inner {
+    manner: Manner,
+    models: Vec<String>,
+    orders: u64,
+    arrivals: Vec<Incoming>,
+    /// Requests whose connection closed while they ran.
+    cancelled: Vec<String>,
+    given: Vec<Value>,
+}
+
+/// An engine.
+#[derive(Clone)]
+pub struct Engine {
+    pub id: String,
+    pub addr: SocketAddr,
+    service: String,
+    store: Store,
+    beat: Arc<AtomicU64>,
+    inner: Arc<Mutex<Inner>>,
+}
+
+/// Events of a stream.
+pub const EVENTS: u64 = 5;
+/// Pause between two events.
+const PAUSE: Duration = Duration::from_millis(15);
+
+impl Engine {
+    /// Starts an engine that holds `models` and registers it.
+    pub fn start(store: &Store, id: &str, service: &str, models: &[&str]) -> Self {
+        let (tell, told) = std::sync::mpsc::channel();
+        let inner = Inner {
+            models: models.iter().map(|m| (*m).to_owned()).collect(),
+            ..Inner::default()
+        };
+        let (id, service, store) = (id.to_owned(), service.to_owned(), store.clone());
+        runtime().spawn(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let engine = Engine {
+                id,
+                addr: listener.local_addr().unwrap(),
+                service,
+                store,
+                beat: Arc::default(),
+                inner: Arc::new(Mutex::new(inner)),
+            };
+            engine.register("ready");
+            tell.send(engine.clone()).unwrap();
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(engine.clone().serve(stream));
+            }
+        });
+        told.recv().unwrap()
+    }
+
+    /// Writes the engine's entry.
+    pub fn register(&self, state: &str) {
+        let beat = self.beat.fetch_add(1, Ordering::SeqCst) + 1;
+        let models: Vec<Value> = self.inner.lock().unwrap().models.iter().map(held).collect();
+        let entry = json!({"service": self.service, "addr": self.addr.to_string(),
+            "zone": "north", "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
+            "stage": "both", "models": models, "seq": beat, "born": 1_000});
+        self.store.put("servers", &self.id, &entry);
+    }
+
+    pub fn set(&self, manner: Manner) {
+        self.inner.lock().unwrap().manner = manner;
+    }
+
+    /// Requests that arrived, without orders and reports.
+    pub fn arrivals(&self) -> Vec<Incoming> {
+        self.inner.lock().unwrap().arrivals.clone()
+    }
+
+    pub fn cancelled(&self) -> Vec<String> {
+        self.inner.lock().unwrap().cancelled.clone()
+    }
+
+    /// Orders that were given.
+    pub fn given(&self) -> Vec<Value> {
+        self.inner.lock().unwrap().given.clone()
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        stream.set_nodelay(true).unwrap();
+        let mut rest = Vec::new();
+        while let Ok(Some(request)) = read(&mut stream, &mut rest).await {
+            let done = match request.path() {
+                "/report" => self.report(&mut stream).await,
+                "/order" => self.order(&mut stream, &request).await,
+                _ => self.run(&mut stream, request).await,
+            };
+            if done.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn report(&self, stream: &mut TcpStream) -> std::io::Result<()> {
+        let report = {
+            let inner = self.inner.lock().unwrap();
+            let models: Vec<Value> = inner.models.iter().map(held).collect();
+            json!({"stage": "both", "models": models, "inFlight": false,
+                "seq": inner.orders, "queued": 0, "active": 0, "born": 1_000})
+        };
+        answer(stream, 200, &[], report.to_string().as_bytes()).await
+    }
+
+    async fn order(&self, stream: &mut TcpStream, request: &Incoming) -> std::io::Result<()> {
+        let order: Value = serde_json::from_slice(&request.body).unwrap();
+        let accepted = {
+            let mut inner = self.inner.lock().unwrap();
+            let accepted = order["expected"].as_u64().is_none_or(|n| n == inner.orders);
+            if accepted {
+                inner.orders += 1;
+                let model = order["model"].as_str().unwrap().to_owned();
+                match order["op"].as_str().unwrap() {
+                    "load" => inner.models.push(model),
+                    _ => inner.models.retain(|m| *m != model),
+                }
+            }
+            inner.given.push(order);
+            accepted
+        };
+        answer(stream, if accepted { 202 } else { 409 }, &[], b"").await
+    }
+
+    async fn run(&self, stream: &mut TcpStream, request: Incoming) -> std::io::Result<()> {
+        let id = request.header("x-mastichinge-request-id").to_owned();
+        let model = request.header("x-mastichinge-model").to_owned();
+        let expected = request.header("x-mastichinge-expect-instance").to_owned();
+        let after = request.header("last-event-id").parse().unwrap_or(0);
+        let wants = request.path().contains("stream");
+        let (manner, holds) = {
+            let mut inner = self.inner.lock().unwrap();
+            let holds = model.is_empty() || inner.models.contains(&model);
+            inner.arrivals.push(request);
+            (inner.manner, holds)
+        };
+        let signed = [
+            ("X-Mastichinge-Request-Id", id.as_str()),
+            ("X-Mastichinge-Server-Stamp", "stamp"),
+        ];
+        if expected != self.id || !holds {
+            return answer(stream, 421, &[("X-Mastichinge-Not-Run", "1")], b"").await;
+        }
+        match manner {
+            Manner::Reset => return reset(stream),
+            Manner::Mute => return self.wait(stream, &id).await,
+            Manner::Full => {
+                return answer(stream, 503, &[("X-Mastichinge-Not-Run", "1")], b"full").await;
+            }
+            Manner::Failing => return answer(stream, 500, &signed, b"failed").await,
+            Manner::UnframedReset | Manner::Unframed => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nX-Mastichinge-Request-Id: {id}\r\n\
+                     X-Mastichinge-Server-Stamp: stamp\r\n\r\npart"
+                );
+                stream.write_all(head.as_bytes()).await?;
+                stream.flush().await?;
+                if manner == Manner::Unframed {
+                    stream.write_all(b" and rest").await?;
+                    stream.shutdown().await?;
+                    return Err(std::io::ErrorKind::BrokenPipe.into());
+                }
+                sleep(PAUSE).await;
+                return reset(stream);
+            }
+            _ => {}
+        }
+        if !wants {
+            let body = format!("answer to {id}");
+            answer(stream, 200, &signed, body.as_bytes()).await?;
+            if manner == Manner::Extra {
+                let body = format!("second answer to {id}");
+                answer(stream, 200, &signed, body.as_bytes()).await?;
+            }
+            return Ok(());
+        }
+        self.stream(stream, &id, after, manner).await
+    }
+
+    async fn stream(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        after: u64,
+        manner: Manner,
+    ) -> std::io::Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+             X-Mastichinge-Request-Id: {id}\r\nX-Mastichinge-Server-Stamp: stamp\r\n\
+             Transfer-Encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await?;
+        for event in after + 1..=EVENTS {
+            let text = format!("id: {event}\ndata: token {event}\n\n");
+            if manner == Manner::ResetAfter(event - 1) {
+                let half = &text[..text.len() / 2];
+                let chunk = format!("{:x}\r\n{half}\r\n", half.len());
+                stream.write_all(chunk.as_bytes()).await?;
+                sleep(PAUSE).await;
+                return reset(stream);
+            }
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            if stream.write_all(chunk.as_bytes()).await.is_err() {
+                self.inner.lock().unwrap().cancelled.push(id.to_owned());
+                return Err(std::io::ErrorKind::BrokenPipe.into());
+            }
+            sleep(PAUSE).await;
+        }
+        stream.write_all(b"0\r\n\r\n").await
+    }
+
+    /// Waits for the connection to close, without an answer.
+    async fn wait(&self, stream: &mut TcpStream, id: &str) -> std::io::Result<()> {
+        let mut byte = [0];
+        // Any outcome but a byte means that the caller has gone.
+        if !matches!(stream.read(&mut byte).await, Ok(1)) {
+            self.inner.lock().unwrap().cancelled.push(id.to_owned());
+        }
+        Err(std::io::ErrorKind::BrokenPipe.into())
+    }
+}
+
+fn held(model: &String) -> Value {
+    json!({"name": model, "version": 1, "adapters": []})
+}
+
+/// Ends a connection with a reset.
+fn reset(stream: &TcpStream) -> std::io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
+    Err(std::io::ErrorKind::ConnectionReset.into())
+}
--- /dev/null
+++ b/tests/edge/standin/mod.rs
@@ -0,0 +1,119 @@
+//! Stand-ins for the platform: its store and its engines, on loopback ports.
+
+pub mod daemon;
+pub mod engine;
+pub mod store;
+
+use std::io;
+use std::sync::mpsc;
+use std::thread;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::runtime::{Builder, Handle};
+
+/// A runtime on a thread of its own, for all stand-ins of a test process.
+pub fn runtime() -> Handle {
+    static RUNTIME: std::sync::OnceLock<Handle> = std::sync::OnceLock::new();
+    let start = || {
+        let (tell, told) = mpsc::channel();
+        thread::spawn(move || {
+            let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+            tell.send(runtime.handle().clone()).unwrap();
+            runtime.block_on(std::future::pending::<()>());
+        });
+        told.recv().unwrap()
+    };
+    RUNTIME.get_or_init(start).clone()
+}
+
+/// A request as it arrived.
+#[derive(Clone, Debug, Default)]
+pub struct Incoming {
+    pub method: String,
+    pub target: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Incoming {
+    pub fn header(&self, name: &str) -> &str {
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
+        found.map_or("", |(_, value)| value)
+    }
+
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let query = self.target.split_once('?')?.1;
+        query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(n, _)| *n == name)
+            .map(|(_, value)| value)
+    }
+}
+
+/// Reads one request; `None` when the connection has ended.
+pub async fn read(stream: &mut TcpStream, rest: &mut Vec<u8>) -> io::Result<Option<Incoming>> {
+    let head = loop {
+        if let Some(at) = find(rest, b"\r\n\r\n") {
+            break at;
+        }
+        if fill(stream, rest).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let text = String::from_utf8_lossy(&rest[..head]).into_owned();
+    rest.drain(..head + 4);
+    let mut lines = text.split("\r\n");
+    let mut words = lines.next().unwrap_or_default().split(' ');
+    let mut request = Incoming {
+        method: words.next().unwrap_or_default().to_owned(),
+        target: words.next().unwrap_or_default().to_owned(),
+        ..Incoming::default()
+    };
+    for line in lines {
+        if let Some((name, value)) = line.split_once(':') {
+            let value = value.trim().to_owned();
+            request.headers.push((name.to_owned(), value));
+        }
+    }
+    let length = request.header("content-length").parse().unwrap_or(0);
+    while rest.len() < length {
+        if fill(stream, rest).await? == 0 {
+            return Ok(None);
+        }
+    }
+    request.body = rest.drain(..length).collect();
+    Ok(Some(request))
+}
+
+async fn fill(stream: &mut TcpStream, rest: &mut Vec<u8>) -> io::Result<usize> {
+    stream.read_buf(rest).await
+}
+
+fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
+    bytes.windows(what.len()).position(|w| w == what)
+}
+
+/// Writes a whole answer.
+pub async fn answer(
+    stream: &mut TcpStream,
+    status: u16,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
+    let mut head = format!("HTTP/1.1 {status} Status\r\n");
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(body).await
+}
--- /dev/null
+++ b/tests/edge/standin/store.rs
@@ -0,0 +1,198 @@
+//! The platform's store: versioned rows in memory.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use super::{Incoming, answer, read, runtime};
+
+/// Table and key; all rows lie in the unnamed part.
+type Key = (String, String);
+
+#[derive(Default)]
+struct Rows {
+    version: u64,
+    rows: BTreeMap<Key, (u64, Vec<u8>)>,
+    /// Feeds from before this version get 410.
+    forgotten: u64,
+    down: bool,
+    calls: u64,
+}
+
+/// The store.
+#[derive(Clone)]
+pub struct Store {
+    pub addr: SocketAddr,
+    rows: Arc<Mutex<Rows>>,
+    changed: Arc<Notify>,
+}
+
+impl Store {
+    pub fn start() -> Self {
+        let (tell, told) = std::sync::mpsc::channel();
+        runtime().spawn(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let store = Store {
+                addr: listener.local_addr().unwrap(),
+                rows: Arc::default(),
+                changed: Arc::default(),
+            };
+            tell.send(store.clone()).unwrap();
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(store.clone().serve(stream));
+            }
+        });
+        told.recv().unwrap()
+    }
+
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.put_bytes(table, key, value.to_string().as_bytes());
+    }
+
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+        let mut rows = self.rows.lock().unwrap();
+        rows.version += 1;
+        let version = rows.version;
+        let key = (table.to_owned(), key.to_owned());
+        rows.rows.insert(key, (version, value.to_vec()));
+        drop(rows);
+        self.changed.notify_waiters();
+    }
+
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut rows = self.rows.lock().unwrap();
+        rows.version += 1;
+        rows.rows.remove(&(table.to_owned(), key.to_owned()));
+    }
+
+    pub fn get(&self, table: &str, key: &str) -> Option<Value> {
+        let rows = self.rows.lock().unwrap();
+        let (_, value) = rows.rows.get(&(table.to_owned(), key.to_owned()))?;
+        serde_json::from_slice(value).ok()
+    }
+
+    /// Answers every call with 503, or serves again.
+    pub fn set_down(&self, down: bool) {
+        self.rows.lock().unwrap().down = down;
+        self.changed.notify_waiters();
+    }
+
+    /// Drops the history: feeds from before now get 410.
+    pub fn forget(&self) {
+        let mut rows = self.rows.lock().unwrap();
+        rows.version += 1;
+        rows.forgotten = rows.version;
+        drop(rows);
+        self.changed.notify_waiters();
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        let mut rest = Vec::new();
+        while let Ok(Some(request)) = read(&mut stream, &mut rest).await {
+            let (status, body) = self.call(&request).await;
+            let body = body.to_string();
+            if answer(&mut stream, status, &[], body.as_bytes())
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+    }
+
+    async fn call(&self, request: &Incoming) -> (u16, Value) {
+        self.rows.lock().unwrap().calls += 1;
+        let number = |name| {
+            request
+                .query(name)
+                .and_then(|v| v.parse().ok())
+                .unwrap_or(0)
+        };
+        let table = request.query("table").unwrap_or_default();
+        match request.path() {
+            "/rows-get" => self.page(table, 0),
+            "/rows-feed" => {
+                let after: u64 = number("after");
+                let wait = Duration::from_millis(number("waitMs"));
+                let wake = self.changed.notified();
+                if self.newest(table) <= after {
+                    let _ = timeout(wait, wake).await;
+                }
+                if after < self.rows.lock().unwrap().forgotten {
+                    return (410, json!({}));
+                }
+                self.page(table, after)
+            }
+            "/rows-tx" => self.transaction(&request.body),
+            _ => (404, json!({})),
+        }
+    }
+
+    fn newest(&self, table: &str) -> u64 {
+        let rows = self.rows.lock().unwrap();
+        let of = rows.rows.iter().filter(|((t, _), _)| t == table);
+        of.map(|(_, (version, _))| *version).max().unwrap_or(0)
+    }
+
+    fn page(&self, table: &str, after: u64) -> (u16, Value) {
+        let rows = self.rows.lock().unwrap();
+        if rows.down {
+            return (503, json!({}));
+        }
+        let mut page = Vec::new();
+        for ((t, key), (version, value)) in &rows.rows {
+            if t == table && *version > after {
+                page.push(json!({"table": t, "part": "", "key": key, "ver": version,
+                    "value": STANDARD.encode(value)}));
+            }
+        }
+        (
+            200,
+            json!({"rows": page, "hasMore": false, "ver": rows.version, "nowMs": 0}),
+        )
+    }
+
+    fn transaction(&self, body: &[u8]) -> (u16, Value) {
+        let call: Value = serde_json::from_slice(body).unwrap();
+        let key = |row: &Value| -> Key {
+            let text = |name: &str| row[name].as_str().unwrap().to_owned();
+            (text("table"), text("key"))
+        };
+        let list = |name: &str| call[name].as_array().cloned().unwrap_or_default();
+        let mut rows = self.rows.lock().unwrap();
+        if rows.down {
+            return (503, json!({}));
+        }
+        for row in list("expected") {
+            let current = rows.rows.get(&key(&row));
+            if current.map_or(0, |(version, _)| *version) != row["ver"].as_u64().unwrap() {
+                let shown = current.map(|(version, value)| {
+                    json!({"table": row["table"], "part": "", "key": row["key"],
+                        "ver": version, "value": STANDARD.encode(value)})
+                });
+                let shown: Vec<Value> = shown.into_iter().collect();
+                return (412, json!({"rows": shown, "ver": rows.version, "nowMs": 0}));
+            }
+        }
+        rows.version += 1;
+        let version = rows.version;
+        for row in list("writes") {
+            let value = STANDARD.decode(row["value"].as_str().unwrap()).unwrap();
+            rows.rows.insert(key(&row), (version, value));
+        }
+        for row in list("remove") {
+            rows.rows.remove(&key(&row));
+        }
+        drop(rows);
+        self.changed.notify_waiters();
+        (200, json!({"ver": version, "nowMs": 0}))
+    }
+}
