Bound the bodies that are held, and the pace of reads at larger sizes

Bodies take room of a quarter of the memory limit before they are read; the list of engines is read within this daemon's share of the store's rate. Settings that nothing used are gone.

--- a/src/edge/duty.rs
+++ b/src/edge/duty.rs
@@ -91,17 +91,18 @@
         },
     };
     let bounds = edge.settings().bounds;
-    let state = edge.state.borrow();
-    let word = word(&state.members, &mut current, now);
-    let candidate = Candidate {
-        host: edge.host.clone(),
-        life: edge.life,
-        rank: state.members.rank(&edge.host, now),
-        lease: bounds.lease(),
-        fences: bounds.fences,
+    let step = {
+        let state = edge.state.borrow();
+        let word = word(&state.members, &mut current, now);
+        let candidate = Candidate {
+            host: edge.host.clone(),
+            life: edge.life,
+            rank: state.members.rank(&edge.host, now),
+            lease: bounds.lease(),
+            fences: bounds.fences,
+        };
+        candidate.step(&current, word, now)
     };
-    drop(state);
-    let step = candidate.step(&current, word, now);
     *seen = Some(current);
     let Step::Take {
         version,
@@ -312,16 +313,7 @@
         let busy = round(&edge);
         let notes = teller.notes(&edge);
         if !notes.is_empty() {
-            let now = clock::now();
-            let mut state = edge.state.borrow_mut();
-            let mut changed = false;
-            for note in &notes {
-                changed |= state.fleet.tell(&note.engine, peers::told(note, now));
-            }
-            drop(state);
-            if changed {
-                edge.notify();
-            }
+            take_notes(&edge, &notes);
             peers::tell(&edge, &socket, notes).await;
         }
         let pause = match busy {
@@ -335,6 +327,20 @@
     }
 }
 
+/// Believes at this daemon what the others are told.
+fn take_notes(edge: &Edge, notes: &[ToldNote]) {
+    let now = clock::now();
+    let mut state = edge.state.borrow_mut();
+    let mut changed = false;
+    for note in notes {
+        changed |= state.fleet.tell(&note.engine, peers::told(note, now));
+    }
+    drop(state);
+    if changed {
+        edge.notify();
+    }
+}
+
 /// Decides once, and starts the calls decided on; true while something is
 /// under way.
 fn round(edge: &Rc<Edge>) -> bool {
--- a/src/edge/events.rs
+++ b/src/edge/events.rs
@@ -28,7 +28,7 @@
     }
 
     /// The next whole event.
-    pub fn next(&mut self) -> Option<Event> {
+    pub fn event(&mut self) -> Option<Event> {
         let end = end(&self.rest)?;
         let bytes = self.rest.split_to(end).freeze();
         let id = id(&bytes);
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -14,7 +14,7 @@
 use http::request::Parts;
 use http::{Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use self::attempt::Tries;
 use self::reply::{Refusal, Reply};
@@ -22,7 +22,7 @@
 use super::clock;
 use super::demand::Which;
 use super::desired::{Desired, Kind as RouteKind, Limits, Route};
-use super::state::Edge;
+use super::state::{Edge, Room};
 use super::suspects;
 use crate::clock::Moment;
 use crate::error::Kind;
@@ -105,19 +105,26 @@
     }
 }
 
-/// Counts a request while it is in progress.
-struct Counted(Rc<Edge>);
+/// Counts a request, and keeps room for its body, while it is in progress.
+#[derive(Debug)]
+struct Counted {
+    edge: Rc<Edge>,
+    _room: Room,
+}
 
 impl Counted {
-    fn new(edge: &Rc<Edge>) -> Self {
+    fn new(edge: &Rc<Edge>, room: Room) -> Self {
         edge.state.borrow_mut().requests += 1;
-        Counted(edge.clone())
+        Counted {
+            edge: edge.clone(),
+            _room: room,
+        }
     }
 }
 
 impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.state.borrow_mut().requests -= 1;
+        self.edge.state.borrow_mut().requests -= 1;
     }
 }
 
@@ -128,17 +135,26 @@
     request: Request<Incoming>,
 ) -> Result<Response<Reply>, Infallible> {
     let arrived = clock::now();
-    let counted = Counted::new(&edge);
     let (head, body) = request.into_parts();
     let call = heads::call(&head.headers);
     let desired = edge.state.borrow().desired.clone();
+    // A body in chunks may become as long as is allowed.
+    let most = desired.limits.body as u64;
+    let expected = body.size_hint().upper().unwrap_or(most).min(most);
+    let Some(mut room) = Room::take(&edge, expected) else {
+        let cause = "too many bodies are held";
+        return Ok(refuse(&edge, &call.id, Kind::QueueFull, cause));
+    };
     let body = match read(body, &desired.limits).await {
         Ok(body) => body,
-        Err(kind) => return Ok(refuse(&edge, &call, kind, "the body cannot be read")),
+        Err(kind) => return Ok(refuse(&edge, &call.id, kind, "the body cannot be read")),
     };
+    room.shrink(body.len() as u64);
+    let counted = Counted::new(&edge, room);
+    let id = call.id.clone();
     let job = match job(&edge, desired, head, body, call, arrived) {
         Ok(job) => job,
-        Err(response) => return Ok(response),
+        Err((kind, cause)) => return Ok(refuse(&edge, &id, kind, cause)),
     };
     let leaving = edge.leaving.get();
     if leaving.is_some_and(|l| !l.takes(job.route.kind, arrived)) {
@@ -155,7 +171,8 @@
     Ok(attempt::run(Rc::new(job), counted).await)
 }
 
-/// Finds the route of a request and what limits it.
+/// Finds the route of a request and what limits it; the error says why it is
+/// refused.
 fn job(
     edge: &Rc<Edge>,
     desired: Rc<Desired>,
@@ -163,24 +180,18 @@
     body: Bytes,
     call: Call,
     arrived: Moment,
-) -> Result<Job, Response<Reply>> {
+) -> Result<Job, (Kind, &'static str)> {
     if desired.version == 0 {
-        let cause = "no desired state is known";
-        return Err(refuse(edge, &call, Kind::NotReady, cause));
+        return Err((Kind::NotReady, "no desired state is known"));
     }
     let host = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
     let host = host.or(head.uri.host()).unwrap_or_default();
     let Some(route) = desired.route(host, head.uri.path()) else {
-        return Err(refuse(edge, &call, Kind::NotFound, "no route"));
+        return Err((Kind::NotFound, "no route"));
     };
     let route = route.clone();
     let Some(service) = route.target(rand::random()) else {
-        return Err(refuse(
-            edge,
-            &call,
-            Kind::NoCapacity,
-            "the route has no service",
-        ));
+        return Err((Kind::NoCapacity, "the route has no service"));
     };
     let service = service.clone();
     let mut limit = Limit::Route;
@@ -205,16 +216,16 @@
     })
 }
 
-fn refuse(edge: &Edge, call: &Call, kind: Kind, cause: &str) -> Response<Reply> {
+fn refuse(edge: &Edge, request: &str, kind: Kind, cause: &str) -> Response<Reply> {
     let refusal = match kind.answer().status {
         503 => Refusal::after(kind, Duration::from_millis(500)),
         _ => Refusal::new(kind),
     };
     let name: &'static str = kind.into();
-    let (request, status) = (&*call.id, refusal.status().as_u16());
+    let status = refusal.status().as_u16();
     log::warn!(request, status, kind = name, cause; "request refused");
     edge.metrics.refused(kind);
-    refusal.answer(&call.id)
+    refusal.answer(request)
 }
 
 async fn read(body: Incoming, limits: &Limits) -> Result<Bytes, Kind> {
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -115,7 +115,7 @@
     /// The whole events that have come, less those that were passed on before.
     fn events(&mut self) -> Bytes {
         let mut out = Vec::new();
-        while let Some(event) = self.splitter.next() {
+        while let Some(event) = self.splitter.event() {
             if let (Some(id), Some(last)) = (event.id, self.last)
                 && id <= last
             {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -88,6 +88,7 @@
         metrics: Metrics::new()?,
         phase: Cell::new(Phase::Starting),
         leaving: Cell::default(),
+        buffered: Cell::default(),
         state: RefCell::default(),
         changed: tokio::sync::watch::Sender::new(0),
         urgent: Notify::new(),
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -511,7 +511,7 @@
         };
         let parallel = self.engines.store_parallel;
         let room = self.remote(scene, service) < parallel;
-        let mut best: Option<(f64, Arc<str>, Vec<Arc<str>>, bool)> = None;
+        let mut best: Option<Place> = None;
         for (id, book) in self.of(scene, service) {
             if book.engaged || book.replicas.contains_key(model) {
                 continue;
@@ -538,11 +538,23 @@
             if loss > self.most_loss(how) {
                 continue;
             }
-            if best.as_ref().is_none_or(|b| cost < b.0) {
-                best = Some((cost, id.clone(), victims, remote));
+            if best.as_ref().is_none_or(|b| cost < b.cost) {
+                let engine = id.clone();
+                best = Some(Place {
+                    cost,
+                    engine,
+                    victims,
+                    remote,
+                });
             }
         }
-        let Some((cost, id, victims, remote)) = best else {
+        let Some(Place {
+            cost,
+            engine: id,
+            victims,
+            remote,
+        }) = best
+        else {
             return;
         };
         let Some(book) = self.books.get_mut(&id) else {
@@ -654,6 +666,18 @@
     }
 }
 
+/// Where a load may go.
+#[derive(Clone, Debug)]
+struct Place {
+    /// Time and loss, s.
+    cost: f64,
+    engine: Arc<str>,
+    /// Models that make way.
+    victims: Vec<Arc<str>>,
+    /// The load comes from the weight store.
+    remote: bool,
+}
+
 /// Why a load is planned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -41,8 +41,6 @@
     pub store: Store,
     /// Memory that the process may use, MB.
     pub memory_mb: u64,
-    /// Period at which engines write their entries, ms.
-    pub heartbeat_ms: u64,
     /// Bounds that hold for the whole deployment.
     pub bounds: Bounds,
     /// What is known of the engines beforehand.
@@ -61,7 +59,6 @@
             listen: Listen::default(),
             store: Store::default(),
             memory_mb: 256,
-            heartbeat_ms: 1_200,
             bounds: Bounds::default(),
             engines: Engines::default(),
             placement: Placement::default(),
@@ -107,8 +104,6 @@
 pub struct Store {
     /// Address.
     pub addr: SocketAddr,
-    /// Writing calls a second that all daemons may make together.
-    pub writes_per_s: f64,
     /// Reading calls a second that all daemons may make together.
     pub reads_per_s: f64,
 }
@@ -117,7 +112,6 @@
     fn default() -> Self {
         Store {
             addr: UNSET,
-            writes_per_s: 400.0,
             reads_per_s: 2_000.0,
         }
     }
@@ -287,7 +281,7 @@
     let bounds = &settings.bounds;
     let positive = [
         ("/memory_mb", settings.memory_mb as f64),
-        ("/heartbeat_ms", settings.heartbeat_ms as f64),
+        ("/store/reads_per_s", settings.store.reads_per_s),
         ("/bounds/grace_s", bounds.grace_s),
         ("/bounds/lease_ms", bounds.lease_ms as f64),
         ("/bounds/retry_window_s", bounds.retry_window_s),
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -30,6 +30,10 @@
 /// the load begins and a later try finds the model.
 const WANT_LINGERS: Duration = Duration::from_millis(800);
 
+/// Divisor of the memory limit that gives the room for callers' bodies; the
+/// rest is for the process, its sockets and answers.
+const BODIES: u64 = 4;
+
 /// Life cycle of the daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -61,6 +65,8 @@
     pub phase: Cell<Phase>,
     /// The planned stop, once it has begun.
     pub leaving: Cell<Option<Leaving>>,
+    /// Bytes of callers' bodies that are held.
+    pub buffered: Cell<u64>,
     /// What is known.
     pub state: RefCell<State>,
     /// Raised with each change that a waiting request may hope for.
@@ -290,6 +296,44 @@
     }
 }
 
+/// Room for a caller's body; dropping it gives the room back.
+#[derive(Debug)]
+pub struct Room {
+    edge: Rc<Edge>,
+    bytes: u64,
+}
+
+impl Room {
+    /// Takes room for `bytes`; `None` when the daemon holds too much already.
+    pub fn take(edge: &Rc<Edge>, bytes: u64) -> Option<Self> {
+        let most = edge.settings.borrow().memory_mb * 1_000_000 / BODIES;
+        let held = edge.buffered.get() + bytes;
+        if held > most {
+            return None;
+        }
+        edge.buffered.set(held);
+        Some(Room {
+            edge: edge.clone(),
+            bytes,
+        })
+    }
+
+    /// Gives back what is more than `bytes`.
+    pub fn shrink(&mut self, bytes: u64) {
+        let spare = self.bytes.saturating_sub(bytes);
+        self.edge.buffered.set(self.edge.buffered.get() - spare);
+        self.bytes -= spare;
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        self.edge
+            .buffered
+            .set(self.edge.buffered.get() - self.bytes);
+    }
+}
+
 /// A request that waits for a model; dropping it withdraws the want.
 #[derive(Debug)]
 pub struct Wanting {
--- a/src/edge/watch.rs
+++ b/src/edge/watch.rs
@@ -18,6 +18,8 @@
 /// Part of the time within which a leaving engine must be left, at which the
 /// list of engines is read.
 const LIST_PART: f64 = 0.35;
+/// Part of the store's rate of reads that goes to the list of engines.
+const READS_PART: f64 = 0.5;
 /// Pause after a call to the store failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(250);
 /// Period at which the list of daemons is read; new ones make themselves
@@ -87,8 +89,7 @@
 pub async fn engines(edge: Rc<Edge>) {
     let mut known_bad = BTreeSet::new();
     loop {
-        let bounds = edge.settings().bounds;
-        let period = Duration::from_millis(bounds.drain_ms).mul_f64(LIST_PART);
+        let period = list_period(&edge);
         let begun = clock::now();
         match edge.store.read(Table::Engines).await {
             Ok(page) => {
@@ -105,6 +106,17 @@
     }
 }
 
+/// Period at which the list of engines is read: often enough for leaving
+/// engines, and within this daemon's share of the store's rate.
+fn list_period(edge: &Edge) -> Duration {
+    let settings = edge.settings();
+    let daemons = edge.state.borrow().members.sharing(clock::now());
+    let share = settings.store.reads_per_s * READS_PART / daemons as f64;
+    let least = Duration::try_from_secs_f64(1.0 / share).unwrap_or(FAILED_PAUSE);
+    let wished = Duration::from_millis(settings.bounds.drain_ms).mul_f64(LIST_PART);
+    wished.max(least)
+}
+
 /// Becomes ready once the desired state is known as well.
 async fn become_ready(edge: &Edge) {
     let mut changes = edge.changed.subscribe();
--- a/tests/edge/parts.rs
+++ b/tests/edge/parts.rs
@@ -47,7 +47,7 @@
             let (piece, after) = rest.split_at((*cut.next().unwrap()).min(rest.len()));
             prop_assert!(splitter.push(piece));
             rest = after;
-            while let Some(event) = splitter.next() {
+            while let Some(event) = splitter.event() {
                 seen.push(event.id.unwrap());
                 bytes.extend_from_slice(&event.bytes);
             }
--- a/tests/edge/translation.rs
+++ b/tests/edge/translation.rs
@@ -226,11 +226,9 @@
     ("provider.addr", "10.200.1.7:8142"),
 ];
 
-const BOUNDS: [(&str, &str); 13] = [
-    ("provider.writesPerS", "400"),
+const BOUNDS: [(&str, &str); 11] = [
     ("provider.readsPerS", "2000"),
     ("limits.memoryMb", "390"),
-    ("heartbeatMs", "1200"),
     ("bounds.drainMs", "2500"),
     ("bounds.graceS", "8"),
     ("bounds.leaseMs", "3500"),
--- a/tests/edge/way.rs
+++ b/tests/edge/way.rs
@@ -112,7 +112,10 @@
     let [arrived] = &arrivals[..] else {
         panic!("{arrivals:?}")
     };
-    assert_eq!(arrived.target, "/look/a?b=c%20d");
+    assert_eq!(
+        (&*arrived.method, &*arrived.target),
+        ("POST", "/look/a?b=c%20d")
+    );
     assert_eq!(arrived.body, b"body of r1");
     assert_eq!(arrived.header("x-custom"), "kept");
     assert!(["p1", "p2"].contains(&arrived.header("x-mastichinge-expect-instance")));
@@ -331,6 +334,21 @@
     assert_eq!(site.plain[0].arrivals().len(), before);
 }
 
+/// Some engines leave without a word: only their entry goes.
+#[test]
+fn an_engine_that_is_no_longer_listed_gets_no_new_work() {
+    let site = Site::start();
+    site.store.remove("servers", "p1");
+    wait("the change", || {
+        let changes = site.daemon.logged("engine changed");
+        changes.iter().any(|l| l["change"] == "gone")
+    });
+    for i in 0..6 {
+        assert_eq!(site.send("/look/", &format!("l{i}")).status, 200);
+    }
+    assert!(site.plain[0].arrivals().is_empty());
+}
+
 #[test]
 fn entries_of_strangers_name_no_engine_and_the_others_hold() {
     let site = Site::start();
