Keep away from engines that failed lately; leave a returning holder its row

Cause (incident inc-9ce2): engines that hang part of their requests never failed three times in a row, so they kept their share of bookings; when the store came back for all, a candidate took the orders before their holder had renewed its row (26.1 s).

--- a/src/edge/duty.rs
+++ b/src/edge/duty.rs
@@ -46,9 +46,12 @@
         let holding = edge.state.borrow().tenure.clone();
         let pause = match holding {
             Some(tenure) => {
-                renew(&edge, tenure).await;
+                let renewed = renew(&edge, tenure).await;
                 seen = None;
-                RENEW
+                match renewed {
+                    true => RENEW,
+                    false => LOOK,
+                }
             }
             None => {
                 look(&edge, &mut seen).await;
@@ -215,8 +218,8 @@
     }
 }
 
-/// Renews the row.
-async fn renew(edge: &Edge, tenure: Tenure) {
+/// Renews the row; false when that failed.
+async fn renew(edge: &Edge, tenure: Tenure) -> bool {
     let begun = clock::now();
     let fence = tenure.record.fence;
     let record = Record {
@@ -228,18 +231,18 @@
     let mut state = edge.state.borrow_mut();
     let peers = state.peers(now);
     let Some(current) = state.tenure.as_mut().filter(|t| t.record.fence == fence) else {
-        return;
+        return false;
     };
     if let Put::Done(version) = written {
         current.record = record;
         current.version = version;
         current.renewed = begun;
-        return;
+        return true;
     }
     if matches!(written, Put::Lost) {
         log::warn!(fence; "orders lost: the row is another's");
         state.end_tenure();
-        return;
+        return false;
     }
     if current.offers(peers, now) {
         let age_ms = now.saturating_sub(current.renewed).as_millis() as u64;
@@ -250,6 +253,7 @@
         drop(state);
         edge.urgent.notify_one();
     }
+    false
 }
 
 /// Gives the orders up, as this daemon leaves; `begun` is when that began.
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -20,6 +20,9 @@
 /// Age at which another daemon's word about its own load is void.
 const LOAD_AGE: Duration = Duration::from_secs(2);
 
+/// Time constant by which failures fade, s.
+const TROUBLE_S: f64 = 5.0;
+
 /// Models that an engine holds, with their adapters.
 pub type Held = BTreeMap<Arc<str>, BTreeSet<Arc<str>>>;
 
@@ -110,6 +113,10 @@
     pub others: HashMap<Arc<str>, (Moment, Load)>,
     /// Whether requests to it fail.
     pub breaker: Breaker,
+    /// Failures lately: a sum that fades.
+    trouble: f64,
+    /// When the sum was last changed.
+    troubled: Moment,
     /// What it was said to hold but lacked, and when it said so.
     pub absent: HashMap<Arc<str>, Moment>,
     /// Prompt parts that this daemon sent there.
@@ -134,6 +141,8 @@
                 pause: Duration::from_millis(700),
                 most: Duration::from_secs(4),
             }),
+            trouble: 0.0,
+            troubled: now,
             absent: HashMap::new(),
             kept: Kept::default(),
             replaced: false,
@@ -146,6 +155,18 @@
         self.entry.phase == Phase::Ready && !self.replaced && !self.down()
     }
 
+    /// Failures lately; each fades within seconds.
+    pub fn trouble(&self, now: Moment) -> f64 {
+        let age = now.saturating_sub(self.troubled).as_secs_f64();
+        self.trouble * (-age / TROUBLE_S).exp()
+    }
+
+    /// Notes a failure, or a request that got no answer.
+    pub fn note_trouble(&mut self, now: Moment) {
+        self.trouble = self.trouble(now) + 1.0;
+        self.troubled = now;
+    }
+
     /// Whether it took no connection and has given no sign of life since.
     pub fn down(&self) -> bool {
         self.refused == Some(self.entry.beat)
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -337,8 +337,9 @@
     let sent = clock::now();
     let sending = job.edge.client.send(choice.addr, request, CONNECT);
     let Ok(outcome) = timeout(patience, sending).await else {
-        if patience < job.left() || tries.sent + 1 < job.route.attempts {
-            flight.judge(false);
+        match patience < job.left() {
+            true => flight.judge(false),
+            false => flight.unanswered(),
         }
         return Sent::Silent;
     };
--- a/src/edge/forward/pick.rs
+++ b/src/edge/forward/pick.rs
@@ -141,7 +141,7 @@
                 RouteKind::Idempotent | RouteKind::Once => PLAIN_SERVICE,
             },
             near: engine.entry.domain == settings.domain,
-            shaky: !engine.breaker.allows(now),
+            trouble: engine.trouble(now),
             draw,
         });
     }
--- a/src/edge/members.rs
+++ b/src/edge/members.rs
@@ -13,6 +13,8 @@
 pub const BEAT: Duration = Duration::from_millis(250);
 /// Silence after which a daemon is not taken as alive: four lost packets.
 pub const SILENCE: Duration = Duration::from_millis(1_100);
+/// Time for which a daemon must be served by the store to count as such.
+const SERVED: Duration = Duration::from_millis(800);
 /// Silence after which a daemon no longer shares in limits: what it spent has
 /// left every window by then.
 const SHARING: Duration = Duration::from_secs(15);
@@ -51,8 +53,8 @@
     pub sent: Option<Moment>,
     /// It takes callers.
     pub ready: bool,
-    /// The store serves it.
-    pub store: bool,
+    /// Since when it says that the store serves it.
+    pub store: Option<Moment>,
     /// What it said of its tenure.
     pub tenure: Option<Told>,
 }
@@ -80,6 +82,13 @@
         self.silent_for(now) < SILENCE
     }
 
+    /// Whether the store serves it, and has for a while: a holder renews its
+    /// row within that time when the store comes back for all.
+    pub fn served(&self, now: Moment) -> bool {
+        self.store
+            .is_some_and(|since| now.saturating_sub(since) >= SERVED)
+    }
+
     /// How long it has been silent; for ever when it was never heard.
     pub fn silent_for(&self, now: Moment) -> Duration {
         self.heard
@@ -113,7 +122,7 @@
                 heard: None,
                 sent: None,
                 ready: false,
-                store: false,
+                store: None,
                 tenure: None,
             });
             if record.life >= member.life {
@@ -185,7 +194,8 @@
 
     /// Place of this host among those that could take over the orders.
     pub fn rank(&self, own: &str, now: Moment) -> u32 {
-        let before = |(host, m): &(&Arc<str>, &Member)| &***host < own && m.ready && m.store;
+        let before =
+            |(host, m): &(&Arc<str>, &Member)| &***host < own && m.ready && m.store.is_some();
         self.alive(now).filter(before).count() as u32
     }
 
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -287,7 +287,10 @@
             log::info!(member = &*host, life = packet.life; "member heard");
         }
         member.ready = beat.ready;
-        member.store = beat.store;
+        member.store = match beat.store {
+            true => member.store.or(Some(now)),
+            false => None,
+        };
         member.tenure = None;
         if let Ok(callers) = beat.callers.parse() {
             member.callers = callers;
--- a/src/edge/select.rs
+++ b/src/edge/select.rs
@@ -10,8 +10,8 @@
 const FAR: Duration = Duration::from_millis(1);
 /// Added for each running request: a fuller batch makes slower steps.
 const PER_RUNNING: Duration = Duration::from_micros(400);
-/// Added to an engine on trial after failures.
-const ON_TRIAL: Duration = Duration::from_millis(300);
+/// Added for each failure lately: what a request loses there on average.
+const PER_FAILURE: Duration = Duration::from_millis(300);
 
 /// An engine that could run the request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -28,8 +28,8 @@
     pub service: Duration,
     /// In the failure domain of this daemon.
     pub near: bool,
-    /// Requests to it failed lately.
-    pub shaky: bool,
+    /// Failures lately.
+    pub trouble: f64,
     /// Breaks ties, so that daemons spread differently.
     pub draw: u64,
 }
@@ -45,10 +45,7 @@
         if !self.near {
             wait += FAR;
         }
-        if self.shaky {
-            wait += ON_TRIAL;
-        }
-        wait
+        wait + PER_FAILURE.mul_f64(self.trouble)
     }
 }
 
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -240,7 +240,7 @@
         let mut peers = Peers::default();
         for (_, member) in self.members.alive(now) {
             peers.heard = true;
-            peers.served |= member.store;
+            peers.served |= member.served(now);
         }
         peers
     }
@@ -407,6 +407,14 @@
         self.edge.unreached(&self.engine);
     }
 
+    /// Notes that no answer came in the time that there was.
+    pub fn unanswered(&self) {
+        let mut state = self.edge.state.borrow_mut();
+        if let Some(upstream) = state.fleet.engines.get_mut(&self.engine) {
+            upstream.note_trouble(clock::now());
+        }
+    }
+
     /// Notes whether the engine did its part.
     pub fn judge(&self, sound: bool) {
         let mut state = self.edge.state.borrow_mut();
@@ -417,6 +425,7 @@
             upstream.breaker.succeeded();
             return;
         }
+        upstream.note_trouble(clock::now());
         let before = upstream.breaker.allows(clock::now());
         upstream.breaker.failed(clock::now());
         if before && !upstream.breaker.allows(clock::now()) {
--- a/tests/edge/parts.rs
+++ b/tests/edge/parts.rs
@@ -104,7 +104,7 @@
         ..candidate(0, 50)
     };
     let shaky = Candidate {
-        shaky: true,
+        trouble: 1.0,
         ..candidate(0, 50)
     };
     let far = Candidate {
