--- a/src/edge/demand.rs
+++ b/src/edge/demand.rs
@@ -9,7 +9,7 @@
 /// Time constant of the request rate; rare models show at all.
 const RATE_S: f64 = 12.0;
 /// Time constant of the work; a burst shows within seconds.
-const WORK_S: f64 = 4.0;
+const WORK_S: f64 = 2.5;
 /// Rate below which a model counts as idle, requests a second.
 const IDLE: f64 = 0.001;
 
