Model-check the tenure of orders; mend two ways to order too soon

Cause: the exhaustive check found a holder that was killed while it still had to wait and whose machine ordered at once, and a renewal that was found done after a lost answer and counted from when it was found. Also: mastichinge trace follows a request id through the logs of all hosts.

--- a/src/bin/mastichinge.rs
+++ b/src/bin/mastichinge.rs
@@ -26,7 +26,7 @@
 
 fn serve(args: &ToolArgs) -> Result<(), ToolError> {
     let profile = match args.command {
-        Command::Help(_) | Command::Version => Profile::default(),
+        Command::Help(_) | Command::Version | Command::Trace { .. } => Profile::default(),
         _ => Profile::find(args, &Environment::read())?,
     };
     let mut output = Output {
--- a/src/cli/tool.rs
+++ b/src/cli/tool.rs
@@ -107,6 +107,17 @@
                 /// Number of changes (20).
                 optional --count number: u64
             }
+            /// Follow one request through the logs of all hosts.
+            ///
+            /// Prints every line that names the request, and between its first
+            /// and its last line, or shortly before, what happened to the
+            /// engines and the model that it met.
+            cmd trace {
+                /// Id of the request.
+                required request: String
+                /// Log files of JSON lines; - for standard input.
+                repeated files: PathBuf
+            }
             /// Drain one host: it leaves, finishes its work and ends.
             cmd drain {
                 /// Address of the host's operators' port, ip:port.
@@ -184,6 +195,13 @@
     },
     /// List changes with their patches.
     Audit(Page),
+    /// Follow a request through log files.
+    Trace {
+        /// Id of the request.
+        request: String,
+        /// Log files; `-` for standard input.
+        files: Vec<PathBuf>,
+    },
     /// Drain a host.
     Drain(Drain),
 }
@@ -268,6 +286,10 @@
             from: audit.from,
             count: audit.count,
         }),
+        Cmd::Trace(trace) => Command::Trace {
+            request: trace.request,
+            files: trace.files,
+        },
         Cmd::Drain(drain) => Command::Drain(Drain {
             addr: drain.addr,
             wait: drain.wait,
--- a/src/edge/duty.rs
+++ b/src/edge/duty.rs
@@ -43,17 +43,16 @@
 pub async fn tenure(edge: Rc<Edge>) {
     let mut seen: Option<Seen> = None;
     loop {
-        let holding = edge.state.borrow().tenure.clone();
+        let holding = edge.state.borrow().tenure.is_some();
         let pause = match holding {
-            Some(tenure) => {
-                let renewed = renew(&edge, tenure).await;
+            true => {
                 seen = None;
-                match renewed {
+                match renew(&edge).await {
                     true => RENEW,
                     false => LOOK,
                 }
             }
-            None => {
+            false => {
                 look(&edge, &mut seen).await;
                 LOOK
             }
@@ -144,7 +143,7 @@
     let begun = clock::now();
     let fence = record.fence;
     let written = match put(edge, version, &record).await {
-        Put::Done(written) => written,
+        Put::Done(written) | Put::Found(written) => written,
         // If it was done after all, the row names this host, and the next
         // look takes it over from there.
         Put::Lost | Put::Unknown => return,
@@ -165,6 +164,7 @@
         from,
         renewed: begun,
         ordered: None,
+        sent: None,
     });
     state.placer = Some(placer);
     drop(state);
@@ -188,6 +188,8 @@
 enum Put {
     /// Done; the version that it made.
     Done(u64),
+    /// An earlier sending of the same was done; the version that it made.
+    Found(u64),
     /// The row is another's.
     Lost,
     /// Not known.
@@ -198,7 +200,7 @@
     /// Looks whether a row is what was to be written.
     fn of(row: Option<&Row>, record: &Record) -> Self {
         match row {
-            Some(row) if decode(row).as_ref() == Some(record) => Put::Done(row.version),
+            Some(row) if decode(row).is_some_and(|r| r.same(record)) => Put::Found(row.version),
             _ => Put::Lost,
         }
     }
@@ -219,33 +221,42 @@
 }
 
 /// Renews the row; false when that failed.
-async fn renew(edge: &Edge, tenure: Tenure) -> bool {
+async fn renew(edge: &Edge) -> bool {
     let begun = clock::now();
-    let fence = tenure.record.fence;
-    let record = Record {
-        renewal: tenure.record.renewal + 1,
-        ..tenure.record.clone()
+    let writing = {
+        let mut state = edge.state.borrow_mut();
+        let tenure = state.tenure.as_mut();
+        tenure.map(|t| (t.version, t.renew(begun)))
+    };
+    let Some((version, record)) = writing else {
+        return false;
     };
-    let written = put(edge, tenure.version, &record).await;
+    let fence = record.fence;
+    let written = put(edge, version, &record).await;
     let now = clock::now();
     let mut state = edge.state.borrow_mut();
     let peers = state.peers(now);
-    let Some(current) = state.tenure.as_mut().filter(|t| t.record.fence == fence) else {
+    let Some(tenure) = state.tenure.as_mut().filter(|t| t.record.fence == fence) else {
         return false;
     };
-    if let Put::Done(version) = written {
-        current.record = record;
-        current.version = version;
-        current.renewed = begun;
-        return true;
-    }
-    if matches!(written, Put::Lost) {
-        log::warn!(fence; "orders lost: the row is another's");
-        state.end_tenure();
-        return false;
+    match written {
+        Put::Done(version) => {
+            tenure.renewed(record, version, begun);
+            return true;
+        }
+        Put::Found(version) => {
+            tenure.found(record, version);
+            return false;
+        }
+        Put::Lost => {
+            log::warn!(fence; "orders lost: the row is another's");
+            state.end_tenure();
+            return false;
+        }
+        Put::Unknown => {}
     }
-    if current.offers(peers, now) {
-        let age_ms = now.saturating_sub(current.renewed).as_millis() as u64;
+    if tenure.offers(peers, now) {
+        let age_ms = now.saturating_sub(tenure.renewed).as_millis() as u64;
         log::warn!(fence, age_ms; "orders offered: the row cannot be renewed");
         if !edge.settings().bounds.fences {
             state.end_tenure();
@@ -276,7 +287,7 @@
         ..tenure.record
     };
     match put(edge, tenure.version, &record).await {
-        Put::Done(row) => log::info!(fence, row; "orders given up"),
+        Put::Done(row) | Put::Found(row) => log::info!(fence, row; "orders given up"),
         Put::Lost => log::info!(fence; "orders were taken over"),
         Put::Unknown => return false,
     }
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -78,14 +78,17 @@
     fn log(&self, outcome: &str, status: u16, engine: &str, tries: &Tries) {
         let request = &*self.call.id;
         let route = &*self.route.name;
-        let target = self.call.prompt.as_ref().map(|p| p.target());
-        let target = target.as_deref().unwrap_or_default();
+        let prompt = self.call.prompt.as_ref();
+        let model = prompt.map_or("", |p| &*p.model);
+        let adapter = prompt
+            .and_then(|p| p.adapter.as_deref())
+            .unwrap_or_default();
         let ms = self.age().as_millis() as u64;
         let waited_ms = tries.waited.as_millis() as u64;
         let first_ms = tries.first.as_millis() as u64;
         let tries = tries.sent;
         let version = self.desired.version;
-        log::info!(request, route, target, status, engine, tries, waited_ms, first_ms, ms,
+        log::info!(request, route, model, adapter, status, engine, tries, waited_ms, first_ms, ms,
             version; "request {outcome}");
     }
 
--- a/src/edge/tenure.rs
+++ b/src/edge/tenure.rs
@@ -39,10 +39,29 @@
     pub fence: u64,
     /// Number of the renewal.
     pub renewal: u64,
+    /// Time from this writing until its first order, ms.
+    pub wait: u64,
     /// The holder gave the orders up, this long after its last order, ms.
     pub released: Option<u64>,
 }
 
+impl Record {
+    /// Whether both are the same writing; one that was repeated differs in the
+    /// time that is left to wait.
+    pub fn same(&self, other: &Record) -> bool {
+        let key = |r: &Record| {
+            (
+                r.host.clone(),
+                r.life,
+                r.fence,
+                r.renewal,
+                r.released.is_some(),
+            )
+        };
+        key(self) == key(other)
+    }
+}
+
 /// The row as it was read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seen {
@@ -67,6 +86,8 @@
     pub renewed: Moment,
     /// When the last order was given.
     pub ordered: Option<Moment>,
+    /// When the renewal that is under way was first sent.
+    pub sent: Option<Moment>,
 }
 
 /// What other daemons say, as far as it bears on a tenure.
@@ -90,6 +111,31 @@
         fresh || (fences && peers.heard)
     }
 
+    /// Begins a renewal, or sends the last one again: the row's new content.
+    pub fn renew(&mut self, now: Moment) -> Record {
+        self.sent.get_or_insert(now);
+        Record {
+            renewal: self.record.renewal + 1,
+            wait: self.from.saturating_sub(now).as_millis() as u64,
+            ..self.record.clone()
+        }
+    }
+
+    /// Notes that the row was renewed by a writing sent at `now`.
+    pub fn renewed(&mut self, record: Record, version: u64, now: Moment) {
+        self.record = record;
+        self.version = version;
+        self.renewed = now;
+        self.sent = None;
+    }
+
+    /// Notes that the row is found renewed: an earlier sending was done, and
+    /// the row has stood still since then.
+    pub fn found(&mut self, record: Record, version: u64) {
+        let since = self.sent.unwrap_or(self.renewed);
+        self.renewed(record, version, since);
+    }
+
     /// Whether it offers the orders to others: it cannot renew its row.
     pub fn offers(&self, peers: Peers, now: Moment) -> bool {
         let fresh = now.saturating_sub(self.renewed) < RENEW + STANDING;
@@ -166,8 +212,12 @@
             // A row that cannot be read names nobody; versions of the store
             // are above every fencing number.
             None => (seen.version + 1, Duration::ZERO, now),
-            // The machine stays the same, so the engines see no turn.
-            Some(held) if held.host == self.host => (held.fence + 1, Duration::ZERO, now),
+            // The machine stays the same, so the engines see no turn; what it
+            // had still to wait it waits again.
+            Some(held) if held.host == self.host => {
+                let from = now + Duration::from_millis(held.wait);
+                (held.fence + 1, Duration::ZERO, from)
+            }
             Some(held) => {
                 let (after, from) = match (held.released, word) {
                     (Some(ms), _) => {
@@ -204,6 +254,7 @@
                 life: self.life,
                 fence,
                 renewal: 0,
+                wait: from.saturating_sub(now).as_millis() as u64,
                 released: None,
             },
             from: from.max(now),
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -6,6 +6,7 @@
 mod profile;
 mod show;
 mod table;
+pub mod trace;
 mod wait;
 
 use std::io::Write;
@@ -61,6 +62,7 @@
         Command::Engines { prefix } => show::engines(&client, prefix, output),
         Command::Held => show::held(&client, output),
         Command::Release { fingerprint } => show::release(&client, fingerprint, output),
+        Command::Trace { request, files } => trace::run(request, files, output),
         Command::Drain(drain) => wait::drain(&client, drain, output),
     }
 }
--- /dev/null
+++ b/src/tool/trace.rs
@@ -0,0 +1,156 @@
+//! Following one request through the logs of all hosts.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::io::{self, Read};
+use std::path::{Path, PathBuf};
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+use super::{Output, ToolError};
+
+/// Time before the request's first line from which lines about its engines and
+/// its model are shown, ms.
+const BEFORE_MS: i64 = 3_000;
+/// Fields that are shown apart from the others.
+const SHOWN: [&str; 4] = ["time", "level", "target", "message"];
+
+/// A line of a log.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Line {
+    /// Where it came from.
+    pub source: String,
+    /// All its fields.
+    pub fields: Map<String, Value>,
+}
+
+impl Line {
+    fn text(&self, name: &str) -> &str {
+        self.fields
+            .get(name)
+            .and_then(Value::as_str)
+            .unwrap_or_default()
+    }
+
+    /// Time of day, ms; hosts' clocks may differ.
+    fn at(&self) -> i64 {
+        millis(self.text("time")).unwrap_or(0)
+    }
+
+    fn shown(&self) -> String {
+        let mut shown = format!("{} {:<5}", self.text("time"), self.text("level"));
+        shown.push_str(&format!(" {} {}", self.source, self.text("message")));
+        for (name, value) in &self.fields {
+            if !SHOWN.contains(&name.as_str()) {
+                shown.push_str(&format!(" {name}={value}"));
+            }
+        }
+        shown
+    }
+}
+
+/// Reads the lines of one log. What stands before a line's first brace, as a
+/// collector may put it there, names its source; lines that are not JSON are
+/// passed over.
+pub fn read(source: &str, text: &str) -> Vec<Line> {
+    let mut lines = Vec::new();
+    for line in text.lines() {
+        let Some(at) = line.find('{') else {
+            continue;
+        };
+        let Ok(fields) = serde_json::from_str(&line[at..]) else {
+            continue;
+        };
+        let before = line[..at].trim();
+        let source = match before.is_empty() {
+            true => source,
+            false => before,
+        };
+        lines.push(Line {
+            source: source.to_owned(),
+            fields,
+        });
+    }
+    lines
+}
+
+/// The lines that tell what became of `request`, in order of time: those that
+/// name it, and those about its engines and its model around them.
+pub fn follow(request: &str, lines: &[Line]) -> Vec<Line> {
+    let own: Vec<&Line> = lines
+        .iter()
+        .filter(|l| l.text("request") == request)
+        .collect();
+    let times = own.iter().map(|l| l.at());
+    let (Some(first), Some(last)) = (times.clone().min(), times.max()) else {
+        return Vec::new();
+    };
+    let mut met = BTreeSet::new();
+    for line in &own {
+        for name in [line.text("engine"), line.text("model")] {
+            if !name.is_empty() {
+                met.insert(name);
+            }
+        }
+    }
+    let mut followed = Vec::new();
+    for line in lines {
+        let at = line.at();
+        let near = (first - BEFORE_MS..=last).contains(&at);
+        let of_another = !line.text("request").is_empty();
+        let concerns = [line.text("engine"), line.text("model")];
+        let concerned = concerns.iter().any(|n| met.contains(n));
+        if line.text("request") == request || (near && !of_another && concerned) {
+            followed.push(line.clone());
+        }
+    }
+    followed.sort_by_key(Line::at);
+    followed
+}
+
+/// Milliseconds of a time as the log writes it, within the month; what is
+/// compared lies seconds apart.
+fn millis(time: &str) -> Option<i64> {
+    let day: i64 = time.get(8..10)?.parse().ok()?;
+    let hour: i64 = time.get(11..13)?.parse().ok()?;
+    let minute: i64 = time.get(14..16)?.parse().ok()?;
+    let second: i64 = time.get(17..19)?.parse().ok()?;
+    let ms: i64 = time.get(20..23)?.parse().ok()?;
+    Some((((day * 24 + hour) * 60 + minute) * 60 + second) * 1_000 + ms)
+}
+
+pub(super) fn run(
+    request: &str,
+    files: &[PathBuf],
+    output: &mut Output<'_>,
+) -> Result<(), ToolError> {
+    let mut lines = Vec::new();
+    for path in files {
+        let text = text(path).map_err(|error| ToolError::Input {
+            path: path.clone(),
+            cause: error.to_string(),
+        })?;
+        lines.extend(read(&path.display().to_string(), &text));
+    }
+    let followed = follow(request, &lines);
+    if output.json {
+        return output.pretty(&followed);
+    }
+    if followed.is_empty() {
+        return output.line(&format!("no line names the request {request}"));
+    }
+    for line in &followed {
+        output.line(&line.shown())?;
+    }
+    Ok(())
+}
+
+fn text(path: &Path) -> io::Result<String> {
+    if path == Path::new("-") {
+        let mut text = String::new();
+        io::stdin().read_to_string(&mut text)?;
+        return Ok(text);
+    }
+    fs::read_to_string(path)
+}
--- a/tests/edge/tenure.rs
+++ b/tests/edge/tenure.rs
@@ -17,6 +17,7 @@
         life: 1,
         fence: 5,
         renewal: 9,
+        wait: 0,
         released,
     }
 }
@@ -99,6 +100,18 @@
     assert_eq!(first_order(step), Some((6, at(0))));
 }
 
+/// Found by the model: a holder that had still to wait was killed, and its
+/// machine took the orders again at once.
+#[test]
+fn a_restarted_holder_waits_what_it_had_still_to_wait() {
+    let waiting = Record {
+        wait: 2_000,
+        ..record("edge-2", None)
+    };
+    let step = candidate().step(&seen(Some(waiting)), Word::Silent, at(500));
+    assert_eq!(first_order(step), Some((6, at(2_500))));
+}
+
 #[test]
 fn candidates_try_one_after_the_other() {
     let seen = seen(None);
@@ -117,6 +130,7 @@
         from: at(0),
         renewed: at(0),
         ordered: None,
+        sent: None,
     }
 }
 
@@ -125,6 +139,22 @@
     served: true,
 };
 
+/// Found by the model: a renewal whose answer was lost counted from the moment
+/// at which it was found, while the row had stood still since it was sent.
+#[test]
+fn a_renewal_that_is_found_done_counts_from_its_first_sending() {
+    let mut tenure = tenure();
+    let first = tenure.renew(at(1_000));
+    let again = tenure.renew(at(2_000));
+    assert!(first.same(&again));
+    tenure.found(again, 41);
+    assert_eq!((tenure.renewed, tenure.version), (at(1_000), 41));
+    let next = tenure.renew(at(2_100));
+    assert!(!first.same(&next));
+    tenure.renewed(next, 42, at(2_100));
+    assert_eq!(tenure.renewed, at(2_100));
+}
+
 #[test]
 fn without_fences_orders_stop_before_a_successor_may_begin() {
     let tenure = tenure();
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -6,5 +6,7 @@
 mod check;
 #[path = "models/ownership/mod.rs"]
 mod ownership;
+#[path = "models/tenure.rs"]
+mod tenure;
 #[path = "models/versions.rs"]
 mod versions;
--- /dev/null
+++ b/tests/trace.rs
@@ -0,0 +1,45 @@
+//! Following a request through logs.
+
+use mastichinge::tool::trace::{follow, read};
+
+const FIRST: &str = r#"
+not a line of ours
+{"time":"2026-12-03T10:00:01.000Z","level":"WARN","message":"engine down","engine":"e1"}
+{"time":"2026-12-03T10:00:01.500Z","level":"INFO","message":"request waits for a load","request":"r1","model":"m1"}
+{"time":"2026-12-03T10:00:01.700Z","level":"INFO","message":"request answered","request":"r2","engine":"e2"}
+{"time":"2026-12-03T10:00:03.000Z","level":"INFO","message":"request answered","request":"r1","engine":"e2","model":"m1"}
+{"time":"2026-12-03T10:00:09.000Z","level":"INFO","message":"order given","engine":"e2","model":"m1"}
+"#;
+
+const SECOND: &str = r#"
+ 2.1 edge-2 {"time":"2026-12-03T10:00:02.000Z","level":"INFO","message":"order given","engine":"e2","model":"m1","verb":"load"}
+ 2.2 edge-2 {"time":"2026-12-03T10:00:02.100Z","level":"INFO","message":"order given","engine":"e3","model":"m9","verb":"load"}
+"#;
+
+#[test]
+fn a_request_is_followed_over_hosts_with_what_its_engines_did() {
+    let mut lines = read("edge-1.log", FIRST);
+    lines.extend(read("edge-2.log", SECOND));
+    let followed = follow("r1", &lines);
+    let shown: Vec<_> = followed
+        .iter()
+        .map(|l| (l.source.as_str(), l.fields["message"].as_str().unwrap()))
+        .collect();
+    let expected = [
+        ("edge-1.log", "request waits for a load"),
+        ("2.1 edge-2", "order given"),
+        ("edge-1.log", "request answered"),
+    ];
+    assert_eq!(shown, expected);
+    assert!(follow("r9", &lines).is_empty());
+}
+
+#[test]
+fn what_an_engine_did_shortly_before_is_shown() {
+    let lines = read("edge-1.log", FIRST);
+    let mut line = lines[1].clone();
+    line.fields.insert("engine".into(), "e1".into());
+    let with_engine: Vec<_> = lines.iter().cloned().chain([line]).collect();
+    let followed = follow("r1", &with_engine);
+    assert_eq!(followed[0].fields["message"], "engine down");
+}
