--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -58,6 +58,14 @@
 }
 
 impl Conn {
+    /// Drops the kept connections to the same address: this one broke, and
+    /// the process behind them may be gone.
+    pub fn distrust(&self) {
+        if let Some(home) = self.home.upgrade() {
+            home.borrow_mut().remove(&self.addr);
+        }
+    }
+
     /// Keeps the connection for another request, once the answer was read
     /// whole; `idle` is how long the other side keeps it.
     pub fn keep(self, idle: Option<Duration>) {
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -484,6 +484,7 @@
         }
         Err(error) => {
             flight.judge(false);
+            conn.distrust();
             Err(format!("the answer broke off: {error}"))
         }
     }
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -31,6 +31,9 @@
 /// take after the head has come.
 const FIRST: Duration = Duration::from_millis(1_000);
 
+/// Cause of a resumption after an engine fell silent; it may still run.
+const SILENCE: &str = "silence";
+
 /// An answer that can be passed on.
 #[derive(Debug)]
 pub(super) enum Opened {
@@ -164,6 +167,7 @@
         Next::End(bytes) => (bytes, true),
         Next::Broken(cause) => {
             source.flight.judge(false);
+            source.conn.distrust();
             return Err(cause);
         }
         Next::Silent => {
@@ -290,7 +294,7 @@
                 }
                 Next::Silent if self.job.left().is_zero() => return End::Late,
                 Next::Silent if !self.spare() => {}
-                Next::Silent => match self.resume(source, "silence").await {
+                Next::Silent => match self.resume(source, SILENCE).await {
                     Ok(other) => source = other,
                     Err(end) => return end,
                 },
@@ -334,9 +338,12 @@
         let engine = source.flight.engine.clone();
         let last = source.last;
         source.flight.judge(false);
+        if cause != SILENCE {
+            source.conn.distrust();
+        }
         // Closes the connection, so that the run there stops first.
         drop(source);
-        if cause != "silence" {
+        if cause != SILENCE {
             attempt::strike(&self.job, &engine);
         }
         let resumable = last.is_some() && self.job.route.resumable;
--- a/tests/edge/standin/engine.rs
+++ b/tests/edge/standin/engine.rs
@@ -9,6 +9,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 use super::store::Store;
@@ -57,6 +58,7 @@
     service: String,
     store: Store,
     beat: Arc<AtomicU64>,
+    dead: Arc<Notify>,
     inner: Arc<Mutex<Inner>>,
 }
 
@@ -82,12 +84,27 @@
                 service,
                 store,
                 beat: Arc::default(),
+                dead: Arc::default(),
                 inner: Arc::new(Mutex::new(inner)),
             };
             engine.register("ready");
             tell.send(engine.clone()).unwrap();
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(engine.clone().serve(stream));
+            loop {
+                let dead = engine.dead.clone();
+                let stream = tokio::select! {
+                    accepted = listener.accept() => accepted.unwrap().0,
+                    () = dead.notified() => return,
+                };
+                let engine = engine.clone();
+                tokio::spawn(async move {
+                    let mut stream = stream;
+                    tokio::select! {
+                        () = engine.clone().serve(&mut stream) => {}
+                        // The stream is dropped with bytes unread or not; a
+                        // dead process answers nothing more.
+                        () = dead.notified() => {}
+                    }
+                });
             }
         });
         told.recv().unwrap()
@@ -103,6 +120,11 @@
         self.store.put("servers", &self.id, &entry);
     }
 
+    /// Resets all connections and takes no more.
+    pub fn die(&self) {
+        self.dead.notify_waiters();
+    }
+
     pub fn set(&self, manner: Manner) {
         self.inner.lock().unwrap().manner = manner;
     }
@@ -121,14 +143,14 @@
         self.inner.lock().unwrap().given.clone()
     }
 
-    async fn serve(self, mut stream: TcpStream) {
+    async fn serve(self, stream: &mut TcpStream) {
         stream.set_nodelay(true).unwrap();
         let mut rest = Vec::new();
-        while let Ok(Some(request)) = read(&mut stream, &mut rest).await {
+        while let Ok(Some(request)) = read(stream, &mut rest).await {
             let done = match request.path() {
-                "/report" => self.report(&mut stream).await,
-                "/order" => self.order(&mut stream, &request).await,
-                _ => self.run(&mut stream, request).await,
+                "/report" => self.report(stream).await,
+                "/order" => self.order(stream, &request).await,
+                _ => self.run(stream, request).await,
             };
             if done.is_err() {
                 return;
--- a/tests/edge/way.rs
+++ b/tests/edge/way.rs
@@ -247,6 +247,26 @@
     assert!(resumed.iter().any(|a| a.header("last-event-id") == "2"));
 }
 
+/// Of several streams at an engine that dies, each goes on elsewhere: kept
+/// connections to it are not tried one after the other.
+#[test]
+fn streams_of_an_engine_that_dies_go_on_at_another() {
+    let site = Site::start();
+    // Leaves kept connections to both engines.
+    std::thread::scope(|scope| {
+        for i in 0..8 {
+            let site = &site;
+            scope.spawn(move || site.stream("/stream/", &format!("w{i}")));
+        }
+    });
+    site.models[0].die();
+    for i in 0..6 {
+        let answer = site.stream("/stream/", &format!("s{i}"));
+        assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+        assert_eq!(events(&answer.body), all_events());
+    }
+}
+
 #[test]
 fn a_stream_that_may_not_be_resumed_is_cut_and_runs_once() {
     let site = Site::start();
