Tests of hostile callers and of settings that change; notice a changed file

The settings file is looked at every two seconds, as it may change without a signal. The entry answer names all hosts wherever the caller is; the unused argument is gone. Tests: floods of connections, endless and oversized heads, requests within bodies, two lengths, callers that never read or leave; the ceiling of loads over a takeover.

--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -171,8 +171,8 @@
     const JSON: &str = "application/json";
     const TEXT: &str = "text/plain; charset=utf-8";
     match entry::question(request.method(), request.uri()) {
-        Some(Question::Entry { domain }) => {
-            let addrs = entries(edge, &domain);
+        Some(Question::Entry { .. }) => {
+            let addrs = entries(edge);
             if addrs.is_empty() {
                 let text = "{}".to_owned();
                 return reply::text(StatusCode::SERVICE_UNAVAILABLE, JSON, text);
@@ -192,8 +192,9 @@
     }
 }
 
-/// Addresses that a caller in `domain` may use.
-fn entries(edge: &Edge, _domain: &str) -> Vec<String> {
+/// Addresses that a caller may use. All that take callers are named, wherever
+/// the caller is: a caller that keeps the answer must outlive any of them.
+fn entries(edge: &Edge) -> Vec<String> {
     let now = clock::now();
     let own = edge.ready().then(|| edge.settings.borrow().listen.callers);
     let state = edge.state.borrow();
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -52,6 +52,9 @@
 
 /// Period at which a leaving daemon looks whether it is done.
 const LEAVING_LOOK: Duration = Duration::from_millis(50);
+/// Period at which the settings file is looked at; it may change without a
+/// signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 /// Period of small chores.
 const CHORES: Duration = Duration::from_millis(500);
 /// Delay of the chores over their period that shows a suspension.
@@ -125,6 +128,7 @@
     tokio::task::spawn_local(duty::tenure(edge.clone()));
     tokio::task::spawn_local(duty::orders(edge.clone(), socket));
     tokio::task::spawn_local(chores(edge.clone()));
+    tokio::task::spawn_local(watch_settings(edge.clone(), path.clone()));
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -139,6 +143,22 @@
     Ok(())
 }
 
+/// Takes the settings file in again when it has changed without a signal.
+async fn watch_settings(edge: Rc<Edge>, path: PathBuf) {
+    let mut known = std::fs::read(&path).ok();
+    loop {
+        tokio::time::sleep(SETTINGS_LOOK).await;
+        let Ok(text) = std::fs::read(&path) else {
+            // It is being replaced; the next look tells.
+            continue;
+        };
+        if known.as_ref() != Some(&text) {
+            known = Some(text);
+            reload(&edge, &path);
+        }
+    }
+}
+
 /// Takes the settings file in again.
 fn reload(edge: &Edge, path: &Path) {
     match settings::load(path) {
--- /dev/null
+++ b/tests/edge/hostile.rs
@@ -0,0 +1,143 @@
+//! Callers that mean harm, or know no better: others go on undisturbed.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+
+use crate::site::{MODEL, Site};
+use crate::standin::daemon::{Request, exchange, wait};
+use crate::standin::engine::{Engine, Manner};
+use crate::way::events;
+
+/// Connections of one flood; more than any honest caller opens.
+const FLOOD: usize = 300;
+
+fn connect(site: &Site) -> TcpStream {
+    TcpStream::connect(site.daemon.callers).unwrap()
+}
+
+#[test]
+fn idle_connections_and_heads_that_never_end_hold_nobody_up() {
+    let site = Site::start();
+    let mut held = Vec::new();
+    for i in 0..FLOOD {
+        let mut stream = connect(&site);
+        if i % 2 == 0 {
+            stream
+                .write_all(b"POST /look/ HTTP/1.1\r\nHost: fi")
+                .unwrap();
+        }
+        held.push(stream);
+    }
+    for i in 0..5 {
+        assert_eq!(site.send("/look/", &format!("l{i}")).status, 200);
+    }
+    assert_eq!(site.daemon.ask("/readyz").status, 200);
+}
+
+#[test]
+fn a_head_that_is_too_long_is_refused() {
+    let site = Site::start();
+    let request = Request::new("/look/", "l1").with("X-Long", &"x".repeat(40_000));
+    let answer = site.daemon.send(&request);
+    // The connection may be reset while the caller still sends.
+    assert!([0, 431].contains(&answer.status), "{answer:?}");
+    assert_eq!(site.arrivals("l1"), 0);
+}
+
+/// A body that holds what looks like another request stays a body.
+#[test]
+fn a_request_inside_a_body_is_not_run() {
+    let site = Site::start();
+    let inner = String::from_utf8(Request::new("/book/", "inner").bytes(false)).unwrap();
+    let request = Request {
+        body: inner.clone(),
+        ..Request::new("/look/", "outer")
+    };
+    assert_eq!(site.daemon.send(&request).status, 200);
+    assert_eq!((site.arrivals("outer"), site.arrivals("inner")), (1, 0));
+    let arrived: Vec<_> = site.plain.iter().flat_map(Engine::arrivals).collect();
+    assert_eq!(arrived[0].body, inner.as_bytes());
+}
+
+/// Two lengths for one body: whatever is made of it, the engines see at most
+/// one request, and nothing that was inside it.
+#[test]
+fn two_lengths_smuggle_nothing() {
+    let site = Site::start();
+    let inner = String::from_utf8(Request::new("/book/", "inner").bytes(false)).unwrap();
+    let chunked = format!("0\r\n\r\n{inner}");
+    let text = format!(
+        "POST /look/ HTTP/1.1\r\nHost: firm.example\r\nX-Mastichinge-Request-Id: outer\r\n\
+         Content-Length: {}\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n{chunked}",
+        chunked.len()
+    );
+    exchange(connect(&site), text.as_bytes());
+    assert_eq!(site.arrivals("inner"), 0);
+}
+
+#[test]
+fn a_body_in_chunks_arrives_whole() {
+    let site = Site::start();
+    let text = "POST /look/ HTTP/1.1\r\nHost: firm.example\r\n\
+                X-Mastichinge-Request-Id: l1\r\nTransfer-Encoding: chunked\r\n\
+                Connection: close\r\n\r\n4\r\nfour\r\n6\r\n and 6\r\n0\r\n\r\n";
+    let answer = exchange(connect(&site), text.as_bytes());
+    assert_eq!(answer.status, 200);
+    let arrived: Vec<_> = site.plain.iter().flat_map(Engine::arrivals).collect();
+    assert_eq!(arrived[0].body, b"four and 6");
+    assert_eq!(arrived[0].header("content-length"), "10");
+}
+
+#[test]
+fn a_request_that_breaks_off_in_its_body_reaches_no_engine() {
+    let site = Site::start();
+    let mut stream = connect(&site);
+    let bytes = Request::new("/look/", "l1").bytes(true);
+    stream.write_all(&bytes[..bytes.len() - 3]).unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    let mut answer = Vec::new();
+    // A reset and an end are both fine.
+    let _ = stream.read_to_end(&mut answer);
+    assert!(!answer.starts_with(b"HTTP/1.1 200"), "{answer:?}");
+    assert_eq!(site.arrivals("l1"), 0);
+}
+
+#[test]
+fn callers_that_never_read_hold_nobody_up() {
+    let site = Site::start();
+    let mut held = Vec::new();
+    for i in 0..20 {
+        let mut stream = connect(&site);
+        let request = Request::new("/stream/", &format!("n{i}")).with(MODEL, "m1");
+        stream.write_all(&request.bytes(false)).unwrap();
+        held.push(stream);
+    }
+    wait("their requests at engines", || site.arrivals("n19") == 1);
+    let answer = site.stream("/stream/", "s1");
+    assert_eq!(answer.status, 200);
+    assert_eq!(events(&answer.body).len(), 5);
+}
+
+/// Many callers leave in the middle; what ran for them ends.
+#[test]
+fn callers_that_leave_cost_no_engine_time() {
+    let site = Site::start();
+    site.set(Manner::Mute);
+    let mut held = Vec::new();
+    for i in 0..20 {
+        let mut stream = connect(&site);
+        let request = Request::new("/book/", &format!("b{i}"));
+        stream.write_all(&request.bytes(false)).unwrap();
+        held.push(stream);
+    }
+    wait("their requests at engines", || {
+        (0..20).all(|i| site.arrivals(&format!("b{i}")) == 1)
+    });
+    held.clear();
+    wait("the end of all runs", || {
+        let ended: usize = site.plain.iter().map(|e| e.cancelled().len()).sum();
+        ended == 20
+    });
+    site.set(Manner::Sound);
+    assert_eq!(site.send("/look/", "l1").status, 200);
+}
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -2,10 +2,12 @@
 
 mod budget;
 mod fleet;
+mod hostile;
 mod leaving;
 mod parts;
 mod placement;
 mod scene;
+mod site;
 mod standin;
 mod tenure;
 mod translation;
--- a/tests/edge/placement.rs
+++ b/tests/edge/placement.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use mastichinge::edge::orders::{Outcome, Report, Verb};
-use mastichinge::edge::placement::Act;
+use mastichinge::edge::placement::{Act, Past};
 
-use crate::scene::{World, desired, entry, loads, report};
+use crate::scene::{SERVICE, World, desired, entry, loads, report};
 
 /// A holder that dies in the middle of a load leaves its successor an engine
 /// whose report does not name what it is loading.
@@ -163,3 +163,21 @@
         assert!(within.count() <= 5, "{starts:?}");
     }
 }
+
+/// The loads of the tenure before count in the window of the next.
+#[test]
+fn the_ceiling_holds_over_a_takeover() {
+    let entries = vec![entry("e1", 1, &[]), entry("e2", 2, &[])];
+    let mut world = World::new(entries, desired(&["a"]));
+    let mut starts = Vec::new();
+    for i in 0..5 {
+        let ago = Duration::from_millis(1_000 + i);
+        starts.push((SERVICE.into(), world.now - ago));
+    }
+    world.take_over(Past::Known(starts));
+    world.want("a", None);
+    let held = |_: &str| report(&[], 0);
+    assert_eq!(world.run(3_900, held, Outcome::Accepted), []);
+    let orders = world.run(400, held, Outcome::Accepted);
+    assert_eq!(loads(&orders).len(), 1);
+}
--- a/tests/edge/scene.rs
+++ b/tests/edge/scene.rs
@@ -99,6 +99,15 @@
         }
     }
 
+    /// Begins another tenure.
+    pub fn take_over(&mut self, past: Past) {
+        let authority = Authority {
+            host: "edge-1".into(),
+            fence: 8,
+        };
+        self.placer = Placer::new(authority, &Settings::default(), past);
+    }
+
     pub fn want(&mut self, model: &str, adapter: Option<&str>) {
         let target = Target {
             service: SERVICE.into(),
--- /dev/null
+++ b/tests/edge/site.rs
@@ -0,0 +1,84 @@
+//! A deployment of stand-ins around one daemon.
+
+use serde_json::{Value, json};
+
+use crate::standin::daemon::{Answer, Daemon, Request};
+use crate::standin::engine::{Engine, Manner};
+use crate::standin::store::Store;
+
+/// Header that names the model.
+pub const MODEL: &str = "X-Mastichinge-Model";
+
+/// A route of this deployment.
+pub fn route(prefix: &str, kind: &str, service: &str) -> Value {
+    json!({"name": prefix, "host": "firm.example", "pathPrefix": prefix, "kind": kind,
+        "timeoutMs": 20_000, "latencyTargetMs": 300, "priority": 1, "service": service,
+        "attempts": 2, "resumable": kind == "stream", "gapTargetMs": 400})
+}
+
+/// The desired state.
+pub fn desired(version: u64) -> Value {
+    let mut rigid = route("/stream-rigid/", "stream", "models");
+    rigid["resumable"] = false.into();
+    json!({"version": version,
+        "routes": [route("/look/", "idempotent", "desk"), route("/book/", "non_idempotent", "desk"),
+            route("/stream/", "stream", "models"), rigid],
+        "services": [{"name": "desk", "maxConns": 50},
+            {"name": "models", "maxConns": 50, "engine": {"slots": 8, "kvCapacity": 90_000,
+                "weightsMb": 100, "adapterSlots": 4, "loadsPerS": 5.0,
+                "models": [{"name": "m1", "weightsMb": 60, "loadS": 0.1},
+                    {"name": "m2", "weightsMb": 60, "loadS": 0.1}]}}],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536,
+            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000}})
+}
+
+/// A store with two plain and two model engines, and one daemon.
+pub struct Site {
+    pub store: Store,
+    pub plain: [Engine; 2],
+    pub models: [Engine; 2],
+    pub daemon: Daemon,
+}
+
+impl Site {
+    pub fn start() -> Self {
+        let store = Store::start();
+        store.put("op", "config", &desired(5));
+        let plain = ["p1", "p2"].map(|id| Engine::start(&store, id, "desk", &[]));
+        let models = ["e1", "e2"].map(|id| Engine::start(&store, id, "models", &["m1"]));
+        let daemon = Daemon::start(&store, "edge-1");
+        Site {
+            store,
+            plain,
+            models,
+            daemon,
+        }
+    }
+
+    pub fn send(&self, path: &str, id: &str) -> Answer {
+        self.daemon.send(&Request::new(path, id))
+    }
+
+    pub fn stream(&self, path: &str, id: &str) -> Answer {
+        self.daemon.send(&Request::new(path, id).with(MODEL, "m1"))
+    }
+
+    pub fn set(&self, manner: Manner) {
+        for engine in self.plain.iter().chain(&self.models) {
+            engine.set(manner);
+        }
+    }
+
+    /// Times that a request reached an engine.
+    pub fn arrivals(&self, id: &str) -> usize {
+        let engines = self.plain.iter().chain(&self.models);
+        let of = |e: &Engine| {
+            let arrivals = e.arrivals();
+            let named = arrivals
+                .iter()
+                .filter(|a| a.header("x-mastichinge-request-id") == id);
+            named.count()
+        };
+        engines.map(of).sum()
+    }
+}
--- a/tests/edge/standin/daemon.rs
+++ b/tests/edge/standin/daemon.rs
@@ -31,7 +31,7 @@
     pub entry: SocketAddr,
     child: Child,
     lines: Arc<Mutex<Vec<Value>>>,
-    _settings: PathBuf,
+    settings: PathBuf,
 }
 
 impl Daemon {
@@ -79,7 +79,7 @@
             entry,
             child,
             lines,
-            _settings: path,
+            settings: path,
         }
     }
 
@@ -107,10 +107,18 @@
         exchange(stream, &request.bytes(true))
     }
 
-    /// Sends SIGTERM.
-    pub fn terminate(&self) {
+    /// Writes the settings file anew.
+    pub fn write_settings(&self, change: impl Fn(&mut Value)) {
+        let text = std::fs::read_to_string(&self.settings).unwrap();
+        let mut settings = serde_json::from_str(&text).unwrap();
+        change(&mut settings);
+        std::fs::write(&self.settings, settings.to_string()).unwrap();
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: i32) {
         // SAFETY: the process is our child, and has not been waited for.
-        let code = unsafe { libc::kill(self.child.id() as i32, libc::SIGTERM) };
+        let code = unsafe { libc::kill(self.child.id() as i32, signal) };
         assert_eq!(code, 0);
     }
 
@@ -125,7 +133,7 @@
         // It may have ended by itself.
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self._settings);
+        let _ = std::fs::remove_file(&self.settings);
     }
 }
 
--- a/tests/edge/way.rs
+++ b/tests/edge/way.rs
@@ -8,85 +8,13 @@
 use serde_json::{Value, json};
 use test_case::test_case;
 
+use crate::site::{MODEL, Site, desired, route};
 use crate::standin::daemon::{Answer, Daemon, Request, wait};
 use crate::standin::engine::{EVENTS, Engine, Manner};
 use crate::standin::store::Store;
 
-const MODEL: &str = "X-Mastichinge-Model";
-
-fn route(prefix: &str, kind: &str, service: &str) -> Value {
-    json!({"name": prefix, "host": "firm.example", "pathPrefix": prefix, "kind": kind,
-        "timeoutMs": 20_000, "latencyTargetMs": 300, "priority": 1, "service": service,
-        "attempts": 2, "resumable": kind == "stream", "gapTargetMs": 400})
-}
-
-fn desired(version: u64) -> Value {
-    let mut rigid = route("/stream-rigid/", "stream", "models");
-    rigid["resumable"] = false.into();
-    json!({"version": version,
-        "routes": [route("/look/", "idempotent", "desk"), route("/book/", "non_idempotent", "desk"),
-            route("/stream/", "stream", "models"), rigid],
-        "services": [{"name": "desk", "maxConns": 50},
-            {"name": "models", "maxConns": 50, "engine": {"slots": 8, "kvCapacity": 90_000,
-                "weightsMb": 100, "adapterSlots": 4, "loadsPerS": 5.0,
-                "models": [{"name": "m1", "weightsMb": 60, "loadS": 0.1},
-                    {"name": "m2", "weightsMb": 60, "loadS": 0.1}]}}],
-        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536,
-            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000}})
-}
-
-/// A store with two plain and two model engines, and one daemon.
-struct Site {
-    store: Store,
-    plain: [Engine; 2],
-    models: [Engine; 2],
-    daemon: Daemon,
-}
-
-impl Site {
-    fn start() -> Self {
-        let store = Store::start();
-        store.put("op", "config", &desired(5));
-        let plain = ["p1", "p2"].map(|id| Engine::start(&store, id, "desk", &[]));
-        let models = ["e1", "e2"].map(|id| Engine::start(&store, id, "models", &["m1"]));
-        let daemon = Daemon::start(&store, "edge-1");
-        Site {
-            store,
-            plain,
-            models,
-            daemon,
-        }
-    }
-
-    fn send(&self, path: &str, id: &str) -> Answer {
-        self.daemon.send(&Request::new(path, id))
-    }
-
-    fn stream(&self, path: &str, id: &str) -> Answer {
-        self.daemon.send(&Request::new(path, id).with(MODEL, "m1"))
-    }
-
-    fn set(&self, manner: Manner) {
-        for engine in self.plain.iter().chain(&self.models) {
-            engine.set(manner);
-        }
-    }
-
-    /// Times that a request reached an engine.
-    fn arrivals(&self, id: &str) -> usize {
-        let engines = self.plain.iter().chain(&self.models);
-        let of = |e: &Engine| {
-            let arrivals = e.arrivals();
-            let named = arrivals
-                .iter()
-                .filter(|a| a.header("x-mastichinge-request-id") == id);
-            named.count()
-        };
-        engines.map(of).sum()
-    }
-}
-
-fn events(body: &str) -> Vec<u64> {
+/// Ids of the events in a body.
+pub fn events(body: &str) -> Vec<u64> {
     let ids = body.lines().filter_map(|l| l.strip_prefix("id: "));
     ids.map(|id| id.parse().unwrap()).collect()
 }
@@ -145,7 +73,7 @@
         site.models.iter().any(|e| !e.arrivals().is_empty())
     });
     // An older version changes nothing.
-    site.store.put("op", "config", &self::desired(5));
+    site.store.put("op", "config", &crate::site::desired(5));
     let other = route("/later/", "idempotent", "desk");
     let mut newer = desired.clone();
     newer["version"] = 7.into();
@@ -430,7 +358,7 @@
     let mut caller = TcpStream::connect(site.daemon.callers).unwrap();
     caller.write_all(&request.bytes(false)).unwrap();
     wait("the request at an engine", || site.arrivals("s1") == 1);
-    site.daemon.terminate();
+    site.daemon.signal(libc::SIGTERM);
     wait("its word", || site.daemon.ask("/readyz").status != 200);
     let mut answer = Vec::new();
     caller.read_to_end(&mut answer).unwrap();
@@ -443,6 +371,25 @@
     assert!(row["released"].is_u64(), "{row}");
 }
 
+/// The settings change with a signal or without; wrong ones change nothing.
+#[test]
+fn settings_are_taken_in_again() {
+    let site = Site::start();
+    site.daemon
+        .write_settings(|s| s["bounds"]["entry_ttl_s"] = 1.0.into());
+    wait("the new settings", || {
+        !site.daemon.logged("settings reloaded").is_empty()
+    });
+    let answer = site.daemon.ask("/resolve?name=firm.example&zone=north");
+    assert!(answer.body.contains("\"ttlS\":1.0"), "{answer:?}");
+    site.daemon
+        .write_settings(|s| s["bounds"]["entry_ttl_s"] = "x".into());
+    site.daemon.signal(libc::SIGHUP);
+    let refused = "settings not reloaded, the old ones stay";
+    wait("the refusal", || !site.daemon.logged(refused).is_empty());
+    assert_eq!(site.send("/look/", "l1").status, 200);
+}
+
 #[test]
 fn daemons_find_each_other_and_the_entry_answer_names_those_that_live() {
     let site = Site::start();
