Split the large files of the edge daemon by concern

state, duty, placement and attempts were 450 to 800 lines; requests in progress, room for bodies, the tenure's row, what others are told, plans, adapters and one sending now have files of their own. No change of behaviour.

--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -4,6 +4,7 @@
 mod pick;
 mod relay;
 pub mod reply;
+mod send;
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -22,7 +23,8 @@
 use super::clock;
 use super::demand::Which;
 use super::desired::{Desired, Kind as RouteKind, Limits, Route};
-use super::state::{Edge, Room};
+use super::room::Room;
+use super::state::Edge;
 use super::suspects;
 use crate::clock::Moment;
 use crate::error::Kind;
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -13,13 +13,14 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::attempt::{self, Answered, Tries};
+use super::attempt::{self, Tries};
 use super::reply::{Cut, Reply};
+use super::send::Answered;
 use super::{Counted, Job};
 use crate::edge::client::Conn;
 use crate::edge::clock;
 use crate::edge::events::Splitter;
-use crate::edge::state::Flight;
+use crate::edge::flight::Flight;
 use crate::platform::heads;
 
 /// Pieces of an answer that may wait for the caller to read.
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -13,6 +13,7 @@
 pub mod duty;
 pub mod events;
 pub mod fleet;
+pub mod flight;
 pub mod forward;
 pub mod gossip;
 pub mod kept;
@@ -22,6 +23,7 @@
 pub mod orders;
 pub mod peers;
 pub mod placement;
+pub mod room;
 pub mod select;
 pub mod settings;
 pub mod state;
@@ -125,7 +127,7 @@
     tokio::task::spawn_local(peers::receive(edge.clone(), socket.clone()));
     tokio::task::spawn_local(peers::send(edge.clone(), socket.clone()));
     tokio::task::spawn_local(peers::watch(edge.clone()));
-    tokio::task::spawn_local(duty::tenure(edge.clone()));
+    tokio::task::spawn_local(duty::hold::tenure(edge.clone()));
     tokio::task::spawn_local(duty::orders(edge.clone(), socket));
     tokio::task::spawn_local(chores(edge.clone()));
     tokio::task::spawn_local(watch_settings(edge.clone(), path.clone()));
@@ -206,7 +208,7 @@
         false => leaving.begun,
     };
     while edge.state.borrow().tenure.is_some() && clock::now() < leaving.closing() {
-        if clock::now() >= until && duty::release(edge, leaving.begun).await {
+        if clock::now() >= until && duty::hold::release(edge, leaving.begun).await {
             return;
         }
         tokio::time::sleep(LEAVING_LOOK).await;
--- /dev/null
+++ b/src/edge/placement/plan.rs
@@ -0,0 +1,329 @@
+//! Which model is loaded next, where, and what makes way for it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::book::{Book, Stage, Task, size};
+use super::{Placer, Scene};
+use crate::edge::demand::Which;
+use crate::edge::fleet::Upstream;
+
+/// Time for which a loaded model is not a victim.
+const SETTLED: Duration = Duration::from_secs(2);
+/// Weight of an engine's busy share when a place for a load is chosen, s.
+const CROWD: f64 = 1.0;
+/// Part of the work at which a model is hot from which it is looked at.
+const NOTABLE: f64 = 0.25;
+/// Loss for each engine second a second by which the other replicas of a
+/// victim would be over the work at which they are hot, s.
+const OVERLOAD_LOSS: f64 = 20.0;
+/// Models of one engine among which victims are sought; all sets of them are
+/// looked at.
+const OPTIONS: usize = 8;
+
+impl Placer {
+    /// Plans loads: first what requests wait for, then further replicas of
+    /// models under heavy work, then copies of models that have none.
+    pub(super) fn plan(&mut self, scene: &Scene<'_>) {
+        let mut needs = Vec::new();
+        for (target, want) in scene.wants {
+            let nobody = !self.placed(scene, &target.service, &target.model);
+            if nobody {
+                needs.push((want.priority, u32::MAX - want.waiting, target.clone()));
+            }
+        }
+        needs.sort();
+        for (_, _, target) in needs {
+            self.load(scene, &target.service, &target.model, Urgency::Waiting);
+        }
+        let mut hot: Vec<_> = scene.demand.iter().collect();
+        hot.sort_by(|a, b| b.1.work.total_cmp(&a.1.work));
+        for (which, demand) in hot {
+            if demand.work < self.weights.hot_work * NOTABLE {
+                break;
+            }
+            if self.pressure(scene, which) > self.weights.hot_work {
+                self.load(scene, &which.service, &which.model, Urgency::Hot);
+            }
+        }
+        self.fetch_ahead(scene);
+    }
+
+    /// Loads one model that no engine holds or keeps a copy of.
+    fn fetch_ahead(&mut self, scene: &Scene<'_>) {
+        for service in scene.desired.services.values() {
+            let Some(hosting) = &service.hosting else {
+                continue;
+            };
+            let mut names: Vec<_> = hosting.models.keys().collect();
+            names.sort();
+            for name in names {
+                if !self.kept(scene, &service.name, name) {
+                    self.load(scene, &service.name, name, Urgency::Ahead);
+                }
+            }
+        }
+    }
+
+    /// Books of one service.
+    fn of<'a>(
+        &'a self,
+        scene: &'a Scene<'_>,
+        service: &'a str,
+    ) -> impl Iterator<Item = (&'a Arc<str>, &'a Book)> {
+        let of = move |id: &Arc<str>| {
+            let engine = scene.fleet.engines.get(id);
+            engine.is_some_and(|e| &*e.entry.service == service)
+        };
+        self.books.iter().filter(move |(id, _)| of(id))
+    }
+
+    fn placed(&self, scene: &Scene<'_>, service: &str, model: &str) -> bool {
+        self.of(scene, service).any(|(_, b)| b.will_hold(model))
+    }
+
+    fn replicas(&self, scene: &Scene<'_>, service: &str, model: &str) -> usize {
+        let holds = |b: &Book| b.will_hold(model);
+        self.of(scene, service).filter(|(_, b)| holds(b)).count()
+    }
+
+    fn kept(&self, scene: &Scene<'_>, service: &str, model: &str) -> bool {
+        let mut books = self.of(scene, service);
+        books.any(|(_, b)| {
+            b.will_hold(model)
+                || b.replicas.contains_key(model)
+                || b.copies.memory.contains(model)
+                || b.copies.disk.contains(model)
+        })
+    }
+
+    /// Engine time for each second that all models ask of one engine.
+    fn busy_share(&self, scene: &Scene<'_>, service: &Arc<str>, book: &Book) -> f64 {
+        let mut share = 0.0;
+        for model in book.replicas.keys() {
+            let which = Which {
+                service: service.clone(),
+                model: model.clone(),
+            };
+            let Some(demand) = scene.demand.get(&which) else {
+                continue;
+            };
+            let replicas = self.replicas(scene, service, model).max(1);
+            share += demand.work / replicas as f64;
+        }
+        share
+    }
+
+    /// The least busy share among the engines that serve a model; zero when
+    /// none does, or another is about to.
+    fn pressure(&self, scene: &Scene<'_>, which: &Which) -> f64 {
+        let mut least = f64::INFINITY;
+        for (_, book) in self.of(scene, &which.service) {
+            if !book.will_hold(&which.model) {
+                continue;
+            }
+            if !book.serves(&which.model) {
+                return 0.0;
+            }
+            least = least.min(self.busy_share(scene, &which.service, book));
+        }
+        match least.is_finite() {
+            true => least,
+            false => 0.0,
+        }
+    }
+
+    /// Loads from the weight store that are planned or under way.
+    fn remote(&self, scene: &Scene<'_>, service: &str) -> u32 {
+        let remote = |b: &Book| b.task.as_ref().is_some_and(|t| t.remote);
+        self.of(scene, service).filter(|(_, b)| remote(b)).count() as u32
+    }
+
+    /// Plans a load of `model` where it costs least.
+    fn load(&mut self, scene: &Scene<'_>, service: &Arc<str>, model: &Arc<str>, how: Urgency) {
+        let Some(hosting) = scene.desired.hosting(service) else {
+            return;
+        };
+        let Some(spec) = hosting.models.get(model) else {
+            return;
+        };
+        let parallel = self.engines.store_parallel;
+        let room = self.remote(scene, service) < parallel;
+        let mut best: Option<Place> = None;
+        for (id, book) in self.of(scene, service) {
+            if book.engaged || book.replicas.contains_key(model) {
+                continue;
+            }
+            let Some(engine) = scene.fleet.engines.get(id) else {
+                continue;
+            };
+            if !engine.breaker.allows(scene.now) {
+                continue;
+            }
+            let (time, remote) = book.load_time(model, spec);
+            if remote && !room {
+                continue;
+            }
+            let free = hosting.memory_mb - book.taken(hosting);
+            let Some((victims, loss)) =
+                self.victims(scene, service, engine, book, spec.memory_mb - free, how)
+            else {
+                continue;
+            };
+            let crowd = self.busy_share(scene, service, book) * CROWD;
+            let delay = book.task_left(scene.now).as_secs_f64();
+            let cost = time.as_secs_f64() + delay + loss + crowd;
+            if loss > self.most_loss(how) {
+                continue;
+            }
+            if best.as_ref().is_none_or(|b| cost < b.cost) {
+                let engine = id.clone();
+                best = Some(Place {
+                    cost,
+                    engine,
+                    victims,
+                    remote,
+                });
+            }
+        }
+        let Some(Place {
+            cost,
+            engine: id,
+            victims,
+            remote,
+        }) = best
+        else {
+            return;
+        };
+        let Some(book) = self.books.get_mut(&id) else {
+            return;
+        };
+        if book.task.is_some() {
+            // It is worth waiting for.
+            return;
+        }
+        let how: &'static str = how.into();
+        let victim_list = victims.join(",");
+        log::info!(engine = &*id, model = &**model, how, cost, victims = victim_list.as_str(),
+            remote; "load planned");
+        book.task = Some(Task {
+            model: model.clone(),
+            victims,
+            stage: Stage::Ready,
+            remote,
+            planned: scene.now,
+        });
+        book.advance(scene.now);
+    }
+
+    /// Models to unload for `missing` MB of room, and the loss; `None` when
+    /// there is no way.
+    fn victims(
+        &self,
+        scene: &Scene<'_>,
+        service: &Arc<str>,
+        engine: &Upstream,
+        book: &Book,
+        missing: f64,
+        how: Urgency,
+    ) -> Option<(Vec<Arc<str>>, f64)> {
+        if missing <= 0.0 {
+            return Some((Vec::new(), 0.0));
+        }
+        let hosting = scene.desired.hosting(service)?;
+        let mut options = Vec::new();
+        for (name, replica) in &book.replicas {
+            let settled = scene.now.saturating_sub(replica.since) >= SETTLED;
+            let wanted = scene.wants.keys().any(|t| t.model == *name);
+            if !replica.ready || wanted || (!settled && how != Urgency::Waiting) {
+                continue;
+            }
+            let running = engine.using(name, scene.now);
+            let loss = self.loss(scene, service, name, book, running);
+            options.push((loss, size(hosting, name, replica.adapters.len()), name));
+        }
+        // Few models fit an engine, so all sets are looked at.
+        let mut best: Option<(f64, u32)> = None;
+        let count = options.len().min(OPTIONS);
+        for set in 1u32..1 << count {
+            let chosen = |i: &usize| set & (1 << i) != 0;
+            let room: f64 = (0..count).filter(chosen).map(|i| options[i].1).sum();
+            let loss: f64 = (0..count).filter(chosen).map(|i| options[i].0).sum();
+            if room >= missing && best.is_none_or(|b| loss < b.0) {
+                best = Some((loss, set));
+            }
+        }
+        let (loss, set) = best?;
+        let chosen = (0..count).filter(|i| set & (1 << i) != 0);
+        Some((chosen.map(|i| options[i].2.clone()).collect(), loss))
+    }
+
+    /// Largest loss by unloading that a load may cause, seconds.
+    fn most_loss(&self, how: Urgency) -> f64 {
+        match how {
+            Urgency::Waiting => f64::INFINITY,
+            Urgency::Hot => self.weights.hot_loss,
+            Urgency::Ahead => self.weights.ahead_loss,
+        }
+    }
+
+    /// What unloading a model from an engine costs, seconds of waiting.
+    fn loss(
+        &self,
+        scene: &Scene<'_>,
+        service: &Arc<str>,
+        model: &Arc<str>,
+        book: &Book,
+        running: u32,
+    ) -> f64 {
+        let which = Which {
+            service: service.clone(),
+            model: model.clone(),
+        };
+        let demand = scene.demand.get(&which).copied().unwrap_or_default();
+        let others = self.replicas(scene, service, model).saturating_sub(1);
+        let back = match scene
+            .desired
+            .hosting(service)
+            .and_then(|h| h.models.get(model))
+        {
+            // Once held, a model is on the engine's disk.
+            Some(spec) => book.load_time(model, spec).0.min(spec.disk).as_secs_f64(),
+            None => 0.0,
+        };
+        let weights = &self.weights;
+        let mut loss = weights.unload_loss + f64::from(running) * weights.running_loss;
+        if others == 0 {
+            // Each request that comes meets a load, and the next victim's.
+            loss += demand.rate * back * weights.rate_loss;
+        } else {
+            let crowded = (demand.work / others as f64 - weights.hot_work).max(0.0);
+            loss += demand.work + crowded * OVERLOAD_LOSS;
+        }
+        loss
+    }
+}
+
+/// Where a load may go.
+#[derive(Clone, Debug)]
+struct Place {
+    /// Time and loss, s.
+    cost: f64,
+    engine: Arc<str>,
+    /// Models that make way.
+    victims: Vec<Arc<str>>,
+    /// The load comes from the weight store.
+    remote: bool,
+}
+
+/// Why a load is planned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum Urgency {
+    /// Requests wait for it.
+    Waiting,
+    /// Its replicas are under heavy work.
+    Hot,
+    /// Nobody has a copy.
+    Ahead,
+}
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -3,7 +3,6 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
-use std::{fs, io};
 
 use serde::Deserialize;
 use serde_json::Value;
@@ -11,7 +10,7 @@
 use crate::config::Name;
 use crate::config::jsonc;
 use crate::config::reason::{Reason, Reasons, fields};
-use crate::settings::{Form, Log, SettingsError};
+use crate::settings::{Form, Log, SettingsError, text};
 
 /// Address of a field that the file leaves out.
 const UNSET: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -226,12 +225,7 @@
 
 /// Reads and validates the settings file at `path`.
 pub fn load(path: &Path) -> Result<Settings, SettingsError> {
-    let text = fs::read_to_string(path);
-    let text = text.map_err(|source: io::Error| SettingsError::Unreadable {
-        path: path.to_owned(),
-        source,
-    })?;
-    parse(&text)
+    parse(&text(path)?)
 }
 
 /// Validates settings given as JSON with comments.
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -30,10 +30,6 @@
 /// the load begins and a later try finds the model.
 const WANT_LINGERS: Duration = Duration::from_millis(800);
 
-/// Divisor of the memory limit that gives the room for callers' bodies; the
-/// rest is for the process, its sockets and answers.
-const BODIES: u64 = 4;
-
 /// Life cycle of the daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -296,44 +292,6 @@
     }
 }
 
-/// Room for a caller's body; dropping it gives the room back.
-#[derive(Debug)]
-pub struct Room {
-    edge: Rc<Edge>,
-    bytes: u64,
-}
-
-impl Room {
-    /// Takes room for `bytes`; `None` when the daemon holds too much already.
-    pub fn take(edge: &Rc<Edge>, bytes: u64) -> Option<Self> {
-        let most = edge.settings.borrow().memory_mb * 1_000_000 / BODIES;
-        let held = edge.buffered.get() + bytes;
-        if held > most {
-            return None;
-        }
-        edge.buffered.set(held);
-        Some(Room {
-            edge: edge.clone(),
-            bytes,
-        })
-    }
-
-    /// Gives back what is more than `bytes`.
-    pub fn shrink(&mut self, bytes: u64) {
-        let spare = self.bytes.saturating_sub(bytes);
-        self.edge.buffered.set(self.edge.buffered.get() - spare);
-        self.bytes -= spare;
-    }
-}
-
-impl Drop for Room {
-    fn drop(&mut self) {
-        self.edge
-            .buffered
-            .set(self.edge.buffered.get() - self.bytes);
-    }
-}
-
 /// A request that waits for a model; dropping it withdraws the want.
 #[derive(Debug)]
 pub struct Wanting {
@@ -350,109 +308,3 @@
         }
     }
 }
-
-/// A request in progress at an engine; dropping it ends that.
-#[derive(Debug)]
-pub struct Flight {
-    edge: Rc<Edge>,
-    /// Id of the engine.
-    pub engine: Arc<str>,
-    born: u64,
-    target: Option<Arc<str>>,
-    backlog: Duration,
-}
-
-impl Flight {
-    /// Begins a request at an engine, with the prompt work that it brings.
-    pub fn begin(
-        edge: &Rc<Edge>,
-        engine: &Arc<str>,
-        target: Option<Arc<str>>,
-        backlog: Duration,
-    ) -> Self {
-        let mut flight = Flight {
-            edge: edge.clone(),
-            engine: engine.clone(),
-            born: 0,
-            target,
-            backlog,
-        };
-        let mut state = edge.state.borrow_mut();
-        if let Some(upstream) = state.fleet.engines.get_mut(engine) {
-            flight.born = upstream.entry.born;
-            upstream.own.running += 1;
-            upstream.own.backlog += backlog;
-            upstream.breaker.sent(clock::now());
-            if let Some(target) = &flight.target {
-                *upstream.own.targets.entry(target.clone()).or_default() += 1;
-            }
-        }
-        flight
-    }
-
-    /// Notes that the prompt was read.
-    pub fn prompt_done(&mut self) {
-        let backlog = std::mem::take(&mut self.backlog);
-        let mut state = self.edge.state.borrow_mut();
-        if let Some(upstream) = state.fleet.engines.get_mut(&self.engine)
-            && upstream.entry.born == self.born
-        {
-            upstream.own.backlog = upstream.own.backlog.saturating_sub(backlog);
-        }
-    }
-
-    /// Notes that the engine took no connection.
-    pub fn unreached(&self) {
-        self.judge(false);
-        self.edge.unreached(&self.engine);
-    }
-
-    /// Notes that no answer came in the time that there was.
-    pub fn unanswered(&self) {
-        let mut state = self.edge.state.borrow_mut();
-        if let Some(upstream) = state.fleet.engines.get_mut(&self.engine) {
-            upstream.note_trouble(clock::now());
-        }
-    }
-
-    /// Notes whether the engine did its part.
-    pub fn judge(&self, sound: bool) {
-        let mut state = self.edge.state.borrow_mut();
-        let Some(upstream) = state.fleet.engines.get_mut(&self.engine) else {
-            return;
-        };
-        if sound {
-            upstream.breaker.succeeded();
-            return;
-        }
-        upstream.note_trouble(clock::now());
-        let before = upstream.breaker.allows(clock::now());
-        upstream.breaker.failed(clock::now());
-        if before && !upstream.breaker.allows(clock::now()) {
-            log::warn!(engine = &*self.engine; "engine set aside after failures");
-        }
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.prompt_done();
-        let mut state = self.edge.state.borrow_mut();
-        let Some(upstream) = state.fleet.engines.get_mut(&self.engine) else {
-            return;
-        };
-        if upstream.entry.born != self.born {
-            return;
-        }
-        upstream.own.running = upstream.own.running.saturating_sub(1);
-        let Some(target) = &self.target else {
-            return;
-        };
-        if let Some(count) = upstream.own.targets.get_mut(target) {
-            *count -= 1;
-            if *count == 0 {
-                upstream.own.targets.remove(target);
-            }
-        }
-    }
-}
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -31,11 +31,15 @@
 
 /// Reads and validates the settings file at `path`.
 pub fn load(path: &Path) -> Result<Settings, SettingsError> {
-    let text = fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
+    parse(&text(path)?)
+}
+
+/// Reads the text of the settings file at `path`.
+pub fn text(path: &Path) -> Result<String, SettingsError> {
+    fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
         path: path.to_owned(),
         source,
-    })?;
-    parse(&text)
+    })
 }
 
 /// Validates settings given as JSON with comments.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,7 +3,7 @@
 mod check;
 mod load;
 
-pub use load::{SettingsError, load, parse};
+pub use load::{SettingsError, load, parse, text};
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
