Name the last figures that stood in the code

Pauses, divisors and limits are constants with their unit and source. The time for heads is gone from the limits: nothing used it, and docs/PLATFORM.md says why.

--- a/src/edge/desired.rs
+++ b/src/edge/desired.rs
@@ -142,9 +142,7 @@
     pub head: usize,
     /// Largest body, bytes.
     pub body: usize,
-    /// Longest time for a head.
-    pub header_time: Duration,
-    /// Longest time that a connection may stay idle.
+    /// Longest time that a connection may stay idle, or take for a head.
     pub idle: Duration,
 }
 
@@ -153,7 +151,6 @@
         Limits {
             head: 16_384,
             body: 4 << 20,
-            header_time: Duration::from_secs(3),
             idle: Duration::from_secs(15),
         }
     }
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -25,6 +25,8 @@
 
 /// Time left under which nothing is sent any more.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
+/// Longest answer without a length that is read whole, bytes.
+const UNFRAMED_BYTES: usize = 1 << 20;
 /// Silence over the expected time after which a repeatable request is taken
 /// to another engine.
 const PATIENCE: Duration = Duration::from_millis(900);
@@ -34,6 +36,11 @@
 const REJECTED_PAUSE: Duration = Duration::from_millis(60);
 /// Longest wait for an engine when none of the service is known.
 const NO_ENGINE_WAIT: Duration = Duration::from_millis(1_500);
+/// Period at which a waiting request looks again without a change, as what is
+/// believed expires.
+const LOOK: Duration = Duration::from_millis(100);
+/// Objectives after which a silent engine loses a short request.
+const SILENT_OBJECTIVES: u32 = 2;
 /// Time to come back after when engines are full.
 const FULL_RETRY: Duration = Duration::from_millis(400);
 
@@ -213,7 +220,9 @@
     }
     let usual = match job.route.kind {
         RouteKind::Stream => choice.wait + PATIENCE.max(job.route.objective),
-        RouteKind::Idempotent | RouteKind::Once => choice.wait + job.route.objective * 2,
+        RouteKind::Idempotent | RouteKind::Once => {
+            choice.wait + job.route.objective * SILENT_OBJECTIVES
+        }
     };
     usual.min(left)
 }
@@ -283,8 +292,7 @@
                 left
             }
         };
-        // Time passes in what is believed, too: beliefs expire.
-        let pause = most.min(Duration::from_millis(100));
+        let pause = most.min(LOOK);
         let _ = timeout(pause, changes.changed()).await;
     }
 }
@@ -306,7 +314,7 @@
         flight.prompt_done();
         return Ok(relay::raw(head, body, conn, flight));
     }
-    let read = Limited::new(body, WHOLE_BYTES * 4).collect();
+    let read = Limited::new(body, UNFRAMED_BYTES).collect();
     let read = match timeout(job.left(), read).await {
         Ok(read) => read,
         Err(_) => return Err("the answer did not end in time".to_owned()),
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -34,6 +34,8 @@
 const BODY_TIME: Duration = Duration::from_secs(10);
 /// Time to come back after when another host can take the request at once.
 const ELSEWHERE: Duration = Duration::from_millis(50);
+/// Time to come back after when this host knows too little or holds too much.
+const UNREADY_RETRY: Duration = Duration::from_millis(500);
 /// Time limit of a request for which nobody set one.
 const USUAL_LIMIT: Duration = Duration::from_secs(60);
 
@@ -223,7 +225,7 @@
 
 fn refuse(edge: &Edge, request: &str, kind: Kind, cause: &str) -> Response<Reply> {
     let refusal = match kind.answer().status {
-        503 => Refusal::after(kind, Duration::from_millis(500)),
+        503 => Refusal::after(kind, UNREADY_RETRY),
         _ => Refusal::new(kind),
     };
     let name: &'static str = kind.into();
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -22,6 +22,8 @@
 
 /// Time limit of a connection to an engine.
 const CONNECT: Duration = Duration::from_millis(400);
+/// Time for the rest of a rejection, so that its connection can be kept.
+const REST: Duration = Duration::from_millis(50);
 /// Longest answer that is read whole before it is passed on, bytes; such an
 /// answer can be had again from another engine when it is cut.
 pub(super) const WHOLE_BYTES: usize = 256 << 10;
@@ -169,7 +171,7 @@
 /// Reads the rest of a short answer so that its connection can be kept.
 async fn conn_rest(response: Response<Incoming>, conn: Conn, said: heads::Answer) {
     let body = Limited::new(response.into_body(), WHOLE_BYTES).collect();
-    let read = timeout(Duration::from_millis(50), body).await;
+    let read = timeout(REST, body).await;
     if matches!(read, Ok(Ok(_))) && !said.closing {
         conn.keep(said.idle);
     }
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -26,6 +26,8 @@
 const DATAGRAM: usize = 1_400;
 /// Receive buffer, bytes.
 const BUFFER: usize = 65_536;
+/// Least time between two packets.
+const LEAST_PAUSE: Duration = Duration::from_millis(5);
 /// Period at which wants are repeated, as datagrams get lost.
 const REPEAT: Duration = Duration::from_millis(80);
 
@@ -62,7 +64,7 @@
             false => BEAT,
         };
         let rest = (beat_at + BEAT).saturating_sub(clock::now());
-        let pause = pause.min(rest).max(Duration::from_millis(5));
+        let pause = pause.min(rest).max(LEAST_PAUSE);
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
             () = edge.urgent.notified() => {}
--- a/src/edge/placement/adapters.rs
+++ b/src/edge/placement/adapters.rs
@@ -9,6 +9,9 @@
 use crate::edge::fleet::Upstream;
 use crate::edge::orders::Verb;
 
+/// Requests by which two engines may differ and still count as equally busy,
+/// so that an adapter mostly goes to the same one.
+const ALIKE: u32 = 4;
 /// Adapters on their way to one engine at once.
 const INCOMING: usize = 4;
 /// The next order for an adapter at one engine.
@@ -55,7 +58,7 @@
         .fleet
         .usable(&target.service)
         .filter(|e| e.holds(&target.model, None, now) && e.breaker.allows(now));
-    let best = serving.min_by_key(|e| (e.running(now) / 4, e.entry.id.clone()));
+    let best = serving.min_by_key(|e| (e.running(now) / ALIKE, e.entry.id.clone()));
     best.is_none_or(|b| b.entry.id == engine.entry.id)
 }
 
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -32,6 +32,13 @@
 const VICTIM_WAIT: Duration = Duration::from_millis(2_500);
 /// Pause between two calls to an engine that is busy.
 const RETRY: Duration = Duration::from_millis(120);
+/// Pause after an engine refused an order for no reason of the protocol.
+const REFUSED_PAUSE: Duration = Duration::from_millis(480);
+/// Pause after an engine knew a higher fencing number, or was another one; the
+/// row or the list of engines tells within that time.
+const OUSTED_PAUSE: Duration = Duration::from_millis(960);
+/// Time that an engine takes to unload a model that nobody uses.
+const UNLOAD_TIME: Duration = Duration::from_millis(40);
 /// Pause between two reports of an engine.
 const LOOK_AGAIN: Duration = Duration::from_millis(60);
 /// Time over the expected one after which a load is looked at again.
@@ -213,11 +220,11 @@
             }
             Outcome::Refused => {
                 book.abandon();
-                book.pause = now + RETRY * 4;
+                book.pause = now + REFUSED_PAUSE;
             }
             Outcome::Fenced | Outcome::Replaced => {
                 book.abandon();
-                book.pause = now + RETRY * 8;
+                book.pause = now + OUSTED_PAUSE;
             }
         }
     }
@@ -426,7 +433,7 @@
                 let model = order.model.clone();
                 task.stage = Stage::Unloading { model };
             }
-            book.pause = now + Duration::from_millis(40);
+            book.pause = now + UNLOAD_TIME;
         }
     }
 }
--- a/src/platform/desired.rs
+++ b/src/platform/desired.rs
@@ -101,7 +101,6 @@
 struct WireLimits {
     max_header_bytes: Option<usize>,
     max_body_bytes: Option<usize>,
-    header_timeout_ms: Option<f64>,
     idle_timeout_ms: Option<f64>,
 }
 
@@ -194,7 +193,6 @@
     Limits {
         head: wire.max_header_bytes.unwrap_or(usual.head),
         body: wire.max_body_bytes.unwrap_or(usual.body),
-        header_time: wire.header_timeout_ms.map_or(usual.header_time, millis),
         idle: wire.idle_timeout_ms.map_or(usual.idle, millis),
     }
 }
