--- a/src/logs/writer.rs
+++ b/src/logs/writer.rs
@@ -16,7 +16,11 @@
 const FLUSH: Duration = Duration::from_secs(2);
 
 enum Job {
-    Line(String),
+    Line {
+        text: String,
+        /// Lines that were dropped right before it.
+        lost: u64,
+    },
     Flush(Sender<()>),
 }
 
@@ -51,9 +55,10 @@
     }
 
     fn log(&self, record: &Record<'_>) {
-        let line = Job::Line(record.args().to_string());
-        if self.jobs.try_send(line).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+        let lost = self.dropped.swap(0, Ordering::Relaxed);
+        let text = record.args().to_string();
+        if self.jobs.try_send(Job::Line { text, lost }).is_err() {
+            self.dropped.fetch_add(lost + 1, Ordering::Relaxed);
         }
     }
 
@@ -68,16 +73,13 @@
 
 fn write(queue: &Receiver<Job>, dropped: &AtomicU64, mut out: impl Write) {
     for job in queue {
-        let lost = dropped.swap(0, Ordering::Relaxed);
-        if lost > 0 {
-            // A log that cannot be written has nowhere to say so.
-            let _ = writeln!(out, "{lost} log lines were dropped: the reader is too slow");
-        }
         match job {
-            Job::Line(line) => {
-                let _ = writeln!(out, "{line}");
+            Job::Line { text, lost } => {
+                say_lost(&mut out, lost);
+                let _ = writeln!(out, "{text}");
             }
             Job::Flush(done) => {
+                say_lost(&mut out, dropped.swap(0, Ordering::Relaxed));
                 let _ = out.flush();
                 let _ = done.send(());
             }
@@ -88,6 +90,14 @@
     }
 }
 
+/// Says that lines are missing here. A log that cannot be written has nowhere
+/// to say so.
+fn say_lost(out: &mut impl Write, lost: u64) {
+    if lost > 0 {
+        let _ = writeln!(out, "{lost} log lines were dropped: the reader is too slow");
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -110,6 +120,21 @@
         }
     }
 
+    /// Lines were dropped before this thread wrote the first one that waits.
+    #[test]
+    fn missing_lines_are_said_where_they_are_missing() {
+        let (jobs, queue) = bounded(4);
+        for (text, lost) in [("a", 0), ("b", 3)] {
+            let text = text.to_owned();
+            jobs.send(Job::Line { text, lost }).unwrap();
+        }
+        drop(jobs);
+        let mut out = Vec::new();
+        write(&queue, &AtomicU64::new(2), &mut out);
+        let expected = "a\n3 log lines were dropped: the reader is too slow\nb\n";
+        assert_eq!(String::from_utf8(out).unwrap(), expected);
+    }
+
     #[test]
     fn a_stuck_reader_costs_lines_but_blocks_nobody() {
         let (open, permit) = bounded::<()>(0);
