Take dead code out of the edge daemon and say one thing once

Whether another sending is allowed stood in three places, the cause 'silence' in two; Kept::clear and the moment at which an entry was read had no user. No change of behaviour.

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -115,11 +115,10 @@
                 Some(conn) => (conn, true),
                 None => (self.connect(addr, connect).await?, false),
             };
-            let error = match conn.sender.try_send_request(request).await {
+            let mut error = match conn.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, conn)),
                 Err(error) => error,
             };
-            let mut error = error;
             match error.take_message() {
                 Some(unsent) if kept => request = unsent,
                 Some(_) => return Err(SendError::Unreached(error.error().to_string())),
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -103,8 +103,6 @@
 pub struct Upstream {
     /// Its newest entry.
     pub entry: Entry,
-    /// When the entry was last read.
-    pub read: Moment,
     /// The holder's word, where there is one.
     pub told: Option<Told>,
     /// What this daemon has in progress there.
@@ -132,7 +130,6 @@
     fn new(entry: Entry, now: Moment) -> Self {
         Upstream {
             entry,
-            read: now,
             told: None,
             own: Load::default(),
             others: HashMap::new(),
@@ -300,7 +297,6 @@
         if late {
             return None;
         }
-        known.read = now;
         let left = known.entry.phase == Phase::Leaving;
         let leaves = entry.phase == Phase::Leaving && !left;
         known.entry = entry;
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -41,6 +41,8 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// Objectives after which a silent engine loses a short request.
 const SILENT_OBJECTIVES: u32 = 2;
+/// Cause of another sending after an engine fell silent; it may still run.
+pub(super) const SILENCE: &str = "silence";
 /// Time to come back after when engines are full.
 const FULL_RETRY: Duration = Duration::from_millis(400);
 
@@ -117,9 +119,16 @@
     }
 }
 
+impl Tries {
+    /// Whether the route allows another sending of a request that may have run.
+    pub(super) fn spare(&self, job: &Job) -> bool {
+        job.route.repeatable() && self.sent < job.route.attempts
+    }
+}
+
 /// Whether a request that may have run may be sent once more.
 fn may_again(job: &Job, tries: &Tries) -> bool {
-    job.route.repeatable() && tries.sent < job.route.attempts && job.left() > LEAST_LEFT
+    tries.spare(job) && job.left() > LEAST_LEFT
 }
 
 /// Takes leave for another sending of a request that may have run.
@@ -194,8 +203,8 @@
             Sent::Silent => {
                 tries.sent += 1;
                 tries.unsure = true;
-                if !again(job, tries, &engine, "silence") {
-                    return Err(fail(Kind::OutcomeUnknown, "silence".to_owned()));
+                if !again(job, tries, &engine, SILENCE) {
+                    return Err(fail(Kind::OutcomeUnknown, SILENCE.to_owned()));
                 }
             }
         }
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::attempt::{self, Tries};
+use super::attempt::{self, SILENCE, Tries};
 use super::reply::{Cut, Reply};
 use super::send::Answered;
 use super::{Counted, Job};
@@ -32,9 +32,6 @@
 /// take after the head has come.
 const FIRST: Duration = Duration::from_millis(1_000);
 
-/// Cause of a resumption after an engine fell silent; it may still run.
-const SILENCE: &str = "silence";
-
 /// An answer that can be passed on.
 #[derive(Debug)]
 pub(super) enum Opened {
@@ -158,7 +155,7 @@
     head.headers = heads::to_caller(&head.headers);
     head.headers.remove(http::header::CONTENT_LENGTH);
     let mut source = Source::new(body, (conn, said, flight), tries.last_event);
-    let spare = job.route.repeatable() && tries.sent < job.route.attempts;
+    let spare = tries.spare(job);
     let limit = match spare {
         true => (job.route.objective + FIRST).min(job.left()),
         false => job.left(),
@@ -310,7 +307,7 @@
 
     /// Whether another engine may go on.
     fn spare(&self) -> bool {
-        self.job.route.repeatable() && self.tries.sent < self.job.route.attempts
+        self.tries.spare(&self.job)
     }
 
     /// Longest silence of the engine.
--- a/src/edge/kept.rs
+++ b/src/edge/kept.rs
@@ -46,10 +46,4 @@
             self.chains.clear();
         }
     }
-
-    /// Forgets what belongs to models that were unloaded; which chains those
-    /// are is not kept, so all go.
-    pub fn clear(&mut self) {
-        self.chains.clear();
-    }
 }
