Give each daemon of the edge tests a loopback address of its own

The tests took a free port, released it and handed it over, and another socket took it meanwhile. Change: the claim of loopback networks that the other end-to-end tests use moves to tests/env/octet.rs and serves these tests, too.

--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -4,6 +4,8 @@
 mod fleet;
 mod hostile;
 mod leaving;
+#[path = "../env/octet.rs"]
+mod octet;
 mod parts;
 mod placement;
 mod scene;
--- a/tests/edge/standin/daemon.rs
+++ b/tests/edge/standin/daemon.rs
@@ -1,7 +1,7 @@
 //! Daemons as processes, and callers.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 
 use super::store::Store;
+use crate::octet::own_octet;
 
 /// Longest wait for a condition; far above what any takes.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -35,7 +36,7 @@
 }
 
 impl Daemon {
-    /// Starts a daemon on free ports and waits until it is ready.
+    /// Starts a daemon and waits until it is ready.
     pub fn start(store: &Store, host: &str) -> Self {
         let daemon = Daemon::launch(store, host);
         wait("ready", || daemon.ask("/readyz").status == 200);
@@ -45,18 +46,17 @@
     /// Starts a daemon.
     pub fn launch(store: &Store, host: &str) -> Self {
         static NUMBER: AtomicU64 = AtomicU64::new(0);
-        let (callers, entry) = (free(), free());
-        let peers = UdpSocket::bind("127.0.0.1:0")
-            .unwrap()
-            .local_addr()
-            .unwrap();
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        // An address of its own: no connection takes its ports.
+        let [high, low] = u16::try_from(number + 1).unwrap().to_be_bytes();
+        let at = |port: u16| SocketAddr::from(([127, own_octet(), high, low], port));
+        let (callers, entry, peers) = (at(7_800), at(7_801), at(7_802));
         let settings = json!({
             "host": host, "domain": "north",
             "listen": {"callers": callers, "ready": entry, "entry": entry, "peers": peers},
             "store": {"addr": store.addr},
             "bounds": {"drain_ms": 300, "grace_s": 3.0, "lease_ms": 500, "retry_slack": 40},
         });
-        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
         let name = format!("mastichinge-edge-{}-{number}.json", std::process::id());
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, settings.to_string()).unwrap();
@@ -137,13 +137,6 @@
     }
 }
 
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
-
 /// A caller's request.
 #[derive(Clone, Debug)]
 pub struct Request {
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -2,12 +2,12 @@
 
 #![allow(dead_code)]
 
+pub mod octet;
+
 use std::fs;
 use std::io::{BufRead, BufReader};
-use std::net::{Ipv4Addr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -16,6 +16,8 @@
 use mastichinge::settings::Settings;
 use serde_json::{Value, json};
 
+pub use octet::own_octet;
+
 /// Longest wait for a condition; far beyond what a healthy run needs.
 const PATIENCE: Duration = Duration::from_secs(60);
 /// Pause between two looks.
@@ -83,24 +85,6 @@
     pub kind: String,
 }
 
-/// Octet of the loopback networks of this process. Tests run side by side, also
-/// those of other checkouts: a listener that is held claims it.
-pub fn own_octet() -> u8 {
-    const CLAIM_PORT: u16 = 7_999;
-    static CLAIM: OnceLock<(u8, TcpListener)> = OnceLock::new();
-    let claim = || {
-        let first = std::process::id() % 250;
-        let mut octets = (first..first + 250).map(|n| 1 + (n % 250) as u8);
-        let listen = |octet: u8| {
-            let addr = Ipv4Addr::new(127, octet, 255, 250);
-            let listener = TcpListener::bind((addr, CLAIM_PORT));
-            Some((octet, listener.ok()?))
-        };
-        octets.find_map(listen).expect("a free network")
-    };
-    CLAIM.get_or_init(claim).0
-}
-
 impl Env {
     /// Starts a site and all its daemons from `program`, and waits until every
     /// host names all hosts.
