Fill free engine memory ahead, and load right after an unload

Loads began only when a request waited, also into memory that had been free for seconds; and a swap asked for the engine's lagging report between unload and load, 254 ms at the median.

Change: models that nobody serves are loaded where that costs less than their absence (`Cover`), free memory first; a load follows its accepted unload after 40 ms, as an engine with an order under way refuses another, and only a refusal asks for a report; the loss of unloading weighs requests whose objective leaves no time for a load more than the others.

--- a/src/edge/demand.rs
+++ b/src/edge/demand.rs
@@ -18,6 +18,8 @@
 pub struct Demand {
     /// Requests a second.
     pub rate: f64,
+    /// Those of them whose objective leaves no time for a load.
+    pub tight: f64,
     /// Engine time that they ask for, seconds a second.
     pub work: f64,
 }
@@ -25,6 +27,7 @@
 impl std::ops::AddAssign for Demand {
     fn add_assign(&mut self, other: Demand) {
         self.rate += other.rate;
+        self.tight += other.tight;
         self.work += other.work;
     }
 }
@@ -38,8 +41,10 @@
 impl Sum {
     fn decayed(&self, now: Moment) -> Demand {
         let age = now.saturating_sub(self.at).as_secs_f64();
+        let fade = (-age / RATE_S).exp();
         Demand {
-            rate: self.demand.rate * (-age / RATE_S).exp(),
+            rate: self.demand.rate * fade,
+            tight: self.demand.tight * fade,
             work: self.demand.work * (-age / WORK_S).exp(),
         }
     }
@@ -86,11 +91,15 @@
         self.paces.get(which).copied().unwrap_or(1.0)
     }
 
-    /// Notes a request that asks for `work` of an engine's time.
-    pub fn note(&mut self, which: Which, work: Duration, now: Moment) {
+    /// Notes a request that asks for `work` of an engine's time; it is `tight`
+    /// when its objective leaves no time for a load.
+    pub fn note(&mut self, which: Which, work: Duration, tight: bool, now: Moment) {
         let sum = self.sums.entry(which).or_default();
         let mut demand = sum.decayed(now);
         demand.rate += 1.0 / RATE_S;
+        if tight {
+            demand.tight += 1.0 / RATE_S;
+        }
         demand.work += work.as_secs_f64() / WORK_S;
         *sum = Sum { demand, at: now };
     }
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -261,9 +261,12 @@
         service: job.service.clone(),
         model: prompt.model.clone(),
     };
+    let hosting = job.desired.hosting(&job.service);
+    let model = hosting.and_then(|h| h.models.get(&prompt.model));
+    let tight = model.is_some_and(|m| m.disk >= job.route.objective);
     let mut state = job.edge.state.borrow_mut();
     let work = work.mul_f64(state.meter.pace(&which));
-    state.meter.note(which, work, clock::now());
+    state.meter.note(which, work, tight, clock::now());
 }
 
 /// Notes how long a first event took that was expected after `expected`.
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -135,6 +135,9 @@
     /// Engine time, seconds a second.
     #[prost(float, tag = "4")]
     pub work: f32,
+    /// Requests a second whose objective leaves no time for a load.
+    #[prost(float, tag = "5")]
+    pub tight: f32,
 }
 
 /// Requests that wait for a model or an adapter.
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -209,6 +209,7 @@
             model: which.model.to_string(),
             rate: demand.rate as f32,
             work: demand.work as f32,
+            tight: demand.tight as f32,
         });
     }
     beat
@@ -351,6 +352,7 @@
     let demand = Demand {
         rate: f64::from(note.rate),
         work: f64::from(note.work),
+        tight: f64::from(note.tight),
     };
     (which, demand)
 }
--- a/src/edge/placement/book.rs
+++ b/src/edge/placement/book.rs
@@ -12,6 +12,9 @@
 /// Pause between two looks at an engine that carries out another's order.
 const ENGAGED_PAUSE: Duration = Duration::from_millis(400);
 
+/// Pause between two reports of an engine.
+pub(super) const LOOK_AGAIN: Duration = Duration::from_millis(60);
+
 /// Time of a task that has not begun to load: an unload and a load from disk.
 const TASK_TIME: Duration = Duration::from_millis(1_500);
 
@@ -45,11 +48,6 @@
         /// When it was withdrawn.
         since: Moment,
     },
-    /// The victim's unload was accepted.
-    Unloading {
-        /// Victim.
-        model: Arc<str>,
-    },
     /// The load is to be ordered.
     Ready,
     /// The load was accepted.
@@ -89,6 +87,9 @@
     pub copies: Copies,
     /// Present task.
     pub task: Option<Task>,
+    /// A victim whose unload was accepted and that no report has shown to be
+    /// gone.
+    pub freeing: Option<Arc<str>>,
     /// A call to it is under way.
     pub calling: bool,
     /// Its report is needed.
@@ -109,6 +110,7 @@
             replicas: BTreeMap::new(),
             copies: entry.copies.clone(),
             task: None,
+            freeing: None,
             calling: false,
             doubt: true,
             engaged: false,
@@ -166,8 +168,7 @@
         }
         let loading = self.loading().cloned();
         let withdrawn = self.withdrawn().cloned();
-        let unloading = matches!(&self.task, Some(t) if matches!(t.stage, Stage::Unloading { .. }));
-        self.engaged = report.busy && loading.is_none() && !unloading;
+        self.engaged = report.busy && loading.is_none() && self.freeing.is_none();
         if self.engaged {
             self.doubt = true;
             self.pause = now + ENGAGED_PAUSE;
@@ -200,14 +201,12 @@
             }
             None => {}
         }
-        if let Some(Task {
-            stage: Stage::Unloading { model },
-            ..
-        }) = &self.task
-            && !report.busy
-            && !self.replicas.contains_key(model)
-        {
-            self.advance(now);
+        if let Some(model) = self.freeing.clone() {
+            match self.replicas.get_mut(&model) {
+                Some(replica) => replica.ready = false,
+                None if !report.busy => self.freeing = None,
+                None => {}
+            }
         }
         true
     }
@@ -239,6 +238,12 @@
         }
     }
 
+    /// Asks for another report after a while.
+    pub fn look_again(&mut self, now: Moment) {
+        self.doubt = true;
+        self.pause = now + LOOK_AGAIN;
+    }
+
     /// Drops the present task; withdrawn models may be asked for again.
     pub fn abandon(&mut self) {
         let loading = self.loading().cloned();
@@ -256,7 +261,7 @@
         };
         match task.stage {
             Stage::Loading { since, expected } => (since + expected).saturating_sub(now),
-            Stage::Withdrawing { .. } | Stage::Unloading { .. } | Stage::Ready => TASK_TIME,
+            Stage::Withdrawing { .. } | Stage::Ready => TASK_TIME,
         }
     }
 
@@ -266,9 +271,10 @@
         matches!(task.stage, Stage::Loading { .. }).then_some(&task.model)
     }
 
-    fn withdrawn(&self) -> Option<&Arc<str>> {
+    /// Victim that is withdrawn.
+    pub fn withdrawn(&self) -> Option<&Arc<str>> {
         match &self.task.as_ref()?.stage {
-            Stage::Withdrawing { model, .. } | Stage::Unloading { model } => Some(model),
+            Stage::Withdrawing { model, .. } => Some(model),
             Stage::Ready | Stage::Loading { .. } => None,
         }
     }
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -23,7 +23,7 @@
 use crate::clock::Moment;
 use crate::decide::window::Window;
 use adapters::next_adapter;
-use book::{Adapter, Book, Replica, Stage, size};
+use book::{Adapter, Book, LOOK_AGAIN, Replica, Stage, size};
 
 /// Time from a model's withdrawal until its unload is ordered, so that
 /// requests on their way arrive before; twice the way to any daemon and on.
@@ -39,8 +39,6 @@
 const OUSTED_PAUSE: Duration = Duration::from_millis(960);
 /// Time that an engine takes to unload a model that nobody uses.
 const UNLOAD_TIME: Duration = Duration::from_millis(40);
-/// Pause between two reports of an engine.
-const LOOK_AGAIN: Duration = Duration::from_millis(60);
 /// Time over the expected one after which a load is looked at again.
 const LOOK: Duration = Duration::from_millis(150);
 /// Longest life of a task that has not begun to load.
@@ -359,7 +357,10 @@
             Stage::Ready => {
                 let fits = book.taken(hosting) + size(hosting, &task.model, 0);
                 if fits > hosting.memory_mb {
-                    book.abandon();
+                    match book.freeing {
+                        Some(_) => book.look_again(now),
+                        None => book.abandon(),
+                    }
                     return None;
                 }
                 let (model, remote, expected) = (task.model.clone(), task.remote, book.orders);
@@ -376,7 +377,6 @@
                 self.books.get_mut(id)?.calling = true;
                 return Some(Act::Order(order));
             }
-            Stage::Unloading { .. } => Act::Report(id.clone()),
             Stage::Loading { since, expected } => {
                 if now < *since + *expected + LOOK {
                     return None;
@@ -421,6 +421,7 @@
                 adapters: BTreeMap::new(),
             };
             book.replicas.insert(order.model.clone(), replica);
+            book.freeing = None;
             if let Some(task) = &mut book.task {
                 task.stage = Stage::Loading {
                     since: now,
@@ -429,9 +430,12 @@
             }
         }
         Verb::Unload => {
-            if let Some(task) = &mut book.task {
-                let model = order.model.clone();
-                task.stage = Stage::Unloading { model };
+            // While it is under way the engine takes no other order, so the
+            // load needs no report before it.
+            book.replicas.remove(&order.model);
+            book.freeing = Some(order.model.clone());
+            if book.withdrawn() == Some(&order.model) {
+                book.advance(now);
             }
             book.pause = now + UNLOAD_TIME;
         }
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -47,6 +47,7 @@
             }
         }
         self.fetch_ahead(scene);
+        self.cover(scene);
     }
 
     /// Loads one model that no engine holds or keeps a copy of.
@@ -65,6 +66,24 @@
         }
     }
 
+    /// Loads models that nobody serves where that makes less loss than their
+    /// absence; the largest first, as they fit fewest engines.
+    fn cover(&mut self, scene: &Scene<'_>) {
+        for service in scene.desired.services.values() {
+            let Some(hosting) = &service.hosting else {
+                continue;
+            };
+            let mut models: Vec<_> = hosting.models.iter().collect();
+            models.sort_by(|a, b| b.1.memory_mb.total_cmp(&a.1.memory_mb).then(a.0.cmp(b.0)));
+            for (name, _) in models {
+                let absent = !self.placed(scene, &service.name, name);
+                if absent && self.kept(scene, &service.name, name) {
+                    self.load(scene, &service.name, name, Urgency::Cover);
+                }
+            }
+        }
+    }
+
     /// Books of one service.
     fn of<'a>(
         &'a self,
@@ -170,10 +189,13 @@
             else {
                 continue;
             };
+            if how == Urgency::Cover && (remote || book.task.is_some()) {
+                continue;
+            }
             let crowd = self.busy_share(scene, service, book) * CROWD;
             let delay = book.task_left(scene.now).as_secs_f64();
             let cost = time.as_secs_f64() + delay + loss + crowd;
-            if loss > self.most_loss(how) {
+            if loss > self.most_loss(scene, service, model, how) {
                 continue;
             }
             if best.as_ref().is_none_or(|b| cost < b.cost) {
@@ -239,7 +261,7 @@
                 continue;
             }
             let running = engine.using(name, scene.now);
-            let loss = self.loss(scene, service, name, book, running);
+            let loss = self.loss(scene, service, name, running);
             options.push((loss, size(hosting, name, replica.adapters.len()), name));
         }
         // Few models fit an engine, so all sets are looked at.
@@ -259,43 +281,54 @@
     }
 
     /// Largest loss by unloading that a load may cause, seconds.
-    fn most_loss(&self, how: Urgency) -> f64 {
+    fn most_loss(
+        &self,
+        scene: &Scene<'_>,
+        service: &Arc<str>,
+        model: &Arc<str>,
+        how: Urgency,
+    ) -> f64 {
         match how {
             Urgency::Waiting => f64::INFINITY,
+            Urgency::Cover => {
+                (self.absence(scene, service, model) - self.weights.unload_loss).max(0.0)
+            }
             Urgency::Hot => self.weights.hot_loss,
             Urgency::Ahead => self.weights.ahead_loss,
         }
     }
 
+    /// What it costs that nobody serves a model, seconds of waiting: each
+    /// request that comes meets a load, and the next victim's.
+    fn absence(&self, scene: &Scene<'_>, service: &Arc<str>, model: &Arc<str>) -> f64 {
+        let which = Which {
+            service: service.clone(),
+            model: model.clone(),
+        };
+        let demand = scene.demand.get(&which).copied().unwrap_or_default();
+        let hosting = scene.desired.hosting(service);
+        let Some(spec) = hosting.and_then(|h| h.models.get(model)) else {
+            return 0.0;
+        };
+        let weights = &self.weights;
+        let loose = (demand.rate - demand.tight).max(0.0);
+        let rate = (demand.tight + loose * weights.loose_part).max(weights.least_rate);
+        // Once held, a model is on an engine's disk.
+        rate * spec.disk.as_secs_f64() * weights.rate_loss
+    }
+
     /// What unloading a model from an engine costs, seconds of waiting.
-    fn loss(
-        &self,
-        scene: &Scene<'_>,
-        service: &Arc<str>,
-        model: &Arc<str>,
-        book: &Book,
-        running: u32,
-    ) -> f64 {
+    fn loss(&self, scene: &Scene<'_>, service: &Arc<str>, model: &Arc<str>, running: u32) -> f64 {
         let which = Which {
             service: service.clone(),
             model: model.clone(),
         };
         let demand = scene.demand.get(&which).copied().unwrap_or_default();
         let others = self.replicas(scene, service, model).saturating_sub(1);
-        let back = match scene
-            .desired
-            .hosting(service)
-            .and_then(|h| h.models.get(model))
-        {
-            // Once held, a model is on the engine's disk.
-            Some(spec) => book.load_time(model, spec).0.min(spec.disk).as_secs_f64(),
-            None => 0.0,
-        };
         let weights = &self.weights;
         let mut loss = weights.unload_loss + f64::from(running) * weights.running_loss;
         if others == 0 {
-            // Each request that comes meets a load, and the next victim's.
-            loss += demand.rate * back * weights.rate_loss;
+            loss += self.absence(scene, service, model);
         } else {
             let crowded = (demand.work / others as f64 - weights.hot_work).max(0.0);
             loss += demand.work + crowded * OVERLOAD_LOSS;
@@ -326,4 +359,6 @@
     Hot,
     /// Nobody has a copy.
     Ahead,
+    /// Nobody serves it, and nobody waits for it yet.
+    Cover,
 }
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -202,6 +202,11 @@
     /// Loss of unloading the last replica for each request that comes while it
     /// would load, as seconds of loading.
     pub rate_loss: f64,
+    /// Rate at which a model counts that is asked for less often, requests a
+    /// second.
+    pub least_rate: f64,
+    /// Weight of requests whose objective leaves time for a load.
+    pub loose_part: f64,
     /// Loss of unloading for each request in progress, as seconds of loading.
     pub running_loss: f64,
     /// Largest loss that a further replica of a busy model may cause.
@@ -216,9 +221,11 @@
             hot_work: 0.4,
             unload_loss: 0.3,
             rate_loss: 10.0,
+            least_rate: 0.02,
+            loose_part: 0.3,
             running_loss: 0.5,
             hot_loss: 2.5,
-            ahead_loss: 1.0,
+            ahead_loss: 0.3,
         }
     }
 }
--- a/tests/edge/parts.rs
+++ b/tests/edge/parts.rs
@@ -147,11 +147,13 @@
     };
     let mut meter = Meter::default();
     for i in 0..100 {
-        meter.note(which.clone(), ms(50), at(i * 200));
+        meter.note(which.clone(), ms(50), i % 2 == 0, at(i * 200));
     }
     let demand = meter.now(at(20_000))[0].1;
     assert!((4.0..6.0).contains(&demand.rate), "{demand:?}");
     assert!((0.2..0.3).contains(&demand.work), "{demand:?}");
+    let part = demand.tight / demand.rate;
+    assert!((0.45..0.55).contains(&part), "{demand:?}");
     assert!(meter.now(at(400_000)).is_empty());
     for _ in 0..100 {
         meter.observe(which.clone(), ms(100), ms(200));
--- a/tests/edge/placement.rs
+++ b/tests/edge/placement.rs
@@ -121,6 +121,100 @@
     assert_eq!(victims, ["b"]);
 }
 
+/// A quiet hour before the doors open: models that only stand on disks go into
+/// the memory that is free, so that their first requests meet no load.
+#[test]
+fn free_memory_is_filled_before_anyone_asks() {
+    let mut free = entry("e1", 1, &["a"]);
+    free.copies.disk.insert("b".into());
+    let mut full = entry("e2", 2, &["c", "d"]);
+    full.copies.disk.insert("b".into());
+    let mut world = World::new(vec![free, full], desired(&["a", "b", "c", "d"]));
+    let held = |engine: &str| match engine {
+        "e1" => report(&["a"], 0),
+        _ => report(&["c", "d"], 0),
+    };
+    let orders = world.run(400, held, Outcome::Accepted);
+    assert_eq!(loads(&orders), [("e1", "b")]);
+    assert_eq!(orders.len(), 1, "nothing makes way: {orders:?}");
+}
+
+/// Requests with a short objective find their model, and those that can wait
+/// for a load meet the loads.
+#[test]
+fn the_model_whose_requests_can_wait_makes_way() {
+    let mut full = entry("e1", 1, &["a", "b"]);
+    full.copies.disk.insert("c".into());
+    let mut world = World::new(vec![full], desired(&["a", "b", "c"]));
+    world.ask("a", 0.4, 0.05);
+    world.ask("b", 0.3, 0.05);
+    for (which, demand) in &mut world.demand {
+        demand.tight = match &*which.model {
+            "b" => demand.rate,
+            _ => 0.0,
+        };
+    }
+    world.want("c", None);
+    let orders = world.run(300, |_| report(&["a", "b"], 0), Outcome::Accepted);
+    let unloads = orders.iter().filter(|o| o.verb == Verb::Unload);
+    let victims: Vec<_> = unloads.map(|o| &*o.model).collect();
+    assert_eq!(victims, ["a"]);
+}
+
+/// Rare models take turns on a full engine: the load follows the unload
+/// without a report between, and waits when the unload is still under way.
+#[test]
+fn a_load_follows_its_unload_at_once() {
+    let mut full = entry("e1", 1, &["a", "b"]);
+    full.copies.disk.insert("c".into());
+    let mut world = World::new(vec![full], desired(&["a", "b", "c"]));
+    world.want("c", None);
+    world.step();
+    world.report("e1", &report(&["a", "b"], 0));
+    let (mut at, mut reports) = (Vec::new(), 0);
+    for _ in 0..40 {
+        for act in world.step() {
+            match act {
+                Act::Report(_) => {
+                    reports += 1;
+                    // As of before the unload.
+                    world.report("e1", &report(&["a", "b"], 0));
+                }
+                Act::Order(order) => {
+                    let outcome = match (order.verb, at.len()) {
+                        (Verb::Load, 1) => Outcome::Busy,
+                        _ => Outcome::Accepted,
+                    };
+                    world.answer(&order, outcome);
+                    at.push((order.verb, world.now, reports));
+                }
+            }
+        }
+        world.pass(10);
+    }
+    let [(Verb::Unload, first, 0), (Verb::Load, second, 0)] = at[..2] else {
+        panic!("{at:?}");
+    };
+    assert!(second - first <= Duration::from_millis(50), "{at:?}");
+    // After the refusal it asks, and old reports show the victim still there.
+    assert!(reports > 0);
+    assert_eq!(at.len(), 2, "no load into memory that may be taken: {at:?}");
+    world.pass(100);
+    for _ in 0..30 {
+        for act in world.step() {
+            match act {
+                Act::Report(_) => world.report("e1", &report(&["b"], 1)),
+                Act::Order(order) => {
+                    world.answer(&order, Outcome::Accepted);
+                    at.push((order.verb, world.now, reports));
+                }
+            }
+        }
+        world.pass(10);
+    }
+    assert_eq!(at.len(), 3, "{at:?}");
+}
+
 /// Sleeping models wake in a burst: the store's ceiling holds in any window.
 #[test]
 fn loads_from_the_weight_store_stay_under_its_ceiling() {
--- a/tests/edge/scene.rs
+++ b/tests/edge/scene.rs
@@ -126,7 +126,8 @@
             service: SERVICE.into(),
             model: model.into(),
         };
-        self.demand.insert(which, Demand { rate, work });
+        let tight = rate;
+        self.demand.insert(which, Demand { rate, tight, work });
     }
 
     pub fn pass(&mut self, ms: u64) {
