Route and place by the pace of each engine; log what was predicted

Cause: engines differ in speed and turn slow for seconds, but only failures and silence moved requests away; how good the predicted times were nobody could tell.

Change: routing is a module of pure code (`edge/routing`): view, request, choice. The predicted time stands in the log line of each answer and, over the seen one, in a histogram. The test of the model's pace now feeds predictions that follow the pace, as the daemon does, in place of one fixed expectation.

--- a/src/edge/demand.rs
+++ b/src/edge/demand.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::routing::Pace;
 use crate::clock::Moment;
 
 /// Time constant of the request rate; rare models show at all.
@@ -59,36 +60,22 @@
     pub model: Arc<str>,
 }
 
-/// Weight of one observation of the pace.
-const PACE_WEIGHT: f64 = 0.08;
-/// Bounds of the pace: models differ by less than this.
-const PACES: (f64, f64) = (0.4, 4.0);
-/// Expected time under which an observation says little about the pace.
-const PACE_LEAST: Duration = Duration::from_millis(15);
-
 /// Demand at this daemon by model.
 #[derive(Clone, Debug, Default)]
 pub struct Meter {
     sums: HashMap<Which, Sum>,
-    /// Time to the first event over the expected one.
-    paces: HashMap<Which, f64>,
+    paces: HashMap<Which, Pace>,
 }
 
 impl Meter {
-    /// Notes the time to a first event that was expected after `expected`.
-    pub fn observe(&mut self, which: Which, expected: Duration, seen: Duration) {
-        if expected < PACE_LEAST {
-            return;
-        }
-        let ratio = seen.as_secs_f64() / expected.as_secs_f64();
-        let ratio = ratio.clamp(PACES.0, PACES.1);
-        let pace = self.paces.entry(which).or_insert(1.0);
-        *pace += (ratio - *pace) * PACE_WEIGHT;
+    /// Notes a first event that was predicted after `predicted`.
+    pub fn observe(&mut self, which: Which, predicted: Duration, seen: Duration) {
+        self.paces.entry(which).or_default().note(predicted, seen);
     }
 
-    /// How much slower a model is than expected.
+    /// How much slower a model is than the settings say.
     pub fn pace(&self, which: &Which) -> f64 {
-        self.paces.get(which).copied().unwrap_or(1.0)
+        self.paces.get(which).copied().unwrap_or_default().factor()
     }
 
     /// Notes a request that asks for `work` of an engine's time; it is `tight`
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::kept::Kept;
+use super::routing::EnginePace;
 use crate::clock::Moment;
 use crate::decide::breaker::{Breaker, Breaking};
 
@@ -115,6 +116,8 @@
     trouble: f64,
     /// When the sum was last changed.
     troubled: Moment,
+    /// How slow it is.
+    pub pace: EnginePace,
     /// What it was said to hold but lacked, and when it said so.
     pub absent: HashMap<Arc<str>, Moment>,
     /// Prompt parts that this daemon sent there.
@@ -140,6 +143,7 @@
             }),
             trouble: 0.0,
             troubled: now,
+            pace: EnginePace::default(),
             absent: HashMap::new(),
             kept: Kept::default(),
             replaced: false,
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -11,14 +11,15 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::timeout;
 
-use super::pick::{self, Choice, Pick};
 use super::relay::{self, Opened};
 use super::reply::{Refusal, Reply};
 use super::send::{Answered, Sent, WHOLE_BYTES, send};
 use super::{Counted, Job, Limit};
+use crate::clock::Moment;
 use crate::edge::clock;
 use crate::edge::desired::Kind as RouteKind;
 use crate::edge::placement::Target;
+use crate::edge::routing::{self, Asked, Choice, Pick, View};
 use crate::edge::state::Wanting;
 use crate::error::Kind;
 use crate::platform::heads;
@@ -61,6 +62,8 @@
     pub last_event: Option<u64>,
     /// Time from its arrival to its last sending.
     pub waited: Duration,
+    /// Predicted time from its last sending to its first event.
+    pub predicted: Duration,
     /// Time from its arrival to its first event, or to the whole answer.
     pub first: Duration,
 }
@@ -159,6 +162,7 @@
     loop {
         let choice = choose(job, tries).await?;
         tries.waited = job.age();
+        tries.predicted = choice.first;
         let patience = patience(job, tries, &choice);
         let engine = choice.engine.clone();
         let fail = |kind, cause: String| Failure {
@@ -228,14 +232,35 @@
         return left;
     }
     let usual = match job.route.kind {
-        RouteKind::Stream => choice.wait + PATIENCE.max(job.route.objective),
+        RouteKind::Stream => choice.first + PATIENCE.max(job.route.objective),
         RouteKind::Idempotent | RouteKind::Once => {
-            choice.wait + job.route.objective * SILENT_OBJECTIVES
+            choice.first + job.route.objective * SILENT_OBJECTIVES
         }
     };
     usual.min(left)
 }
 
+fn pick(job: &Job, avoid: &[Arc<str>], now: Moment) -> Pick {
+    let settings = job.edge.settings();
+    let state = job.edge.state.borrow();
+    let view = View {
+        fleet: &state.fleet,
+        desired: &job.desired,
+        meter: &state.meter,
+        engines: &settings.engines,
+        domain: &settings.domain,
+        now,
+    };
+    let asked = Asked {
+        service: &job.service,
+        kind: job.route.kind,
+        prompt: job.call.prompt.as_ref(),
+        print: job.print,
+        avoid,
+    };
+    routing::pick(&view, &asked)
+}
+
 /// Waits for an engine that can take the request.
 async fn choose(job: &Job, tries: &Tries) -> Result<Choice, Failure> {
     let mut changes = job.edge.changed.subscribe();
@@ -272,7 +297,7 @@
             let cause = "this host stops before it could be sent";
             return Err(fail(Kind::Draining, cause, super::ELSEWHERE));
         }
-        let most = match pick::pick(job, &tries.avoid, now) {
+        let most = match pick(job, &tries.avoid, now) {
             Pick::Go(choice) => return Ok(choice),
             Pick::Unknown => return Err(fail(Kind::UnknownModel, "unknown model", FULL_RETRY)),
             Pick::NoEngine => {
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -1,7 +1,6 @@
 //! The way of a caller's request: route, engine, answer.
 
 mod attempt;
-mod pick;
 mod relay;
 pub mod reply;
 mod send;
@@ -24,6 +23,7 @@
 use super::demand::Which;
 use super::desired::{Desired, Kind as RouteKind, Limits, Route};
 use super::room::Room;
+use super::routing;
 use super::state::Edge;
 use super::suspects;
 use crate::clock::Moment;
@@ -90,10 +90,11 @@
         let ms = self.age().as_millis() as u64;
         let waited_ms = tries.waited.as_millis() as u64;
         let first_ms = tries.first.as_millis() as u64;
+        let predicted_ms = tries.predicted.as_millis() as u64;
         let tries = tries.sent;
         let version = self.desired.version;
-        log::info!(request, route, model, adapter, status, engine, tries, waited_ms, first_ms, ms,
-            version; "request {outcome}");
+        log::info!(request, route, model, adapter, status, engine, tries, waited_ms, predicted_ms,
+            first_ms, ms, version; "request {outcome}");
     }
 
     fn refuse(&self, refusal: Refusal, cause: &str, engine: &str, tries: u32) -> Response<Reply> {
@@ -255,8 +256,7 @@
     }
     let engines = job.edge.settings().engines;
     let own = prompt.parts.last().map_or(prompt.input, |p| p.tokens);
-    let read_ms = f64::from(own) / engines.prefill_per_ms;
-    let work = Duration::from_secs_f64(read_ms / 1_000.0) + PER_TOKEN * prompt.output;
+    let work = routing::reading(own, &engines) + PER_TOKEN * prompt.output;
     let which = Which {
         service: job.service.clone(),
         model: prompt.model.clone(),
@@ -269,8 +269,9 @@
     state.meter.note(which, work, tight, clock::now());
 }
 
-/// Notes how long a first event took that was expected after `expected`.
-fn note_pace(job: &Job, expected: Duration, seen: Duration) {
+/// Notes how long a first event took that was predicted after `predicted`.
+fn note_first(job: &Job, engine: &Arc<str>, predicted: Duration, seen: Duration) {
+    job.edge.metrics.predicted(predicted, seen);
     let Some(prompt) = &job.call.prompt else {
         return;
     };
@@ -279,7 +280,10 @@
         model: prompt.model.clone(),
     };
     let mut state = job.edge.state.borrow_mut();
-    state.meter.observe(which, expected, seen);
+    state.meter.observe(which, predicted, seen);
+    if let Some(upstream) = state.fleet.engines.get_mut(engine) {
+        upstream.pace.note(predicted, seen, clock::now());
+    }
 }
 
 /// Engine time of one token of an answer in a well-filled batch.
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -149,7 +149,7 @@
         said,
         flight,
         sent,
-        expected,
+        predicted,
     } = *answered;
     let (mut head, body) = response.into_parts();
     head.headers = heads::to_caller(&head.headers);
@@ -174,7 +174,8 @@
         }
     };
     source.flight.prompt_done();
-    super::note_pace(job, expected, clock::now().saturating_sub(sent));
+    let seen = clock::now().saturating_sub(sent);
+    super::note_first(job, &source.flight.engine, predicted, seen);
     job.edge.metrics.first_token(job.age(), false);
     Ok(Opened::Stream(Box::new(Stream {
         head,
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -11,13 +11,13 @@
 
 use super::Job;
 use super::attempt::Tries;
-use super::pick::Choice;
 use crate::clock::Moment;
 use crate::edge::call::Sending;
 use crate::edge::client::{Conn, SendError};
 use crate::edge::clock;
 use crate::edge::flight::Flight;
 use crate::edge::placement::Target;
+use crate::edge::routing::Choice;
 use crate::platform::heads;
 
 /// Time limit of a connection to an engine.
@@ -37,8 +37,8 @@
     pub flight: Flight,
     /// When it was sent.
     pub sent: Moment,
-    /// Time to the first event that was expected then.
-    pub expected: Duration,
+    /// Time to the first event that was predicted then.
+    pub predicted: Duration,
 }
 
 /// What became of one sending.
@@ -114,7 +114,7 @@
         said,
         flight,
         sent,
-        expected: choice.wait,
+        predicted: choice.first,
     }))
 }
 
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -2,7 +2,7 @@
 //! to engines, and takes its turn in giving orders to them.
 //!
 //! Everything runs as tasks on one thread. Decisions are pure code in
-//! `select`, `placement`, `tenure`, `fleet`, `budget` and `suspects`.
+//! `routing`, `placement`, `tenure`, `fleet`, `budget` and `suspects`.
 
 pub mod budget;
 pub mod call;
@@ -24,7 +24,7 @@
 pub mod peers;
 pub mod placement;
 pub mod room;
-pub mod select;
+pub mod routing;
 pub mod settings;
 pub mod state;
 pub mod store;
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -117,7 +117,8 @@
     }
 
     /// Engine time for each second that all models ask of one engine.
-    fn busy_share(&self, scene: &Scene<'_>, service: &Arc<str>, book: &Book) -> f64 {
+    fn busy_share(&self, scene: &Scene<'_>, engine: &Upstream, book: &Book) -> f64 {
+        let service = &engine.entry.service;
         let mut share = 0.0;
         for model in book.replicas.keys() {
             let which = Which {
@@ -130,21 +131,24 @@
             let replicas = self.replicas(scene, service, model).max(1);
             share += demand.work / replicas as f64;
         }
-        share
+        share * engine.pace.factor(scene.now)
     }
 
     /// The least busy share among the engines that serve a model; zero when
     /// none does, or another is about to.
     fn pressure(&self, scene: &Scene<'_>, which: &Which) -> f64 {
         let mut least = f64::INFINITY;
-        for (_, book) in self.of(scene, &which.service) {
+        for (id, book) in self.of(scene, &which.service) {
             if !book.will_hold(&which.model) {
                 continue;
             }
             if !book.serves(&which.model) {
                 return 0.0;
             }
-            least = least.min(self.busy_share(scene, &which.service, book));
+            let Some(engine) = scene.fleet.engines.get(id) else {
+                continue;
+            };
+            least = least.min(self.busy_share(scene, engine, book));
         }
         match least.is_finite() {
             true => least,
@@ -192,7 +196,7 @@
             if how == Urgency::Cover && (remote || book.task.is_some()) {
                 continue;
             }
-            let crowd = self.busy_share(scene, service, book) * CROWD;
+            let crowd = self.busy_share(scene, engine, book) * CROWD;
             let delay = book.task_left(scene.now).as_secs_f64();
             let cost = time.as_secs_f64() + delay + loss + crowd;
             if loss > self.most_loss(scene, service, model, how) {
--- a/src/edge/forward/pick.rs
+++ b/src/edge/routing/mod.rs
@@ -1,4 +1,9 @@
-//! The engine for one request, from what is believed of them all.
+//! Which engine a request goes to, from what is believed of them all.
+//!
+//! Pattern: shared prompts over few replicas. Prompts with the same start
+//! gather at one engine until the wait there eats the gain.
+
+mod model;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -6,19 +11,53 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::Job;
+pub use model::{Candidate, EnginePace, Pace, choose};
+
+use super::call::Prompt;
+use super::demand::{Meter, Which};
+use super::desired::{Desired, Kind};
+use super::fleet::{Fleet, Upstream};
+use super::placement::Target;
+use super::settings::Engines;
 use crate::clock::Moment;
-use crate::edge::call::Prompt;
-use crate::edge::desired::Kind as RouteKind;
-use crate::edge::fleet::Upstream;
-use crate::edge::placement::Target;
-use crate::edge::select::{Candidate, choose};
 
 /// Time that a request holds a slot of a plain service.
 const PLAIN_SERVICE: Duration = Duration::from_millis(50);
 /// Time that a stream holds a slot.
 const STREAM_SERVICE: Duration = Duration::from_millis(2_000);
 
+/// What is known when a request is routed.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// Engines.
+    pub fleet: &'a Fleet,
+    /// Desired state.
+    pub desired: &'a Desired,
+    /// Paces of models.
+    pub meter: &'a Meter,
+    /// What the settings say of engines.
+    pub engines: &'a Engines,
+    /// Failure domain of this daemon.
+    pub domain: &'a str,
+    /// Moment.
+    pub now: Moment,
+}
+
+/// A request to be routed.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked<'a> {
+    /// Service that takes it.
+    pub service: &'a Arc<str>,
+    /// Kind of its route.
+    pub kind: Kind,
+    /// Prompt for a model.
+    pub prompt: Option<&'a Prompt>,
+    /// Fingerprint, to break ties.
+    pub print: u64,
+    /// Engines to be asked only when there is no other.
+    pub avoid: &'a [Arc<str>],
+}
+
 /// An engine for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -28,8 +67,8 @@
     pub addr: SocketAddr,
     /// Prompt work that the request brings.
     pub prompt: Duration,
-    /// Expected time to the first event.
-    pub wait: Duration,
+    /// Predicted time to the first event.
+    pub first: Duration,
 }
 
 /// What can be done with a request now.
@@ -51,26 +90,25 @@
     Unknown,
 }
 
-/// Chooses an engine; those in `avoid` only when there is no other.
-pub fn pick(job: &Job, avoid: &[Arc<str>], now: Moment) -> Pick {
-    let state = job.edge.state.borrow();
-    let engines: Vec<_> = state.fleet.usable(&job.service).collect();
+/// Chooses an engine.
+pub fn pick(view: &View<'_>, asked: &Asked<'_>) -> Pick {
+    let now = view.now;
+    let engines: Vec<_> = view.fleet.usable(asked.service).collect();
     if engines.is_empty() {
         return Pick::NoEngine;
     }
-    let prompt = job.call.prompt.as_ref();
-    let hosting = job.desired.hosting(&job.service);
-    let (Some(prompt), Some(hosting)) = (prompt, hosting) else {
-        return match best(job, &engines, avoid, None, now) {
+    let hosting = view.desired.hosting(asked.service);
+    let (Some(prompt), Some(hosting)) = (asked.prompt, hosting) else {
+        return match best(view, asked, &engines) {
             Some(choice) => Pick::Go(choice),
             None => Pick::NoEngine,
         };
     };
-    let target = prompt.target();
+    let name = prompt.target();
     let adapter = prompt.adapter.as_deref();
-    let holds = |e: &&Upstream| e.holds(&prompt.model, adapter, now) && !e.lacks(&target, now);
+    let holds = |e: &&Upstream| e.holds(&prompt.model, adapter, now) && !e.lacks(&name, now);
     let holders: Vec<_> = engines.iter().copied().filter(holds).collect();
-    if let Some(choice) = best(job, &holders, avoid, Some(prompt), now) {
+    if let Some(choice) = best(view, asked, &holders) {
         return Pick::Go(choice);
     }
     let Some(model) = hosting.models.get(&prompt.model) else {
@@ -91,7 +129,7 @@
     }
     Pick::NotHeld {
         target: Target {
-            service: job.service.clone(),
+            service: asked.service.clone(),
             model: prompt.model.clone(),
             adapter: prompt.adapter.clone(),
         },
@@ -99,15 +137,10 @@
     }
 }
 
-fn best(
-    job: &Job,
-    engines: &[&Upstream],
-    avoid: &[Arc<str>],
-    prompt: Option<&Prompt>,
-    now: Moment,
-) -> Option<Choice> {
-    let sound = |e: &&&Upstream| !avoid.contains(&e.entry.id) && e.breaker.allows(now);
-    let other = |e: &&&Upstream| !avoid.contains(&e.entry.id);
+fn best(view: &View<'_>, asked: &Asked<'_>, engines: &[&Upstream]) -> Option<Choice> {
+    let now = view.now;
+    let other = |e: &&&Upstream| !asked.avoid.contains(&e.entry.id);
+    let sound = |e: &&&Upstream| other(e) && e.breaker.allows(now);
     let mut pool: Vec<_> = engines.iter().filter(sound).copied().collect();
     if pool.is_empty() {
         pool = engines.iter().filter(other).copied().collect();
@@ -115,46 +148,57 @@
     if pool.is_empty() {
         pool = engines.to_vec();
     }
-    let chains = prompt.map(Prompt::chains).unwrap_or_default();
+    let chains = asked.prompt.map(Prompt::chains).unwrap_or_default();
     let home = home(&pool, &chains);
-    let settings = job.edge.settings();
-    let prefill = settings.engines.prefill_per_ms;
+    let pace = asked.prompt.map_or(1.0, |p| {
+        view.meter.pace(&Which {
+            service: asked.service.clone(),
+            model: p.model.clone(),
+        })
+    });
+    let mut works = Vec::with_capacity(pool.len());
     let mut candidates = Vec::with_capacity(pool.len());
     for engine in &pool {
         let mut work = Duration::ZERO;
-        if let Some(prompt) = prompt {
+        if let Some(prompt) = asked.prompt {
             let mut kept = engine.kept.tokens(&chains, now);
             if kept == 0 && home == Some(&engine.entry.id) {
                 kept = shared(&chains).map_or(0, |(_, tokens)| tokens);
             }
             let tokens = prompt.input.saturating_sub(kept);
-            work = Duration::from_secs_f64(f64::from(tokens) / prefill / 1_000.0);
+            work = reading(tokens, view.engines).mul_f64(pace);
         }
-        let draw = xxh3_64_with_seed(engine.entry.id.as_bytes(), job.print);
+        let slower = engine.pace.factor(now);
         candidates.push(Candidate {
             running: engine.running(now),
             slots: engine.entry.slots,
-            backlog: engine.backlog(now),
-            prompt: work,
-            service: match job.route.kind {
-                RouteKind::Stream => STREAM_SERVICE,
-                RouteKind::Idempotent | RouteKind::Once => PLAIN_SERVICE,
+            backlog: engine.backlog(now).mul_f64(slower),
+            prompt: work.mul_f64(slower),
+            service: match asked.kind {
+                Kind::Stream => STREAM_SERVICE,
+                Kind::Idempotent | Kind::Once => PLAIN_SERVICE,
             },
-            near: engine.entry.domain == settings.domain,
+            near: &*engine.entry.domain == view.domain,
             trouble: engine.trouble(now),
-            draw,
+            draw: xxh3_64_with_seed(engine.entry.id.as_bytes(), asked.print),
         });
+        works.push(work);
     }
     let at = choose(&candidates)?;
     let engine = pool[at];
     Some(Choice {
         engine: engine.entry.id.clone(),
         addr: engine.entry.addr,
-        prompt: candidates[at].prompt,
-        wait: candidates[at].wait(),
+        prompt: works[at],
+        first: candidates[at].first(),
     })
 }
 
+/// Time in which an engine reads so many tokens of a prompt at the usual pace.
+pub fn reading(tokens: u32, engines: &Engines) -> Duration {
+    Duration::from_secs_f64(f64::from(tokens) / engines.prefill_per_ms / 1_000.0)
+}
+
 /// The last chain that other requests share: all but the request's own part.
 fn shared(chains: &[(u64, u32)]) -> Option<(u64, u32)> {
     let at = chains.len().checked_sub(2)?;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -16,6 +16,11 @@
     30.0, 60.0, 120.0, 300.0,
 ];
 
+/// Upper bounds of the buckets of seen over predicted times.
+const PREDICTION_BUCKETS: [f64; 11] = [0.25, 0.5, 0.7, 0.8, 0.9, 1.1, 1.25, 1.5, 2.0, 3.0, 6.0];
+/// Predicted times count as at least this long, seconds.
+const LEAST_PREDICTION_S: f64 = 0.001;
+
 /// Why metrics could not be set up.
 #[derive(Debug, thiserror::Error)]
 #[error("cannot set up metrics: {0}")]
@@ -28,6 +33,7 @@
     _provider: SdkMeterProvider,
     first_token: Histogram<f64>,
     answers: Histogram<f64>,
+    predictions: Histogram<f64>,
     cold_starts: Histogram<f64>,
     served: Counter<u64>,
     worth: Counter<f64>,
@@ -62,6 +68,11 @@
         Ok(Metrics {
             first_token: seconds(&m, "first_token", "Time to the first token, by cold start"),
             answers: seconds(&m, "answer", "Time to the end of a whole answer"),
+            predictions: m
+                .f64_histogram("first_event_over_prediction")
+                .with_description("Time to the first event over the predicted time")
+                .with_boundaries(PREDICTION_BUCKETS.to_vec())
+                .build(),
             cold_starts: seconds(
                 &m,
                 "cold_start",
@@ -97,6 +108,13 @@
         self.first_token.record(after.as_secs_f64(), &[start]);
     }
 
+    /// A first event came `seen` after its request was sent, predicted after
+    /// `predicted`.
+    pub fn predicted(&self, predicted: Duration, seen: Duration) {
+        let ratio = seen.as_secs_f64() / predicted.as_secs_f64().max(LEAST_PREDICTION_S);
+        self.predictions.record(ratio, &[]);
+    }
+
     /// A request of `worth` was answered whole `after` its arrival.
     pub fn served(&self, after: Duration, worth: f64) {
         self.answers.record(after.as_secs_f64(), &[]);
--- a/tests/edge/parts.rs
+++ b/tests/edge/parts.rs
@@ -10,7 +10,7 @@
 use mastichinge::edge::events::Splitter;
 use mastichinge::edge::kept::Kept;
 use mastichinge::edge::members::{Members, Record, SILENCE};
-use mastichinge::edge::select::{Candidate, choose};
+use mastichinge::edge::routing::{Candidate, EnginePace, choose};
 use mastichinge::edge::suspects::{HOLD, Suspects, fingerprint};
 use proptest::prelude::*;
 
@@ -117,6 +117,25 @@
     assert_eq!(choose(&[]), None);
 }
 
+/// Engines turn slow for seconds: first events show it within a few, and the
+/// engine is tried again when it was left alone for a while.
+#[test]
+fn a_slow_engine_shows_in_its_first_events_and_is_forgiven() {
+    let mut pace = EnginePace::default();
+    assert_eq!(pace.factor(at(0)), 1.0);
+    for i in 0..8 {
+        let predicted = ms(100).mul_f64(pace.factor(at(i * 200)));
+        pace.note(predicted, ms(500), at(i * 200));
+    }
+    let slow = pace.factor(at(1_500));
+    assert!((3.0..5.0).contains(&slow), "{slow}");
+    assert!(pace.factor(at(60_000)) < 1.1);
+    // Times too short to measure say nothing.
+    let mut quick = EnginePace::default();
+    quick.note(ms(1), ms(30), at(0));
+    assert_eq!(quick.factor(at(0)), 1.0);
+}
+
 #[test]
 fn a_prompt_part_counts_as_kept_only_after_all_parts_before_it() {
     let part = |id, tokens| Part { id, tokens };
@@ -155,8 +174,10 @@
     let part = demand.tight / demand.rate;
     assert!((0.45..0.55).contains(&part), "{demand:?}");
     assert!(meter.now(at(400_000)).is_empty());
+    // Twice as slow as the settings say: predictions follow.
     for _ in 0..100 {
-        meter.observe(which.clone(), ms(100), ms(200));
+        let predicted = ms(100).mul_f64(meter.pace(&which));
+        meter.observe(which.clone(), predicted, ms(200));
     }
     assert!((1.9..2.1).contains(&meter.pace(&which)));
 }
