Refuse at once who surely gets no first event before its caller leaves

Change: `edge/admission`: the first event must come before the caller leaves (longest of 2 s, four objectives, eight pauses). A request whose predicted time, taken at 0.4 as predictions miss upward, is above that, or whose load cannot end by then, is refused at once; it may come back when its objective can be met, as far as callers heed that (a third of their time). A caller that leaves early is logged with what was left.

What is left of those waits is loads whose end a daemon does not know: behind others, or while nobody gives orders.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -16,6 +16,7 @@
 use super::send::{Answered, Sent, WHOLE_BYTES, send};
 use super::{Counted, Job, Limit};
 use crate::clock::Moment;
+use crate::edge::admission::Outlook;
 use crate::edge::clock;
 use crate::edge::desired::Kind as RouteKind;
 use crate::edge::placement::Target;
@@ -297,8 +298,20 @@
             let cause = "this host stops before it could be sent";
             return Err(fail(Kind::Draining, cause, super::ELSEWHERE));
         }
+        let outlook = |first| Outlook {
+            first,
+            until: job.until_first(),
+            left,
+            objective: job.route.objective,
+        };
         let most = match pick(job, &tries.avoid, now) {
-            Pick::Go(choice) => return Ok(choice),
+            Pick::Go(choice) => match outlook(choice.first).overloaded() {
+                None => return Ok(choice),
+                Some(back) => {
+                    let cause = "no engine has time for it";
+                    return Err(fail(Kind::DeadlineUnreachable, cause, back));
+                }
+            },
             Pick::Unknown => return Err(fail(Kind::UnknownModel, "unknown model", FULL_RETRY)),
             Pick::NoEngine => {
                 let waited = now.saturating_sub(since);
@@ -319,9 +332,10 @@
                     wanting = Some((target, want));
                 }
                 let waited = now.saturating_sub(since);
-                if least.saturating_sub(waited) >= left {
+                let outlook = outlook(least.saturating_sub(waited));
+                if let Some(back) = outlook.unloaded() {
                     let cause = "the model cannot be loaded in time";
-                    return Err(fail(Kind::DeadlineUnreachable, cause, least - waited));
+                    return Err(fail(Kind::DeadlineUnreachable, cause, back));
                 }
                 left
             }
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -18,6 +18,7 @@
 
 use self::attempt::Tries;
 use self::reply::{Refusal, Reply};
+use super::admission;
 use super::call::Call;
 use super::clock;
 use super::demand::Which;
@@ -57,6 +58,8 @@
     end: Moment,
     /// End that the caller itself set, or the route.
     limit: Limit,
+    /// Time from its arrival in which its first event must come.
+    patience: Duration,
 }
 
 /// Who ends a request.
@@ -74,6 +77,12 @@
         self.end.saturating_sub(clock::now())
     }
 
+    /// Time in which the first event must come.
+    fn until_first(&self) -> Duration {
+        let patience = self.patience.saturating_sub(self.age());
+        patience.min(self.left())
+    }
+
     fn age(&self) -> Duration {
         clock::now().saturating_sub(self.arrived)
     }
@@ -136,6 +145,27 @@
     }
 }
 
+/// Logs a request whose caller leaves before its answer begins: then the
+/// future that holds this is dropped.
+#[derive(Debug)]
+struct Unanswered(Option<Rc<Job>>);
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        let Some(job) = &self.0 else {
+            return;
+        };
+        let request = &*job.call.id;
+        let route = &*job.route.name;
+        let model = job.call.prompt.as_ref().map_or("", |p| &*p.model);
+        let ms = job.age().as_millis() as u64;
+        let left_ms = job.left().as_millis() as u64;
+        let version = job.desired.version;
+        log::info!(request, route, model, ms, left_ms, version;
+            "request left by its caller before its answer");
+    }
+}
+
 /// Answers a caller's request. Dropping the future, as when the caller leaves,
 /// cancels what is in progress for it.
 pub async fn handle(
@@ -176,7 +206,11 @@
     }
     edge.note_request(&job.service);
     note_demand(&job);
-    Ok(attempt::run(Rc::new(job), counted).await)
+    let mut unanswered = Unanswered(Some(Rc::new(job)));
+    let job = unanswered.0.clone().expect("it was just set");
+    let response = attempt::run(job, counted).await;
+    unanswered.0 = None;
+    Ok(response)
 }
 
 /// Finds the route of a request and what limits it; the error says why it is
@@ -209,6 +243,7 @@
         limit = Limit::Caller;
     }
     let print = suspects::fingerprint(head.uri.path(), &body);
+    let patience = admission::patience(&route);
     Ok(Job {
         edge: edge.clone(),
         head,
@@ -221,6 +256,7 @@
         arrived,
         end: arrived + time,
         limit,
+        patience,
     })
 }
 
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -4,6 +4,7 @@
 //! Everything runs as tasks on one thread. Decisions are pure code in
 //! `routing`, `placement`, `tenure`, `fleet`, `budget` and `suspects`.
 
+pub mod admission;
 pub mod budget;
 pub mod call;
 pub mod client;
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -6,6 +6,7 @@
 mod leaving;
 #[path = "../env/octet.rs"]
 mod octet;
+mod overload;
 mod parts;
 mod placement;
 mod scene;
--- a/tests/edge/way.rs
+++ b/tests/edge/way.rs
@@ -220,6 +220,11 @@
             .iter()
             .any(|e| e.cancelled().contains(&"s1".to_owned()))
     });
+    let left = "request left by its caller before its answer";
+    wait("its line in the log", || {
+        let lines = site.daemon.logged(left);
+        lines.iter().any(|l| l["request"] == "s1")
+    });
 }
 
 #[test]
