--- a/src/decide/window.rs
+++ b/src/decide/window.rs
@@ -62,6 +62,12 @@
         self.ends[nth].saturating_sub(now)
     }
 
+    /// The starts that still count, in order.
+    pub fn starts(&self, now: Moment) -> impl Iterator<Item = Moment> {
+        let current = self.ends.iter().filter(move |end| **end > now);
+        current.map(|end| end.saturating_sub(self.span))
+    }
+
     /// Notes a start.
     pub fn start(&mut self, now: Moment) {
         while self.ends.front().is_some_and(|end| *end <= now) {
--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -3,20 +3,23 @@
 //!
 //! Pattern: overload. A caller that hears at once that it is too late comes back
 //! when the engine is free again; one that waits in vain only leaves, and its
-//! prompt is read for nobody.
+//! prompt is read for nobody. A request that is late anyway does not go ahead of
+//! those that can still be in time: it waits here until its engine has little to
+//! read, or until it must go.
 
 use std::time::Duration;
 
 use super::desired::{Kind, Route};
+use super::placement::Target;
+use super::routing::{Choice, Pick};
+use super::settings::Admission;
+use crate::error::Kind as ErrorKind;
 
 /// Silence after which callers leave a stream: the longest of this, and of so
 /// many objectives and pauses, by the platform's rules for callers.
 const SILENCE: Duration = Duration::from_secs(2);
 const SILENT_OBJECTIVES: u32 = 4;
 const SILENT_GAPS: u32 = 8;
-/// Part of the predicted time that a first event takes at least: the fifth
-/// percentile of what was seen over what was predicted (docs/MEASUREMENTS.md).
-const SURE: f64 = 0.4;
 /// Shortest time to come back after.
 const SOON: Duration = Duration::from_millis(50);
 /// Part of the time left up to which callers heed a time to come back.
@@ -32,30 +35,79 @@
     }
 }
 
-/// What is asked when a request is to be sent or goes on waiting.
+/// What is to be done with a request now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// Send it.
+    Send(Choice),
+    /// Wait for a load of this.
+    Wait(Target),
+    /// Wait for a moment at which an engine has little to do.
+    Hold,
+    /// No engine of its service is known.
+    NoEngine,
+    /// Refuse it.
+    Refuse {
+        /// Kind of the refusal.
+        kind: ErrorKind,
+        /// Cause, for the log.
+        cause: &'static str,
+        /// Time to come back after.
+        back: Duration,
+    },
+}
+
+/// The time that a request has.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Outlook {
-    /// Predicted time to the first event, or to the end of a load.
-    pub first: Duration,
-    /// Time in which the first event must come.
+pub struct Time {
+    /// Since it began to look for an engine.
+    pub waited: Duration,
+    /// In which the first event must come.
     pub until: Duration,
-    /// Time left for the whole answer.
+    /// For the whole answer.
     pub left: Duration,
+    /// Until its objective.
+    pub early: Duration,
     /// The route's objective.
     pub objective: Duration,
 }
 
-impl Outlook {
-    /// The time to come back after where an engine surely has no time for the
-    /// request; `None` where it may.
-    pub fn overloaded(&self) -> Option<Duration> {
-        let sure = self.first.mul_f64(SURE);
-        (sure >= self.until).then(|| self.back(self.first))
+impl Time {
+    /// Judges what was picked for a request.
+    pub fn judge(&self, pick: Pick, limits: &Admission) -> Verdict {
+        let refuse = |cause, back| Verdict::Refuse {
+            kind: ErrorKind::DeadlineUnreachable,
+            cause,
+            back,
+        };
+        match pick {
+            Pick::NoEngine => Verdict::NoEngine,
+            Pick::Unknown => Verdict::Refuse {
+                kind: ErrorKind::UnknownModel,
+                cause: "unknown model",
+                back: SOON,
+            },
+            Pick::Go(choice) if choice.first.mul_f64(limits.sure_part) >= self.until => {
+                refuse("no engine has time for it", self.back(choice.first))
+            }
+            Pick::Go(choice) if self.yields(&choice, limits) => Verdict::Hold,
+            Pick::Go(choice) => Verdict::Send(choice),
+            Pick::NotHeld { target, least } => {
+                let load = least.saturating_sub(self.waited);
+                match load >= self.until {
+                    true => refuse("the model cannot be loaded in time", self.back(load)),
+                    false => Verdict::Wait(target),
+                }
+            }
+        }
     }
 
-    /// The same where a model cannot be loaded in time.
-    pub fn unloaded(&self) -> Option<Duration> {
-        (self.first >= self.until).then(|| self.back(self.first))
+    /// Whether a request makes way for those that can be in time.
+    fn yields(&self, choice: &Choice, limits: &Admission) -> bool {
+        let late = choice.first > self.early;
+        let reserve = Duration::from_millis(limits.reserve_ms);
+        let presses = choice.first + reserve >= self.until;
+        late && choice.ahead > Duration::from_millis(limits.slack_ms) && !presses
     }
 
     /// When a later try meets its objective, as far as callers wait for that.
--- a/src/edge/duty/mod.rs
+++ b/src/edge/duty/mod.rs
@@ -9,12 +9,13 @@
 
 use tokio::net::UdpSocket;
 
-use self::tell::{Teller, take_notes};
+pub use self::tell::Teller;
+use self::tell::take_notes;
 use super::client::{SendError, Times};
 use super::clock;
 use super::orders::{Order, Outcome, Report};
 use super::peers;
-use super::placement::{Act, Scene};
+use super::placement::Act;
 use super::state::Edge;
 use crate::platform::orders;
 
@@ -37,7 +38,7 @@
     let mut teller = Teller::default();
     loop {
         let busy = round(&edge);
-        let notes = teller.notes(&edge);
+        let notes = teller.notes(&edge.state.borrow(), clock::now());
         if !notes.is_empty() {
             take_notes(&edge, &notes);
             peers::tell(&edge, &socket, notes).await;
@@ -67,20 +68,9 @@
     if !tenure.may_order(peers, fences, now) || state.desired.version == 0 {
         return false;
     }
-    let wants = state.all_wants(now);
-    let demand = state.all_demand(now);
-    let Some(placer) = &mut state.placer else {
+    let Some((acts, busy)) = state.decide(now) else {
         return false;
     };
-    let scene = Scene {
-        fleet: &state.fleet,
-        desired: &state.desired,
-        wants: &wants,
-        demand: &demand,
-        now,
-    };
-    let acts = placer.step(&scene);
-    let busy = placer.busy(now) || !wants.is_empty();
     if acts.iter().any(|act| matches!(act, Act::Order(_)))
         && let Some(tenure) = &mut state.tenure
     {
@@ -133,15 +123,7 @@
         log::warn!(fence; "orders lost: an engine knows a higher fencing number");
         return;
     }
-    let (wants, demand) = Default::default();
-    let scene = Scene {
-        fleet: &state.fleet,
-        desired: &state.desired,
-        wants: &wants,
-        demand: &demand,
-        now,
-    };
-    placer.answered(&scene, &order, outcome);
+    placer.answered(&order, outcome, now);
 }
 
 /// Asks one engine for its report.
--- a/src/edge/duty/tell.rs
+++ b/src/edge/duty/tell.rs
@@ -8,7 +8,7 @@
 use crate::edge::clock;
 use crate::edge::gossip::ToldNote;
 use crate::edge::peers;
-use crate::edge::state::Edge;
+use crate::edge::state::{Edge, State};
 
 /// Period at which all daemons are told again what engines hold.
 const RETELL: Duration = Duration::from_millis(1_000);
@@ -29,7 +29,7 @@
 
 /// Remembers what the other daemons were told.
 #[derive(Debug, Default)]
-pub(super) struct Teller {
+pub struct Teller {
     fence: u64,
     turn: u64,
     last: BTreeMap<Arc<str>, Vec<String>>,
@@ -38,9 +38,7 @@
 
 impl Teller {
     /// What has changed since, or everything when that is due.
-    pub(super) fn notes(&mut self, edge: &Edge) -> Vec<ToldNote> {
-        let now = clock::now();
-        let state = edge.state.borrow();
+    pub fn notes(&mut self, state: &State, now: Moment) -> Vec<ToldNote> {
         let Some(placer) = &state.placer else {
             return Vec::new();
         };
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -269,6 +269,8 @@
 pub struct Fleet {
     /// Engines by id.
     pub engines: BTreeMap<Arc<str>, Upstream>,
+    /// Engines at which other daemons have something in progress, by daemon.
+    loaded: HashMap<Arc<str>, Vec<Arc<str>>>,
 }
 
 impl Fleet {
@@ -376,14 +378,20 @@
 
     /// Takes in what another daemon has in progress at an engine.
     pub fn other_load(&mut self, host: &Arc<str>, loads: Vec<(Arc<str>, Load)>, now: Moment) {
-        for engine in self.engines.values_mut() {
-            engine.others.remove(host);
+        let before = self.loaded.remove(host).unwrap_or_default();
+        for id in before {
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.others.remove(host);
+            }
         }
+        let mut at = Vec::with_capacity(loads.len());
         for (id, load) in loads {
             if let Some(engine) = self.engines.get_mut(&id) {
                 engine.others.insert(host.clone(), (now, load));
+                at.push(id);
             }
         }
+        self.loaded.insert(host.clone(), at);
     }
 
     /// Takes in what another daemon has sent to an engine; its next word about
@@ -393,6 +401,10 @@
             return;
         };
         engine.note_sent(sent, None, now);
+        if !engine.others.contains_key(host) {
+            let at = self.loaded.entry(host.clone()).or_default();
+            at.push(sent.engine.clone());
+        }
         let (at, load) = engine.others.entry(host.clone()).or_default();
         *at = now;
         load.running += 1;
--- a/src/edge/flight.rs
+++ b/src/edge/flight.rs
@@ -5,9 +5,8 @@
 
 use super::call::Prompt;
 use super::clock;
-use super::fleet::Sent;
 use super::routing::Choice;
-use super::state::Edge;
+use super::state::{Edge, Passage};
 
 /// A request in progress at an engine; dropping it ends that.
 #[derive(Debug)]
@@ -15,62 +14,29 @@
     edge: Rc<Edge>,
     /// Id of the engine.
     pub engine: Arc<str>,
-    born: u64,
-    serial: u64,
-    target: Option<Arc<str>>,
+    passage: Passage,
 }
 
 impl Flight {
     /// Begins a request at an engine; those with a prompt are told to the other
     /// daemons.
     pub fn begin(edge: &Rc<Edge>, choice: &Choice, prompt: Option<&Prompt>) -> Self {
-        let now = clock::now();
-        let engine = &choice.engine;
-        let mut guard = edge.state.borrow_mut();
-        let state = &mut *guard;
-        state.serial += 1;
-        let serial = state.serial;
-        let target = prompt.map(Prompt::target);
-        let mut born = 0;
-        if let Some(upstream) = state.fleet.engines.get_mut(engine) {
-            born = upstream.entry.born;
-            upstream.own.running += 1;
-            upstream.breaker.sent(now);
-            if let Some(target) = &target {
-                *upstream.own.targets.entry(target.clone()).or_default() += 1;
-            }
-            if let (Some(prompt), Some(target)) = (prompt, &target) {
-                let chains = prompt.chains();
-                let sent = Sent {
-                    engine: engine.clone(),
-                    target: target.clone(),
-                    work: choice.work,
-                    fresh: choice.fresh,
-                    chains: chains.into_iter().map(|(key, _)| key).collect(),
-                };
-                upstream.note_sent(&sent, Some(serial), now);
-                state.sent.push(sent);
-                edge.urgent.notify_one();
-            }
+        let mut state = edge.state.borrow_mut();
+        let passage = state.begin(choice, prompt, clock::now());
+        if !state.sent.is_empty() {
+            edge.urgent.notify_one();
         }
-        drop(guard);
         Flight {
             edge: edge.clone(),
-            engine: engine.clone(),
-            born,
-            serial,
-            target,
+            engine: choice.engine.clone(),
+            passage,
         }
     }
 
     /// Notes that the prompt was read.
     pub fn prompt_done(&self) {
         let mut state = self.edge.state.borrow_mut();
-        if let Some(upstream) = state.fleet.engines.get_mut(&self.engine)
-            && upstream.entry.born == self.born
-        {
-            upstream.queue.read(self.serial, clock::now());
-        }
+        state.prompt_read(&self.passage, clock::now());
     }
 
     /// Notes that the engine took no connection.
@@ -108,23 +74,6 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        let mut state = self.edge.state.borrow_mut();
-        let Some(upstream) = state.fleet.engines.get_mut(&self.engine) else {
-            return;
-        };
-        if upstream.entry.born != self.born {
-            return;
-        }
-        upstream.queue.remove(self.serial);
-        upstream.own.running = upstream.own.running.saturating_sub(1);
-        let Some(target) = &self.target else {
-            return;
-        };
-        if let Some(count) = upstream.own.targets.get_mut(target) {
-            *count -= 1;
-            if *count == 0 {
-                upstream.own.targets.remove(target);
-            }
-        }
+        self.edge.state.borrow_mut().ended(&self.passage);
     }
 }
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -16,7 +16,7 @@
 use super::send::{Answered, Sent, WHOLE_BYTES, send};
 use super::{Counted, Job, Limit};
 use crate::clock::Moment;
-use crate::edge::admission::Outlook;
+use crate::edge::admission::{Time, Verdict};
 use crate::edge::clock;
 use crate::edge::desired::Kind as RouteKind;
 use crate::edge::placement::Target;
@@ -41,6 +41,9 @@
 /// Period at which a waiting request looks again without a change, as what is
 /// believed expires.
 const LOOK: Duration = Duration::from_millis(100);
+/// Period at which a request looks again that waits for an engine with less to
+/// read: a few steps of a batch.
+const HOLD: Duration = Duration::from_millis(20);
 /// Objectives after which a silent engine loses a short request.
 const SILENT_OBJECTIVES: u32 = 2;
 /// Cause of another sending after an engine fell silent; it may still run.
@@ -267,6 +270,7 @@
     let mut changes = job.edge.changed.subscribe();
     let mut wanting: Option<(Target, Wanting)> = None;
     let since = clock::now();
+    let mut held = false;
     loop {
         changes.borrow_and_update();
         let now = clock::now();
@@ -298,30 +302,34 @@
             let cause = "this host stops before it could be sent";
             return Err(fail(Kind::Draining, cause, super::ELSEWHERE));
         }
-        let outlook = |first| Outlook {
-            first,
+        let time = Time {
+            waited: now.saturating_sub(since),
             until: job.until_first(),
             left,
+            early: job.early(),
             objective: job.route.objective,
         };
-        let most = match pick(job, &tries.avoid, now) {
-            Pick::Go(choice) => match outlook(choice.first).overloaded() {
-                None => return Ok(choice),
-                Some(back) => {
-                    let cause = "no engine has time for it";
-                    return Err(fail(Kind::DeadlineUnreachable, cause, back));
+        let limits = job.edge.settings().admission;
+        let most = match time.judge(pick(job, &tries.avoid, now), &limits) {
+            Verdict::Send(choice) => return Ok(choice),
+            Verdict::Refuse { kind, cause, back } => return Err(fail(kind, cause, back)),
+            Verdict::Hold => {
+                if !held {
+                    held = true;
+                    let request = &*job.call.id;
+                    let left_ms = time.until.as_millis() as u64;
+                    log::info!(request, left_ms; "request waits for an engine with less to read");
                 }
-            },
-            Pick::Unknown => return Err(fail(Kind::UnknownModel, "unknown model", FULL_RETRY)),
-            Pick::NoEngine => {
-                let waited = now.saturating_sub(since);
-                let Some(most) = NO_ENGINE_WAIT.checked_sub(waited) else {
+                HOLD
+            }
+            Verdict::NoEngine => {
+                let Some(most) = NO_ENGINE_WAIT.checked_sub(time.waited) else {
                     let cause = "no engine of the service is known";
                     return Err(fail(Kind::NoCapacity, cause, FULL_RETRY));
                 };
                 most
             }
-            Pick::NotHeld { target, least } => {
+            Verdict::Wait(target) => {
                 if wanting.as_ref().is_none_or(|(t, _)| *t != target) {
                     let priority = job.route.priority;
                     let want = job.edge.want(target.clone(), priority);
@@ -331,12 +339,6 @@
                     log::info!(request, model, adapter; "request waits for a load");
                     wanting = Some((target, want));
                 }
-                let waited = now.saturating_sub(since);
-                let outlook = outlook(least.saturating_sub(waited));
-                if let Some(back) = outlook.unloaded() {
-                    let cause = "the model cannot be loaded in time";
-                    return Err(fail(Kind::DeadlineUnreachable, cause, back));
-                }
                 left
             }
         };
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -83,6 +83,14 @@
         patience.min(self.left())
     }
 
+    /// Time until its objective; plain requests have all their time.
+    fn early(&self) -> Duration {
+        match self.route.kind {
+            RouteKind::Stream => self.route.objective.saturating_sub(self.age()),
+            RouteKind::Idempotent | RouteKind::Once => self.left(),
+        }
+    }
+
     fn age(&self) -> Duration {
         clock::now().saturating_sub(self.arrived)
     }
@@ -316,10 +324,7 @@
         model: prompt.model.clone(),
     };
     let mut state = job.edge.state.borrow_mut();
-    state.meter.observe(which, predicted, seen);
-    if let Some(upstream) = state.fleet.engines.get_mut(engine) {
-        upstream.pace.note(predicted, seen, clock::now());
-    }
+    state.first_event(which, engine, (predicted, seen), clock::now());
 }
 
 /// Engine time of one token of an answer in a well-filled batch.
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -1,6 +1,5 @@
 //! One sending of a request to an engine, up to the head of its answer.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -75,8 +74,8 @@
         Ok(exchange) => exchange,
         Err(SendError::Unreached(cause)) => {
             flight.unreached();
-            if let Some((target, name)) = target_of(job) {
-                job.edge.lacks(&choice.engine, &target, &name);
+            if let Some(target) = target_of(job) {
+                job.edge.lacks(&choice.engine, &target);
             }
             return Sent::Unreached(cause);
         }
@@ -140,20 +139,19 @@
     if status != StatusCode::MISDIRECTED_REQUEST {
         return;
     }
-    if let Some((target, name)) = target_of(job) {
-        job.edge.lacks(&choice.engine, &target, &name);
+    if let Some(target) = target_of(job) {
+        job.edge.lacks(&choice.engine, &target);
     }
 }
 
-/// What must be loaded for a request, and its name.
-fn target_of(job: &Job) -> Option<(Target, Arc<str>)> {
+/// What must be loaded for a request.
+fn target_of(job: &Job) -> Option<Target> {
     let prompt = job.call.prompt.as_ref()?;
-    let target = Target {
+    Some(Target {
         service: job.service.clone(),
         model: prompt.model.clone(),
         adapter: prompt.adapter.clone(),
-    };
-    Some((target, prompt.target()))
+    })
 }
 
 /// Reads the rest of a short answer so that its connection can be kept.
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -17,7 +17,7 @@
     ToldNote, WantNote,
 };
 use super::members::{self, BEAT};
-use super::placement::{Placer, Target, Want};
+use super::placement::{Target, Want};
 use super::state::{Edge, State};
 use super::tenure::Tenure;
 use crate::clock::Moment;
@@ -76,20 +76,7 @@
 fn fill(edge: &Edge, packet: &mut Packet, beat: bool, now: Moment) -> Vec<SocketAddr> {
     let mut state = edge.state.borrow_mut();
     let state = &mut *state;
-    for (print, engine) in state.strikes.drain(..) {
-        let engine = engine.to_string();
-        packet.strikes.push(StrikeNote { print, engine });
-    }
-    for sent in state.sent.drain(..) {
-        packet.sent.push(SentNote {
-            engine: sent.engine.to_string(),
-            target: sent.target.to_string(),
-            work_ms: sent.work.as_millis() as u32,
-            fresh: sent.fresh,
-            chains: sent.chains,
-        });
-    }
-    packet.wants = wants(state);
+    urgent(state, packet);
     if beat {
         packet.beat = Some(whole(edge, state, now));
     }
@@ -109,17 +96,31 @@
     }
 }
 
+/// Fills a packet with what others should know at once.
+pub fn urgent(state: &mut State, packet: &mut Packet) {
+    for (print, engine) in state.strikes.drain(..) {
+        let engine = engine.to_string();
+        packet.strikes.push(StrikeNote { print, engine });
+    }
+    for sent in state.sent.drain(..) {
+        packet.sent.push(SentNote {
+            engine: sent.engine.to_string(),
+            target: sent.target.to_string(),
+            work_ms: sent.work.as_millis() as u32,
+            fresh: sent.fresh,
+            chains: sent.chains,
+        });
+    }
+    packet.wants = wants(state);
+}
+
 fn wants(state: &mut State) -> Vec<WantNote> {
     let mut notes = Vec::new();
     for (target, own) in &mut state.wants {
         let want = &own.want;
-        let name = match &target.adapter {
-            Some(adapter) => format!("{}/{adapter}", target.model),
-            None => target.model.to_string(),
-        };
         notes.push(WantNote {
             service: target.service.to_string(),
-            target: name,
+            target: target.name().to_string(),
             waiting: want.waiting,
             priority: u32::from(want.priority),
             absent: match own.told {
@@ -145,7 +146,7 @@
         wait_ms: millis(tenure.from.saturating_sub(now)),
         loads: Vec::new(),
     };
-    let loads = state.placer.as_ref().map(Placer::remote_starts);
+    let loads = state.placer.as_ref().map(|p| p.remote_starts(now));
     for (service, at) in loads.unwrap_or_default() {
         note.loads.push(LoadStart {
             service: service.to_string(),
@@ -197,6 +198,12 @@
         tenure: tenure(edge, state, now),
         ..Beat::default()
     };
+    work(state, &mut beat, now);
+    beat
+}
+
+/// Fills a beat with what this daemon has in progress and is asked for.
+pub fn work(state: &mut State, beat: &mut Beat, now: Moment) {
     for (id, engine) in &state.fleet.engines {
         if engine.own.running == 0 {
             continue;
@@ -223,7 +230,6 @@
             tight: demand.tight as f32,
         });
     }
-    beat
 }
 
 /// Tells all daemons what engines hold, in as few datagrams as fit.
@@ -312,40 +318,58 @@
         if let Some(note) = &beat.tenure {
             take_tenure(edge, state, &host, note, now);
         }
-        let loads = beat.loads.iter().map(load).collect();
-        state.fleet.other_load(&host, loads, now);
-        let other = state.others.entry(host.clone()).or_default();
-        other.demand_at = now;
-        other.demand = beat.demand.iter().map(demand).collect();
     }
     let holding = state.tenure.is_some();
-    let mut concerns = false;
-    if packet.beat.is_some() || !packet.wants.is_empty() {
-        let other = state.others.entry(host.clone()).or_default();
-        other.wants_at = now;
-        other.wants = packet.wants.iter().map(want).collect();
-        concerns = holding && !other.wants.is_empty();
-    }
-    for note in &packet.sent {
-        state.fleet.other_sent(&host, &sent(note), now);
-    }
-    for note in &packet.strikes {
-        let engine = note.engine.as_str().into();
-        state.suspects.strike(note.print, &engine, now);
-    }
-    let mut changed = false;
-    for note in &packet.told {
-        changed |= state.fleet.tell(&note.engine, told(note, now));
-    }
+    let heard = state.take(&host, &packet, now);
     drop(guard);
-    if changed {
+    if heard.changed {
         edge.notify();
     }
-    if concerns {
+    if heard.wanted && holding {
         edge.duty.notify_one();
     }
 }
 
+/// What a packet brought.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Heard {
+    /// What engines hold has changed.
+    pub changed: bool,
+    /// Requests wait for a load.
+    pub wanted: bool,
+}
+
+impl State {
+    /// Takes in another daemon's word about engines, loads, demand and wants.
+    pub fn take(&mut self, host: &Arc<str>, packet: &Packet, now: Moment) -> Heard {
+        let mut heard = Heard::default();
+        if let Some(beat) = &packet.beat {
+            let loads = beat.loads.iter().map(load).collect();
+            self.fleet.other_load(host, loads, now);
+            let other = self.others.entry(host.clone()).or_default();
+            other.demand_at = now;
+            other.demand = beat.demand.iter().map(demand).collect();
+        }
+        if packet.beat.is_some() || !packet.wants.is_empty() {
+            let other = self.others.entry(host.clone()).or_default();
+            other.wants_at = now;
+            other.wants = packet.wants.iter().map(want).collect();
+            heard.wanted = !other.wants.is_empty();
+        }
+        for note in &packet.sent {
+            self.fleet.other_sent(host, &sent(note), now);
+        }
+        for note in &packet.strikes {
+            let engine = note.engine.as_str().into();
+            self.suspects.strike(note.print, &engine, now);
+        }
+        for note in &packet.told {
+            heard.changed |= self.fleet.tell(&note.engine, told(note, now));
+        }
+        heard
+    }
+}
+
 fn load(note: &LoadNote) -> (Arc<str>, Load) {
     let targets = note.targets.iter();
     let load = Load {
--- a/src/edge/placement/book.rs
+++ b/src/edge/placement/book.rs
@@ -54,8 +54,6 @@
     Loading {
         /// When.
         since: Moment,
-        /// How long it should take.
-        expected: Duration,
     },
 }
 
@@ -70,6 +68,8 @@
     pub stage: Stage,
     /// The load comes from the weight store.
     pub remote: bool,
+    /// How long the load should take.
+    pub time: Duration,
     /// When it was planned.
     pub planned: Moment,
 }
@@ -260,7 +260,7 @@
             return Duration::ZERO;
         };
         match task.stage {
-            Stage::Loading { since, expected } => (since + expected).saturating_sub(now),
+            Stage::Loading { since } => (since + task.time).saturating_sub(now),
             Stage::Withdrawing { .. } | Stage::Ready => TASK_TIME,
         }
     }
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -66,6 +66,16 @@
     pub adapter: Option<Arc<str>>,
 }
 
+impl Target {
+    /// `model` or `model/adapter`.
+    pub fn name(&self) -> Arc<str> {
+        match &self.adapter {
+            Some(adapter) => format!("{}/{adapter}", self.model).into(),
+            None => self.model.clone(),
+        }
+    }
+}
+
 /// What is known when decisions are made.
 #[derive(Debug)]
 pub struct Scene<'a> {
@@ -124,17 +134,11 @@
     span: f64,
     /// Loads before the tenure.
     past: Past,
-    /// Loads from the weight store in the window, by service.
-    starts: Vec<(Arc<str>, Moment)>,
 }
 
 impl Placer {
     /// Decisions of a new tenure.
     pub fn new(authority: Authority, settings: &Settings, past: Past) -> Self {
-        let starts = match &past {
-            Past::Known(starts) => starts.clone(),
-            Past::None | Past::Until(_) => Vec::new(),
-        };
         Placer {
             books: BTreeMap::new(),
             authority,
@@ -143,7 +147,6 @@
             windows: HashMap::new(),
             span: settings.bounds.ceiling_window_s,
             past,
-            starts,
         }
     }
 
@@ -195,8 +198,7 @@
     }
 
     /// Takes in what became of an order.
-    pub fn answered(&mut self, scene: &Scene<'_>, order: &Order, outcome: Outcome) {
-        let now = scene.now;
+    pub fn answered(&mut self, order: &Order, outcome: Outcome, now: Moment) {
         let Some(book) = self.books.get_mut(&order.engine) else {
             return;
         };
@@ -209,7 +211,7 @@
                     book.doubt = true;
                 }
                 let adapter_time = Duration::from_millis(self.engines.adapter_ms);
-                carried_out(book, order, scene, adapter_time);
+                carried_out(book, order, adapter_time, now);
             }
             Outcome::Unanswered => book.doubt = true,
             Outcome::Busy => {
@@ -244,12 +246,20 @@
     }
 
     /// Loads from the weight store in the ceiling's window, by service.
-    pub fn remote_starts(&self) -> Vec<(Arc<str>, Moment)> {
-        self.starts.clone()
+    pub fn remote_starts(&self, now: Moment) -> Vec<(Arc<str>, Moment)> {
+        let mut starts = Vec::new();
+        for (service, window) in &self.windows {
+            starts.extend(window.starts(now).map(|at| (service.clone(), at)));
+        }
+        if let Past::Known(past) = &self.past {
+            let unseen = |s: &&(Arc<str>, Moment)| !self.windows.contains_key(&s.0);
+            starts.extend(past.iter().filter(unseen).cloned());
+        }
+        starts
     }
 
     /// The window of a service's loads from the weight store.
-    fn window(&mut self, service: &Arc<str>, hosting: &Hosting, now: Moment) -> &mut Window {
+    fn window(&mut self, service: &Arc<str>, hosting: &Hosting) -> &mut Window {
         let rate = hosting.loads_per_s;
         let count = (rate * self.span).floor().max(1.0) as u32;
         let past = &self.past;
@@ -266,8 +276,6 @@
                 Past::Until(moment) => Window::new(rate, count, *moment),
             });
         window.set(rate, count);
-        let span = Duration::from_secs_f64(self.span);
-        self.starts.retain(|(_, at)| now.saturating_sub(*at) < span);
         window
     }
 
@@ -365,20 +373,19 @@
                 }
                 let (model, remote, expected) = (task.model.clone(), task.remote, book.orders);
                 if remote {
-                    let window = self.window(service, hosting, now);
+                    let window = self.window(service, hosting);
                     if !window.wait(now).is_zero() {
                         return None;
                     }
                     // An order without an answer counts as a load, too.
                     window.start(now);
-                    self.starts.push((service.clone(), now));
                 }
                 let order = order(Verb::Load, &model, None, expected);
                 self.books.get_mut(id)?.calling = true;
                 return Some(Act::Order(order));
             }
-            Stage::Loading { since, expected } => {
-                if now < *since + *expected + LOOK {
+            Stage::Loading { since } => {
+                if now < *since + task.time + LOOK {
                     return None;
                 }
                 Act::Report(id.clone())
@@ -390,8 +397,7 @@
 }
 
 /// Notes that an engine carries out an order.
-fn carried_out(book: &mut Book, order: &Order, scene: &Scene<'_>, adapter_time: Duration) {
-    let now = scene.now;
+fn carried_out(book: &mut Book, order: &Order, adapter_time: Duration, now: Moment) {
     if let Some(name) = &order.adapter {
         let Some(replica) = book.replicas.get_mut(&order.model) else {
             return;
@@ -411,10 +417,6 @@
     }
     match order.verb {
         Verb::Load => {
-            let engine = scene.fleet.engines.get(&order.engine);
-            let hosting = engine.and_then(|e| scene.desired.hosting(&e.entry.service));
-            let spec = hosting.and_then(|h| h.models.get(&order.model));
-            let expected = spec.map_or(Duration::ZERO, |s| book.load_time(&order.model, s).0);
             let replica = Replica {
                 ready: false,
                 since: now,
@@ -423,10 +425,7 @@
             book.replicas.insert(order.model.clone(), replica);
             book.freeing = None;
             if let Some(task) = &mut book.task {
-                task.stage = Stage::Loading {
-                    since: now,
-                    expected,
-                };
+                task.stage = Stage::Loading { since: now };
             }
         }
         Verb::Unload => {
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -209,6 +209,7 @@
                     engine,
                     victims,
                     remote,
+                    time,
                 });
             }
         }
@@ -217,6 +218,7 @@
             engine: id,
             victims,
             remote,
+            time,
         }) = best
         else {
             return;
@@ -237,6 +239,7 @@
             victims,
             stage: Stage::Ready,
             remote,
+            time,
             planned: scene.now,
         });
         book.advance(scene.now);
@@ -351,6 +354,8 @@
     victims: Vec<Arc<str>>,
     /// The load comes from the weight store.
     remote: bool,
+    /// How long the load should take.
+    time: Duration,
 }
 
 /// Why a load is planned.
--- a/src/edge/routing/mod.rs
+++ b/src/edge/routing/mod.rs
@@ -28,10 +28,6 @@
 /// Time that a stream holds a slot.
 const STREAM_SERVICE: Duration = Duration::from_millis(2_000);
 
-/// Steps until a first event beside the reading: half of the one under way, and
-/// the one that makes it.
-const STEPS: f64 = 1.5;
-
 /// What is known when a request is routed.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
@@ -75,6 +71,8 @@
     pub work: Duration,
     /// Tokens that the engine has to read.
     pub fresh: u32,
+    /// Prompt work ahead of it.
+    pub ahead: Duration,
     /// Predicted time to the first event.
     pub first: Duration,
 }
@@ -168,7 +166,7 @@
     let hosting = view.desired.hosting(asked.service);
     let memory = hosting.map_or(0, |h| h.cache_tokens);
     let step = match asked.prompt {
-        Some(_) => Duration::from_secs_f64(view.engines.step_ms * STEPS / 1_000.0),
+        Some(_) => first_steps(view.engines),
         None => Duration::ZERO,
     };
     let mut reads = Vec::with_capacity(pool.len());
@@ -204,6 +202,7 @@
         addr: engine.entry.addr,
         work,
         fresh,
+        ahead: candidates[at].backlog,
         first: candidates[at].first(),
     })
 }
@@ -213,6 +212,15 @@
     Duration::from_secs_f64(f64::from(tokens) / engines.prefill_per_ms / 1_000.0)
 }
 
+/// Steps until a first event beside the reading: half of the one under way, and
+/// the one that makes it.
+const STEPS: f64 = 1.5;
+
+/// Time of the steps until a first event.
+fn first_steps(engines: &Engines) -> Duration {
+    Duration::from_secs_f64(engines.step_ms * STEPS / 1_000.0)
+}
+
 /// Key of the last chain that other requests share: all but the own part.
 fn shared(chains: &[(u64, u32)]) -> Option<u64> {
     let at = chains.len().checked_sub(2)?;
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -46,6 +46,8 @@
     pub engines: Engines,
     /// Weights of the decisions on what engines hold.
     pub placement: Placement,
+    /// Limits of the decisions on who is sent, waits or is refused.
+    pub admission: Admission,
     /// Form and level of logs.
     pub log: Log,
 }
@@ -61,6 +63,7 @@
             bounds: Bounds::default(),
             engines: Engines::default(),
             placement: Placement::default(),
+            admission: Admission::default(),
             log: Log {
                 form: Form::Json,
                 ..Log::default()
@@ -233,6 +236,31 @@
     }
 }
 
+/// Limits of the decisions on who is sent, waits or is refused; chosen by
+/// simulated days of overload (docs/MEASUREMENTS.md).
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Admission {
+    /// Part of the predicted time that a first event takes at least.
+    pub sure_part: f64,
+    /// Prompt work ahead at an engine up to which a request is sent that is
+    /// late anyway, ms.
+    pub slack_ms: u64,
+    /// Time over the predicted one at which a request that waits for such a
+    /// moment is sent all the same, ms.
+    pub reserve_ms: u64,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Admission {
+            sure_part: 0.4,
+            slack_ms: 150,
+            reserve_ms: 500,
+        }
+    }
+}
+
 /// Reads and validates the settings file at `path`.
 pub fn load(path: &Path) -> Result<Settings, SettingsError> {
     parse(&text(path)?)
@@ -255,7 +283,15 @@
 
 /// Every field of the wrong type or of an unknown name.
 fn misread(value: &Value) -> Vec<Reason> {
-    const SECTIONS: [&str; 6] = ["listen", "store", "bounds", "engines", "placement", "log"];
+    const SECTIONS: [&str; 7] = [
+        "listen",
+        "store",
+        "bounds",
+        "engines",
+        "placement",
+        "admission",
+        "log",
+    ];
     let mut reasons = Vec::new();
     fields::<Settings>("", value, &SECTIONS, &mut reasons);
     for name in SECTIONS {
@@ -268,6 +304,7 @@
             "store" => fields::<Store>(&path, section, &[], &mut reasons),
             "bounds" => fields::<Bounds>(&path, section, &[], &mut reasons),
             "placement" => fields::<Placement>(&path, section, &[], &mut reasons),
+            "admission" => fields::<Admission>(&path, section, &[], &mut reasons),
             "engines" => fields::<Engines>(&path, section, &[], &mut reasons),
             _ => fields::<Log>(&path, section, &[], &mut reasons),
         }
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -9,14 +9,16 @@
 use tokio::sync::{Notify, watch};
 
 use super::budget::{self, Budget};
+use super::call::Prompt;
 use super::client::Client;
 use super::clock;
 use super::demand::{Demand, Meter, Which};
 use super::desired::Desired;
-use super::fleet::{Fleet, Sent};
+use super::fleet::{Fleet, Sent, Upstream};
 use super::leaving::Leaving;
 use super::members::Members;
-use super::placement::{Placer, Target, Want};
+use super::placement::{Act, Placer, Scene, Target, Want};
+use super::routing::Choice;
 use super::settings::Settings;
 use super::store::Store;
 use super::suspects::Suspects;
@@ -108,6 +110,19 @@
     pub requests: usize,
 }
 
+/// A request at an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Passage {
+    /// Id of the engine.
+    pub engine: Arc<str>,
+    /// Lifetime of the engine; 0 when it is not known.
+    born: u64,
+    /// Number of the request at this daemon.
+    serial: u64,
+    /// Model or `model/adapter`.
+    target: Option<Arc<str>>,
+}
+
 /// Requests that wait here.
 #[derive(Clone, Debug, Default)]
 pub struct OwnWant {
@@ -183,17 +198,10 @@
 
     /// Registers a request that waits for `target`.
     pub fn want(self: &Rc<Self>, target: Target, priority: u8) -> Wanting {
-        let now = clock::now();
-        let mut state = self.state.borrow_mut();
-        let own = state.wants.entry(target.clone()).or_default();
-        let first = own.want.waiting == 0;
-        own.want.priority = match first {
-            true => priority,
-            false => own.want.priority.min(priority),
-        };
-        own.want.waiting += 1;
-        own.at = now;
-        drop(state);
+        let first = self
+            .state
+            .borrow_mut()
+            .want(&target, priority, clock::now());
         if first {
             self.urgent.notify_one();
             self.duty.notify_one();
@@ -218,17 +226,8 @@
     }
 
     /// Notes that an engine said it lacks `target`.
-    pub fn lacks(&self, engine: &str, target: &Target, name: &Arc<str>) {
-        let now = clock::now();
-        let mut state = self.state.borrow_mut();
-        if let Some(upstream) = state.fleet.engines.get_mut(engine) {
-            upstream.absent.insert(name.clone(), now);
-        }
-        let own = state.wants.entry(target.clone()).or_default();
-        own.want.absent = Some(engine.into());
-        own.at = now;
-        own.told = false;
-        drop(state);
+    pub fn lacks(&self, engine: &str, target: &Target) {
+        self.state.borrow_mut().lacks(engine, target, clock::now());
         self.urgent.notify_one();
         self.duty.notify_one();
     }
@@ -251,6 +250,133 @@
         self.tenure = None;
     }
 
+    /// Registers a request that waits for `target`; true when it is the first.
+    pub fn want(&mut self, target: &Target, priority: u8, now: Moment) -> bool {
+        let own = self.wants.entry(target.clone()).or_default();
+        let first = own.want.waiting == 0;
+        own.want.priority = match first {
+            true => priority,
+            false => own.want.priority.min(priority),
+        };
+        own.want.waiting += 1;
+        own.at = now;
+        first
+    }
+
+    /// Withdraws a request that waited for `target`.
+    pub fn unwant(&mut self, target: &Target, now: Moment) {
+        if let Some(own) = self.wants.get_mut(target) {
+            own.want.waiting = own.want.waiting.saturating_sub(1);
+            own.at = now;
+        }
+    }
+
+    /// Notes that an engine said it lacks `target`.
+    pub fn lacks(&mut self, engine: &str, target: &Target, now: Moment) {
+        if let Some(upstream) = self.fleet.engines.get_mut(engine) {
+            upstream.absent.insert(target.name(), now);
+        }
+        let own = self.wants.entry(target.clone()).or_default();
+        own.want.absent = Some(engine.into());
+        own.at = now;
+        own.told = false;
+    }
+
+    /// Notes a request that goes to an engine.
+    pub fn begin(&mut self, choice: &Choice, prompt: Option<&Prompt>, now: Moment) -> Passage {
+        self.serial += 1;
+        let mut passage = Passage {
+            engine: choice.engine.clone(),
+            born: 0,
+            serial: self.serial,
+            target: prompt.map(Prompt::target),
+        };
+        let Some(upstream) = self.fleet.engines.get_mut(&choice.engine) else {
+            return passage;
+        };
+        passage.born = upstream.entry.born;
+        upstream.own.running += 1;
+        upstream.breaker.sent(now);
+        let (Some(prompt), Some(target)) = (prompt, &passage.target) else {
+            return passage;
+        };
+        *upstream.own.targets.entry(target.clone()).or_default() += 1;
+        let chains = prompt.chains();
+        let sent = Sent {
+            engine: choice.engine.clone(),
+            target: target.clone(),
+            work: choice.work,
+            fresh: choice.fresh,
+            chains: chains.into_iter().map(|(key, _)| key).collect(),
+        };
+        upstream.note_sent(&sent, Some(passage.serial), now);
+        self.sent.push(sent);
+        passage
+    }
+
+    /// The engine that a request is at, unless it has started anew.
+    fn at(&mut self, passage: &Passage) -> Option<&mut Upstream> {
+        let upstream = self.fleet.engines.get_mut(&passage.engine);
+        upstream.filter(|u| u.entry.born == passage.born)
+    }
+
+    /// Notes that an engine has read a request's prompt.
+    pub fn prompt_read(&mut self, passage: &Passage, now: Moment) {
+        if let Some(upstream) = self.at(passage) {
+            upstream.queue.read(passage.serial, now);
+        }
+    }
+
+    /// Notes that a request has left its engine.
+    pub fn ended(&mut self, passage: &Passage) {
+        let Some(upstream) = self.at(passage) else {
+            return;
+        };
+        upstream.queue.remove(passage.serial);
+        upstream.own.running = upstream.own.running.saturating_sub(1);
+        let Some(target) = &passage.target else {
+            return;
+        };
+        if let Some(count) = upstream.own.targets.get_mut(target) {
+            *count -= 1;
+            if *count == 0 {
+                upstream.own.targets.remove(target);
+            }
+        }
+    }
+
+    /// Notes how long a first event took that was predicted after `predicted`.
+    pub fn first_event(
+        &mut self,
+        which: Which,
+        engine: &str,
+        (predicted, seen): (Duration, Duration),
+        now: Moment,
+    ) {
+        self.meter.observe(which, predicted, seen);
+        if let Some(upstream) = self.fleet.engines.get_mut(engine) {
+            upstream.pace.note(predicted, seen, now);
+        }
+    }
+
+    /// What the holder of orders calls now, and whether something is under
+    /// way; `None` without a tenure.
+    pub fn decide(&mut self, now: Moment) -> Option<(Vec<Act>, bool)> {
+        let wants = self.all_wants(now);
+        let demand = self.all_demand(now);
+        let placer = self.placer.as_mut()?;
+        let scene = Scene {
+            fleet: &self.fleet,
+            desired: &self.desired,
+            wants: &wants,
+            demand: &demand,
+            now,
+        };
+        let acts = placer.step(&scene);
+        let busy = placer.busy(now) || !wants.is_empty();
+        Some((acts, busy))
+    }
+
     /// Drops wants that nobody waits for any more.
     pub fn sweep_wants(&mut self, now: Moment) {
         self.wants
@@ -306,9 +432,6 @@
 impl Drop for Wanting {
     fn drop(&mut self) {
         let mut state = self.edge.state.borrow_mut();
-        if let Some(own) = state.wants.get_mut(&self.target) {
-            own.want.waiting = own.want.waiting.saturating_sub(1);
-            own.at = clock::now();
-        }
+        state.unwant(&self.target, clock::now());
     }
 }
--- a/tests/edge/scene.rs
+++ b/tests/edge/scene.rs
@@ -150,14 +150,7 @@
     }
 
     pub fn answer(&mut self, order: &Order, outcome: Outcome) {
-        let scene = Scene {
-            fleet: &self.fleet,
-            desired: &self.desired,
-            wants: &self.wants,
-            demand: &self.demand,
-            now: self.now,
-        };
-        self.placer.answered(&scene, order, outcome);
+        self.placer.answered(order, outcome, self.now);
     }
 
     /// Runs for `ms`, with reports given by `report`; returns the orders,
