Count who holds what once for each decision; metrics that tell what happened

Change: holders are counted once for a decision and again after each plan; models without a replica or a copy are looked for every 200 ms. The label says whether the request waited for a load; worth is counted only where it is known; retries, open streams, waiting requests, loads and unloads are counted.

--- a/examples/simulate/main.rs
+++ b/examples/simulate/main.rs
@@ -182,10 +182,10 @@
         let each =
             |(time, count): (Duration, u32)| time.as_secs_f64() * 1e6 / f64::from(count.max(1));
         println!(
-            "{size:7} {:7} {:6} {:8} {:6.3} {:9.2} {:9.1} {:10.0}",
+            "{size:7} {:7} {:6} {:8} {:9.2} {:9.1} {:10.0}",
             firm.engines,
             firm.models.len(),
-            world.requests.len(),
+            world.counts.routing.1,
             each(world.counts.routing),
             each(world.counts.placing),
             world.counts.datagrams as f64 / (LEAD + SWEPT).as_secs_f64() / size as f64
--- a/src/edge/duty/mod.rs
+++ b/src/edge/duty/mod.rs
@@ -13,7 +13,7 @@
 use self::tell::take_notes;
 use super::client::{SendError, Times};
 use super::clock;
-use super::orders::{Order, Outcome, Report};
+use super::orders::{Order, Outcome, Report, Verb};
 use super::peers;
 use super::placement::Act;
 use super::state::Edge;
@@ -112,6 +112,12 @@
     let expected = order.expected.unwrap_or(0);
     log::info!(engine, verb, model, adapter, fence, expected, result; "order given");
     let now = clock::now();
+    let done = matches!(outcome, Outcome::Accepted | Outcome::Holds);
+    match (order.verb, &order.adapter) {
+        (Verb::Load, _) => edge.metrics.ordered(done),
+        (Verb::Unload, None) if done => edge.metrics.unloaded(),
+        (Verb::Unload, _) => {}
+    }
     let mut guard = edge.state.borrow_mut();
     let state = &mut *guard;
     let Some(placer) = state.placer.as_mut().filter(|p| p.fence() == fence) else {
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -64,6 +64,8 @@
     pub unsure: bool,
     /// Event after which the stream goes on.
     pub last_event: Option<u64>,
+    /// It waited for a load.
+    pub loaded: bool,
     /// Time from its arrival to its last sending.
     pub waited: Duration,
     /// Predicted time from its last sending to its first event.
@@ -107,7 +109,7 @@
             Ok(Opened::Whole(response)) => {
                 tries.first = job.age();
                 job.log("answered", status.as_u16(), &engine, &tries);
-                job.edge.metrics.served(job.age(), 1.0);
+                job.edge.metrics.answered(job.age());
                 return response;
             }
             Ok(Opened::Stream(stream)) => {
@@ -145,6 +147,9 @@
         return false;
     }
     let allowed = job.edge.may_repeat(&job.service);
+    if allowed {
+        job.edge.metrics.retried();
+    }
     let request = &*job.call.id;
     let tries = tries.sent;
     log::info!(request, engine = &**engine, cause, tries, allowed; "request to be sent again");
@@ -266,7 +271,7 @@
 }
 
 /// Waits for an engine that can take the request.
-async fn choose(job: &Job, tries: &Tries) -> Result<Choice, Failure> {
+async fn choose(job: &Job, tries: &mut Tries) -> Result<Choice, Failure> {
     let mut changes = job.edge.changed.subscribe();
     let mut wanting: Option<(Target, Wanting)> = None;
     let since = clock::now();
@@ -338,6 +343,7 @@
                     let adapter = target.adapter.as_deref().unwrap_or_default();
                     log::info!(request, model, adapter; "request waits for a load");
                     wanting = Some((target, want));
+                    tries.loaded = true;
                 }
                 left
             }
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -176,7 +176,7 @@
     source.flight.prompt_done();
     let seen = clock::now().saturating_sub(sent);
     super::note_first(job, &source.flight.engine, predicted, seen);
-    job.edge.metrics.first_token(job.age(), false);
+    job.edge.metrics.first_token(job.age(), tries.loaded);
     Ok(Opened::Stream(Box::new(Stream {
         head,
         source,
@@ -201,8 +201,11 @@
         ended,
     } = stream;
     tokio::task::spawn_local(async move {
+        let edge = job.edge.clone();
+        edge.metrics.streams(1);
         let relay = Relay { job, out, tries };
         relay.run(source, first, ended).await;
+        edge.metrics.streams(-1);
         drop(counted);
     });
     Response::from_parts(head, Reply::Pieces(pieces))
@@ -238,7 +241,7 @@
             End::Complete => {
                 job.edge.state.borrow_mut().suspects.clear(job.print);
                 job.log("answered", status, &engine, tries);
-                job.edge.metrics.served(job.age(), 1.0);
+                job.edge.metrics.answered(job.age());
                 return;
             }
             End::Left => {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -230,5 +230,13 @@
         }
         last = now;
         edge.client.sweep();
+        let waiting = edge
+            .state
+            .borrow()
+            .wants
+            .values()
+            .map(|w| w.want.waiting)
+            .sum::<u32>();
+        edge.metrics.queue(waiting as usize);
     }
 }
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -134,6 +134,10 @@
     span: f64,
     /// Loads before the tenure.
     past: Past,
+    /// Engines that hold each model or are about to, as of the last survey.
+    holders: HashMap<Which, usize>,
+    /// When models that nobody serves were last looked for.
+    covered: Moment,
 }
 
 impl Placer {
@@ -147,6 +151,8 @@
             windows: HashMap::new(),
             span: settings.bounds.ceiling_window_s,
             past,
+            holders: HashMap::new(),
+            covered: Moment::ZERO,
         }
     }
 
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -1,5 +1,6 @@
 //! Which model is loaded next, where, and what makes way for it.
 
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,14 +22,18 @@
 /// looked at.
 const OPTIONS: usize = 8;
 
+/// Period at which models that nobody serves or keeps are looked for; nobody
+/// waits for them.
+const COVER_PERIOD: Duration = Duration::from_millis(200);
+
 impl Placer {
     /// Plans loads: first what requests wait for, then further replicas of
     /// models under heavy work, then copies of models that have none.
     pub(super) fn plan(&mut self, scene: &Scene<'_>) {
+        self.survey(scene);
         let mut needs = Vec::new();
         for (target, want) in scene.wants {
-            let nobody = !self.placed(scene, &target.service, &target.model);
-            if nobody {
+            if self.replicas(&which(&target.service, &target.model)) == 0 {
                 needs.push((want.priority, u32::MAX - want.waiting, target.clone()));
             }
         }
@@ -46,12 +51,36 @@
                 self.load(scene, &which.service, &which.model, Urgency::Hot);
             }
         }
-        self.fetch_ahead(scene);
-        self.cover(scene);
+        if scene.now.saturating_sub(self.covered) >= COVER_PERIOD {
+            self.covered = scene.now;
+            let kept = self.kept(scene);
+            self.fetch_ahead(scene, &kept);
+            self.cover(scene, &kept);
+        }
+    }
+
+    /// Counts who holds what.
+    fn survey(&mut self, scene: &Scene<'_>) {
+        let mut holders: HashMap<Which, usize> = HashMap::new();
+        for (id, book) in &self.books {
+            let Some(engine) = scene.fleet.engines.get(id) else {
+                continue;
+            };
+            let planned = book.task.iter().map(|t| &t.model);
+            let new = planned.filter(|m| !book.replicas.contains_key(*m));
+            for model in book.replicas.keys().chain(new) {
+                if !book.will_hold(model) {
+                    continue;
+                }
+                let which = which(&engine.entry.service, model);
+                *holders.entry(which).or_default() += 1;
+            }
+        }
+        self.holders = holders;
     }
 
     /// Loads one model that no engine holds or keeps a copy of.
-    fn fetch_ahead(&mut self, scene: &Scene<'_>) {
+    fn fetch_ahead(&mut self, scene: &Scene<'_>, kept: &HashSet<Which>) {
         for service in scene.desired.services.values() {
             let Some(hosting) = &service.hosting else {
                 continue;
@@ -59,7 +88,8 @@
             let mut names: Vec<_> = hosting.models.keys().collect();
             names.sort();
             for name in names {
-                if !self.kept(scene, &service.name, name) {
+                let which = which(&service.name, name);
+                if !kept.contains(&which) {
                     self.load(scene, &service.name, name, Urgency::Ahead);
                 }
             }
@@ -68,7 +98,7 @@
 
     /// Loads models that nobody serves where that makes less loss than their
     /// absence; the largest first, as they fit fewest engines.
-    fn cover(&mut self, scene: &Scene<'_>) {
+    fn cover(&mut self, scene: &Scene<'_>, kept: &HashSet<Which>) {
         for service in scene.desired.services.values() {
             let Some(hosting) = &service.hosting else {
                 continue;
@@ -76,8 +106,8 @@
             let mut models: Vec<_> = hosting.models.iter().collect();
             models.sort_by(|a, b| b.1.memory_mb.total_cmp(&a.1.memory_mb).then(a.0.cmp(b.0)));
             for (name, _) in models {
-                let absent = !self.placed(scene, &service.name, name);
-                if absent && self.kept(scene, &service.name, name) {
+                let which = which(&service.name, name);
+                if self.replicas(&which) == 0 && kept.contains(&which) {
                     self.load(scene, &service.name, name, Urgency::Cover);
                 }
             }
@@ -97,23 +127,25 @@
         self.books.iter().filter(move |(id, _)| of(id))
     }
 
-    fn placed(&self, scene: &Scene<'_>, service: &str, model: &str) -> bool {
-        self.of(scene, service).any(|(_, b)| b.will_hold(model))
+    /// Engines that hold a model or are about to.
+    fn replicas(&self, which: &Which) -> usize {
+        self.holders.get(which).copied().unwrap_or(0)
     }
 
-    fn replicas(&self, scene: &Scene<'_>, service: &str, model: &str) -> usize {
-        let holds = |b: &Book| b.will_hold(model);
-        self.of(scene, service).filter(|(_, b)| holds(b)).count()
-    }
-
-    fn kept(&self, scene: &Scene<'_>, service: &str, model: &str) -> bool {
-        let mut books = self.of(scene, service);
-        books.any(|(_, b)| {
-            b.will_hold(model)
-                || b.replicas.contains_key(model)
-                || b.copies.memory.contains(model)
-                || b.copies.disk.contains(model)
-        })
+    /// Models that some engine holds or keeps a copy of.
+    fn kept(&self, scene: &Scene<'_>) -> HashSet<Which> {
+        let mut kept = HashSet::new();
+        for (id, book) in &self.books {
+            let Some(engine) = scene.fleet.engines.get(id) else {
+                continue;
+            };
+            let planned = book.task.iter().map(|t| &t.model);
+            let copies = book.copies.memory.iter().chain(&book.copies.disk);
+            for model in book.replicas.keys().chain(planned).chain(copies) {
+                kept.insert(which(&engine.entry.service, model));
+            }
+        }
+        kept
     }
 
     /// Engine time for each second that all models ask of one engine.
@@ -121,14 +153,11 @@
         let service = &engine.entry.service;
         let mut share = 0.0;
         for model in book.replicas.keys() {
-            let which = Which {
-                service: service.clone(),
-                model: model.clone(),
-            };
+            let which = which(service, model);
             let Some(demand) = scene.demand.get(&which) else {
                 continue;
             };
-            let replicas = self.replicas(scene, service, model).max(1);
+            let replicas = self.replicas(&which).max(1);
             share += demand.work / replicas as f64;
         }
         share * engine.pace.factor(scene.now)
@@ -243,6 +272,7 @@
             planned: scene.now,
         });
         book.advance(scene.now);
+        self.survey(scene);
     }
 
     /// Models to unload for `missing` MB of room, and the loss; `None` when
@@ -308,10 +338,7 @@
     /// What it costs that nobody serves a model, seconds of waiting: each
     /// request that comes meets a load, and the next victim's.
     fn absence(&self, scene: &Scene<'_>, service: &Arc<str>, model: &Arc<str>) -> f64 {
-        let which = Which {
-            service: service.clone(),
-            model: model.clone(),
-        };
+        let which = which(service, model);
         let demand = scene.demand.get(&which).copied().unwrap_or_default();
         let hosting = scene.desired.hosting(service);
         let Some(spec) = hosting.and_then(|h| h.models.get(model)) else {
@@ -326,12 +353,9 @@
 
     /// What unloading a model from an engine costs, seconds of waiting.
     fn loss(&self, scene: &Scene<'_>, service: &Arc<str>, model: &Arc<str>, running: u32) -> f64 {
-        let which = Which {
-            service: service.clone(),
-            model: model.clone(),
-        };
+        let which = which(service, model);
         let demand = scene.demand.get(&which).copied().unwrap_or_default();
-        let others = self.replicas(scene, service, model).saturating_sub(1);
+        let others = self.replicas(&which).saturating_sub(1);
         let weights = &self.weights;
         let mut loss = weights.unload_loss + f64::from(running) * weights.running_loss;
         if others == 0 {
@@ -344,6 +368,13 @@
     }
 }
 
+fn which(service: &Arc<str>, model: &Arc<str>) -> Which {
+    Which {
+        service: service.clone(),
+        model: model.clone(),
+    }
+}
+
 /// Where a load may go.
 #[derive(Clone, Debug)]
 struct Place {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -117,9 +117,14 @@
 
     /// A request of `worth` was answered whole `after` its arrival.
     pub fn served(&self, after: Duration, worth: f64) {
+        self.answered(after);
+        self.worth.add(worth, &[]);
+    }
+
+    /// A request was answered whole `after` its arrival; its worth is not known.
+    pub fn answered(&self, after: Duration) {
         self.answers.record(after.as_secs_f64(), &[]);
         self.served.add(1, &[]);
-        self.worth.add(worth, &[]);
     }
 
     /// A request was refused.
@@ -145,12 +150,17 @@
 
     /// A load order ended `after` it was sent.
     pub fn loaded(&self, after: Duration, ok: bool) {
-        self.loads.add(1, &[KeyValue::new("ok", ok)]);
+        self.ordered(ok);
         if ok {
             self.cold_starts.record(after.as_secs_f64(), &[]);
         }
     }
 
+    /// A load order was answered; how long it takes is not known.
+    pub fn ordered(&self, ok: bool) {
+        self.loads.add(1, &[KeyValue::new("ok", ok)]);
+    }
+
     /// An unload order was answered.
     pub fn unloaded(&self) {
         self.unloads.add(1, &[]);
