Load for refused requests too, fetch missing models ahead, repeat the load sooner

Change: `ahead_loss` is 1.0 again; a refusal registers its want; a load that an engine refuses while it may still unload is tried again after 40 ms, up to four times, before the engine is asked.

--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -54,6 +54,8 @@
         cause: &'static str,
         /// Time to come back after.
         back: Duration,
+        /// What is to be loaded until then.
+        want: Option<Target>,
     },
 }
 
@@ -79,6 +81,7 @@
             kind: ErrorKind::DeadlineUnreachable,
             cause,
             back,
+            want: None,
         };
         match pick {
             Pick::NoEngine => Verdict::NoEngine,
@@ -86,6 +89,7 @@
                 kind: ErrorKind::UnknownModel,
                 cause: "unknown model",
                 back: SOON,
+                want: None,
             },
             Pick::Go(choice) if choice.first.mul_f64(limits.sure_part) >= self.until => {
                 refuse("no engine has time for it", self.back(choice.first))
@@ -95,7 +99,12 @@
             Pick::NotHeld { target, least } => {
                 let load = least.saturating_sub(self.waited);
                 match load >= self.until {
-                    true => refuse("the model cannot be loaded in time", self.back(load)),
+                    true => Verdict::Refuse {
+                        kind: ErrorKind::DeadlineUnreachable,
+                        cause: "the model cannot be loaded in time",
+                        back: self.back(load),
+                        want: Some(target),
+                    },
                     false => Verdict::Wait(target),
                 }
             }
--- a/src/edge/placement/book.rs
+++ b/src/edge/placement/book.rs
@@ -90,6 +90,8 @@
     /// A victim whose unload was accepted and that no report has shown to be
     /// gone.
     pub freeing: Option<Arc<str>>,
+    /// Orders in a row that it refused while it may still unload that.
+    pub refusals: u32,
     /// A call to it is under way.
     pub calling: bool,
     /// Its report is needed.
@@ -111,6 +113,7 @@
             copies: entry.copies.clone(),
             task: None,
             freeing: None,
+            refusals: 0,
             calling: false,
             doubt: true,
             engaged: false,
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -30,6 +30,9 @@
 const WITHDRAWN: Duration = Duration::from_millis(30);
 /// Longest wait for the requests of a victim to end.
 const VICTIM_WAIT: Duration = Duration::from_millis(2_500);
+/// Orders that are tried while an accepted unload may still be under way,
+/// before the engine is asked.
+const FREEING_TRIES: u32 = 4;
 /// Pause between two calls to an engine that is busy.
 const RETRY: Duration = Duration::from_millis(120);
 /// Pause after an engine refused an order for no reason of the protocol.
@@ -211,6 +214,7 @@
         book.calling = false;
         match outcome {
             Outcome::Accepted | Outcome::Holds => {
+                book.refusals = 0;
                 if outcome == Outcome::Accepted || order.adapter.is_some() {
                     book.orders = book.orders.map(|n| n + 1);
                 } else {
@@ -220,6 +224,10 @@
                 carried_out(book, order, adapter_time, now);
             }
             Outcome::Unanswered => book.doubt = true,
+            Outcome::Busy if book.freeing.is_some() && book.refusals < FREEING_TRIES => {
+                book.refusals += 1;
+                book.pause = now + UNLOAD_TIME;
+            }
             Outcome::Busy => {
                 book.doubt = true;
                 book.pause = now + RETRY;
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -231,7 +231,7 @@
             loose_part: 0.3,
             running_loss: 0.5,
             hot_loss: 2.5,
-            ahead_loss: 0.3,
+            ahead_loss: 1.0,
         }
     }
 }
