--- a/src/edge/desired.rs
+++ b/src/edge/desired.rs
@@ -95,8 +95,6 @@
 pub struct Service {
     /// Name.
     pub name: Arc<str>,
-    /// Connections that an engine accepts from all daemons together.
-    pub connections: u32,
     /// What its engines can hold; absent for plain services.
     pub hosting: Option<Hosting>,
 }
@@ -104,8 +102,6 @@
 /// What the model engines of a service can hold.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Hosting {
-    /// Requests in a batch.
-    pub slots: u32,
     /// Memory for prompts and answers, tokens.
     pub cache_tokens: u64,
     /// Memory for weights and adapters, MB.
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -61,8 +61,6 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub phase: Phase,
-    /// Time until it is gone, where it said so.
-    pub remaining: Option<Duration>,
     /// Number of this entry among those of its lifetime.
     pub beat: u64,
     /// Its start, ms since the Unix epoch; 0 when unknown.
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -171,7 +171,7 @@
     const JSON: &str = "application/json";
     const TEXT: &str = "text/plain; charset=utf-8";
     match entry::question(request.method(), request.uri()) {
-        Some(Question::Entry { .. }) => {
+        Some(Question::Entry) => {
             let addrs = entries(edge);
             if addrs.is_empty() {
                 let text = "{}".to_owned();
--- a/src/platform/desired.rs
+++ b/src/platform/desired.rs
@@ -61,15 +61,12 @@
 #[serde(rename_all = "camelCase")]
 struct WireService {
     name: Arc<str>,
-    max_conns: Option<u32>,
     engine: Option<WireEngine>,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireEngine {
-    #[serde(default)]
-    slots: u32,
     #[serde(default)]
     kv_capacity: u64,
     #[serde(default)]
@@ -159,14 +156,12 @@
 fn decode_service(wire: WireService) -> Service {
     Service {
         name: wire.name,
-        connections: wire.max_conns.unwrap_or(u32::MAX),
         hosting: wire.engine.map(hosting),
     }
 }
 
 fn hosting(wire: WireEngine) -> Hosting {
     let mut hosting = Hosting {
-        slots: wire.slots,
         cache_tokens: wire.kv_capacity,
         memory_mb: wire.weights_mb,
         adapter_slots: wire.adapter_slots,
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -6,11 +6,8 @@
 /// A question to this host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Question {
-    /// Which addresses to use; asked from a failure domain.
-    Entry {
-        /// Failure domain of the caller; empty when not told.
-        domain: String,
-    },
+    /// Which addresses to use.
+    Entry,
     /// Whether this host is ready.
     Ready,
     /// The metrics.
@@ -23,12 +20,7 @@
         return None;
     }
     match uri.path() {
-        "/resolve" => {
-            let query = uri.query().unwrap_or_default();
-            let domain = query.split('&').find_map(|pair| pair.strip_prefix("zone="));
-            let domain = crate::outside::escape::decode(domain.unwrap_or_default());
-            Some(Question::Entry { domain })
-        }
+        "/resolve" => Some(Question::Entry),
         "/readyz" => Some(Question::Ready),
         "/metrics" => Some(Question::Metrics),
         _ => None,
--- a/src/platform/listing.rs
+++ b/src/platform/listing.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use serde::Deserialize;
 
@@ -25,7 +24,6 @@
     seq: u64,
     /// Absent on engines that never start again under an id.
     born: Option<u64>,
-    remaining_ms: Option<f64>,
     #[serde(default)]
     models: Vec<WireHeld>,
     available: Option<WireCopies>,
@@ -75,9 +73,6 @@
         domain: wire.zone,
         slots: wire.slots,
         phase,
-        remaining: wire
-            .remaining_ms
-            .and_then(|ms| Duration::try_from_secs_f64(ms / 1_000.0).ok()),
         beat: wire.seq,
         born: wire.born.unwrap_or(0),
         held: held(wire.models),
--- a/tests/edge/scene.rs
+++ b/tests/edge/scene.rs
@@ -28,7 +28,6 @@
         domain: "north".into(),
         slots: 64,
         phase: Phase::Ready,
-        remaining: None,
         beat: 1,
         born: 1_000,
         held,
@@ -39,7 +38,6 @@
 /// A desired state with models of 60 GB on engines of 140 GB.
 pub fn desired(models: &[&str]) -> Desired {
     let mut hosting = Hosting {
-        slots: 64,
         cache_tokens: 232_000,
         memory_mb: 140_000.0,
         adapter_slots: 8,
@@ -59,7 +57,6 @@
     }
     let service = Service {
         name: SERVICE.into(),
-        connections: 100,
         hosting: Some(hosting),
     };
     let mut desired = Desired {
--- a/tests/edge/translation.rs
+++ b/tests/edge/translation.rs
@@ -134,7 +134,6 @@
         (entry.phase, entry.beat, entry.born),
         (Phase::Leaving, 4, 1_700)
     );
-    assert_eq!(entry.remaining, Some(Duration::from_micros(1_500_500)));
     assert_eq!(entry.held["m"], BTreeSet::from(["a1".into(), "a2".into()]));
     assert_eq!(entry.copies.disk.len(), 2);
 }
@@ -176,7 +175,7 @@
 }
 
 #[test_case("/resolve?name=a&region=r&zone=derby%20x",
-    Some(Question::Entry { domain: "derby x".into() }); "entry")]
+    Some(Question::Entry); "entry")]
 #[test_case("/readyz", Some(Question::Ready); "ready")]
 #[test_case("/other", None; "another")]
 fn questions_are_read(uri: &str, expected: Option<Question>) {
--- a/tests/simulation/engine.rs
+++ b/tests/simulation/engine.rs
@@ -132,7 +132,6 @@
             domain: domains[number % domains.len()].into(),
             slots: SLOTS as u32,
             phase: Phase::Ready,
-            remaining: None,
             beat: 1,
             born: 1,
             held: Held::new(),
--- a/tests/simulation/load.rs
+++ b/tests/simulation/load.rs
@@ -318,7 +318,6 @@
     pub fn desired(&self) -> Desired {
         let models = self.models.iter();
         let hosting = Hosting {
-            slots: 64,
             cache_tokens: 232_000,
             memory_mb: self.memory_mb,
             adapter_slots: 8,
@@ -327,7 +326,6 @@
         };
         let service = Service {
             name: SERVICE.into(),
-            connections: 360,
             hosting: Some(hosting),
         };
         Desired {
@@ -500,8 +498,10 @@
     let adapter = (adapters > 0 && rng.random_bool(kind.adapters))
         .then(|| format!("a{}", rng.random_range(0..adapters)).into());
     let mut parts = Vec::new();
+    // Each start of the second level belongs to one of the first.
+    let leaf = rng.random_range(0..kind.shared[1].1);
     for (level, (tokens, things)) in kind.shared.iter().enumerate() {
-        let thing = u64::from(rng.random_range(0..*things));
+        let thing = u64::from(leaf % things);
         parts.push(Part {
             id: (index as u64) << 32 | (level as u64) << 16 | thing,
             tokens: *tokens,
