Let a stream that breaks late go on at another engine

Cause, found in reading the change: the time in which a first event must come was counted from the request's arrival, also for a stream that had broken after its first event. One older than callers wait for a first event (3.2 s) would be refused at its resumption, and thereby cut.

Change: `Time::of` counts the patience of a resumed stream from its break, and gives it all its time as objective; both the daemon and the simulation use it. A datagram tells at most twelve prompts, so that it fits a frame in a flood.

Test: `a_stream_that_breaks_late_has_time_to_go_on` (it holds the former count as its last line).

--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -75,6 +75,33 @@
 }
 
 impl Time {
+    /// The time of a request of this `age` that has looked for an engine since
+    /// `waited`, with `left` for the whole answer. A `resumed` stream has had its
+    /// first event: its caller's patience begins anew where it broke.
+    pub fn of(
+        route: &Route,
+        age: Duration,
+        waited: Duration,
+        left: Duration,
+        resumed: bool,
+    ) -> Self {
+        let silent = match resumed {
+            true => waited,
+            false => age,
+        };
+        let early = match route.kind {
+            Kind::Stream if !resumed => route.objective.saturating_sub(age),
+            Kind::Stream | Kind::Idempotent | Kind::Once => left,
+        };
+        Time {
+            waited,
+            until: patience(route).saturating_sub(silent).min(left),
+            left,
+            early,
+            objective: route.objective,
+        }
+    }
+
     /// Judges what was picked for a request.
     pub fn judge(&self, pick: Pick, limits: &Admission) -> Verdict {
         let refuse = |cause, back| Verdict::Refuse {
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -307,13 +307,9 @@
             let cause = "this host stops before it could be sent";
             return Err(fail(Kind::Draining, cause, super::ELSEWHERE));
         }
-        let time = Time {
-            waited: now.saturating_sub(since),
-            until: job.until_first(),
-            left,
-            early: job.early(),
-            objective: job.route.objective,
-        };
+        let waited = now.saturating_sub(since);
+        let resumed = !tries.first.is_zero();
+        let time = Time::of(&job.route, job.age(), waited, left, resumed);
         let limits = job.edge.settings().admission;
         let most = match time.judge(pick(job, &tries.avoid, now), &limits) {
             Verdict::Send(choice) => return Ok(choice),
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -18,7 +18,6 @@
 
 use self::attempt::Tries;
 use self::reply::{Refusal, Reply};
-use super::admission;
 use super::call::Call;
 use super::clock;
 use super::demand::Which;
@@ -58,8 +57,6 @@
     end: Moment,
     /// End that the caller itself set, or the route.
     limit: Limit,
-    /// Time from its arrival in which its first event must come.
-    patience: Duration,
 }
 
 /// Who ends a request.
@@ -77,20 +74,6 @@
         self.end.saturating_sub(clock::now())
     }
 
-    /// Time in which the first event must come.
-    fn until_first(&self) -> Duration {
-        let patience = self.patience.saturating_sub(self.age());
-        patience.min(self.left())
-    }
-
-    /// Time until its objective; plain requests have all their time.
-    fn early(&self) -> Duration {
-        match self.route.kind {
-            RouteKind::Stream => self.route.objective.saturating_sub(self.age()),
-            RouteKind::Idempotent | RouteKind::Once => self.left(),
-        }
-    }
-
     fn age(&self) -> Duration {
         clock::now().saturating_sub(self.arrived)
     }
@@ -251,7 +234,6 @@
         limit = Limit::Caller;
     }
     let print = suspects::fingerprint(head.uri.path(), &body);
-    let patience = admission::patience(&route);
     Ok(Job {
         edge: edge.clone(),
         head,
@@ -264,7 +246,6 @@
         arrived,
         end: arrived + time,
         limit,
-        patience,
     })
 }
 
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -24,6 +24,8 @@
 
 /// Largest datagram, bytes: fits one Ethernet frame with headers.
 const DATAGRAM: usize = 1_400;
+/// Prompts told in one datagram, so that it fits.
+const SENT_NOTES: usize = 12;
 /// Receive buffer, bytes.
 const BUFFER: usize = 65_536;
 /// Least time between two packets.
@@ -102,7 +104,8 @@
         let engine = engine.to_string();
         packet.strikes.push(StrikeNote { print, engine });
     }
-    for sent in state.sent.drain(..) {
+    // What a flood brings beyond that, the next beat tells as load.
+    for sent in state.sent.drain(..).take(SENT_NOTES) {
         packet.sent.push(SentNote {
             engine: sent.engine.to_string(),
             target: sent.target.to_string(),
--- a/tests/edge/overload.rs
+++ b/tests/edge/overload.rs
@@ -115,9 +115,8 @@
     assert_eq!(soon, Some(ms(50)));
 }
 
-#[test]
-fn callers_leave_streams_by_objective_and_pause_and_wait_for_the_rest() {
-    let mut route = Route {
+fn stream() -> Route {
+    Route {
         name: "r".into(),
         host: "h".into(),
         prefix: "/".into(),
@@ -129,7 +128,12 @@
         attempts: 1,
         resumable: false,
         gap: ms(100),
-    };
+    }
+}
+
+#[test]
+fn callers_leave_streams_by_objective_and_pause_and_wait_for_the_rest() {
+    let mut route = stream();
     assert_eq!(patience(&route), ms(2_000));
     route.gap = ms(400);
     assert_eq!(patience(&route), ms(3_200));
@@ -138,3 +142,18 @@
     route.kind = Kind::Once;
     assert_eq!(patience(&route), Duration::MAX);
 }
+
+/// An engine dies in the middle of a long stream: it goes on elsewhere although
+/// it is older than callers wait for a first event.
+#[test]
+fn a_stream_that_breaks_late_has_time_to_go_on() {
+    let route = stream();
+    let new = Time::of(&route, ms(100), ms(40), ms(5_900), false);
+    assert_eq!((new.until, new.early), (ms(1_900), ms(200)));
+    let old = Time::of(&route, ms(4_000), ms(50), ms(2_000), true);
+    assert_eq!(old.until, ms(1_950));
+    let sent = |verdict| matches!(verdict, Verdict::Send(_));
+    assert!(sent(old.judge(behind(400, 500), &LIMITS)));
+    let first = Time::of(&route, ms(4_000), ms(50), ms(2_000), false);
+    assert!(back(first.judge(behind(400, 500), &LIMITS)).is_some());
+}
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -557,13 +557,9 @@
         self.counts.routing.1 += 1;
         let left = limit(request, kind, now);
         let age = now.saturating_sub(request.began);
-        let time = Time {
-            waited: now.saturating_sub(request.looked),
-            until: patience(&kind.route).saturating_sub(age).min(left),
-            left,
-            early: kind.route.objective.saturating_sub(age),
-            objective: kind.route.objective,
-        };
+        let waited = now.saturating_sub(request.looked);
+        let resumed = request.first.is_some();
+        let time = Time::of(&kind.route, age, waited, left, resumed);
         let priority = kind.route.priority;
         match time.judge(pick, &self.settings.admission) {
             Verdict::Send(choice) => {
