--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -197,8 +197,8 @@
     }
     edge.note_request(&job.service);
     note_demand(&job);
-    let mut unanswered = Unanswered(Some(Rc::new(job)));
-    let job = unanswered.0.clone().expect("it was just set");
+    let job = Rc::new(job);
+    let mut unanswered = Unanswered(Some(job.clone()));
     let response = attempt::run(job, counted).await;
     unanswered.0 = None;
     Ok(response)
