Say once how settings are validated, models named, demand and loss worked out

Cause, found in reading the change once more: the edge settings repeated the validation of the other interface; a target and the key of a model were put together in seven places, and the name of a target in two; the demand of a request was worked out in the daemon and again in the simulation; placement looked up the engine of a book twice, took service and model apart and together again in six functions, worked out the largest allowed loss for each engine although it does not depend on it, and sought victims on engines that the next line passed over.

Change: `settings::validated`, `Target::of`, `call::target`, `Which::new`, `Model::tight`, `Meter::note_prompt`; placement walks engines with their books and passes `&Which`. What does not depend on the engine is worked out once, and victims are sought last. A condition stands before its loop.

--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -42,13 +42,18 @@
     pub tokens: u32,
 }
 
+/// Name of what must be loaded: `model` or `model/adapter`.
+pub fn target(model: &Arc<str>, adapter: Option<&str>) -> Arc<str> {
+    match adapter {
+        Some(adapter) => format!("{model}/{adapter}").into(),
+        None => model.clone(),
+    }
+}
+
 impl Prompt {
     /// Name of what must be loaded: `model` or `model/adapter`.
     pub fn target(&self) -> Arc<str> {
-        match &self.adapter {
-            Some(adapter) => format!("{}/{adapter}", self.model).into(),
-            None => self.model.clone(),
-        }
+        target(&self.model, self.adapter.as_deref())
     }
 
     /// For each leading run of parts, a key of it together with model and
--- a/src/edge/demand.rs
+++ b/src/edge/demand.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::routing::Pace;
+use super::call::Prompt;
+use super::routing::{self, Pace};
+use super::settings::Engines;
 use crate::clock::Moment;
 
 /// Time constant of the request rate; rare models show at all.
@@ -14,6 +16,9 @@
 /// Rate below which a model counts as idle, requests a second.
 const IDLE: f64 = 0.001;
 
+/// Engine time of one token of an answer in a well-filled batch.
+const PER_TOKEN: Duration = Duration::from_micros(100);
+
 /// Demand for one model.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Demand {
@@ -60,6 +65,16 @@
     pub model: Arc<str>,
 }
 
+impl Which {
+    /// The model of this name at a service.
+    pub fn new(service: &Arc<str>, model: &Arc<str>) -> Self {
+        Which {
+            service: service.clone(),
+            model: model.clone(),
+        }
+    }
+}
+
 /// Demand at this daemon by model.
 #[derive(Clone, Debug, Default)]
 pub struct Meter {
@@ -78,6 +93,21 @@
         self.paces.get(which).copied().unwrap_or_default().factor()
     }
 
+    /// Notes a prompt, with the engine time that it asks for at the pace of its
+    /// model.
+    pub fn note_prompt(
+        &mut self,
+        which: Which,
+        prompt: &Prompt,
+        engines: &Engines,
+        tight: bool,
+        now: Moment,
+    ) {
+        let own = prompt.parts.last().map_or(prompt.input, |p| p.tokens);
+        let work = routing::reading(own, engines) + PER_TOKEN * prompt.output;
+        self.note(which.clone(), work.mul_f64(self.pace(&which)), tight, now);
+    }
+
     /// Notes a request that asks for `work` of an engine's time; it is `tight`
     /// when its objective leaves no time for a load.
     pub fn note(&mut self, which: Which, work: Duration, tight: bool, now: Moment) {
--- a/src/edge/desired.rs
+++ b/src/edge/desired.rs
@@ -131,6 +131,13 @@
     pub warm: Duration,
 }
 
+impl Model {
+    /// Whether a request with this objective has no time for a load.
+    pub fn tight(&self, objective: Duration) -> bool {
+        self.disk >= objective
+    }
+}
+
 /// What callers may send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::call;
 use super::kept::Kept;
 use super::routing::{EnginePace, Queue};
 use crate::clock::Moment;
@@ -361,12 +362,12 @@
             return false;
         }
         let changed = engine.told.as_ref().is_none_or(|t| t.held != told.held);
-        for (model, adapters) in &told.held {
+        if changed {
             // Fresh word that it holds a model ends the older "lacks".
-            if changed {
+            for (model, adapters) in &told.held {
                 engine.absent.remove(model);
                 for adapter in adapters {
-                    engine.absent.remove(format!("{model}/{adapter}").as_str());
+                    engine.absent.remove(&call::target(model, Some(adapter)));
                 }
             }
         }
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -23,7 +23,6 @@
 use super::demand::Which;
 use super::desired::{Desired, Kind as RouteKind, Limits, Route};
 use super::room::Room;
-use super::routing;
 use super::state::Edge;
 use super::suspects;
 use crate::clock::Moment;
@@ -279,19 +278,15 @@
     if job.route.kind != RouteKind::Stream {
         return;
     }
-    let engines = job.edge.settings().engines;
-    let own = prompt.parts.last().map_or(prompt.input, |p| p.tokens);
-    let work = routing::reading(own, &engines) + PER_TOKEN * prompt.output;
-    let which = Which {
-        service: job.service.clone(),
-        model: prompt.model.clone(),
-    };
     let hosting = job.desired.hosting(&job.service);
     let model = hosting.and_then(|h| h.models.get(&prompt.model));
-    let tight = model.is_some_and(|m| m.disk >= job.route.objective);
+    let tight = model.is_some_and(|m| m.tight(job.route.objective));
+    let which = Which::new(&job.service, &prompt.model);
+    let engines = job.edge.settings().engines;
     let mut state = job.edge.state.borrow_mut();
-    let work = work.mul_f64(state.meter.pace(&which));
-    state.meter.note(which, work, tight, clock::now());
+    state
+        .meter
+        .note_prompt(which, prompt, &engines, tight, clock::now());
 }
 
 /// Notes how long a first event took that was predicted after `predicted`.
@@ -300,13 +295,7 @@
     let Some(prompt) = &job.call.prompt else {
         return;
     };
-    let which = Which {
-        service: job.service.clone(),
-        model: prompt.model.clone(),
-    };
+    let which = Which::new(&job.service, &prompt.model);
     let mut state = job.edge.state.borrow_mut();
     state.first_event(which, engine, (predicted, seen), clock::now());
 }
-
-/// Engine time of one token of an answer in a well-filled batch.
-const PER_TOKEN: Duration = Duration::from_micros(100);
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -147,11 +147,7 @@
 /// What must be loaded for a request.
 fn target_of(job: &Job) -> Option<Target> {
     let prompt = job.call.prompt.as_ref()?;
-    Some(Target {
-        service: job.service.clone(),
-        model: prompt.model.clone(),
-        adapter: prompt.adapter.clone(),
-    })
+    Some(Target::of(&job.service, prompt))
 }
 
 /// Reads the rest of a short answer so that its connection can be kept.
--- a/src/edge/placement/adapters.rs
+++ b/src/edge/placement/adapters.rs
@@ -14,6 +14,7 @@
 const ALIKE: u32 = 4;
 /// Adapters on their way to one engine at once.
 const INCOMING: usize = 4;
+
 /// The next order for an adapter at one engine.
 pub(super) fn next_adapter(
     book: &Book,
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::call::{self, Prompt};
 use super::demand::{Demand, Which};
 use super::desired::{Desired, Hosting};
 use super::fleet::{Fleet, Upstream};
@@ -70,12 +71,18 @@
 }
 
 impl Target {
+    /// What a prompt asks of a service.
+    pub fn of(service: &Arc<str>, prompt: &Prompt) -> Self {
+        Target {
+            service: service.clone(),
+            model: prompt.model.clone(),
+            adapter: prompt.adapter.clone(),
+        }
+    }
+
     /// `model` or `model/adapter`.
     pub fn name(&self) -> Arc<str> {
-        match &self.adapter {
-            Some(adapter) => format!("{}/{adapter}", self.model).into(),
-            None => self.model.clone(),
-        }
+        call::target(&self.model, self.adapter.as_deref())
     }
 }
 
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -7,6 +7,7 @@
 use super::book::{Book, Stage, Task, size};
 use super::{Placer, Scene};
 use crate::edge::demand::Which;
+use crate::edge::desired::Hosting;
 use crate::edge::fleet::Upstream;
 
 /// Time for which a loaded model is not a victim.
@@ -21,7 +22,6 @@
 /// Models of one engine among which victims are sought; all sets of them are
 /// looked at.
 const OPTIONS: usize = 8;
-
 /// Period at which models that nobody serves or keeps are looked for; nobody
 /// waits for them.
 const COVER_PERIOD: Duration = Duration::from_millis(200);
@@ -33,13 +33,14 @@
         self.survey(scene);
         let mut needs = Vec::new();
         for (target, want) in scene.wants {
-            if self.replicas(&which(&target.service, &target.model)) == 0 {
-                needs.push((want.priority, u32::MAX - want.waiting, target.clone()));
+            if self.replicas(&Which::new(&target.service, &target.model)) == 0 {
+                needs.push((want.priority, u32::MAX - want.waiting, target));
             }
         }
         needs.sort();
         for (_, _, target) in needs {
-            self.load(scene, &target.service, &target.model, Urgency::Waiting);
+            let which = Which::new(&target.service, &target.model);
+            self.load(scene, &which, Urgency::Waiting);
         }
         let mut hot: Vec<_> = scene.demand.iter().collect();
         hot.sort_by(|a, b| b.1.work.total_cmp(&a.1.work));
@@ -48,7 +49,7 @@
                 break;
             }
             if self.pressure(scene, which) > self.weights.hot_work {
-                self.load(scene, &which.service, &which.model, Urgency::Hot);
+                self.load(scene, which, Urgency::Hot);
             }
         }
         if scene.now.saturating_sub(self.covered) >= COVER_PERIOD {
@@ -62,17 +63,14 @@
     /// Counts who holds what.
     fn survey(&mut self, scene: &Scene<'_>) {
         let mut holders: HashMap<Which, usize> = HashMap::new();
-        for (id, book) in &self.books {
-            let Some(engine) = scene.fleet.engines.get(id) else {
-                continue;
-            };
+        for (engine, book) in self.listed(scene) {
             let planned = book.task.iter().map(|t| &t.model);
             let new = planned.filter(|m| !book.replicas.contains_key(*m));
             for model in book.replicas.keys().chain(new) {
                 if !book.will_hold(model) {
                     continue;
                 }
-                let which = which(&engine.entry.service, model);
+                let which = Which::new(&engine.entry.service, model);
                 *holders.entry(which).or_default() += 1;
             }
         }
@@ -88,9 +86,9 @@
             let mut names: Vec<_> = hosting.models.keys().collect();
             names.sort();
             for name in names {
-                let which = which(&service.name, name);
+                let which = Which::new(&service.name, name);
                 if !kept.contains(&which) {
-                    self.load(scene, &service.name, name, Urgency::Ahead);
+                    self.load(scene, &which, Urgency::Ahead);
                 }
             }
         }
@@ -106,25 +104,32 @@
             let mut models: Vec<_> = hosting.models.iter().collect();
             models.sort_by(|a, b| b.1.memory_mb.total_cmp(&a.1.memory_mb).then(a.0.cmp(b.0)));
             for (name, _) in models {
-                let which = which(&service.name, name);
+                let which = Which::new(&service.name, name);
                 if self.replicas(&which) == 0 && kept.contains(&which) {
-                    self.load(scene, &service.name, name, Urgency::Cover);
+                    self.load(scene, &which, Urgency::Cover);
                 }
             }
         }
     }
 
-    /// Books of one service.
+    /// Engines with their books.
+    fn listed<'a>(
+        &'a self,
+        scene: &'a Scene<'_>,
+    ) -> impl Iterator<Item = (&'a Upstream, &'a Book)> {
+        let engines = &scene.fleet.engines;
+        let with = |(id, book)| engines.get(id).map(|engine| (engine, book));
+        self.books.iter().filter_map(with)
+    }
+
+    /// Those of one service.
     fn of<'a>(
         &'a self,
         scene: &'a Scene<'_>,
         service: &'a str,
-    ) -> impl Iterator<Item = (&'a Arc<str>, &'a Book)> {
-        let of = move |id: &Arc<str>| {
-            let engine = scene.fleet.engines.get(id);
-            engine.is_some_and(|e| &*e.entry.service == service)
-        };
-        self.books.iter().filter(move |(id, _)| of(id))
+    ) -> impl Iterator<Item = (&'a Upstream, &'a Book)> {
+        let listed = self.listed(scene);
+        listed.filter(move |(engine, _)| &*engine.entry.service == service)
     }
 
     /// Engines that hold a model or are about to.
@@ -135,14 +140,11 @@
     /// Models that some engine holds or keeps a copy of.
     fn kept(&self, scene: &Scene<'_>) -> HashSet<Which> {
         let mut kept = HashSet::new();
-        for (id, book) in &self.books {
-            let Some(engine) = scene.fleet.engines.get(id) else {
-                continue;
-            };
+        for (engine, book) in self.listed(scene) {
             let planned = book.task.iter().map(|t| &t.model);
             let copies = book.copies.memory.iter().chain(&book.copies.disk);
             for model in book.replicas.keys().chain(planned).chain(copies) {
-                kept.insert(which(&engine.entry.service, model));
+                kept.insert(Which::new(&engine.entry.service, model));
             }
         }
         kept
@@ -153,7 +155,7 @@
         let service = &engine.entry.service;
         let mut share = 0.0;
         for model in book.replicas.keys() {
-            let which = which(service, model);
+            let which = Which::new(service, model);
             let Some(demand) = scene.demand.get(&which) else {
                 continue;
             };
@@ -167,16 +169,13 @@
     /// none does, or another is about to.
     fn pressure(&self, scene: &Scene<'_>, which: &Which) -> f64 {
         let mut least = f64::INFINITY;
-        for (id, book) in self.of(scene, &which.service) {
+        for (engine, book) in self.of(scene, &which.service) {
             if !book.will_hold(&which.model) {
                 continue;
             }
             if !book.serves(&which.model) {
                 return 0.0;
             }
-            let Some(engine) = scene.fleet.engines.get(id) else {
-                continue;
-            };
             least = least.min(self.busy_share(scene, engine, book));
         }
         match least.is_finite() {
@@ -191,24 +190,22 @@
         self.of(scene, service).filter(|(_, b)| remote(b)).count() as u32
     }
 
-    /// Plans a load of `model` where it costs least.
-    fn load(&mut self, scene: &Scene<'_>, service: &Arc<str>, model: &Arc<str>, how: Urgency) {
+    /// Plans a load of a model where it costs least.
+    fn load(&mut self, scene: &Scene<'_>, which: &Which, how: Urgency) {
+        let Which { service, model } = which;
         let Some(hosting) = scene.desired.hosting(service) else {
             return;
         };
         let Some(spec) = hosting.models.get(model) else {
             return;
         };
-        let parallel = self.engines.store_parallel;
-        let room = self.remote(scene, service) < parallel;
+        let room = self.remote(scene, service) < self.engines.store_parallel;
+        let most = self.most_loss(scene, which, how);
         let mut best: Option<Place> = None;
-        for (id, book) in self.of(scene, service) {
+        for (engine, book) in self.of(scene, service) {
             if book.engaged || book.replicas.contains_key(model) {
                 continue;
             }
-            let Some(engine) = scene.fleet.engines.get(id) else {
-                continue;
-            };
             if !engine.breaker.allows(scene.now) {
                 continue;
             }
@@ -216,26 +213,24 @@
             if remote && !room {
                 continue;
             }
-            let free = hosting.memory_mb - book.taken(hosting);
-            let Some((victims, loss)) =
-                self.victims(scene, service, engine, book, spec.memory_mb - free, how)
+            if how == Urgency::Cover && (remote || book.task.is_some()) {
+                continue;
+            }
+            let missing = spec.memory_mb - (hosting.memory_mb - book.taken(hosting));
+            let Some((victims, loss)) = self.victims(scene, hosting, engine, book, missing, how)
             else {
                 continue;
             };
-            if how == Urgency::Cover && (remote || book.task.is_some()) {
+            if loss > most {
                 continue;
             }
             let crowd = self.busy_share(scene, engine, book) * CROWD;
             let delay = book.task_left(scene.now).as_secs_f64();
             let cost = time.as_secs_f64() + delay + loss + crowd;
-            if loss > self.most_loss(scene, service, model, how) {
-                continue;
-            }
             if best.as_ref().is_none_or(|b| cost < b.cost) {
-                let engine = id.clone();
                 best = Some(Place {
                     cost,
-                    engine,
+                    engine: engine.entry.id.clone(),
                     victims,
                     remote,
                     time,
@@ -280,7 +275,7 @@
     fn victims(
         &self,
         scene: &Scene<'_>,
-        service: &Arc<str>,
+        hosting: &Hosting,
         engine: &Upstream,
         book: &Book,
         missing: f64,
@@ -289,7 +284,6 @@
         if missing <= 0.0 {
             return Some((Vec::new(), 0.0));
         }
-        let hosting = scene.desired.hosting(service)?;
         let mut options = Vec::new();
         for (name, replica) in &book.replicas {
             let settled = scene.now.saturating_sub(replica.since) >= SETTLED;
@@ -298,7 +292,8 @@
                 continue;
             }
             let running = engine.using(name, scene.now);
-            let loss = self.loss(scene, service, name, running);
+            let which = Which::new(&engine.entry.service, name);
+            let loss = self.loss(scene, &which, running);
             options.push((loss, size(hosting, name, replica.adapters.len()), name));
         }
         // Few models fit an engine, so all sets are looked at.
@@ -318,18 +313,10 @@
     }
 
     /// Largest loss by unloading that a load may cause, seconds.
-    fn most_loss(
-        &self,
-        scene: &Scene<'_>,
-        service: &Arc<str>,
-        model: &Arc<str>,
-        how: Urgency,
-    ) -> f64 {
+    fn most_loss(&self, scene: &Scene<'_>, which: &Which, how: Urgency) -> f64 {
         match how {
             Urgency::Waiting => f64::INFINITY,
-            Urgency::Cover => {
-                (self.absence(scene, service, model) - self.weights.unload_loss).max(0.0)
-            }
+            Urgency::Cover => (self.absence(scene, which) - self.weights.unload_loss).max(0.0),
             Urgency::Hot => self.weights.hot_loss,
             Urgency::Ahead => self.weights.ahead_loss,
         }
@@ -337,11 +324,10 @@
 
     /// What it costs that nobody serves a model, seconds of waiting: each
     /// request that comes meets a load, and the next victim's.
-    fn absence(&self, scene: &Scene<'_>, service: &Arc<str>, model: &Arc<str>) -> f64 {
-        let which = which(service, model);
-        let demand = scene.demand.get(&which).copied().unwrap_or_default();
-        let hosting = scene.desired.hosting(service);
-        let Some(spec) = hosting.and_then(|h| h.models.get(model)) else {
+    fn absence(&self, scene: &Scene<'_>, which: &Which) -> f64 {
+        let demand = scene.demand.get(which).copied().unwrap_or_default();
+        let hosting = scene.desired.hosting(&which.service);
+        let Some(spec) = hosting.and_then(|h| h.models.get(&which.model)) else {
             return 0.0;
         };
         let weights = &self.weights;
@@ -352,14 +338,13 @@
     }
 
     /// What unloading a model from an engine costs, seconds of waiting.
-    fn loss(&self, scene: &Scene<'_>, service: &Arc<str>, model: &Arc<str>, running: u32) -> f64 {
-        let which = which(service, model);
-        let demand = scene.demand.get(&which).copied().unwrap_or_default();
-        let others = self.replicas(&which).saturating_sub(1);
+    fn loss(&self, scene: &Scene<'_>, which: &Which, running: u32) -> f64 {
+        let demand = scene.demand.get(which).copied().unwrap_or_default();
+        let others = self.replicas(which).saturating_sub(1);
         let weights = &self.weights;
         let mut loss = weights.unload_loss + f64::from(running) * weights.running_loss;
         if others == 0 {
-            loss += self.absence(scene, service, model);
+            loss += self.absence(scene, which);
         } else {
             let crowded = (demand.work / others as f64 - weights.hot_work).max(0.0);
             loss += demand.work + crowded * OVERLOAD_LOSS;
@@ -368,13 +353,6 @@
     }
 }
 
-fn which(service: &Arc<str>, model: &Arc<str>) -> Which {
-    Which {
-        service: service.clone(),
-        model: model.clone(),
-    }
-}
-
 /// Where a load may go.
 #[derive(Clone, Debug)]
 struct Place {
--- a/src/edge/routing/mod.rs
+++ b/src/edge/routing/mod.rs
@@ -134,11 +134,7 @@
         }
     }
     Pick::NotHeld {
-        target: Target {
-            service: asked.service.clone(),
-            model: prompt.model.clone(),
-            adapter: prompt.adapter.clone(),
-        },
+        target: Target::of(asked.service, prompt),
         least,
     }
 }
@@ -158,10 +154,8 @@
     // Until an engine has read the shared start, all daemons prefer the same.
     let gather = shared(&chains).unwrap_or(asked.print);
     let pace = asked.prompt.map_or(1.0, |p| {
-        view.meter.pace(&Which {
-            service: asked.service.clone(),
-            model: p.model.clone(),
-        })
+        let which = Which::new(asked.service, &p.model);
+        view.meter.pace(&which)
     });
     let hosting = view.desired.hosting(asked.service);
     let memory = hosting.map_or(0, |h| h.cache_tokens);
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -8,9 +8,8 @@
 use serde_json::Value;
 
 use crate::config::Name;
-use crate::config::jsonc;
 use crate::config::reason::{Reason, Reasons, fields};
-use crate::settings::{Form, Log, SettingsError, text};
+use crate::settings::{Form, Log, SettingsError, text, validated};
 
 /// Address of a field that the file leaves out.
 const UNSET: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -268,17 +267,7 @@
 
 /// Validates settings given as JSON with comments.
 pub fn parse(text: &str) -> Result<Settings, SettingsError> {
-    let value = jsonc::parse(text).map_err(SettingsError::Malformed)?;
-    let mut reasons = misread(&value);
-    if reasons.is_empty() {
-        let settings = serde_json::from_value(value.clone())
-            .map_err(|err| SettingsError::Malformed(err.to_string()))?;
-        reasons = broken(&settings, &value);
-        if reasons.is_empty() {
-            return Ok(settings);
-        }
-    }
-    Err(SettingsError::Invalid(reasons))
+    validated(text, misread, broken)
 }
 
 /// Every field of the wrong type or of an unknown name.
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use super::{Addresses, Limits, Listen, Log, Peer, Settings, check};
@@ -44,12 +45,22 @@
 
 /// Validates settings given as JSON with comments.
 pub fn parse(text: &str) -> Result<Settings, SettingsError> {
+    validated(text, misread, check::broken)
+}
+
+/// Settings of any kind given as JSON with comments. `misread` names fields of
+/// the wrong type or of an unknown name, `broken` the rules that the rest breaks.
+pub fn validated<T: DeserializeOwned>(
+    text: &str,
+    misread: fn(&Value) -> Vec<Reason>,
+    broken: fn(&T, &Value) -> Vec<Reason>,
+) -> Result<T, SettingsError> {
     let value = jsonc::parse(text).map_err(SettingsError::Malformed)?;
     let mut reasons = misread(&value);
     if reasons.is_empty() {
         let settings = serde_json::from_value(value.clone())
             .map_err(|err| SettingsError::Malformed(err.to_string()))?;
-        reasons = check::broken(&settings, &value);
+        reasons = broken(&settings, &value);
         if reasons.is_empty() {
             return Ok(settings);
         }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,7 +3,7 @@
 mod check;
 mod load;
 
-pub use load::{SettingsError, load, parse, text};
+pub use load::{SettingsError, load, parse, text, validated};
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
