--- a/examples/simulate/main.rs
+++ b/examples/simulate/main.rs
@@ -12,8 +12,9 @@
 
 use mastichinge::edge::settings::Settings;
 use simulation::figures::Figures;
+use simulation::firm::Firm;
 use simulation::least::Least;
-use simulation::load::{Day, Firm};
+use simulation::load::Day;
 use simulation::world::{LEAD, World};
 
 mod flags {
--- a/tests/simulate.rs
+++ b/tests/simulate.rs
@@ -6,8 +6,9 @@
 
 use mastichinge::edge::settings::Settings;
 use simulation::figures::Figures;
+use simulation::firm::Firm;
 use simulation::least::Least;
-use simulation::load::{Day, Firm};
+use simulation::load::Day;
 use simulation::world::{End, World};
 use test_case::test_case;
 
--- a/tests/simulation/engine.rs
+++ b/tests/simulation/engine.rs
@@ -10,7 +10,7 @@
 use mastichinge::edge::fleet::{Copies, Entry, Held, Phase};
 use mastichinge::edge::orders::{Order, Outcome, Report, Verb};
 
-use super::load::{Firm, SERVICE};
+use super::firm::{Firm, SERVICE};
 
 /// Shortest step of the batch, ms.
 const STEP_MS: f64 = 5.47;
--- a/tests/simulation/figures.rs
+++ b/tests/simulation/figures.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::load::Firm;
+use super::firm::Firm;
 use super::world::{Asking, End, World};
 
 /// Figures of one kind of request.
--- a/tests/simulation/least.rs
+++ b/tests/simulation/least.rs
@@ -5,7 +5,8 @@
 //! packed as well as possible, the rest of the accelerators' memory is short by
 //! some models; a request for one of these meets a load.
 
-use super::load::{DAY, Firm};
+use super::firm::Firm;
+use super::load::DAY;
 use super::world::{Asking, World};
 
 /// The least that a day can cost.
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod engine;
 pub mod figures;
+pub mod firm;
 pub mod least;
 pub mod load;
 pub mod world;
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world/mod.rs
@@ -1,6 +1,8 @@
 //! A day played over simulated time: daemons with the product's own state and
 //! decisions, engines, the weight store, callers.
 
+mod requests;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap};
 use std::rc::Rc;
@@ -8,26 +10,23 @@
 use std::time::{Duration, Instant};
 
 use mastichinge::clock::Moment;
-use mastichinge::edge::admission::{Time, Verdict, patience};
-use mastichinge::edge::demand::Which;
 use mastichinge::edge::desired::Model;
 use mastichinge::edge::duty::Teller;
 use mastichinge::edge::fleet::Phase;
 use mastichinge::edge::gossip::{Beat, Packet};
 use mastichinge::edge::members::BEAT;
-use mastichinge::edge::orders::{Order, Outcome, Report};
+use mastichinge::edge::orders::{Order, Outcome, Report, Verb};
 use mastichinge::edge::peers;
 use mastichinge::edge::placement::{Act, Authority, Past, Placer, Target};
-use mastichinge::edge::routing::{self, Asked, View};
 use mastichinge::edge::settings::Settings;
 use mastichinge::edge::state::{Passage, State};
-use mastichinge::edge::suspects::fingerprint;
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 
-use super::engine::{Engine, Made, Run, Taken};
-use super::load::{self, Arrival, DAY, Day, Event, Firm, SERVICE};
+use super::engine::Engine;
+use super::firm::Firm;
+use super::load::{self, Arrival, DAY, Day, Event};
 
 /// Time before traffic starts.
 pub const LEAD: Duration = Duration::from_secs(10);
@@ -35,22 +34,12 @@
 const TAIL: Duration = Duration::from_secs(20);
 /// Way between a daemon and an engine or another daemon.
 const HOP: Duration = Duration::from_micros(500);
-/// Way between a caller and a daemon.
-const CALLER: Duration = Duration::from_millis(3);
 /// Period of the holder's decisions.
 const DUTY: Duration = Duration::from_millis(15);
-/// Period at which a waiting request looks again.
-const LOOK: Duration = Duration::from_millis(100);
 /// Period at which engines write their entries, and how late these are read.
 const RENEWAL: Duration = Duration::from_millis(1_200);
-/// Period at which a held request looks again.
-const HOLD: Duration = Duration::from_millis(20);
 /// Loads at once that the weight store serves at full speed.
 const PARALLEL: f64 = 4.0;
-/// Longest silence of an engine after which a repeatable request goes on.
-const SILENCE: Duration = Duration::from_millis(900);
-/// Most sendings of one try that engines reject.
-const REJECTIONS: u32 = 4;
 
 /// What happens at a moment.
 #[derive(Clone, Debug)]
@@ -102,12 +91,9 @@
     pub first: Option<Duration>,
     /// Its end.
     pub end: Option<End>,
-    /// Times that it was refused.
-    pub refused: u32,
     /// It waited for a load.
     pub waited: bool,
     began: Moment,
-    looked: Moment,
     wanting: Option<Target>,
     sending: Option<usize>,
     avoid: Vec<Arc<str>>,
@@ -210,10 +196,8 @@
                 tries: 0,
                 first: None,
                 end: None,
-                refused: 0,
                 waited: false,
                 began: at,
-                looked: at,
                 wanting: None,
                 sending: None,
                 avoid: Vec::new(),
@@ -479,8 +463,8 @@
         if outcome == Outcome::Accepted {
             let slot = match (&order.adapter, order.verb) {
                 (Some(_), _) => 2,
-                (None, mastichinge::edge::orders::Verb::Unload) => 1,
-                (None, mastichinge::edge::orders::Verb::Load) => 0,
+                (None, Verb::Unload) => 1,
+                (None, Verb::Load) => 0,
             };
             self.counts.orders[slot] += 1;
         }
@@ -497,318 +481,4 @@
         };
         self.after(time, Happening::Answer(order, outcome));
     }
-
-    fn arrive(&mut self, index: usize) {
-        let now = self.now;
-        let request = &mut self.requests[index];
-        request.tries += 1;
-        request.began = now;
-        request.looked = now;
-        request.avoid.clear();
-        (request.sent, request.rejected) = (0, 0);
-        let kind = &self.firm.kinds[request.arrival.kind];
-        let tries = request.tries;
-        let leaves = patience(&kind.route).min(limit(request, kind, now));
-        let which = Which {
-            service: SERVICE.into(),
-            model: request.arrival.prompt.model.clone(),
-        };
-        let prompt = &request.arrival.prompt;
-        let own = prompt.parts.last().map_or(0, |p| p.tokens);
-        let state = &mut self.daemons[request.arrival.daemon];
-        let tight = self.models[&prompt.model].disk >= kind.route.objective;
-        let work = routing::reading(own, &self.settings.engines)
-            + Duration::from_micros(100) * prompt.output;
-        let work = work.mul_f64(state.meter.pace(&which));
-        state.meter.note(which, work, tight, now);
-        self.after(leaves, Happening::Leave(index, tries));
-        self.look(index, tries);
-    }
-
-    /// Looks for an engine, as the daemon does.
-    fn look(&mut self, index: usize, tries: u32) {
-        let now = self.now;
-        let request = &self.requests[index];
-        if request.end.is_some() || request.tries != tries || request.sending.is_some() {
-            return;
-        }
-        let daemon = request.arrival.daemon;
-        let kind = &self.firm.kinds[request.arrival.kind];
-        let state = &self.daemons[daemon];
-        let service: Arc<str> = SERVICE.into();
-        let view = View {
-            fleet: &state.fleet,
-            desired: &state.desired,
-            meter: &state.meter,
-            engines: &self.settings.engines,
-            domain: ["north", "south", "east", "west"][daemon % 4],
-            now,
-        };
-        let asked = Asked {
-            service: &service,
-            kind: kind.route.kind,
-            prompt: Some(&request.arrival.prompt),
-            print: fingerprint(&index.to_string(), &[]),
-            avoid: &request.avoid,
-        };
-        let begun = Instant::now();
-        let pick = routing::pick(&view, &asked);
-        self.counts.routing.0 += begun.elapsed();
-        self.counts.routing.1 += 1;
-        let left = limit(request, kind, now);
-        let age = now.saturating_sub(request.began);
-        let waited = now.saturating_sub(request.looked);
-        let resumed = request.first.is_some();
-        let time = Time::of(&kind.route, age, waited, left, resumed);
-        let priority = kind.route.priority;
-        match time.judge(pick, &self.settings.admission) {
-            Verdict::Send(choice) => {
-                self.unwant(index);
-                let request = &mut self.requests[index];
-                let state = &mut self.daemons[daemon];
-                let passage = state.begin(&choice, Some(&request.arrival.prompt), now);
-                let sending = self.sendings.len();
-                request.sending = Some(sending);
-                self.sendings.push(Sending {
-                    request: index,
-                    engine: self.ids[&choice.engine],
-                    passage,
-                    predicted: choice.first,
-                    at: now,
-                    over: false,
-                });
-                self.flush_soon(daemon);
-                self.after(HOP, Happening::Reach(sending));
-            }
-            Verdict::Refuse { back, want, .. } => {
-                if let Some(target) = want {
-                    self.daemons[daemon].want(&target, priority, now);
-                    self.daemons[daemon].unwant(&target, now);
-                    self.flush_soon(daemon);
-                }
-                self.refuse(index, back);
-            }
-            Verdict::Hold => self.after(HOLD, Happening::Look(index, tries)),
-            Verdict::NoEngine => self.after(LOOK, Happening::Look(index, tries)),
-            Verdict::Wait(target) => {
-                if self.requests[index].wanting.as_ref() != Some(&target) {
-                    self.unwant(index);
-                    self.requests[index].waited = true;
-                    self.daemons[daemon].want(&target, priority, now);
-                    self.requests[index].wanting = Some(target);
-                    self.flush_soon(daemon);
-                }
-                // The daemon looks at each change; this is often enough.
-                self.after(Duration::from_millis(10), Happening::Look(index, tries));
-            }
-        }
-    }
-
-    fn unwant(&mut self, index: usize) {
-        let request = &mut self.requests[index];
-        if let Some(target) = request.wanting.take() {
-            self.daemons[request.arrival.daemon].unwant(&target, self.now);
-        }
-    }
-
-    fn refuse(&mut self, index: usize, back: Duration) {
-        self.unwant(index);
-        let request = &mut self.requests[index];
-        request.refused += 1;
-        request.sending = None;
-        let kind = &self.firm.kinds[request.arrival.kind];
-        let left = limit(request, kind, self.now);
-        if request.tries < 2 && left > back {
-            let back = back.min(left / 3) + CALLER * 2;
-            self.after(back, Happening::Arrive(index));
-        } else {
-            request.end = Some(End::Refused);
-        }
-    }
-
-    fn reach(&mut self, sending: usize) {
-        let now = self.now;
-        let at = &self.sendings[sending];
-        if at.over {
-            return;
-        }
-        let request = &self.requests[at.request];
-        let prompt = &request.arrival.prompt;
-        let kind = &self.firm.kinds[request.arrival.kind];
-        let spec = self.firm.models.iter().find(|m| m.name == prompt.model);
-        let run = Run {
-            id: sending,
-            model: prompt.model.clone(),
-            adapter: prompt.adapter.clone(),
-            pace: spec.map_or(1.0, |s| s.pace),
-            rank: kind.route.priority,
-            chains: prompt.chains(),
-            input: prompt.input,
-            output: prompt.output,
-            unread: prompt.input,
-            made: 0,
-        };
-        let engine = at.engine;
-        match self.engines[engine].take(run, now) {
-            Taken::Yes => self.step(engine),
-            Taken::Absent => self.after(HOP, Happening::Refused(sending, true)),
-            Taken::Full => self.after(HOP, Happening::Refused(sending, false)),
-            Taken::Dead => self.broken(sending),
-        }
-    }
-
-    fn step(&mut self, engine: usize) {
-        let now = self.now;
-        if let Some(end) = self.engines[engine].begin(now) {
-            self.at(end, Happening::StepEnd(engine, end));
-        }
-    }
-
-    fn step_end(&mut self, engine: usize, end: Moment) {
-        if self.engines[engine].step != Some(end) {
-            return;
-        }
-        let now = self.now;
-        for made in self.engines[engine].end(now) {
-            match made {
-                Made::First(sending) => self.after(HOP, Happening::First(sending)),
-                Made::End(sending) => self.after(HOP, Happening::End(sending)),
-            }
-        }
-        self.step(engine);
-    }
-
-    fn first(&mut self, sending: usize) {
-        let now = self.now;
-        let at = &self.sendings[sending];
-        if at.over {
-            return;
-        }
-        let request = &mut self.requests[at.request];
-        let daemon = request.arrival.daemon;
-        let arrived = LEAD + request.arrival.at;
-        request.first.get_or_insert(now + CALLER * 2 - arrived);
-        let seen = now - at.at;
-        self.counts
-            .ratios
-            .push(seen.as_secs_f64() / at.predicted.as_secs_f64());
-        let which = Which {
-            service: SERVICE.into(),
-            model: request.arrival.prompt.model.clone(),
-        };
-        let state = &mut self.daemons[daemon];
-        state.prompt_read(&at.passage, now);
-        state.first_event(which, &at.passage.engine, (at.predicted, seen), now);
-    }
-
-    fn end(&mut self, sending: usize) {
-        let at = &mut self.sendings[sending];
-        if std::mem::replace(&mut at.over, true) {
-            return;
-        }
-        let request = &mut self.requests[at.request];
-        request.end = Some(End::Served);
-        let state = &mut self.daemons[request.arrival.daemon];
-        state.ended(&at.passage);
-        if let Some(upstream) = state.fleet.engines.get_mut(&at.passage.engine) {
-            upstream.breaker.succeeded();
-        }
-    }
-
-    fn rejected(&mut self, sending: usize, absent: bool) {
-        let now = self.now;
-        let at = &mut self.sendings[sending];
-        if std::mem::replace(&mut at.over, true) {
-            return;
-        }
-        let index = at.request;
-        let request = &mut self.requests[index];
-        let state = &mut self.daemons[request.arrival.daemon];
-        state.ended(&at.passage);
-        let engine = at.passage.engine.clone();
-        if absent {
-            let prompt = &request.arrival.prompt;
-            let target = Target {
-                service: SERVICE.into(),
-                model: prompt.model.clone(),
-                adapter: prompt.adapter.clone(),
-            };
-            state.lacks(&engine, &target, now);
-        }
-        request.avoid.push(engine);
-        request.sending = None;
-        request.rejected += 1;
-        if request.rejected >= REJECTIONS {
-            self.refuse(index, Duration::from_millis(400));
-            return;
-        }
-        let tries = request.tries;
-        let pause = match absent {
-            true => Duration::ZERO,
-            false => Duration::from_millis(60),
-        };
-        self.after(pause, Happening::Look(index, tries));
-    }
-
-    /// An engine broke off a request.
-    fn broken(&mut self, sending: usize) {
-        let now = self.now;
-        let at = &mut self.sendings[sending];
-        if std::mem::replace(&mut at.over, true) {
-            return;
-        }
-        let index = at.request;
-        let engine = at.passage.engine.clone();
-        let request = &mut self.requests[index];
-        let state = &mut self.daemons[request.arrival.daemon];
-        state.ended(&at.passage);
-        if let Some(upstream) = state.fleet.engines.get_mut(&engine) {
-            upstream.breaker.failed(now);
-            upstream.note_trouble(now);
-            upstream.refused = Some(upstream.entry.beat);
-        }
-        request.sending = None;
-        request.sent += 1;
-        request.avoid.push(engine);
-        let kind = &self.firm.kinds[request.arrival.kind];
-        if request.sent < kind.route.attempts && kind.route.resumable {
-            let tries = request.tries;
-            self.after(HOP, Happening::Look(index, tries));
-        } else {
-            request.end = Some(End::Failed);
-        }
-    }
-
-    /// A caller leaves when no event has come.
-    fn leave(&mut self, index: usize, tries: u32) {
-        let request = &mut self.requests[index];
-        if request.tries != tries || request.end.is_some() {
-            return;
-        }
-        let kind = &self.firm.kinds[request.arrival.kind];
-        let left = limit(request, kind, self.now);
-        if request.first.is_some() && !left.is_zero() {
-            self.after(left, Happening::Leave(index, tries));
-            return;
-        }
-        if let Some(sending) = request.sending.take() {
-            let at = &mut self.sendings[sending];
-            at.over = true;
-            self.engines[at.engine].drop_run(sending);
-            self.daemons[request.arrival.daemon].ended(&at.passage);
-        }
-        self.unwant(index);
-        let request = &mut self.requests[index];
-        if request.tries < 2 && left > SILENCE {
-            self.after(CALLER * 2, Happening::Arrive(index));
-        } else {
-            request.end = Some(End::Failed);
-        }
-    }
-}
-
-/// Time that a request's caller still has for it.
-fn limit(request: &Asking, kind: &load::Kind, now: Moment) -> Duration {
-    let end = LEAD + request.arrival.at + kind.route.timeout;
-    end.saturating_sub(now)
 }
