Keep a silent stream whose resumption the retry budget refuses

Cause: the relay closed the connection to an engine that had been silent for three gaps before it asked the retry budget, so a stream that its engine had only preempted was cut when the budget was used up. Change: the retry is taken first; without one the relay waits for the engine.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -156,7 +156,9 @@
     engine: &Arc<str>,
     cause: &str,
 ) -> bool {
-    attempts.avoid.push(engine.clone());
+    if !attempts.avoid.contains(engine) {
+        attempts.avoid.push(engine.clone());
+    }
     if !can_retry(routed, attempts) {
         return false;
     }
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -132,6 +132,17 @@
         out.into()
     }
 
+    /// Returns whether another engine can go on after the last whole event.
+    fn is_resumable(&self, routed: &RoutedRequest) -> bool {
+        self.last_event.is_some() && routed.route.resumable
+    }
+
+    /// Records the failure, and closes the connection and the idle ones to this engine.
+    fn abandon(self) {
+        self.in_flight.record_outcome(false);
+        self.connection.drop_idle();
+    }
+
     /// Records the success and releases the connection.
     fn finish(self) {
         self.in_flight.record_outcome(true);
@@ -293,7 +304,7 @@
             return StreamEnd::Complete;
         }
         loop {
-            let max_silence = self.max_silence();
+            let max_silence = self.max_silence(&source);
             let chunk_sender = self.chunk_sender.clone();
             let next = tokio::select! {
                 next = source.next(max_silence) => next,
@@ -315,29 +326,47 @@
                 StreamItem::TimedOut if self.routed.time_left().is_zero() => {
                     return StreamEnd::DeadlinePassed;
                 }
-                StreamItem::TimedOut if !self.can_resume() => {}
-                StreamItem::TimedOut => match self.resume(source, SILENCE).await {
-                    Ok(resumed) => source = resumed,
-                    Err(end) => return end,
-                },
-                StreamItem::Broken(cause) => match self.resume(source, &cause).await {
-                    Ok(resumed) => source = resumed,
-                    Err(end) => return end,
-                },
+                StreamItem::TimedOut => {
+                    // A silent engine may go on; its run is given up only once another
+                    // engine may take over.
+                    if self.can_resume(&source) && self.start_retry(&source, SILENCE) {
+                        match self.resume(source, SILENCE).await {
+                            Ok(resumed) => source = resumed,
+                            Err(end) => return end,
+                        }
+                    }
+                }
+                StreamItem::Broken(cause) => {
+                    attempt::report_crash(&self.routed, &source.in_flight.engine);
+                    if !source.is_resumable(&self.routed) || !self.start_retry(&source, &cause) {
+                        source.abandon();
+                        return StreamEnd::Broken(cause);
+                    }
+                    match self.resume(source, &cause).await {
+                        Ok(resumed) => source = resumed,
+                        Err(end) => return end,
+                    }
+                }
             }
             *engine = source.in_flight.engine.clone();
         }
     }
 
     /// Returns whether the route allows another engine to resume the stream.
-    fn can_resume(&self) -> bool {
-        self.attempts.route_allows_retry(&self.routed)
+    fn can_resume(&self, source: &StreamSource) -> bool {
+        source.is_resumable(&self.routed) && self.attempts.route_allows_retry(&self.routed)
+    }
+
+    /// Takes a retry out of the budget; returns whether another engine may take over.
+    fn start_retry(&mut self, source: &StreamSource, cause: &str) -> bool {
+        let engine = source.in_flight.engine.clone();
+        attempt::start_retry(&self.routed, &mut self.attempts, &engine, cause)
     }
 
     /// Returns the time limit for the engine's next event.
-    fn max_silence(&self) -> Duration {
+    fn max_silence(&self, source: &StreamSource) -> Duration {
         let time_left = self.routed.time_left();
-        match self.can_resume() {
+        match self.can_resume(source) {
             true => (self.routed.route.gap * SILENCE_GAP_FACTOR).min(time_left),
             false => time_left,
         }
@@ -355,26 +384,19 @@
         }
     }
 
-    /// Resumes the stream at another engine after the last whole event.
+    /// Resumes the stream at another engine after the last whole event; the retry has been
+    /// taken out of the budget.
     async fn resume(
         &mut self,
         source: StreamSource,
         cause: &str,
     ) -> Result<StreamSource, StreamEnd> {
-        let engine = source.in_flight.engine.clone();
         let last_event = source.last_event;
-        source.in_flight.record_outcome(false);
-        if cause != SILENCE {
-            source.connection.drop_idle();
-        }
-        // Closes the connection, so that the engine stops the run before another starts.
-        drop(source);
-        if cause != SILENCE {
-            attempt::report_crash(&self.routed, &engine);
-        }
-        let resumable = last_event.is_some() && self.routed.route.resumable;
-        if !resumable || !attempt::start_retry(&self.routed, &mut self.attempts, &engine, cause) {
-            return Err(StreamEnd::Broken(cause.to_owned()));
+        match cause {
+            // Closes this connection only, so that the engine stops the run before another
+            // starts.
+            SILENCE => source.in_flight.record_outcome(false),
+            _ => source.abandon(),
         }
         self.attempts.last_event = last_event;
         let chunk_sender = self.chunk_sender.clone();
--- a/tests/edge/fakes/engine.rs
+++ b/tests/edge/fakes/engine.rs
@@ -25,6 +25,8 @@
     Reset,
     /// Resets after this many events, in the middle of the next.
     ResetAfter(u64),
+    /// Pauses streams after this many events for [`PREEMPTION`].
+    PauseAfter(u64),
     /// Never answers.
     Silent,
     /// Answers without a length and resets in the middle.
@@ -67,6 +69,9 @@
 pub const EVENTS: u64 = 5;
 /// Pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(15);
+/// Pause of a preempted stream; longer than a daemon waits for the next event before it
+/// looks for another engine (three gaps of the routes).
+pub const PREEMPTION: Duration = Duration::from_millis(1_600);
 
 impl Engine {
     /// Starts an engine that has loaded `models` and registers it.
@@ -282,6 +287,9 @@
                 sleep(EVENT_PAUSE).await;
                 return reset(stream);
             }
+            if behavior == Behavior::PauseAfter(event - 1) {
+                sleep(PREEMPTION).await;
+            }
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             if stream.write_all(chunk.as_bytes()).await.is_err() {
                 self.state.lock().unwrap().cancelled.push(id.to_owned());
--- a/tests/edge/requests.rs
+++ b/tests/edge/requests.rs
@@ -195,6 +195,26 @@
     }
 }
 
+/// Engines preempt streams for want of memory and go on later. When the retry budget is
+/// used up, no other engine may take over, and the daemon waits for the engine.
+#[test]
+fn a_preempted_stream_is_not_cut_when_no_retry_is_left() {
+    let site = Site::start();
+    site.daemon.write_settings(|s| {
+        s["bounds"]["retry_ratio"] = 0.0.into();
+        s["bounds"]["retry_slack"] = 0.0.into();
+    });
+    site.daemon.signal(libc::SIGHUP);
+    wait("the new settings", || {
+        !site.daemon.logged("settings reloaded").is_empty()
+    });
+    site.set(Behavior::PauseAfter(2));
+    let answer = site.stream("/stream/", "s1");
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(events(&answer.body), all_events());
+    assert_eq!(site.arrivals("s1"), 1);
+}
+
 #[test]
 fn a_stream_that_may_not_be_resumed_is_truncated_and_runs_once() {
     let site = Site::start();
