Read the list of engines by its changes

Change: the list is read whole at the start, after a failed call and when the history has expired, else by its changes, one call, every 0.45 of the drain bound; a call for the desired state waits by the contact bound. Tests: the list by its changes (no network), and a daemon against the fake store, which now keeps tombstones: before, it reads whole every period.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod demand;
 pub mod desired;
+pub mod engine_list;
 pub mod events;
 pub mod fleet;
 pub mod forward;
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -124,6 +124,8 @@
 pub struct Bounds {
     /// Time after which a draining engine must get no new requests, ms.
     pub drain_ms: u64,
+    /// Time for which a daemon must have reached the store before bounds hold for it, ms.
+    pub contact_ms: u64,
     /// Time from SIGTERM to SIGKILL, s.
     pub grace_s: f64,
     /// Minimum time between the orders of two leaders, ms.
@@ -146,6 +148,7 @@
     fn default() -> Self {
         Bounds {
             drain_ms: 2_000,
+            contact_ms: 3_000,
             grace_s: 8.0,
             lease_ms: 3_000,
             fences: true,
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -7,20 +7,25 @@
 use std::time::Duration;
 
 use super::clock;
+use super::engine_list::EngineList;
 use super::fleet::EngineEntry;
 use super::members::MemberRecord;
 use super::state::{DaemonPhase, Edge};
-use super::store::{Row, RowChange, RowPage, StoreError, Table};
-use crate::platform::{desired, engine_entry, rows};
+use super::store::{RowChange, RowPage, StoreError, Table};
+use crate::platform::{desired, rows};
 
-/// Time for which one call waits for a new desired state. A dead connection is
-/// detected after this plus the time limit of a call.
-const FEED_WAIT: Duration = Duration::from_millis(1_500);
+/// Minimum time for which one call waits for a new desired state.
+const MIN_FEED_WAIT: Duration = Duration::from_millis(1_500);
+/// Time before the end of the contact bound at which a dead connection must have been
+/// detected: the time limit of a call and its repetition.
+const FEED_MARGIN: Duration = Duration::from_millis(1_500);
 /// Period of reading the list of engines, as a fraction of the time after which a
 /// draining engine must get no new requests.
-const ENGINES_PERIOD_RATIO: f64 = 0.35;
+const ENGINES_PERIOD_RATIO: f64 = 0.45;
 /// Fraction of the store's read rate that is used for the list of engines.
 const ENGINES_READS_RATIO: f64 = 0.5;
+/// Number of rows that the store returns at most in one response; more may follow.
+const MAX_FEED_ROWS: usize = 500;
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Period of reading the list of daemons; packets of a new daemon cause an earlier
@@ -37,7 +42,7 @@
             None => edge.store.read_table(Table::Desired).await,
             Some(version) => {
                 edge.store
-                    .read_changes(Table::Desired, version, FEED_WAIT)
+                    .read_changes(Table::Desired, version, feed_wait(&edge))
                     .await
             }
         };
@@ -60,6 +65,13 @@
     }
 }
 
+/// Returns how long one call waits for a new desired state. A dead connection is detected
+/// after this plus the time limit of a call.
+fn feed_wait(edge: &Edge) -> Duration {
+    let contact = Duration::from_millis(edge.settings().bounds.contact_ms);
+    contact.saturating_sub(FEED_MARGIN).max(MIN_FEED_WAIT)
+}
+
 fn apply_desired(edge: &Edge, page: &RowPage) {
     for row in &page.rows {
         if &*row.key != rows::DESIRED_KEY || !row.unnamed_part {
@@ -92,18 +104,21 @@
 /// Keeps the list of engines up to date, and makes the daemon ready once both the
 /// list and the desired state are known.
 pub async fn watch_engines(edge: Rc<Edge>) {
-    let mut known_unreadable = BTreeSet::new();
+    let mut list = EngineList::default();
     loop {
         let period = engines_period(&edge);
         let started = clock::now();
-        match edge.store.read_table(Table::Engines).await {
-            Ok(page) => {
-                apply_engines(&edge, page, &mut known_unreadable);
+        match read_engines(&edge, &mut list).await {
+            Ok(()) => {
+                apply_engines(&edge, &list);
                 if edge.phase.get() == DaemonPhase::Starting {
                     become_ready(&edge).await;
                 }
             }
-            Err(error) => log::debug!(error:%; "list of engines not read"),
+            Err(error) => {
+                log::debug!(error:%; "list of engines not read");
+                list.invalidate();
+            }
         }
         let spent = clock::now().saturating_sub(started);
         let pause = period.saturating_sub(spent).max(RETRY_PAUSE);
@@ -111,6 +126,42 @@
     }
 }
 
+/// Reads the changes of the list of engines, or the whole list when the changes are not
+/// known.
+async fn read_engines(edge: &Edge, list: &mut EngineList) -> Result<(), StoreError> {
+    loop {
+        let page = match list.version() {
+            None => edge.store.read_table(Table::Engines).await?,
+            Some(version) => {
+                let changes = edge
+                    .store
+                    .read_changes(Table::Engines, version, Duration::ZERO);
+                match changes.await {
+                    Err(StoreError::HistoryExpired) => {
+                        log::info!(after = version; "history of the engines expired, reading the whole list");
+                        list.invalidate();
+                        continue;
+                    }
+                    page => page?,
+                }
+            }
+        };
+        let is_full = page.rows.len() >= MAX_FEED_ROWS;
+        let is_whole = list.version().is_none();
+        let unreadable = match is_whole {
+            true => list.replace(page),
+            false => list.apply(page),
+        };
+        for entry in unreadable {
+            log::warn!(engine = &*entry.key, row = entry.row, error = &*entry.error;
+                "entry ignored");
+        }
+        if is_whole || !is_full {
+            return Ok(());
+        }
+    }
+}
+
 /// Returns the period of reading the list of engines: short enough for draining
 /// engines, and within this daemon's share of the store's read rate.
 fn engines_period(edge: &Edge) -> Duration {
@@ -137,46 +188,31 @@
     }
 }
 
-fn apply_engines(edge: &Edge, page: RowPage, known_unreadable: &mut BTreeSet<Arc<str>>) {
-    let mut entries: Vec<EngineEntry> = Vec::new();
-    let mut unreadable = BTreeSet::new();
-    for row in page.rows {
-        if !row.unnamed_part {
-            continue;
-        }
-        match decode_entry(&row) {
-            Ok(entry) => entries.push(entry),
-            Err(error) => {
-                unreadable.insert(row.key.clone());
-                if !known_unreadable.contains(&row.key) {
-                    log::warn!(engine = &*row.key, row = row.version, error = error.as_str();
-                        "entry ignored");
-                }
-            }
-        }
-    }
-    *known_unreadable = unreadable.clone();
+fn apply_engines(edge: &Edge, list: &EngineList) {
     let now = clock::now();
     let restored_at = edge.store.availability().restored_at;
     let mut state = edge.state.borrow_mut();
     let services = &state.desired.services;
-    // Entries of services that the desired state does not list are not applied; like
-    // unreadable ones, they do not remove an engine.
-    let unknown_service: Vec<_> = entries
-        .extract_if(.., |e| {
-            !services.is_empty() && !services.contains_key(&e.service)
-        })
-        .collect();
-    for entry in unknown_service {
-        unreadable.insert(entry.id);
+    let mut entries: Vec<EngineEntry> = Vec::new();
+    let mut unreadable: BTreeSet<Arc<str>> = list.unreadable().cloned().collect();
+    for entry in list.entries() {
+        // Entries of services that the desired state does not list are not applied; like
+        // unreadable ones, they do not remove an engine.
+        match services.is_empty() || services.contains_key(&entry.service) {
+            true => entries.push(entry.clone()),
+            false => {
+                unreadable.insert(entry.id.clone());
+            }
+        }
     }
     let changes = state
         .fleet
         .update_entries(entries, &unreadable, restored_at, now);
     drop(state);
+    let version = list.version().unwrap_or_default();
     for (engine, change) in &changes {
         let change: &'static str = change.into();
-        log::info!(engine = &**engine, change, list = page.version; "engine changed");
+        log::info!(engine = &**engine, change, list = version; "engine changed");
     }
     edge.notify_waiting();
     if !changes.is_empty() {
@@ -184,11 +220,6 @@
     }
 }
 
-fn decode_entry(row: &Row) -> Result<EngineEntry, String> {
-    let value = row.value.as_ref().ok_or("no value")?;
-    engine_entry::decode(&row.key, value).map_err(|e| e.to_string())
-}
-
 /// Keeps this daemon's row and the list of the others up to date.
 pub async fn watch_members(edge: Rc<Edge>) {
     let mut row_written = false;
--- a/tests/edge/fakes/store.rs
+++ b/tests/edge/fakes/store.rs
@@ -22,10 +22,22 @@
     version: u64,
     /// Version and value of each row.
     rows: BTreeMap<RowKey, (u64, Vec<u8>)>,
+    /// Version of the removal of each removed row.
+    tombstones: BTreeMap<RowKey, u64>,
     /// First version in the history; feeds from earlier versions get 410.
     history_start: u64,
     down: bool,
     calls: u64,
+    /// Tables that were read whole, one entry a call.
+    whole_reads: Vec<String>,
+}
+
+impl StoreState {
+    fn remove(&mut self, key: RowKey) {
+        if self.rows.remove(&key).is_some() {
+            self.tombstones.insert(key, self.version);
+        }
+    }
 }
 
 /// Handle of the fake store.
@@ -71,7 +83,13 @@
     pub fn remove(&self, table: &str, key: &str) {
         let mut state = self.state.lock().unwrap();
         state.version += 1;
-        state.rows.remove(&(table.to_owned(), key.to_owned()));
+        state.remove((table.to_owned(), key.to_owned()));
+    }
+
+    /// Returns how often a table was read whole.
+    pub fn whole_reads(&self, table: &str) -> usize {
+        let state = self.state.lock().unwrap();
+        state.whole_reads.iter().filter(|t| *t == table).count()
     }
 
     pub fn get(&self, table: &str, key: &str) -> Option<Value> {
@@ -119,7 +137,12 @@
         };
         let table = request.query("table").unwrap_or_default();
         match request.path() {
-            "/rows-get" => self.page(table, 0),
+            "/rows-get" => {
+                let mut state = self.state.lock().unwrap();
+                state.whole_reads.push(table.to_owned());
+                drop(state);
+                self.page(table, 0)
+            }
             "/rows-feed" => {
                 let after: u64 = number("after");
                 let wait = Duration::from_millis(number("waitMs"));
@@ -155,6 +178,12 @@
                     "value": STANDARD.encode(value)}));
             }
         }
+        for ((t, key), version) in &state.tombstones {
+            if after > 0 && t == table && *version > after {
+                page.push(json!({"table": t, "part": "", "key": key, "ver": version,
+                    "tombstone": true}));
+            }
+        }
         (
             200,
             json!({"rows": page, "hasMore": false, "ver": state.version, "nowMs": 0}),
@@ -190,10 +219,11 @@
         let version = state.version;
         for row in list("writes") {
             let value = STANDARD.decode(row["value"].as_str().unwrap()).unwrap();
+            state.tombstones.remove(&key(&row));
             state.rows.insert(key(&row), (version, value));
         }
         for row in list("remove") {
-            state.rows.remove(&key(&row));
+            state.remove(key(&row));
         }
         drop(state);
         self.changed.notify_waiters();
--- a/tests/edge/requests.rs
+++ b/tests/edge/requests.rs
@@ -326,6 +326,35 @@
     assert!(site.plain[0].arrivals().is_empty());
 }
 
+/// Large fleets: the list of engines takes several calls to read, so that it is read whole
+/// only at the start and after an expired history.
+#[test]
+fn the_list_of_engines_is_read_whole_once_and_then_by_its_changes() {
+    let site = Site::start();
+    let appeared = |id: &str| {
+        let changes = site.daemon.logged("engine changed");
+        changes
+            .iter()
+            .any(|l| l["change"] == "appeared" && l["engine"] == id)
+    };
+    let new = Engine::start(&site.store, "p3", "desk", &[]);
+    wait("the new engine", || appeared("p3"));
+    site.store.remove("servers", "p1");
+    wait("the removal", || {
+        let changes = site.daemon.logged("engine changed");
+        changes.iter().any(|l| l["change"] == "gone")
+    });
+    assert_eq!(site.store.whole_reads("servers"), 1);
+    site.store.expire_history();
+    wait("a whole reading", || site.store.whole_reads("servers") == 2);
+    new.register("draining");
+    wait("the change after it", || {
+        let changes = site.daemon.logged("engine changed");
+        changes.iter().any(|l| l["change"] == "leaving")
+    });
+    assert_eq!(site.store.whole_reads("servers"), 2);
+}
+
 #[test]
 fn invalid_engine_entries_are_ignored_and_the_others_used() {
     let site = Site::start();
