Index what the leader's decisions look up

Cause: every 15 ms the leader walked all engines for each engine, for each target that requests wait for, and summed the loads of all daemons for each adapter of each engine. Change: engines of a waiting adapter are found once a step, and one that can take no order goes last; loads, utilization and waiting models are indexed once a planning; loads are planned at once for a further target and else every 45 ms; use of adapters and demand are read every 100 ms. Tests: adapters of a busy morning are ordered in one step; an adapter does not wait for an engine that can take no order (fails before).

--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -14,6 +14,7 @@
 use mastichinge::decide::placement_types::PlacementOptions;
 use mastichinge::decide::routing::{ReplicaQuery, choose_replica};
 use mastichinge::decide::sleep::{ModelFacts, decide_unload};
+use scene::fleet::LeaderScene;
 use scene::{FULL, POOL, TODAY};
 
 fn routing(c: &mut Criterion) {
@@ -59,6 +60,18 @@
     }
 }
 
+/// One step of the leader while requests wait for adapters.
+fn leader_step(c: &mut Criterion) {
+    let mut group = c.benchmark_group("leader_step");
+    group.sample_size(20);
+    for engines in [12, 72, 240, 960, 2_300] {
+        let mut scene = LeaderScene::new(engines);
+        group.bench_function(BenchmarkId::from_parameter(engines), |b| {
+            b.iter(|| scene.step());
+        });
+    }
+}
+
 fn pinning(c: &mut Criterion) {
     let mut group = c.benchmark_group("pinning");
     group.sample_size(20);
@@ -143,6 +156,6 @@
     config = Criterion::default()
         .warm_up_time(Duration::from_millis(300))
         .measurement_time(Duration::from_secs(1));
-    targets = routing, placement, pinning, sleep, permit, admission
+    targets = routing, placement, leader_step, pinning, sleep, permit, admission
 }
 criterion_main!(benches);
--- a/benches/scene/mod.rs
+++ b/benches/scene/mod.rs
@@ -1,5 +1,7 @@
 //! Generated inputs of the decisions at a given size, from a fixed seed.
 
+pub mod fleet;
+
 use std::time::Duration;
 
 use mastichinge::clock::Moment;
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -234,17 +234,20 @@
     /// Returns the requests in progress there for a model with all its adapters, or
     /// for one `model/adapter`.
     pub fn requests_for(&self, target: &str, now: Moment) -> u32 {
-        let count = |load: &EngineLoad| -> u32 {
-            let mut sum = 0;
-            for (name, requests) in &load.targets {
-                let model = name.split('/').next().unwrap_or_default();
-                if &**name == target || model == target {
-                    sum += requests;
-                }
+        let mut sum = 0;
+        for (name, count) in self.requests(now) {
+            if &**name == target || request_headers::split_target(name).0 == target {
+                sum += count;
             }
-            sum
-        };
-        count(&self.own_load) + self.current_peer_loads(now).map(count).sum::<u32>()
+        }
+        sum
+    }
+
+    /// Returns the requests of all daemons in progress there, by `model` or
+    /// `model/adapter`; a target may come several times.
+    pub fn requests(&self, now: Moment) -> impl Iterator<Item = (&Arc<str>, u32)> {
+        let loads = std::iter::once(&self.own_load).chain(self.current_peer_loads(now));
+        loads.flat_map(|load| load.targets.iter().map(|(target, count)| (target, *count)))
     }
 
     fn current_peer_loads(&self, now: Moment) -> impl Iterator<Item = &EngineLoad> {
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -19,6 +19,7 @@
 use super::leadership::Leadership;
 use super::members::{self, HEARTBEAT_PERIOD};
 use super::placement::{ModelTarget, WaitingRequests};
+use super::request_headers::split_target;
 use super::state::{Edge, State};
 use crate::clock::Moment;
 
@@ -453,8 +454,8 @@
     let (model, adapter) = split_target(&note.target);
     let target = ModelTarget {
         service: note.service.as_str().into(),
-        model,
-        adapter,
+        model: model.into(),
+        adapter: adapter.map(Into::into),
     };
     let requests = WaitingRequests {
         count: note.count,
@@ -469,8 +470,8 @@
     let mut models = LoadedModels::new();
     for target in &note.targets {
         let (model, adapter) = split_target(target);
-        let adapters = models.entry(model).or_default();
-        adapters.extend(adapter);
+        let adapters = models.entry(model.into()).or_default();
+        adapters.extend(adapter.map(Arc::from));
     }
     AnnouncedModels {
         fence: note.fence,
@@ -481,13 +482,6 @@
     }
 }
 
-fn split_target(target: &str) -> (Arc<str>, Option<Arc<str>>) {
-    match target.split_once('/') {
-        Some((model, adapter)) => (model.into(), Some(adapter.into())),
-        None => (target.into(), None),
-    }
-}
-
 /// Periodically logs the daemons that became silent since the last check.
 pub async fn log_silent_members(edge: Rc<Edge>) {
     let mut last_alive: BTreeMap<Arc<str>, u64> = BTreeMap::new();
--- a/src/edge/placement/adapters.rs
+++ b/src/edge/placement/adapters.rs
@@ -1,9 +1,10 @@
 //! Placement of adapters: which engine loads one, and which adapter it evicts.
 
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use super::engine_view::{EngineView, Replica};
-use super::{ModelTarget, PlacementInput};
+use super::{ModelTarget, PlacementInput, Placer};
 use crate::clock::Moment;
 use crate::edge::desired::Hosting;
 use crate::edge::fleet::Upstream;
@@ -15,23 +16,69 @@
 /// Maximum number of adapters that one engine loads at the same time.
 const MAX_LOADING_ADAPTERS: usize = 4;
 
-/// Returns the next adapter order for one engine: verb, model and adapter.
+/// Adapters that each engine should load, by engine.
+pub(super) type AdapterLoads<'a> = HashMap<Arc<str>, Vec<&'a ModelTarget>>;
+
+impl Placer {
+    /// Chooses an engine for each adapter that requests wait for: among those that serve
+    /// the model, the one with the fewest requests in progress. One that can take an order
+    /// now goes before one that cannot.
+    pub(super) fn assign_adapters<'a>(&self, input: &'a PlacementInput<'_>) -> AdapterLoads<'a> {
+        let mut loads = AdapterLoads::new();
+        let wanted: Vec<_> = input
+            .waiting
+            .keys()
+            .filter(|t| t.adapter.is_some())
+            .collect();
+        if wanted.is_empty() {
+            return loads;
+        }
+        let models: BTreeSet<_> = wanted.iter().map(|t| &*t.model).collect();
+        let mut serving: BTreeMap<&str, Vec<(&Upstream, &EngineView)>> = BTreeMap::new();
+        for (engine, view) in self.known_engines(input) {
+            if !engine.breaker.allows(input.now) {
+                continue;
+            }
+            for (model, replica) in &view.replicas {
+                if replica.ready && models.contains(&**model) {
+                    serving.entry(model).or_default().push((engine, view));
+                }
+            }
+        }
+        for target in wanted {
+            let candidates = serving.get(&*target.model).into_iter().flatten();
+            let candidates = candidates.filter(|(e, _)| e.entry.service == target.service);
+            if candidates.clone().any(|(_, view)| view.has_adapter(target)) {
+                continue;
+            }
+            let rank = |(engine, view): &&(&Upstream, &EngineView)| {
+                let busy = engine.running(input.now) / REQUEST_TOLERANCE;
+                (view.is_blocked(input.now), busy, engine.entry.id.clone())
+            };
+            if let Some((engine, _)) = candidates.min_by_key(rank) {
+                let id = engine.entry.id.clone();
+                loads.entry(id).or_default().push(target);
+            }
+        }
+        loads
+    }
+}
+
+/// Returns the next adapter order for one engine that should load `targets`: verb, model
+/// and adapter.
 pub(super) fn next_adapter_order(
     view: &EngineView,
     engine: &Upstream,
     hosting: &Hosting,
     input: &PlacementInput<'_>,
+    targets: &[&ModelTarget],
 ) -> Option<(Verb, Arc<str>, Arc<str>)> {
     let now = input.now;
-    for target in input.waiting.keys() {
+    for target in targets {
         let Some(adapter) = &target.adapter else {
             continue;
         };
-        if target.service != engine.entry.service || !view.serves(&target.model) {
-            continue;
-        }
-        let replica = view.replicas.get(&target.model)?;
-        if replica.adapters.contains_key(adapter) || !is_preferred(input, engine, target) {
+        if view.has_adapter(target) {
             continue;
         }
         let count_loading = |r: &Replica| r.adapters.values().filter(|a| a.ready_at > now).count();
@@ -39,7 +86,9 @@
         if loading >= MAX_LOADING_ADAPTERS {
             return None;
         }
-        let spec = hosting.models.get(&target.model)?;
+        let Some(spec) = hosting.models.get(&target.model) else {
+            continue;
+        };
         let full = view.adapter_count() >= hosting.adapter_slots as usize
             || view.used_mb(hosting) + spec.adapter_mb > hosting.memory_mb;
         if !full {
@@ -51,36 +100,26 @@
     None
 }
 
-/// Returns whether this engine should load a requested adapter: among those
-/// that serve the model, it is the one with the fewest requests in progress.
-fn is_preferred(input: &PlacementInput<'_>, engine: &Upstream, target: &ModelTarget) -> bool {
-    let now = input.now;
-    let serving = input
-        .fleet
-        .usable_engines(&target.service)
-        .filter(|e| e.has_model(&target.model, None, now) && e.breaker.allows(now));
-    let best = serving.min_by_key(|e| (e.running(now) / REQUEST_TOLERANCE, e.entry.id.clone()));
-    best.is_none_or(|b| b.entry.id == engine.entry.id)
-}
-
 /// Returns the least recently used adapter that no request uses or waits for.
 fn idle_adapter(
     view: &EngineView,
     engine: &Upstream,
     input: &PlacementInput<'_>,
 ) -> Option<(Arc<str>, Arc<str>)> {
+    let used: BTreeSet<_> = engine
+        .requests(input.now)
+        .map(|(target, _)| &**target)
+        .collect();
     let mut oldest: Option<(Moment, &Arc<str>, &Arc<str>)> = None;
     for (model, replica) in &view.replicas {
         for (name, adapter) in &replica.adapters {
-            let target = format!("{model}/{name}");
-            let requested = input
-                .waiting
-                .keys()
-                .any(|t| t.model == *model && t.adapter.as_ref() == Some(name));
-            if requested
-                || adapter.ready_at > input.now
-                || engine.requests_for(&target, input.now) > 0
-            {
+            let target = ModelTarget {
+                service: engine.entry.service.clone(),
+                model: model.clone(),
+                adapter: Some(name.clone()),
+            };
+            let needed = input.waiting.contains_key(&target) || used.contains(&*target.name());
+            if needed || adapter.ready_at > input.now {
                 continue;
             }
             if oldest.is_none_or(|o| adapter.last_used < o.0) {
--- a/src/edge/placement/engine_view.rs
+++ b/src/edge/placement/engine_view.rs
@@ -8,6 +8,8 @@
 use crate::edge::desired::{Hosting, Model};
 use crate::edge::fleet::{EngineEntry, LoadedModels, Upstream, WeightCopies};
 use crate::edge::orders::EngineReport;
+use crate::edge::placement::ModelTarget;
+use crate::edge::request_headers::split_target;
 
 /// Pause between two report requests to an engine that runs an order of an earlier
 /// leadership.
@@ -242,11 +244,13 @@
 
     /// Updates when each adapter was last used.
     pub fn record_use(&mut self, engine: &Upstream, now: Moment) {
-        for (model, replica) in &mut self.replicas {
-            for (name, adapter) in &mut replica.adapters {
-                if engine.requests_for(&format!("{model}/{name}"), now) > 0 {
-                    adapter.last_used = now;
-                }
+        for (target, _) in engine.requests(now) {
+            let (model, Some(name)) = split_target(target) else {
+                continue;
+            };
+            let replica = self.replicas.get_mut(model);
+            if let Some(adapter) = replica.and_then(|r| r.adapters.get_mut(name)) {
+                adapter.last_used = now;
             }
         }
     }
@@ -297,6 +301,19 @@
         self.replicas.get(model).is_some_and(|r| r.ready)
     }
 
+    /// Returns whether an adapter is loaded or loading.
+    pub fn has_adapter(&self, target: &ModelTarget) -> bool {
+        let replica = self.replicas.get(&target.model);
+        let adapter = target.adapter.as_ref();
+        replica.is_some_and(|r| adapter.is_some_and(|a| r.adapters.contains_key(a)))
+    }
+
+    /// Returns whether it can get no order now: a call to it or a pause is not over, or a
+    /// report has to be read first.
+    pub fn is_blocked(&self, now: Moment) -> bool {
+        self.call_pending || self.report_due || now < self.paused_until
+    }
+
     /// Returns whether `model` can serve requests, or will after the current task.
     pub fn will_serve(&self, model: &str) -> bool {
         let planned = self.task.as_ref().is_some_and(|t| &*t.model == model);
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -11,7 +11,7 @@
 pub mod engine_view;
 mod plan;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +25,7 @@
 use crate::decide::start_window::StartWindow;
 use adapters::next_adapter_order;
 use engine_view::{Adapter, EngineView, REPORT_PAUSE, Replica, TaskStage, model_size_mb};
+use plan::PlanIndex;
 
 /// Minimum time between the start of a drain and the unload, so that requests
 /// already on their way arrive first: twice the latency to a daemon and on to the
@@ -47,6 +48,8 @@
 const UNLOAD_TIME: Duration = Duration::from_millis(40);
 /// Time over the expected load time after which a report is requested.
 const LOAD_SLACK: Duration = Duration::from_millis(150);
+/// Period of recording which adapters are in use.
+const USE_PERIOD: Duration = Duration::from_millis(100);
 /// Maximum age of a task that has not started to load.
 const MAX_TASK_AGE: Duration = Duration::from_secs(8);
 
@@ -146,10 +149,16 @@
     window_s: f64,
     /// Loads before this leadership.
     history: LoadHistory,
-    /// Number of engines that serve or will serve each model, as last counted.
-    replica_counts: HashMap<ModelKey, usize>,
+    /// What the planning of loads looks up.
+    index: PlanIndex,
+    /// Targets that requests waited for when loads were last planned.
+    planned_for: BTreeSet<ModelTarget>,
+    /// When loads were last planned.
+    planned_at: Moment,
     /// When models without a replica were last checked.
     unserved_checked: Moment,
+    /// When the use of adapters was last recorded.
+    use_recorded: Moment,
 }
 
 impl Placer {
@@ -163,8 +172,11 @@
             windows: HashMap::new(),
             window_s: settings.bounds.ceiling_window_s,
             history,
-            replica_counts: HashMap::new(),
+            index: PlanIndex::default(),
+            planned_for: BTreeSet::new(),
+            planned_at: Moment::ZERO,
             unserved_checked: Moment::ZERO,
+            use_recorded: Moment::ZERO,
         }
     }
 
@@ -176,12 +188,16 @@
     /// Updates the views from the list of engines.
     pub fn update_engines(&mut self, input: &PlacementInput<'_>) {
         let now = input.now;
+        let engines = &input.fleet.engines;
         let is_hosting =
-            |e: &&Upstream| e.is_usable() && input.desired.hosting(&e.entry.service).is_some();
-        let usable: Vec<_> = input.fleet.engines.values().filter(is_hosting).collect();
-        let listed = |id: &Arc<str>| usable.iter().any(|e| e.entry.id == *id);
-        self.views.retain(|id, _| listed(id));
-        for engine in usable {
+            |e: &Upstream| e.is_usable() && input.desired.hosting(&e.entry.service).is_some();
+        self.views
+            .retain(|id, _| engines.get(id).is_some_and(is_hosting));
+        let records_use = now.saturating_sub(self.use_recorded) >= USE_PERIOD;
+        if records_use {
+            self.use_recorded = now;
+        }
+        for engine in engines.values().filter(|e| is_hosting(e)) {
             let entry = &engine.entry;
             let view = self
                 .views
@@ -190,6 +206,9 @@
             if view.incarnation != entry.incarnation {
                 *view = EngineView::new(entry, now);
             }
+            if !records_use {
+                continue;
+            }
             view.record_use(engine, now);
             if !entry.copies.disk.is_empty() || !entry.copies.memory.is_empty() {
                 view.copies = entry.copies.clone();
@@ -263,11 +282,13 @@
         self.update_engines(input);
         self.recheck_missing(input);
         self.drop_stale_tasks(input);
-        self.plan(input);
+        self.plan_if_due(input);
+        let adapters = self.assign_adapters(input);
         let mut calls = Vec::new();
         let ids: Vec<_> = self.views.keys().cloned().collect();
         for id in ids {
-            if let Some(call) = self.next_call(&id, input) {
+            let adapters = adapters.get(&id).map_or(&[][..], Vec::as_slice);
+            if let Some(call) = self.next_call(&id, input, adapters) {
                 calls.push(call);
             }
         }
@@ -353,8 +374,13 @@
         }
     }
 
-    /// Returns the next call to one engine.
-    fn next_call(&mut self, id: &Arc<str>, input: &PlacementInput<'_>) -> Option<EngineCall> {
+    /// Returns the next call to one engine, which should load `adapters`.
+    fn next_call(
+        &mut self,
+        id: &Arc<str>,
+        input: &PlacementInput<'_>,
+        adapters: &[&ModelTarget],
+    ) -> Option<EngineCall> {
         let now = input.now;
         let view = self.views.get_mut(id)?;
         if view.call_pending || now < view.paused_until {
@@ -377,7 +403,9 @@
             leader: leader.host.clone(),
             fence: leader.fence,
         };
-        if let Some((verb, model, adapter)) = next_adapter_order(view, engine, hosting, input) {
+        if let Some((verb, model, adapter)) =
+            next_adapter_order(view, engine, hosting, input, adapters)
+        {
             view.call_pending = true;
             return Some(EngineCall::Order(order(
                 verb,
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -10,6 +10,7 @@
 use crate::edge::demand::ModelKey;
 use crate::edge::desired::Hosting;
 use crate::edge::fleet::Upstream;
+use crate::edge::request_headers::split_target;
 
 /// Time after its load for which a model is not evicted, except for waiting
 /// requests.
@@ -29,11 +30,41 @@
 /// for them.
 const UNSERVED_CHECK_PERIOD: Duration = Duration::from_millis(200);
 
+/// Period of planning loads while no further target is waited for.
+const PLAN_PERIOD: Duration = Duration::from_millis(45);
+
+/// What the planning of loads looks up again and again; computed once for each planning
+/// and after each planned load.
+#[derive(Debug, Default)]
+pub(super) struct PlanIndex {
+    /// Number of engines that serve or will serve each model.
+    replicas: HashMap<ModelKey, usize>,
+    /// Engine time per second that the demand for an engine's models needs, by engine.
+    utilization: HashMap<Arc<str>, f64>,
+    /// Requests in progress at each engine, by model.
+    requests: HashMap<Arc<str>, HashMap<Arc<str>, u32>>,
+    /// Models that requests wait for.
+    waited: HashSet<ModelKey>,
+}
+
 impl Placer {
+    /// Plans loads when requests wait for a further target, and otherwise every
+    /// [`PLAN_PERIOD`].
+    pub(super) fn plan_if_due(&mut self, input: &PlacementInput<'_>) {
+        let known = input.waiting.keys().all(|t| self.planned_for.contains(t));
+        if known && input.now.saturating_sub(self.planned_at) < PLAN_PERIOD {
+            return;
+        }
+        self.planned_at = input.now;
+        self.planned_for = input.waiting.keys().cloned().collect();
+        self.plan(input);
+    }
+
     /// Plans loads: first for waiting requests, then additional replicas of hot
     /// models, then models without a copy or a replica.
-    pub(super) fn plan(&mut self, input: &PlacementInput<'_>) {
-        self.count_replicas(input);
+    fn plan(&mut self, input: &PlacementInput<'_>) {
+        self.index_requests(input);
+        self.index_replicas(input);
         let mut missing = Vec::new();
         for (target, requests) in input.waiting {
             if self.replica_count(&ModelKey::new(&target.service, &target.model)) == 0 {
@@ -63,9 +94,31 @@
         }
     }
 
-    /// Counts the engines that serve or will serve each model.
-    fn count_replicas(&mut self, input: &PlacementInput<'_>) {
-        let mut replica_counts: HashMap<ModelKey, usize> = HashMap::new();
+    /// Indexes what requests wait for and where requests are in progress.
+    fn index_requests(&mut self, input: &PlacementInput<'_>) {
+        let waited = input.waiting.keys();
+        self.index.waited = waited
+            .map(|t| ModelKey::new(&t.service, &t.model))
+            .collect();
+        self.index.requests.clear();
+        for (id, engine) in &input.fleet.engines {
+            let mut by_model: HashMap<Arc<str>, u32> = HashMap::new();
+            for (target, count) in engine.requests(input.now) {
+                let (model, _) = split_target(target);
+                match by_model.get_mut(model) {
+                    Some(sum) => *sum += count,
+                    None => {
+                        by_model.insert(model.into(), count);
+                    }
+                }
+            }
+            self.index.requests.insert(id.clone(), by_model);
+        }
+    }
+
+    /// Indexes the engines that serve or will serve each model, and how busy they are.
+    fn index_replicas(&mut self, input: &PlacementInput<'_>) {
+        let mut replicas: HashMap<ModelKey, usize> = HashMap::new();
         for (engine, view) in self.known_engines(input) {
             let planned = view.task.iter().map(|t| &t.model);
             let new = planned.filter(|m| !view.replicas.contains_key(*m));
@@ -74,10 +127,16 @@
                     continue;
                 }
                 let key = ModelKey::new(&engine.entry.service, model);
-                *replica_counts.entry(key).or_default() += 1;
+                *replicas.entry(key).or_default() += 1;
             }
         }
-        self.replica_counts = replica_counts;
+        self.index.replicas = replicas;
+        let mut utilization = HashMap::with_capacity(self.views.len());
+        for (engine, view) in self.known_engines(input) {
+            let id = engine.entry.id.clone();
+            utilization.insert(id, self.utilization(input, engine, view));
+        }
+        self.index.utilization = utilization;
     }
 
     /// Plans loads of models that no engine holds or keeps a copy of.
@@ -116,7 +175,7 @@
     }
 
     /// Returns the listed engines with their views.
-    fn known_engines<'a>(
+    pub(super) fn known_engines<'a>(
         &'a self,
         input: &'a PlacementInput<'_>,
     ) -> impl Iterator<Item = (&'a Upstream, &'a EngineView)> {
@@ -137,7 +196,7 @@
 
     /// Returns the number of engines that serve or will serve a model.
     fn replica_count(&self, key: &ModelKey) -> usize {
-        self.replica_counts.get(key).copied().unwrap_or(0)
+        self.index.replicas.get(key).copied().unwrap_or(0)
     }
 
     /// Returns the models that any engine holds, loads or keeps a copy of.
@@ -169,6 +228,12 @@
         utilization * engine.slowdown.factor(input.now)
     }
 
+    /// Returns the utilization of an engine as last indexed.
+    fn indexed_utilization(&self, engine: &Upstream) -> f64 {
+        let utilization = self.index.utilization.get(&engine.entry.id);
+        utilization.copied().unwrap_or(0.0)
+    }
+
     /// Returns the lowest utilization among the engines that serve a model; zero
     /// when none does, or when another replica is planned.
     fn least_utilization(&self, input: &PlacementInput<'_>, key: &ModelKey) -> f64 {
@@ -180,7 +245,7 @@
             if !view.serves(&key.model) {
                 return 0.0;
             }
-            least = least.min(self.utilization(input, engine, view));
+            least = least.min(self.indexed_utilization(engine));
         }
         match least.is_finite() {
             true => least,
@@ -207,6 +272,9 @@
             return;
         };
         let store_available = self.store_load_count(input, service) < self.engines.store_parallel;
+        if reason == LoadReason::Prefetch && !store_available {
+            return;
+        }
         let max_eviction_cost = self.max_eviction_cost(input, key, reason);
         let mut best: Option<LoadOption> = None;
         for (engine, view) in self.service_engines(input, service) {
@@ -232,7 +300,7 @@
             if eviction_cost > max_eviction_cost {
                 continue;
             }
-            let utilization_cost = self.utilization(input, engine, view) * UTILIZATION_COST_S;
+            let utilization_cost = self.indexed_utilization(engine) * UTILIZATION_COST_S;
             let delay = view.task_remaining(input.now).as_secs_f64();
             let cost = load_time.as_secs_f64() + delay + eviction_cost + utilization_cost;
             if best.as_ref().is_none_or(|b| cost < b.cost) {
@@ -276,7 +344,7 @@
             planned_at: input.now,
         });
         view.advance_task(input.now);
-        self.count_replicas(input);
+        self.index_replicas(input);
     }
 
     /// Returns the models to unload to free `missing_mb`, and the cost; `None`
@@ -296,12 +364,13 @@
         let mut options = Vec::new();
         for (name, replica) in &view.replicas {
             let resident = input.now.saturating_sub(replica.loaded_at) >= MIN_RESIDENCE;
-            let requested = input.waiting.keys().any(|t| t.model == *name);
+            let key = ModelKey::new(&engine.entry.service, name);
+            let requested = self.index.waited.contains(&key);
             if !replica.ready || requested || (!resident && reason != LoadReason::Waiting) {
                 continue;
             }
-            let running = engine.requests_for(name, input.now);
-            let key = ModelKey::new(&engine.entry.service, name);
+            let requests = self.index.requests.get(&engine.entry.id);
+            let running = requests.and_then(|r| r.get(name)).copied().unwrap_or(0);
             let cost = self.unload_cost(input, &key, running);
             options.push((
                 cost,
--- a/src/edge/request_headers.rs
+++ b/src/edge/request_headers.rs
@@ -50,6 +50,14 @@
     }
 }
 
+/// Splits the name of a target into model and adapter.
+pub fn split_target(target: &str) -> (&str, Option<&str>) {
+    match target.split_once('/') {
+        Some((model, adapter)) => (model, Some(adapter)),
+        None => (target, None),
+    }
+}
+
 impl Prompt {
     /// Returns the name of the model or adapter to load: `model` or `model/adapter`.
     pub fn target(&self) -> Arc<str> {
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -28,6 +28,8 @@
 
 /// Age at which another daemon's waiting requests and demand are ignored.
 const PEER_STATE_MAX_AGE: Duration = Duration::from_millis(1_500);
+/// Period at which the leader sums the demand of all daemons.
+const DEMAND_PERIOD: Duration = Duration::from_millis(100);
 /// Time for which a target stays listed after its last waiting request was
 /// refused, so that the load starts and a later attempt finds the model.
 const WAIT_RETENTION: Duration = Duration::from_millis(800);
@@ -92,6 +94,10 @@
     pub waiting: BTreeMap<ModelTarget, WaitingTarget>,
     /// Waiting requests and demand at other daemons.
     pub peer_states: HashMap<Arc<str>, PeerState>,
+    /// Demand at all daemons by model, as the leader last summed it.
+    pub demand: HashMap<ModelKey, Demand>,
+    /// When the leader summed it.
+    pub demand_summed: Moment,
     /// Demand at this daemon.
     pub meter: DemandMeter,
     /// Retry budgets by service.
@@ -375,13 +381,16 @@
     /// progress; `None` when this daemon is not the leader.
     pub fn decide_calls(&mut self, now: Moment) -> Option<(Vec<EngineCall>, bool)> {
         let waiting = self.total_waiting(now);
-        let demand = self.total_demand(now);
+        if now.saturating_sub(self.demand_summed) >= DEMAND_PERIOD {
+            self.demand_summed = now;
+            self.demand = self.total_demand(now);
+        }
         let placer = self.placer.as_mut()?;
         let input = PlacementInput {
             fleet: &self.fleet,
             desired: &self.desired,
             waiting: &waiting,
-            demand: &demand,
+            demand: &self.demand,
             now,
         };
         let calls = placer.decide(&input);
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -6,6 +6,7 @@
 mod fixtures;
 mod fleet;
 mod hostile_callers;
+mod large_fleet;
 mod leadership;
 #[path = "../env/loopback.rs"]
 mod loopback;
