Leave a silent stream's engine only for one that can take over now

Change: the relay asks for the successor's predicted first event before it gives the run up, and stays where that is longer than the silence that it tolerates. Measured: a stream of a model that one engine holds ran twice before, once now (the new test fails before).

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -301,6 +301,21 @@
     routing::select_engine(&context, &routing_request)
 }
 
+/// Returns the predicted time to the first event at the engine that would take over from
+/// `engine`; `None` when there is no other.
+pub(super) fn successor_event(
+    routed: &RoutedRequest,
+    attempts: &Attempts,
+    engine: &Arc<str>,
+) -> Option<Duration> {
+    let mut avoid = attempts.avoid.clone();
+    avoid.push(engine.clone());
+    match select_engine(routed, &avoid, clock::now()) {
+        Selection::Engine(choice) if !avoid.contains(&choice.engine) => Some(choice.first_event),
+        _ => None,
+    }
+}
+
 /// Waits for an engine that can take the request.
 async fn wait_for_engine(
     routed: &RoutedRequest,
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -327,9 +327,12 @@
                     return StreamEnd::DeadlinePassed;
                 }
                 StreamItem::TimedOut => {
-                    // A silent engine may go on; its run is given up only once another
-                    // engine may take over.
-                    if self.can_resume(&source) && self.start_retry(&source, SILENCE) {
+                    // A silent engine may go on, so its run is given up only for an engine
+                    // that can take over now, within the retry budget.
+                    if self.can_resume(&source)
+                        && self.has_successor(&source)
+                        && self.start_retry(&source, SILENCE)
+                    {
                         match self.resume(source, SILENCE).await {
                             Ok(resumed) => source = resumed,
                             Err(end) => return end,
@@ -357,6 +360,13 @@
         source.is_resumable(&self.routed) && self.attempts.route_allows_retry(&self.routed)
     }
 
+    /// Returns whether another engine can go on sooner than a silence is tolerated.
+    fn has_successor(&self, source: &StreamSource) -> bool {
+        let predicted =
+            attempt::successor_event(&self.routed, &self.attempts, &source.in_flight.engine);
+        predicted.is_some_and(|wait| wait < self.max_silence(source))
+    }
+
     /// Takes a retry out of the budget; returns whether another engine may take over.
     fn start_retry(&mut self, source: &StreamSource, cause: &str) -> bool {
         let engine = source.in_flight.engine.clone();
--- a/tests/edge/requests.rs
+++ b/tests/edge/requests.rs
@@ -215,6 +215,23 @@
     assert_eq!(site.arrivals("s1"), 1);
 }
 
+/// A preempted stream of a model that no other engine holds: nobody can take over, so the
+/// run goes on where it is.
+#[test]
+fn a_preempted_stream_stays_at_the_only_engine_of_its_model() {
+    let site = Site::start();
+    site.store.remove("servers", "e2");
+    wait("the change", || {
+        let changes = site.daemon.logged("engine changed");
+        changes.iter().any(|l| l["change"] == "gone")
+    });
+    site.set(Behavior::PauseAfter(2));
+    let answer = site.stream("/stream/", "s1");
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(events(&answer.body), all_events());
+    assert_eq!(site.arrivals("s1"), 1);
+}
+
 #[test]
 fn a_stream_that_may_not_be_resumed_is_truncated_and_runs_once() {
     let site = Site::start();
