Tell demand, targets and waits to the leader only, and the load less often

Cause: every daemon sent its whole state to each other four times a second. The demand grows with the models met; 116 copies back to back overflowed links of 25 Mbit/s, always for the same last hosts, which then called living daemons silent. Change: all daemons get a heartbeat of fixed size, urgent notes, and the load by engine every 9 ms for each daemon of the deployment (250 ms to 1 s). The leader also gets loads by target, waits, and the demand of models with new requests (all of it every 4 s and to a new leader). Sending begins with another recipient each time.

--- a/src/edge/demand.rs
+++ b/src/edge/demand.rs
@@ -38,14 +38,18 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct DecayingDemand {
-    demand: Demand,
-    updated_at: Moment,
+/// Demand as of a moment; without further requests it decays.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct DecayingDemand {
+    /// Demand at that moment.
+    pub demand: Demand,
+    /// The moment.
+    pub updated_at: Moment,
 }
 
 impl DecayingDemand {
-    fn decayed(&self, now: Moment) -> Demand {
+    /// Returns what is left of it.
+    pub fn decayed(&self, now: Moment) -> Demand {
         let age = now.saturating_sub(self.updated_at).as_secs_f64();
         let decay = (-age / RATE_DECAY_S).exp();
         Demand {
@@ -135,6 +139,14 @@
         };
     }
 
+    /// Returns the current demand for the models requested since `since`.
+    pub fn demand_since(&self, since: Moment, now: Moment) -> Vec<(ModelKey, Demand)> {
+        let recent = self.sums.iter().filter(|(_, sum)| sum.updated_at >= since);
+        recent
+            .map(|(key, sum)| (key.clone(), sum.decayed(now)))
+            .collect()
+    }
+
     /// Returns the current demand, and removes idle models.
     pub fn current_demand(&mut self, now: Moment) -> Vec<(ModelKey, Demand)> {
         self.sums
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -21,7 +21,7 @@
 /// Time for which an engine gets no requests for a model that it could not serve.
 const MISSING_MAX_AGE: Duration = Duration::from_millis(400);
 /// Age at which the load that another daemon reported is ignored.
-const PEER_LOAD_MAX_AGE: Duration = Duration::from_secs(2);
+const PEER_LOAD_MAX_AGE: Duration = Duration::from_secs(3);
 
 /// Time constant of the exponential decay of the failure score, s.
 const FAILURE_DECAY_S: f64 = 5.0;
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -2,8 +2,8 @@
 
 use prost::Message;
 
-/// Content of one datagram to other daemons: a heartbeat with the complete state once
-/// per period, or only urgent notes.
+/// Content of one datagram to other daemons: a heartbeat once per period, reports of load,
+/// demand and waiting requests when they are due, and notes that are sent at once.
 #[derive(Clone, PartialEq, Message)]
 pub struct Packet {
     /// Host of the sender.
@@ -15,14 +15,20 @@
     /// Number of this packet since that start.
     #[prost(uint64, tag = "3")]
     pub sequence: u64,
-    /// Complete state; absent in urgent packets.
-    #[prost(message, optional, tag = "4")]
+    /// Sign of life; absent in urgent packets.
+    #[prost(message, optional, tag = "9")]
     pub heartbeat: Option<Heartbeat>,
-    /// Requests that wait for a model.
-    #[prost(message, repeated, tag = "5")]
-    pub waiting: Vec<WaitingNote>,
+    /// All requests in progress of the sender.
+    #[prost(message, optional, tag = "10")]
+    pub load: Option<LoadReport>,
+    /// Demand at the sender; only to the leader.
+    #[prost(message, optional, tag = "11")]
+    pub demand: Option<DemandReport>,
+    /// All requests of the sender that wait for a model; only to the leader.
+    #[prost(message, optional, tag = "12")]
+    pub waiting: Option<WaitingReport>,
     /// Models that engines have loaded; only from the leader.
-    #[prost(message, repeated, tag = "6")]
+    #[prost(message, repeated, tag = "13")]
     pub announcements: Vec<AnnouncedModelsNote>,
     /// Requests during which engines crashed.
     #[prost(message, repeated, tag = "7")]
@@ -32,15 +38,12 @@
     pub sent_prompts: Vec<PromptNote>,
 }
 
-/// Complete state of a daemon.
+/// A daemon's sign of life.
 #[derive(Clone, PartialEq, Message)]
 pub struct Heartbeat {
     /// Address for callers.
     #[prost(string, tag = "1")]
     pub callers: String,
-    /// Failure domain.
-    #[prost(string, tag = "2")]
-    pub domain: String,
     /// Whether it serves callers.
     #[prost(bool, tag = "3")]
     pub ready: bool,
@@ -50,12 +53,34 @@
     /// Its leadership, if it is the leader.
     #[prost(message, optional, tag = "5")]
     pub leadership: Option<LeadershipNote>,
-    /// Its requests in progress, by engine.
-    #[prost(message, repeated, tag = "6")]
-    pub loads: Vec<LoadNote>,
-    /// Its demand, by model.
-    #[prost(message, repeated, tag = "7")]
-    pub demand: Vec<DemandNote>,
+}
+
+/// Requests of a daemon in progress.
+#[derive(Clone, PartialEq, Message)]
+pub struct LoadReport {
+    /// By engine.
+    #[prost(message, repeated, tag = "1")]
+    pub engines: Vec<LoadNote>,
+}
+
+/// Demand at a daemon.
+#[derive(Clone, PartialEq, Message)]
+pub struct DemandReport {
+    /// Whether models that are not listed have no demand; else theirs is as reported
+    /// before.
+    #[prost(bool, tag = "1")]
+    pub whole: bool,
+    /// By model.
+    #[prost(message, repeated, tag = "2")]
+    pub models: Vec<DemandNote>,
+}
+
+/// Requests of a daemon that wait for models and adapters.
+#[derive(Clone, PartialEq, Message)]
+pub struct WaitingReport {
+    /// By model or adapter.
+    #[prost(message, repeated, tag = "1")]
+    pub targets: Vec<WaitingNote>,
 }
 
 /// State of a daemon's leadership.
@@ -104,7 +129,7 @@
     /// Number of requests in progress.
     #[prost(uint32, tag = "2")]
     pub running: u32,
-    /// Requests in progress by target.
+    /// Requests in progress by target; only to the leader.
     #[prost(message, repeated, tag = "4")]
     pub targets: Vec<TargetCount>,
 }
@@ -176,9 +201,20 @@
     /// Number of the announcement within the leadership.
     #[prost(uint64, tag = "4")]
     pub sequence: u64,
-    /// Models and `model/adapter`s that may be requested from it.
-    #[prost(string, repeated, tag = "5")]
-    pub targets: Vec<String>,
+    /// Models that may be requested from it.
+    #[prost(message, repeated, tag = "6")]
+    pub models: Vec<ModelNote>,
+}
+
+/// A model that an engine has loaded.
+#[derive(Clone, PartialEq, Message)]
+pub struct ModelNote {
+    /// Model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// Its adapters that may be requested.
+    #[prost(string, repeated, tag = "2")]
+    pub adapters: Vec<String>,
 }
 
 /// A prompt that was sent to an engine.
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -24,6 +24,7 @@
 pub mod peers;
 pub mod placement;
 pub mod prefix_cache;
+pub mod reports;
 pub mod request_headers;
 pub mod retry_budget;
 pub mod routing;
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -10,23 +10,22 @@
 use tokio::net::UdpSocket;
 
 use super::clock;
-use super::demand::{Demand, ModelKey};
+use super::demand::{DecayingDemand, Demand, ModelKey};
 use super::fleet::{AnnouncedModels, EngineLoad, LoadedModels, SentPrompt};
 use super::gossip::{
-    AnnouncedModelsNote, CrashReport, DemandNote, Heartbeat, LeadershipNote, LoadNote, LoadStart,
-    Packet, PromptNote, TargetCount, WaitingNote,
+    AnnouncedModelsNote, DemandNote, Heartbeat, LeadershipNote, LoadNote, LoadStart, Packet,
+    PromptNote, WaitingNote,
 };
 use super::leadership::Leadership;
 use super::members::{self, HEARTBEAT_PERIOD};
 use super::placement::{ModelTarget, WaitingRequests};
+use super::reports::{Reporter, Round};
 use super::request_headers::split_target;
 use super::state::{Edge, State};
 use crate::clock::Moment;
 
 /// Largest datagram, bytes: fits one Ethernet frame with headers.
 const DATAGRAM_BYTES: usize = 1_400;
-/// Maximum number of prompts in one datagram, so that it fits.
-const PROMPTS_PER_PACKET: usize = 12;
 /// Receive buffer, bytes.
 const BUFFER_BYTES: usize = 65_536;
 /// Minimum pause between two rounds of sending.
@@ -36,6 +35,7 @@
 
 /// Sends a heartbeat every period, and urgent notes at once.
 pub async fn send_packets(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
+    let mut reporter = Reporter::default();
     let mut sequence = 0;
     let mut heartbeat_at = Moment::ZERO;
     loop {
@@ -46,15 +46,18 @@
             heartbeat_at = now;
         }
         sequence += 1;
-        let mut packet = Packet {
+        let (round, recipients) = next_round(&edge, &mut reporter, is_heartbeat, now);
+        let signed = |content: Packet| Packet {
             host: edge.host.to_string(),
             incarnation: edge.incarnation,
             sequence,
-            ..Packet::default()
+            ..content
         };
-        let recipients = fill_packet(&edge, &mut packet, is_heartbeat, now);
-        if !recipients.is_empty() {
-            send_packet(&socket, &packet, &recipients).await;
+        if let Some(leader) = recipients.leader {
+            send_packet(&socket, &signed(round.leader), &[leader]).await;
+        }
+        if !recipients.others.is_empty() {
+            send_packet(&socket, &signed(round.everyone), &recipients.others).await;
         }
         let has_waiting = edge
             .state
@@ -75,84 +78,46 @@
     }
 }
 
-/// Fills a packet and returns the addresses of its recipients; with none, the packet is
-/// not sent.
-fn fill_packet(
+/// Addresses to which a round is sent.
+#[derive(Clone, Debug, Default)]
+struct Recipients {
+    /// The leader's, if it gets anything.
+    leader: Option<SocketAddr>,
+    /// Those of the other daemons.
+    others: Vec<SocketAddr>,
+}
+
+/// Returns the contents of the next round and its recipients.
+fn next_round(
     edge: &Edge,
-    packet: &mut Packet,
+    reporter: &mut Reporter,
     is_heartbeat: bool,
     now: Moment,
-) -> Vec<SocketAddr> {
+) -> (Round, Recipients) {
     let mut state = edge.state.borrow_mut();
     let state = &mut *state;
-    add_urgent_notes(state, packet);
-    if is_heartbeat {
-        packet.heartbeat = Some(heartbeat(edge, state, now));
-    }
-    if is_heartbeat || !packet.crash_reports.is_empty() {
-        return state.members.take_due(now);
-    }
-    if !packet.sent_prompts.is_empty() {
-        return state
-            .members
-            .alive_members(now)
-            .map(|(_, m)| m.peers)
-            .collect();
-    }
-    if packet.waiting.is_empty() {
-        return Vec::new();
-    }
-    // Only the leader uses waiting requests; without a known leader nothing is sent.
-    match state.members.leader(now) {
-        Some((_, leader)) => vec![leader.peers],
-        None => Vec::new(),
-    }
-}
-
-/// Adds the crash reports, sent prompts and waiting requests, which other daemons should
-/// get at once.
-pub fn add_urgent_notes(state: &mut State, packet: &mut Packet) {
-    for (fingerprint, engine) in state.crash_reports.drain(..) {
-        let engine = engine.to_string();
-        packet.crash_reports.push(CrashReport {
-            fingerprint,
-            engine,
-        });
-    }
-    // Prompts beyond the limit are reported as load by the next heartbeat.
-    for sent in state.sent_prompts.drain(..).take(PROMPTS_PER_PACKET) {
-        packet.sent_prompts.push(PromptNote {
-            engine: sent.engine.to_string(),
-            target: sent.target.to_string(),
-            prefill_ms: sent.prefill_time.as_millis() as u32,
-            uncached: sent.uncached,
-            prefix_keys: sent.prefix_keys,
-        });
-    }
-    packet.waiting = waiting_notes(state);
-}
-
-fn waiting_notes(state: &mut State) -> Vec<WaitingNote> {
-    let mut notes = Vec::new();
-    for (target, wait) in &mut state.waiting {
-        let requests = &wait.requests;
-        notes.push(WaitingNote {
-            service: target.service.to_string(),
-            target: target.name().to_string(),
-            count: requests.count,
-            priority: u32::from(requests.priority),
-            missing_at: match wait.missing_reported {
-                true => String::new(),
-                false => requests
-                    .missing_at
-                    .as_deref()
-                    .unwrap_or_default()
-                    .to_owned(),
-            },
-        });
-        wait.missing_reported = true;
-    }
-    notes
+    let leader = state.members.leader(now);
+    let leader = leader.map(|(host, member)| (host.clone(), member.peers));
+    let heartbeat = is_heartbeat.then(|| heartbeat(edge, state, now));
+    let round = reporter.next_round(state, heartbeat, leader.as_ref().map(|(h, _)| h), now);
+    let alive = |state: &State| -> Vec<SocketAddr> {
+        let members = state.members.alive_members(now);
+        members.map(|(_, m)| m.peers).collect()
+    };
+    let mut others = match (is_heartbeat, round.has_urgent_notes()) {
+        (true, _) => state.members.take_due(now),
+        (false, true) => alive(state),
+        (false, false) => Vec::new(),
+    };
+    let waits = round
+        .leader
+        .waiting
+        .as_ref()
+        .is_some_and(|w| !w.targets.is_empty());
+    let leader = leader.map(|(_, addr)| addr);
+    let leader = leader.filter(|addr| waits || others.contains(addr));
+    others.retain(|addr| Some(*addr) != leader);
+    (round, Recipients { leader, others })
 }
 
 fn leadership_note(edge: &Edge, state: &State, now: Moment) -> Option<LeadershipNote> {
@@ -216,48 +181,12 @@
     time.as_millis() as u64
 }
 
-fn heartbeat(edge: &Edge, state: &mut State, now: Moment) -> Heartbeat {
-    let settings = edge.settings();
-    let mut heartbeat = Heartbeat {
-        callers: settings.listen.callers.to_string(),
-        domain: settings.domain.to_string(),
+fn heartbeat(edge: &Edge, state: &State, now: Moment) -> Heartbeat {
+    Heartbeat {
+        callers: edge.settings().listen.callers.to_string(),
         ready: edge.is_ready(),
         store: edge.store_available(),
         leadership: leadership_note(edge, state, now),
-        ..Heartbeat::default()
-    };
-    add_load_and_demand(state, &mut heartbeat, now);
-    heartbeat
-}
-
-/// Adds this daemon's requests in progress, by engine, and its demand, by model, to a
-/// heartbeat.
-pub fn add_load_and_demand(state: &mut State, heartbeat: &mut Heartbeat, now: Moment) {
-    for (id, engine) in &state.fleet.engines {
-        if engine.own_load.running == 0 {
-            continue;
-        }
-        let mut note = LoadNote {
-            engine: id.to_string(),
-            running: engine.own_load.running,
-            targets: Vec::new(),
-        };
-        for (target, count) in &engine.own_load.targets {
-            note.targets.push(TargetCount {
-                target: target.to_string(),
-                count: *count,
-            });
-        }
-        heartbeat.loads.push(note);
-    }
-    for (key, demand) in state.meter.current_demand(now) {
-        heartbeat.demand.push(DemandNote {
-            service: key.service.to_string(),
-            model: key.model.to_string(),
-            rate: demand.rate as f32,
-            work: demand.work as f32,
-            tight: demand.tight as f32,
-        });
     }
 }
 
@@ -292,9 +221,12 @@
     send_packet(socket, &packet, &recipients).await;
 }
 
+/// Sends a packet to all recipients, beginning with another one each time: what overflows
+/// the link of this host is not always lost to the same daemons.
 async fn send_packet(socket: &UdpSocket, packet: &Packet, recipients: &[SocketAddr]) {
     let bytes = packet.encode_to_vec();
-    for addr in recipients {
+    let (before, after) = recipients.split_at(rand::random_range(0..recipients.len().max(1)));
+    for addr in after.iter().chain(before) {
         if let Err(error) = socket.send_to(&bytes, addr).await {
             log::debug!(addr:%, error:%; "datagram not sent");
         }
@@ -386,17 +318,23 @@
     /// Applies a packet's announcements, load, demand and waiting requests.
     pub fn apply_packet(&mut self, host: &Arc<str>, packet: &Packet, now: Moment) -> PacketEffects {
         let mut effects = PacketEffects::default();
-        if let Some(heartbeat) = &packet.heartbeat {
-            let loads = heartbeat.loads.iter().map(decode_load).collect();
+        if let Some(load) = &packet.load {
+            let loads = load.engines.iter().map(decode_load).collect();
             self.fleet.record_peer_load(host, loads, now);
+        }
+        if let Some(report) = &packet.demand {
             let peer = self.peer_states.entry(host.clone()).or_default();
             peer.demand_at = now;
-            peer.demand = heartbeat.demand.iter().map(decode_demand).collect();
+            if report.whole {
+                peer.demand.clear();
+            }
+            peer.demand
+                .extend(report.models.iter().map(|note| decode_demand(note, now)));
         }
-        if packet.heartbeat.is_some() || !packet.waiting.is_empty() {
+        if let Some(report) = &packet.waiting {
             let peer = self.peer_states.entry(host.clone()).or_default();
             peer.waiting_at = now;
-            peer.waiting = packet.waiting.iter().map(decode_waiting).collect();
+            peer.waiting = report.targets.iter().map(decode_waiting).collect();
             effects.has_waiting = !peer.waiting.is_empty();
         }
         for note in &packet.sent_prompts {
@@ -437,7 +375,7 @@
     }
 }
 
-fn decode_demand(note: &DemandNote) -> (ModelKey, Demand) {
+fn decode_demand(note: &DemandNote, now: Moment) -> (ModelKey, DecayingDemand) {
     let key = ModelKey {
         service: note.service.as_str().into(),
         model: note.model.as_str().into(),
@@ -447,7 +385,8 @@
         work: f64::from(note.work),
         tight: f64::from(note.tight),
     };
-    (key, demand)
+    let updated_at = now;
+    (key, DecayingDemand { demand, updated_at })
 }
 
 fn decode_waiting(note: &WaitingNote) -> (ModelTarget, WaitingRequests) {
@@ -468,10 +407,9 @@
 /// Decodes the leader's announcement about one engine.
 pub fn decode_announcement(note: &AnnouncedModelsNote, now: Moment) -> AnnouncedModels {
     let mut models = LoadedModels::new();
-    for target in &note.targets {
-        let (model, adapter) = split_target(target);
-        let adapters = models.entry(model.into()).or_default();
-        adapters.extend(adapter.map(Arc::from));
+    for model in &note.models {
+        let adapters = model.adapters.iter().map(|a| Arc::from(a.as_str()));
+        models.insert(model.model.as_str().into(), adapters.collect());
     }
     AnnouncedModels {
         fence: note.fence,
--- a/src/edge/placement/engine_view.rs
+++ b/src/edge/placement/engine_view.rs
@@ -346,21 +346,19 @@
         (model.store_load, true)
     }
 
-    /// Returns the names, `model` or `model/adapter`, that the engine can serve.
-    pub fn servable_targets(&self, now: Moment) -> Vec<String> {
-        let mut targets = Vec::new();
-        for (model, replica) in &self.replicas {
-            if !replica.ready {
-                continue;
-            }
-            targets.push(model.to_string());
-            for (name, adapter) in &replica.adapters {
-                if adapter.ready_at <= now {
-                    targets.push(format!("{model}/{name}"));
-                }
-            }
-        }
-        targets
+    /// Returns the models that the engine can serve, each with its adapters.
+    pub fn servable_models(
+        &self,
+        now: Moment,
+    ) -> impl Iterator<Item = (&Arc<str>, impl Iterator<Item = &Arc<str>>)> {
+        let ready = self.replicas.iter().filter(|(_, replica)| replica.ready);
+        ready.map(move |(model, replica)| {
+            let loaded = replica
+                .adapters
+                .iter()
+                .filter(move |(_, a)| a.ready_at <= now);
+            (model, loaded.map(|(name, _)| name))
+        })
     }
 }
 
--- /dev/null
+++ b/src/edge/reports.rs
@@ -0,0 +1,199 @@
+//! What a daemon tells the others: to all of them that it is alive, what it has sent to
+//! engines and how many of its requests run there; to the leader also what waits, for what
+//! there is demand and which models the running requests use.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::demand::{Demand, ModelKey};
+use super::gossip::{
+    CrashReport, DemandNote, DemandReport, Heartbeat, LoadNote, LoadReport, Packet, PromptNote,
+    TargetCount, WaitingNote, WaitingReport,
+};
+use super::members::HEARTBEAT_PERIOD;
+use super::state::State;
+use crate::clock::Moment;
+
+/// Maximum number of prompts in one datagram, so that it fits one frame.
+const PROMPTS_PER_PACKET: usize = 12;
+/// Period of reporting the load to a daemon, for each daemon of the deployment: the rate
+/// of all reports that a daemon receives stays the same.
+const LOAD_PERIOD_PER_MEMBER: Duration = Duration::from_millis(9);
+/// Maximum of that period.
+const MAX_LOAD_PERIOD: Duration = Duration::from_secs(1);
+/// Period of reporting the demand for all models to the leader, as datagrams may be lost;
+/// between two such reports only models with new requests are reported.
+const WHOLE_DEMAND_PERIOD: Duration = Duration::from_secs(4);
+
+/// Contents of the datagrams of one round of sending.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Round {
+    /// For all other daemons but the leader.
+    pub everyone: Packet,
+    /// For the leader.
+    pub leader: Packet,
+}
+
+impl Round {
+    /// Returns whether there is anything for daemons other than the leader.
+    pub fn is_for_everyone(&self) -> bool {
+        let packet = &self.everyone;
+        packet.heartbeat.is_some() || self.has_urgent_notes()
+    }
+
+    /// Returns whether there are notes that all daemons should get at once.
+    pub fn has_urgent_notes(&self) -> bool {
+        !self.everyone.crash_reports.is_empty() || !self.everyone.sent_prompts.is_empty()
+    }
+}
+
+/// Decides what is due in each round.
+#[derive(Clone, Debug, Default)]
+pub struct Reporter {
+    /// When the load was last reported to all.
+    load_at: Moment,
+    /// When demand was last reported.
+    demand_at: Moment,
+    /// When the demand for all models was last reported.
+    whole_demand_at: Option<Moment>,
+    /// The leader to whom it was reported.
+    leader: Option<Arc<str>>,
+}
+
+impl Reporter {
+    /// Returns the contents of the next round. Reports are due with the `heartbeat`; without
+    /// one, only urgent notes are sent.
+    pub fn next_round(
+        &mut self,
+        state: &mut State,
+        heartbeat: Option<Heartbeat>,
+        leader: Option<&Arc<str>>,
+        now: Moment,
+    ) -> Round {
+        let is_heartbeat = heartbeat.is_some();
+        let mut everyone = Packet {
+            heartbeat,
+            ..Packet::default()
+        };
+        add_urgent_notes(state, &mut everyone);
+        let mut round = Round {
+            leader: everyone.clone(),
+            everyone,
+        };
+        if leader.is_some() {
+            round.leader.waiting = Some(waiting_report(state));
+        }
+        if !is_heartbeat {
+            return round;
+        }
+        let members = state.members.all.len() as u32;
+        let period = (LOAD_PERIOD_PER_MEMBER * members).clamp(HEARTBEAT_PERIOD, MAX_LOAD_PERIOD);
+        // Heartbeats are sent a little late, so half a period early is on time.
+        if now.saturating_sub(self.load_at) + HEARTBEAT_PERIOD / 2 >= period {
+            self.load_at = now;
+            round.everyone.load = Some(load_report(state, false));
+        }
+        if leader.is_some() {
+            round.leader.load = Some(load_report(state, true));
+            round.leader.demand = Some(self.demand_report(state, leader, now));
+        }
+        round
+    }
+
+    fn demand_report(
+        &mut self,
+        state: &mut State,
+        leader: Option<&Arc<str>>,
+        now: Moment,
+    ) -> DemandReport {
+        let is_recent = |at: Moment| now.saturating_sub(at) < WHOLE_DEMAND_PERIOD;
+        let whole = self.leader.as_ref() != leader || !self.whole_demand_at.is_some_and(is_recent);
+        let demand = match whole {
+            true => {
+                self.leader = leader.cloned();
+                self.whole_demand_at = Some(now);
+                state.meter.current_demand(now)
+            }
+            false => state.meter.demand_since(self.demand_at, now),
+        };
+        self.demand_at = now;
+        let note = |(key, demand): (ModelKey, Demand)| DemandNote {
+            service: key.service.to_string(),
+            model: key.model.to_string(),
+            rate: demand.rate as f32,
+            work: demand.work as f32,
+            tight: demand.tight as f32,
+        };
+        DemandReport {
+            whole,
+            models: demand.into_iter().map(note).collect(),
+        }
+    }
+}
+
+/// Adds the crash reports and the sent prompts, which other daemons should get at once.
+fn add_urgent_notes(state: &mut State, packet: &mut Packet) {
+    for (fingerprint, engine) in state.crash_reports.drain(..) {
+        let engine = engine.to_string();
+        packet.crash_reports.push(CrashReport {
+            fingerprint,
+            engine,
+        });
+    }
+    // Prompts beyond the limit are reported as load by the next report.
+    for sent in state.sent_prompts.drain(..).take(PROMPTS_PER_PACKET) {
+        packet.sent_prompts.push(PromptNote {
+            engine: sent.engine.to_string(),
+            target: sent.target.to_string(),
+            prefill_ms: sent.prefill_time.as_millis() as u32,
+            uncached: sent.uncached,
+            prefix_keys: sent.prefix_keys,
+        });
+    }
+}
+
+fn waiting_report(state: &mut State) -> WaitingReport {
+    let mut report = WaitingReport::default();
+    for (target, wait) in &mut state.waiting {
+        let requests = &wait.requests;
+        report.targets.push(WaitingNote {
+            service: target.service.to_string(),
+            target: target.name().to_string(),
+            count: requests.count,
+            priority: u32::from(requests.priority),
+            missing_at: match wait.missing_reported {
+                true => String::new(),
+                false => requests
+                    .missing_at
+                    .as_deref()
+                    .unwrap_or_default()
+                    .to_owned(),
+            },
+        });
+        wait.missing_reported = true;
+    }
+    report
+}
+
+/// Returns the requests of this daemon in progress, by engine, and by target if asked for.
+fn load_report(state: &State, with_targets: bool) -> LoadReport {
+    let mut report = LoadReport::default();
+    for (id, engine) in &state.fleet.engines {
+        if engine.own_load.running == 0 {
+            continue;
+        }
+        let mut note = LoadNote {
+            engine: id.to_string(),
+            running: engine.own_load.running,
+            targets: Vec::new(),
+        };
+        for (target, count) in engine.own_load.targets.iter().filter(|_| with_targets) {
+            note.targets.push(TargetCount {
+                target: target.to_string(),
+                count: *count,
+            });
+        }
+        report.engines.push(note);
+    }
+    report
+}
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -10,7 +10,7 @@
 
 use super::client::Client;
 use super::clock;
-use super::demand::{Demand, DemandMeter, ModelKey};
+use super::demand::{DecayingDemand, Demand, DemandMeter, ModelKey};
 use super::desired::DesiredState;
 use super::fleet::{Fleet, SentPrompt, Upstream};
 use super::leadership::{Leadership, PeerReach};
@@ -152,7 +152,7 @@
     /// When it reported its demand.
     pub demand_at: Moment,
     /// Demand there.
-    pub demand: Vec<(ModelKey, Demand)>,
+    pub demand: HashMap<ModelKey, DecayingDemand>,
 }
 
 impl Edge {
@@ -439,7 +439,7 @@
                 continue;
             }
             for (key, demand) in &other.demand {
-                *all.entry(key.clone()).or_default() += *demand;
+                *all.entry(key.clone()).or_default() += demand.decayed(now);
             }
         }
         all
--- a/tests/edge/large_fleet.rs
+++ b/tests/edge/large_fleet.rs
@@ -1,10 +1,54 @@
 //! Patterns of large fleets: many adapters that are waited for at once, and many daemons
 //! that tell each other what they know.
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use mastichinge::clock::Moment;
+use mastichinge::edge::demand::ModelKey;
+use mastichinge::edge::gossip::{Heartbeat, Packet};
+use mastichinge::edge::leader::Announcer;
+use mastichinge::edge::members::HEARTBEAT_PERIOD;
 use mastichinge::edge::orders::{Order, OrderOutcome, Verb};
-use mastichinge::edge::placement::EngineCall;
+use mastichinge::edge::placement::{EngineCall, LeaderId, LoadHistory, Placer};
+use mastichinge::edge::reports::{Reporter, Round};
+use mastichinge::edge::settings::Settings;
+use mastichinge::edge::state::State;
+use prost::Message;
+
+use crate::fixtures::{PlacerFixture, SERVICE, desired, entry, report};
+
+/// Largest datagram that fits one frame, bytes.
+const FRAME_BYTES: usize = 1_400;
+
+fn at(ms: u64) -> Moment {
+    Moment::from_secs(100) + Duration::from_millis(ms)
+}
 
-use crate::fixtures::{PlacerFixture, desired, entry, report};
+fn model(index: usize) -> ModelKey {
+    ModelKey::new(&SERVICE.into(), &format!("model{index:04}").into())
+}
+
+/// Returns the state of a daemon that has met this many models.
+fn daemon_with_demand(models: usize) -> State {
+    let mut state = State::default();
+    for index in 0..models {
+        let work = Duration::from_millis(50);
+        state.meter.record_request(model(index), work, true, at(0));
+    }
+    state
+}
+
+fn round(reporter: &mut Reporter, state: &mut State, leader: &str, now: Moment) -> Round {
+    let leader: Arc<str> = leader.into();
+    reporter.next_round(state, Some(Heartbeat::default()), Some(&leader), now)
+}
+
+fn reported(packet: &Packet) -> Vec<&str> {
+    let demand = packet.demand.as_ref().expect("a report of demand");
+    demand.models.iter().map(|m| &*m.model).collect()
+}
 
 fn orders(calls: Vec<EngineCall>) -> Vec<Order> {
     let order = |call| match call {
@@ -66,3 +110,100 @@
     assert_eq!(given.len(), 1);
     assert_eq!(&*given[0].engine, "e2");
 }
+
+/// 116 copies of a heartbeat that grew with the models met overflowed a link of 25 Mbit/s,
+/// and living daemons were called silent.
+#[test]
+fn a_heartbeat_does_not_grow_with_the_models_that_a_daemon_has_met() {
+    let size = |models| {
+        let mut state = daemon_with_demand(models);
+        let round = round(&mut Reporter::default(), &mut state, "edge-1", at(10));
+        round.everyone.encoded_len()
+    };
+    assert_eq!(size(400), size(1));
+    assert!(size(400) < FRAME_BYTES / 4);
+}
+
+#[test]
+fn only_the_leader_hears_of_demand_and_only_of_what_has_changed() {
+    let mut state = daemon_with_demand(400);
+    let mut reporter = Reporter::default();
+    let first = round(&mut reporter, &mut state, "edge-1", at(10));
+    assert_eq!(first.everyone.demand, None);
+    assert_eq!(first.everyone.waiting, None);
+    assert_eq!(reported(&first.leader).len(), 400);
+    let work = Duration::from_millis(50);
+    state.meter.record_request(model(7), work, true, at(100));
+    let second = round(&mut reporter, &mut state, "edge-1", at(260));
+    assert_eq!(reported(&second.leader), ["model0007"]);
+    // A successor knows nothing yet.
+    let third = round(&mut reporter, &mut state, "edge-2", at(510));
+    assert_eq!(reported(&third.leader).len(), 400);
+    // Reports may be lost, so all of it comes again within seconds.
+    let later = (4..30).map(|i| {
+        let now = at(0) + HEARTBEAT_PERIOD * i;
+        reported(&round(&mut reporter, &mut state, "edge-2", now).leader).len()
+    });
+    assert!(later.collect::<Vec<_>>().contains(&400));
+}
+
+/// The leader's sum of the demand is the same from differences as from whole reports.
+#[test]
+fn the_leader_sums_what_it_was_told_with_its_decay() {
+    let mut daemon = daemon_with_demand(3);
+    let mut leader = State::default();
+    let mut reporter = Reporter::default();
+    let host: Arc<str> = "edge-9".into();
+    for i in 0..8 {
+        let now = at(10) + HEARTBEAT_PERIOD * i;
+        let work = Duration::from_millis(50);
+        daemon.meter.record_request(model(1), work, true, now);
+        let round = round(&mut reporter, &mut daemon, "edge-1", now);
+        leader.apply_packet(&host, &round.leader, now);
+    }
+    let now = at(1_900);
+    let told = leader.total_demand(now);
+    for (key, demand) in daemon.meter.current_demand(now) {
+        let heard = told[&key];
+        assert!((heard.rate - demand.rate).abs() < 0.001, "{key:?}");
+        assert!((heard.work - demand.work).abs() < 0.001, "{key:?}");
+    }
+}
+
+fn leader_of(engines: u16) -> State {
+    let mut state = State {
+        desired: desired(&["m1"]).into(),
+        ..State::default()
+    };
+    let entries = (0..engines).map(|i| entry(&format!("e{i:03}"), 1_000 + i, &["m1"]));
+    state
+        .fleet
+        .update_entries(entries.collect(), &BTreeSet::new(), None, at(0));
+    let leader = LeaderId {
+        host: "edge-1".into(),
+        fence: 7,
+    };
+    state.placer = Some(Placer::new(leader, &Settings::default(), LoadHistory::None));
+    state.decide_calls(at(0));
+    state
+}
+
+/// 240 engines are announced again in turns: never many at once, and each within seconds,
+/// as datagrams may be lost.
+#[test]
+fn engines_take_turns_in_being_announced_again() {
+    let state = leader_of(240);
+    let mut announcer = Announcer::default();
+    assert_eq!(announcer.notes(&state, at(0)).len(), 240, "all are new");
+    assert_eq!(announcer.notes(&state, at(150)).len(), 240, "once more");
+    let mut last: BTreeMap<String, u64> = BTreeMap::new();
+    for ms in (165..12_165).step_by(15) {
+        let notes = announcer.notes(&state, at(ms));
+        assert!(notes.len() <= 10, "{} at {ms} ms", notes.len());
+        for note in notes {
+            let since = last.insert(note.engine, ms).map_or(0, |before| ms - before);
+            assert!(since <= 5_000, "{since} ms");
+        }
+    }
+    assert_eq!(last.len(), 240);
+}
--- a/tests/edge/placement.rs
+++ b/tests/edge/placement.rs
@@ -82,7 +82,7 @@
     assert_eq!(calls, all);
     fixture.report("e1", &report(&[], 4));
     let view = &fixture.placer.views["e1"];
-    assert_eq!(view.servable_targets(fixture.now), Vec::<String>::new());
+    assert_eq!(view.servable_models(fixture.now).count(), 0);
 }
 
 /// When demand moves to a model with one replica, another is loaded on an engine with
--- a/tests/simulation/simulator/mod.rs
+++ b/tests/simulation/simulator/mod.rs
@@ -16,8 +16,8 @@
 use mastichinge::edge::leader::Announcer;
 use mastichinge::edge::members::HEARTBEAT_PERIOD;
 use mastichinge::edge::orders::{EngineReport, Order, OrderOutcome, Verb};
-use mastichinge::edge::peers;
 use mastichinge::edge::placement::{EngineCall, LeaderId, LoadHistory, ModelTarget, Placer};
+use mastichinge::edge::reports::Reporter;
 use mastichinge::edge::settings::Settings;
 use mastichinge::edge::state::{InFlightRequest, State};
 use rand::SeedableRng;
@@ -126,6 +126,7 @@
     hosts: Vec<Arc<str>>,
     settings: Settings,
     announcer: Announcer,
+    reporters: Vec<Reporter>,
     leader_paused: bool,
     flush_pending: Vec<bool>,
     /// Requests of the workload, in order of arrival.
@@ -178,6 +179,7 @@
                 .collect(),
             settings: settings.clone(),
             announcer: Announcer::default(),
+            reporters: vec![Reporter::default(); firm.daemon_count],
             leader_paused: false,
             flush_pending: vec![false; firm.daemon_count],
             requests: Vec::new(),
@@ -434,13 +436,30 @@
         }
         let state = &mut self.daemons[daemon];
         state.drop_idle_waits(now);
-        let mut packet = Packet::default();
-        let mut heartbeat = Heartbeat::default();
-        peers::add_urgent_notes(state, &mut packet);
-        peers::add_load_and_demand(state, &mut heartbeat, now);
-        packet.heartbeat = Some(heartbeat);
-        let message = Rc::new((self.hosts[daemon].clone(), packet));
-        self.send_packet(daemon, message);
+        self.send_round(daemon, Some(Heartbeat::default()));
+    }
+
+    /// Sends the next round of a daemon; daemon 0 is the leader.
+    fn send_round(&mut self, daemon: usize, heartbeat: Option<Heartbeat>) {
+        let now = self.now;
+        let leader = self.hosts[0].clone();
+        let reporter = &mut self.reporters[daemon];
+        let round = reporter.next_round(&mut self.daemons[daemon], heartbeat, Some(&leader), now);
+        let host = self.hosts[daemon].clone();
+        let is_for_everyone = round.is_for_everyone();
+        let for_leader = Rc::new((host.clone(), round.leader));
+        let for_others = Rc::new((host, round.everyone));
+        for to in 0..self.daemons.len() {
+            if to == daemon || (to != 0 && !is_for_everyone) {
+                continue;
+            }
+            let message = match to {
+                0 => for_leader.clone(),
+                _ => for_others.clone(),
+            };
+            self.counters.datagrams += 1;
+            self.schedule_after(HOP_DELAY, SimEvent::ReceivePacket(to, message));
+        }
     }
 
     fn flush_soon(&mut self, daemon: usize) {
@@ -451,10 +470,7 @@
 
     fn flush_notes(&mut self, daemon: usize) {
         self.flush_pending[daemon] = false;
-        let mut packet = Packet::default();
-        peers::add_urgent_notes(&mut self.daemons[daemon], &mut packet);
-        let message = Rc::new((self.hosts[daemon].clone(), packet));
-        self.send_packet(daemon, message);
+        self.send_round(daemon, None);
     }
 
     fn receive_packet(&mut self, daemon: usize, message: &(Arc<str>, Packet)) {
