Pass announcements on within failure domains, and spare a new leader's link

Reports, heartbeats and its calls to the store timed out (3,456 reports, all daemons called it silent), and it lost its leadership, three times in a row. Change: announcements reach other domains by two daemons of each; a new leader announces at once only what differs from its predecessor's; reports are put off while 48 calls to engines are in progress. Tests: what a new leader announces, reports a few at a time, recipients by domain (all fail before).

--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -30,6 +30,9 @@
     /// Models that engines have loaded; only from the leader.
     #[prost(message, repeated, tag = "13")]
     pub announcements: Vec<AnnouncedModelsNote>,
+    /// Whether the recipient passes the announcements on to its failure domain.
+    #[prost(bool, tag = "14")]
+    pub relay: bool,
     /// Requests during which engines crashed.
     #[prost(message, repeated, tag = "7")]
     pub crash_reports: Vec<CrashReport>,
--- a/src/edge/leader/announce.rs
+++ b/src/edge/leader/announce.rs
@@ -68,6 +68,7 @@
             *self = Announcer {
                 fence: placer.fence(),
                 turned_at: now,
+                announced: announced_before(state),
                 ..Announcer::default()
             };
         }
@@ -75,7 +76,7 @@
         let due = self.take_turns(placer.views.len(), now);
         let mut notes = Vec::new();
         for (id, view) in &placer.views {
-            let models = hash_models(view, now);
+            let models = hash_models(view.servable_models(now));
             let last = self.announced.get(id);
             let repeated = match last {
                 Some(last) if last.models == models => {
@@ -127,10 +128,32 @@
     }
 }
 
-/// Hashes the models that an engine can serve.
-fn hash_models(view: &EngineView, now: Moment) -> u64 {
+/// Returns what an earlier leader announced: only what differs from it is news to the other
+/// daemons.
+fn announced_before(state: &State) -> BTreeMap<Arc<str>, Announced> {
+    let mut announced = BTreeMap::new();
+    for (id, engine) in &state.fleet.engines {
+        let Some(known) = &engine.announced else {
+            continue;
+        };
+        let models = known.models.iter();
+        let last = Announced {
+            models: hash_models(models.map(|(model, adapters)| (model, adapters.iter()))),
+            sent_at: known.received_at,
+            repeated: true,
+        };
+        announced.insert(id.clone(), last);
+    }
+    announced
+}
+
+/// Hashes the models of an engine, each with its adapters.
+fn hash_models<'a, A>(models: impl Iterator<Item = (&'a Arc<str>, A)>) -> u64
+where
+    A: Iterator<Item = &'a Arc<str>>,
+{
     let mut hash = Xxh3::new();
-    for (model, adapters) in view.servable_models(now) {
+    for (model, adapters) in models {
         hash.update(model.as_bytes());
         hash.update(&[0]);
         for adapter in adapters {
--- a/src/edge/members.rs
+++ b/src/edge/members.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Moment;
@@ -19,6 +20,9 @@
 /// Silence after which a daemon no longer gets a share of the limits: its usage has
 /// left every window by then.
 const SHARE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Daemons of each other failure domain that pass a message on there; more than one, as
+/// datagrams may be lost.
+const RELAYS: usize = 2;
 /// Period of heartbeats to daemons that are silent.
 const SILENT_PEER_PERIOD: Duration = Duration::from_secs(2);
 
@@ -99,6 +103,15 @@
     }
 }
 
+/// Recipients of a message to all daemons.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RelayPlan {
+    /// Those that get it for themselves only.
+    pub direct: Vec<SocketAddr>,
+    /// Those that pass it on to their failure domain.
+    pub relays: Vec<SocketAddr>,
+}
+
 /// The other daemons by host.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
@@ -182,6 +195,35 @@
         self.all.iter().filter(move |(_, m)| m.is_alive(now))
     }
 
+    /// Returns how a message reaches all daemons that are alive: those of the failure domain
+    /// `own` directly, the others by way of [`RELAYS`] daemons of each domain.
+    pub fn relay_plan(&self, own: &str, now: Moment) -> RelayPlan {
+        let mut domains: BTreeMap<&str, Vec<SocketAddr>> = BTreeMap::new();
+        for (_, member) in self.alive_members(now) {
+            domains
+                .entry(&member.domain)
+                .or_default()
+                .push(member.peers);
+        }
+        let mut plan = RelayPlan::default();
+        for (domain, mut addrs) in domains {
+            if domain == own || addrs.len() <= RELAYS {
+                plan.direct.append(&mut addrs);
+                continue;
+            }
+            let (relays, _) = addrs.partial_shuffle(&mut rand::rng(), RELAYS);
+            plan.relays.extend_from_slice(relays);
+        }
+        plan
+    }
+
+    /// Returns the addresses of the daemons of one failure domain that are alive.
+    pub fn domain_addrs(&self, domain: &str, now: Moment) -> Vec<SocketAddr> {
+        let members = self.alive_members(now);
+        let members = members.filter(|(_, m)| &*m.domain == domain);
+        members.map(|(_, m)| m.peers).collect()
+    }
+
     /// Returns the daemon that reports to be the leader; of several, the one with the
     /// highest fencing number.
     pub fn leader(&self, now: Moment) -> Option<(&Arc<str>, &Member)> {
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -17,7 +17,7 @@
     PromptNote, WaitingNote,
 };
 use super::leadership::Leadership;
-use super::members::{self, HEARTBEAT_PERIOD};
+use super::members::{self, HEARTBEAT_PERIOD, RelayPlan};
 use super::placement::{ModelTarget, WaitingRequests};
 use super::reports::{Reporter, Round};
 use super::request_headers::split_target;
@@ -26,6 +26,9 @@
 
 /// Largest datagram, bytes: fits one Ethernet frame with headers.
 const DATAGRAM_BYTES: usize = 1_400;
+/// Bytes of a datagram that a note takes in addition to its content, and the share of the
+/// sender's name.
+const NOTE_OVERHEAD: usize = 6;
 /// Receive buffer, bytes.
 const BUFFER_BYTES: usize = 65_536;
 /// Minimum pause between two rounds of sending.
@@ -193,32 +196,42 @@
 /// Announces the models of engines to all daemons that are alive, in as few datagrams
 /// as possible.
 pub async fn announce(edge: &Edge, socket: &UdpSocket, notes: Vec<AnnouncedModelsNote>) {
-    let now = clock::now();
-    let alive = |state: &State| -> Vec<SocketAddr> {
-        state
-            .members
-            .alive_members(now)
-            .map(|(_, m)| m.peers)
-            .collect()
-    };
-    let recipients = alive(&edge.state.borrow());
-    if recipients.is_empty() {
-        return;
+    let domain = edge.settings().domain.clone();
+    let plan = edge
+        .state
+        .borrow()
+        .members
+        .relay_plan(&domain, clock::now());
+    let mut announcements = Vec::new();
+    let mut bytes = 0;
+    for note in notes {
+        let size = note.encoded_len() + NOTE_OVERHEAD;
+        if bytes + size > DATAGRAM_BYTES && !announcements.is_empty() {
+            send_announcements(edge, socket, std::mem::take(&mut announcements), &plan).await;
+            bytes = 0;
+        }
+        bytes += size;
+        announcements.push(note);
     }
+    send_announcements(edge, socket, announcements, &plan).await;
+}
+
+/// Sends the announcements of one datagram.
+async fn send_announcements(
+    edge: &Edge,
+    socket: &UdpSocket,
+    announcements: Vec<AnnouncedModelsNote>,
+    plan: &RelayPlan,
+) {
     let mut packet = Packet {
         host: edge.host.to_string(),
         incarnation: edge.incarnation,
+        announcements,
         ..Packet::default()
     };
-    for note in notes {
-        let size = packet.encoded_len() + note.encoded_len();
-        if size > DATAGRAM_BYTES && !packet.announcements.is_empty() {
-            send_packet(socket, &packet, &recipients).await;
-            packet.announcements.clear();
-        }
-        packet.announcements.push(note);
-    }
-    send_packet(socket, &packet, &recipients).await;
+    send_packet(socket, &packet, &plan.direct).await;
+    packet.relay = true;
+    send_packet(socket, &packet, &plan.relays).await;
 }
 
 /// Sends a packet to all recipients, beginning with another one each time: what overflows
@@ -246,13 +259,31 @@
             }
         };
         match Packet::decode(&buffer[..size]) {
-            Ok(packet) => handle_packet(&edge, packet, from),
+            Ok(packet) => {
+                let passed_on = packet.relay.then(|| packet.announcements.clone());
+                let is_member = handle_packet(&edge, packet, from);
+                if let Some(announcements) = passed_on.filter(|_| is_member) {
+                    let plan = RelayPlan {
+                        direct: domain_members(&edge),
+                        ..RelayPlan::default()
+                    };
+                    send_announcements(&edge, &socket, announcements, &plan).await;
+                }
+            }
             Err(error) => log::debug!(from:%, error:%; "datagram cannot be decoded"),
         }
     }
 }
 
-fn handle_packet(edge: &Edge, packet: Packet, from: SocketAddr) {
+/// Returns the addresses of the other daemons in this failure domain that are alive.
+fn domain_members(edge: &Edge) -> Vec<SocketAddr> {
+    let domain = edge.settings().domain.clone();
+    let state = edge.state.borrow();
+    state.members.domain_addrs(&domain, clock::now())
+}
+
+/// Applies a packet; returns whether it comes from a member.
+fn handle_packet(edge: &Edge, packet: Packet, from: SocketAddr) -> bool {
     let now = clock::now();
     let host: Arc<str> = packet.host.as_str().into();
     let mut guard = edge.state.borrow_mut();
@@ -263,7 +294,7 @@
         // which.
         drop(guard);
         edge.unknown_peer.notify_one();
-        return;
+        return false;
     }
     if let Some(heartbeat) = &packet.heartbeat {
         let was_silent = state
@@ -276,7 +307,7 @@
                 .members
                 .record_heartbeat(&host, packet.incarnation, packet.sequence, now)
         else {
-            return;
+            return true;
         };
         if was_silent {
             log::info!(member = &*host, life = packet.incarnation; "member alive");
@@ -303,6 +334,7 @@
     if effects.has_waiting && is_leader {
         edge.order_wake.notify_one();
     }
+    true
 }
 
 /// Effects of a packet.
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -48,6 +48,9 @@
 const UNLOAD_TIME: Duration = Duration::from_millis(40);
 /// Time over the expected load time after which a report is requested.
 const LOAD_SLACK: Duration = Duration::from_millis(150);
+/// Calls to engines in progress from which reports are put off: a new leader asks all
+/// engines for their report, and the answers must not overflow the link of its host.
+const MAX_PENDING_CALLS: usize = 48;
 /// Period of recording which adapters are in use.
 const USE_PERIOD: Duration = Duration::from_millis(100);
 /// Maximum age of a task that has not started to load.
@@ -285,10 +288,15 @@
         self.plan_if_due(input);
         let adapters = self.assign_adapters(input);
         let mut calls = Vec::new();
+        let mut pending = self.views.values().filter(|v| v.call_pending).count();
         let ids: Vec<_> = self.views.keys().cloned().collect();
         for id in ids {
+            if pending >= MAX_PENDING_CALLS && self.views.get(&id).is_some_and(|v| v.report_due) {
+                continue;
+            }
             let adapters = adapters.get(&id).map_or(&[][..], Vec::as_slice);
             if let Some(call) = self.next_call(&id, input, adapters) {
+                pending += 1;
                 calls.push(call);
             }
         }
--- a/tests/edge/large_fleet.rs
+++ b/tests/edge/large_fleet.rs
@@ -9,8 +9,9 @@
 use mastichinge::edge::demand::ModelKey;
 use mastichinge::edge::gossip::{Heartbeat, Packet};
 use mastichinge::edge::leader::Announcer;
-use mastichinge::edge::members::HEARTBEAT_PERIOD;
+use mastichinge::edge::members::{HEARTBEAT_PERIOD, MemberRecord, Members};
 use mastichinge::edge::orders::{Order, OrderOutcome, Verb};
+use mastichinge::edge::peers;
 use mastichinge::edge::placement::{EngineCall, LeaderId, LoadHistory, Placer};
 use mastichinge::edge::reports::{Reporter, Round};
 use mastichinge::edge::settings::Settings;
@@ -60,13 +61,19 @@
 
 /// Lets every engine report what it holds.
 fn read_reports(fixture: &mut PlacerFixture) {
-    for call in fixture.step() {
-        let EngineCall::Report(id) = call else {
-            panic!("an order before the report");
-        };
-        let models = fixture.fleet.engines[&id].entry.models.clone();
-        let names: Vec<_> = models.keys().map(|m| &**m).collect();
-        fixture.report(&id, &report(&names, 0));
+    loop {
+        let calls = fixture.step();
+        if calls.is_empty() {
+            return;
+        }
+        for call in calls {
+            let EngineCall::Report(id) = call else {
+                panic!("an order before the report");
+            };
+            let models = fixture.fleet.engines[&id].entry.models.clone();
+            let names: Vec<_> = models.keys().map(|m| &**m).collect();
+            fixture.report(&id, &report(&names, 0));
+        }
     }
 }
 
@@ -207,3 +214,90 @@
     }
     assert_eq!(last.len(), 240);
 }
+
+/// A new leader of 240 engines tells what its predecessor told last again only in turns: all
+/// of it at once, to every daemon, overflowed its link, and it lost its leadership.
+#[test]
+fn a_new_leader_announces_only_what_its_predecessor_did_not() {
+    let mut state = leader_of(240);
+    let mut predecessor = Announcer::default();
+    for note in predecessor.notes(&state, at(0)) {
+        let announced = peers::decode_announcement(&note, at(0));
+        state.fleet.record_announcement(&note.engine, announced);
+    }
+    let leader = LeaderId {
+        host: "edge-2".into(),
+        fence: 8,
+    };
+    state.placer = Some(Placer::new(leader, &Settings::default(), LoadHistory::None));
+    state.decide_calls(at(500));
+    let view = state.placer.as_mut().unwrap().views.get_mut("e007");
+    view.unwrap().replicas.clear();
+    let notes = Announcer::default().notes(&state, at(500));
+    let engines: Vec<_> = notes.iter().map(|n| &*n.engine).collect();
+    assert_eq!(engines, ["e007"]);
+}
+
+/// A new leader asks 240 engines for their report, few at a time.
+#[test]
+fn reports_are_fetched_a_few_at_a_time() {
+    let entries = (0..240).map(|i| entry(&format!("e{i:03}"), 1_000 + i, &["m1"]));
+    let mut fixture = PlacerFixture::new(entries.collect(), desired(&["m1"]));
+    let mut reported = BTreeSet::new();
+    for _ in 0..10 {
+        let calls = fixture.step();
+        assert!(calls.len() <= 48, "{}", calls.len());
+        for call in calls {
+            let EngineCall::Report(id) = call else {
+                panic!("an order before the report");
+            };
+            fixture.report(&id, &report(&["m1"], 0));
+            reported.insert(id);
+        }
+        fixture.advance(15);
+    }
+    assert_eq!(reported.len(), 240);
+}
+
+fn fleet_of_daemons(domains: &[(&str, u16)]) -> Members {
+    let mut members = Members::default();
+    let mut rows = Vec::new();
+    for (domain, count) in domains {
+        for i in 0..*count {
+            let port = 1_000 + 10 * rows.len() as u16;
+            let record = MemberRecord {
+                incarnation: 1,
+                callers: ([127, 0, 0, 1], port).into(),
+                peers: ([127, 0, 0, 1], port + 1).into(),
+                domain: (*domain).into(),
+            };
+            rows.push((Arc::<str>::from(format!("{domain}-{i}")), record));
+        }
+    }
+    let hosts: Vec<Arc<str>> = rows.iter().map(|(host, _)| host.clone()).collect();
+    members.update_records(rows, "own", at(0));
+    for host in hosts {
+        members.record_heartbeat(&host, 1, 1, at(0));
+    }
+    members
+}
+
+/// 117 daemons in six domains: the leader sends to its own domain and to two daemons of each
+/// other one, which pass it on. Small domains get it directly.
+#[test]
+fn messages_to_all_cross_between_domains_a_few_times_only() {
+    let members = fleet_of_daemons(&[("a", 19), ("b", 20), ("c", 20), ("d", 2)]);
+    let plan = members.relay_plan("a", at(10));
+    assert_eq!(plan.direct.len(), 19 + 2);
+    assert_eq!(plan.relays.len(), 2 * 2);
+    for domain in ["b", "c"] {
+        let addrs = members.domain_addrs(domain, at(10));
+        assert_eq!(addrs.len(), 20);
+        assert_eq!(plan.relays.iter().filter(|a| addrs.contains(a)).count(), 2);
+    }
+    assert_eq!(
+        members.relay_plan("a", at(5_000)).relays.len(),
+        0,
+        "all are silent"
+    );
+}
