Forecast loads from the weight store, and refuse what cannot be loaded in time

Cause: a daemon took the load time of a model alone as the time until it is ready. Change: the leader forecasts in its heartbeat when loading and queued models are ready and when another load can start; a daemon refuses at once what that shows to be too late, and the target stays queued until the caller returns. The queue goes by priority, then by the longest wait. Prefetches leave one place free. Tests: the forecast, the refusal, the caller's return, the order (no network).

--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -23,6 +23,8 @@
 const SILENCE_PER_OBJECTIVE: u32 = 4;
 /// Multiple of a route's gap in the same rule.
 const SILENCE_PER_GAP: u32 = 8;
+/// Share of the forecast time until a load has ended that it takes at least.
+const FORECAST_SHARE: f64 = 0.9;
 /// Shortest retry delay.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Share of the time left up to which callers honour a retry delay.
@@ -134,8 +136,15 @@
                 AdmissionDecision::Hold
             }
             Selection::Engine(choice) => AdmissionDecision::Send(choice),
-            Selection::NotLoaded { target, load_time } => {
-                let remaining = load_time.saturating_sub(self.waited);
+            Selection::NotLoaded {
+                target,
+                load_time,
+                ready_in,
+            } => {
+                let remaining = match ready_in {
+                    Some(forecast) => forecast.mul_f64(FORECAST_SHARE),
+                    None => load_time.saturating_sub(self.waited),
+                };
                 match remaining >= self.event_left {
                     true => AdmissionDecision::Refuse {
                         kind: ErrorKind::DeadlineUnreachable,
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -287,6 +287,7 @@
         fleet: &state.fleet,
         desired: &routed.desired,
         meter: &state.meter,
+        forecast: state.load_forecast(&routed.service, now),
         engines: &settings.engines,
         domain: &settings.domain,
         now,
@@ -367,7 +368,12 @@
                 load,
             } => {
                 // Starts the load for the caller's retry, although no request waits here.
-                drop(load.map(|target| routed.edge.add_waiting(target, routed.route.priority)));
+                if let Some(target) = load {
+                    let retry_at = now + retry_after;
+                    routed
+                        .edge
+                        .expect_retry(target, routed.route.priority, retry_at);
+                }
                 return Err(fail(kind, cause, retry_after));
             }
             AdmissionDecision::Hold => {
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -110,6 +110,34 @@
     /// Starts of loads from the weight store within the window of the rate limit.
     #[prost(message, repeated, tag = "7")]
     pub load_starts: Vec<LoadStart>,
+    /// Forecasts of further loads from the weight store.
+    #[prost(message, repeated, tag = "8")]
+    pub forecasts: Vec<ForecastNote>,
+}
+
+/// Forecast of a service's loads from the weight store.
+#[derive(Clone, PartialEq, Message)]
+pub struct ForecastNote {
+    /// Service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Time until the load of a model that is not listed can start, ms.
+    #[prost(uint64, tag = "2")]
+    pub start_ms: u64,
+    /// Models that are loading or queued.
+    #[prost(message, repeated, tag = "3")]
+    pub models: Vec<ReadyNote>,
+}
+
+/// A model that is loading or queued.
+#[derive(Clone, PartialEq, Message)]
+pub struct ReadyNote {
+    /// Model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// Time until it is expected to be ready, ms.
+    #[prost(uint64, tag = "2")]
+    pub ready_ms: u64,
 }
 
 /// Start of a load from the weight store.
--- a/src/edge/members.rs
+++ b/src/edge/members.rs
@@ -8,6 +8,7 @@
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 
+use super::load_forecast::LoadForecast;
 use crate::clock::Moment;
 
 /// Period of a daemon's heartbeats.
@@ -81,6 +82,8 @@
     pub renewed_at: Moment,
     /// Starts of recent loads from the weight store, with their service.
     pub loads: Vec<(Arc<str>, Moment)>,
+    /// Forecasts of further loads, by service.
+    pub forecasts: BTreeMap<Arc<str>, LoadForecast>,
 }
 
 impl Member {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -19,6 +19,7 @@
 pub mod leader;
 pub mod leadership;
 pub mod listen;
+pub mod load_forecast;
 pub mod members;
 pub mod orders;
 pub mod peers;
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -13,12 +13,13 @@
 use super::demand::{DecayingDemand, Demand, ModelKey};
 use super::fleet::{AnnouncedModels, EngineLoad, LoadedModels, SentPrompt};
 use super::gossip::{
-    AnnouncedModelsNote, DemandNote, Heartbeat, LeadershipNote, LoadNote, LoadStart, Packet,
-    PromptNote, WaitingNote,
+    AnnouncedModelsNote, DemandNote, ForecastNote, Heartbeat, LeadershipNote, LoadNote, LoadStart,
+    Packet, PromptNote, ReadyNote, WaitingNote,
 };
 use super::leadership::Leadership;
+use super::load_forecast::LoadForecast;
 use super::members::{self, HEARTBEAT_PERIOD, RelayPlan};
-use super::placement::{ModelTarget, WaitingRequests};
+use super::placement::{ModelTarget, Placer, WaitingRequests};
 use super::reports::{Reporter, Round};
 use super::request_headers::split_target;
 use super::state::{Edge, State};
@@ -135,7 +136,20 @@
         renewed_ms: millis(now.saturating_sub(leadership.renewed_at)),
         wait_ms: millis(leadership.orders_from.saturating_sub(now)),
         load_starts: Vec::new(),
+        forecasts: Vec::new(),
     };
+    for (service, forecast) in state.placer.iter().flat_map(Placer::load_forecasts) {
+        let until = |at: Moment| millis(at.saturating_sub(now));
+        let models = forecast.ready.iter().map(|(model, at)| ReadyNote {
+            model: model.to_string(),
+            ready_ms: until(*at),
+        });
+        note.forecasts.push(ForecastNote {
+            service: service.to_string(),
+            start_ms: until(forecast.next_start),
+            models: models.collect(),
+        });
+    }
     let load_starts = state.placer.as_ref().map(|p| p.store_load_starts(now));
     for (service, at) in load_starts.unwrap_or_default() {
         note.load_starts.push(LoadStart {
@@ -166,6 +180,11 @@
         loads: load_starts
             .map(|l| (l.service.as_str().into(), ago(l.age_ms)))
             .collect(),
+        forecasts: note
+            .forecasts
+            .iter()
+            .map(|n| decode_forecast(n, now))
+            .collect(),
     };
     if let Some(member) = state.members.all.get_mut(host) {
         member.leadership = Some(status);
@@ -386,6 +405,18 @@
     }
 }
 
+fn decode_forecast(note: &ForecastNote, now: Moment) -> (Arc<str>, LoadForecast) {
+    let after = |ms| now + Duration::from_millis(ms);
+    let ready = note.models.iter();
+    let forecast = LoadForecast {
+        ready: ready
+            .map(|m| (m.model.as_str().into(), after(m.ready_ms)))
+            .collect(),
+        next_start: after(note.start_ms),
+    };
+    (note.service.as_str().into(), forecast)
+}
+
 fn decode_load(note: &LoadNote) -> (Arc<str>, EngineLoad) {
     let targets = note.targets.iter();
     let load = EngineLoad {
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -11,13 +11,14 @@
 pub mod engine_view;
 mod plan;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::demand::{Demand, ModelKey};
 use super::desired::{DesiredState, Hosting};
 use super::fleet::{Fleet, Upstream};
+use super::load_forecast::LoadForecast;
 use super::orders::{EngineReport, Order, OrderOutcome, Verb};
 use super::request_headers::{self, Prompt};
 use super::settings::{EngineSettings, PlacementSettings, Settings};
@@ -154,8 +155,11 @@
     history: LoadHistory,
     /// What the planning of loads looks up.
     index: PlanIndex,
-    /// Targets that requests waited for when loads were last planned.
-    planned_for: BTreeSet<ModelTarget>,
+    /// Targets that requests waited for when loads were last planned, with the time since
+    /// when.
+    waited_since: BTreeMap<ModelTarget, Moment>,
+    /// Forecasts of the loads from the weight store, by service.
+    forecasts: BTreeMap<Arc<str>, LoadForecast>,
     /// When loads were last planned.
     planned_at: Moment,
     /// When models without a replica were last checked.
@@ -176,7 +180,8 @@
             window_s: settings.bounds.ceiling_window_s,
             history,
             index: PlanIndex::default(),
-            planned_for: BTreeSet::new(),
+            waited_since: BTreeMap::new(),
+            forecasts: BTreeMap::new(),
             planned_at: Moment::ZERO,
             unserved_checked: Moment::ZERO,
             use_recorded: Moment::ZERO,
@@ -188,6 +193,11 @@
         self.leader.fence
     }
 
+    /// Returns the forecasts of the loads from the weight store, by service.
+    pub fn load_forecasts(&self) -> &BTreeMap<Arc<str>, LoadForecast> {
+        &self.forecasts
+    }
+
     /// Updates the views from the list of engines.
     pub fn update_engines(&mut self, input: &PlacementInput<'_>) {
         let now = input.now;
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -10,6 +10,7 @@
 use crate::edge::demand::ModelKey;
 use crate::edge::desired::Hosting;
 use crate::edge::fleet::Upstream;
+use crate::edge::load_forecast::LoadForecast;
 use crate::edge::request_headers::split_target;
 
 /// Time after its load for which a model is not evicted, except for waiting
@@ -30,6 +31,8 @@
 /// for them.
 const UNSERVED_CHECK_PERIOD: Duration = Duration::from_millis(200);
 
+/// Loads from the weight store that prefetches leave to requests that wait.
+const RESERVED_LOADS: u32 = 1;
 /// Period of planning loads while no further target is waited for.
 const PLAN_PERIOD: Duration = Duration::from_millis(45);
 
@@ -51,12 +54,19 @@
     /// Plans loads when requests wait for a further target, and otherwise every
     /// [`PLAN_PERIOD`].
     pub(super) fn plan_if_due(&mut self, input: &PlacementInput<'_>) {
-        let known = input.waiting.keys().all(|t| self.planned_for.contains(t));
-        if known && input.now.saturating_sub(self.planned_at) < PLAN_PERIOD {
+        let known = |target| self.waited_since.contains_key(target);
+        let elapsed = input.now.saturating_sub(self.planned_at);
+        if input.waiting.keys().all(known) && elapsed < PLAN_PERIOD {
             return;
         }
         self.planned_at = input.now;
-        self.planned_for = input.waiting.keys().cloned().collect();
+        self.waited_since
+            .retain(|target, _| input.waiting.contains_key(target));
+        for target in input.waiting.keys() {
+            if !self.waited_since.contains_key(target) {
+                self.waited_since.insert(target.clone(), input.now);
+            }
+        }
         self.plan(input);
     }
 
@@ -65,17 +75,11 @@
     fn plan(&mut self, input: &PlacementInput<'_>) {
         self.index_requests(input);
         self.index_replicas(input);
-        let mut missing = Vec::new();
-        for (target, requests) in input.waiting {
-            if self.replica_count(&ModelKey::new(&target.service, &target.model)) == 0 {
-                missing.push((requests.priority, u32::MAX - requests.count, target));
-            }
-        }
-        missing.sort();
-        for (_, _, target) in missing {
-            let key = ModelKey::new(&target.service, &target.model);
-            self.plan_load(input, &key, LoadReason::Waiting);
+        let missing = self.missing_models(input);
+        for key in &missing {
+            self.plan_load(input, key, LoadReason::Waiting);
         }
+        self.forecast_loads(input, &missing);
         let mut hot: Vec<_> = input.demand.iter().collect();
         hot.sort_by(|a, b| b.1.work.total_cmp(&a.1.work));
         for (key, demand) in hot {
@@ -94,6 +98,63 @@
         }
     }
 
+    /// Returns the models without a replica that requests wait for, in the order in which
+    /// they are loaded: by priority, and then the longest waited for first, so that a
+    /// forecast holds.
+    fn missing_models(&self, input: &PlacementInput<'_>) -> Vec<ModelKey> {
+        let mut missing = Vec::new();
+        for (target, requests) in input.waiting {
+            let key = ModelKey::new(&target.service, &target.model);
+            if self.replica_count(&key) == 0 {
+                let since = self.waited_since.get(target).copied();
+                missing.push((requests.priority, since.unwrap_or(input.now), key));
+            }
+        }
+        missing.sort();
+        let mut seen = HashSet::new();
+        let keys = missing.into_iter().map(|(_, _, key)| key);
+        keys.filter(|key| seen.insert(key.clone())).collect()
+    }
+
+    /// Forecasts when the models that are loaded from the weight store will be ready, and
+    /// those that are still missing after the planning.
+    fn forecast_loads(&mut self, input: &PlacementInput<'_>, missing: &[ModelKey]) {
+        self.forecasts.clear();
+        for service in input.desired.services.values() {
+            let Some(hosting) = &service.hosting else {
+                continue;
+            };
+            let mut running = Vec::new();
+            let mut copied = HashSet::new();
+            for (_, view) in self.service_engines(input, &service.name) {
+                copied.extend(view.copies.memory.iter().chain(&view.copies.disk));
+                let Some(task) = view.task.as_ref().filter(|t| t.from_store) else {
+                    continue;
+                };
+                let mut left = view.task_remaining(input.now);
+                if view.loading().is_none() {
+                    left += task.load_time;
+                }
+                running.push((task.model.clone(), input.now + left));
+            }
+            let mut queued = Vec::new();
+            for key in missing {
+                let spec = hosting.models.get(&key.model);
+                let from_store = key.service == service.name && !copied.contains(&key.model);
+                let planned = running.iter().any(|(model, _)| *model == key.model);
+                if let Some(spec) = spec.filter(|_| from_store && !planned) {
+                    queued.push((key.model.clone(), spec.store_load));
+                }
+            }
+            if running.is_empty() && queued.is_empty() {
+                continue;
+            }
+            let parallel = self.engines.store_parallel;
+            let forecast = LoadForecast::new(running, queued, parallel, input.now);
+            self.forecasts.insert(service.name.clone(), forecast);
+        }
+    }
+
     /// Indexes what requests wait for and where requests are in progress.
     fn index_requests(&mut self, input: &PlacementInput<'_>) {
         let waited = input.waiting.keys();
@@ -271,7 +332,13 @@
         let Some(spec) = hosting.models.get(model) else {
             return;
         };
-        let store_available = self.store_load_count(input, service) < self.engines.store_parallel;
+        let parallel = match reason {
+            LoadReason::Prefetch => self.engines.store_parallel.saturating_sub(RESERVED_LOADS),
+            LoadReason::Waiting | LoadReason::Hot | LoadReason::Unserved => {
+                self.engines.store_parallel
+            }
+        };
+        let store_available = self.store_load_count(input, service) < parallel.max(1);
         if reason == LoadReason::Prefetch && !store_available {
             return;
         }
--- a/src/edge/routing/mod.rs
+++ b/src/edge/routing/mod.rs
@@ -18,6 +18,7 @@
 use super::demand::{DemandMeter, ModelKey};
 use super::desired::{DesiredState, RouteKind};
 use super::fleet::{Fleet, Upstream};
+use super::load_forecast::LoadForecast;
 use super::placement::ModelTarget;
 use super::request_headers::Prompt;
 use super::settings::EngineSettings;
@@ -37,6 +38,8 @@
     pub desired: &'a DesiredState,
     /// Measured slowdowns of models.
     pub meter: &'a DemandMeter,
+    /// The leader's forecast of the service's loads from the weight store, if any.
+    pub forecast: Option<&'a LoadForecast>,
     /// Settings of engines.
     pub engines: &'a EngineSettings,
     /// Failure domain of this daemon.
@@ -90,6 +93,8 @@
         target: ModelTarget,
         /// Shortest time that a load takes.
         load_time: Duration,
+        /// Time until the load has ended, if the leader forecasts it.
+        ready_in: Option<Duration>,
     },
     /// The desired state does not name the model.
     UnknownModel,
@@ -133,9 +138,11 @@
             load_time = Duration::ZERO;
         }
     }
+    let forecast = context.forecast.filter(|_| load_time == model.store_load);
     Selection::NotLoaded {
         target: ModelTarget::of(request.service, prompt),
         load_time,
+        ready_in: forecast.map(|f| f.ready_in(&prompt.model, load_time, now)),
     }
 }
 
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -14,6 +14,7 @@
 use super::desired::DesiredState;
 use super::fleet::{Fleet, SentPrompt, Upstream};
 use super::leadership::{Leadership, PeerReach};
+use super::load_forecast::LoadForecast;
 use super::members::Members;
 use super::placement::{EngineCall, ModelTarget, PlacementInput, Placer, WaitingRequests};
 use super::request_headers::Prompt;
@@ -138,6 +139,8 @@
     pub requests: WaitingRequests,
     /// Last change.
     pub changed_at: Moment,
+    /// When the last of the callers that were refused comes back.
+    pub retry_at: Moment,
     /// Whether `missing_at` has been reported.
     pub missing_reported: bool,
 }
@@ -220,6 +223,19 @@
         }
     }
 
+    /// Registers that a refused caller will come back for `target` at `retry_at`.
+    pub fn expect_retry(&self, target: ModelTarget, priority: u8, retry_at: Moment) {
+        let now = clock::now();
+        let first = self
+            .state
+            .borrow_mut()
+            .expect_retry(target, priority, retry_at, now);
+        if first {
+            self.send_wake.notify_one();
+            self.order_wake.notify_one();
+        }
+    }
+
     /// Marks an engine that refused a connection as down.
     pub fn mark_down(&self, engine: &str) {
         let mut state = self.state.borrow_mut();
@@ -275,6 +291,33 @@
         first
     }
 
+    /// Keeps `target` listed until a refused caller has come back for it at `retry_at`;
+    /// returns whether it was not listed.
+    pub fn expect_retry(
+        &mut self,
+        target: ModelTarget,
+        priority: u8,
+        retry_at: Moment,
+        now: Moment,
+    ) -> bool {
+        let first = !self.waiting.contains_key(&target);
+        self.add_waiting(&target, priority, now);
+        self.remove_waiting(&target, now);
+        if let Some(wait) = self.waiting.get_mut(&target) {
+            wait.retry_at = wait.retry_at.max(retry_at);
+        }
+        first
+    }
+
+    /// Returns the leader's forecast of a service's loads from the weight store.
+    pub fn load_forecast(&self, service: &str, now: Moment) -> Option<&LoadForecast> {
+        if let Some(placer) = &self.placer {
+            return placer.load_forecasts().get(service);
+        }
+        let (_, leader) = self.members.leader(now)?;
+        leader.leadership.as_ref()?.forecasts.get(service)
+    }
+
     /// Removes a waiting request for `target`.
     pub fn remove_waiting(&mut self, target: &ModelTarget, now: Moment) {
         if let Some(wait) = self.waiting.get_mut(target) {
@@ -401,7 +444,8 @@
     /// Drops targets without waiting requests after [`WAIT_RETENTION`].
     pub fn drop_idle_waits(&mut self, now: Moment) {
         self.waiting.retain(|_, wait| {
-            wait.requests.count > 0 || now.saturating_sub(wait.changed_at) < WAIT_RETENTION
+            let last = wait.changed_at.max(wait.retry_at);
+            wait.requests.count > 0 || now.saturating_sub(last) < WAIT_RETENTION
         });
     }
 
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -8,6 +8,7 @@
 mod hostile_callers;
 mod large_fleet;
 mod leadership;
+mod load_forecast;
 #[path = "../env/loopback.rs"]
 mod loopback;
 mod overload;
--- a/tests/edge/overload.rs
+++ b/tests/edge/overload.rs
@@ -52,6 +52,7 @@
             adapter: None,
         },
         load_time: ms(load_time),
+        ready_in: None,
     }
 }
 
--- a/tests/simulation/simulator/requests.rs
+++ b/tests/simulation/simulator/requests.rs
@@ -64,6 +64,7 @@
             fleet: &state.fleet,
             desired: &state.desired,
             meter: &state.meter,
+            forecast: self.daemons[0].load_forecast(&service, now),
             engines: &self.settings.engines,
             domain: ["north", "south", "east", "west"][daemon % 4],
             now,
@@ -108,8 +109,8 @@
                 retry_after, load, ..
             } => {
                 if let Some(target) = load {
-                    self.daemons[daemon].add_waiting(&target, priority, now);
-                    self.daemons[daemon].remove_waiting(&target, now);
+                    let state = &mut self.daemons[daemon];
+                    state.expect_retry(target, priority, now + retry_after, now);
                     self.flush_soon(daemon);
                 }
                 self.refuse_try(index, retry_after);
