Collect prompts in each failure domain of a large deployment

Cause: every prompt was told to every daemon in a datagram of its own: at 117 hosts and 500 prompts a second 58,000 datagrams a second, as many as heartbeats. Messages that are passed on have their own file, relays.rs. Tests: who collects, when prompts are relayed, whose requests they count as.

--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -30,7 +30,7 @@
     /// Models that engines have loaded; only from the leader.
     #[prost(message, repeated, tag = "13")]
     pub announcements: Vec<AnnouncedModelsNote>,
-    /// Whether the recipient passes the announcements on to its failure domain.
+    /// Whether the recipient passes announcements and prompts on to its failure domain.
     #[prost(bool, tag = "14")]
     pub relay: bool,
     /// Requests during which engines crashed.
@@ -266,6 +266,9 @@
     /// Keys of the prompt's prefixes.
     #[prost(fixed64, repeated, tag = "5")]
     pub prefix_keys: Vec<u64>,
+    /// Host that sent it to the engine, where another daemon passes it on; else empty.
+    #[prost(string, tag = "6")]
+    pub sender: String,
 }
 
 /// An engine that crashed while it ran a request.
--- a/src/edge/leader/mod.rs
+++ b/src/edge/leader/mod.rs
@@ -14,8 +14,8 @@
 use super::client::{CallLimits, SendError};
 use super::clock;
 use super::orders::{EngineReport, Order, OrderOutcome, Verb};
-use super::peers;
 use super::placement::EngineCall;
+use super::relays;
 use super::state::Edge;
 use crate::platform::orders;
 
@@ -41,7 +41,7 @@
         let notes = announcer.notes(&edge.state.borrow(), clock::now());
         if !notes.is_empty() {
             apply_notes(&edge, &notes);
-            peers::announce(&edge, &socket, notes).await;
+            relays::announce(&edge, &socket, notes).await;
         }
         let pause = match busy {
             true => BUSY_PAUSE,
--- a/src/edge/members.rs
+++ b/src/edge/members.rs
@@ -115,6 +115,15 @@
     pub relays: Vec<SocketAddr>,
 }
 
+/// Daemons that collect the prompts that were sent to engines, one of each failure domain.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PromptCollectors {
+    /// Whether this daemon is one of them.
+    pub is_own: bool,
+    /// Addresses of the others.
+    pub others: Vec<SocketAddr>,
+}
+
 /// The other daemons by host.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
@@ -220,6 +229,29 @@
         plan
     }
 
+    /// Returns which daemon of each failure domain collects the prompts that were sent to
+    /// engines: the first that is alive and ready and does not lead. `own` and `domain` name
+    /// this daemon.
+    pub fn prompt_collectors(&self, own: &str, domain: &str, now: Moment) -> PromptCollectors {
+        let mut first: BTreeMap<&str, (&str, Option<SocketAddr>)> = BTreeMap::new();
+        first.insert(domain, (own, None));
+        for (host, member) in self.alive_members(now) {
+            if !member.ready || member.leadership.is_some() {
+                continue;
+            }
+            let candidate = (&**host, Some(member.peers));
+            let entry = first.entry(&member.domain).or_insert(candidate);
+            if candidate.0 < entry.0 {
+                *entry = candidate;
+            }
+        }
+        let addrs = first.values().map(|(_, addr)| *addr);
+        PromptCollectors {
+            is_own: addrs.clone().any(|addr| addr.is_none()),
+            others: addrs.flatten().collect(),
+        }
+    }
+
     /// Returns the addresses of the daemons of one failure domain that are alive.
     pub fn domain_addrs(&self, domain: &str, now: Moment) -> Vec<SocketAddr> {
         let members = self.alive_members(now);
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -25,6 +25,7 @@
 pub mod peers;
 pub mod placement;
 pub mod prefix_cache;
+pub mod relays;
 pub mod reports;
 pub mod request_headers;
 pub mod retry_budget;
@@ -102,6 +103,7 @@
         send_wake: Notify::new(),
         order_wake: Notify::new(),
         unknown_peer: Notify::new(),
+        relay_wake: Notify::new(),
         settings: RefCell::new(Rc::new(settings)),
     });
     let host = &*edge.host;
@@ -129,6 +131,7 @@
     tokio::task::spawn_local(store_watch::watch_members(edge.clone()));
     tokio::task::spawn_local(peers::receive_packets(edge.clone(), socket.clone()));
     tokio::task::spawn_local(peers::send_packets(edge.clone(), socket.clone()));
+    tokio::task::spawn_local(relays::relay_prompts(edge.clone(), socket.clone()));
     tokio::task::spawn_local(peers::log_silent_members(edge.clone()));
     tokio::task::spawn_local(leader::election::run(edge.clone()));
     tokio::task::spawn_local(leader::send_orders(edge.clone(), socket));
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -18,18 +18,14 @@
 };
 use super::leadership::Leadership;
 use super::load_forecast::LoadForecast;
-use super::members::{self, HEARTBEAT_PERIOD, RelayPlan};
+use super::members::{self, HEARTBEAT_PERIOD};
 use super::placement::{ModelTarget, Placer, WaitingRequests};
+use super::relays;
 use super::reports::{Reporter, Round};
 use super::request_headers::split_target;
 use super::state::{Edge, State};
 use crate::clock::Moment;
 
-/// Largest datagram, bytes: fits one Ethernet frame with headers.
-const DATAGRAM_BYTES: usize = 1_400;
-/// Bytes of a datagram that a note takes in addition to its content, and the share of the
-/// sender's name.
-const NOTE_OVERHEAD: usize = 6;
 /// Receive buffer, bytes.
 const BUFFER_BYTES: usize = 65_536;
 /// Minimum pause between two rounds of sending.
@@ -63,6 +59,9 @@
         if !recipients.others.is_empty() {
             send_packet(&socket, &signed(round.everyone), &recipients.others).await;
         }
+        if !round.relayed.is_empty() {
+            relays::send_prompts(&edge, &socket, round.relayed).await;
+        }
         let has_waiting = edge
             .state
             .borrow()
@@ -212,50 +211,9 @@
     }
 }
 
-/// Announces the models of engines to all daemons that are alive, in as few datagrams
-/// as possible.
-pub async fn announce(edge: &Edge, socket: &UdpSocket, notes: Vec<AnnouncedModelsNote>) {
-    let domain = edge.settings().domain.clone();
-    let plan = edge
-        .state
-        .borrow()
-        .members
-        .relay_plan(&domain, clock::now());
-    let mut announcements = Vec::new();
-    let mut bytes = 0;
-    for note in notes {
-        let size = note.encoded_len() + NOTE_OVERHEAD;
-        if bytes + size > DATAGRAM_BYTES && !announcements.is_empty() {
-            send_announcements(edge, socket, std::mem::take(&mut announcements), &plan).await;
-            bytes = 0;
-        }
-        bytes += size;
-        announcements.push(note);
-    }
-    send_announcements(edge, socket, announcements, &plan).await;
-}
-
-/// Sends the announcements of one datagram.
-async fn send_announcements(
-    edge: &Edge,
-    socket: &UdpSocket,
-    announcements: Vec<AnnouncedModelsNote>,
-    plan: &RelayPlan,
-) {
-    let mut packet = Packet {
-        host: edge.host.to_string(),
-        incarnation: edge.incarnation,
-        announcements,
-        ..Packet::default()
-    };
-    send_packet(socket, &packet, &plan.direct).await;
-    packet.relay = true;
-    send_packet(socket, &packet, &plan.relays).await;
-}
-
 /// Sends a packet to all recipients, beginning with another one each time: what overflows
 /// the link of this host is not always lost to the same daemons.
-async fn send_packet(socket: &UdpSocket, packet: &Packet, recipients: &[SocketAddr]) {
+pub(super) async fn send_packet(socket: &UdpSocket, packet: &Packet, recipients: &[SocketAddr]) {
     let bytes = packet.encode_to_vec();
     let (before, after) = recipients.split_at(rand::random_range(0..recipients.len().max(1)));
     for addr in after.iter().chain(before) {
@@ -279,14 +237,10 @@
         };
         match Packet::decode(&buffer[..size]) {
             Ok(packet) => {
-                let passed_on = packet.relay.then(|| packet.announcements.clone());
+                let relayed = packet.relay.then(|| packet.clone());
                 let is_member = handle_packet(&edge, packet, from);
-                if let Some(announcements) = passed_on.filter(|_| is_member) {
-                    let plan = RelayPlan {
-                        direct: domain_members(&edge),
-                        ..RelayPlan::default()
-                    };
-                    send_announcements(&edge, &socket, announcements, &plan).await;
+                if let Some(packet) = relayed.filter(|_| is_member) {
+                    relays::pass_on(&edge, &socket, packet).await;
                 }
             }
             Err(error) => log::debug!(from:%, error:%; "datagram cannot be decoded"),
@@ -294,13 +248,6 @@
     }
 }
 
-/// Returns the addresses of the other daemons in this failure domain that are alive.
-fn domain_members(edge: &Edge) -> Vec<SocketAddr> {
-    let domain = edge.settings().domain.clone();
-    let state = edge.state.borrow();
-    state.members.domain_addrs(&domain, clock::now())
-}
-
 /// Applies a packet; returns whether it comes from a member.
 fn handle_packet(edge: &Edge, packet: Packet, from: SocketAddr) -> bool {
     let now = clock::now();
@@ -389,8 +336,11 @@
             effects.has_waiting = !peer.waiting.is_empty();
         }
         for note in &packet.sent_prompts {
-            self.fleet
-                .record_peer_prompt(host, &decode_prompt(note), now);
+            let prompt = decode_prompt(note);
+            match &*note.sender {
+                "" => self.fleet.record_peer_prompt(host, &prompt, now),
+                sender => self.fleet.record_peer_prompt(&sender.into(), &prompt, now),
+            }
         }
         for note in &packet.crash_reports {
             let engine = note.engine.as_str().into();
--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -15,7 +15,10 @@
 use crate::clock::Moment;
 
 /// Maximum number of prompts in one datagram, so that it fits one frame.
-const PROMPTS_PER_PACKET: usize = 12;
+pub const PROMPTS_PER_PACKET: usize = 12;
+/// Other daemons up to which each prompt is reported to all of them directly; with more,
+/// each would receive a datagram for every prompt of the deployment.
+const MAX_DIRECT_MEMBERS: usize = 48;
 /// Period of reporting the load to a daemon, for each daemon of the deployment: the rate
 /// of all reports that a daemon receives stays the same.
 const LOAD_PERIOD_PER_MEMBER: Duration = Duration::from_millis(9);
@@ -32,6 +35,9 @@
     pub everyone: Packet,
     /// For the leader.
     pub leader: Packet,
+    /// Prompts for the daemons that collect them; in small deployments they go to all
+    /// daemons directly.
+    pub relayed: Vec<PromptNote>,
 }
 
 impl Round {
@@ -76,9 +82,14 @@
             ..Packet::default()
         };
         add_urgent_notes(state, &mut everyone);
+        let mut relayed = Vec::new();
+        if state.members.all.len() > MAX_DIRECT_MEMBERS {
+            relayed.append(&mut everyone.sent_prompts);
+        }
         let mut round = Round {
             leader: everyone.clone(),
             everyone,
+            relayed,
         };
         if leader.is_some() {
             round.leader.waiting = Some(waiting_report(state));
@@ -148,6 +159,7 @@
             prefill_ms: sent.prefill_time.as_millis() as u32,
             uncached: sent.uncached,
             prefix_keys: sent.prefix_keys,
+            sender: String::new(),
         });
     }
 }
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -13,6 +13,7 @@
 use super::demand::{DecayingDemand, Demand, DemandMeter, ModelKey};
 use super::desired::DesiredState;
 use super::fleet::{Fleet, SentPrompt, Upstream};
+use super::gossip::PromptNote;
 use super::leadership::{Leadership, PeerReach};
 use super::load_forecast::LoadForecast;
 use super::members::Members;
@@ -80,6 +81,8 @@
     /// Wakes the task that reads the list of members: a packet came from a daemon
     /// that is not listed.
     pub unknown_peer: Notify,
+    /// Wakes the task that passes prompts of other daemons on.
+    pub relay_wake: Notify,
 }
 
 /// Mutable state of one daemon.
@@ -107,6 +110,8 @@
     pub suspects: Suspects,
     /// Prompts sent to engines that have not been reported to other daemons.
     pub sent_prompts: Vec<SentPrompt>,
+    /// Prompts of daemons of all failure domains to be passed on to this one.
+    pub relayed_prompts: Vec<PromptNote>,
     /// Number of the last request that was sent to an engine.
     pub serial: u64,
     /// Crashes (fingerprint and engine) not yet reported to other daemons.
--- a/tests/edge/large_fleet.rs
+++ b/tests/edge/large_fleet.rs
@@ -7,7 +7,8 @@
 
 use mastichinge::clock::Moment;
 use mastichinge::edge::demand::ModelKey;
-use mastichinge::edge::gossip::{Heartbeat, Packet};
+use mastichinge::edge::fleet::SentPrompt;
+use mastichinge::edge::gossip::{Heartbeat, Packet, PromptNote};
 use mastichinge::edge::leader::Announcer;
 use mastichinge::edge::members::{HEARTBEAT_PERIOD, MemberRecord, Members};
 use mastichinge::edge::orders::{Order, OrderOutcome, Verb};
@@ -301,3 +302,81 @@
         "all are silent"
     );
 }
+
+/// Every prompt of 117 daemons in a datagram of its own to each of them was most of all
+/// datagrams: one daemon of each domain collects them.
+#[test]
+fn prompts_go_to_one_daemon_of_each_domain() {
+    let mut members = fleet_of_daemons(&[("a", 19), ("b", 20), ("c", 20)]);
+    for member in members.all.values_mut() {
+        member.ready = true;
+    }
+    let addr = |members: &Members, host: &str| members.all[host].peers;
+    let own = members.prompt_collectors("a-", "a", at(10));
+    assert!(own.is_own, "the first of its domain");
+    let expected = ["b-0", "c-0"].map(|host| addr(&members, host));
+    assert_eq!(own.others, expected);
+    let other = members.prompt_collectors("a-5x", "a", at(10));
+    assert!(!other.is_own);
+    assert_eq!(other.others.len(), 3);
+    assert!(other.others.contains(&addr(&members, "a-0")));
+    // One that is not ready does not collect.
+    members.all.get_mut("b-0").unwrap().ready = false;
+    let others = members.prompt_collectors("a-5x", "a", at(10)).others;
+    assert!(others.contains(&addr(&members, "b-1")));
+    // Alone in its domain.
+    let alone = members.prompt_collectors("z-0", "z", at(10));
+    assert!(alone.is_own && alone.others.len() == 3);
+}
+
+fn daemon_with_prompt(members: Members) -> State {
+    let prompt = SentPrompt {
+        engine: "e1".into(),
+        target: "m1".into(),
+        ..SentPrompt::default()
+    };
+    State {
+        members,
+        sent_prompts: vec![prompt],
+        ..State::default()
+    }
+}
+
+#[test]
+fn prompts_are_relayed_in_large_deployments_only() {
+    let mut reporter = Reporter::default();
+    let mut small = daemon_with_prompt(fleet_of_daemons(&[("a", 8), ("b", 8)]));
+    let direct = reporter.next_round(&mut small, None, None, at(10));
+    assert_eq!(
+        (direct.everyone.sent_prompts.len(), direct.relayed.len()),
+        (1, 0)
+    );
+    assert!(direct.is_for_everyone());
+    let mut large = daemon_with_prompt(fleet_of_daemons(&[("a", 60), ("b", 60)]));
+    let relayed = reporter.next_round(&mut large, None, None, at(20));
+    assert_eq!(
+        (relayed.everyone.sent_prompts.len(), relayed.relayed.len()),
+        (0, 1)
+    );
+    assert!(!relayed.is_for_everyone());
+}
+
+/// A passed-on prompt counts as a request of the daemon that sent it to the engine.
+#[test]
+fn a_relayed_prompt_counts_for_its_sender() {
+    let mut state = leader_of(1);
+    let note = PromptNote {
+        engine: "e000".to_owned(),
+        target: "m1".to_owned(),
+        sender: "edge-3".to_owned(),
+        ..PromptNote::default()
+    };
+    let packet = Packet {
+        sent_prompts: vec![note],
+        ..Packet::default()
+    };
+    state.apply_packet(&"edge-2".into(), &packet, at(10));
+    let loads = &state.fleet.engines["e000"].peer_loads;
+    assert_eq!(loads.keys().map(|h| &**h).collect::<Vec<_>>(), ["edge-3"]);
+    assert_eq!(state.fleet.engines["e000"].running(at(20)), 1);
+}
--- a/tests/simulation/simulator/mod.rs
+++ b/tests/simulation/simulator/mod.rs
@@ -446,6 +446,12 @@
         let reporter = &mut self.reporters[daemon];
         let round = reporter.next_round(&mut self.daemons[daemon], heartbeat, Some(&leader), now);
         let host = self.hosts[daemon].clone();
+        let mut round = round;
+        round
+            .everyone
+            .sent_prompts
+            .append(&mut round.relayed.clone());
+        round.leader.sent_prompts.append(&mut round.relayed);
         let is_for_everyone = round.is_for_everyone();
         let for_leader = Rc::new((host.clone(), round.leader));
         let for_others = Rc::new((host, round.everyone));
