Count the slot that an answer takes as demand for its model

Cause: the demand of a model counted 0.1 ms of engine time an output token, as in a batch of 64. Change: an output token counts as a batch step by the engine's slots where that is more; the slots come from the desired state. Test: demand of a long answer on engines of 12, 64 and 256 slots.

--- a/src/edge/demand.rs
+++ b/src/edge/demand.rs
@@ -16,7 +16,7 @@
 /// Rate below which a model counts as idle, requests per second.
 const IDLE_RATE_PER_S: f64 = 0.001;
 
-/// Engine time per output token in a well-filled batch.
+/// Minimum engine time per output token, in a large batch.
 const TIME_PER_OUTPUT_TOKEN: Duration = Duration::from_micros(100);
 
 /// Demand for one model.
@@ -105,12 +105,14 @@
     }
 
     /// Records a prompt with the engine time that it needs, which grows with the
-    /// slowdown of its model.
+    /// slowdown of its model. An output token takes a step of one of the engine's `slots`
+    /// (0 when unknown), or its part of a large batch.
     pub fn record_prompt(
         &mut self,
         key: ModelKey,
         prompt: &Prompt,
         engines: &EngineSettings,
+        slots: u32,
         tight: bool,
         now: Moment,
     ) {
@@ -118,8 +120,10 @@
             .parts
             .last()
             .map_or(prompt.input_tokens, |p| p.tokens);
-        let work =
-            routing::prefill_time(own, engines) + TIME_PER_OUTPUT_TOKEN * prompt.output_tokens;
+        let step = Duration::from_secs_f64(engines.step_ms / 1_000.0);
+        let slot_time = step.checked_div(slots).unwrap_or_default();
+        let token_time = TIME_PER_OUTPUT_TOKEN.max(slot_time);
+        let work = routing::prefill_time(own, engines) + token_time * prompt.output_tokens;
         self.record_request(key.clone(), work.mul_f64(self.slowdown(&key)), tight, now);
     }
 
--- a/src/edge/desired.rs
+++ b/src/edge/desired.rs
@@ -102,6 +102,8 @@
 /// Capacity of the model engines of a service, and the models they can hold.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Hosting {
+    /// Requests that an engine processes at the same time; 0 when unknown.
+    pub slots: u32,
     /// Capacity for prompts and answers, tokens.
     pub cache_tokens: u64,
     /// Memory for weights and adapters, MB.
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -296,12 +296,13 @@
     let hosting = routed.desired.hosting(&routed.service);
     let model = hosting.and_then(|h| h.models.get(&prompt.model));
     let tight = model.is_some_and(|m| m.is_tight(routed.route.objective));
+    let slots = hosting.map_or(0, |h| h.slots);
     let key = ModelKey::new(&routed.service, &prompt.model);
     let engines = routed.edge.settings().engines;
     let mut state = routed.edge.state.borrow_mut();
     state
         .meter
-        .record_prompt(key, prompt, &engines, tight, clock::now());
+        .record_prompt(key, prompt, &engines, slots, tight, clock::now());
 }
 
 /// Records the predicted and the measured time of a first event.
--- a/src/platform/desired.rs
+++ b/src/platform/desired.rs
@@ -68,6 +68,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireEngine {
+    #[serde(default)]
+    slots: u32,
     #[serde(default)]
     kv_capacity: u64,
     #[serde(default)]
@@ -163,6 +165,7 @@
 
 fn decode_hosting(wire: WireEngine) -> Hosting {
     let mut hosting = Hosting {
+        slots: wire.slots,
         cache_tokens: wire.kv_capacity,
         memory_mb: wire.weights_mb,
         adapter_slots: wire.adapter_slots,
--- a/tests/edge/overload.rs
+++ b/tests/edge/overload.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
+use mastichinge::clock::Moment;
 use mastichinge::edge::admission::{AdmissionDecision, TimeBudget, silence_limit};
+use mastichinge::edge::demand::{DemandMeter, ModelKey};
 use mastichinge::edge::desired::{Route, RouteKind};
 use mastichinge::edge::placement::ModelTarget;
+use mastichinge::edge::request_headers::Prompt;
 use mastichinge::edge::routing::{SelectedEngine, Selection};
-use mastichinge::edge::settings::AdmissionSettings;
+use mastichinge::edge::settings::{AdmissionSettings, EngineSettings};
 use mastichinge::error::Kind as ErrorKind;
 
 const LIMITS: AdmissionSettings = AdmissionSettings {
@@ -176,3 +179,29 @@
     let first = TimeBudget::new(&route, ms(4_000), ms(50), ms(2_000), false);
     assert!(retry_delay(first.decide(selected_with_backlog(400, 500), &LIMITS)).is_some());
 }
+
+/// Short prompts with long answers fill engines of 12 slots while they read hardly anything:
+/// a request takes one of few slots for its whole answer.
+#[test]
+fn demand_counts_the_slot_that_an_answer_takes() {
+    let engines = EngineSettings::default();
+    let prompt = Prompt {
+        model: "m".into(),
+        input_tokens: 387,
+        output_tokens: 280,
+        ..Prompt::default()
+    };
+    let key = ModelKey::new(&"s".into(), &"m".into());
+    let work = |slots| {
+        let mut meter = DemandMeter::default();
+        let now = Moment::from_secs(1);
+        meter.record_prompt(key.clone(), &prompt, &engines, slots, true, now);
+        meter.current_demand(now)[0].1.work
+    };
+    // 10 ms of reading; an answer of 280 steps of 5.47 ms in one of 12 slots, or in a batch
+    // of which it is a small part.
+    let ratio = work(12) / work(64);
+    assert!((3.5..3.8).contains(&ratio), "{ratio}");
+    assert_eq!(work(64), work(256));
+    assert_eq!(work(0), work(256), "unknown");
+}
--- a/tests/simulation/engine.rs
+++ b/tests/simulation/engine.rs
@@ -29,7 +29,7 @@
 /// Maximum length of the queue.
 const MAX_QUEUED: usize = 192;
 /// Maximum size of the batch.
-const BATCH_SLOTS: usize = 64;
+pub const BATCH_SLOTS: usize = 64;
 /// Size of the KV cache, tokens.
 const CACHE_TOKENS: u64 = 232_000;
 /// Time of an unload that nothing delays.
--- a/tests/simulation/firm.rs
+++ b/tests/simulation/firm.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::engine::BATCH_SLOTS;
 use mastichinge::edge::desired::{DesiredState, Hosting, Model, Route, RouteKind, Service};
 use rand::distr::{Distribution, Uniform};
 use rand_chacha::ChaCha8Rng;
@@ -319,6 +320,7 @@
             cache_tokens: 232_000,
             memory_mb: self.memory_mb,
             adapter_slots: 8,
+            slots: BATCH_SLOTS as u32,
             loads_per_s: self.loads_per_s,
             models: models.map(|m| (m.name.clone(), m.model.clone())).collect(),
         };
--- a/tests/simulation/simulator/requests.rs
+++ b/tests/simulation/simulator/requests.rs
@@ -11,7 +11,7 @@
 use mastichinge::edge::routing::{self, RoutingContext, RoutingRequest};
 use mastichinge::edge::suspects::fingerprint;
 
-use super::super::engine::{EngineRequest, StepEvent, SubmitResult};
+use super::super::engine::{BATCH_SLOTS, EngineRequest, StepEvent, SubmitResult};
 use super::super::firm::{RequestKind, SERVICE};
 use super::{Attempt, HOP_DELAY, RequestEnd, SimEvent, SimRequest, Simulator, WARMUP};
 
@@ -43,8 +43,9 @@
         let model_key = ModelKey::new(&SERVICE.into(), &prompt.model);
         let tight = self.models[&prompt.model].is_tight(kind.route.objective);
         let engines = &self.settings.engines;
+        let slots = BATCH_SLOTS as u32;
         let meter = &mut self.daemons[request.arrival.daemon].meter;
-        meter.record_prompt(model_key, prompt, engines, tight, now);
+        meter.record_prompt(model_key, prompt, engines, slots, tight, now);
         self.schedule_after(caller_timeout, SimEvent::CallerTimeout(index, tries));
         self.route_request(index, tries);
     }
