Count shared parts that engines read again as demand; fewer heartbeats at size

Cause: demand of a model counted the last part of each prompt only. Change: the shared tokens that the chosen engine does not have count as work when a request is sent. With more than 48 other daemons a heartbeat goes out every 360 ms: three within the time after which a daemon counts as silent. Test: demand of a draft whose shared part is or is not cached.

--- a/src/edge/demand.rs
+++ b/src/edge/demand.rs
@@ -116,10 +116,7 @@
         tight: bool,
         now: Moment,
     ) {
-        let own = prompt
-            .parts
-            .last()
-            .map_or(prompt.input_tokens, |p| p.tokens);
+        let own = prompt.own_tokens();
         let step = Duration::from_secs_f64(engines.step_ms / 1_000.0);
         let slot_time = step.checked_div(slots).unwrap_or_default();
         let token_time = TIME_PER_OUTPUT_TOKEN.max(slot_time);
@@ -127,6 +124,18 @@
         self.record_request(key.clone(), work.mul_f64(self.slowdown(&key)), tight, now);
     }
 
+    /// Records further engine time that a request needs: its engine has to read shared parts
+    /// of the prompt, too.
+    pub fn add_work(&mut self, key: ModelKey, work: Duration, now: Moment) {
+        let sum = self.sums.entry(key).or_default();
+        let mut demand = sum.decayed(now);
+        demand.work += work.as_secs_f64() / WORK_DECAY_S;
+        *sum = DecayingDemand {
+            demand,
+            updated_at: now,
+        };
+    }
+
     /// Records a request that needs `work` of engine time; it is `tight` when its
     /// objective leaves no time for a load.
     pub fn record_request(&mut self, key: ModelKey, work: Duration, tight: bool, now: Moment) {
--- a/src/edge/members.rs
+++ b/src/edge/members.rs
@@ -13,7 +13,12 @@
 
 /// Period of a daemon's heartbeats.
 pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(250);
-/// Silence after which a daemon is not considered alive: four lost heartbeats.
+/// Period of a daemon's heartbeats where more than [`MAX_DIRECT_MEMBERS`] others get them.
+const LARGE_HEARTBEAT_PERIOD: Duration = Duration::from_millis(360);
+/// Other daemons up to which each prompt is reported to all of them directly, and above
+/// which heartbeats are rarer: the number of all datagrams grows with the square.
+pub const MAX_DIRECT_MEMBERS: usize = 48;
+/// Silence after which a daemon is not considered alive: three to four lost heartbeats.
 pub const ALIVE_TIMEOUT: Duration = Duration::from_millis(1_100);
 /// Time for which the store must have answered a daemon before it counts as
 /// available there.
@@ -161,6 +166,14 @@
             .retain(|host, m| listed.contains(host) || m.silence(now) < SHARE_TIMEOUT);
     }
 
+    /// Returns the period of this daemon's heartbeats.
+    pub fn heartbeat_period(&self) -> Duration {
+        match self.all.len() > MAX_DIRECT_MEMBERS {
+            true => LARGE_HEARTBEAT_PERIOD,
+            false => HEARTBEAT_PERIOD,
+        }
+    }
+
     /// Records a heartbeat; returns `None` when it is outdated or the sender is
     /// unknown.
     pub fn record_heartbeat(
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -41,7 +41,8 @@
     loop {
         let now = clock::now();
         edge.state.borrow_mut().drop_idle_waits(now);
-        let is_heartbeat = now.saturating_sub(heartbeat_at) >= HEARTBEAT_PERIOD;
+        let period = edge.state.borrow().members.heartbeat_period();
+        let is_heartbeat = now.saturating_sub(heartbeat_at) >= period;
         if is_heartbeat {
             heartbeat_at = now;
         }
@@ -70,9 +71,9 @@
             .any(|w| w.requests.count > 0);
         let pause = match has_waiting {
             true => REPEAT_PERIOD,
-            false => HEARTBEAT_PERIOD,
+            false => period,
         };
-        let until_heartbeat = (heartbeat_at + HEARTBEAT_PERIOD).saturating_sub(clock::now());
+        let until_heartbeat = (heartbeat_at + period).saturating_sub(clock::now());
         let pause = pause.min(until_heartbeat).max(MIN_PAUSE);
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -10,15 +10,12 @@
     CrashReport, DemandNote, DemandReport, Heartbeat, LoadNote, LoadReport, Packet, PromptNote,
     TargetCount, WaitingNote, WaitingReport,
 };
-use super::members::HEARTBEAT_PERIOD;
+use super::members::{HEARTBEAT_PERIOD, MAX_DIRECT_MEMBERS};
 use super::state::State;
 use crate::clock::Moment;
 
 /// Maximum number of prompts in one datagram, so that it fits one frame.
 pub const PROMPTS_PER_PACKET: usize = 12;
-/// Other daemons up to which each prompt is reported to all of them directly; with more,
-/// each would receive a datagram for every prompt of the deployment.
-const MAX_DIRECT_MEMBERS: usize = 48;
 /// Period of reporting the load to a daemon, for each daemon of the deployment: the rate
 /// of all reports that a daemon receives stays the same.
 const LOAD_PERIOD_PER_MEMBER: Duration = Duration::from_millis(9);
--- a/src/edge/request_headers.rs
+++ b/src/edge/request_headers.rs
@@ -64,6 +64,11 @@
         target(&self.model, self.adapter.as_deref())
     }
 
+    /// Returns the tokens that no other request shares: those of the last part.
+    pub fn own_tokens(&self) -> u32 {
+        self.parts.last().map_or(self.input_tokens, |p| p.tokens)
+    }
+
     /// Returns the key and the number of tokens of each prefix that ends with a part. The
     /// key covers model, adapter and all parts of the prefix.
     pub fn prefix_keys(&self) -> Vec<(u64, u32)> {
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -367,6 +367,11 @@
             return request;
         };
         *upstream.own_load.targets.entry(target.clone()).or_default() += 1;
+        let key = ModelKey::new(&upstream.entry.service, &prompt.model);
+        let shared = choice.uncached.saturating_sub(prompt.own_tokens());
+        let shared_part = f64::from(shared) / f64::from(choice.uncached.max(1));
+        let work = choice.prefill_time.mul_f64(shared_part);
+        self.meter.add_work(key, work, now);
         let prefixes = prompt.prefix_keys();
         let sent = SentPrompt {
             engine: choice.engine.clone(),
--- a/tests/edge/overload.rs
+++ b/tests/edge/overload.rs
@@ -1,5 +1,6 @@
 //! Admission control under overload: which requests are sent, held or refused.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use mastichinge::clock::Moment;
@@ -7,11 +8,14 @@
 use mastichinge::edge::demand::{DemandMeter, ModelKey};
 use mastichinge::edge::desired::{Route, RouteKind};
 use mastichinge::edge::placement::ModelTarget;
-use mastichinge::edge::request_headers::Prompt;
-use mastichinge::edge::routing::{SelectedEngine, Selection};
+use mastichinge::edge::request_headers::{Prompt, PromptPart};
+use mastichinge::edge::routing::{self, SelectedEngine, Selection};
 use mastichinge::edge::settings::{AdmissionSettings, EngineSettings};
+use mastichinge::edge::state::State;
 use mastichinge::error::Kind as ErrorKind;
 
+use crate::fixtures::{SERVICE, entry};
+
 const LIMITS: AdmissionSettings = AdmissionSettings {
     sure_part: 0.4,
     slack_ms: 150,
@@ -205,3 +209,42 @@
     assert_eq!(work(64), work(256));
     assert_eq!(work(0), work(256), "unknown");
 }
+
+/// Drafts share most of their prompt, but few shared parts stay cached where many are in use:
+/// what an engine has to read again counts as demand for the model.
+#[test]
+fn demand_counts_the_shared_parts_that_an_engine_reads_again() {
+    let part = |id, tokens| PromptPart { id, tokens };
+    let prompt = Prompt {
+        model: "m1".into(),
+        parts: vec![part(1, 6_300), part(2, 2_890)],
+        input_tokens: 9_190,
+        ..Prompt::default()
+    };
+    let work = |uncached: u32| {
+        let mut state = State::default();
+        let now = Moment::from_secs(1);
+        let entries = vec![entry("e1", 1, &["m1"])];
+        state
+            .fleet
+            .update_entries(entries, &BTreeSet::new(), None, now);
+        let choice = SelectedEngine {
+            engine: "e1".into(),
+            addr: ([10, 0, 0, 1], 1).into(),
+            prefill_time: routing::prefill_time(uncached, &EngineSettings::default()),
+            uncached,
+            backlog: Duration::ZERO,
+            first_event: Duration::ZERO,
+        };
+        let key = ModelKey::new(&SERVICE.into(), &"m1".into());
+        let arrival = Duration::ZERO;
+        state.meter.record_request(key.clone(), arrival, true, now);
+        state.begin_request(&choice, Some(&prompt), now);
+        state.total_demand(now)[&key].work
+    };
+    assert_eq!(work(2_890), 0.0, "its own part was counted at its arrival");
+    let engines = EngineSettings::default();
+    let shared = routing::prefill_time(6_300, &engines).as_secs_f64();
+    assert!((work(9_190) / work(2_890 + 3_150) - 2.0).abs() < 0.01);
+    assert!(work(9_190) > shared / 3.0);
+}
