Decide at once only on waits that are new

Change: the leader is woken by a target that was not reported before, or by an engine that lacks one; the rest is seen at the next step (15 ms). Test: reports of waits, first and repeated.

--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -298,7 +298,7 @@
     if effects.models_changed {
         edge.notify_waiting();
     }
-    if effects.has_waiting && is_leader {
+    if effects.waits_anew && is_leader {
         edge.order_wake.notify_one();
     }
     true
@@ -309,8 +309,9 @@
 pub struct PacketEffects {
     /// Whether the models on engines have changed.
     pub models_changed: bool,
-    /// Whether requests wait for a model at the sender.
-    pub has_waiting: bool,
+    /// Whether requests at the sender wait for a further target, or an engine lacks one.
+    /// Waits are reported again and again, and need no decision each time.
+    pub waits_anew: bool,
 }
 
 impl State {
@@ -333,8 +334,11 @@
         if let Some(report) = &packet.waiting {
             let peer = self.peer_states.entry(host.clone()).or_default();
             peer.waiting_at = now;
-            peer.waiting = report.targets.iter().map(decode_waiting).collect();
-            effects.has_waiting = !peer.waiting.is_empty();
+            let waiting: Vec<_> = report.targets.iter().map(decode_waiting).collect();
+            effects.waits_anew = waiting.iter().any(|(target, requests)| {
+                requests.missing_at.is_some() || !peer.waiting.iter().any(|(t, _)| t == target)
+            });
+            peer.waiting = waiting;
         }
         for note in &packet.sent_prompts {
             let prompt = decode_prompt(note);
--- a/tests/edge/large_fleet.rs
+++ b/tests/edge/large_fleet.rs
@@ -8,7 +8,7 @@
 use mastichinge::clock::Moment;
 use mastichinge::edge::demand::ModelKey;
 use mastichinge::edge::fleet::SentPrompt;
-use mastichinge::edge::gossip::{Heartbeat, Packet, PromptNote};
+use mastichinge::edge::gossip::{Heartbeat, Packet, PromptNote, WaitingNote, WaitingReport};
 use mastichinge::edge::leader::Announcer;
 use mastichinge::edge::members::{HEARTBEAT_PERIOD, MemberRecord, Members};
 use mastichinge::edge::orders::{Order, OrderOutcome, Verb};
@@ -380,3 +380,36 @@
     assert_eq!(loads.keys().map(|h| &**h).collect::<Vec<_>>(), ["edge-3"]);
     assert_eq!(state.fleet.engines["e000"].running(at(20)), 1);
 }
+
+/// Dozens of daemons repeat what waits there every 80 ms. The leader decides at once only
+/// when a target is new.
+#[test]
+fn repeated_reports_of_waits_need_no_new_decision() {
+    let mut leader = leader_of(1);
+    let report = |targets: &[&str]| {
+        let note = |target: &&str| WaitingNote {
+            service: SERVICE.to_owned(),
+            target: (*target).to_owned(),
+            count: 1,
+            ..WaitingNote::default()
+        };
+        Packet {
+            waiting: Some(WaitingReport {
+                targets: targets.iter().map(note).collect(),
+            }),
+            ..Packet::default()
+        }
+    };
+    let host: Arc<str> = "edge-9".into();
+    let mut waits_anew = |targets: &[&str], ms| {
+        let effects = leader.apply_packet(&host, &report(targets), at(ms));
+        effects.waits_anew
+    };
+    assert!(waits_anew(&["m1/a1"], 0));
+    assert!(!waits_anew(&["m1/a1"], 80));
+    assert!(waits_anew(&["m1/a1", "m1/a2"], 160));
+    assert!(!waits_anew(&["m1/a2"], 240));
+    assert!(!waits_anew(&[], 320));
+    assert!(waits_anew(&["m1/a2"], 400));
+    assert_eq!(leader.total_waiting(at(410)).len(), 1);
+}
