--- a/src/edge/members.rs
+++ b/src/edge/members.rs
@@ -272,6 +272,11 @@
         members.map(|(_, m)| m.peers).collect()
     }
 
+    /// Returns the addresses of the daemons that are alive.
+    pub fn alive_addrs(&self, now: Moment) -> Vec<SocketAddr> {
+        self.alive_members(now).map(|(_, m)| m.peers).collect()
+    }
+
     /// Returns the daemon that reports to be the leader; of several, the one with the
     /// highest fencing number.
     pub fn leader(&self, now: Moment) -> Option<(&Arc<str>, &Member)> {
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -104,14 +104,12 @@
     let leader = leader.map(|(host, member)| (host.clone(), member.peers));
     let heartbeat = is_heartbeat.then(|| heartbeat(edge, state, now));
     let round = reporter.next_round(state, heartbeat, leader.as_ref().map(|(h, _)| h), now);
-    let alive = |state: &State| -> Vec<SocketAddr> {
-        let members = state.members.alive_members(now);
-        members.map(|(_, m)| m.peers).collect()
-    };
-    let mut others = match (is_heartbeat, round.has_urgent_notes()) {
-        (true, _) => state.members.take_due(now),
-        (false, true) => alive(state),
-        (false, false) => Vec::new(),
+    // Daemons that are silent read crash reports when they are thawed.
+    let mut others = match (&round.everyone, is_heartbeat) {
+        (_, true) => state.members.take_due(now),
+        (packet, _) if !packet.crash_reports.is_empty() => state.members.take_due(now),
+        (packet, _) if !packet.sent_prompts.is_empty() => state.members.alive_addrs(now),
+        _ => Vec::new(),
     };
     let waits = round
         .leader
@@ -293,7 +291,7 @@
         }
     }
     let is_leader = state.leadership.is_some();
-    let effects = state.apply_packet(&host, &packet, now);
+    let effects = state.apply_packet(&edge.host, &host, &packet, now);
     drop(guard);
     if effects.models_changed {
         edge.notify_waiting();
@@ -315,8 +313,15 @@
 }
 
 impl State {
-    /// Applies a packet's announcements, load, demand and waiting requests.
-    pub fn apply_packet(&mut self, host: &Arc<str>, packet: &Packet, now: Moment) -> PacketEffects {
+    /// Applies a packet of `host` at the daemon of host `own`: announcements, load, prompts,
+    /// demand and waiting requests.
+    pub fn apply_packet(
+        &mut self,
+        own: &str,
+        host: &Arc<str>,
+        packet: &Packet,
+        now: Moment,
+    ) -> PacketEffects {
         let mut effects = PacketEffects::default();
         if let Some(load) = &packet.load {
             let loads = load.engines.iter().map(decode_load).collect();
@@ -344,6 +349,8 @@
             let prompt = decode_prompt(note);
             match &*note.sender {
                 "" => self.fleet.record_peer_prompt(host, &prompt, now),
+                // Its own prompt, passed on to its whole failure domain.
+                sender if sender == own => {}
                 sender => self.fleet.record_peer_prompt(&sender.into(), &prompt, now),
             }
         }
--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -41,12 +41,8 @@
     /// Returns whether there is anything for daemons other than the leader.
     pub fn is_for_everyone(&self) -> bool {
         let packet = &self.everyone;
-        packet.heartbeat.is_some() || self.has_urgent_notes()
-    }
-
-    /// Returns whether there are notes that all daemons should get at once.
-    pub fn has_urgent_notes(&self) -> bool {
-        !self.everyone.crash_reports.is_empty() || !self.everyone.sent_prompts.is_empty()
+        let has_notes = !packet.crash_reports.is_empty() || !packet.sent_prompts.is_empty();
+        packet.heartbeat.is_some() || has_notes
     }
 }
 
--- a/tests/edge/large_fleet.rs
+++ b/tests/edge/large_fleet.rs
@@ -167,7 +167,7 @@
         let work = Duration::from_millis(50);
         daemon.meter.record_request(model(1), work, true, now);
         let round = round(&mut reporter, &mut daemon, "edge-1", now);
-        leader.apply_packet(&host, &round.leader, now);
+        leader.apply_packet("edge-1", &host, &round.leader, now);
     }
     let now = at(1_900);
     let told = leader.total_demand(now);
@@ -375,7 +375,9 @@
         sent_prompts: vec![note],
         ..Packet::default()
     };
-    state.apply_packet(&"edge-2".into(), &packet, at(10));
+    state.apply_packet("edge-1", &"edge-2".into(), &packet, at(10));
+    // The collector passes prompts on to the sender, too.
+    state.apply_packet("edge-3", &"edge-2".into(), &packet, at(10));
     let loads = &state.fleet.engines["e000"].peer_loads;
     assert_eq!(loads.keys().map(|h| &**h).collect::<Vec<_>>(), ["edge-3"]);
     assert_eq!(state.fleet.engines["e000"].running(at(20)), 1);
@@ -402,7 +404,7 @@
     };
     let host: Arc<str> = "edge-9".into();
     let mut waits_anew = |targets: &[&str], ms| {
-        let effects = leader.apply_packet(&host, &report(targets), at(ms));
+        let effects = leader.apply_packet("edge-1", &host, &report(targets), at(ms));
         effects.waits_anew
     };
     assert!(waits_anew(&["m1/a1"], 0));
--- a/tests/simulation/simulator/mod.rs
+++ b/tests/simulation/simulator/mod.rs
@@ -481,7 +481,8 @@
 
     fn receive_packet(&mut self, daemon: usize, message: &(Arc<str>, Packet)) {
         let now = self.now;
-        self.daemons[daemon].apply_packet(&message.0, &message.1, now);
+        let own = self.hosts[daemon].clone();
+        self.daemons[daemon].apply_packet(&own, &message.0, &message.1, now);
     }
 
     fn receive_order(&mut self, order: Order) {
