--- a/src/edge/demand.rs
+++ b/src/edge/demand.rs
@@ -16,6 +16,9 @@
 /// Rate below which a model counts as idle, requests per second.
 const IDLE_RATE_PER_S: f64 = 0.001;
 
+/// Weight of the time in a slot against time in which the engine does nothing else: a slot
+/// that is taken delays others only when few are left.
+const SLOT_WEIGHT: f64 = 0.6;
 /// Minimum engine time per output token, in a large batch.
 const TIME_PER_OUTPUT_TOKEN: Duration = Duration::from_micros(100);
 
@@ -119,7 +122,7 @@
         let own = prompt.own_tokens();
         let step = Duration::from_secs_f64(engines.step_ms / 1_000.0);
         let slot_time = step.checked_div(slots).unwrap_or_default();
-        let token_time = TIME_PER_OUTPUT_TOKEN.max(slot_time);
+        let token_time = TIME_PER_OUTPUT_TOKEN.max(slot_time.mul_f64(SLOT_WEIGHT));
         let work = routing::prefill_time(own, engines) + token_time * prompt.output_tokens;
         self.record_request(key.clone(), work.mul_f64(self.slowdown(&key)), tight, now);
     }
