--- a/tests/edge/requests.rs
+++ b/tests/edge/requests.rs
@@ -195,6 +195,15 @@
     }
 }
 
+/// Asserts that a stream that is preempted after two events completes in the same run.
+fn assert_goes_on_after_a_preemption(site: &Site) {
+    site.set(Behavior::PauseAfter(2));
+    let answer = site.stream("/stream/", "s1");
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(events(&answer.body), all_events());
+    assert_eq!(site.arrivals("s1"), 1);
+}
+
 /// Engines preempt streams for want of memory and go on later. When the retry budget is
 /// used up, no other engine may take over, and the daemon waits for the engine.
 #[test]
@@ -208,11 +217,7 @@
     wait("the new settings", || {
         !site.daemon.logged("settings reloaded").is_empty()
     });
-    site.set(Behavior::PauseAfter(2));
-    let answer = site.stream("/stream/", "s1");
-    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
-    assert_eq!(events(&answer.body), all_events());
-    assert_eq!(site.arrivals("s1"), 1);
+    assert_goes_on_after_a_preemption(&site);
 }
 
 /// A preempted stream of a model that no other engine holds: nobody can take over, so the
@@ -221,15 +226,8 @@
 fn a_preempted_stream_stays_at_the_only_engine_of_its_model() {
     let site = Site::start();
     site.store.remove("servers", "e2");
-    wait("the change", || {
-        let changes = site.daemon.logged("engine changed");
-        changes.iter().any(|l| l["change"] == "gone")
-    });
-    site.set(Behavior::PauseAfter(2));
-    let answer = site.stream("/stream/", "s1");
-    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
-    assert_eq!(events(&answer.body), all_events());
-    assert_eq!(site.arrivals("s1"), 1);
+    site.wait_for_change("e2", "gone");
+    assert_goes_on_after_a_preemption(&site);
 }
 
 #[test]
@@ -333,10 +331,7 @@
 fn an_engine_that_is_no_longer_listed_gets_no_new_requests() {
     let site = Site::start();
     site.store.remove("servers", "p1");
-    wait("the change", || {
-        let changes = site.daemon.logged("engine changed");
-        changes.iter().any(|l| l["change"] == "gone")
-    });
+    site.wait_for_change("p1", "gone");
     for i in 0..6 {
         assert_eq!(site.send("/look/", &format!("l{i}")).status, 200);
     }
@@ -348,27 +343,15 @@
 #[test]
 fn the_list_of_engines_is_read_whole_once_and_then_by_its_changes() {
     let site = Site::start();
-    let appeared = |id: &str| {
-        let changes = site.daemon.logged("engine changed");
-        changes
-            .iter()
-            .any(|l| l["change"] == "appeared" && l["engine"] == id)
-    };
     let new = Engine::start(&site.store, "p3", "desk", &[]);
-    wait("the new engine", || appeared("p3"));
+    site.wait_for_change("p3", "appeared");
     site.store.remove("servers", "p1");
-    wait("the removal", || {
-        let changes = site.daemon.logged("engine changed");
-        changes.iter().any(|l| l["change"] == "gone")
-    });
+    site.wait_for_change("p1", "gone");
     assert_eq!(site.store.whole_reads("servers"), 1);
     site.store.expire_history();
     wait("a whole reading", || site.store.whole_reads("servers") == 2);
     new.register("draining");
-    wait("the change after it", || {
-        let changes = site.daemon.logged("engine changed");
-        changes.iter().any(|l| l["change"] == "leaving")
-    });
+    site.wait_for_change("p3", "leaving");
     assert_eq!(site.store.whole_reads("servers"), 2);
 }
 
--- a/tests/edge/site.rs
+++ b/tests/edge/site.rs
@@ -2,7 +2,7 @@
 
 use serde_json::{Value, json};
 
-use crate::fakes::daemon::{Daemon, Request, Response};
+use crate::fakes::daemon::{Daemon, Request, Response, wait};
 use crate::fakes::engine::{Behavior, Engine};
 use crate::fakes::store::Store;
 
@@ -71,6 +71,15 @@
         }
     }
 
+    /// Waits until the daemon has logged a change of an engine.
+    pub fn wait_for_change(&self, engine: &str, change: &str) {
+        wait(change, || {
+            let changes = self.daemon.logged("engine changed");
+            let is_it = |l: &Value| l["engine"] == engine && l["change"] == change;
+            changes.iter().any(is_it)
+        });
+    }
+
     /// Returns how often a request reached an engine.
     pub fn arrivals(&self, id: &str) -> usize {
         let engines = self.plain.iter().chain(&self.models);
