Give the index of the load planning its own file

Change: the index and what computes it move to placement/index.rs; no line of it changes but visibility.

--- /dev/null
+++ b/src/edge/placement/index.rs
@@ -0,0 +1,87 @@
+//! Index of the replicas, requests and utilization that the planning of loads looks up.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+use super::engine_view::EngineView;
+use super::{PlacementInput, Placer};
+use crate::edge::demand::ModelKey;
+use crate::edge::fleet::Upstream;
+use crate::edge::request_headers::split_target;
+
+/// What the planning of loads looks up again and again; computed once for each planning
+/// and after each planned load.
+#[derive(Debug, Default)]
+pub(super) struct PlanIndex {
+    /// Number of engines that serve or will serve each model.
+    pub(super) replicas: HashMap<ModelKey, usize>,
+    /// Engine time per second that the demand for an engine's models needs, by engine.
+    pub(super) utilization: HashMap<Arc<str>, f64>,
+    /// Requests in progress at each engine, by model.
+    pub(super) requests: HashMap<Arc<str>, HashMap<Arc<str>, u32>>,
+    /// Models that requests wait for.
+    pub(super) waited: HashSet<ModelKey>,
+}
+
+impl Placer {
+    /// Indexes what requests wait for and where requests are in progress.
+    pub(super) fn index_requests(&mut self, input: &PlacementInput<'_>) {
+        let waited = input.waiting.keys();
+        self.index.waited = waited
+            .map(|t| ModelKey::new(&t.service, &t.model))
+            .collect();
+        self.index.requests.clear();
+        for (id, engine) in &input.fleet.engines {
+            let mut by_model: HashMap<Arc<str>, u32> = HashMap::new();
+            for (target, count) in engine.requests(input.now) {
+                let (model, _) = split_target(target);
+                match by_model.get_mut(model) {
+                    Some(sum) => *sum += count,
+                    None => {
+                        by_model.insert(model.into(), count);
+                    }
+                }
+            }
+            self.index.requests.insert(id.clone(), by_model);
+        }
+    }
+
+    /// Indexes the engines that serve or will serve each model, and how busy they are.
+    pub(super) fn index_replicas(&mut self, input: &PlacementInput<'_>) {
+        let mut replicas: HashMap<ModelKey, usize> = HashMap::new();
+        for (engine, view) in self.known_engines(input) {
+            let planned = view.task.iter().map(|t| &t.model);
+            let new = planned.filter(|m| !view.replicas.contains_key(*m));
+            for model in view.replicas.keys().chain(new) {
+                if !view.will_serve(model) {
+                    continue;
+                }
+                let key = ModelKey::new(&engine.entry.service, model);
+                *replicas.entry(key).or_default() += 1;
+            }
+        }
+        self.index.replicas = replicas;
+        let mut utilization = HashMap::with_capacity(self.views.len());
+        for (engine, view) in self.known_engines(input) {
+            let id = engine.entry.id.clone();
+            utilization.insert(id, self.utilization(input, engine, view));
+        }
+        self.index.utilization = utilization;
+    }
+
+    /// Returns the utilization of an engine: the engine time per second that the
+    /// demand for its models needs.
+    fn utilization(&self, input: &PlacementInput<'_>, engine: &Upstream, view: &EngineView) -> f64 {
+        let service = &engine.entry.service;
+        let mut utilization = 0.0;
+        for model in view.replicas.keys() {
+            let key = ModelKey::new(service, model);
+            let Some(demand) = input.demand.get(&key) else {
+                continue;
+            };
+            let replicas = self.replica_count(&key).max(1);
+            utilization += demand.work / replicas as f64;
+        }
+        utilization * engine.slowdown.factor(input.now)
+    }
+}
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -9,6 +9,7 @@
 
 mod adapters;
 pub mod engine_view;
+mod index;
 mod plan;
 
 use std::collections::{BTreeMap, HashMap};
@@ -26,7 +27,7 @@
 use crate::decide::start_window::StartWindow;
 use adapters::next_adapter_order;
 use engine_view::{Adapter, EngineView, REPORT_PAUSE, Replica, TaskStage, model_size_mb};
-use plan::PlanIndex;
+use index::PlanIndex;
 
 /// Minimum time between the start of a drain and the unload, so that requests
 /// already on their way arrive first: twice the latency to a daemon and on to the
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -1,7 +1,7 @@
 //! Planning of loads: which model is loaded next, on which engine, and which
 //! models are evicted for it.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +11,6 @@
 use crate::edge::desired::Hosting;
 use crate::edge::fleet::Upstream;
 use crate::edge::load_forecast::LoadForecast;
-use crate::edge::request_headers::split_target;
 
 /// Time after its load for which a model is not evicted, except for waiting
 /// requests.
@@ -36,20 +35,6 @@
 /// Period of planning loads while no further target is waited for.
 const PLAN_PERIOD: Duration = Duration::from_millis(45);
 
-/// What the planning of loads looks up again and again; computed once for each planning
-/// and after each planned load.
-#[derive(Debug, Default)]
-pub(super) struct PlanIndex {
-    /// Number of engines that serve or will serve each model.
-    replicas: HashMap<ModelKey, usize>,
-    /// Engine time per second that the demand for an engine's models needs, by engine.
-    utilization: HashMap<Arc<str>, f64>,
-    /// Requests in progress at each engine, by model.
-    requests: HashMap<Arc<str>, HashMap<Arc<str>, u32>>,
-    /// Models that requests wait for.
-    waited: HashSet<ModelKey>,
-}
-
 impl Placer {
     /// Plans loads when requests wait for a further target, and otherwise every
     /// [`PLAN_PERIOD`].
@@ -155,51 +140,6 @@
         }
     }
 
-    /// Indexes what requests wait for and where requests are in progress.
-    fn index_requests(&mut self, input: &PlacementInput<'_>) {
-        let waited = input.waiting.keys();
-        self.index.waited = waited
-            .map(|t| ModelKey::new(&t.service, &t.model))
-            .collect();
-        self.index.requests.clear();
-        for (id, engine) in &input.fleet.engines {
-            let mut by_model: HashMap<Arc<str>, u32> = HashMap::new();
-            for (target, count) in engine.requests(input.now) {
-                let (model, _) = split_target(target);
-                match by_model.get_mut(model) {
-                    Some(sum) => *sum += count,
-                    None => {
-                        by_model.insert(model.into(), count);
-                    }
-                }
-            }
-            self.index.requests.insert(id.clone(), by_model);
-        }
-    }
-
-    /// Indexes the engines that serve or will serve each model, and how busy they are.
-    fn index_replicas(&mut self, input: &PlacementInput<'_>) {
-        let mut replicas: HashMap<ModelKey, usize> = HashMap::new();
-        for (engine, view) in self.known_engines(input) {
-            let planned = view.task.iter().map(|t| &t.model);
-            let new = planned.filter(|m| !view.replicas.contains_key(*m));
-            for model in view.replicas.keys().chain(new) {
-                if !view.will_serve(model) {
-                    continue;
-                }
-                let key = ModelKey::new(&engine.entry.service, model);
-                *replicas.entry(key).or_default() += 1;
-            }
-        }
-        self.index.replicas = replicas;
-        let mut utilization = HashMap::with_capacity(self.views.len());
-        for (engine, view) in self.known_engines(input) {
-            let id = engine.entry.id.clone();
-            utilization.insert(id, self.utilization(input, engine, view));
-        }
-        self.index.utilization = utilization;
-    }
-
     /// Plans loads of models that no engine holds or keeps a copy of.
     fn plan_prefetches(&mut self, input: &PlacementInput<'_>, with_copies: &HashSet<ModelKey>) {
         for service in input.desired.services.values() {
@@ -256,7 +196,7 @@
     }
 
     /// Returns the number of engines that serve or will serve a model.
-    fn replica_count(&self, key: &ModelKey) -> usize {
+    pub(super) fn replica_count(&self, key: &ModelKey) -> usize {
         self.index.replicas.get(key).copied().unwrap_or(0)
     }
 
@@ -273,22 +213,6 @@
         with_copies
     }
 
-    /// Returns the utilization of an engine: the engine time per second that the
-    /// demand for its models needs.
-    fn utilization(&self, input: &PlacementInput<'_>, engine: &Upstream, view: &EngineView) -> f64 {
-        let service = &engine.entry.service;
-        let mut utilization = 0.0;
-        for model in view.replicas.keys() {
-            let key = ModelKey::new(service, model);
-            let Some(demand) = input.demand.get(&key) else {
-                continue;
-            };
-            let replicas = self.replica_count(&key).max(1);
-            utilization += demand.work / replicas as f64;
-        }
-        utilization * engine.slowdown.factor(input.now)
-    }
-
     /// Returns the utilization of an engine as last indexed.
     fn indexed_utilization(&self, engine: &Upstream) -> f64 {
         let utilization = self.index.utilization.get(&engine.entry.id);
