Bound heads and idle connections by limits of their own

What callers saw: a request whose head came in pieces after a pause on a kept connection got neither an answer nor a refusal. A request on a connection that was idle for longer than an old idle limit, but within a raised one, met a close. A head that was never finished was closed without an answer after the idle limit, and headerTimeoutMs was not decoded at all.

Cause: the HTTP server's time limit for reading a head was set to the idle limit in force when the connection opened. It starts when the server begins to wait for a head, not with the head's first byte.

Fix: each connection records whether it is idle, reads a head, handles a request or writes the end of a response. The listener checks every 250 ms against the limits in force: heads from their first byte, answered with 408; idle connections two seconds beyond the idle limit, as callers may know a raised limit first. A connection ends only when two checks in a row find it late and no byte waits in the kernel, so that a suspended process serves what has arrived meanwhile. Closing by a limit is logged and counted by cause.

--- /dev/null
+++ b/src/edge/caller_stream.rs
@@ -0,0 +1,138 @@
+//! Stream of a caller's connection that records when heads arrive and responses end.
+
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use hyper::body::{Body, Frame, SizeHint};
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::connections::{Connection, Phase};
+
+/// Stream of a caller's connection.
+#[derive(Debug)]
+pub struct CallerStream {
+    stream: TcpStream,
+    connection: Rc<Connection>,
+}
+
+impl CallerStream {
+    /// Wraps the stream of `connection`.
+    pub fn new(stream: TcpStream, connection: Rc<Connection>) -> Self {
+        CallerStream { stream, connection }
+    }
+
+    /// Returns whether bytes have arrived that were not read.
+    pub fn has_unread_bytes(&self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        SockRef::from(&self.stream)
+            .peek(&mut byte)
+            .is_ok_and(|n| n > 0)
+    }
+
+    /// Writes `bytes` as far as the send buffer has room.
+    pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
+        self.stream.try_write(bytes)
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        if buffer.filled().len() > before && self.connection.phase() == Phase::Idle {
+            self.connection.start(Phase::Head);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
+        if self.connection.phase() == Phase::Response {
+            self.connection.restart();
+        }
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, slices))?;
+        if self.connection.phase() == Phase::Response {
+            self.connection.restart();
+        }
+        Poll::Ready(Ok(written))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    /// The HTTP server flushes when it has written all that it has buffered.
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        if self.connection.phase() == Phase::Response {
+            self.connection.start(Phase::Idle);
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// Body of a response that records its end.
+#[derive(Debug)]
+pub struct TrackedBody<B> {
+    body: B,
+    connection: Rc<Connection>,
+}
+
+impl<B> TrackedBody<B> {
+    /// Wraps the body of a response on `connection`.
+    pub fn new(body: B, connection: Rc<Connection>) -> Self {
+        TrackedBody { body, connection }
+    }
+}
+
+impl<B> Drop for TrackedBody<B> {
+    fn drop(&mut self) {
+        self.connection.start(Phase::Response);
+    }
+}
+
+impl<B: Body + Unpin> Body for TrackedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/src/edge/connections.rs
@@ -0,0 +1,174 @@
+//! Callers' connections of one listener: what each is doing, and which have to end.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use super::clock;
+use super::desired::RequestLimits;
+use crate::clock::Moment;
+
+/// Time for which an idle connection stays open beyond the idle limit: callers may know
+/// a raised limit before this host does, and a request may be on its way.
+const IDLE_MARGIN: Duration = Duration::from_secs(2);
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Phase {
+    /// Waits for a request.
+    #[default]
+    Idle,
+    /// The head of a request is arriving.
+    Head,
+    /// A request is being handled.
+    Request,
+    /// The end of a response is being written.
+    Response,
+}
+
+/// Why this host ends a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum EndCause {
+    /// No request arrived within the idle limit.
+    Idle,
+    /// The head of a request did not arrive within its time limit.
+    UnfinishedHead,
+    /// The caller did not read the response.
+    UnreadResponse,
+}
+
+/// State of one connection, shared by its task, its stream and its listener.
+#[derive(Debug)]
+pub struct Connection {
+    phase: Cell<Phase>,
+    since: Cell<Moment>,
+    /// Whether the phase was too long at the last check.
+    expired: Cell<bool>,
+    end: Cell<Option<EndCause>>,
+    end_wake: Notify,
+}
+
+impl Connection {
+    fn new() -> Self {
+        Connection {
+            phase: Cell::default(),
+            since: Cell::new(clock::now()),
+            expired: Cell::default(),
+            end: Cell::default(),
+            end_wake: Notify::new(),
+        }
+    }
+
+    /// Returns what the connection is doing.
+    pub fn phase(&self) -> Phase {
+        self.phase.get()
+    }
+
+    /// Returns for how long it has been doing that.
+    pub fn age(&self) -> Duration {
+        clock::now().saturating_sub(self.since.get())
+    }
+
+    /// Starts a phase; a decision to end the connection in the one before is void.
+    pub fn start(&self, phase: Phase) {
+        self.phase.set(phase);
+        self.restart();
+    }
+
+    /// Starts the current phase again.
+    pub fn restart(&self) {
+        self.since.set(clock::now());
+        self.expired.set(false);
+        self.end.set(None);
+    }
+
+    /// Waits until the connection has to end.
+    pub async fn ended(&self) -> EndCause {
+        loop {
+            if let Some(cause) = self.end.get() {
+                return cause;
+            }
+            self.end_wake.notified().await;
+        }
+    }
+
+    fn end(&self, cause: EndCause) {
+        self.end.set(Some(cause));
+        self.end_wake.notify_one();
+    }
+
+    /// Ends the connection if its phase is too long, which takes two checks: after a
+    /// suspension of the process, bytes that have arrived are read between them.
+    fn check(&self, limits: &RequestLimits) {
+        let (limit, cause) = match self.phase.get() {
+            Phase::Idle => (limits.idle.saturating_add(IDLE_MARGIN), EndCause::Idle),
+            Phase::Head => (limits.head_time, EndCause::UnfinishedHead),
+            Phase::Request => return,
+            Phase::Response => (limits.idle, EndCause::UnreadResponse),
+        };
+        if self.age() <= limit {
+            return;
+        }
+        if self.expired.replace(true) && self.end.get().is_none() {
+            self.end(cause);
+        }
+    }
+}
+
+/// Connections of one listener.
+#[derive(Debug, Default)]
+pub struct Connections {
+    open: RefCell<BTreeMap<u64, Rc<Connection>>>,
+    last_id: Cell<u64>,
+}
+
+/// Entry of an open connection; dropping it removes the connection.
+#[derive(Debug)]
+pub struct OpenConnection {
+    connections: Rc<Connections>,
+    id: u64,
+    /// State of the connection.
+    pub state: Rc<Connection>,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.connections.open.borrow_mut().remove(&self.id);
+    }
+}
+
+impl Connections {
+    /// Adds a connection.
+    pub fn add(self: &Rc<Self>) -> OpenConnection {
+        let id = self.last_id.get() + 1;
+        self.last_id.set(id);
+        let state = Rc::new(Connection::new());
+        self.open.borrow_mut().insert(id, state.clone());
+        OpenConnection {
+            connections: self.clone(),
+            id,
+            state,
+        }
+    }
+
+    /// Returns the number of open connections.
+    pub fn len(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Returns whether no connection is open.
+    pub fn is_empty(&self) -> bool {
+        self.open.borrow().is_empty()
+    }
+
+    /// Ends the connections that exceed the limits.
+    pub fn check(&self, limits: &RequestLimits) {
+        for connection in self.open.borrow().values() {
+            connection.check(limits);
+        }
+    }
+}
--- a/src/edge/desired.rs
+++ b/src/edge/desired.rs
@@ -147,7 +147,9 @@
     pub head: usize,
     /// Maximum size of a request body, bytes.
     pub body: usize,
-    /// Maximum time for which a connection may be idle, or a request head may take.
+    /// Maximum time from the first byte of a request head to its end.
+    pub head_time: Duration,
+    /// Maximum time for which a connection may be idle.
     pub idle: Duration,
 }
 
@@ -156,6 +158,7 @@
         RequestLimits {
             head: 16_384,
             body: 4 << 20,
+            head_time: Duration::from_secs(10),
             idle: Duration::from_secs(15),
         }
     }
--- a/src/edge/forward/response.rs
+++ b/src/edge/forward/response.rs
@@ -12,6 +12,9 @@
 use crate::error::Kind;
 use crate::platform::headers;
 
+/// Content type of the daemon's own error responses.
+const JSON: &str = "application/json";
+
 /// Error of a response that ends before it is complete; its connection is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("response truncated")]
@@ -109,13 +112,31 @@
 
     /// Creates the response to the request `id`.
     pub fn response(&self, id: &str) -> Response<ResponseBody> {
-        let message = self.kind.response().message;
-        let name: &'static str = self.kind.into();
-        let body = serde_json::json!({ "error": { "code": name, "message": message } });
-        let mut response = text_response(self.status(), "application/json", body.to_string());
+        let mut response = text_response(self.status(), JSON, self.body_text());
         response
             .headers_mut()
             .extend(headers::local_response(id, self.retry_after));
         response
     }
+
+    /// Returns the bytes of the response to a request whose head did not arrive, with the
+    /// announcement that the connection closes.
+    pub fn response_bytes(&self) -> Vec<u8> {
+        let status = self.status();
+        let body = self.body_text();
+        let reason = status.canonical_reason().unwrap_or_default();
+        let code = status.as_u16();
+        let length = body.len();
+        format!(
+            "HTTP/1.1 {code} {reason}\r\ncontent-type: {JSON}\r\nconnection: close\r\n\
+             content-length: {length}\r\n\r\n{body}"
+        )
+        .into_bytes()
+    }
+
+    fn body_text(&self) -> String {
+        let message = self.kind.response().message;
+        let name: &'static str = self.kind.into();
+        serde_json::json!({ "error": { "code": name, "message": message } }).to_string()
+    }
 }
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -1,6 +1,5 @@
 //! Listeners for callers, for queries about this host, and for metrics.
 
-use std::cell::RefCell;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -11,22 +10,28 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use socket2::{Domain, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
 
+use super::caller_stream::{CallerStream, TrackedBody};
+use super::connections::{Connection, Connections, EndCause, OpenConnection, Phase};
 use super::forward::{self, response};
 use super::state::Edge;
 use super::{client, clock};
+use crate::error::Kind;
 use crate::platform::host_queries::{self, HostQuery};
-use response::ResponseBody;
+use response::{Refusal, ResponseBody};
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
 /// Pause after a connection could not be accepted, for example for lack of file
 /// descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Period of checking connections against their limits.
+const CHECK_PERIOD: Duration = Duration::from_millis(250);
 /// Maximum number of callers' connections: half of the smallest number of file
 /// descriptors on a host, which leaves as many for engines.
 const MAX_CALLER_CONNECTIONS: usize = 1_800;
@@ -83,7 +88,8 @@
         ListenerKind::Callers => MAX_CALLER_CONNECTIONS,
         ListenerKind::HostQueries => MAX_QUERY_CONNECTIONS,
     };
-    let open = Rc::new(RefCell::new(0usize));
+    let connections = Rc::new(Connections::default());
+    let mut check_at = Instant::now();
     loop {
         if *stop.borrow_and_update() == ListenerStop::CloseListener {
             return;
@@ -94,6 +100,11 @@
                 Ok(()) => continue,
                 Err(_) => return,
             },
+            () = sleep_until(check_at), if !connections.is_empty() => {
+                connections.check(&edge.state.borrow().desired.limits);
+                check_at = Instant::now() + CHECK_PERIOD;
+                continue;
+            }
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
@@ -104,18 +115,15 @@
                 continue;
             }
         };
-        if *open.borrow() >= max_connections {
+        if connections.len() >= max_connections {
             let purpose: &'static str = kind.into();
             log::warn!(purpose, most = max_connections; "connection refused: too many connections");
             continue;
         }
-        *open.borrow_mut() += 1;
         client::set_socket_options(&stream);
-        let (edge, open, stop) = (edge.clone(), open.clone(), stop.clone());
-        tokio::task::spawn_local(async move {
-            serve_connection(edge, stream, kind, stop).await;
-            *open.borrow_mut() -= 1;
-        });
+        let open = connections.add();
+        let task = serve_connection(edge.clone(), stream, kind, stop.clone(), open);
+        tokio::task::spawn_local(task);
     }
 }
 
@@ -125,49 +133,90 @@
     stream: TcpStream,
     kind: ListenerKind,
     mut stop: watch::Receiver<ListenerStop>,
+    open: OpenConnection,
 ) {
-    let limits = edge.state.borrow().desired.limits;
-    let is_stopping = *stop.borrow_and_update() >= ListenerStop::EndConnections;
-    let mut builder = http1::Builder::new();
-    builder
-        .keep_alive(!is_stopping)
-        .timer(TokioTimer::new())
-        // Also the idle timeout, as an idle connection waits for the next head.
-        .header_read_timeout(limits.idle)
-        .max_buf_size(limits.head.max(MIN_HEAD_BUFFER_BYTES));
-    let io = TokioIo::new(stream);
-    let service = service_fn(move |request| {
-        let edge = edge.clone();
-        async move {
-            match kind {
-                ListenerKind::Callers => forward::handle(edge, request).await,
-                ListenerKind::HostQueries => Ok::<_, Infallible>(host_response(&edge, &request)),
-            }
-        }
-    });
-    let connection = builder.serve_connection(io, service);
-    tokio::pin!(connection);
+    let mut stream = CallerStream::new(stream, open.state.clone());
+    let mut is_stopping = *stop.borrow_and_update() >= ListenerStop::EndConnections;
     loop {
-        tokio::select! {
-            outcome = connection.as_mut() => {
-                if let Err(error) = outcome {
-                    log::debug!(error:%; "accepted connection failed");
-                }
-                return;
-            }
-            changed = stop.changed() => {
-                if changed.is_err() || *stop.borrow_and_update() >= ListenerStop::EndConnections {
-                    connection.as_mut().graceful_shutdown();
-                    if let Err(error) = connection.as_mut().await {
+        let mut builder = http1::Builder::new();
+        builder
+            .keep_alive(!is_stopping)
+            // `connections` bounds heads and idle connections.
+            .header_read_timeout(None)
+            .max_buf_size(head_limit(&edge));
+        let service = service_fn(|request| respond(&edge, kind, &open.state, request));
+        let mut served = builder.serve_connection(TokioIo::new(stream), service);
+        let cause = loop {
+            tokio::select! {
+                biased;
+                outcome = &mut served => {
+                    if let Err(error) = outcome {
                         log::debug!(error:%; "accepted connection failed");
                     }
                     return;
                 }
+                changed = stop.changed(), if !is_stopping => {
+                    if changed.is_err() || *stop.borrow_and_update() >= ListenerStop::EndConnections {
+                        is_stopping = true;
+                        Pin::new(&mut served).graceful_shutdown();
+                    }
+                }
+                cause = open.state.ended() => break cause,
             }
+        };
+        let parts = served.into_parts();
+        stream = parts.io.into_inner();
+        if !parts.read_buf.is_empty() {
+            end_connection(&edge, &open.state, EndCause::UnfinishedHead);
+            refuse_head(&stream);
+            return;
+        }
+        if cause == EndCause::Idle && stream.has_unread_bytes() {
+            open.state.restart();
+            continue;
         }
+        end_connection(&edge, &open.state, cause);
+        return;
     }
 }
 
+/// Returns the limit of the buffer for request heads, bytes.
+fn head_limit(edge: &Edge) -> usize {
+    let limits = edge.state.borrow().desired.limits;
+    limits.head.max(MIN_HEAD_BUFFER_BYTES)
+}
+
+/// Records that this host ends a connection.
+fn end_connection(edge: &Edge, connection: &Connection, cause: EndCause) {
+    let cause: &'static str = cause.into();
+    let ms = connection.age().as_millis() as u64;
+    log::info!(cause, ms; "connection ended");
+    edge.metrics.record_connection_end(cause);
+}
+
+/// Tells the caller that the request whose head did not arrive does not run.
+fn refuse_head(stream: &CallerStream) {
+    let bytes = Refusal::new(Kind::SlowClient).response_bytes();
+    if let Err(error) = stream.try_write(&bytes) {
+        log::info!(error:%; "cannot refuse an unfinished head");
+    }
+}
+
+/// Responds to one request.
+async fn respond(
+    edge: &Rc<Edge>,
+    kind: ListenerKind,
+    connection: &Rc<Connection>,
+    request: Request<Incoming>,
+) -> Result<Response<TrackedBody<ResponseBody>>, Infallible> {
+    connection.start(Phase::Request);
+    let response = match kind {
+        ListenerKind::Callers => forward::handle(edge.clone(), request).await?,
+        ListenerKind::HostQueries => host_response(edge, &request),
+    };
+    Ok(response.map(|body| TrackedBody::new(body, connection.clone())))
+}
+
 /// Responds to a query about this host.
 fn host_response(edge: &Edge, request: &Request<Incoming>) -> Response<ResponseBody> {
     const JSON: &str = "application/json";
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -6,8 +6,10 @@
 
 pub mod admission;
 pub mod body_memory;
+pub mod caller_stream;
 pub mod client;
 pub mod clock;
+pub mod connections;
 pub mod demand;
 pub mod desired;
 pub mod engine_list;
--- a/src/platform/desired.rs
+++ b/src/platform/desired.rs
@@ -101,6 +101,7 @@
 struct WireLimits {
     max_header_bytes: Option<usize>,
     max_body_bytes: Option<usize>,
+    header_timeout_ms: Option<f64>,
     idle_timeout_ms: Option<f64>,
 }
 
@@ -192,6 +193,7 @@
     RequestLimits {
         head: wire.max_header_bytes.unwrap_or(defaults.head),
         body: wire.max_body_bytes.unwrap_or(defaults.body),
+        head_time: wire.header_timeout_ms.map_or(defaults.head_time, millis),
         idle: wire.idle_timeout_ms.map_or(defaults.idle, millis),
     }
 }
--- a/tests/edge/fakes/daemon.rs
+++ b/tests/edge/fakes/daemon.rs
@@ -207,11 +207,37 @@
 pub fn exchange(mut stream: TcpStream, request: &[u8]) -> Response {
     stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
     let mut bytes = Vec::new();
-    if stream.write_all(request).is_ok() {
+    // A daemon may answer and close before it has read the whole request. After a reset,
+    // the bytes received so far are the response.
+    let _ = stream.write_all(request);
+    let _ = stream.read_to_end(&mut bytes);
+    parse(&bytes)
+}
+
+/// Sends a request on a kept connection and reads its response.
+pub fn call(stream: &mut TcpStream, id: &str) -> Response {
+    let request = Request::new("/look/", id);
+    // After a close, the empty response tells.
+    let _ = stream.write_all(&request.bytes(false));
+    read_response(stream)
+}
+
+/// Reads one response from a kept connection; an early end gives what has arrived.
+pub fn read_response(stream: &mut TcpStream) -> Response {
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 4_096];
+    loop {
+        let response = parse(&bytes);
+        if response.complete {
+            return response;
+        }
         // After a reset, the bytes received so far are the response.
-        let _ = stream.read_to_end(&mut bytes);
+        match stream.read(&mut chunk) {
+            Ok(n) if n > 0 => bytes.extend_from_slice(&chunk[..n]),
+            _ => return response,
+        }
     }
-    parse(&bytes)
 }
 
 fn parse(bytes: &[u8]) -> Response {
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the edge daemon: decisions, platform adapter and request forwarding.
 
+mod connections;
 mod decisions;
 mod engine_list;
 mod fakes;
--- a/tests/edge/site.rs
+++ b/tests/edge/site.rs
@@ -1,5 +1,7 @@
 //! A deployment of one daemon with a fake store and fake engines.
 
+use std::net::TcpStream;
+
 use serde_json::{Value, json};
 
 use crate::fakes::daemon::{Daemon, Request, Response, wait};
@@ -55,6 +57,31 @@
         }
     }
 
+    /// Starts a deployment with these limits on callers' requests.
+    pub fn with_limits(limits: &[(&str, u64)]) -> Self {
+        let site = Site::start();
+        site.change_limits(6, limits);
+        site
+    }
+
+    /// Writes a desired state with these limits and waits until it is in force.
+    pub fn change_limits(&self, version: u64, limits: &[(&str, u64)]) {
+        let mut state = desired(version);
+        for (name, value) in limits {
+            state["limits"][name] = json!(value);
+        }
+        self.store.put("op", "config", &state);
+        wait("the new limits", || {
+            let lines = self.daemon.logged("desired state in force");
+            lines.iter().any(|l| l["version"] == version)
+        });
+    }
+
+    /// Opens a caller's connection.
+    pub fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.daemon.callers).unwrap()
+    }
+
     pub fn send(&self, path: &str, id: &str) -> Response {
         self.daemon.send(&Request::new(path, id))
     }
--- a/tests/edge/translation.rs
+++ b/tests/edge/translation.rs
@@ -102,7 +102,7 @@
             "engine": {"slots": 64, "weightsMb": 200000.0, "adapterSlots": 8, "loadsPerS": 1.6,
                 "models": [{"name": "m", "weightsMb": 65099.9, "loadS": 6.0, "adapters": 32,
                     "adapterMb": 66.0, "warmS": 0.4, "diskS": 1.2}]}}],
-        "limits": {"maxHeaderBytes": 16384, "idleTimeoutMs": 15000}});
+        "limits": {"maxHeaderBytes": 16384, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}});
     let desired = desired::decode(text.to_string().as_bytes()).unwrap();
     assert_eq!(desired.version, 7);
     let route = desired.route("FICU95.example:80", "/pufi/deep/x").unwrap();
@@ -117,6 +117,7 @@
     assert!(desired.route("other.example", "/pufi/").is_none());
     let model = &desired.hosting("s1").unwrap().models["m"];
     assert_eq!(model.disk_load, Duration::from_millis(1_200));
+    assert_eq!(desired.limits.head_time, Duration::from_secs(3));
     assert_eq!(desired.limits.idle, Duration::from_secs(15));
 }
 
