Make room for callers' connections, or refuse their requests

What callers saw: above 1,800 connections of callers, a new connection was dropped although its first request may have arrived: a reset instead of an answer or a refusal, also while most of the others were idle.

Fix: the connection that has been idle longest, and at least for a second, ends and makes room; one with a request waiting in the kernel stays. If all are busy, the request is read and refused with 503, Retry-After and a close, which promises truthfully that it does not run. Beyond 200 such connections, further ones wait in the backlog until one ends.

--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -14,6 +14,9 @@
 /// Time for which an idle connection stays open beyond the idle limit: callers may know
 /// a raised limit before this host does, and a request may be on its way.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
+/// Time for which a connection must be idle before another may take its place: the
+/// request of a caller that has just connected may be on its way.
+const MIN_REPLACED_IDLE: Duration = Duration::from_secs(1);
 
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -39,6 +42,8 @@
     UnfinishedHead,
     /// The caller did not read the response.
     UnreadResponse,
+    /// Another connection took its place.
+    Replaced,
 }
 
 /// State of one connection, shared by its task, its stream and its listener.
@@ -165,6 +170,36 @@
         self.open.borrow().is_empty()
     }
 
+    /// Returns whether there is room for one more connection within `max`. Ends the
+    /// connection that has been idle longest where that is needed.
+    pub fn make_room(&self, max: usize) -> bool {
+        let open = self.open.borrow();
+        if open.len() < max {
+            return true;
+        }
+        let mut staying = 0;
+        let mut longest: Option<&Connection> = None;
+        for connection in open.values() {
+            if connection.end.get().is_some() {
+                continue;
+            }
+            staying += 1;
+            if connection.phase() != Phase::Idle || connection.age() < MIN_REPLACED_IDLE {
+                continue;
+            }
+            if longest.is_none_or(|l| connection.since.get() < l.since.get()) {
+                longest = Some(connection);
+            }
+        }
+        if staying < max {
+            return true;
+        }
+        if let Some(connection) = longest {
+            connection.end(EndCause::Replaced);
+        }
+        longest.is_some()
+    }
+
     /// Ends the connections that exceed the limits.
     pub fn check(&self, limits: &RequestLimits) {
         for connection in self.open.borrow().values() {
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -275,6 +275,15 @@
     refusal.response(request)
 }
 
+/// Refuses a request on a connection beyond the limit; the connection closes.
+pub fn refuse_connection(edge: &Edge, request: &Request<Incoming>) -> Response<ResponseBody> {
+    let headers = headers::parse_request(request.headers());
+    let cause = "too many busy connections";
+    let mut response = refuse(edge, &headers.id, Kind::QueueFull, cause);
+    response::close_connection(&mut response);
+    response
+}
+
 async fn read_body(body: Incoming, limits: &RequestLimits) -> Result<Bytes, Kind> {
     let body = Limited::new(body, limits.body).collect();
     match tokio::time::timeout(BODY_TIMEOUT, body).await {
--- a/src/edge/forward/response.rs
+++ b/src/edge/forward/response.rs
@@ -73,6 +73,12 @@
     response
 }
 
+/// Announces that the connection closes after this response.
+pub fn close_connection<B>(response: &mut Response<B>) {
+    let value = header::HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, value);
+}
+
 /// An error response of the daemon itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -35,6 +35,9 @@
 /// Maximum number of callers' connections: half of the smallest number of file
 /// descriptors on a host, which leaves as many for engines.
 const MAX_CALLER_CONNECTIONS: usize = 1_800;
+/// Maximum number of connections beyond those on which requests are refused; further
+/// ones wait to be accepted.
+const MAX_REFUSED_CONNECTIONS: usize = 200;
 /// Maximum number of connections for queries.
 const MAX_QUERY_CONNECTIONS: usize = 200;
 /// Minimum limit of the buffer for request heads, bytes; `hyper` accepts no lower one.
@@ -77,6 +80,15 @@
     TcpListener::from_std(socket.into())
 }
 
+/// An accepted connection.
+#[derive(Debug)]
+struct Accepted {
+    kind: ListenerKind,
+    /// Whether its requests are served; otherwise, they are refused.
+    has_room: bool,
+    open: OpenConnection,
+}
+
 /// Accepts connections until `stop` closes the listener.
 pub async fn serve(
     edge: Rc<Edge>,
@@ -95,7 +107,8 @@
             return;
         }
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = listener.accept(),
+                if connections.len() < max_connections + MAX_REFUSED_CONNECTIONS => accepted,
             changed = stop.changed() => match changed {
                 Ok(()) => continue,
                 Err(_) => return,
@@ -115,14 +128,20 @@
                 continue;
             }
         };
-        if connections.len() >= max_connections {
+        let has_room = connections.make_room(max_connections);
+        if !has_room {
             let purpose: &'static str = kind.into();
-            log::warn!(purpose, most = max_connections; "connection refused: too many connections");
-            continue;
+            log::warn!(purpose, most = max_connections;
+                "too many busy connections: a further one is refused");
         }
         client::set_socket_options(&stream);
         let open = connections.add();
-        let task = serve_connection(edge.clone(), stream, kind, stop.clone(), open);
+        let accepted = Accepted {
+            kind,
+            has_room,
+            open,
+        };
+        let task = serve_connection(edge.clone(), stream, accepted, stop.clone());
         tokio::task::spawn_local(task);
     }
 }
@@ -131,10 +150,10 @@
 async fn serve_connection(
     edge: Rc<Edge>,
     stream: TcpStream,
-    kind: ListenerKind,
+    accepted: Accepted,
     mut stop: watch::Receiver<ListenerStop>,
-    open: OpenConnection,
 ) {
+    let open = &accepted.open;
     let mut stream = CallerStream::new(stream, open.state.clone());
     let mut is_stopping = *stop.borrow_and_update() >= ListenerStop::EndConnections;
     loop {
@@ -144,7 +163,7 @@
             // `connections` bounds heads and idle connections.
             .header_read_timeout(None)
             .max_buf_size(head_limit(&edge));
-        let service = service_fn(|request| respond(&edge, kind, &open.state, request));
+        let service = service_fn(|request| respond(&edge, &accepted, request));
         let mut served = builder.serve_connection(TokioIo::new(stream), service);
         let cause = loop {
             tokio::select! {
@@ -171,7 +190,8 @@
             refuse_head(&stream);
             return;
         }
-        if cause == EndCause::Idle && stream.has_unread_bytes() {
+        let was_idle = matches!(cause, EndCause::Idle | EndCause::Replaced);
+        if was_idle && stream.has_unread_bytes() {
             open.state.restart();
             continue;
         }
@@ -205,12 +225,13 @@
 /// Responds to one request.
 async fn respond(
     edge: &Rc<Edge>,
-    kind: ListenerKind,
-    connection: &Rc<Connection>,
+    accepted: &Accepted,
     request: Request<Incoming>,
 ) -> Result<Response<TrackedBody<ResponseBody>>, Infallible> {
+    let connection = &accepted.open.state;
     connection.start(Phase::Request);
-    let response = match kind {
+    let response = match accepted.kind {
+        _ if !accepted.has_room => forward::refuse_connection(edge, &request),
         ListenerKind::Callers => forward::handle(edge.clone(), request).await?,
         ListenerKind::HostQueries => host_response(edge, &request),
     };
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -6,6 +6,7 @@
 mod fakes;
 mod fixtures;
 mod fleet;
+mod floods;
 mod hostile_callers;
 mod large_fleet;
 mod leadership;
