Keep callers' connections open during a planned stop

What callers saw: with SIGTERM, the process closed each idle connection at once, also one on which a request's head was half read or waited unread. Callers that still used the host, for up to three times the life of an entry response, met a reset. A request whose body was arriving when the listeners closed was not counted as in progress, so the process exited before it had answered.

Cause: graceful_shutdown of the HTTP server closes a connection that is between requests, and the exit waited for requests whose body was complete only.

Fix: from the signal on, answers announce that the connection closes, and a connection without an answer stays open. When the listener has closed, connections that stay idle for 300 ms end, unless a request waits in the kernel, and the process exits when all connections have ended: a response counts as ended when its last byte is in the kernel.

--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -18,6 +18,10 @@
 /// request of a caller that has just connected may be on its way.
 const MIN_REPLACED_IDLE: Duration = Duration::from_secs(1);
 
+/// Time for which a connection stays idle once the listener has closed: the request of a
+/// caller that has just connected may be on its way.
+const CLOSING_IDLE: Duration = Duration::from_millis(300);
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
@@ -44,6 +48,39 @@
     UnreadResponse,
     /// Another connection took its place.
     Replaced,
+    /// The process exits.
+    Exit,
+}
+
+/// How long a connection may stay in a phase.
+#[derive(Clone, Copy, Debug)]
+pub struct PhaseLimits {
+    idle: Duration,
+    /// Why an idle connection ends.
+    idle_cause: EndCause,
+    head: Duration,
+    response: Duration,
+}
+
+impl PhaseLimits {
+    /// Returns the limits of a listener that accepts connections.
+    pub fn accepting(limits: &RequestLimits) -> Self {
+        PhaseLimits {
+            idle: limits.idle.saturating_add(IDLE_MARGIN),
+            idle_cause: EndCause::Idle,
+            head: limits.head_time,
+            response: limits.idle,
+        }
+    }
+
+    /// Returns the limits once the listener has closed.
+    pub fn closing(limits: &RequestLimits) -> Self {
+        PhaseLimits {
+            idle: CLOSING_IDLE,
+            idle_cause: EndCause::Exit,
+            ..PhaseLimits::accepting(limits)
+        }
+    }
 }
 
 /// State of one connection, shared by its task, its stream and its listener.
@@ -108,12 +145,12 @@
 
     /// Ends the connection if its phase is too long, which takes two checks: after a
     /// suspension of the process, bytes that have arrived are read between them.
-    fn check(&self, limits: &RequestLimits) {
+    fn check(&self, limits: &PhaseLimits) {
         let (limit, cause) = match self.phase.get() {
-            Phase::Idle => (limits.idle.saturating_add(IDLE_MARGIN), EndCause::Idle),
-            Phase::Head => (limits.head_time, EndCause::UnfinishedHead),
+            Phase::Idle => (limits.idle, limits.idle_cause),
+            Phase::Head => (limits.head, EndCause::UnfinishedHead),
             Phase::Request => return,
-            Phase::Response => (limits.idle, EndCause::UnreadResponse),
+            Phase::Response => (limits.response, EndCause::UnreadResponse),
         };
         if self.age() <= limit {
             return;
@@ -201,7 +238,7 @@
     }
 
     /// Ends the connections that exceed the limits.
-    pub fn check(&self, limits: &RequestLimits) {
+    pub fn check(&self, limits: &PhaseLimits) {
         for connection in self.open.borrow().values() {
             connection.check(limits);
         }
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -17,7 +17,8 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::caller_stream::{CallerStream, TrackedBody};
-use super::connections::{Connection, Connections, EndCause, OpenConnection, Phase};
+use super::connections::{Connection, Connections, EndCause, OpenConnection, Phase, PhaseLimits};
+use super::desired::RequestLimits;
 use super::forward::{self, response};
 use super::state::Edge;
 use super::{client, clock};
@@ -32,6 +33,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Period of checking connections against their limits.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
+/// The same once the listener has closed.
+const CLOSING_CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Maximum number of callers' connections: half of the smallest number of file
 /// descriptors on a host, which leaves as many for engines.
 const MAX_CALLER_CONNECTIONS: usize = 1_800;
@@ -64,9 +67,9 @@
     /// Serves without restrictions.
     #[default]
     Running,
-    /// Closes connections after the current response; still accepts new ones.
+    /// Closes each connection after its next response; still accepts new ones.
     EndConnections,
-    /// Accepts no more connections.
+    /// Accepts no more connections, and closes idle ones.
     CloseListener,
 }
 
@@ -80,122 +83,133 @@
     TcpListener::from_std(socket.into())
 }
 
-/// An accepted connection.
-#[derive(Debug)]
-struct Accepted {
-    kind: ListenerKind,
-    /// Whether its requests are served; otherwise, they are refused.
-    has_room: bool,
-    open: OpenConnection,
-}
-
-/// Accepts connections until `stop` closes the listener.
+/// Accepts connections until `stop` closes the listener; returns when all have ended.
 pub async fn serve(
     edge: Rc<Edge>,
     listener: TcpListener,
     kind: ListenerKind,
     mut stop: watch::Receiver<ListenerStop>,
 ) {
-    let max_connections = match kind {
-        ListenerKind::Callers => MAX_CALLER_CONNECTIONS,
-        ListenerKind::HostQueries => MAX_QUERY_CONNECTIONS,
+    let acceptor = Acceptor {
+        edge,
+        kind,
+        max_connections: match kind {
+            ListenerKind::Callers => MAX_CALLER_CONNECTIONS,
+            ListenerKind::HostQueries => MAX_QUERY_CONNECTIONS,
+        },
+        connections: Rc::default(),
+        stop: stop.clone(),
     };
-    let connections = Rc::new(Connections::default());
+    let connections = &acceptor.connections;
+    let max_open = acceptor.max_connections + MAX_REFUSED_CONNECTIONS;
     let mut check_at = Instant::now();
-    loop {
-        if *stop.borrow_and_update() == ListenerStop::CloseListener {
-            return;
-        }
+    while *stop.borrow_and_update() < ListenerStop::CloseListener {
         let accepted = tokio::select! {
-            accepted = listener.accept(),
-                if connections.len() < max_connections + MAX_REFUSED_CONNECTIONS => accepted,
+            accepted = listener.accept(), if connections.len() < max_open => accepted,
             changed = stop.changed() => match changed {
                 Ok(()) => continue,
                 Err(_) => return,
             },
             () = sleep_until(check_at), if !connections.is_empty() => {
-                connections.check(&edge.state.borrow().desired.limits);
+                connections.check(&PhaseLimits::accepting(&acceptor.limits()));
                 check_at = Instant::now() + CHECK_PERIOD;
                 continue;
             }
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        match accepted {
+            Ok((stream, _)) => acceptor.accept(stream),
             Err(error) => {
                 let purpose: &'static str = kind.into();
                 log::warn!(purpose, error:%; "cannot accept a connection");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
             }
-        };
-        let has_room = connections.make_room(max_connections);
+        }
+    }
+    drop(listener);
+    while !connections.is_empty() {
+        connections.check(&PhaseLimits::closing(&acceptor.limits()));
+        tokio::time::sleep(CLOSING_CHECK_PERIOD).await;
+    }
+}
+
+/// Starts the connections of a listener.
+struct Acceptor {
+    edge: Rc<Edge>,
+    kind: ListenerKind,
+    max_connections: usize,
+    connections: Rc<Connections>,
+    stop: watch::Receiver<ListenerStop>,
+}
+
+impl Acceptor {
+    /// Returns the limits in force.
+    fn limits(&self) -> RequestLimits {
+        self.edge.state.borrow().desired.limits
+    }
+
+    /// Starts to serve a connection.
+    fn accept(&self, stream: TcpStream) {
+        let has_room = self.connections.make_room(self.max_connections);
         if !has_room {
-            let purpose: &'static str = kind.into();
-            log::warn!(purpose, most = max_connections;
+            let purpose: &'static str = self.kind.into();
+            log::warn!(purpose, most = self.max_connections;
                 "too many busy connections: a further one is refused");
         }
         client::set_socket_options(&stream);
-        let open = connections.add();
         let accepted = Accepted {
-            kind,
+            kind: self.kind,
             has_room,
-            open,
+            open: self.connections.add(),
+            stop: self.stop.clone(),
         };
-        let task = serve_connection(edge.clone(), stream, accepted, stop.clone());
-        tokio::task::spawn_local(task);
+        tokio::task::spawn_local(serve_connection(self.edge.clone(), stream, accepted));
     }
 }
 
+/// An accepted connection.
+#[derive(Debug)]
+struct Accepted {
+    kind: ListenerKind,
+    /// Whether its requests are served; otherwise, they are refused.
+    has_room: bool,
+    open: OpenConnection,
+    stop: watch::Receiver<ListenerStop>,
+}
+
 /// Serves one connection until it closes.
-async fn serve_connection(
-    edge: Rc<Edge>,
-    stream: TcpStream,
-    accepted: Accepted,
-    mut stop: watch::Receiver<ListenerStop>,
-) {
-    let open = &accepted.open;
-    let mut stream = CallerStream::new(stream, open.state.clone());
-    let mut is_stopping = *stop.borrow_and_update() >= ListenerStop::EndConnections;
+async fn serve_connection(edge: Rc<Edge>, stream: TcpStream, accepted: Accepted) {
+    let connection = &accepted.open.state;
+    let mut stream = CallerStream::new(stream, connection.clone());
     loop {
         let mut builder = http1::Builder::new();
         builder
-            .keep_alive(!is_stopping)
             // `connections` bounds heads and idle connections.
             .header_read_timeout(None)
             .max_buf_size(head_limit(&edge));
         let service = service_fn(|request| respond(&edge, &accepted, request));
         let mut served = builder.serve_connection(TokioIo::new(stream), service);
-        let cause = loop {
-            tokio::select! {
-                biased;
-                outcome = &mut served => {
-                    if let Err(error) = outcome {
-                        log::debug!(error:%; "accepted connection failed");
-                    }
-                    return;
+        let cause = tokio::select! {
+            biased;
+            outcome = &mut served => {
+                if let Err(error) = outcome {
+                    log::debug!(error:%; "accepted connection failed");
                 }
-                changed = stop.changed(), if !is_stopping => {
-                    if changed.is_err() || *stop.borrow_and_update() >= ListenerStop::EndConnections {
-                        is_stopping = true;
-                        Pin::new(&mut served).graceful_shutdown();
-                    }
-                }
-                cause = open.state.ended() => break cause,
+                return;
             }
+            cause = connection.ended() => cause,
         };
         let parts = served.into_parts();
         stream = parts.io.into_inner();
         if !parts.read_buf.is_empty() {
-            end_connection(&edge, &open.state, EndCause::UnfinishedHead);
+            end_connection(&edge, connection, EndCause::UnfinishedHead);
             refuse_head(&stream);
             return;
         }
-        let was_idle = matches!(cause, EndCause::Idle | EndCause::Replaced);
-        if was_idle && stream.has_unread_bytes() {
-            open.state.restart();
+        if connection.phase() == Phase::Idle && stream.has_unread_bytes() {
+            connection.restart();
             continue;
         }
-        end_connection(&edge, &open.state, cause);
+        end_connection(&edge, connection, cause);
         return;
     }
 }
@@ -230,11 +244,14 @@
 ) -> Result<Response<TrackedBody<ResponseBody>>, Infallible> {
     let connection = &accepted.open.state;
     connection.start(Phase::Request);
-    let response = match accepted.kind {
+    let mut response = match accepted.kind {
         _ if !accepted.has_room => forward::refuse_connection(edge, &request),
         ListenerKind::Callers => forward::handle(edge.clone(), request).await?,
         ListenerKind::HostQueries => host_response(edge, &request),
     };
+    if *accepted.stop.borrow() >= ListenerStop::EndConnections {
+        response::close_connection(&mut response);
+    }
     Ok(response.map(|body| TrackedBody::new(body, connection.clone())))
 }
 
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -47,8 +47,9 @@
 
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::Notify;
-use tokio::task::LocalSet;
+use tokio::sync::{Notify, watch};
+use tokio::task::{JoinHandle, LocalSet};
+use tokio::time::timeout;
 
 use crate::clock::Clock;
 use crate::metrics::{Metrics, MetricsError};
@@ -112,7 +113,7 @@
     let life = edge.incarnation;
     let version = env!("CARGO_PKG_VERSION");
     log::info!(host, life, version; "started");
-    let (stop, stopping) = tokio::sync::watch::channel(ListenerStop::Running);
+    let (stop, stopping) = watch::channel(ListenerStop::Running);
     let mut listeners = vec![
         (listen.callers, ListenerKind::Callers),
         (listen.ready, ListenerKind::HostQueries),
@@ -122,10 +123,11 @@
             listeners.push((addr, ListenerKind::HostQueries));
         }
     }
+    let mut tasks = Vec::new();
     for (addr, kind) in listeners {
         let listener = listen::bind(addr)?;
         let task = listen::serve(edge.clone(), listener, kind, stopping.clone());
-        tokio::task::spawn_local(task);
+        tasks.push(tokio::task::spawn_local(task));
     }
     let socket = Rc::new(UdpSocket::bind(listen.peers).await?);
     tokio::task::spawn_local(store_watch::watch_desired(edge.clone()));
@@ -149,7 +151,7 @@
             _ = hangup.recv() => reload(&edge, &path),
         }
     }
-    shut_down(&edge, &stop).await;
+    shut_down(&edge, &stop, tasks).await;
     Ok(())
 }
 
@@ -183,8 +185,13 @@
 
 /// Shuts the daemon down: reports it as not ready at once, releases the leadership,
 /// serves callers until every cached list of entry addresses has expired, then finishes
-/// the requests in progress.
-async fn shut_down(edge: &Rc<Edge>, stop: &tokio::sync::watch::Sender<ListenerStop>) {
+/// the requests in progress. Open connections end with their next response or, if they
+/// stay idle, once the listeners have closed.
+async fn shut_down(
+    edge: &Rc<Edge>,
+    stop: &watch::Sender<ListenerStop>,
+    listeners: Vec<JoinHandle<()>>,
+) {
     let shutdown = Shutdown {
         started_at: clock::now(),
         grace: edge.settings().bounds.grace(),
@@ -200,8 +207,16 @@
         tokio::time::sleep(SHUTDOWN_POLL_PERIOD).await;
     }
     stop.send_replace(ListenerStop::CloseListener);
-    while edge.state.borrow().active_requests > 0 && clock::now() < shutdown.exit_at() {
-        tokio::time::sleep(SHUTDOWN_POLL_PERIOD).await;
+    let closed = async {
+        for listener in listeners {
+            if let Err(error) = listener.await {
+                log::error!(error:%; "listener failed");
+            }
+        }
+    };
+    let time_left = shutdown.exit_at().saturating_sub(clock::now());
+    if timeout(time_left, closed).await.is_err() {
+        log::warn!("connections are still open at the exit");
     }
     let requests = edge.state.borrow().active_requests;
     let ms = clock::now().saturating_sub(shutdown.started_at).as_millis() as u64;
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -15,6 +15,7 @@
 mod loopback;
 mod overload;
 mod placement;
+mod planned_stop;
 mod requests;
 mod retry_budget;
 mod shutdown;
--- /dev/null
+++ b/tests/edge/planned_stop.rs
@@ -0,0 +1,114 @@
+//! Connections and requests during a planned stop of a daemon process.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use crate::fakes::daemon::{Request, read_response, wait};
+use crate::site::Site;
+
+/// Grace period of the daemon under test, s.
+const GRACE_S: f64 = 6.0;
+
+/// Starts a site whose daemon has [`GRACE_S`].
+fn start() -> Site {
+    let site = Site::start();
+    site.daemon
+        .write_settings(|s| s["bounds"]["grace_s"] = GRACE_S.into());
+    site.daemon.signal(libc::SIGHUP);
+    wait("the new settings", || {
+        !site.daemon.logged("settings reloaded").is_empty()
+    });
+    site
+}
+
+/// Sends SIGTERM; returns when.
+fn stop(site: &Site) -> Instant {
+    site.daemon.signal(libc::SIGTERM);
+    let at = Instant::now();
+    wait("the stop", || !site.daemon.logged("stopping").is_empty());
+    at
+}
+
+fn kept_connection(site: &Site, id: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(site.daemon.callers).unwrap();
+    let request = Request::new("/look/", id);
+    stream.write_all(&request.bytes(false)).unwrap();
+    assert_eq!(read_response(&mut stream).status, 200);
+    stream
+}
+
+/// SIGTERM closed an idle connection at once, so that the caller's next request met a
+/// reset.
+#[test]
+fn an_idle_connection_serves_one_more_request_after_sigterm() {
+    let site = start();
+    let mut stream = kept_connection(&site, "l1");
+    stop(&site);
+    let request = Request::new("/look/", "l2");
+    let _ = stream.write_all(&request.bytes(false));
+    let answer = read_response(&mut stream);
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(answer.header("connection"), Some("close"));
+    assert_eq!(stream.read(&mut [0; 8]).unwrap(), 0);
+}
+
+/// SIGTERM closed a connection in the middle of a request's head.
+#[test]
+fn a_head_that_is_half_read_at_sigterm_is_answered() {
+    let site = start();
+    let mut stream = kept_connection(&site, "l1");
+    let bytes = Request::new("/look/", "l2").bytes(false);
+    stream.write_all(&bytes[..20]).unwrap();
+    stop(&site);
+    let _ = stream.write_all(&bytes[20..]);
+    let answer = read_response(&mut stream);
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(answer.header("connection"), Some("close"));
+}
+
+/// A request whose head was half read on a new connection at SIGTERM.
+#[test]
+fn a_first_head_that_is_half_read_at_sigterm_is_answered() {
+    let site = start();
+    let mut stream = TcpStream::connect(site.daemon.callers).unwrap();
+    let bytes = Request::new("/look/", "l1").bytes(false);
+    stream.write_all(&bytes[..20]).unwrap();
+    stop(&site);
+    let _ = stream.write_all(&bytes[20..]);
+    assert_eq!(read_response(&mut stream).status, 200);
+}
+
+/// The process ended while the body of a request was arriving.
+#[test]
+fn a_body_that_arrives_during_the_stop_is_answered() {
+    let site = start();
+    let mut stream = TcpStream::connect(site.daemon.callers).unwrap();
+    let bytes = Request::new("/look/", "l1").bytes(false);
+    let (first, last) = bytes.split_at(bytes.len() - 3);
+    stream.write_all(first).unwrap();
+    let started = stop(&site);
+    // Just after the listener has closed.
+    sleep(
+        (started + Duration::from_secs_f64(GRACE_S * 0.8))
+            .saturating_duration_since(Instant::now()),
+    );
+    let _ = stream.write_all(last);
+    let answer = read_response(&mut stream);
+    assert!([200, 503].contains(&answer.status), "{answer:?}");
+    assert!(answer.complete, "{answer:?}");
+}
+
+/// An idle connection at the end of the stop is closed without a reset, and delays the
+/// exit by no more than the grace period.
+#[test]
+fn idle_connections_do_not_delay_the_exit() {
+    let mut site = start();
+    let mut stream = kept_connection(&site, "l1");
+    let started = stop(&site);
+    assert_eq!(stream.read(&mut [0; 8]).unwrap(), 0);
+    assert!(site.daemon.wait_for_exit().success());
+    let elapsed = started.elapsed().as_secs_f64();
+    assert!(elapsed < GRACE_S, "exit after {elapsed} s");
+}
