Accept the backlog before a listener closes

What callers saw: connections that the kernel had established, with requests already sent, were reset when a planned stop closed the listener.

Fix: the listener accepts what waits until the kernel has no more, then closes.

--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -125,7 +125,7 @@
             }
         }
     }
-    drop(listener);
+    acceptor.accept_backlog(listener);
     while !connections.is_empty() {
         connections.check(&PhaseLimits::closing(&acceptor.limits()));
         tokio::time::sleep(CLOSING_CHECK_PERIOD).await;
@@ -147,6 +147,33 @@
         self.edge.state.borrow().desired.limits
     }
 
+    /// Starts to serve the connections that wait to be accepted, which the kernel would
+    /// reset, and closes the listener.
+    fn accept_backlog(&self, listener: TcpListener) {
+        let listener = match listener.into_std() {
+            Ok(listener) => listener,
+            Err(error) => {
+                log::warn!(error:%; "cannot accept the last connections");
+                return;
+            }
+        };
+        loop {
+            let accepted = listener.accept().and_then(|(stream, _)| {
+                stream.set_nonblocking(true)?;
+                TcpStream::from_std(stream)
+            });
+            match accepted {
+                Ok(stream) => self.accept(stream),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => continue,
+                Err(error) => {
+                    log::warn!(error:%; "cannot accept the last connections");
+                    return;
+                }
+            }
+        }
+    }
+
     /// Starts to serve a connection.
     fn accept(&self, stream: TcpStream) {
         let has_room = self.connections.make_room(self.max_connections);
--- a/tests/edge/planned_stop.rs
+++ b/tests/edge/planned_stop.rs
@@ -100,6 +100,32 @@
     assert!(answer.complete, "{answer:?}");
 }
 
+/// The listener closed with connections in its backlog, which the kernel reset.
+#[test]
+fn connections_in_the_backlog_at_the_close_are_answered() {
+    let site = start();
+    let started = stop(&site);
+    site.daemon.signal(libc::SIGSTOP);
+    let mut connections = Vec::new();
+    for i in 0..50 {
+        let mut stream = TcpStream::connect(site.daemon.callers).unwrap();
+        let request = Request::new("/look/", &format!("l{i}"));
+        stream.write_all(&request.bytes(false)).unwrap();
+        connections.push(stream);
+    }
+    // Just after the time at which the listener closes.
+    sleep(
+        (started + Duration::from_secs_f64(GRACE_S * 0.8))
+            .saturating_duration_since(Instant::now()),
+    );
+    site.daemon.signal(libc::SIGCONT);
+    for stream in &mut connections {
+        let answer = read_response(stream);
+        assert!([200, 503].contains(&answer.status), "{answer:?}");
+        assert!(answer.complete, "{answer:?}");
+    }
+}
+
 /// An idle connection at the end of the stop is closed without a reset, and delays the
 /// exit by no more than the grace period.
 #[test]
