Answer requests in progress before the process exits

What callers saw: a request that was at an engine when the grace period of a planned stop ran out got no answer; its connection just closed.

Fix: 150 ms before the exit, requests that were sent to an engine are answered with 504, as their outcome is unknown, and requests whose body is still arriving with 503, as they have not run. Streams whose head has been passed on cannot be answered again and still end with the connection.

--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -165,10 +165,12 @@
 }
 
 /// Handles a caller's request. Dropping the future, as when the caller disconnects,
-/// cancels its work at the engine.
+/// cancels its work at the engine. So does the end of `ended`, when the process exits:
+/// the request is then answered with a failure.
 pub async fn handle(
     edge: Rc<Edge>,
     request: Request<Incoming>,
+    ended: impl Future<Output = ()>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let arrived_at = clock::now();
     let (head, body) = request.into_parts();
@@ -181,7 +183,13 @@
         let cause = "no memory left for request bodies";
         return Ok(refuse(&edge, &headers.id, Kind::QueueFull, cause));
     };
-    let body = match read_body(body, &desired.limits).await {
+    tokio::pin!(ended);
+    let read = tokio::select! {
+        biased;
+        read = read_body(body, &desired.limits) => read,
+        () = &mut ended => Err(Kind::Draining),
+    };
+    let body = match read {
         Ok(body) => body,
         Err(kind) => {
             let cause = "cannot read the request body";
@@ -213,7 +221,14 @@
     record_demand(&routed);
     let routed = Rc::new(routed);
     let mut disconnect = DisconnectLogger(Some(routed.clone()));
-    let response = attempt::run_request(routed, active).await;
+    let response = tokio::select! {
+        biased;
+        response = attempt::run_request(routed.clone(), active) => response,
+        () = ended => {
+            let refusal = Refusal::new(Kind::OutcomeUnknown);
+            routed.refuse(refusal, "this host exits while the request is in progress", "", 0)
+        }
+    };
     disconnect.0 = None;
     Ok(response)
 }
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -71,6 +71,8 @@
     EndConnections,
     /// Accepts no more connections, and closes idle ones.
     CloseListener,
+    /// Answers requests in progress with a failure.
+    EndRequests,
 }
 
 /// Binds a listener to `addr`.
@@ -273,7 +275,14 @@
     connection.start(Phase::Request);
     let mut response = match accepted.kind {
         _ if !accepted.has_room => forward::refuse_connection(edge, &request),
-        ListenerKind::Callers => forward::handle(edge.clone(), request).await?,
+        ListenerKind::Callers => {
+            let mut stop = accepted.stop.clone();
+            let ended = async move {
+                // An error means that the process exits.
+                let _ = stop.wait_for(|s| *s >= ListenerStop::EndRequests).await;
+            };
+            forward::handle(edge.clone(), request, ended).await?
+        }
         ListenerKind::HostQueries => host_response(edge, &request),
     };
     if *accepted.stop.borrow() >= ListenerStop::EndConnections {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -51,7 +51,7 @@
 use tokio::task::{JoinHandle, LocalSet};
 use tokio::time::timeout;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Moment};
 use crate::metrics::{Metrics, MetricsError};
 use client::Client;
 use listen::{ListenerKind, ListenerStop};
@@ -214,9 +214,16 @@
             }
         }
     };
-    let time_left = shutdown.exit_at().saturating_sub(clock::now());
-    if timeout(time_left, closed).await.is_err() {
-        log::warn!("connections are still open at the exit");
+    tokio::pin!(closed);
+    let until = |at: Moment| at.saturating_sub(clock::now());
+    if timeout(until(shutdown.answer_at()), &mut closed)
+        .await
+        .is_err()
+    {
+        stop.send_replace(ListenerStop::EndRequests);
+        if timeout(until(shutdown.exit_at()), closed).await.is_err() {
+            log::warn!("connections are still open at the exit");
+        }
     }
     let requests = edge.state.borrow().active_requests;
     let ms = clock::now().saturating_sub(shutdown.started_at).as_millis() as u64;
--- a/src/edge/shutdown.rs
+++ b/src/edge/shutdown.rs
@@ -16,6 +16,9 @@
 const EXIT_SHARE: f64 = 0.94;
 /// Time before the exit at which requests that were not sent are refused.
 const REJECT_MARGIN: Duration = Duration::from_millis(600);
+/// Time before the exit at which requests in progress are answered with a failure, so
+/// that the answers are sent.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 
 /// A planned shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +49,11 @@
         self.exit_at().saturating_sub(REJECT_MARGIN)
     }
 
+    /// Returns when requests in progress are answered with a failure.
+    pub fn answer_at(&self) -> Moment {
+        self.exit_at().saturating_sub(ANSWER_MARGIN)
+    }
+
     /// Returns when the process exits, whatever is in progress.
     pub fn exit_at(&self) -> Moment {
         self.started_at + self.grace.mul_f64(EXIT_SHARE)
--- a/tests/edge/planned_stop.rs
+++ b/tests/edge/planned_stop.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::fakes::daemon::{Request, read_response, wait};
+use crate::fakes::engine::Behavior;
 use crate::site::Site;
 
 /// Grace period of the daemon under test, s.
@@ -126,6 +127,21 @@
     }
 }
 
+/// The process ended while a request was at an engine: the caller got no answer at all.
+#[test]
+fn a_request_in_progress_at_the_exit_is_answered() {
+    let mut site = start();
+    site.set(Behavior::Silent);
+    let mut stream = TcpStream::connect(site.daemon.callers).unwrap();
+    let request = Request::new("/book/", "b1");
+    stream.write_all(&request.bytes(false)).unwrap();
+    wait("the request at an engine", || site.arrivals("b1") == 1);
+    stop(&site);
+    let answer = read_response(&mut stream);
+    assert_eq!((answer.status, answer.complete), (504, true), "{answer:?}");
+    assert!(site.daemon.wait_for_exit().success());
+}
+
 /// An idle connection at the end of the stop is closed without a reset, and delays the
 /// exit by no more than the grace period.
 #[test]
--- a/tests/edge/shutdown.rs
+++ b/tests/edge/shutdown.rs
@@ -28,6 +28,7 @@
         accepted
     );
     assert!(shutdown.close_at() < shutdown.reject_at());
-    assert!(shutdown.reject_at() < shutdown.exit_at());
+    assert!(shutdown.reject_at() < shutdown.answer_at());
+    assert!(shutdown.answer_at() < shutdown.exit_at());
     assert!(shutdown.exit_at() < started_at + shutdown.grace);
 }
