--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -1,10 +1,12 @@
 //! Tests of the edge daemon: decisions, platform adapter and request forwarding.
 
+mod connections;
 mod decisions;
 mod engine_list;
 mod fakes;
 mod fixtures;
 mod fleet;
+mod floods;
 mod hostile_callers;
 mod large_fleet;
 mod leadership;
@@ -13,6 +15,7 @@
 mod loopback;
 mod overload;
 mod placement;
+mod planned_stop;
 mod requests;
 mod retry_budget;
 mod shutdown;
