Await a silent engine until another can take over

Callers saw 504 or 502 where their engine would have answered: when the head of a response or the first event came later than expected, the run was cancelled before the retry budget was asked and before another engine was known. With an empty budget, or without another engine, the request ended there, or was sent again to the same engine. Only the gaps between later events were handled with care.

Cause: the time limits of the head and of the first event were those of the exchange itself, so that their end dropped it. An engine that stalls for a second and goes on hits all its requests at once, more than the budget has retries for.

Waiting for an engine is now one function for the head, the first event and later events. The exchange stays alive past the limit; it is left only when the route allows another run, another engine has a free slot, is expected to respond within the same limit and is not excluded, and the budget gives the retry. A response that is missing at the deadline gets `outcome_unknown` and no longer counts as a crash of its engine.

The tests use a fake engine that stalls with all its responses for 1.6 s.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::timeout;
 
-use super::relay::{self, OpenedResponse};
+use super::relay::{self, OpenError, OpenedResponse};
 use super::response::{Refusal, ResponseBody};
 use super::send::{EngineResponse, MAX_WHOLE_BYTES, SendOutcome, send};
 use super::{DeadlineSource, RequestGuard, RoutedRequest};
@@ -48,9 +48,6 @@
 /// Multiple of the route's objective, past the predicted time, after which a repeatable
 /// short request without a response is sent to another engine.
 const SILENCE_OBJECTIVE_FACTOR: u32 = 2;
-/// Cause of a retry after an engine did not respond in time; it may still run the
-/// request.
-pub(super) const SILENCE: &str = "silence";
 /// Retry delay when engines are full.
 const FULL_RETRY: Duration = Duration::from_millis(400);
 
@@ -107,7 +104,7 @@
         let failed = status.is_server_error() && can_retry(&routed, &attempts);
         let is_stream = routed.route.kind == RouteKind::Stream && status.is_success();
         let outcome = match is_stream {
-            true => relay::open_stream(&routed, engine_response, &attempts).await,
+            true => relay::open_stream(&routed, engine_response, &mut attempts).await,
             false => read_response(&routed, engine_response).await,
         };
         match outcome {
@@ -123,7 +120,7 @@
                 attempts.first_event = routed.age();
                 return relay::start_stream(routed, *stream, attempts, active);
             }
-            Err(cause) => {
+            Err(OpenError::Broken(cause)) => {
                 attempts.uncertain = true;
                 report_crash(&routed, &engine);
                 if !start_retry(&routed, &mut attempts, &engine, &cause) {
@@ -131,6 +128,12 @@
                     return routed.refuse(refusal, &cause, &engine, attempts.sent);
                 }
             }
+            Err(OpenError::Left) => {}
+            Err(OpenError::DeadlinePassed) => {
+                let refusal = Refusal::new(Kind::OutcomeUnknown);
+                let cause = "no first event before the deadline";
+                return routed.refuse(refusal, cause, &engine, attempts.sent);
+            }
         }
     }
 }
@@ -140,6 +143,13 @@
     pub(super) fn route_allows_retry(&self, routed: &RoutedRequest) -> bool {
         routed.route.is_repeatable() && self.sent < routed.route.attempts
     }
+
+    /// Excludes an engine while there are others.
+    fn avoid_engine(&mut self, engine: &Arc<str>) {
+        if !self.avoid.contains(engine) {
+            self.avoid.push(engine.clone());
+        }
+    }
 }
 
 /// Returns whether a request that may have run may be sent once more, apart from the
@@ -148,28 +158,41 @@
     attempts.route_allows_retry(routed) && routed.time_left() > MIN_TIME_LEFT
 }
 
-/// Excludes the engine and takes a retry of a request that may have run out of the retry
-/// budget. Returns whether the request may be sent again.
+/// Excludes an engine that failed the request, and takes a retry out of the retry budget.
+/// Returns whether the request may be sent again.
 pub(super) fn start_retry(
     routed: &RoutedRequest,
     attempts: &mut Attempts,
     engine: &Arc<str>,
     cause: &str,
 ) -> bool {
-    if !attempts.avoid.contains(engine) {
-        attempts.avoid.push(engine.clone());
+    attempts.avoid_engine(engine);
+    let allowed = take_retry(routed, attempts, engine, cause);
+    if !allowed {
+        let request = &*routed.headers.id;
+        let tries = attempts.sent;
+        log::info!(request, engine = &**engine, cause, tries, allowed; "request retry");
     }
-    if !can_retry(routed, attempts) {
+    allowed
+}
+
+/// Takes a retry of a request that may have run out of the retry budget. Returns whether
+/// the request may be sent again, to another engine than this.
+pub(super) fn take_retry(
+    routed: &RoutedRequest,
+    attempts: &mut Attempts,
+    engine: &Arc<str>,
+    cause: &str,
+) -> bool {
+    if !can_retry(routed, attempts) || !routed.edge.try_retry(&routed.service) {
         return false;
     }
-    let allowed = routed.edge.try_retry(&routed.service);
-    if allowed {
-        routed.edge.metrics.record_retry();
-    }
+    attempts.avoid_engine(engine);
+    routed.edge.metrics.record_retry();
     let request = &*routed.headers.id;
     let tries = attempts.sent;
-    log::info!(request, engine = &**engine, cause, tries, allowed; "request retry");
-    allowed
+    log::info!(request, engine = &**engine, cause, tries, allowed = true; "request retry");
+    true
 }
 
 /// Records that an engine failed while it may have run the request.
@@ -195,7 +218,7 @@
         let choice = wait_for_engine(routed, attempts).await?;
         attempts.waited = routed.age();
         attempts.predicted = choice.first_event;
-        let time_limit = response_timeout(routed, attempts, &choice);
+        let max_silence = response_timeout(routed, &choice);
         let engine = choice.engine.clone();
         let fail = |kind, cause: String| Failure {
             refusal: match kind {
@@ -205,12 +228,11 @@
             cause,
             engine: engine.clone(),
         };
-        match send(routed, attempts, &choice, time_limit).await {
-            SendOutcome::Response(engine_response) => {
-                attempts.sent += 1;
-                return Ok(engine_response);
-            }
+        attempts.sent += 1;
+        match send(routed, attempts, &choice, max_silence).await {
+            SendOutcome::Response(engine_response) => return Ok(engine_response),
             SendOutcome::NotRun(status) => {
+                attempts.sent -= 1;
                 attempts.not_run += 1;
                 let cause = format!("the engine rejected the request with {}", status.as_u16());
                 attempts.avoid.push(engine.clone());
@@ -224,6 +246,7 @@
                 }
             }
             SendOutcome::NotSent(cause) => {
+                attempts.sent -= 1;
                 attempts.not_run += 1;
                 attempts.avoid.push(engine.clone());
                 if attempts.not_run >= MAX_NOT_RUN_ATTEMPTS {
@@ -231,19 +254,17 @@
                 }
             }
             SendOutcome::Failed(cause) => {
-                attempts.sent += 1;
                 attempts.uncertain = true;
                 report_crash(routed, &engine);
                 if !start_retry(routed, attempts, &engine, &cause) {
                     return Err(fail(Kind::UpstreamFailed, cause));
                 }
             }
-            SendOutcome::TimedOut => {
-                attempts.sent += 1;
+            SendOutcome::Left => {}
+            SendOutcome::DeadlinePassed => {
                 attempts.uncertain = true;
-                if !start_retry(routed, attempts, &engine, SILENCE) {
-                    return Err(fail(Kind::OutcomeUnknown, SILENCE.to_owned()));
-                }
+                let cause = "no response before the deadline";
+                return Err(fail(Kind::OutcomeUnknown, cause.to_owned()));
             }
         }
     }
@@ -258,29 +279,17 @@
     }
 }
 
-/// Returns how long to wait for the engine's response before the request is sent to
-/// another engine.
-fn response_timeout(
-    routed: &RoutedRequest,
-    attempts: &Attempts,
-    choice: &SelectedEngine,
-) -> Duration {
-    let time_left = routed.time_left();
-    let is_last = attempts.sent + 1 >= routed.route.attempts;
-    if !routed.route.is_repeatable() || is_last {
-        return time_left;
-    }
+/// Returns how long an engine's response may take before another engine may take over.
+fn response_timeout(routed: &RoutedRequest, choice: &SelectedEngine) -> Option<Duration> {
     let objective = routed.route.objective;
-    let time_limit = match routed.route.kind {
-        RouteKind::Stream => choice.first_event + RESPONSE_SLACK.max(objective),
-        RouteKind::Idempotent | RouteKind::Once => {
-            choice.first_event + objective * SILENCE_OBJECTIVE_FACTOR
-        }
-    };
-    time_limit.min(time_left)
+    match routed.route.kind {
+        RouteKind::Stream => Some(choice.first_event + RESPONSE_SLACK.max(objective)),
+        RouteKind::Idempotent => Some(choice.first_event + objective * SILENCE_OBJECTIVE_FACTOR),
+        RouteKind::Once => None,
+    }
 }
 
-fn select_engine(routed: &RoutedRequest, avoid: &[Arc<str>], now: Moment) -> Selection {
+pub(super) fn select_engine(routed: &RoutedRequest, avoid: &[Arc<str>], now: Moment) -> Selection {
     let settings = routed.edge.settings();
     let state = routed.edge.state.borrow();
     let context = RoutingContext {
@@ -302,21 +311,6 @@
     routing::select_engine(&context, &routing_request)
 }
 
-/// Returns the predicted time to the first event at the engine that would take over from
-/// `engine`; `None` when there is no other.
-pub(super) fn successor_event(
-    routed: &RoutedRequest,
-    attempts: &Attempts,
-    engine: &Arc<str>,
-) -> Option<Duration> {
-    let mut avoid = attempts.avoid.clone();
-    avoid.push(engine.clone());
-    match select_engine(routed, &avoid, clock::now()) {
-        Selection::Engine(choice) if !avoid.contains(&choice.engine) => Some(choice.first_event),
-        _ => None,
-    }
-}
-
 /// Waits for an engine that can take the request.
 async fn wait_for_engine(
     routed: &RoutedRequest,
@@ -417,7 +411,7 @@
 async fn read_response(
     routed: &Rc<RoutedRequest>,
     engine_response: Box<EngineResponse>,
-) -> Result<OpenedResponse, String> {
+) -> Result<OpenedResponse, OpenError> {
     let EngineResponse {
         response,
         connection,
@@ -435,7 +429,10 @@
     let body = Limited::new(body, MAX_UNFRAMED_BYTES).collect();
     let body = match timeout(routed.time_left(), body).await {
         Ok(body) => body,
-        Err(_) => return Err("the response did not end in time".to_owned()),
+        Err(_) => {
+            let cause = "the response did not end in time";
+            return Err(OpenError::Broken(cause.to_owned()));
+        }
     };
     match body {
         Ok(body) => {
@@ -449,12 +446,14 @@
             Ok(OpenedResponse::Complete(Response::from_parts(head, body)))
         }
         Err(error) if error.is::<LengthLimitError>() => {
-            Err("the response has no content length and is too long".to_owned())
+            let cause = "the response has no content length and is too long";
+            Err(OpenError::Broken(cause.to_owned()))
         }
         Err(error) => {
             in_flight.record_outcome(false);
             connection.drop_idle();
-            Err(format!("the response was truncated: {error}"))
+            let cause = format!("the response was truncated: {error}");
+            Err(OpenError::Broken(cause))
         }
     }
 }
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -5,6 +5,7 @@
 mod relay;
 pub mod response;
 mod send;
+mod silence;
 
 use std::convert::Infallible;
 use std::rc::Rc;
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -13,9 +13,10 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::attempt::{self, Attempts, SILENCE};
+use super::attempt::{self, Attempts};
 use super::response::{ResponseBody, Truncated};
 use super::send::EngineResponse;
+use super::silence::{self, Awaited};
 use super::{RequestGuard, RoutedRequest};
 use crate::edge::client::Connection;
 use crate::edge::clock;
@@ -41,6 +42,17 @@
     Stream(Box<EngineStream>),
 }
 
+/// Why a response cannot be relayed.
+#[derive(Debug)]
+pub(super) enum OpenError {
+    /// It broke; the cause is given.
+    Broken(String),
+    /// The engine was silent, and another can take the request over.
+    Left,
+    /// It did not start before the deadline.
+    DeadlinePassed,
+}
+
 /// A stream from an engine.
 #[derive(Debug)]
 pub(super) struct EngineStream {
@@ -72,8 +84,6 @@
     End(Bytes),
     /// The stream broke.
     Broken(String),
-    /// Nothing arrived within the time limit.
-    TimedOut,
 }
 
 impl StreamSource {
@@ -92,14 +102,10 @@
         }
     }
 
-    /// Waits for whole events; `max_silence` is the time limit for each read.
-    async fn next(&mut self, max_silence: Duration) -> StreamItem {
+    /// Waits for whole events.
+    async fn next(&mut self) -> StreamItem {
         loop {
-            let frame = match timeout(max_silence, self.body.frame()).await {
-                Ok(frame) => frame,
-                Err(_) => return StreamItem::TimedOut,
-            };
-            let data = match frame {
+            let data = match self.body.frame().await {
                 None => return StreamItem::End(self.decoder.take_rest()),
                 Some(Err(error)) => return StreamItem::Broken(error.to_string()),
                 Some(Ok(frame)) => match frame.into_data() {
@@ -153,12 +159,12 @@
 }
 
 /// Waits for the first event of a stream, because until then the request can still be
-/// sent to another engine. The error is the cause of a broken stream.
+/// sent to another engine.
 pub(super) async fn open_stream(
     routed: &Rc<RoutedRequest>,
     engine_response: Box<EngineResponse>,
-    attempts: &Attempts,
-) -> Result<OpenedResponse, String> {
+    attempts: &mut Attempts,
+) -> Result<OpenedResponse, OpenError> {
     let EngineResponse {
         response,
         connection,
@@ -171,22 +177,24 @@
     head.headers = headers::to_caller(&head.headers);
     head.headers.remove(http::header::CONTENT_LENGTH);
     let mut source = StreamSource::new(body, (connection, headers, in_flight), attempts.last_event);
-    let can_retry = attempts.route_allows_retry(routed);
-    let max_silence = match can_retry {
-        true => (routed.route.objective + FIRST_EVENT_SLACK).min(routed.time_left()),
-        false => routed.time_left(),
-    };
-    let (first_events, ended) = match source.next(max_silence).await {
-        StreamItem::Events(bytes) => (bytes, false),
-        StreamItem::End(bytes) => (bytes, true),
-        StreamItem::Broken(cause) => {
+    let engine = source.in_flight.engine.clone();
+    let max_silence = Some(routed.route.objective + FIRST_EVENT_SLACK);
+    let awaited = silence::wait_for(routed, attempts, &engine, max_silence, source.next()).await;
+    let (first_events, ended) = match awaited {
+        Awaited::Response(StreamItem::Events(bytes)) => (bytes, false),
+        Awaited::Response(StreamItem::End(bytes)) => (bytes, true),
+        Awaited::Response(StreamItem::Broken(cause)) => {
             source.in_flight.record_outcome(false);
             source.connection.drop_idle();
-            return Err(cause);
+            return Err(OpenError::Broken(cause));
         }
-        StreamItem::TimedOut => {
-            source.in_flight.record_outcome(!can_retry);
-            return Err("no first event in time".to_owned());
+        Awaited::Left => {
+            source.in_flight.record_outcome(false);
+            return Err(OpenError::Left);
+        }
+        Awaited::DeadlinePassed => {
+            source.in_flight.record_timeout();
+            return Err(OpenError::DeadlinePassed);
         }
     };
     source.in_flight.record_prompt_read();
@@ -306,10 +314,29 @@
         loop {
             let max_silence = self.max_silence(&source);
             let chunk_sender = self.chunk_sender.clone();
-            let next = tokio::select! {
-                next = source.next(max_silence) => next,
+            let (routed, attempts) = (&self.routed, &mut self.attempts);
+            let silent = engine.clone();
+            let awaited = tokio::select! {
+                awaited = silence::wait_for(routed, attempts, &silent, max_silence, source.next())
+                    => awaited,
                 () = chunk_sender.closed() => return StreamEnd::CallerGone,
             };
+            let next = match awaited {
+                Awaited::Response(next) => next,
+                Awaited::DeadlinePassed => return StreamEnd::DeadlinePassed,
+                Awaited::Left => {
+                    let last_event = source.last_event;
+                    // Closes this connection only; the engine may serve the others.
+                    source.in_flight.record_outcome(false);
+                    drop(source);
+                    match self.resume(last_event).await {
+                        Ok(resumed) => source = resumed,
+                        Err(end) => return end,
+                    }
+                    *engine = source.in_flight.engine.clone();
+                    continue;
+                }
+            };
             match next {
                 StreamItem::Events(bytes) => {
                     if let Err(end) = self.send_chunk(bytes).await {
@@ -323,29 +350,16 @@
                     source.finish();
                     return StreamEnd::Complete;
                 }
-                StreamItem::TimedOut if self.routed.time_left().is_zero() => {
-                    return StreamEnd::DeadlinePassed;
-                }
-                StreamItem::TimedOut => {
-                    // A silent engine may go on, so its run is given up only for an engine
-                    // that can take over now, within the retry budget.
-                    if self.can_resume(&source)
-                        && self.has_successor(&source)
-                        && self.start_retry(&source, SILENCE)
-                    {
-                        match self.resume(source, SILENCE).await {
-                            Ok(resumed) => source = resumed,
-                            Err(end) => return end,
-                        }
-                    }
-                }
                 StreamItem::Broken(cause) => {
                     attempt::report_crash(&self.routed, &source.in_flight.engine);
-                    if !source.is_resumable(&self.routed) || !self.start_retry(&source, &cause) {
-                        source.abandon();
+                    let last_event = source.last_event;
+                    let resumable = source.is_resumable(&self.routed);
+                    source.abandon();
+                    let (routed, attempts) = (&self.routed, &mut self.attempts);
+                    if !resumable || !attempt::start_retry(routed, attempts, engine, &cause) {
                         return StreamEnd::Broken(cause);
                     }
-                    match self.resume(source, &cause).await {
+                    match self.resume(last_event).await {
                         Ok(resumed) => source = resumed,
                         Err(end) => return end,
                     }
@@ -355,31 +369,10 @@
         }
     }
 
-    /// Returns whether the route allows another engine to resume the stream.
-    fn can_resume(&self, source: &StreamSource) -> bool {
-        source.is_resumable(&self.routed) && self.attempts.route_allows_retry(&self.routed)
-    }
-
-    /// Returns whether another engine can go on sooner than a silence is tolerated.
-    fn has_successor(&self, source: &StreamSource) -> bool {
-        let predicted =
-            attempt::successor_event(&self.routed, &self.attempts, &source.in_flight.engine);
-        predicted.is_some_and(|wait| wait < self.max_silence(source))
-    }
-
-    /// Takes a retry out of the budget; returns whether another engine may take over.
-    fn start_retry(&mut self, source: &StreamSource, cause: &str) -> bool {
-        let engine = source.in_flight.engine.clone();
-        attempt::start_retry(&self.routed, &mut self.attempts, &engine, cause)
-    }
-
-    /// Returns the time limit for the engine's next event.
-    fn max_silence(&self, source: &StreamSource) -> Duration {
-        let time_left = self.routed.time_left();
-        match self.can_resume(source) {
-            true => (self.routed.route.gap * SILENCE_GAP_FACTOR).min(time_left),
-            false => time_left,
-        }
+    /// Returns how long the engine may be silent before another may take over.
+    fn max_silence(&self, source: &StreamSource) -> Option<Duration> {
+        let max_silence = self.routed.route.gap * SILENCE_GAP_FACTOR;
+        source.is_resumable(&self.routed).then_some(max_silence)
     }
 
     /// Sends bytes to the caller, who has until the deadline to read them.
@@ -395,19 +388,8 @@
     }
 
     /// Resumes the stream at another engine after the last whole event; the retry has been
-    /// taken out of the budget.
-    async fn resume(
-        &mut self,
-        source: StreamSource,
-        cause: &str,
-    ) -> Result<StreamSource, StreamEnd> {
-        let last_event = source.last_event;
-        match cause {
-            // Closes this connection only, so that the engine stops the run before another
-            // starts.
-            SILENCE => source.in_flight.record_outcome(false),
-            _ => source.abandon(),
-        }
+    /// taken out of the budget, and the connection to the engine before is closed.
+    async fn resume(&mut self, last_event: Option<u64>) -> Result<StreamSource, StreamEnd> {
         self.attempts.last_event = last_event;
         let chunk_sender = self.chunk_sender.clone();
         loop {
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -10,6 +10,7 @@
 
 use super::RoutedRequest;
 use super::attempt::Attempts;
+use super::silence::{self, Awaited};
 use crate::clock::Moment;
 use crate::edge::client::{Connection, SendError};
 use crate::edge::clock;
@@ -50,16 +51,19 @@
     NotSent(String),
     /// The connection was lost, or the response is not valid; the request may have run.
     Failed(String),
-    /// No response arrived within the time limit.
-    TimedOut,
+    /// The engine was silent, and another can take the request over.
+    Left,
+    /// No response arrived before the deadline.
+    DeadlinePassed,
 }
 
-/// Sends the request to one engine and waits for the head of its response.
+/// Sends the request to one engine and waits for the head of its response. After
+/// `max_silence` the request may be left to another engine.
 pub(super) async fn send(
     routed: &RoutedRequest,
-    attempts: &Attempts,
+    attempts: &mut Attempts,
     choice: &SelectedEngine,
-    time_limit: Duration,
+    max_silence: Option<Duration>,
 ) -> SendOutcome {
     let request = match engine_request(routed, attempts, choice) {
         Ok(request) => request,
@@ -71,12 +75,17 @@
         .edge
         .client
         .send(choice.addr, request, CONNECT_TIMEOUT);
-    let Ok(outcome) = timeout(time_limit, sending).await else {
-        match time_limit < routed.time_left() {
-            true => in_flight.record_outcome(false),
-            false => in_flight.record_timeout(),
+    let awaited = silence::wait_for(routed, attempts, &choice.engine, max_silence, sending).await;
+    let outcome = match awaited {
+        Awaited::Response(outcome) => outcome,
+        Awaited::Left => {
+            in_flight.record_outcome(false);
+            return SendOutcome::Left;
+        }
+        Awaited::DeadlinePassed => {
+            in_flight.record_timeout();
+            return SendOutcome::DeadlinePassed;
         }
-        return SendOutcome::TimedOut;
     };
     let (response, connection) = match outcome {
         Ok(exchange) => exchange,
--- a/tests/edge/fakes/engine.rs
+++ b/tests/edge/fakes/engine.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use socket2::SockRef;
@@ -27,6 +27,11 @@
     ResetAfter(u64),
     /// Pauses streams after this many events for [`PREEMPTION`].
     PauseAfter(u64),
+    /// Reads the next request, then stalls for [`STALL`] with all its responses and goes on.
+    StallAtRequest,
+    /// Stalls for [`STALL`] with all its responses once a stream has this many events, and
+    /// goes on.
+    StallAfter(u64),
     /// Never answers.
     Silent,
     /// Answers without a length and resets in the middle.
@@ -44,6 +49,8 @@
 #[derive(Default)]
 struct EngineState {
     behavior: Behavior,
+    /// When the engine goes on writing responses.
+    stalled_until: Option<Instant>,
     models: Vec<String>,
     /// Number of accepted orders.
     accepted_orders: u64,
@@ -73,6 +80,9 @@
 /// looks for another engine (three gaps of the routes).
 pub const PREEMPTION: Duration = Duration::from_millis(1_600);
 
+/// Time for which an engine stalls; as long as the pause of a preempted stream.
+pub const STALL: Duration = PREEMPTION;
+
 impl Engine {
     /// Starts an engine that has loaded `models` and registers it.
     pub fn start(store: &Store, id: &str, service: &str, models: &[&str]) -> Self {
@@ -150,6 +160,25 @@
         self.state.lock().unwrap().cancelled.clone()
     }
 
+    /// Stalls the engine: it reads requests but writes no responses for [`STALL`].
+    fn stall(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.behavior = Behavior::Correct;
+        state.stalled_until = Some(Instant::now() + STALL);
+    }
+
+    /// Waits until the engine does not stall.
+    async fn wait_for_stall(&self) {
+        loop {
+            let until = self.state.lock().unwrap().stalled_until;
+            let left = until.map(|at| at.saturating_duration_since(Instant::now()));
+            match left {
+                Some(left) if !left.is_zero() => sleep(left).await,
+                _ => return,
+            }
+        }
+    }
+
     /// Returns the received orders.
     pub fn received_orders(&self) -> Vec<Value> {
         self.state.lock().unwrap().received_orders.clone()
@@ -228,6 +257,12 @@
         if expected != self.id || !loaded {
             return write_response(stream, 421, &[("X-Mastichinge-Not-Run", "1")], b"").await;
         }
+        if behavior == Behavior::StallAtRequest {
+            self.stall();
+        }
+        if behavior != Behavior::Silent {
+            self.wait_for_stall().await;
+        }
         match behavior {
             Behavior::Reset => return reset(stream),
             Behavior::Silent => return self.wait_for_close(stream, &id).await,
@@ -290,6 +325,11 @@
             if behavior == Behavior::PauseAfter(event - 1) {
                 sleep(PREEMPTION).await;
             }
+            let behavior = self.state.lock().unwrap().behavior;
+            if behavior == Behavior::StallAfter(event - 1) {
+                self.stall();
+            }
+            self.wait_for_stall().await;
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             if stream.write_all(chunk.as_bytes()).await.is_err() {
                 self.state.lock().unwrap().cancelled.push(id.to_owned());
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -16,5 +16,6 @@
 mod requests;
 mod retry_budget;
 mod shutdown;
+mod silence;
 mod site;
 mod translation;
--- a/tests/edge/site.rs
+++ b/tests/edge/site.rs
@@ -71,6 +71,18 @@
         }
     }
 
+    /// Leaves the daemon no retries.
+    pub fn exhaust_retries(&self) {
+        self.daemon.write_settings(|s| {
+            s["bounds"]["retry_ratio"] = 0.0.into();
+            s["bounds"]["retry_slack"] = 0.0.into();
+        });
+        self.daemon.signal(libc::SIGHUP);
+        wait("the new settings", || {
+            !self.daemon.logged("settings reloaded").is_empty()
+        });
+    }
+
     /// Waits until the daemon has logged a change of an engine.
     pub fn wait_for_change(&self, engine: &str, change: &str) {
         wait(change, || {
