--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod relay;
 pub mod response;
+mod retry;
 mod send;
 mod silence;
 
@@ -18,8 +19,8 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 
-use self::attempt::Attempts;
 use self::response::{Refusal, ResponseBody};
+use self::retry::Attempts;
 use super::body_memory::BodyReservation;
 use super::clock;
 use super::demand::ModelKey;
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -13,8 +13,9 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::attempt::{self, Attempts};
+use super::attempt;
 use super::response::{ResponseBody, Truncated};
+use super::retry::{self, Attempts};
 use super::send::EngineResponse;
 use super::silence::{self, Awaited};
 use super::{RequestGuard, RoutedRequest};
@@ -351,12 +352,12 @@
                     return StreamEnd::Complete;
                 }
                 StreamItem::Broken(cause) => {
-                    attempt::report_crash(&self.routed, &source.in_flight.engine);
+                    retry::report_crash(&self.routed, &source.in_flight.engine);
                     let last_event = source.last_event;
                     let resumable = source.is_resumable(&self.routed);
                     source.abandon();
                     let (routed, attempts) = (&self.routed, &mut self.attempts);
-                    if !resumable || !attempt::start_retry(routed, attempts, engine, &cause) {
+                    if !resumable || !retry::start_retry(routed, attempts, engine, &cause) {
                         return StreamEnd::Broken(cause);
                     }
                     match self.resume(last_event).await {
@@ -419,7 +420,7 @@
             }
             let cause = format!("the engine responded with {}", status.as_u16());
             let engine = in_flight.engine.clone();
-            if !attempt::start_retry(&self.routed, &mut self.attempts, &engine, &cause) {
+            if !retry::start_retry(&self.routed, &mut self.attempts, &engine, &cause) {
                 return Err(StreamEnd::Broken(cause));
             }
         }
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 
 use super::RoutedRequest;
-use super::attempt::Attempts;
+use super::retry::Attempts;
 use super::silence::{self, Awaited};
 use crate::clock::Moment;
 use crate::edge::client::{Connection, SendError};
--- a/src/edge/forward/silence.rs
+++ b/src/edge/forward/silence.rs
@@ -10,7 +10,8 @@
 use tokio::time::timeout;
 
 use super::RoutedRequest;
-use super::attempt::{self, Attempts};
+use super::attempt;
+use super::retry::{self, Attempts};
 use crate::edge::clock;
 use crate::edge::routing::Selection;
 
@@ -56,7 +57,7 @@
             continue;
         };
         let successor = find_successor(routed, attempts, engine, max_silence);
-        if successor.is_some() && attempt::take_retry(routed, attempts, engine, SILENCE) {
+        if successor.is_some() && retry::take_retry(routed, attempts, engine, SILENCE) {
             attempts.uncertain = true;
             return Awaited::Left;
         }
