Keep a begun answer alive while it has time left

Callers saw streams with status 200 that ended with an error although their engine was sound, and lookups that ended with 502 or 504. When an engine stalled, its run was left for another engine. If that one rejected the request, failed or reset, or if the retry budget had no further retry, the request ended there. The stalled engine went on a moment later, with nobody listening. A stream that broke while the budget was empty ended at once, too.

Cause: after a run had been left, the request was handled like a new one, which may be refused so that its caller returns. A caller that has a part of an answer, or whose run was given up here, cannot be refused without a loss.

Such a request now persists until its deadline or until its caller leaves: it waits for a retry of the budget, pauses after rejections, and waits for an engine. An engine whose silent run was left may serve it again; that counts as no further engine, so that the attempts of the route bound the number of engines as before. The resumption of a begun stream is no longer refused for its predicted time. Each repetition still takes its retry out of the budget, and the connection to the engine before is closed first.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -13,7 +13,7 @@
 
 use super::relay::{self, OpenError, OpenedResponse};
 use super::response::{Refusal, ResponseBody};
-use super::retry::{Attempts, MIN_TIME_LEFT, can_retry, report_crash, start_retry};
+use super::retry::{self, Attempts, MIN_TIME_LEFT, can_retry, report_crash, start_retry};
 use super::send::{EngineResponse, MAX_WHOLE_BYTES, SendOutcome, send};
 use super::{DeadlineSource, RequestGuard, RoutedRequest};
 use crate::clock::Moment;
@@ -36,6 +36,8 @@
 const MAX_NOT_RUN_ATTEMPTS: u32 = 4;
 /// Pause after an engine rejected a request, before another engine is selected.
 const REJECTION_PAUSE: Duration = Duration::from_millis(60);
+/// Maximum pause after a rejection, as a multiple of [`REJECTION_PAUSE`].
+const MAX_REJECTION_PAUSES: u32 = 8;
 /// Maximum wait for an engine while no engine of the service is known.
 const NO_ENGINE_WAIT: Duration = Duration::from_millis(1_500);
 /// Interval at which a waiting request selects an engine again without a change, because
@@ -85,7 +87,8 @@
         };
         match outcome {
             Ok(_)
-                if failed && start_retry(&routed, &mut attempts, &engine, "the engine failed") => {}
+                if failed
+                    && retry::take_retry(&routed, &mut attempts, &engine, "the engine failed") => {}
             Ok(OpenedResponse::Complete(response)) => {
                 attempts.first_event = routed.age();
                 routed.log_outcome("answered", status.as_u16(), &engine, &attempts);
@@ -99,7 +102,7 @@
             Err(OpenError::Broken(cause)) => {
                 attempts.uncertain = true;
                 report_crash(&routed, &engine);
-                if !start_retry(&routed, &mut attempts, &engine, &cause) {
+                if !start_retry(&routed, &mut attempts, &engine, &cause).await {
                     let refusal = Refusal::new(Kind::UpstreamFailed);
                     return routed.refuse(refusal, &cause, &engine, attempts.sent);
                 }
@@ -133,35 +136,34 @@
             cause,
             engine: engine.clone(),
         };
+        let was_left = attempts.return_to(&engine);
         attempts.sent += 1;
         match send(routed, attempts, &choice, max_silence).await {
             SendOutcome::Response(engine_response) => return Ok(engine_response),
             SendOutcome::NotRun(status) => {
-                attempts.sent -= 1;
-                attempts.not_run += 1;
+                attempts.record_not_run(&engine, was_left);
                 let cause = format!("the engine rejected the request with {}", status.as_u16());
-                attempts.avoid.push(engine.clone());
-                if attempts.not_run >= MAX_NOT_RUN_ATTEMPTS
-                    || !routed.edge.try_retry(&routed.service)
-                {
+                let is_last = attempts.not_run >= MAX_NOT_RUN_ATTEMPTS && !attempts.persists();
+                if is_last || !retry::await_budget(routed, attempts).await {
                     return Err(fail(not_run_kind(attempts), cause));
                 }
                 if status != StatusCode::MISDIRECTED_REQUEST {
-                    tokio::time::sleep(REJECTION_PAUSE.min(routed.time_left())).await;
+                    rejection_pause(routed, attempts).await;
                 }
             }
             SendOutcome::NotSent(cause) => {
-                attempts.sent -= 1;
-                attempts.not_run += 1;
-                attempts.avoid.push(engine.clone());
+                attempts.record_not_run(&engine, was_left);
                 if attempts.not_run >= MAX_NOT_RUN_ATTEMPTS {
-                    return Err(fail(not_run_kind(attempts), cause));
+                    if !attempts.persists() {
+                        return Err(fail(not_run_kind(attempts), cause));
+                    }
+                    rejection_pause(routed, attempts).await;
                 }
             }
             SendOutcome::Failed(cause) => {
                 attempts.uncertain = true;
                 report_crash(routed, &engine);
-                if !start_retry(routed, attempts, &engine, &cause) {
+                if !start_retry(routed, attempts, &engine, &cause).await {
                     return Err(fail(Kind::UpstreamFailed, cause));
                 }
             }
@@ -175,6 +177,12 @@
     }
 }
 
+/// Waits after a rejection, longer after each.
+async fn rejection_pause(routed: &RoutedRequest, attempts: &Attempts) {
+    let pause = REJECTION_PAUSE * attempts.not_run.clamp(1, MAX_REJECTION_PAUSES);
+    tokio::time::sleep(pause.min(routed.time_left())).await;
+}
+
 /// Returns the kind of refusal after an attempt that did not run: the outcome is unknown
 /// if an earlier attempt may have run.
 fn not_run_kind(attempts: &Attempts) -> Kind {
@@ -216,6 +224,32 @@
     routing::select_engine(&context, &routing_request)
 }
 
+/// Selects the engine for the next attempt: one that has not failed the request, else one
+/// that was left, and after the last attempt that the route allows only such a one.
+fn select_next(routed: &RoutedRequest, attempts: &Attempts, now: Moment) -> Selection {
+    let may_go_on = attempts.sent == 0 || attempts.route_allows_retry(routed);
+    let selection = match may_go_on {
+        true => select_engine(routed, &attempts.avoid, now),
+        false => Selection::NoEngine,
+    };
+    let is_new = matches!(&selection, Selection::Engine(c) if !attempts.avoid.contains(&c.engine));
+    if is_new || attempts.left.is_empty() {
+        return selection;
+    }
+    let others: Vec<_> = {
+        let state = routed.edge.state.borrow();
+        let usable = state.fleet.usable_engines(&routed.service);
+        let ids = usable.map(|e| e.entry.id.clone());
+        ids.filter(|id| !attempts.left.contains(id)).collect()
+    };
+    match select_engine(routed, &others, now) {
+        Selection::Engine(choice) if attempts.left.contains(&choice.engine) => {
+            Selection::Engine(choice)
+        }
+        _ => selection,
+    }
+}
+
 /// Waits for an engine that can take the request.
 async fn wait_for_engine(
     routed: &RoutedRequest,
@@ -257,9 +291,20 @@
         let resumed = !attempts.first_event.is_zero();
         let budget = TimeBudget::new(&routed.route, routed.age(), waited, time_left, resumed);
         let limits = routed.edge.settings().admission;
-        let selection = select_engine(routed, &attempts.avoid, now);
+        let selection = select_next(routed, attempts, now);
+        if resumed && let Selection::Engine(choice) = selection {
+            // The caller has a part of the answer, so that the rest is never refused.
+            return Ok(choice);
+        }
         let max_pause = match budget.decide(selection, &limits) {
             AdmissionDecision::Send(choice) => return Ok(choice),
+            AdmissionDecision::Refuse { kind, .. }
+                if attempts.persists()
+                    && kind != Kind::UnknownModel
+                    && (resumed || !budget.event_left.is_zero()) =>
+            {
+                RESELECT_INTERVAL
+            }
             AdmissionDecision::Refuse {
                 kind,
                 cause,
@@ -285,6 +330,11 @@
                 }
                 HELD_RESELECT_INTERVAL
             }
+            AdmissionDecision::NoEngine
+                if attempts.persists() && attempts.route_allows_retry(routed) =>
+            {
+                RESELECT_INTERVAL
+            }
             AdmissionDecision::NoEngine => {
                 let Some(wait) = NO_ENGINE_WAIT.checked_sub(budget.waited) else {
                     let cause = "no engine of the service is known";
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -264,9 +264,12 @@
     async fn run(mut self, source: StreamSource, first_events: Bytes, ended: bool) {
         let routed = self.routed.clone();
         let mut engine = source.in_flight.engine.clone();
-        let end = self
-            .relay_events(source, first_events, ended, &mut engine)
-            .await;
+        let chunk_sender = self.chunk_sender.clone();
+        let end = tokio::select! {
+            biased;
+            end = self.relay_events(source, first_events, ended, &mut engine) => end,
+            () = chunk_sender.closed() => StreamEnd::CallerGone,
+        };
         let attempts = &self.attempts;
         let status = 200;
         match end {
@@ -314,14 +317,9 @@
         }
         loop {
             let max_silence = self.max_silence(&source);
-            let chunk_sender = self.chunk_sender.clone();
             let (routed, attempts) = (&self.routed, &mut self.attempts);
-            let silent = engine.clone();
-            let awaited = tokio::select! {
-                awaited = silence::wait_for(routed, attempts, &silent, max_silence, source.next())
-                    => awaited,
-                () = chunk_sender.closed() => return StreamEnd::CallerGone,
-            };
+            let awaited =
+                silence::wait_for(routed, attempts, engine, max_silence, source.next()).await;
             let next = match awaited {
                 Awaited::Response(next) => next,
                 Awaited::DeadlinePassed => return StreamEnd::DeadlinePassed,
@@ -357,7 +355,7 @@
                     let resumable = source.is_resumable(&self.routed);
                     source.abandon();
                     let (routed, attempts) = (&self.routed, &mut self.attempts);
-                    if !resumable || !retry::start_retry(routed, attempts, engine, &cause) {
+                    if !resumable || !retry::start_retry(routed, attempts, engine, &cause).await {
                         return StreamEnd::Broken(cause);
                     }
                     match self.resume(last_event).await {
@@ -392,12 +390,8 @@
     /// taken out of the budget, and the connection to the engine before is closed.
     async fn resume(&mut self, last_event: Option<u64>) -> Result<StreamSource, StreamEnd> {
         self.attempts.last_event = last_event;
-        let chunk_sender = self.chunk_sender.clone();
         loop {
-            let sent = tokio::select! {
-                sent = attempt::send_until_response(&self.routed, &mut self.attempts) => sent,
-                () = chunk_sender.closed() => return Err(StreamEnd::CallerGone),
-            };
+            let sent = attempt::send_until_response(&self.routed, &mut self.attempts).await;
             let engine_response = sent.map_err(|failure| StreamEnd::Broken(failure.cause))?;
             let status = engine_response.response.status();
             let EngineResponse {
@@ -420,7 +414,10 @@
             }
             let cause = format!("the engine responded with {}", status.as_u16());
             let engine = in_flight.engine.clone();
-            if !retry::start_retry(&self.routed, &mut self.attempts, &engine, &cause) {
+            // Closes the connection before the next run starts.
+            drop((response, connection));
+            let (routed, attempts) = (&self.routed, &mut self.attempts);
+            if !retry::start_retry(routed, attempts, &engine, &cause).await {
                 return Err(StreamEnd::Broken(cause));
             }
         }
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -3,12 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::sleep;
+
 use super::RoutedRequest;
 use crate::edge::clock;
 
 /// Minimum time left for a request to be sent.
 pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
+/// Interval at which a request that waits for a retry asks the retry budget.
+const BUDGET_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Attempts of a request so far.
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
@@ -18,6 +23,10 @@
     pub not_run: u32,
     /// Engines that failed it.
     pub avoid: Vec<Arc<str>>,
+    /// Engines whose silent run was left and that may still serve it.
+    pub left: Vec<Arc<str>>,
+    /// Whether a silent run was left.
+    pub run_left: bool,
     /// Whether it may have run with an unknown outcome.
     pub uncertain: bool,
     /// Id of the event after which the stream is resumed.
@@ -38,6 +47,38 @@
         routed.route.is_repeatable() && self.sent < routed.route.attempts
     }
 
+    /// Returns whether the request goes on until its deadline, whatever engines and retry
+    /// budget allow now: its stream has begun, or a run was left that might have ended well.
+    pub(super) fn persists(&self) -> bool {
+        self.run_left || !self.first_event.is_zero()
+    }
+
+    /// Records that the silent run at an engine was left. Another run there counts as no
+    /// further engine.
+    pub(super) fn leave(&mut self, engine: &Arc<str>) {
+        self.left.push(engine.clone());
+        self.run_left = true;
+        self.uncertain = true;
+    }
+
+    /// Returns whether the engine is one that was left, and removes it from those.
+    pub(super) fn return_to(&mut self, engine: &Arc<str>) -> bool {
+        let count = self.left.len();
+        self.left.retain(|e| e != engine);
+        self.left.len() < count
+    }
+
+    /// Records that the last attempt did not run; whether its engine was one that had been
+    /// left is given.
+    pub(super) fn record_not_run(&mut self, engine: &Arc<str>, was_left: bool) {
+        self.sent -= 1;
+        self.not_run += 1;
+        self.avoid_engine(engine);
+        if was_left {
+            self.left.push(engine.clone());
+        }
+    }
+
     /// Excludes an engine while there are others.
     pub(super) fn avoid_engine(&mut self, engine: &Arc<str>) {
         if !self.avoid.contains(engine) {
@@ -46,47 +87,73 @@
     }
 }
 
-/// Returns whether a request that may have run may be sent once more, apart from the
-/// retry budget.
+/// Returns whether a request that may have run may be sent to a further engine, apart from
+/// the retry budget.
 pub(super) fn can_retry(routed: &RoutedRequest, attempts: &Attempts) -> bool {
     attempts.route_allows_retry(routed) && routed.time_left() > MIN_TIME_LEFT
 }
 
-/// Excludes an engine that failed the request, and takes a retry out of the retry budget.
-/// Returns whether the request may be sent again.
-pub(super) fn start_retry(
+/// Takes a retry at a further engine than this out of the retry budget. Returns whether
+/// there was one.
+pub(super) fn take_retry(
     routed: &RoutedRequest,
     attempts: &mut Attempts,
     engine: &Arc<str>,
     cause: &str,
 ) -> bool {
-    attempts.avoid_engine(engine);
-    let allowed = take_retry(routed, attempts, engine, cause);
-    if !allowed {
-        let request = &*routed.headers.id;
-        let tries = attempts.sent;
-        log::info!(request, engine = &**engine, cause, tries, allowed; "request retry");
+    if !can_retry(routed, attempts) || !routed.edge.try_retry(&routed.service) {
+        return false;
     }
-    allowed
+    attempts.avoid_engine(engine);
+    record_retry(routed, attempts, engine, cause, true);
+    true
 }
 
-/// Takes a retry of a request that may have run out of the retry budget. Returns whether
-/// the request may be sent again, to another engine than this.
-pub(super) fn take_retry(
+/// Excludes an engine that failed the request, and takes a retry out of the retry budget.
+/// Returns whether the request may be sent again, to a further engine or to one that was
+/// left.
+pub(super) async fn start_retry(
     routed: &RoutedRequest,
     attempts: &mut Attempts,
     engine: &Arc<str>,
     cause: &str,
 ) -> bool {
-    if !can_retry(routed, attempts) || !routed.edge.try_retry(&routed.service) {
-        return false;
-    }
     attempts.avoid_engine(engine);
-    routed.edge.metrics.record_retry();
+    attempts.return_to(engine);
+    let possible = attempts.route_allows_retry(routed) || !attempts.left.is_empty();
+    let allowed = possible && await_budget(routed, attempts).await;
+    record_retry(routed, attempts, engine, cause, allowed);
+    allowed
+}
+
+/// Takes a retry out of the retry budget; a request that persists waits for one. Returns
+/// whether there was one in time.
+pub(super) async fn await_budget(routed: &RoutedRequest, attempts: &Attempts) -> bool {
+    while routed.time_left() > MIN_TIME_LEFT {
+        if routed.edge.try_retry(&routed.service) {
+            return true;
+        }
+        if !attempts.persists() {
+            return false;
+        }
+        sleep(BUDGET_INTERVAL.min(routed.time_left())).await;
+    }
+    false
+}
+
+fn record_retry(
+    routed: &RoutedRequest,
+    attempts: &Attempts,
+    engine: &Arc<str>,
+    cause: &str,
+    allowed: bool,
+) {
+    if allowed {
+        routed.edge.metrics.record_retry();
+    }
     let request = &*routed.headers.id;
     let tries = attempts.sent;
-    log::info!(request, engine = &**engine, cause, tries, allowed = true; "request retry");
-    true
+    log::info!(request, engine = &**engine, cause, tries, allowed; "request retry");
 }
 
 /// Records that an engine failed while it may have run the request.
--- a/src/edge/forward/silence.rs
+++ b/src/edge/forward/silence.rs
@@ -58,7 +58,7 @@
         };
         let successor = find_successor(routed, attempts, engine, max_silence);
         if successor.is_some() && retry::take_retry(routed, attempts, engine, SILENCE) {
-            attempts.uncertain = true;
+            attempts.leave(engine);
             return Awaited::Left;
         }
         if !logged {
--- a/tests/edge/fakes/engine.rs
+++ b/tests/edge/fakes/engine.rs
@@ -167,6 +167,11 @@
         state.stalled_until = Some(Instant::now() + STALL);
     }
 
+    /// Returns whether the engine has stalled, now or before.
+    pub fn has_stalled(&self) -> bool {
+        self.state.lock().unwrap().stalled_until.is_some()
+    }
+
     /// Waits until the engine does not stall.
     async fn wait_for_stall(&self) {
         loop {
--- a/tests/edge/retry_budget.rs
+++ b/tests/edge/retry_budget.rs
@@ -5,6 +5,11 @@
 use mastichinge::clock::Moment;
 use mastichinge::edge::retry_budget::{RetryBudget, RetryLimits};
 
+use crate::fakes::daemon::wait;
+use crate::fakes::engine::{Behavior, EVENTS};
+use crate::requests::events;
+use crate::site::Site;
+
 const LIMITS: RetryLimits = RetryLimits {
     ratio: 0.2,
     slack: 50.0,
@@ -63,3 +68,33 @@
     assert!(!budget.try_retry(&LIMITS, 1, at(9_000)));
     assert!(budget.try_retry(&LIMITS, 1, at(10_001)));
 }
+
+/// Guards against streams that end with an error because no retry is left when they break,
+/// although one comes free before their deadline.
+#[test]
+fn a_stream_that_breaks_waits_for_a_retry() {
+    let site = Site::start();
+    site.daemon.write_settings(|s| {
+        s["bounds"]["retry_ratio"] = 0.0.into();
+        s["bounds"]["retry_slack"] = 2.0.into();
+        s["bounds"]["retry_window_s"] = 0.5.into();
+    });
+    site.daemon.signal(libc::SIGHUP);
+    wait("the new settings", || {
+        !site.daemon.logged("settings reloaded").is_empty()
+    });
+    site.models[0].set_behavior(Behavior::ResetAfter(2));
+    let answers: Vec<_> = std::thread::scope(|scope| {
+        let send = |i: usize| {
+            let site = &site;
+            scope.spawn(move || site.stream("/stream/", &format!("s{i}")))
+        };
+        let callers: Vec<_> = (0..8).map(send).collect();
+        callers.into_iter().map(|c| c.join().unwrap()).collect()
+    });
+    for answer in &answers {
+        assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+        assert_eq!(events(&answer.body), (1..=EVENTS).collect::<Vec<_>>());
+    }
+    assert!(!site.daemon.logged("request retry").is_empty());
+}
--- a/tests/edge/silence.rs
+++ b/tests/edge/silence.rs
@@ -7,7 +7,11 @@
 use crate::fakes::daemon::{Request, Response, wait};
 use crate::fakes::engine::{Behavior, EVENTS, Engine};
 use crate::requests::events;
-use crate::site::{MODEL, Site};
+use crate::site::{MODEL, Site, desired, route};
+
+/// Streams sent at the same time; the rejected resumptions of those that stall use up the
+/// retry budget.
+const STREAMS: usize = 24;
 
 /// Asserts that the caller got the whole stream, each event once.
 fn assert_whole(answer: &Response) {
@@ -15,6 +19,81 @@
     assert_eq!(events(&answer.body), (1..=EVENTS).collect::<Vec<_>>());
 }
 
+/// Sends the streams `s0`, `s1` and so on at the same time.
+fn send_streams(site: &Site, count: usize) -> Vec<Response> {
+    std::thread::scope(|scope| {
+        let send = |i: usize| scope.spawn(move || site.stream("/stream/", &format!("s{i}")));
+        let callers: Vec<_> = (0..count).map(send).collect();
+        callers.into_iter().map(|c| c.join().unwrap()).collect()
+    })
+}
+
+/// Waits until one of `engines` has stalled, and sets the behavior of the others.
+fn set_others(engines: &[Engine; 2], other: Behavior) {
+    wait("a stalled engine", || {
+        engines.iter().any(Engine::has_stalled)
+    });
+    for engine in engines.iter().filter(|e| !e.has_stalled()) {
+        engine.set_behavior(other);
+    }
+}
+
+/// Guards against a stream that ends with an error although its engine goes on: the
+/// resumption at another engine fails after the silent run was left.
+#[test_case(Behavior::Full; "the other rejects")]
+#[test_case(Behavior::Reset; "the other resets")]
+#[test_case(Behavior::ResetAfter(3); "the other resets after an event")]
+#[test_case(Behavior::Failing; "the other fails")]
+fn a_stream_of_a_stalled_engine_completes_when_it_cannot_be_resumed_elsewhere(other: Behavior) {
+    let site = Site::start();
+    site.set(Behavior::StallAfter(2));
+    let answers = std::thread::scope(|scope| {
+        scope.spawn(|| set_others(&site.models, other));
+        send_streams(&site, 1)
+    });
+    answers.iter().for_each(assert_whole);
+}
+
+/// Guards against streams that end with an error because resumptions that an engine
+/// rejects have used up the retry budget.
+#[test]
+fn all_streams_of_a_stalled_engine_complete_when_the_other_rejects_them() {
+    let site = Site::start();
+    site.models[0].set_behavior(Behavior::StallAfter(2));
+    let answers = std::thread::scope(|scope| {
+        scope.spawn(|| set_others(&site.models, Behavior::Full));
+        send_streams(&site, STREAMS)
+    });
+    answers.iter().for_each(assert_whole);
+}
+
+/// Guards against a stream that ends with an error when its engine stalls while a change
+/// of the desired state is applied.
+#[test]
+fn a_stream_of_a_stalled_engine_completes_beside_a_change_of_the_desired_state() {
+    let site = Site::start();
+    let mut newer = desired(6);
+    let routes = newer["routes"].as_array_mut().unwrap();
+    routes.push(route("/later/", "idempotent", "desk"));
+    for route in routes {
+        route["timeoutMs"] = 10_000.into();
+    }
+    newer["limits"]["idleTimeoutMs"] = 2_000.into();
+    site.models[0].set_behavior(Behavior::StallAfter(2));
+    let answers = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            set_others(&site.models, Behavior::Full);
+            site.store.put("op", "config", &newer);
+        });
+        send_streams(&site, STREAMS)
+    });
+    answers.iter().for_each(assert_whole);
+    wait("the new desired state", || {
+        let versions = site.daemon.logged("desired state in force");
+        versions.iter().any(|l| l["version"] == 6)
+    });
+}
+
 /// Guards against a stream whose run is cancelled because its response or its first event
 /// is late, although no other engine may take over.
 #[test_case(Behavior::StallAtRequest; "before the response")]
@@ -57,6 +136,20 @@
     assert_eq!(site.arrivals("r1"), 1);
 }
 
+/// Guards against a request that ends without its engine's response after another engine
+/// rejected it.
+#[test_case(Behavior::Full; "the other rejects")]
+#[test_case(Behavior::Reset; "the other resets")]
+fn a_lookup_at_a_stalled_engine_is_answered_when_the_other_cannot(other: Behavior) {
+    let site = Site::start();
+    site.set(Behavior::StallAtRequest);
+    let answer = std::thread::scope(|scope| {
+        scope.spawn(|| set_others(&site.plain, other));
+        site.send("/look/", "l1")
+    });
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+}
+
 /// The caller of a silent stream leaves: the run is cancelled at once.
 #[test]
 fn a_caller_that_leaves_a_stalled_stream_cancels_the_run() {
