--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -11,8 +11,9 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::timeout;
 
-use super::relay::{self, OpenedResponse};
+use super::relay::{self, OpenError, OpenedResponse};
 use super::response::{Refusal, ResponseBody};
+use super::retry::{self, Attempts, MIN_TIME_LEFT, can_retry, report_crash, start_retry};
 use super::send::{EngineResponse, MAX_WHOLE_BYTES, SendOutcome, send};
 use super::{DeadlineSource, RequestGuard, RoutedRequest};
 use crate::clock::Moment;
@@ -25,8 +26,6 @@
 use crate::error::Kind;
 use crate::platform::headers;
 
-/// Minimum time left for a request to be sent.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// Maximum size of a response without a content length, which is read whole, bytes.
 const MAX_UNFRAMED_BYTES: usize = 1 << 20;
 /// Time past the predicted first event after which a repeatable stream whose response has
@@ -37,6 +36,8 @@
 const MAX_NOT_RUN_ATTEMPTS: u32 = 4;
 /// Pause after an engine rejected a request, before another engine is selected.
 const REJECTION_PAUSE: Duration = Duration::from_millis(60);
+/// Maximum pause after a rejection, as a multiple of [`REJECTION_PAUSE`].
+const MAX_REJECTION_PAUSES: u32 = 8;
 /// Maximum wait for an engine while no engine of the service is known.
 const NO_ENGINE_WAIT: Duration = Duration::from_millis(1_500);
 /// Interval at which a waiting request selects an engine again without a change, because
@@ -48,35 +49,9 @@
 /// Multiple of the route's objective, past the predicted time, after which a repeatable
 /// short request without a response is sent to another engine.
 const SILENCE_OBJECTIVE_FACTOR: u32 = 2;
-/// Cause of a retry after an engine did not respond in time; it may still run the
-/// request.
-pub(super) const SILENCE: &str = "silence";
 /// Retry delay when engines are full.
 const FULL_RETRY: Duration = Duration::from_millis(400);
 
-/// Attempts of a request so far.
-#[derive(Debug, Default)]
-pub(super) struct Attempts {
-    /// Number of times it was sent and may have run.
-    pub sent: u32,
-    /// Number of times it was not sent, or an engine rejected it without running it.
-    pub not_run: u32,
-    /// Engines that failed it.
-    pub avoid: Vec<Arc<str>>,
-    /// Whether it may have run with an unknown outcome.
-    pub uncertain: bool,
-    /// Id of the event after which the stream is resumed.
-    pub last_event: Option<u64>,
-    /// Whether it waited for a load.
-    pub load_waited: bool,
-    /// Time from its arrival to the last time it was sent.
-    pub waited: Duration,
-    /// Predicted time from the last time it was sent to its first event.
-    pub predicted: Duration,
-    /// Time from its arrival to its first event, or to the whole response.
-    pub first_event: Duration,
-}
-
 /// Why a request ends without an engine's response.
 #[derive(Debug)]
 pub(super) struct Failure {
@@ -107,12 +82,13 @@
         let failed = status.is_server_error() && can_retry(&routed, &attempts);
         let is_stream = routed.route.kind == RouteKind::Stream && status.is_success();
         let outcome = match is_stream {
-            true => relay::open_stream(&routed, engine_response, &attempts).await,
+            true => relay::open_stream(&routed, engine_response, &mut attempts).await,
             false => read_response(&routed, engine_response).await,
         };
         match outcome {
             Ok(_)
-                if failed && start_retry(&routed, &mut attempts, &engine, "the engine failed") => {}
+                if failed
+                    && retry::take_retry(&routed, &mut attempts, &engine, "the engine failed") => {}
             Ok(OpenedResponse::Complete(response)) => {
                 attempts.first_event = routed.age();
                 routed.log_outcome("answered", status.as_u16(), &engine, &attempts);
@@ -123,69 +99,24 @@
                 attempts.first_event = routed.age();
                 return relay::start_stream(routed, *stream, attempts, active);
             }
-            Err(cause) => {
+            Err(OpenError::Broken(cause)) => {
                 attempts.uncertain = true;
                 report_crash(&routed, &engine);
-                if !start_retry(&routed, &mut attempts, &engine, &cause) {
+                if !start_retry(&routed, &mut attempts, &engine, &cause).await {
                     let refusal = Refusal::new(Kind::UpstreamFailed);
                     return routed.refuse(refusal, &cause, &engine, attempts.sent);
                 }
             }
+            Err(OpenError::Left) => {}
+            Err(OpenError::DeadlinePassed) => {
+                let refusal = Refusal::new(Kind::OutcomeUnknown);
+                let cause = "no first event before the deadline";
+                return routed.refuse(refusal, cause, &engine, attempts.sent);
+            }
         }
     }
 }
 
-impl Attempts {
-    /// Returns whether the route allows another attempt of a request that may have run.
-    pub(super) fn route_allows_retry(&self, routed: &RoutedRequest) -> bool {
-        routed.route.is_repeatable() && self.sent < routed.route.attempts
-    }
-}
-
-/// Returns whether a request that may have run may be sent once more, apart from the
-/// retry budget.
-fn can_retry(routed: &RoutedRequest, attempts: &Attempts) -> bool {
-    attempts.route_allows_retry(routed) && routed.time_left() > MIN_TIME_LEFT
-}
-
-/// Excludes the engine and takes a retry of a request that may have run out of the retry
-/// budget. Returns whether the request may be sent again.
-pub(super) fn start_retry(
-    routed: &RoutedRequest,
-    attempts: &mut Attempts,
-    engine: &Arc<str>,
-    cause: &str,
-) -> bool {
-    if !attempts.avoid.contains(engine) {
-        attempts.avoid.push(engine.clone());
-    }
-    if !can_retry(routed, attempts) {
-        return false;
-    }
-    let allowed = routed.edge.try_retry(&routed.service);
-    if allowed {
-        routed.edge.metrics.record_retry();
-    }
-    let request = &*routed.headers.id;
-    let tries = attempts.sent;
-    log::info!(request, engine = &**engine, cause, tries, allowed; "request retry");
-    allowed
-}
-
-/// Records that an engine failed while it may have run the request.
-pub(super) fn report_crash(routed: &RoutedRequest, engine: &Arc<str>) {
-    let mut state = routed.edge.state.borrow_mut();
-    let fingerprint = routed.fingerprint;
-    if state
-        .suspects
-        .record_crash(fingerprint, engine, clock::now())
-    {
-        state.crash_reports.push((fingerprint, engine.clone()));
-        drop(state);
-        routed.edge.send_wake.notify_one();
-    }
-}
-
 /// Sends a request until the head of an engine's response arrives.
 pub(super) async fn send_until_response(
     routed: &RoutedRequest,
@@ -195,7 +126,7 @@
         let choice = wait_for_engine(routed, attempts).await?;
         attempts.waited = routed.age();
         attempts.predicted = choice.first_event;
-        let time_limit = response_timeout(routed, attempts, &choice);
+        let max_silence = response_timeout(routed, &choice);
         let engine = choice.engine.clone();
         let fail = |kind, cause: String| Failure {
             refusal: match kind {
@@ -205,50 +136,53 @@
             cause,
             engine: engine.clone(),
         };
-        match send(routed, attempts, &choice, time_limit).await {
-            SendOutcome::Response(engine_response) => {
-                attempts.sent += 1;
-                return Ok(engine_response);
-            }
+        let was_left = attempts.return_to(&engine);
+        attempts.sent += 1;
+        match send(routed, attempts, &choice, max_silence).await {
+            SendOutcome::Response(engine_response) => return Ok(engine_response),
             SendOutcome::NotRun(status) => {
-                attempts.not_run += 1;
+                attempts.record_not_run(&engine, was_left);
                 let cause = format!("the engine rejected the request with {}", status.as_u16());
-                attempts.avoid.push(engine.clone());
-                if attempts.not_run >= MAX_NOT_RUN_ATTEMPTS
-                    || !routed.edge.try_retry(&routed.service)
-                {
+                let is_last = attempts.not_run >= MAX_NOT_RUN_ATTEMPTS && !attempts.persists();
+                if is_last || !retry::await_budget(routed, attempts).await {
                     return Err(fail(not_run_kind(attempts), cause));
                 }
                 if status != StatusCode::MISDIRECTED_REQUEST {
-                    tokio::time::sleep(REJECTION_PAUSE.min(routed.time_left())).await;
+                    rejection_pause(routed, attempts).await;
                 }
             }
             SendOutcome::NotSent(cause) => {
-                attempts.not_run += 1;
-                attempts.avoid.push(engine.clone());
+                attempts.record_not_run(&engine, was_left);
                 if attempts.not_run >= MAX_NOT_RUN_ATTEMPTS {
-                    return Err(fail(not_run_kind(attempts), cause));
+                    if !attempts.persists() {
+                        return Err(fail(not_run_kind(attempts), cause));
+                    }
+                    rejection_pause(routed, attempts).await;
                 }
             }
             SendOutcome::Failed(cause) => {
-                attempts.sent += 1;
                 attempts.uncertain = true;
                 report_crash(routed, &engine);
-                if !start_retry(routed, attempts, &engine, &cause) {
+                if !start_retry(routed, attempts, &engine, &cause).await {
                     return Err(fail(Kind::UpstreamFailed, cause));
                 }
             }
-            SendOutcome::TimedOut => {
-                attempts.sent += 1;
+            SendOutcome::Left => {}
+            SendOutcome::DeadlinePassed => {
                 attempts.uncertain = true;
-                if !start_retry(routed, attempts, &engine, SILENCE) {
-                    return Err(fail(Kind::OutcomeUnknown, SILENCE.to_owned()));
-                }
+                let cause = "no response before the deadline";
+                return Err(fail(Kind::OutcomeUnknown, cause.to_owned()));
             }
         }
     }
 }
 
+/// Waits after a rejection, longer after each.
+async fn rejection_pause(routed: &RoutedRequest, attempts: &Attempts) {
+    let pause = REJECTION_PAUSE * attempts.not_run.clamp(1, MAX_REJECTION_PAUSES);
+    tokio::time::sleep(pause.min(routed.time_left())).await;
+}
+
 /// Returns the kind of refusal after an attempt that did not run: the outcome is unknown
 /// if an earlier attempt may have run.
 fn not_run_kind(attempts: &Attempts) -> Kind {
@@ -258,29 +192,17 @@
     }
 }
 
-/// Returns how long to wait for the engine's response before the request is sent to
-/// another engine.
-fn response_timeout(
-    routed: &RoutedRequest,
-    attempts: &Attempts,
-    choice: &SelectedEngine,
-) -> Duration {
-    let time_left = routed.time_left();
-    let is_last = attempts.sent + 1 >= routed.route.attempts;
-    if !routed.route.is_repeatable() || is_last {
-        return time_left;
-    }
+/// Returns how long an engine's response may take before another engine may take over.
+fn response_timeout(routed: &RoutedRequest, choice: &SelectedEngine) -> Option<Duration> {
     let objective = routed.route.objective;
-    let time_limit = match routed.route.kind {
-        RouteKind::Stream => choice.first_event + RESPONSE_SLACK.max(objective),
-        RouteKind::Idempotent | RouteKind::Once => {
-            choice.first_event + objective * SILENCE_OBJECTIVE_FACTOR
-        }
-    };
-    time_limit.min(time_left)
+    match routed.route.kind {
+        RouteKind::Stream => Some(choice.first_event + RESPONSE_SLACK.max(objective)),
+        RouteKind::Idempotent => Some(choice.first_event + objective * SILENCE_OBJECTIVE_FACTOR),
+        RouteKind::Once => None,
+    }
 }
 
-fn select_engine(routed: &RoutedRequest, avoid: &[Arc<str>], now: Moment) -> Selection {
+pub(super) fn select_engine(routed: &RoutedRequest, avoid: &[Arc<str>], now: Moment) -> Selection {
     let settings = routed.edge.settings();
     let state = routed.edge.state.borrow();
     let context = RoutingContext {
@@ -302,18 +224,29 @@
     routing::select_engine(&context, &routing_request)
 }
 
-/// Returns the predicted time to the first event at the engine that would take over from
-/// `engine`; `None` when there is no other.
-pub(super) fn successor_event(
-    routed: &RoutedRequest,
-    attempts: &Attempts,
-    engine: &Arc<str>,
-) -> Option<Duration> {
-    let mut avoid = attempts.avoid.clone();
-    avoid.push(engine.clone());
-    match select_engine(routed, &avoid, clock::now()) {
-        Selection::Engine(choice) if !avoid.contains(&choice.engine) => Some(choice.first_event),
-        _ => None,
+/// Selects the engine for the next attempt: one that has not failed the request, else one
+/// that was left, and after the last attempt that the route allows only such a one.
+fn select_next(routed: &RoutedRequest, attempts: &Attempts, now: Moment) -> Selection {
+    let may_go_on = attempts.sent == 0 || attempts.route_allows_retry(routed);
+    let selection = match may_go_on {
+        true => select_engine(routed, &attempts.avoid, now),
+        false => Selection::NoEngine,
+    };
+    let is_new = matches!(&selection, Selection::Engine(c) if !attempts.avoid.contains(&c.engine));
+    if is_new || attempts.left.is_empty() {
+        return selection;
+    }
+    let others: Vec<_> = {
+        let state = routed.edge.state.borrow();
+        let usable = state.fleet.usable_engines(&routed.service);
+        let ids = usable.map(|e| e.entry.id.clone());
+        ids.filter(|id| !attempts.left.contains(id)).collect()
+    };
+    match select_engine(routed, &others, now) {
+        Selection::Engine(choice) if attempts.left.contains(&choice.engine) => {
+            Selection::Engine(choice)
+        }
+        _ => selection,
     }
 }
 
@@ -358,9 +291,20 @@
         let resumed = !attempts.first_event.is_zero();
         let budget = TimeBudget::new(&routed.route, routed.age(), waited, time_left, resumed);
         let limits = routed.edge.settings().admission;
-        let selection = select_engine(routed, &attempts.avoid, now);
+        let selection = select_next(routed, attempts, now);
+        if resumed && let Selection::Engine(choice) = selection {
+            // The caller has a part of the answer, so that the rest is never refused.
+            return Ok(choice);
+        }
         let max_pause = match budget.decide(selection, &limits) {
             AdmissionDecision::Send(choice) => return Ok(choice),
+            AdmissionDecision::Refuse { kind, .. }
+                if attempts.persists()
+                    && kind != Kind::UnknownModel
+                    && (resumed || !budget.event_left.is_zero()) =>
+            {
+                RESELECT_INTERVAL
+            }
             AdmissionDecision::Refuse {
                 kind,
                 cause,
@@ -386,6 +330,11 @@
                 }
                 HELD_RESELECT_INTERVAL
             }
+            AdmissionDecision::NoEngine
+                if attempts.persists() && attempts.route_allows_retry(routed) =>
+            {
+                RESELECT_INTERVAL
+            }
             AdmissionDecision::NoEngine => {
                 let Some(wait) = NO_ENGINE_WAIT.checked_sub(budget.waited) else {
                     let cause = "no engine of the service is known";
@@ -417,7 +366,7 @@
 async fn read_response(
     routed: &Rc<RoutedRequest>,
     engine_response: Box<EngineResponse>,
-) -> Result<OpenedResponse, String> {
+) -> Result<OpenedResponse, OpenError> {
     let EngineResponse {
         response,
         connection,
@@ -435,7 +384,10 @@
     let body = Limited::new(body, MAX_UNFRAMED_BYTES).collect();
     let body = match timeout(routed.time_left(), body).await {
         Ok(body) => body,
-        Err(_) => return Err("the response did not end in time".to_owned()),
+        Err(_) => {
+            let cause = "the response did not end in time";
+            return Err(OpenError::Broken(cause.to_owned()));
+        }
     };
     match body {
         Ok(body) => {
@@ -449,12 +401,14 @@
             Ok(OpenedResponse::Complete(Response::from_parts(head, body)))
         }
         Err(error) if error.is::<LengthLimitError>() => {
-            Err("the response has no content length and is too long".to_owned())
+            let cause = "the response has no content length and is too long";
+            Err(OpenError::Broken(cause.to_owned()))
         }
         Err(error) => {
             in_flight.record_outcome(false);
             connection.drop_idle();
-            Err(format!("the response was truncated: {error}"))
+            let cause = format!("the response was truncated: {error}");
+            Err(OpenError::Broken(cause))
         }
     }
 }
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -19,5 +19,6 @@
 mod requests;
 mod retry_budget;
 mod shutdown;
+mod silence;
 mod site;
 mod translation;
