Let the fake engines echo the id in rejections

The platform's engines echo the request's id in all responses. The fakes left it out of their rejections, so every test of a rejection ran on the one case that the daemon cannot attribute to a request, and none noticed that a late rejection without an id was believed.

The fakes now echo it, and record which requests began to run, so that a test can compare a promise with what happened. The id is left out by one behavior of its own, for an engine that cannot parse a request; its rejection is believed on a new connection.

--- /dev/null
+++ b/tests/edge/attribution.rs
@@ -0,0 +1,46 @@
+//! Which request a response of an engine belongs to: only a response that is proven to
+//! belong to a request tells whether that request ran.
+
+use crate::fakes::daemon::{Request, wait};
+use crate::fakes::engine::Behavior;
+use crate::fakes::store::Store;
+use crate::site::{Site, desired};
+
+/// Guards against 502 for requests that an engine could not parse: its rejection has no
+/// id, but no other request was sent on the connection.
+#[test]
+fn a_rejection_without_an_id_is_believed_on_a_new_connection() {
+    let site = Site::start();
+    site.set(Behavior::FullWithoutId);
+    let answer = site.send("/book/", "b1");
+    assert_eq!((answer.status, site.runs("b1")), (503, 0), "{answer:?}");
+}
+
+/// Guards against foreign bytes in a body: the rest of a body that an engine reads after
+/// its answer is due before the next request.
+#[test]
+fn the_rest_of_a_body_is_sent_after_an_early_answer() {
+    let store = Store::start();
+    let mut state = desired(5);
+    state["limits"]["maxBodyBytes"] = (16 << 20).into();
+    store.put("op", "config", &state);
+    let site = Site::start_with(store);
+    site.set(Behavior::Early);
+    for i in 0..6 {
+        let id = format!("b{i}");
+        let request = Request {
+            // More than the buffers of both sockets hold.
+            body: format!("{id} ").repeat(3 << 20),
+            ..Request::new("/book/", &id)
+        };
+        let answer = site.daemon.send(&request);
+        assert_eq!(answer.status, 200, "{}", answer.head);
+        assert_eq!(answer.body, format!("answer to {id}"));
+        wait("the whole body", || site.runs(&id) == 1);
+        let arrivals: Vec<_> = site.plain.iter().flat_map(|e| e.arrivals()).collect();
+        let arrived = arrivals
+            .iter()
+            .find(|a| a.header("x-mastichinge-request-id") == id);
+        assert!(arrived.unwrap().body == request.body.as_bytes(), "{id}");
+    }
+}
--- a/tests/edge/fakes/engine.rs
+++ b/tests/edge/fakes/engine.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 
 use super::store::Store;
-use super::{ReceivedRequest, read_request, runtime, write_response};
+use super::{ReceivedRequest, read_body, read_head, runtime, write_response};
 
 /// How an engine answers requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -37,6 +37,10 @@
     Extra,
     /// Rejects every request without running it.
     Full,
+    /// Rejects every request without running it or echoing its id.
+    FullWithoutId,
+    /// Answers before it reads the body, and reads the body later.
+    Early,
     /// Answers 500.
     Failing,
 }
@@ -48,6 +52,8 @@
     /// Number of accepted orders.
     accepted_orders: u64,
     arrivals: Vec<ReceivedRequest>,
+    /// Ids of the requests that began to run, once for each time.
+    runs: Vec<String>,
     /// Requests whose connection closed while they ran.
     cancelled: Vec<String>,
     received_orders: Vec<Value>,
@@ -150,6 +156,12 @@
         self.state.lock().unwrap().cancelled.clone()
     }
 
+    /// Returns how often a request began to run.
+    pub fn runs(&self, id: &str) -> usize {
+        let state = self.state.lock().unwrap();
+        state.runs.iter().filter(|r| *r == id).count()
+    }
+
     /// Returns the received orders.
     pub fn received_orders(&self) -> Vec<Value> {
         self.state.lock().unwrap().received_orders.clone()
@@ -158,7 +170,17 @@
     async fn serve(self, stream: &mut TcpStream) {
         stream.set_nodelay(true).unwrap();
         let mut rest = Vec::new();
-        while let Ok(Some(request)) = read_request(stream, &mut rest).await {
+        while let Ok(Some(mut request)) = read_head(stream, &mut rest).await {
+            let is_call = ["/report", "/order"].contains(&request.path());
+            if !is_call && self.behavior() == Behavior::Early {
+                if self.answer(stream, &request).await.is_err() {
+                    return;
+                }
+                sleep(EVENT_PAUSE).await;
+            }
+            if !matches!(read_body(stream, &mut rest, &mut request).await, Ok(true)) {
+                return;
+            }
             let done = match request.path() {
                 "/report" => self.report(stream).await,
                 "/order" => self.order(stream, &request).await,
@@ -170,6 +192,21 @@
         }
     }
 
+    fn behavior(&self) -> Behavior {
+        self.state.lock().unwrap().behavior
+    }
+
+    /// Sends the correct answer to a request that is not for a stream.
+    async fn answer(
+        &self,
+        stream: &mut TcpStream,
+        request: &ReceivedRequest,
+    ) -> std::io::Result<()> {
+        let id = request.header("x-mastichinge-request-id");
+        let body = format!("answer to {id}");
+        write_response(stream, 200, &signed(id), body.as_bytes()).await
+    }
+
     async fn report(&self, stream: &mut TcpStream) -> std::io::Result<()> {
         let report = {
             let state = self.state.lock().unwrap();
@@ -218,23 +255,28 @@
         let (behavior, loaded) = {
             let mut state = self.state.lock().unwrap();
             let loaded = model.is_empty() || state.models.contains(&model);
-            state.arrivals.push(request);
+            state.arrivals.push(request.clone());
             (state.behavior, loaded)
         };
-        let signed = [
+        let signed = signed(&id);
+        let not_run = [
             ("X-Mastichinge-Request-Id", id.as_str()),
-            ("X-Mastichinge-Server-Stamp", "stamp"),
+            ("X-Mastichinge-Not-Run", "1"),
         ];
         if expected != self.id || !loaded {
-            return write_response(stream, 421, &[("X-Mastichinge-Not-Run", "1")], b"").await;
+            return write_response(stream, 421, &not_run, b"").await;
         }
+        if behavior == Behavior::Full {
+            return write_response(stream, 503, &not_run, b"full").await;
+        }
+        if behavior == Behavior::FullWithoutId {
+            return write_response(stream, 503, &not_run[1..], b"full").await;
+        }
+        self.state.lock().unwrap().runs.push(id.clone());
         match behavior {
             Behavior::Reset => return reset(stream),
             Behavior::Silent => return self.wait_for_close(stream, &id).await,
-            Behavior::Full => {
-                return write_response(stream, 503, &[("X-Mastichinge-Not-Run", "1")], b"full")
-                    .await;
-            }
+            Behavior::Early => return Ok(()),
             Behavior::Failing => return write_response(stream, 500, &signed, b"failed").await,
             Behavior::UnframedReset | Behavior::Unframed => {
                 let head = format!(
@@ -254,8 +296,7 @@
             _ => {}
         }
         if !is_stream {
-            let body = format!("answer to {id}");
-            write_response(stream, 200, &signed, body.as_bytes()).await?;
+            self.answer(stream, &request).await?;
             if behavior == Behavior::Extra {
                 let body = format!("second answer to {id}");
                 write_response(stream, 200, &signed, body.as_bytes()).await?;
@@ -315,6 +356,14 @@
     json!({"name": model, "version": 1, "adapters": []})
 }
 
+/// Returns the headers of an answer to the request `id`.
+fn signed(id: &str) -> [(&str, &str); 2] {
+    [
+        ("X-Mastichinge-Request-Id", id),
+        ("X-Mastichinge-Server-Stamp", "stamp"),
+    ]
+}
+
 /// Ends a connection with a reset.
 fn reset(stream: &TcpStream) -> std::io::Result<()> {
     SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the edge daemon: decisions, platform adapter and request forwarding.
 
+mod attribution;
 mod decisions;
 mod engine_list;
 mod fakes;
--- a/tests/edge/site.rs
+++ b/tests/edge/site.rs
@@ -44,6 +44,11 @@
     pub fn start() -> Self {
         let store = Store::start();
         store.put("op", "config", &desired(5));
+        Site::start_with(store)
+    }
+
+    /// Starts the engines and the daemon with this store.
+    pub fn start_with(store: Store) -> Self {
         let plain = ["p1", "p2"].map(|id| Engine::start(&store, id, "desk", &[]));
         let models = ["e1", "e2"].map(|id| Engine::start(&store, id, "models", &["m1"]));
         let daemon = Daemon::start(&store, "edge-1");
@@ -80,6 +85,12 @@
         });
     }
 
+    /// Returns how often a request began to run.
+    pub fn runs(&self, id: &str) -> usize {
+        let engines = self.plain.iter().chain(&self.models);
+        engines.map(|e| e.runs(id)).sum()
+    }
+
     /// Returns how often a request reached an engine.
     pub fn arrivals(&self, id: &str) -> usize {
         let engines = self.plain.iter().chain(&self.models);
