Relay no status that promises more than the engine states

These statuses promise callers that a request has not run and never will, and an engine states that only with the Not-Run header. The daemon relayed the engine's own status without that header as it came, with the engine's signature, so an engine that answered 503 after it had run the request made the daemon promise the contrary.

Such a response now has an unknown outcome: a request that may not be repeated ends with 502 and no signature, a repeatable one is sent again within the budget. 101 has no place in these exchanges either and is handled alike; relayed, it ended the caller's connection without a response.

The new test failed before for each status: (503, 1), (429, 1), (408, 1) for status and number of runs, and no response at all for 101. A rejection that names another request was not believed before either; a test states it.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -238,6 +238,13 @@
                     return Err(fail(Kind::UpstreamFailed, cause));
                 }
             }
+            SendOutcome::Unproven(cause) => {
+                attempts.sent += 1;
+                attempts.uncertain = true;
+                if !start_retry(routed, attempts, &engine, &cause) {
+                    return Err(fail(Kind::UpstreamFailed, cause));
+                }
+            }
             SendOutcome::TimedOut => {
                 attempts.sent += 1;
                 attempts.uncertain = true;
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -50,6 +50,8 @@
     NotSent(String),
     /// The connection was lost, or the response is not valid; the request may have run.
     Failed(String),
+    /// The engine responded, but not with a proof of whether the request ran.
+    Unproven(String),
     /// No response arrived within the time limit.
     TimedOut,
 }
@@ -110,6 +112,12 @@
         routed.edge.client.drop_idle(choice.addr);
         return SendOutcome::Failed("the response is for another request".to_owned());
     }
+    if headers::promises_not_run(status) || status.is_informational() {
+        in_flight.record_outcome(false);
+        discard_body(response, connection, headers).await;
+        let status = status.as_u16();
+        return SendOutcome::Unproven(format!("the engine may have run it and responded {status}"));
+    }
     if status.is_success() && !headers.signed {
         in_flight.record_outcome(false);
         return SendOutcome::Failed("the response is not signed".to_owned());
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::StatusCode;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
 use crate::edge::request_headers::{EngineHeaders, Prompt, PromptPart, RequestHeaders};
@@ -59,6 +60,14 @@
     header::UPGRADE,
 ];
 
+/// Statuses that promise callers that the request has not run and never will.
+const PROMISES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Lowest priority at an engine.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -164,6 +173,11 @@
     }
 }
 
+/// Returns whether callers take a status as the promise that the request has not run.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    PROMISES.contains(&status)
+}
+
 /// Returns the headers without the hop-by-hop ones, which the `Connection` header
 /// extends.
 fn end_to_end(headers: &HeaderMap) -> HeaderMap {
--- a/tests/edge/attribution.rs
+++ b/tests/edge/attribution.rs
@@ -1,11 +1,38 @@
 //! Which request a response of an engine belongs to: only a response that is proven to
 //! belong to a request tells whether that request ran.
 
+use test_case::test_case;
+
 use crate::fakes::daemon::{Request, wait};
 use crate::fakes::engine::Behavior;
 use crate::fakes::store::Store;
 use crate::site::{Site, desired};
 
+/// Guards against REFUSED: an engine's own status was relayed where callers take it as
+/// the promise that the request has not run, although the engine did not state that.
+#[test_case(503)]
+#[test_case(429)]
+#[test_case(408)]
+#[test_case(101)]
+fn a_status_that_promises_is_relayed_only_when_the_engine_has_not_run_the_request(status: u16) {
+    let site = Site::start();
+    site.set(Behavior::Answers(status));
+    let answer = site.send("/book/", "b1");
+    assert_eq!((answer.status, site.runs("b1")), (502, 1), "{answer:?}");
+    assert_eq!(answer.header("x-mastichinge-server-stamp"), None);
+    let answer = site.send("/look/", "l1");
+    assert_eq!((answer.status, site.runs("l1")), (502, 2), "{answer:?}");
+}
+
+/// Guards against REFUSED and TWICE: a rejection of another request says nothing.
+#[test]
+fn a_rejection_of_another_request_is_not_believed() {
+    let site = Site::start();
+    site.set(Behavior::RejectsAnother);
+    let answer = site.send("/book/", "b1");
+    assert_eq!((answer.status, site.runs("b1")), (502, 1), "{answer:?}");
+}
+
 /// Guards against 502 for requests that an engine could not parse: its rejection has no
 /// id, but no other request was sent on the connection.
 #[test]
--- a/tests/edge/fakes/engine.rs
+++ b/tests/edge/fakes/engine.rs
@@ -39,6 +39,10 @@
     Full,
     /// Rejects every request without running it or echoing its id.
     FullWithoutId,
+    /// Runs every request, but answers with a rejection of another.
+    RejectsAnother,
+    /// Runs every request and answers with this status.
+    Answers(u16),
     /// Answers before it reads the body, and reads the body later.
     Early,
     /// Answers 500.
@@ -276,6 +280,13 @@
         match behavior {
             Behavior::Reset => return reset(stream),
             Behavior::Silent => return self.wait_for_close(stream, &id).await,
+            Behavior::RejectsAnother => {
+                let another = [("X-Mastichinge-Request-Id", "another"), not_run[1]];
+                return write_response(stream, 503, &another, b"full").await;
+            }
+            Behavior::Answers(status) => {
+                return write_response(stream, status, &signed, b"answer").await;
+            }
             Behavior::Early => return Ok(()),
             Behavior::Failing => return write_response(stream, 500, &signed, b"failed").await,
             Behavior::UnframedReset | Behavior::Unframed => {
