Believe a rejection only if it provably answers the request

An engine may send an extra response late, at the point where the next response is expected, and only the id tells it apart. The daemon believed a rejection (Not-Run, or status 421) without an id on any connection. On a reused one such a rejection can belong to an earlier request: the daemon sent the next request to another engine, or refused it, while the first engine ran it.

Each response is now attributed to the request before anything is concluded from it: its id matches, or it has no id and the connection carried nothing before. Anything else tells nothing about the request, whose outcome is then unknown: 502 where it may not be repeated, a retry within the budget otherwise. That connection and the idle ones to the engine are closed. A response to another request no longer counts as a crash of the engine, which held other requests with the same body. Not-Run counts only with the statuses that engines use with it; with any other status it contradicts itself.

The attribution is logged with each rejection and each response that is not believed, and counted in mastichinge_engine_responses_total.

The new tests send a late rejection without an id ahead of the next answer on the connection. Before, each of 503, 429, 421 and 400 led to two runs of a booking, and without a retry left to 503 for a booking that ran.

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -47,6 +47,8 @@
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     addr: SocketAddr,
+    /// Whether it carried another exchange before.
+    reused: bool,
     pools: Weak<RefCell<IdlePools>>,
 }
 
@@ -57,6 +59,12 @@
 }
 
 impl Connection {
+    /// Returns whether the connection carried another exchange before, so that a late
+    /// response to that one may arrive.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
     /// Drops the idle connections to the same address, for use after this connection
     /// broke: the process behind them may be gone.
     pub fn drop_idle(&self) {
@@ -67,7 +75,7 @@
 
     /// Makes the connection available to another request, once the response was read
     /// whole; `idle_timeout` is the server's.
-    pub fn release(self, idle_timeout: Option<Duration>) {
+    pub fn release(mut self, idle_timeout: Option<Duration>) {
         let Some(pools) = self.pools.upgrade() else {
             return;
         };
@@ -77,6 +85,7 @@
             None => IDLE_TIMEOUT,
         };
         let expires_at = clock::now() + keep_time;
+        self.reused = true;
         let mut pools = pools.borrow_mut();
         let pool = pools.entry(self.addr).or_default();
         if pool.len() < MAX_IDLE_CONNECTIONS {
@@ -112,16 +121,16 @@
         connect_timeout: Duration,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         loop {
-            let (mut connection, reused) = match self.take_idle(addr) {
-                Some(connection) => (connection, true),
-                None => (self.connect(addr, connect_timeout).await?, false),
+            let mut connection = match self.take_idle(addr) {
+                Some(connection) => connection,
+                None => self.connect(addr, connect_timeout).await?,
             };
             let mut error = match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(error) => error,
             };
             match error.take_message() {
-                Some(unsent) if reused => request = unsent,
+                Some(unsent) if connection.reused => request = unsent,
                 Some(_) => return Err(SendError::NotSent(error.error().to_string())),
                 None => return Err(SendError::ConnectionLost(error.error().to_string())),
             }
@@ -203,6 +212,7 @@
             sender,
             task,
             addr,
+            reused: false,
             pools: Rc::downgrade(&self.pools),
         })
     }
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -2,6 +2,7 @@
 //! relays its response.
 
 mod attempt;
+mod attribution;
 mod relay;
 pub mod response;
 mod send;
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -10,6 +10,7 @@
 
 use super::RoutedRequest;
 use super::attempt::Attempts;
+use super::attribution::Attribution;
 use crate::clock::Moment;
 use crate::edge::client::{Connection, SendError};
 use crate::edge::clock;
@@ -97,21 +98,27 @@
     };
     let headers = headers::parse_response(response.headers());
     let status = response.status();
-    let id_matches = *headers.id == *routed.headers.id
-        || (headers.id.is_empty() && routed.headers.id.is_empty());
-    if headers.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-        if !id_matches && !headers.id.is_empty() {
-            return SendOutcome::Failed("the response is for another request".to_owned());
-        }
+    let attribution = Attribution::of(&routed.headers.id, &headers, connection.is_reused());
+    let rejected = headers::is_rejection(status, &headers);
+    let believed = match attribution {
+        Attribution::IdMatched => true,
+        // An engine that cannot parse a request rejects it without its id.
+        Attribution::FirstExchange => rejected || routed.headers.id.is_empty(),
+        Attribution::NotBelieved => false,
+    };
+    log_response(routed, choice, status, attribution, (rejected, believed));
+    if !believed {
+        in_flight.record_outcome(false);
+        connection.drop_idle();
+        return SendOutcome::Unproven("the response may be for another request".to_owned());
+    }
+    if rejected {
         record_rejection(routed, choice, status);
-        discard_body(response, connection, headers).await;
+        if attribution == Attribution::IdMatched {
+            discard_body(response, connection, headers).await;
+        }
         return SendOutcome::NotRun(status);
     }
-    if !id_matches {
-        in_flight.record_outcome(false);
-        routed.edge.client.drop_idle(choice.addr);
-        return SendOutcome::Failed("the response is for another request".to_owned());
-    }
     if headers::promises_not_run(status) || status.is_informational() {
         in_flight.record_outcome(false);
         discard_body(response, connection, headers).await;
@@ -156,12 +163,32 @@
     Ok(request)
 }
 
-/// Logs that an engine rejected a request, and records the model or adapter that it
-/// lacks after status 421.
-fn record_rejection(routed: &RoutedRequest, choice: &SelectedEngine, status: StatusCode) {
+/// Counts a response and, if it is a rejection or not believed, logs it.
+fn log_response(
+    routed: &RoutedRequest,
+    choice: &SelectedEngine,
+    status: StatusCode,
+    attribution: Attribution,
+    (rejected, believed): (bool, bool),
+) {
+    let attribution: &'static str = attribution.into();
+    routed.edge.metrics.record_engine_response(attribution);
     let request = &*routed.headers.id;
     let engine = &*choice.engine;
-    log::info!(request, engine, status = status.as_u16(); "engine rejected the request");
+    let status = status.as_u16();
+    match (rejected, believed) {
+        (true, true) => {
+            log::info!(request, engine, status, attribution; "engine rejected the request");
+        }
+        (_, false) => {
+            log::warn!(request, engine, status, attribution; "engine's response not believed");
+        }
+        (false, true) => {}
+    }
+}
+
+/// Records the model or adapter that an engine lacks after status 421.
+fn record_rejection(routed: &RoutedRequest, choice: &SelectedEngine, status: StatusCode) {
     if status != StatusCode::MISDIRECTED_REQUEST {
         return;
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -40,6 +40,7 @@
     worth: Counter<f64>,
     refused: Counter<u64>,
     retries: Counter<u64>,
+    engine_responses: Counter<u64>,
     streams: UpDownCounter<i64>,
     queue: Gauge<u64>,
     loads: Counter<u64>,
@@ -89,6 +90,11 @@
             worth: float_counter(&m, "worth", "Sum of the worth of requests answered whole"),
             refused: counter(&m, "refused", "Requests refused, by kind"),
             retries: counter(&m, "retries", "Further attempts at an upstream"),
+            engine_responses: counter(
+                &m,
+                "engine_responses",
+                "Responses of engines, by how they were attributed to a request",
+            ),
             streams: open_streams(&m),
             queue: gauge(&m, "queue", "Requests that wait for a replica at this host"),
             loads: counter(&m, "loads", "Load orders that ended, by outcome"),
@@ -146,6 +152,12 @@
         self.retries.add(1, &[]);
     }
 
+    /// Counts an engine's response.
+    pub fn record_engine_response(&self, attribution: &'static str) {
+        let attribution = KeyValue::new("attribution", attribution);
+        self.engine_responses.add(1, &[attribution]);
+    }
+
     /// Adds `change` to the number of open streams.
     pub fn add_streams(&self, change: i64) {
         self.streams.add(change, &[]);
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -68,6 +68,14 @@
     StatusCode::SERVICE_UNAVAILABLE,
 ];
 
+/// Statuses with which an engine may state that it did not run the request.
+const REJECTIONS: [StatusCode; 4] = [
+    StatusCode::BAD_REQUEST,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Lowest priority at an engine.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -173,6 +181,12 @@
     }
 }
 
+/// Returns whether an engine's response states that the engine did not run the request
+/// that it answers.
+pub fn is_rejection(status: StatusCode, headers: &ResponseHeaders) -> bool {
+    status == StatusCode::MISDIRECTED_REQUEST || headers.not_run && REJECTIONS.contains(&status)
+}
+
 /// Returns whether callers take a status as the promise that the request has not run.
 pub fn promises_not_run(status: StatusCode) -> bool {
     PROMISES.contains(&status)
--- a/tests/edge/attribution.rs
+++ b/tests/edge/attribution.rs
@@ -8,6 +8,49 @@
 use crate::fakes::store::Store;
 use crate::site::{Site, desired};
 
+/// Statuses that promise callers that a request has not run and never will.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// Sends bookings until an engine has sent a late response; each booking runs at most
+/// once, and not at all if its response promises that.
+fn assert_bookings_run_once(site: &Site) {
+    let mut sent = 0;
+    wait("a late response", || {
+        let id = format!("b{sent}");
+        sent += 1;
+        let answer = site.send("/book/", &id);
+        let runs = site.runs(&id);
+        assert!(runs <= 1, "{id} ran {runs} times: {answer:?}");
+        let promised = PROMISES.contains(&answer.status);
+        assert!(!promised || runs == 0, "{id} ran: {answer:?}");
+        site.plain.iter().any(|e| e.late_responses() > 0)
+    });
+}
+
+/// Guards against TWICE: a late rejection without an id was taken as the response to the
+/// next request on its connection, which was sent again while its engine ran it.
+#[test_case(503)]
+#[test_case(429)]
+#[test_case(421)]
+#[test_case(400)]
+fn a_late_rejection_without_an_id_repeats_no_booking(status: u16) {
+    let site = Site::start();
+    site.set(Behavior::LateRejection(status));
+    assert_bookings_run_once(&site);
+}
+
+/// Guards against REFUSED: after such a rejection the request was refused as not run.
+#[test_case(503)]
+#[test_case(429)]
+#[test_case(421)]
+#[test_case(400)]
+fn a_late_rejection_without_an_id_is_no_proof_that_a_booking_has_not_run(status: u16) {
+    let site = Site::start();
+    site.exhaust_retries();
+    site.set(Behavior::LateRejection(status));
+    assert_bookings_run_once(&site);
+}
+
 /// Guards against REFUSED: an engine's own status was relayed where callers take it as
 /// the promise that the request has not run, although the engine did not state that.
 #[test_case(503)]
--- a/tests/edge/fakes/engine.rs
+++ b/tests/edge/fakes/engine.rs
@@ -39,6 +39,9 @@
     Full,
     /// Rejects every request without running it or echoing its id.
     FullWithoutId,
+    /// Runs every request. On a connection that has carried another, a late rejection
+    /// with this status and without an id comes first.
+    LateRejection(u16),
     /// Runs every request, but answers with a rejection of another.
     RejectsAnother,
     /// Runs every request and answers with this status.
@@ -58,6 +61,8 @@
     arrivals: Vec<ReceivedRequest>,
     /// Ids of the requests that began to run, once for each time.
     runs: Vec<String>,
+    /// Number of late responses sent.
+    late_responses: u64,
     /// Requests whose connection closed while they ran.
     cancelled: Vec<String>,
     received_orders: Vec<Value>,
@@ -166,6 +171,11 @@
         state.runs.iter().filter(|r| *r == id).count()
     }
 
+    /// Returns the number of late responses sent.
+    pub fn late_responses(&self) -> u64 {
+        self.state.lock().unwrap().late_responses
+    }
+
     /// Returns the received orders.
     pub fn received_orders(&self) -> Vec<Value> {
         self.state.lock().unwrap().received_orders.clone()
@@ -174,6 +184,8 @@
     async fn serve(self, stream: &mut TcpStream) {
         stream.set_nodelay(true).unwrap();
         let mut rest = Vec::new();
+        // Id of the request that the connection carried last.
+        let mut earlier = String::new();
         while let Ok(Some(mut request)) = read_head(stream, &mut rest).await {
             let is_call = ["/report", "/order"].contains(&request.path());
             if !is_call && self.behavior() == Behavior::Early {
@@ -185,14 +197,18 @@
             if !matches!(read_body(stream, &mut rest, &mut request).await, Ok(true)) {
                 return;
             }
+            let id = request.header("x-mastichinge-request-id").to_owned();
             let done = match request.path() {
                 "/report" => self.report(stream).await,
                 "/order" => self.order(stream, &request).await,
-                _ => self.run_request(stream, request).await,
+                _ => self.run_request(stream, request, &earlier).await,
             };
             if done.is_err() {
                 return;
             }
+            if !is_call {
+                earlier = id;
+            }
         }
     }
 
@@ -211,6 +227,17 @@
         write_response(stream, 200, &signed(id), body.as_bytes()).await
     }
 
+    /// Sends a response that is late: the next request has arrived.
+    async fn late_response(
+        &self,
+        stream: &mut TcpStream,
+        status: u16,
+        headers: &[(&str, &str)],
+    ) -> std::io::Result<()> {
+        self.state.lock().unwrap().late_responses += 1;
+        write_response(stream, status, headers, b"late").await
+    }
+
     async fn report(&self, stream: &mut TcpStream) -> std::io::Result<()> {
         let report = {
             let state = self.state.lock().unwrap();
@@ -250,6 +277,7 @@
         &self,
         stream: &mut TcpStream,
         request: ReceivedRequest,
+        earlier: &str,
     ) -> std::io::Result<()> {
         let id = request.header("x-mastichinge-request-id").to_owned();
         let model = request.header("x-mastichinge-model").to_owned();
@@ -280,6 +308,9 @@
         match behavior {
             Behavior::Reset => return reset(stream),
             Behavior::Silent => return self.wait_for_close(stream, &id).await,
+            Behavior::LateRejection(status) if !earlier.is_empty() => {
+                self.late_response(stream, status, &not_run[1..]).await?;
+            }
             Behavior::RejectsAnother => {
                 let another = [("X-Mastichinge-Request-Id", "another"), not_run[1]];
                 return write_response(stream, 503, &another, b"full").await;
--- a/tests/edge/requests.rs
+++ b/tests/edge/requests.rs
@@ -209,14 +209,7 @@
 #[test]
 fn a_preempted_stream_is_not_cut_when_no_retry_is_left() {
     let site = Site::start();
-    site.daemon.write_settings(|s| {
-        s["bounds"]["retry_ratio"] = 0.0.into();
-        s["bounds"]["retry_slack"] = 0.0.into();
-    });
-    site.daemon.signal(libc::SIGHUP);
-    wait("the new settings", || {
-        !site.daemon.logged("settings reloaded").is_empty()
-    });
+    site.exhaust_retries();
     assert_goes_on_after_a_preemption(&site);
 }
 
--- a/tests/edge/site.rs
+++ b/tests/edge/site.rs
@@ -91,6 +91,18 @@
         engines.map(|e| e.runs(id)).sum()
     }
 
+    /// Leaves no retry in the budget.
+    pub fn exhaust_retries(&self) {
+        self.daemon.write_settings(|s| {
+            s["bounds"]["retry_ratio"] = 0.0.into();
+            s["bounds"]["retry_slack"] = 0.0.into();
+        });
+        self.daemon.signal(libc::SIGHUP);
+        wait("the new settings", || {
+            !self.daemon.logged("settings reloaded").is_empty()
+        });
+    }
+
     /// Returns how often a request reached an engine.
     pub fn arrivals(&self, id: &str) -> usize {
         let engines = self.plain.iter().chain(&self.models);
