Send a request to the same engine again on a new connection

Callers saw a booking run twice, or refused with 503 although it ran. When every engine has rejected a request, it comes to one of them again, and it took the connection that had carried its rejection. If the engine repeats that rejection late, the repeated one has the right id and was believed, while the engine ran the request: the id tells requests apart, not two sendings of one.

A request now goes to an engine that it was sent to before on a new connection, where nothing late can arrive. So does a request without an id, whose responses can't be told apart at all.

The new test has both engines reject a booking once and repeat the rejection when it comes again.

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -27,6 +27,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time before the server's idle timeout at which an idle connection is dropped.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
+/// Default time limit for connecting.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of idle connections for one address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -112,18 +114,21 @@
 }
 
 impl Client {
-    /// Sends `request` to `addr`, on an idle connection if there is one. Dropping the
-    /// future closes the connection.
+    /// Sends `request` to `addr`. Dropping the future closes the connection.
     pub async fn send(
         &self,
         addr: SocketAddr,
         mut request: Request<Full<Bytes>>,
-        connect_timeout: Duration,
+        options: SendOptions,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         loop {
-            let mut connection = match self.take_idle(addr) {
+            let idle = match options.new_connection {
+                true => None,
+                false => self.take_idle(addr),
+            };
+            let mut connection = match idle {
                 Some(connection) => connection,
-                None => self.connect(addr, connect_timeout).await?,
+                None => self.connect(addr, options.connect_timeout).await?,
             };
             let mut error = match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
@@ -145,7 +150,11 @@
         limits: CallLimits,
     ) -> Result<Response<Bytes>, SendError> {
         let exchange = async {
-            let (response, connection) = self.send(addr, request, limits.connect_timeout).await?;
+            let options = SendOptions {
+                connect_timeout: limits.connect_timeout,
+                ..SendOptions::default()
+            };
+            let (response, connection) = self.send(addr, request, options).await?;
             let (head, body) = response.into_parts();
             let body = Limited::new(body, limits.max_bytes).collect().await;
             let body = body.map_err(|e| SendError::ConnectionLost(e.to_string()))?;
@@ -218,6 +227,25 @@
     }
 }
 
+/// How a request is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SendOptions {
+    /// Time limit for connecting.
+    pub connect_timeout: Duration,
+    /// Whether to open a connection even if there is an idle one. Needed when a late
+    /// response to an earlier request cannot be told from the response to this one.
+    pub new_connection: bool,
+}
+
+impl Default for SendOptions {
+    fn default() -> Self {
+        SendOptions {
+            connect_timeout: CONNECT_TIMEOUT,
+            new_connection: false,
+        }
+    }
+}
+
 /// Limits of a call with a short response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallLimits {
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -12,7 +12,7 @@
 use super::attempt::Attempts;
 use super::attribution::Attribution;
 use crate::clock::Moment;
-use crate::edge::client::{Connection, SendError};
+use crate::edge::client::{Connection, SendError, SendOptions};
 use crate::edge::clock;
 use crate::edge::in_flight::InFlightGuard;
 use crate::edge::placement::ModelTarget;
@@ -20,8 +20,6 @@
 use crate::edge::routing::SelectedEngine;
 use crate::platform::headers;
 
-/// Time limit for connecting to an engine.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time limit for reading the rest of a rejection, so that its connection can be reused.
 const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 /// Maximum size of a response that is read whole before it is relayed, bytes. If such a
@@ -70,10 +68,12 @@
     };
     let in_flight = InFlightGuard::begin(&routed.edge, choice, routed.headers.prompt.as_ref());
     let sent_at = clock::now();
-    let sending = routed
-        .edge
-        .client
-        .send(choice.addr, request, CONNECT_TIMEOUT);
+    let options = SendOptions {
+        // A late response to an earlier sending has the same id.
+        new_connection: routed.headers.id.is_empty() || attempts.avoid.contains(&choice.engine),
+        ..SendOptions::default()
+    };
+    let sending = routed.edge.client.send(choice.addr, request, options);
     let Ok(outcome) = timeout(time_limit, sending).await else {
         match time_limit < routed.time_left() {
             true => in_flight.record_outcome(false),
--- a/tests/edge/attribution.rs
+++ b/tests/edge/attribution.rs
@@ -51,6 +51,16 @@
     assert_bookings_run_once(&site);
 }
 
+/// Guards against REFUSED and TWICE: a rejected request came to the same engine again on
+/// the same connection, where a repeated rejection has its id.
+#[test]
+fn a_repeated_rejection_is_not_taken_as_the_response_to_the_next_sending() {
+    let site = Site::start();
+    site.set(Behavior::RepeatedRejection);
+    let answer = site.send("/book/", "b1");
+    assert_eq!((answer.status, site.runs("b1")), (200, 1), "{answer:?}");
+}
+
 /// Guards against REFUSED: an engine's own status was relayed where callers take it as
 /// the promise that the request has not run, although the engine did not state that.
 #[test_case(503)]
--- a/tests/edge/fakes/engine.rs
+++ b/tests/edge/fakes/engine.rs
@@ -42,6 +42,9 @@
     /// Runs every request. On a connection that has carried another, a late rejection
     /// with this status and without an id comes first.
     LateRejection(u16),
+    /// Rejects a request when it first comes, and runs it when it comes again. If it
+    /// comes again on the same connection, the rejection is repeated first.
+    RepeatedRejection,
     /// Runs every request, but answers with a rejection of another.
     RejectsAnother,
     /// Runs every request and answers with this status.
@@ -61,6 +64,8 @@
     arrivals: Vec<ReceivedRequest>,
     /// Ids of the requests that began to run, once for each time.
     runs: Vec<String>,
+    /// Ids of the requests rejected by [`Behavior::RepeatedRejection`].
+    rejected: Vec<String>,
     /// Number of late responses sent.
     late_responses: u64,
     /// Requests whose connection closed while they ran.
@@ -284,11 +289,16 @@
         let expected = request.header("x-mastichinge-expect-instance").to_owned();
         let after = request.header("last-event-id").parse().unwrap_or(0);
         let is_stream = request.path().contains("stream");
-        let (behavior, loaded) = {
+        let (behavior, loaded, rejects_first) = {
             let mut state = self.state.lock().unwrap();
             let loaded = model.is_empty() || state.models.contains(&model);
             state.arrivals.push(request.clone());
-            (state.behavior, loaded)
+            let rejects_first =
+                state.behavior == Behavior::RepeatedRejection && !state.rejected.contains(&id);
+            if rejects_first {
+                state.rejected.push(id.clone());
+            }
+            (state.behavior, loaded, rejects_first)
         };
         let signed = signed(&id);
         let not_run = [
@@ -298,7 +308,7 @@
         if expected != self.id || !loaded {
             return write_response(stream, 421, &not_run, b"").await;
         }
-        if behavior == Behavior::Full {
+        if behavior == Behavior::Full || rejects_first {
             return write_response(stream, 503, &not_run, b"full").await;
         }
         if behavior == Behavior::FullWithoutId {
@@ -311,6 +321,9 @@
             Behavior::LateRejection(status) if !earlier.is_empty() => {
                 self.late_response(stream, status, &not_run[1..]).await?;
             }
+            Behavior::RepeatedRejection if earlier == id => {
+                self.late_response(stream, 503, &not_run).await?;
+            }
             Behavior::RejectsAnother => {
                 let another = [("X-Mastichinge-Request-Id", "another"), not_run[1]];
                 return write_response(stream, 503, &another, b"full").await;
