Do not send on an idle connection on which something has arrived

The client read a response that had arrived before the request as the response to it. While the event loop is busy, what arrives on an idle connection is in the socket, but not yet known to the event loop. hyper looks for unexpected bytes before it writes a request, but sees none then, writes the request and takes the late response as the next one. Since the id is compared, the request fails with 502; calls without an id have nothing to compare. In the same way a request was written to a connection that the engine had already closed, and then counted as possibly run.

The client now asks the socket itself before it takes an idle connection, and drops the connection if anything has arrived, its end included.

The new test has the server send a late response, or close the connection, while the event loop is blocked. Before, the next exchange returned "late", or failed with "connection closed before message completed".

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -2,8 +2,12 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::{Rc, Weak};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +17,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -48,6 +53,8 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    /// The stream, until the connection's task ends.
+    stream: Weak<RefCell<TcpStream>>,
     addr: SocketAddr,
     /// Whether it carried another exchange before.
     reused: bool,
@@ -67,6 +74,26 @@
         self.reused
     }
 
+    /// Returns whether the peer has sent nothing and has not closed the connection.
+    /// Asks the socket, because the event loop may not have seen what has arrived.
+    fn is_silent(&self) -> bool {
+        let Some(stream) = self.stream.upgrade() else {
+            return false;
+        };
+        let peeked = SockRef::from(&*stream.borrow()).peek(&mut [MaybeUninit::uninit()]);
+        match peeked {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => true,
+            Err(error) => {
+                log::debug!(addr:% = self.addr, error:%; "idle connection failed");
+                false
+            }
+            Ok(bytes) => {
+                log::debug!(addr:% = self.addr, bytes; "idle connection is not silent");
+                false
+            }
+        }
+    }
+
     /// Drops the idle connections to the same address, for use after this connection
     /// broke: the process behind them may be gone.
     pub fn drop_idle(&self) {
@@ -194,10 +221,15 @@
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(&addr)?;
         pool.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
-        let index = pool
-            .iter()
-            .rposition(|idle| idle.connection.sender.is_ready())?;
-        Some(pool.remove(index).connection)
+        loop {
+            let index = pool
+                .iter()
+                .rposition(|idle| idle.connection.sender.is_ready())?;
+            let connection = pool.remove(index).connection;
+            if connection.is_silent() {
+                return Some(connection);
+            }
+        }
     }
 
     async fn connect(
@@ -210,7 +242,10 @@
         let stream = stream.map_err(|_| not_sent("connection timed out".to_owned()))?;
         let stream = stream.map_err(|e| not_sent(e.to_string()))?;
         set_socket_options(&stream);
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let stream = Rc::new(RefCell::new(stream));
+        let shared = Rc::downgrade(&stream);
+        let io = TokioIo::new(SharedStream(stream));
+        let handshake = http1::Builder::new().handshake(io).await;
         let (sender, connection) = handshake.map_err(|e| not_sent(e.to_string()))?;
         let task = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
@@ -220,6 +255,7 @@
         Ok(Connection {
             sender,
             task,
+            stream: shared,
             addr,
             reused: false,
             pools: Rc::downgrade(&self.pools),
@@ -257,6 +293,50 @@
     pub max_bytes: usize,
 }
 
+/// A stream that its connection's handle can look at.
+#[derive(Debug)]
+struct SharedStream(Rc<RefCell<TcpStream>>);
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for SharedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+    }
+}
+
 /// Sets the socket options of a connection: small writes are sent at once, and a peer
 /// that has vanished is detected.
 pub fn set_socket_options(stream: &TcpStream) {
--- /dev/null
+++ b/tests/edge/client.rs
@@ -0,0 +1,101 @@
+//! Tests of the HTTP client of engines over raw sockets.
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::mpsc;
+use std::thread;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use mastichinge::edge::client::{Client, SendOptions};
+use test_case::test_case;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+
+/// Reads the head of a request; returns false when the connection has ended.
+fn read_head(stream: &mut TcpStream) -> bool {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if !matches!(stream.read(&mut byte), Ok(1)) {
+            return false;
+        }
+        head.push(byte[0]);
+    }
+    true
+}
+
+fn respond(stream: &mut TcpStream, body: &str) {
+    let length = body.len();
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
+    // Fails if the client has closed the connection, which the test looks at.
+    let _ = stream.write_all(text.as_bytes());
+}
+
+/// Answers the requests of one connection.
+fn answer_all(mut stream: TcpStream) {
+    while read_head(&mut stream) {
+        respond(&mut stream, "correct");
+    }
+}
+
+/// What arrives on an idle connection.
+#[derive(Clone, Copy, Debug)]
+enum Arrival {
+    LateResponse,
+    End,
+}
+
+/// Guards against a late response that is in the socket of an idle connection when a
+/// request takes it, before the event loop has seen it: it was read as the response. After
+/// the end of the connection the request was taken as lost.
+#[test_case(Arrival::LateResponse; "a late response")]
+#[test_case(Arrival::End; "its end")]
+fn an_idle_connection_on_which_something_has_arrived_takes_no_request(arrival: Arrival) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (send_arrival, arrival_due) = mpsc::channel();
+    let (arrival_sent, arrived) = mpsc::channel();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        assert!(read_head(&mut stream));
+        respond(&mut stream, "correct");
+        arrival_due.recv().unwrap();
+        match arrival {
+            Arrival::LateResponse => {
+                respond(&mut stream, "late");
+                thread::spawn(move || answer_all(stream));
+            }
+            Arrival::End => drop(stream),
+        }
+        arrival_sent.send(()).unwrap();
+        for stream in listener.incoming() {
+            thread::spawn(move || answer_all(stream.unwrap()));
+        }
+    });
+    let client = Client::default();
+    let exchange = async || {
+        let request = Request::get("/").header("host", "x");
+        let request = request.body(Full::<Bytes>::default()).unwrap();
+        let (response, connection) = client
+            .send(addr, request, SendOptions::default())
+            .await
+            .unwrap();
+        let body = response.into_body().collect().await.unwrap().to_bytes();
+        connection.release(None);
+        body
+    };
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        assert_eq!(exchange().await, "correct");
+        // Lets the connection's task become idle.
+        for _ in 0..10 {
+            tokio::task::yield_now().await;
+        }
+        send_arrival.send(()).unwrap();
+        // Blocks the event loop.
+        arrived.recv().unwrap();
+        assert_eq!(exchange().await, "correct");
+    });
+}
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the edge daemon: decisions, platform adapter and request forwarding.
 
 mod attribution;
+mod client;
 mod decisions;
 mod engine_list;
 mod fakes;
