Keep connections for orders apart from those for requests

The leader took a late answer to a request as the engine's answer to an order: it logged "holds" for an order that the engine accepted only then, and believed that a model was loaded or gone. Orders and report requests shared the connections of requests, but have no id, so nothing told the two apart. The other way round, a late 421 to an order could end up with a request.

Calls now have connections of their own, where no answer to a request can arrive. A connection is also no longer kept after a call whose response announces its end; hyper closed it anyway.

The new test sends an order on a connection that carried a stream, and a late answer to the stream's request first. Before, the order's result was "holds".

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -24,6 +24,7 @@
 
 use super::clock;
 use crate::clock::Moment;
+use crate::platform::headers;
 
 /// Maximum time that sent bytes may stay unacknowledged; several round trips of any
 /// link, with retransmissions.
@@ -185,8 +186,10 @@
             let (head, body) = response.into_parts();
             let body = Limited::new(body, limits.max_bytes).collect().await;
             let body = body.map_err(|e| SendError::ConnectionLost(e.to_string()))?;
-            connection
-                .release(crate::platform::headers::parse_response(&head.headers).idle_timeout);
+            let headers = headers::parse_response(&head.headers);
+            if !headers.closes {
+                connection.release(headers.idle_timeout);
+            }
             Ok(Response::from_parts(head, body.to_bytes()))
         };
         let timed_out = || SendError::ConnectionLost("no response in time".to_owned());
--- a/src/edge/leader/mod.rs
+++ b/src/edge/leader/mod.rs
@@ -189,7 +189,7 @@
         addr.ok_or_else(|| SendError::NotSent("the engine is no longer listed".to_owned()))?;
     let request = request(&addr.to_string());
     let request = request.map_err(|e| SendError::NotSent(e.to_string()))?;
-    let outcome = edge.client.call(addr, request, CALL_LIMITS).await;
+    let outcome = edge.call_client.call(addr, request, CALL_LIMITS).await;
     if let Err(SendError::NotSent(_)) = &outcome {
         edge.mark_down(engine);
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -87,13 +87,13 @@
 }
 
 async fn serve(path: PathBuf, settings: Settings) -> Result<(), RunError> {
-    let client = Client::default();
     let listen = settings.listen;
     let edge = Rc::new(Edge {
         host: settings.host.clone(),
         incarnation: Clock::unix_ms(),
         store: StoreClient::new(settings.store.addr, Client::default()),
-        client,
+        client: Client::default(),
+        call_client: Client::default(),
         metrics: Metrics::new()?,
         phase: Cell::new(DaemonPhase::Starting),
         shutdown: Cell::default(),
@@ -235,9 +235,11 @@
             let ms = delay.as_millis() as u64;
             log::warn!(ms; "process was suspended");
             edge.client.drop_all_idle();
+            edge.call_client.drop_all_idle();
         }
         last = now;
         edge.client.drop_expired();
+        edge.call_client.drop_expired();
         let waiting = edge
             .state
             .borrow()
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -58,8 +58,11 @@
     pub host: Arc<str>,
     /// Start number of this process, ms since the Unix epoch.
     pub incarnation: u64,
-    /// HTTP client for engines.
+    /// HTTP client for requests to engines.
     pub client: Client,
+    /// HTTP client for orders and report requests to engines. Their responses have no id,
+    /// so that a late response to a request would be taken for one on its connection.
+    pub call_client: Client,
     /// The platform's store.
     pub store: StoreClient,
     /// Metrics.
--- a/tests/edge/attribution.rs
+++ b/tests/edge/attribution.rs
@@ -6,7 +6,7 @@
 use crate::fakes::daemon::{Request, wait};
 use crate::fakes::engine::Behavior;
 use crate::fakes::store::Store;
-use crate::site::{Site, desired};
+use crate::site::{MODEL, Site, desired};
 
 /// Statuses that promise callers that a request has not run and never will.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
@@ -96,6 +96,31 @@
     assert_eq!((answer.status, site.runs("b1")), (503, 0), "{answer:?}");
 }
 
+/// Guards against orders taken as carried out: a late answer to a request was read as the
+/// answer to an order on the same connection.
+#[test]
+fn a_late_answer_to_a_request_is_not_taken_as_the_answer_to_an_order() {
+    let site = Site::start();
+    wait("a leader", || {
+        !site.daemon.logged("leadership acquired").is_empty()
+    });
+    site.set(Behavior::LateAnswer);
+    // Leaves idle connections to both engines.
+    std::thread::scope(|scope| {
+        for i in 0..8 {
+            let site = &site;
+            scope.spawn(move || site.stream("/stream/", &format!("w{i}")));
+        }
+    });
+    let request = Request::new("/stream/", "s1").with(MODEL, "m2");
+    assert_eq!(site.daemon.send(&request).status, 200);
+    let orders = site.daemon.logged("order given");
+    assert!(!orders.is_empty());
+    for order in orders {
+        assert_eq!(order["result"], "accepted", "{order}");
+    }
+}
+
 /// Guards against foreign bytes in a body: the rest of a body that an engine reads after
 /// its answer is due before the next request.
 #[test]
--- a/tests/edge/fakes/engine.rs
+++ b/tests/edge/fakes/engine.rs
@@ -49,6 +49,9 @@
     RejectsAnother,
     /// Runs every request and answers with this status.
     Answers(u16),
+    /// Answers orders correctly. On a connection that has carried a request, a late
+    /// answer to that request comes first.
+    LateAnswer,
     /// Answers before it reads the body, and reads the body later.
     Early,
     /// Answers 500.
@@ -205,7 +208,7 @@
             let id = request.header("x-mastichinge-request-id").to_owned();
             let done = match request.path() {
                 "/report" => self.report(stream).await,
-                "/order" => self.order(stream, &request).await,
+                "/order" => self.order(stream, &request, &earlier).await,
                 _ => self.run_request(stream, request, &earlier).await,
             };
             if done.is_err() {
@@ -257,7 +260,11 @@
         &self,
         stream: &mut TcpStream,
         request: &ReceivedRequest,
+        earlier: &str,
     ) -> std::io::Result<()> {
+        if self.behavior() == Behavior::LateAnswer && !earlier.is_empty() {
+            self.late_response(stream, 200, &signed(earlier)).await?;
+        }
         let order: Value = serde_json::from_slice(&request.body).unwrap();
         let accepted = {
             let mut state = self.state.lock().unwrap();
