Remember that a request ran when it is sent again after a failure

Callers saw 503 for lookups that had run. After an engine's own 5xx, a request that may be repeated is sent to another engine. If that one rejected it, the daemon answered 503, the promise that it has not run, because only attempts without a response counted as having run.

A request that is sent again after a 5xx now counts as run; if no engine takes it, the answer is 504.

The new test has one engine fail lookups and the other reject them. Before, the first lookup that ran was answered 503.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -112,7 +112,10 @@
         };
         match outcome {
             Ok(_)
-                if failed && start_retry(&routed, &mut attempts, &engine, "the engine failed") => {}
+                if failed && start_retry(&routed, &mut attempts, &engine, "the engine failed") =>
+            {
+                attempts.uncertain = true;
+            }
             Ok(OpenedResponse::Complete(response)) => {
                 attempts.first_event = routed.age();
                 routed.log_outcome("answered", status.as_u16(), &engine, &attempts);
--- a/tests/edge/attribution.rs
+++ b/tests/edge/attribution.rs
@@ -77,6 +77,25 @@
     assert_eq!((answer.status, site.runs("l1")), (502, 2), "{answer:?}");
 }
 
+/// Guards against a false promise: a lookup that ran and failed at one engine and was
+/// rejected by the others was refused as not run.
+#[test]
+fn a_lookup_that_ran_is_not_refused_as_not_run() {
+    let site = Site::start();
+    site.plain[0].set_behavior(Behavior::Failing);
+    site.plain[1].set_behavior(Behavior::Full);
+    let mut sent = 0;
+    wait("a lookup that ran and was rejected", || {
+        let id = format!("l{sent}");
+        sent += 1;
+        let answer = site.send("/look/", &id);
+        let runs = site.runs(&id);
+        let promised = PROMISES.contains(&answer.status);
+        assert!(!promised || runs == 0, "{id} ran: {answer:?}");
+        runs > 0 && site.arrivals(&id) > runs
+    });
+}
+
 /// Guards against REFUSED and TWICE: a rejection of another request says nothing.
 #[test]
 fn a_rejection_of_another_request_is_not_believed() {
