Test the log and the metric of attributions, and the statuses of rejections

The next report of a broken promise has to be traced from the log and the metrics, so a test states for each attribution what they show. Another states with which statuses the Not-Run header counts.

--- a/tests/edge/attribution.rs
+++ b/tests/edge/attribution.rs
@@ -115,6 +115,36 @@
     assert_eq!((answer.status, site.runs("b1")), (503, 0), "{answer:?}");
 }
 
+/// The log and the metrics tell how a response was attributed.
+#[test_case(
+    Behavior::RejectsAnother,
+    "engine's response not believed",
+    "not_believed"
+)]
+#[test_case(
+    Behavior::FullWithoutId,
+    "engine rejected the request",
+    "first_exchange"
+)]
+#[test_case(Behavior::Full, "engine rejected the request", "id_matched")]
+fn the_attribution_of_a_response_is_logged_and_counted(
+    behavior: Behavior,
+    message: &str,
+    attribution: &str,
+) {
+    let site = Site::start();
+    site.set(behavior);
+    site.send("/book/", "b1");
+    wait("its log line", || !site.daemon.logged(message).is_empty());
+    for line in site.daemon.logged(message) {
+        assert_eq!(line["request"], "b1");
+        assert_eq!(line["attribution"], attribution);
+    }
+    let metrics = site.daemon.get("/metrics").body;
+    let metric = format!("mastichinge_engine_responses_total{{attribution=\"{attribution}\"");
+    assert!(metrics.contains(&metric), "{metrics}");
+}
+
 /// Guards against orders taken as carried out: a late answer to a request was read as the
 /// answer to an order on the same connection.
 #[test]
--- a/tests/edge/translation.rs
+++ b/tests/edge/translation.rs
@@ -88,6 +88,25 @@
     assert_eq!(response.idle_timeout, Some(Duration::from_secs(12)));
 }
 
+/// Guards against a Not-Run header that contradicts its status.
+#[test_case(503, true, true)]
+#[test_case(429, true, true)]
+#[test_case(400, true, true)]
+#[test_case(421, false, true)]
+#[test_case(503, false, false)]
+#[test_case(200, true, false)]
+#[test_case(408, true, false)]
+#[test_case(500, true, false)]
+fn a_rejection_has_a_status_of_rejections(status: u16, not_run: bool, expected: bool) {
+    let pairs: &[_] = match not_run {
+        true => &[("x-mastichinge-not-run", "1")],
+        false => &[],
+    };
+    let response = platform_headers::parse_response(&headers(pairs));
+    let status = http::StatusCode::from_u16(status).unwrap();
+    assert_eq!(platform_headers::is_rejection(status, &response), expected);
+}
+
 #[test]
 fn a_desired_state_is_decoded_with_its_routes_services_and_limits() {
     let text = json!({"version": 7, "unheard": 1,
