--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -2,8 +2,12 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::{Rc, Weak};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,12 +17,14 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use super::clock;
 use crate::clock::Moment;
+use crate::platform::headers;
 
 /// Maximum time that sent bytes may stay unacknowledged; several round trips of any
 /// link, with retransmissions.
@@ -27,6 +33,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time before the server's idle timeout at which an idle connection is dropped.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
+/// Default time limit for connecting.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of idle connections for one address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -46,7 +54,11 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    /// The stream, until the connection's task ends.
+    stream: Weak<RefCell<TcpStream>>,
     addr: SocketAddr,
+    /// Whether it carried another exchange before.
+    reused: bool,
     pools: Weak<RefCell<IdlePools>>,
 }
 
@@ -57,6 +69,32 @@
 }
 
 impl Connection {
+    /// Returns whether the connection carried another exchange before, so that a late
+    /// response to that one may arrive.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Returns whether the peer has sent nothing and has not closed the connection.
+    /// Asks the socket, because the event loop may not have seen what has arrived.
+    fn is_silent(&self) -> bool {
+        let Some(stream) = self.stream.upgrade() else {
+            return false;
+        };
+        let peeked = SockRef::from(&*stream.borrow()).peek(&mut [MaybeUninit::uninit()]);
+        match peeked {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => true,
+            Err(error) => {
+                log::debug!(addr:% = self.addr, error:%; "idle connection failed");
+                false
+            }
+            Ok(bytes) => {
+                log::debug!(addr:% = self.addr, bytes; "idle connection is not silent");
+                false
+            }
+        }
+    }
+
     /// Drops the idle connections to the same address, for use after this connection
     /// broke: the process behind them may be gone.
     pub fn drop_idle(&self) {
@@ -67,7 +105,7 @@
 
     /// Makes the connection available to another request, once the response was read
     /// whole; `idle_timeout` is the server's.
-    pub fn release(self, idle_timeout: Option<Duration>) {
+    pub fn release(mut self, idle_timeout: Option<Duration>) {
         let Some(pools) = self.pools.upgrade() else {
             return;
         };
@@ -77,6 +115,7 @@
             None => IDLE_TIMEOUT,
         };
         let expires_at = clock::now() + keep_time;
+        self.reused = true;
         let mut pools = pools.borrow_mut();
         let pool = pools.entry(self.addr).or_default();
         if pool.len() < MAX_IDLE_CONNECTIONS {
@@ -103,25 +142,28 @@
 }
 
 impl Client {
-    /// Sends `request` to `addr`, on an idle connection if there is one. Dropping the
-    /// future closes the connection.
+    /// Sends `request` to `addr`. Dropping the future closes the connection.
     pub async fn send(
         &self,
         addr: SocketAddr,
         mut request: Request<Full<Bytes>>,
-        connect_timeout: Duration,
+        options: SendOptions,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         loop {
-            let (mut connection, reused) = match self.take_idle(addr) {
-                Some(connection) => (connection, true),
-                None => (self.connect(addr, connect_timeout).await?, false),
+            let idle = match options.new_connection {
+                true => None,
+                false => self.take_idle(addr),
+            };
+            let mut connection = match idle {
+                Some(connection) => connection,
+                None => self.connect(addr, options.connect_timeout).await?,
             };
             let mut error = match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(error) => error,
             };
             match error.take_message() {
-                Some(unsent) if reused => request = unsent,
+                Some(unsent) if connection.reused => request = unsent,
                 Some(_) => return Err(SendError::NotSent(error.error().to_string())),
                 None => return Err(SendError::ConnectionLost(error.error().to_string())),
             }
@@ -136,12 +178,18 @@
         limits: CallLimits,
     ) -> Result<Response<Bytes>, SendError> {
         let exchange = async {
-            let (response, connection) = self.send(addr, request, limits.connect_timeout).await?;
+            let options = SendOptions {
+                connect_timeout: limits.connect_timeout,
+                ..SendOptions::default()
+            };
+            let (response, connection) = self.send(addr, request, options).await?;
             let (head, body) = response.into_parts();
             let body = Limited::new(body, limits.max_bytes).collect().await;
             let body = body.map_err(|e| SendError::ConnectionLost(e.to_string()))?;
-            connection
-                .release(crate::platform::headers::parse_response(&head.headers).idle_timeout);
+            let headers = headers::parse_response(&head.headers);
+            if !headers.closes {
+                connection.release(headers.idle_timeout);
+            }
             Ok(Response::from_parts(head, body.to_bytes()))
         };
         let timed_out = || SendError::ConnectionLost("no response in time".to_owned());
@@ -176,10 +224,15 @@
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(&addr)?;
         pool.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
-        let index = pool
-            .iter()
-            .rposition(|idle| idle.connection.sender.is_ready())?;
-        Some(pool.remove(index).connection)
+        loop {
+            let index = pool
+                .iter()
+                .rposition(|idle| idle.connection.sender.is_ready())?;
+            let connection = pool.remove(index).connection;
+            if connection.is_silent() {
+                return Some(connection);
+            }
+        }
     }
 
     async fn connect(
@@ -192,7 +245,10 @@
         let stream = stream.map_err(|_| not_sent("connection timed out".to_owned()))?;
         let stream = stream.map_err(|e| not_sent(e.to_string()))?;
         set_socket_options(&stream);
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let stream = Rc::new(RefCell::new(stream));
+        let shared = Rc::downgrade(&stream);
+        let io = TokioIo::new(SharedStream(stream));
+        let handshake = http1::Builder::new().handshake(io).await;
         let (sender, connection) = handshake.map_err(|e| not_sent(e.to_string()))?;
         let task = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
@@ -202,12 +258,33 @@
         Ok(Connection {
             sender,
             task,
+            stream: shared,
             addr,
+            reused: false,
             pools: Rc::downgrade(&self.pools),
         })
     }
 }
 
+/// How a request is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SendOptions {
+    /// Time limit for connecting.
+    pub connect_timeout: Duration,
+    /// Whether to open a connection even if there is an idle one. Needed when a late
+    /// response to an earlier request cannot be told from the response to this one.
+    pub new_connection: bool,
+}
+
+impl Default for SendOptions {
+    fn default() -> Self {
+        SendOptions {
+            connect_timeout: CONNECT_TIMEOUT,
+            new_connection: false,
+        }
+    }
+}
+
 /// Limits of a call with a short response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallLimits {
@@ -219,6 +296,50 @@
     pub max_bytes: usize,
 }
 
+/// A stream that its connection's handle can look at.
+#[derive(Debug)]
+struct SharedStream(Rc<RefCell<TcpStream>>);
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for SharedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+    }
+}
+
 /// Sets the socket options of a connection: small writes are sent at once, and a peer
 /// that has vanished is detected.
 pub fn set_socket_options(stream: &TcpStream) {
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -88,7 +88,10 @@
         match outcome {
             Ok(_)
                 if failed
-                    && retry::take_retry(&routed, &mut attempts, &engine, "the engine failed") => {}
+                    && retry::take_retry(&routed, &mut attempts, &engine, "the engine failed") =>
+            {
+                attempts.uncertain = true;
+            }
             Ok(OpenedResponse::Complete(response)) => {
                 attempts.first_event = routed.age();
                 routed.log_outcome("answered", status.as_u16(), &engine, &attempts);
@@ -167,6 +170,12 @@
                     return Err(fail(Kind::UpstreamFailed, cause));
                 }
             }
+            SendOutcome::Unproven(cause) => {
+                attempts.uncertain = true;
+                if !start_retry(routed, attempts, &engine, &cause).await {
+                    return Err(fail(Kind::UpstreamFailed, cause));
+                }
+            }
             SendOutcome::Left => {}
             SendOutcome::DeadlinePassed => {
                 attempts.uncertain = true;
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -9,10 +9,11 @@
 use tokio::time::timeout;
 
 use super::RoutedRequest;
+use super::attribution::Attribution;
 use super::retry::Attempts;
 use super::silence::{self, Awaited};
 use crate::clock::Moment;
-use crate::edge::client::{Connection, SendError};
+use crate::edge::client::{Connection, SendError, SendOptions};
 use crate::edge::clock;
 use crate::edge::in_flight::InFlightGuard;
 use crate::edge::placement::ModelTarget;
@@ -20,8 +21,6 @@
 use crate::edge::routing::SelectedEngine;
 use crate::platform::headers;
 
-/// Time limit for connecting to an engine.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time limit for reading the rest of a rejection, so that its connection can be reused.
 const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 /// Maximum size of a response that is read whole before it is relayed, bytes. If such a
@@ -51,6 +50,8 @@
     NotSent(String),
     /// The connection was lost, or the response is not valid; the request may have run.
     Failed(String),
+    /// The engine responded, but not with a proof of whether the request ran.
+    Unproven(String),
     /// The engine was silent, and another can take the request over.
     Left,
     /// No response arrived before the deadline.
@@ -71,10 +72,12 @@
     };
     let in_flight = InFlightGuard::begin(&routed.edge, choice, routed.headers.prompt.as_ref());
     let sent_at = clock::now();
-    let sending = routed
-        .edge
-        .client
-        .send(choice.addr, request, CONNECT_TIMEOUT);
+    let options = SendOptions {
+        // A late response to an earlier sending has the same id.
+        new_connection: routed.headers.id.is_empty() || attempts.avoid.contains(&choice.engine),
+        ..SendOptions::default()
+    };
+    let sending = routed.edge.client.send(choice.addr, request, options);
     let awaited = silence::wait_for(routed, attempts, &choice.engine, max_silence, sending).await;
     let outcome = match awaited {
         Awaited::Response(outcome) => outcome,
@@ -104,20 +107,32 @@
     };
     let headers = headers::parse_response(response.headers());
     let status = response.status();
-    let id_matches = *headers.id == *routed.headers.id
-        || (headers.id.is_empty() && routed.headers.id.is_empty());
-    if headers.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-        if !id_matches && !headers.id.is_empty() {
-            return SendOutcome::Failed("the response is for another request".to_owned());
-        }
+    let attribution = Attribution::of(&routed.headers.id, &headers, connection.is_reused());
+    let rejected = headers::is_rejection(status, &headers);
+    let believed = match attribution {
+        Attribution::IdMatched => true,
+        // An engine that cannot parse a request rejects it without its id.
+        Attribution::FirstExchange => rejected || routed.headers.id.is_empty(),
+        Attribution::NotBelieved => false,
+    };
+    log_response(routed, choice, status, attribution, (rejected, believed));
+    if !believed {
+        in_flight.record_outcome(false);
+        connection.drop_idle();
+        return SendOutcome::Unproven("the response may be for another request".to_owned());
+    }
+    if rejected {
         record_rejection(routed, choice, status);
-        discard_body(response, connection, headers).await;
+        if attribution == Attribution::IdMatched {
+            discard_body(response, connection, headers).await;
+        }
         return SendOutcome::NotRun(status);
     }
-    if !id_matches {
+    if headers::promises_not_run(status) || status.is_informational() {
         in_flight.record_outcome(false);
-        routed.edge.client.drop_idle(choice.addr);
-        return SendOutcome::Failed("the response is for another request".to_owned());
+        discard_body(response, connection, headers).await;
+        let status = status.as_u16();
+        return SendOutcome::Unproven(format!("the engine may have run it and responded {status}"));
     }
     if status.is_success() && !headers.signed {
         in_flight.record_outcome(false);
@@ -157,12 +172,32 @@
     Ok(request)
 }
 
-/// Logs that an engine rejected a request, and records the model or adapter that it
-/// lacks after status 421.
-fn record_rejection(routed: &RoutedRequest, choice: &SelectedEngine, status: StatusCode) {
+/// Counts a response and, if it is a rejection or not believed, logs it.
+fn log_response(
+    routed: &RoutedRequest,
+    choice: &SelectedEngine,
+    status: StatusCode,
+    attribution: Attribution,
+    (rejected, believed): (bool, bool),
+) {
+    let attribution: &'static str = attribution.into();
+    routed.edge.metrics.record_engine_response(attribution);
     let request = &*routed.headers.id;
     let engine = &*choice.engine;
-    log::info!(request, engine, status = status.as_u16(); "engine rejected the request");
+    let status = status.as_u16();
+    match (rejected, believed) {
+        (true, true) => {
+            log::info!(request, engine, status, attribution; "engine rejected the request");
+        }
+        (_, false) => {
+            log::warn!(request, engine, status, attribution; "engine's response not believed");
+        }
+        (false, true) => {}
+    }
+}
+
+/// Records the model or adapter that an engine lacks after status 421.
+fn record_rejection(routed: &RoutedRequest, choice: &SelectedEngine, status: StatusCode) {
     if status != StatusCode::MISDIRECTED_REQUEST {
         return;
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -41,6 +41,7 @@
     refused: Counter<u64>,
     retries: Counter<u64>,
     connections_ended: Counter<u64>,
+    engine_responses: Counter<u64>,
     streams: UpDownCounter<i64>,
     queue: Gauge<u64>,
     loads: Counter<u64>,
@@ -95,6 +96,11 @@
                 "connections_ended",
                 "Callers' connections ended by this host, by cause",
             ),
+            engine_responses: counter(
+                &m,
+                "engine_responses",
+                "Responses of engines, by how they were attributed to a request",
+            ),
             streams: open_streams(&m),
             queue: gauge(&m, "queue", "Requests that wait for a replica at this host"),
             loads: counter(&m, "loads", "Load orders that ended, by outcome"),
@@ -158,6 +164,12 @@
             .add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts an engine's response.
+    pub fn record_engine_response(&self, attribution: &'static str) {
+        let attribution = KeyValue::new("attribution", attribution);
+        self.engine_responses.add(1, &[attribution]);
+    }
+
     /// Adds `change` to the number of open streams.
     pub fn add_streams(&self, change: i64) {
         self.streams.add(change, &[]);
--- a/tests/edge/fakes/engine.rs
+++ b/tests/edge/fakes/engine.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 
 use super::store::Store;
-use super::{ReceivedRequest, read_request, runtime, write_response};
+use super::{ReceivedRequest, read_body, read_head, runtime, write_response};
 
 /// How an engine answers requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -42,6 +42,23 @@
     Extra,
     /// Rejects every request without running it.
     Full,
+    /// Rejects every request without running it or echoing its id.
+    FullWithoutId,
+    /// Runs every request. On a connection that has carried another, a late rejection
+    /// with this status and without an id comes first.
+    LateRejection(u16),
+    /// Rejects a request when it first comes, and runs it when it comes again. If it
+    /// comes again on the same connection, the rejection is repeated first.
+    RepeatedRejection,
+    /// Runs every request, but answers with a rejection of another.
+    RejectsAnother,
+    /// Runs every request and answers with this status.
+    Answers(u16),
+    /// Answers orders correctly. On a connection that has carried a request, a late
+    /// answer to that request comes first.
+    LateAnswer,
+    /// Answers before it reads the body, and reads the body later.
+    Early,
     /// Answers 500.
     Failing,
 }
@@ -55,6 +72,12 @@
     /// Number of accepted orders.
     accepted_orders: u64,
     arrivals: Vec<ReceivedRequest>,
+    /// Ids of the requests that began to run, once for each time.
+    runs: Vec<String>,
+    /// Ids of the requests rejected by [`Behavior::RepeatedRejection`].
+    rejected: Vec<String>,
+    /// Number of late responses sent.
+    late_responses: u64,
     /// Requests whose connection closed while they ran.
     cancelled: Vec<String>,
     received_orders: Vec<Value>,
@@ -184,6 +207,17 @@
         }
     }
 
+    /// Returns how often a request began to run.
+    pub fn runs(&self, id: &str) -> usize {
+        let state = self.state.lock().unwrap();
+        state.runs.iter().filter(|r| *r == id).count()
+    }
+
+    /// Returns the number of late responses sent.
+    pub fn late_responses(&self) -> u64 {
+        self.state.lock().unwrap().late_responses
+    }
+
     /// Returns the received orders.
     pub fn received_orders(&self) -> Vec<Value> {
         self.state.lock().unwrap().received_orders.clone()
@@ -192,18 +226,60 @@
     async fn serve(self, stream: &mut TcpStream) {
         stream.set_nodelay(true).unwrap();
         let mut rest = Vec::new();
-        while let Ok(Some(request)) = read_request(stream, &mut rest).await {
+        // Id of the request that the connection carried last.
+        let mut earlier = String::new();
+        while let Ok(Some(mut request)) = read_head(stream, &mut rest).await {
+            let is_call = ["/report", "/order"].contains(&request.path());
+            if !is_call && self.behavior() == Behavior::Early {
+                if self.answer(stream, &request).await.is_err() {
+                    return;
+                }
+                sleep(EVENT_PAUSE).await;
+            }
+            if !matches!(read_body(stream, &mut rest, &mut request).await, Ok(true)) {
+                return;
+            }
+            let id = request.header("x-mastichinge-request-id").to_owned();
             let done = match request.path() {
                 "/report" => self.report(stream).await,
-                "/order" => self.order(stream, &request).await,
-                _ => self.run_request(stream, request).await,
+                "/order" => self.order(stream, &request, &earlier).await,
+                _ => self.run_request(stream, request, &earlier).await,
             };
             if done.is_err() {
                 return;
             }
+            if !is_call {
+                earlier = id;
+            }
         }
     }
 
+    fn behavior(&self) -> Behavior {
+        self.state.lock().unwrap().behavior
+    }
+
+    /// Sends the correct answer to a request that is not for a stream.
+    async fn answer(
+        &self,
+        stream: &mut TcpStream,
+        request: &ReceivedRequest,
+    ) -> std::io::Result<()> {
+        let id = request.header("x-mastichinge-request-id");
+        let body = format!("answer to {id}");
+        write_response(stream, 200, &signed(id), body.as_bytes()).await
+    }
+
+    /// Sends a response that is late: the next request has arrived.
+    async fn late_response(
+        &self,
+        stream: &mut TcpStream,
+        status: u16,
+        headers: &[(&str, &str)],
+    ) -> std::io::Result<()> {
+        self.state.lock().unwrap().late_responses += 1;
+        write_response(stream, status, headers, b"late").await
+    }
+
     async fn report(&self, stream: &mut TcpStream) -> std::io::Result<()> {
         let report = {
             let state = self.state.lock().unwrap();
@@ -218,7 +294,11 @@
         &self,
         stream: &mut TcpStream,
         request: &ReceivedRequest,
+        earlier: &str,
     ) -> std::io::Result<()> {
+        if self.behavior() == Behavior::LateAnswer && !earlier.is_empty() {
+            self.late_response(stream, 200, &signed(earlier)).await?;
+        }
         let order: Value = serde_json::from_slice(&request.body).unwrap();
         let accepted = {
             let mut state = self.state.lock().unwrap();
@@ -243,24 +323,35 @@
         &self,
         stream: &mut TcpStream,
         request: ReceivedRequest,
+        earlier: &str,
     ) -> std::io::Result<()> {
         let id = request.header("x-mastichinge-request-id").to_owned();
         let model = request.header("x-mastichinge-model").to_owned();
         let expected = request.header("x-mastichinge-expect-instance").to_owned();
         let after = request.header("last-event-id").parse().unwrap_or(0);
         let is_stream = request.path().contains("stream");
-        let (behavior, loaded) = {
+        let (behavior, loaded, rejects_first) = {
             let mut state = self.state.lock().unwrap();
             let loaded = model.is_empty() || state.models.contains(&model);
-            state.arrivals.push(request);
-            (state.behavior, loaded)
+            state.arrivals.push(request.clone());
+            let rejects_first =
+                state.behavior == Behavior::RepeatedRejection && !state.rejected.contains(&id);
+            if rejects_first {
+                state.rejected.push(id.clone());
+            }
+            (state.behavior, loaded, rejects_first)
         };
-        let signed = [
+        let signed = signed(&id);
+        let not_run = [
             ("X-Mastichinge-Request-Id", id.as_str()),
-            ("X-Mastichinge-Server-Stamp", "stamp"),
+            ("X-Mastichinge-Not-Run", "1"),
         ];
         if expected != self.id || !loaded {
-            return write_response(stream, 421, &[("X-Mastichinge-Not-Run", "1")], b"").await;
+            return write_response(stream, 421, &not_run, b"").await;
+        }
+        let rejects = matches!(behavior, Behavior::Full | Behavior::FullWithoutId) || rejects_first;
+        if !rejects {
+            self.state.lock().unwrap().runs.push(id.clone());
         }
         if behavior == Behavior::StallAtRequest {
             self.stall();
@@ -268,13 +359,30 @@
         if behavior != Behavior::Silent {
             self.wait_for_stall().await;
         }
+        if rejects {
+            let headers = match behavior {
+                Behavior::FullWithoutId => &not_run[1..],
+                _ => &not_run[..],
+            };
+            return write_response(stream, 503, headers, b"full").await;
+        }
         match behavior {
             Behavior::Reset => return reset(stream),
             Behavior::Silent => return self.wait_for_close(stream, &id).await,
-            Behavior::Full => {
-                return write_response(stream, 503, &[("X-Mastichinge-Not-Run", "1")], b"full")
-                    .await;
+            Behavior::LateRejection(status) if !earlier.is_empty() => {
+                self.late_response(stream, status, &not_run[1..]).await?;
+            }
+            Behavior::RepeatedRejection if earlier == id => {
+                self.late_response(stream, 503, &not_run).await?;
             }
+            Behavior::RejectsAnother => {
+                let another = [("X-Mastichinge-Request-Id", "another"), not_run[1]];
+                return write_response(stream, 503, &another, b"full").await;
+            }
+            Behavior::Answers(status) => {
+                return write_response(stream, status, &signed, b"answer").await;
+            }
+            Behavior::Early => return Ok(()),
             Behavior::Failing => return write_response(stream, 500, &signed, b"failed").await,
             Behavior::UnframedReset | Behavior::Unframed => {
                 let head = format!(
@@ -294,8 +402,7 @@
             _ => {}
         }
         if !is_stream {
-            let body = format!("answer to {id}");
-            write_response(stream, 200, &signed, body.as_bytes()).await?;
+            self.answer(stream, &request).await?;
             if behavior == Behavior::Extra {
                 let body = format!("second answer to {id}");
                 write_response(stream, 200, &signed, body.as_bytes()).await?;
@@ -360,6 +467,14 @@
     json!({"name": model, "version": 1, "adapters": []})
 }
 
+/// Returns the headers of an answer to the request `id`.
+fn signed(id: &str) -> [(&str, &str); 2] {
+    [
+        ("X-Mastichinge-Request-Id", id),
+        ("X-Mastichinge-Server-Stamp", "stamp"),
+    ]
+}
+
 /// Ends a connection with a reset.
 fn reset(stream: &TcpStream) -> std::io::Result<()> {
     SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
