Leave the store beside the planned stop, not before its steps

What callers saw: with a store that did not answer, a planned stop took longer than its grace period, so that the process was killed with requests in progress and connections in its backlog.

Cause: releasing the leadership and deleting the host's row were awaited before the listeners closed. Each call may take more than a second, and the release is tried again until the listeners are due to close.

Fix: both run as a task of their own. The process waits for it at the end, for no longer than until the exit is due.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -201,8 +201,8 @@
     log::info!(requests = edge.state.borrow().active_requests; "stopping");
     edge.send_wake.notify_one();
     stop.send_replace(ListenerStop::EndConnections);
-    release_leadership(edge, &shutdown).await;
-    store_watch::remove_member_row(edge).await;
+    // Apart from the rest, which a store that does not answer must not delay.
+    let leaving = tokio::task::spawn_local(leave(edge.clone(), shutdown));
     while clock::now() < shutdown.close_at() {
         tokio::time::sleep(SHUTDOWN_POLL_PERIOD).await;
     }
@@ -225,11 +225,22 @@
             log::warn!("connections are still open at the exit");
         }
     }
+    match timeout(until(shutdown.exit_at()), leaving).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::error!(error:%; "leaving failed"),
+        Err(_) => log::warn!("the store has not confirmed that this host leaves"),
+    }
     let requests = edge.state.borrow().active_requests;
     let ms = clock::now().saturating_sub(shutdown.started_at).as_millis() as u64;
     log::info!(requests, ms; "stopped");
 }
 
+/// Releases the leadership and deletes this daemon's row in the store.
+async fn leave(edge: Rc<Edge>, shutdown: Shutdown) {
+    release_leadership(&edge, &shutdown).await;
+    store_watch::remove_member_row(&edge).await;
+}
+
 /// Releases the leadership. Where engines refuse old fencing numbers, this daemon
 /// sends orders for another lease, so that its successor can start at once.
 async fn release_leadership(edge: &Rc<Edge>, shutdown: &Shutdown) {
--- a/tests/edge/fakes/store.rs
+++ b/tests/edge/fakes/store.rs
@@ -27,6 +27,8 @@
     /// First version in the history; feeds from earlier versions get 410.
     history_start: u64,
     down: bool,
+    /// Whether calls get no answer.
+    silent: bool,
     calls: u64,
     /// Tables that were read whole, one entry a call.
     whole_reads: Vec<String>,
@@ -104,6 +106,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Leaves all further calls without an answer.
+    pub fn silence(&self) {
+        self.state.lock().unwrap().silent = true;
+        self.changed.notify_waiters();
+    }
+
     /// Expires the history: feeds from earlier versions get 410.
     pub fn expire_history(&self) {
         let mut state = self.state.lock().unwrap();
@@ -117,6 +125,9 @@
         let mut rest = Vec::new();
         while let Ok(Some(request)) = read_request(&mut stream, &mut rest).await {
             let (status, body) = self.call(&request).await;
+            if self.state.lock().unwrap().silent {
+                std::future::pending::<()>().await;
+            }
             let body = body.to_string();
             if write_response(&mut stream, status, &[], body.as_bytes())
                 .await
--- a/tests/edge/planned_stop.rs
+++ b/tests/edge/planned_stop.rs
@@ -142,6 +142,21 @@
     assert!(site.daemon.wait_for_exit().success());
 }
 
+/// A store that did not answer delayed the close of the listeners, so that the process
+/// was killed after the grace period, with requests in progress.
+#[test]
+fn a_silent_store_does_not_delay_the_exit() {
+    let mut site = start();
+    wait("the leadership", || {
+        !site.daemon.logged("leadership acquired").is_empty()
+    });
+    site.store.silence();
+    let started = stop(&site);
+    assert!(site.daemon.wait_for_exit().success());
+    let elapsed = started.elapsed().as_secs_f64();
+    assert!(elapsed < GRACE_S, "exit after {elapsed} s");
+}
+
 /// An idle connection at the end of the stop is closed without a reset, and delays the
 /// exit by no more than the grace period.
 #[test]
