--- a/tests/edge/fakes/daemon.rs
+++ b/tests/edge/fakes/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -17,6 +17,9 @@
 /// Maximum wait for a condition; far above what any condition takes.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time limit of a question whether a daemon is ready that may be stopped.
+const READY_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Waits until `condition` is true; fails the test after [`WAIT_TIMEOUT`].
 pub fn wait(expected: &str, mut condition: impl FnMut() -> bool) {
     let started = Instant::now();
@@ -36,6 +39,8 @@
     child: Child,
     lines: Arc<Mutex<Vec<Value>>>,
     settings: PathBuf,
+    /// Number of processes started so far.
+    pub lives: u64,
 }
 
 impl Daemon {
@@ -63,29 +68,36 @@
         let name = format!("mastichinge-edge-{}-{number}.json", std::process::id());
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, settings.to_string()).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_mastichinged"))
-            .arg("--edge")
-            .env("MASTICHINGE_SETTINGS", &path)
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
         let lines = Arc::new(Mutex::new(Vec::new()));
-        let (stdout, kept) = (child.stdout.take().unwrap(), lines.clone());
-        thread::spawn(move || {
-            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
-                let line: Value = serde_json::from_str(&line).expect("log line is not JSON");
-                kept.lock().unwrap().push(line);
-            }
-        });
         Daemon {
             callers,
             entry,
-            child,
+            child: spawn(&path, &lines),
             lines,
             settings: path,
+            lives: 1,
         }
     }
 
+    /// Kills the process and starts another one on the same ports.
+    pub fn restart(&mut self) {
+        // The process may have exited already.
+        let _ = self.child.kill();
+        self.child.wait().unwrap();
+        self.child = spawn(&self.settings, &self.lines);
+        self.lives += 1;
+    }
+
+    /// Returns whether the process has exited.
+    pub fn has_exited(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
+    /// Returns all log lines.
+    pub fn lines(&self) -> Vec<Value> {
+        self.lines.lock().unwrap().clone()
+    }
+
     /// Returns the log lines with this message.
     pub fn logged(&self, message: &str) -> Vec<Value> {
         let lines = self.lines.lock().unwrap();
@@ -102,6 +114,21 @@
         exchange(stream, request.as_bytes())
     }
 
+    /// Returns whether the daemon says within [`READY_TIMEOUT`] that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let Ok(mut stream) = TcpStream::connect_timeout(&self.entry, READY_TIMEOUT) else {
+            return false;
+        };
+        stream.set_read_timeout(Some(READY_TIMEOUT)).unwrap();
+        let request = b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        let mut bytes = Vec::new();
+        // A stopped process does not answer; its bytes so far decide.
+        let _ = stream
+            .write_all(request)
+            .and_then(|()| stream.read_to_end(&mut bytes));
+        parse(&bytes).status == 200
+    }
+
     /// Sends a request on a new connection.
     pub fn send(&self, request: &Request) -> Response {
         let Ok(stream) = TcpStream::connect(self.callers) else {
@@ -131,6 +158,24 @@
     }
 }
 
+/// Starts a process, whose log lines are added to `lines`.
+fn spawn(settings: &Path, lines: &Arc<Mutex<Vec<Value>>>) -> Child {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_mastichinged"))
+        .arg("--edge")
+        .env("MASTICHINGE_SETTINGS", settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let (stdout, kept) = (child.stdout.take().unwrap(), lines.clone());
+    thread::spawn(move || {
+        for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+            let line: Value = serde_json::from_str(&line).expect("log line is not JSON");
+            kept.lock().unwrap().push(line);
+        }
+    });
+    child
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         // The process may have exited already.
--- a/tests/edge/fakes/mod.rs
+++ b/tests/edge/fakes/mod.rs
@@ -64,6 +64,18 @@
 pub async fn read_request(
     stream: &mut TcpStream,
     rest: &mut Vec<u8>,
+) -> io::Result<Option<ReceivedRequest>> {
+    let Some(mut request) = read_head(stream, rest).await? else {
+        return Ok(None);
+    };
+    let whole = read_body(stream, rest, &mut request).await?;
+    Ok(whole.then_some(request))
+}
+
+/// Reads the head of one request, like [`read_request`].
+pub async fn read_head(
+    stream: &mut TcpStream,
+    rest: &mut Vec<u8>,
 ) -> io::Result<Option<ReceivedRequest>> {
     let head = loop {
         if let Some(at) = find_bytes(rest, b"\r\n\r\n") {
@@ -88,14 +100,23 @@
             request.headers.push((name.to_owned(), value));
         }
     }
+    Ok(Some(request))
+}
+
+/// Reads the body that follows the head; returns whether it is complete.
+pub async fn read_body(
+    stream: &mut TcpStream,
+    rest: &mut Vec<u8>,
+    request: &mut ReceivedRequest,
+) -> io::Result<bool> {
     let length = request.header("content-length").parse().unwrap_or(0);
     while rest.len() < length {
         if read_more(stream, rest).await? == 0 {
-            return Ok(None);
+            return Ok(false);
         }
     }
     request.body = rest.drain(..length).collect();
-    Ok(Some(request))
+    Ok(true)
 }
 
 async fn read_more(stream: &mut TcpStream, rest: &mut Vec<u8>) -> io::Result<usize> {
--- a/tests/edge/fakes/store.rs
+++ b/tests/edge/fakes/store.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::{ReceivedRequest, read_request, runtime, write_response};
 
@@ -27,6 +27,10 @@
     /// First version in the history; feeds from earlier versions get 410.
     history_start: u64,
     down: bool,
+    /// Time added to each call.
+    delay: Duration,
+    /// Whether connections are closed instead of answered.
+    closing: bool,
     calls: u64,
     /// Tables that were read whole, one entry a call.
     whole_reads: Vec<String>,
@@ -104,6 +108,17 @@
         self.changed.notify_waiters();
     }
 
+    /// Sets the time added to each call.
+    pub fn set_delay(&self, delay: Duration) {
+        self.state.lock().unwrap().delay = delay;
+    }
+
+    /// Sets whether connections are closed instead of answered.
+    pub fn set_closing(&self, closing: bool) {
+        self.state.lock().unwrap().closing = closing;
+        self.changed.notify_waiters();
+    }
+
     /// Expires the history: feeds from earlier versions get 410.
     pub fn expire_history(&self) {
         let mut state = self.state.lock().unwrap();
@@ -118,6 +133,14 @@
         while let Ok(Some(request)) = read_request(&mut stream, &mut rest).await {
             let (status, body) = self.call(&request).await;
             let body = body.to_string();
+            let (delay, closing) = {
+                let state = self.state.lock().unwrap();
+                (state.delay, state.closing)
+            };
+            if closing {
+                return;
+            }
+            sleep(delay).await;
             if write_response(&mut stream, status, &[], body.as_bytes())
                 .await
                 .is_err()
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -2,6 +2,7 @@
 
 mod decisions;
 mod engine_list;
+#[allow(dead_code, reason = "shared with the soak, which uses other parts")]
 mod fakes;
 mod fixtures;
 mod fleet;
--- /dev/null
+++ b/tests/soak/callers.rs
@@ -0,0 +1,250 @@
+//! Callers: they send requests of all kinds and retry as the platform's callers do.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use crate::http::read_answer;
+use crate::record::{Attempt, Kind, Outcome, Recorder, request_body};
+use crate::site::prefix;
+
+/// Time limits of requests, ms.
+const TIME_LIMITS_MS: [u64; 3] = [1_500, 4_000, 8_000];
+/// Time that a caller waits beyond its time limit for the connection to end.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// Time limit for connecting.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Share of the idle timeout after which a connection is no longer used.
+const IDLE_SHARE: f64 = 0.8;
+/// Maximum number of retries of a request.
+const MAX_RETRIES: u32 = 3;
+/// Statuses which promise that the request has not run and will not run.
+pub const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// What all callers share.
+pub struct CallerSetup {
+    pub seed: u64,
+    pub addrs: Vec<SocketAddr>,
+    pub recorder: Arc<Recorder>,
+    pub stop: AtomicBool,
+}
+
+/// A connection to a daemon.
+struct Connection {
+    stream: TcpStream,
+    daemon: usize,
+    reused: bool,
+    idle_since: Duration,
+}
+
+/// One caller.
+pub struct Caller {
+    setup: Arc<CallerSetup>,
+    number: usize,
+    rng: ChaCha8Rng,
+    sent: u64,
+    kept: Option<Connection>,
+}
+
+impl Caller {
+    pub fn new(setup: &Arc<CallerSetup>, number: usize) -> Self {
+        Caller {
+            setup: setup.clone(),
+            number,
+            rng: ChaCha8Rng::seed_from_u64(setup.seed * 10_000 + number as u64),
+            sent: 0,
+            kept: None,
+        }
+    }
+
+    /// Sends requests until the run ends.
+    pub async fn run(mut self) {
+        while !self.setup.stop.load(Ordering::SeqCst) {
+            let pause = match self.rng.random_range(0..10) {
+                0 => self.rng.random_range(200..3_500),
+                _ => self.rng.random_range(0..60),
+            };
+            sleep(Duration::from_millis(pause)).await;
+            self.request().await;
+        }
+    }
+
+    /// Sends a request, and retries it while that is allowed.
+    async fn request(&mut self) {
+        let kind = match self.rng.random_range(0..20) {
+            0..10 => Kind::Booking,
+            10..14 => Kind::Lookup,
+            14..17 => Kind::RigidStream,
+            _ => Kind::Stream,
+        };
+        let limit = TIME_LIMITS_MS[self.rng.random_range(0..TIME_LIMITS_MS.len())];
+        let limit = Duration::from_millis(limit);
+        for retry in 0..=MAX_RETRIES {
+            let keeps = retry == 0 && self.rng.random_bool(0.8);
+            let kept = self.kept.take().filter(|_| keeps);
+            let idle_limit = self.setup.recorder.idle_limit().mul_f64(IDLE_SHARE);
+            let now = self.setup.recorder.now();
+            let kept = kept.filter(|c| now.saturating_sub(c.idle_since) < idle_limit);
+            self.sent += 1;
+            let id = format!("{:x}-{}-{}", self.setup.seed, self.number, self.sent);
+            let outcome = self.attempt(kept, kind, &id, limit).await;
+            let wait = match &outcome {
+                Outcome::Answered(answer) if PROMISES.contains(&answer.status) => {
+                    answer.retry_after.unwrap_or_default().min(limit / 3)
+                }
+                Outcome::Answered(answer) if answer.status < 500 && answer.complete => return,
+                Outcome::Left => return,
+                Outcome::NotSent => Duration::ZERO,
+                _ if kind == Kind::Lookup => Duration::ZERO,
+                _ => return,
+            };
+            sleep(wait).await;
+        }
+    }
+
+    /// Sends one attempt and records how it ended.
+    async fn attempt(
+        &mut self,
+        kept: Option<Connection>,
+        kind: Kind,
+        id: &str,
+        limit: Duration,
+    ) -> Outcome {
+        let started_at = self.setup.recorder.now();
+        let kept = match kept {
+            Some(kept) => Some(kept),
+            None => self.connect().await,
+        };
+        let mut attempt = Attempt {
+            kind,
+            daemon: kept.as_ref().map_or(usize::MAX, |c| c.daemon),
+            reused: kept.as_ref().is_some_and(|c| c.reused),
+            started_at,
+            sent_at: None,
+            ended_at: started_at,
+            time_limit: limit,
+            outcome: Outcome::NotSent,
+        };
+        if let Some(connection) = kept {
+            attempt.outcome = self.exchange(connection, &mut attempt, id).await;
+        }
+        attempt.ended_at = self.setup.recorder.now();
+        self.setup.recorder.add_attempt(id, attempt.clone());
+        attempt.outcome
+    }
+
+    async fn connect(&mut self) -> Option<Connection> {
+        let daemon = self.rng.random_range(0..self.setup.addrs.len());
+        let connecting = TcpStream::connect(self.setup.addrs[daemon]);
+        let stream = timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(Connection {
+            stream,
+            daemon,
+            reused: false,
+            idle_since: Duration::ZERO,
+        })
+    }
+
+    async fn exchange(
+        &mut self,
+        mut connection: Connection,
+        attempt: &mut Attempt,
+        id: &str,
+    ) -> Outcome {
+        let leaves = self.rng.random_bool(0.05);
+        let patience = match leaves {
+            true => Duration::from_millis(self.rng.random_range(1..800)),
+            false => attempt.time_limit + PATIENCE,
+        };
+        let bytes = self.request_bytes(attempt.kind, id, attempt.time_limit);
+        let pieces = self.pieces(bytes.len());
+        let recorder = self.setup.recorder.clone();
+        let stream = &mut connection.stream;
+        let sent_at = &mut attempt.sent_at;
+        let exchange = async {
+            let mut start = 0;
+            for (end, pause) in pieces {
+                if stream.write_all(&bytes[start..end]).await.is_err() {
+                    break;
+                }
+                start = end;
+                sleep(pause).await;
+            }
+            if start == bytes.len() {
+                *sent_at = Some(recorder.now());
+            }
+            // Also after a failed write: the response may have come before.
+            read_answer(stream).await
+        };
+        let outcome = timeout(patience, exchange).await;
+        let answer = match outcome {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) if attempt.sent_at.is_none() => return Outcome::NotSent,
+            Ok(Err(_)) => return Outcome::Closed,
+            Err(_) if leaves => return Outcome::Left,
+            Err(_) => return Outcome::TimedOut,
+        };
+        if answer.complete && !answer.closes && attempt.sent_at.is_some() {
+            connection.reused = true;
+            connection.idle_since = self.setup.recorder.now();
+            self.kept = Some(connection);
+        }
+        Outcome::Answered(answer)
+    }
+
+    fn request_bytes(&mut self, kind: Kind, id: &str, limit: Duration) -> Vec<u8> {
+        let mut head = format!(
+            "POST {}x HTTP/1.1\r\nHost: firm.example\r\nX-Mastichinge-Request-Id: {id}\r\n\
+             X-Mastichinge-Deadline-Ms: {}\r\n",
+            prefix(kind),
+            limit.as_millis()
+        );
+        if kind.is_stream() {
+            let model = if self.rng.random_bool(0.8) {
+                "m1"
+            } else {
+                "m2"
+            };
+            head.push_str(&format!(
+                "X-Mastichinge-Model: {model}\r\nX-Mastichinge-Token-Count: 100,20\r\n"
+            ));
+        }
+        let body = request_body(id);
+        if self.rng.random_bool(0.7) {
+            head.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
+            return [head.as_bytes(), &body].concat();
+        }
+        head.push_str("Transfer-Encoding: chunked\r\n\r\n");
+        let mut bytes = head.into_bytes();
+        for chunk in body.chunks(self.rng.random_range(10..4_000)) {
+            bytes.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+            bytes.extend_from_slice(chunk);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        bytes.extend_from_slice(b"0\r\n\r\n");
+        bytes
+    }
+
+    /// Returns the ends of the pieces in which a request is written, with the pause after
+    /// each.
+    fn pieces(&mut self, length: usize) -> Vec<(usize, Duration)> {
+        let mut pieces = Vec::new();
+        if self.rng.random_bool(0.3) {
+            for _ in 0..self.rng.random_range(1..4) {
+                let pause = Duration::from_millis(self.rng.random_range(1..150));
+                pieces.push((self.rng.random_range(1..length), pause));
+            }
+            pieces.sort_unstable();
+        }
+        pieces.push((length, Duration::ZERO));
+        pieces
+    }
+}
--- /dev/null
+++ b/tests/soak/checkers.rs
@@ -0,0 +1,235 @@
+//! Each check finds a history in which its promise is broken, and no other.
+
+use std::time::Duration;
+
+use test_case::test_case;
+
+use crate::checks::{Rule, violations};
+use crate::engine_faults::EngineFault;
+use crate::record::{
+    Answer, Attempt, EngineStep, History, Kind, Outcome, Span, Step, answer_body, event_count,
+    event_text,
+};
+
+const ID: &str = "1-1-1";
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Returns a correct response to the request.
+fn answer(kind: Kind) -> Answer {
+    let events = (1..=event_count(ID)).map(|n| event_text(ID, n));
+    Answer {
+        status: 200,
+        id: ID.to_owned(),
+        stamp: format!("desk0.{ID}"),
+        body: match kind.is_stream() {
+            true => events.collect::<String>().into_bytes(),
+            false => answer_body(ID),
+        },
+        complete: true,
+        ..Answer::default()
+    }
+}
+
+/// Returns an answer of a daemon itself.
+fn refusal(status: u16) -> Outcome {
+    Outcome::Answered(Answer {
+        status,
+        id: ID.to_owned(),
+        complete: true,
+        ..Answer::default()
+    })
+}
+
+/// Returns the history of one request, which took from 1.0 s to 1.8 s and ran as
+/// `steps` say.
+fn history(kind: Kind, outcome: Outcome, steps: &[Step]) -> History {
+    let attempt = Attempt {
+        kind,
+        daemon: 0,
+        reused: false,
+        started_at: at(1_000),
+        sent_at: Some(at(1_010)),
+        ended_at: at(1_800),
+        time_limit: at(4_000),
+        outcome,
+    };
+    let mut history = History::default();
+    history.attempts.insert(ID.to_owned(), attempt);
+    let recorded = steps.iter().map(|step| EngineStep {
+        engine: "desk0".to_owned(),
+        at: at(1_100),
+        step: step.clone(),
+    });
+    history.steps.insert(ID.to_owned(), recorded.collect());
+    history
+}
+
+/// Steps of an engine that runs a request and answers it.
+const RUN: [Step; 4] = [
+    Step::Arrived(None),
+    Step::Began(true),
+    Step::Ended,
+    Step::Answered(200),
+];
+
+fn broken_rules(history: &History) -> Vec<Rule> {
+    violations(history).iter().map(|v| v.rule).collect()
+}
+
+#[test_case(Kind::Lookup; "lookup")]
+#[test_case(Kind::Booking; "booking")]
+#[test_case(Kind::Stream; "stream")]
+#[test_case(Kind::RigidStream; "rigid stream")]
+fn a_correct_response_breaks_no_rule(kind: Kind) {
+    let history = history(kind, Outcome::Answered(answer(kind)), &RUN);
+    assert_eq!(broken_rules(&history), []);
+}
+
+#[test_case(429)]
+#[test_case(503)]
+#[test_case(408)]
+#[test_case(421)]
+fn a_run_of_a_booking_that_was_refused_is_found(status: u16) {
+    let ran = history(Kind::Booking, refusal(status), &RUN);
+    assert_eq!(broken_rules(&ran), [Rule::Refused]);
+    let rejected = [Step::Arrived(None), Step::Answered(503)];
+    let not_run = history(Kind::Booking, refusal(status), &rejected);
+    assert_eq!(broken_rules(&not_run), []);
+    let lookup = history(Kind::Lookup, refusal(status), &RUN);
+    assert_eq!(broken_rules(&lookup), []);
+}
+
+#[test_case(Kind::Booking; "booking")]
+#[test_case(Kind::RigidStream; "rigid stream")]
+fn a_second_run_is_found(kind: Kind) {
+    let steps = [&RUN[..], &RUN[..]].concat();
+    let twice = history(kind, Outcome::Answered(answer(kind)), &steps);
+    assert_eq!(broken_rules(&twice), [Rule::Twice]);
+    let left = history(kind, Outcome::Left, &steps);
+    assert_eq!(broken_rules(&left), [Rule::Twice]);
+}
+
+#[test]
+fn a_response_that_is_not_the_engines_is_found() {
+    let changes: [fn(&mut Answer); 6] = [
+        |a| a.id = "1-1-2".to_owned(),
+        |a| a.stamp.clear(),
+        |a| a.stamp = "desk0.1-1-2".to_owned(),
+        |a| a.stamp = "desk0".to_owned(),
+        |a| a.body.truncate(3),
+        // An engine answered 200.
+        |a| a.status = 500,
+    ];
+    for change in changes {
+        let mut answer = answer(Kind::Booking);
+        change(&mut answer);
+        let history = history(Kind::Booking, Outcome::Answered(answer.clone()), &RUN);
+        assert_eq!(broken_rules(&history), [Rule::Mixed], "{answer:?}");
+    }
+}
+
+#[test]
+fn events_that_miss_come_twice_or_belong_to_another_request_are_found() {
+    let whole = |events: &[u64]| -> Vec<u8> {
+        let texts = events.iter().map(|n| event_text(ID, *n));
+        texts.collect::<String>().into_bytes()
+    };
+    let other = event_text("1-1-2", 1).into_bytes();
+    for body in [whole(&[1, 3]), whole(&[1, 1, 2]), whole(&[2]), other] {
+        for complete in [true, false] {
+            let answer = Answer {
+                body: body.clone(),
+                complete,
+                ..answer(Kind::Stream)
+            };
+            let mut steps = RUN.to_vec();
+            steps.push(Step::Cut);
+            let history = history(Kind::Stream, Outcome::Answered(answer), &steps);
+            assert_eq!(broken_rules(&history), [Rule::Order]);
+        }
+    }
+    let early = Answer {
+        body: whole(&[1, 2]),
+        ..answer(Kind::Stream)
+    };
+    let early = history(Kind::Stream, Outcome::Answered(early), &RUN);
+    assert_eq!(broken_rules(&early), [Rule::Order]);
+}
+
+#[test]
+fn a_changed_body_and_a_refused_path_are_found() {
+    let steps = [Step::Arrived(None), Step::Began(false), Step::Answered(200)];
+    let changed = history(
+        Kind::Booking,
+        Outcome::Answered(answer(Kind::Booking)),
+        &steps,
+    );
+    assert_eq!(broken_rules(&changed), [Rule::Changed]);
+    let denied = history(Kind::Booking, refusal(404), &[]);
+    assert_eq!(broken_rules(&denied), [Rule::Denied]);
+}
+
+/// Returns the ways in which a request may get no complete response.
+fn losses(kind: Kind) -> [Outcome; 3] {
+    let truncated = Answer {
+        body: Vec::new(),
+        complete: false,
+        ..answer(kind)
+    };
+    [
+        Outcome::Answered(truncated),
+        Outcome::Closed,
+        Outcome::TimedOut,
+    ]
+}
+
+#[test]
+fn a_lost_request_is_found() {
+    for outcome in losses(Kind::Booking) {
+        let lost = history(Kind::Booking, outcome.clone(), &RUN);
+        assert_eq!(broken_rules(&lost), [Rule::Lost], "{outcome:?}");
+        // An engine's silence is no reason.
+        let silent = [
+            Step::Arrived(Some(EngineFault::SilenceAfter)),
+            Step::Began(true),
+            Step::Answered(200),
+        ];
+        let lost = history(Kind::Booking, outcome, &silent);
+        assert_eq!(broken_rules(&lost), [Rule::Lost]);
+    }
+    let unread = history(Kind::Booking, Outcome::Closed, &[]);
+    assert_eq!(
+        broken_rules(&unread),
+        [Rule::Lost],
+        "closed long after its last byte"
+    );
+}
+
+#[test]
+fn a_loss_is_excused_by_its_engine_or_by_its_daemons_stop() {
+    let outcome = || Outcome::Closed;
+    for step in [Step::Arrived(Some(EngineFault::ResetRun)), Step::Cut] {
+        let steps = [Step::Arrived(None), Step::Began(true), step];
+        let history = history(Kind::Booking, outcome(), &steps);
+        assert_eq!(broken_rules(&history), []);
+    }
+    let span = |daemon, start, end, planned| Span {
+        daemon,
+        start: at(start),
+        end: at(end),
+        planned,
+    };
+    let with_span = |span| {
+        let mut history = history(Kind::Booking, outcome(), &RUN);
+        history.spans.push(span);
+        broken_rules(&history)
+    };
+    assert_eq!(with_span(span(0, 1_500, 2_500, false)), []);
+    assert_eq!(with_span(span(1, 1_500, 2_500, false)), [Rule::Lost]);
+    assert_eq!(with_span(span(0, 2_000, 2_500, false)), [Rule::Lost]);
+    // A shutdown excuses nothing until late in its grace period.
+    assert_eq!(with_span(span(0, 900, 3_900, true)), [Rule::Lost]);
+}
--- /dev/null
+++ b/tests/soak/disturbances.rs
@@ -0,0 +1,184 @@
+//! Disturbances from outside: signals to daemons, changes of the desired state and of
+//! settings, and failures of the store and of engines. They come in series and overlap.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::fakes::daemon::wait;
+use crate::record::Span;
+use crate::settings::SoakSettings;
+use crate::site::{Desired, Site, write_desired};
+
+/// Time from SIGTERM to SIGKILL; the grace period of the daemons' settings.
+pub const GRACE: Duration = Duration::from_secs(3);
+/// Period of checking whether a process has exited.
+const EXIT_POLL_PERIOD: Duration = Duration::from_millis(20);
+
+/// A kind of disturbance.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter, strum::EnumString, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Disturbance {
+    /// Stops a daemon with SIGSTOP for a while.
+    Freeze,
+    /// Kills a daemon and starts it again.
+    Kill,
+    /// Shuts a daemon down with SIGTERM and starts it again.
+    Shutdown,
+    /// Changes a daemon's settings and sends SIGHUP.
+    Reload,
+    /// Writes versions of the desired state in quick succession.
+    Desired,
+    /// The store answers 503.
+    StoreDown,
+    /// The store answers slowly.
+    StoreSlow,
+    /// The store closes connections.
+    StoreClosing,
+    /// An engine starts again at its address under another id.
+    EngineRestart,
+}
+
+/// Starts disturbances until `stop` is set and waits for the end of all of them.
+pub fn run(site: &Site, settings: &SoakSettings, stop: &Arc<AtomicBool>) {
+    let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
+    let mut desired = Desired::default();
+    thread::scope(|scope| {
+        while !stop.load(Ordering::SeqCst) {
+            let pause = rng.random_range(0..settings.pause.as_millis() as u64);
+            thread::sleep(Duration::from_millis(pause));
+            let Some(&kind) = settings.disturbances.choose(&mut rng) else {
+                continue;
+            };
+            let daemon = rng.random_range(0..site.daemons.len());
+            let engine = rng.random_range(0..site.engines.len());
+            let time = Duration::from_millis(rng.random_range(200..4_000));
+            match kind {
+                Disturbance::Freeze => {
+                    scope.spawn(move || freeze(site, daemon, time));
+                }
+                Disturbance::Kill => {
+                    scope.spawn(move || kill(site, daemon, time / 4));
+                }
+                Disturbance::Shutdown => {
+                    scope.spawn(move || shut_down(site, daemon));
+                }
+                Disturbance::Reload => reload(site, daemon, time),
+                Disturbance::Desired => {
+                    for _ in 0..rng.random_range(1..5) {
+                        desired.version += rng.random_range(1..4);
+                        desired.route_timeout_ms = rng.random_range(3_000..8_000);
+                        desired.idle_timeout_ms = rng.random_range(1_500..6_000);
+                        desired.extra_routes = rng.random_range(0..6);
+                        write_desired(&site.store, &site.recorder, &desired);
+                        thread::sleep(Duration::from_millis(rng.random_range(0..200)));
+                    }
+                }
+                Disturbance::StoreDown => {
+                    scope.spawn(move || {
+                        site.store.set_down(true);
+                        thread::sleep(time);
+                        site.store.set_down(false);
+                    });
+                }
+                Disturbance::StoreSlow => {
+                    scope.spawn(move || {
+                        site.store.set_delay(time / 4);
+                        thread::sleep(time);
+                        site.store.set_delay(Duration::ZERO);
+                    });
+                }
+                Disturbance::StoreClosing => {
+                    scope.spawn(move || {
+                        site.store.set_closing(true);
+                        thread::sleep(time);
+                        site.store.set_closing(false);
+                    });
+                }
+                Disturbance::EngineRestart => site.engines[engine].restart(),
+            }
+        }
+    });
+}
+
+fn freeze(site: &Site, daemon: usize, time: Duration) {
+    let start = site.recorder.now();
+    site.daemons[daemon].lock().unwrap().signal(libc::SIGSTOP);
+    thread::sleep(time);
+    site.daemons[daemon].lock().unwrap().signal(libc::SIGCONT);
+    add_span(site, daemon, start, false);
+}
+
+fn kill(site: &Site, daemon: usize, time: Duration) {
+    let start = site.recorder.now();
+    let life = {
+        let daemon = site.daemons[daemon].lock().unwrap();
+        daemon.signal(libc::SIGKILL);
+        daemon.lives
+    };
+    thread::sleep(time);
+    restart(site, daemon, life);
+    wait_until_ready(site, daemon);
+    add_span(site, daemon, start, false);
+}
+
+fn shut_down(site: &Site, daemon: usize) {
+    let start = site.recorder.now();
+    let signalled_at = Instant::now();
+    let life = {
+        let daemon = site.daemons[daemon].lock().unwrap();
+        daemon.signal(libc::SIGTERM);
+        daemon.lives
+    };
+    while signalled_at.elapsed() < GRACE {
+        thread::sleep(EXIT_POLL_PERIOD);
+        let mut daemon = site.daemons[daemon].lock().unwrap();
+        if daemon.lives != life || daemon.has_exited() {
+            break;
+        }
+    }
+    restart(site, daemon, life);
+    add_span(site, daemon, start, true);
+    wait_until_ready(site, daemon);
+}
+
+/// Starts a daemon again, unless another disturbance has done so since `life`.
+fn restart(site: &Site, daemon: usize, life: u64) {
+    let mut daemon = site.daemons[daemon].lock().unwrap();
+    if daemon.lives == life {
+        daemon.restart();
+    }
+}
+
+fn reload(site: &Site, daemon: usize, time: Duration) {
+    let daemon = site.daemons[daemon].lock().unwrap();
+    let ttl = 1.0 + time.as_secs_f64();
+    daemon.write_settings(|s| s["bounds"]["entry_ttl_s"] = ttl.into());
+    daemon.signal(libc::SIGHUP);
+}
+
+/// Waits for a ready daemon; only a hint, as another disturbance may stop it.
+fn wait_until_ready(site: &Site, daemon: usize) {
+    let started_at = Instant::now();
+    wait("a ready daemon", || {
+        let daemon = site.daemons[daemon].lock().unwrap();
+        started_at.elapsed() > GRACE || daemon.is_ready()
+    });
+}
+
+fn add_span(site: &Site, daemon: usize, start: Duration, planned: bool) {
+    let end = site.recorder.now();
+    site.recorder.add_span(Span {
+        daemon,
+        start,
+        end,
+        planned,
+    });
+}
--- /dev/null
+++ b/tests/soak/engine.rs
@@ -0,0 +1,425 @@
+//! Engines that run requests in slots, fail as the run's settings say, and record each
+//! request and each run.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::{sleep, timeout};
+
+use crate::engine_faults::EngineFault;
+use crate::exchange::{Exchange, Extra, answer_head, closed, extra_answer, rejection, reset};
+use crate::fakes::store::Store;
+use crate::fakes::{ReceivedRequest, read_body, read_head, runtime, write_response};
+use crate::record::{Recorder, Step, answer_body, event_count, event_text, request_body};
+use crate::settings::SoakSettings;
+
+/// Runs at the same time.
+const SLOTS: usize = 4;
+/// Requests that wait for a slot.
+const MAX_QUEUE: usize = 12;
+/// Longest run of a short request, ms.
+const MAX_RUN_MS: u64 = 40;
+/// Longest pause between two events, ms.
+const MAX_EVENT_PAUSE_MS: u64 = 30;
+
+/// What does not change while an engine exists.
+pub struct EngineSetup {
+    pub name: String,
+    pub service: String,
+    pub models: Vec<String>,
+    /// Time after which it closes an idle connection; announced if it is whole seconds.
+    pub idle_timeout: Duration,
+    /// Whether it drops queued requests whose connection has closed.
+    pub watches_connections: bool,
+}
+
+struct EngineState {
+    rng: ChaCha8Rng,
+    id: String,
+    born: u64,
+    sequence: u64,
+    orders: u64,
+    models: Vec<String>,
+}
+
+/// Handle of an engine.
+#[derive(Clone)]
+pub struct SoakEngine(Arc<Inner>);
+
+struct Inner {
+    setup: EngineSetup,
+    addr: SocketAddr,
+    store: Store,
+    recorder: Arc<Recorder>,
+    fault_rate: f64,
+    faults: Vec<EngineFault>,
+    slots: Semaphore,
+    /// Slots and places in the queue.
+    places: Semaphore,
+    state: Mutex<EngineState>,
+    /// Number of the current lifetime.
+    lifetime: watch::Sender<u64>,
+}
+
+impl SoakEngine {
+    /// Starts an engine and registers it.
+    pub fn start(
+        setup: EngineSetup,
+        store: &Store,
+        recorder: &Arc<Recorder>,
+        settings: &SoakSettings,
+        number: u64,
+    ) -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let state = EngineState {
+            rng: ChaCha8Rng::seed_from_u64(settings.seed * 1_000 + number),
+            id: format!("{}-1", setup.name),
+            born: 1_000,
+            sequence: 0,
+            orders: 0,
+            models: setup.models.clone(),
+        };
+        let engine = SoakEngine(Arc::new(Inner {
+            addr: listener.local_addr().unwrap(),
+            setup,
+            store: store.clone(),
+            recorder: recorder.clone(),
+            fault_rate: settings.fault_rate,
+            faults: settings.engine_faults.clone(),
+            slots: Semaphore::new(SLOTS),
+            places: Semaphore::new(SLOTS + MAX_QUEUE),
+            state: Mutex::new(state),
+            lifetime: watch::Sender::new(1),
+        }));
+        engine.register();
+        let started = engine.clone();
+        runtime().spawn(async move {
+            let listener = TcpListener::from_std(listener).unwrap();
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                tokio::spawn(started.clone().serve(stream));
+            }
+        });
+        engine
+    }
+
+    /// Ends this lifetime and starts another one at the same address with another id.
+    pub fn restart(&self) {
+        let mut state = self.0.state.lock().unwrap();
+        self.0.store.remove("servers", &state.id);
+        state.born += 1_000;
+        state.id = format!("{}-{}", self.0.setup.name, state.born / 1_000);
+        state.orders = 0;
+        state.models.clone_from(&self.0.setup.models);
+        drop(state);
+        self.0.lifetime.send_modify(|n| *n += 1);
+        self.register();
+    }
+
+    fn register(&self) {
+        let mut state = self.0.state.lock().unwrap();
+        state.sequence += 1;
+        let models: Vec<Value> = state.models.iter().map(model_json).collect();
+        let entry = json!({"service": self.0.setup.service, "addr": self.0.addr.to_string(),
+            "zone": "north", "version": "v1", "slots": SLOTS, "state": "ready", "coldLeftMs": 0,
+            "stage": "both", "models": models, "seq": state.sequence, "born": state.born});
+        self.0.store.put("servers", &state.id, &entry);
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        let mut lifetime = self.0.lifetime.subscribe();
+        let first = *lifetime.borrow_and_update();
+        // A connection of an earlier lifetime ends with it.
+        let mut current = String::new();
+        let ended = tokio::select! {
+            ended = self.serve_requests(&mut stream, &mut current) => ended,
+            _ = lifetime.wait_for(|n| *n != first) => reset(&stream),
+        };
+        if ended.is_err() && !current.is_empty() {
+            let engine = self.0.setup.name.clone();
+            self.0.recorder.add_step(&current, &engine, Step::Cut);
+        }
+    }
+
+    /// Serves requests until the connection ends; `current` is the id of the request in
+    /// progress.
+    async fn serve_requests(&self, stream: &mut TcpStream, current: &mut String) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut rest = Vec::new();
+        let mut extra: Option<Extra> = None;
+        let mut closes = false;
+        let idle_timeout = self.0.setup.idle_timeout;
+        while let Ok(head) = timeout(idle_timeout, read_head(stream, &mut rest)).await {
+            let Some(mut request) = head? else {
+                return Ok(());
+            };
+            if closes {
+                return Ok(());
+            }
+            let id = request.header("x-mastichinge-request-id").to_owned();
+            if let Some(extra) = extra.take() {
+                let step = Step::Extra(extra.fault);
+                self.0.recorder.add_step(&id, &self.0.setup.name, step);
+                stream.write_all(&extra.bytes).await?;
+            }
+            if id.is_empty() {
+                read_body(stream, &mut rest, &mut request).await?;
+                self.call(stream, &request).await?;
+                continue;
+            }
+            current.clone_from(&id);
+            let (fault, random, engine) = {
+                let mut state = self.0.state.lock().unwrap();
+                let faulty = state.rng.random_bool(self.0.fault_rate);
+                let fault = self.0.faults.choose(&mut state.rng).copied();
+                let random = state.rng.random();
+                (fault.filter(|_| faulty), random, state.id.clone())
+            };
+            self.0.recorder.add_step(&id, &engine, Step::Arrived(fault));
+            let mut exchange = Exchange {
+                stream,
+                id,
+                engine,
+                fault,
+                random,
+                rejected: false,
+            };
+            if matches!(
+                fault,
+                Some(EngineFault::RejectEarly | EngineFault::RejectClosing)
+            ) {
+                self.reject(&mut exchange, 503, true).await?;
+                if fault == Some(EngineFault::RejectClosing) {
+                    return Ok(());
+                }
+                sleep(exchange.pause(MAX_RUN_MS)).await;
+                read_body(stream, &mut rest, &mut request).await?;
+                continue;
+            }
+            if !read_body(exchange.stream, &mut rest, &mut request).await? {
+                return Ok(());
+            }
+            self.run_request(&mut exchange, &request).await?;
+            extra = exchange.extra();
+            closes = fault == Some(EngineFault::CloseOnNext);
+            current.clear();
+        }
+        Ok(())
+    }
+
+    /// Answers a call that is not a caller's request.
+    async fn call(&self, stream: &mut TcpStream, request: &ReceivedRequest) -> io::Result<()> {
+        let (status, body) = {
+            let mut state = self.0.state.lock().unwrap();
+            match request.path() {
+                "/report" => (200, state.report()),
+                "/order" => (state.take_order(&request.body), Value::Null),
+                _ => (404, Value::Null),
+            }
+        };
+        if request.path() == "/order" {
+            self.register();
+        }
+        write_response(stream, status, &[], body.to_string().as_bytes()).await
+    }
+
+    async fn run_request(
+        &self,
+        exchange: &mut Exchange<'_>,
+        request: &ReceivedRequest,
+    ) -> io::Result<()> {
+        use EngineFault as F;
+        let model = request.header("x-mastichinge-model");
+        let loaded = {
+            let state = self.0.state.lock().unwrap();
+            model.is_empty() || state.models.iter().any(|m| m == model)
+        };
+        let expected = request.header("x-mastichinge-expect-instance");
+        if !loaded || expected != exchange.engine {
+            return self.reject(exchange, 421, true).await;
+        }
+        match exchange.fault {
+            Some(F::ResetUnrun) => return reset(exchange.stream),
+            Some(F::RejectFull | F::RejectAgain) => return self.reject(exchange, 503, true).await,
+            Some(F::RejectLimited) => return self.reject(exchange, 429, true).await,
+            Some(F::RejectMisdirected) => return self.reject(exchange, 421, true).await,
+            Some(F::RejectMalformed) => return self.reject(exchange, 400, false).await,
+            Some(F::SilenceBefore) => sleep(exchange.silence()).await,
+            _ => {}
+        }
+        let Ok(place) = self.0.places.try_acquire() else {
+            return self.reject(exchange, 503, true).await;
+        };
+        let slot = match self.0.setup.watches_connections {
+            true => tokio::select! {
+                slot = self.0.slots.acquire() => slot,
+                () = closed(exchange.stream) => return Err(io::ErrorKind::BrokenPipe.into()),
+            },
+            false => self.0.slots.acquire().await,
+        };
+        let slot = slot.unwrap();
+        let intact = request.body == request_body(&exchange.id);
+        self.record(exchange, Step::Began(intact));
+        if request.path().contains("stream") && exchange.runs_whole() {
+            let after = request.header("last-event-id").parse().unwrap_or(0);
+            return self.stream(exchange, after).await;
+        }
+        sleep(exchange.pause(MAX_RUN_MS)).await;
+        self.record(exchange, Step::Ended);
+        drop((slot, place));
+        self.answer(exchange).await
+    }
+
+    fn record(&self, exchange: &Exchange<'_>, step: Step) {
+        self.0
+            .recorder
+            .add_step(&exchange.id, &exchange.engine, step);
+    }
+
+    async fn reject(
+        &self,
+        exchange: &mut Exchange<'_>,
+        status: u16,
+        with_id: bool,
+    ) -> io::Result<()> {
+        self.record(exchange, Step::Answered(status));
+        exchange.rejected = true;
+        let bytes = rejection(&exchange.id, status, with_id);
+        exchange.stream.write_all(&bytes).await
+    }
+
+    /// Answers a short request after its run.
+    async fn answer(&self, exchange: &mut Exchange<'_>) -> io::Result<()> {
+        use EngineFault as F;
+        let status = match exchange.fault {
+            Some(F::ResetRun) => return reset(exchange.stream),
+            Some(F::CloseRun) => return exchange.close().await,
+            Some(F::Hang) => return exchange.hang().await,
+            Some(F::Garbage) => return exchange.send_garbage().await,
+            Some(F::Failure) => 500,
+            Some(F::TimeLimit) => 504,
+            Some(F::FullAfterRun) => 503,
+            _ => 200,
+        };
+        if exchange.fault == Some(F::SilenceAfter) {
+            sleep(exchange.silence()).await;
+        }
+        let body = match status {
+            200 => answer_body(&exchange.id),
+            _ => b"failed".to_vec(),
+        };
+        self.record(exchange, Step::Answered(status));
+        let framed = !matches!(exchange.fault, Some(F::Unframed | F::UnframedReset));
+        let length = framed.then_some(body.len());
+        let closing = exchange.fault == Some(F::CloseAfter);
+        let idle_timeout = self.0.setup.idle_timeout;
+        let headers = match (closing, idle_timeout.subsec_millis()) {
+            (true, _) => "Connection: close\r\n".to_owned(),
+            (false, 0) => format!("Keep-Alive: timeout={}\r\n", idle_timeout.as_secs()),
+            (false, _) => String::new(),
+        };
+        let bytes = answer_head(&exchange.id, &exchange.engine, (status, length), &headers);
+        exchange.stream.write_all(&bytes).await?;
+        let half = body.len() / 2;
+        exchange.stream.write_all(&body[..half]).await?;
+        match exchange.fault {
+            Some(F::Truncated) => return exchange.close().await,
+            Some(F::UnframedReset) => {
+                sleep(exchange.pause(MAX_RUN_MS)).await;
+                return reset(exchange.stream);
+            }
+            _ => {}
+        }
+        exchange.stream.write_all(&body[half..]).await?;
+        match exchange.fault {
+            Some(F::Unframed | F::CloseAfter) => exchange.stream.shutdown().await,
+            Some(F::ExtraAtOnce) => {
+                let bytes = extra_answer(&exchange.id, &exchange.engine, true);
+                exchange.stream.write_all(&bytes).await
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Sends the events after `after`.
+    async fn stream(&self, exchange: &mut Exchange<'_>, after: u64) -> io::Result<()> {
+        use EngineFault as F;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+             X-Mastichinge-Request-Id: {id}\r\nX-Mastichinge-Server-Stamp: {engine}.{id}\r\n\
+             Transfer-Encoding: chunked\r\n\r\n",
+            id = exchange.id,
+            engine = exchange.engine
+        );
+        self.record(exchange, Step::Answered(200));
+        exchange.stream.write_all(head.as_bytes()).await?;
+        let last = event_count(&exchange.id);
+        let fault_at = after + 1 + exchange.random % last;
+        for event in after + 1..=last {
+            sleep(exchange.pause(MAX_EVENT_PAUSE_MS)).await;
+            let text = event_text(&exchange.id, event);
+            if event == fault_at {
+                match exchange.fault {
+                    Some(F::ResetRun | F::UnframedReset) => return reset(exchange.stream),
+                    Some(F::CloseRun) => return exchange.close().await,
+                    Some(F::Hang) => return exchange.hang().await,
+                    Some(F::Garbage) => return exchange.send_garbage().await,
+                    Some(F::SilenceAfter) => sleep(exchange.silence()).await,
+                    Some(F::Truncated) => {
+                        let half = &text[..text.len() / 2];
+                        let chunk = format!("{:x}\r\n{half}\r\n", half.len());
+                        exchange.stream.write_all(chunk.as_bytes()).await?;
+                        return exchange.close().await;
+                    }
+                    _ => {}
+                }
+            }
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            exchange.stream.write_all(chunk.as_bytes()).await?;
+        }
+        self.record(exchange, Step::Ended);
+        exchange.stream.write_all(b"0\r\n\r\n").await
+    }
+}
+
+impl EngineState {
+    fn report(&self) -> Value {
+        let models: Vec<Value> = self.models.iter().map(model_json).collect();
+        json!({"stage": "both", "models": models, "inFlight": false,
+            "seq": self.orders, "queued": 0, "active": 0, "born": self.born})
+    }
+
+    /// Carries an order out at once; returns the status.
+    fn take_order(&mut self, body: &[u8]) -> u16 {
+        let Ok(order) = serde_json::from_slice::<Value>(body) else {
+            return 400;
+        };
+        let expected = order["expected"].as_u64();
+        let (Some(model), Some(operation)) = (order["model"].as_str(), order["op"].as_str()) else {
+            return 400;
+        };
+        if expected.is_some_and(|n| n != self.orders) {
+            return 409;
+        }
+        self.orders += 1;
+        self.models.retain(|m| m != model);
+        if operation == "load" {
+            self.models.push(model.to_owned());
+        }
+        202
+    }
+}
+
+fn model_json(model: &String) -> Value {
+    json!({"name": model, "version": 1, "adapters": []})
+}
--- /dev/null
+++ b/tests/soak/http.rs
@@ -0,0 +1,97 @@
+//! Reads a response of a daemon from a connection that may serve more requests.
+
+use std::io;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+
+use crate::record::Answer;
+
+/// Reads one response. The error is the end of the connection before a whole head;
+/// a response that is cut later is returned as incomplete.
+pub async fn read_answer(stream: &mut TcpStream) -> io::Result<Answer> {
+    let mut bytes = Vec::new();
+    let head_end = loop {
+        if let Some(at) = find(&bytes, b"\r\n\r\n") {
+            break at;
+        }
+        if stream.read_buf(&mut bytes).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
+    bytes.drain(..head_end + 4);
+    let mut answer = parse_head(&head);
+    let length = header(&head, "content-length").and_then(|v| v.parse::<usize>().ok());
+    let chunked = header(&head, "transfer-encoding").is_some_and(|v| v == "chunked");
+    loop {
+        if let Some(length) = length {
+            answer.body = bytes[..length.min(bytes.len())].to_vec();
+            answer.complete = bytes.len() == length;
+        } else if chunked {
+            (answer.body, answer.complete) = decode_chunks(&bytes);
+        }
+        if answer.complete {
+            return Ok(answer);
+        }
+        match stream.read_buf(&mut bytes).await {
+            Ok(0) => break,
+            Ok(_) => {}
+            // The bytes until a reset are the response.
+            Err(_) => return Ok(answer),
+        }
+    }
+    if length.is_none() && !chunked {
+        answer.body = bytes;
+        answer.complete = true;
+    }
+    Ok(answer)
+}
+
+fn parse_head(head: &str) -> Answer {
+    let text = |name| header(head, name).unwrap_or_default().to_owned();
+    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
+    let retry_after = header(head, "retry-after").and_then(|v| v.parse::<f64>().ok());
+    Answer {
+        status: status.unwrap_or(0),
+        id: text("x-mastichinge-request-id"),
+        stamp: text("x-mastichinge-server-stamp"),
+        retry_after: retry_after.map(Duration::from_secs_f64),
+        closes: header(head, "connection").is_some_and(|v| v.eq_ignore_ascii_case("close")),
+        ..Answer::default()
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.split("\r\n").filter_map(|l| l.split_once(':'));
+    let (_, value) = lines.find(|(n, _)| n.eq_ignore_ascii_case(name))?;
+    Some(value.trim())
+}
+
+/// Returns the body so far and whether it is complete.
+fn decode_chunks(bytes: &[u8]) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    let mut rest = bytes;
+    while let Some(at) = find(rest, b"\r\n") {
+        let size = std::str::from_utf8(&rest[..at]).unwrap_or_default();
+        let Ok(size) = usize::from_str_radix(size, 16) else {
+            return (body, false);
+        };
+        rest = &rest[at + 2..];
+        if size == 0 {
+            return (body, rest == b"\r\n");
+        }
+        if rest.len() < size + 2 {
+            body.extend_from_slice(&rest[..size.min(rest.len())]);
+            return (body, false);
+        }
+        body.extend_from_slice(&rest[..size]);
+        rest = &rest[size + 2..];
+    }
+    (body, false)
+}
+
+fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+    bytes.windows(pattern.len()).position(|w| w == pattern)
+}
--- /dev/null
+++ b/tests/soak/main.rs
@@ -0,0 +1,24 @@
+//! Randomized runs of real daemon processes: callers and engines record what they see,
+//! while daemons, engines and the store fail. The promises to callers are checked from
+//! these records alone.
+//!
+//! `SOAK_SEEDS=1-50 SOAK_SECONDS=20 cargo test --test soak seeds -- --nocapture` runs
+//! other seeds; see `settings.rs` for the other variables.
+
+mod callers;
+mod checkers;
+mod checks;
+mod disturbances;
+mod engine;
+mod engine_faults;
+mod exchange;
+#[path = "../edge/fakes/mod.rs"]
+#[allow(dead_code, reason = "shared with the edge tests, which use all of it")]
+mod fakes;
+mod http;
+#[path = "../env/loopback.rs"]
+mod loopback;
+mod record;
+mod run;
+mod settings;
+mod site;
--- /dev/null
+++ b/tests/soak/record.rs
@@ -0,0 +1,225 @@
+//! What callers and engines saw, by the id of the caller's attempt.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use crate::engine_faults::EngineFault;
+
+/// Time after which a desired state is in force everywhere.
+const APPLY_TIME: Duration = Duration::from_secs(4);
+
+/// Kind of a caller's request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
+pub enum Kind {
+    /// May run more than once.
+    Lookup,
+    /// May run once only.
+    Booking,
+    /// Stream that another engine may resume.
+    Stream,
+    /// Stream that may run once only.
+    RigidStream,
+}
+
+impl Kind {
+    pub fn is_stream(self) -> bool {
+        matches!(self, Kind::Stream | Kind::RigidStream)
+    }
+
+    /// Returns whether a request may run once only.
+    pub fn runs_once(self) -> bool {
+        matches!(self, Kind::Booking | Kind::RigidStream)
+    }
+}
+
+/// A response as a caller received it.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    pub status: u16,
+    pub id: String,
+    pub stamp: String,
+    pub retry_after: Option<Duration>,
+    pub closes: bool,
+    pub body: Vec<u8>,
+    pub complete: bool,
+}
+
+/// How an attempt of a caller ended.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    Answered(Answer),
+    /// The connection ended without a response.
+    Closed,
+    /// No response in time.
+    TimedOut,
+    /// The caller disconnected early.
+    Left,
+    /// No connection, or not the whole request, could be made.
+    NotSent,
+}
+
+/// One attempt of a caller; times are since the start of the run.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    pub kind: Kind,
+    pub daemon: usize,
+    /// Whether the connection had served a request before.
+    pub reused: bool,
+    pub started_at: Duration,
+    /// When the last byte was written.
+    pub sent_at: Option<Duration>,
+    pub ended_at: Duration,
+    pub time_limit: Duration,
+    pub outcome: Outcome,
+}
+
+/// What an engine did with a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    Arrived(Option<EngineFault>),
+    /// The run started; holds whether the request is as its caller sent it.
+    Began(bool),
+    /// The run ended.
+    Ended,
+    /// A response of this status was sent.
+    Answered(u16),
+    /// An extra response to an earlier request was sent on the connection of this one.
+    Extra(EngineFault),
+    /// The engine broke the connection off or was restarted.
+    Cut,
+}
+
+#[derive(Clone, Debug)]
+pub struct EngineStep {
+    pub engine: String,
+    pub at: Duration,
+    pub step: Step,
+}
+
+/// A span in which a daemon was stopped, killed or shut down.
+#[derive(Clone, Copy, Debug)]
+pub struct Span {
+    pub daemon: usize,
+    pub start: Duration,
+    pub end: Duration,
+    /// Whether it is a shutdown by SIGTERM within the grace period.
+    pub planned: bool,
+}
+
+/// Everything that is checked after a run.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    pub attempts: BTreeMap<String, Attempt>,
+    pub steps: BTreeMap<String, Vec<EngineStep>>,
+    pub spans: Vec<Span>,
+    /// Idle timeouts of callers' connections, with the time at which they were written.
+    pub idle_limits: Vec<(Duration, Duration)>,
+}
+
+impl History {
+    pub fn steps(&self, id: &str) -> &[EngineStep] {
+        self.steps.get(id).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns how often a request ran.
+    pub fn runs(&self, id: &str) -> usize {
+        let steps = self.steps(id).iter();
+        steps.filter(|s| matches!(s.step, Step::Began(_))).count()
+    }
+}
+
+/// Collects the history of a run.
+pub struct Recorder {
+    started_at: Instant,
+    history: Mutex<History>,
+}
+
+impl Default for Recorder {
+    fn default() -> Self {
+        Recorder {
+            started_at: Instant::now(),
+            history: Mutex::default(),
+        }
+    }
+}
+
+impl Recorder {
+    pub fn now(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
+    pub fn add_attempt(&self, id: &str, attempt: Attempt) {
+        let mut history = self.history.lock().unwrap();
+        history.attempts.insert(id.to_owned(), attempt);
+    }
+
+    pub fn add_step(&self, id: &str, engine: &str, step: Step) {
+        let step = EngineStep {
+            engine: engine.to_owned(),
+            at: self.now(),
+            step,
+        };
+        let mut history = self.history.lock().unwrap();
+        history.steps.entry(id.to_owned()).or_default().push(step);
+    }
+
+    pub fn add_span(&self, span: Span) {
+        self.history.lock().unwrap().spans.push(span);
+    }
+
+    pub fn add_idle_limit(&self, limit: Duration) {
+        let mut history = self.history.lock().unwrap();
+        history.idle_limits.push((self.now(), limit));
+    }
+
+    /// Returns the shortest idle timeout that may be in force.
+    pub fn idle_limit(&self) -> Duration {
+        let history = self.history.lock().unwrap();
+        let mut limits = history.idle_limits.iter().rev();
+        let mut shortest = Duration::MAX;
+        for (at, limit) in &mut limits {
+            shortest = shortest.min(*limit);
+            if self.now().saturating_sub(*at) > APPLY_TIME {
+                break;
+            }
+        }
+        shortest
+    }
+
+    pub fn history(&self) -> History {
+        self.history.lock().unwrap().clone()
+    }
+}
+
+/// Returns a number that depends on the id alone, for sizes that both sides know.
+fn id_number(id: &str) -> usize {
+    let mix = |sum: u32, byte: u8| sum.wrapping_mul(31).wrapping_add(u32::from(byte));
+    id.bytes().fold(7, mix) as usize
+}
+
+/// Returns the body of the response to a request.
+pub fn answer_body(id: &str) -> Vec<u8> {
+    format!("answer to {id}\n")
+        .repeat(1 + id_number(id) % 200)
+        .into_bytes()
+}
+
+/// Returns the body of a request.
+pub fn request_body(id: &str) -> Vec<u8> {
+    let count = match id_number(id) % 10 {
+        0 => 1_500,
+        n => n,
+    };
+    format!("body of {id}\n").repeat(count).into_bytes()
+}
+
+/// Returns the number of events in the stream for a request.
+pub fn event_count(id: &str) -> u64 {
+    5 + (id_number(id) % 10) as u64
+}
+
+/// Returns one event of the stream for a request.
+pub fn event_text(id: &str, event: u64) -> String {
+    format!("id: {event}\ndata: token {event} of {id}\n\n")
+}
--- /dev/null
+++ b/tests/soak/run.rs
@@ -0,0 +1,164 @@
+//! Runs of all seeds: callers, engines and disturbances, then the checks.
+
+use std::fmt::Write as _;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use tokio::runtime::Builder;
+
+use crate::callers::{Caller, CallerSetup};
+use crate::checks::{Violation, calm_closes, violations};
+use crate::disturbances;
+use crate::record::{History, Outcome};
+use crate::settings::SoakSettings;
+use crate::site::Site;
+
+/// Time after the last response in which an engine may still start a queued request.
+const QUEUE_TIME: Duration = Duration::from_secs(3);
+
+/// Fails if a promise to callers is broken in a run with one of the seeds.
+#[test]
+fn seeds() {
+    let mut broken = 0;
+    for settings in SoakSettings::from_environment() {
+        broken += run(&settings);
+    }
+    assert_eq!(broken, 0, "violations; see the lines above");
+}
+
+/// Runs one seed; returns the number of violations.
+fn run(settings: &SoakSettings) -> usize {
+    println!(
+        "seed {}: {} callers, {} daemons, {} engines of each service, {:.2} faults, pause {:?}",
+        settings.seed,
+        settings.callers,
+        settings.daemons,
+        settings.engines,
+        settings.fault_rate,
+        settings.pause
+    );
+    let site = Site::start(settings);
+    let addrs = site.daemons.iter().map(|d| d.lock().unwrap().callers);
+    let setup = Arc::new(CallerSetup {
+        seed: settings.seed,
+        addrs: addrs.collect(),
+        recorder: site.recorder.clone(),
+        stop: AtomicBool::new(false),
+    });
+    let stop = Arc::new(AtomicBool::new(false));
+    thread::scope(|scope| {
+        scope.spawn(|| disturbances::run(&site, settings, &stop));
+        let callers = scope.spawn(|| run_callers(&setup, settings.callers));
+        thread::sleep(settings.length);
+        stop.store(true, Ordering::SeqCst);
+        setup.stop.store(true, Ordering::SeqCst);
+        callers.join().unwrap();
+    });
+    thread::sleep(QUEUE_TIME);
+    let history = site.recorder.history();
+    let found = violations(&history);
+    println!("seed {}: {}", settings.seed, summary(&history));
+    for violation in &found {
+        println!("{}", describe(&site, &history, violation));
+    }
+    if !found.is_empty() {
+        keep_logs(&site, settings, &history);
+    }
+    found.len()
+}
+
+fn run_callers(setup: &Arc<CallerSetup>, count: usize) {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let spawn = |n| tokio::spawn(Caller::new(setup, n).run());
+        let callers: Vec<_> = (0..count).map(spawn).collect();
+        for caller in callers {
+            caller.await.unwrap();
+        }
+    });
+}
+
+/// Returns the number of attempts and of their outcomes.
+fn summary(history: &History) -> String {
+    let count = |is: fn(&Outcome) -> bool| {
+        let outcomes = history.attempts.values().map(|a| &a.outcome);
+        outcomes.filter(|o| is(o)).count()
+    };
+    let status = |low: u16, high: u16| {
+        let outcomes = history.attempts.values().map(|a| &a.outcome);
+        let within =
+            |o: &&Outcome| matches!(o, Outcome::Answered(a) if (low..high).contains(&a.status));
+        outcomes.filter(within).count()
+    };
+    format!(
+        "{} attempts, {} on kept connections; 2xx {}, 429 {}, other 4xx {}, 503 {}, other 5xx {}, \
+         closed {} ({} calm), timed out {}, left {}, not sent {}",
+        history.attempts.len(),
+        history.attempts.values().filter(|a| a.reused).count(),
+        status(200, 300),
+        status(429, 430),
+        status(400, 429) + status(430, 500),
+        status(503, 504),
+        status(500, 503) + status(504, 600),
+        count(|o| matches!(o, Outcome::Closed)),
+        calm_closes(history),
+        count(|o| matches!(o, Outcome::TimedOut)),
+        count(|o| matches!(o, Outcome::Left)),
+        count(|o| matches!(o, Outcome::NotSent)),
+    )
+}
+
+/// Returns what callers, engines and daemons recorded of a request.
+fn describe(site: &Site, history: &History, violation: &Violation) -> String {
+    let Violation { rule, id, text } = violation;
+    let mut out = format!("{rule:?} {id}: {text}\n");
+    let attempt = &history.attempts[id];
+    let mut shown = attempt.clone();
+    if let Outcome::Answered(answer) = &mut shown.outcome {
+        answer.body.truncate(60);
+    }
+    writeln!(out, "  caller: {shown:?}").unwrap();
+    for step in history.steps(id) {
+        writeln!(
+            out,
+            "  engine {} {:?}: {:?}",
+            step.engine, step.at, step.step
+        )
+        .unwrap();
+    }
+    for (number, daemon) in site.daemons.iter().enumerate() {
+        for line in daemon.lock().unwrap().lines() {
+            if line["request"] == id.as_str() {
+                writeln!(out, "  edge-{number}: {line}").unwrap();
+            }
+        }
+    }
+    for span in &history.spans {
+        if span.daemon == attempt.daemon && span.end + QUEUE_TIME >= attempt.started_at {
+            writeln!(out, "  {span:?}").unwrap();
+        }
+    }
+    out
+}
+
+fn keep_logs(site: &Site, settings: &SoakSettings, history: &History) {
+    let folder = settings.folder.join(format!("seed-{}", settings.seed));
+    std::fs::create_dir_all(&folder).unwrap();
+    for (number, daemon) in site.daemons.iter().enumerate() {
+        let mut text = String::new();
+        for line in daemon.lock().unwrap().lines() {
+            writeln!(text, "{line}").unwrap();
+        }
+        std::fs::write(folder.join(format!("edge-{number}.log")), text).unwrap();
+    }
+    let mut text = String::new();
+    for (id, steps) in &history.steps {
+        for step in steps {
+            writeln!(text, "{:?} {id} {} {:?}", step.at, step.engine, step.step).unwrap();
+        }
+    }
+    std::fs::write(folder.join("engines.log"), text).unwrap();
+    println!("logs kept in {}", folder.display());
+}
--- /dev/null
+++ b/tests/soak/settings.rs
@@ -0,0 +1,100 @@
+//! Settings of a run, from the environment.
+
+use std::ops::RangeInclusive;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use strum::IntoEnumIterator;
+
+use crate::disturbances::Disturbance;
+use crate::engine_faults::EngineFault;
+
+/// Seeds of the short run.
+const SEEDS: RangeInclusive<u64> = 1..=3;
+
+/// Settings of one run.
+#[derive(Clone, Debug)]
+pub struct SoakSettings {
+    pub seed: u64,
+    /// Time for which callers send requests.
+    pub length: Duration,
+    pub callers: usize,
+    pub daemons: usize,
+    /// Engines of each service.
+    pub engines: usize,
+    /// Probability of a fault for each request at an engine.
+    pub fault_rate: f64,
+    pub engine_faults: Vec<EngineFault>,
+    /// Maximum pause between two disturbances.
+    pub pause: Duration,
+    pub disturbances: Vec<Disturbance>,
+    /// Folder for the records and logs of runs with violations.
+    pub folder: PathBuf,
+}
+
+impl Default for SoakSettings {
+    fn default() -> Self {
+        SoakSettings {
+            seed: 1,
+            length: Duration::from_secs(12),
+            callers: 32,
+            daemons: 2,
+            engines: 4,
+            fault_rate: 0.15,
+            engine_faults: EngineFault::iter().collect(),
+            pause: Duration::from_millis(900),
+            disturbances: Disturbance::iter().collect(),
+            folder: std::env::temp_dir().join("mastichinge-soak"),
+        }
+    }
+}
+
+impl SoakSettings {
+    /// Reads the settings of all runs: `SOAK_SEEDS` (as `1-50`), `SOAK_SECONDS`,
+    /// `SOAK_FOLDER`, and lists of names in `SOAK_ENGINE_FAULTS` and
+    /// `SOAK_DISTURBANCES`, which may be empty.
+    pub fn from_environment() -> Vec<Self> {
+        let mut settings = SoakSettings::default();
+        if let Ok(seconds) = std::env::var("SOAK_SECONDS") {
+            settings.length = Duration::from_secs(seconds.parse().expect("SOAK_SECONDS"));
+        }
+        if let Ok(folder) = std::env::var("SOAK_FOLDER") {
+            settings.folder = folder.into();
+        }
+        if let Ok(names) = std::env::var("SOAK_ENGINE_FAULTS") {
+            settings.engine_faults = parse_names(&names);
+        }
+        if let Ok(names) = std::env::var("SOAK_DISTURBANCES") {
+            settings.disturbances = parse_names(&names);
+        }
+        let seeds = std::env::var("SOAK_SEEDS").map_or(SEEDS, |text| parse_seeds(&text));
+        seeds.map(|seed| settings.clone().with_seed(seed)).collect()
+    }
+
+    /// Returns these settings with the sizes and rates of a seed.
+    fn with_seed(self, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        SoakSettings {
+            seed,
+            callers: rng.random_range(12..72),
+            daemons: rng.random_range(1..4),
+            engines: rng.random_range(1..5),
+            fault_rate: rng.random_range(0.02..0.3),
+            pause: Duration::from_millis(rng.random_range(300..2_500)),
+            ..self
+        }
+    }
+}
+
+fn parse_names<T: std::str::FromStr<Err: std::fmt::Debug>>(names: &str) -> Vec<T> {
+    let names = names.split(',').filter(|n| !n.is_empty());
+    names.map(|n| n.parse().expect(n)).collect()
+}
+
+fn parse_seeds(text: &str) -> RangeInclusive<u64> {
+    let (first, last) = text.split_once('-').unwrap_or((text, text));
+    let number = |text: &str| text.parse().expect("SOAK_SEEDS");
+    number(first)..=number(last)
+}
--- /dev/null
+++ b/tests/soak/site.rs
@@ -0,0 +1,139 @@
+//! The deployment of a run, and the versions of its desired state.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::engine::{EngineSetup, SoakEngine};
+use crate::fakes::daemon::{Daemon, wait};
+use crate::fakes::store::Store;
+use crate::record::{Kind, Recorder};
+use crate::settings::SoakSettings;
+
+/// Timeout of all routes, ms.
+const ROUTE_TIMEOUT_MS: u64 = 5_000;
+/// Idle timeout of callers' connections, ms.
+const IDLE_TIMEOUT_MS: u64 = 3_000;
+
+/// Idle timeouts of the engines.
+const IDLE_TIMEOUTS: [Duration; 3] = [
+    Duration::from_secs(2),
+    Duration::from_millis(5_500),
+    Duration::from_secs(60),
+];
+
+/// What changes between two versions of the desired state.
+#[derive(Clone, Copy, Debug)]
+pub struct Desired {
+    pub version: u64,
+    pub route_timeout_ms: u64,
+    pub idle_timeout_ms: u64,
+    /// Number of additional routes.
+    pub extra_routes: u64,
+}
+
+impl Default for Desired {
+    fn default() -> Self {
+        Desired {
+            version: 1,
+            route_timeout_ms: ROUTE_TIMEOUT_MS,
+            idle_timeout_ms: IDLE_TIMEOUT_MS,
+            extra_routes: 0,
+        }
+    }
+}
+
+/// Returns the path prefix of a kind of request.
+pub fn prefix(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Lookup => "/look/",
+        Kind::Booking => "/book/",
+        Kind::Stream => "/stream/",
+        Kind::RigidStream => "/stream-rigid/",
+    }
+}
+
+impl Desired {
+    pub fn json(&self) -> Value {
+        let mut routes = vec![
+            self.route(prefix(Kind::Lookup), "idempotent", "desk", false),
+            self.route(prefix(Kind::Booking), "non_idempotent", "desk", false),
+            self.route(prefix(Kind::Stream), "stream", "models", true),
+            self.route(prefix(Kind::RigidStream), "stream", "models", false),
+        ];
+        for number in 0..self.extra_routes {
+            let extra = format!("/extra{number}/");
+            routes.push(self.route(&extra, "idempotent", "desk", false));
+        }
+        json!({"version": self.version, "routes": routes,
+            "services": [{"name": "desk", "maxConns": 50},
+                {"name": "models", "maxConns": 50, "engine": {"slots": 4,
+                    "kvCapacity": 90_000, "weightsMb": 150, "adapterSlots": 4,
+                    "loadsPerS": 5.0,
+                    "models": [{"name": "m1", "weightsMb": 60, "loadS": 0.1},
+                        {"name": "m2", "weightsMb": 60, "loadS": 0.1}]}}],
+            "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536,
+                "headerTimeoutMs": 2_000, "idleTimeoutMs": self.idle_timeout_ms}})
+    }
+
+    fn route(&self, prefix: &str, kind: &str, service: &str, resumable: bool) -> Value {
+        json!({"name": prefix, "host": "firm.example", "pathPrefix": prefix, "kind": kind,
+            "timeoutMs": self.route_timeout_ms, "latencyTargetMs": 300, "priority": 1,
+            "service": service, "attempts": 3, "resumable": resumable, "gapTargetMs": 400})
+    }
+}
+
+/// Writes a version of the desired state.
+pub fn write_desired(store: &Store, recorder: &Recorder, desired: &Desired) {
+    recorder.add_idle_limit(Duration::from_millis(desired.idle_timeout_ms));
+    store.put("op", "config", &desired.json());
+}
+
+/// Store, engines and daemons of a run.
+pub struct Site {
+    pub store: Store,
+    pub engines: Vec<SoakEngine>,
+    pub daemons: Vec<Mutex<Daemon>>,
+    pub recorder: Arc<Recorder>,
+}
+
+impl Site {
+    pub fn start(settings: &SoakSettings) -> Self {
+        let store = Store::start();
+        let recorder = Arc::new(Recorder::default());
+        write_desired(&store, &recorder, &Desired::default());
+        let mut engines = Vec::new();
+        for service in ["desk", "models"] {
+            for number in 0..settings.engines {
+                let models = match (service, number % 2) {
+                    ("models", 0) => vec!["m1".to_owned()],
+                    ("models", _) => vec!["m1".to_owned(), "m2".to_owned()],
+                    _ => Vec::new(),
+                };
+                let setup = EngineSetup {
+                    name: format!("{service}{number}"),
+                    service: service.to_owned(),
+                    models,
+                    idle_timeout: IDLE_TIMEOUTS[number % IDLE_TIMEOUTS.len()],
+                    watches_connections: number != 0,
+                };
+                let at = engines.len() as u64;
+                engines.push(SoakEngine::start(setup, &store, &recorder, settings, at));
+            }
+        }
+        let launch = |n: usize| Mutex::new(Daemon::launch(&store, &format!("edge-{n}")));
+        let daemons: Vec<_> = (0..settings.daemons).map(launch).collect();
+        for daemon in &daemons {
+            wait("a ready daemon", || {
+                daemon.lock().unwrap().get("/readyz").status == 200
+            });
+        }
+        Site {
+            store,
+            engines,
+            daemons,
+            recorder,
+        }
+    }
+}
