Run the found faults of engines alone, and wait for idle engines in the soak

The soak found three kinds of engines' answers after which a request that must run once runs twice or is refused although it ran.

The checks follow when all engines are idle instead of after a fixed time, so that a refused request that runs later is seen. The summary shows closed connections and failures without a disturbance; the retry budget is among the settings that change.

--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -6,7 +6,7 @@
 use crate::disturbances::GRACE;
 use crate::engine_faults::EngineFault;
 use crate::record::{
-    Answer, Attempt, History, Outcome, Step, answer_body, event_count, event_text,
+    Answer, Attempt, EngineStep, History, Outcome, Step, answer_body, event_count, event_text,
 };
 
 /// Time after the last byte of a request within which a daemon may close a connection
@@ -145,13 +145,37 @@
     Some(format!("{how}; {} steps at engines", steps.len()))
 }
 
-/// Returns the number of whole requests to undisturbed daemons that ended without a
-/// response, though perhaps unread.
-pub fn calm_closes(history: &History) -> usize {
-    let is_closed = |a: &&Attempt| {
+/// Returns the whole requests to undisturbed daemons that ended without a response,
+/// though perhaps unread.
+pub fn calm_closes(history: &History) -> Vec<&str> {
+    let is_closed = |a: &Attempt| {
         matches!(a.outcome, Outcome::Closed) && a.sent_at.is_some() && !is_disturbed(history, a)
     };
-    history.attempts.values().filter(is_closed).count()
+    let closed = history.attempts.iter().filter(|(_, a)| is_closed(a));
+    closed.map(|(id, _)| id.as_str()).collect()
+}
+
+/// Returns the requests to undisturbed daemons that failed early, with an answer that
+/// promises nothing, although their engines were at most silent for a while.
+pub fn calm_failures(history: &History) -> Vec<&str> {
+    let is_failed = |id: &str, a: &Attempt| {
+        let Outcome::Answered(answer) = &a.outcome else {
+            return false;
+        };
+        let is_calm = |s: &EngineStep| match s.step {
+            Step::Arrived(fault) => fault.is_none_or(EngineFault::is_silence),
+            Step::Began(_) | Step::Ended | Step::Answered(200) => true,
+            _ => false,
+        };
+        let waited = a.ended_at.saturating_sub(a.started_at);
+        answer.status >= 500
+            && answer.status != 503
+            && waited < a.time_limit.mul_f64(0.7)
+            && history.steps(id).iter().all(is_calm)
+            && !is_disturbed(history, a)
+    };
+    let failed = history.attempts.iter().filter(|(id, a)| is_failed(id, a));
+    failed.map(|(id, _)| id.as_str()).collect()
 }
 
 fn is_disturbed(history: &History, attempt: &Attempt) -> bool {
--- a/tests/soak/disturbances.rs
+++ b/tests/soak/disturbances.rs
@@ -17,6 +17,8 @@
 
 /// Time from SIGTERM to SIGKILL; the grace period of the daemons' settings.
 pub const GRACE: Duration = Duration::from_secs(3);
+/// Retries in each window, where there are any.
+const RETRY_SLACK: f64 = 40.0;
 /// Period of checking whether a process has exited.
 const EXIT_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -157,10 +159,18 @@
     }
 }
 
+/// Changes the lifetime of entry responses and the retry budget, which may be none.
 fn reload(site: &Site, daemon: usize, time: Duration) {
     let daemon = site.daemons[daemon].lock().unwrap();
-    let ttl = 1.0 + time.as_secs_f64();
-    daemon.write_settings(|s| s["bounds"]["entry_ttl_s"] = ttl.into());
+    let slack = match time.as_millis() % 3 {
+        0 => 0.0,
+        _ => RETRY_SLACK,
+    };
+    daemon.write_settings(|s| {
+        s["bounds"]["entry_ttl_s"] = time.as_secs_f64().into();
+        s["bounds"]["retry_slack"] = slack.into();
+        s["bounds"]["retry_ratio"] = (slack / RETRY_SLACK).into();
+    });
     daemon.signal(libc::SIGHUP);
 }
 
--- a/tests/soak/engine.rs
+++ b/tests/soak/engine.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -65,11 +66,29 @@
     slots: Semaphore,
     /// Slots and places in the queue.
     places: Semaphore,
+    /// Number of requests in progress.
+    busy: AtomicUsize,
     state: Mutex<EngineState>,
     /// Number of the current lifetime.
     lifetime: watch::Sender<u64>,
 }
 
+/// Counts a request in progress until dropped.
+struct BusyGuard<'a>(&'a AtomicUsize);
+
+impl<'a> BusyGuard<'a> {
+    fn new(busy: &'a AtomicUsize) -> Self {
+        busy.fetch_add(1, Ordering::SeqCst);
+        BusyGuard(busy)
+    }
+}
+
+impl Drop for BusyGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 impl SoakEngine {
     /// Starts an engine and registers it.
     pub fn start(
@@ -98,6 +117,7 @@
             faults: settings.engine_faults.clone(),
             slots: Semaphore::new(SLOTS),
             places: Semaphore::new(SLOTS + MAX_QUEUE),
+            busy: AtomicUsize::new(0),
             state: Mutex::new(state),
             lifetime: watch::Sender::new(1),
         }));
@@ -126,6 +146,11 @@
         self.register();
     }
 
+    /// Returns whether no request is in progress.
+    pub fn is_idle(&self) -> bool {
+        self.0.busy.load(Ordering::SeqCst) == 0
+    }
+
     fn register(&self) {
         let mut state = self.0.state.lock().unwrap();
         state.sequence += 1;
@@ -163,10 +188,11 @@
             let Some(mut request) = head? else {
                 return Ok(());
             };
+            let id = request.header("x-mastichinge-request-id").to_owned();
             if closes {
+                self.0.recorder.add_step(&id, &self.0.setup.name, Step::Cut);
                 return Ok(());
             }
-            let id = request.header("x-mastichinge-request-id").to_owned();
             if let Some(extra) = extra.take() {
                 let step = Step::Extra(extra.fault);
                 self.0.recorder.add_step(&id, &self.0.setup.name, step);
@@ -178,6 +204,7 @@
                 continue;
             }
             current.clone_from(&id);
+            let _busy = BusyGuard::new(&self.0.busy);
             let (fault, random, engine) = {
                 let mut state = self.0.state.lock().unwrap();
                 let faulty = state.rng.random_bool(self.0.fault_rate);
--- a/tests/soak/engine_faults.rs
+++ b/tests/soak/engine_faults.rs
@@ -79,4 +79,9 @@
                 | F::RejectClosing
         )
     }
+
+    /// Returns whether the engine is silent for a while and goes on.
+    pub fn is_silence(self) -> bool {
+        matches!(self, EngineFault::SilenceBefore | EngineFault::SilenceAfter)
+    }
 }
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -1,22 +1,25 @@
 //! Runs of all seeds: callers, engines and disturbances, then the checks.
 
 use std::fmt::Write as _;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
 use tokio::runtime::Builder;
 
 use crate::callers::{Caller, CallerSetup};
-use crate::checks::{Violation, calm_closes, violations};
+use crate::checks::{Violation, calm_closes, calm_failures, violations};
 use crate::disturbances;
+use crate::engine::SoakEngine;
+use crate::engine_faults::EngineFault;
+use crate::fakes::daemon::wait;
 use crate::record::{History, Outcome};
 use crate::settings::SoakSettings;
 use crate::site::Site;
 
-/// Time after the last response in which an engine may still start a queued request.
-const QUEUE_TIME: Duration = Duration::from_secs(3);
+/// Time after the end of a daemon's span in which requests show the span.
+const SPAN_MARGIN: Duration = Duration::from_secs(3);
 
 /// Fails if a promise to callers is broken in a run with one of the seeds.
 #[test]
@@ -28,8 +31,46 @@
     assert_eq!(broken, 0, "violations; see the lines above");
 }
 
-/// Runs one seed; returns the number of violations.
+/// Runs callers against engines with one fault and daemons without any.
+fn run_with(fault: EngineFault) {
+    let settings = SoakSettings {
+        length: Duration::from_secs(5),
+        daemons: 1,
+        engines: 1,
+        fault_rate: 0.3,
+        engine_faults: vec![fault],
+        disturbances: Vec::new(),
+        ..SoakSettings::default()
+    };
+    assert_eq!(run(&settings), 0, "violations; see the lines above");
+}
+
+/// Guards against relaying an engine's 503 of a request that it ran as a promise that
+/// the request has not run.
+#[test]
+fn a_503_that_does_not_say_not_run_is_no_promise() {
+    run_with(EngineFault::FullAfterRun);
+}
+
+/// Guards against taking the late rejection of an earlier request on the connection,
+/// which has no id, as the rejection of the request that follows it.
+#[test]
+fn a_late_rejection_without_an_id_rejects_no_request() {
+    run_with(EngineFault::ExtraAnonymousRejection);
+}
+
+/// Guards against taking a repeated rejection as one of the same request's next attempt
+/// on that connection.
+#[test]
+fn a_repeated_rejection_rejects_no_later_attempt() {
+    run_with(EngineFault::RejectAgain);
+}
+
+/// Runs one seed; returns the number of violations. Only one run at a time.
 fn run(settings: &SoakSettings) -> usize {
+    static RUNNING: Mutex<()> = Mutex::new(());
+    // A panic in another run leaves nothing behind.
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     println!(
         "seed {}: {} callers, {} daemons, {} engines of each service, {:.2} faults, pause {:?}",
         settings.seed,
@@ -56,14 +97,18 @@
         setup.stop.store(true, Ordering::SeqCst);
         callers.join().unwrap();
     });
-    thread::sleep(QUEUE_TIME);
+    // A refused request may still run later.
+    wait("idle engines", || {
+        site.engines.iter().all(SoakEngine::is_idle)
+    });
     let history = site.recorder.history();
     let found = violations(&history);
     println!("seed {}: {}", settings.seed, summary(&history));
     for violation in &found {
-        println!("{}", describe(&site, &history, violation));
+        let Violation { rule, id, text } = violation;
+        println!("{rule:?} {id}: {text}\n{}", describe(&site, &history, id));
     }
-    if !found.is_empty() {
+    if !found.is_empty() || settings.keeps_logs {
         keep_logs(&site, settings, &history);
     }
     found.len()
@@ -93,7 +138,7 @@
         outcomes.filter(within).count()
     };
     format!(
-        "{} attempts, {} on kept connections; 2xx {}, 429 {}, other 4xx {}, 503 {}, other 5xx {}, \
+        "{} attempts, {} on kept connections; 2xx {}, 429 {}, other 4xx {}, 503 {}, other 5xx {} ({} calm), \
          closed {} ({} calm), timed out {}, left {}, not sent {}",
         history.attempts.len(),
         history.attempts.values().filter(|a| a.reused).count(),
@@ -102,8 +147,9 @@
         status(400, 429) + status(430, 500),
         status(503, 504),
         status(500, 503) + status(504, 600),
+        calm_failures(history).len(),
         count(|o| matches!(o, Outcome::Closed)),
-        calm_closes(history),
+        calm_closes(history).len(),
         count(|o| matches!(o, Outcome::TimedOut)),
         count(|o| matches!(o, Outcome::Left)),
         count(|o| matches!(o, Outcome::NotSent)),
@@ -111,9 +157,8 @@
 }
 
 /// Returns what callers, engines and daemons recorded of a request.
-fn describe(site: &Site, history: &History, violation: &Violation) -> String {
-    let Violation { rule, id, text } = violation;
-    let mut out = format!("{rule:?} {id}: {text}\n");
+fn describe(site: &Site, history: &History, id: &str) -> String {
+    let mut out = String::new();
     let attempt = &history.attempts[id];
     let mut shown = attempt.clone();
     if let Outcome::Answered(answer) = &mut shown.outcome {
@@ -130,13 +175,13 @@
     }
     for (number, daemon) in site.daemons.iter().enumerate() {
         for line in daemon.lock().unwrap().lines() {
-            if line["request"] == id.as_str() {
+            if line["request"] == id {
                 writeln!(out, "  edge-{number}: {line}").unwrap();
             }
         }
     }
     for span in &history.spans {
-        if span.daemon == attempt.daemon && span.end + QUEUE_TIME >= attempt.started_at {
+        if span.daemon == attempt.daemon && span.end + SPAN_MARGIN >= attempt.started_at {
             writeln!(out, "  {span:?}").unwrap();
         }
     }
@@ -160,5 +205,10 @@
         }
     }
     std::fs::write(folder.join("engines.log"), text).unwrap();
+    let mut text = String::new();
+    for id in [calm_closes(history), calm_failures(history)].concat() {
+        writeln!(text, "{id}\n{}", describe(site, history, id)).unwrap();
+    }
+    std::fs::write(folder.join("calm.log"), text).unwrap();
     println!("logs kept in {}", folder.display());
 }
--- a/tests/soak/settings.rs
+++ b/tests/soak/settings.rs
@@ -32,6 +32,8 @@
     pub disturbances: Vec<Disturbance>,
     /// Folder for the records and logs of runs with violations.
     pub folder: PathBuf,
+    /// Whether those of the other runs are kept too.
+    pub keeps_logs: bool,
 }
 
 impl Default for SoakSettings {
@@ -47,13 +49,14 @@
             pause: Duration::from_millis(900),
             disturbances: Disturbance::iter().collect(),
             folder: std::env::temp_dir().join("mastichinge-soak"),
+            keeps_logs: false,
         }
     }
 }
 
 impl SoakSettings {
     /// Reads the settings of all runs: `SOAK_SEEDS` (as `1-50`), `SOAK_SECONDS`,
-    /// `SOAK_FOLDER`, and lists of names in `SOAK_ENGINE_FAULTS` and
+    /// `SOAK_FOLDER`, where the logs of all runs are kept, and lists of names in `SOAK_ENGINE_FAULTS` and
     /// `SOAK_DISTURBANCES`, which may be empty.
     pub fn from_environment() -> Vec<Self> {
         let mut settings = SoakSettings::default();
@@ -62,6 +65,7 @@
         }
         if let Ok(folder) = std::env::var("SOAK_FOLDER") {
             settings.folder = folder.into();
+            settings.keeps_logs = true;
         }
         if let Ok(names) = std::env::var("SOAK_ENGINE_FAULTS") {
             settings.engine_faults = parse_names(&names);
