--- a/tests/soak/engine.rs
+++ b/tests/soak/engine.rs
@@ -166,11 +166,18 @@
         let first = *lifetime.borrow_and_update();
         // A connection of an earlier lifetime ends with it.
         let mut current = String::new();
-        let ended = tokio::select! {
-            ended = self.serve_requests(&mut stream, &mut current) => ended,
-            _ = lifetime.wait_for(|n| *n != first) => reset(&stream),
-        };
-        if ended.is_err() && !current.is_empty() {
+        tokio::select! {
+            // The recorded faults tell why a connection ended; if none does, the daemon
+            // has closed it.
+            _ = self.serve_requests(&mut stream, &mut current) => return,
+            _ = lifetime.wait_for(|n| *n != first) => {}
+        }
+        if let Err(error) = reset(&stream)
+            && error.kind() != io::ErrorKind::ConnectionReset
+        {
+            println!("{}: cannot reset a connection: {error}", self.0.setup.name);
+        }
+        if !current.is_empty() {
             let engine = self.0.setup.name.clone();
             self.0.recorder.add_step(&current, &engine, Step::Cut);
         }
