--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod decisions;
 mod engine_list;
+#[allow(dead_code, reason = "shared with the soak, which uses other parts")]
 mod fakes;
 mod fixtures;
 mod fleet;
