Apply a raised limit of heads to open connections

What callers saw: after a desired state that raised maxHeaderBytes, a request with a head beyond the old limit was refused with 431 on connections that were open before.

Cause: the buffer for heads was set up with the limit in force when the connection opened; the same class of fault as the idle limit.

Evidence: a_raised_limit_of_heads_holds_for_open_connections in tests/edge/connections.rs got 431 before this change.

Fix: the check of connections finds idle ones with a smaller buffer, and their tasks set up a new one. A lowered limit does not refuse what the old one allowed on connections that are open.

--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -57,6 +57,8 @@
     Replaced,
     /// The process exits.
     Exit,
+    /// A larger head is allowed than when its buffer was set up.
+    LargerHeads,
 }
 
 /// How long a connection may stay in a phase.
@@ -66,6 +68,8 @@
     /// Why an idle connection ends.
     idle_cause: EndCause,
     head: Duration,
+    /// Maximum size of a request head, bytes.
+    head_bytes: usize,
     response: Duration,
 }
 
@@ -76,6 +80,7 @@
             idle: limits.idle.saturating_add(IDLE_MARGIN),
             idle_cause: EndCause::Idle,
             head: limits.head_time,
+            head_bytes: limits.head,
             response: limits.idle,
         }
     }
@@ -99,6 +104,8 @@
     expired: Cell<bool>,
     /// Whether the request was answered before its end.
     cut_short: Cell<bool>,
+    /// Limit of a request head that the buffer allows, bytes.
+    head_bytes: Cell<usize>,
     end: Cell<Option<EndCause>>,
     end_wake: Notify,
 }
@@ -110,6 +117,7 @@
             since: Cell::new(clock::now()),
             expired: Cell::default(),
             cut_short: Cell::default(),
+            head_bytes: Cell::default(),
             end: Cell::default(),
             end_wake: Notify::new(),
         }
@@ -131,6 +139,11 @@
         self.restart();
     }
 
+    /// Records the limit of a request head that the buffer allows, bytes.
+    pub fn set_head_bytes(&self, bytes: usize) {
+        self.head_bytes.set(bytes);
+    }
+
     /// Records that the request is answered before its end.
     pub fn cut_short(&self) {
         self.cut_short.set(true);
@@ -148,6 +161,11 @@
         self.end.set(None);
     }
 
+    /// Voids a decision to end the connection.
+    pub fn clear_end(&self) {
+        self.end.set(None);
+    }
+
     /// Waits until the connection has to end.
     pub async fn ended(&self) -> EndCause {
         loop {
@@ -166,6 +184,10 @@
     /// Ends the connection if its phase is too long, which takes two checks: after a
     /// suspension of the process, bytes that have arrived are read between them.
     fn check(&self, limits: &PhaseLimits) {
+        if self.phase.get() == Phase::Idle && self.head_bytes.get() < limits.head_bytes {
+            self.end(EndCause::LargerHeads);
+            return;
+        }
         let (limit, cause) = match self.phase.get() {
             Phase::Idle => (limits.idle, limits.idle_cause),
             Phase::Head => (limits.head, EndCause::UnfinishedHead),
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -212,11 +212,13 @@
     let connection = &accepted.open.state;
     let mut stream = CallerStream::new(stream, connection.clone());
     loop {
+        let limits = edge.state.borrow().desired.limits;
+        connection.set_head_bytes(limits.head);
         let mut builder = http1::Builder::new();
         builder
             // `connections` bounds heads and idle connections.
             .header_read_timeout(None)
-            .max_buf_size(head_limit(&edge));
+            .max_buf_size(limits.head.max(MIN_HEAD_BUFFER_BYTES));
         let service = service_fn(|request| respond(&edge, &accepted, request));
         let mut served = builder.serve_connection(TokioIo::new(stream), service);
         let cause = tokio::select! {
@@ -242,17 +244,16 @@
             connection.restart();
             continue;
         }
+        if cause == EndCause::LargerHeads {
+            log::info!(bytes = limits.head; "open connection renewed for larger heads");
+            connection.clear_end();
+            continue;
+        }
         end_connection(&edge, connection, cause);
         return;
     }
 }
 
-/// Returns the limit of the buffer for request heads, bytes.
-fn head_limit(edge: &Edge) -> usize {
-    let limits = edge.state.borrow().desired.limits;
-    limits.head.max(MIN_HEAD_BUFFER_BYTES)
-}
-
 /// Records that this host ends a connection.
 fn end_connection(edge: &Edge, connection: &Connection, cause: EndCause) {
     let cause: &'static str = cause.into();
--- a/tests/edge/connections.rs
+++ b/tests/edge/connections.rs
@@ -4,7 +4,7 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use crate::fakes::daemon::{Request, call, read_response};
+use crate::fakes::daemon::{Request, call, read_response, wait};
 use crate::site::Site;
 
 /// Idle limit of the tests that wait for it.
@@ -89,3 +89,22 @@
         assert_eq!(read_response(stream).status, 200);
     }
 }
+
+/// An open connection kept the limit of a head in force when it was opened, and refused
+/// larger ones.
+#[test]
+fn a_raised_limit_of_heads_holds_for_open_connections() {
+    let site = Site::with_limits(&[("maxHeaderBytes", 8_192)]);
+    let mut stream = site.connect();
+    assert_eq!(call(&mut stream, "l1").status, 200);
+    site.change_limits(7, &[("maxHeaderBytes", 60_000)]);
+    wait("the new limit", || {
+        let renewed = site
+            .daemon
+            .logged("open connection renewed for larger heads");
+        !renewed.is_empty()
+    });
+    let request = Request::new("/look/", "l2").with("X-Long", &"x".repeat(40_000));
+    let _ = stream.write_all(&request.bytes(false));
+    assert_eq!(read_response(&mut stream).status, 200);
+}
