--- a/tests/edge/attribution.rs
+++ b/tests/edge/attribution.rs
@@ -105,6 +105,22 @@
     assert_eq!((answer.status, site.runs("b1")), (502, 1), "{answer:?}");
 }
 
+/// Guards against a hold of requests that crash engines: an engine that responds to
+/// another request has not crashed.
+#[test]
+fn a_response_to_another_request_is_not_taken_for_a_crash() {
+    let site = Site::start();
+    let request = |id: &str| Request {
+        body: "the same body".to_owned(),
+        ..Request::new("/look/", id)
+    };
+    site.set(Behavior::RejectsAnother);
+    assert_eq!(site.daemon.send(&request("l1")).status, 502);
+    assert_eq!(site.runs("l1"), 2);
+    site.set(Behavior::Correct);
+    assert_eq!(site.daemon.send(&request("l2")).status, 200);
+}
+
 /// Guards against 502 for requests that an engine could not parse: its rejection has no
 /// id, but no other request was sent on the connection.
 #[test]
