Resume begun streams until the exit of a planned stop

Callers saw a stream with status 200 truncated during a planned stop although its engine was sound: the engine was silent for 1.2 s, its run was given up for another engine, and the resumption was then refused because the host was about to shut down.

Cause: the choice to give up a silent run did not ask whether the stop still allows another sending, and begun streams were refused like requests that have not started.

The rule itself has a test of its own in tests/edge/shutdown.rs, which does not compile before.

A silent run is no longer given up once new requests are refused, and what has begun may be sent until the exit.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -292,7 +292,7 @@
             return Err(fail(kind, cause, FULL_RETRY));
         }
         let shutdown = routed.edge.shutdown.get();
-        if shutdown.is_some_and(|s| now >= s.reject_at()) {
+        if shutdown.is_some_and(|s| !s.allows_send(attempts.persists(), now)) {
             let cause = "this host shuts down before the request could be sent";
             return Err(fail(Kind::Draining, cause, super::OTHER_HOST_RETRY));
         }
--- a/src/edge/forward/silence.rs
+++ b/src/edge/forward/silence.rs
@@ -86,6 +86,11 @@
     max_silence: Duration,
 ) -> Option<Arc<str>> {
     let now = clock::now();
+    let shutdown = routed.edge.shutdown.get();
+    // Too little time is left before the exit for a run at another engine.
+    if shutdown.is_some_and(|s| !s.allows_send(false, now)) {
+        return None;
+    }
     let mut avoid = attempts.avoid.clone();
     avoid.push(engine.clone());
     let Selection::Engine(choice) = attempt::select_engine(routed, &avoid, now) else {
--- a/src/edge/shutdown.rs
+++ b/src/edge/shutdown.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Returns whether a request may still be sent to an engine. One that has `begun`, with
+    /// a part of its answer passed on or a run given up, may be sent until the exit.
+    pub fn allows_send(&self, begun: bool, now: Moment) -> bool {
+        begun || now < self.reject_at()
+    }
+
     /// Returns when the listener closes.
     pub fn close_at(&self) -> Moment {
         self.started_at + self.grace.mul_f64(ACCEPT_SHARE)
--- a/tests/edge/shutdown.rs
+++ b/tests/edge/shutdown.rs
@@ -32,3 +32,18 @@
     assert!(shutdown.answer_at() < shutdown.exit_at());
     assert!(shutdown.exit_at() < started_at + shutdown.grace);
 }
+
+/// Guards against streams that were truncated in a planned stop: their silent run was given
+/// up for a resumption that the stop then refused.
+#[test_case(false, 6_900, true; "a new request in time")]
+#[test_case(false, 6_930, false; "a new request late")]
+#[test_case(true, 6_930, true; "a begun stream late")]
+fn a_begun_stream_may_be_resumed_until_the_exit(begun: bool, ms: u64, allowed: bool) {
+    let started_at = Moment::from_secs(50);
+    let shutdown = Shutdown {
+        started_at,
+        grace: Duration::from_secs(8),
+    };
+    let now = started_at + Duration::from_millis(ms);
+    assert_eq!(shutdown.allows_send(begun, now), allowed);
+}
