Count every connection while descriptors are duplicated by other guards

What callers saw: of more connections than the limit allows, one idle connection too many stayed open for good ("8 are open" after 60 s, where 7 are allowed).

Cause: the scan kept one descriptor for each socket, the last listed. Every guard of the process duplicates descriptors for a moment; if such a duplicate was the one kept and was closed (or its number reused) before it was queried, the query failed, and the socket was recorded for the rest of its life as one that was not accepted at this address. It was then neither counted nor closed. A reused number could also give a connection the client address of another one.

Change: the scan keeps all descriptors of a socket, tries each, and compares the inode of the duplicate with that of the socket. A socket is recorded as unrelated only after its own address was read. The descriptors that the server itself holds are always among those listed, so a query fails only for a closed socket.

--- a/src/http/guard/mod.rs
+++ b/src/http/guard/mod.rs
@@ -216,7 +216,7 @@
     }
 
     fn close(&self, action: &CloseAction) -> io::Result<()> {
-        let socket = self.scanner.duplicate_socket(action.inode, action.peer)?;
+        let socket = self.scanner.duplicate_socket(action.inode)?;
         log::info!(
             "closing the connection of {}: {}",
             action.peer,
--- a/src/http/guard/scan.rs
+++ b/src/http/guard/scan.rs
@@ -2,11 +2,12 @@
 //! this process.
 
 use std::collections::{HashMap, HashSet};
-use std::fs;
+use std::fs::{self, File};
 use std::io;
 use std::mem;
 use std::net::SocketAddr;
-use std::os::fd::{AsRawFd, BorrowedFd, RawFd};
+use std::os::fd::{AsRawFd, BorrowedFd, OwnedFd, RawFd};
+use std::os::unix::fs::MetadataExt;
 
 use socket2::Socket;
 
@@ -33,10 +34,12 @@
     pub total: u64,
 }
 
-/// A connection found by an earlier scan.
-#[derive(Clone, Copy, Debug)]
+/// A connection found by a scan.
+#[derive(Clone, Debug)]
 struct KnownSocket {
-    fd: RawFd,
+    /// Descriptors at the last scan. Some may be short-lived duplicates of another
+    /// thread.
+    descriptors: Vec<RawFd>,
     peer: SocketAddr,
 }
 
@@ -67,54 +70,50 @@
         self.known.retain(|inode, _| sockets.contains_key(inode));
         self.unrelated.retain(|inode| sockets.contains_key(inode));
         let mut samples = Vec::new();
-        for (inode, fd) in sockets {
+        for (inode, descriptors) in sockets {
             if self.unrelated.contains(&inode) {
                 continue;
             }
-            match self.sample(inode, fd, &skip) {
-                Ok(sample) => samples.push(sample),
-                // The socket was closed meanwhile, or was not accepted at
-                // this address.
-                Err(_) if !self.known.contains_key(&inode) => {
-                    self.unrelated.insert(inode);
-                }
-                Err(_) => {}
-            }
+            // Only closed sockets have no descriptor left.
+            let Ok(sample) = self.sample(inode, descriptors, &skip) else {
+                continue;
+            };
+            samples.extend(sample);
         }
         Ok(samples)
     }
 
+    /// Samples one socket; returns `None` if it was not accepted at this address.
     fn sample(
         &mut self,
         inode: u64,
-        fd: RawFd,
+        descriptors: Vec<RawFd>,
         skip: impl Fn(&SocketAddr) -> bool,
-    ) -> io::Result<SocketSample> {
+    ) -> io::Result<Option<SocketSample>> {
         let peer = match self.known.get_mut(&inode) {
             Some(known) => {
-                known.fd = fd;
+                known.descriptors = descriptors;
                 known.peer
             }
             None => {
-                let peer = self.accepted_peer(fd)?;
-                self.known.insert(inode, KnownSocket { fd, peer });
+                let socket = duplicate_of(inode, &descriptors)?;
+                let Ok(peer) = self.peer_address(&socket) else {
+                    self.unrelated.insert(inode);
+                    return Ok(None);
+                };
+                self.known.insert(inode, KnownSocket { descriptors, peer });
                 peer
             }
         };
         let received = match skip(&peer) {
             true => None,
-            false => Some(received_bytes(&self.duplicate_socket(inode, peer)?)?),
+            false => Some(received_bytes(&self.duplicate_socket(inode)?)?),
         };
-        Ok(SocketSample {
+        Ok(Some(SocketSample {
             inode,
             peer,
             received,
-        })
-    }
-
-    /// Returns the client's address if the socket was accepted at this address.
-    fn accepted_peer(&self, fd: RawFd) -> io::Result<SocketAddr> {
-        self.peer_address(&duplicate_descriptor(fd)?)
+        }))
     }
 
     /// Duplicates the socket of a known connection.
@@ -122,14 +121,9 @@
     /// # Errors
     ///
     /// The connection was closed meanwhile.
-    pub fn duplicate_socket(&self, inode: u64, peer: SocketAddr) -> io::Result<Socket> {
+    pub fn duplicate_socket(&self, inode: u64) -> io::Result<Socket> {
         let known = self.known.get(&inode).ok_or(io::ErrorKind::NotFound)?;
-        let socket = duplicate_descriptor(known.fd)?;
-        // The descriptor number may have been reused for another socket.
-        if self.peer_address(&socket)? != peer {
-            return Err(io::ErrorKind::NotFound.into());
-        }
-        Ok(socket)
+        duplicate_of(inode, &known.descriptors)
     }
 
     fn peer_address(&self, socket: &Socket) -> io::Result<SocketAddr> {
@@ -146,9 +140,9 @@
     }
 }
 
-/// Returns the inode and one descriptor of each socket of this process.
-fn list_sockets() -> io::Result<HashMap<u64, RawFd>> {
-    let mut sockets = HashMap::new();
+/// Returns the inode and the descriptors of each socket of this process.
+fn list_sockets() -> io::Result<HashMap<u64, Vec<RawFd>>> {
+    let mut sockets: HashMap<u64, Vec<RawFd>> = HashMap::new();
     for entry in fs::read_dir(DESCRIPTOR_DIR)? {
         let entry = entry?;
         let Ok(target) = fs::read_link(entry.path()) else {
@@ -160,7 +154,7 @@
             .to_str()
             .and_then(|name| name.parse().ok());
         if let (Some(inode), Some(fd)) = (inode, fd) {
-            sockets.insert(inode, fd);
+            sockets.entry(inode).or_default().push(fd);
         }
     }
     Ok(sockets)
@@ -172,12 +166,22 @@
     rest.strip_suffix(']')?.parse().ok()
 }
 
-fn duplicate_descriptor(fd: RawFd) -> io::Result<Socket> {
-    // SAFETY: the descriptor is only duplicated. If it was closed meanwhile,
-    // this fails. If its number was reused, this returns a handle of the other
-    // file; callers check its address before use, and otherwise close it.
-    let borrowed = unsafe { BorrowedFd::borrow_raw(fd) };
-    Ok(borrowed.try_clone_to_owned()?.into())
+/// Duplicates the socket `inode` by one of its descriptors. Each descriptor may
+/// have been closed since it was listed, and its number reused.
+fn duplicate_of(inode: u64, descriptors: &[RawFd]) -> io::Result<Socket> {
+    for fd in descriptors {
+        // SAFETY: the descriptor is only duplicated, which fails if it was closed.
+        // The duplicate is closed unused if it is not of this socket.
+        let borrowed = unsafe { BorrowedFd::borrow_raw(*fd) };
+        let Ok(duplicate) = borrowed.try_clone_to_owned() else {
+            continue;
+        };
+        let file = File::from(duplicate);
+        if file.metadata()?.ino() == inode {
+            return Ok(OwnedFd::from(file).into());
+        }
+    }
+    Err(io::ErrorKind::NotFound.into())
 }
 
 fn received_bytes(socket: &Socket) -> io::Result<ReceivedBytes> {
--- a/tests/guard.rs
+++ b/tests/guard.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::fd::{BorrowedFd, OwnedFd, RawFd};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::thread::{self, JoinHandle};
@@ -15,6 +16,8 @@
 const WAIT: Duration = Duration::from_secs(60);
 /// Pause between two bytes of a slow sender.
 const SEND_INTERVAL: Duration = Duration::from_millis(20);
+/// Times that descriptors are duplicated before they are listed again.
+const DUPLICATIONS: u32 = 100;
 
 fn settings() -> GuardSettings {
     GuardSettings {
@@ -131,6 +134,58 @@
     write_failed.store(true, SeqCst);
 }
 
+/// A thread that duplicates the descriptors of this process and closes the
+/// duplicates, as the guards of other listening addresses do.
+struct Duplicator {
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Duplicator {
+    fn start() -> Duplicator {
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = stop.clone();
+        let thread = thread::spawn(move || {
+            while !stopped.load(SeqCst) {
+                let descriptors = open_descriptors();
+                let mut duplicates = Vec::new();
+                for _ in 0..DUPLICATIONS {
+                    // The previous ones are closed after these are open, so that
+                    // the guard finds some at any time.
+                    duplicates = duplicate(&descriptors);
+                }
+                drop(duplicates);
+            }
+        });
+        Duplicator {
+            stop,
+            thread: Some(thread),
+        }
+    }
+}
+
+impl Drop for Duplicator {
+    fn drop(&mut self) {
+        self.stop.store(true, SeqCst);
+        self.thread.take().unwrap().join().unwrap();
+    }
+}
+
+fn duplicate(descriptors: &[RawFd]) -> Vec<io::Result<OwnedFd>> {
+    let duplicate = |fd: &RawFd| {
+        // SAFETY: the descriptor is only duplicated, which fails if it was closed;
+        // the duplicate is closed unused.
+        unsafe { BorrowedFd::borrow_raw(*fd) }.try_clone_to_owned()
+    };
+    descriptors.iter().map(duplicate).collect()
+}
+
+fn open_descriptors() -> Vec<RawFd> {
+    let entries = std::fs::read_dir("/proc/self/fd").unwrap();
+    let names = entries.filter_map(|entry| entry.ok()?.file_name().into_string().ok());
+    names.filter_map(|name| name.parse().ok()).collect()
+}
+
 /// Reads until the other side closes the connection.
 fn read_all(mut stream: TcpStream) -> String {
     let mut bytes = Vec::new();
@@ -252,6 +307,26 @@
     streaming.read_exact(&mut part).unwrap();
 }
 
+// Guards against a connection that stays open for ever, because its descriptor
+// was a short-lived duplicate when the guard first saw it.
+#[test]
+fn excess_connections_are_closed_while_descriptors_are_duplicated() {
+    let _duplicator = Duplicator::start();
+    let server = EchoServer::start(GuardSettings {
+        max_connections: 8,
+        receive_timeout: WAIT * 10,
+        send_timeout: WAIT * 10,
+        ..settings()
+    });
+    let mut idle: Vec<_> = (0..30).map(|_| server.connect()).collect();
+    let start = Instant::now();
+    while idle.len() > 8 {
+        assert!(start.elapsed() < WAIT, "{} are open", idle.len());
+        idle.retain(is_open);
+    }
+    server.assert_served();
+}
+
 #[test]
 fn connection_that_is_idle_before_or_after_a_request_is_closed() {
     let server = EchoServer::start(settings());
