--- a/tests/guard.rs
+++ b/tests/guard.rs
@@ -195,7 +195,10 @@
             Ok(0) => break,
             Ok(n) => bytes.extend_from_slice(&part[..n]),
             Err(e) if e.kind() == io::ErrorKind::ConnectionReset => break,
-            Err(e) => panic!("the connection stays open: {e}"),
+            Err(e) => {
+                let received = String::from_utf8_lossy(&bytes);
+                panic!("the connection stays open: {e}; received {received:?}")
+            }
         }
     }
     String::from_utf8(bytes).unwrap()
