Do not renew connections that are new

Cause: a connection was registered without the size of its buffer for heads, so that a check before its task had started took it for one with a smaller buffer.

Evidence: with a pause of the caller before its first request, the test failed in three of three runs ("a new connection was renewed") without this change and passed in three of three with it.

Fix: the size is known when the connection is registered.

--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -111,13 +111,13 @@
 }
 
 impl Connection {
-    fn new() -> Self {
+    fn new(head_bytes: usize) -> Self {
         Connection {
             phase: Cell::default(),
             since: Cell::new(clock::now()),
             expired: Cell::default(),
             cut_short: Cell::default(),
-            head_bytes: Cell::default(),
+            head_bytes: Cell::new(head_bytes),
             end: Cell::default(),
             end_wake: Notify::new(),
         }
@@ -227,11 +227,11 @@
 }
 
 impl Connections {
-    /// Adds a connection.
-    pub fn add(self: &Rc<Self>) -> OpenConnection {
+    /// Adds a connection whose buffer allows heads of `head_bytes`.
+    pub fn add(self: &Rc<Self>, head_bytes: usize) -> OpenConnection {
         let id = self.last_id.get() + 1;
         self.last_id.set(id);
-        let state = Rc::new(Connection::new());
+        let state = Rc::new(Connection::new(head_bytes));
         self.open.borrow_mut().insert(id, state.clone());
         OpenConnection {
             connections: self.clone(),
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -190,7 +190,7 @@
         let accepted = Accepted {
             kind: self.kind,
             has_room,
-            open: self.connections.add(),
+            open: self.connections.add(self.limits().head),
             stop: self.stop.clone(),
         };
         tokio::task::spawn_local(serve_connection(self.edge.clone(), stream, accepted));
--- a/tests/edge/connections.rs
+++ b/tests/edge/connections.rs
@@ -12,6 +12,9 @@
 /// More than a daemon keeps a connection open beyond its idle limit.
 const PAST_IDLE: Duration = Duration::from_millis(5_000);
 
+/// Pause of a caller between connecting and its first request.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
 /// A head whose first bytes arrive late in the idle span got neither an answer nor a
 /// refusal, as the idle limit also bounded the head.
 #[test]
@@ -95,15 +98,14 @@
 #[test]
 fn a_raised_limit_of_heads_holds_for_open_connections() {
     let site = Site::with_limits(&[("maxHeaderBytes", 8_192)]);
+    let message = "open connection renewed for larger heads";
+    let is_renewed = || !site.daemon.logged(message).is_empty();
     let mut stream = site.connect();
+    sleep(FIRST_PAUSE);
     assert_eq!(call(&mut stream, "l1").status, 200);
+    assert!(!is_renewed(), "a new connection was renewed");
     site.change_limits(7, &[("maxHeaderBytes", 60_000)]);
-    wait("the new limit", || {
-        let renewed = site
-            .daemon
-            .logged("open connection renewed for larger heads");
-        !renewed.is_empty()
-    });
+    wait("the new limit", is_renewed);
     let request = Request::new("/look/", "l2").with("X-Long", &"x".repeat(40_000));
     let _ = stream.write_all(&request.bytes(false));
     assert_eq!(read_response(&mut stream).status, 200);
