--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -2,9 +2,12 @@
 //! relays its response.
 
 mod attempt;
+mod attribution;
 mod relay;
 pub mod response;
+mod retry;
 mod send;
+mod silence;
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -17,8 +20,8 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 
-use self::attempt::Attempts;
-use self::response::{Refusal, ResponseBody};
+use self::response::{CutShort, Refusal, ResponseBody};
+use self::retry::Attempts;
 use super::body_memory::BodyReservation;
 use super::clock;
 use super::demand::ModelKey;
@@ -165,10 +168,12 @@
 }
 
 /// Handles a caller's request. Dropping the future, as when the caller disconnects,
-/// cancels its work at the engine.
+/// cancels its work at the engine. So does the end of `ended`, when the process exits:
+/// the request is then answered with a failure.
 pub async fn handle(
     edge: Rc<Edge>,
     request: Request<Incoming>,
+    ended: impl Future<Output = ()>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let arrived_at = clock::now();
     let (head, body) = request.into_parts();
@@ -179,13 +184,19 @@
     let expected = body.size_hint().upper().unwrap_or(max_bytes).min(max_bytes);
     let Some(mut reservation) = BodyReservation::reserve(&edge, expected) else {
         let cause = "no memory left for request bodies";
-        return Ok(refuse(&edge, &headers.id, Kind::QueueFull, cause));
+        return Ok(refuse_unread(&edge, &headers.id, Kind::QueueFull, cause));
     };
-    let body = match read_body(body, &desired.limits).await {
+    tokio::pin!(ended);
+    let read = tokio::select! {
+        biased;
+        read = read_body(body, &desired.limits) => read,
+        () = &mut ended => Err(Kind::Draining),
+    };
+    let body = match read {
         Ok(body) => body,
         Err(kind) => {
             let cause = "cannot read the request body";
-            return Ok(refuse(&edge, &headers.id, kind, cause));
+            return Ok(refuse_unread(&edge, &headers.id, kind, cause));
         }
     };
     reservation.shrink(body.len() as u64);
@@ -213,7 +224,14 @@
     record_demand(&routed);
     let routed = Rc::new(routed);
     let mut disconnect = DisconnectLogger(Some(routed.clone()));
-    let response = attempt::run_request(routed, active).await;
+    let response = tokio::select! {
+        biased;
+        response = attempt::run_request(routed.clone(), active) => response,
+        () = ended => {
+            let refusal = Refusal::new(Kind::OutcomeUnknown);
+            routed.refuse(refusal, "this host exits while the request is in progress", "", 0)
+        }
+    };
     disconnect.0 = None;
     Ok(response)
 }
@@ -275,6 +293,20 @@
     refusal.response(request)
 }
 
+/// Refuses a request whose body was not read to its end.
+fn refuse_unread(edge: &Edge, request: &str, kind: Kind, cause: &str) -> Response<ResponseBody> {
+    let mut response = refuse(edge, request, kind, cause);
+    response.extensions_mut().insert(CutShort);
+    response
+}
+
+/// Refuses a request on a connection beyond the limit; the connection closes.
+pub fn refuse_connection(edge: &Edge, request: &Request<Incoming>) -> Response<ResponseBody> {
+    let headers = headers::parse_request(request.headers());
+    let cause = "too many busy connections";
+    refuse_unread(edge, &headers.id, Kind::QueueFull, cause)
+}
+
 async fn read_body(body: Incoming, limits: &RequestLimits) -> Result<Bytes, Kind> {
     let body = Limited::new(body, limits.body).collect();
     match tokio::time::timeout(BODY_TIMEOUT, body).await {
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -1,7 +1,7 @@
 //! Listeners for callers, for queries about this host, and for metrics.
 
-use std::cell::RefCell;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,25 +11,38 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use socket2::{Domain, Socket, Type};
+use tokio::io::AsyncWrite;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
 
+use super::caller_stream::{CallerStream, TrackedBody};
+use super::connections::{Connection, Connections, EndCause, OpenConnection, Phase, PhaseLimits};
+use super::desired::RequestLimits;
 use super::forward::{self, response};
 use super::state::Edge;
 use super::{client, clock};
+use crate::error::Kind;
 use crate::platform::host_queries::{self, HostQuery};
-use response::ResponseBody;
+use response::{CutShort, Refusal, ResponseBody};
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
 /// Pause after a connection could not be accepted, for example for lack of file
 /// descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Period of checking connections against their limits.
+const CHECK_PERIOD: Duration = Duration::from_millis(250);
+/// The same once the listener has closed.
+const CLOSING_CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Maximum number of callers' connections: half of the smallest number of file
 /// descriptors on a host, which leaves as many for engines.
 const MAX_CALLER_CONNECTIONS: usize = 1_800;
+/// Maximum number of connections beyond those on which requests are refused; further
+/// ones wait to be accepted.
+const MAX_REFUSED_CONNECTIONS: usize = 200;
 /// Maximum number of connections for queries.
 const MAX_QUERY_CONNECTIONS: usize = 200;
 /// Minimum limit of the buffer for request heads, bytes; `hyper` accepts no lower one.
@@ -56,10 +69,12 @@
     /// Serves without restrictions.
     #[default]
     Running,
-    /// Closes connections after the current response; still accepts new ones.
+    /// Closes each connection after its next response; still accepts new ones.
     EndConnections,
-    /// Accepts no more connections.
+    /// Accepts no more connections, and closes idle ones.
     CloseListener,
+    /// Answers requests in progress with a failure.
+    EndRequests,
 }
 
 /// Binds a listener to `addr`.
@@ -72,100 +87,225 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Accepts connections until `stop` closes the listener.
+/// Accepts connections until `stop` closes the listener; returns when all have ended.
 pub async fn serve(
     edge: Rc<Edge>,
     listener: TcpListener,
     kind: ListenerKind,
     mut stop: watch::Receiver<ListenerStop>,
 ) {
-    let max_connections = match kind {
-        ListenerKind::Callers => MAX_CALLER_CONNECTIONS,
-        ListenerKind::HostQueries => MAX_QUERY_CONNECTIONS,
+    let acceptor = Acceptor {
+        edge,
+        kind,
+        max_connections: match kind {
+            ListenerKind::Callers => MAX_CALLER_CONNECTIONS,
+            ListenerKind::HostQueries => MAX_QUERY_CONNECTIONS,
+        },
+        connections: Rc::default(),
+        stop: stop.clone(),
     };
-    let open = Rc::new(RefCell::new(0usize));
-    loop {
-        if *stop.borrow_and_update() == ListenerStop::CloseListener {
-            return;
-        }
+    let connections = &acceptor.connections;
+    let max_open = acceptor.max_connections + MAX_REFUSED_CONNECTIONS;
+    let mut check_at = Instant::now();
+    while *stop.borrow_and_update() < ListenerStop::CloseListener {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = listener.accept(), if connections.len() < max_open => accepted,
             changed = stop.changed() => match changed {
                 Ok(()) => continue,
                 Err(_) => return,
             },
+            () = sleep_until(check_at), if !connections.is_empty() => {
+                connections.check(&PhaseLimits::accepting(&acceptor.limits()));
+                check_at = Instant::now() + CHECK_PERIOD;
+                continue;
+            }
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        match accepted {
+            Ok((stream, _)) => acceptor.accept(stream),
             Err(error) => {
                 let purpose: &'static str = kind.into();
                 log::warn!(purpose, error:%; "cannot accept a connection");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
             }
-        };
-        if *open.borrow() >= max_connections {
-            let purpose: &'static str = kind.into();
-            log::warn!(purpose, most = max_connections; "connection refused: too many connections");
-            continue;
         }
-        *open.borrow_mut() += 1;
-        client::set_socket_options(&stream);
-        let (edge, open, stop) = (edge.clone(), open.clone(), stop.clone());
-        tokio::task::spawn_local(async move {
-            serve_connection(edge, stream, kind, stop).await;
-            *open.borrow_mut() -= 1;
-        });
+    }
+    acceptor.accept_backlog(listener);
+    while !connections.is_empty() {
+        connections.check(&PhaseLimits::closing(&acceptor.limits()));
+        tokio::time::sleep(CLOSING_CHECK_PERIOD).await;
     }
 }
 
-/// Serves one connection until it closes.
-async fn serve_connection(
+/// Starts the connections of a listener.
+struct Acceptor {
     edge: Rc<Edge>,
-    stream: TcpStream,
     kind: ListenerKind,
-    mut stop: watch::Receiver<ListenerStop>,
-) {
-    let limits = edge.state.borrow().desired.limits;
-    let is_stopping = *stop.borrow_and_update() >= ListenerStop::EndConnections;
-    let mut builder = http1::Builder::new();
-    builder
-        .keep_alive(!is_stopping)
-        .timer(TokioTimer::new())
-        // Also the idle timeout, as an idle connection waits for the next head.
-        .header_read_timeout(limits.idle)
-        .max_buf_size(limits.head.max(MIN_HEAD_BUFFER_BYTES));
-    let io = TokioIo::new(stream);
-    let service = service_fn(move |request| {
-        let edge = edge.clone();
-        async move {
-            match kind {
-                ListenerKind::Callers => forward::handle(edge, request).await,
-                ListenerKind::HostQueries => Ok::<_, Infallible>(host_response(&edge, &request)),
+    max_connections: usize,
+    connections: Rc<Connections>,
+    stop: watch::Receiver<ListenerStop>,
+}
+
+impl Acceptor {
+    /// Returns the limits in force.
+    fn limits(&self) -> RequestLimits {
+        self.edge.state.borrow().desired.limits
+    }
+
+    /// Starts to serve the connections that wait to be accepted, which the kernel would
+    /// reset, and closes the listener.
+    fn accept_backlog(&self, listener: TcpListener) {
+        let listener = match listener.into_std() {
+            Ok(listener) => listener,
+            Err(error) => {
+                log::warn!(error:%; "cannot accept the last connections");
+                return;
+            }
+        };
+        loop {
+            let accepted = listener.accept().and_then(|(stream, _)| {
+                stream.set_nonblocking(true)?;
+                TcpStream::from_std(stream)
+            });
+            match accepted {
+                Ok(stream) => self.accept(stream),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => continue,
+                Err(error) => {
+                    log::warn!(error:%; "cannot accept the last connections");
+                    return;
+                }
             }
         }
-    });
-    let connection = builder.serve_connection(io, service);
-    tokio::pin!(connection);
+    }
+
+    /// Starts to serve a connection.
+    fn accept(&self, stream: TcpStream) {
+        let has_room = self.connections.make_room(self.max_connections);
+        if !has_room {
+            let purpose: &'static str = self.kind.into();
+            log::warn!(purpose, most = self.max_connections;
+                "too many busy connections: a further one is refused");
+        }
+        client::set_socket_options(&stream);
+        let accepted = Accepted {
+            kind: self.kind,
+            has_room,
+            open: self.connections.add(),
+            stop: self.stop.clone(),
+        };
+        tokio::task::spawn_local(serve_connection(self.edge.clone(), stream, accepted));
+    }
+}
+
+/// An accepted connection.
+#[derive(Debug)]
+struct Accepted {
+    kind: ListenerKind,
+    /// Whether its requests are served; otherwise, they are refused.
+    has_room: bool,
+    open: OpenConnection,
+    stop: watch::Receiver<ListenerStop>,
+}
+
+/// Serves one connection until it closes.
+async fn serve_connection(edge: Rc<Edge>, stream: TcpStream, accepted: Accepted) {
+    let connection = &accepted.open.state;
+    let mut stream = CallerStream::new(stream, connection.clone());
     loop {
-        tokio::select! {
-            outcome = connection.as_mut() => {
+        let mut builder = http1::Builder::new();
+        builder
+            // `connections` bounds heads and idle connections.
+            .header_read_timeout(None)
+            .max_buf_size(head_limit(&edge));
+        let service = service_fn(|request| respond(&edge, &accepted, request));
+        let mut served = builder.serve_connection(TokioIo::new(stream), service);
+        let cause = tokio::select! {
+            biased;
+            outcome = &mut served => {
                 if let Err(error) = outcome {
                     log::debug!(error:%; "accepted connection failed");
                 }
                 return;
             }
-            changed = stop.changed() => {
-                if changed.is_err() || *stop.borrow_and_update() >= ListenerStop::EndConnections {
-                    connection.as_mut().graceful_shutdown();
-                    if let Err(error) = connection.as_mut().await {
-                        log::debug!(error:%; "accepted connection failed");
-                    }
-                    return;
-                }
+            cause = connection.ended() => cause,
+        };
+        let parts = served.into_parts();
+        stream = parts.io.into_inner();
+        let phase = connection.phase();
+        let reads_head = matches!(phase, Phase::Idle | Phase::Head);
+        if reads_head && !parts.read_buf.is_empty() {
+            end_connection(&edge, connection, EndCause::UnfinishedHead);
+            refuse_head(&mut stream, connection).await;
+            return;
+        }
+        if phase == Phase::Idle && stream.has_unread_bytes() {
+            connection.restart();
+            continue;
+        }
+        end_connection(&edge, connection, cause);
+        return;
+    }
+}
+
+/// Returns the limit of the buffer for request heads, bytes.
+fn head_limit(edge: &Edge) -> usize {
+    let limits = edge.state.borrow().desired.limits;
+    limits.head.max(MIN_HEAD_BUFFER_BYTES)
+}
+
+/// Records that this host ends a connection.
+fn end_connection(edge: &Edge, connection: &Connection, cause: EndCause) {
+    let cause: &'static str = cause.into();
+    let ms = connection.age().as_millis() as u64;
+    log::info!(cause, ms; "connection ended");
+    edge.metrics.record_connection_end(cause);
+}
+
+/// Tells the caller that the request whose head did not arrive does not run.
+async fn refuse_head(stream: &mut CallerStream, connection: &Connection) {
+    let bytes = Refusal::new(Kind::SlowClient).response_bytes();
+    if let Err(error) = stream.try_write(&bytes) {
+        log::info!(error:%; "cannot refuse an unfinished head");
+    }
+    connection.start(Phase::Head);
+    tokio::select! {
+        closed = poll_fn(|cx| Pin::new(&mut *stream).poll_shutdown(cx)) => {
+            if let Err(error) = closed {
+                log::debug!(error:%; "accepted connection failed");
             }
         }
+        _ = connection.ended() => {}
+    }
+}
+
+/// Responds to one request.
+async fn respond(
+    edge: &Rc<Edge>,
+    accepted: &Accepted,
+    request: Request<Incoming>,
+) -> Result<Response<TrackedBody<ResponseBody>>, Infallible> {
+    let connection = &accepted.open.state;
+    connection.start(Phase::Request);
+    let mut response = match accepted.kind {
+        _ if !accepted.has_room => forward::refuse_connection(edge, &request),
+        ListenerKind::Callers => {
+            let mut stop = accepted.stop.clone();
+            let ended = async move {
+                // An error means that the process exits.
+                let _ = stop.wait_for(|s| *s >= ListenerStop::EndRequests).await;
+            };
+            forward::handle(edge.clone(), request, ended).await?
+        }
+        ListenerKind::HostQueries => host_response(edge, &request),
+    };
+    if response.extensions().get::<CutShort>().is_some() {
+        connection.cut_short();
+        response::close_connection(&mut response);
+    }
+    if *accepted.stop.borrow() >= ListenerStop::EndConnections {
+        response::close_connection(&mut response);
     }
+    Ok(response.map(|body| TrackedBody::new(body, connection.clone())))
 }
 
 /// Responds to a query about this host.
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -6,8 +6,10 @@
 
 pub mod admission;
 pub mod body_memory;
+pub mod caller_stream;
 pub mod client;
 pub mod clock;
+pub mod connections;
 pub mod demand;
 pub mod desired;
 pub mod engine_list;
@@ -45,10 +47,11 @@
 
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::Notify;
-use tokio::task::LocalSet;
+use tokio::sync::{Notify, watch};
+use tokio::task::{JoinHandle, LocalSet};
+use tokio::time::timeout;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Moment};
 use crate::metrics::{Metrics, MetricsError};
 use client::Client;
 use listen::{ListenerKind, ListenerStop};
@@ -87,13 +90,13 @@
 }
 
 async fn serve(path: PathBuf, settings: Settings) -> Result<(), RunError> {
-    let client = Client::default();
     let listen = settings.listen;
     let edge = Rc::new(Edge {
         host: settings.host.clone(),
         incarnation: Clock::unix_ms(),
         store: StoreClient::new(settings.store.addr, Client::default()),
-        client,
+        client: Client::default(),
+        call_client: Client::default(),
         metrics: Metrics::new()?,
         phase: Cell::new(DaemonPhase::Starting),
         shutdown: Cell::default(),
@@ -110,7 +113,7 @@
     let life = edge.incarnation;
     let version = env!("CARGO_PKG_VERSION");
     log::info!(host, life, version; "started");
-    let (stop, stopping) = tokio::sync::watch::channel(ListenerStop::Running);
+    let (stop, stopping) = watch::channel(ListenerStop::Running);
     let mut listeners = vec![
         (listen.callers, ListenerKind::Callers),
         (listen.ready, ListenerKind::HostQueries),
@@ -120,10 +123,11 @@
             listeners.push((addr, ListenerKind::HostQueries));
         }
     }
+    let mut tasks = Vec::new();
     for (addr, kind) in listeners {
         let listener = listen::bind(addr)?;
         let task = listen::serve(edge.clone(), listener, kind, stopping.clone());
-        tokio::task::spawn_local(task);
+        tasks.push(tokio::task::spawn_local(task));
     }
     let socket = Rc::new(UdpSocket::bind(listen.peers).await?);
     tokio::task::spawn_local(store_watch::watch_desired(edge.clone()));
@@ -147,7 +151,7 @@
             _ = hangup.recv() => reload(&edge, &path),
         }
     }
-    shut_down(&edge, &stop).await;
+    shut_down(&edge, &stop, tasks).await;
     Ok(())
 }
 
@@ -181,8 +185,13 @@
 
 /// Shuts the daemon down: reports it as not ready at once, releases the leadership,
 /// serves callers until every cached list of entry addresses has expired, then finishes
-/// the requests in progress.
-async fn shut_down(edge: &Rc<Edge>, stop: &tokio::sync::watch::Sender<ListenerStop>) {
+/// the requests in progress. Open connections end with their next response or, if they
+/// stay idle, once the listeners have closed.
+async fn shut_down(
+    edge: &Rc<Edge>,
+    stop: &watch::Sender<ListenerStop>,
+    listeners: Vec<JoinHandle<()>>,
+) {
     let shutdown = Shutdown {
         started_at: clock::now(),
         grace: edge.settings().bounds.grace(),
@@ -192,20 +201,46 @@
     log::info!(requests = edge.state.borrow().active_requests; "stopping");
     edge.send_wake.notify_one();
     stop.send_replace(ListenerStop::EndConnections);
-    release_leadership(edge, &shutdown).await;
-    store_watch::remove_member_row(edge).await;
+    // Apart from the rest, which a store that does not answer must not delay.
+    let leaving = tokio::task::spawn_local(leave(edge.clone(), shutdown));
     while clock::now() < shutdown.close_at() {
         tokio::time::sleep(SHUTDOWN_POLL_PERIOD).await;
     }
     stop.send_replace(ListenerStop::CloseListener);
-    while edge.state.borrow().active_requests > 0 && clock::now() < shutdown.exit_at() {
-        tokio::time::sleep(SHUTDOWN_POLL_PERIOD).await;
+    let closed = async {
+        for listener in listeners {
+            if let Err(error) = listener.await {
+                log::error!(error:%; "listener failed");
+            }
+        }
+    };
+    tokio::pin!(closed);
+    let until = |at: Moment| at.saturating_sub(clock::now());
+    if timeout(until(shutdown.answer_at()), &mut closed)
+        .await
+        .is_err()
+    {
+        stop.send_replace(ListenerStop::EndRequests);
+        if timeout(until(shutdown.exit_at()), closed).await.is_err() {
+            log::warn!("connections are still open at the exit");
+        }
+    }
+    match timeout(until(shutdown.exit_at()), leaving).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::error!(error:%; "leaving failed"),
+        Err(_) => log::warn!("the store has not confirmed that this host leaves"),
     }
     let requests = edge.state.borrow().active_requests;
     let ms = clock::now().saturating_sub(shutdown.started_at).as_millis() as u64;
     log::info!(requests, ms; "stopped");
 }
 
+/// Releases the leadership and deletes this daemon's row in the store.
+async fn leave(edge: Rc<Edge>, shutdown: Shutdown) {
+    release_leadership(&edge, &shutdown).await;
+    store_watch::remove_member_row(&edge).await;
+}
+
 /// Releases the leadership. Where engines refuse old fencing numbers, this daemon
 /// sends orders for another lease, so that its successor can start at once.
 async fn release_leadership(edge: &Rc<Edge>, shutdown: &Shutdown) {
@@ -235,9 +270,11 @@
             let ms = delay.as_millis() as u64;
             log::warn!(ms; "process was suspended");
             edge.client.drop_all_idle();
+            edge.call_client.drop_all_idle();
         }
         last = now;
         edge.client.drop_expired();
+        edge.call_client.drop_expired();
         let waiting = edge
             .state
             .borrow()
--- /dev/null
+++ b/tests/edge/attribution.rs
@@ -0,0 +1,200 @@
+//! Which request a response of an engine belongs to: only a response that is proven to
+//! belong to a request tells whether that request ran.
+
+use test_case::test_case;
+
+use crate::fakes::daemon::{Request, wait};
+use crate::fakes::engine::Behavior;
+use crate::fakes::store::Store;
+use crate::site::{MODEL, Site, desired};
+
+/// Statuses that promise callers that a request has not run and never will.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// Sends bookings until an engine has sent a late response; each booking runs at most
+/// once, and not at all if its response promises that.
+fn assert_bookings_run_once(site: &Site) {
+    let mut sent = 0;
+    wait("a late response", || {
+        let id = format!("b{sent}");
+        sent += 1;
+        let answer = site.send("/book/", &id);
+        let runs = site.runs(&id);
+        assert!(runs <= 1, "{id} ran {runs} times: {answer:?}");
+        let promised = PROMISES.contains(&answer.status);
+        assert!(!promised || runs == 0, "{id} ran: {answer:?}");
+        site.plain.iter().any(|e| e.late_responses() > 0)
+    });
+}
+
+/// Guards against TWICE: a late rejection without an id was taken as the response to the
+/// next request on its connection, which was sent again while its engine ran it.
+#[test_case(503)]
+#[test_case(429)]
+#[test_case(421)]
+#[test_case(400)]
+fn a_late_rejection_without_an_id_repeats_no_booking(status: u16) {
+    let site = Site::start();
+    site.set(Behavior::LateRejection(status));
+    assert_bookings_run_once(&site);
+}
+
+/// Guards against REFUSED: after such a rejection the request was refused as not run.
+#[test_case(503)]
+#[test_case(429)]
+#[test_case(421)]
+#[test_case(400)]
+fn a_late_rejection_without_an_id_is_no_proof_that_a_booking_has_not_run(status: u16) {
+    let site = Site::start();
+    site.exhaust_retries();
+    site.set(Behavior::LateRejection(status));
+    assert_bookings_run_once(&site);
+}
+
+/// Guards against REFUSED and TWICE: a rejected request came to the same engine again on
+/// the same connection, where a repeated rejection has its id.
+#[test]
+fn a_repeated_rejection_is_not_taken_as_the_response_to_the_next_sending() {
+    let site = Site::start();
+    site.set(Behavior::RepeatedRejection);
+    let answer = site.send("/book/", "b1");
+    assert_eq!((answer.status, site.runs("b1")), (200, 1), "{answer:?}");
+}
+
+/// Guards against REFUSED: an engine's own status was relayed where callers take it as
+/// the promise that the request has not run, although the engine did not state that.
+#[test_case(503)]
+#[test_case(429)]
+#[test_case(408)]
+#[test_case(101)]
+fn a_status_that_promises_is_relayed_only_when_the_engine_has_not_run_the_request(status: u16) {
+    let site = Site::start();
+    site.set(Behavior::Answers(status));
+    let answer = site.send("/book/", "b1");
+    assert_eq!((answer.status, site.runs("b1")), (502, 1), "{answer:?}");
+    assert_eq!(answer.header("x-mastichinge-server-stamp"), None);
+    let answer = site.send("/look/", "l1");
+    assert_eq!((answer.status, site.runs("l1")), (502, 2), "{answer:?}");
+}
+
+/// Guards against a false promise: a lookup that ran and failed at one engine and was
+/// rejected by the others was refused as not run.
+#[test]
+fn a_lookup_that_ran_is_not_refused_as_not_run() {
+    let site = Site::start();
+    site.plain[0].set_behavior(Behavior::Failing);
+    site.plain[1].set_behavior(Behavior::Full);
+    let mut sent = 0;
+    wait("a lookup that ran and was rejected", || {
+        let id = format!("l{sent}");
+        sent += 1;
+        let answer = site.send("/look/", &id);
+        let runs = site.runs(&id);
+        let promised = PROMISES.contains(&answer.status);
+        assert!(!promised || runs == 0, "{id} ran: {answer:?}");
+        runs > 0 && site.arrivals(&id) > runs
+    });
+}
+
+/// Guards against REFUSED and TWICE: a rejection of another request says nothing.
+#[test]
+fn a_rejection_of_another_request_is_not_believed() {
+    let site = Site::start();
+    site.set(Behavior::RejectsAnother);
+    let answer = site.send("/book/", "b1");
+    assert_eq!((answer.status, site.runs("b1")), (502, 1), "{answer:?}");
+}
+
+/// Guards against 502 for requests that an engine could not parse: its rejection has no
+/// id, but no other request was sent on the connection.
+#[test]
+fn a_rejection_without_an_id_is_believed_on_a_new_connection() {
+    let site = Site::start();
+    site.set(Behavior::FullWithoutId);
+    let answer = site.send("/book/", "b1");
+    assert_eq!((answer.status, site.runs("b1")), (503, 0), "{answer:?}");
+}
+
+/// The log and the metrics tell how a response was attributed.
+#[test_case(
+    Behavior::RejectsAnother,
+    "engine's response not believed",
+    "not_believed"
+)]
+#[test_case(
+    Behavior::FullWithoutId,
+    "engine rejected the request",
+    "first_exchange"
+)]
+#[test_case(Behavior::Full, "engine rejected the request", "id_matched")]
+fn the_attribution_of_a_response_is_logged_and_counted(
+    behavior: Behavior,
+    message: &str,
+    attribution: &str,
+) {
+    let site = Site::start();
+    site.set(behavior);
+    site.send("/book/", "b1");
+    wait("its log line", || !site.daemon.logged(message).is_empty());
+    for line in site.daemon.logged(message) {
+        assert_eq!(line["request"], "b1");
+        assert_eq!(line["attribution"], attribution);
+    }
+    let metrics = site.daemon.get("/metrics").body;
+    let metric = format!("mastichinge_engine_responses_total{{attribution=\"{attribution}\"");
+    assert!(metrics.contains(&metric), "{metrics}");
+}
+
+/// Guards against orders taken as carried out: a late answer to a request was read as the
+/// answer to an order on the same connection.
+#[test]
+fn a_late_answer_to_a_request_is_not_taken_as_the_answer_to_an_order() {
+    let site = Site::start();
+    wait("a leader", || {
+        !site.daemon.logged("leadership acquired").is_empty()
+    });
+    site.set(Behavior::LateAnswer);
+    // Leaves idle connections to both engines.
+    std::thread::scope(|scope| {
+        for i in 0..8 {
+            let site = &site;
+            scope.spawn(move || site.stream("/stream/", &format!("w{i}")));
+        }
+    });
+    let request = Request::new("/stream/", "s1").with(MODEL, "m2");
+    assert_eq!(site.daemon.send(&request).status, 200);
+    let orders = site.daemon.logged("order given");
+    assert!(!orders.is_empty());
+    for order in orders {
+        assert_eq!(order["result"], "accepted", "{order}");
+    }
+}
+
+/// Guards against foreign bytes in a body: the rest of a body that an engine reads after
+/// its answer is due before the next request.
+#[test]
+fn the_rest_of_a_body_is_sent_after_an_early_answer() {
+    let store = Store::start();
+    let mut state = desired(5);
+    state["limits"]["maxBodyBytes"] = (16 << 20).into();
+    store.put("op", "config", &state);
+    let site = Site::start_with(store);
+    site.set(Behavior::Early);
+    for i in 0..6 {
+        let id = format!("b{i}");
+        let request = Request {
+            // More than the buffers of both sockets hold.
+            body: format!("{id} ").repeat(3 << 20),
+            ..Request::new("/book/", &id)
+        };
+        let answer = site.daemon.send(&request);
+        assert_eq!(answer.status, 200, "{}", answer.head);
+        assert_eq!(answer.body, format!("answer to {id}"));
+        wait("the whole body", || site.runs(&id) == 1);
+        let arrivals: Vec<_> = site.plain.iter().flat_map(|e| e.arrivals()).collect();
+        let arrived = arrivals
+            .iter()
+            .find(|a| a.header("x-mastichinge-request-id") == id);
+        assert!(arrived.unwrap().body == request.body.as_bytes(), "{id}");
+    }
+}
--- a/tests/edge/fakes/store.rs
+++ b/tests/edge/fakes/store.rs
@@ -31,6 +31,8 @@
     delay: Duration,
     /// Whether connections are closed instead of answered.
     closing: bool,
+    /// Whether calls get no answer.
+    silent: bool,
     calls: u64,
     /// Tables that were read whole, one entry a call.
     whole_reads: Vec<String>,
@@ -119,6 +121,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Leaves all further calls without an answer.
+    pub fn silence(&self) {
+        self.state.lock().unwrap().silent = true;
+        self.changed.notify_waiters();
+    }
+
     /// Expires the history: feeds from earlier versions get 410.
     pub fn expire_history(&self) {
         let mut state = self.state.lock().unwrap();
@@ -132,6 +140,9 @@
         let mut rest = Vec::new();
         while let Ok(Some(request)) = read_request(&mut stream, &mut rest).await {
             let (status, body) = self.call(&request).await;
+            if self.state.lock().unwrap().silent {
+                std::future::pending::<()>().await;
+            }
             let body = body.to_string();
             let (delay, closing) = {
                 let state = self.state.lock().unwrap();
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -1,11 +1,15 @@
 //! Tests of the edge daemon: decisions, platform adapter and request forwarding.
 
+mod attribution;
+mod client;
+mod connections;
 mod decisions;
 mod engine_list;
 #[allow(dead_code, reason = "shared with the soak, which uses other parts")]
 mod fakes;
 mod fixtures;
 mod fleet;
+mod floods;
 mod hostile_callers;
 mod large_fleet;
 mod leadership;
@@ -14,8 +18,10 @@
 mod loopback;
 mod overload;
 mod placement;
+mod planned_stop;
 mod requests;
 mod retry_budget;
 mod shutdown;
+mod silence;
 mod site;
 mod translation;
--- /dev/null
+++ b/tests/edge/silence.rs
@@ -0,0 +1,170 @@
+//! Engines that fall silent for longer than the daemon waits before it looks for another
+//! engine, and then go on.
+
+use serde_json::Value;
+use test_case::test_case;
+
+use crate::fakes::daemon::{Request, Response, wait};
+use crate::fakes::engine::{Behavior, EVENTS, Engine};
+use crate::requests::events;
+use crate::site::{MODEL, Site, desired, route};
+
+/// Streams sent at the same time; the rejected resumptions of those that stall use up the
+/// retry budget.
+const STREAMS: usize = 24;
+
+/// Asserts that the caller got the whole stream, each event once.
+fn assert_whole(answer: &Response) {
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(events(&answer.body), (1..=EVENTS).collect::<Vec<_>>());
+}
+
+/// Sends the streams `s0`, `s1` and so on at the same time.
+fn send_streams(site: &Site, count: usize) -> Vec<Response> {
+    std::thread::scope(|scope| {
+        let send = |i: usize| scope.spawn(move || site.stream("/stream/", &format!("s{i}")));
+        let callers: Vec<_> = (0..count).map(send).collect();
+        callers.into_iter().map(|c| c.join().unwrap()).collect()
+    })
+}
+
+/// Waits until one of `engines` has stalled, and sets the behavior of the others.
+fn set_others(engines: &[Engine; 2], other: Behavior) {
+    wait("a stalled engine", || {
+        engines.iter().any(Engine::has_stalled)
+    });
+    for engine in engines.iter().filter(|e| !e.has_stalled()) {
+        engine.set_behavior(other);
+    }
+}
+
+/// Guards against a stream that ends with an error although its engine goes on: the
+/// resumption at another engine fails after the silent run was left.
+#[test_case(Behavior::Full; "the other rejects")]
+#[test_case(Behavior::Reset; "the other resets")]
+#[test_case(Behavior::ResetAfter(3); "the other resets after an event")]
+#[test_case(Behavior::Failing; "the other fails")]
+fn a_stream_of_a_stalled_engine_completes_when_it_cannot_be_resumed_elsewhere(other: Behavior) {
+    let site = Site::start();
+    site.set(Behavior::StallAfter(2));
+    let answers = std::thread::scope(|scope| {
+        scope.spawn(|| set_others(&site.models, other));
+        send_streams(&site, 1)
+    });
+    answers.iter().for_each(assert_whole);
+}
+
+/// Guards against streams that end with an error because resumptions that an engine
+/// rejects have used up the retry budget.
+#[test]
+fn all_streams_of_a_stalled_engine_complete_when_the_other_rejects_them() {
+    let site = Site::start();
+    site.models[0].set_behavior(Behavior::StallAfter(2));
+    let answers = std::thread::scope(|scope| {
+        scope.spawn(|| set_others(&site.models, Behavior::Full));
+        send_streams(&site, STREAMS)
+    });
+    answers.iter().for_each(assert_whole);
+}
+
+/// Guards against a stream that ends with an error when its engine stalls while a change
+/// of the desired state is applied.
+#[test]
+fn a_stream_of_a_stalled_engine_completes_beside_a_change_of_the_desired_state() {
+    let site = Site::start();
+    let mut newer = desired(6);
+    let routes = newer["routes"].as_array_mut().unwrap();
+    routes.push(route("/later/", "idempotent", "desk"));
+    for route in routes {
+        route["timeoutMs"] = 10_000.into();
+    }
+    newer["limits"]["idleTimeoutMs"] = 2_000.into();
+    site.models[0].set_behavior(Behavior::StallAfter(2));
+    let answers = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            set_others(&site.models, Behavior::Full);
+            site.store.put("op", "config", &newer);
+        });
+        send_streams(&site, STREAMS)
+    });
+    answers.iter().for_each(assert_whole);
+    wait("the new desired state", || {
+        let versions = site.daemon.logged("desired state in force");
+        versions.iter().any(|l| l["version"] == 6)
+    });
+}
+
+/// Guards against a stream whose run is cancelled because its response or its first event
+/// is late, although no other engine may take over.
+#[test_case(Behavior::StallAtRequest; "before the response")]
+#[test_case(Behavior::StallAfter(0); "before the first event")]
+#[test_case(Behavior::StallAfter(2); "between events")]
+fn a_stream_of_a_stalled_engine_completes_in_one_run_when_no_retry_is_left(stall: Behavior) {
+    let site = Site::start();
+    site.exhaust_retries();
+    site.set(stall);
+    assert_whole(&site.stream("/stream/", "s1"));
+    assert_eq!(site.arrivals("s1"), 1);
+}
+
+/// Guards against a lookup whose run is cancelled because its response is late, although
+/// no other engine may take over.
+#[test]
+fn a_lookup_at_a_stalled_engine_is_answered_in_one_run_when_no_retry_is_left() {
+    let site = Site::start();
+    site.exhaust_retries();
+    site.set(Behavior::StallAtRequest);
+    let answer = site.send("/look/", "l1");
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(site.arrivals("l1"), 1);
+}
+
+/// Guards against a run that is cancelled because its response is late, although no other
+/// engine is known.
+#[test_case("e2", "/stream/"; "a stream")]
+#[test_case("p2", "/look/"; "a lookup")]
+fn a_request_at_the_only_engine_is_answered_in_one_run_after_a_stall(other: &str, path: &str) {
+    let site = Site::start();
+    site.store.remove("servers", other);
+    site.wait_for_change(other, "gone");
+    site.set(Behavior::StallAtRequest);
+    let answer = match path {
+        "/stream/" => site.stream(path, "r1"),
+        _ => site.send(path, "r1"),
+    };
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(site.arrivals("r1"), 1);
+}
+
+/// Guards against a request that ends without its engine's response after another engine
+/// rejected it.
+#[test_case(Behavior::Full; "the other rejects")]
+#[test_case(Behavior::Reset; "the other resets")]
+fn a_lookup_at_a_stalled_engine_is_answered_when_the_other_cannot(other: Behavior) {
+    let site = Site::start();
+    site.set(Behavior::StallAtRequest);
+    let answer = std::thread::scope(|scope| {
+        scope.spawn(|| set_others(&site.plain, other));
+        site.send("/look/", "l1")
+    });
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+}
+
+/// The caller of a silent stream leaves: the run is cancelled at once.
+#[test]
+fn a_caller_that_leaves_a_stalled_stream_cancels_the_run() {
+    let site = Site::start();
+    site.exhaust_retries();
+    site.set(Behavior::Silent);
+    let request = Request::new("/stream/", "s1").with(MODEL, "m1");
+    let mut caller = std::net::TcpStream::connect(site.daemon.callers).unwrap();
+    std::io::Write::write_all(&mut caller, &request.bytes(false)).unwrap();
+    wait("the request at an engine", || site.arrivals("s1") == 1);
+    drop(caller);
+    wait("its cancellation", || {
+        let cancelled: Vec<String> = site.models.iter().flat_map(Engine::cancelled).collect();
+        cancelled == ["s1"]
+    });
+    let retries: Vec<Value> = site.daemon.logged("request retry");
+    assert_eq!(retries, Vec::<Value>::new());
+}
--- a/tests/edge/site.rs
+++ b/tests/edge/site.rs
@@ -1,5 +1,7 @@
 //! A deployment of one daemon with a fake store and fake engines.
 
+use std::net::TcpStream;
+
 use serde_json::{Value, json};
 
 use crate::fakes::daemon::{Daemon, Request, Response, wait};
@@ -44,6 +46,11 @@
     pub fn start() -> Self {
         let store = Store::start();
         store.put("op", "config", &desired(5));
+        Site::start_with(store)
+    }
+
+    /// Starts the engines and the daemon with this store.
+    pub fn start_with(store: Store) -> Self {
         let plain = ["p1", "p2"].map(|id| Engine::start(&store, id, "desk", &[]));
         let models = ["e1", "e2"].map(|id| Engine::start(&store, id, "models", &["m1"]));
         let daemon = Daemon::start(&store, "edge-1");
@@ -55,6 +62,31 @@
         }
     }
 
+    /// Starts a deployment with these limits on callers' requests.
+    pub fn with_limits(limits: &[(&str, u64)]) -> Self {
+        let site = Site::start();
+        site.change_limits(6, limits);
+        site
+    }
+
+    /// Writes a desired state with these limits and waits until it is in force.
+    pub fn change_limits(&self, version: u64, limits: &[(&str, u64)]) {
+        let mut state = desired(version);
+        for (name, value) in limits {
+            state["limits"][name] = json!(value);
+        }
+        self.store.put("op", "config", &state);
+        wait("the new limits", || {
+            let lines = self.daemon.logged("desired state in force");
+            lines.iter().any(|l| l["version"] == version)
+        });
+    }
+
+    /// Opens a caller's connection.
+    pub fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.daemon.callers).unwrap()
+    }
+
     pub fn send(&self, path: &str, id: &str) -> Response {
         self.daemon.send(&Request::new(path, id))
     }
@@ -71,6 +103,18 @@
         }
     }
 
+    /// Leaves the daemon no retries.
+    pub fn exhaust_retries(&self) {
+        self.daemon.write_settings(|s| {
+            s["bounds"]["retry_ratio"] = 0.0.into();
+            s["bounds"]["retry_slack"] = 0.0.into();
+        });
+        self.daemon.signal(libc::SIGHUP);
+        wait("the new settings", || {
+            !self.daemon.logged("settings reloaded").is_empty()
+        });
+    }
+
     /// Waits until the daemon has logged a change of an engine.
     pub fn wait_for_change(&self, engine: &str, change: &str) {
         wait(change, || {
@@ -80,6 +124,12 @@
         });
     }
 
+    /// Returns how often a request began to run.
+    pub fn runs(&self, id: &str) -> usize {
+        let engines = self.plain.iter().chain(&self.models);
+        engines.map(|e| e.runs(id)).sum()
+    }
+
     /// Returns how often a request reached an engine.
     pub fn arrivals(&self, id: &str) -> usize {
         let engines = self.plain.iter().chain(&self.models);
