--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -61,14 +61,14 @@
 
 /// Guards against giving up a silent engine, or its stream, when no retry is left.
 #[test]
-fn silent_engines_are_awaited_whatever_the_retry_budget() {
+fn silent_engines_are_awaited_without_a_retry_budget() {
     let settings = SoakSettings {
         length: Duration::from_secs(8),
-        engines: 3,
+        retries: false,
         fault_rate: 0.3,
         engine_faults: vec![EngineFault::SilenceBefore, EngineFault::SilenceAfter],
         pause: Duration::from_millis(600),
-        disturbances: vec![Disturbance::Reload, Disturbance::Desired],
+        disturbances: vec![Disturbance::Desired],
         ..SoakSettings::default()
     };
     assert_eq!(run(&settings), 0, "violations; see the lines above");
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -128,6 +128,9 @@
             wait("a ready daemon", || {
                 daemon.lock().unwrap().get("/readyz").status == 200
             });
+            if !settings.retries {
+                remove_retries(&daemon.lock().unwrap());
+            }
         }
         Site {
             store,
@@ -137,3 +140,15 @@
         }
     }
 }
+
+/// Leaves a daemon without a retry budget.
+fn remove_retries(daemon: &Daemon) {
+    daemon.write_settings(|s| {
+        s["bounds"]["retry_slack"] = 0.0.into();
+        s["bounds"]["retry_ratio"] = 0.0.into();
+    });
+    daemon.signal(libc::SIGHUP);
+    wait("the new settings", || {
+        !daemon.logged("settings reloaded").is_empty()
+    });
+}
