--- a/tests/edge/fakes/store.rs
+++ b/tests/edge/fakes/store.rs
@@ -27,12 +27,12 @@
     /// First version in the history; feeds from earlier versions get 410.
     history_start: u64,
     down: bool,
+    /// Whether calls get no answer.
+    silent: bool,
     /// Time added to each call.
     delay: Duration,
     /// Whether connections are closed instead of answered.
     closing: bool,
-    /// Whether calls get no answer.
-    silent: bool,
     calls: u64,
     /// Tables that were read whole, one entry a call.
     whole_reads: Vec<String>,
@@ -110,6 +110,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Leaves all further calls without an answer.
+    pub fn silence(&self) {
+        self.state.lock().unwrap().silent = true;
+        self.changed.notify_waiters();
+    }
+
     /// Sets the time added to each call.
     pub fn set_delay(&self, delay: Duration) {
         self.state.lock().unwrap().delay = delay;
@@ -121,12 +127,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Leaves all further calls without an answer.
-    pub fn silence(&self) {
-        self.state.lock().unwrap().silent = true;
-        self.changed.notify_waiters();
-    }
-
     /// Expires the history: feeds from earlier versions get 410.
     pub fn expire_history(&self) {
         let mut state = self.state.lock().unwrap();
