Test that a caller which sent more than its request is seen to leave

What callers see: nothing; engines go on with a request whose caller has left, until its deadline, if the caller had sent bytes after the request.

Cause: hyper does not read from a connection in the middle of a request while bytes of the next one are in its buffer, so it does not see the end.

--- a/tests/edge/hostile_callers.rs
+++ b/tests/edge/hostile_callers.rs
@@ -168,3 +168,23 @@
         assert_eq!(answer.status, 431, "{answer:?}");
     }
 }
+
+/// Guards against the run of a caller that has left going on until the deadline, because
+/// the caller had sent more than its request.
+#[test]
+fn the_run_of_a_caller_that_sent_more_than_its_request_is_cancelled() {
+    let site = Site::start();
+    site.set(Behavior::Silent);
+    let mut stream = connect(&site);
+    let mut bytes = Request::new("/book/", "b1").bytes(false);
+    bytes.extend_from_slice(&Request::new("/book/", "b2").bytes(false));
+    stream.write_all(&bytes).unwrap();
+    wait("the request at an engine", || site.arrivals("b1") == 1);
+    drop(stream);
+    wait("the end of its run", || {
+        let ended: usize = site.plain.iter().map(|e| e.cancelled().len()).sum();
+        ended == 1
+    });
+    let at_deadline = site.daemon.logged("request refused");
+    assert!(at_deadline.is_empty(), "{at_deadline:?}");
+}
