Test that a request rejected with 421 pauses between attempts

What callers see: one lookup that engines reject with 421 takes all retries of its service, in each window until its deadline. By reading, other requests of the service that need a retry fail meanwhile.

Cause: since a request whose silent run was left persists until its deadline, and MAX_NOT_RUN_ATTEMPTS no longer bounds it. There is no pause after 421, and only a request with a prompt records that the engine lacks its model.

Evidence: the test fails in two of two runs, with "12 attempts in 13 ms" and "12 attempts in 40 ms". The arrivals show some 30 attempts within 40 ms, and as many again when the window has passed.

--- a/tests/edge/silence.rs
+++ b/tests/edge/silence.rs
@@ -168,3 +168,31 @@
     let retries: Vec<Value> = site.daemon.logged("request retry");
     assert_eq!(retries, Vec::<Value>::new());
 }
+
+/// Guards against a request that uses up the retry budget of its service within a few
+/// milliseconds, because engines reject it with 421 and it is sent again at once.
+#[test]
+fn a_lookup_that_is_misdirected_again_and_again_pauses_between_attempts() {
+    const REJECTIONS: usize = 12;
+    /// Less than the sum of the pauses after as many other rejections.
+    const MIN_SPAN_MS: u64 = 500;
+    let site = Site::start();
+    site.set(Behavior::StallAtRequest);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            set_others(&site.plain, Behavior::Answers(421));
+            site.set(Behavior::Answers(421));
+        });
+        site.send("/look/", "l1")
+    });
+    let mut left_ms: Vec<u64> = Vec::new();
+    for request in site.plain.iter().flat_map(Engine::arrivals) {
+        left_ms.push(request.header("x-mastichinge-deadline-ms").parse().unwrap());
+    }
+    left_ms.sort_by(|a, b| b.cmp(a));
+    println!("time left at each arrival, ms: {left_ms:?}");
+    for some in left_ms.windows(REJECTIONS) {
+        let span = some[0] - some[REJECTIONS - 1];
+        assert!(span >= MIN_SPAN_MS, "{REJECTIONS} attempts in {span} ms");
+    }
+}
