Accept connections again when the maximum is open

Callers saw new connections that got neither an answer nor a refusal while 1,800 connections were busy and 200 more were idle.

Cause: the listener stops accepting at its maximum, but only an accept ended idle connections. Also, one ended idle connection counted as room even if more than the maximum stayed.

The listener now ends idle connections when it is full, as many as are too many, and goes on when one has been removed.

--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -176,6 +176,11 @@
         }
     }
 
+    /// Returns whether another connection may take its place.
+    fn is_replaceable(&self) -> bool {
+        self.phase.get() == Phase::Idle && self.age() >= MIN_REPLACED_IDLE
+    }
+
     fn end(&self, cause: EndCause) {
         self.end.set(Some(cause));
         self.end_wake.notify_one();
@@ -209,6 +214,7 @@
 pub struct Connections {
     open: RefCell<BTreeMap<u64, Rc<Connection>>>,
     last_id: Cell<u64>,
+    removed: Notify,
 }
 
 /// Entry of an open connection; dropping it removes the connection.
@@ -223,6 +229,7 @@
 impl Drop for OpenConnection {
     fn drop(&mut self) {
         self.connections.open.borrow_mut().remove(&self.id);
+        self.connections.removed.notify_one();
     }
 }
 
@@ -245,39 +252,33 @@
         self.open.borrow().len()
     }
 
+    /// Waits until a connection has been removed.
+    pub async fn removed(&self) {
+        self.removed.notified().await;
+    }
+
     /// Returns whether no connection is open.
     pub fn is_empty(&self) -> bool {
         self.open.borrow().is_empty()
     }
 
     /// Returns whether there is room for one more connection within `max`. Ends the
-    /// connection that has been idle longest where that is needed.
+    /// connections that have been idle longest as far as that is needed.
     pub fn make_room(&self, max: usize) -> bool {
         let open = self.open.borrow();
         if open.len() < max {
             return true;
         }
-        let mut staying = 0;
-        let mut longest: Option<&Connection> = None;
-        for connection in open.values() {
-            if connection.end.get().is_some() {
-                continue;
-            }
-            staying += 1;
-            if connection.phase() != Phase::Idle || connection.age() < MIN_REPLACED_IDLE {
-                continue;
-            }
-            if longest.is_none_or(|l| connection.since.get() < l.since.get()) {
-                longest = Some(connection);
-            }
-        }
-        if staying < max {
-            return true;
-        }
-        if let Some(connection) = longest {
+        let staying = open.values().filter(|c| c.end.get().is_none());
+        let staying: Vec<_> = staying.collect();
+        let idle = staying.iter().filter(|c| c.is_replaceable());
+        let mut idle: Vec<_> = idle.collect();
+        idle.sort_by_key(|c| c.since.get());
+        idle.truncate((staying.len() + 1).saturating_sub(max));
+        for connection in &idle {
             connection.end(EndCause::Replaced);
         }
-        longest.is_some()
+        staying.len() - idle.len() < max
     }
 
     /// Ends the connections that exceed the limits.
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -108,8 +108,13 @@
     let max_open = acceptor.max_connections + MAX_REFUSED_CONNECTIONS;
     let mut check_at = Instant::now();
     while *stop.borrow_and_update() < ListenerStop::CloseListener {
+        let is_full = connections.len() >= max_open;
+        if is_full {
+            connections.make_room(max_open);
+        }
         let accepted = tokio::select! {
-            accepted = listener.accept(), if connections.len() < max_open => accepted,
+            accepted = listener.accept(), if !is_full => accepted,
+            () = connections.removed(), if is_full => continue,
             changed = stop.changed() => match changed {
                 Ok(()) => continue,
                 Err(_) => return,
