Pause between rejections with 421, and persist while an engine may go on

Callers' requests that needed a retry failed while one request, whose silent run had been given up, was rejected with 421 again and again: it used up the retry budget of its service within 40 ms, as there is no pause after a 421.

Cause: the number of rejections no longer ends a request that persists, and a pause was made after the other rejections only. Also, a request that persists ended after 1.5 s if its attempts were used up and the engine that it had left was not usable, although that engine may take it again (from reading).

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -150,7 +150,8 @@
                 if is_last || !retry::await_budget(routed, attempts).await {
                     return Err(fail(not_run_kind(attempts), cause));
                 }
-                if status != StatusCode::MISDIRECTED_REQUEST {
+                // The first engine that lacks the model says nothing about the others.
+                if status != StatusCode::MISDIRECTED_REQUEST || attempts.not_run > 1 {
                     rejection_pause(routed, attempts).await;
                 }
             }
@@ -340,7 +341,8 @@
                 HELD_RESELECT_INTERVAL
             }
             AdmissionDecision::NoEngine
-                if attempts.persists() && attempts.route_allows_retry(routed) =>
+                if attempts.persists()
+                    && (attempts.route_allows_retry(routed) || !attempts.left.is_empty()) =>
             {
                 RESELECT_INTERVAL
             }
