Never send a request again on a connection to the same address

A booking ran twice: an engine rejected it, started again under another id at the same address, and got it again on the connection that had carried the rejection. A repeated, late rejection with the right id was then believed while the engine ran the request.

Cause: whether a request had been sent there before was decided by the engine's id.

The addresses to which a request was sent are kept, and a sending to one of them opens a connection.

--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -1,5 +1,6 @@
 //! Attempts of one request, and when it may be sent once more.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,6 +24,8 @@
     pub not_run: u32,
     /// Engines that failed it.
     pub avoid: Vec<Arc<str>>,
+    /// Addresses to which it was sent, whether it ran or not.
+    pub addrs: Vec<SocketAddr>,
     /// Engines whose silent run was left and that may still serve it.
     pub left: Vec<Arc<str>>,
     /// Whether a silent run was left.
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -73,10 +73,12 @@
     let in_flight = InFlightGuard::begin(&routed.edge, choice, routed.headers.prompt.as_ref());
     let sent_at = clock::now();
     let options = SendOptions {
-        // A late response to an earlier sending has the same id.
-        new_connection: routed.headers.id.is_empty() || attempts.avoid.contains(&choice.engine),
+        // A late response to an earlier sending has the same id, and an engine that has
+        // started again may have another id at the same address.
+        new_connection: routed.headers.id.is_empty() || attempts.addrs.contains(&choice.addr),
         ..SendOptions::default()
     };
+    attempts.addrs.push(choice.addr);
     let sending = routed.edge.client.send(choice.addr, request, options);
     let awaited = silence::wait_for(routed, attempts, &choice.engine, max_silence, sending).await;
     let outcome = match awaited {
--- a/tests/edge/attribution.rs
+++ b/tests/edge/attribution.rs
@@ -61,6 +61,20 @@
     assert_eq!((answer.status, site.runs("b1")), (200, 1), "{answer:?}");
 }
 
+/// Guards against TWICE: the engine had started again under another id at the same
+/// address, so that the request came back on the connection that had carried its rejection.
+#[test]
+fn a_repeated_rejection_is_not_taken_as_the_response_at_the_same_address() {
+    let site = Site::start();
+    site.store.remove("servers", "p2");
+    site.wait_for_change("p2", "gone");
+    site.plain[0].add_alias("p3");
+    site.wait_for_change("p3", "appeared");
+    site.set(Behavior::RepeatedRejection);
+    let answer = site.send("/book/", "b1");
+    assert_eq!((answer.status, site.runs("b1")), (200, 1), "{answer:?}");
+}
+
 /// Guards against REFUSED: an engine's own status was relayed where callers take it as
 /// the promise that the request has not run, although the engine did not state that.
 #[test_case(503)]
--- a/tests/edge/fakes/engine.rs
+++ b/tests/edge/fakes/engine.rs
@@ -69,6 +69,8 @@
     /// When the engine goes on writing responses.
     stalled_until: Option<Instant>,
     models: Vec<String>,
+    /// Further ids that the engine answers to.
+    aliases: Vec<String>,
     /// Number of accepted orders.
     accepted_orders: u64,
     arrivals: Vec<ReceivedRequest>,
@@ -150,6 +152,16 @@
 
     /// Writes the engine's entry with this state to the store.
     pub fn register(&self, state: &str) {
+        self.register_as(&self.id, state);
+    }
+
+    /// Registers the engine under a further id at its address, as when it starts again.
+    pub fn add_alias(&self, id: &str) {
+        self.state.lock().unwrap().aliases.push(id.to_owned());
+        self.register_as(id, "ready");
+    }
+
+    fn register_as(&self, id: &str, state: &str) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let models: Vec<Value> = self
             .state
@@ -162,7 +174,7 @@
         let entry = json!({"service": self.service, "addr": self.addr.to_string(),
             "zone": "north", "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
             "stage": "both", "models": models, "seq": sequence, "born": 1_000});
-        self.store.put("servers", &self.id, &entry);
+        self.store.put("servers", id, &entry);
     }
 
     /// Closes all connections and accepts no more.
@@ -346,7 +358,9 @@
             ("X-Mastichinge-Request-Id", id.as_str()),
             ("X-Mastichinge-Not-Run", "1"),
         ];
-        if expected != self.id || !loaded {
+        let is_expected =
+            expected == self.id || self.state.lock().unwrap().aliases.contains(&expected);
+        if !is_expected || !loaded {
             return write_response(stream, 421, &not_run, b"").await;
         }
         let rejects = matches!(behavior, Behavior::Full | Behavior::FullWithoutId) || rejects_first;
