--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -110,7 +110,7 @@
                     return routed.refuse(refusal, &cause, &engine, attempts.sent);
                 }
             }
-            Err(OpenError::Left) => {}
+            Err(OpenError::Abandoned) => {}
             Err(OpenError::DeadlinePassed) => {
                 let refusal = Refusal::new(Kind::OutcomeUnknown);
                 let cause = "no first event before the deadline";
@@ -139,12 +139,12 @@
             cause,
             engine: engine.clone(),
         };
-        let was_left = attempts.return_to(&engine);
+        let was_abandoned = attempts.return_to(&engine);
         attempts.sent += 1;
         match send(routed, attempts, &choice, max_silence).await {
             SendOutcome::Response(engine_response) => return Ok(engine_response),
             SendOutcome::NotRun(status) => {
-                attempts.record_not_run(&engine, was_left);
+                attempts.record_not_run(&engine, was_abandoned);
                 let cause = format!("the engine rejected the request with {}", status.as_u16());
                 let is_last = attempts.not_run >= MAX_NOT_RUN_ATTEMPTS && !attempts.persists();
                 if is_last || !retry::await_budget(routed, attempts).await {
@@ -156,7 +156,7 @@
                 }
             }
             SendOutcome::NotSent(cause) => {
-                attempts.record_not_run(&engine, was_left);
+                attempts.record_not_run(&engine, was_abandoned);
                 if attempts.not_run >= MAX_NOT_RUN_ATTEMPTS {
                     if !attempts.persists() {
                         return Err(fail(not_run_kind(attempts), cause));
@@ -177,7 +177,7 @@
                     return Err(fail(Kind::UpstreamFailed, cause));
                 }
             }
-            SendOutcome::Left => {}
+            SendOutcome::Abandoned => {}
             SendOutcome::DeadlinePassed => {
                 attempts.uncertain = true;
                 let cause = "no response before the deadline";
@@ -235,7 +235,7 @@
 }
 
 /// Selects the engine for the next attempt: one that has not failed the request, else one
-/// that was left, and after the last attempt that the route allows only such a one.
+/// whose run was abandoned. After the last attempt that the route allows, only the latter.
 fn select_next(routed: &RoutedRequest, attempts: &Attempts, now: Moment) -> Selection {
     let may_go_on = attempts.sent == 0 || attempts.route_allows_retry(routed);
     let selection = match may_go_on {
@@ -243,17 +243,17 @@
         false => Selection::NoEngine,
     };
     let is_new = matches!(&selection, Selection::Engine(c) if !attempts.avoid.contains(&c.engine));
-    if is_new || attempts.left.is_empty() {
+    if is_new || attempts.abandoned.is_empty() {
         return selection;
     }
     let others: Vec<_> = {
         let state = routed.edge.state.borrow();
         let usable = state.fleet.usable_engines(&routed.service);
         let ids = usable.map(|e| e.entry.id.clone());
-        ids.filter(|id| !attempts.left.contains(id)).collect()
+        ids.filter(|id| !attempts.abandoned.contains(id)).collect()
     };
     match select_engine(routed, &others, now) {
-        Selection::Engine(choice) if attempts.left.contains(&choice.engine) => {
+        Selection::Engine(choice) if attempts.abandoned.contains(&choice.engine) => {
             Selection::Engine(choice)
         }
         _ => selection,
@@ -342,7 +342,7 @@
             }
             AdmissionDecision::NoEngine
                 if attempts.persists()
-                    && (attempts.route_allows_retry(routed) || !attempts.left.is_empty()) =>
+                    && (attempts.route_allows_retry(routed) || !attempts.abandoned.is_empty()) =>
             {
                 RESELECT_INTERVAL
             }
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -49,7 +49,7 @@
     /// It broke; the cause is given.
     Broken(String),
     /// The engine was silent, and another can take the request over.
-    Left,
+    Abandoned,
     /// It did not start before the deadline.
     DeadlinePassed,
 }
@@ -189,9 +189,9 @@
             source.connection.drop_idle();
             return Err(OpenError::Broken(cause));
         }
-        Awaited::Left => {
+        Awaited::Abandoned => {
             source.in_flight.record_outcome(false);
-            return Err(OpenError::Left);
+            return Err(OpenError::Abandoned);
         }
         Awaited::DeadlinePassed => {
             source.in_flight.record_timeout();
@@ -323,7 +323,7 @@
             let next = match awaited {
                 Awaited::Response(next) => next,
                 Awaited::DeadlinePassed => return StreamEnd::DeadlinePassed,
-                Awaited::Left => {
+                Awaited::Abandoned => {
                     let last_event = source.last_event;
                     // Closes this connection only; the engine may serve the others.
                     source.in_flight.record_outcome(false);
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -16,9 +16,13 @@
 const BUDGET_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Attempts of a request so far.
+///
+/// An engine that failed or rejected the request is avoided. One whose silent run was
+/// abandoned is avoided too, but it may take the request again, also when the route allows
+/// no further engine.
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
-    /// Number of times it was sent and may have run.
+    /// Number of times it was sent and may have run, with the attempt in progress.
     pub sent: u32,
     /// Number of times it was not sent, or an engine rejected it without running it.
     pub not_run: u32,
@@ -26,10 +30,10 @@
     pub avoid: Vec<Arc<str>>,
     /// Addresses to which it was sent, whether it ran or not.
     pub addrs: Vec<SocketAddr>,
-    /// Engines whose silent run was left and that may still serve it.
-    pub left: Vec<Arc<str>>,
-    /// Whether a silent run was left.
-    pub run_left: bool,
+    /// Engines whose silent run was abandoned and that may still serve it.
+    pub abandoned: Vec<Arc<str>>,
+    /// Whether a silent run was ever abandoned.
+    pub has_abandoned: bool,
     /// Whether it may have run with an unknown outcome.
     pub uncertain: bool,
     /// Id of the event after which the stream is resumed.
@@ -51,34 +55,34 @@
     }
 
     /// Returns whether the request goes on until its deadline, whatever engines and retry
-    /// budget allow now: its stream has begun, or a run was left that might have ended well.
+    /// budget allow now: its stream has begun, or a run was abandoned that might have ended well.
     pub(super) fn persists(&self) -> bool {
-        self.run_left || !self.first_event.is_zero()
+        self.has_abandoned || !self.first_event.is_zero()
     }
 
-    /// Records that the silent run at an engine was left. Another run there counts as no
-    /// further engine.
-    pub(super) fn leave(&mut self, engine: &Arc<str>) {
-        self.left.push(engine.clone());
-        self.run_left = true;
+    /// Records that the silent run at an engine was abandoned. Another run there counts as
+    /// no further engine.
+    pub(super) fn abandon(&mut self, engine: &Arc<str>) {
+        self.abandoned.push(engine.clone());
+        self.has_abandoned = true;
         self.uncertain = true;
     }
 
-    /// Returns whether the engine is one that was left, and removes it from those.
+    /// Returns whether the run at this engine was abandoned, and forgets that.
     pub(super) fn return_to(&mut self, engine: &Arc<str>) -> bool {
-        let count = self.left.len();
-        self.left.retain(|e| e != engine);
-        self.left.len() < count
+        let count = self.abandoned.len();
+        self.abandoned.retain(|e| e != engine);
+        self.abandoned.len() < count
     }
 
-    /// Records that the last attempt did not run; whether its engine was one that had been
-    /// left is given.
-    pub(super) fn record_not_run(&mut self, engine: &Arc<str>, was_left: bool) {
+    /// Records that the last attempt did not run; `was_abandoned` tells whether an earlier run
+    /// at its engine was abandoned.
+    pub(super) fn record_not_run(&mut self, engine: &Arc<str>, was_abandoned: bool) {
         self.sent -= 1;
         self.not_run += 1;
         self.avoid_engine(engine);
-        if was_left {
-            self.left.push(engine.clone());
+        if was_abandoned {
+            self.abandoned.push(engine.clone());
         }
     }
 
@@ -113,8 +117,8 @@
 }
 
 /// Excludes an engine that failed the request, and takes a retry out of the retry budget.
-/// Returns whether the request may be sent again, to a further engine or to one that was
-/// left.
+/// Returns whether the request may be sent again, to a further engine or to one whose
+/// run was abandoned.
 pub(super) async fn start_retry(
     routed: &RoutedRequest,
     attempts: &mut Attempts,
@@ -123,7 +127,7 @@
 ) -> bool {
     attempts.avoid_engine(engine);
     attempts.return_to(engine);
-    let possible = attempts.route_allows_retry(routed) || !attempts.left.is_empty();
+    let possible = attempts.route_allows_retry(routed) || !attempts.abandoned.is_empty();
     let allowed = possible && await_budget(routed, attempts).await;
     record_retry(routed, attempts, engine, cause, allowed);
     allowed
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -53,13 +53,13 @@
     /// The engine responded, but not with a proof of whether the request ran.
     Unproven(String),
     /// The engine was silent, and another can take the request over.
-    Left,
+    Abandoned,
     /// No response arrived before the deadline.
     DeadlinePassed,
 }
 
 /// Sends the request to one engine and waits for the head of its response. After
-/// `max_silence` the request may be left to another engine.
+/// `max_silence` the run may be abandoned for another engine.
 pub(super) async fn send(
     routed: &RoutedRequest,
     attempts: &mut Attempts,
@@ -83,9 +83,9 @@
     let awaited = silence::wait_for(routed, attempts, &choice.engine, max_silence, sending).await;
     let outcome = match awaited {
         Awaited::Response(outcome) => outcome,
-        Awaited::Left => {
+        Awaited::Abandoned => {
             in_flight.record_outcome(false);
-            return SendOutcome::Left;
+            return SendOutcome::Abandoned;
         }
         Awaited::DeadlinePassed => {
             in_flight.record_timeout();
--- a/src/edge/forward/silence.rs
+++ b/src/edge/forward/silence.rs
@@ -1,6 +1,6 @@
 //! Waiting for an engine that may fall silent.
 //!
-//! A silent engine may go on, so its run is left only for an engine that can take the
+//! A silent engine may go on, so its run is abandoned only for an engine that can take the
 //! request now, within the retry budget. Until then the same response is awaited.
 
 use std::pin::pin;
@@ -25,15 +25,15 @@
 pub(super) enum Awaited<T> {
     /// The engine responded.
     Response(T),
-    /// The silent run was left, and its retry taken out of the budget. Dropping what was
+    /// The silent run was abandoned, and its retry taken out of the budget. Dropping what was
     /// awaited closes the connection, so that the run stops before another starts.
-    Left,
+    Abandoned,
     /// The deadline passed.
     DeadlinePassed,
 }
 
 /// Waits for `response` of an engine until the deadline. After `max_silence` the run may
-/// be left for another engine; it is never left if that is `None`.
+/// be abandoned for another engine, but never if that is `None`.
 pub(super) async fn wait_for<T>(
     routed: &RoutedRequest,
     attempts: &mut Attempts,
@@ -58,8 +58,8 @@
         };
         let successor = find_successor(routed, attempts, engine, max_silence);
         if successor.is_some() && retry::take_retry(routed, attempts, engine, SILENCE) {
-            attempts.leave(engine);
-            return Awaited::Left;
+            attempts.abandon(engine);
+            return Awaited::Abandoned;
         }
         if !logged {
             logged = true;
