Do not say that a request has not run when every upstream failed

Callers of the product's own interface got upstream_failed with "ran": "no" also when an upstream had received the request and its connection then broke. It ends only requests that may be repeated, so that nothing ran twice by it, but the statement was false.

--- a/src/error.rs
+++ b/src/error.rs
@@ -118,7 +118,7 @@
             Kind::NoCapacity => (503, "no engine can hold the model now", true, No),
             Kind::Draining => (503, "this host is leaving", true, No),
             Kind::NotReady => (503, "this host has no configuration yet", true, No),
-            Kind::UpstreamFailed => (502, "every attempt at an upstream failed", true, No),
+            Kind::UpstreamFailed => (502, "every attempt at an upstream failed", true, Unknown),
             Kind::StreamBroken => (502, "the upstream failed in mid-stream", false, Partly),
             Kind::Quarantined => (422, "upstreams crashed on this request", false, Unknown),
             Kind::TableDown => (503, "the platform's table does not answer", true, No),
--- a/tests/kinds.rs
+++ b/tests/kinds.rs
@@ -8,7 +8,7 @@
 
 use attohttpc::Method;
 use env::Env;
-use mastichinge::error::Kind;
+use mastichinge::error::{ExecutionState, Kind};
 use mastichinge::fakes::FakeService;
 use mastichinge::fakes::site::{CALLER_KEY, OPERATOR_KEY, SiteSettings};
 use serde_json::{Value, json};
@@ -288,3 +288,11 @@
         "{answer:?}"
     );
 }
+
+/// Guards against a false promise: a request that failed at every upstream was said not to
+/// have run, although an upstream may have run it before its connection broke.
+#[test]
+fn failure_at_every_upstream_does_not_promise_that_the_request_has_not_run() {
+    let response = Kind::UpstreamFailed.response();
+    assert_eq!(response.ran, ExecutionState::Unknown);
+}
