Record where engines' streams end, and what marks their end

The framing of a stream and the place where it ends are now counted (mastichinge_stream_ends_total), and an end inside an event or without events is logged with the number of bytes left. What is relayed does not change.

--- a/src/edge/events.rs
+++ b/src/edge/events.rs
@@ -14,10 +14,24 @@
     pub id: Option<u64>,
 }
 
+/// Where in a stream its body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum EndPlace {
+    /// Before the first whole event.
+    BeforeEvents,
+    /// After whole events.
+    BetweenEvents,
+    /// Inside an event.
+    InsideEvent,
+}
+
 /// Incremental decoder that yields whole events.
 #[derive(Debug, Default)]
 pub struct EventDecoder {
     buffer: BytesMut,
+    /// Whether it has yielded an event.
+    started: bool,
 }
 
 impl EventDecoder {
@@ -32,9 +46,26 @@
         let length = event_length(&self.buffer)?;
         let bytes = self.buffer.split_to(length).freeze();
         let id = event_id(&bytes);
+        self.started = true;
         Some(Event { bytes, id })
     }
 
+    /// Returns where the stream ends if no more bytes come.
+    pub fn end_place(&self) -> EndPlace {
+        if is_inside_event(&self.buffer) {
+            return EndPlace::InsideEvent;
+        }
+        match self.started {
+            true => EndPlace::BetweenEvents,
+            false => EndPlace::BeforeEvents,
+        }
+    }
+
+    /// Returns the number of bytes after the last whole event.
+    pub fn rest_len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Takes the bytes after the last whole event.
     pub fn take_rest(&mut self) -> Bytes {
         self.buffer.split().freeze()
@@ -58,6 +89,15 @@
     None
 }
 
+/// Returns whether the bytes after a whole event begin another one. Empty lines and
+/// comments do not.
+fn is_inside_event(rest: &[u8]) -> bool {
+    let mut lines = rest.split(|b| *b == b'\n');
+    let unfinished = lines.next_back().unwrap_or_default();
+    let is_field = |line: &[u8]| !matches!(line, [] | b"\r" | [b':', ..]);
+    !unfinished.is_empty() || lines.any(is_field)
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     for line in event.split(|b| *b == b'\n') {
         let Some(value) = line.strip_prefix(b"id:") else {
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod attribution;
+mod framing;
 mod relay;
 pub mod response;
 mod retry;
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use super::attempt;
+use super::framing::Framing;
 use super::response::{ResponseBody, Truncated};
 use super::retry::{self, Attempts};
 use super::send::EngineResponse;
@@ -21,7 +22,7 @@
 use super::{RequestGuard, RoutedRequest};
 use crate::edge::client::Connection;
 use crate::edge::clock;
-use crate::edge::events::EventDecoder;
+use crate::edge::events::{EndPlace, EventDecoder};
 use crate::edge::in_flight::InFlightGuard;
 use crate::platform::headers;
 
@@ -67,7 +68,9 @@
 /// The engine's side of a stream.
 #[derive(Debug)]
 struct StreamSource {
+    routed: Rc<RoutedRequest>,
     body: Incoming,
+    framing: Framing,
     connection: Connection,
     headers: headers::ResponseHeaders,
     in_flight: InFlightGuard,
@@ -88,26 +91,35 @@
 }
 
 impl StreamSource {
+    /// Creates the source of a stream that begins after the event `last_event`. Returns
+    /// the head of the response too.
     fn new(
-        body: Incoming,
-        (connection, headers, in_flight): (Connection, headers::ResponseHeaders, InFlightGuard),
+        routed: &Rc<RoutedRequest>,
+        engine_response: EngineResponse,
         last_event: Option<u64>,
-    ) -> Self {
-        StreamSource {
+    ) -> (Parts, Self) {
+        let (head, body) = engine_response.response.into_parts();
+        let source = StreamSource {
+            routed: routed.clone(),
+            framing: Framing::of(&head.headers, &body),
             body,
-            connection,
-            headers,
-            in_flight,
+            connection: engine_response.connection,
+            headers: engine_response.headers,
+            in_flight: engine_response.in_flight,
             decoder: EventDecoder::default(),
             last_event,
-        }
+        };
+        (head, source)
     }
 
     /// Waits for whole events.
     async fn next(&mut self) -> StreamItem {
         loop {
             let data = match self.body.frame().await {
-                None => return StreamItem::End(self.decoder.take_rest()),
+                None => {
+                    self.record_end();
+                    return StreamItem::End(self.decoder.take_rest());
+                }
                 Some(Err(error)) => return StreamItem::Broken(error.to_string()),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => data,
@@ -139,9 +151,27 @@
         out.into()
     }
 
+    /// Records where the body ended, and logs an end that may be a break.
+    fn record_end(&self) {
+        let place = self.decoder.end_place();
+        let framing: &'static str = self.framing.into();
+        let metrics = &self.routed.edge.metrics;
+        metrics.record_stream_end(framing, place.into());
+        if place == EndPlace::BetweenEvents {
+            return;
+        }
+        let request = &*self.routed.headers.id;
+        let engine = &*self.in_flight.engine;
+        let place: &'static str = place.into();
+        let rest_bytes = self.decoder.rest_len();
+        let last_event = self.last_event.unwrap_or_default();
+        log::info!(request, engine, framing, place, rest_bytes, last_event;
+            "stream ended inside an event or without events");
+    }
+
     /// Returns whether another engine can go on after the last whole event.
-    fn is_resumable(&self, routed: &RoutedRequest) -> bool {
-        self.last_event.is_some() && routed.route.resumable
+    fn is_resumable(&self) -> bool {
+        self.last_event.is_some() && self.routed.route.resumable
     }
 
     /// Records the failure, and closes the connection and the idle ones to this engine.
@@ -166,18 +196,10 @@
     engine_response: Box<EngineResponse>,
     attempts: &mut Attempts,
 ) -> Result<OpenedResponse, OpenError> {
-    let EngineResponse {
-        response,
-        connection,
-        headers,
-        in_flight,
-        sent_at,
-        predicted,
-    } = *engine_response;
-    let (mut head, body) = response.into_parts();
+    let (sent_at, predicted) = (engine_response.sent_at, engine_response.predicted);
+    let (mut head, mut source) = StreamSource::new(routed, *engine_response, attempts.last_event);
     head.headers = headers::to_caller(&head.headers);
     head.headers.remove(http::header::CONTENT_LENGTH);
-    let mut source = StreamSource::new(body, (connection, headers, in_flight), attempts.last_event);
     let engine = source.in_flight.engine.clone();
     let max_silence = Some(routed.route.objective + FIRST_EVENT_SLACK);
     let awaited = silence::wait_for(routed, attempts, &engine, max_silence, source.next()).await;
@@ -352,7 +374,7 @@
                 StreamItem::Broken(cause) => {
                     retry::report_crash(&self.routed, &source.in_flight.engine);
                     let last_event = source.last_event;
-                    let resumable = source.is_resumable(&self.routed);
+                    let resumable = source.is_resumable();
                     source.abandon();
                     let (routed, attempts) = (&self.routed, &mut self.attempts);
                     if !resumable || !retry::start_retry(routed, attempts, engine, &cause).await {
@@ -371,7 +393,7 @@
     /// Returns how long the engine may be silent before another may take over.
     fn max_silence(&self, source: &StreamSource) -> Option<Duration> {
         let max_silence = self.routed.route.gap * SILENCE_GAP_FACTOR;
-        source.is_resumable(&self.routed).then_some(max_silence)
+        source.is_resumable().then_some(max_silence)
     }
 
     /// Sends bytes to the caller, who has until the deadline to read them.
@@ -394,28 +416,18 @@
             let sent = attempt::send_until_response(&self.routed, &mut self.attempts).await;
             let engine_response = sent.map_err(|failure| StreamEnd::Broken(failure.cause))?;
             let status = engine_response.response.status();
-            let EngineResponse {
-                response,
-                connection,
-                headers,
-                in_flight,
-                ..
-            } = *engine_response;
+            let engine = engine_response.in_flight.engine.clone();
             if status.is_success() {
-                in_flight.record_prompt_read();
+                engine_response.in_flight.record_prompt_read();
                 let request = &*self.routed.headers.id;
                 let after = last_event.unwrap_or_default();
-                log::info!(request, engine = &*in_flight.engine, after; "stream resumed");
-                return Ok(StreamSource::new(
-                    response.into_body(),
-                    (connection, headers, in_flight),
-                    last_event,
-                ));
+                log::info!(request, engine = &*engine, after; "stream resumed");
+                let (_, source) = StreamSource::new(&self.routed, *engine_response, last_event);
+                return Ok(source);
             }
             let cause = format!("the engine responded with {}", status.as_u16());
-            let engine = in_flight.engine.clone();
             // Closes the connection before the next run starts.
-            drop((response, connection));
+            drop(engine_response);
             let (routed, attempts) = (&self.routed, &mut self.attempts);
             if !retry::start_retry(routed, attempts, &engine, &cause).await {
                 return Err(StreamEnd::Broken(cause));
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -42,6 +42,7 @@
     retries: Counter<u64>,
     connections_ended: Counter<u64>,
     engine_responses: Counter<u64>,
+    stream_ends: Counter<u64>,
     streams: UpDownCounter<i64>,
     queue: Gauge<u64>,
     loads: Counter<u64>,
@@ -101,6 +102,11 @@
                 "engine_responses",
                 "Responses of engines, by how they were attributed to a request",
             ),
+            stream_ends: counter(
+                &m,
+                "stream_ends",
+                "Engines' streams that ended without an error, by framing and place",
+            ),
             streams: open_streams(&m),
             queue: gauge(&m, "queue", "Requests that wait for a replica at this host"),
             loads: counter(&m, "loads", "Load orders that ended, by outcome"),
@@ -170,6 +176,15 @@
         self.engine_responses.add(1, &[attribution]);
     }
 
+    /// Counts a stream of an engine whose body ended without an error.
+    pub fn record_stream_end(&self, framing: &'static str, place: &'static str) {
+        let labels = [
+            KeyValue::new("framing", framing),
+            KeyValue::new("place", place),
+        ];
+        self.stream_ends.add(1, &labels);
+    }
+
     /// Adds `change` to the number of open streams.
     pub fn add_streams(&self, change: i64) {
         self.streams.add(change, &[]);
