Add failing tests of streams that are broken off and end in order

Engines whose streams have neither a length nor chunks, or end with the last chunk, in the middle of an event. 11 of the 13 cases fail on this code; callers get 200, complete, with a part of the next event. The two that pass hold what is right today: a close between events ends a stream, a reset does not.

--- a/tests/edge/fakes/engine.rs
+++ b/tests/edge/fakes/engine.rs
@@ -25,6 +25,10 @@
     Reset,
     /// Resets after this many events, in the middle of the next.
     ResetAfter(u64),
+    /// Ends streams in order after this many events, in the middle of the next.
+    EndInside(u64),
+    /// Ends streams in order after this many events.
+    EndAfter(u64),
     /// Pauses streams after this many events for [`PREEMPTION`].
     PauseAfter(u64),
     /// Reads the next request, then stalls for [`STALL`] with all its responses and goes on.
@@ -63,9 +67,20 @@
     Failing,
 }
 
+/// What marks the end of an engine's streams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Framing {
+    /// The last chunk.
+    #[default]
+    Chunked,
+    /// The end of the connection.
+    Close,
+}
+
 #[derive(Default)]
 struct EngineState {
     behavior: Behavior,
+    framing: Framing,
     /// When the engine goes on writing responses.
     stalled_until: Option<Instant>,
     models: Vec<String>,
@@ -186,6 +201,10 @@
         self.state.lock().unwrap().behavior = behavior;
     }
 
+    pub fn set_framing(&self, framing: Framing) {
+        self.state.lock().unwrap().framing = framing;
+    }
+
     /// Returns the received requests except orders and report requests.
     pub fn arrivals(&self) -> Vec<ReceivedRequest> {
         self.state.lock().unwrap().arrivals.clone()
@@ -433,21 +452,32 @@
         after: u64,
         behavior: Behavior,
     ) -> std::io::Result<()> {
+        let framing = self.state.lock().unwrap().framing;
+        let encoding = match framing {
+            Framing::Chunked => "Transfer-Encoding: chunked\r\n",
+            Framing::Close => "",
+        };
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
              X-Mastichinge-Request-Id: {id}\r\nX-Mastichinge-Server-Stamp: stamp\r\n\
-             Transfer-Encoding: chunked\r\n\r\n"
+             {encoding}\r\n"
         );
         stream.write_all(head.as_bytes()).await?;
         for event in after + 1..=EVENTS {
             let text = format!("id: {event}\ndata: token {event}\n\n");
+            let half = framing.frame(&text[..text.len() / 2]);
             if behavior == Behavior::ResetAfter(event - 1) {
-                let half = &text[..text.len() / 2];
-                let chunk = format!("{:x}\r\n{half}\r\n", half.len());
-                stream.write_all(chunk.as_bytes()).await?;
+                stream.write_all(half.as_bytes()).await?;
                 sleep(EVENT_PAUSE).await;
                 return reset(stream);
             }
+            if behavior == Behavior::EndInside(event - 1) {
+                stream.write_all(half.as_bytes()).await?;
+                return framing.end(stream).await;
+            }
+            if behavior == Behavior::EndAfter(event - 1) {
+                return framing.end(stream).await;
+            }
             if behavior == Behavior::PauseAfter(event - 1) {
                 sleep(PREEMPTION).await;
             }
@@ -456,14 +486,14 @@
                 self.stall();
             }
             self.wait_for_stall().await;
-            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-            if stream.write_all(chunk.as_bytes()).await.is_err() {
+            let framed = framing.frame(&text);
+            if stream.write_all(framed.as_bytes()).await.is_err() {
                 self.state.lock().unwrap().cancelled.push(id.to_owned());
                 return Err(std::io::ErrorKind::BrokenPipe.into());
             }
             sleep(EVENT_PAUSE).await;
         }
-        stream.write_all(b"0\r\n\r\n").await
+        framing.end(stream).await
     }
 
     /// Waits for the connection to close without answering.
@@ -477,6 +507,27 @@
     }
 }
 
+impl Framing {
+    /// Returns a part of a body as it is sent.
+    fn frame(self, text: &str) -> String {
+        match self {
+            Framing::Chunked => format!("{:x}\r\n{text}\r\n", text.len()),
+            Framing::Close => text.to_owned(),
+        }
+    }
+
+    /// Ends a body in order. The error ends the connection.
+    async fn end(self, stream: &mut TcpStream) -> std::io::Result<()> {
+        match self {
+            Framing::Chunked => stream.write_all(b"0\r\n\r\n").await,
+            Framing::Close => {
+                stream.shutdown().await?;
+                Err(std::io::ErrorKind::BrokenPipe.into())
+            }
+        }
+    }
+}
+
 fn model_json(model: &String) -> Value {
     json!({"name": model, "version": 1, "adapters": []})
 }
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -24,4 +24,5 @@
 mod shutdown;
 mod silence;
 mod site;
+mod stream_ends;
 mod translation;
--- /dev/null
+++ b/tests/edge/stream_ends.rs
@@ -0,0 +1,141 @@
+//! Where a stream ends: one that ends inside an event has been broken off, whatever marks
+//! the end of its body.
+
+use std::io::{ErrorKind, Read, Write};
+
+use test_case::test_case;
+
+use crate::fakes::daemon::{Request, Response, wait};
+use crate::fakes::engine::{Behavior, EVENTS, Engine, Framing};
+use crate::requests::events;
+use crate::site::{MODEL, Site};
+
+/// Starts a deployment whose engines mark the ends of their streams in this way.
+fn start(framing: Framing) -> Site {
+    let site = Site::start();
+    for engine in &site.models {
+        engine.set_framing(framing);
+    }
+    site
+}
+
+/// Asserts that the caller got the whole stream, each event once.
+fn assert_whole(answer: &Response) {
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(events(&answer.body), (1..=EVENTS).collect::<Vec<_>>());
+}
+
+/// Returns how many requests reached the engine.
+fn arrivals(engine: &Engine) -> usize {
+    engine.arrivals().len()
+}
+
+/// Sends streams until one has come to the engine that breaks off; each is whole.
+fn assert_streams_are_resumed(site: &Site, breaking: Behavior) {
+    site.models[0].set_behavior(breaking);
+    let mut sent = 0;
+    wait("a stream at the engine that breaks off", || {
+        assert_whole(&site.stream("/stream/", &format!("s{sent}")));
+        sent += 1;
+        arrivals(&site.models[0]) > 0
+    });
+}
+
+/// Guards against ORDER: a stream that ended in order inside an event reached its caller
+/// as complete.
+#[test_case(Framing::Close, 0; "by a close, in the first event")]
+#[test_case(Framing::Close, 2; "by a close, in a later event")]
+#[test_case(Framing::Chunked, 0; "by the last chunk, in the first event")]
+#[test_case(Framing::Chunked, 2; "by the last chunk, in a later event")]
+fn a_stream_that_ends_inside_an_event_is_resumed(framing: Framing, whole: u64) {
+    let site = start(framing);
+    assert_streams_are_resumed(&site, Behavior::EndInside(whole));
+}
+
+/// Guards against ORDER where the stream may not be resumed, and against a part of an
+/// event in what the caller gets.
+#[test_case(Framing::Close; "by a close")]
+#[test_case(Framing::Chunked; "by the last chunk")]
+fn a_stream_that_ends_inside_an_event_and_may_not_be_resumed_is_truncated(framing: Framing) {
+    let site = start(framing);
+    site.set(Behavior::EndInside(2));
+    let answer = site.stream("/stream-rigid/", "s1");
+    assert_eq!((answer.status, answer.complete), (200, false), "{answer:?}");
+    assert_eq!(
+        answer.body,
+        "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n"
+    );
+    assert_eq!(site.arrivals("s1"), 1);
+}
+
+/// Guards against ORDER where both the first run and the resumed one are broken off.
+#[test_case(Framing::Close; "by a close")]
+#[test_case(Framing::Chunked; "by the last chunk")]
+fn a_stream_that_ends_inside_an_event_at_each_engine_is_truncated(framing: Framing) {
+    let site = start(framing);
+    site.set(Behavior::EndInside(2));
+    let answer = site.stream("/stream/", "s1");
+    assert_eq!((answer.status, answer.complete), (200, false), "{answer:?}");
+    assert_eq!(events(&answer.body), [1, 2]);
+    assert_eq!(site.arrivals("s1"), 2);
+}
+
+/// Guards against an empty stream that reaches its caller as complete although its
+/// connection ended before the first event.
+#[test]
+fn a_stream_that_ends_by_a_close_before_its_first_event_is_sent_again() {
+    let site = start(Framing::Close);
+    assert_streams_are_resumed(&site, Behavior::EndAfter(0));
+}
+
+/// Guards against a request that crashes engines and is never held, because the broken
+/// streams counted as served.
+#[test]
+fn a_request_whose_streams_end_inside_an_event_is_held() {
+    let site = start(Framing::Close);
+    site.set(Behavior::EndInside(0));
+    let request = |id: &str| Request {
+        body: "the same body".to_owned(),
+        ..Request::new("/stream/", id).with(MODEL, "m1")
+    };
+    assert_eq!(site.daemon.send(&request("s1")).status, 502);
+    let held = site.daemon.send(&request("s2"));
+    assert_eq!((held.status, site.arrivals("s2")), (503, 0), "{held:?}");
+}
+
+/// Guards against ORDER towards callers without chunks, who take the end of the
+/// connection for the end of the response.
+#[test]
+fn a_truncated_stream_ends_with_a_reset_for_a_caller_without_chunks() {
+    let site = Site::start();
+    site.set(Behavior::ResetAfter(2));
+    let mut caller = site.connect();
+    let request = format!(
+        "POST /stream-rigid/ HTTP/1.0\r\nHost: firm.example\r\n\
+         X-Mastichinge-Request-Id: s1\r\n{MODEL}: m1\r\nContent-Length: 0\r\n\r\n"
+    );
+    caller.write_all(request.as_bytes()).unwrap();
+    let mut bytes = Vec::new();
+    let ended = caller.read_to_end(&mut bytes);
+    let text = String::from_utf8_lossy(&bytes);
+    let kind = ended.map_err(|e| e.kind());
+    assert_eq!(kind, Err(ErrorKind::ConnectionReset), "{text}");
+}
+
+/// A stream that ends with its connection between two events is complete.
+#[test]
+fn a_stream_without_length_or_chunks_is_relayed_whole() {
+    let site = start(Framing::Close);
+    for i in 0..4 {
+        let id = format!("s{i}");
+        assert_whole(&site.stream("/stream/", &id));
+        assert_eq!(site.arrivals(&id), 1);
+    }
+}
+
+/// A stream that is reset has been broken off, also between two events.
+#[test]
+fn a_stream_without_length_or_chunks_that_is_reset_is_resumed() {
+    let site = start(Framing::Close);
+    assert_streams_are_resumed(&site, Behavior::ResetAfter(2));
+}
