Take a stream that ends inside an event as broken off

Cause: the end of a stream's body without an error was taken for the end of the stream, and what the decoder had left was passed on. A body that ends with its connection ends so also when the run crashed, and an HTTP server may send the last chunk after a failed run. The run counted as served then, which also cleared its request of the suspicion of crashing engines.

The end of the stream is now judged by its events: bytes of an unfinished event at the end of the body mean that it was broken off, whatever marks that end. Such a stream is resumed or truncated like one whose connection was lost, and no part of an event is relayed. Empty lines and comments are no event.

Ruled out: a break hidden on the way to the caller, which would be logged as truncated.

--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -84,7 +84,7 @@
 enum StreamItem {
     /// Whole events.
     Events(Bytes),
-    /// The end of the stream, with the bytes after the last whole event.
+    /// The end of the stream, with the empty lines and comments after the last event.
     End(Bytes),
     /// The stream broke.
     Broken(String),
@@ -116,10 +116,7 @@
     async fn next(&mut self) -> StreamItem {
         loop {
             let data = match self.body.frame().await {
-                None => {
-                    self.record_end();
-                    return StreamItem::End(self.decoder.take_rest());
-                }
+                None => return self.end(),
                 Some(Err(error)) => return StreamItem::Broken(error.to_string()),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => data,
@@ -151,9 +148,21 @@
         out.into()
     }
 
-    /// Records where the body ended, and logs an end that may be a break.
-    fn record_end(&self) {
+    /// Ends the stream where its body ended. What marks the end of the body says nothing
+    /// about the end of the stream: an engine whose run fails may end the body in order.
+    fn end(&mut self) -> StreamItem {
         let place = self.decoder.end_place();
+        self.record_end(place);
+        match place {
+            EndPlace::InsideEvent => StreamItem::Broken("it ended inside an event".to_owned()),
+            EndPlace::BeforeEvents | EndPlace::BetweenEvents => {
+                StreamItem::End(self.decoder.take_rest())
+            }
+        }
+    }
+
+    /// Counts the end of the body, and logs one that may be a break.
+    fn record_end(&self, place: EndPlace) {
         let framing: &'static str = self.framing.into();
         let metrics = &self.routed.edge.metrics;
         metrics.record_stream_end(framing, place.into());
