Take a stream whose connection ends before an event as broken off

Callers saw 200, complete, with an empty body.

Cause: as for streams that end inside an event. Without a length or chunks, the end of the connection is all that marks the end of the stream, and a stream without events has nothing else that speaks for its completeness. It is sent again or resumed like one whose connection was lost. An empty stream with a length or with chunks stays complete, as after a resumption from the last event.

--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -153,12 +153,12 @@
     fn end(&mut self) -> StreamItem {
         let place = self.decoder.end_place();
         self.record_end(place);
-        match place {
-            EndPlace::InsideEvent => StreamItem::Broken("it ended inside an event".to_owned()),
-            EndPlace::BeforeEvents | EndPlace::BetweenEvents => {
-                StreamItem::End(self.decoder.take_rest())
-            }
-        }
+        let cause = match (place, self.framing) {
+            (EndPlace::InsideEvent, _) => "it ended inside an event",
+            (EndPlace::BeforeEvents, Framing::Close) => "the connection ended before an event",
+            _ => return StreamItem::End(self.decoder.take_rest()),
+        };
+        StreamItem::Broken(cause.to_owned())
     }
 
     /// Counts the end of the body, and logs one that may be a break.
