Reset the connection of a truncated response to a caller without chunks

Callers of HTTP/1.0 saw a truncated stream end in order, which is how a complete one ends for them.

Cause: such a response has neither a length nor chunks, so that only the end of the connection marks its end; the daemon closed the connection of a truncated response like that of a complete one, and the kernel does so for a process that is killed.

The connection now ends with a reset from the first byte of such a response until the response is complete, by SO_LINGER, which also holds when the process ends.

--- a/src/edge/caller_stream.rs
+++ b/src/edge/caller_stream.rs
@@ -4,7 +4,9 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
+use http::Version;
 use hyper::body::{Body, Frame, SizeHint};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -22,12 +24,18 @@
 pub struct CallerStream {
     stream: TcpStream,
     connection: Rc<Connection>,
+    /// Whether the connection is reset if it closes now.
+    resets: bool,
 }
 
 impl CallerStream {
     /// Wraps the stream of `connection`.
     pub fn new(stream: TcpStream, connection: Rc<Connection>) -> Self {
-        CallerStream { stream, connection }
+        CallerStream {
+            stream,
+            connection,
+            resets: false,
+        }
     }
 
     /// Returns whether bytes have arrived that were not read.
@@ -42,6 +50,29 @@
     pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
         self.stream.try_write(bytes)
     }
+
+    /// Makes the connection end with a reset, also if the process is killed, until the
+    /// response is complete: an orderly end would mark the end of the response.
+    fn guard_response(&mut self) {
+        if !self.resets && self.connection.ends_response() {
+            self.resets = true;
+            self.set_linger(Some(Duration::ZERO));
+        }
+    }
+
+    /// Makes the connection end in order again.
+    fn complete_response(&mut self) {
+        if self.resets {
+            self.resets = false;
+            self.set_linger(None);
+        }
+    }
+
+    fn set_linger(&self, time: Option<Duration>) {
+        if let Err(error) = SockRef::from(&self.stream).set_linger(time) {
+            log::warn!(error:%; "cannot set how a caller's connection ends");
+        }
+    }
 }
 
 impl AsyncRead for CallerStream {
@@ -65,6 +96,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.guard_response();
         let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
         if self.connection.phase() == Phase::Response {
             self.connection.restart();
@@ -77,6 +109,7 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.guard_response();
         let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, slices))?;
         if self.connection.phase() == Phase::Response {
             self.connection.restart();
@@ -97,9 +130,12 @@
         Poll::Ready(Ok(()))
     }
 
+    /// The HTTP server shuts a connection down after a complete response only.
+    ///
     /// Closing a socket with unread bytes resets the connection, which may destroy the
     /// response on its way, so the rest of a request is read first.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.complete_response();
         if self.connection.phase() != Phase::Discard {
             ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
             if !self.connection.has_rest() {
@@ -128,8 +164,15 @@
 }
 
 impl<B> TrackedBody<B> {
-    /// Wraps the body of a response on `connection`.
-    pub fn new(body: B, connection: Rc<Connection>) -> Self {
+    /// Wraps the body of a response on `connection` to a caller of this HTTP version.
+    pub fn new(body: B, connection: Rc<Connection>, version: Version) -> Self
+    where
+        B: Body,
+    {
+        let has_length = body.size_hint().exact().is_some();
+        if !has_length && version < Version::HTTP_11 {
+            connection.end_response_by_close();
+        }
         TrackedBody { body, connection }
     }
 }
--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -104,6 +104,8 @@
     expired: Cell<bool>,
     /// Whether the request was answered before its end.
     cut_short: Cell<bool>,
+    /// Whether only the end of the connection marks the end of the response.
+    ends_response: Cell<bool>,
     /// Limit of a request head that the buffer allows, bytes.
     head_bytes: Cell<usize>,
     end: Cell<Option<EndCause>>,
@@ -117,6 +119,7 @@
             since: Cell::new(clock::now()),
             expired: Cell::default(),
             cut_short: Cell::default(),
+            ends_response: Cell::default(),
             head_bytes: Cell::new(head_bytes),
             end: Cell::default(),
             end_wake: Notify::new(),
@@ -149,6 +152,16 @@
         self.cut_short.set(true);
     }
 
+    /// Records that the response has neither a length nor chunks.
+    pub fn end_response_by_close(&self) {
+        self.ends_response.set(true);
+    }
+
+    /// Returns whether only the end of the connection marks the end of the response.
+    pub fn ends_response(&self) -> bool {
+        self.ends_response.get()
+    }
+
     /// Returns whether the caller may still be sending a request that was answered.
     pub fn has_rest(&self) -> bool {
         self.cut_short.get() || self.phase.get() == Phase::Head
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -292,6 +292,7 @@
 ) -> Result<Response<TrackedBody<ResponseBody>>, Infallible> {
     let connection = &accepted.open.state;
     connection.start(Phase::Request);
+    let version = request.version();
     let mut response = match accepted.kind {
         _ if !accepted.has_room => forward::refuse_connection(edge, &request),
         ListenerKind::Callers => {
@@ -311,7 +312,7 @@
     if *accepted.stop.borrow() >= ListenerStop::EndConnections {
         response::close_connection(&mut response);
     }
-    Ok(response.map(|body| TrackedBody::new(body, connection.clone())))
+    Ok(response.map(|body| TrackedBody::new(body, connection.clone(), version)))
 }
 
 /// Responds to a query about this host.
--- a/tests/edge/fakes/daemon.rs
+++ b/tests/edge/fakes/daemon.rs
@@ -15,7 +15,7 @@
 use crate::loopback::network_octet;
 
 /// Maximum wait for a condition; far above what any condition takes.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Time limit of a question whether a daemon is ready that may be stopped.
 const READY_TIMEOUT: Duration = Duration::from_millis(500);
--- a/tests/edge/stream_ends.rs
+++ b/tests/edge/stream_ends.rs
@@ -2,10 +2,11 @@
 //! the end of its body.
 
 use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
 
 use test_case::test_case;
 
-use crate::fakes::daemon::{Request, Response, wait};
+use crate::fakes::daemon::{Request, Response, WAIT_TIMEOUT, wait};
 use crate::fakes::engine::{Behavior, EVENTS, Engine, Framing};
 use crate::requests::events;
 use crate::site::{MODEL, Site};
@@ -103,23 +104,61 @@
     assert_eq!((held.status, site.arrivals("s2")), (503, 0), "{held:?}");
 }
 
-/// Guards against ORDER towards callers without chunks, who take the end of the
-/// connection for the end of the response.
-#[test]
-fn a_truncated_stream_ends_with_a_reset_for_a_caller_without_chunks() {
-    let site = Site::start();
-    site.set(Behavior::ResetAfter(2));
+/// Sends a stream's request as a caller that knows no chunks.
+fn send_without_chunks(site: &Site) -> TcpStream {
     let mut caller = site.connect();
+    caller.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
     let request = format!(
         "POST /stream-rigid/ HTTP/1.0\r\nHost: firm.example\r\n\
          X-Mastichinge-Request-Id: s1\r\n{MODEL}: m1\r\nContent-Length: 0\r\n\r\n"
     );
     caller.write_all(request.as_bytes()).unwrap();
+    caller
+}
+
+/// Reads the response until the connection ends; returns the response and how it ended.
+fn read_to_end(mut caller: TcpStream) -> (String, Result<(), ErrorKind>) {
     let mut bytes = Vec::new();
     let ended = caller.read_to_end(&mut bytes);
-    let text = String::from_utf8_lossy(&bytes);
-    let kind = ended.map_err(|e| e.kind());
-    assert_eq!(kind, Err(ErrorKind::ConnectionReset), "{text}");
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    (text, ended.map(|_| ()).map_err(|e| e.kind()))
+}
+
+/// Guards against ORDER towards callers without chunks, who take the end of the
+/// connection for the end of the response.
+#[test]
+fn a_truncated_stream_ends_with_a_reset_for_a_caller_without_chunks() {
+    let site = Site::start();
+    site.set(Behavior::ResetAfter(2));
+    let (text, ended) = read_to_end(send_without_chunks(&site));
+    assert_eq!(ended, Err(ErrorKind::ConnectionReset), "{text}");
+}
+
+/// Guards against ORDER towards such callers when the daemon is killed.
+#[test]
+fn a_stream_of_a_killed_daemon_ends_with_a_reset_for_a_caller_without_chunks() {
+    let site = Site::start();
+    site.set(Behavior::PauseAfter(2));
+    let mut caller = send_without_chunks(&site);
+    let mut text = String::new();
+    let mut chunk = [0; 4_096];
+    while !text.contains("id: 2") {
+        let count = caller.read(&mut chunk).unwrap();
+        assert_ne!(count, 0, "{text}");
+        text.push_str(&String::from_utf8_lossy(&chunk[..count]));
+    }
+    site.daemon.signal(libc::SIGKILL);
+    let (_, ended) = read_to_end(caller);
+    assert_eq!(ended, Err(ErrorKind::ConnectionReset));
+}
+
+/// A complete stream ends in order for a caller without chunks.
+#[test]
+fn a_whole_stream_ends_in_order_for_a_caller_without_chunks() {
+    let site = Site::start();
+    let (text, ended) = read_to_end(send_without_chunks(&site));
+    assert_eq!(ended, Ok(()));
+    assert_eq!(events(&text), (1..=EVENTS).collect::<Vec<_>>());
 }
 
 /// A stream that ends with its connection between two events is complete.
