Complete a relayed body only when its relay says so

A relay task that ended without a word, as after a panic, completed the response towards the caller: the closed channel stood for the end of the body.

The relay now sends the end as a part of the body, and a channel that closes before it truncates the response. A relay no longer has to send an error, which could wait for a caller that reads nothing.

The test is of the body alone; with the channel's end as the end of the body it could not be written.

--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -15,7 +15,7 @@
 
 use super::attempt;
 use super::framing::Framing;
-use super::response::{ResponseBody, Truncated};
+use super::response::{BodyPart, ResponseBody};
 use super::retry::{self, Attempts};
 use super::send::EngineResponse;
 use super::silence::{self, Awaited};
@@ -26,8 +26,8 @@
 use crate::edge::in_flight::InFlightGuard;
 use crate::platform::headers;
 
-/// Maximum number of chunks of a response that wait for the caller to read.
-const MAX_WAITING_CHUNKS: usize = 16;
+/// Maximum number of parts of a response that wait for the caller to read.
+const MAX_WAITING_PARTS: usize = 16;
 /// Multiple of the route's maximum gap between events after which a silent stream is
 /// resumed at another engine.
 const SILENCE_GAP_FACTOR: u32 = 3;
@@ -249,7 +249,7 @@
     attempts: Attempts,
     active: RequestGuard,
 ) -> Response<ResponseBody> {
-    let (chunk_sender, chunks) = mpsc::channel(MAX_WAITING_CHUNKS);
+    let (part_sender, parts) = mpsc::channel(MAX_WAITING_PARTS);
     let EngineStream {
         head,
         source,
@@ -261,20 +261,20 @@
         edge.metrics.add_streams(1);
         let relay = StreamRelay {
             routed,
-            chunk_sender,
+            part_sender,
             attempts,
         };
         relay.run(source, first_events, ended).await;
         edge.metrics.add_streams(-1);
         drop(active);
     });
-    Response::from_parts(head, ResponseBody::Chunks(chunks))
+    Response::from_parts(head, ResponseBody::Parts(parts))
 }
 
 /// Relays one stream to its caller.
 struct StreamRelay {
     routed: Rc<RoutedRequest>,
-    chunk_sender: mpsc::Sender<Result<Bytes, Truncated>>,
+    part_sender: mpsc::Sender<BodyPart>,
     attempts: Attempts,
 }
 
@@ -295,11 +295,11 @@
     async fn run(mut self, source: StreamSource, first_events: Bytes, ended: bool) {
         let routed = self.routed.clone();
         let mut engine = source.in_flight.engine.clone();
-        let chunk_sender = self.chunk_sender.clone();
+        let part_sender = self.part_sender.clone();
         let end = tokio::select! {
             biased;
             end = self.relay_events(source, first_events, ended, &mut engine) => end,
-            () = chunk_sender.closed() => StreamEnd::CallerGone,
+            () = part_sender.closed() => StreamEnd::CallerGone,
         };
         let attempts = &self.attempts;
         let status = 200;
@@ -326,8 +326,6 @@
         }
         let kind = crate::error::Kind::StreamBroken;
         routed.edge.metrics.record_refusal(kind);
-        // Fails only if the caller has disconnected, which needs no error.
-        let _ = self.chunk_sender.send(Err(Truncated)).await;
     }
 
     /// Relays events until the stream ends; `engine` is set to the engine that served it
@@ -343,8 +341,7 @@
             return end;
         }
         if ended {
-            source.finish();
-            return StreamEnd::Complete;
+            return self.complete(source).await;
         }
         loop {
             let max_silence = self.max_silence(&source);
@@ -377,8 +374,7 @@
                     if let Err(end) = self.send_chunk(rest).await {
                         return end;
                     }
-                    source.finish();
-                    return StreamEnd::Complete;
+                    return self.complete(source).await;
                 }
                 StreamItem::Broken(cause) => {
                     retry::report_crash(&self.routed, &source.in_flight.engine);
@@ -405,12 +401,22 @@
         source.is_resumable().then_some(max_silence)
     }
 
+    /// Completes the stream once the caller has room for its end.
+    async fn complete(&self, source: StreamSource) -> StreamEnd {
+        source.finish();
+        match self.part_sender.send(BodyPart::End).await {
+            Ok(()) => StreamEnd::Complete,
+            Err(_) => StreamEnd::CallerGone,
+        }
+    }
+
     /// Sends bytes to the caller, who has until the deadline to read them.
     async fn send_chunk(&self, bytes: Bytes) -> Result<(), StreamEnd> {
         if bytes.is_empty() {
             return Ok(());
         }
-        match timeout(self.routed.time_left(), self.chunk_sender.send(Ok(bytes))).await {
+        let chunk = self.part_sender.send(BodyPart::Chunk(bytes));
+        match timeout(self.routed.time_left(), chunk).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(StreamEnd::CallerGone),
             Err(_) => Err(StreamEnd::DeadlinePassed),
@@ -452,32 +458,32 @@
     connection: Connection,
     in_flight: InFlightGuard,
 ) -> OpenedResponse {
-    let (chunk_sender, chunks) = mpsc::channel(MAX_WAITING_CHUNKS);
+    let (part_sender, parts) = mpsc::channel(MAX_WAITING_PARTS);
     tokio::task::spawn_local(async move {
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
-                () = chunk_sender.closed() => return,
+                () = part_sender.closed() => return,
             };
-            let chunk = match frame {
-                None => break,
+            let part = match frame {
+                None => BodyPart::End,
                 Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => Ok(data),
+                    Ok(data) => BodyPart::Chunk(data),
                     Err(_) => continue,
                 },
                 Some(Err(error)) => {
                     log::warn!(engine = &*in_flight.engine, error:%; "long response truncated");
-                    Err(Truncated)
+                    in_flight.record_outcome(false);
+                    return;
                 }
             };
-            let truncated = chunk.is_err();
-            if chunk_sender.send(chunk).await.is_err() || truncated {
-                in_flight.record_outcome(!truncated);
-                return;
+            let ended = part == BodyPart::End;
+            if part_sender.send(part).await.is_err() || ended {
+                break;
             }
         }
         in_flight.record_outcome(true);
         drop(connection);
     });
-    OpenedResponse::Complete(Response::from_parts(head, ResponseBody::Chunks(chunks)))
+    OpenedResponse::Complete(Response::from_parts(head, ResponseBody::Parts(parts)))
 }
--- a/src/edge/forward/response.rs
+++ b/src/edge/forward/response.rs
@@ -20,13 +20,23 @@
 #[error("response truncated")]
 pub struct Truncated;
 
+/// Part of a body that is relayed as it arrives.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BodyPart {
+    /// Some of its bytes.
+    Chunk(Bytes),
+    /// Its end.
+    End,
+}
+
 /// Body of a response.
 #[derive(Debug)]
 pub enum ResponseBody {
-    /// The whole body.
+    /// The whole body, or nothing once it was read.
     Whole(Option<Bytes>),
-    /// Chunks as they arrive; dropping the receiver ends the task that sends them.
-    Chunks(mpsc::Receiver<Result<Bytes, Truncated>>),
+    /// Parts as they arrive; dropping the receiver ends the task that sends them. The body
+    /// is truncated if they end without [`BodyPart::End`].
+    Parts(mpsc::Receiver<BodyPart>),
 }
 
 impl Body for ResponseBody {
@@ -39,10 +49,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match self.get_mut() {
             ResponseBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            ResponseBody::Chunks(chunks) => {
-                let chunk = ready!(chunks.poll_recv(cx));
-                Poll::Ready(chunk.map(|c| c.map(Frame::data)))
-            }
+            ResponseBody::Parts(parts) => match ready!(parts.poll_recv(cx)) {
+                Some(BodyPart::Chunk(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                Some(BodyPart::End) => Poll::Ready(None),
+                None => Poll::Ready(Some(Err(Truncated))),
+            },
         }
     }
 
@@ -55,7 +66,7 @@
             ResponseBody::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            ResponseBody::Chunks(_) => SizeHint::default(),
+            ResponseBody::Parts(_) => SizeHint::default(),
         }
     }
 }
--- a/tests/edge/stream_ends.rs
+++ b/tests/edge/stream_ends.rs
@@ -4,7 +4,12 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use mastichinge::edge::forward::response::{BodyPart, ResponseBody, Truncated};
 use test_case::test_case;
+use tokio::runtime::Builder;
+use tokio::sync::mpsc;
 
 use crate::fakes::daemon::{Request, Response, WAIT_TIMEOUT, wait};
 use crate::fakes::engine::{Behavior, EVENTS, Engine, Framing};
@@ -178,3 +183,23 @@
     let site = start(Framing::Close);
     assert_streams_are_resumed(&site, Behavior::ResetAfter(2));
 }
+
+/// Reads a relayed body whose sender sends these parts and goes.
+fn read_parts(parts: &[BodyPart]) -> Result<Bytes, Truncated> {
+    let (sender, receiver) = mpsc::channel(parts.len());
+    for part in parts {
+        sender.try_send(part.clone()).unwrap();
+    }
+    drop(sender);
+    let runtime = Builder::new_current_thread().build().unwrap();
+    let body = runtime.block_on(ResponseBody::Parts(receiver).collect());
+    body.map(|b| b.to_bytes())
+}
+
+/// Guards against ORDER when a relay ends without saying that its body is complete.
+#[test]
+fn a_relayed_body_is_complete_only_after_its_end() {
+    let chunk = BodyPart::Chunk("some".into());
+    assert_eq!(read_parts(&[chunk.clone()]), Err(Truncated));
+    assert_eq!(read_parts(&[chunk, BodyPart::End]), Ok("some".into()));
+}
