Hold what is right about engines that send bytes without end

An engine may send bytes that are no answer without end, in a head or in a body. The cases added here pass on this code: garbage, status and header lines, bodies with and without chunks, chunk extensions, trailers, bytes after a response, a length beside chunks, an event that is repeated.

--- a/tests/edge/fakes/engine.rs
+++ b/tests/edge/fakes/engine.rs
@@ -65,6 +65,69 @@
     Early,
     /// Answers 500.
     Failing,
+    /// Sends bytes without end at this place, until the connection closes.
+    Endless(Place),
+    /// Answers with chunks and a length that differs.
+    TwoLengths,
+    /// Answers with a long length, sends a part of the body, and then nothing.
+    LongSilent,
+}
+
+/// Where an engine sends bytes without end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// In place of a response.
+    Garbage,
+    /// In the status line.
+    StatusLine,
+    /// In a line of a head.
+    HeaderLine,
+    /// Lines of a head.
+    HeaderLines,
+    /// Informational responses before the response.
+    Informational,
+    /// In a body without length or chunks.
+    Body,
+    /// In one chunk of a body.
+    Chunk,
+    /// Chunks of a body.
+    Chunks,
+    /// In the extension of a chunk.
+    ChunkExtension,
+    /// Lines of trailers.
+    Trailers,
+    /// Events of a stream.
+    Events,
+    /// The same event of a stream again and again.
+    RepeatedEvent,
+    /// After a complete response.
+    AfterResponse,
+}
+
+impl Place {
+    /// Returns the bytes that come once, and those that come without end.
+    fn bytes(self, id: &str) -> (String, &'static str) {
+        const HEAD: &str = "HTTP/1.1 200 OK\r\n";
+        let signed = format!(
+            "{HEAD}X-Mastichinge-Request-Id: {id}\r\nX-Mastichinge-Server-Stamp: stamp\r\n"
+        );
+        let chunked = format!("{signed}Transfer-Encoding: chunked\r\n\r\n");
+        match self {
+            Place::Garbage => (String::new(), "\0\x01garbage"),
+            Place::StatusLine => ("HTTP/1.1 200 ".to_owned(), "OK "),
+            Place::HeaderLine => (format!("{signed}X-Long: "), "long "),
+            Place::HeaderLines => (signed, "X-More: more\r\n"),
+            Place::Informational => (String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n"),
+            Place::Body => (format!("{signed}\r\n"), "no answer "),
+            Place::Chunk => (format!("{chunked}7fffffffffffffff\r\n"), "no answer "),
+            Place::Chunks => (chunked, "1e\r\nno answer no answer no answer \r\n"),
+            Place::ChunkExtension => (format!("{chunked}3;"), "extension"),
+            Place::Trailers => (format!("{chunked}0\r\n"), "X-More: more\r\n"),
+            Place::Events => (format!("{signed}\r\n"), "data: more\n\n"),
+            Place::RepeatedEvent => (format!("{signed}\r\n"), "id: 1\ndata: more\n\n"),
+            Place::AfterResponse => (format!("{signed}Content-Length: 0\r\n\r\n"), "more "),
+        }
+    }
 }
 
 /// What marks the end of an engine's streams.
@@ -95,6 +158,8 @@
     rejected: Vec<String>,
     /// Number of late responses sent.
     late_responses: u64,
+    /// Size of each response without end when its connection closed, bytes.
+    endless_bytes: Vec<usize>,
     /// Requests whose connection closed while they ran.
     cancelled: Vec<String>,
     received_orders: Vec<Value>,
@@ -249,6 +314,11 @@
         self.state.lock().unwrap().late_responses
     }
 
+    /// Returns the size of each response without end whose connection has closed, bytes.
+    pub fn endless_bytes(&self) -> Vec<usize> {
+        self.state.lock().unwrap().endless_bytes.clone()
+    }
+
     /// Returns the received orders.
     pub fn received_orders(&self) -> Vec<Value> {
         self.state.lock().unwrap().received_orders.clone()
@@ -417,6 +487,23 @@
             }
             Behavior::Early => return Ok(()),
             Behavior::Failing => return write_response(stream, 500, &signed, b"failed").await,
+            Behavior::Endless(place) => return self.send_endless(stream, place, &id).await,
+            Behavior::TwoLengths => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nX-Mastichinge-Request-Id: {id}\r\n\
+                     X-Mastichinge-Server-Stamp: stamp\r\nContent-Length: 3\r\n\
+                     Transfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n"
+                );
+                return stream.write_all(head.as_bytes()).await;
+            }
+            Behavior::LongSilent => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nX-Mastichinge-Request-Id: {id}\r\n\
+                     X-Mastichinge-Server-Stamp: stamp\r\nContent-Length: 1000000\r\n\r\npart"
+                );
+                stream.write_all(head.as_bytes()).await?;
+                return self.wait_for_close(stream, &id).await;
+            }
             Behavior::UnframedReset | Behavior::Unframed => {
                 let head = format!(
                     "HTTP/1.1 200 OK\r\nX-Mastichinge-Request-Id: {id}\r\n\
@@ -496,6 +583,26 @@
         framing.end(stream).await
     }
 
+    /// Sends bytes without end until the connection closes.
+    async fn send_endless(
+        &self,
+        stream: &mut TcpStream,
+        place: Place,
+        id: &str,
+    ) -> std::io::Result<()> {
+        const REPEATS: usize = 1_024;
+        let (start, repeated) = place.bytes(id);
+        let block = repeated.repeat(REPEATS);
+        let mut sent = start.len();
+        let mut outcome = stream.write_all(start.as_bytes()).await;
+        while outcome.is_ok() {
+            outcome = stream.write_all(block.as_bytes()).await;
+            sent += block.len();
+        }
+        self.state.lock().unwrap().endless_bytes.push(sent);
+        outcome
+    }
+
     /// Waits for the connection to close without answering.
     async fn wait_for_close(&self, stream: &mut TcpStream, id: &str) -> std::io::Result<()> {
         let mut byte = [0];
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod connections;
 mod decisions;
+mod endless;
 mod engine_list;
 #[allow(dead_code, reason = "shared with the soak, which uses other parts")]
 mod fakes;
--- a/tests/edge/stream_ends.rs
+++ b/tests/edge/stream_ends.rs
@@ -200,6 +200,6 @@
 #[test]
 fn a_relayed_body_is_complete_only_after_its_end() {
     let chunk = BodyPart::Chunk("some".into());
-    assert_eq!(read_parts(&[chunk.clone()]), Err(Truncated));
+    assert_eq!(read_parts(std::slice::from_ref(&chunk)), Err(Truncated));
     assert_eq!(read_parts(&[chunk, BodyPart::End]), Ok("some".into()));
 }
