Bound what an engine may send before the head of its response

A caller whose engine sent informational responses without end waited until its deadline and got 504, while the daemon read all of them.

Cause: the HTTP client bounds each head, but not the number of informational responses before it. What arrives between a request and the end of the head of its response is now bounded as a whole, 256 KiB, where the socket is read; the connection is closed then, like after any bytes that are no response. Causes of lost connections are logged with their source.

Both cases (a booking, a stream) failed before with 504 and get 502.

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -1,13 +1,14 @@
 //! HTTP client of engines and of the store, which reuses idle connections.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::error::Error;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -35,6 +36,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
 /// Default time limit for connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum size of the head of a response with the informational ones before it, bytes.
+const MAX_HEAD_BYTES: usize = 256 << 10;
 /// Maximum number of idle connections for one address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -54,8 +57,8 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
-    /// The stream, until the connection's task ends.
-    stream: Weak<RefCell<TcpStream>>,
+    /// The socket, until the connection's task ends.
+    socket: Weak<Socket>,
     addr: SocketAddr,
     /// Whether it carried another exchange before.
     reused: bool,
@@ -78,10 +81,10 @@
     /// Returns whether the peer has sent nothing and has not closed the connection.
     /// Asks the socket, because the event loop may not have seen what has arrived.
     fn is_silent(&self) -> bool {
-        let Some(stream) = self.stream.upgrade() else {
+        let Some(socket) = self.socket.upgrade() else {
             return false;
         };
-        let peeked = SockRef::from(&*stream.borrow()).peek(&mut [MaybeUninit::uninit()]);
+        let peeked = SockRef::from(&*socket.stream.borrow()).peek(&mut [MaybeUninit::uninit()]);
         match peeked {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => true,
             Err(error) => {
@@ -95,6 +98,14 @@
         }
     }
 
+    /// Limits what may arrive before the head of the next response is complete, or lifts
+    /// that limit.
+    fn limit_head(&self, bytes: Option<usize>) {
+        if let Some(socket) = self.socket.upgrade() {
+            socket.head_left.set(bytes);
+        }
+    }
+
     /// Drops the idle connections to the same address, for use after this connection
     /// broke: the process behind them may be gone.
     pub fn drop_idle(&self) {
@@ -158,14 +169,18 @@
                 Some(connection) => connection,
                 None => self.connect(addr, options.connect_timeout).await?,
             };
+            connection.limit_head(Some(MAX_HEAD_BYTES));
             let mut error = match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, connection)),
+                Ok(response) => {
+                    connection.limit_head(None);
+                    return Ok((response, connection));
+                }
                 Err(error) => error,
             };
             match error.take_message() {
                 Some(unsent) if connection.reused => request = unsent,
-                Some(_) => return Err(SendError::NotSent(error.error().to_string())),
-                None => return Err(SendError::ConnectionLost(error.error().to_string())),
+                Some(_) => return Err(SendError::NotSent(error_text(error.error()))),
+                None => return Err(SendError::ConnectionLost(error_text(error.error()))),
             }
         }
     }
@@ -245,9 +260,12 @@
         let stream = stream.map_err(|_| not_sent("connection timed out".to_owned()))?;
         let stream = stream.map_err(|e| not_sent(e.to_string()))?;
         set_socket_options(&stream);
-        let stream = Rc::new(RefCell::new(stream));
-        let shared = Rc::downgrade(&stream);
-        let io = TokioIo::new(SharedStream(stream));
+        let socket = Rc::new(Socket {
+            stream: RefCell::new(stream),
+            head_left: Cell::new(None),
+        });
+        let shared = Rc::downgrade(&socket);
+        let io = TokioIo::new(SharedStream(socket));
         let handshake = http1::Builder::new().handshake(io).await;
         let (sender, connection) = handshake.map_err(|e| not_sent(e.to_string()))?;
         let task = tokio::task::spawn_local(async move {
@@ -258,7 +276,7 @@
         Ok(Connection {
             sender,
             task,
-            stream: shared,
+            socket: shared,
             addr,
             reused: false,
             pools: Rc::downgrade(&self.pools),
@@ -266,6 +284,14 @@
     }
 }
 
+/// Returns the text of an error with that of its source.
+fn error_text(error: &hyper::Error) -> String {
+    match error.source() {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
+
 /// How a request is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SendOptions {
@@ -296,9 +322,18 @@
     pub max_bytes: usize,
 }
 
-/// A stream that its connection's handle can look at.
+/// Socket of a connection, shared by its task and its handle.
 #[derive(Debug)]
-struct SharedStream(Rc<RefCell<TcpStream>>);
+struct Socket {
+    stream: RefCell<TcpStream>,
+    /// Number of bytes that may still arrive before the head of a response is complete;
+    /// absent while none is awaited.
+    head_left: Cell<Option<usize>>,
+}
+
+/// Stream of a connection's task.
+#[derive(Debug)]
+struct SharedStream(Rc<Socket>);
 
 impl AsyncRead for SharedStream {
     fn poll_read(
@@ -306,7 +341,17 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buf)
+        let head_left = self.0.head_left.get();
+        if head_left == Some(0) {
+            let error = "the head of the response is too long";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
+        }
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf))?;
+        let arrived = buf.filled().len() - before;
+        let head_left = head_left.map(|left| left.saturating_sub(arrived));
+        self.0.head_left.set(head_left);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -316,7 +361,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, buf)
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
@@ -324,19 +369,19 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, bufs)
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.borrow().is_write_vectored()
+        self.0.stream.borrow().is_write_vectored()
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
 
--- a/tests/edge/endless.rs
+++ b/tests/edge/endless.rs
@@ -61,6 +61,7 @@
 #[test_case(Place::StatusLine; "status line")]
 #[test_case(Place::HeaderLine; "header line")]
 #[test_case(Place::HeaderLines; "header lines")]
+#[test_case(Place::Informational; "informational responses")]
 #[test_case(Place::Body; "body")]
 #[test_case(Place::Chunk; "chunk")]
 #[test_case(Place::Chunks; "chunks")]
@@ -78,6 +79,7 @@
 #[test_case(Place::Body; "body")]
 #[test_case(Place::Chunk; "chunk")]
 #[test_case(Place::HeaderLines; "header lines")]
+#[test_case(Place::Informational; "informational responses")]
 fn a_stream_is_answered_502_after_bytes_without_end(place: Place) {
     let site = Site::start();
     site.set(Behavior::Endless(place));
