Scan each byte of a stream once for the end of an event

A stream whose engine sent one event without end in small chunks kept the daemon's only thread busy, and its caller got 504 at its deadline.

Cause: after each chunk the decoder looked for the end of the event from its start, so that an event of the maximum size, 1 MiB, took time in the square of its size. It now goes on where it stopped.

The case of tests/edge/endless.rs failed before (504 after 20 s) and gets 502.

--- a/src/edge/events.rs
+++ b/src/edge/events.rs
@@ -30,6 +30,10 @@
 #[derive(Debug, Default)]
 pub struct EventDecoder {
     buffer: BytesMut,
+    /// Number of bytes of the buffer that end no event.
+    scanned: usize,
+    /// Start of the line in which the scan stopped.
+    line_start: usize,
     /// Whether it has yielded an event.
     started: bool,
 }
@@ -43,8 +47,9 @@
 
     /// Returns the next whole event.
     pub fn next_event(&mut self) -> Option<Event> {
-        let length = event_length(&self.buffer)?;
+        let length = self.event_length()?;
         let bytes = self.buffer.split_to(length).freeze();
+        (self.scanned, self.line_start) = (0, 0);
         let id = event_id(&bytes);
         self.started = true;
         Some(Event { bytes, id })
@@ -68,25 +73,27 @@
 
     /// Takes the bytes after the last whole event.
     pub fn take_rest(&mut self) -> Bytes {
+        (self.scanned, self.line_start) = (0, 0);
         self.buffer.split().freeze()
     }
-}
 
-/// Returns the length of the first event with its empty line. Lines end in LF or CRLF.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (i, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
+    /// Returns the length of the first event with its empty line, which is looked for in
+    /// the bytes that have come since the last call. Lines end in LF or CRLF.
+    fn event_length(&mut self) -> Option<usize> {
+        for i in self.scanned..self.buffer.len() {
+            if self.buffer[i] != b'\n' {
+                continue;
+            }
+            let line = &self.buffer[self.line_start..i];
+            let ends_event = self.line_start > 0 && matches!(line, [] | b"\r");
+            if ends_event {
+                return Some(i + 1);
+            }
+            self.line_start = i + 1;
         }
-        let line = &bytes[line_start..i];
-        let is_empty = line.is_empty() || line == b"\r";
-        if is_empty && line_start > 0 {
-            return Some(i + 1);
-        }
-        line_start = i + 1;
+        self.scanned = self.buffer.len();
+        None
     }
-    None
 }
 
 /// Returns whether the bytes after a whole event begin another one. Empty lines and
--- a/tests/edge/endless.rs
+++ b/tests/edge/endless.rs
@@ -78,6 +78,7 @@
 /// Guards against a stream that is kept open by bytes that contain no event.
 #[test_case(Place::Body; "body")]
 #[test_case(Place::Chunk; "chunk")]
+#[test_case(Place::Chunks; "chunks")]
 #[test_case(Place::HeaderLines; "header lines")]
 #[test_case(Place::Informational; "informational responses")]
 fn a_stream_is_answered_502_after_bytes_without_end(place: Place) {
