End a stream at its deadline while events come without pause

A stream whose engine sent events without end went on past its deadline for as long as its caller read.

Cause: the deadline was a time limit of each wait for an event, and a wait that is over at once has no time to end. The deadline is now checked after each event.

--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -369,6 +369,10 @@
                     if let Err(end) = self.send_chunk(bytes).await {
                         return end;
                     }
+                    // Events that come without end leave no wait that could time out.
+                    if self.routed.time_left().is_zero() {
+                        return StreamEnd::DeadlinePassed;
+                    }
                 }
                 StreamItem::End(rest) => {
                     if let Err(end) = self.send_chunk(rest).await {
--- a/tests/edge/endless.rs
+++ b/tests/edge/endless.rs
@@ -119,6 +119,7 @@
 
 /// Guards against a stream that goes on beyond its deadline while events come without
 /// end.
+#[test_case(Place::Events; "new events")]
 #[test_case(Place::RepeatedEvent; "the same event")]
 fn a_stream_without_end_ends_at_its_deadline(place: Place) {
     let site = Site::start();
