End a long response at its deadline

A response of more than 256 KiB whose engine stopped in the middle stayed open for as long as its caller and its engine held their connections.

Cause: long responses are relayed by a task of their own, which had no time limit. It now has the request's deadline; the response is truncated then and the engine's connection closed, and the log names the request.

The test failed before: nothing came for 10 s, deadline 0.7 s.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -390,7 +390,7 @@
     head.headers = headers::to_caller(&head.headers);
     if is_long {
         in_flight.record_prompt_read();
-        return Ok(relay::relay_body(head, body, connection, in_flight));
+        return Ok(relay::relay_body(routed, head, body, connection, in_flight));
     }
     let body = Limited::new(body, MAX_UNFRAMED_BYTES).collect();
     let body = match timeout(routed.time_left(), body).await {
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -455,39 +455,59 @@
     }
 }
 
-/// Relays a long response as it arrives.
+/// Relays a long response as it arrives, until the deadline.
 pub(super) fn relay_body(
+    routed: &Rc<RoutedRequest>,
     head: Parts,
-    mut body: Incoming,
+    body: Incoming,
     connection: Connection,
     in_flight: InFlightGuard,
 ) -> OpenedResponse {
     let (part_sender, parts) = mpsc::channel(MAX_WAITING_PARTS);
+    let routed = routed.clone();
     tokio::task::spawn_local(async move {
-        loop {
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = part_sender.closed() => return,
-            };
-            let part = match frame {
-                None => BodyPart::End,
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => BodyPart::Chunk(data),
-                    Err(_) => continue,
-                },
-                Some(Err(error)) => {
-                    log::warn!(engine = &*in_flight.engine, error:%; "long response truncated");
-                    in_flight.record_outcome(false);
-                    return;
-                }
-            };
-            let ended = part == BodyPart::End;
-            if part_sender.send(part).await.is_err() || ended {
-                break;
+        let relayed = timeout(routed.time_left(), relay_parts(body, &part_sender)).await;
+        let cause = match relayed {
+            Ok(Ok(())) => {
+                in_flight.record_outcome(true);
+                return;
             }
-        }
-        in_flight.record_outcome(true);
+            Ok(Err(error)) => {
+                in_flight.record_outcome(false);
+                error.to_string()
+            }
+            Err(_) => {
+                in_flight.record_timeout();
+                "the deadline passed".to_owned()
+            }
+        };
         drop(connection);
+        let request = &*routed.headers.id;
+        log::warn!(request, engine = &*in_flight.engine, cause; "long response truncated");
     });
     OpenedResponse::Complete(Response::from_parts(head, ResponseBody::Parts(parts)))
 }
+
+/// Relays the parts of a body until its end, or until the caller disconnects.
+async fn relay_parts(
+    mut body: Incoming,
+    part_sender: &mpsc::Sender<BodyPart>,
+) -> Result<(), hyper::Error> {
+    loop {
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = part_sender.closed() => return Ok(()),
+        };
+        let part = match frame.transpose()? {
+            None => BodyPart::End,
+            Some(frame) => match frame.into_data() {
+                Ok(data) => BodyPart::Chunk(data),
+                Err(_) => continue,
+            },
+        };
+        let ended = part == BodyPart::End;
+        if part_sender.send(part).await.is_err() || ended {
+            return Ok(());
+        }
+    }
+}
--- a/tests/edge/endless.rs
+++ b/tests/edge/endless.rs
@@ -117,6 +117,18 @@
     assert!(whole || answer.status == 502, "{answer:?}");
 }
 
+/// Guards against a long response that stays open beyond its deadline when its engine
+/// stops.
+#[test]
+fn a_long_response_of_a_silent_engine_ends_at_its_deadline() {
+    let site = Site::start();
+    site.set(Behavior::LongSilent);
+    assert_ends_at_deadline(&site, &Request::new("/book/", "b1"));
+    wait("the run's end", || {
+        site.plain.iter().any(|e| !e.cancelled().is_empty())
+    });
+}
+
 /// Guards against a stream that goes on beyond its deadline while events come without
 /// end.
 #[test_case(Place::Events; "new events")]
