Soak: streams without length or chunks, and streams that end inside an event

Fault end_inside: a part of a stream, ended in order in the middle of an event, by the last chunk or the end of the connection. Faults unframed and unframed_reset now hold for streams too.

--- a/tests/edge/fakes/engine.rs
+++ b/tests/edge/fakes/engine.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 
 use super::store::Store;
-use super::{ReceivedRequest, read_body, read_head, runtime, write_response};
+use super::{Framing, ReceivedRequest, read_body, read_head, runtime, write_response};
 
 /// How an engine answers requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -130,16 +130,6 @@
     }
 }
 
-/// What marks the end of an engine's streams.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Framing {
-    /// The last chunk.
-    #[default]
-    Chunked,
-    /// The end of the connection.
-    Close,
-}
-
 #[derive(Default)]
 struct EngineState {
     behavior: Behavior,
@@ -540,10 +530,7 @@
         behavior: Behavior,
     ) -> std::io::Result<()> {
         let framing = self.state.lock().unwrap().framing;
-        let encoding = match framing {
-            Framing::Chunked => "Transfer-Encoding: chunked\r\n",
-            Framing::Close => "",
-        };
+        let encoding = framing.header();
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
              X-Mastichinge-Request-Id: {id}\r\nX-Mastichinge-Server-Stamp: stamp\r\n\
@@ -614,27 +601,6 @@
     }
 }
 
-impl Framing {
-    /// Returns a part of a body as it is sent.
-    fn frame(self, text: &str) -> String {
-        match self {
-            Framing::Chunked => format!("{:x}\r\n{text}\r\n", text.len()),
-            Framing::Close => text.to_owned(),
-        }
-    }
-
-    /// Ends a body in order. The error ends the connection.
-    async fn end(self, stream: &mut TcpStream) -> std::io::Result<()> {
-        match self {
-            Framing::Chunked => stream.write_all(b"0\r\n\r\n").await,
-            Framing::Close => {
-                stream.shutdown().await?;
-                Err(std::io::ErrorKind::BrokenPipe.into())
-            }
-        }
-    }
-}
-
 fn model_json(model: &String) -> Value {
     json!({"name": model, "version": 1, "adapters": []})
 }
--- a/tests/edge/fakes/mod.rs
+++ b/tests/edge/fakes/mod.rs
@@ -27,6 +27,45 @@
     RUNTIME.get_or_init(start).clone()
 }
 
+/// What marks the end of an engine's streams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Framing {
+    /// The last chunk.
+    #[default]
+    Chunked,
+    /// The end of the connection.
+    Close,
+}
+
+impl Framing {
+    /// Returns the header lines of the framing.
+    pub fn header(self) -> &'static str {
+        match self {
+            Framing::Chunked => "Transfer-Encoding: chunked\r\n",
+            Framing::Close => "",
+        }
+    }
+
+    /// Returns a part of a body as it is sent.
+    pub fn frame(self, text: &str) -> String {
+        match self {
+            Framing::Chunked => format!("{:x}\r\n{text}\r\n", text.len()),
+            Framing::Close => text.to_owned(),
+        }
+    }
+
+    /// Ends a body in order. The error ends the connection.
+    pub async fn end(self, stream: &mut TcpStream) -> io::Result<()> {
+        match self {
+            Framing::Chunked => stream.write_all(b"0\r\n\r\n").await,
+            Framing::Close => {
+                stream.shutdown().await?;
+                Err(io::ErrorKind::BrokenPipe.into())
+            }
+        }
+    }
+}
+
 /// A request as received.
 #[derive(Clone, Debug, Default)]
 pub struct ReceivedRequest {
--- a/tests/edge/stream_ends.rs
+++ b/tests/edge/stream_ends.rs
@@ -11,8 +11,9 @@
 use tokio::runtime::Builder;
 use tokio::sync::mpsc;
 
+use crate::fakes::Framing;
 use crate::fakes::daemon::{Request, Response, WAIT_TIMEOUT, wait};
-use crate::fakes::engine::{Behavior, EVENTS, Engine, Framing};
+use crate::fakes::engine::{Behavior, EVENTS, Engine};
 use crate::requests::events;
 use crate::site::{MODEL, Site};
 
--- a/tests/soak/engine.rs
+++ b/tests/soak/engine.rs
@@ -388,12 +388,14 @@
     /// Sends the events after `after`.
     async fn stream(&self, exchange: &mut Exchange<'_>, after: u64) -> io::Result<()> {
         use EngineFault as F;
+        let framing = exchange.stream_framing();
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
              X-Mastichinge-Request-Id: {id}\r\nX-Mastichinge-Server-Stamp: {engine}.{id}\r\n\
-             Transfer-Encoding: chunked\r\n\r\n",
+             {header}\r\n",
             id = exchange.id,
-            engine = exchange.engine
+            engine = exchange.engine,
+            header = framing.header()
         );
         self.record(exchange, Step::Answered(200));
         exchange.stream.write_all(head.as_bytes()).await?;
@@ -409,20 +411,22 @@
                     Some(F::Hang) => return exchange.hang().await,
                     Some(F::Garbage) => return exchange.send_garbage().await,
                     Some(F::SilenceAfter) => sleep(exchange.silence()).await,
-                    Some(F::Truncated) => {
-                        let half = &text[..text.len() / 2];
-                        let chunk = format!("{:x}\r\n{half}\r\n", half.len());
-                        exchange.stream.write_all(chunk.as_bytes()).await?;
-                        return exchange.close().await;
+                    Some(F::Truncated | F::EndInside) => {
+                        let half = framing.frame(&text[..text.len() / 2]);
+                        exchange.stream.write_all(half.as_bytes()).await?;
+                        return match exchange.fault {
+                            Some(F::EndInside) => framing.end(exchange.stream).await,
+                            _ => exchange.close().await,
+                        };
                     }
                     _ => {}
                 }
             }
-            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-            exchange.stream.write_all(chunk.as_bytes()).await?;
+            let framed = framing.frame(&text);
+            exchange.stream.write_all(framed.as_bytes()).await?;
         }
         self.record(exchange, Step::Ended);
-        exchange.stream.write_all(b"0\r\n\r\n").await
+        framing.end(exchange.stream).await
     }
 }
 
--- a/tests/soak/engine_faults.rs
+++ b/tests/soak/engine_faults.rs
@@ -46,6 +46,9 @@
     Unframed,
     /// Runs the request, answers without a length and resets in the middle.
     UnframedReset,
+    /// Runs a part of a stream and ends the response in order in the middle of an event;
+    /// answers other requests correctly.
+    EndInside,
     /// Runs the request and answers 500.
     Failure,
     /// Runs the request and answers 504.
@@ -74,6 +77,7 @@
                 | F::CloseRun
                 | F::Hang
                 | F::UnframedReset
+                | F::EndInside
                 | F::Truncated
                 | F::Garbage
                 | F::RejectClosing
--- a/tests/soak/exchange.rs
+++ b/tests/soak/exchange.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpStream;
 
 use crate::engine_faults::EngineFault;
+use crate::fakes::Framing;
 
 /// Time that an engine may be silent, ms.
 const SILENCE_MS: std::ops::Range<u64> = 500..2_000;
@@ -49,6 +50,16 @@
         )
     }
 
+    /// Returns what marks the end of a stream.
+    pub fn stream_framing(&self) -> Framing {
+        use EngineFault as F;
+        match self.fault {
+            Some(F::Unframed | F::UnframedReset) => Framing::Close,
+            Some(F::EndInside) if self.random.is_multiple_of(2) => Framing::Close,
+            _ => Framing::Chunked,
+        }
+    }
+
     /// Returns the response to send when the next request arrives.
     pub fn extra(&self) -> Option<Extra> {
         use EngineFault as F;
