Cancel the run of a caller that leaves after sending more than its request

A caller that had sent a second request behind its first and left had its run go on until the deadline, 20 s.

Cause: the HTTP server reads no further while bytes wait behind the request in progress, and so does not see the end of the connection. The connection's task now looks for that end itself, by the socket's readiness: once when the socket becomes readable, and every 200 ms while unread bytes keep it so.

--- a/src/edge/caller_stream.rs
+++ b/src/edge/caller_stream.rs
@@ -1,16 +1,20 @@
 //! Stream of a caller's connection that records when heads arrive and responses end.
 
+use std::cell::RefCell;
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use http::Version;
 use hyper::body::{Body, Frame, SizeHint};
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 use super::connections::{Connection, Phase};
 
@@ -19,10 +23,13 @@
 /// Maximum number of such buffers that are discarded without a turn for other tasks.
 const MAX_DISCARD_CHUNKS: usize = 16;
 
+/// Period of looking for the end of a connection behind unread bytes.
+const CLOSE_CHECK_PERIOD: Duration = Duration::from_millis(200);
+
 /// Stream of a caller's connection.
 #[derive(Debug)]
 pub struct CallerStream {
-    stream: TcpStream,
+    stream: Rc<RefCell<TcpStream>>,
     connection: Rc<Connection>,
     /// Whether the connection is reset if it closes now.
     resets: bool,
@@ -30,7 +37,7 @@
 
 impl CallerStream {
     /// Wraps the stream of `connection`.
-    pub fn new(stream: TcpStream, connection: Rc<Connection>) -> Self {
+    pub fn new(stream: Rc<RefCell<TcpStream>>, connection: Rc<Connection>) -> Self {
         CallerStream {
             stream,
             connection,
@@ -41,14 +48,14 @@
     /// Returns whether bytes have arrived that were not read.
     pub fn has_unread_bytes(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit()];
-        SockRef::from(&self.stream)
+        SockRef::from(&*self.stream.borrow())
             .peek(&mut byte)
             .is_ok_and(|n| n > 0)
     }
 
     /// Writes `bytes` as far as the send buffer has room.
     pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
-        self.stream.try_write(bytes)
+        self.stream.borrow().try_write(bytes)
     }
 
     /// Makes the connection end with a reset, also if the process is killed, until the
@@ -69,7 +76,7 @@
     }
 
     fn set_linger(&self, time: Option<Duration>) {
-        if let Err(error) = SockRef::from(&self.stream).set_linger(time) {
+        if let Err(error) = SockRef::from(&*self.stream.borrow()).set_linger(time) {
             log::warn!(error:%; "cannot set how a caller's connection ends");
         }
     }
@@ -77,12 +84,12 @@
 
 impl AsyncRead for CallerStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buffer))?;
         if buffer.filled().len() > before && self.connection.phase() == Phase::Idle {
             self.connection.start(Phase::Head);
         }
@@ -97,7 +104,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.guard_response();
-        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
+        let written = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, bytes))?;
         if self.connection.phase() == Phase::Response {
             self.connection.restart();
         }
@@ -110,7 +117,8 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.guard_response();
-        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, slices))?;
+        let written =
+            ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, slices))?;
         if self.connection.phase() == Phase::Response {
             self.connection.restart();
         }
@@ -118,12 +126,12 @@
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.borrow().is_write_vectored()
     }
 
     /// The HTTP server flushes when it has written all that it has buffered.
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx))?;
         if self.connection.phase() == Phase::Response {
             self.connection.start(Phase::Idle);
         }
@@ -137,7 +145,7 @@
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.complete_response();
         if self.connection.phase() != Phase::Discard {
-            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx))?;
             if !self.connection.has_rest() {
                 return Poll::Ready(Ok(()));
             }
@@ -146,7 +154,7 @@
         let mut chunk = [0; DISCARD_CHUNK_BYTES];
         for _ in 0..MAX_DISCARD_CHUNKS {
             let mut buffer = ReadBuf::new(&mut chunk);
-            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buffer))?;
+            ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut buffer))?;
             if buffer.filled().is_empty() {
                 return Poll::Ready(Ok(()));
             }
@@ -156,6 +164,29 @@
     }
 }
 
+/// Waits until the caller closes the connection while its request is handled. The HTTP
+/// server does not see that behind bytes that it leaves unread until the response.
+pub async fn closed_in_request(stream: &RefCell<TcpStream>, connection: &Connection) {
+    loop {
+        let readable = poll_fn(|cx| stream.borrow().poll_read_ready(cx)).await;
+        if readable.is_err() {
+            // The HTTP server sees the same error.
+            std::future::pending().await
+        }
+        if connection.phase() == Phase::Request && is_read_closed(&stream.borrow()) {
+            return;
+        }
+        // Bytes that the server leaves unread keep the stream readable.
+        sleep(CLOSE_CHECK_PERIOD).await;
+    }
+}
+
+/// Returns whether the other side of a readable stream has closed it.
+fn is_read_closed(stream: &TcpStream) -> bool {
+    let ready = stream.ready(Interest::READABLE).now_or_never();
+    matches!(ready, Some(Ok(ready)) if ready.is_read_closed())
+}
+
 /// Body of a response that records its end.
 #[derive(Debug)]
 pub struct TrackedBody<B> {
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -1,5 +1,6 @@
 //! Listeners for callers, for queries about this host, and for metrics.
 
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
@@ -18,7 +19,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
-use super::caller_stream::{CallerStream, TrackedBody};
+use super::caller_stream::{CallerStream, TrackedBody, closed_in_request};
 use super::connections::{Connection, Connections, EndCause, OpenConnection, Phase, PhaseLimits};
 use super::desired::RequestLimits;
 use super::forward::{self, response};
@@ -215,7 +216,8 @@
 /// Serves one connection until it closes.
 async fn serve_connection(edge: Rc<Edge>, stream: TcpStream, accepted: Accepted) {
     let connection = &accepted.open.state;
-    let mut stream = CallerStream::new(stream, connection.clone());
+    let socket = Rc::new(RefCell::new(stream));
+    let mut stream = CallerStream::new(socket.clone(), connection.clone());
     loop {
         let limits = edge.state.borrow().desired.limits;
         connection.set_head_bytes(limits.head);
@@ -235,6 +237,7 @@
                 return;
             }
             cause = connection.ended() => cause,
+            () = closed_in_request(&socket, connection) => return,
         };
         let parts = served.into_parts();
         stream = parts.io.into_inner();
