Take an informational response for no answer in calls outside

The blocking HTTP client of the product's own interface knows no informational responses and returned one as the answer, so that a call of a service could be answered with its status and recorded as done.

It is now an error: no answer came, and the call may have run. Tests of bytes without end (heads, bodies, chunk extensions, trailers) and of answers that are broken off were added for this client; only the case of informational responses failed before.

--- a/src/outside/client.rs
+++ b/src/outside/client.rs
@@ -119,6 +119,10 @@
         started: started.clone(),
     };
     let error = match request.body(body).send() {
+        Ok(response) if response.status().is_informational() => {
+            let status = response.status().as_u16();
+            return Err(SendError::NoAnswer(format!("status {status} is no answer")));
+        }
         Ok(response) => return Ok(response),
         Err(error) => error,
     };
--- a/tests/outside/clients.rs
+++ b/tests/outside/clients.rs
@@ -92,6 +92,61 @@
     );
 }
 
+/// Serves one connection: sends `start`, and `repeated` again and again until the
+/// connection closes.
+fn serve_endless(start: &'static str, repeated: &str) -> SocketAddr {
+    const REPEATS: usize = 1_024;
+    let listener = TcpListener::bind(any_port()).expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let block = repeated.repeat(REPEATS);
+    thread::spawn(move || {
+        let (mut socket, _) = listener.accept().expect("a connection");
+        let mut sent = socket.write_all(start.as_bytes());
+        while sent.is_ok() {
+            sent = socket.write_all(block.as_bytes());
+        }
+    });
+    addr
+}
+
+/// Guards against a call or a stream that goes on while its engine sends bytes that are no
+/// answer without end.
+#[test_case("", "garbage "; "garbage")]
+#[test_case("HTTP/1.1 200 ", "OK "; "status line")]
+#[test_case("HTTP/1.1 200 OK\r\nX-Long: ", "long "; "header line")]
+#[test_case("HTTP/1.1 200 OK\r\n", "X-More: more\r\n"; "header lines")]
+#[test_case("", "HTTP/1.1 103 Early Hints\r\n\r\n"; "informational responses")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\n", "no answer "; "body")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "3\r\nno \r\n"; "chunks")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;", "more"; "chunk extension")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: more\r\n"; "trailers")]
+fn bytes_without_end_are_a_lost_connection(start: &'static str, repeated: &str) {
+    let call = call_options(serve_endless(start, repeated));
+    let error = HttpEngine::default().report(&call).err();
+    assert!(
+        matches!(error, Some(EngineError::ConnectionLost(_))),
+        "{error:?}"
+    );
+    let call = call_options(serve_endless(start, repeated));
+    let error = start_stream(&call, json!({})).and_then(read_stream).err();
+    assert!(
+        matches!(error, Some(EngineError::ConnectionLost(_))),
+        "{error:?}"
+    );
+}
+
+/// Guards against a part of an answer that is taken for the whole.
+#[test_case("Content-Length: 30\r\n\r\n{}"; "by its length")]
+#[test_case("Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"; "by the last chunk")]
+#[test_case("Transfer-Encoding: chunked\r\n\r\n9\r\n{}"; "by the size of a chunk")]
+fn an_answer_that_is_broken_off_is_no_answer(rest: &str) {
+    let text: &'static str = Box::leak(format!("HTTP/1.1 200 OK\r\n{rest}").into_boxed_str());
+    let request = client::session().post(format!("http://{}/x", serve_once(text)));
+    let response = client::send(request, BodyType::Json, b"{}").expect("a head");
+    let body = client::read_body(response);
+    assert!(matches!(body, Err(SendError::NoAnswer(_))), "{body:?}");
+}
+
 #[test]
 fn comments_do_not_reset_the_read_timeout() {
     let listener = TcpListener::bind(any_port()).expect("a free port");
