Reckon with a stop signal that came during a suspension

The daemon had been frozen from 2.98 to 6.43 s, the SIGTERM came at 5.06 s and was seen at 6.43 s.

Cause: the grace period was taken to begin when the signal is seen. A signal that arrives during a suspension is seen at its end, so that the period may have begun as early as the suspension.

New requests are now accepted only as far as the grace period leaves time from the earliest moment at which the signal may have come; later ones are refused as not run. What is in progress goes on as before, as the signal may also be new.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -4,6 +4,7 @@
 //! Everything runs as tasks on one thread. Decisions are pure code in
 //! `routing`, `placement`, `leadership`, `fleet`, `retry_budget` and `suspects`.
 
+pub mod activity;
 pub mod admission;
 pub mod body_memory;
 pub mod caller_stream;
@@ -53,6 +54,7 @@
 
 use crate::clock::{Clock, Moment};
 use crate::metrics::{Metrics, MetricsError};
+use activity::Activity;
 use client::Client;
 use listen::{ListenerKind, ListenerStop};
 use settings::Settings;
@@ -64,10 +66,6 @@
 const SHUTDOWN_POLL_PERIOD: Duration = Duration::from_millis(50);
 /// Period of checking the settings file, which may change without a signal.
 const SETTINGS_POLL_PERIOD: Duration = Duration::from_secs(2);
-/// Period of closing expired connections and of checking for a suspension.
-const MAINTENANCE_PERIOD: Duration = Duration::from_millis(500);
-/// Delay of that check above which the process counts as suspended.
-const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(700);
 
 /// Error that ends the daemon.
 #[derive(Debug, thiserror::Error)]
@@ -100,6 +98,7 @@
         metrics: Metrics::new()?,
         phase: Cell::new(DaemonPhase::Starting),
         shutdown: Cell::default(),
+        activity: RefCell::new(Activity::new(clock::now())),
         body_bytes: Cell::default(),
         state: RefCell::default(),
         changed: tokio::sync::watch::Sender::new(0),
@@ -192,13 +191,16 @@
     stop: &watch::Sender<ListenerStop>,
     listeners: Vec<JoinHandle<()>>,
 ) {
+    let now = clock::now();
     let shutdown = Shutdown {
-        started_at: clock::now(),
+        started_at: now,
+        signaled_at: edge.activity.borrow_mut().earliest_signal(now),
         grace: edge.settings().bounds.grace(),
     };
     edge.shutdown.set(Some(shutdown));
     edge.phase.set(DaemonPhase::Stopping);
-    log::info!(requests = edge.state.borrow().active_requests; "stopping");
+    let delay_ms = (now - shutdown.signaled_at).as_millis() as u64;
+    log::info!(requests = edge.state.borrow().active_requests, delay_ms; "stopping");
     edge.send_wake.notify_one();
     stop.send_replace(ListenerStop::EndConnections);
     // Apart from the rest, which a store that does not answer must not delay.
@@ -261,18 +263,15 @@
 /// Closes expired connections, detects a suspension of the process and updates the
 /// metric of waiting requests.
 async fn maintain(edge: Rc<Edge>) {
-    let mut last = clock::now();
     loop {
-        tokio::time::sleep(MAINTENANCE_PERIOD).await;
-        let now = clock::now();
-        let delay = now.saturating_sub(last).saturating_sub(MAINTENANCE_PERIOD);
-        if delay > SUSPENSION_THRESHOLD {
+        tokio::time::sleep(activity::CHECK_PERIOD).await;
+        let suspended = edge.activity.borrow_mut().check(clock::now());
+        if let Some(delay) = suspended {
             let ms = delay.as_millis() as u64;
             log::warn!(ms; "process was suspended");
             edge.client.drop_all_idle();
             edge.call_client.drop_all_idle();
         }
-        last = now;
         edge.client.drop_expired();
         edge.call_client.drop_expired();
         let waiting = edge
--- a/src/edge/shutdown.rs
+++ b/src/edge/shutdown.rs
@@ -23,8 +23,11 @@
 /// A planned shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shutdown {
-    /// When the signal arrived.
+    /// When the signal was seen.
     pub started_at: Moment,
+    /// Earliest time at which it may have arrived. The grace period may have begun then, so
+    /// new requests are accepted only as far as that leaves time.
+    pub signaled_at: Moment,
     /// Grace period, after which the process is killed.
     pub grace: Duration,
 }
@@ -32,7 +35,7 @@
 impl Shutdown {
     /// Returns whether a request of this kind is still accepted.
     pub fn accepts(&self, kind: RouteKind, now: Moment) -> bool {
-        let age = now.saturating_sub(self.started_at);
+        let age = now.saturating_sub(self.signaled_at);
         match kind {
             RouteKind::Stream => age < STREAM_ACCEPT_TIME.min(self.grace / 3),
             RouteKind::Idempotent | RouteKind::Once => now < self.reject_at(),
@@ -47,12 +50,13 @@
 
     /// Returns when the listener closes.
     pub fn close_at(&self) -> Moment {
-        self.started_at + self.grace.mul_f64(ACCEPT_SHARE)
+        self.signaled_at + self.grace.mul_f64(ACCEPT_SHARE)
     }
 
     /// Returns when requests that were not sent are refused.
     pub fn reject_at(&self) -> Moment {
-        self.exit_at().saturating_sub(REJECT_MARGIN)
+        let exit_at = self.signaled_at + self.grace.mul_f64(EXIT_SHARE);
+        exit_at.saturating_sub(REJECT_MARGIN)
     }
 
     /// Returns when requests in progress are answered with a failure.
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -8,6 +8,7 @@
 
 use tokio::sync::{Notify, watch};
 
+use super::activity::Activity;
 use super::client::Client;
 use super::clock;
 use super::demand::{DecayingDemand, Demand, DemandMeter, ModelKey};
@@ -71,6 +72,8 @@
     pub phase: Cell<DaemonPhase>,
     /// The shutdown, once it has started.
     pub shutdown: Cell<Option<Shutdown>>,
+    /// When the process ran.
+    pub activity: RefCell<Activity>,
     /// Bytes of callers' bodies that are buffered.
     pub body_bytes: Cell<u64>,
     /// Mutable state.
--- a/tests/edge/planned_stop.rs
+++ b/tests/edge/planned_stop.rs
@@ -127,6 +127,24 @@
     }
 }
 
+/// Guards against a booking that is accepted and lost in the kill: the signal came during a
+/// freeze of the process, which left less of the grace period than the daemon expected.
+#[test]
+fn a_stop_that_may_have_come_during_a_freeze_accepts_no_booking() {
+    let site = start();
+    let mut stream = kept_connection(&site, "l1");
+    site.daemon.signal(libc::SIGSTOP);
+    sleep(Duration::from_secs_f64(GRACE_S));
+    site.daemon.signal(libc::SIGTERM);
+    site.daemon.signal(libc::SIGCONT);
+    wait("the stop", || !site.daemon.logged("stopping").is_empty());
+    let _ = stream.write_all(&Request::new("/book/", "b1").bytes(false));
+    let answer = read_response(&mut stream);
+    // The idle connection may have been closed before the request came.
+    assert!([503, 0].contains(&answer.status), "{answer:?}");
+    assert_eq!(site.arrivals("b1"), 0);
+}
+
 /// The process ended while a request was at an engine: the caller got no answer at all.
 #[test]
 fn a_request_in_progress_at_the_exit_is_answered() {
--- a/tests/edge/shutdown.rs
+++ b/tests/edge/shutdown.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mastichinge::clock::Moment;
+use mastichinge::edge::activity::Activity;
 use mastichinge::edge::desired::RouteKind;
 use mastichinge::edge::shutdown::Shutdown;
 use test_case::test_case;
@@ -21,6 +22,7 @@
     let started_at = Moment::from_secs(50);
     let shutdown = Shutdown {
         started_at,
+        signaled_at: started_at,
         grace: Duration::from_secs(8),
     };
     assert_eq!(
@@ -42,8 +44,40 @@
     let started_at = Moment::from_secs(50);
     let shutdown = Shutdown {
         started_at,
+        signaled_at: started_at,
         grace: Duration::from_secs(8),
     };
     let now = started_at + Duration::from_millis(ms);
     assert_eq!(shutdown.allows_send(begun, now), allowed);
 }
+
+/// Guards against requests that are accepted and then lost in the kill: the signal arrived
+/// during a suspension, so that the grace period is nearly over when it is seen.
+#[test_case(RouteKind::Stream; "a stream")]
+#[test_case(RouteKind::Once; "a short call")]
+fn nothing_is_accepted_when_the_signal_may_have_come_a_grace_period_ago(kind: RouteKind) {
+    let mut activity = Activity::new(Moment::from_secs(50));
+    let now = Moment::from_secs(60);
+    let shutdown = Shutdown {
+        started_at: now,
+        signaled_at: activity.earliest_signal(now),
+        grace: Duration::from_secs(8),
+    };
+    assert!(!shutdown.accepts(kind, now));
+    assert!(!shutdown.allows_send(false, now));
+    assert!(shutdown.allows_send(true, now), "a begun stream goes on");
+    assert!(shutdown.close_at() < now);
+    assert!(now < shutdown.answer_at(), "what is in progress goes on");
+}
+
+/// A signal outside a suspension has arrived when it is seen.
+#[test]
+fn the_grace_period_is_whole_without_a_suspension() {
+    let mut activity = Activity::new(Moment::from_secs(50));
+    assert_eq!(
+        activity.check(Moment::from_secs(53)),
+        Some(Duration::from_millis(2_500))
+    );
+    let now = Moment::from_secs(53) + Duration::from_millis(450);
+    assert_eq!(activity.earliest_signal(now), now);
+}
