Count a comment alone as no event of a stream

A stream that sent a comment and then lost its connection in order, without any event, was taken for complete: the comment counted as its first event.

The decoder now asks for a line that is more than a comment. The case of tests/edge/decisions.rs failed before.

--- a/src/edge/events.rs
+++ b/src/edge/events.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum EndPlace {
-    /// Before the first whole event.
+    /// Before the first whole event; comments are none.
     BeforeEvents,
     /// After whole events.
     BetweenEvents,
@@ -34,7 +34,7 @@
     scanned: usize,
     /// Start of the line in which the scan stopped.
     line_start: usize,
-    /// Whether it has yielded an event.
+    /// Whether it has yielded an event that is more than a comment.
     started: bool,
 }
 
@@ -51,16 +51,15 @@
         let bytes = self.buffer.split_to(length).freeze();
         (self.scanned, self.line_start) = (0, 0);
         let id = event_id(&bytes);
-        self.started = true;
+        self.started |= has_field(&bytes);
         Some(Event { bytes, id })
     }
 
     /// Returns where the stream ends if no more bytes come.
     pub fn end_place(&self) -> EndPlace {
-        if is_inside_event(&self.buffer) {
-            return EndPlace::InsideEvent;
-        }
+        let ends_line = matches!(&self.buffer[..], [] | [.., b'\n']);
         match self.started {
+            _ if !ends_line || has_field(&self.buffer) => EndPlace::InsideEvent,
             true => EndPlace::BetweenEvents,
             false => EndPlace::BeforeEvents,
         }
@@ -96,13 +95,10 @@
     }
 }
 
-/// Returns whether the bytes after a whole event begin another one. Empty lines and
-/// comments do not.
-fn is_inside_event(rest: &[u8]) -> bool {
-    let mut lines = rest.split(|b| *b == b'\n');
-    let unfinished = lines.next_back().unwrap_or_default();
+/// Returns whether there is a line that is neither empty nor a comment.
+fn has_field(lines: &[u8]) -> bool {
     let is_field = |line: &[u8]| !matches!(line, [] | b"\r" | [b':', ..]);
-    !unfinished.is_empty() || lines.any(is_field)
+    lines.split(|b| *b == b'\n').any(is_field)
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/tests/edge/decisions.rs
+++ b/tests/edge/decisions.rs
@@ -6,13 +6,14 @@
 use mastichinge::clock::Moment;
 use mastichinge::edge::demand::{DemandMeter, ModelKey};
 use mastichinge::edge::desired::{Route, RouteKind, WeightedService};
-use mastichinge::edge::events::EventDecoder;
+use mastichinge::edge::events::{EndPlace, EventDecoder};
 use mastichinge::edge::members::{ALIVE_TIMEOUT, MemberRecord, Members};
 use mastichinge::edge::prefix_cache::PrefixCache;
 use mastichinge::edge::request_headers::{Prompt, PromptPart};
 use mastichinge::edge::routing::{EngineCandidate, EngineSlowdown, PrefillQueue, best_candidate};
 use mastichinge::edge::suspects::{HOLD_TIME, Suspects, fingerprint};
 use proptest::prelude::*;
+use test_case::test_case;
 
 fn at(ms: u64) -> Moment {
     Moment::from_millis(100_000 + ms)
@@ -58,6 +59,25 @@
     }
 }
 
+/// Guards against ORDER: a stream counts as ended between events only where none has begun,
+/// and as one with events only after one that is more than a comment.
+#[test_case("", EndPlace::BeforeEvents; "nothing")]
+#[test_case("\n", EndPlace::BeforeEvents; "an empty line")]
+#[test_case(": ping\n\n", EndPlace::BeforeEvents; "a comment alone")]
+#[test_case("data: 1\n\n", EndPlace::BetweenEvents; "after an event")]
+#[test_case("data: 1\n\n\r\n", EndPlace::BetweenEvents; "after an empty line")]
+#[test_case("data: 1\r\n\r\n: ping\n", EndPlace::BetweenEvents; "after a comment")]
+#[test_case("data: 1\n\n: pi", EndPlace::InsideEvent; "in a comment")]
+#[test_case("data: 1\n\nd", EndPlace::InsideEvent; "in a line")]
+#[test_case("data: 1\n\n: ping\ndata: 2\n", EndPlace::InsideEvent; "without the empty line")]
+#[test_case("data: 1\n", EndPlace::InsideEvent; "in the first event")]
+fn the_end_of_a_stream_is_judged_by_its_events(text: &str, place: EndPlace) {
+    let mut decoder = EventDecoder::default();
+    assert!(decoder.push(text.as_bytes()));
+    while decoder.next_event().is_some() {}
+    assert_eq!(decoder.end_place(), place);
+}
+
 #[test]
 fn a_request_is_held_after_crashes_of_two_engines_until_the_hold_time_passes() {
     let mut suspects = Suspects::default();
