Send nothing new to an engine that says in a response that it leaves

Engines that leave say so in all their responses (Server-Leaving: 1), while their entry in the store may still say that they are ready. They went on getting requests until the store said otherwise (rule DRAIN).

The header counts in any response that belongs to its request, and in answers to orders and reports. The engine is draining then for this host, and for the others with the next packet, until it has started again, also while its entry is missing or older.

--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -23,6 +23,8 @@
 /// Age at which the load that another daemon reported is ignored.
 const PEER_LOAD_MAX_AGE: Duration = Duration::from_secs(3);
 
+/// Maximum number of engines whose leaving is remembered while they are not listed.
+const MAX_UNLISTED_LEAVING: usize = 10_000;
 /// Time constant of the exponential decay of the failure score, s.
 const FAILURE_DECAY_S: f64 = 5.0;
 
@@ -283,6 +285,9 @@
 pub struct Fleet {
     /// Engines by id.
     pub engines: BTreeMap<Arc<str>, Upstream>,
+    /// Engines that have said that they leave, with the start time to which that applies.
+    /// Kept without an entry, which may be back later or older.
+    leaving: HashMap<Arc<str>, u64>,
     /// Engines at which other daemons have requests in progress, by daemon.
     peer_engines: HashMap<Arc<str>, Vec<Arc<str>>>,
 }
@@ -321,8 +326,39 @@
         changes
     }
 
-    fn merge_entry(&mut self, entry: EngineEntry, now: Moment) -> Option<(Arc<str>, EngineChange)> {
+    /// Records that an engine that started at `incarnation` has said that it leaves; returns
+    /// whether that is news. It gets no new requests until it has started again.
+    pub fn record_leaving(&mut self, id: &Arc<str>, incarnation: u64) -> bool {
+        if self.is_leaving(id, incarnation) {
+            return false;
+        }
+        if self.leaving.len() >= MAX_UNLISTED_LEAVING {
+            let engines = &self.engines;
+            self.leaving.retain(|id, _| engines.contains_key(id));
+        }
+        self.leaving.insert(id.clone(), incarnation);
+        if let Some(engine) = self.engines.get_mut(id)
+            && engine.entry.incarnation <= incarnation
+        {
+            engine.entry.phase = EnginePhase::Draining;
+        }
+        true
+    }
+
+    /// Returns whether an engine that started at `incarnation` has said that it leaves.
+    fn is_leaving(&self, id: &str, incarnation: u64) -> bool {
+        self.leaving.get(id).is_some_and(|at| incarnation <= *at)
+    }
+
+    fn merge_entry(
+        &mut self,
+        mut entry: EngineEntry,
+        now: Moment,
+    ) -> Option<(Arc<str>, EngineChange)> {
         let id = entry.id.clone();
+        if self.is_leaving(&id, entry.incarnation) {
+            entry.phase = EnginePhase::Draining;
+        }
         let Some(known) = self.engines.get_mut(&id) else {
             self.engines.insert(id.clone(), Upstream::new(entry, now));
             return Some((id, EngineChange::Appeared));
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -123,6 +123,9 @@
         connection.drop_idle();
         return SendOutcome::Unproven("the response may be for another request".to_owned());
     }
+    if headers.leaving {
+        routed.edge.record_leaving(&choice.engine);
+    }
     if rejected {
         record_rejection(routed, choice, status);
         if attribution == Attribution::IdMatched {
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -39,6 +39,27 @@
     /// Prompts that were sent to engines.
     #[prost(message, repeated, tag = "8")]
     pub sent_prompts: Vec<PromptNote>,
+    /// Engines that have said that they leave.
+    #[prost(message, repeated, tag = "15")]
+    pub leaving: Vec<LeavingNote>,
+}
+
+impl Packet {
+    /// Returns whether it has notes that every daemon should get, also a silent one.
+    pub fn is_for_all(&self) -> bool {
+        !self.crash_reports.is_empty() || !self.leaving.is_empty()
+    }
+}
+
+/// An engine that has said that it leaves.
+#[derive(Clone, PartialEq, Message)]
+pub struct LeavingNote {
+    /// Id of the engine.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// Start time of the engine, ms since the Unix epoch; 0 when unknown.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
 }
 
 /// A daemon's sign of life.
--- a/src/edge/leader/mod.rs
+++ b/src/edge/leader/mod.rs
@@ -17,7 +17,7 @@
 use super::placement::EngineCall;
 use super::relays;
 use super::state::Edge;
-use crate::platform::orders;
+use crate::platform::{headers, orders};
 
 /// Pause between two decisions while a load, an unload or a call is in progress.
 const BUSY_PAUSE: Duration = Duration::from_millis(15);
@@ -174,7 +174,7 @@
 /// Calls an engine, and marks it as down when the request could not be sent.
 async fn call_engine<F>(
     edge: &Edge,
-    engine: &str,
+    engine: &Arc<str>,
     request: F,
 ) -> Result<http::Response<bytes::Bytes>, SendError>
 where
@@ -190,8 +190,12 @@
     let request = request(&addr.to_string());
     let request = request.map_err(|e| SendError::NotSent(e.to_string()))?;
     let outcome = edge.call_client.call(addr, request, CALL_LIMITS).await;
-    if let Err(SendError::NotSent(_)) = &outcome {
-        edge.mark_down(engine);
+    match &outcome {
+        Ok(response) if headers::parse_response(response.headers()).leaving => {
+            edge.record_leaving(engine);
+        }
+        Err(SendError::NotSent(_)) => edge.mark_down(engine),
+        _ => {}
     }
     outcome
 }
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -104,10 +104,10 @@
     let leader = leader.map(|(host, member)| (host.clone(), member.peers));
     let heartbeat = is_heartbeat.then(|| heartbeat(edge, state, now));
     let round = reporter.next_round(state, heartbeat, leader.as_ref().map(|(h, _)| h), now);
-    // Daemons that are silent read crash reports when they are thawed.
+    // Daemons that are silent read notes for all when they are thawed.
     let mut others = match (&round.everyone, is_heartbeat) {
         (_, true) => state.members.take_due(now),
-        (packet, _) if !packet.crash_reports.is_empty() => state.members.take_due(now),
+        (packet, _) if packet.is_for_all() => state.members.take_due(now),
         (packet, _) if !packet.sent_prompts.is_empty() => state.members.alive_addrs(now),
         _ => Vec::new(),
     };
@@ -296,6 +296,9 @@
     if effects.models_changed {
         edge.notify_waiting();
     }
+    for engine in &effects.leaving {
+        edge.announce_leaving(engine, &host);
+    }
     if effects.waits_anew && is_leader {
         edge.order_wake.notify_one();
     }
@@ -303,8 +306,10 @@
 }
 
 /// Effects of a packet.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PacketEffects {
+    /// Engines of which this daemon did not know that they leave.
+    pub leaving: Vec<Arc<str>>,
     /// Whether the models on engines have changed.
     pub models_changed: bool,
     /// Whether requests at the sender wait for a further target, or an engine lacks one.
@@ -358,6 +363,12 @@
             let engine = note.engine.as_str().into();
             self.suspects.record_crash(note.fingerprint, &engine, now);
         }
+        for note in &packet.leaving {
+            let engine = note.engine.as_str().into();
+            if self.fleet.record_leaving(&engine, note.incarnation) {
+                effects.leaving.push(engine);
+            }
+        }
         for note in &packet.announcements {
             effects.models_changed |= self
                 .fleet
--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -7,8 +7,8 @@
 
 use super::demand::{Demand, ModelKey};
 use super::gossip::{
-    CrashReport, DemandNote, DemandReport, Heartbeat, LoadNote, LoadReport, Packet, PromptNote,
-    TargetCount, WaitingNote, WaitingReport,
+    CrashReport, DemandNote, DemandReport, Heartbeat, LeavingNote, LoadNote, LoadReport, Packet,
+    PromptNote, TargetCount, WaitingNote, WaitingReport,
 };
 use super::members::{HEARTBEAT_PERIOD, MAX_DIRECT_MEMBERS};
 use super::state::State;
@@ -41,8 +41,7 @@
     /// Returns whether there is anything for daemons other than the leader.
     pub fn is_for_everyone(&self) -> bool {
         let packet = &self.everyone;
-        let has_notes = !packet.crash_reports.is_empty() || !packet.sent_prompts.is_empty();
-        packet.heartbeat.is_some() || has_notes
+        packet.heartbeat.is_some() || packet.is_for_all() || !packet.sent_prompts.is_empty()
     }
 }
 
@@ -135,7 +134,7 @@
     }
 }
 
-/// Adds the crash reports and the sent prompts, which other daemons should get at once.
+/// Adds the notes that other daemons should get at once.
 fn add_urgent_notes(state: &mut State, packet: &mut Packet) {
     for (fingerprint, engine) in state.crash_reports.drain(..) {
         let engine = engine.to_string();
@@ -144,6 +143,13 @@
             engine,
         });
     }
+    for (engine, incarnation) in state.leaving_notes.drain(..) {
+        let engine = engine.to_string();
+        packet.leaving.push(LeavingNote {
+            engine,
+            incarnation,
+        });
+    }
     // Prompts beyond the limit are reported as load by the next report.
     for sent in state.sent_prompts.drain(..).take(PROMPTS_PER_PACKET) {
         packet.sent_prompts.push(PromptNote {
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -13,7 +13,7 @@
 use super::clock;
 use super::demand::{DecayingDemand, Demand, DemandMeter, ModelKey};
 use super::desired::DesiredState;
-use super::fleet::{Fleet, SentPrompt, Upstream};
+use super::fleet::{EngineChange, Fleet, SentPrompt, Upstream};
 use super::gossip::PromptNote;
 use super::leadership::{Leadership, PeerReach};
 use super::load_forecast::LoadForecast;
@@ -122,6 +122,8 @@
     pub serial: u64,
     /// Crashes (fingerprint and engine) not yet reported to other daemons.
     pub crash_reports: Vec<(u64, Arc<str>)>,
+    /// Engines that leave, with their start times, not yet reported to other daemons.
+    pub leaving_notes: Vec<(Arc<str>, u64)>,
     /// Leadership of this daemon, if it is the leader.
     pub leadership: Option<Leadership>,
     /// Placement decisions of that leadership.
@@ -260,6 +262,30 @@
         }
     }
 
+    /// Records that an engine has said that it leaves, and tells the other daemons.
+    pub fn record_leaving(&self, engine: &Arc<str>) {
+        let mut state = self.state.borrow_mut();
+        let Some(upstream) = state.fleet.engines.get(engine) else {
+            return;
+        };
+        let incarnation = upstream.entry.incarnation;
+        if !state.fleet.record_leaving(engine, incarnation) {
+            return;
+        }
+        state.leaving_notes.push((engine.clone(), incarnation));
+        drop(state);
+        self.announce_leaving(engine, "response");
+        self.send_wake.notify_one();
+    }
+
+    /// Logs that an engine leaves, and wakes the tasks that decide anew without it.
+    pub fn announce_leaving(&self, engine: &str, source: &str) {
+        let change: &'static str = EngineChange::Draining.into();
+        log::info!(engine, change, source; "engine changed");
+        self.notify_waiting();
+        self.order_wake.notify_one();
+    }
+
     /// Records that an engine cannot serve `target`: it reported it missing or accepts no
     /// connection.
     pub fn record_missing(&self, engine: &str, target: &ModelTarget) {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -23,6 +23,8 @@
     HeaderName::from_static("x-mastichinge-expect-instance");
 /// Running requests, waiting requests and slots of the engine.
 const LOAD: HeaderName = HeaderName::from_static("x-mastichinge-server-load");
+/// Marks a response of an engine that is about to stop.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Marks a response of an engine that did not run the request.
 const NOT_RUN: HeaderName = HeaderName::from_static("x-mastichinge-not-run");
 /// Model, with an adapter after a slash.
@@ -160,6 +162,8 @@
     pub idle_timeout: Option<Duration>,
     /// Whether the engine closes the connection after it.
     pub closes: bool,
+    /// Whether the engine is about to stop.
+    pub leaving: bool,
 }
 
 /// Parses the headers of an engine's response.
@@ -178,6 +182,7 @@
         not_run: headers.contains_key(&NOT_RUN),
         idle_timeout,
         closes: connection.eq_ignore_ascii_case("close"),
+        leaving: header_text(headers, &LEAVING).is_some_and(|v| v.trim() == "1"),
     }
 }
 
--- a/tests/edge/fakes/engine.rs
+++ b/tests/edge/fakes/engine.rs
@@ -133,6 +133,10 @@
 #[derive(Default)]
 struct EngineState {
     behavior: Behavior,
+    /// Headers of all responses.
+    headers: Vec<(&'static str, String)>,
+    /// Start time, ms since the Unix epoch.
+    born: u64,
     framing: Framing,
     /// When the engine goes on writing responses.
     stalled_until: Option<Instant>,
@@ -184,6 +188,7 @@
         let (sender, receiver) = std::sync::mpsc::channel();
         let state = EngineState {
             models: models.iter().map(|m| (*m).to_owned()).collect(),
+            born: 1_000,
             ..EngineState::default()
         };
         let (id, service, store) = (id.to_owned(), service.to_owned(), store.clone());
@@ -233,17 +238,14 @@
 
     fn register_as(&self, id: &str, state: &str) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        let models: Vec<Value> = self
-            .state
-            .lock()
-            .unwrap()
-            .models
-            .iter()
-            .map(model_json)
-            .collect();
+        let (models, born): (Vec<Value>, u64) = {
+            let state = self.state.lock().unwrap();
+            let models = state.models.iter().map(model_json).collect();
+            (models, state.born)
+        };
         let entry = json!({"service": self.service, "addr": self.addr.to_string(),
             "zone": "north", "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
-            "stage": "both", "models": models, "seq": sequence, "born": 1_000});
+            "stage": "both", "models": models, "seq": sequence, "born": born});
         self.store.put("servers", id, &entry);
     }
 
@@ -345,6 +347,41 @@
         }
     }
 
+    /// Starts a new lifetime under the same id, without added headers, and registers it.
+    pub fn start_again(&self) {
+        {
+            let mut state = self.state.lock().unwrap();
+            state.born += 1_000;
+            state.headers.clear();
+        }
+        self.register("ready");
+    }
+
+    /// Adds a header to all responses from now on.
+    pub fn add_header(&self, name: &'static str, value: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.headers.push((name, value.to_owned()));
+    }
+
+    /// Returns the headers of all responses.
+    fn headers(&self) -> Vec<(&'static str, String)> {
+        self.state.lock().unwrap().headers.clone()
+    }
+
+    /// Writes a response with the headers of all responses.
+    async fn respond(
+        &self,
+        stream: &mut TcpStream,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> std::io::Result<()> {
+        let added = self.headers();
+        let added = added.iter().map(|(name, value)| (*name, value.as_str()));
+        let headers: Vec<_> = headers.iter().copied().chain(added).collect();
+        write_response(stream, status, &headers, body).await
+    }
+
     fn behavior(&self) -> Behavior {
         self.state.lock().unwrap().behavior
     }
@@ -357,7 +394,8 @@
     ) -> std::io::Result<()> {
         let id = request.header("x-mastichinge-request-id");
         let body = format!("answer to {id}");
-        write_response(stream, 200, &signed(id), body.as_bytes()).await
+        self.respond(stream, 200, &signed(id), body.as_bytes())
+            .await
     }
 
     /// Sends a response that is late: the next request has arrived.
@@ -368,7 +406,7 @@
         headers: &[(&str, &str)],
     ) -> std::io::Result<()> {
         self.state.lock().unwrap().late_responses += 1;
-        write_response(stream, status, headers, b"late").await
+        self.respond(stream, status, headers, b"late").await
     }
 
     async fn report(&self, stream: &mut TcpStream) -> std::io::Result<()> {
@@ -376,9 +414,10 @@
             let state = self.state.lock().unwrap();
             let models: Vec<Value> = state.models.iter().map(model_json).collect();
             json!({"stage": "both", "models": models, "inFlight": false,
-                "seq": state.accepted_orders, "queued": 0, "active": 0, "born": 1_000})
+                "seq": state.accepted_orders, "queued": 0, "active": 0, "born": state.born})
         };
-        write_response(stream, 200, &[], report.to_string().as_bytes()).await
+        self.respond(stream, 200, &[], report.to_string().as_bytes())
+            .await
     }
 
     async fn order(
@@ -407,7 +446,8 @@
             state.received_orders.push(order);
             accepted
         };
-        write_response(stream, if accepted { 202 } else { 409 }, &[], b"").await
+        self.respond(stream, if accepted { 202 } else { 409 }, &[], b"")
+            .await
     }
 
     async fn run_request(
@@ -440,7 +480,7 @@
         let is_expected =
             expected == self.id || self.state.lock().unwrap().aliases.contains(&expected);
         if !is_expected || !loaded {
-            return write_response(stream, 421, &not_run, b"").await;
+            return self.respond(stream, 421, &not_run, b"").await;
         }
         let rejects = matches!(behavior, Behavior::Full | Behavior::FullWithoutId) || rejects_first;
         if !rejects {
@@ -457,7 +497,7 @@
                 Behavior::FullWithoutId => &not_run[1..],
                 _ => &not_run[..],
             };
-            return write_response(stream, 503, headers, b"full").await;
+            return self.respond(stream, 503, headers, b"full").await;
         }
         match behavior {
             Behavior::Reset => return reset(stream),
@@ -470,13 +510,13 @@
             }
             Behavior::RejectsAnother => {
                 let another = [("X-Mastichinge-Request-Id", "another"), not_run[1]];
-                return write_response(stream, 503, &another, b"full").await;
+                return self.respond(stream, 503, &another, b"full").await;
             }
             Behavior::Answers(status) => {
-                return write_response(stream, status, &signed, b"answer").await;
+                return self.respond(stream, status, &signed, b"answer").await;
             }
             Behavior::Early => return Ok(()),
-            Behavior::Failing => return write_response(stream, 500, &signed, b"failed").await,
+            Behavior::Failing => return self.respond(stream, 500, &signed, b"failed").await,
             Behavior::Endless(place) => return self.send_endless(stream, place, &id).await,
             Behavior::TwoLengths(size) => {
                 let response = format!(
@@ -517,7 +557,7 @@
             self.answer(stream, &request).await?;
             if behavior == Behavior::Extra {
                 let body = format!("second answer to {id}");
-                write_response(stream, 200, &signed, body.as_bytes()).await?;
+                self.respond(stream, 200, &signed, body.as_bytes()).await?;
             }
             return Ok(());
         }
@@ -532,11 +572,14 @@
         behavior: Behavior,
     ) -> std::io::Result<()> {
         let framing = self.state.lock().unwrap().framing;
-        let encoding = framing.header();
+        let mut headers = framing.header().to_owned();
+        for (name, value) in self.headers() {
+            headers.push_str(&format!("{name}: {value}\r\n"));
+        }
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
              X-Mastichinge-Request-Id: {id}\r\nX-Mastichinge-Server-Stamp: stamp\r\n\
-             {encoding}\r\n"
+             {headers}\r\n"
         );
         stream.write_all(head.as_bytes()).await?;
         for event in after + 1..=EVENTS {
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -14,6 +14,7 @@
 mod hostile_callers;
 mod large_fleet;
 mod leadership;
+mod leaving;
 mod load_forecast;
 #[path = "../env/loopback.rs"]
 mod loopback;
