Survive an engine's idle timeout beyond any time

A caller's connection ended without an answer when its engine announced a Keep-Alive timeout near the largest number.

Cause: the time until which an idle connection is kept overflowed, and the panic ended the task of the caller's connection. The sum now saturates.

The test failed before: no response in the place of 200.

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -125,7 +125,7 @@
             Some(time) => time - IDLE_MARGIN,
             None => IDLE_TIMEOUT,
         };
-        let expires_at = clock::now() + keep_time;
+        let expires_at = clock::now().saturating_add(keep_time);
         self.reused = true;
         let mut pools = pools.borrow_mut();
         let pool = pools.entry(self.addr).or_default();
--- a/tests/edge/requests.rs
+++ b/tests/edge/requests.rs
@@ -134,6 +134,19 @@
     }
 }
 
+/// Guards against an answer that is lost because its engine announces an idle timeout
+/// beyond any time.
+#[test]
+fn an_answer_with_an_extreme_idle_timeout_is_relayed() {
+    let site = Site::start();
+    for engine in &site.plain {
+        engine.add_header("Keep-Alive", &format!("timeout={}", u64::MAX));
+    }
+    for i in 0..4 {
+        assert_eq!(site.send("/look/", &format!("l{i}")).status, 200);
+    }
+}
+
 #[test]
 fn a_surplus_response_is_never_used_for_the_next_request() {
     let site = Site::start();
