Send nothing to an engine in the pause that it asks for

An engine that turns a request away with 503 may add Retry-After: it wants nothing from this host for so long.

The pause is kept by the engine's id and start time, also while its entry is missing, and ends with a new lifetime. Requests go elsewhere; if all engines that could serve one ask for a pause, it waits for the shortest if it then still meets its objective, and is refused at once with that time otherwise, as another host may be welcome there. Orders and reports are no requests and go on.

The 5 cases of tests/edge/pauses.rs with a daemon fail when the pause is not recorded.

--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -50,6 +50,8 @@
     WaitForLoad(ModelTarget),
     /// Wait until its engine has less to read.
     Hold,
+    /// Wait for this time, until an engine takes requests of this host again.
+    Pause(Duration),
     /// No usable engine of its service is known.
     NoEngine,
     /// Refuse it.
@@ -118,6 +120,18 @@
         };
         match selection {
             Selection::NoEngine => AdmissionDecision::NoEngine,
+            // Another host may send to these engines, so that the caller had better return.
+            Selection::Paused { ready_in }
+                if self.waited.saturating_add(ready_in) > self.objective =>
+            {
+                AdmissionDecision::Refuse {
+                    kind: ErrorKind::NoCapacity,
+                    cause: "the engines want no requests of this host now",
+                    retry_after: ready_in,
+                    load: None,
+                }
+            }
+            Selection::Paused { ready_in } => AdmissionDecision::Pause(ready_in),
             Selection::UnknownModel => AdmissionDecision::Refuse {
                 kind: ErrorKind::UnknownModel,
                 cause: "unknown model",
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -280,6 +280,14 @@
     Removed,
 }
 
+/// Time in which an engine wants no requests of this host.
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    /// Start time of the engine that asked for it; another lifetime ends it.
+    incarnation: u64,
+    until: Moment,
+}
+
 /// All engines and plain upstreams by id.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -288,6 +296,8 @@
     /// Engines that have said that they leave, with the start time to which that applies.
     /// Kept without an entry, which may be back later or older.
     leaving: HashMap<Arc<str>, u64>,
+    /// Pauses for which engines have asked. Kept without an entry, too.
+    pauses: HashMap<Arc<str>, Pause>,
     /// Engines at which other daemons have requests in progress, by daemon.
     peer_engines: HashMap<Arc<str>, Vec<Arc<str>>>,
 }
@@ -326,6 +336,30 @@
         changes
     }
 
+    /// Records that an engine wants no requests of this host for `pause`.
+    pub fn record_pause(&mut self, id: &Arc<str>, pause: Duration, now: Moment) {
+        let Some(engine) = self.engines.get(id) else {
+            return;
+        };
+        let incarnation = engine.entry.incarnation;
+        let until = now.saturating_add(pause);
+        self.pauses.retain(|_, p| p.until > now);
+        let known = self
+            .pauses
+            .entry(id.clone())
+            .or_insert(Pause { incarnation, until });
+        if known.incarnation != incarnation || known.until < until {
+            *known = Pause { incarnation, until };
+        }
+    }
+
+    /// Returns how long an engine still wants no requests of this host.
+    pub fn pause_left(&self, engine: &Upstream, now: Moment) -> Option<Duration> {
+        let pause = self.pauses.get(&engine.entry.id)?;
+        let in_force = pause.incarnation == engine.entry.incarnation && pause.until > now;
+        in_force.then(|| pause.until - now)
+    }
+
     /// Records that an engine that started at `incarnation` has said that it leaves; returns
     /// whether that is news. It gets no new requests until it has started again.
     pub fn record_leaving(&mut self, id: &Arc<str>, incarnation: u64) -> bool {
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -340,6 +340,7 @@
                 }
                 HELD_RESELECT_INTERVAL
             }
+            AdmissionDecision::Pause(left) => left,
             AdmissionDecision::NoEngine
                 if attempts.persists()
                     && (attempts.route_allows_retry(routed) || !attempts.abandoned.is_empty()) =>
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -126,6 +126,7 @@
     if headers.leaving {
         routed.edge.record_leaving(&choice.engine);
     }
+    record_pause(routed, choice, &response);
     if rejected {
         record_rejection(routed, choice, status);
         if attribution == Attribution::IdMatched {
@@ -201,6 +202,24 @@
     }
 }
 
+/// Records for how long an engine wants no requests of this host.
+fn record_pause(routed: &RoutedRequest, choice: &SelectedEngine, response: &Response<Incoming>) {
+    let request = &*routed.headers.id;
+    let engine = &*choice.engine;
+    match headers::engine_pause(response.status(), response.headers()) {
+        Ok(None) => {}
+        Ok(Some(pause)) => {
+            let ms = pause.as_millis() as u64;
+            log::info!(request, engine, ms; "engine asks for a pause");
+            let mut state = routed.edge.state.borrow_mut();
+            state
+                .fleet
+                .record_pause(&choice.engine, pause, clock::now());
+        }
+        Err(error) => log::warn!(request, engine, error:%; "engine's pause ignored"),
+    }
+}
+
 /// Records the model or adapter that an engine lacks after status 421.
 fn record_rejection(routed: &RoutedRequest, choice: &SelectedEngine, status: StatusCode) {
     if status != StatusCode::MISDIRECTED_REQUEST {
--- a/src/edge/routing/mod.rs
+++ b/src/edge/routing/mod.rs
@@ -96,6 +96,11 @@
         /// Time until the load has ended, if the leader forecasts it.
         ready_in: Option<Duration>,
     },
+    /// The engines that could serve it want no requests of this host now.
+    Paused {
+        /// Shortest time until one of them takes requests again.
+        ready_in: Duration,
+    },
     /// The desired state does not name the model.
     UnknownModel,
 }
@@ -109,18 +114,16 @@
     }
     let hosting = context.desired.hosting(request.service);
     let (Some(prompt), Some(hosting)) = (request.prompt, hosting) else {
-        return match best_engine(context, request, &engines) {
-            Some(choice) => Selection::Engine(choice),
-            None => Selection::NoEngine,
-        };
+        return select_awake(context, request, &engines);
     };
     let name = prompt.target();
     let adapter = prompt.adapter.as_deref();
     let holds =
         |e: &&Upstream| e.has_model(&prompt.model, adapter, now) && !e.is_missing(&name, now);
     let holding: Vec<_> = engines.iter().copied().filter(holds).collect();
-    if let Some(choice) = best_engine(context, request, &holding) {
-        return Selection::Engine(choice);
+    let selection = select_awake(context, request, &holding);
+    if selection != Selection::NoEngine {
+        return selection;
     }
     let Some(model) = hosting.models.get(&prompt.model) else {
         return Selection::UnknownModel;
@@ -146,6 +149,24 @@
     }
 }
 
+/// Selects one of `engines` that has not asked for a pause.
+fn select_awake(
+    context: &RoutingContext<'_>,
+    request: &RoutingRequest<'_>,
+    engines: &[&Upstream],
+) -> Selection {
+    let pause_left = |e: &Upstream| context.fleet.pause_left(e, context.now);
+    let awake = engines.iter().copied().filter(|e| pause_left(e).is_none());
+    let awake: Vec<_> = awake.collect();
+    if let Some(choice) = best_engine(context, request, &awake) {
+        return Selection::Engine(choice);
+    }
+    match engines.iter().filter_map(|e| pause_left(e)).min() {
+        Some(ready_in) => Selection::Paused { ready_in },
+        None => Selection::NoEngine,
+    }
+}
+
 /// Returns the engine with the lowest cost. Engines to avoid, and engines whose circuit
 /// breaker is open, count only when there are no others.
 fn best_engine(
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -166,6 +166,35 @@
     pub leaving: bool,
 }
 
+/// A pause that cannot be decoded.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("Retry-After {0:?} is not a number of seconds")]
+pub struct InvalidPause(String);
+
+/// Returns for how long an engine that responds with `status` wants no requests of this
+/// host.
+///
+/// # Errors
+///
+/// Returns the value if it is not a number of seconds.
+pub fn engine_pause(
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> Result<Option<Duration>, InvalidPause> {
+    let Some(value) = headers.get(header::RETRY_AFTER) else {
+        return Ok(None);
+    };
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        return Ok(None);
+    }
+    let text = String::from_utf8_lossy(value.as_bytes());
+    let seconds = text.trim().parse::<f64>().ok();
+    let pause = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
+    pause
+        .map(Some)
+        .ok_or_else(|| InvalidPause(text.into_owned()))
+}
+
 /// Parses the headers of an engine's response.
 pub fn parse_response(headers: &HeaderMap) -> ResponseHeaders {
     let keep_alive =
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -19,6 +19,7 @@
 #[path = "../env/loopback.rs"]
 mod loopback;
 mod overload;
+mod pauses;
 mod placement;
 mod planned_stop;
 mod requests;
--- a/tests/simulation/simulator/requests.rs
+++ b/tests/simulation/simulator/requests.rs
@@ -119,6 +119,9 @@
             AdmissionDecision::Hold => {
                 self.schedule_after(HOLD_PERIOD, SimEvent::Route(index, tries))
             }
+            AdmissionDecision::Pause(left) => {
+                self.schedule_after(left, SimEvent::Route(index, tries))
+            }
             AdmissionDecision::NoEngine => {
                 self.schedule_after(ROUTE_PERIOD, SimEvent::Route(index, tries))
             }
