Share one stream type between the HTTP client and callers' connections

Both had a TCP stream behind an Rc and a RefCell, with the same five delegations, and each looked at the socket in its own way. SharedStream has them once; the client's handle is weak as before.

The reset of a truncated response without length or chunks is now set where the response is made, not asked for at each write, and the flag of the caller's stream that repeated the connection's is gone. No test was changed.

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -1,14 +1,11 @@
 //! HTTP client of engines and of the store, which reuses idle connections.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::error::Error;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,12 +15,12 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use super::clock;
+use super::shared_stream::{SharedStream, StreamHandle};
 use crate::clock::Moment;
 use crate::platform::headers;
 
@@ -57,8 +54,8 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
-    /// The socket, until the connection's task ends.
-    socket: Weak<Socket>,
+    /// The stream, until the connection's task ends.
+    stream: StreamHandle,
     addr: SocketAddr,
     /// Whether it carried another exchange before.
     reused: bool,
@@ -79,13 +76,11 @@
     }
 
     /// Returns whether the peer has sent nothing and has not closed the connection.
-    /// Asks the socket, because the event loop may not have seen what has arrived.
     fn is_silent(&self) -> bool {
-        let Some(socket) = self.socket.upgrade() else {
+        let Some(stream) = self.stream.upgrade() else {
             return false;
         };
-        let peeked = SockRef::from(&*socket.stream.borrow()).peek(&mut [MaybeUninit::uninit()]);
-        match peeked {
+        match stream.peek() {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => true,
             Err(error) => {
                 log::debug!(addr:% = self.addr, error:%; "idle connection failed");
@@ -101,8 +96,8 @@
     /// Limits what may arrive before the head of the next response is complete, or lifts
     /// that limit.
     fn limit_head(&self, bytes: Option<usize>) {
-        if let Some(socket) = self.socket.upgrade() {
-            socket.head_left.set(bytes);
+        if let Some(stream) = self.stream.upgrade() {
+            stream.limit_head(bytes);
         }
     }
 
@@ -260,12 +255,9 @@
         let stream = stream.map_err(|_| not_sent("connection timed out".to_owned()))?;
         let stream = stream.map_err(|e| not_sent(e.to_string()))?;
         set_socket_options(&stream);
-        let socket = Rc::new(Socket {
-            stream: RefCell::new(stream),
-            head_left: Cell::new(None),
-        });
-        let shared = Rc::downgrade(&socket);
-        let io = TokioIo::new(SharedStream(socket));
+        let stream = SharedStream::new(stream);
+        let handle = stream.handle();
+        let io = TokioIo::new(stream);
         let handshake = http1::Builder::new().handshake(io).await;
         let (sender, connection) = handshake.map_err(|e| not_sent(e.to_string()))?;
         let task = tokio::task::spawn_local(async move {
@@ -276,7 +268,7 @@
         Ok(Connection {
             sender,
             task,
-            socket: shared,
+            stream: handle,
             addr,
             reused: false,
             pools: Rc::downgrade(&self.pools),
@@ -322,69 +314,6 @@
     pub max_bytes: usize,
 }
 
-/// Socket of a connection, shared by its task and its handle.
-#[derive(Debug)]
-struct Socket {
-    stream: RefCell<TcpStream>,
-    /// Number of bytes that may still arrive before the head of a response is complete;
-    /// absent while none is awaited.
-    head_left: Cell<Option<usize>>,
-}
-
-/// Stream of a connection's task.
-#[derive(Debug)]
-struct SharedStream(Rc<Socket>);
-
-impl AsyncRead for SharedStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let head_left = self.0.head_left.get();
-        if head_left == Some(0) {
-            let error = "the head of the response is too long";
-            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
-        }
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf))?;
-        let arrived = buf.filled().len() - before;
-        let head_left = head_left.map(|left| left.saturating_sub(arrived));
-        self.0.head_left.set(head_left);
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for SharedStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.0.stream.borrow().is_write_vectored()
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
-    }
-}
-
 /// Sets the socket options of a connection: small writes are sent at once, and a peer
 /// that has vanished is detected.
 pub fn set_socket_options(stream: &TcpStream) {
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -1,6 +1,5 @@
 //! Listeners for callers, for queries about this host, and for metrics.
 
-use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
@@ -8,8 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
+use http::{Request, Response, StatusCode, Version};
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -23,6 +22,7 @@
 use super::connections::{Connection, Connections, EndCause, OpenConnection, Phase, PhaseLimits};
 use super::desired::RequestLimits;
 use super::forward::{self, response};
+use super::shared_stream::SharedStream;
 use super::state::Edge;
 use super::{client, clock};
 use crate::error::Kind;
@@ -194,18 +194,20 @@
         }
         client::set_socket_options(&stream);
         let accepted = Accepted {
+            stream: SharedStream::new(stream),
             kind: self.kind,
             has_room,
             open: self.connections.add(self.limits().head),
             stop: self.stop.clone(),
         };
-        tokio::task::spawn_local(serve_connection(self.edge.clone(), stream, accepted));
+        tokio::task::spawn_local(serve_connection(self.edge.clone(), accepted));
     }
 }
 
 /// An accepted connection.
 #[derive(Debug)]
 struct Accepted {
+    stream: SharedStream,
     kind: ListenerKind,
     /// Whether its requests are served; otherwise, they are refused.
     has_room: bool,
@@ -214,10 +216,9 @@
 }
 
 /// Serves one connection until it closes.
-async fn serve_connection(edge: Rc<Edge>, stream: TcpStream, accepted: Accepted) {
+async fn serve_connection(edge: Rc<Edge>, accepted: Accepted) {
     let connection = &accepted.open.state;
-    let socket = Rc::new(RefCell::new(stream));
-    let mut stream = CallerStream::new(socket.clone(), connection.clone());
+    let mut stream = CallerStream::new(accepted.stream.clone(), connection.clone());
     loop {
         let limits = edge.state.borrow().desired.limits;
         connection.set_head_bytes(limits.head);
@@ -237,7 +238,7 @@
                 return;
             }
             cause = connection.ended() => cause,
-            () = closed_in_request(&socket, connection) => return,
+            () = closed_in_request(&accepted.stream, connection) => return,
         };
         let parts = served.into_parts();
         stream = parts.io.into_inner();
@@ -315,7 +316,13 @@
     if *accepted.stop.borrow() >= ListenerStop::EndConnections {
         response::close_connection(&mut response);
     }
-    Ok(response.map(|body| TrackedBody::new(body, connection.clone(), version)))
+    let has_length = response.body().size_hint().exact().is_some();
+    if !has_length && version < Version::HTTP_11 {
+        // Only an orderly end marks the end of the response.
+        connection.end_response_by_close();
+        accepted.stream.reset_on_close(true);
+    }
+    Ok(response.map(|body| TrackedBody::new(body, connection.clone())))
 }
 
 /// Responds to a query about this host.
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -34,6 +34,7 @@
 pub mod retry_budget;
 pub mod routing;
 pub mod settings;
+pub mod shared_stream;
 pub mod shutdown;
 pub mod state;
 pub mod store;
