Keep what engines say of themselves in a file of its own

Leaving and pauses are one concern: statements that apply to a lifetime and outlive an entry.

An order's answer was decoded whole a second time for one header; that header has a function now. Behaviour is as before, no test was changed.

--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -9,6 +9,7 @@
 use super::prefix_cache::PrefixCache;
 use super::request_headers;
 use super::routing::{EngineSlowdown, PrefillQueue};
+use super::statements::Statements;
 use crate::clock::Moment;
 use crate::decide::breaker::{Breaker, BreakerConfig};
 
@@ -23,8 +24,6 @@
 /// Age at which the load that another daemon reported is ignored.
 const PEER_LOAD_MAX_AGE: Duration = Duration::from_secs(3);
 
-/// Maximum number of engines whose leaving is remembered while they are not listed.
-const MAX_UNLISTED_LEAVING: usize = 10_000;
 /// Time constant of the exponential decay of the failure score, s.
 const FAILURE_DECAY_S: f64 = 5.0;
 
@@ -280,24 +279,12 @@
     Removed,
 }
 
-/// Time in which an engine wants no requests of this host.
-#[derive(Clone, Copy, Debug)]
-struct Pause {
-    /// Start time of the engine that asked for it; another lifetime ends it.
-    incarnation: u64,
-    until: Moment,
-}
-
 /// All engines and plain upstreams by id.
 #[derive(Debug, Default)]
 pub struct Fleet {
     /// Engines by id.
     pub engines: BTreeMap<Arc<str>, Upstream>,
-    /// Engines that have said that they leave, with the start time to which that applies.
-    /// Kept without an entry, which may be back later or older.
-    leaving: HashMap<Arc<str>, u64>,
-    /// Pauses for which engines have asked. Kept without an entry, too.
-    pauses: HashMap<Arc<str>, Pause>,
+    statements: Statements,
     /// Engines at which other daemons have requests in progress, by daemon.
     peer_engines: HashMap<Arc<str>, Vec<Arc<str>>>,
 }
@@ -338,39 +325,27 @@
 
     /// Records that an engine wants no requests of this host for `pause`.
     pub fn record_pause(&mut self, id: &Arc<str>, pause: Duration, now: Moment) {
-        let Some(engine) = self.engines.get(id) else {
-            return;
-        };
-        let incarnation = engine.entry.incarnation;
-        let until = now.saturating_add(pause);
-        self.pauses.retain(|_, p| p.until > now);
-        let known = self
-            .pauses
-            .entry(id.clone())
-            .or_insert(Pause { incarnation, until });
-        if known.incarnation != incarnation || known.until < until {
-            *known = Pause { incarnation, until };
+        if let Some(engine) = self.engines.get(id) {
+            let incarnation = engine.entry.incarnation;
+            self.statements.record_pause(id, incarnation, pause, now);
         }
     }
 
     /// Returns how long an engine still wants no requests of this host.
     pub fn pause_left(&self, engine: &Upstream, now: Moment) -> Option<Duration> {
-        let pause = self.pauses.get(&engine.entry.id)?;
-        let in_force = pause.incarnation == engine.entry.incarnation && pause.until > now;
-        in_force.then(|| pause.until - now)
+        let entry = &engine.entry;
+        self.statements
+            .pause_left(&entry.id, entry.incarnation, now)
     }
 
     /// Records that an engine that started at `incarnation` has said that it leaves; returns
     /// whether that is news. It gets no new requests until it has started again.
     pub fn record_leaving(&mut self, id: &Arc<str>, incarnation: u64) -> bool {
-        if self.is_leaving(id, incarnation) {
+        let engines = &self.engines;
+        let is_listed = |id: &str| engines.contains_key(id);
+        if !self.statements.record_leaving(id, incarnation, is_listed) {
             return false;
         }
-        if self.leaving.len() >= MAX_UNLISTED_LEAVING {
-            let engines = &self.engines;
-            self.leaving.retain(|id, _| engines.contains_key(id));
-        }
-        self.leaving.insert(id.clone(), incarnation);
         if let Some(engine) = self.engines.get_mut(id)
             && engine.entry.incarnation <= incarnation
         {
@@ -379,18 +354,13 @@
         true
     }
 
-    /// Returns whether an engine that started at `incarnation` has said that it leaves.
-    fn is_leaving(&self, id: &str, incarnation: u64) -> bool {
-        self.leaving.get(id).is_some_and(|at| incarnation <= *at)
-    }
-
     fn merge_entry(
         &mut self,
         mut entry: EngineEntry,
         now: Moment,
     ) -> Option<(Arc<str>, EngineChange)> {
         let id = entry.id.clone();
-        if self.is_leaving(&id, entry.incarnation) {
+        if self.statements.is_leaving(&id, entry.incarnation) {
             entry.phase = EnginePhase::Draining;
         }
         let Some(known) = self.engines.get_mut(&id) else {
--- a/src/edge/leader/mod.rs
+++ b/src/edge/leader/mod.rs
@@ -191,7 +191,7 @@
     let request = request.map_err(|e| SendError::NotSent(e.to_string()))?;
     let outcome = edge.call_client.call(addr, request, CALL_LIMITS).await;
     match &outcome {
-        Ok(response) if headers::parse_response(response.headers()).leaving => {
+        Ok(response) if headers::is_leaving(response.headers()) => {
             edge.record_leaving(engine);
         }
         Err(SendError::NotSent(_)) => edge.mark_down(engine),
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -37,6 +37,7 @@
 pub mod shared_stream;
 pub mod shutdown;
 pub mod state;
+pub mod statements;
 pub mod store;
 pub mod store_watch;
 pub mod suspects;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -211,10 +211,15 @@
         not_run: headers.contains_key(&NOT_RUN),
         idle_timeout,
         closes: connection.eq_ignore_ascii_case("close"),
-        leaving: header_text(headers, &LEAVING).is_some_and(|v| v.trim() == "1"),
+        leaving: is_leaving(headers),
     }
 }
 
+/// Returns whether an engine's response says that the engine is about to stop.
+pub fn is_leaving(headers: &HeaderMap) -> bool {
+    header_text(headers, &LEAVING).is_some_and(|v| v.trim() == "1")
+}
+
 /// Returns whether an engine's response states that the engine did not run the request
 /// that it answers.
 pub fn is_rejection(status: StatusCode, headers: &ResponseHeaders) -> bool {
