--- a/src/edge/events.rs
+++ b/src/edge/events.rs
@@ -58,8 +58,10 @@
     /// Returns where the stream ends if no more bytes come.
     pub fn end_place(&self) -> EndPlace {
         let ends_line = matches!(&self.buffer[..], [] | [.., b'\n']);
+        if !ends_line || has_field(&self.buffer) {
+            return EndPlace::InsideEvent;
+        }
         match self.started {
-            _ if !ends_line || has_field(&self.buffer) => EndPlace::InsideEvent,
             true => EndPlace::BetweenEvents,
             false => EndPlace::BeforeEvents,
         }
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -9,6 +9,7 @@
 mod retry;
 mod send;
 mod silence;
+mod source;
 
 use std::convert::Infallible;
 use std::rc::Rc;
