--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -13,15 +13,13 @@
 use super::clock;
 use super::demand::{DecayingDemand, Demand, DemandMeter, ModelKey};
 use super::desired::DesiredState;
-use super::fleet::{EngineChange, Fleet, SentPrompt, Upstream};
+use super::fleet::{EngineChange, Fleet, SentPrompt};
 use super::gossip::PromptNote;
 use super::leadership::{Leadership, PeerReach};
 use super::load_forecast::LoadForecast;
 use super::members::Members;
 use super::placement::{EngineCall, ModelTarget, PlacementInput, Placer, WaitingRequests};
-use super::request_headers::Prompt;
 use super::retry_budget::{RetryBudget, RetryLimits};
-use super::routing::SelectedEngine;
 use super::settings::Settings;
 use super::shutdown::Shutdown;
 use super::store::StoreClient;
@@ -132,19 +130,6 @@
     pub active_requests: usize,
 }
 
-/// A request in progress at an engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct InFlightRequest {
-    /// Id of the engine.
-    pub engine: Arc<str>,
-    /// Start time of the engine; 0 when unknown.
-    incarnation: u64,
-    /// Number of the request at this daemon.
-    serial: u64,
-    /// Model or `model/adapter`.
-    target: Option<Arc<str>>,
-}
-
 /// Requests of this daemon that wait for one target.
 #[derive(Clone, Debug, Default)]
 pub struct WaitingTarget {
@@ -375,79 +360,6 @@
         wait.missing_reported = false;
     }
 
-    /// Records a request that is sent to an engine.
-    pub fn begin_request(
-        &mut self,
-        choice: &SelectedEngine,
-        prompt: Option<&Prompt>,
-        now: Moment,
-    ) -> InFlightRequest {
-        self.serial += 1;
-        let mut request = InFlightRequest {
-            engine: choice.engine.clone(),
-            incarnation: 0,
-            serial: self.serial,
-            target: prompt.map(Prompt::target),
-        };
-        let Some(upstream) = self.fleet.engines.get_mut(&choice.engine) else {
-            return request;
-        };
-        request.incarnation = upstream.entry.incarnation;
-        upstream.own_load.running += 1;
-        upstream.breaker.record_send(now);
-        let (Some(prompt), Some(target)) = (prompt, &request.target) else {
-            return request;
-        };
-        *upstream.own_load.targets.entry(target.clone()).or_default() += 1;
-        let key = ModelKey::new(&upstream.entry.service, &prompt.model);
-        let shared = choice.uncached.saturating_sub(prompt.own_tokens());
-        let shared_part = f64::from(shared) / f64::from(choice.uncached.max(1));
-        let work = choice.prefill_time.mul_f64(shared_part);
-        self.meter.add_work(key, work, now);
-        let prefixes = prompt.prefix_keys();
-        let sent = SentPrompt {
-            engine: choice.engine.clone(),
-            target: target.clone(),
-            prefill_time: choice.prefill_time,
-            uncached: choice.uncached,
-            prefix_keys: prefixes.into_iter().map(|(key, _)| key).collect(),
-        };
-        upstream.record_prompt(&sent, Some(request.serial), now);
-        self.sent_prompts.push(sent);
-        request
-    }
-
-    /// Returns the engine of a request, unless it has restarted since.
-    fn engine_of(&mut self, request: &InFlightRequest) -> Option<&mut Upstream> {
-        let upstream = self.fleet.engines.get_mut(&request.engine);
-        upstream.filter(|u| u.entry.incarnation == request.incarnation)
-    }
-
-    /// Records that an engine has read a request's prompt.
-    pub fn record_prompt_read(&mut self, request: &InFlightRequest, now: Moment) {
-        if let Some(upstream) = self.engine_of(request) {
-            upstream.queue.mark_read(request.serial, now);
-        }
-    }
-
-    /// Records that a request at an engine has ended.
-    pub fn end_request(&mut self, request: &InFlightRequest) {
-        let Some(upstream) = self.engine_of(request) else {
-            return;
-        };
-        upstream.queue.remove(request.serial);
-        upstream.own_load.running = upstream.own_load.running.saturating_sub(1);
-        let Some(target) = &request.target else {
-            return;
-        };
-        if let Some(count) = upstream.own_load.targets.get_mut(target) {
-            *count -= 1;
-            if *count == 0 {
-                upstream.own_load.targets.remove(target);
-            }
-        }
-    }
-
     /// Records the predicted and the measured time to the first event.
     pub fn record_first_event(
         &mut self,
