--- a/tests/edge/hostile_callers.rs
+++ b/tests/edge/hostile_callers.rs
@@ -1,26 +1,21 @@
 //! Hostile or faulty callers must not affect others.
 
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::Shutdown;
 
 use crate::fakes::daemon::{Request, exchange, wait};
 use crate::fakes::engine::{Behavior, Engine};
-use crate::requests::events;
-use crate::site::{MODEL, Site};
+use crate::site::{MODEL, Site, events};
 
 /// Connections of a flood; more than a well-behaved caller opens.
 const FLOOD_CONNECTIONS: usize = 300;
 
-fn connect(site: &Site) -> TcpStream {
-    TcpStream::connect(site.daemon.callers).unwrap()
-}
-
 #[test]
 fn idle_connections_and_unfinished_heads_block_no_other_caller() {
     let site = Site::start();
     let mut connections = Vec::new();
     for i in 0..FLOOD_CONNECTIONS {
-        let mut stream = connect(&site);
+        let mut stream = site.connect();
         if i % 2 == 0 {
             stream
                 .write_all(b"POST /look/ HTTP/1.1\r\nHost: fi")
@@ -70,7 +65,7 @@
          Content-Length: {}\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n{chunked}",
         chunked.len()
     );
-    exchange(connect(&site), text.as_bytes());
+    exchange(site.connect(), text.as_bytes());
     assert_eq!(site.arrivals("inner"), 0);
 }
 
@@ -80,7 +75,7 @@
     let text = "POST /look/ HTTP/1.1\r\nHost: firm.example\r\n\
                 X-Mastichinge-Request-Id: l1\r\nTransfer-Encoding: chunked\r\n\
                 Connection: close\r\n\r\n4\r\nfour\r\n6\r\n and 6\r\n0\r\n\r\n";
-    let answer = exchange(connect(&site), text.as_bytes());
+    let answer = exchange(site.connect(), text.as_bytes());
     assert_eq!(answer.status, 200);
     let arrived: Vec<_> = site.plain.iter().flat_map(Engine::arrivals).collect();
     assert_eq!(arrived[0].body, b"four and 6");
@@ -90,7 +85,7 @@
 #[test]
 fn a_request_with_a_truncated_body_reaches_no_engine() {
     let site = Site::start();
-    let mut stream = connect(&site);
+    let mut stream = site.connect();
     let bytes = Request::new("/look/", "l1").bytes(true);
     stream.write_all(&bytes[..bytes.len() - 3]).unwrap();
     stream.shutdown(Shutdown::Write).unwrap();
@@ -106,7 +101,7 @@
     let site = Site::start();
     let mut connections = Vec::new();
     for i in 0..20 {
-        let mut stream = connect(&site);
+        let mut stream = site.connect();
         let request = Request::new("/stream/", &format!("n{i}")).with(MODEL, "m1");
         stream.write_all(&request.bytes(false)).unwrap();
         connections.push(stream);
@@ -124,7 +119,7 @@
     site.set(Behavior::Silent);
     let mut connections = Vec::new();
     for i in 0..20 {
-        let mut stream = connect(&site);
+        let mut stream = site.connect();
         let request = Request::new("/book/", &format!("b{i}"));
         stream.write_all(&request.bytes(false)).unwrap();
         connections.push(stream);
@@ -175,7 +170,7 @@
 fn the_run_of_a_caller_that_sent_more_than_its_request_is_cancelled() {
     let site = Site::start();
     site.set(Behavior::Silent);
-    let mut stream = connect(&site);
+    let mut stream = site.connect();
     let mut bytes = Request::new("/book/", "b1").bytes(false);
     bytes.extend_from_slice(&Request::new("/book/", "b2").bytes(false));
     stream.write_all(&bytes).unwrap();
--- a/tests/edge/leaving.rs
+++ b/tests/edge/leaving.rs
@@ -70,11 +70,7 @@
     site.store.remove("servers", "p1");
     site.wait_for_change("p1", "gone");
     engine.register("ready");
-    wait("its entry", || {
-        let changes = site.daemon.logged("engine changed");
-        let appeared = |l: &&serde_json::Value| l["engine"] == "p1" && l["change"] == "appeared";
-        changes.iter().filter(appeared).count() == 2
-    });
+    wait("its entry", || site.changes("p1", "appeared") == 2);
     assert_eq!(count_arrivals(&site, engine, "/look/"), 0);
 }
 
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -24,6 +24,7 @@
 mod planned_stop;
 mod requests;
 mod retry_budget;
+mod several_daemons;
 mod shutdown;
 mod silence;
 mod site;
--- a/tests/edge/pauses.rs
+++ b/tests/edge/pauses.rs
@@ -56,11 +56,7 @@
     site.wait_for_change("p1", "gone");
     let before = site.plain[0].arrivals().len();
     site.plain[0].register("ready");
-    wait("its entry", || {
-        let changes = site.daemon.logged("engine changed");
-        let appeared = |l: &&serde_json::Value| l["engine"] == "p1" && l["change"] == "appeared";
-        changes.iter().filter(appeared).count() == 2
-    });
+    wait("its entry", || site.changes("p1", "appeared") == 2);
     for i in 0..REQUESTS {
         assert_eq!(site.send("/look/", &format!("l{i}")).status, 200);
     }
@@ -96,10 +92,7 @@
         route["latencyTargetMs"] = 5_000.into();
     }
     site.store.put("op", "config", &state);
-    wait("the new objective", || {
-        let versions = site.daemon.logged("desired state in force");
-        versions.iter().any(|l| l["version"] == 6)
-    });
+    site.wait_for_version(6);
     site.store.remove("servers", "p2");
     site.wait_for_change("p2", "gone");
     pause(&site.plain[0], "0.5");
--- a/tests/edge/planned_stop.rs
+++ b/tests/edge/planned_stop.rs
@@ -33,7 +33,7 @@
 }
 
 fn kept_connection(site: &Site, id: &str) -> TcpStream {
-    let mut stream = TcpStream::connect(site.daemon.callers).unwrap();
+    let mut stream = site.connect();
     let request = Request::new("/look/", id);
     stream.write_all(&request.bytes(false)).unwrap();
     assert_eq!(read_response(&mut stream).status, 200);
@@ -73,7 +73,7 @@
 #[test]
 fn a_first_head_that_is_half_read_at_sigterm_is_answered() {
     let site = start();
-    let mut stream = TcpStream::connect(site.daemon.callers).unwrap();
+    let mut stream = site.connect();
     let bytes = Request::new("/look/", "l1").bytes(false);
     stream.write_all(&bytes[..20]).unwrap();
     stop(&site);
@@ -85,7 +85,7 @@
 #[test]
 fn a_body_that_arrives_during_the_stop_is_answered() {
     let site = start();
-    let mut stream = TcpStream::connect(site.daemon.callers).unwrap();
+    let mut stream = site.connect();
     let bytes = Request::new("/look/", "l1").bytes(false);
     let (first, last) = bytes.split_at(bytes.len() - 3);
     stream.write_all(first).unwrap();
@@ -109,7 +109,7 @@
     site.daemon.signal(libc::SIGSTOP);
     let mut connections = Vec::new();
     for i in 0..50 {
-        let mut stream = TcpStream::connect(site.daemon.callers).unwrap();
+        let mut stream = site.connect();
         let request = Request::new("/look/", &format!("l{i}"));
         stream.write_all(&request.bytes(false)).unwrap();
         connections.push(stream);
@@ -150,7 +150,7 @@
 fn a_request_in_progress_at_the_exit_is_answered() {
     let mut site = start();
     site.set(Behavior::Silent);
-    let mut stream = TcpStream::connect(site.daemon.callers).unwrap();
+    let mut stream = site.connect();
     let request = Request::new("/book/", "b1");
     stream.write_all(&request.bytes(false)).unwrap();
     wait("the request at an engine", || site.arrivals("b1") == 1);
--- a/tests/edge/requests.rs
+++ b/tests/edge/requests.rs
@@ -1,27 +1,15 @@
 //! Requests through a real daemon with fakes of the store and of the engines. Most tests
 //! inject one fault.
 
-use std::collections::BTreeSet;
 use std::io::{Read, Write};
-use std::net::TcpStream;
 
 use serde_json::{Value, json};
 use test_case::test_case;
 
 use crate::fakes::daemon::{Daemon, Request, Response, wait};
-use crate::fakes::engine::{Behavior, EVENTS, Engine};
+use crate::fakes::engine::{Behavior, Engine};
 use crate::fakes::store::Store;
-use crate::site::{MODEL, Site, desired, route};
-
-/// Returns the ids of the events in a body.
-pub fn events(body: &str) -> Vec<u64> {
-    let ids = body.lines().filter_map(|l| l.strip_prefix("id: "));
-    ids.map(|id| id.parse().unwrap()).collect()
-}
-
-fn all_events() -> Vec<u64> {
-    (1..=EVENTS).collect()
-}
+use crate::site::{MODEL, Site, all_events, desired, events, route};
 
 #[test]
 fn a_request_is_forwarded_unchanged_without_the_headers_reserved_for_the_system() {
@@ -252,7 +240,7 @@
     let site = Site::start();
     site.set(Behavior::Silent);
     let request = Request::new("/stream-rigid/", "s1").with(MODEL, "m1");
-    let mut caller = TcpStream::connect(site.daemon.callers).unwrap();
+    let mut caller = site.connect();
     caller.write_all(&request.bytes(false)).unwrap();
     wait("the request at an engine", || site.arrivals("s1") == 1);
     drop(caller);
@@ -395,10 +383,7 @@
     site.store.put("op", "config", &desired(8));
     site.store.expire_history();
     site.store.set_down(false);
-    wait("the version written during the outage", || {
-        let versions = site.daemon.logged("desired state in force");
-        versions.iter().any(|l| l["version"] == 8)
-    });
+    site.wait_for_version(8);
 }
 
 #[test]
@@ -421,7 +406,7 @@
         !site.daemon.logged("leadership acquired").is_empty()
     });
     let request = Request::new("/stream/", "s1").with(MODEL, "m1");
-    let mut caller = TcpStream::connect(site.daemon.callers).unwrap();
+    let mut caller = site.connect();
     caller.write_all(&request.bytes(false)).unwrap();
     wait("the request at an engine", || site.arrivals("s1") == 1);
     site.daemon.signal(libc::SIGTERM);
@@ -458,85 +443,6 @@
     assert_eq!(site.send("/look/", "l1").status, 200);
 }
 
-#[test]
-fn daemons_discover_each_other_and_the_entry_response_lists_the_live_ones() {
-    let site = Site::start();
-    let second = Daemon::start(&site.store, "edge-2");
-    let listed = |daemon: &Daemon| -> BTreeSet<String> {
-        let answer = daemon.get("/resolve?name=firm.example&region=r&zone=north");
-        let answer: Value = serde_json::from_str(&answer.body).unwrap_or_default();
-        let addrs = answer["addrs"].as_array().cloned().unwrap_or_default();
-        addrs
-            .iter()
-            .map(|a| a.as_str().unwrap().to_owned())
-            .collect()
-    };
-    let both = BTreeSet::from([site.daemon.callers.to_string(), second.callers.to_string()]);
-    wait("both daemons in both responses", || {
-        listed(&site.daemon) == both && listed(&second) == both
-    });
-    drop(second);
-    let one = BTreeSet::from([site.daemon.callers.to_string()]);
-    wait("the dead daemon out of the response", || {
-        listed(&site.daemon) == one
-    });
-}
-
-/// Only one daemon sends orders at a time, and the second takes over when the first is
-/// killed.
-#[test]
-fn another_daemon_becomes_leader_when_the_leader_is_killed() {
-    let site = Site::start();
-    wait("a leader", || {
-        !site.daemon.logged("leadership acquired").is_empty()
-    });
-    let second = Daemon::start(&site.store, "edge-2");
-    let Site {
-        store,
-        models,
-        daemon,
-        ..
-    } = site;
-    wait("a heartbeat of the second daemon", || {
-        !daemon.logged("member alive").is_empty()
-    });
-    assert_eq!(second.logged("leadership acquired"), Vec::<Value>::new());
-    drop(daemon);
-    wait("its successor", || {
-        !second.logged("leadership acquired").is_empty()
-    });
-    let row = store.get("tenure", "orders").unwrap();
-    assert_eq!((&row["host"], &row["fence"]), (&json!("edge-2"), &json!(2)));
-    let request = Request::new("/stream/", "s1").with(MODEL, "m2");
-    let answer = second.send(&request);
-    assert_eq!(answer.status, 200);
-    let orders: Vec<Value> = models.iter().flat_map(Engine::received_orders).collect();
-    assert!(orders.iter().any(|o| o["fence"] == 2), "{orders:?}");
-}
-
-/// A request that crashes every engine that runs it is held after the second crash, also
-/// by the daemon that receives it next.
-#[test]
-fn a_request_that_crashes_engines_is_held_by_all_daemons() {
-    let site = Site::start();
-    let second = Daemon::start(&site.store, "edge-2");
-    wait("the daemons' heartbeats", || {
-        !second.logged("member alive").is_empty() && !site.daemon.logged("member alive").is_empty()
-    });
-    site.set(Behavior::Reset);
-    let crashing = |id: &str| Request {
-        body: "the same body".to_owned(),
-        ..Request::new("/look/", id)
-    };
-    assert_eq!(site.daemon.send(&crashing("x1")).status, 502);
-    assert_eq!(site.arrivals("x1"), 2);
-    wait("the hold at the second daemon", || {
-        second.send(&crashing("x2")).status == 503
-    });
-    site.set(Behavior::Correct);
-    assert_eq!(second.send(&Request::new("/look/", "other")).status, 200);
-}
-
 #[test]
 fn an_oversized_body_is_refused_and_reaches_no_engine() {
     let site = Site::start();
--- a/tests/edge/retry_budget.rs
+++ b/tests/edge/retry_budget.rs
@@ -6,9 +6,8 @@
 use mastichinge::edge::retry_budget::{RetryBudget, RetryLimits};
 
 use crate::fakes::daemon::wait;
-use crate::fakes::engine::{Behavior, EVENTS};
-use crate::requests::events;
-use crate::site::Site;
+use crate::fakes::engine::Behavior;
+use crate::site::{Site, all_events, events};
 
 const LIMITS: RetryLimits = RetryLimits {
     ratio: 0.2,
@@ -94,7 +93,7 @@
     });
     for answer in &answers {
         assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
-        assert_eq!(events(&answer.body), (1..=EVENTS).collect::<Vec<_>>());
+        assert_eq!(events(&answer.body), all_events());
     }
     assert!(!site.daemon.logged("request retry").is_empty());
 }
--- a/tests/edge/silence.rs
+++ b/tests/edge/silence.rs
@@ -5,20 +5,13 @@
 use test_case::test_case;
 
 use crate::fakes::daemon::{Request, Response, wait};
-use crate::fakes::engine::{Behavior, EVENTS, Engine};
-use crate::requests::events;
-use crate::site::{MODEL, Site, desired, route};
+use crate::fakes::engine::{Behavior, Engine};
+use crate::site::{MODEL, Site, assert_whole, desired, route};
 
 /// Streams sent at the same time; the rejected resumptions of those that stall use up the
 /// retry budget.
 const STREAMS: usize = 24;
 
-/// Asserts that the caller got the whole stream, each event once.
-fn assert_whole(answer: &Response) {
-    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
-    assert_eq!(events(&answer.body), (1..=EVENTS).collect::<Vec<_>>());
-}
-
 /// Sends the streams `s0`, `s1` and so on at the same time.
 fn send_streams(site: &Site, count: usize) -> Vec<Response> {
     std::thread::scope(|scope| {
@@ -88,10 +81,7 @@
         send_streams(&site, STREAMS)
     });
     answers.iter().for_each(assert_whole);
-    wait("the new desired state", || {
-        let versions = site.daemon.logged("desired state in force");
-        versions.iter().any(|l| l["version"] == 6)
-    });
+    site.wait_for_version(6);
 }
 
 /// Guards against a stream whose run is cancelled because its response or its first event
--- a/tests/edge/site.rs
+++ b/tests/edge/site.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 
 use crate::fakes::daemon::{Daemon, Request, Response, wait};
-use crate::fakes::engine::{Behavior, Engine};
+use crate::fakes::engine::{Behavior, EVENTS, Engine};
 use crate::fakes::store::Store;
 
 /// Header that names the model.
@@ -34,6 +34,23 @@
             "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000}})
 }
 
+/// Returns the ids of the events in a body.
+pub fn events(body: &str) -> Vec<u64> {
+    let ids = body.lines().filter_map(|l| l.strip_prefix("id: "));
+    ids.map(|id| id.parse().unwrap()).collect()
+}
+
+/// Returns the ids of the events of a whole stream.
+pub fn all_events() -> Vec<u64> {
+    (1..=EVENTS).collect()
+}
+
+/// Asserts that the caller got the whole stream, each event once.
+pub fn assert_whole(answer: &Response) {
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(events(&answer.body), all_events());
+}
+
 /// A store with two plain and two model engines, and one daemon.
 pub struct Site {
     pub store: Store,
@@ -76,7 +93,12 @@
             state["limits"][name] = json!(value);
         }
         self.store.put("op", "config", &state);
-        wait("the new limits", || {
+        self.wait_for_version(version);
+    }
+
+    /// Waits until a version of the desired state has come into force.
+    pub fn wait_for_version(&self, version: u64) {
+        wait("the desired state", || {
             let lines = self.daemon.logged("desired state in force");
             lines.iter().any(|l| l["version"] == version)
         });
@@ -117,11 +139,14 @@
 
     /// Waits until the daemon has logged a change of an engine.
     pub fn wait_for_change(&self, engine: &str, change: &str) {
-        wait(change, || {
-            let changes = self.daemon.logged("engine changed");
-            let is_it = |l: &Value| l["engine"] == engine && l["change"] == change;
-            changes.iter().any(is_it)
-        });
+        wait(change, || self.changes(engine, change) > 0);
+    }
+
+    /// Returns how often the daemon has logged a change of an engine.
+    pub fn changes(&self, engine: &str, change: &str) -> usize {
+        let changes = self.daemon.logged("engine changed");
+        let is_it = |l: &&Value| l["engine"] == engine && l["change"] == change;
+        changes.iter().filter(is_it).count()
     }
 
     /// Returns how often a request began to run.
--- a/tests/edge/stream_ends.rs
+++ b/tests/edge/stream_ends.rs
@@ -12,10 +12,9 @@
 use tokio::sync::mpsc;
 
 use crate::fakes::Framing;
-use crate::fakes::daemon::{Request, Response, WAIT_TIMEOUT, wait};
-use crate::fakes::engine::{Behavior, EVENTS, Engine};
-use crate::requests::events;
-use crate::site::{MODEL, Site};
+use crate::fakes::daemon::{Request, WAIT_TIMEOUT, wait};
+use crate::fakes::engine::{Behavior, Engine};
+use crate::site::{MODEL, Site, all_events, assert_whole, events};
 
 /// Starts a deployment whose engines mark the ends of their streams in this way.
 fn start(framing: Framing) -> Site {
@@ -26,12 +25,6 @@
     site
 }
 
-/// Asserts that the caller got the whole stream, each event once.
-fn assert_whole(answer: &Response) {
-    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
-    assert_eq!(events(&answer.body), (1..=EVENTS).collect::<Vec<_>>());
-}
-
 /// Returns how many requests reached the engine.
 fn arrivals(engine: &Engine) -> usize {
     engine.arrivals().len()
@@ -164,7 +157,7 @@
     let site = Site::start();
     let (text, ended) = read_to_end(send_without_chunks(&site));
     assert_eq!(ended, Ok(()));
-    assert_eq!(events(&text), (1..=EVENTS).collect::<Vec<_>>());
+    assert_eq!(events(&text), all_events());
 }
 
 /// A stream that ends with its connection between two events is complete.
