Log what is dropped of engines' statements, and the lifetimes that lines are of

Cause: a statement that the daemon did not keep left no trace, and no line named the lifetime of an engine, so that the hypotheses of the incident could not be told apart. Change: log line `engine's statement dropped` with its cause, metric `mastichinge_engine_statements_total`, field `life` in `engine changed` and `engine asks for a pause`. No decision changes.

--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -323,12 +323,20 @@
         changes
     }
 
-    /// Records that an engine wants no requests of this host for `pause`.
-    pub fn record_pause(&mut self, id: &Arc<str>, pause: Duration, now: Moment) {
-        if let Some(engine) = self.engines.get(id) {
-            let incarnation = engine.entry.incarnation;
-            self.statements.record_pause(id, incarnation, pause, now);
-        }
+    /// Records that an engine wants no requests of this host for `pause`; returns false if it
+    /// is not listed.
+    pub fn record_pause(&mut self, id: &Arc<str>, pause: Duration, now: Moment) -> bool {
+        let Some(engine) = self.engines.get(id) else {
+            return false;
+        };
+        let incarnation = engine.entry.incarnation;
+        self.statements.record_pause(id, incarnation, pause, now);
+        true
+    }
+
+    /// Returns the start time of a listed engine; 0 when unknown.
+    pub fn incarnation(&self, id: &str) -> u64 {
+        self.engines.get(id).map_or(0, |e| e.entry.incarnation)
     }
 
     /// Returns how long an engine still wants no requests of this host.
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -120,6 +120,14 @@
     log_response(routed, choice, status, attribution, (rejected, believed));
     if !believed {
         in_flight.record_outcome(false);
+        if headers.leaving {
+            let edge = &routed.edge;
+            edge.log_dropped_statement(&choice.engine, "leaving", "not believed");
+        }
+        if let Ok(Some(_)) = headers::engine_pause(status, response.headers()) {
+            let edge = &routed.edge;
+            edge.log_dropped_statement(&choice.engine, "pause", "not believed");
+        }
         connection.drop_idle();
         return SendOutcome::Unproven("the response may be for another request".to_owned());
     }
@@ -210,11 +218,20 @@
         Ok(None) => {}
         Ok(Some(pause)) => {
             let ms = pause.as_millis() as u64;
-            log::info!(request, engine, ms; "engine asks for a pause");
             let mut state = routed.edge.state.borrow_mut();
-            state
+            let life = state.fleet.incarnation(engine);
+            log::info!(request, engine, ms, life; "engine asks for a pause");
+            let kept = state
                 .fleet
                 .record_pause(&choice.engine, pause, clock::now());
+            drop(state);
+            match kept {
+                true => routed.edge.metrics.record_engine_statement("pause", "kept"),
+                false => {
+                    let edge = &routed.edge;
+                    edge.log_dropped_statement(engine, "pause", "not listed");
+                }
+            }
         }
         Err(error) => log::warn!(request, engine, error:%; "engine's pause ignored"),
     }
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -251,22 +251,33 @@
     pub fn record_leaving(&self, engine: &Arc<str>) {
         let mut state = self.state.borrow_mut();
         let Some(upstream) = state.fleet.engines.get(engine) else {
+            drop(state);
+            self.log_dropped_statement(engine, "leaving", "not listed");
             return;
         };
         let incarnation = upstream.entry.incarnation;
         if !state.fleet.record_leaving(engine, incarnation) {
+            self.metrics.record_engine_statement("leaving", "known");
             return;
         }
+        self.metrics.record_engine_statement("leaving", "kept");
         state.leaving_notes.push((engine.clone(), incarnation));
         drop(state);
         self.announce_leaving(engine, "response");
         self.send_wake.notify_one();
     }
 
+    /// Logs and counts what an engine said of itself and this daemon does not keep.
+    pub fn log_dropped_statement(&self, engine: &str, statement: &'static str, cause: &str) {
+        log::warn!(engine, statement, cause; "engine's statement dropped");
+        self.metrics.record_engine_statement(statement, "dropped");
+    }
+
     /// Logs that an engine leaves, and wakes the tasks that decide anew without it.
     pub fn announce_leaving(&self, engine: &str, source: &str) {
         let change: &'static str = EngineChange::Draining.into();
-        log::info!(engine, change, source; "engine changed");
+        let life = self.state.borrow().fleet.incarnation(engine);
+        log::info!(engine, change, source, life; "engine changed");
         self.notify_waiting();
         self.order_wake.notify_one();
     }
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -208,12 +208,13 @@
     let changes = state
         .fleet
         .update_entries(entries, &unreadable, restored_at, now);
-    drop(state);
     let version = list.version().unwrap_or_default();
     for (engine, change) in &changes {
         let change: &'static str = change.into();
-        log::info!(engine = &**engine, change, list = version; "engine changed");
+        let life = state.fleet.incarnation(engine);
+        log::info!(engine = &**engine, change, life, list = version; "engine changed");
     }
+    drop(state);
     edge.notify_waiting();
     if !changes.is_empty() {
         edge.order_wake.notify_one();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -42,6 +42,7 @@
     retries: Counter<u64>,
     connections_ended: Counter<u64>,
     engine_responses: Counter<u64>,
+    engine_statements: Counter<u64>,
     stream_ends: Counter<u64>,
     streams: UpDownCounter<i64>,
     queue: Gauge<u64>,
@@ -102,6 +103,11 @@
                 "engine_responses",
                 "Responses of engines, by how they were attributed to a request",
             ),
+            engine_statements: counter(
+                &m,
+                "engine_statements",
+                "What engines said of themselves, by statement and outcome",
+            ),
             stream_ends: counter(
                 &m,
                 "stream_ends",
@@ -176,6 +182,15 @@
         self.engine_responses.add(1, &[attribution]);
     }
 
+    /// Counts what an engine said of itself.
+    pub fn record_engine_statement(&self, statement: &'static str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("statement", statement),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.engine_statements.add(1, &labels);
+    }
+
     /// Counts a stream of an engine whose body ended without an error.
     pub fn record_stream_end(&self, framing: &'static str, place: &'static str) {
         let labels = [
