Add failing tests of what engines say of themselves

The fake engine can start again without an entry, refuse calls or break them off, and answers health checks.

--- a/tests/edge/fakes/engine/behavior.rs
+++ b/tests/edge/fakes/engine/behavior.rs
@@ -54,6 +54,10 @@
     Endless(Place),
     /// Answers with this number of bytes in a chunk, and half of it as the length.
     TwoLengths(usize),
+    /// Answers requests correctly, and orders and report requests with 503.
+    RefusesCalls,
+    /// Answers requests correctly, and orders and report requests with a head alone.
+    BreaksCalls,
     /// Answers with a long length, sends a part of the body, and then nothing.
     LongSilent,
 }
--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -45,6 +46,10 @@
     /// Requests whose connection closed while they ran.
     cancelled: Vec<String>,
     received_orders: Vec<Value>,
+    /// Number of received orders and report requests.
+    calls: usize,
+    /// Number of received health checks.
+    health_checks: usize,
 }
 
 /// Handle of a fake engine.
@@ -59,6 +64,8 @@
     state: Arc<Mutex<EngineState>>,
 }
 
+/// Path of health checks.
+pub const HEALTH_PATH: &str = "/healthz";
 /// Number of events in a stream.
 pub const EVENTS: u64 = 5;
 /// Pause between two events.
@@ -199,6 +206,16 @@
         self.state.lock().unwrap().endless_bytes.clone()
     }
 
+    /// Returns the number of received orders and report requests.
+    pub fn calls(&self) -> usize {
+        self.state.lock().unwrap().calls
+    }
+
+    /// Returns the number of received health checks.
+    pub fn health_checks(&self) -> usize {
+        self.state.lock().unwrap().health_checks
+    }
+
     /// Returns the received orders.
     pub fn received_orders(&self) -> Vec<Value> {
         self.state.lock().unwrap().received_orders.clone()
@@ -210,7 +227,7 @@
         // Id of the request that the connection carried last.
         let mut earlier = String::new();
         while let Ok(Some(mut request)) = read_head(stream, &mut rest).await {
-            let is_call = ["/report", "/order"].contains(&request.path());
+            let is_call = ["/report", "/order", HEALTH_PATH].contains(&request.path());
             if !is_call && self.behavior() == Behavior::Early {
                 if self.answer(stream, &request).await.is_err() {
                     return;
@@ -222,6 +239,8 @@
             }
             let id = request.header("x-mastichinge-request-id").to_owned();
             let done = match request.path() {
+                HEALTH_PATH => self.check_health(stream).await,
+                "/report" | "/order" if self.answers_no_calls() => self.refuse_call(stream).await,
                 "/report" => self.report(stream).await,
                 "/order" => self.order(stream, &request, &earlier).await,
                 _ => self.run_request(stream, request, &earlier).await,
@@ -237,14 +256,18 @@
 
     /// Starts a new lifetime under the same id, without added headers, and registers it.
     pub fn start_again(&self) {
-        {
-            let mut state = self.state.lock().unwrap();
-            state.born += 1_000;
-            state.headers.clear();
-        }
+        self.start_unlisted();
         self.register("ready");
     }
 
+    /// Starts a new lifetime under the same id, without added headers; its entry is still
+    /// that of the lifetime before.
+    pub fn start_unlisted(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.born += 1_000;
+        state.headers.clear();
+    }
+
     /// Adds a header to all responses from now on.
     pub fn add_header(&self, name: &'static str, value: &str) {
         let mut state = self.state.lock().unwrap();
@@ -297,6 +320,35 @@
         self.respond(stream, status, headers, b"late").await
     }
 
+    async fn check_health(&self, stream: &mut TcpStream) -> std::io::Result<()> {
+        self.state.lock().unwrap().health_checks += 1;
+        let headers = [("X-Mastichinge-Instance-Id", self.id.as_str())];
+        self.respond(stream, 200, &headers, b"").await
+    }
+
+    /// Counts a call; returns whether the engine gives it no whole successful response.
+    fn answers_no_calls(&self) -> bool {
+        let mut state = self.state.lock().unwrap();
+        state.calls += 1;
+        matches!(
+            state.behavior,
+            Behavior::RefusesCalls | Behavior::BreaksCalls
+        )
+    }
+
+    /// Responds to a call with 503, or only with the head of a response.
+    async fn refuse_call(&self, stream: &mut TcpStream) -> std::io::Result<()> {
+        if self.behavior() == Behavior::RefusesCalls {
+            return self.respond(stream, 503, &[], b"").await;
+        }
+        let mut head = "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n".to_owned();
+        for (name, value) in self.headers() {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        stream.write_all((head + "\r\n").as_bytes()).await?;
+        self.wait_for_close(stream, "").await
+    }
+
     async fn report(&self, stream: &mut TcpStream) -> std::io::Result<()> {
         let report = {
             let state = self.state.lock().unwrap();
--- a/tests/edge/fakes/engine/runs.rs
+++ b/tests/edge/fakes/engine/runs.rs
@@ -189,7 +189,11 @@
     }
 
     /// Waits for the connection to close without answering.
-    async fn wait_for_close(&self, stream: &mut TcpStream, id: &str) -> std::io::Result<()> {
+    pub(super) async fn wait_for_close(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+    ) -> std::io::Result<()> {
         let mut byte = [0];
         // Any result other than a byte means that the connection is closed.
         if !matches!(stream.read(&mut byte).await, Ok(1)) {
--- a/tests/edge/fleet.rs
+++ b/tests/edge/fleet.rs
@@ -77,6 +77,32 @@
     assert_eq!(usable(&fleet), Vec::<&str>::new());
 }
 
+/// Guards against DRAIN: an engine whose entry said that it leaves got requests when the
+/// entry had lapsed and was back in an older state.
+#[test]
+fn a_draining_engine_does_not_become_usable_when_its_entry_was_missing() {
+    let mut fleet = Fleet::default();
+    let draining = EngineEntry {
+        phase: EnginePhase::Draining,
+        sequence: 8,
+        ..entry("e", 1, &[])
+    };
+    update(&mut fleet, vec![draining], 0);
+    update(&mut fleet, vec![], 100);
+    let back = EngineEntry {
+        sequence: 9,
+        ..entry("e", 1, &[])
+    };
+    update(&mut fleet, vec![back.clone()], 200);
+    assert_eq!(usable(&fleet), Vec::<&str>::new());
+    let restarted = EngineEntry {
+        incarnation: 2_000,
+        ..back
+    };
+    update(&mut fleet, vec![restarted], 300);
+    assert_eq!(usable(&fleet), ["e"]);
+}
+
 /// Entries expire during an outage of the store; running engines write them again.
 #[test]
 fn entries_expired_in_a_store_outage_remove_engines_only_after_a_grace_time() {
--- a/tests/edge/site.rs
+++ b/tests/edge/site.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 
 use crate::fakes::daemon::{Daemon, Request, Response, wait};
-use crate::fakes::engine::{Behavior, EVENTS, Engine};
+use crate::fakes::engine::{Behavior, EVENTS, Engine, HEALTH_PATH};
 use crate::fakes::store::Store;
 
 /// Header that names the model.
@@ -25,7 +25,7 @@
     json!({"version": version,
         "routes": [route("/look/", "idempotent", "desk"), route("/book/", "non_idempotent", "desk"),
             route("/stream/", "stream", "models"), rigid],
-        "services": [{"name": "desk", "maxConns": 50},
+        "services": [{"name": "desk", "maxConns": 50, "healthPath": HEALTH_PATH},
             {"name": "models", "maxConns": 50, "engine": {"slots": 8, "kvCapacity": 90_000,
                 "weightsMb": 100, "adapterSlots": 4, "loadsPerS": 5.0,
                 "models": [{"name": "m1", "weightsMb": 60, "loadS": 0.1},
