Hear what engines say of themselves in one place

Cause: a statement was read where a response was accepted as the answer to what was sent, a pause only for requests. Whom a response answers and what its sender says of itself are two questions: the connection is the same process's. Change: every exchange with an engine passes `exchange.rs`, which records the statement from the head. The log line of dropped statements goes, as none is dropped there.

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -187,25 +187,15 @@
         request: Request<Full<Bytes>>,
         limits: CallLimits,
     ) -> Result<Response<Bytes>, SendError> {
+        let options = SendOptions {
+            connect_timeout: limits.connect_timeout,
+            ..SendOptions::default()
+        };
         let exchange = async {
-            let options = SendOptions {
-                connect_timeout: limits.connect_timeout,
-                ..SendOptions::default()
-            };
             let (response, connection) = self.send(addr, request, options).await?;
-            let (head, body) = response.into_parts();
-            let body = Limited::new(body, limits.max_bytes).collect().await;
-            let body = body.map_err(|e| SendError::ConnectionLost(e.to_string()))?;
-            let headers = headers::parse_response(&head.headers);
-            if !headers.closes {
-                connection.release(headers.idle_timeout);
-            }
-            Ok(Response::from_parts(head, body.to_bytes()))
+            read_whole(response, connection, limits.max_bytes).await
         };
-        let timed_out = || SendError::ConnectionLost("no response in time".to_owned());
-        timeout(limits.total_timeout, exchange)
-            .await
-            .map_err(|_| timed_out())?
+        within(limits.total_timeout, exchange).await
     }
 
     /// Drops idle connections that have expired or are closed.
@@ -276,6 +266,33 @@
     }
 }
 
+/// Reads a response of at most `max_bytes` whole, and makes its connection available again.
+pub async fn read_whole(
+    response: Response<Incoming>,
+    connection: Connection,
+    max_bytes: usize,
+) -> Result<Response<Bytes>, SendError> {
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, max_bytes).collect().await;
+    let body = body.map_err(|e| SendError::ConnectionLost(e.to_string()))?;
+    let headers = headers::parse_response(&head.headers);
+    if !headers.closes {
+        connection.release(headers.idle_timeout);
+    }
+    Ok(Response::from_parts(head, body.to_bytes()))
+}
+
+/// Limits the time of an exchange.
+pub async fn within<T>(
+    time_limit: Duration,
+    exchange: impl Future<Output = Result<T, SendError>>,
+) -> Result<T, SendError> {
+    let timed_out = || SendError::ConnectionLost("no response in time".to_owned());
+    timeout(time_limit, exchange)
+        .await
+        .map_err(|_| timed_out())?
+}
+
 /// Returns the text of an error with that of its source.
 fn error_text(error: &hyper::Error) -> String {
     match error.source() {
--- /dev/null
+++ b/src/edge/exchange.rs
@@ -0,0 +1,116 @@
+//! Exchanges with engines: requests of callers, orders and report requests. The head of every
+//! response passes here, so that what an engine says of itself is recorded whatever the
+//! response answers, and whether or not it is believed to answer that.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use super::client::{self, CallLimits, Client, Connection, SendError, SendOptions};
+use super::clock;
+use super::state::Edge;
+use crate::platform::headers;
+
+/// Time limits of a call to an engine, which answers within milliseconds. An
+/// unanswered order can be repeated safely, as it names the number of orders that
+/// the engine must have accepted before it.
+const CALL_LIMITS: CallLimits = CallLimits {
+    connect_timeout: Duration::from_millis(400),
+    total_timeout: Duration::from_millis(250),
+    max_bytes: 1 << 20,
+};
+
+/// An engine as known when something is sent to it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Recipient {
+    /// Id of the engine.
+    pub engine: Arc<str>,
+    /// Address of the engine.
+    pub addr: SocketAddr,
+    /// Start time of the engine, ms since the Unix epoch; 0 when unknown.
+    pub incarnation: u64,
+}
+
+impl Edge {
+    /// Sends the caller's request `id` to an engine. Dropping the future closes the
+    /// connection.
+    pub async fn send_request(
+        &self,
+        recipient: &Recipient,
+        id: &str,
+        request: Request<Full<Bytes>>,
+        options: SendOptions,
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
+        self.exchange(&self.client, recipient, id, request, options)
+            .await
+    }
+
+    /// Sends a call to an engine and reads the whole response. Marks the engine as down when
+    /// the call could not be sent.
+    pub async fn call_engine(
+        &self,
+        recipient: &Recipient,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, SendError> {
+        let options = SendOptions {
+            connect_timeout: CALL_LIMITS.connect_timeout,
+            ..SendOptions::default()
+        };
+        let exchange = async {
+            let (response, connection) = self
+                .exchange(&self.call_client, recipient, "", request, options)
+                .await?;
+            client::read_whole(response, connection, CALL_LIMITS.max_bytes).await
+        };
+        let outcome = client::within(CALL_LIMITS.total_timeout, exchange).await;
+        if matches!(outcome, Err(SendError::NotSent(_))) {
+            self.mark_down(&recipient.engine);
+        }
+        outcome
+    }
+
+    async fn exchange(
+        &self,
+        client: &Client,
+        recipient: &Recipient,
+        id: &str,
+        request: Request<Full<Bytes>>,
+        options: SendOptions,
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
+        let (response, connection) = client.send(recipient.addr, request, options).await?;
+        self.record_statement(recipient, id, &response);
+        Ok((response, connection))
+    }
+
+    /// Records what an engine says of itself in the head of its response to the request `id`;
+    /// calls have none.
+    fn record_statement(&self, recipient: &Recipient, id: &str, response: &Response<Incoming>) {
+        let Recipient {
+            engine,
+            incarnation,
+            ..
+        } = recipient;
+        let (statement, error) = headers::engine_statement(response.status(), response.headers());
+        if statement.leaves {
+            self.record_leaving(engine, *incarnation);
+        }
+        if let Some(pause) = statement.pause {
+            let ms = pause.as_millis() as u64;
+            log::info!(request = id, engine = &**engine, ms, life = *incarnation;
+                "engine asks for a pause");
+            self.metrics.record_engine_statement("pause", "kept");
+            let mut state = self.state.borrow_mut();
+            state
+                .fleet
+                .record_pause(engine, *incarnation, pause, clock::now());
+        }
+        if let Some(error) = error {
+            log::warn!(request = id, engine = &**engine, error:%; "engine's pause ignored");
+        }
+    }
+}
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::exchange::Recipient;
 use super::prefix_cache::PrefixCache;
 use super::request_headers;
 use super::routing::{EngineSlowdown, PrefillQueue};
@@ -329,6 +330,16 @@
         self.statements.record_pause(id, incarnation, pause, now);
     }
 
+    /// Returns a listed engine as the recipient of what is sent to it now.
+    pub fn recipient(&self, id: &Arc<str>) -> Option<Recipient> {
+        let entry = &self.engines.get(id)?.entry;
+        Some(Recipient {
+            engine: id.clone(),
+            addr: entry.addr,
+            incarnation: entry.incarnation,
+        })
+    }
+
     /// Returns the start time of a listed engine; 0 when unknown.
     pub fn incarnation(&self, id: &str) -> u64 {
         self.engines.get(id).map_or(0, |e| e.entry.incarnation)
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -79,7 +79,9 @@
         ..SendOptions::default()
     };
     attempts.addrs.push(choice.addr);
-    let sending = routed.edge.client.send(choice.addr, request, options);
+    let recipient = in_flight.recipient(choice.addr);
+    let id = &*routed.headers.id;
+    let sending = routed.edge.send_request(&recipient, id, request, options);
     let awaited = silence::wait_for(routed, attempts, &choice.engine, max_silence, sending).await;
     let outcome = match awaited {
         Awaited::Response(outcome) => outcome,
@@ -120,22 +122,9 @@
     log_response(routed, choice, status, attribution, (rejected, believed));
     if !believed {
         in_flight.record_outcome(false);
-        if headers.leaving {
-            let edge = &routed.edge;
-            edge.log_dropped_statement(&choice.engine, "leaving", "not believed");
-        }
-        if let Ok(Some(_)) = headers::engine_pause(status, response.headers()) {
-            let edge = &routed.edge;
-            edge.log_dropped_statement(&choice.engine, "pause", "not believed");
-        }
         connection.drop_idle();
         return SendOutcome::Unproven("the response may be for another request".to_owned());
     }
-    if headers.leaving {
-        let incarnation = in_flight.incarnation();
-        routed.edge.record_leaving(&choice.engine, incarnation);
-    }
-    record_pause(routed, &in_flight, &response);
     if rejected {
         record_rejection(routed, choice, status);
         if attribution == Attribution::IdMatched {
@@ -211,26 +200,6 @@
     }
 }
 
-/// Records for how long an engine wants no requests of this host.
-fn record_pause(routed: &RoutedRequest, in_flight: &InFlightGuard, response: &Response<Incoming>) {
-    let request = &*routed.headers.id;
-    let engine = &in_flight.engine;
-    match headers::engine_pause(response.status(), response.headers()) {
-        Ok(None) => {}
-        Ok(Some(pause)) => {
-            let ms = pause.as_millis() as u64;
-            let life = in_flight.incarnation();
-            log::info!(request, engine = &**engine, ms, life; "engine asks for a pause");
-            let mut state = routed.edge.state.borrow_mut();
-            state.fleet.record_pause(engine, life, pause, clock::now());
-            routed.edge.metrics.record_engine_statement("pause", "kept");
-        }
-        Err(error) => {
-            log::warn!(request, engine = &**engine, error:%; "engine's pause ignored");
-        }
-    }
-}
-
 /// Records the model or adapter that an engine lacks after status 421.
 fn record_rejection(routed: &RoutedRequest, choice: &SelectedEngine, status: StatusCode) {
     if status != StatusCode::MISDIRECTED_REQUEST {
--- a/src/edge/in_flight.rs
+++ b/src/edge/in_flight.rs
@@ -1,10 +1,12 @@
 //! Requests in flight at engines.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use super::clock;
 use super::demand::ModelKey;
+use super::exchange::Recipient;
 use super::fleet::{SentPrompt, Upstream};
 use super::request_headers::Prompt;
 use super::routing::SelectedEngine;
@@ -36,10 +38,13 @@
         }
     }
 
-    /// Returns the start time of the engine as known when the request was sent; 0 when
-    /// unknown.
-    pub fn incarnation(&self) -> u64 {
-        self.request.incarnation
+    /// Returns the engine at `addr` as known when the request began.
+    pub fn recipient(&self, addr: SocketAddr) -> Recipient {
+        Recipient {
+            engine: self.engine.clone(),
+            addr,
+            incarnation: self.request.incarnation,
+        }
     }
 
     /// Records that the engine has read the prompt.
--- a/src/edge/leader/mod.rs
+++ b/src/edge/leader/mod.rs
@@ -11,27 +11,18 @@
 
 pub use self::announce::Announcer;
 use self::announce::apply_notes;
-use super::client::{CallLimits, SendError};
+use super::client::SendError;
 use super::clock;
 use super::orders::{EngineReport, Order, OrderOutcome, Verb};
 use super::placement::EngineCall;
 use super::relays;
 use super::state::Edge;
-use crate::platform::{headers, orders};
+use crate::platform::orders;
 
 /// Pause between two decisions while a load, an unload or a call is in progress.
 const BUSY_PAUSE: Duration = Duration::from_millis(15);
 /// Pause between two decisions while nothing is in progress.
 const IDLE_PAUSE: Duration = Duration::from_millis(250);
-/// Time limits of a call to an engine, which answers within milliseconds. An
-/// unanswered order can be repeated safely, as it names the number of orders that
-/// the engine must have accepted before it.
-const CALL_LIMITS: CallLimits = CallLimits {
-    connect_timeout: Duration::from_millis(400),
-    total_timeout: Duration::from_millis(250),
-    max_bytes: 1 << 20,
-};
-
 /// Sends orders while this daemon is the leader, and tells the other daemons what
 /// engines hold.
 pub async fn send_orders(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
@@ -171,7 +162,7 @@
     log::debug!(engine, orders, busy, held = held.as_str(); "engine report");
 }
 
-/// Calls an engine, and marks it as down when the request could not be sent.
+/// Calls a listed engine.
 async fn call_engine<F>(
     edge: &Edge,
     engine: &Arc<str>,
@@ -180,22 +171,10 @@
 where
     F: FnOnce(&str) -> http::Result<http::Request<http_body_util::Full<bytes::Bytes>>>,
 {
-    let listed = {
-        let state = edge.state.borrow();
-        let engine = state.fleet.engines.get(engine);
-        engine.map(|e| (e.entry.addr, e.entry.incarnation))
-    };
-    let (addr, incarnation) =
-        listed.ok_or_else(|| SendError::NotSent("the engine is no longer listed".to_owned()))?;
-    let request = request(&addr.to_string());
+    let recipient = edge.state.borrow().fleet.recipient(engine);
+    let recipient =
+        recipient.ok_or_else(|| SendError::NotSent("the engine is no longer listed".to_owned()))?;
+    let request = request(&recipient.addr.to_string());
     let request = request.map_err(|e| SendError::NotSent(e.to_string()))?;
-    let outcome = edge.call_client.call(addr, request, CALL_LIMITS).await;
-    match &outcome {
-        Ok(response) if headers::is_leaving(response.headers()) => {
-            edge.record_leaving(engine, incarnation);
-        }
-        Err(SendError::NotSent(_)) => edge.mark_down(engine),
-        _ => {}
-    }
-    outcome
+    edge.call_engine(&recipient, request).await
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -15,6 +15,7 @@
 pub mod desired;
 pub mod engine_list;
 pub mod events;
+pub mod exchange;
 pub mod fleet;
 pub mod forward;
 pub mod gossip;
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -262,12 +262,6 @@
         self.send_wake.notify_one();
     }
 
-    /// Logs and counts what an engine said of itself and this daemon does not keep.
-    pub fn log_dropped_statement(&self, engine: &str, statement: &'static str, cause: &str) {
-        log::warn!(engine, statement, cause; "engine's statement dropped");
-        self.metrics.record_engine_statement(statement, "dropped");
-    }
-
     /// Logs that an engine leaves, and wakes the tasks that decide anew without it.
     pub fn announce_leaving(&self, engine: &str, source: &str) {
         let change: &'static str = EngineChange::Draining.into();
--- a/src/edge/statements.rs
+++ b/src/edge/statements.rs
@@ -12,6 +12,15 @@
 /// Number of engines that leave from which those that are not listed are forgotten.
 const MAX_LEAVING: usize = 10_000;
 
+/// What an engine says of itself in the head of a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Statement {
+    /// Whether it is about to stop.
+    pub leaves: bool,
+    /// For how long it wants no requests of this host.
+    pub pause: Option<Duration>,
+}
+
 /// Statements of engines, by their ids.
 #[derive(Debug, Default)]
 pub struct Statements {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -7,6 +7,7 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
 use crate::edge::request_headers::{EngineHeaders, Prompt, PromptPart, RequestHeaders};
+use crate::edge::statements::Statement;
 
 /// Id of one attempt of a caller; engines echo it.
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-mastichinge-request-id");
@@ -162,8 +163,6 @@
     pub idle_timeout: Option<Duration>,
     /// Whether the engine closes the connection after it.
     pub closes: bool,
-    /// Whether the engine is about to stop.
-    pub leaving: bool,
 }
 
 /// A pause that cannot be decoded.
@@ -211,12 +210,25 @@
         not_run: headers.contains_key(&NOT_RUN),
         idle_timeout,
         closes: connection.eq_ignore_ascii_case("close"),
-        leaving: is_leaving(headers),
     }
 }
 
+/// Returns what the head of an engine's response says of the engine. A pause that cannot be
+/// decoded is returned beside the rest.
+pub fn engine_statement(
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> (Statement, Option<InvalidPause>) {
+    let (pause, error) = match engine_pause(status, headers) {
+        Ok(pause) => (pause, None),
+        Err(error) => (None, Some(error)),
+    };
+    let leaves = is_leaving(headers);
+    (Statement { leaves, pause }, error)
+}
+
 /// Returns whether an engine's response says that the engine is about to stop.
-pub fn is_leaving(headers: &HeaderMap) -> bool {
+fn is_leaving(headers: &HeaderMap) -> bool {
     header_text(headers, &LEAVING).is_some_and(|v| v.trim() == "1")
 }
 
