Keep a statement in force until the engine's later lifetime has been asked

Cause: the statement was kept under the lifetime of the entry known then, and ended by the later `born` of the very process that had made it. An answer names no lifetime. Change: a later start puts a statement that this host has heard in doubt; it stays in force until the engine answers a check (its report, or its health path, which are no requests), or 15 s have passed. An engine that has really started again is used as soon as it has answered. No clocks of two machines are compared.

--- a/benches/scene/fleet.rs
+++ b/benches/scene/fleet.rs
@@ -171,6 +171,7 @@
     }
     let service = Service {
         name: SERVICE.into(),
+        health_path: None,
         hosting: Some(hosting),
     };
     let mut desired = DesiredState {
--- a/src/edge/desired.rs
+++ b/src/edge/desired.rs
@@ -95,6 +95,8 @@
 pub struct Service {
     /// Name.
     pub name: Arc<str>,
+    /// Path at which its engines answer health checks, if any.
+    pub health_path: Option<Arc<str>>,
     /// Capacity of its model engines; absent for plain services.
     pub hosting: Option<Hosting>,
 }
--- /dev/null
+++ b/src/edge/engine_checks.rs
@@ -0,0 +1,71 @@
+//! Checks of engines that have started again: whether what they were heard to say of
+//! themselves still applies.
+
+use std::rc::Rc;
+
+use http::{Request, StatusCode};
+use http_body_util::Full;
+
+use super::clock;
+use super::exchange::Recipient;
+use super::state::Edge;
+use crate::platform::orders;
+
+/// Starts the checks that are due.
+pub fn start_due(edge: &Rc<Edge>) {
+    let due = edge.state.borrow_mut().fleet.take_checks(clock::now());
+    for recipient in due {
+        tokio::task::spawn_local(check(edge.clone(), recipient));
+    }
+}
+
+/// Asks an engine for its report, or for its health if it holds no models. What its answer
+/// says replaces what was known of the lifetimes before.
+async fn check(edge: Rc<Edge>, recipient: Recipient) {
+    let Some(request) = check_request(&edge, &recipient) else {
+        return;
+    };
+    let engine = &recipient.engine;
+    let life = recipient.incarnation;
+    let response = match edge.call_engine(&recipient, request).await {
+        Ok(response) => response,
+        Err(error) => {
+            log::info!(engine = &**engine, life, error:%; "engine not checked");
+            return;
+        }
+    };
+    // Another engine has the address, or this one has started again since.
+    let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST;
+    let report = orders::decode_report(response.body());
+    let born = report.map_or(0, |report| report.incarnation);
+    if is_other || born != 0 && born != life {
+        log::info!(engine = &**engine, life, born; "check answered by another engine");
+        return;
+    }
+    let mut state = edge.state.borrow_mut();
+    let leaves = state.fleet.settle_statements(engine, life);
+    drop(state);
+    log::info!(engine = &**engine, life, leaves; "engine checked after its restart");
+    edge.notify_waiting();
+    edge.order_wake.notify_one();
+}
+
+/// Returns the request of a check; `None` if the service of the engine names no health path.
+fn check_request(edge: &Edge, recipient: &Recipient) -> Option<Request<Full<bytes::Bytes>>> {
+    let addr = recipient.addr.to_string();
+    let state = edge.state.borrow();
+    let entry = &state.fleet.engines.get(&recipient.engine)?.entry;
+    let service = state.desired.services.get(&entry.service)?;
+    let request = match (&service.hosting, &service.health_path) {
+        (Some(_), _) => orders::report_request(&addr),
+        (None, Some(path)) => orders::health_request(path, &recipient.engine, &addr),
+        (None, None) => return None,
+    };
+    match request {
+        Ok(request) => Some(request),
+        Err(error) => {
+            log::warn!(service = &*service.name, error:%; "health path is not valid");
+            None
+        }
+    }
+}
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -10,7 +10,7 @@
 use super::prefix_cache::PrefixCache;
 use super::request_headers;
 use super::routing::{EngineSlowdown, PrefillQueue};
-use super::statements::Statements;
+use super::statements::{Source, Statements};
 use crate::clock::Moment;
 use crate::decide::breaker::{Breaker, BreakerConfig};
 
@@ -143,6 +143,8 @@
     pub queue: PrefillQueue,
     /// Whether a newer engine has its address.
     pub replaced: bool,
+    /// Whether it has said in a response that it leaves.
+    pub leaves: bool,
     /// Number of its latest entry when it refused a connection; it counts as down
     /// until it writes another.
     pub down_sequence: Option<u64>,
@@ -167,6 +169,7 @@
             prefix_cache: PrefixCache::default(),
             queue: PrefillQueue::default(),
             replaced: false,
+            leaves: false,
             down_sequence: None,
         }
     }
@@ -181,7 +184,8 @@
 
     /// Returns whether it may get new requests.
     pub fn is_usable(&self) -> bool {
-        self.entry.phase == EnginePhase::Ready && !self.replaced && !self.is_down()
+        let accepts = self.entry.phase == EnginePhase::Ready && !self.leaves;
+        accepts && !self.replaced && !self.is_down()
     }
 
     /// Returns the recent failures; each decays within seconds.
@@ -354,36 +358,61 @@
 
     /// Records that an engine that started at `incarnation` has said that it leaves; returns
     /// whether that is news. It gets no new requests until it has started again.
-    pub fn record_leaving(&mut self, id: &Arc<str>, incarnation: u64) -> bool {
+    pub fn record_leaving(&mut self, id: &Arc<str>, incarnation: u64, source: Source) -> bool {
         let engines = &self.engines;
         let is_listed = |id: &str| engines.contains_key(id);
-        if !self.statements.record_leaving(id, incarnation, is_listed) {
-            return false;
-        }
-        if let Some(engine) = self.engines.get_mut(id)
-            && engine.entry.incarnation <= incarnation
-        {
-            engine.entry.phase = EnginePhase::Draining;
+        let is_news = self
+            .statements
+            .record_leaving(id, incarnation, source, is_listed);
+        self.update_leaves(id);
+        is_news
+    }
+
+    /// Returns the engines whose statements are to be checked now.
+    pub fn take_checks(&mut self, now: Moment) -> Vec<Recipient> {
+        let due = self.statements.take_checks(now);
+        let listed = due.into_iter().filter_map(|(id, incarnation)| {
+            let recipient = self.recipient(&id)?;
+            (recipient.incarnation == incarnation).then_some(recipient)
+        });
+        listed.collect()
+    }
+
+    /// Forgets what was heard from earlier lifetimes of an engine than the one that started at
+    /// `incarnation`; returns whether the engine leaves.
+    pub fn settle_statements(&mut self, id: &str, incarnation: u64) -> bool {
+        self.statements.settle(id, incarnation);
+        self.update_leaves(id);
+        self.engines.get(id).is_some_and(|e| e.leaves)
+    }
+
+    fn update_leaves(&mut self, id: &str) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            let incarnation = engine.entry.incarnation;
+            engine.leaves = self.statements.is_leaving(id, incarnation);
         }
-        true
     }
 
-    fn merge_entry(
-        &mut self,
-        mut entry: EngineEntry,
-        now: Moment,
-    ) -> Option<(Arc<str>, EngineChange)> {
+    fn merge_entry(&mut self, entry: EngineEntry, now: Moment) -> Option<(Arc<str>, EngineChange)> {
         let id = entry.id.clone();
-        if self.statements.is_leaving(&id, entry.incarnation) {
-            entry.phase = EnginePhase::Draining;
+        let change = self.update_entry(entry, now);
+        if let Some(engine) = self.engines.get(&id) {
+            let incarnation = engine.entry.incarnation;
+            self.statements.record_listed(&id, incarnation, now);
+            self.update_leaves(&id);
         }
-        let Some(known) = self.engines.get_mut(&id) else {
-            self.engines.insert(id.clone(), Upstream::new(entry, now));
-            return Some((id, EngineChange::Appeared));
+        change.map(|change| (id, change))
+    }
+
+    fn update_entry(&mut self, entry: EngineEntry, now: Moment) -> Option<EngineChange> {
+        let Some(known) = self.engines.get_mut(&entry.id) else {
+            let id = entry.id.clone();
+            self.engines.insert(id, Upstream::new(entry, now));
+            return Some(EngineChange::Appeared);
         };
         if entry.incarnation > known.entry.incarnation {
             *known = Upstream::new(entry, now);
-            return Some((id, EngineChange::Restarted));
+            return Some(EngineChange::Restarted);
         }
         let outdated =
             entry.incarnation < known.entry.incarnation || entry.sequence < known.entry.sequence;
@@ -392,12 +421,13 @@
         }
         let was_draining = known.entry.phase == EnginePhase::Draining;
         let starts_draining = entry.phase == EnginePhase::Draining && !was_draining;
+        let is_news = starts_draining && !known.leaves;
         known.entry = entry;
         if was_draining {
             // A draining engine becomes ready again only by a restart.
             known.entry.phase = EnginePhase::Draining;
         }
-        starts_draining.then_some((id, EngineChange::Draining))
+        is_news.then_some(EngineChange::Draining)
     }
 
     /// Marks engines whose address belongs to an engine that started later.
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -13,6 +13,7 @@
 pub mod connections;
 pub mod demand;
 pub mod desired;
+pub mod engine_checks;
 pub mod engine_list;
 pub mod events;
 pub mod exchange;
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -24,6 +24,7 @@
 use super::reports::{Reporter, Round};
 use super::request_headers::split_target;
 use super::state::{Edge, State};
+use super::statements::Source;
 use crate::clock::Moment;
 
 /// Receive buffer, bytes.
@@ -365,7 +366,8 @@
         }
         for note in &packet.leaving {
             let engine = note.engine.as_str().into();
-            if self.fleet.record_leaving(&engine, note.incarnation) {
+            let source = Source::Note;
+            if self.fleet.record_leaving(&engine, note.incarnation, source) {
                 effects.leaving.push(engine);
             }
         }
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -22,6 +22,7 @@
 use super::retry_budget::{RetryBudget, RetryLimits};
 use super::settings::Settings;
 use super::shutdown::Shutdown;
+use super::statements::Source;
 use super::store::StoreClient;
 use super::suspects::Suspects;
 use crate::clock::Moment;
@@ -251,14 +252,15 @@
     /// tells the other daemons.
     pub fn record_leaving(&self, engine: &Arc<str>, incarnation: u64) {
         let mut state = self.state.borrow_mut();
-        if !state.fleet.record_leaving(engine, incarnation) {
+        let source = Source::Response;
+        if !state.fleet.record_leaving(engine, incarnation, source) {
             self.metrics.record_engine_statement("leaving", "known");
             return;
         }
         self.metrics.record_engine_statement("leaving", "kept");
         state.leaving_notes.push((engine.clone(), incarnation));
         drop(state);
-        self.announce_leaving(engine, "response");
+        self.announce_leaving(engine, source.into());
         self.send_wake.notify_one();
     }
 
--- a/src/edge/statements.rs
+++ b/src/edge/statements.rs
@@ -1,7 +1,10 @@
 //! What engines have said of themselves in their responses.
 //!
-//! A statement applies to one lifetime of its engine. It is kept while the engine is not
-//! listed, because its entry may be back later, or older.
+//! A statement is kept under the id of its engine and the start time that was known when the
+//! engine was addressed. When the engine is listed with a later start, its new lifetime may
+//! have made the statement before its entry was read. The statement then stays in force until
+//! the engine has answered a check, or [`DOUBT_TIME`] has passed. Statements are kept while the
+//! engine is not listed, because its entry may be back later, or older.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -11,6 +14,11 @@
 
 /// Number of engines that leave from which those that are not listed are forgotten.
 const MAX_LEAVING: usize = 10_000;
+/// Time after which an engine that has not answered a check is taken to have started again
+/// after its statement; an engine that leaves is seldom there for longer.
+const DOUBT_TIME: Duration = Duration::from_secs(15);
+/// Minimum time between two checks of an engine.
+const CHECK_PERIOD: Duration = Duration::from_secs(1);
 
 /// What an engine says of itself in the head of a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -21,12 +29,30 @@
     pub pause: Option<Duration>,
 }
 
+/// How this daemon knows that an engine leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Source {
+    /// The engine has said it to this daemon.
+    Response,
+    /// Another daemon has passed it on, for the lifetime that it names only.
+    Note,
+}
+
 /// Statements of engines, by their ids.
 #[derive(Debug, Default)]
 pub struct Statements {
-    /// Start times of the engines that leave.
-    leaving: HashMap<Arc<str>, u64>,
+    leaving: HashMap<Arc<str>, Leaving>,
     pauses: HashMap<Arc<str>, Pause>,
+    doubts: HashMap<Arc<str>, Doubt>,
+}
+
+/// Statement that an engine leaves.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    /// Start time of the engine.
+    incarnation: u64,
+    source: Source,
 }
 
 /// Time in which an engine wants no requests of this host.
@@ -37,6 +63,15 @@
     until: Moment,
 }
 
+/// An engine that is listed with a later start than its statement was kept under.
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    /// Start time of the listed engine.
+    incarnation: u64,
+    since: Moment,
+    asked_at: Option<Moment>,
+}
+
 impl Statements {
     /// Records that the engine that started at `incarnation` leaves; returns whether that is
     /// news. `is_listed` tells which engines to remember when there are too many.
@@ -44,21 +79,45 @@
         &mut self,
         id: &Arc<str>,
         incarnation: u64,
+        source: Source,
         is_listed: impl Fn(&str) -> bool,
     ) -> bool {
-        if self.is_leaving(id, incarnation) {
+        let known = self
+            .leaving
+            .get(id)
+            .filter(|l| l.incarnation >= incarnation);
+        if let Some(known) = known {
+            let is_same = known.incarnation == incarnation;
+            if is_same && source == Source::Response {
+                self.leaving.insert(
+                    id.clone(),
+                    Leaving {
+                        incarnation,
+                        source,
+                    },
+                );
+            }
             return false;
         }
         if self.leaving.len() >= MAX_LEAVING {
             self.leaving.retain(|id, _| is_listed(id));
         }
-        self.leaving.insert(id.clone(), incarnation);
+        self.leaving.insert(
+            id.clone(),
+            Leaving {
+                incarnation,
+                source,
+            },
+        );
         true
     }
 
-    /// Returns whether the engine that started at `incarnation` leaves.
+    /// Returns whether the engine that started at `incarnation` leaves, or may do so.
     pub fn is_leaving(&self, id: &str, incarnation: u64) -> bool {
-        self.leaving.get(id).is_some_and(|at| incarnation <= *at)
+        self.leaving.get(id).is_some_and(|leaving| {
+            incarnation <= leaving.incarnation
+                || leaving.source == Source::Response && self.is_doubtful(id, incarnation)
+        })
     }
 
     /// Records that the engine that started at `incarnation` wants no requests of this host
@@ -71,10 +130,78 @@
     }
 
     /// Returns how long the engine that started at `incarnation` still wants no requests of
-    /// this host.
+    /// this host, or may want none.
     pub fn pause_left(&self, id: &str, incarnation: u64, now: Moment) -> Option<Duration> {
-        let pause = self.pauses.get(id)?;
-        let in_force = pause.incarnation == incarnation && pause.until > now;
+        let pause = self.pauses.get(id).filter(|p| p.until > now)?;
+        let in_force = incarnation <= pause.incarnation || self.is_doubtful(id, incarnation);
         in_force.then(|| pause.until - now)
     }
+
+    fn is_doubtful(&self, id: &str, incarnation: u64) -> bool {
+        let doubt = self.doubts.get(id);
+        doubt.is_some_and(|d| d.incarnation == incarnation)
+    }
+
+    /// Records that an engine is listed with the start time `incarnation`.
+    pub fn record_listed(&mut self, id: &Arc<str>, incarnation: u64, now: Moment) {
+        if self.leaving.is_empty() && self.pauses.is_empty() {
+            return;
+        }
+        let leaving = self.leaving.get(id);
+        let has_left =
+            leaving.is_some_and(|l| l.incarnation < incarnation && l.source == Source::Response);
+        let pause = self.pauses.get(id);
+        let has_paused = pause.is_some_and(|p| p.incarnation < incarnation && p.until > now);
+        if !has_left && !has_paused {
+            self.doubts.remove(id);
+            return;
+        }
+        let doubt = Doubt {
+            incarnation,
+            since: now,
+            asked_at: None,
+        };
+        let known = self.doubts.entry(id.clone()).or_insert(doubt);
+        if known.incarnation != incarnation {
+            *known = doubt;
+        }
+        if now.saturating_sub(known.since) >= DOUBT_TIME {
+            self.settle(id, incarnation);
+        }
+    }
+
+    /// Returns the engines that are to be checked now, with their start times. An engine that
+    /// may want no requests is checked once only.
+    pub fn take_checks(&mut self, now: Moment) -> Vec<(Arc<str>, u64)> {
+        let mut due = Vec::new();
+        for (id, doubt) in &mut self.doubts {
+            let is_paused = self.pauses.get(id).is_some_and(|p| p.until > now);
+            let is_recent = |at: Moment| is_paused || now.saturating_sub(at) < CHECK_PERIOD;
+            if doubt.asked_at.is_some_and(is_recent) {
+                continue;
+            }
+            doubt.asked_at = Some(now);
+            due.push((id.clone(), doubt.incarnation));
+        }
+        due
+    }
+
+    /// Forgets what was kept under earlier starts than `incarnation`.
+    pub fn settle(&mut self, id: &str, incarnation: u64) {
+        if self
+            .leaving
+            .get(id)
+            .is_some_and(|l| l.incarnation < incarnation)
+        {
+            self.leaving.remove(id);
+        }
+        if self
+            .pauses
+            .get(id)
+            .is_some_and(|p| p.incarnation < incarnation)
+        {
+            self.pauses.remove(id);
+        }
+        self.doubts.remove(id);
+    }
 }
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::clock;
+use super::engine_checks;
 use super::engine_list::EngineList;
 use super::fleet::EngineEntry;
 use super::members::MemberRecord;
@@ -188,7 +189,7 @@
     }
 }
 
-fn apply_engines(edge: &Edge, list: &EngineList) {
+fn apply_engines(edge: &Rc<Edge>, list: &EngineList) {
     let now = clock::now();
     let restored_at = edge.store.availability().restored_at;
     let mut state = edge.state.borrow_mut();
@@ -215,6 +216,7 @@
         log::info!(engine = &**engine, change, life, list = version; "engine changed");
     }
     drop(state);
+    engine_checks::start_due(edge);
     edge.notify_waiting();
     if !changes.is_empty() {
         edge.order_wake.notify_one();
--- a/src/platform/desired.rs
+++ b/src/platform/desired.rs
@@ -62,6 +62,7 @@
 #[serde(rename_all = "camelCase")]
 struct WireService {
     name: Arc<str>,
+    health_path: Option<Arc<str>>,
     engine: Option<WireEngine>,
 }
 
@@ -160,6 +161,7 @@
 fn decode_service(wire: WireService) -> Service {
     Service {
         name: wire.name,
+        health_path: wire.health_path.filter(|path| path.starts_with('/')),
         hosting: wire.engine.map(decode_hosting),
     }
 }
--- a/src/platform/orders.rs
+++ b/src/platform/orders.rs
@@ -1,4 +1,4 @@
-//! Encodes orders to model engines and decodes their reports.
+//! Encodes calls to engines, and decodes their reports.
 
 use std::sync::Arc;
 
@@ -86,6 +86,15 @@
         .body(Full::default())
 }
 
+/// Returns the HTTP request for the health of `engine` at `addr`.
+pub fn health_request(path: &str, engine: &str, addr: &str) -> http::Result<Request<Full<Bytes>>> {
+    Request::builder()
+        .uri(path)
+        .header(header::HOST, addr)
+        .header(EXPECT_INSTANCE, engine)
+        .body(Full::default())
+}
+
 /// Decodes an engine's report.
 pub fn decode_report(bytes: &[u8]) -> Result<EngineReport, serde_json::Error> {
     let wire: WireReport = serde_json::from_slice(bytes)?;
--- /dev/null
+++ b/tests/edge/engine_statements.rs
@@ -0,0 +1,116 @@
+//! Which lifetime of an engine a statement applies to, and for how long.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mastichinge::clock::Moment;
+use mastichinge::edge::fleet::{EngineEntry, Fleet};
+use mastichinge::edge::statements::Source;
+use test_case::test_case;
+
+use crate::fixtures::entry;
+
+/// Pause for which an engine asks.
+const PAUSE: Duration = Duration::from_secs(30);
+
+fn at(ms: u64) -> Moment {
+    Moment::from_millis(50_000 + ms)
+}
+
+/// Lists the engine with a start time.
+fn list(fleet: &mut Fleet, incarnation: u64, ms: u64) {
+    let entry = EngineEntry {
+        incarnation,
+        ..entry("e", 1, &[])
+    };
+    fleet.update_entries(vec![entry], &BTreeSet::new(), None, at(ms));
+}
+
+/// Returns whether a request may be sent to the engine.
+fn is_free(fleet: &Fleet, ms: u64) -> bool {
+    let engine = &fleet.engines["e"];
+    engine.is_usable() && fleet.pause_left(engine, at(ms)).is_none()
+}
+
+/// Makes the engine state something under its first lifetime, and lists its second.
+fn restarted(leaves: bool, source: Source) -> Fleet {
+    let id: Arc<str> = "e".into();
+    let mut fleet = Fleet::default();
+    list(&mut fleet, 1_000, 0);
+    match leaves {
+        true => assert!(fleet.record_leaving(&id, 1_000, source)),
+        false => fleet.record_pause(&id, 1_000, PAUSE, at(10)),
+    }
+    assert!(!is_free(&fleet, 20));
+    list(&mut fleet, 2_000, 100);
+    fleet
+}
+
+/// Guards against DRAIN and BUDGET: a statement of a new lifetime, heard before its entry
+/// was read, was taken for one of the lifetime before.
+#[test_case(true; "leaving")]
+#[test_case(false; "a pause")]
+fn a_statement_stays_in_force_until_a_check_is_answered(leaves: bool) {
+    let mut fleet = restarted(leaves, Source::Response);
+    assert!(!is_free(&fleet, 110));
+    let checks = fleet.take_checks(at(120));
+    assert_eq!((checks.len(), checks[0].incarnation), (1, 2_000));
+    fleet.settle_statements("e", 2_000);
+    assert!(is_free(&fleet, 140));
+}
+
+#[test_case(true; "leaving")]
+#[test_case(false; "a pause")]
+fn a_check_that_finds_the_statement_again_keeps_it(leaves: bool) {
+    let mut fleet = restarted(leaves, Source::Response);
+    match leaves {
+        true => assert!(fleet.record_leaving(&"e".into(), 2_000, Source::Response)),
+        false => fleet.record_pause(&"e".into(), 2_000, PAUSE, at(130)),
+    }
+    fleet.settle_statements("e", 2_000);
+    assert!(!is_free(&fleet, 140));
+    list(&mut fleet, 2_000, 25_000);
+    assert!(!is_free(&fleet, 25_000));
+    assert_eq!(fleet.take_checks(at(25_010)), []);
+}
+
+/// Guards against an engine that is kept out for long after it has started again.
+#[test_case(true; "leaving")]
+#[test_case(false; "a pause")]
+fn an_engine_that_answers_no_check_is_used_again(leaves: bool) {
+    let mut fleet = restarted(leaves, Source::Response);
+    list(&mut fleet, 2_000, 15_000);
+    assert!(!is_free(&fleet, 15_000));
+    list(&mut fleet, 2_000, 15_200);
+    assert!(is_free(&fleet, 15_200));
+}
+
+/// A check of an engine that leaves is no request; one that may want none gets a single one.
+#[test_case(true, 3; "leaving")]
+#[test_case(false, 1; "a pause")]
+fn an_unanswered_check_is_repeated_unless_the_engine_may_want_none(leaves: bool, checks: usize) {
+    let mut fleet = restarted(leaves, Source::Response);
+    let mut taken = 0;
+    for ms in [120, 500, 1_150, 1_300, 2_200] {
+        taken += fleet.take_checks(at(ms)).len();
+    }
+    assert_eq!(taken, checks);
+}
+
+/// What another host heard applies to the lifetime that it names.
+#[test]
+fn a_note_of_another_host_does_not_apply_to_a_later_lifetime() {
+    let mut fleet = restarted(true, Source::Note);
+    assert!(is_free(&fleet, 110));
+    assert_eq!(fleet.take_checks(at(120)), []);
+}
+
+/// Guards against BUDGET: a pause was forgotten when an older entry came back.
+#[test]
+fn a_pause_applies_to_an_older_entry() {
+    let mut fleet = Fleet::default();
+    fleet.record_pause(&"e".into(), 2_000, PAUSE, at(0));
+    list(&mut fleet, 1_000, 10);
+    assert!(!is_free(&fleet, 20));
+}
--- a/tests/edge/fixtures.rs
+++ b/tests/edge/fixtures.rs
@@ -59,6 +59,7 @@
     }
     let service = Service {
         name: SERVICE.into(),
+        health_path: None,
         hosting: Some(hosting),
     };
     let mut desired = DesiredState {
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -6,6 +6,7 @@
 mod decisions;
 mod endless;
 mod engine_list;
+mod engine_statements;
 #[allow(dead_code, reason = "shared with the soak, which uses other parts")]
 mod fakes;
 mod fixtures;
--- a/tests/simulation/firm.rs
+++ b/tests/simulation/firm.rs
@@ -326,6 +326,7 @@
         };
         let service = Service {
             name: SERVICE.into(),
+            health_path: None,
             hosting: Some(hosting),
         };
         DesiredState {
