Send no orders and report requests to an engine in the pause that it asks for

What callers saw: an engine that had asked this host for 30 s of rest got orders and report requests, and was chosen for loads; requests for a model that no engine held waited for it (60 s and more in the test). Cause: the leader's calls neither obeyed nor kept a pause. Change: the leader gives no order to an engine in its pause, plans no load there and drops those that have not started, so that another engine loads the model.

--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -220,6 +220,9 @@
             if view.incarnation != entry.incarnation {
                 *view = EngineView::new(entry, now);
             }
+            if let Some(left) = input.fleet.pause_left(engine, now) {
+                view.paused_until = view.paused_until.max(now.saturating_add(left));
+            }
             if !records_use {
                 continue;
             }
@@ -380,14 +383,18 @@
         }
     }
 
-    /// Drops tasks that did not reach their load within [`MAX_TASK_AGE`].
+    /// Drops tasks that did not reach their load within [`MAX_TASK_AGE`], or whose engine
+    /// wants no orders now.
     fn drop_stale_tasks(&mut self, input: &PlacementInput<'_>) {
-        for view in self.views.values_mut() {
+        for (id, view) in &mut self.views {
             let Some(task) = &view.task else {
                 continue;
             };
             let started = matches!(task.stage, TaskStage::Loading { .. });
-            if !started && input.now.saturating_sub(task.planned_at) > MAX_TASK_AGE {
+            let engine = input.fleet.engines.get(id);
+            let paused = engine.is_some_and(|e| input.fleet.pause_left(e, input.now).is_some());
+            let stale = input.now.saturating_sub(task.planned_at) > MAX_TASK_AGE;
+            if !started && (stale || paused) {
                 view.abandon_task();
             }
         }
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -272,7 +272,8 @@
             if view.foreign_order || view.replicas.contains_key(model) {
                 continue;
             }
-            if !engine.breaker.allows(input.now) {
+            let wants_none = input.fleet.pause_left(engine, input.now).is_some();
+            if wants_none || !engine.breaker.allows(input.now) {
                 continue;
             }
             let (load_time, from_store) = view.load_time(model, spec);
--- a/tests/edge/placement.rs
+++ b/tests/edge/placement.rs
@@ -290,3 +290,33 @@
     let orders = fixture.run(400, held, OrderOutcome::Accepted);
     assert_eq!(loads(&orders).len(), 1);
 }
+
+/// Guards against a load that waits for the end of a pause that an engine has asked for: the
+/// model is loaded elsewhere, also if the load was planned before.
+#[test]
+fn no_load_is_ordered_at_an_engine_that_asks_for_a_pause() {
+    let entries = vec![entry("e1", 1, &[]), entry("e2", 2, &[])];
+    let mut fixture = PlacerFixture::new(entries, desired(&["a"]));
+    fixture.add_waiting("a", None);
+    let calls = fixture.step();
+    assert_eq!(calls.len(), 2, "reports: {calls:?}");
+    let pause = Duration::from_secs(30);
+    let planned = ["e1", "e2"].map(|id| fixture.placer.views[id].task.is_some());
+    let (paused, other) = match planned {
+        [true, false] => ("e1", "e2"),
+        _ => ("e2", "e1"),
+    };
+    let incarnation = fixture.fleet.incarnation(paused);
+    fixture
+        .fleet
+        .record_pause(&paused.into(), incarnation, pause, fixture.now);
+    for engine in ["e1", "e2"] {
+        fixture.report(engine, &report(&[], 0));
+    }
+    let orders = fixture.run(1_000, |_| report(&[], 0), OrderOutcome::Accepted);
+    assert_eq!(loads(&orders), [(other, "a")]);
+    assert_eq!(
+        fixture.placer.views[paused].paused_until,
+        fixture.now - Duration::from_millis(1_000) + pause
+    );
+}
