Tests of statements in calls do not depend on when the first report is read

Cause: one of them failed once in a run of all tests of the edge: the call that it waits for had come before it began to count. Change: both leave one engine, which the leader has to call, and count the calls that it failed to answer from its start; the bounds are the same.

--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -48,6 +48,8 @@
     received_orders: Vec<Value>,
     /// Number of received orders and report requests.
     calls: usize,
+    /// Number of those that got no whole successful response.
+    failed_calls: usize,
     /// Number of received health checks.
     health_checks: usize,
 }
@@ -211,6 +213,11 @@
         self.state.lock().unwrap().calls
     }
 
+    /// Returns the number of calls that got no whole successful response.
+    pub fn failed_calls(&self) -> usize {
+        self.state.lock().unwrap().failed_calls
+    }
+
     /// Returns the number of received health checks.
     pub fn health_checks(&self) -> usize {
         self.state.lock().unwrap().health_checks
@@ -330,10 +337,12 @@
     fn answers_no_calls(&self) -> bool {
         let mut state = self.state.lock().unwrap();
         state.calls += 1;
-        matches!(
+        let fails = matches!(
             state.behavior,
             Behavior::RefusesCalls | Behavior::BreaksCalls
-        )
+        );
+        state.failed_calls += usize::from(fails);
+        fails
     }
 
     /// Responds to a call with 503, or only with the head of a response.
--- a/tests/edge/statements.rs
+++ b/tests/edge/statements.rs
@@ -56,6 +56,20 @@
     });
 }
 
+/// Leaves `e1` the only engine of its service, and requests a model that it has to load until
+/// it has failed to answer a call.
+fn fail_call(site: &Site) {
+    site.store.remove("servers", "e2");
+    site.wait_for_change("e2", "gone");
+    let mut sent = 0;
+    wait("a call", || {
+        let request = Request::new("/stream/", &format!("call{sent}")).with(MODEL, "m2");
+        sent += 1;
+        site.daemon.send(&request);
+        site.models[0].failed_calls() > 0
+    });
+}
+
 /// Lets `p1` stall with a booking and respond with a header while its entry is missing, and
 /// brings the entry back.
 fn respond_without_entry(site: &Site, stall: Behavior, header: (&'static str, &str)) {
@@ -167,16 +181,13 @@
     let engine = &site.models[0];
     engine.set_behavior(Behavior::RefusesCalls);
     engine.add_header(RETRY_AFTER, PAUSE_S);
-    wait_for_leadership(&site);
-    let before_calls = engine.calls();
-    request_load(&site);
-    wait("a call", || engine.calls() > before_calls);
+    fail_call(&site);
     let before = engine.arrivals().len();
     for i in 0..REQUESTS {
         site.stream("/stream/", &format!("s{i}"));
     }
     assert!(engine.arrivals().len() - before <= MAX_IN_PAUSE);
-    let calls = engine.calls() - before_calls;
+    let calls = engine.failed_calls();
     assert!(calls <= 1 + MAX_IN_PAUSE, "{calls}");
 }
 
@@ -208,10 +219,7 @@
     let engine = &site.models[0];
     engine.set_behavior(Behavior::BreaksCalls);
     engine.add_header(LEAVING, "1");
-    wait_for_leadership(&site);
-    let before = engine.calls();
-    request_load(&site);
-    wait("a call", || engine.calls() > before);
+    fail_call(&site);
     site.wait_for_change("e1", "leaving");
 }
 
