Look again whether an engine accepts requests once there is a connection

Cause: an engine is chosen before its connection is made, which may take 400 ms, more where idle connections fail first; what it said in that time, and the end of its entry, changed nothing. Change: right before the first byte of a request or an order the statements and the entry are looked at again; a request that is withheld is sent elsewhere and counts as no attempt. Result: test of a recipient that wants no more requests (the connection stays empty), and of what an engine accepts. A connection that is slow to open cannot be made on loopback: no run shows the fault in whole processes.

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -44,6 +44,9 @@
     /// No byte of the request was sent.
     #[error("request not sent: {0}")]
     NotSent(String),
+    /// No byte of the request was sent, because the recipient wants none any more.
+    #[error("request withheld: its recipient wants no requests now")]
+    Withheld,
     /// The request was sent, wholly or in part, and may have run.
     #[error("connection lost: {0}")]
     ConnectionLost(String),
@@ -150,10 +153,22 @@
 impl Client {
     /// Sends `request` to `addr`. Dropping the future closes the connection.
     pub async fn send(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        options: SendOptions,
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
+        self.send_if(addr, request, options, || true).await
+    }
+
+    /// Sends `request` to `addr` if `is_wanted` holds once there is a connection, which may
+    /// take its time.
+    pub async fn send_if(
         &self,
         addr: SocketAddr,
         mut request: Request<Full<Bytes>>,
         options: SendOptions,
+        is_wanted: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         loop {
             let idle = match options.new_connection {
@@ -164,6 +179,9 @@
                 Some(connection) => connection,
                 None => self.connect(addr, options.connect_timeout).await?,
             };
+            if !is_wanted() {
+                return Err(SendError::Withheld);
+            }
             connection.limit_head(Some(MAX_HEAD_BYTES));
             let mut error = match connection.sender.try_send_request(request).await {
                 Ok(response) => {
--- a/src/edge/engine_checks.rs
+++ b/src/edge/engine_checks.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 
 use super::clock;
-use super::exchange::Recipient;
+use super::exchange::{CallKind, Recipient};
 use super::state::Edge;
 use crate::platform::orders;
 
@@ -27,7 +27,7 @@
     };
     let engine = &recipient.engine;
     let life = recipient.incarnation;
-    let response = match edge.call_engine(&recipient, request).await {
+    let response = match edge.call_engine(&recipient, CallKind::Check, request).await {
         Ok(response) => response,
         Err(error) => {
             log::info!(engine = &**engine, life, error:%; "engine not checked");
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use super::client::{self, CallLimits, Client, Connection, SendError, SendOptions};
+use super::client::{self, CallLimits, Connection, SendError, SendOptions};
 use super::clock;
 use super::state::Edge;
 use crate::platform::headers;
@@ -25,6 +25,15 @@
     max_bytes: 1 << 20,
 };
 
+/// Which engines get a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// An order or a report request, for engines that want them.
+    Order,
+    /// A question whether the engine still wants nothing.
+    Check,
+}
+
 /// An engine as known when something is sent to it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Recipient {
@@ -46,8 +55,12 @@
         request: Request<Full<Bytes>>,
         options: SendOptions,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
-        self.exchange(&self.client, recipient, id, request, options)
-            .await
+        let sending = self
+            .client
+            .send_if(recipient.addr, request, options, || self.accepts(recipient));
+        let (response, connection) = sending.await?;
+        self.record_statement(recipient, id, &response);
+        Ok((response, connection))
     }
 
     /// Sends a call to an engine and reads the whole response. Marks the engine as down when
@@ -55,16 +68,20 @@
     pub async fn call_engine(
         &self,
         recipient: &Recipient,
+        kind: CallKind,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, SendError> {
         let options = SendOptions {
             connect_timeout: CALL_LIMITS.connect_timeout,
             ..SendOptions::default()
         };
+        let is_wanted = || kind == CallKind::Check || self.accepts(recipient);
         let exchange = async {
-            let (response, connection) = self
-                .exchange(&self.call_client, recipient, "", request, options)
-                .await?;
+            let sending = self
+                .call_client
+                .send_if(recipient.addr, request, options, is_wanted);
+            let (response, connection) = sending.await?;
+            self.record_statement(recipient, "", &response);
             client::read_whole(response, connection, CALL_LIMITS.max_bytes).await
         };
         let outcome = client::within(CALL_LIMITS.total_timeout, exchange).await;
@@ -74,17 +91,10 @@
         outcome
     }
 
-    async fn exchange(
-        &self,
-        client: &Client,
-        recipient: &Recipient,
-        id: &str,
-        request: Request<Full<Bytes>>,
-        options: SendOptions,
-    ) -> Result<(Response<Incoming>, Connection), SendError> {
-        let (response, connection) = client.send(recipient.addr, request, options).await?;
-        self.record_statement(recipient, id, &response);
-        Ok((response, connection))
+    /// Returns whether an engine accepts requests and orders of this host.
+    fn accepts(&self, recipient: &Recipient) -> bool {
+        let state = self.state.borrow();
+        state.fleet.accepts(&recipient.engine, clock::now())
     }
 
     /// Records what an engine says of itself in the head of its response to the request `id`;
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -344,6 +344,15 @@
         })
     }
 
+    /// Returns whether an engine is listed and has not said that it leaves, or that it wants
+    /// no requests of this host now.
+    pub fn accepts(&self, id: &str, now: Moment) -> bool {
+        self.engines.get(id).is_some_and(|engine| {
+            let leaves = engine.leaves || engine.entry.phase == EnginePhase::Draining;
+            !leaves && self.pause_left(engine, now).is_none()
+        })
+    }
+
     /// Returns the start time of a listed engine; 0 when unknown.
     pub fn incarnation(&self, id: &str) -> u64 {
         self.engines.get(id).map_or(0, |e| e.entry.incarnation)
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -155,6 +155,7 @@
                     rejection_pause(routed, attempts).await;
                 }
             }
+            SendOutcome::Withheld => attempts.cancel_send(&engine, was_abandoned),
             SendOutcome::NotSent(cause) => {
                 attempts.record_not_run(&engine, was_abandoned);
                 if attempts.not_run >= MAX_NOT_RUN_ATTEMPTS {
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -75,15 +75,20 @@
         self.abandoned.len() < count
     }
 
+    /// Takes the last attempt back, of which nothing was sent.
+    pub(super) fn cancel_send(&mut self, engine: &Arc<str>, was_abandoned: bool) {
+        self.sent -= 1;
+        if was_abandoned {
+            self.abandoned.push(engine.clone());
+        }
+    }
+
     /// Records that the last attempt did not run; `was_abandoned` tells whether an earlier run
     /// at its engine was abandoned.
     pub(super) fn record_not_run(&mut self, engine: &Arc<str>, was_abandoned: bool) {
-        self.sent -= 1;
+        self.cancel_send(engine, was_abandoned);
         self.not_run += 1;
         self.avoid_engine(engine);
-        if was_abandoned {
-            self.abandoned.push(engine.clone());
-        }
     }
 
     /// Excludes an engine while there are others.
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -48,6 +48,8 @@
     NotRun(StatusCode),
     /// No byte was sent.
     NotSent(String),
+    /// No byte was sent, because the engine wants no requests any more.
+    Withheld,
     /// The connection was lost, or the response is not valid; the request may have run.
     Failed(String),
     /// The engine responded, but not with a proof of whether the request ran.
@@ -103,6 +105,11 @@
             }
             return SendOutcome::NotSent(cause);
         }
+        Err(SendError::Withheld) => {
+            log::info!(request = id, engine = &*choice.engine;
+                "request withheld: the engine wants none now");
+            return SendOutcome::Withheld;
+        }
         Err(SendError::ConnectionLost(cause)) => {
             in_flight.record_outcome(false);
             routed.edge.client.drop_idle(choice.addr);
--- a/src/edge/leader/mod.rs
+++ b/src/edge/leader/mod.rs
@@ -13,6 +13,7 @@
 use self::announce::apply_notes;
 use super::client::SendError;
 use super::clock;
+use super::exchange::CallKind;
 use super::orders::{EngineReport, Order, OrderOutcome, Verb};
 use super::placement::EngineCall;
 use super::relays;
@@ -95,7 +96,7 @@
             log::info!(engine = &*order.engine, error:%; "order was not sent or not answered");
             match error {
                 // The order was not sent.
-                SendError::NotSent(_) => OrderOutcome::Busy,
+                SendError::NotSent(_) | SendError::Withheld => OrderOutcome::Busy,
                 SendError::ConnectionLost(_) => OrderOutcome::Unanswered,
             }
         }
@@ -176,5 +177,5 @@
         recipient.ok_or_else(|| SendError::NotSent("the engine is no longer listed".to_owned()))?;
     let request = request(&recipient.addr.to_string());
     let request = request.map_err(|e| SendError::NotSent(e.to_string()))?;
-    edge.call_engine(&recipient, request).await
+    edge.call_engine(&recipient, CallKind::Order, request).await
 }
--- a/src/edge/store.rs
+++ b/src/edge/store.rs
@@ -10,7 +10,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 
-use super::client::{CallLimits, Client, SendError};
+use super::client::{CallLimits, Client};
 use super::clock;
 use crate::clock::Moment;
 use crate::platform::rows;
@@ -211,8 +211,7 @@
         };
         let outcome = self.client.call(self.addr.get(), request, limits).await;
         let outcome = match outcome {
-            Err(SendError::NotSent(error)) => Err(StoreError::NoAnswer(error)),
-            Err(SendError::ConnectionLost(error)) => Err(StoreError::NoAnswer(error)),
+            Err(error) => Err(StoreError::NoAnswer(error.to_string())),
             Ok(response) => match response.status().as_u16() {
                 200 | 412 => Ok(response),
                 410 => Err(StoreError::HistoryExpired),
--- a/tests/edge/client.rs
+++ b/tests/edge/client.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{BodyExt, Full};
-use mastichinge::edge::client::{Client, SendOptions};
+use mastichinge::edge::client::{Client, SendError, SendOptions};
 use test_case::test_case;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
@@ -99,3 +99,28 @@
         assert_eq!(exchange().await, "correct");
     });
 }
+
+/// Guards against DRAIN and BUDGET: a request was sent although its recipient had said, while
+/// it was being connected, that it wants none.
+#[test]
+fn a_request_that_is_wanted_no_more_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let received = thread::spawn(move || {
+        let mut bytes = Vec::new();
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.read_to_end(&mut bytes).unwrap();
+        bytes
+    });
+    let client = Client::default();
+    let request = Request::get("/").header("host", "x");
+    let request = request.body(Full::<Bytes>::default()).unwrap();
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    let outcome = LocalSet::new().block_on(&runtime, async {
+        let sent = client.send_if(addr, request, SendOptions::default(), || false);
+        sent.await.map(|_| ())
+    });
+    assert_eq!(outcome, Err(SendError::Withheld));
+    drop(runtime);
+    assert_eq!(received.join().unwrap(), b"");
+}
--- a/tests/edge/fleet.rs
+++ b/tests/edge/fleet.rs
@@ -5,6 +5,7 @@
 
 use mastichinge::clock::Moment;
 use mastichinge::edge::fleet::{AnnouncedModels, EngineChange, EngineEntry, EnginePhase, Fleet};
+use mastichinge::edge::statements::Source;
 
 use crate::fixtures::entry;
 
@@ -77,6 +78,23 @@
     assert_eq!(usable(&fleet), Vec::<&str>::new());
 }
 
+/// What is chosen for an engine is sent only if the engine still accepts it.
+#[test]
+fn an_engine_accepts_nothing_when_it_leaves_pauses_or_is_gone() {
+    let mut fleet = Fleet::default();
+    update(&mut fleet, vec![entry("e", 1, &[])], 0);
+    assert!(fleet.accepts("e", at(0)));
+    fleet.record_pause(&"e".into(), 1_000, Duration::from_millis(500), at(0));
+    assert!(!fleet.accepts("e", at(499)));
+    assert!(fleet.accepts("e", at(500)));
+    update(&mut fleet, vec![], 600);
+    assert!(!fleet.accepts("e", at(600)));
+    update(&mut fleet, vec![entry("e", 1, &[])], 700);
+    assert!(fleet.accepts("e", at(700)));
+    fleet.record_leaving(&"e".into(), 1_000, Source::Response);
+    assert!(!fleet.accepts("e", at(700)));
+}
+
 /// Guards against DRAIN: an engine whose entry said that it leaves got requests when the
 /// entry had lapsed and was back in an older state.
 #[test]
