Repeat which engines leave with each heartbeat

Cause: the note was sent once, by datagram, to the hosts of that moment. Change: heartbeats name the listed engines that leave and whose entries say ready, eight at a time, in turns.

--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -143,7 +143,7 @@
     pub queue: PrefillQueue,
     /// Whether a newer engine has its address.
     pub replaced: bool,
-    /// Whether it has said in a response that it leaves.
+    /// Whether it leaves, or may leave, by its own word.
     pub leaves: bool,
     /// Number of its latest entry when it refused a connection; it counts as down
     /// until it writes another.
@@ -377,6 +377,14 @@
         is_news
     }
 
+    /// Returns the listed engines that are known to leave although their entries say that
+    /// they are ready.
+    pub fn leaving_engines(&self) -> impl Iterator<Item = &EngineEntry> {
+        let entries = self.engines.values().map(|e| &e.entry);
+        let ready = entries.filter(|e| e.phase == EnginePhase::Ready);
+        ready.filter(|e| self.statements.leaves(&e.id, e.incarnation))
+    }
+
     /// Returns the engines whose statements are to be checked now.
     pub fn take_checks(&mut self, now: Moment) -> Vec<Recipient> {
         let due = self.statements.take_checks(now);
@@ -398,7 +406,7 @@
     fn update_leaves(&mut self, id: &str) {
         if let Some(engine) = self.engines.get_mut(id) {
             let incarnation = engine.entry.incarnation;
-            engine.leaves = self.statements.is_leaving(id, incarnation);
+            engine.leaves = self.statements.may_leave(id, incarnation);
         }
     }
 
--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -16,6 +16,9 @@
 
 /// Maximum number of prompts in one datagram, so that it fits one frame.
 pub const PROMPTS_PER_PACKET: usize = 12;
+/// Maximum number of repeated notes of engines that leave in one datagram, so that it fits
+/// one frame.
+const LEAVING_PER_PACKET: usize = 8;
 /// Period of reporting the load to a daemon, for each daemon of the deployment: the rate
 /// of all reports that a daemon receives stays the same.
 const LOAD_PERIOD_PER_MEMBER: Duration = Duration::from_millis(9);
@@ -56,6 +59,8 @@
     whole_demand_at: Option<Moment>,
     /// The leader to whom it was reported.
     leader: Option<Arc<str>>,
+    /// Place in the list of engines that leave at which the next repetition starts.
+    leaving_turn: usize,
 }
 
 impl Reporter {
@@ -73,6 +78,9 @@
             heartbeat,
             ..Packet::default()
         };
+        if is_heartbeat {
+            self.repeat_leaving_notes(state, &mut everyone);
+        }
         add_urgent_notes(state, &mut everyone);
         let mut relayed = Vec::new();
         if state.members.all.len() > MAX_DIRECT_MEMBERS {
@@ -103,6 +111,21 @@
         round
     }
 
+    /// Adds engines that leave and whose entries do not say so: datagrams may be lost, and a
+    /// daemon that has started again knows of none. Those beyond the limit take turns.
+    fn repeat_leaving_notes(&mut self, state: &State, packet: &mut Packet) {
+        let leaving: Vec<_> = state.fleet.leaving_engines().collect();
+        let count = leaving.len().min(LEAVING_PER_PACKET);
+        let start = self.leaving_turn % leaving.len().max(1);
+        self.leaving_turn = start + count;
+        for entry in leaving.iter().cycle().skip(start).take(count) {
+            packet.leaving.push(LeavingNote {
+                engine: entry.id.to_string(),
+                incarnation: entry.incarnation,
+            });
+        }
+    }
+
     fn demand_report(
         &mut self,
         state: &mut State,
--- a/src/edge/statements.rs
+++ b/src/edge/statements.rs
@@ -82,42 +82,38 @@
         source: Source,
         is_listed: impl Fn(&str) -> bool,
     ) -> bool {
-        let known = self
-            .leaving
-            .get(id)
-            .filter(|l| l.incarnation >= incarnation);
-        if let Some(known) = known {
-            let is_same = known.incarnation == incarnation;
-            if is_same && source == Source::Response {
-                self.leaving.insert(
-                    id.clone(),
-                    Leaving {
-                        incarnation,
-                        source,
-                    },
-                );
+        let leaving = Leaving {
+            incarnation,
+            source,
+        };
+        match self.leaving.get(id) {
+            Some(known) if known.incarnation > incarnation => return false,
+            Some(known) if known.incarnation == incarnation => {
+                if source == Source::Response {
+                    self.leaving.insert(id.clone(), leaving);
+                }
+                return false;
             }
-            return false;
+            _ => {}
         }
         if self.leaving.len() >= MAX_LEAVING {
             self.leaving.retain(|id, _| is_listed(id));
         }
-        self.leaving.insert(
-            id.clone(),
-            Leaving {
-                incarnation,
-                source,
-            },
-        );
+        self.leaving.insert(id.clone(), leaving);
         true
     }
 
-    /// Returns whether the engine that started at `incarnation` leaves, or may do so.
-    pub fn is_leaving(&self, id: &str, incarnation: u64) -> bool {
-        self.leaving.get(id).is_some_and(|leaving| {
-            incarnation <= leaving.incarnation
-                || leaving.source == Source::Response && self.is_doubtful(id, incarnation)
-        })
+    /// Returns whether the engine that started at `incarnation` leaves, or may leave.
+    pub fn may_leave(&self, id: &str, incarnation: u64) -> bool {
+        let heard = |l: &Leaving| l.source == Source::Response;
+        self.leaves(id, incarnation)
+            || self.leaving.get(id).is_some_and(heard) && self.is_doubtful(id, incarnation)
+    }
+
+    /// Returns whether the engine that started at `incarnation` leaves for certain.
+    pub fn leaves(&self, id: &str, incarnation: u64) -> bool {
+        let leaving = self.leaving.get(id);
+        leaving.is_some_and(|l| incarnation <= l.incarnation)
     }
 
     /// Records that the engine that started at `incarnation` wants no requests of this host
@@ -148,11 +144,11 @@
             return;
         }
         let leaving = self.leaving.get(id);
-        let has_left =
+        let may_leave =
             leaving.is_some_and(|l| l.incarnation < incarnation && l.source == Source::Response);
         let pause = self.pauses.get(id);
-        let has_paused = pause.is_some_and(|p| p.incarnation < incarnation && p.until > now);
-        if !has_left && !has_paused {
+        let may_pause = pause.is_some_and(|p| p.incarnation < incarnation && p.until > now);
+        if !may_leave && !may_pause {
             self.doubts.remove(id);
             return;
         }
--- a/tests/edge/engine_statements.rs
+++ b/tests/edge/engine_statements.rs
@@ -6,6 +6,9 @@
 
 use mastichinge::clock::Moment;
 use mastichinge::edge::fleet::{EngineEntry, Fleet};
+use mastichinge::edge::gossip::Heartbeat;
+use mastichinge::edge::reports::Reporter;
+use mastichinge::edge::state::State;
 use mastichinge::edge::statements::Source;
 use test_case::test_case;
 
@@ -106,6 +109,37 @@
     assert_eq!(fleet.take_checks(at(120)), []);
 }
 
+/// Guards against hosts that never learn that an engine leaves: a lost datagram was not
+/// repeated. Engines that leave take turns, so that a datagram stays small.
+#[test]
+fn engines_that_leave_are_named_again_and_again() {
+    let mut state = State::default();
+    let ids: Vec<Arc<str>> = (0..20).map(|n| format!("e{n:02}").into()).collect();
+    let entries = ids.iter().map(|id| entry(id, 1, &[]));
+    let now = at(0);
+    state
+        .fleet
+        .update_entries(entries.collect(), &BTreeSet::new(), None, now);
+    for id in &ids[1..] {
+        state.fleet.record_leaving(id, 1_000, Source::Note);
+    }
+    let mut reporter = Reporter::default();
+    let mut named = BTreeSet::new();
+    for _ in 0..3 {
+        let heartbeat = Some(Heartbeat::default());
+        let round = reporter.next_round(&mut state, heartbeat, None, now);
+        assert!(round.everyone.leaving.len() <= 8);
+        for note in round.everyone.leaving {
+            assert_eq!(note.incarnation, 1_000);
+            named.insert(note.engine);
+        }
+    }
+    assert_eq!(named.len(), 19);
+    assert!(!named.contains("e00"));
+    let urgent = reporter.next_round(&mut state, None, None, now);
+    assert_eq!(urgent.everyone.leaving, []);
+}
+
 /// Guards against BUDGET: a pause was forgotten when an older entry came back.
 #[test]
 fn a_pause_applies_to_an_older_entry() {
