Count a crash for the lifetime of its engine

Cause, from reading: crashes were counted by the ids of engines, so that a request that crashes an engine, and crashes it again when it has started again under its id, counted one crash, and was never held. Change: a crash belongs to the lifetime that the request was sent to; reports between daemons name it. Lifetimes have a type, which recipients of requests use too.

--- a/src/edge/engine_checks.rs
+++ b/src/edge/engine_checks.rs
@@ -25,8 +25,8 @@
     let Some(request) = check_request(&edge, &recipient) else {
         return;
     };
-    let engine = &recipient.engine;
-    let life = recipient.incarnation;
+    let engine = &recipient.lifetime.engine;
+    let life = recipient.lifetime.incarnation;
     let response = match edge.call_engine(&recipient, CallKind::Check, request).await {
         Ok(response) => response,
         Err(error) => {
@@ -53,12 +53,13 @@
 /// Returns the request of a check; `None` if the service of the engine names no health path.
 fn check_request(edge: &Edge, recipient: &Recipient) -> Option<Request<Full<bytes::Bytes>>> {
     let addr = recipient.addr.to_string();
+    let engine = &recipient.lifetime.engine;
     let state = edge.state.borrow();
-    let entry = &state.fleet.engines.get(&recipient.engine)?.entry;
+    let entry = &state.fleet.engines.get(engine)?.entry;
     let service = state.desired.services.get(&entry.service)?;
     let request = match (&service.hosting, &service.health_path) {
         (Some(_), _) => orders::report_request(&addr),
-        (None, Some(path)) => orders::health_request(path, &recipient.engine, &addr),
+        (None, Some(path)) => orders::health_request(path, engine, &addr),
         (None, None) => return None,
     };
     match request {
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -3,7 +3,6 @@
 //! response answers, and whether or not it is believed to answer that.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +12,7 @@
 
 use super::client::{self, CallLimits, Connection, SendError, SendOptions};
 use super::clock;
+use super::fleet::Lifetime;
 use super::state::Edge;
 use crate::platform::headers;
 
@@ -37,12 +37,10 @@
 /// An engine as known when something is sent to it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Recipient {
-    /// Id of the engine.
-    pub engine: Arc<str>,
-    /// Address of the engine.
+    /// Its lifetime.
+    pub lifetime: Lifetime,
+    /// Its address.
     pub addr: SocketAddr,
-    /// Start time of the engine, ms since the Unix epoch; 0 when unknown.
-    pub incarnation: u64,
 }
 
 impl Edge {
@@ -86,7 +84,7 @@
         };
         let outcome = client::within(CALL_LIMITS.total_timeout, exchange).await;
         if matches!(outcome, Err(SendError::NotSent(_))) {
-            self.mark_down(&recipient.engine);
+            self.mark_down(&recipient.lifetime.engine);
         }
         outcome
     }
@@ -94,17 +92,18 @@
     /// Returns whether an engine accepts requests and orders of this host.
     fn accepts(&self, recipient: &Recipient) -> bool {
         let state = self.state.borrow();
-        state.fleet.accepts(&recipient.engine, clock::now())
+        state
+            .fleet
+            .accepts(&recipient.lifetime.engine, clock::now())
     }
 
     /// Records what an engine says of itself in the head of its response to the request `id`;
     /// calls have none.
     fn record_statement(&self, recipient: &Recipient, id: &str, response: &Response<Incoming>) {
-        let Recipient {
+        let Lifetime {
             engine,
             incarnation,
-            ..
-        } = recipient;
+        } = &recipient.lifetime;
         let (statement, error) = headers::engine_statement(response.status(), response.headers());
         if statement.leaves {
             self.record_leaving(engine, *incarnation);
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -44,6 +44,15 @@
     pub disk: BTreeSet<Arc<str>>,
 }
 
+/// One lifetime of an engine.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Lifetime {
+    /// Id of the engine.
+    pub engine: Arc<str>,
+    /// Start time of the engine, ms since the Unix epoch; 0 when unknown.
+    pub incarnation: u64,
+}
+
 /// Whether an engine accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -383,9 +392,11 @@
     pub fn recipient(&self, id: &Arc<str>) -> Option<Recipient> {
         let entry = &self.engines.get(id)?.entry;
         Some(Recipient {
-            engine: id.clone(),
+            lifetime: Lifetime {
+                engine: id.clone(),
+                incarnation: entry.incarnation,
+            },
             addr: entry.addr,
-            incarnation: entry.incarnation,
         })
     }
 
@@ -435,7 +446,7 @@
         let due = self.statements.take_checks(now);
         let listed = due.into_iter().filter_map(|(id, incarnation)| {
             let recipient = self.recipient(&id)?;
-            (recipient.incarnation == incarnation).then_some(recipient)
+            (recipient.lifetime.incarnation == incarnation).then_some(recipient)
         });
         listed.collect()
     }
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -104,7 +104,7 @@
             }
             Err(OpenError::Broken(cause)) => {
                 attempts.uncertain = true;
-                report_crash(&routed, &engine);
+                report_crash(&routed, &attempts);
                 if !start_retry(&routed, &mut attempts, &engine, &cause).await {
                     let refusal = Refusal::new(Kind::UpstreamFailed);
                     return routed.refuse(refusal, &cause, &engine, attempts.sent);
@@ -167,7 +167,7 @@
             }
             SendOutcome::Failed(cause) => {
                 attempts.uncertain = true;
-                report_crash(routed, &engine);
+                report_crash(routed, attempts);
                 if !start_retry(routed, attempts, &engine, &cause).await {
                     return Err(fail(Kind::UpstreamFailed, cause));
                 }
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -8,6 +8,7 @@
 
 use super::RoutedRequest;
 use crate::edge::clock;
+use crate::edge::fleet::Lifetime;
 
 /// Minimum time left for a request to be sent.
 pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
@@ -26,6 +27,8 @@
     pub sent: u32,
     /// Number of times it was not sent, or an engine rejected it without running it.
     pub not_run: u32,
+    /// Lifetime of the engine to which it was last sent.
+    pub lifetime: Lifetime,
     /// Engines that failed it.
     pub avoid: Vec<Arc<str>>,
     /// Addresses to which it was sent, whether it ran or not.
@@ -168,15 +171,16 @@
     log::info!(request, engine = &**engine, cause, tries, allowed; "request retry");
 }
 
-/// Records that an engine failed while it may have run the request.
-pub(super) fn report_crash(routed: &RoutedRequest, engine: &Arc<str>) {
+/// Records that the engine to which the request was last sent failed while it may have run it.
+pub(super) fn report_crash(routed: &RoutedRequest, attempts: &Attempts) {
     let mut state = routed.edge.state.borrow_mut();
     let fingerprint = routed.fingerprint;
+    let lifetime = &attempts.lifetime;
     if state
         .suspects
-        .record_crash(fingerprint, engine, clock::now())
+        .record_crash(fingerprint, lifetime, clock::now())
     {
-        state.crash_reports.push((fingerprint, engine.clone()));
+        state.crash_reports.push((fingerprint, lifetime.clone()));
         drop(state);
         routed.edge.send_wake.notify_one();
     }
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -82,6 +82,7 @@
     };
     attempts.addrs.push(choice.addr);
     let recipient = in_flight.recipient(choice.addr);
+    attempts.lifetime = recipient.lifetime.clone();
     let id = &*routed.headers.id;
     let sending = routed.edge.send_request(&recipient, id, request, options);
     let awaited = silence::wait_for(routed, attempts, &choice.engine, max_silence, sending).await;
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -301,4 +301,7 @@
     /// Id of the engine.
     #[prost(string, tag = "2")]
     pub engine: String,
+    /// Start time of the engine, ms since the Unix epoch; 0 when unknown.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
 }
--- a/src/edge/in_flight.rs
+++ b/src/edge/in_flight.rs
@@ -7,7 +7,7 @@
 use super::clock;
 use super::demand::ModelKey;
 use super::exchange::Recipient;
-use super::fleet::{SentPrompt, Upstream};
+use super::fleet::{Lifetime, SentPrompt, Upstream};
 use super::request_headers::Prompt;
 use super::routing::SelectedEngine;
 use super::state::{Edge, State};
@@ -40,11 +40,11 @@
 
     /// Returns the engine at `addr` as known when the request began.
     pub fn recipient(&self, addr: SocketAddr) -> Recipient {
-        Recipient {
+        let lifetime = Lifetime {
             engine: self.engine.clone(),
-            addr,
             incarnation: self.request.incarnation,
-        }
+        };
+        Recipient { lifetime, addr }
     }
 
     /// Records that the engine has read the prompt.
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -11,7 +11,7 @@
 
 use super::clock;
 use super::demand::{DecayingDemand, Demand, ModelKey};
-use super::fleet::{AnnouncedModels, EngineLoad, LoadedModels, SentPrompt};
+use super::fleet::{AnnouncedModels, EngineLoad, Lifetime, LoadedModels, SentPrompt};
 use super::gossip::{
     AnnouncedModelsNote, DemandNote, ForecastNote, Heartbeat, LeadershipNote, LoadNote, LoadStart,
     Packet, PromptNote, ReadyNote, WaitingNote,
@@ -361,8 +361,11 @@
             }
         }
         for note in &packet.crash_reports {
-            let engine = note.engine.as_str().into();
-            self.suspects.record_crash(note.fingerprint, &engine, now);
+            let lifetime = Lifetime {
+                engine: note.engine.as_str().into(),
+                incarnation: note.incarnation,
+            };
+            self.suspects.record_crash(note.fingerprint, &lifetime, now);
         }
         for note in &packet.leaving {
             let engine = note.engine.as_str().into();
--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -159,11 +159,11 @@
 
 /// Adds the notes that other daemons should get at once.
 fn add_urgent_notes(state: &mut State, packet: &mut Packet) {
-    for (fingerprint, engine) in state.crash_reports.drain(..) {
-        let engine = engine.to_string();
+    for (fingerprint, lifetime) in state.crash_reports.drain(..) {
         packet.crash_reports.push(CrashReport {
             fingerprint,
-            engine,
+            engine: lifetime.engine.to_string(),
+            incarnation: lifetime.incarnation,
         });
     }
     for (engine, incarnation) in state.leaving_notes.drain(..) {
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -13,7 +13,7 @@
 use super::clock;
 use super::demand::{DecayingDemand, Demand, DemandMeter, ModelKey};
 use super::desired::DesiredState;
-use super::fleet::{EngineChange, Fleet, SentPrompt};
+use super::fleet::{EngineChange, Fleet, Lifetime, SentPrompt};
 use super::gossip::PromptNote;
 use super::leadership::{Leadership, PeerReach};
 use super::load_forecast::LoadForecast;
@@ -120,7 +120,7 @@
     /// Number of the last request that was sent to an engine.
     pub serial: u64,
     /// Crashes (fingerprint and engine) not yet reported to other daemons.
-    pub crash_reports: Vec<(u64, Arc<str>)>,
+    pub crash_reports: Vec<(u64, Lifetime)>,
     /// Engines that leave, with their start times, not yet reported to other daemons.
     pub leaving_notes: Vec<(Arc<str>, u64)>,
     /// Leadership of this daemon, if it is the leader.
--- a/src/edge/suspects.rs
+++ b/src/edge/suspects.rs
@@ -1,18 +1,19 @@
 //! Quarantine of requests that crash engines.
 //!
 //! A daemon that loses an engine while the engine may be running a request reports a
-//! crash for the request's fingerprint; all daemons share these reports. After crashes of two
-//! different engines the request is held for a while.
+//! crash for the request's fingerprint; all daemons share these reports. After two crashes the
+//! request is held for a while. An engine crashes once in a lifetime, so that what several
+//! daemons report of it counts once.
 
 use std::collections::{BTreeSet, HashMap};
-use std::sync::Arc;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::Xxh3;
 
+use super::fleet::Lifetime;
 use crate::clock::Moment;
 
-/// Number of crashed engines after which a request is held.
+/// Number of crashes after which a request is held.
 pub const CRASH_LIMIT: usize = 2;
 /// Time for which a request is held after its last crash report.
 pub const HOLD_TIME: Duration = Duration::from_secs(30);
@@ -30,7 +31,7 @@
 
 #[derive(Clone, Debug)]
 struct CrashRecord {
-    engines: BTreeSet<Arc<str>>,
+    crashed: BTreeSet<Lifetime>,
     last_crash: Moment,
 }
 
@@ -41,9 +42,9 @@
 }
 
 impl Suspects {
-    /// Records that `engine` failed while it may have been running the request; returns
-    /// whether that is new.
-    pub fn record_crash(&mut self, fingerprint: u64, engine: &Arc<str>, now: Moment) -> bool {
+    /// Records that an engine failed in this lifetime while it may have been running the
+    /// request; returns whether that is new.
+    pub fn record_crash(&mut self, fingerprint: u64, lifetime: &Lifetime, now: Moment) -> bool {
         if self.records.len() >= PRUNE_THRESHOLD {
             self.records
                 .retain(|_, r| now.saturating_sub(r.last_crash) < HOLD_TIME);
@@ -52,10 +53,10 @@
             .records
             .entry(fingerprint)
             .or_insert_with(|| CrashRecord {
-                engines: BTreeSet::new(),
+                crashed: BTreeSet::new(),
                 last_crash: now,
             });
-        let new = record.engines.insert(engine.clone());
+        let new = record.crashed.insert(lifetime.clone());
         if new {
             record.last_crash = now;
         }
@@ -70,16 +71,16 @@
     /// Returns the time left until the request is no longer held; `None` when it is not.
     pub fn hold_left(&self, fingerprint: u64, now: Moment) -> Option<Duration> {
         let record = self.records.get(&fingerprint)?;
-        if record.engines.len() < CRASH_LIMIT {
+        if record.crashed.len() < CRASH_LIMIT {
             return None;
         }
         HOLD_TIME.checked_sub(now.saturating_sub(record.last_crash))
     }
 
-    /// Returns the number of engines that one request has crashed.
+    /// Returns the number of crashes during one request.
     pub fn crash_count(&self, fingerprint: u64) -> usize {
         self.records
             .get(&fingerprint)
-            .map_or(0, |r| r.engines.len())
+            .map_or(0, |r| r.crashed.len())
     }
 }
--- a/tests/edge/decisions.rs
+++ b/tests/edge/decisions.rs
@@ -1,12 +1,12 @@
 //! Unit tests of single decisions: event decoding, suspects, engine choice, members, demand.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use mastichinge::clock::Moment;
 use mastichinge::edge::demand::{DemandMeter, ModelKey};
 use mastichinge::edge::desired::{Route, RouteKind, WeightedService};
 use mastichinge::edge::events::{EndPlace, EventDecoder};
+use mastichinge::edge::fleet::Lifetime;
 use mastichinge::edge::members::{ALIVE_TIMEOUT, MemberRecord, Members};
 use mastichinge::edge::prefix_cache::PrefixCache;
 use mastichinge::edge::request_headers::{Prompt, PromptPart};
@@ -78,11 +78,29 @@
     assert_eq!(decoder.end_place(), place);
 }
 
+fn lifetime(engine: &str, incarnation: u64) -> Lifetime {
+    Lifetime {
+        engine: engine.into(),
+        incarnation,
+    }
+}
+
+/// Guards against BUDGET: a request that crashed an engine, and crashed it again when it had
+/// started again under its id, was sent on and on.
+#[test]
+fn a_request_is_held_after_it_has_crashed_an_engine_twice() {
+    let mut suspects = Suspects::default();
+    let suspect = fingerprint("/a/", b"body");
+    assert!(suspects.record_crash(suspect, &lifetime("e1", 1_000), at(0)));
+    assert!(suspects.record_crash(suspect, &lifetime("e1", 2_000), at(100)));
+    assert_eq!(suspects.hold_left(suspect, at(100)), Some(HOLD_TIME));
+}
+
 #[test]
 fn a_request_is_held_after_crashes_of_two_engines_until_the_hold_time_passes() {
     let mut suspects = Suspects::default();
     let suspect = fingerprint("/a/", b"body");
-    let (e1, e2): (Arc<str>, Arc<str>) = ("e1".into(), "e2".into());
+    let (e1, e2) = (lifetime("e1", 1_000), lifetime("e2", 1_000));
     assert!(suspects.record_crash(suspect, &e1, at(0)));
     assert!(
         !suspects.record_crash(suspect, &e1, at(10)),
--- a/tests/edge/engine_statements.rs
+++ b/tests/edge/engine_statements.rs
@@ -58,7 +58,7 @@
     let mut fleet = restarted(leaves, Source::Response);
     assert!(!is_free(&fleet, 110));
     let checks = fleet.take_checks(at(120));
-    assert_eq!((checks.len(), checks[0].incarnation), (1, 2_000));
+    assert_eq!((checks.len(), checks[0].lifetime.incarnation), (1, 2_000));
     fleet.settle_statements("e", 2_000);
     assert!(is_free(&fleet, 140));
 }
