Soak: engines that say that they leave and ask for pauses

Change: the soak's engines say both, in answers, rejections with and without an id, heads of streams, orders, reports and health checks, beside entries that lapse, are late or say something else, restarts under the same id, resets of all connections, and what there was before. MASTICHINGED names another build of the daemon.

--- a/tests/edge/fakes/daemon.rs
+++ b/tests/edge/fakes/daemon.rs
@@ -160,7 +160,10 @@
 
 /// Starts a process, whose log lines are added to `lines`.
 fn spawn(settings: &Path, lines: &Arc<Mutex<Vec<Value>>>) -> Child {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_mastichinged"))
+    // Lets a run by hand check another build of the daemon.
+    let program = std::env::var("MASTICHINGED");
+    let program = program.unwrap_or_else(|_| env!("CARGO_BIN_EXE_mastichinged").to_owned());
+    let mut child = Command::new(program)
         .arg("--edge")
         .env("MASTICHINGE_SETTINGS", settings)
         .stdout(Stdio::piped())
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -182,7 +182,7 @@
                 *sent_at = Some(recorder.now());
             }
             // Also after a failed write: the response may have come before.
-            read_answer(stream).await
+            read_answer(stream, || recorder.now()).await
         };
         let outcome = timeout(patience, exchange).await;
         let answer = match outcome {
--- a/tests/soak/checkers.rs
+++ b/tests/soak/checkers.rs
@@ -250,3 +250,87 @@
     // A shutdown excuses nothing until late in its grace period.
     assert_eq!(with_span(span(0, 900, 3_900, true)), [Rule::Lost]);
 }
+
+/// Returns a history in which `desk0` said at 1.1 s that it leaves or asked for a pause, and
+/// got further requests, sent by the daemon at these times.
+fn history_with_statement(leaving: bool, daemon: usize, later: &[u64]) -> History {
+    let steps = match leaving {
+        true => RUN.to_vec(),
+        false => vec![
+            Step::Arrived(Some(EngineFault::RejectPause)),
+            Step::Answered(503),
+            Step::Paused(at(2_000)),
+        ],
+    };
+    let answer = match leaving {
+        true => Outcome::Answered(Answer {
+            leaving: true,
+            head_at: at(1_100),
+            ..answer(Kind::Booking)
+        }),
+        false => refusal(503),
+    };
+    let mut history = history(Kind::Booking, answer, &steps);
+    for (number, ms) in later.iter().enumerate() {
+        let id = format!("1-1-{}", number + 2);
+        let attempt = Attempt {
+            daemon,
+            started_at: at(*ms),
+            outcome: Outcome::Left,
+            ..history.attempts[ID].clone()
+        };
+        history.attempts.insert(id.clone(), attempt);
+        let arrived = EngineStep {
+            engine: "desk0".to_owned(),
+            at: at(*ms + 10),
+            step: Step::Arrived(None),
+        };
+        history.steps.insert(id, vec![arrived]);
+    }
+    history
+}
+
+fn stop_of(daemon: usize, start: u64, end: u64) -> Span {
+    Span {
+        daemon,
+        start: at(start),
+        end: at(end),
+        planned: false,
+    }
+}
+
+#[test]
+fn a_request_at_an_engine_that_leaves_is_found() {
+    let rules = |daemon, ms| broken_rules(&history_with_statement(true, daemon, &[ms]));
+    assert_eq!(rules(0, 1_500), [Rule::Drain]);
+    assert_eq!(rules(0, 1_350), [], "within the drain time");
+    assert_eq!(rules(1, 1_500), [], "from another daemon");
+    let mut misdirected = history_with_statement(true, 0, &[1_500]);
+    let steps = misdirected.steps.get_mut("1-1-2").unwrap();
+    steps.push(EngineStep {
+        step: Step::Answered(421),
+        ..steps[0].clone()
+    });
+    assert_eq!(broken_rules(&misdirected), []);
+    let mut other = history_with_statement(true, 0, &[1_500]);
+    other.steps.get_mut("1-1-2").unwrap()[0].engine = "desk1".to_owned();
+    assert_eq!(broken_rules(&other), []);
+    let mut frozen = history_with_statement(true, 0, &[1_500]);
+    frozen.spans.push(stop_of(0, 1_200, 1_400));
+    assert_eq!(broken_rules(&frozen), []);
+    frozen.spans[0] = stop_of(0, 500, 1_000);
+    assert_eq!(broken_rules(&frozen), [Rule::Drain]);
+}
+
+#[test]
+fn requests_at_an_engine_in_its_pause_are_found() {
+    let rules = |daemon, times| broken_rules(&history_with_statement(false, daemon, times));
+    assert_eq!(rules(0, &[1_700, 1_800, 2_900]), [Rule::Budget]);
+    assert_eq!(rules(0, &[1_700, 1_800]), [], "two are allowed");
+    assert_eq!(rules(0, &[1_300, 1_800, 2_900]), [], "one before the pause");
+    assert_eq!(rules(0, &[1_700, 1_800, 3_200]), [], "one after it");
+    assert_eq!(rules(1, &[1_700, 1_800, 2_900]), [], "another daemon");
+    let mut frozen = history_with_statement(false, 0, &[1_700, 1_800, 2_900]);
+    frozen.spans.push(stop_of(0, 2_000, 2_500));
+    assert_eq!(broken_rules(&frozen), []);
+}
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -18,6 +18,14 @@
 /// Share of its time after which a request may fail for want of time.
 const EARLY_SHARE: f64 = 0.7;
 
+/// Time after which a daemon that has passed on that an engine leaves sends it no request
+/// that came later; the drain time of the daemons' settings.
+const DRAIN_TIME: Duration = Duration::from_millis(300);
+/// Time after an engine's response that asks for a pause at which the pause begins.
+const PAUSE_DELAY: Duration = Duration::from_millis(500);
+/// Requests of one daemon that may reach an engine in a pause.
+const MAX_IN_PAUSE: usize = 2;
+
 /// A rule of the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
@@ -37,6 +45,10 @@
     Changed,
     /// A proper request was refused as improper.
     Denied,
+    /// A request reached an engine after its daemon had passed on that the engine leaves.
+    Drain,
+    /// Requests reached an engine from a daemon that it had asked for a pause.
+    Budget,
 }
 
 /// A broken rule.
@@ -90,10 +102,79 @@
         if let Some(text) = given_up(history, id, attempt) {
             add(Rule::GivenUp, text);
         }
+        if let Some(text) = sent_to_leaving(history, attempt) {
+            add(Rule::Drain, text);
+        }
+        if let Some(text) = sent_in_pause(history, id, attempt) {
+            add(Rule::Budget, text);
+        }
     }
     found
 }
 
+/// Returns which request reached an engine after the response to this one had told its
+/// caller that the engine leaves.
+fn sent_to_leaving(history: &History, attempt: &Attempt) -> Option<String> {
+    let Outcome::Answered(answer) = &attempt.outcome else {
+        return None;
+    };
+    let (engine, _) = answer.stamp.split_once('.').filter(|_| answer.leaving)?;
+    for (later, step) in arrivals(history, engine, attempt.daemon) {
+        let sent_at = history.attempts[later].started_at;
+        let is_late = sent_at > answer.head_at + DRAIN_TIME;
+        let misdirected = |s: &EngineStep| s.engine == engine && s.step == Step::Answered(421);
+        if history.steps(later).iter().any(misdirected) {
+            continue;
+        }
+        let excused = is_interrupted(history, attempt.daemon, answer.head_at, step.at);
+        if is_late && !excused {
+            let after = step.at - answer.head_at;
+            return Some(format!("{engine} got {later} {after:?} after it had left"));
+        }
+    }
+    None
+}
+
+/// Returns how many requests reached an engine in a pause that it asked for in its response to
+/// this one, if they are too many.
+fn sent_in_pause(history: &History, id: &str, attempt: &Attempt) -> Option<String> {
+    for asked in history.steps(id) {
+        let Step::Paused(pause) = asked.step else {
+            continue;
+        };
+        let (start, end) = (asked.at + PAUSE_DELAY, asked.at + pause);
+        let within = arrivals(history, &asked.engine, attempt.daemon)
+            .filter(|(_, step)| (start..end).contains(&step.at))
+            .count();
+        if within > MAX_IN_PAUSE && !is_interrupted(history, attempt.daemon, asked.at, end) {
+            return Some(format!(
+                "{within} requests at {} in {pause:?}",
+                asked.engine
+            ));
+        }
+    }
+    None
+}
+
+/// Returns the requests that reached a lifetime of an engine from a daemon.
+fn arrivals<'a>(
+    history: &'a History,
+    engine: &'a str,
+    daemon: usize,
+) -> impl Iterator<Item = (&'a str, &'a EngineStep)> {
+    let of_daemon = move |id: &str| history.attempts.get(id).is_some_and(|a| a.daemon == daemon);
+    let steps = history.steps.iter().filter(move |(id, _)| of_daemon(id));
+    let steps = steps.flat_map(|(id, steps)| steps.iter().map(move |s| (id.as_str(), s)));
+    let arrived = |s: &EngineStep| matches!(s.step, Step::Arrived(_));
+    steps.filter(move |(_, s)| s.engine == engine && arrived(s))
+}
+
+/// Returns whether a daemon was stopped, killed or shut down between two moments.
+fn is_interrupted(history: &History, daemon: usize, from: Duration, until: Duration) -> bool {
+    let mut spans = history.spans.iter().filter(|s| s.daemon == daemon);
+    spans.any(|s| s.start <= until && s.end >= from)
+}
+
 /// Returns why a response is not the engine's response to this request.
 fn mixed(history: &History, id: &str, attempt: &Attempt, answer: &Answer) -> Option<String> {
     if answer.id != id {
--- a/tests/soak/disturbances.rs
+++ b/tests/soak/disturbances.rs
@@ -11,6 +11,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::engine::{SoakEngine, Start};
 use crate::fakes::daemon::wait;
 use crate::record::Span;
 use crate::settings::SoakSettings;
@@ -27,6 +28,29 @@
 /// Period of checking whether a process has exited.
 const EXIT_POLL_PERIOD: Duration = Duration::from_millis(20);
 
+/// Ways in which engines start again.
+const STARTS: [Start; 3] = [Start::OtherId, Start::SameId, Start::LateEntry];
+
+/// What the entry of an engine that leaves says.
+#[derive(Clone, Copy, Debug)]
+enum LeavingEntry {
+    /// That it is ready.
+    Ready,
+    /// That it leaves.
+    Draining,
+    /// Nothing: it is removed.
+    Removed,
+    /// Nothing for a while, then that it is ready.
+    Back,
+}
+
+const LEAVING_ENTRIES: [LeavingEntry; 4] = [
+    LeavingEntry::Ready,
+    LeavingEntry::Draining,
+    LeavingEntry::Removed,
+    LeavingEntry::Back,
+];
+
 /// A kind of disturbance.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter, strum::EnumString, strum::IntoStaticStr,
@@ -49,8 +73,15 @@
     StoreSlow,
     /// The store closes connections.
     StoreClosing,
-    /// An engine starts again at its address under another id.
+    /// An engine starts again at its address, under its id or another.
     EngineRestart,
+    /// An engine says in all responses that it leaves, whatever its entry says, and starts
+    /// again after a while.
+    EngineLeave,
+    /// The entry of an engine is missing for a while.
+    EntryLapse,
+    /// An engine resets all its connections for a while.
+    EngineCut,
 }
 
 /// Starts disturbances until `stop` is set and waits for the end of all of them.
@@ -109,12 +140,61 @@
                         site.store.set_closing(false);
                     });
                 }
-                Disturbance::EngineRestart => site.engines[engine].restart(),
+                Disturbance::EngineRestart => {
+                    let start = STARTS[rng.random_range(0..STARTS.len())];
+                    scope.spawn(move || start_again(&site.engines[engine], start, time / 4));
+                }
+                Disturbance::EngineLeave => {
+                    let start = STARTS[rng.random_range(0..STARTS.len())];
+                    let entry = LEAVING_ENTRIES[rng.random_range(0..LEAVING_ENTRIES.len())];
+                    let engine = &site.engines[engine];
+                    scope.spawn(move || leave(engine, entry, start, time));
+                }
+                Disturbance::EntryLapse => {
+                    scope.spawn(move || {
+                        site.engines[engine].remove_entry();
+                        thread::sleep(time / 2);
+                        site.engines[engine].register();
+                    });
+                }
+                Disturbance::EngineCut => {
+                    scope.spawn(move || {
+                        site.engines[engine].set_dark(true);
+                        thread::sleep(time / 4);
+                        site.engines[engine].set_dark(false);
+                    });
+                }
             }
         }
     });
 }
 
+/// Starts an engine again; its entry is written after `late` at the latest.
+fn start_again(engine: &SoakEngine, start: Start, late: Duration) {
+    engine.restart(start);
+    if start == Start::LateEntry {
+        thread::sleep(late);
+        engine.register();
+    }
+}
+
+/// Lets an engine leave, and starts it again after `time`.
+fn leave(engine: &SoakEngine, entry: LeavingEntry, start: Start, time: Duration) {
+    engine.leave();
+    match entry {
+        LeavingEntry::Ready => engine.register(),
+        LeavingEntry::Draining => engine.register_as("draining"),
+        LeavingEntry::Removed => engine.remove_entry(),
+        LeavingEntry::Back => {
+            engine.remove_entry();
+            thread::sleep(time / 2);
+            engine.register();
+        }
+    }
+    thread::sleep(time / 2);
+    start_again(engine, start, time / 4);
+}
+
 fn freeze(site: &Site, daemon: usize, time: Duration) {
     let start = site.recorder.now();
     site.daemons[daemon].lock().unwrap().signal(libc::SIGSTOP);
--- a/tests/soak/engine.rs
+++ b/tests/soak/engine.rs
@@ -23,6 +23,8 @@
 use crate::record::{Recorder, Step, answer_body, event_count, event_text, request_body};
 use crate::settings::SoakSettings;
 
+/// Path of health checks.
+pub const HEALTH_PATH: &str = "/healthz";
 /// Runs at the same time.
 const SLOTS: usize = 4;
 /// Requests that wait for a slot.
@@ -47,6 +49,10 @@
     rng: ChaCha8Rng,
     id: String,
     born: u64,
+    /// Whether all responses say that the engine leaves.
+    leaving: bool,
+    /// Whether connections are reset.
+    dark: bool,
     sequence: u64,
     orders: u64,
     models: Vec<String>,
@@ -71,6 +77,19 @@
     state: Mutex<EngineState>,
     /// Number of the current lifetime.
     lifetime: watch::Sender<u64>,
+    /// Number of times that all connections were reset.
+    cuts: watch::Sender<u64>,
+}
+
+/// How an engine starts again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// Under another id.
+    OtherId,
+    /// Under the id that it had.
+    SameId,
+    /// Under the id that it had; its entry is written later.
+    LateEntry,
 }
 
 /// Counts a request in progress until dropped.
@@ -104,6 +123,8 @@
             rng: ChaCha8Rng::seed_from_u64(settings.seed * 1_000 + number),
             id: format!("{}-1", setup.name),
             born: 1_000,
+            leaving: false,
+            dark: false,
             sequence: 0,
             orders: 0,
             models: setup.models.clone(),
@@ -120,6 +141,7 @@
             busy: AtomicUsize::new(0),
             state: Mutex::new(state),
             lifetime: watch::Sender::new(1),
+            cuts: watch::Sender::new(0),
         }));
         engine.register();
         let started = engine.clone();
@@ -133,17 +155,41 @@
         engine
     }
 
-    /// Ends this lifetime and starts another one at the same address with another id.
-    pub fn restart(&self) {
+    /// Ends this lifetime and starts another one at the same address.
+    pub fn restart(&self, start: Start) {
         let mut state = self.0.state.lock().unwrap();
-        self.0.store.remove("servers", &state.id);
         state.born += 1_000;
-        state.id = format!("{}-{}", self.0.setup.name, state.born / 1_000);
+        if start == Start::OtherId {
+            self.0.store.remove("servers", &state.id);
+            state.id = format!("{}-{}", self.0.setup.name, state.born / 1_000);
+        }
+        state.leaving = false;
         state.orders = 0;
         state.models.clone_from(&self.0.setup.models);
         drop(state);
         self.0.lifetime.send_modify(|n| *n += 1);
-        self.register();
+        if start != Start::LateEntry {
+            self.register();
+        }
+    }
+
+    /// Says in all responses from now on that it leaves.
+    pub fn leave(&self) {
+        self.0.state.lock().unwrap().leaving = true;
+    }
+
+    /// Removes its entry.
+    pub fn remove_entry(&self) {
+        let id = self.0.state.lock().unwrap().id.clone();
+        self.0.store.remove("servers", &id);
+    }
+
+    /// Sets whether it resets all connections.
+    pub fn set_dark(&self, dark: bool) {
+        self.0.state.lock().unwrap().dark = dark;
+        if dark {
+            self.0.cuts.send_modify(|n| *n += 1);
+        }
     }
 
     /// Returns whether no request is in progress.
@@ -151,12 +197,18 @@
         self.0.busy.load(Ordering::SeqCst) == 0
     }
 
-    fn register(&self) {
+    /// Writes its entry, which says that it is ready.
+    pub fn register(&self) {
+        self.register_as("ready");
+    }
+
+    /// Writes its entry with a state.
+    pub fn register_as(&self, phase: &str) {
         let mut state = self.0.state.lock().unwrap();
         state.sequence += 1;
         let models: Vec<Value> = state.models.iter().map(model_json).collect();
         let entry = json!({"service": self.0.setup.service, "addr": self.0.addr.to_string(),
-            "zone": "north", "version": "v1", "slots": SLOTS, "state": "ready", "coldLeftMs": 0,
+            "zone": "north", "version": "v1", "slots": SLOTS, "state": phase, "coldLeftMs": 0,
             "stage": "both", "models": models, "seq": state.sequence, "born": state.born});
         self.0.store.put("servers", &state.id, &entry);
     }
@@ -164,13 +216,18 @@
     async fn serve(self, mut stream: TcpStream) {
         let mut lifetime = self.0.lifetime.subscribe();
         let first = *lifetime.borrow_and_update();
+        let mut cuts = self.0.cuts.subscribe();
+        cuts.mark_unchanged();
+        let dark = self.0.state.lock().unwrap().dark;
         // A connection of an earlier lifetime ends with it.
         let mut current = String::new();
         tokio::select! {
             // The recorded faults tell why a connection ended; if none does, the daemon
             // has closed it.
-            _ = self.serve_requests(&mut stream, &mut current) => return,
+            _ = self.serve_requests(&mut stream, &mut current), if !dark => return,
             _ = lifetime.wait_for(|n| *n != first) => {}
+            _ = cuts.changed() => {}
+            () = std::future::ready(()), if dark => {}
         }
         if let Err(error) = reset(&stream)
             && error.kind() != io::ErrorKind::ConnectionReset
@@ -212,19 +269,21 @@
             }
             current.clone_from(&id);
             let _busy = BusyGuard::new(&self.0.busy);
-            let (fault, random, engine) = {
+            let (fault, random, engine, lifetime) = {
                 let mut state = self.0.state.lock().unwrap();
                 let faulty = state.rng.random_bool(self.0.fault_rate);
                 let fault = self.0.faults.choose(&mut state.rng).copied();
                 let random = state.rng.random();
                 let fault = fault.filter(|f| faulty && f.applies_to(request.path()));
-                (fault, random, state.id.clone())
+                (fault, random, state.id.clone(), state.lifetime())
             };
-            self.0.recorder.add_step(&id, &engine, Step::Arrived(fault));
+            let step = Step::Arrived(fault);
+            self.0.recorder.add_step(&id, &lifetime, step);
             let mut exchange = Exchange {
                 stream,
                 id,
                 engine,
+                lifetime,
                 fault,
                 random,
                 rejected: false,
@@ -254,18 +313,24 @@
 
     /// Answers a call that is not a caller's request.
     async fn call(&self, stream: &mut TcpStream, request: &ReceivedRequest) -> io::Result<()> {
-        let (status, body) = {
+        let (status, body, leaving) = {
             let mut state = self.0.state.lock().unwrap();
+            let leaving = state.leaving;
             match request.path() {
-                "/report" => (200, state.report()),
-                "/order" => (state.take_order(&request.body), Value::Null),
-                _ => (404, Value::Null),
+                "/report" => (200, state.report(), leaving),
+                "/order" => (state.take_order(&request.body), Value::Null, leaving),
+                HEALTH_PATH => (200, Value::Null, leaving),
+                _ => (404, Value::Null, leaving),
             }
         };
-        if request.path() == "/order" {
+        if request.path() == "/order" && !leaving {
             self.register();
         }
-        write_response(stream, status, &[], body.to_string().as_bytes()).await
+        let headers: &[_] = match leaving {
+            true => &[("Server-Leaving", "1")],
+            false => &[],
+        };
+        write_response(stream, status, headers, body.to_string().as_bytes()).await
     }
 
     async fn run_request(
@@ -289,6 +354,8 @@
             Some(F::RejectLimited) => return self.reject(exchange, 429, true).await,
             Some(F::RejectMisdirected) => return self.reject(exchange, 421, true).await,
             Some(F::RejectMalformed) => return self.reject(exchange, 400, false).await,
+            Some(F::RejectPause) => return self.reject(exchange, 503, true).await,
+            Some(F::RejectPauseAnonymous) => return self.reject(exchange, 503, false).await,
             Some(F::SilenceBefore) => sleep(exchange.silence()).await,
             _ => {}
         }
@@ -318,7 +385,17 @@
     fn record(&self, exchange: &Exchange<'_>, step: Step) {
         self.0
             .recorder
-            .add_step(&exchange.id, &exchange.engine, step);
+            .add_step(&exchange.id, &exchange.lifetime, step);
+    }
+
+    /// Returns the header lines of what the engine says of itself in a response.
+    fn statement(&self, exchange: &Exchange<'_>) -> String {
+        let state = self.0.state.lock().unwrap();
+        let leaves = state.leaving && state.lifetime() == exchange.lifetime;
+        match leaves {
+            true => "Server-Leaving: 1\r\n".to_owned(),
+            false => String::new(),
+        }
     }
 
     async fn reject(
@@ -329,7 +406,12 @@
     ) -> io::Result<()> {
         self.record(exchange, Step::Answered(status));
         exchange.rejected = true;
-        let bytes = rejection(&exchange.id, status, with_id);
+        let mut headers = self.statement(exchange);
+        if let Some(pause) = exchange.pause_asked().filter(|_| status == 503) {
+            self.record(exchange, Step::Paused(pause));
+            headers.push_str(&format!("Retry-After: {}\r\n", pause.as_secs_f64()));
+        }
+        let bytes = rejection(&exchange.id, status, with_id, &headers);
         exchange.stream.write_all(&bytes).await
     }
 
@@ -363,7 +445,8 @@
             (false, 0) => format!("Keep-Alive: timeout={}\r\n", idle_timeout.as_secs()),
             (false, _) => String::new(),
         };
-        let bytes = answer_head(&exchange.id, &exchange.engine, (status, length), &headers);
+        let headers = headers + &self.statement(exchange);
+        let bytes = answer_head(&exchange.id, &exchange.lifetime, (status, length), &headers);
         exchange.stream.write_all(&bytes).await?;
         let half = body.len() / 2;
         exchange.stream.write_all(&body[..half]).await?;
@@ -379,7 +462,7 @@
         match exchange.fault {
             Some(F::Unframed | F::CloseAfter) => exchange.stream.shutdown().await,
             Some(F::ExtraAtOnce) => {
-                let bytes = extra_answer(&exchange.id, &exchange.engine, true);
+                let bytes = extra_answer(&exchange.id, &exchange.lifetime, true);
                 exchange.stream.write_all(&bytes).await
             }
             _ => Ok(()),
@@ -392,11 +475,12 @@
         let framing = exchange.stream_framing();
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
-             X-Mastichinge-Request-Id: {id}\r\nX-Mastichinge-Server-Stamp: {engine}.{id}\r\n\
-             {header}\r\n",
+             X-Mastichinge-Request-Id: {id}\r\nX-Mastichinge-Server-Stamp: {lifetime}.{id}\r\n\
+             {header}{statement}\r\n",
             id = exchange.id,
-            engine = exchange.engine,
-            header = framing.header()
+            lifetime = exchange.lifetime,
+            header = framing.header(),
+            statement = self.statement(exchange)
         );
         self.record(exchange, Step::Answered(200));
         exchange.stream.write_all(head.as_bytes()).await?;
@@ -432,6 +516,11 @@
 }
 
 impl EngineState {
+    /// Returns the name of the current lifetime.
+    fn lifetime(&self) -> String {
+        format!("{}@{}", self.id, self.born)
+    }
+
     fn report(&self) -> Value {
         let models: Vec<Value> = self.models.iter().map(model_json).collect();
         json!({"stage": "both", "models": models, "inFlight": false,
--- a/tests/soak/engine_faults.rs
+++ b/tests/soak/engine_faults.rs
@@ -26,6 +26,10 @@
     RejectMisdirected,
     /// Rejects it with 400 without its id.
     RejectMalformed,
+    /// Rejects it with 503 and asks for a pause.
+    RejectPause,
+    /// The same, without its id.
+    RejectPauseAnonymous,
     /// Rejects it before its body has arrived, and reads the body later.
     RejectEarly,
     /// Rejects it with 503, and rejects it again when the next request has arrived.
--- a/tests/soak/exchange.rs
+++ b/tests/soak/exchange.rs
@@ -13,6 +13,9 @@
 /// Time that an engine may be silent, ms.
 const SILENCE_MS: std::ops::Range<u64> = 500..2_000;
 
+/// Pause for which an engine may ask, ms.
+const PAUSE_MS: std::ops::Range<u64> = 600..3_000;
+
 /// A response that belongs to no request and is sent when the next request arrives.
 pub struct Extra {
     pub fault: EngineFault,
@@ -23,7 +26,10 @@
 pub struct Exchange<'a> {
     pub stream: &'a mut TcpStream,
     pub id: String,
+    /// Id of the engine.
     pub engine: String,
+    /// Lifetime of the engine.
+    pub lifetime: String,
     pub fault: Option<EngineFault>,
     /// Number for choices within the request.
     pub random: u64,
@@ -41,6 +47,14 @@
         Duration::from_millis(SILENCE_MS.start + self.random % span)
     }
 
+    /// Returns the pause that the engine asks for with a rejection, if any.
+    pub fn pause_asked(&self) -> Option<Duration> {
+        use EngineFault as F;
+        let asks = matches!(self.fault, Some(F::RejectPause | F::RejectPauseAnonymous));
+        let ms = PAUSE_MS.start + self.random % (PAUSE_MS.end - PAUSE_MS.start);
+        asks.then(|| Duration::from_millis(ms))
+    }
+
     /// Returns whether a stream starts; failures with a status come before it.
     pub fn runs_whole(&self) -> bool {
         use EngineFault as F;
@@ -68,10 +82,10 @@
         let bytes = match fault {
             // An engine signs no success of a request that it has rejected.
             F::ExtraAnswer | F::ExtraAnonymous if !self.rejected => {
-                extra_answer(&self.id, &self.engine, with_id)
+                extra_answer(&self.id, &self.lifetime, with_id)
             }
             F::ExtraRejection | F::ExtraAnonymousRejection | F::RejectAgain => {
-                rejection(&self.id, 503, with_id)
+                rejection(&self.id, 503, with_id, "")
             }
             _ => return None,
         };
@@ -99,13 +113,13 @@
 
 pub fn answer_head(
     id: &str,
-    engine: &str,
+    lifetime: &str,
     (status, length): (u16, Option<usize>),
     headers: &str,
 ) -> Vec<u8> {
     let mut head = format!(
         "HTTP/1.1 {status} Status\r\nX-Mastichinge-Request-Id: {id}\r\n\
-         X-Mastichinge-Server-Stamp: {engine}.{id}\r\n{headers}"
+         X-Mastichinge-Server-Stamp: {lifetime}.{id}\r\n{headers}"
     );
     if let Some(length) = length {
         head.push_str(&format!("Content-Length: {length}\r\n"));
@@ -114,20 +128,20 @@
     head.into_bytes()
 }
 
-pub fn extra_answer(id: &str, engine: &str, with_id: bool) -> Vec<u8> {
+pub fn extra_answer(id: &str, lifetime: &str, with_id: bool) -> Vec<u8> {
     let named = if with_id {
         format!("X-Mastichinge-Request-Id: {id}\r\n")
     } else {
         String::new()
     };
     let text = format!(
-        "HTTP/1.1 200 OK\r\n{named}X-Mastichinge-Server-Stamp: {engine}.{id}\r\n\
+        "HTTP/1.1 200 OK\r\n{named}X-Mastichinge-Server-Stamp: {lifetime}.{id}\r\n\
          Content-Length: 5\r\n\r\nextra"
     );
     text.into_bytes()
 }
 
-pub fn rejection(id: &str, status: u16, with_id: bool) -> Vec<u8> {
+pub fn rejection(id: &str, status: u16, with_id: bool, headers: &str) -> Vec<u8> {
     let named = if with_id {
         format!("X-Mastichinge-Request-Id: {id}\r\n")
     } else {
@@ -135,7 +149,7 @@
     };
     let text = format!(
         "HTTP/1.1 {status} Status\r\n{named}X-Mastichinge-Not-Run: 1\r\n\
-         Content-Length: 4\r\n\r\nfull"
+         {headers}Content-Length: 4\r\n\r\nfull"
     );
     text.into_bytes()
 }
--- a/tests/soak/http.rs
+++ b/tests/soak/http.rs
@@ -9,8 +9,9 @@
 use crate::record::Answer;
 
 /// Reads one response. The error is the end of the connection before a whole head;
-/// a response that is cut later is returned as incomplete.
-pub async fn read_answer(stream: &mut TcpStream) -> io::Result<Answer> {
+/// a response that is cut later is returned as incomplete. `now` returns the time since
+/// the start of the run.
+pub async fn read_answer(stream: &mut TcpStream, now: impl Fn() -> Duration) -> io::Result<Answer> {
     let mut bytes = Vec::new();
     let head_end = loop {
         if let Some(at) = find(&bytes, b"\r\n\r\n") {
@@ -23,6 +24,7 @@
     let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
     bytes.drain(..head_end + 4);
     let mut answer = parse_head(&head);
+    answer.head_at = now();
     let length = header(&head, "content-length").and_then(|v| v.parse::<usize>().ok());
     let chunked = header(&head, "transfer-encoding").is_some_and(|v| v == "chunked");
     loop {
@@ -58,6 +60,7 @@
         id: text("x-mastichinge-request-id"),
         stamp: text("x-mastichinge-server-stamp"),
         retry_after: retry_after.map(Duration::from_secs_f64),
+        leaving: header(head, "server-leaving").is_some_and(|v| v == "1"),
         closes: header(head, "connection").is_some_and(|v| v.eq_ignore_ascii_case("close")),
         ..Answer::default()
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,7 +3,8 @@
 //! these records alone.
 //!
 //! `SOAK_SEEDS=1-50 SOAK_SECONDS=20 cargo test --test soak seeds -- --nocapture` runs
-//! other seeds; see `settings.rs` for the other variables.
+//! other seeds; see `settings.rs` for the other variables. `MASTICHINGED` names another build
+//! of the daemon.
 
 mod callers;
 mod checkers;
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -40,6 +40,10 @@
     pub id: String,
     pub stamp: String,
     pub retry_after: Option<Duration>,
+    /// Whether it says that its engine leaves.
+    pub leaving: bool,
+    /// When its head had arrived, since the start of the run.
+    pub head_at: Duration,
     pub closes: bool,
     pub body: Vec<u8>,
     pub complete: bool,
@@ -84,6 +88,8 @@
     Ended,
     /// A response of this status was sent.
     Answered(u16),
+    /// A response asked for a pause.
+    Paused(Duration),
     /// An extra response to an earlier request was sent on the connection of this one.
     Extra(EngineFault),
     /// The engine broke the connection off or was restarted.
@@ -92,6 +98,7 @@
 
 #[derive(Clone, Debug)]
 pub struct EngineStep {
+    /// Lifetime of the engine.
     pub engine: String,
     pub at: Duration,
     pub step: Step,
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -5,7 +5,7 @@
 
 use serde_json::{Value, json};
 
-use crate::engine::{EngineSetup, SoakEngine};
+use crate::engine::{EngineSetup, HEALTH_PATH, SoakEngine};
 use crate::fakes::daemon::{Daemon, wait};
 use crate::fakes::store::Store;
 use crate::record::{Kind, Recorder};
@@ -67,7 +67,7 @@
             routes.push(self.route(&extra, "idempotent", "desk", false));
         }
         json!({"version": self.version, "routes": routes,
-            "services": [{"name": "desk", "maxConns": 50},
+            "services": [{"name": "desk", "maxConns": 50, "healthPath": HEALTH_PATH},
                 {"name": "models", "maxConns": 50, "engine": {"slots": 4,
                     "kvCapacity": 90_000, "weightsMb": 150, "adapterSlots": 4,
                     "loadsPerS": 5.0,
