Read the responses that follow a late one before the connection is closed

Cause: an engine answered an earlier request once more and then this one with 503 and Retry-After. The first response was not believed, rightly, and the connection was closed with the second one unread: what its sender says of itself was lost with it. Change: when a response may be to an earlier request, the write side of its connection is closed and what arrives within 200 ms is read for what it says of the engine, and for nothing else. The parser of heads is httparse, which hyper uses.

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -1,21 +1,25 @@
 //! HTTP client of engines and of the store, which reuses idle connections.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::error::Error;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Request, Response};
+use bytes::{Buf, Bytes, BytesMut};
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1::{self, Parts, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -35,6 +39,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum size of the head of a response with the informational ones before it, bytes.
 const MAX_HEAD_BYTES: usize = 256 << 10;
+/// Maximum number of header fields of a response that is read after its connection's last use.
+const MAX_HEAD_FIELDS: usize = 64;
 /// Maximum number of idle connections for one address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -56,7 +62,11 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    task: JoinHandle<()>,
+    task: JoinHandle<Option<UnreadConnection>>,
+    /// Stops the task, so that it returns what was not read.
+    stop: Option<oneshot::Sender<()>>,
+    /// Whether an exchange is in progress; shared with the task.
+    in_use: Rc<Cell<bool>>,
     /// The stream, until the connection's task ends.
     stream: StreamHandle,
     addr: SocketAddr,
@@ -112,6 +122,20 @@
         }
     }
 
+    /// Ends the use of the connection after a response that was read whole; returns it with
+    /// what has arrived after that response.
+    pub async fn into_unread(mut self) -> Option<UnreadConnection> {
+        // The task may have ended by itself, because something has arrived unasked.
+        let _ = self.stop.take()?.send(());
+        match (&mut self.task).await {
+            Ok(unread) => unread,
+            Err(error) => {
+                log::debug!(addr:% = self.addr, error:%; "task of a connection failed");
+                None
+            }
+        }
+    }
+
     /// Makes the connection available to another request, once the response was read
     /// whole; `idle_timeout` is the server's.
     pub fn release(mut self, idle_timeout: Option<Duration>) {
@@ -125,6 +149,7 @@
         };
         let expires_at = clock::now().saturating_add(keep_time);
         self.reused = true;
+        self.in_use.set(false);
         let mut pools = pools.borrow_mut();
         let pool = pools.entry(self.addr).or_default();
         if pool.len() < MAX_IDLE_CONNECTIONS {
@@ -136,6 +161,89 @@
     }
 }
 
+/// A connection that takes no more requests, and on which further responses may arrive.
+#[derive(Debug)]
+pub struct UnreadConnection {
+    stream: SharedStream,
+    /// Bytes that have been read of them.
+    bytes: BytesMut,
+}
+
+impl UnreadConnection {
+    fn new(parts: Parts<TokioIo<SharedStream>>) -> Self {
+        UnreadConnection {
+            stream: parts.io.into_inner(),
+            bytes: BytesMut::from(&*parts.read_buf),
+        }
+    }
+
+    /// Tells the other side that no more requests come.
+    pub async fn close_write(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await
+    }
+
+    /// Waits for the head of the next response, and skips its body. Returns `None` at the end
+    /// of what can be read as responses.
+    pub async fn next_head(&mut self) -> Option<(StatusCode, HeaderMap)> {
+        loop {
+            match parse_head(&self.bytes) {
+                Ok(Some((status, headers, end))) => {
+                    self.bytes.advance(end);
+                    self.skip_body(&headers).await?;
+                    return Some((status, headers));
+                }
+                Ok(None) if self.bytes.len() < MAX_HEAD_BYTES => self.read().await?,
+                Ok(None) | Err(_) => return None,
+            }
+        }
+    }
+
+    /// Skips a body of known length; without one, nothing after the head can be read.
+    async fn skip_body(&mut self, headers: &HeaderMap) -> Option<()> {
+        let length = headers.get(header::CONTENT_LENGTH);
+        let length = length.and_then(|l| l.to_str().ok()?.parse::<usize>().ok());
+        let mut left = length.unwrap_or_default();
+        while left > self.bytes.len() {
+            left -= self.bytes.len();
+            self.bytes.clear();
+            if self.read().await.is_none() {
+                break;
+            }
+        }
+        self.bytes.advance(left.min(self.bytes.len()));
+        Some(())
+    }
+
+    /// Reads further bytes; returns `None` at the end.
+    async fn read(&mut self) -> Option<()> {
+        match self.stream.read_buf(&mut self.bytes).await {
+            Ok(0) | Err(_) => None,
+            Ok(_) => Some(()),
+        }
+    }
+}
+
+/// Parses the head of a response; returns it with its length in bytes, or `None` if it is not
+/// complete.
+fn parse_head(bytes: &[u8]) -> Result<Option<(StatusCode, HeaderMap, usize)>, httparse::Error> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_HEAD_FIELDS];
+    let mut head = httparse::Response::new(&mut fields);
+    let httparse::Status::Complete(end) = head.parse(bytes)? else {
+        return Ok(None);
+    };
+    let status = StatusCode::from_u16(head.code.unwrap_or_default());
+    let status = status.map_err(|_| httparse::Error::Status)?;
+    let mut headers = HeaderMap::new();
+    for field in head.headers {
+        let name = HeaderName::from_bytes(field.name.as_bytes());
+        let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(field.value)) else {
+            continue;
+        };
+        headers.append(name, value);
+    }
+    Ok(Some((status, headers, end)))
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
@@ -182,6 +290,7 @@
             if !is_wanted() {
                 return Err(SendError::Withheld);
             }
+            connection.in_use.set(true);
             connection.limit_head(Some(MAX_HEAD_BYTES));
             let mut error = match connection.sender.try_send_request(request).await {
                 Ok(response) => {
@@ -267,15 +376,30 @@
         let handle = stream.handle();
         let io = TokioIo::new(stream);
         let handshake = http1::Builder::new().handshake(io).await;
-        let (sender, connection) = handshake.map_err(|e| not_sent(e.to_string()))?;
-        let task = tokio::task::spawn_local(async move {
-            if let Err(error) = connection.await {
-                log::debug!(addr:%, error:%; "connection to an upstream failed");
-            }
-        });
+        let (sender, mut connection) = handshake.map_err(|e| not_sent(e.to_string()))?;
+        let (stop, stopped) = oneshot::channel();
+        let in_use = Rc::new(Cell::new(true));
+        let task = {
+            let in_use = in_use.clone();
+            tokio::task::spawn_local(async move {
+                tokio::select! {
+                    ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => {
+                        if let Err(error) = ended {
+                            log::debug!(addr:%, error:%; "connection to an upstream failed");
+                        }
+                    }
+                    _ = stopped => {}
+                }
+                in_use
+                    .get()
+                    .then(|| UnreadConnection::new(connection.into_parts()))
+            })
+        };
         Ok(Connection {
             sender,
             task,
+            stop: Some(stop),
+            in_use,
             stream: handle,
             addr,
             reused: false,
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -3,12 +3,15 @@
 //! response answers, and whether or not it is believed to answer that.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::Full;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use tokio::time::timeout;
 
 use super::client::{self, CallLimits, Connection, SendError, SendOptions};
 use super::clock;
@@ -25,6 +28,12 @@
     max_bytes: 1 << 20,
 };
 
+/// Time for which a connection is read on when its response may be to an earlier request: the
+/// response to the last request often follows at once. Its run may go on meanwhile.
+const LATE_RESPONSE_TIME: Duration = Duration::from_millis(200);
+/// Maximum size of the body of such a response, bytes.
+const MAX_LATE_BYTES: usize = 64 << 10;
+
 /// Which engines get a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
@@ -57,7 +66,7 @@
             .client
             .send_if(recipient.addr, request, options, || self.accepts(recipient));
         let (response, connection) = sending.await?;
-        self.record_statement(recipient, id, &response);
+        self.record_statement(recipient, id, response.status(), response.headers());
         Ok((response, connection))
     }
 
@@ -79,7 +88,7 @@
                 .call_client
                 .send_if(recipient.addr, request, options, is_wanted);
             let (response, connection) = sending.await?;
-            self.record_statement(recipient, "", &response);
+            self.record_statement(recipient, "", response.status(), response.headers());
             client::read_whole(response, connection, CALL_LIMITS.max_bytes).await
         };
         let outcome = client::within(CALL_LIMITS.total_timeout, exchange).await;
@@ -89,6 +98,34 @@
         outcome
     }
 
+    /// Closes the connection of the request `id` after a response that may be to an earlier
+    /// request, and reads what the engine says of itself in those that still arrive.
+    pub fn hear_late_responses(
+        self: &Rc<Self>,
+        recipient: Recipient,
+        id: &str,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) {
+        let (edge, id) = (self.clone(), Arc::<str>::from(id));
+        let reading = async move {
+            let body = Limited::new(response.into_body(), MAX_LATE_BYTES).collect();
+            if body.await.is_err() {
+                return;
+            }
+            let Some(mut unread) = connection.into_unread().await else {
+                return;
+            };
+            if let Err(error) = unread.close_write().await {
+                log::debug!(addr:% = recipient.addr, error:%; "connection not closed in order");
+            }
+            while let Some((status, headers)) = unread.next_head().await {
+                edge.record_statement(&recipient, &id, status, &headers);
+            }
+        };
+        tokio::task::spawn_local(timeout(LATE_RESPONSE_TIME, reading));
+    }
+
     /// Returns whether an engine accepts requests and orders of this host.
     fn accepts(&self, recipient: &Recipient) -> bool {
         let state = self.state.borrow();
@@ -99,12 +136,18 @@
 
     /// Records what an engine says of itself in the head of its response to the request `id`;
     /// calls have none.
-    fn record_statement(&self, recipient: &Recipient, id: &str, response: &Response<Incoming>) {
+    fn record_statement(
+        &self,
+        recipient: &Recipient,
+        id: &str,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) {
         let Lifetime {
             engine,
             incarnation,
         } = &recipient.lifetime;
-        let (statement, error) = headers::engine_statement(response.status(), response.headers());
+        let (statement, error) = headers::engine_statement(status, headers);
         if statement.leaves {
             self.record_leaving(engine, *incarnation);
         }
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -131,6 +131,8 @@
     if !believed {
         in_flight.record_outcome(false);
         connection.drop_idle();
+        let edge = &routed.edge;
+        edge.hear_late_responses(recipient, id, response, connection);
         return SendOutcome::Unproven("the response may be for another request".to_owned());
     }
     if rejected {
--- a/tests/edge/fakes/engine/behavior.rs
+++ b/tests/edge/fakes/engine/behavior.rs
@@ -38,6 +38,9 @@
     /// Runs every request. On a connection that has carried another, a late rejection
     /// with this status and without an id comes first.
     LateRejection(u16),
+    /// Rejects every request. On a connection that has carried another, a late answer to that
+    /// one without added headers comes first.
+    FullAfterLateAnswer,
     /// Rejects a request when it first comes, and runs it when it comes again. If it
     /// comes again on the same connection, the rejection is repeated first.
     RepeatedRejection,
--- a/tests/edge/fakes/engine/runs.rs
+++ b/tests/edge/fakes/engine/runs.rs
@@ -8,8 +8,8 @@
 use tokio::time::sleep;
 
 use super::behavior::{Behavior, Place, signed_head};
-use super::{EVENT_PAUSE, EVENTS, Engine, PREEMPTION, signed};
-use crate::fakes::ReceivedRequest;
+use super::{EVENT_PAUSE, EVENTS, Engine, PREEMPTION, signed as signed_of};
+use crate::fakes::{ReceivedRequest, write_response};
 
 impl Engine {
     /// Runs a request, or rejects it, as the engine behaves.
@@ -35,7 +35,7 @@
             }
             (state.behavior, loaded, rejects_first)
         };
-        let signed = signed(&id);
+        let signed = signed_of(&id);
         let not_run = [
             ("X-Mastichinge-Request-Id", id.as_str()),
             ("X-Mastichinge-Not-Run", "1"),
@@ -48,7 +48,10 @@
         let rejects = rejects_first
             || matches!(
                 behavior,
-                Behavior::Full | Behavior::FullWithoutId | Behavior::StallAtRejection
+                Behavior::Full
+                    | Behavior::FullWithoutId
+                    | Behavior::FullAfterLateAnswer
+                    | Behavior::StallAtRejection
             );
         if !rejects {
             self.state.lock().unwrap().runs.push(id.clone());
@@ -62,6 +65,10 @@
         if behavior != Behavior::Silent {
             self.wait_for_stall().await;
         }
+        if behavior == Behavior::FullAfterLateAnswer && !earlier.is_empty() {
+            self.state.lock().unwrap().late_responses += 1;
+            write_response(stream, 200, &signed_of(earlier), b"late").await?;
+        }
         if rejects {
             let headers = match behavior {
                 Behavior::FullWithoutId => &not_run[1..],
--- a/tests/edge/statements.rs
+++ b/tests/edge/statements.rs
@@ -173,6 +173,30 @@
     assert_eq!(engine.arrivals().len(), before);
 }
 
+/// Guards against BUDGET and DRAIN: a response that followed a late one to an earlier request
+/// was not read.
+#[test_case(LEAVING, "1"; "leaving")]
+#[test_case(RETRY_AFTER, PAUSE_S; "a pause")]
+fn a_statement_after_a_late_response_applies(header: &'static str, value: &str) {
+    let site = Site::start();
+    site.store.remove("servers", "p2");
+    site.wait_for_change("p2", "gone");
+    // Leaves an idle connection.
+    assert_eq!(site.send("/look/", "l1").status, 200);
+    let engine = &site.plain[0];
+    engine.set_behavior(Behavior::FullAfterLateAnswer);
+    engine.add_header(header, value);
+    assert_eq!(site.send("/book/", "b1").status, 502);
+    assert_eq!(engine.late_responses(), 1);
+    wait("its log line", || match header {
+        LEAVING => site.changes("p1", "leaving") > 0,
+        _ => !site.daemon.logged("engine asks for a pause").is_empty(),
+    });
+    let before = engine.arrivals().len();
+    assert_eq!(site.send("/book/", "b2").status, 503);
+    assert_eq!(engine.arrivals().len(), before);
+}
+
 /// Guards against BUDGET: the pause that an engine asked for in the response to an order or
 /// a report request was dropped.
 #[test]
