Let no check withdraw the pause that an engine has asked for

Cause: the new lifetime's answer to a check, which did not ask again, was taken as a proof that the lifetime before had asked. All responses of an engine that leaves say so; a pause is asked for once. Besides, a statement heard after the new entry did not apply until the list was read again. Change: a check decides only whether an engine leaves; a pause applies to its end, to a later start for 15 s at most. No engine is called in a pause for that.

--- a/src/edge/engine_checks.rs
+++ b/src/edge/engine_checks.rs
@@ -1,5 +1,5 @@
-//! Checks of engines that have started again: whether what they were heard to say of
-//! themselves still applies.
+//! Checks of engines that have started again and were heard to say that they leave: whether the
+//! lifetime before or the new one has said it.
 
 use std::rc::Rc;
 
@@ -19,8 +19,8 @@
     }
 }
 
-/// Asks an engine for its report, or for its health if it holds no models. What its answer
-/// says replaces what was known of the lifetimes before.
+/// Asks an engine for its report, or for its health if it holds no models: all responses of an
+/// engine that leaves say so.
 async fn check(edge: Rc<Edge>, recipient: Recipient) {
     let Some(request) = check_request(&edge, &recipient) else {
         return;
@@ -43,7 +43,7 @@
         return;
     }
     let mut state = edge.state.borrow_mut();
-    let leaves = state.fleet.settle_statements(engine, life);
+    let leaves = state.fleet.record_answer(&recipient.lifetime);
     drop(state);
     log::info!(engine = &**engine, life, leaves; "engine checked after its restart");
     edge.notify_waiting();
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -416,9 +416,7 @@
 
     /// Returns how long an engine still wants no requests of this host.
     pub fn pause_left(&self, engine: &Upstream, now: Moment) -> Option<Duration> {
-        let entry = &engine.entry;
-        self.statements
-            .pause_left(&entry.id, entry.incarnation, now)
+        self.statements.pause_left(&engine.entry.id, now)
     }
 
     /// Records that an engine that started at `incarnation` has said that it leaves; returns
@@ -441,7 +439,7 @@
         ready.filter(|e| self.statements.leaves(&e.id, e.incarnation))
     }
 
-    /// Returns the engines whose statements are to be checked now.
+    /// Returns the engines that are to be asked now whether they leave.
     pub fn take_checks(&mut self, now: Moment) -> Vec<Recipient> {
         let due = self.statements.take_checks(now);
         let listed = due.into_iter().filter_map(|(id, incarnation)| {
@@ -451,10 +449,10 @@
         listed.collect()
     }
 
-    /// Forgets what was heard from earlier lifetimes of an engine than the one that started at
-    /// `incarnation`; returns whether the engine leaves.
-    pub fn settle_statements(&mut self, id: &str, incarnation: u64) -> bool {
-        self.statements.settle(id, incarnation);
+    /// Records that an engine has answered whether it leaves; returns whether it does.
+    pub fn record_answer(&mut self, lifetime: &Lifetime) -> bool {
+        let id = &*lifetime.engine;
+        self.statements.record_answer(id, lifetime.incarnation);
         self.update_leaves(id);
         self.engines.get(id).is_some_and(|e| e.leaves)
     }
--- a/src/edge/statements.rs
+++ b/src/edge/statements.rs
@@ -2,9 +2,10 @@
 //!
 //! A statement is kept under the id of its engine and the start time that was known when the
 //! engine was addressed. When the engine is listed with a later start, its new lifetime may
-//! have made the statement before its entry was read. The statement then stays in force until
-//! the engine has answered a check, or [`DOUBT_TIME`] has passed. Statements are kept while the
-//! engine is not listed, because its entry may be back later, or older.
+//! have made the statement before its entry was read. A pause then applies to its end, and that
+//! the engine leaves applies until it has answered a check; both for [`DOUBT_TIME`] at most.
+//! Statements are kept while the engine is not listed, because its entry may be back later, or
+//! older.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -14,8 +15,8 @@
 
 /// Number of engines that leave from which those that are not listed are forgotten.
 const MAX_LEAVING: usize = 10_000;
-/// Time after which an engine that has not answered a check is taken to have started again
-/// after its statement; an engine that leaves is seldom there for longer.
+/// Time for which a statement may apply to a later start than it was kept under; an engine that
+/// leaves is seldom there for longer.
 const DOUBT_TIME: Duration = Duration::from_secs(15);
 /// Minimum time between two checks of an engine.
 const CHECK_PERIOD: Duration = Duration::from_secs(1);
@@ -69,7 +70,10 @@
     /// Start time of the listed engine.
     incarnation: u64,
     since: Moment,
+    /// When it was last asked whether it leaves.
     asked_at: Option<Moment>,
+    /// Whether it has answered that.
+    answered: bool,
 }
 
 impl Statements {
@@ -107,7 +111,7 @@
     pub fn may_leave(&self, id: &str, incarnation: u64) -> bool {
         let heard = |l: &Leaving| l.source == Source::Response;
         self.leaves(id, incarnation)
-            || self.leaving.get(id).is_some_and(heard) && self.is_doubtful(id, incarnation)
+            || self.leaving.get(id).is_some_and(heard) && !self.has_answered(id, incarnation)
     }
 
     /// Returns whether the engine that started at `incarnation` leaves for certain.
@@ -120,22 +124,20 @@
     /// for `pause`.
     pub fn record_pause(&mut self, id: &Arc<str>, incarnation: u64, pause: Duration, now: Moment) {
         self.pauses.retain(|_, p| p.until > now);
-        let pause_left = self.pause_left(id, incarnation, now).unwrap_or_default();
+        let pause_left = self.pause_left(id, now).unwrap_or_default();
         let until = now.saturating_add(pause.max(pause_left));
         self.pauses.insert(id.clone(), Pause { incarnation, until });
     }
 
-    /// Returns how long the engine that started at `incarnation` still wants no requests of
-    /// this host, or may want none.
-    pub fn pause_left(&self, id: &str, incarnation: u64, now: Moment) -> Option<Duration> {
+    /// Returns how long an engine still wants no requests of this host, or may want none.
+    pub fn pause_left(&self, id: &str, now: Moment) -> Option<Duration> {
         let pause = self.pauses.get(id).filter(|p| p.until > now)?;
-        let in_force = incarnation <= pause.incarnation || self.is_doubtful(id, incarnation);
-        in_force.then(|| pause.until - now)
+        Some(pause.until - now)
     }
 
-    fn is_doubtful(&self, id: &str, incarnation: u64) -> bool {
+    fn has_answered(&self, id: &str, incarnation: u64) -> bool {
         let doubt = self.doubts.get(id);
-        doubt.is_some_and(|d| d.incarnation == incarnation)
+        doubt.is_some_and(|d| d.incarnation == incarnation && d.answered)
     }
 
     /// Records that an engine is listed with the start time `incarnation`.
@@ -156,22 +158,28 @@
             incarnation,
             since: now,
             asked_at: None,
+            answered: false,
         };
         let known = self.doubts.entry(id.clone()).or_insert(doubt);
         if known.incarnation != incarnation {
             *known = doubt;
         }
         if now.saturating_sub(known.since) >= DOUBT_TIME {
-            self.settle(id, incarnation);
+            self.forget_earlier(id, incarnation);
         }
     }
 
-    /// Returns the engines that are to be checked now, with their start times. An engine that
-    /// may want no requests is checked once only.
+    /// Returns the engines that are to be asked now whether they leave, with their start times.
+    /// One that may want no requests is asked once only.
     pub fn take_checks(&mut self, now: Moment) -> Vec<(Arc<str>, u64)> {
         let mut due = Vec::new();
         for (id, doubt) in &mut self.doubts {
-            let is_paused = self.pauses.get(id).is_some_and(|p| p.until > now);
+            let leaving = self.leaving.get(id);
+            if doubt.answered || leaving.is_none_or(|l| l.incarnation >= doubt.incarnation) {
+                continue;
+            }
+            let pause = self.pauses.get(id);
+            let is_paused = pause.is_some_and(|p| p.until > now);
             let is_recent = |at: Moment| is_paused || now.saturating_sub(at) < CHECK_PERIOD;
             if doubt.asked_at.is_some_and(is_recent) {
                 continue;
@@ -182,8 +190,16 @@
         due
     }
 
+    /// Records that the engine that started at `incarnation` has answered whether it leaves:
+    /// only what it says itself applies from now on.
+    pub fn record_answer(&mut self, id: &str, incarnation: u64) {
+        if let Some(doubt) = self.doubts.get_mut(id) {
+            doubt.answered |= doubt.incarnation == incarnation;
+        }
+    }
+
     /// Forgets what was kept under earlier starts than `incarnation`.
-    pub fn settle(&mut self, id: &str, incarnation: u64) {
+    fn forget_earlier(&mut self, id: &str, incarnation: u64) {
         if self
             .leaving
             .get(id)
