Take requests to an engine up again one after the other when its pause ends

What callers saw: all callers that were refused in a pause were told its end, and all requests that waited for it were sent at that instant, from every host: the engine was overloaded at once again. Cause: the end of the pause was the answer to each of them.

--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -11,7 +11,7 @@
 
 use super::desired::{Route, RouteKind};
 use super::placement::ModelTarget;
-use super::routing::{SelectedEngine, Selection};
+use super::routing::{PausedEngine, SelectedEngine, Selection};
 use super::settings::AdmissionSettings;
 use crate::error::Kind as ErrorKind;
 
@@ -52,6 +52,8 @@
     Hold,
     /// Wait for this time, until an engine takes requests of this host again.
     Pause(Duration),
+    /// Refuse it until this engine takes requests of this host again.
+    ReturnLater(PausedEngine),
     /// No usable engine of its service is known.
     NoEngine,
     /// Refuse it.
@@ -121,17 +123,12 @@
         match selection {
             Selection::NoEngine => AdmissionDecision::NoEngine,
             // Another host may send to these engines, so that the caller had better return.
-            Selection::Paused { ready_in }
-                if self.waited.saturating_add(ready_in) > self.objective =>
+            Selection::Paused(paused)
+                if self.waited.saturating_add(paused.ready_in) > self.objective =>
             {
-                AdmissionDecision::Refuse {
-                    kind: ErrorKind::NoCapacity,
-                    cause: "the engines want no requests of this host now",
-                    retry_after: ready_in,
-                    load: None,
-                }
+                AdmissionDecision::ReturnLater(paused)
             }
-            Selection::Paused { ready_in } => AdmissionDecision::Pause(ready_in),
+            Selection::Paused(paused) => AdmissionDecision::Pause(paused.ready_in),
             Selection::UnknownModel => AdmissionDecision::Refuse {
                 kind: ErrorKind::UnknownModel,
                 cause: "unknown model",
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -67,6 +67,9 @@
             .send_if(recipient.addr, request, options, || self.accepts(recipient));
         let (response, connection) = sending.await?;
         self.record_statement(recipient, id, response.status(), response.headers());
+        if !headers::promises_not_run(response.status()) {
+            self.record_accepted(recipient);
+        }
         Ok((response, connection))
     }
 
@@ -126,6 +129,19 @@
         tokio::task::spawn_local(timeout(LATE_RESPONSE_TIME, reading));
     }
 
+    /// Records that an engine has accepted a request, and wakes those that wait for that after
+    /// its pause.
+    fn record_accepted(&self, recipient: &Recipient) {
+        let mut state = self.state.borrow_mut();
+        let engine = &recipient.lifetime.engine;
+        let Some(reopening) = state.fleet.reopening_mut(engine) else {
+            return;
+        };
+        reopening.record_accepted(clock::now());
+        drop(state);
+        self.notify_waiting();
+    }
+
     /// Returns whether an engine accepts requests and orders of this host.
     fn accepts(&self, recipient: &Recipient) -> bool {
         let state = self.state.borrow();
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -8,6 +8,7 @@
 
 use super::exchange::Recipient;
 use super::prefix_cache::PrefixCache;
+use super::reopening::Reopening;
 use super::request_headers;
 use super::routing::{EngineSlowdown, PrefillQueue};
 use super::statements::{Source, Statements};
@@ -414,6 +415,19 @@
         self.engines.get(id).map_or(0, |e| e.entry.incarnation)
     }
 
+    /// Returns whether requests may be sent to an engine: it has asked for no pause, or
+    /// accepts them again after it.
+    pub fn is_open(&self, engine: &Upstream, now: Moment) -> bool {
+        let reopening = self.statements.reopening(&engine.entry.id);
+        reopening.is_none_or(|r| r.allows(now))
+    }
+
+    /// Returns how the requests to an engine are taken up again after its pause, if it has
+    /// asked for one.
+    pub fn reopening_mut(&mut self, id: &str) -> Option<&mut Reopening> {
+        self.statements.reopening_mut(id)
+    }
+
     /// Returns how long an engine still wants no requests of this host.
     pub fn pause_left(&self, engine: &Upstream, now: Moment) -> Option<Duration> {
         self.statements.pause_left(&engine.entry.id, now)
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -307,15 +307,18 @@
             // The caller has a part of the answer, so that the rest is never refused.
             return Ok(choice);
         }
+        let goes_on = attempts.persists() && (resumed || !budget.event_left.is_zero());
         let max_pause = match budget.decide(selection, &limits) {
             AdmissionDecision::Send(choice) => return Ok(choice),
-            AdmissionDecision::Refuse { kind, .. }
-                if attempts.persists()
-                    && kind != Kind::UnknownModel
-                    && (resumed || !budget.event_left.is_zero()) =>
-            {
+            AdmissionDecision::Refuse { kind, .. } if goes_on && kind != Kind::UnknownModel => {
                 RESELECT_INTERVAL
             }
+            AdmissionDecision::ReturnLater(_) if goes_on => RESELECT_INTERVAL,
+            AdmissionDecision::ReturnLater(paused) => {
+                let retry_after = routed.edge.book_return(&paused);
+                let cause = "the engines want no requests of this host now";
+                return Err(fail(Kind::NoCapacity, cause, retry_after));
+            }
             AdmissionDecision::Refuse {
                 kind,
                 cause,
--- a/src/edge/in_flight.rs
+++ b/src/edge/in_flight.rs
@@ -115,6 +115,9 @@
         now: Moment,
     ) -> InFlightRequest {
         self.serial += 1;
+        if let Some(reopening) = self.fleet.reopening_mut(&choice.engine) {
+            reopening.record_sent(now);
+        }
         let mut request = InFlightRequest {
             engine: choice.engine.clone(),
             incarnation: 0,
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -31,6 +31,7 @@
 pub mod placement;
 pub mod prefix_cache;
 pub mod relays;
+pub mod reopening;
 pub mod reports;
 pub mod request_headers;
 pub mod retry_budget;
--- a/src/edge/routing/mod.rs
+++ b/src/edge/routing/mod.rs
@@ -24,6 +24,8 @@
 use super::settings::EngineSettings;
 use crate::clock::Moment;
 
+/// Time after which a request looks again at an engine that takes up requests after its pause.
+const REOPENING_STEP: Duration = Duration::from_millis(20);
 /// Estimated time that a request occupies a slot of a plain service.
 const PLAIN_SLOT_TIME: Duration = Duration::from_millis(50);
 /// Estimated time that a stream occupies a slot.
@@ -80,6 +82,17 @@
     pub first_event: Duration,
 }
 
+/// The engine that first takes requests of this host again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PausedEngine {
+    /// Id of the engine.
+    pub engine: Arc<str>,
+    /// Time until it takes requests again.
+    pub ready_in: Duration,
+    /// Time in which it works off one request, on average.
+    pub request_time: Duration,
+}
+
 /// Result of selecting an engine.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Selection {
@@ -97,10 +110,7 @@
         ready_in: Option<Duration>,
     },
     /// The engines that could serve it want no requests of this host now.
-    Paused {
-        /// Shortest time until one of them takes requests again.
-        ready_in: Duration,
-    },
+    Paused(PausedEngine),
     /// The desired state does not name the model.
     UnknownModel,
 }
@@ -149,21 +159,35 @@
     }
 }
 
-/// Selects one of `engines` that has not asked for a pause.
+/// Selects one of `engines` that takes requests of this host now.
 fn select_awake(
     context: &RoutingContext<'_>,
     request: &RoutingRequest<'_>,
     engines: &[&Upstream],
 ) -> Selection {
-    let pause_left = |e: &Upstream| context.fleet.pause_left(e, context.now);
-    let awake = engines.iter().copied().filter(|e| pause_left(e).is_none());
+    let (fleet, now) = (context.fleet, context.now);
+    let awake = engines.iter().copied().filter(|e| fleet.is_open(e, now));
     let awake: Vec<_> = awake.collect();
     if let Some(choice) = best_engine(context, request, &awake) {
         return Selection::Engine(choice);
     }
-    match engines.iter().filter_map(|e| pause_left(e)).min() {
-        Some(ready_in) => Selection::Paused { ready_in },
-        None => Selection::NoEngine,
+    let pause_left = |e: &Upstream| fleet.pause_left(e, now).unwrap_or(REOPENING_STEP);
+    let paused = engines.iter().map(|e| (pause_left(e), e));
+    let Some((ready_in, engine)) = paused.min_by_key(|(left, _)| *left) else {
+        return Selection::NoEngine;
+    };
+    Selection::Paused(PausedEngine {
+        engine: engine.entry.id.clone(),
+        ready_in,
+        request_time: slot_time(request.kind) / engine.entry.slots.max(1),
+    })
+}
+
+/// Returns the estimated time that a request occupies a slot.
+fn slot_time(kind: RouteKind) -> Duration {
+    match kind {
+        RouteKind::Stream => STREAM_SLOT_TIME,
+        RouteKind::Idempotent | RouteKind::Once => PLAIN_SLOT_TIME,
     }
 }
 
@@ -215,10 +239,7 @@
             slots: engine.entry.slots,
             backlog: engine.queue.backlog(now).mul_f64(engine_slowdown),
             prefill: (prefill + steps_time).mul_f64(engine_slowdown),
-            slot_time: match request.kind {
-                RouteKind::Stream => STREAM_SLOT_TIME,
-                RouteKind::Idempotent | RouteKind::Once => PLAIN_SLOT_TIME,
-            },
+            slot_time: slot_time(request.kind),
             same_domain: &*engine.entry.domain == context.domain,
             failures: engine.failure_score(now),
             tie_break: xxh3_64_with_seed(engine.entry.id.as_bytes(), tie_seed),
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -20,6 +20,7 @@
 use super::members::Members;
 use super::placement::{EngineCall, ModelTarget, PlacementInput, Placer, WaitingRequests};
 use super::retry_budget::{RetryBudget, RetryLimits};
+use super::routing::PausedEngine;
 use super::settings::Settings;
 use super::shutdown::Shutdown;
 use super::statements::Source;
@@ -235,6 +236,17 @@
         }
     }
 
+    /// Returns after which time a caller that is refused in an engine's pause should return:
+    /// one after the other once the pause is over, here and at the other hosts.
+    pub fn book_return(&self, paused: &PausedEngine) -> Duration {
+        let mut state = self.state.borrow_mut();
+        let hosts = state.members.share_count(clock::now()) as u32;
+        let spacing = paused.request_time * hosts;
+        let reopening = state.fleet.reopening_mut(&paused.engine);
+        let delay = reopening.map_or(Duration::ZERO, |r| r.record_refused(spacing));
+        paused.ready_in.saturating_add(delay)
+    }
+
     /// Marks an engine that refused a connection as down.
     pub fn mark_down(&self, engine: &str) {
         let mut state = self.state.borrow_mut();
--- a/src/edge/statements.rs
+++ b/src/edge/statements.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::reopening::Reopening;
 use crate::clock::Moment;
 
 /// Number of engines that leave from which those that are not listed are forgotten.
@@ -61,7 +62,8 @@
 struct Pause {
     /// Start time of the engine that asked for it.
     incarnation: u64,
-    until: Moment,
+    /// Its end, and what follows.
+    reopening: Reopening,
 }
 
 /// An engine that is listed with a later start than its statement was kept under.
@@ -123,16 +125,29 @@
     /// Records that the engine that started at `incarnation` wants no requests of this host
     /// for `pause`.
     pub fn record_pause(&mut self, id: &Arc<str>, incarnation: u64, pause: Duration, now: Moment) {
-        self.pauses.retain(|_, p| p.until > now);
+        self.pauses.retain(|_, p| !p.reopening.is_over(now));
         let pause_left = self.pause_left(id, now).unwrap_or_default();
-        let until = now.saturating_add(pause.max(pause_left));
-        self.pauses.insert(id.clone(), Pause { incarnation, until });
+        let reopening = Reopening::new(now.saturating_add(pause.max(pause_left)));
+        let pause = Pause {
+            incarnation,
+            reopening,
+        };
+        self.pauses.insert(id.clone(), pause);
     }
 
     /// Returns how long an engine still wants no requests of this host, or may want none.
     pub fn pause_left(&self, id: &str, now: Moment) -> Option<Duration> {
-        let pause = self.pauses.get(id).filter(|p| p.until > now)?;
-        Some(pause.until - now)
+        self.reopening(id)?.pause_left(now)
+    }
+
+    /// Returns how the requests to an engine are taken up again after its pause.
+    pub fn reopening(&self, id: &str) -> Option<&Reopening> {
+        self.pauses.get(id).map(|p| &p.reopening)
+    }
+
+    /// Returns the same, to be changed.
+    pub fn reopening_mut(&mut self, id: &str) -> Option<&mut Reopening> {
+        self.pauses.get_mut(id).map(|p| &mut p.reopening)
     }
 
     fn has_answered(&self, id: &str, incarnation: u64) -> bool {
@@ -149,7 +164,8 @@
         let may_leave =
             leaving.is_some_and(|l| l.incarnation < incarnation && l.source == Source::Response);
         let pause = self.pauses.get(id);
-        let may_pause = pause.is_some_and(|p| p.incarnation < incarnation && p.until > now);
+        let may_pause = pause
+            .is_some_and(|p| p.incarnation < incarnation && p.reopening.pause_left(now).is_some());
         if !may_leave && !may_pause {
             self.doubts.remove(id);
             return;
@@ -179,7 +195,7 @@
                 continue;
             }
             let pause = self.pauses.get(id);
-            let is_paused = pause.is_some_and(|p| p.until > now);
+            let is_paused = pause.is_some_and(|p| p.reopening.pause_left(now).is_some());
             let is_recent = |at: Moment| is_paused || now.saturating_sub(at) < CHECK_PERIOD;
             if doubt.asked_at.is_some_and(is_recent) {
                 continue;
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -24,6 +24,7 @@
 mod pauses;
 mod placement;
 mod planned_stop;
+mod reopening;
 mod requests;
 mod retry_budget;
 mod several_daemons;
--- a/tests/edge/pauses.rs
+++ b/tests/edge/pauses.rs
@@ -150,3 +150,27 @@
     headers.insert(RETRY_AFTER, HeaderValue::from_str(value).unwrap());
     headers
 }
+
+/// Guards against a rush at the end of a pause: all refused callers were told the same instant.
+#[test]
+fn refused_callers_are_told_to_return_one_after_the_other() {
+    let site = Site::start();
+    site.store.remove("servers", "e2");
+    site.wait_for_change("e2", "gone");
+    pause(&site.models[0], PAUSE_S);
+    let mut sent = 0;
+    wait("a pause", || {
+        site.stream("/stream/", &format!("first{sent}"));
+        sent += 1;
+        !site.daemon.logged("engine asks for a pause").is_empty()
+    });
+    let mut waits = Vec::new();
+    for i in 0..2 * REQUESTS {
+        let answer = site.stream("/stream/", &format!("s{i}"));
+        assert_eq!(answer.status, 503, "{answer:?}");
+        let wait: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+        waits.push(wait);
+    }
+    // The pause itself becomes shorter meanwhile.
+    assert!(waits.last() > waits.first(), "{waits:?}");
+}
--- a/tests/simulation/simulator/requests.rs
+++ b/tests/simulation/simulator/requests.rs
@@ -119,6 +119,7 @@
             AdmissionDecision::Hold => {
                 self.schedule_after(HOLD_PERIOD, SimEvent::Route(index, tries))
             }
+            AdmissionDecision::ReturnLater(paused) => self.refuse_try(index, paused.ready_in),
             AdmissionDecision::Pause(left) => {
                 self.schedule_after(left, SimEvent::Route(index, tries))
             }
