Load a model elsewhere when its only engine asks for a pause

What callers saw: requests for a model were refused or held for as long as the only engine that holds it wanted none (30 s in the test), although another engine could have loaded it. Cause: a held model was no reason for a load, whoever may use it; the leader did not know of the pauses of other hosts. Change: where a pause lasts longer than a load, requests wait for a load, and their notes to the leader name the engines that hold the target and want no requests there; the leader does not count those. The same for adapters.

--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -151,6 +151,7 @@
                 target,
                 load_time,
                 ready_in,
+                ..
             } => {
                 let remaining = match ready_in {
                     Some(forecast) => forecast.mul_f64(FORECAST_SHARE),
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -3,6 +3,7 @@
 //! A request that may have run is sent again only if its route allows that, after its
 //! connection was closed, and within the shared retry budget.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -307,6 +308,10 @@
             // The caller has a part of the answer, so that the rest is never refused.
             return Ok(choice);
         }
+        let paused = match &selection {
+            Selection::NotLoaded { paused, .. } => paused.clone(),
+            _ => BTreeSet::new(),
+        };
         let goes_on = attempts.persists() && (resumed || !budget.event_left.is_zero());
         let max_pause = match budget.decide(selection, &limits) {
             AdmissionDecision::Send(choice) => return Ok(choice),
@@ -327,10 +332,10 @@
             } => {
                 // Starts the load for the caller's retry, although no request waits here.
                 if let Some(target) = load {
+                    let edge = &routed.edge;
                     let retry_at = now + retry_after;
-                    routed
-                        .edge
-                        .expect_retry(target, routed.route.priority, retry_at);
+                    edge.expect_retry(target.clone(), routed.route.priority, retry_at);
+                    edge.record_paused(&target, paused);
                 }
                 return Err(fail(kind, cause, retry_after));
             }
@@ -366,9 +371,10 @@
                     let model = &*target.model;
                     let adapter = target.adapter.as_deref().unwrap_or_default();
                     log::info!(request, model, adapter; "request waits for a load");
-                    load_wait = Some((target, guard));
+                    load_wait = Some((target.clone(), guard));
                     attempts.load_waited = true;
                 }
+                routed.edge.record_paused(&target, paused);
                 time_left
             }
         };
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -236,6 +236,9 @@
     /// empty for none.
     #[prost(string, tag = "5")]
     pub missing_at: String,
+    /// Engines that hold the target and want no requests of the sender.
+    #[prost(string, repeated, tag = "6")]
+    pub paused: Vec<String>,
 }
 
 /// Models that an engine has loaded.
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -347,7 +347,10 @@
             peer.waiting_at = now;
             let waiting: Vec<_> = report.targets.iter().map(decode_waiting).collect();
             effects.waits_anew = waiting.iter().any(|(target, requests)| {
-                requests.missing_at.is_some() || !peer.waiting.iter().any(|(t, _)| t == target)
+                let is_same = |(t, w): &(ModelTarget, WaitingRequests)| {
+                    t == target && w.paused == requests.paused
+                };
+                requests.missing_at.is_some() || !peer.waiting.iter().any(is_same)
             });
             peer.waiting = waiting;
         }
@@ -440,6 +443,7 @@
     let requests = WaitingRequests {
         count: note.count,
         priority: note.priority.min(u32::from(u8::MAX)) as u8,
+        paused: note.paused.iter().map(|e| e.as_str().into()).collect(),
         missing_at: (!note.missing_at.is_empty()).then(|| note.missing_at.as_str().into()),
     };
     (target, requests)
--- a/src/edge/placement/adapters.rs
+++ b/src/edge/placement/adapters.rs
@@ -47,7 +47,10 @@
         }
         for target in wanted {
             let candidates = serving.get(&*target.model).into_iter().flatten();
-            let candidates = candidates.filter(|(e, _)| e.entry.service == target.service);
+            let paused = &input.waiting[target].paused;
+            let candidates = candidates.filter(|(e, _)| {
+                e.entry.service == target.service && !paused.contains(&e.entry.id)
+            });
             if candidates.clone().any(|(_, view)| view.has_adapter(target)) {
                 continue;
             }
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -12,7 +12,7 @@
 mod index;
 mod plan;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -67,6 +67,8 @@
     pub priority: u8,
     /// Engine that answered that it lacks the target.
     pub missing_at: Option<Arc<str>>,
+    /// Engines that hold the target and want no requests of the hosts where it is waited for.
+    pub paused: BTreeSet<Arc<str>>,
 }
 
 /// A model of a service, or an adapter of that model.
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -1,7 +1,7 @@
 //! Planning of loads: which model is loaded next, on which engine, and which
 //! models are evicted for it.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -83,14 +83,14 @@
         }
     }
 
-    /// Returns the models without a replica that requests wait for, in the order in which
+    /// Returns the models that requests wait for and no engine serves, in the order in which
     /// they are loaded: by priority, and then the longest waited for first, so that a
     /// forecast holds.
     fn missing_models(&self, input: &PlacementInput<'_>) -> Vec<ModelKey> {
         let mut missing = Vec::new();
         for (target, requests) in input.waiting {
             let key = ModelKey::new(&target.service, &target.model);
-            if self.replica_count(&key) == 0 {
+            if !self.is_served(input, &key, &requests.paused) {
                 let since = self.waited_since.get(target).copied();
                 missing.push((requests.priority, since.unwrap_or(input.now), key));
             }
@@ -101,6 +101,20 @@
         keys.filter(|key| seen.insert(key.clone())).collect()
     }
 
+    /// Returns whether an engine other than those in `paused` serves or will serve a model.
+    fn is_served(
+        &self,
+        input: &PlacementInput<'_>,
+        key: &ModelKey,
+        paused: &BTreeSet<Arc<str>>,
+    ) -> bool {
+        if paused.is_empty() {
+            return self.replica_count(key) > 0;
+        }
+        let mut engines = self.service_engines(input, &key.service);
+        engines.any(|(e, view)| view.will_serve(&key.model) && !paused.contains(&e.entry.id))
+    }
+
     /// Forecasts when the models that are loaded from the weight store will be ready, and
     /// those that are still missing after the planning.
     fn forecast_loads(&mut self, input: &PlacementInput<'_>, missing: &[ModelKey]) {
--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -194,6 +194,7 @@
             service: target.service.to_string(),
             target: target.name().to_string(),
             count: requests.count,
+            paused: requests.paused.iter().map(|e| e.to_string()).collect(),
             priority: u32::from(requests.priority),
             missing_at: match wait.missing_reported {
                 true => String::new(),
--- a/src/edge/routing/mod.rs
+++ b/src/edge/routing/mod.rs
@@ -6,6 +6,7 @@
 mod prediction;
 mod queue;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +27,8 @@
 
 /// Time after which a request looks again at an engine that takes up requests after its pause.
 const REOPENING_STEP: Duration = Duration::from_millis(20);
+/// Time by which a pause must exceed a load for the model to be loaded elsewhere.
+const LOAD_MARGIN: Duration = Duration::from_millis(250);
 /// Estimated time that a request occupies a slot of a plain service.
 const PLAIN_SLOT_TIME: Duration = Duration::from_millis(50);
 /// Estimated time that a stream occupies a slot.
@@ -100,10 +103,12 @@
     Engine(SelectedEngine),
     /// No usable engine is known.
     NoEngine,
-    /// No engine holds the model or adapter; it has to be loaded.
+    /// No engine that takes requests holds the model or adapter; it has to be loaded.
     NotLoaded {
         /// Model or adapter to load.
         target: ModelTarget,
+        /// Engines that hold it and want no requests of this host for longer than a load takes.
+        paused: BTreeSet<Arc<str>>,
         /// Shortest time that a load takes.
         load_time: Duration,
         /// Time until the load has ended, if the leader forecasts it.
@@ -132,28 +137,35 @@
         |e: &&Upstream| e.has_model(&prompt.model, adapter, now) && !e.is_missing(&name, now);
     let holding: Vec<_> = engines.iter().copied().filter(holds).collect();
     let selection = select_awake(context, request, &holding);
-    if selection != Selection::NoEngine {
-        return selection;
-    }
+    let pause_left = match &selection {
+        Selection::NoEngine => None,
+        Selection::Paused(paused) => Some(paused.ready_in),
+        _ => return selection,
+    };
     let Some(model) = hosting.models.get(&prompt.model) else {
         return Selection::UnknownModel;
     };
-    let mut load_time = model.store_load;
-    for engine in &engines {
+    let mut load_time = None;
+    for engine in engines.iter().filter(|e| context.fleet.is_open(e, now)) {
         let copies = &engine.entry.copies;
-        if copies.disk.contains(&prompt.model) {
-            load_time = load_time.min(model.disk_load);
-        }
-        if copies.memory.contains(&prompt.model) {
-            load_time = load_time.min(model.memory_load);
-        }
-        if engine.has_model(&prompt.model, None, now) {
-            load_time = Duration::ZERO;
-        }
+        let time = match () {
+            () if engine.has_model(&prompt.model, None, now) => Duration::ZERO,
+            () if copies.memory.contains(&prompt.model) => model.memory_load,
+            () if copies.disk.contains(&prompt.model) => model.disk_load,
+            () => model.store_load,
+        };
+        load_time = Some(load_time.map_or(time, |known: Duration| known.min(time)));
+    }
+    if let Some(pause_left) = pause_left
+        && load_time.is_none_or(|time| pause_left <= time + LOAD_MARGIN)
+    {
+        return selection;
     }
+    let load_time = load_time.unwrap_or(model.store_load);
     let forecast = context.forecast.filter(|_| load_time == model.store_load);
     Selection::NotLoaded {
         target: ModelTarget::of(request.service, prompt),
+        paused: holding.iter().map(|e| e.entry.id.clone()).collect(),
         load_time,
         ready_in: forecast.map(|f| f.ready_in(&prompt.model, load_time, now)),
     }
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -1,7 +1,7 @@
 //! State of the daemon, shared by its tasks on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -223,6 +223,15 @@
         }
     }
 
+    /// Records the engines that hold `target` but want no requests of this host, so that the
+    /// leader has it loaded elsewhere.
+    pub fn record_paused(&self, target: &ModelTarget, paused: BTreeSet<Arc<str>>) {
+        if self.state.borrow_mut().record_paused(target, paused) {
+            self.send_wake.notify_one();
+            self.order_wake.notify_one();
+        }
+    }
+
     /// Registers that a refused caller will come back for `target` at `retry_at`.
     pub fn expect_retry(&self, target: ModelTarget, priority: u8, retry_at: Moment) {
         let now = clock::now();
@@ -354,6 +363,17 @@
         leader.leadership.as_ref()?.forecasts.get(service)
     }
 
+    /// Records the engines that hold `target`, for which requests wait here, but want no
+    /// requests of this host; returns whether that is news.
+    pub fn record_paused(&mut self, target: &ModelTarget, paused: BTreeSet<Arc<str>>) -> bool {
+        let Some(wait) = self.waiting.get_mut(target) else {
+            return false;
+        };
+        let is_news = wait.requests.paused != paused;
+        wait.requests.paused = paused;
+        is_news
+    }
+
     /// Removes a waiting request for `target`.
     pub fn remove_waiting(&mut self, target: &ModelTarget, now: Moment) {
         if let Some(wait) = self.waiting.get_mut(target) {
@@ -433,6 +453,7 @@
                 });
             sum.count += requests.count;
             sum.priority = sum.priority.min(requests.priority);
+            sum.paused.extend(requests.paused.iter().cloned());
             if requests.missing_at.is_some() {
                 sum.missing_at = requests.missing_at.clone();
             }
--- a/tests/edge/load_forecast.rs
+++ b/tests/edge/load_forecast.rs
@@ -1,6 +1,7 @@
 //! More sleeping models are asked for than the weight store can load in time: which are
 //! loaded first, and which requests are refused at once.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -68,6 +69,7 @@
 #[test]
 fn a_request_whose_load_is_queued_too_far_behind_is_refused_at_once() {
     let selection = |ready_in| Selection::NotLoaded {
+        paused: BTreeSet::new(),
         target: ModelTarget {
             service: SERVICE.into(),
             model: name(8),
--- a/tests/edge/overload.rs
+++ b/tests/edge/overload.rs
@@ -53,6 +53,7 @@
 
 fn loaded_after(load_time: u64) -> Selection {
     Selection::NotLoaded {
+        paused: BTreeSet::new(),
         target: ModelTarget {
             service: "s".into(),
             model: "m".into(),
--- a/tests/edge/pauses.rs
+++ b/tests/edge/pauses.rs
@@ -174,3 +174,25 @@
     // The pause itself becomes shorter meanwhile.
     assert!(waits.last() > waits.first(), "{waits:?}");
 }
+
+/// Guards against requests that are refused for as long as the only engine that holds their
+/// model wants none, although another could load it.
+#[test]
+fn a_model_is_loaded_elsewhere_when_its_only_engine_asks_for_a_pause() {
+    let site = Site::start();
+    site.store.remove("servers", "e2");
+    site.wait_for_change("e2", "gone");
+    let idle = Engine::start(&site.store, "e3", "models", &[]);
+    site.wait_for_change("e3", "appeared");
+    wait("a leader", || {
+        !site.daemon.logged("leadership acquired").is_empty()
+    });
+    pause(&site.models[0], PAUSE_S);
+    let mut sent = 0;
+    wait("an answer", || {
+        sent += 1;
+        site.stream("/stream/", &format!("s{sent}")).status == 200
+    });
+    assert_eq!(idle.received_orders().len(), 1);
+    assert!(site.models[0].arrivals().len() <= 2);
+}
--- a/tests/edge/placement.rs
+++ b/tests/edge/placement.rs
@@ -320,3 +320,50 @@
         fixture.now - Duration::from_millis(1_000) + pause
     );
 }
+
+/// Guards against a model that is not loaded elsewhere although the only engine that holds it
+/// wants no requests of the host where it is waited for.
+#[test]
+fn a_model_is_loaded_elsewhere_when_its_only_engine_wants_no_requests() {
+    let entries = vec![entry("e1", 1, &["a"]), entry("e2", 2, &[])];
+    let mut fixture = PlacerFixture::new(entries, desired(&["a"]));
+    fixture.add_waiting("a", None);
+    let held = |id: &str| match id {
+        "e1" => report(&["a"], 0),
+        _ => report(&[], 0),
+    };
+    assert_eq!(fixture.run(500, held, OrderOutcome::Accepted), []);
+    for requests in fixture.waiting.values_mut() {
+        requests.paused.insert("e1".into());
+    }
+    let orders = fixture.run(500, held, OrderOutcome::Accepted);
+    assert_eq!(loads(&orders), [("e2", "a")], "once");
+}
+
+/// The same for an adapter: an engine that holds the model loads it.
+#[test]
+fn an_adapter_is_loaded_elsewhere_when_its_only_engine_wants_no_requests() {
+    let with_adapter = || {
+        let mut report = report(&["a"], 0);
+        let adapters = report.models.get_mut("a").unwrap();
+        adapters.insert("x".into());
+        report
+    };
+    let entries = vec![entry("e1", 1, &["a"]), entry("e2", 2, &["a"])];
+    let mut fixture = PlacerFixture::new(entries, desired(&["a"]));
+    fixture.add_waiting("a", Some("x"));
+    let held = |id: &str| match id {
+        "e1" => with_adapter(),
+        _ => report(&["a"], 0),
+    };
+    assert_eq!(fixture.run(500, held, OrderOutcome::Accepted), []);
+    for requests in fixture.waiting.values_mut() {
+        requests.paused.insert("e1".into());
+    }
+    let orders = fixture.run(500, held, OrderOutcome::Accepted);
+    let first = &orders[0];
+    assert_eq!(
+        (&*first.engine, first.adapter.as_deref()),
+        ("e2", Some("x"))
+    );
+}
