Keep the order of returns when an engine asks for its pause again

Cause, from reading: an engine rejects several requests, each with a pause; each began the order in which refused callers return anew, and after the pause every response woke the requests that wait. Change: a longer pause extends the one before with its order; responses wake others only while they are taken up again. An engine that another host has named is not asked.

--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -134,12 +134,12 @@
     fn record_accepted(&self, recipient: &Recipient) {
         let mut state = self.state.borrow_mut();
         let engine = &recipient.lifetime.engine;
-        let Some(reopening) = state.fleet.reopening_mut(engine) else {
-            return;
-        };
-        reopening.record_accepted(clock::now());
+        let reopening = state.fleet.reopening_mut(engine);
+        let others_follow = reopening.is_some_and(|r| r.record_accepted(clock::now()));
         drop(state);
-        self.notify_waiting();
+        if others_follow {
+            self.notify_waiting();
+        }
     }
 
     /// Returns whether an engine accepts requests and orders of this host.
--- a/src/edge/reopening.rs
+++ b/src/edge/reopening.rs
@@ -28,7 +28,7 @@
     sent: u32,
     /// Those of them that the engine has accepted.
     accepted: u32,
-    /// Callers that were refused in the pause.
+    /// Callers that were refused in the pause, and in one before that had not ended.
     refused: u32,
 }
 
@@ -43,6 +43,16 @@
         }
     }
 
+    /// Ends the pause later, if it would end before `pause_end`.
+    pub fn extend(&mut self, pause_end: Moment) {
+        if pause_end > self.pause_end {
+            *self = Reopening {
+                refused: self.refused,
+                ..Reopening::new(pause_end)
+            };
+        }
+    }
+
     /// Returns the time left of the pause.
     pub fn pause_left(&self, now: Moment) -> Option<Duration> {
         let left = self.pause_end.saturating_sub(now);
@@ -67,12 +77,14 @@
         }
     }
 
-    /// Records that the engine has accepted a request.
-    pub fn record_accepted(&mut self, now: Moment) {
+    /// Records that the engine has accepted a request; returns whether others may follow.
+    pub fn record_accepted(&mut self, now: Moment) -> bool {
         // Requests that were sent before the pause say nothing about its end.
-        if self.pause_left(now).is_none() && self.accepted < self.sent {
+        let counts = self.accepted < self.sent && !self.is_over(now);
+        if counts {
             self.accepted += 1;
         }
+        counts
     }
 
     /// Records that a caller is refused; returns after which time beyond the end of the pause
--- a/src/edge/statements.rs
+++ b/src/edge/statements.rs
@@ -126,13 +126,13 @@
     /// for `pause`.
     pub fn record_pause(&mut self, id: &Arc<str>, incarnation: u64, pause: Duration, now: Moment) {
         self.pauses.retain(|_, p| !p.reopening.is_over(now));
-        let pause_left = self.pause_left(id, now).unwrap_or_default();
-        let reopening = Reopening::new(now.saturating_add(pause.max(pause_left)));
-        let pause = Pause {
+        let end = now.saturating_add(pause);
+        let known = self.pauses.entry(id.clone()).or_insert(Pause {
             incarnation,
-            reopening,
-        };
-        self.pauses.insert(id.clone(), pause);
+            reopening: Reopening::new(end),
+        });
+        known.incarnation = known.incarnation.max(incarnation);
+        known.reopening.extend(end);
     }
 
     /// Returns how long an engine still wants no requests of this host, or may want none.
@@ -190,8 +190,9 @@
     pub fn take_checks(&mut self, now: Moment) -> Vec<(Arc<str>, u64)> {
         let mut due = Vec::new();
         for (id, doubt) in &mut self.doubts {
-            let leaving = self.leaving.get(id);
-            if doubt.answered || leaving.is_none_or(|l| l.incarnation >= doubt.incarnation) {
+            let is_doubtful =
+                |l: &Leaving| l.source == Source::Response && l.incarnation < doubt.incarnation;
+            if doubt.answered || !self.leaving.get(id).is_some_and(is_doubtful) {
                 continue;
             }
             let pause = self.pauses.get(id);
--- a/tests/edge/reopening.rs
+++ b/tests/edge/reopening.rs
@@ -95,3 +95,18 @@
     reopening.record_sent(PAUSE_END);
     assert!(!reopening.allows(PAUSE_END));
 }
+
+/// Guards against callers that return together: an engine that rejects several requests asks for
+/// a pause with each.
+#[test]
+fn a_pause_that_is_asked_for_again_keeps_the_order_of_return() {
+    let spacing = Duration::from_millis(30);
+    let mut reopening = Reopening::new(PAUSE_END);
+    assert_eq!(reopening.record_refused(spacing), Duration::ZERO);
+    reopening.extend(PAUSE_END - Duration::from_millis(500));
+    assert_eq!(reopening.record_refused(spacing), spacing);
+    reopening.extend(PAUSE_END + Duration::from_millis(10));
+    assert_eq!(reopening.record_refused(spacing), spacing * 2);
+    let left = reopening.pause_left(PAUSE_END);
+    assert_eq!(left, Some(Duration::from_millis(10)));
+}
