--- a/benches/scene/fleet.rs
+++ b/benches/scene/fleet.rs
@@ -8,14 +8,15 @@
 use mastichinge::clock::Moment;
 use mastichinge::edge::demand::{Demand, ModelKey};
 use mastichinge::edge::desired::{DesiredState, Hosting, Model, Service};
-use mastichinge::edge::fleet::{
-    EngineEntry, EngineLoad, EnginePhase, Fleet, LoadedModels, WeightCopies,
-};
+use mastichinge::edge::fleet::Fleet;
 use mastichinge::edge::orders::{EngineReport, OrderOutcome};
 use mastichinge::edge::placement::{
     EngineCall, LeaderId, LoadHistory, ModelTarget, PlacementInput, Placer, WaitingRequests,
 };
 use mastichinge::edge::settings::Settings;
+use mastichinge::edge::upstream::{
+    EngineEntry, EngineLoad, EnginePhase, LoadedModels, WeightCopies,
+};
 
 const SERVICE: &str = "drafting";
 /// Models on each engine.
--- a/src/edge/engine_list.rs
+++ b/src/edge/engine_list.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::fleet::EngineEntry;
 use super::store::{Row, RowPage};
+use super::upstream::EngineEntry;
 use crate::platform::engine_entry;
 
 /// Entries of the list by id, as of a version of the store.
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -15,8 +15,8 @@
 
 use super::client::{self, CallLimits, Connection, SendError, SendOptions};
 use super::clock;
-use super::fleet::Lifetime;
 use super::state::Edge;
+use super::upstream::Lifetime;
 use crate::platform::headers;
 
 /// Time limits of a call to an engine, which answers within milliseconds. An
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -8,7 +8,7 @@
 
 use super::RoutedRequest;
 use crate::edge::clock;
-use crate::edge::fleet::Lifetime;
+use crate::edge::upstream::Lifetime;
 
 /// Minimum time left for a request to be sent.
 pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
--- a/src/edge/in_flight.rs
+++ b/src/edge/in_flight.rs
@@ -7,10 +7,10 @@
 use super::clock;
 use super::demand::ModelKey;
 use super::exchange::Recipient;
-use super::fleet::{Lifetime, SentPrompt, Upstream};
 use super::request_headers::Prompt;
 use super::routing::SelectedEngine;
 use super::state::{Edge, State};
+use super::upstream::{Lifetime, SentPrompt, Upstream};
 use crate::clock::Moment;
 
 /// Guard of a request in flight at an engine; dropping it ends the request's accounting.
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -44,6 +44,8 @@
 pub mod store;
 pub mod store_watch;
 pub mod suspects;
+pub mod unread_connection;
+pub mod upstream;
 
 use std::cell::{Cell, RefCell};
 use std::io;
--- a/src/edge/orders.rs
+++ b/src/edge/orders.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::fleet::{LoadedModels, WeightCopies};
+use super::upstream::{LoadedModels, WeightCopies};
 
 /// Operation of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -11,7 +11,6 @@
 
 use super::clock;
 use super::demand::{DecayingDemand, Demand, ModelKey};
-use super::fleet::{AnnouncedModels, EngineLoad, Lifetime, LoadedModels, SentPrompt};
 use super::gossip::{
     AnnouncedModelsNote, DemandNote, ForecastNote, Heartbeat, LeadershipNote, LoadNote, LoadStart,
     Packet, PromptNote, ReadyNote, WaitingNote,
@@ -25,6 +24,7 @@
 use super::request_headers::split_target;
 use super::state::{Edge, State};
 use super::statements::Source;
+use super::upstream::{AnnouncedModels, EngineLoad, Lifetime, LoadedModels, SentPrompt};
 use crate::clock::Moment;
 
 /// Receive buffer, bytes.
--- a/src/edge/placement/adapters.rs
+++ b/src/edge/placement/adapters.rs
@@ -7,8 +7,8 @@
 use super::{ModelTarget, PlacementInput, Placer};
 use crate::clock::Moment;
 use crate::edge::desired::Hosting;
-use crate::edge::fleet::Upstream;
 use crate::edge::orders::Verb;
+use crate::edge::upstream::Upstream;
 
 /// Requests by which two engines may differ and still count as equally busy,
 /// so that an adapter usually returns to the same engine.
--- a/src/edge/placement/engine_view.rs
+++ b/src/edge/placement/engine_view.rs
@@ -6,10 +6,10 @@
 
 use crate::clock::Moment;
 use crate::edge::desired::{Hosting, Model};
-use crate::edge::fleet::{EngineEntry, LoadedModels, Upstream, WeightCopies};
 use crate::edge::orders::EngineReport;
 use crate::edge::placement::ModelTarget;
 use crate::edge::request_headers::split_target;
+use crate::edge::upstream::{EngineEntry, LoadedModels, Upstream, WeightCopies};
 
 /// Pause between two report requests to an engine that runs an order of an earlier
 /// leadership.
--- a/src/edge/placement/index.rs
+++ b/src/edge/placement/index.rs
@@ -6,8 +6,8 @@
 use super::engine_view::EngineView;
 use super::{PlacementInput, Placer};
 use crate::edge::demand::ModelKey;
-use crate::edge::fleet::Upstream;
 use crate::edge::request_headers::split_target;
+use crate::edge::upstream::Upstream;
 
 /// What the planning of loads looks up again and again; computed once for each planning
 /// and after each planned load.
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -18,11 +18,12 @@
 
 use super::demand::{Demand, ModelKey};
 use super::desired::{DesiredState, Hosting};
-use super::fleet::{Fleet, Upstream};
+use super::fleet::Fleet;
 use super::load_forecast::LoadForecast;
 use super::orders::{EngineReport, Order, OrderOutcome, Verb};
 use super::request_headers::{self, Prompt};
 use super::settings::{EngineSettings, PlacementSettings, Settings};
+use super::upstream::Upstream;
 use crate::clock::Moment;
 use crate::decide::start_window::StartWindow;
 use adapters::next_adapter_order;
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -9,8 +9,8 @@
 use super::{PlacementInput, Placer};
 use crate::edge::demand::ModelKey;
 use crate::edge::desired::Hosting;
-use crate::edge::fleet::Upstream;
 use crate::edge::load_forecast::LoadForecast;
+use crate::edge::upstream::Upstream;
 
 /// Time after its load for which a model is not evicted, except for waiting
 /// requests.
--- a/src/edge/routing/mod.rs
+++ b/src/edge/routing/mod.rs
@@ -18,11 +18,12 @@
 
 use super::demand::{DemandMeter, ModelKey};
 use super::desired::{DesiredState, RouteKind};
-use super::fleet::{Fleet, Upstream};
+use super::fleet::Fleet;
 use super::load_forecast::LoadForecast;
 use super::placement::ModelTarget;
 use super::request_headers::Prompt;
 use super::settings::EngineSettings;
+use super::upstream::Upstream;
 use crate::clock::Moment;
 
 /// Time after which a request looks again at an engine that takes up requests after its pause.
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -13,7 +13,7 @@
 use super::clock;
 use super::demand::{DecayingDemand, Demand, DemandMeter, ModelKey};
 use super::desired::DesiredState;
-use super::fleet::{EngineChange, Fleet, Lifetime, SentPrompt};
+use super::fleet::Fleet;
 use super::gossip::PromptNote;
 use super::leadership::{Leadership, PeerReach};
 use super::load_forecast::LoadForecast;
@@ -26,6 +26,7 @@
 use super::statements::Source;
 use super::store::StoreClient;
 use super::suspects::Suspects;
+use super::upstream::{EngineChange, Lifetime, SentPrompt};
 use crate::clock::Moment;
 use crate::metrics::Metrics;
 
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -9,10 +9,10 @@
 use super::clock;
 use super::engine_checks;
 use super::engine_list::EngineList;
-use super::fleet::EngineEntry;
 use super::members::MemberRecord;
 use super::state::{DaemonPhase, Edge};
 use super::store::{RowChange, RowPage, StoreError, Table};
+use super::upstream::EngineEntry;
 use crate::platform::{desired, rows};
 
 /// Minimum time for which one call waits for a new desired state.
--- a/src/edge/suspects.rs
+++ b/src/edge/suspects.rs
@@ -10,7 +10,7 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-use super::fleet::Lifetime;
+use super::upstream::Lifetime;
 use crate::clock::Moment;
 
 /// Number of crashes after which a request is held.
--- /dev/null
+++ b/src/edge/upstream.rs
@@ -0,0 +1,310 @@
+//! One engine or plain upstream: its entry, and what this daemon knows of it.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::prefix_cache::PrefixCache;
+use super::request_headers;
+use super::routing::{EngineSlowdown, PrefillQueue};
+use crate::clock::Moment;
+use crate::decide::breaker::{Breaker, BreakerConfig};
+
+/// Age at which the leader's announcement about an engine gives way to the engine's
+/// own entry: several of the leader's announcement periods.
+const ANNOUNCEMENT_MAX_AGE: Duration = Duration::from_secs(5);
+/// Time for which an engine gets no requests for a model that it could not serve.
+const MISSING_MAX_AGE: Duration = Duration::from_millis(400);
+/// Age at which the load that another daemon reported is ignored.
+const PEER_LOAD_MAX_AGE: Duration = Duration::from_secs(3);
+/// Time constant of the exponential decay of the failure score, s.
+const FAILURE_DECAY_S: f64 = 5.0;
+
+/// Models that an engine has loaded, with their adapters.
+pub type LoadedModels = BTreeMap<Arc<str>, BTreeSet<Arc<str>>>;
+
+/// Models of which an engine caches the weights, so that they load fast.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WeightCopies {
+    /// In host memory.
+    pub memory: BTreeSet<Arc<str>>,
+    /// On disk.
+    pub disk: BTreeSet<Arc<str>>,
+}
+
+/// One lifetime of an engine.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Lifetime {
+    /// Id of the engine.
+    pub engine: Arc<str>,
+    /// Start time of the engine, ms since the Unix epoch; 0 when unknown.
+    pub incarnation: u64,
+}
+
+/// Whether an engine accepts new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum EnginePhase {
+    /// It accepts them.
+    Ready,
+    /// It is about to stop.
+    #[strum(serialize = "leaving")]
+    Draining,
+}
+
+/// An engine's entry in the platform's list of engines.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineEntry {
+    /// Id of the engine.
+    pub id: Arc<str>,
+    /// Service to which it belongs.
+    pub service: Arc<str>,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Requests that it processes concurrently.
+    pub slots: u32,
+    /// Whether it accepts new requests.
+    pub phase: EnginePhase,
+    /// Sequence number of this entry among those since the engine's start.
+    pub sequence: u64,
+    /// Start time of the engine, ms since the Unix epoch; 0 when unknown.
+    pub incarnation: u64,
+    /// Models that it has loaded.
+    pub models: LoadedModels,
+    /// Copies of weights that it caches.
+    pub copies: WeightCopies,
+}
+
+/// What the leader announced of the models on an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AnnouncedModels {
+    /// Fencing number of the leadership.
+    pub fence: u64,
+    /// Number of the announcement within the leadership.
+    pub sequence: u64,
+    /// Start time of the engine to which it applies.
+    pub incarnation: u64,
+    /// Models that may be requested from the engine.
+    pub models: LoadedModels,
+    /// When it was received.
+    pub received_at: Moment,
+}
+
+/// Requests of one daemon in progress at an engine.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct EngineLoad {
+    /// Requests in progress.
+    pub running: u32,
+    /// Requests in progress by model or `model/adapter`.
+    pub targets: HashMap<Arc<str>, u32>,
+}
+
+/// A prompt that was sent to an engine.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SentPrompt {
+    /// Id of the engine.
+    pub engine: Arc<str>,
+    /// Model or `model/adapter`.
+    pub target: Arc<str>,
+    /// Predicted time in which the engine reads the prompt.
+    pub prefill_time: Duration,
+    /// Tokens that are not in the engine's cache.
+    pub uncached: u32,
+    /// Keys of the prompt's prefixes.
+    pub prefix_keys: Vec<u64>,
+}
+
+/// One engine or plain upstream.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// Its latest entry.
+    pub entry: EngineEntry,
+    /// The leader's latest announcement, if any.
+    pub announced: Option<AnnouncedModels>,
+    /// Requests of this daemon in progress there.
+    pub own_load: EngineLoad,
+    /// Requests that other daemons reported in progress there, with the time.
+    pub peer_loads: HashMap<Arc<str>, (Moment, EngineLoad)>,
+    /// Circuit breaker for requests to it.
+    pub breaker: Breaker,
+    /// Recent failures: a count with exponential decay.
+    failure_score: f64,
+    /// When the score was last changed.
+    failed_at: Moment,
+    /// Its speed, relative to predictions.
+    pub slowdown: EngineSlowdown,
+    /// Targets that are listed as loaded but that it recently could not serve, with the
+    /// time: it reported them missing or could not be reached.
+    pub missing: HashMap<Arc<str>, Moment>,
+    /// Prompt prefixes that it has read.
+    pub prefix_cache: PrefixCache,
+    /// Prompts of all daemons that it has yet to read.
+    pub queue: PrefillQueue,
+    /// Whether a newer engine has its address.
+    pub replaced: bool,
+    /// Whether it leaves, or may leave, by its own word.
+    pub leaves: bool,
+    /// Number of its latest entry when it refused a connection; it counts as down
+    /// until it writes another.
+    pub down_sequence: Option<u64>,
+}
+
+impl Upstream {
+    /// Creates an engine of which nothing but its entry is known.
+    pub fn new(entry: EngineEntry, now: Moment) -> Self {
+        Upstream {
+            entry,
+            announced: None,
+            own_load: EngineLoad::default(),
+            peer_loads: HashMap::new(),
+            breaker: Breaker::new(BreakerConfig {
+                failure_threshold: 3,
+                first_pause: Duration::from_millis(700),
+                max_pause: Duration::from_secs(4),
+            }),
+            failure_score: 0.0,
+            failed_at: now,
+            slowdown: EngineSlowdown::default(),
+            missing: HashMap::new(),
+            prefix_cache: PrefixCache::default(),
+            queue: PrefillQueue::default(),
+            replaced: false,
+            leaves: false,
+            down_sequence: None,
+        }
+    }
+
+    /// Records a prompt that was sent to it; `serial` is the number of the request if
+    /// this daemon sent it.
+    pub fn record_prompt(&mut self, sent: &SentPrompt, serial: Option<u64>, now: Moment) {
+        self.queue.push(serial, sent.prefill_time, now);
+        self.prefix_cache
+            .record(sent.prefix_keys.iter().copied(), sent.uncached);
+    }
+
+    /// Replaces its entry by another one, unless that is outdated; returns what that changes.
+    pub fn update_entry(&mut self, entry: EngineEntry, now: Moment) -> Option<EngineChange> {
+        if entry.incarnation > self.entry.incarnation {
+            *self = Upstream::new(entry, now);
+            return Some(EngineChange::Restarted);
+        }
+        let outdated =
+            entry.incarnation < self.entry.incarnation || entry.sequence < self.entry.sequence;
+        if outdated {
+            return None;
+        }
+        let was_draining = self.entry.phase == EnginePhase::Draining;
+        let starts_draining = entry.phase == EnginePhase::Draining && !was_draining;
+        let is_news = starts_draining && !self.leaves;
+        self.entry = entry;
+        if was_draining {
+            // A draining engine becomes ready again only by a restart.
+            self.entry.phase = EnginePhase::Draining;
+        }
+        is_news.then_some(EngineChange::Draining)
+    }
+
+    /// Returns whether it may get new requests.
+    pub fn is_usable(&self) -> bool {
+        let accepts = self.entry.phase == EnginePhase::Ready && !self.leaves;
+        accepts && !self.replaced && !self.is_down()
+    }
+
+    /// Returns the recent failures; each decays within seconds.
+    pub fn failure_score(&self, now: Moment) -> f64 {
+        let age = now.saturating_sub(self.failed_at).as_secs_f64();
+        self.failure_score * (-age / FAILURE_DECAY_S).exp()
+    }
+
+    /// Records a failure or a request without a response in time.
+    pub fn record_failure(&mut self, now: Moment) {
+        self.failure_score = self.failure_score(now) + 1.0;
+        self.failed_at = now;
+    }
+
+    /// Returns whether it refused a connection and has not written an entry since.
+    pub fn is_down(&self) -> bool {
+        self.down_sequence == Some(self.entry.sequence)
+    }
+
+    /// Returns the models that it has loaded: those of the leader's announcement
+    /// while that is recent, else those of its own entry.
+    pub fn loaded_models(&self, now: Moment) -> &LoadedModels {
+        match &self.announced {
+            Some(announcement)
+                if now.saturating_sub(announcement.received_at) < ANNOUNCEMENT_MAX_AGE =>
+            {
+                &announcement.models
+            }
+            _ => &self.entry.models,
+        }
+    }
+
+    /// Returns whether it has loaded `model`, and `adapter` if given.
+    pub fn has_model(&self, model: &str, adapter: Option<&str>, now: Moment) -> bool {
+        let Some(adapters) = self.loaded_models(now).get(model) else {
+            return false;
+        };
+        adapter.is_none_or(|a| adapters.contains(a))
+    }
+
+    /// Returns whether it recently could not serve `target`.
+    pub fn is_missing(&self, target: &str, now: Moment) -> bool {
+        let missing_at = self.missing.get(target);
+        missing_at.is_some_and(|at| now.saturating_sub(*at) < MISSING_MAX_AGE)
+    }
+
+    /// Returns the requests of all daemons in progress there.
+    pub fn running(&self, now: Moment) -> u32 {
+        self.own_load.running + self.current_peer_loads(now).map(|l| l.running).sum::<u32>()
+    }
+
+    /// Returns the requests in progress there for a model with all its adapters, or
+    /// for one `model/adapter`.
+    pub fn requests_for(&self, target: &str, now: Moment) -> u32 {
+        let mut sum = 0;
+        for (name, count) in self.requests(now) {
+            if &**name == target || request_headers::split_target(name).0 == target {
+                sum += count;
+            }
+        }
+        sum
+    }
+
+    /// Returns the requests of all daemons in progress there, by `model` or
+    /// `model/adapter`; a target may come several times.
+    pub fn requests(&self, now: Moment) -> impl Iterator<Item = (&Arc<str>, u32)> {
+        let loads = std::iter::once(&self.own_load).chain(self.current_peer_loads(now));
+        loads.flat_map(|load| load.targets.iter().map(|(target, count)| (target, *count)))
+    }
+
+    fn current_peer_loads(&self, now: Moment) -> impl Iterator<Item = &EngineLoad> {
+        let fresh = move |at: Moment| now.saturating_sub(at) < PEER_LOAD_MAX_AGE;
+        self.peer_loads
+            .values()
+            .filter(move |(at, _)| fresh(*at))
+            .map(|(_, load)| load)
+    }
+}
+
+/// A change of an engine, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum EngineChange {
+    /// Listed for the first time.
+    Appeared,
+    /// Restarted under the same id.
+    #[strum(serialize = "reborn")]
+    Restarted,
+    /// Accepts no new requests.
+    #[strum(serialize = "leaving")]
+    Draining,
+    /// A newer engine has its address.
+    Replaced,
+    /// No longer listed.
+    #[strum(serialize = "gone")]
+    Removed,
+}
--- a/src/platform/engine_entry.rs
+++ b/src/platform/engine_entry.rs
@@ -5,7 +5,7 @@
 
 use serde::Deserialize;
 
-use crate::edge::fleet::{EngineEntry, EnginePhase, LoadedModels, WeightCopies};
+use crate::edge::upstream::{EngineEntry, EnginePhase, LoadedModels, WeightCopies};
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
--- a/tests/edge/decisions.rs
+++ b/tests/edge/decisions.rs
@@ -6,12 +6,12 @@
 use mastichinge::edge::demand::{DemandMeter, ModelKey};
 use mastichinge::edge::desired::{Route, RouteKind, WeightedService};
 use mastichinge::edge::events::{EndPlace, EventDecoder};
-use mastichinge::edge::fleet::Lifetime;
 use mastichinge::edge::members::{ALIVE_TIMEOUT, MemberRecord, Members};
 use mastichinge::edge::prefix_cache::PrefixCache;
 use mastichinge::edge::request_headers::{Prompt, PromptPart};
 use mastichinge::edge::routing::{EngineCandidate, EngineSlowdown, PrefillQueue, best_candidate};
 use mastichinge::edge::suspects::{HOLD_TIME, Suspects, fingerprint};
+use mastichinge::edge::upstream::Lifetime;
 use proptest::prelude::*;
 use test_case::test_case;
 
--- a/tests/edge/engine_statements.rs
+++ b/tests/edge/engine_statements.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use mastichinge::clock::Moment;
-use mastichinge::edge::fleet::{EngineEntry, Fleet, Lifetime};
+use mastichinge::edge::fleet::Fleet;
 use mastichinge::edge::gossip::Heartbeat;
 use mastichinge::edge::reports::Reporter;
 use mastichinge::edge::state::State;
 use mastichinge::edge::statements::Source;
+use mastichinge::edge::upstream::{EngineEntry, Lifetime};
 use test_case::test_case;
 
 use crate::fixtures::entry;
--- a/tests/edge/fixtures.rs
+++ b/tests/edge/fixtures.rs
@@ -7,12 +7,13 @@
 use mastichinge::clock::Moment;
 use mastichinge::edge::demand::{Demand, ModelKey};
 use mastichinge::edge::desired::{DesiredState, Hosting, Model, Service};
-use mastichinge::edge::fleet::{EngineEntry, EnginePhase, Fleet, LoadedModels, WeightCopies};
+use mastichinge::edge::fleet::Fleet;
 use mastichinge::edge::orders::{EngineReport, Order, OrderOutcome, Verb};
 use mastichinge::edge::placement::{
     EngineCall, LeaderId, LoadHistory, ModelTarget, PlacementInput, Placer, WaitingRequests,
 };
 use mastichinge::edge::settings::Settings;
+use mastichinge::edge::upstream::{EngineEntry, EnginePhase, LoadedModels, WeightCopies};
 
 /// Service of all engines in these tests.
 pub const SERVICE: &str = "assist";
--- a/tests/edge/fleet.rs
+++ b/tests/edge/fleet.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use mastichinge::clock::Moment;
-use mastichinge::edge::fleet::{AnnouncedModels, EngineChange, EngineEntry, EnginePhase, Fleet};
+use mastichinge::edge::fleet::Fleet;
 use mastichinge::edge::statements::Source;
+use mastichinge::edge::upstream::{AnnouncedModels, EngineChange, EngineEntry, EnginePhase};
 
 use crate::fixtures::entry;
 
--- a/tests/edge/in_flight.rs
+++ b/tests/edge/in_flight.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use mastichinge::clock::Moment;
-use mastichinge::edge::fleet::EngineEntry;
 use mastichinge::edge::in_flight::InFlightRequest;
 use mastichinge::edge::routing::SelectedEngine;
 use mastichinge::edge::state::State;
+use mastichinge::edge::upstream::EngineEntry;
 
 use crate::fixtures::entry;
 
--- a/tests/edge/large_fleet.rs
+++ b/tests/edge/large_fleet.rs
@@ -7,7 +7,6 @@
 
 use mastichinge::clock::Moment;
 use mastichinge::edge::demand::ModelKey;
-use mastichinge::edge::fleet::SentPrompt;
 use mastichinge::edge::gossip::{Heartbeat, Packet, PromptNote, WaitingNote, WaitingReport};
 use mastichinge::edge::leader::Announcer;
 use mastichinge::edge::members::{HEARTBEAT_PERIOD, MemberRecord, Members};
@@ -17,6 +16,7 @@
 use mastichinge::edge::reports::{Reporter, Round};
 use mastichinge::edge::settings::Settings;
 use mastichinge::edge::state::State;
+use mastichinge::edge::upstream::SentPrompt;
 use prost::Message;
 
 use crate::fixtures::{PlacerFixture, SERVICE, desired, entry, report};
--- a/tests/edge/leaving.rs
+++ b/tests/edge/leaving.rs
@@ -2,9 +2,9 @@
 
 use test_case::test_case;
 
-use crate::fakes::daemon::{Daemon, Response, wait};
+use crate::fakes::daemon::{Response, wait};
 use crate::fakes::engine::{Behavior, Engine};
-use crate::site::Site;
+use crate::site::{Site, wait_for_leaving};
 
 /// Header of an engine that leaves.
 const LEAVING: &str = "Server-Leaving";
@@ -90,21 +90,11 @@
 #[test]
 fn the_other_hosts_are_told_that_an_engine_leaves() {
     let site = Site::start();
-    let other = Daemon::start(&site.store, "edge-2");
-    wait("the members", || {
-        [&site.daemon, &other]
-            .iter()
-            .all(|d| !d.logged("member alive").is_empty())
-    });
+    let other = site.add_daemon();
     let engine = &site.plain[0];
     engine.add_header(LEAVING, "1");
     send_until_arrived(&site, engine, "/look/");
-    wait("the other host's log line", || {
-        let changes = other.logged("engine changed");
-        changes
-            .iter()
-            .any(|l| l["engine"] == "p1" && l["change"] == "leaving")
-    });
+    wait_for_leaving(&other, "p1");
 }
 
 /// Only the value 1 says that an engine leaves.
--- a/tests/edge/site.rs
+++ b/tests/edge/site.rs
@@ -51,6 +51,16 @@
     assert_eq!(events(&answer.body), all_events());
 }
 
+/// Waits until a daemon has logged that an engine leaves.
+pub fn wait_for_leaving(daemon: &Daemon, engine: &str) {
+    wait("the log line of an engine that leaves", || {
+        let changes = daemon.logged("engine changed");
+        changes
+            .iter()
+            .any(|l| l["engine"] == engine && l["change"] == "leaving")
+    });
+}
+
 /// A store with two plain and two model engines, and one daemon.
 pub struct Site {
     pub store: Store,
@@ -118,6 +128,17 @@
         self.daemon.send(&Request::new(path, id).with(MODEL, "m1"))
     }
 
+    /// Starts another daemon and waits until both know each other.
+    pub fn add_daemon(&self) -> Daemon {
+        let other = Daemon::start(&self.store, "edge-2");
+        wait("the members", || {
+            [&self.daemon, &other]
+                .iter()
+                .all(|d| !d.logged("member alive").is_empty())
+        });
+        other
+    }
+
     /// Sets the behavior of all engines.
     pub fn set(&self, behavior: Behavior) {
         for engine in self.plain.iter().chain(&self.models) {
--- a/tests/edge/statements.rs
+++ b/tests/edge/statements.rs
@@ -4,9 +4,9 @@
 
 use test_case::test_case;
 
-use crate::fakes::daemon::{Daemon, Request, wait};
+use crate::fakes::daemon::{Request, wait};
 use crate::fakes::engine::{Behavior, Engine};
-use crate::site::{MODEL, Site};
+use crate::site::{MODEL, Site, wait_for_leaving};
 
 /// Header of an engine that leaves.
 const LEAVING: &str = "Server-Leaving";
@@ -252,21 +252,11 @@
 #[test]
 fn a_host_that_has_started_again_is_told_which_engines_leave() {
     let mut site = Site::start();
-    let other = Daemon::start(&site.store, "edge-2");
-    wait("the members", || {
-        [&site.daemon, &other]
-            .iter()
-            .all(|d| !d.logged("member alive").is_empty())
-    });
+    let other = site.add_daemon();
     let engine = &site.plain[0];
     engine.add_header(LEAVING, "1");
     send_until_arrived(&site, engine);
-    wait("the other host's log line", || {
-        let changes = other.logged("engine changed");
-        changes
-            .iter()
-            .any(|l| l["engine"] == "p1" && l["change"] == "leaving")
-    });
+    wait_for_leaving(&other, "p1");
     site.daemon.restart();
     wait("its log line", || {
         let changes = site.daemon.logged("engine changed");
--- a/tests/edge/translation.rs
+++ b/tests/edge/translation.rs
@@ -6,9 +6,9 @@
 
 use http::header::HeaderMap;
 use mastichinge::edge::desired::RouteKind;
-use mastichinge::edge::fleet::EnginePhase;
 use mastichinge::edge::request_headers::{EngineHeaders, PromptPart};
 use mastichinge::edge::settings;
+use mastichinge::edge::upstream::EnginePhase;
 use mastichinge::platform::host_queries::{HostQuery, parse_query};
 use mastichinge::platform::{desired, engine_entry, headers as platform_headers, orders, rows};
 use serde_json::json;
--- a/tests/simulation/engine.rs
+++ b/tests/simulation/engine.rs
@@ -7,8 +7,8 @@
 
 use mastichinge::clock::Moment;
 use mastichinge::edge::desired::Model;
-use mastichinge::edge::fleet::{EngineEntry, EnginePhase, LoadedModels, WeightCopies};
 use mastichinge::edge::orders::{EngineReport, Order, OrderOutcome, Verb};
+use mastichinge::edge::upstream::{EngineEntry, EnginePhase, LoadedModels, WeightCopies};
 
 use super::firm::{Firm, SERVICE};
 
--- a/tests/simulation/simulator/mod.rs
+++ b/tests/simulation/simulator/mod.rs
@@ -11,7 +11,6 @@
 
 use mastichinge::clock::Moment;
 use mastichinge::edge::desired::Model;
-use mastichinge::edge::fleet::EnginePhase;
 use mastichinge::edge::gossip::{Heartbeat, Packet};
 use mastichinge::edge::in_flight::InFlightRequest;
 use mastichinge::edge::leader::Announcer;
@@ -21,6 +20,7 @@
 use mastichinge::edge::reports::Reporter;
 use mastichinge::edge::settings::Settings;
 use mastichinge::edge::state::State;
+use mastichinge::edge::upstream::EnginePhase;
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
