--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use test_case::test_case;
 use tokio::runtime::Builder;
 
 use crate::callers::{Caller, CallerSetup};
@@ -31,6 +32,14 @@
     assert_eq!(broken, 0, "violations; see the lines above");
 }
 
+/// Guards against BUDGET: pauses that engines had asked for were not kept.
+#[test_case(801; "in a response that followed a late one")]
+#[test_case(815; "before the new entry of an engine that had started again")]
+fn seeds_that_have_failed(seed: u64) {
+    let settings = SoakSettings::default().with_seed(seed);
+    assert_eq!(run(&settings), 0, "violations; see the lines above");
+}
+
 /// Runs callers against engines with one fault and daemons without any.
 fn run_with(fault: EngineFault) {
     let settings = SoakSettings {
--- a/tests/soak/settings.rs
+++ b/tests/soak/settings.rs
@@ -81,7 +81,7 @@
     }
 
     /// Returns these settings with the sizes and rates of a seed.
-    fn with_seed(self, seed: u64) -> Self {
+    pub fn with_seed(self, seed: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         SoakSettings {
             seed,
