Read what arrived in a freeze before the stop ends a connection

Cause, from the record and reading: an unfinished head ends its connection at the second check that finds it too old, so that what has arrived is read between the two. At the thaw the listener's check and the first one after its close followed each other without a turn of the event loop. Change: the checks after the close begin after their period.

--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -137,8 +137,9 @@
     }
     acceptor.accept_backlog(listener);
     while !connections.is_empty() {
-        connections.check(&PhaseLimits::closing(&acceptor.limits()));
+        // The last check may have been just now, after a suspension.
         tokio::time::sleep(CLOSING_CHECK_PERIOD).await;
+        connections.check(&PhaseLimits::closing(&acceptor.limits()));
     }
 }
 
--- a/tests/edge/planned_stop.rs
+++ b/tests/edge/planned_stop.rs
@@ -127,6 +127,31 @@
     }
 }
 
+/// Guards against MIXED: a request whose head had arrived while the process was frozen was
+/// answered 408 without its id, because the stop checked the connection twice at once.
+#[test]
+fn a_head_that_arrives_in_a_freeze_is_read_before_the_stop_ends_its_connection() {
+    let site = start();
+    site.change_limits(7, &[("headerTimeoutMs", 300)]);
+    let bytes = Request::new("/book/", "b1").bytes(false);
+    let mut stream = site.connect();
+    let started = stop(&site);
+    stream.write_all(&bytes[..20]).unwrap();
+    // Another connection that is answered shows that the start of the head was read.
+    site.send("/look/", "l1");
+    site.daemon.signal(libc::SIGSTOP);
+    stream.write_all(&bytes[20..]).unwrap();
+    // Just after the time at which the listener closes.
+    sleep(
+        (started + Duration::from_secs_f64(GRACE_S * 0.8))
+            .saturating_duration_since(Instant::now()),
+    );
+    site.daemon.signal(libc::SIGCONT);
+    let answer = read_response(&mut stream);
+    assert_ne!(answer.status, 408, "{answer:?}");
+    assert_eq!(answer.header("x-mastichinge-request-id"), Some("b1"));
+}
+
 /// Guards against a booking that is accepted and lost in the kill: the signal came during a
 /// freeze of the process, which left less of the grace period than the daemon expected.
 #[test]
