Lead under fencing numbers of the store's era

Change: fencing numbers of an era begin above all of the one before; the leader writes its row again under a new number in a new era, unless another has taken over in it; a row of an earlier era, or a lost one, is taken over as that of a silent leader, and a lease later. An end-to-end test of a leader whose row is lost.

--- a/src/edge/leader/election.rs
+++ b/src/edge/leader/election.rs
@@ -7,10 +7,11 @@
 use crate::edge::clock;
 use crate::edge::leadership::{
     Candidate, ElectionStep, LeaderRecord, LeaderStatus, Leadership, ObservedRow, RENEW_PERIOD,
+    StoreEra,
 };
 use crate::edge::members::Members;
 use crate::edge::placement::{LeaderId, LoadHistory, Placer};
-use crate::edge::state::{DaemonPhase, Edge};
+use crate::edge::state::{DaemonPhase, Edge, State};
 use crate::edge::store::{CommitOutcome, Row, RowChange, RowPage, Table};
 
 /// Key of the row that names the leader.
@@ -63,11 +64,13 @@
     let now = clock::now();
     let row = leader_row(&page);
     let version = row.map_or(0, |r| r.version);
+    let record = row.and_then(decode);
+    // Versions may be given out again in a new era of the store.
     let mut current = match observed.take() {
-        Some(old) if old.version == version => old,
+        Some(old) if old.version == version && old.record == record => old,
         _ => ObservedRow {
             version,
-            record: row.and_then(decode),
+            record,
             unchanged_since: now,
         },
     };
@@ -81,6 +84,7 @@
             rank: state.members.succession_rank(&edge.host, now),
             lease: bounds.lease(),
             fences: bounds.fences,
+            era: store_era(edge),
         };
         candidate.next_step(&current, status, now)
     };
@@ -93,7 +97,15 @@
     else {
         return;
     };
-    acquire(edge, version, record, orders_from).await;
+    let history = load_history(&edge.state.borrow().members, version);
+    acquire(edge, version, record, orders_from, history).await;
+}
+
+fn store_era(edge: &Edge) -> StoreEra {
+    StoreEra {
+        number: edge.store.era(),
+        since: edge.store.era_since(),
+    }
 }
 
 /// Returns the status of the leader that the row names, as last heard. A row with
@@ -118,8 +130,15 @@
     }
 }
 
-/// Writes the row that names this daemon, and starts its leadership.
-async fn acquire(edge: &Rc<Edge>, version: u64, record: LeaderRecord, orders_from: Moment) {
+/// Writes the row that names this daemon, and starts its leadership after the loads of
+/// `history`.
+async fn acquire(
+    edge: &Edge,
+    version: u64,
+    record: LeaderRecord,
+    orders_from: Moment,
+    history: LoadHistory,
+) {
     let started_at = clock::now();
     let fence = record.fence;
     let written = match write_row(edge, version, &record).await {
@@ -136,7 +155,6 @@
         fence,
     };
     let mut state = edge.state.borrow_mut();
-    let history = load_history(&state.members, version);
     let placer = Placer::new(leader, &settings, history);
     state.leadership = Some(Leadership {
         record,
@@ -214,7 +232,15 @@
         return false;
     };
     let fence = record.fence;
-    let written = write_row(edge, version, &record).await;
+    let era = store_era(edge);
+    if fence < era.min_fence() {
+        return retake_row(edge, &era).await;
+    }
+    let written = match write_row(edge, version, &record).await {
+        // The response is of a new era, in which the row may be another one's.
+        _ if edge.store.era() != era.number => return false,
+        written => written,
+    };
     let now = clock::now();
     let mut state = edge.state.borrow_mut();
     let peers = state.peer_reach(now);
@@ -253,6 +279,45 @@
     false
 }
 
+/// Writes the row of this leader again in a new era of the store; returns false when that
+/// failed.
+async fn retake_row(edge: &Edge, era: &StoreEra) -> bool {
+    let page = match edge.store.read_table(Table::Leadership).await {
+        Ok(page) => page,
+        Err(error) => {
+            log::info!(error:%; "cannot read the leader's row in the new era of the store");
+            return false;
+        }
+    };
+    let row = leader_row(&page);
+    let version = row.map_or(0, |r| r.version);
+    let retaken = retake(&mut edge.state.borrow_mut(), row, era, clock::now());
+    let Some((record, orders_from, history)) = retaken else {
+        return false;
+    };
+    acquire(edge, version, record, orders_from, history).await;
+    true
+}
+
+/// Returns the new content of the leader's row, with the moment of its first order and the loads
+/// before; ends the leadership if another daemon has taken over.
+fn retake(
+    state: &mut State,
+    row: Option<&Row>,
+    era: &StoreEra,
+    now: Moment,
+) -> Option<(LeaderRecord, Moment, LoadHistory)> {
+    let leadership = state.leadership.as_ref()?;
+    let fence = leadership.record.fence;
+    let Some(record) = leadership.retake(row.and_then(decode).as_ref(), era, now) else {
+        log::warn!(fence; "leadership lost: another daemon leads in the new era of the store");
+        state.end_leadership();
+        return None;
+    };
+    let loads = state.placer.as_ref()?.store_load_starts(now);
+    Some((record, leadership.orders_from, LoadHistory::Known(loads)))
+}
+
 /// Releases the leadership of a daemon that has been stopping since `stopping_since`.
 /// Returns false when the store cannot be reached.
 pub async fn release(edge: &Edge, stopping_since: Moment) -> bool {
--- a/src/edge/leadership.rs
+++ b/src/edge/leadership.rs
@@ -9,6 +9,11 @@
 //! its first order one lease after the last order that its predecessor can have sent
 //! while the store served it.
 //!
+//! The store may come back from an older copy, in a new era. Fencing numbers of a later era are
+//! higher than all of an earlier one, and a row of an earlier era, or none, says nothing of who
+//! leads now. The leader then writes its row again under a new number; a candidate waits as for
+//! a silent leader.
+//!
 //! Where engines refuse old fencing numbers, a leader that offers the leadership
 //! continues until it hears that its successor sends orders: its late orders are
 //! refused. Where engines do not, it stops when it offers the leadership.
@@ -31,6 +36,25 @@
 /// one goes first.
 const CANDIDATE_DELAY: Duration = Duration::from_millis(400);
 
+/// Number of fencing numbers of each era of the store; more than can be used up.
+pub const FENCES_PER_ERA: u64 = 1 << 32;
+
+/// Era of the store, as a daemon knows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreEra {
+    /// Its number; 0 if the store names none.
+    pub number: u64,
+    /// Since when it is known; absent if no other was known before.
+    pub since: Option<Moment>,
+}
+
+impl StoreEra {
+    /// Returns the lowest fencing number of the era.
+    pub fn min_fence(&self) -> u64 {
+        self.number.saturating_mul(FENCES_PER_ERA)
+    }
+}
+
 /// Content of the leader's row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaderRecord {
@@ -150,6 +174,30 @@
         peers.served && !fresh
     }
 
+    /// Returns whether the row was written in an earlier era of the store, so that it may be
+    /// lost.
+    pub fn is_earlier(&self, era: &StoreEra) -> bool {
+        self.record.fence < era.min_fence()
+    }
+
+    /// Returns the content with which the leader writes its row again in a new era, given that
+    /// it now is `row`; `None` if another daemon has taken over in that era.
+    pub fn retake(
+        &self,
+        row: Option<&LeaderRecord>,
+        era: &StoreEra,
+        now: Moment,
+    ) -> Option<LeaderRecord> {
+        let taken_over = row.is_some_and(|r| r.fence >= era.min_fence());
+        let record = LeaderRecord {
+            fence: era.min_fence().max(self.record.fence + 1),
+            renewal: 0,
+            wait_ms: self.orders_from.saturating_sub(now).as_millis() as u64,
+            ..self.record.clone()
+        };
+        (!taken_over).then_some(record)
+    }
+
     /// Returns whether a leadership with number `fence`, whose first order comes
     /// after `wait`, ends this one.
     pub fn superseded_by(&self, fence: u64, wait: Duration, fences: bool) -> bool {
@@ -210,6 +258,8 @@
     pub lease: Duration,
     /// Whether engines refuse old fencing numbers.
     pub fences: bool,
+    /// Era of the store.
+    pub era: StoreEra,
 }
 
 impl Candidate {
@@ -217,7 +267,20 @@
     /// names.
     pub fn next_step(&self, row: &ObservedRow, status: LeaderStatus, now: Moment) -> ElectionStep {
         let unchanged_for = now.saturating_sub(row.unchanged_since);
+        let min_fence = self.era.min_fence();
+        let is_earlier = |r: &LeaderRecord| r.fence < min_fence;
+        let is_lost = match &row.record {
+            Some(record) => is_earlier(record),
+            None => self.era.since.is_some(),
+        };
         let (fence, min_unchanged, orders_from) = match &row.record {
+            _ if is_lost && status == LeaderStatus::Active => return ElectionStep::Wait,
+            // Whoever led in the earlier era may not have seen the new one yet.
+            _ if is_lost => (
+                min_fence,
+                RENEW_PERIOD + RENEWAL_SLACK,
+                row.unchanged_since + MAX_RENEWAL_AGE + self.lease,
+            ),
             // An unreadable row names no leader. Versions of the store are
             // higher than every fencing number.
             None => (row.version + 1, Duration::ZERO, now),
@@ -255,6 +318,7 @@
                 (current.fence + 1, min_unchanged, orders_from)
             }
         };
+        let fence = fence.max(min_fence);
         let own = row.record.as_ref().is_some_and(|r| r.host == self.host);
         let delay = match own {
             true => Duration::ZERO,
--- a/tests/edge/leadership.rs
+++ b/tests/edge/leadership.rs
@@ -5,7 +5,8 @@
 
 use mastichinge::clock::Moment;
 use mastichinge::edge::leadership::{
-    Candidate, ElectionStep, LeaderRecord, LeaderStatus, Leadership, ObservedRow, PeerReach,
+    Candidate, ElectionStep, FENCES_PER_ERA, LeaderRecord, LeaderStatus, Leadership, ObservedRow,
+    PeerReach, StoreEra,
 };
 
 const LEASE: Duration = Duration::from_secs(3);
@@ -40,6 +41,7 @@
         rank: 0,
         lease: LEASE,
         fences: true,
+        era: StoreEra::default(),
     }
 }
 
@@ -221,3 +223,70 @@
         "a leader that hears no other daemon"
     );
 }
+
+fn candidate_of_era(number: u64, since: Option<Moment>) -> Candidate {
+    Candidate {
+        era: StoreEra { number, since },
+        ..candidate()
+    }
+}
+
+/// Guards against ONE: a row of an older copy of the store named a leader that had released, and
+/// its successor, who was not named, was replaced at once and under its own number.
+#[test]
+fn a_row_of_an_earlier_era_is_taken_over_as_that_of_a_silent_leader() {
+    let rows = [
+        Some(record("edge-1", Some(60_000))),
+        Some(record("edge-2", None)),
+        None,
+    ];
+    for row in rows {
+        let row = observed(row);
+        let candidate = candidate_of_era(2, Some(at(0)));
+        let step = |ms| candidate.next_step(&row, LeaderStatus::Silent, at(ms));
+        assert_eq!(step(1_400), ElectionStep::Wait);
+        let (fence, first) = first_order(step(1_450)).unwrap();
+        assert_eq!(fence, 2 * FENCES_PER_ERA);
+        assert_eq!(first, at(1_700) + LEASE);
+        let active = candidate.next_step(&row, LeaderStatus::Active, at(60_000));
+        assert_eq!(active, ElectionStep::Wait);
+    }
+}
+
+/// A store that names an era from its start is no reason to wait.
+#[test]
+fn the_first_leader_of_a_store_does_not_wait() {
+    let step = candidate_of_era(1, None).next_step(&observed(None), LeaderStatus::Silent, at(0));
+    assert_eq!(first_order(step), Some((FENCES_PER_ERA, at(0))));
+}
+
+/// Guards against ONE: two leaders of different eras had the same number.
+#[test]
+fn a_leader_writes_its_row_again_in_a_new_era_unless_another_has() {
+    let era = StoreEra {
+        number: 2,
+        since: Some(at(0)),
+    };
+    let leadership = Leadership {
+        record: record("edge-2", None),
+        version: 40,
+        orders_from: at(500),
+        renewed_at: at(0),
+        last_order: None,
+        renewal_sent: None,
+    };
+    assert!(leadership.is_earlier(&era));
+    for row in [None, Some(record("edge-1", None))] {
+        let retaken = leadership.retake(row.as_ref(), &era, at(100)).unwrap();
+        assert_eq!(
+            (&*retaken.host, retaken.fence),
+            ("edge-2", 2 * FENCES_PER_ERA)
+        );
+        assert_eq!(retaken.wait_ms, 400);
+    }
+    let newer = LeaderRecord {
+        fence: 2 * FENCES_PER_ERA,
+        ..record("edge-1", None)
+    };
+    assert_eq!(leadership.retake(Some(&newer), &era, at(100)), None);
+}
--- a/tests/edge/store_eras.rs
+++ b/tests/edge/store_eras.rs
@@ -4,15 +4,16 @@
 
 use mastichinge::clock::Moment;
 use mastichinge::edge::fleet::Fleet;
+use mastichinge::edge::leadership::FENCES_PER_ERA;
 use mastichinge::edge::upstream::EngineEntry;
 use serde_json::json;
 use test_case::test_case;
 
-use crate::fakes::daemon::wait;
+use crate::fakes::daemon::{Request, wait};
 use crate::fakes::engine::Engine;
 use crate::fakes::store::Store;
 use crate::fixtures::entry;
-use crate::site::{Site, desired, route};
+use crate::site::{MODEL, Site, desired, route};
 
 /// Starts a deployment at a store in its first era.
 fn start() -> Site {
@@ -104,6 +105,37 @@
     wait("its row", || site.store.get("members", "edge-1").is_some());
 }
 
+/// Guards against ONE and against a fleet without orders: the row of the leader was lost, and its
+/// number given out again.
+#[test]
+fn the_leader_goes_on_under_a_number_of_the_new_era() {
+    let store = Store::start();
+    store.set_era("1");
+    store.put("op", "config", &desired(5));
+    let copy = store.copy();
+    let site = Site::start_with(store);
+    wait("a leader", || {
+        !site.daemon.logged("leadership acquired").is_empty()
+    });
+    site.store.go_back(&copy, "2");
+    for engine in site.plain.iter().chain(&site.models) {
+        engine.register("ready");
+    }
+    wait("its row", || {
+        let row = site.store.get("tenure", "orders");
+        row.is_some_and(|row| row["fence"] == 2 * FENCES_PER_ERA)
+    });
+    let request = Request::new("/stream/", "s1").with(MODEL, "m2");
+    wait("an order", || site.daemon.send(&request).status == 200);
+    let orders = site.models.iter().flat_map(Engine::received_orders);
+    assert!(orders.into_iter().any(|o| o["fence"] == 2 * FENCES_PER_ERA));
+    assert!(
+        site.daemon
+            .logged("leadership lost: the row names another leader")
+            .is_empty()
+    );
+}
+
 /// A response of an earlier era, or one whose era cannot be read, is not believed.
 #[test_case("1", "response of an earlier era of the store dropped"; "earlier")]
 #[test_case("two", "response of the store not believed"; "no number")]
--- a/tests/models/leadership.rs
+++ b/tests/models/leadership.rs
@@ -8,7 +8,7 @@
 use mastichinge::clock::Moment;
 use mastichinge::edge::leadership::{
     Candidate, ElectionStep, LeaderRecord, LeaderStatus, Leadership, ObservedRow, PeerReach,
-    RENEW_PERIOD,
+    RENEW_PERIOD, StoreEra,
 };
 use test_case::test_case;
 
@@ -19,6 +19,8 @@
 const TICK: Duration = Duration::from_millis(500);
 /// Number of ticks explored.
 const TICKS: u32 = 26;
+/// Maximum number of writes that the store loses when it goes back.
+const MAX_LOST_WRITES: usize = 3;
 /// Ticks for which a frozen daemon does nothing.
 const FROZEN_TICKS: u32 = 8;
 
@@ -37,6 +39,8 @@
     NeverStops,
     /// A successor does not wait until the row is unchanged for long enough.
     NoWait,
+    /// The era of the store is not looked at.
+    NoEra,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -60,8 +64,10 @@
 struct Daemon {
     /// Its leadership, if it is the leader.
     leadership: Option<HeldLeadership>,
-    /// Version of the row as last read, and since when it is unchanged.
-    seen: Option<(u64, Moment)>,
+    /// The row as last read, and since when it is unchanged.
+    seen: Option<(Row, Moment)>,
+    /// Era of the store as last seen, and since when.
+    era: (u64, Option<Moment>),
     /// Whether it cannot reach the store.
     cut: bool,
     /// Tick of its last fault.
@@ -76,6 +82,10 @@
 struct State {
     tick: u32,
     row: Row,
+    /// Earlier contents of the row, to which the store may go back.
+    past: Vec<Row>,
+    /// Era of the store.
+    era: u64,
     daemons: [Daemon; 2],
     /// Whether the daemons cannot reach each other.
     partitioned: bool,
@@ -145,6 +155,30 @@
         }
     }
 
+    /// Returns the era as a daemon knows it; it sees a new one when it reaches the store.
+    fn store_era(&self, state: &mut State, daemon: usize) -> StoreEra {
+        let now = LeadershipModel::now(state);
+        let known = &mut state.daemons[daemon];
+        if !known.cut && self.error != ProtocolError::NoEra && known.era.0 < state.era {
+            known.era = (state.era, Some(now));
+        }
+        StoreEra {
+            number: known.era.0,
+            since: known.era.1,
+        }
+    }
+
+    /// Writes the row, and keeps what it was.
+    fn write_row(state: &mut State, record: (usize, u64, u64, u64)) {
+        let before = state.row.clone();
+        if state.past.len() == MAX_LOST_WRITES {
+            state.past.remove(0);
+        }
+        state.past.push(before);
+        state.row.version += 1;
+        state.row.record = Some(record);
+    }
+
     /// Runs one step of a daemon.
     fn step(&self, state: &mut State, daemon: usize) {
         if state.daemons[daemon].frozen > 0 {
@@ -165,6 +199,11 @@
 
     fn renew(&self, state: &mut State, daemon: usize, leadership: &Leadership) {
         let now = LeadershipModel::now(state);
+        let era = self.store_era(state, daemon);
+        if leadership.is_earlier(&era) {
+            self.retake(state, daemon, leadership, &era);
+            return;
+        }
         let mut leadership = leadership.clone();
         let record = leadership.begin_renewal(now);
         LeadershipModel::set_leadership(state, daemon, &leadership);
@@ -187,8 +226,8 @@
             state.daemons[daemon].leadership = None;
             return;
         }
-        state.row.version += 1;
-        state.row.record = Some((daemon, record.fence, record.renewal, record.wait_ms));
+        let written = (daemon, record.fence, record.renewal, record.wait_ms);
+        LeadershipModel::write_row(state, written);
         if std::mem::take(&mut state.lossy) {
             return;
         }
@@ -196,6 +235,32 @@
         LeadershipModel::set_leadership(state, daemon, &leadership);
     }
 
+    /// Writes the row of a leader again in a new era of the store.
+    fn retake(&self, state: &mut State, daemon: usize, leadership: &Leadership, era: &StoreEra) {
+        if state.daemons[daemon].cut {
+            return;
+        }
+        let now = LeadershipModel::now(state);
+        let row = state.row.record;
+        let row = row.map(|(leader, f, r, w)| self.record(leader, f, r, w));
+        let Some(record) = leadership.retake(row.as_ref(), era, now) else {
+            state.daemons[daemon].leadership = None;
+            return;
+        };
+        LeadershipModel::write_row(state, (daemon, record.fence, 0, record.wait_ms));
+        if std::mem::take(&mut state.lossy) {
+            return;
+        }
+        state.daemons[daemon].leadership = Some(HeldLeadership {
+            fence: record.fence,
+            version: state.row.version,
+            renewal: 0,
+            orders_from: leadership.orders_from,
+            renewed_at: now,
+            renewal_sent: None,
+        });
+    }
+
     fn poll_row(&self, state: &mut State, daemon: usize) {
         let now = LeadershipModel::now(state);
         let other = self.leadership(state, 1 - daemon);
@@ -213,11 +278,12 @@
             state.daemons[daemon].seen = None;
             return;
         }
-        let since = match state.daemons[daemon].seen {
-            Some((version, since)) if version == state.row.version => since,
+        let era = self.store_era(state, daemon);
+        let since = match &state.daemons[daemon].seen {
+            Some((row, since)) if *row == state.row => *since,
             _ => now,
         };
-        state.daemons[daemon].seen = Some((state.row.version, since));
+        state.daemons[daemon].seen = Some((state.row.clone(), since));
         let record = state.row.record;
         let seen = ObservedRow {
             version: state.row.version,
@@ -234,6 +300,7 @@
             rank: 0,
             lease: LEASE,
             fences: self.fences,
+            era,
         };
         let ElectionStep::Acquire {
             record,
@@ -247,8 +314,7 @@
             ProtocolError::SameFence => record.fence - 1,
             _ => record.fence,
         };
-        state.row.version += 1;
-        state.row.record = Some((daemon, fence, 0, record.wait_ms));
+        LeadershipModel::write_row(state, (daemon, fence, 0, record.wait_ms));
         if std::mem::take(&mut state.lossy) {
             return;
         }
@@ -329,6 +395,8 @@
                 version: 0,
                 record: None,
             },
+            past: Vec::new(),
+            era: 0,
             daemons: Default::default(),
             partitioned: false,
             lossy: false,
@@ -355,6 +423,15 @@
                 s.lossy = true;
                 s.store_fault = s.tick;
             });
+            for lost in 1..=state.past.len() {
+                fault(format!("go back by {lost} writes"), &|s| {
+                    let at = s.past.len() - lost;
+                    s.row = s.past[at].clone();
+                    s.past.truncate(at);
+                    s.era += 1;
+                    s.store_fault = s.tick;
+                });
+            }
             for daemon in 0..2 {
                 fault(format!("cut {daemon}"), &|s| {
                     s.daemons[daemon].cut = !s.daemons[daemon].cut;
@@ -404,6 +481,7 @@
 #[test_case(ProtocolError::SameFence, "fence")]
 #[test_case(ProtocolError::NeverStops, "lease")]
 #[test_case(ProtocolError::NoWait, "lease")]
+#[test_case(ProtocolError::NoEra, "fence")]
 fn each_protocol_error_is_detected(error: ProtocolError, expected: &str) {
     assert_caught("leadership", &model(false, error), expected);
 }
