Soak: a store that comes back from an older copy

Change: the store goes back by some hundred milliseconds, in a new era; the operator and the engines that do not leave write again what is lost.

--- a/tests/soak/disturbances.rs
+++ b/tests/soak/disturbances.rs
@@ -15,7 +15,7 @@
 use crate::fakes::daemon::wait;
 use crate::record::Span;
 use crate::settings::SoakSettings;
-use crate::site::{Desired, Site, write_desired};
+use crate::site::{Desired, FIRST_ERA, Site, write_desired};
 
 /// Time from SIGTERM to SIGKILL; the grace period of the daemons' settings.
 pub const GRACE: Duration = Duration::from_secs(3);
@@ -73,6 +73,9 @@
     StoreSlow,
     /// The store closes connections.
     StoreClosing,
+    /// The store comes back from a copy that is some hundred milliseconds old; the operator and
+    /// the engines write again what is lost.
+    StoreBack,
     /// An engine starts again at its address, under its id or another.
     EngineRestart,
     /// An engine says in all responses that it leaves, whatever its entry says, and starts
@@ -88,6 +91,7 @@
 pub fn run(site: &Site, settings: &SoakSettings, stop: &Arc<AtomicBool>) {
     let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
     let mut desired = Desired::default();
+    let mut era = FIRST_ERA;
     thread::scope(|scope| {
         while !stop.load(Ordering::SeqCst) {
             let pause = rng.random_range(0..settings.pause.as_millis() as u64);
@@ -140,6 +144,16 @@
                         site.store.set_closing(false);
                     });
                 }
+                Disturbance::StoreBack => {
+                    let copy = site.store.copy();
+                    thread::sleep(time / 4);
+                    era += 1;
+                    site.store.go_back(&copy, &era.to_string());
+                    write_desired(&site.store, &site.recorder, &desired);
+                    for engine in &site.engines {
+                        engine.write_again();
+                    }
+                }
                 Disturbance::EngineRestart => {
                     let start = STARTS[rng.random_range(0..STARTS.len())];
                     scope.spawn(move || start_again(&site.engines[engine], start, time / 4));
--- a/tests/soak/engine.rs
+++ b/tests/soak/engine.rs
@@ -197,6 +197,14 @@
         self.0.busy.load(Ordering::SeqCst) == 0
     }
 
+    /// Writes its entry again after the store has lost it; an engine that leaves does not.
+    pub fn write_again(&self) {
+        let leaving = self.0.state.lock().unwrap().leaving;
+        if !leaving {
+            self.register();
+        }
+    }
+
     /// Writes its entry, which says that it is ready.
     pub fn register(&self) {
         self.register_as("ready");
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -11,6 +11,8 @@
 use crate::record::{Kind, Recorder};
 use crate::settings::SoakSettings;
 
+/// Era of the store at the start.
+pub const FIRST_ERA: u64 = 1;
 /// Timeout of all routes, ms.
 const ROUTE_TIMEOUT_MS: u64 = 5_000;
 /// Idle timeout of callers' connections, ms.
@@ -101,6 +103,7 @@
 impl Site {
     pub fn start(settings: &SoakSettings) -> Self {
         let store = Store::start();
+        store.set_era(&FIRST_ERA.to_string());
         let recorder = Arc::new(Recorder::default());
         write_desired(&store, &recorder, &Desired::default());
         let mut engines = Vec::new();
