--- a/src/edge/routing/mod.rs
+++ b/src/edge/routing/mod.rs
@@ -149,11 +149,14 @@
     let mut load_time = None;
     for engine in engines.iter().filter(|e| context.fleet.is_open(e, now)) {
         let copies = &engine.entry.copies;
-        let time = match () {
-            () if engine.has_model(&prompt.model, None, now) => Duration::ZERO,
-            () if copies.memory.contains(&prompt.model) => model.memory_load,
-            () if copies.disk.contains(&prompt.model) => model.disk_load,
-            () => model.store_load,
+        let time = if engine.has_model(&prompt.model, None, now) {
+            Duration::ZERO
+        } else if copies.memory.contains(&prompt.model) {
+            model.memory_load
+        } else if copies.disk.contains(&prompt.model) {
+            model.disk_load
+        } else {
+            model.store_load
         };
         load_time = Some(load_time.map_or(time, |known: Duration| known.min(time)));
     }
