Record the rates that engines name, and log their changes

The head of every response is read for Server-Limit; the latest statement applies, and of two of one moment the lower one. Values that are no finite number of at least 0 are logged and change nothing. Requests do not obey the rate yet.

Also: what an answer says cannot be older than its request, so an answer that was made before a limit was named and arrives after it does not end the limit.

--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -2,6 +2,7 @@
 //! response passes here, so that what an engine says of itself is recorded whatever the
 //! response answers, and whether or not it is believed to answer that.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -16,7 +17,9 @@
 use super::client::{self, CallLimits, Connection, SendError, SendOptions};
 use super::clock;
 use super::state::Edge;
+use super::statements::{RateHeader, RateStatement, Source};
 use super::upstream::Lifetime;
+use crate::clock::Moment;
 use crate::platform::headers;
 
 /// Time limits of a call to an engine, which answers within milliseconds. An
@@ -62,11 +65,21 @@
         request: Request<Full<Bytes>>,
         options: SendOptions,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
+        let asked_at = Cell::new(Moment::ZERO);
+        let is_wanted = || {
+            asked_at.set(clock::now());
+            self.accepts(recipient)
+        };
         let sending = self
             .client
-            .send_if(recipient.addr, request, options, || self.accepts(recipient));
+            .send_if(recipient.addr, request, options, is_wanted);
         let (response, connection) = sending.await?;
-        self.record_statement(recipient, id, response.status(), response.headers());
+        let (status, headers) = (response.status(), response.headers());
+        let asked = match headers::is_signed_answer(status, headers, id) {
+            true => Asked::Answered(asked_at.get()),
+            false => Asked::Unknown,
+        };
+        self.record_statement(recipient, id, asked, status, headers);
         if !headers::promises_not_run(response.status()) {
             self.record_accepted(recipient);
         }
@@ -86,12 +99,14 @@
             ..SendOptions::default()
         };
         let is_wanted = || kind == CallKind::Check || self.accepts(recipient);
+        let asked = Asked::Called(clock::now());
         let exchange = async {
             let sending = self
                 .call_client
                 .send_if(recipient.addr, request, options, is_wanted);
             let (response, connection) = sending.await?;
-            self.record_statement(recipient, "", response.status(), response.headers());
+            let (status, headers) = (response.status(), response.headers());
+            self.record_statement(recipient, "", asked, status, headers);
             client::read_whole(response, connection, CALL_LIMITS.max_bytes).await
         };
         let outcome = client::within(CALL_LIMITS.total_timeout, exchange).await;
@@ -123,7 +138,7 @@
                 log::debug!(addr:% = recipient.addr, error:%; "connection not closed in order");
             }
             while let Some((status, headers)) = unread.next_head().await {
-                edge.record_statement(&recipient, &id, status, &headers);
+                edge.record_statement(&recipient, &id, Asked::Unknown, status, &headers);
             }
         };
         tokio::task::spawn_local(timeout(LATE_RESPONSE_TIME, reading));
@@ -150,12 +165,13 @@
             .accepts(&recipient.lifetime.engine, clock::now())
     }
 
-    /// Records what an engine says of itself in the head of its response to the request `id`;
-    /// calls have none.
+    /// Records what an engine says of itself in the head of a response that may be to the
+    /// request `id`; calls have none.
     fn record_statement(
         &self,
         recipient: &Recipient,
         id: &str,
+        asked: Asked,
         status: StatusCode,
         headers: &HeaderMap,
     ) {
@@ -163,7 +179,7 @@
             engine,
             incarnation,
         } = &recipient.lifetime;
-        let (statement, error) = headers::engine_statement(status, headers);
+        let (statement, errors) = headers::engine_statement(status, headers);
         if statement.leaves {
             self.record_leaving(engine, *incarnation);
         }
@@ -177,8 +193,47 @@
                 .fleet
                 .record_pause(engine, *incarnation, pause, clock::now());
         }
-        if let Some(error) = error {
-            log::warn!(request = id, engine = &**engine, error:%; "engine's pause ignored");
+        // Another engine has the address, or this one lacks a model.
+        let is_own = status != StatusCode::MISDIRECTED_REQUEST;
+        if is_own && let Some((rate, asked_at)) = asked.rate(statement.rate) {
+            let heard = RateStatement {
+                number: rand::random(),
+                incarnation: *incarnation,
+                rate,
+                asked_at,
+                heard_at: clock::now(),
+            };
+            self.record_rate(engine, heard, Source::Response.into());
+        }
+        for error in errors {
+            log::warn!(request = id, engine = &**engine, error:%; "engine's statement ignored");
+        }
+    }
+}
+
+/// What is known of the time at which an engine made a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asked {
+    /// Later than the request that it answers was sent.
+    Answered(Moment),
+    /// Later than the call that it answers was made. Responses to calls may name no rate.
+    Called(Moment),
+    /// Nothing: it may be to an earlier request.
+    Unknown,
+}
+
+impl Asked {
+    /// Returns the rate that a response names, absent if it says that there is none, and the
+    /// time before which it was not made. `None` if it says nothing of rates.
+    fn rate(self, header: RateHeader) -> Option<(Option<f64>, Moment)> {
+        match (header, self) {
+            (RateHeader::Named(rate), Asked::Answered(at) | Asked::Called(at)) => {
+                Some((Some(rate), at))
+            }
+            (RateHeader::Named(rate), Asked::Unknown) => Some((Some(rate), Moment::ZERO)),
+            (RateHeader::Absent, Asked::Answered(at)) => Some((None, at)),
+            (RateHeader::Absent, Asked::Called(_) | Asked::Unknown) => None,
+            (RateHeader::Invalid, _) => None,
         }
     }
 }
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -8,7 +8,7 @@
 use super::exchange::Recipient;
 use super::reopening::Reopening;
 use super::request_headers;
-use super::statements::{Source, Statements};
+use super::statements::{NamedRates, Source, Statements};
 use super::upstream::{
     AnnouncedModels, EngineChange, EngineEntry, EngineLoad, EnginePhase, Lifetime, SentPrompt,
     Upstream,
@@ -124,6 +124,16 @@
         self.statements.record_pause(id, incarnation, pause, now);
     }
 
+    /// Returns the rates that engines have named.
+    pub fn rates(&self) -> &NamedRates {
+        self.statements.rates()
+    }
+
+    /// Returns the same, to be changed.
+    pub fn rates_mut(&mut self) -> &mut NamedRates {
+        self.statements.rates_mut()
+    }
+
     /// Returns an engine in the lifetime that started at `incarnation`, listed or not.
     pub fn lifetime_mut(&mut self, id: &str, incarnation: u64) -> Option<&mut Upstream> {
         let unlisted = self.unlisted.get_mut(id).map(|u| &mut u.engine);
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -23,7 +23,7 @@
 use super::routing::PausedEngine;
 use super::settings::Settings;
 use super::shutdown::Shutdown;
-use super::statements::Source;
+use super::statements::{RateStatement, Source};
 use super::store::StoreClient;
 use super::suspects::Suspects;
 use super::upstream::{EngineChange, Lifetime, SentPrompt};
@@ -286,6 +286,24 @@
         self.send_wake.notify_one();
     }
 
+    /// Records what an engine has said of its rate to this daemon, or to the one that `source`
+    /// names.
+    pub fn record_rate(&self, engine: &Arc<str>, statement: RateStatement, source: &str) {
+        let mut state = self.state.borrow_mut();
+        let Some(change) = state.fleet.rates_mut().record(engine, statement) else {
+            return;
+        };
+        drop(state);
+        let before = change.before.map(|r| r.to_string()).unwrap_or_default();
+        let rate = change.after.map(|r| r.to_string()).unwrap_or_default();
+        let life = statement.incarnation;
+        log::info!(engine = &**engine, rate = &*rate, before = &*before, source, life;
+            "engine's rate changed");
+        self.metrics.record_engine_statement("rate", "kept");
+        self.notify_waiting();
+        self.order_wake.notify_one();
+    }
+
     /// Logs that an engine leaves, and wakes the tasks that decide anew without it.
     pub fn announce_leaving(&self, engine: &str, source: &str) {
         let change: &'static str = EngineChange::Draining.into();
--- a/src/edge/statements.rs
+++ b/src/edge/statements/mod.rs
@@ -2,15 +2,20 @@
 //!
 //! A statement is kept under the id of its engine and the start time that was known when the
 //! engine was addressed. When the engine is listed with a later start, its new lifetime may
-//! have made the statement before its entry was read. A pause then applies to its end, and that
-//! the engine leaves applies until it has answered a check; both for [`DOUBT_TIME`] at most.
+//! have made the statement before its entry was read. A pause then applies to its end, that the
+//! engine leaves applies until it has answered a check, and a rate until an answer names none;
+//! all for [`DOUBT_TIME`] at most.
 //! Statements are kept while the engine is not listed, because its entry may be back later, or
 //! older.
 
+mod rates;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use rates::{NamedRates, RateChange, RateStatement};
+
 use super::reopening::Reopening;
 use crate::clock::Moment;
 
@@ -23,12 +28,27 @@
 const CHECK_PERIOD: Duration = Duration::from_secs(1);
 
 /// What an engine says of itself in the head of a response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Statement {
     /// Whether it is about to stop.
     pub leaves: bool,
     /// For how long it wants no requests of this host.
     pub pause: Option<Duration>,
+    /// How many requests it takes from all hosts together.
+    pub rate: RateHeader,
+}
+
+/// What the head of a response says of the requests that its engine takes from all hosts
+/// together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateHeader {
+    /// Nothing: the engine has no limit.
+    #[default]
+    Absent,
+    /// Nothing that can be read.
+    Invalid,
+    /// Requests a second.
+    Named(f64),
 }
 
 /// How this daemon knows that an engine leaves.
@@ -46,6 +66,7 @@
 pub struct Statements {
     leaving: HashMap<Arc<str>, Leaving>,
     pauses: HashMap<Arc<str>, Pause>,
+    rates: NamedRates,
     doubts: HashMap<Arc<str>, Doubt>,
 }
 
@@ -150,6 +171,16 @@
         self.pauses.get_mut(id).map(|p| &mut p.reopening)
     }
 
+    /// Returns the rates that engines have named.
+    pub fn rates(&self) -> &NamedRates {
+        &self.rates
+    }
+
+    /// Returns the same, to be changed.
+    pub fn rates_mut(&mut self) -> &mut NamedRates {
+        &mut self.rates
+    }
+
     fn has_answered(&self, id: &str, incarnation: u64) -> bool {
         let doubt = self.doubts.get(id);
         doubt.is_some_and(|d| d.incarnation == incarnation && d.answered)
@@ -157,7 +188,7 @@
 
     /// Records that an engine is listed with the start time `incarnation`.
     pub fn record_listed(&mut self, id: &Arc<str>, incarnation: u64, now: Moment) {
-        if self.leaving.is_empty() && self.pauses.is_empty() {
+        if self.leaving.is_empty() && self.pauses.is_empty() && self.rates.is_empty() {
             return;
         }
         let leaving = self.leaving.get(id);
@@ -166,7 +197,8 @@
         let pause = self.pauses.get(id);
         let may_pause = pause
             .is_some_and(|p| p.incarnation < incarnation && p.reopening.pause_left(now).is_some());
-        if !may_leave && !may_pause {
+        let may_limit = self.rates.is_of_earlier(id, incarnation);
+        if !may_leave && !may_pause && !may_limit {
             self.doubts.remove(id);
             return;
         }
@@ -231,6 +263,9 @@
         {
             self.pauses.remove(id);
         }
+        if self.rates.is_of_earlier(id, incarnation) {
+            self.rates.remove(id);
+        }
         self.doubts.remove(id);
     }
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -7,7 +7,7 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
 use crate::edge::request_headers::{EngineHeaders, Prompt, PromptPart, RequestHeaders};
-use crate::edge::statements::Statement;
+use crate::edge::statements::{RateHeader, Statement};
 
 /// Id of one attempt of a caller; engines echo it.
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-mastichinge-request-id");
@@ -26,6 +26,8 @@
 const LOAD: HeaderName = HeaderName::from_static("x-mastichinge-server-load");
 /// Marks a response of an engine that is about to stop.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Requests a second that the engine takes from all hosts together.
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Marks a response of an engine that did not run the request.
 const NOT_RUN: HeaderName = HeaderName::from_static("x-mastichinge-not-run");
 /// Model, with an adapter after a slash.
@@ -165,10 +167,16 @@
     pub closes: bool,
 }
 
-/// A pause that cannot be decoded.
+/// A statement of an engine that cannot be decoded.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("Retry-After {0:?} is not a number of seconds")]
-pub struct InvalidPause(String);
+pub enum InvalidStatement {
+    /// A pause.
+    #[error("Retry-After {0:?} is not a number of seconds")]
+    Pause(String),
+    /// A rate.
+    #[error("Server-Limit {0:?} is not a number of requests a second")]
+    Rate(String),
+}
 
 /// Returns for how long an engine that responds with `status` wants no requests of this
 /// host.
@@ -179,7 +187,7 @@
 pub fn engine_pause(
     status: StatusCode,
     headers: &HeaderMap,
-) -> Result<Option<Duration>, InvalidPause> {
+) -> Result<Option<Duration>, InvalidStatement> {
     let Some(value) = headers.get(header::RETRY_AFTER) else {
         return Ok(None);
     };
@@ -191,7 +199,7 @@
     let pause = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
     pause
         .map(Some)
-        .ok_or_else(|| InvalidPause(text.into_owned()))
+        .ok_or_else(|| InvalidStatement::Pause(text.into_owned()))
 }
 
 /// Parses the headers of an engine's response.
@@ -213,18 +221,45 @@
     }
 }
 
-/// Returns what the head of an engine's response says of the engine. A pause that cannot be
-/// decoded is returned beside the rest.
+/// Returns what the head of an engine's response says of the engine. Statements that cannot be
+/// decoded are returned beside the rest.
 pub fn engine_statement(
     status: StatusCode,
     headers: &HeaderMap,
-) -> (Statement, Option<InvalidPause>) {
-    let (pause, error) = match engine_pause(status, headers) {
-        Ok(pause) => (pause, None),
-        Err(error) => (None, Some(error)),
-    };
+) -> (Statement, Vec<InvalidStatement>) {
+    let (rate, mut errors) = engine_rate(headers);
+    let pause = engine_pause(status, headers).unwrap_or_else(|error| {
+        errors.push(error);
+        None
+    });
     let leaves = is_leaving(headers);
-    (Statement { leaves, pause }, error)
+    let statement = Statement {
+        leaves,
+        pause,
+        rate,
+    };
+    (statement, errors)
+}
+
+/// Returns the requests a second that an engine takes from all hosts together; the lowest of
+/// several. Values that are not a finite number of at least 0 are returned beside it.
+pub fn engine_rate(headers: &HeaderMap) -> (RateHeader, Vec<InvalidStatement>) {
+    let (mut rate, mut errors) = (RateHeader::Absent, Vec::new());
+    for value in headers.get_all(&LIMIT) {
+        let text = String::from_utf8_lossy(value.as_bytes());
+        let number = text.trim().parse::<f64>().ok();
+        let number = number.filter(|n| n.is_finite() && *n >= 0.0);
+        rate = match (number, rate) {
+            (Some(n), RateHeader::Named(lowest)) => RateHeader::Named(n.min(lowest)),
+            (Some(n), _) => RateHeader::Named(n),
+            (None, RateHeader::Absent) => RateHeader::Invalid,
+            (None, known) => known,
+        };
+        if number.is_none() {
+            errors.push(InvalidStatement::Rate(text.into_owned()));
+        }
+    }
+    (rate, errors)
 }
 
 /// Returns whether an engine's response says that the engine is about to stop.
@@ -232,6 +267,12 @@
     header_text(headers, &LEAVING).is_some_and(|v| v.trim() == "1")
 }
 
+/// Returns whether a response is an answer of its engine to the request `id` that has run.
+pub fn is_signed_answer(status: StatusCode, headers: &HeaderMap, id: &str) -> bool {
+    let signed = headers.contains_key(&SERVER_STAMP);
+    status.is_success() && signed && header_text(headers, &REQUEST_ID) == Some(id)
+}
+
 /// Returns whether an engine's response states that the engine did not run the request
 /// that it answers.
 pub fn is_rejection(status: StatusCode, headers: &ResponseHeaders) -> bool {
--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -35,6 +35,8 @@
     /// Number of accepted orders.
     accepted_orders: u64,
     arrivals: Vec<ReceivedRequest>,
+    /// When each of them arrived.
+    arrival_times: Vec<Instant>,
     /// Ids of the requests that began to run, once for each time.
     runs: Vec<String>,
     /// Ids of the requests rejected by [`Behavior::RepeatedRejection`].
@@ -164,6 +166,19 @@
         self.state.lock().unwrap().arrivals.clone()
     }
 
+    /// Returns the largest number of requests that arrived within `window`, of those after
+    /// `from`.
+    pub fn most_arrivals(&self, window: Duration, from: Instant) -> usize {
+        let state = self.state.lock().unwrap();
+        let times = state.arrival_times.iter().filter(|t| **t >= from);
+        let times: Vec<Instant> = times.copied().collect();
+        let within = |start: &Instant| {
+            let in_window = |t: &&Instant| **t >= *start && **t - *start <= window;
+            times.iter().filter(in_window).count()
+        };
+        times.iter().map(within).max().unwrap_or(0)
+    }
+
     pub fn cancelled(&self) -> Vec<String> {
         self.state.lock().unwrap().cancelled.clone()
     }
--- a/tests/edge/fakes/engine/runs.rs
+++ b/tests/edge/fakes/engine/runs.rs
@@ -1,6 +1,6 @@
 //! How an engine answers requests, one behavior at a time.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -28,6 +28,7 @@
             let mut state = self.state.lock().unwrap();
             let loaded = model.is_empty() || state.models.contains(&model);
             state.arrivals.push(request.clone());
+            state.arrival_times.push(Instant::now());
             let rejects_first =
                 state.behavior == Behavior::RepeatedRejection && !state.rejected.contains(&id);
             if rejects_first {
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -24,6 +24,7 @@
 mod pauses;
 mod placement;
 mod planned_stop;
+mod rate_statements;
 mod reopening;
 mod requests;
 mod retry_budget;
