Test that hosts together keep to the rate that an engine names

Callers of a named rate got answers, and the engine 45 and 33 requests in 4 s from one host (allowed 11), 191 from four (14), 291 as the only engine of its service (29), and 155 with hosts that started later (11).

--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -25,6 +25,7 @@
 mod placement;
 mod planned_stop;
 mod rate_statements;
+mod rates;
 mod reopening;
 mod requests;
 mod retry_budget;
--- /dev/null
+++ b/tests/edge/rates.rs
@@ -0,0 +1,158 @@
+//! Engines that name the requests a second that they take from all hosts together.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::fakes::daemon::{Daemon, Request, Response, wait};
+use crate::fakes::engine::Engine;
+use crate::site::{MODEL, Site};
+
+/// Header of an engine that names its rate, requests a second.
+const LIMIT: &str = "Server-Limit";
+/// Window of the platform's rule.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time for which requests are sent; longer than the window.
+const SEND_TIME: Duration = Duration::from_secs(6);
+/// Time after which hosts that have been told count, by the platform's rule.
+const TOLD_TIME: Duration = Duration::from_millis(500);
+/// Pause between two requests of one sender.
+const PAUSE: Duration = Duration::from_millis(40);
+
+/// Returns the requests that an engine may get in [`WINDOW`], by the platform's rule.
+fn allowed(rate: f64) -> usize {
+    (1.5 * rate * WINDOW.as_secs_f64() + 5.0) as usize
+}
+
+/// Returns a request; those for streams name a model.
+fn request(path: &str, id: &str) -> Request {
+    let request = Request::new(path, id);
+    match path {
+        "/stream/" => request.with(MODEL, "m1"),
+        _ => request,
+    }
+}
+
+/// Sends requests to each daemon in turn for [`SEND_TIME`]; returns the responses.
+fn send_to(daemons: &[&Daemon], path: &str) -> Vec<Response> {
+    let started = Instant::now();
+    let send = |(n, daemon): (usize, &&Daemon)| {
+        let mut responses = Vec::new();
+        while started.elapsed() < SEND_TIME {
+            let id = format!("r{n}-{}", responses.len());
+            responses.push(daemon.send(&request(path, &id)));
+            thread::sleep(PAUSE);
+        }
+        responses
+    };
+    thread::scope(|scope| {
+        let senders = daemons.iter().enumerate();
+        let senders: Vec<_> = senders.map(|s| scope.spawn(move || send(s))).collect();
+        let responses = senders.into_iter().flat_map(|s| s.join().unwrap());
+        responses.collect()
+    })
+}
+
+/// Lets an engine name a rate, and waits until a daemon has been told.
+fn name_rate(site: &Site, engine: &Engine, rate: &str, path: &str) -> Instant {
+    engine.add_header(LIMIT, rate);
+    let mut sent = 0;
+    wait("the rate", || {
+        site.daemon.send(&request(path, &format!("first{sent}")));
+        sent += 1;
+        let lines = site.daemon.logged("engine's rate changed");
+        lines.iter().any(|l| l["engine"] == *engine.id)
+    });
+    Instant::now() + TOLD_TIME
+}
+
+/// Starts further daemons and waits until all know each other.
+fn add_daemons(site: &Site, hosts: &[&str]) -> Vec<Daemon> {
+    let others: Vec<_> = hosts
+        .iter()
+        .map(|h| Daemon::start(&site.store, h))
+        .collect();
+    wait("the members", || {
+        let all = others.iter().chain([&site.daemon]);
+        let heard = |d: &Daemon| d.logged("member alive").len() >= hosts.len();
+        all.into_iter().all(heard)
+    });
+    others
+}
+
+/// Guards against LIMIT: one host alone sent an engine several times its rate, though another
+/// engine was free.
+#[test]
+fn an_engine_gets_no_more_than_its_rate_from_one_host() {
+    let site = Site::start();
+    let from = name_rate(&site, &site.plain[0], "1", "/look/");
+    let responses = send_to(&[&site.daemon], "/look/");
+    assert!(responses.iter().all(|r| r.status == 200));
+    let most = site.plain[0].most_arrivals(WINDOW, from);
+    assert!(most <= allowed(1.0), "{most}");
+}
+
+/// Guards against LIMIT: each host for itself sent an engine the rate that it had named.
+#[test]
+fn an_engine_gets_no_more_than_its_rate_from_all_hosts_together() {
+    let site = Site::start();
+    let others = add_daemons(&site, &["edge-2", "edge-3", "edge-4"]);
+    let from = name_rate(&site, &site.plain[0], "1.5", "/look/");
+    let all: Vec<_> = others.iter().chain([&site.daemon]).collect();
+    let responses = send_to(&all, "/look/");
+    assert!(responses.iter().all(|r| r.status == 200));
+    let most = site.plain[0].most_arrivals(WINDOW, from);
+    assert!(most <= allowed(1.5), "{most}");
+}
+
+/// Guards against LIMIT where no other engine serves, and against a rate that is not used and
+/// callers that all return at once.
+#[test]
+fn the_rate_of_the_only_engine_is_used_and_not_exceeded() {
+    let site = Site::start();
+    site.store.remove("servers", "p2");
+    site.wait_for_change("p2", "gone");
+    let others = add_daemons(&site, &["edge-2", "edge-3"]);
+    let from = name_rate(&site, &site.plain[0], "4", "/look/");
+    let all: Vec<_> = others.iter().chain([&site.daemon]).collect();
+    let responses = send_to(&all, "/look/");
+    let most = site.plain[0].most_arrivals(WINDOW, from);
+    assert!(most <= allowed(4.0), "{most}");
+    let served = responses.iter().filter(|r| r.status == 200).count();
+    let usable = 4.0 * SEND_TIME.as_secs_f64();
+    assert!(served as f64 >= usable / 2.0, "{served} of {usable}");
+    let refused: Vec<_> = responses.iter().filter(|r| r.status != 200).collect();
+    assert!(refused.iter().all(|r| r.status == 503), "{refused:?}");
+    let mut delays: Vec<_> = refused.iter().map(|r| r.header("retry-after")).collect();
+    delays.sort();
+    delays.dedup();
+    assert!(delays.len() > refused.len() / 8, "{delays:?}");
+}
+
+/// Guards against LIMIT: hosts that start after a rate was named began with a rate of their own,
+/// and none knew of it when the engine's entry was back.
+#[test]
+fn hosts_that_start_later_keep_to_the_rate() {
+    let site = Site::start();
+    let from = name_rate(&site, &site.plain[0], "1", "/look/");
+    site.store.remove("servers", "p1");
+    site.wait_for_change("p1", "gone");
+    let others = add_daemons(&site, &["edge-2", "edge-3"]);
+    site.plain[0].register("ready");
+    wait("its entry", || site.changes("p1", "appeared") == 2);
+    let all: Vec<_> = others.iter().chain([&site.daemon]).collect();
+    send_to(&all, "/look/");
+    let most = site.plain[0].most_arrivals(WINDOW, from);
+    assert!(most <= allowed(1.0), "{most}");
+}
+
+/// Guards against LIMIT: streams, which are chosen by what engines hold, were sent without asking
+/// for the rate.
+#[test]
+fn streams_keep_to_the_rate_of_their_engine() {
+    let site = Site::start();
+    let from = name_rate(&site, &site.models[0], "1", "/stream/");
+    let responses = send_to(&[&site.daemon], "/stream/");
+    assert!(responses.iter().all(|r| r.status == 200));
+    let most = site.models[0].most_arrivals(WINDOW, from);
+    assert!(most <= allowed(1.0), "{most}");
+}
