Share the rate that an engine names among all hosts

The rate is one figure for all hosts. Every host has an equal share of it and lends its share to the host that it follows, the first that is alive and ready, as each heartbeat says. That host grants single permits, to the most urgent requests of all hosts first, and refuses at once those that would wait too long, with delays that bring their callers back one after the other. A permit is spent at the first byte, so no path to an engine passes it by. Other engines that hold the model, or a load elsewhere, come before a wait for a permit.

The sum over hosts holds when their views differ: a host that is not heard lends nothing, so two allocators grant no more than the whole rate together. An allocator starts with none.

--- a/src/edge/activity.rs
+++ b/src/edge/activity.rs
@@ -42,6 +42,14 @@
         suspended.then_some(delay)
     }
 
+    /// Returns whether what arrives now may have arrived in a suspension.
+    pub fn is_catching_up(&self, now: Moment) -> bool {
+        let is_unchecked =
+            now.saturating_sub(self.last_check) > CHECK_PERIOD + SUSPENSION_THRESHOLD;
+        let is_recent = |(_, until): (Moment, Moment)| now.saturating_sub(until) <= SIGNAL_DELAY;
+        is_unchecked || self.suspension.is_some_and(is_recent)
+    }
+
     /// Returns the earliest time at which a signal that is seen now may have arrived: one
     /// that arrives during a suspension is seen after it.
     pub fn earliest_signal(&mut self, now: Moment) -> Moment {
--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -25,6 +25,8 @@
 const SILENCE_PER_GAP: u32 = 8;
 /// Share of the forecast time until a load has ended that it takes at least.
 const FORECAST_SHARE: f64 = 0.9;
+/// Maximum wait for a permit of a request that another engine serves late.
+const LATE_PERMIT_WAIT: Duration = Duration::from_millis(50);
 /// Shortest retry delay.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Share of the time left up to which callers honour a retry delay.
@@ -54,6 +56,8 @@
     Pause(Duration),
     /// Refuse it until this engine takes requests of this host again.
     ReturnLater(PausedEngine),
+    /// Refuse it: the engines that could serve it have named a rate, and it has no permit.
+    NoPermit,
     /// No usable engine of its service is known.
     NoEngine,
     /// Refuse it.
@@ -122,6 +126,7 @@
         };
         match selection {
             Selection::NoEngine => AdmissionDecision::NoEngine,
+            Selection::Limited => AdmissionDecision::NoPermit,
             // Another host may send to these engines, so that the caller had better return.
             Selection::Paused(paused)
                 if self.waited.saturating_add(paused.ready_in) > self.objective =>
@@ -170,6 +175,24 @@
         }
     }
 
+    /// Returns whether the selected engine meets the request's objective.
+    pub fn is_on_time(&self, selection: &Selection) -> bool {
+        matches!(selection, Selection::Engine(choice) if choice.first_event <= self.objective_left)
+    }
+
+    /// Returns how long a request can wait for a permit, given what it is to do without one.
+    /// Where an engine serves it late, it waits only for a permit that is there at once.
+    pub fn permit_patience(&self, selection: &Selection, goes_on: bool) -> Duration {
+        match selection {
+            Selection::Engine(_) => LATE_PERMIT_WAIT.min(self.event_left),
+            _ if goes_on => self.event_left,
+            _ => self
+                .objective
+                .saturating_sub(self.waited)
+                .min(self.event_left),
+        }
+    }
+
     /// Returns whether a request that misses its objective waits behind those that can
     /// still meet theirs.
     fn should_hold(&self, choice: &SelectedEngine, limits: &AdmissionSettings) -> bool {
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -16,8 +16,9 @@
 
 use super::client::{self, CallLimits, Connection, SendError, SendOptions};
 use super::clock;
+use super::permits::PermitGuard;
 use super::state::Edge;
-use super::statements::{RateHeader, RateStatement, Source};
+use super::statements::{RateHeader, RateStatement};
 use super::upstream::Lifetime;
 use crate::clock::Moment;
 use crate::platform::headers;
@@ -56,19 +57,20 @@
 }
 
 impl Edge {
-    /// Sends the caller's request `id` to an engine. Dropping the future closes the
-    /// connection.
+    /// Sends the caller's request `id` to an engine, with a permit if the engine has named a
+    /// rate. Dropping the future closes the connection.
     pub async fn send_request(
         &self,
         recipient: &Recipient,
         id: &str,
+        permit: Option<&PermitGuard>,
         request: Request<Full<Bytes>>,
         options: SendOptions,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let asked_at = Cell::new(Moment::ZERO);
         let is_wanted = || {
             asked_at.set(clock::now());
-            self.accepts(recipient)
+            self.accepts(recipient) && self.keeps_rate(recipient, permit)
         };
         let sending = self
             .client
@@ -165,6 +167,23 @@
             .accepts(&recipient.lifetime.engine, clock::now())
     }
 
+    /// Returns whether a request may be sent to an engine as far as its rate goes, and spends
+    /// the permit.
+    fn keeps_rate(&self, recipient: &Recipient, permit: Option<&PermitGuard>) -> bool {
+        let engine = &recipient.lifetime.engine;
+        let is_limited = self.state.borrow().fleet.rates().rate(engine).is_some();
+        if !is_limited {
+            return true;
+        }
+        let is_permitted = permit.is_some_and(|p| p.spend(engine));
+        let outcome = match is_permitted {
+            true => "spent",
+            false => "missing",
+        };
+        self.metrics.record_permits(outcome, 1);
+        is_permitted
+    }
+
     /// Records what an engine says of itself in the head of a response that may be to the
     /// request `id`; calls have none.
     fn record_statement(
@@ -203,7 +222,7 @@
                 asked_at,
                 heard_at: clock::now(),
             };
-            self.record_rate(engine, heard, Source::Response.into());
+            self.record_rate(engine, heard);
         }
         for error in errors {
             log::warn!(request = id, engine = &**engine, error:%; "engine's statement ignored");
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -134,6 +134,13 @@
         self.statements.rates_mut()
     }
 
+    /// Forgets rates that ended long ago, and those of engines that are no longer listed.
+    pub fn drop_expired_rates(&mut self, now: Moment) {
+        let engines = &self.engines;
+        let rates = self.statements.rates_mut();
+        rates.drop_expired(|id| engines.contains_key(id), now);
+    }
+
     /// Returns an engine in the lifetime that started at `incarnation`, listed or not.
     pub fn lifetime_mut(&mut self, id: &str, incarnation: u64) -> Option<&mut Upstream> {
         let unlisted = self.unlisted.get_mut(id).map(|u| &mut u.engine);
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -21,6 +21,7 @@
 use crate::edge::admission::{AdmissionDecision, TimeBudget};
 use crate::edge::clock;
 use crate::edge::desired::RouteKind;
+use crate::edge::permits::{PermitGuard, PermitState};
 use crate::edge::placement::ModelTarget;
 use crate::edge::routing::{self, RoutingContext, RoutingRequest, SelectedEngine, Selection};
 use crate::edge::state::WaitGuard;
@@ -214,7 +215,24 @@
     }
 }
 
-pub(super) fn select_engine(routed: &RoutedRequest, avoid: &[Arc<str>], now: Moment) -> Selection {
+pub(super) fn select_engine(
+    routed: &RoutedRequest,
+    avoid: &[Arc<str>],
+    permit: Option<&Arc<str>>,
+    now: Moment,
+) -> Selection {
+    with_routing(routed, avoid, permit, now, routing::select_engine)
+}
+
+/// Calls a function of the routing for a request. `permit` is the engine for which it has a
+/// permit.
+fn with_routing<T>(
+    routed: &RoutedRequest,
+    avoid: &[Arc<str>],
+    permit: Option<&Arc<str>>,
+    now: Moment,
+    decide: impl FnOnce(&RoutingContext<'_>, &RoutingRequest<'_>) -> T,
+) -> T {
     let settings = routed.edge.settings();
     let state = routed.edge.state.borrow();
     let context = RoutingContext {
@@ -232,16 +250,18 @@
         prompt: routed.headers.prompt.as_ref(),
         fingerprint: routed.fingerprint,
         avoid,
+        permit,
     };
-    routing::select_engine(&context, &routing_request)
+    decide(&context, &routing_request)
 }
 
 /// Selects the engine for the next attempt: one that has not failed the request, else one
 /// whose run was abandoned. After the last attempt that the route allows, only the latter.
 fn select_next(routed: &RoutedRequest, attempts: &Attempts, now: Moment) -> Selection {
-    let may_go_on = attempts.sent == 0 || attempts.route_allows_retry(routed);
-    let selection = match may_go_on {
-        true => select_engine(routed, &attempts.avoid, now),
+    let permit = attempts.permitted_engine(now);
+    let permit = permit.as_ref();
+    let selection = match attempts.may_use_others(routed) {
+        true => select_engine(routed, &attempts.avoid, permit, now),
         false => Selection::NoEngine,
     };
     let is_new = matches!(&selection, Selection::Engine(c) if !attempts.avoid.contains(&c.engine));
@@ -254,7 +274,7 @@
         let ids = usable.map(|e| e.entry.id.clone());
         ids.filter(|id| !attempts.abandoned.contains(id)).collect()
     };
-    match select_engine(routed, &others, now) {
+    match select_engine(routed, &others, permit, now) {
         Selection::Engine(choice) if attempts.abandoned.contains(&choice.engine) => {
             Selection::Engine(choice)
         }
@@ -262,6 +282,30 @@
     }
 }
 
+/// Applies for a permit for an engine that has named a rate, unless the request has done so.
+/// Returns how it stands with that; `None` if no such engine could serve the request.
+fn seek_permit(
+    routed: &RoutedRequest,
+    attempts: &mut Attempts,
+    patience: Duration,
+    now: Moment,
+) -> Option<PermitState> {
+    if attempts.permit.is_none() {
+        let mut engines =
+            with_routing(routed, &attempts.avoid, None, now, routing::limited_engines);
+        if !attempts.may_use_others(routed) {
+            engines.retain(|e| attempts.abandoned.contains(e));
+        }
+        if engines.is_empty() || patience.is_zero() {
+            return None;
+        }
+        let rank = attempts.rank(routed);
+        let permit = PermitGuard::apply(&routed.edge, engines, rank, now + patience);
+        attempts.permit = Some(permit);
+    }
+    attempts.permit.as_ref().map(|p| p.state(now))
+}
+
 /// Waits for an engine that can take the request.
 async fn wait_for_engine(
     routed: &RoutedRequest,
@@ -275,8 +319,9 @@
         changes.borrow_and_update();
         let now = clock::now();
         let time_left = routed.time_left();
+        let uncertain = attempts.uncertain;
         let fail = |kind, cause: &str, retry_after| {
-            let kind = match attempts.uncertain {
+            let kind = match uncertain {
                 true => Kind::OutcomeUnknown,
                 false => kind,
             };
@@ -313,14 +358,39 @@
             _ => BTreeSet::new(),
         };
         let goes_on = attempts.persists() && (resumed || !budget.event_left.is_zero());
+        let mut permit_return = Duration::MAX;
+        if !budget.is_on_time(&selection) {
+            let patience = budget.permit_patience(&selection, goes_on);
+            match seek_permit(routed, attempts, patience, now) {
+                Some(PermitState::Waiting) => {
+                    let _ = timeout(RESELECT_INTERVAL, changes.changed()).await;
+                    continue;
+                }
+                Some(PermitState::Refused(delay)) => permit_return = delay,
+                Some(PermitState::Granted(_)) | None => {}
+            }
+            let is_usable = matches!(selection, Selection::Engine(_));
+            if !is_usable && (goes_on || permit_return == Duration::MAX) {
+                attempts.permit = None;
+            }
+        }
         let max_pause = match budget.decide(selection, &limits) {
             AdmissionDecision::Send(choice) => return Ok(choice),
             AdmissionDecision::Refuse { kind, .. } if goes_on && kind != Kind::UnknownModel => {
                 RESELECT_INTERVAL
             }
             AdmissionDecision::ReturnLater(_) if goes_on => RESELECT_INTERVAL,
+            AdmissionDecision::NoPermit if goes_on => RESELECT_INTERVAL,
+            AdmissionDecision::NoPermit => {
+                let cause = "the engines have named a rate that is used up";
+                let retry_after = match permit_return {
+                    Duration::MAX => FULL_RETRY,
+                    delay => delay,
+                };
+                return Err(fail(Kind::NoCapacity, cause, retry_after));
+            }
             AdmissionDecision::ReturnLater(paused) => {
-                let retry_after = routed.edge.book_return(&paused);
+                let retry_after = routed.edge.book_return(&paused).min(permit_return);
                 let cause = "the engines want no requests of this host now";
                 return Err(fail(Kind::NoCapacity, cause, retry_after));
             }
@@ -330,6 +400,7 @@
                 retry_after,
                 load,
             } => {
+                let retry_after = retry_after.min(permit_return);
                 // Starts the load for the caller's retry, although no request waits here.
                 if let Some(target) = load {
                     let edge = &routed.edge;
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -7,7 +7,9 @@
 use tokio::time::sleep;
 
 use super::RoutedRequest;
+use crate::clock::Moment;
 use crate::edge::clock;
+use crate::edge::permits::{PermitGuard, PermitState, Rank};
 use crate::edge::upstream::Lifetime;
 
 /// Minimum time left for a request to be sent.
@@ -43,6 +45,8 @@
     pub last_event: Option<u64>,
     /// Whether it waited for a load.
     pub load_waited: bool,
+    /// Its application for a permit to be sent next.
+    pub permit: Option<PermitGuard>,
     /// Time from its arrival to the last time it was sent.
     pub waited: Duration,
     /// Predicted time from the last time it was sent to its first event.
@@ -63,6 +67,33 @@
         self.has_abandoned || !self.first_event.is_zero()
     }
 
+    /// Returns whether it may be sent to an engine that it was not sent to before.
+    pub(super) fn may_use_others(&self, routed: &RoutedRequest) -> bool {
+        self.sent == 0 || self.route_allows_retry(routed)
+    }
+
+    /// Takes the permit to be sent to `engine`. One for another engine is given back.
+    pub(super) fn take_permit(&mut self, engine: &str, now: Moment) -> Option<PermitGuard> {
+        let is_for_engine = self.permitted_engine(now).as_deref() == Some(engine);
+        self.permit.take().filter(|_| is_for_engine)
+    }
+
+    /// Returns the engine for which the request has a permit.
+    pub(super) fn permitted_engine(&self, now: Moment) -> Option<Arc<str>> {
+        match self.permit.as_ref()?.state(now) {
+            PermitState::Granted(engine) => Some(engine),
+            PermitState::Waiting | PermitState::Refused(_) => None,
+        }
+    }
+
+    /// Returns the rank of its application for a permit.
+    pub(super) fn rank(&self, routed: &RoutedRequest) -> Rank {
+        match self.persists() {
+            true => Rank::GOES_ON,
+            false => Rank::new_request(routed.route.priority),
+        }
+    }
+
     /// Records that the silent run at an engine was abandoned. Another run there counts as
     /// no further engine.
     pub(super) fn abandon(&mut self, engine: &Arc<str>) {
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -84,7 +84,10 @@
     let recipient = in_flight.recipient(choice.addr);
     attempts.lifetime = recipient.lifetime.clone();
     let id = &*routed.headers.id;
-    let sending = routed.edge.send_request(&recipient, id, request, options);
+    let permit = attempts.take_permit(&choice.engine, sent_at);
+    let sending = routed
+        .edge
+        .send_request(&recipient, id, permit.as_ref(), request, options);
     let awaited = silence::wait_for(routed, attempts, &choice.engine, max_silence, sending).await;
     let outcome = match awaited {
         Awaited::Response(outcome) => outcome,
--- a/src/edge/forward/silence.rs
+++ b/src/edge/forward/silence.rs
@@ -93,7 +93,7 @@
     }
     let mut avoid = attempts.avoid.clone();
     avoid.push(engine.clone());
-    let Selection::Engine(choice) = attempt::select_engine(routed, &avoid, now) else {
+    let Selection::Engine(choice) = attempt::select_engine(routed, &avoid, None, now) else {
         return None;
     };
     if avoid.contains(&choice.engine) || choice.first_event >= max_silence {
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -42,15 +42,78 @@
     /// Engines that have said that they leave.
     #[prost(message, repeated, tag = "15")]
     pub leaving: Vec<LeavingNote>,
+    /// What engines have said of their rates.
+    #[prost(message, repeated, tag = "16")]
+    pub rates: Vec<RateNote>,
+    /// Applications for permits; only to the allocator that the sender follows.
+    #[prost(message, repeated, tag = "17")]
+    pub applications: Vec<ApplicationNote>,
+    /// Verdicts on applications of the recipient.
+    #[prost(message, repeated, tag = "18")]
+    pub verdicts: Vec<VerdictNote>,
 }
 
 impl Packet {
     /// Returns whether it has notes that every daemon should get, also a silent one.
     pub fn is_for_all(&self) -> bool {
-        !self.crash_reports.is_empty() || !self.leaving.is_empty()
+        !self.crash_reports.is_empty() || !self.leaving.is_empty() || !self.rates.is_empty()
     }
 }
 
+/// What an engine has said of its rate in one answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct RateNote {
+    /// Id of the engine.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// Start time of the engine, ms since the Unix epoch; 0 when unknown.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Random number of the answer.
+    #[prost(fixed64, tag = "3")]
+    pub number: u64,
+    /// Requests a second; absent when it names no rate any more.
+    #[prost(double, optional, tag = "4")]
+    pub rate: Option<f64>,
+    /// Time since the request was sent, µs.
+    #[prost(uint64, tag = "5")]
+    pub asked_us: u64,
+    /// Time since the answer arrived, µs.
+    #[prost(uint64, tag = "6")]
+    pub heard_us: u64,
+}
+
+/// An application for a permit.
+#[derive(Clone, PartialEq, Message)]
+pub struct ApplicationNote {
+    /// Number at its host.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Ids of the engines of which any will do.
+    #[prost(string, repeated, tag = "2")]
+    pub engines: Vec<String>,
+    /// Rank of the request; the lowest comes first.
+    #[prost(uint32, tag = "3")]
+    pub rank: u32,
+    /// Time for which the request can wait, ms.
+    #[prost(uint64, tag = "4")]
+    pub patience_ms: u64,
+}
+
+/// A verdict on an application.
+#[derive(Clone, PartialEq, Message)]
+pub struct VerdictNote {
+    /// Number of the application at its host.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Engine to which one request may be sent; empty if the application is refused.
+    #[prost(string, tag = "2")]
+    pub engine: String,
+    /// Time after which a refused caller may return, ms.
+    #[prost(uint64, tag = "3")]
+    pub return_ms: u64,
+}
+
 /// An engine that has said that it leaves.
 #[derive(Clone, PartialEq, Message)]
 pub struct LeavingNote {
@@ -77,6 +140,9 @@
     /// Its leadership, if it is the leader.
     #[prost(message, optional, tag = "5")]
     pub leadership: Option<LeadershipNote>,
+    /// Host from which it gets its permits.
+    #[prost(string, tag = "6")]
+    pub allocator: String,
 }
 
 /// Requests of a daemon in progress.
--- a/src/edge/members.rs
+++ b/src/edge/members.rs
@@ -69,6 +69,8 @@
     pub store_since: Option<Moment>,
     /// Its leadership, as it reported.
     pub leadership: Option<LeadershipStatus>,
+    /// Host from which it gets its permits, as it reported.
+    pub allocator: Option<Arc<str>>,
 }
 
 /// Leadership that a daemon reported.
@@ -156,6 +158,7 @@
                 ready: false,
                 store_since: None,
                 leadership: None,
+                allocator: None,
             });
             if record.incarnation >= member.incarnation {
                 member.peers = record.peers;
@@ -298,6 +301,22 @@
         1 + self.all.values().filter(sharing).count()
     }
 
+    /// Returns the host from which this one gets its permits: the first that is alive and ready.
+    /// `own` names this host.
+    pub fn allocator(&self, own: &Arc<str>, is_ready: bool, now: Moment) -> Arc<str> {
+        let ready = self.alive_members(now).filter(|(_, m)| m.ready);
+        let hosts = ready.map(|(host, _)| host).chain(is_ready.then_some(own));
+        hosts.min().unwrap_or(own).clone()
+    }
+
+    /// Returns the part of all daemons that gets its permits from the host `own`; `is_own` tells
+    /// whether this daemon does.
+    pub fn follower_share(&self, own: &str, is_own: bool, now: Moment) -> f64 {
+        let follows = |m: &Member| m.allocator.as_deref() == Some(own);
+        let members = self.alive_members(now).filter(|(_, m)| follows(m));
+        (members.count() + usize::from(is_own)) as f64 / self.share_count(now) as f64
+    }
+
     /// Returns the rank of this host among those that could become leader.
     pub fn succession_rank(&self, own: &str, now: Moment) -> u32 {
         let before =
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -28,6 +28,7 @@
 pub mod members;
 pub mod orders;
 pub mod peers;
+pub mod permits;
 pub mod placement;
 pub mod prefix_cache;
 pub mod relays;
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -38,6 +38,7 @@
 pub async fn send_packets(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
     let mut reporter = Reporter::default();
     let mut sequence = 0;
+    let mut allocation = Allocation::default();
     let mut heartbeat_at = Moment::ZERO;
     loop {
         let now = clock::now();
@@ -64,6 +65,9 @@
         if !round.relayed.is_empty() {
             relays::send_prompts(&edge, &socket, round.relayed).await;
         }
+        for (addr, packet) in next_permits(&edge, &mut allocation) {
+            send_packet(&socket, &signed(packet), &[addr]).await;
+        }
         let has_waiting = edge
             .state
             .borrow()
@@ -75,7 +79,8 @@
             false => period,
         };
         let until_heartbeat = (heartbeat_at + period).saturating_sub(clock::now());
-        let pause = pause.min(until_heartbeat).max(MIN_PAUSE);
+        let permits_due = edge.state.borrow().permits_due_in().unwrap_or(pause);
+        let pause = pause.min(until_heartbeat).min(permits_due).max(MIN_PAUSE);
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
             () = edge.send_wake.notified() => {}
@@ -83,6 +88,39 @@
     }
 }
 
+/// From which host this one gets its permits, and how many hosts get theirs from this one, as
+/// last logged.
+#[derive(Debug, Default, PartialEq)]
+struct Allocation {
+    allocator: Arc<str>,
+    /// Part of all hosts, in hundredths.
+    percent: u32,
+}
+
+/// Applies for permits and grants them; returns the datagrams to send.
+fn next_permits(edge: &Edge, logged: &mut Allocation) -> Vec<(SocketAddr, Packet)> {
+    let mut state = edge.state.borrow_mut();
+    let round = state.next_permits(&edge.host, edge.is_ready(), clock::now());
+    let is_limited = state.fleet.rates().limited().next().is_some();
+    drop(state);
+    let allocation = Allocation {
+        allocator: round.allocator,
+        percent: (round.share * 100.0).round() as u32,
+    };
+    if is_limited && *logged != allocation {
+        let allocator = &*allocation.allocator;
+        let share_percent = allocation.percent;
+        log::info!(allocator, share_percent; "share of the engines' rates changed");
+        *logged = allocation;
+    }
+    edge.metrics.record_permits("granted", round.granted);
+    edge.metrics.record_permits("refused", round.refused);
+    if round.decided {
+        edge.notify_waiting();
+    }
+    round.packets
+}
+
 /// Addresses to which a round is sent.
 #[derive(Clone, Debug, Default)]
 struct Recipients {
@@ -208,6 +246,10 @@
         ready: edge.is_ready(),
         store: edge.store_available(),
         leadership: leadership_note(edge, state, now),
+        allocator: state
+            .members
+            .allocator(&edge.host, edge.is_ready(), now)
+            .to_string(),
     }
 }
 
@@ -284,6 +326,7 @@
             false => None,
         };
         member.leadership = None;
+        member.allocator = Some(heartbeat.allocator.as_str().into());
         if let Ok(callers) = heartbeat.callers.parse() {
             member.callers = callers;
         }
@@ -293,7 +336,23 @@
     }
     let is_leader = state.leadership.is_some();
     let effects = state.apply_packet(&edge.host, &host, &packet, now);
+    // What was queued while the process was suspended is of an unknown age, and is repeated.
+    let is_late = edge.activity.borrow().is_catching_up(now);
+    let (mut rate_changes, mut decided) = (Vec::new(), false);
+    if !is_late {
+        rate_changes = state.apply_rates(&packet, now);
+        decided = state.apply_permits(&edge.host, &host, &packet, now);
+    }
     drop(guard);
+    for (engine, change, life) in rate_changes {
+        edge.announce_rate(&engine, change, life, &host);
+    }
+    if decided {
+        edge.notify_waiting();
+    }
+    if !packet.applications.is_empty() {
+        edge.send_wake.notify_one();
+    }
     if effects.models_changed {
         edge.notify_waiting();
     }
--- /dev/null
+++ b/src/edge/permits/allocator.rs
@@ -0,0 +1,214 @@
+//! Grants the permits of the hosts that follow this one.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Application, Rank, Verdict, spread};
+use crate::clock::Moment;
+
+/// Time for which unused permits accumulate. At least one does.
+const BURST_TIME: Duration = Duration::from_millis(100);
+/// Time after which an application lapses that its host does not repeat.
+const APPLICATION_LIFETIME: Duration = Duration::from_millis(400);
+/// Time for which a verdict is repeated when its application comes again.
+const VERDICT_RETENTION: Duration = Duration::from_millis(500);
+/// Maximum delay of a refused caller.
+const MAX_RETURN_DELAY: Duration = Duration::from_secs(10);
+
+/// Who applies.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Applicant {
+    /// Host.
+    pub host: Arc<str>,
+    /// Number of the application there.
+    pub number: u64,
+}
+
+/// An application in the queue.
+#[derive(Debug)]
+struct Queued {
+    applicant: Applicant,
+    engines: Vec<Arc<str>>,
+    rank: Rank,
+    /// When the request gives up.
+    give_up_at: Moment,
+    /// When its host applied last.
+    renewed_at: Moment,
+}
+
+/// Permits for one engine.
+#[derive(Debug)]
+struct Bucket {
+    /// Permits a second: the share of the followers in the engine's rate.
+    rate: f64,
+    /// Permits that can be granted now.
+    permits: f64,
+    filled_at: Moment,
+    /// When the last refused caller is to return.
+    return_at: Moment,
+    /// Callers that were refused.
+    refused: u64,
+}
+
+impl Bucket {
+    fn new(now: Moment) -> Self {
+        // Empty: another allocator may have granted permits until now.
+        Bucket {
+            rate: 0.0,
+            permits: 0.0,
+            filled_at: now,
+            return_at: now,
+            refused: 0,
+        }
+    }
+
+    /// Adds the permits since the last time.
+    fn fill(&mut self, rate: f64, now: Moment) {
+        let time = now.saturating_sub(self.filled_at).as_secs_f64();
+        let capacity = (rate * BURST_TIME.as_secs_f64()).max(1.0);
+        self.permits = (self.permits + self.rate * time).min(capacity);
+        self.rate = rate;
+        self.filled_at = now;
+    }
+
+    /// Returns the time until there is a permit for the one that comes after `ahead` others.
+    fn wait(&self, ahead: u32) -> Duration {
+        let missing = f64::from(ahead) + 1.0 - self.permits;
+        if missing <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::try_from_secs_f64(missing / self.rate).unwrap_or(Duration::MAX)
+    }
+
+    /// Returns after which time a caller that is refused now should return: when the queue is
+    /// done, and one after the other.
+    fn book_return(&mut self, queue_time: Duration, now: Moment) -> Duration {
+        self.refused = self.refused.wrapping_add(1);
+        let step = Duration::try_from_secs_f64(1.0 / self.rate).unwrap_or(Duration::MAX);
+        let next = self.return_at.saturating_add(step);
+        let delay = next.saturating_sub(now).max(queue_time);
+        if delay <= MAX_RETURN_DELAY {
+            self.return_at = now + delay;
+            return delay;
+        }
+        MAX_RETURN_DELAY.mul_f64((1.0 + spread(self.refused)) / 2.0)
+    }
+}
+
+/// The permits that this host grants.
+#[derive(Debug, Default)]
+pub struct Allocator {
+    buckets: HashMap<Arc<str>, Bucket>,
+    queue: Vec<Queued>,
+    /// Recent verdicts, which may have been lost on their way.
+    verdicts: HashMap<Applicant, (Moment, Verdict)>,
+}
+
+impl Allocator {
+    /// Updates the permits of the engines that have named a rate. `share` is the part of all
+    /// hosts that follows this one.
+    pub fn fill<'a>(
+        &mut self,
+        rates: impl Iterator<Item = (&'a Arc<str>, f64)>,
+        share: f64,
+        now: Moment,
+    ) {
+        for (id, rate) in rates {
+            let bucket = self.buckets.entry(id.clone());
+            let bucket = bucket.or_insert_with(|| Bucket::new(now));
+            bucket.fill(rate * share, now);
+        }
+        self.buckets.retain(|_, bucket| bucket.filled_at == now);
+    }
+
+    /// Queues an application, or renews it.
+    pub fn apply(&mut self, applicant: Applicant, application: Application, now: Moment) {
+        let known = self.queue.iter_mut().find(|q| q.applicant == applicant);
+        if let Some(queued) = known {
+            queued.renewed_at = now;
+            return;
+        }
+        self.queue.push(Queued {
+            applicant,
+            engines: application.engines,
+            rank: application.rank,
+            give_up_at: now.saturating_add(application.patience),
+            renewed_at: now,
+        });
+    }
+
+    /// Returns whether applications wait for permits.
+    pub fn is_busy(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
+    /// Returns the time until the next application may get its permit.
+    pub fn next_permit_in(&self) -> Option<Duration> {
+        let engines = self.queue.iter().flat_map(|q| &q.engines);
+        let buckets = engines.filter_map(|id| self.buckets.get(id));
+        buckets.map(|b| b.wait(0)).min()
+    }
+
+    /// Decides on the applications: grants the permits that are there, and refuses those that
+    /// would wait too long for theirs. [`Allocator::fill`] comes first.
+    pub fn decide(&mut self, now: Moment) -> Vec<(Applicant, Verdict)> {
+        self.verdicts
+            .retain(|_, (at, _)| now.saturating_sub(*at) < VERDICT_RETENTION);
+        self.queue
+            .retain(|q| now.saturating_sub(q.renewed_at) < APPLICATION_LIFETIME);
+        self.queue.sort_by_key(|q| (q.rank, q.give_up_at));
+        let mut ahead: HashMap<Arc<str>, u32> = HashMap::new();
+        let mut verdicts = Vec::new();
+        let mut waiting = Vec::new();
+        for queued in std::mem::take(&mut self.queue) {
+            let known = self.verdicts.get(&queued.applicant);
+            let verdict = match known {
+                Some((_, verdict)) => Some(verdict.clone()),
+                None => self.verdict(&queued, &mut ahead, now),
+            };
+            match verdict {
+                Some(verdict) => verdicts.push((queued.applicant, verdict)),
+                None => waiting.push(queued),
+            }
+        }
+        self.queue = waiting;
+        for (applicant, verdict) in &verdicts {
+            let at = (now, verdict.clone());
+            self.verdicts.entry(applicant.clone()).or_insert(at);
+        }
+        verdicts
+    }
+
+    /// Decides on one application; `ahead` counts those that come before it by engine. `None` if
+    /// it waits.
+    fn verdict(
+        &mut self,
+        queued: &Queued,
+        ahead: &mut HashMap<Arc<str>, u32>,
+        now: Moment,
+    ) -> Option<Verdict> {
+        let mut best: Option<(Duration, &Arc<str>)> = None;
+        for id in &queued.engines {
+            let Some(bucket) = self.buckets.get(id) else {
+                // It names no rate any more.
+                return Some(Verdict::Granted(id.clone()));
+            };
+            let wait = bucket.wait(ahead.get(id).copied().unwrap_or(0));
+            if best.is_none_or(|(shortest, _)| wait < shortest) {
+                best = Some((wait, id));
+            }
+        }
+        let (wait, id) = best?;
+        let bucket = self.buckets.get_mut(id)?;
+        if wait.is_zero() {
+            bucket.permits -= 1.0;
+            return Some(Verdict::Granted(id.clone()));
+        }
+        if wait > queued.give_up_at.saturating_sub(now) {
+            return Some(Verdict::Refused(bucket.book_return(wait, now)));
+        }
+        *ahead.entry(id.clone()).or_default() += 1;
+        None
+    }
+}
--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -11,6 +11,7 @@
     PromptNote, TargetCount, WaitingNote, WaitingReport,
 };
 use super::members::{HEARTBEAT_PERIOD, MAX_DIRECT_MEMBERS};
+use super::permits::packets::rate_note;
 use super::state::State;
 use crate::clock::Moment;
 
@@ -19,6 +20,8 @@
 /// Maximum number of repeated notes of engines that leave in one datagram, so that it fits
 /// one frame.
 const LEAVING_PER_PACKET: usize = 8;
+/// Maximum number of repeated notes of engines' rates in one datagram, for the same reason.
+const RATES_PER_PACKET: usize = 6;
 /// Period of reporting the load to a daemon, for each daemon of the deployment: the rate
 /// of all reports that a daemon receives stays the same.
 const LOAD_PERIOD_PER_MEMBER: Duration = Duration::from_millis(9);
@@ -61,6 +64,8 @@
     leader: Option<Arc<str>>,
     /// Place in the list of engines that leave at which the next repetition starts.
     leaving_turn: usize,
+    /// The same in the list of engines' rates.
+    rate_turn: usize,
 }
 
 impl Reporter {
@@ -80,8 +85,9 @@
         };
         if is_heartbeat {
             self.repeat_leaving_notes(state, &mut everyone);
+            self.repeat_rate_notes(state, &mut everyone, now);
         }
-        add_urgent_notes(state, &mut everyone);
+        add_urgent_notes(state, &mut everyone, now);
         let mut relayed = Vec::new();
         if state.members.all.len() > MAX_DIRECT_MEMBERS {
             relayed.append(&mut everyone.sent_prompts);
@@ -115,10 +121,7 @@
     /// daemon that has started again knows of none. Those beyond the limit take turns.
     fn repeat_leaving_notes(&mut self, state: &State, packet: &mut Packet) {
         let leaving: Vec<_> = state.fleet.leaving_engines().collect();
-        let count = leaving.len().min(LEAVING_PER_PACKET);
-        let start = self.leaving_turn % leaving.len().max(1);
-        self.leaving_turn = start + count;
-        for entry in leaving.iter().cycle().skip(start).take(count) {
+        for entry in take_turn(&leaving, &mut self.leaving_turn, LEAVING_PER_PACKET) {
             packet.leaving.push(LeavingNote {
                 engine: entry.id.to_string(),
                 incarnation: entry.incarnation,
@@ -126,6 +129,16 @@
         }
     }
 
+    /// Adds what engines have said of their rates, for the same reasons.
+    fn repeat_rate_notes(&mut self, state: &mut State, packet: &mut Packet, now: Moment) {
+        state.fleet.drop_expired_rates(now);
+        let mut rates: Vec<_> = state.fleet.rates().iter().collect();
+        rates.sort_by_key(|(id, _)| *id);
+        for (id, statement) in take_turn(&rates, &mut self.rate_turn, RATES_PER_PACKET) {
+            packet.rates.push(rate_note(id, statement, now));
+        }
+    }
+
     fn demand_report(
         &mut self,
         state: &mut State,
@@ -157,8 +170,23 @@
     }
 }
 
+/// Returns the next `limit` of `items` from the place `turn` on, which moves on.
+fn take_turn<'a, T>(items: &'a [T], turn: &mut usize, limit: usize) -> impl Iterator<Item = &'a T> {
+    let count = items.len().min(limit);
+    let start = *turn % items.len().max(1);
+    *turn = start + count;
+    items.iter().cycle().skip(start).take(count)
+}
+
 /// Adds the notes that other daemons should get at once.
-fn add_urgent_notes(state: &mut State, packet: &mut Packet) {
+fn add_urgent_notes(state: &mut State, packet: &mut Packet, now: Moment) {
+    for engine in std::mem::take(&mut state.rate_news) {
+        let is_added = packet.rates.iter().any(|r| r.engine == *engine);
+        let statement = state.fleet.rates().statement(&engine);
+        if let Some(statement) = statement.filter(|_| !is_added) {
+            packet.rates.push(rate_note(&engine, statement, now));
+        }
+    }
     for (fingerprint, lifetime) in state.crash_reports.drain(..) {
         packet.crash_reports.push(CrashReport {
             fingerprint,
--- a/src/edge/routing/mod.rs
+++ b/src/edge/routing/mod.rs
@@ -67,6 +67,15 @@
     pub fingerprint: u64,
     /// Engines to use only when there is no other.
     pub avoid: &'a [Arc<str>],
+    /// Engine that has named a rate, for which the request has a permit.
+    pub permit: Option<&'a Arc<str>>,
+}
+
+impl RoutingRequest<'_> {
+    /// Returns whether the request may be sent to an engine as far as its rate goes.
+    fn may_use(&self, engine: &Upstream, fleet: &Fleet) -> bool {
+        self.permit == Some(&engine.entry.id) || fleet.rates().rate(&engine.entry.id).is_none()
+    }
 }
 
 /// The engine selected for a request.
@@ -117,6 +126,8 @@
     },
     /// The engines that could serve it want no requests of this host now.
     Paused(PausedEngine),
+    /// The engines that could serve it have named a rate, and the request has no permit.
+    Limited,
     /// The desired state does not name the model.
     UnknownModel,
 }
@@ -139,7 +150,7 @@
     let holding: Vec<_> = engines.iter().copied().filter(holds).collect();
     let selection = select_awake(context, request, &holding);
     let pause_left = match &selection {
-        Selection::NoEngine => None,
+        Selection::NoEngine | Selection::Limited => None,
         Selection::Paused(paused) => Some(paused.ready_in),
         _ => return selection,
     };
@@ -147,7 +158,9 @@
         return Selection::UnknownModel;
     };
     let mut load_time = None;
-    for engine in engines.iter().filter(|e| context.fleet.is_open(e, now)) {
+    let fleet = context.fleet;
+    let is_free = |e: &&&Upstream| fleet.is_open(e, now) && request.may_use(e, fleet);
+    for engine in engines.iter().filter(is_free) {
         let copies = &engine.entry.copies;
         let time = if engine.has_model(&prompt.model, None, now) {
             Duration::ZERO
@@ -165,6 +178,9 @@
     {
         return selection;
     }
+    if selection == Selection::Limited && load_time.is_none() {
+        return selection;
+    }
     let load_time = load_time.unwrap_or(model.store_load);
     let forecast = context.forecast.filter(|_| load_time == model.store_load);
     Selection::NotLoaded {
@@ -175,6 +191,35 @@
     }
 }
 
+/// Returns the engines that could serve a request if it had a permit: they have named a rate.
+pub fn limited_engines(
+    context: &RoutingContext<'_>,
+    request: &RoutingRequest<'_>,
+) -> Vec<Arc<str>> {
+    let (fleet, now) = (context.fleet, context.now);
+    if fleet.rates().is_empty() {
+        return Vec::new();
+    }
+    let holds = |e: &Upstream| {
+        request.prompt.is_none_or(|p| {
+            let is_loaded = e.has_model(&p.model, p.adapter.as_deref(), now);
+            is_loaded && !e.is_missing(&p.target(), now)
+        })
+    };
+    let is_candidate = |e: &&Upstream| {
+        let is_limited = fleet.rates().rate(&e.entry.id).is_some();
+        is_limited && fleet.is_open(e, now) && e.breaker.allows(now) && holds(e)
+    };
+    let engines = fleet.usable_engines(request.service).filter(is_candidate);
+    let all: Vec<_> = engines.map(|e| e.entry.id.clone()).collect();
+    let is_fresh = |id: &&Arc<str>| !request.avoid.contains(id);
+    let fresh: Vec<_> = all.iter().filter(is_fresh).cloned().collect();
+    match fresh.is_empty() {
+        true => all,
+        false => fresh,
+    }
+}
+
 /// Selects one of `engines` that takes requests of this host now.
 fn select_awake(
     context: &RoutingContext<'_>,
@@ -183,10 +228,13 @@
 ) -> Selection {
     let (fleet, now) = (context.fleet, context.now);
     let awake = engines.iter().copied().filter(|e| fleet.is_open(e, now));
-    let awake: Vec<_> = awake.collect();
+    let (awake, limited): (Vec<_>, Vec<_>) = awake.partition(|e| request.may_use(e, fleet));
     if let Some(choice) = best_engine(context, request, &awake) {
         return Selection::Engine(choice);
     }
+    if !limited.is_empty() {
+        return Selection::Limited;
+    }
     let pause_left = |e: &Upstream| fleet.pause_left(e, now).unwrap_or(REOPENING_STEP);
     let paused = engines.iter().map(|e| (pause_left(e), e));
     let Some((ready_in, engine)) = paused.min_by_key(|(left, _)| *left) else {
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -18,12 +18,13 @@
 use super::leadership::{Leadership, PeerReach};
 use super::load_forecast::LoadForecast;
 use super::members::Members;
+use super::permits::{Allocator, Permits};
 use super::placement::{EngineCall, ModelTarget, PlacementInput, Placer, WaitingRequests};
 use super::retry_budget::{RetryBudget, RetryLimits};
 use super::routing::PausedEngine;
 use super::settings::Settings;
 use super::shutdown::Shutdown;
-use super::statements::{RateStatement, Source};
+use super::statements::{RateChange, RateStatement, Source};
 use super::store::StoreClient;
 use super::suspects::Suspects;
 use super::upstream::{EngineChange, Lifetime, SentPrompt};
@@ -125,6 +126,12 @@
     pub crash_reports: Vec<(u64, Lifetime)>,
     /// Engines that leave, with their start times, not yet reported to other daemons.
     pub leaving_notes: Vec<(Arc<str>, u64)>,
+    /// Engines whose rates have changed, not yet reported to other daemons.
+    pub rate_news: Vec<Arc<str>>,
+    /// Permits for requests of this daemon.
+    pub permits: Permits,
+    /// Permits that this daemon grants.
+    pub allocator: Allocator,
     /// Leadership of this daemon, if it is the leader.
     pub leadership: Option<Leadership>,
     /// Placement decisions of that leadership.
@@ -286,20 +293,31 @@
         self.send_wake.notify_one();
     }
 
-    /// Records what an engine has said of its rate to this daemon, or to the one that `source`
-    /// names.
-    pub fn record_rate(&self, engine: &Arc<str>, statement: RateStatement, source: &str) {
+    /// Records what an engine has said of its rate to this daemon, and tells the other daemons.
+    pub fn record_rate(&self, engine: &Arc<str>, statement: RateStatement) {
         let mut state = self.state.borrow_mut();
         let Some(change) = state.fleet.rates_mut().record(engine, statement) else {
             return;
         };
+        state.rate_news.push(engine.clone());
         drop(state);
+        self.metrics.record_engine_statement("rate", "kept");
+        self.announce_rate(
+            engine,
+            change,
+            statement.incarnation,
+            Source::Response.into(),
+        );
+        self.send_wake.notify_one();
+    }
+
+    /// Logs that an engine's rate has changed, as `source` has said, and wakes the tasks that
+    /// decide anew with it.
+    pub fn announce_rate(&self, engine: &str, change: RateChange, life: u64, source: &str) {
         let before = change.before.map(|r| r.to_string()).unwrap_or_default();
         let rate = change.after.map(|r| r.to_string()).unwrap_or_default();
-        let life = statement.incarnation;
-        log::info!(engine = &**engine, rate = &*rate, before = &*before, source, life;
+        log::info!(engine, rate = &*rate, before = &*before, source, life;
             "engine's rate changed");
-        self.metrics.record_engine_statement("rate", "kept");
         self.notify_waiting();
         self.order_wake.notify_one();
     }
--- a/src/edge/statements/rates.rs
+++ b/src/edge/statements/rates.rs
@@ -81,6 +81,11 @@
         self.statements.get(id)?.rate
     }
 
+    /// Returns what an engine has said of its rate.
+    pub fn statement(&self, id: &str) -> Option<&RateStatement> {
+        self.statements.get(id)
+    }
+
     /// Returns what is known of rates, also of those that have ended lately.
     pub fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &RateStatement)> {
         self.statements.iter()
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -43,6 +43,7 @@
     connections_ended: Counter<u64>,
     engine_responses: Counter<u64>,
     engine_statements: Counter<u64>,
+    permits: Counter<u64>,
     store_eras: Counter<u64>,
     stream_ends: Counter<u64>,
     streams: UpDownCounter<i64>,
@@ -114,6 +115,11 @@
                 "engine_statements",
                 "What engines said of themselves, by statement and outcome",
             ),
+            permits: counter(
+                &m,
+                "permits",
+                "Permits for engines that have named a rate, by outcome",
+            ),
             stream_ends: counter(
                 &m,
                 "stream_ends",
@@ -197,6 +203,14 @@
         self.engine_statements.add(1, &labels);
     }
 
+    /// Counts permits to send requests to engines that have named a rate, by outcome.
+    pub fn record_permits(&self, outcome: &'static str, count: u32) {
+        if count > 0 {
+            let outcome = KeyValue::new("outcome", outcome);
+            self.permits.add(u64::from(count), &[outcome]);
+        }
+    }
+
     /// Counts that the store came back from an older copy.
     pub fn record_store_era(&self) {
         self.store_eras.add(1, &[]);
--- a/tests/simulation/simulator/requests.rs
+++ b/tests/simulation/simulator/requests.rs
@@ -76,6 +76,7 @@
             prompt: Some(&request.arrival.prompt),
             fingerprint: fingerprint(&index.to_string(), &[]),
             avoid: &request.avoid,
+            permit: None,
         };
         let started = Instant::now();
         let selection = routing::select_engine(&context, &query);
@@ -120,6 +121,8 @@
                 self.schedule_after(HOLD_PERIOD, SimEvent::Route(index, tries))
             }
             AdmissionDecision::ReturnLater(paused) => self.refuse_try(index, paused.ready_in),
+            // The engines of the simulation name no rate.
+            AdmissionDecision::NoPermit => self.refuse_try(index, HOLD_PERIOD),
             AdmissionDecision::Pause(left) => {
                 self.schedule_after(left, SimEvent::Route(index, tries))
             }
