Load models elsewhere whose engines take less than the demand

The leader counted an engine that had named a rate as any other: models were loaded on it, were not loaded elsewhere before their callers were refused, and the replica beside it could be unloaded as a second one.

Utilization now includes the part of a named rate that the demand needs, loads avoid such engines, and only replicas without a rate stand in for an unloaded one.

--- a/src/edge/placement/index.rs
+++ b/src/edge/placement/index.rs
@@ -9,12 +9,19 @@
 use crate::edge::request_headers::split_target;
 use crate::edge::upstream::Upstream;
 
+/// Rate, requests a second, at which the utilization of an engine with a lower one is computed.
+const MIN_RATE: f64 = 1e-3;
+/// Maximum utilization for the reason of a rate.
+const MAX_UTILIZATION: f64 = 10.0;
+
 /// What the planning of loads looks up again and again; computed once for each planning
 /// and after each planned load.
 #[derive(Debug, Default)]
 pub(super) struct PlanIndex {
     /// Number of engines that serve or will serve each model.
     pub(super) replicas: HashMap<ModelKey, usize>,
+    /// The same without engines that have named a rate.
+    pub(super) unlimited: HashMap<ModelKey, usize>,
     /// Engine time per second that the demand for an engine's models needs, by engine.
     pub(super) utilization: HashMap<Arc<str>, f64>,
     /// Requests in progress at each engine, by model.
@@ -49,18 +56,24 @@
     /// Indexes the engines that serve or will serve each model, and how busy they are.
     pub(super) fn index_replicas(&mut self, input: &PlacementInput<'_>) {
         let mut replicas: HashMap<ModelKey, usize> = HashMap::new();
+        let mut unlimited: HashMap<ModelKey, usize> = HashMap::new();
         for (engine, view) in self.known_engines(input) {
             let planned = view.task.iter().map(|t| &t.model);
             let new = planned.filter(|m| !view.replicas.contains_key(*m));
+            let is_limited = input.fleet.rates().rate(&engine.entry.id).is_some();
             for model in view.replicas.keys().chain(new) {
                 if !view.will_serve(model) {
                     continue;
                 }
                 let key = ModelKey::new(&engine.entry.service, model);
+                if !is_limited {
+                    *unlimited.entry(key.clone()).or_default() += 1;
+                }
                 *replicas.entry(key).or_default() += 1;
             }
         }
         self.index.replicas = replicas;
+        self.index.unlimited = unlimited;
         let mut utilization = HashMap::with_capacity(self.views.len());
         for (engine, view) in self.known_engines(input) {
             let id = engine.entry.id.clone();
@@ -70,10 +83,10 @@
     }
 
     /// Returns the utilization of an engine: the engine time per second that the
-    /// demand for its models needs.
+    /// demand for its models needs, or the part of the rate that it has named, if that is more.
     fn utilization(&self, input: &PlacementInput<'_>, engine: &Upstream, view: &EngineView) -> f64 {
         let service = &engine.entry.service;
-        let mut utilization = 0.0;
+        let (mut utilization, mut requests) = (0.0, 0.0);
         for model in view.replicas.keys() {
             let key = ModelKey::new(service, model);
             let Some(demand) = input.demand.get(&key) else {
@@ -81,7 +94,12 @@
             };
             let replicas = self.replica_count(&key).max(1);
             utilization += demand.work / replicas as f64;
+            requests += demand.rate / replicas as f64;
+        }
+        let utilization = utilization * engine.slowdown.factor(input.now);
+        match input.fleet.rates().rate(&engine.entry.id) {
+            Some(rate) => utilization.max((requests / rate.max(MIN_RATE)).min(MAX_UTILIZATION)),
+            None => utilization,
         }
-        utilization * engine.slowdown.factor(input.now)
     }
 }
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -23,6 +23,11 @@
 /// Cost of evicting one replica when the others then exceed the hot threshold:
 /// seconds for each engine second per second over it.
 const OVERLOAD_COST_S: f64 = 20.0;
+/// Cost of a load on an engine that has named a rate, s; more than any load takes.
+const LIMITED_COST_S: f64 = 15.0;
+/// Part of an engine's rate that the demand for a model may need before the model is loaded on
+/// another engine too.
+const RATE_UTILIZATION: f64 = 0.7;
 /// Maximum number of models of one engine that are considered as victims; all
 /// their subsets are tried.
 const MAX_VICTIM_OPTIONS: usize = 8;
@@ -75,6 +80,11 @@
                 self.plan_load(input, key, LoadReason::Hot);
             }
         }
+        for key in self.limited_models(input) {
+            if self.least_utilization(input, &key) > RATE_UTILIZATION {
+                self.plan_load(input, &key, LoadReason::Hot);
+            }
+        }
         if input.now.saturating_sub(self.unserved_checked) >= UNSERVED_CHECK_PERIOD {
             self.unserved_checked = input.now;
             let with_copies = self.models_with_copies(input);
@@ -83,6 +93,22 @@
         }
     }
 
+    /// Returns the models that only engines with a rate serve.
+    fn limited_models(&self, input: &PlacementInput<'_>) -> Vec<ModelKey> {
+        let mut models = BTreeSet::new();
+        for (id, _) in input.fleet.rates().limited() {
+            let (Some(engine), Some(view)) = (input.fleet.engines.get(id), self.views.get(id))
+            else {
+                continue;
+            };
+            for model in view.replicas.keys() {
+                models.insert(ModelKey::new(&engine.entry.service, model));
+            }
+        }
+        models.retain(|key| self.unlimited_count(key) == 0);
+        models.into_iter().collect()
+    }
+
     /// Returns the models that requests wait for and no engine serves, in the order in which
     /// they are loaded: by priority, and then the longest waited for first, so that a
     /// forecast holds.
@@ -214,6 +240,11 @@
         self.index.replicas.get(key).copied().unwrap_or(0)
     }
 
+    /// Returns the number of engines that serve or will serve a model and have named no rate.
+    fn unlimited_count(&self, key: &ModelKey) -> usize {
+        self.index.unlimited.get(key).copied().unwrap_or(0)
+    }
+
     /// Returns the models that any engine holds, loads or keeps a copy of.
     fn models_with_copies(&self, input: &PlacementInput<'_>) -> HashSet<ModelKey> {
         let mut with_copies = HashSet::new();
@@ -308,7 +339,12 @@
             }
             let utilization_cost = self.indexed_utilization(engine) * UTILIZATION_COST_S;
             let delay = view.task_remaining(input.now).as_secs_f64();
-            let cost = load_time.as_secs_f64() + delay + eviction_cost + utilization_cost;
+            let rate_cost = match input.fleet.rates().rate(&engine.entry.id) {
+                Some(_) => LIMITED_COST_S,
+                None => 0.0,
+            };
+            let cost =
+                load_time.as_secs_f64() + delay + eviction_cost + utilization_cost + rate_cost;
             if best.as_ref().is_none_or(|b| cost < b.cost) {
                 best = Some(LoadOption {
                     cost,
@@ -377,7 +413,12 @@
             }
             let requests = self.index.requests.get(&engine.entry.id);
             let running = requests.and_then(|r| r.get(name)).copied().unwrap_or(0);
-            let cost = self.unload_cost(input, &key, running);
+            let is_limited = input.fleet.rates().rate(&engine.entry.id).is_some();
+            let others = match is_limited {
+                true => self.unlimited_count(&key),
+                false => self.unlimited_count(&key).saturating_sub(1),
+            };
+            let cost = self.unload_cost(input, &key, others, running);
             options.push((
                 cost,
                 model_size_mb(hosting, name, replica.adapters.len()),
@@ -432,10 +473,16 @@
         rate * spec.disk_load.as_secs_f64() * settings.rate_loss
     }
 
-    /// Returns the cost of unloading a model from an engine, in seconds of waiting.
-    fn unload_cost(&self, input: &PlacementInput<'_>, key: &ModelKey, running: u32) -> f64 {
+    /// Returns the cost of unloading a model from an engine, in seconds of waiting. `others`
+    /// serve it without a rate.
+    fn unload_cost(
+        &self,
+        input: &PlacementInput<'_>,
+        key: &ModelKey,
+        others: usize,
+        running: u32,
+    ) -> f64 {
         let demand = input.demand.get(key).copied().unwrap_or_default();
-        let others = self.replica_count(key).saturating_sub(1);
         let settings = &self.settings;
         let mut cost = settings.unload_loss + f64::from(running) * settings.running_loss;
         if others == 0 {
--- a/tests/edge/placement.rs
+++ b/tests/edge/placement.rs
@@ -4,6 +4,7 @@
 
 use mastichinge::edge::orders::{EngineReport, OrderOutcome, Verb};
 use mastichinge::edge::placement::{EngineCall, LoadHistory};
+use mastichinge::edge::statements::RateStatement;
 
 use crate::fixtures::{PlacerFixture, SERVICE, desired, entry, loads, report};
 
@@ -367,3 +368,67 @@
         ("e2", Some("x"))
     );
 }
+
+/// Lets an engine name a rate.
+fn name_rate(fixture: &mut PlacerFixture, engine: &str, rate: f64) {
+    let statement = RateStatement {
+        number: 1,
+        incarnation: 1_000,
+        rate: Some(rate),
+        asked_at: fixture.now,
+        heard_at: fixture.now,
+    };
+    let rates = fixture.fleet.rates_mut();
+    rates.record(&engine.into(), statement);
+}
+
+/// Guards against callers that are refused although an engine is free: the only engine with their
+/// model had named a rate below the demand.
+#[test]
+fn a_model_is_loaded_ahead_where_its_engine_takes_less_than_the_demand() {
+    for (rate, expected) in [(1.0, vec![("e2", "a")]), (30.0, vec![])] {
+        let engines = vec![entry("e1", 1, &["a"]), entry("e2", 2, &[])];
+        let mut fixture = PlacerFixture::new(engines, desired(&["a"]));
+        name_rate(&mut fixture, "e1", rate);
+        fixture.set_demand("a", 3.0, 0.05);
+        let held = |engine: &str| match engine {
+            "e1" => report(&["a"], 0),
+            _ => report(&[], 0),
+        };
+        let orders = fixture.run(1_000, held, OrderOutcome::Accepted);
+        assert_eq!(loads(&orders), expected, "{rate}");
+    }
+}
+
+/// Guards against loads on an engine that can hardly serve what it loads.
+#[test]
+fn a_model_is_loaded_where_no_rate_is_named() {
+    let mut limited = entry("e1", 1, &[]);
+    limited.copies.memory.insert("a".into());
+    let mut fixture = PlacerFixture::new(vec![limited, entry("e2", 2, &[])], desired(&["a"]));
+    name_rate(&mut fixture, "e1", 1.0);
+    fixture.add_waiting("a", None);
+    let orders = fixture.run(1_000, |_| report(&[], 0), OrderOutcome::Accepted);
+    assert_eq!(loads(&orders), [("e2", "a")]);
+}
+
+/// Guards against an unload of the only replica that takes requests without a limit.
+#[test]
+fn the_replica_beside_an_engine_with_a_rate_stays() {
+    let engines = vec![entry("e1", 1, &["a", "c"]), entry("e2", 2, &["a", "b"])];
+    let mut fixture = PlacerFixture::new(engines, desired(&["a", "b", "c", "d"]));
+    name_rate(&mut fixture, "e1", 0.5);
+    fixture.set_demand("a", 2.0, 0.05);
+    fixture.set_demand("b", 0.5, 0.05);
+    fixture.set_demand("c", 0.5, 0.05);
+    fixture.add_waiting("d", None);
+    let held = |engine: &str| match engine {
+        "e1" => report(&["a", "c"], 0),
+        _ => report(&["a", "b"], 0),
+    };
+    let orders = fixture.run(1_000, held, OrderOutcome::Accepted);
+    let unloads = orders.iter().filter(|o| o.verb == Verb::Unload);
+    let unloads: Vec<_> = unloads.map(|o| (&*o.engine, &*o.model)).collect();
+    assert!(!unloads.contains(&("e2", "a")), "{unloads:?}");
+    assert!(!unloads.is_empty());
+}
