Leave a restarted daemon only the rest of the retry slack for one window

A process learns from its row in the store that another ran before it; the first start of a host is not affected.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -100,6 +100,8 @@
     let edge = Rc::new(Edge {
         host: settings.host.clone(),
         incarnation: Clock::unix_ms(),
+        started_at: clock::now(),
+        has_predecessor: Cell::new(false),
         store: StoreClient::new(settings.store.addr, Client::default()),
         client: Client::default(),
         call_client: Client::default(),
--- a/src/edge/retry_budget.rs
+++ b/src/edge/retry_budget.rs
@@ -6,7 +6,8 @@
 use crate::clock::Moment;
 
 /// Share of the whole budget that is used; the rest allows for daemons that count
-/// different numbers of members.
+/// different numbers of members. Of the slack, a daemon that has started within the window
+/// uses only that rest: the process before it may have used its share.
 const USABLE_SHARE: f64 = 0.75;
 
 /// Limits over a sliding window, for all daemons together.
@@ -18,6 +19,8 @@
     pub slack: f64,
     /// Length of the window.
     pub window: Duration,
+    /// Start of this daemon, if a process before it may have used its share.
+    pub restarted_at: Option<Moment>,
 }
 
 /// Requests and retries of one service in the window.
@@ -39,8 +42,13 @@
     pub fn try_retry(&mut self, limits: &RetryLimits, daemons: usize, now: Moment) -> bool {
         remove_expired(&mut self.requests, limits.window, now);
         remove_expired(&mut self.retries, limits.window, now);
-        let slack = limits.slack / daemons.max(1) as f64;
-        let allowed = USABLE_SHARE * (slack + limits.ratio * self.requests.len() as f64);
+        let is_recent = |at: Moment| now.saturating_sub(at) < limits.window;
+        let slack_share = match limits.restarted_at.is_some_and(is_recent) {
+            true => 1.0 - USABLE_SHARE,
+            false => USABLE_SHARE,
+        };
+        let slack = slack_share * limits.slack / daemons.max(1) as f64;
+        let allowed = slack + USABLE_SHARE * limits.ratio * self.requests.len() as f64;
         if (self.retries.len() + 1) as f64 > allowed {
             return false;
         }
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -61,6 +61,10 @@
     pub host: Arc<str>,
     /// Start number of this process, ms since the Unix epoch.
     pub incarnation: u64,
+    /// Start of this process.
+    pub started_at: Moment,
+    /// Whether a process before this one ended without deleting its row in the store.
+    pub has_predecessor: Cell<bool>,
     /// HTTP client for requests to engines.
     pub client: Client,
     /// HTTP client for orders and report requests to engines. Their responses have no id,
@@ -212,6 +216,7 @@
             ratio: bounds.retry_ratio,
             slack: bounds.retry_slack,
             window: Duration::from_secs_f64(bounds.retry_window_s),
+            restarted_at: self.has_predecessor.get().then_some(self.started_at),
         }
     }
 
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -11,7 +11,7 @@
 use super::engine_list::EngineList;
 use super::members::MemberRecord;
 use super::state::{DaemonPhase, Edge};
-use super::store::{RowChange, RowPage, StoreError, Table};
+use super::store::{CommitOutcome, RowChange, RowPage, StoreError, Table};
 use super::upstream::EngineEntry;
 use crate::platform::{desired, rows};
 
@@ -295,8 +295,27 @@
     }
 }
 
-/// Writes this daemon's row; returns whether that succeeded.
+/// Writes this daemon's row, and finds out whether a process before it left one; returns whether
+/// that succeeded.
 async fn write_member_row(edge: &Edge) -> bool {
+    match commit_member_row(edge, Some(0)).await {
+        Some(CommitOutcome::Conflict(page)) => {
+            let rows = page.rows.iter().filter(|row| row.key == edge.host);
+            let records = rows.filter_map(|row| row.value.as_deref());
+            let records = records.filter_map(|v| serde_json::from_slice::<MemberRecord>(v).ok());
+            for record in records.filter(|r| r.incarnation != edge.incarnation) {
+                let life = record.incarnation;
+                log::info!(life; "a process before this one ran at this host");
+                edge.has_predecessor.set(true);
+            }
+            commit_member_row(edge, None).await.is_some()
+        }
+        outcome => outcome.is_some(),
+    }
+}
+
+/// Writes this daemon's row if it has the expected version; `None` if the store did not answer.
+async fn commit_member_row(edge: &Edge, expected_version: Option<u64>) -> Option<CommitOutcome> {
     let settings = edge.settings();
     let record = MemberRecord {
         incarnation: edge.incarnation,
@@ -307,16 +326,13 @@
     let change = RowChange {
         table: Table::Members,
         key: edge.host.clone(),
-        expected_version: None,
+        expected_version,
         value: serde_json::to_vec(&record).ok(),
     };
-    match edge.store.commit(&[change]).await {
-        Ok(_) => true,
-        Err(error) => {
-            log::debug!(error:%; "member row not written");
-            false
-        }
-    }
+    let outcome = edge.store.commit(&[change]).await;
+    outcome
+        .inspect_err(|error| log::debug!(error:%; "member row not written"))
+        .ok()
 }
 
 /// Deletes this daemon's row at shutdown.
--- a/tests/edge/retry_budget.rs
+++ b/tests/edge/retry_budget.rs
@@ -13,6 +13,7 @@
     ratio: 0.2,
     slack: 50.0,
     window: Duration::from_secs(10),
+    restarted_at: None,
 };
 
 fn at(ms: u64) -> Moment {
@@ -47,6 +48,35 @@
     assert!(!spent.is_empty());
 }
 
+/// Guards against BUDGET: daemons that start again know nothing of the retries before, and each
+/// began with its whole share.
+#[test]
+fn the_budget_holds_when_all_daemons_start_again() {
+    let (daemons, restart) = (5, 3_000);
+    let mut budgets = vec![RetryBudget::default(); daemons];
+    let mut limits = LIMITS;
+    let mut times = Vec::new();
+    for ms in (0..25_000).step_by(50) {
+        if ms == restart {
+            limits.restarted_at = Some(at(restart));
+            budgets.fill_with(RetryBudget::default);
+        }
+        for budget in &mut budgets {
+            if budget.try_retry(&limits, daemons, at(ms)) {
+                times.push(at(ms));
+            }
+        }
+    }
+    for start in &times {
+        let within = times
+            .iter()
+            .filter(|t| *t >= start && **t < *start + LIMITS.window);
+        let count = within.count() as f64;
+        assert!(count <= LIMITS.slack, "{count}");
+    }
+    assert!(times.last() > Some(&at(restart)));
+}
+
 /// Daemons that count four members instead of five together stay within the budget.
 #[test]
 fn the_budget_holds_when_daemons_miss_one_member_in_five() {
@@ -97,3 +127,12 @@
     }
     assert!(!site.daemon.logged("request retry").is_empty());
 }
+
+#[test]
+fn a_daemon_that_starts_again_knows_that_one_ran_before() {
+    let mut site = Site::start();
+    let message = "a process before this one ran at this host";
+    assert_eq!(site.daemon.logged(message).len(), 0);
+    site.daemon.restart();
+    wait("its log line", || site.daemon.logged(message).len() == 1);
+}
