Check engines that take hardly any requests, as their answers may not come

An engine that named 0 got nothing, so that no answer could ever say that its limit had ended: the new test waited for a check in vain. The allocator asks such an engine every 5 s. An answer without a rate lets single requests through, whose answers decide.

--- a/src/edge/engine_checks.rs
+++ b/src/edge/engine_checks.rs
@@ -1,5 +1,6 @@
-//! Checks of engines that have started again and were heard to say that they leave: whether the
-//! lifetime before or the new one has said it.
+//! Checks of engines: of those that have started again and were heard to say that they leave,
+//! whether the lifetime before or the new one has said it; of those that take hardly any
+//! requests, whether they still say so.
 
 use std::rc::Rc;
 
@@ -17,6 +18,54 @@
     for recipient in due {
         tokio::task::spawn_local(check(edge.clone(), recipient));
     }
+    for recipient in take_rate_checks(edge) {
+        tokio::task::spawn_local(check_rate(edge.clone(), recipient));
+    }
+}
+
+/// Returns the engines to be asked for their rates; one host asks for all.
+fn take_rate_checks(edge: &Edge) -> Vec<Recipient> {
+    let now = clock::now();
+    let mut state = edge.state.borrow_mut();
+    let allocator = state.members.allocator(&edge.host, edge.is_ready(), now);
+    if allocator != edge.host {
+        return Vec::new();
+    }
+    let due = state.fleet.rates_mut().take_checks(now);
+    let recipients = due.iter().filter_map(|id| state.fleet.recipient(id));
+    recipients.collect()
+}
+
+/// Asks an engine whether it still names its rate; what its answer says is recorded as that of
+/// any other.
+async fn check_rate(edge: Rc<Edge>, recipient: Recipient) {
+    let Some(request) = check_request(&edge, &recipient) else {
+        return;
+    };
+    let engine = &recipient.lifetime.engine;
+    let asked_at = clock::now();
+    match edge.call_engine(&recipient, CallKind::Check, request).await {
+        Ok(response) if response.status().is_success() => {}
+        Ok(response) => {
+            let status = response.status().as_u16();
+            log::info!(engine = &**engine, status; "engine's rate not checked");
+            return;
+        }
+        Err(error) => {
+            log::info!(engine = &**engine, error:%; "engine's rate not checked");
+            return;
+        }
+    }
+    let now = clock::now();
+    let state = edge.state.borrow();
+    let rates = state.fleet.rates();
+    let statement = rates.statement_after_check(engine, asked_at, now);
+    drop(state);
+    let has_changed = statement.is_some();
+    log::info!(engine = &**engine, has_changed; "engine's rate checked");
+    if let Some(statement) = statement {
+        edge.record_rate(engine, statement);
+    }
 }
 
 /// Asks an engine for its report, or for its health if it holds no models: all responses of an
--- a/src/edge/statements/rates.rs
+++ b/src/edge/statements/rates.rs
@@ -17,6 +17,13 @@
 /// Time for which the rate of an engine that is not listed is remembered.
 const UNLISTED_RETENTION: Duration = Duration::from_secs(60);
 
+/// Rate at which an engine gets requests that named a lower one, once its answer to a check
+/// names none: answers to checks may name no rate at all, and the first answer to a request
+/// decides. Requests a second.
+const PROBE_RATE: f64 = 0.2;
+/// Minimum time between two checks of an engine, and since its last statement.
+const CHECK_PERIOD: Duration = Duration::from_secs(5);
+
 /// What an engine has said of its rate in one answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RateStatement {
@@ -68,6 +75,8 @@
 #[derive(Debug, Default)]
 pub struct NamedRates {
     statements: HashMap<Arc<str>, RateStatement>,
+    /// When engines were asked last whether they still take so little.
+    checked: HashMap<Arc<str>, Moment>,
 }
 
 impl NamedRates {
@@ -120,6 +129,44 @@
         (before != after).then_some(RateChange { before, after })
     }
 
+    /// Returns the engines that are to be asked now whether they still take so few requests that
+    /// no answer may say otherwise for long.
+    pub fn take_checks(&mut self, now: Moment) -> Vec<Arc<str>> {
+        let mut due = Vec::new();
+        for (id, statement) in &self.statements {
+            let last = self.checked.get(id).copied().unwrap_or_default();
+            let is_recent = now.saturating_sub(last.max(statement.heard_at)) < CHECK_PERIOD;
+            if is_recent || statement.rate.is_none_or(|r| r >= PROBE_RATE) {
+                continue;
+            }
+            due.push(id.clone());
+        }
+        for id in &due {
+            self.checked.insert(id.clone(), now);
+        }
+        due
+    }
+
+    /// Records that an engine has answered a check of `asked_at`; if its answer named no rate,
+    /// returns the statement that it takes more now.
+    pub fn statement_after_check(
+        &self,
+        id: &str,
+        asked_at: Moment,
+        now: Moment,
+    ) -> Option<RateStatement> {
+        let known = self.statements.get(id)?;
+        let has_spoken = known.heard_at >= asked_at;
+        let is_low = known.rate.is_some_and(|r| r < PROBE_RATE);
+        (is_low && !has_spoken).then(|| RateStatement {
+            number: rand::random(),
+            rate: Some(PROBE_RATE),
+            asked_at,
+            heard_at: now,
+            ..*known
+        })
+    }
+
     /// Forgets rates that ended long ago, and those of engines that are no longer listed.
     pub fn drop_expired(&mut self, is_listed: impl Fn(&str) -> bool, now: Moment) {
         self.statements.retain(|id, statement| {
@@ -129,6 +176,8 @@
                 None => age < END_RETENTION,
             }
         });
+        let statements = &self.statements;
+        self.checked.retain(|id, _| statements.contains_key(id));
     }
 
     /// Returns whether the rate of an engine was kept under an earlier start than `incarnation`.
--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -296,6 +296,11 @@
         state.headers.push((name, value.to_owned()));
     }
 
+    /// Removes the added headers from the responses that follow.
+    pub fn clear_headers(&self) {
+        self.state.lock().unwrap().headers.clear();
+    }
+
     /// Returns the headers of all responses.
     fn headers(&self) -> Vec<(&'static str, String)> {
         self.state.lock().unwrap().headers.clone()
--- a/tests/edge/rates.rs
+++ b/tests/edge/rates.rs
@@ -156,3 +156,24 @@
     let most = site.models[0].most_arrivals(WINDOW, from);
     assert!(most <= allowed(1.0), "{most}");
 }
+
+/// Guards against an engine that takes nothing for a while, and gets nothing for ever.
+#[test]
+fn an_engine_that_takes_nothing_gets_requests_when_it_says_so_no_more() {
+    let site = Site::start();
+    site.store.remove("servers", "p2");
+    site.wait_for_change("p2", "gone");
+    let engine = &site.plain[0];
+    let from = name_rate(&site, engine, "0", "/look/");
+    assert_eq!(site.send("/look/", "in-between").status, 503);
+    // Answers to checks are no requests, and name the rate too.
+    wait("a check", || engine.health_checks() > 0);
+    assert_eq!(site.send("/look/", "later").status, 503);
+    assert_eq!(engine.most_arrivals(WINDOW, from), 0);
+    engine.clear_headers();
+    let mut sent = 0;
+    wait("an answer", || {
+        sent += 1;
+        site.send("/look/", &format!("again{sent}")).status == 200
+    });
+}
