Soak: engines that name rates, change and drop them

The check of LIMIT sums what all daemons that had passed on the rate have sent, as engines saw it. The seeds that have failed before run without the new kind, which would change what they draw.

--- a/tests/soak/checkers.rs
+++ b/tests/soak/checkers.rs
@@ -7,8 +7,8 @@
 use crate::checks::{Rule, violations};
 use crate::engine_faults::EngineFault;
 use crate::record::{
-    Answer, Attempt, EngineStep, History, Kind, Outcome, Span, Step, answer_body, event_count,
-    event_text,
+    Answer, Attempt, EngineStep, History, Kind, Outcome, RateSpan, Span, Step, answer_body,
+    event_count, event_text,
 };
 
 const ID: &str = "1-1-1";
@@ -334,3 +334,66 @@
     frozen.spans.push(stop_of(0, 2_000, 2_500));
     assert_eq!(broken_rules(&frozen), []);
 }
+
+/// Returns a history in which `desk0` named a rate of 1 a second from 1 s on and told `told` by an
+/// answer at 1.1 s, and got `count` requests from two daemons from 3 s on.
+fn history_with_rate(told: &[usize], count: u64) -> History {
+    let mut history = History::default();
+    let answer = |id: &str| Answer {
+        rate: Some(1.0),
+        head_at: at(1_100),
+        id: id.to_owned(),
+        stamp: format!("desk0.{id}"),
+        body: answer_body(id),
+        ..answer(Kind::Lookup)
+    };
+    let mut add = |id: String, daemon, ms, outcome| {
+        let attempt = Attempt {
+            kind: Kind::Lookup,
+            daemon,
+            reused: false,
+            started_at: at(ms),
+            sent_at: Some(at(ms)),
+            ended_at: at(ms + 100),
+            time_limit: at(4_000),
+            outcome,
+        };
+        history.attempts.insert(id.clone(), attempt);
+        let steps = RUN.iter().map(|step| EngineStep {
+            engine: "desk0".to_owned(),
+            at: at(ms + 50),
+            step: step.clone(),
+        });
+        history.steps.insert(id, steps.collect());
+    };
+    for daemon in told {
+        let id = format!("{daemon}-1-0");
+        let outcome = Outcome::Answered(answer(&id));
+        add(id, *daemon, 1_000, outcome);
+    }
+    for n in 0..count {
+        let daemon = (n % 2) as usize;
+        add(format!("1-2-{n}"), daemon, 3_000 + 300 * n, Outcome::Left);
+    }
+    history.rates.push(RateSpan {
+        engine: "desk0".to_owned(),
+        rate: 1.0,
+        start: at(1_000),
+        end: at(20_000),
+    });
+    history
+}
+
+#[test]
+fn requests_beyond_the_rate_of_an_engine_are_found() {
+    let rules = |told: &[usize], count| broken_rules(&history_with_rate(told, count));
+    assert_eq!(rules(&[0, 1], 12), [Rule::Limit]);
+    assert_eq!(rules(&[0, 1], 11), [], "eleven are allowed");
+    assert_eq!(rules(&[0], 20), [], "ten of a daemon that was told");
+    let mut frozen = history_with_rate(&[0, 1], 12);
+    frozen.spans.push(stop_of(0, 2_000, 2_500));
+    assert_eq!(broken_rules(&frozen), []);
+    let mut ended = history_with_rate(&[0, 1], 20);
+    ended.rates[0].end = at(5_000);
+    assert_eq!(broken_rules(&ended), []);
+}
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -6,7 +6,8 @@
 use crate::disturbances::{GRACE, MIN_ROUTE_TIMEOUT};
 use crate::engine_faults::EngineFault;
 use crate::record::{
-    Answer, Attempt, EngineStep, History, Outcome, Step, answer_body, event_count, event_text,
+    Answer, Attempt, EngineStep, History, Outcome, RateSpan, Step, answer_body, event_count,
+    event_text,
 };
 
 /// Time after the last byte of a request within which a daemon may close a connection
@@ -23,6 +24,10 @@
 const DRAIN_TIME: Duration = Duration::from_millis(300);
 /// Time after an engine's response that asks for a pause at which the pause begins.
 const PAUSE_DELAY: Duration = Duration::from_millis(500);
+/// Time after a daemon has passed on a rate from which its requests count.
+const TOLD_TIME: Duration = Duration::from_millis(500);
+/// Window in which the requests at a rate are counted.
+const RATE_WINDOW: Duration = Duration::from_secs(4);
 /// Requests of one daemon that may reach an engine in a pause.
 const MAX_IN_PAUSE: usize = 2;
 
@@ -49,6 +54,8 @@
     Drain,
     /// Requests reached an engine from a daemon that it had asked for a pause.
     Budget,
+    /// More requests reached an engine than the rate that it had named.
+    Limit,
 }
 
 /// A broken rule.
@@ -109,9 +116,64 @@
             add(Rule::Budget, text);
         }
     }
+    for span in &history.rates {
+        if let Some((id, text)) = beyond_rate(history, span) {
+            let rule = Rule::Limit;
+            found.push(Violation { rule, id, text });
+        }
+    }
     found
 }
 
+/// Returns the request that was too many for an engine that had named a rate, from all daemons
+/// that it had told.
+fn beyond_rate(history: &History, span: &RateSpan) -> Option<(String, String)> {
+    let mut times = Vec::new();
+    let mut daemons: Vec<_> = history.attempts.values().map(|a| a.daemon).collect();
+    daemons.sort();
+    daemons.dedup();
+    for daemon in daemons {
+        let told = told_at(history, span, daemon);
+        for (id, step) in arrivals(history, &span.engine, daemon) {
+            let is_told = |at: &Duration| {
+                *at + TOLD_TIME <= step.at && !is_interrupted(history, daemon, *at, step.at)
+            };
+            let counts = (span.start + CONTACT..span.end).contains(&step.at);
+            if counts && told.iter().any(is_told) {
+                times.push((step.at, id));
+            }
+        }
+    }
+    times.sort();
+    let allowed = 1.5 * span.rate * RATE_WINDOW.as_secs_f64() + 5.0;
+    for (i, (end, id)) in times.iter().enumerate() {
+        let from = end.saturating_sub(RATE_WINDOW);
+        let count = times[..=i].iter().filter(|(at, _)| *at >= from).count();
+        if count as f64 > allowed {
+            let engine = &span.engine;
+            let text = format!("{engine} got {count} in 4 s at a rate of {}", span.rate);
+            return Some(((*id).to_owned(), text));
+        }
+    }
+    None
+}
+
+/// Returns when a daemon passed on responses in which an engine named the rate.
+fn told_at(history: &History, span: &RateSpan, daemon: usize) -> Vec<Duration> {
+    let mut told = Vec::new();
+    for attempt in history.attempts.values().filter(|a| a.daemon == daemon) {
+        let Outcome::Answered(answer) = &attempt.outcome else {
+            continue;
+        };
+        let engine = answer.stamp.split_once('.').map(|(engine, _)| engine);
+        let is_named = answer.rate == Some(span.rate) && engine == Some(&*span.engine);
+        if is_named && (span.start..span.end).contains(&answer.head_at) {
+            told.push(answer.head_at);
+        }
+    }
+    told
+}
+
 /// Returns which request reached an engine after the response to this one had told its
 /// caller that the engine leaves.
 fn sent_to_leaving(history: &History, attempt: &Attempt) -> Option<String> {
--- a/tests/soak/disturbances.rs
+++ b/tests/soak/disturbances.rs
@@ -25,6 +25,10 @@
 const ROUTE_TIMEOUT_MS: Range<u64> = MIN_ROUTE_TIMEOUT.as_millis() as u64..8_000;
 /// Retries in each window, where there are any.
 const RETRY_SLACK: f64 = 40.0;
+/// Rates that engines name, requests a second.
+const RATES: [f64; 6] = [0.0, 0.05, 0.5, 1.0, 2.0, 6.0];
+/// Minimum time for which they name one.
+const MIN_RATE_TIME: Duration = Duration::from_secs(3);
 /// Period of checking whether a process has exited.
 const EXIT_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -81,6 +85,9 @@
     /// An engine says in all responses that it leaves, whatever its entry says, and starts
     /// again after a while.
     EngineLeave,
+    /// An engine names the requests a second that it takes from all daemons, then another number
+    /// or none.
+    EngineRate,
     /// The entry of an engine is missing for a while.
     EntryLapse,
     /// An engine resets all its connections for a while.
@@ -164,6 +171,17 @@
                     let engine = &site.engines[engine];
                     scope.spawn(move || leave(engine, entry, start, time));
                 }
+                Disturbance::EngineRate => {
+                    let rates = [(); 2].map(|()| RATES.choose(&mut rng).copied());
+                    let engine = &site.engines[engine];
+                    scope.spawn(move || {
+                        for rate in rates {
+                            engine.name_rate(rate);
+                            thread::sleep(MIN_RATE_TIME + time / 2);
+                        }
+                        engine.name_rate(None);
+                    });
+                }
                 Disturbance::EntryLapse => {
                     scope.spawn(move || {
                         site.engines[engine].remove_entry();
--- a/tests/soak/engine.rs
+++ b/tests/soak/engine.rs
@@ -20,7 +20,7 @@
 use crate::exchange::{Exchange, Extra, answer_head, closed, extra_answer, rejection, reset};
 use crate::fakes::store::Store;
 use crate::fakes::{ReceivedRequest, read_body, read_head, runtime, write_response};
-use crate::record::{Recorder, Step, answer_body, event_count, event_text, request_body};
+use crate::record::{RateSpan, Recorder, Step, answer_body, event_count, event_text, request_body};
 use crate::settings::SoakSettings;
 
 /// Path of health checks.
@@ -51,6 +51,8 @@
     born: u64,
     /// Whether all responses say that the engine leaves.
     leaving: bool,
+    /// Rate that all responses to requests name, requests a second, and since when.
+    rate: Option<(f64, Duration)>,
     /// Whether connections are reset.
     dark: bool,
     sequence: u64,
@@ -124,6 +126,7 @@
             id: format!("{}-1", setup.name),
             born: 1_000,
             leaving: false,
+            rate: None,
             dark: false,
             sequence: 0,
             orders: 0,
@@ -157,6 +160,7 @@
 
     /// Ends this lifetime and starts another one at the same address.
     pub fn restart(&self, start: Start) {
+        self.name_rate(None);
         let mut state = self.0.state.lock().unwrap();
         state.born += 1_000;
         if start == Start::OtherId {
@@ -178,6 +182,26 @@
         self.0.state.lock().unwrap().leaving = true;
     }
 
+    /// Names a rate in all responses to requests from now on, or none.
+    pub fn name_rate(&self, rate: Option<f64>) {
+        let now = self.0.recorder.now();
+        let mut state = self.0.state.lock().unwrap();
+        let named = rate.map(|rate| (rate, now));
+        let before = std::mem::replace(&mut state.rate, named);
+        let engine = state.lifetime();
+        drop(state);
+        if let Some((rate, start)) = before {
+            let end = now;
+            let span = RateSpan {
+                engine,
+                rate,
+                start,
+                end,
+            };
+            self.0.recorder.add_rate(span);
+        }
+    }
+
     /// Removes its entry.
     pub fn remove_entry(&self) {
         let id = self.0.state.lock().unwrap().id.clone();
@@ -399,11 +423,17 @@
     /// Returns the header lines of what the engine says of itself in a response.
     fn statement(&self, exchange: &Exchange<'_>) -> String {
         let state = self.0.state.lock().unwrap();
-        let leaves = state.leaving && state.lifetime() == exchange.lifetime;
-        match leaves {
-            true => "Server-Leaving: 1\r\n".to_owned(),
-            false => String::new(),
+        let mut lines = String::new();
+        if state.lifetime() != exchange.lifetime {
+            return lines;
+        }
+        if state.leaving {
+            lines.push_str("Server-Leaving: 1\r\n");
+        }
+        if let Some((rate, _)) = state.rate {
+            lines.push_str(&format!("Server-Limit: {rate}\r\n"));
         }
+        lines
     }
 
     async fn reject(
--- a/tests/soak/http.rs
+++ b/tests/soak/http.rs
@@ -61,6 +61,7 @@
         stamp: text("x-mastichinge-server-stamp"),
         retry_after: retry_after.map(Duration::from_secs_f64),
         leaving: header(head, "server-leaving").is_some_and(|v| v == "1"),
+        rate: header(head, "server-limit").and_then(|v| v.parse().ok()),
         closes: header(head, "connection").is_some_and(|v| v.eq_ignore_ascii_case("close")),
         ..Answer::default()
     }
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -42,6 +42,8 @@
     pub retry_after: Option<Duration>,
     /// Whether it says that its engine leaves.
     pub leaving: bool,
+    /// Requests a second that its engine takes from all daemons.
+    pub rate: Option<f64>,
     /// When its head had arrived, since the start of the run.
     pub head_at: Duration,
     pub closes: bool,
@@ -114,12 +116,24 @@
     pub planned: bool,
 }
 
+/// A span in which an engine named a rate in all answers.
+#[derive(Clone, Debug)]
+pub struct RateSpan {
+    /// Lifetime of the engine.
+    pub engine: String,
+    /// Requests a second.
+    pub rate: f64,
+    pub start: Duration,
+    pub end: Duration,
+}
+
 /// Everything that is checked after a run.
 #[derive(Clone, Debug, Default)]
 pub struct History {
     pub attempts: BTreeMap<String, Attempt>,
     pub steps: BTreeMap<String, Vec<EngineStep>>,
     pub spans: Vec<Span>,
+    pub rates: Vec<RateSpan>,
     /// Idle timeouts of callers' connections, with the time at which they were written.
     pub idle_limits: Vec<(Duration, Duration)>,
 }
@@ -175,6 +189,10 @@
         self.history.lock().unwrap().spans.push(span);
     }
 
+    pub fn add_rate(&self, span: RateSpan) {
+        self.history.lock().unwrap().rates.push(span);
+    }
+
     pub fn add_idle_limit(&self, limit: Duration) {
         let mut history = self.history.lock().unwrap();
         history.idle_limits.push((self.now(), limit));
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -36,7 +36,11 @@
 #[test_case(801; "in a response that followed a late one")]
 #[test_case(815; "before the new entry of an engine that had started again")]
 fn seeds_that_have_failed(seed: u64) {
-    let settings = SoakSettings::default().with_seed(seed);
+    let mut settings = SoakSettings::default().with_seed(seed);
+    // Further kinds change what a seed draws.
+    settings
+        .disturbances
+        .retain(|d| *d != Disturbance::EngineRate);
     assert_eq!(run(&settings), 0, "violations; see the lines above");
 }
 
@@ -125,6 +129,9 @@
     wait("idle engines", || {
         site.engines.iter().all(SoakEngine::is_idle)
     });
+    for engine in &site.engines {
+        engine.name_rate(None);
+    }
     let history = site.recorder.history();
     let found = violations(&history);
     println!("seed {}: {}", settings.seed, summary(&history));
