--- a/tests/edge/permits.rs
+++ b/tests/edge/permits.rs
@@ -6,12 +6,15 @@
 use std::time::Duration;
 
 use mastichinge::clock::Moment;
-use mastichinge::edge::gossip::Packet;
+use mastichinge::edge::gossip::{ApplicationNote, Packet, RateNote, VerdictNote};
 use mastichinge::edge::members::MemberRecord;
 use mastichinge::edge::permits::packets::rate_note;
 use mastichinge::edge::permits::{Allocator, Application, PermitState, Permits, Rank, Verdict};
 use mastichinge::edge::state::State;
 use mastichinge::edge::statements::RateStatement;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use test_case::test_case;
 
 /// Window of the platform's rule.
@@ -463,3 +466,56 @@
     assert!(!permits.spend(number, ENGINE, at(6_000)));
     assert!(!permits.spend(number, "another", at(3_020)));
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(31),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a datagram that takes the process down, whatever its numbers are.
+    #[test]
+    fn a_packet_with_any_numbers_is_applied(
+        rates in vec((any::<u64>(), proptest::option::of(any::<f64>()), any::<u64>(), any::<u64>()), 0..4),
+        applications in vec((any::<u64>(), any::<u32>(), any::<u64>(), 0..4_usize), 0..20),
+        verdicts in vec((any::<u64>(), any::<bool>(), any::<u64>()), 0..4),
+    ) {
+        let mut network = Network::new(2, 4.0);
+        let rates = rates.into_iter().map(|(number, rate, asked_us, heard_us)| RateNote {
+            engine: ENGINE.to_owned(),
+            incarnation: number,
+            number,
+            rate,
+            asked_us,
+            heard_us,
+        });
+        let applications = applications.into_iter().map(|(number, rank, patience_ms, count)| {
+            ApplicationNote {
+                number,
+                engines: (0..count).map(|n| format!("e{}", n / 2)).collect(),
+                rank,
+                patience_ms,
+            }
+        });
+        let verdicts = verdicts.into_iter().map(|(number, is_granted, return_ms)| VerdictNote {
+            number,
+            engine: if is_granted { ENGINE.to_owned() } else { String::new() },
+            return_ms,
+        });
+        let packet = Packet {
+            rates: rates.collect(),
+            applications: applications.collect(),
+            verdicts: verdicts.collect(),
+            ..Packet::default()
+        };
+        let (now, sender) = (network.now, network.hosts[1].name.clone());
+        let host = &mut network.hosts[0];
+        host.state.apply_rates(&packet, now);
+        host.state.apply_permits(&host.name, &sender, &packet, now);
+        for ms in [0, 20, 300, 4_000] {
+            host.state.next_permits(&host.name, true, now + Duration::from_millis(ms));
+            host.state.permits_due_in();
+        }
+    }
+}
