--- a/src/tool/trace.rs
+++ b/src/tool/trace.rs
@@ -13,6 +13,9 @@
 /// Time before the request's first line from which lines about its engines and
 /// model are included, ms.
 const CONTEXT_BEFORE_MS: i64 = 3_000;
+/// Fields of lines about what all requests depend on: the era of the store, and the host that
+/// grants permits.
+const SHARED_FIELDS: [&str; 2] = ["era", "allocator"];
 /// Fields that a printed line shows at a fixed place or, as `target`, leaves out;
 /// the others follow as `name=value`.
 const FIXED_FIELDS: [&str; 4] = ["time", "level", "target", "message"];
@@ -34,7 +37,7 @@
             .unwrap_or_default()
     }
 
-    /// Returns the time within the month, ms; clocks of hosts may differ.
+    /// Returns the time, ms; clocks of hosts may differ.
     fn time_ms(&self) -> i64 {
         parse_ms(self.text("time")).unwrap_or(0)
     }
@@ -75,8 +78,8 @@
     lines
 }
 
-/// Returns the lines that name `request` and the lines about its engines and
-/// model in the same period, sorted by time.
+/// Returns the lines that name `request`, and the lines about its engines and model and about
+/// what all requests depend on in the same period, sorted by time.
 pub fn trace_request(request: &str, lines: &[LogLine]) -> Vec<LogLine> {
     let request_lines: Vec<&LogLine> = lines
         .iter()
@@ -100,7 +103,8 @@
         let in_window = (first - CONTEXT_BEFORE_MS..=last).contains(&at);
         let names_other = !line.text("request").is_empty();
         let named = [line.text("engine"), line.text("model")];
-        let is_related = named.iter().any(|n| related.contains(n));
+        let is_shared = SHARED_FIELDS.iter().any(|f| line.fields.contains_key(*f));
+        let is_related = is_shared || named.iter().any(|n| related.contains(n));
         if line.text("request") == request || (in_window && !names_other && is_related) {
             traced.push(line.clone());
         }
@@ -109,10 +113,19 @@
     traced
 }
 
-/// Parses the timestamp of a log line as milliseconds within the month, which is
-/// enough because the compared times are seconds apart.
+/// Parses the timestamp of a log line (RFC 3339, UTC) as milliseconds since the first of March of
+/// the year 0.
 fn parse_ms(time: &str) -> Option<i64> {
+    let year: i64 = time.get(0..4)?.parse().ok()?;
+    let month: i64 = time.get(5..7)?.parse().ok()?;
     let day: i64 = time.get(8..10)?.parse().ok()?;
+    // Years begin in March here, so that a leap day is the last of its year.
+    let (year, month) = match month {
+        1 | 2 => (year - 1, month + 9),
+        _ => (year, month - 3),
+    };
+    let leap_days = year / 4 - year / 100 + year / 400;
+    let day = 365 * year + leap_days + (153 * month + 2) / 5 + day - 1;
     let hour: i64 = time.get(11..13)?.parse().ok()?;
     let minute: i64 = time.get(14..16)?.parse().ok()?;
     let second: i64 = time.get(17..19)?.parse().ok()?;
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -43,3 +43,42 @@
     let traced = trace_request("r1", &with_engine);
     assert_eq!(traced[0].fields["message"], "engine down");
 }
+
+/// Guards against requests whose trace does not show that the store came back from an older copy
+/// under them, or who granted permits for their engines.
+#[test]
+fn lines_about_the_store_and_the_allocator_are_included() {
+    let log = FIRST_LOG.to_owned()
+        + r#"{"time":"2026-12-03T10:00:02.500Z","level":"WARN","message":"store has come back from an older copy, everything is read again","table":"engines","era":2,"known":1}
+{"time":"2026-12-03T10:00:02.600Z","level":"INFO","message":"share of the engines' rates changed","allocator":"edge-1","share_percent":100}
+{"time":"2026-12-03T10:01:02.500Z","level":"WARN","message":"store has come back from an older copy, everything is read again","table":"engines","era":3,"known":2}"#;
+    let traced = trace_request("r1", &parse_log("edge-1.log", &log));
+    let shown: Vec<_> = traced
+        .iter()
+        .map(|l| l.fields["message"].as_str().unwrap())
+        .collect();
+    assert!(
+        shown.contains(&"share of the engines' rates changed"),
+        "{shown:?}"
+    );
+    let returns = shown
+        .iter()
+        .filter(|m| m.starts_with("store has come back"));
+    assert_eq!(returns.count(), 1, "{shown:?}");
+}
+
+/// Guards against lines that are sorted wrongly or left out around the end of a month.
+#[test]
+fn a_request_around_the_end_of_a_month_is_traced() {
+    let log = r#"
+{"time":"2026-12-31T23:59:59.900Z","level":"INFO","message":"first","request":"r1","engine":"e1"}
+{"time":"2027-01-01T00:00:00.100Z","level":"WARN","message":"second","engine":"e1"}
+{"time":"2027-01-01T00:00:00.300Z","level":"INFO","message":"third","request":"r1","engine":"e1"}
+"#;
+    let traced = trace_request("r1", &parse_log("edge-1.log", log));
+    let shown: Vec<_> = traced
+        .iter()
+        .map(|l| l.fields["message"].as_str().unwrap())
+        .collect();
+    assert_eq!(shown, ["first", "second", "third"]);
+}
