Wait for a leader that may have lost its row before a new host leads

A missing row in a later era than the first is now taken over like that of a silent leader, and not while a leader is heard.

--- a/src/edge/leader/election.rs
+++ b/src/edge/leader/election.rs
@@ -108,12 +108,15 @@
     }
 }
 
-/// Returns the status of the leader that the row names, as last heard. A row with
-/// the version that the leader last announced has been unchanged since the renewal
-/// announced with it.
+/// Returns the status of the leader that the row names, or of any if it names none, as last
+/// heard. A row with the version that the leader last announced has been unchanged since the
+/// renewal announced with it.
 fn leader_status(members: &Members, row: &mut ObservedRow, now: Moment) -> LeaderStatus {
     let Some(record) = &row.record else {
-        return LeaderStatus::Silent;
+        return match members.leader(now) {
+            Some(_) => LeaderStatus::Active,
+            None => LeaderStatus::Silent,
+        };
     };
     let Some((member, status)) = members.leadership_of(&record.host, record.fence) else {
         return LeaderStatus::Silent;
--- a/src/edge/leadership.rs
+++ b/src/edge/leadership.rs
@@ -39,6 +39,9 @@
 /// Number of fencing numbers of each era of the store; more than can be used up.
 pub const FENCES_PER_ERA: u64 = 1 << 32;
 
+/// Era of a store that has never come back from an older copy.
+const FIRST_ERA: u64 = 1;
+
 /// Era of the store, as a daemon knows it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StoreEra {
@@ -217,7 +220,7 @@
     }
 }
 
-/// What is heard from the leader that the row names.
+/// What is heard from the leader that the row names, or from any if it names none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaderStatus {
     /// Nothing is heard from it.
@@ -271,7 +274,7 @@
         let is_earlier = |r: &LeaderRecord| r.fence < min_fence;
         let is_lost = match &row.record {
             Some(record) => is_earlier(record),
-            None => self.era.since.is_some(),
+            None => self.era.since.is_some() || self.era.number > FIRST_ERA,
         };
         let (fence, min_unchanged, orders_from) = match &row.record {
             _ if is_lost && status == LeaderStatus::Active => return ElectionStep::Wait,
@@ -281,6 +284,7 @@
                 RENEW_PERIOD + RENEWAL_SLACK,
                 row.unchanged_since + MAX_RENEWAL_AGE + self.lease,
             ),
+            None if status == LeaderStatus::Active => return ElectionStep::Wait,
             // An unreadable row names no leader. Versions of the store are
             // higher than every fencing number.
             None => (row.version + 1, Duration::ZERO, now),
--- a/tests/edge/leadership.rs
+++ b/tests/edge/leadership.rs
@@ -260,6 +260,29 @@
     assert_eq!(first_order(step), Some((FENCES_PER_ERA, at(0))));
 }
 
+/// Guards against ONE: a host that started after the store had lost every leader's row led at
+/// once, though another may still send orders.
+#[test]
+fn a_missing_row_in_a_later_era_is_taken_over_as_that_of_a_silent_leader() {
+    let candidate = candidate_of_era(2, None);
+    let next = |status, ms| candidate.next_step(&observed(None), status, at(ms));
+    assert_eq!(next(LeaderStatus::Silent, 0), ElectionStep::Wait);
+    let (fence, orders_from) = first_order(next(LeaderStatus::Silent, 5_000)).unwrap();
+    assert!(fence >= 2 * FENCES_PER_ERA, "{fence}");
+    assert!(orders_from >= at(0) + LEASE, "{orders_from:?}");
+    assert_eq!(next(LeaderStatus::Active, 60_000), ElectionStep::Wait);
+}
+
+/// Guards against ONE: the leader is heard, but has not written its row again yet.
+#[test]
+fn a_missing_row_is_not_taken_over_from_a_leader_that_is_heard() {
+    for era in [0, 1, 2] {
+        let candidate = candidate_of_era(era, None);
+        let step = candidate.next_step(&observed(None), LeaderStatus::Active, at(60_000));
+        assert_eq!(step, ElectionStep::Wait);
+    }
+}
+
 /// Guards against ONE: two leaders of different eras had the same number.
 #[test]
 fn a_leader_writes_its_row_again_in_a_new_era_unless_another_has() {
