Bound what is said of rates in one datagram; one concern a file

Applications name six engines at most, and only news of rates goes with them; changes beyond six wait for a heartbeat: one datagram could have outgrown a frame where many engines name rates. Permits of a request, the log of shares and what follows from statements have files of their own; behaviour otherwise as before.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::timeout;
 
+use super::permit::seek_permit;
 use super::relay::{self, OpenError, OpenedResponse};
 use super::response::{Refusal, ResponseBody};
 use super::retry::{self, Attempts, MIN_TIME_LEFT, can_retry, report_crash, start_retry};
@@ -21,7 +22,7 @@
 use crate::edge::admission::{AdmissionDecision, TimeBudget};
 use crate::edge::clock;
 use crate::edge::desired::RouteKind;
-use crate::edge::permits::{PermitGuard, PermitState};
+use crate::edge::permits::PermitState;
 use crate::edge::placement::ModelTarget;
 use crate::edge::routing::{self, RoutingContext, RoutingRequest, SelectedEngine, Selection};
 use crate::edge::state::WaitGuard;
@@ -226,7 +227,7 @@
 
 /// Calls a function of the routing for a request. `permit` is the engine for which it has a
 /// permit.
-fn with_routing<T>(
+pub(super) fn with_routing<T>(
     routed: &RoutedRequest,
     avoid: &[Arc<str>],
     permit: Option<&Arc<str>>,
@@ -282,30 +283,6 @@
     }
 }
 
-/// Applies for a permit for an engine that has named a rate, unless the request has done so.
-/// Returns how it stands with that; `None` if no such engine could serve the request.
-fn seek_permit(
-    routed: &RoutedRequest,
-    attempts: &mut Attempts,
-    patience: Duration,
-    now: Moment,
-) -> Option<PermitState> {
-    if attempts.permit.is_none() {
-        let mut engines =
-            with_routing(routed, &attempts.avoid, None, now, routing::limited_engines);
-        if !attempts.may_use_others(routed) {
-            engines.retain(|e| attempts.abandoned.contains(e));
-        }
-        if engines.is_empty() || patience.is_zero() {
-            return None;
-        }
-        let rank = attempts.rank(routed);
-        let permit = PermitGuard::apply(&routed.edge, engines, rank, now + patience);
-        attempts.permit = Some(permit);
-    }
-    attempts.permit.as_ref().map(|p| p.state(now))
-}
-
 /// Waits for an engine that can take the request.
 async fn wait_for_engine(
     routed: &RoutedRequest,
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod attribution;
 mod framing;
+mod permit;
 mod relay;
 pub mod response;
 mod retry;
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -18,6 +18,7 @@
 use super::leadership::Leadership;
 use super::load_forecast::LoadForecast;
 use super::members::{self, HEARTBEAT_PERIOD};
+use super::permits::Allocation;
 use super::placement::{ModelTarget, Placer, WaitingRequests};
 use super::relays;
 use super::reports::{Reporter, Round};
@@ -65,7 +66,7 @@
         if !round.relayed.is_empty() {
             relays::send_prompts(&edge, &socket, round.relayed).await;
         }
-        for (addr, packet) in next_permits(&edge, &mut allocation) {
+        for (addr, packet) in edge.next_permits(&mut allocation) {
             send_packet(&socket, &signed(packet), &[addr]).await;
         }
         let has_waiting = edge
@@ -88,39 +89,6 @@
     }
 }
 
-/// From which host this one gets its permits, and how many hosts get theirs from this one, as
-/// last logged.
-#[derive(Debug, Default, PartialEq)]
-struct Allocation {
-    allocator: Arc<str>,
-    /// Part of all hosts, in hundredths.
-    percent: u32,
-}
-
-/// Applies for permits and grants them; returns the datagrams to send.
-fn next_permits(edge: &Edge, logged: &mut Allocation) -> Vec<(SocketAddr, Packet)> {
-    let mut state = edge.state.borrow_mut();
-    let round = state.next_permits(&edge.host, edge.is_ready(), clock::now());
-    let is_limited = state.fleet.rates().limited().next().is_some();
-    drop(state);
-    let allocation = Allocation {
-        allocator: round.allocator,
-        percent: (round.share * 100.0).round() as u32,
-    };
-    if is_limited && *logged != allocation {
-        let allocator = &*allocation.allocator;
-        let share_percent = allocation.percent;
-        log::info!(allocator, share_percent; "share of the engines' rates changed");
-        *logged = allocation;
-    }
-    edge.metrics.record_permits("granted", round.granted);
-    edge.metrics.record_permits("refused", round.refused);
-    if round.decided {
-        edge.notify_waiting();
-    }
-    round.packets
-}
-
 /// Addresses to which a round is sent.
 #[derive(Clone, Debug, Default)]
 struct Recipients {
--- a/src/edge/permits/mod.rs
+++ b/src/edge/permits/mod.rs
@@ -8,12 +8,14 @@
 mod allocator;
 mod holder;
 pub mod packets;
+mod round;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 pub use allocator::{Allocator, Applicant};
 pub use holder::{PermitGuard, PermitState, Permits, REPEAT_PERIOD};
+pub use round::Allocation;
 
 /// Fractional parts of its multiples are spread evenly, whatever their number (golden ratio).
 const SPREAD_STEP: f64 = 0.618_033_988_75;
--- a/src/edge/placement/index.rs
+++ b/src/edge/placement/index.rs
@@ -1,6 +1,6 @@
 //! Index of the replicas, requests and utilization that the planning of loads looks up.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use super::engine_view::EngineView;
@@ -82,6 +82,27 @@
         self.index.utilization = utilization;
     }
 
+    /// Returns the models that only engines with a rate serve.
+    pub(super) fn limited_models(&self, input: &PlacementInput<'_>) -> Vec<ModelKey> {
+        let mut models = BTreeSet::new();
+        for (id, _) in input.fleet.rates().limited() {
+            let (Some(engine), Some(view)) = (input.fleet.engines.get(id), self.views.get(id))
+            else {
+                continue;
+            };
+            for model in view.replicas.keys() {
+                models.insert(ModelKey::new(&engine.entry.service, model));
+            }
+        }
+        models.retain(|key| self.unlimited_count(key) == 0);
+        models.into_iter().collect()
+    }
+
+    /// Returns the number of engines that serve or will serve a model and have named no rate.
+    pub(super) fn unlimited_count(&self, key: &ModelKey) -> usize {
+        self.index.unlimited.get(key).copied().unwrap_or(0)
+    }
+
     /// Returns the utilization of an engine: the engine time per second that the
     /// demand for its models needs, or the part of the rate that it has named, if that is more.
     fn utilization(&self, input: &PlacementInput<'_>, engine: &Upstream, view: &EngineView) -> f64 {
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -93,22 +93,6 @@
         }
     }
 
-    /// Returns the models that only engines with a rate serve.
-    fn limited_models(&self, input: &PlacementInput<'_>) -> Vec<ModelKey> {
-        let mut models = BTreeSet::new();
-        for (id, _) in input.fleet.rates().limited() {
-            let (Some(engine), Some(view)) = (input.fleet.engines.get(id), self.views.get(id))
-            else {
-                continue;
-            };
-            for model in view.replicas.keys() {
-                models.insert(ModelKey::new(&engine.entry.service, model));
-            }
-        }
-        models.retain(|key| self.unlimited_count(key) == 0);
-        models.into_iter().collect()
-    }
-
     /// Returns the models that requests wait for and no engine serves, in the order in which
     /// they are loaded: by priority, and then the longest waited for first, so that a
     /// forecast holds.
@@ -240,11 +224,6 @@
         self.index.replicas.get(key).copied().unwrap_or(0)
     }
 
-    /// Returns the number of engines that serve or will serve a model and have named no rate.
-    fn unlimited_count(&self, key: &ModelKey) -> usize {
-        self.index.unlimited.get(key).copied().unwrap_or(0)
-    }
-
     /// Returns the models that any engine holds, loads or keeps a copy of.
     fn models_with_copies(&self, input: &PlacementInput<'_>) -> HashSet<ModelKey> {
         let mut with_copies = HashSet::new();
--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -180,7 +180,11 @@
 
 /// Adds the notes that other daemons should get at once.
 fn add_urgent_notes(state: &mut State, packet: &mut Packet, now: Moment) {
-    for engine in std::mem::take(&mut state.rate_news) {
+    // Rates beyond the limit are told by the heartbeats.
+    for engine in std::mem::take(&mut state.rate_news)
+        .into_iter()
+        .take(RATES_PER_PACKET)
+    {
         let is_added = packet.rates.iter().any(|r| r.engine == *engine);
         let statement = state.fleet.rates().statement(&engine);
         if let Some(statement) = statement.filter(|_| !is_added) {
--- a/src/edge/routing/mod.rs
+++ b/src/edge/routing/mod.rs
@@ -30,6 +30,8 @@
 const REOPENING_STEP: Duration = Duration::from_millis(20);
 /// Time by which a pause must exceed a load for the model to be loaded elsewhere.
 const LOAD_MARGIN: Duration = Duration::from_millis(250);
+/// Maximum number of engines with a rate that a request applies to.
+const MAX_LIMITED_ENGINES: usize = 6;
 /// Estimated time that a request occupies a slot of a plain service.
 const PLAIN_SLOT_TIME: Duration = Duration::from_millis(50);
 /// Estimated time that a stream occupies a slot.
@@ -192,6 +194,7 @@
 }
 
 /// Returns the engines that could serve a request if it had a permit: they have named a rate.
+/// Those with the fewest requests are the first of at most [`MAX_LIMITED_ENGINES`].
 pub fn limited_engines(
     context: &RoutingContext<'_>,
     request: &RoutingRequest<'_>,
@@ -210,14 +213,17 @@
         let is_limited = fleet.rates().rate(&e.entry.id).is_some();
         is_limited && fleet.is_open(e, now) && e.breaker.allows(now) && holds(e)
     };
-    let engines = fleet.usable_engines(request.service).filter(is_candidate);
-    let all: Vec<_> = engines.map(|e| e.entry.id.clone()).collect();
-    let is_fresh = |id: &&Arc<str>| !request.avoid.contains(id);
-    let fresh: Vec<_> = all.iter().filter(is_fresh).cloned().collect();
-    match fresh.is_empty() {
-        true => all,
-        false => fresh,
+    let mut engines: Vec<_> = fleet
+        .usable_engines(request.service)
+        .filter(is_candidate)
+        .collect();
+    let is_avoided = |e: &Upstream| request.avoid.contains(&e.entry.id);
+    if !engines.iter().all(|e| is_avoided(e)) {
+        engines.retain(|e| !is_avoided(e));
     }
+    engines.sort_by_key(|e| e.running(now));
+    engines.truncate(MAX_LIMITED_ENGINES);
+    engines.iter().map(|e| e.entry.id.clone()).collect()
 }
 
 /// Selects one of `engines` that takes requests of this host now.
--- a/src/edge/statements/mod.rs
+++ b/src/edge/statements/mod.rs
@@ -9,6 +9,7 @@
 //! older.
 
 mod rates;
+mod recording;
 
 use std::collections::HashMap;
 use std::sync::Arc;
