Use the token bucket of the callers' limits for permits

The bucket of the allocator computed again what TokenBucket does. That one can now begin empty, change its capacity, and tell the wait behind others. The tests of permits, rates and limits pass.

--- a/src/decide/rate_limits.rs
+++ b/src/decide/rate_limits.rs
@@ -39,6 +39,24 @@
         }
     }
 
+    /// Creates an empty bucket that holds no tokens until its limits are set.
+    pub fn empty(now: Moment) -> Self {
+        TokenBucket {
+            rate: 0.0,
+            burst: 0.0,
+            tokens: 0.0,
+            refilled_at: now,
+        }
+    }
+
+    /// Changes the rate, tokens a second, and the capacity from `now` on. Tokens beyond the
+    /// capacity are lost.
+    pub fn set_limits(&mut self, rate: f64, burst: f64, now: Moment) {
+        self.refill_to(burst, now);
+        self.rate = rate.max(0.0);
+        self.burst = burst;
+    }
+
     /// Changes the rate, tokens a second, from `now` on.
     pub fn set_rate(&mut self, rate: f64, now: Moment) {
         self.refill(now);
@@ -67,8 +85,13 @@
 
     /// Returns the time until a token is available, zero if one is.
     pub fn wait(&mut self, now: Moment) -> Duration {
+        self.wait_behind(0, now)
+    }
+
+    /// Returns the time until a token is available after `ahead` others were taken.
+    pub fn wait_behind(&mut self, ahead: u32, now: Moment) -> Duration {
         self.refill(now);
-        let missing = 1.0 - self.tokens;
+        let missing = f64::from(ahead) + 1.0 - self.tokens;
         // `tokens` accumulates rounding errors.
         if missing <= 1e-9 {
             return Duration::ZERO;
@@ -87,8 +110,12 @@
     }
 
     fn refill(&mut self, now: Moment) {
+        self.refill_to(self.burst, now);
+    }
+
+    fn refill_to(&mut self, burst: f64, now: Moment) {
         let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
-        self.tokens = (self.tokens + elapsed * self.rate).min(self.burst);
+        self.tokens = (self.tokens + elapsed * self.rate).min(burst);
         self.refilled_at = self.refilled_at.max(now);
     }
 }
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -80,7 +80,11 @@
             false => period,
         };
         let until_heartbeat = (heartbeat_at + period).saturating_sub(clock::now());
-        let permits_due = edge.state.borrow().permits_due_in().unwrap_or(pause);
+        let permits_due = edge
+            .state
+            .borrow_mut()
+            .permits_due_in(clock::now())
+            .unwrap_or(pause);
         let pause = pause.min(until_heartbeat).min(permits_due).max(MIN_PAUSE);
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
--- a/src/edge/permits/allocator.rs
+++ b/src/edge/permits/allocator.rs
@@ -1,11 +1,12 @@
 //! Grants the permits of the hosts that follow this one.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::{Application, Rank, Verdict, spread};
 use crate::clock::Moment;
+use crate::decide::rate_limits::TokenBucket;
 
 /// Time for which unused permits accumulate.
 const BURST_TIME: Duration = Duration::from_millis(100);
@@ -50,10 +51,10 @@
 /// Permits for one engine.
 #[derive(Debug)]
 struct Bucket {
+    /// Permits that can be granted now.
+    permits: TokenBucket,
     /// Permits a second: the share of the followers in the engine's rate.
     rate: f64,
-    /// Permits that can be granted now.
-    permits: f64,
     filled_at: Moment,
     /// When the last refused caller is to return.
     return_at: Moment,
@@ -63,38 +64,27 @@
 
 impl Bucket {
     fn new(now: Moment) -> Self {
-        // Empty: another allocator may have granted permits until now.
+        // Another allocator may have granted permits until now.
         Bucket {
+            permits: TokenBucket::empty(now),
             rate: 0.0,
-            permits: 0.0,
             filled_at: now,
             return_at: now,
             refused: 0,
         }
     }
 
-    /// Adds the permits since the last time.
-    fn fill(&mut self, rate: f64, now: Moment) {
-        let time = now.saturating_sub(self.filled_at).as_secs_f64();
+    fn set_rate(&mut self, rate: f64, now: Moment) {
         let capacity = match rate > 0.0 {
             true => (rate * BURST_TIME.as_secs_f64()).max(MIN_BURST),
             // Another allocator grants them now, or nobody may.
             false => 0.0,
         };
-        self.permits = (self.permits + self.rate * time).min(capacity);
+        self.permits.set_limits(rate, capacity, now);
         self.rate = rate;
         self.filled_at = now;
     }
 
-    /// Returns the time until there is a permit for the one that comes after `ahead` others.
-    fn wait(&self, ahead: u32) -> Duration {
-        let missing = f64::from(ahead) + 1.0 - self.permits;
-        if missing <= 0.0 {
-            return Duration::ZERO;
-        }
-        Duration::try_from_secs_f64(missing / self.rate).unwrap_or(Duration::MAX)
-    }
-
     /// Returns after which time a caller that is refused now should return: when the queue is
     /// done, and one after the other.
     fn book_return(&mut self, queue_time: Duration, now: Moment) -> Duration {
@@ -131,7 +121,7 @@
         for (id, rate) in rates {
             let bucket = self.buckets.entry(id.clone());
             let bucket = bucket.or_insert_with(|| Bucket::new(now));
-            bucket.fill(rate * share, now);
+            bucket.set_rate(rate * share, now);
         }
         self.buckets.retain(|_, bucket| bucket.filled_at == now);
     }
@@ -169,10 +159,13 @@
     }
 
     /// Returns the time until the next application may get its permit.
-    pub fn next_permit_in(&self) -> Option<Duration> {
-        let engines = self.queue.iter().flat_map(|q| &q.engines);
-        let buckets = engines.filter_map(|id| self.buckets.get(id));
-        buckets.map(|b| b.wait(0)).min()
+    pub fn next_permit_in(&mut self, now: Moment) -> Option<Duration> {
+        let engines: HashSet<_> = self.queue.iter().flat_map(|q| &q.engines).collect();
+        let buckets = self
+            .buckets
+            .iter_mut()
+            .filter(|(id, _)| engines.contains(id));
+        buckets.map(|(_, b)| b.permits.wait(now)).min()
     }
 
     /// Decides on the applications: grants the permits that are there, and refuses those that
@@ -218,11 +211,13 @@
     ) -> Option<Verdict> {
         let mut best: Option<(Duration, &Arc<str>)> = None;
         for id in &queued.engines {
-            let Some(bucket) = self.buckets.get(id) else {
+            let Some(bucket) = self.buckets.get_mut(id) else {
                 // It names no rate any more.
                 return Some(Verdict::Granted(id.clone()));
             };
-            let wait = bucket.wait(ahead.get(id).copied().unwrap_or(0));
+            let wait = bucket
+                .permits
+                .wait_behind(ahead.get(id).copied().unwrap_or(0), now);
             if best.is_none_or(|(shortest, _)| wait < shortest) {
                 best = Some((wait, id));
             }
@@ -230,7 +225,7 @@
         let (wait, id) = best?;
         let bucket = self.buckets.get_mut(id)?;
         if wait.is_zero() && now < queued.give_up_at {
-            bucket.permits -= 1.0;
+            bucket.permits.force_take(now);
             return Some(Verdict::Granted(id.clone()));
         }
         let left = queued.give_up_at.saturating_sub(now);
--- a/src/edge/permits/packets.rs
+++ b/src/edge/permits/packets.rs
@@ -86,9 +86,9 @@
     }
 
     /// Returns the time after which permits need attention again.
-    pub fn permits_due_in(&self) -> Option<Duration> {
+    pub fn permits_due_in(&mut self, now: Moment) -> Option<Duration> {
         let repeat = self.permits.is_waiting().then_some(super::REPEAT_PERIOD);
-        let grant = self.allocator.next_permit_in();
+        let grant = self.allocator.next_permit_in(now);
         repeat.into_iter().chain(grant).min()
     }
 
--- a/tests/edge/permits.rs
+++ b/tests/edge/permits.rs
@@ -515,7 +515,7 @@
         host.state.apply_permits(&host.name, &sender, &packet, now);
         for ms in [0, 20, 300, 4_000] {
             host.state.next_permits(&host.name, true, now + Duration::from_millis(ms));
-            host.state.permits_due_in();
+            host.state.permits_due_in(now + Duration::from_millis(ms));
         }
     }
 }
