Soak: check the desired state in force and the fencing numbers of orders

Some requests ask for additional routes, and are held against the versions that may be in force, apart from disturbances of the store and of their daemon; engines refuse lower fencing numbers and record who gave an order under which. The seeds that have failed before run without such requests, as before.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -13,7 +13,7 @@
 
 use crate::http::read_answer;
 use crate::record::{Attempt, Kind, Outcome, Recorder, request_body};
-use crate::site::prefix;
+use crate::site::{extra_prefix, prefix};
 
 /// Time limits of requests, ms.
 const TIME_LIMITS_MS: [u64; 3] = [1_500, 4_000, 8_000];
@@ -23,6 +23,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Share of the idle timeout after which a connection is no longer used.
 const IDLE_SHARE: f64 = 0.8;
+/// Requests of a caller of which the last asks for an additional route.
+const PROBE_PERIOD: u64 = 12;
+/// Additional routes that are asked for; more than there ever are.
+const EXTRA_ROUTES: u64 = 7;
 /// Maximum number of retries of a request.
 const MAX_RETRIES: u32 = 3;
 /// Statuses which promise that the request has not run and will not run.
@@ -33,6 +37,8 @@
     pub seed: u64,
     pub addrs: Vec<SocketAddr>,
     pub recorder: Arc<Recorder>,
+    /// Whether some requests ask for additional routes.
+    pub probes_routes: bool,
     pub stop: AtomicBool,
 }
 
@@ -84,6 +90,12 @@
             14..17 => Kind::RigidStream,
             _ => Kind::Stream,
         };
+        let is_probe = self.setup.probes_routes && self.sent % PROBE_PERIOD == PROBE_PERIOD - 1;
+        let extra_route = is_probe.then_some(self.sent / PROBE_PERIOD % EXTRA_ROUTES);
+        let kind = match extra_route {
+            Some(_) => Kind::Lookup,
+            None => kind,
+        };
         let limit = TIME_LIMITS_MS[self.rng.random_range(0..TIME_LIMITS_MS.len())];
         let limit = Duration::from_millis(limit);
         for retry in 0..=MAX_RETRIES {
@@ -94,7 +106,7 @@
             let kept = kept.filter(|c| now.saturating_sub(c.idle_since) < idle_limit);
             self.sent += 1;
             let id = format!("{:x}-{}-{}", self.setup.seed, self.number, self.sent);
-            let outcome = self.attempt(kept, kind, &id, limit).await;
+            let outcome = self.attempt(kept, (kind, extra_route), &id, limit).await;
             let wait = match &outcome {
                 Outcome::Answered(answer) if PROMISES.contains(&answer.status) => {
                     answer.retry_after.unwrap_or_default().min(limit / 3)
@@ -113,7 +125,7 @@
     async fn attempt(
         &mut self,
         kept: Option<Connection>,
-        kind: Kind,
+        (kind, extra_route): (Kind, Option<u64>),
         id: &str,
         limit: Duration,
     ) -> Outcome {
@@ -124,6 +136,7 @@
         };
         let mut attempt = Attempt {
             kind,
+            extra_route,
             daemon: kept.as_ref().map_or(usize::MAX, |c| c.daemon),
             reused: kept.as_ref().is_some_and(|c| c.reused),
             started_at,
@@ -164,7 +177,11 @@
             true => Duration::from_millis(self.rng.random_range(1..800)),
             false => attempt.time_limit + PATIENCE,
         };
-        let bytes = self.request_bytes(attempt.kind, id, attempt.time_limit);
+        let prefix = match attempt.extra_route {
+            Some(number) => extra_prefix(number),
+            None => prefix(attempt.kind).to_owned(),
+        };
+        let bytes = self.request_bytes(attempt.kind, &prefix, id, attempt.time_limit);
         let pieces = self.pieces(bytes.len());
         let recorder = self.setup.recorder.clone();
         let stream = &mut connection.stream;
@@ -200,11 +217,10 @@
         Outcome::Answered(answer)
     }
 
-    fn request_bytes(&mut self, kind: Kind, id: &str, limit: Duration) -> Vec<u8> {
+    fn request_bytes(&mut self, kind: Kind, prefix: &str, id: &str, limit: Duration) -> Vec<u8> {
         let mut head = format!(
-            "POST {}x HTTP/1.1\r\nHost: firm.example\r\nX-Mastichinge-Request-Id: {id}\r\n\
+            "POST {prefix}x HTTP/1.1\r\nHost: firm.example\r\nX-Mastichinge-Request-Id: {id}\r\n\
              X-Mastichinge-Deadline-Ms: {}\r\n",
-            prefix(kind),
             limit.as_millis()
         );
         if kind.is_stream() {
--- a/tests/soak/checkers.rs
+++ b/tests/soak/checkers.rs
@@ -7,8 +7,8 @@
 use crate::checks::{Rule, violations};
 use crate::engine_faults::EngineFault;
 use crate::record::{
-    Answer, Attempt, EngineStep, History, Kind, Outcome, RateSpan, Span, Step, answer_body,
-    event_count, event_text,
+    Answer, Attempt, DesiredWrite, EngineStep, History, Kind, Outcome, RateSpan, ReceivedOrder,
+    Span, Step, answer_body, event_count, event_text,
 };
 
 const ID: &str = "1-1-1";
@@ -48,6 +48,7 @@
 fn history(kind: Kind, outcome: Outcome, steps: &[Step]) -> History {
     let attempt = Attempt {
         kind,
+        extra_route: None,
         daemon: 0,
         reused: false,
         started_at: at(1_000),
@@ -350,6 +351,7 @@
     let mut add = |id: String, daemon, ms, outcome| {
         let attempt = Attempt {
             kind: Kind::Lookup,
+            extra_route: None,
             daemon,
             reused: false,
             started_at: at(ms),
@@ -397,3 +399,67 @@
     ended.rates[0].end = at(5_000);
     assert_eq!(broken_rules(&ended), []);
 }
+
+/// Returns a history in which a request of 20 s for the additional route 1 was answered with
+/// `status`, after desired states with these numbers of routes had been written.
+fn history_with_routes(status: u16, writes: &[(u64, u64)]) -> History {
+    let outcome = match status {
+        200 => Outcome::Answered(answer(Kind::Lookup)),
+        _ => refusal(status),
+    };
+    let steps = match status {
+        200 => &RUN[..],
+        _ => &[],
+    };
+    let mut history = history(Kind::Lookup, outcome, steps);
+    let attempt = history.attempts.get_mut(ID).unwrap();
+    (attempt.started_at, attempt.ended_at) = (at(20_000), at(20_100));
+    attempt.sent_at = Some(at(20_000));
+    attempt.extra_route = Some(1);
+    let desired = writes.iter().map(|(ms, extra_routes)| DesiredWrite {
+        at: at(*ms),
+        extra_routes: *extra_routes,
+    });
+    history.desired = desired.collect();
+    history
+}
+
+#[test]
+fn a_request_that_is_handled_as_an_older_desired_state_allows_is_found() {
+    let rules = |status, writes: &[_]| broken_rules(&history_with_routes(status, writes));
+    assert_eq!(rules(404, &[(0, 0), (10_000, 2)]), [Rule::Config]);
+    assert_eq!(rules(200, &[(0, 2), (10_000, 1)]), [Rule::Config]);
+    assert_eq!(rules(404, &[(0, 2), (10_000, 1)]), []);
+    assert_eq!(rules(200, &[(0, 0), (10_000, 2)]), []);
+    for status in [200, 404] {
+        assert_eq!(
+            rules(status, &[(0, 0), (17_000, 2)]),
+            [],
+            "{status}, both apply"
+        );
+    }
+    let mut cut = history_with_routes(404, &[(0, 0), (10_000, 2)]);
+    cut.store_spans.push((at(9_000), at(17_000)));
+    assert_eq!(broken_rules(&cut), []);
+    cut.store_spans = vec![(at(9_000), at(12_000))];
+    assert_eq!(broken_rules(&cut), [Rule::Config]);
+    cut.spans.push(stop_of(0, 18_000, 19_000));
+    assert_eq!(broken_rules(&cut), []);
+}
+
+#[test]
+fn two_daemons_that_give_orders_under_one_number_are_found() {
+    let orders = |given: &[(&str, u64)]| {
+        let orders = given.iter().map(|(holder, fence)| ReceivedOrder {
+            engine: "models0".to_owned(),
+            holder: (*holder).to_owned(),
+            fence: *fence,
+        });
+        broken_rules(&History {
+            orders: orders.collect(),
+            ..History::default()
+        })
+    };
+    assert_eq!(orders(&[("edge-0", 1), ("edge-1", 2), ("edge-0", 1)]), []);
+    assert_eq!(orders(&[("edge-0", 1), ("edge-1", 1)]), [Rule::One]);
+}
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -1,13 +1,14 @@
 //! The promises to callers, checked from the records of callers and engines.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::callers::PROMISES;
 use crate::disturbances::{GRACE, MIN_ROUTE_TIMEOUT};
 use crate::engine_faults::EngineFault;
 use crate::record::{
-    Answer, Attempt, EngineStep, History, Outcome, RateSpan, Step, answer_body, event_count,
-    event_text,
+    APPLY_TIME, Answer, Attempt, DesiredWrite, EngineStep, History, Outcome, RateSpan, Step,
+    answer_body, event_count, event_text,
 };
 
 /// Time after the last byte of a request within which a daemon may close a connection
@@ -54,6 +55,10 @@
     Drain,
     /// Requests reached an engine from a daemon that it had asked for a pause.
     Budget,
+    /// A request was handled as only an older desired state allows.
+    Config,
+    /// Two daemons gave orders under one fencing number.
+    One,
     /// More requests reached an engine than the rate that it had named.
     Limit,
 }
@@ -99,10 +104,15 @@
             {
                 add(Rule::Order, text);
             }
-            if (400..500).contains(&answer.status) && !PROMISES.contains(&answer.status) {
+            let is_missing = answer.status == 404 && attempt.extra_route.is_some();
+            let is_refused = (400..500).contains(&answer.status);
+            if is_refused && !is_missing && !PROMISES.contains(&answer.status) {
                 add(Rule::Denied, format!("answered {}", answer.status));
             }
         }
+        if let Some(text) = outdated(history, attempt) {
+            add(Rule::Config, text);
+        }
         if let Some(text) = lost(history, id, attempt) {
             add(Rule::Lost, text);
         }
@@ -116,6 +126,10 @@
             add(Rule::Budget, text);
         }
     }
+    if let Some((id, text)) = shared_fence(history) {
+        let rule = Rule::One;
+        found.push(Violation { rule, id, text });
+    }
     for span in &history.rates {
         if let Some((id, text)) = beyond_rate(history, span) {
             let rule = Rule::Limit;
@@ -125,6 +139,46 @@
     found
 }
 
+/// Returns how a request for an additional route was handled as only a desired state allows that
+/// is no longer in force.
+fn outdated(history: &History, attempt: &Attempt) -> Option<String> {
+    let (route, Outcome::Answered(answer)) = (attempt.extra_route?, &attempt.outcome) else {
+        return None;
+    };
+    let from = attempt.started_at.saturating_sub(APPLY_TIME);
+    let disturbs = |(start, end): &(Duration, Duration)| {
+        *start <= attempt.ended_at && *end + APPLY_TIME >= attempt.started_at
+    };
+    let is_excused = history.store_spans.iter().any(disturbs)
+        || is_interrupted(history, attempt.daemon, from, attempt.ended_at);
+    if is_excused {
+        return None;
+    }
+    let before = history.desired.iter().rfind(|d| d.at <= from);
+    let later = history.desired.iter().filter(|d| d.at > from);
+    let mut known = later.filter(|d| d.at <= attempt.ended_at).chain(before);
+    let is_there = |d: &DesiredWrite| route < d.extra_routes;
+    let text = match answer.status {
+        404 if known.all(is_there) => "refused, though the route is there",
+        200 if !known.any(is_there) => "served, though the route is gone",
+        _ => return None,
+    };
+    Some(format!("{text}: {route}"))
+}
+
+/// Returns the fencing number under which two daemons gave orders, by the engine that got one.
+fn shared_fence(history: &History) -> Option<(String, String)> {
+    let mut holders: BTreeMap<u64, &str> = BTreeMap::new();
+    for order in &history.orders {
+        let holder = *holders.entry(order.fence).or_insert(&order.holder);
+        if holder != order.holder {
+            let text = format!("{holder} and {} under {}", order.holder, order.fence);
+            return Some((order.engine.clone(), text));
+        }
+    }
+    None
+}
+
 /// Returns the request that was too many for an engine that had named a rate, from all daemons
 /// that it had told.
 fn beyond_rate(history: &History, span: &RateSpan) -> Option<(String, String)> {
--- a/tests/soak/disturbances.rs
+++ b/tests/soak/disturbances.rs
@@ -132,26 +132,33 @@
                 }
                 Disturbance::StoreDown => {
                     scope.spawn(move || {
+                        let start = site.recorder.now();
                         site.store.set_down(true);
                         thread::sleep(time);
                         site.store.set_down(false);
+                        site.recorder.add_store_span(start);
                     });
                 }
                 Disturbance::StoreSlow => {
                     scope.spawn(move || {
+                        let start = site.recorder.now();
                         site.store.set_delay(time / 4);
                         thread::sleep(time);
                         site.store.set_delay(Duration::ZERO);
+                        site.recorder.add_store_span(start);
                     });
                 }
                 Disturbance::StoreClosing => {
                     scope.spawn(move || {
+                        let start = site.recorder.now();
                         site.store.set_closing(true);
                         thread::sleep(time);
                         site.store.set_closing(false);
+                        site.recorder.add_store_span(start);
                     });
                 }
                 Disturbance::StoreBack => {
+                    let start = site.recorder.now();
                     let copy = site.store.copy();
                     thread::sleep(time / 4);
                     era += 1;
@@ -160,6 +167,7 @@
                     for engine in &site.engines {
                         engine.write_again();
                     }
+                    site.recorder.add_store_span(start);
                 }
                 Disturbance::EngineRestart => {
                     let start = STARTS[rng.random_range(0..STARTS.len())];
--- a/tests/soak/engine.rs
+++ b/tests/soak/engine.rs
@@ -20,7 +20,9 @@
 use crate::exchange::{Exchange, Extra, answer_head, closed, extra_answer, rejection, reset};
 use crate::fakes::store::Store;
 use crate::fakes::{ReceivedRequest, read_body, read_head, runtime, write_response};
-use crate::record::{RateSpan, Recorder, Step, answer_body, event_count, event_text, request_body};
+use crate::record::{
+    RateSpan, ReceivedOrder, Recorder, Step, answer_body, event_count, event_text, request_body,
+};
 use crate::settings::SoakSettings;
 
 /// Path of health checks.
@@ -57,6 +59,8 @@
     dark: bool,
     sequence: u64,
     orders: u64,
+    /// Highest fencing number of an order.
+    fence: u64,
     models: Vec<String>,
 }
 
@@ -130,6 +134,7 @@
             dark: false,
             sequence: 0,
             orders: 0,
+            fence: 0,
             models: setup.models.clone(),
         };
         let engine = SoakEngine(Arc::new(Inner {
@@ -169,6 +174,7 @@
         }
         state.leaving = false;
         state.orders = 0;
+        state.fence = 0;
         state.models.clone_from(&self.0.setup.models);
         drop(state);
         self.0.lifetime.send_modify(|n| *n += 1);
@@ -345,6 +351,9 @@
 
     /// Answers a call that is not a caller's request.
     async fn call(&self, stream: &mut TcpStream, request: &ReceivedRequest) -> io::Result<()> {
+        if request.path() == "/order" {
+            self.record_order(&request.body);
+        }
         let (status, body, leaving) = {
             let mut state = self.0.state.lock().unwrap();
             let leaving = state.leaving;
@@ -365,6 +374,20 @@
         write_response(stream, status, headers, body.to_string().as_bytes()).await
     }
 
+    fn record_order(&self, body: &[u8]) {
+        let order = serde_json::from_slice::<Value>(body).unwrap_or_default();
+        let (holder, fence) = (order["holder"].as_str(), order["fence"].as_u64());
+        let (Some(holder), Some(fence)) = (holder, fence) else {
+            return;
+        };
+        let engine = self.0.state.lock().unwrap().lifetime();
+        self.0.recorder.add_order(ReceivedOrder {
+            engine,
+            holder: holder.to_owned(),
+            fence,
+        });
+    }
+
     async fn run_request(
         &self,
         exchange: &mut Exchange<'_>,
@@ -574,6 +597,11 @@
         let (Some(model), Some(operation)) = (order["model"].as_str(), order["op"].as_str()) else {
             return 400;
         };
+        let fence = order["fence"].as_u64().unwrap_or(0);
+        if fence < self.fence {
+            return 412;
+        }
+        self.fence = fence;
         if expected.is_some_and(|n| n != self.orders) {
             return 409;
         }
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -7,7 +7,7 @@
 use crate::engine_faults::EngineFault;
 
 /// Time after which a desired state is in force everywhere.
-const APPLY_TIME: Duration = Duration::from_secs(4);
+pub const APPLY_TIME: Duration = Duration::from_secs(4);
 
 /// Kind of a caller's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
@@ -69,6 +69,8 @@
 #[derive(Clone, Debug)]
 pub struct Attempt {
     pub kind: Kind,
+    /// Number of the additional route that it asks for.
+    pub extra_route: Option<u64>,
     pub daemon: usize,
     /// Whether the connection had served a request before.
     pub reused: bool,
@@ -127,6 +129,23 @@
     pub end: Duration,
 }
 
+/// An order that an engine got.
+#[derive(Clone, Debug)]
+pub struct ReceivedOrder {
+    /// Lifetime of the engine.
+    pub engine: String,
+    pub holder: String,
+    pub fence: u64,
+}
+
+/// A version of the desired state.
+#[derive(Clone, Copy, Debug)]
+pub struct DesiredWrite {
+    pub at: Duration,
+    /// Number of additional routes.
+    pub extra_routes: u64,
+}
+
 /// Everything that is checked after a run.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -134,6 +153,10 @@
     pub steps: BTreeMap<String, Vec<EngineStep>>,
     pub spans: Vec<Span>,
     pub rates: Vec<RateSpan>,
+    pub orders: Vec<ReceivedOrder>,
+    pub desired: Vec<DesiredWrite>,
+    /// Spans in which the store did not answer as usual.
+    pub store_spans: Vec<(Duration, Duration)>,
     /// Idle timeouts of callers' connections, with the time at which they were written.
     pub idle_limits: Vec<(Duration, Duration)>,
 }
@@ -193,6 +216,21 @@
         self.history.lock().unwrap().rates.push(span);
     }
 
+    pub fn add_order(&self, order: ReceivedOrder) {
+        self.history.lock().unwrap().orders.push(order);
+    }
+
+    pub fn add_desired(&self, extra_routes: u64) {
+        let at = self.now();
+        let mut history = self.history.lock().unwrap();
+        history.desired.push(DesiredWrite { at, extra_routes });
+    }
+
+    pub fn add_store_span(&self, start: Duration) {
+        let span = (start, self.now());
+        self.history.lock().unwrap().store_spans.push(span);
+    }
+
     pub fn add_idle_limit(&self, limit: Duration) {
         let mut history = self.history.lock().unwrap();
         history.idle_limits.push((self.now(), limit));
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -38,6 +38,7 @@
 fn seeds_that_have_failed(seed: u64) {
     let mut settings = SoakSettings::default().with_seed(seed);
     // Further kinds change what a seed draws.
+    settings.probes_routes = false;
     settings
         .disturbances
         .retain(|d| *d != Disturbance::EngineRate);
@@ -114,6 +115,7 @@
         seed: settings.seed,
         addrs: addrs.collect(),
         recorder: site.recorder.clone(),
+        probes_routes: settings.probes_routes,
         stop: AtomicBool::new(false),
     });
     let stop = Arc::new(AtomicBool::new(false));
@@ -189,7 +191,9 @@
 /// Returns what callers, engines and daemons recorded of a request.
 fn describe(site: &Site, history: &History, id: &str) -> String {
     let mut out = String::new();
-    let attempt = &history.attempts[id];
+    let Some(attempt) = history.attempts.get(id) else {
+        return out;
+    };
     let mut shown = attempt.clone();
     if let Outcome::Answered(answer) = &mut shown.outcome {
         answer.body.truncate(60);
--- a/tests/soak/settings.rs
+++ b/tests/soak/settings.rs
@@ -27,6 +27,8 @@
     /// Probability of a fault for each request at an engine.
     pub fault_rate: f64,
     pub engine_faults: Vec<EngineFault>,
+    /// Whether some requests ask for additional routes.
+    pub probes_routes: bool,
     /// Whether the daemons have a retry budget at the start.
     pub retries: bool,
     /// Maximum pause between two disturbances.
@@ -48,6 +50,7 @@
             engines: 4,
             fault_rate: 0.15,
             engine_faults: EngineFault::iter().collect(),
+            probes_routes: true,
             retries: true,
             pause: Duration::from_millis(900),
             disturbances: Disturbance::iter().collect(),
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -56,6 +56,11 @@
     }
 }
 
+/// Returns the path prefix of an additional route.
+pub fn extra_prefix(number: u64) -> String {
+    format!("/extra{number}/")
+}
+
 impl Desired {
     pub fn json(&self) -> Value {
         let mut routes = vec![
@@ -65,7 +70,7 @@
             self.route(prefix(Kind::RigidStream), "stream", "models", false),
         ];
         for number in 0..self.extra_routes {
-            let extra = format!("/extra{number}/");
+            let extra = extra_prefix(number);
             routes.push(self.route(&extra, "idempotent", "desk", false));
         }
         json!({"version": self.version, "routes": routes,
@@ -89,6 +94,7 @@
 /// Writes a version of the desired state.
 pub fn write_desired(store: &Store, recorder: &Recorder, desired: &Desired) {
     recorder.add_idle_limit(Duration::from_millis(desired.idle_timeout_ms));
+    recorder.add_desired(desired.extra_routes);
     store.put("op", "config", &desired.json());
 }
 
