--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -24,9 +24,9 @@
 /// Share of the idle timeout after which a connection is no longer used.
 const IDLE_SHARE: f64 = 0.8;
 /// Requests of a caller of which the last asks for an additional route.
-const PROBE_PERIOD: u64 = 12;
-/// Additional routes that are asked for; more than there ever are.
-const EXTRA_ROUTES: u64 = 7;
+const PROBE_PERIOD: u64 = 8;
+/// Additional routes that are asked for in turn. The last one never exists.
+const PROBED_ROUTES: [u64; 5] = [0, 3, 0, 1, 6];
 /// Maximum number of retries of a request.
 const MAX_RETRIES: u32 = 3;
 /// Statuses which promise that the request has not run and will not run.
@@ -91,7 +91,8 @@
             _ => Kind::Stream,
         };
         let is_probe = self.setup.probes_routes && self.sent % PROBE_PERIOD == PROBE_PERIOD - 1;
-        let extra_route = is_probe.then_some(self.sent / PROBE_PERIOD % EXTRA_ROUTES);
+        let turn = (self.sent / PROBE_PERIOD) as usize % PROBED_ROUTES.len();
+        let extra_route = is_probe.then_some(PROBED_ROUTES[turn]);
         let kind = match extra_route {
             Some(_) => Kind::Lookup,
             None => kind,
--- a/tests/soak/checkers.rs
+++ b/tests/soak/checkers.rs
@@ -433,13 +433,13 @@
     assert_eq!(rules(200, &[(0, 0), (10_000, 2)]), []);
     for status in [200, 404] {
         assert_eq!(
-            rules(status, &[(0, 0), (17_000, 2)]),
+            rules(status, &[(0, 0), (19_000, 2)]),
             [],
             "{status}, both apply"
         );
     }
     let mut cut = history_with_routes(404, &[(0, 0), (10_000, 2)]);
-    cut.store_spans.push((at(9_000), at(17_000)));
+    cut.store_spans.push((at(9_000), at(18_500)));
     assert_eq!(broken_rules(&cut), []);
     cut.store_spans = vec![(at(9_000), at(12_000))];
     assert_eq!(broken_rules(&cut), [Rule::Config]);
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -7,8 +7,8 @@
 use crate::disturbances::{GRACE, MIN_ROUTE_TIMEOUT};
 use crate::engine_faults::EngineFault;
 use crate::record::{
-    APPLY_TIME, Answer, Attempt, DesiredWrite, EngineStep, History, Outcome, RateSpan, Step,
-    answer_body, event_count, event_text,
+    Answer, Attempt, DesiredWrite, EngineStep, History, Outcome, RateSpan, Step, answer_body,
+    event_count, event_text,
 };
 
 /// Time after the last byte of a request within which a daemon may close a connection
@@ -17,6 +17,10 @@
 /// Time around a stop of a daemon in which its requests may be lost.
 const CONTACT: Duration = Duration::from_secs(1);
 
+/// Time from the confirmation of a desired state after which requests are handled by it, and from
+/// the end of a disturbance: the platform's bound.
+const CONFIG_TIME: Duration = Duration::from_secs(2);
+
 /// Share of its time after which a request may fail for want of time.
 const EARLY_SHARE: f64 = 0.7;
 
@@ -145,9 +149,9 @@
     let (route, Outcome::Answered(answer)) = (attempt.extra_route?, &attempt.outcome) else {
         return None;
     };
-    let from = attempt.started_at.saturating_sub(APPLY_TIME);
+    let from = attempt.started_at.saturating_sub(CONFIG_TIME);
     let disturbs = |(start, end): &(Duration, Duration)| {
-        *start <= attempt.ended_at && *end + APPLY_TIME >= attempt.started_at
+        *start <= attempt.ended_at && *end + CONFIG_TIME >= attempt.started_at
     };
     let is_excused = history.store_spans.iter().any(disturbs)
         || is_interrupted(history, attempt.daemon, from, attempt.ended_at);
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -7,7 +7,7 @@
 use crate::engine_faults::EngineFault;
 
 /// Time after which a desired state is in force everywhere.
-pub const APPLY_TIME: Duration = Duration::from_secs(4);
+const APPLY_TIME: Duration = Duration::from_secs(4);
 
 /// Kind of a caller's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
