End a request whose abandoned engine has unloaded its model

Callers of such a request got 504 at their deadline, 16 s after nothing was left to do: a run was abandoned for its silence, the leader then made room where no request ran, that is at the same engine, and the other engine failed. The request waited for an engine that would not take it again. The new test needs no load and failed before (504 after 20 s).

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -400,7 +400,7 @@
             AdmissionDecision::Pause(left) => left,
             AdmissionDecision::NoEngine
                 if attempts.persists()
-                    && (attempts.route_allows_retry(routed) || !attempts.abandoned.is_empty()) =>
+                    && (attempts.route_allows_retry(routed) || attempts.may_return(routed)) =>
             {
                 RESELECT_INTERVAL
             }
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -102,6 +102,23 @@
         self.uncertain = true;
     }
 
+    /// Returns whether an engine whose run was abandoned may take it again: it holds the model
+    /// still, as far as is known.
+    pub(super) fn may_return(&self, routed: &RoutedRequest) -> bool {
+        let now = clock::now();
+        let state = routed.edge.state.borrow();
+        let prompt = routed.headers.prompt.as_ref();
+        let holds = |id: &Arc<str>| {
+            let engine = state.fleet.engines.get(id);
+            // The entry of an engine may be missing for a while.
+            let (Some(engine), Some(prompt)) = (engine, prompt) else {
+                return true;
+            };
+            engine.has_model(&prompt.model, prompt.adapter.as_deref(), now)
+        };
+        self.abandoned.iter().any(holds)
+    }
+
     /// Returns whether the run at this engine was abandoned, and forgets that.
     pub(super) fn return_to(&mut self, engine: &Arc<str>) -> bool {
         let count = self.abandoned.len();
@@ -166,7 +183,7 @@
 ) -> bool {
     attempts.avoid_engine(engine);
     attempts.return_to(engine);
-    let possible = attempts.route_allows_retry(routed) || !attempts.abandoned.is_empty();
+    let possible = attempts.route_allows_retry(routed) || attempts.may_return(routed);
     let allowed = possible && await_budget(routed, attempts).await;
     record_retry(routed, attempts, engine, cause, allowed);
     allowed
--- a/tests/edge/silence.rs
+++ b/tests/edge/silence.rs
@@ -1,6 +1,8 @@
 //! Engines that fall silent for longer than the daemon waits before it looks for another
 //! engine, and then go on.
 
+use std::thread;
+
 use serde_json::Value;
 use test_case::test_case;
 
@@ -186,3 +188,27 @@
         assert!(span >= MIN_SPAN_MS, "{REJECTIONS} attempts in {span} ms");
     }
 }
+
+/// Guards against a request that is held until its deadline although no engine is left that could
+/// take it: the one whose run was abandoned has unloaded the model since.
+#[test]
+fn a_request_ends_when_its_abandoned_engine_has_unloaded_the_model() {
+    let site = Site::start();
+    site.set(Behavior::Silent);
+    let answer = thread::scope(|scope| {
+        let sending = scope.spawn(|| site.stream("/stream/", "s1"));
+        wait("the second run", || site.runs("s1") == 2);
+        // The leader makes room for a model that no engine holds, where no request runs.
+        let mut unloaded = Value::Null;
+        wait("an unload", || {
+            let orders = site.daemon.logged("order given");
+            let unload = orders.iter().find(|o| o["verb"] == "unload");
+            unloaded = unload.map_or(Value::Null, |o| o["engine"].clone());
+            unload.is_some_and(|o| o["result"] == "accepted")
+        });
+        let mut others = site.models.iter().filter(|e| e.id != unloaded);
+        others.next().unwrap().crash();
+        sending.join().unwrap()
+    });
+    assert_eq!((answer.status, site.runs("s1")), (502, 2), "{answer:?}");
+}
