--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -335,7 +335,7 @@
             _ => BTreeSet::new(),
         };
         let goes_on = attempts.persists() && (resumed || !budget.event_left.is_zero());
-        let mut permit_return = Duration::MAX;
+        let mut permit_return = None;
         if !budget.is_on_time(&selection) {
             let patience = budget.permit_patience(&selection, goes_on);
             match seek_permit(routed, attempts, patience, now) {
@@ -343,14 +343,16 @@
                     let _ = timeout(RESELECT_INTERVAL, changes.changed()).await;
                     continue;
                 }
-                Some(PermitState::Refused(delay)) => permit_return = delay,
+                Some(PermitState::Refused(delay)) => permit_return = Some(delay),
                 Some(PermitState::Granted(_)) | None => {}
             }
+            // A request that goes on applies again; a permit that is of no use goes to another.
             let is_usable = matches!(selection, Selection::Engine(_));
-            if !is_usable && (goes_on || permit_return == Duration::MAX) {
+            if !is_usable && (goes_on || permit_return.is_none()) {
                 attempts.permit = None;
             }
         }
+        let until_permit = |delay: Duration| permit_return.map_or(delay, |p| p.min(delay));
         let max_pause = match budget.decide(selection, &limits) {
             AdmissionDecision::Send(choice) => return Ok(choice),
             AdmissionDecision::Refuse { kind, .. } if goes_on && kind != Kind::UnknownModel => {
@@ -360,14 +362,11 @@
             AdmissionDecision::NoPermit if goes_on => RESELECT_INTERVAL,
             AdmissionDecision::NoPermit => {
                 let cause = "the engines have named a rate that is used up";
-                let retry_after = match permit_return {
-                    Duration::MAX => FULL_RETRY,
-                    delay => delay,
-                };
+                let retry_after = permit_return.unwrap_or(FULL_RETRY);
                 return Err(fail(Kind::NoCapacity, cause, retry_after));
             }
             AdmissionDecision::ReturnLater(paused) => {
-                let retry_after = routed.edge.book_return(&paused).min(permit_return);
+                let retry_after = until_permit(routed.edge.book_return(&paused));
                 let cause = "the engines want no requests of this host now";
                 return Err(fail(Kind::NoCapacity, cause, retry_after));
             }
@@ -377,7 +376,7 @@
                 retry_after,
                 load,
             } => {
-                let retry_after = retry_after.min(permit_return);
+                let retry_after = until_permit(retry_after);
                 // Starts the load for the caller's retry, although no request waits here.
                 if let Some(target) = load {
                     let edge = &routed.edge;
