Send rates along with every application for a permit

Since only new statements went with applications; that filter is gone, so that the allocator knows the rate before it decides.

--- a/src/edge/permits/packets.rs
+++ b/src/edge/permits/packets.rs
@@ -11,9 +11,6 @@
 use crate::edge::state::State;
 use crate::edge::statements::{RateChange, RateStatement};
 
-/// Time in which a statement may not have reached all hosts.
-const NEWS_TIME: Duration = Duration::from_secs(1);
-
 /// What a host does about permits in one round of sending.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PermitRound {
@@ -140,16 +137,14 @@
     }
 
     /// Returns the packet with these applications, and what is known of the rates of their
-    /// engines if it is so new that the allocator may not have heard of it.
+    /// engines: an allocator that has just started has not heard of them.
     fn application_packet(&self, due: Vec<Application>, now: Moment) -> Packet {
         let mut packet = Packet::default();
         for application in due {
             for engine in &application.engines {
                 let is_added = packet.rates.iter().any(|r| r.engine == **engine);
-                let is_new =
-                    |s: &&RateStatement| now.saturating_sub(s.heard_at) < NEWS_TIME && !is_added;
                 let statement = self.fleet.rates().statement(engine);
-                if let Some(statement) = statement.filter(is_new) {
+                if let Some(statement) = statement.filter(|_| !is_added) {
                     packet.rates.push(rate_note(engine, statement, now));
                 }
             }
--- a/tests/edge/permits.rs
+++ b/tests/edge/permits.rs
@@ -336,6 +336,32 @@
     network.check(at(4_000), 0.4);
 }
 
+/// Guards against LIMIT: an allocator that has just started, and has not heard of a rate that was
+/// named long ago, granted permits without limit.
+#[test]
+fn an_allocator_hears_of_a_rate_with_the_applications() {
+    let mut network = Network::new(2, 1.0);
+    network.run(5_000, |_, _| {});
+    network.start(0);
+    let now = network.now;
+    let applicant = &mut network.hosts[1];
+    let name = applicant.name.clone();
+    let permits = &mut applicant.state.permits;
+    permits.apply(vec![ENGINE.into()], Rank::new_request(1), now + PATIENCE);
+    let (_, packet) = applicant
+        .state
+        .next_permits(&name, true, now)
+        .packets
+        .remove(0);
+    let allocator = &mut network.hosts[0];
+    allocator.state.apply_rates(&packet, now);
+    allocator
+        .state
+        .apply_permits(&allocator.name, &name, &packet, now);
+    let round = allocator.state.next_permits(&allocator.name, true, now);
+    assert_eq!(round.granted, 0);
+}
+
 fn application(number: u64, priority: u8, patience_ms: u64) -> Application {
     Application {
         number,
