Log how far each broken run was and which parts it had

Nothing told which prompt parts ran on an engine that ended, nor how far each answer was. A broken run now leaves a line with engine, lifetime, progress (waiting, begun, settled) and the parts that other requests may share, and is counted by progress.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use super::permit::seek_permit;
+use super::progress::Progress;
 use super::relay::{self, OpenError, OpenedResponse};
 use super::response::{Refusal, ResponseBody};
 use super::retry::{self, Attempts, MIN_TIME_LEFT, can_retry, report_crash, start_retry};
@@ -107,7 +108,7 @@
             }
             Err(OpenError::Broken(cause)) => {
                 attempts.uncertain = true;
-                report_crash(&routed, &attempts);
+                report_crash(&routed, &attempts, Progress::after_head(None));
                 if !start_retry(&routed, &mut attempts, &engine, &cause).await {
                     let refusal = Refusal::new(Kind::UpstreamFailed);
                     return routed.refuse(refusal, &cause, &engine, attempts.sent);
@@ -170,7 +171,7 @@
             }
             SendOutcome::Failed(cause) => {
                 attempts.uncertain = true;
-                report_crash(routed, attempts);
+                report_crash(routed, attempts, Progress::Waiting);
                 if !start_retry(routed, attempts, &engine, &cause).await {
                     return Err(fail(Kind::UpstreamFailed, cause));
                 }
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -5,6 +5,7 @@
 mod attribution;
 mod framing;
 mod permit;
+mod progress;
 mod relay;
 pub mod response;
 mod retry;
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -232,7 +232,7 @@
                     return self.complete(source).await;
                 }
                 Awaited::Response(StreamItem::Broken(cause)) => {
-                    retry::report_crash(&self.routed, &self.attempts);
+                    retry::report_crash(&self.routed, &self.attempts, source.progress());
                     let resumable = source.is_resumable();
                     source.abandon();
                     let (routed, attempts) = (&self.routed, &mut self.attempts);
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -7,6 +7,7 @@
 use tokio::time::sleep;
 
 use super::RoutedRequest;
+use super::progress::Progress;
 use crate::clock::Moment;
 use crate::edge::clock;
 use crate::edge::permits::{PermitGuard, PermitState, Rank};
@@ -15,6 +16,8 @@
 /// Minimum time left for a request to be sent.
 pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
+/// Maximum number of parts in a log line.
+const MAX_LOGGED_PARTS: usize = 16;
 /// Interval at which a request that waits for a retry asks the retry budget.
 const BUDGET_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -220,7 +223,8 @@
 }
 
 /// Records that the engine to which the request was last sent failed while it may have run it.
-pub(super) fn report_crash(routed: &RoutedRequest, attempts: &Attempts) {
+pub(super) fn report_crash(routed: &RoutedRequest, attempts: &Attempts, progress: Progress) {
+    log_broken_run(routed, attempts, progress);
     let mut state = routed.edge.state.borrow_mut();
     let fingerprint = routed.fingerprint;
     let lifetime = &attempts.lifetime;
@@ -233,3 +237,23 @@
         routed.edge.send_wake.notify_one();
     }
 }
+
+/// Counts and logs a run whose connection broke, with the parts of its prompt that other
+/// requests may share.
+fn log_broken_run(routed: &RoutedRequest, attempts: &Attempts, progress: Progress) {
+    let progress: &'static str = progress.into();
+    routed.edge.metrics.record_broken_run(progress);
+    let Lifetime {
+        engine,
+        incarnation,
+    } = &attempts.lifetime;
+    let prompt = routed.headers.prompt.as_ref();
+    let ids = prompt.into_iter().flat_map(|p| p.shared_parts());
+    let parts: Vec<_> = ids
+        .take(MAX_LOGGED_PARTS)
+        .map(|id| format!("{id:x}"))
+        .collect();
+    let request = &*routed.headers.id;
+    let parts = parts.join(",");
+    log::info!(request, engine = &**engine, life = *incarnation, progress, parts; "run broken off");
+}
--- a/src/edge/forward/source.rs
+++ b/src/edge/forward/source.rs
@@ -9,8 +9,11 @@
 
 use super::RoutedRequest;
 use super::framing::Framing;
+use super::progress::Progress;
 use super::send::EngineResponse;
+use crate::clock::Moment;
 use crate::edge::client::Connection;
+use crate::edge::clock;
 use crate::edge::events::{EndPlace, EventDecoder};
 use crate::edge::in_flight::InFlightGuard;
 use crate::platform::headers;
@@ -27,6 +30,8 @@
     decoder: EventDecoder,
     /// Id of the last whole event.
     pub last_event: Option<u64>,
+    /// When the first events of this run arrived.
+    first_at: Option<Moment>,
 }
 
 /// What arrives next on a stream.
@@ -58,6 +63,7 @@
             in_flight: engine_response.in_flight,
             decoder: EventDecoder::default(),
             last_event,
+            first_at: None,
         };
         (head, source)
     }
@@ -78,6 +84,7 @@
             }
             let events = self.new_events();
             if !events.is_empty() {
+                self.first_at.get_or_insert_with(clock::now);
                 return StreamItem::Events(events);
             }
         }
@@ -128,6 +135,12 @@
             "stream ended inside an event or without events");
     }
 
+    /// Returns how far the answer of this run is.
+    pub(super) fn progress(&self) -> Progress {
+        let since = self.first_at.map(|at| clock::now().saturating_sub(at));
+        Progress::after_head(since)
+    }
+
     /// Returns whether another engine can go on after the last whole event.
     pub(super) fn is_resumable(&self) -> bool {
         self.last_event.is_some() && self.routed.route.resumable
--- a/src/edge/request_headers.rs
+++ b/src/edge/request_headers.rs
@@ -69,6 +69,15 @@
         self.parts.last().map_or(self.input_tokens, |p| p.tokens)
     }
 
+    /// Returns the ids of the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> impl Iterator<Item = u64> {
+        let shared = self
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.id)
+    }
+
     /// Returns the key and the number of tokens of each prefix that ends with a part. The
     /// key covers model, adapter and all parts of the prefix.
     pub fn prefix_keys(&self) -> Vec<(u64, u32)> {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -46,6 +46,7 @@
     permits: Counter<u64>,
     store_eras: Counter<u64>,
     stream_ends: Counter<u64>,
+    broken_runs: Counter<u64>,
     streams: UpDownCounter<i64>,
     queue: Gauge<u64>,
     loads: Counter<u64>,
@@ -125,6 +126,11 @@
                 "stream_ends",
                 "Engines' streams that ended without an error, by framing and place",
             ),
+            broken_runs: counter(
+                &m,
+                "broken_runs",
+                "Requests whose connection to the engine broke, by the progress of the answer",
+            ),
             streams: open_streams(&m),
             queue: gauge(&m, "queue", "Requests that wait for a replica at this host"),
             loads: counter(&m, "loads", "Load orders that ended, by outcome"),
@@ -225,6 +231,12 @@
         self.stream_ends.add(1, &labels);
     }
 
+    /// Counts a request whose connection to the engine broke.
+    pub fn record_broken_run(&self, progress: &'static str) {
+        self.broken_runs
+            .add(1, &[KeyValue::new("progress", progress)]);
+    }
+
     /// Adds `change` to the number of open streams.
     pub fn add_streams(&self, change: i64) {
         self.streams.add(change, &[]);
