Test that prompt parts on which engines crash are held

Engines that crash on one part as they begin to answer, and are back after 1.5 s; requests that differ in everything but the first part and that one.

--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -30,6 +30,10 @@
     /// When the engine goes on writing responses.
     stalled_until: Option<Instant>,
     models: Vec<String>,
+    /// Part of prompts on which the engine crashes as it begins to answer.
+    crashing_part: Option<String>,
+    /// When its lifetimes ended.
+    ends: Vec<Instant>,
     /// Further ids that the engine answers to.
     aliases: Vec<String>,
     /// Number of accepted orders.
@@ -65,6 +69,8 @@
     store: Store,
     sequence: Arc<AtomicU64>,
     dead: Arc<Notify>,
+    /// Like `dead`, but the engine starts again after [`DOWN_TIME`].
+    crashed: Arc<Notify>,
     state: Arc<Mutex<EngineState>>,
 }
 
@@ -81,6 +87,9 @@
 /// Time for which an engine stalls; as long as the pause of a preempted stream.
 pub const STALL: Duration = PREEMPTION;
 
+/// Time after a crash for which an engine is down.
+pub const DOWN_TIME: Duration = Duration::from_millis(1_500);
+
 impl Engine {
     /// Starts an engine that has loaded `models` and registers it.
     pub fn start(store: &Store, id: &str, service: &str, models: &[&str]) -> Self {
@@ -100,30 +109,68 @@
                 store,
                 sequence: Arc::default(),
                 dead: Arc::default(),
+                crashed: Arc::default(),
                 state: Arc::new(Mutex::new(state)),
             };
             engine.register("ready");
             sender.send(engine.clone()).unwrap();
-            loop {
-                let dead = engine.dead.clone();
-                let stream = tokio::select! {
-                    accepted = listener.accept() => accepted.unwrap().0,
-                    () = dead.notified() => return,
-                };
-                let engine = engine.clone();
-                tokio::spawn(async move {
-                    let mut stream = stream;
-                    tokio::select! {
-                        () = engine.clone().serve(&mut stream) => {}
-                        // Dropping the stream closes it, as when the process dies.
-                        () = dead.notified() => {}
-                    }
-                });
-            }
+            engine.accept(listener).await;
         });
         receiver.recv().unwrap()
     }
 
+    /// Accepts connections until the engine is dead.
+    async fn accept(&self, mut listener: TcpListener) {
+        loop {
+            let (dead, crashed) = (self.dead.clone(), self.crashed.clone());
+            let stream = tokio::select! {
+                accepted = listener.accept() => accepted.unwrap().0,
+                () = dead.notified() => return,
+                () = crashed.notified() => {
+                    drop(listener);
+                    sleep(DOWN_TIME).await;
+                    listener = TcpListener::bind(self.addr).await.unwrap();
+                    self.start_again();
+                    continue;
+                }
+            };
+            let engine = self.clone();
+            tokio::spawn(async move {
+                let mut stream = stream;
+                tokio::select! {
+                    () = engine.serve(&mut stream) => {}
+                    // Dropping the stream closes it, as when the process dies.
+                    () = dead.notified() => {}
+                    () = crashed.notified() => {}
+                }
+            });
+        }
+    }
+
+    /// Closes all connections, and accepts others after [`DOWN_TIME`] in a new lifetime.
+    pub fn crash_and_restart(&self) {
+        self.state.lock().unwrap().ends.push(Instant::now());
+        self.crashed.notify_waiters();
+    }
+
+    /// Sets the part of prompts on which the engine crashes.
+    pub fn crash_on(&self, part: &str) {
+        self.state.lock().unwrap().crashing_part = Some(part.to_owned());
+    }
+
+    /// Returns when its lifetimes ended.
+    pub fn ends(&self) -> Vec<Instant> {
+        self.state.lock().unwrap().ends.clone()
+    }
+
+    /// Returns when requests arrived that have this part in their prompts, not as the last.
+    pub fn arrivals_with(&self, part: &str) -> Vec<Instant> {
+        let state = self.state.lock().unwrap();
+        let arrivals = state.arrivals.iter().zip(&state.arrival_times);
+        let with_part = arrivals.filter(|(request, _)| has_part(request, part));
+        with_part.map(|(_, at)| *at).collect()
+    }
+
     /// Writes the engine's entry with this state to the store.
     pub fn register(&self, state: &str) {
         self.register_as(&self.id, state);
@@ -420,6 +467,15 @@
     }
 }
 
+/// Returns whether a request's prompt has a part, not as the last.
+fn has_part(request: &ReceivedRequest, part: &str) -> bool {
+    let prefix = request.header("x-mastichinge-prompt-prefix");
+    let shared = prefix.rsplit_once(',').map_or("", |(shared, _)| shared);
+    let ids = shared.split(',').filter_map(|p| p.split(':').next());
+    let number = |id: &str| u64::from_str_radix(id.trim(), 16).ok();
+    ids.filter_map(number).any(|id| Some(id) == number(part))
+}
+
 fn model_json(model: &String) -> Value {
     json!({"name": model, "version": 1, "adapters": []})
 }
--- a/tests/edge/fakes/engine/runs.rs
+++ b/tests/edge/fakes/engine/runs.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use super::behavior::{Behavior, Place, signed_head};
-use super::{EVENT_PAUSE, EVENTS, Engine, PREEMPTION, signed as signed_of};
+use super::{EVENT_PAUSE, EVENTS, Engine, PREEMPTION, has_part, signed as signed_of};
 use crate::fakes::{ReceivedRequest, write_response};
 
 impl Engine {
@@ -133,7 +133,9 @@
             }
             return Ok(());
         }
-        self.stream(stream, &id, after, behavior).await
+        let crashing_part = self.state.lock().unwrap().crashing_part.clone();
+        let crashes = crashing_part.is_some_and(|part| has_part(&request, &part));
+        self.stream(stream, &id, after, (behavior, crashes)).await
     }
 
     async fn stream(
@@ -141,7 +143,7 @@
         stream: &mut TcpStream,
         id: &str,
         after: u64,
-        behavior: Behavior,
+        (behavior, crashes): (Behavior, bool),
     ) -> std::io::Result<()> {
         let framing = self.state.lock().unwrap().framing;
         let mut headers = framing.header().to_owned();
@@ -150,6 +152,10 @@
         }
         let head = signed_head(id) + "Content-Type: text/event-stream\r\n" + &headers + "\r\n";
         stream.write_all(head.as_bytes()).await?;
+        if crashes {
+            self.crash_and_restart();
+            return Err(std::io::ErrorKind::BrokenPipe.into());
+        }
         for event in after + 1..=EVENTS {
             let text = format!("id: {event}\ndata: token {event}\n\n");
             let half = framing.frame(&text[..text.len() / 2]);
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -3,6 +3,7 @@
 mod attribution;
 mod client;
 mod connections;
+mod crashing_parts;
 mod decisions;
 mod endless;
 mod engine_list;
