Hold the parts of prompts on which engines crash

Callers saw streams fail for minutes: requests that share one part of their prompts ended engine after engine, 46 in the incident. A request that crashes engines was recognised by a hash of all of its path and body, and these requests are never alike; what was recognised was told once, in one datagram, and forgotten after 30 s.

What crashed engines may have in common are now features: path and body, and each part of the prompt but the last. A crash counts against the features of the requests that were just being answered when the engine ended, which a connection shows: refused. New features count before those that engines have answered; a crash that a held feature explains counts against no other. All hosts repeat all crashes, each works out what is held, rows in the store tell hosts that start, and the row's version lets one host at a time send a trial.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -12,13 +12,14 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::timeout;
 
+use super::framing::Framing;
 use super::permit::seek_permit;
 use super::progress::Progress;
 use super::relay::{self, OpenError, OpenedResponse};
 use super::response::{Refusal, ResponseBody};
-use super::retry::{self, Attempts, MIN_TIME_LEFT, can_retry, report_crash, start_retry};
+use super::retry::{self, Attempts, MIN_TIME_LEFT, can_retry, record_broken_run, start_retry};
 use super::send::{EngineResponse, MAX_WHOLE_BYTES, SendOutcome, send};
-use super::{DeadlineSource, RequestGuard, RoutedRequest};
+use super::{DeadlineSource, RequestGuard, RoutedRequest, held_cause};
 use crate::clock::Moment;
 use crate::edge::admission::{AdmissionDecision, TimeBudget};
 use crate::edge::clock;
@@ -108,7 +109,7 @@
             }
             Err(OpenError::Broken(cause)) => {
                 attempts.uncertain = true;
-                report_crash(&routed, &attempts, Progress::after_head(None));
+                record_broken_run(&routed, &attempts, Progress::after_head(None));
                 if !start_retry(&routed, &mut attempts, &engine, &cause).await {
                     let refusal = Refusal::new(Kind::UpstreamFailed);
                     return routed.refuse(refusal, &cause, &engine, attempts.sent);
@@ -143,6 +144,7 @@
             cause,
             engine: engine.clone(),
         };
+        admit(routed, attempts, &engine).await?;
         let was_abandoned = attempts.return_to(&engine);
         attempts.sent += 1;
         match send(routed, attempts, &choice, max_silence).await {
@@ -171,7 +173,7 @@
             }
             SendOutcome::Failed(cause) => {
                 attempts.uncertain = true;
-                report_crash(routed, attempts, Progress::Waiting);
+                record_broken_run(routed, attempts, Progress::Waiting);
                 if !start_retry(routed, attempts, &engine, &cause).await {
                     return Err(fail(Kind::UpstreamFailed, cause));
                 }
@@ -192,6 +194,34 @@
     }
 }
 
+/// Checks once more, before each send, whether engines crash on such requests. A trial that has
+/// not run is sent again.
+async fn admit(
+    routed: &RoutedRequest,
+    attempts: &mut Attempts,
+    engine: &Arc<str>,
+) -> Result<(), Failure> {
+    if attempts.is_trial && !attempts.uncertain {
+        return Ok(());
+    }
+    let held = match routed.edge.admit(&routed.features).await {
+        Ok(is_trial) => {
+            attempts.is_trial = is_trial;
+            return Ok(());
+        }
+        Err(held) => held,
+    };
+    let kind = match attempts.uncertain {
+        true => Kind::UpstreamFailed,
+        false => Kind::NotRun,
+    };
+    Err(Failure {
+        refusal: Refusal::with_retry_after(kind, held.retry_after),
+        cause: held_cause(&held),
+        engine: engine.clone(),
+    })
+}
+
 /// Waits after a rejection, longer after each.
 async fn rejection_pause(routed: &RoutedRequest, attempts: &Attempts) {
     let pause = REJECTION_PAUSE * attempts.not_run.clamp(1, MAX_REJECTION_PAUSES);
@@ -445,6 +475,7 @@
         ..
     } = *engine_response;
     let (mut head, body) = response.into_parts();
+    let framing = Framing::of(&head.headers, &body);
     let is_long = content_length(&head.headers).is_some_and(|n| n > MAX_WHOLE_BYTES);
     head.headers = headers::to_caller(&head.headers);
     if is_long {
@@ -465,8 +496,10 @@
                 connection.release(headers.idle_timeout);
             }
             in_flight.record_outcome(!head.status.is_server_error());
-            let state = &routed.edge.state;
-            state.borrow_mut().suspects.clear(routed.fingerprint);
+            // The connection of an engine that crashes may end in order.
+            if framing != Framing::Close {
+                routed.edge.record_answered(&routed.features);
+            }
             let body = ResponseBody::Whole(Some(body.to_bytes()));
             Ok(OpenedResponse::Complete(Response::from_parts(head, body)))
         }
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -32,7 +32,7 @@
 use super::desired::{DesiredState, RequestLimits, Route, RouteKind};
 use super::request_headers::RequestHeaders;
 use super::state::Edge;
-use super::suspects;
+use super::suspects::{self, Feature, Hold};
 use crate::clock::Moment;
 use crate::error::Kind;
 use crate::platform::headers;
@@ -60,6 +60,8 @@
     service: Arc<str>,
     /// Fingerprint of path and body.
     fingerprint: u64,
+    /// What it may have in common with requests that crash engines; its own feature is the last.
+    features: Vec<Feature>,
     arrived_at: Moment,
     /// When the whole response must have arrived.
     deadline: Moment,
@@ -81,6 +83,12 @@
         self.deadline.saturating_sub(clock::now())
     }
 
+    /// Returns the features that other requests may share, and its own.
+    fn split_features(&self) -> (&[Feature], &[Feature]) {
+        self.features
+            .split_at(self.features.len().saturating_sub(1))
+    }
+
     fn age(&self) -> Duration {
         clock::now().saturating_sub(self.arrived_at)
     }
@@ -215,14 +223,9 @@
         let refusal = Refusal::with_retry_after(Kind::Draining, OTHER_HOST_RETRY);
         return Ok(routed.refuse(refusal, "this host is shutting down", "", 0));
     }
-    let held = edge
-        .state
-        .borrow()
-        .suspects
-        .hold_left(routed.fingerprint, arrived_at);
-    if let Some(wait) = held {
-        let refusal = Refusal::with_retry_after(Kind::NotRun, wait);
-        return Ok(routed.refuse(refusal, "engines crashed while running this request", "", 0));
+    if let Err(held) = edge.check_held(&routed.features) {
+        let refusal = Refusal::with_retry_after(Kind::NotRun, held.retry_after);
+        return Ok(routed.refuse(refusal, &held_cause(&held), "", 0));
     }
     edge.record_request(&routed.service);
     record_demand(&routed);
@@ -270,6 +273,7 @@
         deadline_source = DeadlineSource::Caller;
     }
     let fingerprint = suspects::fingerprint(head.uri.path(), &body);
+    let features = suspects::features(fingerprint, headers.shared_parts.iter().copied());
     Ok(RoutedRequest {
         edge: edge.clone(),
         head,
@@ -279,12 +283,21 @@
         desired,
         service,
         fingerprint,
+        features,
         arrived_at,
         deadline: arrived_at + time_limit,
         deadline_source,
     })
 }
 
+/// Returns why a held request is refused.
+fn held_cause(held: &Hold) -> String {
+    format!(
+        "engines crashed while running requests with {}",
+        held.feature
+    )
+}
+
 fn refuse(edge: &Edge, request: &str, kind: Kind, cause: &str) -> Response<ResponseBody> {
     let refusal = match kind.response().status {
         503 => Refusal::with_retry_after(kind, UNREADY_RETRY),
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use super::attempt;
+use super::progress::Progress;
 use super::response::{BodyPart, ResponseBody};
 use super::retry::{self, Attempts};
 use super::send::EngineResponse;
@@ -170,8 +171,6 @@
         let status = 200;
         match end {
             StreamEnd::Complete => {
-                let state = &routed.edge.state;
-                state.borrow_mut().suspects.clear(routed.fingerprint);
                 routed.log_outcome("answered", status, &engine, attempts);
                 routed.edge.metrics.record_answer(routed.age());
                 return;
@@ -208,6 +207,7 @@
         if ended {
             return self.complete(source).await;
         }
+        let mut settled = false;
         loop {
             let max_silence = self.max_silence(&source);
             let (routed, attempts) = (&self.routed, &mut self.attempts);
@@ -216,6 +216,11 @@
             let last_event = source.last_event;
             match awaited {
                 Awaited::Response(StreamItem::Events(bytes)) => {
+                    if !settled && source.progress() == Progress::Settled {
+                        settled = true;
+                        let (shared, _) = self.routed.split_features();
+                        self.routed.edge.record_answered(shared);
+                    }
                     if let Err(end) = self.send_chunk(bytes).await {
                         return end;
                     }
@@ -232,7 +237,7 @@
                     return self.complete(source).await;
                 }
                 Awaited::Response(StreamItem::Broken(cause)) => {
-                    retry::report_crash(&self.routed, &self.attempts, source.progress());
+                    retry::record_broken_run(&self.routed, &self.attempts, source.progress());
                     let resumable = source.is_resumable();
                     source.abandon();
                     let (routed, attempts) = (&self.routed, &mut self.attempts);
@@ -263,6 +268,9 @@
 
     /// Completes the stream once the caller has room for its end.
     async fn complete(&self, source: StreamSource) -> StreamEnd {
+        if source.is_answered() {
+            self.routed.edge.record_answered(&self.routed.features);
+        }
         source.finish();
         match self.part_sender.send(BodyPart::End).await {
             Ok(()) => StreamEnd::Complete,
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -46,6 +46,8 @@
     pub uncertain: bool,
     /// Id of the event after which the stream is resumed.
     pub last_event: Option<u64>,
+    /// Whether it is a trial of a feature that is held.
+    pub is_trial: bool,
     /// Whether it waited for a load.
     pub load_waited: bool,
     /// Its application for a permit to be sent next.
@@ -222,19 +224,18 @@
     log::info!(request, engine = &**engine, cause, tries, allowed; "request retry");
 }
 
-/// Records that the engine to which the request was last sent failed while it may have run it.
-pub(super) fn report_crash(routed: &RoutedRequest, attempts: &Attempts, progress: Progress) {
+/// Records that the connection broke on which the request was last sent, while it may have run.
+pub(super) fn record_broken_run(routed: &RoutedRequest, attempts: &Attempts, progress: Progress) {
     log_broken_run(routed, attempts, progress);
-    let mut state = routed.edge.state.borrow_mut();
-    let fingerprint = routed.fingerprint;
-    let lifetime = &attempts.lifetime;
-    if state
-        .suspects
-        .record_crash(fingerprint, lifetime, clock::now())
-    {
-        state.crash_reports.push((fingerprint, lifetime.clone()));
-        drop(state);
-        routed.edge.send_wake.notify_one();
+    let (edge, mut features) = (&routed.edge, &routed.features[..]);
+    if progress == Progress::Settled {
+        let (shared, own) = routed.split_features();
+        edge.record_answered(shared);
+        features = own;
+    }
+    if let Some(addr) = attempts.addrs.last() {
+        let begun = progress == Progress::Begun;
+        edge.record_broken_off(&attempts.lifetime, *addr, features, begun);
     }
 }
 
@@ -247,8 +248,7 @@
         engine,
         incarnation,
     } = &attempts.lifetime;
-    let prompt = routed.headers.prompt.as_ref();
-    let ids = prompt.into_iter().flat_map(|p| p.shared_parts());
+    let ids = routed.headers.shared_parts.iter();
     let parts: Vec<_> = ids
         .take(MAX_LOGGED_PARTS)
         .map(|id| format!("{id:x}"))
--- a/src/edge/forward/source.rs
+++ b/src/edge/forward/source.rs
@@ -141,6 +141,12 @@
         Progress::after_head(since)
     }
 
+    /// Returns whether the engine has surely answered, once the stream has ended in order: the
+    /// connection of an engine that crashes may end so, too.
+    pub(super) fn is_answered(&self) -> bool {
+        self.framing != Framing::Close || self.progress() == Progress::Settled
+    }
+
     /// Returns whether another engine can go on after the last whole event.
     pub(super) fn is_resumable(&self) -> bool {
         self.last_event.is_some() && self.routed.route.resumable
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -33,9 +33,9 @@
     /// Whether the recipient passes announcements and prompts on to its failure domain.
     #[prost(bool, tag = "14")]
     pub relay: bool,
-    /// Requests during which engines crashed.
-    #[prost(message, repeated, tag = "7")]
-    pub crash_reports: Vec<CrashReport>,
+    /// Ends of engines with requests in progress.
+    #[prost(message, repeated, tag = "19")]
+    pub crashes: Vec<CrashNote>,
     /// Prompts that were sent to engines.
     #[prost(message, repeated, tag = "8")]
     pub sent_prompts: Vec<PromptNote>,
@@ -56,7 +56,7 @@
 impl Packet {
     /// Returns whether it has notes that every daemon should get, also a silent one.
     pub fn is_for_all(&self) -> bool {
-        !self.crash_reports.is_empty() || !self.leaving.is_empty() || !self.rates.is_empty()
+        !self.crashes.is_empty() || !self.leaving.is_empty() || !self.rates.is_empty()
     }
 }
 
@@ -361,16 +361,45 @@
     pub sender: String,
 }
 
-/// An engine that crashed while it ran a request.
+/// The end of an engine with requests in progress, or requests that it broke off.
 #[derive(Clone, PartialEq, Message)]
-pub struct CrashReport {
-    /// Fingerprint of the request.
-    #[prost(fixed64, tag = "1")]
-    pub fingerprint: u64,
+pub struct CrashNote {
     /// Id of the engine.
-    #[prost(string, tag = "2")]
+    #[prost(string, tag = "1")]
     pub engine: String,
     /// Start time of the engine, ms since the Unix epoch; 0 when unknown.
-    #[prost(uint64, tag = "3")]
+    #[prost(uint64, tag = "2")]
     pub incarnation: u64,
+    /// Time since the end, ms.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    /// Time since a request came that is held because of it, or since the end, ms.
+    #[prost(uint64, tag = "4")]
+    pub seen_ms: u64,
+    /// Whether the engine ended.
+    #[prost(bool, tag = "6")]
+    pub ended: bool,
+    /// Features of the requests.
+    #[prost(message, repeated, tag = "5")]
+    pub features: Vec<FeatureNote>,
+}
+
+/// What is known of a feature of requests at the end of an engine.
+#[derive(Clone, PartialEq, Message)]
+pub struct FeatureNote {
+    /// Id of the part, or hash of the request.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// Whether it is a whole request.
+    #[prost(bool, tag = "2")]
+    pub is_request: bool,
+    /// Whether an answer to a request with it had just begun.
+    #[prost(bool, tag = "3")]
+    pub begun: bool,
+    /// Whether an engine had answered a request with it before.
+    #[prost(bool, tag = "4")]
+    pub known: bool,
+    /// Whether an engine has answered a request with it since.
+    #[prost(bool, tag = "5")]
+    pub cleared: bool,
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -116,6 +116,8 @@
         order_wake: Notify::new(),
         unknown_peer: Notify::new(),
         relay_wake: Notify::new(),
+        hold_wake: Notify::new(),
+        holds_known: Cell::new(false),
         settings: RefCell::new(Rc::new(settings)),
     });
     let host = &*edge.host;
@@ -142,6 +144,7 @@
     tokio::task::spawn_local(store_watch::watch_desired(edge.clone()));
     tokio::task::spawn_local(store_watch::watch_engines(edge.clone()));
     tokio::task::spawn_local(store_watch::watch_members(edge.clone()));
+    tokio::task::spawn_local(suspects::keep_rows(edge.clone()));
     tokio::task::spawn_local(peers::receive_packets(edge.clone(), socket.clone()));
     tokio::task::spawn_local(peers::send_packets(edge.clone(), socket.clone()));
     tokio::task::spawn_local(relays::relay_prompts(edge.clone(), socket.clone()));
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -25,7 +25,7 @@
 use super::request_headers::split_target;
 use super::state::{Edge, State};
 use super::statements::Source;
-use super::upstream::{AnnouncedModels, EngineLoad, Lifetime, LoadedModels, SentPrompt};
+use super::upstream::{AnnouncedModels, EngineLoad, LoadedModels, SentPrompt};
 use crate::clock::Moment;
 
 /// Receive buffer, bytes.
@@ -311,7 +311,10 @@
     // What was queued while the process was suspended is of an unknown age, and is repeated.
     let is_late = edge.activity.borrow().is_catching_up(now);
     let (mut rate_changes, mut decided) = (Vec::new(), false);
+    let mut held_changes = Vec::new();
     if !is_late {
+        let crashes = packet.crashes.iter();
+        held_changes.extend(crashes.map(|note| state.suspects.apply(note, now)));
         rate_changes = state.apply_rates(&packet, now);
         decided = state.apply_permits(&edge.host, &host, &packet, now);
     }
@@ -319,6 +322,9 @@
     for (engine, change, life) in rate_changes {
         edge.announce_rate(&engine, change, life, &host);
     }
+    for change in &held_changes {
+        edge.record_held_change(change);
+    }
     if decided {
         edge.notify_waiting();
     }
@@ -394,13 +400,6 @@
                 sender => self.fleet.record_peer_prompt(&sender.into(), &prompt, now),
             }
         }
-        for note in &packet.crash_reports {
-            let lifetime = Lifetime {
-                engine: note.engine.as_str().into(),
-                incarnation: note.incarnation,
-            };
-            self.suspects.record_crash(note.fingerprint, &lifetime, now);
-        }
         for note in &packet.leaving {
             let engine = note.engine.as_str().into();
             let source = Source::Note;
--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -7,7 +7,7 @@
 
 use super::demand::{Demand, ModelKey};
 use super::gossip::{
-    CrashReport, DemandNote, DemandReport, Heartbeat, LeavingNote, LoadNote, LoadReport, Packet,
+    CrashNote, DemandNote, DemandReport, Heartbeat, LeavingNote, LoadNote, LoadReport, Packet,
     PromptNote, TargetCount, WaitingNote, WaitingReport,
 };
 use super::members::{HEARTBEAT_PERIOD, MAX_DIRECT_MEMBERS};
@@ -22,6 +22,10 @@
 const LEAVING_PER_PACKET: usize = 8;
 /// Maximum number of repeated notes of engines' rates in one datagram, for the same reason.
 const RATES_PER_PACKET: usize = 6;
+/// Maximum number of crashes in one datagram, for the same reason.
+const CRASHES_PER_PACKET: usize = 2;
+/// Daemons that repeat crashes in each heartbeat period.
+const CRASH_TELLERS: usize = 8;
 /// Period of reporting the load to a daemon, for each daemon of the deployment: the rate
 /// of all reports that a daemon receives stays the same.
 const LOAD_PERIOD_PER_MEMBER: Duration = Duration::from_millis(9);
@@ -66,6 +70,10 @@
     leaving_turn: usize,
     /// The same in the list of engines' rates.
     rate_turn: usize,
+    /// The same in the list of crashes.
+    crash_turn: usize,
+    /// Number of the last heartbeat, of which some repeat crashes.
+    crash_round: usize,
 }
 
 impl Reporter {
@@ -86,6 +94,7 @@
         if is_heartbeat {
             self.repeat_leaving_notes(state, &mut everyone);
             self.repeat_rate_notes(state, &mut everyone, now);
+            self.repeat_crashes(state, &mut everyone, now);
         }
         add_urgent_notes(state, &mut everyone, now);
         let mut relayed = Vec::new();
@@ -139,6 +148,19 @@
         }
     }
 
+    /// Adds crashes, for the same reasons. In a large deployment this daemon leaves rounds out,
+    /// so that the others get as many from all.
+    fn repeat_crashes(&mut self, state: &State, packet: &mut Packet, now: Moment) {
+        self.crash_round += 1;
+        let rounds = state.members.all.len().div_ceil(CRASH_TELLERS).max(1);
+        if !self.crash_round.is_multiple_of(rounds) {
+            return;
+        }
+        let notes = state.suspects.notes(now);
+        let notes = take_turn(&notes, &mut self.crash_turn, CRASHES_PER_PACKET);
+        packet.crashes.extend(notes.cloned());
+    }
+
     fn demand_report(
         &mut self,
         state: &mut State,
@@ -191,13 +213,15 @@
             packet.rates.push(rate_note(&engine, statement, now));
         }
     }
-    for (fingerprint, lifetime) in state.crash_reports.drain(..) {
-        packet.crash_reports.push(CrashReport {
-            fingerprint,
-            engine: lifetime.engine.to_string(),
-            incarnation: lifetime.incarnation,
-        });
-    }
+    let is_repeated = |note: &CrashNote| {
+        packet
+            .crashes
+            .iter()
+            .any(|c| c.engine == note.engine && c == note)
+    };
+    let mut news = state.suspects.take_news(CRASHES_PER_PACKET, now);
+    news.retain(|note| !is_repeated(note));
+    packet.crashes.append(&mut news);
     for (engine, incarnation) in state.leaving_notes.drain(..) {
         let engine = engine.to_string();
         packet.leaving.push(LeavingNote {
--- a/src/edge/request_headers.rs
+++ b/src/edge/request_headers.rs
@@ -14,6 +14,8 @@
     pub time_limit: Option<Duration>,
     /// Id of the event after which the caller resumes a stream.
     pub last_event: Option<u64>,
+    /// Ids of the parts of the prompt that other requests may share, with or without a model.
+    pub shared_parts: Vec<u64>,
     /// Prompt for a model; `None` for services without models.
     pub prompt: Option<Prompt>,
 }
@@ -42,6 +44,12 @@
     pub tokens: u32,
 }
 
+/// Returns the ids of the parts that other requests may share: all but the last.
+pub fn shared_parts(parts: &[PromptPart]) -> Vec<u64> {
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| part.id).collect()
+}
+
 /// Returns the name of the model or adapter to load: `model` or `model/adapter`.
 pub fn target(model: &Arc<str>, adapter: Option<&str>) -> Arc<str> {
     match adapter {
@@ -69,15 +77,6 @@
         self.parts.last().map_or(self.input_tokens, |p| p.tokens)
     }
 
-    /// Returns the ids of the parts that other requests may share: all but the last.
-    pub fn shared_parts(&self) -> impl Iterator<Item = u64> {
-        let shared = self
-            .parts
-            .split_last()
-            .map_or(&[][..], |(_, shared)| shared);
-        shared.iter().map(|part| part.id)
-    }
-
     /// Returns the key and the number of tokens of each prefix that ends with a part. The
     /// key covers model, adapter and all parts of the prefix.
     pub fn prefix_keys(&self) -> Vec<(u64, u32)> {
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -25,8 +25,8 @@
 use super::settings::Settings;
 use super::shutdown::Shutdown;
 use super::store::StoreClient;
-use super::suspects::Suspects;
-use super::upstream::{Lifetime, SentPrompt};
+use super::suspects::{PendingEnds, Suspects};
+use super::upstream::SentPrompt;
 use crate::clock::Moment;
 use crate::metrics::Metrics;
 
@@ -94,6 +94,10 @@
     pub unknown_peer: Notify,
     /// Wakes the task that passes prompts of other daemons on.
     pub relay_wake: Notify,
+    /// Wakes the task that keeps the rows of held features.
+    pub hold_wake: Notify,
+    /// Whether the rows of held features have been read.
+    pub holds_known: Cell<bool>,
 }
 
 /// Mutable state of one daemon.
@@ -119,14 +123,14 @@
     pub budgets: HashMap<Arc<str>, RetryBudget>,
     /// Requests that crash engines.
     pub suspects: Suspects,
+    /// Requests that broke off at engines that may have ended.
+    pub pending_ends: PendingEnds,
     /// Prompts sent to engines that have not been reported to other daemons.
     pub sent_prompts: Vec<SentPrompt>,
     /// Prompts of daemons of all failure domains to be passed on to this one.
     pub relayed_prompts: Vec<PromptNote>,
     /// Number of the last request that was sent to an engine.
     pub serial: u64,
-    /// Crashes (fingerprint and engine) not yet reported to other daemons.
-    pub crash_reports: Vec<(u64, Lifetime)>,
     /// Engines that leave, with their start times, not yet reported to other daemons.
     pub leaving_notes: Vec<(Arc<str>, u64)>,
     /// Engines whose rates have changed, not yet reported to other daemons.
--- a/src/edge/store.rs
+++ b/src/edge/store.rs
@@ -40,6 +40,8 @@
     /// The row that names the leader.
     #[strum(serialize = "tenure")]
     Leadership,
+    /// Features of requests that crash engines.
+    Held,
 }
 
 /// A row of a table.
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::timeout;
+
 use super::clock;
 use super::engine_checks;
 use super::engine_list::EngineList;
@@ -31,6 +33,9 @@
 const REREAD_TIME_PER_DAEMON: Duration = Duration::from_millis(10);
 /// Maximum of that time; well below the time after which a desired state is in force.
 const MAX_REREAD_DELAY: Duration = Duration::from_millis(600);
+/// Time for which a daemon that starts waits for the rows of held features, beyond the desired
+/// state: other daemons tell of them, too.
+const MAX_HOLDS_WAIT: Duration = Duration::from_secs(1);
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Period of reading the list of daemons; packets of a new daemon cause an earlier
@@ -211,7 +216,8 @@
     target.max(minimum)
 }
 
-/// Waits for the desired state, then marks the daemon as ready.
+/// Waits for the desired state, and for a while for the held features, then marks the daemon as
+/// ready.
 async fn become_ready(edge: &Edge) {
     let mut changes = edge.changed.subscribe();
     while edge.state.borrow().desired.version == 0 {
@@ -219,6 +225,10 @@
             return;
         }
     }
+    let holds_known = async { while !edge.holds_known.get() && changes.changed().await.is_ok() {} };
+    if timeout(MAX_HOLDS_WAIT, holds_known).await.is_err() {
+        log::warn!("ready without the rows of held features");
+    }
     if edge.phase.get() == DaemonPhase::Starting {
         edge.phase.set(DaemonPhase::Serving);
         log::info!(host = &*edge.host; "ready");
--- /dev/null
+++ b/src/edge/suspects/crash.rs
@@ -0,0 +1,128 @@
+//! The end of one engine, and what was in progress there.
+
+use std::collections::BTreeMap;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::Feature;
+use crate::clock::Moment;
+use crate::edge::upstream::Lifetime;
+
+/// Maximum number of features of one crash, so that it fits one datagram.
+const MAX_FEATURES: usize = 32;
+
+/// What is known of a feature at a crash. Each flag is only ever set, so that reports merge to
+/// the same state in any order and any number of times.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Evidence {
+    /// Whether the answer to a request with it had just begun; else it may have been waiting.
+    pub begun: bool,
+    /// Whether an engine had answered a request with it before.
+    pub known: bool,
+    /// Whether an engine has answered a request with it since.
+    pub cleared: bool,
+}
+
+impl Evidence {
+    fn merge(&mut self, other: Evidence) -> bool {
+        let before = *self;
+        self.begun |= other.begun;
+        self.known |= other.known;
+        self.cleared |= other.cleared;
+        *self != before
+    }
+}
+
+/// What the reports of one crash have in common.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CrashId {
+    /// Lifetime of the engine.
+    pub lifetime: Lifetime,
+    /// Whether the engine ended. If not, it broke off single requests in this lifetime: only
+    /// they may be the cause, not what others share with them.
+    pub ended: bool,
+}
+
+impl CrashId {
+    /// Returns the crash that ended a lifetime.
+    pub fn end_of(lifetime: &Lifetime) -> Self {
+        CrashId {
+            lifetime: lifetime.clone(),
+            ended: true,
+        }
+    }
+}
+
+/// The end of one lifetime of an engine, or what it broke off.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// When it happened.
+    pub at: Moment,
+    /// When a request came that is held because of it, or it happened.
+    pub seen_at: Moment,
+    /// Features of the requests that were in progress.
+    pub features: BTreeMap<Feature, Evidence>,
+    /// Number that depends on its id.
+    seed: u64,
+}
+
+impl Crash {
+    /// Creates a crash without features.
+    pub fn new(id: &CrashId, at: Moment, seen_at: Moment) -> Self {
+        Crash {
+            at,
+            seen_at,
+            features: BTreeMap::new(),
+            seed: xxh3_64_with_seed(id.lifetime.engine.as_bytes(), id.lifetime.incarnation),
+        }
+    }
+
+    /// Adds what is known of a feature; returns whether that is news.
+    pub fn add(&mut self, feature: Feature, evidence: Evidence) -> bool {
+        if let Some(known) = self.features.get_mut(&feature) {
+            return known.merge(evidence);
+        }
+        if self.features.len() >= MAX_FEATURES && !self.make_room(feature, evidence) {
+            return false;
+        }
+        self.features.insert(feature, evidence);
+        true
+    }
+
+    /// Removes the feature that is least likely the cause, if it is less likely than this one;
+    /// returns whether it is. Among equals, each crash keeps others.
+    fn make_room(&mut self, feature: Feature, evidence: Evidence) -> bool {
+        let rank = |feature: Feature| xxh3_64_with_seed(feature.to_string().as_bytes(), self.seed);
+        let innocence = |f: Feature, e: &Evidence| (e.cleared, !e.begun, e.known, rank(f));
+        let least = self
+            .features
+            .iter()
+            .map(|(f, e)| (innocence(*f, e), *f))
+            .max();
+        let Some((most, innocent)) = least else {
+            return false;
+        };
+        if most <= innocence(feature, &evidence) {
+            return false;
+        }
+        self.features.remove(&innocent);
+        true
+    }
+
+    /// Returns the features that may have caused the crash: of the requests whose answers had
+    /// just begun, or of all if there are none. Those that no engine had answered before come
+    /// alone, if there are any.
+    pub fn causes(&self) -> impl Iterator<Item = (Feature, Evidence)> {
+        let open = self.features.iter().filter(|(_, e)| !e.cleared);
+        let has_begun = open.clone().any(|(_, e)| e.begun);
+        let open = open.filter(move |(_, e)| e.begun || !has_begun);
+        let has_new = open.clone().any(|(_, e)| !e.known);
+        let likely = open.filter(move |(_, e)| !e.known || !has_new);
+        likely.map(|(feature, evidence)| (*feature, *evidence))
+    }
+
+    /// Returns whether a feature may have caused the crash.
+    pub fn may_be_caused_by(&self, feature: Feature) -> bool {
+        self.causes().any(|(f, _)| f == feature)
+    }
+}
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -34,7 +34,7 @@
 }
 
 /// One lifetime of an engine.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Lifetime {
     /// Id of the engine.
     pub engine: Arc<str>,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -47,6 +47,9 @@
     store_eras: Counter<u64>,
     stream_ends: Counter<u64>,
     broken_runs: Counter<u64>,
+    engine_ends: Counter<u64>,
+    held_features: Gauge<u64>,
+    trials: Counter<u64>,
     streams: UpDownCounter<i64>,
     queue: Gauge<u64>,
     loads: Counter<u64>,
@@ -131,6 +134,21 @@
                 "broken_runs",
                 "Requests whose connection to the engine broke, by the progress of the answer",
             ),
+            engine_ends: counter(
+                &m,
+                "engine_ends",
+                "Engines checked after connections to them broke, by what the check showed",
+            ),
+            held_features: gauge(
+                &m,
+                "held_features",
+                "Requests and parts of prompts that are held, as engines crash on them",
+            ),
+            trials: counter(
+                &m,
+                "trials",
+                "Trials of held requests and parts that were asked for, by outcome",
+            ),
             streams: open_streams(&m),
             queue: gauge(&m, "queue", "Requests that wait for a replica at this host"),
             loads: counter(&m, "loads", "Load orders that ended, by outcome"),
@@ -237,6 +255,21 @@
             .add(1, &[KeyValue::new("progress", progress)]);
     }
 
+    /// Counts an engine that was checked after connections to it broke.
+    pub fn record_engine_end(&self, state: &'static str) {
+        self.engine_ends.add(1, &[KeyValue::new("state", state)]);
+    }
+
+    /// Sets the number of held requests and parts.
+    pub fn set_held_features(&self, count: u64) {
+        self.held_features.record(count, &[]);
+    }
+
+    /// Counts a trial that was asked for.
+    pub fn record_trial(&self, outcome: &'static str) {
+        self.trials.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Adds `change` to the number of open streams.
     pub fn add_streams(&self, change: i64) {
         self.streams.add(change, &[]);
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -5,8 +5,11 @@
 
 use http::StatusCode;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use xxhash_rust::xxh3::xxh3_64;
 
-use crate::edge::request_headers::{EngineHeaders, Prompt, PromptPart, RequestHeaders};
+use crate::edge::request_headers::{
+    EngineHeaders, Prompt, PromptPart, RequestHeaders, shared_parts,
+};
 use crate::edge::statements::{RateHeader, Statement};
 
 /// Id of one attempt of a caller; engines echo it.
@@ -92,16 +95,18 @@
         None => (model, None),
     };
     let (input, output) = token_counts(headers);
+    let parts = parse_parts(headers);
     RequestHeaders {
         id: header_text(headers, &REQUEST_ID).unwrap_or_default().into(),
         time_limit: header_number(headers, &DEADLINE).map(Duration::from_millis),
         last_event: header_number(headers, &LAST_EVENT),
+        shared_parts: shared_parts(&parts),
         prompt: (!model.is_empty()).then(|| Prompt {
             model: model.into(),
             adapter,
             input_tokens: input,
             output_tokens: header_number(headers, &LENGTH).map_or(output, |n| n as u32),
-            parts: parse_parts(header_text(headers, &PREFIX).unwrap_or_default()),
+            parts,
         }),
     }
 }
@@ -309,23 +314,36 @@
     (count(input), count(output))
 }
 
-fn parse_parts(list: &str) -> Vec<PromptPart> {
+/// Returns the parts of a prompt. A number of tokens that cannot be read counts as 0, as engines
+/// may read it.
+fn parse_parts(headers: &HeaderMap) -> Vec<PromptPart> {
     let mut parts = Vec::new();
-    for part in list.split(',') {
-        let Some((id, tokens)) = part.trim().split_once(':') else {
-            continue;
-        };
-        let Ok(id) = u64::from_str_radix(id, 16) else {
-            continue;
-        };
-        let Ok(tokens) = tokens.parse() else {
-            continue;
-        };
-        parts.push(PromptPart { id, tokens });
+    for value in headers.get_all(&PREFIX) {
+        let list = String::from_utf8_lossy(value.as_bytes());
+        for part in list.split(',') {
+            let (id, tokens) = part.split_once(':').unwrap_or((part, ""));
+            let Some(id) = parse_part_id(id.trim()) else {
+                continue;
+            };
+            parts.push(PromptPart {
+                id,
+                tokens: tokens.trim().parse().unwrap_or(0),
+            });
+        }
     }
     parts
 }
 
+/// Parses a hexadecimal number. One of more than 64 bits is replaced by its hash.
+fn parse_part_id(text: &str) -> Option<u64> {
+    if text.is_empty() || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return None;
+    }
+    let digits = text.trim_start_matches('0').to_ascii_lowercase();
+    let number = u64::from_str_radix(&format!("0{digits}"), 16);
+    Some(number.unwrap_or_else(|_| xxh3_64(digits.as_bytes())))
+}
+
 fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/src/platform/rows.rs
+++ b/src/platform/rows.rs
@@ -54,6 +54,7 @@
         Table::Engines => "servers",
         Table::Members => "members",
         Table::Leadership => "tenure",
+        Table::Held => "held",
     }
 }
 
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -38,4 +38,5 @@
 mod statements;
 mod store_eras;
 mod stream_ends;
+mod suspects;
 mod translation;
