Soak: parts of prompts that crash engines, engines that crash, and their checks

Some prompts have one of two parts on which engines crash as they begin to answer; engines also crash by themselves, and refuse connections until they start again. From outside and over all daemons the checks count the requests with a part that reach engines later than 3 s after its fifth crash (BUDGET, three are allowed), and compare the sound streams that run from 6 s after it with those before (LOST, half).

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::http::read_answer;
+use crate::parts::{crashing_suffix, prefix_header};
 use crate::record::{Attempt, Kind, Outcome, Recorder, request_body};
 use crate::site::{extra_prefix, prefix};
 
@@ -27,6 +28,8 @@
 const PROBE_PERIOD: u64 = 8;
 /// Additional routes that are asked for in turn. The last one never exists.
 const PROBED_ROUTES: [u64; 5] = [0, 3, 0, 1, 6];
+/// Requests of a caller of which the last has a part that crashes engines, if it is for a stream.
+const CRASHING_PERIOD: u64 = 3;
 /// Maximum number of retries of a request.
 const MAX_RETRIES: u32 = 3;
 /// Statuses which promise that the request has not run and will not run.
@@ -39,6 +42,8 @@
     pub recorder: Arc<Recorder>,
     /// Whether some requests ask for additional routes.
     pub probes_routes: bool,
+    /// From when on some prompts have parts that crash engines.
+    pub crashing_from: Option<Duration>,
     pub stop: AtomicBool,
 }
 
@@ -106,7 +111,11 @@
             let now = self.setup.recorder.now();
             let kept = kept.filter(|c| now.saturating_sub(c.idle_since) < idle_limit);
             self.sent += 1;
-            let id = format!("{:x}-{}-{}", self.setup.seed, self.number, self.sent);
+            let mut id = format!("{:x}-{}-{}", self.setup.seed, self.number, self.sent);
+            let crashes = self.setup.crashing_from.is_some_and(|from| now >= from);
+            if crashes && kind.is_stream() && self.sent.is_multiple_of(CRASHING_PERIOD) {
+                id.push_str(&crashing_suffix(self.number));
+            }
             let outcome = self.attempt(kept, (kind, extra_route), &id, limit).await;
             let wait = match &outcome {
                 Outcome::Answered(answer) if PROMISES.contains(&answer.status) => {
@@ -231,7 +240,9 @@
                 "m2"
             };
             head.push_str(&format!(
-                "X-Mastichinge-Model: {model}\r\nX-Mastichinge-Token-Count: 100,20\r\n"
+                "X-Mastichinge-Model: {model}\r\nX-Mastichinge-Token-Count: 100,20\r\n\
+                 X-Mastichinge-Prompt-Prefix: {}\r\n",
+                prefix_header(id)
             ));
         }
         let body = request_body(id);
--- a/tests/soak/checkers.rs
+++ b/tests/soak/checkers.rs
@@ -7,8 +7,8 @@
 use crate::checks::{Rule, violations};
 use crate::engine_faults::EngineFault;
 use crate::record::{
-    Answer, Attempt, DesiredWrite, EngineStep, History, Kind, Outcome, RateSpan, ReceivedOrder,
-    Span, Step, answer_body, event_count, event_text,
+    Answer, Attempt, DesiredWrite, EngineStep, History, Kind, Outcome, PartCrash, RateSpan,
+    ReceivedOrder, Span, Step, answer_body, event_count, event_text,
 };
 
 const ID: &str = "1-1-1";
@@ -463,3 +463,89 @@
     assert_eq!(orders(&[("edge-0", 1), ("edge-1", 2), ("edge-0", 1)]), []);
     assert_eq!(orders(&[("edge-0", 1), ("edge-1", 1)]), [Rule::One]);
 }
+
+/// Returns a history with `crashes` on one part from 2 s on, two requests with it for each daemon
+/// and second from 6.5 s on, and sound streams all the time of which `ran` in ten ran after the
+/// crashes. Every second daemon gets every second request.
+fn history_with_part(crashes: u64, late: u64, ran: u64) -> History {
+    let mut history = History::default();
+    let mut add = |id: String, daemon, ms, steps: &[Step]| {
+        let mut one = history_of(&id, daemon, ms, steps);
+        history.attempts.append(&mut one.attempts);
+        history.steps.append(&mut one.steps);
+    };
+    for n in 0..late {
+        let id = format!("1-{n}-1-c0");
+        add(
+            id,
+            (n % 2) as usize,
+            6_500 + 400 * n,
+            &[Step::Arrived(None)],
+        );
+    }
+    add("1-99-1-c0".to_owned(), 0, 14_800, &[]);
+    for n in 0..150 {
+        let ms = 100 * n;
+        let runs = ms < 3_000 || n % 10 < ran;
+        let steps = if runs { &RUN[..] } else { &[] };
+        add(format!("1-{n}-2"), (n % 2) as usize, ms, steps);
+    }
+    let crashes = (0..crashes).map(|n| PartCrash {
+        part: 0x91bd_3f06,
+        at: at(2_000 + 200 * n),
+    });
+    history.part_crashes = crashes.collect();
+    history
+}
+
+/// Returns the history of one stream's request that ran as `steps` say.
+fn history_of(id: &str, daemon: usize, ms: u64, steps: &[Step]) -> History {
+    let attempt = Attempt {
+        kind: Kind::Stream,
+        extra_route: None,
+        daemon,
+        reused: false,
+        started_at: at(ms),
+        sent_at: Some(at(ms)),
+        ended_at: at(ms + 50),
+        time_limit: at(4_000),
+        outcome: Outcome::Left,
+    };
+    let steps = steps.iter().map(|step| EngineStep {
+        engine: "models0".to_owned(),
+        at: at(ms + 10),
+        step: step.clone(),
+    });
+    let mut history = History::default();
+    history.attempts.insert(id.to_owned(), attempt);
+    history.steps.insert(id.to_owned(), steps.collect());
+    history
+}
+
+#[test]
+fn requests_with_a_part_that_has_crashed_five_engines_are_found() {
+    let rules = |crashes, late| broken_rules(&history_with_part(crashes, late, 10));
+    assert_eq!(rules(5, 4), [Rule::Budget], "two of each daemon");
+    assert_eq!(rules(5, 3), [], "three are allowed");
+    assert_eq!(rules(4, 8), [], "four crashes");
+    let mut frozen = history_with_part(5, 4, 10);
+    frozen.spans.push(stop_of(0, 5_000, 5_500));
+    assert_eq!(broken_rules(&frozen), []);
+    let mut away = history_with_part(5, 4, 10);
+    away.store_spans.push((at(4_000), at(8_000)));
+    assert_eq!(broken_rules(&away), []);
+}
+
+#[test]
+fn sound_requests_that_do_not_run_while_others_crash_engines_are_found() {
+    let rules = |ran| broken_rules(&history_with_part(5, 0, ran));
+    assert_eq!(rules(4), [Rule::Lost]);
+    assert_eq!(rules(5), [], "half of them ran");
+    let mut over = history_with_part(5, 0, 0);
+    over.attempts.remove("1-99-1-c0");
+    assert_eq!(
+        broken_rules(&over),
+        [],
+        "no request with the part came any more"
+    );
+}
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -6,6 +6,7 @@
 use crate::callers::PROMISES;
 use crate::disturbances::{GRACE, MIN_ROUTE_TIMEOUT};
 use crate::engine_faults::EngineFault;
+use crate::parts;
 use crate::record::{
     Answer, Attempt, DesiredWrite, EngineStep, History, Outcome, RateSpan, Step, answer_body,
     event_count, event_text,
@@ -47,7 +48,8 @@
     Mixed,
     /// The events of a stream are not in order, or not all there.
     Order,
-    /// A request got no complete response without a reason.
+    /// A request got no complete response without a reason, or sound requests did not run while
+    /// others crashed engines.
     Lost,
     /// A request was given up while its engine was silent for a while only.
     GivenUp,
@@ -57,7 +59,8 @@
     Denied,
     /// A request reached an engine after its daemon had passed on that the engine leaves.
     Drain,
-    /// Requests reached an engine from a daemon that it had asked for a pause.
+    /// Requests reached an engine from a daemon that it had asked for a pause, or engines
+    /// although their prompts have a part that crashes engines.
     Budget,
     /// A request was handled as only an older desired state allows.
     Config,
@@ -134,6 +137,14 @@
         let rule = Rule::One;
         found.push(Violation { rule, id, text });
     }
+    for (id, text) in parts::sent_too_late(history) {
+        let rule = Rule::Budget;
+        found.push(Violation { rule, id, text });
+    }
+    if let Some((id, text)) = parts::sound_share_lost(history) {
+        let rule = Rule::Lost;
+        found.push(Violation { rule, id, text });
+    }
     for span in &history.rates {
         if let Some((id, text)) = beyond_rate(history, span) {
             let rule = Rule::Limit;
--- a/tests/soak/disturbances.rs
+++ b/tests/soak/disturbances.rs
@@ -92,6 +92,8 @@
     EntryLapse,
     /// An engine resets all its connections for a while.
     EngineCut,
+    /// An engine crashes, whatever it runs, and starts again.
+    EngineCrash,
 }
 
 /// Starts disturbances until `stop` is set and waits for the end of all of them.
@@ -204,6 +206,7 @@
                         site.engines[engine].set_dark(false);
                     });
                 }
+                Disturbance::EngineCrash => site.engines[engine].crash(),
             }
         }
     });
--- a/tests/soak/engine.rs
+++ b/tests/soak/engine.rs
@@ -20,6 +20,7 @@
 use crate::exchange::{Exchange, Extra, answer_head, closed, extra_answer, rejection, reset};
 use crate::fakes::store::Store;
 use crate::fakes::{ReceivedRequest, read_body, read_head, runtime, write_response};
+use crate::parts::crashing_part;
 use crate::record::{
     RateSpan, ReceivedOrder, Recorder, Step, answer_body, event_count, event_text, request_body,
 };
@@ -33,6 +34,8 @@
 const MAX_QUEUE: usize = 12;
 /// Longest run of a short request, ms.
 const MAX_RUN_MS: u64 = 40;
+/// Time for which an engine is down after a crash.
+const DOWN_TIME: Duration = Duration::from_millis(800);
 /// Longest pause between two events, ms.
 const MAX_EVENT_PAUSE_MS: u64 = 30;
 
@@ -85,6 +88,8 @@
     lifetime: watch::Sender<u64>,
     /// Number of times that all connections were reset.
     cuts: watch::Sender<u64>,
+    /// Whether it has crashed and accepts no connections.
+    down: watch::Sender<bool>,
 }
 
 /// How an engine starts again.
@@ -150,19 +155,44 @@
             state: Mutex::new(state),
             lifetime: watch::Sender::new(1),
             cuts: watch::Sender::new(0),
+            down: watch::Sender::new(false),
         }));
         engine.register();
         let started = engine.clone();
         runtime().spawn(async move {
-            let listener = TcpListener::from_std(listener).unwrap();
+            let mut listener = TcpListener::from_std(listener).unwrap();
+            let mut down = started.0.down.subscribe();
             loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                tokio::spawn(started.clone().serve(stream));
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let (stream, _) = accepted.unwrap();
+                        tokio::spawn(started.clone().serve(stream));
+                    }
+                    () = wait_until(&mut down, true) => {
+                        drop(listener);
+                        wait_until(&mut down, false).await;
+                        listener = TcpListener::bind(started.0.addr).await.unwrap();
+                    }
+                }
             }
         });
         engine
     }
 
+    /// Ends this lifetime, with all connections, and starts another one after [`DOWN_TIME`].
+    pub fn crash(&self) {
+        if self.0.down.send_replace(true) {
+            return;
+        }
+        self.0.cuts.send_modify(|n| *n += 1);
+        let engine = self.clone();
+        runtime().spawn(async move {
+            sleep(DOWN_TIME).await;
+            engine.restart(Start::OtherId);
+            engine.0.down.send_replace(false);
+        });
+    }
+
     /// Ends this lifetime and starts another one at the same address.
     pub fn restart(&self, start: Start) {
         self.name_rate(None);
@@ -545,6 +575,12 @@
         );
         self.record(exchange, Step::Answered(200));
         exchange.stream.write_all(head.as_bytes()).await?;
+        if let Some(part) = crashing_part(&exchange.id) {
+            self.0.recorder.add_part_crash(part);
+            self.record(exchange, Step::Cut);
+            self.crash();
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         let last = event_count(&exchange.id);
         let fault_at = after + 1 + exchange.random % last;
         for event in after + 1..=last {
@@ -614,6 +650,13 @@
     }
 }
 
+async fn wait_until(down: &mut watch::Receiver<bool>, value: bool) {
+    down.wait_for(|down| *down == value)
+        .await
+        .map(drop)
+        .unwrap();
+}
+
 fn model_json(model: &String) -> Value {
     json!({"name": model, "version": 1, "adapters": []})
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -19,6 +19,7 @@
 mod http;
 #[path = "../env/loopback.rs"]
 mod loopback;
+mod parts;
 mod record;
 mod run;
 mod settings;
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -146,6 +146,13 @@
     pub extra_routes: u64,
 }
 
+/// The end of an engine that crashed on a part of a prompt.
+#[derive(Clone, Copy, Debug)]
+pub struct PartCrash {
+    pub part: u64,
+    pub at: Duration,
+}
+
 /// Everything that is checked after a run.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -153,6 +160,7 @@
     pub steps: BTreeMap<String, Vec<EngineStep>>,
     pub spans: Vec<Span>,
     pub rates: Vec<RateSpan>,
+    pub part_crashes: Vec<PartCrash>,
     pub orders: Vec<ReceivedOrder>,
     pub desired: Vec<DesiredWrite>,
     /// Spans in which the store did not answer as usual.
@@ -216,6 +224,12 @@
         self.history.lock().unwrap().rates.push(span);
     }
 
+    pub fn add_part_crash(&self, part: u64) {
+        let at = self.now();
+        let mut history = self.history.lock().unwrap();
+        history.part_crashes.push(PartCrash { part, at });
+    }
+
     pub fn add_order(&self, order: ReceivedOrder) {
         self.history.lock().unwrap().orders.push(order);
     }
@@ -256,7 +270,7 @@
 }
 
 /// Returns a number that depends on the id alone, for sizes that both sides know.
-fn id_number(id: &str) -> usize {
+pub fn id_number(id: &str) -> usize {
     let mix = |sum: u32, byte: u8| sum.wrapping_mul(31).wrapping_add(u32::from(byte));
     id.bytes().fold(7, mix) as usize
 }
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -15,6 +15,7 @@
 use crate::engine::SoakEngine;
 use crate::engine_faults::EngineFault;
 use crate::fakes::daemon::wait;
+use crate::parts;
 use crate::record::{History, Outcome};
 use crate::settings::SoakSettings;
 use crate::site::Site;
@@ -39,9 +40,32 @@
     let mut settings = SoakSettings::default().with_seed(seed);
     // Further kinds change what a seed draws.
     settings.probes_routes = false;
-    settings
-        .disturbances
-        .retain(|d| *d != Disturbance::EngineRate);
+    settings.crashing_parts = false;
+    let later = [Disturbance::EngineRate, Disturbance::EngineCrash];
+    settings.disturbances.retain(|d| !later.contains(d));
+    assert_eq!(run(&settings), 0, "violations; see the lines above");
+}
+
+/// Guards against BUDGET and LOST: parts that crash engines beside restarts, freezes and cuts of
+/// daemons, and engines that crash by themselves.
+#[test_case(3401; "three daemons")]
+#[test_case(3402; "another order")]
+fn parts_that_crash_engines_are_held(seed: u64) {
+    let settings = SoakSettings {
+        seed,
+        length: Duration::from_secs(20),
+        daemons: 3,
+        fault_rate: 0.02,
+        pause: Duration::from_millis(1_500),
+        disturbances: vec![
+            Disturbance::Freeze,
+            Disturbance::Kill,
+            Disturbance::Shutdown,
+            Disturbance::EngineCrash,
+            Disturbance::EngineCut,
+        ],
+        ..SoakSettings::default()
+    };
     assert_eq!(run(&settings), 0, "violations; see the lines above");
 }
 
@@ -53,6 +77,7 @@
         engines: 1,
         fault_rate: 0.3,
         engine_faults: vec![fault],
+        crashing_parts: false,
         disturbances: Vec::new(),
         ..SoakSettings::default()
     };
@@ -81,6 +106,7 @@
         retries: false,
         fault_rate: 0.3,
         engine_faults: vec![EngineFault::SilenceBefore, EngineFault::SilenceAfter],
+        crashing_parts: false,
         pause: Duration::from_millis(600),
         disturbances: vec![Disturbance::Desired],
         ..SoakSettings::default()
@@ -116,6 +142,7 @@
         addrs: addrs.collect(),
         recorder: site.recorder.clone(),
         probes_routes: settings.probes_routes,
+        crashing_from: settings.crashing_parts.then_some(settings.length / 5),
         stop: AtomicBool::new(false),
     });
     let stop = Arc::new(AtomicBool::new(false));
@@ -137,6 +164,7 @@
     let history = site.recorder.history();
     let found = violations(&history);
     println!("seed {}: {}", settings.seed, summary(&history));
+    println!("seed {}: {}", settings.seed, parts::summary(&history));
     for violation in &found {
         let Violation { rule, id, text } = violation;
         println!("{rule:?} {id}: {text}\n{}", describe(&site, &history, id));
--- a/tests/soak/settings.rs
+++ b/tests/soak/settings.rs
@@ -29,6 +29,8 @@
     pub engine_faults: Vec<EngineFault>,
     /// Whether some requests ask for additional routes.
     pub probes_routes: bool,
+    /// Whether some prompts have parts that crash engines.
+    pub crashing_parts: bool,
     /// Whether the daemons have a retry budget at the start.
     pub retries: bool,
     /// Maximum pause between two disturbances.
@@ -51,6 +53,7 @@
             fault_rate: 0.15,
             engine_faults: EngineFault::iter().collect(),
             probes_routes: true,
+            crashing_parts: true,
             retries: true,
             pause: Duration::from_millis(900),
             disturbances: Disturbance::iter().collect(),
