Repeat crashes in other rounds than daemons that start at the same time

The first round is now drawn. A repeated report without news no longer works out anew what is held, and only the crashes that are sent are encoded. mastichinge trace shows since when the feature of a refused request is held.

--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -7,8 +7,8 @@
 
 use super::demand::{Demand, ModelKey};
 use super::gossip::{
-    CrashNote, DemandNote, DemandReport, Heartbeat, LeavingNote, LoadNote, LoadReport, Packet,
-    PromptNote, TargetCount, WaitingNote, WaitingReport,
+    DemandNote, DemandReport, Heartbeat, LeavingNote, LoadNote, LoadReport, Packet, PromptNote,
+    TargetCount, WaitingNote, WaitingReport,
 };
 use super::members::{HEARTBEAT_PERIOD, MAX_DIRECT_MEMBERS};
 use super::permits::packets::rate_note;
@@ -24,6 +24,9 @@
 const RATES_PER_PACKET: usize = 6;
 /// Maximum number of crashes in one datagram, for the same reason.
 const CRASHES_PER_PACKET: usize = 2;
+/// Number below which a daemon's first round is drawn; more rounds than it takes until all
+/// daemons have repeated crashes.
+const MAX_FIRST_ROUND: usize = 1_000;
 /// Daemons that repeat crashes in each heartbeat period.
 const CRASH_TELLERS: usize = 8;
 /// Period of reporting the load to a daemon, for each daemon of the deployment: the rate
@@ -56,7 +59,7 @@
 }
 
 /// Decides what is due in each round.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Reporter {
     /// When the load was last reported to all.
     load_at: Moment,
@@ -76,6 +79,22 @@
     crash_round: usize,
 }
 
+impl Default for Reporter {
+    fn default() -> Self {
+        Reporter {
+            load_at: Moment::ZERO,
+            demand_at: Moment::ZERO,
+            whole_demand_at: None,
+            leader: None,
+            leaving_turn: 0,
+            rate_turn: 0,
+            crash_turn: 0,
+            // Daemons that start at the same time repeat crashes in different rounds.
+            crash_round: rand::random_range(0..MAX_FIRST_ROUND),
+        }
+    }
+}
+
 impl Reporter {
     /// Returns the contents of the next round. Reports are due with the `heartbeat`; without
     /// one, only urgent notes are sent.
@@ -156,9 +175,10 @@
         if !self.crash_round.is_multiple_of(rounds) {
             return;
         }
-        let notes = state.suspects.notes(now);
-        let notes = take_turn(&notes, &mut self.crash_turn, CRASHES_PER_PACKET);
-        packet.crashes.extend(notes.cloned());
+        let ids: Vec<_> = state.suspects.crash_ids().collect();
+        for id in take_turn(&ids, &mut self.crash_turn, CRASHES_PER_PACKET) {
+            packet.crashes.extend(state.suspects.note(id, now));
+        }
     }
 
     fn demand_report(
@@ -213,14 +233,8 @@
             packet.rates.push(rate_note(&engine, statement, now));
         }
     }
-    let is_repeated = |note: &CrashNote| {
-        packet
-            .crashes
-            .iter()
-            .any(|c| c.engine == note.engine && c == note)
-    };
     let mut news = state.suspects.take_news(CRASHES_PER_PACKET, now);
-    news.retain(|note| !is_repeated(note));
+    news.retain(|note| !packet.crashes.contains(note));
     packet.crashes.append(&mut news);
     for (engine, incarnation) in state.leaving_notes.drain(..) {
         let engine = engine.to_string();
--- a/src/edge/suspects/mod.rs
+++ b/src/edge/suspects/mod.rs
@@ -18,7 +18,7 @@
 mod sound;
 mod trials;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 pub use crash::{Crash, CrashId, Evidence};
@@ -64,7 +64,7 @@
 /// Crashes of engines, and the features that explain them.
 #[derive(Debug, Default)]
 pub struct Suspects {
-    crashes: HashMap<CrashId, Crash>,
+    crashes: BTreeMap<CrashId, Crash>,
     sound: SoundFeatures,
     held: BTreeSet<Feature>,
     /// Trials of held features.
@@ -116,9 +116,10 @@
             };
             is_news |= crash.add(*feature, evidence);
         }
-        if is_news {
-            self.news.insert(id.clone());
+        if !is_news {
+            return HeldChange::default();
         }
+        self.news.insert(id.clone());
         self.update_held()
     }
 
--- a/src/edge/suspects/notes.rs
+++ b/src/edge/suspects/notes.rs
@@ -26,12 +26,14 @@
         !self.news.is_empty()
     }
 
-    /// Returns all crashes, in order of their ids.
-    pub fn notes(&self, now: Moment) -> Vec<CrashNote> {
-        let mut crashes: Vec<_> = self.crashes.iter().collect();
-        crashes.sort_by_key(|(id, _)| *id);
-        let notes = crashes.into_iter().map(|(id, c)| encode(id, c, now));
-        notes.collect()
+    /// Returns the ids of all crashes, in order.
+    pub fn crash_ids(&self) -> impl Iterator<Item = &CrashId> {
+        self.crashes.keys()
+    }
+
+    /// Returns a crash to tell other daemons.
+    pub fn note(&self, id: &CrashId, now: Moment) -> Option<CrashNote> {
+        self.crashes.get(id).map(|crash| encode(id, crash, now))
     }
 
     /// Merges a crash that another daemon reports.
--- a/src/tool/trace.rs
+++ b/src/tool/trace.rs
@@ -78,8 +78,9 @@
     lines
 }
 
-/// Returns the lines that name `request`, and the lines about its engines and model and about
-/// what all requests depend on in the same period, sorted by time.
+/// Returns the lines that name `request`, the lines about its engines and model and about what
+/// all requests depend on in the same period, and those about the feature for which it was held,
+/// sorted by time.
 pub fn trace_request(request: &str, lines: &[LogLine]) -> Vec<LogLine> {
     let request_lines: Vec<&LogLine> = lines
         .iter()
@@ -105,7 +106,8 @@
         let named = [line.text("engine"), line.text("model")];
         let is_shared = SHARED_FIELDS.iter().any(|f| line.fields.contains_key(*f));
         let is_related = is_shared || named.iter().any(|n| related.contains(n));
-        if line.text("request") == request || (in_window && !names_other && is_related) {
+        let is_hold = at <= last && explains_refusal(line.text("feature"), &request_lines);
+        if line.text("request") == request || (in_window && !names_other && is_related) || is_hold {
             traced.push(line.clone());
         }
     }
@@ -113,6 +115,12 @@
     traced
 }
 
+/// Returns whether a held feature is the cause of a refusal. It may have been held for long.
+fn explains_refusal(feature: &str, request_lines: &[&LogLine]) -> bool {
+    let names = |l: &&LogLine| l.text("cause").rsplit(' ').next() == Some(feature);
+    !feature.is_empty() && request_lines.iter().any(names)
+}
+
 /// Parses the timestamp of a log line (RFC 3339, UTC) as milliseconds since the first of March of
 /// the year 0.
 fn parse_ms(time: &str) -> Option<i64> {
--- a/tests/edge/suspects.rs
+++ b/tests/edge/suspects.rs
@@ -37,6 +37,12 @@
     suspects.record_crash(&end(n), begun, at(1_000 * n));
 }
 
+/// Returns all crashes as they are told other daemons.
+fn all_notes(suspects: &Suspects, now: Moment) -> Vec<CrashNote> {
+    let ids = suspects.crash_ids();
+    ids.filter_map(|id| suspects.note(id, now)).collect()
+}
+
 fn held(suspects: &Suspects) -> Vec<Feature> {
     suspects.held().collect()
 }
@@ -172,7 +178,7 @@
     crash(&mut suspects, 2, &[FIRST, BAD, OTHER]);
     suspects.record_answered(&[OTHER], at(2_100));
     let mut other = Suspects::default();
-    for note in suspects.notes(at(3_000)) {
+    for note in all_notes(&suspects, at(3_000)) {
         other.apply(&note, at(70_000));
     }
     assert_eq!(held(&other), [BAD]);
@@ -245,7 +251,7 @@
         suspects.record_answered(&answered, at(3_000 + n));
     }
     assert_eq!(held(&suspects), [BAD]);
-    assert!(suspects.notes(at(5_000)).len() < 1_000);
+    assert!(all_notes(&suspects, at(5_000)).len() < 1_000);
 }
 
 /// A long list of parts does not hide the one that crashes engines for good.
@@ -300,12 +306,12 @@
             other.apply(note, now);
         }
         prop_assert_eq!(held(&one), held(&other));
-        prop_assert_eq!(one.notes(now), other.notes(now));
+        prop_assert_eq!(all_notes(&one, now), all_notes(&other, now));
         let mut third = Suspects::default();
-        for note in one.notes(now) {
+        for note in all_notes(&one, now) {
             third.apply(&note, now);
         }
-        prop_assert_eq!(third.notes(now), one.notes(now));
+        prop_assert_eq!(all_notes(&third, now), all_notes(&one, now));
     }
 
     /// Any numbers in a note are applied.
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -82,3 +82,21 @@
         .collect();
     assert_eq!(shown, ["first", "second", "third"]);
 }
+
+/// Guards against a refused request whose trace does not show since when, and on what evidence,
+/// the part of its prompt is held.
+#[test]
+fn lines_about_the_held_feature_of_a_refused_request_are_included() {
+    let log = r#"
+{"time":"2026-12-03T10:00:01.000Z","level":"WARN","message":"feature held: engines crash on requests with it","feature":"part-91bd3f06","engines":"e1,e2"}
+{"time":"2026-12-03T10:00:02.000Z","level":"WARN","message":"feature held: engines crash on requests with it","feature":"part-91","engines":"e1,e2"}
+{"time":"2026-12-03T10:05:01.000Z","level":"WARN","message":"request refused","request":"r1","cause":"engines crashed while running requests with part-91bd3f06"}
+{"time":"2026-12-03T10:05:02.000Z","level":"INFO","message":"feature released","feature":"part-91bd3f06"}"#;
+    let traced = trace_request("r1", &parse_log("edge-1.log", log));
+    let shown: Vec<_> = traced
+        .iter()
+        .map(|l| l.fields["message"].as_str().unwrap())
+        .collect();
+    let held = "feature held: engines crash on requests with it";
+    assert_eq!(shown, [held, "request refused"]);
+}
