Let operators release a feature that is held

Setting released of the edge daemon names features that engines no longer crash on. Reading the file, at the start or after a change, counts as an answer, which the hosts tell each other. The new test failed before: the daemon refused settings with that field.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -189,6 +189,7 @@
         Ok(settings) => {
             edge.store.set_addr(settings.store.addr);
             *edge.settings.borrow_mut() = Rc::new(settings);
+            edge.release_features();
             log::info!(path:% = path.display(); "settings reloaded");
         }
         Err(error) => log::error!(error:%; "settings not reloaded, the old ones stay"),
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+use super::suspects::Feature;
 use crate::config::Name;
 use crate::config::field_error::{FieldError, FieldErrors, check_fields};
 use crate::settings::{LogFormat, LogSettings, SettingsError, parse_validated, read_file};
@@ -47,6 +48,8 @@
     pub placement: PlacementSettings,
     /// Limits of the admission of requests.
     pub admission: AdmissionSettings,
+    /// Features of requests that engines no longer crash on; applied at each reading of this file.
+    pub released: Vec<Feature>,
     /// Format and level of logs.
     pub log: LogSettings,
 }
@@ -63,6 +66,7 @@
             engines: EngineSettings::default(),
             placement: PlacementSettings::default(),
             admission: AdmissionSettings::default(),
+            released: Vec::new(),
             log: LogSettings {
                 form: LogFormat::Json,
                 ..LogSettings::default()
--- a/src/edge/suspects/feature.rs
+++ b/src/edge/suspects/feature.rs
@@ -3,10 +3,12 @@
 use std::fmt;
 use std::str::FromStr;
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
 /// Something by which requests are recognised.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
 pub enum Feature {
     /// Path and body, by their hash.
     Request(u64),
@@ -29,6 +31,20 @@
     }
 }
 
+impl From<Feature> for String {
+    fn from(feature: Feature) -> Self {
+        feature.to_string()
+    }
+}
+
+impl TryFrom<String> for Feature {
+    type Error = InvalidFeature;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
 impl FromStr for Feature {
     type Err = InvalidFeature;
 
--- a/src/edge/suspects/recording.rs
+++ b/src/edge/suspects/recording.rs
@@ -81,6 +81,14 @@
         }
     }
 
+    /// Releases the features that the settings name, at all hosts.
+    pub fn release_features(&self) {
+        let settings = self.settings();
+        if !settings.released.is_empty() {
+            self.record_answered(&settings.released);
+        }
+    }
+
     /// Logs a change of the held features, and wakes the task that keeps their rows.
     pub fn record_held_change(&self, change: &HeldChange) {
         if change.is_empty() {
--- a/src/edge/suspects/rows.rs
+++ b/src/edge/suspects/rows.rs
@@ -97,6 +97,7 @@
     for (feature, (_, record)) in &rows {
         apply(edge, *feature, record);
     }
+    edge.release_features();
     edge.holds_known.set(true);
     edge.notify_waiting();
     Ok(rows)
--- a/tests/edge/crashing_parts.rs
+++ b/tests/edge/crashing_parts.rs
@@ -264,3 +264,27 @@
         assert_eq!(response.status, 200, "{response:?}");
     }
 }
+
+/// An operator ends the hold of a part, at all hosts, once the engines are mended.
+#[test]
+fn a_part_that_the_settings_release_is_served_again() {
+    let site = Deployment::start(2);
+    send_to(&site.daemons, Duration::from_secs(4));
+    let with_part = |id: &str| request(id, &[FIRST, BAD]);
+    let mut sent = 0;
+    wait("a hold without further trials", || {
+        sent += 1;
+        let refused = site.daemons[1].send(&with_part(&format!("held{sent}")));
+        refused.header("retry-after") == Some("600.00")
+    });
+    site.engines.iter().for_each(Engine::mend);
+    site.daemons[0].write_settings(|s| s["released"] = serde_json::json!([format!("part-{BAD}")]));
+    site.daemons[0].signal(libc::SIGHUP);
+    wait("the release at the other host", || {
+        sent += 1;
+        site.daemons[1]
+            .send(&with_part(&format!("after{sent}")))
+            .status
+            == 200
+    });
+}
--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -158,6 +158,11 @@
         self.state.lock().unwrap().crashing_part = Some(part.to_owned());
     }
 
+    /// Lets the engine answer requests with any part.
+    pub fn mend(&self) {
+        self.state.lock().unwrap().crashing_part = None;
+    }
+
     /// Returns when its lifetimes ended.
     pub fn ends(&self) -> Vec<Instant> {
         self.state.lock().unwrap().ends.clone()
