Ask again before a stream that broke off as a trial is resumed

A request that was sent as a trial of a held feature counted as one that has not run until its failure was recorded as uncertain, which a stream that breaks after its first event is not: it was resumed at further engines under the same trial, up to the route's attempts. A trial now ends with its run.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -109,7 +109,7 @@
             }
             Err(OpenError::Broken(cause)) => {
                 attempts.uncertain = true;
-                record_broken_run(&routed, &attempts, Progress::after_head(None));
+                record_broken_run(&routed, &mut attempts, Progress::after_head(None));
                 if !start_retry(&routed, &mut attempts, &engine, &cause).await {
                     let refusal = Refusal::new(Kind::UpstreamFailed);
                     return routed.refuse(refusal, &cause, &engine, attempts.sent);
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -237,7 +237,7 @@
                     return self.complete(source).await;
                 }
                 Awaited::Response(StreamItem::Broken(cause)) => {
-                    retry::record_broken_run(&self.routed, &self.attempts, source.progress());
+                    retry::record_broken_run(&self.routed, &mut self.attempts, source.progress());
                     let resumable = source.is_resumable();
                     source.abandon();
                     let (routed, attempts) = (&self.routed, &mut self.attempts);
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -225,7 +225,12 @@
 }
 
 /// Records that the connection broke on which the request was last sent, while it may have run.
-pub(super) fn record_broken_run(routed: &RoutedRequest, attempts: &Attempts, progress: Progress) {
+pub(super) fn record_broken_run(
+    routed: &RoutedRequest,
+    attempts: &mut Attempts,
+    progress: Progress,
+) {
+    attempts.is_trial = false;
     log_broken_run(routed, attempts, progress);
     let (edge, mut features) = (&routed.edge, &routed.features[..]);
     if progress == Progress::Settled {
