Suspect no request whose stream an engine that lives broke off late

A stream that two engines had broken off, well after its first event, was held as one that crashes engines, and cut instead of resumed, although the engines went on. Such runs are now evidence only where the engine has ended.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -14,7 +14,6 @@
 
 use super::framing::Framing;
 use super::permit::seek_permit;
-use super::progress::Progress;
 use super::relay::{self, OpenError, OpenedResponse};
 use super::response::{Refusal, ResponseBody};
 use super::retry::{self, Attempts, MIN_TIME_LEFT, can_retry, record_broken_run, start_retry};
@@ -28,6 +27,7 @@
 use crate::edge::placement::ModelTarget;
 use crate::edge::routing::{self, RoutingContext, RoutingRequest, SelectedEngine, Selection};
 use crate::edge::state::WaitGuard;
+use crate::edge::suspects::Progress;
 use crate::error::Kind;
 use crate::platform::headers;
 
@@ -211,12 +211,12 @@
         }
         Err(held) => held,
     };
-    let kind = match attempts.uncertain {
-        true => Kind::UpstreamFailed,
-        false => Kind::NotRun,
+    let refusal = match attempts.uncertain {
+        true => Refusal::new(Kind::UpstreamFailed),
+        false => Refusal::with_retry_after(Kind::NotRun, held.retry_after),
     };
     Err(Failure {
-        refusal: Refusal::with_retry_after(kind, held.retry_after),
+        refusal,
         cause: held_cause(&held),
         engine: engine.clone(),
     })
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -5,7 +5,6 @@
 mod attribution;
 mod framing;
 mod permit;
-mod progress;
 mod relay;
 pub mod response;
 mod retry;
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -14,7 +14,6 @@
 use tokio::time::timeout;
 
 use super::attempt;
-use super::progress::Progress;
 use super::response::{BodyPart, ResponseBody};
 use super::retry::{self, Attempts};
 use super::send::EngineResponse;
@@ -24,6 +23,7 @@
 use crate::edge::client::Connection;
 use crate::edge::clock;
 use crate::edge::in_flight::InFlightGuard;
+use crate::edge::suspects::Progress;
 use crate::platform::headers;
 
 /// Maximum number of parts of a response that wait for the caller to read.
@@ -237,7 +237,8 @@
                     return self.complete(source).await;
                 }
                 Awaited::Response(StreamItem::Broken(cause)) => {
-                    retry::record_broken_run(&self.routed, &mut self.attempts, source.progress());
+                    let (routed, attempts) = (&self.routed, &mut self.attempts);
+                    retry::record_broken_run(routed, attempts, source.progress());
                     let resumable = source.is_resumable();
                     source.abandon();
                     let (routed, attempts) = (&self.routed, &mut self.attempts);
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -7,10 +7,10 @@
 use tokio::time::sleep;
 
 use super::RoutedRequest;
-use super::progress::Progress;
 use crate::clock::Moment;
 use crate::edge::clock;
 use crate::edge::permits::{PermitGuard, PermitState, Rank};
+use crate::edge::suspects::Progress;
 use crate::edge::upstream::Lifetime;
 
 /// Minimum time left for a request to be sent.
@@ -46,7 +46,7 @@
     pub uncertain: bool,
     /// Id of the event after which the stream is resumed.
     pub last_event: Option<u64>,
-    /// Whether it is a trial of a feature that is held.
+    /// Whether it is a trial of a feature that is held, which has not run.
     pub is_trial: bool,
     /// Whether it waited for a load.
     pub load_waited: bool,
@@ -230,17 +230,15 @@
     attempts: &mut Attempts,
     progress: Progress,
 ) {
-    attempts.is_trial = false;
     log_broken_run(routed, attempts, progress);
-    let (edge, mut features) = (&routed.edge, &routed.features[..]);
+    attempts.is_trial = false;
+    let edge = &routed.edge;
     if progress == Progress::Settled {
-        let (shared, own) = routed.split_features();
+        let (shared, _) = routed.split_features();
         edge.record_answered(shared);
-        features = own;
     }
     if let Some(addr) = attempts.addrs.last() {
-        let begun = progress == Progress::Begun;
-        edge.record_broken_off(&attempts.lifetime, *addr, features, begun);
+        edge.record_broken_off(&attempts.lifetime, *addr, &routed.features, progress);
     }
 }
 
--- a/src/edge/forward/source.rs
+++ b/src/edge/forward/source.rs
@@ -9,13 +9,13 @@
 
 use super::RoutedRequest;
 use super::framing::Framing;
-use super::progress::Progress;
 use super::send::EngineResponse;
 use crate::clock::Moment;
 use crate::edge::client::Connection;
 use crate::edge::clock;
 use crate::edge::events::{EndPlace, EventDecoder};
 use crate::edge::in_flight::InFlightGuard;
+use crate::edge::suspects::Progress;
 use crate::platform::headers;
 
 /// The engine's side of a stream.
--- a/src/edge/suspects/engine_ends.rs
+++ b/src/edge/suspects/engine_ends.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::{CrashId, Feature};
+use super::{CrashId, Feature, Progress};
 use crate::edge::clock;
 use crate::edge::state::Edge;
 use crate::edge::upstream::Lifetime;
@@ -18,9 +18,9 @@
 /// Time limit for connecting to the engine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Features of the requests that broke off at engines that may have ended, and whether the
-/// answer to a request with each had just begun.
-pub type PendingEnds = HashMap<Lifetime, Vec<(Feature, bool)>>;
+/// Features of the requests that broke off at engines that may have ended, with the progress of
+/// the answers.
+pub type PendingEnds = HashMap<Lifetime, Vec<(Feature, Progress)>>;
 
 /// What a connection to an engine shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
@@ -42,12 +42,12 @@
         lifetime: &Lifetime,
         addr: SocketAddr,
         features: &[Feature],
-        begun: bool,
+        progress: Progress,
     ) {
         let mut state = self.state.borrow_mut();
         let is_first = !state.pending_ends.contains_key(lifetime);
         let pending = state.pending_ends.entry(lifetime.clone()).or_default();
-        pending.extend(features.iter().map(|f| (*f, begun)));
+        pending.extend(features.iter().map(|f| (*f, progress)));
         drop(state);
         if is_first {
             tokio::task::spawn_local(check_end(self.clone(), lifetime.clone(), addr));
@@ -77,8 +77,18 @@
     log::info!(engine = &*lifetime.engine, life = lifetime.incarnation, state = name, requests;
         "engine checked after connections broke");
     let ended = state == EngineState::Ended;
-    let is_request = |feature: &Feature| matches!(feature, Feature::Request(_));
-    let suspected = features.into_iter().filter(|(f, _)| ended || is_request(f));
+    let is_suspected = |(feature, progress): &(Feature, Progress)| match feature {
+        // A request may end its engine late in its run, too.
+        Feature::Request(_) => ended || *progress != Progress::Settled,
+        Feature::Part(_) => ended && *progress != Progress::Settled,
+    };
+    let suspected = features.into_iter().filter(is_suspected);
+    let suspected: Vec<_> = suspected
+        .map(|(feature, progress)| (feature, progress == Progress::Begun))
+        .collect();
+    if suspected.is_empty() {
+        return;
+    }
     let id = CrashId { lifetime, ended };
     let change = shared.suspects.record_crash(&id, suspected, now);
     drop(shared);
--- a/src/edge/suspects/rows.rs
+++ b/src/edge/suspects/rows.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Feature, HeldChange, HoldRecord, Suspects};
+use super::{Feature, HoldRecord, Suspects};
 use crate::edge::clock;
 use crate::edge::state::Edge;
 use crate::edge::store::{CommitOutcome, RowChange, RowPage, StoreError, Table};
@@ -105,7 +105,7 @@
 
 fn apply(edge: &Edge, feature: Feature, record: &HoldRecord) {
     let mut state = edge.state.borrow_mut();
-    let change: HeldChange = state.suspects.restore(feature, record, clock::now());
+    let change = state.suspects.restore(feature, record, clock::now());
     drop(state);
     edge.record_held_change(&change);
 }
--- a/tests/edge/crashing_parts.rs
+++ b/tests/edge/crashing_parts.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use crate::fakes::daemon::{Daemon, Request, Response, wait};
-use crate::fakes::engine::Engine;
+use crate::fakes::engine::{Behavior, Engine};
 use crate::fakes::store::Store;
-use crate::site::{MODEL, desired};
+use crate::site::{MODEL, assert_whole, desired};
 
 /// Header with the parts of a prompt.
 const PREFIX: &str = "X-Mastichinge-Prompt-Prefix";
@@ -288,3 +288,22 @@
             == 200
     });
 }
+
+/// Guards against a sound stream that is cut because engines that live broke it off, each well
+/// after its first event.
+#[test]
+fn a_stream_that_engines_break_off_late_goes_on() {
+    let store = Store::start();
+    let mut state = desired(5);
+    for route in state["routes"].as_array_mut().unwrap() {
+        route["attempts"] = 5.into();
+    }
+    store.put("op", "config", &state);
+    for id in ["e1", "e2", "e3", "e4", "e5"] {
+        let engine = Engine::start(&store, id, "models", &["m1"]);
+        engine.set_behavior(Behavior::ResetLate);
+    }
+    let daemon = Daemon::start(&store, "edge-1");
+    let answer = daemon.send(&request("s1", &[FIRST]));
+    assert_whole(&answer);
+}
--- a/tests/edge/fakes/engine/behavior.rs
+++ b/tests/edge/fakes/engine/behavior.rs
@@ -10,6 +10,8 @@
     Reset,
     /// Resets after this many events, in the middle of the next.
     ResetAfter(u64),
+    /// Resets some time after the first event of a run, in the middle of the next.
+    ResetLate,
     /// Ends streams in order after this many events, in the middle of the next.
     EndInside(u64),
     /// Ends streams in order after this many events.
--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -80,6 +80,9 @@
 pub const EVENTS: u64 = 5;
 /// Pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(15);
+/// Pause after the first event before a late reset; longer than an engine takes to crash on a
+/// request, and shorter than a silence.
+pub const LATE_PAUSE: Duration = Duration::from_millis(700);
 /// Pause of a preempted stream; longer than a daemon waits for the next event before it
 /// looks for another engine (three gaps of the routes).
 pub const PREEMPTION: Duration = Duration::from_millis(1_600);
--- a/tests/edge/fakes/engine/runs.rs
+++ b/tests/edge/fakes/engine/runs.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use super::behavior::{Behavior, Place, signed_head};
-use super::{EVENT_PAUSE, EVENTS, Engine, PREEMPTION, has_part, signed as signed_of};
+use super::{EVENT_PAUSE, EVENTS, Engine, LATE_PAUSE, PREEMPTION, has_part, signed as signed_of};
 use crate::fakes::{ReceivedRequest, write_response};
 
 impl Engine {
@@ -159,7 +159,11 @@
         for event in after + 1..=EVENTS {
             let text = format!("id: {event}\ndata: token {event}\n\n");
             let half = framing.frame(&text[..text.len() / 2]);
-            if behavior == Behavior::ResetAfter(event - 1) {
+            let is_late = behavior == Behavior::ResetLate && event == after + 2;
+            if is_late {
+                sleep(LATE_PAUSE).await;
+            }
+            if is_late || behavior == Behavior::ResetAfter(event - 1) {
                 stream.write_all(half.as_bytes()).await?;
                 sleep(EVENT_PAUSE).await;
                 return reset(stream);
