Take the last entry of a prompt's list for its own part, readable or not

Where the last entry had no readable id it was left out, and the part before it counted as the request's own: a part that crashes engines was not looked at there.

--- a/src/edge/request_headers.rs
+++ b/src/edge/request_headers.rs
@@ -14,7 +14,8 @@
     pub time_limit: Option<Duration>,
     /// Id of the event after which the caller resumes a stream.
     pub last_event: Option<u64>,
-    /// Ids of the parts of the prompt that other requests may share, with or without a model.
+    /// Ids of the parts of the prompt that other requests may share: all but the last, with or
+    /// without a model.
     pub shared_parts: Vec<u64>,
     /// Prompt for a model; `None` for services without models.
     pub prompt: Option<Prompt>,
@@ -44,12 +45,6 @@
     pub tokens: u32,
 }
 
-/// Returns the ids of the parts that other requests may share: all but the last.
-pub fn shared_parts(parts: &[PromptPart]) -> Vec<u64> {
-    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    shared.iter().map(|part| part.id).collect()
-}
-
 /// Returns the name of the model or adapter to load: `model` or `model/adapter`.
 pub fn target(model: &Arc<str>, adapter: Option<&str>) -> Arc<str> {
     match adapter {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -7,9 +7,7 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::edge::request_headers::{
-    EngineHeaders, Prompt, PromptPart, RequestHeaders, shared_parts,
-};
+use crate::edge::request_headers::{EngineHeaders, Prompt, PromptPart, RequestHeaders};
 use crate::edge::statements::{RateHeader, Statement};
 
 /// Id of one attempt of a caller; engines echo it.
@@ -96,17 +94,18 @@
     };
     let (input, output) = token_counts(headers);
     let parts = parse_parts(headers);
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
     RequestHeaders {
         id: header_text(headers, &REQUEST_ID).unwrap_or_default().into(),
         time_limit: header_number(headers, &DEADLINE).map(Duration::from_millis),
         last_event: header_number(headers, &LAST_EVENT),
-        shared_parts: shared_parts(&parts),
+        shared_parts: shared.iter().flatten().map(|part| part.id).collect(),
         prompt: (!model.is_empty()).then(|| Prompt {
             model: model.into(),
             adapter,
             input_tokens: input,
             output_tokens: header_number(headers, &LENGTH).map_or(output, |n| n as u32),
-            parts,
+            parts: parts.into_iter().flatten().collect(),
         }),
     }
 }
@@ -314,21 +313,17 @@
     (count(input), count(output))
 }
 
-/// Returns the parts of a prompt. A number of tokens that cannot be read counts as 0, as engines
-/// may read it.
-fn parse_parts(headers: &HeaderMap) -> Vec<PromptPart> {
+/// Returns the entries of a prompt's list of parts; `None` for one without an id. A number of
+/// tokens that cannot be read counts as 0, as engines may read it.
+fn parse_parts(headers: &HeaderMap) -> Vec<Option<PromptPart>> {
     let mut parts = Vec::new();
     for value in headers.get_all(&PREFIX) {
         let list = String::from_utf8_lossy(value.as_bytes());
-        for part in list.split(',') {
-            let (id, tokens) = part.split_once(':').unwrap_or((part, ""));
-            let Some(id) = parse_part_id(id.trim()) else {
-                continue;
-            };
-            parts.push(PromptPart {
-                id,
-                tokens: tokens.trim().parse().unwrap_or(0),
-            });
+        for entry in list.split(',').filter(|e| !e.trim().is_empty()) {
+            let (id, tokens) = entry.split_once(':').unwrap_or((entry, ""));
+            let tokens = tokens.trim().parse().unwrap_or(0);
+            let id = parse_part_id(id.trim());
+            parts.push(id.map(|id| PromptPart { id, tokens }));
         }
     }
     parts
--- a/tests/edge/translation.rs
+++ b/tests/edge/translation.rs
@@ -46,6 +46,21 @@
     assert_eq!(prompt.parts[0], PromptPart { id, tokens });
 }
 
+/// Guards against BUDGET: a part that crashes engines was taken for the last one, which no other
+/// request shares, or was not read.
+#[test_case("1:5,2:5,3:5", &[1, 2]; "as usual")]
+#[test_case("1:5,2:5,x", &[1, 2]; "the last cannot be read")]
+#[test_case("1:5,2:5,3:5, ", &[1, 2]; "an empty entry follows")]
+#[test_case("x,2:many,3", &[2]; "unreadable entries and tokens")]
+#[test_case("00a:5,A:5,a", &[10, 10]; "one number in two forms")]
+#[test_case("1:5", &[]; "a single part")]
+#[test_case("", &[]; "none")]
+fn shared_parts_are_all_but_the_last(list: &str, expected: &[u64]) {
+    let request =
+        platform_headers::parse_request(&headers(&[("x-mastichinge-prompt-prefix", list)]));
+    assert_eq!(request.shared_parts, expected);
+}
+
 #[test]
 fn engine_requests_have_the_remaining_time_and_no_hop_by_hop_headers() {
     let from = headers(&[
