Release a feature only by an answer that has surely begun

An engine's failure, such as 504 for a request that was still in its queue, and a stream that ended without an event counted as proof that engines answer requests with a feature, and released it. A success does now, with an event if it is a stream. The answer of a trial goes to the caller as it is, as no further engine is tried. The new test, a trial that is answered with 504, failed before: the part was released.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -84,7 +84,9 @@
         };
         let engine = engine_response.in_flight.engine.clone();
         let status = engine_response.response.status();
-        let failed = status.is_server_error() && can_retry(&routed, &attempts);
+        // A trial is sent to one engine.
+        let may_retry = can_retry(&routed, &attempts) && !attempts.is_trial;
+        let failed = status.is_server_error() && may_retry;
         let is_stream = routed.route.kind == RouteKind::Stream && status.is_success();
         let outcome = match is_stream {
             true => relay::open_stream(&routed, engine_response, &mut attempts).await,
@@ -496,8 +498,9 @@
                 connection.release(headers.idle_timeout);
             }
             in_flight.record_outcome(!head.status.is_server_error());
-            // The connection of an engine that crashes may end in order.
-            if framing != Framing::Close {
+            // A failure may be of a request that the engine has not begun to answer, and the
+            // connection of an engine that crashes may end in order.
+            if head.status.is_success() && framing != Framing::Close {
                 routed.edge.record_answered(&routed.features);
             }
             let body = ResponseBody::Whole(Some(body.to_bytes()));
--- a/src/edge/forward/source.rs
+++ b/src/edge/forward/source.rs
@@ -144,7 +144,8 @@
     /// Returns whether the engine has surely answered, once the stream has ended in order: the
     /// connection of an engine that crashes may end so, too.
     pub(super) fn is_answered(&self) -> bool {
-        self.framing != Framing::Close || self.progress() == Progress::Settled
+        let is_whole = self.framing != Framing::Close && self.first_at.is_some();
+        is_whole || self.progress() == Progress::Settled
     }
 
     /// Returns whether another engine can go on after the last whole event.
--- a/tests/edge/crashing_parts.rs
+++ b/tests/edge/crashing_parts.rs
@@ -307,3 +307,25 @@
     let answer = daemon.send(&request("s1", &[FIRST]));
     assert_whole(&answer);
 }
+
+/// Guards against BUDGET: an engine that fails a request, perhaps before it begins to answer,
+/// released the part on which engines crash.
+#[test]
+fn a_failure_does_not_release_a_part() {
+    let site = Deployment::start(1);
+    let daemon = &site.daemons[0];
+    daemon.send(&request("first", &[FIRST, BAD]));
+    site.engines
+        .iter()
+        .for_each(|e| e.set_behavior(Behavior::Answers(504)));
+    let mut sent = 0;
+    wait("a trial that fails", || {
+        sent += 1;
+        let answer = daemon.send(&request(&format!("trial{sent}"), &[BAD]));
+        answer.status == 504 && answer.header("x-mastichinge-server-stamp").is_some()
+    });
+    let part = format!("part-{BAD}");
+    let released = daemon.logged("feature released");
+    assert!(released.iter().all(|l| l["feature"] != *part));
+    assert_eq!(daemon.send(&request("later", &[BAD])).status, 503);
+}
