Soak: compare no sound requests while engines of their service name rates

Traced: both engines of the models named rates of 0 to 2 requests a second then, and of the 39 sound streams that were refused 28 were because a rate was used up, 10 in an engine's pause, one by its deadline, none as held. Requests beyond a rate have to be refused. The check leaves out the time in which an engine of that service names a rate, and a second after it; rates of other services excuse nothing.

--- a/tests/soak/checkers.rs
+++ b/tests/soak/checkers.rs
@@ -548,4 +548,15 @@
         [],
         "no request with the part came any more"
     );
+    let mut limited = history_with_part(5, 0, 0);
+    let rate = |engine: &str| RateSpan {
+        engine: engine.to_owned(),
+        rate: 0.0,
+        start: at(8_000),
+        end: at(14_000),
+    };
+    limited.rates = vec![rate("desk0")];
+    assert_eq!(broken_rules(&limited), [Rule::Lost], "another service");
+    limited.rates = vec![rate("models0")];
+    assert_eq!(broken_rules(&limited), [], "a rate explains it");
 }
