Log the software versions of engines, and streams that are taken up again

Change: the version of an engine's software is kept; 'engine changed', 'stream resumed' and a new line 'stream taken up' name it. Resumes is read, as a digest, as it is a text of any length from outside. Result: no decision changes.

--- a/benches/scene/fleet.rs
+++ b/benches/scene/fleet.rs
@@ -130,6 +130,7 @@
         service: SERVICE.into(),
         addr: ([10, 0, high, low], 8_000).into(),
         domain: "north".into(),
+        software: "v1".into(),
         slots: 64,
         phase: EnginePhase::Ready,
         sequence: 1,
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -23,6 +23,7 @@
 use crate::edge::client::Connection;
 use crate::edge::clock;
 use crate::edge::in_flight::InFlightGuard;
+use crate::edge::origins::Resumed;
 use crate::edge::suspects::Progress;
 use crate::platform::headers;
 
@@ -73,6 +74,7 @@
     attempts: &mut Attempts,
 ) -> Result<OpenedResponse, OpenError> {
     let (sent_at, predicted) = (engine_response.sent_at, engine_response.predicted);
+    let software = engine_response.software.clone();
     let (mut head, mut source) = StreamSource::new(routed, *engine_response, attempts.last_event);
     head.headers = headers::to_caller(&head.headers);
     head.headers.remove(http::header::CONTENT_LENGTH);
@@ -96,6 +98,8 @@
         }
     };
     source.in_flight.record_prompt_read();
+    log_take_up(routed, &engine, &software);
+    attempts.software = Some(software);
     let measured = clock::now().saturating_sub(sent_at);
     super::record_first_event(routed, &source.in_flight.engine, predicted, measured);
     let metrics = &routed.edge.metrics;
@@ -108,6 +112,19 @@
     })))
 }
 
+/// Logs that a caller has taken a stream up again that an earlier attempt began.
+fn log_take_up(routed: &RoutedRequest, engine: &str, software: &str) {
+    let Some(after) = routed.headers.last_event else {
+        return;
+    };
+    let stream = match routed.headers.resumed {
+        Resumed::Stream(stream) => stream.to_string(),
+        Resumed::Unnamed | Resumed::Ambiguous => String::new(),
+    };
+    let request = &*routed.headers.id;
+    log::info!(request, stream, after, engine, software; "stream taken up");
+}
+
 /// Starts a task that relays a stream and ends when the caller's connection does.
 pub(super) fn start_stream(
     routed: Rc<RoutedRequest>,
@@ -305,7 +322,9 @@
                 engine_response.in_flight.record_prompt_read();
                 let request = &*self.routed.headers.id;
                 let after = last_event.unwrap_or_default();
-                log::info!(request, engine = &*engine, after; "stream resumed");
+                let began = self.attempts.software.as_deref().unwrap_or_default();
+                let software = &*engine_response.software;
+                log::info!(request, engine = &*engine, after, began, software; "stream resumed");
                 let (_, source) = StreamSource::new(&self.routed, *engine_response, last_event);
                 return Ok(source);
             }
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -44,6 +44,8 @@
     pub has_abandoned: bool,
     /// Whether it may have run with an unknown outcome.
     pub uncertain: bool,
+    /// Version of the software that began the stream, once the caller has its first event.
+    pub software: Option<Arc<str>>,
     /// Id of the event after which the stream is resumed.
     pub last_event: Option<u64>,
     /// Whether it is a trial of a feature that is held, which has not run.
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one engine and waits for the head of the response.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -34,6 +35,8 @@
     pub connection: Connection,
     pub headers: headers::ResponseHeaders,
     pub in_flight: InFlightGuard,
+    /// Version of the engine's software.
+    pub software: Arc<str>,
     pub sent_at: Moment,
     /// Time from sending to the first event, as predicted when it was sent.
     pub predicted: Duration,
@@ -160,6 +163,7 @@
         connection,
         headers,
         in_flight,
+        software: choice.software.clone(),
         sent_at,
         predicted: choice.first_event,
     }))
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -27,6 +27,7 @@
 pub mod load_forecast;
 pub mod members;
 pub mod orders;
+pub mod origins;
 pub mod peers;
 pub mod permits;
 pub mod placement;
--- a/src/edge/request_headers.rs
+++ b/src/edge/request_headers.rs
@@ -5,6 +5,8 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
+use super::origins::Resumed;
+
 /// Headers of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RequestHeaders {
@@ -14,6 +16,8 @@
     pub time_limit: Option<Duration>,
     /// Id of the event after which the caller resumes a stream.
     pub last_event: Option<u64>,
+    /// The stream that the caller takes up again.
+    pub resumed: Resumed,
     /// Ids of the parts of the prompt that other requests may share: all but the last, with or
     /// without a model.
     pub shared_parts: Vec<u64>,
--- a/src/edge/routing/mod.rs
+++ b/src/edge/routing/mod.rs
@@ -87,6 +87,8 @@
     pub engine: Arc<str>,
     /// Address of the engine.
     pub addr: SocketAddr,
+    /// Version of the engine's software.
+    pub software: Arc<str>,
     /// Prefill time that the request adds.
     pub prefill_time: Duration,
     /// Prompt tokens that the engine has not cached.
@@ -322,6 +324,7 @@
     Some(SelectedEngine {
         engine: engine.entry.id.clone(),
         addr: engine.entry.addr,
+        software: engine.entry.software.clone(),
         prefill_time: prefill,
         uncached,
         backlog: candidates[index].backlog,
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -261,7 +261,9 @@
     for (engine, change) in &changes {
         let change: &'static str = change.into();
         let life = state.fleet.incarnation(engine);
-        log::info!(engine = &**engine, change, life, list = version; "engine changed");
+        let entry = state.fleet.engines.get(engine).map(|e| &e.entry);
+        let software = entry.map_or("", |e| &e.software);
+        log::info!(engine = &**engine, change, life, software, list = version; "engine changed");
     }
     drop(state);
     engine_checks::start_due(edge);
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -64,6 +64,8 @@
     pub addr: SocketAddr,
     /// Failure domain.
     pub domain: Arc<str>,
+    /// Version of its software; equal texts are equal versions, and no order holds between them.
+    pub software: Arc<str>,
     /// Requests that it processes concurrently.
     pub slots: u32,
     /// Whether it accepts new requests.
--- a/src/platform/engine_entry.rs
+++ b/src/platform/engine_entry.rs
@@ -13,10 +13,8 @@
     service: Arc<str>,
     addr: SocketAddr,
     zone: Arc<str>,
-    /// Version of the engine's software, not of its weights. Unused, but an entry
-    /// without it is refused.
-    #[serde(rename = "version")]
-    _version: Arc<str>,
+    /// Version of the engine's software, not of its weights.
+    version: Arc<str>,
     slots: u32,
     state: WireState,
     /// Unused, but an entry without it is refused.
@@ -73,6 +71,7 @@
         service: wire.service,
         addr: wire.addr,
         domain: wire.zone,
+        software: wire.version,
         slots: wire.slots,
         phase,
         sequence: wire.seq,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -7,6 +7,7 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::edge::origins::{Resumed, StreamId};
 use crate::edge::request_headers::{EngineHeaders, Prompt, PromptPart, RequestHeaders};
 use crate::edge::statements::{RateHeader, Statement};
 
@@ -18,6 +19,8 @@
 const PREFIX: HeaderName = HeaderName::from_static("x-mastichinge-prompt-prefix");
 /// Event after which a stream resumes.
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// Id of the attempt that brought the first event of the stream that is resumed.
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 /// An engine's signature of its response.
 const SERVER_STAMP: HeaderName = HeaderName::from_static("x-mastichinge-server-stamp");
 /// Id of the only engine that may run the request.
@@ -99,6 +102,7 @@
         id: header_text(headers, &REQUEST_ID).unwrap_or_default().into(),
         time_limit: header_number(headers, &DEADLINE).map(Duration::from_millis),
         last_event: header_number(headers, &LAST_EVENT),
+        resumed: resumed_stream(headers),
         shared_parts: shared.iter().flatten().map(|part| part.id).collect(),
         prompt: (!model.is_empty()).then(|| Prompt {
             model: model.into(),
@@ -110,6 +114,21 @@
     }
 }
 
+/// Returns the stream that a caller takes up again.
+fn resumed_stream(headers: &HeaderMap) -> Resumed {
+    let mut named = headers.get_all(&RESUMES).iter();
+    let Some(first) = named.next() else {
+        return Resumed::Unnamed;
+    };
+    if named.any(|value| value != first) {
+        return Resumed::Ambiguous;
+    }
+    match first.to_str().map(str::trim) {
+        Ok(id) if !id.is_empty() => Resumed::Stream(StreamId::of(id)),
+        _ => Resumed::Ambiguous,
+    }
+}
+
 /// Converts the headers of a caller's request to those for an engine.
 pub fn to_engine(headers: &HeaderMap, values: &EngineHeaders<'_>) -> HeaderMap {
     let mut out = end_to_end(headers);
--- a/tests/edge/fixtures.rs
+++ b/tests/edge/fixtures.rs
@@ -29,6 +29,7 @@
         service: SERVICE.into(),
         addr: ([10, 0, 0, 1], port).into(),
         domain: "north".into(),
+        software: "v1".into(),
         slots: 64,
         phase: EnginePhase::Ready,
         sequence: 1,
--- a/tests/edge/in_flight.rs
+++ b/tests/edge/in_flight.rs
@@ -22,6 +22,7 @@
 fn begin(state: &mut State) -> InFlightRequest {
     let choice = SelectedEngine {
         engine: "e".into(),
+        software: "v1".into(),
         addr: ([10, 0, 0, 1], 1).into(),
         prefill_time: Duration::ZERO,
         uncached: 0,
--- a/tests/edge/overload.rs
+++ b/tests/edge/overload.rs
@@ -43,6 +43,7 @@
 fn selected_with_backlog(backlog: u64, first: u64) -> Selection {
     Selection::Engine(SelectedEngine {
         engine: "e1".into(),
+        software: "v1".into(),
         addr: ([10, 0, 0, 1], 1).into(),
         prefill_time: ms(100),
         uncached: 4_000,
@@ -231,6 +232,7 @@
             .update_entries(entries, &BTreeSet::new(), None, now);
         let choice = SelectedEngine {
             engine: "e1".into(),
+            software: "v1".into(),
             addr: ([10, 0, 0, 1], 1).into(),
             prefill_time: routing::prefill_time(uncached, &EngineSettings::default()),
             uncached,
--- a/tests/simulation/engine.rs
+++ b/tests/simulation/engine.rs
@@ -132,6 +132,7 @@
             service: SERVICE.into(),
             addr: ([10, 0, (number / 250) as u8, (number % 250) as u8], 1).into(),
             domain: domains[number % domains.len()].into(),
+            software: "v1".into(),
             slots: BATCH_SLOTS as u32,
             phase: EnginePhase::Ready,
             sequence: 1,
