Test that streams go on only at the software version that began them

Change: fake engines have a software version that their events name, the fake store has parts, and tests of streams that break, are taken up, and outlive all hosts.

--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -26,6 +26,8 @@
     headers: Vec<(&'static str, String)>,
     /// Start time, ms since the Unix epoch.
     born: u64,
+    /// Version of its software; events name one that is not [`FIRST_VERSION`].
+    software: String,
     framing: Framing,
     /// When the engine goes on writing responses.
     stalled_until: Option<Instant>,
@@ -71,9 +73,13 @@
     dead: Arc<Notify>,
     /// Like `dead`, but the engine starts again after [`DOWN_TIME`].
     crashed: Arc<Notify>,
+    /// Closes the connections; the engine accepts others at once.
+    replaced: Arc<Notify>,
     state: Arc<Mutex<EngineState>>,
 }
 
+/// Version of the software of an engine that is started without another.
+pub const FIRST_VERSION: &str = "v1";
 /// Path of health checks.
 pub const HEALTH_PATH: &str = "/healthz";
 /// Number of events in a stream.
@@ -100,6 +106,7 @@
         let state = EngineState {
             models: models.iter().map(|m| (*m).to_owned()).collect(),
             born: 1_000,
+            software: FIRST_VERSION.to_owned(),
             ..EngineState::default()
         };
         let (id, service, store) = (id.to_owned(), service.to_owned(), store.clone());
@@ -113,6 +120,7 @@
                 sequence: Arc::default(),
                 dead: Arc::default(),
                 crashed: Arc::default(),
+                replaced: Arc::default(),
                 state: Arc::new(Mutex::new(state)),
             };
             engine.register("ready");
@@ -138,6 +146,7 @@
                 }
             };
             let engine = self.clone();
+            let replaced = self.replaced.clone();
             tokio::spawn(async move {
                 let mut stream = stream;
                 tokio::select! {
@@ -145,6 +154,7 @@
                     // Dropping the stream closes it, as when the process dies.
                     () = dead.notified() => {}
                     () = crashed.notified() => {}
+                    () = replaced.notified() => {}
                 }
             });
         }
@@ -192,13 +202,13 @@
 
     fn register_as(&self, id: &str, state: &str) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        let (models, born): (Vec<Value>, u64) = {
+        let (models, born, software): (Vec<Value>, u64, String) = {
             let state = self.state.lock().unwrap();
             let models = state.models.iter().map(model_json).collect();
-            (models, state.born)
+            (models, state.born, state.software.clone())
         };
         let entry = json!({"service": self.service, "addr": self.addr.to_string(),
-            "zone": "north", "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
+            "zone": "north", "version": software, "slots": 8, "state": state, "coldLeftMs": 0,
             "stage": "both", "models": models, "seq": sequence, "born": born});
         self.store.put("servers", id, &entry);
     }
@@ -208,6 +218,15 @@
         self.dead.notify_waiters();
     }
 
+    /// Returns what follows the text of its events.
+    fn event_mark(&self) -> String {
+        let state = self.state.lock().unwrap();
+        match &*state.software {
+            FIRST_VERSION => String::new(),
+            software => format!(" of {software}"),
+        }
+    }
+
     pub fn set_behavior(&self, behavior: Behavior) {
         self.state.lock().unwrap().behavior = behavior;
     }
@@ -337,6 +356,20 @@
         self.register("ready");
     }
 
+    /// Closes all connections and starts a new lifetime with other software at once; its entry is
+    /// still that of the lifetime before.
+    pub fn replace_unlisted(&self, software: &str) {
+        self.start_unlisted();
+        self.state.lock().unwrap().software = software.to_owned();
+        self.replaced.notify_waiters();
+    }
+
+    /// Sets the version of its software and registers it.
+    pub fn set_software(&self, software: &str) {
+        self.state.lock().unwrap().software = software.to_owned();
+        self.register("ready");
+    }
+
     /// Starts a new lifetime under the same id, without added headers; its entry is still
     /// that of the lifetime before.
     pub fn start_unlisted(&self) {
--- a/tests/edge/fakes/engine/runs.rs
+++ b/tests/edge/fakes/engine/runs.rs
@@ -156,8 +156,9 @@
             self.crash_and_restart();
             return Err(std::io::ErrorKind::BrokenPipe.into());
         }
+        let mark = self.event_mark();
         for event in after + 1..=EVENTS {
-            let text = format!("id: {event}\ndata: token {event}\n\n");
+            let text = format!("id: {event}\ndata: token {event}{mark}\n\n");
             let half = framing.frame(&text[..text.len() / 2]);
             let is_late = behavior == Behavior::ResetLate && event == after + 2;
             if is_late {
--- a/tests/edge/fakes/store.rs
+++ b/tests/edge/fakes/store.rs
@@ -14,8 +14,16 @@
 
 use super::{ReceivedRequest, read_request, runtime, write_response};
 
-/// Table and key; all rows are in the unnamed part.
-type RowKey = (String, String);
+/// Maximum number of entries of a transaction, which are of one part.
+const MAX_ENTRIES: usize = 100;
+
+/// Table, part and key.
+type RowKey = (String, String, String);
+
+/// Returns the key of a row in the unnamed part of a table.
+fn unnamed_part(table: &str, key: &str) -> RowKey {
+    (table.to_owned(), String::new(), key.to_owned())
+}
 
 #[derive(Clone, Default)]
 struct StoreState {
@@ -85,7 +93,7 @@
         let mut state = self.state.lock().unwrap();
         state.version += 1;
         let version = state.version;
-        let key = (table.to_owned(), key.to_owned());
+        let key = unnamed_part(table, key);
         state.rows.insert(key, (version, value.to_vec()));
         drop(state);
         self.changed.notify_waiters();
@@ -94,7 +102,7 @@
     pub fn remove(&self, table: &str, key: &str) {
         let mut state = self.state.lock().unwrap();
         state.version += 1;
-        state.remove((table.to_owned(), key.to_owned()));
+        state.remove(unnamed_part(table, key));
     }
 
     /// Sets the header that names the era in all responses.
@@ -126,7 +134,7 @@
 
     pub fn get(&self, table: &str, key: &str) -> Option<Value> {
         let state = self.state.lock().unwrap();
-        let (_, value) = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        let (_, value) = state.rows.get(&unnamed_part(table, key))?;
         serde_json::from_slice(value).ok()
     }
 
@@ -202,7 +210,11 @@
                 let mut state = self.state.lock().unwrap();
                 state.whole_reads.push(table.to_owned());
                 drop(state);
-                self.page(table, 0)
+                let text = |name| request.query(name).unwrap_or_default();
+                let (from, to) = (text("from"), text("to"));
+                self.page(table, 0, |part, key| {
+                    part == text("part") && key >= from && (to.is_empty() || key < to)
+                })
             }
             "/rows-feed" => {
                 let after: u64 = number("after");
@@ -218,7 +230,7 @@
                 if !is_kept {
                     return (410, json!({}));
                 }
-                self.page(table, after)
+                self.page(table, after, |_, _| true)
             }
             "/rows-tx" => self.transaction(&request.body),
             _ => (404, json!({})),
@@ -227,25 +239,27 @@
 
     fn newest_version(&self, table: &str) -> u64 {
         let state = self.state.lock().unwrap();
-        let of = state.rows.iter().filter(|((t, _), _)| t == table);
+        let of = state.rows.iter().filter(|((t, _, _), _)| t == table);
         of.map(|(_, (version, _))| *version).max().unwrap_or(0)
     }
 
-    fn page(&self, table: &str, after: u64) -> (u16, Value) {
+    /// Returns the rows of a table that have changed since a version, of those whose part and key
+    /// are wanted.
+    fn page(&self, table: &str, after: u64, wanted: impl Fn(&str, &str) -> bool) -> (u16, Value) {
         let state = self.state.lock().unwrap();
         if state.down {
             return (503, json!({}));
         }
         let mut page = Vec::new();
-        for ((t, key), (version, value)) in &state.rows {
-            if t == table && *version > after {
-                page.push(json!({"table": t, "part": "", "key": key, "ver": version,
+        for ((t, part, key), (version, value)) in &state.rows {
+            if t == table && *version > after && wanted(part, key) {
+                page.push(json!({"table": t, "part": part, "key": key, "ver": version,
                     "value": STANDARD.encode(value)}));
             }
         }
-        for ((t, key), version) in &state.tombstones {
+        for ((t, part, key), version) in &state.tombstones {
             if after > 0 && t == table && *version > after {
-                page.push(json!({"table": t, "part": "", "key": key, "ver": version,
+                page.push(json!({"table": t, "part": part, "key": key, "ver": version,
                     "tombstone": true}));
             }
         }
@@ -259,18 +273,23 @@
         let transaction: Value = serde_json::from_slice(body).unwrap();
         let key = |row: &Value| -> RowKey {
             let text = |name: &str| row[name].as_str().unwrap().to_owned();
-            (text("table"), text("key"))
+            (text("table"), text("part"), text("key"))
         };
         let list = |name: &str| transaction[name].as_array().cloned().unwrap_or_default();
         let mut state = self.state.lock().unwrap();
         if state.down {
             return (503, json!({}));
         }
+        let entries = ["expected", "writes", "remove"].map(list).concat();
+        let is_one_part = entries.windows(2).all(|e| e[0]["part"] == e[1]["part"]);
+        if !is_one_part || entries.len() > MAX_ENTRIES {
+            return (400, json!({}));
+        }
         for row in list("expected") {
             let current = state.rows.get(&key(&row));
             if current.map_or(0, |(version, _)| *version) != row["ver"].as_u64().unwrap() {
                 let current_row = current.map(|(version, value)| {
-                    json!({"table": row["table"], "part": "", "key": row["key"],
+                    json!({"table": row["table"], "part": row["part"], "key": row["key"],
                         "ver": version, "value": STANDARD.encode(value)})
                 });
                 let current_rows: Vec<Value> = current_row.into_iter().collect();
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -36,6 +36,7 @@
 mod shutdown;
 mod silence;
 mod site;
+mod software_versions;
 mod statements;
 mod store_eras;
 mod stream_ends;
