--- a/benches/scene/fleet.rs
+++ b/benches/scene/fleet.rs
@@ -191,6 +191,7 @@
             service: SERVICE.into(),
             model: model_name(index * 7 % models),
             adapter: Some(format!("a{}", 4 + index % 8).into()),
+            software: None,
         };
         let requests = WaitingRequests {
             count: 1,
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -18,11 +18,13 @@
 use super::response::{Refusal, ResponseBody};
 use super::retry::{self, Attempts, MIN_TIME_LEFT, can_retry, record_broken_run, start_retry};
 use super::send::{EngineResponse, MAX_WHOLE_BYTES, SendOutcome, send};
+use super::take_up;
 use super::{DeadlineSource, RequestGuard, RoutedRequest, held_cause};
 use crate::clock::Moment;
 use crate::edge::admission::{AdmissionDecision, TimeBudget};
 use crate::edge::clock;
 use crate::edge::desired::RouteKind;
+use crate::edge::origins::Allowed;
 use crate::edge::permits::PermitState;
 use crate::edge::placement::ModelTarget;
 use crate::edge::routing::{self, RoutingContext, RoutingRequest, SelectedEngine, Selection};
@@ -74,6 +76,12 @@
         last_event: routed.headers.last_event,
         ..Attempts::default()
     };
+    if routed.takes_up() {
+        match take_up::find_software(&routed).await {
+            Ok(software) => attempts.software = Some(software),
+            Err(failure) => return routed.refuse(failure.refusal, &failure.cause, "", 0),
+        }
+    }
     loop {
         let engine_response = match send_until_response(&routed, &mut attempts).await {
             Ok(engine_response) => engine_response,
@@ -117,6 +125,14 @@
                     return routed.refuse(refusal, &cause, &engine, attempts.sent);
                 }
             }
+            Err(OpenError::Unrecorded) => {
+                attempts.uncertain = true;
+                let cause = "the version that began the stream could not be recorded";
+                if !start_retry(&routed, &mut attempts, &engine, cause).await {
+                    let refusal = Refusal::new(Kind::UpstreamFailed);
+                    return routed.refuse(refusal, cause, &engine, attempts.sent);
+                }
+            }
             Err(OpenError::Abandoned) => {}
             Err(OpenError::DeadlinePassed) => {
                 let refusal = Refusal::new(Kind::OutcomeUnknown);
@@ -149,6 +165,10 @@
         admit(routed, attempts, &engine).await?;
         let was_abandoned = attempts.return_to(&engine);
         attempts.sent += 1;
+        if routed.can_be_named() && attempts.software.is_none() {
+            let edge = &routed.edge;
+            edge.begin_stream(routed.stream, &routed.service, &choice.software);
+        }
         match send(routed, attempts, &choice, max_silence).await {
             SendOutcome::Response(engine_response) => return Ok(engine_response),
             SendOutcome::NotRun(status) => {
@@ -249,24 +269,29 @@
     }
 }
 
-pub(super) fn select_engine(
-    routed: &RoutedRequest,
-    avoid: &[Arc<str>],
-    permit: Option<&Arc<str>>,
-    now: Moment,
-) -> Selection {
-    with_routing(routed, avoid, permit, now, routing::select_engine)
+/// What the routing of a request depends on apart from the request itself.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Constraints<'a> {
+    /// Engines to use only when there is no other.
+    pub avoid: &'a [Arc<str>],
+    /// Engine for which it has a permit.
+    pub permit: Option<&'a Arc<str>>,
+    /// Software versions at which it may run.
+    pub allowed: &'a Allowed,
 }
 
-/// Calls a function of the routing for a request. `permit` is the engine for which it has a
-/// permit.
+/// Calls a function of the routing for a request.
 pub(super) fn with_routing<T>(
     routed: &RoutedRequest,
-    avoid: &[Arc<str>],
-    permit: Option<&Arc<str>>,
+    constraints: Constraints<'_>,
     now: Moment,
     decide: impl FnOnce(&RoutingContext<'_>, &RoutingRequest<'_>) -> T,
 ) -> T {
+    let Constraints {
+        avoid,
+        permit,
+        allowed,
+    } = constraints;
     let settings = routed.edge.settings();
     let state = routed.edge.state.borrow();
     let context = RoutingContext {
@@ -285,6 +310,7 @@
         fingerprint: routed.fingerprint,
         avoid,
         permit,
+        allowed,
     };
     decide(&context, &routing_request)
 }
@@ -293,9 +319,13 @@
 /// whose run was abandoned. After the last attempt that the route allows, only the latter.
 fn select_next(routed: &RoutedRequest, attempts: &Attempts, now: Moment) -> Selection {
     let permit = attempts.permitted_engine(now);
-    let permit = permit.as_ref();
+    let constraints = Constraints {
+        avoid: &attempts.avoid,
+        permit: permit.as_ref(),
+        allowed: &attempts.allowed(routed),
+    };
     let selection = match attempts.may_use_others(routed) {
-        true => select_engine(routed, &attempts.avoid, permit, now),
+        true => with_routing(routed, constraints, now, routing::select_engine),
         false => Selection::NoEngine,
     };
     let is_new = matches!(&selection, Selection::Engine(c) if !attempts.avoid.contains(&c.engine));
@@ -308,7 +338,11 @@
         let ids = usable.map(|e| e.entry.id.clone());
         ids.filter(|id| !attempts.abandoned.contains(id)).collect()
     };
-    match select_engine(routed, &others, permit, now) {
+    let constraints = Constraints {
+        avoid: &others,
+        ..constraints
+    };
+    match with_routing(routed, constraints, now, routing::select_engine) {
         Selection::Engine(choice) if attempts.abandoned.contains(&choice.engine) => {
             Selection::Engine(choice)
         }
@@ -359,10 +393,19 @@
         let budget = TimeBudget::new(&routed.route, routed.age(), waited, time_left, resumed);
         let limits = routed.edge.settings().admission;
         let selection = select_next(routed, attempts, now);
-        if resumed && let Selection::Engine(choice) = selection {
+        if (resumed || routed.takes_up())
+            && let Selection::Engine(choice) = selection
+        {
             // The caller has a part of the answer, so that the rest is never refused.
             return Ok(choice);
         }
+        if let Some(software) = &attempts.software
+            && selection == Selection::NoEngine
+            && !routed.is_version_listed(software)
+        {
+            let cause = "no engine of the version that began the stream is left";
+            return Err(fail(Kind::NoCapacity, cause, take_up::GONE_RETRY));
+        }
         let paused = match &selection {
             Selection::NotLoaded { paused, .. } => paused.clone(),
             _ => BTreeSet::new(),
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -11,6 +11,7 @@
 mod send;
 mod silence;
 mod source;
+mod take_up;
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -29,9 +30,11 @@
 use super::clock;
 use super::demand::ModelKey;
 use super::desired::{DesiredState, RequestLimits, Route, RouteKind};
+use super::origins::StreamId;
 use super::request_headers::RequestHeaders;
 use super::state::Edge;
 use super::suspects::{self, Feature, Hold};
+use super::upstream::EnginePhase;
 use crate::clock::Moment;
 use crate::error::Kind;
 use crate::platform::headers;
@@ -57,6 +60,8 @@
     desired: Rc<DesiredState>,
     /// Service chosen among those of the route.
     service: Arc<str>,
+    /// Id of the stream that it begins, if it is for one.
+    stream: StreamId,
     /// Fingerprint of path and body.
     fingerprint: u64,
     /// What it may have in common with requests that crash engines; its own feature is the last.
@@ -82,6 +87,32 @@
         self.deadline.saturating_sub(clock::now())
     }
 
+    /// Returns whether it is for a stream that may be resumed.
+    fn can_be_resumed(&self) -> bool {
+        self.route.kind == RouteKind::Stream && self.route.resumable
+    }
+
+    /// Returns whether the caller could name the stream when it takes it up again.
+    fn can_be_named(&self) -> bool {
+        self.can_be_resumed() && !self.headers.id.is_empty()
+    }
+
+    /// Returns whether an engine of a version is listed that does not leave.
+    fn is_version_listed(&self, software: &str) -> bool {
+        let state = self.edge.state.borrow();
+        let mut engines = state.fleet.engines.values();
+        engines.any(|e| {
+            let entry = &e.entry;
+            let stays = entry.phase == EnginePhase::Ready && !e.leaves && !e.replaced;
+            stays && entry.service == self.service && *entry.software == *software
+        })
+    }
+
+    /// Returns whether its caller takes a stream up again.
+    fn takes_up(&self) -> bool {
+        self.can_be_resumed() && self.headers.last_event.is_some()
+    }
+
     /// Returns the features that other requests may share, and its own.
     fn split_features(&self) -> (&[Feature], &[Feature]) {
         self.features
@@ -275,6 +306,7 @@
     let features = suspects::features(fingerprint, headers.shared_parts.iter().copied());
     Ok(RoutedRequest {
         edge: edge.clone(),
+        stream: StreamId::of(&headers.id),
         head,
         body,
         headers,
--- a/src/edge/forward/permit.rs
+++ b/src/edge/forward/permit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::RoutedRequest;
-use super::attempt::with_routing;
+use super::attempt::{Constraints, with_routing};
 use super::retry::Attempts;
 use crate::clock::Moment;
 use crate::edge::permits::{PermitGuard, PermitState};
@@ -18,8 +18,12 @@
     now: Moment,
 ) -> Option<PermitState> {
     if attempts.permit.is_none() {
-        let mut engines =
-            with_routing(routed, &attempts.avoid, None, now, routing::limited_engines);
+        let constraints = Constraints {
+            avoid: &attempts.avoid,
+            permit: None,
+            allowed: &attempts.allowed(routed),
+        };
+        let mut engines = with_routing(routed, constraints, now, routing::limited_engines);
         if !attempts.may_use_others(routed) {
             engines.retain(|e| attempts.abandoned.contains(e));
         }
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -23,7 +23,6 @@
 use crate::edge::client::Connection;
 use crate::edge::clock;
 use crate::edge::in_flight::InFlightGuard;
-use crate::edge::origins::Resumed;
 use crate::edge::suspects::Progress;
 use crate::platform::headers;
 
@@ -32,6 +31,9 @@
 /// Multiple of the route's maximum gap between events after which a silent stream is
 /// resumed at another engine.
 const SILENCE_GAP_FACTOR: u32 = 3;
+/// Time for which the first event of a stream is held back until all hosts can know at which version
+/// it began.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time past the route's objective that the first event of a repeatable stream may take
 /// after the head of the response has arrived.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(1_000);
@@ -52,6 +54,8 @@
     Broken(String),
     /// The engine was silent, and another can take the request over.
     Abandoned,
+    /// Other hosts could not learn at which version it began.
+    Unrecorded,
     /// It did not start before the deadline.
     DeadlinePassed,
 }
@@ -98,9 +102,14 @@
         }
     };
     source.in_flight.record_prompt_read();
-    log_take_up(routed, &engine, &software);
-    attempts.software = Some(software);
     let measured = clock::now().saturating_sub(sent_at);
+    if routed.can_be_named() && attempts.software.is_none() {
+        let limit = RECORD_TIMEOUT.min(routed.time_left());
+        if !routed.edge.await_recorded(routed.stream, limit).await {
+            return Err(OpenError::Unrecorded);
+        }
+    }
+    attempts.software.get_or_insert(software);
     super::record_first_event(routed, &source.in_flight.engine, predicted, measured);
     let metrics = &routed.edge.metrics;
     metrics.record_first_token(routed.age(), attempts.load_waited);
@@ -112,19 +121,6 @@
     })))
 }
 
-/// Logs that a caller has taken a stream up again that an earlier attempt began.
-fn log_take_up(routed: &RoutedRequest, engine: &str, software: &str) {
-    let Some(after) = routed.headers.last_event else {
-        return;
-    };
-    let stream = match routed.headers.resumed {
-        Resumed::Stream(stream) => stream.to_string(),
-        Resumed::Unnamed | Resumed::Ambiguous => String::new(),
-    };
-    let request = &*routed.headers.id;
-    log::info!(request, stream, after, engine, software; "stream taken up");
-}
-
 /// Starts a task that relays a stream and ends when the caller's connection does.
 pub(super) fn start_stream(
     routed: Rc<RoutedRequest>,
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -9,6 +9,7 @@
 use super::RoutedRequest;
 use crate::clock::Moment;
 use crate::edge::clock;
+use crate::edge::origins::Allowed;
 use crate::edge::permits::{PermitGuard, PermitState, Rank};
 use crate::edge::suspects::Progress;
 use crate::edge::upstream::Lifetime;
@@ -44,7 +45,8 @@
     pub has_abandoned: bool,
     /// Whether it may have run with an unknown outcome.
     pub uncertain: bool,
-    /// Version of the software that began the stream, once the caller has its first event.
+    /// Version of the software that began the stream, once the caller has its first event in this
+    /// answer or an earlier one.
     pub software: Option<Arc<str>>,
     /// Id of the event after which the stream is resumed.
     pub last_event: Option<u64>,
@@ -74,6 +76,24 @@
         self.has_abandoned || !self.first_event.is_zero()
     }
 
+    /// Returns the software versions at which it may run next.
+    pub(super) fn allowed(&self, routed: &RoutedRequest) -> Allowed {
+        if !routed.can_be_resumed() {
+            return Allowed::Any;
+        }
+        if let Some(software) = &self.software {
+            return Allowed::Only(software.clone());
+        }
+        let state = routed.edge.state.borrow();
+        let is_usable = |software: &str| {
+            let mut engines = state.fleet.usable_engines(&routed.service);
+            engines.any(|e| *e.entry.software == *software)
+        };
+        let can_record = routed.edge.store_available();
+        let versions = &state.origins.services;
+        versions.allowed_to_begin(&routed.service, can_record, is_usable)
+    }
+
     /// Returns whether it may be sent to an engine that it was not sent to before.
     pub(super) fn may_use_others(&self, routed: &RoutedRequest) -> bool {
         self.sent == 0 || self.route_allows_retry(routed)
@@ -95,7 +115,7 @@
 
     /// Returns the rank of its application for a permit.
     pub(super) fn rank(&self, routed: &RoutedRequest) -> Rank {
-        match self.persists() {
+        match self.persists() || routed.takes_up() {
             true => Rank::GOES_ON,
             false => Rank::new_request(routed.route.priority),
         }
--- a/src/edge/forward/silence.rs
+++ b/src/edge/forward/silence.rs
@@ -10,10 +10,10 @@
 use tokio::time::timeout;
 
 use super::RoutedRequest;
-use super::attempt;
+use super::attempt::{self, Constraints};
 use super::retry::{self, Attempts};
 use crate::edge::clock;
-use crate::edge::routing::Selection;
+use crate::edge::routing::{self, Selection};
 
 /// Cause of a retry after an engine fell silent; it may still run the request.
 const SILENCE: &str = "silence";
@@ -93,7 +93,13 @@
     }
     let mut avoid = attempts.avoid.clone();
     avoid.push(engine.clone());
-    let Selection::Engine(choice) = attempt::select_engine(routed, &avoid, None, now) else {
+    let constraints = Constraints {
+        avoid: &avoid,
+        permit: None,
+        allowed: &attempts.allowed(routed),
+    };
+    let selection = attempt::with_routing(routed, constraints, now, routing::select_engine);
+    let Selection::Engine(choice) = selection else {
         return None;
     };
     if avoid.contains(&choice.engine) || choice.first_event >= max_silence {
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -305,6 +305,9 @@
     /// Engines that hold the target and want no requests of the sender.
     #[prost(string, repeated, tag = "6")]
     pub paused: Vec<String>,
+    /// Software version of the engine that is to hold the target; empty for any.
+    #[prost(string, tag = "7")]
+    pub software: String,
 }
 
 /// Models that an engine has loaded.
--- a/src/edge/leader/election.rs
+++ b/src/edge/leader/election.rs
@@ -12,7 +12,7 @@
 use crate::edge::members::Members;
 use crate::edge::placement::{LeaderId, LoadHistory, Placer};
 use crate::edge::state::{DaemonPhase, Edge, State};
-use crate::edge::store::{CommitOutcome, Row, RowChange, RowPage, Table};
+use crate::edge::store::{CommitOutcome, Row, RowChange, RowPage, Table, UNNAMED_PART};
 
 /// Key of the row that names the leader.
 const LEADER_KEY: &str = "orders";
@@ -356,6 +356,7 @@
 fn row_write(version: u64, record: &LeaderRecord) -> RowChange {
     RowChange {
         table: Table::Leadership,
+        part: UNNAMED_PART,
         key: LEADER_KEY.into(),
         expected_version: Some(version),
         value: serde_json::to_vec(record).ok(),
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -119,6 +119,10 @@
         relay_wake: Notify::new(),
         hold_wake: Notify::new(),
         holds_known: Cell::new(false),
+        origin_wake: Notify::new(),
+        origins_known: Cell::new(false),
+        origins_written: watch::Sender::new(0),
+        origin_lookups: Cell::default(),
         settings: RefCell::new(Rc::new(settings)),
     });
     let host = &*edge.host;
@@ -146,6 +150,8 @@
     tokio::task::spawn_local(store_watch::watch_engines(edge.clone()));
     tokio::task::spawn_local(store_watch::watch_members(edge.clone()));
     tokio::task::spawn_local(suspects::keep_rows(edge.clone()));
+    tokio::task::spawn_local(origins::keep_bases(edge.clone()));
+    tokio::task::spawn_local(origins::sweep(edge.clone()));
     tokio::task::spawn_local(peers::receive_packets(edge.clone(), socket.clone()));
     tokio::task::spawn_local(peers::send_packets(edge.clone(), socket.clone()));
     tokio::task::spawn_local(relays::relay_prompts(edge.clone(), socket.clone()));
--- /dev/null
+++ b/src/edge/origins/base.rs
@@ -0,0 +1,311 @@
+//! Rows that name the base versions of services.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::services::{Base, ListedVersions};
+use crate::clock::Moment;
+use crate::edge::clock;
+use crate::edge::desired::RouteKind;
+use crate::edge::state::{Edge, State};
+use crate::edge::store::{CommitOutcome, Row, RowChange, RowPage, StoreError, Table, UNNAMED_PART};
+
+/// Period of checking which versions are listed, without a change of the list.
+const CHECK_PERIOD: Duration = Duration::from_secs(2);
+/// Pause before base rows are read again that could not be read or written.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Time for which no engine of a base version is listed before another becomes the base: longer
+/// than any stream lasts that began at it without a row.
+const RETIRE_AFTER: Duration = Duration::from_secs(90);
+/// Period of reading the base row of a service without engines of its base version.
+const REREAD_PERIOD: Duration = Duration::from_secs(15);
+
+/// Content of a base row.
+#[derive(Debug, Serialize, Deserialize)]
+struct BaseRecord {
+    software: Arc<str>,
+}
+
+/// Since when no engine of a base version is listed.
+#[derive(Clone, Copy, Debug)]
+struct Absence {
+    since: Moment,
+    read_at: Moment,
+    /// Version of the base row.
+    row: u64,
+}
+
+/// Keeps the base versions up to date: reads them at the start, in each new era of the store and
+/// when a version is listed for the first time, before that version is used.
+pub async fn keep_bases(edge: Rc<Edge>) {
+    let mut eras = edge.store.eras();
+    let mut absences = HashMap::new();
+    loop {
+        if eras.has_changed().unwrap_or(false) {
+            eras.mark_unchanged();
+            edge.begin_origins_era();
+        }
+        let pause = match update_bases(&edge, &mut absences).await {
+            Ok(()) => CHECK_PERIOD,
+            Err(error) => {
+                log::debug!(error:%; "base versions not read or written");
+                RETRY_PAUSE
+            }
+        };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = edge.origin_wake.notified() => {}
+            _ = eras.changed() => eras.mark_changed(),
+        }
+    }
+}
+
+async fn update_bases(
+    edge: &Rc<Edge>,
+    absences: &mut HashMap<Arc<str>, Absence>,
+) -> Result<(), StoreError> {
+    let now = clock::now();
+    let (listed, is_new) = {
+        let mut state = edge.state.borrow_mut();
+        if state.desired.version == 0 {
+            return Ok(());
+        }
+        let listed = state.listed_versions();
+        let is_new = state.origins.services.record_listed(&listed, now);
+        (listed, is_new)
+    };
+    let is_due = is_new || !edge.origins_known.get();
+    if is_due || reread_due(edge, &listed, absences, now) {
+        read_bases(edge, &listed).await?;
+        edge.origins_known.set(true);
+        edge.notify_waiting();
+    }
+    retire_bases(edge, &listed, absences, now).await
+}
+
+/// Reads the base rows, and writes those of listed services that have none.
+async fn read_bases(edge: &Rc<Edge>, listed: &ListedVersions) -> Result<(), StoreError> {
+    let page = edge.store.read_table(Table::Bases).await?;
+    let mut bases = decode(&page);
+    for (service, versions) in listed {
+        let mut base = bases.remove(service);
+        if base.is_none() {
+            let known = edge.state.borrow().base_software(service);
+            let first = known.or_else(|| edge.state.borrow().most_listed(service));
+            let Some(software) = first else {
+                continue;
+            };
+            base = write_base(edge, service, software, 0).await?;
+        }
+        if let Some(base) = base {
+            edge.confirm_base(service, base, versions);
+        }
+    }
+    Ok(())
+}
+
+/// Writes the base row of a service if it has the expected version; returns the row that there is
+/// then.
+async fn write_base(
+    edge: &Edge,
+    service: &Arc<str>,
+    software: Arc<str>,
+    expected_version: u64,
+) -> Result<Option<Base>, StoreError> {
+    let record = BaseRecord {
+        software: software.clone(),
+    };
+    let change = RowChange {
+        table: Table::Bases,
+        part: UNNAMED_PART,
+        key: service.clone(),
+        expected_version: Some(expected_version),
+        value: serde_json::to_vec(&record).ok(),
+    };
+    match edge.store.commit(&[change]).await? {
+        CommitOutcome::Committed(row) => {
+            log::info!(service = &**service, software = &*software, row; "base version written");
+            Ok(Some(Base { software, row }))
+        }
+        CommitOutcome::Conflict(page) => Ok(decode(&page).remove(service)),
+    }
+}
+
+/// Returns whether the base row of a service without engines of its base version is to be read
+/// again: another daemon may have replaced it.
+fn reread_due(
+    edge: &Edge,
+    listed: &ListedVersions,
+    absences: &mut HashMap<Arc<str>, Absence>,
+    now: Moment,
+) -> bool {
+    let state = edge.state.borrow();
+    let mut is_due = false;
+    for (service, versions) in listed {
+        let Some(base) = state.origins.services.base(service) else {
+            continue;
+        };
+        if versions.is_empty() || versions.contains(&base.software) {
+            absences.remove(service);
+            continue;
+        }
+        let row = base.row;
+        let first = Absence {
+            since: now,
+            read_at: now,
+            row,
+        };
+        let absence = absences.entry(service.clone()).or_insert(first);
+        if absence.row != row {
+            *absence = first;
+        }
+        if now.saturating_sub(absence.read_at) >= REREAD_PERIOD {
+            absence.read_at = now;
+            is_due = true;
+        }
+    }
+    is_due
+}
+
+/// Replaces base versions of which no engine is left; one host does so for all.
+async fn retire_bases(
+    edge: &Rc<Edge>,
+    listed: &ListedVersions,
+    absences: &mut HashMap<Arc<str>, Absence>,
+    now: Moment,
+) -> Result<(), StoreError> {
+    if absences.is_empty() || !edge.is_allocator() {
+        return Ok(());
+    }
+    for (service, versions) in listed {
+        let is_over = |a: &Absence| now.saturating_sub(a.since) >= RETIRE_AFTER;
+        let Some(absence) = absences.get(service).copied().filter(is_over) else {
+            continue;
+        };
+        absences.remove(service);
+        let Some(software) = edge.state.borrow().most_listed(service) else {
+            continue;
+        };
+        if let Some(base) = write_base(edge, service, software, absence.row).await? {
+            edge.confirm_base(service, base, versions);
+        }
+    }
+    Ok(())
+}
+
+fn decode(page: &RowPage) -> HashMap<Arc<str>, Base> {
+    let mut bases = HashMap::new();
+    for row in &page.rows {
+        let (Some(value), true) = (&row.value, row.unnamed_part) else {
+            continue;
+        };
+        match decode_row(row, value) {
+            Ok(base) => {
+                bases.insert(row.key.clone(), base);
+            }
+            Err(error) => {
+                log::warn!(service = &*row.key, error:%; "row of a base version ignored");
+            }
+        }
+    }
+    bases
+}
+
+fn decode_row(row: &Row, value: &[u8]) -> Result<Base, serde_json::Error> {
+    let record: BaseRecord = serde_json::from_slice(value)?;
+    Ok(Base {
+        software: record.software,
+        row: row.version,
+    })
+}
+
+impl Edge {
+    /// Records the base of a service, read after `versions` were listed.
+    fn confirm_base(
+        self: &Rc<Self>,
+        service: &Arc<str>,
+        base: Base,
+        versions: &BTreeSet<Arc<str>>,
+    ) {
+        let software = base.software.clone();
+        let mut state = self.state.borrow_mut();
+        let origins = &mut state.origins;
+        let is_new = origins.services.base(service) != Some(&base);
+        if origins.services.confirm(service, base, versions) {
+            origins.streams.change_base(service, &software);
+        }
+        drop(state);
+        if is_new {
+            let versions: Vec<_> = versions.iter().map(|v| &**v).collect();
+            let versions = versions.join(",");
+            log::info!(service = &**service, software = &*software, versions; "base version known");
+        }
+        self.write_origins();
+    }
+
+    /// Reads the base rows again.
+    pub(super) async fn refresh_bases(self: &Rc<Self>) -> Result<(), StoreError> {
+        let listed = self.state.borrow().listed_versions();
+        read_bases(self, &listed).await
+    }
+
+    /// Returns whether an engine of a service's base version is listed.
+    pub(super) fn is_base_listed(&self, service: &str) -> bool {
+        let state = self.state.borrow();
+        let listed = state.listed_versions();
+        let versions = listed.get(service);
+        let base = state.origins.services.base(service);
+        base.is_some_and(|base| versions.is_some_and(|v| v.contains(&base.software)))
+    }
+
+    /// Has the rows of streams written again, and base rows read before further versions are used.
+    fn begin_origins_era(self: &Rc<Self>) {
+        let mut state = self.state.borrow_mut();
+        state.origins.services.begin_era();
+        state.origins.streams.begin_era();
+        drop(state);
+        self.write_origins();
+    }
+}
+
+impl State {
+    /// Returns the versions of the listed engines of services with streams that may be resumed.
+    fn listed_versions(&self) -> ListedVersions {
+        let mut listed = ListedVersions::new();
+        for route in self.desired.routes.values().flatten() {
+            if route.kind != RouteKind::Stream || !route.resumable {
+                continue;
+            }
+            for target in &route.targets {
+                listed.entry(target.service.clone()).or_default();
+            }
+        }
+        for engine in self.fleet.engines.values() {
+            if let Some(versions) = listed.get_mut(&engine.entry.service) {
+                versions.insert(engine.entry.software.clone());
+            }
+        }
+        listed
+    }
+
+    fn base_software(&self, service: &str) -> Option<Arc<str>> {
+        let base = self.origins.services.base(service)?;
+        Some(base.software.clone())
+    }
+
+    /// Returns the version that most listed engines of a service have.
+    fn most_listed(&self, service: &str) -> Option<Arc<str>> {
+        let mut counts: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
+        for engine in self.fleet.engines.values() {
+            if &*engine.entry.service == service {
+                *counts.entry(&engine.entry.software).or_default() += 1;
+            }
+        }
+        let most = counts.into_iter().max_by_key(|(_, count)| *count)?;
+        Some(most.0.clone())
+    }
+}
--- a/src/edge/origins/mod.rs
+++ b/src/edge/origins/mod.rs
@@ -1,9 +1,25 @@
-//! Software versions at which streams began. Events of two versions do not fit together, so that
-//! a stream goes on only at the version that began it.
+//! Software versions at which streams began. What two versions write does not fit together, so
+//! that a stream goes on only at the version that began it, at any host and after any restart.
+//!
+//! Each service has a base version, named by a row in the store. A stream that begins at another
+//! version has a row of its own before its caller gets the first event; one without a row began
+//! at the base version.
 
+mod base;
+mod lookup;
+mod recording;
+mod services;
 mod stream_id;
+mod streams;
+mod sweeping;
 
+pub use base::keep_bases;
+pub use lookup::{Origin, OriginSource, UnknownOrigin};
+pub use recording::OriginWriters;
+pub use services::{Allowed, Base, ServiceVersions};
 pub use stream_id::StreamId;
+pub use streams::{RecordState, Streams};
+pub use sweeping::sweep;
 
 /// Which stream a caller takes up again.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -16,3 +32,12 @@
     /// Several are named, or the name cannot be read.
     Ambiguous,
 }
+
+/// What this daemon knows of where streams began.
+#[derive(Debug, Default)]
+pub struct Origins {
+    /// Versions of the engines of each service.
+    pub services: ServiceVersions,
+    /// Streams that began here.
+    pub streams: Streams,
+}
--- /dev/null
+++ b/src/edge/origins/recording.rs
@@ -0,0 +1,212 @@
+//! Writes the rows of streams that do not begin at the base version.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::{sleep, timeout};
+
+use super::StreamId;
+use super::streams::{DueRow, RecordState};
+use crate::clock::Moment;
+use crate::edge::clock;
+use crate::edge::state::Edge;
+use crate::edge::store::{CommitOutcome, Row, RowChange, RowPage, StoreError, Table};
+
+/// Parts of the table of streams, by the first hexadecimal digit of a stream's id: the store
+/// carries out the transactions of one part one after another.
+pub(super) const PARTS: [&str; 16] = [
+    "0", "1", "2", "3", "4", "5", "6", "7", "8", "9", "a", "b", "c", "d", "e", "f",
+];
+/// Maximum number of rows of a transaction, which has a condition and a write for each.
+const MAX_ROWS: usize = 50;
+/// Share of the store's write rate that is used for these rows.
+const WRITES_RATIO: f64 = 0.5;
+/// Time for which unused writes add up.
+const WRITE_BURST: Duration = Duration::from_millis(500);
+/// Pause after a failed write.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Content of a stream's row.
+#[derive(Debug, Serialize, Deserialize)]
+struct OriginRecord {
+    software: Arc<str>,
+}
+
+/// Writers of the parts of the table.
+#[derive(Debug, Default)]
+pub struct OriginWriters {
+    /// Whether each part is being written.
+    busy: [bool; PARTS.len()],
+    /// When the next write is due at the earliest.
+    next_at: Moment,
+}
+
+impl OriginWriters {
+    /// Books a write; returns how long it has to wait. `spacing` is the mean time between two.
+    fn book(&mut self, spacing: Duration, now: Moment) -> Duration {
+        let at = self.next_at.max(now.saturating_sub(WRITE_BURST));
+        self.next_at = at + spacing;
+        at.saturating_sub(now)
+    }
+}
+
+/// Returns the index of the part of a stream's row.
+pub(super) fn part_index(stream: StreamId) -> usize {
+    usize::from(stream.first_byte() >> 4)
+}
+
+impl Edge {
+    /// Records that a stream is about to begin at a version. Its row is written at once if it
+    /// needs one.
+    pub fn begin_stream(
+        self: &Rc<Self>,
+        stream: StreamId,
+        service: &Arc<str>,
+        software: &Arc<str>,
+    ) {
+        let mut state = self.state.borrow_mut();
+        let origins = &mut state.origins;
+        let base = origins.services.base(service);
+        let is_base = base.is_some_and(|base| base.software == *software);
+        let now = clock::now();
+        let is_due = origins
+            .streams
+            .begin(stream, service, (software, is_base), now);
+        drop(state);
+        if is_due {
+            self.write_part(part_index(stream));
+        }
+    }
+
+    /// Waits until all hosts can know where a stream began, for at most `limit`; returns whether
+    /// they can.
+    pub async fn await_recorded(&self, stream: StreamId, limit: Duration) -> bool {
+        let mut written = self.origins_written.subscribe();
+        let recorded = async {
+            loop {
+                written.borrow_and_update();
+                let record_state = self.state.borrow().origins.streams.record_state(stream);
+                match record_state {
+                    RecordState::Recorded => return true,
+                    RecordState::Foreign => return false,
+                    RecordState::Pending => {}
+                }
+                if written.changed().await.is_err() {
+                    return false;
+                }
+            }
+        };
+        timeout(limit, recorded).await.unwrap_or(false)
+    }
+
+    /// Writes all rows that are due.
+    pub(super) fn write_origins(self: &Rc<Self>) {
+        for part in 0..PARTS.len() {
+            self.write_part(part);
+        }
+    }
+
+    /// Starts to write the rows of a part that are due, unless that is in progress.
+    fn write_part(self: &Rc<Self>, part: usize) {
+        let busy = &mut self.state.borrow_mut().origin_writers.busy[part];
+        if !std::mem::replace(busy, true) {
+            tokio::task::spawn_local(write_rows(self.clone(), part));
+        }
+    }
+
+    /// Returns the mean time between two writes of this daemon.
+    fn write_spacing(&self) -> Duration {
+        let daemons = self.state.borrow().members.share_count(clock::now());
+        let share = self.settings().store.writes_per_s * WRITES_RATIO / daemons as f64;
+        Duration::try_from_secs_f64(1.0 / share).unwrap_or(RETRY_PAUSE)
+    }
+}
+
+/// Writes the rows of a part until none is due.
+async fn write_rows(edge: Rc<Edge>, part: usize) {
+    loop {
+        let spacing = edge.write_spacing();
+        let rows = {
+            let mut state = edge.state.borrow_mut();
+            let is_wanted = |id| part_index(id) == part;
+            let rows = state.origins.streams.take_due(is_wanted, MAX_ROWS);
+            if rows.is_empty() {
+                state.origin_writers.busy[part] = false;
+                return;
+            }
+            rows
+        };
+        let wait = {
+            let mut state = edge.state.borrow_mut();
+            state.origin_writers.book(spacing, clock::now())
+        };
+        sleep(wait).await;
+        if let Err(error) = commit_rows(&edge, part, rows).await {
+            log::info!(part = PARTS[part], error:%; "rows of streams not written");
+            sleep(RETRY_PAUSE).await;
+        }
+        edge.origins_written.send_modify(|n| *n += 1);
+    }
+}
+
+async fn commit_rows(edge: &Edge, part: usize, rows: Vec<DueRow>) -> Result<(), StoreError> {
+    let change = |row: &DueRow| {
+        let record = OriginRecord {
+            software: row.software.clone(),
+        };
+        RowChange {
+            table: Table::Origins,
+            part: PARTS[part],
+            key: row.stream.to_string().into(),
+            expected_version: Some(row.expected_version),
+            value: serde_json::to_vec(&record).ok(),
+        }
+    };
+    let changes: Vec<_> = rows.iter().map(change).collect();
+    let outcome = edge.store.commit(&changes).await;
+    let mut state = edge.state.borrow_mut();
+    let streams = &mut state.origins.streams;
+    let (name, outcome) = match outcome {
+        Ok(CommitOutcome::Committed(version)) => {
+            streams.record_written(&rows, version);
+            ("written", Ok(()))
+        }
+        Ok(CommitOutcome::Conflict(page)) => {
+            streams.record_conflict(&rows, &decode(&page));
+            ("conflict", Ok(()))
+        }
+        Err(error @ StoreError::Refused(_)) => {
+            streams.record_refused(rows.clone());
+            ("refused", Err(error))
+        }
+        // Outcomes that are not known stay so until the next write.
+        Err(error) => ("unanswered", Err(error)),
+    };
+    drop(state);
+    edge.metrics.record_origin_rows(name, rows.len() as u64);
+    outcome
+}
+
+/// Returns the streams of rows with the version of the software and that of the row.
+fn decode(page: &RowPage) -> HashMap<StreamId, (Arc<str>, u64)> {
+    let rows = page.rows.iter().filter_map(|row| {
+        let stream = row.key.parse().ok()?;
+        Some((stream, (decode_row(row)?, row.version)))
+    });
+    rows.collect()
+}
+
+/// Returns the version that a stream's row names.
+pub(super) fn decode_row(row: &Row) -> Option<Arc<str>> {
+    let value = row.value.as_ref()?;
+    match serde_json::from_slice::<OriginRecord>(value) {
+        Ok(record) => Some(record.software),
+        Err(error) => {
+            log::warn!(stream = &*row.key, error:%; "row of a stream ignored");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/origins/services.rs
@@ -0,0 +1,159 @@
+//! Versions in service, and at which of them new streams may begin.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Moment;
+
+/// Time after the last sight of a second version until a stream without a name is taken for one
+/// of the only version; longer than any stream lasts.
+const SOLE_AFTER: Duration = Duration::from_secs(60);
+
+/// Versions listed by service.
+pub type ListedVersions = BTreeMap<Arc<str>, BTreeSet<Arc<str>>>;
+
+/// The version at which the streams of a service began that have no row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Base {
+    /// The version.
+    pub software: Arc<str>,
+    /// Version of its row in the store.
+    pub row: u64,
+}
+
+/// At which versions a request may run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Allowed {
+    /// At any.
+    Any,
+    /// At this one.
+    Only(Arc<str>),
+    /// At these.
+    OneOf(Rc<BTreeSet<Arc<str>>>),
+}
+
+impl Allowed {
+    /// Returns whether it may run at a version.
+    pub fn contains(&self, software: &str) -> bool {
+        match self {
+            Allowed::Any => true,
+            Allowed::Only(only) => **only == *software,
+            Allowed::OneOf(versions) => versions.contains(software),
+        }
+    }
+
+    /// Returns the only version at which it may run, if there is but one.
+    pub fn only(&self) -> Option<&Arc<str>> {
+        match self {
+            Allowed::Only(software) => Some(software),
+            Allowed::Any | Allowed::OneOf(_) => None,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Service {
+    base: Option<Base>,
+    /// Versions that were listed before the base row was last read.
+    confirmed: Rc<BTreeSet<Arc<str>>>,
+    /// When a version was last listed that is not the base.
+    several_at: Option<Moment>,
+}
+
+/// Versions of all services with streams that may be resumed.
+#[derive(Debug, Default)]
+pub struct ServiceVersions {
+    services: HashMap<Arc<str>, Service>,
+}
+
+impl ServiceVersions {
+    /// Returns the base version of a service, if it is known.
+    pub fn base(&self, service: &str) -> Option<&Base> {
+        self.services.get(service)?.base.as_ref()
+    }
+
+    /// Records which versions are listed now. Returns whether base rows have to be read: a version
+    /// is listed that was not when they were last read.
+    pub fn record_listed(&mut self, listed: &ListedVersions, now: Moment) -> bool {
+        let mut is_new = false;
+        for (name, versions) in listed {
+            let service = self.services.entry(name.clone()).or_default();
+            let base = service.base.iter().map(|base| &base.software);
+            if base.chain(versions).collect::<BTreeSet<_>>().len() > 1 {
+                service.several_at = Some(now);
+            }
+            is_new |= !versions.is_subset(&service.confirmed);
+        }
+        is_new
+    }
+
+    /// Records the base of a service, read after `versions` were listed. Returns whether it is
+    /// another version than before.
+    pub fn confirm(&mut self, name: &Arc<str>, base: Base, versions: &BTreeSet<Arc<str>>) -> bool {
+        let service = self.services.entry(name.clone()).or_default();
+        let has_changed = service
+            .base
+            .as_ref()
+            .is_some_and(|known| known.software != base.software);
+        let mut confirmed = versions.clone();
+        confirmed.insert(base.software.clone());
+        service.confirmed = Rc::new(confirmed);
+        service.base = Some(base);
+        has_changed
+    }
+
+    /// Forgets which versions the base rows hold for: the store has come back from an older copy.
+    /// Streams may go on to begin at the base version.
+    pub fn begin_era(&mut self) {
+        for service in self.services.values_mut() {
+            let base = service.base.iter().map(|base| base.software.clone());
+            service.confirmed = Rc::new(base.collect());
+        }
+    }
+
+    /// Returns at which versions new streams of a service may begin. Where their rows cannot be
+    /// written now, that is the base version, unless no engine of it may be used: a stream without
+    /// a row is then refused when it is taken up after a restart, and never joined.
+    pub fn allowed_to_begin(
+        &self,
+        name: &str,
+        can_record: bool,
+        is_usable: impl FnOnce(&str) -> bool,
+    ) -> Allowed {
+        let Some(Service {
+            base: Some(base),
+            confirmed,
+            ..
+        }) = self.services.get(name)
+        else {
+            return Allowed::OneOf(Rc::default());
+        };
+        match can_record || confirmed.len() <= 1 || !is_usable(&base.software) {
+            true => Allowed::OneOf(confirmed.clone()),
+            false => Allowed::Only(base.software.clone()),
+        }
+    }
+
+    /// Returns the version of all streams of a service that can still be taken up, if there was
+    /// but one for so long.
+    pub fn sole_version(&self, name: &str, now: Moment) -> Option<&Arc<str>> {
+        let service = self.services.get(name)?;
+        let is_sole = service
+            .several_at
+            .is_none_or(|at| now.saturating_sub(at) >= SOLE_AFTER);
+        let base = &service.base.as_ref()?.software;
+        is_sole.then_some(base)
+    }
+
+    /// Returns whether any service has, or had within the time of a stream, several versions.
+    pub fn any_has_several(&self, now: Moment) -> bool {
+        self.services.keys().any(|name| self.has_several(name, now))
+    }
+
+    /// Returns whether a service has, or had within the time of a stream, several versions.
+    pub fn has_several(&self, name: &str, now: Moment) -> bool {
+        self.sole_version(name, now).is_none()
+    }
+}
--- a/src/edge/origins/stream_id.rs
+++ b/src/edge/origins/stream_id.rs
@@ -1,6 +1,7 @@
 //! Ids of streams.
 
 use std::fmt;
+use std::str::FromStr;
 
 use sha2::{Digest, Sha256};
 
@@ -26,6 +27,28 @@
     }
 }
 
+/// Text that is not the hexadecimal form of an id.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} is not the id of a stream")]
+pub struct InvalidStreamId(String);
+
+impl FromStr for StreamId {
+    type Err = InvalidStreamId;
+
+    fn from_str(text: &str) -> Result<Self, InvalidStreamId> {
+        let invalid = || InvalidStreamId(text.to_owned());
+        if text.len() != 2 * ID_BYTES || !text.is_ascii() {
+            return Err(invalid());
+        }
+        let mut id = [0; ID_BYTES];
+        for (index, byte) in id.iter_mut().enumerate() {
+            let digits = &text[2 * index..2 * index + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| invalid())?;
+        }
+        Ok(StreamId(id))
+    }
+}
+
 /// Shows it in hexadecimal.
 impl fmt::Display for StreamId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- /dev/null
+++ b/src/edge/origins/streams.rs
@@ -0,0 +1,218 @@
+//! Streams that began at this host, and which of their rows are due in the store.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::StreamId;
+use crate::clock::Moment;
+
+/// Time for which a stream is remembered; longer than it can be taken up again.
+const RETENTION: Duration = Duration::from_secs(90);
+/// Maximum number of streams that are remembered.
+const MAX_STREAMS: usize = 16_384;
+
+/// A row of a stream, as far as this daemon knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+enum StoredRow {
+    /// There is none.
+    #[default]
+    Absent,
+    /// It may have been written: a write was not answered.
+    Unsure,
+    /// It names a version of the software.
+    Present { software: Arc<str>, version: u64 },
+    /// Another daemon has written it, for a stream of the same name.
+    Foreign,
+}
+
+/// Whether a stream that begins is known to all hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordState {
+    /// It is, or needs no row.
+    Recorded,
+    /// Its row is not written yet.
+    Pending,
+    /// Its row is that of another stream.
+    Foreign,
+}
+
+#[derive(Debug)]
+struct Stream {
+    service: Arc<str>,
+    /// Version at which it begins.
+    software: Arc<str>,
+    began_at: Moment,
+    /// Whether it needs a row, even though it may begin at the base version.
+    needs_row: bool,
+    row: StoredRow,
+}
+
+impl Stream {
+    fn record_state(&self) -> RecordState {
+        match &self.row {
+            StoredRow::Foreign => RecordState::Foreign,
+            StoredRow::Present { software, .. } if *software == self.software => {
+                RecordState::Recorded
+            }
+            StoredRow::Absent if !self.needs_row => RecordState::Recorded,
+            StoredRow::Absent | StoredRow::Unsure | StoredRow::Present { .. } => {
+                RecordState::Pending
+            }
+        }
+    }
+}
+
+/// A row to be written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DueRow {
+    /// Stream.
+    pub stream: StreamId,
+    /// Version of the software that it is to name.
+    pub software: Arc<str>,
+    /// Version that the row must have now; 0 if it must not exist.
+    pub expected_version: u64,
+    /// What was known of the row before.
+    before: StoredRow,
+}
+
+/// Streams that began at this host.
+#[derive(Debug, Default)]
+pub struct Streams {
+    streams: HashMap<StreamId, Stream>,
+    expired_at: Moment,
+}
+
+impl Streams {
+    /// Records that a stream is about to begin at a version; `is_base` tells whether that is the
+    /// base version of its service. Returns whether its row has to be written.
+    pub fn begin(
+        &mut self,
+        id: StreamId,
+        service: &Arc<str>,
+        (software, is_base): (&Arc<str>, bool),
+        now: Moment,
+    ) -> bool {
+        self.expire(now);
+        let stream = self.streams.entry(id).or_insert_with(|| Stream {
+            service: service.clone(),
+            software: software.clone(),
+            began_at: now,
+            needs_row: false,
+            row: StoredRow::Absent,
+        });
+        stream.software = software.clone();
+        stream.needs_row = !is_base;
+        stream.record_state() == RecordState::Pending
+    }
+
+    /// Returns the version at which a stream began here, if it is remembered.
+    pub fn software(&self, id: StreamId) -> Option<&Arc<str>> {
+        let stream = self.streams.get(&id)?;
+        (stream.row != StoredRow::Foreign).then_some(&stream.software)
+    }
+
+    /// Returns whether a stream that begins here is known to all hosts.
+    pub fn record_state(&self, id: StreamId) -> RecordState {
+        let stream = self.streams.get(&id);
+        stream.map_or(RecordState::Pending, Stream::record_state)
+    }
+
+    /// Requires rows of the streams of a service that did not begin at its new base version.
+    pub fn change_base(&mut self, service: &str, base: &str) {
+        let streams = self.streams.values_mut();
+        for stream in streams.filter(|s| &*s.service == service) {
+            stream.needs_row |= &*stream.software != base;
+        }
+    }
+
+    /// Records that rows may have been lost: the store has come back from an older copy.
+    pub fn begin_era(&mut self) {
+        for stream in self.streams.values_mut() {
+            if stream.row != StoredRow::Absent {
+                stream.needs_row = true;
+                stream.row = StoredRow::Unsure;
+            }
+        }
+    }
+
+    /// Returns rows of streams of which `is_wanted` holds that are to be written now, at most so
+    /// many. Until their outcome is recorded it is not known whether they were written.
+    pub fn take_due(&mut self, is_wanted: impl Fn(StreamId) -> bool, most: usize) -> Vec<DueRow> {
+        let due = self.streams.iter_mut().filter(|(id, stream)| {
+            stream.record_state() == RecordState::Pending && is_wanted(**id)
+        });
+        let mut rows = Vec::new();
+        for (id, stream) in due.take(most) {
+            let before = std::mem::replace(&mut stream.row, StoredRow::Unsure);
+            rows.push(DueRow {
+                stream: *id,
+                software: stream.software.clone(),
+                expected_version: match before {
+                    StoredRow::Present { version, .. } => version,
+                    StoredRow::Absent | StoredRow::Unsure | StoredRow::Foreign => 0,
+                },
+                before,
+            });
+        }
+        rows
+    }
+
+    /// Records that rows were written, with this version.
+    pub fn record_written(&mut self, rows: &[DueRow], version: u64) {
+        for row in rows {
+            let software = row.software.clone();
+            self.set_row(row.stream, StoredRow::Present { software, version });
+        }
+    }
+
+    /// Records that rows were surely not written.
+    pub fn record_refused(&mut self, rows: Vec<DueRow>) {
+        for row in rows {
+            self.set_row(row.stream, row.before);
+        }
+    }
+
+    /// Records the rows that were found, with the version of the software and their own, instead
+    /// of those that were expected.
+    pub fn record_conflict(&mut self, rows: &[DueRow], found: &HashMap<StreamId, (Arc<str>, u64)>) {
+        for row in rows {
+            let stored = match (found.get(&row.stream), &row.before) {
+                (None, _) => StoredRow::Absent,
+                (Some((software, _)), StoredRow::Absent) if *software != row.software => {
+                    StoredRow::Foreign
+                }
+                (Some((software, version)), _) => StoredRow::Present {
+                    software: software.clone(),
+                    version: *version,
+                },
+            };
+            self.set_row(row.stream, stored);
+        }
+    }
+
+    fn set_row(&mut self, id: StreamId, row: StoredRow) {
+        if let Some(stream) = self.streams.get_mut(&id) {
+            stream.row = row;
+        }
+    }
+
+    /// Forgets streams that can no longer be taken up, and the oldest beyond the maximum number.
+    fn expire(&mut self, now: Moment) {
+        let is_full = self.streams.len() >= MAX_STREAMS;
+        if !is_full && now.saturating_sub(self.expired_at) < RETENTION / 8 {
+            return;
+        }
+        self.expired_at = now;
+        self.streams
+            .retain(|_, s| now.saturating_sub(s.began_at) < RETENTION);
+        if self.streams.len() < MAX_STREAMS {
+            return;
+        }
+        let mut times: Vec<_> = self.streams.values().map(|s| s.began_at).collect();
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        let median = *median;
+        self.streams.retain(|_, s| s.began_at > median);
+    }
+}
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -469,6 +469,7 @@
         service: note.service.as_str().into(),
         model: model.into(),
         adapter: adapter.map(Into::into),
+        software: (!note.software.is_empty()).then(|| note.software.as_str().into()),
     };
     let requests = WaitingRequests {
         count: note.count,
--- a/src/edge/placement/adapters.rs
+++ b/src/edge/placement/adapters.rs
@@ -8,6 +8,7 @@
 use crate::clock::Moment;
 use crate::edge::desired::Hosting;
 use crate::edge::orders::Verb;
+use crate::edge::request_headers;
 use crate::edge::upstream::Upstream;
 
 /// Requests by which two engines may differ and still count as equally busy,
@@ -49,7 +50,9 @@
             let candidates = serving.get(&*target.model).into_iter().flatten();
             let paused = &input.waiting[target].paused;
             let candidates = candidates.filter(|(e, _)| {
-                e.entry.service == target.service && !paused.contains(&e.entry.id)
+                e.entry.service == target.service
+                    && !paused.contains(&e.entry.id)
+                    && target.matches(e)
             });
             if candidates.clone().any(|(_, view)| view.has_adapter(target)) {
                 continue;
@@ -113,15 +116,16 @@
         .requests(input.now)
         .map(|(target, _)| &**target)
         .collect();
+    let waited = input.waiting.keys().filter(|t| t.matches(engine));
+    let waited: BTreeSet<_> = waited
+        .filter(|t| t.service == engine.entry.service)
+        .map(ModelTarget::name)
+        .collect();
     let mut oldest: Option<(Moment, &Arc<str>, &Arc<str>)> = None;
     for (model, replica) in &view.replicas {
         for (name, adapter) in &replica.adapters {
-            let target = ModelTarget {
-                service: engine.entry.service.clone(),
-                model: model.clone(),
-                adapter: Some(name.clone()),
-            };
-            let needed = input.waiting.contains_key(&target) || used.contains(&*target.name());
+            let target = request_headers::target(model, Some(name));
+            let needed = waited.contains(&target) || used.contains(&*target);
             if needed || adapter.ready_at > input.now {
                 continue;
             }
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -81,6 +81,8 @@
     pub model: Arc<str>,
     /// Adapter; absent for the model itself.
     pub adapter: Option<Arc<str>>,
+    /// Software version of the engine that is to hold it; absent for any.
+    pub software: Option<Arc<str>>,
 }
 
 impl ModelTarget {
@@ -90,9 +92,31 @@
             service: service.clone(),
             model: prompt.model.clone(),
             adapter: prompt.adapter.clone(),
+            software: None,
         }
     }
 
+    /// Returns a model on engines of any version.
+    pub fn of_model(key: &ModelKey) -> Self {
+        ModelTarget {
+            service: key.service.clone(),
+            model: key.model.clone(),
+            adapter: None,
+            software: None,
+        }
+    }
+
+    /// Returns the model without its adapter, on engines of any version.
+    pub fn key(&self) -> ModelKey {
+        ModelKey::new(&self.service, &self.model)
+    }
+
+    /// Returns whether an engine is of the version that is to hold it.
+    pub fn matches(&self, engine: &Upstream) -> bool {
+        let software = self.software.as_ref();
+        software.is_none_or(|s| *s == engine.entry.software)
+    }
+
     /// Returns `model` or `model/adapter`.
     pub fn name(&self) -> Arc<str> {
         request_headers::target(&self.model, self.adapter.as_deref())
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::engine_view::{EngineView, LoadTask, TaskStage, model_size_mb};
-use super::{PlacementInput, Placer};
+use super::{ModelTarget, PlacementInput, Placer};
 use crate::edge::demand::ModelKey;
 use crate::edge::desired::Hosting;
 use crate::edge::load_forecast::LoadForecast;
@@ -66,8 +66,8 @@
         self.index_requests(input);
         self.index_replicas(input);
         let missing = self.missing_models(input);
-        for key in &missing {
-            self.plan_load(input, key, LoadReason::Waiting);
+        for target in &missing {
+            self.plan_load(input, target, LoadReason::Waiting);
         }
         self.forecast_loads(input, &missing);
         let mut hot: Vec<_> = input.demand.iter().collect();
@@ -77,12 +77,12 @@
                 break;
             }
             if self.least_utilization(input, key) > self.settings.hot_work {
-                self.plan_load(input, key, LoadReason::Hot);
+                self.plan_load(input, &ModelTarget::of_model(key), LoadReason::Hot);
             }
         }
         for key in self.limited_models(input) {
             if self.least_utilization(input, &key) > RATE_UTILIZATION {
-                self.plan_load(input, &key, LoadReason::Hot);
+                self.plan_load(input, &ModelTarget::of_model(&key), LoadReason::Hot);
             }
         }
         if input.now.saturating_sub(self.unserved_checked) >= UNSERVED_CHECK_PERIOD {
@@ -96,38 +96,43 @@
     /// Returns the models that requests wait for and no engine serves, in the order in which
     /// they are loaded: by priority, and then the longest waited for first, so that a
     /// forecast holds.
-    fn missing_models(&self, input: &PlacementInput<'_>) -> Vec<ModelKey> {
+    fn missing_models(&self, input: &PlacementInput<'_>) -> Vec<ModelTarget> {
         let mut missing = Vec::new();
         for (target, requests) in input.waiting {
-            let key = ModelKey::new(&target.service, &target.model);
-            if !self.is_served(input, &key, &requests.paused) {
+            let model = ModelTarget {
+                adapter: None,
+                ..target.clone()
+            };
+            if !self.is_served(input, &model, &requests.paused) {
                 let since = self.waited_since.get(target).copied();
-                missing.push((requests.priority, since.unwrap_or(input.now), key));
+                missing.push((requests.priority, since.unwrap_or(input.now), model));
             }
         }
         missing.sort();
         let mut seen = HashSet::new();
-        let keys = missing.into_iter().map(|(_, _, key)| key);
-        keys.filter(|key| seen.insert(key.clone())).collect()
+        let models = missing.into_iter().map(|(_, _, model)| model);
+        models.filter(|model| seen.insert(model.clone())).collect()
     }
 
     /// Returns whether an engine other than those in `paused` serves or will serve a model.
     fn is_served(
         &self,
         input: &PlacementInput<'_>,
-        key: &ModelKey,
+        target: &ModelTarget,
         paused: &BTreeSet<Arc<str>>,
     ) -> bool {
-        if paused.is_empty() {
-            return self.replica_count(key) > 0;
+        if paused.is_empty() && target.software.is_none() {
+            return self.replica_count(&target.key()) > 0;
         }
-        let mut engines = self.service_engines(input, &key.service);
-        engines.any(|(e, view)| view.will_serve(&key.model) && !paused.contains(&e.entry.id))
+        let mut engines = self.service_engines(input, &target.service);
+        engines.any(|(e, view)| {
+            view.will_serve(&target.model) && !paused.contains(&e.entry.id) && target.matches(e)
+        })
     }
 
     /// Forecasts when the models that are loaded from the weight store will be ready, and
     /// those that are still missing after the planning.
-    fn forecast_loads(&mut self, input: &PlacementInput<'_>, missing: &[ModelKey]) {
+    fn forecast_loads(&mut self, input: &PlacementInput<'_>, missing: &[ModelTarget]) {
         self.forecasts.clear();
         for service in input.desired.services.values() {
             let Some(hosting) = &service.hosting else {
@@ -147,12 +152,13 @@
                 running.push((task.model.clone(), input.now + left));
             }
             let mut queued = Vec::new();
-            for key in missing {
-                let spec = hosting.models.get(&key.model);
-                let from_store = key.service == service.name && !copied.contains(&key.model);
-                let planned = running.iter().any(|(model, _)| *model == key.model);
+            for target in missing {
+                let model = &target.model;
+                let spec = hosting.models.get(model);
+                let from_store = target.service == service.name && !copied.contains(model);
+                let planned = running.iter().any(|(m, _)| m == model);
                 if let Some(spec) = spec.filter(|_| from_store && !planned) {
-                    queued.push((key.model.clone(), spec.store_load));
+                    queued.push((model.clone(), spec.store_load));
                 }
             }
             if running.is_empty() && queued.is_empty() {
@@ -175,7 +181,7 @@
             for name in names {
                 let key = ModelKey::new(&service.name, name);
                 if !with_copies.contains(&key) {
-                    self.plan_load(input, &key, LoadReason::Prefetch);
+                    self.plan_load(input, &ModelTarget::of_model(&key), LoadReason::Prefetch);
                 }
             }
         }
@@ -193,7 +199,7 @@
             for (name, _) in models {
                 let key = ModelKey::new(&service.name, name);
                 if self.replica_count(&key) == 0 && with_copies.contains(&key) {
-                    self.plan_load(input, &key, LoadReason::Unserved);
+                    self.plan_load(input, &ModelTarget::of_model(&key), LoadReason::Unserved);
                 }
             }
         }
@@ -272,8 +278,8 @@
     }
 
     /// Plans a load of a model on the engine where it costs least.
-    fn plan_load(&mut self, input: &PlacementInput<'_>, key: &ModelKey, reason: LoadReason) {
-        let ModelKey { service, model } = key;
+    fn plan_load(&mut self, input: &PlacementInput<'_>, target: &ModelTarget, reason: LoadReason) {
+        let ModelTarget { service, model, .. } = target;
         let Some(hosting) = input.desired.hosting(service) else {
             return;
         };
@@ -290,10 +296,10 @@
         if reason == LoadReason::Prefetch && !store_available {
             return;
         }
-        let max_eviction_cost = self.max_eviction_cost(input, key, reason);
+        let max_eviction_cost = self.max_eviction_cost(input, &target.key(), reason);
         let mut best: Option<LoadOption> = None;
         for (engine, view) in self.service_engines(input, service) {
-            if view.foreign_order || view.replicas.contains_key(model) {
+            if view.foreign_order || view.replicas.contains_key(model) || !target.matches(engine) {
                 continue;
             }
             let wants_none = input.fleet.pause_left(engine, input.now).is_some();
--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -263,6 +263,7 @@
         report.targets.push(WaitingNote {
             service: target.service.to_string(),
             target: target.name().to_string(),
+            software: target.software.as_deref().unwrap_or_default().to_owned(),
             count: requests.count,
             paused: requests.paused.iter().map(|e| e.to_string()).collect(),
             priority: u32::from(requests.priority),
--- a/src/edge/routing/mod.rs
+++ b/src/edge/routing/mod.rs
@@ -20,6 +20,7 @@
 use super::desired::{DesiredState, RouteKind};
 use super::fleet::Fleet;
 use super::load_forecast::LoadForecast;
+use super::origins::Allowed;
 use super::placement::ModelTarget;
 use super::request_headers::Prompt;
 use super::settings::EngineSettings;
@@ -71,9 +72,25 @@
     pub avoid: &'a [Arc<str>],
     /// Engine that has named a rate, for which the request has a permit.
     pub permit: Option<&'a Arc<str>>,
+    /// Software versions at which it may run.
+    pub allowed: &'a Allowed,
 }
 
 impl RoutingRequest<'_> {
+    /// Returns the engines that may get the request as far as their state and version go.
+    fn usable_engines<'b>(&'b self, fleet: &'b Fleet) -> impl Iterator<Item = &'b Upstream> {
+        let engines = fleet.usable_engines(self.service);
+        engines.filter(|e| self.allowed.contains(&e.entry.software))
+    }
+
+    /// Returns the model or adapter that it needs, at the version at which it has to run.
+    fn target(&self, prompt: &Prompt) -> ModelTarget {
+        ModelTarget {
+            software: self.allowed.only().cloned(),
+            ..ModelTarget::of(self.service, prompt)
+        }
+    }
+
     /// Returns whether the request may be sent to an engine as far as its rate goes.
     fn may_use(&self, engine: &Upstream, fleet: &Fleet) -> bool {
         self.permit == Some(&engine.entry.id) || fleet.rates().rate(&engine.entry.id).is_none()
@@ -139,7 +156,7 @@
 /// Selects an engine for a request.
 pub fn select_engine(context: &RoutingContext<'_>, request: &RoutingRequest<'_>) -> Selection {
     let now = context.now;
-    let engines: Vec<_> = context.fleet.usable_engines(request.service).collect();
+    let engines: Vec<_> = request.usable_engines(context.fleet).collect();
     if engines.is_empty() {
         return Selection::NoEngine;
     }
@@ -188,7 +205,7 @@
     let load_time = load_time.unwrap_or(model.store_load);
     let forecast = context.forecast.filter(|_| load_time == model.store_load);
     Selection::NotLoaded {
-        target: ModelTarget::of(request.service, prompt),
+        target: request.target(prompt),
         paused: holding.iter().map(|e| e.entry.id.clone()).collect(),
         load_time,
         ready_in: forecast.map(|f| f.ready_in(&prompt.model, load_time, now)),
@@ -215,10 +232,7 @@
         let is_limited = fleet.rates().rate(&e.entry.id).is_some();
         is_limited && fleet.is_open(e, now) && e.breaker.allows(now) && holds(e)
     };
-    let mut engines: Vec<_> = fleet
-        .usable_engines(request.service)
-        .filter(is_candidate)
-        .collect();
+    let mut engines: Vec<_> = request.usable_engines(fleet).filter(is_candidate).collect();
     let is_avoided = |e: &Upstream| request.avoid.contains(&e.entry.id);
     if !engines.iter().all(|e| is_avoided(e)) {
         engines.retain(|e| !is_avoided(e));
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -111,6 +111,8 @@
     pub addr: SocketAddr,
     /// Reads per second that all daemons together may make.
     pub reads_per_s: f64,
+    /// Writes per second that all daemons together may make.
+    pub writes_per_s: f64,
 }
 
 impl Default for StoreSettings {
@@ -118,6 +120,7 @@
         StoreSettings {
             addr: UNSET,
             reads_per_s: 2_000.0,
+            writes_per_s: 400.0,
         }
     }
 }
@@ -318,6 +321,7 @@
     let positive = [
         ("/memory_mb", settings.memory_mb as f64),
         ("/store/reads_per_s", settings.store.reads_per_s),
+        ("/store/writes_per_s", settings.store.writes_per_s),
         ("/bounds/grace_s", bounds.grace_s),
         ("/bounds/lease_ms", bounds.lease_ms as f64),
         ("/bounds/retry_window_s", bounds.retry_window_s),
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -18,6 +18,7 @@
 use super::leadership::{Leadership, PeerReach};
 use super::load_forecast::LoadForecast;
 use super::members::Members;
+use super::origins::{OriginWriters, Origins};
 use super::permits::{Allocator, Permits};
 use super::placement::{EngineCall, ModelTarget, PlacementInput, Placer, WaitingRequests};
 use super::retry_budget::{RetryBudget, RetryLimits};
@@ -98,6 +99,14 @@
     pub hold_wake: Notify,
     /// Whether the rows of held features have been read.
     pub holds_known: Cell<bool>,
+    /// Wakes the task that keeps the base versions.
+    pub origin_wake: Notify,
+    /// Whether the base versions have been read.
+    pub origins_known: Cell<bool>,
+    /// Incremented when rows of streams were written, or could not be.
+    pub origins_written: watch::Sender<u64>,
+    /// Rows of streams that are being read.
+    pub origin_lookups: Cell<u32>,
 }
 
 /// Mutable state of one daemon.
@@ -123,6 +132,10 @@
     pub budgets: HashMap<Arc<str>, RetryBudget>,
     /// Requests that crash engines.
     pub suspects: Suspects,
+    /// Versions at which streams began.
+    pub origins: Origins,
+    /// Writers of the rows of streams.
+    pub origin_writers: OriginWriters,
     /// Requests that broke off at engines that may have ended.
     pub pending_ends: PendingEnds,
     /// Prompts sent to engines that have not been reported to other daemons.
@@ -189,6 +202,16 @@
         self.phase.get() == DaemonPhase::Serving
     }
 
+    /// Returns whether this daemon is the one that grants permits, and writes what one daemon
+    /// writes for all.
+    pub fn is_allocator(&self) -> bool {
+        let state = self.state.borrow();
+        let allocator = state
+            .members
+            .allocator(&self.host, self.is_ready(), clock::now());
+        allocator == self.host
+    }
+
     /// Returns whether the store answers this host.
     pub fn store_available(&self) -> bool {
         let availability = self.store.availability();
--- a/src/edge/store.rs
+++ b/src/edge/store.rs
@@ -42,8 +42,15 @@
     Leadership,
     /// Features of requests that crash engines.
     Held,
+    /// Base versions of services.
+    Bases,
+    /// Versions at which streams began that did not begin at the base version.
+    Origins,
 }
 
+/// Name of the part of a table that has none.
+pub const UNNAMED_PART: &str = "";
+
 /// A row of a table.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Row {
@@ -77,6 +84,8 @@
 pub struct RowChange {
     /// Table.
     pub table: Table,
+    /// Part of the table; the same for all changes of a transaction.
+    pub part: &'static str,
     /// Key.
     pub key: Arc<str>,
     /// Version that the row must have; 0 when it must not exist, absent for any.
@@ -177,12 +186,29 @@
         self.era.subscribe()
     }
 
-    /// Reads all rows of a table, page by page.
+    /// Reads all rows of the unnamed part of a table, page by page.
     pub async fn read_table(&self, table: Table) -> Result<RowPage, StoreError> {
+        self.read_part(table, UNNAMED_PART).await
+    }
+
+    /// Reads one row of a part of a table, if it exists.
+    pub async fn read_row(
+        &self,
+        table: Table,
+        part: &str,
+        key: &str,
+    ) -> Result<Option<Row>, StoreError> {
+        let request = rows::row_request(table, part, key, &self.host());
+        let page = self.read_page(table, request, CALL_TIMEOUT).await?;
+        Ok(page.rows.into_iter().find(|row| &*row.key == key))
+    }
+
+    /// Reads all rows of a part of a table, page by page.
+    pub async fn read_part(&self, table: Table, part: &str) -> Result<RowPage, StoreError> {
         let mut all = RowPage::default();
         loop {
             let last = all.rows.last().map(|row: &Row| row.key.clone());
-            let request = rows::read_request(table, last.as_deref(), &self.host());
+            let request = rows::read_request(table, part, last.as_deref(), &self.host());
             let page = self.read_page(table, request, CALL_TIMEOUT).await?;
             if !all.rows.is_empty() && page.era != all.era {
                 // The pages before are of another history.
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -13,7 +13,7 @@
 use super::engine_list::EngineList;
 use super::members::MemberRecord;
 use super::state::{DaemonPhase, Edge};
-use super::store::{CommitOutcome, RowChange, RowPage, StoreError, Table};
+use super::store::{CommitOutcome, RowChange, RowPage, StoreError, Table, UNNAMED_PART};
 use super::upstream::EngineEntry;
 use crate::platform::{desired, rows};
 
@@ -33,9 +33,10 @@
 const REREAD_TIME_PER_DAEMON: Duration = Duration::from_millis(10);
 /// Maximum of that time; well below the time after which a desired state is in force.
 const MAX_REREAD_DELAY: Duration = Duration::from_millis(600);
-/// Time for which a daemon that starts waits for the rows of held features, beyond the desired
-/// state: other daemons tell of them, too.
-const MAX_HOLDS_WAIT: Duration = Duration::from_secs(1);
+/// Time for which a daemon that starts waits for the rows of held features and of base versions,
+/// beyond the desired state: other daemons tell of the former, and no stream begins or goes on
+/// without the latter.
+const MAX_ROWS_WAIT: Duration = Duration::from_secs(1);
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Period of reading the list of daemons; packets of a new daemon cause an earlier
@@ -134,6 +135,7 @@
         log::info!(version, known, row = row.version, routes; "desired state in force");
         edge.metrics.set_config_version(version);
         edge.state.borrow_mut().desired = Rc::new(desired);
+        edge.origin_wake.notify_one();
         edge.notify_waiting();
         edge.order_wake.notify_one();
     }
@@ -216,8 +218,8 @@
     target.max(minimum)
 }
 
-/// Waits for the desired state, and for a while for the held features, then marks the daemon as
-/// ready.
+/// Waits for the desired state, and for a while for the held features and the base versions, then
+/// marks the daemon as ready.
 async fn become_ready(edge: &Edge) {
     let mut changes = edge.changed.subscribe();
     while edge.state.borrow().desired.version == 0 {
@@ -225,9 +227,13 @@
             return;
         }
     }
-    let holds_known = async { while !edge.holds_known.get() && changes.changed().await.is_ok() {} };
-    if timeout(MAX_HOLDS_WAIT, holds_known).await.is_err() {
-        log::warn!("ready without the rows of held features");
+    let rows_known = async {
+        while !(edge.holds_known.get() && edge.origins_known.get())
+            && changes.changed().await.is_ok()
+        {}
+    };
+    if timeout(MAX_ROWS_WAIT, rows_known).await.is_err() {
+        log::warn!("ready without the rows of held features or base versions");
     }
     if edge.phase.get() == DaemonPhase::Starting {
         edge.phase.set(DaemonPhase::Serving);
@@ -266,6 +272,7 @@
         log::info!(engine = &**engine, change, life, software, list = version; "engine changed");
     }
     drop(state);
+    edge.origin_wake.notify_one();
     engine_checks::start_due(edge);
     edge.notify_waiting();
     if !changes.is_empty() {
@@ -337,6 +344,7 @@
     };
     let change = RowChange {
         table: Table::Members,
+        part: UNNAMED_PART,
         key: edge.host.clone(),
         expected_version,
         value: serde_json::to_vec(&record).ok(),
@@ -351,6 +359,7 @@
 pub async fn remove_member_row(edge: &Edge) {
     let change = RowChange {
         table: Table::Members,
+        part: UNNAMED_PART,
         key: edge.host.clone(),
         expected_version: None,
         value: None,
--- a/src/edge/suspects/rows.rs
+++ b/src/edge/suspects/rows.rs
@@ -8,7 +8,7 @@
 use super::{Feature, HoldRecord, Suspects};
 use crate::edge::clock;
 use crate::edge::state::Edge;
-use crate::edge::store::{CommitOutcome, RowChange, RowPage, StoreError, Table};
+use crate::edge::store::{CommitOutcome, RowChange, RowPage, StoreError, Table, UNNAMED_PART};
 
 /// Pause before rows are written again that were not.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
@@ -37,7 +37,7 @@
     let mut written: Option<Rows> = None;
     let mut was_writer = false;
     loop {
-        let is_writer = writes_rows(&edge);
+        let is_writer = edge.is_allocator();
         if eras.has_changed().unwrap_or(false) || is_writer && !was_writer {
             eras.mark_unchanged();
             written = None;
@@ -82,15 +82,6 @@
     row.crashes.len() < suspects.hold_record(feature).crashes.len()
 }
 
-/// Returns whether this daemon writes the rows.
-fn writes_rows(edge: &Edge) -> bool {
-    let state = edge.state.borrow();
-    let writer = state
-        .members
-        .allocator(&edge.host, edge.is_ready(), clock::now());
-    writer == edge.host
-}
-
 /// Reads and applies all rows.
 async fn read_rows(edge: &Edge) -> Result<Rows, StoreError> {
     let rows = decode(&edge.store.read_table(Table::Held).await?);
@@ -136,6 +127,7 @@
 fn row_change(feature: Feature, version: Option<u64>, record: Option<&HoldRecord>) -> RowChange {
     RowChange {
         table: Table::Held,
+        part: UNNAMED_PART,
         key: Arc::from(feature.to_string()),
         expected_version: version,
         value: record.and_then(|r| serde_json::to_vec(r).ok()),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -47,6 +47,8 @@
     store_eras: Counter<u64>,
     stream_ends: Counter<u64>,
     broken_runs: Counter<u64>,
+    take_ups: Counter<u64>,
+    origin_rows: Counter<u64>,
     engine_ends: Counter<u64>,
     held_features: Gauge<u64>,
     trials: Counter<u64>,
@@ -129,6 +131,16 @@
                 "stream_ends",
                 "Engines' streams that ended without an error, by framing and place",
             ),
+            take_ups: counter(
+                &m,
+                "stream_take_ups",
+                "Streams that callers take up again, by how it is known where they began",
+            ),
+            origin_rows: counter(
+                &m,
+                "stream_rows",
+                "Rows of streams that were to be written, by outcome",
+            ),
             broken_runs: counter(
                 &m,
                 "broken_runs",
@@ -255,6 +267,17 @@
             .add(1, &[KeyValue::new("progress", progress)]);
     }
 
+    /// Counts a stream that a caller takes up again, by how it is known where it began.
+    pub fn record_take_up(&self, source: &'static str) {
+        self.take_ups.add(1, &[KeyValue::new("source", source)]);
+    }
+
+    /// Counts rows of streams that were to be written.
+    pub fn record_origin_rows(&self, outcome: &'static str, count: u64) {
+        self.origin_rows
+            .add(count, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts an engine that was checked after connections to it broke.
     pub fn record_engine_end(&self, state: &'static str) {
         self.engine_ends.add(1, &[KeyValue::new("state", state)]);
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -142,8 +142,14 @@
     if let Some(id) = header_value(values.engine) {
         out.insert(EXPECT_INSTANCE, id);
     }
-    if let Some(event) = values.last_event {
-        out.insert(LAST_EVENT, HeaderValue::from(event));
+    match values.last_event {
+        Some(event) => {
+            out.insert(LAST_EVENT, HeaderValue::from(event));
+        }
+        // One that cannot be read resumes nothing.
+        None => {
+            out.remove(LAST_EVENT);
+        }
     }
     if let Some(priority) = values.priority {
         out.insert(
--- a/src/platform/rows.rs
+++ b/src/platform/rows.rs
@@ -55,6 +55,8 @@
         Table::Members => "members",
         Table::Leadership => "tenure",
         Table::Held => "held",
+        Table::Bases => "bases",
+        Table::Origins => "origins",
     }
 }
 
@@ -82,13 +84,14 @@
     }
 }
 
-/// Returns the call that reads the rows of a table with keys greater than `after`.
+/// Returns the call that reads the rows of a part of a table with keys greater than `after`.
 pub fn read_request(
     table: Table,
+    part: &str,
     after: Option<&str>,
     host: &str,
 ) -> http::Result<Request<Full<Bytes>>> {
-    let mut uri = format!("/rows-get?table={}&part=", table_name(table));
+    let mut uri = format!("/rows-get?table={}&part={part}", table_name(table));
     if let Some(key) = after {
         // The smallest key greater than it.
         uri.push_str(&format!("&from={}%00", crate::outside::escape::encode(key)));
@@ -96,6 +99,22 @@
     get_request(uri, host)
 }
 
+/// Returns the call that reads the row of a table with this key; the key needs no escapes.
+pub fn row_request(
+    table: Table,
+    part: &str,
+    key: &str,
+    host: &str,
+) -> http::Result<Request<Full<Bytes>>> {
+    let table = table_name(table);
+    // A key greater than this one, and than no other.
+    let next = format!("{key}%00");
+    get_request(
+        format!("/rows-get?table={table}&part={part}&from={key}&to={next}&limit=1"),
+        host,
+    )
+}
+
 /// Returns the call that waits for changes of a table's rows after a version.
 pub fn feed_request(
     table: Table,
@@ -124,7 +143,7 @@
     for change in changes {
         let row = |value, ver| WireRow {
             table: table_name(change.table).to_owned(),
-            part: String::new(),
+            part: change.part.to_owned(),
             key: change.key.to_string(),
             value,
             ver,
--- a/tests/edge/fixtures.rs
+++ b/tests/edge/fixtures.rs
@@ -115,6 +115,7 @@
             service: SERVICE.into(),
             model: model.into(),
             adapter: adapter.map(Into::into),
+            software: None,
         };
         let requests = WaitingRequests {
             count: 1,
--- a/tests/edge/load_forecast.rs
+++ b/tests/edge/load_forecast.rs
@@ -74,6 +74,7 @@
             service: SERVICE.into(),
             model: name(8),
             adapter: None,
+            software: None,
         },
         load_time: LOAD,
         ready_in: Some(Duration::from_secs(ready_in)),
@@ -119,6 +120,7 @@
         service: SERVICE.into(),
         model: name(1),
         adapter: None,
+        software: None,
     };
     let mut state = State::default();
     assert!(state.expect_retry(target.clone(), 1, at(6), at(0)));
--- a/tests/edge/overload.rs
+++ b/tests/edge/overload.rs
@@ -59,6 +59,7 @@
             service: "s".into(),
             model: "m".into(),
             adapter: None,
+            software: None,
         },
         load_time: ms(load_time),
         ready_in: None,
--- a/tests/simulation/simulator/requests.rs
+++ b/tests/simulation/simulator/requests.rs
@@ -7,6 +7,7 @@
 use mastichinge::clock::Moment;
 use mastichinge::edge::admission::{AdmissionDecision, TimeBudget, silence_limit};
 use mastichinge::edge::demand::ModelKey;
+use mastichinge::edge::origins::Allowed;
 use mastichinge::edge::placement::ModelTarget;
 use mastichinge::edge::routing::{self, RoutingContext, RoutingRequest};
 use mastichinge::edge::suspects::fingerprint;
@@ -77,6 +78,7 @@
             fingerprint: fingerprint(&index.to_string(), &[]),
             avoid: &request.avoid,
             permit: None,
+            allowed: &Allowed::Any,
         };
         let started = Instant::now();
         let selection = routing::select_engine(&context, &query);
