Ask an engine for its start time on a new connection before a stream

What callers saw: a stream went on at an engine that had started again under its id and address at another version, while its entry was still that of the lifetime before. Cause: Expect-Instance names the id alone, which the new lifetime keeps. Change: the first exchange on a new connection that is to carry streams is a report request; its start time must be that of the entry. A connection does not outlive the process behind it, so that one that is used on needs no further question. Engines without a start time never use an id again. The test of an engine that says in the head of a stream that it leaves now begins with a connection that is used on, as the question would show it before.

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -24,6 +24,7 @@
 use super::clock;
 use super::shared_stream::{SharedStream, StreamHandle};
 use super::unread_connection::UnreadConnection;
+use super::upstream::Lifetime;
 use crate::clock::Moment;
 use crate::platform::headers;
 
@@ -38,6 +39,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum size of the head of a response with the informational ones before it, bytes.
 pub(super) const MAX_HEAD_BYTES: usize = 256 << 10;
+/// Maximum number of connections for one request that are not accepted.
+const MAX_DECLINED_CONNECTIONS: u32 = 4;
 /// Maximum number of idle connections for one address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -69,6 +72,9 @@
     addr: SocketAddr,
     /// Whether it carried another exchange before.
     reused: bool,
+    /// Lifetime of the engine that it leads to, once the engine has said so on it; a connection
+    /// does not outlive the process behind it.
+    lifetime: Option<Lifetime>,
     pools: Weak<RefCell<IdlePools>>,
 }
 
@@ -85,6 +91,38 @@
         self.reused
     }
 
+    /// Returns whether it surely leads to this lifetime of an engine.
+    pub fn leads_to(&self, lifetime: &Lifetime) -> bool {
+        self.lifetime.as_ref() == Some(lifetime)
+    }
+
+    /// Records to which lifetime of an engine it leads.
+    pub fn set_lifetime(&mut self, lifetime: Lifetime) {
+        self.lifetime = Some(lifetime);
+    }
+
+    /// Sends a request and reads the whole response, which must be short.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+    ) -> Result<Response<Bytes>, SendError> {
+        let lost = |error: &hyper::Error| SendError::ConnectionLost(error_text(error));
+        self.in_use.set(true);
+        self.limit_head(Some(MAX_HEAD_BYTES));
+        let sent = self.sender.send_request(request).await;
+        let (head, body) = sent.map_err(|e| lost(&e))?.into_parts();
+        self.limit_head(None);
+        let body = Limited::new(body, max_bytes).collect().await;
+        let body = body.map_err(|e| SendError::ConnectionLost(e.to_string()))?;
+        Ok(Response::from_parts(head, body.to_bytes()))
+    }
+
+    /// Returns whether another request can be sent after the last response was read whole.
+    pub async fn is_usable(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
     /// Returns whether the peer has sent nothing and has not closed the connection.
     fn is_silent(&self) -> bool {
         let Some(stream) = self.stream.upgrade() else {
@@ -186,12 +224,29 @@
     /// Sends `request` to `addr` if `is_wanted` holds once there is a connection, which may
     /// take its time.
     pub async fn send_if(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        options: SendOptions,
+        is_wanted: impl Fn() -> bool,
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
+        let keep = async |_: &mut Connection| Ok(true);
+        self.send_prepared(addr, request, options, is_wanted, keep)
+            .await
+    }
+
+    /// Sends `request` to `addr` on a connection that `prepare` has accepted, if `is_wanted` holds
+    /// then. A connection that it has not accepted is closed, and another opened; its error ends
+    /// the sending.
+    pub async fn send_prepared(
         &self,
         addr: SocketAddr,
         mut request: Request<Full<Bytes>>,
         options: SendOptions,
         is_wanted: impl Fn() -> bool,
+        prepare: impl AsyncFn(&mut Connection) -> Result<bool, SendError>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
+        let mut declined = 0;
         loop {
             let idle = match options.new_connection {
                 true => None,
@@ -201,6 +256,13 @@
                 Some(connection) => connection,
                 None => self.connect(addr, options.connect_timeout).await?,
             };
+            if !prepare(&mut connection).await? {
+                declined += 1;
+                if declined >= MAX_DECLINED_CONNECTIONS {
+                    return Err(SendError::NotSent("connections close at once".to_owned()));
+                }
+                continue;
+            }
             if !is_wanted() {
                 return Err(SendError::Withheld);
             }
@@ -317,6 +379,7 @@
             stream: handle,
             addr,
             reused: false,
+            lifetime: None,
             pools: Rc::downgrade(&self.pools),
         })
     }
@@ -365,6 +428,8 @@
     /// Whether to open a connection even if there is an idle one. Needed when a late
     /// response to an earlier request cannot be told from the response to this one.
     pub new_connection: bool,
+    /// Whether the connection has to lead to the known lifetime of the engine.
+    pub checks_lifetime: bool,
 }
 
 impl Default for SendOptions {
@@ -372,6 +437,7 @@
         SendOptions {
             connect_timeout: CONNECT_TIMEOUT,
             new_connection: false,
+            checks_lifetime: false,
         }
     }
 }
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -21,7 +21,7 @@
 use super::statements::{RateHeader, RateStatement};
 use super::upstream::Lifetime;
 use crate::clock::Moment;
-use crate::platform::headers;
+use crate::platform::{headers, orders};
 
 /// Time limits of a call to an engine, which answers within milliseconds. An
 /// unanswered order can be repeated safely, as it names the number of orders that
@@ -32,6 +32,9 @@
     max_bytes: 1 << 20,
 };
 
+/// Time limit for asking an engine for its start time on a new connection; long enough for
+/// a lost packet to be sent again.
+const LIFETIME_CHECK_TIME: Duration = Duration::from_millis(800);
 /// Time for which a connection is read on when its response may be to an earlier request: the
 /// response to the last request often follows at once. Its run may go on meanwhile.
 const LATE_RESPONSE_TIME: Duration = Duration::from_millis(200);
@@ -72,9 +75,21 @@
             asked_at.set(clock::now());
             self.accepts(recipient) && self.keeps_rate(recipient, permit)
         };
+        let check = async |connection: &mut Connection| {
+            // An id without a start time is never used again.
+            let is_known = recipient.lifetime.incarnation == 0;
+            if !options.checks_lifetime || is_known || connection.leads_to(&recipient.lifetime) {
+                return Ok(true);
+            }
+            if !self.accepts(recipient) {
+                return Err(SendError::Withheld);
+            }
+            self.check_lifetime(connection, recipient).await
+        };
+        let addr = recipient.addr;
         let sending = self
             .client
-            .send_if(recipient.addr, request, options, is_wanted);
+            .send_prepared(addr, request, options, is_wanted, check);
         let (response, connection) = sending.await?;
         let (status, headers) = (response.status(), response.headers());
         let asked = match headers::is_signed_answer(status, headers, id) {
@@ -88,6 +103,42 @@
         Ok((response, connection))
     }
 
+    /// Asks the engine behind a connection for its start time, as it may have started again at
+    /// its address since its entry was written. Returns whether the connection can be used on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it has, or does not answer.
+    async fn check_lifetime(
+        &self,
+        connection: &mut Connection,
+        recipient: &Recipient,
+    ) -> Result<bool, SendError> {
+        let Lifetime {
+            engine,
+            incarnation,
+        } = &recipient.lifetime;
+        let not_sent = |cause: String| SendError::NotSent(cause);
+        let request = orders::report_request(&recipient.addr.to_string());
+        let request = request.map_err(|e| not_sent(e.to_string()))?;
+        let asked = Asked::Called(clock::now());
+        let exchange = connection.exchange(request, CALL_LIMITS.max_bytes);
+        let response = match client::within(LIFETIME_CHECK_TIME, exchange).await {
+            Ok(response) => response,
+            Err(error) => return Err(not_sent(format!("lifetime not checked: {error}"))),
+        };
+        self.record_statement(recipient, "", asked, response.status(), response.headers());
+        let report = orders::decode_report(response.body());
+        let born = report.map_or(0, |report| report.incarnation);
+        if born != 0 && born != *incarnation {
+            log::info!(engine = &**engine, life = *incarnation, born; "engine has started again");
+            return Err(not_sent("the engine has started again".to_owned()));
+        }
+        connection.set_lifetime(recipient.lifetime.clone());
+        let closes = headers::parse_response(response.headers()).closes;
+        Ok(!closes && connection.is_usable().await)
+    }
+
     /// Sends a call to an engine and reads the whole response. Marks the engine as down when
     /// the call could not be sent.
     pub async fn call_engine(
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -92,6 +92,11 @@
         self.route.kind == RouteKind::Stream && self.route.resumable
     }
 
+    /// Returns whether its engines hold models, and so report their start times.
+    fn is_hosted(&self) -> bool {
+        self.desired.hosting(&self.service).is_some()
+    }
+
     /// Returns whether the caller could name the stream when it takes it up again.
     fn can_be_named(&self) -> bool {
         self.can_be_resumed() && !self.headers.id.is_empty()
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -81,6 +81,7 @@
         // A late response to an earlier sending has the same id, and an engine that has
         // started again may have another id at the same address.
         new_connection: routed.headers.id.is_empty() || attempts.addrs.contains(&choice.addr),
+        checks_lifetime: routed.can_be_resumed() && routed.is_hosted(),
         ..SendOptions::default()
     };
     attempts.addrs.push(choice.addr);
--- a/tests/edge/leaving.rs
+++ b/tests/edge/leaving.rs
@@ -53,6 +53,8 @@
         _ => &site.plain,
     };
     let engine = &engines[0];
+    // Leaves a connection that is used on: on a new one the engine is asked before a stream.
+    send_until_arrived(&site, engine, path);
     engine.add_header(LEAVING, "1");
     engine.set_behavior(behavior);
     send_until_arrived(&site, engine, path);
