Keep streams apart from requests that bear the names of others

Cause: a host took a new request of a known stream's name for another attempt of it and changed its row, and believed its own memory of a stream without a row before the row that another host had written. Change: a stream whose caller has events keeps its version, whatever other requests bear its name; memory without a row decides only while the store does not answer. A caller who uses the name of another's running stream for its own, at a host that did not begin it, can still have it refused or joined if it began at the base version: names are the callers' secrets (docs/PLATFORM.md).

--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -105,7 +105,9 @@
     let measured = clock::now().saturating_sub(sent_at);
     if routed.can_be_named() && attempts.software.is_none() {
         let limit = RECORD_TIMEOUT.min(routed.time_left());
-        if !routed.edge.await_recorded(routed.stream, limit).await {
+        let edge = &routed.edge;
+        let recorded = edge.await_recorded(routed.stream, &software, limit).await;
+        if !recorded {
             return Err(OpenError::Unrecorded);
         }
     }
--- a/src/edge/origins/lookup.rs
+++ b/src/edge/origins/lookup.rs
@@ -107,13 +107,22 @@
             let source = OriginSource::SoleVersion;
             return Ok(Origin { software, source });
         };
-        if let Some(software) = self.state.borrow().origins.streams.software(stream) {
-            let (software, source) = (software.clone(), OriginSource::Memory);
-            return Ok(Origin { software, source });
+        let known = self.state.borrow().origins.streams.origin(stream);
+        let known = known.map(|(software, has_row)| {
+            let source = OriginSource::Memory;
+            (Origin { software, source }, has_row)
+        });
+        if let Some((origin, true)) = known {
+            return Ok(origin);
         }
-        if let Some(software) = self.read_origin(stream).await? {
-            let source = OriginSource::Row;
-            return Ok(Origin { software, source });
+        match (self.read_origin(stream).await, known) {
+            (Ok(Some(software)), _) => {
+                let source = OriginSource::Row;
+                return Ok(Origin { software, source });
+            }
+            (Ok(None), _) => {}
+            (Err(_), Some((origin, _))) => return Ok(origin),
+            (Err(error), None) => return Err(error),
         }
         if !self.is_base_listed(service) {
             // Another daemon may have replaced it.
--- a/src/edge/origins/recording.rs
+++ b/src/edge/origins/recording.rs
@@ -81,14 +81,16 @@
         }
     }
 
-    /// Waits until all hosts can know where a stream began, for at most `limit`; returns whether
-    /// they can.
-    pub async fn await_recorded(&self, stream: StreamId, limit: Duration) -> bool {
+    /// Waits until all hosts can know that a stream begins at a version, for at most `limit`;
+    /// returns whether they can.
+    pub async fn await_recorded(&self, stream: StreamId, software: &str, limit: Duration) -> bool {
         let mut written = self.origins_written.subscribe();
         let recorded = async {
             loop {
                 written.borrow_and_update();
-                let record_state = self.state.borrow().origins.streams.record_state(stream);
+                let mut state = self.state.borrow_mut();
+                let record_state = state.origins.streams.settle(stream, software);
+                drop(state);
                 match record_state {
                     RecordState::Recorded => return true,
                     RecordState::Foreign => return false,
--- a/src/edge/origins/streams.rs
+++ b/src/edge/origins/streams.rs
@@ -33,7 +33,7 @@
     Recorded,
     /// Its row is not written yet.
     Pending,
-    /// Its row is that of another stream.
+    /// Its name is that of another stream, at another version.
     Foreign,
 }
 
@@ -43,6 +43,8 @@
     /// Version at which it begins.
     software: Arc<str>,
     began_at: Moment,
+    /// Whether its caller got events, so that its version is settled.
+    begun: bool,
     /// Whether it needs a row, even though it may begin at the base version.
     needs_row: bool,
     row: StoredRow,
@@ -98,24 +100,37 @@
             service: service.clone(),
             software: software.clone(),
             began_at: now,
+            begun: false,
             needs_row: false,
             row: StoredRow::Absent,
         });
-        stream.software = software.clone();
-        stream.needs_row = !is_base;
+        if !stream.begun {
+            stream.software = software.clone();
+            stream.needs_row = !is_base;
+        }
         stream.record_state() == RecordState::Pending
     }
 
-    /// Returns the version at which a stream began here, if it is remembered.
-    pub fn software(&self, id: StreamId) -> Option<&Arc<str>> {
-        let stream = self.streams.get(&id)?;
-        (stream.row != StoredRow::Foreign).then_some(&stream.software)
+    /// Returns whether all hosts can know that a stream begins at a version; from then on no
+    /// other request of its name changes that.
+    pub fn settle(&mut self, id: StreamId, software: &str) -> RecordState {
+        let Some(stream) = self.streams.get_mut(&id) else {
+            return RecordState::Foreign;
+        };
+        if *stream.software != *software {
+            return RecordState::Foreign;
+        }
+        let state = stream.record_state();
+        stream.begun |= state == RecordState::Recorded;
+        state
     }
 
-    /// Returns whether a stream that begins here is known to all hosts.
-    pub fn record_state(&self, id: StreamId) -> RecordState {
-        let stream = self.streams.get(&id);
-        stream.map_or(RecordState::Pending, Stream::record_state)
+    /// Returns the version at which a stream began here, and whether its row is written. Without
+    /// one, another host may have written it for a stream of the same name.
+    pub fn origin(&self, id: StreamId) -> Option<(Arc<str>, bool)> {
+        let stream = self.streams.get(&id).filter(|s| s.begun)?;
+        let has_row = matches!(stream.row, StoredRow::Present { .. });
+        Some((stream.software.clone(), has_row))
     }
 
     /// Requires rows of the streams of a service that did not begin at its new base version.
--- a/tests/edge/fakes/store.rs
+++ b/tests/edge/fakes/store.rs
@@ -132,6 +132,12 @@
         state.whole_reads.iter().filter(|t| *t == table).count()
     }
 
+    /// Returns the number of rows of a table.
+    pub fn count(&self, table: &str) -> usize {
+        let state = self.state.lock().unwrap();
+        state.rows.keys().filter(|(t, _, _)| t == table).count()
+    }
+
     pub fn get(&self, table: &str, key: &str) -> Option<Value> {
         let state = self.state.lock().unwrap();
         let (_, value) = state.rows.get(&unnamed_part(table, key))?;
--- a/tests/edge/software_versions.rs
+++ b/tests/edge/software_versions.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 use test_case::test_case;
 
-use crate::fakes::daemon::{Daemon, Request, Response, WAIT_TIMEOUT, wait};
+use crate::fakes::daemon::{Daemon, Request, Response, WAIT_TIMEOUT, exchange, wait};
 use crate::fakes::engine::{Behavior, EVENTS, Engine, FIRST_VERSION};
 use crate::fakes::store::Store;
 use crate::site::{MODEL, all_events, desired, events};
@@ -91,6 +91,15 @@
         (0..STREAMS).map(begin).collect()
     }
 
+    /// Begins streams whose names contain the newest version.
+    fn begin_named(&self, version: &str) -> Vec<Begun> {
+        let begin = |number: usize| {
+            let daemon = &self.daemons[number % self.daemons.len()];
+            begin_stream(daemon, &format!("begin-{number} with {version}"))
+        };
+        (0..STREAMS).map(begin).collect()
+    }
+
     /// Takes streams up again, each `distance` daemons after the one that began it.
     fn take_up(&self, begun: &[Begun], distance: usize) -> TakenUp {
         let mut taken = TakenUp::default();
@@ -297,3 +306,225 @@
     fleet.kill_all();
     assert_eq!(fleet.take_up(&begun, 1), all_whole());
 }
+
+/// Guards against ORDER where rows cannot be written: streams of another version than the base
+/// would be taken for streams of the base after all hosts were killed.
+#[test]
+fn streams_begin_at_the_base_version_alone_while_the_store_is_away() {
+    let mut fleet = Fleet::start(&["v1", "v1", SECOND_VERSION, SECOND_VERSION], 3);
+    fleet.store.set_down(true);
+    wait("an outage", || {
+        let noticed = |d: &Daemon| !d.logged("store unavailable").is_empty();
+        fleet.daemons.iter().all(noticed)
+    });
+    let begun = fleet.begin_streams();
+    let base = fleet.store.get("bases", "models").unwrap()["software"].clone();
+    assert!(begun.iter().all(|b| b.version() == base), "{base}");
+    fleet.store.set_down(false);
+    fleet.kill_all();
+    assert_eq!(fleet.take_up(&begun, 1), all_whole());
+}
+
+/// Guards against ORDER and LOST while the store does not answer: the host that began a stream
+/// knows its version, and another joins nothing.
+#[test_case(0; "at the same host")]
+#[test_case(1; "at another host")]
+fn streams_are_not_mixed_while_the_store_is_away(distance: usize) {
+    let fleet = Fleet::start(&["v1", "v1", SECOND_VERSION, SECOND_VERSION], 3);
+    let begun = fleet.begin_streams();
+    fleet.store.set_down(true);
+    let taken = fleet.take_up(&begun, distance);
+    let expected = match distance {
+        0 => all_whole(),
+        _ => TakenUp {
+            refused: STREAMS,
+            ..TakenUp::default()
+        },
+    };
+    assert_eq!(taken, expected);
+}
+
+/// Guards against ORDER where rows are written late, and against the loss of the streams that
+/// wait for theirs.
+#[test]
+fn streams_begin_at_all_versions_while_the_store_is_slow() {
+    let mut fleet = Fleet::start(&["v1", "v1", SECOND_VERSION, SECOND_VERSION], 3);
+    fleet.store.set_delay(Duration::from_millis(150));
+    let begun = fleet.begin_streams();
+    fleet.store.set_delay(Duration::ZERO);
+    fleet.kill_all();
+    let begun_at = |version| begun.iter().filter(|b| b.version() == version).count();
+    assert!(begun_at("v1") > 0 && begun_at(SECOND_VERSION) > 0);
+    assert_eq!(fleet.take_up(&begun, 1), all_whole());
+}
+
+/// Guards against ORDER over several attempts, each at another host and broken off again: all
+/// name the first.
+#[test]
+fn a_stream_that_is_taken_up_again_and_again_stays_at_its_version() {
+    let fleet = Fleet::start(&["v1", "v1", SECOND_VERSION, SECOND_VERSION], 3);
+    let begun = fleet.begin_streams();
+    for distance in 1..=3 {
+        assert_eq!(fleet.take_up(&begun, distance), all_whole());
+    }
+}
+
+/// Guards against ORDER by names that do not tell where a stream began.
+#[test_case(&[]; "none")]
+#[test_case(&["begin-1", "begin-2"]; "two")]
+#[test_case(&[""]; "an empty one")]
+#[test_case(&["\u{fc}"]; "an unreadable one")]
+fn a_stream_without_a_clear_name_is_refused_while_several_versions_serve(names: &[&str]) {
+    let fleet = Fleet::start(&["v1", SECOND_VERSION], 1);
+    let mut request = Request::new("/stream/", "s1")
+        .with(MODEL, "m1")
+        .with("Last-Event-Id", "2");
+    for name in names {
+        request = request.with("Resumes", name);
+    }
+    let answer = fleet.daemons[0].send(&request);
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(fleet.engines.iter().all(|e| e.runs("s1") == 0));
+}
+
+/// Guards against a cut of all streams by callers who name streams of any length, none of which
+/// exists, and against ORDER by those who use the name of another's stream for their own.
+#[test]
+fn strange_names_disturb_no_other_stream() {
+    let fleet = Fleet::start(&["v1", "v1", SECOND_VERSION, SECOND_VERSION], 2);
+    let begun = fleet.begin_streams();
+    for number in 0..200 {
+        let name = format!("{}-{number}", "x".repeat(number * 20));
+        let request = Request::new("/stream/", &format!("chaff-{number}"))
+            .with(MODEL, "m1")
+            .with("Last-Event-Id", "2")
+            .with("Resumes", &name);
+        assert_ne!(fleet.daemons[number % 2].send(&request).status, 0);
+    }
+    let base = fleet.store.get("bases", "models").unwrap()["software"].clone();
+    for (number, stream) in begun.iter().enumerate() {
+        for (host, daemon) in fleet.daemons.iter().enumerate() {
+            // What has no row is known to the host that began it.
+            if host == number % 2 || stream.version() != base {
+                daemon.send(&Request::new("/stream/", &stream.id).with(MODEL, "m1"));
+            }
+        }
+    }
+    assert_eq!(fleet.take_up(&begun, 1), all_whole());
+}
+
+/// Guards against LOST: an engine of the version is there, but does not hold the model, which
+/// engines of another version do.
+#[test]
+fn a_model_is_loaded_at_the_version_of_a_stream_that_is_taken_up() {
+    let mut fleet = Fleet::start(&["v1"], 2);
+    let begun = fleet.begin_streams();
+    fleet.add_engine(SECOND_VERSION, &["m1"]);
+    fleet.add_engine("v1", &[]);
+    fleet.wait_for_change("e3", "appeared");
+    fleet.store.remove("servers", "e1");
+    fleet.engines[0].crash();
+    fleet.wait_for_change("e1", "gone");
+    let mut taken = TakenUp::default();
+    for (number, stream) in begun.iter().enumerate() {
+        let mut answer = Response::default();
+        // A refused caller returns.
+        for attempt in 0..20 {
+            let daemon = &fleet.daemons[(number + attempt) % 2];
+            answer = stream.take_up(daemon, &format!("again-{number}-{attempt}"));
+            if answer.status != 503 {
+                break;
+            }
+        }
+        taken.record(stream, &answer);
+    }
+    assert_eq!(taken, all_whole());
+}
+
+/// Guards against answers that stay open until their time limit although no engine of the version
+/// that began them is left.
+#[test]
+fn an_answer_ends_openly_when_its_version_has_left() {
+    let mut fleet = Fleet::start(&["v1"], 1);
+    fleet.engines[0].set_behavior(Behavior::PauseAfter(READ_EVENTS));
+    let daemon = fleet.daemons[0].callers;
+    let started = Instant::now();
+    let answer = std::thread::scope(|scope| {
+        let request = Request::new("/stream/", "s1").with(MODEL, "m1");
+        let stream = TcpStream::connect(daemon).unwrap();
+        let answer = scope.spawn(move || exchange(stream, &request.bytes(true)));
+        wait("the run", || fleet.engines[0].runs("s1") > 0);
+        fleet.add_engine(SECOND_VERSION, &["m1"]);
+        fleet.store.remove("servers", "e1");
+        fleet.wait_for_change("e1", "gone");
+        fleet.engines[0].crash();
+        answer.join().unwrap()
+    });
+    assert_eq!((answer.status, answer.complete), (200, false), "{answer:?}");
+    assert_eq!(events(&answer.body), [1, 2]);
+    assert!(started.elapsed() < MAX_REFUSAL_TIME);
+    assert_eq!(fleet.engines[1].runs("s1"), 0);
+}
+
+/// Guards against ORDER with three versions, of which one comes back after it had left.
+#[test]
+fn streams_stay_apart_when_versions_come_and_go() {
+    let mut fleet = Fleet::start(&["v1", "v1"], 3);
+    let mut all = fleet.begin_streams();
+    for (engine, version) in [("e3", SECOND_VERSION), ("e4", "2024-05 build \"x\"")] {
+        fleet.add_engine(version, &["m1"]);
+        fleet.wait_for_change(engine, "appeared");
+        let begun = fleet.begin_named(version);
+        all.extend(begun);
+    }
+    for engine in ["e1", "e2"] {
+        fleet.store.remove("servers", engine);
+        fleet.wait_for_change(engine, "gone");
+    }
+    fleet.kill_all();
+    for engine in &fleet.engines[..2] {
+        engine.register("ready");
+    }
+    wait("the first version", || {
+        let listed = |d: &Daemon| {
+            let changes = d.logged("engine changed");
+            let back = changes
+                .iter()
+                .filter(|l| l["engine"] == "e2" && l["change"] == "appeared");
+            back.count() > 1
+        };
+        fleet.daemons.iter().all(listed)
+    });
+    let taken = fleet.take_up(&all, 2);
+    assert_eq!((taken.mixed, taken.whole), (0, all.len()), "{taken:?}");
+}
+
+/// Guards against the cost of rows where one version serves, which is the usual state.
+#[test]
+fn streams_of_the_only_version_need_no_call_to_the_store() {
+    let fleet = Fleet::start(&["v1", "v1"], 1);
+    fleet.begin_streams();
+    assert_eq!(fleet.store.whole_reads("origins"), 0);
+    let metrics = fleet.daemons[0].lines();
+    assert!(
+        metrics
+            .iter()
+            .all(|l| l["message"] != "rows of streams not written")
+    );
+    assert_eq!(fleet.store.count("origins"), 0);
+}
+
+/// Guards against ORDER where the store has come back from a copy without the rows of streams.
+#[test]
+fn rows_are_written_again_when_the_store_has_come_back_from_an_older_copy() {
+    let mut fleet = Fleet::start(&["v1", "v1", SECOND_VERSION, SECOND_VERSION], 2);
+    fleet.store.set_era("1");
+    let copy = fleet.store.copy();
+    let begun = fleet.begin_streams();
+    let rows = fleet.store.count("origins");
+    assert!(rows > 0);
+    fleet.store.go_back(&copy, "2");
+    wait("the rows", || fleet.store.count("origins") == rows);
+    fleet.kill_all();
+    assert_eq!(fleet.take_up(&begun, 1), all_whole());
+}
