Soak: engines of several versions, releases, and callers who take streams up

Cause: the soak's engines all had one version, its callers took no stream up again, and it killed daemons one at a time. Change: events name the version that wrote them; engines start again with other software, all daemons are killed at once, callers break streams off and take them up at any daemon, again and again. Checked from outside: events of one version within an answer and over a caller's attempts, in order (ORDER); of 12 or more streams taken up while two engines of their version serve, half as large a share goes on as of new ones begins (LOST). A stream that its caller has broken off itself is no incomplete answer.

--- a/tests/soak/disturbances.rs
+++ b/tests/soak/disturbances.rs
@@ -11,7 +11,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::engine::{SoakEngine, Start};
+use crate::engine::{SOFTWARE, SoakEngine, Start};
 use crate::fakes::daemon::wait;
 use crate::record::Span;
 use crate::settings::SoakSettings;
@@ -94,6 +94,10 @@
     EngineCut,
     /// An engine crashes, whatever it runs, and starts again.
     EngineCrash,
+    /// An engine starts again with other software, under its id or another.
+    Release,
+    /// Kills all daemons at once and starts them again.
+    KillAll,
 }
 
 /// Starts disturbances until `stop` is set and waits for the end of all of them.
@@ -207,6 +211,20 @@
                     });
                 }
                 Disturbance::EngineCrash => site.engines[engine].crash(),
+                Disturbance::Release => {
+                    let start = STARTS[rng.random_range(0..STARTS.len())];
+                    let software = SOFTWARE[rng.random_range(0..SOFTWARE.len())];
+                    let engine = &site.engines[engine];
+                    scope.spawn(move || {
+                        engine.release(software, start);
+                        register_late(engine, start, time / 4);
+                    });
+                }
+                Disturbance::KillAll => {
+                    for daemon in 0..site.daemons.len() {
+                        scope.spawn(move || kill(site, daemon, time / 4));
+                    }
+                }
             }
         }
     });
@@ -215,6 +233,10 @@
 /// Starts an engine again; its entry is written after `late` at the latest.
 fn start_again(engine: &SoakEngine, start: Start, late: Duration) {
     engine.restart(start);
+    register_late(engine, start, late);
+}
+
+fn register_late(engine: &SoakEngine, start: Start, late: Duration) {
     if start == Start::LateEntry {
         thread::sleep(late);
         engine.register();
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -24,3 +24,5 @@
 mod run;
 mod settings;
 mod site;
+mod version_checkers;
+mod versions;
--- a/tests/soak/settings.rs
+++ b/tests/soak/settings.rs
@@ -31,6 +31,8 @@
     pub probes_routes: bool,
     /// Whether some prompts have parts that crash engines.
     pub crashing_parts: bool,
+    /// Whether callers break streams off and take them up again.
+    pub takes_up: bool,
     /// Whether the daemons have a retry budget at the start.
     pub retries: bool,
     /// Maximum pause between two disturbances.
@@ -54,6 +56,7 @@
             engine_faults: EngineFault::iter().collect(),
             probes_routes: true,
             crashing_parts: true,
+            takes_up: true,
             retries: true,
             pause: Duration::from_millis(900),
             disturbances: Disturbance::iter().collect(),
