--- a/tests/soak/disturbances.rs
+++ b/tests/soak/disturbances.rs
@@ -214,7 +214,9 @@
                 Disturbance::Release => {
                     let start = STARTS[rng.random_range(0..STARTS.len())];
                     let software = SOFTWARE[rng.random_range(0..SOFTWARE.len())];
-                    let engine = &site.engines[engine];
+                    // The second half of the engines serves models.
+                    let half = site.engines.len() / 2;
+                    let engine = &site.engines[half + engine % half];
                     scope.spawn(move || {
                         engine.release(software, start);
                         register_late(engine, start, time / 4);
