Hold no borrow of the state across an await, for clippy

Cause: the linter counts an explicit drop as a borrow that is held. Change: the state is borrowed in a function of its own. Result: clippy -D warnings passes.

--- a/src/edge/origins/recording.rs
+++ b/src/edge/origins/recording.rs
@@ -88,10 +88,7 @@
         let recorded = async {
             loop {
                 written.borrow_and_update();
-                let mut state = self.state.borrow_mut();
-                let record_state = state.origins.streams.settle(stream, software);
-                drop(state);
-                match record_state {
+                match self.settle_stream(stream, software) {
                     RecordState::Recorded => return true,
                     RecordState::Foreign => return false,
                     RecordState::Pending => {}
@@ -104,6 +101,11 @@
         timeout(limit, recorded).await.unwrap_or(false)
     }
 
+    fn settle_stream(&self, stream: StreamId, software: &str) -> RecordState {
+        let mut state = self.state.borrow_mut();
+        state.origins.streams.settle(stream, software)
+    }
+
     /// Writes all rows that are due.
     pub(super) fn write_origins(self: &Rc<Self>) {
         for part in 0..PARTS.len() {
