Let answers go on only at the version of the weights that began them

What callers saw, at the product's own interface: an answer whose engine crashed while operators changed the model's version went on where the new version was loaded, joined from two versions of the weights. Change: pool states carry a fingerprint of each replica's version, 4 bytes; an answer keeps that of its first token and goes on at it only, or ends openly at once if no engine has it and the configuration names another. Evidence: answer_is_not_joined_from_two_versions_of_the_weights failed twice before (25 and 36 tokens of the old version, the rest of the new) and passes; the other tests of the file as before.

--- a/examples/capacity/messages.rs
+++ b/examples/capacity/messages.rs
@@ -142,6 +142,7 @@
             waiting: 1,
             leaving: false,
             age_ms: 200,
+            weights: (0..ready as u32).collect(),
         });
     }
     PoolState {
--- a/src/fakes/engine/state.rs
+++ b/src/fakes/engine/state.rs
@@ -131,6 +131,13 @@
         residents.find(|r| &*r.model == model)
     }
 
+    /// Returns the version of a model's weights; empty if it is not loaded.
+    pub fn loaded_version(&self, model: &str) -> Arc<str> {
+        let mut residents = self.current.residents.iter();
+        let resident = residents.find(|r| &*r.model == model);
+        resident.map_or_else(|| "".into(), |r| r.version.clone())
+    }
+
     /// Returns whether `model` is loaded.
     pub fn is_ready(&mut self, model: &str) -> bool {
         self.resident(model).is_some_and(|r| r.ready)
--- a/src/fakes/engine/streams.rs
+++ b/src/fakes/engine/streams.rs
@@ -10,7 +10,7 @@
 
 use super::journal::{StreamEnd, StreamRecord};
 use super::state::QueueTicket;
-use super::text::{CompletionRequest, endless_tokens};
+use super::text::{CompletionRequest, endless_tokens, versioned_token};
 use super::{Inner, POLL_INTERVAL};
 use crate::fakes::server::Exchange;
 use crate::http::stream::EventStream;
@@ -116,7 +116,10 @@
         let stop_offset = job.request.stop_offset(&text, limit);
         let mut remaining_bytes = stop_offset.unwrap_or(usize::MAX);
         let mut token_count = 0;
-        for mut token in endless_tokens(&text).take(limit) {
+        let model = job.request.model.clone();
+        let version = self.state.change(|s| s.loaded_version(&model));
+        for token in endless_tokens(&text).take(limit) {
+            let mut token = versioned_token(token, &version);
             if remaining_bytes == 0 {
                 break;
             }
--- a/src/fakes/engine/text.rs
+++ b/src/fakes/engine/text.rs
@@ -39,6 +39,9 @@
     }
 }
 
+/// Version of the weights that tokens do not name.
+const FIRST_VERSION: &str = "1";
+
 /// Returns the tokens of an endless completion: the words of the prompt in turn, each
 /// with the number of its token, so that tests detect a token that is missing,
 /// repeated or from another completion.
@@ -47,6 +50,14 @@
     words.enumerate().map(|(i, word)| format!("{word}-{i} "))
 }
 
+/// Returns a token as a version of the weights makes it.
+pub(super) fn versioned_token(token: String, version: &str) -> String {
+    match version {
+        FIRST_VERSION => token,
+        _ => format!("{}@{version} ", token.trim_end()),
+    }
+}
+
 /// Returns the tokens of the completion that an engine sends for a prompt.
 pub fn answer_tokens(prompt: &str, length: usize) -> Vec<String> {
     endless_tokens(prompt).take(length).collect()
--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -11,6 +11,7 @@
 use crate::decide::retry::{RetryBudget, RetryConfig, backoff};
 use crate::error::{Kind, Refusal};
 use crate::outside::{CallOptions, Chunk, ChunkStream, Engine, EngineError};
+use crate::peer::wire::weights_fingerprint;
 use crate::router::{RouteDecision, Router, RoutingRequest, Slot};
 use crate::suspects;
 
@@ -81,6 +82,8 @@
     /// Engine instances that further attempts avoid.
     avoid: Vec<Name>,
     sent_tokens: u64,
+    /// Version of the weights that began the answer.
+    weights: Option<u32>,
     first_token: Option<Moment>,
     cold: bool,
     is_trial: bool,
@@ -108,6 +111,7 @@
         let mut state = RelayState {
             avoid: Vec::new(),
             sent_tokens: 0,
+            weights: None,
             first_token: None,
             cold: false,
             is_trial: false,
@@ -137,7 +141,7 @@
                 break;
             }
             state.attempts += 1;
-            let slot = match self.acquire_slot(completion, context, state) {
+            let slot = match self.acquire_matching_slot(completion, context, state) {
                 Ok(slot) => slot,
                 Err(refusal) => return refused_end(refusal, state),
             };
@@ -155,6 +159,37 @@
     }
 
     /// Acquires a slot for the next attempt; waits for a model load if needed.
+    /// Acquires a slot; an answer that has begun goes on only at the version of the weights that
+    /// began it.
+    fn acquire_matching_slot(
+        &self,
+        completion: &CompletionRequest,
+        context: &RequestContext,
+        state: &mut RelayState,
+    ) -> Result<Slot, Refusal> {
+        let Some(weights) = state.weights.filter(|_| state.sent_tokens > 0) else {
+            return self.acquire_slot(completion, context, state);
+        };
+        loop {
+            let model = &completion.model;
+            // An engine that loads the model for this answer loads the configured version.
+            let config = self.control.config();
+            let configured = config.models.get(model);
+            let is_configured =
+                configured.is_some_and(|m| weights_fingerprint(&m.version) == weights);
+            if !is_configured && !self.router.has_weights(model, weights, &state.avoid) {
+                let detail = "no engine has the version of the weights that began the answer";
+                return Err(Refusal::new(Kind::StreamBroken, detail));
+            }
+            let slot = self.acquire_slot(completion, context, state)?;
+            let found = self.router.weights(&slot.engine, model);
+            if found.map_or(is_configured, |found| found == weights) {
+                return Ok(slot);
+            }
+            state.avoid.push(slot.instance.clone());
+        }
+    }
+
     fn acquire_slot(
         &self,
         completion: &CompletionRequest,
@@ -325,6 +360,7 @@
         mut chunks: E::ChunkStream,
     ) -> AttemptResult {
         let mut has_token = false;
+        let weights = self.router.weights(&slot.engine, &completion.model);
         loop {
             let data = match chunks.next() {
                 Ok(Chunk::Data(data)) => data,
@@ -341,6 +377,8 @@
             if kind == ChunkKind::Token {
                 if !std::mem::replace(&mut has_token, true) {
                     self.router.record_success(&slot.engine);
+                    let known = || self.router.weights(&slot.engine, &completion.model);
+                    state.weights = state.weights.or(weights).or_else(known);
                 }
                 state.sent_tokens += 1;
                 state.first_token.get_or_insert_with(|| self.clock.now());
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -1,6 +1,7 @@
 //! Messages between daemons.
 
 use prost::{Message, Oneof};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Version of the messages; both sides must use the same one.
 pub const WIRE_VERSION: u32 = 1;
@@ -157,6 +158,14 @@
     /// Age of the last report, ms.
     #[prost(uint32, tag = "7")]
     pub age_ms: u32,
+    /// Fingerprints of the versions of the weights of those models, in their order.
+    #[prost(fixed32, repeated, tag = "8")]
+    pub weights: Vec<u32>,
+}
+
+/// Returns the fingerprint of a version of a model's weights.
+pub fn weights_fingerprint(version: &str) -> u32 {
+    xxh3_64(version.as_bytes()) as u32
 }
 
 /// Replicas of a pool, sent by its owner.
--- a/src/pool/publish.rs
+++ b/src/pool/publish.rs
@@ -5,9 +5,9 @@
 
 use crate::clock::Moment;
 use crate::config::Name;
-use crate::peer::wire::{Body, EngineLoads, EngineState, PoolState};
+use crate::peer::wire::{Body, EngineLoads, EngineState, PoolState, weights_fingerprint};
 
-use super::{Action, Context, OwnedEngine, Pool};
+use super::{Action, Context, OwnedEngine, Pool, replica};
 
 /// Shortest time between two messages that carry only the loads of engines.
 const MIN_LOADS_INTERVAL: Duration = Duration::from_millis(250);
@@ -149,11 +149,11 @@
 }
 
 fn engine_state(name: &str, state: &OwnedEngine, now: Moment) -> EngineState {
-    let ready = state.replicas.iter().filter(|(_, r)| r.is_ready());
-    let ready = match state.is_reachable() {
-        true => ready.map(|(model, _)| model.to_string()).collect(),
-        false => Vec::new(),
-    };
+    let is_published = |r: &replica::Replica| state.is_reachable() && r.is_ready();
+    let replicas = state.replicas.iter().filter(|(_, r)| is_published(r));
+    let (ready, weights) = replicas
+        .map(|(model, r)| (model.to_string(), weights_fingerprint(&r.version)))
+        .unzip();
     let age = state.reported_at.map_or(now, |at| now.saturating_sub(at));
     EngineState {
         engine: name.to_owned(),
@@ -163,5 +163,6 @@
         waiting: state.report.waiting,
         leaving: state.is_leaving(),
         age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        weights,
     }
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -238,6 +238,17 @@
         }
     }
 
+    /// Returns the fingerprint of the version of a model's weights on an engine, if it is known.
+    pub fn weights(&self, engine: &Name, model: &Name) -> Option<u32> {
+        self.lock().weights(engine, model)
+    }
+
+    /// Returns whether some replica of a model has this version of the weights, on an instance
+    /// that is not to be avoided.
+    pub fn has_weights(&self, model: &Name, weights: u32, avoid: &[Name]) -> bool {
+        self.lock().has_weights(model, weights, avoid)
+    }
+
     /// Removes `engine` from the replicas of `model` because it does not have the
     /// model loaded.
     pub fn remove_replica(&self, engine: &Name, model: &Name) {
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -41,6 +41,8 @@
     pub versions: HashMap<Name, (u64, u64)>,
     /// Engines that have a model ready, by model.
     pub replicas: HashMap<Name, Vec<Name>>,
+    /// Fingerprints of the versions of the weights, by engine and model.
+    pub weights: HashMap<Name, HashMap<Name, u32>>,
     /// Estimated loads by engine.
     pub engines: HashMap<Name, EngineLoad>,
     /// Queues by model.
@@ -71,6 +73,22 @@
         })
     }
 
+    /// Returns the fingerprint of the version of a model's weights on an engine, if it is known.
+    pub fn weights(&self, engine: &Name, model: &Name) -> Option<u32> {
+        self.weights.get(engine)?.get(model).copied()
+    }
+
+    /// Returns whether some replica of a model has this version of the weights, on an instance
+    /// that is not to be avoided.
+    pub fn has_weights(&self, model: &Name, weights: u32, avoid: &[Name]) -> bool {
+        let mut engines = self.replicas.get(model).into_iter().flatten();
+        engines.any(|engine| {
+            let load = self.engines.get(engine);
+            let is_allowed = load.is_some_and(|l| !avoid.contains(&l.instance));
+            is_allowed && self.weights(engine, model) == Some(weights)
+        })
+    }
+
     /// Returns the best replica that has room for the request.
     pub fn best_replica(&self, request: &RoutingRequest, now: Moment) -> Option<Name> {
         let mut engines: Vec<&Name> = Vec::new();
@@ -164,6 +182,12 @@
             load.slots = settings.slots;
             load.domain = domain;
             load.apply_report(published);
+            let models = published
+                .ready
+                .iter()
+                .map(|model| Name::from(model.as_str()));
+            let weights = models.zip(published.weights.iter().copied()).collect();
+            self.weights.insert(engine.clone(), weights);
             for model in &published.ready {
                 let engines = self.replicas.entry(model.as_str().into()).or_default();
                 engines.push(engine.clone());
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -10,7 +10,7 @@
 use env::Env;
 use mastichinge::fakes::FakeEngine;
 use mastichinge::fakes::site::{CRASH_TEXT, SiteSettings};
-use mastichinge::outside::HostState;
+use mastichinge::outside::{HostState, Resident};
 use serde_json::{Value, json};
 
 fn start(settings: SiteSettings) -> Env {
@@ -161,6 +161,37 @@
     assert!(reply.complete);
 }
 
+/// Guards against answers that are joined from two versions of the weights: the engine of a stream
+/// crashed, and it went on where a newer version was loaded meanwhile.
+#[test]
+fn answer_is_not_joined_from_two_versions_of_the_weights() {
+    let env = start(SiteSettings {
+        tokens: 200,
+        replica_limit: 2,
+        ..SiteSettings::default()
+    });
+    let pending = env.spawn_prompt(1, "m1", "tell me everything");
+    env.wait("a running stream", || {
+        env.site.engines.iter().any(|e| e.report().running > 0)
+    });
+    let busy = env.site.engines.iter().position(|e| e.report().running > 0);
+    let busy = &env.site.engines[busy.expect("an engine that streams")];
+    let patch = json!({"models": {"m1": {"version": "2", "warm": 2}}});
+    let (status, body) = env.patch_config(0, 1, "version", &patch);
+    assert_eq!(status, 200, "{body}");
+    env.wait("the new version", || {
+        env.site.engines.iter().any(|e| {
+            let report = e.report();
+            let is_new = |r: &Resident| &*r.model == "m1" && &*r.version == "2" && r.ready;
+            report.residents.iter().any(is_new)
+        })
+    });
+    busy.crash();
+    let reply = pending.join().expect("the caller's thread");
+    assert!(!reply.text.contains('@'), "{reply:?}");
+    assert!(!reply.complete && !reply.text.is_empty(), "{reply:?}");
+}
+
 #[test]
 fn resent_poison_request_crashes_at_most_two_engines() {
     let env = start(SiteSettings {
