--- a/tests/edge/crashing_parts.rs
+++ b/tests/edge/crashing_parts.rs
@@ -3,8 +3,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use test_case::test_case;
+
 use crate::fakes::daemon::{Daemon, Request, Response, wait};
-use crate::fakes::engine::{Behavior, Engine};
+use crate::fakes::engine::{Behavior, CrashedAddress, Engine};
 use crate::fakes::store::Store;
 use crate::site::{MODEL, assert_whole, desired};
 
@@ -235,6 +237,19 @@
     assert!(site.sent_too_late() <= MAX_SENT, "{}", site.sent_too_late());
 }
 
+/// Guards against BUDGET: an engine whose address accepts connections again as soon as it has
+/// crashed was taken for one that lives, so that no part was suspected.
+#[test_case(CrashedAddress::Accepts; "as it has started again")]
+#[test_case(CrashedAddress::Closes; "and something before it closes them")]
+fn a_part_is_held_whose_engines_accept_connections_after_a_crash(address: CrashedAddress) {
+    let site = Deployment::start(2);
+    let engines = site.engines.iter();
+    engines.for_each(|e| e.set_crashed_address(address));
+    let sound = send_to(&site.daemons, Duration::from_secs(14));
+    assert!(site.sent_too_late() <= MAX_SENT, "{}", site.sent_too_late());
+    site.assert_served(&sound);
+}
+
 /// Engines that crash by themselves leave no part held.
 #[test]
 fn parts_of_requests_at_engines_that_crash_by_themselves_are_served() {
--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -12,7 +12,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 pub use behavior::Behavior;
 
@@ -34,6 +34,8 @@
     models: Vec<String>,
     /// Part of prompts on which the engine crashes as it begins to answer.
     crashing_part: Option<String>,
+    /// What its address does after a crash.
+    crashed_address: CrashedAddress,
     /// When its lifetimes ended.
     ends: Vec<Instant>,
     /// Further ids that the engine answers to.
@@ -62,6 +64,18 @@
     health_checks: usize,
 }
 
+/// What the address of an engine does after a crash.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CrashedAddress {
+    /// Refuses connections for [`DOWN_TIME`].
+    #[default]
+    Refuses,
+    /// Accepts and closes them for that time.
+    Closes,
+    /// Accepts them: the engine has started again.
+    Accepts,
+}
+
 /// Handle of a fake engine.
 #[derive(Clone)]
 pub struct Engine {
@@ -138,9 +152,24 @@
                 accepted = listener.accept() => accepted.unwrap().0,
                 () = dead.notified() => return,
                 () = crashed.notified() => {
-                    drop(listener);
-                    sleep(DOWN_TIME).await;
-                    listener = TcpListener::bind(self.addr).await.unwrap();
+                    let address = self.state.lock().unwrap().crashed_address;
+                    match address {
+                        CrashedAddress::Refuses => {
+                            drop(listener);
+                            sleep(DOWN_TIME).await;
+                            listener = TcpListener::bind(self.addr).await.unwrap();
+                        }
+                        CrashedAddress::Closes => {
+                            let closing = async {
+                                while let Ok((stream, _)) = listener.accept().await {
+                                    drop(stream);
+                                }
+                            };
+                            // Ends after the time, as connections always come.
+                            let _ = timeout(DOWN_TIME, closing).await;
+                        }
+                        CrashedAddress::Accepts => {}
+                    }
                     self.start_again();
                     continue;
                 }
@@ -171,6 +200,11 @@
         self.state.lock().unwrap().crashing_part = Some(part.to_owned());
     }
 
+    /// Sets what the address of the engine does after a crash.
+    pub fn set_crashed_address(&self, address: CrashedAddress) {
+        self.state.lock().unwrap().crashed_address = address;
+    }
+
     /// Lets the engine answer requests with any part.
     pub fn mend(&self) {
         self.state.lock().unwrap().crashing_part = None;
