Hold a stream back for its row until its caller would leave

What callers saw: 504 after 1.5 s for a stream whose first event was there, while the store did not answer; it answered again 0.2 s later. Cause: a fixed limit on the wait for a row. Where a write was not answered the request cannot begin at the base version either, so that giving it up helps nobody. Change: a row that may be written is awaited until the caller would leave; one that is surely not written for 1.5 s as before, as the request can then begin at the base version.

--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -20,6 +20,7 @@
 use super::silence::{self, Awaited};
 use super::source::{StreamItem, StreamSource};
 use super::{RequestGuard, RoutedRequest};
+use crate::edge::admission::silence_limit;
 use crate::edge::client::Connection;
 use crate::edge::clock;
 use crate::edge::in_flight::InFlightGuard;
@@ -31,9 +32,6 @@
 /// Multiple of the route's maximum gap between events after which a silent stream is
 /// resumed at another engine.
 const SILENCE_GAP_FACTOR: u32 = 3;
-/// Time for which the first event of a stream is held back until all hosts can know at which version
-/// it began.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time past the route's objective that the first event of a repeatable stream may take
 /// after the head of the response has arrived.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(1_000);
@@ -104,9 +102,12 @@
     source.in_flight.record_prompt_read();
     let measured = clock::now().saturating_sub(sent_at);
     if routed.can_be_named() && attempts.software.is_none() {
-        let limit = RECORD_TIMEOUT.min(routed.time_left());
+        let leaves_at = routed.arrived_at + silence_limit(&routed.route);
+        let deadline = leaves_at.min(routed.deadline);
         let edge = &routed.edge;
-        let recorded = edge.await_recorded(routed.stream, &software, limit).await;
+        let recorded = edge
+            .await_recorded(routed.stream, &software, deadline)
+            .await;
         if !recorded {
             return Err(OpenError::Unrecorded);
         }
--- a/src/edge/origins/recording.rs
+++ b/src/edge/origins/recording.rs
@@ -26,6 +26,8 @@
 const WRITES_RATIO: f64 = 0.5;
 /// Time for which unused writes add up.
 const WRITE_BURST: Duration = Duration::from_millis(500);
+/// Time for which the first event of a stream is held back while its row is surely not written.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after a failed write.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -81,24 +83,25 @@
         }
     }
 
-    /// Waits until all hosts can know that a stream begins at a version, for at most `limit`;
-    /// returns whether they can.
-    pub async fn await_recorded(&self, stream: StreamId, software: &str, limit: Duration) -> bool {
+    /// Waits until all hosts can know that a stream begins at a version; returns whether they can.
+    /// A row that is surely not written is awaited for [`RECORD_TIMEOUT`], as the request can then
+    /// begin at the base version; one that may be written, until the deadline.
+    pub async fn await_recorded(&self, stream: StreamId, software: &str, deadline: Moment) -> bool {
         let mut written = self.origins_written.subscribe();
-        let recorded = async {
-            loop {
-                written.borrow_and_update();
-                match self.settle_stream(stream, software) {
-                    RecordState::Recorded => return true,
-                    RecordState::Foreign => return false,
-                    RecordState::Pending => {}
-                }
-                if written.changed().await.is_err() {
-                    return false;
-                }
+        let refused_at = clock::now() + RECORD_TIMEOUT;
+        loop {
+            written.borrow_and_update();
+            let until = match self.settle_stream(stream, software) {
+                RecordState::Recorded => return true,
+                RecordState::Foreign => return false,
+                RecordState::Pending => refused_at.min(deadline),
+                RecordState::Unsure => deadline,
+            };
+            let left = until.saturating_sub(clock::now());
+            if left.is_zero() || matches!(timeout(left, written.changed()).await, Ok(Err(_))) {
+                return false;
             }
-        };
-        timeout(limit, recorded).await.unwrap_or(false)
+        }
     }
 
     fn settle_stream(&self, stream: StreamId, software: &str) -> RecordState {
--- a/src/edge/origins/streams.rs
+++ b/src/edge/origins/streams.rs
@@ -33,6 +33,8 @@
     Recorded,
     /// Its row is not written yet.
     Pending,
+    /// Its row may be written.
+    Unsure,
     /// Its name is that of another stream, at another version.
     Foreign,
 }
@@ -50,6 +52,13 @@
     row: StoredRow,
 }
 
+impl RecordState {
+    /// Returns whether its row has to be written.
+    fn is_due(self) -> bool {
+        matches!(self, RecordState::Pending | RecordState::Unsure)
+    }
+}
+
 impl Stream {
     fn record_state(&self) -> RecordState {
         match &self.row {
@@ -58,9 +67,8 @@
                 RecordState::Recorded
             }
             StoredRow::Absent if !self.needs_row => RecordState::Recorded,
-            StoredRow::Absent | StoredRow::Unsure | StoredRow::Present { .. } => {
-                RecordState::Pending
-            }
+            StoredRow::Unsure => RecordState::Unsure,
+            StoredRow::Absent | StoredRow::Present { .. } => RecordState::Pending,
         }
     }
 }
@@ -108,7 +116,7 @@
             stream.software = software.clone();
             stream.needs_row = !is_base;
         }
-        stream.record_state() == RecordState::Pending
+        stream.record_state().is_due()
     }
 
     /// Returns whether all hosts can know that a stream begins at a version; from then on no
@@ -154,9 +162,10 @@
     /// Returns rows of streams of which `is_wanted` holds that are to be written now, at most so
     /// many. Until their outcome is recorded it is not known whether they were written.
     pub fn take_due(&mut self, is_wanted: impl Fn(StreamId) -> bool, most: usize) -> Vec<DueRow> {
-        let due = self.streams.iter_mut().filter(|(id, stream)| {
-            stream.record_state() == RecordState::Pending && is_wanted(**id)
-        });
+        let due = self
+            .streams
+            .iter_mut()
+            .filter(|(id, stream)| stream.record_state().is_due() && is_wanted(**id));
         let mut rows = Vec::new();
         for (id, stream) in due.take(most) {
             let before = std::mem::replace(&mut stream.row, StoredRow::Unsure);
--- a/tests/edge/fakes/store.rs
+++ b/tests/edge/fakes/store.rs
@@ -193,6 +193,9 @@
                 return;
             }
             sleep(delay).await;
+            if self.state.lock().unwrap().closing {
+                return;
+            }
             if write_response(&mut stream, status, era.as_slice(), body.as_bytes())
                 .await
                 .is_err()
--- a/tests/edge/software_versions.rs
+++ b/tests/edge/software_versions.rs
@@ -19,6 +19,8 @@
 const STREAMS: usize = 24;
 /// Events that a caller reads before its stream is broken off.
 const READ_EVENTS: u64 = 2;
+/// Time for which the store does not answer; callers leave after 3.2 s.
+const CLOSING_TIME: Duration = Duration::from_millis(2_200);
 /// Time in which a stream that cannot go on is refused; far below what a stream may take.
 const MAX_REFUSAL_TIME: Duration = Duration::from_secs(3);
 
@@ -528,3 +530,25 @@
     fleet.kill_all();
     assert_eq!(fleet.take_up(&begun, 1), all_whole());
 }
+
+/// Guards against giving a stream up whose row may be written while the store does not answer,
+/// although it answers again before the caller leaves.
+#[test]
+fn a_stream_waits_for_its_row_until_its_caller_would_leave() {
+    let fleet = Fleet::start(&["v1", "v1", SECOND_VERSION], 1);
+    for engine in &fleet.engines[..2] {
+        engine.set_behavior(Behavior::Full);
+    }
+    fleet.store.set_delay(CLOSING_TIME / 8);
+    let answer = std::thread::scope(|scope| {
+        let request = Request::new("/stream/", "s1").with(MODEL, "m1");
+        let daemon = &fleet.daemons[0];
+        let answer = scope.spawn(move || daemon.send(&request));
+        wait("the run", || fleet.engines[2].runs("s1") > 0);
+        fleet.store.set_closing(true);
+        std::thread::sleep(CLOSING_TIME);
+        fleet.store.set_closing(false);
+        answer.join().unwrap()
+    });
+    assert_unmixed(&[answer]);
+}
