Test the versions of streams apart from daemons, and a base version that is replaced

Change: tests/edge/origins.rs; a test of a base version that leaves, is replaced after 90 s, and comes back; the deployment of these tests in a file of its own.

--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -22,6 +22,7 @@
 mod load_forecast;
 #[path = "../env/loopback.rs"]
 mod loopback;
+mod origins;
 mod overload;
 mod pauses;
 mod permits;
@@ -42,3 +43,4 @@
 mod stream_ends;
 mod suspects;
 mod translation;
+mod version_fleet;
--- /dev/null
+++ b/tests/edge/origins.rs
@@ -0,0 +1,159 @@
+//! Versions at which streams may begin, and the rows that tell where they did.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use mastichinge::edge::origins::{Allowed, Base, RecordState, ServiceVersions, StreamId, Streams};
+
+const SERVICE: &str = "assist";
+
+fn at(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+fn service() -> Arc<str> {
+    SERVICE.into()
+}
+
+fn versions(names: &[&str]) -> BTreeSet<Arc<str>> {
+    names.iter().map(|n| Arc::from(*n)).collect()
+}
+
+/// Returns versions of which the base is `v1`, and which were all listed at the start.
+fn confirmed(names: &[&str]) -> ServiceVersions {
+    let mut services = ServiceVersions::default();
+    let base = Base {
+        software: "v1".into(),
+        row: 1,
+    };
+    services.confirm(&service(), base, &versions(names));
+    services
+}
+
+fn list(services: &mut ServiceVersions, names: &[&str], now: Duration) -> bool {
+    services.record_listed(&[(service(), versions(names))].into(), now)
+}
+
+fn begin(streams: &mut Streams, id: &str, software: &str) -> bool {
+    let is_base = software == "v1";
+    let software = Arc::from(software);
+    streams.begin(StreamId::of(id), &service(), (&software, is_base), at(1))
+}
+
+fn settle(streams: &mut Streams, id: &str, software: &str) -> RecordState {
+    streams.settle(StreamId::of(id), software)
+}
+
+/// A version is used only after the base row was read with it listed.
+#[test]
+fn a_new_version_is_used_once_the_base_is_confirmed_with_it() {
+    let mut services = confirmed(&["v1"]);
+    assert!(!list(&mut services, &["v1"], at(1)));
+    assert!(list(&mut services, &["v1", "v2"], at(2)));
+    let allowed = services.allowed_to_begin(SERVICE, true, |_| true);
+    assert!(allowed.contains("v1") && !allowed.contains("v2"));
+    let unknown = ServiceVersions::default();
+    assert!(
+        !unknown
+            .allowed_to_begin(SERVICE, true, |_| true)
+            .contains("v1")
+    );
+}
+
+/// Guards against ORDER: a stream without a row at another version than the base.
+#[test]
+fn only_the_base_is_allowed_without_rows_while_it_can_be_used() {
+    let services = confirmed(&["v1", "v2"]);
+    let allowed =
+        |can_record, is_usable| services.allowed_to_begin(SERVICE, can_record, |_| is_usable);
+    assert!(allowed(true, true).contains("v2"));
+    assert_eq!(allowed(false, true), Allowed::Only("v1".into()));
+    assert!(
+        allowed(false, false).contains("v2"),
+        "the base has no engine"
+    );
+}
+
+/// A stream without a name goes on only if no other version can have begun it.
+#[test]
+fn a_version_is_the_only_one_a_while_after_others_have_left() {
+    let mut services = confirmed(&["v1"]);
+    assert_eq!(services.sole_version(SERVICE, at(0)), Some(&"v1".into()));
+    list(&mut services, &["v1", "v2"], at(10));
+    list(&mut services, &["v1"], at(20));
+    assert_eq!(services.sole_version(SERVICE, at(60)), None);
+    assert_eq!(services.sole_version(SERVICE, at(70)), Some(&"v1".into()));
+    list(&mut services, &["v2"], at(80));
+    assert_eq!(services.sole_version(SERVICE, at(81)), None, "not the base");
+}
+
+/// Guards against ORDER by a write that takes effect after its request has gone elsewhere.
+#[test]
+fn a_row_that_may_be_written_is_settled_before_the_stream_begins_elsewhere() {
+    let mut streams = Streams::default();
+    assert!(begin(&mut streams, "s1", "v2"));
+    let sent = streams.take_due(|_| true, 10);
+    assert_eq!(sent.len(), 1);
+    // No answer: the request goes to an engine of the base version.
+    assert!(begin(&mut streams, "s1", "v1"));
+    assert_eq!(settle(&mut streams, "s1", "v1"), RecordState::Unsure);
+    let again = streams.take_due(|_| true, 10);
+    assert_eq!((&*again[0].software, again[0].expected_version), ("v1", 0));
+    let found = HashMap::from([(again[0].stream, ("v2".into(), 7))]);
+    streams.record_conflict(&again, &found);
+    assert_eq!(settle(&mut streams, "s1", "v1"), RecordState::Pending);
+    let last = streams.take_due(|_| true, 10);
+    assert_eq!((&*last[0].software, last[0].expected_version), ("v1", 7));
+    streams.record_written(&last, 8);
+    assert_eq!(settle(&mut streams, "s1", "v1"), RecordState::Recorded);
+}
+
+/// A row that was surely not written leaves the base version open to its request.
+#[test]
+fn a_refused_row_is_not_needed_at_the_base_version() {
+    let mut streams = Streams::default();
+    begin(&mut streams, "s1", "v2");
+    let rows = streams.take_due(|_| true, 10);
+    streams.record_refused(rows);
+    assert_eq!(settle(&mut streams, "s1", "v2"), RecordState::Pending);
+    assert!(!begin(&mut streams, "s1", "v1"));
+    assert_eq!(settle(&mut streams, "s1", "v1"), RecordState::Recorded);
+}
+
+/// Guards against ORDER by a request of the name of another's stream.
+#[test]
+fn a_row_of_another_stream_is_not_changed() {
+    let mut streams = Streams::default();
+    begin(&mut streams, "s1", "v2");
+    let rows = streams.take_due(|_| true, 10);
+    let found = HashMap::from([(rows[0].stream, ("v3".into(), 4))]);
+    streams.record_conflict(&rows, &found);
+    assert_eq!(settle(&mut streams, "s1", "v2"), RecordState::Foreign);
+    assert_eq!(streams.take_due(|_| true, 10), []);
+}
+
+/// Streams that began at a base version without a row need one when it is replaced.
+#[test]
+fn streams_get_rows_when_their_base_is_replaced() {
+    let mut streams = Streams::default();
+    begin(&mut streams, "s1", "v1");
+    assert_eq!(settle(&mut streams, "s1", "v1"), RecordState::Recorded);
+    assert_eq!(streams.take_due(|_| true, 10), []);
+    streams.change_base(SERVICE, "v2");
+    assert_eq!(streams.take_due(|_| true, 10).len(), 1);
+}
+
+/// A flood of streams does not grow without bound, nor push out the newest.
+#[test]
+fn the_number_of_remembered_streams_is_bounded() {
+    let mut streams = Streams::default();
+    let software = Arc::from("v2");
+    for number in 0..40_000_u64 {
+        let id = StreamId::of(&number.to_string());
+        let now = at(1) + Duration::from_micros(number);
+        streams.begin(id, &service(), (&software, false), now);
+    }
+    assert!(streams.take_due(|_| true, 40_000).len() <= 16_384);
+    assert_eq!(settle(&mut streams, "39999", "v2"), RecordState::Unsure);
+}
--- a/tests/edge/software_versions.rs
+++ b/tests/edge/software_versions.rs
@@ -1,207 +1,26 @@
 //! Engines of several software versions: a stream goes on only at the version that began it, in
 //! one answer and over its caller's attempts.
 
-use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
 use test_case::test_case;
 
-use crate::fakes::daemon::{Daemon, Request, Response, WAIT_TIMEOUT, exchange, wait};
-use crate::fakes::engine::{Behavior, EVENTS, Engine, FIRST_VERSION};
-use crate::fakes::store::Store;
-use crate::site::{MODEL, all_events, desired, events};
+use crate::fakes::daemon::{Daemon, Request, Response, exchange, wait};
+use crate::fakes::engine::Behavior;
+use crate::site::{MODEL, all_events, events};
+use crate::version_fleet::{Fleet, READ_EVENTS, STREAMS, TakenUp, versions};
 
 /// Version beside the first one.
 const SECOND_VERSION: &str = "v1.1";
-/// Number of streams of a test.
-const STREAMS: usize = 24;
-/// Events that a caller reads before its stream is broken off.
-const READ_EVENTS: u64 = 2;
 /// Time for which the store does not answer; callers leave after 3.2 s.
 const CLOSING_TIME: Duration = Duration::from_millis(2_200);
+/// Time for which a base version is kept that no engine has, less a margin for waiting.
+const RETIRE_TIME: Duration = Duration::from_secs(85);
 /// Time in which a stream that cannot go on is refused; far below what a stream may take.
 const MAX_REFUSAL_TIME: Duration = Duration::from_secs(3);
 
-/// A store, engines and daemons.
-struct Fleet {
-    store: Store,
-    engines: Vec<Engine>,
-    daemons: Vec<Daemon>,
-}
-
-impl Fleet {
-    /// Starts one engine for each of these versions, and so many daemons.
-    fn start(versions: &[&str], daemons: usize) -> Self {
-        let store = Store::start();
-        store.put("op", "config", &desired(5));
-        let mut fleet = Fleet {
-            store,
-            engines: Vec::new(),
-            daemons: Vec::new(),
-        };
-        for version in versions {
-            fleet.add_engine(version, &["m1"]);
-        }
-        for number in 1..=daemons {
-            let daemon = Daemon::start(&fleet.store, &format!("edge-{number}"));
-            fleet.daemons.push(daemon);
-        }
-        fleet
-    }
-
-    fn add_engine(&mut self, version: &str, models: &[&str]) {
-        let id = format!("e{}", self.engines.len() + 1);
-        let engine = Engine::start(&self.store, &id, "models", models);
-        if version != FIRST_VERSION {
-            engine.set_software(version);
-        }
-        self.engines.push(engine);
-    }
-
-    /// Waits until all daemons have listed an engine with a change.
-    fn wait_for_change(&self, engine: &str, change: &str) {
-        wait(change, || {
-            let has_it = |l: &Value| l["engine"] == engine && l["change"] == change;
-            self.daemons
-                .iter()
-                .all(|d| d.logged("engine changed").iter().any(has_it))
-        });
-    }
-
-    /// Kills all daemons at once and starts them again.
-    fn kill_all(&mut self) {
-        for daemon in &self.daemons {
-            daemon.signal(libc::SIGKILL);
-        }
-        for daemon in &mut self.daemons {
-            daemon.restart();
-        }
-        for daemon in &self.daemons {
-            wait("ready", || daemon.get("/readyz").status == 200);
-        }
-    }
-
-    /// Begins streams at all daemons in turn, each broken off by its caller after
-    /// [`READ_EVENTS`].
-    fn begin_streams(&self) -> Vec<Begun> {
-        let begin = |number: usize| {
-            let daemon = &self.daemons[number % self.daemons.len()];
-            begin_stream(daemon, &format!("begin-{number}"))
-        };
-        (0..STREAMS).map(begin).collect()
-    }
-
-    /// Begins streams whose names contain the newest version.
-    fn begin_named(&self, version: &str) -> Vec<Begun> {
-        let begin = |number: usize| {
-            let daemon = &self.daemons[number % self.daemons.len()];
-            begin_stream(daemon, &format!("begin-{number} with {version}"))
-        };
-        (0..STREAMS).map(begin).collect()
-    }
-
-    /// Takes streams up again, each `distance` daemons after the one that began it.
-    fn take_up(&self, begun: &[Begun], distance: usize) -> TakenUp {
-        let mut taken = TakenUp::default();
-        for (number, stream) in begun.iter().enumerate() {
-            let daemon = &self.daemons[(number + distance) % self.daemons.len()];
-            taken.record(stream, &stream.take_up(daemon, &format!("again-{number}")));
-        }
-        taken
-    }
-}
-
-/// A stream that a caller has begun to read.
-#[derive(Debug)]
-struct Begun {
-    id: String,
-    /// Text of its events so far.
-    text: String,
-}
-
-impl Begun {
-    /// Returns the version that began it.
-    fn version(&self) -> &str {
-        let mut versions = versions(&self.text);
-        assert!(versions.iter().all(|v| *v == versions[0]), "{self:?}");
-        versions.remove(0)
-    }
-
-    fn request(&self, id: &str) -> Request {
-        Request::new("/stream/", id)
-            .with(MODEL, "m1")
-            .with("Last-Event-Id", &READ_EVENTS.to_string())
-            .with("Resumes", &self.id)
-    }
-
-    fn take_up(&self, daemon: &Daemon, id: &str) -> Response {
-        daemon.send(&self.request(id))
-    }
-}
-
-/// What became of streams that were taken up again.
-#[derive(Debug, Default, PartialEq, Eq)]
-struct TakenUp {
-    /// Those that went on at the version that began them, to the end.
-    whole: usize,
-    /// Those with events of two versions.
-    mixed: usize,
-    /// Those that were refused without running.
-    refused: usize,
-    /// Others.
-    failed: usize,
-}
-
-impl TakenUp {
-    fn record(&mut self, begun: &Begun, answer: &Response) {
-        let versions = versions(&answer.body);
-        let rest: Vec<u64> = (READ_EVENTS + 1..=EVENTS).collect();
-        if versions.iter().any(|v| *v != begun.version()) {
-            self.mixed += 1;
-        } else if answer.status == 200 && answer.complete && events(&answer.body) == rest {
-            self.whole += 1;
-        } else if answer.status == 503 {
-            self.refused += 1;
-        } else {
-            self.failed += 1;
-        }
-    }
-}
-
-/// Returns the version of each event in a body.
-fn versions(body: &str) -> Vec<&str> {
-    let data = body.lines().filter_map(|l| l.strip_prefix("data: "));
-    data.map(|d| d.split_once(" of ").map_or(FIRST_VERSION, |(_, v)| v))
-        .collect()
-}
-
-/// Begins a stream and closes its connection once [`READ_EVENTS`] have come.
-fn begin_stream(daemon: &Daemon, id: &str) -> Begun {
-    let request = Request::new("/stream/", id).with(MODEL, "m1");
-    let mut stream = TcpStream::connect(daemon.callers).unwrap();
-    stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
-    stream.write_all(&request.bytes(true)).unwrap();
-    let mut text = String::new();
-    let mut chunk = [0; 1_024];
-    loop {
-        let whole = text.rfind("\n\n").map_or("", |end| &text[..end]);
-        if events(whole).len() as u64 >= READ_EVENTS {
-            break;
-        }
-        let size = stream.read(&mut chunk).unwrap();
-        assert!(size > 0, "the stream {id} ended early: {text}");
-        text.push_str(&String::from_utf8_lossy(&chunk[..size]));
-    }
-    let read: Vec<_> = text.split_inclusive("\n\n").collect();
-    let is_read = |part: &&str| events(part).iter().all(|id| *id <= READ_EVENTS);
-    Begun {
-        id: id.to_owned(),
-        text: read.into_iter().filter(is_read).collect(),
-    }
-}
-
 /// Asserts that no stream has events of two versions, and that all others are whole.
 fn assert_unmixed(answers: &[Response]) {
     let mixed = |a: &&Response| versions(&a.body).windows(2).any(|v| v[0] != v[1]);
@@ -552,3 +371,40 @@
     });
     assert_unmixed(&[answer]);
 }
+
+/// Guards against rows for all streams for good once the base version has left, and against ORDER
+/// when it comes back after another has taken its place.
+#[test]
+fn a_base_version_that_has_left_is_replaced_and_may_come_back() {
+    let mut fleet = Fleet::start(&["v1", "v1"], 2);
+    for _ in 0..2 {
+        fleet.add_engine(SECOND_VERSION, &["m1"]);
+    }
+    fleet.wait_for_change("e4", "appeared");
+    for engine in ["e1", "e2"] {
+        fleet.store.remove("servers", engine);
+    }
+    fleet.wait_for_change("e2", "gone");
+    std::thread::sleep(RETIRE_TIME);
+    wait("another base version", || {
+        let is_known = |l: &Value| l["software"] == SECOND_VERSION;
+        let knows = |d: &Daemon| d.logged("base version known").iter().any(is_known);
+        fleet.daemons.iter().all(knows)
+    });
+    let rows = fleet.store.count("origins");
+    let mut begun = fleet.begin_streams();
+    assert!(begun.iter().all(|b| b.version() == SECOND_VERSION));
+    assert_eq!(fleet.store.count("origins"), rows);
+    for engine in &fleet.engines[..2] {
+        engine.start_again();
+    }
+    wait("the first version", || {
+        let is_back = |l: &Value| l["engine"] == "e2" && l["life"] == 2_000;
+        let knows = |d: &Daemon| d.logged("engine changed").iter().any(is_back);
+        fleet.daemons.iter().all(knows)
+    });
+    begun.extend(fleet.begin_named("v1"));
+    fleet.kill_all();
+    let taken = fleet.take_up(&begun, 1);
+    assert_eq!((taken.mixed, taken.whole), (0, begun.len()), "{taken:?}");
+}
