Begin streams before their rows where the base version has left

What callers saw: 504 for streams while the store was away and no engine of the base version was left, although engines of another could run them. Cause: such streams were sent, as they should be, but held back for a row that could not be written. Change: a stream that begins so is not held back; its row is written as soon as that is possible. One whose row may name another version, from a write without an answer, waits as before. Why this is safe: until its row is there such a stream counts as one of the base version, which has no engine, so that it is refused, not joined.

--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -364,6 +364,12 @@
         *load.targets.entry(sent.target.clone()).or_default() += 1;
     }
 
+    /// Returns whether an engine of this software version may get new requests of a service.
+    pub fn has_usable(&self, service: &str, software: &str) -> bool {
+        let mut engines = self.usable_engines(service);
+        engines.any(|e| *e.entry.software == *software)
+    }
+
     /// Returns the engines of a service that may get new requests.
     pub fn usable_engines<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Upstream> {
         let matches = move |e: &&Upstream| &*e.entry.service == service && e.is_usable();
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -85,10 +85,7 @@
             return Allowed::Only(software.clone());
         }
         let state = routed.edge.state.borrow();
-        let is_usable = |software: &str| {
-            let mut engines = state.fleet.usable_engines(&routed.service);
-            engines.any(|e| *e.entry.software == *software)
-        };
+        let is_usable = |software: &str| state.fleet.has_usable(&routed.service, software);
         let can_record = routed.edge.store_available();
         let versions = &state.origins.services;
         versions.allowed_to_begin(&routed.service, can_record, is_usable)
--- a/src/edge/origins/mod.rs
+++ b/src/edge/origins/mod.rs
@@ -18,7 +18,7 @@
 pub use recording::OriginWriters;
 pub use services::{Allowed, Base, ServiceVersions};
 pub use stream_id::StreamId;
-pub use streams::{RecordState, Streams};
+pub use streams::{RecordState, RowNeed, Streams};
 pub use sweeping::sweep;
 
 /// Which stream a caller takes up again.
--- a/src/edge/origins/recording.rs
+++ b/src/edge/origins/recording.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::StreamId;
-use super::streams::{DueRow, RecordState};
+use super::streams::{DueRow, RecordState, RowNeed};
 use crate::clock::Moment;
 use crate::edge::clock;
 use crate::edge::state::Edge;
@@ -69,14 +69,18 @@
         service: &Arc<str>,
         software: &Arc<str>,
     ) {
+        let can_record = self.store_available();
         let mut state = self.state.borrow_mut();
-        let origins = &mut state.origins;
-        let base = origins.services.base(service);
-        let is_base = base.is_some_and(|base| base.software == *software);
-        let now = clock::now();
-        let is_due = origins
-            .streams
-            .begin(stream, service, (software, is_base), now);
+        let base = state.origins.services.base(service).cloned();
+        let need = match base {
+            Some(base) if base.software == *software => RowNeed::Base,
+            Some(base) if !can_record && !state.fleet.has_usable(service, &base.software) => {
+                RowNeed::Later
+            }
+            _ => RowNeed::First,
+        };
+        let streams = &mut state.origins.streams;
+        let is_due = streams.begin(stream, service, (software, need), clock::now());
         drop(state);
         if is_due {
             self.write_part(part_index(stream));
--- a/src/edge/origins/streams.rs
+++ b/src/edge/origins/streams.rs
@@ -26,6 +26,17 @@
     Foreign,
 }
 
+/// Whether a stream needs a row at the version at which it begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RowNeed {
+    /// Not at the base version.
+    Base,
+    /// Before its caller gets events.
+    First,
+    /// As soon as rows can be written: they cannot now, and the base version has no engine.
+    Later,
+}
+
 /// Whether a stream that begins is known to all hosts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecordState {
@@ -49,6 +60,8 @@
     begun: bool,
     /// Whether it needs a row, even though it may begin at the base version.
     needs_row: bool,
+    /// Whether its caller gets events only once the row is written.
+    awaits_row: bool,
     row: StoredRow,
 }
 
@@ -94,13 +107,13 @@
 }
 
 impl Streams {
-    /// Records that a stream is about to begin at a version; `is_base` tells whether that is the
-    /// base version of its service. Returns whether its row has to be written.
+    /// Records that a stream is about to begin at a version. Returns whether its row has to be
+    /// written.
     pub fn begin(
         &mut self,
         id: StreamId,
         service: &Arc<str>,
-        (software, is_base): (&Arc<str>, bool),
+        (software, need): (&Arc<str>, RowNeed),
         now: Moment,
     ) -> bool {
         self.expire(now);
@@ -110,11 +123,15 @@
             began_at: now,
             begun: false,
             needs_row: false,
+            awaits_row: true,
             row: StoredRow::Absent,
         });
         if !stream.begun {
+            // A write for another version may still take effect.
+            let is_same = stream.software == *software;
             stream.software = software.clone();
-            stream.needs_row = !is_base;
+            stream.needs_row = need != RowNeed::Base;
+            stream.awaits_row = need != RowNeed::Later || !is_same;
         }
         stream.record_state().is_due()
     }
@@ -128,7 +145,12 @@
         if *stream.software != *software {
             return RecordState::Foreign;
         }
-        let state = stream.record_state();
+        let state = match stream.record_state() {
+            RecordState::Pending | RecordState::Unsure if !stream.awaits_row => {
+                RecordState::Recorded
+            }
+            state => state,
+        };
         stream.begun |= state == RecordState::Recorded;
         state
     }
--- a/tests/edge/origins.rs
+++ b/tests/edge/origins.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mastichinge::edge::origins::{Allowed, Base, RecordState, ServiceVersions, StreamId, Streams};
+use mastichinge::edge::origins::{
+    Allowed, Base, RecordState, RowNeed, ServiceVersions, StreamId, Streams,
+};
 
 const SERVICE: &str = "assist";
 
@@ -36,9 +38,16 @@
 }
 
 fn begin(streams: &mut Streams, id: &str, software: &str) -> bool {
-    let is_base = software == "v1";
+    let need = match software {
+        "v1" => RowNeed::Base,
+        _ => RowNeed::First,
+    };
+    begin_with(streams, id, software, need)
+}
+
+fn begin_with(streams: &mut Streams, id: &str, software: &str, need: RowNeed) -> bool {
     let software = Arc::from(software);
-    streams.begin(StreamId::of(id), &service(), (&software, is_base), at(1))
+    streams.begin(StreamId::of(id), &service(), (&software, need), at(1))
 }
 
 fn settle(streams: &mut Streams, id: &str, software: &str) -> RecordState {
@@ -121,6 +130,24 @@
     assert_eq!(settle(&mut streams, "s1", "v1"), RecordState::Recorded);
 }
 
+/// Guards against holding streams back where no engine of the base version is left, unless a row
+/// for another version may be written.
+#[test]
+fn a_row_that_is_needed_later_holds_no_stream_back() {
+    let mut streams = Streams::default();
+    assert!(begin_with(&mut streams, "s1", "v2", RowNeed::Later));
+    assert_eq!(settle(&mut streams, "s1", "v2"), RecordState::Recorded);
+    assert_eq!(
+        streams.take_due(|_| true, 10).len(),
+        1,
+        "it is still written"
+    );
+    begin(&mut streams, "s2", "v2");
+    streams.take_due(|_| true, 10);
+    begin_with(&mut streams, "s2", "v3", RowNeed::Later);
+    assert_eq!(settle(&mut streams, "s2", "v3"), RecordState::Unsure);
+}
+
 /// Guards against ORDER by a request of the name of another's stream.
 #[test]
 fn a_row_of_another_stream_is_not_changed() {
@@ -152,7 +179,7 @@
     for number in 0..40_000_u64 {
         let id = StreamId::of(&number.to_string());
         let now = at(1) + Duration::from_micros(number);
-        streams.begin(id, &service(), (&software, false), now);
+        streams.begin(id, &service(), (&software, RowNeed::First), now);
     }
     assert!(streams.take_due(|_| true, 40_000).len() <= 16_384);
     assert_eq!(settle(&mut streams, "39999", "v2"), RecordState::Unsure);
--- a/tests/edge/software_versions.rs
+++ b/tests/edge/software_versions.rs
@@ -408,3 +408,30 @@
     let taken = fleet.take_up(&begun, 1);
     assert_eq!((taken.mixed, taken.whole), (0, begun.len()), "{taken:?}");
 }
+
+/// Guards against 504 for all streams while the store is away and no engine of the base version is
+/// left, and against ORDER after it.
+#[test]
+fn streams_begin_without_rows_where_the_base_version_has_left_and_the_store_is_away() {
+    let mut fleet = Fleet::start(&["v1", "v1"], 2);
+    for _ in 0..2 {
+        fleet.add_engine(SECOND_VERSION, &["m1"]);
+    }
+    fleet.wait_for_change("e4", "appeared");
+    for engine in ["e1", "e2"] {
+        fleet.store.remove("servers", engine);
+        fleet.wait_for_change(engine, "gone");
+    }
+    fleet.store.set_down(true);
+    wait("an outage", || {
+        let noticed = |d: &Daemon| !d.logged("store unavailable").is_empty();
+        fleet.daemons.iter().all(noticed)
+    });
+    let begun = fleet.begin_streams();
+    assert!(begun.iter().all(|b| b.version() == SECOND_VERSION));
+    assert_eq!(fleet.store.count("origins"), 0);
+    fleet.store.set_down(false);
+    wait("the rows", || fleet.store.count("origins") == STREAMS);
+    fleet.kill_all();
+    assert_eq!(fleet.take_up(&begun, 1), all_whole());
+}
