Suspect a request that broke off at once, and its parts once its engine says so

What callers saw: a request under whose streams engines broke off was sent to engines again when it came back at once. Cause: suspected nothing until the engine's report was there. Change: the connection alone decides on the request, as before; the report decides later, and on its parts only.

--- a/src/edge/suspects/engine_ends.rs
+++ b/src/edge/suspects/engine_ends.rs
@@ -37,10 +37,8 @@
     Ended,
     /// Its report says that it has started again.
     Restarted,
-    /// It is still in this lifetime, as far as it says.
+    /// It accepts connections.
     Alive,
-    /// It accepts connections, and does not answer.
-    Unanswered,
     /// It cannot be reached.
     Unknown,
 }
@@ -73,91 +71,122 @@
     }
 }
 
-/// Returns what a connection to an engine shows, and its report if it accepts one.
-async fn engine_state(edge: &Edge, recipient: &Recipient) -> EngineState {
-    let addr = recipient.addr;
+/// Returns what a connection to an engine shows.
+async fn probe(addr: SocketAddr) -> EngineState {
     match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
-        Ok(Ok(_)) => {}
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            return EngineState::Ended;
-        }
+        Ok(Ok(_)) => EngineState::Alive,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => EngineState::Ended,
         Ok(Err(error)) => {
             log::debug!(addr:%, error:%; "cannot tell whether an engine has ended");
-            return EngineState::Unknown;
+            EngineState::Unknown
         }
-        Err(_) => return EngineState::Unknown,
+        Err(_) => EngineState::Unknown,
+    }
+}
+
+async fn check_end(edge: Rc<Edge>, lifetime: Lifetime, addr: SocketAddr) {
+    let state = probe(addr).await;
+    let features = {
+        let pending = &mut edge.state.borrow_mut().pending_ends;
+        pending.remove(&lifetime).unwrap_or_default()
+    };
+    log_state(&edge, &lifetime, state, &features);
+    let ended = state == EngineState::Ended;
+    let is_suspected = |(feature, progress): &&(Feature, Progress)| match feature {
+        // A request may end its engine late in its run, too.
+        Feature::Request(_) => ended || *progress != Progress::Settled,
+        Feature::Part(_) => ended && *progress != Progress::Settled,
+    };
+    let suspected = features.iter().filter(is_suspected);
+    record_crash(&edge, &lifetime, ended, suspected);
+    if state != EngineState::Alive {
+        return;
     }
+    let recipient = Recipient { lifetime, addr };
+    if !has_restarted(&edge, &recipient).await {
+        return;
+    }
+    let lifetime = recipient.lifetime;
+    log_state(&edge, &lifetime, EngineState::Restarted, &features);
+    // The requests themselves are suspected already.
+    let is_part = |(feature, progress): &&(Feature, Progress)| {
+        matches!(feature, Feature::Part(_)) && *progress != Progress::Settled
+    };
+    record_crash(&edge, &lifetime, true, features.iter().filter(is_part));
+}
+
+/// Returns whether an engine that accepts connections says in its report that it has started
+/// again. Something before it may accept them while it does not answer.
+async fn has_restarted(edge: &Edge, recipient: &Recipient) -> bool {
     let Lifetime {
         engine,
         incarnation,
     } = &recipient.lifetime;
     // Without a start time, or without models, an engine makes no report that tells.
     if *incarnation == 0 || !edge.reports_start(engine) {
-        return EngineState::Alive;
+        return false;
     }
-    let request = match orders::report_request(&addr.to_string()) {
-        Ok(request) => request,
-        Err(error) => {
-            log::warn!(addr:%, error:%; "report request is not valid");
-            return EngineState::Unknown;
-        }
-    };
-    let response = match edge.call_engine(recipient, CallKind::Check, request).await {
-        Ok(response) => response,
-        Err(error) => {
-            log::debug!(addr:%, error:%; "no report of an engine that may have ended");
-            return EngineState::Unanswered;
+    let started_at = clock::now();
+    while clock::now().saturating_sub(started_at) < CHECK_TIME {
+        let request = match orders::report_request(&recipient.addr.to_string()) {
+            Ok(request) => request,
+            Err(error) => {
+                log::warn!(engine = &**engine, error:%; "report request is not valid");
+                return false;
+            }
+        };
+        match edge.call_engine(recipient, CallKind::Check, request).await {
+            Ok(response) => {
+                let report = orders::decode_report(response.body());
+                let born = report.map_or(0, |report| report.incarnation);
+                return born != 0 && born != *incarnation;
+            }
+            Err(error) => {
+                log::debug!(engine = &**engine, error:%; "no report of an engine that may have ended");
+            }
         }
-    };
-    let report = orders::decode_report(response.body());
-    match report.map_or(0, |report| report.incarnation) {
-        0 => EngineState::Alive,
-        born if born == *incarnation => EngineState::Alive,
-        _ => EngineState::Restarted,
+        tokio::time::sleep(CHECK_PAUSE).await;
     }
+    false
 }
 
-async fn check_end(edge: Rc<Edge>, lifetime: Lifetime, addr: SocketAddr) {
-    let recipient = Recipient {
-        lifetime: lifetime.clone(),
-        addr,
-    };
-    let started_at = clock::now();
-    let state = loop {
-        let state = engine_state(&edge, &recipient).await;
-        let is_over = clock::now().saturating_sub(started_at) >= CHECK_TIME;
-        if state != EngineState::Unanswered || is_over {
-            break state;
-        }
-        tokio::time::sleep(CHECK_PAUSE).await;
-    };
+/// Counts and logs what is known of an engine at which requests broke off.
+fn log_state(
+    edge: &Edge,
+    lifetime: &Lifetime,
+    state: EngineState,
+    features: &[(Feature, Progress)],
+) {
     let name: &'static str = state.into();
     edge.metrics.record_engine_end(name);
-    let now = clock::now();
-    let mut shared = edge.state.borrow_mut();
-    let features = shared.pending_ends.remove(&lifetime).unwrap_or_default();
     let requests = features
         .iter()
         .filter(|(f, _)| matches!(f, Feature::Request(_)))
         .count();
     log::info!(engine = &*lifetime.engine, life = lifetime.incarnation, state = name, requests;
         "engine checked after connections broke");
-    let ended = matches!(state, EngineState::Ended | EngineState::Restarted);
-    let is_suspected = |(feature, progress): &(Feature, Progress)| match feature {
-        // A request may end its engine late in its run, too.
-        Feature::Request(_) => ended || *progress != Progress::Settled,
-        Feature::Part(_) => ended && *progress != Progress::Settled,
-    };
-    let suspected = features.into_iter().filter(is_suspected);
-    let suspected: Vec<_> = suspected
-        .map(|(feature, progress)| (feature, progress == Progress::Begun))
+}
+
+/// Records the features of requests that broke off as possible causes, and tells other daemons.
+fn record_crash<'a>(
+    edge: &Edge,
+    lifetime: &Lifetime,
+    ended: bool,
+    features: impl Iterator<Item = &'a (Feature, Progress)>,
+) {
+    let suspected: Vec<_> = features
+        .map(|(feature, progress)| (*feature, *progress == Progress::Begun))
         .collect();
     if suspected.is_empty() {
         return;
     }
-    let id = CrashId { lifetime, ended };
-    let change = shared.suspects.record_crash(&id, suspected, now);
-    drop(shared);
+    let id = CrashId {
+        lifetime: lifetime.clone(),
+        ended,
+    };
+    let mut state = edge.state.borrow_mut();
+    let change = state.suspects.record_crash(&id, suspected, clock::now());
+    drop(state);
     edge.record_held_change(&change);
     edge.send_wake.notify_one();
 }
