Let a fake engine that crashes close its port before its connections

Cause: a fake engine's connections closed before its listener, so that the daemon could find its port open, as after a restart at once: the part was suspected 1.5 s later, and a_failure_does_not_release_a_part sent its trials before. In a process that ends, both are gone. Change: the connections close once the address does what it does after the crash.

--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -87,8 +87,8 @@
     dead: Arc<Notify>,
     /// Like `dead`, but the engine starts again after [`DOWN_TIME`].
     crashed: Arc<Notify>,
-    /// Closes the connections; the engine accepts others at once.
-    replaced: Arc<Notify>,
+    /// Closes the connections, once the address does what it does after that.
+    closed: Arc<Notify>,
     state: Arc<Mutex<EngineState>>,
 }
 
@@ -134,7 +134,7 @@
                 sequence: Arc::default(),
                 dead: Arc::default(),
                 crashed: Arc::default(),
-                replaced: Arc::default(),
+                closed: Arc::default(),
                 state: Arc::new(Mutex::new(state)),
             };
             engine.register("ready");
@@ -156,10 +156,12 @@
                     match address {
                         CrashedAddress::Refuses => {
                             drop(listener);
+                            self.closed.notify_waiters();
                             sleep(DOWN_TIME).await;
                             listener = TcpListener::bind(self.addr).await.unwrap();
                         }
                         CrashedAddress::Closes => {
+                            self.closed.notify_waiters();
                             let closing = async {
                                 while let Ok((stream, _)) = listener.accept().await {
                                     drop(stream);
@@ -168,22 +170,21 @@
                             // Ends after the time, as connections always come.
                             let _ = timeout(DOWN_TIME, closing).await;
                         }
-                        CrashedAddress::Accepts => {}
+                        CrashedAddress::Accepts => self.closed.notify_waiters(),
                     }
                     self.start_again();
                     continue;
                 }
             };
             let engine = self.clone();
-            let replaced = self.replaced.clone();
+            let closed = self.closed.clone();
             tokio::spawn(async move {
                 let mut stream = stream;
                 tokio::select! {
                     () = engine.serve(&mut stream) => {}
                     // Dropping the stream closes it, as when the process dies.
                     () = dead.notified() => {}
-                    () = crashed.notified() => {}
-                    () = replaced.notified() => {}
+                    () = closed.notified() => {}
                 }
             });
         }
@@ -395,7 +396,7 @@
     pub fn replace_unlisted(&self, software: &str) {
         self.start_unlisted();
         self.state.lock().unwrap().software = software.to_owned();
-        self.replaced.notify_waiters();
+        self.closed.notify_waiters();
     }
 
     /// Sets the version of its software and registers it.
--- a/tests/edge/fakes/engine/runs.rs
+++ b/tests/edge/fakes/engine/runs.rs
@@ -154,7 +154,8 @@
         stream.write_all(head.as_bytes()).await?;
         if crashes {
             self.crash_and_restart();
-            return Err(std::io::ErrorKind::BrokenPipe.into());
+            // The connection closes with the others.
+            std::future::pending::<()>().await;
         }
         let mark = self.event_mark();
         for event in after + 1..=EVENTS {
