Refuse requests that a stopping server has received but not begun

Cause: the HTTP library queues a request that it has read; when the accept thread ended, the queue was dropped, and the library answers a dropped request with 500 and no body. Callers' requests could be dropped the same way.

Change: a server that stops refuses what it has received, for 100 ms or until nothing is left, at most 2 s; the handler learns the cause of a refusal and answers 503 `draining`. The tool polls again after such a refusal.

--- a/src/fakes/server.rs
+++ b/src/fakes/server.rs
@@ -11,7 +11,7 @@
 use tiny_http::{Request, Response};
 
 use crate::http::request;
-use crate::http::server::{self, Handler, RunningServer};
+use crate::http::server::{self, Handler, RefusalCause, RunningServer};
 use crate::outside::escape::decode;
 
 /// Maximum number of connections that wait to be accepted.
@@ -90,7 +90,7 @@
         }
     }
 
-    fn refuse(&self, request: Request) {
+    fn refuse(&self, request: Request, _: RefusalCause) {
         drop(request.into_writer());
     }
 }
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -23,10 +23,12 @@
 use super::relay::{ChunkSink, CompletionEnd, CompletionOutcome, Relay};
 use super::request::{RequestContext, RequestIds, bearer_key, header_value, path, query_value};
 use super::response::{BufferedResponse, ErrorFormat, openai_error};
-use super::server::Handler;
+use super::server::{Handler, RefusalCause};
 use super::services::{ServiceCall, ServiceProxy};
 use super::stream::EventStream;
 
+/// `Retry-After` of a request that this host refuses without looking at it.
+const REFUSAL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Prefix of the paths of plain services.
 const SERVICES_PREFIX: &str = "/services/";
 
@@ -65,11 +67,17 @@
         }
     }
 
-    fn refuse(&self, request: Request) {
+    fn refuse(&self, request: Request, cause: RefusalCause) {
         let id = self.request_ids.next_id();
         let format = error_format(&request);
-        let detail = "too many requests are in progress at this host";
-        let refusal = Refusal::new(Kind::QueueFull, detail).retry_after(Duration::from_secs(1));
+        let refusal = match cause {
+            RefusalCause::Busy => {
+                let detail = "too many requests are in progress at this host";
+                Refusal::new(Kind::QueueFull, detail)
+            }
+            RefusalCause::Stopping => Refusal::new(Kind::Draining, "the host stops"),
+        };
+        let refusal = refusal.retry_after(REFUSAL_RETRY_AFTER);
         self.send_refusal(request, &refusal, format, &id);
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tiny_http::{Request, Server};
 
@@ -15,6 +15,12 @@
 const STACK_BYTES: usize = 256 * 1024;
 /// Interval at which the accept loop checks the stop flag.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which a stopping server refuses the requests that still arrive.
+const STOP_TIME: Duration = Duration::from_millis(100);
+/// Maximum duration of a stop whose clients keep sending requests.
+const MAX_STOP_TIME: Duration = Duration::from_secs(2);
+/// Interval at which a stopping server looks for requests.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Pause before a server that stopped accepting is replaced.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 
@@ -22,18 +28,36 @@
 pub trait Handler: Send + Sync + 'static {
     /// Responds to a request; runs on its own thread.
     fn handle(&self, request: Request);
-    /// Refuses a request because too many are in progress; runs on the accept
-    /// thread.
-    fn refuse(&self, request: Request);
+    /// Refuses a request; runs on the accept thread.
+    fn refuse(&self, request: Request, cause: RefusalCause);
+}
+
+/// Cause for which a server refuses a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// Too many requests are in progress.
+    Busy,
+    /// The server stops.
+    Stopping,
 }
 
 /// A running server; dropping it stops it.
 pub struct RunningServer {
-    stop: Arc<AtomicBool>,
-    active: Arc<AtomicU32>,
+    state: Arc<ServerState>,
     thread: Option<JoinHandle<()>>,
 }
 
+/// State that a server shares with its accept thread.
+#[derive(Debug, Default)]
+struct ServerState {
+    /// Whether new requests are refused.
+    refusing: AtomicBool,
+    /// Whether the accept thread ends.
+    stopped: AtomicBool,
+    /// Requests in progress.
+    active: AtomicU32,
+}
+
 /// Serves `listener` with at most `max_requests` requests at once, and limits
 /// its connections if `limits` are given.
 ///
@@ -53,26 +77,18 @@
         servers: vec![Server::from_listener(listener.try_clone()?, None)?],
         listener,
     };
-    let stop = Arc::new(AtomicBool::new(false));
-    let active = Arc::new(AtomicU32::new(0));
-    let thread = {
-        let (stop, active) = (stop.clone(), active.clone());
-        thread::Builder::new()
-            .name("accept".into())
-            .spawn(move || {
-                accept_requests(
-                    acceptor,
-                    &stop,
-                    &active,
-                    max_requests,
-                    guard.as_ref(),
-                    &handler,
-                )
-            })?
+    let state = Arc::new(ServerState::default());
+    let dispatcher = Dispatcher {
+        state: state.clone(),
+        max_requests,
+        guard,
+        handler,
     };
+    let thread = thread::Builder::new()
+        .name("accept".into())
+        .spawn(move || dispatcher.run(acceptor))?;
     Ok(RunningServer {
-        stop,
-        active,
+        state,
         thread: Some(thread),
     })
 }
@@ -80,12 +96,19 @@
 impl RunningServer {
     /// Returns the number of requests in progress.
     pub fn active_requests(&self) -> u32 {
-        self.active.load(Ordering::Acquire)
+        self.state.active.load(Ordering::SeqCst)
+    }
+
+    /// Refuses the requests that arrive from now on; those in progress continue.
+    pub fn refuse_requests(&self) {
+        self.state.refusing.store(true, Ordering::SeqCst);
     }
 
-    /// Stops accepting requests; those in progress continue.
+    /// Stops accepting requests, and refuses those that were received but not begun;
+    /// those in progress continue.
     pub fn stop(&mut self) {
-        self.stop.store(true, Ordering::Release);
+        self.refuse_requests();
+        self.state.stopped.store(true, Ordering::SeqCst);
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
@@ -99,11 +122,18 @@
 }
 
 /// Counts as one request in progress until it is dropped.
-struct ActiveRequest(Arc<AtomicU32>);
+struct ActiveRequest(Arc<ServerState>);
+
+impl ActiveRequest {
+    fn begin(state: &Arc<ServerState>) -> Self {
+        state.active.fetch_add(1, Ordering::SeqCst);
+        ActiveRequest(state.clone())
+    }
+}
 
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
+        self.0.active.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
@@ -135,6 +165,19 @@
         }
     }
 
+    /// Returns a request that has been received, without waiting for one.
+    fn received_request(&self) -> Option<Request> {
+        for server in &self.servers {
+            // An error is the end of accepting; requests may follow it.
+            for _ in 0..2 {
+                if let Ok(Some(request)) = server.try_recv() {
+                    return Some(request);
+                }
+            }
+        }
+        None
+    }
+
     fn replace_server(&mut self, error: &io::Error, stop: &AtomicBool) {
         thread::sleep(RESTART_DELAY);
         // A listening socket that was shut down never accepts again.
@@ -153,33 +196,51 @@
     }
 }
 
-fn accept_requests<H: Handler>(
-    mut acceptor: Acceptor,
-    stop: &AtomicBool,
-    active: &Arc<AtomicU32>,
+/// Passes the requests of one server to its handler.
+struct Dispatcher<H> {
+    state: Arc<ServerState>,
     max_requests: u32,
-    guard: Option<&Guard>,
-    handler: &Arc<H>,
-) {
-    while !stop.load(Ordering::Acquire) {
-        let Some(request) = acceptor.next_request(stop) else {
-            continue;
-        };
-        let accepted = match guard {
+    guard: Option<Guard>,
+    handler: Arc<H>,
+}
+
+impl<H: Handler> Dispatcher<H> {
+    /// Runs until the server is stopped.
+    fn run(self, mut acceptor: Acceptor) {
+        while !self.state.stopped.load(Ordering::SeqCst) {
+            if let Some(request) = acceptor.next_request(&self.state.stopped) {
+                self.dispatch(request);
+            }
+        }
+        let start = Instant::now();
+        while start.elapsed() < MAX_STOP_TIME {
+            match acceptor.received_request() {
+                Some(request) => self.dispatch(request),
+                None if start.elapsed() >= STOP_TIME => return,
+                None => thread::sleep(STOP_POLL_INTERVAL),
+            }
+        }
+    }
+
+    fn dispatch(&self, request: Request) {
+        let accepted = match &self.guard {
             Some(guard) => guard.reject_oversized(request),
             None => Some(request),
         };
         let Some(request) = accepted else {
-            continue;
+            return;
         };
-        if active.load(Ordering::Acquire) >= max_requests {
-            handler.refuse(request);
-            continue;
+        // Counted before the flag is read: whoever sets the flag and then sees no
+        // request in progress can rely on none being begun.
+        let active_request = ActiveRequest::begin(&self.state);
+        if self.state.refusing.load(Ordering::SeqCst) {
+            return self.handler.refuse(request, RefusalCause::Stopping);
+        }
+        if self.state.active.load(Ordering::SeqCst) > self.max_requests {
+            return self.handler.refuse(request, RefusalCause::Busy);
         }
-        active.fetch_add(1, Ordering::AcqRel);
-        let exchange = guard.map(|guard| guard.begin_exchange(&request));
-        let active_request = ActiveRequest(active.clone());
-        let handler = handler.clone();
+        let exchange = self.guard.as_ref().map(|g| g.begin_exchange(&request));
+        let handler = self.handler.clone();
         let spawned = thread::Builder::new()
             .name("traffic".into())
             .stack_size(STACK_BYTES)
--- a/src/operators/server.rs
+++ b/src/operators/server.rs
@@ -16,7 +16,7 @@
 use crate::http::guard::{GuardSettings, read_body};
 use crate::http::request::{RequestIds, bearer_key, header_value, path};
 use crate::http::response::{REQUEST_ID_HEADER, header, retry_after_seconds};
-use crate::http::server::{self, Handler};
+use crate::http::server::{self, Handler, RefusalCause};
 use crate::outside::escape::decode;
 
 pub use crate::http::server::RunningServer;
@@ -29,8 +29,8 @@
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Most operator connections at once.
 const MAX_CONNECTIONS: usize = 64;
-/// `Retry-After` of a refusal because of too many requests.
-const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// `Retry-After` of a request that this host refuses without looking at it.
+const REFUSAL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Handles the requests on the operators' port.
 #[derive(Debug)]
@@ -95,10 +95,17 @@
         send(request, response, &id);
     }
 
-    fn refuse(&self, request: Request) {
+    fn refuse(&self, request: Request, cause: RefusalCause) {
         let id = self.ids.next_id();
-        let detail = format!("{MAX_REQUESTS} requests of operators are in progress at this host");
-        let refusal = Refusal::new(Kind::QueueFull, detail).retry_after(BUSY_RETRY_AFTER);
+        let refusal = match cause {
+            RefusalCause::Busy => {
+                let detail =
+                    format!("{MAX_REQUESTS} requests of operators are in progress at this host");
+                Refusal::new(Kind::QueueFull, detail)
+            }
+            RefusalCause::Stopping => Refusal::new(Kind::Draining, "the host stops"),
+        };
+        let refusal = refusal.retry_after(REFUSAL_RETRY_AFTER);
         send(request, ApiResponse::problem(refusal.into(), &id), &id);
     }
 }
--- a/src/tool/wait.rs
+++ b/src/tool/wait.rs
@@ -87,8 +87,8 @@
         let now: HostStatus = match client.get("/v1/status") {
             Ok(response) => response.read()?,
             Err(ToolError::Unreachable(_)) => return Ok(()),
-            // The host may still be draining; poll it again.
-            Err(ToolError::NoAnswer(_)) => status.clone(),
+            // The host may still be draining, or just stopping; poll it again.
+            Err(err) if err.is_retryable() => status.clone(),
             Err(err) => return Err(err),
         };
         if shown != Some(now.streams) {
