Refuse new requests of a draining host once entry answers have expired

Cause: a draining daemon accepted requests until it saw none in progress; with callers that send request after request on open connections it saw none for as long as they went on. A request that began between that look and the stop was cut by the end of the process.

Change: when cached entry answers have expired, the callers' port refuses new requests, and the daemon waits for those in progress. Operators' requests in progress are awaited for up to 5 s.

Test: a_host_drains_whose_callers_keep_their_connections_busy failed before (no exit in 60 s) and passes; tests/{path,tool,operate,pairs,bookings,failures, guard}.rs pass.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -46,6 +46,8 @@
 const HOST_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which a draining daemon checks whether it has finished.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum wait of a drained daemon for requests of operators.
+const OPERATOR_STOP_TIME: Duration = Duration::from_secs(5);
 
 /// Error starting a daemon.
 #[derive(Debug, thiserror::Error)]
@@ -75,7 +77,7 @@
     router: Router,
     peers: Arc<Peers>,
     callers: RunningServer,
-    _operators: RunningServer,
+    operators: RunningServer,
     call_runner: Arc<CallRunner<SharedTable<P>, CallStateClient>>,
     follower: ConfigFollower<P>,
     stop: Option<Sender<()>>,
@@ -216,7 +218,7 @@
             router,
             peers,
             callers,
-            _operators: operators,
+            operators,
             call_runner,
             follower,
             stop: Some(stop),
@@ -244,13 +246,13 @@
         while self.clock.now() < deadline && self.control.view().alive_count > 1 {
             thread::sleep(DRAIN_POLL_INTERVAL);
         }
+        self.callers.refuse_requests();
         while self.callers.active_requests() > 0
             || self.router.running() > 0
             || self.call_runner.unsettled_attempts() > 0
         {
             thread::sleep(DRAIN_POLL_INTERVAL);
         }
-        self.callers.stop();
         while !self
             .control
             .call(|state| state.is_drained())
@@ -258,6 +260,7 @@
         {
             thread::sleep(DRAIN_POLL_INTERVAL);
         }
+        self.finish_operator_requests();
         self.stop();
     }
 
@@ -265,8 +268,21 @@
     pub fn stop(&mut self) {
         self.stop.take();
         self.callers.stop();
+        self.operators.stop();
         self.peers.stop();
     }
+
+    fn finish_operator_requests(&self) {
+        self.operators.refuse_requests();
+        let deadline = self.clock.now() + OPERATOR_STOP_TIME;
+        while self.operators.active_requests() > 0 {
+            if self.clock.now() >= deadline {
+                log::warn!("stopping before all requests of operators have ended");
+                return;
+            }
+            thread::sleep(DRAIN_POLL_INTERVAL);
+        }
+    }
 }
 
 impl<P> Drop for Daemon<P> {
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod kept_connection;
 pub mod loopback;
 
 use std::fs;
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -3,11 +3,16 @@
 mod env;
 
 use std::path::Path;
+use std::thread::{self, JoinHandle};
 
 use env::Env;
+use env::kept_connection::KeptConnection;
 use mastichinge::fakes::site::SiteSettings;
 use serde_json::json;
 
+/// Callers that send request after request, so that one is always in progress.
+const BUSY_CALLERS: usize = 6;
+
 fn start(settings: SiteSettings) -> Env {
     Env::start(settings, Path::new(env!("CARGO_BIN_EXE_mastichinged")), &[])
 }
@@ -82,6 +87,30 @@
     env.wait_until_ready();
 }
 
+#[test]
+fn a_host_drains_whose_callers_keep_their_connections_busy() {
+    let mut env = start(SiteSettings {
+        tokens: 40,
+        ..SiteSettings::default()
+    });
+    let addr = env.hosts[0].settings.listen.callers;
+    let callers: Vec<JoinHandle<Vec<u16>>> = (0..BUSY_CALLERS)
+        .map(|_| thread::spawn(move || KeptConnection::open(addr).ask_until_refused("m1")))
+        .collect();
+    env.wait("the streams run", || {
+        let running = env.site.engines.iter().map(|e| e.report().running);
+        running.sum::<u32>() > 1
+    });
+    env.terminate(0);
+    assert!(env.wait_exit(0).success());
+    for caller in callers {
+        let statuses = caller.join().expect("the caller's thread");
+        let (last, earlier) = statuses.split_last().expect("a response");
+        assert_eq!(*last, 503, "{statuses:?}");
+        assert!(earlier.iter().all(|s| *s == 200), "{statuses:?}");
+    }
+}
+
 #[test]
 fn a_caller_that_disconnects_frees_the_engine() {
     let env = start(SiteSettings {
