--- a/src/edge/origins/mod.rs
+++ b/src/edge/origins/mod.rs
@@ -19,7 +19,7 @@
 pub use services::{Allowed, Base, ServiceVersions};
 pub use stream_id::StreamId;
 pub use streams::{RecordState, RowNeed, Streams};
-pub use sweeping::sweep;
+pub use sweeping::{SweepMarks, sweep};
 
 /// Which stream a caller takes up again.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/src/edge/origins/sweeping.rs
+++ b/src/edge/origins/sweeping.rs
@@ -8,7 +8,7 @@
 use crate::clock::Moment;
 use crate::edge::clock;
 use crate::edge::state::Edge;
-use crate::edge::store::{RowChange, RowPage, StoreError, Table};
+use crate::edge::store::{CommitOutcome, Row, RowChange, RowPage, StoreError, Table};
 
 /// Period of deleting rows.
 const SWEEP_PERIOD: Duration = Duration::from_secs(60);
@@ -19,84 +19,97 @@
 /// Number of sweeps without a row after which none is made until streams have rows again.
 const IDLE_SWEEPS: u32 = 3;
 
+/// Versions of the store at the times of earlier sweeps.
+#[derive(Clone, Debug, Default)]
+pub struct SweepMarks {
+    marks: VecDeque<Mark>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Mark {
+    at: Moment,
+    era: u64,
+    version: u64,
+}
+
+impl SweepMarks {
+    /// Records the version that the store had, in an era; forgets those of other eras.
+    pub fn record(&mut self, era: u64, version: u64, now: Moment) {
+        self.marks.retain(|mark| mark.era == era);
+        if let Some(oldest) = self.marks.iter().rposition(|mark| mark.is_old(now)) {
+            self.marks.drain(..oldest);
+        }
+        self.marks.push_back(Mark {
+            at: now,
+            era,
+            version,
+        });
+    }
+
+    /// Returns the deletions of the rows on a page that were last written [`MAX_ROW_AGE`] ago or
+    /// earlier. A row that is written again in the meantime is kept.
+    pub fn deletions(&self, part: &'static str, page: &RowPage, now: Moment) -> Vec<RowChange> {
+        let is_old = |mark: &&Mark| mark.era == page.era && mark.is_old(now);
+        let Some(oldest) = self.marks.iter().rfind(is_old) else {
+            return Vec::new();
+        };
+        let old = page.rows.iter().filter(|row| row.version <= oldest.version);
+        let deletion = |row: &Row| RowChange {
+            table: Table::Origins,
+            part,
+            key: row.key.clone(),
+            expected_version: Some(row.version),
+            value: None,
+        };
+        old.map(deletion).collect()
+    }
+}
+
+impl Mark {
+    fn is_old(&self, now: Moment) -> bool {
+        now.saturating_sub(self.at) >= MAX_ROW_AGE
+    }
+}
+
 /// Deletes old rows while streams have rows; one host does so for all.
 pub async fn sweep(edge: Rc<Edge>) {
-    let mut eras = edge.store.eras();
-    // Newest versions of the store at earlier times.
-    let mut marks: VecDeque<(Moment, u64)> = VecDeque::new();
+    let mut marks = SweepMarks::default();
     let mut empty_sweeps = 0;
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
-        if eras.has_changed().unwrap_or(false) {
-            eras.mark_unchanged();
-            marks.clear();
-        }
         if edge.may_have_rows() {
             empty_sweeps = 0;
         }
         if !edge.is_allocator() || empty_sweeps >= IDLE_SWEEPS {
             continue;
         }
-        let now = clock::now();
-        let is_old = |(at, _): &&(Moment, u64)| now.saturating_sub(*at) >= MAX_ROW_AGE;
-        let oldest = marks.iter().rfind(is_old).map(|(_, v)| *v);
-        match sweep_parts(&edge, oldest.unwrap_or(0)).await {
-            Ok(swept) => {
-                empty_sweeps = match swept.rows {
-                    0 => empty_sweeps + 1,
-                    _ => 0,
-                };
-                marks.push_back((now, swept.version));
-                marks.retain(|mark| Some(mark.1) >= oldest);
-            }
+        match sweep_parts(&edge, &mut marks).await {
+            Ok(0) => empty_sweeps += 1,
+            Ok(_) => empty_sweeps = 0,
             Err(error) => log::info!(error:%; "old rows of streams not deleted"),
         }
     }
 }
 
-/// What a sweep has found.
-#[derive(Clone, Copy, Debug, Default)]
-struct Swept {
-    /// Rows that there were.
-    rows: usize,
-    /// Version of the store when it began.
-    version: u64,
-}
-
-/// Deletes the rows of all parts that were last written at `oldest` or before.
-async fn sweep_parts(edge: &Edge, oldest: u64) -> Result<Swept, StoreError> {
-    let mut swept = Swept::default();
+/// Deletes the old rows of all parts; returns how many rows there were.
+async fn sweep_parts(edge: &Edge, marks: &mut SweepMarks) -> Result<usize, StoreError> {
+    let now = clock::now();
+    let mut count = 0;
+    let mut first = None;
     for part in PARTS {
         let page = edge.store.read_part(Table::Origins, part).await?;
-        if swept.version == 0 {
-            swept.version = page.version;
+        first.get_or_insert((page.era, page.version));
+        count += page.rows.len();
+        for batch in marks.deletions(part, &page, now).chunks(MAX_DELETIONS) {
+            if let CommitOutcome::Conflict(_) = edge.store.commit(batch).await? {
+                log::info!(part; "rows of streams kept: one was written again");
+            }
         }
-        swept.rows += page.rows.len();
-        delete_rows(edge, part, &page, oldest).await?;
     }
-    Ok(swept)
-}
-
-async fn delete_rows(
-    edge: &Edge,
-    part: &'static str,
-    page: &RowPage,
-    oldest: u64,
-) -> Result<(), StoreError> {
-    let old = page.rows.iter().filter(|row| row.version <= oldest);
-    let changes: Vec<_> = old
-        .map(|row| RowChange {
-            table: Table::Origins,
-            part,
-            key: row.key.clone(),
-            expected_version: None,
-            value: None,
-        })
-        .collect();
-    for batch in changes.chunks(MAX_DELETIONS) {
-        edge.store.commit(batch).await?;
+    if let Some((era, version)) = first {
+        marks.record(era, version, now);
     }
-    Ok(())
+    Ok(count)
 }
 
 impl Edge {
--- a/tests/edge/origins.rs
+++ b/tests/edge/origins.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use mastichinge::edge::origins::{
-    Allowed, Base, RecordState, RowNeed, ServiceVersions, StreamId, Streams,
+    Allowed, Base, RecordState, RowNeed, ServiceVersions, StreamId, Streams, SweepMarks,
 };
+use mastichinge::edge::store::{Row, RowPage};
 
 const SERVICE: &str = "assist";
 
@@ -184,3 +185,49 @@
     assert!(streams.take_due(|_| true, 40_000).len() <= 16_384);
     assert_eq!(settle(&mut streams, "39999", "v2"), RecordState::Unsure);
 }
+
+/// A page with a row of each of these versions.
+fn page(era: u64, versions: &[u64]) -> RowPage {
+    let row = |version: &u64| Row {
+        key: format!("{version:032}").into(),
+        version: *version,
+        value: Some(Vec::new()),
+        deleted: false,
+        unnamed_part: false,
+    };
+    RowPage {
+        era,
+        version: 100,
+        rows: versions.iter().map(row).collect(),
+        ..RowPage::default()
+    }
+}
+
+fn deleted(marks: &SweepMarks, page: &RowPage, now: Duration) -> Vec<Option<u64>> {
+    let deletions = marks.deletions("0", page, now);
+    deletions.iter().map(|row| row.expected_version).collect()
+}
+
+#[test]
+fn a_row_is_deleted_two_minutes_after_it_was_written_unless_it_is_written_again() {
+    let mut marks = SweepMarks::default();
+    let page = page(1, &[5, 10, 11, 20, 21]);
+    assert_eq!(deleted(&marks, &page, at(0)), []);
+    marks.record(1, 10, at(0));
+    marks.record(1, 20, at(60));
+    assert_eq!(deleted(&marks, &page, at(119)), []);
+    assert_eq!(deleted(&marks, &page, at(120)), [Some(5), Some(10)]);
+    marks.record(1, 30, at(120));
+    let both = [Some(5), Some(10), Some(11), Some(20)];
+    assert_eq!(deleted(&marks, &page, at(180)), both);
+}
+
+#[test]
+fn rows_of_a_new_era_are_not_old_by_versions_of_the_era_before() {
+    let mut marks = SweepMarks::default();
+    marks.record(1, 50, at(0));
+    assert_eq!(deleted(&marks, &page(2, &[5]), at(180)), []);
+    marks.record(2, 3, at(180));
+    assert_eq!(deleted(&marks, &page(2, &[2, 5]), at(299)), []);
+    assert_eq!(deleted(&marks, &page(2, &[2, 5]), at(300)), [Some(2)]);
+}
