Hold messages that crash engines, in whatever conversation (own interface)

Cause: crash reports knew whole requests only.

Change: messages get fingerprints and crash reports of their own, unless an engine has answered them before; a daemon that knows an answered message takes reports of others back. After three reports, requests with the message are held but for trials with doubling delays; an answered one releases its messages. Reports travel in the message that there is.

--- a/src/control/crash_reports.rs
+++ b/src/control/crash_reports.rs
@@ -47,7 +47,13 @@
 
     /// Merges a crash report of a peer and acknowledges it.
     pub(super) fn handle_crash_report(&mut self, from: &Name, report: &CrashReport, now: Moment) {
-        self.lock_suspects().merge(report, now);
+        let mut suspects = self.lock_suspects();
+        suspects.merge(report, now);
+        let release = suspects.refute(report, now);
+        drop(suspects);
+        if let Some(release) = release {
+            self.broadcast_crash_report(release);
+        }
         if !report.released {
             self.acknowledge_crash(from, report.fingerprint.as_str().into());
         }
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -134,8 +134,8 @@
         /// Notified once no daemon runs the request any more.
         settled: Sender<()>,
     },
-    /// This daemon cleared the crash reports of a request.
-    CrashCleared(CrashReport),
+    /// A crash report of this daemon, or a release, that all peers are to know.
+    CrashReportShared(CrashReport),
     /// The last request with a fingerprint whose end other daemons wait for ended
     /// here.
     InFlightEnded(Fingerprint),
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -12,7 +12,7 @@
 use crate::error::{Kind, Refusal};
 use crate::operators::keys::hash_key;
 use crate::router::{RoutingRequest, Slot};
-use crate::suspects::{Fingerprint, InFlightRequests, RunPolicy, Suspects};
+use crate::suspects::{Fingerprint, InFlightRequests, RequestFingerprints, RunDecision, Suspects};
 
 use super::event::WaitingRequest;
 use super::{ControlView, Event};
@@ -77,13 +77,13 @@
     }
 
     /// Returns how the next attempt of a request may run.
-    pub fn run_policy(&self, fingerprint: &Fingerprint) -> RunPolicy {
-        self.lock_suspects().run_policy(fingerprint)
+    pub fn decide(&self, fingerprints: &RequestFingerprints) -> RunDecision {
+        self.lock_suspects().decide(fingerprints, self.clock.now())
     }
 
     /// Marks a request as in flight before it is sent to an engine.
     ///
-    /// The caller must check [`ControlHandle::run_policy`] after this call: a crash
+    /// The caller must check [`ControlHandle::decide`] after this call: a crash
     /// report that arrives later is then acknowledged only once the request ends.
     pub fn begin_in_flight(&self, fingerprint: &Fingerprint) -> InFlightGuard<'_> {
         self.in_flight.begin(fingerprint);
@@ -98,24 +98,28 @@
     /// the request any more and all their crash reports are recorded here.
     pub fn report_crash(
         &self,
-        fingerprint: &Fingerprint,
+        fingerprints: &RequestFingerprints,
         model: &Name,
         instance: &Name,
     ) -> Receiver<()> {
         let now = self.clock.now();
-        let report = self
-            .lock_suspects()
-            .report_crash(fingerprint, model, instance, now);
+        let (messages, report) =
+            self.lock_suspects()
+                .report_request_crash(fingerprints, model, instance, now);
+        for message in messages {
+            let _ = self.events.send(Event::CrashReportShared(message));
+        }
         let (settled, settled_receiver) = bounded(1);
         let _ = self.events.send(Event::CrashReported { report, settled });
         settled_receiver
     }
 
-    /// Clears the crash reports of a request that completed.
-    pub fn clear_crash_reports(&self, fingerprint: &Fingerprint) {
-        let report = self.lock_suspects().release(fingerprint, self.clock.now());
-        if let Some(report) = report {
-            let _ = self.events.send(Event::CrashCleared(report));
+    /// Records that an engine has answered a request, and clears its crash reports.
+    pub fn record_answered(&self, fingerprints: &RequestFingerprints) {
+        let now = self.clock.now();
+        let releases = self.lock_suspects().record_answered(fingerprints, now);
+        for release in releases {
+            let _ = self.events.send(Event::CrashReportShared(release));
         }
     }
 
--- a/src/http/openai.rs
+++ b/src/http/openai.rs
@@ -7,7 +7,7 @@
 use crate::config::Name;
 use crate::error::{Kind, Refusal};
 use crate::router::PromptPrefix;
-use crate::suspects::{Fingerprint, fingerprint};
+use crate::suspects::RequestFingerprints;
 
 /// Maximum length of a model name, bytes.
 const MAX_MODEL_NAME_BYTES: usize = 256;
@@ -60,8 +60,8 @@
     pub include_usage: bool,
     /// Prefix of the prompt, for routing.
     pub prefix: PromptPrefix,
-    /// Fingerprint of model and body.
-    pub fingerprint: Fingerprint,
+    /// Fingerprints of model and body, and of the messages.
+    pub fingerprints: RequestFingerprints,
     body: Value,
 }
 
@@ -88,12 +88,12 @@
             return Err(bad_request("n must be 1"));
         }
         check_prompt(endpoint, body)?;
-        let fingerprint = fingerprint(&model, &value);
-        let prompt = body[endpoint.prompt_field()].to_string();
+        let prompt = &body[endpoint.prompt_field()];
+        let fingerprints = RequestFingerprints::new(&model, &value, prompt);
         Ok(CompletionRequest {
-            prefix: PromptPrefix::new(&model, &prompt),
+            prefix: PromptPrefix::new(&model, &prompt.to_string()),
             endpoint,
-            fingerprint,
+            fingerprints,
             model,
             stream,
             include_usage,
--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -13,7 +13,7 @@
 use crate::outside::{CallOptions, Chunk, ChunkStream, Engine, EngineError};
 use crate::peer::wire::weights_fingerprint;
 use crate::router::{RouteDecision, Router, RoutingRequest, Slot};
-use crate::suspects;
+use crate::suspects::RunDecision;
 
 use super::openai::{ChunkKind, CompletionRequest, chunk_kind};
 use super::request::RequestContext;
@@ -158,8 +158,7 @@
         refused_end(last_refusal.retry_after(RETRY_AFTER), state)
     }
 
-    /// Acquires a slot for the next attempt; waits for a model load if needed.
-    /// Acquires a slot; an answer that has begun goes on only at the version of the weights that
+    /// Acquires a slot for the next attempt; an answer that has begun goes on only at the version of the weights that
     /// began it.
     fn acquire_matching_slot(
         &self,
@@ -190,6 +189,7 @@
         }
     }
 
+    /// Acquires a slot; waits for a model load if needed.
     fn acquire_slot(
         &self,
         completion: &CompletionRequest,
@@ -210,17 +210,22 @@
             deadline: self.slot_deadline(context, state),
             avoid: state.avoid.clone(),
         };
-        match self.control.run_policy(&completion.fingerprint) {
-            suspects::RunPolicy::Unrestricted => {}
-            suspects::RunPolicy::TrialOnly => {
-                self.wait_for_copies(&routing, state);
-                if self.control.run_policy(&completion.fingerprint) == suspects::RunPolicy::Held {
-                    return Err(quarantined(completion));
-                }
+        if matches!(
+            self.control.decide(&completion.fingerprints),
+            RunDecision::Trial(_)
+        ) {
+            self.wait_for_copies(&routing, state);
+        }
+        match self.control.decide(&completion.fingerprints) {
+            RunDecision::Unrestricted => {}
+            RunDecision::Trial(suspect) => {
                 state.is_trial = true;
-                return self.request_slot(context, routing, Some(completion.fingerprint.clone()));
+                return self.request_slot(context, routing, Some(suspect));
             }
-            suspects::RunPolicy::Held => return Err(quarantined(completion)),
+            RunDecision::Held {
+                fingerprint,
+                trial_in,
+            } => return Err(quarantined(&fingerprint, trial_in)),
         }
         let max_queued = config.policy.queue as usize;
         match self.router.acquire(&routing, max_queued) {
@@ -306,10 +311,10 @@
             let detail = format!("engine {} is not configured", slot.engine);
             return AttemptResult::Retry(Refusal::new(Kind::UpstreamFailed, detail));
         };
-        let _in_flight = self.control.begin_in_flight(&completion.fingerprint);
-        if !state.is_trial
-            && self.control.run_policy(&completion.fingerprint) != suspects::RunPolicy::Unrestricted
-        {
+        let fingerprints = &completion.fingerprints;
+        let _in_flight = self.control.begin_in_flight(&fingerprints.request);
+        let decision = self.control.decide(fingerprints);
+        if !state.is_trial && decision != RunDecision::Unrestricted {
             let detail = "the request became a suspect";
             return AttemptResult::Retry(Refusal::new(Kind::UpstreamFailed, detail));
         }
@@ -365,7 +370,7 @@
             let data = match chunks.next() {
                 Ok(Chunk::Data(data)) => data,
                 Ok(Chunk::Done) => {
-                    self.control.clear_crash_reports(&completion.fingerprint);
+                    self.control.record_answered(&completion.fingerprints);
                     return AttemptResult::Finished(CompletionEnd::Complete);
                 }
                 Err(e) => return self.handle_failure(completion, context, state, slot, &e),
@@ -411,7 +416,7 @@
             EngineError::ConnectionLost(_) => {
                 state.crashes += 1;
                 let copies_ended = self.control.report_crash(
-                    &completion.fingerprint,
+                    &completion.fingerprints,
                     &completion.model,
                     &slot.instance,
                 );
@@ -431,9 +436,12 @@
     }
 }
 
-fn quarantined(completion: &CompletionRequest) -> Refusal {
-    let detail = format!("fingerprint {}", completion.fingerprint);
-    Refusal::new(Kind::Quarantined, detail)
+fn quarantined(fingerprint: &str, trial_in: Option<Duration>) -> Refusal {
+    let refusal = Refusal::new(Kind::Quarantined, format!("fingerprint {fingerprint}"));
+    match trial_in {
+        Some(wait) => refusal.retry_after(wait),
+        None => refusal,
+    }
 }
 
 fn deadline_expired(completion: &CompletionRequest) -> Refusal {
--- a/src/suspects/fingerprint.rs
+++ b/src/suspects/fingerprint.rs
@@ -9,9 +9,41 @@
 /// Fingerprint of a request: SHA-256 of model and canonical body, hex.
 pub type Fingerprint = Arc<str>;
 
+/// Prefix of the fingerprints of messages.
+pub(super) const MESSAGE_PREFIX: &str = "message-";
+/// Number of messages of a request that get fingerprints, the last ones.
+const MAX_MESSAGES: usize = 64;
 /// Fields that change how the answer is delivered, not what the engine runs.
 const DELIVERY_FIELDS: [&str; 3] = ["stream", "stream_options", "user"];
 
+/// Fingerprints of a request, and of what it may have in common with others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestFingerprints {
+    /// Of the whole request.
+    pub request: Fingerprint,
+    /// Of each message of its prompt.
+    pub messages: Vec<Fingerprint>,
+}
+
+impl RequestFingerprints {
+    /// Returns the fingerprints of a request with this prompt: a list of messages or a text.
+    pub fn new(model: &str, body: &Value, prompt: &Value) -> Self {
+        let messages = match prompt {
+            Value::Array(messages) => messages.as_slice(),
+            text => std::slice::from_ref(text),
+        };
+        let last = &messages[messages.len().saturating_sub(MAX_MESSAGES)..];
+        let messages = last.iter().map(|message| {
+            let fingerprint = fingerprint(model, message);
+            format!("{MESSAGE_PREFIX}{fingerprint}").into()
+        });
+        RequestFingerprints {
+            request: fingerprint(model, body),
+            messages: messages.collect(),
+        }
+    }
+}
+
 /// Returns the fingerprint of a request. The order of fields, white space and
 /// fields that only concern delivery do not change it.
 pub fn fingerprint(model: &str, body: &Value) -> Fingerprint {
--- a/src/suspects/mod.rs
+++ b/src/suspects/mod.rs
@@ -3,9 +3,16 @@
 //! Every request in progress at an engine that crashes gets a crash report for
 //! that engine instance. After one report the next attempt runs as a trial,
 //! apart from other suspects; after two the request is held until an operator
-//! releases it. Reports and releases are sets that only grow, so that messages
+//! releases it.
+//!
+//! Its messages get crash reports too, unless an engine has answered them before:
+//! other requests may have the message on which the engine crashed. After three, requests
+//! with the message are held but for trials, until an engine answers one.
+//!
+//! Reports and releases are sets that only grow, so that messages
 //! merge to the same state in any order and any number of times.
 
+mod answered;
 mod fingerprint;
 mod in_flight;
 mod trials;
@@ -17,12 +24,21 @@
 use crate::config::Name;
 use crate::peer::wire::CrashReport;
 
-pub use fingerprint::{Fingerprint, fingerprint};
+use answered::AnsweredMessages;
+use fingerprint::MESSAGE_PREFIX;
+pub use fingerprint::{Fingerprint, RequestFingerprints, fingerprint};
 pub use in_flight::InFlightRequests;
 pub use trials::{Trial, TrialCandidate, TrialRequest, Trials};
 
 /// Number of crash reports after which a request is held.
 pub const HOLD_AFTER_CRASHES: usize = 2;
+/// Number of crash reports after which requests with a message are held; a single request has at
+/// most [`HOLD_AFTER_CRASHES`].
+pub const HOLD_MESSAGE_AFTER_CRASHES: usize = 3;
+/// Time from the crash report that holds a message to its trial; doubles with each further one.
+const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(10);
+/// Longest time to the next trial of a held message.
+const MAX_TRIAL_DELAY: Duration = Duration::from_secs(3_600);
 
 /// Limits of the recorded crash reports.
 #[derive(Clone, Copy, Debug)]
@@ -60,6 +76,22 @@
     Held,
 }
 
+/// How the next attempt of a request may run, given all its fingerprints.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunDecision {
+    /// It may run like any other.
+    Unrestricted,
+    /// It may run as a trial of this fingerprint.
+    Trial(Fingerprint),
+    /// It may not run.
+    Held {
+        /// Fingerprint that is held.
+        fingerprint: Fingerprint,
+        /// Time until a trial is allowed; `None` if only an operator can release it.
+        trial_in: Option<Duration>,
+    },
+}
+
 /// Held request, as shown to operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HeldRequest {
@@ -73,8 +105,25 @@
     pub updated: Moment,
 }
 
+/// What a fingerprint stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SuspectKind {
+    Request,
+    Message,
+}
+
+impl SuspectKind {
+    fn of(fingerprint: &str) -> Self {
+        match fingerprint.starts_with(MESSAGE_PREFIX) {
+            true => SuspectKind::Message,
+            false => SuspectKind::Request,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Suspect {
+    kind: SuspectKind,
     model: Name,
     crashed: BTreeSet<Name>,
     released: BTreeSet<Name>,
@@ -111,12 +160,25 @@
     }
 
     fn run_policy(&self) -> RunPolicy {
-        match self.crashes().count() {
-            0 => RunPolicy::Unrestricted,
-            n if n < HOLD_AFTER_CRASHES => RunPolicy::TrialOnly,
+        match (self.kind, self.crashes().count()) {
+            (_, 0) => RunPolicy::Unrestricted,
+            (SuspectKind::Request, n) if n < HOLD_AFTER_CRASHES => RunPolicy::TrialOnly,
+            (SuspectKind::Message, n) if n < HOLD_MESSAGE_AFTER_CRASHES => RunPolicy::Unrestricted,
             _ => RunPolicy::Held,
         }
     }
+
+    /// Returns the time until a trial of a held message is allowed.
+    fn trial_in(&self, now: Moment) -> Duration {
+        let further = self
+            .crashes()
+            .count()
+            .saturating_sub(HOLD_MESSAGE_AFTER_CRASHES);
+        let factor = 2_u32.saturating_pow(u32::try_from(further).unwrap_or(u32::MAX));
+        let delay = FIRST_TRIAL_DELAY.saturating_mul(factor);
+        let trial_at = self.updated + delay.min(MAX_TRIAL_DELAY);
+        trial_at.saturating_sub(now)
+    }
 }
 
 /// Crash reports of all requests that this daemon knows.
@@ -124,6 +186,7 @@
 pub struct Suspects {
     settings: SuspectSettings,
     suspects: BTreeMap<Fingerprint, Suspect>,
+    answered: AnsweredMessages,
 }
 
 impl Suspects {
@@ -131,11 +194,85 @@
     pub fn new(settings: SuspectSettings) -> Self {
         Suspects {
             settings,
-            suspects: BTreeMap::new(),
+            ..Suspects::default()
         }
     }
 
     /// Returns how the next attempt of a request may run.
+    pub fn decide(&self, fingerprints: &RequestFingerprints, now: Moment) -> RunDecision {
+        let request = &fingerprints.request;
+        let policy = self.run_policy(request);
+        if policy == RunPolicy::Held {
+            return RunDecision::Held {
+                fingerprint: request.clone(),
+                trial_in: None,
+            };
+        }
+        let suspects = fingerprints.messages.iter().filter_map(|message| {
+            let suspect = self.suspects.get(message)?;
+            (suspect.run_policy() == RunPolicy::Held).then(|| (suspect.trial_in(now), message))
+        });
+        if let Some((wait, message)) = suspects.max() {
+            let fingerprint = message.clone();
+            return match wait.is_zero() {
+                true => RunDecision::Trial(fingerprint),
+                false => RunDecision::Held {
+                    fingerprint,
+                    trial_in: Some(wait),
+                },
+            };
+        }
+        match policy {
+            RunPolicy::TrialOnly => RunDecision::Trial(request.clone()),
+            _ => RunDecision::Unrestricted,
+        }
+    }
+
+    /// Records that `instance` crashed while it ran a request; returns the reports for all
+    /// peers, that of the whole request last.
+    pub fn report_request_crash(
+        &mut self,
+        fingerprints: &RequestFingerprints,
+        model: &str,
+        instance: &str,
+        now: Moment,
+    ) -> (Vec<CrashReport>, CrashReport) {
+        let mut messages = Vec::new();
+        for message in &fingerprints.messages {
+            if self.answered.contains(message) {
+                continue;
+            }
+            messages.push(self.report_crash(message, model, instance, now));
+        }
+        let request = self.report_crash(&fingerprints.request, model, instance, now);
+        (messages, request)
+    }
+
+    /// Records that an engine has answered a request; returns the releases for all peers.
+    pub fn record_answered(
+        &mut self,
+        fingerprints: &RequestFingerprints,
+        now: Moment,
+    ) -> Vec<CrashReport> {
+        let mut releases = Vec::new();
+        releases.extend(self.release(&fingerprints.request, now));
+        for message in &fingerprints.messages {
+            releases.extend(self.release(message, now));
+            self.answered.record(message);
+        }
+        releases
+    }
+
+    /// Returns the release for all peers if a report is of a message that an engine has
+    /// answered.
+    pub fn refute(&mut self, report: &CrashReport, now: Moment) -> Option<CrashReport> {
+        if report.released || !self.answered.contains(&report.fingerprint) {
+            return None;
+        }
+        self.release(&report.fingerprint, now)
+    }
+
+    /// Returns how the next attempt of a request may run by this fingerprint alone.
     pub fn run_policy(&self, fingerprint: &str) -> RunPolicy {
         let suspect = self.suspects.get(fingerprint);
         suspect.map_or(RunPolicy::Unrestricted, Suspect::run_policy)
@@ -166,7 +303,9 @@
         if !self.suspects.contains_key(&fingerprint) {
             self.evict_oldest();
         }
+        let kind = SuspectKind::of(&fingerprint);
         let suspect = self.suspects.entry(fingerprint).or_insert_with(|| Suspect {
+            kind,
             model: report.model.as_str().into(),
             crashed: BTreeSet::new(),
             released: BTreeSet::new(),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -451,3 +451,34 @@
     }
     assert!(crashes <= MAX_CRASHES, "{crashes} engines crashed");
 }
+
+/// Guards against conversations that are held because they share a message with others on which
+/// engines crash, though engines answer it.
+#[test]
+fn conversations_with_a_sound_message_are_served_beside_some_that_crash_engines() {
+    let env = start(SiteSettings {
+        replica_limit: 4,
+        ..SiteSettings::default()
+    });
+    let conversation = |question: String| {
+        json!([
+            {"role": "system", "content": "be brief"},
+            {"role": "user", "content": question},
+        ])
+    };
+    let first = env.send_conversation(0, "m1", &conversation("hello".to_owned()));
+    assert!(first.complete, "{first:?}");
+    for n in 0..6 {
+        let bad = conversation(format!("please {CRASH_TEXT} now"));
+        let mut messages = bad.as_array().cloned().expect("messages");
+        messages.push(json!({"role": "user", "content": format!("question {n}")}));
+        let reply = env.send_conversation(n % 5, "m1", &messages.into());
+        assert!(!reply.complete, "{reply:?}");
+        for engine in env.site.engines.iter().filter(|e| is_down(e)) {
+            engine.restart().expect("the engine starts again");
+        }
+        let sound = conversation(format!("honest question {n}"));
+        let reply = env.send_conversation((n + 1) % 5, "m1", &sound);
+        assert!(reply.complete, "{reply:?}");
+    }
+}
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -5,9 +5,11 @@
 use mastichinge::clock::Moment;
 use mastichinge::peer::wire::CrashReport;
 use mastichinge::suspects::{
-    Fingerprint, RunPolicy, SuspectSettings, Suspects, Trial, TrialCandidate, TrialRequest, Trials,
+    Fingerprint, RequestFingerprints, RunDecision, RunPolicy, SuspectSettings, Suspects, Trial,
+    TrialCandidate, TrialRequest, Trials,
 };
 use proptest::prelude::*;
+use serde_json::json;
 
 const NOW: Moment = Moment::from_secs(10);
 
@@ -115,6 +117,117 @@
     assert_eq!(suspects.run_policy("two"), RunPolicy::Held);
 }
 
+/// A request whose prompt has these messages.
+fn request(messages: &[&str]) -> RequestFingerprints {
+    let prompt = json!(messages);
+    RequestFingerprints::new("m", &json!({ "messages": prompt }), &prompt)
+}
+
+fn crash(
+    suspects: &mut Suspects,
+    request: &RequestFingerprints,
+    instance: &str,
+) -> Vec<CrashReport> {
+    let (messages, whole) = suspects.report_request_crash(request, "m", instance, NOW);
+    messages.into_iter().chain([whole]).collect()
+}
+
+/// Crashes three engines with requests that share these messages.
+fn hold(suspects: &mut Suspects, shared: &[&str]) {
+    for n in ["1", "2", "3"] {
+        let request = request(&[shared, &[n]].concat());
+        crash(suspects, &request, n);
+    }
+}
+
+#[test]
+fn requests_with_a_message_are_held_after_three_crashes_but_for_trials() {
+    let mut suspects = Suspects::default();
+    let other = request(&["bad", "other"]);
+    crash(&mut suspects, &request(&["bad", "one"]), "i1");
+    crash(&mut suspects, &request(&["bad", "one"]), "i2");
+    assert_eq!(suspects.decide(&other, NOW), RunDecision::Unrestricted);
+    crash(&mut suspects, &request(&["bad", "two"]), "i3");
+    let bad = other.messages[0].clone();
+    let held = |seconds| RunDecision::Held {
+        fingerprint: bad.clone(),
+        trial_in: Some(Duration::from_secs(seconds)),
+    };
+    assert_eq!(suspects.decide(&other, NOW), held(10));
+    assert_eq!(
+        suspects.decide(&request(&["other"]), NOW),
+        RunDecision::Unrestricted
+    );
+    let trial_at = NOW + Duration::from_secs(10);
+    assert_eq!(
+        suspects.decide(&other, trial_at),
+        RunDecision::Trial(bad.clone())
+    );
+    suspects.report_request_crash(&other, "m", "i4", trial_at);
+    assert_eq!(suspects.decide(&other, trial_at), held(20));
+    let whole = request(&["bad", "one"]);
+    let decision = RunDecision::Held {
+        fingerprint: whole.request.clone(),
+        trial_in: None,
+    };
+    assert_eq!(suspects.decide(&whole, NOW), decision);
+    assert_eq!(suspects.held_requests().len(), 2);
+}
+
+#[test]
+fn messages_are_released_when_an_engine_answers_a_request_with_them() {
+    let mut suspects = Suspects::default();
+    hold(&mut suspects, &["brief", "bad"]);
+    let sound = request(&["brief", "hello"]);
+    let trial_at = NOW + Duration::from_secs(10);
+    assert!(matches!(
+        suspects.decide(&sound, trial_at),
+        RunDecision::Trial(_)
+    ));
+    let releases = suspects.record_answered(&sound, trial_at);
+    assert_eq!(releases.len(), 1, "{releases:?}");
+    assert_eq!(suspects.decide(&sound, trial_at), RunDecision::Unrestricted);
+    let decision = suspects.decide(&request(&["brief", "bad", "4"]), NOW);
+    assert!(matches!(decision, RunDecision::Held { .. }), "{decision:?}");
+}
+
+#[test]
+fn messages_that_engines_have_answered_before_get_no_crash_reports() {
+    let (mut here, mut there) = (Suspects::default(), Suspects::default());
+    let sound = request(&["brief", "hello"]);
+    assert!(here.record_answered(&sound, NOW).is_empty());
+    hold(&mut here, &["brief", "bad"]);
+    assert_eq!(here.decide(&sound, NOW), RunDecision::Unrestricted);
+    let mut refuted = Vec::new();
+    for n in ["1", "2", "3"] {
+        for report in crash(&mut there, &request(&["brief", n]), n) {
+            here.merge(&report, NOW);
+            refuted.extend(here.refute(&report, NOW));
+        }
+    }
+    assert_eq!(here.decide(&sound, NOW), RunDecision::Unrestricted);
+    assert!(matches!(
+        there.decide(&sound, NOW),
+        RunDecision::Held { .. }
+    ));
+    for release in &refuted {
+        there.merge(release, NOW);
+    }
+    assert_eq!(there.decide(&sound, NOW), RunDecision::Unrestricted);
+}
+
+#[test]
+fn the_order_of_fields_in_a_message_does_not_change_its_fingerprint() {
+    let one = json!([{"role": "user", "content": "a"}]);
+    let other = json!([{"content": "a", "role": "user"}]);
+    let (one, other) = (
+        RequestFingerprints::new("m", &json!({}), &one),
+        RequestFingerprints::new("m", &json!({}), &other),
+    );
+    assert_eq!(one, other);
+    assert_eq!(request(&["x"; 100]).messages.len(), 64);
+}
+
 fn reports() -> impl Strategy<Value = Vec<CrashReport>> {
     let one = (0..3u8, prop::collection::vec(0..5u8, 0..4), any::<bool>());
     let report = one.prop_map(|(fingerprint, instances, released)| CrashReport {
