Do not run a trial that was granted before its request became held

Cause: a suspect's trial was checked before its slot was asked for, not before it ran. Trials of one request that waited at the pool's owner were granted one after the other: each crashed an engine, though the request was held after the second.

Change: before an attempt runs, trials are checked like others.

--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -313,10 +313,19 @@
         };
         let fingerprints = &completion.fingerprints;
         let _in_flight = self.control.begin_in_flight(&fingerprints.request);
-        let decision = self.control.decide(fingerprints);
-        if !state.is_trial && decision != RunDecision::Unrestricted {
-            let detail = "the request became a suspect";
-            return AttemptResult::Retry(Refusal::new(Kind::UpstreamFailed, detail));
+        match self.control.decide(fingerprints) {
+            RunDecision::Trial(_) if !state.is_trial => {
+                let detail = "the request became a suspect";
+                return AttemptResult::Retry(Refusal::new(Kind::UpstreamFailed, detail));
+            }
+            RunDecision::Held {
+                fingerprint,
+                trial_in,
+            } => {
+                let refusal = quarantined(&fingerprint, trial_in);
+                return AttemptResult::Finished(refused_end(refusal, state));
+            }
+            RunDecision::Trial(_) | RunDecision::Unrestricted => {}
         }
         let body = completion.upstream_body(state.sent_tokens, context.priority);
         let chunks = self.engine.stream(&call, completion.endpoint.path(), &body);
