Do not unload under streams of hosts that a new owner has no link to

Cause: an owner waits for the requests of hosts that depart, as they may have lost only their links. It noticed departures by the usage that hosts had reported to it. A host that was absent when the pool was claimed, or departed before it had reported usage, was never noticed: the new owner unloaded what looked idle, and cut that host's streams.

Change: departures are those of all hosts that are known at the claim and of all that were present, whether they reported usage or not.

Test: a_new_owner_does_not_unload_while_an_absent_host_may_have_requests failed before (1 unload of an engine with a request) and passes.

--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -155,7 +155,8 @@
         }
         log::info!("claimed pool {name} in epoch {}", claimed.epoch);
         let prefix = format!("{}-{:x}", self.identity.host, self.identity.incarnation);
-        let pool = Pool::new(name, claimed, &prefix, &self.config);
+        let mut pool = Pool::new(name, claimed, &prefix, &self.config);
+        pool.record_known_hosts(self.members.known_hosts().cloned());
         self.pools
             .insert(name.clone(), PoolOwnership::Owned(Box::new(pool)));
         self.send_waiting(name, now);
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -435,8 +435,7 @@
 
     /// Performs everything that is due at `ctx.now`.
     pub fn tick(&mut self, ctx: &Context<'_>, out: &mut Vec<Action>) {
-        self.hosts = ctx.hosts.to_vec();
-        self.record_departures(ctx.now);
+        self.update_hosts(ctx.hosts, ctx.now);
         self.trials.expire(ctx.now);
         for state in self.engines.values_mut() {
             state.set_learned_at(ctx.now);
--- a/src/pool/usage.rs
+++ b/src/pool/usage.rs
@@ -61,14 +61,18 @@
         self.update_idle_since(now);
     }
 
-    /// Records the daemons that are no longer present; their requests may continue for a while.
-    pub(super) fn record_departures(&mut self, now: Moment) {
-        for host in self.usage.keys() {
-            if !self.hosts.contains(host) {
-                self.departed.insert(host.clone(), now);
+    /// Records hosts that may have requests at engines since before the claim, present or not.
+    pub fn record_known_hosts(&mut self, hosts: impl IntoIterator<Item = Name>) {
+        self.hosts.extend(hosts);
+    }
+
+    /// Records the hosts that are present; the requests of others may continue for a while.
+    pub(super) fn update_hosts(&mut self, hosts: &[Name], now: Moment) {
+        for host in std::mem::replace(&mut self.hosts, hosts.to_vec()) {
+            if !hosts.contains(&host) {
+                self.departed.insert(host, now);
             }
         }
-        let hosts = &self.hosts;
         self.usage.retain(|host, _| hosts.contains(host));
         self.departed
             .retain(|host, at| !hosts.contains(host) && now.saturating_sub(*at) < DEPARTURE_GRACE);
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -201,3 +201,30 @@
     assert_eq!(world.handovers, 1);
     assert!(world.engine_pins(1).pins[&name].doubt);
 }
+
+/// Guards against unloads that cut the streams of a host that the new owner has never had a link
+/// to.
+#[test]
+fn a_new_owner_does_not_unload_while_an_absent_host_may_have_requests() {
+    let mut world = world_with_pinned_models();
+    world.enqueue(0, 0, None);
+    while world.loaded_engine().is_none() {
+        world.deliver_order(0);
+        world.deliver_outcome(0);
+        world.tick(0, 1);
+    }
+    let engine = world.loaded_engine().unwrap();
+    world.kill(0);
+    world.set_running(engine, 1);
+    world.claim(1);
+    for _ in 0..8 {
+        world.run_round(1);
+    }
+    assert_eq!(world.cuts(), 0);
+    assert_eq!(world.loaded_engine(), Some(engine));
+    world.set_running(engine, 0);
+    for _ in 0..8 {
+        world.run_round(1);
+    }
+    assert_eq!(world.loaded_engine(), None);
+}
--- a/tests/pool/world.rs
+++ b/tests/pool/world.rs
@@ -61,12 +61,19 @@
     config
 }
 
+/// A host that is known and has no link to the owner.
+const ABSENT_HOST: &str = "away";
+
 /// State of a simulated engine.
 #[derive(Debug, Default)]
 struct FakeEngine {
     instance: u64,
     token: u64,
     loaded: BTreeSet<Name>,
+    /// Requests of a host that is absent.
+    running: u32,
+    /// Unloads while it had requests.
+    cuts: u32,
 }
 
 impl FakeEngine {
@@ -81,6 +88,7 @@
             instance: format!("i{}", self.instance).into(),
             token: self.token,
             residents: residents.collect(),
+            running: self.running,
             ..Report::default()
         }
     }
@@ -102,6 +110,7 @@
                 self.loaded.insert(order.model.clone());
             }
             Verb::Unload => {
+                self.cuts += u32::from(self.running > 0);
                 self.loaded.remove(&order.model);
             }
             Verb::Fence => {}
@@ -289,10 +298,34 @@
             clean_handover: clean,
             pins: self.pins.clone(),
         };
-        let pool = Pool::new(&"default".into(), claimed, "p", &self.config);
+        let mut pool = Pool::new(&"default".into(), claimed, "p", &self.config);
+        pool.record_known_hosts(["h".into(), ABSENT_HOST.into()]);
         self.pools[d] = Some(pool);
     }
 
+    /// Kills daemon `d` with everything that it has in flight.
+    pub fn kill(&mut self, d: usize) {
+        self.pools[d] = None;
+        self.orders.retain(|o| o.daemon != d);
+        self.pin_jobs.retain(|j| j.daemon != d);
+        self.reports.retain(|r| r.daemon != d);
+    }
+
+    /// Returns an engine that has a model loaded.
+    pub fn loaded_engine(&self) -> Option<usize> {
+        self.engines.iter().position(|e| !e.loaded.is_empty())
+    }
+
+    /// Sets the number of requests that the absent host has at engine `e`.
+    pub fn set_running(&mut self, e: usize, running: u32) {
+        self.engines[e].running = running;
+    }
+
+    /// Returns the number of unloads of engines with requests.
+    pub fn cuts(&self) -> u32 {
+        self.engines.iter().map(|e| e.cuts).sum()
+    }
+
     /// Lets daemon `d` hand the pool over if no order of it is in flight.
     pub fn hand_over(&mut self, d: usize) {
         let Some(pool) = &mut self.pools[d] else {
