Send waiting requests again to an owner that has claimed its pool anew

Cause: a request that waits for a replica is sent to the pool's owner once. An owner that lost the pool (a refused pin write, a newer token) and claimed it again starts with an empty queue; other hosts took it for the same owner and sent nothing, so their requests waited until their deadline.

Change: a newer epoch marks the requests of that pool as not sent.

Test: waiting_requests_are_sent_again_to_an_owner_with_a_new_epoch failed before (nothing sent after epoch 2 was published) and passes.

--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -229,10 +229,15 @@
         if epoch < *known {
             return false;
         }
-        let changed = owner.as_ref() != Some(&sender);
+        let is_new_claim = epoch > *known;
+        let changed = is_new_claim || owner.as_ref() != Some(&sender);
         *owner = Some(sender);
         *known = epoch;
         *claim_at = None;
+        if is_new_claim {
+            // Requests that were sent to an earlier claim of the same daemon are lost.
+            self.mark_unsent(name);
+        }
         if changed {
             self.send_waiting(name, now);
         }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -32,7 +32,7 @@
 
 pub use claims::PoolOwnership;
 pub use driver::{Driver, DriverContext, PeerMessage};
-pub use event::{Effect, Event, TableJobResult};
+pub use event::{Effect, Event, TableJobResult, WaitingRequest};
 pub use handle::{ControlHandle, SlotRequest};
 pub use view::ControlView;
 
