--- a/src/calls/runner.rs
+++ b/src/calls/runner.rs
@@ -296,13 +296,14 @@
     }
 
     /// Commits a start. Retries the same write when the result is lost; a conflict
-    /// then shows which start took effect.
+    /// then shows which start took effect, and a refusal leaves it open.
     fn commit_start(
         &self,
         call: &ActiveCall,
         record: &CallRecord,
         expect: Precondition,
     ) -> StartResult {
+        let mut may_be_written = false;
         loop {
             if self.has_passed(call.deadline) {
                 let reason = "the deadline passed before its start was recorded";
@@ -314,7 +315,13 @@
                 Err(TableError::Conflict { current, .. }) => {
                     return self.resolve_conflict(call, record, current);
                 }
-                Err(TableError::Unavailable(_)) => self.wait_to_retry(call.deadline),
+                Err(TableError::Unavailable(_)) => {
+                    may_be_written = true;
+                    self.wait_to_retry(call.deadline);
+                }
+                Err(TableError::Refused(reason)) if may_be_written => {
+                    return StartResult::Refused(self.abandon(call, expect, &reason));
+                }
                 Err(TableError::Refused(reason)) => {
                     self.attempts.remove(&record.attempt.id);
                     return StartResult::Refused(not_run_refusal(call.request, &reason));
--- a/src/calls/sweeper.rs
+++ b/src/calls/sweeper.rs
@@ -49,6 +49,9 @@
             match self.table.commit(&[write]) {
                 Ok(_) if is_delete => removed += 1,
                 Ok(_) | Err(TableError::Conflict { .. }) => {}
+                Err(TableError::Refused(reason)) => {
+                    log::error!("cannot clean up the call record {}: {reason}", item.key);
+                }
                 Err(error) => return Err(error),
             }
         }
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -3,11 +3,12 @@
 #[path = "calls/fakes.rs"]
 mod fakes;
 
+use std::collections::BTreeMap;
 use std::sync::atomic::Ordering::SeqCst;
 use std::thread;
 
 use fakes::{Fault, World, reply, request, wait_until};
-use mastichinge::calls::{CallRequest, CallSettings, SHARD_COUNT, SendOutcome};
+use mastichinge::calls::{CallRequest, CallSettings, SHARD_COUNT, SendOutcome, record_key};
 use mastichinge::clock::Clock;
 use mastichinge::error::Kind;
 use mastichinge::protocol::calls::{CallIdentity, CallState};
@@ -347,3 +348,52 @@
         (None, None)
     );
 }
+
+/// Guards against a key that no later attempt can use, after a start whose result was lost was
+/// refused when it was written again.
+#[test]
+fn call_runs_on_a_retry_after_its_start_was_written_and_then_refused() {
+    let world = World::default();
+    let (a, b) = (world.host("a"), world.host("b"));
+    a.link
+        .faults
+        .lock()
+        .unwrap()
+        .extend([Fault::LoseResult, Fault::Refuse]);
+    let refusal = world.run(&a, &request("k")).unwrap_err();
+    assert_eq!(refusal.kind, Kind::NotRun);
+    assert_eq!(world.run(&b, &request("k")), Ok(reply(1)));
+}
+
+/// Guards against records that are never removed because the table refuses the removal of another
+/// one in their shard.
+#[test]
+fn records_are_removed_beside_one_whose_removal_is_refused() {
+    let world = World::default();
+    let a = world.host("a");
+    let (shard, keys) = keys_of_one_shard();
+    for key in &keys {
+        assert!(world.run(&a, &request(key)).is_ok());
+    }
+    wait_until_settled(&a);
+    a.link.faults.lock().unwrap().push_back(Fault::Refuse);
+    let sweeper = a.runner.sweeper();
+    let old = Clock::unix_seconds() + 4_000;
+    assert_eq!(sweeper.sweep_shard(shard, old), Ok(1));
+    assert_eq!(sweeper.sweep_shard(shard, old), Ok(1));
+}
+
+/// Returns two keys whose records are in the same shard.
+fn keys_of_one_shard() -> (u32, [String; 2]) {
+    let mut seen = BTreeMap::new();
+    for n in 0_u32.. {
+        let key = format!("k{n}");
+        let record_key = record_key(&key).unwrap();
+        let shard = record_key.split('/').nth(1).unwrap();
+        let shard = u32::from_str_radix(shard, 16).unwrap();
+        if let Some(other) = seen.insert(shard, key.clone()) {
+            return (shard, [other, key]);
+        }
+    }
+    unreachable!("there are more keys than shards")
+}
--- a/tests/calls/fakes.rs
+++ b/tests/calls/fakes.rs
@@ -24,6 +24,8 @@
     /// The result is lost, and the commit takes effect in
     /// [`Store::apply_delayed`].
     Delay,
+    /// The store refuses the commit.
+    Refuse,
 }
 
 /// Items of the table, shared by all links.
@@ -143,6 +145,7 @@
             Some(Fault::LoseResult) => {
                 self.store.apply(writes)?;
             }
+            Some(Fault::Refuse) => return Err(TableError::Refused("in the test".into())),
             Some(Fault::Delay) => self.store.delayed.lock().unwrap().push(writes.to_vec()),
         }
         Err(error)
