End a suspect's trial that got no slot, or an engine with other weights

Cause: the owner of a pool keeps an engine free for a trial until it is told of the end. A trial that was granted as its wait ran out was not ended, so the engine got no other work until the deadline and a grace. A trial at an engine with another version of the weights was asked for again while it lasted, and so granted at the same engine.

Change: both end the trial; an end of an unknown trial changes nothing.

Test: the_owner_is_told_of_the_end_of_a_trial_that_got_no_slot failed before. The second case is by reading.

--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -143,13 +143,14 @@
             state.attempts += 1;
             let slot = match self.acquire_matching_slot(completion, context, state) {
                 Ok(slot) => slot,
-                Err(refusal) => return refused_end(refusal, state),
+                Err(refusal) => {
+                    // The owner may have granted a trial in the meantime.
+                    self.end_trial(completion, context, state);
+                    return refused_end(refusal, state);
+                }
             };
             let result = self.run_attempt(completion, context, sink, state, &slot);
-            if state.is_trial {
-                state.is_trial = false;
-                self.control.end_trial(&context.id, &completion.model);
-            }
+            self.end_trial(completion, context, state);
             match result {
                 AttemptResult::Finished(end) => return end,
                 AttemptResult::Retry(refusal) => last_refusal = refusal,
@@ -158,6 +159,18 @@
         refused_end(last_refusal.retry_after(RETRY_AFTER), state)
     }
 
+    /// Ends the trial of a suspect, if there is one.
+    fn end_trial(
+        &self,
+        completion: &CompletionRequest,
+        context: &RequestContext,
+        state: &mut RelayState,
+    ) {
+        if std::mem::take(&mut state.is_trial) {
+            self.control.end_trial(&context.id, &completion.model);
+        }
+    }
+
     /// Acquires a slot for the next attempt; an answer that has begun goes on only at the version of the weights that
     /// began it.
     fn acquire_matching_slot(
@@ -186,6 +199,8 @@
                 return Ok(slot);
             }
             state.avoid.push(slot.instance.clone());
+            // Each trial has one engine.
+            self.end_trial(completion, context, state);
         }
     }
 
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -8,17 +8,19 @@
 use arc_swap::ArcSwap;
 use crossbeam::channel::unbounded;
 use mastichinge::clock::Clock;
-use mastichinge::config::{Config, Engine as EngineConfig, Name};
+use mastichinge::config::{Config, Engine as EngineConfig};
 use mastichinge::control::{ControlHandle, ControlView, Event};
 use mastichinge::decide::retry::{RetryBudget, RetryConfig};
-use mastichinge::error::Kind;
+use mastichinge::error::{Kind, Refusal};
 use mastichinge::http::openai::{CompletionRequest, Endpoint};
-use mastichinge::http::relay::{ChunkSink, CompletionEnd, Relay};
+use mastichinge::http::relay::{ChunkSink, CompletionEnd, CompletionOutcome, Relay};
 use mastichinge::http::request::RequestContext;
 use mastichinge::outside::{CallOptions, Chunk, ChunkStream, Engine, EngineError, Order, Report};
-use mastichinge::router::Router;
+use mastichinge::router::{Router, SlotResult};
 use mastichinge::suspects::{InFlightRequests, Suspects};
 
+const ENGINE: &str = "e1";
+
 /// Engines that crash on each request.
 #[derive(Default)]
 struct CrashingEngines {
@@ -59,15 +61,23 @@
     }
 }
 
-/// Guards against a trial that was granted before another copy of its request crashed a second
-/// engine: it cost a third one.
-#[test]
-fn a_trial_that_is_granted_after_its_request_is_held_does_not_run() {
+/// What came of a request that has crashed an engine.
+struct Relayed {
+    outcome: CompletionOutcome,
+    /// Requests that engines got.
+    requests: u32,
+    /// Whether the owner of the pool was told of the end of the trial.
+    trial_ended: bool,
+}
+
+/// Relays a request that has crashed an engine; `reply` answers for the owner of the pool, and
+/// can record further crashes.
+fn relay_suspect(reply: impl Fn(&Router, &dyn Fn(&str)) -> SlotResult + Send + 'static) -> Relayed {
     let clock = Clock::default();
-    let engine_name: Name = "e1".into();
     let mut config = Config::default();
-    let engine_config = EngineConfig::default();
-    config.engines.insert(engine_name.clone(), engine_config);
+    config
+        .engines
+        .insert(ENGINE.into(), EngineConfig::default());
     let view = ControlView {
         version: 1,
         config: Arc::new(config),
@@ -82,7 +92,7 @@
         InFlightRequests::default(),
         clock,
     );
-    let router = Router::new(&"a".into(), clock);
+    let router = Router::new(&"d".into(), clock);
     let body = br#"{"model": "m", "messages": [{"role": "user", "content": "poison"}]}"#;
     let completion = CompletionRequest::parse(Endpoint::Chat, body).unwrap();
     let fingerprints = completion.fingerprints.clone();
@@ -92,15 +102,19 @@
     };
     record_crash("i1");
     let owner = {
-        let (router, engine_name) = (router.clone(), engine_name.clone());
+        let router = router.clone();
         thread::spawn(move || {
+            let mut trial_ended = false;
             for event in inbox {
-                if let Event::RequestSlot(waiting) = event {
-                    record_crash("i2");
-                    let slot = router.acquire_assigned(&engine_name, &"m".into());
-                    let _ = waiting.sender.send(Ok(slot));
+                match event {
+                    Event::RequestSlot(waiting) => {
+                        let _ = waiting.sender.send(reply(&router, &record_crash));
+                    }
+                    Event::TrialEnded { .. } => trial_ended = true,
+                    _ => {}
                 }
             }
+            trial_ended
         })
     };
     let engines = CrashingEngines::default();
@@ -121,10 +135,37 @@
     };
     let outcome = relay.run(&completion, &context, &mut NoSink);
     drop(control);
-    owner.join().unwrap();
-    assert_eq!(engines.requests.load(Ordering::Relaxed), 0, "{outcome:?}");
-    let CompletionEnd::Refused(refusal, 0) = outcome.end else {
+    Relayed {
+        outcome,
+        requests: engines.requests.load(Ordering::Relaxed),
+        trial_ended: owner.join().unwrap(),
+    }
+}
+
+fn refused_kind(outcome: &CompletionOutcome) -> Kind {
+    let CompletionEnd::Refused(refusal, 0) = &outcome.end else {
         panic!("not refused: {outcome:?}");
     };
-    assert_eq!(refusal.kind, Kind::Quarantined);
+    refusal.kind
+}
+
+/// Guards against a trial that was granted before another copy of its request crashed a second
+/// engine: it cost a third one.
+#[test]
+fn a_trial_that_is_granted_after_its_request_is_held_does_not_run() {
+    let relayed = relay_suspect(|router, record_crash| {
+        record_crash("i2");
+        Ok(router.acquire_assigned(&ENGINE.into(), &"m".into()))
+    });
+    assert_eq!(relayed.requests, 0);
+    assert_eq!(refused_kind(&relayed.outcome), Kind::Quarantined);
+    assert!(relayed.trial_ended);
+}
+
+/// Guards against an engine that is kept free for a trial whose grant came too late.
+#[test]
+fn the_owner_is_told_of_the_end_of_a_trial_that_got_no_slot() {
+    let relayed = relay_suspect(|_, _| Err(Refusal::new(Kind::DeadlineExpired, "too late")));
+    assert_eq!(refused_kind(&relayed.outcome), Kind::DeadlineExpired);
+    assert!(relayed.trial_ended);
 }
