Record where prompts of queued and cold requests were sent

Cause: the index of prompt prefixes was told of requests that found a free slot at once, not of those that waited for one or for a load. The next request with the same prefix went to the least loaded engine, which computed it again; the more so the busier the engines.

Change: taking a slot records the prefix, in all three cases.

Usage of several arrivals in one report counts as one arrival, as the gaps of a burst are not recorded: no fault, now written as a condition.

--- a/src/control/waiting.rs
+++ b/src/control/waiting.rs
@@ -186,7 +186,9 @@
             Err(decode_refusal(reply, model))
         } else {
             let engine = Name::from(reply.engine.as_str());
-            Ok(self.router.acquire_assigned(&engine, model))
+            Ok(self
+                .router
+                .acquire_assigned(&engine, &entry.request.routing))
         };
         self.effects.push(Effect::Reply {
             sender: entry.request.sender,
--- a/src/pool/usage.rs
+++ b/src/pool/usage.rs
@@ -37,7 +37,8 @@
         };
         for replica_usage in &usage.uses {
             let model = Name::from(replica_usage.model.as_str());
-            for _ in 0..replica_usage.arrived.min(1) {
+            // Arrivals of one report are a burst: the gaps within it are not recorded.
+            if replica_usage.arrived > 0 {
                 self.histories
                     .entry(model.clone())
                     .or_default()
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -130,8 +130,7 @@
             .get(&request.model)
             .is_some_and(|q| !q.is_empty());
         if !has_queued && let Some(engine) = state.best_replica(request, now) {
-            state.record_prefix(request, &engine);
-            return RouteDecision::Slot(self.take_slot(&mut state, engine, &request.model));
+            return RouteDecision::Slot(self.take_slot(&mut state, engine, request));
         }
         let mut deliveries = Vec::new();
         let model = request.model.clone();
@@ -153,20 +152,22 @@
     }
 
     /// Takes a slot on the engine that a pool's owner assigned.
-    pub fn acquire_assigned(&self, engine: &Name, model: &Name) -> Slot {
-        self.take_slot(&mut self.lock(), engine.clone(), model)
+    pub fn acquire_assigned(&self, engine: &Name, request: &RoutingRequest) -> Slot {
+        self.take_slot(&mut self.lock(), engine.clone(), request)
     }
 
-    fn take_slot(&self, state: &mut RouterState, engine: Name, model: &Name) -> Slot {
+    fn take_slot(&self, state: &mut RouterState, engine: Name, request: &RoutingRequest) -> Slot {
+        state.record_prefix(request, &engine);
         let load = state.engines.entry(engine.clone()).or_default();
         load.record_start(self.clock.now());
         let instance = load.instance.clone();
+        let model = request.model.clone();
         let key = (model.clone(), engine.clone());
         *state.running.entry(key).or_default() += 1;
         Slot {
             engine,
             instance,
-            model: model.clone(),
+            model,
             router: self.clone(),
         }
     }
@@ -207,12 +208,12 @@
             let Some(queue) = state.queues.get_mut(&model) else {
                 break;
             };
-            let Some(sender) = queue.dequeue(now) else {
+            let Some(entry) = queue.dequeue(now) else {
                 break;
             };
-            let slot = self.take_slot(state, engine, &model);
+            let slot = self.take_slot(state, engine, &entry.request);
             deliveries.push(Delivery {
-                sender,
+                sender: entry.sender,
                 result: Ok(slot),
             });
         }
--- a/src/router/queue.rs
+++ b/src/router/queue.rs
@@ -18,9 +18,11 @@
 }
 
 /// A queued request and the sender for its result.
-struct QueueEntry {
-    request: RoutingRequest,
-    sender: Sender<SlotResult>,
+pub(super) struct QueueEntry {
+    /// The request.
+    pub request: RoutingRequest,
+    /// Receives the result.
+    pub sender: Sender<SlotResult>,
 }
 
 /// Result of a queued request; it is sent after the router's lock is released.
@@ -97,10 +99,10 @@
         self.entries.get(&queued.id).map(|entry| &entry.request)
     }
 
-    /// Removes the request that is served next and returns its sender.
-    pub fn dequeue(&mut self, now: Moment) -> Option<Sender<SlotResult>> {
+    /// Removes and returns the request that is served next.
+    pub fn dequeue(&mut self, now: Moment) -> Option<QueueEntry> {
         let queued = self.queue.dequeue(now)?;
-        self.entries.remove(&queued.id).map(|entry| entry.sender)
+        self.entries.remove(&queued.id)
     }
 
     /// Removes a request.
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -16,7 +16,7 @@
 use mastichinge::http::relay::{ChunkSink, CompletionEnd, CompletionOutcome, Relay};
 use mastichinge::http::request::RequestContext;
 use mastichinge::outside::{CallOptions, Chunk, ChunkStream, Engine, EngineError, Order, Report};
-use mastichinge::router::{Router, SlotResult};
+use mastichinge::router::{Router, RoutingRequest, SlotResult};
 use mastichinge::suspects::{InFlightRequests, Suspects};
 
 const ENGINE: &str = "e1";
@@ -72,7 +72,9 @@
 
 /// Relays a request that has crashed an engine; `reply` answers for the owner of the pool, and
 /// can record further crashes.
-fn relay_suspect(reply: impl Fn(&Router, &dyn Fn(&str)) -> SlotResult + Send + 'static) -> Relayed {
+fn relay_suspect(
+    reply: impl Fn(&Router, &RoutingRequest, &dyn Fn(&str)) -> SlotResult + Send + 'static,
+) -> Relayed {
     let clock = Clock::default();
     let mut config = Config::default();
     config
@@ -108,7 +110,10 @@
             for event in inbox {
                 match event {
                     Event::RequestSlot(waiting) => {
-                        let _ = waiting.sender.send(reply(&router, &record_crash));
+                        let _ =
+                            waiting
+                                .sender
+                                .send(reply(&router, &waiting.routing, &record_crash));
                     }
                     Event::TrialEnded { .. } => trial_ended = true,
                     _ => {}
@@ -153,9 +158,9 @@
 /// engine: it cost a third one.
 #[test]
 fn a_trial_that_is_granted_after_its_request_is_held_does_not_run() {
-    let relayed = relay_suspect(|router, record_crash| {
+    let relayed = relay_suspect(|router, routing, record_crash| {
         record_crash("i2");
-        Ok(router.acquire_assigned(&ENGINE.into(), &"m".into()))
+        Ok(router.acquire_assigned(&ENGINE.into(), routing))
     });
     assert_eq!(relayed.requests, 0);
     assert_eq!(refused_kind(&relayed.outcome), Kind::Quarantined);
@@ -165,7 +170,7 @@
 /// Guards against an engine that is kept free for a trial whose grant came too late.
 #[test]
 fn the_owner_is_told_of_the_end_of_a_trial_that_got_no_slot() {
-    let relayed = relay_suspect(|_, _| Err(Refusal::new(Kind::DeadlineExpired, "too late")));
+    let relayed = relay_suspect(|_, _, _| Err(Refusal::new(Kind::DeadlineExpired, "too late")));
     assert_eq!(refused_kind(&relayed.outcome), Kind::DeadlineExpired);
     assert!(relayed.trial_ended);
 }
