Let the pool's simulated requests avoid engine instances

tests/pool/world.rs named engines in the list of instances to avoid, which matches none, so avoidance was never exercised.

--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -76,6 +76,7 @@
     released_pins: u64,
     adopted_instances: u64,
     handovers: u64,
+    avoidances: u64,
 }
 
 thread_local! {
@@ -124,6 +125,7 @@
             counts.released_pins += world.released_pins;
             counts.adopted_instances += world.adopted_instances;
             counts.handovers += world.handovers;
+            counts.avoidances += world.avoidances;
         });
     }
 }
@@ -150,6 +152,7 @@
         println!("seed {seed}: {counts:?}");
         assert!(counts.loads > 0 && counts.released_pins > 0);
         assert!(counts.adopted_instances > 0 && counts.handovers > 0);
+        assert!(counts.avoidances > 0);
     });
 }
 
@@ -170,13 +173,14 @@
     world.request_report(0, 1);
     world.restart_engine(1);
     world.request_report(0, 1);
-    for (report, instance) in [(1, "i1"), (0, "i1")] {
+    let adopted = format!("{}-1", world::engine(1));
+    for report in [1, 0] {
         world.deliver_report(report);
         world.tick(0, 1);
         world.commit_pin_write(0);
         world.deliver_write_result(0);
         world.tick(0, 1);
-        assert_eq!(&*world.engine_pins(1).instance, instance);
+        assert_eq!(*world.engine_pins(1).instance, *adopted);
     }
 }
 
--- a/tests/pool/world.rs
+++ b/tests/pool/world.rs
@@ -1,14 +1,14 @@
 //! Two daemons with their pools, a table, engines and the messages in flight
 //! between them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use mastichinge::clock::Moment;
 use mastichinge::config::{Config, Engine, Model, Name, Policy, Strategy};
 use mastichinge::outside::{EngineError, Order, Report, Resident, Verb};
-use mastichinge::peer::wire::{Body, Usage};
+use mastichinge::peer::wire::{Body, ReplicaReply, Usage};
 use mastichinge::pool::ticket_queue::Ticket;
 use mastichinge::pool::{Action, ClaimedPool, Context, PinWrite, Pool};
 use mastichinge::protocol::ownership::{
@@ -67,6 +67,7 @@
 /// State of a simulated engine.
 #[derive(Debug, Default)]
 struct FakeEngine {
+    name: Name,
     instance: u64,
     token: u64,
     loaded: BTreeSet<Name>,
@@ -76,7 +77,18 @@
     cuts: u32,
 }
 
+fn fake_engine(e: usize) -> FakeEngine {
+    FakeEngine {
+        name: engine(e),
+        ..FakeEngine::default()
+    }
+}
+
 impl FakeEngine {
+    fn instance_id(&self) -> Name {
+        format!("{}-{}", self.name, self.instance).into()
+    }
+
     fn report(&self) -> Report {
         let residents = self.loaded.iter().map(|m| Resident {
             model: m.clone(),
@@ -85,7 +97,7 @@
             memory: MODEL_MEMORY_MB,
         });
         Report {
-            instance: format!("i{}", self.instance).into(),
+            instance: self.instance_id(),
             token: self.token,
             residents: residents.collect(),
             running: self.running,
@@ -163,7 +175,10 @@
     orders: Vec<SentOrder>,
     pin_jobs: Vec<PinWriteJob>,
     reports: Vec<SentReport>,
-    tickets: u64,
+    /// Engine instance that each ticket must avoid.
+    avoided: HashMap<Name, Option<Name>>,
+    /// Number of assignments of tickets that avoid an instance.
+    pub avoidances: u64,
     /// Number of loads that engines executed.
     pub loads: u64,
     /// Number of removed pins.
@@ -182,12 +197,13 @@
             record: OwnerRecord::default(),
             item_version: 0,
             pins: BTreeMap::new(),
-            engines: (0..ENGINES).map(|_| FakeEngine::default()).collect(),
+            engines: (0..ENGINES).map(fake_engine).collect(),
             pools: vec![None, None],
             orders: Vec::new(),
             pin_jobs: Vec::new(),
             reports: Vec::new(),
-            tickets: 0,
+            avoided: HashMap::new(),
+            avoidances: 0,
             loads: 0,
             released_pins: 0,
             adopted_instances: 0,
@@ -254,10 +270,25 @@
                 };
                 pool.record_usage(&"h".into(), &usage, self.now);
             }
+            Action::Send {
+                body: Body::ReplicaReply(reply),
+                ..
+            } if !reply.engine.is_empty() => self.check_assignment(pool, &reply),
             _ => {}
         }
     }
 
+    /// Fails if a ticket is assigned to the instance that it must avoid, as far as the pool knows.
+    fn check_assignment(&mut self, pool: &Pool, reply: &ReplicaReply) {
+        let Some(avoided) = &self.avoided[reply.ticket.as_str()] else {
+            return;
+        };
+        let assigned = pool.engines().find(|(name, _)| ***name == *reply.engine);
+        let (_, state) = assigned.expect("an engine of the pool");
+        assert_ne!(state.report.instance, *avoided, "ticket {}", reply.ticket);
+        self.avoidances += 1;
+    }
+
     fn engine_index(&self, name: &Name) -> usize {
         (0..ENGINES).find(|e| engine(*e) == *name).unwrap()
     }
@@ -268,17 +299,19 @@
         self.step_pool(d, |pool, ctx, out| pool.tick(ctx, out));
     }
 
-    /// Queues a request for model `m` that must not run on engine `avoid`.
+    /// Queues a request for model `m` that must not run on the present instance of engine `avoid`.
     pub fn enqueue(&mut self, d: usize, m: usize, avoid: Option<usize>) {
-        self.tickets += 1;
+        let avoid = avoid.map(|e| self.engines[e].instance_id());
+        let id = Name::from(format!("t{}", self.avoided.len()));
+        self.avoided.insert(id.clone(), avoid.clone());
         let ticket = Ticket {
-            id: format!("t{}", self.tickets).into(),
+            id,
             host: "h".into(),
             model: model(m),
             deadline: self.now + Duration::from_secs(2),
             priority: 5,
             suspect: None,
-            avoid: avoid.map(engine).into_iter().collect(),
+            avoid: avoid.into_iter().collect(),
         };
         self.step_pool(d, |pool, ctx, out| pool.enqueue(ticket, ctx, out));
     }
@@ -499,7 +532,7 @@
     pub fn restart_engine(&mut self, e: usize) {
         self.engines[e] = FakeEngine {
             instance: self.engines[e].instance + 1,
-            ..FakeEngine::default()
+            ..fake_engine(e)
         };
     }
 
