Try a held message no more once it has as many crashes as are kept

Cause: reports beyond the number of instances that is kept changed nothing, so the time of the next trial stayed in the past and each request was a trial. Found on reading.

Change: such a message is held until an operator releases it, or an engine answers it elsewhere.

Test: a_message_with_as_many_crashes_as_are_kept_is_held_without_trials failed before (a trial) and passes.

--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -171,8 +171,8 @@
         }
     }
 
-    /// Acquires a slot for the next attempt; an answer that has begun goes on only at the version of the weights that
-    /// began it.
+    /// Acquires a slot for the next attempt; an answer that has begun goes on only at the version
+    /// of the weights that began it.
     fn acquire_matching_slot(
         &self,
         completion: &CompletionRequest,
--- a/src/suspects/mod.rs
+++ b/src/suspects/mod.rs
@@ -168,16 +168,18 @@
         }
     }
 
-    /// Returns the time until a trial of a held message is allowed.
-    fn trial_in(&self, now: Moment) -> Duration {
-        let further = self
-            .crashes()
-            .count()
-            .saturating_sub(HOLD_MESSAGE_AFTER_CRASHES);
+    /// Returns the time until a trial of a held message is allowed; `None` once it has `max`
+    /// crash reports.
+    fn trial_in(&self, max: usize, now: Moment) -> Option<Duration> {
+        let crashes = self.crashes().count();
+        if crashes >= max {
+            return None;
+        }
+        let further = crashes.saturating_sub(HOLD_MESSAGE_AFTER_CRASHES);
         let factor = 2_u32.saturating_pow(u32::try_from(further).unwrap_or(u32::MAX));
         let delay = FIRST_TRIAL_DELAY.saturating_mul(factor);
         let trial_at = self.updated + delay.min(MAX_TRIAL_DELAY);
-        trial_at.saturating_sub(now)
+        Some(trial_at.saturating_sub(now))
     }
 }
 
@@ -208,19 +210,8 @@
                 trial_in: None,
             };
         }
-        let suspects = fingerprints.messages.iter().filter_map(|message| {
-            let suspect = self.suspects.get(message)?;
-            (suspect.run_policy() == RunPolicy::Held).then(|| (suspect.trial_in(now), message))
-        });
-        if let Some((wait, message)) = suspects.max() {
-            let fingerprint = message.clone();
-            return match wait.is_zero() {
-                true => RunDecision::Trial(fingerprint),
-                false => RunDecision::Held {
-                    fingerprint,
-                    trial_in: Some(wait),
-                },
-            };
+        if let Some(decision) = self.decide_messages(&fingerprints.messages, now) {
+            return decision;
         }
         match policy {
             RunPolicy::TrialOnly => RunDecision::Trial(request.clone()),
@@ -228,6 +219,36 @@
         }
     }
 
+    /// Returns how a request with these messages may run if some are held: as a trial once each of
+    /// them may be tried.
+    fn decide_messages(&self, messages: &[Fingerprint], now: Moment) -> Option<RunDecision> {
+        let mut longest: Option<(Duration, &Fingerprint)> = None;
+        for message in messages {
+            let Some(suspect) = self.suspects.get(message) else {
+                continue;
+            };
+            if suspect.run_policy() != RunPolicy::Held {
+                continue;
+            }
+            let Some(wait) = suspect.trial_in(self.settings.max_instances, now) else {
+                return Some(RunDecision::Held {
+                    fingerprint: message.clone(),
+                    trial_in: None,
+                });
+            };
+            longest = longest.max(Some((wait, message)));
+        }
+        let (wait, message) = longest?;
+        let fingerprint = message.clone();
+        Some(match wait.is_zero() {
+            true => RunDecision::Trial(fingerprint),
+            false => RunDecision::Held {
+                fingerprint,
+                trial_in: Some(wait),
+            },
+        })
+    }
+
     /// Records that `instance` crashed while it ran a request; returns the reports for all
     /// peers, that of the whole request last.
     pub fn report_request_crash(
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -174,6 +174,31 @@
     assert_eq!(suspects.held_requests().len(), 2);
 }
 
+/// Guards against trials of a message without end: reports beyond the number that is kept did not
+/// put the next one off.
+#[test]
+fn a_message_with_as_many_crashes_as_are_kept_is_held_without_trials() {
+    let settings = SuspectSettings {
+        max_instances: 4,
+        ..SuspectSettings::default()
+    };
+    let mut suspects = Suspects::new(settings);
+    hold(&mut suspects, &["bad"]);
+    let other = request(&["bad", "other"]);
+    let trial_at = NOW + Duration::from_secs(10);
+    assert!(matches!(
+        suspects.decide(&other, trial_at),
+        RunDecision::Trial(_)
+    ));
+    suspects.report_request_crash(&other, "m", "4", trial_at);
+    let decision = RunDecision::Held {
+        fingerprint: other.messages[0].clone(),
+        trial_in: None,
+    };
+    let later = trial_at + Duration::from_secs(86_400);
+    assert_eq!(suspects.decide(&request(&["bad", "more"]), later), decision);
+}
+
 #[test]
 fn messages_are_released_when_an_engine_answers_a_request_with_them() {
     let mut suspects = Suspects::default();
