Serve connections that the HTTP library left to a thread that was taken

Cause: the library hands an accepted connection to a waiting thread if its count of waiting threads is not 0, and the count goes down only when the thread wakes up. Of two connections in quick succession, both can go to one thread: the second is not read until some connection ends, in free threads or not. A caller waited for as long as others kept their connections open.

Change: the guard sees bytes that nobody reads for 100 ms while no request is in progress, and opens and closes a connection of its own: its thread goes on with the one that was left. Not more than 16 of them a scan. The fakes have a guard with wide limits for the same reason.

Weighed: a patched copy of the library (2,500 lines to maintain); a server on the edge's HTTP library (all of src/http is written for blocking threads).

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -183,7 +183,7 @@
         let operators = listen(
             settings.listen.operators,
             MAX_REQUESTS,
-            Some(guard_settings()),
+            guard_settings(),
             operators,
         )?;
         let callers = CallerApi {
@@ -205,7 +205,7 @@
         let callers = listen(
             settings.listen.callers,
             settings.limits.streams,
-            Some(GuardSettings::from(&settings.limits)),
+            GuardSettings::from(&settings.limits),
             callers,
         )?;
         log::info!(
@@ -351,11 +351,11 @@
 fn listen<H: server::Handler>(
     addr: SocketAddr,
     max_requests: u32,
-    guard: Option<GuardSettings>,
+    limits: GuardSettings,
     handler: H,
 ) -> Result<RunningServer, StartError> {
     let listen_error = |cause: String| StartError::Listen { addr, cause };
     let listener = TcpListener::bind(addr).map_err(|e| listen_error(e.to_string()))?;
-    server::start(listener, max_requests, guard, Arc::new(handler))
+    server::start(listener, max_requests, limits, Arc::new(handler))
         .map_err(|e| listen_error(e.to_string()))
 }
--- a/src/fakes/server.rs
+++ b/src/fakes/server.rs
@@ -4,16 +4,26 @@
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use socket2::{Domain, Socket, Type};
 use tiny_http::{Request, Response};
 
+use crate::http::guard::GuardSettings;
 use crate::http::request;
 use crate::http::server::{self, Handler, RefusalCause, RunningServer};
 use crate::outside::escape::decode;
 
+/// Limits that no client of a fake reaches.
+const LIMITS: GuardSettings = GuardSettings {
+    max_connections: usize::MAX,
+    max_head: 1 << 30,
+    max_body: 1 << 30,
+    receive_timeout: Duration::from_secs(3_600),
+    send_timeout: Duration::from_secs(3_600),
+};
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: i32 = 1_024;
 
@@ -45,7 +55,7 @@
             handler,
             alive: alive.clone(),
         };
-        let running = server::start(accepting, u32::MAX, None, Arc::new(exchange_handler))
+        let running = server::start(accepting, u32::MAX, LIMITS, Arc::new(exchange_handler))
             .map_err(io::Error::other)?;
         Ok(Server {
             addr,
--- a/src/http/guard/mod.rs
+++ b/src/http/guard/mod.rs
@@ -9,6 +9,10 @@
 //!
 //! A limit may be exceeded by what arrives between two scans.
 //!
+//! `tiny_http` hands a connection to a thread that waits for one. It may hand two to the same
+//! thread, and the second is not read until some connection ends. The guard then opens a connection
+//! of its own and closes it: its thread goes on with the one that was left.
+//!
 //! Rejected alternatives: a proxy in front of `tiny_http` (copies each byte and
 //! needs two more threads per connection) and a patched copy of `tiny_http`
 //! (2,500 lines to maintain).
@@ -19,7 +23,7 @@
 mod scan;
 
 use std::io;
-use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::sync::Arc;
 use std::thread;
@@ -49,6 +53,10 @@
 const SCAN_PAUSE_FACTOR: u32 = 100;
 /// Time between two scans while a request head is arriving.
 const FAST_SCAN_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum number of own connections that a scan opens.
+const MAX_OWN_CONNECTIONS: usize = 16;
+/// Timeout of opening one.
+const OWN_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Minimum idle time before a keepalive probe; the kernel counts it in whole
 /// seconds.
 const MIN_KEEPALIVE_TIME: Duration = Duration::from_secs(1);
@@ -118,6 +126,7 @@
         let exchanges = Arc::new(Exchanges::default());
         let (alive, stopped) = channel::bounded(0);
         let guard_thread = GuardThread {
+            addr: listener.local_addr()?,
             scanner: Scanner::new(listener.local_addr()?),
             monitor: ConnectionMonitor::new(settings),
             exchanges: exchanges.clone(),
@@ -173,6 +182,8 @@
 
 /// State of the guard thread.
 struct GuardThread {
+    /// Address on which the server listens.
+    addr: SocketAddr,
     scanner: Scanner,
     monitor: ConnectionMonitor,
     exchanges: Arc<Exchanges>,
@@ -204,7 +215,8 @@
         // Taken after the samples: a complete request that they count and that
         // was delivered since must not be mistaken for a large head.
         let after = self.exchanges.snapshot();
-        let actions = self.monitor.update(&samples, &after, self.clock.now());
+        let now = self.clock.now();
+        let actions = self.monitor.update(&samples, &after, now);
         for action in actions {
             if let Err(e) = self.close(&action) {
                 log::debug!("connection of {} was already closed: {e}", action.peer);
@@ -212,9 +224,24 @@
         }
         self.exchanges
             .remove_idle(|peer| self.monitor.has_peer(peer));
+        let unread = self.monitor.take_unread(now);
+        self.free_threads(unread);
         Ok(())
     }
 
+    /// Has a thread of the server take up each of this number of connections that none reads.
+    fn free_threads(&self, connections: usize) {
+        for _ in 0..connections.min(MAX_OWN_CONNECTIONS) {
+            if let Err(e) = TcpStream::connect_timeout(&self.addr, OWN_CONNECT_TIMEOUT) {
+                log::debug!("cannot connect to the own address {}: {e}", self.addr);
+                return;
+            }
+        }
+        if connections > 0 {
+            log::debug!("{connections} connections were not read in time");
+        }
+    }
+
     fn close(&self, action: &CloseAction) -> io::Result<()> {
         let socket = self.scanner.duplicate_socket(action.inode)?;
         log::info!(
--- a/src/http/guard/monitor.rs
+++ b/src/http/guard/monitor.rs
@@ -18,6 +18,10 @@
 /// itself.
 const BODY_TIMEOUT_SLACK: Duration = Duration::from_millis(500);
 
+/// Time for which received bytes may be unread while no request is in progress; the thread of a
+/// connection reads them at once.
+const UNREAD_TIME: Duration = Duration::from_millis(100);
+
 /// Why a connection is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -76,6 +80,10 @@
     finished: u64,
     /// Bytes received when the last request ended.
     baseline: Option<ReceivedBytes>,
+    /// Bytes that were read at the last update.
+    read: u64,
+    /// Since when received bytes are unread.
+    unread_since: Option<Moment>,
 }
 
 /// The connections of one listening address.
@@ -102,12 +110,29 @@
     }
 
     /// Returns whether the next scan should follow soon, because a request head
-    /// is arriving.
+    /// is arriving or nobody reads it.
     pub fn needs_fast_scan(&self) -> bool {
-        let is_receiving_head = |c: &Connection| matches!(c.phase, Phase::ReceivingHead(_));
+        let is_receiving_head =
+            |c: &Connection| matches!(c.phase, Phase::ReceivingHead(_)) || c.unread_since.is_some();
         self.connections.values().any(is_receiving_head)
     }
 
+    /// Returns the number of connections that no thread has read for [`UNREAD_TIME`]; each is
+    /// counted again only after that time.
+    pub fn take_unread(&mut self, now: Moment) -> usize {
+        let mut count = 0;
+        for connection in self.connections.values_mut() {
+            let Some(since) = &mut connection.unread_since else {
+                continue;
+            };
+            if now.saturating_sub(*since) >= UNREAD_TIME {
+                *since = now;
+                count += 1;
+            }
+        }
+        count
+    }
+
     /// Updates all connections from the socket samples and the states of the
     /// exchanges; returns what to close.
     pub fn update(
@@ -127,9 +152,12 @@
                 phase_start: now,
                 finished: 0,
                 baseline: sample.received,
+                read: 0,
+                unread_since: None,
             });
             let state = states.state_of(&sample.peer);
             connection.update_phase(sample.received, state, now);
+            connection.update_unread(sample.received, now);
             if let Some(reason) =
                 connection.close_reason(sample.received, state, &self.settings, now)
             {
@@ -200,6 +228,20 @@
         }
     }
 
+    /// Records since when received bytes are unread while a request may arrive.
+    fn update_unread(&mut self, received: Option<ReceivedBytes>, now: Moment) {
+        let awaits_request = matches!(self.phase, Phase::Idle | Phase::ReceivingHead(_));
+        let received = received.filter(|r| awaits_request && r.read < r.total);
+        let Some(received) = received else {
+            self.unread_since = None;
+            return;
+        };
+        if std::mem::replace(&mut self.read, received.read) != received.read {
+            self.unread_since = None;
+        }
+        self.unread_since.get_or_insert(now);
+    }
+
     fn set_phase(&mut self, phase: Phase, now: Moment) {
         if self.phase != phase {
             self.phase = phase;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -59,7 +59,7 @@
 }
 
 /// Serves `listener` with at most `max_requests` requests at once, and limits
-/// its connections if `limits` are given.
+/// its connections.
 ///
 /// # Errors
 ///
@@ -68,11 +68,10 @@
 pub fn start<H: Handler>(
     listener: TcpListener,
     max_requests: u32,
-    limits: Option<GuardSettings>,
+    limits: GuardSettings,
     handler: Arc<H>,
 ) -> Result<RunningServer, Box<dyn std::error::Error + Send + Sync>> {
-    let start_guard = |limits| Guard::start(&listener, limits);
-    let guard = limits.map(start_guard).transpose()?;
+    let guard = Guard::start(&listener, limits)?;
     let acceptor = Acceptor {
         servers: vec![Server::from_listener(listener.try_clone()?, None)?],
         listener,
@@ -200,7 +199,7 @@
 struct Dispatcher<H> {
     state: Arc<ServerState>,
     max_requests: u32,
-    guard: Option<Guard>,
+    guard: Guard,
     handler: Arc<H>,
 }
 
@@ -223,11 +222,7 @@
     }
 
     fn dispatch(&self, request: Request) {
-        let accepted = match &self.guard {
-            Some(guard) => guard.reject_oversized(request),
-            None => Some(request),
-        };
-        let Some(request) = accepted else {
+        let Some(request) = self.guard.reject_oversized(request) else {
             return;
         };
         // Counted before the flag is read: whoever sets the flag and then sees no
@@ -239,7 +234,7 @@
         if self.state.active.load(Ordering::SeqCst) > self.max_requests {
             return self.handler.refuse(request, RefusalCause::Busy);
         }
-        let exchange = self.guard.as_ref().map(|g| g.begin_exchange(&request));
+        let exchange = self.guard.begin_exchange(&request);
         let handler = self.handler.clone();
         let spawned = thread::Builder::new()
             .name("traffic".into())
--- a/src/operators/server.rs
+++ b/src/operators/server.rs
@@ -55,8 +55,7 @@
         Clock::unix_ms(),
     );
     let operators = Arc::new(OperatorHandler { api, ids });
-    server::start(listener, MAX_REQUESTS, Some(guard_settings()), operators)
-        .map_err(io::Error::other)
+    server::start(listener, MAX_REQUESTS, guard_settings(), operators).map_err(io::Error::other)
 }
 
 /// Returns the limits on operator connections.
