Close connections with the refusals of a draining host

Cause: callers were not told that the host closes their connection, so they went on using it until the process was gone; the last request got no answer, and its caller could not know whether it ran.

Change: refusals of a stopping callers' port carry `Connection: close`.

Test: a_host_drains_whose_callers_keep_their_connections_busy now goes on until the host closes the connection.

--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -78,7 +78,11 @@
             RefusalCause::Stopping => Refusal::new(Kind::Draining, "the host stops"),
         };
         let refusal = refusal.retry_after(REFUSAL_RETRY_AFTER);
-        self.send_refusal(request, &refusal, format, &id);
+        let response = self.refusal_response(&refusal, format, &id);
+        match cause {
+            RefusalCause::Busy => response.send(request, &id),
+            RefusalCause::Stopping => response.send_and_close(request, &id),
+        }
     }
 }
 
@@ -87,9 +91,19 @@
 
 impl<P: Platform, T: Table, L: calls::CallPeers> CallerApi<P, T, L> {
     fn send_refusal(&self, request: Request, refusal: &Refusal, format: ErrorFormat, id: &Name) {
+        self.refusal_response(refusal, format, id).send(request, id);
+    }
+
+    /// Logs and counts a refusal; returns the response.
+    fn refusal_response(
+        &self,
+        refusal: &Refusal,
+        format: ErrorFormat,
+        id: &Name,
+    ) -> BufferedResponse {
         log::info!(request = &**id; "request refused: {refusal}");
         self.metrics.record_refusal(refusal.kind);
-        BufferedResponse::error(refusal, format, id).send(request, id);
+        BufferedResponse::error(refusal, format, id)
     }
 
     fn route(&self, request: Request, id: &Name) -> Result<(), RefusedRequest> {
--- a/src/http/response.rs
+++ b/src/http/response.rs
@@ -1,10 +1,10 @@
 //! HTTP responses and their error bodies.
 
-use std::io::Cursor;
+use std::io::{Cursor, Write};
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use tiny_http::{Header, Request, Response};
+use tiny_http::{Header, Method, Request, Response, StatusCode};
 
 use crate::error::Refusal;
 
@@ -81,6 +81,33 @@
             log::debug!(request = id; "client disconnected: {e}");
         }
     }
+
+    /// Sends the response and tells the client that the connection closes. `tiny_http` sends no
+    /// `Connection` header of a response.
+    pub fn send_and_close(self, request: Request, id: &str) {
+        let is_head = *request.method() == Method::Head;
+        let reason = StatusCode(self.status).default_reason_phrase();
+        let mut message = format!(
+            "HTTP/1.1 {} {reason}\r\nContent-Type: {}\r\nContent-Length: {}\r\n\
+             Connection: close\r\n{REQUEST_ID_HEADER}: {id}\r\n",
+            self.status,
+            self.content_type,
+            self.body.len()
+        );
+        if let Some(wait) = self.retry_after {
+            message += &format!("Retry-After: {}\r\n", retry_after_seconds(wait));
+        }
+        message += "\r\n";
+        let mut message = message.into_bytes();
+        if !is_head {
+            message.extend(self.body);
+        }
+        let mut writer = request.into_writer();
+        let sent = writer.write_all(&message).and_then(|()| writer.flush());
+        if let Err(e) = sent {
+            log::debug!(request = id; "client disconnected: {e}");
+        }
+    }
 }
 
 /// Returns the error object of the OpenAI API for `refusal`.
--- a/tests/env/kept_connection.rs
+++ b/tests/env/kept_connection.rs
@@ -11,6 +11,8 @@
 /// A connection to the callers' port of a host.
 pub struct KeptConnection {
     stream: BufReader<TcpStream>,
+    /// Whether the last response said that the host closes the connection.
+    closes: bool,
 }
 
 impl KeptConnection {
@@ -21,17 +23,18 @@
         timeout.expect("the timeout is set");
         KeptConnection {
             stream: BufReader::new(stream),
+            closes: false,
         }
     }
 
-    /// Sends prompts for `model`, one after the other, until one is not answered with
-    /// status 200. Returns the statuses; 0 if a response is missing or incomplete.
-    pub fn ask_until_refused(mut self, model: &str) -> Vec<u16> {
+    /// Sends prompts for `model`, one after the other, until the host closes the connection.
+    /// Returns the statuses; 0 if a response is missing or incomplete.
+    pub fn ask_until_closed(mut self, model: &str) -> Vec<u16> {
         let mut statuses = Vec::new();
         loop {
             let status = self.ask(model).unwrap_or(0);
             statuses.push(status);
-            if status != 200 {
+            if status == 0 || self.closes {
                 return statuses;
             }
         }
@@ -63,8 +66,12 @@
                 break;
             }
             let (name, value) = line.split_once(':')?;
+            let value = value.trim();
             if name.eq_ignore_ascii_case("content-length") {
-                length = Some(value.trim().parse().ok()?);
+                length = Some(value.parse().ok()?);
+            }
+            if name.eq_ignore_ascii_case("connection") {
+                self.closes = value.eq_ignore_ascii_case("close");
             }
         }
         match length {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -95,7 +95,7 @@
     });
     let addr = env.hosts[0].settings.listen.callers;
     let callers: Vec<JoinHandle<Vec<u16>>> = (0..BUSY_CALLERS)
-        .map(|_| thread::spawn(move || KeptConnection::open(addr).ask_until_refused("m1")))
+        .map(|_| thread::spawn(move || KeptConnection::open(addr).ask_until_closed("m1")))
         .collect();
     env.wait("the streams run", || {
         let running = env.site.engines.iter().map(|e| e.report().running);
