Refuse requests until a drained daemon ends, for half a second at least

Cause: the callers' port stopped answering up to 300 ms before the process ended, while the operators' port was stopped, and a caller that pauses between requests on its connection was not told of the end before it.

Change: the callers' port is stopped last, and a daemon without requests in progress goes on refusing for 500 ms.

Evidence: examples/chaos has callers that keep their connections, whose requests are checked like others.

--- a/examples/chaos/callers.rs
+++ b/examples/chaos/callers.rs
@@ -1,5 +1,6 @@
 //! Callers that stream from many models, and callers that retry bookings under one idempotency key.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -9,7 +10,8 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use crate::env::{Booking, listed_hosts, send_booking, send_prompt_until};
+use crate::env::kept_connection::KeptConnection;
+use crate::env::{Booking, CompletionReply, listed_hosts, send_booking, send_prompt_until};
 use crate::history::{BookingRecord, Event, RequestRecord};
 
 /// How long a host list is used, as set in the site's policy.
@@ -32,6 +34,8 @@
 pub struct Targets {
     /// Base URL for callers, by host.
     pub caller_urls: Vec<String>,
+    /// Address for callers, by host.
+    pub caller_addrs: Vec<SocketAddr>,
     /// Models and adapters.
     pub models: Vec<String>,
 }
@@ -71,6 +75,37 @@
         }
     }
 
+    /// Sends completion requests until it is stopped, on one connection until its host closes it.
+    pub fn send_requests_on_kept_connections(mut self) {
+        let mut kept: Option<(usize, KeptConnection)> = None;
+        for turn in 0.. {
+            let pause = Duration::from_millis(self.rng.random_range(REQUEST_PAUSE_MS));
+            if wait_or_stopped(&self.stop, pause) {
+                return;
+            }
+            let open = kept.filter(|(_, connection)| !connection.is_closed());
+            kept = open.or_else(|| self.connect());
+            let Some((host, connection)) = &mut kept else {
+                continue;
+            };
+            let model = self.rng.random_range(0..self.targets.models.len());
+            let model = &self.targets.models[model];
+            let prompt = format!("caller-{} asks-{turn} of-{model}", self.number);
+            let deadline = REQUEST_DEADLINE_MS.to_string();
+            let from = Instant::now();
+            let reply = connection.send_prompt(model, &prompt, &[("X-Deadline-Ms", &deadline)]);
+            let _ = self
+                .events
+                .send(request_event(*host, prompt, from, reply, false));
+        }
+    }
+
+    fn connect(&mut self) -> Option<(usize, KeptConnection)> {
+        let host = self.pick_host()?;
+        let connection = KeptConnection::open(self.targets.caller_addrs[host]);
+        Some((host, connection.ok()?))
+    }
+
     /// Sends prompts that crash engines, each three times in a row.
     pub fn send_poison_requests(mut self) {
         for turn in 0.. {
@@ -109,17 +144,10 @@
             &[("X-Deadline-Ms", &deadline)],
             max_tokens,
         );
-        let event = Event::Request(RequestRecord {
-            host,
-            disconnected: !reply.complete && reply.text.split_whitespace().count() >= max_tokens,
-            poison: prompt.contains(CRASH_TEXT),
-            prompt,
-            deadline: Duration::from_millis(REQUEST_DEADLINE_MS),
-            from,
-            until: Instant::now(),
-            reply,
-        });
-        let _ = self.events.send(event);
+        let disconnected = !reply.complete && reply.text.split_whitespace().count() >= max_tokens;
+        let _ = self
+            .events
+            .send(request_event(host, prompt, from, reply, disconnected));
     }
 
     /// Sends a booking, usually retries it while it has no answer, and
@@ -200,3 +228,23 @@
 pub fn wait_or_stopped(stop: &Receiver<()>, pause: Duration) -> bool {
     stop.recv_timeout(pause) == Err(RecvTimeoutError::Disconnected)
 }
+
+/// Returns the event of a completion request that has just ended.
+fn request_event(
+    host: usize,
+    prompt: String,
+    from: Instant,
+    reply: CompletionReply,
+    disconnected: bool,
+) -> Event {
+    Event::Request(RequestRecord {
+        host,
+        disconnected,
+        poison: prompt.contains(CRASH_TEXT),
+        prompt,
+        deadline: Duration::from_millis(REQUEST_DEADLINE_MS),
+        from,
+        until: Instant::now(),
+        reply,
+    })
+}
--- a/examples/chaos/run.rs
+++ b/examples/chaos/run.rs
@@ -22,6 +22,8 @@
 const CALLER_COUNT: usize = 16;
 /// Callers that send bookings.
 const BOOKING_CALLER_COUNT: usize = 6;
+/// Callers that send completion requests on connections that they keep.
+const KEPT_CALLER_COUNT: usize = 4;
 /// Operators.
 const OPERATOR_COUNT: usize = 2;
 /// Maximum time until the site is quiet after all faults have ended.
@@ -123,6 +125,11 @@
         caller_urls: (0..env.hosts.len())
             .map(|h| env.caller_url(h, ""))
             .collect(),
+        caller_addrs: env
+            .hosts
+            .iter()
+            .map(|h| h.settings.listen.callers)
+            .collect(),
         models: models.chain(adapters).collect(),
     }
 }
@@ -142,6 +149,12 @@
         let caller = self.caller(CALLER_COUNT + BOOKING_CALLER_COUNT);
         self.threads
             .push(thread::spawn(move || caller.send_poison_requests()));
+        for number in 0..KEPT_CALLER_COUNT {
+            let caller = self.caller(CALLER_COUNT + BOOKING_CALLER_COUNT + 1 + number);
+            self.threads.push(thread::spawn(move || {
+                caller.send_requests_on_kept_connections()
+            }));
+        }
         let urls: Vec<_> = (0..env.hosts.len())
             .map(|h| env.operator_url(h, ""))
             .collect();
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -46,6 +46,9 @@
 const HOST_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which a draining daemon checks whether it has finished.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which a daemon without requests in progress goes on refusing new ones before it ends,
+/// so that callers with open connections learn that it closes them.
+const CLOSE_NOTICE_TIME: Duration = Duration::from_millis(500);
 /// Maximum wait of a drained daemon for requests of operators.
 const OPERATOR_STOP_TIME: Duration = Duration::from_secs(5);
 
@@ -253,6 +256,7 @@
         {
             thread::sleep(DRAIN_POLL_INTERVAL);
         }
+        let idle_at = self.clock.now();
         while !self
             .control
             .call(|state| state.is_drained())
@@ -261,15 +265,18 @@
             thread::sleep(DRAIN_POLL_INTERVAL);
         }
         self.finish_operator_requests();
+        let notice_time = self.clock.now().saturating_sub(idle_at);
+        thread::sleep(CLOSE_NOTICE_TIME.saturating_sub(notice_time));
         self.stop();
     }
 
     /// Stops immediately, without draining.
     pub fn stop(&mut self) {
         self.stop.take();
-        self.callers.stop();
         self.operators.stop();
         self.peers.stop();
+        // Last, as callers are told of the end up to here.
+        self.callers.stop();
     }
 
     fn finish_operator_requests(&self) {
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -436,17 +436,29 @@
     };
     let retry_after = response.headers().get("retry-after");
     reply.retry_after = retry_after.and_then(|r| r.to_str().ok()).map(str::to_owned);
-    if reply.status != 200 {
-        let text = response.text().unwrap_or_default();
-        let body: Value = serde_json::from_str(&text).unwrap_or_default();
-        reply.error_code = body["error"]["code"]
-            .as_str()
-            .unwrap_or_default()
-            .to_owned();
-        return reply;
+    match reply.status {
+        200 => read_events(&mut reply, &mut BufReader::new(response), start, max_pieces),
+        _ => read_error(&mut reply, &mut BufReader::new(response)),
     }
+    reply
+}
+
+/// Reads the error code of a refusal.
+fn read_error(reply: &mut CompletionReply, body: &mut impl BufRead) {
+    let body: Value = serde_json::from_reader(body).unwrap_or_default();
+    let code = body["error"]["code"].as_str();
+    reply.error_code = code.unwrap_or_default().to_owned();
+}
+
+/// Reads the events of a stream up to `max_pieces` pieces of text.
+fn read_events(
+    reply: &mut CompletionReply,
+    body: &mut impl BufRead,
+    start: Instant,
+    max_pieces: usize,
+) {
     let mut pieces = 0;
-    for line in BufReader::new(response).lines() {
+    for line in body.lines() {
         let Ok(line) = line else {
             break;
         };
@@ -468,7 +480,6 @@
             break;
         }
     }
-    reply
 }
 
 /// Sends a booking and reads the response.
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -2,11 +2,12 @@
 
 mod env;
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::thread::{self, JoinHandle};
 
-use env::Env;
 use env::kept_connection::KeptConnection;
+use env::{CompletionReply, Env};
 use mastichinge::fakes::site::SiteSettings;
 use serde_json::json;
 
@@ -94,8 +95,8 @@
         ..SiteSettings::default()
     });
     let addr = env.hosts[0].settings.listen.callers;
-    let callers: Vec<JoinHandle<Vec<u16>>> = (0..BUSY_CALLERS)
-        .map(|_| thread::spawn(move || KeptConnection::open(addr).ask_until_closed("m1")))
+    let callers: Vec<JoinHandle<Vec<CompletionReply>>> = (0..BUSY_CALLERS)
+        .map(|_| thread::spawn(move || ask_until_closed(addr)))
         .collect();
     env.wait("the streams run", || {
         let running = env.site.engines.iter().map(|e| e.report().running);
@@ -104,13 +105,23 @@
     env.terminate(0);
     assert!(env.wait_exit(0).success());
     for caller in callers {
-        let statuses = caller.join().expect("the caller's thread");
-        let (last, earlier) = statuses.split_last().expect("a response");
-        assert_eq!(*last, 503, "{statuses:?}");
-        assert!(earlier.iter().all(|s| *s == 200), "{statuses:?}");
+        let replies = caller.join().expect("the caller's thread");
+        let (last, earlier) = replies.split_last().expect("a response");
+        assert_eq!((last.status, &*last.error_code), (503, "draining"));
+        assert!(earlier.iter().all(|r| r.complete), "{replies:?}");
     }
 }
 
+/// Sends prompts on one connection until the host closes it.
+fn ask_until_closed(addr: SocketAddr) -> Vec<CompletionReply> {
+    let mut connection = KeptConnection::open(addr).expect("a connection");
+    let mut replies = Vec::new();
+    while !connection.is_closed() {
+        replies.push(connection.send_prompt("m1", "again", &[]));
+    }
+    replies
+}
+
 #[test]
 fn a_caller_that_disconnects_frees_the_engine() {
     let env = start(SiteSettings {
