Start fake engines at their software version

The fake engine registered at the first version and then, in the same lifetime, at the test's. Their logs show e3 listed as v1 with the `born` under which it then served v1.1. No engine does that: a new version is a new lifetime.

The fake now has its version from its start; the check is as it was.

--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -116,11 +116,22 @@
 impl Engine {
     /// Starts an engine that has loaded `models` and registers it.
     pub fn start(store: &Store, id: &str, service: &str, models: &[&str]) -> Self {
+        Engine::start_version(store, id, (service, FIRST_VERSION), models)
+    }
+
+    /// Starts an engine of a service and a software version that has loaded `models`, and
+    /// registers it.
+    pub fn start_version(
+        store: &Store,
+        id: &str,
+        (service, software): (&str, &str),
+        models: &[&str],
+    ) -> Self {
         let (sender, receiver) = std::sync::mpsc::channel();
         let state = EngineState {
             models: models.iter().map(|m| (*m).to_owned()).collect(),
             born: 1_000,
-            software: FIRST_VERSION.to_owned(),
+            software: software.to_owned(),
             ..EngineState::default()
         };
         let (id, service, store) = (id.to_owned(), service.to_owned(), store.clone());
@@ -399,12 +410,6 @@
         self.closed.notify_waiters();
     }
 
-    /// Sets the version of its software and registers it.
-    pub fn set_software(&self, software: &str) {
-        self.state.lock().unwrap().software = software.to_owned();
-        self.register("ready");
-    }
-
     /// Starts a new lifetime under the same id, without added headers; its entry is still
     /// that of the lifetime before.
     pub fn start_unlisted(&self) {
--- a/tests/edge/version_fleet.rs
+++ b/tests/edge/version_fleet.rs
@@ -45,10 +45,7 @@
 
     pub fn add_engine(&mut self, version: &str, models: &[&str]) {
         let id = format!("e{}", self.engines.len() + 1);
-        let engine = Engine::start(&self.store, &id, "models", models);
-        if version != FIRST_VERSION {
-            engine.set_software(version);
-        }
+        let engine = Engine::start_version(&self.store, &id, ("models", version), models);
         self.engines.push(engine);
     }
 
