Do not answer 500 to requests that arrive after a stop

Change: a stopping server closes its listening socket before it refuses what it has received, so later connections are refused, and does not drop the queue: a request that still arrives on an open connection ends with the process, without an answer, which the tool and callers treat as such.

Test: a_request_after_a_stop_is_not_answered_500 fails if the queue is dropped (500) and passes. tests/{http_server,tool,path,operate}.rs pass.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,12 +1,13 @@
 //! Accepts requests from a `tiny_http` server and handles each on its own thread.
 
 use std::io;
-use std::net::TcpListener;
+use std::net::{Shutdown, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
 use tiny_http::{Request, Server};
 
 use super::guard::{Guard, GuardSettings};
@@ -164,6 +165,13 @@
         }
     }
 
+    /// Closes the listening socket; open connections continue.
+    fn close(&self) {
+        if let Err(e) = SockRef::from(&self.listener).shutdown(Shutdown::Both) {
+            log::debug!("the listening socket was already closed: {e}");
+        }
+    }
+
     /// Returns a request that has been received, without waiting for one.
     fn received_request(&self) -> Option<Request> {
         for server in &self.servers {
@@ -211,14 +219,18 @@
                 self.dispatch(request);
             }
         }
+        acceptor.close();
         let start = Instant::now();
         while start.elapsed() < MAX_STOP_TIME {
             match acceptor.received_request() {
                 Some(request) => self.dispatch(request),
-                None if start.elapsed() >= STOP_TIME => return,
+                None if start.elapsed() >= STOP_TIME => break,
                 None => thread::sleep(STOP_POLL_INTERVAL),
             }
         }
+        // `tiny_http` answers a request that is dropped with 500. One that still arrives on an
+        // open connection gets no answer instead.
+        std::mem::forget(acceptor.servers);
     }
 
     fn dispatch(&self, request: Request) {
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -104,3 +104,28 @@
         open.truncate(open.len() - CONNECTIONS / 2);
     }
 }
+
+/// Guards against a false 500: the HTTP library answers a request that nobody takes up.
+#[test]
+fn a_request_after_a_stop_is_not_answered_500() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let settings = GuardSettings::default();
+    let mut server = server::start(listener, 64, settings, Arc::new(Responder)).unwrap();
+    let mut client = TcpStream::connect(addr).unwrap();
+    write!(client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n").unwrap();
+    let mut status = [0; 12];
+    client.read_exact(&mut status).unwrap();
+    assert_eq!(&status, b"HTTP/1.1 200");
+    server.stop();
+    drop(server);
+    client.set_read_timeout(Some(SETTLE_TIME)).unwrap();
+    let _ = write!(
+        client,
+        "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+    );
+    let mut rest = Vec::new();
+    let _ = client.read_to_end(&mut rest);
+    let rest = String::from_utf8_lossy(&rest);
+    assert!(!rest.contains("HTTP/1.1 500"), "{rest}");
+}
