Compare an engine's start time with its report in one place

Three checks decoded a report and compared its start time, and two read a body up to a limit. other_start and read_body serve them; the hosts that check rates are chosen by Edge::is_allocator, which the writers of rows use. Behaviour stays, but for the log of a misdirected check, which names no start time that fits.

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -113,9 +113,8 @@
         let sent = self.sender.send_request(request).await;
         let (head, body) = sent.map_err(|e| lost(&e))?.into_parts();
         self.limit_head(None);
-        let body = Limited::new(body, max_bytes).collect().await;
-        let body = body.map_err(|e| SendError::ConnectionLost(e.to_string()))?;
-        Ok(Response::from_parts(head, body.to_bytes()))
+        let body = read_body(body, max_bytes).await?;
+        Ok(Response::from_parts(head, body))
     }
 
     /// Returns whether another request can be sent after the last response was read whole.
@@ -392,13 +391,18 @@
     max_bytes: usize,
 ) -> Result<Response<Bytes>, SendError> {
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, max_bytes).collect().await;
-    let body = body.map_err(|e| SendError::ConnectionLost(e.to_string()))?;
+    let body = read_body(body, max_bytes).await?;
     let headers = headers::parse_response(&head.headers);
     if !headers.closes {
         connection.release(headers.idle_timeout);
     }
-    Ok(Response::from_parts(head, body.to_bytes()))
+    Ok(Response::from_parts(head, body))
+}
+
+async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, SendError> {
+    let body = Limited::new(body, max_bytes).collect().await;
+    let body = body.map_err(|e| SendError::ConnectionLost(e.to_string()))?;
+    Ok(body.to_bytes())
 }
 
 /// Limits the time of an exchange.
--- a/src/edge/engine_checks.rs
+++ b/src/edge/engine_checks.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 
 use super::clock;
-use super::exchange::{CallKind, Recipient};
+use super::exchange::{CallKind, Recipient, other_start};
 use super::state::Edge;
 use crate::platform::orders;
 
@@ -25,13 +25,11 @@
 
 /// Returns the engines to be asked for their rates; one host asks for all.
 fn take_rate_checks(edge: &Edge) -> Vec<Recipient> {
-    let now = clock::now();
-    let mut state = edge.state.borrow_mut();
-    let allocator = state.members.allocator(&edge.host, edge.is_ready(), now);
-    if allocator != edge.host {
+    if !edge.is_allocator() {
         return Vec::new();
     }
-    let due = state.fleet.rates_mut().take_checks(now);
+    let mut state = edge.state.borrow_mut();
+    let due = state.fleet.rates_mut().take_checks(clock::now());
     let recipients = due.iter().filter_map(|id| state.fleet.recipient(id));
     recipients.collect()
 }
@@ -85,9 +83,9 @@
     };
     // Another engine has the address, or this one has started again since.
     let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST;
-    let report = orders::decode_report(response.body());
-    let born = report.map_or(0, |report| report.incarnation);
-    if is_other || born != 0 && born != life {
+    let other = other_start(&recipient.lifetime, response.body());
+    if is_other || other.is_some() {
+        let born = other.unwrap_or_default();
         log::info!(engine = &**engine, life, born; "check answered by another engine");
         return;
     }
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -59,6 +59,13 @@
     pub addr: SocketAddr,
 }
 
+/// Returns the start time that an engine's report names if it is that of another lifetime.
+pub(super) fn other_start(lifetime: &Lifetime, report: &[u8]) -> Option<u64> {
+    let report = orders::decode_report(report).ok()?;
+    let born = report.incarnation;
+    (born != 0 && born != lifetime.incarnation).then_some(born)
+}
+
 impl Edge {
     /// Sends the caller's request `id` to an engine, with a permit if the engine has named a
     /// rate. Dropping the future closes the connection.
@@ -77,8 +84,8 @@
         };
         let check = async |connection: &mut Connection| {
             // An id without a start time is never used again.
-            let is_known = recipient.lifetime.incarnation == 0;
-            if !options.checks_lifetime || is_known || connection.leads_to(&recipient.lifetime) {
+            let has_start = recipient.lifetime.incarnation != 0;
+            if !options.checks_lifetime || !has_start || connection.leads_to(&recipient.lifetime) {
                 return Ok(true);
             }
             if !self.accepts(recipient) {
@@ -114,24 +121,17 @@
         connection: &mut Connection,
         recipient: &Recipient,
     ) -> Result<bool, SendError> {
-        let Lifetime {
-            engine,
-            incarnation,
-        } = &recipient.lifetime;
         let not_sent = |cause: String| SendError::NotSent(cause);
         let request = orders::report_request(&recipient.addr.to_string());
         let request = request.map_err(|e| not_sent(e.to_string()))?;
         let asked = Asked::Called(clock::now());
         let exchange = connection.exchange(request, CALL_LIMITS.max_bytes);
-        let response = match client::within(LIFETIME_CHECK_TIME, exchange).await {
-            Ok(response) => response,
-            Err(error) => return Err(not_sent(format!("lifetime not checked: {error}"))),
-        };
+        let response = client::within(LIFETIME_CHECK_TIME, exchange).await;
+        let response = response.map_err(|e| not_sent(format!("lifetime not checked: {e}")))?;
         self.record_statement(recipient, "", asked, response.status(), response.headers());
-        let report = orders::decode_report(response.body());
-        let born = report.map_or(0, |report| report.incarnation);
-        if born != 0 && born != *incarnation {
-            log::info!(engine = &**engine, life = *incarnation, born; "engine has started again");
+        if let Some(born) = other_start(&recipient.lifetime, response.body()) {
+            let (engine, life) = (&*recipient.lifetime.engine, recipient.lifetime.incarnation);
+            log::info!(engine, life, born; "engine has started again");
             return Err(not_sent("the engine has started again".to_owned()));
         }
         connection.set_lifetime(recipient.lifetime.clone());
--- a/src/edge/suspects/engine_ends.rs
+++ b/src/edge/suspects/engine_ends.rs
@@ -12,7 +12,7 @@
 
 use super::{CrashId, Feature, Progress};
 use crate::edge::clock;
-use crate::edge::exchange::{CallKind, Recipient};
+use crate::edge::exchange::{CallKind, Recipient, other_start};
 use crate::edge::state::Edge;
 use crate::edge::upstream::Lifetime;
 use crate::platform::orders;
@@ -118,12 +118,9 @@
 /// Returns whether an engine that accepts connections says in its report that it has started
 /// again. Something before it may accept them while it does not answer.
 async fn has_restarted(edge: &Edge, recipient: &Recipient) -> bool {
-    let Lifetime {
-        engine,
-        incarnation,
-    } = &recipient.lifetime;
+    let engine = &recipient.lifetime.engine;
     // Without a start time, or without models, an engine makes no report that tells.
-    if *incarnation == 0 || !edge.reports_start(engine) {
+    if recipient.lifetime.incarnation == 0 || !edge.reports_start(engine) {
         return false;
     }
     let started_at = clock::now();
@@ -136,11 +133,7 @@
             }
         };
         match edge.call_engine(recipient, CallKind::Check, request).await {
-            Ok(response) => {
-                let report = orders::decode_report(response.body());
-                let born = report.map_or(0, |report| report.incarnation);
-                return born != 0 && born != *incarnation;
-            }
+            Ok(response) => return other_start(&recipient.lifetime, response.body()).is_some(),
             Err(error) => {
                 log::debug!(engine = &**engine, error:%; "no report of an engine that may have ended");
             }
