--- a/src/edge/placement/adapters.rs
+++ b/src/edge/placement/adapters.rs
@@ -8,7 +8,6 @@
 use crate::clock::Moment;
 use crate::edge::desired::Hosting;
 use crate::edge::orders::Verb;
-use crate::edge::request_headers;
 use crate::edge::upstream::Upstream;
 
 /// Requests by which two engines may differ and still count as equally busy,
@@ -116,16 +115,16 @@
         .requests(input.now)
         .map(|(target, _)| &**target)
         .collect();
-    let waited = input.waiting.keys().filter(|t| t.matches(engine));
-    let waited: BTreeSet<_> = waited
-        .filter(|t| t.service == engine.entry.service)
-        .map(ModelTarget::name)
-        .collect();
     let mut oldest: Option<(Moment, &Arc<str>, &Arc<str>)> = None;
     for (model, replica) in &view.replicas {
         for (name, adapter) in &replica.adapters {
-            let target = request_headers::target(model, Some(name));
-            let needed = waited.contains(&target) || used.contains(&*target);
+            let target = ModelTarget {
+                service: engine.entry.service.clone(),
+                model: model.clone(),
+                adapter: Some(name.clone()),
+                software: None,
+            };
+            let needed = used.contains(&*target.name()) || is_waited_for(&target, engine, input);
             if needed || adapter.ready_at > input.now {
                 continue;
             }
@@ -136,3 +135,12 @@
     }
     oldest.map(|(_, model, name)| (model.clone(), name.clone()))
 }
+
+/// Returns whether requests wait for a target that an engine holds, at any version or at its own.
+fn is_waited_for(target: &ModelTarget, engine: &Upstream, input: &PlacementInput<'_>) -> bool {
+    let at_version = ModelTarget {
+        software: Some(engine.entry.software.clone()),
+        ..target.clone()
+    };
+    input.waiting.contains_key(target) || input.waiting.contains_key(&at_version)
+}
