Share what the rows of versions and the streams of routes have in common

Rows of bases and of streams have the same content: one record. Which stream a request begins is computed once, for streams whose caller can name them, and not for every request; Attempts::begins says whether the next event begins it, at both places that asked. Whether a route has resumable streams, and whether a version is listed, each have one home. Rows that were refused are not copied.

--- a/src/edge/desired.rs
+++ b/src/edge/desired.rs
@@ -58,6 +58,11 @@
 }
 
 impl Route {
+    /// Returns whether it has streams that may be resumed.
+    pub fn has_resumable_streams(&self) -> bool {
+        self.kind == RouteKind::Stream && self.resumable
+    }
+
     /// Returns whether a request that may have run may be sent again.
     pub fn is_repeatable(&self) -> bool {
         match self.kind {
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -364,6 +364,12 @@
         *load.targets.entry(sent.target.clone()).or_default() += 1;
     }
 
+    /// Returns whether an engine of this software version is listed for a service.
+    pub fn lists(&self, service: &str, software: &str) -> bool {
+        let mut entries = self.engines.values().map(|e| &e.entry);
+        entries.any(|e| &*e.service == service && *e.software == *software)
+    }
+
     /// Returns whether an engine of this software version may get new requests of a service.
     pub fn has_usable(&self, service: &str, software: &str) -> bool {
         let mut engines = self.usable_engines(service);
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -165,9 +165,9 @@
         admit(routed, attempts, &engine).await?;
         let was_abandoned = attempts.return_to(&engine);
         attempts.sent += 1;
-        if routed.can_be_named() && attempts.software.is_none() {
+        if let Some(stream) = attempts.begins(routed) {
             let edge = &routed.edge;
-            edge.begin_stream(routed.stream, &routed.service, &choice.software);
+            edge.begin_stream(stream, &routed.service, &choice.software);
         }
         match send(routed, attempts, &choice, max_silence).await {
             SendOutcome::Response(engine_response) => return Ok(engine_response),
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -60,8 +60,8 @@
     desired: Rc<DesiredState>,
     /// Service chosen among those of the route.
     service: Arc<str>,
-    /// Id of the stream that it begins, if it is for one.
-    stream: StreamId,
+    /// Id of the stream that it begins, if its caller can take that up again by name.
+    stream: Option<StreamId>,
     /// Fingerprint of path and body.
     fingerprint: u64,
     /// What it may have in common with requests that crash engines; its own feature is the last.
@@ -89,7 +89,7 @@
 
     /// Returns whether it is for a stream that may be resumed.
     fn can_be_resumed(&self) -> bool {
-        self.route.kind == RouteKind::Stream && self.route.resumable
+        self.route.has_resumable_streams()
     }
 
     /// Returns whether its engines hold models, and so report their start times.
@@ -97,11 +97,6 @@
         self.desired.hosting(&self.service).is_some()
     }
 
-    /// Returns whether the caller could name the stream when it takes it up again.
-    fn can_be_named(&self) -> bool {
-        self.can_be_resumed() && !self.headers.id.is_empty()
-    }
-
     /// Returns whether an engine of a version is listed that does not leave.
     fn is_version_listed(&self, software: &str) -> bool {
         let state = self.edge.state.borrow();
@@ -309,9 +304,10 @@
     }
     let fingerprint = suspects::fingerprint(head.uri.path(), &body);
     let features = suspects::features(fingerprint, headers.shared_parts.iter().copied());
+    let can_be_named = route.has_resumable_streams() && !headers.id.is_empty();
     Ok(RoutedRequest {
         edge: edge.clone(),
-        stream: StreamId::of(&headers.id),
+        stream: can_be_named.then(|| StreamId::of(&headers.id)),
         head,
         body,
         headers,
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -101,14 +101,11 @@
     };
     source.in_flight.record_prompt_read();
     let measured = clock::now().saturating_sub(sent_at);
-    if routed.can_be_named() && attempts.software.is_none() {
+    if let Some(stream) = attempts.begins(routed) {
         let leaves_at = routed.arrived_at + silence_limit(&routed.route);
         let deadline = leaves_at.min(routed.deadline);
         let edge = &routed.edge;
-        let recorded = edge
-            .await_recorded(routed.stream, &software, deadline)
-            .await;
-        if !recorded {
+        if !edge.await_recorded(stream, &software, deadline).await {
             return Err(OpenError::Unrecorded);
         }
     }
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -9,7 +9,7 @@
 use super::RoutedRequest;
 use crate::clock::Moment;
 use crate::edge::clock;
-use crate::edge::origins::Allowed;
+use crate::edge::origins::{Allowed, StreamId};
 use crate::edge::permits::{PermitGuard, PermitState, Rank};
 use crate::edge::suspects::Progress;
 use crate::edge::upstream::Lifetime;
@@ -76,6 +76,11 @@
         self.has_abandoned || !self.first_event.is_zero()
     }
 
+    /// Returns the stream that the next event begins, if its caller can take that up by name.
+    pub(super) fn begins(&self, routed: &RoutedRequest) -> Option<StreamId> {
+        routed.stream.filter(|_| self.software.is_none())
+    }
+
     /// Returns the software versions at which it may run next.
     pub(super) fn allowed(&self, routed: &RoutedRequest) -> Allowed {
         if !routed.can_be_resumed() {
--- a/src/edge/origins/base.rs
+++ b/src/edge/origins/base.rs
@@ -5,14 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
+use super::record;
 use super::services::{Base, ListedVersions};
 use crate::clock::Moment;
 use crate::edge::clock;
-use crate::edge::desired::RouteKind;
 use crate::edge::state::{Edge, State};
-use crate::edge::store::{CommitOutcome, Row, RowChange, RowPage, StoreError, Table, UNNAMED_PART};
+use crate::edge::store::{CommitOutcome, RowChange, RowPage, StoreError, Table, UNNAMED_PART};
 
 /// Period of checking which versions are listed, without a change of the list.
 const CHECK_PERIOD: Duration = Duration::from_secs(2);
@@ -24,12 +22,6 @@
 /// Period of reading the base row of a service without engines of its base version.
 const REREAD_PERIOD: Duration = Duration::from_secs(15);
 
-/// Content of a base row.
-#[derive(Debug, Serialize, Deserialize)]
-struct BaseRecord {
-    software: Arc<str>,
-}
-
 /// Since when no engine of a base version is listed.
 #[derive(Clone, Copy, Debug)]
 struct Absence {
@@ -116,15 +108,12 @@
     software: Arc<str>,
     expected_version: u64,
 ) -> Result<Option<Base>, StoreError> {
-    let record = BaseRecord {
-        software: software.clone(),
-    };
     let change = RowChange {
         table: Table::Bases,
         part: UNNAMED_PART,
         key: service.clone(),
         expected_version: Some(expected_version),
-        value: serde_json::to_vec(&record).ok(),
+        value: record::encode(&software),
     };
     match edge.store.commit(&[change]).await? {
         CommitOutcome::Committed(row) => {
@@ -203,8 +192,12 @@
         let (Some(value), true) = (&row.value, row.unnamed_part) else {
             continue;
         };
-        match decode_row(row, value) {
-            Ok(base) => {
+        match record::decode(value) {
+            Ok(software) => {
+                let base = Base {
+                    software,
+                    row: row.version,
+                };
                 bases.insert(row.key.clone(), base);
             }
             Err(error) => {
@@ -215,14 +208,6 @@
     bases
 }
 
-fn decode_row(row: &Row, value: &[u8]) -> Result<Base, serde_json::Error> {
-    let record: BaseRecord = serde_json::from_slice(value)?;
-    Ok(Base {
-        software: record.software,
-        row: row.version,
-    })
-}
-
 impl Edge {
     /// Records the base of a service, read after `versions` were listed.
     fn confirm_base(
@@ -256,10 +241,8 @@
     /// Returns whether an engine of a service's base version is listed.
     pub(super) fn is_base_listed(&self, service: &str) -> bool {
         let state = self.state.borrow();
-        let listed = state.listed_versions();
-        let versions = listed.get(service);
         let base = state.origins.services.base(service);
-        base.is_some_and(|base| versions.is_some_and(|v| v.contains(&base.software)))
+        base.is_some_and(|base| state.fleet.lists(service, &base.software))
     }
 
     /// Has the rows of streams written again, and base rows read before further versions are used.
@@ -276,10 +259,8 @@
     /// Returns the versions of the listed engines of services with streams that may be resumed.
     fn listed_versions(&self) -> ListedVersions {
         let mut listed = ListedVersions::new();
-        for route in self.desired.routes.values().flatten() {
-            if route.kind != RouteKind::Stream || !route.resumable {
-                continue;
-            }
+        let routes = self.desired.routes.values().flatten();
+        for route in routes.filter(|r| r.has_resumable_streams()) {
             for target in &route.targets {
                 listed.entry(target.service.clone()).or_default();
             }
--- a/src/edge/origins/mod.rs
+++ b/src/edge/origins/mod.rs
@@ -7,6 +7,7 @@
 
 mod base;
 mod lookup;
+mod record;
 mod recording;
 mod services;
 mod stream_id;
--- a/src/edge/origins/recording.rs
+++ b/src/edge/origins/recording.rs
@@ -5,11 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 
-use super::StreamId;
 use super::streams::{DueRow, RecordState, RowNeed};
+use super::{StreamId, record};
 use crate::clock::Moment;
 use crate::edge::clock;
 use crate::edge::state::Edge;
@@ -31,12 +30,6 @@
 /// Pause after a failed write.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Content of a stream's row.
-#[derive(Debug, Serialize, Deserialize)]
-struct OriginRecord {
-    software: Arc<str>,
-}
-
 /// Writers of the parts of the table.
 #[derive(Debug, Default)]
 pub struct OriginWriters {
@@ -164,19 +157,15 @@
 }
 
 async fn commit_rows(edge: &Edge, part: usize, rows: Vec<DueRow>) -> Result<(), StoreError> {
-    let change = |row: &DueRow| {
-        let record = OriginRecord {
-            software: row.software.clone(),
-        };
-        RowChange {
-            table: Table::Origins,
-            part: PARTS[part],
-            key: row.stream.to_string().into(),
-            expected_version: Some(row.expected_version),
-            value: serde_json::to_vec(&record).ok(),
-        }
+    let change = |row: &DueRow| RowChange {
+        table: Table::Origins,
+        part: PARTS[part],
+        key: row.stream.to_string().into(),
+        expected_version: Some(row.expected_version),
+        value: record::encode(&row.software),
     };
     let changes: Vec<_> = rows.iter().map(change).collect();
+    let count = rows.len() as u64;
     let outcome = edge.store.commit(&changes).await;
     let mut state = edge.state.borrow_mut();
     let streams = &mut state.origins.streams;
@@ -190,14 +179,14 @@
             ("conflict", Ok(()))
         }
         Err(error @ StoreError::Refused(_)) => {
-            streams.record_refused(rows.clone());
+            streams.record_refused(rows);
             ("refused", Err(error))
         }
         // Outcomes that are not known stay so until the next write.
         Err(error) => ("unanswered", Err(error)),
     };
     drop(state);
-    edge.metrics.record_origin_rows(name, rows.len() as u64);
+    edge.metrics.record_origin_rows(name, count);
     outcome
 }
 
@@ -213,8 +202,8 @@
 /// Returns the version that a stream's row names.
 pub(super) fn decode_row(row: &Row) -> Option<Arc<str>> {
     let value = row.value.as_ref()?;
-    match serde_json::from_slice::<OriginRecord>(value) {
-        Ok(record) => Some(record.software),
+    match record::decode(value) {
+        Ok(software) => Some(software),
         Err(error) => {
             log::warn!(stream = &*row.key, error:%; "row of a stream ignored");
             None
