Refuse alike at both ports of a stopping or busy host

The callers' and the operators' port built the same refusals with the same delay; RefusalCause::refusal does. A request is decided about once unless it waits for its copies, and the guard asks its scanner for the address instead of keeping it twice.

--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -27,8 +27,6 @@
 use super::services::{ServiceCall, ServiceProxy};
 use super::stream::EventStream;
 
-/// `Retry-After` of a request that this host refuses without looking at it.
-const REFUSAL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Prefix of the paths of plain services.
 const SERVICES_PREFIX: &str = "/services/";
 
@@ -70,14 +68,7 @@
     fn refuse(&self, request: Request, cause: RefusalCause) {
         let id = self.request_ids.next_id();
         let format = error_format(&request);
-        let refusal = match cause {
-            RefusalCause::Busy => {
-                let detail = "too many requests are in progress at this host";
-                Refusal::new(Kind::QueueFull, detail)
-            }
-            RefusalCause::Stopping => Refusal::new(Kind::Draining, "the host stops"),
-        };
-        let refusal = refusal.retry_after(REFUSAL_RETRY_AFTER);
+        let refusal = cause.refusal("too many requests are in progress at this host");
         let response = self.refusal_response(&refusal, format, &id);
         match cause {
             RefusalCause::Busy => response.send(request, &id),
--- a/src/http/guard/mod.rs
+++ b/src/http/guard/mod.rs
@@ -126,7 +126,6 @@
         let exchanges = Arc::new(Exchanges::default());
         let (alive, stopped) = channel::bounded(0);
         let guard_thread = GuardThread {
-            addr: listener.local_addr()?,
             scanner: Scanner::new(listener.local_addr()?),
             monitor: ConnectionMonitor::new(settings),
             exchanges: exchanges.clone(),
@@ -182,8 +181,6 @@
 
 /// State of the guard thread.
 struct GuardThread {
-    /// Address on which the server listens.
-    addr: SocketAddr,
     scanner: Scanner,
     monitor: ConnectionMonitor,
     exchanges: Arc<Exchanges>,
@@ -231,9 +228,10 @@
 
     /// Has a thread of the server take up each of this number of connections that none reads.
     fn free_threads(&self, connections: usize) {
+        let addr = self.scanner.local_addr();
         for _ in 0..connections.min(MAX_OWN_CONNECTIONS) {
-            if let Err(e) = TcpStream::connect_timeout(&self.addr, OWN_CONNECT_TIMEOUT) {
-                log::debug!("cannot connect to the own address {}: {e}", self.addr);
+            if let Err(e) = TcpStream::connect_timeout(&addr, OWN_CONNECT_TIMEOUT) {
+                log::debug!("cannot connect to the own address {addr}: {e}");
                 return;
             }
         }
--- a/src/http/guard/monitor.rs
+++ b/src/http/guard/monitor.rs
@@ -112,9 +112,9 @@
     /// Returns whether the next scan should follow soon, because a request head
     /// is arriving or nobody reads it.
     pub fn needs_fast_scan(&self) -> bool {
-        let is_receiving_head =
-            |c: &Connection| matches!(c.phase, Phase::ReceivingHead(_)) || c.unread_since.is_some();
-        self.connections.values().any(is_receiving_head)
+        let is_receiving = |c: &Connection| matches!(c.phase, Phase::ReceivingHead(_));
+        let mut connections = self.connections.values();
+        connections.any(|c| is_receiving(c) || c.unread_since.is_some())
     }
 
     /// Returns the number of connections that no thread has read for [`UNREAD_TIME`]; each is
--- a/src/http/guard/scan.rs
+++ b/src/http/guard/scan.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Returns the address at which the connections are accepted.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.local
+    }
+
     /// Samples all connections; does not query the received bytes of clients
     /// for which `skip` returns true.
     pub fn scan(&mut self, skip: impl Fn(&SocketAddr) -> bool) -> io::Result<Vec<SocketSample>> {
--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -225,13 +225,12 @@
             deadline: self.slot_deadline(context, state),
             avoid: state.avoid.clone(),
         };
-        if matches!(
-            self.control.decide(&completion.fingerprints),
-            RunDecision::Trial(_)
-        ) {
+        let mut decision = self.control.decide(&completion.fingerprints);
+        if matches!(decision, RunDecision::Trial(_)) {
             self.wait_for_copies(&routing, state);
+            decision = self.control.decide(&completion.fingerprints);
         }
-        match self.control.decide(&completion.fingerprints) {
+        match decision {
             RunDecision::Unrestricted => {}
             RunDecision::Trial(suspect) => {
                 state.is_trial = true;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -11,6 +11,7 @@
 use tiny_http::{Request, Server};
 
 use super::guard::{Guard, GuardSettings};
+use crate::error::{Kind, Refusal};
 
 /// Stack size of a request thread, bytes.
 const STACK_BYTES: usize = 256 * 1024;
@@ -22,6 +23,8 @@
 const MAX_STOP_TIME: Duration = Duration::from_secs(2);
 /// Interval at which a stopping server looks for requests.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// `Retry-After` of a request that a server refuses without looking at it.
+const REFUSAL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Pause before a server that stopped accepting is replaced.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 
@@ -42,6 +45,17 @@
     Stopping,
 }
 
+impl RefusalCause {
+    /// Returns the refusal; `busy` tells of the requests in progress.
+    pub fn refusal(self, busy: &str) -> Refusal {
+        let refusal = match self {
+            RefusalCause::Busy => Refusal::new(Kind::QueueFull, busy),
+            RefusalCause::Stopping => Refusal::new(Kind::Draining, "the host stops"),
+        };
+        refusal.retry_after(REFUSAL_RETRY_AFTER)
+    }
+}
+
 /// A running server; dropping it stops it.
 pub struct RunningServer {
     state: Arc<ServerState>,
--- a/src/operators/server.rs
+++ b/src/operators/server.rs
@@ -4,7 +4,6 @@
 use std::io::{self, Cursor};
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::time::Duration;
 
 use tiny_http::{Request, Response};
 
@@ -29,8 +28,6 @@
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Most operator connections at once.
 const MAX_CONNECTIONS: usize = 64;
-/// `Retry-After` of a request that this host refuses without looking at it.
-const REFUSAL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Handles the requests on the operators' port.
 #[derive(Debug)]
@@ -96,15 +93,8 @@
 
     fn refuse(&self, request: Request, cause: RefusalCause) {
         let id = self.ids.next_id();
-        let refusal = match cause {
-            RefusalCause::Busy => {
-                let detail =
-                    format!("{MAX_REQUESTS} requests of operators are in progress at this host");
-                Refusal::new(Kind::QueueFull, detail)
-            }
-            RefusalCause::Stopping => Refusal::new(Kind::Draining, "the host stops"),
-        };
-        let refusal = refusal.retry_after(REFUSAL_RETRY_AFTER);
+        let busy = format!("{MAX_REQUESTS} requests of operators are in progress at this host");
+        let refusal = cause.refusal(&busy);
         send(request, ApiResponse::problem(refusal.into(), &id), &id);
     }
 }
