Share the set-up of fleets without their base, and pass time limits in the soak

Two tests of versions had the same set-up; the soak's callers kept the time limit of the current request as state to pass it on.

--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -116,7 +116,7 @@
 impl Engine {
     /// Starts an engine that has loaded `models` and registers it.
     pub fn start(store: &Store, id: &str, service: &str, models: &[&str]) -> Self {
-        Engine::start_version(store, id, (service, FIRST_VERSION), models)
+        Engine::start_version(store, id, service, FIRST_VERSION, models)
     }
 
     /// Starts an engine of a service and a software version that has loaded `models`, and
@@ -124,7 +124,8 @@
     pub fn start_version(
         store: &Store,
         id: &str,
-        (service, software): (&str, &str),
+        service: &str,
+        software: &str,
         models: &[&str],
     ) -> Self {
         let (sender, receiver) = std::sync::mpsc::channel();
--- a/tests/edge/software_versions.rs
+++ b/tests/edge/software_versions.rs
@@ -10,10 +10,8 @@
 use crate::fakes::daemon::{Daemon, Request, Response, exchange, wait};
 use crate::fakes::engine::Behavior;
 use crate::site::{MODEL, all_events, events};
-use crate::version_fleet::{Fleet, READ_EVENTS, STREAMS, TakenUp, versions};
+use crate::version_fleet::{Fleet, READ_EVENTS, SECOND_VERSION, STREAMS, TakenUp, versions};
 
-/// Version beside the first one.
-const SECOND_VERSION: &str = "v1.1";
 /// Time for which the store does not answer; callers leave after 3.2 s.
 const CLOSING_TIME: Duration = Duration::from_millis(2_200);
 /// Time for which a base version is kept that no engine has, less a margin for waiting.
@@ -376,15 +374,7 @@
 /// when it comes back after another has taken its place.
 #[test]
 fn a_base_version_that_has_left_is_replaced_and_may_come_back() {
-    let mut fleet = Fleet::start(&["v1", "v1"], 2);
-    for _ in 0..2 {
-        fleet.add_engine(SECOND_VERSION, &["m1"]);
-    }
-    fleet.wait_for_change("e4", "appeared");
-    for engine in ["e1", "e2"] {
-        fleet.store.remove("servers", engine);
-    }
-    fleet.wait_for_change("e2", "gone");
+    let mut fleet = Fleet::without_base(2);
     std::thread::sleep(RETIRE_TIME);
     wait("another base version", || {
         let is_known = |l: &Value| l["software"] == SECOND_VERSION;
@@ -413,15 +403,7 @@
 /// left, and against ORDER after it.
 #[test]
 fn streams_begin_without_rows_where_the_base_version_has_left_and_the_store_is_away() {
-    let mut fleet = Fleet::start(&["v1", "v1"], 2);
-    for _ in 0..2 {
-        fleet.add_engine(SECOND_VERSION, &["m1"]);
-    }
-    fleet.wait_for_change("e4", "appeared");
-    for engine in ["e1", "e2"] {
-        fleet.store.remove("servers", engine);
-        fleet.wait_for_change(engine, "gone");
-    }
+    let mut fleet = Fleet::without_base(2);
     fleet.store.set_down(true);
     wait("an outage", || {
         let noticed = |d: &Daemon| !d.logged("store unavailable").is_empty();
--- a/tests/edge/version_fleet.rs
+++ b/tests/edge/version_fleet.rs
@@ -11,6 +11,8 @@
 use crate::fakes::store::Store;
 use crate::site::{MODEL, desired, events};
 
+/// Version beside the first one.
+pub const SECOND_VERSION: &str = "v1.1";
 /// Number of streams of a test.
 pub const STREAMS: usize = 24;
 /// Events that a caller reads before its stream is broken off.
@@ -43,9 +45,24 @@
         fleet
     }
 
+    /// Starts so many daemons with two engines of the first version, which is the base, and two of
+    /// the second; the former leave.
+    pub fn without_base(daemons: usize) -> Self {
+        let mut fleet = Fleet::start(&[FIRST_VERSION; 2], daemons);
+        for _ in 0..2 {
+            fleet.add_engine(SECOND_VERSION, &["m1"]);
+        }
+        fleet.wait_for_change("e4", "appeared");
+        for engine in ["e1", "e2"] {
+            fleet.store.remove("servers", engine);
+            fleet.wait_for_change(engine, "gone");
+        }
+        fleet
+    }
+
     pub fn add_engine(&mut self, version: &str, models: &[&str]) {
         let id = format!("e{}", self.engines.len() + 1);
-        let engine = Engine::start_version(&self.store, &id, ("models", version), models);
+        let engine = Engine::start_version(&self.store, &id, "models", version, models);
         self.engines.push(engine);
     }
 
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -55,6 +55,16 @@
     pub stop: AtomicBool,
 }
 
+/// What an attempt asks for.
+struct Target {
+    kind: Kind,
+    extra_route: Option<u64>,
+    /// Time limit of the request.
+    limit: Duration,
+    /// Stream that it takes up again.
+    take_up: Option<TakeUp>,
+}
+
 /// A connection to a daemon.
 struct Connection {
     stream: TcpStream,
@@ -69,8 +79,6 @@
     number: usize,
     rng: ChaCha8Rng,
     sent: u64,
-    /// Time limit of the current request.
-    limit: Duration,
     kept: Option<Connection>,
 }
 
@@ -81,7 +89,6 @@
             number,
             rng: ChaCha8Rng::seed_from_u64(setup.seed * 10_000 + number as u64),
             sent: 0,
-            limit: Duration::ZERO,
             kept: None,
         }
     }
@@ -127,9 +134,15 @@
             if crashes && kind.is_stream() && self.sent.is_multiple_of(CRASHING_PERIOD) {
                 id.push_str(&crashing_suffix(self.number));
             }
-            let outcome = self.attempt(kept, (kind, extra_route), &id, limit).await;
+            let target = Target {
+                kind,
+                extra_route,
+                limit,
+                take_up: None,
+            };
+            let outcome = self.attempt(kept, target, &id).await;
             if self.setup.takes_up && kind == Kind::Stream {
-                self.take_up(&id, &outcome).await;
+                self.take_up(&id, &outcome, limit).await;
             }
             let wait = match &outcome {
                 Outcome::Answered(answer) if PROMISES.contains(&answer.status) => {
@@ -146,7 +159,7 @@
     }
 
     /// Takes a stream up again that broke off after its first event, for as long as it breaks off.
-    async fn take_up(&mut self, first: &str, outcome: &Outcome) {
+    async fn take_up(&mut self, first: &str, outcome: &Outcome, limit: Duration) {
         let Some(mut after) = broken_after(outcome) else {
             return;
         };
@@ -158,9 +171,13 @@
                 first: first.to_owned(),
                 after,
             };
-            let outcome = self
-                .send_attempt(None, (Kind::Stream, None), &id, Some(take_up))
-                .await;
+            let target = Target {
+                kind: Kind::Stream,
+                extra_route: None,
+                limit,
+                take_up: Some(take_up),
+            };
+            let outcome = self.attempt(None, target, &id).await;
             match (&outcome, broken_after(&outcome)) {
                 (_, Some(last)) => after = last,
                 (Outcome::Answered(answer), None) if PROMISES.contains(&answer.status) => {
@@ -173,40 +190,23 @@
         }
     }
 
-    /// Sends one attempt that takes up no stream and records how it ended.
-    async fn attempt(
-        &mut self,
-        kept: Option<Connection>,
-        target: (Kind, Option<u64>),
-        id: &str,
-        limit: Duration,
-    ) -> Outcome {
-        self.limit = limit;
-        self.send_attempt(kept, target, id, None).await
-    }
-
-    async fn send_attempt(
-        &mut self,
-        kept: Option<Connection>,
-        (kind, extra_route): (Kind, Option<u64>),
-        id: &str,
-        take_up: Option<TakeUp>,
-    ) -> Outcome {
+    /// Sends one attempt and records how it ended.
+    async fn attempt(&mut self, kept: Option<Connection>, target: Target, id: &str) -> Outcome {
         let started_at = self.setup.recorder.now();
         let kept = match kept {
             Some(kept) => Some(kept),
             None => self.connect().await,
         };
         let mut attempt = Attempt {
-            kind,
-            extra_route,
+            kind: target.kind,
+            extra_route: target.extra_route,
             daemon: kept.as_ref().map_or(usize::MAX, |c| c.daemon),
             reused: kept.as_ref().is_some_and(|c| c.reused),
             started_at,
             sent_at: None,
             ended_at: started_at,
-            time_limit: self.limit,
-            take_up,
+            time_limit: target.limit,
+            take_up: target.take_up,
             broken_off: false,
             outcome: Outcome::NotSent,
         };
