--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -8,6 +8,7 @@
 mod relay;
 pub mod response;
 mod retry;
+mod selection;
 mod send;
 mod silence;
 mod source;
--- a/src/edge/forward/permit.rs
+++ b/src/edge/forward/permit.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::RoutedRequest;
-use super::attempt::{Constraints, with_routing};
 use super::retry::Attempts;
+use super::selection::{Constraints, with_routing};
 use crate::clock::Moment;
 use crate::edge::permits::{PermitGuard, PermitState};
 use crate::edge::routing;
--- a/src/edge/forward/silence.rs
+++ b/src/edge/forward/silence.rs
@@ -10,8 +10,8 @@
 use tokio::time::timeout;
 
 use super::RoutedRequest;
-use super::attempt::{self, Constraints};
 use super::retry::{self, Attempts};
+use super::selection::{Constraints, with_routing};
 use crate::edge::clock;
 use crate::edge::routing::{self, Selection};
 
@@ -98,7 +98,7 @@
         permit: None,
         allowed: &attempts.allowed(routed),
     };
-    let selection = attempt::with_routing(routed, constraints, now, routing::select_engine);
+    let selection = with_routing(routed, constraints, now, routing::select_engine);
     let Selection::Engine(choice) = selection else {
         return None;
     };
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -48,6 +48,7 @@
 pub mod suspects;
 pub mod unread_connection;
 pub mod upstream;
+pub mod waiting;
 
 use std::cell::{Cell, RefCell};
 use std::io;
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -9,10 +9,12 @@
 
 mod adapters;
 pub mod engine_view;
+mod forecast;
 mod index;
 mod plan;
+mod target;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,7 +23,6 @@
 use super::fleet::Fleet;
 use super::load_forecast::LoadForecast;
 use super::orders::{EngineReport, Order, OrderOutcome, Verb};
-use super::request_headers::{self, Prompt};
 use super::settings::{EngineSettings, PlacementSettings, Settings};
 use super::upstream::Upstream;
 use crate::clock::Moment;
@@ -29,6 +30,7 @@
 use adapters::next_adapter_order;
 use engine_view::{Adapter, EngineView, REPORT_PAUSE, Replica, TaskStage, model_size_mb};
 use index::PlanIndex;
+pub use target::{ModelTarget, WaitingRequests};
 
 /// Minimum time between the start of a drain and the unload, so that requests
 /// already on their way arrive first: twice the latency to a daemon and on to the
@@ -59,70 +61,6 @@
 /// Maximum age of a task that has not started to load.
 const MAX_TASK_AGE: Duration = Duration::from_secs(8);
 
-/// Requests that wait for a model or an adapter.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct WaitingRequests {
-    /// Number of requests.
-    pub count: u32,
-    /// Most urgent priority among them; 0 is the highest.
-    pub priority: u8,
-    /// Engine that answered that it lacks the target.
-    pub missing_at: Option<Arc<str>>,
-    /// Engines that hold the target and want no requests of the hosts where it is waited for.
-    pub paused: BTreeSet<Arc<str>>,
-}
-
-/// A model of a service, or an adapter of that model.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct ModelTarget {
-    /// Service.
-    pub service: Arc<str>,
-    /// Model.
-    pub model: Arc<str>,
-    /// Adapter; absent for the model itself.
-    pub adapter: Option<Arc<str>>,
-    /// Software version of the engine that is to hold it; absent for any.
-    pub software: Option<Arc<str>>,
-}
-
-impl ModelTarget {
-    /// Returns the target of a prompt at a service.
-    pub fn of(service: &Arc<str>, prompt: &Prompt) -> Self {
-        ModelTarget {
-            service: service.clone(),
-            model: prompt.model.clone(),
-            adapter: prompt.adapter.clone(),
-            software: None,
-        }
-    }
-
-    /// Returns a model on engines of any version.
-    pub fn of_model(key: &ModelKey) -> Self {
-        ModelTarget {
-            service: key.service.clone(),
-            model: key.model.clone(),
-            adapter: None,
-            software: None,
-        }
-    }
-
-    /// Returns the model without its adapter, on engines of any version.
-    pub fn key(&self) -> ModelKey {
-        ModelKey::new(&self.service, &self.model)
-    }
-
-    /// Returns whether an engine is of the version that is to hold it.
-    pub fn matches(&self, engine: &Upstream) -> bool {
-        let software = self.software.as_ref();
-        software.is_none_or(|s| *s == engine.entry.software)
-    }
-
-    /// Returns `model` or `model/adapter`.
-    pub fn name(&self) -> Arc<str> {
-        request_headers::target(&self.model, self.adapter.as_deref())
-    }
-}
-
 /// What placement decisions are based on.
 #[derive(Debug)]
 pub struct PlacementInput<'a> {
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -1,7 +1,7 @@
 //! State of the daemon, shared by its tasks on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,17 +28,14 @@
 use super::store::StoreClient;
 use super::suspects::{PendingEnds, Suspects};
 use super::upstream::SentPrompt;
+use super::waiting::WaitingTarget;
 use crate::clock::Moment;
 use crate::metrics::Metrics;
 
 /// Age at which another daemon's waiting requests and demand are ignored.
-const PEER_STATE_MAX_AGE: Duration = Duration::from_millis(1_500);
+pub(super) const PEER_STATE_MAX_AGE: Duration = Duration::from_millis(1_500);
 /// Period at which the leader sums the demand of all daemons.
 const DEMAND_PERIOD: Duration = Duration::from_millis(100);
-/// Time for which a target stays listed after its last waiting request was
-/// refused, so that the load starts and a later attempt finds the model.
-const WAIT_RETENTION: Duration = Duration::from_millis(800);
-
 /// Lifecycle phase of the daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -160,19 +157,6 @@
     pub active_requests: usize,
 }
 
-/// Requests of this daemon that wait for one target.
-#[derive(Clone, Debug, Default)]
-pub struct WaitingTarget {
-    /// Requests as reported to other daemons.
-    pub requests: WaitingRequests,
-    /// Last change.
-    pub changed_at: Moment,
-    /// When the last of the callers that were refused comes back.
-    pub retry_at: Moment,
-    /// Whether `missing_at` has been reported.
-    pub missing_reported: bool,
-}
-
 /// Waiting requests and demand that another daemon reported.
 #[derive(Clone, Debug, Default)]
 pub struct PeerState {
@@ -246,44 +230,6 @@
         }
     }
 
-    /// Registers a waiting request for `target` until the returned guard is dropped.
-    pub fn add_waiting(self: &Rc<Self>, target: ModelTarget, priority: u8) -> WaitGuard {
-        let first = self
-            .state
-            .borrow_mut()
-            .add_waiting(&target, priority, clock::now());
-        if first {
-            self.send_wake.notify_one();
-            self.order_wake.notify_one();
-        }
-        WaitGuard {
-            edge: self.clone(),
-            target,
-        }
-    }
-
-    /// Records the engines that hold `target` but want no requests of this host, so that the
-    /// leader has it loaded elsewhere.
-    pub fn record_paused(&self, target: &ModelTarget, paused: BTreeSet<Arc<str>>) {
-        if self.state.borrow_mut().record_paused(target, paused) {
-            self.send_wake.notify_one();
-            self.order_wake.notify_one();
-        }
-    }
-
-    /// Registers that a refused caller will come back for `target` at `retry_at`.
-    pub fn expect_retry(&self, target: ModelTarget, priority: u8, retry_at: Moment) {
-        let now = clock::now();
-        let first = self
-            .state
-            .borrow_mut()
-            .expect_retry(target, priority, retry_at, now);
-        if first {
-            self.send_wake.notify_one();
-            self.order_wake.notify_one();
-        }
-    }
-
     /// Returns after which time a caller that is refused in an engine's pause should return:
     /// one after the other once the pause is over, here and at the other hosts.
     pub fn book_return(&self, paused: &PausedEngine) -> Duration {
@@ -337,37 +283,6 @@
         self.leadership = None;
     }
 
-    /// Adds a waiting request for `target`; returns whether it is the first.
-    pub fn add_waiting(&mut self, target: &ModelTarget, priority: u8, now: Moment) -> bool {
-        let wait = self.waiting.entry(target.clone()).or_default();
-        let first = wait.requests.count == 0;
-        wait.requests.priority = match first {
-            true => priority,
-            false => wait.requests.priority.min(priority),
-        };
-        wait.requests.count += 1;
-        wait.changed_at = now;
-        first
-    }
-
-    /// Keeps `target` listed until a refused caller has come back for it at `retry_at`;
-    /// returns whether it was not listed.
-    pub fn expect_retry(
-        &mut self,
-        target: ModelTarget,
-        priority: u8,
-        retry_at: Moment,
-        now: Moment,
-    ) -> bool {
-        let first = !self.waiting.contains_key(&target);
-        self.add_waiting(&target, priority, now);
-        self.remove_waiting(&target, now);
-        if let Some(wait) = self.waiting.get_mut(&target) {
-            wait.retry_at = wait.retry_at.max(retry_at);
-        }
-        first
-    }
-
     /// Returns the leader's forecast of a service's loads from the weight store.
     pub fn load_forecast(&self, service: &str, now: Moment) -> Option<&LoadForecast> {
         if let Some(placer) = &self.placer {
@@ -377,25 +292,6 @@
         leader.leadership.as_ref()?.forecasts.get(service)
     }
 
-    /// Records the engines that hold `target`, for which requests wait here, but want no
-    /// requests of this host; returns whether that is news.
-    pub fn record_paused(&mut self, target: &ModelTarget, paused: BTreeSet<Arc<str>>) -> bool {
-        let Some(wait) = self.waiting.get_mut(target) else {
-            return false;
-        };
-        let is_news = wait.requests.paused != paused;
-        wait.requests.paused = paused;
-        is_news
-    }
-
-    /// Removes a waiting request for `target`.
-    pub fn remove_waiting(&mut self, target: &ModelTarget, now: Moment) {
-        if let Some(wait) = self.waiting.get_mut(target) {
-            wait.requests.count = wait.requests.count.saturating_sub(1);
-            wait.changed_at = now;
-        }
-    }
-
     /// Records that an engine cannot serve `target`: it reported it missing or accepts no
     /// connection.
     pub fn record_missing(&mut self, engine: &str, target: &ModelTarget, now: Moment) {
@@ -443,38 +339,6 @@
         Some((calls, busy))
     }
 
-    /// Drops targets without waiting requests after [`WAIT_RETENTION`].
-    pub fn drop_idle_waits(&mut self, now: Moment) {
-        self.waiting.retain(|_, wait| {
-            let last = wait.changed_at.max(wait.retry_at);
-            wait.requests.count > 0 || now.saturating_sub(last) < WAIT_RETENTION
-        });
-    }
-
-    /// Returns the waiting requests of all daemons by target.
-    pub fn total_waiting(&self, now: Moment) -> BTreeMap<ModelTarget, WaitingRequests> {
-        let mut all: BTreeMap<ModelTarget, WaitingRequests> = BTreeMap::new();
-        let own = self.waiting.iter().map(|(t, wait)| (t, &wait.requests));
-        let fresh = |o: &&PeerState| now.saturating_sub(o.waiting_at) < PEER_STATE_MAX_AGE;
-        let others = self.peer_states.values().filter(fresh);
-        let others = others.flat_map(|o| o.waiting.iter().map(|(t, w)| (t, w)));
-        for (target, requests) in own.chain(others) {
-            let sum = all
-                .entry(target.clone())
-                .or_insert_with(|| WaitingRequests {
-                    priority: requests.priority,
-                    ..WaitingRequests::default()
-                });
-            sum.count += requests.count;
-            sum.priority = sum.priority.min(requests.priority);
-            sum.paused.extend(requests.paused.iter().cloned());
-            if requests.missing_at.is_some() {
-                sum.missing_at = requests.missing_at.clone();
-            }
-        }
-        all
-    }
-
     /// Returns the demand at all daemons by model.
     pub fn total_demand(&mut self, now: Moment) -> HashMap<ModelKey, Demand> {
         let mut all: HashMap<ModelKey, Demand> = HashMap::new();
@@ -492,17 +356,3 @@
         all
     }
 }
-
-/// Guard of a waiting request; dropping it removes the request.
-#[derive(Debug)]
-pub struct WaitGuard {
-    edge: Rc<Edge>,
-    target: ModelTarget,
-}
-
-impl Drop for WaitGuard {
-    fn drop(&mut self) {
-        let mut state = self.edge.state.borrow_mut();
-        state.remove_waiting(&self.target, clock::now());
-    }
-}
