--- a/examples/chaos/callers.rs
+++ b/examples/chaos/callers.rs
@@ -11,7 +11,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::env::kept_connection::KeptConnection;
-use crate::env::{Booking, CompletionReply, listed_hosts, send_booking, send_prompt_until};
+use crate::env::requests::send_prompt_until;
+use crate::env::{Booking, CompletionReply, listed_hosts, send_booking};
 use crate::history::{BookingRecord, Event, RequestRecord};
 
 /// How long a host list is used, as set in the site's policy.
--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -1,10 +1,11 @@
 //! Fake engine that answers on a raw socket, so that it can break the protocol.
 
 pub mod behavior;
+mod lifetimes;
 mod runs;
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -202,32 +203,6 @@
         }
     }
 
-    /// Closes all connections, and accepts others after [`DOWN_TIME`] in a new lifetime.
-    pub fn crash_and_restart(&self) {
-        self.state.lock().unwrap().ends.push(Instant::now());
-        self.crashed.notify_waiters();
-    }
-
-    /// Sets the part of prompts on which the engine crashes.
-    pub fn crash_on(&self, part: &str) {
-        self.state.lock().unwrap().crashing_part = Some(part.to_owned());
-    }
-
-    /// Sets what the address of the engine does after a crash.
-    pub fn set_crashed_address(&self, address: CrashedAddress) {
-        self.state.lock().unwrap().crashed_address = address;
-    }
-
-    /// Lets the engine answer requests with any part.
-    pub fn mend(&self) {
-        self.state.lock().unwrap().crashing_part = None;
-    }
-
-    /// Returns when its lifetimes ended.
-    pub fn ends(&self) -> Vec<Instant> {
-        self.state.lock().unwrap().ends.clone()
-    }
-
     /// Returns when requests arrived that have this part in their prompts, not as the last.
     pub fn arrivals_with(&self, part: &str) -> Vec<Instant> {
         let state = self.state.lock().unwrap();
@@ -236,35 +211,6 @@
         with_part.map(|(_, at)| *at).collect()
     }
 
-    /// Writes the engine's entry with this state to the store.
-    pub fn register(&self, state: &str) {
-        self.register_as(&self.id, state);
-    }
-
-    /// Registers the engine under a further id at its address, as when it starts again.
-    pub fn add_alias(&self, id: &str) {
-        self.state.lock().unwrap().aliases.push(id.to_owned());
-        self.register_as(id, "ready");
-    }
-
-    fn register_as(&self, id: &str, state: &str) {
-        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        let (models, born, software): (Vec<Value>, u64, String) = {
-            let state = self.state.lock().unwrap();
-            let models = state.models.iter().map(model_json).collect();
-            (models, state.born, state.software.clone())
-        };
-        let entry = json!({"service": self.service, "addr": self.addr.to_string(),
-            "zone": "north", "version": software, "slots": 8, "state": state, "coldLeftMs": 0,
-            "stage": "both", "models": models, "seq": sequence, "born": born});
-        self.store.put("servers", id, &entry);
-    }
-
-    /// Closes all connections and accepts no more.
-    pub fn crash(&self) {
-        self.dead.notify_waiters();
-    }
-
     /// Returns what follows the text of its events.
     fn event_mark(&self) -> String {
         let state = self.state.lock().unwrap();
@@ -397,28 +343,6 @@
         }
     }
 
-    /// Starts a new lifetime under the same id, without added headers, and registers it.
-    pub fn start_again(&self) {
-        self.start_unlisted();
-        self.register("ready");
-    }
-
-    /// Closes all connections and starts a new lifetime with other software at once; its entry is
-    /// still that of the lifetime before.
-    pub fn replace_unlisted(&self, software: &str) {
-        self.start_unlisted();
-        self.state.lock().unwrap().software = software.to_owned();
-        self.closed.notify_waiters();
-    }
-
-    /// Starts a new lifetime under the same id, without added headers; its entry is still
-    /// that of the lifetime before.
-    pub fn start_unlisted(&self) {
-        let mut state = self.state.lock().unwrap();
-        state.born += 1_000;
-        state.headers.clear();
-    }
-
     /// Adds a header to all responses from now on.
     pub fn add_header(&self, name: &'static str, value: &str) {
         let mut state = self.state.lock().unwrap();
--- a/tests/env/kept_connection.rs
+++ b/tests/env/kept_connection.rs
@@ -7,7 +7,8 @@
 use mastichinge::fakes::site::CALLER_KEY;
 use serde_json::json;
 
-use super::{CompletionReply, WAIT_TIMEOUT, read_error, read_events};
+use super::WAIT_TIMEOUT;
+use super::requests::{CompletionReply, read_error, read_events};
 
 /// A connection to the callers' port of a host.
 pub struct KeptConnection {
--- a/tests/pool/world.rs
+++ b/tests/pool/world.rs
@@ -1,13 +1,15 @@
 //! Two daemons with their pools, a table, engines and the messages in flight
 //! between them.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+mod fake_engine;
+
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use mastichinge::clock::Moment;
 use mastichinge::config::{Config, Engine, Model, Name, Policy, Strategy};
-use mastichinge::outside::{EngineError, Order, Report, Resident, Verb};
+use mastichinge::outside::{EngineError, Order, Report, Verb};
 use mastichinge::peer::wire::{Body, ReplicaReply, Usage};
 use mastichinge::pool::ticket_queue::Ticket;
 use mastichinge::pool::{Action, ClaimedPool, Context, PinWrite, Pool};
@@ -15,6 +17,8 @@
     EnginePins, Grant, Owner, OwnerRecord, Sent, claim, handover, inherits_clean,
 };
 
+use fake_engine::FakeEngine;
+
 /// Number of engines: the first checks fencing tokens, the other ignores them.
 pub const ENGINES: usize = 2;
 /// Number of models.
@@ -64,73 +68,6 @@
 /// A host that is known and has no link to the owner.
 const ABSENT_HOST: &str = "away";
 
-/// State of a simulated engine.
-#[derive(Debug, Default)]
-struct FakeEngine {
-    name: Name,
-    instance: u64,
-    token: u64,
-    loaded: BTreeSet<Name>,
-    /// Requests of a host that is absent.
-    running: u32,
-    /// Unloads while it had requests.
-    cuts: u32,
-}
-
-fn fake_engine(e: usize) -> FakeEngine {
-    FakeEngine {
-        name: engine(e),
-        ..FakeEngine::default()
-    }
-}
-
-impl FakeEngine {
-    fn instance_id(&self) -> Name {
-        format!("{}-{}", self.name, self.instance).into()
-    }
-
-    fn report(&self) -> Report {
-        let residents = self.loaded.iter().map(|m| Resident {
-            model: m.clone(),
-            version: "1".into(),
-            ready: true,
-            memory: MODEL_MEMORY_MB,
-        });
-        Report {
-            instance: self.instance_id(),
-            token: self.token,
-            residents: residents.collect(),
-            running: self.running,
-            ..Report::default()
-        }
-    }
-
-    fn execute(&mut self, order: &Order, fenced: bool) -> Result<Report, EngineError> {
-        let current = self.report().instance;
-        if order.instance != current {
-            return Err(EngineError::Restarted { current });
-        }
-        if fenced && order.token < self.token {
-            let current = self.token;
-            return Err(EngineError::Fenced { current });
-        }
-        if fenced {
-            self.token = order.token;
-        }
-        match order.verb {
-            Verb::Load => {
-                self.loaded.insert(order.model.clone());
-            }
-            Verb::Unload => {
-                self.cuts += u32::from(self.running > 0);
-                self.loaded.remove(&order.model);
-            }
-            Verb::Fence => {}
-        }
-        Ok(self.report())
-    }
-}
-
 /// Order in flight, or executed with its answer in flight.
 #[derive(Debug)]
 struct SentOrder {
@@ -197,7 +134,7 @@
             record: OwnerRecord::default(),
             item_version: 0,
             pins: BTreeMap::new(),
-            engines: (0..ENGINES).map(fake_engine).collect(),
+            engines: (0..ENGINES).map(FakeEngine::new).collect(),
             pools: vec![None, None],
             orders: Vec::new(),
             pin_jobs: Vec::new(),
@@ -530,10 +467,7 @@
 
     /// Restarts engine `e`.
     pub fn restart_engine(&mut self, e: usize) {
-        self.engines[e] = FakeEngine {
-            instance: self.engines[e].instance + 1,
-            ..fake_engine(e)
-        };
+        self.engines[e].restart();
     }
 
     /// Returns the pin record of engine `e` in the table.
