Let a fake engine send what follows its response in the same write

Cause: the fake engine wrote a complete response and then, apart from it, the bytes that no request asked for. If it is not scheduled between the two, the connection is silent, a further booking is sent on it, and the bytes arrive in place of its response. 502 without "not run" is then the only true answer.

Change: both go in one write, so that the daemon has read past the response before the connection can be used again; the check is unchanged. The case that came by chance has a test of its own, which fixes the order: bytes in place of the response on a connection that is used again give 502, no "not run", one run. a_surplus_response_is_never_used_for_the_next_request has the same two writes; it passes with a pause of 20 ms between them (trial).

--- a/tests/edge/endless.rs
+++ b/tests/edge/endless.rs
@@ -107,6 +107,29 @@
     assert_closed(&site, 4);
 }
 
+/// Guards against bytes that arrive once the connection is used again and are taken for a
+/// response, or for a proof that the booking has not run.
+#[test]
+fn bytes_without_end_on_a_reused_connection_belong_to_no_request() {
+    let site = Site::start();
+    site.set(Behavior::EndlessOnReuse);
+    let mut failed = 0;
+    for i in 0..4 {
+        let id = format!("b{i}");
+        let answer = site.send("/book/", &id);
+        assert_eq!(answer.header("x-mastichinge-not-run"), None, "{answer:?}");
+        assert_eq!(site.runs(&id), 1, "{answer:?}");
+        if answer.status == 200 {
+            assert_eq!(answer.body, format!("answer to {id}"));
+            continue;
+        }
+        assert_eq!(answer.status, 502, "{answer:?}");
+        failed += 1;
+    }
+    assert!(failed > 0, "no connection was used again");
+    assert_closed(&site, failed);
+}
+
 /// Guards against a response whose framing towards the caller follows a length that the
 /// engine's framing overrides.
 #[test_case(6; "a short response")]
--- a/tests/edge/fakes/engine/behavior.rs
+++ b/tests/edge/fakes/engine/behavior.rs
@@ -59,6 +59,9 @@
     Failing,
     /// Sends bytes without end at this place, until the connection closes.
     Endless(Place),
+    /// Answers correctly. On a connection that has carried another request, sends bytes without
+    /// end in place of the response.
+    EndlessOnReuse,
     /// Answers with this number of bytes in a chunk, and half of it as the length.
     TwoLengths(usize),
     /// Answers requests correctly, and orders and report requests with 503.
--- a/tests/edge/fakes/engine/runs.rs
+++ b/tests/edge/fakes/engine/runs.rs
@@ -96,6 +96,9 @@
             Behavior::Early => return Ok(()),
             Behavior::Failing => return self.respond(stream, 500, &signed, b"failed").await,
             Behavior::Endless(place) => return self.send_endless(stream, place, &id).await,
+            Behavior::EndlessOnReuse if !earlier.is_empty() => {
+                return self.send_endless(stream, Place::Garbage, &id).await;
+            }
             Behavior::TwoLengths(size) => {
                 let response = format!(
                     "{}Content-Length: {}\r\nTransfer-Encoding: chunked\r\n\r\n\
@@ -205,8 +208,10 @@
         const REPEATS: usize = 1_024;
         let (start, repeated) = place.bytes(id);
         let block = repeated.repeat(REPEATS);
-        let mut sent = start.len();
-        let mut outcome = stream.write_all(start.as_bytes()).await;
+        // In one write, so that a reader of the start has what follows it, too.
+        let first = start + &block;
+        let mut sent = first.len();
+        let mut outcome = stream.write_all(first.as_bytes()).await;
         while outcome.is_ok() {
             outcome = stream.write_all(block.as_bytes()).await;
             sent += block.len();
