Send an engine that has named a rate a request now and then, so that it can end it

What callers saw: an engine that had named a rate once got nothing any more while another engine was free (0 of 125 requests), though it took everything again.

Cause: only the answer to a request says by its silence that there is no rate, and requests go to an engine with a rate only when no other meets their objective. What is sent nothing says nothing.

The permit keeps all hosts together within the rate. The old way of choosing among abandoned engines is now select_among, which the permitted engine uses too.

Test: an_engine_whose_rate_ends_gets_requests_beside_a_free_one.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -13,11 +13,11 @@
 use tokio::time::timeout;
 
 use super::framing::Framing;
-use super::permit::seek_permit;
+use super::permit::{seek_permit, seek_renewal};
 use super::relay::{self, OpenError, OpenedResponse};
 use super::response::{Refusal, ResponseBody};
 use super::retry::{self, Attempts, MIN_TIME_LEFT, can_retry, record_broken_run, start_retry};
-use super::selection::select_next;
+use super::selection::{select_next, select_permitted};
 use super::send::{EngineResponse, MAX_WHOLE_BYTES, SendOutcome, send};
 use super::take_up;
 use super::{DeadlineSource, RequestGuard, RoutedRequest, held_cause};
@@ -310,7 +310,7 @@
         let resumed = !attempts.first_event.is_zero();
         let budget = TimeBudget::new(&routed.route, routed.age(), waited, time_left, resumed);
         let limits = routed.edge.settings().admission;
-        let selection = select_next(routed, attempts, now);
+        let mut selection = select_next(routed, attempts, now);
         if (resumed || routed.takes_up())
             && let Selection::Engine(choice) = selection
         {
@@ -330,8 +330,23 @@
         };
         let goes_on = attempts.persists() && (resumed || !budget.event_left.is_zero());
         let mut permit_return = None;
-        if !budget.is_on_time(&selection) {
-            let patience = budget.permit_patience(&selection, goes_on);
+        let patience = budget.permit_patience(&selection, goes_on);
+        if budget.is_on_time(&selection) {
+            match seek_renewal(routed, attempts, patience, now) {
+                Some(PermitState::Waiting) => {
+                    let _ = timeout(RESELECT_INTERVAL, changes.changed()).await;
+                    continue;
+                }
+                Some(PermitState::Granted(engine)) => {
+                    let permitted = select_permitted(routed, attempts, &engine, now);
+                    selection = permitted
+                        .filter(|s| budget.is_on_time(s))
+                        .unwrap_or(selection);
+                }
+                Some(PermitState::Refused(_)) => attempts.permit = None,
+                None => {}
+            }
+        } else {
             match seek_permit(routed, attempts, patience, now) {
                 Some(PermitState::Waiting) => {
                     let _ = timeout(RESELECT_INTERVAL, changes.changed()).await;
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -56,6 +56,8 @@
     pub load_waited: bool,
     /// Its application for a permit to be sent next.
     pub permit: Option<PermitGuard>,
+    /// Whether that is to learn whether the engine still names its rate.
+    pub renews: bool,
     /// Time from its arrival to the last time it was sent.
     pub waited: Duration,
     /// Predicted time from the last time it was sent to its first event.
@@ -70,6 +72,11 @@
         routed.route.is_repeatable() && self.sent < routed.route.attempts
     }
 
+    /// Returns whether it was not sent before.
+    pub(super) fn is_first(&self) -> bool {
+        self.sent == 0 && self.not_run == 0
+    }
+
     /// Returns whether the request goes on until its deadline, whatever engines and retry
     /// budget allow now: its stream has begun, or a run was abandoned that might have ended well.
     pub(super) fn persists(&self) -> bool {
--- a/src/edge/forward/selection.rs
+++ b/src/edge/forward/selection.rs
@@ -71,20 +71,43 @@
     if is_new || attempts.abandoned.is_empty() {
         return selection;
     }
+    let among_abandoned = select_among(routed, constraints, &attempts.abandoned, now);
+    among_abandoned.unwrap_or(selection)
+}
+
+/// Selects the engine for which the request has a permit, if that can take it.
+pub(super) fn select_permitted(
+    routed: &RoutedRequest,
+    attempts: &Attempts,
+    engine: &Arc<str>,
+    now: Moment,
+) -> Option<Selection> {
+    let constraints = Constraints {
+        avoid: &[],
+        permit: Some(engine),
+        allowed: &attempts.allowed(routed),
+    };
+    select_among(routed, constraints, std::slice::from_ref(engine), now)
+}
+
+/// Selects one of these engines, if one of them can take the request.
+fn select_among(
+    routed: &RoutedRequest,
+    constraints: Constraints<'_>,
+    engines: &[Arc<str>],
+    now: Moment,
+) -> Option<Selection> {
     let others: Vec<_> = {
         let state = routed.edge.state.borrow();
         let usable = state.fleet.usable_engines(&routed.service);
         let ids = usable.map(|e| e.entry.id.clone());
-        ids.filter(|id| !attempts.abandoned.contains(id)).collect()
+        ids.filter(|id| !engines.contains(id)).collect()
     };
     let constraints = Constraints {
         avoid: &others,
         ..constraints
     };
-    match with_routing(routed, constraints, now, routing::select_engine) {
-        Selection::Engine(choice) if attempts.abandoned.contains(&choice.engine) => {
-            Selection::Engine(choice)
-        }
-        _ => selection,
-    }
+    let selection = with_routing(routed, constraints, now, routing::select_engine);
+    let is_one = matches!(&selection, Selection::Engine(c) if engines.contains(&c.engine));
+    is_one.then_some(selection)
 }
--- a/src/edge/statements/rates.rs
+++ b/src/edge/statements/rates.rs
@@ -23,6 +23,9 @@
 const PROBE_RATE: f64 = 0.2;
 /// Minimum time between two checks of an engine, and since its last statement.
 const CHECK_PERIOD: Duration = Duration::from_secs(5);
+/// Age of a statement from which on a request is sent for a new one, though another engine is
+/// free; the same as that of a check.
+const RENEWAL_AGE: Duration = CHECK_PERIOD;
 
 /// What an engine has said of its rate in one answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -77,6 +80,8 @@
     statements: HashMap<Arc<str>, RateStatement>,
     /// When engines were asked last whether they still take so little.
     checked: HashMap<Arc<str>, Moment>,
+    /// When this host last wanted to send a request for a new statement.
+    renewed: HashMap<Arc<str>, Moment>,
 }
 
 impl NamedRates {
@@ -147,6 +152,20 @@
         due
     }
 
+    /// Returns whether a request is to be sent to an engine now because its statement is old: only
+    /// the answer to a request can say that its rate has ended. Holds for one request at a time.
+    pub fn take_renewal(&mut self, id: &Arc<str>, now: Moment) -> bool {
+        let Some(statement) = self.statements.get(id).filter(|s| s.rate.is_some()) else {
+            return false;
+        };
+        let last = self.renewed.get(id).copied().unwrap_or_default();
+        let is_due = now.saturating_sub(last.max(statement.heard_at)) >= RENEWAL_AGE;
+        if is_due {
+            self.renewed.insert(id.clone(), now);
+        }
+        is_due
+    }
+
     /// Records that an engine has answered a check of `asked_at`; if its answer named no rate,
     /// returns the statement that it takes more now.
     pub fn statement_after_check(
@@ -178,6 +197,7 @@
         });
         let statements = &self.statements;
         self.checked.retain(|id, _| statements.contains_key(id));
+        self.renewed.retain(|id, _| statements.contains_key(id));
     }
 
     /// Returns whether the rate of an engine was kept under an earlier start than `incarnation`.
--- a/tests/edge/rate_statements.rs
+++ b/tests/edge/rate_statements.rs
@@ -100,6 +100,25 @@
     assert!(rates.is_empty());
 }
 
+/// Guards against requests that go to an engine in need just because its statement is known.
+#[test]
+fn one_request_at_a_time_renews_an_old_statement() {
+    let id: Arc<str> = "e".into();
+    let mut rates = NamedRates::default();
+    let at = |ms: u64| Moment::from_millis(50_000 + ms);
+    assert!(!rates.take_renewal(&id, at(9_000)), "nothing is known");
+    rates.record(&id, statement(Some(1.0), 0, 10));
+    let due: Vec<_> = [4_000, 5_010, 5_020, 10_000, 10_020]
+        .into_iter()
+        .filter(|ms| rates.take_renewal(&id, at(*ms)))
+        .collect();
+    assert_eq!(due, [5_010, 10_020]);
+    rates.record(&id, statement(Some(1.0), 12_000, 12_010));
+    assert!(!rates.take_renewal(&id, at(15_100)), "it has just spoken");
+    rates.record(&id, statement(None, 16_000, 16_010));
+    assert!(!rates.take_renewal(&id, at(30_000)), "there is no rate");
+}
+
 #[test_case(&[], RateHeader::Absent, 0; "no header")]
 #[test_case(&["1.5"], RateHeader::Named(1.5), 0; "a fraction")]
 #[test_case(&[" 0.05 "], RateHeader::Named(0.05), 0; "spaces")]
--- a/tests/edge/rates.rs
+++ b/tests/edge/rates.rs
@@ -3,9 +3,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use test_case::test_case;
+
 use crate::fakes::daemon::{Daemon, Request, Response, wait};
 use crate::fakes::engine::Engine;
-use crate::site::{MODEL, Site};
+use crate::fakes::store::Store;
+use crate::site::{MODEL, Site, desired};
 
 /// Header of an engine that names its rate, requests a second.
 const LIMIT: &str = "Server-Limit";
@@ -177,3 +180,37 @@
         site.send("/look/", &format!("again{sent}")).status == 200
     });
 }
+
+/// Guards against an engine that gets nothing for ever because it has named a rate once, as
+/// another engine is free: only the answer to a request says that the rate has ended.
+#[test_case("/look/", None; "a look without a rate")]
+#[test_case("/look/", Some("40"); "a look at a higher rate")]
+#[test_case("/stream/", None; "a stream without a rate")]
+#[test_case("/stream/", Some("40"); "a stream at a higher rate")]
+fn an_engine_whose_rate_ends_gets_requests_beside_a_free_one(path: &str, next: Option<&str>) {
+    let store = Store::start();
+    let mut state = desired(5);
+    // Room for both models, so that the leader leaves them where they are.
+    state["services"][1]["engine"]["weightsMb"] = 200.into();
+    store.put("op", "config", &state);
+    let site = Site::start_with(store);
+    let engine = match path {
+        "/stream/" => &site.models[0],
+        _ => &site.plain[0],
+    };
+    name_rate(&site, engine, "1", path);
+    engine.clear_headers();
+    if let Some(rate) = next {
+        engine.add_header(LIMIT, rate);
+    }
+    let mut sent = 0;
+    wait("the end of the rate", || {
+        sent += 1;
+        let answer = site.daemon.send(&request(path, &format!("later{sent}")));
+        assert_eq!(answer.status, 200, "{answer:?}");
+        thread::sleep(PAUSE);
+        let changes = site.daemon.logged("engine's rate changed");
+        let of_engine = changes.iter().rfind(|l| l["engine"] == *engine.id);
+        of_engine.is_some_and(|l| l["rate"] == next.unwrap_or_default())
+    });
+}
