Let a stream go on at the service that began it where a route is split

Cause: the service was drawn at random for each request, also for those that take a stream up; the version that began the stream was then compared within that service alone.

Change: the digest of the stream's name decides: that of the request's own id for a new stream, that of the id in `Resumes` for one that is taken up. Every host chooses alike, with nothing to remember. On such a route a stream that is taken up without a name is refused at once, as its service is not known.

--- a/src/edge/desired.rs
+++ b/src/edge/desired.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Returns whether several services get a share of its requests.
+    pub fn is_split(&self) -> bool {
+        self.targets.iter().filter(|t| t.weight > 0.0).count() > 1
+    }
+
     /// Returns the service for a request; `draw` is uniform in `0.0..1.0`.
     pub fn choose_service(&self, draw: f64) -> Option<&Arc<str>> {
         let total: f64 = self.targets.iter().map(|t| t.weight).sum();
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -31,7 +31,7 @@
 use super::clock;
 use super::demand::ModelKey;
 use super::desired::{DesiredState, RequestLimits, Route, RouteKind};
-use super::origins::StreamId;
+use super::origins::{Resumed, StreamId};
 use super::request_headers::RequestHeaders;
 use super::state::Edge;
 use super::suspects::{self, Feature, Hold};
@@ -293,7 +293,14 @@
         return Err((Kind::NotFound, "no route matches"));
     };
     let route = route.clone();
-    let Some(service) = route.choose_service(rand::random()) else {
+    let can_be_named = route.has_resumable_streams() && !headers.id.is_empty();
+    let stream = can_be_named.then(|| StreamId::of(&headers.id));
+    // All hosts choose the same service for a stream and for all that take it up.
+    let draw = match headers.resumed {
+        Resumed::Stream(first) => first.draw(),
+        Resumed::Unnamed | Resumed::Ambiguous => stream.map_or_else(rand::random, |s| s.draw()),
+    };
+    let Some(service) = route.choose_service(draw) else {
         return Err((Kind::NoCapacity, "the route has no service"));
     };
     let service = service.clone();
@@ -305,10 +312,9 @@
     }
     let fingerprint = suspects::fingerprint(head.uri.path(), &body);
     let features = suspects::features(fingerprint, headers.shared_parts.iter().copied());
-    let can_be_named = route.has_resumable_streams() && !headers.id.is_empty();
     Ok(RoutedRequest {
         edge: edge.clone(),
-        stream: can_be_named.then(|| StreamId::of(&headers.id)),
+        stream,
         head,
         body,
         headers,
--- a/src/edge/forward/take_up.rs
+++ b/src/edge/forward/take_up.rs
@@ -17,7 +17,11 @@
 /// Returns the version that began the stream that a caller takes up again.
 pub(super) async fn find_software(routed: &RoutedRequest) -> Result<Arc<str>, Failure> {
     let resumed = routed.headers.resumed;
-    let found = routed.edge.find_origin(&routed.service, resumed).await;
+    let is_named = matches!(resumed, Resumed::Stream(_));
+    let found = match is_named || !routed.route.is_split() {
+        true => routed.edge.find_origin(&routed.service, resumed).await,
+        false => Err(UnknownOrigin::Unnamed),
+    };
     log_take_up(routed, &found);
     match found {
         Ok(origin) => Ok(origin.software),
--- a/src/edge/origins/lookup.rs
+++ b/src/edge/origins/lookup.rs
@@ -42,8 +42,8 @@
 /// Why the origin of a stream is not known.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum UnknownOrigin {
-    /// The caller does not name the stream, and several versions may have begun it.
-    #[error("the caller names no stream, and several versions may have begun it")]
+    /// The caller does not name the stream, and several versions or services may have begun it.
+    #[error("the caller names no stream, and several versions or services may have begun it")]
     Unnamed,
     /// The base version of the service is not known yet.
     #[error("the base version of the service is not known yet")]
--- a/src/edge/origins/stream_id.rs
+++ b/src/edge/origins/stream_id.rs
@@ -25,6 +25,13 @@
     pub fn first_byte(&self) -> u8 {
         self.0[0]
     }
+
+    /// Returns a number from 0 to below 1 that is evenly distributed and the same at each host.
+    pub fn draw(&self) -> f64 {
+        let mut bytes = [0; 4];
+        bytes.copy_from_slice(&self.0[1..5]);
+        f64::from(u32::from_be_bytes(bytes)) / (f64::from(u32::MAX) + 1.0)
+    }
 }
 
 /// Text that is not the hexadecimal form of an id.
--- a/tests/edge/origins.rs
+++ b/tests/edge/origins.rs
@@ -231,3 +231,21 @@
     assert_eq!(deleted(&marks, &page(2, &[2, 5]), at(299)), []);
     assert_eq!(deleted(&marks, &page(2, &[2, 5]), at(300)), [Some(2)]);
 }
+
+/// Guards against a split of a route by streams' names that is uneven, also among the names whose
+/// rows are in one part of the table.
+#[test]
+fn the_draws_of_streams_are_evenly_distributed() {
+    const STREAMS: usize = 16_000;
+    let ids: Vec<_> = (0..STREAMS).map(|n| StreamId::of(&n.to_string())).collect();
+    let share = |ids: &[&StreamId]| {
+        let below = ids.iter().filter(|id| id.draw() < 0.3).count();
+        below as f64 / ids.len() as f64
+    };
+    let all: Vec<_> = ids.iter().collect();
+    let of_part: Vec<_> = ids.iter().filter(|id| id.first_byte() < 64).collect();
+    for ids in [all, of_part] {
+        assert!((0.27..0.33).contains(&share(&ids)), "{}", share(&ids));
+        assert!(ids.iter().all(|id| (0.0..1.0).contains(&id.draw())));
+    }
+}
--- a/tests/edge/software_versions.rs
+++ b/tests/edge/software_versions.rs
@@ -66,6 +66,32 @@
     assert_eq!(taken, all_whole());
 }
 
+/// Guards against streams that go on at another service than the one that began them: a route is
+/// split between services, and the caller takes a stream up at any host.
+#[test_case(0, false; "at the same host")]
+#[test_case(1, false; "at another host")]
+#[test_case(1, true; "after all hosts were killed")]
+fn a_stream_that_is_taken_up_goes_on_at_the_service_that_began_it(distance: usize, kills: bool) {
+    let mut fleet = Fleet::with_two_services(3);
+    let begun = fleet.begin_streams();
+    let of_first = begun
+        .iter()
+        .filter(|b| b.version() != SECOND_VERSION)
+        .count();
+    assert!(
+        (1..STREAMS).contains(&of_first),
+        "{of_first} of one service"
+    );
+    if kills {
+        fleet.kill_all();
+    }
+    assert_eq!(fleet.take_up(&begun, distance), all_whole());
+    let unnamed = Request::new("/stream/", "unnamed")
+        .with(MODEL, "m1")
+        .with("Last-Event-Id", "1");
+    assert_eq!(fleet.daemons[0].send(&unnamed).status, 503);
+}
+
 /// Guards against ORDER where the streams began before there was a second version, so that
 /// nothing had to be known of them; and against the loss of those that could go on.
 #[test]
--- a/tests/edge/version_fleet.rs
+++ b/tests/edge/version_fleet.rs
@@ -4,7 +4,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::fakes::daemon::{Daemon, Request, Response, WAIT_TIMEOUT, wait};
 use crate::fakes::engine::{EVENTS, Engine, FIRST_VERSION};
@@ -13,6 +13,8 @@
 
 /// Version beside the first one.
 pub const SECOND_VERSION: &str = "v1.1";
+/// Service beside that of the route.
+const OTHER_SERVICE: &str = "other-models";
 /// Number of streams of a test.
 pub const STREAMS: usize = 24;
 /// Events that a caller reads before its stream is broken off.
@@ -28,21 +30,49 @@
 impl Fleet {
     /// Starts one engine for each of these versions, and so many daemons.
     pub fn start(versions: &[&str], daemons: usize) -> Self {
+        let mut fleet = Fleet::with_desired(&desired(5));
+        for version in versions {
+            fleet.add_engine(version, &["m1"]);
+        }
+        fleet.start_daemons(daemons);
+        fleet
+    }
+
+    /// Starts so many daemons with a route that is split evenly between two services, each with
+    /// engines of one version.
+    pub fn with_two_services(daemons: usize) -> Self {
+        let mut state = desired(5);
+        let mut service = state["services"][1].clone();
+        service["name"] = OTHER_SERVICE.into();
+        state["services"].as_array_mut().unwrap().push(service);
+        let stream = state["routes"].as_array_mut().unwrap();
+        let stream = stream.iter_mut().find(|r| r["pathPrefix"] == "/stream/");
+        stream.unwrap()["split"] = json!([
+            {"service": "models", "weight": 1.0}, {"service": OTHER_SERVICE, "weight": 1.0}]);
+        let mut fleet = Fleet::with_desired(&state);
+        for _ in 0..2 {
+            fleet.add_engine(FIRST_VERSION, &["m1"]);
+            fleet.add_engine_of(OTHER_SERVICE, SECOND_VERSION, &["m1"]);
+        }
+        fleet.start_daemons(daemons);
+        fleet
+    }
+
+    fn with_desired(state: &Value) -> Self {
         let store = Store::start();
-        store.put("op", "config", &desired(5));
-        let mut fleet = Fleet {
+        store.put("op", "config", state);
+        Fleet {
             store,
             engines: Vec::new(),
             daemons: Vec::new(),
-        };
-        for version in versions {
-            fleet.add_engine(version, &["m1"]);
         }
+    }
+
+    fn start_daemons(&mut self, daemons: usize) {
         for number in 1..=daemons {
-            let daemon = Daemon::start(&fleet.store, &format!("edge-{number}"));
-            fleet.daemons.push(daemon);
+            let daemon = Daemon::start(&self.store, &format!("edge-{number}"));
+            self.daemons.push(daemon);
         }
-        fleet
     }
 
     /// Starts so many daemons with two engines of the first version, which is the base, and two of
@@ -61,8 +91,12 @@
     }
 
     pub fn add_engine(&mut self, version: &str, models: &[&str]) {
+        self.add_engine_of("models", version, models);
+    }
+
+    fn add_engine_of(&mut self, service: &str, version: &str, models: &[&str]) {
         let id = format!("e{}", self.engines.len() + 1);
-        let engine = Engine::start_version(&self.store, &id, "models", version, models);
+        let engine = Engine::start_version(&self.store, &id, service, version, models);
         self.engines.push(engine);
     }
 
