--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -297,8 +297,8 @@
     let stream = can_be_named.then(|| StreamId::of(&headers.id));
     // All hosts choose the same service for a stream and for all that take it up.
     let draw = match headers.resumed {
-        Resumed::Stream(first) => first.draw(),
-        Resumed::Unnamed | Resumed::Ambiguous => stream.map_or_else(rand::random, |s| s.draw()),
+        Resumed::Stream(first) if route.has_resumable_streams() => first.draw(),
+        _ => stream.map_or_else(rand::random, |s| s.draw()),
     };
     let Some(service) = route.choose_service(draw) else {
         return Err((Kind::NoCapacity, "the route has no service"));
