Review: streams of a version whose only copy of a model is lost are refused

Claim: when the only engine of its version that holds a model crashes, the streams of that version that are taken up are refused, while new ones begin at another version (LOST).

Cause: loads count the copies of a model over all versions, though a stream goes on at its own only.

--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -11,8 +11,22 @@
 use crate::record::Record;
 use crate::store::Store;
 
-/// What every engine holds.
-const MODELS: &str = r#""models":[{"name":"base151689","version":1,"adapters":[]}]"#;
+/// Model of the requests.
+pub const MODEL: &str = "base151689";
+
+/// Time of a load from the weight store.
+const LOAD_TIME: Duration = Duration::from_secs(6);
+
+/// What an engine holds, and the orders to it.
+#[derive(Default)]
+struct Holding {
+    models: Vec<String>,
+    /// Number of orders that it has accepted.
+    orders: u64,
+    /// Highest fencing token of an order.
+    fence: u64,
+    is_loading: bool,
+}
 
 /// How an engine behaves.
 #[derive(Clone, Copy)]
@@ -34,6 +48,7 @@
     draining: AtomicBool,
     ended: AtomicBool,
     silent: AtomicBool,
+    holding: Mutex<Holding>,
     connections: Mutex<Vec<TcpStream>>,
     work: Work,
     record: Arc<Record>,
@@ -47,6 +62,7 @@
         record: &Arc<Record>,
         (service, zone): (&str, &str),
         (id, version): (&str, &str),
+        models: &[&str],
         work: Work,
     ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -62,6 +78,10 @@
             draining: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             silent: AtomicBool::new(false),
+            holding: Mutex::new(Holding {
+                models: models.iter().map(|m| m.to_string()).collect(),
+                ..Holding::default()
+            }),
             connections: Mutex::default(),
             work,
             record: record.clone(),
@@ -98,8 +118,13 @@
         };
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let entry = format!(
-            r#"{{"service":"{}","addr":"{}","zone":"{}","version":"{}","slots":64,"state":"{state}","coldLeftMs":0,"stage":"both",{MODELS},"seq":{sequence},"born":{}}}"#,
-            self.service, self.addr, self.zone, self.version, self.born
+            r#"{{"service":"{}","addr":"{}","zone":"{}","version":"{}","slots":64,"state":"{state}","coldLeftMs":0,"stage":"both",{},"seq":{sequence},"born":{}}}"#,
+            self.service,
+            self.addr,
+            self.zone,
+            self.version,
+            self.models_text(),
+            self.born
         );
         self.store.write("servers", &self.id, Some(&entry));
     }
@@ -135,6 +160,18 @@
         }
     }
 
+    /// Crashes: its entry stays for a while.
+    pub fn crash(self: &Arc<Self>) {
+        self.record.line(&format!("engine {} crashes", self.id));
+        self.ended.store(true, Ordering::SeqCst);
+        self.end();
+        let engine = self.clone();
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(3_600));
+            engine.store.write("servers", &engine.id, None);
+        });
+    }
+
     fn end(&self) {
         for connection in self.connections.lock().unwrap().drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
@@ -143,18 +180,96 @@
         let _ = TcpStream::connect(self.addr);
     }
 
-    fn serve(&self, mut stream: TcpStream) {
+    fn serve(self: &Arc<Self>, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
         while let Some(head) = http::read_head(&mut reader) {
-            if http::read_body(&mut reader, &head).is_none() || !self.answer(&mut stream, &head) {
+            let Some(body) = http::read_body(&mut reader, &head) else {
+                break;
+            };
+            if !self.answer(&mut stream, &head, &body) {
                 break;
             }
         }
         let _ = stream.shutdown(Shutdown::Both);
     }
 
-    fn answer(&self, stream: &mut TcpStream, head: &http::Head) -> bool {
+    fn models_text(&self) -> String {
+        let holding = self.holding.lock().unwrap();
+        let models = holding.models.iter();
+        let models = models.map(|m| format!(r#"{{"name":"{m}","version":1,"adapters":[]}}"#));
+        format!(r#""models":[{}]"#, models.collect::<Vec<_>>().join(","))
+    }
+
+    fn report(&self, stream: &mut TcpStream) -> bool {
+        let models = self.models_text();
+        let report = {
+            let Holding {
+                orders, is_loading, ..
+            } = *self.holding.lock().unwrap();
+            format!(
+                r#"{{"stage":"both",{models},"inFlight":{is_loading},"seq":{orders},"queued":0,"active":0,"kvUsed":0,"kvTotal":232000,"handles":0,"born":{}}}"#,
+                self.born
+            )
+        };
+        let fields = "Content-Type: application/json\r\n";
+        http::respond(stream, 200, fields, report.as_bytes())
+    }
+
+    /// Carries out an order for a model.
+    fn order(self: &Arc<Self>, stream: &mut TcpStream, body: &[u8]) -> bool {
+        let order = http::parse_json(body);
+        let text = |name| {
+            order
+                .as_ref()
+                .and_then(|o| o.text(name))
+                .unwrap_or_default()
+        };
+        let (op, model) = (text("op"), text("model").to_owned());
+        let fence = text("fence").parse().unwrap_or(0);
+        let expected = text("expected").parse::<u64>().ok();
+        let mut holding = self.holding.lock().unwrap();
+        let holds = holding.models.contains(&model);
+        let status = match op {
+            _ if fence < holding.fence => 412,
+            _ if holding.is_loading || expected.is_some_and(|e| e != holding.orders) => 409,
+            "load" if holds => 200,
+            "evict" if !holds => 200,
+            "load" | "evict" => 202,
+            _ => 400,
+        };
+        holding.fence = holding.fence.max(fence);
+        self.record
+            .line(&format!("order to {}: {op} {model}, {status}", self.id));
+        if status == 202 {
+            holding.orders += 1;
+            holding.is_loading = op == "load";
+            holding.models.retain(|m| *m != model);
+        }
+        drop(holding);
+        if status == 202 {
+            let engine = self.clone();
+            let loads = op == "load";
+            thread::spawn(move || {
+                if loads {
+                    thread::sleep(LOAD_TIME);
+                    let mut holding = engine.holding.lock().unwrap();
+                    holding.is_loading = false;
+                    holding.models.push(model.clone());
+                    drop(holding);
+                    engine
+                        .record
+                        .line(&format!("{model} is loaded at {}", engine.id));
+                }
+                if !engine.ended.load(Ordering::SeqCst) {
+                    engine.beat();
+                }
+            });
+        }
+        http::respond(stream, status, "", b"")
+    }
+
+    fn answer(self: &Arc<Self>, stream: &mut TcpStream, head: &http::Head, body: &[u8]) -> bool {
         self.await_voice();
         let own = format!("X-Mastichinge-Instance-Id: {}\r\n", self.id);
         if head
@@ -171,22 +286,22 @@
             return http::respond(stream, status, &own, b"");
         }
         match head.word(1) {
-            "/report" => {
-                self.record.line(&format!("report of {}", self.id));
-                let report = format!(
-                    r#"{{"stage":"both",{MODELS},"inFlight":false,"seq":0,"queued":0,"active":0,"kvUsed":0,"kvTotal":232000,"handles":0,"born":{}}}"#,
-                    self.born
-                );
-                let fields = "Content-Type: application/json\r\n";
-                return http::respond(stream, 200, fields, report.as_bytes());
-            }
-            // It holds all that there is.
-            "/order" => {
-                self.record.line(&format!("order to {}", self.id));
-                return http::respond(stream, 200, "", b"");
-            }
+            "/report" => return self.report(stream),
+            "/order" => return self.order(stream, body),
             _ => {}
         }
+        let lacks = |model: &str| {
+            !self
+                .holding
+                .lock()
+                .unwrap()
+                .models
+                .iter()
+                .any(|m| m == model)
+        };
+        if head.get("x-mastichinge-model").is_some_and(lacks) {
+            return http::respond(stream, 421, &own, b"");
+        }
         let request = head.get("x-mastichinge-request-id").unwrap_or_default();
         let after = head
             .get("last-event-id")
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -18,13 +18,15 @@
 use std::time::Duration;
 
 use daemon::Daemon;
-use engine::{Engine, Work};
+use engine::{Engine, MODEL, Work};
 use record::Record;
 use requester::{Outcome, Plan};
 use store::Store;
 
 const SERVICE: &str = "drafting";
 const HOST: &str = "ficu95.example";
+/// Model that no request asks for.
+const OTHER_MODEL: &str = "kade1464c7";
 
 const SIGTERM: i32 = 15;
 
@@ -51,7 +53,7 @@
 
     /// Creates a deployment whose service has engines with a model.
     fn with_models(record: Arc<Record>) -> Self {
-        let engine = r#","engine":{"slots":64,"kvCapacity":232000,"models":[{"name":"base151689","weightsMb":34300.0,"loadS":6.0,"adapters":0,"adapterMb":40.0,"warmS":0.28,"diskS":0.52}],"weightsMb":200000.0,"adapterSlots":8,"loadsPerS":1.6}"#;
+        let engine = r#","engine":{"slots":64,"kvCapacity":232000,"models":[{"name":"base151689","weightsMb":34300.0,"loadS":6.0,"adapters":0,"adapterMb":40.0,"warmS":0.28,"diskS":0.52},{"name":"kade1464c7","weightsMb":34300.0,"loadS":6.0,"adapters":0,"adapterMb":40.0,"warmS":0.28,"diskS":0.52}],"weightsMb":200000.0,"adapterSlots":8,"loadsPerS":1.6}"#;
         World::with_service(record, engine)
     }
 
@@ -62,7 +64,7 @@
         let store = Store::new();
         // One route with streams that may be resumed, to one service.
         store.write("op", "config", Some(&format!(
-            r#"{{"version":7,"routes":[{{"name":"r-1","host":"{HOST}","pathPrefix":"/lohu930/","kind":"stream","timeoutMs":17000,"latencyTargetMs":3000,"priority":1,"service":"{SERVICE}","attempts":2,"sticky":false,"resumable":true,"gapTargetMs":400}}],"services":[{{"name":"{SERVICE}","healthPath":"/healthz","maxConns":370,"protocol":"h1","tls":false{engine}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
+            r#"{{"version":7,"routes":[{{"name":"r-1","host":"{HOST}","pathPrefix":"/lohu930/","kind":"stream","timeoutMs":17000,"latencyTargetMs":3000,"priority":1,"service":"{SERVICE}","attempts":2,"sticky":false,"resumable":true,"gapTargetMs":400}},{{"name":"r-2","host":"{HOST}","pathPrefix":"/pufi791/","kind":"stream","timeoutMs":6000,"latencyTargetMs":800,"priority":2,"service":"{SERVICE}","attempts":2,"sticky":false,"resumable":true,"gapTargetMs":400}}],"services":[{{"name":"{SERVICE}","healthPath":"/healthz","maxConns":370,"protocol":"h1","tls":false{engine}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
         )));
         let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
         record.line(&format!("case begins, trouble: {trouble}"));
@@ -123,8 +125,17 @@
     ) -> Vec<Arc<Engine>> {
         let (store, record) = (&self.store, &self.record);
         let ids = (1..=count).map(|n| format!("{prefix}{n}"));
-        ids.map(|id| Engine::start(store, record, (SERVICE, zone), (&id, version), work))
-            .collect()
+        ids.map(|id| {
+            Engine::start(
+                store,
+                record,
+                (SERVICE, zone),
+                (&id, version),
+                &[MODEL],
+                work,
+            )
+        })
+        .collect()
     }
 
     /// Waits until the process of a machine has ended, and kills it if it has not by `at`.
@@ -216,6 +227,9 @@
             format!("{went_on} of {taken_up} streams go on; {begun} of {count} new ones begin");
         self.record.line(&text);
         println!("{text}");
+        if !self.trouble && taken_up == 0 && streams.iter().all(|o| o.complete) {
+            return ExitCode::SUCCESS;
+        }
         if taken_up < 12 || begun * 2 < count {
             self.record.line("too few streams were taken up or began");
             return ExitCode::from(2);
@@ -425,6 +439,49 @@
     world.check_lost(&streams, &others)
 }
 
+/// Of three engines of version v2, one holds the model of the requests, beside four of v1. It crashes,
+/// and starts again empty after 3 s.
+fn one_copy(record: Arc<Record>) -> ExitCode {
+    let mut world = World::with_models(record);
+    let plan = Plan {
+        path: "/pufi791/2f".to_owned(),
+        time_limit: Duration::from_secs(6),
+        // The longest of 2 s, four objectives and eight pauses.
+        silence: Duration::from_millis(3_200),
+        names_model: true,
+        ..plan(3)
+    };
+    let work = Work {
+        events: 25,
+        gap: Duration::from_millis(200),
+    };
+    let _old = world.engines("i-a", "v1", 4, work);
+    let other = |id: &str, models: &[&str]| {
+        let (store, record) = (&world.store, &world.record);
+        Engine::start(store, record, (SERVICE, "derby"), (id, "v2"), models, work)
+    };
+    let _others = [other("i-b2", &[OTHER_MODEL]), other("i-b3", &[OTHER_MODEL])];
+    let only = other("i-b1", &[MODEL]);
+    world.start_daemons(5);
+    let ready_at = world.record.now();
+    world.until(ready_at + 8.0);
+    let streams = world.requesters(&plan, "s", 150, any_order);
+    world.until(ready_at + 9.0);
+    if world.trouble {
+        only.crash();
+    }
+    world.until(ready_at + 12.0);
+    let _again = world.trouble.then(|| {
+        let (store, record) = (&world.store, &world.record);
+        Engine::start(store, record, (SERVICE, "derby"), ("i-b4", "v2"), &[], work)
+    });
+    world.until(ready_at + 12.2);
+    let others = world.requesters(&plan, "new", 50, any_order);
+    let (streams, others) = (join(streams), join(others));
+    world.check_order(&streams);
+    world.check_lost(&streams, &others)
+}
+
 fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
     let (Some(case), Some(path)) = (arguments.next(), arguments.next()) else {
@@ -443,6 +500,7 @@
         "turned-away" => turned_away(record.clone()),
         "drill" => drill(record.clone()),
         "silence" => silence(record.clone()),
+        "one-copy" => one_copy(record.clone()),
         _ => ExitCode::from(2),
     };
     record.line(&format!("exit: {code:?}"));
