Have other hosts hold streams whose rows cannot be written

Cause: a host to which the store did not answer, and that knew no usable engine of the base version, let streams begin at another version without a row (RowNeed::Later). Other hosts took the missing row for the base version, of which they knew an engine.

Change: such a stream begins once its row is written or two other hosts have confirmed that they hold its version (one, if only one is alive). They write the row where the store answers them. A stream that others were told of needs a row at any other version, as they may have written one. Where no host can be told, none begins at such a version. A host that knows a stream answers by that and not by the base version.

Why this works: what decides the take-up is written, or known to two hosts that live, before the first event; it does not depend on the host that begins the stream, nor on which versions others know.

--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -9,7 +9,7 @@
 use super::RoutedRequest;
 use crate::clock::Moment;
 use crate::edge::clock;
-use crate::edge::origins::{Allowed, StreamId};
+use crate::edge::origins::{Allowed, Recording, StreamId};
 use crate::edge::permits::{PermitGuard, PermitState, Rank};
 use crate::edge::suspects::Progress;
 use crate::edge::upstream::Lifetime;
@@ -96,11 +96,15 @@
         if let Some(software) = &self.software {
             return Allowed::Only(software.clone());
         }
+        let recording = match routed.edge.store_available() {
+            true => Recording::Store,
+            false if routed.edge.can_tell() => Recording::Hosts,
+            false => Recording::Absent,
+        };
         let state = routed.edge.state.borrow();
         let is_usable = |software: &str| state.fleet.has_usable(&routed.service, software);
-        let can_record = routed.edge.store_available();
         let versions = &state.origins.services;
-        versions.allowed_to_begin(&routed.service, can_record, is_usable)
+        versions.allowed_to_begin(&routed.service, recording, is_usable)
     }
 
     /// Returns whether it may be sent to an engine that it was not sent to before.
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -51,6 +51,12 @@
     /// Verdicts on applications of the recipient.
     #[prost(message, repeated, tag = "18")]
     pub verdicts: Vec<VerdictNote>,
+    /// Streams that begin at the sender.
+    #[prost(message, repeated, tag = "20")]
+    pub stream_notes: Vec<StreamNote>,
+    /// What the sender knows of streams that the recipient named.
+    #[prost(message, repeated, tag = "21")]
+    pub stream_replies: Vec<StreamReply>,
 }
 
 impl Packet {
@@ -83,6 +89,34 @@
     pub heard_us: u64,
 }
 
+/// A stream that begins at the sender.
+#[derive(Clone, PartialEq, Message)]
+pub struct StreamNote {
+    /// Id of the stream.
+    #[prost(bytes = "vec", tag = "1")]
+    pub stream: Vec<u8>,
+    /// Service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Version of the engine's software.
+    #[prost(string, tag = "3")]
+    pub software: String,
+    /// Whether the sender cannot write its row and waits for a reply: the recipient writes it.
+    #[prost(bool, tag = "4")]
+    pub unwritten: bool,
+}
+
+/// What a daemon knows of a stream.
+#[derive(Clone, PartialEq, Message)]
+pub struct StreamReply {
+    /// Id of the stream.
+    #[prost(bytes = "vec", tag = "1")]
+    pub stream: Vec<u8>,
+    /// Version of the engine's software that began it; empty if it is not known.
+    #[prost(string, tag = "2")]
+    pub software: String,
+}
+
 /// An application for a permit.
 #[derive(Clone, PartialEq, Message)]
 pub struct ApplicationNote {
--- a/src/edge/origins/lookup.rs
+++ b/src/edge/origins/lookup.rs
@@ -29,7 +29,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum OriginSource {
-    /// It began at this host.
+    /// It began at this host, or another told of it.
     Memory,
     /// Its row in the store.
     Row,
@@ -120,8 +120,8 @@
                 let source = OriginSource::Row;
                 return Ok(Origin { software, source });
             }
-            (Ok(None), _) => {}
-            (Err(_), Some((origin, _))) => return Ok(origin),
+            (_, Some((origin, _))) => return Ok(origin),
+            (Ok(None), None) => {}
             (Err(error), None) => return Err(error),
         }
         if !self.is_base_listed(service) {
--- a/src/edge/origins/mod.rs
+++ b/src/edge/origins/mod.rs
@@ -2,7 +2,8 @@
 //! that a stream goes on only at the version that began it, at any host and after any restart.
 //!
 //! Each service has a base version, named by a row in the store. A stream that begins at another
-//! version has a row of its own before its caller gets the first event; one without a row began
+//! version has a row of its own before its caller gets the first event, or, where the store does
+//! not answer this host, other hosts hold its version and write the row; one without a row began
 //! at the base version.
 
 mod base;
@@ -13,14 +14,16 @@
 mod stream_id;
 mod streams;
 mod sweeping;
+mod telling;
 
 pub use base::keep_bases;
 pub use lookup::{Origin, OriginSource, UnknownOrigin};
 pub use recording::OriginWriters;
-pub use services::{Allowed, Base, ServiceVersions};
+pub use services::{Allowed, Base, Recording, ServiceVersions};
 pub use stream_id::StreamId;
-pub use streams::{RecordState, RowNeed, Streams};
+pub use streams::{RecordState, RowNeed, Streams, Told};
 pub use sweeping::{SweepMarks, sweep};
+pub use telling::Telling;
 
 /// Which stream a caller takes up again.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -39,6 +42,8 @@
 pub struct Origins {
     /// Versions of the engines of each service.
     pub services: ServiceVersions,
-    /// Streams that began here.
+    /// Streams that began here or that others told of.
     pub streams: Streams,
+    /// What other hosts are to be told.
+    pub telling: Telling,
 }
--- a/src/edge/origins/recording.rs
+++ b/src/edge/origins/recording.rs
@@ -8,6 +8,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::streams::{DueRow, RecordState, RowNeed};
+use super::telling::TELL_PERIOD;
 use super::{StreamId, record};
 use crate::clock::Moment;
 use crate::edge::clock;
@@ -62,14 +63,10 @@
         service: &Arc<str>,
         software: &Arc<str>,
     ) {
-        let can_record = self.store_available();
         let mut state = self.state.borrow_mut();
-        let base = state.origins.services.base(service).cloned();
+        let base = state.origins.services.base(service);
         let need = match base {
             Some(base) if base.software == *software => RowNeed::Base,
-            Some(base) if !can_record && !state.fleet.has_usable(service, &base.software) => {
-                RowNeed::Later
-            }
             _ => RowNeed::First,
         };
         let streams = &mut state.origins.streams;
@@ -77,12 +74,16 @@
         drop(state);
         if is_due {
             self.write_part(part_index(stream));
+            if !self.store_available() {
+                self.tell_others(stream);
+            }
         }
     }
 
     /// Waits until all hosts can know that a stream begins at a version; returns whether they can.
     /// A row that is surely not written is awaited for [`RECORD_TIMEOUT`], as the request can then
-    /// begin at the base version; one that may be written, until the deadline.
+    /// begin at the base version; one that may be written, until the deadline. While the store does
+    /// not answer this host, others are told.
     pub async fn await_recorded(&self, stream: StreamId, software: &str, deadline: Moment) -> bool {
         let mut written = self.origins_written.subscribe();
         let refused_at = clock::now() + RECORD_TIMEOUT;
@@ -95,15 +96,26 @@
                 RecordState::Unsure => deadline,
             };
             let left = until.saturating_sub(clock::now());
-            if left.is_zero() || matches!(timeout(left, written.changed()).await, Ok(Err(_))) {
+            if left.is_zero() {
+                return false;
+            }
+            let pause = match self.store_available() {
+                true => left,
+                false => {
+                    self.tell_others(stream);
+                    left.min(TELL_PERIOD)
+                }
+            };
+            if matches!(timeout(pause, written.changed()).await, Ok(Err(_))) {
                 return false;
             }
         }
     }
 
     fn settle_stream(&self, stream: StreamId, software: &str) -> RecordState {
+        let holders = self.holders_needed();
         let mut state = self.state.borrow_mut();
-        state.origins.streams.settle(stream, software)
+        state.origins.streams.settle(stream, software, holders)
     }
 
     /// Writes all rows that are due.
@@ -114,7 +126,7 @@
     }
 
     /// Starts to write the rows of a part that are due, unless that is in progress.
-    fn write_part(self: &Rc<Self>, part: usize) {
+    pub(super) fn write_part(self: &Rc<Self>, part: usize) {
         let busy = &mut self.state.borrow_mut().origin_writers.busy[part];
         if !std::mem::replace(busy, true) {
             tokio::task::spawn_local(write_rows(self.clone(), part));
--- a/src/edge/origins/services.rs
+++ b/src/edge/origins/services.rs
@@ -53,6 +53,17 @@
     }
 }
 
+/// How other hosts can know at which version a stream begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recording {
+    /// By its row in the store.
+    Store,
+    /// The store does not answer this host, but others can be told.
+    Hosts,
+    /// By nothing but the base version.
+    Absent,
+}
+
 #[derive(Debug, Default)]
 struct Service {
     base: Option<Base>,
@@ -114,12 +125,12 @@
     }
 
     /// Returns at which versions new streams of a service may begin. Where their rows cannot be
-    /// written now, that is the base version, unless no engine of it may be used: a stream without
-    /// a row is then refused when it is taken up after a restart, and never joined.
+    /// written now, that is the base version, unless no engine of it may be used and other hosts
+    /// can be told.
     pub fn allowed_to_begin(
         &self,
         name: &str,
-        can_record: bool,
+        recording: Recording,
         is_usable: impl FnOnce(&str) -> bool,
     ) -> Allowed {
         let Some(Service {
@@ -130,7 +141,13 @@
         else {
             return Allowed::OneOf(Rc::default());
         };
-        match can_record || confirmed.len() <= 1 || !is_usable(&base.software) {
+        let is_open = match recording {
+            _ if confirmed.len() <= 1 => true,
+            Recording::Store => true,
+            Recording::Hosts => !is_usable(&base.software),
+            Recording::Absent => false,
+        };
+        match is_open {
             true => Allowed::OneOf(confirmed.clone()),
             false => Allowed::Only(base.software.clone()),
         }
--- a/src/edge/origins/stream_id.rs
+++ b/src/edge/origins/stream_id.rs
@@ -21,6 +21,16 @@
         StreamId(id)
     }
 
+    /// Returns its bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// Returns the id with these bytes; `None` if there are too few or too many.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(StreamId)
+    }
+
     /// Returns its first byte, which is evenly distributed.
     pub fn first_byte(&self) -> u8 {
         self.0[0]
--- a/src/edge/origins/streams.rs
+++ b/src/edge/origins/streams.rs
@@ -1,6 +1,7 @@
-//! Streams that began at this host, and which of their rows are due in the store.
+//! Streams that began at this host or that others told of, and which of their rows are due in the
+//! store.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,10 +32,8 @@
 pub enum RowNeed {
     /// Not at the base version.
     Base,
-    /// Before its caller gets events.
+    /// Before its caller gets events, unless other hosts hold its version.
     First,
-    /// As soon as rows can be written: they cannot now, and the base version has no engine.
-    Later,
 }
 
 /// Whether a stream that begins is known to all hosts.
@@ -60,9 +59,16 @@
     begun: bool,
     /// Whether it needs a row, even though it may begin at the base version.
     needs_row: bool,
-    /// Whether its caller gets events only once the row is written.
+    /// Whether its caller gets events only once the row is written: one of another version may be
+    /// written yet.
     awaits_row: bool,
     row: StoredRow,
+    /// Host at which it began, if not this one.
+    teller: Option<Arc<str>>,
+    /// Other hosts that hold its version and write its row.
+    holders: BTreeSet<Arc<str>>,
+    /// Whether other hosts were told of it and may write its row.
+    is_told: bool,
 }
 
 impl RecordState {
@@ -73,6 +79,21 @@
 }
 
 impl Stream {
+    fn new(service: &Arc<str>, software: &Arc<str>, now: Moment) -> Self {
+        Stream {
+            service: service.clone(),
+            software: software.clone(),
+            began_at: now,
+            begun: false,
+            needs_row: false,
+            awaits_row: false,
+            row: StoredRow::Absent,
+            teller: None,
+            holders: BTreeSet::new(),
+            is_told: false,
+        }
+    }
+
     fn record_state(&self) -> RecordState {
         match &self.row {
             StoredRow::Foreign => RecordState::Foreign,
@@ -99,7 +120,20 @@
     before: StoredRow,
 }
 
-/// Streams that began at this host.
+/// What another host has told of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// Stream.
+    pub stream: StreamId,
+    /// Service.
+    pub service: Arc<str>,
+    /// Version at which it begins.
+    pub software: Arc<str>,
+    /// Whether its row is to be written here.
+    pub unwritten: bool,
+}
+
+/// Streams that began at this host or that others told of.
 #[derive(Debug, Default)]
 pub struct Streams {
     streams: HashMap<StreamId, Stream>,
@@ -117,28 +151,68 @@
         now: Moment,
     ) -> bool {
         self.expire(now);
-        let stream = self.streams.entry(id).or_insert_with(|| Stream {
-            service: service.clone(),
-            software: software.clone(),
-            began_at: now,
-            begun: false,
-            needs_row: false,
-            awaits_row: true,
-            row: StoredRow::Absent,
-        });
+        let new = || Stream::new(service, software, now);
+        let stream = self.streams.entry(id).or_insert_with(new);
         if !stream.begun {
-            // A write for another version may still take effect.
-            let is_same = stream.software == *software;
+            if stream.software != *software {
+                // A write for the other version may still take effect, here or at another host.
+                stream.awaits_row = true;
+                stream.holders.clear();
+                if stream.is_told && stream.row == StoredRow::Absent {
+                    stream.row = StoredRow::Unsure;
+                }
+            }
             stream.software = software.clone();
-            stream.needs_row = need != RowNeed::Base;
-            stream.awaits_row = need != RowNeed::Later || !is_same;
+            stream.needs_row = need == RowNeed::First || stream.is_told;
         }
         stream.record_state().is_due()
     }
 
-    /// Returns whether all hosts can know that a stream begins at a version; from then on no
-    /// other request of its name changes that.
-    pub fn settle(&mut self, id: StreamId, software: &str) -> RecordState {
+    /// Returns what other hosts are to be told of a stream that begins here and has no row yet.
+    pub fn tell(&mut self, id: StreamId) -> Option<Told> {
+        let stream = self.streams.get_mut(&id)?;
+        if stream.begun || !stream.record_state().is_due() {
+            return None;
+        }
+        stream.is_told = true;
+        Some(Told {
+            stream: id,
+            service: stream.service.clone(),
+            software: stream.software.clone(),
+            unwritten: true,
+        })
+    }
+
+    /// Records what another host has told of a stream. Returns the version at which it begins as
+    /// far as this host knows, and whether its row has to be written.
+    pub fn record_told(&mut self, told: &Told, teller: &Arc<str>, now: Moment) -> (Arc<str>, bool) {
+        self.expire(now);
+        let new = || Stream {
+            begun: true,
+            teller: Some(teller.clone()),
+            ..Stream::new(&told.service, &told.software, now)
+        };
+        let stream = self.streams.entry(told.stream).or_insert_with(new);
+        if stream.teller.as_ref() == Some(teller) {
+            stream.software = told.software.clone();
+            stream.needs_row |= told.unwritten;
+        }
+        (stream.software.clone(), stream.record_state().is_due())
+    }
+
+    /// Records that another host holds the version of a stream that begins here.
+    pub fn record_holder(&mut self, id: StreamId, host: &Arc<str>, software: &str) {
+        let Some(stream) = self.streams.get_mut(&id) else {
+            return;
+        };
+        if stream.teller.is_none() && *stream.software == *software {
+            stream.holders.insert(host.clone());
+        }
+    }
+
+    /// Returns whether all hosts can know that a stream begins at a version: by its row, or from
+    /// `holders` hosts. From then on no other request of its name changes that.
+    pub fn settle(&mut self, id: StreamId, software: &str, holders: usize) -> RecordState {
         let Some(stream) = self.streams.get_mut(&id) else {
             return RecordState::Foreign;
         };
@@ -146,7 +220,9 @@
             return RecordState::Foreign;
         }
         let state = match stream.record_state() {
-            RecordState::Pending | RecordState::Unsure if !stream.awaits_row => {
+            RecordState::Pending | RecordState::Unsure
+                if !stream.awaits_row && stream.holders.len() >= holders =>
+            {
                 RecordState::Recorded
             }
             state => state,
@@ -155,12 +231,12 @@
         state
     }
 
-    /// Returns the version at which a stream began here, and whether its row is written. Without
-    /// one, another host may have written it for a stream of the same name.
+    /// Returns the version at which a stream began, and whether that is certain: it began here, and
+    /// its row is written. Else another host may have written it for a stream of the same name.
     pub fn origin(&self, id: StreamId) -> Option<(Arc<str>, bool)> {
         let stream = self.streams.get(&id).filter(|s| s.begun)?;
         let has_row = matches!(stream.row, StoredRow::Present { .. });
-        Some((stream.software.clone(), has_row))
+        Some((stream.software.clone(), has_row && stream.teller.is_none()))
     }
 
     /// Requires rows of the streams of a service that did not begin at its new base version.
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -69,6 +69,10 @@
         for (addr, packet) in edge.next_permits(&mut allocation) {
             send_packet(&socket, &signed(packet), &[addr]).await;
         }
+        let stream_packets = edge.state.borrow_mut().take_stream_packets();
+        for (addr, packet) in stream_packets {
+            send_packet(&socket, &signed(packet), &[addr]).await;
+        }
         let has_waiting = edge
             .state
             .borrow()
@@ -263,7 +267,7 @@
 }
 
 /// Applies a packet; returns whether it comes from a member.
-fn handle_packet(edge: &Edge, packet: Packet, from: SocketAddr) -> bool {
+fn handle_packet(edge: &Rc<Edge>, packet: Packet, from: SocketAddr) -> bool {
     let now = clock::now();
     let host: Arc<str> = packet.host.as_str().into();
     let mut guard = edge.state.borrow_mut();
@@ -319,6 +323,7 @@
         decided = state.apply_permits(&edge.host, &host, &packet, now);
     }
     drop(guard);
+    edge.record_stream_notes(&host, &packet);
     for (engine, change, life) in rate_changes {
         edge.announce_rate(&engine, change, life, &host);
     }
--- a/tests/edge/fakes/store.rs
+++ b/tests/edge/fakes/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -65,17 +66,29 @@
     pub addr: SocketAddr,
     state: Arc<Mutex<StoreState>>,
     changed: Arc<Notify>,
+    /// Whether calls to this address get 503.
+    turned_away: Arc<AtomicBool>,
 }
 
 impl Store {
     pub fn start() -> Self {
+        Store::listen(Arc::default(), Arc::default())
+    }
+
+    /// Returns the same store at another address, for daemons that it may turn away.
+    pub fn other_address(&self) -> Self {
+        Store::listen(self.state.clone(), self.changed.clone())
+    }
+
+    fn listen(state: Arc<Mutex<StoreState>>, changed: Arc<Notify>) -> Self {
         let (sender, receiver) = std::sync::mpsc::channel();
         runtime().spawn(async move {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let store = Store {
                 addr: listener.local_addr().unwrap(),
-                state: Arc::default(),
-                changed: Arc::default(),
+                state,
+                changed,
+                turned_away: Arc::default(),
             };
             sender.send(store.clone()).unwrap();
             while let Ok((stream, _)) = listener.accept().await {
@@ -150,6 +163,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Sets whether every call to this address gets 503.
+    pub fn turn_away(&self, turned_away: bool) {
+        self.turned_away.store(turned_away, Ordering::SeqCst);
+        self.changed.notify_waiters();
+    }
+
     /// Leaves all further calls without an answer.
     pub fn silence(&self) {
         self.state.lock().unwrap().silent = true;
@@ -179,7 +198,10 @@
     async fn serve(self, mut stream: TcpStream) {
         let mut rest = Vec::new();
         while let Ok(Some(request)) = read_request(&mut stream, &mut rest).await {
-            let (status, body) = self.call(&request).await;
+            let (status, body) = match self.turned_away.load(Ordering::SeqCst) {
+                true => (503, json!({})),
+                false => self.call(&request).await,
+            };
             if self.state.lock().unwrap().silent {
                 std::future::pending::<()>().await;
             }
--- a/tests/edge/origins.rs
+++ b/tests/edge/origins.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use mastichinge::edge::origins::{
-    Allowed, Base, RecordState, RowNeed, ServiceVersions, StreamId, Streams, SweepMarks,
+    Allowed, Base, RecordState, Recording, RowNeed, ServiceVersions, StreamId, Streams, SweepMarks,
+    Told,
 };
 use mastichinge::edge::store::{Row, RowPage};
 
 const SERVICE: &str = "assist";
+/// Hosts that must hold a stream without a row.
+const HOLDERS: usize = 2;
 
 fn at(s: u64) -> Duration {
     Duration::from_secs(s)
@@ -52,7 +55,16 @@
 }
 
 fn settle(streams: &mut Streams, id: &str, software: &str) -> RecordState {
-    streams.settle(StreamId::of(id), software)
+    streams.settle(StreamId::of(id), software, HOLDERS)
+}
+
+fn told(id: &str, software: &str) -> Told {
+    Told {
+        stream: StreamId::of(id),
+        service: service(),
+        software: software.into(),
+        unwritten: true,
+    }
 }
 
 /// A version is used only after the base row was read with it listed.
@@ -61,12 +73,12 @@
     let mut services = confirmed(&["v1"]);
     assert!(!list(&mut services, &["v1"], at(1)));
     assert!(list(&mut services, &["v1", "v2"], at(2)));
-    let allowed = services.allowed_to_begin(SERVICE, true, |_| true);
+    let allowed = services.allowed_to_begin(SERVICE, Recording::Store, |_| true);
     assert!(allowed.contains("v1") && !allowed.contains("v2"));
     let unknown = ServiceVersions::default();
     assert!(
         !unknown
-            .allowed_to_begin(SERVICE, true, |_| true)
+            .allowed_to_begin(SERVICE, Recording::Store, |_| true)
             .contains("v1")
     );
 }
@@ -76,13 +88,16 @@
 fn only_the_base_is_allowed_without_rows_while_it_can_be_used() {
     let services = confirmed(&["v1", "v2"]);
     let allowed =
-        |can_record, is_usable| services.allowed_to_begin(SERVICE, can_record, |_| is_usable);
-    assert!(allowed(true, true).contains("v2"));
-    assert_eq!(allowed(false, true), Allowed::Only("v1".into()));
+        |recording, is_usable| services.allowed_to_begin(SERVICE, recording, |_| is_usable);
+    let only_base = Allowed::Only("v1".into());
+    assert!(allowed(Recording::Store, true).contains("v2"));
+    assert_eq!(allowed(Recording::Hosts, true), only_base);
     assert!(
-        allowed(false, false).contains("v2"),
+        allowed(Recording::Hosts, false).contains("v2"),
         "the base has no engine"
     );
+    assert_eq!(allowed(Recording::Absent, true), only_base);
+    assert_eq!(allowed(Recording::Absent, false), only_base);
 }
 
 /// A stream without a name goes on only if no other version can have begun it.
@@ -131,22 +146,64 @@
     assert_eq!(settle(&mut streams, "s1", "v1"), RecordState::Recorded);
 }
 
-/// Guards against holding streams back where no engine of the base version is left, unless a row
-/// for another version may be written.
+/// Guards against ORDER by streams that began without a row and that no other host knew, and
+/// against holding them back once others do.
 #[test]
-fn a_row_that_is_needed_later_holds_no_stream_back() {
+fn a_stream_without_a_row_begins_once_other_hosts_hold_its_version() {
+    let (first, second) = (Arc::from("h1"), Arc::from("h2"));
     let mut streams = Streams::default();
-    assert!(begin_with(&mut streams, "s1", "v2", RowNeed::Later));
+    assert!(begin(&mut streams, "s1", "v2"));
+    assert_eq!(streams.tell(StreamId::of("s1")), Some(told("s1", "v2")));
+    streams.record_holder(StreamId::of("s1"), &first, "v2");
+    streams.record_holder(StreamId::of("s1"), &first, "v2");
+    streams.record_holder(StreamId::of("s1"), &second, "v3");
+    assert_eq!(settle(&mut streams, "s1", "v2"), RecordState::Pending);
+    streams.record_holder(StreamId::of("s1"), &second, "v2");
     assert_eq!(settle(&mut streams, "s1", "v2"), RecordState::Recorded);
     assert_eq!(
         streams.take_due(|_| true, 10).len(),
         1,
         "it is still written"
     );
-    begin(&mut streams, "s2", "v2");
-    streams.take_due(|_| true, 10);
-    begin_with(&mut streams, "s2", "v3", RowNeed::Later);
-    assert_eq!(settle(&mut streams, "s2", "v3"), RecordState::Unsure);
+}
+
+/// Guards against ORDER by hosts that write the row of a version at which the stream then does not
+/// begin: only a row tells from then on.
+#[test]
+fn a_stream_that_others_were_told_of_needs_a_row_at_any_other_version() {
+    let mut streams = Streams::default();
+    begin(&mut streams, "s1", "v2");
+    streams.tell(StreamId::of("s1"));
+    assert!(begin(&mut streams, "s1", "v1"), "also at the base version");
+    for host in ["h1", "h2"] {
+        streams.record_holder(StreamId::of("s1"), &host.into(), "v1");
+    }
+    assert_eq!(settle(&mut streams, "s1", "v1"), RecordState::Unsure);
+    let rows = streams.take_due(|_| true, 10);
+    let found = HashMap::from([(rows[0].stream, ("v2".into(), 4))]);
+    streams.record_conflict(&rows, &found);
+    let rows = streams.take_due(|_| true, 10);
+    assert_eq!((&*rows[0].software, rows[0].expected_version), ("v1", 4));
+    streams.record_written(&rows, 5);
+    assert_eq!(settle(&mut streams, "s1", "v1"), RecordState::Recorded);
+}
+
+/// Guards against the loss of a version with the host that began the stream, and against another
+/// stream of its name.
+#[test]
+fn a_host_that_is_told_of_a_stream_writes_its_row_and_keeps_its_version() {
+    let mut streams = Streams::default();
+    let (software, is_due) = streams.record_told(&told("s1", "v2"), &"h1".into(), at(1));
+    assert_eq!((&*software, is_due), ("v2", true));
+    let (software, _) = streams.record_told(&told("s1", "v3"), &"h2".into(), at(1));
+    assert_eq!(&*software, "v2", "it is another's");
+    let known = Some(("v2".into(), false));
+    assert_eq!(streams.origin(StreamId::of("s1")), known);
+    let rows = streams.take_due(|_| true, 10);
+    streams.record_written(&rows, 3);
+    assert_eq!(streams.origin(StreamId::of("s1")), known, "rows come first");
+    begin(&mut streams, "s1", "v3");
+    assert_eq!(settle(&mut streams, "s1", "v3"), RecordState::Foreign);
 }
 
 /// Guards against ORDER by a request of the name of another's stream.
--- a/tests/edge/software_versions.rs
+++ b/tests/edge/software_versions.rs
@@ -10,7 +10,9 @@
 use crate::fakes::daemon::{Daemon, Request, Response, exchange, wait};
 use crate::fakes::engine::Behavior;
 use crate::site::{MODEL, all_events, events};
-use crate::version_fleet::{Fleet, READ_EVENTS, SECOND_VERSION, STREAMS, TakenUp, versions};
+use crate::version_fleet::{
+    Fleet, READ_EVENTS, SECOND_VERSION, STREAMS, TakenUp, begin_stream, versions,
+};
 
 /// Time for which the store does not answer; callers leave after 3.2 s.
 const CLOSING_TIME: Duration = Duration::from_millis(2_200);
@@ -411,14 +413,7 @@
     let mut begun = fleet.begin_streams();
     assert!(begun.iter().all(|b| b.version() == SECOND_VERSION));
     assert_eq!(fleet.store.count("origins"), rows);
-    for engine in &fleet.engines[..2] {
-        engine.start_again();
-    }
-    wait("the first version", || {
-        let is_back = |l: &Value| l["engine"] == "e2" && l["life"] == 2_000;
-        let knows = |d: &Daemon| d.logged("engine changed").iter().any(is_back);
-        fleet.daemons.iter().all(knows)
-    });
+    fleet.restore_base(&fleet.daemons);
     begun.extend(fleet.begin_named("v1"));
     fleet.kill_all();
     let taken = fleet.take_up(&begun, 1);
@@ -443,3 +438,35 @@
     fleet.kill_all();
     assert_eq!(fleet.take_up(&begun, 1), all_whole());
 }
+
+/// Guards against ORDER where the store turns one host away that knows no engine of the base
+/// version: its streams had no row and went on at the base version elsewhere.
+#[test]
+fn streams_of_a_host_that_the_store_turns_away_go_on_at_their_version() {
+    let (mut fleet, store) = Fleet::without_base_at_two_addresses(3);
+    store.turn_away(true);
+    wait("an outage", || {
+        !fleet.daemons[3].logged("store unavailable").is_empty()
+    });
+    fleet.restore_base(&fleet.daemons[..3]);
+    let begun: Vec<_> = (0..STREAMS)
+        .map(|number| begin_stream(&fleet.daemons[3], &format!("begin-{number}")))
+        .collect();
+    assert!(begun.iter().all(|b| b.version() == SECOND_VERSION));
+    drop(fleet.daemons.pop());
+    assert_eq!(fleet.take_up(&begun, 0), all_whole());
+}
+
+/// Guards against ORDER where a host can neither write a stream's row nor tell another host: a
+/// version that nobody else can know must not begin.
+#[test]
+fn streams_begin_nowhere_while_no_other_host_can_know_their_version() {
+    let fleet = Fleet::without_base(1);
+    fleet.store.set_down(true);
+    wait("an outage", || {
+        !fleet.daemons[0].logged("store unavailable").is_empty()
+    });
+    let request = Request::new("/stream/", "s1").with(MODEL, "m1");
+    assert_eq!(fleet.daemons[0].send(&request).status, 503);
+    assert!(fleet.engines.iter().all(|e| e.runs("s1") == 0));
+}
--- a/tests/edge/version_fleet.rs
+++ b/tests/edge/version_fleet.rs
@@ -79,6 +79,23 @@
     /// the second; the former leave.
     pub fn without_base(daemons: usize) -> Self {
         let mut fleet = Fleet::start(&[FIRST_VERSION; 2], daemons);
+        fleet.remove_base();
+        fleet
+    }
+
+    /// Starts the same with one daemon more, the last, at the address of the store that is returned.
+    pub fn without_base_at_two_addresses(daemons: usize) -> (Self, Store) {
+        let mut fleet = Fleet::start(&[FIRST_VERSION; 2], daemons);
+        let store = fleet.store.other_address();
+        let daemon = Daemon::start(&store, &format!("edge-{}", daemons + 1));
+        fleet.daemons.push(daemon);
+        fleet.remove_base();
+        (fleet, store)
+    }
+
+    /// Adds two engines of the second version; those of the first leave.
+    fn remove_base(&mut self) {
+        let fleet = self;
         for _ in 0..2 {
             fleet.add_engine(SECOND_VERSION, &["m1"]);
         }
@@ -87,7 +104,19 @@
             fleet.store.remove("servers", engine);
             fleet.wait_for_change(engine, "gone");
         }
-        fleet
+    }
+
+    /// Lists the engines of the first version again, in new lifetimes, and waits until these
+    /// daemons know.
+    pub fn restore_base(&self, daemons: &[Daemon]) {
+        for engine in &self.engines[..2] {
+            engine.start_again();
+        }
+        wait("the first version", || {
+            let is_back = |l: &Value| l["engine"] == "e2" && l["life"] == 2_000;
+            let knows = |d: &Daemon| d.logged("engine changed").iter().any(is_back);
+            daemons.iter().all(knows)
+        });
     }
 
     pub fn add_engine(&mut self, version: &str, models: &[&str]) {
