Keep the versions of streams through a drill, at hosts other than the first

Cause: after a drill a host wrote again only the rows of streams that began at itself. Rows of a host that had ended were lost, and 3 s later a missing row was taken for the base version; at a host that had started since, at once.

A host keeps the version of what it passes on. After a drill the rows of streams whose host is not alive are written by those that know them. The base row names the era and, after a drill, the time: for a minute no missing row is believed, at hosts that start later either.

Why this works: knowledge of a stream no longer depends on one host and on the store; and where it is lost, its absence is not read as the base version for as long as the stream can be taken up. With one version nothing is told, asked or written but one row a drill.

Tests: streams_go_on_at_their_version_after_a_drill_that_lost_their_rows failed before in its three cases (one host ended, two, at a host that has started since) with 12 of 24 streams mixed; passes. streams_are_not_mixed_while_the_store_is_away at another host asked for 24 refusals and now asks for 24 whole streams (before: 24 refused). rows_are_written_again_when_the_store_has_come_back_from_an_older_copy now asks for a row of each of the 24 streams, as those of the base version are written too. Daemons of tests log debug lines; the fake store has a clock; fleets wait until hosts know each other.

--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -105,7 +105,11 @@
         let leaves_at = routed.arrived_at + silence_limit(&routed.route);
         let deadline = leaves_at.min(routed.deadline);
         let edge = &routed.edge;
-        if !edge.await_recorded(stream, &software, deadline).await {
+        let service = &routed.service;
+        if !edge
+            .await_recorded(stream, service, &software, deadline)
+            .await
+        {
             return Err(OpenError::Unrecorded);
         }
     }
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -54,9 +54,12 @@
     /// Streams that begin at the sender.
     #[prost(message, repeated, tag = "20")]
     pub stream_notes: Vec<StreamNote>,
-    /// What the sender knows of streams that the recipient named.
+    /// What the sender knows of streams that the recipient told or asked about.
     #[prost(message, repeated, tag = "21")]
     pub stream_replies: Vec<StreamReply>,
+    /// Ids of streams about which the sender asks.
+    #[prost(bytes = "vec", repeated, tag = "22")]
+    pub stream_questions: Vec<Vec<u8>>,
 }
 
 impl Packet {
--- a/src/edge/origins/base.rs
+++ b/src/edge/origins/base.rs
@@ -5,8 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::record;
-use super::services::{Base, ListedVersions};
+use super::services::{Base, ListedVersions, StoreTime};
 use crate::clock::Moment;
 use crate::edge::clock;
 use crate::edge::state::{Edge, State};
@@ -70,7 +69,7 @@
         let is_new = state.origins.services.record_listed(&listed, now);
         (listed, is_new)
     };
-    let is_due = is_new || !edge.origins_known.get();
+    let is_due = is_new || !edge.origins_known.get() || edge.has_outdated_base();
     if is_due || reread_due(edge, &listed, absences, now) {
         read_bases(edge, &listed).await?;
         edge.origins_known.set(true);
@@ -79,19 +78,23 @@
     retire_bases(edge, &listed, absences, now).await
 }
 
-/// Reads the base rows, and writes those of listed services that have none.
+/// Reads the base rows, and writes those of listed services that have none. One host writes those
+/// of an earlier era again: rows of streams may be missing since then.
 async fn read_bases(edge: &Rc<Edge>, listed: &ListedVersions) -> Result<(), StoreError> {
     let page = edge.store.read_table(Table::Bases).await?;
     let mut bases = decode(&page);
+    let is_allocator = edge.is_allocator();
     for (service, versions) in listed {
         let mut base = bases.remove(service);
-        if base.is_none() {
-            let known = edge.state.borrow().base_software(service);
-            let first = known.or_else(|| edge.state.borrow().most_listed(service));
-            let Some(software) = first else {
-                continue;
-            };
-            base = write_base(edge, service, software, 0).await?;
+        let due = match &base {
+            None => edge.first_base(service),
+            Some(known) if known.era < page.era && is_allocator => {
+                Some(edge.base_of_era(service, known))
+            }
+            Some(_) => None,
+        };
+        if let Some(due) = due {
+            base = write_base(edge, service, due).await?;
         }
         if let Some(base) = base {
             edge.confirm_base(service, base, versions);
@@ -100,25 +103,26 @@
     Ok(())
 }
 
-/// Writes the base row of a service if it has the expected version; returns the row that there is
-/// then.
+/// Writes the base row of a service if it has the version that `base` names; returns the row that
+/// there is then.
 async fn write_base(
     edge: &Edge,
     service: &Arc<str>,
-    software: Arc<str>,
-    expected_version: u64,
+    base: Base,
 ) -> Result<Option<Base>, StoreError> {
     let change = RowChange {
         table: Table::Bases,
         part: UNNAMED_PART,
         key: service.clone(),
-        expected_version: Some(expected_version),
-        value: record::encode(&software),
+        expected_version: Some(base.row),
+        value: serde_json::to_vec(&base).ok(),
     };
     match edge.store.commit(&[change]).await? {
         CommitOutcome::Committed(row) => {
-            log::info!(service = &**service, software = &*software, row; "base version written");
-            Ok(Some(Base { software, row }))
+            let software = &*base.software;
+            let (era, unsure_ms) = (base.era, base.unsure_ms);
+            log::info!(service = &**service, software, row, era, unsure_ms:?; "base version written");
+            Ok(Some(Base { row, ..base }))
         }
         CommitOutcome::Conflict(page) => Ok(decode(&page).remove(service)),
     }
@@ -179,7 +183,13 @@
         let Some(software) = edge.state.borrow().most_listed(service) else {
             continue;
         };
-        if let Some(base) = write_base(edge, service, software, absence.row).await? {
+        let base = Base {
+            software,
+            row: absence.row,
+            era: edge.store.era(),
+            ..Base::default()
+        };
+        if let Some(base) = write_base(edge, service, base).await? {
             edge.confirm_base(service, base, versions);
         }
     }
@@ -192,11 +202,11 @@
         let (Some(value), true) = (&row.value, row.unnamed_part) else {
             continue;
         };
-        match record::decode(value) {
-            Ok(software) => {
+        match serde_json::from_slice::<Base>(value) {
+            Ok(base) => {
                 let base = Base {
-                    software,
                     row: row.version,
+                    ..base
                 };
                 bases.insert(row.key.clone(), base);
             }
@@ -245,12 +255,59 @@
         base.is_some_and(|base| state.fleet.lists(service, &base.software))
     }
 
+    /// Returns the first base of a service: the one that this host knows, else the version that
+    /// most listed engines have.
+    fn first_base(&self, service: &str) -> Option<Base> {
+        let state = self.state.borrow();
+        let known = state.base_software(service);
+        let software = known.or_else(|| state.most_listed(service))?;
+        Some(Base {
+            software,
+            era: self.store.era(),
+            ..Base::default()
+        })
+    }
+
+    /// Returns the base of a service for the store's era. While several versions serve, rows of
+    /// streams may be missing from now on.
+    fn base_of_era(&self, service: &str, base: &Base) -> Base {
+        let state = self.state.borrow();
+        let several = state.origins.services.has_several(service, clock::now());
+        let unsure_ms = several.then(|| self.store.now_ms());
+        Base {
+            era: self.store.era(),
+            unsure_ms: unsure_ms.or(base.unsure_ms),
+            ..base.clone()
+        }
+    }
+
+    /// Returns whether a base row was written in an earlier era of the store.
+    fn has_outdated_base(&self) -> bool {
+        let state = self.state.borrow();
+        state.origins.services.is_outdated(self.store.era())
+    }
+
+    /// Returns the time and era of the store.
+    pub(super) fn store_time(&self) -> StoreTime {
+        StoreTime {
+            era: self.store.era(),
+            now_ms: self.store.now_ms(),
+        }
+    }
+
     /// Has the rows of streams written again, and base rows read before further versions are used.
     fn begin_origins_era(self: &Rc<Self>) {
-        let mut state = self.state.borrow_mut();
-        state.origins.services.begin_era();
-        state.origins.streams.begin_era();
-        drop(state);
+        let now = clock::now();
+        let mut guard = self.state.borrow_mut();
+        let State {
+            origins, members, ..
+        } = &mut *guard;
+        origins.services.begin_era();
+        let services = &origins.services;
+        let is_several = |service: &str| services.has_several(service, now);
+        let is_alive = |host: &str| members.all.get(host).is_some_and(|m| m.is_alive(now));
+        origins.streams.begin_era(is_several, is_alive);
+        drop(guard);
         self.write_origins();
     }
 }
--- a/src/edge/origins/lookup.rs
+++ b/src/edge/origins/lookup.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::recording::{PARTS, decode_row, part_index};
 use super::{Resumed, StreamId};
@@ -12,9 +11,6 @@
 
 /// Maximum number of rows that are read at the same time.
 const MAX_LOOKUPS: u32 = 64;
-/// Time after the store has come back from an older copy in which rows may still be missing that
-/// daemons write again.
-const RESTORE_TIME: Duration = Duration::from_secs(3);
 
 /// Where a stream began.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,6 +29,8 @@
     Memory,
     /// Its row in the store.
     Row,
+    /// Another host, which was asked.
+    Host,
     /// It has no row, and so began at the base version.
     Base,
     /// The service has had no other version.
@@ -51,9 +49,9 @@
     /// Too many rows are being read.
     #[error("too many rows of streams are being read")]
     Busy,
-    /// The store has come back from an older copy, and rows may be missing.
-    #[error("rows of streams may be missing since the store has come back from an older copy")]
-    Restoring,
+    /// Rows may be missing, as after the store has come back from an older copy.
+    #[error("the stream has no row, which may be missing, and no host knows it")]
+    Missing,
     /// The row cannot be decoded.
     #[error("the row of the stream cannot be decoded")]
     Unreadable,
@@ -115,15 +113,25 @@
         if let Some((origin, true)) = known {
             return Ok(origin);
         }
-        match (self.read_origin(stream).await, known) {
+        let _guard = LookupGuard::begin(self).ok_or(UnknownOrigin::Busy)?;
+        let read = match (self.read_origin(stream).await, known) {
             (Ok(Some(software)), _) => {
+                self.keep_stream(stream, service, &software);
                 let source = OriginSource::Row;
                 return Ok(Origin { software, source });
             }
             (_, Some((origin, _))) => return Ok(origin),
-            (Ok(None), None) => {}
-            (Err(error), None) => return Err(error),
+            (read, None) => read,
+        };
+        let is_told = !self.is_sole(service);
+        if (is_told || read.is_err())
+            && let Some(software) = self.ask_others(stream).await
+        {
+            self.keep_stream(stream, service, &software);
+            let source = OriginSource::Host;
+            return Ok(Origin { software, source });
         }
+        read?;
         if !self.is_base_listed(service) {
             // Another daemon may have replaced it.
             self.refresh_bases().await?;
@@ -131,8 +139,16 @@
         self.base_origin(service)
     }
 
+    /// Returns whether the streams of a service are known to have begun at its base version alone,
+    /// so that hosts tell each other of none.
+    fn is_sole(&self, service: &str) -> bool {
+        let (store, now) = (self.store_time(), clock::now());
+        let state = self.state.borrow();
+        let versions = &state.origins.services;
+        !versions.has_several(service, now) && versions.is_base_sure(service, store, now)
+    }
+
     async fn read_origin(&self, stream: StreamId) -> Result<Option<Arc<str>>, UnknownOrigin> {
-        let _guard = LookupGuard::begin(self).ok_or(UnknownOrigin::Busy)?;
         let part = PARTS[part_index(stream)];
         let key = stream.to_string();
         let row = self.store.read_row(Table::Origins, part, &key).await?;
@@ -144,13 +160,12 @@
 
     /// Returns the origin of a stream without a row.
     fn base_origin(&self, service: &str) -> Result<Origin, UnknownOrigin> {
-        let now = clock::now();
+        let (store, now) = (self.store_time(), clock::now());
         let state = self.state.borrow();
         let versions = &state.origins.services;
         let base = versions.base(service).ok_or(UnknownOrigin::NoBase)?;
-        let since_era = self.store.era_since().map(|at| now.saturating_sub(at));
-        if since_era.is_some_and(|t| t < RESTORE_TIME) && versions.has_several(service, now) {
-            return Err(UnknownOrigin::Restoring);
+        if !versions.is_base_sure(service, store, now) {
+            return Err(UnknownOrigin::Missing);
         }
         let (software, source) = (base.software.clone(), OriginSource::Base);
         Ok(Origin { software, source })
--- a/src/edge/origins/mod.rs
+++ b/src/edge/origins/mod.rs
@@ -19,7 +19,7 @@
 pub use base::keep_bases;
 pub use lookup::{Origin, OriginSource, UnknownOrigin};
 pub use recording::OriginWriters;
-pub use services::{Allowed, Base, Recording, ServiceVersions};
+pub use services::{Allowed, Base, Recording, ServiceVersions, StoreTime};
 pub use stream_id::StreamId;
 pub use streams::{RecordState, RowNeed, Streams, Told};
 pub use sweeping::{SweepMarks, sweep};
--- a/src/edge/origins/recording.rs
+++ b/src/edge/origins/recording.rs
@@ -63,14 +63,17 @@
         service: &Arc<str>,
         software: &Arc<str>,
     ) {
+        let (store, now) = (self.store_time(), clock::now());
         let mut state = self.state.borrow_mut();
-        let base = state.origins.services.base(service);
-        let need = match base {
-            Some(base) if base.software == *software => RowNeed::Base,
-            _ => RowNeed::First,
+        let services = &state.origins.services;
+        let need = match services.base(service) {
+            Some(base) if base.software != *software => RowNeed::First,
+            None => RowNeed::First,
+            Some(_) if services.is_base_sure(service, store, now) => RowNeed::Base,
+            Some(_) => RowNeed::Follows,
         };
         let streams = &mut state.origins.streams;
-        let is_due = streams.begin(stream, service, (software, need), clock::now());
+        let is_due = streams.begin(stream, service, (software, need), now);
         drop(state);
         if is_due {
             self.write_part(part_index(stream));
@@ -84,13 +87,22 @@
     /// A row that is surely not written is awaited for [`RECORD_TIMEOUT`], as the request can then
     /// begin at the base version; one that may be written, until the deadline. While the store does
     /// not answer this host, others are told.
-    pub async fn await_recorded(&self, stream: StreamId, software: &str, deadline: Moment) -> bool {
+    pub async fn await_recorded(
+        &self,
+        stream: StreamId,
+        service: &str,
+        software: &str,
+        deadline: Moment,
+    ) -> bool {
         let mut written = self.origins_written.subscribe();
         let refused_at = clock::now() + RECORD_TIMEOUT;
         loop {
             written.borrow_and_update();
             let until = match self.settle_stream(stream, software) {
-                RecordState::Recorded => return true,
+                RecordState::Recorded => {
+                    self.announce_stream(stream, service);
+                    return true;
+                }
                 RecordState::Foreign => return false,
                 RecordState::Pending => refused_at.min(deadline),
                 RecordState::Unsure => deadline,
--- a/src/edge/origins/services.rs
+++ b/src/edge/origins/services.rs
@@ -5,22 +5,49 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Moment;
 
-/// Time after the last sight of a second version until a stream without a name is taken for one
-/// of the only version; longer than any stream lasts.
-const SOLE_AFTER: Duration = Duration::from_secs(60);
+/// Time for which a stream can be taken up at most after it began.
+pub(super) const STREAM_TIME: Duration = Duration::from_secs(60);
 
 /// Versions listed by service.
 pub type ListedVersions = BTreeMap<Arc<str>, BTreeSet<Arc<str>>>;
 
 /// The version at which the streams of a service began that have no row.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Base {
     /// The version.
     pub software: Arc<str>,
     /// Version of its row in the store.
+    #[serde(skip)]
     pub row: u64,
+    /// Era of the store in which the row was written.
+    #[serde(default)]
+    pub era: u64,
+    /// Time of the store's clock at which rows of streams may have been missing, ms.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub unsure_ms: Option<u64>,
+}
+
+/// Time and era of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreTime {
+    /// Era.
+    pub era: u64,
+    /// Time of its clock, ms.
+    pub now_ms: u64,
+}
+
+impl Base {
+    /// Returns whether a stream without a row surely began at this version: since the time at
+    /// which rows may have been missing, none can still be taken up. `several` tells whether
+    /// other versions may have begun streams.
+    pub fn holds(&self, store: StoreTime, several: bool) -> bool {
+        let is_past = |at: u64| store.now_ms.saturating_sub(at) >= STREAM_TIME.as_millis() as u64;
+        self.unsure_ms.is_none_or(is_past) && (self.era == store.era || !several)
+    }
 }
 
 /// At which versions a request may run.
@@ -124,6 +151,19 @@
         }
     }
 
+    /// Returns whether a base row was written in an earlier era of the store than this.
+    pub fn is_outdated(&self, era: u64) -> bool {
+        let mut bases = self.services.values().filter_map(|s| s.base.as_ref());
+        bases.any(|base| base.era < era)
+    }
+
+    /// Returns whether a stream of a service without a row surely began at its base version.
+    pub fn is_base_sure(&self, name: &str, store: StoreTime, now: Moment) -> bool {
+        let several = self.has_several(name, now);
+        self.base(name)
+            .is_some_and(|base| base.holds(store, several))
+    }
+
     /// Returns at which versions new streams of a service may begin. Where their rows cannot be
     /// written now, that is the base version, unless no engine of it may be used and other hosts
     /// can be told.
@@ -159,7 +199,7 @@
         let service = self.services.get(name)?;
         let is_sole = service
             .several_at
-            .is_none_or(|at| now.saturating_sub(at) >= SOLE_AFTER);
+            .is_none_or(|at| now.saturating_sub(at) >= STREAM_TIME);
         let base = &service.base.as_ref()?.software;
         is_sole.then_some(base)
     }
--- a/src/edge/origins/streams.rs
+++ b/src/edge/origins/streams.rs
@@ -32,6 +32,8 @@
 pub enum RowNeed {
     /// Not at the base version.
     Base,
+    /// At the base version, while a missing row does not tell that it began there: the row follows.
+    Follows,
     /// Before its caller gets events, unless other hosts hold its version.
     First,
 }
@@ -59,6 +61,8 @@
     begun: bool,
     /// Whether it needs a row, even though it may begin at the base version.
     needs_row: bool,
+    /// Whether a row is written for which its caller does not wait.
+    row_follows: bool,
     /// Whether its caller gets events only once the row is written: one of another version may be
     /// written yet.
     awaits_row: bool,
@@ -69,6 +73,8 @@
     holders: BTreeSet<Arc<str>>,
     /// Whether other hosts were told of it and may write its row.
     is_told: bool,
+    /// Whether they were told that it has begun.
+    is_announced: bool,
 }
 
 impl RecordState {
@@ -86,11 +92,22 @@
             began_at: now,
             begun: false,
             needs_row: false,
+            row_follows: false,
             awaits_row: false,
             row: StoredRow::Absent,
             teller: None,
             holders: BTreeSet::new(),
             is_told: false,
+            is_announced: false,
+        }
+    }
+
+    fn told(&self, id: StreamId, unwritten: bool) -> Told {
+        Told {
+            stream: id,
+            service: self.service.clone(),
+            software: self.software.clone(),
+            unwritten,
         }
     }
 
@@ -100,7 +117,7 @@
             StoredRow::Present { software, .. } if *software == self.software => {
                 RecordState::Recorded
             }
-            StoredRow::Absent if !self.needs_row => RecordState::Recorded,
+            StoredRow::Absent if !self.needs_row && !self.row_follows => RecordState::Recorded,
             StoredRow::Unsure => RecordState::Unsure,
             StoredRow::Absent | StoredRow::Present { .. } => RecordState::Pending,
         }
@@ -164,10 +181,21 @@
             }
             stream.software = software.clone();
             stream.needs_row = need == RowNeed::First || stream.is_told;
+            stream.row_follows = need == RowNeed::Follows;
         }
         stream.record_state().is_due()
     }
 
+    /// Returns what other hosts are to be told of a stream that has begun here, once.
+    pub fn announce(&mut self, id: StreamId) -> Option<Told> {
+        let stream = self.streams.get_mut(&id)?;
+        let is_due = stream.begun && stream.teller.is_none();
+        if !is_due || std::mem::replace(&mut stream.is_announced, true) {
+            return None;
+        }
+        Some(stream.told(id, false))
+    }
+
     /// Returns what other hosts are to be told of a stream that begins here and has no row yet.
     pub fn tell(&mut self, id: StreamId) -> Option<Told> {
         let stream = self.streams.get_mut(&id)?;
@@ -175,12 +203,7 @@
             return None;
         }
         stream.is_told = true;
-        Some(Told {
-            stream: id,
-            service: stream.service.clone(),
-            software: stream.software.clone(),
-            unwritten: true,
-        })
+        Some(stream.told(id, true))
     }
 
     /// Records what another host has told of a stream. Returns the version at which it begins as
@@ -221,7 +244,7 @@
         }
         let state = match stream.record_state() {
             RecordState::Pending | RecordState::Unsure
-                if !stream.awaits_row && stream.holders.len() >= holders =>
+                if !stream.awaits_row && (!stream.needs_row || stream.holders.len() >= holders) =>
             {
                 RecordState::Recorded
             }
@@ -241,19 +264,31 @@
 
     /// Requires rows of the streams of a service that did not begin at its new base version.
     pub fn change_base(&mut self, service: &str, base: &str) {
-        let streams = self.streams.values_mut();
-        for stream in streams.filter(|s| &*s.service == service) {
+        let own = self.streams.values_mut().filter(|s| s.teller.is_none());
+        for stream in own.filter(|s| &*s.service == service) {
             stream.needs_row |= &*stream.software != base;
         }
     }
 
-    /// Records that rows may have been lost: the store has come back from an older copy.
-    pub fn begin_era(&mut self) {
+    /// Records that rows may have been lost: the store has come back from an older copy. Where a
+    /// service has several versions, all streams get rows, as a missing one tells nothing now;
+    /// those that other hosts told of, where the host is not alive to write them.
+    pub fn begin_era(
+        &mut self,
+        is_several: impl Fn(&str) -> bool,
+        is_alive: impl Fn(&str) -> bool,
+    ) {
         for stream in self.streams.values_mut() {
-            if stream.row != StoredRow::Absent {
-                stream.needs_row = true;
+            let is_lost = match &stream.teller {
+                Some(teller) => !is_alive(teller) && is_several(&stream.service),
+                None => stream.begun && is_several(&stream.service),
+            };
+            let had_row = stream.row != StoredRow::Absent;
+            if had_row {
                 stream.row = StoredRow::Unsure;
             }
+            stream.needs_row |= had_row;
+            stream.row_follows |= is_lost;
         }
     }
 
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -69,7 +69,7 @@
         for (addr, packet) in edge.next_permits(&mut allocation) {
             send_packet(&socket, &signed(packet), &[addr]).await;
         }
-        let stream_packets = edge.state.borrow_mut().take_stream_packets();
+        let stream_packets = edge.state.borrow_mut().take_stream_packets(is_heartbeat);
         for (addr, packet) in stream_packets {
             send_packet(&socket, &signed(packet), &[addr]).await;
         }
--- a/src/edge/store.rs
+++ b/src/edge/store.rs
@@ -75,6 +75,8 @@
     pub era: u64,
     /// Whether more rows follow.
     pub has_more: bool,
+    /// Time of the store's steady clock, ms.
+    pub now_ms: u64,
     /// Rows.
     pub rows: Vec<Row>,
 }
@@ -144,6 +146,8 @@
     era: Rc<watch::Sender<Option<u64>>>,
     /// When the store has come back from an older copy, the last time that it did.
     era_since: Rc<Cell<Option<Moment>>>,
+    /// Time of the store's clock in its last response, ms, and when that came.
+    clock: Rc<Cell<(u64, Moment)>>,
     /// Whether a response without an era was logged.
     unnamed_logged: Rc<Cell<bool>>,
 }
@@ -157,6 +161,7 @@
             availability: Rc::default(),
             era: Rc::new(watch::Sender::new(None)),
             era_since: Rc::default(),
+            clock: Rc::default(),
             unnamed_logged: Rc::default(),
         }
     }
@@ -181,6 +186,12 @@
         self.era_since.get()
     }
 
+    /// Returns the time of the store's steady clock, ms, which all hosts share.
+    pub fn now_ms(&self) -> u64 {
+        let (ms, at) = self.clock.get();
+        ms + clock::now().saturating_sub(at).as_millis() as u64
+    }
+
     /// Returns a receiver that is notified when the store has come back from an older copy.
     pub fn eras(&self) -> watch::Receiver<Option<u64>> {
         self.era.subscribe()
@@ -268,6 +279,7 @@
     /// Decodes a response that has just been received.
     fn decode(&self, body: &[u8]) -> Result<RowPage, StoreError> {
         let page = rows::decode_page(body).map_err(|e| StoreError::Unreadable(e.to_string()))?;
+        self.clock.set((page.now_ms, clock::now()));
         let era = self.era();
         Ok(RowPage { era, ..page })
     }
--- a/src/platform/rows.rs
+++ b/src/platform/rows.rs
@@ -46,6 +46,8 @@
     #[serde(default)]
     has_more: bool,
     ver: u64,
+    #[serde(default)]
+    now_ms: u64,
 }
 
 fn table_name(table: Table) -> &'static str {
@@ -176,6 +178,7 @@
         version: wire.ver,
         era: 0,
         has_more: wire.has_more,
+        now_ms: wire.now_ms,
         rows: Vec::new(),
     };
     for row in wire.rows {
--- a/tests/edge/engine_list.rs
+++ b/tests/edge/engine_list.rs
@@ -38,6 +38,7 @@
         era: 0,
         has_more: false,
         rows,
+        ..RowPage::default()
     }
 }
 
--- a/tests/edge/fakes/daemon.rs
+++ b/tests/edge/fakes/daemon.rs
@@ -63,6 +63,7 @@
             "host": host, "domain": "north",
             "listen": {"callers": callers, "ready": entry, "entry": entry, "peers": peers},
             "store": {"addr": store.addr},
+            "log": {"form": "json", "level": "debug"},
             "bounds": {"drain_ms": 300, "grace_s": 3.0, "lease_ms": 500, "retry_slack": 40},
         });
         let name = format!("mastichinge-edge-{}-{number}.json", std::process::id());
--- a/tests/edge/fakes/store.rs
+++ b/tests/edge/fakes/store.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::{Arc, LazyLock, Mutex};
+use std::time::{Duration, Instant};
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -21,6 +21,12 @@
 /// Table, part and key.
 type RowKey = (String, String, String);
 
+/// Returns the time of the stores' steady clock, ms.
+fn now_ms() -> u64 {
+    static STARTED_AT: LazyLock<Instant> = LazyLock::new(Instant::now);
+    STARTED_AT.elapsed().as_millis() as u64
+}
+
 /// Returns the key of a row in the unnamed part of a table.
 fn unnamed_part(table: &str, key: &str) -> RowKey {
     (table.to_owned(), String::new(), key.to_owned())
@@ -296,7 +302,7 @@
         }
         (
             200,
-            json!({"rows": page, "hasMore": false, "ver": state.version, "nowMs": 0}),
+            json!({"rows": page, "hasMore": false, "ver": state.version, "nowMs": now_ms()}),
         )
     }
 
@@ -326,7 +332,7 @@
                 let current_rows: Vec<Value> = current_row.into_iter().collect();
                 return (
                     412,
-                    json!({"rows": current_rows, "ver": state.version, "nowMs": 0}),
+                    json!({"rows": current_rows, "ver": state.version, "nowMs": now_ms()}),
                 );
             }
         }
@@ -342,6 +348,6 @@
         }
         drop(state);
         self.changed.notify_waiters();
-        (200, json!({"ver": version, "nowMs": 0}))
+        (200, json!({"ver": version, "nowMs": now_ms()}))
     }
 }
--- a/tests/edge/origins.rs
+++ b/tests/edge/origins.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use mastichinge::edge::origins::{
-    Allowed, Base, RecordState, Recording, RowNeed, ServiceVersions, StreamId, Streams, SweepMarks,
-    Told,
+    Allowed, Base, RecordState, Recording, RowNeed, ServiceVersions, StoreTime, StreamId, Streams,
+    SweepMarks, Told,
 };
 use mastichinge::edge::store::{Row, RowPage};
 
@@ -32,6 +32,7 @@
     let base = Base {
         software: "v1".into(),
         row: 1,
+        ..Base::default()
     };
     services.confirm(&service(), base, &versions(names));
     services
@@ -206,6 +207,72 @@
     assert_eq!(settle(&mut streams, "s1", "v3"), RecordState::Foreign);
 }
 
+/// Guards against ORDER after a drill of the store: the rows of a host that has ended were written
+/// again by nobody. Those of a host that lives are not written by all.
+#[test]
+fn rows_of_a_host_that_has_ended_are_written_again_in_a_new_era() {
+    let mut streams = Streams::default();
+    for (id, software) in [("own", "v2"), ("own-base", "v1")] {
+        begin(&mut streams, id, software);
+        let rows = streams.take_due(|_| true, 10);
+        streams.record_written(&rows, 3);
+        assert_eq!(settle(&mut streams, id, software), RecordState::Recorded);
+    }
+    for (id, host) in [("ended", "h1"), ("living", "h2")] {
+        let told = Told {
+            unwritten: false,
+            ..told(id, "v2")
+        };
+        assert!(!streams.record_told(&told, &host.into(), at(1)).1);
+    }
+    streams.begin_era(|_| true, |host| host == "h2");
+    let rows = streams.take_due(|_| true, 10);
+    let mut due: Vec<_> = rows.iter().map(|row| row.stream).collect();
+    due.sort();
+    let mut expected = ["own", "own-base", "ended"].map(StreamId::of);
+    expected.sort();
+    assert_eq!(due, expected);
+}
+
+/// Guards against the cost of rows where one version serves.
+#[test]
+fn streams_of_the_only_version_get_no_rows_in_a_new_era() {
+    let mut streams = Streams::default();
+    begin(&mut streams, "s1", "v1");
+    settle(&mut streams, "s1", "v1");
+    streams.begin_era(|_| false, |_| true);
+    assert_eq!(streams.take_due(|_| true, 10), []);
+}
+
+/// Guards against ORDER by a missing row that is taken for the base version while rows may be
+/// missing, and against refusing for good what has none.
+#[test]
+fn a_missing_row_tells_nothing_for_as_long_as_a_stream_lasts() {
+    let store = |era, now_ms| StoreTime { era, now_ms };
+    let base = Base {
+        era: 2,
+        unsure_ms: Some(5_000),
+        ..Base::default()
+    };
+    assert!(!base.holds(store(2, 5_000), true));
+    assert!(!base.holds(store(2, 64_999), false), "versions have left");
+    assert!(base.holds(store(2, 65_000), true));
+    assert!(
+        !base.holds(store(3, 65_000), true),
+        "not written in this era"
+    );
+    assert!(base.holds(store(3, 65_000), false));
+}
+
+/// Guards against a wait for rows of streams at the base version, which follow.
+#[test]
+fn a_stream_at_the_base_version_does_not_wait_for_a_row_that_follows() {
+    let mut streams = Streams::default();
+    assert!(begin_with(&mut streams, "s1", "v1", RowNeed::Follows));
+    assert_eq!(streams.take_due(|_| true, 10).len(), 1);
+    assert_eq!(settle(&mut streams, "s1", "v1"), RecordState::Recorded);
+}
+
 /// Guards against ORDER by a request of the name of another's stream.
 #[test]
 fn a_row_of_another_stream_is_not_changed() {
--- a/tests/edge/software_versions.rs
+++ b/tests/edge/software_versions.rs
@@ -18,6 +18,8 @@
 const CLOSING_TIME: Duration = Duration::from_millis(2_200);
 /// Time for which a base version is kept that no engine has, less a margin for waiting.
 const RETIRE_TIME: Duration = Duration::from_secs(85);
+/// Time after a drill of the store in which hosts write rows again that it lost.
+const RESTORE_TIME: Duration = Duration::from_millis(3_500);
 /// Time in which a stream that cannot go on is refused; far below what a stream may take.
 const MAX_REFUSAL_TIME: Duration = Duration::from_secs(3);
 
@@ -172,23 +174,15 @@
     assert_eq!(fleet.take_up(&begun, 1), all_whole());
 }
 
-/// Guards against ORDER and LOST while the store does not answer: the host that began a stream
-/// knows its version, and another joins nothing.
+/// Guards against ORDER and LOST while the store does not answer: the hosts know the versions of
+/// streams from each other.
 #[test_case(0; "at the same host")]
 #[test_case(1; "at another host")]
 fn streams_are_not_mixed_while_the_store_is_away(distance: usize) {
     let fleet = Fleet::start(&["v1", "v1", SECOND_VERSION, SECOND_VERSION], 3);
     let begun = fleet.begin_streams();
     fleet.store.set_down(true);
-    let taken = fleet.take_up(&begun, distance);
-    let expected = match distance {
-        0 => all_whole(),
-        _ => TakenUp {
-            refused: STREAMS,
-            ..TakenUp::default()
-        },
-    };
-    assert_eq!(taken, expected);
+    assert_eq!(fleet.take_up(&begun, distance), all_whole());
 }
 
 /// Guards against ORDER where rows are written late, and against the loss of the streams that
@@ -371,7 +365,8 @@
     let rows = fleet.store.count("origins");
     assert!(rows > 0);
     fleet.store.go_back(&copy, "2");
-    wait("the rows", || fleet.store.count("origins") == rows);
+    assert!(rows < STREAMS);
+    wait("a row for each", || fleet.store.count("origins") == STREAMS);
     fleet.kill_all();
     assert_eq!(fleet.take_up(&begun, 1), all_whole());
 }
@@ -470,3 +465,46 @@
     assert_eq!(fleet.daemons[0].send(&request).status, 503);
     assert!(fleet.engines.iter().all(|e| e.runs("s1") == 0));
 }
+
+/// Guards against ORDER after a drill of the store: rows of streams whose host had ended were lost,
+/// and the streams went on at the base version.
+#[test_case(1, false; "their host has ended")]
+#[test_case(2, false; "two hosts that knew them have ended")]
+#[test_case(1, true; "at a host that has started since")]
+fn streams_go_on_at_their_version_after_a_drill_that_lost_their_rows(ended: usize, starts: bool) {
+    let mut fleet = Fleet::start(&["v1", "v1", SECOND_VERSION, SECOND_VERSION], 4);
+    fleet.store.set_era("1");
+    let copy = fleet.store.copy();
+    let begun: Vec<_> = (0..STREAMS)
+        .map(|number| begin_stream(&fleet.daemons[0], &format!("begin-{number}")))
+        .collect();
+    // The second host reads the rows and passes some streams on.
+    for (number, stream) in begun[..ended].iter().enumerate() {
+        stream.take_up(&fleet.daemons[ended - 1], &format!("first-{number}"));
+    }
+    wait("the other hosts", || {
+        let count = fleet.daemons[2].logged("streams told by another host");
+        let told: u64 = count.iter().filter_map(|l| l["count"].as_u64()).sum();
+        told >= STREAMS as u64
+    });
+    fleet.daemons.drain(..ended);
+    fleet.store.go_back(&copy, "2");
+    wait("the new era", || {
+        let is_known = |d: &Daemon| {
+            let message = "store has come back from an older copy, everything is read again";
+            !d.logged(message).is_empty()
+        };
+        fleet.daemons.iter().all(is_known)
+    });
+    if starts {
+        fleet.daemons[0].restart();
+        wait("ready", || fleet.daemons[0].is_ready());
+    }
+    std::thread::sleep(RESTORE_TIME);
+    let mut taken = TakenUp::default();
+    for (number, stream) in begun.iter().enumerate() {
+        let answer = stream.take_up(&fleet.daemons[0], &format!("again-{number}"));
+        taken.record(stream, &answer);
+    }
+    assert_eq!(taken, all_whole());
+}
--- a/tests/edge/version_fleet.rs
+++ b/tests/edge/version_fleet.rs
@@ -73,6 +73,18 @@
             let daemon = Daemon::start(&self.store, &format!("edge-{number}"));
             self.daemons.push(daemon);
         }
+        self.wait_for_members();
+    }
+
+    /// Waits until all daemons know each other.
+    fn wait_for_members(&self) {
+        let knows_all = |daemon: &Daemon| {
+            let answer = daemon.get("/resolve?name=firm.example&region=r&zone=north");
+            let answer: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+            let addrs = answer["addrs"].as_array();
+            addrs.is_some_and(|addrs| addrs.len() == self.daemons.len())
+        };
+        wait("all daemons", || self.daemons.iter().all(knows_all));
     }
 
     /// Starts so many daemons with two engines of the first version, which is the base, and two of
@@ -89,6 +101,7 @@
         let store = fleet.store.other_address();
         let daemon = Daemon::start(&store, &format!("edge-{}", daemons + 1));
         fleet.daemons.push(daemon);
+        fleet.wait_for_members();
         fleet.remove_base();
         (fleet, store)
     }
