Ask engines that could not be reached until they answer

Reported beside it: engines of a service without models that get nothing more after a cut.

Cause: an engine to which nothing could be sent counted as down until the number in its entry changed. A beat alone changes no entry, and nothing was sent that could have ended the mark. The log line said "connection refused" in all cases.

Change: a host asks such an engine for its report, or its health where it holds no models: after about 1 s, or 20 ms for each host if that is longer, then at up to 8 s, each time at random within a range. An answer of the same lifetime ends the mark, and the next request is a trial. `engine down` names the cause: refused, silent, restarted.

Why this works: the end of the mark no longer depends on traffic that the mark keeps away. No caller's request is spent on it, and few hosts ask at the same time.

Tests: streams_go_on_at_engines_that_were_silent_for_a_while and an_engine_that_refused_ connections_for_a_while_gets_requests_again failed before (nothing in 60 s); unit tests for the times and the trial.

--- a/src/decide/breaker.rs
+++ b/src/decide/breaker.rs
@@ -81,6 +81,12 @@
         }
     }
 
+    /// Has the next request be a trial, as after a pause: the upstream is back.
+    pub fn await_trial(&mut self, now: Moment) {
+        self.pause = self.config.first_pause;
+        self.state = State::HalfOpen { until: now };
+    }
+
     /// Records a successful request and closes the breaker.
     pub fn record_success(&mut self) {
         *self = Breaker::new(self.config);
--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -23,6 +23,7 @@
 
 use super::clock;
 use super::shared_stream::{SharedStream, StreamHandle};
+use super::unreachable::Cause;
 use super::unread_connection::UnreadConnection;
 use super::upstream::Lifetime;
 use crate::clock::Moment;
@@ -48,8 +49,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum SendError {
     /// No byte of the request was sent.
-    #[error("request not sent: {0}")]
-    NotSent(String),
+    #[error("request not sent: {1}")]
+    NotSent(Cause, String),
     /// No byte of the request was sent, because the recipient wants none any more.
     #[error("request withheld: its recipient wants no requests now")]
     Withheld,
@@ -258,7 +259,10 @@
             if !prepare(&mut connection).await? {
                 declined += 1;
                 if declined >= MAX_DECLINED_CONNECTIONS {
-                    return Err(SendError::NotSent("connections close at once".to_owned()));
+                    return Err(SendError::NotSent(
+                        Cause::Refused,
+                        "connections close at once".to_owned(),
+                    ));
                 }
                 continue;
             }
@@ -276,7 +280,10 @@
             };
             match error.take_message() {
                 Some(unsent) if connection.reused => request = unsent,
-                Some(_) => return Err(SendError::NotSent(error_text(error.error()))),
+                Some(_) => {
+                    let text = error_text(error.error());
+                    return Err(SendError::NotSent(Cause::Refused, text));
+                }
                 None => return Err(SendError::ConnectionLost(error_text(error.error()))),
             }
         }
@@ -342,7 +349,7 @@
         addr: SocketAddr,
         time_limit: Duration,
     ) -> Result<Connection, SendError> {
-        let not_sent = |e: String| SendError::NotSent(e);
+        let not_sent = |e: String| SendError::NotSent(Cause::Refused, e);
         let stream = timeout(time_limit, TcpStream::connect(addr)).await;
         let stream = stream.map_err(|_| not_sent("connection timed out".to_owned()))?;
         let stream = stream.map_err(|e| not_sent(e.to_string()))?;
--- a/src/edge/engine_checks.rs
+++ b/src/edge/engine_checks.rs
@@ -1,10 +1,11 @@
 //! Checks of engines: of those that have started again and were heard to say that they leave,
 //! whether the lifetime before or the new one has said it; of those that take hardly any
-//! requests, whether they still say so.
+//! requests, whether they still say so; of those that could not be reached, whether they answer.
 
 use std::rc::Rc;
 
-use http::{Request, StatusCode};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 
 use super::clock;
@@ -23,6 +24,40 @@
     }
 }
 
+/// Asks engines that could not be reached, where that is due: nothing else is sent to them, so that
+/// nothing else tells that they are back.
+pub fn ask_unreachable(edge: &Rc<Edge>) {
+    let due = edge.state.borrow_mut().fleet.take_questions(clock::now());
+    for recipient in due {
+        tokio::task::spawn_local(check_reached(edge.clone(), recipient));
+    }
+}
+
+async fn check_reached(edge: Rc<Edge>, recipient: Recipient) {
+    // Without anything to ask, the next request is the question.
+    if let Some(request) = check_request(&edge, &recipient) {
+        let engine = &*recipient.lifetime.engine;
+        match edge.call_engine(&recipient, CallKind::Order, request).await {
+            Ok(response) if is_other(&recipient, &response) => {
+                log::info!(engine; "question answered by another engine");
+                return;
+            }
+            Ok(_) => {}
+            Err(error) => {
+                log::debug!(engine, error:%; "engine still down");
+                return;
+            }
+        }
+    }
+    edge.record_reached(&recipient.lifetime);
+}
+
+/// Returns whether another engine has the address, or this one has started again since.
+fn is_other(recipient: &Recipient, response: &Response<Bytes>) -> bool {
+    response.status() == StatusCode::MISDIRECTED_REQUEST
+        || other_start(&recipient.lifetime, response.body()).is_some()
+}
+
 /// Returns the engines to be asked for their rates; one host asks for all.
 fn take_rate_checks(edge: &Edge) -> Vec<Recipient> {
     if !edge.is_allocator() {
@@ -81,11 +116,8 @@
             return;
         }
     };
-    // Another engine has the address, or this one has started again since.
-    let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST;
-    let other = other_start(&recipient.lifetime, response.body());
-    if is_other || other.is_some() {
-        let born = other.unwrap_or_default();
+    if is_other(&recipient, &response) {
+        let born = other_start(&recipient.lifetime, response.body()).unwrap_or_default();
         log::info!(engine = &**engine, life, born; "check answered by another engine");
         return;
     }
@@ -98,7 +130,7 @@
 }
 
 /// Returns the request of a check; `None` if the service of the engine names no health path.
-fn check_request(edge: &Edge, recipient: &Recipient) -> Option<Request<Full<bytes::Bytes>>> {
+fn check_request(edge: &Edge, recipient: &Recipient) -> Option<Request<Full<Bytes>>> {
     let addr = recipient.addr.to_string();
     let engine = &recipient.lifetime.engine;
     let state = edge.state.borrow();
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -19,6 +19,7 @@
 use super::permits::PermitGuard;
 use super::state::Edge;
 use super::statements::{RateHeader, RateStatement};
+use super::unreachable::Cause;
 use super::upstream::Lifetime;
 use crate::clock::Moment;
 use crate::platform::{headers, orders};
@@ -121,7 +122,7 @@
         connection: &mut Connection,
         recipient: &Recipient,
     ) -> Result<bool, SendError> {
-        let not_sent = |cause: String| SendError::NotSent(cause);
+        let not_sent = |text: String| SendError::NotSent(Cause::Silent, text);
         let request = orders::report_request(&recipient.addr.to_string());
         let request = request.map_err(|e| not_sent(e.to_string()))?;
         let asked = Asked::Called(clock::now());
@@ -132,7 +133,8 @@
         if let Some(born) = other_start(&recipient.lifetime, response.body()) {
             let (engine, life) = (&*recipient.lifetime.engine, recipient.lifetime.incarnation);
             log::info!(engine, life, born; "engine has started again");
-            return Err(not_sent("the engine has started again".to_owned()));
+            let text = "the engine has started again".to_owned();
+            return Err(SendError::NotSent(Cause::Restarted, text));
         }
         connection.set_lifetime(recipient.lifetime.clone());
         let closes = headers::parse_response(response.headers()).closes;
@@ -163,8 +165,8 @@
             client::read_whole(response, connection, CALL_LIMITS.max_bytes).await
         };
         let outcome = client::within(CALL_LIMITS.total_timeout, exchange).await;
-        if matches!(outcome, Err(SendError::NotSent(_))) {
-            self.mark_down(&recipient.lifetime.engine);
+        if let Err(SendError::NotSent(cause, text)) = &outcome {
+            self.mark_down(&recipient.lifetime.engine, *cause, text);
         }
         outcome
     }
--- a/src/edge/fleet.rs
+++ b/src/edge/fleet.rs
@@ -222,6 +222,17 @@
         listed.collect()
     }
 
+    /// Returns the engines that are to be asked now whether they can be reached again.
+    pub fn take_questions(&mut self, now: Moment) -> Vec<Recipient> {
+        let mut due = Vec::new();
+        for (id, engine) in &mut self.engines {
+            if engine.take_question(now) {
+                due.push(id.clone());
+            }
+        }
+        due.iter().filter_map(|id| self.recipient(id)).collect()
+    }
+
     /// Records that an engine has answered whether it leaves; returns whether it does.
     pub fn record_answer(&mut self, lifetime: &Lifetime) -> bool {
         let id = &*lifetime.engine;
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -106,12 +106,12 @@
     };
     let (response, connection) = match outcome {
         Ok(exchange) => exchange,
-        Err(SendError::NotSent(cause)) => {
-            in_flight.record_unreachable();
+        Err(SendError::NotSent(cause, text)) => {
+            in_flight.record_unreachable(cause, &text);
             if let Some(target) = model_target(routed) {
                 routed.edge.record_missing(&choice.engine, &target);
             }
-            return SendOutcome::NotSent(cause);
+            return SendOutcome::NotSent(text);
         }
         Err(SendError::Withheld) => {
             log::info!(request = id, engine = &*choice.engine;
--- a/src/edge/in_flight.rs
+++ b/src/edge/in_flight.rs
@@ -10,6 +10,7 @@
 use super::request_headers::Prompt;
 use super::routing::SelectedEngine;
 use super::state::{Edge, State};
+use super::unreachable::Cause;
 use super::upstream::{Lifetime, SentPrompt, Upstream};
 use crate::clock::Moment;
 
@@ -53,10 +54,10 @@
         state.record_prompt_read(&self.request, clock::now());
     }
 
-    /// Records that the engine accepted no connection, and marks it as down.
-    pub fn record_unreachable(&self) {
+    /// Records that the engine could not be reached, and marks it as down.
+    pub fn record_unreachable(&self, cause: Cause, error: &str) {
         self.record_outcome(false);
-        self.edge.mark_down(&self.engine);
+        self.edge.mark_down(&self.engine, cause, error);
     }
 
     /// Records that no response arrived before the deadline; this does not count against
--- a/src/edge/leader/mod.rs
+++ b/src/edge/leader/mod.rs
@@ -18,6 +18,7 @@
 use super::placement::EngineCall;
 use super::relays;
 use super::state::Edge;
+use super::unreachable::Cause;
 use crate::platform::orders;
 
 /// Pause between two decisions while a load, an unload or a call is in progress.
@@ -96,7 +97,7 @@
             log::info!(engine = &*order.engine, error:%; "order was not sent or not answered");
             match error {
                 // The order was not sent.
-                SendError::NotSent(_) | SendError::Withheld => OrderOutcome::Busy,
+                SendError::NotSent(..) | SendError::Withheld => OrderOutcome::Busy,
                 SendError::ConnectionLost(_) => OrderOutcome::Unanswered,
             }
         }
@@ -173,9 +174,10 @@
     F: FnOnce(&str) -> http::Result<http::Request<http_body_util::Full<bytes::Bytes>>>,
 {
     let recipient = edge.state.borrow().fleet.recipient(engine);
-    let recipient =
-        recipient.ok_or_else(|| SendError::NotSent("the engine is no longer listed".to_owned()))?;
+    let recipient = recipient.ok_or_else(|| {
+        SendError::NotSent(Cause::Unsent, "the engine is no longer listed".to_owned())
+    })?;
     let request = request(&recipient.addr.to_string());
-    let request = request.map_err(|e| SendError::NotSent(e.to_string()))?;
+    let request = request.map_err(|e| SendError::NotSent(Cause::Unsent, e.to_string()))?;
     edge.call_engine(&recipient, CallKind::Order, request).await
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -46,6 +46,7 @@
 pub mod store;
 pub mod store_watch;
 pub mod suspects;
+pub mod unreachable;
 pub mod unread_connection;
 pub mod upstream;
 pub mod waiting;
@@ -296,6 +297,7 @@
         }
         edge.client.drop_expired();
         edge.call_client.drop_expired();
+        engine_checks::ask_unreachable(&edge);
         let waiting = edge
             .state
             .borrow()
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -27,7 +27,8 @@
 use super::shutdown::Shutdown;
 use super::store::StoreClient;
 use super::suspects::{PendingEnds, Suspects};
-use super::upstream::SentPrompt;
+use super::unreachable::Cause;
+use super::upstream::{Lifetime, SentPrompt};
 use super::waiting::WaitingTarget;
 use crate::clock::Moment;
 use crate::metrics::Metrics;
@@ -241,19 +242,40 @@
         paused.ready_in.saturating_add(delay)
     }
 
-    /// Marks an engine that refused a connection as down.
-    pub fn mark_down(&self, engine: &str) {
+    /// Marks an engine that could not be reached as down.
+    pub fn mark_down(&self, engine: &str, cause: Cause, error: &str) {
+        let now = clock::now();
         let mut state = self.state.borrow_mut();
+        let hosts = state.members.share_count(now);
         let Some(upstream) = state.fleet.engines.get_mut(engine) else {
             return;
         };
-        if !upstream.is_down() {
-            let sequence = upstream.entry.sequence;
-            upstream.down_sequence = Some(sequence);
-            log::warn!(engine, beat = sequence; "engine down: connection refused");
+        if upstream.record_unreachable(cause, hosts, now) {
+            let cause: &'static str = cause.into();
+            let beat = upstream.entry.sequence;
+            log::warn!(engine, beat, cause, error; "engine down");
         }
     }
 
+    /// Records that an engine that counted as down has answered.
+    pub fn record_reached(&self, lifetime: &Lifetime) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let Lifetime {
+            engine,
+            incarnation,
+        } = lifetime;
+        let upstream = state.fleet.lifetime_mut(engine, *incarnation);
+        let Some(down) = upstream.and_then(|u| u.record_reached(now)) else {
+            return;
+        };
+        drop(state);
+        let ms = down.as_millis() as u64;
+        log::info!(engine = &**engine, life = *incarnation, ms; "engine reached again");
+        self.notify_waiting();
+        self.order_wake.notify_one();
+    }
+
     /// Records that an engine cannot serve `target`: it reported it missing or accepts no
     /// connection.
     pub fn record_missing(&self, engine: &str, target: &ModelTarget) {
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -8,6 +8,7 @@
 use super::prefix_cache::PrefixCache;
 use super::request_headers;
 use super::routing::{EngineSlowdown, PrefillQueue};
+use super::unreachable::{Cause, Unreachable};
 use crate::clock::Moment;
 use crate::decide::breaker::{Breaker, BreakerConfig};
 
@@ -149,9 +150,8 @@
     pub replaced: bool,
     /// Whether it leaves, or may leave, by its own word.
     pub leaves: bool,
-    /// Number of its latest entry when it refused a connection; it counts as down
-    /// until it writes another.
-    pub down_sequence: Option<u64>,
+    /// Set when it could not be reached.
+    pub unreachable: Option<Unreachable>,
 }
 
 impl Upstream {
@@ -175,7 +175,7 @@
             queue: PrefillQueue::default(),
             replaced: false,
             leaves: false,
-            down_sequence: None,
+            unreachable: None,
         }
     }
 
@@ -227,9 +227,41 @@
         self.failed_at = now;
     }
 
-    /// Returns whether it refused a connection and has not written an entry since.
+    /// Returns whether it could not be reached, and has neither answered nor written an entry since.
     pub fn is_down(&self) -> bool {
-        self.down_sequence == Some(self.entry.sequence)
+        let unreachable = self.unreachable.as_ref();
+        unreachable.is_some_and(|u| u.sequence == self.entry.sequence)
+    }
+
+    /// Records that it could not be reached; returns whether that is news.
+    pub fn record_unreachable(&mut self, cause: Cause, hosts: usize, now: Moment) -> bool {
+        if self.is_down() {
+            return false;
+        }
+        let sequence = self.entry.sequence;
+        self.unreachable = Some(Unreachable::new(sequence, cause, hosts, now));
+        true
+    }
+
+    /// Records that it has answered. Returns for how long it could not be reached, if it counted as
+    /// down; it then gets one request before all others.
+    pub fn record_reached(&mut self, now: Moment) -> Option<Duration> {
+        let was_down = self.is_down();
+        let unreachable = self.unreachable.take()?;
+        if !was_down {
+            return None;
+        }
+        self.breaker.await_trial(now);
+        Some(now.saturating_sub(unreachable.since))
+    }
+
+    /// Returns whether it is to be asked now whether it can be reached again.
+    pub fn take_question(&mut self, now: Moment) -> bool {
+        self.is_down()
+            && self
+                .unreachable
+                .as_mut()
+                .is_some_and(|u| u.take_question(now))
     }
 
     /// Returns the models that it has loaded: those of the leader's announcement
--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -30,6 +30,8 @@
     /// Version of its software; events name one that is not [`FIRST_VERSION`].
     software: String,
     framing: Framing,
+    /// Whether the engine accepts connections and answers nothing.
+    silent: bool,
     /// When the engine goes on writing responses.
     stalled_until: Option<Instant>,
     models: Vec<String>,
@@ -75,6 +77,8 @@
     Closes,
     /// Accepts them: the engine has started again.
     Accepts,
+    /// Refuses connections for that time, though the engine lives on.
+    RefusesAlive,
 }
 
 /// Handle of a fake engine.
@@ -167,7 +171,7 @@
                 () = crashed.notified() => {
                     let address = self.state.lock().unwrap().crashed_address;
                     match address {
-                        CrashedAddress::Refuses => {
+                        CrashedAddress::Refuses | CrashedAddress::RefusesAlive => {
                             drop(listener);
                             self.closed.notify_waiters();
                             sleep(DOWN_TIME).await;
@@ -185,7 +189,9 @@
                         }
                         CrashedAddress::Accepts => self.closed.notify_waiters(),
                     }
-                    self.start_again();
+                    if address != CrashedAddress::RefusesAlive {
+                        self.start_again();
+                    }
                     continue;
                 }
             };
@@ -257,6 +263,11 @@
         state.stalled_until = Some(Instant::now() + STALL);
     }
 
+    /// Sets whether the engine accepts connections and answers nothing.
+    pub fn set_silent(&self, silent: bool) {
+        self.state.lock().unwrap().silent = silent;
+    }
+
     /// Returns whether the engine has stalled, now or before.
     pub fn has_stalled(&self) -> bool {
         self.state.lock().unwrap().stalled_until.is_some()
@@ -316,6 +327,9 @@
         // Id of the request that the connection carried last.
         let mut earlier = String::new();
         while let Ok(Some(mut request)) = read_head(stream, &mut rest).await {
+            while self.state.lock().unwrap().silent {
+                sleep(EVENT_PAUSE).await;
+            }
             let is_call = ["/report", "/order", HEALTH_PATH].contains(&request.path());
             if !is_call && self.behavior() == Behavior::Early {
                 if self.answer(stream, &request).await.is_err() {
--- a/tests/edge/fleet.rs
+++ b/tests/edge/fleet.rs
@@ -6,6 +6,7 @@
 use mastichinge::clock::Moment;
 use mastichinge::edge::fleet::Fleet;
 use mastichinge::edge::statements::Source;
+use mastichinge::edge::unreachable::Cause;
 use mastichinge::edge::upstream::{AnnouncedModels, EngineChange, EngineEntry, EnginePhase};
 
 use crate::fixtures::entry;
@@ -154,7 +155,8 @@
 fn an_engine_that_refuses_connections_is_down_until_its_next_entry() {
     let mut fleet = Fleet::default();
     update(&mut fleet, vec![entry("e", 1, &["a"])], 0);
-    fleet.engines.get_mut("e").unwrap().down_sequence = Some(1);
+    let engine = fleet.engines.get_mut("e").unwrap();
+    assert!(engine.record_unreachable(Cause::Refused, 1, at(0)));
     assert_eq!(usable(&fleet), Vec::<&str>::new());
     update(&mut fleet, vec![entry("e", 1, &["a"])], 700);
     assert_eq!(usable(&fleet), Vec::<&str>::new(), "the same entry");
@@ -166,6 +168,52 @@
     assert_eq!(usable(&fleet), ["e"]);
 }
 
+/// Returns when an engine that could not be reached at 0 is asked, in s, in the first minute.
+fn question_times(hosts: usize) -> Vec<f64> {
+    let mut fleet = Fleet::default();
+    update(&mut fleet, vec![entry("e", 1, &[])], 0);
+    let engine = fleet.engines.get_mut("e").unwrap();
+    engine.record_unreachable(Cause::Silent, hosts, at(0));
+    let times = (0..60_000).step_by(100);
+    let asked = times.filter(|ms| !fleet.take_questions(at(*ms)).is_empty());
+    asked.map(|ms| ms as f64 / 1_000.0).collect()
+}
+
+/// Guards against engines that get nothing more for good: an engine that has been silent or out of
+/// reach is asked until it answers, by few at a time however many hosts there are.
+#[test]
+fn an_engine_that_could_not_be_reached_is_asked_again() {
+    let few = question_times(5);
+    assert!((0.4..=1.6).contains(&few[0]), "{few:?}");
+    let gaps = few.windows(2).map(|w| w[1] - w[0]);
+    assert!(gaps.clone().all(|gap| gap <= 12.1), "{few:?}");
+    assert!((5..=15).contains(&few.len()), "{few:?}");
+    let first: Vec<f64> = (0..460).map(|_| question_times(460)[0]).collect();
+    for second in 0..20 {
+        let asked = first.iter().filter(|at| **at as u32 == second).count();
+        assert!(asked <= 100, "{asked} hosts ask in second {second}");
+    }
+}
+
+/// Guards against a flood at an engine that answers again: its first request there tells.
+#[test]
+fn an_engine_that_answers_again_is_used_after_one_request() {
+    let mut fleet = Fleet::default();
+    update(&mut fleet, vec![entry("e", 1, &[])], 0);
+    let engine = fleet.engines.get_mut("e").unwrap();
+    engine.record_unreachable(Cause::Silent, 5, at(0));
+    assert_eq!(
+        engine.record_reached(at(1_300)),
+        Some(Duration::from_millis(1_300))
+    );
+    assert!(engine.is_usable() && engine.breaker.allows(at(1_300)));
+    engine.breaker.record_send(at(1_300));
+    assert!(!engine.breaker.allows(at(1_400)));
+    engine.breaker.record_success();
+    assert!(engine.breaker.allows(at(1_500)));
+    assert_eq!(engine.record_reached(at(1_600)), None);
+}
+
 #[test]
 fn a_recent_announcement_of_the_leader_overrides_the_entry() {
     let mut fleet = Fleet::default();
--- a/tests/edge/silence.rs
+++ b/tests/edge/silence.rs
@@ -7,7 +7,7 @@
 use test_case::test_case;
 
 use crate::fakes::daemon::{Request, Response, wait};
-use crate::fakes::engine::{Behavior, Engine};
+use crate::fakes::engine::{Behavior, CrashedAddress, Engine};
 use crate::site::{MODEL, Site, assert_whole, desired, route};
 
 /// Streams sent at the same time; the rejected resumptions of those that stall use up the
@@ -212,3 +212,25 @@
     });
     assert_eq!((answer.status, site.runs("s1")), (502, 2), "{answer:?}");
 }
+
+/// Guards against engines that get nothing more for good: one that refused connections for a while
+/// and lives on under the same entry.
+#[test]
+fn an_engine_that_refused_connections_for_a_while_gets_requests_again() {
+    let site = Site::start();
+    let engine = &site.plain[0];
+    engine.set_crashed_address(CrashedAddress::RefusesAlive);
+    engine.crash_and_restart();
+    let mut sent = 0;
+    let mut send = || {
+        sent += 1;
+        site.send("/look/", &format!("r{sent}")).status
+    };
+    wait("the engine down", || {
+        assert_eq!(send(), 200);
+        !site.daemon.logged("engine down").is_empty()
+    });
+    site.plain[1].set_behavior(Behavior::Full);
+    wait("an answer of the engine", || send() == 200);
+    assert!(!engine.arrivals().is_empty());
+}
--- a/tests/edge/software_versions.rs
+++ b/tests/edge/software_versions.rs
@@ -508,3 +508,36 @@
     }
     assert_eq!(taken, all_whole());
 }
+
+/// Guards against LOST: engines that were silent for a second got nothing more, so that streams of
+/// their version went on nowhere.
+#[test]
+fn streams_go_on_at_engines_that_were_silent_for_a_while() {
+    let fleet = Fleet::start(&["v1", "v1", SECOND_VERSION, SECOND_VERSION], 2);
+    let mut begun = fleet.begin_streams();
+    begun.retain(|b| b.version() == SECOND_VERSION);
+    let silent = &fleet.engines[2..];
+    silent.iter().for_each(|e| e.set_silent(true));
+    for (number, daemon) in fleet.daemons.iter().enumerate() {
+        let mut sent = 0;
+        wait("both engines down", || {
+            sent += 1;
+            begin_stream(daemon, &format!("silent-{number}-{sent}"));
+            let down = daemon.logged("engine down");
+            silent
+                .iter()
+                .all(|e| down.iter().any(|l| l["engine"] == *e.id))
+        });
+    }
+    silent.iter().for_each(|e| e.set_silent(false));
+    for (number, daemon) in fleet.daemons.iter().enumerate() {
+        let mut sent = 0;
+        wait("a stream to go on", || {
+            sent += 1;
+            let answer = begun[0].take_up(daemon, &format!("first-{number}-{sent}"));
+            answer.status == 200
+        });
+    }
+    let taken = fleet.take_up(&begun, 1);
+    assert_eq!((taken.mixed, taken.whole), (0, begun.len()), "{taken:?}");
+}
--- a/tests/simulation/simulator/requests.rs
+++ b/tests/simulation/simulator/requests.rs
@@ -11,6 +11,7 @@
 use mastichinge::edge::placement::ModelTarget;
 use mastichinge::edge::routing::{self, RoutingContext, RoutingRequest};
 use mastichinge::edge::suspects::fingerprint;
+use mastichinge::edge::unreachable::Cause;
 
 use super::super::engine::{BATCH_SLOTS, EngineRequest, StepEvent, SubmitResult};
 use super::super::firm::{RequestKind, SERVICE};
@@ -305,12 +306,13 @@
         let index = attempt.request;
         let engine = attempt.active_request.engine.clone();
         let request = &mut self.requests[index];
+        let hosts = self.daemons.len();
         let state = &mut self.daemons[request.arrival.daemon];
         state.end_request(&attempt.active_request);
         if let Some(upstream) = state.fleet.engines.get_mut(&engine) {
             upstream.breaker.record_failure(now);
             upstream.record_failure(now);
-            upstream.down_sequence = Some(upstream.entry.sequence);
+            upstream.record_unreachable(Cause::Refused, hosts, now);
         }
         request.attempt = None;
         request.failed_attempts += 1;
