Read a base version again that was missing before relying on it

Cause: hosts learned of a new base version by reading it again each 15 s, and only while no engine of the old one was listed. One that was listed again in between kept the old one for good: it was confirmed, so that nothing asked for a reading.

Change: the knowledge of a base lapses when its version was missing from the list for 30 s, or the list was not read for so long; another can replace it after 90 s. It is then read again before a missing row is taken for it, and streams at it have rows until then. When it is listed again its row is written once more, so that a late write that replaces it fails. A reading counts once it has succeeded, and a base is replaced by a current list only.

Why this works: between the time that a host last relied on a base without reading it, and the time that another can replace it, lie 60 s, as long as a stream can be taken up.

--- a/src/edge/origins/base.rs
+++ b/src/edge/origins/base.rs
@@ -18,6 +18,11 @@
 /// Time for which no engine of a base version is listed before another becomes the base: longer
 /// than any stream lasts that began at it without a row.
 const RETIRE_AFTER: Duration = Duration::from_secs(90);
+/// Age of the list of engines above which it does not tell that a version is missing.
+const MAX_LIST_AGE: Duration = Duration::from_secs(3);
+/// Time after a write of a base row in which it need not be written again so that earlier writes
+/// fail.
+const FENCE_TIME: Duration = Duration::from_secs(10);
 /// Period of reading the base row of a service without engines of its base version.
 const REREAD_PERIOD: Duration = Duration::from_secs(15);
 
@@ -72,6 +77,9 @@
     let is_due = is_new || !edge.origins_known.get() || edge.has_outdated_base();
     if is_due || reread_due(edge, &listed, absences, now) {
         read_bases(edge, &listed).await?;
+        for absence in absences.values_mut() {
+            absence.read_at = now;
+        }
         edge.origins_known.set(true);
         edge.notify_waiting();
     }
@@ -91,7 +99,7 @@
             Some(known) if known.era < page.era && is_allocator => {
                 Some(edge.base_of_era(service, known))
             }
-            Some(_) => None,
+            Some(known) => edge.fenced_base(service, known, versions),
         };
         if let Some(due) = due {
             base = write_base(edge, service, due).await?;
@@ -110,6 +118,10 @@
     service: &Arc<str>,
     base: Base,
 ) -> Result<Option<Base>, StoreError> {
+    let base = Base {
+        written_ms: edge.store.now_ms(),
+        ..base
+    };
     let change = RowChange {
         table: Table::Bases,
         part: UNNAMED_PART,
@@ -156,10 +168,7 @@
         if absence.row != row {
             *absence = first;
         }
-        if now.saturating_sub(absence.read_at) >= REREAD_PERIOD {
-            absence.read_at = now;
-            is_due = true;
-        }
+        is_due |= now.saturating_sub(absence.read_at) >= REREAD_PERIOD;
     }
     is_due
 }
@@ -171,7 +180,9 @@
     absences: &mut HashMap<Arc<str>, Absence>,
     now: Moment,
 ) -> Result<(), StoreError> {
-    if absences.is_empty() || !edge.is_allocator() {
+    let listed_at = edge.state.borrow().origins.services.listed_at();
+    let is_current = now.saturating_sub(listed_at) < MAX_LIST_AGE;
+    if absences.is_empty() || !is_current || !edge.is_allocator() {
         return Ok(());
     }
     for (service, versions) in listed {
@@ -248,11 +259,13 @@
         read_bases(self, &listed).await
     }
 
-    /// Returns whether an engine of a service's base version is listed.
-    pub(super) fn is_base_listed(&self, service: &str) -> bool {
+    /// Returns whether another host may have replaced the base version of a service.
+    pub(super) fn may_be_replaced(&self, service: &str) -> bool {
         let state = self.state.borrow();
-        let base = state.origins.services.base(service);
-        base.is_some_and(|base| state.fleet.lists(service, &base.software))
+        let services = &state.origins.services;
+        let base = services.base(service);
+        let is_listed = base.is_some_and(|base| state.fleet.lists(service, &base.software));
+        !is_listed || services.has_lapsed(service)
     }
 
     /// Returns the first base of a service: the one that this host knows, else the version that
@@ -281,6 +294,25 @@
         }
     }
 
+    /// Returns the base row of a service to be written once more when its version is listed again: a
+    /// write that replaces it, and was not answered, then fails.
+    fn fenced_base(
+        &self,
+        service: &str,
+        base: &Base,
+        versions: &BTreeSet<Arc<str>>,
+    ) -> Option<Base> {
+        let state = self.state.borrow();
+        let services = &state.origins.services;
+        let is_back = versions.len() > 1
+            && versions.contains(&base.software)
+            && services.base(service).is_some()
+            && services.has_lapsed(service);
+        let age_ms = self.store.now_ms().saturating_sub(base.written_ms);
+        let is_due = is_back && age_ms >= FENCE_TIME.as_millis() as u64;
+        is_due.then(|| base.clone())
+    }
+
     /// Returns whether a base row was written in an earlier era of the store.
     fn has_outdated_base(&self) -> bool {
         let state = self.state.borrow();
--- a/src/edge/origins/lookup.rs
+++ b/src/edge/origins/lookup.rs
@@ -132,8 +132,7 @@
             return Ok(Origin { software, source });
         }
         read?;
-        if !self.is_base_listed(service) {
-            // Another daemon may have replaced it.
+        if self.may_be_replaced(service) {
             self.refresh_bases().await?;
         }
         self.base_origin(service)
--- a/src/edge/origins/recording.rs
+++ b/src/edge/origins/recording.rs
@@ -69,6 +69,7 @@
         let need = match services.base(service) {
             Some(base) if base.software != *software => RowNeed::First,
             None => RowNeed::First,
+            Some(_) if services.has_lapsed(service) => RowNeed::First,
             Some(_) if services.is_base_sure(service, store, now) => RowNeed::Base,
             Some(_) => RowNeed::Follows,
         };
--- a/src/edge/origins/services.rs
+++ b/src/edge/origins/services.rs
@@ -12,6 +12,11 @@
 /// Time for which a stream can be taken up at most after it began.
 pub(super) const STREAM_TIME: Duration = Duration::from_secs(60);
 
+/// Time for which a base version may be missing from the list of engines, or the list not be read,
+/// until its row has to be read again: well below the time after which another version becomes the
+/// base, so that no stream lasts from one to the other.
+const MAX_ABSENCE: Duration = Duration::from_secs(30);
+
 /// Versions listed by service.
 pub type ListedVersions = BTreeMap<Arc<str>, BTreeSet<Arc<str>>>;
 
@@ -29,6 +34,9 @@
     /// Time of the store's clock at which rows of streams may have been missing, ms.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub unsure_ms: Option<u64>,
+    /// Time of the store's clock at which the row was written, ms.
+    #[serde(default)]
+    pub written_ms: u64,
 }
 
 /// Time and era of the store.
@@ -94,6 +102,9 @@
 #[derive(Debug, Default)]
 struct Service {
     base: Option<Base>,
+    /// As of when the list of engines last had the base version, without having missed it for
+    /// [`MAX_ABSENCE`]; absent if the base row was never read while it was listed.
+    seen_at: Option<Moment>,
     /// Versions that were listed before the base row was last read.
     confirmed: Rc<BTreeSet<Arc<str>>>,
     /// When a version was last listed that is not the base.
@@ -104,6 +115,17 @@
 #[derive(Debug, Default)]
 pub struct ServiceVersions {
     services: HashMap<Arc<str>, Service>,
+    /// When the list of engines was last read.
+    listed_at: Moment,
+}
+
+impl Service {
+    /// Returns whether another version may be the base by now: the known one was missing from the
+    /// list for a while, or the list was not read.
+    fn has_lapsed(&self, listed_at: Moment) -> bool {
+        let since = |seen_at| listed_at.saturating_sub(seen_at);
+        self.seen_at.is_none_or(|at| since(at) >= MAX_ABSENCE)
+    }
 }
 
 impl ServiceVersions {
@@ -112,8 +134,24 @@
         self.services.get(service)?.base.as_ref()
     }
 
+    /// Records that the list of engines has been read.
+    pub fn record_list(&mut self, now: Moment) {
+        self.listed_at = now;
+    }
+
+    /// Returns when the list of engines was last read.
+    pub fn listed_at(&self) -> Moment {
+        self.listed_at
+    }
+
+    /// Returns whether the base row of a service has to be read before the base is relied on.
+    pub fn has_lapsed(&self, name: &str) -> bool {
+        let service = self.services.get(name);
+        service.is_none_or(|s| s.has_lapsed(self.listed_at))
+    }
+
     /// Records which versions are listed now. Returns whether base rows have to be read: a version
-    /// is listed that was not when they were last read.
+    /// is listed that was not when they were last read, or the base again after it was missing.
     pub fn record_listed(&mut self, listed: &ListedVersions, now: Moment) -> bool {
         let mut is_new = false;
         for (name, versions) in listed {
@@ -123,6 +161,15 @@
                 service.several_at = Some(now);
             }
             is_new |= !versions.is_subset(&service.confirmed);
+            let Some(base) = &service.base else {
+                continue;
+            };
+            if versions.contains(&base.software) {
+                match service.has_lapsed(self.listed_at) {
+                    true => is_new = true,
+                    false => service.seen_at = Some(self.listed_at),
+                }
+            }
         }
         is_new
     }
@@ -130,11 +177,17 @@
     /// Records the base of a service, read after `versions` were listed. Returns whether it is
     /// another version than before.
     pub fn confirm(&mut self, name: &Arc<str>, base: Base, versions: &BTreeSet<Arc<str>>) -> bool {
+        let listed_at = self.listed_at;
         let service = self.services.entry(name.clone()).or_default();
         let has_changed = service
             .base
             .as_ref()
             .is_some_and(|known| known.software != base.software);
+        if versions.contains(&base.software) {
+            service.seen_at = Some(listed_at);
+        } else if has_changed {
+            service.seen_at = None;
+        }
         let mut confirmed = versions.clone();
         confirmed.insert(base.software.clone());
         service.confirmed = Rc::new(confirmed);
@@ -200,6 +253,7 @@
         let is_sole = service
             .several_at
             .is_none_or(|at| now.saturating_sub(at) >= STREAM_TIME);
+        let is_sole = is_sole && !service.has_lapsed(self.listed_at);
         let base = &service.base.as_ref()?.software;
         is_sole.then_some(base)
     }
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -260,6 +260,7 @@
         }
     }
     state.fleet.begin_era(list.era());
+    state.origins.services.record_list(now);
     let changes = state
         .fleet
         .update_entries(entries, &unreadable, restored_at, now);
--- a/tests/edge/origins.rs
+++ b/tests/edge/origins.rs
@@ -84,6 +84,30 @@
     );
 }
 
+/// Guards against ORDER by hosts that keep a base version which another has replaced: it was missing
+/// from the list, or the list was not read, and it is listed again.
+#[test]
+fn a_base_that_was_missing_for_a_while_is_read_again_before_it_is_relied_on() {
+    let mut services = confirmed(&["v1", "v2"]);
+    let mut list_at = |names: &[&str], s| {
+        services.record_list(at(s));
+        let is_due = list(&mut services, names, at(s));
+        (is_due, services.has_lapsed(SERVICE))
+    };
+    assert_eq!(list_at(&["v1", "v2"], 10), (false, false));
+    assert_eq!(list_at(&["v2"], 39), (false, false));
+    assert_eq!(list_at(&["v1", "v2"], 39), (false, false), "back at once");
+    assert_eq!(list_at(&["v2"], 68), (false, false));
+    assert_eq!(list_at(&["v2"], 70), (false, true));
+    assert_eq!(list_at(&["v1", "v2"], 71), (true, true));
+    assert_eq!(list_at(&["v1", "v2"], 72), (true, true), "not read yet");
+    let base = services.base(SERVICE).unwrap().clone();
+    services.confirm(&service(), base, &versions(&["v1", "v2"]));
+    assert!(!services.has_lapsed(SERVICE));
+    services.record_list(at(102));
+    assert!(services.has_lapsed(SERVICE), "the list was not read");
+}
+
 /// Guards against ORDER: a stream without a row at another version than the base.
 #[test]
 fn only_the_base_is_allowed_without_rows_while_it_can_be_used() {
--- a/tests/edge/software_versions.rs
+++ b/tests/edge/software_versions.rs
@@ -541,3 +541,21 @@
     let taken = fleet.take_up(&begun, 1);
     assert_eq!((taken.mixed, taken.whole), (0, begun.len()), "{taken:?}");
 }
+
+/// Guards against ORDER where a base version comes back just after another has replaced it, so that
+/// hosts differ in the version of streams without rows.
+#[test]
+fn a_base_version_that_comes_back_as_it_is_replaced_is_known_to_all_hosts() {
+    let fleet = Fleet::without_base(3);
+    std::thread::sleep(RETIRE_TIME);
+    wait("another base version", || {
+        let base = fleet.store.get("bases", "models").unwrap();
+        base["software"] == SECOND_VERSION
+    });
+    fleet.restore_base(&fleet.daemons);
+    let begun = fleet.begin_streams();
+    for distance in 1..=2 {
+        let taken = fleet.take_up(&begun, distance);
+        assert_eq!((taken.mixed, taken.whole), (0, begun.len()), "{taken:?}");
+    }
+}
