Count a host as alive again whose clock went back before it started again

Cause: processes of a host are told apart by their start times. Where the host's clock had gone back before a process started again, its heartbeats looked older than those of the process before and were dropped by all others for as long as the clock lagged: the host was in no answer to where to connect, and no leader, though it served.

Change: a heartbeat of an earlier start from a host that is silent has the list of hosts read again; the host's row, which its latest process wrote, then tells which it is.

Test: a_daemon_that_has_started_again_with_an_earlier_clock_is_alive; without the change its last heartbeat is dropped (failed).

--- a/src/edge/members.rs
+++ b/src/edge/members.rs
@@ -160,6 +160,13 @@
                 leadership: None,
                 allocator: None,
             });
+            let is_earlier = record.incarnation < member.incarnation;
+            if is_earlier && !member.is_alive(now) {
+                // The host's clock went back before its process started again.
+                member.incarnation = record.incarnation;
+                member.sequence = 0;
+                member.heard_at = None;
+            }
             if record.incarnation >= member.incarnation {
                 member.peers = record.peers;
                 member.callers = record.callers;
@@ -201,6 +208,13 @@
         Some(member)
     }
 
+    /// Returns whether a heartbeat comes from a process that seems to have started before the latest
+    /// known one, which is not alive: the row of the host tells which is the latest.
+    pub fn is_doubtful(&self, host: &str, incarnation: u64, now: Moment) -> bool {
+        let member = self.all.get(host);
+        member.is_some_and(|m| incarnation < m.incarnation && !m.is_alive(now))
+    }
+
     /// Returns the addresses to which a heartbeat is due and marks them as sent.
     pub fn take_due(&mut self, now: Moment) -> Vec<SocketAddr> {
         let mut due = Vec::new();
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -291,6 +291,9 @@
                 .members
                 .record_heartbeat(&host, packet.incarnation, packet.sequence, now)
         else {
+            if state.members.is_doubtful(&host, packet.incarnation, now) {
+                edge.unknown_peer.notify_one();
+            }
             return true;
         };
         if was_silent {
--- a/tests/edge/decisions.rs
+++ b/tests/edge/decisions.rs
@@ -236,13 +236,17 @@
     assert_eq!(route.choose_service(1.0).map(|s| &**s), Some("b"));
 }
 
-fn members() -> Members {
-    let record = |port| MemberRecord {
+fn member_record(port: u16) -> MemberRecord {
+    MemberRecord {
         incarnation: 10,
         callers: ([127, 0, 0, 1], port).into(),
         peers: ([127, 0, 0, 1], port + 1).into(),
         domain: "north".into(),
-    };
+    }
+}
+
+fn members() -> Members {
+    let record = member_record;
     let mut members = Members::default();
     let rows = vec![
         ("edge-1".into(), record(100)),
@@ -285,6 +289,40 @@
     );
 }
 
+/// Guards against a host that is left out for good: its clock went back before its process started
+/// again, so that its heartbeats looked older than those of the process before.
+#[test]
+fn a_daemon_that_has_started_again_with_an_earlier_clock_is_alive() {
+    let mut members = members();
+    let restarted = || {
+        let record = MemberRecord {
+            incarnation: 9,
+            ..member_record(200)
+        };
+        vec![("edge-2".into(), record)]
+    };
+    members.record_heartbeat("edge-2", 10, 5, at(0));
+    members.update_records(restarted(), "edge-1", at(100));
+    assert!(members.record_heartbeat("edge-2", 9, 1, at(200)).is_none());
+    assert!(
+        !members.is_doubtful("edge-2", 9, at(200)),
+        "the other lives"
+    );
+    assert!(
+        members
+            .record_heartbeat("edge-2", 9, 2, at(2_000))
+            .is_none()
+    );
+    assert!(members.is_doubtful("edge-2", 9, at(2_000)));
+    members.update_records(restarted(), "edge-1", at(2_000));
+    assert!(
+        members
+            .record_heartbeat("edge-2", 9, 3, at(2_100))
+            .is_some()
+    );
+    assert_eq!(members.alive_members(at(2_100)).count(), 1);
+}
+
 #[test]
 fn a_daemon_shares_the_limits_until_its_use_has_left_the_window() {
     let mut members = members();
