Keep the time of missing rows when a base version is replaced or its row is lost

Found when the diff was read: a base that is replaced, or whose row a drill has lost, was written without the time at which rows of streams may have been missing, so that a missing row was believed at once, while those of a third version were missing still.

Change: the next base keeps that time; one whose row is lost in a new era gets the present time, as any base of that era.

Test: a_base_that_is_replaced_keeps_the_time_of_missing_rows, for the functions that this adds; the order of events itself was not played.

--- a/src/edge/origins/base.rs
+++ b/src/edge/origins/base.rs
@@ -193,15 +193,9 @@
             continue;
         };
         absences.remove(service);
-        let Some(software) = edge.state.borrow().most_listed(service) else {
+        let Some(base) = edge.next_base(service, absence.row) else {
             continue;
         };
-        let base = Base {
-            software,
-            row: absence.row,
-            era: edge.store.era(),
-            ..Base::default()
-        };
         if let Some(base) = write_base(edge, service, base).await? {
             edge.confirm_base(service, base, versions);
         }
@@ -270,30 +264,39 @@
         !is_listed || services.has_lapsed(service)
     }
 
-    /// Returns the first base of a service: the one that this host knows, else the version that
-    /// most listed engines have.
+    /// Returns the base of a service that has no row: the one that this host knows, as the store
+    /// has lost its row, else the version that most listed engines have.
     fn first_base(&self, service: &str) -> Option<Base> {
         let state = self.state.borrow();
-        let known = state.base_software(service);
-        let software = known.or_else(|| state.most_listed(service))?;
+        if let Some(known) = state.origins.services.base(service) {
+            return Some(Base {
+                row: 0,
+                ..self.base_of_era(service, known)
+            });
+        }
         Some(Base {
-            software,
+            software: state.most_listed(service)?,
             era: self.store.era(),
             ..Base::default()
         })
     }
 
+    /// Returns the base that replaces the known one of a service, whose row has this version.
+    fn next_base(&self, service: &str, row: u64) -> Option<Base> {
+        let state = self.state.borrow();
+        let known = state.origins.services.base(service)?;
+        let software = state.most_listed(service)?;
+        let base = known.replaced_by(software, self.store.era());
+        Some(Base { row, ..base })
+    }
+
     /// Returns the base of a service for the store's era. While several versions serve, rows of
     /// streams may be missing from now on.
     fn base_of_era(&self, service: &str, base: &Base) -> Base {
         let state = self.state.borrow();
         let several = state.origins.services.has_several(service, clock::now());
         let unsure_ms = several.then(|| self.store.now_ms());
-        Base {
-            era: self.store.era(),
-            unsure_ms: unsure_ms.or(base.unsure_ms),
-            ..base.clone()
-        }
+        base.of_era(self.store.era(), unsure_ms)
     }
 
     /// Returns the base row of a service to be written once more when its version is listed again: a
@@ -364,11 +367,6 @@
         listed
     }
 
-    fn base_software(&self, service: &str) -> Option<Arc<str>> {
-        let base = self.origins.services.base(service)?;
-        Some(base.software.clone())
-    }
-
     /// Returns the version that most listed engines of a service have.
     fn most_listed(&self, service: &str) -> Option<Arc<str>> {
         let mut counts: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
--- a/src/edge/origins/services.rs
+++ b/src/edge/origins/services.rs
@@ -49,6 +49,26 @@
 }
 
 impl Base {
+    /// Returns the base with which another version replaces this one. Rows that were missing before
+    /// are missing still.
+    pub fn replaced_by(&self, software: Arc<str>, era: u64) -> Base {
+        Base {
+            software,
+            era,
+            ..self.clone()
+        }
+    }
+
+    /// Returns the base of a new era of the store; `unsure_ms` is its time if rows of streams may be
+    /// missing since.
+    pub fn of_era(&self, era: u64, unsure_ms: Option<u64>) -> Base {
+        Base {
+            era,
+            unsure_ms: unsure_ms.or(self.unsure_ms),
+            ..self.clone()
+        }
+    }
+
     /// Returns whether a stream without a row surely began at this version: since the time at
     /// which rows may have been missing, none can still be taken up. `several` tells whether
     /// other versions may have begun streams.
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -101,7 +101,8 @@
     pub origin_wake: Notify,
     /// Whether the base versions have been read.
     pub origins_known: Cell<bool>,
-    /// Incremented when rows of streams were written, or could not be.
+    /// Incremented when rows of streams were written, or could not be, and when other hosts have
+    /// replied about streams.
     pub origins_written: watch::Sender<u64>,
     /// Rows of streams that are being read.
     pub origin_lookups: Cell<u32>,
--- a/tests/edge/origins.rs
+++ b/tests/edge/origins.rs
@@ -288,6 +288,22 @@
     assert!(base.holds(store(3, 65_000), false));
 }
 
+/// Guards against ORDER by a base that is replaced within a minute of a drill: rows of a third
+/// version are missing still.
+#[test]
+fn a_base_that_is_replaced_keeps_the_time_of_missing_rows() {
+    let base = Base {
+        software: "v1".into(),
+        unsure_ms: Some(5_000),
+        ..Base::default()
+    };
+    let next = base.replaced_by("v2".into(), 3);
+    assert_eq!((&*next.software, next.era), ("v2", 3));
+    assert_eq!(next.unsure_ms, Some(5_000));
+    assert_eq!(base.of_era(3, None).unsure_ms, Some(5_000));
+    assert_eq!(base.of_era(3, Some(9_000)).unsure_ms, Some(9_000));
+}
+
 /// Guards against a wait for rows of streams at the base version, which follow.
 #[test]
 fn a_stream_at_the_base_version_does_not_wait_for_a_row_that_follows() {
