Ask again that a stream waits while a row of another version may be written

The check is back, and asks for it also where enough hosts hold the stream.

Shown: with `awaits_row` never set the test fails at this check; on the code as it is the 20 tests of origins pass. No source file changes.

--- a/tests/edge/origins.rs
+++ b/tests/edge/origins.rs
@@ -172,7 +172,7 @@
 }
 
 /// Guards against ORDER by streams that began without a row and that no other host knew, and
-/// against holding them back once others do.
+/// against holding them back once others do, unless a row for another version may be written.
 #[test]
 fn a_stream_without_a_row_begins_once_other_hosts_hold_its_version() {
     let (first, second) = (Arc::from("h1"), Arc::from("h2"));
@@ -190,6 +190,14 @@
         1,
         "it is still written"
     );
+    begin(&mut streams, "s2", "v2");
+    streams.take_due(|_| true, 10);
+    begin(&mut streams, "s2", "v3");
+    for host in [&first, &second] {
+        streams.record_holder(StreamId::of("s2"), host, "v3");
+    }
+    let state = settle(&mut streams, "s2", "v3");
+    assert_eq!(state, RecordState::Unsure, "one for v2 may be written");
 }
 
 /// Guards against ORDER by hosts that write the row of a version at which the stream then does not
