Soak: count runs of a booking over all its tries

Each try of a booking has an id of its own, so a false promise shows as a run that was refused, and the run of the next try does not count as a second one. The soak counted by try only.

The body now names the request, by its first try, and engines check it against the try that they got. Two checks over all tries: TWICE, of a request that may run once only more than one try ran; REFUSED, the last try was refused with a promise and an earlier one ran. A run that the checks of single tries report already does not count again.

Callers follow PROTOCOL.md: "They retry non_idempotent requests only after a promise, or if the daemon closed the connection without having read the request." Not read means no connection, or bytes of the request that the connection did not take. Streams that may be resumed are sent again after anything, within their time limit.

With SOAK_KEEPS_ID=true callers keep the id over the tries of one booking. A header of our own names the try then, so that engines record each try apart.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -13,7 +13,9 @@
 
 use crate::http::{event_id, read_answer, whole_events};
 use crate::parts::{crashing_suffix, prefix_header};
-use crate::record::{Attempt, Kind, Outcome, Recorder, TakeUp, request_body};
+use crate::record::{
+    Attempt, Kind, Outcome, Recorder, TakeUp, repeated_name, request_body, sent_id,
+};
 use crate::site::{extra_prefix, prefix};
 
 /// Time limits of requests, ms.
@@ -52,9 +54,17 @@
     pub crashing_from: Option<Duration>,
     /// Whether streams are broken off, and taken up again.
     pub takes_up: bool,
+    /// Whether the id is kept over all tries of a request that may run once only.
+    pub keeps_id: bool,
     pub stop: AtomicBool,
 }
 
+/// The name of an attempt, and of the first attempt of its request.
+struct Try {
+    name: String,
+    booking: Arc<str>,
+}
+
 /// What an attempt asks for.
 struct Target {
     kind: Kind,
@@ -122,6 +132,8 @@
         };
         let limit = TIME_LIMITS_MS[self.rng.random_range(0..TIME_LIMITS_MS.len())];
         let limit = Duration::from_millis(limit);
+        let started_at = self.setup.recorder.now();
+        let mut booking: Option<Arc<str>> = None;
         for retry in 0..=MAX_RETRIES {
             let keeps = retry == 0 && self.rng.random_bool(0.8);
             let kept = self.kept.take().filter(|_| keeps);
@@ -134,16 +146,22 @@
             if crashes && kind.is_stream() && self.sent.is_multiple_of(CRASHING_PERIOD) {
                 id.push_str(&crashing_suffix(self.number));
             }
+            let booking = booking.get_or_insert_with(|| id.as_str().into()).clone();
+            if retry > 0 && self.setup.keeps_id && kind.runs_once() {
+                id = repeated_name(&booking, retry);
+            }
+            let attempt = Try { name: id, booking };
             let target = Target {
                 kind,
                 extra_route,
                 limit,
                 take_up: None,
             };
-            let outcome = self.attempt(kept, target, &id).await;
+            let outcome = self.attempt(kept, target, &attempt).await;
             if self.setup.takes_up && kind == Kind::Stream {
-                self.take_up(&id, &outcome, limit).await;
+                self.take_up(&attempt.name, &outcome, limit).await;
             }
+            let is_late = self.setup.recorder.now() >= started_at + limit;
             let wait = match &outcome {
                 Outcome::Answered(answer) if PROMISES.contains(&answer.status) => {
                     answer.retry_after.unwrap_or_default().min(limit / 3)
@@ -152,6 +170,9 @@
                 Outcome::Left => return,
                 Outcome::NotSent => Duration::ZERO,
                 _ if kind == Kind::Lookup => Duration::ZERO,
+                _ if kind == Kind::Stream && !is_late && broken_after(&outcome).is_none() => {
+                    Duration::ZERO
+                }
                 _ => return,
             };
             sleep(wait).await;
@@ -177,7 +198,11 @@
                 limit,
                 take_up: Some(take_up),
             };
-            let outcome = self.attempt(None, target, &id).await;
+            let attempt = Try {
+                booking: id.as_str().into(),
+                name: id,
+            };
+            let outcome = self.attempt(None, target, &attempt).await;
             match (&outcome, broken_after(&outcome)) {
                 (_, Some(last)) => after = last,
                 (Outcome::Answered(answer), None) if PROMISES.contains(&answer.status) => {
@@ -191,8 +216,9 @@
     }
 
     /// Sends one attempt and records how it ended.
-    async fn attempt(&mut self, kept: Option<Connection>, target: Target, id: &str) -> Outcome {
+    async fn attempt(&mut self, kept: Option<Connection>, target: Target, names: &Try) -> Outcome {
         let started_at = self.setup.recorder.now();
+        self.setup.recorder.add_try(&names.booking, &names.name);
         let kept = match kept {
             Some(kept) => Some(kept),
             None => self.connect().await,
@@ -211,10 +237,11 @@
             outcome: Outcome::NotSent,
         };
         if let Some(connection) = kept {
-            attempt.outcome = self.exchange(connection, &mut attempt, id).await;
+            attempt.outcome = self.exchange(connection, &mut attempt, names).await;
         }
         attempt.ended_at = self.setup.recorder.now();
-        self.setup.recorder.add_attempt(id, attempt.clone());
+        let name = &names.name;
+        self.setup.recorder.add_attempt(name, attempt.clone());
         attempt.outcome
     }
 
@@ -235,7 +262,7 @@
         &mut self,
         mut connection: Connection,
         attempt: &mut Attempt,
-        id: &str,
+        names: &Try,
     ) -> Outcome {
         let leaves = self.rng.random_bool(0.05);
         let patience = match leaves {
@@ -249,7 +276,7 @@
         let breaks =
             self.setup.takes_up && attempt.kind == Kind::Stream && self.rng.random_bool(BREAK_RATE);
         let most_events = breaks.then(|| self.rng.random_range(1..5));
-        let bytes = self.request_bytes(attempt, &prefix, id);
+        let bytes = self.request_bytes(attempt, &prefix, names);
         let pieces = self.pieces(bytes.len());
         let recorder = self.setup.recorder.clone();
         let stream = &mut connection.stream;
@@ -272,6 +299,7 @@
         let outcome = timeout(patience, exchange).await;
         let answer = match outcome {
             Ok(Ok(answer)) => answer,
+            // Not read: no connection, or bytes of the request that the connection did not take.
             Ok(Err(_)) if attempt.sent_at.is_none() => return Outcome::NotSent,
             Ok(Err(_)) => return Outcome::Closed,
             Err(_) if leaves => return Outcome::Left,
@@ -287,13 +315,18 @@
         Outcome::Answered(answer)
     }
 
-    fn request_bytes(&mut self, attempt: &Attempt, prefix: &str, id: &str) -> Vec<u8> {
+    fn request_bytes(&mut self, attempt: &Attempt, prefix: &str, names: &Try) -> Vec<u8> {
+        let Try { name, booking } = names;
+        let id = sent_id(name);
         let (kind, limit) = (attempt.kind, attempt.time_limit);
         let mut head = format!(
             "POST {prefix}x HTTP/1.1\r\nHost: firm.example\r\nX-Mastichinge-Request-Id: {id}\r\n\
              X-Mastichinge-Deadline-Ms: {}\r\n",
             limit.as_millis()
         );
+        if id != name {
+            head.push_str(&format!("Attempt: {name}\r\n"));
+        }
         if kind.is_stream() {
             let model = if self.rng.random_bool(0.8) {
                 "m1"
@@ -309,7 +342,7 @@
         if let Some(TakeUp { first, after }) = &attempt.take_up {
             head.push_str(&format!("Resumes: {first}\r\nLast-Event-Id: {after}\r\n"));
         }
-        let body = request_body(id);
+        let body = request_body(booking);
         if self.rng.random_bool(0.7) {
             head.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
             return [head.as_bytes(), &body].concat();
--- a/tests/soak/checkers.rs
+++ b/tests/soak/checkers.rs
@@ -8,7 +8,7 @@
 use crate::engine_faults::EngineFault;
 use crate::record::{
     Answer, Attempt, DesiredWrite, EngineStep, History, Kind, Outcome, PartCrash, RateSpan,
-    ReceivedOrder, Span, Step, answer_body, event_count, event_text,
+    ReceivedOrder, Span, Step, answer_body, event_count, event_text, repeated_name,
 };
 
 const ID: &str = "1-1-1";
@@ -115,6 +115,87 @@
     assert_eq!(broken_rules(&left), [Rule::Twice]);
 }
 
+/// Returns the history of a request of which each try ended with an outcome and took these steps.
+fn history_of_tries(kind: Kind, tries: &[(Outcome, &[Step])]) -> History {
+    let mut whole = History::default();
+    for (number, (outcome, steps)) in tries.iter().enumerate() {
+        let name = format!("1-1-{}", number + 1);
+        let mut outcome = outcome.clone();
+        if let Outcome::Answered(answer) = &mut outcome {
+            answer.id.clone_from(&name);
+            answer.stamp = answer.stamp.replace(ID, &name);
+            if answer.status == 200 {
+                answer.body = answer_body(&name);
+            }
+        }
+        let one = history(kind, outcome, steps);
+        let attempts = one.attempts.into_values().map(|a| (name.clone(), a));
+        whole.attempts.extend(attempts);
+        let steps = one.steps.into_values().map(|s| (name.clone(), s));
+        whole.steps.extend(steps);
+        whole.tries.entry(ID.to_owned()).or_default().push(name);
+    }
+    whole
+}
+
+/// Guards against runs of a booking at several of its tries, each of which ran once only.
+#[test]
+fn a_booking_of_which_two_tries_ran_is_found() {
+    let done = || Outcome::Answered(answer(Kind::Booking));
+    let rules = |kind, tries: &[_]| broken_rules(&history_of_tries(kind, tries));
+    let failed = Outcome::NotSent;
+    let twice = [(failed.clone(), &RUN[..]), (done(), &RUN[..])];
+    assert_eq!(rules(Kind::Booking, &twice), [Rule::Twice]);
+    assert_eq!(rules(Kind::Lookup, &twice), []);
+    let once = [(refusal(503), &[][..]), (failed, &[]), (done(), &RUN)];
+    assert_eq!(rules(Kind::Booking, &once), []);
+    let false_promise = [(refusal(503), &RUN[..]), (done(), &RUN)];
+    assert_eq!(
+        rules(Kind::Booking, &false_promise),
+        [Rule::Refused, Rule::Twice]
+    );
+}
+
+/// Guards against a last refusal of a booking that ran at an earlier try.
+#[test_case(429)]
+#[test_case(503)]
+#[test_case(408)]
+#[test_case(421)]
+fn a_refused_booking_of_which_an_earlier_try_ran_is_found(status: u16) {
+    let rules = |kind, tries: &[_]| broken_rules(&history_of_tries(kind, tries));
+    let ran = [(Outcome::NotSent, &RUN[..]), (refusal(status), &[])];
+    assert_eq!(rules(Kind::Booking, &ran), [Rule::Refused]);
+    assert_eq!(rules(Kind::Lookup, &ran), []);
+    let not_run = [(refusal(503), &[][..]), (refusal(status), &[])];
+    assert_eq!(rules(Kind::Booking, &not_run), []);
+    let failed = [(Outcome::NotSent, &RUN[..]), (refusal(502), &[])];
+    assert_eq!(rules(Kind::Booking, &failed), [], "no promise");
+}
+
+/// Guards against counting the run of one try at another that has the same id.
+#[test]
+fn tries_that_share_an_id_are_told_apart() {
+    let mut history = history_of_tries(
+        Kind::Booking,
+        &[
+            (refusal(503), &[]),
+            (Outcome::Answered(answer(Kind::Booking)), &RUN),
+        ],
+    );
+    let name = repeated_name(ID, 1);
+    let mut attempt = history.attempts.remove("1-1-2").unwrap();
+    attempt.outcome = Outcome::Answered(answer(Kind::Booking));
+    history.attempts.insert(name.clone(), attempt);
+    let steps = history.steps.remove("1-1-2").unwrap();
+    history.steps.insert(name.clone(), steps);
+    history
+        .tries
+        .insert(ID.to_owned(), vec![ID.to_owned(), name.clone()]);
+    assert_eq!(broken_rules(&history), []);
+    history.attempts.get_mut(&name).unwrap().outcome = refusal(503);
+    assert_eq!(broken_rules(&history), [Rule::Refused]);
+}
+
 #[test]
 fn a_response_that_is_not_the_engines_is_found() {
     let changes: [fn(&mut Answer); 6] = [
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -3,12 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::bookings;
 use crate::callers::PROMISES;
 use crate::disturbances::{GRACE, MIN_ROUTE_TIMEOUT};
 use crate::engine_faults::EngineFault;
 use crate::parts;
 use crate::record::{
     Answer, Attempt, DesiredWrite, EngineStep, History, Outcome, RateSpan, Step, answer_body,
+    sent_id,
 };
 use crate::versions;
 
@@ -133,6 +135,14 @@
             add(Rule::Budget, text);
         }
     }
+    for (id, text) in bookings::run_by_several_tries(history) {
+        let rule = Rule::Twice;
+        found.push(Violation { rule, id, text });
+    }
+    for (id, text) in bookings::refused_after_run(history) {
+        let rule = Rule::Refused;
+        found.push(Violation { rule, id, text });
+    }
     if let Some((id, text)) = shared_fence(history) {
         let rule = Rule::One;
         found.push(Violation { rule, id, text });
@@ -312,7 +322,9 @@
 
 /// Returns why a response is not the engine's response to this request.
 fn mixed(history: &History, id: &str, attempt: &Attempt, answer: &Answer) -> Option<String> {
-    if answer.id != id {
+    // Attempts may share an id; the steps are those of one attempt.
+    let sent = sent_id(id);
+    if answer.id != sent {
         return Some(format!("the response has the id {:?}", answer.id));
     }
     let succeeded = (200..300).contains(&answer.status);
@@ -322,7 +334,7 @@
     let Some((_, stamped)) = answer.stamp.split_once('.') else {
         return Some(format!("the stamp {:?}", answer.stamp));
     };
-    if stamped != id {
+    if stamped != sent {
         return Some(format!("the stamp of {stamped}"));
     }
     let given = Step::Answered(answer.status);
@@ -330,7 +342,7 @@
         return Some(format!("no engine answered {}", answer.status));
     }
     let is_whole = succeeded && !attempt.kind.is_stream() && answer.complete;
-    (is_whole && answer.body != answer_body(id)).then(|| "another body".to_owned())
+    (is_whole && answer.body != answer_body(sent)).then(|| "another body".to_owned())
 }
 
 /// Returns how a request was lost although neither its engines nor its daemon were
--- a/tests/soak/engine.rs
+++ b/tests/soak/engine.rs
@@ -22,7 +22,7 @@
 use crate::fakes::{ReceivedRequest, read_body, read_head, runtime, write_response};
 use crate::parts::crashing_part;
 use crate::record::{
-    RateSpan, ReceivedOrder, Recorder, Step, answer_body, event_count, event_text, request_body,
+    RateSpan, ReceivedOrder, Recorder, Step, answer_body, event_count, event_text,
 };
 use crate::settings::SoakSettings;
 
@@ -347,13 +347,19 @@
                 return Ok(());
             };
             let id = request.header("x-mastichinge-request-id").to_owned();
+            let name = match request.header("attempt") {
+                "" => id.clone(),
+                name => name.to_owned(),
+            };
             if closes {
-                self.0.recorder.add_step(&id, &self.0.setup.name, Step::Cut);
+                self.0
+                    .recorder
+                    .add_step(&name, &self.0.setup.name, Step::Cut);
                 return Ok(());
             }
             if let Some(extra) = extra.take() {
                 let step = Step::Extra(extra.fault);
-                self.0.recorder.add_step(&id, &self.0.setup.name, step);
+                self.0.recorder.add_step(&name, &self.0.setup.name, step);
                 stream.write_all(&extra.bytes).await?;
             }
             if id.is_empty() {
@@ -361,7 +367,7 @@
                 self.call(stream, &request).await?;
                 continue;
             }
-            current.clone_from(&id);
+            current.clone_from(&name);
             let _busy = BusyGuard::new(&self.0.busy);
             let (fault, random, engine, lifetime) = {
                 let mut state = self.0.state.lock().unwrap();
@@ -372,10 +378,11 @@
                 (fault, random, state.id.clone(), state.lifetime())
             };
             let step = Step::Arrived(fault);
-            self.0.recorder.add_step(&id, &lifetime, step);
+            self.0.recorder.add_step(&name, &lifetime, step);
             let mut exchange = Exchange {
                 stream,
                 id,
+                name,
                 engine,
                 lifetime,
                 fault,
@@ -481,7 +488,7 @@
             false => self.0.slots.acquire().await,
         };
         let slot = slot.unwrap();
-        let intact = request.body == request_body(&exchange.id);
+        let intact = self.0.recorder.is_body_of(&exchange.name, &request.body);
         self.record(exchange, Step::Began(intact));
         if request.path().contains("stream") && exchange.runs_whole() {
             let after = request.header("last-event-id").parse().unwrap_or(0);
@@ -497,7 +504,7 @@
     fn record(&self, exchange: &Exchange<'_>, step: Step) {
         self.0
             .recorder
-            .add_step(&exchange.id, &exchange.lifetime, step);
+            .add_step(&exchange.name, &exchange.lifetime, step);
     }
 
     /// Returns the header lines of what the engine says of itself in a response.
--- a/tests/soak/exchange.rs
+++ b/tests/soak/exchange.rs
@@ -26,6 +26,8 @@
 pub struct Exchange<'a> {
     pub stream: &'a mut TcpStream,
     pub id: String,
+    /// Name of the caller's attempt; the id, unless the caller has used it before.
+    pub name: String,
     /// Id of the engine.
     pub engine: String,
     /// Lifetime of the engine.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -6,6 +6,7 @@
 //! other seeds; see `settings.rs` for the other variables. `MASTICHINGED` names another build
 //! of the daemon.
 
+mod bookings;
 mod callers;
 mod checkers;
 mod checks;
--- a/tests/soak/parts.rs
+++ b/tests/soak/parts.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::record::{Attempt, EngineStep, History, Outcome, PartCrash, Step, id_number};
+use crate::record::{Attempt, EngineStep, History, Outcome, PartCrash, Step, id_number, sent_id};
 
 /// Part that all prompts share.
 const FIRST_PART: u64 = 0x5c1e_07a2;
@@ -33,7 +33,7 @@
 
 /// Returns the part of a request's prompt that crashes engines, if it has one.
 pub fn crashing_part(id: &str) -> Option<u64> {
-    let (_, number) = id.split_once("-c")?;
+    let (_, number) = sent_id(id).split_once("-c")?;
     CRASHING_PARTS.get(number.parse::<usize>().ok()?).copied()
 }
 
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -180,6 +180,8 @@
 pub struct History {
     pub attempts: BTreeMap<String, Attempt>,
     pub steps: BTreeMap<String, Vec<EngineStep>>,
+    /// Attempts of each request of a caller, by the first of them.
+    pub tries: BTreeMap<String, Vec<String>>,
     pub spans: Vec<Span>,
     pub rates: Vec<RateSpan>,
     pub part_crashes: Vec<PartCrash>,
@@ -197,6 +199,13 @@
         self.steps.get(id).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns all attempts of the request to which an attempt belongs.
+    pub fn tries_of(&self, name: &str) -> Vec<String> {
+        let mut tries = self.tries.values();
+        let found = tries.find(|names| names.iter().any(|n| n == name));
+        found.cloned().unwrap_or_else(|| vec![name.to_owned()])
+    }
+
     /// Returns how often a request ran.
     pub fn runs(&self, id: &str) -> usize {
         let steps = self.steps(id).iter();
@@ -239,6 +248,26 @@
         history.steps.entry(id.to_owned()).or_default().push(step);
     }
 
+    /// Adds an attempt of a caller's request, before it is sent.
+    pub fn add_try(&self, booking: &str, name: &str) {
+        let mut history = self.history.lock().unwrap();
+        let tries = history.tries.entry(booking.to_owned()).or_default();
+        tries.push(name.to_owned());
+    }
+
+    /// Returns whether a body is that of the request to which an attempt belongs.
+    pub fn is_body_of(&self, name: &str, body: &[u8]) -> bool {
+        let line = body.split(|byte| *byte == b'\n').next();
+        let line = line.and_then(|line| std::str::from_utf8(line).ok());
+        let Some(booking) = line.and_then(|line| line.strip_prefix("body of ")) else {
+            return false;
+        };
+        let history = self.history.lock().unwrap();
+        let tries = history.tries.get(booking);
+        let is_try = tries.is_some_and(|tries| tries.iter().any(|n| n == name));
+        is_try && body == request_body(booking)
+    }
+
     pub fn add_span(&self, span: Span) {
         self.history.lock().unwrap().spans.push(span);
     }
@@ -307,6 +336,16 @@
     }
 }
 
+/// Returns the name of an attempt that is sent under the id of the first one.
+pub fn repeated_name(id: &str, retry: u32) -> String {
+    format!("{id}+{retry}")
+}
+
+/// Returns the id under which an attempt is sent.
+pub fn sent_id(name: &str) -> &str {
+    name.split_once('+').map_or(name, |(id, _)| id)
+}
+
 /// Returns a number that depends on the id alone, for sizes that both sides know.
 pub fn id_number(id: &str) -> usize {
     let mix = |sum: u32, byte: u8| sum.wrapping_mul(31).wrapping_add(u32::from(byte));
@@ -320,13 +359,13 @@
         .into_bytes()
 }
 
-/// Returns the body of a request.
-pub fn request_body(id: &str) -> Vec<u8> {
-    let count = match id_number(id) % 10 {
+/// Returns the body of all attempts of a request.
+pub fn request_body(booking: &str) -> Vec<u8> {
+    let count = match id_number(booking) % 10 {
         0 => 1_500,
         n => n,
     };
-    format!("body of {id}\n").repeat(count).into_bytes()
+    format!("body of {booking}\n").repeat(count).into_bytes()
 }
 
 /// Returns the number of events in the stream for a request.
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -9,6 +9,7 @@
 use test_case::test_case;
 use tokio::runtime::Builder;
 
+use crate::bookings;
 use crate::callers::{Caller, CallerSetup};
 use crate::checks::{Violation, calm_closes, violations};
 use crate::disturbances::{self, Disturbance};
@@ -16,7 +17,7 @@
 use crate::engine_faults::EngineFault;
 use crate::fakes::daemon::wait;
 use crate::parts;
-use crate::record::{History, Outcome};
+use crate::record::{History, Outcome, sent_id};
 use crate::settings::SoakSettings;
 use crate::site::Site;
 use crate::versions;
@@ -177,6 +178,7 @@
         recorder: site.recorder.clone(),
         probes_routes: settings.probes_routes,
         takes_up: settings.takes_up,
+        keeps_id: settings.keeps_id,
         crashing_from: settings.crashing_parts.then_some(settings.length / 5),
         stop: AtomicBool::new(false),
     });
@@ -201,6 +203,7 @@
     println!("seed {}: {}", settings.seed, summary(&history));
     println!("seed {}: {}", settings.seed, parts::summary(&history));
     println!("seed {}: {}", settings.seed, versions::summary(&history));
+    println!("seed {}: {}", settings.seed, bookings::summary(&history));
     for violation in &found {
         let Violation { rule, id, text } = violation;
         println!("{rule:?} {id}: {text}\n{}", describe(&site, &history, id));
@@ -252,18 +255,24 @@
     )
 }
 
-/// Returns what callers, engines and daemons recorded of a request.
+/// Returns what callers, engines and daemons recorded of all tries of a request.
 fn describe(site: &Site, history: &History, id: &str) -> String {
+    let tries = history.tries_of(id);
+    let texts = tries.iter().map(|name| describe_try(site, history, name));
+    texts.collect()
+}
+
+fn describe_try(site: &Site, history: &History, name: &str) -> String {
     let mut out = String::new();
-    let Some(attempt) = history.attempts.get(id) else {
+    let Some(attempt) = history.attempts.get(name) else {
         return out;
     };
     let mut shown = attempt.clone();
     if let Outcome::Answered(answer) = &mut shown.outcome {
         answer.body.truncate(60);
     }
-    writeln!(out, "  caller: {shown:?}").unwrap();
-    for step in history.steps(id) {
+    writeln!(out, "  caller, {name}: {shown:?}").unwrap();
+    for step in history.steps(name) {
         writeln!(
             out,
             "  engine {} {:?}: {:?}",
@@ -273,7 +282,7 @@
     }
     for (number, daemon) in site.daemons.iter().enumerate() {
         for line in daemon.lock().unwrap().lines() {
-            if line["request"] == id {
+            if line["request"] == sent_id(name) {
                 writeln!(out, "  edge-{number}: {line}").unwrap();
             }
         }
--- a/tests/soak/settings.rs
+++ b/tests/soak/settings.rs
@@ -33,6 +33,8 @@
     pub crashing_parts: bool,
     /// Whether callers break streams off and take them up again.
     pub takes_up: bool,
+    /// Whether callers keep the id over all tries of a request that may run once only.
+    pub keeps_id: bool,
     /// Whether the daemons have a retry budget at the start.
     pub retries: bool,
     /// Maximum pause between two disturbances.
@@ -57,6 +59,7 @@
             probes_routes: true,
             crashing_parts: true,
             takes_up: true,
+            keeps_id: false,
             retries: true,
             pause: Duration::from_millis(900),
             disturbances: Disturbance::iter().collect(),
@@ -68,8 +71,8 @@
 
 impl SoakSettings {
     /// Reads the settings of all runs: `SOAK_SEEDS` (as `1-50`), `SOAK_SECONDS`,
-    /// `SOAK_FOLDER`, where the logs of all runs are kept, and lists of names in `SOAK_ENGINE_FAULTS` and
-    /// `SOAK_DISTURBANCES`, which may be empty.
+    /// `SOAK_FOLDER`, where the logs of all runs are kept, `SOAK_KEEPS_ID` (`true` or `false`), and lists of
+    /// names in `SOAK_ENGINE_FAULTS` and `SOAK_DISTURBANCES`, which may be empty.
     pub fn from_environment() -> Vec<Self> {
         let mut settings = SoakSettings::default();
         if let Ok(seconds) = std::env::var("SOAK_SECONDS") {
@@ -79,6 +82,9 @@
             settings.folder = folder.into();
             settings.keeps_logs = true;
         }
+        if let Ok(keeps_id) = std::env::var("SOAK_KEEPS_ID") {
+            settings.keeps_id = keeps_id.parse().expect("SOAK_KEEPS_ID");
+        }
         if let Ok(names) = std::env::var("SOAK_ENGINE_FAULTS") {
             settings.engine_faults = parse_names(&names);
         }
--- a/tests/soak/versions.rs
+++ b/tests/soak/versions.rs
@@ -6,7 +6,7 @@
 use crate::engine::SOFTWARE;
 use crate::http::{event_id, event_software, whole_events};
 use crate::parts::{crashing_part, is_in_touch, is_rate_limited};
-use crate::record::{Answer, Attempt, History, Kind, Outcome, event_count, event_text};
+use crate::record::{Answer, Attempt, History, Kind, Outcome, event_count, event_text, sent_id};
 
 /// Number of streams taken up from which their share is checked.
 const MIN_TAKE_UPS: usize = 12;
@@ -20,7 +20,7 @@
 /// Returns what is wrong with the events of a stream.
 pub fn disorder(history: &History, id: &str, attempt: &Attempt, answer: &Answer) -> Option<String> {
     let take_up = attempt.take_up.as_ref();
-    let (first, after) = take_up.map_or((id, 0), |t| (&*t.first, t.after));
+    let (first, after) = take_up.map_or((sent_id(id), 0), |t| (&*t.first, t.after));
     let events = whole_events(&answer.body);
     let ids: Vec<_> = events.iter().filter_map(|event| event_id(event)).collect();
     let last = event_count(first);
