Soak: disturb the links between callers, daemons, engines and the store

All connections of the soak were loopback, so nothing in it was late, squeezed, silent, cut, half-open or reset on its way.

A relay of our own now stands in each link, where a run disturbs links: between callers and each daemon, between each daemon and the store, and before each engine, whose entry names the relay's address. The relay ends a connection in order only where one of the processes has; each fault of a link ends it with a reset, as no network forges the end of a body.

--- a/tests/soak/disturbances.rs
+++ b/tests/soak/disturbances.rs
@@ -13,6 +13,7 @@
 
 use crate::engine::{SOFTWARE, SoakEngine, Start};
 use crate::fakes::daemon::wait;
+use crate::links::LinkDisturbance;
 use crate::record::Span;
 use crate::settings::SoakSettings;
 use crate::site::{Desired, FIRST_ERA, Site, write_desired};
@@ -32,6 +33,9 @@
 /// Period of checking whether a process has exited.
 const EXIT_POLL_PERIOD: Duration = Duration::from_millis(20);
 
+/// Maximum number of faults of links that follow each other, exclusive.
+const MAX_SERIES: usize = 4;
+
 /// Ways in which engines start again.
 const STARTS: [Start; 3] = [Start::OtherId, Start::SameId, Start::LateEntry];
 
@@ -98,6 +102,18 @@
     Release,
     /// Kills all daemons at once and starts them again.
     KillAll,
+    /// Links deliver late.
+    LinkDelay,
+    /// Links carry few bytes a second.
+    LinkSqueeze,
+    /// Links hold what is sent in one direction, and deliver it in the end or not.
+    LinkSilence,
+    /// Links reset all connections, and refuse new ones or reset them too.
+    LinkCut,
+    /// One side of all connections of links is lost, and the other is told in the end.
+    LinkHalfOpen,
+    /// Links reset connections in the middle of a request or of a response.
+    LinkReset,
 }
 
 /// Starts disturbances until `stop` is set and waits for the end of all of them.
@@ -222,6 +238,21 @@
                         register_late(engine, start, time / 4);
                     });
                 }
+                Disturbance::LinkDelay
+                | Disturbance::LinkSqueeze
+                | Disturbance::LinkSilence
+                | Disturbance::LinkCut
+                | Disturbance::LinkHalfOpen
+                | Disturbance::LinkReset => {
+                    let count = rng.random_range(1..MAX_SERIES);
+                    let draw = |_| LinkDisturbance::draw(kind, (daemon, engine), &mut rng);
+                    let series: Vec<_> = (0..count).filter_map(draw).collect();
+                    scope.spawn(move || {
+                        for disturbance in series {
+                            disturbance.run(site, time / 2);
+                        }
+                    });
+                }
                 Disturbance::KillAll => {
                     for daemon in 0..site.daemons.len() {
                         scope.spawn(move || kill(site, daemon, time / 4));
--- a/tests/soak/engine.rs
+++ b/tests/soak/engine.rs
@@ -20,10 +20,12 @@
 use crate::exchange::{Exchange, Extra, answer_head, closed, extra_answer, rejection, reset};
 use crate::fakes::store::Store;
 use crate::fakes::{ReceivedRequest, read_body, read_head, runtime, write_response};
+use crate::links::relay_settings;
 use crate::parts::crashing_part;
 use crate::record::{
     RateSpan, ReceivedOrder, Recorder, Step, answer_body, event_count, event_text,
 };
+use crate::relay::Relay;
 use crate::settings::SoakSettings;
 
 /// Versions of the engines' software; all start at the first.
@@ -78,6 +80,8 @@
 struct Inner {
     setup: EngineSetup,
     addr: SocketAddr,
+    /// Relay whose address its entry names.
+    relay: Option<Relay>,
     store: Store,
     recorder: Arc<Recorder>,
     fault_rate: f64,
@@ -147,8 +151,11 @@
             fence: 0,
             models: setup.models.clone(),
         };
+        let addr = listener.local_addr().unwrap();
+        let relay = || Relay::start(addr, relay_settings(settings.seed, number));
         let engine = SoakEngine(Arc::new(Inner {
-            addr: listener.local_addr().unwrap(),
+            addr,
+            relay: settings.has_links().then(relay),
             setup,
             store: store.clone(),
             recorder: recorder.clone(),
@@ -275,6 +282,11 @@
         }
     }
 
+    /// Returns the relay through which daemons reach it, if any.
+    pub fn relay(&self) -> Option<&Relay> {
+        self.0.relay.as_ref()
+    }
+
     /// Returns whether no request is in progress.
     pub fn is_idle(&self) -> bool {
         self.0.busy.load(Ordering::SeqCst) == 0
@@ -298,7 +310,8 @@
         let mut state = self.0.state.lock().unwrap();
         state.sequence += 1;
         let models: Vec<Value> = state.models.iter().map(model_json).collect();
-        let entry = json!({"service": self.0.setup.service, "addr": self.0.addr.to_string(),
+        let addr = self.relay().map_or(self.0.addr, |relay| relay.addr);
+        let entry = json!({"service": self.0.setup.service, "addr": addr.to_string(),
             "zone": "north", "version": state.software, "slots": SLOTS, "state": phase, "coldLeftMs": 0,
             "stage": "both", "models": models, "seq": state.sequence, "born": state.born});
         self.0.store.put("servers", &state.id, &entry);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -18,10 +18,13 @@
 #[allow(dead_code, reason = "shared with the edge tests, which use all of it")]
 mod fakes;
 mod http;
+mod links;
 #[path = "../env/loopback.rs"]
 mod loopback;
 mod parts;
 mod record;
+mod relay;
+mod relay_checkers;
 mod run;
 mod settings;
 mod site;
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -5,6 +5,8 @@
 use std::time::{Duration, Instant};
 
 use crate::engine_faults::EngineFault;
+use crate::links::Link;
+use crate::relay::LinkFault;
 
 /// Time after which a desired state is in force everywhere.
 const APPLY_TIME: Duration = Duration::from_secs(4);
@@ -131,6 +133,15 @@
     pub planned: bool,
 }
 
+/// A span in which a link had a fault.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkSpan {
+    pub link: Link,
+    pub fault: LinkFault,
+    pub start: Duration,
+    pub end: Duration,
+}
+
 /// A span in which an engine named a rate in all answers.
 #[derive(Clone, Debug)]
 pub struct RateSpan {
@@ -183,6 +194,7 @@
     /// Attempts of each request of a caller, by the first of them.
     pub tries: BTreeMap<String, Vec<String>>,
     pub spans: Vec<Span>,
+    pub links: Vec<LinkSpan>,
     pub rates: Vec<RateSpan>,
     pub part_crashes: Vec<PartCrash>,
     pub orders: Vec<ReceivedOrder>,
@@ -268,6 +280,10 @@
         is_try && body == request_body(booking)
     }
 
+    pub fn add_link_span(&self, span: LinkSpan) {
+        self.history.lock().unwrap().links.push(span);
+    }
+
     pub fn add_span(&self, span: Span) {
         self.history.lock().unwrap().spans.push(span);
     }
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -16,6 +16,7 @@
 use crate::engine::SoakEngine;
 use crate::engine_faults::EngineFault;
 use crate::fakes::daemon::wait;
+use crate::links;
 use crate::parts;
 use crate::record::{History, Outcome, sent_id};
 use crate::settings::SoakSettings;
@@ -50,7 +51,8 @@
         Disturbance::Release,
         Disturbance::KillAll,
     ];
-    settings.disturbances.retain(|d| !later.contains(d));
+    let is_later = |d: &Disturbance| later.contains(d) || d.is_of_link();
+    settings.disturbances.retain(|d| !is_later(d));
     assert_eq!(run(&settings), 0, "violations; see the lines above");
 }
 
@@ -171,10 +173,9 @@
         settings.pause
     );
     let site = Site::start(settings);
-    let addrs = site.daemons.iter().map(|d| d.lock().unwrap().callers);
     let setup = Arc::new(CallerSetup {
         seed: settings.seed,
-        addrs: addrs.collect(),
+        addrs: site.caller_addrs(),
         recorder: site.recorder.clone(),
         probes_routes: settings.probes_routes,
         takes_up: settings.takes_up,
@@ -203,6 +204,7 @@
     println!("seed {}: {}", settings.seed, summary(&history));
     println!("seed {}: {}", settings.seed, parts::summary(&history));
     println!("seed {}: {}", settings.seed, versions::summary(&history));
+    println!("seed {}: {}", settings.seed, links::summary(&history));
     println!("seed {}: {}", settings.seed, bookings::summary(&history));
     for violation in &found {
         let Violation { rule, id, text } = violation;
@@ -292,6 +294,11 @@
             writeln!(out, "  {span:?}").unwrap();
         }
     }
+    for span in &history.links {
+        if span.start <= attempt.ended_at && span.end + SPAN_MARGIN >= attempt.started_at {
+            writeln!(out, "  {span:?}").unwrap();
+        }
+    }
     out
 }
 
--- a/tests/soak/settings.rs
+++ b/tests/soak/settings.rs
@@ -95,6 +95,11 @@
         seeds.map(|seed| settings.clone().with_seed(seed)).collect()
     }
 
+    /// Returns whether links are disturbed.
+    pub fn has_links(&self) -> bool {
+        self.disturbances.iter().any(|d| d.is_of_link())
+    }
+
     /// Returns these settings with the sizes and rates of a seed.
     pub fn with_seed(self, seed: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -1,5 +1,6 @@
 //! The deployment of a run, and the versions of its desired state.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -8,7 +9,9 @@
 use crate::engine::{EngineSetup, HEALTH_PATH, SoakEngine};
 use crate::fakes::daemon::{Daemon, wait};
 use crate::fakes::store::Store;
+use crate::links::{DaemonLinks, Link, relay_settings};
 use crate::record::{Kind, Recorder};
+use crate::relay::Relay;
 use crate::settings::SoakSettings;
 
 /// Era of the store at the start.
@@ -103,6 +106,8 @@
     pub store: Store,
     pub engines: Vec<SoakEngine>,
     pub daemons: Vec<Mutex<Daemon>>,
+    /// Relays of each daemon, if links are disturbed.
+    links: Vec<DaemonLinks>,
     pub recorder: Arc<Recorder>,
 }
 
@@ -131,8 +136,26 @@
                 engines.push(SoakEngine::start(setup, &store, &recorder, settings, at));
             }
         }
-        let launch = |n: usize| Mutex::new(Daemon::launch(&store, &format!("edge-{n}")));
-        let daemons: Vec<_> = (0..settings.daemons).map(launch).collect();
+        let mut daemons = Vec::new();
+        let mut links = Vec::new();
+        for number in 0..settings.daemons {
+            let host = format!("edge-{number}");
+            if !settings.has_links() {
+                daemons.push(Mutex::new(Daemon::launch(&store, &host)));
+                continue;
+            }
+            let first = (engines.len() + 2 * number) as u64;
+            let settings = [first, first + 1].map(|n| relay_settings(settings.seed, n));
+            let to_store = Relay::start(store.addr, settings[0]);
+            let mut reached = store.clone();
+            reached.addr = to_store.addr;
+            let daemon = Daemon::launch(&reached, &host);
+            links.push(DaemonLinks {
+                callers: Relay::start(daemon.callers, settings[1]),
+                store: to_store,
+            });
+            daemons.push(Mutex::new(daemon));
+        }
         for daemon in &daemons {
             wait("a ready daemon", || {
                 daemon.lock().unwrap().get("/readyz").status == 200
@@ -145,9 +168,29 @@
             store,
             engines,
             daemons,
+            links,
             recorder,
         }
     }
+
+    /// Returns the relay of a link, if links are disturbed.
+    pub fn relay(&self, link: Link) -> Option<&Relay> {
+        match link {
+            Link::Callers(daemon) => self.links.get(daemon).map(|l| &l.callers),
+            Link::Store(daemon) => self.links.get(daemon).map(|l| &l.store),
+            Link::Engine(engine) => self.engines[engine].relay(),
+        }
+    }
+
+    /// Returns the addresses at which callers reach the daemons.
+    pub fn caller_addrs(&self) -> Vec<SocketAddr> {
+        let mut addrs = Vec::new();
+        for (number, daemon) in self.daemons.iter().enumerate() {
+            let relay = self.relay(Link::Callers(number));
+            addrs.push(relay.map_or(daemon.lock().unwrap().callers, |r| r.addr));
+        }
+        addrs
+    }
 }
 
 /// Leaves a daemon without a retry budget.
