--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use strum::IntoEnumIterator;
 use test_case::test_case;
 use tokio::runtime::Builder;
 
@@ -106,6 +107,28 @@
     assert_eq!(run(&settings), 0, "violations; see the lines above");
 }
 
+/// Guards against REFUSED and TWICE where links are slow, silent, cut, half-open or reset: what a
+/// link does says nothing about what the process behind it has done.
+#[test_case(4602; "one engine of each service")]
+#[test_case(4601; "two of them, and restarts")]
+fn links_prove_nothing(seed: u64) {
+    let engines = 1 + (seed % 2) as usize;
+    let mut disturbances: Vec<_> = Disturbance::iter().filter(|d| d.is_of_link()).collect();
+    if engines == 2 {
+        disturbances.extend([Disturbance::Kill, Disturbance::Shutdown]);
+    }
+    let settings = SoakSettings {
+        seed,
+        length: Duration::from_secs(6),
+        callers: 24,
+        engines,
+        pause: Duration::from_millis(600),
+        disturbances,
+        ..SoakSettings::default()
+    };
+    assert_eq!(run(&settings), 0, "violations; see the lines above");
+}
+
 /// Runs callers against engines with one fault and daemons without any.
 fn run_with(fault: EngineFault) {
     let settings = SoakSettings {
