Soak: reset connections directly after a message too

A reset in the middle of a request leaves a request that cannot run. The case in which a daemon could wrongly take a request as not sent is the other one: the whole request arrives, and the connection is reset before any byte of the response. Faults of kind link_reset now do either.

--- a/tests/soak/disturbances.rs
+++ b/tests/soak/disturbances.rs
@@ -112,7 +112,7 @@
     LinkCut,
     /// One side of all connections of links is lost, and the other is told in the end.
     LinkHalfOpen,
-    /// Links reset connections in the middle of a request or of a response.
+    /// Links reset connections in the middle of a request or of a response, or after it.
     LinkReset,
 }
 
--- a/tests/soak/links.rs
+++ b/tests/soak/links.rs
@@ -104,7 +104,10 @@
             },
             Disturbance::LinkCut => LinkFault::Cut { refuses: either },
             Disturbance::LinkHalfOpen => LinkFault::HalfOpen(direction),
-            Disturbance::LinkReset => LinkFault::Reset(direction),
+            Disturbance::LinkReset => LinkFault::Reset {
+                direction,
+                whole: either,
+            },
             _ => return None,
         };
         Some(LinkDisturbance { link, fault })
--- a/tests/soak/relay.rs
+++ b/tests/soak/relay.rs
@@ -27,7 +27,7 @@
 const FIRST_HOST: u16 = 0x8000;
 /// Period in which a squeezed link delivers a piece.
 const SQUEEZE_PERIOD: Duration = Duration::from_millis(20);
-/// Time from the first half of a piece to the reset.
+/// Time from the last byte that is delivered to the reset.
 const RESET_DELAY: Duration = Duration::from_millis(5);
 
 /// Settings of a relay.
@@ -75,8 +75,8 @@
     Cut { refuses: bool },
     /// The receiving side of a direction has lost all connections; the other side is told in the end.
     HalfOpen(Direction),
-    /// Connections are reset in the middle of what is sent in a direction.
-    Reset(Direction),
+    /// Connections are reset in the middle of what is sent in a direction, or directly after it.
+    Reset { direction: Direction, whole: bool },
 }
 
 /// The faults of a link, and how often its connections were broken.
@@ -93,6 +93,8 @@
     half: Option<Direction>,
     halves: u64,
     resets: Option<Direction>,
+    /// Whether resets come directly after a piece, not in the middle of it.
+    whole: bool,
 }
 
 type StateReceiver = watch::Receiver<LinkState>;
@@ -150,7 +152,10 @@
                 s.halves += 1;
                 s.half = Some(direction);
             }
-            LinkFault::Reset(direction) => s.resets = Some(direction),
+            LinkFault::Reset { direction, whole } => {
+                s.resets = Some(direction);
+                s.whole = whole;
+            }
         });
     }
 
@@ -162,7 +167,7 @@
             LinkFault::Silence { .. } => s.silent = None,
             LinkFault::Cut { .. } => (s.refuses, s.closes) = (false, false),
             LinkFault::HalfOpen(_) => s.half = None,
-            LinkFault::Reset(_) => s.resets = None,
+            LinkFault::Reset { .. } => s.resets = None,
         });
     }
 }
@@ -333,15 +338,15 @@
     let delay = link.state.borrow().delay;
     sleep_until(read_at + delay).await;
     hold(direction, link).await?;
-    let resets = link.state.borrow().resets == Some(direction);
-    if resets
-        && link
-            .rng
-            .lock()
-            .unwrap()
-            .random_bool(link.settings.reset_rate)
-    {
-        to.write_all(&bytes[..bytes.len() / 2]).await?;
+    let state = *link.state.borrow();
+    let rate = link.settings.reset_rate;
+    if state.resets == Some(direction) && link.rng.lock().unwrap().random_bool(rate) {
+        let count = if state.whole {
+            bytes.len()
+        } else {
+            bytes.len() / 2
+        };
+        to.write_all(&bytes[..count]).await?;
         sleep(RESET_DELAY).await;
         return Err(io::ErrorKind::ConnectionReset.into());
     }
--- a/tests/soak/relay_checkers.rs
+++ b/tests/soak/relay_checkers.rs
@@ -145,16 +145,21 @@
     });
 }
 
-/// Guards against resets between messages only.
-#[test_case(Direction::ToServer; "in a request")]
-#[test_case(Direction::ToClient; "in a response")]
-fn a_reset_comes_in_the_middle_of_a_message(direction: Direction) {
+/// Guards against resets between messages only, and resets that take the message with them.
+#[test_case(Direction::ToServer, false; "in a request")]
+#[test_case(Direction::ToServer, true; "after a request")]
+#[test_case(Direction::ToClient, false; "in a response")]
+#[test_case(Direction::ToClient, true; "after a response")]
+fn a_reset_comes_in_the_middle_of_a_message_or_after_it(direction: Direction, whole: bool) {
     on_runtime(async move {
         let mut pair = connect().await;
-        pair.relay.disturb(LinkFault::Reset(direction));
+        pair.relay.disturb(LinkFault::Reset { direction, whole });
         let (from, to) = pair.ends(direction);
         from.write_all(b"halfhalf").await.unwrap();
-        assert_eq!(receive(to, 4).await, b"half");
+        match whole {
+            true => assert_eq!(receive(to, 8).await, b"halfhalf"),
+            false => assert_eq!(receive(to, 4).await, b"half"),
+        }
         assert!(is_reset(to).await && is_reset(from).await);
     });
 }
