--- a/tests/soak/engine.rs
+++ b/tests/soak/engine.rs
@@ -20,10 +20,12 @@
 use crate::exchange::{Exchange, Extra, answer_head, closed, extra_answer, rejection, reset};
 use crate::fakes::store::Store;
 use crate::fakes::{ReceivedRequest, read_body, read_head, runtime, write_response};
+use crate::links::relay_settings;
 use crate::parts::crashing_part;
 use crate::record::{
-    RateSpan, ReceivedOrder, Recorder, Step, answer_body, event_count, event_text, request_body,
+    RateSpan, ReceivedOrder, Recorder, Step, answer_body, event_count, event_text,
 };
+use crate::relay::Relay;
 use crate::settings::SoakSettings;
 
 /// Versions of the engines' software; all start at the first.
@@ -78,6 +80,8 @@
 struct Inner {
     setup: EngineSetup,
     addr: SocketAddr,
+    /// Relay whose address its entry names.
+    relay: Option<Relay>,
     store: Store,
     recorder: Arc<Recorder>,
     fault_rate: f64,
@@ -147,8 +151,11 @@
             fence: 0,
             models: setup.models.clone(),
         };
+        let addr = listener.local_addr().unwrap();
+        let relay = || Relay::start(addr, relay_settings(settings.seed, number));
         let engine = SoakEngine(Arc::new(Inner {
-            addr: listener.local_addr().unwrap(),
+            addr,
+            relay: settings.has_links().then(relay),
             setup,
             store: store.clone(),
             recorder: recorder.clone(),
@@ -275,6 +282,11 @@
         }
     }
 
+    /// Returns the relay through which daemons reach it, if any.
+    pub fn relay(&self) -> Option<&Relay> {
+        self.0.relay.as_ref()
+    }
+
     /// Returns whether no request is in progress.
     pub fn is_idle(&self) -> bool {
         self.0.busy.load(Ordering::SeqCst) == 0
@@ -298,7 +310,8 @@
         let mut state = self.0.state.lock().unwrap();
         state.sequence += 1;
         let models: Vec<Value> = state.models.iter().map(model_json).collect();
-        let entry = json!({"service": self.0.setup.service, "addr": self.0.addr.to_string(),
+        let addr = self.relay().map_or(self.0.addr, |relay| relay.addr);
+        let entry = json!({"service": self.0.setup.service, "addr": addr.to_string(),
             "zone": "north", "version": state.software, "slots": SLOTS, "state": phase, "coldLeftMs": 0,
             "stage": "both", "models": models, "seq": state.sequence, "born": state.born});
         self.0.store.put("servers", &state.id, &entry);
@@ -347,13 +360,19 @@
                 return Ok(());
             };
             let id = request.header("x-mastichinge-request-id").to_owned();
+            let name = match request.header("attempt") {
+                "" => id.clone(),
+                name => name.to_owned(),
+            };
             if closes {
-                self.0.recorder.add_step(&id, &self.0.setup.name, Step::Cut);
+                self.0
+                    .recorder
+                    .add_step(&name, &self.0.setup.name, Step::Cut);
                 return Ok(());
             }
             if let Some(extra) = extra.take() {
                 let step = Step::Extra(extra.fault);
-                self.0.recorder.add_step(&id, &self.0.setup.name, step);
+                self.0.recorder.add_step(&name, &self.0.setup.name, step);
                 stream.write_all(&extra.bytes).await?;
             }
             if id.is_empty() {
@@ -361,7 +380,7 @@
                 self.call(stream, &request).await?;
                 continue;
             }
-            current.clone_from(&id);
+            current.clone_from(&name);
             let _busy = BusyGuard::new(&self.0.busy);
             let (fault, random, engine, lifetime) = {
                 let mut state = self.0.state.lock().unwrap();
@@ -372,10 +391,11 @@
                 (fault, random, state.id.clone(), state.lifetime())
             };
             let step = Step::Arrived(fault);
-            self.0.recorder.add_step(&id, &lifetime, step);
+            self.0.recorder.add_step(&name, &lifetime, step);
             let mut exchange = Exchange {
                 stream,
                 id,
+                name,
                 engine,
                 lifetime,
                 fault,
@@ -481,7 +501,7 @@
             false => self.0.slots.acquire().await,
         };
         let slot = slot.unwrap();
-        let intact = request.body == request_body(&exchange.id);
+        let intact = self.0.recorder.is_body_of(&exchange.name, &request.body);
         self.record(exchange, Step::Began(intact));
         if request.path().contains("stream") && exchange.runs_whole() {
             let after = request.header("last-event-id").parse().unwrap_or(0);
@@ -497,7 +517,7 @@
     fn record(&self, exchange: &Exchange<'_>, step: Step) {
         self.0
             .recorder
-            .add_step(&exchange.id, &exchange.lifetime, step);
+            .add_step(&exchange.name, &exchange.lifetime, step);
     }
 
     /// Returns the header lines of what the engine says of itself in a response.
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -6,17 +6,20 @@
 use std::thread;
 use std::time::Duration;
 
+use strum::IntoEnumIterator;
 use test_case::test_case;
 use tokio::runtime::Builder;
 
+use crate::bookings;
 use crate::callers::{Caller, CallerSetup};
 use crate::checks::{Violation, calm_closes, violations};
 use crate::disturbances::{self, Disturbance};
 use crate::engine::SoakEngine;
 use crate::engine_faults::EngineFault;
 use crate::fakes::daemon::wait;
+use crate::links;
 use crate::parts;
-use crate::record::{History, Outcome};
+use crate::record::{History, Outcome, sent_id};
 use crate::settings::SoakSettings;
 use crate::site::Site;
 use crate::versions;
@@ -49,7 +52,8 @@
         Disturbance::Release,
         Disturbance::KillAll,
     ];
-    settings.disturbances.retain(|d| !later.contains(d));
+    let is_later = |d: &Disturbance| later.contains(d) || d.is_of_link();
+    settings.disturbances.retain(|d| !is_later(d));
     assert_eq!(run(&settings), 0, "violations; see the lines above");
 }
 
@@ -103,6 +107,28 @@
     assert_eq!(run(&settings), 0, "violations; see the lines above");
 }
 
+/// Guards against REFUSED and TWICE where links are slow, silent, cut, half-open or reset: what a
+/// link does says nothing about what the process behind it has done.
+#[test_case(4602; "one engine of each service")]
+#[test_case(4601; "two of them, and restarts")]
+fn links_prove_nothing(seed: u64) {
+    let engines = 1 + (seed % 2) as usize;
+    let mut disturbances: Vec<_> = Disturbance::iter().filter(|d| d.is_of_link()).collect();
+    if engines == 2 {
+        disturbances.extend([Disturbance::Kill, Disturbance::Shutdown]);
+    }
+    let settings = SoakSettings {
+        seed,
+        length: Duration::from_secs(6),
+        callers: 24,
+        engines,
+        pause: Duration::from_millis(600),
+        disturbances,
+        ..SoakSettings::default()
+    };
+    assert_eq!(run(&settings), 0, "violations; see the lines above");
+}
+
 /// Runs callers against engines with one fault and daemons without any.
 fn run_with(fault: EngineFault) {
     let settings = SoakSettings {
@@ -170,13 +196,13 @@
         settings.pause
     );
     let site = Site::start(settings);
-    let addrs = site.daemons.iter().map(|d| d.lock().unwrap().callers);
     let setup = Arc::new(CallerSetup {
         seed: settings.seed,
-        addrs: addrs.collect(),
+        addrs: site.caller_addrs(),
         recorder: site.recorder.clone(),
         probes_routes: settings.probes_routes,
         takes_up: settings.takes_up,
+        keeps_id: settings.keeps_id,
         crashing_from: settings.crashing_parts.then_some(settings.length / 5),
         stop: AtomicBool::new(false),
     });
@@ -201,6 +227,8 @@
     println!("seed {}: {}", settings.seed, summary(&history));
     println!("seed {}: {}", settings.seed, parts::summary(&history));
     println!("seed {}: {}", settings.seed, versions::summary(&history));
+    println!("seed {}: {}", settings.seed, links::summary(&history));
+    println!("seed {}: {}", settings.seed, bookings::summary(&history));
     for violation in &found {
         let Violation { rule, id, text } = violation;
         println!("{rule:?} {id}: {text}\n{}", describe(&site, &history, id));
@@ -252,18 +280,24 @@
     )
 }
 
-/// Returns what callers, engines and daemons recorded of a request.
+/// Returns what callers, engines and daemons recorded of all tries of a request.
 fn describe(site: &Site, history: &History, id: &str) -> String {
+    let tries = history.tries_of(id);
+    let texts = tries.iter().map(|name| describe_try(site, history, name));
+    texts.collect()
+}
+
+fn describe_try(site: &Site, history: &History, name: &str) -> String {
     let mut out = String::new();
-    let Some(attempt) = history.attempts.get(id) else {
+    let Some(attempt) = history.attempts.get(name) else {
         return out;
     };
     let mut shown = attempt.clone();
     if let Outcome::Answered(answer) = &mut shown.outcome {
         answer.body.truncate(60);
     }
-    writeln!(out, "  caller: {shown:?}").unwrap();
-    for step in history.steps(id) {
+    writeln!(out, "  caller, {name}: {shown:?}").unwrap();
+    for step in history.steps(name) {
         writeln!(
             out,
             "  engine {} {:?}: {:?}",
@@ -273,7 +307,7 @@
     }
     for (number, daemon) in site.daemons.iter().enumerate() {
         for line in daemon.lock().unwrap().lines() {
-            if line["request"] == id {
+            if line["request"] == sent_id(name) {
                 writeln!(out, "  edge-{number}: {line}").unwrap();
             }
         }
@@ -283,6 +317,11 @@
             writeln!(out, "  {span:?}").unwrap();
         }
     }
+    for span in &history.links {
+        if span.start <= attempt.ended_at && span.end + SPAN_MARGIN >= attempt.started_at {
+            writeln!(out, "  {span:?}").unwrap();
+        }
+    }
     out
 }
 
