Start no call after its retention time

What callers saw: with an X-Deadline-Ms beyond keep_s, a call that had waited for the table ran although another host had run the same key meanwhile.

Cause: the caller's deadline was not bounded by the retention time, and the record of the other run may be removed after that. The start that waited then found no record and took effect.

Evidence: the new test fails before the change: the second host's call returns "run 2".

Why it works: a call reads its record no earlier than it arrives, and a record that it did not see is kept for the retention time after that.

--- a/src/calls/runner.rs
+++ b/src/calls/runner.rs
@@ -90,7 +90,8 @@
     /// Runs the call unless an attempt has or may have run it; returns by
     /// `deadline` plus the time that `send` takes.
     ///
-    /// `send` is called at most once, after the start is committed. Errors:
+    /// `send` is called at most once, after the start is committed, and not after the
+    /// retention time: the record of another run may have been removed by then. Errors:
     /// `NotRun` if no attempt has run the call, `OutcomeUnknown` if one may have,
     /// `KeyReused` and `BadRequest` for the key.
     pub fn run(
@@ -101,6 +102,8 @@
     ) -> Result<Reply, Refusal> {
         let record_key =
             record_key(&request.key).map_err(|e| Refusal::new(Kind::BadRequest, e.to_string()))?;
+        let retention = Duration::from_secs(request.retention_s);
+        let deadline = deadline.min(self.settings.clock.now().saturating_add(retention));
         let mut call = ActiveCall {
             new_record: self.new_record(request),
             request,
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering::SeqCst;
 use std::thread;
+use std::time::Duration;
 
 use fakes::{Fault, World, reply, request, wait_until};
 use mastichinge::calls::{CallRequest, CallSettings, SHARD_COUNT, SendOutcome, record_key};
@@ -383,14 +384,51 @@
     assert_eq!(sweeper.sweep_shard(shard, old), Ok(1));
 }
 
+/// Guards against TWICE: a call whose deadline lay beyond the retention time started again after
+/// another host had run it and its record had been removed.
+#[test]
+fn call_does_not_start_after_records_of_its_time_may_have_been_removed() {
+    let world = World::default();
+    let (a, b) = (world.host("a"), world.host("b"));
+    let request = CallRequest {
+        retention_s: 1,
+        ..request("k")
+    };
+    a.link.set_blocked(true);
+    thread::scope(|scope| {
+        let late = scope.spawn(|| world.run(&a, &request));
+        wait_until("a commit is blocked", || {
+            a.link.blocked_commits.load(SeqCst) == 1
+        });
+        assert_eq!(world.run(&b, &request), Ok(reply(1)));
+        wait_until_settled(&b);
+        thread::sleep(Duration::from_secs(request.retention_s));
+        assert_eq!(remove_records(&b, "k", Clock::unix_seconds() + 4_000), 1);
+        a.link.set_blocked(false);
+        assert_eq!(late.join().unwrap().unwrap_err().kind, Kind::NotRun);
+    });
+    assert_eq!(world.run_count(), 1);
+}
+
+/// Removes the records of the shard of `key` that are older than `unix_time` at `host`; returns
+/// their number.
+fn remove_records(host: &fakes::Host, key: &str, unix_time: u64) -> usize {
+    let sweeper = host.runner.sweeper();
+    sweeper.sweep_shard(shard_of(key), unix_time).unwrap()
+}
+
+fn shard_of(key: &str) -> u32 {
+    let record_key = record_key(key).unwrap();
+    let shard = record_key.split('/').nth(1).unwrap();
+    u32::from_str_radix(shard, 16).unwrap()
+}
+
 /// Returns two keys whose records are in the same shard.
 fn keys_of_one_shard() -> (u32, [String; 2]) {
     let mut seen = BTreeMap::new();
     for n in 0_u32.. {
         let key = format!("k{n}");
-        let record_key = record_key(&key).unwrap();
-        let shard = record_key.split('/').nth(1).unwrap();
-        let shard = u32::from_str_radix(shard, 16).unwrap();
+        let shard = shard_of(&key);
         if let Some(other) = seen.insert(shard, key.clone()) {
             return (shard, [other, key]);
         }
