Test that a start over a removed record does not replace a later run

What callers would see: one key runs twice within one retention time.

Cause: versions of an item start at 1 again after its removal. A host reads the record of an attempt that did not run, at version 2, and is paused before it writes its start. A sweeper removes the old record, and another host runs the call, which leaves a record at version 2. The start of the first host then replaces it, and the call runs again. A sweeper that is paused between its scan and its removal can remove the record of such a run in the same way.

The store of the platform counts versions over all transactions, so that none comes again; the table of the product's own interface is documented to start at 1.

--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -410,6 +410,32 @@
     assert_eq!(world.run_count(), 1);
 }
 
+/// Guards against TWICE: a removed record and the one that another host wrote after it had the
+/// same version, so that a start over the removed one replaced the record of a run.
+#[test]
+fn start_over_a_removed_record_does_not_replace_a_later_run() {
+    let world = World::default();
+    let (a, b) = (world.host("a"), world.host("b"));
+    let refused = a
+        .runner
+        .run(&request("k"), world.far_deadline(), || SendOutcome::NotSent);
+    assert_eq!(refused.unwrap_err().kind, Kind::NotRun);
+    wait_until_settled(&a);
+    a.link.set_blocked(true);
+    thread::scope(|scope| {
+        let late = scope.spawn(|| world.run(&a, &request("k")));
+        wait_until("a commit is blocked", || {
+            a.link.blocked_commits.load(SeqCst) == 1
+        });
+        assert_eq!(remove_records(&b, "k", Clock::unix_seconds() + 4_000), 1);
+        assert_eq!(world.run(&b, &request("k")), Ok(reply(1)));
+        wait_until_settled(&b);
+        a.link.set_blocked(false);
+        assert_eq!(late.join().unwrap(), Ok(reply(1)));
+    });
+    assert_eq!(world.run_count(), 1);
+}
+
 /// Removes the records of the shard of `key` that are older than `unix_time` at `host`; returns
 /// their number.
 fn remove_records(host: &fakes::Host, key: &str, unix_time: u64) -> usize {
