Test that an engine that answers during a suspension is not silent

Fails for a lookup, for a stream before its response and for one between events; a booking and a stream that may not be resumed are never left for a silence.

What callers saw: after a suspension of the daemon (SIGSTOP and SIGCONT) a lookup ran at a second engine although the first had answered long before, and a stream was answered 504 with most of its time left, as no engine could start it in time any more.

Cause: SIGSTOP and SIGCONT interrupt the wait for events, and the event loop then handles the timers that have ended before it looks for what has arrived. Each time limit ends first, whatever lies in the sockets.

--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -42,5 +42,6 @@
 mod store_eras;
 mod stream_ends;
 mod suspects;
+mod suspension;
 mod translation;
 mod version_fleet;
