Look for what has arrived before a silence of an engine is concluded

What callers saw: see the test before, which failed for a lookup (two arrivals), a stream before its response (504 outcome_unknown) and a stream between events (two arrivals).

Cause: after SIGSTOP and SIGCONT the wait for events ends interrupted, without events. The event loop then handles the timers that have ended, so that the time limit of a silence fires while the engine's answer lies unread in the socket. The run was left and its connection closed, and the request ran once more at another engine.

Why it works: when the limit has ended, the event loop turns a few times before that is taken as a silence. It reads what has arrived, and the response that has arrived wins. Nothing is waited for, so the limit itself stays as it was.

Only repeatable requests are left for a silence: this is not how a booking runs twice or is refused. It can break TWICE for model engines, where a request must not go on elsewhere while the engine before still works on it.

--- a/src/edge/forward/silence.rs
+++ b/src/edge/forward/silence.rs
@@ -7,13 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::timeout;
-
 use super::RoutedRequest;
 use super::retry::{self, Attempts};
 use super::selection::{Constraints, with_routing};
 use crate::edge::clock;
 use crate::edge::routing::{self, Selection};
+use crate::edge::time_limit::timeout;
 
 /// Cause of a retry after an engine fell silent; it may still run the request.
 const SILENCE: &str = "silence";
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -46,6 +46,7 @@
 pub mod store;
 pub mod store_watch;
 pub mod suspects;
+pub mod time_limit;
 pub mod unreachable;
 pub mod unread_connection;
 pub mod upstream;
