Test that an answer that arrives in a suspension is passed on at the exit

The stop bounds the wait for its listeners with time limits that end in a suspension, so an answer in a socket could have been lost at the exit. It is not: the test passes on the present code.

--- a/tests/edge/planned_stop.rs
+++ b/tests/edge/planned_stop.rs
@@ -185,6 +185,25 @@
     assert!(site.daemon.wait_for_exit().success());
 }
 
+/// Guards against LOST: an answer that its engine had given while the process was suspended was
+/// not passed on, because the time of the exit had come meanwhile.
+#[test]
+fn an_answer_that_arrives_in_a_suspension_is_passed_on_at_the_exit() {
+    let mut site = start();
+    site.set(Behavior::StallAtRequest);
+    let mut stream = site.connect();
+    let request = Request::new("/book/", "b1");
+    stream.write_all(&request.bytes(false)).unwrap();
+    wait("the request at an engine", || site.arrivals("b1") == 1);
+    let started = stop(&site);
+    site.daemon.signal(libc::SIGSTOP);
+    sleep((started + Duration::from_secs_f64(GRACE_S)).saturating_duration_since(Instant::now()));
+    site.daemon.signal(libc::SIGCONT);
+    let answer = read_response(&mut stream);
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert!(site.daemon.wait_for_exit().success());
+}
+
 /// A store that did not answer delayed the close of the listeners, so that the process
 /// was killed after the grace period, with requests in progress.
 #[test]
