Keep a second copy of a model at each version that has streams

Cause: the planning of loads counted the engines of all versions together as copies of a model. A stream may go on at its own version only, so a version could have one copy, and copies at other versions made that one cheap to evict.

Change: while several versions serve a service whose streams may be resumed, a model that one engine of a version alone holds gets a second copy there: in free memory, or, where its requests leave no time for a load, at the eviction cost of a load ahead. Evicting a second copy costs as much as its load may, so that the two do not alternate, and evicting the only copy of a version costs as much as an absence.

--- a/src/edge/placement/engine_view.rs
+++ b/src/edge/placement/engine_view.rs
@@ -320,6 +320,14 @@
         planned || self.serves(model)
     }
 
+    /// Returns the models that can serve requests, or will after the current task.
+    pub fn servable(&self) -> impl Iterator<Item = &Arc<str>> {
+        let planned = self.task.iter().map(|t| &t.model);
+        let new = planned.filter(|m| !self.replicas.contains_key(*m));
+        let held = self.replicas.keys().filter(|m| self.will_serve(m));
+        held.chain(new)
+    }
+
     /// Returns the memory in use, MB.
     pub fn used_mb(&self, hosting: &Hosting) -> f64 {
         let mut used = 0.0;
--- a/src/edge/placement/index.rs
+++ b/src/edge/placement/index.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::engine_view::EngineView;
+use super::spares::VersionIndex;
 use super::{PlacementInput, Placer};
 use crate::edge::demand::ModelKey;
 use crate::edge::request_headers::split_target;
@@ -26,6 +27,8 @@
     pub(super) utilization: HashMap<Arc<str>, f64>,
     /// Requests in progress at each engine, by model.
     pub(super) requests: HashMap<Arc<str>, HashMap<Arc<str>, u32>>,
+    /// Engines and replicas at each version of the software.
+    pub(super) versions: VersionIndex,
     /// Models that requests wait for.
     pub(super) waited: HashSet<ModelKey>,
 }
@@ -58,13 +61,8 @@
         let mut replicas: HashMap<ModelKey, usize> = HashMap::new();
         let mut unlimited: HashMap<ModelKey, usize> = HashMap::new();
         for (engine, view) in self.known_engines(input) {
-            let planned = view.task.iter().map(|t| &t.model);
-            let new = planned.filter(|m| !view.replicas.contains_key(*m));
             let is_limited = input.fleet.rates().rate(&engine.entry.id).is_some();
-            for model in view.replicas.keys().chain(new) {
-                if !view.will_serve(model) {
-                    continue;
-                }
+            for model in view.servable() {
                 let key = ModelKey::new(&engine.entry.service, model);
                 if !is_limited {
                     *unlimited.entry(key.clone()).or_default() += 1;
@@ -80,6 +78,7 @@
             utilization.insert(id, self.utilization(input, engine, view));
         }
         self.index.utilization = utilization;
+        self.index_versions(input);
     }
 
     /// Returns the models that only engines with a rate serve.
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -12,6 +12,7 @@
 mod forecast;
 mod index;
 mod plan;
+mod spares;
 mod target;
 
 use std::collections::{BTreeMap, HashMap};
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -89,6 +89,7 @@
             let with_copies = self.models_with_copies(input);
             self.plan_prefetches(input, &with_copies);
             self.plan_unserved(input, &with_copies);
+            self.plan_spares(input);
         }
     }
 
@@ -237,7 +238,12 @@
     }
 
     /// Plans a load of a model on the engine where it costs least.
-    fn plan_load(&mut self, input: &PlacementInput<'_>, target: &ModelTarget, reason: LoadReason) {
+    pub(super) fn plan_load(
+        &mut self,
+        input: &PlacementInput<'_>,
+        target: &ModelTarget,
+        reason: LoadReason,
+    ) {
         let ModelTarget { service, model, .. } = target;
         let Some(hosting) = input.desired.hosting(service) else {
             return;
@@ -246,7 +252,9 @@
             return;
         };
         let parallel = match reason {
-            LoadReason::Prefetch => self.engines.store_parallel.saturating_sub(RESERVED_LOADS),
+            LoadReason::Prefetch | LoadReason::Spare => {
+                self.engines.store_parallel.saturating_sub(RESERVED_LOADS)
+            }
             LoadReason::Waiting | LoadReason::Hot | LoadReason::Unserved => {
                 self.engines.store_parallel
             }
@@ -362,7 +370,8 @@
                 true => self.unlimited_count(&key),
                 false => self.unlimited_count(&key).saturating_sub(1),
             };
-            let cost = self.unload_cost(input, &key, others, running);
+            let cost = self.unload_cost(input, &key, others, running)
+                + self.spare_cost(input, &key, engine);
             options.push((
                 cost,
                 model_size_mb(hosting, name, replica.adapters.len()),
@@ -399,12 +408,13 @@
             }
             LoadReason::Hot => self.settings.hot_loss,
             LoadReason::Prefetch => self.settings.ahead_loss,
+            LoadReason::Spare => self.max_spare_cost(input, key),
         }
     }
 
     /// Returns the cost of having no replica of a model, in seconds of waiting:
     /// each new request waits for a load, and so do those of the evicted model.
-    fn absence_cost(&self, input: &PlacementInput<'_>, key: &ModelKey) -> f64 {
+    pub(super) fn absence_cost(&self, input: &PlacementInput<'_>, key: &ModelKey) -> f64 {
         let demand = input.demand.get(key).copied().unwrap_or_default();
         let hosting = input.desired.hosting(&key.service);
         let Some(spec) = hosting.and_then(|h| h.models.get(&key.model)) else {
@@ -456,7 +466,7 @@
 /// Why a load is planned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
-enum LoadReason {
+pub(super) enum LoadReason {
     /// Requests wait for the model.
     Waiting,
     /// Its replicas are under heavy load.
@@ -467,4 +477,6 @@
     /// No engine serves it, and no request waits for it yet.
     #[strum(serialize = "cover")]
     Unserved,
+    /// One engine of a version alone holds it.
+    Spare,
 }
--- a/tests/edge/fixtures.rs
+++ b/tests/edge/fixtures.rs
@@ -6,7 +6,9 @@
 
 use mastichinge::clock::Moment;
 use mastichinge::edge::demand::{Demand, ModelKey};
-use mastichinge::edge::desired::{DesiredState, Hosting, Model, Service};
+use mastichinge::edge::desired::{
+    DesiredState, Hosting, Model, Route, RouteKind, Service, WeightedService,
+};
 use mastichinge::edge::fleet::Fleet;
 use mastichinge::edge::orders::{EngineReport, Order, OrderOutcome, Verb};
 use mastichinge::edge::placement::{
@@ -124,6 +126,26 @@
         self.waiting.insert(target, requests);
     }
 
+    /// Adds a route to the service whose streams may be resumed.
+    pub fn add_stream_route(&mut self) {
+        self.desired.add_route(Route {
+            name: "stream".into(),
+            host: "firm.example".into(),
+            prefix: "/stream/".into(),
+            kind: RouteKind::Stream,
+            timeout: Duration::from_secs(6),
+            objective: Duration::from_millis(800),
+            priority: 1,
+            targets: vec![WeightedService {
+                service: SERVICE.into(),
+                weight: 1.0,
+            }],
+            attempts: 2,
+            resumable: true,
+            gap: Duration::from_millis(400),
+        });
+    }
+
     pub fn set_demand(&mut self, model: &str, rate: f64, work: f64) {
         let key = ModelKey {
             service: SERVICE.into(),
--- a/tests/edge/placement.rs
+++ b/tests/edge/placement.rs
@@ -5,6 +5,8 @@
 use mastichinge::edge::orders::{EngineReport, OrderOutcome, Verb};
 use mastichinge::edge::placement::{EngineCall, LoadHistory};
 use mastichinge::edge::statements::RateStatement;
+use mastichinge::edge::upstream::EngineEntry;
+use test_case::test_case;
 
 use crate::fixtures::{PlacerFixture, SERVICE, desired, entry, loads, report};
 
@@ -432,3 +434,79 @@
     assert!(!unloads.contains(&("e2", "a")), "{unloads:?}");
     assert!(!unloads.is_empty());
 }
+
+/// Returns engines of two versions: so many of the first and one of the second hold `a`, and
+/// `free` of the second hold other models and have room.
+fn two_versions(free: usize) -> Vec<EngineEntry> {
+    let second = |id: &str, port, models: &[&str]| EngineEntry {
+        software: "v2".into(),
+        ..entry(id, port, models)
+    };
+    let mut entries = vec![
+        entry("e1", 1, &["a", "c"]),
+        entry("e2", 2, &["a", "c"]),
+        second("e3", 3, &["a", "b"]),
+    ];
+    for number in 0..free {
+        let port = 4 + number as u16;
+        entries.push(second(&format!("e{port}"), port, &["b"]));
+    }
+    entries
+}
+
+/// Returns what the engines of [`two_versions`] hold.
+fn held(engine: &str) -> EngineReport {
+    match engine {
+        "e1" | "e2" => report(&["a", "c"], 0),
+        "e3" => report(&["a", "b"], 0),
+        _ => report(&["b"], 0),
+    }
+}
+
+/// Guards against LOST: a version had one copy of a model, and its streams were refused after the
+/// crash of that engine, as a load takes longer than their callers wait.
+#[test_case(0.0; "before the first request")]
+#[test_case(1.0; "with requests")]
+fn a_version_keeps_a_second_copy_of_a_model_with_resumable_streams(rate: f64) {
+    let mut fixture = PlacerFixture::new(two_versions(1), desired(&["a", "b", "c"]));
+    fixture.add_stream_route();
+    fixture.set_demand("a", rate, 0.05 * rate);
+    let orders = fixture.run(2_000, held, OrderOutcome::Accepted);
+    assert_eq!(loads(&orders), [("e4", "a")]);
+}
+
+/// No second copy is kept where no stream may be resumed, or where no other engine of the version
+/// could hold it.
+#[test_case(1, false; "without streams that may be resumed")]
+#[test_case(0, true; "without another engine of the version")]
+fn no_second_copy_is_kept_without_need(free: usize, resumable: bool) {
+    let mut fixture = PlacerFixture::new(two_versions(free), desired(&["a", "b", "c"]));
+    if resumable {
+        fixture.add_stream_route();
+    }
+    fixture.set_demand("a", 1.0, 0.05);
+    let orders = fixture.run(2_000, held, OrderOutcome::Accepted);
+    assert_eq!(loads(&orders), []);
+}
+
+/// Guards against LOST: copies at other versions made the only copy of a version cheap to evict.
+#[test]
+fn the_only_copy_of_a_version_is_evicted_last() {
+    let mut entries = two_versions(1);
+    entries[2].models = entry("", 1, &["a", "c"]).models;
+    entries[2].copies.disk.insert("d".into());
+    entries[3].models = entry("", 1, &["a", "b"]).models;
+    let mut fixture = PlacerFixture::new(entries, desired(&["a", "b", "c", "d"]));
+    fixture.add_stream_route();
+    fixture.set_demand("a", 0.5, 0.1);
+    fixture.set_demand("c", 0.5, 0.02);
+    fixture.add_waiting("d", None);
+    let held = |engine: &str| match engine {
+        "e4" => report(&["a", "b"], 0),
+        _ => report(&["a", "c"], 0),
+    };
+    let orders = fixture.run(300, held, OrderOutcome::Accepted);
+    let unloads = orders.iter().filter(|o| o.verb == Verb::Unload);
+    let victims: Vec<_> = unloads.map(|o| (&*o.engine, &*o.model)).collect();
+    assert_eq!(victims, [("e3", "a")]);
+}
