Promise no "not run" for a completion that an engine may have run

What callers saw, on the product's own interface: a completion whose engine fell silent, failed or broke the connection was answered 503 `no_capacity` (or another 503 or 504 with `ran: no`) when its next attempt got no slot. `ran: no` promises that the request has not run.

Cause: the relay passed on the refusal of the last attempt, whatever had become of the attempts before. A request that timed out at an engine was told "the deadline passed in the queue".

Why it works: an attempt counts as not run only if nothing was sent, or the engine answered 404 or 429. After any other, a refusal that promises "not run" becomes `upstream_failed` (502, `ran: unknown`), which callers may repeat as before.

--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -9,7 +9,7 @@
 use crate::config::Name;
 use crate::control::{ControlHandle, SlotRequest};
 use crate::decide::retry::{RetryBudget, RetryConfig, backoff};
-use crate::error::{Kind, Refusal};
+use crate::error::{ExecutionState, Kind, Refusal};
 use crate::outside::{CallOptions, Chunk, ChunkStream, Engine, EngineError};
 use crate::peer::wire::weights_fingerprint;
 use crate::router::{RouteDecision, Router, RoutingRequest, Slot};
@@ -89,6 +89,8 @@
     is_trial: bool,
     attempts: u32,
     crashes: u32,
+    /// Whether an engine may have begun to work on it.
+    may_have_run: bool,
     /// Receives a value once no daemon runs the request any more.
     copies_ended: Option<Receiver<()>>,
 }
@@ -117,6 +119,7 @@
             is_trial: false,
             attempts: 0,
             crashes: 0,
+            may_have_run: false,
             copies_ended: None,
         };
         let end = self.run_attempts(completion, context, sink, &mut state);
@@ -427,6 +430,7 @@
     ) -> AttemptResult {
         log::info!(request = &*context.id; "attempt {} on engine {} failed: {error}", state.attempts, slot.engine);
         let detail = format!("engine {}: {error}", slot.engine);
+        state.may_have_run |= may_have_run(error);
         match error {
             EngineError::Status { status: 404, .. } => {
                 self.router.remove_replica(&slot.engine, &completion.model)
@@ -472,10 +476,31 @@
     Refusal::new(Kind::DeadlineExpired, detail).retry_after(RETRY_AFTER)
 }
 
+/// Returns whether an engine may have begun to work on a request that failed in this way.
+fn may_have_run(error: &EngineError) -> bool {
+    let not_run = matches!(
+        error,
+        EngineError::Unreachable(_)
+            | EngineError::Status {
+                status: 404 | 429,
+                ..
+            }
+    );
+    !not_run
+}
+
+/// Returns the end of a refused request. A refusal that tells the caller to send the request again,
+/// as it has not run, is replaced if it may have run.
 fn refused_end(refusal: Refusal, state: &RelayState) -> CompletionEnd {
-    if state.sent_tokens == 0 {
-        return CompletionEnd::Refused(refusal, 0);
+    if state.sent_tokens > 0 {
+        let broken = Refusal::new(Kind::StreamBroken, refusal.detail);
+        return CompletionEnd::Refused(broken, state.sent_tokens);
+    }
+    let response = refusal.kind.response();
+    let promises_not_run = response.retry && response.ran == ExecutionState::No;
+    if state.may_have_run && promises_not_run {
+        let kind = Kind::UpstreamFailed;
+        return CompletionEnd::Refused(Refusal { kind, ..refusal }, 0);
     }
-    let broken = Refusal::new(Kind::StreamBroken, refusal.detail);
-    CompletionEnd::Refused(broken, state.sent_tokens)
+    CompletionEnd::Refused(refusal, 0)
 }
