Soak: stops in series

New kinds of disturbance: SIGTERM and SIGKILL before the grace period ends; SIGTERM several times; SIGTERM to a stopped process that goes on later; another process of a host while the one before shuts down; engines that crash, leave and start again during a stop; SIGTERM to all hosts within a moment. A seeded run plays them alone, with three daemons. Seeded runs that have failed keep the kinds that they had.

A process that was waited for gets no further signals: its id may be another's.

--- a/tests/edge/fakes/daemon.rs
+++ b/tests/edge/fakes/daemon.rs
@@ -37,6 +37,10 @@
     pub callers: SocketAddr,
     pub entry: SocketAddr,
     child: Child,
+    /// Processes that were not waited for when another one was started.
+    former: Vec<Child>,
+    /// Whether the process was waited for, so that its id may name another process.
+    waited: bool,
     lines: Arc<Mutex<Vec<Value>>>,
     settings: PathBuf,
     /// Number of processes started so far.
@@ -74,6 +78,8 @@
             callers,
             entry,
             child: spawn(&path, &lines),
+            former: Vec::new(),
+            waited: false,
             lines,
             settings: path,
             lives: 1,
@@ -85,13 +91,34 @@
         // The process may have exited already.
         let _ = self.child.kill();
         self.child.wait().unwrap();
+        self.end_former();
         self.child = spawn(&self.settings, &self.lines);
+        self.waited = false;
         self.lives += 1;
     }
 
+    /// Starts another process on the same ports, whether or not the one before has exited.
+    pub fn start_another(&mut self) {
+        let another = spawn(&self.settings, &self.lines);
+        self.former
+            .push(std::mem::replace(&mut self.child, another));
+        self.waited = false;
+        self.lives += 1;
+    }
+
+    /// Kills the processes before the last one.
+    pub fn end_former(&mut self) {
+        for mut child in self.former.drain(..) {
+            // The process may have exited already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
     /// Returns whether the process has exited.
     pub fn has_exited(&mut self) -> bool {
-        self.child.try_wait().unwrap().is_some()
+        self.waited = self.child.try_wait().unwrap().is_some();
+        self.waited
     }
 
     /// Returns all log lines.
@@ -146,8 +173,11 @@
         std::fs::write(&self.settings, settings.to_string()).unwrap();
     }
 
-    /// Sends a signal.
+    /// Sends a signal to the process, unless it is known to have exited.
     pub fn signal(&self, signal: i32) {
+        if self.waited {
+            return;
+        }
         // SAFETY: the process is our child, and has not been waited for.
         let code = unsafe { libc::kill(self.child.id() as i32, signal) };
         assert_eq!(code, 0);
@@ -155,6 +185,7 @@
 
     /// Waits until the process exits and returns its status.
     pub fn wait_for_exit(&mut self) -> ExitStatus {
+        self.waited = true;
         self.child.wait().unwrap()
     }
 }
@@ -185,6 +216,7 @@
         // The process may have exited already.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        self.end_former();
         let _ = std::fs::remove_file(&self.settings);
     }
 }
--- a/tests/soak/disturbances.rs
+++ b/tests/soak/disturbances.rs
@@ -32,6 +32,11 @@
 /// Period of checking whether a process has exited.
 const EXIT_POLL_PERIOD: Duration = Duration::from_millis(20);
 
+/// Pause before a process that could not start is started once more.
+const START_PAUSE: Duration = Duration::from_millis(100);
+/// Maximum pause between disturbances of engines during a stop.
+const MAX_ENGINE_PAUSE: Duration = Duration::from_millis(800);
+
 /// Ways in which engines start again.
 const STARTS: [Start; 3] = [Start::OtherId, Start::SameId, Start::LateEntry];
 
@@ -98,6 +103,20 @@
     Release,
     /// Kills all daemons at once and starts them again.
     KillAll,
+    /// Shuts a daemon down with SIGTERM, kills it before the grace period ends, and starts it
+    /// again.
+    StopThenKill,
+    /// Sends SIGTERM to a daemon several times.
+    StopTwice,
+    /// Sends SIGTERM to a daemon that is stopped with SIGSTOP, and lets it go on later.
+    StopFrozen,
+    /// Starts another process of a daemon while the one before still shuts down, again and again
+    /// until it runs.
+    StopOverlapping,
+    /// Shuts a daemon down while engines crash, leave and start again.
+    StopWithEngines,
+    /// Sends SIGTERM to all daemons within a moment.
+    StopAll,
 }
 
 /// Starts disturbances until `stop` is set and waits for the end of all of them.
@@ -227,6 +246,43 @@
                         scope.spawn(move || kill(site, daemon, time / 4));
                     }
                 }
+                Disturbance::StopThenKill => {
+                    let until_kill = GRACE.mul_f64(rng.random_range(0.0..1.0));
+                    scope.spawn(move || stop_then_kill(site, daemon, until_kill, time / 8));
+                }
+                Disturbance::StopTwice => {
+                    let pauses = [(); 2].map(|()| GRACE.mul_f64(rng.random_range(0.0..0.5)));
+                    scope.spawn(move || {
+                        for pause in pauses {
+                            thread::sleep(pause);
+                            site.daemons[daemon].lock().unwrap().signal(libc::SIGTERM);
+                        }
+                    });
+                    scope.spawn(move || shut_down(site, daemon));
+                }
+                Disturbance::StopFrozen => {
+                    let until_stop = time.mul_f64(rng.random_range(0.0..0.5));
+                    let until_thaw = GRACE.mul_f64(rng.random_range(0.0..1.2));
+                    scope.spawn(move || stop_frozen(site, daemon, until_stop, until_thaw));
+                }
+                Disturbance::StopOverlapping => {
+                    let until_start = GRACE.mul_f64(rng.random_range(0.0..1.0));
+                    scope.spawn(move || stop_overlapping(site, daemon, until_start));
+                }
+                Disturbance::StopWithEngines => {
+                    let seed = rng.random();
+                    scope.spawn(move || disturb_engines(site, seed));
+                    scope.spawn(move || shut_down(site, daemon));
+                }
+                Disturbance::StopAll => {
+                    for daemon in 0..site.daemons.len() {
+                        let pause = time.mul_f64(rng.random_range(0.0..0.2));
+                        scope.spawn(move || {
+                            thread::sleep(pause);
+                            shut_down(site, daemon);
+                        });
+                    }
+                }
             }
         }
     });
@@ -303,6 +359,106 @@
     wait_until_ready(site, daemon);
 }
 
+/// Sends SIGTERM to a daemon, kills it after `until_kill`, and starts it again after `pause`.
+fn stop_then_kill(site: &Site, daemon: usize, until_kill: Duration, pause: Duration) {
+    let start = site.recorder.now();
+    let life = {
+        let daemon = site.daemons[daemon].lock().unwrap();
+        daemon.signal(libc::SIGTERM);
+        daemon.lives
+    };
+    thread::sleep(until_kill);
+    {
+        let daemon = site.daemons[daemon].lock().unwrap();
+        if daemon.lives == life {
+            daemon.signal(libc::SIGKILL);
+        }
+    }
+    thread::sleep(pause);
+    restart(site, daemon, life);
+    wait_until_ready(site, daemon);
+    add_span(site, daemon, start, false);
+}
+
+/// Stops a daemon with SIGSTOP, sends SIGTERM after `until_stop`, and lets it go on `until_thaw`
+/// later. It is killed at the end of the grace period, as the platform does.
+fn stop_frozen(site: &Site, daemon: usize, until_stop: Duration, until_thaw: Duration) {
+    let start = site.recorder.now();
+    let life = {
+        let daemon = site.daemons[daemon].lock().unwrap();
+        daemon.signal(libc::SIGSTOP);
+        daemon.lives
+    };
+    let signal = |signal| {
+        let daemon = site.daemons[daemon].lock().unwrap();
+        if daemon.lives == life {
+            daemon.signal(signal);
+        }
+    };
+    thread::sleep(until_stop);
+    signal(libc::SIGTERM);
+    thread::sleep(until_thaw.min(GRACE));
+    signal(libc::SIGCONT);
+    thread::sleep(GRACE.saturating_sub(until_thaw));
+    restart(site, daemon, life);
+    wait_until_ready(site, daemon);
+    add_span(site, daemon, start, false);
+}
+
+/// Sends SIGTERM to a daemon and starts another process of it after `until_start`.
+fn stop_overlapping(site: &Site, daemon: usize, until_start: Duration) {
+    let start = site.recorder.now();
+    let signalled_at = Instant::now();
+    let life = {
+        let daemon = site.daemons[daemon].lock().unwrap();
+        daemon.signal(libc::SIGTERM);
+        daemon.lives
+    };
+    thread::sleep(until_start);
+    let mut started = 0;
+    while signalled_at.elapsed() < GRACE {
+        {
+            let mut daemon = site.daemons[daemon].lock().unwrap();
+            if daemon.lives != life + started {
+                break;
+            }
+            if started == 0 || daemon.has_exited() {
+                daemon.start_another();
+                started += 1;
+            }
+        }
+        thread::sleep(START_PAUSE);
+    }
+    {
+        let mut daemon = site.daemons[daemon].lock().unwrap();
+        daemon.end_former();
+        if daemon.has_exited() {
+            daemon.restart();
+        }
+    }
+    wait_until_ready(site, daemon);
+    add_span(site, daemon, start, false);
+}
+
+/// Lets engines crash, leave and start again, one after the other, for a grace period.
+fn disturb_engines(site: &Site, seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let until = Instant::now() + GRACE;
+    while Instant::now() < until {
+        thread::sleep(MAX_ENGINE_PAUSE.mul_f64(rng.random_range(0.0..1.0)));
+        let engine = &site.engines[rng.random_range(0..site.engines.len())];
+        let start = STARTS[rng.random_range(0..STARTS.len())];
+        match rng.random_range(0..3) {
+            0 => engine.crash(),
+            1 => start_again(engine, start, MAX_ENGINE_PAUSE / 4),
+            _ => {
+                engine.register_as("draining");
+                start_again(engine, start, MAX_ENGINE_PAUSE / 4);
+            }
+        }
+    }
+}
+
 /// Starts a daemon again, unless another disturbance has done so since `life`.
 fn restart(site: &Site, daemon: usize, life: u64) {
     let mut daemon = site.daemons[daemon].lock().unwrap();
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -48,6 +48,12 @@
         Disturbance::EngineCrash,
         Disturbance::Release,
         Disturbance::KillAll,
+        Disturbance::StopThenKill,
+        Disturbance::StopTwice,
+        Disturbance::StopFrozen,
+        Disturbance::StopOverlapping,
+        Disturbance::StopWithEngines,
+        Disturbance::StopAll,
     ];
     settings.disturbances.retain(|d| !later.contains(d));
     assert_eq!(run(&settings), 0, "violations; see the lines above");
@@ -103,6 +109,30 @@
     assert_eq!(run(&settings), 0, "violations; see the lines above");
 }
 
+/// Guards against REFUSED, TWICE and LOST: daemons that are stopped in series, also while frozen,
+/// killed before the grace period ends, and started again before the process before has exited.
+#[test_case(3801; "three daemons")]
+fn stops_in_series_break_no_promise(seed: u64) {
+    let settings = SoakSettings {
+        seed,
+        length: Duration::from_secs(20),
+        daemons: 3,
+        fault_rate: 0.1,
+        crashing_parts: false,
+        pause: Duration::from_millis(900),
+        disturbances: vec![
+            Disturbance::StopThenKill,
+            Disturbance::StopTwice,
+            Disturbance::StopFrozen,
+            Disturbance::StopOverlapping,
+            Disturbance::StopWithEngines,
+            Disturbance::StopAll,
+        ],
+        ..SoakSettings::default()
+    };
+    assert_eq!(run(&settings), 0, "violations; see the lines above");
+}
+
 /// Runs callers against engines with one fault and daemons without any.
 fn run_with(fault: EngineFault) {
     let settings = SoakSettings {
