Soak: failing test of callers that keep the id over their tries

The engine rejects a booking and rejects it again when the next request arrives on that connection. If that is the next try, under the same id, the daemon believes the repeated rejection (attribution id_matched) and answers 503, and the try runs; the caller acts on the promise and the booking runs once more. By PROTOCOL.md each try has an id of its own; many clients keep theirs.

--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -181,6 +181,26 @@
     run_with(EngineFault::RejectAgain);
 }
 
+/// Guards against taking a repeated rejection of one try as one of the next try, which has the
+/// same id and runs.
+#[test]
+fn a_repeated_rejection_rejects_no_later_try_with_its_id() {
+    let settings = SoakSettings {
+        length: Duration::from_secs(6),
+        callers: 6,
+        daemons: 1,
+        engines: 1,
+        retries: false,
+        keeps_id: true,
+        fault_rate: 0.5,
+        engine_faults: vec![EngineFault::RejectAgain],
+        crashing_parts: false,
+        disturbances: Vec::new(),
+        ..SoakSettings::default()
+    };
+    assert_eq!(run(&settings), 0, "violations; see the lines above");
+}
+
 /// Runs one seed; returns the number of violations. Only one run at a time.
 fn run(settings: &SoakSettings) -> usize {
     static RUNNING: Mutex<()> = Mutex::new(());
