Soak: test which daemons a fault of a link disturbs

The spans decide which rules are excused, and nothing checked them: a fault of one daemon's links disturbs that daemon, one of an engine's link all daemons, and a delay none. Runs stay found in any span.

--- a/tests/soak/checkers.rs
+++ b/tests/soak/checkers.rs
@@ -6,10 +6,12 @@
 
 use crate::checks::{Rule, violations};
 use crate::engine_faults::EngineFault;
+use crate::links::{Link, disturbed};
 use crate::record::{
     Answer, Attempt, DesiredWrite, EngineStep, History, Kind, Outcome, PartCrash, RateSpan,
     ReceivedOrder, Span, Step, answer_body, event_count, event_text, repeated_name,
 };
+use crate::relay::LinkFault;
 
 const ID: &str = "1-1-1";
 
@@ -172,6 +174,31 @@
     assert_eq!(rules(Kind::Booking, &failed), [], "no promise");
 }
 
+/// Guards against faults of links that excuse more than the daemons at the link, or runs.
+#[test]
+fn faults_of_links_excuse_losses_at_their_daemons_and_no_runs() {
+    let cut = LinkFault::Cut { refuses: true };
+    let delay = LinkFault::Delay(at(100));
+    assert_eq!(disturbed(Link::Callers(1), cut, 3), 1..2);
+    assert_eq!(disturbed(Link::Store(0), cut, 3), 0..1);
+    assert_eq!(disturbed(Link::Engine(5), cut, 3), 0..3);
+    assert!(disturbed(Link::Engine(5), delay, 3).is_empty());
+    let with_spans = |mut history: History| {
+        history.spans = disturbed(Link::Engine(5), cut, 3)
+            .map(|daemon| stop_of(daemon, 500, 2_500))
+            .collect();
+        broken_rules(&history)
+    };
+    let lost = history(Kind::Booking, Outcome::Closed, &RUN);
+    assert_eq!(with_spans(lost), []);
+    let refused = history(Kind::Booking, refusal(503), &RUN);
+    assert_eq!(with_spans(refused), [Rule::Refused]);
+    let done = Outcome::Answered(answer(Kind::Booking));
+    let twice = [(refusal(503), &RUN[..]), (done, &RUN)];
+    let twice = history_of_tries(Kind::Booking, &twice);
+    assert_eq!(with_spans(twice), [Rule::Refused, Rule::Twice]);
+}
+
 /// Guards against counting the run of one try at another that has the same id.
 #[test]
 fn tries_that_share_an_id_are_told_apart() {
--- a/tests/soak/links.rs
+++ b/tests/soak/links.rs
@@ -1,6 +1,7 @@
 //! Faults of the links between callers, daemons, engines and the store.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::thread;
 use std::time::Duration;
 
@@ -13,9 +14,9 @@
 use crate::site::Site;
 
 /// Delay of a slow link, ms. Links at which bytes wait for longer count as disturbed.
-const DELAY_MS: std::ops::Range<u64> = 5..150;
+const DELAY_MS: Range<u64> = 5..150;
 /// Rate of a squeezed link, bytes a second.
-const RATE: std::ops::Range<u64> = 500..50_000;
+const RATE: Range<u64> = 500..50_000;
 
 /// A link between two processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,6 +77,16 @@
     }
 }
 
+/// Returns which of the daemons a fault of a link disturbs. A delay disturbs none: it is neither
+/// loss nor squeeze.
+pub fn disturbed(link: Link, fault: LinkFault, daemons: usize) -> Range<usize> {
+    match (link, fault) {
+        (_, LinkFault::Delay(_)) => 0..0,
+        (Link::Callers(daemon) | Link::Store(daemon), _) => daemon..daemon + 1,
+        (Link::Engine(_), _) => 0..daemons,
+    }
+}
+
 impl LinkDisturbance {
     /// Draws a disturbance of a kind, for one of the links of a daemon or of an engine.
     pub fn draw(
@@ -129,14 +140,7 @@
             start,
             end,
         });
-        if matches!(self.fault, LinkFault::Delay(_)) {
-            return;
-        }
-        let daemons = match self.link {
-            Link::Callers(daemon) | Link::Store(daemon) => daemon..daemon + 1,
-            Link::Engine(_) => 0..site.daemons.len(),
-        };
-        for daemon in daemons {
+        for daemon in disturbed(self.link, self.fault, site.daemons.len()) {
             site.recorder.add_span(Span {
                 daemon,
                 start,
--- a/tests/soak/relay.rs
+++ b/tests/soak/relay.rs
@@ -192,7 +192,7 @@
     /// Both processes have closed it.
     Closed,
     Reset,
-    /// One side is not told; the direction is that of the other side.
+    /// The receiving side of a direction has lost it, and the other side is not told.
     HalfOpen(Direction),
 }
 
@@ -316,12 +316,15 @@
             read = from.read_buf(&mut bytes) => read,
             () = pieces.closed() => return,
         };
-        let is_last = matches!(read, Ok(0) | Err(_));
         let read_at = Instant::now();
-        // A reset must not overtake the bytes before it, so it goes the same way.
-        let piece = read.map(|_| Piece { read_at, bytes });
-        let is_end = matches!(&piece, Ok(piece) if piece.bytes.is_empty());
-        if is_end || pieces.send(piece).await.is_err() || is_last {
+        let piece = match read {
+            Ok(0) => return,
+            Ok(_) => Ok(Piece { read_at, bytes }),
+            // A reset must not overtake the bytes before it, so it goes the same way.
+            Err(error) => Err(error),
+        };
+        let is_last = piece.is_err();
+        if pieces.send(piece).await.is_err() || is_last {
             return;
         }
     }
