Log what a connection had carried, and why a request counts as not sent

The line of a rejection told that its id matched, but not whether its connection had carried the same id before, so that no log could tell a proof from a repeated rejection. A send that counted as not sent left a line only when it was the first at an engine that was up.

A connection records the hashes of the ids that it has carried, and calls such as the question for the start time of an engine. The log line and mastichinge_engine_responses_total have `earlier`: nothing, calls, requests or same_id. New line: request not sent, with cause and error.

Tests: attribution::the_log_of_a_rejection_tells_what_its_connection_had_carried and attribution::the_log_tells_why_a_request_counts_as_not_sent pass; both need fields and lines that were not there.

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -21,6 +21,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use super::carried::{Carried, Earlier, IdHash};
 use super::clock;
 use super::shared_stream::{SharedStream, StreamHandle};
 use super::unreachable::Cause;
@@ -71,8 +72,11 @@
     /// The stream, until the connection's task ends.
     stream: StreamHandle,
     addr: SocketAddr,
-    /// Whether it carried another exchange before.
+    /// Whether it was idle before.
     reused: bool,
+    carried: Carried,
+    /// What it had carried before the exchange in progress.
+    earlier: Earlier,
     /// Lifetime of the engine that it leads to, once the engine has said so on it; a connection
     /// does not outlive the process behind it.
     lifetime: Option<Lifetime>,
@@ -86,10 +90,18 @@
 }
 
 impl Connection {
-    /// Returns whether the connection carried another exchange before, so that a late
-    /// response to that one may arrive.
-    pub fn is_reused(&self) -> bool {
-        self.reused
+    /// Returns what the connection had carried before the exchange in progress: a late response
+    /// to that may arrive in place of the response.
+    pub fn earlier(&self) -> Earlier {
+        self.earlier
+    }
+
+    /// Begins the exchange of a request with this id, or of a call.
+    fn begin_exchange(&mut self, id: Option<IdHash>) {
+        self.earlier = self.carried.before(id);
+        self.carried.add(id);
+        self.in_use.set(true);
+        self.limit_head(Some(MAX_HEAD_BYTES));
     }
 
     /// Returns whether it surely leads to this lifetime of an engine.
@@ -109,8 +121,7 @@
         max_bytes: usize,
     ) -> Result<Response<Bytes>, SendError> {
         let lost = |error: &hyper::Error| SendError::ConnectionLost(error_text(error));
-        self.in_use.set(true);
-        self.limit_head(Some(MAX_HEAD_BYTES));
+        self.begin_exchange(None);
         let sent = self.sender.send_request(request).await;
         let (head, body) = sent.map_err(|e| lost(&e))?.into_parts();
         self.limit_head(None);
@@ -174,6 +185,9 @@
     /// Makes the connection available to another request, once the response was read
     /// whole; `idle_timeout` is the server's.
     pub fn release(mut self, idle_timeout: Option<Duration>) {
+        if self.carried.is_full() {
+            return;
+        }
         let Some(pools) = self.pools.upgrade() else {
             return;
         };
@@ -269,8 +283,7 @@
             if !is_wanted() {
                 return Err(SendError::Withheld);
             }
-            connection.in_use.set(true);
-            connection.limit_head(Some(MAX_HEAD_BYTES));
+            connection.begin_exchange(options.id);
             let mut error = match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     connection.limit_head(None);
@@ -279,9 +292,14 @@
                 Err(error) => error,
             };
             match error.take_message() {
-                Some(unsent) if connection.reused => request = unsent,
+                Some(unsent) if connection.reused => {
+                    log::debug!(addr:%, error:% = error.error();
+                        "idle connection closed before a byte was written");
+                    request = unsent;
+                }
                 Some(_) => {
                     let text = error_text(error.error());
+                    let text = format!("closed before a byte was written: {text}");
                     return Err(SendError::NotSent(Cause::Refused, text));
                 }
                 None => return Err(SendError::ConnectionLost(error_text(error.error()))),
@@ -385,6 +403,8 @@
             stream: handle,
             addr,
             reused: false,
+            carried: Carried::default(),
+            earlier: Earlier::Nothing,
             lifetime: None,
             pools: Rc::downgrade(&self.pools),
         })
@@ -439,6 +459,8 @@
     /// Whether to open a connection even if there is an idle one. Needed when a late
     /// response to an earlier request cannot be told from the response to this one.
     pub new_connection: bool,
+    /// Id of the request; `None` for a call.
+    pub id: Option<IdHash>,
     /// Whether the connection has to lead to the known lifetime of the engine.
     pub checks_lifetime: bool,
 }
@@ -448,6 +470,7 @@
         SendOptions {
             connect_timeout: CONNECT_TIMEOUT,
             new_connection: false,
+            id: None,
             checks_lifetime: false,
         }
     }
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -14,6 +14,7 @@
 use super::retry::Attempts;
 use super::silence::{self, Awaited};
 use crate::clock::Moment;
+use crate::edge::carried::{Earlier, IdHash};
 use crate::edge::client::{Connection, SendError, SendOptions};
 use crate::edge::clock;
 use crate::edge::in_flight::InFlightGuard;
@@ -81,6 +82,7 @@
         // A late response to an earlier sending has the same id, and an engine that has
         // started again may have another id at the same address.
         new_connection: routed.headers.id.is_empty() || attempts.addrs.contains(&choice.addr),
+        id: Some(IdHash::of(&routed.headers.id)),
         checks_lifetime: routed.can_be_resumed() && routed.is_hosted(),
         ..SendOptions::default()
     };
@@ -107,6 +109,9 @@
     let (response, connection) = match outcome {
         Ok(exchange) => exchange,
         Err(SendError::NotSent(cause, text)) => {
+            let name: &'static str = cause.into();
+            log::info!(request = id, engine = &*choice.engine, cause = name, error = &*text;
+                "request not sent");
             in_flight.record_unreachable(cause, &text);
             if let Some(target) = model_target(routed) {
                 routed.edge.record_missing(&choice.engine, &target);
@@ -126,7 +131,12 @@
     };
     let headers = headers::parse_response(response.headers());
     let status = response.status();
-    let attribution = Attribution::of(&routed.headers.id, &headers, connection.is_reused());
+    let earlier = connection.earlier();
+    let attribution = Attribution::of(
+        &routed.headers.id,
+        &headers,
+        matches!(earlier, Earlier::Requests | Earlier::SameId),
+    );
     let rejected = headers::is_rejection(status, &headers);
     let believed = match attribution {
         Attribution::IdMatched => true,
@@ -134,7 +144,8 @@
         Attribution::FirstExchange => rejected || routed.headers.id.is_empty(),
         Attribution::NotBelieved => false,
     };
-    log_response(routed, choice, status, attribution, (rejected, believed));
+    let attributed = (attribution, earlier);
+    log_response(routed, choice, status, attributed, (rejected, believed));
     if !believed {
         in_flight.record_outcome(false);
         connection.drop_idle();
@@ -199,20 +210,24 @@
     routed: &RoutedRequest,
     choice: &SelectedEngine,
     status: StatusCode,
-    attribution: Attribution,
+    (attribution, earlier): (Attribution, Earlier),
     (rejected, believed): (bool, bool),
 ) {
     let attribution: &'static str = attribution.into();
-    routed.edge.metrics.record_engine_response(attribution);
+    let earlier: &'static str = earlier.into();
+    let metrics = &routed.edge.metrics;
+    metrics.record_engine_response(attribution, earlier);
     let request = &*routed.headers.id;
     let engine = &*choice.engine;
     let status = status.as_u16();
     match (rejected, believed) {
         (true, true) => {
-            log::info!(request, engine, status, attribution; "engine rejected the request");
+            log::info!(request, engine, status, attribution, earlier;
+                "engine rejected the request");
         }
         (_, false) => {
-            log::warn!(request, engine, status, attribution; "engine's response not believed");
+            log::warn!(request, engine, status, attribution, earlier;
+                "engine's response not believed");
         }
         (false, true) => {}
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -224,10 +224,13 @@
             .add(1, &[KeyValue::new("cause", cause)]);
     }
 
-    /// Counts an engine's response.
-    pub fn record_engine_response(&self, attribution: &'static str) {
-        let attribution = KeyValue::new("attribution", attribution);
-        self.engine_responses.add(1, &[attribution]);
+    /// Counts an engine's response, on a connection that had carried `earlier` before.
+    pub fn record_engine_response(&self, attribution: &'static str, earlier: &'static str) {
+        let labels = [
+            KeyValue::new("attribution", attribution),
+            KeyValue::new("earlier", earlier),
+        ];
+        self.engine_responses.add(1, &labels);
     }
 
     /// Counts what an engine said of itself.
--- a/tests/edge/attribution.rs
+++ b/tests/edge/attribution.rs
@@ -175,6 +175,47 @@
     assert!(metrics.contains(&metric), "{metrics}");
 }
 
+/// Guards against reports of false promises that no log explains: the line of a rejection tells
+/// what its connection had carried before, and so do the metrics.
+#[test]
+fn the_log_of_a_rejection_tells_what_its_connection_had_carried() {
+    let site = Site::start();
+    site.set(Behavior::Full);
+    for (id, earlier) in [("b1", "nothing"), ("b2", "requests")] {
+        site.send("/book/", id);
+        let first = || {
+            let lines = site.daemon.logged("engine rejected the request");
+            lines.into_iter().find(|l| l["request"] == id)
+        };
+        wait("its log line", || first().is_some());
+        assert_eq!(first().unwrap()["earlier"], earlier);
+        let metrics = site.daemon.get("/metrics").body;
+        let label = format!("earlier=\"{earlier}\"");
+        assert!(metrics.contains(&label), "{metrics}");
+    }
+}
+
+/// Guards against promises that no log explains: a request that counts as not sent leaves a line
+/// that says what that rests on.
+#[test]
+fn the_log_tells_why_a_request_counts_as_not_sent() {
+    let site = Site::start();
+    for engine in &site.plain {
+        engine.crash();
+    }
+    let answer = site.send("/book/", "b1");
+    assert_eq!((answer.status, site.runs("b1")), (503, 0), "{answer:?}");
+    wait("its log line", || {
+        !site.daemon.logged("request not sent").is_empty()
+    });
+    let line = site.daemon.logged("request not sent").swap_remove(0);
+    assert_eq!(
+        (&line["request"], &line["cause"]),
+        (&"b1".into(), &"refused".into())
+    );
+    assert!(!line["error"].as_str().unwrap().is_empty(), "{line}");
+}
+
 /// Guards against orders taken as carried out: a late answer to a request was read as the
 /// answer to an order on the same connection.
 #[test]
