Require of the table that versions do not start again after a deletion

Cause: the interface of the table said that a new item has version 1, also after a deletion. All conditions of writes name a version, so that a write by a host that was paused could meet another item with the same version as the one that it had read: a start replaced the record of a run, and a sweeper could delete it.

Why it works: a version names one state of one key, for good, so that such a write conflicts. The interface requires this now, and the stand-ins give it, with a test. The platform's own store counts versions over all transactions and has this property already. A table that starts versions again must not be connected; the code cannot tell.

--- a/src/fakes/platform.rs
+++ b/src/fakes/platform.rs
@@ -53,6 +53,8 @@
     pub items: BTreeMap<Arc<str>, Item>,
     /// Objects of the object store, by name.
     pub objects: BTreeMap<String, Vec<u8>>,
+    /// Last versions of the items that were deleted, by key.
+    deleted: BTreeMap<Arc<str>, u64>,
     host_lists: Vec<(Instant, Hosts)>,
 }
 
@@ -125,18 +127,26 @@
     }
 
     fn apply_write(&mut self, write: &Write) -> u64 {
-        let version = self.items.get(&write.key).map_or(0, |i| i.version);
-        let WriteOp::Put(value) = &write.op else {
-            let deleted = write.op == WriteOp::Delete && self.items.remove(&write.key).is_some();
-            return if deleted { 0 } else { version };
+        let current = self.items.get(&write.key).map(|i| i.version);
+        let value = match &write.op {
+            WriteOp::Put(value) => value.clone(),
+            WriteOp::Check => return current.unwrap_or_default(),
+            WriteOp::Delete => {
+                if let Some(item) = self.items.remove(&write.key) {
+                    self.deleted.insert(item.key, item.version);
+                }
+                return 0;
+            }
         };
+        let last = current.or_else(|| self.deleted.remove(&write.key));
+        let version = last.unwrap_or_default() + 1;
         let item = Item {
             key: write.key.clone(),
-            version: version + 1,
-            value: value.clone(),
+            version,
+            value,
         };
         self.items.insert(write.key.clone(), item);
-        version + 1
+        version
     }
 
     /// Returns the newest host list that is at least `lag` old.
--- a/src/outside/mod.rs
+++ b/src/outside/mod.rs
@@ -27,7 +27,9 @@
 pub struct Item {
     /// Key of the item.
     pub key: Arc<str>,
-    /// Version: 1 for a new item, incremented by each write.
+    /// Version: 1 for the first item with this key, larger after each write, and larger than that of
+    /// all items with this key that were deleted. Otherwise, a write by a host that was paused could
+    /// replace an item that it has not read.
     pub version: u64,
     /// Content of the item.
     pub value: serde_json::Value,
--- a/tests/calls/fakes.rs
+++ b/tests/calls/fakes.rs
@@ -1,7 +1,7 @@
 //! Fakes: a table with faults, hosts that query each other, and an upstream.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Condvar, Mutex, Weak};
 use std::time::Duration;
 
@@ -33,6 +33,7 @@
 pub struct Store {
     items: Mutex<BTreeMap<Arc<str>, Item>>,
     delayed: Mutex<Vec<Vec<Write>>>,
+    last_version: AtomicU64,
     pub commits: AtomicU32,
 }
 
@@ -52,7 +53,7 @@
                 return Err(TableError::Conflict { key, current });
             }
         }
-        Ok(writes.iter().map(|w| put(&mut items, w)).collect())
+        Ok(writes.iter().map(|w| self.put(&mut items, w)).collect())
     }
 
     /// Applies the delayed commits whose conditions still hold.
@@ -67,24 +68,24 @@
         let found = items.get(&record_key(key).unwrap())?;
         Some(serde_json::from_value(found.value.clone()).unwrap())
     }
-}
 
-fn put(items: &mut BTreeMap<Arc<str>, Item>, write: &Write) -> u64 {
-    let version = items.get(&write.key).map_or(0, |i| i.version);
-    match &write.op {
-        WriteOp::Check => version,
-        WriteOp::Delete => {
-            items.remove(&write.key);
-            0
-        }
-        WriteOp::Put(value) => {
-            let item = Item {
-                key: write.key.clone(),
-                version: version + 1,
-                value: value.clone(),
-            };
-            items.insert(write.key.clone(), item);
-            version + 1
+    fn put(&self, items: &mut BTreeMap<Arc<str>, Item>, write: &Write) -> u64 {
+        match &write.op {
+            WriteOp::Check => items.get(&write.key).map_or(0, |i| i.version),
+            WriteOp::Delete => {
+                items.remove(&write.key);
+                0
+            }
+            WriteOp::Put(value) => {
+                let version = self.last_version.fetch_add(1, SeqCst) + 1;
+                let item = Item {
+                    key: write.key.clone(),
+                    version,
+                    value: value.clone(),
+                };
+                items.insert(write.key.clone(), item);
+                version
+            }
         }
     }
 }
--- a/tests/outside/platform.rs
+++ b/tests/outside/platform.rs
@@ -68,6 +68,23 @@
     );
 }
 
+/// Guards against a write over another item than the one that was read: the one after a deletion had
+/// the same version.
+#[test]
+fn versions_go_on_after_a_deletion() {
+    let (_fake, client) = platform("secret", Timeouts::default());
+    let table = client.table();
+    let delete = Write {
+        key: "a".into(),
+        expect: Precondition::Version(1),
+        op: WriteOp::Delete,
+    };
+    let first = put("a", Precondition::Absent, json!(1));
+    assert_eq!(table.commit(std::slice::from_ref(&first)), Ok(vec![1]));
+    assert_eq!(table.commit(&[delete]), Ok(vec![0]));
+    assert_eq!(table.commit(&[first]), Ok(vec![2]));
+}
+
 #[test]
 fn a_commit_with_a_lost_response_takes_effect() {
     let (fake, client) = platform("secret", Timeouts::default());
