--- a/tests/soak/settings.rs
+++ b/tests/soak/settings.rs
@@ -68,8 +68,9 @@
 
 impl SoakSettings {
     /// Reads the settings of all runs: `SOAK_SEEDS` (as `1-50`), `SOAK_SECONDS`,
-    /// `SOAK_FOLDER`, where the logs of all runs are kept, and lists of names in `SOAK_ENGINE_FAULTS` and
-    /// `SOAK_DISTURBANCES`, which may be empty.
+    /// `SOAK_DAEMONS` in place of the number that a seed draws, `SOAK_FOLDER`, where the logs of all
+    /// runs are kept, and lists of names in `SOAK_ENGINE_FAULTS` and `SOAK_DISTURBANCES`, which may
+    /// be empty.
     pub fn from_environment() -> Vec<Self> {
         let mut settings = SoakSettings::default();
         if let Ok(seconds) = std::env::var("SOAK_SECONDS") {
@@ -86,7 +87,12 @@
             settings.disturbances = parse_names(&names);
         }
         let seeds = std::env::var("SOAK_SEEDS").map_or(SEEDS, |text| parse_seeds(&text));
-        seeds.map(|seed| settings.clone().with_seed(seed)).collect()
+        let mut runs: Vec<_> = seeds.map(|seed| settings.clone().with_seed(seed)).collect();
+        if let Ok(daemons) = std::env::var("SOAK_DAEMONS") {
+            let daemons = daemons.parse().expect("SOAK_DAEMONS");
+            runs.iter_mut().for_each(|run| run.daemons = daemons);
+        }
+        runs
     }
 
     /// Returns these settings with the sizes and rates of a seed.
