Build refusals that promise from proofs that nothing may have run

What callers saw: nothing yet; this makes the class of the fault before harder to write. Whether a request may have run was a bool, set by hand at eight places and read at four, and a promise to the caller was a status that any code could choose by its kind.

Exposure counts the sendings that may have run: one begins as the request is handed to a connection, and only a proof takes it back, which consumes the sending: an error of the client that says that no byte was written, or a rejection, which only the judgement of a response on its connection makes. A refusal is built as not_run, from a Promise that borrows the record and exists only while it is empty, or as may_have_run, which has only 502 and 504. Statuses, Retry-After and log lines stay as they were.

A request that is resumed after its stream broke counts as may have run from its first sending on; before, only from some of its failures. This changes no response, as its head is sent.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -15,7 +15,7 @@
 use super::framing::Framing;
 use super::permit::{seek_permit, seek_renewal};
 use super::relay::{self, OpenError, OpenedResponse};
-use super::response::{Refusal, ResponseBody};
+use super::response::{Refusal, ResponseBody, Unknown};
 use super::retry::{self, Attempts, MIN_TIME_LEFT, can_retry, record_broken_run, start_retry};
 use super::selection::{select_next, select_permitted};
 use super::send::{EngineResponse, MAX_WHOLE_BYTES, SendOutcome, send};
@@ -76,7 +76,7 @@
         ..Attempts::default()
     };
     if routed.takes_up() {
-        match take_up::find_software(&routed).await {
+        match take_up::find_software(&routed, &attempts).await {
             Ok(software) => attempts.software = Some(software),
             Err(failure) => return routed.refuse(failure.refusal, &failure.cause, "", 0),
         }
@@ -102,10 +102,7 @@
         match outcome {
             Ok(_)
                 if failed
-                    && retry::take_retry(&routed, &mut attempts, &engine, "the engine failed") =>
-            {
-                attempts.uncertain = true;
-            }
+                    && retry::take_retry(&routed, &mut attempts, &engine, "the engine failed") => {}
             Ok(OpenedResponse::Complete(response)) => {
                 attempts.first_event = routed.age();
                 routed.log_outcome("answered", status.as_u16(), &engine, &attempts);
@@ -117,24 +114,22 @@
                 return relay::start_stream(routed, *stream, attempts, active);
             }
             Err(OpenError::Broken(cause)) => {
-                attempts.uncertain = true;
                 record_broken_run(&routed, &mut attempts, Progress::after_head(None));
                 if !start_retry(&routed, &mut attempts, &engine, &cause).await {
-                    let refusal = Refusal::new(Kind::UpstreamFailed);
+                    let refusal = Refusal::may_have_run(Unknown::Failed);
                     return routed.refuse(refusal, &cause, &engine, attempts.sent);
                 }
             }
             Err(OpenError::Unrecorded) => {
-                attempts.uncertain = true;
                 let cause = "the version that began the stream could not be recorded";
                 if !start_retry(&routed, &mut attempts, &engine, cause).await {
-                    let refusal = Refusal::new(Kind::UpstreamFailed);
+                    let refusal = Refusal::may_have_run(Unknown::Failed);
                     return routed.refuse(refusal, cause, &engine, attempts.sent);
                 }
             }
             Err(OpenError::Abandoned) => {}
             Err(OpenError::DeadlinePassed) => {
-                let refusal = Refusal::new(Kind::OutcomeUnknown);
+                let refusal = Refusal::may_have_run(Unknown::Outcome);
                 let cause = "no first event before the deadline";
                 return routed.refuse(refusal, cause, &engine, attempts.sent);
             }
@@ -153,11 +148,8 @@
         attempts.predicted = choice.first_event;
         let max_silence = response_timeout(routed, &choice);
         let engine = choice.engine.clone();
-        let fail = |kind, cause: String| Failure {
-            refusal: match kind {
-                Kind::UpstreamFailed | Kind::OutcomeUnknown => Refusal::new(kind),
-                _ => Refusal::with_retry_after(kind, FULL_RETRY),
-            },
+        let fail = |refusal, cause: String| Failure {
+            refusal,
             cause,
             engine: engine.clone(),
         };
@@ -175,7 +167,7 @@
                 let cause = format!("the engine rejected the request with {}", status.as_u16());
                 let is_last = attempts.not_run >= MAX_NOT_RUN_ATTEMPTS && !attempts.persists();
                 if is_last || !retry::await_budget(routed, attempts).await {
-                    return Err(fail(not_run_kind(attempts), cause));
+                    return Err(fail(refuse_not_run(attempts), cause));
                 }
                 // The first engine that lacks the model says nothing about the others.
                 if status != StatusCode::MISDIRECTED_REQUEST || attempts.not_run > 1 {
@@ -187,29 +179,27 @@
                 attempts.record_not_run(&engine, was_abandoned);
                 if attempts.not_run >= MAX_NOT_RUN_ATTEMPTS {
                     if !attempts.persists() {
-                        return Err(fail(not_run_kind(attempts), cause));
+                        return Err(fail(refuse_not_run(attempts), cause));
                     }
                     rejection_pause(routed, attempts).await;
                 }
             }
             SendOutcome::Failed(cause) => {
-                attempts.uncertain = true;
                 record_broken_run(routed, attempts, Progress::Waiting);
                 if !start_retry(routed, attempts, &engine, &cause).await {
-                    return Err(fail(Kind::UpstreamFailed, cause));
+                    return Err(fail(Refusal::may_have_run(Unknown::Failed), cause));
                 }
             }
             SendOutcome::Unproven(cause) => {
-                attempts.uncertain = true;
                 if !start_retry(routed, attempts, &engine, &cause).await {
-                    return Err(fail(Kind::UpstreamFailed, cause));
+                    return Err(fail(Refusal::may_have_run(Unknown::Failed), cause));
                 }
             }
             SendOutcome::Abandoned => {}
             SendOutcome::DeadlinePassed => {
-                attempts.uncertain = true;
                 let cause = "no response before the deadline";
-                return Err(fail(Kind::OutcomeUnknown, cause.to_owned()));
+                let refusal = Refusal::may_have_run(Unknown::Outcome);
+                return Err(fail(refusal, cause.to_owned()));
             }
         }
     }
@@ -222,7 +212,7 @@
     attempts: &mut Attempts,
     engine: &Arc<str>,
 ) -> Result<(), Failure> {
-    if attempts.is_trial && !attempts.uncertain {
+    if attempts.is_trial && !attempts.exposure.may_have_run() {
         return Ok(());
     }
     let held = match routed.edge.admit(&routed.features).await {
@@ -232,9 +222,9 @@
         }
         Err(held) => held,
     };
-    let refusal = match attempts.uncertain {
-        true => Refusal::new(Kind::UpstreamFailed),
-        false => Refusal::with_retry_after(Kind::NotRun, held.retry_after),
+    let refusal = match attempts.exposure.promise() {
+        Some(promise) => Refusal::not_run(promise, Kind::NotRun).after(held.retry_after),
+        None => Refusal::may_have_run(Unknown::Failed),
     };
     Err(Failure {
         refusal,
@@ -249,12 +239,12 @@
     tokio::time::sleep(pause.min(routed.time_left())).await;
 }
 
-/// Returns the kind of refusal after an attempt that did not run: the outcome is unknown
-/// if an earlier attempt may have run.
-fn not_run_kind(attempts: &Attempts) -> Kind {
-    match attempts.uncertain {
-        true => Kind::OutcomeUnknown,
-        false => Kind::NoCapacity,
+/// Returns the refusal after an attempt that did not run: the outcome is unknown if an earlier
+/// attempt may have run.
+fn refuse_not_run(attempts: &Attempts) -> Refusal {
+    match attempts.exposure.promise() {
+        Some(promise) => Refusal::not_run(promise, Kind::NoCapacity).after(FULL_RETRY),
+        None => Refusal::may_have_run(Unknown::Outcome),
     }
 }
 
@@ -281,17 +271,10 @@
         changes.borrow_and_update();
         let now = clock::now();
         let time_left = routed.time_left();
-        let uncertain = attempts.uncertain;
-        let fail = |kind, cause: &str, retry_after| {
-            let kind = match uncertain {
-                true => Kind::OutcomeUnknown,
-                false => kind,
-            };
-            Failure {
-                refusal: Refusal::with_retry_after(kind, retry_after),
-                cause: cause.to_owned(),
-                engine: "".into(),
-            }
+        let fail = |attempts: &Attempts, kind, cause: &str, retry_after| Failure {
+            refusal: attempts.refuse(kind).after(retry_after),
+            cause: cause.to_owned(),
+            engine: "".into(),
         };
         if time_left < MIN_TIME_LEFT {
             let kind = match routed.deadline_source {
@@ -299,12 +282,17 @@
                 DeadlineSource::Route => Kind::NoCapacity,
             };
             let cause = "the deadline passed before the request was sent";
-            return Err(fail(kind, cause, FULL_RETRY));
+            return Err(fail(attempts, kind, cause, FULL_RETRY));
         }
         let shutdown = routed.edge.shutdown.get();
         if shutdown.is_some_and(|s| !s.allows_send(attempts.persists(), now)) {
             let cause = "this host shuts down before the request could be sent";
-            return Err(fail(Kind::Draining, cause, super::OTHER_HOST_RETRY));
+            return Err(fail(
+                attempts,
+                Kind::Draining,
+                cause,
+                super::OTHER_HOST_RETRY,
+            ));
         }
         let waited = now.saturating_sub(started_at);
         let resumed = !attempts.first_event.is_zero();
@@ -322,7 +310,7 @@
             && !routed.is_version_listed(software)
         {
             let cause = "no engine of the version that began the stream is left";
-            return Err(fail(Kind::NoCapacity, cause, take_up::GONE_RETRY));
+            return Err(fail(attempts, Kind::NoCapacity, cause, take_up::GONE_RETRY));
         }
         let paused = match &selection {
             Selection::NotLoaded { paused, .. } => paused.clone(),
@@ -372,12 +360,12 @@
             AdmissionDecision::NoPermit => {
                 let cause = "the engines have named a rate that is used up";
                 let retry_after = permit_return.unwrap_or(FULL_RETRY);
-                return Err(fail(Kind::NoCapacity, cause, retry_after));
+                return Err(fail(attempts, Kind::NoCapacity, cause, retry_after));
             }
             AdmissionDecision::ReturnLater(paused) => {
                 let retry_after = until_permit(routed.edge.book_return(&paused));
                 let cause = "the engines want no requests of this host now";
-                return Err(fail(Kind::NoCapacity, cause, retry_after));
+                return Err(fail(attempts, Kind::NoCapacity, cause, retry_after));
             }
             AdmissionDecision::Refuse {
                 kind,
@@ -393,7 +381,7 @@
                     edge.expect_retry(target.clone(), routed.route.priority, retry_at);
                     edge.record_paused(&target, paused);
                 }
-                return Err(fail(kind, cause, retry_after));
+                return Err(fail(attempts, kind, cause, retry_after));
             }
             AdmissionDecision::Hold => {
                 if !held {
@@ -415,7 +403,7 @@
             AdmissionDecision::NoEngine => {
                 let Some(wait) = NO_ENGINE_WAIT.checked_sub(budget.waited) else {
                     let cause = "no engine of the service is known";
-                    return Err(fail(Kind::NoCapacity, cause, FULL_RETRY));
+                    return Err(fail(attempts, Kind::NoCapacity, cause, FULL_RETRY));
                 };
                 wait
             }
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod attribution;
+pub mod evidence;
 mod framing;
 mod permit;
 mod relay;
@@ -25,7 +26,8 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 
-use self::response::{CutShort, Refusal, ResponseBody};
+use self::evidence::Promise;
+use self::response::{CutShort, Refusal, ResponseBody, Unknown};
 use self::retry::Attempts;
 use super::body_memory::BodyReservation;
 use super::clock;
@@ -150,17 +152,17 @@
         engine: &str,
         tries: u32,
     ) -> Response<ResponseBody> {
-        let kind: &'static str = refusal.kind.into();
+        let kind: &'static str = refusal.kind().into();
         let request = &*self.headers.id;
         let route = &*self.route.name;
         let status = refusal.status().as_u16();
         let ms = self.age().as_millis() as u64;
         let left_ms = self.time_left().as_millis() as u64;
-        let retry_ms = refusal.retry_after.map_or(0, |r| r.as_millis() as u64);
+        let retry_ms = refusal.retry_after().map_or(0, |r| r.as_millis() as u64);
         let version = self.desired.version;
         log::warn!(request, route, status, kind, cause, engine, tries, ms, left_ms, retry_ms,
             version; "request refused");
-        self.edge.metrics.record_refusal(refusal.kind);
+        self.edge.metrics.record_refusal(refusal.kind());
         refusal.response(&self.headers.id)
     }
 }
@@ -251,11 +253,13 @@
     };
     let shutdown = edge.shutdown.get();
     if shutdown.is_some_and(|s| !s.accepts(routed.route.kind, arrived_at)) {
-        let refusal = Refusal::with_retry_after(Kind::Draining, OTHER_HOST_RETRY);
+        let refusal = Refusal::not_run(Promise::before_attempts(), Kind::Draining);
+        let refusal = refusal.after(OTHER_HOST_RETRY);
         return Ok(routed.refuse(refusal, "this host is shutting down", "", 0));
     }
     if let Err(held) = edge.check_held(&routed.features) {
-        let refusal = Refusal::with_retry_after(Kind::NotRun, held.retry_after);
+        let refusal = Refusal::not_run(Promise::before_attempts(), Kind::NotRun);
+        let refusal = refusal.after(held.retry_after);
         return Ok(routed.refuse(refusal, &held_cause(&held), "", 0));
     }
     edge.record_request(&routed.service);
@@ -266,7 +270,7 @@
         biased;
         response = attempt::run_request(routed.clone(), active) => response,
         () = ended => {
-            let refusal = Refusal::new(Kind::OutcomeUnknown);
+            let refusal = Refusal::may_have_run(Unknown::Outcome);
             routed.refuse(refusal, "this host exits while the request is in progress", "", 0)
         }
     };
@@ -337,11 +341,12 @@
     )
 }
 
+/// Refuses a request before it is sent to an engine.
 fn refuse(edge: &Edge, request: &str, kind: Kind, cause: &str) -> Response<ResponseBody> {
-    let refusal = match kind.response().status {
-        503 => Refusal::with_retry_after(kind, UNREADY_RETRY),
-        _ => Refusal::new(kind),
-    };
+    let mut refusal = Refusal::not_run(Promise::before_attempts(), kind);
+    if kind.response().status == 503 {
+        refusal = refusal.after(UNREADY_RETRY);
+    }
     let name: &'static str = kind.into();
     let status = refusal.status().as_u16();
     log::warn!(request, status, kind = name, cause; "request refused");
--- a/src/edge/forward/response.rs
+++ b/src/edge/forward/response.rs
@@ -9,6 +9,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use super::evidence::Promise;
 use crate::error::Kind;
 use crate::platform::headers;
 
@@ -97,29 +98,58 @@
 /// An error response of the daemon itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
-    /// Kind of the error.
-    pub kind: Kind,
-    /// Time after which the caller should retry.
-    pub retry_after: Option<Duration>,
+    kind: Kind,
+    retry_after: Option<Duration>,
+}
+
+/// What is said of a request that may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unknown {
+    /// Every attempt at an engine failed.
+    Failed,
+    /// Its outcome is unknown.
+    Outcome,
 }
 
 impl Refusal {
-    /// Creates a refusal without a retry delay.
-    pub fn new(kind: Kind) -> Self {
+    /// Creates the refusal of a request that has not run.
+    pub fn not_run(_promise: Promise<'_>, kind: Kind) -> Self {
         Refusal {
             kind,
             retry_after: None,
         }
     }
 
-    /// Creates a refusal with a retry delay.
-    pub fn with_retry_after(kind: Kind, wait: Duration) -> Self {
+    /// Creates the refusal of a request that may have run.
+    pub fn may_have_run(unknown: Unknown) -> Self {
+        let kind = match unknown {
+            Unknown::Failed => Kind::UpstreamFailed,
+            Unknown::Outcome => Kind::OutcomeUnknown,
+        };
         Refusal {
             kind,
+            retry_after: None,
+        }
+    }
+
+    /// Sets the time after which the caller should retry.
+    pub fn after(self, wait: Duration) -> Self {
+        Refusal {
             retry_after: Some(wait),
+            ..self
         }
     }
 
+    /// Returns the kind of the error.
+    pub fn kind(&self) -> Kind {
+        self.kind
+    }
+
+    /// Returns the time after which the caller should retry.
+    pub fn retry_after(&self) -> Option<Duration> {
+        self.retry_after
+    }
+
     /// Returns the status of the response. Callers take 503 as the promise that the
     /// request has not run, so the daemon uses 503 for exactly these refusals.
     pub fn status(&self) -> StatusCode {
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -7,12 +7,15 @@
 use tokio::time::sleep;
 
 use super::RoutedRequest;
+use super::evidence::Exposure;
+use super::response::{Refusal, Unknown};
 use crate::clock::Moment;
 use crate::edge::clock;
 use crate::edge::origins::{Allowed, Recording, StreamId};
 use crate::edge::permits::{PermitGuard, PermitState, Rank};
 use crate::edge::suspects::Progress;
 use crate::edge::upstream::Lifetime;
+use crate::error::Kind;
 
 /// Minimum time left for a request to be sent.
 pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
@@ -43,8 +46,8 @@
     pub abandoned: Vec<Arc<str>>,
     /// Whether a silent run was ever abandoned.
     pub has_abandoned: bool,
-    /// Whether it may have run with an unknown outcome.
-    pub uncertain: bool,
+    /// Whether it may have run.
+    pub exposure: Exposure,
     /// Version of the software that began the stream, once the caller has its first event in this
     /// answer or an earlier one.
     pub software: Option<Arc<str>>,
@@ -72,6 +75,14 @@
         routed.route.is_repeatable() && self.sent < routed.route.attempts
     }
 
+    /// Returns its refusal as `kind` if it has not run; else its outcome is unknown.
+    pub(super) fn refuse(&self, kind: Kind) -> Refusal {
+        match self.exposure.promise() {
+            Some(promise) => Refusal::not_run(promise, kind),
+            None => Refusal::may_have_run(Unknown::Outcome),
+        }
+    }
+
     /// Returns whether it was not sent before.
     pub(super) fn is_first(&self) -> bool {
         self.sent == 0 && self.not_run == 0
@@ -139,7 +150,6 @@
     pub(super) fn abandon(&mut self, engine: &Arc<str>) {
         self.abandoned.push(engine.clone());
         self.has_abandoned = true;
-        self.uncertain = true;
     }
 
     /// Returns whether an engine whose run was abandoned may take it again: it holds the model
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -11,6 +11,7 @@
 
 use super::RoutedRequest;
 use super::attribution::Attribution;
+use super::evidence::Verdict;
 use super::retry::Attempts;
 use super::silence::{self, Awaited};
 use crate::clock::Moment;
@@ -89,6 +90,7 @@
     attempts.lifetime = recipient.lifetime.clone();
     let id = &*routed.headers.id;
     let permit = attempts.take_permit(&choice.engine, sent_at);
+    let sent = attempts.exposure.begin();
     let sending = routed
         .edge
         .send_request(&recipient, id, permit.as_ref(), request, options);
@@ -104,55 +106,37 @@
             return SendOutcome::DeadlinePassed;
         }
     };
-    let (response, connection) = match outcome {
-        Ok(exchange) => exchange,
-        Err(SendError::NotSent(cause, text)) => {
-            let name: &'static str = cause.into();
-            log::info!(request = id, engine = &*choice.engine, cause = name, error = &*text;
-                "request not sent");
-            in_flight.record_unreachable(cause, &text);
-            if let Some(target) = model_target(routed) {
-                routed.edge.record_missing(&choice.engine, &target);
+    let (response, connection, sent) = match outcome {
+        Ok((response, connection)) => (response, connection, sent),
+        Err(error) => {
+            if let Some(proof) = sent.unsent(&error) {
+                attempts.exposure.take_back(proof);
             }
-            return SendOutcome::NotSent(text);
-        }
-        Err(SendError::Withheld) => {
-            log::info!(request = id, engine = &*choice.engine;
-                "request withheld: the engine wants none now");
-            return SendOutcome::Withheld;
-        }
-        Err(SendError::ConnectionLost(cause)) => {
-            in_flight.record_outcome(false);
-            routed.edge.client.drop_idle(choice.addr);
-            return SendOutcome::Failed(cause);
+            return record_send_error(routed, choice, &in_flight, error);
         }
     };
     let headers = headers::parse_response(response.headers());
     let status = response.status();
     let earlier = connection.earlier();
-    let attribution = Attribution::of(&routed.headers.id, &headers, earlier);
-    let rejected = headers::is_rejection(status, &headers);
-    let believed = match attribution {
-        Attribution::IdMatched => true,
-        // An engine that cannot parse a request rejects it without its id.
-        Attribution::FirstExchange => rejected || routed.headers.id.is_empty(),
-        Attribution::NotBelieved => false,
-    };
-    let attributed = (attribution, earlier);
-    log_response(routed, choice, status, attributed, (rejected, believed));
-    if !believed {
-        in_flight.record_outcome(false);
-        connection.drop_idle();
-        let edge = &routed.edge;
-        edge.hear_late_responses(recipient, id, response, connection);
-        return SendOutcome::Unproven("the response may be for another request".to_owned());
-    }
-    if rejected {
-        record_rejection(routed, choice, status);
-        if attribution == Attribution::IdMatched {
-            discard_body(response, connection, headers).await;
+    let (verdict, attribution) = Verdict::of(id, status, &headers, earlier);
+    log_response(routed, choice, status, (attribution, earlier), &verdict);
+    match verdict {
+        Verdict::Answered => {}
+        Verdict::Unproven => {
+            in_flight.record_outcome(false);
+            connection.drop_idle();
+            let edge = &routed.edge;
+            edge.hear_late_responses(recipient, id, response, connection);
+            return SendOutcome::Unproven("the response may be for another request".to_owned());
+        }
+        Verdict::Rejected(rejection) => {
+            attempts.exposure.take_back(sent.rejected(rejection));
+            record_rejection(routed, choice, status);
+            if attribution == Attribution::IdMatched {
+                discard_body(response, connection, headers).await;
+            }
+            return SendOutcome::NotRun(status);
         }
-        return SendOutcome::NotRun(status);
     }
     if headers::promises_not_run(status) || status.is_informational() {
         in_flight.record_outcome(false);
@@ -175,6 +159,38 @@
     }))
 }
 
+/// Records and logs why a request got no response.
+fn record_send_error(
+    routed: &RoutedRequest,
+    choice: &SelectedEngine,
+    in_flight: &InFlightGuard,
+    error: SendError,
+) -> SendOutcome {
+    let id = &*routed.headers.id;
+    match error {
+        SendError::NotSent(cause, text) => {
+            let name: &'static str = cause.into();
+            log::info!(request = id, engine = &*choice.engine, cause = name, error = &*text;
+                "request not sent");
+            in_flight.record_unreachable(cause, &text);
+            if let Some(target) = model_target(routed) {
+                routed.edge.record_missing(&choice.engine, &target);
+            }
+            SendOutcome::NotSent(text)
+        }
+        SendError::Withheld => {
+            log::info!(request = id, engine = &*choice.engine;
+                "request withheld: the engine wants none now");
+            SendOutcome::Withheld
+        }
+        SendError::ConnectionLost(cause) => {
+            in_flight.record_outcome(false);
+            routed.edge.client.drop_idle(choice.addr);
+            SendOutcome::Failed(cause)
+        }
+    }
+}
+
 fn engine_request(
     routed: &RoutedRequest,
     attempts: &Attempts,
@@ -205,7 +221,7 @@
     choice: &SelectedEngine,
     status: StatusCode,
     (attribution, earlier): (Attribution, Earlier),
-    (rejected, believed): (bool, bool),
+    verdict: &Verdict,
 ) {
     let attribution: &'static str = attribution.into();
     let earlier: &'static str = earlier.into();
@@ -214,16 +230,16 @@
     let request = &*routed.headers.id;
     let engine = &*choice.engine;
     let status = status.as_u16();
-    match (rejected, believed) {
-        (true, true) => {
+    match verdict {
+        Verdict::Rejected(_) => {
             log::info!(request, engine, status, attribution, earlier;
                 "engine rejected the request");
         }
-        (_, false) => {
+        Verdict::Unproven => {
             log::warn!(request, engine, status, attribution, earlier;
                 "engine's response not believed");
         }
-        (false, true) => {}
+        Verdict::Answered => {}
     }
 }
 
--- a/src/edge/forward/take_up.rs
+++ b/src/edge/forward/take_up.rs
@@ -5,7 +5,7 @@
 
 use super::RoutedRequest;
 use super::attempt::Failure;
-use super::response::Refusal;
+use super::retry::Attempts;
 use crate::edge::origins::{Origin, Resumed, UnknownOrigin};
 use crate::error::Kind;
 
@@ -15,7 +15,10 @@
 const UNKNOWN_RETRY: Duration = Duration::from_millis(300);
 
 /// Returns the version that began the stream that a caller takes up again.
-pub(super) async fn find_software(routed: &RoutedRequest) -> Result<Arc<str>, Failure> {
+pub(super) async fn find_software(
+    routed: &RoutedRequest,
+    attempts: &Attempts,
+) -> Result<Arc<str>, Failure> {
     let resumed = routed.headers.resumed;
     let is_named = matches!(resumed, Resumed::Stream(_));
     let found = match is_named || !routed.route.is_split() {
@@ -31,7 +34,7 @@
                 false => GONE_RETRY,
             };
             Err(Failure {
-                refusal: Refusal::with_retry_after(Kind::NoCapacity, retry_after),
+                refusal: attempts.refuse(Kind::NoCapacity).after(retry_after),
                 cause: error.to_string(),
                 engine: "".into(),
             })
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -21,12 +21,13 @@
 use super::caller_stream::{CallerStream, TrackedBody, closed_in_request};
 use super::connections::{Connection, Connections, EndCause, OpenConnection, Phase, PhaseLimits};
 use super::desired::RequestLimits;
-use super::forward::{self, response};
+use super::forward::{self, evidence::Promise, response};
 use super::shared_stream::SharedStream;
 use super::state::Edge;
 use super::{client, clock};
 use crate::error::Kind;
 use crate::platform::host_queries::{self, HostQuery};
+
 use response::{CutShort, Refusal, ResponseBody};
 
 /// Maximum number of connections that wait to be accepted.
@@ -274,7 +275,7 @@
 
 /// Tells the caller that the request whose head did not arrive does not run.
 async fn refuse_head(stream: &mut CallerStream, connection: &Connection) {
-    let bytes = Refusal::new(Kind::SlowClient).response_bytes();
+    let bytes = Refusal::not_run(Promise::before_attempts(), Kind::SlowClient).response_bytes();
     if let Err(error) = stream.try_write(&bytes) {
         log::info!(error:%; "cannot refuse an unfinished head");
     }
