Do not refuse a completion as not run after an attempt that may have run

What callers saw: 503 with ran: no for a completion whose first attempt was sent to an engine that fell silent, when no engine was free for the next attempt: the refusal of that step was taken for the outcome of all.

Once an engine may have got a request, a refusal with 429 or 503 becomes upstream_failed (502, ran: unknown). No byte sent, or a status below 500, proves that an attempt has not run.

Test: relay::a_completion_that_may_have_run_is_not_refused_as_not_run. The fakes of that file take the error and whether the request had crashed an engine; its two older tests are as they were.

Open: deadline_expired (504) still says ran: no after an attempt that was sent; failures::request_to_a_frozen_engine_fails_at_its_deadline asks for it.

--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -87,6 +87,8 @@
     first_token: Option<Moment>,
     cold: bool,
     is_trial: bool,
+    /// Whether an attempt may have run.
+    may_have_run: bool,
     attempts: u32,
     crashes: u32,
     /// Receives a value once no daemon runs the request any more.
@@ -115,6 +117,7 @@
             first_token: None,
             cold: false,
             is_trial: false,
+            may_have_run: false,
             attempts: 0,
             crashes: 0,
             copies_ended: None,
@@ -343,6 +346,7 @@
         }
         let body = completion.upstream_body(state.sent_tokens, context.priority);
         let chunks = self.engine.stream(&call, completion.endpoint.path(), &body);
+        state.may_have_run |= !matches!(&chunks, Err(error) if has_not_run(error));
         match chunks {
             Ok(chunks) => self.relay_chunks(completion, context, sink, state, slot, chunks),
             Err(e) => self.handle_failure(completion, context, state, slot, &e),
@@ -472,9 +476,26 @@
     Refusal::new(Kind::DeadlineExpired, detail).retry_after(RETRY_AFTER)
 }
 
+/// Returns whether an attempt that ended with this error has not run.
+fn has_not_run(error: &EngineError) -> bool {
+    match error {
+        EngineError::Unreachable(_) => true,
+        // The engine found fault with the request, or lacks the model.
+        EngineError::Status { status, .. } => *status < 500,
+        _ => false,
+    }
+}
+
+/// Returns the end of a completion that is refused. A refusal whose status promises that the
+/// completion has not run is replaced if an attempt may have.
 fn refused_end(refusal: Refusal, state: &RelayState) -> CompletionEnd {
     if state.sent_tokens == 0 {
-        return CompletionEnd::Refused(refusal, 0);
+        let promises = matches!(refusal.kind.response().status, 429 | 503);
+        let kind = match promises && state.may_have_run {
+            true => Kind::UpstreamFailed,
+            false => refusal.kind,
+        };
+        return CompletionEnd::Refused(Refusal { kind, ..refusal }, 0);
     }
     let broken = Refusal::new(Kind::StreamBroken, refusal.detail);
     CompletionEnd::Refused(broken, state.sent_tokens)
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -18,30 +18,31 @@
 use mastichinge::outside::{CallOptions, Chunk, ChunkStream, Engine, EngineError, Order, Report};
 use mastichinge::router::{Router, RoutingRequest, SlotResult};
 use mastichinge::suspects::{InFlightRequests, Suspects};
+use test_case::test_case;
 
 const ENGINE: &str = "e1";
 
-/// Engines that crash on each request.
-#[derive(Default)]
-struct CrashingEngines {
+/// Engines that fail at each request.
+struct FailingEngines {
+    error: EngineError,
     requests: AtomicU32,
 }
 
-/// The response of a crashing engine.
-struct NoChunks;
+/// The response of an engine that fails.
+struct NoChunks(EngineError);
 
 impl ChunkStream for NoChunks {
     fn next(&mut self) -> Result<Chunk, EngineError> {
-        Err(EngineError::ConnectionLost("crash".to_owned()))
+        Err(self.0.clone())
     }
 }
 
-impl Engine for CrashingEngines {
+impl Engine for FailingEngines {
     type ChunkStream = NoChunks;
 
     fn stream(&self, _: &CallOptions, _: &str, _: &[u8]) -> Result<NoChunks, EngineError> {
         self.requests.fetch_add(1, Ordering::Relaxed);
-        Ok(NoChunks)
+        Ok(NoChunks(self.error.clone()))
     }
 
     fn order(&self, _: &CallOptions, _: &Order) -> Result<Report, EngineError> {
@@ -70,10 +71,20 @@
     trial_ended: bool,
 }
 
-/// Relays a request that has crashed an engine; `reply` answers for the owner of the pool, and
-/// can record further crashes.
+/// Relays a request that has crashed an engine to engines that crash, like [`relay_failing`].
 fn relay_suspect(
     reply: impl Fn(&Router, &RoutingRequest, &dyn Fn(&str)) -> SlotResult + Send + 'static,
+) -> Relayed {
+    let error = EngineError::ConnectionLost("crash".to_owned());
+    relay_failing(error, Some("i1"), reply)
+}
+
+/// Relays a request that has crashed the engine `crashed` to engines that fail with `error`; `reply`
+/// answers for the owner of the pool, and can record further crashes.
+fn relay_failing(
+    error: EngineError,
+    crashed: Option<&str>,
+    reply: impl Fn(&Router, &RoutingRequest, &dyn Fn(&str)) -> SlotResult + Send + 'static,
 ) -> Relayed {
     let clock = Clock::default();
     let mut config = Config::default();
@@ -102,7 +113,9 @@
         let mut suspects = suspects.lock().unwrap();
         suspects.report_request_crash(&fingerprints, "m", instance, clock.now());
     };
-    record_crash("i1");
+    if let Some(instance) = crashed {
+        record_crash(instance);
+    }
     let owner = {
         let router = router.clone();
         thread::spawn(move || {
@@ -122,7 +135,10 @@
             trial_ended
         })
     };
-    let engines = CrashingEngines::default();
+    let engines = FailingEngines {
+        error,
+        requests: AtomicU32::new(0),
+    };
     let retries = Mutex::new(RetryBudget::new(RetryConfig::default()));
     let relay = Relay {
         engine: &engines,
@@ -174,3 +190,21 @@
     assert_eq!(refused_kind(&relayed.outcome), Kind::DeadlineExpired);
     assert!(relayed.trial_ended);
 }
+
+/// Guards against a false "not run": a completion whose engine fell silent was refused as not run
+/// when there was no engine for the next attempt.
+#[test_case(Kind::NoCapacity)]
+#[test_case(Kind::QueueFull)]
+#[test_case(Kind::DeadlineUnreachable)]
+fn a_completion_that_may_have_run_is_not_refused_as_not_run(refused: Kind) {
+    let asked = AtomicU32::new(0);
+    let error = EngineError::TimedOut("silent".to_owned());
+    let relayed = relay_failing(error, None, move |router, routing, _| {
+        match asked.fetch_add(1, Ordering::Relaxed) {
+            0 => Ok(router.acquire_assigned(&ENGINE.into(), routing)),
+            _ => Err(Refusal::new(refused, "no slot")),
+        }
+    });
+    assert_eq!(relayed.requests, 1);
+    assert_eq!(refused_kind(&relayed.outcome), Kind::UpstreamFailed);
+}
