End silent runs before their requests go on elsewhere

Callers' requests ran at two engines at once (TWICE, model engines): a stream or lookup whose engine was silent went on at another engine at once, as the connection to the first had been closed. An engine that is silent as a whole does not see that. It ran on for the rest of its silence: 1.4 s for a lookup of an engine that is silent for 2 s.

Cause: closing our side of a connection was taken as proof that the run at the other side had ended.

Now the connection is closed for writing only, and the request goes on once the engine has noticed: it closes the connection too, or goes on with the response, which then ends with a reset. This is limited to 1.5 s, so that engines that are silent for good are left in time. An engine that cannot be reached is not waited for. Events that arrive meanwhile count as not relayed.

With engines that see the close, the request goes on within 500 ms, which two further cases check.

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -92,6 +92,16 @@
         self.reused
     }
 
+    /// Returns the address that it leads to.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns a handle of its stream.
+    pub fn stream(&self) -> StreamHandle {
+        self.stream.clone()
+    }
+
     /// Returns whether it surely leads to this lifetime of an engine.
     pub fn leads_to(&self, lifetime: &Lifetime) -> bool {
         self.lifetime.as_ref() == Some(lifetime)
@@ -307,6 +317,16 @@
         within(limits.total_timeout, exchange).await
     }
 
+    /// Returns whether the machine at `addr` answers, if only by refusing a connection.
+    pub async fn reaches(&self, addr: SocketAddr) -> bool {
+        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+        match connected {
+            Ok(Ok(_)) => true,
+            Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+            Err(_) => false,
+        }
+    }
+
     /// Drops idle connections that have expired or are closed.
     pub fn drop_expired(&self) {
         let now = clock::now();
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -2,7 +2,7 @@
 //! response passes here, so that what an engine says of itself is recorded whatever the
 //! response answers, and whether or not it is believed to answer that.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -17,6 +17,7 @@
 use super::client::{self, CallLimits, Connection, SendError, SendOptions};
 use super::clock;
 use super::permits::PermitGuard;
+use super::shared_stream::StreamHandle;
 use super::state::Edge;
 use super::statements::{RateHeader, RateStatement};
 use super::unreachable::Cause;
@@ -77,6 +78,7 @@
         permit: Option<&PermitGuard>,
         request: Request<Full<Bytes>>,
         options: SendOptions,
+        used: &RefCell<Option<StreamHandle>>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let asked_at = Cell::new(Moment::ZERO);
         let is_wanted = || {
@@ -84,6 +86,7 @@
             self.accepts(recipient) && self.keeps_rate(recipient, permit)
         };
         let check = async |connection: &mut Connection| {
+            used.replace(Some(connection.stream()));
             // An id without a start time is never used again.
             let has_start = recipient.lifetime.incarnation != 0;
             if !options.checks_lifetime || !has_start || connection.leads_to(&recipient.lifetime) {
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -17,7 +17,7 @@
 use super::response::{BodyPart, ResponseBody};
 use super::retry::{self, Attempts};
 use super::send::EngineResponse;
-use super::silence::{self, Awaited};
+use super::silence::{self, Awaited, Run};
 use super::source::{StreamItem, StreamSource};
 use super::{RequestGuard, RoutedRequest};
 use crate::edge::admission::silence_limit;
@@ -82,7 +82,13 @@
     head.headers.remove(http::header::CONTENT_LENGTH);
     let engine = source.in_flight.engine.clone();
     let max_silence = Some(routed.route.objective + FIRST_EVENT_SLACK);
-    let awaited = silence::wait_for(routed, attempts, &engine, max_silence, source.next()).await;
+    let (addr, stream) = source.used_stream();
+    let run = Run {
+        engine: &engine,
+        addr,
+        stream: &stream,
+    };
+    let awaited = silence::wait_for(routed, attempts, run, max_silence, source.next()).await;
     let (first_events, ended) = match awaited {
         Awaited::Response(StreamItem::Events(bytes)) => (bytes, false),
         Awaited::Response(StreamItem::End(bytes)) => (bytes, true),
@@ -228,9 +234,16 @@
         loop {
             let max_silence = self.max_silence(&source);
             let (routed, attempts) = (&self.routed, &mut self.attempts);
+            let (addr, stream) = source.used_stream();
+            let run = Run {
+                engine,
+                addr,
+                stream: &stream,
+            };
+            let relayed = source.last_event;
             let awaited =
-                silence::wait_for(routed, attempts, engine, max_silence, source.next()).await;
-            let last_event = source.last_event;
+                silence::wait_for(routed, attempts, run, max_silence, source.next()).await;
+            let mut last_event = source.last_event;
             match awaited {
                 Awaited::Response(StreamItem::Events(bytes)) => {
                     if !settled && source.progress() == Progress::Settled {
@@ -265,6 +278,8 @@
                 }
                 Awaited::DeadlinePassed => return StreamEnd::DeadlinePassed,
                 Awaited::Abandoned => {
+                    // Events that came while the run was ended have not been relayed.
+                    last_event = relayed;
                     // Closes this connection only; the engine may serve the others.
                     source.in_flight.record_outcome(false);
                     drop(source);
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one engine and waits for the head of the response.
 
+use std::cell::RefCell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use super::RoutedRequest;
 use super::attribution::Attribution;
 use super::retry::Attempts;
-use super::silence::{self, Awaited};
+use super::silence::{self, Awaited, Run};
 use crate::clock::Moment;
 use crate::edge::client::{Connection, SendError, SendOptions};
 use crate::edge::clock;
@@ -89,10 +90,17 @@
     attempts.lifetime = recipient.lifetime.clone();
     let id = &*routed.headers.id;
     let permit = attempts.take_permit(&choice.engine, sent_at);
-    let sending = routed
-        .edge
-        .send_request(&recipient, id, permit.as_ref(), request, options);
-    let awaited = silence::wait_for(routed, attempts, &choice.engine, max_silence, sending).await;
+    let used = RefCell::default();
+    let sending =
+        routed
+            .edge
+            .send_request(&recipient, id, permit.as_ref(), request, options, &used);
+    let run = Run {
+        engine: &choice.engine,
+        addr: choice.addr,
+        stream: &used,
+    };
+    let awaited = silence::wait_for(routed, attempts, run, max_silence, sending).await;
     let outcome = match awaited {
         Awaited::Response(outcome) => outcome,
         Awaited::Abandoned => {
--- a/src/edge/forward/silence.rs
+++ b/src/edge/forward/silence.rs
@@ -2,7 +2,13 @@
 //!
 //! A silent engine may go on, so its run is abandoned only for an engine that can take the
 //! request now, within the retry budget. Until then the same response is awaited.
+//!
+//! While it is silent, an engine may not see that a connection has closed, and run the request on.
+//! So another engine gets the request only once the engine before has noticed.
 
+use std::cell::RefCell;
+use std::future::pending;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,19 +20,33 @@
 use super::selection::{Constraints, with_routing};
 use crate::edge::clock;
 use crate::edge::routing::{self, Selection};
+use crate::edge::shared_stream::StreamHandle;
 
 /// Cause of a retry after an engine fell silent; it may still run the request.
 const SILENCE: &str = "silence";
 /// Interval at which a request of a silent engine looks for another engine.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Maximum time for an engine to notice that a run was abandoned: with the silence before, longer
+/// than a sound engine is silent.
+const NOTICE_TIME: Duration = Duration::from_millis(1_500);
+
+/// A run at an engine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Run<'a> {
+    /// Id of the engine.
+    pub engine: &'a Arc<str>,
+    pub addr: SocketAddr,
+    /// Connection on which the request was sent, once there is one.
+    pub stream: &'a RefCell<Option<StreamHandle>>,
+}
 
 /// Outcome of waiting for an engine.
 #[derive(Debug)]
 pub(super) enum Awaited<T> {
     /// The engine responded.
     Response(T),
-    /// The silent run was abandoned, and its retry taken out of the budget. Dropping what was
-    /// awaited closes the connection, so that the run stops before another starts.
+    /// The silent run was abandoned, and its retry taken out of the budget. The engine has
+    /// noticed, or it is not expected to any more.
     Abandoned,
     /// The deadline passed.
     DeadlinePassed,
@@ -37,10 +57,11 @@
 pub(super) async fn wait_for<T>(
     routed: &RoutedRequest,
     attempts: &mut Attempts,
-    engine: &Arc<str>,
+    run: Run<'_>,
     max_silence: Option<Duration>,
     response: impl Future<Output = T>,
 ) -> Awaited<T> {
+    let engine = run.engine;
     let mut response = pin!(response);
     let max_silence = max_silence.filter(|_| attempts.route_allows_retry(routed));
     let mut pause = max_silence.unwrap_or(Duration::MAX);
@@ -59,7 +80,11 @@
         let successor = find_successor(routed, attempts, engine, max_silence);
         if successor.is_some() && retry::take_retry(routed, attempts, engine, SILENCE) {
             attempts.abandon(engine);
-            return Awaited::Abandoned;
+            end_run(routed, run, response).await;
+            return match routed.time_left().is_zero() {
+                true => Awaited::DeadlinePassed,
+                false => Awaited::Abandoned,
+            };
         }
         if !logged {
             logged = true;
@@ -77,6 +102,33 @@
     }
 }
 
+/// Ends a run: closes its connection for requests, and waits until the engine closes it too or
+/// goes on with the response. One that cannot be reached any more is not waited for.
+async fn end_run<T>(routed: &RoutedRequest, run: Run<'_>, response: impl Future<Output = T>) {
+    let stream = run.stream.borrow().as_ref().and_then(StreamHandle::upgrade);
+    if stream.is_none_or(|s| s.close_write().is_err()) {
+        return;
+    }
+    let started_at = clock::now();
+    let unreachable = async {
+        if routed.edge.client.reaches(run.addr).await {
+            pending::<()>().await;
+        }
+    };
+    let notice_time = NOTICE_TIME.min(routed.time_left());
+    let end: &str = tokio::select! {
+        noticed = timeout(notice_time, response) => match noticed {
+            Ok(_) => "noticed",
+            Err(_) => "not noticed",
+        },
+        () = unreachable => "unreachable",
+    };
+    let request = &*routed.headers.id;
+    let engine = &**run.engine;
+    let waited_ms = clock::now().saturating_sub(started_at).as_millis() as u64;
+    log::info!(request, engine, end, waited_ms; "silent run abandoned");
+}
+
 /// Returns another engine that can take the request now and is expected to respond within
 /// `max_silence`.
 fn find_successor(
--- a/src/edge/forward/source.rs
+++ b/src/edge/forward/source.rs
@@ -1,5 +1,7 @@
 //! The engine's side of a stream: whole events, and where the stream ends.
 
+use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -15,6 +17,7 @@
 use crate::edge::clock;
 use crate::edge::events::{EndPlace, EventDecoder};
 use crate::edge::in_flight::InFlightGuard;
+use crate::edge::shared_stream::StreamHandle;
 use crate::edge::suspects::Progress;
 use crate::platform::headers;
 
@@ -153,6 +156,12 @@
         self.last_event.is_some() && self.routed.route.resumable
     }
 
+    /// Returns where the connection leads, and a handle of its stream.
+    pub(super) fn used_stream(&self) -> (SocketAddr, RefCell<Option<StreamHandle>>) {
+        let stream = RefCell::new(Some(self.connection.stream()));
+        (self.connection.addr(), stream)
+    }
+
     /// Records the failure, and closes the connection and the idle ones to this engine.
     pub(super) fn abandon(self) {
         self.in_flight.record_outcome(false);
--- a/src/edge/shared_stream.rs
+++ b/src/edge/shared_stream.rs
@@ -4,6 +4,7 @@
 use std::future::poll_fn;
 use std::io;
 use std::mem::MaybeUninit;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
@@ -67,6 +68,11 @@
         SockRef::from(&*self.0.stream.borrow()).peek(&mut [MaybeUninit::uninit()])
     }
 
+    /// Tells the other side that nothing more comes; what it sends can still be read.
+    pub fn close_write(&self) -> io::Result<()> {
+        SockRef::from(&*self.0.stream.borrow()).shutdown(Shutdown::Write)
+    }
+
     /// Writes `bytes` as far as the send buffer has room.
     pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
         self.0.stream.borrow().try_write(bytes)
--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -34,6 +34,8 @@
     silent: bool,
     /// When the engine goes on writing responses.
     stalled_until: Option<Instant>,
+    /// Time for which it stalls, if that is not [`STALL`].
+    stall_time: Option<Duration>,
     models: Vec<String>,
     /// Part of prompts on which the engine crashes as it begins to answer.
     crashing_part: Option<String>,
@@ -50,6 +52,8 @@
     arrival_times: Vec<Instant>,
     /// Ids of the requests that began to run, once for each time.
     runs: Vec<String>,
+    /// When each run began, and when it ended.
+    run_spans: Vec<RunSpan>,
     /// Ids of the requests rejected by [`Behavior::RepeatedRejection`].
     rejected: Vec<String>,
     /// Number of late responses sent.
@@ -67,6 +71,28 @@
     health_checks: usize,
 }
 
+/// Time of a run of a request.
+#[derive(Clone, Debug)]
+pub struct RunSpan {
+    pub id: String,
+    pub start: Instant,
+    /// Absent while it runs.
+    pub end: Option<Instant>,
+}
+
+/// Records the end of a run when dropped.
+struct RunGuard {
+    state: Arc<Mutex<EngineState>>,
+    index: usize,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let mut state = self.state.lock().unwrap();
+        state.run_spans[self.index].end = Some(Instant::now());
+    }
+}
+
 /// What the address of an engine does after a crash.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum CrashedAddress {
@@ -260,7 +286,12 @@
     fn stall(&self) {
         let mut state = self.state.lock().unwrap();
         state.behavior = Behavior::Correct;
-        state.stalled_until = Some(Instant::now() + STALL);
+        state.stalled_until = Some(Instant::now() + state.stall_time.unwrap_or(STALL));
+    }
+
+    /// Sets for how long the engine stalls.
+    pub fn set_stall_time(&self, time: Duration) {
+        self.state.lock().unwrap().stall_time = Some(time);
     }
 
     /// Sets whether the engine accepts connections and answers nothing.
@@ -285,6 +316,28 @@
         }
     }
 
+    /// Records that a run begins; it ends when the guard is dropped.
+    fn begin_run(&self, id: &str) -> RunGuard {
+        let mut state = self.state.lock().unwrap();
+        state.runs.push(id.to_owned());
+        state.run_spans.push(RunSpan {
+            id: id.to_owned(),
+            start: Instant::now(),
+            end: None,
+        });
+        RunGuard {
+            state: self.state.clone(),
+            index: state.run_spans.len() - 1,
+        }
+    }
+
+    /// Returns when runs of a request began and ended.
+    pub fn run_spans(&self, id: &str) -> Vec<RunSpan> {
+        let state = self.state.lock().unwrap();
+        let spans = state.run_spans.iter().filter(|s| s.id == id);
+        spans.cloned().collect()
+    }
+
     /// Returns how often a request began to run.
     pub fn runs(&self, id: &str) -> usize {
         let state = self.state.lock().unwrap();
--- a/tests/edge/fakes/engine/runs.rs
+++ b/tests/edge/fakes/engine/runs.rs
@@ -54,9 +54,7 @@
                     | Behavior::FullAfterLateAnswer
                     | Behavior::StallAtRejection
             );
-        if !rejects {
-            self.state.lock().unwrap().runs.push(id.clone());
-        }
+        let _run = (!rejects).then(|| self.begin_run(&id));
         if matches!(
             behavior,
             Behavior::StallAtRequest | Behavior::StallAtRejection
--- a/tests/edge/silence.rs
+++ b/tests/edge/silence.rs
@@ -2,12 +2,13 @@
 //! engine, and then go on.
 
 use std::thread;
+use std::time::{Duration, Instant};
 
 use serde_json::Value;
 use test_case::test_case;
 
 use crate::fakes::daemon::{Request, Response, wait};
-use crate::fakes::engine::{Behavior, CrashedAddress, Engine};
+use crate::fakes::engine::{Behavior, CrashedAddress, Engine, RunSpan};
 use crate::site::{MODEL, Site, assert_whole, desired, route};
 
 /// Streams sent at the same time; the rejected resumptions of those that stall use up the
@@ -234,3 +235,126 @@
     wait("an answer of the engine", || send() == 200);
     assert!(!engine.arrivals().is_empty());
 }
+
+/// Time for which a run may go on at the engine before, once the request goes on elsewhere.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+
+/// Returns the longest time for which a run was still in progress after a later one had begun at
+/// another engine.
+fn longest_overlap(engines: &[Engine; 2], id: &str) -> Duration {
+    let mut longest = Duration::ZERO;
+    let [first, second] = engines.each_ref().map(|e| e.run_spans(id));
+    for a in &first {
+        for b in &second {
+            let (before, after) = if a.start < b.start { (a, b) } else { (b, a) };
+            let end = before.end.expect("a run that has ended");
+            longest = longest.max(end.saturating_duration_since(after.start));
+        }
+    }
+    longest
+}
+
+/// Waits until no run of a request is in progress.
+fn wait_for_ends(engines: &[Engine; 2], id: &str) {
+    let has_ended = |s: &RunSpan| s.end.is_some();
+    wait("the end of all runs", || {
+        engines
+            .iter()
+            .all(|e| e.run_spans(id).iter().all(has_ended))
+    });
+}
+
+/// Guards against TWICE: a request went on at another engine while the one before was silent, had
+/// not seen that its connection had closed, and still ran the request for over 400 ms.
+#[test_case("/stream/", Behavior::StallAtRequest; "a stream before its response")]
+#[test_case("/stream/", Behavior::StallAfter(0); "a stream before its first event")]
+#[test_case("/stream/", Behavior::StallAfter(2); "a stream between events")]
+#[test_case("/look/", Behavior::StallAtRequest; "a lookup")]
+fn a_request_goes_on_elsewhere_after_its_silent_engine_has_stopped(path: &str, stall: Behavior) {
+    const STALL: Duration = Duration::from_millis(2_000);
+    let site = Site::start();
+    let engines = match path {
+        "/stream/" => &site.models,
+        _ => &site.plain,
+    };
+    for engine in engines {
+        engine.set_stall_time(STALL);
+        engine.set_behavior(stall);
+    }
+    let answer = thread::scope(|scope| {
+        scope.spawn(|| set_others(engines, Behavior::Correct));
+        match path {
+            "/stream/" => site.stream(path, "r1"),
+            _ => site.send(path, "r1"),
+        }
+    });
+    wait_for_ends(engines, "r1");
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    let overlap = longest_overlap(engines, "r1");
+    println!("{} runs, overlap {overlap:?}", site.runs("r1"));
+    assert!(overlap <= MAX_OVERLAP, "both ran it for {overlap:?}");
+}
+
+/// Returns what the daemon logged of the only silent run that it abandoned.
+fn abandoned_run(site: &Site) -> Value {
+    let runs = site.daemon.logged("silent run abandoned");
+    let [run] = runs.as_slice() else {
+        panic!("{runs:?}");
+    };
+    run.clone()
+}
+
+/// Guards against requests that are late without need: their engine is silent about them only, and
+/// ends the run as soon as it sees that the connection has closed.
+#[test_case("/stream/"; "a stream")]
+#[test_case("/look/"; "a lookup")]
+fn a_request_goes_on_elsewhere_once_its_engine_has_seen_the_close(path: &str) {
+    const MAX_WAIT_MS: u64 = 500;
+    let site = Site::start();
+    let engines = match path {
+        "/stream/" => &site.models,
+        _ => &site.plain,
+    };
+    site.set(Behavior::Silent);
+    let answer = thread::scope(|scope| {
+        scope.spawn(|| {
+            wait("a run", || site.runs("r1") == 1);
+            let others = engines.iter().filter(|e| e.runs("r1") == 0);
+            others.for_each(|e| e.set_behavior(Behavior::Correct));
+        });
+        match path {
+            "/stream/" => site.stream(path, "r1"),
+            _ => site.send(path, "r1"),
+        }
+    });
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    let run = abandoned_run(&site);
+    println!("{run}");
+    assert_eq!(run["end"], "noticed");
+    assert!(run["waited_ms"].as_u64() <= Some(MAX_WAIT_MS), "{run}");
+}
+
+/// Guards against a request that waits until its deadline for an engine that accepts connections
+/// and is silent for good.
+#[test]
+fn a_request_leaves_an_engine_that_does_not_notice_in_time() {
+    const STALL: Duration = Duration::from_secs(12);
+    const MAX_TIME: Duration = Duration::from_secs(6);
+    let site = Site::start();
+    for engine in &site.plain {
+        engine.set_stall_time(STALL);
+        engine.set_behavior(Behavior::StallAtRequest);
+    }
+    let started_at = Instant::now();
+    let answer = thread::scope(|scope| {
+        scope.spawn(|| set_others(&site.plain, Behavior::Correct));
+        site.send("/look/", "l1")
+    });
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert!(
+        started_at.elapsed() < MAX_TIME,
+        "{:?}",
+        started_at.elapsed()
+    );
+    assert_eq!(abandoned_run(&site)["end"], "not noticed");
+}
