--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -18,6 +18,7 @@
 #[allow(dead_code, reason = "shared with the edge tests, which use all of it")]
 mod fakes;
 mod http;
+mod left_runs;
 mod links;
 #[path = "../env/loopback.rs"]
 mod loopback;
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -1,7 +1,7 @@
 //! What callers and engines saw, by the id of the caller's attempt.
 
 use std::collections::BTreeMap;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::engine_faults::EngineFault;
@@ -123,6 +123,22 @@
     pub step: Step,
 }
 
+/// The time of a run at an engine.
+#[derive(Clone, Debug)]
+pub struct RunSpan {
+    /// Id of the caller's attempt.
+    pub id: String,
+    /// Lifetime of the engine.
+    pub engine: String,
+    /// When the request arrived there.
+    pub arrived_at: Duration,
+    pub start: Duration,
+    /// Absent while it runs.
+    pub end: Option<Duration>,
+    /// Event after which it began, in a stream.
+    pub after: u64,
+}
+
 /// A span in which a daemon was stopped, killed or shut down.
 #[derive(Clone, Copy, Debug)]
 pub struct Span {
@@ -193,6 +209,7 @@
     pub steps: BTreeMap<String, Vec<EngineStep>>,
     /// Attempts of each request of a caller, by the first of them.
     pub tries: BTreeMap<String, Vec<String>>,
+    pub runs: Vec<RunSpan>,
     pub spans: Vec<Span>,
     pub links: Vec<LinkSpan>,
     pub rates: Vec<RateSpan>,
@@ -225,6 +242,20 @@
     }
 }
 
+/// Records the end of a run when dropped.
+pub struct RunGuard {
+    recorder: Arc<Recorder>,
+    index: usize,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let now = self.recorder.now();
+        let mut history = self.recorder.history.lock().unwrap();
+        history.runs[self.index].end = Some(now);
+    }
+}
+
 /// Collects the history of a run.
 pub struct Recorder {
     started_at: Instant,
@@ -284,6 +315,16 @@
         self.history.lock().unwrap().links.push(span);
     }
 
+    /// Adds a run that begins; it ends when the guard is dropped.
+    pub fn begin_run(self: &Arc<Self>, run: RunSpan) -> RunGuard {
+        let mut history = self.history.lock().unwrap();
+        history.runs.push(run);
+        RunGuard {
+            recorder: self.clone(),
+            index: history.runs.len() - 1,
+        }
+    }
+
     pub fn add_span(&self, span: Span) {
         self.history.lock().unwrap().spans.push(span);
     }
