Soak: set the fault rate and the number of engines of a run by hand

A seed draws both, so a run of one kind of engine fault could not be repeated with one engine of each service, or with few faults. SOAK_FAULT_RATE and SOAK_ENGINES replace what is drawn; without them nothing changes.

--- a/tests/soak/settings.rs
+++ b/tests/soak/settings.rs
@@ -69,7 +69,8 @@
 impl SoakSettings {
     /// Reads the settings of all runs: `SOAK_SEEDS` (as `1-50`), `SOAK_SECONDS`,
     /// `SOAK_FOLDER`, where the logs of all runs are kept, and lists of names in `SOAK_ENGINE_FAULTS` and
-    /// `SOAK_DISTURBANCES`, which may be empty.
+    /// `SOAK_DISTURBANCES`, which may be empty. `SOAK_FAULT_RATE` and `SOAK_ENGINES` replace what a
+    /// seed draws.
     pub fn from_environment() -> Vec<Self> {
         let mut settings = SoakSettings::default();
         if let Ok(seconds) = std::env::var("SOAK_SECONDS") {
@@ -86,7 +87,19 @@
             settings.disturbances = parse_names(&names);
         }
         let seeds = std::env::var("SOAK_SEEDS").map_or(SEEDS, |text| parse_seeds(&text));
-        seeds.map(|seed| settings.clone().with_seed(seed)).collect()
+        let fault_rate = std::env::var("SOAK_FAULT_RATE").ok();
+        let fault_rate = fault_rate.map(|text| text.parse().expect("SOAK_FAULT_RATE"));
+        let engines = std::env::var("SOAK_ENGINES").ok();
+        let engines = engines.map(|text| text.parse().expect("SOAK_ENGINES"));
+        let with_seed = |seed| {
+            let drawn = settings.clone().with_seed(seed);
+            SoakSettings {
+                fault_rate: fault_rate.unwrap_or(drawn.fault_rate),
+                engines: engines.unwrap_or(drawn.engines),
+                ..drawn
+            }
+        };
+        seeds.map(with_seed).collect()
     }
 
     /// Returns these settings with the sizes and rates of a seed.
