--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one engine and waits for the head of the response.
 
+use std::cell::RefCell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,9 +12,11 @@
 
 use super::RoutedRequest;
 use super::attribution::Attribution;
+use super::evidence::Verdict;
 use super::retry::Attempts;
-use super::silence::{self, Awaited};
+use super::silence::{self, Awaited, Run};
 use crate::clock::Moment;
+use crate::edge::carried::{Earlier, IdHash};
 use crate::edge::client::{Connection, SendError, SendOptions};
 use crate::edge::clock;
 use crate::edge::in_flight::InFlightGuard;
@@ -78,21 +81,28 @@
     let in_flight = InFlightGuard::begin(&routed.edge, choice, routed.headers.prompt.as_ref());
     let sent_at = clock::now();
     let options = SendOptions {
-        // A late response to an earlier sending has the same id, and an engine that has
-        // started again may have another id at the same address.
-        new_connection: routed.headers.id.is_empty() || attempts.addrs.contains(&choice.addr),
+        new_connection: routed.headers.id.is_empty(),
+        id: Some(IdHash::of(&routed.headers.id)),
         checks_lifetime: routed.can_be_resumed() && routed.is_hosted(),
         ..SendOptions::default()
     };
-    attempts.addrs.push(choice.addr);
+    attempts.addr = Some(choice.addr);
     let recipient = in_flight.recipient(choice.addr);
     attempts.lifetime = recipient.lifetime.clone();
     let id = &*routed.headers.id;
     let permit = attempts.take_permit(&choice.engine, sent_at);
-    let sending = routed
-        .edge
-        .send_request(&recipient, id, permit.as_ref(), request, options);
-    let awaited = silence::wait_for(routed, attempts, &choice.engine, max_silence, sending).await;
+    let sent = attempts.exposure.begin();
+    let used = RefCell::default();
+    let sending =
+        routed
+            .edge
+            .send_request(&recipient, id, permit.as_ref(), request, options, &used);
+    let run = Run {
+        engine: &choice.engine,
+        addr: choice.addr,
+        stream: &used,
+    };
+    let awaited = silence::wait_for(routed, attempts, run, max_silence, sending).await;
     let outcome = match awaited {
         Awaited::Response(outcome) => outcome,
         Awaited::Abandoned => {
@@ -104,50 +114,37 @@
             return SendOutcome::DeadlinePassed;
         }
     };
-    let (response, connection) = match outcome {
-        Ok(exchange) => exchange,
-        Err(SendError::NotSent(cause, text)) => {
-            in_flight.record_unreachable(cause, &text);
-            if let Some(target) = model_target(routed) {
-                routed.edge.record_missing(&choice.engine, &target);
+    let (response, connection, sent) = match outcome {
+        Ok((response, connection)) => (response, connection, sent),
+        Err(error) => {
+            if let Some(proof) = sent.unsent(&error) {
+                attempts.exposure.take_back(proof);
             }
-            return SendOutcome::NotSent(text);
-        }
-        Err(SendError::Withheld) => {
-            log::info!(request = id, engine = &*choice.engine;
-                "request withheld: the engine wants none now");
-            return SendOutcome::Withheld;
-        }
-        Err(SendError::ConnectionLost(cause)) => {
-            in_flight.record_outcome(false);
-            routed.edge.client.drop_idle(choice.addr);
-            return SendOutcome::Failed(cause);
+            return record_send_error(routed, choice, &in_flight, error);
         }
     };
     let headers = headers::parse_response(response.headers());
     let status = response.status();
-    let attribution = Attribution::of(&routed.headers.id, &headers, connection.is_reused());
-    let rejected = headers::is_rejection(status, &headers);
-    let believed = match attribution {
-        Attribution::IdMatched => true,
-        // An engine that cannot parse a request rejects it without its id.
-        Attribution::FirstExchange => rejected || routed.headers.id.is_empty(),
-        Attribution::NotBelieved => false,
-    };
-    log_response(routed, choice, status, attribution, (rejected, believed));
-    if !believed {
-        in_flight.record_outcome(false);
-        connection.drop_idle();
-        let edge = &routed.edge;
-        edge.hear_late_responses(recipient, id, response, connection);
-        return SendOutcome::Unproven("the response may be for another request".to_owned());
-    }
-    if rejected {
-        record_rejection(routed, choice, status);
-        if attribution == Attribution::IdMatched {
-            discard_body(response, connection, headers).await;
+    let earlier = connection.earlier();
+    let (verdict, attribution) = Verdict::of(id, status, &headers, earlier);
+    log_response(routed, choice, status, (attribution, earlier), &verdict);
+    match verdict {
+        Verdict::Answered => {}
+        Verdict::Unproven => {
+            in_flight.record_outcome(false);
+            connection.drop_idle();
+            let edge = &routed.edge;
+            edge.hear_late_responses(recipient, id, response, connection);
+            return SendOutcome::Unproven("the response may be for another request".to_owned());
+        }
+        Verdict::Rejected(rejection) => {
+            attempts.exposure.take_back(sent.rejected(rejection));
+            record_rejection(routed, choice, status);
+            if attribution == Attribution::IdMatched {
+                discard_body(response, connection, headers).await;
+            }
+            return SendOutcome::NotRun(status);
         }
-        return SendOutcome::NotRun(status);
     }
     if headers::promises_not_run(status) || status.is_informational() {
         in_flight.record_outcome(false);
@@ -170,6 +167,38 @@
     }))
 }
 
+/// Records and logs why a request got no response.
+fn record_send_error(
+    routed: &RoutedRequest,
+    choice: &SelectedEngine,
+    in_flight: &InFlightGuard,
+    error: SendError,
+) -> SendOutcome {
+    let id = &*routed.headers.id;
+    match error {
+        SendError::NotSent(cause, text) => {
+            let name: &'static str = cause.into();
+            log::info!(request = id, engine = &*choice.engine, cause = name, error = &*text;
+                "request not sent");
+            in_flight.record_unreachable(cause, &text);
+            if let Some(target) = model_target(routed) {
+                routed.edge.record_missing(&choice.engine, &target);
+            }
+            SendOutcome::NotSent(text)
+        }
+        SendError::Withheld => {
+            log::info!(request = id, engine = &*choice.engine;
+                "request withheld: the engine wants none now");
+            SendOutcome::Withheld
+        }
+        SendError::ConnectionLost(cause) => {
+            in_flight.record_outcome(false);
+            routed.edge.client.drop_idle(choice.addr);
+            SendOutcome::Failed(cause)
+        }
+    }
+}
+
 fn engine_request(
     routed: &RoutedRequest,
     attempts: &Attempts,
@@ -199,22 +228,26 @@
     routed: &RoutedRequest,
     choice: &SelectedEngine,
     status: StatusCode,
-    attribution: Attribution,
-    (rejected, believed): (bool, bool),
+    (attribution, earlier): (Attribution, Earlier),
+    verdict: &Verdict,
 ) {
     let attribution: &'static str = attribution.into();
-    routed.edge.metrics.record_engine_response(attribution);
+    let earlier: &'static str = earlier.into();
+    let metrics = &routed.edge.metrics;
+    metrics.record_engine_response(attribution, earlier);
     let request = &*routed.headers.id;
     let engine = &*choice.engine;
     let status = status.as_u16();
-    match (rejected, believed) {
-        (true, true) => {
-            log::info!(request, engine, status, attribution; "engine rejected the request");
+    match verdict {
+        Verdict::Rejected(_) => {
+            log::info!(request, engine, status, attribution, earlier;
+                "engine rejected the request");
         }
-        (_, false) => {
-            log::warn!(request, engine, status, attribution; "engine's response not believed");
+        Verdict::Unproven => {
+            log::warn!(request, engine, status, attribution, earlier;
+                "engine's response not believed");
         }
-        (false, true) => {}
+        Verdict::Answered => {}
     }
 }
 
--- a/tests/soak/checkers.rs
+++ b/tests/soak/checkers.rs
@@ -6,10 +6,14 @@
 
 use crate::checks::{Rule, violations};
 use crate::engine_faults::EngineFault;
+use crate::left_runs::taken_up_running;
+use crate::links::{Link, disturbed};
 use crate::record::{
     Answer, Attempt, DesiredWrite, EngineStep, History, Kind, Outcome, PartCrash, RateSpan,
-    ReceivedOrder, Span, Step, answer_body, event_count, event_text,
+    ReceivedOrder, RunSpan, Span, Step, TakeUp, answer_body, event_count, event_text,
+    repeated_name,
 };
+use crate::relay::LinkFault;
 
 const ID: &str = "1-1-1";
 
@@ -115,6 +119,112 @@
     assert_eq!(broken_rules(&left), [Rule::Twice]);
 }
 
+/// Returns the history of a request of which each try ended with an outcome and took these steps.
+fn history_of_tries(kind: Kind, tries: &[(Outcome, &[Step])]) -> History {
+    let mut whole = History::default();
+    for (number, (outcome, steps)) in tries.iter().enumerate() {
+        let name = format!("1-1-{}", number + 1);
+        let mut outcome = outcome.clone();
+        if let Outcome::Answered(answer) = &mut outcome {
+            answer.id.clone_from(&name);
+            answer.stamp = answer.stamp.replace(ID, &name);
+            if answer.status == 200 {
+                answer.body = answer_body(&name);
+            }
+        }
+        let one = history(kind, outcome, steps);
+        let attempts = one.attempts.into_values().map(|a| (name.clone(), a));
+        whole.attempts.extend(attempts);
+        let steps = one.steps.into_values().map(|s| (name.clone(), s));
+        whole.steps.extend(steps);
+        whole.tries.entry(ID.to_owned()).or_default().push(name);
+    }
+    whole
+}
+
+/// Guards against runs of a booking at several of its tries, each of which ran once only.
+#[test]
+fn a_booking_of_which_two_tries_ran_is_found() {
+    let done = || Outcome::Answered(answer(Kind::Booking));
+    let rules = |kind, tries: &[_]| broken_rules(&history_of_tries(kind, tries));
+    let failed = Outcome::NotSent;
+    let twice = [(failed.clone(), &RUN[..]), (done(), &RUN[..])];
+    assert_eq!(rules(Kind::Booking, &twice), [Rule::Twice]);
+    assert_eq!(rules(Kind::Lookup, &twice), []);
+    let once = [(refusal(503), &[][..]), (failed, &[]), (done(), &RUN)];
+    assert_eq!(rules(Kind::Booking, &once), []);
+    let false_promise = [(refusal(503), &RUN[..]), (done(), &RUN)];
+    assert_eq!(
+        rules(Kind::Booking, &false_promise),
+        [Rule::Refused, Rule::Twice]
+    );
+}
+
+/// Guards against a last refusal of a booking that ran at an earlier try.
+#[test_case(429)]
+#[test_case(503)]
+#[test_case(408)]
+#[test_case(421)]
+fn a_refused_booking_of_which_an_earlier_try_ran_is_found(status: u16) {
+    let rules = |kind, tries: &[_]| broken_rules(&history_of_tries(kind, tries));
+    let ran = [(Outcome::NotSent, &RUN[..]), (refusal(status), &[])];
+    assert_eq!(rules(Kind::Booking, &ran), [Rule::Refused]);
+    assert_eq!(rules(Kind::Lookup, &ran), []);
+    let not_run = [(refusal(503), &[][..]), (refusal(status), &[])];
+    assert_eq!(rules(Kind::Booking, &not_run), []);
+    let failed = [(Outcome::NotSent, &RUN[..]), (refusal(502), &[])];
+    assert_eq!(rules(Kind::Booking, &failed), [], "no promise");
+}
+
+/// Guards against faults of links that excuse more than the daemons at the link, or runs.
+#[test]
+fn faults_of_links_excuse_losses_at_their_daemons_and_no_runs() {
+    let cut = LinkFault::Cut { refuses: true };
+    let delay = LinkFault::Delay(at(100));
+    assert_eq!(disturbed(Link::Callers(1), cut, 3), 1..2);
+    assert_eq!(disturbed(Link::Store(0), cut, 3), 0..1);
+    assert_eq!(disturbed(Link::Engine(5), cut, 3), 0..3);
+    assert!(disturbed(Link::Engine(5), delay, 3).is_empty());
+    let with_spans = |mut history: History| {
+        history.spans = disturbed(Link::Engine(5), cut, 3)
+            .map(|daemon| stop_of(daemon, 500, 2_500))
+            .collect();
+        broken_rules(&history)
+    };
+    let lost = history(Kind::Booking, Outcome::Closed, &RUN);
+    assert_eq!(with_spans(lost), []);
+    let refused = history(Kind::Booking, refusal(503), &RUN);
+    assert_eq!(with_spans(refused), [Rule::Refused]);
+    let done = Outcome::Answered(answer(Kind::Booking));
+    let twice = [(refusal(503), &RUN[..]), (done, &RUN)];
+    let twice = history_of_tries(Kind::Booking, &twice);
+    assert_eq!(with_spans(twice), [Rule::Refused, Rule::Twice]);
+}
+
+/// Guards against counting the run of one try at another that has the same id.
+#[test]
+fn tries_that_share_an_id_are_told_apart() {
+    let mut history = history_of_tries(
+        Kind::Booking,
+        &[
+            (refusal(503), &[]),
+            (Outcome::Answered(answer(Kind::Booking)), &RUN),
+        ],
+    );
+    let name = repeated_name(ID, 1);
+    let mut attempt = history.attempts.remove("1-1-2").unwrap();
+    attempt.outcome = Outcome::Answered(answer(Kind::Booking));
+    history.attempts.insert(name.clone(), attempt);
+    let steps = history.steps.remove("1-1-2").unwrap();
+    history.steps.insert(name.clone(), steps);
+    history
+        .tries
+        .insert(ID.to_owned(), vec![ID.to_owned(), name.clone()]);
+    assert_eq!(broken_rules(&history), []);
+    history.attempts.get_mut(&name).unwrap().outcome = refusal(503);
+    assert_eq!(broken_rules(&history), [Rule::Refused]);
+}
+
 #[test]
 fn a_response_that_is_not_the_engines_is_found() {
     let changes: [fn(&mut Answer); 6] = [
@@ -134,6 +244,32 @@
     }
 }
 
+/// Guards against responses without an id, other than that a head has not arrived in time.
+#[test]
+fn a_response_without_an_id_is_found_unless_no_head_was_read() {
+    let rules = |change: fn(&mut Answer), steps: &[Step]| {
+        let mut slow = Answer {
+            status: 408,
+            closes: true,
+            complete: true,
+            ..Answer::default()
+        };
+        change(&mut slow);
+        broken_rules(&history(Kind::Booking, Outcome::Answered(slow), steps))
+    };
+    assert_eq!(rules(|_| {}, &[]), []);
+    assert_eq!(rules(|_| {}, &[Step::Arrived(None)]), [Rule::Mixed]);
+    let changes: [fn(&mut Answer); 4] = [
+        |a| a.status = 503,
+        |a| a.id = "1-1-2".to_owned(),
+        |a| a.closes = false,
+        |a| a.stamp = format!("desk0.{ID}"),
+    ];
+    for change in changes {
+        assert_eq!(rules(change, &[]), [Rule::Mixed]);
+    }
+}
+
 #[test]
 fn events_that_miss_come_twice_or_belong_to_another_request_are_found() {
     let whole = |events: &[u64]| -> Vec<u8> {
@@ -566,3 +702,67 @@
     limited.rates = vec![rate("models0")];
     assert_eq!(broken_rules(&limited), [], "a rate explains it");
 }
+
+/// Returns a history of a lookup that began at `desk0` at 1.1 s and ran there until `end`, and
+/// began at another engine at 1.3 s.
+fn history_with_left_run(end: Option<u64>) -> History {
+    let mut history = history(
+        Kind::Lookup,
+        Outcome::Answered(answer(Kind::Lookup)),
+        &[&RUN[..], &RUN[..]].concat(),
+    );
+    let run = |engine: &str, start, end: Option<u64>| RunSpan {
+        id: ID.to_owned(),
+        engine: engine.to_owned(),
+        arrived_at: at(start - 10),
+        start: at(start),
+        end: end.map(at),
+        after: 0,
+    };
+    history.runs = vec![run("desk0", 1_100, end), run("desk1", 1_300, Some(1_320))];
+    history
+}
+
+#[test]
+fn a_run_that_goes_on_after_its_request_went_on_elsewhere_is_found() {
+    let rules = |end| broken_rules(&history_with_left_run(end));
+    assert_eq!(rules(Some(1_750)), [Rule::Twice]);
+    assert_eq!(rules(None), [Rule::Twice]);
+    assert_eq!(rules(Some(1_650)), [], "within 400 ms");
+    assert_eq!(rules(Some(1_200)), [], "ended before");
+    let mut same = history_with_left_run(Some(1_750));
+    same.runs[1].engine = "desk0".to_owned();
+    assert_eq!(broken_rules(&same), [], "at the same engine");
+    let mut other = history_with_left_run(Some(1_750));
+    other.runs[1].id = "1-1-2".to_owned();
+    assert_eq!(broken_rules(&other), [], "of another request");
+    let mut late = history_with_left_run(Some(2_500));
+    late.runs[0].start = at(1_900);
+    assert_eq!(broken_rules(&late), [], "began when the other had ended");
+    let mut frozen = history_with_left_run(Some(1_750));
+    frozen.spans.push(stop_of(1, 500, 800));
+    assert_eq!(broken_rules(&frozen), [Rule::Twice], "another daemon");
+    frozen.spans.push(stop_of(0, 500, 800));
+    assert_eq!(broken_rules(&frozen), [], "its daemon had been stopped");
+    frozen.spans[1] = stop_of(0, 100, 250);
+    assert_eq!(broken_rules(&frozen), [Rule::Twice], "long before");
+}
+
+#[test]
+fn a_stream_that_is_taken_up_while_an_engine_works_on_it_is_counted_and_breaks_no_rule() {
+    let mut history = history_with_left_run(Some(1_750));
+    let take_up = Attempt {
+        take_up: Some(TakeUp {
+            first: ID.to_owned(),
+            after: 2,
+        }),
+        outcome: Outcome::Left,
+        ..history.attempts[ID].clone()
+    };
+    history.attempts.insert("1-1-2".to_owned(), take_up);
+    history.runs[1].id = "1-1-2".to_owned();
+    assert_eq!(taken_up_running(&history), 1);
+    assert_eq!(broken_rules(&history), []);
+    history.runs[0].end = Some(at(1_650));
+    assert_eq!(taken_up_running(&history), 0);
+}
--- a/tests/soak/exchange.rs
+++ b/tests/soak/exchange.rs
@@ -26,6 +26,8 @@
 pub struct Exchange<'a> {
     pub stream: &'a mut TcpStream,
     pub id: String,
+    /// Name of the caller's attempt; the id, unless the caller has used it before.
+    pub name: String,
     /// Id of the engine.
     pub engine: String,
     /// Lifetime of the engine.
@@ -33,6 +35,8 @@
     pub fault: Option<EngineFault>,
     /// Number for choices within the request.
     pub random: u64,
+    /// When the request arrived.
+    pub arrived_at: Duration,
     /// Whether the engine has rejected the request.
     pub rejected: bool,
 }
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -1,10 +1,12 @@
 //! What callers and engines saw, by the id of the caller's attempt.
 
 use std::collections::BTreeMap;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::engine_faults::EngineFault;
+use crate::links::Link;
+use crate::relay::LinkFault;
 
 /// Time after which a desired state is in force everywhere.
 const APPLY_TIME: Duration = Duration::from_secs(4);
@@ -121,6 +123,22 @@
     pub step: Step,
 }
 
+/// The time of a run at an engine.
+#[derive(Clone, Debug)]
+pub struct RunSpan {
+    /// Id of the caller's attempt.
+    pub id: String,
+    /// Lifetime of the engine.
+    pub engine: String,
+    /// When the request arrived there.
+    pub arrived_at: Duration,
+    pub start: Duration,
+    /// Absent while it runs.
+    pub end: Option<Duration>,
+    /// Event after which it began, in a stream.
+    pub after: u64,
+}
+
 /// A span in which a daemon was stopped, killed or shut down.
 #[derive(Clone, Copy, Debug)]
 pub struct Span {
@@ -131,6 +149,15 @@
     pub planned: bool,
 }
 
+/// A span in which a link had a fault.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkSpan {
+    pub link: Link,
+    pub fault: LinkFault,
+    pub start: Duration,
+    pub end: Duration,
+}
+
 /// A span in which an engine named a rate in all answers.
 #[derive(Clone, Debug)]
 pub struct RateSpan {
@@ -180,7 +207,11 @@
 pub struct History {
     pub attempts: BTreeMap<String, Attempt>,
     pub steps: BTreeMap<String, Vec<EngineStep>>,
+    /// Attempts of each request of a caller, by the first of them.
+    pub tries: BTreeMap<String, Vec<String>>,
+    pub runs: Vec<RunSpan>,
     pub spans: Vec<Span>,
+    pub links: Vec<LinkSpan>,
     pub rates: Vec<RateSpan>,
     pub part_crashes: Vec<PartCrash>,
     pub orders: Vec<ReceivedOrder>,
@@ -197,6 +228,13 @@
         self.steps.get(id).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns all attempts of the request to which an attempt belongs.
+    pub fn tries_of(&self, name: &str) -> Vec<String> {
+        let mut tries = self.tries.values();
+        let found = tries.find(|names| names.iter().any(|n| n == name));
+        found.cloned().unwrap_or_else(|| vec![name.to_owned()])
+    }
+
     /// Returns how often a request ran.
     pub fn runs(&self, id: &str) -> usize {
         let steps = self.steps(id).iter();
@@ -204,6 +242,20 @@
     }
 }
 
+/// Records the end of a run when dropped.
+pub struct RunGuard {
+    recorder: Arc<Recorder>,
+    index: usize,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let now = self.recorder.now();
+        let mut history = self.recorder.history.lock().unwrap();
+        history.runs[self.index].end = Some(now);
+    }
+}
+
 /// Collects the history of a run.
 pub struct Recorder {
     started_at: Instant,
@@ -239,6 +291,40 @@
         history.steps.entry(id.to_owned()).or_default().push(step);
     }
 
+    /// Adds an attempt of a caller's request, before it is sent.
+    pub fn add_try(&self, booking: &str, name: &str) {
+        let mut history = self.history.lock().unwrap();
+        let tries = history.tries.entry(booking.to_owned()).or_default();
+        tries.push(name.to_owned());
+    }
+
+    /// Returns whether a body is that of the request to which an attempt belongs.
+    pub fn is_body_of(&self, name: &str, body: &[u8]) -> bool {
+        let line = body.split(|byte| *byte == b'\n').next();
+        let line = line.and_then(|line| std::str::from_utf8(line).ok());
+        let Some(booking) = line.and_then(|line| line.strip_prefix("body of ")) else {
+            return false;
+        };
+        let history = self.history.lock().unwrap();
+        let tries = history.tries.get(booking);
+        let is_try = tries.is_some_and(|tries| tries.iter().any(|n| n == name));
+        is_try && body == request_body(booking)
+    }
+
+    pub fn add_link_span(&self, span: LinkSpan) {
+        self.history.lock().unwrap().links.push(span);
+    }
+
+    /// Adds a run that begins; it ends when the guard is dropped.
+    pub fn begin_run(self: &Arc<Self>, run: RunSpan) -> RunGuard {
+        let mut history = self.history.lock().unwrap();
+        history.runs.push(run);
+        RunGuard {
+            recorder: self.clone(),
+            index: history.runs.len() - 1,
+        }
+    }
+
     pub fn add_span(&self, span: Span) {
         self.history.lock().unwrap().spans.push(span);
     }
@@ -307,6 +393,16 @@
     }
 }
 
+/// Returns the name of an attempt that is sent under the id of the first one.
+pub fn repeated_name(id: &str, retry: u32) -> String {
+    format!("{id}+{retry}")
+}
+
+/// Returns the id under which an attempt is sent.
+pub fn sent_id(name: &str) -> &str {
+    name.split_once('+').map_or(name, |(id, _)| id)
+}
+
 /// Returns a number that depends on the id alone, for sizes that both sides know.
 pub fn id_number(id: &str) -> usize {
     let mix = |sum: u32, byte: u8| sum.wrapping_mul(31).wrapping_add(u32::from(byte));
@@ -320,13 +416,13 @@
         .into_bytes()
 }
 
-/// Returns the body of a request.
-pub fn request_body(id: &str) -> Vec<u8> {
-    let count = match id_number(id) % 10 {
+/// Returns the body of all attempts of a request.
+pub fn request_body(booking: &str) -> Vec<u8> {
+    let count = match id_number(booking) % 10 {
         0 => 1_500,
         n => n,
     };
-    format!("body of {id}\n").repeat(count).into_bytes()
+    format!("body of {booking}\n").repeat(count).into_bytes()
 }
 
 /// Returns the number of events in the stream for a request.
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -6,17 +6,21 @@
 use std::thread;
 use std::time::Duration;
 
+use strum::IntoEnumIterator;
 use test_case::test_case;
 use tokio::runtime::Builder;
 
+use crate::bookings;
 use crate::callers::{Caller, CallerSetup};
 use crate::checks::{Violation, calm_closes, violations};
 use crate::disturbances::{self, Disturbance};
 use crate::engine::SoakEngine;
 use crate::engine_faults::EngineFault;
 use crate::fakes::daemon::wait;
+use crate::left_runs;
+use crate::links;
 use crate::parts;
-use crate::record::{History, Outcome};
+use crate::record::{History, Outcome, sent_id};
 use crate::settings::SoakSettings;
 use crate::site::Site;
 use crate::versions;
@@ -34,6 +38,13 @@
     assert_eq!(broken, 0, "violations; see the lines above");
 }
 
+/// Returns the faults from which these seeds draw: further ones change what a seed draws.
+fn first_faults() -> Vec<EngineFault> {
+    let mut faults: Vec<_> = EngineFault::iter().collect();
+    faults.retain(|f| *f as usize <= EngineFault::Garbage as usize);
+    faults
+}
+
 /// Guards against BUDGET: pauses that engines had asked for were not kept.
 #[test_case(801; "in a response that followed a late one")]
 #[test_case(815; "before the new entry of an engine that had started again")]
@@ -48,8 +59,15 @@
         Disturbance::EngineCrash,
         Disturbance::Release,
         Disturbance::KillAll,
+        Disturbance::StopThenKill,
+        Disturbance::StopTwice,
+        Disturbance::StopFrozen,
+        Disturbance::StopOverlapping,
+        Disturbance::StopWithEngines,
+        Disturbance::StopAll,
     ];
     settings.disturbances.retain(|d| !later.contains(d));
+    settings.engine_faults = first_faults();
     assert_eq!(run(&settings), 0, "violations; see the lines above");
 }
 
@@ -63,6 +81,7 @@
         length: Duration::from_secs(20),
         daemons: 3,
         fault_rate: 0.02,
+        engine_faults: first_faults(),
         pause: Duration::from_millis(1_500),
         disturbances: vec![
             Disturbance::Freeze,
@@ -87,6 +106,7 @@
         daemons: 3,
         engines: 5,
         fault_rate: 0.05,
+        engine_faults: first_faults(),
         crashing_parts: false,
         pause: Duration::from_secs(5),
         disturbances: vec![
@@ -103,6 +123,52 @@
     assert_eq!(run(&settings), 0, "violations; see the lines above");
 }
 
+/// Guards against REFUSED and TWICE where links are slow, silent, cut, half-open or reset: what a
+/// link does says nothing about what the process behind it has done.
+#[test_case(4602; "one engine of each service")]
+#[test_case(4601; "two of them, and restarts")]
+fn links_prove_nothing(seed: u64) {
+    let engines = 1 + (seed % 2) as usize;
+    let mut disturbances: Vec<_> = Disturbance::iter().filter(|d| d.is_of_link()).collect();
+    if engines == 2 {
+        disturbances.extend([Disturbance::Kill, Disturbance::Shutdown]);
+    }
+    let settings = SoakSettings {
+        seed,
+        length: Duration::from_secs(6),
+        callers: 24,
+        engines,
+        pause: Duration::from_millis(600),
+        disturbances,
+        ..SoakSettings::default()
+    };
+    assert_eq!(run(&settings), 0, "violations; see the lines above");
+}
+
+/// Guards against REFUSED, TWICE and LOST: daemons that are stopped in series, also while frozen,
+/// killed before the grace period ends, and started again before the process before has exited.
+#[test_case(3801; "three daemons")]
+fn stops_in_series_break_no_promise(seed: u64) {
+    let settings = SoakSettings {
+        seed,
+        length: Duration::from_secs(20),
+        daemons: 3,
+        fault_rate: 0.1,
+        crashing_parts: false,
+        pause: Duration::from_millis(900),
+        disturbances: vec![
+            Disturbance::StopThenKill,
+            Disturbance::StopTwice,
+            Disturbance::StopFrozen,
+            Disturbance::StopOverlapping,
+            Disturbance::StopWithEngines,
+            Disturbance::StopAll,
+        ],
+        ..SoakSettings::default()
+    };
+    assert_eq!(run(&settings), 0, "violations; see the lines above");
+}
+
 /// Runs callers against engines with one fault and daemons without any.
 fn run_with(fault: EngineFault) {
     let settings = SoakSettings {
@@ -155,6 +221,26 @@
     run_with(EngineFault::RejectAgain);
 }
 
+/// Guards against taking a repeated rejection of one try as one of the next try, which has the
+/// same id and runs.
+#[test]
+fn a_repeated_rejection_rejects_no_later_try_with_its_id() {
+    let settings = SoakSettings {
+        length: Duration::from_secs(6),
+        callers: 6,
+        daemons: 1,
+        engines: 1,
+        retries: false,
+        keeps_id: true,
+        fault_rate: 0.5,
+        engine_faults: vec![EngineFault::RejectAgain],
+        crashing_parts: false,
+        disturbances: Vec::new(),
+        ..SoakSettings::default()
+    };
+    assert_eq!(run(&settings), 0, "violations; see the lines above");
+}
+
 /// Runs one seed; returns the number of violations. Only one run at a time.
 fn run(settings: &SoakSettings) -> usize {
     static RUNNING: Mutex<()> = Mutex::new(());
@@ -170,13 +256,13 @@
         settings.pause
     );
     let site = Site::start(settings);
-    let addrs = site.daemons.iter().map(|d| d.lock().unwrap().callers);
     let setup = Arc::new(CallerSetup {
         seed: settings.seed,
-        addrs: addrs.collect(),
+        addrs: site.caller_addrs(),
         recorder: site.recorder.clone(),
         probes_routes: settings.probes_routes,
         takes_up: settings.takes_up,
+        keeps_id: settings.keeps_id,
         crashing_from: settings.crashing_parts.then_some(settings.length / 5),
         stop: AtomicBool::new(false),
     });
@@ -201,6 +287,9 @@
     println!("seed {}: {}", settings.seed, summary(&history));
     println!("seed {}: {}", settings.seed, parts::summary(&history));
     println!("seed {}: {}", settings.seed, versions::summary(&history));
+    println!("seed {}: {}", settings.seed, links::summary(&history));
+    println!("seed {}: {}", settings.seed, bookings::summary(&history));
+    println!("seed {}: {}", settings.seed, left_runs::summary(&history));
     for violation in &found {
         let Violation { rule, id, text } = violation;
         println!("{rule:?} {id}: {text}\n{}", describe(&site, &history, id));
@@ -252,18 +341,24 @@
     )
 }
 
-/// Returns what callers, engines and daemons recorded of a request.
+/// Returns what callers, engines and daemons recorded of all tries of a request.
 fn describe(site: &Site, history: &History, id: &str) -> String {
+    let tries = history.tries_of(id);
+    let texts = tries.iter().map(|name| describe_try(site, history, name));
+    texts.collect()
+}
+
+fn describe_try(site: &Site, history: &History, name: &str) -> String {
     let mut out = String::new();
-    let Some(attempt) = history.attempts.get(id) else {
+    let Some(attempt) = history.attempts.get(name) else {
         return out;
     };
     let mut shown = attempt.clone();
     if let Outcome::Answered(answer) = &mut shown.outcome {
         answer.body.truncate(60);
     }
-    writeln!(out, "  caller: {shown:?}").unwrap();
-    for step in history.steps(id) {
+    writeln!(out, "  caller, {name}: {shown:?}").unwrap();
+    for step in history.steps(name) {
         writeln!(
             out,
             "  engine {} {:?}: {:?}",
@@ -273,7 +368,7 @@
     }
     for (number, daemon) in site.daemons.iter().enumerate() {
         for line in daemon.lock().unwrap().lines() {
-            if line["request"] == id {
+            if line["request"] == sent_id(name) {
                 writeln!(out, "  edge-{number}: {line}").unwrap();
             }
         }
@@ -283,6 +378,11 @@
             writeln!(out, "  {span:?}").unwrap();
         }
     }
+    for span in &history.links {
+        if span.start <= attempt.ended_at && span.end + SPAN_MARGIN >= attempt.started_at {
+            writeln!(out, "  {span:?}").unwrap();
+        }
+    }
     out
 }
 
--- a/tests/soak/settings.rs
+++ b/tests/soak/settings.rs
@@ -33,6 +33,8 @@
     pub crashing_parts: bool,
     /// Whether callers break streams off and take them up again.
     pub takes_up: bool,
+    /// Whether callers keep the id over all tries of a request that may run once only.
+    pub keeps_id: bool,
     /// Whether the daemons have a retry budget at the start.
     pub retries: bool,
     /// Maximum pause between two disturbances.
@@ -57,9 +59,11 @@
             probes_routes: true,
             crashing_parts: true,
             takes_up: true,
+            keeps_id: false,
             retries: true,
             pause: Duration::from_millis(900),
-            disturbances: Disturbance::iter().collect(),
+            // Further kinds change what a seed draws.
+            disturbances: Disturbance::iter().filter(|d| !d.is_of_link()).collect(),
             folder: std::env::temp_dir().join("mastichinge-soak"),
             keeps_logs: false,
         }
@@ -68,8 +72,10 @@
 
 impl SoakSettings {
     /// Reads the settings of all runs: `SOAK_SEEDS` (as `1-50`), `SOAK_SECONDS`,
-    /// `SOAK_FOLDER`, where the logs of all runs are kept, and lists of names in `SOAK_ENGINE_FAULTS` and
-    /// `SOAK_DISTURBANCES`, which may be empty.
+    /// `SOAK_FOLDER`, where the logs of all runs are kept, `SOAK_KEEPS_ID` and `SOAK_LINKS`
+    /// (`true` or `false`; the second adds faults of links), and lists of names in
+    /// `SOAK_ENGINE_FAULTS` and `SOAK_DISTURBANCES`, which may be empty. `SOAK_DAEMONS`,
+    /// `SOAK_ENGINES` and `SOAK_FAULT_RATE` replace what a seed draws.
     pub fn from_environment() -> Vec<Self> {
         let mut settings = SoakSettings::default();
         if let Ok(seconds) = std::env::var("SOAK_SECONDS") {
@@ -79,14 +85,32 @@
             settings.folder = folder.into();
             settings.keeps_logs = true;
         }
+        if let Ok(keeps_id) = std::env::var("SOAK_KEEPS_ID") {
+            settings.keeps_id = keeps_id.parse().expect("SOAK_KEEPS_ID");
+        }
         if let Ok(names) = std::env::var("SOAK_ENGINE_FAULTS") {
             settings.engine_faults = parse_names(&names);
         }
         if let Ok(names) = std::env::var("SOAK_DISTURBANCES") {
             settings.disturbances = parse_names(&names);
         }
+        if std::env::var("SOAK_LINKS").is_ok_and(|v| v.parse().expect("SOAK_LINKS")) {
+            let links = Disturbance::iter().filter(|d| d.is_of_link());
+            settings.disturbances.extend(links);
+        }
         let seeds = std::env::var("SOAK_SEEDS").map_or(SEEDS, |text| parse_seeds(&text));
-        seeds.map(|seed| settings.clone().with_seed(seed)).collect()
+        let mut runs: Vec<_> = seeds.map(|seed| settings.clone().with_seed(seed)).collect();
+        for run in &mut runs {
+            run.daemons = number("SOAK_DAEMONS").unwrap_or(run.daemons);
+            run.engines = number("SOAK_ENGINES").unwrap_or(run.engines);
+            run.fault_rate = number("SOAK_FAULT_RATE").unwrap_or(run.fault_rate);
+        }
+        runs
+    }
+
+    /// Returns whether links are disturbed.
+    pub fn has_links(&self) -> bool {
+        self.disturbances.iter().any(|d| d.is_of_link())
     }
 
     /// Returns these settings with the sizes and rates of a seed.
@@ -104,6 +128,12 @@
     }
 }
 
+/// Returns the number in a variable of the environment, if it is set.
+fn number<T: std::str::FromStr<Err: std::fmt::Debug>>(name: &str) -> Option<T> {
+    let text = std::env::var(name).ok()?;
+    Some(text.parse().expect(name))
+}
+
 fn parse_names<T: std::str::FromStr<Err: std::fmt::Debug>>(names: &str) -> Vec<T> {
     let names = names.split(',').filter(|n| !n.is_empty());
     names.map(|n| n.parse().expect(n)).collect()
