--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -24,6 +24,7 @@
 use super::carried::{Carried, Earlier, IdHash};
 use super::clock;
 use super::shared_stream::{SharedStream, StreamHandle};
+use super::time_limit::timeout_unless_arrived;
 use super::unreachable::Cause;
 use super::unread_connection::UnreadConnection;
 use super::upstream::Lifetime;
@@ -337,10 +338,13 @@
 
     /// Returns whether the machine at `addr` answers, if only by refusing a connection.
     pub async fn reaches(&self, addr: SocketAddr) -> bool {
-        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+        let connected = timeout_unless_arrived(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
         match connected {
             Ok(Ok(_)) => true,
-            Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+            Ok(Err(error)) => {
+                log::debug!(addr:%, error:%; "cannot connect to a silent engine");
+                !is_unreachable(error.kind())
+            }
             Err(_) => false,
         }
     }
@@ -465,6 +469,16 @@
         .map_err(|_| timed_out())?
 }
 
+/// Returns whether an error of connecting says that no machine is there. A refusal and errors of
+/// this host do not.
+fn is_unreachable(kind: io::ErrorKind) -> bool {
+    use io::ErrorKind as E;
+    matches!(
+        kind,
+        E::HostUnreachable | E::NetworkUnreachable | E::TimedOut
+    )
+}
+
 /// Returns the text of an error with that of its source.
 fn error_text(error: &hyper::Error) -> String {
     match error.source() {
--- a/src/edge/time_limit.rs
+++ b/src/edge/time_limit.rs
@@ -10,11 +10,14 @@
 /// reached the task that waits for it.
 const EVENT_LOOP_TURNS: usize = 4;
 
-/// Waits for `future` within `limit`.
+/// Waits for `future` within `limit`, and takes what has arrived by then into account.
 ///
 /// After a suspension of the process, timers end before the event loop looks for what has arrived
 /// meanwhile: the wait for events is interrupted. The loop gets the time to do so here.
-pub async fn timeout<F: Future>(limit: Duration, future: F) -> Result<F::Output, Elapsed> {
+pub async fn timeout_unless_arrived<F: Future>(
+    limit: Duration,
+    future: F,
+) -> Result<F::Output, Elapsed> {
     let mut future = pin!(future);
     let elapsed = match tokio::time::timeout(limit, future.as_mut()).await {
         Ok(output) => return Ok(output),
