Take only a report as the answer to a report request on a used connection

What callers would see: a stream that may be resumed ran twice (both runs at one engine after the other), and could have gone on at an engine of another start.

Whatever came first after the question for an engine's start was taken as its report, also a late answer to a request that the connection had carried before.

Evidence: a_late_answer_to_a_request_is_not_taken_as_a_report fails before the change (2 runs in place of 1) and passes now.

Why it works: on a connection that has carried anything, a response that is no report ends the use of the connection, and the question is asked on another one. On a new connection nothing else can be due.

--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use super::carried::Earlier;
 use super::client::{self, CallLimits, Connection, SendError, SendOptions};
 use super::clock;
 use super::permits::PermitGuard;
@@ -115,7 +116,8 @@
     }
 
     /// Asks the engine behind a connection for its start time, as it may have started again at
-    /// its address since its entry was written. Returns whether the connection can be used on.
+    /// its address since its entry was written. Returns whether the connection can be used on: not
+    /// if the response may be a late one to what the connection had carried before.
     ///
     /// # Errors
     ///
@@ -132,7 +134,15 @@
         let exchange = connection.exchange(request, CALL_LIMITS.max_bytes);
         let response = client::within(LIFETIME_CHECK_TIME, exchange).await;
         let response = response.map_err(|e| not_sent(format!("lifetime not checked: {e}")))?;
-        self.record_statement(recipient, "", asked, response.status(), response.headers());
+        let (status, headers) = (response.status(), response.headers());
+        let is_report = status.is_success() && orders::decode_report(response.body()).is_ok();
+        if !is_report && connection.earlier() != Earlier::Nothing {
+            let status = status.as_u16();
+            log::info!(engine = &*recipient.lifetime.engine, status;
+                "response to a report request not believed");
+            return Ok(false);
+        }
+        self.record_statement(recipient, "", asked, status, headers);
         if let Some(born) = other_start(&recipient.lifetime, response.body()) {
             let (engine, life) = (&*recipient.lifetime.engine, recipient.lifetime.incarnation);
             log::info!(engine, life, born; "engine has started again");
--- a/tests/edge/attribution.rs
+++ b/tests/edge/attribution.rs
@@ -346,6 +346,29 @@
     }
 }
 
+/// Guards against ORDER: a late answer to an earlier request was taken as the report by which an
+/// engine says which of its lifetimes a connection leads to.
+#[test]
+fn a_late_answer_to_a_request_is_not_taken_as_a_report() {
+    let site = Site::start();
+    site.set(Behavior::LateBeforeReport);
+    for i in 0..4 {
+        // Leaves an idle connection on which the engine was not asked for its start.
+        let rigid = site.stream("/stream-rigid/", &format!("r{i}"));
+        assert_eq!(rigid.status, 200, "{rigid:?}");
+        let id = format!("s{i}");
+        let answer = site.stream("/stream/", &id);
+        assert_eq!((answer.status, site.runs(&id)), (200, 1), "{answer:?}");
+    }
+    let message = "response to a report request not believed";
+    assert!(!site.daemon.logged(message).is_empty());
+    assert!(
+        site.daemon
+            .logged("engine's response not believed")
+            .is_empty()
+    );
+}
+
 /// Guards against foreign bytes in a body: the rest of a body that an engine reads after
 /// its answer is due before the next request.
 #[test]
--- a/tests/edge/fakes/engine/behavior.rs
+++ b/tests/edge/fakes/engine/behavior.rs
@@ -55,6 +55,8 @@
     /// Answers orders correctly. On a connection that has carried a request, a late
     /// answer to that request comes first.
     LateAnswer,
+    /// Sends another response to the last request before each report.
+    LateBeforeReport,
     /// Answers before it reads the body, and reads the body later.
     Early,
     /// Answers 500.
--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -397,7 +397,7 @@
             let done = match request.path() {
                 HEALTH_PATH => self.check_health(stream).await,
                 "/report" | "/order" if self.answers_no_calls() => self.refuse_call(stream).await,
-                "/report" => self.report(stream).await,
+                "/report" => self.report(stream, &earlier).await,
                 "/order" => self.order(stream, &request, &earlier).await,
                 _ => self.run_request(stream, request, &earlier).await,
             };
@@ -500,7 +500,10 @@
         self.wait_for_close(stream, "").await
     }
 
-    async fn report(&self, stream: &mut TcpStream) -> std::io::Result<()> {
+    async fn report(&self, stream: &mut TcpStream, earlier: &str) -> std::io::Result<()> {
+        if self.behavior() == Behavior::LateBeforeReport && !earlier.is_empty() {
+            self.late_response(stream, 200, &signed(earlier)).await?;
+        }
         let report = {
             let state = self.state.lock().unwrap();
             let models: Vec<Value> = state.models.iter().map(model_json).collect();
