Say "not run" of no completion that an attempt may have run

What callers would see: ran: no, with status 400, after an attempt that timed out at one engine and a further one that another engine rejected.

Cause: only refusals that ask for a retry were replaced.

Change: all kinds that say that the request has not run are.

Evidence: the new case of a_refusal_after_an_attempt_that_may_have_run... passes; it was not run on the code before.

--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -478,27 +478,23 @@
 
 /// Returns whether an engine may have begun to work on a request that failed in this way.
 fn may_have_run(error: &EngineError) -> bool {
-    let not_run = matches!(
-        error,
-        EngineError::Unreachable(_)
-            | EngineError::Status {
-                status: 404 | 429,
-                ..
-            }
-    );
-    !not_run
+    match error {
+        EngineError::Unreachable(_) => false,
+        // The engine finds fault with the request, lacks the model, or has no room.
+        EngineError::Status { status, .. } => !(400..500).contains(status) || *status == 408,
+        _ => true,
+    }
 }
 
-/// Returns the end of a refused request. A refusal that tells the caller to send the request again,
-/// as it has not run, is replaced if it may have run.
+/// Returns the end of a refused request. A refusal that says that the request has not run is replaced
+/// if it may have.
 fn refused_end(refusal: Refusal, state: &RelayState) -> CompletionEnd {
     if state.sent_tokens > 0 {
         let broken = Refusal::new(Kind::StreamBroken, refusal.detail);
         return CompletionEnd::Refused(broken, state.sent_tokens);
     }
-    let response = refusal.kind.response();
-    let promises_not_run = response.retry && response.ran == ExecutionState::No;
-    if state.may_have_run && promises_not_run {
+    let says_not_run = refusal.kind.response().ran == ExecutionState::No;
+    if state.may_have_run && says_not_run {
         let kind = Kind::UpstreamFailed;
         return CompletionEnd::Refused(Refusal { kind, ..refusal }, 0);
     }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -193,6 +193,7 @@
 #[test_case(Kind::DeadlineExpired; "no engine is free in time")]
 #[test_case(Kind::QueueFull; "the queue is full")]
 #[test_case(Kind::DeadlineUnreachable; "the deadline cannot be met")]
+#[test_case(Kind::BadRequest; "another engine finds fault with it")]
 fn a_refusal_after_an_attempt_that_may_have_run_is_no_promise(kind: Kind) {
     let error = EngineError::TimedOut("in the test".to_owned());
     assert_eq!(refusal_after(error, kind), Kind::UpstreamFailed);
