--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -1,7 +1,7 @@
 //! Attempts of one request at engines until one responds.
 //!
-//! A request that may have run is sent again only if its route allows that, after its
-//! connection was closed, and within the shared retry budget.
+//! A request that may have run is sent again only if its route allows that, and within the
+//! shared retry budget.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
--- a/src/edge/forward/attribution.rs
+++ b/src/edge/forward/attribution.rs
@@ -20,7 +20,7 @@
     /// Attributes a response to the request `id`, which is empty if it has none; `earlier` is what
     /// the connection had carried before the request.
     pub fn of(id: &str, response: &ResponseHeaders, earlier: Earlier) -> Self {
-        if response.garbled {
+        if response.ambiguous {
             return Attribution::NotBelieved;
         }
         match (&*response.id, earlier) {
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -27,7 +27,6 @@
 use super::{client, clock};
 use crate::error::Kind;
 use crate::platform::host_queries::{self, HostQuery};
-
 use response::{CutShort, Refusal, ResponseBody};
 
 /// Maximum number of connections that wait to be accepted.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -198,7 +198,7 @@
     /// Id of the request that was answered.
     pub id: Arc<str>,
     /// Whether it names several ids, or one that cannot be read.
-    pub garbled: bool,
+    pub ambiguous: bool,
     /// Whether the engine signed it.
     pub signed: bool,
     /// Whether the engine did not run the request.
@@ -258,7 +258,7 @@
     let first = ids.next();
     let is_unreadable = first.is_some_and(|id| id.to_str().is_err());
     ResponseHeaders {
-        garbled: is_unreadable || ids.any(|id| Some(id) != first),
+        ambiguous: is_unreadable || ids.any(|id| Some(id) != first),
         id: header_text(headers, &REQUEST_ID).unwrap_or_default().into(),
         signed: headers.contains_key(&SERVER_STAMP),
         not_run: headers.contains_key(&NOT_RUN),
