--- a/src/edge/forward/evidence.rs
+++ b/src/edge/forward/evidence.rs
@@ -74,9 +74,9 @@
 pub(super) enum Verdict {
     /// The engine rejected it without running it.
     Rejected(Rejection),
-    /// It is the response to it.
+    /// The response is to this sending, and no rejection.
     Answered,
-    /// Nothing.
+    /// Nothing: it may be to another sending.
     Unproven,
 }
 
