Load second copies into free memory only, while no request waits

Change: a second copy is loaded while no request waits for a load, and evicts nothing, so that nothing can alternate; the only copy of a version is still evicted last.

The tests of placement pass.

--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -408,7 +408,7 @@
             }
             LoadReason::Hot => self.settings.hot_loss,
             LoadReason::Prefetch => self.settings.ahead_loss,
-            LoadReason::Spare => self.max_spare_cost(input, key),
+            LoadReason::Spare => 0.0,
         }
     }
 
--- a/src/edge/placement/spares.rs
+++ b/src/edge/placement/spares.rs
@@ -63,8 +63,12 @@
     }
 
     /// Plans a second copy of each model that one engine of a version alone holds, while several
-    /// versions serve and streams may be resumed; the most requested first.
+    /// versions serve and streams may be resumed; the most requested first. No request has to wait
+    /// for such a load, and no model is evicted for it.
     pub(super) fn plan_spares(&mut self, input: &PlacementInput<'_>) {
+        if !input.waiting.is_empty() {
+            return;
+        }
         let mut sole = Vec::new();
         for (key, versions) in &self.index.versions.replicas {
             if !has_resumable_streams(input, &key.service) {
@@ -87,18 +91,8 @@
         }
     }
 
-    /// Returns the maximum eviction cost that the load of a second copy may cause, s. Without
-    /// requests it takes free memory only.
-    pub(super) fn max_spare_cost(&self, input: &PlacementInput<'_>, key: &ModelKey) -> f64 {
-        match self.has_tight_demand(input, key) {
-            true => self.settings.ahead_loss,
-            false => 0.0,
-        }
-    }
-
-    /// Returns the additional cost of unloading a model from an engine while several versions
-    /// serve, s. That of a second copy is as high as the cost that its load may cause, so that the
-    /// two do not alternate; without a copy, streams of the version wait as if no engine had one.
+    /// Returns the additional cost of unloading the only copy of a model at a version while several
+    /// serve, s: streams of the version then wait as if no engine had a copy.
     pub(super) fn spare_cost(
         &self,
         input: &PlacementInput<'_>,
@@ -107,16 +101,14 @@
     ) -> f64 {
         let software = &engine.entry.software;
         let versions = &self.index.versions;
-        let is_needed = versions.may_double(&key.service, software)
+        let is_sole = versions.may_double(&key.service, software)
+            && versions.replica_count(key, software) <= 1;
+        let is_needed = is_sole
             && has_resumable_streams(input, &key.service)
             && self.has_tight_demand(input, key);
-        if !is_needed {
-            return 0.0;
-        }
-        match versions.replica_count(key, software) {
-            0 | 1 => self.settings.ahead_loss + self.absence_cost(input, key),
-            2 => self.settings.ahead_loss,
-            _ => 0.0,
+        match is_needed {
+            true => self.absence_cost(input, key),
+            false => 0.0,
         }
     }
 
