Wait for the log line of a silent run in its tests

Trace: with a trial that goes on looking, one of 24 runs of these tests at a load of 17 found no line at first, and the line 5 ms later. The daemon writes its log in the background, so the answer can come before the line. The test waits for the line now and checks the same.

--- a/tests/edge/silence.rs
+++ b/tests/edge/silence.rs
@@ -296,7 +296,9 @@
 
 /// Returns what the daemon logged of the only silent run that it abandoned.
 fn abandoned_run(site: &Site) -> Value {
-    let runs = site.daemon.logged("silent run abandoned");
+    let message = "silent run abandoned";
+    wait("its log line", || !site.daemon.logged(message).is_empty());
+    let runs = site.daemon.logged(message);
     let [run] = runs.as_slice() else {
         panic!("{runs:?}");
     };
