Send signals of the soak by one function, and skip work that is not needed

Cause: a second reading of the whole change. Five disturbances of daemons wrote the same lines to send a signal and remember the process. The index of versions walked all engines a second time where one version serves.

Behaviour and assertions stay as they are.

--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -135,8 +135,8 @@
         let response = client::within(LIFETIME_CHECK_TIME, exchange).await;
         let response = response.map_err(|e| not_sent(format!("lifetime not checked: {e}")))?;
         let (status, headers) = (response.status(), response.headers());
-        let is_report = status.is_success() && orders::decode_report(response.body()).is_ok();
-        if !is_report && connection.earlier() != Earlier::Nothing {
+        let is_report = || status.is_success() && orders::decode_report(response.body()).is_ok();
+        if connection.earlier() != Earlier::Nothing && !is_report() {
             let status = status.as_u16();
             log::info!(engine = &*recipient.lifetime.engine, status;
                 "response to a report request not believed");
--- a/src/edge/placement/spares.rs
+++ b/src/edge/placement/spares.rs
@@ -48,6 +48,10 @@
             *versions.entry(entry.software.clone()).or_default() += 1;
         }
         index.engines.retain(|_, versions| versions.len() > 1);
+        if index.engines.is_empty() {
+            self.index.versions = index;
+            return;
+        }
         for (engine, view) in self.known_engines(input) {
             let entry = &engine.entry;
             if !index.engines.contains_key(&entry.service) {
--- a/tests/soak/disturbances.rs
+++ b/tests/soak/disturbances.rs
@@ -348,6 +348,21 @@
     start_again(engine, start, time / 4);
 }
 
+/// Sends a signal to a daemon; returns the number of its processes so far.
+fn signal(site: &Site, daemon: usize, signal: i32) -> u64 {
+    let daemon = site.daemons[daemon].lock().unwrap();
+    daemon.signal(signal);
+    daemon.lives
+}
+
+/// Sends a signal to a daemon, unless it was started again since `life`.
+fn signal_life(site: &Site, daemon: usize, life: u64, signal: i32) {
+    let daemon = site.daemons[daemon].lock().unwrap();
+    if daemon.lives == life {
+        daemon.signal(signal);
+    }
+}
+
 fn freeze(site: &Site, daemon: usize, time: Duration) {
     let start = site.recorder.now();
     site.daemons[daemon].lock().unwrap().signal(libc::SIGSTOP);
@@ -358,11 +373,7 @@
 
 fn kill(site: &Site, daemon: usize, time: Duration) {
     let start = site.recorder.now();
-    let life = {
-        let daemon = site.daemons[daemon].lock().unwrap();
-        daemon.signal(libc::SIGKILL);
-        daemon.lives
-    };
+    let life = signal(site, daemon, libc::SIGKILL);
     thread::sleep(time);
     restart(site, daemon, life);
     wait_until_ready(site, daemon);
@@ -372,11 +383,7 @@
 fn shut_down(site: &Site, daemon: usize) {
     let start = site.recorder.now();
     let signalled_at = Instant::now();
-    let life = {
-        let daemon = site.daemons[daemon].lock().unwrap();
-        daemon.signal(libc::SIGTERM);
-        daemon.lives
-    };
+    let life = signal(site, daemon, libc::SIGTERM);
     while signalled_at.elapsed() < GRACE {
         thread::sleep(EXIT_POLL_PERIOD);
         let mut daemon = site.daemons[daemon].lock().unwrap();
@@ -392,18 +399,9 @@
 /// Sends SIGTERM to a daemon, kills it after `until_kill`, and starts it again after `pause`.
 fn stop_then_kill(site: &Site, daemon: usize, until_kill: Duration, pause: Duration) {
     let start = site.recorder.now();
-    let life = {
-        let daemon = site.daemons[daemon].lock().unwrap();
-        daemon.signal(libc::SIGTERM);
-        daemon.lives
-    };
+    let life = signal(site, daemon, libc::SIGTERM);
     thread::sleep(until_kill);
-    {
-        let daemon = site.daemons[daemon].lock().unwrap();
-        if daemon.lives == life {
-            daemon.signal(libc::SIGKILL);
-        }
-    }
+    signal_life(site, daemon, life, libc::SIGKILL);
     thread::sleep(pause);
     restart(site, daemon, life);
     wait_until_ready(site, daemon);
@@ -414,21 +412,11 @@
 /// later. It is killed at the end of the grace period, as the platform does.
 fn stop_frozen(site: &Site, daemon: usize, until_stop: Duration, until_thaw: Duration) {
     let start = site.recorder.now();
-    let life = {
-        let daemon = site.daemons[daemon].lock().unwrap();
-        daemon.signal(libc::SIGSTOP);
-        daemon.lives
-    };
-    let signal = |signal| {
-        let daemon = site.daemons[daemon].lock().unwrap();
-        if daemon.lives == life {
-            daemon.signal(signal);
-        }
-    };
+    let life = signal(site, daemon, libc::SIGSTOP);
     thread::sleep(until_stop);
-    signal(libc::SIGTERM);
+    signal_life(site, daemon, life, libc::SIGTERM);
     thread::sleep(until_thaw.min(GRACE));
-    signal(libc::SIGCONT);
+    signal_life(site, daemon, life, libc::SIGCONT);
     thread::sleep(GRACE.saturating_sub(until_thaw));
     restart(site, daemon, life);
     wait_until_ready(site, daemon);
@@ -439,11 +427,7 @@
 fn stop_overlapping(site: &Site, daemon: usize, until_start: Duration) {
     let start = site.recorder.now();
     let signalled_at = Instant::now();
-    let life = {
-        let daemon = site.daemons[daemon].lock().unwrap();
-        daemon.signal(libc::SIGTERM);
-        daemon.lives
-    };
+    let life = signal(site, daemon, libc::SIGTERM);
     thread::sleep(until_start);
     let mut started = 0;
     while signalled_at.elapsed() < GRACE {
