Hold the most specific explanation of crashes, and try it by clean requests

Cause: requests that were merely near crashes were held one after the other, and the part that they share with all others became certain: the whole route was refused for good.

Requests come first, a small set that covers the crashes; a part is held only if crashes come from several requests that nothing else explains. Certainty no longer follows from crashes: a hold lasts only if its trials fail, late ones three in all. A trial of a part is left to requests under no suspicion; one with several held features may be a trial of all. Waiting requests remain suspects; a crash keeps 16 features of each kind, repeated ones first.

--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -442,4 +442,7 @@
     /// Whether an engine has answered a request with it since.
     #[prost(bool, tag = "5")]
     pub cleared: bool,
+    /// Whether a daemon saw a request with it break off at another crash before.
+    #[prost(bool, tag = "6")]
+    pub repeated: bool,
 }
--- a/src/edge/suspects/crash.rs
+++ b/src/edge/suspects/crash.rs
@@ -8,8 +8,8 @@
 use crate::clock::Moment;
 use crate::edge::upstream::Lifetime;
 
-/// Maximum number of features of one crash, so that it fits one datagram.
-const MAX_FEATURES: usize = 32;
+/// Maximum number of features of each kind of one crash, so that it fits one datagram.
+const MAX_FEATURES: usize = 16;
 
 /// What is known of a feature at a crash. Each flag is only ever set, so that reports merge to
 /// the same state in any order and any number of times.
@@ -21,6 +21,8 @@
     pub known: bool,
     /// Whether an engine has answered a request with it since.
     pub cleared: bool,
+    /// Whether a daemon saw a request with it break off at another crash before.
+    pub repeated: bool,
 }
 
 impl Evidence {
@@ -29,6 +31,7 @@
         self.begun |= other.begun;
         self.known |= other.known;
         self.cleared |= other.cleared;
+        self.repeated |= other.repeated;
         *self != before
     }
 }
@@ -63,7 +66,7 @@
     /// Features of the requests that were in progress.
     pub features: BTreeMap<Feature, Evidence>,
     /// Number that depends on its id.
-    seed: u64,
+    pub(super) seed: u64,
 }
 
 impl Crash {
@@ -82,21 +85,28 @@
         if let Some(known) = self.features.get_mut(&feature) {
             return known.merge(evidence);
         }
-        if self.features.len() >= MAX_FEATURES && !self.make_room(feature, evidence) {
+        let is_alike = |f: &&Feature| same_kind(**f, feature);
+        let count = self.features.keys().filter(is_alike).count();
+        if count >= MAX_FEATURES && !self.make_room(feature, evidence) {
             return false;
         }
         self.features.insert(feature, evidence);
         true
     }
 
-    /// Removes the feature that is least likely the cause, if it is less likely than this one;
-    /// returns whether it is. Among equals, each crash keeps others.
+    /// Removes the feature of the same kind that is least likely the cause, if it is less likely
+    /// than this one; returns whether it is. Among equals, each crash keeps others.
     fn make_room(&mut self, feature: Feature, evidence: Evidence) -> bool {
         let rank = |feature: Feature| xxh3_64_with_seed(feature.to_string().as_bytes(), self.seed);
-        let innocence = |f: Feature, e: &Evidence| (e.cleared, !e.begun, e.known, rank(f));
+        let innocence = |f: Feature, e: &Evidence| {
+            // An engine may crash before the first byte of the answer to a request.
+            let is_waiting = matches!(f, Feature::Part(_)) && !e.begun;
+            (e.cleared, !e.repeated, is_waiting, e.known, rank(f))
+        };
         let least = self
             .features
             .iter()
+            .filter(|(f, _)| same_kind(**f, feature))
             .map(|(f, e)| (innocence(*f, e), *f))
             .max();
         let Some((most, innocent)) = least else {
@@ -109,20 +119,18 @@
         true
     }
 
-    /// Returns the features that may have caused the crash: of the requests whose answers had
-    /// just begun, or of all if there are none. Those that no engine had answered before come
-    /// alone, if there are any.
-    pub fn causes(&self) -> impl Iterator<Item = (Feature, Evidence)> {
+    /// Returns the features that may have caused the crash, each with whether it is a strong
+    /// cause: one that no engine had answered before and, if it is a part, of a request whose
+    /// answer had just begun, unless there is none. Engines crash on a part as they begin to
+    /// answer, on a request at any time.
+    pub fn causes(&self) -> impl Iterator<Item = (Feature, bool)> {
         let open = self.features.iter().filter(|(_, e)| !e.cleared);
-        let has_begun = open.clone().any(|(_, e)| e.begun);
-        let open = open.filter(move |(_, e)| e.begun || !has_begun);
-        let has_new = open.clone().any(|(_, e)| !e.known);
-        let likely = open.filter(move |(_, e)| !e.known || !has_new);
-        likely.map(|(feature, evidence)| (*feature, *evidence))
+        let is_part = |f: &Feature| matches!(f, Feature::Part(_));
+        let has_begun = open.clone().any(|(f, e)| is_part(f) && e.begun);
+        open.map(move |(f, e)| (*f, !e.known && (e.begun || !is_part(f) || !has_begun)))
     }
+}
 
-    /// Returns whether a feature may have caused the crash.
-    pub fn may_be_caused_by(&self, feature: Feature) -> bool {
-        self.causes().any(|(f, _)| f == feature)
-    }
+fn same_kind(one: Feature, other: Feature) -> bool {
+    std::mem::discriminant(&one) == std::mem::discriminant(&other)
 }
--- a/src/edge/suspects/hold.rs
+++ b/src/edge/suspects/hold.rs
@@ -8,8 +8,8 @@
 use crate::clock::Moment;
 use crate::edge::upstream::Lifetime;
 
-/// Maximum number of crashes in a row; more than it takes to hold a feature.
-const MAX_ROW_CRASHES: usize = 5;
+/// Maximum number of crashes in a row; as many as it takes to hold a feature.
+const MAX_ROW_CRASHES: usize = 6;
 
 /// A held feature's row in the store, from which daemons that start know it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +19,9 @@
     /// Number of trials so far.
     #[serde(default)]
     pub trials: u32,
+    /// Number of trials among them that were late.
+    #[serde(default)]
+    pub late: u32,
 }
 
 /// A crash as the store keeps it.
@@ -54,12 +57,14 @@
                 .map(record)
                 .collect(),
             trials: self.trials.count(feature),
+            late: self.trials.late_count(feature),
         }
     }
 
     /// Applies a row of the store.
     pub fn restore(&mut self, feature: Feature, record: &HoldRecord, now: Moment) -> HeldChange {
         let mut change = HeldChange::default();
+        let is_held = self.held.contains(&feature);
         for crash in &record.crashes {
             let id = CrashId {
                 lifetime: Lifetime {
@@ -71,7 +76,7 @@
             let evidence = Evidence {
                 begun: true,
                 known: crash.known,
-                cleared: false,
+                ..Evidence::default()
             };
             let mut report = Crash::new(&id, now, now);
             report.add(feature, evidence);
@@ -80,6 +85,11 @@
             change.released.extend(more.released);
         }
         self.trials.record(feature, record.trials, now);
+        self.trials.record_late(feature, record.late);
+        if !is_held {
+            // It is not known when its crashes happened.
+            self.trials.mark_old(feature);
+        }
         change
     }
 }
--- a/src/edge/suspects/mod.rs
+++ b/src/edge/suspects/mod.rs
@@ -5,13 +5,17 @@
 //! daemons; each finds the features that explain them. Requests with such a feature are held,
 //! but for a few trials, until an engine has answered one.
 //!
-//! A crash that a held feature explains counts against no other. Features that engines have
-//! answered before count only where a crash has no other explanation.
+//! The most specific explanation is preferred: a part is held only if several requests crashed
+//! engines that have nothing else in common.
 
+mod broken;
 mod crash;
+mod crash_set;
 mod engine_ends;
+mod explain;
 mod feature;
 mod hold;
+mod index;
 mod notes;
 mod progress;
 mod recording;
@@ -32,20 +36,14 @@
 pub use trials::Trials;
 
 use crate::clock::Moment;
+use broken::BrokenFeatures;
+use crash_set::MAX_CRASHES;
+use index::Index;
 use sound::SoundFeatures;
+use trials::CrashTimes;
 
-/// Points of a crash against a feature that no engine had answered before.
-const NEW_POINTS: u32 = 5;
-/// Points of a crash against a feature that engines had answered before.
-const KNOWN_POINTS: u32 = 2;
-/// Points from which a feature is held: two crashes if it is new, else five.
-const HELD_POINTS: u32 = 10;
-/// Crashes that only one held feature explains from which it is tried no more.
-const CERTAIN_CRASHES: usize = 3;
 /// Time after which a crash is forgotten, if no request came that is held because of it.
 const RETENTION: Duration = Duration::from_secs(3_600);
-/// Maximum number of crashes that are kept.
-const MAX_CRASHES: usize = 256;
 
 /// A change of the held features.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -66,8 +64,10 @@
 /// Crashes of engines, and the features that explain them.
 #[derive(Debug, Default)]
 pub struct Suspects {
-    crashes: BTreeMap<CrashId, Crash>,
+    crashes: BTreeMap<CrashId, (u8, Crash)>,
+    index: Index,
     sound: SoundFeatures,
+    broken: BrokenFeatures,
     held: BTreeSet<Feature>,
     /// Trials of held features.
     pub trials: Trials,
@@ -87,6 +87,7 @@
         for (feature, begun) in features {
             let evidence = Evidence {
                 begun,
+                repeated: self.broken.record(feature, crash.seed),
                 ..Evidence::default()
             };
             crash.add(feature, evidence);
@@ -99,16 +100,18 @@
         if now.saturating_sub(report.seen_at) >= RETENTION {
             return HeldChange::default();
         }
-        if !self.crashes.contains_key(id) {
+        let is_new = !self.crashes.contains_key(id);
+        if is_new {
             self.make_room();
         }
-        let mut is_news = !self.crashes.contains_key(id);
-        let crash = self
-            .crashes
-            .entry(id.clone())
-            .or_insert_with(|| Crash::new(id, report.at, report.seen_at));
+        let (slot, crash) = self.crashes.entry(id.clone()).or_insert_with(|| {
+            let crash = Crash::new(id, report.at, report.seen_at);
+            (self.index.take_slot(id), crash)
+        });
         crash.at = crash.at.min(report.at);
         crash.seen_at = crash.seen_at.max(report.seen_at);
+        self.index.remove(*slot, crash);
+        let mut is_news = is_new;
         for (feature, evidence) in &report.features {
             let answered = self.sound.answered(*feature, crash.at);
             let evidence = Evidence {
@@ -118,6 +121,7 @@
             };
             is_news |= crash.add(*feature, evidence);
         }
+        self.index.insert(*slot, crash);
         if !is_news {
             return HeldChange::default();
         }
@@ -130,17 +134,9 @@
         let mut is_news = false;
         for feature in features {
             self.sound.record(*feature, now);
-        }
-        for (id, crash) in &mut self.crashes {
-            for feature in features {
-                let Some(evidence) = crash.features.get_mut(feature) else {
-                    continue;
-                };
-                if !evidence.cleared && crash.at < now {
-                    evidence.cleared = true;
-                    is_news = true;
-                    self.news.insert(id.clone());
-                }
+            self.broken.forget(*feature);
+            for slot in self.index.open(*feature).all.iter() {
+                is_news |= self.clear(slot, *feature, now);
             }
         }
         match is_news {
@@ -149,6 +145,23 @@
         }
     }
 
+    /// Records that a feature did not cause a crash; returns whether that is news.
+    fn clear(&mut self, slot: u8, feature: Feature, now: Moment) -> bool {
+        let Some(id) = self.index.id(slot).cloned() else {
+            return false;
+        };
+        let Some((_, crash)) = self.crashes.get_mut(&id).filter(|(_, c)| c.at < now) else {
+            return false;
+        };
+        self.index.remove(slot, crash);
+        if let Some(evidence) = crash.features.get_mut(&feature) {
+            evidence.cleared = true;
+        }
+        self.index.insert(slot, crash);
+        self.news.insert(id);
+        true
+    }
+
     /// Returns the held features among these.
     pub fn held_among(&self, features: &[Feature]) -> Vec<Feature> {
         let held = features.iter().filter(|f| self.held.contains(f));
@@ -162,48 +175,79 @@
 
     /// Records that a request came that is held because of this feature.
     pub fn record_seen(&mut self, feature: Feature, now: Moment) {
-        for crash in self.crashes.values_mut() {
-            if crash.may_be_caused_by(feature) {
+        for slot in self.index.open(feature).all.iter() {
+            let id = self.index.id(slot);
+            if let Some((_, crash)) = id.and_then(|id| self.crashes.get_mut(id)) {
                 crash.seen_at = now;
             }
         }
     }
 
-    /// Returns the crashes that a feature explains, with their ids.
+    /// Returns the crashes that a feature may have caused, with their ids.
     pub fn crashes_by(&self, feature: Feature) -> impl Iterator<Item = (&CrashId, &Crash)> {
-        let crashes = self.crashes.iter();
-        crashes.filter(move |(_, crash)| crash.may_be_caused_by(feature))
+        let slots = self.index.open(feature).all.iter();
+        let ids = slots.filter_map(|slot| self.index.id(slot));
+        ids.filter_map(|id| self.crashes.get(id).map(|(_, crash)| (id, crash)))
     }
 
     /// Returns the time until a request whose only held feature is this one may be tried;
-    /// `None` if it is certain that engines crash on it.
+    /// `None` if there is no further trial.
     pub fn trial_in(&self, feature: Feature, now: Moment) -> Option<Duration> {
-        if self.is_certain(feature) {
-            return None;
-        }
-        let ends = self.crashes_by(feature).map(|(_, crash)| crash.at);
-        let last_end = ends.max().unwrap_or_default();
-        Some(self.trials.due_in(feature, last_end, now))
+        self.trials
+            .due_in(feature, &self.crash_times(feature), false, now)
+    }
+
+    /// Returns the held features of a request, each with the time until the request may be
+    /// sent as a trial of it, `None` if there is no further trial. Requests that may crash
+    /// engines for another reason come later, so that the trials are those of others.
+    pub fn trials_in(&self, features: &[Feature], now: Moment) -> Vec<(Feature, Option<Duration>)> {
+        let held = self.held_among(features);
+        let is_request = |f: &&Feature| matches!(f, Feature::Request(_));
+        let mut own = features.iter().filter(is_request);
+        let is_suspected = own.any(|f| !held.contains(f) && !self.index.open(*f).all.is_empty());
+        let is_doubtful = held.len() > 1 || is_suspected;
+        let due = |feature: Feature| {
+            let crashes = self.crash_times(feature);
+            self.trials.due_in(feature, &crashes, is_doubtful, now)
+        };
+        held.into_iter().map(|f| (f, due(f))).collect()
     }
 
-    /// Returns whether so many crashes have no other held feature as an explanation that no
-    /// trial is needed.
-    fn is_certain(&self, feature: Feature) -> bool {
-        let is_other = |f: Feature| f != feature && self.held.contains(&f);
-        let alone = |crash: &Crash| !crash.causes().any(|(f, _)| is_other(f));
-        let crashes = self.crashes_by(feature).filter(|(_, crash)| alone(crash));
-        crashes.count() >= CERTAIN_CRASHES
+    /// Records that a trial of a held feature begins; returns the number of those before it,
+    /// and whether it is one of the few that come late.
+    pub fn begin_trial(&mut self, feature: Feature, now: Moment) -> (u32, bool) {
+        let crashes = self.crash_times(feature);
+        let is_late = self.trials.is_late(feature, &crashes, now);
+        let before = self.trials.count(feature);
+        let late = self.trials.late_count(feature).max(crashes.late);
+        self.trials.record(feature, before + 1, now);
+        self.trials.record_late(feature, late + u32::from(is_late));
+        (before, is_late)
+    }
+
+    fn crash_times(&self, feature: Feature) -> CrashTimes {
+        let times = self.crashes_by(feature).map(|(_, crash)| crash.at);
+        CrashTimes::new(feature, times.collect())
     }
 
     /// Forgets crashes because of which nothing has been held for long.
     pub fn expire(&mut self, now: Moment) -> HeldChange {
-        let before = self.crashes.len();
-        self.crashes
-            .retain(|_, crash| now.saturating_sub(crash.seen_at) < RETENTION);
-        if self.crashes.len() == before {
-            return HeldChange::default();
+        let is_old = |crash: &Crash| now.saturating_sub(crash.seen_at) >= RETENTION;
+        let crashes = self.crashes.iter().filter(|(_, (_, crash))| is_old(crash));
+        let old: Vec<_> = crashes.map(|(id, _)| id.clone()).collect();
+        old.iter().for_each(|id| self.remove(id));
+        match old.is_empty() {
+            true => HeldChange::default(),
+            false => self.update_held(),
         }
-        self.update_held()
+    }
+
+    fn remove(&mut self, id: &CrashId) {
+        if let Some((slot, crash)) = self.crashes.remove(id) {
+            self.index.remove(slot, &crash);
+            self.index.free_slot(slot);
+        }
+        self.news.remove(id);
     }
 
     /// Removes the oldest crash when there are too many; one that explains nothing held first.
@@ -212,43 +256,20 @@
             return;
         }
         let explains = |crash: &Crash| crash.causes().any(|(f, _)| self.held.contains(&f));
-        let oldest = self
-            .crashes
-            .iter()
-            .min_by_key(|(id, crash)| (explains(crash), id.ended, crash.seen_at));
+        let crashes = self.crashes.iter();
+        let oldest =
+            crashes.min_by_key(|(id, (_, crash))| (explains(crash), id.ended, crash.seen_at));
         if let Some((id, _)) = oldest {
             let id = id.clone();
             log::warn!(engine = &*id.lifetime.engine, life = id.lifetime.incarnation;
                 "crash forgotten: there are too many");
-            self.crashes.remove(&id);
-            self.news.remove(&id);
+            self.remove(&id);
         }
     }
 
-    /// Finds the features that explain the crashes: again and again those with most points
-    /// among the crashes that are not explained yet.
+    /// Finds the features that explain the crashes.
     fn update_held(&mut self) -> HeldChange {
-        let mut held = BTreeSet::new();
-        let mut open: Vec<Vec<_>> = self
-            .crashes
-            .values()
-            .map(|c| c.causes().collect())
-            .collect();
-        loop {
-            let mut points: BTreeMap<Feature, u32> = BTreeMap::new();
-            for (feature, evidence) in open.iter().flatten() {
-                *points.entry(*feature).or_default() += match evidence.known {
-                    true => KNOWN_POINTS,
-                    false => NEW_POINTS,
-                };
-            }
-            let most = points.values().copied().max().unwrap_or(0);
-            if most < HELD_POINTS {
-                break;
-            }
-            held.extend(points.iter().filter(|(_, p)| **p == most).map(|(f, _)| *f));
-            open.retain(|causes| !causes.iter().any(|(f, _)| held.contains(f)));
-        }
+        let held = explain::held_features(&self.index);
         let change = HeldChange {
             held: held.difference(&self.held).copied().collect(),
             released: self.held.difference(&held).copied().collect(),
--- a/src/edge/suspects/notes.rs
+++ b/src/edge/suspects/notes.rs
@@ -14,7 +14,7 @@
         let news = std::mem::take(&mut self.news);
         let known = news
             .iter()
-            .filter_map(|id| self.crashes.get(id).map(|c| (id, c)));
+            .filter_map(|id| self.crashes.get(id).map(|(_, c)| (id, c)));
         known
             .take(limit)
             .map(|(id, c)| encode(id, c, now))
@@ -33,7 +33,7 @@
 
     /// Returns a crash to tell other daemons.
     pub fn note(&self, id: &CrashId, now: Moment) -> Option<CrashNote> {
-        self.crashes.get(id).map(|crash| encode(id, crash, now))
+        self.crashes.get(id).map(|(_, c)| encode(id, c, now))
     }
 
     /// Merges a crash that another daemon reports.
@@ -52,13 +52,14 @@
                 begun: feature.begun,
                 known: feature.known,
                 cleared: feature.cleared,
+                repeated: feature.repeated,
             };
             crash.add(decode(feature), evidence);
         }
         let had_news = self.news.contains(&id);
         let change = self.merge(&id, &crash, now);
         // The sender tells the others, unless this daemon knows more.
-        let adds = self.crashes.get(&id).is_some_and(|known| {
+        let adds = self.crashes.get(&id).is_some_and(|(_, known)| {
             let told = |(f, e): (&Feature, &Evidence)| crash.features.get(f) == Some(e);
             !known.features.iter().all(told)
         });
@@ -89,6 +90,7 @@
             begun: evidence.begun,
             known: evidence.known,
             cleared: evidence.cleared,
+            repeated: evidence.repeated,
         }
     });
     CrashNote {
--- a/src/edge/suspects/recording.rs
+++ b/src/edge/suspects/recording.rs
@@ -25,24 +25,19 @@
     pub fn check_held(&self, features: &[Feature]) -> Result<(), Hold> {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
-        let held = state.suspects.held_among(features);
-        for feature in &held {
+        let trials = state.suspects.trials_in(features, now);
+        for (feature, _) in &trials {
             state.suspects.record_seen(*feature, now);
         }
-        match held[..] {
-            [] => Ok(()),
-            [feature] => match state.suspects.trial_in(feature, now) {
-                Some(Duration::ZERO) => Ok(()),
-                wait => Err(Hold {
-                    feature,
-                    retry_after: wait.unwrap_or(HELD_RETURN),
-                }),
-            },
-            // A trial would not tell which of them is the cause.
-            [feature, ..] => Err(Hold {
-                feature,
-                retry_after: HELD_RETURN,
-            }),
+        drop(state);
+        let waits = trials.into_iter().map(|(feature, wait)| Hold {
+            feature,
+            retry_after: wait.unwrap_or(HELD_RETURN),
+        });
+        let longest = waits.max_by_key(|hold| hold.retry_after);
+        match longest.filter(|hold| !hold.retry_after.is_zero()) {
+            Some(hold) => Err(hold),
+            None => Ok(()),
         }
     }
 
@@ -51,15 +46,20 @@
     pub async fn admit(&self, features: &[Feature]) -> Result<bool, Hold> {
         self.check_held(features)?;
         let held = self.state.borrow().suspects.held_among(features);
-        let Some(feature) = held.first().copied() else {
-            return Ok(false);
-        };
+        for feature in &held {
+            self.claim(*feature).await?;
+        }
+        Ok(!held.is_empty())
+    }
+
+    /// Takes a trial of a held feature.
+    async fn claim(&self, feature: Feature) -> Result<(), Hold> {
         let claim = claim_trial(self, feature).await;
         let outcome: &'static str = claim.into();
         self.metrics.record_trial(outcome);
         log::info!(feature:%, outcome; "trial of a held feature");
         if claim == Claim::Granted {
-            return Ok(true);
+            return Ok(());
         }
         let state = self.state.borrow();
         let wait = state.suspects.trial_in(feature, clock::now());
--- a/src/edge/suspects/rows.rs
+++ b/src/edge/suspects/rows.rs
@@ -178,12 +178,11 @@
 /// Takes the next trial of a held feature for one request of this daemon.
 pub async fn claim_trial(edge: &Edge, feature: Feature) -> Claim {
     // Other requests of this daemon wait for the trial after this one.
-    let (before, record) = {
+    let (before, is_late, record) = {
         let mut state = edge.state.borrow_mut();
         let suspects = &mut state.suspects;
-        let before = suspects.trials.count(feature);
-        suspects.trials.record(feature, before + 1, clock::now());
-        (before, suspects.hold_record(feature))
+        let (before, is_late) = suspects.begin_trial(feature, clock::now());
+        (before, is_late, suspects.hold_record(feature))
     };
     let mut version = 0;
     loop {
@@ -191,12 +190,16 @@
         match edge.store.commit(&[change]).await {
             Ok(CommitOutcome::Committed(_)) => return Claim::Granted,
             Ok(CommitOutcome::Conflict(page)) => {
-                let trials = decode(&page).get(&feature).map_or(0, |(_, row)| row.trials);
+                let rows = decode(&page);
+                let row = rows.get(&feature).map(|(_, row)| row);
+                let trials = row.map_or(0, |row| row.trials);
                 let found = page.rows.first().map_or(0, |row| row.version);
                 if trials > before || found == version {
                     let mut state = edge.state.borrow_mut();
                     let now = clock::now();
-                    state.suspects.trials.record(feature, trials, now);
+                    let known = &mut state.suspects.trials;
+                    known.record(feature, trials, now);
+                    known.record_late(feature, row.map_or(0, |row| row.late));
                     return Claim::Taken;
                 }
                 version = found;
@@ -204,7 +207,11 @@
             Err(error) => {
                 log::info!(feature:%, error:%; "trial not claimed");
                 if matches!(error, StoreError::Refused(_)) {
-                    edge.state.borrow_mut().suspects.trials.withdraw(feature);
+                    edge.state
+                        .borrow_mut()
+                        .suspects
+                        .trials
+                        .withdraw(feature, is_late);
                 }
                 return Claim::Failed;
             }
