--- /dev/null
+++ b/tests/edge/crash_storms.rs
@@ -0,0 +1,255 @@
+//! Requests that crash engines again and again, beside sound streams that share their first part.
+
+use std::collections::BTreeSet;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use test_case::test_case;
+
+use crate::fakes::daemon::{Daemon, Request, Response, wait};
+use crate::fakes::engine::{CrashMoment, CrashedAddress, Deadly, Engine, Trigger};
+use crate::fakes::store::Store;
+use crate::site::{MODEL, desired};
+
+/// Header with the parts of a prompt.
+const PREFIX: &str = "X-Mastichinge-Prompt-Prefix";
+/// Part that all requests share.
+const FIRST: &str = "5c1e07a2";
+/// Part that crashes engines.
+const BAD: &str = "91bd3f06";
+/// Start of the bodies of requests that crash engines.
+const DEADLY: &str = "deadly";
+/// Crashes after which a request counts, by the platform's rule.
+const REQUEST_CRASHES: usize = 3;
+/// Crashes after which a part counts, by the platform's rule.
+const PART_CRASHES: usize = 5;
+/// Time after the last of these crashes from which sendings count.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Sendings of one request, or with one part, that are allowed then.
+const MAX_SENT: usize = 3;
+/// Time after the crashes from which sound requests are to be served.
+const RECOVERY_TIME: Duration = Duration::from_secs(6);
+/// Part of the sound requests that must be served then.
+const MIN_SERVED: f64 = 0.9;
+/// Pause before each event of a stream.
+const PACE: Duration = Duration::from_millis(90);
+/// Pause between two sound requests.
+const SOUND_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between two requests that crash engines.
+const DEADLY_PAUSE: Duration = Duration::from_millis(300);
+/// Time for which requests are answered that crash engines later.
+const SOUND_TIME: Duration = Duration::from_secs(3);
+/// Time for which requests are sent.
+const RUN_TIME: Duration = Duration::from_secs(20);
+
+/// Requests that crash engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// So many different ones, each again and again.
+    Requests(usize),
+    /// One that engines answer for [`SOUND_TIME`].
+    OnceSound,
+    /// Different ones with the part [`BAD`].
+    Part,
+}
+
+impl Kind {
+    /// Returns the body and the shared parts of the request number `n`.
+    fn request(self, n: usize) -> (String, Vec<&'static str>) {
+        match self {
+            Kind::Requests(count) => (format!("{DEADLY} {}", n % count), vec![FIRST]),
+            Kind::OnceSound => (DEADLY.to_owned(), vec![FIRST]),
+            Kind::Part => (format!("{DEADLY} {n}"), vec![FIRST, BAD]),
+        }
+    }
+
+    fn trigger(self) -> Trigger {
+        match self {
+            Kind::Part => Trigger::Part(BAD.to_owned()),
+            Kind::Requests(_) | Kind::OnceSound => Trigger::Body(DEADLY),
+        }
+    }
+
+    /// Returns the crashes after which sendings count.
+    fn counted_crashes(self) -> usize {
+        match self {
+            Kind::Part => PART_CRASHES,
+            Kind::Requests(_) | Kind::OnceSound => REQUEST_CRASHES,
+        }
+    }
+}
+
+/// A sound request as sent, and its response.
+struct Sent {
+    at: Instant,
+    response: Response,
+}
+
+/// Six engines of one model, and three daemons.
+struct Deployment {
+    kind: Kind,
+    engines: Vec<Engine>,
+    daemons: Vec<Daemon>,
+}
+
+impl Deployment {
+    fn start(kind: Kind, moment: CrashMoment, address: CrashedAddress) -> Self {
+        let store = Store::start();
+        store.put("op", "config", &desired(5));
+        let engines = ["e1", "e2", "e3", "e4", "e5", "e6"];
+        let engines = engines.map(|id| Engine::start(&store, id, "models", &["m1"]));
+        let hosts = ["edge-1", "edge-2", "edge-3"];
+        let daemons = hosts.map(|host| Daemon::start(&store, host));
+        wait("the members", || {
+            let heard = |d: &Daemon| d.logged("member alive").len() >= hosts.len() - 1;
+            daemons.iter().all(heard)
+        });
+        let mut from = Instant::now();
+        if kind == Kind::OnceSound {
+            from += SOUND_TIME;
+        }
+        for engine in &engines {
+            engine.set_pace(PACE);
+            engine.set_crashed_address(address);
+            let trigger = kind.trigger();
+            engine.set_deadly(Deadly {
+                trigger,
+                moment,
+                from,
+            });
+        }
+        Deployment {
+            kind,
+            engines: engines.into(),
+            daemons: daemons.into(),
+        }
+    }
+
+    /// Sends requests to the daemons in turn for [`RUN_TIME`]; returns the sound ones.
+    fn run(&self) -> Vec<Sent> {
+        let started = Instant::now();
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                let mut n = 0;
+                while started.elapsed() < RUN_TIME {
+                    let (body, parts) = self.kind.request(n);
+                    let request = request(&format!("d{n}"), body, &parts);
+                    let daemon = &self.daemons[n % self.daemons.len()];
+                    scope.spawn(move || daemon.send(&request));
+                    n += 1;
+                    thread::sleep(DEADLY_PAUSE);
+                }
+            });
+            let mut senders = Vec::new();
+            while started.elapsed() < RUN_TIME {
+                let n = senders.len();
+                let id = format!("s{n}");
+                let request = request(&id, format!("sound {n}"), &[FIRST]);
+                let daemon = &self.daemons[n % self.daemons.len()];
+                senders.push(scope.spawn(move || {
+                    let at = Instant::now();
+                    let response = daemon.send(&request);
+                    Sent { at, response }
+                }));
+                thread::sleep(SOUND_PAUSE);
+            }
+            let sent = senders.into_iter().map(|s| s.join().unwrap());
+            sent.collect()
+        })
+    }
+
+    /// Returns when engines crashed on requests with this body, or on any if that is empty.
+    fn crashes(&self, body: &[u8]) -> Vec<Instant> {
+        let all = self.engines.iter().flat_map(Engine::crashes);
+        let by_body = all.filter(|(_, b)| body.is_empty() || b == body);
+        let mut crashes: Vec<_> = by_body.map(|(at, _)| at).collect();
+        crashes.sort();
+        crashes
+    }
+
+    /// Returns the largest number of sendings of one request, or with the part, that came too
+    /// late, and the number of all sendings.
+    fn sent(&self) -> (usize, usize) {
+        let is_deadly = |body: &[u8]| body.starts_with(DEADLY.as_bytes());
+        let arrivals = self.engines.iter().flat_map(Engine::arrivals);
+        let bodies: BTreeSet<Vec<u8>> = match self.kind {
+            Kind::Part => [Vec::new()].into(),
+            _ => arrivals.map(|a| a.body).filter(|b| is_deadly(b)).collect(),
+        };
+        let arrivals = |body: &[u8]| -> Vec<Instant> {
+            let is_it = |b: &[u8]| is_deadly(b) && (body.is_empty() || b == body);
+            let engines = self.engines.iter();
+            engines
+                .flat_map(|e| e.arrivals_of(|a| is_it(&a.body)))
+                .collect()
+        };
+        let too_late = |body: &Vec<u8>| {
+            let crashes = self.crashes(body);
+            let Some(last) = crashes.get(self.kind.counted_crashes() - 1) else {
+                return 0;
+            };
+            let late = arrivals(body).into_iter();
+            late.filter(|at| *at >= *last + CONTACT_TIME).count()
+        };
+        let most = bodies.iter().map(too_late).max().unwrap_or(0);
+        (most, arrivals(b"").len())
+    }
+
+    /// Returns which part of how many sound requests was served after the crashes that count.
+    fn served(&self, sent: &[Sent]) -> (f64, usize) {
+        let crashes = self.crashes(b"");
+        let counted = crashes.iter().take(self.kind.counted_crashes());
+        let last = counted.last().expect("no engine crashed");
+        let later = sent.iter().filter(|s| s.at >= *last + RECOVERY_TIME);
+        let later: Vec<_> = later.map(|s| &s.response).collect();
+        let is_served = |r: &&&Response| r.status == 200 && r.complete;
+        let served = later.iter().filter(is_served).count();
+        (served as f64 / later.len().max(1) as f64, later.len())
+    }
+
+    /// Returns what the daemons have logged of held features.
+    fn decisions(&self) -> Vec<String> {
+        let lines = self.daemons.iter().flat_map(Daemon::lines);
+        let of_features = lines.filter(|l| !l["feature"].is_null());
+        of_features.map(|l| l.to_string()).collect()
+    }
+}
+
+/// Returns a request for a stream with this body, and these parts in its prompt before its own.
+fn request(id: &str, body: String, parts: &[&str]) -> Request {
+    let shared: Vec<_> = parts.iter().map(|part| format!("{part}:100")).collect();
+    let own = xxhash_rust::xxh3::xxh3_64(body.as_bytes());
+    let prefix = format!("{},{own:x}:50", shared.join(","));
+    let request = Request::new("/stream/", id)
+        .with(MODEL, "m1")
+        .with(PREFIX, &prefix);
+    Request { body, ..request }
+}
+
+/// Guards against BUDGET, where a request or part was sent on long after it had crashed engines,
+/// and against LOST, where sound requests were refused that had been near.
+#[test_case(Kind::OnceSound, CrashMoment::AfterHead, CrashedAddress::Resets; "a request that was sound before")]
+#[test_case(Kind::Requests(12), CrashMoment::BeforeHead, CrashedAddress::Resets; "many before any byte")]
+#[test_case(Kind::Requests(12), CrashMoment::AfterHead, CrashedAddress::Resets; "many after the head")]
+#[test_case(Kind::Requests(1), CrashMoment::BeforeHead, CrashedAddress::Silent; "a silent crash before any byte")]
+#[test_case(Kind::OnceSound, CrashMoment::AfterHead, CrashedAddress::Silent; "a silent crash on a request that was sound before")]
+#[test_case(Kind::Requests(12), CrashMoment::BeforeHead, CrashedAddress::Silent; "silent crashes on many before any byte")]
+#[test_case(Kind::Requests(1), CrashMoment::BeforeHead, CrashedAddress::Refuses; "connections that end in order")]
+#[test_case(Kind::Requests(1), CrashMoment::BeforeHead, CrashedAddress::Gateway; "a gateway that answers 502")]
+#[test_case(Kind::Part, CrashMoment::BeforeHead, CrashedAddress::Silent; "silent crashes on a part")]
+fn what_crashes_engines_is_held_and_the_rest_is_served(
+    kind: Kind,
+    moment: CrashMoment,
+    address: CrashedAddress,
+) {
+    let site = Deployment::start(kind, moment, address);
+    let sound = site.run();
+    let (too_late, sent) = site.sent();
+    let (served, count) = site.served(&sound);
+    println!(
+        "{kind:?} {moment:?} {address:?}: sent {sent}, {too_late} too late, served {served:.3} of {count}"
+    );
+    let held = site.decisions();
+    assert!(too_late <= MAX_SENT, "{too_late} too late; {held:#?}");
+    assert!(served >= MIN_SERVED, "{served} served; {held:#?}");
+}
--- a/tests/edge/fakes/engine/lifetimes.rs
+++ b/tests/edge/fakes/engine/lifetimes.rs
@@ -1,39 +1,12 @@
 //! Entries, crashes and restarts of a fake engine.
 
 use std::sync::atomic::Ordering;
-use std::time::Instant;
 
 use serde_json::{Value, json};
 
-use super::{CrashedAddress, Engine, model_json};
+use super::{Engine, model_json};
 
 impl Engine {
-    /// Closes all connections, and accepts others after [`DOWN_TIME`] in a new lifetime.
-    pub fn crash_and_restart(&self) {
-        self.state.lock().unwrap().ends.push(Instant::now());
-        self.crashed.notify_waiters();
-    }
-
-    /// Sets the part of prompts on which the engine crashes.
-    pub fn crash_on(&self, part: &str) {
-        self.state.lock().unwrap().crashing_part = Some(part.to_owned());
-    }
-
-    /// Sets what the address of the engine does after a crash.
-    pub fn set_crashed_address(&self, address: CrashedAddress) {
-        self.state.lock().unwrap().crashed_address = address;
-    }
-
-    /// Lets the engine answer requests with any part.
-    pub fn mend(&self) {
-        self.state.lock().unwrap().crashing_part = None;
-    }
-
-    /// Returns when its lifetimes ended.
-    pub fn ends(&self) -> Vec<Instant> {
-        self.state.lock().unwrap().ends.clone()
-    }
-
     /// Closes all connections and accepts no more.
     pub fn crash(&self) {
         self.dead.notify_waiters();
--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -1,6 +1,7 @@
 //! Fake engine that answers on a raw socket, so that it can break the protocol.
 
 pub mod behavior;
+pub mod crashes;
 mod lifetimes;
 mod runs;
 
@@ -13,9 +14,10 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 pub use behavior::Behavior;
+pub use crashes::{CrashMoment, CrashedAddress, Deadly, Trigger};
 
 use super::store::Store;
 use super::{Framing, ReceivedRequest, read_body, read_head, runtime, write_response};
@@ -37,8 +39,14 @@
     /// Time for which it stalls, if that is not [`STALL`].
     stall_time: Option<Duration>,
     models: Vec<String>,
-    /// Part of prompts on which the engine crashes as it begins to answer.
-    crashing_part: Option<String>,
+    /// Requests on which the engine crashes.
+    deadly: Option<Deadly>,
+    /// When the engine crashed on requests, with their bodies.
+    crashes: Vec<(Instant, Vec<u8>)>,
+    /// Whether it is down after a crash.
+    down: bool,
+    /// Pause before each event of a stream, in place of [`EVENT_PAUSE`] after it.
+    pace: Option<Duration>,
     /// What its address does after a crash.
     crashed_address: CrashedAddress,
     /// When its lifetimes ended.
@@ -93,20 +101,6 @@
     }
 }
 
-/// What the address of an engine does after a crash.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum CrashedAddress {
-    /// Refuses connections for [`DOWN_TIME`].
-    #[default]
-    Refuses,
-    /// Accepts and closes them for that time.
-    Closes,
-    /// Accepts them: the engine has started again.
-    Accepts,
-    /// Refuses connections for that time, though the engine lives on.
-    RefusesAlive,
-}
-
 /// Handle of a fake engine.
 #[derive(Clone)]
 pub struct Engine {
@@ -195,54 +189,21 @@
                 accepted = listener.accept() => accepted.unwrap().0,
                 () = dead.notified() => return,
                 () = crashed.notified() => {
-                    let address = self.state.lock().unwrap().crashed_address;
-                    match address {
-                        CrashedAddress::Refuses | CrashedAddress::RefusesAlive => {
-                            drop(listener);
-                            self.closed.notify_waiters();
-                            sleep(DOWN_TIME).await;
-                            listener = TcpListener::bind(self.addr).await.unwrap();
-                        }
-                        CrashedAddress::Closes => {
-                            self.closed.notify_waiters();
-                            let closing = async {
-                                while let Ok((stream, _)) = listener.accept().await {
-                                    drop(stream);
-                                }
-                            };
-                            // Ends after the time, as connections always come.
-                            let _ = timeout(DOWN_TIME, closing).await;
-                        }
-                        CrashedAddress::Accepts => self.closed.notify_waiters(),
-                    }
-                    if address != CrashedAddress::RefusesAlive {
-                        self.start_again();
-                    }
+                    listener = self.restart_after_crash(listener).await;
                     continue;
                 }
             };
             let engine = self.clone();
-            let closed = self.closed.clone();
             tokio::spawn(async move {
-                let mut stream = stream;
                 tokio::select! {
-                    () = engine.serve(&mut stream) => {}
+                    () = engine.clone().serve_until_crash(stream) => {}
                     // Dropping the stream closes it, as when the process dies.
                     () = dead.notified() => {}
-                    () = closed.notified() => {}
                 }
             });
         }
     }
 
-    /// Returns when requests arrived that have this part in their prompts, not as the last.
-    pub fn arrivals_with(&self, part: &str) -> Vec<Instant> {
-        let state = self.state.lock().unwrap();
-        let arrivals = state.arrivals.iter().zip(&state.arrival_times);
-        let with_part = arrivals.filter(|(request, _)| has_part(request, part));
-        with_part.map(|(_, at)| *at).collect()
-    }
-
     /// Returns what follows the text of its events.
     fn event_mark(&self) -> String {
         let state = self.state.lock().unwrap();
@@ -545,15 +506,6 @@
     }
 }
 
-/// Returns whether a request's prompt has a part, not as the last.
-fn has_part(request: &ReceivedRequest, part: &str) -> bool {
-    let prefix = request.header("x-mastichinge-prompt-prefix");
-    let shared = prefix.rsplit_once(',').map_or("", |(shared, _)| shared);
-    let ids = shared.split(',').filter_map(|p| p.split(':').next());
-    let number = |id: &str| u64::from_str_radix(id.trim(), 16).ok();
-    ids.filter_map(number).any(|id| Some(id) == number(part))
-}
-
 fn model_json(model: &String) -> Value {
     json!({"name": model, "version": 1, "adapters": []})
 }
--- a/tests/edge/fakes/engine/runs.rs
+++ b/tests/edge/fakes/engine/runs.rs
@@ -1,6 +1,6 @@
 //! How an engine answers requests, one behavior at a time.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -8,7 +8,9 @@
 use tokio::time::sleep;
 
 use super::behavior::{Behavior, Place, signed_head};
-use super::{EVENT_PAUSE, EVENTS, Engine, LATE_PAUSE, PREEMPTION, has_part, signed as signed_of};
+use super::{
+    CrashMoment, EVENT_PAUSE, EVENTS, Engine, LATE_PAUSE, PREEMPTION, signed as signed_of,
+};
 use crate::fakes::{ReceivedRequest, write_response};
 
 impl Engine {
@@ -27,8 +29,7 @@
         let (behavior, loaded, rejects_first) = {
             let mut state = self.state.lock().unwrap();
             let loaded = model.is_empty() || state.models.contains(&model);
-            state.arrivals.push(request.clone());
-            state.arrival_times.push(Instant::now());
+            state.record_arrival(&request);
             let rejects_first =
                 state.behavior == Behavior::RepeatedRejection && !state.rejected.contains(&id);
             if rejects_first {
@@ -136,19 +137,26 @@
             }
             return Ok(());
         }
-        let crashing_part = self.state.lock().unwrap().crashing_part.clone();
-        let crashes = crashing_part.is_some_and(|part| has_part(&request, &part));
-        self.stream(stream, &id, after, (behavior, crashes)).await
+        let crashes = self.crash_moment(&request);
+        if crashes == Some(CrashMoment::BeforeHead) {
+            return self.crash_before_head(stream, &request).await;
+        }
+        self.stream(stream, &request, after, (behavior, crashes.is_some()))
+            .await
     }
 
     async fn stream(
         &self,
         stream: &mut TcpStream,
-        id: &str,
+        request: &ReceivedRequest,
         after: u64,
         (behavior, crashes): (Behavior, bool),
     ) -> std::io::Result<()> {
-        let framing = self.state.lock().unwrap().framing;
+        let id = request.header("x-mastichinge-request-id");
+        let (framing, pace) = {
+            let state = self.state.lock().unwrap();
+            (state.framing, state.pace)
+        };
         let mut headers = framing.header().to_owned();
         for (name, value) in self.headers() {
             headers.push_str(&format!("{name}: {value}\r\n"));
@@ -156,9 +164,7 @@
         let head = signed_head(id) + "Content-Type: text/event-stream\r\n" + &headers + "\r\n";
         stream.write_all(head.as_bytes()).await?;
         if crashes {
-            self.crash_and_restart();
-            // The connection closes with the others.
-            std::future::pending::<()>().await;
+            self.crash_by(request).await;
         }
         let mark = self.event_mark();
         for event in after + 1..=EVENTS {
@@ -188,12 +194,17 @@
                 self.stall();
             }
             self.wait_for_stall().await;
+            if let Some(pace) = pace {
+                sleep(pace).await;
+            }
             let framed = framing.frame(&text);
             if stream.write_all(framed.as_bytes()).await.is_err() {
                 self.state.lock().unwrap().cancelled.push(id.to_owned());
                 return Err(std::io::ErrorKind::BrokenPipe.into());
             }
-            sleep(EVENT_PAUSE).await;
+            if pace.is_none() {
+                sleep(EVENT_PAUSE).await;
+            }
         }
         framing.end(stream).await
     }
@@ -236,7 +247,7 @@
 }
 
 /// Ends a connection with a reset.
-fn reset(stream: &TcpStream) -> std::io::Result<()> {
+pub(super) fn reset(stream: &TcpStream) -> std::io::Result<()> {
     SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
     Err(std::io::ErrorKind::ConnectionReset.into())
 }
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod connections;
 mod crash_reports;
+mod crash_storms;
 mod crashing_parts;
 mod decisions;
 mod endless;
