Let no request that surely crashes engines count against its parts; patterns of crashes

A trial waits until nothing near it crashes engines. Tests without network: twelve bad requests at once, seldom ones over an hour, racks, rolling restarts, two causes, single reports.

--- a/src/edge/suspects/explain.rs
+++ b/src/edge/suspects/explain.rs
@@ -32,6 +32,8 @@
 const HELD_POINTS: u32 = 10;
 /// Crashes of one request that count for a part: its caller may repeat it.
 const CRASHES_PER_REQUEST: u32 = 2;
+/// Crashes of a held request from which they do not count for its parts.
+const CERTAIN_REQUEST_CRASHES: u32 = 4;
 /// Different requests with a new part that must have been at crashes.
 const NEW_PART_REQUESTS: u32 = 2;
 /// Different requests with a part that engines had answered before.
@@ -155,6 +157,9 @@
             continue;
         }
         rest = rest.minus(&crashes);
+        if group.is_held() && group.crashes.len() >= CERTAIN_REQUEST_CRASHES {
+            continue;
+        }
         let count = crashes.len().min(CRASHES_PER_REQUEST);
         points.add(count, crashes.and(&open.strong).len().min(count));
         points.requests += 1;
--- a/src/edge/suspects/mod.rs
+++ b/src/edge/suspects/mod.rs
@@ -206,8 +206,12 @@
         let mut own = features.iter().filter(is_request);
         let is_suspected = own.any(|f| !held.contains(f) && !self.index.open(*f).all.is_empty());
         let is_doubtful = held.len() > 1 || is_suspected;
+        // A trial beside other requests that crash engines shows nothing.
+        let near = features.iter().filter(|_| !held.is_empty());
+        let last = near.map(|f| self.crash_times(*f).last).max();
         let due = |feature: Feature| {
-            let crashes = self.crash_times(feature);
+            let mut crashes = self.crash_times(feature);
+            crashes.last = last.unwrap_or_default();
             self.trials.due_in(feature, &crashes, is_doubtful, now)
         };
         held.into_iter().map(|f| (f, due(f))).collect()
@@ -217,11 +221,8 @@
     /// and whether it is one of the few that come late.
     pub fn begin_trial(&mut self, feature: Feature, now: Moment) -> (u32, bool) {
         let crashes = self.crash_times(feature);
-        let is_late = self.trials.is_late(feature, &crashes, now);
         let before = self.trials.count(feature);
-        let late = self.trials.late_count(feature).max(crashes.late);
-        self.trials.record(feature, before + 1, now);
-        self.trials.record_late(feature, late + u32::from(is_late));
+        let is_late = self.trials.begin(feature, &crashes, now);
         (before, is_late)
     }
 
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -3,6 +3,7 @@
 mod attribution;
 mod client;
 mod connections;
+mod crash_patterns;
 mod crash_reports;
 mod crashing_parts;
 mod decisions;
