Suspect requests that were left at engines that crash in silence

Callers saw requests passed on long after they had crashed engines, where a crashed engine closes no connection: the host stops waiting for a silent engine and sends the request on elsewhere, or the caller leaves; no connection broke, so no crash was recorded, and nobody asked whose requests the engine had held when it was back.

A run that ends without a word of its engine is now remembered with its lifetime, for 20 s at most, until that lifetime is heard again: an answer to anyone, a part of a stream, a report, an entry written after. When the lifetime turns out to have ended (another start time in a report or entry, or refused connections), its runs are possible causes of its crash, as of the time at which the first was left. A host asks a silent engine for 3 s; an engine that leaves, and an entry that is missing, are no crash.

An answer was also taken for one that had begun 0.5 s before, which clears the parts of its prompt, when the engine had crashed in silence after its first event. Progress now ends with the last part that arrived.

--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -149,6 +149,7 @@
             let text = "the engine has started again".to_owned();
             return Err(SendError::NotSent(Cause::Restarted, text));
         }
+        self.record_report(&recipient.lifetime, response.body());
         connection.set_lifetime(recipient.lifetime.clone());
         let closes = headers::parse_response(response.headers()).closes;
         Ok(!closes && connection.is_usable().await)
@@ -178,12 +179,29 @@
             client::read_whole(response, connection, CALL_LIMITS.max_bytes).await
         };
         let outcome = client::within(CALL_LIMITS.total_timeout, exchange).await;
-        if let Err(SendError::NotSent(cause, text)) = &outcome {
-            self.mark_down(&recipient.lifetime.engine, *cause, text);
+        match &outcome {
+            Ok(response) => self.record_report(&recipient.lifetime, response.body()),
+            Err(SendError::NotSent(cause, text)) => {
+                self.mark_down(&recipient.lifetime.engine, *cause, text);
+            }
+            Err(_) => {}
         }
         outcome
     }
 
+    /// Records whether an engine at which runs were left goes on, if its response to a call is a
+    /// report.
+    fn record_report(&self, lifetime: &Lifetime, body: &[u8]) {
+        if !self.state.borrow().left_runs.contains(lifetime) {
+            return;
+        }
+        if other_start(lifetime, body).is_some() {
+            self.record_ended(lifetime);
+        } else if orders::decode_report(body).is_ok_and(|r| r.incarnation == lifetime.incarnation) {
+            self.record_heard(lifetime);
+        }
+    }
+
     /// Closes the connection of the request `id` after a response that may be to an earlier
     /// request, and reads what the engine says of itself in those that still arrive.
     pub fn hear_late_responses(
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -130,7 +130,7 @@
             Err(OpenError::Abandoned) => {}
             Err(OpenError::DeadlinePassed) => {
                 let refusal = Refusal::may_have_run(Unknown::Outcome);
-                let cause = "no first event before the deadline";
+                let cause = "no whole answer or first event before the deadline";
                 return routed.refuse(refusal, cause, &engine, attempts.sent);
             }
         }
@@ -452,8 +452,8 @@
     let body = match timeout(routed.time_left(), body).await {
         Ok(body) => body,
         Err(_) => {
-            let cause = "the response did not end in time";
-            return Err(OpenError::Broken(cause.to_owned()));
+            in_flight.abandon();
+            return Err(OpenError::DeadlinePassed);
         }
     };
     match body {
@@ -462,6 +462,7 @@
                 connection.release(headers.idle_timeout);
             }
             in_flight.record_outcome(!head.status.is_server_error());
+            in_flight.record_end();
             // A failure may be of a request that the engine has not begun to answer, and the
             // connection of an engine that crashes may end in order.
             if head.status.is_success() && framing != Framing::Close {
@@ -471,11 +472,13 @@
             Ok(OpenedResponse::Complete(Response::from_parts(head, body)))
         }
         Err(error) if error.is::<LengthLimitError>() => {
+            in_flight.record_end();
             let cause = "the response has no content length and is too long";
             Err(OpenError::Broken(cause.to_owned()))
         }
         Err(error) => {
             in_flight.record_outcome(false);
+            in_flight.record_end();
             connection.drop_idle();
             let cause = format!("the response was truncated: {error}");
             Err(OpenError::Broken(cause))
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -93,15 +93,16 @@
         Awaited::Response(StreamItem::Events(bytes)) => (bytes, false),
         Awaited::Response(StreamItem::End(bytes)) => (bytes, true),
         Awaited::Response(StreamItem::Broken(cause)) => {
-            source.abandon();
+            source.close_broken();
             return Err(OpenError::Broken(cause));
         }
         Awaited::Abandoned => {
-            source.in_flight.record_outcome(false);
+            source.abandon();
             return Err(OpenError::Abandoned);
         }
         Awaited::DeadlinePassed => {
             source.in_flight.record_timeout();
+            source.in_flight.abandon();
             return Err(OpenError::DeadlinePassed);
         }
     };
@@ -270,7 +271,7 @@
                     let (routed, attempts) = (&self.routed, &mut self.attempts);
                     retry::record_broken_run(routed, attempts, source.progress());
                     let resumable = source.is_resumable();
-                    source.abandon();
+                    source.close_broken();
                     let (routed, attempts) = (&self.routed, &mut self.attempts);
                     if !resumable || !retry::start_retry(routed, attempts, engine, &cause).await {
                         return StreamEnd::Broken(cause);
@@ -280,9 +281,7 @@
                 Awaited::Abandoned => {
                     // Events that came while the run was ended have not been relayed.
                     last_event = relayed;
-                    // Closes this connection only; the engine may serve the others.
-                    source.in_flight.record_outcome(false);
-                    drop(source);
+                    source.abandon();
                 }
             }
             match self.resume(last_event).await {
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -23,6 +23,7 @@
 use crate::edge::placement::ModelTarget;
 use crate::edge::request_headers::EngineHeaders;
 use crate::edge::routing::SelectedEngine;
+use crate::edge::unreachable::Cause;
 use crate::platform::headers;
 
 /// Time limit for reading the rest of a rejection, so that its connection can be reused.
@@ -78,7 +79,8 @@
         Ok(request) => request,
         Err(error) => return SendOutcome::NotSent(error.to_string()),
     };
-    let in_flight = InFlightGuard::begin(&routed.edge, choice, routed.headers.prompt.as_ref());
+    let prompt = routed.headers.prompt.as_ref();
+    let in_flight = InFlightGuard::begin(&routed.edge, choice, prompt, &routed.features);
     let sent_at = clock::now();
     let options = SendOptions {
         new_connection: routed.headers.id.is_empty(),
@@ -87,7 +89,7 @@
         ..SendOptions::default()
     };
     attempts.addr = Some(choice.addr);
-    let recipient = in_flight.recipient(choice.addr);
+    let recipient = in_flight.recipient().clone();
     attempts.lifetime = recipient.lifetime.clone();
     let id = &*routed.headers.id;
     let permit = attempts.take_permit(&choice.engine, sent_at);
@@ -107,16 +109,19 @@
         Awaited::Response(outcome) => outcome,
         Awaited::Abandoned => {
             in_flight.record_outcome(false);
+            in_flight.abandon();
             return SendOutcome::Abandoned;
         }
         Awaited::DeadlinePassed => {
             in_flight.record_timeout();
+            in_flight.abandon();
             return SendOutcome::DeadlinePassed;
         }
     };
     let (response, connection, sent) = match outcome {
         Ok((response, connection)) => (response, connection, sent),
         Err(error) => {
+            in_flight.record_end();
             if let Some(proof) = sent.unsent(&error) {
                 attempts.exposure.take_back(proof);
             }
@@ -128,10 +133,15 @@
     let earlier = connection.earlier();
     let (verdict, attribution) = Verdict::of(id, status, &headers, earlier);
     log_response(routed, choice, status, (attribution, earlier), &verdict);
+    match attribution {
+        Attribution::IdMatched => in_flight.record_head(),
+        Attribution::FirstExchange | Attribution::NotBelieved => {}
+    }
     match verdict {
         Verdict::Answered => {}
         Verdict::Unproven => {
             in_flight.record_outcome(false);
+            in_flight.record_end();
             connection.drop_idle();
             let edge = &routed.edge;
             edge.hear_late_responses(recipient, id, response, connection);
@@ -139,6 +149,7 @@
         }
         Verdict::Rejected(rejection) => {
             attempts.exposure.take_back(sent.rejected(rejection));
+            in_flight.record_end();
             record_rejection(routed, choice, status);
             if attribution == Attribution::IdMatched {
                 discard_body(response, connection, headers).await;
@@ -148,12 +159,14 @@
     }
     if headers::promises_not_run(status) || status.is_informational() {
         in_flight.record_outcome(false);
+        in_flight.record_end();
         discard_body(response, connection, headers).await;
         let status = status.as_u16();
         return SendOutcome::Unproven(format!("the engine may have run it and responded {status}"));
     }
     if status.is_success() && !headers.signed {
         in_flight.record_outcome(false);
+        in_flight.record_end();
         return SendOutcome::Failed("the response is not signed".to_owned());
     }
     SendOutcome::Response(Box::new(EngineResponse {
@@ -181,6 +194,12 @@
             log::info!(request = id, engine = &*choice.engine, cause = name, error = &*text;
                 "request not sent");
             in_flight.record_unreachable(cause, &text);
+            let lifetime = &in_flight.recipient().lifetime;
+            match cause {
+                Cause::Restarted => routed.edge.record_ended(lifetime),
+                Cause::Refused | Cause::Silent => routed.edge.watch_left(lifetime),
+                Cause::Unsent => {}
+            }
             if let Some(target) = model_target(routed) {
                 routed.edge.record_missing(&choice.engine, &target);
             }
--- a/src/edge/forward/source.rs
+++ b/src/edge/forward/source.rs
@@ -12,9 +12,7 @@
 use super::RoutedRequest;
 use super::framing::Framing;
 use super::send::EngineResponse;
-use crate::clock::Moment;
 use crate::edge::client::Connection;
-use crate::edge::clock;
 use crate::edge::events::{EndPlace, EventDecoder};
 use crate::edge::in_flight::InFlightGuard;
 use crate::edge::shared_stream::StreamHandle;
@@ -33,8 +31,6 @@
     decoder: EventDecoder,
     /// Id of the last whole event.
     pub last_event: Option<u64>,
-    /// When the first events of this run arrived.
-    first_at: Option<Moment>,
 }
 
 /// What arrives next on a stream.
@@ -66,7 +62,6 @@
             in_flight: engine_response.in_flight,
             decoder: EventDecoder::default(),
             last_event,
-            first_at: None,
         };
         (head, source)
     }
@@ -86,8 +81,8 @@
                 return StreamItem::Broken("an event is too long".to_owned());
             }
             let events = self.new_events();
+            self.in_flight.record_part(!events.is_empty());
             if !events.is_empty() {
-                self.first_at.get_or_insert_with(clock::now);
                 return StreamItem::Events(events);
             }
         }
@@ -140,14 +135,13 @@
 
     /// Returns how far the answer of this run is.
     pub(super) fn progress(&self) -> Progress {
-        let since = self.first_at.map(|at| clock::now().saturating_sub(at));
-        Progress::after_head(since)
+        self.in_flight.progress()
     }
 
     /// Returns whether the engine has surely answered, once the stream has ended in order: the
     /// connection of an engine that crashes may end so, too.
     pub(super) fn is_answered(&self) -> bool {
-        let is_whole = self.framing != Framing::Close && self.first_at.is_some();
+        let is_whole = self.framing != Framing::Close && self.in_flight.has_events();
         is_whole || self.progress() == Progress::Settled
     }
 
@@ -163,11 +157,18 @@
     }
 
     /// Records the failure, and closes the connection and the idle ones to this engine.
-    pub(super) fn abandon(self) {
+    pub(super) fn close_broken(self) {
         self.in_flight.record_outcome(false);
+        self.in_flight.record_end();
         self.connection.drop_idle();
     }
 
+    /// Closes the connection to a silent engine, which may serve the others.
+    pub(super) fn abandon(self) {
+        self.in_flight.record_outcome(false);
+        self.in_flight.abandon();
+    }
+
     /// Records the success and releases the connection.
     pub(super) fn finish(self) {
         self.in_flight.record_outcome(true);
--- a/src/edge/in_flight.rs
+++ b/src/edge/in_flight.rs
@@ -1,6 +1,6 @@
 //! Requests in flight at engines.
 
-use std::net::SocketAddr;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -10,42 +10,123 @@
 use super::request_headers::Prompt;
 use super::routing::SelectedEngine;
 use super::state::{Edge, State};
+use super::suspects::{Feature, Progress};
 use super::unreachable::Cause;
 use super::upstream::{Lifetime, SentPrompt, Upstream};
 use crate::clock::Moment;
 
-/// Guard of a request in flight at an engine; dropping it ends the request's accounting.
+/// Guard of a request in flight at an engine; dropping it ends the request's accounting. Unless
+/// its run has ended then, it counts as left.
 #[derive(Debug)]
 pub struct InFlightGuard {
     edge: Rc<Edge>,
     /// Id of the engine.
     pub engine: Arc<str>,
     request: InFlightRequest,
+    recipient: Recipient,
+    /// Features of the request.
+    features: Vec<Feature>,
+    answer: Cell<Answer>,
+    /// Whether the run has ended, or it is known not to have begun.
+    has_ended: Cell<bool>,
+}
+
+/// What has arrived of an answer.
+#[derive(Clone, Copy, Debug, Default)]
+struct Answer {
+    has_head: bool,
+    /// When the first event arrived.
+    first_at: Option<Moment>,
+    /// When anything arrived last.
+    last_at: Moment,
 }
 
 impl InFlightGuard {
     /// Records that a request is sent to an engine. A request with a prompt is announced
     /// to the other daemons.
-    pub fn begin(edge: &Rc<Edge>, choice: &SelectedEngine, prompt: Option<&Prompt>) -> Self {
+    pub fn begin(
+        edge: &Rc<Edge>,
+        choice: &SelectedEngine,
+        prompt: Option<&Prompt>,
+        features: &[Feature],
+    ) -> Self {
         let mut state = edge.state.borrow_mut();
         let request = state.begin_request(choice, prompt, clock::now());
         if !state.sent_prompts.is_empty() {
             edge.send_wake.notify_one();
         }
+        let lifetime = Lifetime {
+            engine: choice.engine.clone(),
+            incarnation: request.incarnation,
+        };
         InFlightGuard {
             edge: edge.clone(),
             engine: choice.engine.clone(),
             request,
+            recipient: Recipient {
+                lifetime,
+                addr: choice.addr,
+            },
+            features: features.to_vec(),
+            answer: Cell::default(),
+            has_ended: Cell::new(false),
         }
     }
 
-    /// Returns the engine at `addr` as known when the request began.
-    pub fn recipient(&self, addr: SocketAddr) -> Recipient {
-        let lifetime = Lifetime {
-            engine: self.engine.clone(),
-            incarnation: self.request.incarnation,
+    /// Returns the engine as known when the request began.
+    pub fn recipient(&self) -> &Recipient {
+        &self.recipient
+    }
+
+    /// Records that the head of the engine's answer has arrived.
+    pub fn record_head(&self) {
+        let answer = Answer {
+            has_head: true,
+            last_at: clock::now(),
+            ..self.answer.get()
         };
-        Recipient { lifetime, addr }
+        self.answer.set(answer);
+        self.edge.record_heard(&self.recipient.lifetime);
+    }
+
+    /// Records that a part of the answer has arrived; `has_events` tells whether it completes
+    /// events.
+    pub fn record_part(&self, has_events: bool) {
+        let mut answer = self.answer.get();
+        answer.last_at = clock::now();
+        if has_events {
+            answer.first_at.get_or_insert(answer.last_at);
+        }
+        self.answer.set(answer);
+        self.edge.record_heard(&self.recipient.lifetime);
+    }
+
+    /// Returns how far the answer is. A silence after it has begun does not count.
+    pub fn progress(&self) -> Progress {
+        let answer = self.answer.get();
+        if !answer.has_head {
+            return Progress::Waiting;
+        }
+        let since = answer.first_at.map(|at| answer.last_at.saturating_sub(at));
+        Progress::after_head(since)
+    }
+
+    /// Returns whether events have arrived.
+    pub fn has_events(&self) -> bool {
+        self.answer.get().first_at.is_some()
+    }
+
+    /// Records that the run has ended, or has not begun.
+    pub fn record_end(&self) {
+        self.has_ended.set(true);
+    }
+
+    /// Ends the accounting of a run whose engine has been silent for too long, and asks the engine
+    /// what became of it.
+    pub fn abandon(self) {
+        let (edge, lifetime) = (self.edge.clone(), self.recipient.lifetime.clone());
+        drop(self);
+        edge.watch_left(&lifetime);
     }
 
     /// Records that the engine has read the prompt.
@@ -72,6 +153,9 @@
     /// Records in the circuit breaker whether the engine served the request.
     pub fn record_outcome(&self, succeeded: bool) {
         let mut state = self.edge.state.borrow_mut();
+        if succeeded {
+            self.has_ended.set(true);
+        }
         let Some(upstream) = state.engine_of(&self.request) else {
             return;
         };
@@ -91,6 +175,12 @@
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.edge.state.borrow_mut().end_request(&self.request);
+        if !self.has_ended.get() {
+            let progress = self.progress();
+            let features = self.features.iter().map(|f| (*f, progress));
+            let Recipient { lifetime, addr } = &self.recipient;
+            self.edge.leave_run(lifetime, *addr, features);
+        }
     }
 }
 
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -26,7 +26,7 @@
 use super::settings::Settings;
 use super::shutdown::Shutdown;
 use super::store::StoreClient;
-use super::suspects::{PendingEnds, Suspects};
+use super::suspects::{LeftRuns, PendingEnds, Suspects};
 use super::unreachable::Cause;
 use super::upstream::{Lifetime, SentPrompt};
 use super::waiting::WaitingTarget;
@@ -137,6 +137,8 @@
     pub origin_writers: OriginWriters,
     /// Requests that broke off at engines that may have ended.
     pub pending_ends: PendingEnds,
+    /// Requests whose runs were left at engines that may have ended.
+    pub left_runs: LeftRuns,
     /// Prompts sent to engines that have not been reported to other daemons.
     pub sent_prompts: Vec<SentPrompt>,
     /// Prompts of daemons of all failure domains to be passed on to this one.
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -273,6 +273,7 @@
         log::info!(engine = &**engine, change, life, software, list = version; "engine changed");
     }
     drop(state);
+    edge.compare_left();
     edge.origin_wake.notify_one();
     engine_checks::start_due(edge);
     edge.notify_waiting();
--- a/src/edge/suspects/engine_ends.rs
+++ b/src/edge/suspects/engine_ends.rs
@@ -1,5 +1,5 @@
-//! Finds out whether an engine has ended after connections to it broke: they break for other
-//! reasons, too, which say nothing of what requests have in common.
+//! Finds out whether an engine has ended after connections to it broke or runs were left there:
+//! both happen for other reasons, too, which say nothing of what requests have in common.
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -10,10 +10,11 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::{CrashId, Feature, Progress};
+use super::{CrashId, Feature, Left, Listed, Progress, RunFeatures};
+use crate::clock::Moment;
 use crate::edge::clock;
 use crate::edge::exchange::{CallKind, Recipient, other_start};
-use crate::edge::state::Edge;
+use crate::edge::state::{Edge, State};
 use crate::edge::upstream::Lifetime;
 use crate::platform::orders;
 
@@ -27,7 +28,7 @@
 
 /// Features of the requests that broke off at engines that may have ended, with the progress of
 /// the answers.
-pub type PendingEnds = HashMap<Lifetime, Vec<(Feature, Progress)>>;
+pub type PendingEnds = HashMap<Lifetime, RunFeatures>;
 
 /// What a connection to an engine shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
@@ -69,6 +70,68 @@
             tokio::task::spawn_local(check_end(self.clone(), lifetime.clone(), addr));
         }
     }
+
+    /// Records that runs with these features ended without a word of their engine, which may have
+    /// ended.
+    pub fn leave_run(
+        &self,
+        lifetime: &Lifetime,
+        addr: SocketAddr,
+        features: impl IntoIterator<Item = (Feature, Progress)>,
+    ) {
+        let mut state = self.state.borrow_mut();
+        let Some(upstream) = state
+            .fleet
+            .lifetime_mut(&lifetime.engine, lifetime.incarnation)
+        else {
+            return;
+        };
+        let sequence = upstream.entry.sequence;
+        let now = clock::now();
+        state
+            .left_runs
+            .record(lifetime, addr, features, (sequence, now));
+    }
+
+    /// Records that an engine was heard in this lifetime.
+    pub fn record_heard(&self, lifetime: &Lifetime) {
+        self.state.borrow_mut().left_runs.record_heard(lifetime);
+    }
+
+    /// Records that a lifetime has ended, as another one has begun.
+    pub fn record_ended(&self, lifetime: &Lifetime) {
+        record_left(self, lifetime);
+    }
+
+    /// Asks an engine at which runs were left, if there are any, what became of it.
+    pub fn watch_left(self: &Rc<Self>, lifetime: &Lifetime) {
+        let watched = self.state.borrow_mut().left_runs.start_watch(lifetime);
+        let Some(addr) = watched else {
+            return;
+        };
+        let recipient = Recipient {
+            lifetime: lifetime.clone(),
+            addr,
+        };
+        tokio::task::spawn_local(watch_silent(self.clone(), recipient));
+    }
+
+    /// Finds out from the list of engines which of those have ended at which runs were left.
+    pub fn compare_left(self: &Rc<Self>) {
+        let mut state = self.state.borrow_mut();
+        let State {
+            left_runs, fleet, ..
+        } = &mut *state;
+        let ended = left_runs.compare(fleet, clock::now());
+        drop(state);
+        for (lifetime, listed) in ended {
+            // A missing entry alone is no end: the engine may be cut from the store.
+            match listed {
+                Listed::Restarted => self.record_ended(&lifetime),
+                Listed::Missing => self.watch_left(&lifetime),
+            }
+        }
+    }
 }
 
 /// Returns what a connection to an engine shows.
@@ -92,19 +155,35 @@
     };
     log_state(&edge, &lifetime, state, &features);
     let ended = state == EngineState::Ended;
-    let is_suspected = |(feature, progress): &&(Feature, Progress)| match feature {
+    let now = clock::now();
+    let suspected = |(feature, progress): &&(Feature, Progress)| match feature {
         // A request may end its engine late in its run, too.
         Feature::Request(_) => ended || *progress != Progress::Settled,
         Feature::Part(_) => ended && *progress != Progress::Settled,
     };
-    let suspected = features.iter().filter(is_suspected);
-    record_crash(&edge, &lifetime, ended, suspected);
+    record_crash(
+        &edge,
+        &lifetime,
+        ended,
+        features.iter().filter(suspected),
+        now,
+    );
+    if ended {
+        record_left(&edge, &lifetime);
+    }
     if state != EngineState::Alive {
         return;
     }
     let recipient = Recipient { lifetime, addr };
-    if !has_restarted(&edge, &recipient).await {
-        return;
+    match ask_start(&edge, &recipient).await {
+        Asked::Same => return,
+        Asked::Other => {}
+        Asked::Nothing => {
+            // Its entry, or what is sent to it later, may tell.
+            let (lifetime, addr) = (&recipient.lifetime, recipient.addr);
+            edge.leave_run(lifetime, addr, features);
+            return;
+        }
     }
     let lifetime = recipient.lifetime;
     log_state(&edge, &lifetime, EngineState::Restarted, &features);
@@ -112,16 +191,50 @@
     let is_part = |(feature, progress): &&(Feature, Progress)| {
         matches!(feature, Feature::Part(_)) && *progress != Progress::Settled
     };
-    record_crash(&edge, &lifetime, true, features.iter().filter(is_part));
+    record_crash(&edge, &lifetime, true, features.iter().filter(is_part), now);
+    record_left(&edge, &lifetime);
+}
+
+/// Asks a silent engine what became of it, until it answers or its address refuses connections.
+async fn watch_silent(edge: Rc<Edge>, recipient: Recipient) {
+    let Recipient { lifetime, addr } = &recipient;
+    let state = match probe(*addr).await {
+        EngineState::Alive => match ask_start(&edge, &recipient).await {
+            Asked::Same => EngineState::Alive,
+            Asked::Other => EngineState::Restarted,
+            Asked::Nothing => probe(*addr).await,
+        },
+        state => state,
+    };
+    let name: &'static str = state.into();
+    edge.metrics.record_engine_end(name);
+    log::info!(engine = &*lifetime.engine, life = lifetime.incarnation, state = name;
+        "engine checked after a silence");
+    if matches!(state, EngineState::Ended | EngineState::Restarted) {
+        record_left(&edge, lifetime);
+        return;
+    }
+    edge.state.borrow_mut().left_runs.end_watch(lifetime);
 }
 
-/// Returns whether an engine that accepts connections says in its report that it has started
-/// again. Something before it may accept them while it does not answer.
-async fn has_restarted(edge: &Edge, recipient: &Recipient) -> bool {
+/// What an engine says of its lifetime.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asked {
+    /// That it goes on.
+    Same,
+    /// That it has started again.
+    Other,
+    /// Nothing.
+    Nothing,
+}
+
+/// Asks an engine that accepts connections whether it has started again. Something before it may
+/// accept them, and answer, while it does not.
+async fn ask_start(edge: &Edge, recipient: &Recipient) -> Asked {
     let engine = &recipient.lifetime.engine;
     // Without a start time, or without models, an engine makes no report that tells.
     if recipient.lifetime.incarnation == 0 || !edge.reports_start(engine) {
-        return false;
+        return Asked::Nothing;
     }
     let started_at = clock::now();
     while clock::now().saturating_sub(started_at) < CHECK_TIME {
@@ -129,18 +242,25 @@
             Ok(request) => request,
             Err(error) => {
                 log::warn!(engine = &**engine, error:%; "report request is not valid");
-                return false;
+                return Asked::Nothing;
             }
         };
         match edge.call_engine(recipient, CallKind::Check, request).await {
-            Ok(response) => return other_start(&recipient.lifetime, response.body()).is_some(),
+            Ok(response) if other_start(&recipient.lifetime, response.body()).is_some() => {
+                return Asked::Other;
+            }
+            Ok(response) if orders::decode_report(response.body()).is_ok() => return Asked::Same,
+            Ok(response) => {
+                let status = response.status().as_u16();
+                log::debug!(engine = &**engine, status; "no report of an engine that may have ended");
+            }
             Err(error) => {
                 log::debug!(engine = &**engine, error:%; "no report of an engine that may have ended");
             }
         }
         tokio::time::sleep(CHECK_PAUSE).await;
     }
-    false
+    Asked::Nothing
 }
 
 /// Counts and logs what is known of an engine at which requests broke off.
@@ -152,10 +272,7 @@
 ) {
     let name: &'static str = state.into();
     edge.metrics.record_engine_end(name);
-    let requests = features
-        .iter()
-        .filter(|(f, _)| matches!(f, Feature::Request(_)))
-        .count();
+    let requests = count_requests(features);
     log::info!(engine = &*lifetime.engine, life = lifetime.incarnation, state = name, requests;
         "engine checked after connections broke");
 }
@@ -166,6 +283,7 @@
     lifetime: &Lifetime,
     ended: bool,
     features: impl Iterator<Item = &'a (Feature, Progress)>,
+    at: Moment,
 ) {
     let suspected: Vec<_> = features
         .map(|(feature, progress)| (*feature, *progress == Progress::Begun))
@@ -178,8 +296,39 @@
         ended,
     };
     let mut state = edge.state.borrow_mut();
-    let change = state.suspects.record_crash(&id, suspected, clock::now());
+    let change = state.suspects.record_crash(&id, suspected, at);
     drop(state);
     edge.record_held_change(&change);
     edge.send_wake.notify_one();
 }
+
+/// Records a crash of the requests whose runs were left at a lifetime that has ended.
+fn record_left(edge: &Edge, lifetime: &Lifetime) {
+    let mut state = edge.state.borrow_mut();
+    let Some(Left {
+        since, features, ..
+    }) = state.left_runs.take(lifetime)
+    else {
+        return;
+    };
+    let broke_off = |feature: Feature| {
+        let mut crashes = state.suspects.crashes_by(feature);
+        crashes.any(|(id, _)| id.lifetime == *lifetime)
+    };
+    let is_suspected = |(feature, progress): &&(Feature, Progress)| match feature {
+        // One that broke off there, too, is suspected already.
+        Feature::Request(_) => !broke_off(*feature),
+        Feature::Part(_) => *progress != Progress::Settled,
+    };
+    let suspected: RunFeatures = features.iter().filter(is_suspected).copied().collect();
+    drop(state);
+    let requests = count_requests(&features);
+    log::info!(engine = &*lifetime.engine, life = lifetime.incarnation, requests;
+        "engine ended after runs were left");
+    record_crash(edge, lifetime, true, suspected.iter(), since);
+}
+
+fn count_requests(features: &[(Feature, Progress)]) -> usize {
+    let is_request = |(feature, _): &&(Feature, Progress)| matches!(feature, Feature::Request(_));
+    features.iter().filter(is_request).count()
+}
--- a/tests/edge/crash_storms.rs
+++ b/tests/edge/crash_storms.rs
@@ -7,7 +7,8 @@
 use test_case::test_case;
 
 use crate::fakes::daemon::{Daemon, Request, Response, wait};
-use crate::fakes::engine::{CrashMoment, CrashedAddress, Deadly, Engine, Trigger};
+use crate::fakes::engine::crashes::Trigger;
+use crate::fakes::engine::{CrashMoment, CrashedAddress, Deadly, Engine};
 use crate::fakes::store::Store;
 use crate::site::{MODEL, desired};
 
@@ -198,8 +199,8 @@
     /// Returns which part of how many sound requests was served after the crashes that count.
     fn served(&self, sent: &[Sent]) -> (f64, usize) {
         let crashes = self.crashes(b"");
-        let counted = crashes.iter().take(self.kind.counted_crashes());
-        let last = counted.last().expect("no engine crashed");
+        let mut counted = crashes.iter().take(self.kind.counted_crashes());
+        let last = counted.next_back().expect("no engine crashed");
         let later = sent.iter().filter(|s| s.at >= *last + RECOVERY_TIME);
         let later: Vec<_> = later.map(|s| &s.response).collect();
         let is_served = |r: &&&Response| r.status == 200 && r.complete;
--- a/tests/edge/fakes/engine/crashes.rs
+++ b/tests/edge/fakes/engine/crashes.rs
@@ -233,11 +233,11 @@
 
     async fn serve_while_down(self, mut stream: TcpStream) {
         let address = self.crashed_address();
+        if address == CrashedAddress::Closes {
+            return;
+        }
         let mut rest = Vec::new();
-        while address != CrashedAddress::Closes {
-            let Ok(Some(request)) = read_request(&mut stream, &mut rest).await else {
-                return;
-            };
+        while let Ok(Some(request)) = read_request(&mut stream, &mut rest).await {
             if address == CrashedAddress::Silent {
                 if !request.path().starts_with("/report") {
                     self.state.lock().unwrap().record_arrival(&request);
--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -17,7 +17,7 @@
 use tokio::time::sleep;
 
 pub use behavior::Behavior;
-pub use crashes::{CrashMoment, CrashedAddress, Deadly, Trigger};
+pub use crashes::{CrashMoment, CrashedAddress, Deadly};
 
 use super::store::Store;
 use super::{Framing, ReceivedRequest, read_body, read_head, runtime, write_response};
