Take 502 and 504 from something before an engine for a broken connection

Where something before an engine answers 502 as the engine crashes, the request was sent on and on: the response was taken for one to another request, which says nothing of the engine, so that no crash was recorded. A response 502 or 504 without id, stamp or promise is now treated like a connection that broke.

--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -139,6 +139,13 @@
     }
     match verdict {
         Verdict::Answered => {}
+        Verdict::Unproven if headers::is_gateway_failure(status, &headers) => {
+            in_flight.record_outcome(false);
+            in_flight.record_end();
+            connection.drop_idle();
+            let status = status.as_u16();
+            return SendOutcome::Failed(format!("something before the engine responded {status}"));
+        }
         Verdict::Unproven => {
             in_flight.record_outcome(false);
             in_flight.record_end();
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -325,6 +325,16 @@
     status == StatusCode::MISDIRECTED_REQUEST || headers.not_run && REJECTIONS.contains(&status)
 }
 
+/// Returns whether a response says that something before the engine got none from it. Such a
+/// response carries nothing of the engine.
+pub fn is_gateway_failure(status: StatusCode, headers: &ResponseHeaders) -> bool {
+    let is_own = !headers.id.is_empty() || headers.signed || headers.not_run;
+    matches!(
+        status,
+        StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT
+    ) && !is_own
+}
+
 /// Returns whether callers take a status as the promise that the request has not run.
 pub fn promises_not_run(status: StatusCode) -> bool {
     PROMISES.contains(&status)
