Test what counts as a crash, and count a long response that breaks

A response that is relayed as it arrives and breaks now counts as a run that broke off, like any other. A run that is left after its engine is listed in another lifetime counts at once.

tests/edge/left_runs.rs decides without a network.

--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -23,6 +23,7 @@
 use crate::edge::admission::silence_limit;
 use crate::edge::client::Connection;
 use crate::edge::clock;
+use crate::edge::exchange::Recipient;
 use crate::edge::in_flight::InFlightGuard;
 use crate::edge::suspects::Progress;
 use crate::platform::headers;
@@ -372,6 +373,10 @@
             }
             Ok(Err(error)) => {
                 in_flight.record_outcome(false);
+                in_flight.record_end();
+                let Recipient { lifetime, addr } = in_flight.recipient();
+                let (edge, features) = (&routed.edge, &routed.features);
+                edge.record_broken_off(lifetime, *addr, features, Progress::Begun);
                 error.to_string()
             }
             Err(_) => {
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -25,7 +25,7 @@
 use super::request_headers::split_target;
 use super::state::{Edge, State};
 use super::statements::Source;
-use super::upstream::{AnnouncedModels, EngineLoad, Lifetime, LoadedModels, SentPrompt};
+use super::upstream::{AnnouncedModels, EngineLoad, LoadedModels, SentPrompt};
 use crate::clock::Moment;
 
 /// Receive buffer, bytes.
@@ -333,12 +333,8 @@
     for change in &held_changes {
         edge.record_held_change(change);
     }
-    for note in packet.crashes.iter().filter(|note| note.ended && !is_late) {
-        let lifetime = Lifetime {
-            engine: note.engine.as_str().into(),
-            incarnation: note.incarnation,
-        };
-        edge.watch_left(&lifetime);
+    if !is_late {
+        edge.watch_reported(&packet.crashes);
     }
     if decided {
         edge.notify_waiting();
--- a/src/edge/suspects/engine_ends.rs
+++ b/src/edge/suspects/engine_ends.rs
@@ -14,6 +14,7 @@
 use crate::clock::Moment;
 use crate::edge::clock;
 use crate::edge::exchange::{CallKind, Recipient, other_start};
+use crate::edge::gossip::CrashNote;
 use crate::edge::state::{Edge, State};
 use crate::edge::upstream::Lifetime;
 use crate::platform::orders;
@@ -79,18 +80,19 @@
         addr: SocketAddr,
         features: impl IntoIterator<Item = (Feature, Progress)>,
     ) {
-        let mut state = self.state.borrow_mut();
-        let Some(upstream) = state
-            .fleet
-            .lifetime_mut(&lifetime.engine, lifetime.incarnation)
-        else {
-            return;
-        };
-        let sequence = upstream.entry.sequence;
         let now = clock::now();
-        state
-            .left_runs
-            .record(lifetime, addr, features, (sequence, now));
+        let mut state = self.state.borrow_mut();
+        let State {
+            left_runs, fleet, ..
+        } = &mut *state;
+        let listed = fleet.incarnation(&lifetime.engine);
+        let known = fleet.lifetime_mut(&lifetime.engine, lifetime.incarnation);
+        let sequence = known.map_or(0, |upstream| upstream.entry.sequence);
+        left_runs.record(lifetime, addr, features, (sequence, now));
+        drop(state);
+        if listed > lifetime.incarnation {
+            self.record_ended(lifetime);
+        }
     }
 
     /// Records that an engine was heard in this lifetime.
@@ -116,6 +118,17 @@
         tokio::task::spawn_local(watch_silent(self.clone(), recipient));
     }
 
+    /// Asks engines that have ended, by what other daemons report, if runs were left there.
+    pub fn watch_reported(self: &Rc<Self>, notes: &[CrashNote]) {
+        for note in notes.iter().filter(|note| note.ended) {
+            let lifetime = Lifetime {
+                engine: note.engine.as_str().into(),
+                incarnation: note.incarnation,
+            };
+            self.watch_left(&lifetime);
+        }
+    }
+
     /// Finds out from the list of engines which of those have ended at which runs were left.
     pub fn compare_left(self: &Rc<Self>) {
         let mut state = self.state.borrow_mut();
--- a/tests/edge/fakes/engine/crashes.rs
+++ b/tests/edge/fakes/engine/crashes.rs
@@ -34,6 +34,8 @@
     BeforeHead,
     /// After the head of the answer.
     AfterHead,
+    /// After its first event.
+    AfterEvent,
 }
 
 /// What the address of an engine does after a crash.
--- a/tests/edge/fakes/engine/runs.rs
+++ b/tests/edge/fakes/engine/runs.rs
@@ -141,7 +141,7 @@
         if crashes == Some(CrashMoment::BeforeHead) {
             return self.crash_before_head(stream, &request).await;
         }
-        self.stream(stream, &request, after, (behavior, crashes.is_some()))
+        self.stream(stream, &request, after, (behavior, crashes))
             .await
     }
 
@@ -150,7 +150,7 @@
         stream: &mut TcpStream,
         request: &ReceivedRequest,
         after: u64,
-        (behavior, crashes): (Behavior, bool),
+        (behavior, crashes): (Behavior, Option<CrashMoment>),
     ) -> std::io::Result<()> {
         let id = request.header("x-mastichinge-request-id");
         let (framing, pace) = {
@@ -163,7 +163,7 @@
         }
         let head = signed_head(id) + "Content-Type: text/event-stream\r\n" + &headers + "\r\n";
         stream.write_all(head.as_bytes()).await?;
-        if crashes {
+        if crashes == Some(CrashMoment::AfterHead) {
             self.crash_by(request).await;
         }
         let mark = self.event_mark();
@@ -202,6 +202,9 @@
                 self.state.lock().unwrap().cancelled.push(id.to_owned());
                 return Err(std::io::ErrorKind::BrokenPipe.into());
             }
+            if crashes.is_some() {
+                self.crash_by(request).await;
+            }
             if pace.is_none() {
                 sleep(EVENT_PAUSE).await;
             }
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod connections;
 mod crash_reports;
+mod crash_signs;
 mod crash_storms;
 mod crashing_parts;
 mod decisions;
@@ -20,6 +21,7 @@
 mod large_fleet;
 mod leadership;
 mod leaving;
+mod left_runs;
 mod load_forecast;
 #[path = "../env/loopback.rs"]
 mod loopback;
