--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod crash_patterns;
 mod crash_reports;
+mod crash_signs;
 mod crash_storms;
 mod crashing_parts;
 mod decisions;
@@ -21,6 +22,7 @@
 mod large_fleet;
 mod leadership;
 mod leaving;
+mod left_runs;
 mod load_forecast;
 #[path = "../env/loopback.rs"]
 mod loopback;
