Count sound requests from the last counted crash of all requests that crash engines

With twelve different requests, each may crash three engines; the share of sound requests was taken from the third crash of all, while the others still crashed theirs within the rule.

--- a/tests/edge/crash_storms.rs
+++ b/tests/edge/crash_storms.rs
@@ -42,6 +42,10 @@
 const SOUND_TIME: Duration = Duration::from_secs(3);
 /// Time for which requests are sent.
 const RUN_TIME: Duration = Duration::from_secs(20);
+/// The same with many different requests that crash engines, each three times.
+const LONG_RUN_TIME: Duration = Duration::from_secs(30);
+/// Sound requests after the crashes below which their share says nothing.
+const MIN_COUNT: usize = 20;
 
 /// Requests that crash engines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,6 +75,14 @@
         }
     }
 
+    /// Returns the time for which requests are sent.
+    fn run_time(self) -> Duration {
+        match self {
+            Kind::Requests(count) if count > 1 => LONG_RUN_TIME,
+            _ => RUN_TIME,
+        }
+    }
+
     /// Returns the crashes after which sendings count.
     fn counted_crashes(self) -> usize {
         match self {
@@ -126,13 +138,14 @@
         }
     }
 
-    /// Sends requests to the daemons in turn for [`RUN_TIME`]; returns the sound ones.
+    /// Sends requests to the daemons in turn; returns the sound ones.
     fn run(&self) -> Vec<Sent> {
+        let run_time = self.kind.run_time();
         let started = Instant::now();
         thread::scope(|scope| {
             scope.spawn(|| {
                 let mut n = 0;
-                while started.elapsed() < RUN_TIME {
+                while started.elapsed() < run_time {
                     let (body, parts) = self.kind.request(n);
                     let request = request(&format!("d{n}"), body, &parts);
                     let daemon = &self.daemons[n % self.daemons.len()];
@@ -142,7 +155,7 @@
                 }
             });
             let mut senders = Vec::new();
-            while started.elapsed() < RUN_TIME {
+            while started.elapsed() < run_time {
                 let n = senders.len();
                 let id = format!("s{n}");
                 let request = request(&id, format!("sound {n}"), &[FIRST]);
@@ -168,40 +181,56 @@
         crashes
     }
 
+    /// Returns the bodies by which crashes and sendings are counted: one of each request, or an
+    /// empty one for all with the part.
+    fn counted_bodies(&self) -> BTreeSet<Vec<u8>> {
+        let bodies = self.engines.iter().flat_map(Engine::arrivals);
+        match self.kind {
+            Kind::Part => [Vec::new()].into(),
+            _ => bodies.map(|a| a.body).filter(|b| is_deadly(b)).collect(),
+        }
+    }
+
+    /// Returns when requests that crash engines, or those with this body, were sent.
+    fn sendings(&self, body: &[u8]) -> Vec<Instant> {
+        let is_it = |b: &[u8]| is_deadly(b) && (body.is_empty() || b == body);
+        let engines = self.engines.iter();
+        engines
+            .flat_map(|e| e.arrivals_of(|a| is_it(&a.body)))
+            .collect()
+    }
+
+    /// Returns the last crash of a request, or of the part, after which sendings count.
+    fn counted_crash(&self, body: &[u8]) -> Option<Instant> {
+        let crashes = self.crashes(body);
+        crashes.get(self.kind.counted_crashes() - 1).copied()
+    }
+
     /// Returns the largest number of sendings of one request, or with the part, that came too
     /// late, and the number of all sendings.
     fn sent(&self) -> (usize, usize) {
-        let is_deadly = |body: &[u8]| body.starts_with(DEADLY.as_bytes());
-        let arrivals = self.engines.iter().flat_map(Engine::arrivals);
-        let bodies: BTreeSet<Vec<u8>> = match self.kind {
-            Kind::Part => [Vec::new()].into(),
-            _ => arrivals.map(|a| a.body).filter(|b| is_deadly(b)).collect(),
-        };
-        let arrivals = |body: &[u8]| -> Vec<Instant> {
-            let is_it = |b: &[u8]| is_deadly(b) && (body.is_empty() || b == body);
-            let engines = self.engines.iter();
-            engines
-                .flat_map(|e| e.arrivals_of(|a| is_it(&a.body)))
-                .collect()
-        };
         let too_late = |body: &Vec<u8>| {
-            let crashes = self.crashes(body);
-            let Some(last) = crashes.get(self.kind.counted_crashes() - 1) else {
+            let Some(last) = self.counted_crash(body) else {
                 return 0;
             };
-            let late = arrivals(body).into_iter();
-            late.filter(|at| *at >= *last + CONTACT_TIME).count()
+            let late = self.sendings(body).into_iter();
+            late.filter(|at| *at >= last + CONTACT_TIME).count()
         };
-        let most = bodies.iter().map(too_late).max().unwrap_or(0);
-        (most, arrivals(b"").len())
+        let most = self.counted_bodies().iter().map(too_late).max();
+        (most.unwrap_or(0), self.sendings(b"").len())
     }
 
-    /// Returns which part of how many sound requests was served after the crashes that count.
+    /// Returns which part of how many sound requests was served after the last of the crashes
+    /// that count, over all requests that crash engines.
     fn served(&self, sent: &[Sent]) -> (f64, usize) {
-        let crashes = self.crashes(b"");
-        let mut counted = crashes.iter().take(self.kind.counted_crashes());
-        let last = counted.next_back().expect("no engine crashed");
-        let later = sent.iter().filter(|s| s.at >= *last + RECOVERY_TIME);
+        let bodies = self.counted_bodies();
+        let counted = |body: &Vec<u8>| {
+            let crashes = self.crashes(body).into_iter();
+            crashes.take(self.kind.counted_crashes()).next_back()
+        };
+        let last = bodies.iter().filter_map(counted).max();
+        let last = last.expect("no engine crashed");
+        let later = sent.iter().filter(|s| s.at >= last + RECOVERY_TIME);
         let later: Vec<_> = later.map(|s| &s.response).collect();
         let is_served = |r: &&&Response| r.status == 200 && r.complete;
         let served = later.iter().filter(is_served).count();
@@ -216,6 +245,10 @@
     }
 }
 
+fn is_deadly(body: &[u8]) -> bool {
+    body.starts_with(DEADLY.as_bytes())
+}
+
 /// Returns a request for a stream with this body, and these parts in its prompt before its own.
 fn request(id: &str, body: String, parts: &[&str]) -> Request {
     let shared: Vec<_> = parts.iter().map(|part| format!("{part}:100")).collect();
@@ -252,5 +285,9 @@
     );
     let held = site.decisions();
     assert!(too_late <= MAX_SENT, "{too_late} too late; {held:#?}");
+    assert!(
+        count >= MIN_COUNT,
+        "{count} sound requests after the crashes; {held:#?}"
+    );
     assert!(served >= MIN_SERVED, "{served} served; {held:#?}");
 }
