Put streams that go on at a version before new requests of their route

Cause: after all hosts lose power, all streams are taken up within 0.2 s. They can go only to the few engines of their version that hold the model. New requests keep those engines at a real wait of about 2 s, as they are admitted up to a predicted 5 s (sure_part 0.4), and the engine queues both by the route's priority.

Change: while several versions serve, new requests of a service whose streams may be resumed have the rank of their route + 1 at the engine; streams that go on at a version keep the route's. With one version nothing changes.

--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -214,7 +214,7 @@
             .headers
             .prompt
             .is_some()
-            .then_some(routed.route.priority),
+            .then_some(engine_priority(routed, attempts)),
     };
     let mut request = Request::new(Full::new(routed.body.clone()));
     *request.method_mut() = routed.head.method.clone();
@@ -223,6 +223,19 @@
     Ok(request)
 }
 
+/// Returns the priority of a request at its engine.
+fn engine_priority(routed: &RoutedRequest, attempts: &Attempts) -> u8 {
+    let state = routed.edge.state.borrow();
+    let versions = &state.origins.services;
+    let goes_on = attempts.software.is_some();
+    versions.engine_priority(
+        &routed.service,
+        routed.route.priority,
+        goes_on,
+        clock::now(),
+    )
+}
+
 /// Counts a response and, if it is a rejection or not believed, logs it.
 fn log_response(
     routed: &RoutedRequest,
--- a/src/edge/origins/services.rs
+++ b/src/edge/origins/services.rs
@@ -278,6 +278,14 @@
         is_sole.then_some(base)
     }
 
+    /// Returns the priority at its engine of a request with the priority of its route, where 0 is
+    /// the most urgent. With several versions, a stream that goes on has fewer engines than a new
+    /// request, so that it comes before those of its route.
+    pub fn engine_priority(&self, name: &str, priority: u8, goes_on: bool, now: Moment) -> u8 {
+        let is_behind = !goes_on && self.base(name).is_some() && self.has_several(name, now);
+        priority.saturating_add(u8::from(is_behind))
+    }
+
     /// Returns whether any service has, or had within the time of a stream, several versions.
     pub fn any_has_several(&self, now: Moment) -> bool {
         self.services.keys().any(|name| self.has_several(name, now))
--- a/tests/edge/origins.rs
+++ b/tests/edge/origins.rs
@@ -125,6 +125,22 @@
     assert_eq!(allowed(Recording::Absent, false), only_base);
 }
 
+/// Guards against LOST: new requests, which any version may take, held up streams that go on at one.
+#[test]
+fn streams_that_go_on_come_first_while_several_versions_serve() {
+    let mut services = confirmed(&["v1", "v2"]);
+    let mut priorities = |names: &[&str], s| {
+        services.record_listed(&[(service(), versions(names))].into(), at(s));
+        services.record_list(at(s));
+        [false, true].map(|goes_on| services.engine_priority(SERVICE, 1, goes_on, at(s)))
+    };
+    assert_eq!(priorities(&["v1"], 1), [1, 1]);
+    assert_eq!(priorities(&["v1", "v2"], 2), [2, 1]);
+    assert_eq!(priorities(&["v1"], 10), [2, 1], "streams of v2 may go on");
+    let unknown = ServiceVersions::default();
+    assert_eq!(unknown.engine_priority("plain", 1, false, at(1)), 1);
+}
+
 /// A stream without a name goes on only if no other version can have begun it.
 #[test]
 fn a_version_is_the_only_one_a_while_after_others_have_left() {
--- a/tests/edge/software_versions.rs
+++ b/tests/edge/software_versions.rs
@@ -1,12 +1,14 @@
 //! Engines of several software versions: a stream goes on only at the version that began it, in
 //! one answer and over its caller's attempts.
 
+use std::collections::BTreeSet;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
 use test_case::test_case;
 
+use crate::fakes::ReceivedRequest;
 use crate::fakes::daemon::{Daemon, Request, Response, exchange, wait};
 use crate::fakes::engine::Behavior;
 use crate::site::{MODEL, all_events, events};
@@ -282,6 +284,23 @@
     assert_eq!(taken, all_whole());
 }
 
+/// Guards against LOST: streams that were taken up after all hosts had lost power waited behind the
+/// new requests of their route, at the few engines of their version, until their callers left.
+#[test]
+fn a_stream_that_is_taken_up_comes_before_new_requests_at_engines_of_its_version() {
+    let fleet = Fleet::start(&["v1", SECOND_VERSION], 1);
+    let begun = fleet.begin_streams();
+    assert_eq!(fleet.take_up(&begun, 0), all_whole());
+    let arrivals: Vec<_> = fleet.engines.iter().flat_map(|e| e.arrivals()).collect();
+    let priorities = |goes_on: bool| -> BTreeSet<u8> {
+        let is_kind = |a: &&ReceivedRequest| a.header("last-event-id").is_empty() != goes_on;
+        let priority = |a: &ReceivedRequest| a.header("x-mastichinge-request-priority").parse();
+        arrivals.iter().filter(is_kind).flat_map(priority).collect()
+    };
+    let (new, goes_on) = (priorities(false), priorities(true));
+    assert!(goes_on.last() < new.first(), "{goes_on:?}, new {new:?}");
+}
+
 /// Guards against answers that stay open until their time limit although no engine of the version
 /// that began them is left.
 #[test]
