--- a/src/edge/suspects/engine_ends.rs
+++ b/src/edge/suspects/engine_ends.rs
@@ -46,11 +46,14 @@
 }
 
 impl Edge {
-    /// Returns whether the reports of an engine name its start time: it is one of models.
-    fn reports_start(&self, engine: &str) -> bool {
+    /// Returns whether the reports of an engine name its start time: it is one of models, and its
+    /// entry has named one.
+    fn reports_start(&self, lifetime: &Lifetime) -> bool {
         let state = self.state.borrow();
-        let upstream = state.fleet.engines.get(engine);
-        upstream.is_some_and(|e| state.desired.hosting(&e.entry.service).is_some())
+        let upstream = state.fleet.engines.get(&lifetime.engine);
+        let is_hosting =
+            upstream.is_some_and(|e| state.desired.hosting(&e.entry.service).is_some());
+        is_hosting && lifetime.incarnation != 0
     }
 
     /// Records that a request with these features broke off at an engine, once it is known
@@ -161,51 +164,45 @@
 }
 
 async fn check_end(edge: Rc<Edge>, lifetime: Lifetime, addr: SocketAddr) {
+    let recipient = Recipient { lifetime, addr };
     let state = probe(addr).await;
+    let lifetime = &recipient.lifetime;
     let features = {
         let pending = &mut edge.state.borrow_mut().pending_ends;
-        pending.remove(&lifetime).unwrap_or_default()
+        pending.remove(lifetime).unwrap_or_default()
     };
-    log_state(&edge, &lifetime, state, &features);
+    log_state(&edge, lifetime, state, &features);
     let ended = state == EngineState::Ended;
     let now = clock::now();
-    let suspected = |(feature, progress): &&(Feature, Progress)| match feature {
+    let is_suspected = |(feature, progress): &&(Feature, Progress)| match feature {
         // A request may end its engine late in its run, too.
         Feature::Request(_) => ended || *progress != Progress::Settled,
         Feature::Part(_) => ended && *progress != Progress::Settled,
     };
-    record_crash(
-        &edge,
-        &lifetime,
-        ended,
-        features.iter().filter(suspected),
-        now,
-    );
+    let suspected = features.iter().filter(is_suspected);
+    record_crash(&edge, lifetime, ended, suspected, now);
     if ended {
-        record_left(&edge, &lifetime);
+        record_left(&edge, lifetime);
     }
     if state != EngineState::Alive {
         return;
     }
-    let recipient = Recipient { lifetime, addr };
     match ask_start(&edge, &recipient).await {
         Asked::Same => return,
         Asked::Other => {}
         Asked::Nothing => {
             // Its entry, or what is sent to it later, may tell.
-            let (lifetime, addr) = (&recipient.lifetime, recipient.addr);
             edge.leave_run(lifetime, addr, features);
             return;
         }
     }
-    let lifetime = recipient.lifetime;
-    log_state(&edge, &lifetime, EngineState::Restarted, &features);
+    log_state(&edge, lifetime, EngineState::Restarted, &features);
     // The requests themselves are suspected already.
     let is_part = |(feature, progress): &&(Feature, Progress)| {
         matches!(feature, Feature::Part(_)) && *progress != Progress::Settled
     };
-    record_crash(&edge, &lifetime, true, features.iter().filter(is_part), now);
-    record_left(&edge, &lifetime);
+    record_crash(&edge, lifetime, true, features.iter().filter(is_part), now);
+    record_left(&edge, lifetime);
 }
 
 /// Asks a silent engine what became of it, until it answers or its address refuses connections.
@@ -241,41 +238,49 @@
     Nothing,
 }
 
-/// Asks an engine that accepts connections whether it has started again. Something before it may
-/// accept them, and answer, while it does not.
+/// Asks an engine that accepts connections, until it answers or for [`CHECK_TIME`]. Something
+/// before it may accept them, and answer, while it does not.
 async fn ask_start(edge: &Edge, recipient: &Recipient) -> Asked {
-    let engine = &recipient.lifetime.engine;
-    // Without a start time, or without models, an engine makes no report that tells.
-    if recipient.lifetime.incarnation == 0 || !edge.reports_start(engine) {
-        return Asked::Nothing;
-    }
     let started_at = clock::now();
     while clock::now().saturating_sub(started_at) < CHECK_TIME {
-        let request = match orders::report_request(&recipient.addr.to_string()) {
-            Ok(request) => request,
-            Err(error) => {
-                log::warn!(engine = &**engine, error:%; "report request is not valid");
-                return Asked::Nothing;
-            }
-        };
-        match edge.call_engine(recipient, CallKind::Check, request).await {
-            Ok(response) if other_start(&recipient.lifetime, response.body()).is_some() => {
-                return Asked::Other;
-            }
-            Ok(response) if orders::decode_report(response.body()).is_ok() => return Asked::Same,
-            Ok(response) => {
-                let status = response.status().as_u16();
-                log::debug!(engine = &**engine, status; "no report of an engine that may have ended");
-            }
-            Err(error) => {
-                log::debug!(engine = &**engine, error:%; "no report of an engine that may have ended");
-            }
+        let asked = ask_once(edge, recipient).await;
+        if asked != Asked::Nothing || !edge.reports_start(&recipient.lifetime) {
+            return asked;
         }
         tokio::time::sleep(CHECK_PAUSE).await;
     }
     Asked::Nothing
 }
 
+/// Asks an engine whether it has started again.
+async fn ask_once(edge: &Edge, recipient: &Recipient) -> Asked {
+    let lifetime = &recipient.lifetime;
+    if !edge.reports_start(lifetime) {
+        return Asked::Nothing;
+    }
+    let engine = &*lifetime.engine;
+    let request = match orders::report_request(&recipient.addr.to_string()) {
+        Ok(request) => request,
+        Err(error) => {
+            log::warn!(engine, error:%; "report request is not valid");
+            return Asked::Nothing;
+        }
+    };
+    match edge.call_engine(recipient, CallKind::Check, request).await {
+        Ok(response) if other_start(lifetime, response.body()).is_some() => Asked::Other,
+        Ok(response) if orders::decode_report(response.body()).is_ok() => Asked::Same,
+        Ok(response) => {
+            let status = response.status().as_u16();
+            log::debug!(engine, status; "no report of an engine that may have ended");
+            Asked::Nothing
+        }
+        Err(error) => {
+            log::debug!(engine, error:%; "no report of an engine that may have ended");
+            Asked::Nothing
+        }
+    }
+}
+
 /// Counts and logs what is known of an engine at which requests broke off.
 fn log_state(
     edge: &Edge,
--- a/tests/edge/crash_storms.rs
+++ b/tests/edge/crash_storms.rs
@@ -43,6 +43,9 @@
 /// Time for which requests are sent.
 const RUN_TIME: Duration = Duration::from_secs(20);
 
+/// Maximum number of log lines that a failed test prints.
+const MAX_DECISIONS: usize = 30;
+
 /// Requests that crash engines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
@@ -208,11 +211,14 @@
         (served as f64 / later.len().max(1) as f64, later.len())
     }
 
-    /// Returns what the daemons have logged of held features.
+    /// Returns the first of what the daemons have logged of held features.
     fn decisions(&self) -> Vec<String> {
         let lines = self.daemons.iter().flat_map(Daemon::lines);
         let of_features = lines.filter(|l| !l["feature"].is_null());
-        of_features.map(|l| l.to_string()).collect()
+        of_features
+            .map(|l| l.to_string())
+            .take(MAX_DECISIONS)
+            .collect()
     }
 }
 
