--- a/tests/edge/crash_storms.rs
+++ b/tests/edge/crash_storms.rs
@@ -47,6 +47,9 @@
 /// Sound requests after the crashes below which their share says nothing.
 const MIN_COUNT: usize = 20;
 
+/// Maximum number of log lines that a failed test prints.
+const MAX_DECISIONS: usize = 30;
+
 /// Requests that crash engines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
@@ -237,11 +240,14 @@
         (served as f64 / later.len().max(1) as f64, later.len())
     }
 
-    /// Returns what the daemons have logged of held features.
+    /// Returns the first of what the daemons have logged of held features.
     fn decisions(&self) -> Vec<String> {
         let lines = self.daemons.iter().flat_map(Daemon::lines);
         let of_features = lines.filter(|l| !l["feature"].is_null());
-        of_features.map(|l| l.to_string()).collect()
+        of_features
+            .map(|l| l.to_string())
+            .take(MAX_DECISIONS)
+            .collect()
     }
 }
 
