--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -3,7 +3,7 @@
 mod scene;
 
 use std::hint::black_box;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
 use mastichinge::clock::Moment;
@@ -14,6 +14,8 @@
 use mastichinge::decide::placement_types::PlacementOptions;
 use mastichinge::decide::routing::{ReplicaQuery, choose_replica};
 use mastichinge::decide::sleep::{ModelFacts, decide_unload};
+use mastichinge::edge::suspects::{Feature, Suspects};
+use scene::crashes;
 use scene::fleet::LeaderScene;
 use scene::{FULL, POOL, TODAY};
 
@@ -151,11 +153,66 @@
     }
 }
 
+/// What is held while 256 crashes are known, for requests with 400 parts.
+fn suspects(c: &mut Criterion) {
+    let mut group = c.benchmark_group("suspects");
+    let mut now = Moment::from_secs(1_000);
+    let calm = crashes::parts(0).collect::<Vec<_>>();
+    group.bench_function("answer_calm", |b| {
+        let mut suspects = Suspects::default();
+        b.iter(|| suspects.record_answered(black_box(&calm), now));
+    });
+    let scene = |now: &mut Moment| {
+        let mut suspects = Suspects::default();
+        for n in 0..256 {
+            *now += Duration::from_millis(100);
+            suspects.record_crash(&crashes::crash_id(n), crashes::crash_features(n), *now);
+        }
+        *now += Duration::from_millis(100);
+        suspects
+    };
+    // Each answer is news of a crash; there are enough of them for one scene.
+    group.bench_function("decision", |b| {
+        b.iter_custom(|count| {
+            let mut time = Duration::ZERO;
+            for start in (0..count).step_by(100) {
+                let mut suspects = scene(&mut now);
+                let kept: Vec<_> = crashes::requests(&suspects, now);
+                let started = Instant::now();
+                for feature in kept.iter().take((count - start) as usize) {
+                    black_box(suspects.record_answered(&[*feature], now));
+                }
+                time += started.elapsed();
+            }
+            time
+        });
+    });
+    let mut suspects = scene(&mut now);
+    group.bench_function("new_crash", |b| {
+        let mut n = 1_000;
+        b.iter(|| {
+            n += 1;
+            now += Duration::from_millis(100);
+            suspects.record_crash(&crashes::crash_id(n), crashes::crash_features(n), now)
+        });
+    });
+    let request: Vec<_> = crashes::parts(0).chain([Feature::Request(7)]).collect();
+    group.bench_function("check", |b| {
+        b.iter(|| suspects.trials_in(black_box(&request), now));
+    });
+    let sound: Vec<_> = crashes::parts(900)
+        .chain([Feature::Request(7_000)])
+        .collect();
+    group.bench_function("answer", |b| {
+        b.iter(|| suspects.record_answered(black_box(&sound), now));
+    });
+}
+
 criterion_group! {
     name = benches;
     config = Criterion::default()
         .warm_up_time(Duration::from_millis(300))
         .measurement_time(Duration::from_secs(1));
-    targets = routing, placement, leader_step, pinning, sleep, permit, admission
+    targets = routing, placement, leader_step, pinning, sleep, permit, admission, suspects
 }
 criterion_main!(benches);
--- a/benches/scene/mod.rs
+++ b/benches/scene/mod.rs
@@ -1,5 +1,6 @@
 //! Generated inputs of the decisions at a given size, from a fixed seed.
 
+pub mod crashes;
 pub mod fleet;
 
 use std::time::Duration;
--- a/src/edge/suspects/crash.rs
+++ b/src/edge/suspects/crash.rs
@@ -97,7 +97,10 @@
     /// Removes the feature of the same kind that is least likely the cause, if it is less likely
     /// than this one; returns whether it is. Among equals, each crash keeps others.
     fn make_room(&mut self, feature: Feature, evidence: Evidence) -> bool {
-        let rank = |feature: Feature| xxh3_64_with_seed(feature.to_string().as_bytes(), self.seed);
+        let rank = |feature: Feature| {
+            let (Feature::Request(number) | Feature::Part(number)) = feature;
+            xxh3_64_with_seed(&number.to_be_bytes(), self.seed)
+        };
         let innocence = |f: Feature, e: &Evidence| {
             // An engine may crash before the first byte of the answer to a request.
             let is_waiting = matches!(f, Feature::Part(_)) && !e.begun;
--- a/src/edge/suspects/mod.rs
+++ b/src/edge/suspects/mod.rs
@@ -37,7 +37,7 @@
 
 use crate::clock::Moment;
 use broken::BrokenFeatures;
-use crash_set::MAX_CRASHES;
+use crash_set::{CrashSet, MAX_CRASHES};
 use index::Index;
 use sound::SoundFeatures;
 use trials::CrashTimes;
@@ -185,8 +185,11 @@
 
     /// Returns the crashes that a feature may have caused, with their ids.
     pub fn crashes_by(&self, feature: Feature) -> impl Iterator<Item = (&CrashId, &Crash)> {
-        let slots = self.index.open(feature).all.iter();
-        let ids = slots.filter_map(|slot| self.index.id(slot));
+        self.crashes_in(self.index.open(feature).all)
+    }
+
+    fn crashes_in(&self, slots: CrashSet) -> impl Iterator<Item = (&CrashId, &Crash)> {
+        let ids = slots.iter().filter_map(|slot| self.index.id(slot));
         ids.filter_map(|id| self.crashes.get(id).map(|(_, crash)| (id, crash)))
     }
 
@@ -202,13 +205,17 @@
     /// engines for another reason come later, so that the trials are those of others.
     pub fn trials_in(&self, features: &[Feature], now: Moment) -> Vec<(Feature, Option<Duration>)> {
         let held = self.held_among(features);
+        if held.is_empty() {
+            return Vec::new();
+        }
         let is_request = |f: &&Feature| matches!(f, Feature::Request(_));
         let mut own = features.iter().filter(is_request);
         let is_suspected = own.any(|f| !held.contains(f) && !self.index.open(*f).all.is_empty());
         let is_doubtful = held.len() > 1 || is_suspected;
         // A trial beside other requests that crash engines shows nothing.
-        let near = features.iter().filter(|_| !held.is_empty());
-        let last = near.map(|f| self.crash_times(*f).last).max();
+        let near = features.iter().map(|f| self.index.open(*f).all);
+        let near = near.fold(CrashSet::default(), |all, open| all.or(&open));
+        let last = self.crashes_in(near).map(|(_, crash)| crash.at).max();
         let due = |feature: Feature| {
             let mut crashes = self.crash_times(feature);
             crashes.last = last.unwrap_or_default();
--- a/tests/edge/crash_patterns.rs
+++ b/tests/edge/crash_patterns.rs
@@ -128,14 +128,14 @@
         let mut bad_count = 0;
         while self.now < start + time {
             let ms = (self.now - start).as_millis();
-            if ms % sound_ms == 0 {
+            if ms.is_multiple_of(sound_ms) {
                 let number = self.sound.len();
                 self.sound.push((self.now, false));
                 let other = Feature::Part(10 + number as u64 % 7);
                 let features = vec![FIRST, other, sound(number as u64)];
                 self.send(features, 0, Some(number));
             }
-            if ms % bad_ms == 0 {
+            if ms.is_multiple_of(bad_ms) {
                 bad_count += 1;
                 let features = match self.cause {
                     Cause::Requests(count) => vec![FIRST, bad(bad_count % count)],
