--- a/src/edge/suspects/explain.rs
+++ b/src/edge/suspects/explain.rs
@@ -19,7 +19,7 @@
 /// Crashes from which a request is held even if others explain all of them.
 const ANY_REQUEST_CRASHES: u32 = 6;
 /// Maximum number of requests that are compared; those with most crashes.
-const MAX_CANDIDATES: usize = 128;
+const MAX_CANDIDATES: usize = 64;
 
 /// A crash that a request shares with no other.
 const WHOLE: u64 = 1 << 32;
@@ -146,20 +146,20 @@
     }
 }
 
-/// Returns what speaks against a part that was at these crashes. A crash that no request of
-/// the cover explains is one of a request that was at no other.
+/// Returns what speaks against a part that was at these crashes, of which no request is the
+/// certain cause. One that no request of the cover explains is of a request that was at no other.
 fn points(open: &OpenCrashes, cover: &[Group]) -> Points {
     let mut points = Points::default();
     let mut rest = open.all;
     for group in cover {
+        if rest.is_empty() {
+            break;
+        }
         let crashes = rest.and(&group.crashes);
         if crashes.is_empty() {
             continue;
         }
         rest = rest.minus(&crashes);
-        if group.is_held() && group.crashes.len() >= CERTAIN_REQUEST_CRASHES {
-            continue;
-        }
         let count = crashes.len().min(CRASHES_PER_REQUEST);
         points.add(count, crashes.and(&open.strong).len().min(count));
         points.requests += 1;
@@ -174,6 +174,12 @@
 fn hold_parts(index: &Index, cover: &[Group], held: &mut BTreeSet<Feature>) {
     let is_part = |(f, _): &(Feature, _)| matches!(f, Feature::Part(_));
     let mut parts: Vec<_> = index.repeated().filter(is_part).collect();
+    let is_certain = |g: &&Group| g.is_held() && g.crashes.len() >= CERTAIN_REQUEST_CRASHES;
+    let certain = cover.iter().filter(is_certain).map(|g| g.crashes);
+    set_aside(
+        &mut parts,
+        certain.fold(CrashSet::default(), |all, c| all.or(&c)),
+    );
     loop {
         let against = parts
             .iter()
@@ -187,10 +193,15 @@
             held.insert(*feature);
             explained = explained.or(&open.all);
         }
-        for (_, open) in &mut parts {
-            open.all = open.all.minus(&explained);
-            open.strong = open.strong.minus(&explained);
-        }
-        parts.retain(|(_, open)| open.all.len() > 1);
+        set_aside(&mut parts, explained);
+    }
+}
+
+/// Removes crashes that are explained already.
+fn set_aside(parts: &mut Vec<(Feature, OpenCrashes)>, explained: CrashSet) {
+    for (_, open) in parts.iter_mut() {
+        open.all = open.all.minus(&explained);
+        open.strong = open.strong.minus(&explained);
     }
+    parts.retain(|(_, open)| open.all.len() > 1);
 }
