--- a/tests/edge/crash_patterns.rs
+++ b/tests/edge/crash_patterns.rs
@@ -1,6 +1,6 @@
 //! Which requests are held while engines crash, over patterns of crashes in simulated time.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use mastichinge::clock::Moment;
@@ -102,8 +102,6 @@
     sendings: BTreeMap<Feature, Vec<Moment>>,
     /// When each sound request came, and whether it was served.
     sound: Vec<(Moment, bool)>,
-    /// Parts that were held, with those that are.
-    parts: BTreeSet<Feature>,
 }
 
 impl Play {
@@ -118,7 +116,6 @@
             now: at(0),
             sendings: BTreeMap::new(),
             sound: Vec::new(),
-            parts: BTreeSet::new(),
         }
     }
 
@@ -233,8 +230,6 @@
             features.extend(run.features.iter().map(|f| (*f, begun)));
         }
         self.suspects.record_crash(&id, features, self.now);
-        let is_part = |f: &Feature| matches!(f, Feature::Part(_));
-        self.parts.extend(self.suspects.held().filter(is_part));
         for run in running {
             if run.attempts < ATTEMPTS && !run.is_trial {
                 self.send(run.features, run.attempts, run.number);
@@ -283,10 +278,6 @@
         let ended = later.iter().filter(|(at, _)| *at + STREAM < self.now);
         let served = ended.clone().filter(|(_, served)| *served).count();
         let count = ended.count();
-        println!(
-            "{served} of {count}; sent {:?}",
-            self.sendings.values().map(Vec::len).collect::<Vec<_>>()
-        );
         assert!(count >= 100, "{count} requests");
         assert!(
             served * 10 >= count * 9,
