--- a/tests/edge/crash_storms.rs
+++ b/tests/edge/crash_storms.rs
@@ -43,7 +43,7 @@
 /// Time for which requests are sent.
 const RUN_TIME: Duration = Duration::from_secs(20);
 /// The same with many different requests that crash engines, each three times.
-const LONG_RUN_TIME: Duration = Duration::from_secs(30);
+const LONG_RUN_TIME: Duration = Duration::from_secs(40);
 /// Sound requests after the crashes below which their share says nothing.
 const MIN_COUNT: usize = 20;
 
