Take no status above 599 for an answer

Callers got a response of an engine whose status was 600 to 999 as it was: the parser accepts three digits from 100 on. The same in the client of the product's own interface. Such a response now counts as one that proves nothing: 502, or another engine where the request may be repeated.

--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -25,6 +25,7 @@
 use crate::edge::routing::SelectedEngine;
 use crate::edge::unreachable::Cause;
 use crate::platform::headers;
+use crate::status::is_answer;
 
 /// Time limit for reading the rest of a rejection, so that its connection can be reused.
 const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(50);
@@ -164,7 +165,7 @@
             return SendOutcome::NotRun(status);
         }
     }
-    if headers::promises_not_run(status) || status.is_informational() {
+    if headers::promises_not_run(status) || !is_answer(status) {
         in_flight.record_outcome(false);
         in_flight.record_end();
         discard_body(response, connection, headers).await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod protocol;
 pub mod router;
 pub mod settings;
+pub mod status;
 pub mod suspects;
 pub mod tool;
--- a/src/outside/client.rs
+++ b/src/outside/client.rs
@@ -10,6 +10,8 @@
 use attohttpc::{ErrorKind, ProxySettings, RequestBuilder, Response, Session};
 use serde::de::DeserializeOwned;
 
+use crate::status::is_answer;
+
 /// Largest response body that is read into memory, bytes.
 const MAX_RESPONSE_BYTES: u64 = 64 * 1024 * 1024;
 
@@ -119,7 +121,7 @@
         started: started.clone(),
     };
     let error = match request.body(body).send() {
-        Ok(response) if response.status().is_informational() => {
+        Ok(response) if !is_answer(response.status()) => {
             let status = response.status().as_u16();
             return Err(SendError::NoAnswer(format!("status {status} is no answer")));
         }
--- a/tests/edge/fakes/engine/behavior.rs
+++ b/tests/edge/fakes/engine/behavior.rs
@@ -1,5 +1,7 @@
 //! How an engine behaves.
 
+use std::time::Duration;
+
 /// How an engine answers requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Behavior {
@@ -59,6 +61,12 @@
     LateBeforeReport,
     /// Answers before it reads the body, and reads the body later.
     Early,
+    /// Answers without a length before it reads the body, and resets in the middle after this time.
+    EarlyReset(Duration),
+    /// The same, but closes the connection with the body unread.
+    EarlyClose(Duration),
+    /// Runs every request and answers with this text in place of a status.
+    Status(&'static str),
     /// Answers 500.
     Failing,
     /// Sends bytes without end at this place, until the connection closes.
--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -351,6 +351,12 @@
                 }
                 sleep(EVENT_PAUSE).await;
             }
+            if let Behavior::EarlyReset(time) | Behavior::EarlyClose(time) = self.behavior()
+                && !is_call
+            {
+                self.break_early(stream, &request, time).await;
+                return;
+            }
             if !matches!(read_body(stream, &mut rest, &mut request).await, Ok(true)) {
                 return;
             }
--- a/tests/edge/fakes/engine/runs.rs
+++ b/tests/edge/fakes/engine/runs.rs
@@ -94,6 +94,11 @@
             Behavior::Answers(status) => {
                 return self.respond(stream, status, &signed, b"answer").await;
             }
+            Behavior::Status(status) => {
+                let head = signed_head(&id).replacen("200 OK", status, 1);
+                let response = head + "Content-Length: 4\r\n\r\npart";
+                return stream.write_all(response.as_bytes()).await;
+            }
             Behavior::Early => return Ok(()),
             Behavior::Failing => return self.respond(stream, 500, &signed, b"failed").await,
             Behavior::Endless(place) => return self.send_endless(stream, place, &id).await,
@@ -234,6 +239,24 @@
         outcome
     }
 
+    /// Answers without a length before the body is read, and breaks off after `time`.
+    pub(super) async fn break_early(
+        &self,
+        stream: &mut TcpStream,
+        request: &ReceivedRequest,
+        time: Duration,
+    ) {
+        let id = request.header("x-mastichinge-request-id");
+        let head = signed_head(id) + "\r\nid: 1\ndata: part\n\n";
+        if stream.write_all(head.as_bytes()).await.is_err() {
+            return;
+        }
+        sleep(time).await;
+        if matches!(self.behavior(), Behavior::EarlyReset(_)) {
+            let _ = reset(stream);
+        }
+    }
+
     /// Waits for the connection to close without answering.
     pub(super) async fn wait_for_close(
         &self,
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -9,6 +9,7 @@
 mod crash_storms;
 mod crashing_parts;
 mod decisions;
+mod early_breaks;
 mod endless;
 mod engine_list;
 mod engine_statements;
--- a/tests/outside/service.rs
+++ b/tests/outside/service.rs
@@ -1,10 +1,13 @@
 //! The fake plain service.
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
 
 use mastichinge::fakes::FakeService;
 use mastichinge::fakes::service::Fault;
 use mastichinge::outside::client::{self, BodyType};
+use socket2::SockRef;
 use test_case::test_case;
 
 use crate::support::any_port;
@@ -47,3 +50,31 @@
         Err(error) => Err(error.maybe_sent()),
     }
 }
+
+/// Guards against MIXED: a status that is none, and an answer that breaks during the upload, were
+/// taken for answers.
+#[test_case("HTTP/1.1 000 Trouble\r\n\r\n"; "zeros")]
+#[test_case("HTTP/1.1 099 Low\r\n\r\n"; "below all classes")]
+#[test_case("HTTP/1.1 600 High\r\n\r\n"; "above all classes")]
+#[test_case("HTTP/1.1 999 High\r\n\r\n"; "far above all classes")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\npart"; "a part during the upload")]
+fn an_answer_that_is_none_is_an_error(answer: &'static str) {
+    let listener = TcpListener::bind(any_port()).expect("a free port");
+    let addr = listener.local_addr().expect("a bound port");
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut head = [0; 1_024];
+        let read = stream.read(&mut head).expect("a head");
+        assert!(read > 0);
+        stream.write_all(answer.as_bytes()).expect("a client");
+        let linger = answer.ends_with("part").then_some(Duration::ZERO);
+        SockRef::from(&stream).set_linger(linger).expect("a socket");
+    });
+    let request = client::session().post(format!("http://{addr}/seats/7"));
+    // More than the buffers of both sockets hold, or nothing that is left unread.
+    let size = if answer.ends_with("part") { 8 << 20 } else { 2 };
+    let body = vec![b'x'; size];
+    let outcome = client::send(request, BodyType::Bytes, &body).and_then(client::read_body);
+    server.join().expect("no failure");
+    assert!(outcome.is_err_and(|error| error.maybe_sent()));
+}
