--- a/src/control/crash_reports.rs
+++ b/src/control/crash_reports.rs
@@ -1,6 +1,6 @@
 //! Reports of engine crashes during a request, shared with all daemons.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crossbeam::channel::Sender;
 
@@ -20,8 +20,15 @@
 }
 
 impl Control {
-    /// Sends a crash report, or its release, to all peers.
-    pub(super) fn broadcast_crash_report(&mut self, report: CrashReport) {
+    /// Sends a crash report of this daemon, or its release, to all peers.
+    pub(super) fn share_report(&mut self, report: CrashReport, now: Moment) {
+        if report.released {
+            self.free_waiting(&report.fingerprint, now);
+        }
+        self.broadcast_crash_report(report);
+    }
+
+    fn broadcast_crash_report(&mut self, report: CrashReport) {
         self.effects
             .push(Effect::Broadcast(Body::CrashReport(report)));
     }
@@ -51,6 +58,9 @@
         suspects.merge(report, now);
         let release = suspects.refute(report, now);
         drop(suspects);
+        if report.released {
+            self.free_waiting(&report.fingerprint, now);
+        }
         if let Some(release) = release {
             self.broadcast_crash_report(release);
         }
@@ -115,8 +125,8 @@
     }
 
     /// Sends all known crash reports to a newly linked peer.
-    pub(super) fn send_crash_reports(&mut self, host: &Name) {
-        let reports = self.lock_suspects().crash_reports();
+    pub(super) fn send_crash_reports(&mut self, host: &Name, now: Moment) {
+        let reports = self.lock_suspects().crash_reports(now);
         for report in reports {
             self.send(host, Body::CrashReport(report));
         }
@@ -136,8 +146,8 @@
 
     /// Returns the requests that are held because engines crashed while running
     /// them.
-    pub fn held_requests(&self) -> Vec<HeldStatus> {
-        let held = self.lock_suspects().held_requests();
+    pub fn held_requests(&self, now: Moment) -> Vec<HeldStatus> {
+        let held = self.lock_suspects().held_requests(now);
         held.into_iter()
             .map(|h| HeldStatus {
                 fingerprint: h.fingerprint,
@@ -150,16 +160,55 @@
     /// Releases a held request on all hosts; returns false when none has
     /// `fingerprint`.
     pub fn release_held(&mut self, fingerprint: &str, now: Moment) -> bool {
-        let report = self.lock_suspects().release(fingerprint, now);
-        let Some(report) = report else {
+        let releases = self.lock_suspects().release_held(fingerprint, now);
+        if releases.is_empty() {
             return false;
-        };
+        }
         log::info!("released held request {fingerprint}");
-        self.broadcast_crash_report(report);
+        for release in releases {
+            self.share_report(release, now);
+        }
         true
     }
 
-    fn lock_suspects(&self) -> std::sync::MutexGuard<'_, Suspects> {
+    /// Returns the instances of the engines of a pool.
+    pub(super) fn instances(&self, pool: &Name) -> BTreeMap<String, String> {
+        let state = self.pool_states.get(pool);
+        let engines = state.iter().flat_map(|s| &s.engines);
+        let instances = engines.map(|e| (e.engine.clone(), e.instance.clone()));
+        instances.collect()
+    }
+
+    /// Records the end of the instances that were there `before` and have another one in their
+    /// place.
+    pub(super) fn record_replaced(
+        &mut self,
+        before: &BTreeMap<String, String>,
+        pool: &Name,
+        now: Moment,
+    ) {
+        for (engine, instance) in self.instances(pool) {
+            let Some(ended) = before.get(&engine) else {
+                continue;
+            };
+            if *ended == instance || ended.is_empty() {
+                continue;
+            }
+            let reports = self.lock_suspects().record_ended(ended, now);
+            if reports.is_empty() {
+                continue;
+            }
+            log::info!(
+                "engine {engine} ended as instance {ended}, where requests were given up: {} crash reports",
+                reports.len()
+            );
+            for report in reports {
+                self.broadcast_crash_report(report);
+            }
+        }
+    }
+
+    pub(super) fn lock_suspects(&self) -> std::sync::MutexGuard<'_, Suspects> {
         self.suspects
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner)
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -94,18 +94,20 @@
     }
 
     /// Records, here and at all peers, that an engine instance crashed while it
-    /// ran a request. The returned channel receives a value once no daemon runs
+    /// ran a request, as a trial of `trial` if it was one. The returned channel receives a value once no daemon runs
     /// the request any more and all their crash reports are recorded here.
     pub fn report_crash(
         &self,
         fingerprints: &RequestFingerprints,
         model: &Name,
         instance: &Name,
+        trial: Option<&Fingerprint>,
     ) -> Receiver<()> {
         let now = self.clock.now();
+        let trial = trial.map(|fingerprint| &**fingerprint);
         let (messages, report) =
             self.lock_suspects()
-                .report_request_crash(fingerprints, model, instance, now);
+                .report_request_crash(fingerprints, model, instance, trial, now);
         for message in messages {
             let _ = self.events.send(Event::CrashReportShared(message));
         }
@@ -114,6 +116,18 @@
         settled_receiver
     }
 
+    /// Records that a request was given up at an instance that did not answer it.
+    pub fn record_abandoned(
+        &self,
+        fingerprints: &RequestFingerprints,
+        model: &Name,
+        instance: &Name,
+    ) {
+        let now = self.clock.now();
+        self.lock_suspects()
+            .record_abandoned(fingerprints, model, instance, now);
+    }
+
     /// Records that an engine has answered a request, and clears its crash reports.
     pub fn record_answered(&self, fingerprints: &RequestFingerprints) {
         let now = self.clock.now();
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -181,7 +181,7 @@
             Event::CrashReported { report, settled } => {
                 self.share_crash_report(report, settled, now)
             }
-            Event::CrashReportShared(report) => self.broadcast_crash_report(report),
+            Event::CrashReportShared(report) => self.share_report(report, now),
             Event::InFlightEnded(fingerprint) => self.in_flight_ended(&fingerprint),
             Event::TrialEnded { ticket, model } => self.end_trial(&ticket, &model),
             Event::Drain => self.start_drain(),
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -33,7 +33,7 @@
                 pool.queue_full_state(host);
             }
         }
-        self.send_crash_reports(host);
+        self.send_crash_reports(host, now);
         self.resend_waiting(now);
         if self.permit_issuer.as_ref() == Some(host) {
             self.request_all_permits(now);
@@ -105,8 +105,10 @@
         if !self.record_owner(&pool, from, state.epoch, now) {
             return;
         }
+        let before = self.instances(&pool);
         if self.merge_pool_state(&pool, state) {
             self.router.apply_pool_state(state, &self.config);
+            self.record_replaced(&before, &pool, now);
         }
         // The usage report tells the owner which state this daemon has.
         self.send_usage(&pool, now);
@@ -173,6 +175,7 @@
         for host in self.members.expire(now) {
             log::info!("removed silent host {host} from the members");
         }
+        self.lock_suspects().expire(now);
         let heartbeat = Heartbeat {
             incarnation: self.identity.incarnation,
             leaving: self.leaving,
--- a/src/control/waiting.rs
+++ b/src/control/waiting.rs
@@ -97,6 +97,23 @@
         }
     }
 
+    /// Lets the requests that wait for a trial of a released fingerprint go on like any other.
+    pub(super) fn free_waiting(&mut self, fingerprint: &str, now: Moment) {
+        let mut freed = false;
+        for entry in self.waiting.values_mut() {
+            let suspect = entry.request.suspect.as_deref().unwrap_or_default();
+            if suspect.split(' ').any(|name| name == fingerprint) {
+                entry.request.suspect = None;
+                // The owner replaces the ticket.
+                entry.sent_to = None;
+                freed = true;
+            }
+        }
+        if freed {
+            self.resend_waiting(now);
+        }
+    }
+
     /// Marks the requests that wait for `pool` as not sent.
     pub(super) fn mark_unsent(&mut self, pool: &Name) {
         for entry in self.waiting.values_mut() {
--- a/src/daemon/backend.rs
+++ b/src/daemon/backend.rs
@@ -98,7 +98,8 @@
     }
 
     fn held_requests(&self) -> Vec<HeldStatus> {
-        let held = self.control.call(|state| state.held_requests());
+        let now = self.clock.now();
+        let held = self.control.call(move |state| state.held_requests(now));
         held.unwrap_or_default()
     }
 
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod callers;
 pub mod guard;
+mod held;
 pub mod openai;
 pub mod quotas;
 pub mod relay;
--- a/src/http/relay.rs
+++ b/src/http/relay.rs
@@ -13,8 +13,9 @@
 use crate::outside::{CallOptions, Chunk, ChunkStream, Engine, EngineError};
 use crate::peer::wire::weights_fingerprint;
 use crate::router::{RouteDecision, Router, RoutingRequest, Slot};
-use crate::suspects::RunDecision;
+use crate::suspects::{Fingerprint, RunDecision};
 
+use super::held::{HELD_WAIT, quarantined};
 use super::openai::{ChunkKind, CompletionRequest, chunk_kind};
 use super::request::RequestContext;
 
@@ -22,8 +23,6 @@
 const MAX_CRASHES: u32 = 4;
 /// Lower bound of the silence timeout before the first token.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum wait until no other copy of a suspect request is running.
-const COPIES_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which a broken stream may wait for a slot to resume on.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time limit for connecting to an engine.
@@ -78,7 +77,7 @@
 }
 
 /// State of one completion across its attempts.
-struct RelayState {
+pub(super) struct RelayState {
     /// Engine instances that further attempts avoid.
     avoid: Vec<Name>,
     sent_tokens: u64,
@@ -86,13 +85,14 @@
     weights: Option<u32>,
     first_token: Option<Moment>,
     cold: bool,
-    is_trial: bool,
+    /// What the next attempt is a trial of.
+    trial: Option<Fingerprint>,
     attempts: u32,
     crashes: u32,
     /// Whether an engine may have begun to work on it.
     may_have_run: bool,
     /// Receives a value once no daemon runs the request any more.
-    copies_ended: Option<Receiver<()>>,
+    pub(super) copies_ended: Option<Receiver<()>>,
 }
 
 /// The result of one attempt.
@@ -116,7 +116,7 @@
             weights: None,
             first_token: None,
             cold: false,
-            is_trial: false,
+            trial: None,
             attempts: 0,
             crashes: 0,
             may_have_run: false,
@@ -169,7 +169,7 @@
         context: &RequestContext,
         state: &mut RelayState,
     ) {
-        if std::mem::take(&mut state.is_trial) {
+        if state.trial.take().is_some() {
             self.control.end_trial(&context.id, &completion.model);
         }
     }
@@ -228,15 +228,15 @@
             deadline: self.slot_deadline(context, state),
             avoid: state.avoid.clone(),
         };
-        let mut decision = self.control.decide(&completion.fingerprints);
+        let mut decision = self.decide_after_wait(completion, routing.deadline);
         if matches!(decision, RunDecision::Trial(_)) {
             self.wait_for_copies(&routing, state);
-            decision = self.control.decide(&completion.fingerprints);
+            decision = self.decide_after_wait(completion, routing.deadline);
         }
         match decision {
             RunDecision::Unrestricted => {}
             RunDecision::Trial(suspect) => {
-                state.is_trial = true;
+                state.trial = Some(suspect.clone());
                 return self.request_slot(context, routing, Some(suspect));
             }
             RunDecision::Held {
@@ -260,22 +260,6 @@
         }
     }
 
-    /// Waits until no daemon runs a copy of a request that has a crash report,
-    /// so that a copy that crashes another engine is counted before the trial.
-    /// Gives up after [`COPIES_TIMEOUT`] or at the deadline.
-    fn wait_for_copies(&self, routing: &RoutingRequest, state: &mut RelayState) {
-        let Some(copies_ended) = state.copies_ended.take() else {
-            return;
-        };
-        let remaining = routing.deadline.saturating_sub(self.clock.now());
-        if copies_ended
-            .recv_timeout(remaining.min(COPIES_TIMEOUT))
-            .is_err()
-        {
-            log::info!(request = &*routing.id; "other copies of the request are still running");
-        }
-    }
-
     /// Returns the time by which the next attempt must have a slot.
     fn slot_deadline(&self, context: &RequestContext, state: &RelayState) -> Moment {
         match state.sent_tokens {
@@ -331,7 +315,7 @@
         let fingerprints = &completion.fingerprints;
         let _in_flight = self.control.begin_in_flight(&fingerprints.request);
         match self.control.decide(fingerprints) {
-            RunDecision::Trial(_) if !state.is_trial => {
+            RunDecision::Trial(_) if state.trial.is_none() => {
                 let detail = "the request became a suspect";
                 return AttemptResult::Retry(Refusal::new(Kind::UpstreamFailed, detail));
             }
@@ -340,7 +324,10 @@
                 trial_in,
             } => {
                 let refusal = quarantined(&fingerprint, trial_in);
-                return AttemptResult::Finished(refused_end(refusal, state));
+                return match trial_in <= HELD_WAIT {
+                    true => AttemptResult::Retry(refusal),
+                    false => AttemptResult::Finished(refused_end(refusal, state)),
+                };
             }
             RunDecision::Trial(_) | RunDecision::Unrestricted => {}
         }
@@ -439,13 +426,27 @@
                 let refusal = Refusal::new(Kind::BadRequest, detail.clone());
                 return AttemptResult::Finished(refused_end(refusal, state));
             }
-            EngineError::Status { .. } => state.avoid.push(slot.instance.clone()),
+            EngineError::Status { status, .. } if *status < 500 => {
+                state.avoid.push(slot.instance.clone())
+            }
+            EngineError::Status { .. } | EngineError::TimedOut(_) => {
+                self.control.record_abandoned(
+                    &completion.fingerprints,
+                    &completion.model,
+                    &slot.instance,
+                );
+                state.avoid.push(slot.instance.clone());
+                if matches!(error, EngineError::TimedOut(_)) {
+                    self.router.record_failure(&slot.engine);
+                }
+            }
             EngineError::ConnectionLost(_) => {
                 state.crashes += 1;
                 let copies_ended = self.control.report_crash(
                     &completion.fingerprints,
                     &completion.model,
                     &slot.instance,
+                    state.trial.as_ref(),
                 );
                 state.copies_ended = Some(copies_ended);
                 state.avoid.push(slot.instance.clone());
@@ -463,14 +464,6 @@
     }
 }
 
-fn quarantined(fingerprint: &str, trial_in: Option<Duration>) -> Refusal {
-    let refusal = Refusal::new(Kind::Quarantined, format!("fingerprint {fingerprint}"));
-    match trial_in {
-        Some(wait) => refusal.retry_after(wait),
-        None => refusal,
-    }
-}
-
 fn deadline_expired(completion: &CompletionRequest) -> Refusal {
     let detail = format!("no replica of {} was free in time", completion.model);
     Refusal::new(Kind::DeadlineExpired, detail).retry_after(RETRY_AFTER)
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -223,7 +223,7 @@
     /// Priority; higher first.
     #[prost(uint32, tag = "4")]
     pub priority: u32,
-    /// Fingerprint if the request is a suspect, else empty.
+    /// Fingerprint if the request is a suspect, or several with spaces between them; else empty.
     #[prost(string, tag = "5")]
     pub suspect: String,
     /// Engine instances to avoid.
@@ -362,6 +362,15 @@
     /// Model of the request.
     #[prost(string, tag = "4")]
     pub model: String,
+    /// Times since the instances crashed, milliseconds, in their order; zero where missing.
+    #[prost(uint64, repeated, tag = "5")]
+    pub ages_ms: Vec<u64>,
+    /// Whether they crashed at a trial of what the fingerprint stands for.
+    #[prost(bool, tag = "6")]
+    pub trial: bool,
+    /// Fingerprints of requests that had the message, some of them.
+    #[prost(string, repeated, tag = "7")]
+    pub requests: Vec<String>,
 }
 
 /// Acknowledgement of a crash report.
--- a/src/suspects/answered.rs
+++ b/src/suspects/answered.rs
@@ -1,33 +1,36 @@
 //! Messages that engines have answered.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 
 use super::Fingerprint;
+use crate::clock::Moment;
 
 /// Number of messages after which those of the generation before are forgotten.
 const GENERATION_MESSAGES: usize = 4_096;
 
-/// The last messages that engines have answered, in two generations.
+/// When engines last answered messages, in two generations.
 #[derive(Clone, Debug, Default)]
 pub struct AnsweredMessages {
-    recent: HashSet<Fingerprint>,
-    older: HashSet<Fingerprint>,
+    recent: HashMap<Fingerprint, Moment>,
+    older: HashMap<Fingerprint, Moment>,
 }
 
 impl AnsweredMessages {
     /// Records a message that was answered.
-    pub fn record(&mut self, message: &Fingerprint) {
-        if self.recent.contains(message) {
+    pub fn record(&mut self, message: &Fingerprint, now: Moment) {
+        if let Some(at) = self.recent.get_mut(message) {
+            *at = now;
             return;
         }
         if self.recent.len() >= GENERATION_MESSAGES {
             self.older = std::mem::take(&mut self.recent);
         }
-        self.recent.insert(message.clone());
+        self.recent.insert(message.clone(), now);
     }
 
-    /// Returns whether a message was answered lately.
-    pub fn contains(&self, message: &str) -> bool {
-        self.recent.contains(message) || self.older.contains(message)
+    /// Returns when a message was last answered, if that was lately.
+    pub fn last(&self, message: &str) -> Option<Moment> {
+        let recent = self.recent.get(message);
+        recent.or_else(|| self.older.get(message)).copied()
     }
 }
--- a/src/suspects/mod.rs
+++ b/src/suspects/mod.rs
@@ -1,20 +1,23 @@
 //! Requests that crash upstreams.
 //!
-//! Every request in progress at an engine that crashes gets a crash report for
-//! that engine instance. After one report the next attempt runs as a trial,
-//! apart from other suspects; after two the request is held until an operator
-//! releases it.
+//! Every request in progress at an engine that crashes gets a crash report for that engine
+//! instance, and so do its messages. An answer takes the reports back of all that the request
+//! holds. After one report the next attempt runs as a trial, apart from other suspects; after
+//! further ones it waits first, the longer the more the crashes single the request out. Messages
+//! that crashes single out are held together: only requests with all of them, but for trials.
 //!
-//! Its messages get crash reports too, unless an engine has answered them before:
-//! other requests may have the message on which the engine crashed. After three, requests
-//! with the message are held but for trials, until an engine answers one.
+//! Nothing is held for good. The pauses between trials bound the upstreams that one request, or
+//! one group of messages, costs in an hour.
 //!
 //! Reports and releases are sets that only grow, so that messages
 //! merge to the same state in any order and any number of times.
 
+mod abandoned;
 mod answered;
+mod evidence;
 mod fingerprint;
 mod in_flight;
+mod suspect;
 mod trials;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,21 +27,20 @@
 use crate::config::Name;
 use crate::peer::wire::CrashReport;
 
+use abandoned::AbandonedRuns;
 use answered::AnsweredMessages;
-use fingerprint::MESSAGE_PREFIX;
+use evidence::{HeldGroup, Verdicts};
+
 pub use fingerprint::{Fingerprint, RequestFingerprints, fingerprint};
 pub use in_flight::InFlightRequests;
+use suspect::{Suspect, SuspectKind};
 pub use trials::{Trial, TrialCandidate, TrialRequest, Trials};
 
-/// Number of crash reports after which a request is held.
-pub const HOLD_AFTER_CRASHES: usize = 2;
-/// Number of crash reports after which requests with a message are held; a single request has at
-/// most [`HOLD_AFTER_CRASHES`].
-pub const HOLD_MESSAGE_AFTER_CRASHES: usize = 3;
-/// Time from the crash report that holds a message to its trial; doubles with each further one.
-const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(10);
-/// Longest time to the next trial of a held message.
-const MAX_TRIAL_DELAY: Duration = Duration::from_secs(3_600);
+/// Maximum number of engine instances whose ends are remembered.
+const MAX_ENDS: usize = 1_024;
+/// Factor by which the pause is longer before a trial with a request that may have another reason
+/// to crash engines: it would tell less.
+const DOUBTFUL_FACTOR: u32 = 2;
 
 /// Limits of the recorded crash reports.
 #[derive(Clone, Copy, Debug)]
@@ -62,33 +64,19 @@
     }
 }
 
-/// How the next attempt of a request may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "snake_case")]
-pub enum RunPolicy {
-    /// The request may run like any other.
-    #[strum(serialize = "free")]
-    Unrestricted,
-    /// The request may run only as a trial, apart from other suspects.
-    #[strum(serialize = "alone")]
-    TrialOnly,
-    /// The request may not run until an operator releases it.
-    Held,
-}
-
 /// How the next attempt of a request may run, given all its fingerprints.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RunDecision {
     /// It may run like any other.
     Unrestricted,
-    /// It may run as a trial of this fingerprint.
+    /// It may run as a trial of these fingerprints, with spaces between them.
     Trial(Fingerprint),
     /// It may not run.
     Held {
         /// Fingerprint that is held.
         fingerprint: Fingerprint,
-        /// Time until a trial is allowed; `None` if only an operator can release it.
-        trial_in: Option<Duration>,
+        /// Time until a trial is allowed.
+        trial_in: Duration,
     },
 }
 
@@ -105,81 +93,13 @@
     pub updated: Moment,
 }
 
-/// What a fingerprint stands for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum SuspectKind {
-    Request,
-    Message,
-}
-
-impl SuspectKind {
-    fn of(fingerprint: &str) -> Self {
-        match fingerprint.starts_with(MESSAGE_PREFIX) {
-            true => SuspectKind::Message,
-            false => SuspectKind::Request,
-        }
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Suspect {
-    kind: SuspectKind,
-    model: Name,
-    crashed: BTreeSet<Name>,
-    released: BTreeSet<Name>,
-    updated: Moment,
-}
-
-impl Suspect {
-    fn crashes(&self) -> impl Iterator<Item = &Name> {
-        self.crashed.difference(&self.released)
-    }
-
-    fn instances_mut(&mut self, released: bool) -> &mut BTreeSet<Name> {
-        match released {
-            true => &mut self.released,
-            false => &mut self.crashed,
-        }
-    }
-
-    /// Adds an instance to one of the sets and returns whether it is new. Once
-    /// that set has `max` instances, released ones are dropped; a peer that
-    /// still reports them can only get the request held again, never released.
-    fn add(&mut self, instance: &str, released: bool, max: usize) -> bool {
-        if self.instances_mut(released).contains(instance) {
-            return false;
-        }
-        if self.instances_mut(released).len() >= max {
-            self.crashed = self.crashes().cloned().collect();
-            self.released.clear();
-        }
-        // A set that is still full has far more reports than it takes to hold
-        // the request.
-        self.instances_mut(released).len() < max
-            && self.instances_mut(released).insert(instance.into())
-    }
-
-    fn run_policy(&self) -> RunPolicy {
-        match (self.kind, self.crashes().count()) {
-            (_, 0) => RunPolicy::Unrestricted,
-            (SuspectKind::Request, n) if n < HOLD_AFTER_CRASHES => RunPolicy::TrialOnly,
-            (SuspectKind::Message, n) if n < HOLD_MESSAGE_AFTER_CRASHES => RunPolicy::Unrestricted,
-            _ => RunPolicy::Held,
-        }
-    }
-
-    /// Returns the time until a trial of a held message is allowed; `None` once it has `max`
-    /// crash reports.
-    fn trial_in(&self, max: usize, now: Moment) -> Option<Duration> {
-        let crashes = self.crashes().count();
-        if crashes >= max {
-            return None;
-        }
-        let further = crashes.saturating_sub(HOLD_MESSAGE_AFTER_CRASHES);
-        let factor = 2_u32.saturating_pow(u32::try_from(further).unwrap_or(u32::MAX));
-        let delay = FIRST_TRIAL_DELAY.saturating_mul(factor);
-        let trial_at = self.updated + delay.min(MAX_TRIAL_DELAY);
-        Some(trial_at.saturating_sub(now))
+/// Returns the report of one crash.
+fn crash_report(fingerprint: &str, model: &str, instance: &str) -> CrashReport {
+    CrashReport {
+        fingerprint: fingerprint.into(),
+        instances: vec![instance.into()],
+        model: model.into(),
+        ..CrashReport::default()
     }
 }
 
@@ -188,7 +108,13 @@
 pub struct Suspects {
     settings: SuspectSettings,
     suspects: BTreeMap<Fingerprint, Suspect>,
+    /// When engine instances crashed.
+    ends: BTreeMap<Name, Moment>,
     answered: AnsweredMessages,
+    abandoned: AbandonedRuns,
+    verdicts: Verdicts,
+    /// Whether `verdicts` are out of date.
+    changed: bool,
 }
 
 impl Suspects {
@@ -200,70 +126,96 @@
         }
     }
 
-    /// Returns how the next attempt of a request may run.
-    pub fn decide(&self, fingerprints: &RequestFingerprints, now: Moment) -> RunDecision {
+    /// Returns how the next attempt of a request may run: as a trial once all that it holds may
+    /// be tried.
+    pub fn decide(&mut self, fingerprints: &RequestFingerprints, now: Moment) -> RunDecision {
+        self.update_verdicts(now);
+        if self.verdicts.is_empty() {
+            return RunDecision::Unrestricted;
+        }
+        let mut due = self.group_trials(fingerprints);
         let request = &fingerprints.request;
-        let policy = self.run_policy(request);
-        if policy == RunPolicy::Held {
+        if let Some(verdict) = self.verdicts.requests.get(request) {
+            due.push((verdict.trial_at(now), request.clone()));
+        }
+        let latest = due.iter().max_by_key(|(trial_at, _)| *trial_at);
+        if let Some((trial_at, fingerprint)) = latest.filter(|(at, _)| *at > now) {
             return RunDecision::Held {
-                fingerprint: request.clone(),
-                trial_in: None,
+                fingerprint: fingerprint.clone(),
+                trial_in: *trial_at - now,
             };
         }
-        if let Some(decision) = self.decide_messages(&fingerprints.messages, now) {
-            return decision;
-        }
-        match policy {
-            RunPolicy::TrialOnly => RunDecision::Trial(request.clone()),
-            _ => RunDecision::Unrestricted,
+        if due.is_empty() {
+            return RunDecision::Unrestricted;
         }
+        // Copies of a request are never tried at once, whatever else is held.
+        let mut names: BTreeSet<_> = due.iter().map(|(_, name)| &**name).collect();
+        names.insert(request);
+        RunDecision::Trial(Vec::from_iter(names).join(" ").into())
     }
 
-    /// Returns how a request with these messages may run if some are held: as a trial once each of
-    /// them may be tried.
-    fn decide_messages(&self, messages: &[Fingerprint], now: Moment) -> Option<RunDecision> {
-        let mut longest: Option<(Duration, &Fingerprint)> = None;
-        for message in messages {
-            let Some(suspect) = self.suspects.get(message) else {
+    /// Returns the held groups that a request has, by their names, and when it may run as a trial.
+    fn group_trials(&self, fingerprints: &RequestFingerprints) -> Vec<(Moment, Fingerprint)> {
+        let messages: BTreeSet<_> = fingerprints.messages.iter().collect();
+        let mut due = Vec::new();
+        for group in &self.verdicts.groups {
+            let Some(name) = group.name() else {
                 continue;
             };
-            if suspect.run_policy() != RunPolicy::Held {
-                continue;
+            if group.messages.iter().all(|m| messages.contains(m)) {
+                due.push((self.trial_at(group, fingerprints), name.clone()));
             }
-            let Some(wait) = suspect.trial_in(self.settings.max_instances, now) else {
-                return Some(RunDecision::Held {
-                    fingerprint: message.clone(),
-                    trial_in: None,
-                });
-            };
-            longest = longest.max(Some((wait, message)));
         }
-        let (wait, message) = longest?;
-        let fingerprint = message.clone();
-        Some(match wait.is_zero() {
-            true => RunDecision::Trial(fingerprint),
-            false => RunDecision::Held {
-                fingerprint,
-                trial_in: Some(wait),
-            },
-        })
+        due
+    }
+
+    /// Returns when a request may run as a trial of a group. It comes later if something else that
+    /// the request holds was at crashes.
+    fn trial_at(&self, group: &HeldGroup, fingerprints: &RequestFingerprints) -> Moment {
+        let is_suspect = |f: &Fingerprint| {
+            let suspect = self.suspects.get(f);
+            !group.messages.contains(f) && suspect.is_some_and(|s| s.crashes().next().is_some())
+        };
+        let others = std::iter::once(&fingerprints.request);
+        match others.chain(&fingerprints.messages).any(is_suspect) {
+            true => group.trial_at + group.pause * (DOUBTFUL_FACTOR - 1),
+            false => group.trial_at,
+        }
     }
 
-    /// Records that `instance` crashed while it ran a request; returns the reports for all
-    /// peers, that of the whole request last.
+    /// Weighs the crashes again if something has changed.
+    fn update_verdicts(&mut self, now: Moment) {
+        let is_stale = self.verdicts.stale_at.is_some_and(|at| at <= now);
+        if !self.changed && !is_stale {
+            return;
+        }
+        let is_known = |message: &str| self.answered.last(message).is_some();
+        self.verdicts = Verdicts::weigh(&self.suspects, &self.ends, is_known, now);
+        self.changed = false;
+    }
+
+    /// Records that `instance` crashed while it ran a request, as a trial of `trial` if it was
+    /// one; returns the reports for all peers, that of the whole request last.
     pub fn report_request_crash(
         &mut self,
         fingerprints: &RequestFingerprints,
         model: &str,
         instance: &str,
+        trial: Option<&str>,
         now: Moment,
     ) -> (Vec<CrashReport>, CrashReport) {
+        let groups = self.verdicts.groups.iter();
+        let is_tried =
+            |name: &Fingerprint| trial.is_some_and(|t| t.split(' ').any(|n| *n == **name));
+        let tried = groups.filter(|g| g.name().is_some_and(is_tried));
+        let tried: BTreeSet<_> = tried.flat_map(|g| &g.messages).cloned().collect();
         let mut messages = Vec::new();
         for message in &fingerprints.messages {
-            if self.answered.contains(message) {
-                continue;
-            }
-            messages.push(self.report_crash(message, model, instance, now));
+            let mut report = crash_report(message, model, instance);
+            report.trial = tried.contains(message);
+            report.requests = vec![fingerprints.request.to_string()];
+            self.merge(&report, now);
+            messages.push(report);
         }
         let request = self.report_crash(&fingerprints.request, model, instance, now);
         (messages, request)
@@ -275,28 +227,58 @@
         fingerprints: &RequestFingerprints,
         now: Moment,
     ) -> Vec<CrashReport> {
+        self.abandoned.remove(&fingerprints.request);
         let mut releases = Vec::new();
         releases.extend(self.release(&fingerprints.request, now));
         for message in &fingerprints.messages {
             releases.extend(self.release(message, now));
-            self.answered.record(message);
+            self.answered.record(message, now);
         }
         releases
     }
 
-    /// Returns the release for all peers if a report is of a message that an engine has
-    /// answered.
+    /// Returns the release for all peers if an engine has answered a message since the crashes
+    /// of a report.
     pub fn refute(&mut self, report: &CrashReport, now: Moment) -> Option<CrashReport> {
-        if report.released || !self.answered.contains(&report.fingerprint) {
+        let answered_at = self.answered.last(&report.fingerprint)?;
+        let ends = report.instances.iter().map(|i| self.ends.get(i.as_str()));
+        let last_end = ends.flatten().max()?;
+        if report.released || answered_at <= *last_end {
             return None;
         }
         self.release(&report.fingerprint, now)
     }
 
-    /// Returns how the next attempt of a request may run by this fingerprint alone.
-    pub fn run_policy(&self, fingerprint: &str) -> RunPolicy {
-        let suspect = self.suspects.get(fingerprint);
-        suspect.map_or(RunPolicy::Unrestricted, Suspect::run_policy)
+    /// Records that a request was given up at an instance that did not answer it, and that may
+    /// have ended because of it.
+    pub fn record_abandoned(
+        &mut self,
+        fingerprints: &RequestFingerprints,
+        model: &Name,
+        instance: &Name,
+        now: Moment,
+    ) {
+        self.abandoned.record(instance, fingerprints, model, now);
+    }
+
+    /// Records that an instance has ended, and returns the reports for all peers: of the requests
+    /// that were given up there, as far as they were not answered since.
+    pub fn record_ended(&mut self, instance: &str, now: Moment) -> Vec<CrashReport> {
+        let mut reports = Vec::new();
+        for run in self.abandoned.take(instance) {
+            for message in &run.fingerprints.messages {
+                let answered_at = self.answered.last(message);
+                if answered_at.is_none_or(|at| at < run.at) {
+                    let mut report = crash_report(message, &run.model, instance);
+                    report.requests = vec![run.fingerprints.request.to_string()];
+                    self.merge(&report, now);
+                    reports.push(report);
+                }
+            }
+            let request = &run.fingerprints.request;
+            reports.push(self.report_crash(request, &run.model, instance, now));
+        }
+        reports
     }
 
     /// Records that `instance` crashed while it ran the request; returns the
@@ -308,12 +290,7 @@
         instance: &str,
         now: Moment,
     ) -> CrashReport {
-        let report = CrashReport {
-            fingerprint: fingerprint.to_string(),
-            instances: vec![instance.into()],
-            released: false,
-            model: model.into(),
-        };
+        let report = crash_report(fingerprint, model, instance);
         self.merge(&report, now);
         report
     }
@@ -324,24 +301,53 @@
         if !self.suspects.contains_key(&fingerprint) {
             self.evict_oldest();
         }
+        if !report.released {
+            self.record_ends(report, now);
+        }
         let kind = SuspectKind::of(&fingerprint);
         let suspect = self.suspects.entry(fingerprint).or_insert_with(|| Suspect {
             kind,
             model: report.model.as_str().into(),
             crashed: BTreeSet::new(),
             released: BTreeSet::new(),
+            trials: BTreeSet::new(),
+            requests: BTreeSet::new(),
             updated: now,
         });
         let mut changed = false;
+        let max = self.settings.max_instances;
         for instance in &report.instances {
-            changed |= suspect.add(instance, report.released, self.settings.max_instances);
+            changed |= suspect.add(instance, report.released, max);
+            if report.trial {
+                changed |= suspect.trials.insert(instance.as_str().into());
+            }
         }
+        changed |= suspect.add_requests(&report.requests);
+        suspect.limit_crashes(&self.ends, max);
         if changed {
             suspect.updated = now;
+            self.changed = true;
         }
         changed
     }
 
+    /// Records when the instances of a report crashed.
+    fn record_ends(&mut self, report: &CrashReport, now: Moment) {
+        for (index, instance) in report.instances.iter().enumerate() {
+            let age_ms = report.ages_ms.get(index).copied().unwrap_or(0);
+            let at = now.saturating_sub(Duration::from_millis(age_ms));
+            let end = self.ends.entry(instance.as_str().into()).or_insert(at);
+            *end = at.min(*end);
+        }
+        while self.ends.len() > MAX_ENDS {
+            let Some((earliest, _)) = self.ends.iter().min_by_key(|(_, at)| **at) else {
+                return;
+            };
+            let earliest = earliest.clone();
+            self.ends.remove(&earliest);
+        }
+    }
+
     /// Releases all crash reports of a request, after it completed in a trial
     /// or by an operator's decision; returns the message for all peers, or
     /// `None` if there is no report.
@@ -356,29 +362,59 @@
             instances,
             released: true,
             model: suspect.model.to_string(),
+            ..CrashReport::default()
         };
         self.merge(&report, now);
         Some(report)
     }
 
-    /// Returns the held requests.
-    pub fn held_requests(&self) -> Vec<HeldRequest> {
-        let all = self.suspects.iter();
-        let held = all.filter(|(_, s)| s.run_policy() == RunPolicy::Held);
-        held.map(|(fingerprint, s)| HeldRequest {
-            fingerprint: fingerprint.clone(),
-            model: s.model.clone(),
-            instances: s.crashes().cloned().collect(),
-            updated: s.updated,
-        })
-        .collect()
+    /// Releases a fingerprint, and the messages that are held together with it, by an operator's
+    /// decision; returns the messages for all peers.
+    pub fn release_held(&mut self, fingerprint: &str, now: Moment) -> Vec<CrashReport> {
+        self.update_verdicts(now);
+        let groups = self.verdicts.groups.iter();
+        let groups = groups.filter(|g| g.messages.contains(fingerprint));
+        let mut released: BTreeSet<Fingerprint> =
+            groups.flat_map(|g| &g.messages).cloned().collect();
+        released.insert(fingerprint.into());
+        let releases = released.iter().map(|f| self.release(f, now));
+        releases.flatten().collect()
+    }
+
+    /// Returns the held requests, and one message of each held group.
+    pub fn held_requests(&mut self, now: Moment) -> Vec<HeldRequest> {
+        self.update_verdicts(now);
+        let groups = self.verdicts.groups.iter().filter_map(HeldGroup::name);
+        let requests = self.verdicts.requests.iter();
+        let requests = requests.filter(|(_, v)| v.singled_out || v.trial_at(now) > now);
+        let held = requests.map(|(fingerprint, _)| fingerprint).chain(groups);
+        let held = held.filter_map(|fingerprint| {
+            let suspect = self.suspects.get(fingerprint)?;
+            Some(HeldRequest {
+                fingerprint: fingerprint.clone(),
+                model: suspect.model.clone(),
+                instances: suspect.crashes().cloned().collect(),
+                updated: suspect.updated,
+            })
+        });
+        held.collect()
     }
 
     /// Returns the reports and releases that a newly linked peer needs.
-    pub fn crash_reports(&self) -> Vec<CrashReport> {
+    pub fn crash_reports(&self, now: Moment) -> Vec<CrashReport> {
+        let age_ms = |name: &Name| {
+            let end = self.ends.get(name).copied().unwrap_or_default();
+            now.saturating_sub(end).as_millis() as u64
+        };
         let mut reports = Vec::new();
         for (fingerprint, suspect) in &self.suspects {
-            for (set, released) in [(&suspect.crashed, false), (&suspect.released, true)] {
+            // Releases first, so that a sound message is not held in between.
+            let sets = [
+                (&suspect.released, true, false),
+                (&suspect.trials, false, true),
+                (&suspect.crashed, false, false),
+            ];
+            for (set, released, trial) in sets {
                 if set.is_empty() {
                     continue;
                 }
@@ -387,21 +423,30 @@
                     instances: set.iter().map(|name| name.to_string()).collect(),
                     released,
                     model: suspect.model.to_string(),
+                    ages_ms: set.iter().map(age_ms).collect(),
+                    trial,
+                    requests: suspect.requests.iter().map(|r| r.to_string()).collect(),
                 });
             }
         }
         reports
     }
 
-    /// Removes old requests that are not held.
+    /// Removes what is old: of requests that were at no more than one crash.
     pub fn expire(&mut self, now: Moment) {
         let retention = self.settings.retention;
-        self.suspects.retain(|_, s| {
-            s.run_policy() == RunPolicy::Held || now.saturating_sub(s.updated) < retention
-        });
+        let is_old = |at: Moment| now.saturating_sub(at) >= retention;
+        let before = self.suspects.len();
+        self.suspects
+            .retain(|_, s| s.crashes().nth(1).is_some() || !is_old(s.updated));
+        self.changed |= self.suspects.len() != before;
+        let kept: BTreeSet<_> = self.suspects.values().flat_map(|s| &s.crashed).collect();
+        self.ends
+            .retain(|name, at| !is_old(*at) || kept.contains(name));
+        self.abandoned.expire(now);
     }
 
-    /// Removes the oldest request when full; a held one only when all are held.
+    /// Removes the oldest request when full; one that was at several crashes only when all were.
     fn evict_oldest(&mut self) {
         if self.suspects.len() < self.settings.max_requests {
             return;
@@ -409,13 +454,14 @@
         let oldest = self
             .suspects
             .iter()
-            .min_by_key(|(_, s)| (s.run_policy() == RunPolicy::Held, s.updated));
+            .min_by_key(|(_, s)| (s.crashes().nth(1).is_some(), s.updated));
         if let Some((fingerprint, _)) = oldest {
             let fingerprint = fingerprint.clone();
             log::warn!(
                 "dropped the crash reports of request {fingerprint}: too many requests have reports"
             );
             self.suspects.remove(&fingerprint);
+            self.changed = true;
         }
     }
 }
--- a/src/suspects/trials.rs
+++ b/src/suspects/trials.rs
@@ -11,7 +11,7 @@
 pub struct TrialRequest {
     /// Ticket of the attempt.
     pub ticket: Name,
-    /// Fingerprint of the request.
+    /// Fingerprint that is tried, or several with spaces between them.
     pub fingerprint: Fingerprint,
     /// Host that has the request.
     pub host: Name,
@@ -55,12 +55,12 @@
         if self.trials.contains_key(&request.ticket) {
             return self.trials.get(&request.ticket);
         }
-        let fingerprint = &request.fingerprint;
-        if self
-            .trials
-            .values()
-            .any(|t| t.request.fingerprint == *fingerprint)
-        {
+        let mut fingerprints = request.fingerprint.split(' ');
+        let is_tried = |fingerprint: &str| {
+            let mut trials = self.trials.values();
+            trials.any(|t| t.request.fingerprint.split(' ').any(|f| f == fingerprint))
+        };
+        if fingerprints.any(is_tried) {
             return None;
         }
         let free = candidates.iter().filter(|c| !self.has_trial(&c.engine));
