Draw requests that crash engines beside long sound streams in the soak

The soak's streams are over in some 100 ms and engines that crash reset their connections, so hardly any sound request has just begun at a crash. Budget (a whole request: three late sendings after the third crash) and Lost apply.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -12,7 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::http::{event_id, read_answer, whole_events};
-use crate::parts::{crashing_suffix, prefix_header};
+use crate::parts::{crashing_suffix, is_whole, prefix_header};
 use crate::record::{
     Attempt, Kind, Outcome, Recorder, TakeUp, repeated_name, request_body, sent_id,
 };
@@ -52,6 +52,8 @@
     pub probes_routes: bool,
     /// From when on some prompts have parts that crash engines.
     pub crashing_from: Option<Duration>,
+    /// Whether it is one request that does, again and again, in their place.
+    pub whole_request: bool,
     /// Whether streams are broken off, and taken up again.
     pub takes_up: bool,
     /// Whether the id is kept over all tries of a request that may run once only.
@@ -143,8 +145,15 @@
             self.sent += 1;
             let mut id = format!("{:x}-{}-{}", self.setup.seed, self.number, self.sent);
             let crashes = self.setup.crashing_from.is_some_and(|from| now >= from);
-            if crashes && kind.is_stream() && self.sent.is_multiple_of(CRASHING_PERIOD) {
-                id.push_str(&crashing_suffix(self.number));
+            let is_due = crashes && self.sent.is_multiple_of(CRASHING_PERIOD);
+            // The same request has the same path, and the body of its first try.
+            let crashes = match (self.setup.whole_request, &booking) {
+                (false, _) => is_due && kind.is_stream(),
+                (true, None) => is_due && kind == Kind::Stream,
+                (true, Some(first)) => is_whole(first),
+            };
+            if crashes {
+                id.push_str(&crashing_suffix(self.number, self.setup.whole_request));
             }
             let booking = booking.get_or_insert_with(|| id.as_str().into()).clone();
             if retry > 0 && self.setup.keeps_id && kind.runs_once() {
--- a/tests/soak/engine.rs
+++ b/tests/soak/engine.rs
@@ -88,6 +88,8 @@
     store: Store,
     recorder: Arc<Recorder>,
     fault_rate: f64,
+    silent_crashes: bool,
+    event_pause: Duration,
     faults: Vec<EngineFault>,
     slots: Semaphore,
     /// Slots and places in the queue.
@@ -167,6 +169,8 @@
             store: store.clone(),
             recorder: recorder.clone(),
             fault_rate: settings.fault_rate,
+            silent_crashes: settings.silent_crashes,
+            event_pause: settings.event_pause,
             faults: settings.engine_faults.clone(),
             slots: Semaphore::new(SLOTS),
             places: Semaphore::new(SLOTS + MAX_QUEUE),
@@ -202,6 +206,9 @@
 
     /// Ends this lifetime, with all connections, and starts another one after [`DOWN_TIME`].
     pub fn crash(&self) {
+        if self.0.silent_crashes {
+            return self.crash_silently();
+        }
         if self.0.down.send_replace(true) {
             return;
         }
@@ -215,6 +222,25 @@
         });
     }
 
+    /// Says nothing more in this lifetime, and ends it with all connections after [`DOWN_TIME`], when
+    /// another one starts.
+    fn crash_silently(&self) {
+        let mut silent_until = self.0.silent_until.lock().unwrap();
+        let now = Instant::now();
+        if silent_until.is_some_and(|at| at > now) {
+            return;
+        }
+        *silent_until = Some(now + DOWN_TIME);
+        drop(silent_until);
+        self.record_service(false);
+        let engine = self.clone();
+        runtime().spawn(async move {
+            sleep(DOWN_TIME).await;
+            engine.0.cuts.send_modify(|n| *n += 1);
+            engine.restart(Start::OtherId);
+        });
+    }
+
     /// Ends this lifetime and starts another one with other software.
     pub fn release(&self, software: &'static str, start: Start) {
         self.0.state.lock().unwrap().software = software;
@@ -725,6 +751,7 @@
             self.0.recorder.add_part_crash(part);
             self.record(exchange, Step::Cut);
             self.crash();
+            self.speaking().await;
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         if exchange.fault == Some(F::SilentHead) {
@@ -733,8 +760,11 @@
         let last = event_count(&first);
         let fault_at = after + 1 + exchange.random % last;
         for event in after + 1..=last {
-            self.work(exchange.stream, exchange.pause(MAX_EVENT_PAUSE_MS))
-                .await?;
+            self.work(
+                exchange.stream,
+                exchange.pause(MAX_EVENT_PAUSE_MS) + self.0.event_pause,
+            )
+            .await?;
             let text = event_text(&first, event, software);
             if event == fault_at {
                 match exchange.fault {
--- a/tests/soak/parts.rs
+++ b/tests/soak/parts.rs
@@ -1,4 +1,5 @@
-//! Parts of prompts, some of which crash engines, and the checks that they are held.
+//! Parts of prompts, some of which crash engines, one request that does as a whole, and the checks
+//! that they are held.
 //!
 //! The parts follow from the id of a request, so that callers, engines and checks agree.
 
@@ -11,6 +12,12 @@
 const FIRST_PART: u64 = 0x5c1e_07a2;
 /// Parts that crash engines as they begin to answer.
 const CRASHING_PARTS: [u64; 2] = [0x91bd_3f06, 0x91bd_3f07];
+/// Stands for the request that crashes engines as a whole.
+const WHOLE_REQUEST: u64 = 0;
+/// End of the ids under which it is sent.
+const WHOLE_SUFFIX: &str = "-w";
+/// Crashes of it after which its sendings count.
+const COUNTED_WHOLE: usize = 3;
 /// Sound parts beside them.
 const OTHER_PARTS: u64 = 7;
 /// Crashes of a part after which requests with it count.
@@ -26,13 +33,32 @@
 /// Part of the sound requests that must run, compared with those before the crashes.
 const MIN_SHARE: f64 = 0.5;
 
-/// Returns the end of the id of a request with a part that crashes engines.
-pub fn crashing_suffix(number: usize) -> String {
-    format!("-c{}", number % CRASHING_PARTS.len())
+/// Returns the end of the id of a request with a part that crashes engines, or of the one that
+/// does as a whole.
+pub fn crashing_suffix(number: usize, whole: bool) -> String {
+    match whole {
+        true => WHOLE_SUFFIX.to_owned(),
+        false => format!("-c{}", number % CRASHING_PARTS.len()),
+    }
+}
+
+/// Returns whether the request crashes engines as a whole: it is the same each time.
+pub fn is_whole(id: &str) -> bool {
+    sent_id(id).ends_with(WHOLE_SUFFIX)
+}
+
+fn counted_crashes(part: u64) -> usize {
+    match part {
+        WHOLE_REQUEST => COUNTED_WHOLE,
+        _ => COUNTED_CRASHES,
+    }
 }
 
 /// Returns the part of a request's prompt that crashes engines, if it has one.
 pub fn crashing_part(id: &str) -> Option<u64> {
+    if is_whole(id) {
+        return Some(WHOLE_REQUEST);
+    }
     let (_, number) = sent_id(id).split_once("-c")?;
     CRASHING_PARTS.get(number.parse::<usize>().ok()?).copied()
 }
@@ -40,9 +66,10 @@
 /// Returns the header with the parts of a request's prompt. The crashing one stands at any place
 /// but the last.
 pub fn prefix_header(id: &str) -> String {
-    let number = id_number(id) as u64;
+    let whole = is_whole(id);
+    let number = if whole { 0 } else { id_number(id) as u64 };
     let mut parts = vec![FIRST_PART, 0xa000 + number % OTHER_PARTS];
-    if let Some(part) = crashing_part(id) {
+    if let Some(part) = crashing_part(id).filter(|_| !whole) {
         parts.insert(1 + (number / OTHER_PARTS % 2) as usize, part);
     }
     parts.push(0xb_0000_0000 + number);
@@ -54,7 +81,10 @@
 pub fn sent_too_late(history: &History) -> Vec<(String, String)> {
     let mut found = Vec::new();
     for (part, crashes) in crashes_by_part(history) {
-        let Some(counted_from) = crashes.get(COUNTED_CRASHES - 1).map(|at| *at + CONTACT) else {
+        let Some(counted_from) = crashes
+            .get(counted_crashes(part) - 1)
+            .map(|at| *at + CONTACT)
+        else {
             continue;
         };
         let mut late = Vec::new();
@@ -86,8 +116,8 @@
     let by_part = crashes_by_part(history);
     let first = *by_part.values().flatten().min()?;
     let counted = by_part
-        .values()
-        .filter_map(|c| c.iter().take(COUNTED_CRASHES).next_back());
+        .iter()
+        .filter_map(|(part, c)| c.iter().take(counted_crashes(*part)).next_back());
     let from = *counted.max()? + 2 * CONTACT;
     let crashing = history
         .attempts
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -6,6 +6,7 @@
 
 use crate::engine_faults::EngineFault;
 use crate::links::Link;
+use crate::parts::is_whole;
 use crate::relay::LinkFault;
 
 /// Time after which a desired state is in force everywhere.
@@ -300,6 +301,9 @@
 
     /// Returns whether a body is that of the request to which an attempt belongs.
     pub fn is_body_of(&self, name: &str, body: &[u8]) -> bool {
+        if is_whole(name) {
+            return body == request_body(name);
+        }
         let line = body.split(|byte| *byte == b'\n').next();
         let line = line.and_then(|line| std::str::from_utf8(line).ok());
         let Some(booking) = line.and_then(|line| line.strip_prefix("body of ")) else {
@@ -418,6 +422,9 @@
 
 /// Returns the body of all attempts of a request.
 pub fn request_body(booking: &str) -> Vec<u8> {
+    if is_whole(booking) {
+        return b"body of the same request\n".to_vec();
+    }
     let count = match id_number(booking) % 10 {
         0 => 1_500,
         n => n,
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -95,6 +95,32 @@
     assert_eq!(run(&settings), 0, "violations; see the lines above");
 }
 
+/// Guards against BUDGET and LOST where several sound streams have just begun at each crash, as
+/// they last for half a second and more: one request again and again, or parts, and engines that
+/// break connections or fall silent until they are back.
+#[test_case(4901, false, false; "parts")]
+#[test_case(4902, true, false; "one request")]
+#[test_case(4903, false, true; "parts, silent engines")]
+#[test_case(4904, true, true; "one request, silent engines")]
+fn sound_streams_run_beside_requests_that_crash_engines(seed: u64, whole: bool, silent: bool) {
+    let settings = SoakSettings {
+        seed,
+        length: Duration::from_secs(25),
+        daemons: 3,
+        engines: 5,
+        callers: 40,
+        fault_rate: 0.0,
+        event_pause: Duration::from_millis(100),
+        whole_request: whole,
+        silent_crashes: silent,
+        takes_up: false,
+        pause: Duration::from_millis(2_500),
+        disturbances: vec![Disturbance::Shutdown],
+        ..SoakSettings::default()
+    };
+    assert_eq!(run(&settings), 0, "violations; see the lines above");
+}
+
 /// Guards against ORDER and LOST: engines of several versions, releases and breaks, and callers
 /// who take streams up, also after all daemons were killed at once.
 #[test_case(3701; "three daemons")]
@@ -264,6 +290,7 @@
         takes_up: settings.takes_up,
         keeps_id: settings.keeps_id,
         crashing_from: settings.crashing_parts.then_some(settings.length / 5),
+        whole_request: settings.whole_request,
         stop: AtomicBool::new(false),
     });
     let stop = Arc::new(AtomicBool::new(false));
--- a/tests/soak/settings.rs
+++ b/tests/soak/settings.rs
@@ -31,6 +31,13 @@
     pub probes_routes: bool,
     /// Whether some prompts have parts that crash engines.
     pub crashing_parts: bool,
+    /// Whether it is one request that crashes engines as a whole, in place of those.
+    pub whole_request: bool,
+    /// Whether engines that crash keep connections, accept further ones, and say nothing until
+    /// they are back.
+    pub silent_crashes: bool,
+    /// Pause between two events, besides the one that is drawn.
+    pub event_pause: Duration,
     /// Whether callers break streams off and take them up again.
     pub takes_up: bool,
     /// Whether callers keep the id over all tries of a request that may run once only.
@@ -58,6 +65,9 @@
             engine_faults: EngineFault::iter().collect(),
             probes_routes: true,
             crashing_parts: true,
+            whole_request: false,
+            silent_crashes: false,
+            event_pause: Duration::ZERO,
             takes_up: true,
             keeps_id: false,
             retries: true,
