Customers and their keys in the desired state

Cause: the desired state may name customers with keys, priorities and caps; they were not read, so that requests without a key ran and engines got neither the customer's name nor a request without its key. Change: `edge/customers` holds customers, caps and the digests of keys, `platform/customers` decodes them; a request on a route that is not public needs a key (401), the engine gets the name of its holder in place of the key, and the customer's priority goes before the route's.

--- a/src/edge/desired.rs
+++ b/src/edge/desired.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::customers::Customers;
+
 /// One version of the desired state.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct DesiredState {
@@ -13,6 +15,8 @@
     pub routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     /// Services by name.
     pub services: HashMap<Arc<str>, Arc<Service>>,
+    /// Customers and their keys.
+    pub customers: Customers,
     /// Limits on callers' requests.
     pub limits: RequestLimits,
 }
@@ -55,6 +59,8 @@
     pub resumable: bool,
     /// Maximum pause between two events that counts as in time.
     pub gap: Duration,
+    /// Whether requests need no key.
+    pub public: bool,
 }
 
 impl Route {
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -378,7 +378,7 @@
                 if let Some(target) = load {
                     let edge = &routed.edge;
                     let retry_at = now + retry_after;
-                    edge.expect_retry(target.clone(), routed.route.priority, retry_at);
+                    edge.expect_retry(target.clone(), routed.priority(), retry_at);
                     edge.record_paused(&target, paused);
                 }
                 return Err(fail(attempts, kind, cause, retry_after));
@@ -409,7 +409,7 @@
             }
             AdmissionDecision::WaitForLoad(target) => {
                 if load_wait.as_ref().is_none_or(|(t, _)| *t != target) {
-                    let priority = routed.route.priority;
+                    let priority = routed.priority();
                     let guard = routed.edge.add_waiting(target.clone(), priority);
                     let request = &*routed.headers.id;
                     let model = &*target.model;
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -5,6 +5,7 @@
 mod attribution;
 pub mod evidence;
 mod framing;
+mod keys;
 mod permit;
 mod relay;
 pub mod response;
@@ -31,6 +32,7 @@
 use self::retry::Attempts;
 use super::body_memory::BodyReservation;
 use super::clock;
+use super::customers::Customer;
 use super::demand::ModelKey;
 use super::desired::{DesiredState, RequestLimits, Route, RouteKind};
 use super::origins::{Resumed, StreamId};
@@ -61,6 +63,8 @@
     headers: RequestHeaders,
     route: Arc<Route>,
     desired: Rc<DesiredState>,
+    /// Customer whose key its caller holds.
+    customer: Option<Arc<Customer>>,
     /// Service chosen among those of the route.
     service: Arc<str>,
     /// Id of the stream that it begins, if its caller can take that up again by name.
@@ -90,6 +94,12 @@
         self.deadline.saturating_sub(clock::now())
     }
 
+    /// Returns its priority: that of its customer, else of its route; 0 is the most urgent.
+    fn priority(&self) -> u8 {
+        let customer = self.customer.as_ref().and_then(|c| c.priority);
+        customer.unwrap_or(self.route.priority)
+    }
+
     /// Returns whether it is for a stream that may be resumed.
     fn can_be_resumed(&self) -> bool {
         self.route.has_resumable_streams()
@@ -297,6 +307,9 @@
         return Err((Kind::NotFound, "no route matches"));
     };
     let route = route.clone();
+    let customer = keys::check(&desired, &route, headers.key.as_ref())
+        .map_err(|_| (Kind::BadKey, "no customer holds the key, or there is none"))?
+        .cloned();
     let can_be_named = route.has_resumable_streams() && !headers.id.is_empty();
     let stream = can_be_named.then(|| StreamId::of(&headers.id));
     // All hosts choose the same service for a stream and for all that take it up.
@@ -324,6 +337,7 @@
         headers,
         route,
         desired,
+        customer,
         service,
         fingerprint,
         features,
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -141,7 +141,7 @@
     pub(super) fn rank(&self, routed: &RoutedRequest) -> Rank {
         match self.persists() || routed.takes_up() {
             true => Rank::GOES_ON,
-            false => Rank::new_request(routed.route.priority),
+            false => Rank::new_request(routed.priority()),
         }
     }
 
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -232,6 +232,10 @@
 ) -> http::Result<Request<Full<Bytes>>> {
     let path = routed.head.uri.path_and_query().map_or("/", |p| p.as_str());
     let uri: Uri = path.parse().map_err(http::Error::from)?;
+    // The newest state, as the key may have been given to another customer since.
+    let desired = routed.edge.state.borrow().desired.clone();
+    let customer = routed.headers.key.as_ref();
+    let customer = customer.and_then(|key| desired.customers.find(key));
     let engine_headers = EngineHeaders {
         engine: &choice.engine,
         time_left: routed.time_left(),
@@ -241,6 +245,8 @@
             .prompt
             .is_some()
             .then_some(engine_priority(routed, attempts)),
+        customer: customer.map(|c| &*c.name),
+        hides_key: desired.customers.is_required() || routed.desired.customers.is_required(),
     };
     let mut request = Request::new(Full::new(routed.body.clone()));
     *request.method_mut() = routed.head.method.clone();
@@ -254,12 +260,7 @@
     let state = routed.edge.state.borrow();
     let versions = &state.origins.services;
     let goes_on = attempts.software.is_some();
-    versions.engine_priority(
-        &routed.service,
-        routed.route.priority,
-        goes_on,
-        clock::now(),
-    )
+    versions.engine_priority(&routed.service, routed.priority(), goes_on, clock::now())
 }
 
 /// Counts a response and, if it is a rejection or not believed, logs it.
--- a/src/edge/forward/silence.rs
+++ b/src/edge/forward/silence.rs
@@ -205,6 +205,7 @@
             attempts: 2,
             resumable: true,
             gap: Duration::from_millis(400),
+            public: false,
         }
     }
 
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -12,6 +12,7 @@
 pub mod client;
 pub mod clock;
 pub mod connections;
+pub mod customers;
 pub mod demand;
 pub mod desired;
 pub mod engine_checks;
--- a/src/edge/request_headers.rs
+++ b/src/edge/request_headers.rs
@@ -5,6 +5,7 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
+use super::customers::KeyDigest;
 use super::origins::Resumed;
 
 /// Headers of a caller's request.
@@ -18,6 +19,10 @@
     pub last_event: Option<u64>,
     /// The stream that the caller takes up again.
     pub resumed: Resumed,
+    /// Digest of the caller's key.
+    pub key: Option<KeyDigest>,
+    /// Tokens of the prompt and of the response together, as the caller names them.
+    pub token_count: Option<u64>,
     /// Ids of the parts of the prompt that other requests may share: all but the last, with or
     /// without a model.
     pub shared_parts: Vec<u64>,
@@ -105,4 +110,8 @@
     pub last_event: Option<u64>,
     /// Priority at the engine; 0 is the most urgent.
     pub priority: Option<u8>,
+    /// Name of the customer whose key the caller holds.
+    pub customer: Option<&'a str>,
+    /// Whether the engine is not shown the caller's key.
+    pub hides_key: bool,
 }
--- a/src/platform/desired.rs
+++ b/src/platform/desired.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde_json::Value;
 
+use super::customers::{self, InvalidCustomers};
 use crate::edge::desired::{
     DesiredState, Hosting, Model, RequestLimits, Route, RouteKind, Service, WeightedService,
 };
@@ -17,9 +19,22 @@
     routes: Vec<WireRoute>,
     #[serde(default)]
     services: Vec<WireService>,
+    #[serde(default)]
+    tenants: Option<Value>,
     limits: Option<WireLimits>,
 }
 
+/// A desired state that cannot be decoded.
+#[derive(Debug, thiserror::Error)]
+pub enum InvalidDesired {
+    /// It is not JSON, or a field has a wrong type.
+    #[error(transparent)]
+    Field(#[from] serde_json::Error),
+    /// Its customers are faulty.
+    #[error(transparent)]
+    Customers(#[from] InvalidCustomers),
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireRoute {
@@ -39,6 +54,8 @@
     #[serde(default)]
     resumable: bool,
     gap_target_ms: Option<f64>,
+    #[serde(default)]
+    public: bool,
 }
 
 #[derive(Deserialize)]
@@ -107,10 +124,11 @@
 }
 
 /// Decodes a desired state; the error names the faulty field.
-pub fn decode(bytes: &[u8]) -> Result<DesiredState, serde_json::Error> {
+pub fn decode(bytes: &[u8]) -> Result<DesiredState, InvalidDesired> {
     let wire: WireDesired = serde_json::from_slice(bytes)?;
     let mut desired = DesiredState {
         version: wire.version,
+        customers: customers::decode(wire.tenants)?,
         limits: wire.limits.map(decode_limits).unwrap_or_default(),
         ..DesiredState::default()
     };
@@ -155,6 +173,7 @@
         attempts: wire.attempts.unwrap_or(1).max(1),
         resumable: wire.resumable,
         gap: wire.gap_target_ms.map_or(timeout, millis),
+        public: wire.public,
     }
 }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -7,6 +7,7 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::edge::customers::KeyDigest;
 use crate::edge::origins::{Resumed, StreamId};
 use crate::edge::request_headers::{EngineHeaders, Prompt, PromptPart, RequestHeaders};
 use crate::edge::statements::{RateHeader, Statement};
@@ -43,9 +44,15 @@
 /// Caller's estimate of the tokens of the response.
 const LENGTH: HeaderName = HeaderName::from_static("x-mastichinge-length-hint");
 
+/// Customer whose key the caller holds.
+const CUSTOMER: HeaderName = HeaderName::from_static("x-mastichinge-tenant");
+/// Scheme of callers' keys, which compares without case.
+const KEY_SCHEME: &[u8] = b"token";
+
 /// Headers that only this system may set on a request to an engine.
-const INTERNAL_HEADERS: [HeaderName; 9] = [
+const INTERNAL_HEADERS: [HeaderName; 10] = [
     PRIORITY,
+    CUSTOMER,
     EXPECT_INSTANCE,
     HeaderName::from_static("x-mastichinge-expect-version"),
     HeaderName::from_static("x-mastichinge-pin-ms"),
@@ -103,6 +110,8 @@
         time_limit: header_number(headers, &DEADLINE).map(Duration::from_millis),
         last_event: header_number(headers, &LAST_EVENT),
         resumed: resumed_stream(headers),
+        key: caller_key(headers),
+        token_count: token_sum(headers),
         shared_parts: shared.iter().flatten().map(|part| part.id).collect(),
         prompt: (!model.is_empty()).then(|| Prompt {
             model: model.into(),
@@ -120,6 +129,20 @@
     header_text(headers, &REQUEST_ID).unwrap_or_default()
 }
 
+/// Returns the digest of a caller's key; `None` without one, or with several headers that may
+/// name one.
+fn caller_key(headers: &HeaderMap) -> Option<KeyDigest> {
+    let mut values = headers.get_all(header::AUTHORIZATION).iter();
+    let (Some(value), None) = (values.next(), values.next()) else {
+        return None;
+    };
+    let value = value.as_bytes().trim_ascii();
+    let end = value.iter().position(u8::is_ascii_whitespace)?;
+    let (scheme, key) = value.split_at(end);
+    let is_key = scheme.eq_ignore_ascii_case(KEY_SCHEME);
+    is_key.then(|| KeyDigest::of(key.trim_ascii()))
+}
+
 /// Returns the stream that a caller takes up again.
 fn resumed_stream(headers: &HeaderMap) -> Resumed {
     let mut named = headers.get_all(&RESUMES).iter();
@@ -162,6 +185,12 @@
             out.remove(LAST_EVENT);
         }
     }
+    if values.hides_key {
+        out.remove(header::AUTHORIZATION);
+    }
+    if let Some(name) = values.customer.and_then(customer_value) {
+        out.insert(CUSTOMER, name);
+    }
     if let Some(priority) = values.priority {
         out.insert(
             PRIORITY,
@@ -365,6 +394,17 @@
     (count(input), count(output))
 }
 
+/// Returns the tokens of the prompt and of the response together; `None` if the caller names no
+/// number that can be read.
+fn token_sum(headers: &HeaderMap) -> Option<u64> {
+    let counts = header_text(headers, &TOKENS)?;
+    let mut sum: u64 = 0;
+    for count in counts.split(',') {
+        sum = sum.saturating_add(count.trim().parse().ok()?);
+    }
+    Some(sum)
+}
+
 /// Returns the entries of a prompt's list of parts; `None` for one without an id. A number of
 /// tokens that cannot be read counts as 0, as engines may read it.
 fn parse_parts(headers: &HeaderMap) -> Vec<Option<PromptPart>> {
@@ -399,6 +439,11 @@
     header_text(headers, name)?.trim().parse().ok()
 }
 
+/// Returns the value of the header that names a customer, in UTF-8.
+fn customer_value(name: &str) -> Option<HeaderValue> {
+    HeaderValue::from_bytes(name.as_bytes()).ok()
+}
+
 fn header_value(text: &str) -> Option<HeaderValue> {
     HeaderValue::from_str(text).ok()
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Adapter to the users' platform: its names, formats and calls. It makes no
 //! decisions, and its names are used in no other module.
 
+mod customers;
 pub mod desired;
 pub mod engine_entry;
 pub mod headers;
--- a/tests/edge/decisions.rs
+++ b/tests/edge/decisions.rs
@@ -229,6 +229,7 @@
         attempts: 1,
         resumable: false,
         gap: ms(100),
+        public: false,
     };
     assert_eq!(route.choose_service(0.0).map(|s| &**s), Some("a"));
     assert_eq!(route.choose_service(0.89).map(|s| &**s), Some("a"));
--- a/tests/edge/fixtures.rs
+++ b/tests/edge/fixtures.rs
@@ -143,6 +143,7 @@
             attempts: 2,
             resumable: true,
             gap: Duration::from_millis(400),
+            public: false,
         });
     }
 
--- a/tests/edge/overload.rs
+++ b/tests/edge/overload.rs
@@ -157,6 +157,7 @@
         attempts: 1,
         resumable: false,
         gap: ms(100),
+        public: false,
     }
 }
 
--- a/tests/edge/translation.rs
+++ b/tests/edge/translation.rs
@@ -78,6 +78,8 @@
         time_left: Duration::from_millis(1_234),
         last_event: Some(7),
         priority: Some(30),
+        customer: None,
+        hides_key: false,
     };
     let out = platform_headers::to_engine(&from, &values);
     let expected = headers(&[
--- a/tests/simulation/firm.rs
+++ b/tests/simulation/firm.rs
@@ -170,6 +170,7 @@
         attempts,
         resumable: attempts > 1,
         gap: Duration::from_millis(400),
+        public: false,
     })
 }
 
