Log a faulty desired state once, and count it

Cause: a state that could not be decoded was logged again after each failed call to the store, without the version that stays in force. Change: its row is remembered, the line names the version in force, and mastichinge_invalid_configs_total counts it; what is in force goes on, as before.

--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -50,6 +50,8 @@
     let mut eras = edge.store.eras();
     // Version and era after which changes are missing.
     let mut after = None;
+    // Row that could not be decoded when it was last read.
+    let mut faulty = None;
     loop {
         let reading = async {
             match after {
@@ -78,7 +80,7 @@
             }
             Ok(page) => {
                 eras.mark_unchanged();
-                apply_desired(&edge, &page);
+                apply_desired(&edge, &page, &mut faulty);
                 after = Some((page.version, page.era));
             }
             Err(StoreError::HistoryExpired) => {
@@ -111,7 +113,9 @@
     contact.saturating_sub(FEED_MARGIN).max(MIN_FEED_WAIT)
 }
 
-fn apply_desired(edge: &Edge, page: &RowPage) {
+/// Puts a newer desired state into force. One that cannot be decoded is logged once and changes
+/// nothing: `faulty` is its row.
+fn apply_desired(edge: &Edge, page: &RowPage, faulty: &mut Option<u64>) {
     for row in &page.rows {
         if &*row.key != rows::DESIRED_KEY || !row.unnamed_part {
             continue;
@@ -122,7 +126,12 @@
         let desired = match desired::decode(value) {
             Ok(desired) => desired,
             Err(error) => {
-                log::error!(row = row.version, error:%; "desired state cannot be decoded");
+                if faulty.replace(row.version) != Some(row.version) {
+                    let known = edge.state.borrow().desired.version;
+                    log::error!(row = row.version, known, error:%;
+                        "desired state cannot be decoded");
+                    edge.metrics.record_invalid_config();
+                }
                 continue;
             }
         };
@@ -132,7 +141,9 @@
         }
         let routes: usize = desired.routes.values().map(Vec::len).sum();
         let version = desired.version;
-        log::info!(version, known, row = row.version, routes; "desired state in force");
+        let customers = desired.customers.iter().count();
+        log::info!(version, known, row = row.version, routes, customers;
+            "desired state in force");
         edge.metrics.set_config_version(version);
         edge.state.borrow_mut().desired = Rc::new(desired);
         edge.origin_wake.notify_one();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -65,6 +65,7 @@
     /// Received bytes that are already in `peer_bytes`.
     received_total: AtomicU64,
     config_version: Gauge<u64>,
+    invalid_configs: Counter<u64>,
 }
 
 impl Metrics {
@@ -176,6 +177,11 @@
             sent_total: AtomicU64::new(0),
             received_total: AtomicU64::new(0),
             config_version: gauge(&m, "config_version", "Configuration version in force"),
+            invalid_configs: counter(
+                &m,
+                "invalid_configs",
+                "Configurations that could not be decoded and are not in force",
+            ),
             registry,
             _provider: provider,
         })
@@ -354,6 +360,11 @@
         self.config_version.record(version, &[]);
     }
 
+    /// Records a configuration that cannot be decoded.
+    pub fn record_invalid_config(&self) {
+        self.invalid_configs.add(1, &[]);
+    }
+
     /// Returns the metrics in the Prometheus text format; empty if encoding fails.
     pub fn prometheus_text(&self) -> String {
         let mut text = Vec::new();
