Check keys again before each send and while a request waits

Cause: a key was checked at arrival only, so that a request that waited for a load, or whose engine crashed, ran with a key that a version had taken away. Change: the key is checked by the newest desired state on each round of the wait and right before each send; without it a request that has not run ends with 401, one that may have run with 502. The route is found after the body has been read. The name of the customer stands in the log lines of requests.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use super::framing::Framing;
+use super::keys;
 use super::permit::{seek_permit, seek_renewal};
 use super::relay::{self, OpenError, OpenedResponse};
 use super::response::{Refusal, ResponseBody, Unknown};
@@ -154,6 +155,7 @@
             engine: engine.clone(),
         };
         admit(routed, attempts, &engine).await?;
+        keys::recheck(routed, attempts)?;
         let was_abandoned = attempts.return_to(&engine);
         attempts.sent += 1;
         if let Some(stream) = attempts.begins(routed) {
@@ -269,6 +271,7 @@
     let mut held = false;
     loop {
         changes.borrow_and_update();
+        keys::recheck(routed, attempts)?;
         let now = clock::now();
         let time_left = routed.time_left();
         let fail = |attempts: &Attempts, kind, cause: &str, retry_after| Failure {
--- a/src/edge/forward/keys.rs
+++ b/src/edge/forward/keys.rs
@@ -2,8 +2,13 @@
 
 use std::sync::Arc;
 
+use super::RoutedRequest;
+use super::attempt::Failure;
+use super::response::{Refusal, Unknown};
+use super::retry::Attempts;
 use crate::edge::customers::{Customer, KeyDigest};
 use crate::edge::desired::{DesiredState, Route};
+use crate::error::Kind;
 
 /// A request needs the key of a customer and has none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,3 +31,27 @@
         false => Ok(customer),
     }
 }
+
+/// Checks the key of a request that waits or is to be sent by the newest desired state, which may
+/// have taken the key away since the request arrived.
+///
+/// # Errors
+///
+/// Returns how the request ends if its key has been taken away.
+pub(super) fn recheck(routed: &RoutedRequest, attempts: &Attempts) -> Result<(), Failure> {
+    let state = routed.edge.state.borrow();
+    let key = routed.headers.key.as_ref();
+    if check(&state.desired, &routed.route, key).is_ok() {
+        return Ok(());
+    }
+    let version = state.desired.version;
+    let refusal = match attempts.exposure.promise() {
+        Some(promise) => Refusal::not_run(promise, Kind::BadKey),
+        None => Refusal::may_have_run(Unknown::Failed),
+    };
+    Err(Failure {
+        refusal,
+        cause: format!("no customer holds the key any more, by version {version}"),
+        engine: attempts.lifetime.engine.clone(),
+    })
+}
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -100,6 +100,11 @@
         customer.unwrap_or(self.route.priority)
     }
 
+    /// Returns the name of its customer, for logs; empty without one.
+    fn customer_name(&self) -> &str {
+        self.customer.as_ref().map_or("", |c| &*c.name)
+    }
+
     /// Returns whether it is for a stream that may be resumed.
     fn can_be_resumed(&self) -> bool {
         self.route.has_resumable_streams()
@@ -151,8 +156,9 @@
         let predicted_ms = attempts.predicted.as_millis() as u64;
         let tries = attempts.sent;
         let version = self.desired.version;
+        let customer = self.customer_name();
         log::info!(request, route, model, adapter, status, engine, tries, waited_ms, predicted_ms,
-            first_ms, ms, version; "request {outcome}");
+            first_ms, ms, version, customer; "request {outcome}");
     }
 
     fn refuse(
@@ -170,8 +176,9 @@
         let left_ms = self.time_left().as_millis() as u64;
         let retry_ms = refusal.retry_after().map_or(0, |r| r.as_millis() as u64);
         let version = self.desired.version;
+        let customer = self.customer_name();
         log::warn!(request, route, status, kind, cause, engine, tries, ms, left_ms, retry_ms,
-            version; "request refused");
+            version, customer; "request refused");
         self.edge.metrics.record_refusal(refusal.kind());
         refusal.response(&self.headers.id)
     }
@@ -217,7 +224,8 @@
         let ms = routed.age().as_millis() as u64;
         let left_ms = routed.time_left().as_millis() as u64;
         let version = routed.desired.version;
-        log::info!(request, route, model, ms, left_ms, version;
+        let customer = routed.customer_name();
+        log::info!(request, route, model, ms, left_ms, version, customer;
             "caller disconnected before the response");
     }
 }
@@ -233,9 +241,9 @@
     let arrived_at = clock::now();
     let (head, body) = request.into_parts();
     let headers = headers::parse_request(&head.headers);
-    let desired = edge.state.borrow().desired.clone();
+    let limits = edge.state.borrow().desired.limits;
     // A chunked body may grow up to the limit.
-    let max_bytes = desired.limits.body as u64;
+    let max_bytes = limits.body as u64;
     let expected = body.size_hint().upper().unwrap_or(max_bytes).min(max_bytes);
     let Some(mut reservation) = BodyReservation::reserve(&edge, expected) else {
         let cause = "no memory left for request bodies";
@@ -244,7 +252,7 @@
     tokio::pin!(ended);
     let read = tokio::select! {
         biased;
-        read = read_body(body, &desired.limits) => read,
+        read = read_body(body, &limits) => read,
         () = &mut ended => Err(Kind::Draining),
     };
     let body = match read {
@@ -257,6 +265,8 @@
     reservation.shrink(body.len() as u64);
     let active = RequestGuard::new(&edge, reservation);
     let id = headers.id.clone();
+    // Reading the body may have taken longer than a key or a route is there.
+    let desired = edge.state.borrow().desired.clone();
     let routed = match route_request(&edge, desired, head, body, headers, arrived_at) {
         Ok(routed) => routed,
         Err((kind, cause)) => return Ok(refuse(&edge, &id, kind, cause)),
@@ -363,7 +373,8 @@
     }
     let name: &'static str = kind.into();
     let status = refusal.status().as_u16();
-    log::warn!(request, status, kind = name, cause; "request refused");
+    let version = edge.state.borrow().desired.version;
+    log::warn!(request, status, kind = name, cause, version; "request refused");
     edge.metrics.record_refusal(kind);
     refusal.response(request)
 }
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -8,6 +8,7 @@
 mod crash_signs;
 mod crash_storms;
 mod crashing_parts;
+mod customers;
 mod decisions;
 mod endless;
 mod engine_list;
