--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -43,7 +43,6 @@
 const PRIORITY: HeaderName = HeaderName::from_static("x-mastichinge-request-priority");
 /// Caller's estimate of the tokens of the response.
 const LENGTH: HeaderName = HeaderName::from_static("x-mastichinge-length-hint");
-
 /// Customer whose key the caller holds.
 const CUSTOMER: HeaderName = HeaderName::from_static("x-mastichinge-tenant");
 /// Scheme of callers' keys, which compares without case.
--- a/tests/edge/customers.rs
+++ b/tests/edge/customers.rs
@@ -115,6 +115,9 @@
         }
     }
     assert_eq!(count, 4);
+    wait("their log lines", || {
+        site.daemon.logged("request answered").len() == count
+    });
     let lines = json!(site.daemon.lines()).to_string();
     assert!(!lines.contains(KEY) && !lines.contains(OTHER_KEY));
 }
@@ -149,8 +152,10 @@
     let answer = sent.join().unwrap();
     assert_eq!(answer.status, 401, "{answer:?}");
     assert_eq!(site.arrivals("w"), 0);
-    let refused = site.daemon.logged("request refused");
-    assert!(refused.iter().any(|l| l["customer"] == "hule930"));
+    wait("its log line", || {
+        let refused = site.daemon.logged("request refused");
+        refused.iter().any(|l| l["customer"] == "hule930")
+    });
 }
 
 /// Guards against CONFIG: a request whose engine crashed was sent to another with a key taken
