--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use super::framing::Framing;
+use super::keys;
 use super::permit::{seek_permit, seek_renewal};
 use super::relay::{self, OpenError, OpenedResponse};
 use super::response::{Refusal, ResponseBody, Unknown};
@@ -154,6 +155,7 @@
             engine: engine.clone(),
         };
         admit(routed, attempts, &engine).await?;
+        keys::recheck(routed, attempts)?;
         let was_abandoned = attempts.return_to(&engine);
         attempts.sent += 1;
         if let Some(stream) = attempts.begins(routed) {
@@ -269,6 +271,7 @@
     let mut held = false;
     loop {
         changes.borrow_and_update();
+        keys::recheck(routed, attempts)?;
         let now = clock::now();
         let time_left = routed.time_left();
         let fail = |attempts: &Attempts, kind, cause: &str, retry_after| Failure {
@@ -378,7 +381,7 @@
                 if let Some(target) = load {
                     let edge = &routed.edge;
                     let retry_at = now + retry_after;
-                    edge.expect_retry(target.clone(), routed.route.priority, retry_at);
+                    edge.expect_retry(target.clone(), routed.priority(), retry_at);
                     edge.record_paused(&target, paused);
                 }
                 return Err(fail(attempts, kind, cause, retry_after));
@@ -409,7 +412,7 @@
             }
             AdmissionDecision::WaitForLoad(target) => {
                 if load_wait.as_ref().is_none_or(|(t, _)| *t != target) {
-                    let priority = routed.route.priority;
+                    let priority = routed.priority();
                     let guard = routed.edge.add_waiting(target.clone(), priority);
                     let request = &*routed.headers.id;
                     let model = &*target.model;
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -5,6 +5,7 @@
 mod attribution;
 pub mod evidence;
 mod framing;
+mod keys;
 mod permit;
 mod relay;
 pub mod response;
@@ -31,6 +32,7 @@
 use self::retry::Attempts;
 use super::body_memory::BodyReservation;
 use super::clock;
+use super::customers::Customer;
 use super::demand::ModelKey;
 use super::desired::{DesiredState, RequestLimits, Route, RouteKind};
 use super::origins::{Resumed, StreamId};
@@ -61,6 +63,8 @@
     headers: RequestHeaders,
     route: Arc<Route>,
     desired: Rc<DesiredState>,
+    /// Customer whose key its caller holds.
+    customer: Option<Arc<Customer>>,
     /// Service chosen among those of the route.
     service: Arc<str>,
     /// Id of the stream that it begins, if its caller can take that up again by name.
@@ -90,6 +94,17 @@
         self.deadline.saturating_sub(clock::now())
     }
 
+    /// Returns its priority: that of its customer, else of its route; 0 is the most urgent.
+    fn priority(&self) -> u8 {
+        let customer = self.customer.as_ref().and_then(|c| c.priority);
+        customer.unwrap_or(self.route.priority)
+    }
+
+    /// Returns the name of its customer, for logs; empty without one.
+    fn customer_name(&self) -> &str {
+        self.customer.as_ref().map_or("", |c| &*c.name)
+    }
+
     /// Returns whether it is for a stream that may be resumed.
     fn can_be_resumed(&self) -> bool {
         self.route.has_resumable_streams()
@@ -141,8 +156,9 @@
         let predicted_ms = attempts.predicted.as_millis() as u64;
         let tries = attempts.sent;
         let version = self.desired.version;
+        let customer = self.customer_name();
         log::info!(request, route, model, adapter, status, engine, tries, waited_ms, predicted_ms,
-            first_ms, ms, version; "request {outcome}");
+            first_ms, ms, version, customer; "request {outcome}");
     }
 
     fn refuse(
@@ -160,8 +176,9 @@
         let left_ms = self.time_left().as_millis() as u64;
         let retry_ms = refusal.retry_after().map_or(0, |r| r.as_millis() as u64);
         let version = self.desired.version;
+        let customer = self.customer_name();
         log::warn!(request, route, status, kind, cause, engine, tries, ms, left_ms, retry_ms,
-            version; "request refused");
+            version, customer; "request refused");
         self.edge.metrics.record_refusal(refusal.kind());
         refusal.response(&self.headers.id)
     }
@@ -207,7 +224,8 @@
         let ms = routed.age().as_millis() as u64;
         let left_ms = routed.time_left().as_millis() as u64;
         let version = routed.desired.version;
-        log::info!(request, route, model, ms, left_ms, version;
+        let customer = routed.customer_name();
+        log::info!(request, route, model, ms, left_ms, version, customer;
             "caller disconnected before the response");
     }
 }
@@ -223,9 +241,9 @@
     let arrived_at = clock::now();
     let (head, body) = request.into_parts();
     let headers = headers::parse_request(&head.headers);
-    let desired = edge.state.borrow().desired.clone();
+    let limits = edge.state.borrow().desired.limits;
     // A chunked body may grow up to the limit.
-    let max_bytes = desired.limits.body as u64;
+    let max_bytes = limits.body as u64;
     let expected = body.size_hint().upper().unwrap_or(max_bytes).min(max_bytes);
     let Some(mut reservation) = BodyReservation::reserve(&edge, expected) else {
         let cause = "no memory left for request bodies";
@@ -234,7 +252,7 @@
     tokio::pin!(ended);
     let read = tokio::select! {
         biased;
-        read = read_body(body, &desired.limits) => read,
+        read = read_body(body, &limits) => read,
         () = &mut ended => Err(Kind::Draining),
     };
     let body = match read {
@@ -247,6 +265,8 @@
     reservation.shrink(body.len() as u64);
     let active = RequestGuard::new(&edge, reservation);
     let id = headers.id.clone();
+    // Reading the body may have taken longer than a key or a route is there.
+    let desired = edge.state.borrow().desired.clone();
     let routed = match route_request(&edge, desired, head, body, headers, arrived_at) {
         Ok(routed) => routed,
         Err((kind, cause)) => return Ok(refuse(&edge, &id, kind, cause)),
@@ -297,6 +317,9 @@
         return Err((Kind::NotFound, "no route matches"));
     };
     let route = route.clone();
+    let customer = keys::check(&desired, &route, headers.key.as_ref())
+        .map_err(|_| (Kind::BadKey, "no customer holds the key, or there is none"))?
+        .cloned();
     let can_be_named = route.has_resumable_streams() && !headers.id.is_empty();
     let stream = can_be_named.then(|| StreamId::of(&headers.id));
     // All hosts choose the same service for a stream and for all that take it up.
@@ -324,6 +347,7 @@
         headers,
         route,
         desired,
+        customer,
         service,
         fingerprint,
         features,
@@ -349,7 +373,8 @@
     }
     let name: &'static str = kind.into();
     let status = refusal.status().as_u16();
-    log::warn!(request, status, kind = name, cause; "request refused");
+    let version = edge.state.borrow().desired.version;
+    log::warn!(request, status, kind = name, cause, version; "request refused");
     edge.metrics.record_refusal(kind);
     refusal.response(request)
 }
