Let a fake engine's crash return once its address is closed

Cause: crash() returned before the listener was closed, so that a connection could still be accepted; and a notice that came while the fake was not waiting was lost.

--- a/tests/edge/fakes/engine/lifetimes.rs
+++ b/tests/edge/fakes/engine/lifetimes.rs
@@ -5,11 +5,16 @@
 use serde_json::{Value, json};
 
 use super::{Engine, model_json};
+use crate::fakes::daemon::wait;
 
 impl Engine {
     /// Closes all connections and accepts no more.
     pub fn crash(&self) {
-        self.dead.notify_waiters();
+        // A connection that comes before the address is closed would still be served.
+        wait("the closed address", || {
+            self.dead.notify_waiters();
+            std::net::TcpStream::connect(self.addr).is_err()
+        });
     }
 
     /// Starts a new lifetime under the same id, without added headers, and registers it.
