--- a/src/decide/rate_limits.rs
+++ b/src/decide/rate_limits.rs
@@ -79,8 +79,20 @@
 
     /// Takes one token even if none is left, so that later requests wait longer.
     pub fn force_take(&mut self, now: Moment) {
+        self.add(-1.0, now);
+    }
+
+    /// Adds this many tokens, or takes them if the number is negative, even if they are not
+    /// there. Tokens beyond the capacity are lost.
+    pub fn add(&mut self, tokens: f64, now: Moment) {
         self.refill(now);
-        self.tokens -= 1.0;
+        self.tokens = (self.tokens + tokens).min(self.burst);
+    }
+
+    /// Returns the number of tokens; negative after more were taken than there were.
+    pub fn level(&mut self, now: Moment) -> f64 {
+        self.refill(now);
+        self.tokens
     }
 
     /// Returns the time until a token is available, zero if one is.
@@ -90,8 +102,13 @@
 
     /// Returns the time until a token is available after `ahead` others were taken.
     pub fn wait_behind(&mut self, ahead: u32, now: Moment) -> Duration {
+        self.wait_for(f64::from(ahead) + 1.0, now)
+    }
+
+    /// Returns the time until this many tokens are available.
+    pub fn wait_for(&mut self, tokens: f64, now: Moment) -> Duration {
         self.refill(now);
-        let missing = f64::from(ahead) + 1.0 - self.tokens;
+        let missing = tokens - self.tokens;
         // `tokens` accumulates rounding errors.
         if missing <= 1e-9 {
             return Duration::ZERO;
