Charge requests to their customers' caps before their first send

A request of a customer with a cap is charged once, at the host that also grants permits; refused with 429 and the time after which to return. Hosts may spend a room ahead, which is a part of the bucket and of the allowance beyond the cap. Without caps there is no packet and no state. Not tested yet.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::timeout;
 
+use super::charge::{Charged, charge};
 use super::framing::Framing;
 use super::permit::{seek_permit, seek_renewal};
 use super::relay::{self, OpenError, OpenedResponse};
@@ -144,6 +145,9 @@
 ) -> Result<Box<EngineResponse>, Failure> {
     loop {
         let choice = wait_for_engine(routed, attempts).await?;
+        if charge(routed, attempts, &choice).await? == Charged::Waited {
+            continue;
+        }
         attempts.waited = routed.age();
         attempts.predicted = choice.first_event;
         let max_silence = response_timeout(routed, &choice);
@@ -160,7 +164,10 @@
             let edge = &routed.edge;
             edge.begin_stream(stream, &routed.service, &choice.software);
         }
-        match send(routed, attempts, &choice, max_silence).await {
+        attempts.record_exposure(true);
+        let outcome = send(routed, attempts, &choice, max_silence).await;
+        attempts.record_exposure(attempts.exposure.may_have_run());
+        match outcome {
             SendOutcome::Response(engine_response) => return Ok(engine_response),
             SendOutcome::NotRun(status) => {
                 attempts.record_not_run(&engine, was_abandoned);
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod attribution;
+mod charge;
 pub mod evidence;
 mod framing;
 mod keys;
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -10,6 +10,7 @@
 use super::evidence::Exposure;
 use super::response::{Refusal, Unknown};
 use crate::clock::Moment;
+use crate::edge::caps::ChargeGuard;
 use crate::edge::clock;
 use crate::edge::origins::{Allowed, Recording, StreamId};
 use crate::edge::permits::{PermitGuard, PermitState, Rank};
@@ -57,6 +58,8 @@
     pub is_trial: bool,
     /// Whether it waited for a load.
     pub load_waited: bool,
+    /// Its charge to its customer's cap.
+    pub charge: Option<ChargeGuard>,
     /// Its application for a permit to be sent next.
     pub permit: Option<PermitGuard>,
     /// Whether that is to learn whether the engine still names its rate.
@@ -75,6 +78,13 @@
         routed.route.is_repeatable() && self.sent < routed.route.attempts
     }
 
+    /// Records for its charge whether it may have run.
+    pub(super) fn record_exposure(&mut self, may_have_run: bool) {
+        if let Some(charge) = &mut self.charge {
+            charge.set_may_have_run(may_have_run);
+        }
+    }
+
     /// Returns its refusal as `kind` if it has not run; else its outcome is unknown.
     pub(super) fn refuse(&self, kind: Kind) -> Refusal {
         match self.exposure.promise() {
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -2,6 +2,8 @@
 
 use prost::Message;
 
+use super::caps::notes::{CapAnswer, CapLevel, ChargeNote};
+
 /// Content of one datagram to other daemons: a heartbeat once per period, reports of load,
 /// demand and waiting requests when they are due, and notes that are sent at once.
 #[derive(Clone, PartialEq, Message)]
@@ -60,6 +62,15 @@
     /// Ids of streams about which the sender asks.
     #[prost(bytes = "vec", repeated, tag = "22")]
     pub stream_questions: Vec<Vec<u8>>,
+    /// Charges to customers' caps; only to the allocator that the sender follows.
+    #[prost(message, repeated, tag = "23")]
+    pub charges: Vec<ChargeNote>,
+    /// Answers to charges of the recipient.
+    #[prost(message, repeated, tag = "24")]
+    pub cap_answers: Vec<CapAnswer>,
+    /// What the sender says of its buckets of customers' caps.
+    #[prost(message, repeated, tag = "25")]
+    pub cap_levels: Vec<CapLevel>,
 }
 
 impl Packet {
--- a/src/edge/members.rs
+++ b/src/edge/members.rs
@@ -26,6 +26,12 @@
 /// Silence after which a daemon no longer gets a share of the limits: its usage has
 /// left every window by then.
 const SHARE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Silence after which hosts that are not the larger part of all use less of the customers' caps;
+/// sooner than [`SHARE_TIMEOUT`], at which the larger part uses the whole.
+const LONG_SILENCE: Duration = Duration::from_secs(13);
+/// Part of their share that they use then: the smaller half of all hosts stays below the excess
+/// that the platform allows, a tenth.
+const CUT_OFF_PART: f64 = 0.1;
 /// Daemons of each other failure domain that pass a message on there; more than one, as
 /// datagrams may be lost.
 const RELAYS: usize = 2;
@@ -331,6 +337,21 @@
         (members.count() + usize::from(is_own)) as f64 / self.share_count(now) as f64
     }
 
+    /// Returns the part of the customers' caps that the host `own` grants; `is_own` tells whether
+    /// this daemon gets its units there. The parts of hosts that do not hear each other add up to
+    /// hardly more than the whole, however long that lasts.
+    pub fn cap_share(&self, own: &str, is_own: bool, now: Moment) -> f64 {
+        let share = self.follower_share(own, is_own, now);
+        let listed = self.all.len() + 1;
+        let equal = share * self.share_count(now) as f64 / listed as f64;
+        let is_long = |m: &Member| m.heard_at.is_some() && m.silence(now) >= LONG_SILENCE;
+        match equal > 1.0 / 2.0 {
+            true => share,
+            false if self.all.values().any(is_long) => equal * CUT_OFF_PART,
+            false => equal,
+        }
+    }
+
     /// Returns the rank of this host among those that could become leader.
     pub fn succession_rank(&self, own: &str, now: Moment) -> u32 {
         let before =
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod body_memory;
 pub mod caller_stream;
+pub mod caps;
 pub mod carried;
 pub mod client;
 pub mod clock;
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -69,6 +69,9 @@
         for (addr, packet) in edge.next_permits(&mut allocation) {
             send_packet(&socket, &signed(packet), &[addr]).await;
         }
+        for (addr, packet) in edge.next_caps() {
+            send_packet(&socket, &signed(packet), &[addr]).await;
+        }
         let stream_packets = edge.state.borrow_mut().take_stream_packets(is_heartbeat);
         for (addr, packet) in stream_packets {
             send_packet(&socket, &signed(packet), &[addr]).await;
@@ -89,6 +92,8 @@
             .borrow_mut()
             .permits_due_in(clock::now())
             .unwrap_or(pause);
+        let caps_due = edge.state.borrow_mut().caps_due_in(clock::now());
+        let pause = caps_due.map_or(pause, |due| pause.min(due));
         let pause = pause.min(until_heartbeat).min(permits_due).max(MIN_PAUSE);
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
@@ -324,6 +329,7 @@
         held_changes.extend(crashes.map(|note| state.suspects.apply(note, now)));
         rate_changes = state.apply_rates(&packet, now);
         decided = state.apply_permits(&edge.host, &host, &packet, now);
+        decided |= state.apply_caps(&edge.host, &host, &packet, now);
     }
     drop(guard);
     edge.record_stream_notes(&host, &packet);
@@ -339,7 +345,7 @@
     if decided {
         edge.notify_waiting();
     }
-    if !packet.applications.is_empty() {
+    if !packet.applications.is_empty() || !packet.charges.is_empty() {
         edge.send_wake.notify_one();
     }
     if effects.models_changed {
--- a/src/edge/permits/allocator.rs
+++ b/src/edge/permits/allocator.rs
@@ -23,7 +23,7 @@
 /// Time for which a verdict is repeated when its application comes again.
 const VERDICT_RETENTION: Duration = Duration::from_millis(500);
 /// Maximum delay of a refused caller.
-const MAX_RETURN_DELAY: Duration = Duration::from_secs(10);
+pub const MAX_RETURN_DELAY: Duration = Duration::from_secs(10);
 
 /// Who applies.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/src/edge/permits/mod.rs
+++ b/src/edge/permits/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-pub use allocator::{Allocator, Applicant};
+pub use allocator::{Allocator, Applicant, MAX_RETURN_DELAY};
 pub use holder::{PermitGuard, PermitState, Permits, REPEAT_PERIOD};
 pub use round::Allocation;
 
@@ -65,7 +65,7 @@
 }
 
 /// Returns a value from 0 to 1; those of successive numbers are spread evenly.
-fn spread(number: u64) -> f64 {
+pub(super) fn spread(number: u64) -> f64 {
     (number as f64 * SPREAD_STEP).fract()
 }
 
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+use super::caps::CapRules;
 use super::suspects::Feature;
 use crate::config::Name;
 use crate::config::field_error::{FieldError, FieldErrors, check_fields};
@@ -145,6 +146,12 @@
     pub retry_window_s: f64,
     /// Additional retries in each window, over all daemons.
     pub retry_slack: f64,
+    /// Window in which the use of customers' caps is counted, s.
+    pub cap_window_s: f64,
+    /// Part of what a cap allows in a window that may be used beyond it.
+    pub cap_excess: f64,
+    /// Units that may be used beyond that in a window.
+    pub cap_slack: f64,
     /// Window of the rate limit of loads from the weight store, s.
     pub ceiling_window_s: f64,
     /// Maximum time for which callers may cache the list of entry addresses, s.
@@ -162,6 +169,9 @@
             retry_ratio: 0.2,
             retry_window_s: 10.0,
             retry_slack: 50.0,
+            cap_window_s: 8.0,
+            cap_excess: 0.0,
+            cap_slack: 0.0,
             ceiling_window_s: 5.0,
             entry_ttl_s: 5.0,
         }
@@ -174,6 +184,15 @@
         Duration::from_millis(self.lease_ms)
     }
 
+    /// Returns what the platform allows beyond customers' caps.
+    pub fn cap_rules(&self) -> CapRules {
+        CapRules {
+            window: Duration::from_secs_f64(self.cap_window_s),
+            excess: self.cap_excess,
+            slack: self.cap_slack,
+        }
+    }
+
     /// Returns the time from SIGTERM to SIGKILL.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s.max(0.0))
@@ -325,11 +344,19 @@
         ("/bounds/grace_s", bounds.grace_s),
         ("/bounds/lease_ms", bounds.lease_ms as f64),
         ("/bounds/retry_window_s", bounds.retry_window_s),
+        ("/bounds/cap_window_s", bounds.cap_window_s),
         ("/bounds/ceiling_window_s", bounds.ceiling_window_s),
         ("/engines/prefill_per_ms", settings.engines.prefill_per_ms),
     ];
     for (path, number) in positive {
         errors.check(number > 0.0, path, &number, "must be above 0");
     }
+    let not_negative = [
+        ("/bounds/cap_excess", bounds.cap_excess),
+        ("/bounds/cap_slack", bounds.cap_slack),
+    ];
+    for (path, number) in not_negative {
+        errors.check(number >= 0.0, path, &number, "must be at least 0");
+    }
     errors.0
 }
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::activity::Activity;
+use super::caps::{Accounts, Ledger};
 use super::client::Client;
 use super::clock;
 use super::demand::{DecayingDemand, Demand, DemandMeter, ModelKey};
@@ -153,6 +154,12 @@
     pub permits: Permits,
     /// Permits that this daemon grants.
     pub allocator: Allocator,
+    /// Charges of this daemon to customers' caps.
+    pub accounts: Accounts,
+    /// What this daemon grants of customers' caps.
+    pub ledger: Ledger,
+    /// Host to which the charges were told last.
+    pub cap_allocator: Option<Arc<str>>,
     /// Leadership of this daemon, if it is the leader.
     pub leadership: Option<Leadership>,
     /// Placement decisions of that leadership.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -44,6 +44,7 @@
     engine_responses: Counter<u64>,
     engine_statements: Counter<u64>,
     permits: Counter<u64>,
+    charges: Counter<u64>,
     store_eras: Counter<u64>,
     stream_ends: Counter<u64>,
     broken_runs: Counter<u64>,
@@ -126,6 +127,7 @@
                 "permits",
                 "Permits for engines that have named a rate, by outcome",
             ),
+            charges: counter(&m, "cap_charges", "Charges to customers' caps, by outcome"),
             stream_ends: counter(
                 &m,
                 "stream_ends",
@@ -250,6 +252,14 @@
         }
     }
 
+    /// Counts charges to customers' caps that this daemon has answered, by outcome.
+    pub fn record_charges(&self, outcome: &'static str, count: u32) {
+        if count > 0 {
+            let outcome = KeyValue::new("outcome", outcome);
+            self.charges.add(u64::from(count), &[outcome]);
+        }
+    }
+
     /// Counts that the store came back from an older copy.
     pub fn record_store_era(&self) {
         self.store_eras.add(1, &[]);
