--- a/src/edge/caps/ledger.rs
+++ b/src/edge/caps/ledger.rs
@@ -45,8 +45,10 @@
     rate: f64,
     /// Maximum number of units.
     capacity: f64,
-    /// Units that come in as the number of followers grows after a take-over.
+    /// Units at a take-over; the part of the followers comes in as their number grows.
     start: f64,
+    /// Units of them that have come in.
+    started: f64,
     cap: Cap,
     filled_at: Moment,
     /// When the last refused caller is to return.
@@ -62,6 +64,7 @@
             rate: 0.0,
             capacity: 0.0,
             start: 0.0,
+            started: 0.0,
             cap,
             filled_at: now,
             return_at: now,
@@ -75,12 +78,18 @@
         self.capacity = (cap.burst + START_PART * rules.allowance(&cap)) * share;
         self.units.set_limits(self.rate, self.capacity, now);
         let missing = self.capacity - self.units.level(now);
-        let added = self.start.min(missing.max(0.0));
-        self.start -= added;
+        let due = self.start * share - self.started;
+        let added = due.min(missing).max(0.0);
+        self.started += added;
         self.units.add(added, now);
         self.filled_at = now;
     }
 
+    fn set_start(&mut self, units: f64) {
+        self.start = units;
+        self.started = 0.0;
+    }
+
     /// Returns the time until `units` are there after `ahead` others. A request that costs more
     /// than the bucket of all hosts ever holds needs a full one.
     fn wait(&mut self, units: f64, ahead: f64, share: f64, now: Moment) -> Duration {
@@ -128,7 +137,7 @@
         self.ramp_until = now + RAMP_TIME;
         for bucket in self.buckets.values_mut() {
             let gap = bucket.cap.rate * unused.as_secs_f64();
-            bucket.start = gap + START_PART * rules.allowance(&bucket.cap);
+            bucket.set_start(gap + START_PART * rules.allowance(&bucket.cap));
         }
     }
 
@@ -139,8 +148,8 @@
         for (customer, bucket) in &mut self.buckets {
             let level = bucket.units.level(now);
             bucket.units.add(-level, now);
-            levels.push((customer.clone(), level + bucket.start));
-            bucket.start = 0.0;
+            levels.push((customer.clone(), level));
+            bucket.set_start(0.0);
         }
         levels.sort_by(|a, b| a.0.cmp(&b.0));
         levels
@@ -151,13 +160,14 @@
         let Some(bucket) = self.buckets.get_mut(customer) else {
             return;
         };
-        if now >= self.ramp_until || !level.is_finite() {
+        if !level.is_finite() {
             return;
         }
         match level < 0.0 {
             true => bucket.units.add(level, now),
             false => bucket.start += level.min(bucket.cap.burst),
         }
+        self.ramp_until = now + RAMP_TIME;
     }
 
     /// Updates the caps of all customers. `share` is the part of all hosts that follows this one.
@@ -168,17 +178,21 @@
         share: f64,
         now: Moment,
     ) {
+        // Its followers come back to a host that was cut off.
+        if share > self.share && self.share <= 1.0 / 2.0 {
+            self.ramp_until = now + RAMP_TIME;
+        }
         self.share = share;
         for (customer, cap) in caps {
             let bucket = self.buckets.entry(customer.clone());
             let bucket = bucket.or_insert_with(|| {
                 let mut bucket = Bucket::new(cap, now);
-                bucket.start = START_PART * rules.allowance(&cap);
+                bucket.set_start(START_PART * rules.allowance(&cap));
                 bucket
             });
             bucket.set_cap(cap, rules, share, now);
             if now >= self.ramp_until {
-                bucket.start = 0.0;
+                bucket.set_start(0.0);
             }
         }
         self.buckets.retain(|_, bucket| bucket.filled_at == now);
--- a/src/edge/caps/packets.rs
+++ b/src/edge/caps/packets.rs
@@ -12,10 +12,9 @@
 use crate::edge::permits::Rank;
 use crate::edge::state::State;
 
-/// Part of the time that passes between the last grant of an allocator that falls silent and the
-/// first one of its successor, [`crate::edge::members::ALIVE_TIMEOUT`] less a heartbeat. The other
-/// half is for units that hosts have spent ahead meanwhile.
-const UNUSED_TIME: Duration = Duration::from_millis(500);
+/// Minimum time between the last grant of an allocator that falls silent and the first one of its
+/// successor: [`crate::edge::members::ALIVE_TIMEOUT`] less the period of heartbeats.
+const UNUSED_TIME: Duration = Duration::from_millis(700);
 
 /// What a host does about caps in one round of sending.
 #[derive(Clone, Debug, Default, PartialEq)]
