--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -14,6 +14,7 @@
 
 use super::charge::{Charged, charge};
 use super::framing::Framing;
+use super::keys;
 use super::permit::{seek_permit, seek_renewal};
 use super::relay::{self, OpenError, OpenedResponse};
 use super::response::{Refusal, ResponseBody, Unknown};
@@ -158,6 +159,7 @@
             engine: engine.clone(),
         };
         admit(routed, attempts, &engine).await?;
+        keys::recheck(routed, attempts)?;
         let was_abandoned = attempts.return_to(&engine);
         attempts.sent += 1;
         if let Some(stream) = attempts.begins(routed) {
@@ -276,6 +278,7 @@
     let mut held = false;
     loop {
         changes.borrow_and_update();
+        keys::recheck(routed, attempts)?;
         let now = clock::now();
         let time_left = routed.time_left();
         let fail = |attempts: &Attempts, kind, cause: &str, retry_after| Failure {
