--- a/src/edge/forward/charge.rs
+++ b/src/edge/forward/charge.rs
@@ -47,7 +47,7 @@
             Some(ChargeState::Refused(return_in)) => {
                 return Err(Failure {
                     refusal: attempts.refuse(Kind::RateLimited).after(return_in),
-                    cause: "the cap of the customer is used up".to_owned(),
+                    cause: format!("the cap of customer {} is used up", customer.name),
                     engine: "".into(),
                 });
             }
