Leave refusals to the allocator in force, and room for new requests beside those that return

Requests that are late anyway were refused for a wait of 39 ms. Callers that return get half of the rate: they had taken all of it, and were refused again for 5 s.

--- a/src/edge/caps/ledger.rs
+++ b/src/edge/caps/ledger.rs
@@ -17,6 +17,8 @@
 const ROOM_PART: f64 = 0.25;
 /// Part of a full bucket from which on hosts may spend ahead, and the part of what it holds.
 const HALF: f64 = 0.5;
+/// Part of a customer's rate that callers who return may use; the rest is for new requests.
+const RETURN_PART: f64 = 0.5;
 /// Time from a take-over in which no request is refused: the followers are not known yet.
 const RAMP_TIME: Duration = Duration::from_millis(500);
 /// Time after which a charge lapses that its host does not repeat.
@@ -107,7 +109,8 @@
     /// done, and one after the other.
     fn book_return(&mut self, units: f64, queue_time: Duration, now: Moment) -> Duration {
         self.refused = self.refused.wrapping_add(1);
-        let step = Duration::try_from_secs_f64(units / self.rate).unwrap_or(Duration::MAX);
+        let step =
+            Duration::try_from_secs_f64(units / (RETURN_PART * self.rate)).unwrap_or(Duration::MAX);
         let next = self.return_at.saturating_add(step);
         let delay = next.saturating_sub(now).max(queue_time);
         if delay <= MAX_RETURN_DELAY {
@@ -127,6 +130,8 @@
     answers: HashMap<Applicant, (Moment, Answer)>,
     /// Part of all hosts that follows this one.
     share: f64,
+    /// Whether this host follows itself.
+    leads: bool,
     /// Until when no request is refused.
     ramp_until: Moment,
 }
@@ -134,6 +139,7 @@
 impl Ledger {
     /// Begins to grant. `unused` is the time for which no host has granted anything.
     pub fn take_over(&mut self, unused: Duration, rules: &CapRules, now: Moment) {
+        self.leads = true;
         self.ramp_until = now + RAMP_TIME;
         for bucket in self.buckets.values_mut() {
             let gap = bucket.cap.rate * unused.as_secs_f64();
@@ -143,6 +149,7 @@
 
     /// Ends granting; returns the units that are left, for the host that takes over.
     pub fn hand_over(&mut self, now: Moment) -> Vec<(Arc<str>, f64)> {
+        self.leads = false;
         self.queue.clear();
         let mut levels = Vec::new();
         for (customer, bucket) in &mut self.buckets {
@@ -303,7 +310,8 @@
             return Some(Answer::Granted);
         }
         let left = queued.give_up_at.saturating_sub(now);
-        if wait >= left && now >= self.ramp_until {
+        // Hosts that turn to another allocator repeat their charges there.
+        if wait >= left && now >= self.ramp_until && self.leads {
             return Some(Answer::Refused(bucket.book_return(queued.units, wait, now)));
         }
         *before += queued.units;
--- a/src/edge/forward/charge.rs
+++ b/src/edge/forward/charge.rs
@@ -13,6 +13,8 @@
 use crate::edge::routing::SelectedEngine;
 use crate::error::Kind;
 
+/// Wait for units that are not there yet, of a request that is late anyway.
+const MIN_UNIT_WAIT: Duration = Duration::from_millis(100);
 /// Maximum wait for units that are not there yet.
 const MAX_UNIT_WAIT: Duration = Duration::from_millis(400);
 /// Maximum wait while no allocator answers: another one takes over within that time.
@@ -70,7 +72,7 @@
         let goes_on = attempts.persists() || routed.takes_up();
         let wait = match goes_on {
             true => time_left,
-            false => slack.min(MAX_UNIT_WAIT).min(time_left),
+            false => slack.clamp(MIN_UNIT_WAIT, MAX_UNIT_WAIT).min(time_left),
         };
         let silent_wait = match goes_on {
             true => time_left,
--- a/tests/edge/caps.rs
+++ b/tests/edge/caps.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use mastichinge::clock::Moment;
+use mastichinge::edge::caps::packets::CapRound;
 use mastichinge::edge::caps::{CapRules, ChargeState};
 use mastichinge::edge::customers::{Cap, CapUnit, Customer, Customers};
 use mastichinge::edge::desired::DesiredState;
@@ -104,6 +105,8 @@
     demand: [f64; 2],
     /// Caps in force.
     rates: Vec<f64>,
+    /// Whether requests that are sent do not run, and give their units back.
+    returns: bool,
     /// When requests of each customer were sent.
     sent: [Vec<Moment>; 2],
     /// When requests of each customer were refused, and by which host.
@@ -122,6 +125,7 @@
             in_transit: Vec::new(),
             demand: [USUAL; 2],
             rates: RATES.to_vec(),
+            returns: false,
             sent: Default::default(),
             refused: Default::default(),
         };
@@ -289,6 +293,7 @@
                     host.waiting.push((number, customer));
                     continue;
                 }
+                ChargeState::Granted if self.returns => accounts.end(number, false, now),
                 ChargeState::Granted => {
                     self.sent[customer].push(now);
                     accounts.end(number, true, now);
@@ -363,6 +368,31 @@
     assert!(small < 0.75 && large < 0.75, "{small}, {large}");
 }
 
+/// Guards against units that are lost with requests that an engine rejects: a customer would be
+/// refused that has used nothing.
+#[test]
+fn units_of_requests_that_have_not_run_go_back() {
+    let mut network = Network::new(5);
+    network.loss = 0.3;
+    network.demand = [0.0; 2];
+    network.returns = true;
+    network.demand[1] = 3.0;
+    network.run(10_000, |_, _| {});
+    assert_eq!(network.refused[1], []);
+}
+
+/// Guards against packets and state where no customer has a cap.
+#[test]
+fn nothing_is_sent_without_caps() {
+    let mut network = Network::new(2);
+    for host in &mut network.hosts {
+        host.state = State::default();
+        let round = host.state.next_caps(&host.name, true, &RULES, at(9_000));
+        assert_eq!(round, CapRound::default());
+        assert_eq!(host.state.caps_due_in(at(9_000)), None);
+    }
+}
+
 /// Guards against QUOTA around a take-over, at any time of a rise.
 #[test_case(0, 1_500; "ends")]
 #[test_case(0, 4_000; "freezes")]
