--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the edge daemon: decisions, platform adapter and request forwarding.
 
 mod attribution;
+mod cap_refusals;
 mod caps;
 mod client;
 mod connections;
