--- a/src/edge/caps/packets.rs
+++ b/src/edge/caps/packets.rs
@@ -31,6 +31,14 @@
     pub allocator: Option<Arc<str>>,
 }
 
+/// What a host is told.
+#[derive(Debug, Default)]
+struct Reply {
+    answers: Vec<CapAnswer>,
+    /// Customers of which it gets its room.
+    customers: BTreeSet<Arc<str>>,
+}
+
 impl State {
     /// Tells the charges of this host, `own`, to the allocator, and answers those of the hosts
     /// that follow this one. `is_ready` tells whether it serves callers.
@@ -114,7 +122,7 @@
         round: &mut CapRound,
         now: Moment,
     ) {
-        let mut replies: BTreeMap<Arc<str>, (Vec<CapAnswer>, BTreeSet<Arc<str>>)> = BTreeMap::new();
+        let mut replies: BTreeMap<Arc<str>, Reply> = BTreeMap::new();
         for (applicant, customer, answer) in self.ledger.decide(now) {
             match answer {
                 Answer::Granted => round.granted += 1,
@@ -124,20 +132,20 @@
                 round.decided |= self.accounts.record(applicant.number, answer, now);
                 continue;
             }
-            let (answers, customers) = replies.entry(applicant.host).or_default();
-            answers.push(cap_answer(applicant.number, answer));
-            customers.insert(customer);
+            let reply = replies.entry(applicant.host).or_default();
+            reply.answers.push(cap_answer(applicant.number, answer));
+            reply.customers.insert(customer);
         }
         let hosts = self.members.share_count(now);
-        for (host, (cap_answers, customers)) in replies {
+        for (host, reply) in replies {
             let Some(member) = self.members.all.get(&host) else {
                 continue;
             };
             let mut packet = Packet {
-                cap_answers,
+                cap_answers: reply.answers,
                 ..Packet::default()
             };
-            for customer in customers {
+            for customer in reply.customers {
                 packet.cap_levels.push(CapLevel {
                     customer: customer.to_string(),
                     room: self.ledger.room(&customer, rules, hosts, now),
--- a/tests/edge/caps.rs
+++ b/tests/edge/caps.rs
@@ -260,8 +260,8 @@
 
     /// Callers send requests, each to any host.
     fn ask(&mut self) {
-        for customer in 0..self.demand.len() {
-            let mean = self.demand[customer] * RATES[customer] / COST * STEP.as_secs_f64();
+        for (customer, rate) in RATES.iter().enumerate() {
+            let mean = self.demand[customer] * rate / COST * STEP.as_secs_f64();
             let mut count = mean.trunc() as u32;
             count += u32::from(self.rng.random_bool(mean.fract()));
             for _ in 0..count {
@@ -318,10 +318,6 @@
                 let count = window.take_while(|t| **t - *start < RULES.window).count();
                 worst = worst.max(count as f64 * COST);
             }
-            println!(
-                "rate {rate}: worst window {:.3} of the rule",
-                worst / allowed
-            );
             assert!(worst <= allowed, "{worst} of {allowed} at rate {rate}");
         }
     }
@@ -332,9 +328,7 @@
             let refused = self.refused[c].iter().filter(|(t, _)| *t >= from);
             let refused = refused.count() as f64;
             let sent = self.sent[c].iter().filter(|t| **t >= from).count() as f64;
-            let part = refused / (refused + sent).max(1.0);
-            println!("customer {c}: {part:.4} refused");
-            part
+            refused / (refused + sent).max(1.0)
         })
     }
 }
