Send slow idempotent requests of plain services to a second engine

The first answer that is no failure wins; the future of the loser is dropped, which closes its connection. Off unless the settings name a share. Not for services whose engines hold models.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -12,13 +12,14 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::timeout;
 
+use super::early::{self, Tried};
 use super::framing::Framing;
 use super::permit::{seek_permit, seek_renewal};
 use super::relay::{self, OpenError, OpenedResponse};
 use super::response::{Refusal, ResponseBody, Unknown};
 use super::retry::{self, Attempts, MIN_TIME_LEFT, can_retry, record_broken_run, start_retry};
 use super::selection::{select_next, select_permitted};
-use super::send::{EngineResponse, MAX_WHOLE_BYTES, SendOutcome, send};
+use super::send::{EngineResponse, MAX_WHOLE_BYTES, SendOutcome};
 use super::take_up;
 use super::{DeadlineSource, RequestGuard, RoutedRequest, held_cause};
 use crate::edge::admission::{AdmissionDecision, TimeBudget};
@@ -147,22 +148,24 @@
         attempts.waited = routed.age();
         attempts.predicted = choice.first_event;
         let max_silence = response_timeout(routed, &choice);
-        let engine = choice.engine.clone();
-        let fail = |refusal, cause: String| Failure {
-            refusal,
-            cause,
-            engine: engine.clone(),
-        };
-        admit(routed, attempts, &engine).await?;
-        let was_abandoned = attempts.return_to(&engine);
+        admit(routed, attempts, &choice.engine).await?;
+        let was_abandoned = attempts.return_to(&choice.engine);
         attempts.sent += 1;
         if let Some(stream) = attempts.begins(routed) {
             let edge = &routed.edge;
             edge.begin_stream(stream, &routed.service, &choice.software);
         }
-        match send(routed, attempts, &choice, max_silence).await {
+        let tried = early::send_first(routed, attempts, &choice, max_silence).await;
+        let Tried { engine, outcome } = tried;
+        let fail = |refusal, cause: String| Failure {
+            refusal,
+            cause,
+            engine: engine.clone(),
+        };
+        match outcome {
             SendOutcome::Response(engine_response) => return Ok(engine_response),
             SendOutcome::NotRun(status) => {
+                early::record_refused(routed);
                 attempts.record_not_run(&engine, was_abandoned);
                 let cause = format!("the engine rejected the request with {}", status.as_u16());
                 let is_last = attempts.not_run >= MAX_NOT_RUN_ATTEMPTS && !attempts.persists();
--- a/src/edge/forward/evidence.rs
+++ b/src/edge/forward/evidence.rs
@@ -28,6 +28,11 @@
         self.sendings -= 1;
     }
 
+    /// Adds the sendings of a second try at the same request.
+    pub fn merge(&mut self, other: Exposure) {
+        self.sendings += other.sendings;
+    }
+
     /// Returns whether the request may have run.
     pub fn may_have_run(&self) -> bool {
         self.sendings > 0
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod attribution;
+mod early;
 pub mod evidence;
 mod framing;
 mod permit;
@@ -163,6 +164,7 @@
         log::warn!(request, route, status, kind, cause, engine, tries, ms, left_ms, retry_ms,
             version; "request refused");
         self.edge.metrics.record_refusal(refusal.kind());
+        early::record_refused(self);
         refusal.response(&self.headers.id)
     }
 }
--- a/src/edge/forward/retry.rs
+++ b/src/edge/forward/retry.rs
@@ -1,6 +1,8 @@
 //! Attempts of one request, and when it may be sent once more.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -55,6 +57,8 @@
     pub last_event: Option<u64>,
     /// Whether it is a trial of a feature that is held, which has not run.
     pub is_trial: bool,
+    /// Whether it is in progress at two engines, so that no run is abandoned for its silence.
+    pub is_raced: Rc<Cell<bool>>,
     /// Whether it waited for a load.
     pub load_waited: bool,
     /// Its application for a permit to be sent next.
--- a/src/edge/forward/silence.rs
+++ b/src/edge/forward/silence.rs
@@ -81,6 +81,10 @@
         let Some(max_silence) = max_silence else {
             continue;
         };
+        if attempts.is_raced.get() {
+            pause = RECHECK_INTERVAL;
+            continue;
+        }
         let successor = find_successor(routed, attempts, engine, max_silence);
         if let Some(successor) = &successor
             && retry::take_retry(routed, attempts, engine, SILENCE)
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -35,6 +35,7 @@
 pub mod prefix_cache;
 pub mod relays;
 pub mod reopening;
+pub mod repeats;
 pub mod reports;
 pub mod request_headers;
 pub mod retry_budget;
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -15,6 +15,9 @@
 /// Placeholder for the address of a field that the file leaves out.
 const UNSET: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
+/// Maximum share of repeats: that of all retries where the deployment names none.
+const MAX_REPEAT_SHARE: f64 = 0.2;
+
 /// Fields that have no default.
 const REQUIRED: [&str; 7] = [
     "/host",
@@ -48,6 +51,8 @@
     pub placement: PlacementSettings,
     /// Limits of the admission of requests.
     pub admission: AdmissionSettings,
+    /// Repeats before the first try has failed.
+    pub repeats: RepeatSettings,
     /// Features of requests that engines no longer crash on; applied at each reading of this file.
     pub released: Vec<Feature>,
     /// Format and level of logs.
@@ -66,6 +71,7 @@
             engines: EngineSettings::default(),
             placement: PlacementSettings::default(),
             admission: AdmissionSettings::default(),
+            repeats: RepeatSettings::default(),
             released: Vec::new(),
             log: LogSettings {
                 form: LogFormat::Json,
@@ -269,6 +275,21 @@
     }
 }
 
+/// Repeats of requests whose first try has not failed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RepeatSettings {
+    /// Repeats per request that is sent to a service; 0 disables them.
+    pub share: f64,
+}
+
+impl RepeatSettings {
+    /// Returns whether requests are repeated.
+    pub fn is_on(&self) -> bool {
+        self.share > 0.0
+    }
+}
+
 /// Reads and validates the settings file at `path`.
 pub fn load(path: &Path) -> Result<Settings, SettingsError> {
     parse(&read_file(path)?)
@@ -281,13 +302,14 @@
 
 /// Returns an error for each field of a wrong type or an unknown name.
 fn field_errors(value: &Value) -> Vec<FieldError> {
-    const SECTIONS: [&str; 7] = [
+    const SECTIONS: [&str; 8] = [
         "listen",
         "store",
         "bounds",
         "engines",
         "placement",
         "admission",
+        "repeats",
         "log",
     ];
     let mut errors = Vec::new();
@@ -303,6 +325,7 @@
             "bounds" => check_fields::<Bounds>(&path, section, &[], &mut errors),
             "placement" => check_fields::<PlacementSettings>(&path, section, &[], &mut errors),
             "admission" => check_fields::<AdmissionSettings>(&path, section, &[], &mut errors),
+            "repeats" => check_fields::<RepeatSettings>(&path, section, &[], &mut errors),
             "engines" => check_fields::<EngineSettings>(&path, section, &[], &mut errors),
             _ => check_fields::<LogSettings>(&path, section, &[], &mut errors),
         }
@@ -331,5 +354,8 @@
     for (path, number) in positive {
         errors.check(number > 0.0, path, &number, "must be above 0");
     }
+    let share = settings.repeats.share;
+    let is_share = (0.0..=MAX_REPEAT_SHARE).contains(&share);
+    errors.check(is_share, "/repeats/share", &share, "must be from 0 to 0.2");
     errors.0
 }
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -21,6 +21,7 @@
 use super::origins::{OriginWriters, Origins};
 use super::permits::{Allocator, Permits};
 use super::placement::{EngineCall, ModelTarget, PlacementInput, Placer, WaitingRequests};
+use super::repeats::Repeats;
 use super::retry_budget::{RetryBudget, RetryLimits};
 use super::routing::PausedEngine;
 use super::settings::Settings;
@@ -129,6 +130,8 @@
     pub meter: DemandMeter,
     /// Retry budgets by service.
     pub budgets: HashMap<Arc<str>, RetryBudget>,
+    /// Answer times, and the repeats that may be sent before a first try has failed.
+    pub repeats: Repeats,
     /// Requests that crash engines.
     pub suspects: Suspects,
     /// Versions at which streams began.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -40,6 +40,8 @@
     worth: Counter<f64>,
     refused: Counter<u64>,
     retries: Counter<u64>,
+    repeats: Counter<u64>,
+    repeats_denied: Counter<u64>,
     connections_ended: Counter<u64>,
     engine_responses: Counter<u64>,
     engine_statements: Counter<u64>,
@@ -101,6 +103,16 @@
             worth: float_counter(&m, "worth", "Sum of the worth of requests answered whole"),
             refused: counter(&m, "refused", "Requests refused, by kind"),
             retries: counter(&m, "retries", "Further attempts at an upstream"),
+            repeats: counter(
+                &m,
+                "repeats",
+                "Requests repeated before the first try had failed, by outcome",
+            ),
+            repeats_denied: counter(
+                &m,
+                "repeats_denied",
+                "Slow requests that were not repeated, by cause",
+            ),
             connections_ended: counter(
                 &m,
                 "connections_ended",
@@ -218,6 +230,16 @@
         self.retries.add(1, &[]);
     }
 
+    /// Counts a repeat that was sent before the first try had failed, or its outcome.
+    pub fn record_repeat(&self, outcome: &'static str) {
+        self.repeats.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a slow request that was not repeated.
+    pub fn record_repeat_denial(&self, cause: &'static str) {
+        self.repeats_denied.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Counts a caller's connection that this host ended.
     pub fn record_connection_end(&self, cause: &'static str) {
         self.connections_ended
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -35,6 +35,7 @@
 mod rate_statements;
 mod rates;
 mod reopening;
+mod repeats;
 mod requests;
 mod retry_budget;
 mod several_daemons;
