--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod attribution;
 mod charge;
+mod early;
 pub mod evidence;
 mod framing;
 mod keys;
@@ -181,6 +182,7 @@
         log::warn!(request, route, status, kind, cause, engine, tries, ms, left_ms, retry_ms,
             version, customer; "request refused");
         self.edge.metrics.record_refusal(refusal.kind());
+        early::record_refused(self);
         refusal.response(&self.headers.id)
     }
 }
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -39,6 +39,7 @@
 mod rate_statements;
 mod rates;
 mod reopening;
+mod repeats;
 mod requests;
 mod retry_budget;
 mod several_daemons;
