Bound what is held for callers that do not read

Cause: up to 16 parts of a response waited for its caller, of any size, and the engine was left unread until the deadline. Now a chunk counts until it is written to the socket, for its response and for the host; the engine is left unread for a bounded time, and a response that nobody reads is cut. Tests of the decision, of the account and with a daemon.

--- a/src/edge/caller_stream.rs
+++ b/src/edge/caller_stream.rs
@@ -38,6 +38,15 @@
         self.stream.peek().is_ok_and(|n| n > 0)
     }
 
+    /// Records what became of a write.
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        match written {
+            Poll::Pending => self.connection.record_blocked(),
+            Poll::Ready(Ok(_)) => self.connection.record_written(),
+            Poll::Ready(Err(_)) => {}
+        }
+    }
+
     /// Writes `bytes` as far as the send buffer has room.
     pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
         self.stream.try_write(bytes)
@@ -65,11 +74,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
-        if self.connection.phase() == Phase::Response {
-            self.connection.restart();
-        }
-        Poll::Ready(Ok(written))
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.record_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -77,11 +84,9 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, slices))?;
-        if self.connection.phase() == Phase::Response {
-            self.connection.restart();
-        }
-        Poll::Ready(Ok(written))
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/edge/connections.rs
+++ b/src/edge/connections.rs
@@ -71,6 +71,8 @@
     /// Maximum size of a request head, bytes.
     head_bytes: usize,
     response: Duration,
+    /// Limit on writing nothing of a response whose end has not been reached.
+    blocked: Duration,
 }
 
 impl PhaseLimits {
@@ -82,6 +84,21 @@
             head: limits.head_time,
             head_bytes: limits.head,
             response: limits.idle,
+            blocked: limits.idle,
+        }
+    }
+
+    /// Returns these limits where a caller may take nothing for `unread` while as much is held
+    /// for callers as may be.
+    pub fn with_unread(self, unread: Duration, is_full: bool) -> Self {
+        let (response, blocked) = match is_full {
+            true => (self.response.min(unread), unread),
+            false => (self.response, self.blocked.max(unread)),
+        };
+        PhaseLimits {
+            response,
+            blocked,
+            ..self
         }
     }
 
@@ -108,6 +125,8 @@
     ends_response: Cell<bool>,
     /// Limit of a request head that the buffer allows, bytes.
     head_bytes: Cell<usize>,
+    /// Since when no byte of the response could be written.
+    blocked_at: Cell<Option<Moment>>,
     end: Cell<Option<EndCause>>,
     end_wake: Notify,
 }
@@ -121,6 +140,7 @@
             cut_short: Cell::default(),
             ends_response: Cell::default(),
             head_bytes: Cell::new(head_bytes),
+            blocked_at: Cell::default(),
             end: Cell::default(),
             end_wake: Notify::new(),
         }
@@ -174,6 +194,23 @@
         self.end.set(None);
     }
 
+    /// Records that nothing can be written now.
+    pub fn record_blocked(&self) {
+        if self.blocked_at.get().is_none() {
+            self.blocked_at.set(Some(clock::now()));
+        }
+    }
+
+    /// Records that bytes of a response were written.
+    pub fn record_written(&self) {
+        if self.blocked_at.take().is_some() {
+            self.expired.set(false);
+        }
+        if self.phase() == Phase::Response {
+            self.restart();
+        }
+    }
+
     /// Voids a decision to end the connection.
     pub fn clear_end(&self) {
         self.end.set(None);
@@ -194,11 +231,18 @@
         self.phase.get() == Phase::Idle && self.age() >= MIN_REPLACED_IDLE
     }
 
-    fn end(&self, cause: EndCause) {
+    /// Ends the connection.
+    pub fn end(&self, cause: EndCause) {
         self.end.set(Some(cause));
         self.end_wake.notify_one();
     }
 
+    /// Returns for how long nothing could be written.
+    fn blocked_age(&self) -> Duration {
+        let at = self.blocked_at.get();
+        at.map_or(Duration::ZERO, |at| clock::now().saturating_sub(at))
+    }
+
     /// Ends the connection if its phase is too long, which takes two checks: after a
     /// suspension of the process, bytes that have arrived are read between them.
     fn check(&self, limits: &PhaseLimits) {
@@ -209,11 +253,15 @@
         let (limit, cause) = match self.phase.get() {
             Phase::Idle => (limits.idle, limits.idle_cause),
             Phase::Head => (limits.head, EndCause::UnfinishedHead),
-            Phase::Request => return,
+            Phase::Request => (limits.blocked, EndCause::UnreadResponse),
             Phase::Response => (limits.response, EndCause::UnreadResponse),
             Phase::Discard => (DISCARD_TIME, EndCause::UnreadRequest),
         };
-        if self.age() <= limit {
+        let age = match self.phase.get() {
+            Phase::Request => self.blocked_age(),
+            _ => self.age(),
+        };
+        if age <= limit {
             return;
         }
         if self.expired.replace(true) && self.end.get().is_none() {
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -10,11 +10,10 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use super::attempt;
-use super::response::{BodyPart, ResponseBody};
+use super::response::{CallerGone, PartSender, ResponseBody};
 use super::retry::{self, Attempts};
 use super::send::EngineResponse;
 use super::silence::{self, Awaited, Run};
@@ -25,11 +24,10 @@
 use crate::edge::clock;
 use crate::edge::exchange::Recipient;
 use crate::edge::in_flight::InFlightGuard;
+use crate::edge::slow_readers::UnreadCause;
 use crate::edge::suspects::Progress;
 use crate::platform::headers;
 
-/// Maximum number of parts of a response that wait for the caller to read.
-const MAX_WAITING_PARTS: usize = 16;
 /// Multiple of the route's maximum gap between events after which a silent stream is
 /// resumed at another engine.
 const SILENCE_GAP_FACTOR: u32 = 3;
@@ -140,7 +138,7 @@
     attempts: Attempts,
     active: RequestGuard,
 ) -> Response<ResponseBody> {
-    let (part_sender, parts) = mpsc::channel(MAX_WAITING_PARTS);
+    let (part_sender, body) = PartSender::new(&routed.edge.held_bytes);
     let EngineStream {
         head,
         source,
@@ -159,13 +157,13 @@
         edge.metrics.add_streams(-1);
         drop(active);
     });
-    Response::from_parts(head, ResponseBody::Parts(parts))
+    Response::from_parts(head, body)
 }
 
 /// Relays one stream to its caller.
 struct StreamRelay {
     routed: Rc<RoutedRequest>,
-    part_sender: mpsc::Sender<BodyPart>,
+    part_sender: PartSender,
     attempts: Attempts,
 }
 
@@ -176,6 +174,8 @@
     Complete,
     /// The caller disconnected.
     CallerGone,
+    /// The caller did not read.
+    Unread(UnreadCause),
     /// The deadline passed.
     DeadlinePassed,
     /// The stream broke, and no other engine could resume it.
@@ -204,6 +204,10 @@
                 routed.log_outcome("cancelled by the caller", status, &engine, attempts);
                 return;
             }
+            StreamEnd::Unread(cause) => {
+                record_unread(&routed, &engine, &self.part_sender, cause);
+                routed.log_outcome("unread by the caller", status, &engine, attempts);
+            }
             StreamEnd::DeadlinePassed => {
                 routed.log_outcome("truncated at its deadline", status, &engine, attempts);
             }
@@ -230,7 +234,7 @@
             return end;
         }
         if ended {
-            return self.complete(source).await;
+            return self.complete(source);
         }
         let mut settled = false;
         loop {
@@ -263,10 +267,10 @@
                     continue;
                 }
                 Awaited::Response(StreamItem::End(rest)) => {
-                    if let Err(end) = self.send_chunk(rest).await {
-                        return end;
+                    if self.send(rest).is_err() {
+                        return StreamEnd::CallerGone;
                     }
-                    return self.complete(source).await;
+                    return self.complete(source);
                 }
                 Awaited::Response(StreamItem::Broken(cause)) => {
                     let (routed, attempts) = (&self.routed, &mut self.attempts);
@@ -299,27 +303,33 @@
         source.is_resumable().then_some(max_silence)
     }
 
-    /// Completes the stream once the caller has room for its end.
-    async fn complete(&self, source: StreamSource) -> StreamEnd {
+    /// Completes the stream.
+    fn complete(&self, source: StreamSource) -> StreamEnd {
         if source.is_answered() {
             self.routed.edge.record_answered(&self.routed.features);
         }
         source.finish();
-        match self.part_sender.send(BodyPart::End).await {
+        match self.part_sender.end() {
             Ok(()) => StreamEnd::Complete,
-            Err(_) => StreamEnd::CallerGone,
+            Err(CallerGone) => StreamEnd::CallerGone,
         }
     }
 
-    /// Sends bytes to the caller, who has until the deadline to read them.
-    async fn send_chunk(&self, bytes: Bytes) -> Result<(), StreamEnd> {
-        if bytes.is_empty() {
-            return Ok(());
+    /// Sends bytes to the caller.
+    fn send(&self, bytes: Bytes) -> Result<(), CallerGone> {
+        match bytes.is_empty() {
+            true => Ok(()),
+            false => self.part_sender.send(bytes),
         }
-        let chunk = self.part_sender.send(BodyPart::Chunk(bytes));
-        match timeout(self.routed.time_left(), chunk).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(StreamEnd::CallerGone),
+    }
+
+    /// Sends bytes to the caller, and waits until more may be read, until the deadline at most.
+    async fn send_chunk(&self, bytes: Bytes) -> Result<(), StreamEnd> {
+        self.send(bytes).map_err(|_| StreamEnd::CallerGone)?;
+        let limits = self.routed.edge.hold_limits();
+        let room = self.part_sender.room(&limits);
+        match timeout(self.routed.time_left(), room).await {
+            Ok(room) => room.map_err(StreamEnd::Unread),
             Err(_) => Err(StreamEnd::DeadlinePassed),
         }
     }
@@ -362,16 +372,21 @@
     connection: Connection,
     in_flight: InFlightGuard,
 ) -> OpenedResponse {
-    let (part_sender, parts) = mpsc::channel(MAX_WAITING_PARTS);
+    let (part_sender, relayed_body) = PartSender::new(&routed.edge.held_bytes);
     let routed = routed.clone();
     tokio::task::spawn_local(async move {
-        let relayed = timeout(routed.time_left(), relay_parts(body, &part_sender)).await;
+        let relayed = timeout(routed.time_left(), relay_parts(&routed, body, &part_sender)).await;
         let cause = match relayed {
             Ok(Ok(())) => {
                 in_flight.record_outcome(true);
                 return;
             }
-            Ok(Err(error)) => {
+            Ok(Err(BodyEnd::Unread(cause))) => {
+                in_flight.record_outcome(true);
+                record_unread(&routed, &in_flight.engine, &part_sender, cause);
+                return;
+            }
+            Ok(Err(BodyEnd::Broken(error))) => {
                 in_flight.record_outcome(false);
                 in_flight.record_end();
                 let Recipient { lifetime, addr } = in_flight.recipient();
@@ -388,29 +403,60 @@
         let request = &*routed.headers.id;
         log::warn!(request, engine = &*in_flight.engine, cause; "long response truncated");
     });
-    OpenedResponse::Complete(Response::from_parts(head, ResponseBody::Parts(parts)))
+    OpenedResponse::Complete(Response::from_parts(head, relayed_body))
+}
+
+/// Why the relay of a long response ended before its end.
+#[derive(Debug)]
+enum BodyEnd {
+    /// The connection to the engine broke.
+    Broken(hyper::Error),
+    /// The caller did not read.
+    Unread(UnreadCause),
 }
 
 /// Relays the parts of a body until its end, or until the caller disconnects.
 async fn relay_parts(
+    routed: &RoutedRequest,
     mut body: Incoming,
-    part_sender: &mpsc::Sender<BodyPart>,
-) -> Result<(), hyper::Error> {
+    part_sender: &PartSender,
+) -> Result<(), BodyEnd> {
     loop {
         let frame = tokio::select! {
             frame = body.frame() => frame,
             () = part_sender.closed() => return Ok(()),
         };
-        let part = match frame.transpose()? {
-            None => BodyPart::End,
-            Some(frame) => match frame.into_data() {
-                Ok(data) => BodyPart::Chunk(data),
-                Err(_) => continue,
-            },
+        let Some(frame) = frame.transpose().map_err(BodyEnd::Broken)? else {
+            // The caller may have disconnected, which needs no more work.
+            let _ = part_sender.end();
+            return Ok(());
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
         };
-        let ended = part == BodyPart::End;
-        if part_sender.send(part).await.is_err() || ended {
+        if part_sender.send(data).is_err() {
             return Ok(());
         }
+        let limits = routed.edge.hold_limits();
+        tokio::select! {
+            biased;
+            room = part_sender.room(&limits) => room.map_err(BodyEnd::Unread)?,
+            () = part_sender.closed() => return Ok(()),
+        }
     }
 }
+
+/// Records that a response ended because its caller did not read it.
+fn record_unread(
+    routed: &RoutedRequest,
+    engine: &str,
+    part_sender: &PartSender,
+    cause: UnreadCause,
+) {
+    let request = &*routed.headers.id;
+    let cause: &'static str = cause.into();
+    let held = part_sender.held();
+    let held_by_host = routed.edge.held_bytes.get();
+    log::warn!(request, engine, cause, held, held_by_host; "response ended unread");
+    routed.edge.metrics.record_unread_response(cause);
+}
--- a/src/edge/forward/response.rs
+++ b/src/edge/forward/response.rs
@@ -1,15 +1,19 @@
 //! Responses to callers.
 
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use http::{Response, StatusCode, header};
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
 use super::evidence::Promise;
+use crate::edge::connections::Connection;
+use crate::edge::held_bytes::{HeldBytes, HeldChunk, Outlet};
+use crate::edge::slow_readers::{HoldLimits, UnreadCause};
 use crate::error::Kind;
 use crate::platform::headers;
 
@@ -22,10 +26,10 @@
 pub struct Truncated;
 
 /// Part of a body that is relayed as it arrives.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum BodyPart {
     /// Some of its bytes.
-    Chunk(Bytes),
+    Chunk(HeldChunk),
     /// Its end.
     End,
 }
@@ -37,20 +41,99 @@
     Whole(Option<Bytes>),
     /// Parts as they arrive; dropping the receiver ends the task that sends them. The body
     /// is truncated if they end without [`BodyPart::End`].
-    Parts(mpsc::Receiver<BodyPart>),
+    Parts(mpsc::UnboundedReceiver<BodyPart>, Rc<Outlet>),
+    /// The whole body, counted as held, or nothing once it was read.
+    Held(Option<HeldChunk>),
+}
+
+impl ResponseBody {
+    /// Counts the body as held until it is written to `connection`.
+    pub fn held(self, host: &Rc<HeldBytes>, connection: &Rc<Connection>) -> Self {
+        match self {
+            ResponseBody::Whole(Some(bytes)) => {
+                ResponseBody::Held(Some(Outlet::new(host).hold(bytes)))
+            }
+            ResponseBody::Parts(parts, outlet) => {
+                outlet.set_connection(connection);
+                ResponseBody::Parts(parts, outlet)
+            }
+            body => body,
+        }
+    }
+}
+
+/// Sends the parts of a response to its caller; what the caller has not read is bounded by
+/// waiting for [`PartSender::room`] before more is read.
+#[derive(Clone, Debug)]
+pub struct PartSender {
+    parts: mpsc::UnboundedSender<BodyPart>,
+    outlet: Rc<Outlet>,
+}
+
+/// The caller has disconnected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerGone;
+
+impl PartSender {
+    /// Creates a sender and the body that it sends.
+    pub fn new(host: &Rc<HeldBytes>) -> (Self, ResponseBody) {
+        let (sender, parts) = mpsc::unbounded_channel();
+        let outlet = Outlet::new(host);
+        let body = ResponseBody::Parts(parts, outlet.clone());
+        let sender = PartSender {
+            parts: sender,
+            outlet,
+        };
+        (sender, body)
+    }
+
+    /// Sends bytes.
+    pub fn send(&self, bytes: Bytes) -> Result<(), CallerGone> {
+        let chunk = BodyPart::Chunk(self.outlet.hold(bytes));
+        self.parts.send(chunk).map_err(|_| CallerGone)
+    }
+
+    /// Sends the end of the body.
+    pub fn end(&self) -> Result<(), CallerGone> {
+        self.parts.send(BodyPart::End).map_err(|_| CallerGone)
+    }
+
+    /// Waits until the next part may be read. If the caller does not make room for it, the
+    /// caller's connection is ended.
+    pub async fn room(&self, limits: &HoldLimits) -> Result<(), UnreadCause> {
+        let room = self.outlet.room(limits).await;
+        if room.is_err() {
+            self.outlet.cut();
+        }
+        room
+    }
+
+    /// Returns the number of bytes that the caller has not read.
+    pub fn held(&self) -> u64 {
+        self.outlet.held()
+    }
+
+    /// Waits until the caller has disconnected.
+    pub async fn closed(&self) {
+        self.parts.closed().await;
+    }
 }
 
 impl Body for ResponseBody {
-    type Data = Bytes;
+    type Data = HeldChunk;
     type Error = Truncated;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+    ) -> Poll<Option<Result<Frame<HeldChunk>, Truncated>>> {
         match self.get_mut() {
-            ResponseBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            ResponseBody::Parts(parts) => match ready!(parts.poll_recv(cx)) {
+            ResponseBody::Whole(bytes) => {
+                let chunk = bytes.take().map(|b| Outlet::new(&Rc::default()).hold(b));
+                Poll::Ready(chunk.map(|c| Ok(Frame::data(c))))
+            }
+            ResponseBody::Held(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            ResponseBody::Parts(parts, _) => match ready!(parts.poll_recv(cx)) {
                 Some(BodyPart::Chunk(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
                 Some(BodyPart::End) => Poll::Ready(None),
                 None => Poll::Ready(Some(Err(Truncated))),
@@ -59,7 +142,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, ResponseBody::Whole(None))
+        matches!(self, ResponseBody::Whole(None) | ResponseBody::Held(None))
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -67,7 +150,10 @@
             ResponseBody::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            ResponseBody::Parts(_) => SizeHint::default(),
+            ResponseBody::Held(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.remaining() as u64))
+            }
+            ResponseBody::Parts(..) => SizeHint::default(),
         }
     }
 }
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -121,7 +121,7 @@
                 Err(_) => return,
             },
             () = sleep_until(check_at), if !connections.is_empty() => {
-                connections.check(&PhaseLimits::accepting(&acceptor.limits()));
+                connections.check(&acceptor.phase_limits(PhaseLimits::accepting));
                 check_at = Instant::now() + CHECK_PERIOD;
                 continue;
             }
@@ -139,7 +139,7 @@
     while !connections.is_empty() {
         // The last check may have been just now, after a suspension.
         tokio::time::sleep(CLOSING_CHECK_PERIOD).await;
-        connections.check(&PhaseLimits::closing(&acceptor.limits()));
+        connections.check(&acceptor.phase_limits(PhaseLimits::closing));
     }
 }
 
@@ -158,6 +158,13 @@
         self.edge.state.borrow().desired.limits
     }
 
+    /// Returns how long connections may stay in their phases now.
+    fn phase_limits(&self, of: impl Fn(&RequestLimits) -> PhaseLimits) -> PhaseLimits {
+        let held = self.edge.hold_limits();
+        let is_full = held.is_full(self.edge.held_bytes.get());
+        of(&self.limits()).with_unread(held.unread, is_full)
+    }
+
     /// Starts to serve the connections that wait to be accepted, which the kernel would
     /// reset, and closes the listener.
     fn accept_backlog(&self, listener: TcpListener) {
@@ -323,7 +330,10 @@
         connection.end_response_by_close();
         accepted.stream.reset_on_close(true);
     }
-    Ok(response.map(|body| TrackedBody::new(body, connection.clone())))
+    Ok(response.map(|body| {
+        let body = body.held(&edge.held_bytes, connection);
+        TrackedBody::new(body, connection.clone())
+    }))
 }
 
 /// Responds to a query about this host.
@@ -352,6 +362,7 @@
             response::text_response(StatusCode::SERVICE_UNAVAILABLE, TEXT, text)
         }
         Some(HostQuery::Metrics) => {
+            edge.metrics.set_held_bytes(edge.held_bytes.get());
             response::text_response(StatusCode::OK, TEXT, edge.metrics.prometheus_text())
         }
         None => response::text_response(StatusCode::NOT_FOUND, TEXT, "not found\n".to_owned()),
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -21,6 +21,7 @@
 pub mod fleet;
 pub mod forward;
 pub mod gossip;
+pub mod held_bytes;
 pub mod in_flight;
 pub mod leader;
 pub mod leadership;
@@ -42,6 +43,7 @@
 pub mod settings;
 pub mod shared_stream;
 pub mod shutdown;
+pub mod slow_readers;
 pub mod state;
 pub mod statements;
 pub mod store;
@@ -115,6 +117,7 @@
         shutdown: Cell::default(),
         activity: RefCell::new(Activity::new(clock::now())),
         body_bytes: Cell::default(),
+        held_bytes: Rc::default(),
         state: RefCell::default(),
         changed: tokio::sync::watch::Sender::new(0),
         send_wake: Notify::new(),
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -48,6 +48,8 @@
     pub placement: PlacementSettings,
     /// Limits of the admission of requests.
     pub admission: AdmissionSettings,
+    /// Limits of what is held for callers that do not read.
+    pub slow_readers: SlowReaderSettings,
     /// Features of requests that engines no longer crash on; applied at each reading of this file.
     pub released: Vec<Feature>,
     /// Format and level of logs.
@@ -66,6 +68,7 @@
             engines: EngineSettings::default(),
             placement: PlacementSettings::default(),
             admission: AdmissionSettings::default(),
+            slow_readers: SlowReaderSettings::default(),
             released: Vec::new(),
             log: LogSettings {
                 form: LogFormat::Json,
@@ -269,6 +272,32 @@
     }
 }
 
+/// Limits of what is held for callers that do not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SlowReaderSettings {
+    /// Time for which an engine is left unread while its caller takes nothing, ms.
+    pub engine_wait_ms: u64,
+    /// Time for which a caller may take nothing before its response ends, ms; applies once
+    /// one of the accounts below is full.
+    pub unread_ms: u64,
+    /// Bytes held for one response, kB; a part of the memory by default.
+    pub connection_kb: Option<u64>,
+    /// Bytes held for all responses, kB; a part of the memory by default.
+    pub host_kb: Option<u64>,
+}
+
+impl Default for SlowReaderSettings {
+    fn default() -> Self {
+        SlowReaderSettings {
+            engine_wait_ms: 1_000,
+            unread_ms: 3_000,
+            connection_kb: None,
+            host_kb: None,
+        }
+    }
+}
+
 /// Reads and validates the settings file at `path`.
 pub fn load(path: &Path) -> Result<Settings, SettingsError> {
     parse(&read_file(path)?)
@@ -281,13 +310,14 @@
 
 /// Returns an error for each field of a wrong type or an unknown name.
 fn field_errors(value: &Value) -> Vec<FieldError> {
-    const SECTIONS: [&str; 7] = [
+    const SECTIONS: [&str; 8] = [
         "listen",
         "store",
         "bounds",
         "engines",
         "placement",
         "admission",
+        "slow_readers",
         "log",
     ];
     let mut errors = Vec::new();
@@ -303,6 +333,9 @@
             "bounds" => check_fields::<Bounds>(&path, section, &[], &mut errors),
             "placement" => check_fields::<PlacementSettings>(&path, section, &[], &mut errors),
             "admission" => check_fields::<AdmissionSettings>(&path, section, &[], &mut errors),
+            "slow_readers" => {
+                check_fields::<SlowReaderSettings>(&path, section, &[], &mut errors);
+            }
             "engines" => check_fields::<EngineSettings>(&path, section, &[], &mut errors),
             _ => check_fields::<LogSettings>(&path, section, &[], &mut errors),
         }
@@ -327,6 +360,14 @@
         ("/bounds/retry_window_s", bounds.retry_window_s),
         ("/bounds/ceiling_window_s", bounds.ceiling_window_s),
         ("/engines/prefill_per_ms", settings.engines.prefill_per_ms),
+        (
+            "/slow_readers/engine_wait_ms",
+            settings.slow_readers.engine_wait_ms as f64,
+        ),
+        (
+            "/slow_readers/unread_ms",
+            settings.slow_readers.unread_ms as f64,
+        ),
     ];
     for (path, number) in positive {
         errors.check(number > 0.0, path, &number, "must be above 0");
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -15,6 +15,7 @@
 use super::desired::DesiredState;
 use super::fleet::Fleet;
 use super::gossip::PromptNote;
+use super::held_bytes::HeldBytes;
 use super::leadership::{Leadership, PeerReach};
 use super::load_forecast::LoadForecast;
 use super::members::Members;
@@ -25,6 +26,7 @@
 use super::routing::PausedEngine;
 use super::settings::Settings;
 use super::shutdown::Shutdown;
+use super::slow_readers::HoldLimits;
 use super::store::StoreClient;
 use super::suspects::{LeftRuns, PendingEnds, Suspects};
 use super::unreachable::Cause;
@@ -80,6 +82,8 @@
     pub activity: RefCell<Activity>,
     /// Bytes of callers' bodies that are buffered.
     pub body_bytes: Cell<u64>,
+    /// Bytes held for callers that have not read them.
+    pub held_bytes: Rc<HeldBytes>,
     /// Mutable state.
     pub state: RefCell<State>,
     /// Incremented with each change that may let a waiting request proceed.
@@ -185,6 +189,12 @@
         self.settings.borrow().clone()
     }
 
+    /// Returns the limits of what is held for callers.
+    pub fn hold_limits(&self) -> HoldLimits {
+        let settings = self.settings.borrow();
+        HoldLimits::new(&settings.slow_readers, settings.memory_mb)
+    }
+
     /// Returns whether this daemon is ready for callers.
     pub fn is_ready(&self) -> bool {
         self.phase.get() == DaemonPhase::Serving
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -41,6 +41,8 @@
     refused: Counter<u64>,
     retries: Counter<u64>,
     connections_ended: Counter<u64>,
+    held_bytes: Gauge<u64>,
+    unread_responses: Counter<u64>,
     engine_responses: Counter<u64>,
     engine_statements: Counter<u64>,
     permits: Counter<u64>,
@@ -106,6 +108,16 @@
                 "connections_ended",
                 "Callers' connections ended by this host, by cause",
             ),
+            held_bytes: gauge(
+                &m,
+                "held_bytes",
+                "Bytes of responses held for callers that have not read them",
+            ),
+            unread_responses: counter(
+                &m,
+                "unread_responses",
+                "Responses ended because their callers did not read them, by the full account",
+            ),
             engine_responses: counter(
                 &m,
                 "engine_responses",
@@ -224,6 +236,17 @@
             .add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Sets the number of bytes held for callers.
+    pub fn set_held_bytes(&self, bytes: u64) {
+        self.held_bytes.record(bytes, &[]);
+    }
+
+    /// Counts a response that ended because its caller did not read it.
+    pub fn record_unread_response(&self, cause: &'static str) {
+        self.unread_responses
+            .add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Counts an engine's response, on a connection that had carried `earlier` before.
     pub fn record_engine_response(&self, attribution: &'static str, earlier: &'static str) {
         let labels = [
--- a/tests/edge/fakes/daemon.rs
+++ b/tests/edge/fakes/daemon.rs
@@ -165,6 +165,15 @@
         exchange(stream, &request.bytes(true))
     }
 
+    /// Returns the most memory that the process has used, kB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let number = line.unwrap().trim().trim_end_matches(" kB");
+        number.parse().unwrap()
+    }
+
     /// Applies a change to the settings file.
     pub fn write_settings(&self, change: impl Fn(&mut Value)) {
         let text = std::fs::read_to_string(&self.settings).unwrap();
--- a/tests/edge/fakes/engine/behavior.rs
+++ b/tests/edge/fakes/engine/behavior.rs
@@ -74,6 +74,8 @@
     BreaksCalls,
     /// Answers with a long length, sends a part of the body, and then nothing.
     LongSilent,
+    /// Answers with this number of bytes, as fast as they are read.
+    Long(usize),
 }
 
 /// Where an engine sends bytes without end.
--- a/tests/edge/fakes/engine/runs.rs
+++ b/tests/edge/fakes/engine/runs.rs
@@ -13,6 +13,9 @@
 };
 use crate::fakes::{ReceivedRequest, write_response};
 
+/// Unit in which a long answer is written, bytes.
+pub const LONG_BLOCK_BYTES: usize = 16_384;
+
 impl Engine {
     /// Runs a request, or rejects it, as the engine behaves.
     pub(super) async fn run_request(
@@ -110,6 +113,15 @@
                 );
                 return stream.write_all(response.as_bytes()).await;
             }
+            Behavior::Long(size) => {
+                let head = format!("{}Content-Length: {size}\r\n\r\n", signed_head(&id));
+                stream.write_all(head.as_bytes()).await?;
+                let block = [b'x'; LONG_BLOCK_BYTES];
+                for _ in 0..size / LONG_BLOCK_BYTES {
+                    stream.write_all(&block).await?;
+                }
+                return Ok(());
+            }
             Behavior::LongSilent => {
                 let head = signed_head(&id) + "Content-Length: 1000000\r\n\r\npart";
                 stream.write_all(head.as_bytes()).await?;
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -41,6 +41,7 @@
 mod shutdown;
 mod silence;
 mod site;
+mod slow_readers;
 mod software_versions;
 mod statements;
 mod store_eras;
--- a/tests/edge/stream_ends.rs
+++ b/tests/edge/stream_ends.rs
@@ -4,12 +4,13 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use mastichinge::edge::forward::response::{BodyPart, ResponseBody, Truncated};
+use mastichinge::edge::forward::response::{PartSender, Truncated};
 use test_case::test_case;
 use tokio::runtime::Builder;
-use tokio::sync::mpsc;
 
 use crate::fakes::Framing;
 use crate::fakes::daemon::{Request, WAIT_TIMEOUT, wait};
@@ -178,22 +179,22 @@
     assert_streams_are_resumed(&site, Behavior::ResetAfter(2));
 }
 
-/// Reads a relayed body whose sender sends these parts and goes.
-fn read_parts(parts: &[BodyPart]) -> Result<Bytes, Truncated> {
-    let (sender, receiver) = mpsc::channel(parts.len());
-    for part in parts {
-        sender.try_send(part.clone()).unwrap();
+/// Reads a relayed body whose sender sends some bytes, then its end if `ends`, and goes.
+fn read_relayed(ends: bool) -> Result<Bytes, Truncated> {
+    let (sender, body) = PartSender::new(&Rc::default());
+    sender.send("some".into()).unwrap();
+    if ends {
+        sender.end().unwrap();
     }
     drop(sender);
     let runtime = Builder::new_current_thread().build().unwrap();
-    let body = runtime.block_on(ResponseBody::Parts(receiver).collect());
+    let body = runtime.block_on(body.collect());
     body.map(|b| b.to_bytes())
 }
 
 /// Guards against ORDER when a relay ends without saying that its body is complete.
 #[test]
 fn a_relayed_body_is_complete_only_after_its_end() {
-    let chunk = BodyPart::Chunk("some".into());
-    assert_eq!(read_parts(std::slice::from_ref(&chunk)), Err(Truncated));
-    assert_eq!(read_parts(&[chunk, BodyPart::End]), Ok("some".into()));
+    assert_eq!(read_relayed(false), Err(Truncated));
+    assert_eq!(read_relayed(true), Ok("some".into()));
 }
