--- a/src/edge/held_bytes.rs
+++ b/src/edge/held_bytes.rs
@@ -31,8 +31,8 @@
 pub struct Outlet {
     host: Rc<HeldBytes>,
     held: Cell<u64>,
-    /// When the caller last took bytes, or the first byte was held.
-    taken_at: Cell<Moment>,
+    /// Since when the caller has taken nothing while the engine waited for it.
+    unread_since: Cell<Option<Moment>>,
     taken: Notify,
     /// The caller's connection, once the response is written to it.
     connection: RefCell<Option<Rc<Connection>>>,
@@ -44,7 +44,7 @@
         Rc::new(Outlet {
             host: host.clone(),
             held: Cell::default(),
-            taken_at: Cell::new(clock::now()),
+            unread_since: Cell::default(),
             taken: Notify::new(),
             connection: RefCell::default(),
         })
@@ -58,9 +58,6 @@
     /// Counts `bytes` until the chunk is dropped.
     pub fn hold(self: &Rc<Self>, bytes: Bytes) -> HeldChunk {
         let counted = bytes.len() as u64 + CHUNK_OVERHEAD_BYTES;
-        if self.held.get() == 0 {
-            self.taken_at.set(clock::now());
-        }
         self.held.set(self.held.get() + counted);
         self.host.0.set(self.host.0.get() + counted);
         HeldChunk {
@@ -78,16 +75,17 @@
     /// Waits until the next part of the response may be read from its engine; the error says
     /// that the response has to end.
     pub async fn room(&self, limits: &HoldLimits) -> Result<(), UnreadCause> {
+        let mut held = self.amounts();
+        if limits.decide(&held) == Next::Read {
+            return Ok(());
+        }
         let since = clock::now();
         loop {
             let now = clock::now();
-            let taken_at = self.taken_at.get();
-            let held = Held {
-                response: self.held.get(),
-                host: self.host.get(),
-                paused: now.saturating_sub(taken_at.max(since)),
-                unread: now.saturating_sub(taken_at),
-            };
+            let unread_since = self.unread_since.get().unwrap_or(now);
+            self.unread_since.set(Some(unread_since));
+            held.paused = now.saturating_sub(unread_since.max(since));
+            held.unread = now.saturating_sub(unread_since);
             match limits.decide(&held) {
                 Next::Read => return Ok(()),
                 Next::Wait(left) => {
@@ -96,6 +94,7 @@
                 }
                 Next::End(cause) => return Err(cause),
             }
+            held = self.amounts();
         }
     }
 
@@ -106,8 +105,17 @@
         }
     }
 
+    /// Returns what is held now.
+    fn amounts(&self) -> Held {
+        Held {
+            response: self.held.get(),
+            host: self.host.get(),
+            ..Held::default()
+        }
+    }
+
     fn record_taken(&self) {
-        self.taken_at.set(clock::now());
+        self.unread_since.set(None);
         self.taken.notify_one();
     }
 }
