--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -54,6 +54,8 @@
     pub admission: AdmissionSettings,
     /// Repeats before the first try has failed.
     pub repeats: RepeatSettings,
+    /// Limits of what is held for callers that do not read.
+    pub slow_readers: SlowReaderSettings,
     /// Features of requests that engines no longer crash on; applied at each reading of this file.
     pub released: Vec<Feature>,
     /// Format and level of logs.
@@ -73,6 +75,7 @@
             placement: PlacementSettings::default(),
             admission: AdmissionSettings::default(),
             repeats: RepeatSettings::default(),
+            slow_readers: SlowReaderSettings::default(),
             released: Vec::new(),
             log: LogSettings {
                 form: LogFormat::Json,
@@ -309,6 +312,32 @@
     }
 }
 
+/// Limits of what is held for callers that do not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SlowReaderSettings {
+    /// Time for which an engine is left unread while its caller takes nothing, ms.
+    pub engine_wait_ms: u64,
+    /// Time for which a caller may take nothing before its response ends, ms; applies once
+    /// one of the accounts below is full.
+    pub unread_ms: u64,
+    /// Bytes held for one response, kB; a part of the memory by default.
+    pub connection_kb: Option<u64>,
+    /// Bytes held for all responses, kB; a part of the memory by default.
+    pub host_kb: Option<u64>,
+}
+
+impl Default for SlowReaderSettings {
+    fn default() -> Self {
+        SlowReaderSettings {
+            engine_wait_ms: 1_000,
+            unread_ms: 3_000,
+            connection_kb: None,
+            host_kb: None,
+        }
+    }
+}
+
 /// Reads and validates the settings file at `path`.
 pub fn load(path: &Path) -> Result<Settings, SettingsError> {
     parse(&read_file(path)?)
@@ -329,6 +358,7 @@
         "placement",
         "admission",
         "repeats",
+        "slow_readers",
         "log",
     ];
     let mut errors = Vec::new();
@@ -345,6 +375,9 @@
             "placement" => check_fields::<PlacementSettings>(&path, section, &[], &mut errors),
             "admission" => check_fields::<AdmissionSettings>(&path, section, &[], &mut errors),
             "repeats" => check_fields::<RepeatSettings>(&path, section, &[], &mut errors),
+            "slow_readers" => {
+                check_fields::<SlowReaderSettings>(&path, section, &[], &mut errors);
+            }
             "engines" => check_fields::<EngineSettings>(&path, section, &[], &mut errors),
             _ => check_fields::<LogSettings>(&path, section, &[], &mut errors),
         }
@@ -370,6 +403,14 @@
         ("/bounds/cap_window_s", bounds.cap_window_s),
         ("/bounds/ceiling_window_s", bounds.ceiling_window_s),
         ("/engines/prefill_per_ms", settings.engines.prefill_per_ms),
+        (
+            "/slow_readers/engine_wait_ms",
+            settings.slow_readers.engine_wait_ms as f64,
+        ),
+        (
+            "/slow_readers/unread_ms",
+            settings.slow_readers.unread_ms as f64,
+        ),
     ];
     for (path, number) in positive {
         errors.check(number > 0.0, path, &number, "must be above 0");
