--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -350,7 +350,7 @@
 
 /// Returns an error for each field of a wrong type or an unknown name.
 fn field_errors(value: &Value) -> Vec<FieldError> {
-    const SECTIONS: [&str; 8] = [
+    const SECTIONS: [&str; 9] = [
         "listen",
         "store",
         "bounds",
