Repeat slow requests at hosts with few of them, and never with a key that is gone

Half of the route's objective takes the place of the quantile then, and a host begins with one repeat; the bound over any window (share x sends + 5) is as it was. A repeat needs a key that is still held, and a refusal for a customer's cap is no sign of overload.

--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -173,7 +173,7 @@
         match outcome {
             SendOutcome::Response(engine_response) => return Ok(engine_response),
             SendOutcome::NotRun(status) => {
-                early::record_refused(routed);
+                early::record_refused(routed, Kind::NoCapacity);
                 attempts.record_not_run(&engine, was_abandoned);
                 let cause = format!("the engine rejected the request with {}", status.as_u16());
                 let is_last = attempts.not_run >= MAX_NOT_RUN_ATTEMPTS && !attempts.persists();
--- a/src/edge/forward/early.rs
+++ b/src/edge/forward/early.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::RoutedRequest;
 use super::retry::{self, Attempts, record_broken_run};
 use super::selection::{Constraints, with_routing};
 use super::send::{SendOutcome, send};
+use super::{RoutedRequest, keys};
 use crate::edge::clock;
 use crate::edge::desired::RouteKind;
 use crate::edge::origins::Allowed;
@@ -16,6 +16,7 @@
 use crate::edge::routing::{self, SelectedEngine, Selection};
 use crate::edge::suspects::Progress;
 use crate::edge::time_limit::timeout_unless_arrived;
+use crate::error::Kind;
 
 /// What became of a request that was sent to one engine, or to two.
 #[derive(Debug)]
@@ -40,9 +41,10 @@
     is_trial: bool,
 }
 
-/// Records that a request was refused, or rejected by an engine.
-pub(super) fn record_refused(routed: &RoutedRequest) {
-    if routed.edge.settings().repeats.is_on() {
+/// Records that a request was refused, or rejected by an engine. A refusal for the cap of its
+/// customer says nothing of the engines.
+pub(super) fn record_refused(routed: &RoutedRequest, kind: Kind) {
+    if kind != Kind::RateLimited && routed.edge.settings().repeats.is_on() {
         let mut state = routed.edge.state.borrow_mut();
         state.repeats.record_refused(&routed.service, clock::now());
     }
@@ -173,7 +175,10 @@
     let settings = routed.edge.settings().repeats;
     let mut state = routed.edge.state.borrow_mut();
     let route = &routed.route.name;
-    state.repeats.delay(route, &settings, clock::now())
+    let objective = routed.route.objective;
+    state
+        .repeats
+        .delay(route, objective, &settings, clock::now())
 }
 
 /// Returns whether repeats are on, and two engines may work on such a request at the same time.
@@ -292,6 +297,7 @@
         elapsed,
         draining: edge.shutdown.get().is_some(),
         suspect: is_held || routed.features.iter().any(|f| is_suspect(*f)),
+        has_key: keys::is_held(routed, &state.desired),
         limited: before.has_permit
             || !is_open(&first.engine)
             || matches!(selection, Selection::Limited | Selection::Paused(_)),
@@ -365,7 +371,7 @@
 ) {
     match ended {
         Some(SendOutcome::NotRun(_)) => {
-            record_refused(routed);
+            record_refused(routed, Kind::NoCapacity);
             attempts.record_not_run(engine, false);
         }
         Some(SendOutcome::NotSent(_)) => attempts.record_not_run(engine, false),
--- a/src/edge/forward/keys.rs
+++ b/src/edge/forward/keys.rs
@@ -32,6 +32,11 @@
     }
 }
 
+/// Returns whether a customer holds the key of a request, if it needs one.
+pub(super) fn is_held(routed: &RoutedRequest, desired: &DesiredState) -> bool {
+    check(desired, &routed.route, routed.headers.key.as_ref()).is_ok()
+}
+
 /// Checks the key of a request that waits or is to be sent by the newest desired state, which may
 /// have taken the key away since the request arrived.
 ///
@@ -40,8 +45,7 @@
 /// Returns how the request ends if its key has been taken away.
 pub(super) fn recheck(routed: &RoutedRequest, attempts: &Attempts) -> Result<(), Failure> {
     let state = routed.edge.state.borrow();
-    let key = routed.headers.key.as_ref();
-    if check(&state.desired, &routed.route, key).is_ok() {
+    if is_held(routed, &state.desired) {
         return Ok(());
     }
     let version = state.desired.version;
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -182,7 +182,7 @@
         log::warn!(request, route, status, kind, cause, engine, tries, ms, left_ms, retry_ms,
             version, customer; "request refused");
         self.edge.metrics.record_refusal(refusal.kind());
-        early::record_refused(self);
+        early::record_refused(self, refusal.kind());
         refusal.response(&self.headers.id)
     }
 }
--- a/src/edge/repeats/mod.rs
+++ b/src/edge/repeats/mod.rs
@@ -14,6 +14,9 @@
 
 /// Minimum number of recent answers of a route: the 99th percentile rests on one of them.
 const MIN_SAMPLES: f64 = 100.0;
+/// Part of a route's objective after which a request is repeated while there are fewer answers: the
+/// other half is left for the second engine.
+const OBJECTIVE_PART: f64 = 0.5;
 /// Minimum delay of a repeat; below it a repeat gains less than a new connection costs.
 const MIN_DELAY: Duration = Duration::from_millis(20);
 /// Bounds of the part of the answers that must come before a repeat.
@@ -22,6 +25,8 @@
 const MAX_LOAD: f64 = 0.8;
 /// Repeats that a host may have saved up for a service.
 const MAX_CREDIT: f64 = 5.0;
+/// Repeats that a host has at first for a service: many hosts have few requests each.
+const FIRST_CREDIT: f64 = 1.0;
 /// Time for which a refusal or a rejection shows that a service is short of engines.
 const OVERLOAD_TIME: Duration = Duration::from_secs(2);
 /// Number of samples below which a route's times are forgotten.
@@ -35,6 +40,8 @@
     Draining,
     /// A part of the request is held, or may have crashed an engine.
     Suspect,
+    /// The key of its caller has been taken away.
+    KeyGone,
     /// The first engine has asked for a pause or named a rate, or the others have.
     Limited,
     /// Requests of the service wait, or were refused.
@@ -69,6 +76,8 @@
     pub draining: bool,
     /// Whether it is held, on trial, or may have crashed an engine.
     pub suspect: bool,
+    /// Whether a customer still holds its caller's key, where one is needed.
+    pub has_key: bool,
     /// Whether engines have asked for a pause or named a rate.
     pub limited: bool,
     /// Whether requests of its service wait.
@@ -91,7 +100,7 @@
 impl Repeats {
     /// Records that a request is first sent to an engine of a service.
     pub fn record_send(&mut self, service: &Arc<str>, settings: &RepeatSettings) {
-        let credit = self.credit.entry(service.clone()).or_default();
+        let credit = self.credit.entry(service.clone()).or_insert(FIRST_CREDIT);
         *credit = (*credit + settings.share).min(MAX_CREDIT);
     }
 
@@ -111,18 +120,25 @@
         times.record(time, now);
     }
 
-    /// Returns after which time without an answer a request is repeated, if its route has enough
-    /// recent answers.
+    /// Returns after which time without an answer a request is repeated, if repeats are on:
+    /// a high quantile of recent answers of its route or, if they are few, a part of its objective.
     pub fn delay(
         &mut self,
         route: &str,
+        objective: Duration,
         settings: &RepeatSettings,
         now: Moment,
     ) -> Option<Duration> {
-        let times = self.times.get_mut(route).filter(|_| settings.is_on())?;
-        if times.decay(now) < MIN_SAMPLES {
+        if !settings.is_on() {
             return None;
         }
+        let few = objective.mul_f64(OBJECTIVE_PART).max(MIN_DELAY);
+        let Some(times) = self.times.get_mut(route) else {
+            return Some(few);
+        };
+        if times.decay(now) < MIN_SAMPLES {
+            return Some(few);
+        }
         let part = (1.0 - settings.share).clamp(PARTS.0, PARTS.1);
         Some(times.quantile(part).max(MIN_DELAY))
     }
@@ -141,6 +157,9 @@
         if facts.suspect {
             return Err(Denial::Suspect);
         }
+        if !facts.has_key {
+            return Err(Denial::KeyGone);
+        }
         if facts.limited {
             return Err(Denial::Limited);
         }
@@ -152,7 +171,7 @@
         let Some(successor) = facts.successor.filter(is_free) else {
             return Err(Denial::Busy);
         };
-        let is_sooner = self.times.get(route).is_some_and(|times| {
+        let is_sooner = self.times.get(route).is_none_or(|times| {
             times.quantile(0.5) + successor.wait < times.left_after(facts.elapsed)
         });
         if !is_sooner {
