Learn the speed of engines from the first events of all hosts, and read their load header

Change: the load header is decoded and kept by engine; hosts tell each other reports and measured first events, and split the lasting speed from slowness of the moment. Engines without the fourth figure are treated as before.

--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -282,7 +282,7 @@
             engine,
             incarnation,
         } = &recipient.lifetime;
-        let (statement, errors) = headers::engine_statement(status, headers);
+        let (statement, mut errors) = headers::engine_statement(status, headers);
         if statement.leaves {
             self.record_leaving(engine, *incarnation);
         }
@@ -308,6 +308,13 @@
             };
             self.record_rate(engine, heard);
         }
+        match headers::engine_report(headers) {
+            Ok(Some(report)) if is_own && asked != Asked::Unknown => {
+                self.record_engine_report(&recipient.lifetime, report);
+            }
+            Ok(_) => {}
+            Err(error) => errors.push(error),
+        }
         for error in errors {
             log::warn!(request = id, engine = &**engine, error:%; "engine's statement ignored");
         }
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -33,6 +33,7 @@
 use super::clock;
 use super::demand::ModelKey;
 use super::desired::{DesiredState, RequestLimits, Route, RouteKind};
+use super::engine_load::FirstEvent;
 use super::origins::{Resumed, StreamId};
 use super::request_headers::RequestHeaders;
 use super::state::Edge;
@@ -399,17 +400,17 @@
 }
 
 /// Records the predicted and the measured time of a first event.
-fn record_first_event(
-    routed: &RoutedRequest,
-    engine: &Arc<str>,
-    predicted: Duration,
-    measured: Duration,
-) {
-    routed.edge.metrics.record_prediction(predicted, measured);
+fn record_first_event(routed: &RoutedRequest, engine: &Arc<str>, event: FirstEvent) {
+    let edge = &routed.edge;
+    edge.metrics
+        .record_prediction(event.predicted, event.measured);
     let Some(prompt) = &routed.headers.prompt else {
         return;
     };
     let key = ModelKey::new(&routed.service, &prompt.model);
-    let mut state = routed.edge.state.borrow_mut();
-    state.record_first_event(key, engine, (predicted, measured), clock::now());
+    let mut state = edge.state.borrow_mut();
+    state.record_first_event(key, engine, event, clock::now());
+    if !state.engine_news.is_empty() {
+        edge.send_wake.notify_one();
+    }
 }
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -23,6 +23,7 @@
 use crate::edge::admission::silence_limit;
 use crate::edge::client::Connection;
 use crate::edge::clock;
+use crate::edge::engine_load::FirstEvent;
 use crate::edge::exchange::Recipient;
 use crate::edge::in_flight::InFlightGuard;
 use crate::edge::suspects::Progress;
@@ -77,6 +78,7 @@
     attempts: &mut Attempts,
 ) -> Result<OpenedResponse, OpenError> {
     let (sent_at, predicted) = (engine_response.sent_at, engine_response.predicted);
+    let usual = engine_response.usual;
     let software = engine_response.software.clone();
     let (mut head, mut source) = StreamSource::new(routed, *engine_response, attempts.last_event);
     head.headers = headers::to_caller(&head.headers);
@@ -122,7 +124,12 @@
         }
     }
     attempts.software.get_or_insert(software);
-    super::record_first_event(routed, &source.in_flight.engine, predicted, measured);
+    let event = FirstEvent {
+        predicted,
+        usual,
+        measured,
+    };
+    super::record_first_event(routed, &source.in_flight.engine, event);
     let metrics = &routed.edge.metrics;
     metrics.record_first_token(routed.age(), attempts.load_waited);
     Ok(OpenedResponse::Stream(Box::new(EngineStream {
--- a/src/edge/forward/send.rs
+++ b/src/edge/forward/send.rs
@@ -44,6 +44,8 @@
     pub sent_at: Moment,
     /// Time from sending to the first event, as predicted when it was sent.
     pub predicted: Duration,
+    /// The same if the engine had the usual speed.
+    pub usual: Duration,
 }
 
 /// Outcome of sending a request to one engine.
@@ -184,6 +186,7 @@
         software: choice.software.clone(),
         sent_at,
         predicted: choice.first_event,
+        usual: choice.usual,
     }))
 }
 
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -16,6 +16,7 @@
 pub mod desired;
 pub mod engine_checks;
 pub mod engine_list;
+pub mod engine_load;
 pub mod events;
 pub mod exchange;
 pub mod fleet;
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -11,6 +11,7 @@
 
 use super::clock;
 use super::demand::{DecayingDemand, Demand, ModelKey};
+use super::engine_load::EngineNews;
 use super::gossip::{
     AnnouncedModelsNote, DemandNote, ForecastNote, Heartbeat, LeadershipNote, LoadNote, LoadStart,
     Packet, PromptNote, ReadyNote, WaitingNote,
@@ -63,8 +64,8 @@
         if !recipients.others.is_empty() {
             send_packet(&socket, &signed(round.everyone), &recipients.others).await;
         }
-        if !round.relayed.is_empty() {
-            relays::send_prompts(&edge, &socket, round.relayed).await;
+        if !round.relayed.is_empty() || !round.relayed_news.is_empty() {
+            relays::send_prompts(&edge, &socket, round.relayed, round.relayed_news).await;
         }
         for (addr, packet) in edge.next_permits(&mut allocation) {
             send_packet(&socket, &signed(packet), &[addr]).await;
@@ -123,7 +124,7 @@
     let mut others = match (&round.everyone, is_heartbeat) {
         (_, true) => state.members.take_due(now),
         (packet, _) if packet.is_for_all() => state.members.take_due(now),
-        (packet, _) if !packet.sent_prompts.is_empty() => state.members.alive_addrs(now),
+        (packet, _) if packet.is_for_alive() => state.members.alive_addrs(now),
         _ => Vec::new(),
     };
     let waits = round
@@ -411,6 +412,9 @@
                 sender => self.fleet.record_peer_prompt(&sender.into(), &prompt, now),
             }
         }
+        for note in packet.engine_news.iter().filter(|n| n.sender != own) {
+            self.apply_news(&EngineNews::decode(note, now));
+        }
         for note in &packet.leaving {
             let engine = note.engine.as_str().into();
             let source = Source::Note;
--- a/src/edge/placement/index.rs
+++ b/src/edge/placement/index.rs
@@ -116,7 +116,7 @@
             utilization += demand.work / replicas as f64;
             requests += demand.rate / replicas as f64;
         }
-        let utilization = utilization * engine.slowdown.factor(input.now);
+        let utilization = utilization * engine.lasting_slowdown(input.now);
         match input.fleet.rates().rate(&engine.entry.id) {
             Some(rate) => utilization.max((requests / rate.max(MIN_RATE)).min(MAX_UTILIZATION)),
             None => utilization,
--- a/src/edge/relays.rs
+++ b/src/edge/relays.rs
@@ -9,10 +9,10 @@
 use tokio::net::UdpSocket;
 
 use super::clock;
-use super::gossip::{AnnouncedModelsNote, Packet, PromptNote};
+use super::gossip::{AnnouncedModelsNote, EngineNewsNote, Packet, PromptNote};
 use super::members::RelayPlan;
 use super::peers::send_packet;
-use super::reports::PROMPTS_PER_PACKET;
+use super::reports::{NEWS_PER_PACKET, PROMPTS_PER_PACKET};
 use super::state::Edge;
 
 /// Largest datagram, bytes: fits one Ethernet frame with headers.
@@ -62,8 +62,13 @@
     send_packet(socket, &packet, &plan.relays).await;
 }
 
-/// Sends prompts to the daemon of each failure domain that collects them there.
-pub(super) async fn send_prompts(edge: &Edge, socket: &UdpSocket, prompts: Vec<PromptNote>) {
+/// Sends prompts and news of engines to the daemon of each failure domain that collects them there.
+pub(super) async fn send_prompts(
+    edge: &Edge,
+    socket: &UdpSocket,
+    prompts: Vec<PromptNote>,
+    news: Vec<EngineNewsNote>,
+) {
     let domain = edge.settings().domain.clone();
     let collectors =
         edge.state
@@ -71,10 +76,11 @@
             .members
             .prompt_collectors(&edge.host, &domain, clock::now());
     if collectors.is_own {
-        collect(edge, &edge.host, prompts.clone());
+        collect(edge, &edge.host, prompts.clone(), news.clone());
     }
     let packet = Packet {
         sent_prompts: prompts,
+        engine_news: news,
         relay: true,
         ..unnumbered(edge)
     };
@@ -83,8 +89,8 @@
 
 /// Passes a packet of another daemon on to this failure domain.
 pub(super) async fn pass_on(edge: &Edge, socket: &UdpSocket, packet: Packet) {
-    if !packet.sent_prompts.is_empty() {
-        collect(edge, &packet.host, packet.sent_prompts);
+    if packet.is_for_alive() {
+        collect(edge, &packet.host, packet.sent_prompts, packet.engine_news);
     }
     if !packet.announcements.is_empty() {
         let plan = RelayPlan {
@@ -95,18 +101,22 @@
     }
 }
 
-/// Keeps prompts until they are passed on.
-fn collect(edge: &Edge, sender: &str, prompts: Vec<PromptNote>) {
+/// Keeps prompts and news of engines until they are passed on.
+fn collect(edge: &Edge, sender: &str, prompts: Vec<PromptNote>, news: Vec<EngineNewsNote>) {
     let mut state = edge.state.borrow_mut();
     for mut prompt in prompts {
         prompt.sender = sender.to_owned();
         state.relayed_prompts.push(prompt);
     }
+    for mut note in news {
+        note.sender = sender.to_owned();
+        state.relayed_news.push(note);
+    }
     drop(state);
     edge.relay_wake.notify_one();
 }
 
-/// Passes collected prompts on to this failure domain.
+/// Passes collected prompts and news of engines on to this failure domain.
 pub async fn relay_prompts(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
     loop {
         edge.relay_wake.notified().await;
@@ -120,6 +130,14 @@
             };
             send_packet(&socket, &packet, &recipients).await;
         }
+        let news = std::mem::take(&mut edge.state.borrow_mut().relayed_news);
+        for news in news.chunks(NEWS_PER_PACKET) {
+            let packet = Packet {
+                engine_news: news.to_vec(),
+                ..unnumbered(&edge)
+            };
+            send_packet(&socket, &packet, &recipients).await;
+        }
     }
 }
 
--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -7,8 +7,8 @@
 
 use super::demand::{Demand, ModelKey};
 use super::gossip::{
-    DemandNote, DemandReport, Heartbeat, LeavingNote, LoadNote, LoadReport, Packet, PromptNote,
-    TargetCount, WaitingNote, WaitingReport,
+    DemandNote, DemandReport, EngineNewsNote, Heartbeat, LeavingNote, LoadNote, LoadReport, Packet,
+    PromptNote, TargetCount, WaitingNote, WaitingReport,
 };
 use super::members::{HEARTBEAT_PERIOD, MAX_DIRECT_MEMBERS};
 use super::permits::packets::rate_note;
@@ -17,6 +17,8 @@
 
 /// Maximum number of prompts in one datagram, so that it fits one frame.
 pub const PROMPTS_PER_PACKET: usize = 12;
+/// Maximum number of notes on the load and speed of engines in one datagram.
+pub const NEWS_PER_PACKET: usize = 16;
 /// Maximum number of repeated notes of engines that leave in one datagram, so that it fits
 /// one frame.
 const LEAVING_PER_PACKET: usize = 8;
@@ -48,13 +50,15 @@
     /// Prompts for the daemons that collect them; in small deployments they go to all
     /// daemons directly.
     pub relayed: Vec<PromptNote>,
+    /// Load and speed of engines, likewise.
+    pub relayed_news: Vec<EngineNewsNote>,
 }
 
 impl Round {
     /// Returns whether there is anything for daemons other than the leader.
     pub fn is_for_everyone(&self) -> bool {
         let packet = &self.everyone;
-        packet.heartbeat.is_some() || packet.is_for_all() || !packet.sent_prompts.is_empty()
+        packet.heartbeat.is_some() || packet.is_for_all() || packet.is_for_alive()
     }
 }
 
@@ -116,14 +120,16 @@
             self.repeat_crashes(state, &mut everyone, now);
         }
         add_urgent_notes(state, &mut everyone, now);
-        let mut relayed = Vec::new();
+        let (mut relayed, mut relayed_news) = (Vec::new(), Vec::new());
         if state.members.all.len() > MAX_DIRECT_MEMBERS {
             relayed.append(&mut everyone.sent_prompts);
+            relayed_news.append(&mut everyone.engine_news);
         }
         let mut round = Round {
             leader: everyone.clone(),
             everyone,
             relayed,
+            relayed_news,
         };
         if leader.is_some() {
             round.leader.waiting = Some(waiting_report(state));
@@ -254,6 +260,8 @@
             sender: String::new(),
         });
     }
+    let news = state.engine_news.drain(..).take(NEWS_PER_PACKET);
+    packet.engine_news.extend(news.map(|n| n.note(now)));
 }
 
 fn waiting_report(state: &mut State) -> WaitingReport {
--- a/src/edge/routing/mod.rs
+++ b/src/edge/routing/mod.rs
@@ -114,6 +114,8 @@
     pub backlog: Duration,
     /// Predicted time to the first event.
     pub first_event: Duration,
+    /// The same if the engine had the usual speed.
+    pub usual: Duration,
 }
 
 /// The engine that first takes requests of this host again.
@@ -319,12 +321,14 @@
             uncached = prompt.input_tokens.saturating_sub(cached);
             prefill = prefill_time(uncached, context.engines).mul_f64(model_slowdown);
         }
-        let engine_slowdown = engine.slowdown.factor(now);
+        let usual_backlog = engine.queue.backlog(now);
+        let backlog = engine.time_for(usual_backlog, now);
+        let read = engine.time_for(usual_backlog + prefill + steps_time, now);
         candidates.push(EngineCandidate {
             running: engine.running(now),
             slots: engine.entry.slots,
-            backlog: engine.queue.backlog(now).mul_f64(engine_slowdown),
-            prefill: (prefill + steps_time).mul_f64(engine_slowdown),
+            backlog,
+            prefill: read.saturating_sub(backlog),
             slot_time: slot_time(request.kind),
             same_domain: &*engine.entry.domain == context.domain,
             failures: engine.failure_score(now),
@@ -335,6 +339,11 @@
     let index = best_candidate(&candidates)?;
     let engine = eligible[index];
     let (prefill, uncached) = prefills[index];
+    let usual = EngineCandidate {
+        backlog: engine.queue.backlog(now),
+        prefill: prefill + steps_time,
+        ..candidates[index]
+    };
     Some(SelectedEngine {
         engine: engine.entry.id.clone(),
         addr: engine.entry.addr,
@@ -343,6 +352,7 @@
         uncached,
         backlog: candidates[index].backlog,
         first_event: candidates[index].first_event(),
+        usual: usual.first_event(),
     })
 }
 
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -13,8 +13,9 @@
 use super::clock;
 use super::demand::{DecayingDemand, Demand, DemandMeter, ModelKey};
 use super::desired::DesiredState;
+use super::engine_load::{EngineNews, FirstEvent};
 use super::fleet::Fleet;
-use super::gossip::PromptNote;
+use super::gossip::{EngineNewsNote, PromptNote};
 use super::leadership::{Leadership, PeerReach};
 use super::load_forecast::LoadForecast;
 use super::members::Members;
@@ -143,6 +144,10 @@
     pub sent_prompts: Vec<SentPrompt>,
     /// Prompts of daemons of all failure domains to be passed on to this one.
     pub relayed_prompts: Vec<PromptNote>,
+    /// Load and speed of engines not yet reported to other daemons.
+    pub engine_news: Vec<EngineNews>,
+    /// The same from daemons of all failure domains, to be passed on to this one.
+    pub relayed_news: Vec<EngineNewsNote>,
     /// Number of the last request that was sent to an engine.
     pub serial: u64,
     /// Engines that leave, with their start times, not yet reported to other daemons.
@@ -333,11 +338,15 @@
     pub fn record_first_event(
         &mut self,
         key: ModelKey,
-        engine: &str,
-        (predicted, measured): (Duration, Duration),
+        engine: &Arc<str>,
+        event: FirstEvent,
         now: Moment,
     ) {
+        let (predicted, measured) = (event.predicted, event.measured);
         self.meter.record_first_event(key, predicted, measured);
+        if self.record_pace(engine, event) {
+            return;
+        }
         if let Some(upstream) = self.fleet.engines.get_mut(engine) {
             upstream.slowdown.record(predicted, measured, now);
         }
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::engine_load::EnginePace;
 use super::prefix_cache::PrefixCache;
 use super::request_headers;
 use super::routing::{EngineSlowdown, PrefillQueue};
@@ -139,6 +140,8 @@
     failed_at: Moment,
     /// Its speed, relative to predictions.
     pub slowdown: EngineSlowdown,
+    /// Its speed, if it reports its slowness.
+    pub pace: EnginePace,
     /// Targets that are listed as loaded but that it recently could not serve, with the
     /// time: it reported them missing or could not be reached.
     pub missing: HashMap<Arc<str>, Moment>,
@@ -170,6 +173,7 @@
             failure_score: 0.0,
             failed_at: now,
             slowdown: EngineSlowdown::default(),
+            pace: EnginePace::default(),
             missing: HashMap::new(),
             prefix_cache: PrefixCache::default(),
             queue: PrefillQueue::default(),
@@ -215,6 +219,23 @@
         accepts && !self.replaced && !self.is_down()
     }
 
+    /// Returns the time for `work`, given as the time at an engine of usual speed.
+    pub fn time_for(&self, work: Duration, now: Moment) -> Duration {
+        match self.pace.is_reported() {
+            true => self.pace.time_for(work, now),
+            false => work.mul_f64(self.slowdown.factor(now)),
+        }
+    }
+
+    /// Returns the ratio of its time for work to the usual one, without short stretches of
+    /// slowness that it reports.
+    pub fn lasting_slowdown(&self, now: Moment) -> f64 {
+        match self.pace.is_reported() {
+            true => self.pace.lasting(),
+            false => self.slowdown.factor(now),
+        }
+    }
+
     /// Returns the recent failures; each decays within seconds.
     pub fn failure_score(&self, now: Moment) -> f64 {
         let age = now.saturating_sub(self.failed_at).as_secs_f64();
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -7,6 +7,7 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::edge::engine_load::EngineReport;
 use crate::edge::origins::{Resumed, StreamId};
 use crate::edge::request_headers::{EngineHeaders, Prompt, PromptPart, RequestHeaders};
 use crate::edge::statements::{RateHeader, Statement};
@@ -218,6 +219,9 @@
     /// A rate.
     #[error("Server-Limit {0:?} is not a number of requests a second")]
     Rate(String),
+    /// A load.
+    #[error("X-Mastichinge-Server-Load {0:?} is not three or four whole numbers")]
+    Load(String),
 }
 
 /// Returns for how long an engine that responds with `status` wants no requests of this
@@ -308,6 +312,35 @@
     (rate, errors)
 }
 
+/// Returns the load that an engine reports.
+///
+/// # Errors
+///
+/// Returns the value if it is not one list of three or four whole numbers.
+pub fn engine_report(headers: &HeaderMap) -> Result<Option<EngineReport>, InvalidStatement> {
+    let mut values = headers.get_all(&LOAD).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    let text = String::from_utf8_lossy(value.as_bytes());
+    let invalid = || InvalidStatement::Load(text.clone().into_owned());
+    if values.next().is_some() {
+        return Err(invalid());
+    }
+    let figures: Result<Vec<u32>, _> = text.split(',').map(|f| f.trim().parse()).collect();
+    let (running, waiting, slots, slowness_percent) = match figures.as_deref() {
+        Ok(&[running, waiting, slots]) => (running, waiting, slots, None),
+        Ok(&[running, waiting, slots, percent]) => (running, waiting, slots, Some(percent)),
+        _ => return Err(invalid()),
+    };
+    Ok(Some(EngineReport {
+        running,
+        waiting,
+        slots,
+        slowness_percent,
+    }))
+}
+
 /// Returns whether an engine's response says that the engine is about to stop.
 fn is_leaving(headers: &HeaderMap) -> bool {
     header_text(headers, &LEAVING).is_some_and(|v| v.trim() == "1")
--- a/tests/edge/in_flight.rs
+++ b/tests/edge/in_flight.rs
@@ -28,6 +28,7 @@
         uncached: 0,
         backlog: Duration::ZERO,
         first_event: Duration::ZERO,
+        usual: Duration::ZERO,
     };
     state.begin_request(&choice, None, NOW)
 }
--- a/tests/edge/overload.rs
+++ b/tests/edge/overload.rs
@@ -49,6 +49,7 @@
         uncached: 4_000,
         backlog: ms(backlog),
         first_event: ms(first),
+        usual: ms(first),
     })
 }
 
@@ -239,6 +240,7 @@
             uncached,
             backlog: Duration::ZERO,
             first_event: Duration::ZERO,
+            usual: Duration::ZERO,
         };
         let key = ModelKey::new(&SERVICE.into(), &"m1".into());
         let arrival = Duration::ZERO;
--- a/tests/simulation/simulator/requests.rs
+++ b/tests/simulation/simulator/requests.rs
@@ -7,6 +7,7 @@
 use mastichinge::clock::Moment;
 use mastichinge::edge::admission::{AdmissionDecision, TimeBudget, silence_limit};
 use mastichinge::edge::demand::ModelKey;
+use mastichinge::edge::engine_load::FirstEvent;
 use mastichinge::edge::origins::Allowed;
 use mastichinge::edge::placement::ModelTarget;
 use mastichinge::edge::routing::{self, RoutingContext, RoutingRequest};
@@ -247,7 +248,11 @@
         state.record_first_event(
             model_key,
             &attempt.active_request.engine,
-            (attempt.predicted, measured),
+            FirstEvent {
+                predicted: attempt.predicted,
+                usual: attempt.predicted,
+                measured,
+            },
             now,
         );
     }
