--- /dev/null
+++ b/tests/edge/engine_load.rs
@@ -0,0 +1,188 @@
+//! Reports of engines on their load, and what they mean for the time that work takes.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue};
+use mastichinge::clock::Moment;
+use mastichinge::edge::demand::ModelKey;
+use mastichinge::edge::engine_load::{EngineNews, EnginePace, EngineReport, FirstEvent};
+use mastichinge::edge::gossip::Packet;
+use mastichinge::edge::state::State;
+use mastichinge::edge::upstream::Lifetime;
+use mastichinge::platform::headers;
+use test_case::test_case;
+
+use crate::fixtures::entry;
+
+fn at(ms: u64) -> Moment {
+    Moment::from_millis(50_000 + ms)
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn slow(percent: u32) -> EngineReport {
+    EngineReport {
+        slots: 64,
+        slowness_percent: Some(percent),
+        ..EngineReport::default()
+    }
+}
+
+/// Guards against a header that cannot be read: half of one would be taken for the load.
+#[test_case(&["3,1,8"], Ok(Some((3, 1, 8, None))); "three figures")]
+#[test_case(&["3, 1, 8, 250"], Ok(Some((3, 1, 8, Some(250)))); "four figures")]
+#[test_case(&[], Ok(None); "none")]
+#[test_case(&["3,1"], Err(()); "two figures")]
+#[test_case(&["3,1,8,100,1"], Err(()); "five figures")]
+#[test_case(&["3,1,8,fast"], Err(()); "a word")]
+#[test_case(&["3,1,8,-1"], Err(()); "a negative figure")]
+#[test_case(&["3,1,8", "4,1,8"], Err(()); "two headers")]
+fn a_report_has_three_or_four_figures(
+    values: &[&'static str],
+    expected: Result<Option<(u32, u32, u32, Option<u32>)>, ()>,
+) {
+    let mut map = HeaderMap::new();
+    for value in values {
+        let value = HeaderValue::from_static(value);
+        map.append("x-mastichinge-server-load", value);
+    }
+    let report = headers::engine_report(&map).map_err(|_| ());
+    let figures = |r: EngineReport| (r.running, r.waiting, r.slots, r.slowness_percent);
+    assert_eq!(report.map(|r| r.map(figures)), expected);
+}
+
+/// Guards against noisy neighbours: requests went on to a machine that said it is slow, and
+/// stayed away from it after that was over.
+#[test]
+fn an_engine_with_a_noisy_neighbour_is_left_and_comes_back() {
+    let mut pace = EnginePace::default();
+    pace.record_report(slow(250), at(0));
+    assert_eq!(pace.time_for(ms(100), at(0)), ms(250));
+    // A slow stretch ends before long work does.
+    assert_eq!(pace.time_for(ms(2_000), at(0)), ms(2_360));
+    assert!(pace.time_for(ms(100), at(1_000)) < ms(130));
+    assert_eq!(pace.time_for(ms(100), at(2_000)), ms(100));
+    pace.record_report(slow(100), at(2_100));
+    assert_eq!(pace.time_for(ms(100), at(2_100)), ms(100));
+    // A note that was delayed is older than what is known.
+    pace.record_report(slow(250), at(2_050));
+    assert_eq!(pace.time_for(ms(100), at(2_100)), ms(100));
+}
+
+/// Guards against slow and fast engines of one service taken for equal, and slow moments taken
+/// for a slow engine.
+#[test]
+fn the_lasting_speed_is_learnt_without_slow_moments() {
+    let learn = |ratio: f64, noise: u32| {
+        let mut pace = EnginePace::default();
+        pace.record_report(slow(100), at(0));
+        for i in 0..60 {
+            let percent = if i % 4 == 0 { noise } else { 100 };
+            pace.record_ratio(ratio * f64::from(percent) / 100.0, Some(percent));
+        }
+        pace.lasting()
+    };
+    for noise in [100, 250] {
+        assert!((1.75..1.9).contains(&learn(1.82, noise)));
+        assert!((0.8..0.87).contains(&learn(0.83, noise)));
+    }
+}
+
+/// Guards against a header that lies: an engine that always says it is slow, or never, gets as
+/// many requests as its first events deserve.
+#[test_case(600; "always slow")]
+#[test_case(u32::MAX; "beyond all bounds")]
+#[test_case(10; "always fast")]
+#[test_case(0; "no time at all")]
+fn a_constant_lie_is_corrected_by_first_events(percent: u32) {
+    let mut pace = EnginePace::default();
+    for _ in 0..100 {
+        pace.record_report(slow(percent), at(0));
+        pace.record_ratio(1.0, Some(percent));
+    }
+    let time = pace.time_for(ms(100), at(0));
+    assert!((ms(50)..=ms(200)).contains(&time), "{time:?}");
+}
+
+fn state() -> State {
+    let mut state = State::default();
+    let entries = vec![entry("e", 1, &["m"])];
+    state
+        .fleet
+        .update_entries(entries, &BTreeSet::new(), None, at(0));
+    state
+}
+
+fn lifetime(state: &State) -> Lifetime {
+    Lifetime {
+        engine: "e".into(),
+        incarnation: state.fleet.engines["e"].entry.incarnation,
+    }
+}
+
+fn first_event(state: &mut State, measured: u64) {
+    let key = ModelKey::new(&"s".into(), &"m".into());
+    let event = FirstEvent {
+        predicted: ms(100),
+        usual: ms(100),
+        measured: ms(measured),
+    };
+    state.record_first_event(key, &"e".into(), event, at(20));
+}
+
+/// Guards against hosts that each hear an engine too rarely to learn its speed: first events at
+/// one host teach all, each once.
+#[test]
+fn a_first_event_at_one_host_teaches_all() {
+    let (mut teller, mut learner) = (state(), state());
+    let life = lifetime(&teller);
+    assert!(!teller.record_engine_report(&life, slow(100), at(10)));
+    assert!(teller.record_engine_report(&life, slow(250), at(15)));
+    first_event(&mut teller, 500);
+    let notes: Vec<_> = teller.engine_news.iter().map(|n| n.note(at(30))).collect();
+    assert_eq!(notes.len(), 2);
+    let packet = Packet {
+        engine_news: notes,
+        ..Packet::default()
+    };
+    learner.apply_packet("own", &"edge-1".into(), &packet, at(40));
+    let pace = |state: &State| state.fleet.engines["e"].pace;
+    assert_eq!(pace(&learner).lasting(), pace(&teller).lasting());
+    assert!(pace(&learner).lasting() > 1.05);
+    assert!(pace(&learner).momentary(at(40)) > 2.3);
+    // A host gets its own notes back from the one that passes them on.
+    let mut packet = packet;
+    for note in &mut packet.engine_news {
+        note.sender = "own".to_owned();
+    }
+    let before = pace(&learner);
+    learner.apply_packet("own", &"edge-1".into(), &packet, at(50));
+    assert_eq!(pace(&learner), before);
+    // A note about an earlier lifetime says nothing of this one.
+    let mut news = EngineNews::decode(&packet.engine_news[1], at(60));
+    news.lifetime.incarnation += 1;
+    learner.apply_news(&news);
+    assert_eq!(pace(&learner), before);
+}
+
+/// Guards against a change for engines that do not report their slowness: the host's own
+/// average decides, and nothing is told.
+#[test]
+fn three_figures_leave_decisions_as_they_were() {
+    let mut state = state();
+    let life = lifetime(&state);
+    let report = EngineReport {
+        slowness_percent: None,
+        ..slow(0)
+    };
+    assert!(!state.record_engine_report(&life, report, at(10)));
+    first_event(&mut state, 500);
+    assert!(state.engine_news.is_empty());
+    let engine = &state.fleet.engines["e"];
+    let expected = ms(100).mul_f64(engine.slowdown.factor(at(20)));
+    assert!(expected > ms(130));
+    assert_eq!(engine.time_for(ms(100), at(20)), expected);
+}
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -11,6 +11,7 @@
 mod decisions;
 mod endless;
 mod engine_list;
+mod engine_load;
 mod engine_statements;
 #[allow(dead_code, reason = "shared with the soak, which uses other parts")]
 mod fakes;
