Take the lasting slowness of an engine from its reports

Cause: the reported slowness names the speed of the machine and the other work on it together (55 and 120 % for the two kinds of engines, 2.5 times that in slow stretches), and an older report was taken for the usual speed of all.

--- a/benches/scene/mod.rs
+++ b/benches/scene/mod.rs
@@ -1,6 +1,7 @@
 //! Generated inputs of the decisions at a given size, from a fixed seed.
 
 pub mod fleet;
+pub mod selection;
 
 use std::time::Duration;
 
--- a/src/edge/engine_load/news.rs
+++ b/src/edge/engine_load/news.rs
@@ -57,7 +57,7 @@
         let Some(upstream) = self.fleet.lifetime_mut(engine, *incarnation) else {
             return false;
         };
-        let known = upstream.pace.momentary(now) * 100.0;
+        let known = upstream.pace.expected_percent(now);
         upstream.pace.record_report(report, now);
         let Some(percent) = report.slowness_percent else {
             return false;
@@ -76,7 +76,12 @@
 
     /// Learns an engine's lasting speed from a first event, for all daemons; returns whether the
     /// engine reports its slowness.
-    pub(in crate::edge) fn record_pace(&mut self, engine: &Arc<str>, event: FirstEvent) -> bool {
+    pub(in crate::edge) fn record_pace(
+        &mut self,
+        engine: &Arc<str>,
+        event: FirstEvent,
+        now: Moment,
+    ) -> bool {
         let Some(upstream) = self.fleet.engines.get_mut(engine) else {
             return false;
         };
@@ -98,13 +103,13 @@
             reported_at,
             ratio_percent: Some(ratio_percent),
         };
-        self.apply_news(&news);
+        self.apply_news(&news, now);
         self.engine_news.push(news);
         true
     }
 
     /// Applies what a daemon tells of an engine.
-    pub fn apply_news(&mut self, news: &EngineNews) {
+    pub fn apply_news(&mut self, news: &EngineNews, now: Moment) {
         let Lifetime {
             engine,
             incarnation,
@@ -117,7 +122,7 @@
             let ratio = f64::from(percent) / 100.0;
             upstream
                 .pace
-                .record_ratio(ratio, news.report.slowness_percent);
+                .record_ratio(ratio, news.report.slowness_percent, now);
         }
     }
 }
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -413,7 +413,7 @@
             }
         }
         for note in packet.engine_news.iter().filter(|n| n.sender != own) {
-            self.apply_news(&EngineNews::decode(note, now));
+            self.apply_news(&EngineNews::decode(note, now), now);
         }
         for note in &packet.leaving {
             let engine = note.engine.as_str().into();
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -344,7 +344,7 @@
     ) {
         let (predicted, measured) = (event.predicted, event.measured);
         self.meter.record_first_event(key, predicted, measured);
-        if self.record_pace(engine, event) {
+        if self.record_pace(engine, event, now) {
             return;
         }
         if let Some(upstream) = self.fleet.engines.get_mut(engine) {
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -231,7 +231,7 @@
     /// slowness that it reports.
     pub fn lasting_slowdown(&self, now: Moment) -> f64 {
         match self.pace.is_reported() {
-            true => self.pace.lasting(),
+            true => self.pace.lasting(now),
             false => self.slowdown.factor(now),
         }
     }
