Count prompts queued at an engine in the time that this engine needs

Cause: prompts queued at an engine were taken to be read at the usual speed, and only the rest was scaled, so that a fast engine seemed to have a queue that it had read, and a slow one none. Change: engines that report their slowness queue prompts in their own time.

--- a/src/edge/engine_load/pace.rs
+++ b/src/edge/engine_load/pace.rs
@@ -118,7 +118,11 @@
     /// Returns the time for `work`, given as the time at an engine of usual speed. What is left
     /// of a slow stretch is half of its length on average, so that long work is done mostly after it.
     pub fn time_for(&self, work: Duration, now: Moment) -> Duration {
-        let work = work.mul_f64(self.lasting(now));
+        self.delayed(work.mul_f64(self.lasting(now)), now)
+    }
+
+    /// Returns the time for work that lastingly takes `work` there.
+    pub fn delayed(&self, work: Duration, now: Moment) -> Duration {
         let momentary = self.momentary(now);
         if momentary <= 1.0 {
             return work.mul_f64(momentary);
--- a/src/edge/routing/mod.rs
+++ b/src/edge/routing/mod.rs
@@ -321,14 +321,12 @@
             uncached = prompt.input_tokens.saturating_sub(cached);
             prefill = prefill_time(uncached, context.engines).mul_f64(model_slowdown);
         }
-        let usual_backlog = engine.queue.backlog(now);
-        let backlog = engine.time_for(usual_backlog, now);
-        let read = engine.time_for(usual_backlog + prefill + steps_time, now);
+        let (backlog, reading) = engine.reading_times(prefill + steps_time, now);
         candidates.push(EngineCandidate {
             running: engine.running(now),
             slots: engine.entry.slots,
             backlog,
-            prefill: read.saturating_sub(backlog),
+            prefill: reading,
             slot_time: slot_time(request.kind),
             same_domain: &*engine.entry.domain == context.domain,
             failures: engine.failure_score(now),
@@ -340,7 +338,7 @@
     let engine = eligible[index];
     let (prefill, uncached) = prefills[index];
     let usual = EngineCandidate {
-        backlog: engine.queue.backlog(now),
+        backlog: engine.usual_backlog(now),
         prefill: prefill + steps_time,
         ..candidates[index]
     };
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -186,7 +186,11 @@
     /// Records a prompt that was sent to it; `serial` is the number of the request if
     /// this daemon sent it.
     pub fn record_prompt(&mut self, sent: &SentPrompt, serial: Option<u64>, now: Moment) {
-        self.queue.push(serial, sent.prefill_time, now);
+        let time = match self.pace.is_reported() {
+            true => sent.prefill_time.mul_f64(self.pace.lasting(now)),
+            false => sent.prefill_time,
+        };
+        self.queue.push(serial, time, now);
         self.prefix_cache
             .record(sent.prefix_keys.iter().copied(), sent.uncached);
     }
@@ -219,11 +223,26 @@
         accepts && !self.replaced && !self.is_down()
     }
 
-    /// Returns the time for `work`, given as the time at an engine of usual speed.
-    pub fn time_for(&self, work: Duration, now: Moment) -> Duration {
+    /// Returns the time until it has read the prompts queued there, and the time that further
+    /// `work` takes then, given as the time at an engine of usual speed.
+    pub fn reading_times(&self, work: Duration, now: Moment) -> (Duration, Duration) {
+        let queued = self.queue.backlog(now);
+        if !self.pace.is_reported() {
+            let slowdown = self.slowdown.factor(now);
+            return (queued.mul_f64(slowdown), work.mul_f64(slowdown));
+        }
+        let backlog = self.pace.delayed(queued, now);
+        let work = work.mul_f64(self.pace.lasting(now));
+        let total = self.pace.delayed(queued + work, now);
+        (backlog, total.saturating_sub(backlog))
+    }
+
+    /// Returns the time in which an engine of usual speed reads the prompts queued there.
+    pub fn usual_backlog(&self, now: Moment) -> Duration {
+        let queued = self.queue.backlog(now);
         match self.pace.is_reported() {
-            true => self.pace.time_for(work, now),
-            false => work.mul_f64(self.slowdown.factor(now)),
+            true => queued.div_f64(self.pace.lasting(now)),
+            false => queued,
         }
     }
 
