--- a/tests/edge/large_fleet.rs
+++ b/tests/edge/large_fleet.rs
@@ -7,6 +7,7 @@
 
 use mastichinge::clock::Moment;
 use mastichinge::edge::demand::ModelKey;
+use mastichinge::edge::engine_load::{EngineNews, EngineReport};
 use mastichinge::edge::gossip::{Heartbeat, Packet, PromptNote, WaitingNote, WaitingReport};
 use mastichinge::edge::leader::Announcer;
 use mastichinge::edge::members::{HEARTBEAT_PERIOD, MemberRecord, Members};
@@ -16,7 +17,7 @@
 use mastichinge::edge::reports::{Reporter, Round};
 use mastichinge::edge::settings::Settings;
 use mastichinge::edge::state::State;
-use mastichinge::edge::upstream::SentPrompt;
+use mastichinge::edge::upstream::{Lifetime, SentPrompt};
 use prost::Message;
 
 use crate::fixtures::{PlacerFixture, SERVICE, desired, entry, report};
@@ -361,6 +362,26 @@
     assert!(!relayed.is_for_everyone());
 }
 
+/// Guards against the speed of engines told by each host to each other in a large deployment.
+#[test]
+fn news_of_engines_take_the_way_of_prompts() {
+    let news = EngineNews {
+        lifetime: Lifetime::default(),
+        report: EngineReport::default(),
+        reported_at: at(0),
+        ratio_percent: Some(100),
+    };
+    let mut reporter = Reporter::default();
+    let mut notes = |daemons: u16| {
+        let mut state = daemon_with_prompt(fleet_of_daemons(&[("a", daemons), ("b", daemons)]));
+        state.engine_news.push(news.clone());
+        let round = reporter.next_round(&mut state, None, None, at(10));
+        (round.everyone.engine_news.len(), round.relayed_news.len())
+    };
+    assert_eq!(notes(8), (1, 0));
+    assert_eq!(notes(60), (0, 1));
+}
+
 /// A passed-on prompt counts as a request of the daemon that sent it to the engine.
 #[test]
 fn a_relayed_prompt_counts_for_its_sender() {
