--- a/benches/scene/mod.rs
+++ b/benches/scene/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod crashes;
 pub mod fleet;
+pub mod selection;
 
 use std::time::Duration;
 
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::engine_load::EnginePace;
 use super::prefix_cache::PrefixCache;
 use super::request_headers;
 use super::routing::{EngineSlowdown, PrefillQueue};
@@ -139,6 +140,8 @@
     failed_at: Moment,
     /// Its speed, relative to predictions.
     pub slowdown: EngineSlowdown,
+    /// Its speed, if it reports its slowness.
+    pub pace: EnginePace,
     /// Targets that are listed as loaded but that it recently could not serve, with the
     /// time: it reported them missing or could not be reached.
     pub missing: HashMap<Arc<str>, Moment>,
@@ -170,6 +173,7 @@
             failure_score: 0.0,
             failed_at: now,
             slowdown: EngineSlowdown::default(),
+            pace: EnginePace::default(),
             missing: HashMap::new(),
             prefix_cache: PrefixCache::default(),
             queue: PrefillQueue::default(),
@@ -182,7 +186,11 @@
     /// Records a prompt that was sent to it; `serial` is the number of the request if
     /// this daemon sent it.
     pub fn record_prompt(&mut self, sent: &SentPrompt, serial: Option<u64>, now: Moment) {
-        self.queue.push(serial, sent.prefill_time, now);
+        let time = match self.pace.is_reported() {
+            true => sent.prefill_time.mul_f64(self.pace.lasting(now)),
+            false => sent.prefill_time,
+        };
+        self.queue.push(serial, time, now);
         self.prefix_cache
             .record(sent.prefix_keys.iter().copied(), sent.uncached);
     }
@@ -215,6 +223,38 @@
         accepts && !self.replaced && !self.is_down()
     }
 
+    /// Returns the time until it has read the prompts queued there, and the time that further
+    /// `work` takes then, given as the time at an engine of usual speed.
+    pub fn reading_times(&self, work: Duration, now: Moment) -> (Duration, Duration) {
+        let queued = self.queue.backlog(now);
+        if !self.pace.is_reported() {
+            let slowdown = self.slowdown.factor(now);
+            return (queued.mul_f64(slowdown), work.mul_f64(slowdown));
+        }
+        let backlog = self.pace.delayed(queued, now);
+        let work = work.mul_f64(self.pace.lasting(now));
+        let total = self.pace.delayed(queued + work, now);
+        (backlog, total.saturating_sub(backlog))
+    }
+
+    /// Returns the time in which an engine of usual speed reads the prompts queued there.
+    pub fn usual_backlog(&self, now: Moment) -> Duration {
+        let queued = self.queue.backlog(now);
+        match self.pace.is_reported() {
+            true => queued.div_f64(self.pace.lasting(now)),
+            false => queued,
+        }
+    }
+
+    /// Returns the ratio of its time for work to the usual one, without short stretches of
+    /// slowness that it reports.
+    pub fn lasting_slowdown(&self, now: Moment) -> f64 {
+        match self.pace.is_reported() {
+            true => self.pace.lasting(now),
+            false => self.slowdown.factor(now),
+        }
+    }
+
     /// Returns the recent failures; each decays within seconds.
     pub fn failure_score(&self, now: Moment) -> f64 {
         let age = now.saturating_sub(self.failed_at).as_secs_f64();
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -15,6 +15,7 @@
 mod early_breaks;
 mod endless;
 mod engine_list;
+mod engine_load;
 mod engine_statements;
 #[allow(dead_code, reason = "shared with the soak, which uses other parts")]
 mod fakes;
