--- a/tests/edge/engine_load.rs
+++ b/tests/edge/engine_load.rs
@@ -31,6 +31,9 @@
     }
 }
 
+/// Running and waiting requests, slots, and slowness.
+type Figures = (u32, u32, u32, Option<u32>);
+
 /// Guards against a header that cannot be read: half of one would be taken for the load.
 #[test_case(&["3,1,8"], Ok(Some((3, 1, 8, None))); "three figures")]
 #[test_case(&["3, 1, 8, 250"], Ok(Some((3, 1, 8, Some(250)))); "four figures")]
@@ -42,7 +45,7 @@
 #[test_case(&["3,1,8", "4,1,8"], Err(()); "two headers")]
 fn a_report_has_three_or_four_figures(
     values: &[&'static str],
-    expected: Result<Option<(u32, u32, u32, Option<u32>)>, ()>,
+    expected: Result<Option<Figures>, ()>,
 ) {
     let mut map = HeaderMap::new();
     for value in values {
