--- a/tests/edge/engine_load.rs
+++ b/tests/edge/engine_load.rs
@@ -32,6 +32,7 @@
 }
 
 /// Figures of a report: running, waiting, slots, and the slowness in percent.
+/// Running and waiting requests, slots, and slowness.
 type Figures = (u32, u32, u32, Option<u32>);
 
 /// Guards against a header that cannot be read: half of one would be taken for the load.
