--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -351,6 +351,8 @@
         errors.check(given, path, &Value::Null, "is required");
     }
     let bounds = &settings.bounds;
+    let slow = &settings.slow_readers;
+    let given_or_one = |kb: Option<u64>| kb.map_or(1.0, |kb| kb as f64);
     let positive = [
         ("/memory_mb", settings.memory_mb as f64),
         ("/store/reads_per_s", settings.store.reads_per_s),
@@ -360,14 +362,13 @@
         ("/bounds/retry_window_s", bounds.retry_window_s),
         ("/bounds/ceiling_window_s", bounds.ceiling_window_s),
         ("/engines/prefill_per_ms", settings.engines.prefill_per_ms),
+        ("/slow_readers/engine_wait_ms", slow.engine_wait_ms as f64),
+        ("/slow_readers/unread_ms", slow.unread_ms as f64),
         (
-            "/slow_readers/engine_wait_ms",
-            settings.slow_readers.engine_wait_ms as f64,
-        ),
-        (
-            "/slow_readers/unread_ms",
-            settings.slow_readers.unread_ms as f64,
+            "/slow_readers/connection_kb",
+            given_or_one(slow.connection_kb),
         ),
+        ("/slow_readers/host_kb", given_or_one(slow.host_kb)),
     ];
     for (path, number) in positive {
         errors.check(number > 0.0, path, &number, "must be above 0");
--- a/tests/edge/slow_readers.rs
+++ b/tests/edge/slow_readers.rs
@@ -9,7 +9,7 @@
 use mastichinge::edge::connections::{Connections, Phase, PhaseLimits};
 use mastichinge::edge::desired::RequestLimits;
 use mastichinge::edge::held_bytes::{HeldBytes, Outlet};
-use mastichinge::edge::settings::SlowReaderSettings;
+use mastichinge::edge::settings::{self, SlowReaderSettings};
 use mastichinge::edge::slow_readers::{Held, HoldLimits, Next, UnreadCause};
 use test_case::test_case;
 
@@ -159,3 +159,13 @@
         assert!(!answer.complete, "an unread response looks complete");
     }
 }
+
+/// Guards against limits of zero, under which every caller would be one that does not read.
+#[test]
+fn limits_of_zero_are_refused() {
+    let text = r#"{"slow_readers": {"unread_ms": 0, "host_kb": 0}}"#;
+    let error = settings::parse(text).unwrap_err().to_string();
+    for path in ["/slow_readers/unread_ms", "/slow_readers/host_kb"] {
+        assert!(error.contains(path), "{error}");
+    }
+}
