--- a/src/edge/caps/ledger.rs
+++ b/src/edge/caps/ledger.rs
@@ -8,7 +8,7 @@
 use crate::clock::Moment;
 use crate::decide::rate_limits::TokenBucket;
 use crate::edge::customers::Cap;
-use crate::edge::permits::{Applicant, MAX_RETURN_DELAY, Rank, spread};
+use crate::edge::permits::{Applicant, Rank, Returns};
 
 /// Part of the allowance beyond a cap by which a bucket is larger than the burst, and that an
 /// allocator starts with.
@@ -53,10 +53,8 @@
     started: f64,
     cap: Cap,
     filled_at: Moment,
-    /// When the last refused caller is to return.
-    return_at: Moment,
-    /// Callers that were refused.
-    refused: u64,
+    /// When refused callers are to return.
+    returns: Returns,
 }
 
 impl Bucket {
@@ -69,8 +67,7 @@
             started: 0.0,
             cap,
             filled_at: now,
-            return_at: now,
-            refused: 0,
+            returns: Returns::new(now),
         }
     }
 
@@ -108,16 +105,9 @@
     /// Returns after which time a caller that is refused now should return: when the queue is
     /// done, and one after the other.
     fn book_return(&mut self, units: f64, queue_time: Duration, now: Moment) -> Duration {
-        self.refused = self.refused.wrapping_add(1);
         let step =
             Duration::try_from_secs_f64(units / (RETURN_PART * self.rate)).unwrap_or(Duration::MAX);
-        let next = self.return_at.saturating_add(step);
-        let delay = next.saturating_sub(now).max(queue_time);
-        if delay <= MAX_RETURN_DELAY {
-            self.return_at = now + delay;
-            return delay;
-        }
-        MAX_RETURN_DELAY.mul_f64((1.0 + spread(self.refused)) / 2.0)
+        self.returns.book(step, queue_time, now)
     }
 }
 
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -15,6 +15,7 @@
 use super::charge::{Charged, charge};
 use super::early::{self, Tried};
 use super::framing::Framing;
+use super::holds;
 use super::keys;
 use super::permit::{seek_permit, seek_renewal};
 use super::relay::{self, OpenError, OpenedResponse};
@@ -23,7 +24,7 @@
 use super::selection::{select_next, select_permitted};
 use super::send::{EngineResponse, MAX_WHOLE_BYTES, SendOutcome};
 use super::take_up;
-use super::{DeadlineSource, RequestGuard, RoutedRequest, held_cause};
+use super::{DeadlineSource, RequestGuard, RoutedRequest};
 use crate::edge::admission::{AdmissionDecision, TimeBudget};
 use crate::edge::clock;
 use crate::edge::desired::RouteKind;
@@ -153,7 +154,7 @@
         attempts.waited = routed.age();
         attempts.predicted = choice.first_event;
         let max_silence = response_timeout(routed, &choice);
-        admit(routed, attempts, &choice.engine).await?;
+        holds::admit(routed, attempts, &choice.engine).await?;
         keys::recheck(routed, attempts)?;
         let was_abandoned = attempts.return_to(&choice.engine);
         attempts.sent += 1;
@@ -216,34 +217,6 @@
     }
 }
 
-/// Checks once more, before each send, whether engines crash on such requests. A trial that has
-/// not run is sent again.
-async fn admit(
-    routed: &RoutedRequest,
-    attempts: &mut Attempts,
-    engine: &Arc<str>,
-) -> Result<(), Failure> {
-    if attempts.is_trial && !attempts.exposure.may_have_run() {
-        return Ok(());
-    }
-    let held = match routed.edge.admit(&routed.features).await {
-        Ok(is_trial) => {
-            attempts.is_trial = is_trial;
-            return Ok(());
-        }
-        Err(held) => held,
-    };
-    let refusal = match attempts.exposure.promise() {
-        Some(promise) => Refusal::not_run(promise, Kind::NotRun).after(held.retry_after),
-        None => Refusal::may_have_run(Unknown::Failed),
-    };
-    Err(Failure {
-        refusal,
-        cause: held_cause(&held),
-        engine: engine.clone(),
-    })
-}
-
 /// Waits after a rejection, longer after each.
 async fn rejection_pause(routed: &RoutedRequest, attempts: &Attempts) {
     let pause = REJECTION_PAUSE * attempts.not_run.clamp(1, MAX_REJECTION_PAUSES);
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -7,6 +7,7 @@
 mod early;
 pub mod evidence;
 mod framing;
+mod holds;
 mod keys;
 mod permit;
 mod relay;
@@ -41,7 +42,7 @@
 use super::origins::{Resumed, StreamId};
 use super::request_headers::RequestHeaders;
 use super::state::Edge;
-use super::suspects::{self, Feature, Hold};
+use super::suspects::{self, Feature};
 use super::upstream::EnginePhase;
 use crate::clock::Moment;
 use crate::error::Kind;
@@ -284,7 +285,7 @@
     if let Err(held) = edge.check_held(&routed.features) {
         let refusal = Refusal::not_run(Promise::before_attempts(), Kind::NotRun);
         let refusal = refusal.after(held.retry_after);
-        return Ok(routed.refuse(refusal, &held_cause(&held), "", 0));
+        return Ok(routed.refuse(refusal, &holds::cause(&held), "", 0));
     }
     edge.record_request(&routed.service);
     record_demand(&routed);
@@ -361,14 +362,6 @@
     })
 }
 
-/// Returns why a held request is refused.
-fn held_cause(held: &Hold) -> String {
-    format!(
-        "engines crashed while running requests with {}",
-        held.feature
-    )
-}
-
 /// Refuses a request before it is sent to an engine.
 fn refuse(edge: &Edge, request: &str, kind: Kind, cause: &str) -> Response<ResponseBody> {
     let mut refusal = Refusal::not_run(Promise::before_attempts(), kind);
--- a/src/edge/permits/allocator.rs
+++ b/src/edge/permits/allocator.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Application, Rank, Verdict, spread};
+use super::{Application, Rank, Returns, Verdict};
 use crate::clock::Moment;
 use crate::decide::rate_limits::TokenBucket;
 
@@ -22,8 +22,6 @@
 const APPLICATION_LIFETIME: Duration = Duration::from_millis(250);
 /// Time for which a verdict is repeated when its application comes again.
 const VERDICT_RETENTION: Duration = Duration::from_millis(500);
-/// Maximum delay of a refused caller.
-pub const MAX_RETURN_DELAY: Duration = Duration::from_secs(10);
 
 /// Who applies.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -56,10 +54,8 @@
     /// Permits a second: the share of the followers in the engine's rate.
     rate: f64,
     filled_at: Moment,
-    /// When the last refused caller is to return.
-    return_at: Moment,
-    /// Callers that were refused.
-    refused: u64,
+    /// When refused callers are to return.
+    returns: Returns,
 }
 
 impl Bucket {
@@ -69,8 +65,7 @@
             permits: TokenBucket::empty(now),
             rate: 0.0,
             filled_at: now,
-            return_at: now,
-            refused: 0,
+            returns: Returns::new(now),
         }
     }
 
@@ -88,15 +83,8 @@
     /// Returns after which time a caller that is refused now should return: when the queue is
     /// done, and one after the other.
     fn book_return(&mut self, queue_time: Duration, now: Moment) -> Duration {
-        self.refused = self.refused.wrapping_add(1);
         let step = Duration::try_from_secs_f64(1.0 / self.rate).unwrap_or(Duration::MAX);
-        let next = self.return_at.saturating_add(step);
-        let delay = next.saturating_sub(now).max(queue_time);
-        if delay <= MAX_RETURN_DELAY {
-            self.return_at = now + delay;
-            return delay;
-        }
-        MAX_RETURN_DELAY.mul_f64((1.0 + spread(self.refused)) / 2.0)
+        self.returns.book(step, queue_time, now)
     }
 }
 
--- a/src/edge/permits/mod.rs
+++ b/src/edge/permits/mod.rs
@@ -8,13 +8,15 @@
 mod allocator;
 mod holder;
 pub mod packets;
+mod returns;
 mod round;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-pub use allocator::{Allocator, Applicant, MAX_RETURN_DELAY};
+pub use allocator::{Allocator, Applicant};
 pub use holder::{PermitGuard, PermitState, Permits, REPEAT_PERIOD};
+pub use returns::Returns;
 pub use round::Allocation;
 
 /// Fractional parts of its multiples are spread evenly, whatever their number (golden ratio).
