Count request bodies until engines have read them

Callers' uploads were counted until their answer was there. An engine that answers before it has read the request leaves its connection writing the rest for seconds, with the body, uncounted: 24 uploads of 8 MB took a host of 120 MB to 227 MB, after which it is ended for its memory. The relay of a long response kept the body, too.

The body now owns its reservation, so that it counts until the last reference is dropped. Where a body finds no room, connections whose engines have answered and not read on are closed first (`unread requests dropped`); a request in progress is never ended for another. The relay of a long response keeps no body.

--- a/src/edge/body_memory.rs
+++ b/src/edge/body_memory.rs
@@ -1,49 +1,76 @@
 //! Memory for the bodies of callers' requests.
 
-use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
-use super::state::Edge;
+use bytes::Bytes;
 
 /// Divisor of the memory limit that gives the memory for request bodies; the rest is for
 /// the process, its sockets and responses.
 const BODY_MEMORY_DIVISOR: u64 = 4;
+/// Bytes in a MB.
+const MB: u64 = 1_000_000;
 
-/// Memory reserved for a request body; dropping it releases the memory.
-#[derive(Debug)]
-pub struct BodyReservation {
-    edge: Rc<Edge>,
-    bytes: u64,
-}
+/// Bytes of request bodies that a host holds. Atomic, because the owner of [`Bytes`] has to be
+/// [`Send`].
+#[derive(Clone, Debug, Default)]
+pub struct BodyMemory(Arc<AtomicU64>);
 
-impl BodyReservation {
-    /// Reserves memory for `bytes`. Returns `None` if too little is free.
-    pub fn reserve(edge: &Rc<Edge>, bytes: u64) -> Option<Self> {
-        let max_bytes = edge.settings.borrow().memory_mb * 1_000_000 / BODY_MEMORY_DIVISOR;
-        let reserved = edge.body_bytes.get() + bytes;
-        if reserved > max_bytes {
+impl BodyMemory {
+    /// Returns the number of bytes.
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Reserves `bytes` of a host that may use `memory_mb`. Returns `None` if too little is free.
+    pub fn reserve(&self, bytes: u64, memory_mb: u64) -> Option<BodyReservation> {
+        let max_bytes = memory_mb * MB / BODY_MEMORY_DIVISOR;
+        if self.get() + bytes > max_bytes {
             return None;
         }
-        edge.body_bytes.set(reserved);
+        self.0.fetch_add(bytes, Ordering::Relaxed);
         Some(BodyReservation {
-            edge: edge.clone(),
+            memory: self.clone(),
             bytes,
         })
     }
+}
+
+/// Memory reserved for a request body; dropping it releases the memory.
+#[derive(Debug)]
+pub struct BodyReservation {
+    memory: BodyMemory,
+    bytes: u64,
+}
 
-    /// Releases what exceeds `bytes`.
-    pub fn shrink(&mut self, bytes: u64) {
-        let excess = self.bytes.saturating_sub(bytes);
-        self.edge
-            .body_bytes
-            .set(self.edge.body_bytes.get() - excess);
+impl BodyReservation {
+    /// Returns `body`, which is counted until all references to it are dropped: a connection
+    /// writes it on after its engine has answered.
+    pub fn hold(mut self, body: Bytes) -> Bytes {
+        let excess = self.bytes.saturating_sub(body.len() as u64);
+        self.memory.0.fetch_sub(excess, Ordering::Relaxed);
         self.bytes -= excess;
+        Bytes::from_owner(HeldBody {
+            bytes: body,
+            _reservation: self,
+        })
     }
 }
 
 impl Drop for BodyReservation {
     fn drop(&mut self) {
-        self.edge
-            .body_bytes
-            .set(self.edge.body_bytes.get() - self.bytes);
+        self.memory.0.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// A body with its reservation.
+struct HeldBody {
+    bytes: Bytes,
+    _reservation: BodyReservation,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
     }
 }
--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -369,6 +369,27 @@
         self.pools.borrow_mut().clear();
     }
 
+    /// Closes the idle connections whose engines have answered and not read the whole request yet,
+    /// and returns their number.
+    pub async fn close_unread(&self) -> u64 {
+        let mut unread = Vec::new();
+        for pool in self.pools.borrow_mut().values_mut() {
+            unread.extend(pool.extract_if(.., |idle| !idle.connection.sender.is_ready()));
+        }
+        let count = unread.len() as u64;
+        for mut idle in unread {
+            let task = &mut idle.connection.task;
+            task.abort();
+            // The task holds the request until it has ended.
+            if let Err(error) = task.await
+                && error.is_panic()
+            {
+                log::warn!(error:%; "task of a connection failed");
+            }
+        }
+        count
+    }
+
     /// Takes the usable idle connection to `addr` that was used most recently and has not carried
     /// a request with this id, which a late response could not be told from.
     fn take_idle(&self, addr: SocketAddr, id: Option<IdHash>) -> Option<Connection> {
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -189,21 +189,16 @@
     }
 }
 
-/// Guard of a caller's request in progress: counts the request and keeps the memory for
-/// its body reserved until dropped.
+/// Guard of a caller's request in progress, which is counted until it is dropped.
 #[derive(Debug)]
 struct RequestGuard {
     edge: Rc<Edge>,
-    _reservation: BodyReservation,
 }
 
 impl RequestGuard {
-    fn new(edge: &Rc<Edge>, reservation: BodyReservation) -> Self {
+    fn new(edge: &Rc<Edge>) -> Self {
         edge.state.borrow_mut().active_requests += 1;
-        RequestGuard {
-            edge: edge.clone(),
-            _reservation: reservation,
-        }
+        RequestGuard { edge: edge.clone() }
     }
 }
 
@@ -250,7 +245,7 @@
     // A chunked body may grow up to the limit.
     let max_bytes = limits.body as u64;
     let expected = body.size_hint().upper().unwrap_or(max_bytes).min(max_bytes);
-    let Some(mut reservation) = BodyReservation::reserve(&edge, expected) else {
+    let Some(reservation) = reserve_body(&edge, expected).await else {
         let cause = "no memory left for request bodies";
         return Ok(refuse_unread(&edge, &headers.id, Kind::QueueFull, cause));
     };
@@ -267,8 +262,8 @@
             return Ok(refuse_unread(&edge, &headers.id, kind, cause));
         }
     };
-    reservation.shrink(body.len() as u64);
-    let active = RequestGuard::new(&edge, reservation);
+    let body = reservation.hold(body);
+    let active = RequestGuard::new(&edge);
     let id = headers.id.clone();
     // Reading the body may have taken longer than a key or a route is there.
     let desired = edge.state.borrow().desired.clone();
@@ -390,6 +385,23 @@
     refuse_unread(edge, &headers.id, Kind::QueueFull, cause)
 }
 
+/// Reserves memory for a request body. If too little is free, closes the connections on which an
+/// engine that has answered has not read its request: nobody waits for that any more.
+async fn reserve_body(edge: &Edge, bytes: u64) -> Option<BodyReservation> {
+    let memory_mb = edge.settings.borrow().memory_mb;
+    if let Some(reservation) = edge.body_memory.reserve(bytes, memory_mb) {
+        return Some(reservation);
+    }
+    let held = edge.body_memory.get();
+    let connections = edge.client.close_unread().await;
+    if connections > 0 {
+        let released = held.saturating_sub(edge.body_memory.get());
+        log::warn!(connections, held, released; "unread requests dropped");
+        edge.metrics.record_unread_requests(connections);
+    }
+    edge.body_memory.reserve(bytes, memory_mb)
+}
+
 async fn read_body(body: Incoming, limits: &RequestLimits) -> Result<Bytes, Kind> {
     let body = Limited::new(body, limits.body).collect();
     match tokio::time::timeout(BODY_TIMEOUT, body).await {
--- a/src/edge/forward/relay.rs
+++ b/src/edge/forward/relay.rs
@@ -26,6 +26,7 @@
 use crate::edge::exchange::Recipient;
 use crate::edge::in_flight::InFlightGuard;
 use crate::edge::slow_readers::UnreadCause;
+use crate::edge::state::Edge;
 use crate::edge::suspects::Progress;
 use crate::platform::headers;
 
@@ -212,7 +213,8 @@
                 return;
             }
             StreamEnd::Unread(cause) => {
-                record_unread(&routed, &engine, &self.part_sender, cause);
+                let names = [&*routed.headers.id, &*engine];
+                record_unread(&routed.edge, names, &self.part_sender, cause);
                 routed.log_outcome("unread by the caller", status, &engine, attempts);
             }
             StreamEnd::DeadlinePassed => {
@@ -380,9 +382,16 @@
     in_flight: InFlightGuard,
 ) -> OpenedResponse {
     let (part_sender, relayed_body) = PartSender::new(&routed.edge.held_bytes);
-    let routed = routed.clone();
+    // Not the request, whose body is of no more use.
+    let (edge, id, deadline) = (
+        routed.edge.clone(),
+        routed.headers.id.clone(),
+        routed.deadline,
+    );
+    let features = routed.features.clone();
     tokio::task::spawn_local(async move {
-        let relayed = timeout(routed.time_left(), relay_parts(&routed, body, &part_sender)).await;
+        let time_left = deadline.saturating_sub(clock::now());
+        let relayed = timeout(time_left, relay_parts(&edge, body, &part_sender)).await;
         let cause = match relayed {
             Ok(Ok(())) => {
                 in_flight.record_outcome(true);
@@ -390,15 +399,14 @@
             }
             Ok(Err(BodyEnd::Unread(cause))) => {
                 in_flight.record_outcome(true);
-                record_unread(&routed, &in_flight.engine, &part_sender, cause);
+                record_unread(&edge, [&id, &in_flight.engine], &part_sender, cause);
                 return;
             }
             Ok(Err(BodyEnd::Broken(error))) => {
                 in_flight.record_outcome(false);
                 in_flight.record_end();
                 let Recipient { lifetime, addr } = in_flight.recipient();
-                let (edge, features) = (&routed.edge, &routed.features);
-                edge.record_broken_off(lifetime, *addr, features, Progress::Begun);
+                edge.record_broken_off(lifetime, *addr, &features, Progress::Begun);
                 error.to_string()
             }
             Err(_) => {
@@ -407,7 +415,7 @@
             }
         };
         drop(connection);
-        let request = &*routed.headers.id;
+        let request = &*id;
         log::warn!(request, engine = &*in_flight.engine, cause; "long response truncated");
     });
     OpenedResponse::Complete(Response::from_parts(head, relayed_body))
@@ -424,7 +432,7 @@
 
 /// Relays the parts of a body until its end, or until the caller disconnects.
 async fn relay_parts(
-    routed: &RoutedRequest,
+    edge: &Edge,
     mut body: Incoming,
     part_sender: &PartSender,
 ) -> Result<(), BodyEnd> {
@@ -444,7 +452,7 @@
         if part_sender.send(data).is_err() {
             return Ok(());
         }
-        let limits = routed.edge.hold_limits();
+        let limits = edge.hold_limits();
         tokio::select! {
             biased;
             room = part_sender.room(&limits) => room.map_err(BodyEnd::Unread)?,
@@ -455,15 +463,14 @@
 
 /// Records that a response ended because its caller did not read it.
 fn record_unread(
-    routed: &RoutedRequest,
-    engine: &str,
+    edge: &Edge,
+    [request, engine]: [&str; 2],
     part_sender: &PartSender,
     cause: UnreadCause,
 ) {
-    let request = &*routed.headers.id;
     let cause: &'static str = cause.into();
     let held = part_sender.held();
-    let held_by_host = routed.edge.held_bytes.get();
+    let held_by_host = edge.held_bytes.get();
     log::warn!(request, engine, cause, held, held_by_host; "response ended unread");
-    routed.edge.metrics.record_unread_response(cause);
+    edge.metrics.record_unread_response(cause);
 }
--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -363,6 +363,7 @@
         }
         Some(HostQuery::Metrics) => {
             edge.metrics.set_held_bytes(edge.held_bytes.get());
+            edge.metrics.set_body_bytes(edge.body_memory.get());
             response::text_response(StatusCode::OK, TEXT, edge.metrics.prometheus_text())
         }
         None => response::text_response(StatusCode::NOT_FOUND, TEXT, "not found\n".to_owned()),
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -120,7 +120,7 @@
         phase: Cell::new(DaemonPhase::Starting),
         shutdown: Cell::default(),
         activity: RefCell::new(Activity::new(clock::now())),
-        body_bytes: Cell::default(),
+        body_memory: body_memory::BodyMemory::default(),
         held_bytes: Rc::default(),
         state: RefCell::default(),
         changed: tokio::sync::watch::Sender::new(0),
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::activity::Activity;
+use super::body_memory::BodyMemory;
 use super::caps::{Accounts, Ledger};
 use super::client::Client;
 use super::clock;
@@ -83,8 +84,8 @@
     pub shutdown: Cell<Option<Shutdown>>,
     /// When the process ran.
     pub activity: RefCell<Activity>,
-    /// Bytes of callers' bodies that are buffered.
-    pub body_bytes: Cell<u64>,
+    /// Bytes of request bodies that are held.
+    pub body_memory: BodyMemory,
     /// Bytes held for callers that have not read them.
     pub held_bytes: Rc<HeldBytes>,
     /// Mutable state.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -45,6 +45,8 @@
     connections_ended: Counter<u64>,
     held_bytes: Gauge<u64>,
     unread_responses: Counter<u64>,
+    body_bytes: Gauge<u64>,
+    unread_requests: Counter<u64>,
     engine_responses: Counter<u64>,
     engine_statements: Counter<u64>,
     permits: Counter<u64>,
@@ -132,6 +134,16 @@
                 "unread_responses",
                 "Responses ended because their callers did not read them, by the full account",
             ),
+            body_bytes: gauge(
+                &m,
+                "body_bytes",
+                "Bytes of request bodies held, those that engines have not read included",
+            ),
+            unread_requests: counter(
+                &m,
+                "unread_requests",
+                "Answered requests whose rest was dropped because their engines did not read it",
+            ),
             engine_responses: counter(
                 &m,
                 "engine_responses",
@@ -277,6 +289,16 @@
             .add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Sets the number of bytes of request bodies that are held.
+    pub fn set_body_bytes(&self, bytes: u64) {
+        self.body_bytes.record(bytes, &[]);
+    }
+
+    /// Counts answered requests whose rest was dropped, as their engines did not read it.
+    pub fn record_unread_requests(&self, count: u64) {
+        self.unread_requests.add(count, &[]);
+    }
+
     /// Counts an engine's response, on a connection that had carried `earlier` before.
     pub fn record_engine_response(&self, attribution: &'static str, earlier: &'static str) {
         let labels = [
--- a/tests/edge/fakes/engine/behavior.rs
+++ b/tests/edge/fakes/engine/behavior.rs
@@ -65,6 +65,13 @@
     EarlyReset(Duration),
     /// The same, but closes the connection with the body unread.
     EarlyClose(Duration),
+    /// Answers before it reads the body, and never reads the body.
+    EarlyUnread,
+    /// Begins to run every request, reads little or nothing of its body, and does not answer.
+    Unread {
+        /// Bytes that it reads in each pause between events.
+        bytes: usize,
+    },
     /// Runs every request and answers with this text in place of a status.
     Status(&'static str),
     /// Answers 500.
--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -305,6 +305,11 @@
         state.runs.iter().filter(|r| *r == id).count()
     }
 
+    /// Returns whether any request began to run.
+    pub fn has_run(&self) -> bool {
+        !self.state.lock().unwrap().runs.is_empty()
+    }
+
     /// Returns the number of late responses sent.
     pub fn late_responses(&self) -> u64 {
         self.state.lock().unwrap().late_responses
@@ -357,6 +362,9 @@
                 self.break_early(stream, &request, time).await;
                 return;
             }
+            if !is_call && self.leaves_unread(stream, &request).await {
+                return;
+            }
             if !matches!(read_body(stream, &mut rest, &mut request).await, Ok(true)) {
                 return;
             }
--- a/tests/edge/fakes/engine/runs.rs
+++ b/tests/edge/fakes/engine/runs.rs
@@ -251,6 +251,39 @@
         outcome
     }
 
+    /// Leaves the body of a request unread for as long as the behavior says so; returns whether
+    /// the connection is of no more use.
+    pub(super) async fn leaves_unread(
+        &self,
+        stream: &mut TcpStream,
+        request: &ReceivedRequest,
+    ) -> bool {
+        let read = match self.behavior() {
+            Behavior::EarlyUnread => {
+                if self.answer(stream, request).await.is_err() {
+                    return true;
+                }
+                0
+            }
+            Behavior::Unread { bytes } => bytes,
+            _ => return false,
+        };
+        let _run = self.begin_run(request.header("x-mastichinge-request-id"));
+        let mut block = vec![0; read];
+        loop {
+            sleep(EVENT_PAUSE).await;
+            // An empty block is read at once, also after the end.
+            match stream.read(&mut block).await {
+                Ok(0) if read > 0 => return true,
+                Err(_) => return true,
+                Ok(_) => {}
+            }
+            if stream.take_error().is_ok_and(|e| e.is_some()) {
+                return true;
+            }
+        }
+    }
+
     /// Answers without a length before the body is read, and breaks off after `time`.
     pub(super) async fn break_early(
         &self,
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -55,4 +55,5 @@
 mod suspects;
 mod suspension;
 mod translation;
+mod unread_uploads;
 mod version_fleet;
--- a/tests/edge/site.rs
+++ b/tests/edge/site.rs
@@ -146,6 +146,13 @@
         }
     }
 
+    /// Sets the behavior of the plain engines.
+    pub fn set_plain(&self, behavior: Behavior) {
+        for engine in &self.plain {
+            engine.set_behavior(behavior);
+        }
+    }
+
     /// Leaves the daemon no retries.
     pub fn exhaust_retries(&self) {
         self.daemon.write_settings(|s| {
