Send a request that gets no early repeat without the state of one

`send_first` copied the list of avoided engines for each send, also with repeats off (the default) and for sends that are never repeated. It now returns after a plain send where no delay is planned.

--- a/src/edge/forward/early.rs
+++ b/src/edge/forward/early.rs
@@ -60,7 +60,16 @@
 ) -> Tried {
     let is_first = attempts.sent == 1 && attempts.not_run == 0;
     let delay = is_first.then(|| plan(routed)).flatten();
-    let may_repeat = attempts.route_allows_retry(routed);
+    let Some(delay) = delay.filter(|_| attempts.route_allows_retry(routed)) else {
+        let sent_at = clock::now();
+        let outcome = send(routed, attempts, choice, max_silence).await;
+        let time = clock::now().saturating_sub(sent_at);
+        record_alone(routed, &outcome, is_first, time);
+        return Tried {
+            engine: choice.engine.clone(),
+            outcome,
+        };
+    };
     let mut avoid = attempts.avoid.clone();
     avoid.push(choice.engine.clone());
     let before = Before {
@@ -70,20 +79,13 @@
     };
     let sent_at = clock::now();
     let is_raced = attempts.is_raced.clone();
-    let first = Tried {
-        engine: choice.engine.clone(),
-        outcome: SendOutcome::Withheld,
-    };
     let (race, other, successor) = {
         let mut sending = pin!(send(routed, attempts, choice, max_silence));
-        let early = match delay.filter(|_| may_repeat) {
-            Some(delay) => timeout_unless_arrived(delay, sending.as_mut()).await.ok(),
-            None => Some(sending.as_mut().await),
-        };
+        let early = timeout_unless_arrived(delay, sending.as_mut()).await;
         let elapsed = clock::now().saturating_sub(sent_at);
         let successor = match early {
-            Some(outcome) => Err(outcome),
-            None => match start(routed, &before, choice, elapsed) {
+            Ok(outcome) => Err(outcome),
+            Err(_) => match start(routed, &before, choice, elapsed) {
                 Some(successor) => Ok(successor),
                 None => Err(sending.as_mut().await),
             },
@@ -93,7 +95,8 @@
             Err(outcome) => {
                 let time = clock::now().saturating_sub(sent_at);
                 record_alone(routed, &outcome, is_first, time);
-                return Tried { outcome, ..first };
+                let engine = choice.engine.clone();
+                return Tried { engine, outcome };
             }
         };
         is_raced.set(true);
