Check a change of the configuration before it is sent

`mastichinge config check FILE` lists all errors of a patch, entries without effect, limits that contradict each other, and the merge patch of what differs from the version in force at a named host, from a file (`--against`), or from nothing. It sends nothing. Errors end with code 6 as a refused patch does, warnings with 1 under `--strict`; notes never fail.

The analysis is code of its own (src/config/check/): a configuration and a patch in, findings with kind, level, path and message out.

--- a/src/bin/mastichinge.rs
+++ b/src/bin/mastichinge.rs
@@ -25,7 +25,11 @@
 }
 
 fn run_command(args: &ToolArgs) -> Result<(), ToolError> {
-    let profile = match args.command {
+    let profile = match &args.command {
+        Command::Check(check) if check.against.is_none() => {
+            Profile::read(args, &Environment::read())?
+        }
+        Command::Check(_) => Profile::default(),
         Command::Help(_) | Command::Version | Command::Trace { .. } => Profile::default(),
         _ => Profile::resolve(args, &Environment::read())?,
     };
--- a/src/cli/tool.rs
+++ b/src/cli/tool.rs
@@ -26,7 +26,7 @@
         ///
         /// Exit codes: 0 done, 1 failed, 2 wrong command line, 3 wrong profile or
         /// file, 4 refused, 5 the configuration has changed since, 6 the patch
-        /// breaks a rule, 7 no host or no table answers, 8 outcome unknown (send
+        /// or a checked file breaks a rule, 7 no host or no table answers, 8 outcome unknown (send
         /// again with the same --attempt), 9 not finished within the time limit.
         cmd mastichinge {
             /// Addresses of operators' ports, separated by commas.
@@ -53,6 +53,20 @@
                     /// Newer version; the one in force without it.
                     optional until: u64
                 }
+                /// Check a patch before it is sent; sends nothing.
+                ///
+                /// Compares with the version in force at the named host, or with
+                /// --against; with neither, with an empty configuration. Exit
+                /// codes: 6 errors, 1 warnings with --strict.
+                cmd check {
+                    /// File with the patch or configuration, JSON with comments; - for
+                    /// standard input.
+                    required file: PathBuf
+                    /// File with the configuration to compare with, in place of a host's.
+                    optional --against file: PathBuf
+                    /// Fail on warnings, too.
+                    optional --strict
+                }
                 /// Apply a JSON Merge Patch (RFC 7396).
                 cmd patch {
                     /// File with the patch, JSON with comments; - for standard input.
@@ -162,6 +176,8 @@
         /// Newer version; the active one if none is given.
         until: Option<u64>,
     },
+    /// Check a patch.
+    Check(CheckArgs),
     /// Apply a patch.
     Patch(PatchArgs),
     /// List changes.
@@ -205,6 +221,17 @@
     Drain(DrainArgs),
 }
 
+/// Arguments of `config check`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CheckArgs {
+    /// File with the patch; `-` for standard input.
+    pub file: PathBuf,
+    /// File with the configuration to compare with.
+    pub against: Option<PathBuf>,
+    /// Whether warnings fail the check.
+    pub strict: bool,
+}
+
 /// Arguments of `config patch`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PatchArgs {
@@ -305,6 +332,11 @@
             from: diff.from,
             until: diff.until,
         },
+        Cmd::Check(check) => Command::Check(CheckArgs {
+            file: check.file,
+            against: check.against,
+            strict: check.strict,
+        }),
         Cmd::Patch(patch) => Command::Patch(PatchArgs {
             file: patch.file,
             base: patch.base,
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,5 +1,6 @@
 //! The shared, versioned configuration that operators change with patches.
 
+pub mod check;
 pub mod entry;
 pub mod field_error;
 pub mod jsonc;
--- a/src/tool/config.rs
+++ b/src/tool/config.rs
@@ -49,7 +49,7 @@
     output.print_json(&create_patch(&old, &new))
 }
 
-fn get_config(client: &Client, version: Option<u64>) -> Result<ApiResponse, ToolError> {
+pub(super) fn get_config(client: &Client, version: Option<u64>) -> Result<ApiResponse, ToolError> {
     match version {
         Some(version) => client.get(format!("/v1/config/versions/{version}")),
         None => client.get("/v1/config"),
@@ -228,7 +228,7 @@
     path
 }
 
-fn read_patch(path: &Path) -> Result<Value, ToolError> {
+pub(super) fn read_patch(path: &Path) -> Result<Value, ToolError> {
     let mut text = String::new();
     let outcome = if path == Path::new("-") {
         std::io::stdin().read_to_string(&mut text).map(|_| ())
--- a/src/tool/error.rs
+++ b/src/tool/error.rs
@@ -50,6 +50,16 @@
         /// Cause.
         cause: String,
     },
+    /// A checked file has findings that fail the check.
+    #[error("{} has {errors} errors and {warnings} warnings", path.display())]
+    Findings {
+        /// File.
+        path: PathBuf,
+        /// Number of errors.
+        errors: usize,
+        /// Number of warnings.
+        warnings: usize,
+    },
     /// The host refused the request.
     #[error("{} refused: {}: {} (request {})", host, .problem.kind, .problem.detail, .problem.request_id)]
     Refused {
@@ -127,11 +137,14 @@
     pub fn exit(&self) -> Exit {
         match self {
             ToolError::Profile(_) | ToolError::Input { .. } => Exit::Settings,
+            ToolError::Findings { errors, .. } if *errors > 0 => Exit::Invalid,
             ToolError::Refused { problem, .. } => refusal_exit(problem),
             ToolError::Unreachable(_) | ToolError::NoAnswer(_) => Exit::Unavailable,
             ToolError::OutcomeUnknown { .. } => Exit::Unknown,
             ToolError::TimedOut { .. } => Exit::Late,
-            ToolError::UnexpectedResponse { .. } | ToolError::Output(_) => Exit::Failed,
+            ToolError::Findings { .. }
+            | ToolError::UnexpectedResponse { .. }
+            | ToolError::Output(_) => Exit::Failed,
         }
     }
 }
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -1,5 +1,6 @@
 //! Command-line tool for operators.
 
+mod check;
 pub mod client;
 mod config;
 mod error;
@@ -52,6 +53,7 @@
         Command::Version => output.print_line(env!("CARGO_PKG_VERSION")),
         Command::Show { at } => config::show(&client, *at, output),
         Command::Diff { from, until } => config::diff(&client, *from, *until, output),
+        Command::Check(args) => check::run(profile, args, output),
         Command::Patch(patch) => config::patch(&client, patch, output),
         Command::History(page) => config::history(&client, page, output),
         Command::Audit(page) => config::audit(&client, page, output),
--- a/src/tool/profile.rs
+++ b/src/tool/profile.rs
@@ -44,7 +44,21 @@
 
 impl Profile {
     /// Combines command line, environment and profile file; earlier ones take precedence.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no host is named, too.
     pub fn resolve(args: &ToolArgs, environment: &Environment) -> Result<Self, ToolError> {
+        let profile = Profile::read(args, environment)?;
+        if profile.hosts.is_empty() {
+            let hint = "no host is named; give --hosts, MASTICHINGE_HOSTS or a profile";
+            return Err(ToolError::Profile(hint.to_owned()));
+        }
+        Ok(profile)
+    }
+
+    /// Does the same for a command that needs no host.
+    pub fn read(args: &ToolArgs, environment: &Environment) -> Result<Self, ToolError> {
         let path = args.profile.as_ref().or(environment.profile.as_ref());
         let mut profile = match path {
             Some(path) => read_profile(path)?,
@@ -57,10 +71,6 @@
         if let Some(key) = &environment.key {
             profile.key.clone_from(key);
         }
-        if profile.hosts.is_empty() {
-            let hint = "no host is named; give --hosts, MASTICHINGE_HOSTS or a profile";
-            return Err(ToolError::Profile(hint.to_owned()));
-        }
         Ok(profile)
     }
 }
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -55,6 +55,35 @@
     assert_eq!((env.config_version(1), env.config_version(2)), (2, 2));
 }
 
+/// Guards against a check against another version than the one in force, against one that fails
+/// on the keys that hosts hide, and against one that changes anything.
+#[test]
+fn a_check_compares_with_the_version_in_force() {
+    let env = start_env(12);
+    let host = [operators_addr(&env, 1)];
+    let file = patch_file(
+        "check",
+        r#"{ "policy": { "queue": 77 }, "models": { "m0": null } }"#,
+    );
+    let checked = run_tool(&host, &format!("--json config check {}", file.display()));
+    assert_eq!(checked.status.code(), Some(0), "{checked:?}");
+    let report: serde_json::Value = serde_json::from_slice(&checked.stdout).expect("JSON");
+    assert_eq!(report["against"], "version 1");
+    assert_eq!(
+        report["changes"],
+        serde_json::json!({"policy": {"queue": 77}})
+    );
+    let findings = report["findings"].as_array().expect("findings");
+    assert!(
+        findings.iter().any(|f| f["path"] == "/models/m0"),
+        "{report}"
+    );
+    let file = patch_file("check-error", r#"{ "policy": { "queue": 0 } }"#);
+    let checked = run_tool(&host, &format!("config check {}", file.display()));
+    assert_eq!(checked.status.code(), Some(6), "{checked:?}");
+    assert_eq!(env.config_version(1), 1);
+}
+
 #[test]
 fn of_concurrent_patches_of_one_version_exactly_one_is_accepted() {
     let env = start_env(12);
