--- a/tests/outside/service.rs
+++ b/tests/outside/service.rs
@@ -12,6 +12,9 @@
 
 use crate::support::any_port;
 
+/// Number of connections that are reset; the moment differs each time.
+const REPEATS: usize = 20;
+
 #[test_case(Fault::None, Ok(200), 1; "no fault")]
 #[test_case(Fault::CloseBeforeRun, Err(true), 0; "dies before the run")]
 #[test_case(Fault::CloseAfterRun, Err(true), 1; "dies during the run")]
@@ -78,3 +81,31 @@
     server.join().expect("no failure");
     assert!(outcome.is_err_and(|error| error.maybe_sent()));
 }
+
+/// Guards against MIXED: an answer without a length that is reset, during the upload or after it, was
+/// taken for the whole.
+#[test_case(2, 0; "after the upload at once")]
+#[test_case(2, 20; "after the upload")]
+#[test_case(100_000, 0; "with the upload in the buffers at once")]
+#[test_case(100_000, 20; "with the upload in the buffers")]
+#[test_case(8 << 20, 20; "while nothing can be written")]
+fn an_answer_without_a_length_that_is_reset_is_no_answer(size: usize, pause_ms: u64) {
+    for _ in 0..REPEATS {
+        let listener = TcpListener::bind(any_port()).expect("a free port");
+        let addr = listener.local_addr().expect("a bound port");
+        let server = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            assert!(stream.read(&mut [0; 1_024]).expect("a head") > 0);
+            let answer = b"HTTP/1.1 200 OK\r\n\r\npart";
+            stream.write_all(answer).expect("a client");
+            std::thread::sleep(Duration::from_millis(pause_ms));
+            let socket = SockRef::from(&stream);
+            socket.set_linger(Some(Duration::ZERO)).expect("a socket");
+        });
+        let request = client::session().post(format!("http://{addr}/seats/7"));
+        let body = vec![b'x'; size];
+        let outcome = client::send(request, BodyType::Bytes, &body).and_then(client::read_body);
+        server.join().expect("no failure");
+        assert!(outcome.is_err_and(|error| error.maybe_sent()));
+    }
+}
