--- a/src/edge/listen.rs
+++ b/src/edge/listen.rs
@@ -362,8 +362,8 @@
             response::text_response(StatusCode::SERVICE_UNAVAILABLE, TEXT, text)
         }
         Some(HostQuery::Metrics) => {
-            edge.metrics.set_held_bytes(edge.held_bytes.get());
-            edge.metrics.set_body_bytes(edge.body_memory.get());
+            let (responses, bodies) = (edge.held_bytes.get(), edge.body_memory.get());
+            edge.metrics.set_held_bytes(responses, bodies);
             response::text_response(StatusCode::OK, TEXT, edge.metrics.prometheus_text())
         }
         None => response::text_response(StatusCode::NOT_FOUND, TEXT, "not found\n".to_owned()),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -134,16 +134,8 @@
                 "unread_responses",
                 "Responses ended because their callers did not read them, by the full account",
             ),
-            body_bytes: gauge(
-                &m,
-                "body_bytes",
-                "Bytes of request bodies held, those that engines have not read included",
-            ),
-            unread_requests: counter(
-                &m,
-                "unread_requests",
-                "Answered requests whose rest was dropped because their engines did not read it",
-            ),
+            body_bytes: gauge(&m, "body_bytes", "Bytes of request bodies held"),
+            unread_requests: counter(&m, "unread_requests", "Answered requests dropped unread"),
             engine_responses: counter(
                 &m,
                 "engine_responses",
@@ -278,9 +270,10 @@
             .add(1, &[KeyValue::new("cause", cause)]);
     }
 
-    /// Sets the number of bytes held for callers.
-    pub fn set_held_bytes(&self, bytes: u64) {
-        self.held_bytes.record(bytes, &[]);
+    /// Sets the number of bytes of responses held for callers, and of request bodies.
+    pub fn set_held_bytes(&self, responses: u64, bodies: u64) {
+        self.held_bytes.record(responses, &[]);
+        self.body_bytes.record(bodies, &[]);
     }
 
     /// Counts a response that ended because its caller did not read it.
@@ -289,11 +282,6 @@
             .add(1, &[KeyValue::new("cause", cause)]);
     }
 
-    /// Sets the number of bytes of request bodies that are held.
-    pub fn set_body_bytes(&self, bytes: u64) {
-        self.body_bytes.record(bytes, &[]);
-    }
-
     /// Counts answered requests whose rest was dropped, as their engines did not read it.
     pub fn record_unread_requests(&self, count: u64) {
         self.unread_requests.add(count, &[]);
