--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -20,11 +20,12 @@
 mod take_up;
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::request::Parts;
 use http::{Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -189,21 +190,16 @@
     }
 }
 
-/// Guard of a caller's request in progress: counts the request and keeps the memory for
-/// its body reserved until dropped.
+/// Guard of a caller's request in progress, which is counted until it is dropped.
 #[derive(Debug)]
 struct RequestGuard {
     edge: Rc<Edge>,
-    _reservation: BodyReservation,
 }
 
 impl RequestGuard {
-    fn new(edge: &Rc<Edge>, reservation: BodyReservation) -> Self {
+    fn new(edge: &Rc<Edge>) -> Self {
         edge.state.borrow_mut().active_requests += 1;
-        RequestGuard {
-            edge: edge.clone(),
-            _reservation: reservation,
-        }
+        RequestGuard { edge: edge.clone() }
     }
 }
 
@@ -250,7 +246,7 @@
     // A chunked body may grow up to the limit.
     let max_bytes = limits.body as u64;
     let expected = body.size_hint().upper().unwrap_or(max_bytes).min(max_bytes);
-    let Some(mut reservation) = BodyReservation::reserve(&edge, expected) else {
+    let Some(reservation) = reserve_body(&edge, expected).await else {
         let cause = "no memory left for request bodies";
         return Ok(refuse_unread(&edge, &headers.id, Kind::QueueFull, cause));
     };
@@ -267,8 +263,8 @@
             return Ok(refuse_unread(&edge, &headers.id, kind, cause));
         }
     };
-    reservation.shrink(body.len() as u64);
-    let active = RequestGuard::new(&edge, reservation);
+    let body = reservation.hold(body);
+    let active = RequestGuard::new(&edge);
     let id = headers.id.clone();
     // Reading the body may have taken longer than a key or a route is there.
     let desired = edge.state.borrow().desired.clone();
@@ -390,10 +386,38 @@
     refuse_unread(edge, &headers.id, Kind::QueueFull, cause)
 }
 
+/// Reserves memory for a request body. If too little is free, closes the connections on which an
+/// engine that has answered has not read its request: nobody waits for that any more.
+async fn reserve_body(edge: &Edge, bytes: u64) -> Option<BodyReservation> {
+    let memory_mb = edge.settings.borrow().memory_mb;
+    if let Some(reservation) = edge.body_memory.reserve(bytes, memory_mb) {
+        return Some(reservation);
+    }
+    let held = edge.body_memory.get();
+    let connections = edge.client.close_unread().await;
+    if connections > 0 {
+        let released = held.saturating_sub(edge.body_memory.get());
+        log::warn!(connections, held, released; "unread requests dropped");
+        edge.metrics.record_unread_requests(connections);
+    }
+    edge.body_memory.reserve(bytes, memory_mb)
+}
+
 async fn read_body(body: Incoming, limits: &RequestLimits) -> Result<Bytes, Kind> {
-    let body = Limited::new(body, limits.body).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+    let mut body = Limited::new(body, limits.body);
+    // The pages of the buffer are taken up as bytes arrive.
+    let capacity = body.size_hint().exact().unwrap_or_default();
+    let reading = async {
+        let mut bytes = BytesMut::with_capacity(capacity as usize);
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+        }
+        Ok::<_, Box<dyn Error + Send + Sync>>(bytes.freeze())
+    };
+    match tokio::time::timeout(BODY_TIMEOUT, reading).await {
+        Ok(Ok(body)) => Ok(body),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Kind::BodyTooLarge),
         Ok(Err(_)) => Err(Kind::BadRequest),
         Err(_) => Err(Kind::SlowClient),
