Choose the features that a crash keeps in one pass

The features of a crash are now sorted once, and the 16 of each kind that are most likely the cause are kept; equal ones are merged before, not after one of them was left out.

--- a/src/edge/suspects/crash.rs
+++ b/src/edge/suspects/crash.rs
@@ -80,6 +80,28 @@
         }
     }
 
+    /// Creates a crash with those of many features that are most likely the cause.
+    pub fn with_features(id: &CrashId, at: Moment, mut features: Vec<(Feature, Evidence)>) -> Self {
+        let mut crash = Crash::new(id, at, at);
+        features.sort_unstable_by_key(|(feature, _)| *feature);
+        features.dedup_by(|(feature, evidence), (kept, known)| {
+            let is_same = feature == kept;
+            if is_same {
+                known.merge(*evidence);
+            }
+            is_same
+        });
+        // All features of one kind come before those of the other.
+        for alike in features.chunk_by_mut(|(one, _), (other, _)| same_kind(*one, *other)) {
+            if alike.len() > MAX_FEATURES {
+                alike.sort_by_cached_key(|(feature, evidence)| crash.innocence(*feature, evidence));
+            }
+            let likely = alike.iter().take(MAX_FEATURES);
+            crash.features.extend(likely.copied());
+        }
+        crash
+    }
+
     /// Adds what is known of a feature; returns whether that is news.
     pub fn add(&mut self, feature: Feature, evidence: Evidence) -> bool {
         if let Some(known) = self.features.get_mut(&feature) {
@@ -95,33 +117,40 @@
     }
 
     /// Removes the feature of the same kind that is least likely the cause, if it is less likely
-    /// than this one; returns whether it is. Among equals, each crash keeps others.
+    /// than this one; returns whether it is.
     fn make_room(&mut self, feature: Feature, evidence: Evidence) -> bool {
-        let rank = |feature: Feature| {
-            let (Feature::Request(number) | Feature::Part(number)) = feature;
-            xxh3_64_with_seed(&number.to_be_bytes(), self.seed)
-        };
-        let innocence = |f: Feature, e: &Evidence| {
-            // An engine may crash before the first byte of the answer to a request.
-            let is_waiting = matches!(f, Feature::Part(_)) && !e.begun;
-            (e.cleared, !e.repeated, is_waiting, e.known, rank(f))
-        };
         let least = self
             .features
             .iter()
             .filter(|(f, _)| same_kind(**f, feature))
-            .map(|(f, e)| (innocence(*f, e), *f))
+            .map(|(f, e)| (self.innocence(*f, e), *f))
             .max();
         let Some((most, innocent)) = least else {
             return false;
         };
-        if most <= innocence(feature, &evidence) {
+        if most <= self.innocence(feature, &evidence) {
             return false;
         }
         self.features.remove(&innocent);
         true
     }
 
+    /// Returns how unlikely it is that a feature is the cause, compared with others of its kind.
+    /// Among equals, each crash prefers others.
+    fn innocence(&self, feature: Feature, evidence: &Evidence) -> (bool, bool, bool, bool, u64) {
+        let (Feature::Request(number) | Feature::Part(number)) = feature;
+        let rank = xxh3_64_with_seed(&number.to_be_bytes(), self.seed);
+        // An engine may crash before the first byte of the answer to a request.
+        let is_waiting = matches!(feature, Feature::Part(_)) && !evidence.begun;
+        let Evidence {
+            cleared,
+            repeated,
+            known,
+            ..
+        } = *evidence;
+        (cleared, !repeated, is_waiting, known, rank)
+    }
+
     /// Returns the features that may have caused the crash, each with whether it is a strong
     /// cause: one that no engine had answered before and, if it is a part, of a request whose
     /// answer had just begun, unless there is none. Engines crash on a part as they begin to
--- a/src/edge/suspects/mod.rs
+++ b/src/edge/suspects/mod.rs
@@ -85,15 +85,18 @@
         features: impl IntoIterator<Item = (Feature, bool)>,
         now: Moment,
     ) -> HeldChange {
-        let mut crash = Crash::new(id, now, now);
-        for (feature, begun) in features {
+        let seed = Crash::new(id, now, now).seed;
+        let evidence = |(feature, begun)| {
+            let repeated = self.broken.record(feature, seed);
             let evidence = Evidence {
                 begun,
-                repeated: self.broken.record(feature, crash.seed),
+                repeated,
                 ..Evidence::default()
             };
-            crash.add(feature, evidence);
-        }
+            (feature, evidence)
+        };
+        let features = features.into_iter().map(evidence).collect();
+        let crash = Crash::with_features(id, now, features);
         self.merge(id, &crash, now)
     }
 
