Give the fakes of each test a thread, and engines addresses, of their own

All engines and stores of a test process shared one thread. Each test now has its own runtime, which ends with its thread.

Engines that refuse connections for a while also lost their port at times: "Address already in use" in crashes.rs, once in 4 runs, two at a time, and the engine was gone for the rest of the test. Each has its own loopback address now, as daemons do.

--- a/tests/edge/fakes/engine/mod.rs
+++ b/tests/edge/fakes/engine/mod.rs
@@ -6,7 +6,7 @@
 mod runs;
 
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -21,6 +21,7 @@
 
 use super::store::Store;
 use super::{Framing, ReceivedRequest, read_body, read_head, runtime, write_response};
+use crate::loopback::network_octet;
 
 #[derive(Default)]
 struct EngineState {
@@ -138,6 +139,15 @@
 /// Time after a crash for which an engine is down.
 pub const DOWN_TIME: Duration = Duration::from_millis(1_500);
 
+/// Returns an address that no other engine has, nor any connection: an engine that refuses
+/// connections for a while has to get its port back.
+fn own_address() -> SocketAddr {
+    static NUMBER: AtomicU16 = AtomicU16::new(0);
+    let [high, low] = NUMBER.fetch_add(1, Ordering::SeqCst).to_be_bytes();
+    // Daemons have the lower half.
+    SocketAddr::from(([127, network_octet(), 128 | high, low], 0))
+}
+
 impl Engine {
     /// Starts an engine that has loaded `models` and registers it.
     pub fn start(store: &Store, id: &str, service: &str, models: &[&str]) -> Self {
@@ -162,7 +172,7 @@
         };
         let (id, service, store) = (id.to_owned(), service.to_owned(), store.clone());
         runtime().spawn(async move {
-            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let listener = TcpListener::bind(own_address()).await.unwrap();
             let engine = Engine {
                 id,
                 addr: listener.local_addr().unwrap(),
--- a/tests/edge/fakes/mod.rs
+++ b/tests/edge/fakes/mod.rs
@@ -11,20 +11,39 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::runtime::{Builder, Handle};
+use tokio::sync::oneshot;
 
-/// Returns the runtime of all fakes in a test process; it has its own thread.
+thread_local! {
+    static RUNTIME: FakesRuntime = FakesRuntime::start();
+}
+
+/// Returns the runtime of the fakes of a test, which has its own thread: other tests of the
+/// process, some with bytes without end, must not keep its engines silent.
 pub fn runtime() -> Handle {
-    static RUNTIME: std::sync::OnceLock<Handle> = std::sync::OnceLock::new();
-    let start = || {
+    RUNTIME.with(|runtime| runtime.handle.clone())
+}
+
+/// A runtime that ends with the thread of the test.
+struct FakesRuntime {
+    handle: Handle,
+    _running: oneshot::Sender<()>,
+}
+
+impl FakesRuntime {
+    fn start() -> Self {
         let (sender, receiver) = mpsc::channel();
+        let (running, ended) = oneshot::channel();
         thread::spawn(move || {
             let runtime = Builder::new_current_thread().enable_all().build().unwrap();
             sender.send(runtime.handle().clone()).unwrap();
-            runtime.block_on(std::future::pending::<()>());
+            // The sender is dropped, which is an error, when the test ends.
+            let _ = runtime.block_on(ended);
         });
-        receiver.recv().unwrap()
-    };
-    RUNTIME.get_or_init(start).clone()
+        FakesRuntime {
+            handle: receiver.recv().unwrap(),
+            _running: running,
+        }
+    }
 }
 
 /// What marks the end of an engine's streams.
