Space the trials of all held requests together

Twelve requests that crash engines were held after two crashes each, and then each was tried on its own: 0.5 s after its last crash, 2 s and 3 s later. The trials of one request are bounded, their sum over all was not.

A request is now tried when no other held request has crashed an engine for 3 s times its own crashes less one, or was tried at this host; a late trial of a part when there was no crash at all for 1.5 s, as a crash of another cause beside it kept a sound part held for a minute. Both wait for a minute at most. Code of its own (pace.rs), from facts and the time.

The patterns now also check the share that is served from when each request is known by two crashes, earlier than the third; with it the time played is 90 s, as the third crash of the last request comes later than before.

--- a/src/edge/suspects/mod.rs
+++ b/src/edge/suspects/mod.rs
@@ -18,6 +18,7 @@
 mod index;
 mod left_runs;
 mod notes;
+mod pace;
 mod progress;
 mod recording;
 mod rows;
@@ -41,6 +42,7 @@
 use broken::BrokenFeatures;
 use crash_set::{CrashSet, MAX_CRASHES};
 use index::Index;
+use pace::Pace;
 use sound::SoundFeatures;
 use trials::CrashTimes;
 
@@ -201,8 +203,35 @@
     /// Returns the time until a request whose only held feature is this one may be tried;
     /// `None` if there is no further trial.
     pub fn trial_in(&self, feature: Feature, now: Moment) -> Option<Duration> {
-        self.trials
-            .due_in(feature, &self.crash_times(feature), false, now)
+        let crashes = self.crash_times(feature);
+        let due = self.trials.due_in(feature, &crashes, false, now)?;
+        Some(due.max(self.pace_wait(feature, &crashes, now)))
+    }
+
+    /// Returns the time for which the trial of a held feature waits beside its own crashes.
+    fn pace_wait(&self, feature: Feature, crashes: &CrashTimes, now: Moment) -> Duration {
+        let near = self.index.open(feature).all;
+        let last_crash = |slots: CrashSet| self.crashes_in(slots).map(|(_, crash)| crash.at).max();
+        let own = last_crash(near).max(self.trials.last_at(feature));
+        let is_other = |f: &&Feature| **f != feature && matches!(f, Feature::Request(_));
+        let others = self.held.iter().filter(is_other);
+        let tried = others.clone().filter_map(|f| self.trials.last_at(*f)).max();
+        let pace = match feature {
+            Feature::Request(_) => {
+                let at_crashes = others.map(|f| self.index.open(*f).all);
+                let at_crashes = at_crashes.fold(CrashSet::default(), |all, open| all.or(&open));
+                let last = last_crash(at_crashes.minus(&near)).max(tried);
+                Pace::of_request(near.len(), own, last)
+            }
+            Feature::Part(_) if !self.trials.is_late(feature, crashes, now) => {
+                return Duration::ZERO;
+            }
+            Feature::Part(_) => {
+                let last = self.crashes.values().map(|(_, crash)| crash.at).max();
+                Pace::of_late_part(own, last.max(tried))
+            }
+        };
+        pace.wait(now)
     }
 
     /// Returns the held features of a request, each with the time until the request may be
@@ -224,7 +253,8 @@
         let due = |feature: Feature| {
             let mut crashes = self.crash_times(feature);
             crashes.last = last.unwrap_or_default();
-            self.trials.due_in(feature, &crashes, is_doubtful, now)
+            let due = self.trials.due_in(feature, &crashes, is_doubtful, now)?;
+            Some(due.max(self.pace_wait(feature, &crashes, now)))
         };
         held.into_iter().map(|f| (f, due(f))).collect()
     }
--- a/src/edge/suspects/trials.rs
+++ b/src/edge/suspects/trials.rs
@@ -87,6 +87,12 @@
         self.0.get(&feature).map_or(0, |t| t.late)
     }
 
+    /// Returns when the last trial of a feature began, if there was one.
+    pub fn last_at(&self, feature: Feature) -> Option<Moment> {
+        let trial = self.0.get(&feature).filter(|t| t.count > 0)?;
+        Some(trial.last_at)
+    }
+
     /// Records that there were `count` trials of a feature, the last one now, unless more are
     /// known; returns whether that is news.
     pub fn record(&mut self, feature: Feature, count: u32, now: Moment) -> bool {
--- a/tests/edge/crash_patterns.rs
+++ b/tests/edge/crash_patterns.rs
@@ -24,6 +24,12 @@
 const STREAM: Duration = Duration::from_millis(450);
 /// Time from a crash to the return of the engine.
 const DOWN: Duration = Duration::from_millis(1_500);
+/// Time in which twelve requests are known, and tried one after the other.
+const RUN_TIME: Duration = Duration::from_secs(90);
+/// Time after the crashes of bad requests in which trials may cost engines.
+const TRIAL_TIME: Duration = Duration::from_secs(15);
+/// Part of the engines' time that trials may cost: nine of ten requests are to be served.
+const MAX_LOST: f64 = 0.1;
 const ATTEMPTS: usize = 2;
 const MS: Duration = Duration::from_millis(1);
 
@@ -102,6 +108,8 @@
     sendings: BTreeMap<Feature, Vec<Moment>>,
     /// When each sound request came, and whether it was served.
     sound: Vec<(Moment, bool)>,
+    /// When engines crashed.
+    crashes_at: Vec<Moment>,
 }
 
 impl Play {
@@ -116,6 +124,7 @@
             now: at(0),
             sendings: BTreeMap::new(),
             sound: Vec::new(),
+            crashes_at: Vec::new(),
         }
     }
 
@@ -219,6 +228,7 @@
             engine: format!("e{e}").as_str().into(),
             incarnation: engine.lives,
         });
+        self.crashes_at.push(self.now);
         let running = std::mem::take(&mut engine.running);
         let mut features = Vec::new();
         for run in &running {
@@ -237,12 +247,24 @@
         }
     }
 
-    /// Returns when the last crash happened after which sendings count.
-    fn counted_at(&self) -> Moment {
-        let crashes = match self.cause {
+    /// Returns the crashes after which sendings count.
+    fn counted_crashes(&self) -> usize {
+        match self.cause {
             Cause::Requests(_) => 3,
             Cause::Part => 5,
-        };
+        }
+    }
+
+    /// Returns the crashes from which hosts know enough of a bad request, or of the bad part.
+    fn known_crashes(&self) -> usize {
+        match self.cause {
+            Cause::Requests(_) if self.bad_from == at(0) => 2,
+            Cause::Requests(_) | Cause::Part => self.counted_crashes(),
+        }
+    }
+
+    /// Returns when the last bad request, or the bad part, had crashed this many engines.
+    fn crashed_at(&self, crashes: usize) -> Moment {
         let bad = |times: &Vec<Moment>| {
             let mut times = times.iter().filter(|at| **at >= self.bad_from);
             times.nth(crashes - 1).copied()
@@ -255,10 +277,7 @@
     }
 
     fn assert_few_sent(&self) {
-        let crashes = match self.cause {
-            Cause::Requests(_) => 3,
-            Cause::Part => 5,
-        };
+        let crashes = self.counted_crashes();
         for (feature, times) in &self.sendings {
             let times: Vec<_> = times.iter().filter(|at| **at >= self.bad_from).collect();
             let Some(counted) = times.get(crashes - 1) else {
@@ -272,8 +291,23 @@
         }
     }
 
+    /// Checks that trials of the bad requests, all together, cost few engines.
+    fn assert_engines_up(&self) {
+        let from = self.crashed_at(self.known_crashes()) + 2 * CONTACT;
+        let later = self.crashes_at.iter().filter(|at| **at >= from);
+        let in_time = later.filter(|at| **at < from + TRIAL_TIME).count() as f64;
+        let lost = in_time * DOWN.as_secs_f64();
+        let share = lost / (TRIAL_TIME.as_secs_f64() * self.engines.len() as f64);
+        assert!(share <= MAX_LOST, "{share} of the engines' time");
+    }
+
     fn assert_served(&self) {
-        let from = self.counted_at() + 2 * CONTACT;
+        self.assert_served_after(self.known_crashes());
+        self.assert_served_after(self.counted_crashes());
+    }
+
+    fn assert_served_after(&self, crashes: usize) {
+        let from = self.crashed_at(crashes) + 2 * CONTACT;
         let later: Vec<_> = self.sound.iter().filter(|(at, _)| *at >= from).collect();
         let ended = later.iter().filter(|(at, _)| *at + STREAM < self.now);
         let served = ended.clone().filter(|(_, served)| *served).count();
@@ -301,9 +335,10 @@
             let mut play = Play::new(cause, crashes);
             play.rng = ChaCha8Rng::seed_from_u64(seed);
             play.bad_from = at(bad_from);
-            play.run(Duration::from_secs(40), 60, 300);
+            play.run(RUN_TIME, 60, 300);
             play.assert_few_sent();
             play.assert_served();
+            play.assert_engines_up();
         }
     }
 }
@@ -356,6 +391,43 @@
     }
 }
 
+/// Guards against LOST: trials of many held requests ended engine after engine at the same time.
+#[test]
+fn held_requests_are_tried_one_after_the_other() {
+    let mut suspects = Suspects::default();
+    for n in 1..4 {
+        crash(&mut suspects, 2 * n, &[FIRST, bad(n)]);
+        crash(&mut suspects, 2 * n + 1, &[FIRST, bad(n)]);
+    }
+    suspects.record_answered(&[FIRST], at(800));
+    let wait = |s: &Suspects, n, now| s.trials_in(&[FIRST, bad(n)], now)[0].1;
+    assert_eq!(wait(&suspects, 1, at(5_000)), Some(Duration::ZERO));
+    suspects.begin_trial(bad(1), at(5_000));
+    assert_eq!(wait(&suspects, 2, at(5_000)), Some(CONTACT));
+    crash(&mut suspects, 55, &[FIRST, bad(1)]);
+    assert_eq!(wait(&suspects, 3, at(8_000)), Some(500 * MS));
+    let minute = Duration::from_secs(60);
+    for n in 100..700 {
+        crash(&mut suspects, n, &[bad(n / 2)]);
+    }
+    let waits = [2, 3].map(|n| wait(&suspects, n, at(5_000) + minute));
+    assert_eq!(waits, [Some(Duration::ZERO); 2], "not for ever");
+}
+
+/// Guards against LOST: a late trial of a sound part met a crash of another cause, so that the
+/// part stayed held for a minute.
+#[test]
+fn a_late_trial_of_a_part_waits_for_calm() {
+    let mut suspects = Suspects::default();
+    for n in 1..7 {
+        crash(&mut suspects, n, &[BAD, sound(n)]);
+    }
+    let wait = |s: &Suspects| s.trials_in(&[BAD, sound(50)], at(10_000))[0].1;
+    assert_eq!(wait(&suspects), Some(Duration::ZERO));
+    crash(&mut suspects, 99, &[bad(1)]);
+    assert_eq!(wait(&suspects), Some(1_400 * MS));
+}
+
 /// Guards against LOST: a request that moved from engine to engine with the one that crashed
 /// them.
 #[test]
