Storms: count from the second crash, and let callers leave

The share of sound requests that are served was counted from 6 s after the third crash of the last of twelve requests, within 40 s. It is counted twice now, with the same bounds: from the second crash of each of the twelve, from which hosts know enough of them, which is earlier, and from the third as before; requests that crash engines are sent for 60 s. As the last crash may come late, sound ones are sent for another 10 s, of which no more count than the least number needed.

New: callers who leave at engines that crash, and a fourth daemon that starts after 2 to 3 s and gets a quarter of the requests, with a request (silent engines) and with a part (resets).

--- a/tests/edge/crash_storms.rs
+++ b/tests/edge/crash_storms.rs
@@ -1,6 +1,9 @@
 //! Requests that crash engines again and again, beside sound streams that share their first part.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::OnceLock;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -22,6 +25,8 @@
 const DEADLY: &str = "deadly";
 /// Crashes after which a request counts, by the platform's rule.
 const REQUEST_CRASHES: usize = 3;
+/// Crashes from which hosts know enough of one of many requests that engines never answered.
+const KNOWN_CRASHES: usize = 2;
 /// Crashes after which a part counts, by the platform's rule.
 const PART_CRASHES: usize = 5;
 /// Time after the last of these crashes from which sendings count.
@@ -36,14 +41,21 @@
 const PACE: Duration = Duration::from_millis(90);
 /// Pause between two sound requests.
 const SOUND_PAUSE: Duration = Duration::from_millis(60);
+/// Time after which callers leave that do.
+const LEAVE_TIME: Duration = Duration::from_millis(150);
+/// Number of the caller that leaves after which another daemon starts.
+const START_AT: usize = 15;
 /// Pause between two requests that crash engines.
 const DEADLY_PAUSE: Duration = Duration::from_millis(300);
 /// Time for which requests are answered that crash engines later.
 const SOUND_TIME: Duration = Duration::from_secs(3);
-/// Time for which requests are sent.
+/// Time for which requests are sent that crash engines.
 const RUN_TIME: Duration = Duration::from_secs(20);
-/// The same with many different requests that crash engines, each three times.
-const LONG_RUN_TIME: Duration = Duration::from_secs(40);
+/// The same with many different requests that crash engines, each three times, as they are tried
+/// one after the other.
+const LONG_RUN_TIME: Duration = Duration::from_secs(60);
+/// Time for which sound requests are sent alone afterwards, as the last crash may come late.
+const REST_TIME: Duration = Duration::from_secs(10);
 /// Sound requests after the crashes below which their share says nothing.
 const MIN_COUNT: usize = 20;
 
@@ -78,7 +90,7 @@
         }
     }
 
-    /// Returns the time for which requests are sent.
+    /// Returns the time for which its requests are sent.
     fn run_time(self) -> Duration {
         match self {
             Kind::Requests(count) if count > 1 => LONG_RUN_TIME,
@@ -86,6 +98,14 @@
         }
     }
 
+    /// Returns the crashes from which hosts know enough.
+    fn known_crashes(self) -> usize {
+        match self {
+            Kind::Requests(count) if count > 1 => KNOWN_CRASHES,
+            _ => self.counted_crashes(),
+        }
+    }
+
     /// Returns the crashes after which sendings count.
     fn counted_crashes(self) -> usize {
         match self {
@@ -98,14 +118,26 @@
 /// A sound request as sent, and its response.
 struct Sent {
     at: Instant,
+    /// Whether requests that crash engines were still sent.
+    beside_deadly: bool,
     response: Response,
 }
 
+impl Sent {
+    fn is_served(&self) -> bool {
+        self.response.status == 200 && self.response.complete
+    }
+}
+
 /// Six engines of one model, and three daemons.
 struct Deployment {
     kind: Kind,
     engines: Vec<Engine>,
     daemons: Vec<Daemon>,
+    store: Store,
+    /// Whether callers leave, and another daemon starts, while requests are sent.
+    is_disturbed: bool,
+    started: OnceLock<Daemon>,
 }
 
 impl Deployment {
@@ -138,6 +170,39 @@
             kind,
             engines: engines.into(),
             daemons: daemons.into(),
+            store,
+            is_disturbed: false,
+            started: OnceLock::new(),
+        }
+    }
+
+    fn daemons(&self) -> impl Iterator<Item = &Daemon> {
+        self.daemons.iter().chain(self.started.get())
+    }
+
+    /// Returns the daemon for the request number `n`.
+    fn daemon(&self, n: usize) -> &Daemon {
+        let count = self.daemons().count();
+        self.daemons().nth(n % count).unwrap()
+    }
+
+    /// Starts one more daemon, and lets callers leave whose requests are sound.
+    fn disturb(&self, run_time: Duration) {
+        let began = Instant::now();
+        for n in 0.. {
+            if began.elapsed() >= run_time {
+                return;
+            }
+            let request = request(&format!("l{n}"), format!("sound and left {n}"), &[FIRST]);
+            let stream = TcpStream::connect(self.daemon(n).callers);
+            // A daemon that has no room refuses the connection.
+            let sent = stream.and_then(|mut s| s.write_all(&request.bytes(true)).map(|()| s));
+            thread::sleep(LEAVE_TIME);
+            drop(sent);
+            if n == START_AT {
+                let daemon = Daemon::start(&self.store, "edge-4");
+                assert!(self.started.set(daemon).is_ok());
+            }
         }
     }
 
@@ -146,27 +211,35 @@
         let run_time = self.kind.run_time();
         let started = Instant::now();
         thread::scope(|scope| {
+            if self.is_disturbed {
+                scope.spawn(|| self.disturb(run_time));
+            }
             scope.spawn(|| {
                 let mut n = 0;
                 while started.elapsed() < run_time {
                     let (body, parts) = self.kind.request(n);
                     let request = request(&format!("d{n}"), body, &parts);
-                    let daemon = &self.daemons[n % self.daemons.len()];
+                    let daemon = self.daemon(n);
                     scope.spawn(move || daemon.send(&request));
                     n += 1;
                     thread::sleep(DEADLY_PAUSE);
                 }
             });
             let mut senders = Vec::new();
-            while started.elapsed() < run_time {
+            while started.elapsed() < run_time + REST_TIME {
                 let n = senders.len();
+                let beside_deadly = started.elapsed() < run_time;
                 let id = format!("s{n}");
                 let request = request(&id, format!("sound {n}"), &[FIRST]);
-                let daemon = &self.daemons[n % self.daemons.len()];
+                let daemon = self.daemon(n);
                 senders.push(scope.spawn(move || {
                     let at = Instant::now();
                     let response = daemon.send(&request);
-                    Sent { at, response }
+                    Sent {
+                        at,
+                        beside_deadly,
+                        response,
+                    }
                 }));
                 thread::sleep(SOUND_PAUSE);
             }
@@ -223,26 +296,25 @@
         (most.unwrap_or(0), self.sendings(b"").len())
     }
 
-    /// Returns which part of how many sound requests was served after the last of the crashes
-    /// that count, over all requests that crash engines.
-    fn served(&self, sent: &[Sent]) -> (f64, usize) {
+    /// Returns which part of how many sound requests was served after the last of so many crashes
+    /// of each request that crashes engines, or of the part.
+    fn served_after(&self, crashes: usize, sent: &[Sent]) -> (f64, usize) {
         let bodies = self.counted_bodies();
-        let counted = |body: &Vec<u8>| {
-            let crashes = self.crashes(body).into_iter();
-            crashes.take(self.kind.counted_crashes()).next_back()
-        };
-        let last = bodies.iter().filter_map(counted).max();
+        let nth = |body: &Vec<u8>| self.crashes(body).into_iter().take(crashes).next_back();
+        let last = bodies.iter().filter_map(nth).max();
         let last = last.expect("no engine crashed");
         let later = sent.iter().filter(|s| s.at >= last + RECOVERY_TIME);
-        let later: Vec<_> = later.map(|s| &s.response).collect();
-        let is_served = |r: &&&Response| r.status == 200 && r.complete;
-        let served = later.iter().filter(is_served).count();
-        (served as f64 / later.len().max(1) as f64, later.len())
+        let beside = later.clone().filter(|s| s.beside_deadly).count();
+        // Those that were sent alone are easier to serve: no more of them than needed.
+        let counted = later.take(beside.max(MIN_COUNT));
+        let count = counted.clone().count();
+        let served = counted.filter(|s| s.is_served()).count();
+        (served as f64 / count.max(1) as f64, count)
     }
 
     /// Returns the first of what the daemons have logged of held features.
     fn decisions(&self) -> Vec<String> {
-        let lines = self.daemons.iter().flat_map(Daemon::lines);
+        let lines = self.daemons().flat_map(Daemon::lines);
         let of_features = lines.filter(|l| !l["feature"].is_null());
         of_features
             .map(|l| l.to_string())
@@ -251,6 +323,19 @@
     }
 }
 
+/// Returns how many sound requests were not served, by their responses.
+fn unserved(sent: &[Sent]) -> BTreeMap<(u16, &str), usize> {
+    let mut counts = BTreeMap::new();
+    for Sent { response, .. } in sent.iter().filter(|s| !s.is_served()) {
+        let text = match response.status {
+            200 => "incomplete",
+            _ => &response.body,
+        };
+        *counts.entry((response.status, text)).or_default() += 1;
+    }
+    counts
+}
+
 fn is_deadly(body: &[u8]) -> bool {
     body.starts_with(DEADLY.as_bytes())
 }
@@ -282,18 +367,45 @@
     moment: CrashMoment,
     address: CrashedAddress,
 ) {
-    let site = Deployment::start(kind, moment, address);
+    check(&Deployment::start(kind, moment, address));
+}
+
+/// Guards against BUDGET and LOST where some callers leave at the engines that crash, and a host
+/// starts that has seen none of the crashes.
+#[test_case(Kind::Requests(1), CrashMoment::BeforeHead, CrashedAddress::Silent; "a request")]
+#[test_case(Kind::Part, CrashMoment::AfterHead, CrashedAddress::Resets; "a part")]
+fn callers_that_leave_and_a_host_that_starts_change_nothing(
+    kind: Kind,
+    moment: CrashMoment,
+    address: CrashedAddress,
+) {
+    let mut site = Deployment::start(kind, moment, address);
+    site.is_disturbed = true;
+    check(&site);
+}
+
+/// Sends requests, and checks how many were sent too late, and how many sound ones were served.
+fn check(site: &Deployment) {
+    let kind = site.kind;
     let sound = site.run();
     let (too_late, sent) = site.sent();
-    let (served, count) = site.served(&sound);
+    let (served, count) = site.served_after(kind.known_crashes(), &sound);
+    let (later, later_count) = site.served_after(kind.counted_crashes(), &sound);
     println!(
-        "{kind:?} {moment:?} {address:?}: sent {sent}, {too_late} too late, served {served:.3} of {count}"
+        "{kind:?}: sent {sent}, {too_late} too late, served {served:.3} of \
+         {count}, {later:.3} of the last {later_count}; not served: {:?}",
+        unserved(&sound)
     );
     let held = site.decisions();
     assert!(too_late <= MAX_SENT, "{too_late} too late; {held:#?}");
-    assert!(
-        count >= MIN_COUNT,
-        "{count} sound requests after the crashes; {held:#?}"
-    );
-    assert!(served >= MIN_SERVED, "{served} served; {held:#?}");
+    for (served, count) in [(served, count), (later, later_count)] {
+        assert!(
+            count >= MIN_COUNT,
+            "{count} sound requests after the crashes; {held:#?}"
+        );
+        assert!(
+            served >= MIN_SERVED,
+            "{served} of {count} served; {held:#?}"
+        );
+    }
 }
