--- a/tests/soak/engine.rs
+++ b/tests/soak/engine.rs
@@ -745,9 +745,13 @@
             header = framing.header(),
             statement = self.statement(exchange)
         );
-        self.record(exchange, Step::Answered(200));
-        exchange.stream.write_all(head.as_bytes()).await?;
-        if let Some(part) = crashing_part(&exchange.id) {
+        let crashing = crashing_part(&exchange.id);
+        let crashes_first = crashing.is_some() && exchange.random.is_multiple_of(2);
+        if !crashes_first {
+            self.record(exchange, Step::Answered(200));
+            exchange.stream.write_all(head.as_bytes()).await?;
+        }
+        if let Some(part) = crashing {
             self.0.recorder.add_part_crash(part);
             self.record(exchange, Step::Cut);
             self.crash();
