Grant nothing of a customer's cap before the rows of the hosts are read

Cause: a process that starts knows no other hosts until it has read their rows, which took 0.15 s after it served callers. Until then its share of the caps was 1 of 1: after a start of all hosts each of 31 granted the whole of each cap, and all pent-up requests were sent at once.

Change: Members knows whether rows were read; until then charges wait for an allocator, as they do when one has ended.

--- a/src/edge/caps/packets.rs
+++ b/src/edge/caps/packets.rs
@@ -54,6 +54,10 @@
         if !has_caps && self.accounts.is_empty() && !self.ledger.is_busy() {
             return round;
         }
+        if !self.members.is_known {
+            // Alone as it seems, it would grant the whole of each cap.
+            return round;
+        }
         let allocator = self.members.allocator(own, is_ready, now);
         let is_own = allocator == *own;
         let share = self.members.cap_share(own, is_own, now);
@@ -158,6 +162,9 @@
 
     /// Returns the time after which caps need attention again.
     pub fn caps_due_in(&mut self, now: Moment) -> Option<Duration> {
+        if !self.members.is_known {
+            return None;
+        }
         let told = self.accounts.due_in(now);
         told.into_iter().chain(self.ledger.due_in(now)).min()
     }
--- a/src/edge/members.rs
+++ b/src/edge/members.rs
@@ -142,11 +142,14 @@
 pub struct Members {
     /// Daemons by host.
     pub all: BTreeMap<Arc<str>, Member>,
+    /// Whether the rows of the store have been read; a process that starts knows no others.
+    pub is_known: bool,
 }
 
 impl Members {
     /// Applies the rows of the store; silent daemons without a row are removed.
     pub fn update_records(&mut self, rows: Vec<(Arc<str>, MemberRecord)>, own: &str, now: Moment) {
+        self.is_known = true;
         let mut listed = Vec::new();
         for (host, record) in rows {
             if &*host == own {
--- a/src/edge/store_watch.rs
+++ b/src/edge/store_watch.rs
@@ -397,6 +397,7 @@
     }
     let mut state = edge.state.borrow_mut();
     let before = state.members.all.len();
+    let was_known = state.members.is_known;
     state
         .members
         .update_records(records, &edge.host, clock::now());
@@ -404,6 +405,8 @@
     drop(state);
     if before != after {
         log::info!(before, after; "list of members changed");
+    }
+    if before != after || !was_known {
         edge.send_wake.notify_one();
     }
 }
