Soak: customers with keys and caps

Callers of a run send keys: a hot customer with a cap that asks for several times as much, three small ones, one whose key a version takes away, and one that is unknown. Checked from the records of callers and engines: engines see the customer's name and never a key, requests without a key reach no engine and are answered 401 or with a promise, the hot customer stays below its cap in each window over all daemons, and no small one is served less than half of the mean.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
+use crate::customers::Customer;
 use crate::http::{event_id, read_answer, whole_events};
 use crate::parts::{crashing_suffix, is_whole, prefix_header};
 use crate::record::{
@@ -56,6 +57,8 @@
     pub whole_request: bool,
     /// Whether streams are broken off, and taken up again.
     pub takes_up: bool,
+    /// Whether callers have keys of customers.
+    pub customers: bool,
     /// Whether the id is kept over all tries of a request that may run once only.
     pub keeps_id: bool,
     pub stop: AtomicBool,
@@ -336,6 +339,10 @@
         if id != name {
             head.push_str(&format!("Attempt: {name}\r\n"));
         }
+        if self.setup.customers {
+            let key = Customer::of_caller(self.number).key();
+            head.push_str(&format!("Authorization: Token {key}\r\n"));
+        }
         if kind.is_stream() {
             let model = if self.rng.random_bool(0.8) {
                 "m1"
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -5,6 +5,7 @@
 
 use crate::bookings;
 use crate::callers::PROMISES;
+use crate::customers;
 use crate::disturbances::{GRACE, MIN_ROUTE_TIMEOUT};
 use crate::engine_faults::EngineFault;
 use crate::left_runs;
@@ -23,7 +24,7 @@
 
 /// Time from the confirmation of a desired state after which requests are handled by it, and from
 /// the end of a disturbance: the platform's bound.
-const CONFIG_TIME: Duration = Duration::from_secs(2);
+pub const CONFIG_TIME: Duration = Duration::from_secs(2);
 
 /// Share of its time after which a request may fail for want of time.
 const EARLY_SHARE: f64 = 0.7;
@@ -72,6 +73,10 @@
     One,
     /// More requests reached an engine than the rate that it had named.
     Limit,
+    /// A request ran without a customer's key, or an engine saw a key or a wrong customer.
+    Key,
+    /// More requests of a customer ran than its cap allows, or a small one was starved.
+    Cap,
 }
 
 /// A broken rule.
@@ -117,10 +122,14 @@
             }
             let is_missing = answer.status == 404 && attempt.extra_route.is_some();
             let is_refused = (400..500).contains(&answer.status);
-            if is_refused && !is_missing && !PROMISES.contains(&answer.status) {
+            let is_denied = answer.status == 401 && customers::may_be_denied(history, id, attempt);
+            if is_refused && !is_missing && !is_denied && !PROMISES.contains(&answer.status) {
                 add(Rule::Denied, format!("answered {}", answer.status));
             }
         }
+        if let Some(text) = customers::wrong_keys(history, id, attempt) {
+            add(Rule::Key, text);
+        }
         if let Some(text) = outdated(history, attempt) {
             add(Rule::Config, text);
         }
@@ -171,6 +180,10 @@
             found.push(Violation { rule, id, text });
         }
     }
+    for (rule, text) in customers::wrong_shares(history) {
+        let id = String::new();
+        found.push(Violation { rule, id, text });
+    }
     found
 }
 
--- a/tests/soak/engine.rs
+++ b/tests/soak/engine.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use crate::customers::KEY;
 use crate::engine_faults::EngineFault;
 use crate::exchange::{Exchange, Extra, answer_head, closed, extra_answer, rejection, reset};
 use crate::fakes::store::Store;
@@ -490,6 +491,9 @@
             };
             let step = Step::Arrived(fault);
             self.0.recorder.add_step(&name, &lifetime, step);
+            let customer = request.header("x-mastichinge-tenant");
+            let has_key = request.headers.iter().any(|(_, v)| v.contains(KEY));
+            self.0.recorder.add_told(&name, customer, has_key);
             let mut exchange = Exchange {
                 stream,
                 id,
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,6 +10,7 @@
 mod callers;
 mod checkers;
 mod checks;
+mod customers;
 mod disturbances;
 mod engine;
 mod engine_faults;
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -218,6 +218,10 @@
     pub orders: Vec<ReceivedOrder>,
     pub services: Vec<ServiceChange>,
     pub desired: Vec<DesiredWrite>,
+    /// Customers that engines were told, by attempt, with whether they saw a key.
+    pub told: BTreeMap<String, Vec<(String, bool)>>,
+    /// When a customer's key was taken away, in runs with customers.
+    pub key_taken_at: Option<Duration>,
     /// Spans in which the store did not answer as usual.
     pub store_spans: Vec<(Duration, Duration)>,
     /// Idle timeouts of callers' connections, with the time at which they were written.
@@ -292,6 +296,19 @@
         history.steps.entry(id.to_owned()).or_default().push(step);
     }
 
+    /// Adds what an engine was told of the customer of an attempt, and whether it saw a key.
+    pub fn add_told(&self, id: &str, customer: &str, has_key: bool) {
+        let mut history = self.history.lock().unwrap();
+        let told = history.told.entry(id.to_owned()).or_default();
+        told.push((customer.to_owned(), has_key));
+    }
+
+    /// Records that a customer's key has been taken away.
+    pub fn set_key_taken(&self) {
+        let now = self.now();
+        self.history.lock().unwrap().key_taken_at = Some(now);
+    }
+
     /// Adds an attempt of a caller's request, before it is sent.
     pub fn add_try(&self, booking: &str, name: &str) {
         let mut history = self.history.lock().unwrap();
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -13,6 +13,7 @@
 use crate::bookings;
 use crate::callers::{Caller, CallerSetup};
 use crate::checks::{Violation, calm_closes, violations};
+use crate::customers;
 use crate::disturbances::{self, Disturbance};
 use crate::engine::SoakEngine;
 use crate::engine_faults::EngineFault;
@@ -195,6 +196,32 @@
     assert_eq!(run(&settings), 0, "violations; see the lines above");
 }
 
+/// Guards against QUOTA, and against keys that engines see or that are still taken after a version
+/// took them away, while daemons end and start again.
+#[test_case(5001; "three daemons")]
+fn customers_have_keys_and_caps(seed: u64) {
+    let settings = SoakSettings {
+        seed,
+        length: Duration::from_secs(20),
+        callers: 48,
+        daemons: 3,
+        fault_rate: 0.05,
+        engine_faults: first_faults(),
+        pause: Duration::from_secs(3),
+        disturbances: vec![
+            Disturbance::Kill,
+            Disturbance::Shutdown,
+            Disturbance::KillAll,
+        ],
+        ..SoakSettings::default()
+    };
+    assert_eq!(
+        run(&settings.with_customers()),
+        0,
+        "violations; see the lines above"
+    );
+}
+
 /// Runs callers against engines with one fault and daemons without any.
 fn run_with(fault: EngineFault) {
     let settings = SoakSettings {
@@ -288,6 +315,7 @@
         recorder: site.recorder.clone(),
         probes_routes: settings.probes_routes,
         takes_up: settings.takes_up,
+        customers: settings.customers,
         keeps_id: settings.keeps_id,
         crashing_from: settings.crashing_parts.then_some(settings.length / 5),
         whole_request: settings.whole_request,
@@ -297,7 +325,13 @@
     thread::scope(|scope| {
         scope.spawn(|| disturbances::run(&site, settings, &stop));
         let callers = scope.spawn(|| run_callers(&setup, settings.callers));
-        thread::sleep(settings.length);
+        if settings.customers {
+            thread::sleep(settings.length / 2);
+            site.take_key();
+            thread::sleep(settings.length / 2);
+        } else {
+            thread::sleep(settings.length);
+        }
         stop.store(true, Ordering::SeqCst);
         setup.stop.store(true, Ordering::SeqCst);
         callers.join().unwrap();
@@ -317,6 +351,7 @@
     println!("seed {}: {}", settings.seed, links::summary(&history));
     println!("seed {}: {}", settings.seed, bookings::summary(&history));
     println!("seed {}: {}", settings.seed, left_runs::summary(&history));
+    println!("seed {}: {}", settings.seed, customers::summary(&history));
     for violation in &found {
         let Violation { rule, id, text } = violation;
         println!("{rule:?} {id}: {text}\n{}", describe(&site, &history, id));
--- a/tests/soak/settings.rs
+++ b/tests/soak/settings.rs
@@ -40,6 +40,8 @@
     pub event_pause: Duration,
     /// Whether callers break streams off and take them up again.
     pub takes_up: bool,
+    /// Whether callers have keys of customers.
+    pub customers: bool,
     /// Whether callers keep the id over all tries of a request that may run once only.
     pub keeps_id: bool,
     /// Whether the daemons have a retry budget at the start.
@@ -69,6 +71,7 @@
             silent_crashes: false,
             event_pause: Duration::ZERO,
             takes_up: true,
+            customers: false,
             keeps_id: false,
             retries: true,
             pause: Duration::from_millis(900),
@@ -83,7 +86,8 @@
 impl SoakSettings {
     /// Reads the settings of all runs: `SOAK_SEEDS` (as `1-50`), `SOAK_SECONDS`,
     /// `SOAK_FOLDER`, where the logs of all runs are kept, `SOAK_KEEPS_ID` and `SOAK_LINKS`
-    /// (`true` or `false`; the second adds faults of links), and lists of names in
+    /// (`true` or `false`; the second adds faults of links), `SOAK_CUSTOMERS` (`true`: callers have
+    /// keys), and lists of names in
     /// `SOAK_ENGINE_FAULTS` and `SOAK_DISTURBANCES`, which may be empty. `SOAK_DAEMONS`,
     /// `SOAK_ENGINES` and `SOAK_FAULT_RATE` replace what a seed draws.
     pub fn from_environment() -> Vec<Self> {
@@ -108,6 +112,9 @@
             let links = Disturbance::iter().filter(|d| d.is_of_link());
             settings.disturbances.extend(links);
         }
+        if std::env::var("SOAK_CUSTOMERS").is_ok_and(|v| v.parse().expect("SOAK_CUSTOMERS")) {
+            settings = settings.with_customers();
+        }
         let seeds = std::env::var("SOAK_SEEDS").map_or(SEEDS, |text| parse_seeds(&text));
         let mut runs: Vec<_> = seeds.map(|seed| settings.clone().with_seed(seed)).collect();
         for run in &mut runs {
@@ -118,6 +125,16 @@
         runs
     }
 
+    /// Returns these settings with customers. Requests without a route would be answered 404 whatever
+    /// their key, and other versions would bring the key back that is taken away.
+    pub fn with_customers(mut self) -> Self {
+        self.customers = true;
+        self.probes_routes = false;
+        self.crashing_parts = false;
+        self.disturbances.retain(|d| *d != Disturbance::Desired);
+        self
+    }
+
     /// Returns whether links are disturbed.
     pub fn has_links(&self) -> bool {
         self.disturbances.iter().any(|d| d.is_of_link())
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -6,6 +6,7 @@
 
 use serde_json::{Value, json};
 
+use crate::customers;
 use crate::engine::{EngineSetup, HEALTH_PATH, SoakEngine};
 use crate::fakes::daemon::{Daemon, wait};
 use crate::fakes::store::Store;
@@ -29,13 +30,15 @@
 ];
 
 /// What changes between two versions of the desired state.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Desired {
     pub version: u64,
     pub route_timeout_ms: u64,
     pub idle_timeout_ms: u64,
     /// Number of additional routes.
     pub extra_routes: u64,
+    /// Customers, if callers have keys.
+    pub customers: Option<Value>,
 }
 
 impl Default for Desired {
@@ -45,6 +48,7 @@
             route_timeout_ms: ROUTE_TIMEOUT_MS,
             idle_timeout_ms: IDLE_TIMEOUT_MS,
             extra_routes: 0,
+            customers: None,
         }
     }
 }
@@ -76,7 +80,7 @@
             let extra = extra_prefix(number);
             routes.push(self.route(&extra, "idempotent", "desk", false));
         }
-        json!({"version": self.version, "routes": routes,
+        let mut state = json!({"version": self.version, "routes": routes,
             "services": [{"name": "desk", "maxConns": 50, "healthPath": HEALTH_PATH},
                 {"name": "models", "maxConns": 50, "engine": {"slots": 4,
                     "kvCapacity": 90_000, "weightsMb": 150, "adapterSlots": 4,
@@ -84,7 +88,11 @@
                     "models": [{"name": "m1", "weightsMb": 60, "loadS": 0.1},
                         {"name": "m2", "weightsMb": 60, "loadS": 0.1}]}}],
             "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536,
-                "headerTimeoutMs": 2_000, "idleTimeoutMs": self.idle_timeout_ms}})
+                "headerTimeoutMs": 2_000, "idleTimeoutMs": self.idle_timeout_ms}});
+        if let Some(customers) = &self.customers {
+            state["tenants"] = customers.clone();
+        }
+        state
     }
 
     fn route(&self, prefix: &str, kind: &str, service: &str, resumable: bool) -> Value {
@@ -116,7 +124,11 @@
         let store = Store::start();
         store.set_era(&FIRST_ERA.to_string());
         let recorder = Arc::new(Recorder::default());
-        write_desired(&store, &recorder, &Desired::default());
+        let desired = Desired {
+            customers: settings.customers.then(|| customers::json(false)),
+            ..Desired::default()
+        };
+        write_desired(&store, &recorder, &desired);
         let mut engines = Vec::new();
         for service in ["desk", "models"] {
             for number in 0..settings.engines {
@@ -163,6 +175,9 @@
             if !settings.retries {
                 remove_retries(&daemon.lock().unwrap());
             }
+            if settings.customers {
+                reload_with(&daemon.lock().unwrap(), customers::set_rules);
+            }
         }
         Site {
             store,
@@ -173,6 +188,17 @@
         }
     }
 
+    /// Takes the key of a customer away.
+    pub fn take_key(&self) {
+        let desired = Desired {
+            version: 2,
+            customers: Some(customers::json(true)),
+            ..Desired::default()
+        };
+        write_desired(&self.store, &self.recorder, &desired);
+        self.recorder.set_key_taken();
+    }
+
     /// Returns the relay of a link, if links are disturbed.
     pub fn relay(&self, link: Link) -> Option<&Relay> {
         match link {
@@ -195,10 +221,15 @@
 
 /// Leaves a daemon without a retry budget.
 fn remove_retries(daemon: &Daemon) {
-    daemon.write_settings(|s| {
+    reload_with(daemon, |s| {
         s["bounds"]["retry_slack"] = 0.0.into();
         s["bounds"]["retry_ratio"] = 0.0.into();
     });
+}
+
+/// Changes the settings of a daemon.
+fn reload_with(daemon: &Daemon, change: impl Fn(&mut Value)) {
+    daemon.write_settings(change);
     daemon.signal(libc::SIGHUP);
     wait("the new settings", || {
         !daemon.logged("settings reloaded").is_empty()
