Count what waits at an engine by its own word, and by priority

Cause: hosts predicted first events from each other's prompts alone. They do not know when another host's prompt has been read, nor of prompts that wait for memory, and they let urgent requests wait for less urgent prompts and slots, which engines do not.

Change: where engines report their slowness, a report that nothing waits ends the known queue, one of more waiting requests than are known counts each of them, and reports fade within 600 ms. Prompts are told with their priority; those less urgent count neither in the queue nor for slots. Engines with three figures are used as before.

--- a/benches/scene/selection.rs
+++ b/benches/scene/selection.rs
@@ -92,6 +92,7 @@
         let request = RoutingRequest {
             service: &self.service,
             kind: RouteKind::Stream,
+            priority: 1,
             prompt: Some(&self.prompt),
             fingerprint: 1,
             avoid: &[],
--- a/src/edge/engine_load/mod.rs
+++ b/src/edge/engine_load/mod.rs
@@ -4,9 +4,13 @@
 //! of that is passed on to all daemons, because one of them hears an engine too rarely.
 
 mod news;
+mod note;
+mod occupancy;
 mod pace;
 
 pub use news::EngineNews;
+pub use note::EngineNewsNote;
+pub use occupancy::{QueueAhead, WaitingHere};
 pub use pace::EnginePace;
 
 use std::time::Duration;
--- a/src/edge/engine_load/news.rs
+++ b/src/edge/engine_load/news.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use super::pace::ratio_percent;
-use super::{EngineReport, FirstEvent};
+use super::{EngineNewsNote, EngineReport, FirstEvent};
 use crate::clock::Moment;
 use crate::edge::clock;
-use crate::edge::gossip::EngineNewsNote;
 use crate::edge::state::{Edge, State};
 use crate::edge::upstream::Lifetime;
 
--- a/src/edge/forward/selection.rs
+++ b/src/edge/forward/selection.rs
@@ -45,6 +45,7 @@
     let routing_request = RoutingRequest {
         service: &routed.service,
         kind: routed.route.kind,
+        priority: routed.priority(),
         prompt: routed.headers.prompt.as_ref(),
         fingerprint: routed.fingerprint,
         avoid,
--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -3,6 +3,7 @@
 use prost::Message;
 
 use super::caps::notes::{CapAnswer, CapLevel, ChargeNote};
+pub use super::engine_load::EngineNewsNote;
 
 /// Content of one datagram to other daemons: a heartbeat once per period, reports of load,
 /// demand and waiting requests when they are due, and notes that are sent at once.
@@ -418,6 +419,9 @@
     /// Host that sent it to the engine, where another daemon passes it on; else empty.
     #[prost(string, tag = "6")]
     pub sender: String,
+    /// Priority of the request; 0 is the most urgent.
+    #[prost(uint32, tag = "7")]
+    pub priority: u32,
 }
 
 /// The end of an engine with requests in progress, or requests that it broke off.
@@ -465,35 +469,3 @@
     #[prost(bool, tag = "6")]
     pub repeated: bool,
 }
-
-/// Load of an engine by its own word, and a time to a first event there.
-#[derive(Clone, PartialEq, Message)]
-pub struct EngineNewsNote {
-    /// Id of the engine.
-    #[prost(string, tag = "1")]
-    pub engine: String,
-    /// Start time of the engine, ms since the Unix epoch; 0 when unknown.
-    #[prost(uint64, tag = "2")]
-    pub incarnation: u64,
-    /// Requests that it runs.
-    #[prost(uint32, tag = "3")]
-    pub running: u32,
-    /// Requests that wait there.
-    #[prost(uint32, tag = "4")]
-    pub waiting: u32,
-    /// Requests that it runs at the same time.
-    #[prost(uint32, tag = "5")]
-    pub slots: u32,
-    /// Time that work takes there, percent of the usual time.
-    #[prost(uint32, optional, tag = "6")]
-    pub slowness_percent: Option<u32>,
-    /// Time since the report, ms.
-    #[prost(uint64, tag = "7")]
-    pub age_ms: u64,
-    /// Measured time to a first event, percent of that of an engine of usual speed.
-    #[prost(uint32, optional, tag = "8")]
-    pub ratio_percent: Option<u32>,
-    /// Host that heard it, where another daemon passes it on; else empty.
-    #[prost(string, tag = "9")]
-    pub sender: String,
-}
--- a/src/edge/in_flight.rs
+++ b/src/edge/in_flight.rs
@@ -236,6 +236,7 @@
             target: target.clone(),
             prefill_time: choice.prefill_time,
             uncached: choice.uncached,
+            priority: choice.priority,
             prefix_keys: prefixes.into_iter().map(|(key, _)| key).collect(),
         };
         upstream.record_prompt(&sent, Some(request.serial), now);
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -467,6 +467,7 @@
         prefill_time: Duration::from_millis(u64::from(note.prefill_ms)),
         uncached: note.uncached,
         prefix_keys: note.prefix_keys.clone(),
+        priority: u8::try_from(note.priority).unwrap_or(u8::MAX),
     }
 }
 
--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -258,6 +258,7 @@
             uncached: sent.uncached,
             prefix_keys: sent.prefix_keys,
             sender: String::new(),
+            priority: u32::from(sent.priority),
         });
     }
     let news = state.engine_news.drain(..).take(NEWS_PER_PACKET);
--- a/src/edge/routing/mod.rs
+++ b/src/edge/routing/mod.rs
@@ -64,6 +64,8 @@
     pub service: &'a Arc<str>,
     /// Kind of its route.
     pub kind: RouteKind,
+    /// Priority; 0 is the most urgent.
+    pub priority: u8,
     /// Prompt; absent for plain services.
     pub prompt: Option<&'a Prompt>,
     /// Fingerprint of the request, to break ties.
@@ -110,6 +112,8 @@
     pub prefill_time: Duration,
     /// Prompt tokens that the engine has not cached.
     pub uncached: u32,
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u8,
     /// Prefill time of the prompts queued before it.
     pub backlog: Duration,
     /// Predicted time to the first event.
@@ -321,10 +325,11 @@
             uncached = prompt.input_tokens.saturating_sub(cached);
             prefill = prefill_time(uncached, context.engines).mul_f64(model_slowdown);
         }
-        let (backlog, reading) = engine.reading_times(prefill + steps_time, now);
+        let (backlog, reading) = engine.reading_times(prefill + steps_time, request.priority, now);
         candidates.push(EngineCandidate {
             running: engine.running(now),
             slots: engine.entry.slots,
+            passed: engine.passed_by(request.priority, now),
             backlog,
             prefill: reading,
             slot_time: slot_time(request.kind),
@@ -338,7 +343,7 @@
     let engine = eligible[index];
     let (prefill, uncached) = prefills[index];
     let usual = EngineCandidate {
-        backlog: engine.usual_backlog(now),
+        backlog: engine.usual_backlog(request.priority, now),
         prefill: prefill + steps_time,
         ..candidates[index]
     };
@@ -348,6 +353,7 @@
         software: engine.entry.software.clone(),
         prefill_time: prefill,
         uncached,
+        priority: request.priority,
         backlog: candidates[index].backlog,
         first_event: candidates[index].first_event(),
         usual: usual.first_event(),
--- a/src/edge/routing/prediction.rs
+++ b/src/edge/routing/prediction.rs
@@ -37,6 +37,8 @@
     pub running: u32,
     /// Requests that it processes at the same time.
     pub slots: u32,
+    /// Requests that wait for a slot and that it goes before.
+    pub passed: u32,
     /// Prefill time of the queued prompts.
     pub backlog: Duration,
     /// Prefill time of this request, with the batch steps until its first event.
@@ -56,6 +58,7 @@
     pub fn first_event(&self) -> Duration {
         let mut wait = self.backlog + self.prefill + COST_PER_RUNNING * self.running;
         if let Some(ahead) = self.running.checked_sub(self.slots) {
+            let ahead = ahead.saturating_sub(self.passed);
             let rounds = f64::from(ahead + 1) / f64::from(self.slots.max(1));
             wait += self.slot_time.mul_f64(rounds);
         }
--- a/src/edge/upstream.rs
+++ b/src/edge/upstream.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::engine_load::EnginePace;
+use super::engine_load::{EnginePace, WaitingHere};
 use super::prefix_cache::PrefixCache;
 use super::request_headers;
 use super::routing::{EngineSlowdown, PrefillQueue};
@@ -117,6 +117,8 @@
     pub prefill_time: Duration,
     /// Tokens that are not in the engine's cache.
     pub uncached: u32,
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u8,
     /// Keys of the prompt's prefixes.
     pub prefix_keys: Vec<u64>,
 }
@@ -190,7 +192,7 @@
             true => sent.prefill_time.mul_f64(self.pace.lasting(now)),
             false => sent.prefill_time,
         };
-        self.queue.push(serial, time, now);
+        self.queue.push(serial, sent.priority, time, now);
         self.prefix_cache
             .record(sent.prefix_keys.iter().copied(), sent.uncached);
     }
@@ -223,10 +225,32 @@
         accepts && !self.replaced && !self.is_down()
     }
 
-    /// Returns the time until it has read the prompts queued there, and the time that further
-    /// `work` takes then, given as the time at an engine of usual speed.
-    pub fn reading_times(&self, work: Duration, now: Moment) -> (Duration, Duration) {
-        let queued = self.queue.backlog(now);
+    /// Returns the time in which it reads, at its lasting speed, the prompts that wait there before
+    /// one of this priority.
+    fn queued_before(&self, priority: u8, now: Moment) -> Duration {
+        let report = self.pace.report().filter(|_| self.pace.is_reported());
+        match report {
+            Some((report, at)) => {
+                let here = WaitingHere::new(report.waiting, at, now);
+                here.backlog(&self.queue.ahead(priority, at, now))
+            }
+            None => self.queue.backlog(now),
+        }
+    }
+
+    /// Returns how many of the requests that wait for a slot there come after one of this priority.
+    pub fn passed_by(&self, priority: u8, now: Moment) -> u32 {
+        if !self.pace.is_reported() {
+            return 0;
+        }
+        let waiting = self.running(now).saturating_sub(self.entry.slots);
+        (f64::from(waiting) * self.queue.share_after(priority)) as u32
+    }
+
+    /// Returns the time until it has read the prompts that it reads before one of this priority,
+    /// and the time that further `work` takes then, given as the time at an engine of usual speed.
+    pub fn reading_times(&self, work: Duration, priority: u8, now: Moment) -> (Duration, Duration) {
+        let queued = self.queued_before(priority, now);
         if !self.pace.is_reported() {
             let slowdown = self.slowdown.factor(now);
             return (queued.mul_f64(slowdown), work.mul_f64(slowdown));
@@ -237,9 +261,10 @@
         (backlog, total.saturating_sub(backlog))
     }
 
-    /// Returns the time in which an engine of usual speed reads the prompts queued there.
-    pub fn usual_backlog(&self, now: Moment) -> Duration {
-        let queued = self.queue.backlog(now);
+    /// Returns the time in which an engine of usual speed reads the prompts that it reads before
+    /// one of this priority.
+    pub fn usual_backlog(&self, priority: u8, now: Moment) -> Duration {
+        let queued = self.queued_before(priority, now);
         match self.pace.is_reported() {
             true => queued.div_f64(self.pace.lasting(now)),
             false => queued,
--- a/tests/edge/decisions.rs
+++ b/tests/edge/decisions.rs
@@ -171,9 +171,9 @@
 #[test]
 fn the_backlog_covers_the_prompts_not_yet_read() {
     let mut queue = PrefillQueue::default();
-    queue.push(Some(1), ms(100), at(0));
-    queue.push(None, ms(200), at(20));
-    queue.push(Some(2), ms(50), at(30));
+    queue.push(Some(1), 0, ms(100), at(0));
+    queue.push(None, 0, ms(200), at(20));
+    queue.push(Some(2), 0, ms(50), at(30));
     assert_eq!(queue.backlog(at(30)), ms(320));
     assert_eq!(queue.backlog(at(130)), ms(220));
     // The first is read early; the third is cancelled.
@@ -183,7 +183,7 @@
     assert_eq!(queue.backlog(at(60)), ms(200));
     assert_eq!(queue.backlog(at(400)), ms(0));
     // An idle engine starts at once.
-    queue.push(Some(3), ms(40), at(5_000));
+    queue.push(Some(3), 0, ms(40), at(5_000));
     assert_eq!(queue.backlog(at(5_000)), ms(40));
 }
 
--- a/tests/edge/engine_load.rs
+++ b/tests/edge/engine_load.rs
@@ -202,5 +202,5 @@
     let engine = &state.fleet.engines["e"];
     let expected = ms(100).mul_f64(engine.slowdown.factor(at(20)));
     assert!(expected > ms(130));
-    assert_eq!(engine.reading_times(ms(100), at(20)), (ms(0), expected));
+    assert_eq!(engine.reading_times(ms(100), 0, at(20)), (ms(0), expected));
 }
--- a/tests/edge/in_flight.rs
+++ b/tests/edge/in_flight.rs
@@ -29,6 +29,7 @@
         backlog: Duration::ZERO,
         first_event: Duration::ZERO,
         usual: Duration::ZERO,
+        priority: 0,
     };
     state.begin_request(&choice, None, NOW)
 }
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -16,6 +16,7 @@
 mod endless;
 mod engine_list;
 mod engine_load;
+mod engine_queues;
 mod engine_statements;
 #[allow(dead_code, reason = "shared with the soak, which uses other parts")]
 mod fakes;
--- a/tests/edge/overload.rs
+++ b/tests/edge/overload.rs
@@ -50,6 +50,7 @@
         backlog: ms(backlog),
         first_event: ms(first),
         usual: ms(first),
+        priority: 0,
     })
 }
 
@@ -242,6 +243,7 @@
             backlog: Duration::ZERO,
             first_event: Duration::ZERO,
             usual: Duration::ZERO,
+            priority: 0,
         };
         let key = ModelKey::new(&SERVICE.into(), &"m1".into());
         let arrival = Duration::ZERO;
--- a/tests/simulation/simulator/requests.rs
+++ b/tests/simulation/simulator/requests.rs
@@ -76,6 +76,7 @@
         let query = RoutingRequest {
             service: &service,
             kind: kind.route.kind,
+            priority: kind.route.priority,
             prompt: Some(&request.arrival.prompt),
             fingerprint: fingerprint(&index.to_string(), &[]),
             avoid: &request.avoid,
