One order of all requests that wait at a host

Cause: each waiting request looked for an engine by itself, so that room went to whichever looked first, whatever its rank, its objective or its customer. Change: src/edge/order decides whose turn it is (rank, fair round of the customer, still on time, earliest objective); src/edge/forward/turn.rs asks it for each request that could be sent and wakes the one ahead. What is not served in time behind those ahead is refused at its arrival, also what exceeds an engine's memory for tokens. It acts where customers share engines or engines state their slowness, or as the setting order.enabled says.

--- a/src/edge/admission.rs
+++ b/src/edge/admission.rs
@@ -73,6 +73,18 @@
     },
 }
 
+impl AdmissionDecision {
+    /// Refuses a request whose tokens fit into the memory of no engine.
+    pub fn too_large() -> Self {
+        AdmissionDecision::Refuse {
+            kind: ErrorKind::NoCapacity,
+            cause: "larger than the memory of an engine for tokens",
+            retry_after: MIN_RETRY_AFTER,
+            load: None,
+        }
+    }
+}
+
 /// Time limits of a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TimeBudget {
@@ -175,6 +187,47 @@
         }
     }
 
+    /// Refuses a request that gets no first event in time behind the prompts `ahead` of it, if it
+    /// is sent now or when its model is loaded.
+    pub fn refuse_behind(
+        &self,
+        selection: &Selection,
+        ahead: Duration,
+        limits: &AdmissionSettings,
+    ) -> Option<AdmissionDecision> {
+        let (ready, surely) = match selection {
+            Selection::Engine(choice) => {
+                let ready = choice.first_event + ahead;
+                (ready, ready.mul_f64(limits.sure_part))
+            }
+            Selection::NotLoaded {
+                load_time,
+                ready_in,
+                ..
+            } => {
+                let loaded = ready_in.unwrap_or(*load_time);
+                let sure = loaded.mul_f64(FORECAST_SHARE) + ahead.mul_f64(limits.sure_part);
+                (loaded + ahead, sure)
+            }
+            _ => return None,
+        };
+        (surely >= self.event_left).then(|| AdmissionDecision::Refuse {
+            kind: ErrorKind::DeadlineUnreachable,
+            cause: "not in time behind the requests ahead",
+            retry_after: self.retry_after(ready),
+            load: match selection {
+                Selection::NotLoaded { target, .. } => Some(target.clone()),
+                _ => None,
+            },
+        })
+    }
+
+    /// Returns whether a request has to be sent now to get a first event before its caller gives
+    /// up.
+    pub fn is_urgent(&self, choice: &SelectedEngine, limits: &AdmissionSettings) -> bool {
+        choice.first_event + Duration::from_millis(limits.reserve_ms) >= self.event_left
+    }
+
     /// Returns whether the selected engine meets the request's objective.
     pub fn is_on_time(&self, selection: &Selection) -> bool {
         matches!(selection, Selection::Engine(choice) if choice.first_event <= self.objective_left)
@@ -197,9 +250,8 @@
     /// still meet theirs.
     fn should_hold(&self, choice: &SelectedEngine, limits: &AdmissionSettings) -> bool {
         let late = choice.first_event > self.objective_left;
-        let reserve = Duration::from_millis(limits.reserve_ms);
-        let urgent = choice.first_event + reserve >= self.event_left;
-        late && choice.backlog > Duration::from_millis(limits.slack_ms) && !urgent
+        let is_urgent = self.is_urgent(choice, limits);
+        late && choice.backlog > Duration::from_millis(limits.slack_ms) && !is_urgent
     }
 
     /// Returns the delay after which a retry meets its objective, limited to what
--- a/src/edge/forward/attempt.rs
+++ b/src/edge/forward/attempt.rs
@@ -24,10 +24,12 @@
 use super::selection::{select_next, select_permitted};
 use super::send::{EngineResponse, MAX_WHOLE_BYTES, SendOutcome};
 use super::take_up;
+use super::turn::{self, Place};
 use super::{DeadlineSource, RequestGuard, RoutedRequest};
 use crate::edge::admission::{AdmissionDecision, TimeBudget};
 use crate::edge::clock;
 use crate::edge::desired::RouteKind;
+use crate::edge::order::WaitCause;
 use crate::edge::permits::PermitState;
 use crate::edge::placement::ModelTarget;
 use crate::edge::routing::{SelectedEngine, Selection};
@@ -251,6 +253,7 @@
     let mut load_wait: Option<(ModelTarget, WaitGuard)> = None;
     let started_at = clock::now();
     let mut held = false;
+    let mut place = Place::new(routed);
     loop {
         changes.borrow_and_update();
         keys::recheck(routed, attempts)?;
@@ -297,6 +300,8 @@
             let cause = "no engine of the version that began the stream is left";
             return Err(fail(attempts, Kind::NoCapacity, cause, take_up::GONE_RETRY));
         }
+        let seen = turn::look(&selection, now);
+        let refusal = place.refuse_behind(attempts, &budget, &selection, now);
         let paused = match &selection {
             Selection::NotLoaded { paused, .. } => paused.clone(),
             _ => BTreeSet::new(),
@@ -307,7 +312,8 @@
         if budget.is_on_time(&selection) {
             match seek_renewal(routed, attempts, patience, now) {
                 Some(PermitState::Waiting) => {
-                    let _ = timeout(RESELECT_INTERVAL, changes.changed()).await;
+                    place.keep(attempts, &budget, &seen, WaitCause::Permit, now);
+                    place.wait(RESELECT_INTERVAL, &mut changes).await;
                     continue;
                 }
                 Some(PermitState::Granted(engine)) => {
@@ -322,7 +328,8 @@
         } else {
             match seek_permit(routed, attempts, patience, now) {
                 Some(PermitState::Waiting) => {
-                    let _ = timeout(RESELECT_INTERVAL, changes.changed()).await;
+                    place.keep(attempts, &budget, &seen, WaitCause::Permit, now);
+                    place.wait(RESELECT_INTERVAL, &mut changes).await;
                     continue;
                 }
                 Some(PermitState::Refused(delay)) => permit_return = Some(delay),
@@ -335,8 +342,16 @@
             }
         }
         let until_permit = |delay: Duration| permit_return.map_or(delay, |p| p.min(delay));
-        let max_pause = match budget.decide(selection, &limits) {
-            AdmissionDecision::Send(choice) => return Ok(choice),
+        let mut cause = WaitCause::Engine;
+        let decision = refusal.unwrap_or_else(|| budget.decide(selection, &limits));
+        let max_pause = match decision {
+            AdmissionDecision::Send(choice) => {
+                if place.take_turn(attempts, &budget, &choice, now) {
+                    return Ok(choice);
+                }
+                place.wait(RESELECT_INTERVAL, &mut changes).await;
+                continue;
+            }
             AdmissionDecision::Refuse { kind, .. } if goes_on && kind != Kind::UnknownModel => {
                 RESELECT_INTERVAL
             }
@@ -369,6 +384,7 @@
                 return Err(fail(attempts, kind, cause, retry_after));
             }
             AdmissionDecision::Hold => {
+                cause = WaitCause::Backlog;
                 if !held {
                     held = true;
                     let request = &*routed.headers.id;
@@ -378,7 +394,10 @@
                 }
                 HELD_RESELECT_INTERVAL
             }
-            AdmissionDecision::Pause(left) => left,
+            AdmissionDecision::Pause(left) => {
+                cause = WaitCause::Pause;
+                left
+            }
             AdmissionDecision::NoEngine
                 if attempts.persists()
                     && (attempts.route_allows_retry(routed) || attempts.may_return(routed)) =>
@@ -393,6 +412,7 @@
                 wait
             }
             AdmissionDecision::WaitForLoad(target) => {
+                cause = WaitCause::Load;
                 if load_wait.as_ref().is_none_or(|(t, _)| *t != target) {
                     let priority = routed.priority();
                     let guard = routed.edge.add_waiting(target.clone(), priority);
@@ -407,8 +427,9 @@
                 time_left
             }
         };
+        place.keep(attempts, &budget, &seen, cause, now);
         let pause = max_pause.min(RESELECT_INTERVAL);
-        let _ = timeout(pause, changes.changed()).await;
+        place.wait(pause, &mut changes).await;
     }
 }
 
--- a/src/edge/forward/mod.rs
+++ b/src/edge/forward/mod.rs
@@ -18,6 +18,7 @@
 mod silence;
 mod source;
 mod take_up;
+mod turn;
 
 use std::convert::Infallible;
 use std::rc::Rc;
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -2,7 +2,7 @@
 //! engines and, while it is the leader, sends orders to them.
 //!
 //! Everything runs as tasks on one thread. Decisions are pure code in
-//! `routing`, `placement`, `leadership`, `fleet`, `retry_budget` and `suspects`.
+//! `routing`, `order`, `placement`, `leadership`, `fleet`, `retry_budget` and `suspects`.
 
 pub mod activity;
 pub mod admission;
@@ -31,6 +31,7 @@
 pub mod listen;
 pub mod load_forecast;
 pub mod members;
+pub mod order;
 pub mod orders;
 pub mod origins;
 pub mod peers;
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -52,6 +52,8 @@
     pub placement: PlacementSettings,
     /// Limits of the admission of requests.
     pub admission: AdmissionSettings,
+    /// Order of the requests that wait.
+    pub order: OrderSettings,
     /// Repeats before the first try has failed.
     pub repeats: RepeatSettings,
     /// Limits of what is held for callers that do not read.
@@ -74,6 +76,7 @@
             engines: EngineSettings::default(),
             placement: PlacementSettings::default(),
             admission: AdmissionSettings::default(),
+            order: OrderSettings::default(),
             repeats: RepeatSettings::default(),
             slow_readers: SlowReaderSettings::default(),
             released: Vec::new(),
@@ -297,6 +300,15 @@
     }
 }
 
+/// Order of the requests that wait at a host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OrderSettings {
+    /// Whether requests wait in one order; by default where customers share the engines, or the
+    /// engines state how slow they are at the moment.
+    pub enabled: Option<bool>,
+}
+
 /// Repeats of requests whose first try has not failed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -350,13 +362,14 @@
 
 /// Returns an error for each field of a wrong type or an unknown name.
 fn field_errors(value: &Value) -> Vec<FieldError> {
-    const SECTIONS: [&str; 9] = [
+    const SECTIONS: [&str; 10] = [
         "listen",
         "store",
         "bounds",
         "engines",
         "placement",
         "admission",
+        "order",
         "repeats",
         "slow_readers",
         "log",
@@ -374,6 +387,7 @@
             "bounds" => check_fields::<Bounds>(&path, section, &[], &mut errors),
             "placement" => check_fields::<PlacementSettings>(&path, section, &[], &mut errors),
             "admission" => check_fields::<AdmissionSettings>(&path, section, &[], &mut errors),
+            "order" => check_fields::<OrderSettings>(&path, section, &[], &mut errors),
             "repeats" => check_fields::<RepeatSettings>(&path, section, &[], &mut errors),
             "slow_readers" => {
                 check_fields::<SlowReaderSettings>(&path, section, &[], &mut errors);
--- a/src/edge/state.rs
+++ b/src/edge/state.rs
@@ -21,6 +21,7 @@
 use super::leadership::{Leadership, PeerReach};
 use super::load_forecast::LoadForecast;
 use super::members::Members;
+use super::order::WaitingOrder;
 use super::origins::{OriginWriters, Origins};
 use super::permits::{Allocator, Permits};
 use super::placement::{EngineCall, ModelTarget, PlacementInput, Placer, WaitingRequests};
@@ -126,6 +127,10 @@
     pub members: Members,
     /// Requests that wait here for a model.
     pub waiting: BTreeMap<ModelTarget, WaitingTarget>,
+    /// Order of the requests that wait here, for whatever reason.
+    pub order: WaitingOrder,
+    /// Wakes each of them when it is its turn to look for an engine.
+    pub turn_wakes: HashMap<u64, Rc<Notify>>,
     /// Waiting requests and demand at other daemons.
     pub peer_states: HashMap<Arc<str>, PeerState>,
     /// Demand at all daemons by model, as the leader last summed it.
--- a/src/edge/waiting.rs
+++ b/src/edge/waiting.rs
@@ -126,6 +126,15 @@
         });
     }
 
+    /// Returns the number of requests of all daemons that wait for `target`.
+    pub fn waiting_for(&self, target: &ModelTarget, now: Moment) -> u32 {
+        let own = self.waiting.get(target).map_or(0, |w| w.requests.count);
+        let fresh = |o: &&PeerState| now.saturating_sub(o.waiting_at) < PEER_STATE_MAX_AGE;
+        let others = self.peer_states.values().filter(fresh);
+        let others = others.flat_map(|o| o.waiting.iter().filter(|(t, _)| t == target));
+        own + others.map(|(_, w)| w.count).sum::<u32>()
+    }
+
     /// Returns the waiting requests of all daemons by target.
     pub fn total_waiting(&self, now: Moment) -> BTreeMap<ModelTarget, WaitingRequests> {
         let mut all: BTreeMap<ModelTarget, WaitingRequests> = BTreeMap::new();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -42,6 +42,7 @@
     retries: Counter<u64>,
     repeats: Counter<u64>,
     repeats_denied: Counter<u64>,
+    waits: Counter<u64>,
     connections_ended: Counter<u64>,
     held_bytes: Gauge<u64>,
     unread_responses: Counter<u64>,
@@ -117,6 +118,7 @@
                 "repeats_denied",
                 "Slow requests that were not repeated, by cause",
             ),
+            waits: counter(&m, "waits", "Waits for room, by outcome, cause and rank"),
             connections_ended: counter(
                 &m,
                 "connections_ended",
@@ -250,6 +252,17 @@
         self.retries.add(1, &[]);
     }
 
+    /// Counts a wait for room, as it begins and as it ends.
+    pub fn record_wait(&self, outcome: &'static str, cause: &'static str, rank: u8) {
+        let rank = KeyValue::new("rank", i64::from(rank));
+        let labels = [
+            KeyValue::new("outcome", outcome),
+            KeyValue::new("cause", cause),
+            rank,
+        ];
+        self.waits.add(1, &labels);
+    }
+
     /// Counts a repeat that was sent before the first try had failed, or its outcome.
     pub fn record_repeat(&self, outcome: &'static str) {
         self.repeats.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -31,6 +31,7 @@
 mod load_forecast;
 #[path = "../env/loopback.rs"]
 mod loopback;
+mod order;
 mod origins;
 mod overload;
 mod pauses;
