Add replicas of busy models before slow stretches saturate their engines

Change: where engines report their slowness, the threshold is divided by the factor that a tenth of the stretches exceed, and what a replica may cost grows from nothing at that threshold to the usual limit at the usual one, so that no model that is asked for is evicted early.

--- a/src/edge/engine_load/pace.rs
+++ b/src/edge/engine_load/pace.rs
@@ -80,6 +80,13 @@
         }
     }
 
+    /// Returns the slowness in each of the latest stretches, relative to the usual one.
+    pub fn stretches(&self) -> impl Iterator<Item = f64> {
+        let usual = self.reported_usual();
+        let samples = self.samples.into_iter().take(self.sampled);
+        samples.map(move |factor| factor / usual)
+    }
+
     fn unexplained_log(&self, now: Moment) -> f64 {
         let age = now.saturating_sub(self.corrected_at).as_secs_f64();
         self.unexplained * (-age / UNEXPLAINED_DECAY_S).exp()
--- a/src/edge/placement/index.rs
+++ b/src/edge/placement/index.rs
@@ -5,7 +5,7 @@
 
 use super::engine_view::EngineView;
 use super::spares::VersionIndex;
-use super::{PlacementInput, Placer};
+use super::{PlacementInput, Placer, headroom};
 use crate::edge::demand::ModelKey;
 use crate::edge::request_headers::split_target;
 use crate::edge::upstream::Upstream;
@@ -31,6 +31,8 @@
     pub(super) versions: VersionIndex,
     /// Models that requests wait for.
     pub(super) waited: HashSet<ModelKey>,
+    /// Engine time per second above which a model gets another replica, by service.
+    hot_work: HashMap<Arc<str>, f64>,
 }
 
 impl Placer {
@@ -56,6 +58,27 @@
         }
     }
 
+    /// Indexes how busy the engines of each service may be.
+    pub(super) fn index_headroom(&mut self, input: &PlacementInput<'_>) {
+        self.index.hot_work.clear();
+        for service in input
+            .desired
+            .services
+            .values()
+            .filter(|s| s.hosting.is_some())
+        {
+            let engines = input.fleet.usable_engines(&service.name);
+            let hot_work = headroom::hot_work(self.settings.hot_work, engines);
+            self.index.hot_work.insert(service.name.clone(), hot_work);
+        }
+    }
+
+    /// Returns the engine time per second above which a model gets another replica.
+    pub(super) fn hot_work(&self, service: &str) -> f64 {
+        let indexed = self.index.hot_work.get(service);
+        indexed.copied().unwrap_or(self.settings.hot_work)
+    }
+
     /// Indexes the engines that serve or will serve each model, and how busy they are.
     pub(super) fn index_replicas(&mut self, input: &PlacementInput<'_>) {
         let mut replicas: HashMap<ModelKey, usize> = HashMap::new();
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -10,6 +10,7 @@
 mod adapters;
 pub mod engine_view;
 mod forecast;
+mod headroom;
 mod index;
 mod plan;
 mod spares;
--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::engine_view::{EngineView, LoadTask, TaskStage, model_size_mb};
-use super::{ModelTarget, PlacementInput, Placer};
+use super::{ModelTarget, PlacementInput, Placer, headroom};
 use crate::edge::demand::ModelKey;
 use crate::edge::desired::Hosting;
 use crate::edge::upstream::Upstream;
@@ -63,6 +63,7 @@
     /// models, then models without a copy or a replica.
     fn plan(&mut self, input: &PlacementInput<'_>) {
         self.index_requests(input);
+        self.index_headroom(input);
         self.index_replicas(input);
         let missing = self.missing_models(input);
         for target in &missing {
@@ -72,10 +73,11 @@
         let mut hot: Vec<_> = input.demand.iter().collect();
         hot.sort_by(|a, b| b.1.work.total_cmp(&a.1.work));
         for (key, demand) in hot {
-            if demand.work < self.settings.hot_work * HOT_SCAN_SHARE {
-                break;
+            let hot_work = self.hot_work(&key.service);
+            if demand.work < hot_work * HOT_SCAN_SHARE {
+                continue;
             }
-            if self.least_utilization(input, key) > self.settings.hot_work {
+            if self.least_utilization(input, key) > hot_work {
                 self.plan_load(input, &ModelTarget::of_model(key), LoadReason::Hot);
             }
         }
@@ -406,7 +408,12 @@
             LoadReason::Unserved => {
                 (self.absence_cost(input, key) - self.settings.unload_loss).max(0.0)
             }
-            LoadReason::Hot => self.settings.hot_loss,
+            LoadReason::Hot => {
+                let utilization = self.least_utilization(input, key);
+                let early = self.hot_work(&key.service);
+                self.settings.hot_loss
+                    * headroom::urgency(utilization, early, self.settings.hot_work)
+            }
             LoadReason::Prefetch => self.settings.ahead_loss,
             LoadReason::Spare => 0.0,
         }
@@ -442,7 +449,7 @@
         if others == 0 {
             cost += self.absence_cost(input, key);
         } else {
-            let overload = (demand.work / others as f64 - settings.hot_work).max(0.0);
+            let overload = (demand.work / others as f64 - self.hot_work(&key.service)).max(0.0);
             cost += demand.work + overload * OVERLOAD_COST_S;
         }
         cost
