Learn how many loads the weight store serves at full speed

Change: a load that must be over, if the store served so many, lowers the number; loads that no request needs begin one at a time; the number and the loads in progress are handed over with the leadership; forecasts use it. Tests: loads at a store that serves one, two or four, and loads ahead.

--- a/src/edge/gossip.rs
+++ b/src/edge/gossip.rs
@@ -270,6 +270,9 @@
     /// Models that are loading or queued.
     #[prost(message, repeated, tag = "3")]
     pub models: Vec<ReadyNote>,
+    /// Loads at once that the weight store serves at full speed; 0 if it is not told.
+    #[prost(uint32, tag = "4")]
+    pub parallel: u32,
 }
 
 /// A model that is loading or queued.
@@ -281,6 +284,9 @@
     /// Time until it is expected to be ready, ms.
     #[prost(uint64, tag = "2")]
     pub ready_ms: u64,
+    /// Whether it is loading.
+    #[prost(bool, tag = "3")]
+    pub loading: bool,
 }
 
 /// Start of a load from the weight store.
--- a/src/edge/leader/election.rs
+++ b/src/edge/leader/election.rs
@@ -9,7 +9,7 @@
     Candidate, ElectionStep, LeaderRecord, LeaderStatus, Leadership, ObservedRow, RENEW_PERIOD,
     StoreEra,
 };
-use crate::edge::members::Members;
+use crate::edge::members::{LeadershipStatus, Members};
 use crate::edge::placement::{LeaderId, LoadHistory, Placer};
 use crate::edge::state::{DaemonPhase, Edge, State};
 use crate::edge::store::{CommitOutcome, Row, RowChange, RowPage, Table, UNNAMED_PART};
@@ -158,7 +158,10 @@
         fence,
     };
     let mut state = edge.state.borrow_mut();
-    let placer = Placer::new(leader, &settings, history);
+    let mut placer = Placer::new(leader, &settings, history);
+    if let Some(status) = last_status(&state.members) {
+        placer.inherit(&status.forecasts, clock::now());
+    }
     state.leadership = Some(Leadership {
         record,
         version: written,
@@ -178,13 +181,18 @@
     if version == 0 {
         return LoadHistory::None;
     }
-    let statuses = members.all.values().filter_map(|m| m.leadership.as_ref());
-    match statuses.max_by_key(|s| s.fence) {
+    match last_status(members) {
         Some(status) => LoadHistory::Known(status.loads.clone()),
         None => LoadHistory::UnknownBefore(clock::now()),
     }
 }
 
+/// Returns what the last leader has reported, as far as known.
+fn last_status(members: &Members) -> Option<&LeadershipStatus> {
+    let statuses = members.all.values().filter_map(|m| m.leadership.as_ref());
+    statuses.max_by_key(|s| s.fence)
+}
+
 /// Outcome of a write of the leader's row.
 enum RowWrite {
     /// Written; the new version.
--- a/src/edge/load_forecast.rs
+++ b/src/edge/load_forecast.rs
@@ -1,7 +1,7 @@
 //! When models that no engine holds will be ready, as the leader forecasts it from the loads
 //! that the weight store still has to carry out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +17,10 @@
     pub ready: BTreeMap<Arc<str>, Moment>,
     /// When a load of any other model can start.
     pub next_start: Moment,
+    /// Models that are loading.
+    pub loading: BTreeSet<Arc<str>>,
+    /// Loads at once that the weight store serves at full speed, as far as known.
+    pub parallel: u32,
 }
 
 impl LoadForecast {
@@ -37,8 +41,10 @@
         free_at.sort_unstable_by(|a, b| b.cmp(a));
         free_at.truncate(parallel.max(1) as usize);
         let mut forecast = LoadForecast {
+            loading: running.iter().map(|(model, _)| model.clone()).collect(),
             ready: running.into_iter().collect(),
             next_start: now,
+            parallel,
         };
         for (model, load_time) in queued {
             let Some(start) = free_at.pop() else {
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -162,11 +162,13 @@
         let models = forecast.ready.iter().map(|(model, at)| ReadyNote {
             model: model.to_string(),
             ready_ms: until(*at),
+            loading: forecast.loading.contains(model),
         });
         note.forecasts.push(ForecastNote {
             service: service.to_string(),
             start_ms: until(forecast.next_start),
             models: models.collect(),
+            parallel: forecast.parallel,
         });
     }
     let load_starts = state.placer.as_ref().map(|p| p.store_load_starts(now));
@@ -440,11 +442,14 @@
 fn decode_forecast(note: &ForecastNote, now: Moment) -> (Arc<str>, LoadForecast) {
     let after = |ms| now + Duration::from_millis(ms);
     let ready = note.models.iter();
+    let loading = note.models.iter().filter(|m| m.loading);
     let forecast = LoadForecast {
         ready: ready
             .map(|m| (m.model.as_str().into(), after(m.ready_ms)))
             .collect(),
         next_start: after(note.start_ms),
+        loading: loading.map(|m| m.model.as_str().into()).collect(),
+        parallel: note.parallel,
     };
     (note.service.as_str().into(), forecast)
 }
--- a/src/edge/placement/forecast.rs
+++ b/src/edge/placement/forecast.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 
+use super::store_speed::StoreSpeed;
 use super::{ModelTarget, PlacementInput, Placer};
 use crate::edge::load_forecast::LoadForecast;
 
@@ -14,16 +15,21 @@
             let Some(hosting) = &service.hosting else {
                 continue;
             };
+            let speed = self.speeds.get(&service.name);
             let mut running = Vec::new();
             let mut copied = HashSet::new();
-            for (_, view) in self.service_engines(input, &service.name) {
+            for (engine, view) in self.service_engines(input, &service.name) {
                 copied.extend(view.copies.memory.iter().chain(&view.copies.disk));
                 let Some(task) = view.task.as_ref().filter(|t| t.from_store) else {
                     continue;
                 };
                 let mut left = view.task_remaining(input.now);
-                if view.loading().is_none() {
-                    left += task.load_time;
+                match view.loading() {
+                    None => left += task.load_time,
+                    Some(_) => {
+                        let known = speed.and_then(|s| s.time_left(&engine.entry.id));
+                        left = known.unwrap_or(left);
+                    }
                 }
                 running.push((task.model.clone(), input.now + left));
             }
@@ -37,10 +43,11 @@
                     queued.push((model.clone(), spec.store_load));
                 }
             }
-            if running.is_empty() && queued.is_empty() {
+            let is_learnt = speed.is_some_and(StoreSpeed::is_learnt);
+            if running.is_empty() && queued.is_empty() && !is_learnt {
                 continue;
             }
-            let parallel = self.engines.store_parallel;
+            let parallel = speed.map_or(1, StoreSpeed::parallel) as u32;
             let forecast = LoadForecast::new(running, queued, parallel, input.now);
             self.forecasts.insert(service.name.clone(), forecast);
         }
--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -14,6 +14,7 @@
 mod index;
 mod plan;
 mod spares;
+mod store_speed;
 mod target;
 
 use std::collections::{BTreeMap, HashMap};
@@ -32,6 +33,7 @@
 use adapters::next_adapter_order;
 use engine_view::{Adapter, EngineView, REPORT_PAUSE, Replica, TaskStage, model_size_mb};
 use index::PlanIndex;
+use store_speed::StoreSpeed;
 pub use target::{ModelTarget, WaitingRequests};
 
 /// Minimum time between the start of a drain and the unload, so that requests
@@ -119,6 +121,11 @@
     windows: HashMap<Arc<str>, StartWindow>,
     /// Length of the rate limit's window, s.
     window_s: f64,
+    /// Loads at once that the weight store serves at full speed, by service.
+    speeds: HashMap<Arc<str>, StoreSpeed>,
+    /// Loads from the weight store that the leader before has ordered, with the time at which they
+    /// are expected to end, by service.
+    inherited: HashMap<Arc<str>, BTreeMap<Arc<str>, Moment>>,
     /// Loads before this leadership.
     history: LoadHistory,
     /// What the planning of loads looks up.
@@ -146,6 +153,8 @@
             settings: settings.placement,
             windows: HashMap::new(),
             window_s: settings.bounds.ceiling_window_s,
+            speeds: HashMap::new(),
+            inherited: HashMap::new(),
             history,
             index: PlanIndex::default(),
             waited_since: BTreeMap::new(),
@@ -156,6 +165,18 @@
         }
     }
 
+    /// Goes on with what the leader before has forecast and learnt of the weight store.
+    pub fn inherit(&mut self, forecasts: &BTreeMap<Arc<str>, LoadForecast>, now: Moment) {
+        let usual = self.engines.store_parallel;
+        for (service, forecast) in forecasts {
+            let speed = StoreSpeed::inherited(usual, forecast.parallel, now);
+            self.speeds.insert(service.clone(), speed);
+            let loading = forecast.loading.iter();
+            let ready = loading.filter_map(|m| Some((m.clone(), *forecast.ready.get(m)?)));
+            self.inherited.insert(service.clone(), ready.collect());
+        }
+    }
+
     /// Returns the fencing number of the leadership.
     pub fn fence(&self) -> u64 {
         self.leader.fence
--- a/tests/edge/placement.rs
+++ b/tests/edge/placement.rs
@@ -1,5 +1,7 @@
 //! Tests of the leader's placement decisions.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use mastichinge::edge::engine_load::EngineReport as LoadReport;
@@ -574,3 +576,80 @@
     let victims: Vec<_> = unloads.map(|o| (&*o.engine, &*o.model)).collect();
     assert_eq!(victims, [("e3", "a")]);
 }
+
+/// Runs loads of 6 s from a weight store that serves `parallel` at full speed, for each of `spans`
+/// seconds; returns the most loads that were in progress at the same time in each.
+fn most_loads(fixture: &mut PlacerFixture, parallel: f64, spans: &[u64]) -> Vec<usize> {
+    const STEP_MS: u64 = 20;
+    let mut left: BTreeMap<Arc<str>, Duration> = BTreeMap::new();
+    let mut held: BTreeMap<Arc<str>, Vec<Arc<str>>> = BTreeMap::new();
+    let mut most = Vec::new();
+    for span in spans {
+        let mut in_span = 0;
+        for _ in 0..span * 1_000 / STEP_MS {
+            let part = (parallel / left.len().max(1) as f64).min(1.0);
+            for rest in left.values_mut() {
+                *rest = rest.saturating_sub(Duration::from_millis(STEP_MS).mul_f64(part));
+            }
+            left.retain(|_, rest| !rest.is_zero());
+            in_span = in_span.max(left.len());
+            for call in fixture.step() {
+                match call {
+                    EngineCall::Report(engine) => {
+                        let busy = left.contains_key(&engine);
+                        let orders = held.get(&engine).map_or(0, Vec::len);
+                        let whole = held.get(&engine).into_iter().flatten().filter(|_| !busy);
+                        let models: Vec<_> = whole.map(|m| &**m).chain(["a"]).collect();
+                        let report = EngineReport {
+                            busy,
+                            ..report(&models, orders as u64)
+                        };
+                        fixture.report(&engine, &report);
+                    }
+                    EngineCall::Order(order) => {
+                        fixture.answer_order(&order, OrderOutcome::Accepted);
+                        held.entry(order.engine.clone())
+                            .or_default()
+                            .push(order.model);
+                        left.insert(order.engine, Duration::from_secs(6));
+                    }
+                }
+            }
+            fixture.advance(STEP_MS);
+        }
+        most.push(in_span);
+    }
+    most
+}
+
+/// Returns 40 engines with room for one of 40 models, which no engine has a copy of.
+fn without_copies() -> (PlacerFixture, Vec<String>) {
+    let entries = (1..=40).map(|n| entry(&format!("e{n}"), n, &["a"]));
+    let models: Vec<_> = (0..40).map(|n| format!("w{n}")).collect();
+    let names: Vec<_> = models.iter().map(String::as_str).chain(["a"]).collect();
+    (
+        PlacerFixture::new(entries.collect(), desired(&names)),
+        models,
+    )
+}
+
+/// Pattern: requests wait for more models than the weight store serves at full speed. Loads beyond
+/// that number only delay each other.
+#[test_case(1.0, 1; "one at a time")]
+#[test_case(2.0, 2; "two at a time")]
+#[test_case(4.0, 4; "as many as the settings say")]
+fn as_many_loads_run_as_the_weight_store_serves(parallel: f64, expected: usize) {
+    let (mut fixture, models) = without_copies();
+    for model in &models {
+        fixture.add_waiting(model, None);
+    }
+    assert_eq!(most_loads(&mut fixture, parallel, &[38, 12])[1], expected);
+}
+
+/// Loads that no request needs begin one at a time, and run together only once that has been seen to
+/// slow none of them.
+#[test]
+fn loads_ahead_begin_one_at_a_time() {
+    let (mut fixture, _) = without_copies();
+    assert_eq!(most_loads(&mut fixture, 4.0, &[5, 30, 10]), [1, 3, 3]);
+}
