Name the priority of the selected engine in the test of the order of waiting

Cause: engines' queues by priority and the order of waiting were merged. Change: one field of a test's value. Result: clippy passes on all targets.

--- a/tests/edge/order.rs
+++ b/tests/edge/order.rs
@@ -232,6 +232,7 @@
             backlog: ms(first),
             first_event: ms(first),
             usual: ms(first),
+            priority: 1,
         })
     };
     assert_eq!(budget.refuse_behind(&selection(500), ahead, &limits), None);
