--- a/src/edge/placement/mod.rs
+++ b/src/edge/placement/mod.rs
@@ -14,6 +14,7 @@
 mod index;
 mod plan;
 mod spares;
+mod store_loads;
 mod store_speed;
 mod target;
 
@@ -165,18 +166,6 @@
         }
     }
 
-    /// Goes on with what the leader before has forecast and learnt of the weight store.
-    pub fn inherit(&mut self, forecasts: &BTreeMap<Arc<str>, LoadForecast>, now: Moment) {
-        let usual = self.engines.store_parallel;
-        for (service, forecast) in forecasts {
-            let speed = StoreSpeed::inherited(usual, forecast.parallel, now);
-            self.speeds.insert(service.clone(), speed);
-            let loading = forecast.loading.iter();
-            let ready = loading.filter_map(|m| Some((m.clone(), *forecast.ready.get(m)?)));
-            self.inherited.insert(service.clone(), ready.collect());
-        }
-    }
-
     /// Returns the fencing number of the leadership.
     pub fn fence(&self) -> u64 {
         self.leader.fence
