Run short loads ahead of need side by side, as before

Change: loads ahead are bounded by the time for which they may occupy a store that serves one at a time, so that only long loads begin one at a time.

--- a/src/edge/placement/plan.rs
+++ b/src/edge/placement/plan.rs
@@ -243,7 +243,7 @@
         let Some(spec) = hosting.models.get(model) else {
             return;
         };
-        let max_loads = self.max_store_loads(service, reason);
+        let max_loads = self.max_store_loads(service, spec.store_load, reason);
         let store_available = self.store_load_count(input, service) < max_loads
             && !self.is_inherited(service, model, input.now);
         if reason == LoadReason::Prefetch && !store_available {
--- a/src/edge/placement/store_loads.rs
+++ b/src/edge/placement/store_loads.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
-use super::engine_view::EngineView;
 use super::plan::LoadReason;
 use super::store_speed::StoreSpeed;
 use super::{PlacementInput, Placer};
@@ -53,12 +53,17 @@
 
     /// Returns how many loads from the weight store may be planned or in progress, so that none
     /// of them is slowed.
-    pub(super) fn max_store_loads(&self, service: &str, reason: LoadReason) -> usize {
+    pub(super) fn max_store_loads(
+        &self,
+        service: &str,
+        load_time: Duration,
+        reason: LoadReason,
+    ) -> usize {
         let Some(speed) = self.speeds.get(service) else {
             return 1;
         };
         match reason {
-            LoadReason::Prefetch | LoadReason::Spare => speed.parallel_ahead(),
+            LoadReason::Prefetch | LoadReason::Spare => speed.parallel_ahead(load_time),
             LoadReason::Waiting | LoadReason::Hot | LoadReason::Unserved => speed.parallel(),
         }
     }
--- a/src/edge/placement/store_speed.rs
+++ b/src/edge/placement/store_speed.rs
@@ -16,6 +16,8 @@
 const SLACK_PART: f64 = 0.1;
 /// Time after which the end of a load is known: reports lag, and are asked for at intervals.
 const REPORT_DELAY: Duration = Duration::from_millis(600);
+/// Time for which loads ahead of need may occupy a store that serves one at a time.
+const MAX_AHEAD_TIME: Duration = Duration::from_secs(24);
 /// Time after which one more load at once is tried again.
 const RETRY_PERIOD: Duration = Duration::from_secs(60);
 
@@ -91,11 +93,13 @@
         self.parallel != self.usual
     }
 
-    /// Returns how many loads at once may include one that no request needs: one more than have
-    /// been seen to end in their time, and less than requests may need.
-    pub fn parallel_ahead(&self) -> usize {
+    /// Returns how many loads of this time at once may include one that no request needs: less than
+    /// requests may need. Until that many have been seen to end in their time, a store that serves
+    /// one at a time has to be free again after [`MAX_AHEAD_TIME`].
+    pub fn parallel_ahead(&self, load_time: Duration) -> usize {
         let free = self.parallel.saturating_sub(1);
-        free.min(self.proven + 1).max(1)
+        let bounded = (MAX_AHEAD_TIME.as_secs_f64() / load_time.as_secs_f64()) as usize;
+        free.min(bounded.max(self.proven + 1)).max(1)
     }
 
     /// Takes the loads in progress, by engine, each with the time that it takes alone, and the number of
