Review case 7: streams that last longer than a minute are cut, whatever their route allows

Claim: with timeoutMs and the callers' time limit at 90 s, streams are cut after 60.0 s (LOST). Cause: MAX_TIME_LIMIT in src/edge/forward/mod.rs bounds the deadline of each request.

--- a/review/standins-2/daemons.rs
+++ b/review/standins-2/daemons.rs
@@ -28,12 +28,22 @@
 
 impl Daemon {
     /// Starts the daemon `number` of a deployment, at an address of its own and free ports.
-    pub fn start(number: u8, zone: &str, store: SocketAddr, folder: &Path) -> std::io::Result<Self> {
-        let ip = Ipv4Addr::new(127, 0, 0, 10 + number);
+    pub fn start(
+        number: u8,
+        zone: &str,
+        store: SocketAddr,
+        folder: &Path,
+    ) -> std::io::Result<Self> {
+        // Other addresses in each run, so that no port is taken by what another run has left.
+        let [.., high, low] = std::process::id().to_be_bytes();
+        let ip = Ipv4Addr::new(127, 1 + high % 250, 1 + low % 250, 10 + number);
         let held: Vec<_> = (0..5)
             .map(|_| TcpListener::bind(SocketAddrV4::new(ip, 0)))
             .collect::<Result<_, _>>()?;
-        let ports: Vec<_> = held.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?;
+        let ports: Vec<_> = held
+            .iter()
+            .map(TcpListener::local_addr)
+            .collect::<Result<_, _>>()?;
         drop(held);
         let [callers, ready, entry, peers, metrics] = ports[..] else {
             unreachable!("five ports");
@@ -62,7 +72,11 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        Ok(Daemon { callers, ready, process })
+        Ok(Daemon {
+            callers,
+            ready,
+            process,
+        })
     }
 
     /// Waits until the daemon says that it is ready; returns whether it does in time.
--- a/review/standins-2/engine.rs
+++ b/review/standins-2/engine.rs
@@ -2,8 +2,8 @@
 
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -53,7 +53,12 @@
 
 impl Engine {
     /// Starts an engine at a free port; it writes its entry again and again.
-    pub fn start(kind: Kind<'_>, work: Work, store: &Arc<Store>, record: &Arc<Record>) -> Arc<Engine> {
+    pub fn start(
+        kind: Kind<'_>,
+        work: Work,
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+    ) -> Arc<Engine> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port for an engine");
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
         let engine = Arc::new(Engine {
@@ -173,7 +178,10 @@
             head.push_str(&format!("{name}: {value}\r\n"));
         }
         stream.write_all(format!("{head}\r\n").as_bytes())?;
-        let first = request.field("last-event-id").parse().map_or(1, |last: u64| last + 1);
+        let first = request
+            .field("last-event-id")
+            .parse()
+            .map_or(1, |last: u64| last + 1);
         for event in first..=self.work.events {
             let data = "a".repeat(self.work.event_bytes);
             let text = format!("id: {event}\ndata: {data}\n\n");
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -34,7 +34,9 @@
         let (_, value) = pairs.into_iter().find(|(n, _)| *n == name)?;
         let (mut out, bytes, mut at) = (Vec::new(), value.as_bytes(), 0);
         while at < bytes.len() {
-            let hex = (bytes[at] == b'%').then(|| value.get(at + 1..at + 3)).flatten();
+            let hex = (bytes[at] == b'%')
+                .then(|| value.get(at + 1..at + 3))
+                .flatten();
             match hex.and_then(|h| u8::from_str_radix(h, 16).ok()) {
                 Some(byte) => {
                     out.push(byte);
@@ -58,7 +60,10 @@
 
 impl Reader {
     pub fn new(stream: TcpStream) -> Self {
-        Reader { stream, rest: Vec::new() }
+        Reader {
+            stream,
+            rest: Vec::new(),
+        }
     }
 
     /// Reads a head; `None` at the end of the connection.
@@ -71,7 +76,11 @@
                 let start = lines.next().unwrap_or_default().to_owned();
                 let fields = lines.filter_map(|l| l.split_once(':'));
                 let fields = fields.map(|(n, v)| (n.to_ascii_lowercase(), v.trim().to_owned()));
-                return Ok(Some(Message { start, fields: fields.collect(), body: Vec::new() }));
+                return Ok(Some(Message {
+                    start,
+                    fields: fields.collect(),
+                    body: Vec::new(),
+                }));
             }
             if !self.fill()? {
                 return Ok(None);
--- a/review/standins-2/json.rs
+++ b/review/standins-2/json.rs
@@ -117,7 +117,10 @@
         'n' => word(text, at, "null", Json::Null),
         _ => {
             let start = *at;
-            while text.get(*at).is_some_and(|c| "+-.eE0123456789".contains(*c)) {
+            while text
+                .get(*at)
+                .is_some_and(|c| "+-.eE0123456789".contains(*c))
+            {
                 *at += 1;
             }
             let number: String = text[start..*at].iter().collect();
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -9,7 +9,9 @@
 mod engine;
 mod http;
 mod json;
+mod long_streams;
 mod record;
+mod site;
 mod slow_readers;
 mod store;
 
@@ -31,6 +33,7 @@
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match &**case {
+        "long-streams" => long_streams::play(Path::new(folder), trouble),
         "slow-readers" => slow_readers::play(Path::new(folder), trouble),
         other => Verdict::CannotRun(format!("there is no case {other}")),
     };
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -12,14 +12,20 @@
 
 impl Default for Record {
     fn default() -> Self {
-        Record { started: Instant::now(), lines: Mutex::default() }
+        Record {
+            started: Instant::now(),
+            lines: Mutex::default(),
+        }
     }
 }
 
 impl Record {
     pub fn add(&self, line: &str) {
         let at = self.started.elapsed().as_secs_f64();
-        self.lines.lock().unwrap().push(format!("{at:8.3} s  {line}"));
+        self.lines
+            .lock()
+            .unwrap()
+            .push(format!("{at:8.3} s  {line}"));
     }
 
     pub fn write(&self, folder: &Path) {
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -60,8 +60,12 @@
     pub fn write(&self, table: &str, key: &str, value: &str) {
         let mut rows = self.rows.lock().unwrap();
         rows.ver += 1;
-        let row = Row { value: Some(base64(value.as_bytes())), ver: rows.ver };
-        rows.rows.insert((table.into(), String::new(), key.into()), row);
+        let row = Row {
+            value: Some(base64(value.as_bytes())),
+            ver: rows.ver,
+        };
+        rows.rows
+            .insert((table.into(), String::new(), key.into()), row);
         self.changed.notify_all();
     }
 
@@ -95,7 +99,10 @@
 
     fn get(&self, request: &Message) -> (&'static str, String) {
         let query = |name| request.query(name);
-        let (table, part) = (query("table").unwrap_or_default(), query("part").unwrap_or_default());
+        let (table, part) = (
+            query("table").unwrap_or_default(),
+            query("part").unwrap_or_default(),
+        );
         let (from, to) = (query("from").unwrap_or_default(), query("to"));
         let rows = self.rows.lock().unwrap();
         let is_found = |((t, p, k), row): &(&Key, &Row)| {
@@ -132,8 +139,15 @@
             let text = |name| row.get(name).text().to_owned();
             (text("table"), text("part"), text("key"))
         };
-        let written = call.get("writes").list().iter().chain(call.get("remove").list());
-        if written.into_iter().any(|row| FOREIGN.contains(&row.get("table").text())) {
+        let written = call
+            .get("writes")
+            .list()
+            .iter()
+            .chain(call.get("remove").list());
+        if written
+            .into_iter()
+            .any(|row| FOREIGN.contains(&row.get("table").text()))
+        {
             return ("403 Forbidden", "{}".to_owned());
         }
         thread::sleep(TX_TIME);
