Review case 8: a part that all prompts share is held after all daemons have ended

Claim: two parts that crash engines, just after all daemons were killed: no sound request with the same first part begins any more (LOST). Cause: that engines have answered the shared part is in the daemons' memory alone; the requests that crash engines then take its trials.

--- a/review/standins-2/long_streams.rs
+++ b/review/standins-2/long_streams.rs
@@ -9,7 +9,7 @@
 use crate::caller::{Pace, ask};
 use crate::engine::Work;
 use crate::record::Record;
-use crate::site::{Site, config};
+use crate::site::{Plan, Site, config};
 
 /// Requesters of each daemon.
 const CALLERS: usize = 2;
@@ -30,6 +30,7 @@
     events: 200,
     event_bytes: 50,
     gap: Duration::from_millis(350),
+    down: Duration::from_secs(2),
 };
 
 pub fn play(folder: &Path, trouble: bool) -> Verdict {
@@ -40,7 +41,13 @@
 }
 
 fn play_case(record: &Arc<Record>, trouble: bool) -> Result<Verdict, String> {
-    let site = Site::start(&config(7, FIRST_TIMEOUT_MS), WORK, record)?;
+    let plan = Plan {
+        config: &config(7, FIRST_TIMEOUT_MS),
+        work: WORK,
+        lamp_engines: 4,
+        crashes_on: &[],
+    };
+    let site = Site::start(&plan, record)?;
     let mut timeout = Duration::from_millis(FIRST_TIMEOUT_MS);
     if trouble {
         timeout = TIMEOUT;
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod daemons;
 mod engine;
+mod held_part;
 mod http;
 mod json;
 mod long_streams;
@@ -33,6 +34,7 @@
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match &**case {
+        "held-part" => held_part::play(Path::new(folder), trouble),
         "long-streams" => long_streams::play(Path::new(folder), trouble),
         "slow-readers" => slow_readers::play(Path::new(folder), trouble),
         other => Verdict::CannotRun(format!("there is no case {other}")),
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -28,6 +28,11 @@
             .push(format!("{at:8.3} s  {line}"));
     }
 
+    /// Returns the time since the start, ms.
+    pub fn ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
     pub fn write(&self, folder: &Path) {
         let lines = self.lines.lock().unwrap();
         let text = lines.join("\n") + "\n";
--- a/review/standins-2/site.rs
+++ b/review/standins-2/site.rs
@@ -39,20 +39,34 @@
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
 "idleTimeoutMs":15000}}"#;
 
+/// What a deployment is made of.
+pub struct Plan<'a> {
+    pub config: &'a str,
+    pub work: Work,
+    /// Engines of models.
+    pub lamp_engines: usize,
+    /// Parts of prompts that crash them.
+    pub crashes_on: &'static [&'static str],
+}
+
 /// Daemons of a deployment, with the folder of their settings and logs; both end with it.
 pub struct Site {
     pub daemons: Vec<Daemon>,
     pub store: Arc<Store>,
+    /// Engines of models.
+    pub engines: Vec<Arc<Engine>>,
     folder: PathBuf,
 }
 
 impl Site {
     /// Starts a deployment, and waits until its daemons are ready and in touch.
-    pub fn start(config: &str, work: Work, record: &Arc<Record>) -> Result<Site, String> {
+    pub fn start(plan: &Plan<'_>, record: &Arc<Record>) -> Result<Site, String> {
         let store = Store::start();
-        store.write("op", "config", config);
-        for (i, zone) in ZONES.iter().enumerate() {
-            let (id, model) = (format!("i-lamp-{i}"), Some("m0"));
+        store.write("op", "config", plan.config);
+        let mut engines = Vec::new();
+        for i in 0..plan.lamp_engines {
+            let (id, zone) = (format!("i-lamp-{i}"), ZONES[i % ZONES.len()]);
+            let model = Some("m0");
             let kind = Kind {
                 id: &id,
                 service: "lamp-assist",
@@ -60,7 +74,15 @@
                 model,
                 slots: 64,
             };
-            Engine::start(kind, work, &store, record);
+            engines.push(Engine::start(
+                kind,
+                plan.work,
+                plan.crashes_on,
+                &store,
+                record,
+            ));
+        }
+        for (i, zone) in ZONES.iter().enumerate() {
             let id = format!("i-desk-{i}");
             let kind = Kind {
                 id: &id,
@@ -69,7 +91,7 @@
                 model: None,
                 slots: 6,
             };
-            Engine::start(kind, work, &store, record);
+            Engine::start(kind, plan.work, &[], &store, record);
         }
         let name = format!("mastichinge-case-{}", std::process::id());
         let folder = std::env::temp_dir().join(name);
@@ -78,6 +100,7 @@
         let mut site = Site {
             daemons,
             store,
+            engines,
             folder,
         };
         site.start_daemons()?;
--- a/review/standins-2/slow_readers.rs
+++ b/review/standins-2/slow_readers.rs
@@ -9,7 +9,7 @@
 use crate::caller::{Pace, ask};
 use crate::engine::Work;
 use crate::record::Record;
-use crate::site::{Site, config};
+use crate::site::{Plan, Site, config};
 
 /// Requesters of each daemon.
 const CALLERS: usize = 2;
@@ -32,6 +32,7 @@
     events: 85,
     event_bytes: 290,
     gap: Duration::from_millis(22),
+    down: Duration::from_secs(2),
 };
 
 pub fn play(folder: &Path, trouble: bool) -> Verdict {
@@ -43,7 +44,13 @@
 
 fn play_case(record: &Arc<Record>, trouble: bool) -> Result<Verdict, String> {
     let time_limit_ms = TIME_LIMIT.as_millis() as u64;
-    let site = Site::start(&config(7, time_limit_ms), WORK, record)?;
+    let plan = Plan {
+        config: &config(7, time_limit_ms),
+        work: WORK,
+        lamp_engines: 4,
+        crashes_on: &[],
+    };
+    let site = Site::start(&plan, record)?;
     let daemons = &site.daemons;
     let mut callers = Vec::new();
     for (i, daemon) in daemons.iter().enumerate() {
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -69,6 +69,19 @@
         self.changed.notify_all();
     }
 
+    /// Removes a row as the platform does with the entry of an engine that has ended.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut rows = self.rows.lock().unwrap();
+        rows.ver += 1;
+        let row = Row {
+            value: None,
+            ver: rows.ver,
+        };
+        rows.rows
+            .insert((table.into(), String::new(), key.into()), row);
+        self.changed.notify_all();
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut reader = Reader::new(stream);
