--- a/review/standins-2/engine.rs
+++ b/review/standins-2/engine.rs
@@ -16,8 +16,9 @@
 const BEAT: Duration = Duration::from_millis(1_200);
 /// Check-in intervals of silence after which an entry is removed.
 const SILENT_BEATS: u32 = 3;
-/// Time of a load from the engine's disk, which a restart preserves.
+/// Time of a load from the engine's disk, which a restart preserves, and from the weight store.
 const DISK_LOAD: Duration = Duration::from_millis(1_200);
+const STORE_LOAD: Duration = Duration::from_millis(6_000);
 /// Pause before a port is bound again.
 const BIND_PAUSE: Duration = Duration::from_millis(10);
 
@@ -43,6 +44,8 @@
     pub service: &'a str,
     pub zone: &'a str,
     pub model: Option<&'a str>,
+    /// Version of its software.
+    pub software: &'a str,
     pub slots: u32,
 }
 
@@ -51,6 +54,8 @@
     id: String,
     born: u64,
     is_down: bool,
+    /// Whether it has said that it leaves.
+    is_draining: bool,
     models: BTreeSet<String>,
     /// Model that is being loaded, and until when.
     loading: Option<(String, Instant)>,
@@ -65,6 +70,7 @@
     name: String,
     service: String,
     zone: String,
+    software: String,
     disk: Option<String>,
     slots: u32,
     work: Work,
@@ -96,6 +102,7 @@
             id: kind.id.to_owned(),
             born: born_now(),
             is_down: false,
+            is_draining: false,
             models: kind.model.iter().map(|m| (*m).to_owned()).collect(),
             loading: None,
             orders: 0,
@@ -107,6 +114,7 @@
             name: kind.id.to_owned(),
             service: kind.service.to_owned(),
             zone: kind.zone.to_owned(),
+            software: kind.software.to_owned(),
             disk: kind.model.map(str::to_owned),
             slots: kind.slots,
             work,
@@ -161,15 +169,25 @@
 
     fn beat(&self, seq: u64) {
         let life = self.life.lock().unwrap();
-        if !life.is_down {
+        if !life.is_down && !life.is_draining {
             let (id, entry) = (life.id.clone(), self.entry(&life, seq));
             drop(life);
             self.store.write("servers", &id, &entry);
         }
     }
 
+    /// Reports that the engine leaves, as before a planned shutdown; it goes on serving.
+    pub fn drain(&self) {
+        let mut life = self.life.lock().unwrap();
+        life.is_draining = true;
+        self.record.add(&format!("engine {} is draining", life.id));
+        let (id, entry) = (life.id.clone(), self.entry(&life, u64::from(u32::MAX)));
+        drop(life);
+        self.store.write("servers", &id, &entry);
+    }
+
     /// Ends the engine's lifetime; it is back after a while, empty, under another id.
-    fn crash(self: &Arc<Self>, part: &'static str) {
+    pub fn crash(self: &Arc<Self>, part: &'static str) {
         let mut life = self.life.lock().unwrap();
         if life.is_down {
             return;
@@ -177,7 +195,7 @@
         life.is_down = true;
         self.crashes.lock().unwrap().push((Instant::now(), part));
         self.record
-            .add(&format!("engine {} crashes on part {part}", life.id));
+            .add(&format!("engine {} crashes on {part}", life.id));
         for connection in life.connections.drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
         }
@@ -194,6 +212,7 @@
                 id: format!("{}-{lives}", engine.name),
                 born: born_now(),
                 is_down: false,
+                is_draining: false,
                 models: BTreeSet::new(),
                 loading: None,
                 orders: 0,
@@ -212,10 +231,15 @@
     fn entry(&self, life: &Life, seq: u64) -> String {
         let (service, zone) = (quote(&self.service), quote(&self.zone));
         let (addr, slots, born) = (self.addr, self.slots, life.born);
+        let software = quote(&self.software);
+        let state = match life.is_draining {
+            true => "draining",
+            false => "ready",
+        };
         let (models, copies) = (models(life), self.copies());
         format!(
-            "{{\"service\":{service},\"addr\":\"{addr}\",\"zone\":{zone},\"version\":\"v1\",\
-             \"slots\":{slots},\"state\":\"ready\",\"coldLeftMs\":0,\"stage\":\"both\",\
+            "{{\"service\":{service},\"addr\":\"{addr}\",\"zone\":{zone},\"version\":{software},\
+             \"slots\":{slots},\"state\":\"{state}\",\"coldLeftMs\":0,\"stage\":\"both\",\
              \"models\":[{models}],{copies}\"seq\":{seq},\"born\":{born}}}"
         )
     }
@@ -259,7 +283,13 @@
         }
         life.orders += 1;
         match is_load {
-            true => life.loading = Some((model, Instant::now() + DISK_LOAD)),
+            true => {
+                let time = match self.disk.as_ref() == Some(&model) {
+                    true => DISK_LOAD,
+                    false => STORE_LOAD,
+                };
+                life.loading = Some((model, Instant::now() + time));
+            }
             false => drop(life.models.remove(&model)),
         }
         "202 Accepted"
--- a/review/standins-2/held_part.rs
+++ b/review/standins-2/held_part.rs
@@ -51,7 +51,7 @@
     let plan = Plan {
         config: &config(7, 15_000),
         work: WORK,
-        lamp_engines: 12,
+        lamp_engines: &[("m0", "v1"); 12],
         crashes_on: &CRASHING,
     };
     let mut site = Site::start(&plan, record)?;
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 //! environment it plays the case without its disruption.
 
 mod caller;
+mod copies_leave;
 mod daemons;
 mod engine;
 mod held_part;
@@ -34,6 +35,7 @@
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match &**case {
+        "copies-leave" => copies_leave::play(Path::new(folder), trouble),
         "held-part" => held_part::play(Path::new(folder), trouble),
         "long-streams" => long_streams::play(Path::new(folder), trouble),
         "slow-readers" => slow_readers::play(Path::new(folder), trouble),
--- a/review/standins-2/site.rs
+++ b/review/standins-2/site.rs
@@ -33,7 +33,9 @@
 "services":[
 {"name":"lamp-assist","healthPath":"/healthz","maxConns":360,"protocol":"h1","tls":false,
  "engine":{"slots":64,"kvCapacity":232000,"models":[{"name":"m0","weightsMb":72700.0,"loadS":6.0,
- "adapters":0,"adapterMb":66.0,"warmS":0.4,"diskS":1.2}],"weightsMb":140000.0,"adapterSlots":8,
+ "adapters":0,"adapterMb":66.0,"warmS":0.4,"diskS":1.2},
+ {"name":"m1","weightsMb":34300.0,"loadS":6.0,"adapters":0,"adapterMb":40.0,"warmS":0.28,
+ "diskS":0.52}],"weightsMb":140000.0,"adapterSlots":8,
  "loadsPerS":2.8}},
 {"name":"depot-desk","healthPath":"/healthz","maxConns":100,"protocol":"h1","tls":false}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
@@ -43,8 +45,8 @@
 pub struct Plan<'a> {
     pub config: &'a str,
     pub work: Work,
-    /// Engines of models.
-    pub lamp_engines: usize,
+    /// Engines of models: the model that each holds, and the version of its software.
+    pub lamp_engines: &'a [(&'a str, &'a str)],
     /// Parts of prompts that crash them.
     pub crashes_on: &'static [&'static str],
 }
@@ -64,14 +66,13 @@
         let store = Store::start();
         store.write("op", "config", plan.config);
         let mut engines = Vec::new();
-        for i in 0..plan.lamp_engines {
-            let (id, zone) = (format!("i-lamp-{i}"), ZONES[i % ZONES.len()]);
-            let model = Some("m0");
+        for (i, (model, software)) in plan.lamp_engines.iter().enumerate() {
             let kind = Kind {
-                id: &id,
+                id: &format!("i-lamp-{i}"),
                 service: "lamp-assist",
-                zone,
-                model,
+                zone: ZONES[i % ZONES.len()],
+                model: Some(model),
+                software,
                 slots: 64,
             };
             engines.push(Engine::start(
@@ -89,6 +90,7 @@
                 service: "depot-desk",
                 zone,
                 model: None,
+                software: "v1",
                 slots: 6,
             };
             Engine::start(kind, plan.work, &[], &store, record);
--- a/review/standins-2/slow_readers.rs
+++ b/review/standins-2/slow_readers.rs
@@ -47,7 +47,7 @@
     let plan = Plan {
         config: &config(7, time_limit_ms),
         work: WORK,
-        lamp_engines: 4,
+        lamp_engines: &[("m0", "v1"); 4],
         crashes_on: &[],
     };
     let site = Site::start(&plan, record)?;
